--- /dev/null
+++ b/magpiefront/brain.py
@@ -0,0 +1,444 @@
+"""All decisions of magpiefront. Its settings, events and actions are in magpiefront/interface.py.
+
+Every key has a hashed home; a home at its cap sends the key on to slots found by hashing it with the attempt
+number (random-jump consistent hashing). The rest keeps this sound when something fails. From top to bottom:
+constants, state, requests, the mechanism, outcomes, health, the list, timers.
+"""
+
+from __future__ import annotations
+
+from bisect import bisect_left
+from math import ceil, log
+from random import Random
+
+from magpiefront.hashing import mix, nth, rank, text_hash
+from magpiefront.interface import (
+    NEVER_RAN, Action, Arrived, AttemptEnded, Cancel, ClientLeft, Event, Fail, Group, ListKind, Note, Outcome,
+    Probe, Probed, Refuse, Repeat, RequestClass, Send, ServerEntry, ServerList, SetTimer, Settings, Status,
+    StreamBegan, TimerFired, Watch, WeightSource,
+)  # fmt: skip
+
+SLOTS = 96
+EPSILON = 0.5
+FLOOR, FLEET_FLOOR = 2, 20
+MAX_JUMPS = 16  # slots looked at for one attempt; then the least loaded of the servers seen takes it
+HOMES = 4.0  # a key gets one home for each 1/HOMES of a server's mean load that it draws by itself
+HEAT_WINDOW, HEAT_LEAST = 4, 256
+BUDGET = 0.05
+BUDGET_DEPTH, TURNED_AWAY = 10.0, 0.25  # how many may come at once; what a repeat costs after a CHEAP end
+CHEAP = (Outcome.FULL, Outcome.RESET)
+SLOW = 3.0  # a second copy goes out when an attempt takes the mean of hits and so many mean deviations
+SMOOTH = 0.05  # weight of the newest value in a running mean
+BAD, FINE = 0.25, 0.12
+CLOSE, AGE, LEAST = 0.05, 0.01, 0.002  # it closes by a part at a bad outcome; what is bad ages at arrivals
+OPEN_US, GENTLY = 8_000_000, 8.0  # from an eighth to open; slower than queues answer, or it swings
+EASE, EASE_LEAST = 0.2, 0.05
+USUAL, WORSE = 0.1, 1.5  # ... and they stay away while its bad share is above this and so much the fleet's
+SURPRISE = 1e-3  # failures in a row make a server suspect when the fleet's own rate makes them this rare
+MAX_SUSPECT = 0.5
+REST_US = 500_000
+MAX_REST_US = 8_000_000
+FIRST_CALL, CALL_BACKOFF = 0.1, 0.05  # first list call, first pause after a failed one: of ask_every_us
+
+
+class Server:
+    __slots__ = ("cell", "down", "ease", "failures", "heard_at", "in_flight", "name", "origin", "rest_us",
+                 "slots", "started_at", "suspect", "trial", "trial_at", "warm_at", "zone")  # fmt: skip
+
+    def __init__(self, name: str) -> None:
+        self.name, self.zone, self.cell = name, "", -1
+        self.slots = self.in_flight = self.started_at = self.warm_at = self.heard_at = 0
+        self.failures = self.rest_us = self.trial_at = 0
+        self.ease = 1.0  # share of its keys that it is sent
+        self.suspect = self.down = self.trial = self.origin = False
+
+
+class Attempt:
+    __slots__ = ("may_run", "out", "sent_at", "server")
+
+    def __init__(self, server: Server, now: int) -> None:
+        self.server, self.sent_at, self.out, self.may_run = server, now, True, True
+
+
+class Pending:
+    """One request, kept until it has its final answer and all its attempts have returned."""
+
+    __slots__ = ("arrived", "attempts", "cls", "deadline", "done", "fetches", "horizon",
+                 "jump", "key", "name", "out", "to_origin", "write")  # fmt: skip
+
+    def __init__(self, e: Arrived, cls: RequestClass, now: int, round_us: int) -> None:
+        self.name, self.cls, self.arrived, self.attempts = e.request, cls, now, list[Attempt]()
+        self.key = mix(e.key if e.key is not None else text_hash(e.request))
+        self.deadline = now + max(0, e.time_left_us - round_us)
+        self.horizon = self.deadline if cls.late_worth > 0 else min(self.deadline, now + cls.aim_us)
+        self.out, self.jump, self.write = 0, 0, e.write
+        self.done = self.to_origin = self.fetches = False
+
+    def ran(self) -> Attempt | None:
+        return next((a for a in self.attempts if a.may_run), None)
+
+
+class Gate:
+    """The share of keys let in while something is overloaded: bad outcomes close it, time opens it again."""
+
+    __slots__ = ("bad", "share", "usual")
+
+    def __init__(self) -> None:
+        self.share, self.bad, self.usual = 1.0, 0.0, 0.0
+
+    def count(self, bad: bool) -> None:
+        self.bad += SMOOTH * (bad - self.bad)
+        if bad and self.bad > self.usual + BAD:
+            self.share = max(LEAST, self.share * (1 - CLOSE))
+
+    def arrival(self, since_us: int) -> None:
+        if self.bad < self.usual + FINE:
+            self.share = min(1.0, self.share + min(1.0, GENTLY * self.share) * since_us / OPEN_US)
+        elif self.share < 1:  # few are let in: what was seen grows old
+            self.bad *= 1 - AGE
+
+
+class Router:
+    def __init__(self, settings: Settings, seed: int) -> None:
+        self.set, self.random = settings, Random(seed)
+        self.floor = max(FLOOR, ceil(FLEET_FLOOR / settings.proxies))
+        self.classes = {c.name: c for c in settings.classes}
+        self.pace = {c.name: [c.aim_us / 4, c.aim_us / 8] for c in settings.classes}  # hits: mean, deviation
+        self.servers: dict[str, Server] = {}  # the list, less what drains or is gone
+        self.origin: list[Server] = []
+        self.points: list[int] = []
+        self.owners: list[Server] = []
+        self.all_slots = self.suspect_slots = self.suspects = self.in_flight = 0
+        self.pending: dict[str, Pending] = {}
+        self.heat, self.old_heat = dict[int, int](), dict[int, int]()
+        self.kept, self.old_kept = set[int](), set[int]()
+        self.counted = self.old_counted = 0
+        self.budget = BUDGET_DEPTH
+        self.work, self.fetch = Gate(), Gate()  # servers too busy; origin too busy
+        self.trouble, self.unit = 0.0, 0.0
+        self.call_at = self.failed_calls = self.last_at = 0
+        self.started = self.watching = False
+        self.act: list[Action] = []
+
+    def handle(self, now_us: int, event: Event) -> list[Action]:
+        self.act = []
+        if not self.started:
+            self.started = True
+            if self.set.subscribe:  # spread: a roll or a power cut starts many proxies at once
+                self._call_in(now_us, self.random.random() * FIRST_CALL)
+        match event:
+            case Arrived():
+                self._arrived(now_us, event)
+            case AttemptEnded():
+                self._ended(now_us, event)
+            case TimerFired():
+                self._timer(now_us, event.token)
+            case ServerList():
+                self._list(now_us, event)
+            case Probed():
+                self._probed(now_us, event)
+            case StreamBegan() | ClientLeft():
+                p = self.pending.get(event.request)
+                if p is not None and not p.done:
+                    p.done = True
+                    self._finish(p, event.attempt if isinstance(event, StreamBegan) else -1)
+        return self.act
+
+    # ---- requests
+
+    def _arrived(self, now: int, e: Arrived) -> None:
+        if e.request in self.pending:
+            return
+        cls = self.classes.get(e.class_name)
+        if cls is None:
+            cls = RequestClass(e.class_name, Repeat.UNSAFE, max(1, e.time_left_us), max(1, e.time_left_us))
+        p = self.pending[e.request] = Pending(e, cls, now, self.set.round_us)
+        p.to_origin = e.write and bool(self.origin)
+        seen = self._seen(p.key)
+        counted = max(self.counted + self.old_counted, HEAT_LEAST)
+        homes = 1 + int(HOMES * len(self.servers) * max(0, seen - 2) / counted)
+        self.budget = min(BUDGET_DEPTH, self.budget + BUDGET * self.work.share * self.fetch.share)
+        since, self.last_at = now - (self.last_at or now), now
+        self.fetch.usual = self.work.bad
+        self.work.arrival(since)
+        self.fetch.arrival(since)
+        p.fetches = e.write or not self._is_kept(p.key)
+        if rank(p.key) >= min(self.work.share, self.fetch.share * seen if p.fetches else 1.0):
+            self._give_up(p)
+            return
+        if p.fetches and not e.write:
+            p.horizon = p.deadline
+        if homes > 1:
+            p.jump = int(self.random.random() * (1 + (homes - 1) * self.fetch.share))
+        self._attempt(now, p)
+
+    def _is_kept(self, key: int) -> bool:
+        return key in self.kept or key in self.old_kept
+
+    def _seen(self, key: int) -> int:
+        if self.counted >= max(HEAT_LEAST, HEAT_WINDOW * len(self.servers)):
+            self.old_heat, self.old_counted, self.heat, self.counted = self.heat, self.counted, {}, 0
+            self.old_kept, self.kept = self.kept, set()
+        self.heat[key] = self.heat.get(key, 0) + 1
+        self.counted += 1
+        return self.heat[key] + self.old_heat.get(key, 0)
+
+    def _attempt(self, now: int, p: Pending) -> bool:
+        s = self._pick(now, p)
+        if s is None:
+            if not p.out:
+                self._give_up(p)
+            return False
+        expire = p.horizon
+        if p.cls.repeat is not Repeat.UNSAFE and len(p.attempts) + 1 < self.set.max_attempts and not p.out:
+            mean, deviation = self.pace.get(p.cls.name, (0, 0))
+            due = now + max(int(mean + SLOW * deviation), p.cls.aim_us // 4)
+            if self.set.second_copies:
+                if not p.fetches:  # a copy would only be fetched from the origin once more
+                    self.act.append(SetTimer(due - now, "copy " + p.name))
+            elif due < expire:  # no two at once: leave room for another attempt
+                expire = max(due, now + (expire - now) // 2)
+        p.attempts.append(Attempt(s, now))
+        p.out += 1
+        s.in_flight += 1
+        self.in_flight += 1
+        self.act.append(Send(p.name, s.name, expire))
+        return True
+
+    # ---- the mechanism
+
+    def _pick(self, now: int, p: Pending) -> Server | None:
+        if not (self.origin if p.to_origin else self.points):
+            return None
+        if p.to_origin:
+            return min(self.origin, key=lambda o: o.in_flight)
+        each = (1 + EPSILON) * (self.in_flight + 1) / max(1, self.all_slots - self.suspect_slots)
+        ran, best, spilled = p.ran(), None, bool(p.attempts)
+        for _ in range(MAX_JUMPS):
+            h = nth(p.key, p.jump)
+            p.jump += 1
+            s = self.owners[bisect_left(self.points, h)]
+            if p.attempts and not self._may_follow(p, ran, s):
+                continue
+            if (s.suspect and not self._trial(now, s)) or (s.ease < 1 and rank(mix(h)) >= s.ease):
+                spilled = True
+            elif s.warm_at > now:
+                if not spilled and self._warm_enough(now, s, h):
+                    return s
+            elif s.in_flight < self.floor or s.in_flight < ceil(each * s.slots):
+                return s
+            else:
+                spilled = True
+                if not best or s.in_flight * best.slots < best.in_flight * s.slots:
+                    best = s
+        return best  # all at cap: the least loaded
+
+    def _may_follow(self, p: Pending, ran: Attempt | None, s: Server) -> bool:
+        if any(a.server.name == s.name for a in p.attempts):
+            return False
+        if ran is None or p.cls.repeat is not Repeat.KEYED or p.cls.group is Group.ALL:
+            return True
+        return s.zone == ran.server.zone if p.cls.group is Group.ZONE else s.cell == ran.server.cell
+
+    def _warm_enough(self, now: int, s: Server, h: int) -> bool:
+        """A cold server gets the part of its keys that it can serve by now: all proxies leave out the same
+        keys without talking, and every kind of attempt comes through here."""
+        done = 1 - (s.warm_at - now) / max(1, self.set.cold_us)
+        share = self.set.cold_from + (1 - self.set.cold_from) * max(0.0, done)
+        return rank(mix(h)) < share and s.in_flight < max(1, self.floor * share)
+
+    # ---- outcomes
+
+    def _ended(self, now: int, e: AttemptEnded) -> None:
+        p = self.pending.get(e.request)
+        if p is None or not 0 <= e.attempt < len(p.attempts) or not p.attempts[e.attempt].out:
+            return
+        a = p.attempts[e.attempt]
+        a.out, a.may_run = False, e.outcome not in NEVER_RAN
+        p.out -= 1
+        a.server.in_flight -= 1
+        self.in_flight -= 1
+        self._judge(now, p, a, e)
+        p.done = p.done or e.finished or e.outcome is Outcome.OK
+        if p.done:
+            self._finish(p, -1)
+        elif not p.out:
+            p.to_origin = p.to_origin or (e.outcome is Outcome.MISS and bool(self.origin))
+            cost = TURNED_AWAY if e.outcome in CHEAP else float(e.outcome not in NEVER_RAN)
+            if now < p.horizon and self.budget >= cost and self._may_repeat(now, p):
+                self.budget -= cost
+                self._attempt(now, p)
+            else:
+                self._give_up(p)
+
+    def _may_repeat(self, now: int, p: Pending) -> bool:
+        ran, left = p.ran(), len(p.attempts) < self.set.max_attempts
+        keyed = p.cls.repeat is Repeat.KEYED and ran is not None and now < ran.sent_at + p.cls.window_us
+        return left and (ran is None or p.cls.repeat is Repeat.SAFE or keyed)
+
+    def _give_up(self, p: Pending) -> None:
+        keyed = p.cls.repeat is Repeat.KEYED and p.cls.group is Group.ALL
+        free = p.cls.repeat is Repeat.SAFE or keyed or p.ran() is None
+        self.act.append(Refuse(p.name) if free else Fail(p.name))
+        p.done = True
+        self._finish(p, -1)
+
+    def _finish(self, p: Pending, but: int) -> None:
+        if not p.out:
+            del self.pending[p.name]
+        elif self.set.may_cancel:
+            self.act += [Cancel(p.name, i) for i, a in enumerate(p.attempts) if a.out and i != but]
+
+    # ---- health
+
+    def _judge(self, now: int, p: Pending, a: Attempt, e: AttemptEnded) -> None:
+        o, s = e.outcome, a.server
+        silent = o is Outcome.TIMEOUT and s.heard_at < a.sent_at
+        failed = o in (Outcome.ERROR, Outcome.RESET, Outcome.FULL) or silent
+        bad = failed or o is Outcome.TIMEOUT or now - a.sent_at > p.cls.aim_us
+        self.trouble += SMOOTH * (bad - self.trouble)
+        if bad:
+            s.ease = max(EASE_LEAST, s.ease * (1 - EASE))
+        else:
+            s.ease = min(1.0, s.ease + EASE * max(USUAL, WORSE * self.trouble))
+        if o in (Outcome.OK, Outcome.MISS):
+            s.failures, s.heard_at = 0, now
+            (self.fetch if e.note > 1 or p.write else self.work).count(now - p.arrived > p.cls.aim_us)
+            if not p.write:
+                self.kept.add(p.key)
+            if e.note < 2 and not p.write and p.cls.name in self.pace:
+                pace = self.pace[p.cls.name]
+                off = e.elapsed_us - pace[0]
+                pace[0] += SMOOTH * off
+                pace[1] += SMOOTH * (abs(off) - pace[1])
+            if s.suspect:
+                self._recover(now, s)
+            return
+        if o is Outcome.FULL:
+            s.heard_at = now
+            if not s.suspect:
+                self.work.count(True)
+        elif failed or o is Outcome.TIMEOUT:
+            known = self._is_kept(p.key)
+            (self.work if known and not p.write and o is Outcome.TIMEOUT else self.fetch).count(True)
+            if o is Outcome.ERROR or not known or p.write:
+                self.kept.discard(p.key)
+                self.old_kept.discard(p.key)
+        s.failures += failed
+        rare = failed and s.failures > 1 and self.trouble**s.failures < SURPRISE
+        if rare or o is Outcome.CONNECT_FAILED:
+            self._suspect(now, s, o is Outcome.CONNECT_FAILED)
+        s.trial = False
+
+    def _suspect(self, now: int, s: Server, down: bool) -> None:
+        if not s.suspect:
+            if self.servers.get(s.name) is not s or self.suspects >= MAX_SUSPECT * len(self.servers):
+                return
+            s.suspect, s.down, s.rest_us = True, down, REST_US
+            self.suspects += 1
+            self.suspect_slots += s.slots
+            self.act.append(Note(f"suspect {s.name}: {'no connection' if down else 'errors or silence'}"))
+        elif s.trial:
+            s.rest_us = min(MAX_REST_US, 2 * s.rest_us)
+        else:
+            return
+        s.trial, s.trial_at = False, now + int(s.rest_us * (0.75 + self.random.random() / 2))
+
+    def _trial(self, now: int, s: Server) -> bool:
+        if now < s.trial_at or s.trial:
+            return False
+        s.trial = True
+        if s.down and self.set.may_probe:
+            self.act.append(Probe(s.name))
+        return not (s.down and self.set.may_probe)
+
+    def _probed(self, now: int, e: Probed) -> None:
+        s = self.servers.get(e.server)
+        if s is not None and s.suspect:
+            if e.outcome is Outcome.OK:
+                self._recover(now, s)
+            else:
+                self._suspect(now, s, True)
+
+    def _recover(self, now: int, s: Server) -> None:
+        if s.down:  # it was gone: it comes back cold, which the list will tell only later
+            s.warm_at = max(s.warm_at, now + self.set.cold_us)
+        self._clear(s)
+        self.act.append(Note(f"recovered {s.name}"))
+
+    def _clear(self, s: Server) -> None:
+        if s.suspect:
+            self.suspects -= 1
+            self.suspect_slots -= s.slots
+        s.suspect = s.down = s.trial = False
+        s.failures = 0
+
+    # ---- the server list
+
+    def _list(self, now: int, e: ServerList) -> None:
+        if e.kind is ListKind.BROKEN:
+            self.watching, self.failed_calls = False, self.failed_calls + 1
+            pause = min(1.0, CALL_BACKOFF * 2 ** min(self.failed_calls - 1, 10))
+            self._call_in(now, pause * (0.5 + self.random.random() / 2))
+            return
+        if e.kind is not ListKind.STALE:
+            self.watching, self.failed_calls = True, 0
+        before = {s.name: s.slots for s in self.servers.values()}
+        if e.kind is not ListKind.PATCH:
+            for name in before.keys() - {r.server for r in e.entries}:
+                self._drop(name)
+        for r in e.entries:
+            if r.status is Status.READY:
+                self._ready(r, e)
+            else:
+                self._drop(r.server)
+        if before != {s.name: s.slots for s in self.servers.values()}:
+            self._rebuild()
+
+    def _ready(self, r: ServerEntry, e: ServerList) -> None:
+        s = self.servers.setdefault(r.server, Server(r.server))
+        weighed = self.set.weight_source in (WeightSource.NOMINAL, WeightSource.ROUGH) and r.weight > 0
+        if weighed and not self.unit:  # a coarse unit, so that proxies with other lists take the same
+            weights = [x.weight for x in e.entries if x.weight > 0]
+            self.unit = 16.0 ** round(log(sum(weights) / len(weights), 16))
+        was = s.slots
+        s.slots = max(1, min(16 * SLOTS, round(SLOTS * r.weight / self.unit))) if weighed else SLOTS
+        self.suspect_slots += (s.slots - was) * s.suspect
+        s.zone, s.cell = r.zone, r.cell
+        s.origin = self.set.origin_kind is not None and r.kind == self.set.origin_kind
+        if r.started_at_us > s.started_at:  # a restart: cold, and what was held against it is void
+            s.started_at, s.warm_at = r.started_at_us, r.started_at_us + self.set.cold_us
+            self._clear(s)
+
+    def _drop(self, name: str) -> None:
+        if name in self.servers:
+            self._clear(self.servers.pop(name))
+
+    def _rebuild(self) -> None:
+        """Points depend on a server's own id and weight alone: a change moves only the keys that it must."""
+        self.origin = [s for s in self.servers.values() if s.origin]
+        ring = [s for s in self.servers.values() if not s.origin]
+        self.points = []
+        for i, s in enumerate(ring):
+            seed = text_hash(s.name)
+            self.points += [nth(seed, j) >> 16 << 16 | i for j in range(s.slots)]
+        self.points.sort()
+        self.owners = [ring[point & 0xFFFF] for point in self.points]
+        self.owners += self.owners[:1]
+        self.all_slots = sum(s.slots for s in ring)
+
+    # ---- timers
+
+    def _timer(self, now: int, token: str) -> None:
+        if token == "call" and now >= self.call_at and not self.watching:
+            self.act.append(Watch())
+            self._call_in(now, 1.0)
+        elif token.startswith("copy "):
+            p = self.pending.get(token[5:])
+            if p and not p.done and p.out == 1 and self.budget >= 1 and self._may_repeat(now, p):
+                self.budget -= self._attempt(now, p)
+
+    def _call_in(self, now: int, part: float) -> None:
+        pause = int(part * self.set.ask_every_us)
+        self.call_at = now + pause
+        self.act.append(SetTimer(pause, "call"))
--- /dev/null
+++ b/magpiefront/hashing.py
@@ -0,0 +1,27 @@
+"""Hashes that are the same in every process and at every proxy."""
+
+from hashlib import blake2b
+
+MASK = (1 << 64) - 1
+GOLDEN = 0x9E3779B97F4A7C15
+
+
+def mix(x: int) -> int:
+    x = (x + GOLDEN) & MASK
+    x = ((x ^ (x >> 30)) * 0xBF58476D1CE4E5B9) & MASK
+    x = ((x ^ (x >> 27)) * 0x94D049BB133111EB) & MASK
+    return x ^ (x >> 31)
+
+
+def nth(h: int, n: int) -> int:
+    """The n-th hash of what has hash h."""
+    return mix(h + n * GOLDEN)
+
+
+def text_hash(text: str) -> int:
+    return int.from_bytes(blake2b(text.encode(), digest_size=8).digest(), "big")
+
+
+def rank(h: int) -> float:
+    """A hash as a number from 0 up to 1."""
+    return (h >> 11) / (1 << 53)
--- /dev/null
+++ b/magpiefront/net/__init__.py
@@ -0,0 +1,1 @@
+"""The real proxy: sockets round the decision module."""
--- /dev/null
+++ b/magpiefront/net/config.py
@@ -0,0 +1,107 @@
+"""What the platform tells a proxy: the LB_* variables and the JSON configuration, checked before use."""
+
+from __future__ import annotations
+
+import ipaddress
+import json
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any
+
+from magpiefront.hashing import text_hash
+from magpiefront.interface import Settings
+from magpiefront.settings import MissingField, need, read_settings
+
+Address = tuple[str, int]
+
+
+class BadConfig(Exception):
+    """Local input that the proxy can't start with; its text is one line."""
+
+
+@dataclass(slots=True, frozen=True)
+class Config:
+    name: str
+    listen: Address
+    discovery: Address
+    seed: int
+    settings: Settings
+    known: Any  # a list in discovery's form, or None
+    asked: bool  # discovery has to be asked: the module says when
+    connect_timeout_us: int = 250_000
+    conn_idle_us: int = 15_000_000
+    max_open: int = 20_000
+    load_path: bytes | None = None  # where probes find a load report, if not in /health
+    sockets: int = 1024
+    memory_mb: int = 192
+
+
+def address(text: Any) -> Address:
+    """A numeric address and a port: there are no names to look up."""
+    if not isinstance(text, str):
+        raise ValueError("is not an address")
+    host, _, port = text.rpartition(":")
+    host = host.removeprefix("[").removesuffix("]")
+    ipaddress.ip_address(host)
+    if not (port.isascii() and port.isdigit() and 0 <= int(port) < 65536):
+        raise ValueError(f"{text!r} has no port")
+    return host, int(port)
+
+
+def read_address(text: Any, name: str) -> Address:
+    if not text:
+        raise BadConfig(f"{name} is missing")
+    try:
+        return address(text)
+    except ValueError as e:
+        raise BadConfig(f"{name}: {e}") from None
+
+
+def whole(place: dict[str, Any], name: str, default: int, least: int) -> int:
+    value = place.get(name, default)
+    if isinstance(value, bool) or not isinstance(value, int | float) or value < least:
+        raise BadConfig(f"{name} must be a number of at least {least}")
+    return int(value)
+
+
+def load(environ: Mapping[str, str]) -> Config:
+    path = environ.get("LB_CONFIG")
+    if not path:
+        raise BadConfig("LB_CONFIG is missing")
+    try:
+        with open(path, encoding="utf-8") as f:
+            given = json.load(f)
+    except (OSError, ValueError) as e:
+        raise BadConfig(f"LB_CONFIG: {e}") from None
+    if not isinstance(given, dict):
+        raise BadConfig("LB_CONFIG: not an object")
+    try:
+        return read(given, environ)
+    except MissingField as e:
+        raise BadConfig(str(e)) from None
+    except (ValueError, TypeError, AttributeError, KeyError) as e:
+        raise BadConfig(f"settings: {e}") from None
+
+
+def read(given: dict[str, Any], environ: Mapping[str, str]) -> Config:
+    info = need(given, "settings", "")
+    allow = info.get("permissions") or {}
+    report = info.get("report") or {}
+    limits = given.get("limits") or {}
+    seed = given.get("seed", 0)
+    settings = read_settings(info)
+    return Config(
+        name=str(environ.get("LB_NAME") or given.get("name") or "proxy"),
+        listen=read_address(environ.get("LB_LISTEN") or given.get("listen"), "LB_LISTEN"),
+        discovery=read_address(environ.get("LB_DISCOVERY") or given.get("discovery"), "LB_DISCOVERY"),
+        seed=seed if isinstance(seed, int) else text_hash(str(seed)),
+        settings=settings,
+        known=given.get("known"),
+        asked=settings.subscribe,
+        connect_timeout_us=whole(allow, "connectTimeoutUs", 250_000, 1),
+        conn_idle_us=whole(allow, "connIdleUs", 15_000_000, 1),
+        max_open=whole(allow, "maxOpen", 20_000, 1),
+        load_path=b"/status/load" if report.get("how") == "pull" else None,
+        sockets=whole(limits, "sockets", 1024, 64),
+        memory_mb=whole(limits, "memory_mb", 192, 64),
+    )
--- /dev/null
+++ b/magpiefront/net/downstream.py
@@ -0,0 +1,416 @@
+"""Connections of clients: requests in, one answer each, `/ready`."""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+import socket
+from collections import deque
+from collections.abc import Sequence
+
+import httptools
+
+from magpiefront.net.http1 import (
+    BODY_LIMIT, Connection, HeadTooLong, chunk, head,
+)  # fmt: skip
+from magpiefront.net.proxy import Proxy, Request
+
+HEAD_S = 3.0
+UNUSED_S = 3.0
+EVICT_S = 0.2
+STALL_S = 20.0
+LINGER_S = 1.5  # how long a closed connection is read from, so that no RST destroys its last answer
+FRESH_S = 0.7  # a connection that has just come is not idle yet
+PIPELINE = 32  # requests that may wait on one connection; more are refused in their turn
+EVICTS = 32  # connections that make room at once
+ACCEPTS = 64  # connections taken at once
+
+
+class ClientConnection(Connection):
+    __slots__ = ("began", "chunked", "closing", "front", "lingering", "moved_at", "overflow", "reading",
+                 "request", "size", "taking", "used", "waiting", "writable")  # fmt: skip
+
+    def __init__(self, front: Front) -> None:
+        super().__init__()
+        self.front = front
+        self.parser = httptools.HttpRequestParser(self)
+        self.taking = Request(self)
+        self.request: Request | None = None  # what is being answered
+        self.waiting: deque[Request] = deque()
+        self.overflow = 0
+        self.closing = self.lingering = self.chunked = False
+        self.reading = self.writable = True
+        self.used = False
+        self.began = self.moved_at = front.proxy.loop.time()  # for time-outs: when the last step was made
+        self.size: int = 0  # of the body that is being read
+
+    @property
+    def idle(self) -> bool:
+        return self.request is None and not self._due and self.in_head and not self.spare
+
+    # ---- the transport
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        super().connection_made(transport)
+        self.transport.set_write_buffer_limits(high=64 * 1024)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.front.lost(self)
+        self._left()
+
+    def eof_received(self) -> bool:
+        self._left()
+        return False
+
+    def _left(self) -> None:
+        self._drop()
+        self.closing = self.lingering = True
+        request, self.request = self.request, None
+        if request is not None:
+            self.front.proxy.client_left(request)
+
+    def _drop(self) -> None:
+        """Nothing of what is being read or waits will be answered."""
+        self.front.proxy.bodies.release(self, self.size + sum(r.size for r in self.waiting))
+        self.size = 0
+        self.waiting.clear()
+        self.overflow = 0
+
+    def data_received(self, data: bytes) -> None:
+        if self.lingering:
+            return
+        self.moved_at = self.front.proxy.loop.time()
+        try:
+            self.feed(data)
+        except HeadTooLong:
+            self._bad(431)
+        except httptools.HttpParserInvalidMethodError:
+            self._bad(405)
+        except httptools.HttpParserError:
+            self._bad(400)
+        except httptools.HttpParserUpgrade:
+            self._last(self.waiting[-1] if self.waiting else None)
+        if self.request is None and self._due:
+            self._next()
+        self._flow()
+
+    def _bad(self, status: int) -> None:
+        """Framing is lost: one answer, after those that are due, and the end."""
+        if self.closing:
+            return
+        request, self.taking = self.taking, Request(self)
+        self.front.proxy.bodies.release(self, self.size)
+        self.size = 0
+        request.body.clear()
+        request.error = request.error or status
+        self._last(request)
+        self.waiting.append(request)
+
+    def _last(self, request: Request | None) -> None:
+        self.closing = True
+        if request is not None:
+            request.keep_alive = False
+
+    def _flow(self) -> None:
+        """Reading goes on while a request is answered, so that a client's leaving is seen, but no further
+        than is bounded."""
+        may = (not self._due or self.request is None) and not self.front.proxy.bodies.waits(self)
+        if may != self.reading and not self.transport.is_closing():
+            self.reading = may
+            if may:
+                self.transport.resume_reading()
+            else:
+                self.transport.pause_reading()
+
+    def go_on(self) -> None:
+        if not self.lingering:
+            self.moved_at = self.front.proxy.loop.time()
+            self._flow()
+
+    def pause_writing(self) -> None:
+        self.writable = False
+        self.moved_at = self.front.proxy.loop.time()
+        if self.request is not None:
+            self.front.proxy.hold_back(self.request)
+
+    def resume_writing(self) -> None:
+        self.writable = True
+        self.moved_at = self.front.proxy.loop.time()
+        if self.request is not None:
+            self.front.proxy.let_go(self.request)
+        elif self._due:
+            self._next()
+            self._flow()
+
+    # ---- the parser
+
+    def on_message_begin(self) -> None:
+        self.in_head, self.chunked = True, False
+        self.began = self.moved_at
+
+    def on_url(self, url: bytes) -> None:
+        self.taking.target += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        if self.in_head:
+            self.taking.headers[name.lower()] = value
+
+    def on_headers_complete(self) -> None:
+        self.in_head, self.spare = False, 0
+        request = self.taking
+        request.method = self.parser.get_method()
+        request.keep_alive = self.parser.should_keep_alive() and self.parser.get_http_version() == "1.1"
+        request.error = request.check()
+        headers = request.headers
+        if b"content-length" in headers and int(headers[b"content-length"]) > BODY_LIMIT:
+            self._bad(413)
+        elif b"expect" in headers and headers[b"expect"].lower() == b"100-continue":
+            if request.error:
+                self._bad(request.error)
+            elif self.request is None and not self.waiting:
+                self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    def on_body(self, body: bytes) -> None:
+        self.spare = 0
+        if self.closing or self.taking.error:
+            return
+        self.size += len(body)
+        self.front.proxy.bodies.grow(self, len(body))
+        self.taking.body.append(body)
+        if self.size > BODY_LIMIT:
+            self._bad(413)
+
+    def on_message_complete(self) -> None:
+        self.in_head, self.spare = True, 0
+        request, self.taking = self.taking, Request(self)
+        if self.closing:
+            return
+        request.size, self.size = self.size, 0
+        request.taken_at = self.front.proxy.now_us()
+        if len(self.waiting) >= PIPELINE or self.overflow:
+            self.front.proxy.bodies.release(self, request.size)
+            request.body.clear()
+            self.overflow += 1
+            return
+        if not request.keep_alive:
+            self.closing = True
+        self.waiting.append(request)
+
+    # ---- answers
+
+    @property
+    def _due(self) -> bool:
+        return bool(self.waiting or self.overflow)
+
+    def _next(self) -> None:
+        while self._due and self.request is None and self.writable:
+            if self.waiting:
+                request = self.waiting.popleft()
+            else:
+                self.overflow -= 1
+                request = Request(self)
+                request.error = 503
+            self.request = request
+            if request.error:
+                self.front.proxy.log(f"{request.error} for {request.method!r} {request.target[:80]!r}")
+                self.answer(request, request.error)
+            elif request.target.partition(b"?")[0] == b"/ready":
+                self.answer(request, 503 if self.front.stopping else 200)
+            else:
+                self.front.proxy.take(request)
+
+    def answer(self, request: Request, status: int, body: Sequence[bytes] = (), more: bytes = b"") -> None:
+        close = self._is_last(request)
+        if status == 405:
+            more += b"Allow: GET, PUT\r\n"
+        whole = b"".join(body)
+        self.transport.write(head(status, len(whole), more, close) + whole)
+        self._answered(request, close)
+
+    def begin(self, request: Request, length: int | None, more: bytes) -> None:
+        """The head of a long answer."""
+        self.chunked = length is None
+        request.keep_alive = not self._is_last(request)
+        self.transport.write(head(200, length, more, not request.keep_alive))
+
+    def go(self, body: bytes) -> None:
+        self.transport.write(chunk(body) if self.chunked else body)
+
+    def end(self, request: Request) -> None:
+        if self.chunked:
+            self.transport.write(b"0\r\n\r\n")
+        self._answered(request, not request.keep_alive)
+
+    def cut(self) -> None:
+        self.request = None
+        self.transport.abort()
+
+    def _is_last(self, request: Request) -> bool:
+        return not request.keep_alive or (self.front.stopping and not self._due)
+
+    def _answered(self, request: Request, close: bool) -> None:
+        self.request = None
+        self.used = True
+        self.moved_at = self.front.proxy.loop.time()
+        if close:
+            self.linger()
+        elif self._due:
+            # Never from inside: a long queue of cheap answers would recurse.
+            self.front.proxy.loop.call_soon(self._resume)
+        else:
+            self._flow()
+
+    def _resume(self) -> None:
+        if self.request is None and self._due and not self.lingering:
+            self._next()
+            self._flow()
+
+    def linger(self) -> None:
+        """Closes with unread bytes send an RST, which can destroy the answer before the client has read it:
+        the sending ends first, and what comes is read and dropped for a moment."""
+        if self.lingering or self.transport.is_closing():
+            return
+        self._drop()
+        self.closing = self.lingering = True
+        self.moved_at = self.front.proxy.loop.time()
+        self.transport.write_eof()
+        if not self.reading:
+            self.reading = True
+            self.transport.resume_reading()
+
+    def sweep(self, now: float) -> None:
+        still = now - self.moved_at
+        if self.lingering:
+            if still > LINGER_S and (self.writable or still > STALL_S):
+                self.transport.abort()
+        elif not self.writable:
+            if still > STALL_S:
+                self.transport.abort()
+        elif self.request or self._due or not self.reading:
+            return
+        elif self.idle:
+            if not self.used and still > UNUSED_S:
+                self.transport.close()
+        elif (now - self.began > HEAD_S) if self.in_head else (still > STALL_S):
+            self._bad(408)  # a head or a body that does not come to its end holds a descriptor
+            self._next()
+
+    def spared_for(self, now: float) -> tuple[int, float] | None:
+        """How soon it goes to make room for another, lowest first; None if it may not."""
+        if self.transport is None or self.lingering or self.transport.is_closing():
+            return None
+        if self.idle:
+            return (int(self.used) * 2, self.moved_at) if now - self.moved_at > EVICT_S else None
+        overdue = self.in_head and self.request is None and not self._due and now - self.began > HEAD_S - 0.8
+        return (1, self.began) if overdue else None
+
+
+class Front:
+    """The listening socket and the clients' connections."""
+
+    def __init__(self, proxy: Proxy, most: int) -> None:
+        self.proxy, self.most = proxy, most
+        self.clients: dict[ClientConnection, None] = {}
+        self.opening: set[asyncio.Task[object]] = set()
+        self.stopping = self.accepting = False
+        self.look_at = 0.0  # not before this is it looked for room again
+        self.socket: socket.socket | None = None
+
+    def listen(self, host: str, port: int) -> None:
+        family = socket.AF_INET6 if ":" in host else socket.AF_INET
+        s = socket.socket(family, socket.SOCK_STREAM)
+        try:
+            s.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            s.setblocking(False)
+            s.bind((host, port))
+            s.listen(4096)
+        except OSError:
+            s.close()
+            raise
+        self.socket = s
+        self._accept_more()
+
+    def _accept_more(self) -> None:
+        if self.socket is not None and not self.accepting:
+            self.accepting = True
+            self.proxy.loop.add_reader(self.socket.fileno(), self._accept)
+
+    def _accept_no_more(self) -> None:
+        if self.socket is not None and self.accepting:
+            self.accepting = False
+            self.proxy.loop.remove_reader(self.socket.fileno())
+
+    def _accept(self) -> None:
+        assert self.socket is not None
+        for n in range(ACCEPTS):
+            # Out of descriptors a connection could only be broken: it waits in the kernel's queue instead.
+            # Only at the first is it sure that one has come.
+            if len(self.clients) >= self.most and (n or not self._make_room()):
+                if not n:
+                    self._accept_no_more()
+                    self.proxy.loop.call_later(EVICT_S / 4, self._accept_more)
+                return
+            try:
+                s, _ = self.socket.accept()
+            except (BlockingIOError, ConnectionAbortedError, InterruptedError):
+                return
+            except OSError as e:
+                if e.errno in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM):
+                    self._accept_no_more()
+                    self.proxy.log(f"no connection taken: {e.strerror}")
+                return
+            s.setblocking(False)
+            s.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            client = ClientConnection(self)
+            self.clients[client] = None
+            task = self.proxy.loop.create_task(self._open(client, s))
+            self.opening.add(task)
+            task.add_done_callback(self.opening.discard)
+
+    async def _open(self, client: ClientConnection, s: socket.socket) -> None:
+        try:
+            await self.proxy.loop.connect_accepted_socket(lambda: client, s)
+        except OSError:
+            if client.transport is None:
+                self.clients.pop(client, None)
+
+    def _make_room(self) -> bool:
+        """Guards against clients that open connections and ask nothing, or never end a head: those go first,
+        then the one that has been idle longest, which sends again on a new one."""
+        now = self.proxy.loop.time()
+        if now < self.look_at:
+            return False
+        orders = ((c.spared_for(now), c) for c in self.clients)
+        found = [(order, c) for order, c in orders if order is not None]
+        found.sort(key=lambda f: f[0])
+        if not found:
+            self.look_at = now + EVICT_S / 4
+        for _, c in found[: min(EVICTS, 1 + self.most // 20)]:
+            self.clients.pop(c)
+            c.transport.close()  # at once, for its descriptor; nothing of an answer is left in it
+        return bool(found)
+
+    def lost(self, client: ClientConnection) -> None:
+        self.clients.pop(client, None)
+        if self.socket is not None and len(self.clients) < self.most:
+            self._accept_more()
+
+    def sweep(self) -> None:
+        now = self.proxy.loop.time()
+        for client in list(self.clients):
+            if client.transport is not None:
+                client.sweep(now)
+        self._accept_more()
+
+    def stop_accepting(self) -> None:
+        if self.socket is not None:
+            self._accept()
+            self._accept_no_more()
+            self.socket.close()
+            self.socket = None
+
+    def close_idle(self) -> None:
+        fresh = self.proxy.loop.time() - FRESH_S
+        for client in list(self.clients):
+            if client.transport is not None and client.idle and client.moved_at < fresh:
+                client.linger()
--- /dev/null
+++ b/magpiefront/net/upstream.py
@@ -0,0 +1,431 @@
+"""Connections to the cache nodes: pools, attempts and probes. One request at a time on a connection."""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+from typing import TYPE_CHECKING, Any
+
+import httptools
+
+from magpiefront.interface import Outcome
+from magpiefront.net.config import Address
+from magpiefront.net.http1 import PARSER_ERRORS, WHOLE_LIMIT, Connection, HeadTooLong
+
+if TYPE_CHECKING:
+    from magpiefront.net.proxy import Proxy, Request
+
+PROBE_TIMEOUT_S = 0.4  # probes have no time-out in the settings
+PATIENCE_S = 0.05
+QUIET_S = 0.25  # an answer that has begun and then pauses for longer than nodes do has broken off
+LOOK_AGAIN_S = 0.02  # ... unless its bytes were there and this process was late to read them
+STALL_S = 1.5
+REFUSAL_LIMIT = 1024 * 1024
+NOTES = {b"hit": 1, b"miss": 2, b"pending": 3}
+OURS = {errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL}
+
+
+def read_report(value: bytes) -> dict[str, float] | None:
+    """A load report, `inflight=7,queue=2`; what is no figure is left out."""
+    report: dict[str, float] = {}
+    for part in value.decode("latin-1").split(","):
+        name, _, figure = part.partition("=")
+        try:
+            report[name.strip()] = float(figure)
+        except ValueError:
+            continue
+    return report or None
+
+
+class Exchange:
+    """One message to a cache node, until something comes of it or the proxy stops waiting."""
+
+    __slots__ = ("connection", "done", "node", "sent_at", "task", "timer")
+
+    def __init__(self, node: Node, now_us: int) -> None:
+        self.node, self.sent_at, self.done = node, now_us, False
+        self.connection: NodeConnection | None = None
+        self.task: asyncio.Task[None] | None = None
+        self.timer: asyncio.TimerHandle | None = None
+
+    def message(self) -> list[bytes]:
+        raise NotImplementedError
+
+    def report(self, outcome: Outcome, answer: Answer | None) -> None:
+        raise NotImplementedError
+
+    def end(self, outcome: Outcome, answer: Answer | None = None) -> None:
+        if self.done:
+            return
+        self.done = True
+        if self.timer is not None:
+            self.timer.cancel()
+        if self.connection is not None:
+            self.connection.give_up(self)
+        elif self.task is not None:
+            self.task.cancel()
+        self.report(outcome, answer)
+
+    def expire(self) -> None:
+        never = self.connection is None or not self.connection.written
+        self.end(Outcome.MOOT if never else Outcome.TIMEOUT)
+
+
+class Attempt(Exchange):
+    __slots__ = ("expire_at", "number", "proxy", "request", "streaming")
+
+    def __init__(self, proxy: Proxy, request: Request, number: int, node: Node, now: int, until: int) -> None:
+        super().__init__(node, now)
+        self.proxy, self.request, self.number, self.expire_at = proxy, request, number, until
+        self.streaming = False
+
+    def message(self) -> list[bytes]:
+        r = self.request
+        left = max(1, self.expire_at - self.proxy.now_us()) / 1e6
+        head = b"%b %b HTTP/1.1\r\nHost: %b\r\nReq-Id: %b\r\nReq-Deadline: %.3f\r\n%b\r\n" % (
+            r.method, r.target, self.node.host_header, r.wire_id, left, r.more,
+        )  # fmt: skip
+        return [head, *r.body]
+
+    def report(self, outcome: Outcome, answer: Answer | None) -> None:
+        self.proxy.attempt_ended(self, outcome, answer)
+
+    def begin_stream(self, answer: Answer) -> None:
+        if self.request.answered:
+            self.end(Outcome.CANCELLED)
+            return
+        self.streaming = True
+        if self.timer is not None:
+            self.timer.cancel()
+        self.proxy.stream_began(self, answer)
+
+
+class Probe(Exchange):
+    __slots__ = ("path", "proxy")
+
+    def __init__(self, proxy: Proxy, node: Node, now_us: int, path: bytes) -> None:
+        super().__init__(node, now_us)
+        self.proxy, self.path = proxy, path
+
+    def message(self) -> list[bytes]:
+        return [b"GET %b HTTP/1.1\r\nHost: %b\r\n\r\n" % (self.path, self.node.host_header)]
+
+    def report(self, outcome: Outcome, answer: Answer | None) -> None:
+        self.proxy.probed(self, outcome, answer)
+
+
+class Answer:
+    """What has come of a node's answer."""
+
+    __slots__ = ("body", "content_type", "declined", "length", "note", "report", "size", "status")
+
+    def __init__(self) -> None:
+        self.status = self.note = self.size = 0
+        self.declined = False
+        self.length: int | None = None
+        self.content_type = b""
+        self.report: dict[str, float] | None = None
+        self.body: list[bytes] = []
+
+    def outcome(self) -> Outcome:
+        if self.status == 200:
+            return Outcome.OK
+        return Outcome.FULL if self.declined and self.status in (503, 504) else Outcome.ERROR
+
+
+class NodeConnection(Connection):
+    __slots__ = ("answer", "complete", "exchange", "framed", "heard_at", "idle_at", "lasting", "node",
+                 "paused", "streams", "surplus", "watched", "written")  # fmt: skip
+
+    def __init__(self, node: Node, exchange: Exchange) -> None:
+        super().__init__()
+        self.node = node
+        self.exchange: Exchange | None = exchange
+        self.written = self.complete = self.surplus = self.paused = self.framed = self.lasting = False
+        self.watched = self.streams = False
+        self.idle_at = self.heard_at = 0.0
+        self.answer = Answer()
+
+    # ---- the exchange
+
+    def start(self, exchange: Exchange) -> None:
+        self.exchange, exchange.connection = exchange, self
+        self.written = self.complete = self.surplus = self.framed = self.watched = self.streams = False
+        self.in_head, self.spare, self.answer = True, 0, Answer()
+        self.transport.writelines(exchange.message())
+        self.written = not self.transport.get_write_buffer_size() and not self.transport.is_closing()
+
+    def give_up(self, exchange: Exchange) -> None:
+        if self.exchange is exchange:
+            self.exchange = None
+            self.transport.abort()
+
+    def broken(self) -> None:
+        exchange, self.exchange = self.exchange, None
+        if exchange is not None:
+            exchange.end(Outcome.RESET if self.written else Outcome.CONNECT_FAILED)
+
+    # ---- the transport
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        super().connection_made(transport)
+        self.parser = httptools.HttpResponseParser(self)
+        self.transport.set_write_buffer_limits(high=0)
+        exchange = self.exchange
+        if exchange is None or exchange.done:
+            self.exchange = None
+            self.transport.abort()
+        else:
+            exchange.task = None
+            self.start(exchange)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.node.lost(self)
+        self.broken()
+
+    def eof_received(self) -> bool:
+        self.broken()
+        return False
+
+    def pause_writing(self) -> None:
+        pass
+
+    def resume_writing(self) -> None:
+        self.written = True
+
+    def data_received(self, data: bytes) -> None:
+        if self.exchange is None:  # an answer that nobody asked for
+            self.transport.abort()
+            return
+        try:
+            self.feed(data)
+        except (*PARSER_ERRORS, HeadTooLong):
+            if not self.complete:
+                self.broken()
+                return
+            self.surplus = True
+        if self.exchange is None:
+            return
+        a = self.answer
+        if self.complete:
+            self._completed()
+        elif a.status and (not self.framed or (a.status != 200 and a.size > REFUSAL_LIMIT)):
+            self._cut()
+        else:
+            self.heard_at = self.node.pool.loop.time()
+            if not self.watched:
+                self.watched = True
+                self.node.pool.loop.call_later(QUIET_S, self._quiet, self.exchange, 0.0)
+
+    def _quiet(self, exchange: Exchange, seen: float) -> None:
+        """Guards against nodes that fall silent in the middle of an answer: the attempt would wait for the
+        rest until the client's time is up, when another node could have answered long before."""
+        if self.exchange is not exchange or self.complete or self.streams:
+            return
+        rest = self.heard_at + QUIET_S - self.node.pool.loop.time()
+        if rest > 0:
+            self.node.pool.loop.call_later(rest + 0.001, self._quiet, exchange, 0.0)
+        elif seen != self.heard_at:
+            self.node.pool.loop.call_later(LOOK_AGAIN_S, self._quiet, exchange, self.heard_at)
+        else:
+            self.broken()
+
+    def _cut(self) -> None:
+        """An answer whose end could not be told from a break, or that fills memory for nothing. A 1xx ends
+        here too: nothing asked for one. What a head says of a failure holds without its body."""
+        exchange, a = self.exchange, self.answer
+        if exchange is None or a.status <= 200:
+            self.broken()
+        else:
+            exchange.end(a.outcome(), a)
+
+    def _completed(self) -> None:
+        exchange, answer = self.exchange, self.answer
+        assert exchange is not None
+        if not self.framed or answer.status < 200:
+            self._cut()
+            return
+        keep = self.written and self.lasting and not self.surplus
+        self.exchange, exchange.connection = None, None
+        self.resume()
+        if keep:
+            self.node.put_back(self)
+        else:
+            self.transport.abort()
+        exchange.end(answer.outcome(), answer)
+
+    def pause(self) -> None:
+        if not self.paused:
+            self.paused = True
+            self.transport.pause_reading()
+
+    def resume(self) -> None:
+        if self.paused:
+            self.paused = False
+            self.heard_at = self.node.pool.loop.time()
+            self.transport.resume_reading()
+
+    # ---- the parser
+
+    def on_message_begin(self) -> None:
+        if self.complete:
+            self.surplus = True
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        if self.complete:
+            return
+        name, a = name.lower(), self.answer
+        if name == b"content-length":
+            a.length, self.framed = int(value), True
+        elif name == b"transfer-encoding":
+            self.framed = True
+        elif name == b"srv-cache":
+            a.note = NOTES.get(value.lower(), 0)
+        elif name == b"srv-declined":
+            a.declined = value == b"1"
+        elif name == b"srv-load":
+            a.report = read_report(value)
+        elif name == b"content-type":
+            a.content_type = value
+
+    def on_headers_complete(self) -> None:
+        if not self.complete:
+            self.in_head, self.spare = False, 0
+            self.answer.status = self.parser.get_status_code()
+
+    def on_body(self, body: bytes) -> None:
+        exchange, a = self.exchange, self.answer
+        self.spare = 0
+        if exchange is None or self.complete:
+            return
+        a.size += len(body)
+        if isinstance(exchange, Attempt):
+            if exchange.streaming:
+                exchange.proxy.stream_goes_on(exchange, body)
+            elif a.status == 200:
+                a.body.append(body)
+                if not self.framed:
+                    return
+                if a.size > WHOLE_LIMIT or (a.length or 0) > WHOLE_LIMIT:
+                    self._stream(exchange)
+                elif a.length is None and len(a.body) == 1:
+                    self.node.pool.loop.call_later(PATIENCE_S, self._stream, exchange)
+        elif a.size <= WHOLE_LIMIT:
+            a.body.append(body)
+
+    def _stream(self, attempt: Attempt) -> None:
+        # Guards against a long answer that trickles in: kept back until 64 KiB were there, its first bytes
+        # came to the client late, and its attempt ran out of time with the answer under way.
+        if self.exchange is attempt and not self.complete and not attempt.streaming:
+            self.streams = True
+            attempt.begin_stream(self.answer)
+
+    def on_message_complete(self) -> None:
+        if not self.complete:
+            self.complete = True
+
+
+class Node:
+    """A cache node at one address, and the connections to it."""
+
+    __slots__ = ("address", "host_header", "idle", "name", "open", "pool", "retired")
+
+    def __init__(self, pool: Pool, name: str, address: Address) -> None:
+        self.pool, self.name, self.address = pool, name, address
+        self.host_header = f"{address[0]}:{address[1]}".encode()
+        self.idle: list[NodeConnection] = []
+        self.open = 0
+        self.retired = False
+
+    def begin(self, exchange: Exchange) -> None:
+        while self.idle:
+            connection = self.idle.pop()
+            if not connection.transport.is_closing():
+                connection.start(exchange)
+                return
+        if not self.pool.room():
+            exchange.end(Outcome.MOOT)
+            return
+        self.open += 1
+        self.pool.open += 1
+        exchange.task = self.pool.loop.create_task(self._connect(exchange))
+
+    async def _connect(self, exchange: Exchange) -> None:
+        connection = NodeConnection(self, exchange)
+        outcome = Outcome.CONNECT_FAILED
+        try:
+            async with asyncio.timeout(self.pool.connect_timeout_s):
+                await self.pool.loop.create_connection(lambda: connection, *self.address)
+        except OSError as e:
+            if e.errno in OURS:
+                outcome = Outcome.MOOT
+        except asyncio.CancelledError:
+            outcome = Outcome.MOOT  # the exchange has ended
+        if connection.transport is None:
+            self.lost(connection)
+            exchange.task = None
+            exchange.end(outcome)
+
+    def put_back(self, connection: NodeConnection) -> None:
+        if self.retired:
+            connection.transport.abort()
+        else:
+            connection.idle_at = self.pool.loop.time()
+            self.idle.append(connection)
+
+    def lost(self, connection: NodeConnection) -> None:
+        self.open -= 1
+        self.pool.open -= 1
+        if connection in self.idle:
+            self.idle.remove(connection)
+
+    def close_idle(self, before: float) -> None:
+        while self.idle and self.idle[0].idle_at <= before:
+            self.idle.pop(0).transport.abort()
+
+    def retire(self) -> None:
+        """Nothing new goes there: what is out may end, nothing is kept."""
+        self.retired = True
+        self.close_idle(float("inf"))
+
+
+class Pool:
+    """All connections to cache nodes, bounded by the proxy's descriptors."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, most: int, connect_us: int, idle_us: int) -> None:
+        self.loop, self.most, self.open = loop, most, 0
+        self.connect_timeout_s = connect_us / 1e6
+        # Closed well before the node would do it: a request that crosses with its closing ends as a reset.
+        self.idle_s = max(idle_us / 2e6, idle_us / 1e6 - 5)
+        self.nodes: dict[str, Node] = {}
+
+    def set_nodes(self, addresses: dict[str, Address]) -> None:
+        for name, node in list(self.nodes.items()):
+            if addresses.get(name) != node.address:
+                node.retire()
+                del self.nodes[name]
+        for name, place in addresses.items():
+            if name not in self.nodes:
+                self.nodes[name] = Node(self, name, place)
+
+    def room(self) -> bool:
+        if self.open < self.most:
+            return True
+        longest: Node | None = None
+        for node in self.nodes.values():
+            if node.idle and (longest is None or node.idle[0].idle_at < longest.idle[0].idle_at):
+                longest = node
+        if longest is None:
+            return False
+        longest.idle.pop(0).transport.abort()
+        return True
+
+    def sweep(self) -> None:
+        for node in self.nodes.values():
+            node.close_idle(self.loop.time() - self.idle_s)
+
+
+def stalled(attempt: Attempt, now: float) -> bool:
+    """Guards against nodes that fall silent in the middle of a long answer, which has no other time-out."""
+    c: Any = attempt.connection
+    return attempt.streaming and c is not None and not c.paused and now - c.heard_at > STALL_S
--- /dev/null
+++ b/tests/test_life.py
@@ -0,0 +1,146 @@
+"""The program itself: what it starts with, and how it ends."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import sys
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from tests.sockets import INFO, Client, Lists, Node, gated, request, run, until
+
+
+def free_port() -> int:
+    with socket.socket() as s:
+        s.bind(("127.0.0.1", 0))
+        port: int = s.getsockname()[1]
+        return port
+
+
+async def start(tmp_path: Path, nodes: list[Node], lists: Lists, port: int) -> asyncio.subprocess.Process:
+    given = {
+        "name": "n0", "listen": f"127.0.0.1:{port}", "discovery": f"127.0.0.1:{lists.port}", "seed": "1f",
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "settings": INFO,
+        "known": {"generation": 1, "reset": True, "instances": [n.entry() for n in nodes]},
+    }  # fmt: skip
+    (tmp_path / "config.json").write_text(json.dumps(given))
+    env = {**os.environ, "LB_CONFIG": str(tmp_path / "config.json"), "LB_NAME": "n0",
+           "LB_LISTEN": f"127.0.0.1:{port}", "LB_DISCOVERY": f"127.0.0.1:{lists.port}"}  # fmt: skip
+    process = await asyncio.create_subprocess_exec(
+        sys.executable, "-m", "magpiefront", env=env, stderr=asyncio.subprocess.PIPE
+    )
+    for _ in range(500):
+        try:
+            client = Client(*await asyncio.open_connection("127.0.0.1", port))
+            client.send(b"GET /ready HTTP/1.1\r\nHost: x\r\n\r\n")
+            assert (await client.answer()).status == 200
+            client.writer.close()
+            return process
+        except OSError:
+            await asyncio.sleep(0.01)
+    raise AssertionError("not ready")
+
+
+def test_sigterm_under_load_loses_nothing_and_the_next_start_is_at_once(tmp_path: Path) -> None:
+    async def main() -> None:
+        gate = asyncio.Event()
+
+        node, lists, port = Node("s-0", gated(gate)), Lists(), free_port()
+        await node.start()
+        await lists.start()
+        process = await start(tmp_path, [node], lists, port)
+
+        async def connect() -> Client:
+            return Client(*await asyncio.open_connection("127.0.0.1", port))
+
+        idle, busy, slow_head = await connect(), [await connect() for _ in range(20)], await connect()
+        for c in busy:
+            c.send(request(deadline="2.5", kind="once"))
+        half = request(deadline="2.5", kind="once")
+        slow_head.send(half[:40])
+        await until(lambda: len(node.seen) == 20)
+        process.send_signal(signal.SIGTERM)
+        await asyncio.sleep(0.1)
+        late = await connect()  # new connections go on coming for a while
+        late.send(request(deadline="2", kind="once"))
+        await until(lambda: len(node.seen) == 21)
+        process.send_signal(signal.SIGTERM)  # a second one changes nothing
+        assert await idle.ended() == b""
+        slow_head.send(half[40:])
+        await until(lambda: len(node.seen) == 22)
+        gate.set()
+        for c in [*busy, late, slow_head]:
+            answer = await c.answer()
+            assert answer.status == 200 and answer.headers["connection"] == "close"
+            assert await c.ended() == b""
+            c.writer.close()
+        assert await process.wait() == 0
+        assert process.stderr is not None and await process.stderr.read() == b""
+        again = await start(tmp_path, [node], lists, port)
+        again.send_signal(signal.SIGTERM)
+        assert await again.wait() == 0
+        node.stop()
+
+    run(main())
+
+
+def test_a_quiet_proxy_ends_soon_after_sigterm(tmp_path: Path) -> None:
+    async def main() -> None:
+        lists, port = Lists(), free_port()
+        await lists.start()
+        process = await start(tmp_path, [], lists, port)
+        process.send_signal(signal.SIGTERM)
+        assert await asyncio.wait_for(process.wait(), 1.5) == 0
+
+    run(main())
+
+
+GIVEN: dict[str, Any] = {"listen": "127.0.0.1:0", "discovery": "127.0.0.1:9", "settings": INFO}
+
+
+@pytest.mark.parametrize(
+    ("given", "says"),
+    [
+        (None, "LB_CONFIG"),
+        ("{", "LB_CONFIG"),
+        ("[]", "LB_CONFIG"),
+        ({**GIVEN, "listen": None}, "LB_LISTEN is missing"),
+        ({**GIVEN, "listen": "localhost:80"}, "LB_LISTEN"),
+        ({**GIVEN, "listen": "127.0.0.1:x"}, "LB_LISTEN"),
+        ({**GIVEN, "discovery": "127.0.0.1"}, "LB_DISCOVERY"),
+        ({**GIVEN, "settings": None}, "settings"),
+        ({**GIVEN, "settings": []}, "settings"),
+        ({**GIVEN, "settings": {**INFO, "grades": []}}, "classes"),
+        ({**GIVEN, "settings": {**INFO, "permissions": {"maxAttempts": 3, "maxOpen": "all"}}}, "maxOpen"),
+        ({**GIVEN, "limits": {"sockets": 1}}, "sockets"),
+        ({**GIVEN, "listen": "taken"}, "can't listen"),
+    ],
+)  # fmt: skip
+def test_broken_local_input_is_one_line_and_exit_2(given: Any, says: str, tmp_path: Path) -> None:
+    async def main() -> None:
+        taken = socket.socket()
+        taken.bind(("127.0.0.1", 0))
+        taken.listen()
+        nonlocal given
+        if isinstance(given, dict) and given["listen"] == "taken":
+            given = {**given, "listen": f"127.0.0.1:{taken.getsockname()[1]}"}
+        path = tmp_path / "config.json"
+        if given is not None:
+            path.write_text(given if isinstance(given, str) else json.dumps(given))
+        env = {k: v for k, v in os.environ.items() if not k.startswith("LB_")}
+        process = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "magpiefront", env={**env, "LB_CONFIG": str(path)},
+            stderr=asyncio.subprocess.PIPE,
+        )  # fmt: skip
+        _, err = await process.communicate()
+        taken.close()
+        assert process.returncode == 2 and says in err.decode()
+        assert err.count(b"\n") == 1 and b"Traceback" not in err
+
+    run(main())
--- /dev/null
+++ b/tests/test_mechanism.py
@@ -0,0 +1,148 @@
+from collections import Counter
+from dataclasses import replace
+from hashlib import blake2b
+from math import ceil
+
+from magpiefront import brain
+from magpiefront.hashing import nth
+from magpiefront.interface import (
+    ListKind,
+    Outcome,
+    ServerList,
+    Status,
+    WeightSource,
+)
+from tests.helpers import NAMES, READ, SETTINGS, Drive, entry, full_list, gone, sends
+
+MASK = (1 << 64) - 1
+
+
+def own_mix(x: int) -> int:
+    x = (x + 0x9E3779B97F4A7C15) & MASK
+    x = ((x ^ x >> 30) * 0xBF58476D1CE4E5B9) & MASK
+    x = ((x ^ x >> 27) * 0x94D049BB133111EB) & MASK
+    return x ^ x >> 31
+
+
+def brute_owner(names: list[str], h: int, slots: int = brain.SLOTS) -> str:
+    """The server with the least clockwise distance from h, looked for among all points."""
+    best = (MASK + 1, "")
+    for name in names:
+        seed = int.from_bytes(blake2b(name.encode(), digest_size=8).digest(), "big")
+        for j in range(slots):
+            point = own_mix((seed + j * 0x9E3779B97F4A7C15) & MASK) >> 16 << 16
+            best = min(best, ((point - h) & MASK, name))
+    return best[1]
+
+
+def homes(drive: Drive, keys: range) -> dict[int, str]:
+    out = {}
+    for key in keys:
+        r = f"h{drive.number}-{key}-{len(drive.log)}"
+        out[key] = sends(drive.arrive(r, key=key))[0].server
+        drive.end(r, Outcome.OK)
+    return out
+
+
+def test_home_is_the_nearest_server_clockwise() -> None:
+    drive = Drive()
+    for key, server in homes(drive, range(200)).items():
+        assert server == brute_owner(NAMES, nth(own_mix(key), 0))
+
+
+def test_no_key_hashes_the_request_id() -> None:
+    a, b = Drive(), Drive(seed=9)
+    for i in range(30):
+        assert sends(a.arrive(f"r{i}"))[0].server == sends(b.arrive(f"r{i}"))[0].server
+
+
+def test_shares_are_even_and_follow_listed_weight() -> None:
+    count = Counter(homes(Drive(), range(3000)).values())
+    assert min(count.values()) > 200 and max(count.values()) < 420
+    drive = Drive(replace(SETTINGS, weight_source=WeightSource.NOMINAL), [])
+    drive.give(ServerList(ListKind.WHOLE, [entry(n, weight=3.0 if n == NAMES[0] else 1.0) for n in NAMES]))
+    count = Counter(homes(drive, range(3000)).values())
+    assert 600 < count[NAMES[0]] < 950  # 3 of 12
+
+
+def test_a_change_moves_only_the_keys_it_must() -> None:
+    drive = Drive()
+    before = homes(drive, range(600))
+    drive.give(gone(NAMES[3]))
+    after = homes(drive, range(600))
+    assert all(after[k] == s for k, s in before.items() if s != NAMES[3])
+    assert NAMES[3] not in after.values()
+    drive.give(ServerList(ListKind.PATCH, [entry(NAMES[3])]))
+    assert homes(drive, range(600)) == before
+
+
+def test_at_the_cap_the_key_is_hashed_again_with_the_attempt_number() -> None:
+    drive = Drive(replace(SETTINGS, proxies=5))
+    home = brute_owner(NAMES, nth(own_mix(7), 0))
+    count: Counter[str] = Counter()
+    for i in range(60):
+        n = sum(count.values()) + 1
+        cap = max(drive.router.floor, ceil((1 + brain.EPSILON) * n / len(NAMES)))
+        drive.router.heat.clear()  # the cap alone, without further homes for a hot key
+        got = sends(drive.arrive(f"r{i}", key=7))[0].server
+        jump = next(j for j in range(99) if count[brute_owner(NAMES, nth(own_mix(7), j))] < cap)
+        assert got == brute_owner(NAMES, nth(own_mix(7), jump))
+        count[got] += 1
+    assert count[home] >= drive.router.floor == 4 and len(count) > 5
+    for i in range(60):
+        drive.end(f"r{i}", Outcome.OK)
+    assert drive.router.in_flight == 0 and not drive.router.pending
+    drive.router.heat.clear()
+    assert sends(drive.arrive("again", key=7))[0].server == home
+
+
+def test_a_hot_key_gets_more_homes_and_a_usual_key_does_not() -> None:
+    drive = Drive()
+    hot, usual = Counter[str](), Counter[str]()
+    for i in range(2000):
+        key = 1 if i % 3 == 0 else 1000 + i % 500
+        server = sends(drive.arrive(f"r{i}", key=key))[0].server
+        drive.end(f"r{i}", Outcome.OK)
+        if i > 1000:
+            (hot if key == 1 else usual)[f"{server}" if key == 1 else f"{key}@{server}"] += 1
+    assert len(hot) >= 6 and max(hot.values()) < sum(hot.values()) / 2
+    assert len(usual) <= 500 * 1.1  # one home a key, but for chance
+
+
+def test_restarts_do_not_make_a_stale_entry_cold_and_unknown_status_gets_nothing() -> None:
+    drive = Drive(names=NAMES[:3])
+    drive.give(ServerList(ListKind.PATCH, [entry(NAMES[3], status=Status.UNKNOWN)]))
+    assert NAMES[3] not in homes(drive, range(200)).values()
+
+
+def test_whole_list_replaces_and_patch_adds() -> None:
+    drive = Drive()
+    drive.give(full_list(NAMES[:2], ListKind.WHOLE))
+    assert set(homes(drive, range(100)).values()) == set(NAMES[:2])
+    drive.give(ServerList(ListKind.PATCH, [entry(NAMES[5])]))
+    assert set(homes(drive, range(200)).values()) == {NAMES[0], NAMES[1], NAMES[5]}
+
+
+def test_live_weights_do_not_move_keys() -> None:
+    drive = Drive(replace(SETTINGS, weight_source=WeightSource.LIVE))
+    before = homes(drive, range(100))
+    drive.give(ServerList(ListKind.WHOLE, [entry(n, weight=0.1 + i) for i, n in enumerate(NAMES)]))
+    assert homes(drive, range(100)) == before
+
+
+def test_state_is_bounded() -> None:
+    drive = Drive(replace(SETTINGS, classes=(READ,)))
+    for i in range(5000):
+        drive.arrive(f"r{i}", key=i)
+        drive.end(f"r{i}", Outcome.OK)
+        drive.advance(1000)
+    drive.advance(5_000_000)
+    r = drive.router
+    assert not r.pending and r.in_flight == 0
+    window = max(brain.HEAT_LEAST, brain.HEAT_WINDOW * len(NAMES))
+    assert len(r.heat) + len(r.old_heat) + len(r.kept) + len(r.old_kept) <= 4 * window
+
+
+def test_the_floor_is_shared_among_the_proxies() -> None:
+    floors = [Drive(replace(SETTINGS, proxies=n)).router.floor for n in (1, 5, 40)]
+    assert floors == [brain.FLEET_FLOOR, brain.FLEET_FLOOR // 5, brain.FLOOR]
