Forget a request once it is answered and no attempt of it is out

Fault: Proxy.take puts each request into Proxy.requests, and nothing ever took one out, so also 'as many open as may be' would have been reached for good. Now _forget does, from both places at which a request can end: its answer and the return of its last attempt.

Ruled out: Router.pending, the heat and kept tables (bounded, covered by test_state_is_bounded), Bodies.held, Pool.nodes and Listing.held (emptied when nodes go).

--- a/magpiefront/net/proxy.py
+++ b/magpiefront/net/proxy.py
@@ -243,6 +243,13 @@
         if size:
             r.body = []
             self.bodies.release(r.client, size)
+        self._forget(r)
+
+    def _forget(self, r: Request) -> None:
+        """Guards against memory that grows with every request, and against refusing all once as many as may
+        be open have ever come: what has its answer and no attempt out is of no further use."""
+        if r.answered and not r.out:
+            self.requests.pop(r.name, None)
 
     # ---- requests
 
@@ -324,6 +331,7 @@
         report = answer.report if answer is not None else None
         elapsed = self.now_us() - a.sent_at
         self.give(AttemptEnded(r.name, a.number, a.node.name, outcome, elapsed, r.answered, note, report))
+        self._forget(r)
 
     def stream_began(self, a: upstream.Attempt, answer: upstream.Answer) -> None:
         """A long answer counts from its first bytes, for the client and so for the module: it is told of the
