Use connections to cache nodes again

Seen: 23,876 connections to nodes for 25,000 requests; each paid a handshake, and bursts of them met nodes that were full of connections.

Fault: NodeConnection.lasting was set to False at the start and never to what the parser says of an answer, so _completed ended every connection. It is now set when the answer is complete, as Call in discovery.py does it.

Ruled out: Pool.room and close_idle (evict only at the limit or past idle_s), nodes' own closing (11 closed as idle), Node.put_back.

--- a/magpiefront/net/upstream.py
+++ b/magpiefront/net/upstream.py
@@ -323,6 +323,8 @@
     def on_message_complete(self) -> None:
         if not self.complete:
             self.complete = True
+            # Without it no connection is used again, and every request pays for a handshake and a descriptor.
+            self.lasting = self.parser.should_keep_alive()
 
 
 class Node:
--- a/tests/test_nodes.py
+++ b/tests/test_nodes.py
@@ -114,6 +114,22 @@
     run(main())
 
 
+@pytest.mark.parametrize(
+    ("more", "connections"), [("", 1), ("Connection: keep-alive\r\n", 1), ("Connection: close\r\n", 5)]
+)
+def test_a_connection_is_used_again_unless_the_node_says_otherwise(more: str, connections: int) -> None:
+    async def main() -> None:
+        async with world(says(ok(more=more))) as w:
+            client = await w.client()
+            for n in range(5):
+                client.send(request(path=f"/api/{n}"))
+                assert (await client.answer()).status == 200
+            assert w.nodes[0].connections == connections
+            await until(lambda: w.proxy.pool.open == (connections == 1), "the closing of the others")
+
+    run(main())
+
+
 def test_a_stale_connection_is_reported_and_not_sent_again_by_itself() -> None:
     async def main() -> None:
         async with world(says(ok())) as w:
