Read the start of a cache node in milliseconds

Seen: with every replacement of a node more requests were refused and missed, although as many nodes were ready as before.

Fault: read_entry made startedAtMs into microseconds by a factor of 1,000,000. A start in 2026 then lies ages ahead, warm_at never comes, and the node is sent 30% of its keys and no overflow for good. The factor is 1,000.

Ruled out: the clock (Proxy.now_us is Unix time, as the list's), coldUs and the other settings as read, the adapter (its list is in microseconds already).

--- a/magpiefront/net/discovery.py
+++ b/magpiefront/net/discovery.py
@@ -35,7 +35,7 @@
         entry = ServerEntry(
             name, STATES[state], float(given.get("weight", 1.0)), str(given.get("zone", "")),
             str(given.get("machineType", "")), int(given.get("cell", -1)),
-            int(float(given.get("startedAtMs", 0)) * 1000000),
+            int(float(given.get("startedAtMs", 0)) * 1000),  # milliseconds, or a start lies ages ahead
         )  # fmt: skip
     except (KeyError, TypeError, ValueError, OverflowError, AttributeError):
         raise Garbled from None
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -39,6 +39,25 @@
     run(main())
 
 
+def test_a_node_is_cold_for_its_time_from_when_it_started() -> None:
+    """A start that was read in a wrong unit lay ages ahead, and the node stayed cold for good."""
+
+    async def main() -> None:
+        async with world(None) as w:
+            now_ms = w.proxy.now_us() // 1000
+            w.lists.change(2, w.nodes[0].entry(startedAtMs=now_ms - 9_000))
+            await until(lambda: len(w.lists.calls) == 2)
+            server = w.proxy.router.servers["s-0"]
+            assert server.started_at == (now_ms - 9_000) * 1000 and server.warm_at <= w.proxy.now_us()
+            for n in range(20):
+                assert (await w.ask(path=f"/api/{n}")).status == 200
+            w.lists.change(3, w.nodes[0].entry(startedAtMs=now_ms))
+            await until(lambda: len(w.lists.calls) == 3)
+            assert 0 < server.warm_at - w.proxy.now_us() <= 8_000_000
+
+    run(main())
+
+
 def test_a_node_moves_to_another_address() -> None:
     async def main() -> None:
         async with world(None) as w:
