Close a connection on which a node's answer broke off

Seen: after noise, half an answer or a node's silence the exchange ended as a reset, but the connection stayed: still open at the node, still in Pool.open, in no list, until the node ended it.

Fault: NodeConnection.broken dropped the exchange before Exchange.end could reach give_up, which does the aborting. broken now aborts the transport.

Ruled out: _cut for refusals and give_up on time-outs (both abort).

The socket test fails without the change in all its seven cases.

--- a/magpiefront/net/upstream.py
+++ b/magpiefront/net/upstream.py
@@ -161,6 +161,9 @@
             self.transport.abort()
 
     def broken(self) -> None:
+        # Also ends the connection: a node that has sent half an answer or noise leaves it open, and what is
+        # never closed holds one of the pool's places and a descriptor at either side for good.
+        self.transport.abort()
         exchange, self.exchange = self.exchange, None
         if exchange is not None:
             exchange.end(Outcome.RESET if self.written else Outcome.CONNECT_FAILED)
--- a/tests/test_ends.py
+++ b/tests/test_ends.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from magpiefront.interface import Outcome
 from tests.sockets import Handler, World, gated, request, resets, run, says, silent, until, world
 
 ERROR = says(b"HTTP/1.1 500 X\r\nContent-Length: 3\r\n\r\nbad")
@@ -31,6 +32,32 @@
     run(main())
 
 
+@pytest.mark.parametrize(
+    "answer",
+    [
+        b"nonsense\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf",
+        b"HTTP/1.1 200 OK\r\n\r\nwithout an end",
+        b"HTTP/1.1 200 OK\r\nX: " + b"a" * 40_000,
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+        b"HTTP/1.1 500 X\r\nContent-Length: 10\r\n\r\nhalf",
+    ],
+    ids=["noise", "bad length", "half", "no end", "endless head", "bad chunk", "half an error"],
+)
+def test_a_connection_with_a_spoilt_answer_is_closed_by_the_proxy(answer: bytes) -> None:
+    async def main() -> None:
+        async with world(says(answer)) as w:
+            for n in range(3):
+                assert (await w.ask(path=f"/api/{n}", kind="once")).status == 502
+            assert set(w.outcomes()) <= {Outcome.RESET, Outcome.ERROR}
+            await until(lambda: not w.nodes[0].open, "the closing of the connections")
+            assert w.proxy.pool.open == 0
+            await nothing_is_held(w)
+
+    run(main())
+
+
 def test_a_request_whose_client_has_left_is_forgotten() -> None:
     async def main() -> None:
         async with world(silent) as w:
