Begin a suspect's trial only when a request is sent to it

Seen in the proxies' logs: servers become suspect and are never recovered, though they serve; after some time several are out at once.

Fault: Router._pick asked _trial, which marked the trial as begun, and then passed the server over because of its ease, its warm-up or its cap. No attempt went out, so no outcome ended the trial, and _trial refused all later ones. A suspect has failed and so has a low ease: that was the usual case. The trial is now marked in _chosen, where the server is returned. It does not wait for its ease (one request a rest is its bound), and what a suspect's requests come to no longer closes the gates for all, as already held for those turned away.

Ruled out: Probed for a node that is off the list (MOOT, rests again), MAX_SUSPECT, the count of suspects.

The test drives the Router: the fault needs no socket.

--- a/magpiefront/brain.py
+++ b/magpiefront/brain.py
@@ -220,18 +220,24 @@
             s = self.owners[bisect_left(self.points, h)]
             if p.attempts and not self._may_follow(p, ran, s):
                 continue
-            if (s.suspect and not self._trial(now, s)) or (s.ease < 1 and rank(mix(h)) >= s.ease):
+            if not self._trial_due(now, s) if s.suspect else rank(mix(h)) >= s.ease:
                 spilled = True
             elif s.warm_at > now:
                 if not spilled and self._warm_enough(now, s, h):
-                    return s
+                    return self._chosen(s)
             elif s.in_flight < self.floor or s.in_flight < ceil(each * s.slots):
-                return s
+                return self._chosen(s)
             else:
                 spilled = True
                 if not best or s.in_flight * best.slots < best.in_flight * s.slots:
                     best = s
-        return best  # all at cap: the least loaded
+        return self._chosen(best) if best else None  # all at cap: the least loaded
+
+    def _chosen(self, s: Server) -> Server:
+        """A trial is under way only from here: begun by a look at a server that was then passed over, it never
+        ended, and the server stayed out for good."""
+        s.trial = s.trial or s.suspect
+        return s
 
     def _may_follow(self, p: Pending, ran: Attempt | None, s: Server) -> bool:
         if any(a.server.name == s.name for a in p.attempts):
@@ -320,7 +326,8 @@
                 self.work.count(True)
         elif failed or o is Outcome.TIMEOUT:
             known = self._is_kept(p.key)
-            (self.work if known and not p.write and o is Outcome.TIMEOUT else self.fetch).count(True)
+            if not s.suspect:  # what a suspect's trial comes to tells of it alone
+                (self.work if known and not p.write and o is Outcome.TIMEOUT else self.fetch).count(True)
             if o is Outcome.ERROR or not known or p.write:
                 self.kept.discard(p.key)
                 self.old_kept.discard(p.key)
@@ -344,13 +351,14 @@
             return
         s.trial, s.trial_at = False, now + int(s.rest_us * (0.75 + self.random.random() / 2))
 
-    def _trial(self, now: int, s: Server) -> bool:
+    def _trial_due(self, now: int, s: Server) -> bool:
+        """May a request try a suspect? One that was unreachable is probed instead, where that is allowed."""
         if now < s.trial_at or s.trial:
             return False
-        s.trial = True
         if s.down and self.set.may_probe:
+            s.trial = True
             self.act.append(Probe(s.name))
-        return not (s.down and self.set.may_probe)
+        return not s.trial
 
     def _probed(self, now: int, e: Probed) -> None:
         s = self.servers.get(e.server)
--- a/tests/test_exceptions.py
+++ b/tests/test_exceptions.py
@@ -80,6 +80,20 @@
     assert drive.router.suspects <= 2
 
 
+def test_a_trial_that_went_to_no_server_does_not_keep_a_suspect_out() -> None:
+    """A key outside the share that a bad server is sent used up its trial, which then never ended."""
+    drive = Drive(ONLY_READS)
+    server = drive.router.servers[NAMES[0]]
+    drive.router._suspect(drive.now, server, False)
+    server.ease = 0.5
+    drive.advance(2 * brain.REST_US)
+    for n, key in enumerate(home_keys(Drive(ONLY_READS), NAMES[0], 30)):
+        drive.arrive(f"r{n}", key=key)
+        drive.end(f"r{n}", Outcome.OK)
+    assert not server.suspect and drive.router.suspects == 0
+    assert NAMES[0] in {s.server for n in range(30) for s in drive.sent[f"r{n}"]}
+
+
 def test_servers_that_take_work_and_answer_nothing_become_suspect() -> None:
     drive = Drive(ONLY_READS)
     keys = home_keys(drive, NAMES[0], 40)
