Turn away at the proxy what no cache node can use

Fault, missing: Request.check took any Req-Kind, any float that Python reads ('1_0'), and take gave an id that is open already another name inside and sent it on. Nodes turn such requests away as they do when full, so Router._judge counted them as a sign of too much work and the gate closed for everybody. Classes are now those of the settings, deadlines decimal numbers, and the id of an open request is answered 409 until that one has its answer.

Ruled out: refusals by lag or maxOpen (CPU at a quarter of a core, few open); Content-Length with Transfer-Encoding (the parser rejects each order and spelling tried).

--- a/magpiefront/net/downstream.py
+++ b/magpiefront/net/downstream.py
@@ -160,7 +160,7 @@
         request = self.taking
         request.method = self.parser.get_method()
         request.keep_alive = self.parser.should_keep_alive() and self.parser.get_http_version() == "1.1"
-        request.error = request.check()
+        request.error = request.check(self.front.proxy.classes)
         headers = request.headers
         if b"content-length" in headers and int(headers[b"content-length"]) > BODY_LIMIT:
             self._bad(413)
--- a/magpiefront/net/proxy.py
+++ b/magpiefront/net/proxy.py
@@ -7,10 +7,11 @@
 from __future__ import annotations
 
 import asyncio
+import re
 import sys
 import time
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Container
 from random import Random
 from typing import TYPE_CHECKING
 
@@ -30,6 +31,7 @@
 TICK_S, LAG_PART = 0.01, 0.2  # how often lag is looked at; the part of the shortest aim that is too much
 SHED_MORE, SHED_LESS, MOST_SHED = 0.04, 0.01, 0.9
 LOG_LINES, LOG_S = 20, 10.0
+DECIMAL, WHOLE = re.compile(rb"-?(?:\d{1,6}(?:\.\d*)?|\.\d+)"), re.compile(rb"\d{1,18}")
 
 
 class Request:
@@ -53,8 +55,9 @@
         self.last = Outcome.ERROR
         self.backstop: asyncio.TimerHandle | None = None
 
-    def check(self) -> int:
-        """The status that a bad head is answered with, or 0. Nothing bad reaches a cache node."""
+    def check(self, classes: Container[bytes]) -> int:
+        """The status that a bad head is answered with, or 0. Nothing bad reaches a cache node: what nodes
+        turn away for that reason looks to the module as if they were too busy."""
         path = self.target.partition(b"?")[0]
         if not path.startswith(b"/"):
             return 400
@@ -65,14 +68,12 @@
         if path.endswith(b"/"):
             return 404
         h = self.headers
-        if not h.get(b"req-id") or not h.get(b"req-kind"):
+        if not h.get(b"req-id") or h.get(b"req-kind") not in classes:
             return 400
-        try:
-            left = float(h[b"req-deadline"])
-            if not -1e6 < left < 1e6 or int(h.get(b"req-cost", b"0")) < 0:
-                return 400
-        except (KeyError, ValueError):
+        deadline, cost = h.get(b"req-deadline", b""), h.get(b"req-cost", b"0")
+        if not DECIMAL.fullmatch(deadline) or not WHOLE.fullmatch(cost):
             return 400
+        left = float(deadline)
         self.time_left = max(0, int(left * 1e6))
         self.wire_id = h[b"req-id"]
         for name, title in ((b"idempotency-key", b"Idempotency-Key"), (b"content-type", b"Content-Type")):
@@ -142,6 +143,10 @@
         return self.share > 0 and self.random.random() < self.share
 
 
+def class_names(config: Config) -> dict[bytes, str]:
+    return {c.name.encode(): c.name for c in config.settings.classes}
+
+
 def lag_limit_s(config: Config) -> float:
     return LAG_PART * min(c.aim_us for c in config.settings.classes) / 1e6
 
@@ -154,6 +159,7 @@
         self.events: deque[Event] = deque()
         self.busy = False
         self.requests: dict[str, Request] = {}
+        self.classes = class_names(config)
         self.streams: dict[upstream.Attempt, None] = {}  # long answers under way
         self.connections = max(16, int((config.sockets - 32) * 0.4))
         self.pool = upstream.Pool(loop, self.connections, config.connect_timeout_us, config.conn_idle_us)
@@ -167,6 +173,7 @@
         if config.listen != self.config.listen:
             self.log("reload: another address to listen on needs a restart")
         self.config = config
+        self.classes = class_names(config)
         self.router.configure(config.settings)
         self.pool.set_times(config.connect_timeout_us, config.conn_idle_us)
         self.lag.limit_s = lag_limit_s(config)
@@ -273,7 +280,12 @@
             return
         r.name = r.wire_id.decode("latin-1")
         while r.name in self.requests:
-            r.name += "'"
+            if not self.requests[r.name].answered:
+                # The id of an open request, which is another's: a cache node would see it come twice.
+                self.bodies.release(r.client, r.size)
+                r.client.answer(r, 409)
+                return
+            r.name += "'"  # that one has its answer, but an attempt still out
         if r.size:
             r.more += b"Content-Length: %d\r\n" % r.size
         elif r.method == b"PUT":
@@ -287,7 +299,7 @@
         self.give(
             Arrived(
                 r.name,
-                h[b"req-kind"].decode("latin-1"),
+                self.classes.get(h[b"req-kind"], ""),
                 left,
                 text_hash(r.target.partition(b"?")[0].rpartition(b"/")[2].decode("latin-1")),
                 h[b"req-owner"].decode("latin-1") if b"req-owner" in h else None,
