Look at an idle connection before it is taken again

Fault, missing: Node.begin took an idle connection unless its transport was closing already, which it learns only when the loop reads from it. An end that had come ended the request as a reset, and a copy that had come would have been taken for the next answer. Node.begin now polls the descriptor and drops a connection with anything unread.

Ruled out: idle_s (nodes close at 60 s at the latest, the pool at 55 s).

The socket test fails without the change.

--- a/magpiefront/net/upstream.py
+++ b/magpiefront/net/upstream.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import errno
+import select
 from typing import TYPE_CHECKING, Any
 
 import httptools
@@ -155,6 +156,15 @@
         self.transport.writelines(exchange.message())
         self.written = not self.transport.get_write_buffer_size() and not self.transport.is_closing()
 
+    def fresh(self) -> bool:
+        """Guards against what the loop has not read yet when an idle connection is taken again: its end, on
+        which the request would be reset, or a second copy of the last answer, taken for the next one."""
+        if self.transport.is_closing():
+            return False
+        look = select.poll()
+        look.register(self.transport.get_extra_info("socket").fileno(), select.POLLIN)
+        return not look.poll(0)
+
     def give_up(self, exchange: Exchange) -> None:
         if self.exchange is exchange:
             self.exchange = None
@@ -345,9 +355,10 @@
     def begin(self, exchange: Exchange) -> None:
         while self.idle:
             connection = self.idle.pop()
-            if not connection.transport.is_closing():
+            if connection.fresh():
                 connection.start(exchange)
                 return
+            connection.transport.abort()
         if not self.pool.room():
             exchange.end(Outcome.MOOT)
             return
--- a/tests/test_nodes.py
+++ b/tests/test_nodes.py
@@ -130,6 +130,32 @@
     run(main())
 
 
+@pytest.mark.parametrize("rest", [ok(b"stray"), b"noise", None], ids=["second copy", "noise", "end"])
+def test_a_connection_with_something_unread_is_not_taken_again(rest: bytes | None) -> None:
+    """What had come, but not been read yet, was taken for the next answer or for its reset."""
+
+    async def main() -> None:
+        async with world(says(ok(b"own"))) as w:
+            assert (await w.ask(kind="once")).body == b"own"
+            node = w.proxy.pool.nodes["s-0"]
+            await until(lambda: node.idle)
+            (idle,) = node.idle
+            idle.transport.pause_reading()  # as a loop that has not come to it yet
+            socket_of_node = w.nodes[0].writers[-1]
+            if rest is None:
+                socket_of_node.close()
+                await until(lambda: not w.nodes[0].open)
+            else:
+                socket_of_node.write(rest)
+                await socket_of_node.drain()
+            await until(lambda: not idle.fresh(), "the arrival")
+            assert (await w.ask(kind="once")).body == b"own"
+            assert set(w.outcomes()) == {Outcome.OK} and w.nodes[0].connections == 2
+            await until(lambda: w.proxy.pool.open == 1, "the closing of the other")
+
+    run(main())
+
+
 def test_a_stale_connection_is_reported_and_not_sent_again_by_itself() -> None:
     async def main() -> None:
         async with world(says(ok())) as w:
