Pass over interim answers, and fail those that no node means

Fault: NodeConnection took a 1xx ahead of the answer for the answer and broke off (_completed, _cut), and the silence after it for a stall. An announced length past what a body may hold was streamed to the client. Now up to 8 interim answers are passed over, the stall is watched for only once the answer has begun, and more than BODY_LIMIT fails the attempt as one that may have run.

Ruled out: surplus right behind an answer (the connection was dropped already), load reports that can't be read (left out).

Four of the five new socket cases fail without the change; the fifth guards the new limit.

--- a/magpiefront/net/upstream.py
+++ b/magpiefront/net/upstream.py
@@ -11,7 +11,7 @@
 
 from magpiefront.interface import Outcome
 from magpiefront.net.config import Address
-from magpiefront.net.http1 import PARSER_ERRORS, WHOLE_LIMIT, Connection, HeadTooLong
+from magpiefront.net.http1 import BODY_LIMIT, PARSER_ERRORS, WHOLE_LIMIT, Connection, HeadTooLong
 
 if TYPE_CHECKING:
     from magpiefront.net.proxy import Proxy, Request
@@ -22,6 +22,7 @@
 LOOK_AGAIN_S = 0.02  # ... unless its bytes were there and this process was late to read them
 STALL_S = 1.5
 REFUSAL_LIMIT = 1024 * 1024
+INTERIM = 8  # 1xx answers ahead of the real one
 NOTES = {b"hit": 1, b"miss": 2, b"pending": 3}
 OURS = {errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL}
 
@@ -115,6 +116,10 @@
         self.proxy.probed(self, outcome, answer)
 
 
+class Spoilt(Exception):
+    """An answer that a parser accepts and no cache node means."""
+
+
 class Answer:
     """What has come of a node's answer."""
 
@@ -135,8 +140,8 @@
 
 
 class NodeConnection(Connection):
-    __slots__ = ("answer", "complete", "exchange", "framed", "heard_at", "idle_at", "lasting", "node",
-                 "paused", "streams", "surplus", "watched", "written")  # fmt: skip
+    __slots__ = ("answer", "complete", "exchange", "framed", "heard_at", "idle_at", "interim", "lasting",
+                 "node", "paused", "streams", "surplus", "watched", "written")  # fmt: skip
 
     def __init__(self, node: Node, exchange: Exchange) -> None:
         super().__init__()
@@ -145,6 +150,7 @@
         self.written = self.complete = self.surplus = self.paused = self.framed = self.lasting = False
         self.watched = self.streams = False
         self.idle_at = self.heard_at = 0.0
+        self.interim = 0
         self.answer = Answer()
 
     # ---- the exchange
@@ -152,7 +158,7 @@
     def start(self, exchange: Exchange) -> None:
         self.exchange, exchange.connection = exchange, self
         self.written = self.complete = self.surplus = self.framed = self.watched = self.streams = False
-        self.in_head, self.spare, self.answer = True, 0, Answer()
+        self.in_head, self.spare, self.interim, self.answer = True, 0, 0, Answer()
         self.transport.writelines(exchange.message())
         self.written = not self.transport.get_write_buffer_size() and not self.transport.is_closing()
 
@@ -224,7 +230,7 @@
             self._completed()
         elif a.status and (not self.framed or (a.status != 200 and a.size > REFUSAL_LIMIT)):
             self._cut()
-        else:
+        elif a.status or self.spare:
             self.heard_at = self.node.pool.loop.time()
             if not self.watched:
                 self.watched = True
@@ -244,8 +250,8 @@
             self.broken()
 
     def _cut(self) -> None:
-        """An answer whose end could not be told from a break, or that fills memory for nothing. A 1xx ends
-        here too: nothing asked for one. What a head says of a failure holds without its body."""
+        """An answer whose end could not be told from a break, or that fills memory for nothing. What a head
+        says of a failure holds without its body."""
         exchange, a = self.exchange, self.answer
         if exchange is None or a.status <= 200:
             self.broken()
@@ -255,7 +261,7 @@
     def _completed(self) -> None:
         exchange, answer = self.exchange, self.answer
         assert exchange is not None
-        if not self.framed or answer.status < 200:
+        if not self.framed:
             self._cut()
             return
         keep = self.written and self.lasting and not self.surplus
@@ -305,6 +311,7 @@
         if not self.complete:
             self.in_head, self.spare = False, 0
             self.answer.status = self.parser.get_status_code()
+            self._check_size(self.answer.length or 0)
 
     def on_body(self, body: bytes) -> None:
         exchange, a = self.exchange, self.answer
@@ -312,6 +319,7 @@
         if exchange is None or self.complete:
             return
         a.size += len(body)
+        self._check_size(a.size)
         if isinstance(exchange, Attempt):
             if exchange.streaming:
                 exchange.proxy.stream_goes_on(exchange, body)
@@ -333,8 +341,22 @@
             self.streams = True
             attempt.begin_stream(self.answer)
 
+    def _check_size(self, size: int) -> None:
+        """Guards against answers of gigabytes: passed on, they take the proxy's time from everybody and serve
+        nobody; as an attempt that failed, the request can go to another node."""
+        if size > BODY_LIMIT:
+            raise Spoilt
+
     def on_message_complete(self) -> None:
-        if not self.complete:
+        if self.complete:
+            return
+        if self.answer.status < 200:
+            # An interim answer, the real one is to come: taken for that, it failed a request being served.
+            self.interim += 1
+            if self.interim > INTERIM:
+                raise Spoilt
+            self.in_head, self.spare, self.framed, self.answer = True, 0, False, Answer()
+        else:
             self.complete = True
             # Without it no connection is used again, and every request pays for a handshake and a descriptor.
             self.lasting = self.parser.should_keep_alive()
--- a/tests/test_nodes.py
+++ b/tests/test_nodes.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import struct
+from contextlib import suppress
 from socket import SO_LINGER, SOL_SOCKET, socket
 
 import pytest
@@ -252,6 +253,71 @@
     run(main())
 
 
+@pytest.mark.parametrize("pause", [0.0, 0.4], ids=["at once", "with a pause"])
+def test_interim_answers_are_passed_over(pause: float) -> None:
+    async def ahead(seen: Seen, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        writer.write(b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n")
+        await asyncio.sleep(pause)  # longer than an answer that has begun may pause
+        writer.write(ok(b"real"))
+
+    async def main() -> None:
+        async with world(ahead) as w:
+            client = await w.client()
+            for _ in range(3):
+                client.send(request(kind="once"))
+                answer = await client.answer()
+                assert (answer.status, answer.body) == (200, b"real")
+            assert w.nodes[0].connections == 1
+
+    run(main())
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [
+        b"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n" + b"x" * 100_000,
+        b"HTTP/1.1 100 Continue\r\n\r\n" * 1000,
+    ],
+    ids=["gigabytes", "interim answers without end"],
+)
+def test_what_no_node_means_fails_the_attempt_and_another_node_serves(answer: bytes) -> None:
+    async def main() -> None:
+        handler = first(says(answer))
+        async with world(handler, handler) as w:
+            got = await w.ask()
+            assert (got.status, got.body) == (200, b"second")
+            assert w.outcomes() == [Outcome.RESET, Outcome.OK]
+            await until(lambda: w.proxy.pool.open == 1, "the closing of the connection")
+
+    run(main())
+
+
+def test_an_answer_without_a_length_is_cut_off_at_the_limit(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(upstream, "BODY_LIMIT", 300_000)
+    part = b"%x\r\n%b\r\n" % (100_000, b"x" * 100_000)
+
+    async def main() -> None:
+        gate = asyncio.Event()
+
+        async def goes_on(seen: Seen, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            writer.write(CHUNKED + part)
+            await gate.wait()
+            writer.write(part * 3)
+
+        async with world(goes_on) as w:
+            client = await w.client()
+            client.send(request())
+            await until(lambda: w.proxy.streams, "the begin")
+            gate.set()
+            got = b""
+            with suppress(ConnectionResetError):
+                got = await client.ended()
+            assert not got.endswith(b"0\r\n\r\n")  # the client can tell
+            await until(lambda: not w.proxy.streams and not w.proxy.pool.open)
+
+    run(main())
+
+
 def test_a_slow_reader_holds_the_node_back_and_gets_it_all() -> None:
     async def main() -> None:
         size = 24_000_000
