Carry requests between two sites over HTTP/2, with the operator's file that sets it up

Requests for gauges of the other site had no rules of their own. The gateway routes by prefix or hash, keeps credits, a retry budget and a table of keyed answers, and says of each broken try whether it certainly never ran. The operator's file (--operator, check) turns it on; without it nothing of this is loaded. Stand-ins for nodes, archive, discovery, clients and a lossy link come with it.

--- a/magpiefront/__main__.py
+++ b/magpiefront/__main__.py
@@ -1,14 +1,19 @@
-"""`python -m magpiefront`: one real proxy, from its start to its last answer."""
+"""`python -m magpiefront`: one real proxy, from its start to its last answer.
+
+    python -m magpiefront [--operator FILE]    LB_OPERATOR serves too; without either, the platform's proxy
+    python -m magpiefront check FILE           says what is wrong with an operator's file, and starts nothing
+"""
 
 from __future__ import annotations
 
+import argparse
 import asyncio
 import gc
 import os
 import signal
 import sys
 import traceback
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import uvloop
 
@@ -18,6 +23,9 @@
 from magpiefront.net.downstream import Front
 from magpiefront.net.proxy import Proxy
 
+if TYPE_CHECKING:  # loaded only where there is an operator's file
+    from magpiefront.operator.file import Operator
+
 ACCEPT_S = 0.5  # new connections go on coming for so long after SIGTERM
 STOP_S = 3.6
 RESERVED = 32
@@ -30,12 +38,18 @@
     return "".join(traceback.format_exception(e)) if e is not None else str(context.get("message"))
 
 
-async def serve(settings: config.Config) -> None:
+async def serve(settings: config.Config, operator: Operator | None = None) -> None:
     loop = asyncio.get_running_loop()
     proxy = Proxy(settings, loop)
     loop.set_exception_handler(lambda _, context: proxy.log(told(context)))
     bodies = Bodies(int(settings.memory_mb * 0.3) << 20)
-    front = Front(proxy, proxy, bodies, settings.sockets - RESERVED - proxy.connections)
+    composition = None
+    if operator is not None:
+        from magpiefront.operator.compose import Composition
+
+        composition = Composition(proxy, proxy, operator, settings.seed)
+    first = proxy if composition is None else composition.first
+    front = Front(proxy, first, bodies, settings.sockets - RESERVED - proxy.connections)
     discovery = Discovery(proxy, settings.discovery, settings.seed)
     stop = asyncio.Event()
 
@@ -44,21 +58,31 @@
         can't be read changes nothing."""
         try:
             new = config.load(os.environ)
+            new_operator = None if operator is None else read_operator(str(operator.path))
         except config.BadConfig as e:
             proxy.log(f"reload: {e}; going on with the configuration before it")
             return
         proxy.configure(new)
+        if composition is not None and new_operator is not None:
+            composition.configure(new_operator)
         discovery.move(new.discovery)
 
     loop.add_signal_handler(signal.SIGHUP, reload)
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
     front.listen(*settings.listen)
+    if composition is not None:
+        try:
+            await composition.start()
+        except OSError as e:
+            raise config.BadConfig(f"{composition.operator.path}: can't listen for gateways: {e}") from None
     discovery.start(settings.known)  # before the loop runs again, and so before a client is heard
 
     def sweep() -> None:
         proxy.sweep()
         front.sweep()
+        if composition is not None:
+            composition.sweep()
         loop.call_later(SWEEP_S, sweep)
 
     sweep()
@@ -70,18 +94,51 @@
     await stop.wait()
     end = loop.time() + STOP_S
     front.stopping = True
+    if composition is not None:
+        composition.drain()
     await asyncio.sleep(ACCEPT_S)
     front.stop_accepting()
-    while front.clients and loop.time() < end:
+    while (front.clients or (composition is not None and composition.busy)) and loop.time() < end:
         front.close_idle()
         await asyncio.sleep(0.02)
+    if composition is not None:
+        composition.stop()
     discovery.stop()
 
 
-def main() -> int:
+def read_operator(path: str) -> Operator:
+    """Raises BadConfig."""
+    try:
+        from magpiefront.operator.compose import check, path_of
+        from magpiefront.operator.fields import BadFile
+    except ModuleNotFoundError as e:
+        raise config.BadConfig(f"{path}: needs the package {e.name}: see requirements-gateway.txt") from None
+    try:
+        return check(path_of(path))
+    except BadFile as e:
+        raise config.BadConfig(str(e)) from None
+
+
+def arguments(given: list[str]) -> argparse.Namespace:
+    parser = argparse.ArgumentParser("magpiefront", description="A load-balancing proxy for cache nodes.")
+    parser.add_argument("--operator", metavar="FILE", help="the operator's file (else LB_OPERATOR)")
+    commands = parser.add_subparsers(dest="command")
+    check = commands.add_parser("check", help="say what is wrong with an operator's file")
+    check.add_argument("file")
+    return parser.parse_args(given)
+
+
+def main(given: list[str] | None = None) -> int:
+    args = arguments(sys.argv[1:] if given is None else given)
     try:
+        if args.command == "check":
+            read_operator(args.file)
+            print(f"{args.file}: good")
+            return 0
         settings = config.load(os.environ)
-        uvloop.run(serve(settings))
+        path = args.operator or os.environ.get("LB_OPERATOR")
+        operator = read_operator(path) if path else None
+        uvloop.run(serve(settings, operator))
     except config.BadConfig as e:
         print(f"magpiefront: {e}", file=sys.stderr)
         return 2
--- /dev/null
+++ b/magpiefront/gateway/inbound.py
@@ -0,0 +1,296 @@
+"""The receiving end: requests that come over links enter this site as ordinary arrivals."""
+
+from __future__ import annotations
+
+import asyncio
+import ssl
+from collections.abc import Mapping, Sequence
+from typing import Protocol
+
+from magpiefront.gateway import engine, wire
+from magpiefront.gateway.counters import Counters
+from magpiefront.gateway.keyed import KeyedStage
+from magpiefront.gateway.link import Wire
+from magpiefront.gateway.routes import Credit, Credits, Reason, Routes
+from magpiefront.gateway.settings import GatewaySettings
+from magpiefront.interface import Repeat, RequestClass
+from magpiefront.net.request import Request
+
+LAST_AFTER_S = 0.25  # from the first GOAWAY to the last one: what is on its way by then is still taken
+
+
+class House(Protocol):
+    loop: asyncio.AbstractEventLoop
+
+    @property
+    def classes(self) -> Mapping[bytes, RequestClass]: ...
+    def now_us(self) -> int: ...
+    def log(self, text: str) -> None: ...
+
+
+class Incoming:
+    """One request on one connection, until its answer is on the way."""
+
+    __slots__ = ("credit", "crossed", "done", "peer", "request", "size", "started", "stream", "streaming")
+
+    def __init__(self, peer: Inbound, stream: int, crossed: wire.Crossed, credit: Credit) -> None:
+        self.peer, self.stream, self.crossed, self.credit = peer, stream, crossed, credit
+        self.request = Request(self)
+        self.size = 0
+        self.started = self.done = self.streaming = False
+
+    # ---- Replies
+
+    def answer(
+        self, request: Request, status: int, body: Sequence[bytes] = (), more: bytes = b""
+    ) -> None:  # fmt: skip
+        whole = b"".join(body)
+        self._head(status, len(whole), more, not whole)
+        if whole:
+            self._data(whole, True)
+        self.finish()
+
+    def begin(self, request: Request, length: int | None, more: bytes) -> None:
+        self.streaming = True
+        self._head(200, length, more, False)
+
+    def go(self, request: Request, body: bytes) -> None:
+        self._data(body, False)
+
+    def end(self, request: Request) -> None:
+        self._data(b"", True)
+        self.finish()
+
+    def cut(self, request: Request) -> None:
+        if self.stream in self.peer.incoming:
+            self.peer.engine.reset(self.stream, engine.INTERNAL)
+            self.peer.flush()
+        self.finish()
+
+    def _head(self, status: int, length: int | None, more: bytes, end: bool) -> None:
+        if self.stream in self.peer.incoming and not self.peer.closed:
+            self.peer.engine.head(self.stream, wire.answer_fields(status, length, more), end)
+            self.peer.flush()
+
+    def _data(self, data: bytes, end: bool) -> None:
+        if self.stream in self.peer.incoming and not self.peer.closed:
+            if not self.peer.engine.data(self.stream, data, end) and not end:
+                self.peer.gate.stage.hold_back(self.request)
+            self.peer.flush()
+
+    def finish(self) -> None:
+        if not self.done:
+            self.done = True
+            self.peer.finished(self)
+
+
+class Inbound(Wire):
+    gate: Gate
+
+    def __init__(self, gate: Gate, seed: int) -> None:
+        # A few streams more than credits: the hello, and those whose end is on its way.
+        super().__init__(gate.house, False, gate.settings.link, seed, gate.settings.credits.crossing + 64)
+        self.gate = gate
+        self.incoming: dict[int, Incoming] = {}
+        self.last: int | None = None  # of GOAWAY, once it is told
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        super().connection_made(transport)
+        self.gate.peers[self] = None
+        if self.gate.draining:
+            self.lose("this gateway ends")
+
+    def closing(self, cause: str) -> None:
+        self.gate.peers.pop(self, None)
+        for i in list(self.incoming.values()):
+            self._left(i)
+
+    def _left(self, i: Incoming) -> None:
+        """Its sender has gone. A keyed request goes on: its sender may come again for the answer."""
+        self.incoming.pop(i.stream, None)
+        if i.started and not i.done:
+            self.gate.stage.client_left(i.request)
+        i.finish()
+
+    def finished(self, i: Incoming) -> None:
+        self.incoming.pop(i.stream, None)
+        self.gate.finished(i)
+
+    def handle(self, event: engine.Event) -> None:
+        match event:
+            case engine.Began():
+                self._began(event.stream, event.fields)
+            case engine.Came():
+                self._came(event.stream, event.data)
+            case engine.Ended():
+                i = self.incoming.get(event.stream)
+                if i is not None and not i.started:
+                    self._whole(i)
+            case engine.Reset():
+                self.engine.forget(event.stream)
+                if event.stream in self.incoming:
+                    self._left(self.incoming[event.stream])
+            case engine.Writable():
+                i = self.incoming.get(event.stream)
+                if i is not None and i.streaming:
+                    self.gate.stage.let_go(i.request)
+            case _:
+                pass
+
+    def refuse(self, stream: int, why: str) -> None:
+        """Nothing was done for it, and its sender may know that for certain (RFC 9113, 8.7)."""
+        self.gate.counters.add(f"in_refused_{why}")
+        self.engine.reset(stream, engine.REFUSED)
+
+    def _began(self, stream: int, fields: list[tuple[bytes, bytes]]) -> None:
+        told = dict(fields)
+        if told.get(b":path") == wire.HELLO:
+            self._hello(stream, told)
+            return
+        if self.last is not None and stream > self.last:
+            self.refuse(stream, "draining")
+            return
+        try:
+            crossed = wire.read_request(fields)
+        except wire.Unreadable as e:
+            self.gate.house.log(f"gateway: a request that can't be read: {e}")
+            self._turn_away(stream, 400, "unreadable")
+            return
+        reason = self.gate.routes.admit(crossed.via)
+        if reason is not None:
+            self.gate.house.log(f"gateway: {reason.value}: a request came by {','.join(crossed.via)}")
+            self._turn_away(stream, 508, reason.value)
+            return
+        name = crossed.headers.get(b"req-kind", b"").decode("latin-1")
+        credit = self.gate.credits.take(name, crossed.headers.get(b"req-owner", b"").decode("latin-1"))
+        if isinstance(credit, Reason):
+            self.refuse(stream, credit.value)
+            return
+        self.incoming[stream] = Incoming(self, stream, crossed, credit)
+
+    def _turn_away(self, stream: int, status: int, why: str) -> None:
+        self.gate.counters.add(f"in_refused_{why}")
+        self.engine.head(stream, wire.answer_fields(status, 0, b"", why), True)
+
+    def _hello(self, stream: int, told: dict[bytes, bytes]) -> None:
+        site = told.get(b"gw-site", b"").decode("latin-1")
+        ssl_object: ssl.SSLObject | None = self.transport.get_extra_info("ssl_object")
+        if ssl_object is not None:
+            names = [v for k, v in (ssl_object.getpeercert() or {}).get("subjectAltName", ()) if k == "DNS"]  # type: ignore[misc]
+            if site not in names:
+                self.lose(f"a peer says that it is {site!r}, and its certificate does not")
+                return
+        if site not in self.gate.settings.sites or site == self.gate.settings.site:
+            self.gate.house.log(f"gateway: a hello from {site!r}, which is no other site of the table")
+            self._turn_away(stream, 403, "site")
+            return
+        self.engine.head(stream, wire.hello_answer(self.gate.settings.site, self.gate.epoch), True)
+
+    def _came(self, stream: int, data: bytes) -> None:
+        i = self.incoming.get(stream)
+        if i is None:
+            return
+        i.size += len(data)
+        if i.size > self.gate.settings.most_body:
+            self._turn_away(stream, 413, "body")
+            i.finish()
+            self.engine.reset(stream, engine.NO_ERROR)
+            return
+        i.request.body.append(data)
+
+    def _whole(self, i: Incoming) -> None:
+        """Its last byte has come: it is taken, or answered, now."""
+        r, c = i.request, i.crossed
+        r.method, r.target, r.headers, r.size = c.method, c.target, c.headers, i.size
+        i.started = True
+        status = r.check(self.gate.house.classes)
+        if not status:
+            cls = self.gate.house.classes[c.headers[b"req-kind"]]
+            keyless = cls.repeat is Repeat.KEYED and b"idempotency-key" not in c.headers
+            repeat = Repeat.UNSAFE if keyless else cls.repeat
+            if repeat is not c.repeat:
+                here, there = cls.repeat.value, c.repeat.value
+                self.gate.house.log(f"gateway: class {cls.name} is {here} here, {there} there")
+                status = 400
+        if status:
+            i.answer(r, status)
+            return
+        r.taken_at = self.gate.house.now_us()
+        r.time_left = c.time_left_us
+        self.gate.take(i)
+
+
+class Gate:
+    """Listens for the other sites' gateways. What it takes goes to the keyed stage, never to another site."""
+
+    def __init__(
+        self, house: House, settings: GatewaySettings, routes: Routes, stage: KeyedStage, counters: Counters,
+        context: ssl.SSLContext | None, seed: int, epoch: str,
+    ) -> None:  # fmt: skip
+        self.house, self.settings, self.routes, self.stage = house, settings, routes, stage
+        self.counters, self.context, self.seed, self.epoch = counters, context, seed, epoch
+        self.credits = Credits(settings.credits)
+        self.peers: dict[Inbound, None] = {}
+        self.open: dict[bytes, Incoming] = {}
+        self.server: asyncio.Server | None = None
+        self.draining = False
+
+    async def listen(self) -> None:
+        """Raises OSError."""
+        host, port = self.settings.listen
+        self.server = await self.house.loop.create_server(self._accept, host, port, ssl=self.context)
+
+    def _accept(self) -> Inbound:
+        self.seed += 1
+        return Inbound(self, self.seed)
+
+    @property
+    def port(self) -> int:
+        assert self.server is not None
+        return int(self.server.sockets[0].getsockname()[1])
+
+    def configure(self, settings: GatewaySettings) -> None:
+        self.settings = settings
+        self.credits.configure(settings.credits)
+
+    def take(self, i: Incoming) -> None:
+        r = i.request
+        earlier = self.open.get(r.wire_id)
+        if earlier is not None and i.crossed.repeat is Repeat.SAFE:
+            # Its sender has given up the connection on which this one came, and that is not known here yet.
+            earlier.peer._left(earlier)
+        self.open[r.wire_id] = i
+        self.counters.add("in_taken")
+        self.stage.take_aged(r, i.crossed.key_age_us)
+
+    def finished(self, i: Incoming) -> None:
+        self.credits.give_back(i.credit)
+        if self.open.get(i.request.wire_id) is i:
+            del self.open[i.request.wire_id]
+
+    def drain(self) -> None:
+        """Tells all peers to open nothing more, and what is refused for certain a little later (RFC 9113,
+        6.8). What is open is finished."""
+        self.draining = True
+        if self.server is not None:
+            self.server.close()
+        for p in list(self.peers):
+            p.engine.go_away()
+            p.flush()
+        self.house.loop.call_later(LAST_AFTER_S, self._last)
+
+    def _last(self) -> None:
+        for p in list(self.peers):
+            p.last = p.engine.last
+            p.engine.go_away(p.last)
+            p.flush()
+
+    @property
+    def busy(self) -> bool:
+        return any(p.incoming or p.engine.waiting for p in self.peers)
+
+    def stop(self) -> None:
+        if self.server is not None:
+            self.server.close()
+        for p in list(self.peers):
+            p.lose("this gateway ends")
--- /dev/null
+++ b/magpiefront/gateway/wire.py
@@ -0,0 +1,137 @@
+"""The heads of crossing requests and their answers as HTTP/2 fields (RFC 9113, 8.3). No I/O.
+
+What crosses of time is what is left of it, in microseconds, and an age: never a time of day, for the clocks
+of two sites may differ by minutes.
+"""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from magpiefront.interface import Repeat
+from magpiefront.net.request import TOKEN, Request
+
+VERSION = b"1"
+HELLO = b"/.well-known/magpiefront-gateway"
+HELLO_METHOD = b"OPTIONS"
+CARRIED = (b"req-id", b"req-kind", b"req-owner", b"req-cost", b"req-retry", b"req-extra", b"idempotency-key",
+           b"content-type")  # fmt: skip
+WHOLE = re.compile(rb"\d{1,15}")
+REPEATS = {r.value.encode(): r for r in Repeat}
+
+Fields = list[tuple[bytes, bytes]]
+
+
+class Unreadable(Exception):
+    """A head that no gateway means; its text says why."""
+
+
+@dataclass(slots=True)
+class Crossed:
+    """A request as it came over the link, its head read and not yet checked by `Request.check`."""
+
+    method: bytes
+    target: bytes
+    headers: dict[bytes, bytes]
+    time_left_us: int
+    repeat: Repeat
+    via: tuple[str, ...]
+    key_age_us: int
+
+
+def hello(site: str, to: str, secure: bool) -> Fields:
+    scheme = b"https" if secure else b"http"
+    return [
+        (b":method", HELLO_METHOD), (b":scheme", scheme), (b":authority", to.encode()),
+        (b":path", HELLO), (b"gw-version", VERSION), (b"gw-site", site.encode()),
+    ]  # fmt: skip
+
+
+def hello_answer(site: str, epoch: str) -> Fields:
+    return [(b":status", b"200"), (b"gw-version", VERSION), (b"gw-site", site.encode()),
+            (b"gw-epoch", epoch.encode()), (b"content-length", b"0")]  # fmt: skip
+
+
+def request_fields(
+    r: Request, to: str, secure: bool, left_us: int, repeat: Repeat, via: Iterable[str], key_age_us: int
+) -> Fields:
+    fields = [
+        (b":method", r.method), (b":scheme", b"https" if secure else b"http"), (b":authority", to.encode()),
+        (b":path", r.target), (b"gw-time-left", b"%d" % max(0, left_us)),
+        (b"gw-repeat", repeat.value.encode()), (b"gw-via", ",".join(via).encode()),
+    ]  # fmt: skip
+    if key_age_us > 0:
+        fields.append((b"gw-key-age", b"%d" % key_age_us))
+    h = r.headers
+    fields += [(name, h[name]) for name in CARRIED if name in h]
+    if r.size or r.method == b"PUT":
+        fields.append((b"content-length", b"%d" % r.size))
+    return fields
+
+
+def _number(h: dict[bytes, bytes], name: bytes, default: bytes | None = None) -> int:
+    value = h.get(name, default)
+    if value is None or not WHOLE.fullmatch(value):
+        raise Unreadable(f"{name.decode()} is missing or no number")
+    return int(value)
+
+
+def read_request(fields: Iterable[tuple[bytes, bytes]]) -> Crossed:
+    """Raises Unreadable. A field that comes twice is refused, as on every front (RFC 9110, 5.3)."""
+    h: dict[bytes, bytes] = {}
+    for name, value in fields:
+        if name in h:
+            raise Unreadable(f"{name.decode('latin-1')} comes twice")
+        h[name] = value
+    via = h.get(b"gw-via", b"").split(b",")
+    if not all(TOKEN.fullmatch(v) for v in via):
+        raise Unreadable("gw-via is missing or no list of sites")
+    repeat = REPEATS.get(h.get(b"gw-repeat", b""))
+    if repeat is None:
+        raise Unreadable("gw-repeat is missing or unknown")
+    left = _number(h, b"gw-time-left")
+    headers = {name: h[name] for name in CARRIED if name in h}
+    headers[b"host"] = h.get(b":authority", b"")
+    headers[b"req-deadline"] = b"%d.%06d" % divmod(left, 1_000_000)
+    return Crossed(h.get(b":method", b""), h.get(b":path", b""), headers, left, repeat,
+                   tuple(v.decode("ascii") for v in via), _number(h, b"gw-key-age", b"0"))  # fmt: skip
+
+
+def answer_fields(status: int, length: int | None, more: bytes, refused: str = "") -> Fields:
+    """`more` holds lines as fronts write them; of these, what the other site needs goes on."""
+    fields = [(b":status", b"%d" % status)]
+    if length is not None:
+        fields.append((b"content-length", b"%d" % length))
+    for line in more.split(b"\r\n"):
+        name, colon, value = line.partition(b":")
+        if colon and name.lower() in (b"content-type", b"retry-after"):
+            fields.append((name.lower(), value.strip()))
+    if refused:
+        fields.append((b"gw-refused", refused.encode()))
+    return fields
+
+
+@dataclass(slots=True)
+class Head:
+    status: int
+    length: int | None
+    more: bytes
+    refused: str
+    headers: dict[bytes, bytes]
+
+
+def read_answer(fields: Iterable[tuple[bytes, bytes]]) -> Head:
+    """Raises Unreadable."""
+    h = dict(fields)
+    status, length = h.get(b":status", b""), h.get(b"content-length")
+    if not WHOLE.fullmatch(status) or (length is not None and not WHOLE.fullmatch(length)):
+        raise Unreadable("an answer without a status, or with a length that is no number")
+    more = b"".join(
+        b"%b: %b\r\n" % (title, h[title.lower()])
+        for title in (b"Content-Type", b"Retry-After")
+        if title.lower() in h
+    )
+    refused = h.get(b"gw-refused", b"").decode("latin-1")
+    return Head(int(status), None if length is None else int(length), more, refused, h)
--- a/magpiefront/net/proxy.py
+++ b/magpiefront/net/proxy.py
@@ -16,7 +16,7 @@
 from magpiefront.hashing import bytes_hash
 from magpiefront.interface import (
     NEVER_RAN, Action, Arrived, AttemptEnded, Cancel, ClientLeft, Event, Fail, ListKind, Note, Outcome,
-    Probe, Probed, Refuse, Send, ServerList, SetTimer, TimerFired, Watch,
+    Probe, Probed, Refuse, RequestClass, Send, ServerList, SetTimer, TimerFired, Watch,
 )  # fmt: skip
 from magpiefront.net import upstream
 from magpiefront.net.config import Address, Config
@@ -27,8 +27,8 @@
 LOG_LINES, LOG_S = 20, 10.0
 
 
-def class_names(config: Config) -> dict[bytes, str]:
-    return {c.name.encode(): c.name for c in config.settings.classes}
+def classes_by_name(config: Config) -> dict[bytes, RequestClass]:
+    return {c.name.encode(): c for c in config.settings.classes}
 
 
 def lag_limit_s(config: Config) -> float:
@@ -43,7 +43,7 @@
         self.events: deque[Event] = deque()
         self.busy = False
         self.requests: dict[str, Request] = {}
-        self.classes = class_names(config)
+        self.classes = classes_by_name(config)
         self.streams: dict[upstream.Attempt, None] = {}  # long answers under way
         self.connections = max(16, int((config.sockets - 32) * 0.4))
         self.pool = upstream.Pool(loop, self.connections, config.connect_timeout_us, config.conn_idle_us)
@@ -56,11 +56,17 @@
         if config.listen != self.config.listen:
             self.log("reload: another address to listen on needs a restart")
         self.config = config
-        self.classes = class_names(config)
+        self.classes = classes_by_name(config)
         self.router.configure(config.settings)
         self.pool.set_times(config.connect_timeout_us, config.conn_idle_us)
         self.lag.limit_s = lag_limit_s(config)
 
+    @property
+    def most_retry_after_us(self) -> int:
+        """How long answers may tell a client to wait; 0 where they may not."""
+        settings = self.config.settings
+        return settings.max_retry_after_us if settings.retry_after else 0
+
     def tick(self) -> None:
         self.lag.look(self.now_us() / 1e6)
         self.loop.call_later(TICK_S, self.tick)
@@ -179,10 +185,11 @@
         left = max(0, r.deadline - now)
         r.backstop = self.loop.call_later((left + BACKSTOP_US) / 1e6, self._overdue, r)
         h = r.headers
+        cls = self.classes.get(h[b"req-kind"])  # gone, where a new configuration came meanwhile
         self.give(
             Arrived(
                 r.name,
-                self.classes.get(h[b"req-kind"], ""),
+                cls.name if cls is not None else "",
                 left,
                 bytes_hash(r.key),
                 h[b"req-owner"].decode("latin-1") if b"req-owner" in h else None,
--- a/magpiefront/net/request.py
+++ b/magpiefront/net/request.py
@@ -99,6 +99,14 @@
         target = self.target
         return (target.partition(b"?")[0] if b"?" in target else target).rpartition(b"/")[2]
 
+    def twin(self, replies: Replies) -> Request:
+        """The same request once more, for a stage that runs it and owes the answer to others itself."""
+        twin = Request(replies)
+        twin.method, twin.target, twin.wire_id, twin.more = self.method, self.target, self.wire_id, self.more
+        twin.headers, twin.body, twin.size = self.headers, self.body, self.size
+        twin.taken_at, twin.time_left = self.taken_at, self.time_left
+        return twin
+
     def misframed(self, version: str) -> bool:
         """Might another reader find this message's end elsewhere (RFC 9112, 6.1 and 6.3)? The parser has
         refused what it can't read; it takes codings that nobody here decodes, and versions that have none."""
--- /dev/null
+++ b/magpiefront/operator/file.py
@@ -0,0 +1,176 @@
+"""The operator's file: read, checked as a whole, and turned into each subsystem's settings."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Annotated, Any
+
+import msgspec
+
+from magpiefront.gateway.settings import (
+    CreditSettings, GatewaySettings, KeyedSettings, LinkSettings, RetrySettings, Site, Tls,
+)  # fmt: skip
+from magpiefront.operator.fields import BadFile, Duration, Place, Size, parse, read
+
+Name = Annotated[str, msgspec.Meta(pattern=r"^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$")]
+Share = Annotated[float, msgspec.Meta(ge=0, le=1)]
+Count = Annotated[int, msgspec.Meta(ge=1, le=100_000)]
+
+
+class SiteTable(msgspec.Struct, forbid_unknown_fields=True):
+    name: Name
+
+
+class SiteEntry(msgspec.Struct, forbid_unknown_fields=True):
+    weight: Annotated[float, msgspec.Meta(ge=0, le=1_000_000)] = 1.0
+    prefixes: list[str] = []
+    peers: list[Place] = []
+
+
+class TlsTable(msgspec.Struct, forbid_unknown_fields=True):
+    plain: bool = False
+    certificate: str = ""
+    key: str = ""
+    ca: str = ""
+
+
+class LinkTable(msgspec.Struct, forbid_unknown_fields=True):
+    connections: Annotated[int, msgspec.Meta(ge=1, le=64)] = 2
+    connect_timeout: Duration = Duration(1_000_000)
+    ping_interval: Duration = Duration(250_000)
+    ping_timeout: Duration = Duration(1_000_000)
+    backoff: Duration = Duration(50_000)
+    most_backoff: Duration = Duration(2_000_000)
+    stall: Duration = Duration(1_500_000)
+
+
+class CreditTable(msgspec.Struct, forbid_unknown_fields=True):
+    crossing: Count = 400
+    tenant_share: Share = 0.5
+    spill_share: Share = 0.25
+    reserved: dict[str, Share] = {}
+
+
+class RetryTable(msgspec.Struct, forbid_unknown_fields=True):
+    share: Share = 0.05
+    depth: Count = 10
+    most_tries: Annotated[int, msgspec.Meta(ge=1, le=10)] = 3
+
+
+class KeyedTable(msgspec.Struct, forbid_unknown_fields=True):
+    most_answers: Count = 20_000
+    most_bytes: Size = Size(16 << 20)
+
+
+class GatewayTable(msgspec.Struct, forbid_unknown_fields=True):
+    listen: Place
+    sites: dict[str, Any]
+    tls: dict[str, Any] = {}
+    spill: list[str] = []
+    home_when_down: bool = True
+    retry_after: Duration = Duration(500_000)
+    least_left: Duration = Duration(20_000)
+    answer_margin: Duration = Duration(5_000)
+    most_body: Size = Size(1 << 20)
+    link: dict[str, Any] = {}
+    credits: dict[str, Any] = {}
+    retry: dict[str, Any] = {}
+    keyed: dict[str, Any] = {}
+
+
+@dataclass(frozen=True, slots=True)
+class Operator:
+    """All that the file asks for; None for a subsystem that is off."""
+
+    path: Path
+    site: str
+    gateway: GatewaySettings | None
+
+
+def load(path: Path) -> Operator:
+    """Raises BadFile."""
+    given = parse(path)
+    for name in given:
+        if name not in ("site", "gateway"):
+            raise BadFile(f"{path}: [{name}]: unknown table")
+    if "site" not in given:
+        raise BadFile(f"{path}: [site] name: is missing")
+    site = read(path, "site", given["site"], SiteTable).name
+    gateway = _gateway(path, site, given["gateway"]) if "gateway" in given else None
+    return Operator(path, site, gateway)
+
+
+def _gateway(path: Path, site: str, given: Any) -> GatewaySettings:
+    g = read(path, "gateway", given, GatewayTable)
+
+    def require(holds: bool, key: str, what: str) -> None:
+        if not holds:
+            table, _, name = key.rpartition(".")
+            raise BadFile(f"{path}: [gateway{'.' + table if table else ''}] {name}: {what}")
+
+    sites = _sites(path, site, g.sites)
+    t = read(path, "gateway.tls", g.tls, TlsTable)
+    named = [n for n in ("certificate", "key", "ca") if getattr(t, n)]
+    require(not (t.plain and named), "tls.plain", f"excludes {', '.join(named)}")
+    if not t.plain:
+        for n in ("certificate", "key", "ca"):
+            require(n in named, f"tls.{n}", "is missing; the link is plain only with plain = true")
+    tls = None if t.plain else Tls(*(str(path.parent / getattr(t, n)) for n in ("certificate", "key", "ca")))
+    k = read(path, "gateway.link", g.link, LinkTable)
+    for n in ("connect_timeout", "ping_interval", "ping_timeout", "backoff", "most_backoff", "stall"):
+        require(getattr(k, n).us >= 1_000, f"link.{n}", "must be at least 1ms")
+    enough = k.ping_timeout.us >= 2 * k.ping_interval.us
+    require(enough, "link.ping_timeout", "must be at least twice ping_interval")
+    require(k.most_backoff.us >= k.backoff.us, "link.most_backoff", "must not be below backoff")
+    c = read(path, "gateway.credits", g.credits, CreditTable)
+    require(sum(c.reserved.values()) < 1, "credits.reserved", "must leave a part for the other classes")
+    r = read(path, "gateway.retry", g.retry, RetryTable)
+    d = read(path, "gateway.keyed", g.keyed, KeyedTable)
+    return GatewaySettings(
+        site=site, listen=g.listen.address, sites=sites, tls=tls, spill=tuple(g.spill),
+        home_when_down=g.home_when_down, retry_after_us=g.retry_after.us, least_left_us=g.least_left.us,
+        answer_margin_us=g.answer_margin.us, most_body=g.most_body.bytes,
+        link=LinkSettings(k.connections, k.connect_timeout.us, k.ping_interval.us, k.ping_timeout.us,
+                          k.backoff.us, k.most_backoff.us, k.stall.us),
+        credits=CreditSettings(c.crossing, c.tenant_share, c.spill_share, c.reserved),
+        retry=RetrySettings(r.share, r.depth, r.most_tries),
+        keyed=KeyedSettings(d.most_answers, d.most_bytes.bytes),
+    )  # fmt: skip
+
+
+def _sites(path: Path, site: str, given: dict[str, Any]) -> dict[str, Site]:
+    sites: dict[str, Site] = {}
+    owners: dict[str, str] = {}
+    for name, table in given.items():
+        where = f"gateway.sites.{name}"
+        read(path, where, {"name": name}, SiteTable)
+        s = read(path, where, table, SiteEntry)
+        if name == site and s.peers:
+            raise BadFile(f"{path}: [{where}] peers: this is the own site, which has none")
+        if name != site and not s.peers:
+            raise BadFile(f"{path}: [{where}] peers: is missing")
+        for prefix in s.prefixes:
+            if not prefix:
+                raise BadFile(f"{path}: [{where}] prefixes: an empty one belongs to every key; use weight")
+            if prefix in owners:
+                raise BadFile(f"{path}: [{where}] prefixes: {prefix!r} belongs to {owners[prefix]} already")
+            owners[prefix] = name
+        peers = tuple(p.address for p in s.peers)
+        if len(set(peers)) < len(peers):
+            raise BadFile(f"{path}: [{where}] peers: names an address twice")
+        sites[name] = Site(name, s.weight, tuple(s.prefixes), peers)
+    if site not in sites:
+        raise BadFile(f"{path}: [gateway.sites.{site}]: the own site is missing from the table")
+    if len(sites) < 2:
+        raise BadFile(f"{path}: [gateway.sites]: names no other site")
+    if not any(s.weight > 0 for s in sites.values()):
+        raise BadFile(f"{path}: [gateway.sites]: one site at least needs a weight above 0")
+    everywhere: dict[Any, str] = {}
+    for each in sites.values():
+        for host, port in each.peers:
+            if (host, port) in everywhere:
+                where, other = f"{path}: [gateway.sites.{each.name}] peers", everywhere[host, port]
+                raise BadFile(f"{where}: {host}:{port} is a peer of {other} too")
+            everywhere[host, port] = each.name
+    return sites
--- /dev/null
+++ b/standins/http.py
@@ -0,0 +1,50 @@
+"""As much of HTTP/1.1 as stand-ins need: one message after the other from a stream, read strictly."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+
+
+class Bad(Exception):
+    """What came is no message; the text says why."""
+
+
+@dataclass(slots=True)
+class Message:
+    start: str
+    headers: dict[str, str]
+    body: bytes
+
+
+async def read(reader: asyncio.StreamReader) -> Message:
+    """Raises Bad, or IncompleteReadError where the stream ends first (empty `partial`: between messages)."""
+    try:
+        head = await reader.readuntil(b"\r\n\r\n")
+    except asyncio.LimitOverrunError:
+        raise Bad("a head without end") from None
+    start, *lines = head[:-4].decode("latin-1").split("\r\n")
+    headers: dict[str, str] = {}
+    for line in lines:
+        name, colon, value = line.partition(":")
+        if not colon or name != name.strip() or not name:
+            raise Bad(f"a field line {line!r}")
+        if name.lower() in headers and name.lower() in ("content-length", "req-id", "idempotency-key"):
+            raise Bad(f"{name} twice")
+        headers[name.lower()] = value.strip()
+    body = b""
+    if "content-length" in headers and "transfer-encoding" in headers:
+        raise Bad("two framings")
+    if "content-length" in headers:
+        body = await reader.readexactly(int(headers["content-length"]))
+    elif headers.get("transfer-encoding", "").lower() == "chunked":
+        parts = []
+        while size := int((await reader.readline()).split(b";")[0], 16):
+            parts.append((await reader.readexactly(size + 2))[:-2])
+        await reader.readline()
+        body = b"".join(parts)
+    return Message(start, headers, body)
+
+
+def answer(status: int, body: bytes = b"", more: str = "") -> bytes:
+    return f"HTTP/1.1 {status} Stand-in\r\nContent-Length: {len(body)}\r\n{more}\r\n".encode() + body
--- /dev/null
+++ b/tests/gateway/test_crossing_sites.py
@@ -0,0 +1,35 @@
+"""Two sites on loopback: what crosses, and what comes of it when the link fails."""
+
+from __future__ import annotations
+
+import asyncio
+
+from tests.gateway.sites import run, sites, until
+
+
+def test_each_key_is_served_by_its_site() -> None:
+    async def main() -> None:
+        async with sites() as s:
+            for at in ("west", "east"):
+                for key in ("w-1", "e-1"):
+                    for kind in ("level-read", "field-report", "once"):
+                        a = await s.get(at, kind, key)
+                        home = "west" if key.startswith("w") else "east"
+                        assert a.status == 200 and a.answers[0][2].startswith(f"{home}/{key}".encode())
+            assert s.west.count("crossed") == s.east.count("crossed") == 3
+            assert s.west.gateway.routes.credits.used == s.west.gateway.gate.credits.used == 0
+            assert not s.west.gateway.gate.open and not s.west.gateway.stage.trips
+
+    run(main())
+
+
+def test_many_at_once() -> None:
+    async def main() -> None:
+        async with sites(delay_s=0.005) as s:
+            asked = await asyncio.gather(*(s.get("west", key=f"e-{i % 50}") for i in range(200)))
+            assert {a.status for a in asked} == {200}
+            long = await asyncio.gather(*(s.get("west", key=f"e-{i}~300000") for i in range(3)))
+            assert [(a.status, len(a.answers[0][2])) for a in long] == [(200, 300_000)] * 3
+            await until(lambda: not s.east.gateway.gate.busy)
+
+    run(main())
