--- a/tests/gateway/sites.py
+++ b/tests/gateway/sites.py
@@ -1,4 +1,4 @@
-"""Two sites in the test's own loop: real proxies and gateways, stand-ins for all else, lossy links between."""
+"""Two sites in the test's own loop: real proxies and gateways, stand-ins for all else, lossy links."""
 
 from __future__ import annotations
 
@@ -39,7 +39,8 @@
 }  # fmt: skip
 # Faster than in service, so that tests are short; slow enough for a machine with other work.
 LINK = LinkSettings(
-    connections=2, ping_interval_us=100_000, ping_timeout_us=600_000, backoff_us=10_000, most_backoff_us=60_000
+    connections=2, ping_interval_us=100_000, ping_timeout_us=600_000, backoff_us=10_000,
+    most_backoff_us=60_000,
 )
 OTHER = {"west": "east", "east": "west"}
 
@@ -134,7 +135,7 @@
     proxy = Proxy(conf, loop)
     proxy.zero_us += clock_off_us
     lines: list[str] = []
-    proxy.log = lines.append  # type: ignore[method-assign]
+    proxy.log = lines.append  # type: ignore[method-assign,assignment]
     gateway = Gateway(proxy, proxy, settings, seed)
     front = Front(proxy, gateway.stage, Bodies(50 << 20), 500)
     discovery = Discovery(proxy, conf.discovery, seed)
