--- a/magpiefront/gateway/engine.py
+++ b/magpiefront/gateway/engine.py
@@ -164,13 +164,19 @@
         return stream
 
     def head(self, stream: int, fields: list[tuple[bytes, bytes]], end: bool) -> None:
-        self.h2.send_headers(stream, fields, end_stream=end)
+        try:
+            self.h2.send_headers(stream, fields, end_stream=end)
+        except h2.exceptions.StreamClosedError:
+            self.forget(stream)  # reset by the peer behind what is being answered
+            return
         self._collect()
         if end:
             self._sent(stream)
 
     def data(self, stream: int, data: bytes, end: bool = False) -> bool:
         """Returns whether more may be given at once; `Writable` tells when it may again."""
+        if stream not in self.unread:
+            return True  # as in `head`
         w = self.waiting.setdefault(stream, Waiting())
         if data:
             w.parts.append(data)
@@ -191,6 +197,13 @@
         w = self.waiting.get(stream)
         if w is None:
             return
+        try:
+            self._send(stream, w)
+        except (h2.exceptions.StreamClosedError, h2.exceptions.NoSuchStreamError):
+            # The peer has reset it; the word of that is behind this one in the same bytes.
+            self.waiting.pop(stream, None)
+
+    def _send(self, stream: int, w: Waiting) -> None:
         while w.parts:
             room = min(self.h2.local_flow_control_window(stream), self.h2.max_outbound_frame_size)
             if room <= 0:
--- a/magpiefront/gateway/link.py
+++ b/magpiefront/gateway/link.py
@@ -176,8 +176,11 @@
     @property
     def usable(self) -> bool:
         state = self.health.state
-        return bool(self.epoch) and not self.closed and self.engine.room and (
-            state is LinkState.UP or state is LinkState.SUSPECT
+        return (
+            bool(self.epoch)
+            and not self.closed
+            and self.engine.room
+            and (state is LinkState.UP or state is LinkState.SUSPECT)
         )
 
     def send(self, fields: list[tuple[bytes, bytes]], body: list[bytes], sink: Sink) -> int:
--- a/magpiefront/gateway/stage.py
+++ b/magpiefront/gateway/stage.py
@@ -16,6 +16,7 @@
 from magpiefront.net.http1 import WHOLE_LIMIT
 from magpiefront.net.request import Replies, Request, Stage
 
+AGAIN_S = 0.01
 PASSED = frozenset({200, 409, 413, 429, 502, 503, 504})
 
 
@@ -130,7 +131,7 @@
         head = self.head_
         if head is None or (head.length is not None and head.length != self.size and head.status == 200):
             self.broken(False, "an answer that is not whole")
-        elif head.refused:
+        elif head.refused and head.status != 413:
             # Turned away by the gateway there, before its Router: it never ran, and never will.
             self.stage.house.log(f"gateway: {self.cross.site} refused: {head.refused}")
             self._refuse()
@@ -156,15 +157,20 @@
             return
         self.head_, self.body, self.size = None, [], 0
         self.stage.counters.add("broke_never_ran" if never_ran else "broke_may_have_run")
-        now = self.stage.house.now_us()
-        self._follow(self.crossing.broken(now, never_ran, self._way()))
+        then = self.crossing.broken(self.stage.house.now_us(), never_ran, self._way())
+        if then is Next.AGAIN:
+            # A moment later: where one connection of a link breaks, the others mostly do, and what went to
+            # each of them in turn would have used up its tries before the link is back.
+            self.stage.house.loop.call_later(AGAIN_S, self._again)
+        else:
+            self._follow(then)
 
     def _follow(self, what: Next) -> None:
         match what:
             case Next.AGAIN:
                 self.stage.routes.budget.take()
                 self.stage.counters.add("again")
-                self.stage.house.loop.call_soon(self._again)
+                self.send()
             case Next.WAIT:
                 self.stage.waiting[self] = None
                 # Past the window nothing can come of it, and its client is told so.
@@ -181,7 +187,7 @@
 
     def _again(self) -> None:
         if not self.crossing.over:
-            self.send()
+            self._follow(self.crossing.next(self.stage.house.now_us(), self._way()))
 
     def link_is_back(self) -> None:
         if self not in self.stage.waiting:
--- a/standins/client.py
+++ b/standins/client.py
@@ -8,6 +8,9 @@
 from standins import http
 
 
+CUT = 599  # stands for an answer that broke off in its body
+
+
 @dataclass(slots=True)
 class Ask:
     """One request. Times are seconds of the loop's clock; `effect` is what its effect is counted under."""
@@ -22,6 +25,7 @@
     once: str = ""  # its Idempotency-Key
     tenant: str = "members"
     retry_of: str = ""
+    body: bytes = b"level=3.2"  # of a PUT
     sent: float = 0.0
     answers: list[tuple[int, float, bytes, str]] = field(default_factory=list)
     # `answers`: status, when, body, Retry-After
@@ -36,7 +40,7 @@
         return self.answers[0][1] - self.sent if self.answers else float("inf")
 
     def head(self) -> bytes:
-        body = b"level=3.2" if self.method == "PUT" else b""
+        body = self.body if self.method == "PUT" else b""
         lines = [
             f"{self.method} /api/{self.key} HTTP/1.1", "Host: api.internal", f"Req-Id: {self.name}",
             f"Req-Kind: {self.kind}", f"Req-Owner: {self.tenant}", f"Req-Deadline: {self.deadline_s:.3f}",
@@ -80,6 +84,11 @@
                 a.ended = "silence"
                 writer.transport.abort()
                 return a
+            except http.Cut:
+                # The client can tell that it is not whole: failed, and not lost.
+                writer.transport.abort()
+                a.answers.append((CUT, loop.time(), b"", ""))
+                return a
             except (OSError, asyncio.IncompleteReadError) as e:
                 writer.transport.abort()
                 if not fresh and not again and not getattr(e, "partial", b""):
--- a/standins/discovery.py
+++ b/standins/discovery.py
@@ -51,7 +51,7 @@
                     except TimeoutError:
                         told = {"generation": self.generation, "reset": False, "instances": []}
                 writer.write(http.answer(200, json.dumps(told).encode()))
-        except (OSError, asyncio.IncompleteReadError, http.Bad):
+        except (OSError, asyncio.IncompleteReadError, http.Bad, http.Cut):
             pass
         finally:
             self.writers.pop(writer, None)
--- a/standins/http.py
+++ b/standins/http.py
@@ -10,6 +10,14 @@
     """What came is no message; the text says why."""
 
 
+class Cut(Exception):
+    """The stream ended after a head and before the end of the body that it tells of."""
+
+    def __init__(self, start: str) -> None:
+        super().__init__("cut in the body")
+        self.start = start
+
+
 @dataclass(slots=True)
 class Message:
     start: str
@@ -18,7 +26,7 @@
 
 
 async def read(reader: asyncio.StreamReader) -> Message:
-    """Raises Bad, or IncompleteReadError where the stream ends first (empty `partial`: between messages)."""
+    """Raises Bad, Cut, or IncompleteReadError where the stream ends in a head (no `partial`: before it)."""
     try:
         head = await reader.readuntil(b"\r\n\r\n")
     except asyncio.LimitOverrunError:
@@ -32,18 +40,24 @@
         if name.lower() in headers and name.lower() in ("content-length", "req-id", "idempotency-key"):
             raise Bad(f"{name} twice")
         headers[name.lower()] = value.strip()
-    body = b""
+    try:
+        return Message(start, headers, await _body(reader, headers))
+    except (asyncio.IncompleteReadError, OSError, ValueError):
+        raise Cut(start) from None
+
+
+async def _body(reader: asyncio.StreamReader, headers: dict[str, str]) -> bytes:
     if "content-length" in headers and "transfer-encoding" in headers:
         raise Bad("two framings")
     if "content-length" in headers:
-        body = await reader.readexactly(int(headers["content-length"]))
-    elif headers.get("transfer-encoding", "").lower() == "chunked":
+        return await reader.readexactly(int(headers["content-length"]))
+    if headers.get("transfer-encoding", "").lower() == "chunked":
         parts = []
         while size := int((await reader.readline()).split(b";")[0], 16):
             parts.append((await reader.readexactly(size + 2))[:-2])
         await reader.readline()
-        body = b"".join(parts)
-    return Message(start, headers, body)
+        return b"".join(parts)
+    return b""
 
 
 def answer(status: int, body: bytes = b"", more: str = "") -> bytes:
--- a/standins/ledger.py
+++ b/standins/ledger.py
@@ -5,7 +5,7 @@
 from collections import Counter
 from collections.abc import Iterable, Mapping
 
-from standins.client import Ask
+from standins.client import CUT, Ask
 
 SERVED = 200
 REFUSED = (429, 503)
@@ -29,6 +29,8 @@
             found.append(f"{what}: {len(a.answers)} answers; {a.ended or 'still open'}")
             continue
         status, _, body, _ = a.answers[0]
+        if status == CUT and "~" not in a.key:
+            found.append(f"{what}: a short answer broke off in its body")
         if a.took > a.deadline_s + slack_s:
             found.append(f"{what}: answered {a.took - a.deadline_s:.3f} s after its time")
         if status == SERVED and a.key not in body.decode("latin-1"):
--- a/standins/node.py
+++ b/standins/node.py
@@ -15,10 +15,11 @@
 
     def __init__(
         self, name: str, archive: Archive, seed: int, most: int = 5_000, slots: int = 64, ttl_s: float = 20.0,
-        time_s: float = 0.001, errors: float = 0.0,
+        time_s: float = 0.001, errors: float = 0.0, slow_share: float = 0.0, slow_s: float = 0.1,
     ) -> None:  # fmt: skip
         self.name, self.archive, self.random = name, archive, Random(seed)
         self.most, self.slots, self.ttl_s, self.time_s, self.errors = most, slots, ttl_s, time_s, errors
+        self.slow_share, self.slow_s = slow_share, slow_s  # a part of the requests takes longer
         self.kept: OrderedDict[str, tuple[float, str]] = OrderedDict()
         self.fetching: dict[str, asyncio.Task[str]] = {}
         self.busy = self.served = 0
@@ -46,7 +47,7 @@
             while True:
                 writer.write(await self._answer(await http.read(reader)))
                 await writer.drain()
-        except (OSError, asyncio.IncompleteReadError, http.Bad):
+        except (OSError, asyncio.IncompleteReadError, http.Bad, http.Cut):
             pass
         finally:
             self.writers.pop(writer, None)
@@ -64,6 +65,8 @@
         self.busy += 1
         try:
             await asyncio.sleep(self.time_s * self.random.uniform(0.5, 2))
+            if self.slow_share and self.random.random() < self.slow_share:
+                await asyncio.sleep(self.slow_s)
             if self.errors and self.random.random() < self.errors:
                 return http.answer(500)
             self.served += 1
--- a/tests/gateway/sites.py
+++ b/tests/gateway/sites.py
@@ -39,7 +39,10 @@
 }  # fmt: skip
 # Faster than in service, so that tests are short; slow enough for a machine with other work.
 LINK = LinkSettings(
-    connections=2, ping_interval_us=100_000, ping_timeout_us=600_000, backoff_us=10_000,
+    connections=2,
+    ping_interval_us=100_000,
+    ping_timeout_us=600_000,
+    backoff_us=10_000,
     most_backoff_us=60_000,
 )
 OTHER = {"west": "east", "east": "west"}
