--- a/magpiefront/gateway/link.py
+++ b/magpiefront/gateway/link.py
@@ -67,7 +67,8 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
-        self.transport.set_write_buffer_limits(high=0)
+        # Not 0: TLS transports pause at "as much as", and would stand still with nothing to write.
+        self.transport.set_write_buffer_limits(high=1, low=0)
         self.began_us = self.house.now_us()
         self._tick()
 
--- a/standins/client.py
+++ b/standins/client.py
@@ -68,9 +68,9 @@
         a.sent = loop.time()
         again = False
         while True:
-            fresh = not self.free
+            fresh = again or not self.free
             try:
-                reader, writer = self.free.pop() if self.free else await self._open()
+                reader, writer = await self._open() if fresh else self.free.pop()
             except OSError as e:
                 a.ended = f"no connection: {e}"
                 return a
--- /dev/null
+++ b/tests/operator/test_file.py
@@ -0,0 +1,173 @@
+"""The operator's file: what is wrong with it is one line that names file, table and key."""
+
+from __future__ import annotations
+
+import re
+from pathlib import Path
+
+import msgspec
+import pytest
+
+from magpiefront.operator import file as schema
+from magpiefront.operator.compose import check
+from magpiefront.operator.fields import BadFile
+from magpiefront.operator.file import load
+
+EXAMPLE = Path(__file__).resolve().parents[2] / "deploy" / "gateway.toml"
+GOOD = """
+[site]
+name = "west"
+[gateway]
+listen = "127.0.0.1:7443"
+[gateway.sites.west]
+[gateway.sites.east]
+peers = ["127.0.0.1:7543"]
+[gateway.tls]
+plain = true
+"""
+
+
+def text(*changes: tuple[str, str], more: str = "") -> str:
+    given = GOOD
+    for before, after in changes:
+        assert before in given
+        given = given.replace(before, after)
+    return given + more
+
+
+PLAIN = "plain = true"
+CERTS = 'certificate = "a.pem"\nkey = "a.key"\nca = "ca.pem"'
+
+
+@pytest.mark.parametrize(
+    ("given", "says"),
+    [
+        ("site = [", "(at end of document)"),
+        ("", "[site] name: is missing"),
+        (text(('name = "west"', "")), "[site] name: is missing"),
+        (text(('name = "west"', 'name = "West!"')), "[site] name: "),
+        (text(('name = "west"', 'name = "west"\ncolour = "red"')), "[site] colour: unknown key"),
+        (text(more="[cache]"), "[cache]: unknown table"),
+        (text(more="[gateway.conections]"), "[gateway] conections: unknown key"),
+        (text(more="[gateway.link]\nconections = 2"), "[gateway.link] conections: unknown key"),
+        (text(more='[gateway.link]\nconnections = "2"'), "[gateway.link] connections: expected `int`"),
+        (text(more="[gateway.link]\nconnections = 0"), "[gateway.link] connections: expected `int` >= 1"),
+        (
+            text(more="[gateway.link]\nping_interval = 250"),
+            "[gateway.link] ping_interval: 250 is no duration",
+        ),
+        (
+            text(more='[gateway.link]\nping_interval = "2h"'),
+            "[gateway.link] ping_interval: '2h' is no duration",
+        ),
+        (text(more='[gateway.link]\nping_interval = "0ms"'), "ping_interval: must be at least 1ms"),
+        (
+            text(more='[gateway.link]\nping_interval = "900ms"'),
+            "[gateway.link] ping_timeout: must be at least twice",
+        ),
+        (text(more='[gateway.link]\nbackoff = "5s"'), "[gateway.link] most_backoff: must not be below"),
+        (text(more='[gateway.keyed]\nmost_bytes = "16MB"'), "[gateway.keyed] most_bytes: '16MB' is no size"),
+        (text(more="[gateway.credits]\ntenant_share = 1.5"), "[gateway.credits] tenant_share: "),
+        (
+            text(more="[gateway.credits.reserved]\na = 0.5\nb = 0.5"),
+            "[gateway.credits] reserved: must leave a part",
+        ),
+        (text(more="[gateway.retry]\nmost_tries = 99"), "[gateway.retry] most_tries: "),
+        (text(("listen = ", "heard = ")), "[gateway] heard: unknown key"),
+        (text(('listen = "127.0.0.1:7443"', "")), "[gateway] listen: is missing"),
+        (text(('"127.0.0.1:7443"', '"localhost:7443"')), "[gateway] listen: 'localhost:7443' is no address"),
+        (text(('"127.0.0.1:7443"', '"127.0.0.1"')), "[gateway] listen: '127.0.0.1' is no address"),
+        (text(('"127.0.0.1:7543"', '"127.0.0.1:99999"')), "[gateway.sites.east] peers"),
+        (
+            text(("[gateway.sites.west]", '[gateway.sites.west]\npeers = ["127.0.0.1:1"]')),
+            "[gateway.sites.west] peers: this",
+        ),
+        (
+            text(("[gateway.sites.east]", "[gateway.sites.west]")),
+            "Cannot declare",
+        ),  # a site that names itself twice
+        (text(("[gateway.sites.west]", "[gateway.sites.north]")), "[gateway.sites.north] peers: is missing"),
+        (
+            text(("[gateway.sites.west]", '[gateway.sites.north]\npeers = ["127.0.0.1:9"]')),
+            "own site is missing",
+        ),
+        (
+            text(
+                (
+                    "[gateway.sites.east]",
+                    '[gateway.sites.north]\npeers = ["127.0.0.1:7543"]\n[gateway.sites.east]',
+                )
+            ),
+            "127.0.0.1:7543 is a peer of north too",
+        ),
+        (
+            text(('peers = ["127.0.0.1:7543"]', 'peers = ["127.0.0.1:7543", "127.0.0.1:7543"]')),
+            "names an address twice",
+        ),
+        (
+            text(
+                ("[gateway.sites.west]", '[gateway.sites.west]\nprefixes = ["a"]'),
+                ("[gateway.sites.east]", '[gateway.sites.east]\nprefixes = ["a"]'),
+            ),
+            "'a' belongs to west already",
+        ),
+        (text(("[gateway.sites.west]", '[gateway.sites.west]\nprefixes = [""]')), "an empty one"),
+        (
+            text(
+                ("[gateway.sites.west]", "[gateway.sites.west]\nweight = 0"),
+                ("[gateway.sites.east]", "[gateway.sites.east]\nweight = 0"),
+            ),
+            "needs a weight above 0",
+        ),
+        (text((PLAIN, "")), "[gateway.tls] certificate: is missing"),
+        (text((PLAIN, CERTS.partition("\n")[0])), "[gateway.tls] key: is missing"),
+        (text((PLAIN, PLAIN + "\n" + CERTS)), "[gateway.tls] plain: excludes certificate, key, ca"),
+        (text((PLAIN, CERTS)), "[gateway.tls] certificate: "),
+    ],
+)
+def test_what_is_wrong_is_one_line(given: str, says: str, tmp_path: Path) -> None:
+    path = tmp_path / "gateway.toml"
+    path.write_text(given)
+    with pytest.raises(BadFile) as e:
+        check(path)
+    line = str(e.value)
+    assert says in line and line.startswith(f"{path}: ") and "\n" not in line
+
+
+def test_a_file_that_is_not_there_or_no_text(tmp_path: Path) -> None:
+    with pytest.raises(BadFile, match="No such file"):
+        load(tmp_path / "none.toml")
+    (tmp_path / "bad.toml").write_bytes(b"\xff\xfe")
+    with pytest.raises(BadFile, match="not UTF-8"):
+        load(tmp_path / "bad.toml")
+
+
+def test_a_site_without_a_gateway(tmp_path: Path) -> None:
+    path = tmp_path / "site.toml"
+    path.write_text('[site]\nname = "west"\n')
+    assert load(path).gateway is None
+
+
+def test_the_example_shows_every_key_with_its_default(tmp_path: Path) -> None:
+    given = EXAMPLE.read_text()
+    assert check(EXAMPLE).gateway is not None
+    tables: dict[str, type[msgspec.Struct]] = {
+        "site": schema.SiteTable,
+        "gateway": schema.GatewayTable,
+        "gateway.tls": schema.TlsTable,
+        "gateway.link": schema.LinkTable,
+        "gateway.credits": schema.CreditTable,
+        "gateway.retry": schema.RetryTable,
+        "gateway.keyed": schema.KeyedTable,
+        "gateway.sites.east": schema.SiteEntry,
+    }
+    for name, kind in tables.items():
+        part = given.partition(f"\n[{name}]\n")[2].partition("\n[")[0]
+        for f in msgspec.structs.fields(kind):
+            if f.name not in ("sites", "tls", "link", "credits", "retry", "keyed", "reserved"):
+                assert re.search(rf"^#?{f.name} = .*#|^#?{f.name} = ", part, re.M), f"{name}.{f.name}"
+    # What is commented out is the default: put in, it changes nothing.
+    path = tmp_path / "whole.toml"
+    keep = [line for line in given.splitlines() if not re.match(r"#(certificate|key|ca) ", line)]
+    path.write_text("\n".join(re.sub(r"^#(?=[a-z_]+ = )", "", line) for line in keep))
+    assert load(path).gateway == load(EXAMPLE).gateway
