--- a/magpiefront/gateway/engine.py
+++ b/magpiefront/gateway/engine.py
@@ -107,7 +107,13 @@
         codes = h2.settings.SettingCodes
         self.client = client
         self.h2 = h2.connection.H2Connection(
-            h2.config.H2Configuration(client_side=client, header_encoding=None)
+            h2.config.H2Configuration(
+                client_side=client,
+                header_encoding=None,
+                # What we write comes from `wire` and is sound; each look at it again costs CPU.
+                validate_outbound_headers=False,
+                normalize_outbound_headers=False,
+            )
         )
         first = {
             codes.MAX_CONCURRENT_STREAMS: most_streams,
--- a/magpiefront/gateway/stage.py
+++ b/magpiefront/gateway/stage.py
@@ -3,14 +3,14 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Mapping, Sequence
+from collections.abc import Iterator, Mapping, Sequence
 from typing import Protocol
 
 from magpiefront.gateway import wire
 from magpiefront.gateway.counters import Counters
 from magpiefront.gateway.crossing import Crossing, Next, Way
 from magpiefront.gateway.link import CHOKED, Link, Outbound
-from magpiefront.gateway.routes import Asked, Away, Cross, Home, Routes
+from magpiefront.gateway.routes import Asked, Away, Cross, Home, LinkView, Routes
 from magpiefront.gateway.settings import GatewaySettings
 from magpiefront.interface import Repeat, RequestClass
 from magpiefront.net.http1 import WHOLE_LIMIT
@@ -34,6 +34,24 @@
     def log(self, text: str) -> None: ...
 
 
+class Views(Mapping[str, LinkView]):
+    """The links as decisions see them, looked at only when a decision asks: most requests stay at home."""
+
+    __slots__ = ("links",)
+
+    def __init__(self, links: Mapping[str, Link]) -> None:
+        self.links = links
+
+    def __getitem__(self, site: str) -> LinkView:
+        return self.links[site].view()
+
+    def __iter__(self) -> Iterator[str]:
+        return iter(self.links)
+
+    def __len__(self) -> int:
+        return len(self.links)
+
+
 class Trip:
     """One request that crosses: what the engine's events and the clock make of its `Crossing`."""
 
@@ -265,7 +283,7 @@
             r.key.decode("latin-1"), h[b"req-kind"].decode("latin-1"), repeat,
             h.get(b"req-owner", b"").decode("latin-1"), r.taken_at + r.time_left - self.house.now_us(),
         )  # fmt: skip
-        match self.routes.arrive(asked, {name: link.view() for name, link in self.links.items()}):
+        match self.routes.arrive(asked, Views(self.links)):
             case Home() as at:
                 if at.reason is not None:
                     self.counters.add(f"home_{at.reason.value}")
@@ -322,10 +340,9 @@
 
     def refused_here(self, r: Request, asked: Asked, more: bytes) -> None:
         """This site's Router has refused it."""
-        views = {name: link.view() for name, link in self.links.items()}
         now = self.house.now_us()
         asked = Asked(asked.key, asked.class_name, asked.repeat, asked.tenant, r.taken_at + r.time_left - now)
-        match self.routes.refused(now, asked, views):
+        match self.routes.refused(now, asked, Views(self.links)):
             case Cross() as cross:
                 self.counters.add("spilled")
                 self._cross(r, asked, cross, True)
