--- a/magpiefront/gateway/wire.py
+++ b/magpiefront/gateway/wire.py
@@ -10,6 +10,8 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
+from hpack import NeverIndexedHeaderTuple as Unindexed
+
 from magpiefront.interface import Repeat
 from magpiefront.net.request import TOKEN, Request
 
@@ -18,6 +20,8 @@
 HELLO_METHOD = b"OPTIONS"
 CARRIED = (b"req-id", b"req-kind", b"req-owner", b"req-cost", b"req-retry", b"req-extra", b"idempotency-key",
            b"content-type")  # fmt: skip
+# Ever new: in the table of RFC 7541 they would push out what repeats, and make each look into it longer.
+VARIED = frozenset({b"req-id", b"idempotency-key", b"req-cost", b"req-extra"})
 WHOLE = re.compile(rb"\d{1,15}")
 REPEATS = {r.value.encode(): r for r in Repeat}
 
@@ -59,15 +63,17 @@
 ) -> Fields:
     fields = [
         (b":method", r.method), (b":scheme", b"https" if secure else b"http"), (b":authority", to.encode()),
-        (b":path", r.target), (b"gw-time-left", b"%d" % max(0, left_us)),
+        Unindexed(b":path", r.target), Unindexed(b"gw-time-left", b"%d" % max(0, left_us)),
         (b"gw-repeat", repeat.value.encode()), (b"gw-via", ",".join(via).encode()),
     ]  # fmt: skip
     if key_age_us > 0:
-        fields.append((b"gw-key-age", b"%d" % key_age_us))
+        fields.append(Unindexed(b"gw-key-age", b"%d" % key_age_us))
     h = r.headers
-    fields += [(name, h[name]) for name in CARRIED if name in h]
+    for name in CARRIED:
+        if name in h:
+            fields.append(Unindexed(name, h[name]) if name in VARIED else (name, h[name]))
     if r.size or r.method == b"PUT":
-        fields.append((b"content-length", b"%d" % r.size))
+        fields.append(Unindexed(b"content-length", b"%d" % r.size))
     return fields
 
 
@@ -103,7 +109,7 @@
     """`more` holds lines as fronts write them; of these, what the other site needs goes on."""
     fields = [(b":status", b"%d" % status)]
     if length is not None:
-        fields.append((b"content-length", b"%d" % length))
+        fields.append(Unindexed(b"content-length", b"%d" % length))
     for line in more.split(b"\r\n"):
         name, colon, value = line.partition(b":")
         if colon and name.lower() in (b"content-type", b"retry-after"):
