--- a/magpiefront/gateway/routes.py
+++ b/magpiefront/gateway/routes.py
@@ -141,8 +141,8 @@
 
 
 class Credits:
-    """How many requests may be on the link at a time: in all, by class, by tenant, and as spills. A class with
-    a reserved part takes from that first, so that others can't shut it out."""
+    """How many requests may be on the link at a time: in all, by class, by tenant, and as spills. A class
+    with a reserved part takes from that first, so that others can't shut it out."""
 
     def __init__(self, limits: CreditSettings) -> None:
         self.reserved: dict[str, Pool] = {}
