Remove what the gateway wrote twice, and state that nothing reads

A second reading of the change found the program's protocol written four times, the rule on keyed requests without a key three times, addresses read apart from net/config.py, defaults stated in two places, the same server in two stand-ins, and state that nobody read: one such mark was set on the ordinary path for every attempt.

gateway/house.py holds the protocols and repeat_of; the rest calls what was there.

--- a/benchmarks/floor.py
+++ b/benchmarks/floor.py
@@ -26,6 +26,10 @@
 import httptools
 import uvloop
 
+sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
+
+from standins.world import free_port
+
 HERE = Path(__file__).resolve()
 ROOT = HERE.parent.parent
 BODY = b"v" * 200
@@ -194,14 +198,6 @@
     raise SystemExit("the proxy does not become ready")
 
 
-def free_port() -> int:
-    import socket
-
-    with socket.socket() as s:
-        s.bind(("127.0.0.1", 0))
-        return int(s.getsockname()[1])
-
-
 def proxy(tree: Path, node: int, cpu: int, folder: Path, name: str) -> tuple[subprocess.Popen[str], int]:
     port = free_port()
     config = folder / f"{name}.json"
--- a/benchmarks/link.py
+++ b/benchmarks/link.py
@@ -30,6 +30,7 @@
 
 from benchmarks import floor
 from standins.relay import Relay
+from standins.world import free_port
 
 SETTINGS: dict[str, Any] = {
     **floor.SETTINGS,
@@ -155,7 +156,7 @@
         self.started.append(node)
         assert node.stdout is not None
         behind = int(node.stdout.readline())
-        listen = {name: floor.free_port() for name in ("west", "east")}
+        listen = {name: free_port() for name in ("west", "east")}
         peer = {"west": listen["east"], "east": listen["west"]}
         if through:
             self.relay = Relay(("127.0.0.1", listen["east"]), 1)
@@ -165,7 +166,7 @@
         for i, name in enumerate(("west", "east")):
             file = self.folder / f"{name}.toml"
             file.write_text(operator(name, listen[name], peer[name], self.connections))
-            self.ports[name] = floor.free_port()
+            self.ports[name] = free_port()
             config = self.folder / f"{name}.json"
             config.write_text(json.dumps({
                 "name": name, "listen": f"127.0.0.1:{self.ports[name]}", "discovery": "127.0.0.1:9",
--- a/magpiefront/gateway/crossing.py
+++ b/magpiefront/gateway/crossing.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from enum import Enum
 
 from magpiefront.interface import Repeat
@@ -44,7 +44,7 @@
     epoch: str = ""  # of the peer where it may have run
     sent_at_us: int = 0
     may_have_run: bool = False
-    over: bool = field(default=False)
+    over: bool = False
 
     def sent(self, now_us: int, epoch: str) -> None:
         """Another try goes out, to the peer with that epoch."""
--- a/magpiefront/gateway/engine.py
+++ b/magpiefront/gateway/engine.py
@@ -214,8 +214,7 @@
             room = min(self.h2.local_flow_control_window(stream), self.h2.max_outbound_frame_size)
             if room <= 0:
                 break
-            part = w.parts[0]
-            w.parts.popleft()
+            part = w.parts.popleft()
             if len(part) > room:
                 w.parts.appendleft(part[room:])
                 part = part[:room]
--- a/magpiefront/gateway/health.py
+++ b/magpiefront/gateway/health.py
@@ -26,7 +26,6 @@
         self.cause = "connected"
         self.round_us, self.deviation_us = 0.0, 0.0
         self.asked_us: int | None = None  # when the PING that is out was sent
-        self.answered_us = now_us
         self.due_us = now_us
 
     @property
@@ -66,7 +65,7 @@
             self.round_us += SMOOTH * (took - self.round_us)
         else:
             self.round_us, self.deviation_us = float(took), took / 2
-        self.asked_us, self.answered_us = None, now_us
+        self.asked_us = None
         self._to(LinkState.UP, f"a PING was answered in {took // 1000} ms")
         spread = 1 + JITTER * (2 * self.random.random() - 1)
         self.due_us = now_us + int(self.set.ping_interval_us * spread)
--- a/magpiefront/gateway/inbound.py
+++ b/magpiefront/gateway/inbound.py
@@ -4,30 +4,21 @@
 
 import asyncio
 import ssl
-from collections.abc import Mapping, Sequence
-from typing import Protocol
+from collections.abc import Sequence
 
 from magpiefront.gateway import engine, wire
 from magpiefront.gateway.counters import Counters
+from magpiefront.gateway.house import Host, repeat_of
 from magpiefront.gateway.keyed import KeyedStage
 from magpiefront.gateway.link import Wire
 from magpiefront.gateway.routes import Credit, Credits, Reason, Routes
 from magpiefront.gateway.settings import GatewaySettings
-from magpiefront.interface import Repeat, RequestClass
+from magpiefront.interface import Repeat
 from magpiefront.net.request import Request
 
 LAST_AFTER_S = 0.25  # from the first GOAWAY to the last one: what is on its way by then is still taken
 
 
-class House(Protocol):
-    loop: asyncio.AbstractEventLoop
-
-    @property
-    def classes(self) -> Mapping[bytes, RequestClass]: ...
-    def now_us(self) -> int: ...
-    def log(self, text: str) -> None: ...
-
-
 class Incoming:
     """One request on one connection, until its answer is on the way."""
 
@@ -143,9 +134,8 @@
         self.engine.reset(stream, engine.REFUSED)
 
     def _began(self, stream: int, fields: list[tuple[bytes, bytes]]) -> None:
-        told = dict(fields)
-        if told.get(b":path") == wire.HELLO:
-            self._hello(stream, told)
+        if (b":path", wire.HELLO) in fields:
+            self._hello(stream, dict(fields))
             return
         if self.last is not None and stream > self.last:
             self.refuse(stream, "draining")
@@ -206,9 +196,7 @@
         status = r.check(self.gate.house.classes)
         if not status:
             cls = self.gate.house.classes[c.headers[b"req-kind"]]
-            keyless = cls.repeat is Repeat.KEYED and b"idempotency-key" not in c.headers
-            repeat = Repeat.UNSAFE if keyless else cls.repeat
-            if repeat is not c.repeat:
+            if repeat_of(cls, c.headers) is not c.repeat:
                 here, there = cls.repeat.value, c.repeat.value
                 self.gate.house.log(f"gateway: class {cls.name} is {here} here, {there} there")
                 status = 400
@@ -224,7 +212,7 @@
     """Listens for the other sites' gateways. What it takes goes to the keyed stage, never to another site."""
 
     def __init__(
-        self, house: House, settings: GatewaySettings, routes: Routes, stage: KeyedStage, counters: Counters,
+        self, house: Host, settings: GatewaySettings, routes: Routes, stage: KeyedStage, counters: Counters,
         context: ssl.SSLContext | None, seed: int, epoch: str,
     ) -> None:  # fmt: skip
         self.house, self.settings, self.routes, self.stage = house, settings, routes, stage
--- a/magpiefront/gateway/keyed.py
+++ b/magpiefront/gateway/keyed.py
@@ -3,27 +3,18 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Mapping, Sequence
+from collections.abc import Sequence
 from hashlib import blake2b
-from typing import Protocol
 
+from magpiefront.gateway.house import Host, repeat_of
 from magpiefront.gateway.once import Answer, Key, Once, Verdict
 from magpiefront.gateway.settings import KeyedSettings
-from magpiefront.interface import Repeat, RequestClass
+from magpiefront.interface import Repeat
 from magpiefront.net.request import Request, Stage
 
 KEPT_LIMIT = 256 * 1024  # of one answer; a longer one is passed on as it comes, and not kept
 
 
-class House(Protocol):
-    loop: asyncio.AbstractEventLoop
-
-    @property
-    def classes(self) -> Mapping[bytes, RequestClass]: ...
-    def now_us(self) -> int: ...
-    def log(self, text: str) -> None: ...
-
-
 def print_of(r: Request) -> bytes:
     h = blake2b(digest_size=16)
     for part in (r.method, b" ", r.target, b" ", *r.body):
@@ -54,12 +45,11 @@
     requests of its own, which run to their end also when nobody waits any more: the next one that asks with
     that key is owed their answer."""
 
-    def __init__(self, house: House, following: Stage, settings: KeyedSettings) -> None:
+    def __init__(self, house: Host, following: Stage, settings: KeyedSettings) -> None:
         self.house, self.following = house, following
         self.once: Once[Request] = Once(settings.most_answers, settings.most_bytes)
         self.runs: dict[Request, Run] = {}
         self.waits: dict[Request, tuple[Key, asyncio.TimerHandle]] = {}
-        self.repeats = 0
 
     def configure(self, settings: KeyedSettings) -> None:
         self.once.configure(settings.most_answers, settings.most_bytes)
@@ -72,7 +62,7 @@
     def take_aged(self, r: Request, age_us: int) -> None:
         """`age_us`: how long ago its sender sent it first, if it may have run since; else 0."""
         cls = self.house.classes.get(r.headers[b"req-kind"])
-        if cls is None or cls.repeat is not Repeat.KEYED or b"idempotency-key" not in r.headers:
+        if cls is None or repeat_of(cls, r.headers) is not Repeat.KEYED:
             self.following.take(r)
             return
         key, now = key_of(r), self.house.now_us()
@@ -83,10 +73,8 @@
                 self._wait(r, key)
                 self.following.take(run.request)
             case Verdict.WAIT:
-                self.repeats += 1
                 self._wait(r, key)
             case Verdict.KNOWN:
-                self.repeats += 1
                 answer = self.once.known(key)
                 assert answer is not None
                 r.replies.answer(r, answer.status, [answer.body], answer.more)
--- a/magpiefront/gateway/link.py
+++ b/magpiefront/gateway/link.py
@@ -13,6 +13,7 @@
 from magpiefront.gateway import engine, wire
 from magpiefront.gateway.engine import Engine
 from magpiefront.gateway.health import Backoff, Health
+from magpiefront.gateway.house import House
 from magpiefront.gateway.routes import LinkState, LinkView
 from magpiefront.gateway.settings import Address, GatewaySettings, LinkSettings, Site
 from magpiefront.hashing import text_hash
@@ -20,15 +21,6 @@
 CHUNK = 64 * 1024
 
 
-class House(Protocol):
-    """What the gateway needs of the program round it."""
-
-    loop: asyncio.AbstractEventLoop
-
-    def now_us(self) -> int: ...
-    def log(self, text: str) -> None: ...
-
-
 class Sink(Protocol):
     """Who is told what comes of one request on the link. After `ended` or `broken` nothing more comes."""
 
@@ -334,8 +326,7 @@
         self.timer = self.link.house.loop.call_later(pause / 1e6, self.connect)
 
     def greeted(self, wire: Outbound) -> None:
-        if wire is not self.wire:  # the answer came before `create_connection` returned
-            self.wire = wire
+        self.wire = wire  # also where the answer came before `create_connection` returned
         self.link.changed(wire)
 
     def draining(self, wire: Outbound) -> None:
@@ -370,7 +361,6 @@
         self.house, self.settings, self.site, self.context = house, settings, site.name, context
         self.told, self.suspected = told, suspected  # when it is of use again, or no longer sure
         self.state = LinkState.DOWN
-        self.cause = ""
         self.at = 0
         peers = [p for p in site.peers for _ in range(settings.link.connections)]
         self.slots: list[Slot] = []
@@ -427,7 +417,7 @@
             state = LinkState.SUSPECT
         else:
             state = LinkState.DRAINING if "goes away" in cause else LinkState.DOWN
-        if state is LinkState.DOWN and self.state is LinkState.DRAINING and not self.cause:
+        if state is LinkState.DOWN and self.state is LinkState.DRAINING:
             return
         if state is not self.state:
             self.house.log(f"link {self.site}: {self.state.value} -> {state.value}: {cause}")
--- a/magpiefront/gateway/service.py
+++ b/magpiefront/gateway/service.py
@@ -7,12 +7,13 @@
 from random import Random
 
 from magpiefront.gateway.counters import Counters
+from magpiefront.gateway.house import Host
 from magpiefront.gateway.inbound import Gate
 from magpiefront.gateway.keyed import KeyedStage
 from magpiefront.gateway.link import Link
 from magpiefront.gateway.routes import Routes
 from magpiefront.gateway.settings import GatewaySettings, Tls
-from magpiefront.gateway.stage import GatewayStage, House
+from magpiefront.gateway.stage import GatewayStage
 from magpiefront.net.request import Stage
 
 COUNT_S = 10.0
@@ -56,18 +57,18 @@
 class Gateway:
     """`stage` is what fronts hand their requests to."""
 
-    def __init__(self, house: House, following: Stage, settings: GatewaySettings, seed: int) -> None:
+    def __init__(self, house: Host, following: Stage, settings: GatewaySettings, seed: int) -> None:
         self.house, self.settings = house, settings
         self.random = Random(seed)
         self.counters = Counters()
         self.routes = Routes(settings)
         self.keyed = KeyedStage(house, following, settings.keyed)
         self.stage = GatewayStage(house, self.keyed, settings, self.routes, self.counters)
-        self.server_context, self.client_context = contexts(settings.tls)
+        server_context, self.client_context = contexts(settings.tls)
         # Of this start: a peer may send again what may have run here only while this is the same.
         self.epoch = f"{Random().getrandbits(64):016x}"
         self.gate = Gate(
-            house, settings, self.routes, self.keyed, self.counters, self.server_context,
+            house, settings, self.routes, self.keyed, self.counters, server_context,
             self.random.getrandbits(32), self.epoch,
         )  # fmt: skip
         self.timer: asyncio.TimerHandle | None = None
@@ -93,7 +94,7 @@
     def configure(self, settings: GatewaySettings) -> None:
         """Takes up new settings. Links whose peers, times or certificates change are made anew. Raises
         BadTls, and has then changed nothing."""
-        server, client = contexts(settings.tls)
+        _, client = contexts(settings.tls)
         before, self.settings = self.settings, settings
         if settings.listen != before.listen or settings.site != before.site or (
             (settings.tls is None) != (before.tls is None)
--- a/magpiefront/gateway/stage.py
+++ b/magpiefront/gateway/stage.py
@@ -2,17 +2,16 @@
 
 from __future__ import annotations
 
-import asyncio
 from collections.abc import Iterator, Mapping, Sequence
-from typing import Protocol
 
 from magpiefront.gateway import wire
 from magpiefront.gateway.counters import Counters
 from magpiefront.gateway.crossing import Crossing, Next, Way
+from magpiefront.gateway.house import Host, repeat_of
 from magpiefront.gateway.link import CHOKED, Link, Outbound
 from magpiefront.gateway.routes import Asked, Away, Cross, Home, LinkView, Routes
 from magpiefront.gateway.settings import GatewaySettings
-from magpiefront.interface import Repeat, RequestClass
+from magpiefront.interface import Repeat
 from magpiefront.net.http1 import WHOLE_LIMIT
 from magpiefront.net.request import Replies, Request, Stage
 
@@ -20,20 +19,6 @@
 PASSED = frozenset({200, 409, 413, 429, 502, 503, 504})
 
 
-class House(Protocol):
-    loop: asyncio.AbstractEventLoop
-
-    @property
-    def classes(self) -> Mapping[bytes, RequestClass]: ...
-
-    @property
-    def most_retry_after_us(self) -> int:
-        """0 where answers may not say when to come again."""
-
-    def now_us(self) -> int: ...
-    def log(self, text: str) -> None: ...
-
-
 class Views(Mapping[str, LinkView]):
     """The links as decisions see them, looked at only when a decision asks: most requests stay at home."""
 
@@ -113,7 +98,7 @@
             self.head_ = wire.read_answer(fields)
         except wire.Unreadable as e:
             self.stage.house.log(f"gateway: {self.cross.site}: {e}")
-            self.head_ = wire.Head(502, None, b"", "", {})
+            self.head_ = wire.Head(502, None, b"", "")
         length = self.head_.length
         if self.head_.status == 200 and length is not None and length > WHOLE_LIMIT:
             self._stream()
@@ -163,8 +148,8 @@
                 elif status == 503:
                     spills.refused(self.stage.house.now_us())
             more = head.more
-            if status == 503 and b"Retry-After:" not in more:
-                more += self.stage.retry_after(self.stage.settings.retry_after_us)
+            if status == 503:
+                more = self.stage.with_retry_after(more, self.stage.settings.retry_after_us)
             self.request.replies.answer(self.request, status, self.body, more)
 
     def broken(self, never_ran: bool, cause: str) -> None:
@@ -260,7 +245,7 @@
     between the host and the client, to try the other site, or to say when to come again."""
 
     def __init__(
-        self, house: House, following: Stage, settings: GatewaySettings, routes: Routes, counters: Counters
+        self, house: Host, following: Stage, settings: GatewaySettings, routes: Routes, counters: Counters
     ) -> None:  # fmt: skip
         self.house, self.following, self.settings = house, following, settings
         self.routes, self.counters = routes, counters
@@ -275,10 +260,7 @@
     def take(self, request: Request) -> None:
         r = request
         h = r.headers
-        cls = self.house.classes.get(h[b"req-kind"])
-        repeat = cls.repeat if cls is not None else Repeat.UNSAFE
-        if repeat is Repeat.KEYED and b"idempotency-key" not in h:
-            repeat = Repeat.UNSAFE  # nobody could tell that it comes again
+        repeat = repeat_of(self.house.classes.get(h[b"req-kind"]), h)
         asked = Asked(
             r.key.decode("latin-1"), h[b"req-kind"].decode("latin-1"), repeat,
             h.get(b"req-owner", b"").decode("latin-1"), r.taken_at + r.time_left - self.house.now_us(),
@@ -347,14 +329,15 @@
                 self.counters.add("spilled")
                 self._cross(r, asked, cross, True)
             case Away() as away:
-                if b"Retry-After:" not in more:
-                    more += self.retry_after(away.retry_after_us)
-                r.replies.answer(r, 503, (), more)
+                r.replies.answer(r, 503, (), self.with_retry_after(more, away.retry_after_us))
 
     def retry_after(self, us: int) -> bytes:
         us = min(us, self.house.most_retry_after_us)
         return b"Retry-After: %.3f\r\n" % (us / 1e6) if us > 0 else b""
 
+    def with_retry_after(self, more: bytes, us: int) -> bytes:
+        return more if b"Retry-After:" in more else more + self.retry_after(us)
+
     def again_us(self, site: str) -> int:
         link = self.links.get(site)
         return link.view().again_us if link is not None else 0
--- a/magpiefront/gateway/wire.py
+++ b/magpiefront/gateway/wire.py
@@ -125,7 +125,6 @@
     length: int | None
     more: bytes
     refused: str
-    headers: dict[bytes, bytes]
 
 
 def read_answer(fields: Iterable[tuple[bytes, bytes]]) -> Head:
@@ -140,4 +139,4 @@
         if title.lower() in h
     )
     refused = h.get(b"gw-refused", b"").decode("latin-1")
-    return Head(int(status), None if length is None else int(length), more, refused, h)
+    return Head(int(status), None if length is None else int(length), more, refused)
--- a/magpiefront/net/proxy.py
+++ b/magpiefront/net/proxy.py
@@ -15,7 +15,7 @@
 from magpiefront import Router
 from magpiefront.hashing import bytes_hash
 from magpiefront.interface import (
-    NEVER_RAN, Action, Arrived, AttemptEnded, Cancel, ClientLeft, Event, Fail, ListKind, Note, Outcome,
+    Action, Arrived, AttemptEnded, Cancel, ClientLeft, Event, Fail, ListKind, Note, Outcome,
     Probe, Probed, Refuse, RequestClass, Send, ServerList, SetTimer, TimerFired, Watch,
 )  # fmt: skip
 from magpiefront.net import upstream
@@ -234,8 +234,6 @@
             return
         r = a.request
         r.last = outcome
-        if outcome is Outcome.OK or outcome not in NEVER_RAN:  # a look at an Enum's hash costs more than `is`
-            r.may_have_run = True
         if outcome is Outcome.OK and answer is not None and not r.answered:
             self._settled(r)
             r.replies.answer(r, 200, answer.body, content_type(answer))
--- a/magpiefront/net/request.py
+++ b/magpiefront/net/request.py
@@ -72,11 +72,10 @@
     """A client's request, from its first byte to its answer and the end of its attempts.
 
     Times are microseconds of the host's clock. `error` is the status that a bad head is answered with.
-    `may_have_run` tells whether an attempt at this site may have had its effect.
     """
 
     __slots__ = ("answered", "attempts", "backstop", "body", "deadline", "error", "headers", "keep_alive",
-                 "last", "may_have_run", "method", "more", "name", "out", "replies", "size", "stream",
+                 "last", "method", "more", "name", "out", "replies", "size", "stream",
                  "taken_at", "target", "time_left", "wire_id")  # fmt: skip
 
     def __init__(self, replies: Replies) -> None:
@@ -86,7 +85,7 @@
         self.body: list[bytes] = []
         self.size = self.error = self.taken_at = self.time_left = self.deadline = self.out = 0
         self.keep_alive = True
-        self.answered = self.may_have_run = False
+        self.answered = False
         self.name = ""
         self.attempts: list[Sent] = []
         self.stream: Sent | None = None
--- a/magpiefront/operator/compose.py
+++ b/magpiefront/operator/compose.py
@@ -5,8 +5,8 @@
 import os
 from pathlib import Path
 
-from magpiefront.gateway.service import BadTls, Gateway
-from magpiefront.gateway.stage import House
+from magpiefront.gateway.house import Host
+from magpiefront.gateway.service import BadTls, Gateway, contexts
 from magpiefront.net.request import Stage
 from magpiefront.operator.fields import BadFile
 from magpiefront.operator.file import Operator, load
@@ -14,8 +14,6 @@
 
 def check(path: Path) -> Operator:
     """The file, and what it names on this machine. Raises BadFile."""
-    from magpiefront.gateway.service import contexts
-
     operator = load(path)
     if operator.gateway is not None:
         try:
@@ -28,7 +26,7 @@
 class Composition:
     """`first` is what fronts hand their requests to: the host itself, where nothing is asked for."""
 
-    def __init__(self, house: House, host: Stage, operator: Operator, seed: int) -> None:
+    def __init__(self, house: Host, host: Stage, operator: Operator, seed: int) -> None:
         self.house, self.operator = house, operator
         self.first = host
         self.gateway: Gateway | None = None
--- a/magpiefront/operator/fields.py
+++ b/magpiefront/operator/fields.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import ipaddress
 import re
 import tomllib
 from pathlib import Path
@@ -10,6 +9,8 @@
 
 import msgspec
 
+from magpiefront.net.config import address
+
 T = TypeVar("T")
 DURATION = re.compile(r"(\d+(?:\.\d+)?)(us|ms|s|m)")
 SIZE = re.compile(r"(\d+)(B|KiB|MiB|GiB)")
@@ -58,17 +59,12 @@
 
     @classmethod
     def read(cls, given: Any) -> Place:
-        wrong = ValueError(f'{given!r} is no address; write numbers and a port, like "10.8.0.2:7443"')
-        if not isinstance(given, str):
-            raise wrong
-        host, _, port = given.rpartition(":")
         try:
-            ipaddress.ip_address(host.removeprefix("[").removesuffix("]"))
+            return cls(*address(given))
         except ValueError:
-            raise wrong from None
-        if not (port.isascii() and port.isdigit() and int(port) < 65536):
-            raise wrong
-        return cls(host.removeprefix("[").removesuffix("]"), int(port))
+            raise ValueError(
+                f'{given!r} is no address; write numbers and a port, like "10.8.0.2:7443"'
+            ) from None
 
 
 def _hook(kind: type, given: Any) -> Any:
--- a/magpiefront/operator/file.py
+++ b/magpiefront/operator/file.py
@@ -18,6 +18,10 @@
 Count = Annotated[int, msgspec.Meta(ge=1, le=100_000)]
 
 
+# A key that is left out means what the settings say by themselves.
+LINK, CREDITS, RETRY, KEYED = LinkSettings(), CreditSettings(), RetrySettings(), KeyedSettings()
+
+
 class SiteTable(msgspec.Struct, forbid_unknown_fields=True):
     name: Name
 
@@ -36,32 +40,32 @@
 
 
 class LinkTable(msgspec.Struct, forbid_unknown_fields=True):
-    connections: Annotated[int, msgspec.Meta(ge=1, le=64)] = 2
-    connect_timeout: Duration = Duration(1_000_000)
-    ping_interval: Duration = Duration(250_000)
-    ping_timeout: Duration = Duration(1_000_000)
-    backoff: Duration = Duration(50_000)
-    most_backoff: Duration = Duration(2_000_000)
-    stall: Duration = Duration(1_500_000)
+    connections: Annotated[int, msgspec.Meta(ge=1, le=64)] = LINK.connections
+    connect_timeout: Duration = Duration(LINK.connect_timeout_us)
+    ping_interval: Duration = Duration(LINK.ping_interval_us)
+    ping_timeout: Duration = Duration(LINK.ping_timeout_us)
+    backoff: Duration = Duration(LINK.backoff_us)
+    most_backoff: Duration = Duration(LINK.most_backoff_us)
+    stall: Duration = Duration(LINK.stall_us)
 
 
 class CreditTable(msgspec.Struct, forbid_unknown_fields=True):
-    crossing: Count = 400
-    tenant_share: Share = 0.5
-    spill_share: Share = 0.25
+    crossing: Count = CREDITS.crossing
+    tenant_share: Share = CREDITS.tenant_share
+    spill_share: Share = CREDITS.spill_share
     reserved: dict[str, Share] = {}
     most: dict[str, Share] = {}
 
 
 class RetryTable(msgspec.Struct, forbid_unknown_fields=True):
-    share: Share = 0.05
-    depth: Count = 10
-    most_tries: Annotated[int, msgspec.Meta(ge=1, le=10)] = 3
+    share: Share = RETRY.share
+    depth: Count = RETRY.depth
+    most_tries: Annotated[int, msgspec.Meta(ge=1, le=10)] = RETRY.most_tries
 
 
 class KeyedTable(msgspec.Struct, forbid_unknown_fields=True):
-    most_answers: Count = 20_000
-    most_bytes: Size = Size(16 << 20)
+    most_answers: Count = KEYED.most_answers
+    most_bytes: Size = Size(KEYED.most_bytes)
 
 
 class GatewayTable(msgspec.Struct, forbid_unknown_fields=True):
--- a/standins/http.py
+++ b/standins/http.py
@@ -60,5 +60,39 @@
     return b""
 
 
+class Server:
+    """Listens, and answers one message after the other on each connection with what `reply` makes of it."""
+
+    def __init__(self) -> None:
+        self.server: asyncio.Server | None = None
+        self.port = 0
+        self.writers: dict[asyncio.StreamWriter, None] = {}
+
+    async def reply(self, m: Message) -> bytes:
+        raise NotImplementedError
+
+    async def start(self) -> None:
+        self.server = await asyncio.start_server(self._serve, "127.0.0.1", self.port)
+        self.port = self.server.sockets[0].getsockname()[1]
+
+    def stop(self) -> None:
+        if self.server is not None:
+            self.server.close()
+        for w in list(self.writers):
+            w.transport.abort()
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.writers[writer] = None
+        try:
+            while True:
+                writer.write(await self.reply(await read(reader)))
+                await writer.drain()
+        except (OSError, asyncio.IncompleteReadError, Bad, Cut):
+            pass
+        finally:
+            self.writers.pop(writer, None)
+            writer.close()
+
+
 def answer(status: int, body: bytes = b"", more: str = "") -> bytes:
     return f"HTTP/1.1 {status} Stand-in\r\nContent-Length: {len(body)}\r\n{more}\r\n".encode() + body
--- a/standins/node.py
+++ b/standins/node.py
@@ -10,13 +10,14 @@
 from standins.archive import Archive
 
 
-class Node:
+class Node(http.Server):
     """Answers as the protocol has it: `Srv-Cache` on reads, 503 with `Srv-Declined: 1` when it is full."""
 
     def __init__(
         self, name: str, archive: Archive, seed: int, most: int = 5_000, slots: int = 64, ttl_s: float = 20.0,
         time_s: float = 0.001, errors: float = 0.0, slow_share: float = 0.0, slow_s: float = 0.1,
     ) -> None:  # fmt: skip
+        super().__init__()
         self.name, self.archive, self.random = name, archive, Random(seed)
         self.most, self.slots, self.ttl_s, self.time_s, self.errors = most, slots, ttl_s, time_s, errors
         self.slow_share, self.slow_s = slow_share, slow_s  # a part of the requests takes longer
@@ -24,36 +25,11 @@
         self.fetching: dict[str, asyncio.Task[str]] = {}
         self.busy = self.served = 0
         self.ids: list[str] = []
-        self.server: asyncio.Server | None = None
-        self.port = 0
-        self.writers: dict[asyncio.StreamWriter, None] = {}
-
-    async def start(self) -> None:
-        self.server = await asyncio.start_server(self._serve, "127.0.0.1", self.port)
-        self.port = self.server.sockets[0].getsockname()[1]
-
-    def stop(self) -> None:
-        if self.server is not None:
-            self.server.close()
-        for w in list(self.writers):
-            w.transport.abort()
 
     def entry(self) -> dict[str, object]:
         return {"instanceId": self.name, "hostPort": f"127.0.0.1:{self.port}", "lifecycle": "Ready"}
 
-    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        self.writers[writer] = None
-        try:
-            while True:
-                writer.write(await self._answer(await http.read(reader)))
-                await writer.drain()
-        except (OSError, asyncio.IncompleteReadError, http.Bad, http.Cut):
-            pass
-        finally:
-            self.writers.pop(writer, None)
-            writer.close()
-
-    async def _answer(self, m: http.Message) -> bytes:
+    async def reply(self, m: http.Message) -> bytes:
         method, target, _ = m.start.split(" ")
         if target.startswith("/health"):
             return http.answer(200)
--- a/tests/gateway/sites.py
+++ b/tests/gateway/sites.py
@@ -3,14 +3,11 @@
 from __future__ import annotations
 
 import asyncio
-import ssl
 from collections.abc import AsyncIterator, Callable, Coroutine
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field, replace
 from typing import Any
 
-import uvloop
-
 from magpiefront.gateway.service import Gateway
 from magpiefront.gateway.settings import GatewaySettings, LinkSettings, Site, Tls
 from magpiefront.net import config
@@ -22,6 +19,7 @@
 from standins.client import Ask, Client
 from standins.node import Node
 from standins.relay import Relay
+from tests import sockets
 
 WINDOW_S = 5.0
 SETTINGS: dict[str, Any] = {
@@ -47,18 +45,11 @@
 
 
 def run(main: Coroutine[Any, Any, None], most_s: float = 30) -> None:
-    async def bounded() -> None:
-        await asyncio.wait_for(main, most_s)
-
-    uvloop.run(bounded())
+    sockets.run(main, most_s)
 
 
 async def until(holds: Callable[[], Any], what: str = "it") -> None:
-    for _ in range(4000):
-        if holds():
-            return
-        await asyncio.sleep(0.003)
-    raise AssertionError(f"{what} did not come about")
+    await sockets.until(holds, what, 4000)
 
 
 @dataclass
@@ -197,9 +188,3 @@
             await stop_site(site)
         for relay in relays.values():
             relay.stop()
-
-
-def context_of(tls: Tls) -> ssl.SSLContext:
-    context = ssl.create_default_context(cafile=tls.ca)
-    context.load_cert_chain(tls.certificate, tls.key)
-    return context
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -33,16 +33,16 @@
 }  # fmt: skip
 
 
-def run(main: Coroutine[Any, Any, None]) -> None:
+def run(main: Coroutine[Any, Any, None], most_s: float = 20) -> None:
     async def bounded() -> None:
-        await asyncio.wait_for(main, 20)
+        await asyncio.wait_for(main, most_s)
 
     uvloop.run(bounded())
 
 
-async def until(holds: Callable[[], Any], what: str = "it") -> None:
+async def until(holds: Callable[[], Any], what: str = "it", looks: int = 2000) -> None:
     """Waits for what a peer or the proxy does; fails when it never does."""
-    for _ in range(2000):
+    for _ in range(looks):
         if holds():
             return
         await asyncio.sleep(0.003)
