Add a shared HTTP cache (RFC 9111) as a stage, off without the operator's file

Radio posts behind caches of their own saw levels older than the proxy would serve: it dropped every field but Content-Type, so neither freshness nor validators reached them.

Fields, statuses, HEAD and 304 pass where the stage asks (net/passing.py, subclasses chosen at the start).

--- a/magpiefront/__main__.py
+++ b/magpiefront/__main__.py
@@ -22,6 +22,7 @@
 from magpiefront.net.discovery import Discovery
 from magpiefront.net.downstream import Front
 from magpiefront.net.proxy import Proxy
+from magpiefront.net.request import Stage
 
 if TYPE_CHECKING:  # loaded only where there is an operator's file
     from magpiefront.operator.file import Operator
@@ -40,16 +41,21 @@
 
 async def serve(settings: config.Config, operator: Operator | None = None) -> None:
     loop = asyncio.get_running_loop()
-    proxy = Proxy(settings, loop)
-    loop.set_exception_handler(lambda _, context: proxy.log(told(context)))
     bodies = Bodies(int(settings.memory_mb * 0.3) << 20)
     composition = None
-    if operator is not None:
-        from magpiefront.operator.compose import Composition
+    if operator is None:
+        proxy = Proxy(settings, loop)
+        first: Stage = proxy
+    else:
+        from magpiefront.operator.compose import Composition, host
 
+        proxy = host(settings, loop, operator)
         composition = Composition(proxy, proxy, operator, settings.seed)
-    first = proxy if composition is None else composition.first
+        first = composition.first
+    loop.set_exception_handler(lambda _, context: proxy.log(told(context)))
     front = Front(proxy, first, bodies, settings.sockets - RESERVED - proxy.connections)
+    if composition is not None:
+        composition.prepare(front)
     discovery = Discovery(proxy, settings.discovery, settings.seed)
     stop = asyncio.Event()
 
--- a/magpiefront/gateway/inbound.py
+++ b/magpiefront/gateway/inbound.py
@@ -41,9 +41,9 @@
             self._data(whole, True)
         self.finish()
 
-    def begin(self, request: Request, length: int | None, more: bytes) -> None:
+    def begin(self, request: Request, length: int | None, more: bytes, status: int = 200) -> None:
         self.streaming = True
-        self._head(200, length, more, False)
+        self._head(status, length, more, False)
 
     def go(self, request: Request, body: bytes) -> None:
         self._data(body, False)
--- a/magpiefront/gateway/keyed.py
+++ b/magpiefront/gateway/keyed.py
@@ -30,12 +30,13 @@
 class Run:
     """A keyed request that runs for all who wait for it."""
 
-    __slots__ = ("body", "key", "more", "request", "size", "to")
+    __slots__ = ("body", "key", "more", "request", "size", "status", "to")
 
     def __init__(self, key: Key, request: Request) -> None:
         self.key, self.request = key, request
         self.body: list[bytes] = []
         self.size = 0
+        self.status = 200
         self.more = b""
         self.to: Request | None = None  # who is sent a long answer as it comes
 
@@ -128,16 +129,16 @@
         self._give(run, Answer(status, b"".join(body), more))
 
     def _give(self, run: Run, answer: Answer) -> None:
-        served = answer.status == 200
+        served = 200 <= answer.status < 300
         for r in self.once.finish(run.key, answer) if served else self.once.abandon(run.key):
             waiting = self.waits.pop(r, None)
             if waiting is not None:
                 waiting[1].cancel()
                 r.replies.answer(r, answer.status, [answer.body], answer.more)
 
-    def begin(self, request: Request, length: int | None, more: bytes) -> None:
+    def begin(self, request: Request, length: int | None, more: bytes, status: int = 200) -> None:
         run = self.runs[request]
-        run.more = more
+        run.more, run.status = more, status
         if length is not None and length > KEPT_LIMIT:
             self._pass_on(run, length)
 
@@ -153,7 +154,7 @@
             if self._leave(r):
                 r.replies.answer(r, 502)
         if to is not None:
-            to.replies.begin(to, length, run.more)
+            to.replies.begin(to, length, run.more, run.status)
             for part in run.body:
                 to.replies.go(to, part)
         run.body = []
@@ -173,7 +174,7 @@
         if run.to is not None:
             run.to.replies.end(run.to)
         elif self.once.known(run.key) is None:
-            self._give(run, Answer(200, b"".join(run.body), run.more))
+            self._give(run, Answer(run.status, b"".join(run.body), run.more))
 
     def cut(self, request: Request) -> None:
         run = self.runs.pop(request)
--- a/magpiefront/gateway/stage.py
+++ b/magpiefront/gateway/stage.py
@@ -380,8 +380,8 @@
         else:
             self.front.answer(request, status, body, more)
 
-    def begin(self, request: Request, length: int | None, more: bytes) -> None:
-        self.front.begin(request, length, more)
+    def begin(self, request: Request, length: int | None, more: bytes, status: int = 200) -> None:
+        self.front.begin(request, length, more, status)
 
     def go(self, request: Request, body: bytes) -> None:
         self.front.go(request, body)
--- a/magpiefront/net/downstream.py
+++ b/magpiefront/net/downstream.py
@@ -15,7 +15,7 @@
 from magpiefront.net.http1 import (
     BODY_LIMIT, Connection, HeadTooLong, chunk, head,
 )  # fmt: skip
-from magpiefront.net.request import SINGLE, Request, Stage
+from magpiefront.net.request import METHODS, SINGLE, Request, Stage
 
 # What can't be served is answered or closed within 3 s of connecting, with half a second from sweep to sweep.
 HEAD_S = 2.0  # for a head, and for a body that has come to a stop
@@ -41,6 +41,8 @@
 
 
 class ClientConnection(Connection):
+    methods = METHODS
+    allow = b"Allow: GET, PUT\r\n"
     __slots__ = ("began", "chunked", "closing", "front", "lingering", "moved_at", "overflow", "reading",
                  "request", "size", "taking", "used", "waiting", "writable")  # fmt: skip
 
@@ -182,7 +184,7 @@
         request.method = self.parser.get_method()
         version = self.parser.get_http_version()
         request.keep_alive = version == "1.1" and self.parser.should_keep_alive()
-        request.error = request.error or request.check(self.front.house.classes, version)
+        request.error = request.error or request.check(self.front.house.classes, version, self.methods)
         headers = request.headers
         if request.misframed(version):
             request.error = 400
@@ -248,19 +250,19 @@
         if request.size:
             self._release(request)
         close = self._is_last(request)
-        if status == 405:
-            more += b"Allow: GET, PUT\r\n"
+        if status == 405 and not more:
+            more = self.allow
         whole = body[0] if len(body) == 1 else b"".join(body)
         self.transport.write(head(status, len(whole), more, close) + whole)
         self._answered(request, close)
 
-    def begin(self, request: Request, length: int | None, more: bytes) -> None:
+    def begin(self, request: Request, length: int | None, more: bytes, status: int = 200) -> None:
         """The head of a long answer."""
         if request.size:
             self._release(request)
         self.chunked = length is None
         request.keep_alive = not self._is_last(request)
-        self.transport.write(head(200, length, more, not request.keep_alive))
+        self.transport.write(head(status, length, more, not request.keep_alive))
 
     def go(self, request: Request, body: bytes) -> None:
         self.transport.write(chunk(body) if self.chunked else body)
@@ -345,6 +347,8 @@
 class Front:
     """The listening socket and the clients' connections."""
 
+    client_type: type[ClientConnection] = ClientConnection
+
     def __init__(self, house: House, stage: Stage, bodies: Bodies, most: int) -> None:
         self.house, self.stage, self.bodies, self.most = house, stage, bodies, most
         self.loop = house.loop
@@ -399,7 +403,7 @@
                 return
             s.setblocking(False)
             s.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            client = ClientConnection(self)
+            client = self.client_type(self)
             self.clients[client] = None
             task = self.loop.create_task(self._open(client, s))
             self.opening.add(task)
--- a/magpiefront/net/http1.py
+++ b/magpiefront/net/http1.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from http import HTTPStatus
 from typing import Any, cast
 
 import httptools
@@ -12,11 +13,23 @@
 WHOLE_LIMIT = 64 * 1024
 READ_SIZE = 256 * 1024
 
-REASONS = {
+
+
+class Reasons(dict[int, bytes]):
+    """The usual ones; others' are looked up when a server behind sends them."""
+
+    def __missing__(self, status: int) -> bytes:
+        try:
+            return HTTPStatus(status).phrase.encode()
+        except ValueError:
+            return b""
+
+
+REASONS = Reasons({
     200: b"OK", 400: b"Bad Request", 404: b"Not Found", 405: b"Method Not Allowed", 408: b"Request Timeout",
     409: b"Conflict", 413: b"Content Too Large", 431: b"Request Header Fields Too Large", 502: b"Bad Gateway",
     503: b"Service Unavailable", 504: b"Gateway Timeout",
-}  # fmt: skip
+})  # fmt: skip
 # An upgrade that nobody asked for is as bad as a head that can't be read.
 PARSER_ERRORS = (httptools.HttpParserError, httptools.HttpParserUpgrade)
 
--- a/magpiefront/net/proxy.py
+++ b/magpiefront/net/proxy.py
@@ -21,7 +21,7 @@
 from magpiefront.net import upstream
 from magpiefront.net.config import Address, Config
 from magpiefront.net.lag import LAG_PART, TICK_S, Lag
-from magpiefront.net.request import Request
+from magpiefront.net.request import READS, Request
 
 BACKSTOP_US = 15_000
 LOG_LINES, LOG_S = 20, 10.0
@@ -36,6 +36,8 @@
 
 
 class Proxy:
+    head_of: Callable[[upstream.Answer], bytes]
+
     def __init__(self, config: Config, loop: asyncio.AbstractEventLoop) -> None:
         self.config, self.loop = config, loop
         self.router = Router(config.settings, config.seed)
@@ -50,6 +52,7 @@
         self.lag = Lag(config.seed, lag_limit_s(config))
         self.on_watch: Callable[[], None] = lambda: None
         self.log_left, self.log_from, self.log_lost = LOG_LINES, 0.0, 0
+        self.head_of = content_type  # the lines of an answer that go on
 
     def configure(self, config: Config) -> None:
         """Takes up a new configuration. The process limits and the address to listen on hold from a start."""
@@ -177,7 +180,7 @@
             r.name += "'"  # that one has its answer, but an attempt still out
         if r.size:
             r.more += b"Content-Length: %d\r\n" % r.size
-        elif r.method == b"PUT":
+        elif r.method not in READS:
             r.more += b"Content-Length: 0\r\n"
         self.requests[r.name] = r
         now = self.now_us()
@@ -194,7 +197,7 @@
                 bytes_hash(r.key),
                 h[b"req-owner"].decode("latin-1") if b"req-owner" in h else None,
                 int(h[b"req-cost"]) if b"req-cost" in h else 0,
-                r.method == b"PUT",
+                r.method not in READS,
                 h.get(b"req-retry") == b"1",
             )
         )
@@ -236,7 +239,7 @@
         r.last = outcome
         if outcome is Outcome.OK and answer is not None and not r.answered:
             self._settled(r)
-            r.replies.answer(r, 200, answer.body, content_type(answer))
+            r.replies.answer(r, answer.status, answer.body, self.head_of(answer))
         self._tell(a, outcome, answer)
 
     def _tell(self, a: upstream.Attempt, outcome: Outcome, answer: upstream.Answer | None) -> None:
@@ -255,7 +258,7 @@
         self._settled(r)
         r.stream = a
         self.streams[a] = None
-        r.replies.begin(r, answer.length, content_type(answer))
+        r.replies.begin(r, answer.length, self.head_of(answer), answer.status)
         body, answer.body = answer.body, []
         for part in body:
             r.replies.go(r, part)
--- a/magpiefront/net/request.py
+++ b/magpiefront/net/request.py
@@ -21,6 +21,8 @@
     b"host", b"content-length", b"transfer-encoding", b"content-type", b"expect", b"idempotency-key",
     b"req-id", b"req-kind", b"req-owner", b"req-deadline", b"req-retry", b"req-cost", b"req-extra",
 })  # fmt: skip
+METHODS = frozenset({b"GET", b"PUT"})
+READS = frozenset({b"GET", b"HEAD"})
 # The same few hosts and tenants come again and again; a look into a small table costs less than the match.
 is_host = lru_cache(256)(HOST.fullmatch)
 is_token = lru_cache(256)(TOKEN.fullmatch)
@@ -43,7 +45,7 @@
         self, request: Request, status: int, body: Sequence[bytes] = (), more: bytes = b""
     ) -> None: ...
 
-    def begin(self, request: Request, length: int | None, more: bytes) -> None:
+    def begin(self, request: Request, length: int | None, more: bytes, status: int = 200) -> None:
         """The head of a long answer; without a length (bytes) it ends where `end` says so."""
 
     def go(self, request: Request, body: bytes) -> None: ...
@@ -72,10 +74,13 @@
     """A client's request, from its first byte to its answer and the end of its attempts.
 
     Times are microseconds of the host's clock. `error` is the status that a bad head is answered with.
+    `fields` holds the head's lines in their order, and is there only where a front passes them on.
     """
 
-    __slots__ = ("answered", "attempts", "backstop", "body", "deadline", "error", "headers", "keep_alive",
-                 "last", "method", "more", "name", "out", "replies", "size", "stream",
+    fields: list[tuple[bytes, bytes]]
+
+    __slots__ = ("answered", "attempts", "backstop", "body", "deadline", "error", "fields", "headers",
+                 "keep_alive", "last", "method", "more", "name", "out", "replies", "size", "stream",
                  "taken_at", "target", "time_left", "wire_id")  # fmt: skip
 
     def __init__(self, replies: Replies) -> None:
@@ -114,17 +119,19 @@
         coding = self.headers.get(b"transfer-encoding")
         return coding is not None and (version == "1.0" or coding.strip().lower() != b"chunked")
 
-    def check(self, classes: Container[bytes], version: str = "1.1") -> int:
+    def check(
+        self, classes: Container[bytes], version: str = "1.1", methods: Container[bytes] = METHODS
+    ) -> int:
         """The status that a bad head is answered with, or 0. Nothing bad reaches a cache node: what nodes
         turn away for that reason looks to the module as if they were too busy."""
-        status = self._check(classes, version)
+        status = self._check(classes, version, methods)
         if status == 400 and any(v[-1:] in (b" ", b"\t") for v in self.headers.values()):
             # White space behind a value is no part of it (RFC 9112, 5); the parser leaves it there.
             self.headers = {name: value.rstrip(b" \t") for name, value in self.headers.items()}
-            status = self._check(classes, version)
+            status = self._check(classes, version, methods)
         return status
 
-    def _check(self, classes: Container[bytes], version: str) -> int:
+    def _check(self, classes: Container[bytes], version: str, methods: Container[bytes]) -> int:
         target, h = self.target, self.headers
         if not TARGET.fullmatch(target):
             return 400
@@ -137,7 +144,7 @@
         path = target.partition(b"?")[0] if b"?" in target else target
         if path == b"/ready":
             return 0 if self.method == b"GET" else 405
-        if self.method != b"GET" and self.method != b"PUT":
+        if self.method not in methods:
             return 405
         if path.endswith(b"/"):
             return 404
--- a/magpiefront/net/upstream.py
+++ b/magpiefront/net/upstream.py
@@ -139,18 +139,21 @@
 class Answer:
     """What has come of a node's answer."""
 
-    __slots__ = ("body", "content_type", "declined", "length", "note", "report", "size", "status")
+    __slots__ = ("body", "content_type", "declined", "fields", "length", "note", "report", "size", "status",
+                 "wanted")  # fmt: skip
+
+    fields: list[tuple[bytes, bytes]]  # its head's lines, only where a pool passes them on
 
     def __init__(self) -> None:
         self.status = self.note = self.size = 0
-        self.declined = False
+        self.declined = self.wanted = False
         self.length: int | None = None
         self.content_type = b""
         self.report: dict[str, float] | None = None
         self.body: list[bytes] = []
 
     def outcome(self) -> Outcome:
-        if self.status == 200:
+        if self.wanted:
             return Outcome.OK
         return Outcome.FULL if self.declined and self.status in (503, 504) else Outcome.ERROR
 
@@ -246,7 +249,7 @@
         a = self.answer
         if self.complete:
             self._completed()
-        elif a.status and (not self.framed or (a.status != 200 and a.size > REFUSAL_LIMIT)):
+        elif a.status and (not self.framed or (not a.wanted and a.size > REFUSAL_LIMIT)):
             self._cut()
         elif a.status or self.spare:
             self.heard_at = self.node.pool.loop.time()
@@ -271,7 +274,7 @@
         """An answer whose end could not be told from a break, or that fills memory for nothing. What a head
         says of a failure holds without its body."""
         exchange, a = self.exchange, self.answer
-        if exchange is None or a.status <= 200:
+        if exchange is None or a.status < 200 or a.wanted:
             self.broken()
         else:
             exchange.end(a.outcome(), a)
@@ -328,7 +331,8 @@
     def on_headers_complete(self) -> None:
         if not self.complete:
             self.in_head, self.spare = False, 0
-            self.answer.status = self.parser.get_status_code()
+            status = self.answer.status = self.parser.get_status_code()
+            self.answer.wanted = status == 200
             self._check_size(self.answer.length or 0)
 
     def on_body(self, body: bytes) -> None:
@@ -341,7 +345,7 @@
         if isinstance(exchange, Attempt):
             if exchange.streaming:
                 exchange.host.stream_goes_on(exchange, body)
-            elif a.status == 200:
+            elif a.wanted:
                 a.body.append(body)
                 if not self.framed:
                     return
@@ -407,7 +411,7 @@
         exchange.task = self.pool.loop.create_task(self._connect(exchange))
 
     async def _connect(self, exchange: Exchange) -> None:
-        connection = NodeConnection(self, exchange)
+        connection = self.pool.connection_type(self, exchange)
         outcome = Outcome.CONNECT_FAILED
         try:
             async with asyncio.timeout(self.pool.connect_timeout_s):
@@ -448,6 +452,8 @@
 class Pool:
     """All connections to cache nodes, bounded by the proxy's descriptors."""
 
+    connection_type: type[NodeConnection] = NodeConnection
+
     def __init__(self, loop: asyncio.AbstractEventLoop, most: int, connect_us: int, idle_us: int) -> None:
         self.loop, self.most, self.open = loop, most, 0
         self.nodes: dict[str, Node] = {}
--- a/magpiefront/operator/compose.py
+++ b/magpiefront/operator/compose.py
@@ -2,11 +2,21 @@
 
 from __future__ import annotations
 
+import asyncio
 import os
+import sqlite3
+from dataclasses import replace
 from pathlib import Path
 
+from magpiefront.caching.disk import Disk
+from magpiefront.caching.stage import CachingStage
+from magpiefront.caching.watch import WriteWatch
 from magpiefront.gateway.house import Host
 from magpiefront.gateway.service import BadTls, Gateway, contexts
+from magpiefront.net.config import BadConfig, Config
+from magpiefront.net.downstream import Front
+from magpiefront.net.passing import PassingProxy, prepare
+from magpiefront.net.proxy import Proxy
 from magpiefront.net.request import Stage
 from magpiefront.operator.fields import BadFile
 from magpiefront.operator.file import Operator, load
@@ -23,6 +33,13 @@
     return operator
 
 
+def host(config: Config, loop: asyncio.AbstractEventLoop, operator: Operator) -> Proxy:
+    """One that passes on what the stages before it need."""
+    if operator.caching is not None:
+        return PassingProxy(config, loop, operator.caching.plain_servers)
+    return Proxy(config, loop)
+
+
 class Composition:
     """`first` is what fronts hand their requests to: the host itself, where nothing is asked for."""
 
@@ -30,16 +47,43 @@
         self.house, self.operator = house, operator
         self.first = host
         self.gateway: Gateway | None = None
+        self.cache: CachingStage | None = None
+        watch: WriteWatch | None = None
         if operator.gateway is not None:
+            if operator.caching is not None:
+                host = watch = WriteWatch(house, host)
             self.gateway = Gateway(house, host, operator.gateway, seed)
             self.first = self.gateway.stage
+        if operator.caching is not None:
+            disk = Disk(house, operator.caching.disk) if operator.caching.disk is not None else None
+            self.first = self.cache = CachingStage(house, self.first, operator.caching, disk)
+            if watch is not None:
+                watch.cache = self.cache
 
     async def start(self) -> None:
-        """Raises OSError."""
+        """Raises OSError where the gateway can't listen, BadConfig where the cache's file can't be had."""
+        if self.cache is not None and self.cache.disk is not None:
+            try:
+                self.cache.disk.start()
+            except (OSError, sqlite3.Error) as e:
+                raise BadConfig(f"{self.operator.path}: [caching.disk] path: {e}") from None
         if self.gateway is not None:
             await self.gateway.start()
 
+    def prepare(self, front: Front) -> None:
+        """Before the front listens."""
+        if self.operator.caching is not None:
+            prepare(front, self.operator.caching.clients)
+
     def configure(self, operator: Operator) -> None:
+        before, after = self.operator.caching, operator.caching
+        if (before is None) != (after is None):
+            self.house.log("reload: to begin or end caching needs a restart")
+        elif before is not None and after is not None and self.cache is not None:
+            if (before.clients, before.disk) != (after.clients, after.disk):
+                self.house.log("reload: another [caching.clients], [caching.disk], plain_servers or "
+                               "purge_from needs a restart")  # fmt: skip
+            self.cache.configure(replace(after, plain_servers=before.plain_servers))
         if (operator.gateway is None) != (self.gateway is None):
             self.house.log("reload: to begin or end the gateway needs a restart")
         elif self.gateway is not None and operator.gateway is not None:
@@ -61,6 +105,8 @@
     def stop(self) -> None:
         if self.gateway is not None:
             self.gateway.stop()
+        if self.cache is not None and self.cache.disk is not None:
+            self.cache.disk.stop()
 
 
 def path_of(text: str) -> Path:
--- a/magpiefront/operator/file.py
+++ b/magpiefront/operator/file.py
@@ -8,9 +8,11 @@
 
 import msgspec
 
+from magpiefront.caching.settings import CachingSettings
 from magpiefront.gateway.settings import (
     CreditSettings, GatewaySettings, KeyedSettings, LinkSettings, RetrySettings, Site, Tls,
 )  # fmt: skip
+from magpiefront.operator.caching import caching
 from magpiefront.operator.fields import BadFile, Duration, Place, Size, parse, read
 
 Name = Annotated[str, msgspec.Meta(pattern=r"^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$")]
@@ -91,19 +93,20 @@
     path: Path
     site: str
     gateway: GatewaySettings | None
+    caching: CachingSettings | None
 
 
 def load(path: Path) -> Operator:
     """Raises BadFile."""
     given = parse(path)
     for name in given:
-        if name not in ("site", "gateway"):
+        if name not in ("site", "gateway", "caching"):
             raise BadFile(f"{path}: [{name}]: unknown table")
     if "site" not in given:
         raise BadFile(f"{path}: [site] name: is missing")
     site = read(path, "site", given["site"], SiteTable).name
     gateway = _gateway(path, site, given["gateway"]) if "gateway" in given else None
-    return Operator(path, site, gateway)
+    return Operator(path, site, gateway, caching(path, given["caching"]) if "caching" in given else None)
 
 
 def _gateway(path: Path, site: str, given: Any) -> GatewaySettings:
--- /dev/null
+++ b/standins/conformance/own.py
@@ -0,0 +1,75 @@
+"""A lineshift process of this checkout with caching on, in front of the scripted archive."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import sys
+from pathlib import Path
+
+from standins.conformance.archive import Archive
+from standins.discovery import Discovery
+from standins.world import CLASSES, ROOT, free_port
+
+OPERATOR = '[site]\nname = "west"\n[caching]\nplain_servers = true\n'
+SETTINGS = {
+    "balancers": 1, "grades": list(CLASSES), "rules": {"coldFrom": 0.3, "coldUs": 8_000_000},
+    "permissions": {
+        "maxAttempts": 1, "secondCopies": False, "mayCancel": True, "probes": False, "retryAfter": True,
+        "maxRetryAfterUs": 500_000, "connectTimeoutUs": 1_000_000, "connIdleUs": 60_000_000,
+    },
+}  # fmt: skip
+PLACES = 16  # the archive in as many places, so that one that errs is not all
+
+
+class Own:
+    """`port` takes clients once it is entered. Raises RuntimeError where the process does not come up."""
+
+    def __init__(self, archive: Archive, folder: Path, operator: str = OPERATOR) -> None:
+        self.archive, self.folder, self.operator = archive, folder, operator
+        self.port = 0
+        self.discovery = Discovery()
+        self.process: asyncio.subprocess.Process | None = None
+
+    async def __aenter__(self) -> Own:
+        await self.discovery.start()
+        place = f"127.0.0.1:{self.archive.port}"
+        self.discovery.set(
+            [{"instanceId": f"archive-{n}", "hostPort": place, "lifecycle": "Ready"} for n in range(PLACES)]
+        )
+        self.port = free_port()
+        config = {
+            "name": "own", "listen": f"127.0.0.1:{self.port}",
+            "discovery": f"127.0.0.1:{self.discovery.port}",
+            "seed": "1", "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "settings": SETTINGS,
+        }  # fmt: skip
+        (self.folder / "config.json").write_text(json.dumps(config))
+        (self.folder / "operator.toml").write_text(self.operator)
+        env = {**os.environ, "LB_CONFIG": str(self.folder / "config.json")}
+        with open(self.folder / "log", "wb") as log:
+            self.process = await asyncio.create_subprocess_exec(
+                sys.executable, "-m", "magpiefront", "--operator", str(self.folder / "operator.toml"),
+                cwd=ROOT, env=env, stderr=log,
+            )  # fmt: skip
+        for _ in range(1000):
+            if self.process.returncode is not None:
+                break
+            try:
+                reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+                writer.write(b"GET /ready HTTP/1.1\r\nHost: x\r\n\r\n")
+                line = await reader.readline()
+                writer.close()
+                if b"200" in line:
+                    return self
+            except OSError:
+                pass
+            await asyncio.sleep(0.02)
+        await self.__aexit__()
+        raise RuntimeError(f"the proxy did not come up: {(self.folder / 'log').read_text()[-500:]}")
+
+    async def __aexit__(self, *_: object) -> None:
+        if self.process is not None and self.process.returncode is None:
+            self.process.terminate()
+            await self.process.wait()
+        self.discovery.stop()
--- a/tests/gateway/test_process.py
+++ b/tests/gateway/test_process.py
@@ -42,7 +42,7 @@
     good = python("-m", "magpiefront", "check", str(EXAMPLE))
     assert (good.returncode, good.stderr) == (0, "") and "good" in good.stdout
     bad = tmp_path / "bad.toml"
-    bad.write_text(EXAMPLE.read_text() + "\nmost = 1\n")
+    bad.write_text(EXAMPLE.read_text().replace("[gateway.keyed]", "[gateway.keyed]\nmost = 1"))
     for args, env in (
         (("check", str(bad)), {}),
         (("--operator", str(bad)), {"LB_CONFIG": "c.json"}),
--- a/tests/operator/test_file.py
+++ b/tests/operator/test_file.py
@@ -3,11 +3,14 @@
 from __future__ import annotations
 
 import re
+from dataclasses import replace
 from pathlib import Path
 
 import msgspec
 import pytest
 
+from magpiefront.caching.settings import CachingSettings, DiskSettings
+from magpiefront.operator import caching
 from magpiefront.operator import file as schema
 from magpiefront.operator.compose import check
 from magpiefront.operator.fields import BadFile
@@ -160,14 +163,78 @@
         "gateway.retry": schema.RetryTable,
         "gateway.keyed": schema.KeyedTable,
         "gateway.sites.east": schema.SiteEntry,
+        "caching": caching.CachingTable,
+        "caching.stale": caching.StaleTable,
+        "caching.clients": caching.ClientsTable,
+        "caching.disk": caching.DiskTable,
     }
+    given = given.replace("#[caching.disk]", "[caching.disk]")
     for name, kind in tables.items():
         part = given.partition(f"\n[{name}]\n")[2].partition("\n[")[0]
         for f in msgspec.structs.fields(kind):
-            if f.name not in ("sites", "tls", "link", "credits", "retry", "keyed", "reserved", "most"):
+            if f.name not in (
+                "stale",
+                "clients",
+                "disk",
+                "sites",
+                "tls",
+                "link",
+                "credits",
+                "retry",
+                "keyed",
+                "reserved",
+                "most",
+            ):
                 assert re.search(rf"^#?{f.name} = .*#|^#?{f.name} = ", part, re.M), f"{name}.{f.name}"
     # What is commented out is the default: put in, it changes nothing.
     path = tmp_path / "whole.toml"
     keep = [line for line in given.splitlines() if not re.match(r"#(certificate|key|ca) ", line)]
     path.write_text("\n".join(re.sub(r"^#(?=[a-z_]+ = )", "", line) for line in keep))
-    assert load(path).gateway == load(EXAMPLE).gateway
+    whole = load(path)
+    assert whole.gateway == load(EXAMPLE).gateway and whole.caching is not None
+    assert whole.caching.disk == DiskSettings(tmp_path / "cache.sqlite")
+    assert replace(whole.caching, disk=None) == load(EXAMPLE).caching
+
+
+CACHING = """
+[site]
+name = "west"
+[caching]
+"""
+
+
+@pytest.mark.parametrize(
+    ("given", "says"),
+    [
+        ('most_bytes = "10KiB"\nmost_object = "1KiB"', "[caching] most_bytes: must be at least 64KiB"),
+        ('most_object = "17MiB"', "[caching] most_object: must be a quarter of most_bytes at most"),
+        ('most_object = "1MB"', "[caching] most_object: '1MB' is no size"),
+        ("most_variants = 0", "[caching] most_variants: expected `int` >= 1"),
+        ("heuristic_fraction = 2.0", "[caching] heuristic_fraction: "),
+        ('heuristic_most = "1500ms"', "[caching] heuristic_most: must be whole seconds"),
+        ('name = "two words"', "[caching] name: "),
+        ('name = "9lives"', "[caching] name: "),
+        ('targets = ["a b"]', "[caching] targets"),
+        ('purge_from = ["localhost"]', "[caching] purge_from: 'localhost' is no numeric address"),
+        ("freshness = true", "[caching] freshness: unknown key"),
+        ('[caching.stale]\nif_refused = "2500ms"', "[caching.stale] if_refused: must be whole seconds"),
+        ("[caching.stale]\nfor_all = true", "[caching.stale] for_all: unknown key"),
+        ('[caching.clients]\ndeadline = "0s"', "[caching.clients] deadline: must be at least 1ms"),
+        ("[caching.disk]", "[caching.disk] path: is missing"),
+        ('[caching.disk]\npath = ""', "[caching.disk] path: "),
+        ('[caching.disk]\npath = "x"\nwait = "0ms"', "[caching.disk] wait: must be at least 1ms"),
+    ],
+)
+def test_what_is_wrong_with_caching_is_one_line(given: str, says: str, tmp_path: Path) -> None:
+    path = tmp_path / "gateway.toml"
+    path.write_text(CACHING + given)
+    with pytest.raises(BadFile) as e:
+        check(path)
+    line = str(e.value)
+    assert says in line and line.startswith(f"{path}: ") and "\n" not in line
+
+
+def test_caching_without_a_gateway_takes_what_is_left_out_from_its_settings(tmp_path: Path) -> None:
+    path = tmp_path / "gateway.toml"
+    path.write_text(CACHING)
+    assert check(path).caching == CachingSettings()
