--- a/magpiefront/caching/disk.py
+++ b/magpiefront/caching/disk.py
@@ -150,6 +150,8 @@
         db.execute("PRAGMA synchronous=NORMAL")
         self.index, self.gauges, self.total = {}, {}, 0
         for key, gauge, size in db.execute("SELECT key, gauge, size FROM objects"):
+            if not isinstance(key, bytes) or not isinstance(gauge, bytes) or not isinstance(size, int):
+                raise Unusable("its rows are spoilt")
             self._enter(key, gauge)
             self.total += size
 
@@ -175,9 +177,9 @@
                 return
             try:
                 job()
-            except sqlite3.Error as e:
+            except Exception as e:  # also what a spoilt file makes of a row: this thread must go on
                 self.failed = True
-                self._tell(self._failed, str(e))
+                self._tell(self._failed, f"{type(e).__name__}: {e}")
 
     def _tell(self, what: Callable[..., None], *args: object) -> None:
         with contextlib.suppress(RuntimeError):  # the loop has ended
@@ -274,7 +276,7 @@
     def _load(self, key: bytes, now_us: int, now_s: float) -> tuple[Variants, bool]:
         assert self.db is not None
         row = self.db.execute("SELECT sum, packed FROM objects WHERE key=?", (key,)).fetchone()
-        if row is None or checksum(key, row[1]) != row[0]:
+        if row is None or not isinstance(row[1], bytes) or checksum(key, row[1]) != row[0]:
             return (), False
         try:
             return unpack(row[1], now_us, now_s, self.doubt), True
--- a/tests/caching/sockets.py
+++ b/tests/caching/sockets.py
@@ -39,6 +39,7 @@
     settings: CachingSettings | None = None,
     wall: Any = None,
     attempts: int = 1,
+    count: int = 16,
     **permissions: Any,
 ) -> AsyncIterator[Cached]:
     """`origin`: the port of the server behind, which discovery knows in several places."""
@@ -46,7 +47,7 @@
     settings = settings or CachingSettings(plain_servers=True)
     settings = replace(settings, clients=replace(settings.clients, plain=settings.plain_servers))
     place = f"127.0.0.1:{origin}"
-    places = [{"instanceId": f"s-{i}", "hostPort": place, "lifecycle": "Ready"} for i in range(16)]
+    places = [{"instanceId": f"s-{i}", "hostPort": place, "lifecycle": "Ready"} for i in range(count)]
     allowed = {**INFO["permissions"], "maxAttempts": attempts, "probes": False, "connectTimeoutUs": 2_000_000,
                "retryAfter": True, "maxRetryAfterUs": 500_000, **permissions}  # fmt: skip
     given = {
--- /dev/null
+++ b/tests/caching/test_store.py
@@ -0,0 +1,130 @@
+"""The store in memory: bounded whatever comes, scans pass through it, variants side by side."""
+
+from __future__ import annotations
+
+from random import Random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from magpiefront.caching.rules import Stored
+from magpiefront.caching.store import RESOURCE_BYTES, Store, cost
+
+
+def made(size: int = 100, variant: bytes | None = None, date: int = 0) -> Stored:
+    names = () if variant is None else (b"foo",)
+    return Stored(200, b"X: y\r\n", b"x" * size, 0, 10**9, date_s=date, wall_s=0.0, vary=names,
+                  secondary=() if variant is None else (variant,))  # fmt: skip
+
+
+def check(store: Store) -> None:
+    """What it counts is what it holds, and within its bound."""
+    assert store.size + store.held <= store.most or not store.resources
+    assert store.size == sum(r.size for r in store.resources.values())
+    assert store.small_size == sum(r.size for r in store.resources.values() if not r.main)
+    for r in store.resources.values():
+        assert r.variants and r.size >= RESOURCE_BYTES + sum(cost(v) for v in r.variants)
+    queued = [r for r in (*store.small, *store.main) if store.resources.get(r.key) is r]
+    assert len(queued) == len(store.resources) == len(set(map(id, queued)))
+    keys = [k for g in store.gauges for k in store._keys(g)]
+    assert sorted(keys) == sorted(store.resources)
+
+
+STEPS = st.lists(
+    st.tuples(
+        st.sampled_from(("put", "put", "put", "get", "drop", "gauge", "variant", "hold", "free")),
+        st.integers(0, 30),
+        st.integers(0, 6_000),
+    ),
+    max_size=120,
+)
+
+
+@given(STEPS)
+@settings(max_examples=150, deadline=None)
+def test_it_stays_within_its_bound_whatever_comes(steps: list[tuple[str, int, int]]) -> None:
+    store = Store(40_000, 3)
+    held: list[int] = []
+    for what, n, size in steps:
+        key, gauge = b"k%d" % n, b"g%d" % (n % 7)
+        if what == "put":
+            store.put(key, gauge, made(size))
+        elif what == "variant":
+            store.put(key, gauge, made(size, b"%d" % (size % 5)))
+        elif what == "get":
+            store.get(key)
+        elif what == "drop":
+            store.drop(key)
+            assert not store.peek(key)
+        elif what == "gauge":
+            store.drop_gauge(gauge)
+            assert not any(r.gauge == gauge for r in store.resources.values())
+        elif what == "hold" and store.hold(size):
+            held.append(size)
+        elif what == "free" and held:
+            store.let_go(held.pop())
+        check(store)
+
+
+def test_a_variant_replaces_the_one_of_the_same_requests() -> None:
+    store = Store(1 << 20, 3)
+    for n, variant in enumerate((b"a", b"b", b"a")):
+        store.put(b"k", b"g", made(10 + n, variant))
+    assert [len(v.body) for v in store.peek(b"k")] == [11, 12]
+    for variant in (b"c", b"d"):
+        store.put(b"k", b"g", made(10, variant))
+    assert [v.secondary for v in store.peek(b"k")] == [(b"a",), (b"c",), (b"d",)]
+    store.remove(b"k", ((b"foo",), (b"c",)))
+    assert len(store.peek(b"k")) == 2
+
+
+def test_what_is_larger_than_the_store_is_not_kept_and_voids_what_it_replaces() -> None:
+    store = Store(100_000)
+    store.put(b"k", b"g", made(100))
+    assert not store.put(b"k", b"g", made(200_000))
+    assert not store.peek(b"k") and store.size == 0
+
+
+def test_fills_under_way_count_and_have_half_at_most() -> None:
+    store = Store(100_000)
+    for n in range(40):
+        store.put(b"k%d" % n, b"g%d" % n, made(1_000))
+    assert store.hold(49_000) and not store.hold(2_000)
+    assert store.size + store.held <= store.most
+    store.let_go(49_000)
+    assert store.hold(2_000)
+
+
+def test_a_scan_does_not_empty_it() -> None:
+    store, random = Store(200_000), Random(1)
+    hot = [b"hot%d" % n for n in range(40)]
+
+    def use(key: bytes) -> bool:
+        if store.get(key) is not None:
+            return True
+        store.put(key, key, made(500))
+        return False
+
+    for _ in range(2_000):
+        use(random.choice(hot))
+    for n in range(5_000):
+        use(b"scan%d" % n)
+    assert sum(store.get(k) is not None for k in hot) >= 36
+
+
+def test_queues_do_not_grow_with_what_is_voided() -> None:
+    store = Store(1 << 20)
+    for n in range(20_000):
+        store.put(b"k%d" % (n % 5), b"g", made(10))
+        store.drop_gauge(b"g")
+    assert len(store.small) + len(store.main) < 500 and store.size == 0
+
+
+@pytest.mark.parametrize("most_variants", [1, 2])
+def test_few_variants(most_variants: int) -> None:
+    store = Store(1 << 20, most_variants)
+    for n in range(5):
+        store.put(b"k", b"g", made(10, b"%d" % n))
+        assert store.peek(b"k")[-1].secondary == (b"%d" % n,)
+    assert len(store.peek(b"k")) == most_variants
