--- a/magpiefront/gateway/inbound.py
+++ b/magpiefront/gateway/inbound.py
@@ -60,9 +60,12 @@
 
     def _head(self, status: int, length: int | None, more: bytes, end: bool) -> None:
         if self.stream in self.peer.incoming and not self.peer.closed:
-            self.peer.engine.head(self.stream, wire.answer_fields(status, length, more), end)
+            self.peer.engine.head(self.stream, self._fields(status, length, more), end)
             self.peer.flush()
 
+    def _fields(self, status: int, length: int | None, more: bytes) -> wire.Fields:
+        return wire.answer_fields(status, length, more, "", self.peer.gate.settings.passes)
+
     def _data(self, data: bytes, end: bool) -> None:
         if self.stream in self.peer.incoming and not self.peer.closed:
             if not self.peer.engine.data(self.stream, data, end) and not end:
@@ -193,7 +196,9 @@
         r, c = i.request, i.crossed
         r.method, r.target, r.headers, r.size = c.method, c.target, c.headers, i.size
         i.started = True
-        status = r.check(self.gate.house.classes)
+        status = r.check(self.gate.house.classes, methods=self.gate.settings.methods)
+        if self.gate.settings.passes:
+            r.more += c.more
         if not status:
             cls = self.gate.house.classes[c.headers[b"req-kind"]]
             if repeat_of(cls, c.headers) is not c.repeat:
--- a/magpiefront/gateway/settings.py
+++ b/magpiefront/gateway/settings.py
@@ -4,6 +4,8 @@
 
 from dataclasses import dataclass, field
 
+from magpiefront.net.request import METHODS
+
 Address = tuple[str, int]
 
 
@@ -73,3 +75,6 @@
     credits: CreditSettings = field(default_factory=CreditSettings)
     retry: RetrySettings = field(default_factory=RetrySettings)
     keyed: KeyedSettings = field(default_factory=KeyedSettings)
+    # Where a cache stands before the gateway: all fields and statuses cross, and what methods may.
+    passes: bool = False
+    methods: frozenset[bytes] = METHODS
--- a/magpiefront/gateway/stage.py
+++ b/magpiefront/gateway/stage.py
@@ -74,7 +74,14 @@
         # Half of the round trip goes by before it arrives there, half before its answer is here.
         left = c.deadline_us - now - int(chosen.health.round_us)
         fields = wire.request_fields(
-            r, link.site, chosen.secure, left, self.asked.repeat, (self.stage.settings.site,), c.age_us(now)
+            r,
+            link.site,
+            chosen.secure,
+            left,
+            self.asked.repeat,
+            (self.stage.settings.site,),
+            c.age_us(now),
+            self.stage.settings.passes,
         )
         c.sent(now, chosen.epoch)
         self.wire = chosen
@@ -95,14 +102,19 @@
 
     def head(self, fields: list[tuple[bytes, bytes]]) -> None:
         try:
-            self.head_ = wire.read_answer(fields)
+            self.head_ = wire.read_answer(fields, self.stage.settings.passes)
         except wire.Unreadable as e:
             self.stage.house.log(f"gateway: {self.cross.site}: {e}")
             self.head_ = wire.Head(502, None, b"", "")
         length = self.head_.length
-        if self.head_.status == 200 and length is not None and length > WHOLE_LIMIT:
+        long = length is not None and length > WHOLE_LIMIT and self.request.method != b"HEAD"
+        if long and self._counts(self.head_.status):
             self._stream()
 
+    def _counts(self, status: int) -> bool:
+        """Is it an answer whose body goes on, and must be whole?"""
+        return status == 200 or (self.stage.settings.passes and 200 <= status < 500)
+
     def data(self, data: bytes) -> None:
         self.size += len(data)
         if self.streaming:
@@ -114,14 +126,14 @@
 
     def _stream(self) -> None:
         assert self.head_ is not None
-        if self.head_.status != 200:
+        if not self._counts(self.head_.status):
             self.body, self.size = [], 0  # what comes with a refusal is nobody's answer
             return
         self.streaming = True
         self.timer.cancel()  # it counts from its first bytes, as a long answer of a node does
         self.stage.watch(self)
         r = self.request
-        r.replies.begin(r, self.head_.length, self.head_.more)
+        r.replies.begin(r, self.head_.length, self.head_.more, self.head_.status)
         parts, self.body = self.body, []
         for part in parts:
             r.replies.go(r, part)
@@ -132,14 +144,14 @@
             self.request.replies.end(self.request)
             return
         head = self.head_
-        if head is None or (head.length is not None and head.length != self.size and head.status == 200):
+        if head is None or not self._whole(head):
             self.broken(False, "an answer that is not whole")
         elif head.refused and head.status != 413:
             # Turned away by the gateway there, before its Router: it never ran, and never will.
             self.stage.house.log(f"gateway: {self.cross.site} refused: {head.refused}")
             self._refuse()
         else:
-            status = head.status if head.status in PASSED else 502
+            status = head.status if head.status in PASSED or self.stage.settings.passes else 502
             self.finish("crossed")
             if self.spill:
                 spills = self.stage.routes.spills[self.cross.site]
@@ -148,10 +160,17 @@
                 elif status == 503:
                     spills.refused(self.stage.house.now_us())
             more = head.more
+            if self.request.method == b"HEAD" and head.length is not None:
+                more += b"Content-Length: %d\r\n" % head.length
             if status == 503:
                 more = self.stage.with_retry_after(more, self.stage.settings.retry_after_us)
             self.request.replies.answer(self.request, status, self.body, more)
 
+    def _whole(self, head: wire.Head) -> bool:
+        if head.length is None or head.status in (204, 304) or self.request.method == b"HEAD":
+            return True
+        return head.length == self.size or not self._counts(head.status)
+
     def broken(self, never_ran: bool, cause: str) -> None:
         self.wire = None
         if self.streaming:
--- a/magpiefront/gateway/wire.py
+++ b/magpiefront/gateway/wire.py
@@ -13,6 +13,7 @@
 from hpack import NeverIndexedHeaderTuple as Unindexed
 
 from magpiefront.interface import Repeat
+from magpiefront.net.fields import HOP_BY_HOP, lines, read_lines
 from magpiefront.net.request import TOKEN, Request
 
 VERSION = b"1"
@@ -23,6 +24,9 @@
 # Ever new: in the table of RFC 7541 they would push out what repeats, and make each look into it longer.
 VARIED = frozenset({b"req-id", b"idempotency-key", b"req-cost", b"req-extra"})
 WHOLE = re.compile(rb"\d{1,15}")
+# Written anew by each side, or the link's own.
+OWN = frozenset({*CARRIED, b"content-length", b"host", b"req-deadline"}) | HOP_BY_HOP
+UNSAFE = re.compile(rb"[\r\n\0]")
 REPEATS = {r.value.encode(): r for r in Repeat}
 
 Fields = list[tuple[bytes, bytes]]
@@ -43,6 +47,7 @@
     repeat: Repeat
     via: tuple[str, ...]
     key_age_us: int
+    more: bytes  # lines of the other fields, for a site that passes them on
 
 
 def hello(site: str, to: str, secure: bool) -> Fields:
@@ -58,9 +63,24 @@
             (b"gw-epoch", epoch.encode()), (b"content-length", b"0")]  # fmt: skip
 
 
+def passed(fields: Iterable[tuple[bytes, bytes]]) -> Fields:
+    """Of these, what crosses besides the link's own (RFC 9113, 8.2): names in lower case."""
+    lower = [(name.lower(), value) for name, value in fields]
+    return [f for f in lower if f[0] not in OWN and not f[0].startswith((b"gw-", b":"))]
+
+
+def read_passed(fields: Iterable[tuple[bytes, bytes]]) -> bytes:
+    """The lines of what has crossed. Raises Unreadable where they would be others than were sent."""
+    found = passed(fields)
+    if any(not TOKEN.fullmatch(name) or UNSAFE.search(value) for name, value in found):
+        raise Unreadable("a field that no line can hold")
+    return lines(found)
+
+
 def request_fields(
-    r: Request, to: str, secure: bool, left_us: int, repeat: Repeat, via: Iterable[str], key_age_us: int
-) -> Fields:
+    r: Request, to: str, secure: bool, left_us: int, repeat: Repeat, via: Iterable[str], key_age_us: int,
+    passes: bool = False,
+) -> Fields:  # fmt: skip
     fields = [
         (b":method", r.method), (b":scheme", b"https" if secure else b"http"), (b":authority", to.encode()),
         Unindexed(b":path", r.target), Unindexed(b"gw-time-left", b"%d" % max(0, left_us)),
@@ -74,6 +94,8 @@
             fields.append(Unindexed(name, h[name]) if name in VARIED else (name, h[name]))
     if r.size or r.method == b"PUT":
         fields.append(Unindexed(b"content-length", b"%d" % r.size))
+    if passes:
+        fields += passed(read_lines(r.more))
     return fields
 
 
@@ -85,10 +107,12 @@
 
 
 def read_request(fields: Iterable[tuple[bytes, bytes]]) -> Crossed:
-    """Raises Unreadable. A field that comes twice is refused, as on every front (RFC 9110, 5.3)."""
+    """Raises Unreadable. One of the link's own fields that comes twice is refused, as on every front (RFC
+    9110, 5.3)."""
     h: dict[bytes, bytes] = {}
+    fields = list(fields)
     for name, value in fields:
-        if name in h:
+        if name in h and (name in OWN or name.startswith((b"gw-", b":"))):
             raise Unreadable(f"{name.decode('latin-1')} comes twice")
         h[name] = value
     via = h.get(b"gw-via", b"").split(b",")
@@ -102,12 +126,21 @@
     headers[b"host"] = h.get(b":authority", b"")
     headers[b"req-deadline"] = b"%d.%06d" % divmod(left, 1_000_000)
     return Crossed(h.get(b":method", b""), h.get(b":path", b""), headers, left, repeat,
-                   tuple(v.decode("ascii") for v in via), _number(h, b"gw-key-age", b"0"))  # fmt: skip
+                   tuple(v.decode("ascii") for v in via), _number(h, b"gw-key-age", b"0"),
+                   read_passed(fields))  # fmt: skip
 
 
-def answer_fields(status: int, length: int | None, more: bytes, refused: str = "") -> Fields:
+def answer_fields(
+    status: int, length: int | None, more: bytes, refused: str = "", passes: bool = False
+) -> Fields:  # fmt: skip
     """`more` holds lines as fronts write them; of these, what the other site needs goes on."""
     fields = [(b":status", b"%d" % status)]
+    if passes:
+        given = read_lines(more)
+        told = [value for name, value in given if name.lower() == b"content-length"]
+        if told or length is not None:  # of an answer to HEAD, the server's own word
+            fields.append(Unindexed(b"content-length", told[0] if told else b"%d" % (length or 0)))
+        return [*fields, *passed(given), *_carried(given)]
     if length is not None:
         fields.append(Unindexed(b"content-length", b"%d" % length))
     for line in more.split(b"\r\n"):
@@ -119,6 +152,10 @@
     return fields
 
 
+def _carried(given: Iterable[tuple[bytes, bytes]]) -> Fields:
+    return [(b"content-type", value) for name, value in given if name.lower() == b"content-type"]
+
+
 @dataclass(slots=True)
 class Head:
     status: int
@@ -127,16 +164,16 @@
     refused: str
 
 
-def read_answer(fields: Iterable[tuple[bytes, bytes]]) -> Head:
+def read_answer(fields: Iterable[tuple[bytes, bytes]], passes: bool = False) -> Head:
     """Raises Unreadable."""
+    fields = list(fields)
     h = dict(fields)
     status, length = h.get(b":status", b""), h.get(b"content-length")
     if not WHOLE.fullmatch(status) or (length is not None and not WHOLE.fullmatch(length)):
         raise Unreadable("an answer without a status, or with a length that is no number")
-    more = b"".join(
-        b"%b: %b\r\n" % (title, h[title.lower()])
-        for title in (b"Content-Type", b"Retry-After")
-        if title.lower() in h
-    )
+    if passes:
+        more = read_passed(fields) + lines((b"Content-Type", v) for _, v in _carried(fields))
+    else:
+        more = lines((t, h[t.lower()]) for t in (b"Content-Type", b"Retry-After") if t.lower() in h)
     refused = h.get(b"gw-refused", b"").decode("latin-1")
     return Head(int(status), None if length is None else int(length), more, refused)
--- a/magpiefront/net/passing.py
+++ b/magpiefront/net/passing.py
@@ -224,11 +224,15 @@
     return lines(end_to_end(answer.fields, SERVERS_OWN))
 
 
+def methods_of(clients: Clients) -> frozenset[bytes]:
+    return PLAIN_METHODS if clients.plain else METHODS | {b"HEAD"}
+
+
 def prepare(front: Front, clients: Clients) -> None:
     """Lets a front pass fields on; before it listens."""
-    methods = (PLAIN_METHODS if clients.plain else METHODS | {b"HEAD"}) | (
-        {PURGE} if clients.purge_from else set()
-    )
-    allow = b"Allow: %b\r\n" % b", ".join(sorted(methods - {PURGE}))
+    methods = methods_of(clients)
+    allow = b"Allow: %b\r\n" % b", ".join(sorted(methods))
+    if clients.purge_from:
+        methods |= {PURGE}
     given = {"__slots__": (), "settings": clients, "methods": methods, "allow": allow}
     front.client_type = type("PreparedClient", (PassingClient,), given)
--- a/magpiefront/operator/file.py
+++ b/magpiefront/operator/file.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from pathlib import Path
 from typing import Annotated, Any
 
@@ -12,6 +12,7 @@
 from magpiefront.gateway.settings import (
     CreditSettings, GatewaySettings, KeyedSettings, LinkSettings, RetrySettings, Site, Tls,
 )  # fmt: skip
+from magpiefront.net.passing import methods_of
 from magpiefront.operator.caching import caching
 from magpiefront.operator.fields import BadFile, Duration, Place, Size, parse, read
 
@@ -106,7 +107,10 @@
         raise BadFile(f"{path}: [site] name: is missing")
     site = read(path, "site", given["site"], SiteTable).name
     gateway = _gateway(path, site, given["gateway"]) if "gateway" in given else None
-    return Operator(path, site, gateway, caching(path, given["caching"]) if "caching" in given else None)
+    cache = caching(path, given["caching"]) if "caching" in given else None
+    if gateway is not None and cache is not None:
+        gateway = replace(gateway, passes=True, methods=methods_of(cache.clients))
+    return Operator(path, site, gateway, cache)
 
 
 def _gateway(path: Path, site: str, given: Any) -> GatewaySettings:
