Split the cache's stage: writes, answers and looks into the file stand by themselves

Writes (with their fences), the making of answers and the waiting for the second tier are modules of their own now; a class that the operator did not name is no longer answered from what another left; a 304 that nobody asked for is a failure of its server; a new answer too long to keep voids the old one.

--- a/magpiefront/caching/flights.py
+++ b/magpiefront/caching/flights.py
@@ -41,11 +41,9 @@
     keep: bool
     spot: Spot | None = None  # where others may join
     wanted: Stored | None = None
-    writes: bool = False
     shared: bool = False  # may others have waited for it?
     refresh: bool = False  # for nobody who waits (RFC 5861, 3)
     stripped: bool = False  # were its client's own conditions left out?
-    again: bool = False  # has its 304 been refused once?
     leader: Waiter | None = None
     waiters: dict[Request, Waiter] = field(default_factory=dict)  # all of them, with the leader
     answered: Answered | None = None
--- a/magpiefront/caching/stage.py
+++ b/magpiefront/caching/stage.py
@@ -8,14 +8,17 @@
 from collections.abc import Callable, Sequence
 from secrets import token_hex
 
-from magpiefront.caching import conditions, dates, rules, status, targets, vary
+from magpiefront.caching import dates, rules, status, targets, vary
 from magpiefront.caching.disk import Disk
 from magpiefront.caching.fences import Fences
 from magpiefront.caching.flights import Flight, Waiter
+from magpiefront.caching.giving import CONDITIONS, Giver
 from magpiefront.caching.house import House
-from magpiefront.caching.rules import S, Answered, Asked, Cause, Forward, Fwd, Serve, Stored
+from magpiefront.caching.loads import Loads
+from magpiefront.caching.rules import Answered, Asked, Cause, Forward, Fwd, Serve, Stored
 from magpiefront.caching.settings import CachingSettings
 from magpiefront.caching.store import Store
+from magpiefront.caching.writes import Writes
 from magpiefront.interface import Repeat
 from magpiefront.net.fields import Fields, end_to_end, lines, read_lines
 from magpiefront.net.request import READS, Request, Stage
@@ -26,7 +29,6 @@
     b"if-unmodified-since",
 })  # fmt: skip
 SAFE = READS | {b"OPTIONS"}
-CONDITIONS = frozenset({b"if-none-match", b"if-modified-since", b"if-range", b"range"})
 FOR_THE_ORIGIN = frozenset({b"if-match", b"if-unmodified-since"})
 # Written anew for each hop, or the platform's own.
 OWN = frozenset({
@@ -53,20 +55,25 @@
     ) -> None:  # fmt: skip
         self.house, self.following, self.wall, self.disk = house, following, wall, disk
         self.store = Store(settings.most_bytes, settings.most_variants)
+        self.giver = Giver()
         self.fences = Fences(settings.unsure_for_us)
+        self.writes = Writes(house, following, self.fences, self._void, self._read,
+                             lambda r: self._more(r, self.drop, []))  # fmt: skip
         self.by_twin: dict[Request, Flight] = {}
         self.waits: dict[Request, Flight] = {}
         self.spots: dict[tuple[bytes, tuple[bytes | None, ...]], Flight] = {}
         self.by_gauge: dict[bytes, dict[Flight, None]] = {}
         self.passed: OrderedDict[bytes, int] = OrderedDict()  # keys that go alone, until when
-        self.loading: dict[bytes, dict[Request, int]] = {}  # who waits for the disk, with its tries
+        self.loads: Loads | None = None
+        if disk is not None:
+            self.loads = Loads(disk, self._found, lambda r, key, tries: self._consider(r, key, tries, False))
         self.refreshes = 0
         self.start, self.ids = token_hex(6), itertools.count(1)
         self.configure(settings)
 
     def configure(self, settings: CachingSettings) -> None:
-        self.settings, self.policy = settings, settings.policy
-        self.name = settings.policy.name
+        self.settings, self.policy, self.chosen = settings, settings.policy, settings.classes
+        self.name = self.writes.name = self.giver.name = settings.policy.name
         self.drop = OWN | DROPPED | settings.drop_fields
         self.via = b"1.1 " + self.name.encode()
         self.fences.unsure_us = settings.unsure_for_us
@@ -82,17 +89,18 @@
             self._purge(r)
             return
         if method not in SAFE or cls is None or cls.repeat is not Repeat.SAFE:
-            self._write(r)
+            self.writes.take(r)
             return
         key = targets.key(h.get(b"host", b""), r.target)
         found = self.store.get(key)
-        if found is not None and method == b"GET" and SPECIAL.isdisjoint(h) and not r.size:
+        usual = method == b"GET" and SPECIAL.isdisjoint(h) and not r.size
+        if found is not None and usual and (self.chosen is None or cls.name in self.chosen):
             variants = found.variants
             v = variants[0]
             if len(variants) == 1 and not v.vary and not v.no_cache:
                 now = self.house.now_us()
                 if v.fresh(now):
-                    self._from_store(r, v, now, "")
+                    self.giver.from_store(r, v, now, "")
                     return
         self._consider(r, key, 0)
 
@@ -100,19 +108,18 @@
         now, asked = self.house.now_us(), Asked(b"GET", r.headers)
         gauge = targets.gauge_of(r.target)
         cls = self.house.classes.get(r.headers[b"req-kind"])
-        chosen = self.settings.classes
         if r.size or r.method not in READS or not FOR_THE_ORIGIN.isdisjoint(r.headers) or cls is None or (
-            chosen is not None and cls.name not in chosen
+            self.chosen is not None and cls.name not in self.chosen
         ):  # fmt: skip
             self._send(r, key, gauge, asked, Forward(Fwd.BYPASS), tries, False, False)
             return
         variants = self.store.peek(key)
-        if not variants and disk and self.disk is not None and self.disk.has(key):
-            self._load(r, key, tries)
+        if not variants and disk and self.loads is not None and self.loads.disk.has(key):
+            self.loads.take(r, key, gauge, tries)
             return
         choice = rules.choose(asked, variants, now, self.policy)
         if isinstance(choice, Serve):
-            self._from_store(r, choice.stored, now, "stale" if choice.stale else "")
+            self.giver.from_store(r, choice.stored, now, "stale" if choice.stale else "")
             if choice.refresh:
                 self._refresh(r, key, gauge, asked, choice.stored)
             return
@@ -156,22 +163,6 @@
         while len(self.passed) > MOST_PASSED:
             self.passed.popitem(last=False)
 
-    # ---- answers from the store
-
-    def _from_store(self, r: Request, v: Stored, now: int, detail: str) -> None:
-        age = now - v.born_us
-        line = status.hit(self.name, (v.lifetime_us - age) // S, detail)
-        self._give(r, v, age, line)
-
-    def _give(self, r: Request, v: Stored, age: int, line: bytes) -> None:
-        # Rounded up: to the next cache it must not look younger than it is.
-        more = b"Age: %d\r\n%b" % (-(-max(0, age) // S), line)
-        if CONDITIONS.isdisjoint(r.headers) or r.method not in READS:
-            r.replies.answer(r, v.status, (v.body,), v.head + more)
-        else:
-            part = conditions.answer(v, r.headers)
-            r.replies.answer(r, part.status, (part.body,), part.head + more)
-
     # ---- sending on
 
     def _more(self, r: Request, drop: frozenset[bytes], add: Fields) -> bytes:
@@ -269,7 +260,7 @@
         self._leave(flight, waiter)
         if not self._instead(waiter, flight, Cause.ERROR):
             r = waiter.request
-            r.replies.answer(r, 504, (), self._line(waiter, detail="overdue"))
+            r.replies.answer(r, 504, (), self.giver.line(waiter, detail="overdue"))
         self._abandon(flight)
 
     def _abandon(self, flight: Flight) -> None:
@@ -279,25 +270,25 @@
             self.following.client_left(flight.request)
 
     def client_left(self, r: Request) -> None:
+        if r in self.writes.twins:
+            self.writes.client_left(r)
+            return
         flight = self.waits.get(r)
         if flight is None:
-            for key, waiting in list(self.loading.items()):
-                if waiting.pop(r, None) is not None and not waiting:
-                    del self.loading[key]
+            if self.loads is not None:
+                self.loads.client_left(r)
             return
         waiter = flight.waiters[r]
         self._leave(flight, waiter)
-        if flight.writes:
-            self._landed(flight)
-            self._written(flight, None, {})
-            self.following.client_left(flight.request)
-            return
         flight.streaming = flight.streaming and flight.leader is not None
         if flight.held_back and flight.waiters:
             self.let_go_of(flight)
         self._abandon(flight)
 
     def hold_back(self, r: Request) -> None:
+        if r in self.writes.twins:
+            self.writes.hold_back(r)
+            return
         flight = self.waits.get(r)
         if (
             flight is not None
@@ -310,6 +301,9 @@
                 self.following.hold_back(flight.request)
 
     def let_go(self, r: Request) -> None:
+        if r in self.writes.twins:
+            self.writes.let_go(r)
+            return
         flight = self.waits.get(r)
         if flight is not None and flight.held_back:
             self.let_go_of(flight)
@@ -324,16 +318,6 @@
     def answer(self, request: Request, status_: int, body: Sequence[bytes] = (), more: bytes = b"") -> None:
         flight = self.by_twin[request]
         now = self.house.now_us()
-        if flight.writes:
-            self._landed(flight)
-            answered = self._read(status_, more)
-            self._written(flight, status_, answered.headers)
-            waiter = flight.leader
-            if waiter is not None:
-                self._leave(flight, waiter)
-                r = waiter.request
-                r.replies.answer(r, status_, body, lines(answered.fields) + self._line(waiter))
-            return
         if status_ in FAILED:
             self._failed(flight, status_, body, more)
             return
@@ -354,7 +338,7 @@
         freshened = rules.freshen(wanted, answered, flight.asked, flight.sent_us, now, self.policy)
         if freshened is None:
             # It says of nothing here that it still holds (RFC 9111, 4.3.4): the whole answer is needed.
-            self.store.remove(flight.key, (wanted.vary, wanted.secondary))
+            self._unput(flight.key, wanted)
             self._landed(flight)
             twin = flight.request.twin(self)
             kept = [f for f in read_lines(twin.more) if f[0].lower() not in CONDITIONS]
@@ -384,7 +368,7 @@
             line = status.forwarded(
                 self.name, waiter.fwd, 304, flight.keep and freshened.keep, waiter.collapsed
             )
-            self._give(r, v, now - v.born_us, line)
+            self.giver.give(r, v, now - v.born_us, line)
 
     def _put(self, flight: Flight, v: Stored) -> bool:
         kept = self.store.put(flight.key, flight.gauge, v)
@@ -415,33 +399,9 @@
         if not flight.streaming and flight.leader is not None:
             leader = flight.leader
             self._leave(flight, leader)
-            self._give_whole(flight, leader, answered, body, kept)
+            self.giver.whole(leader.request, answered, body, flight.stripped, self.giver.line(leader, kept))
         self._share(flight, v if kept else None, now)
 
-    def _give_whole(
-        self, flight: Flight, leader: Waiter, answered: Answered, body: bytes, kept: bool
-    ) -> None:  # fmt: skip
-        r = leader.request
-        line = self._line(leader, kept)
-        head = lines(answered.fields)
-        if self._unchanged(flight, answered, r):
-            self._not_modified(r, answered, line)
-        else:
-            r.replies.answer(r, answered.status, (body,), head + line)
-
-    def _unchanged(self, flight: Flight, answered: Answered, r: Request) -> bool:
-        """Has the client, whose own condition was left out, what came (RFC 9111, 4.3.2)?"""
-        if not flight.stripped or answered.status != 200 or CONDITIONS.isdisjoint(r.headers):
-            return False
-        h = answered.headers
-        seen = Stored(200, b"", b"", 0, 0, date_s=answered.date_s, wall_s=0.0, etag=h.get(b"etag", b""),
-                      modified=h.get(b"last-modified", b""))  # fmt: skip
-        return conditions.not_modified(seen, r.headers)
-
-    def _not_modified(self, r: Request, answered: Answered, line: bytes) -> None:
-        fields = [f for f in answered.fields if f[0].lower() in conditions.IN_304]
-        r.replies.answer(r, 304, (), lines(fields) + line)
-
     def _share(self, flight: Flight, v: Stored | None, now: int) -> None:
         """Answers all others who wait, or lets them go on by themselves."""
         if flight.shared and flight.keep and (v is None or v.no_cache or not v.fresh(now)):
@@ -451,7 +411,7 @@
             choice = rules.choose(waiter.asked, (v,), now, self.policy) if v is not None else None
             if isinstance(choice, Serve) and v is not None:
                 line = status.forwarded(self.name, waiter.fwd, 0, True, True)
-                self._give(waiter.request, v, now - v.born_us, line)
+                self.giver.give(waiter.request, v, now - v.born_us, line)
             else:
                 self._again(waiter, flight.key)
 
@@ -476,7 +436,7 @@
             r = waiter.request
             answered = self._read(status_, more)
             r.replies.answer(
-                r, status_, body, lines(answered.fields) + self._line(waiter, detail=cause.value)
+                r, status_, body, lines(answered.fields) + self.giver.line(waiter, detail=cause.value)
             )
 
     def _instead(self, waiter: Waiter, flight: Flight, cause: Cause) -> bool:
@@ -491,12 +451,9 @@
         v = max(fitting, key=lambda v: v.date_s)
         if not rules.instead(waiter.asked, v, now, cause, self.policy):
             return False
-        self._from_store(waiter.request, v, now, cause.value)
+        self.giver.from_store(waiter.request, v, now, cause.value)
         return True
 
-    def _line(self, waiter: Waiter, stored: bool = False, detail: str = "") -> bytes:
-        return status.forwarded(self.name, waiter.fwd, 0, stored, waiter.collapsed, detail)
-
     # ---- long answers
 
     def begin(self, request: Request, length: int | None, more: bytes, status_: int = 200) -> None:
@@ -504,12 +461,6 @@
         answered = flight.answered = self._read(status_, more)
         flight.received_us = self.house.now_us()
         leader = flight.leader
-        if flight.writes:
-            if leader is not None:
-                flight.streaming = True
-                head = lines(answered.fields) + self._line(leader)
-                leader.request.replies.begin(leader.request, length, head, status_)
-            return
         may = flight.keep and answered.storable(flight.asked, self.policy) is None
         may = may and (length is None or length <= self.settings.most_object)
         if may and length:
@@ -522,15 +473,15 @@
 
     def _begin_leader(self, flight: Flight, leader: Waiter, answered: Answered, length: int | None) -> None:
         r = leader.request
-        head = lines(answered.fields) + self._line(leader, flight.keeping)
+        head = lines(answered.fields) + self.giver.line(leader, flight.keeping)
         if r.method == b"HEAD":
             self._leave(flight, leader)
             if length is not None:
                 head += b"Content-Length: %d\r\n" % length
             r.replies.answer(r, answered.status, (), head)
-        elif self._unchanged(flight, answered, r):
+        elif self.giver.unchanged(r, answered, flight.stripped):
             self._leave(flight, leader)
-            self._not_modified(r, answered, self._line(leader, flight.keeping))
+            self.giver.not_modified(r, answered, self.giver.line(leader, flight.keeping))
         else:
             flight.streaming = True
             leader.rest()
@@ -555,6 +506,8 @@
         now = self.house.now_us()
         if flight.keep:
             self._pass(flight.key, now)
+            if flight.wanted is not None:
+                self._unput(flight.key, flight.wanted)  # what it was is not what there is now
         for waiter in list(flight.waiters.values()):
             if waiter is not flight.leader:
                 self._leave(flight, waiter)
@@ -582,10 +535,7 @@
             return
         self._landed(flight)
         leader = flight.leader if flight.streaming else None
-        if flight.writes:
-            self._written(flight, flight.answered.status if flight.answered else None,
-                          flight.answered.headers if flight.answered else {})  # fmt: skip
-        elif flight.keeping:
+        if flight.keeping:
             body, flight.body = b"".join(flight.body), []
             if leader is not None:
                 self._leave(flight, leader)
@@ -600,8 +550,6 @@
         if flight is None:
             return
         self._landed(flight)
-        if flight.writes:
-            self._written(flight, None, {})
         leader = flight.leader if flight.streaming else None
         if leader is not None:
             self._leave(flight, leader)
@@ -610,39 +558,7 @@
             self._leave(flight, waiter)
             self._again(waiter, flight.key)
 
-    # ---- writes and purges
-
-    def _write(self, r: Request) -> None:
-        """What may have an effect: always sent on, and from now until its outcome is known nothing of its
-        gauge is kept."""
-        gauge = targets.gauge_of(r.target)
-        self.write_begins(gauge)
-        twin = r.twin(self)
-        twin.more = self._more(r, self.drop, [])
-        asked = Asked(r.method, r.headers)
-        flight = Flight(twin, b"", gauge, asked, self.house.now_us(), False, writes=True)
-        flight.leader = Waiter(r, asked, Fwd.METHOD if r.method not in READS else Fwd.BYPASS)
-        flight.waiters[r] = flight.leader
-        self.waits[r] = flight
-        self._go(flight)
-
-    def _written(self, flight: Flight, status_: int | None, headers: dict[bytes, bytes]) -> None:
-        # Failed, refused after a try, or left by its client: it may have run, or may yet.
-        known = status_ is not None and status_ < 500
-        self.write_ends(flight.gauge, known)
-        if status_ is not None and status_ < 400:
-            values = [headers[n] for n in (b"location", b"content-location") if n in headers]
-            host = flight.request.headers.get(b"host", b"")
-            for target in targets.reached(host, flight.request.target, values):
-                self._void(targets.gauge_of(target))
-
-    def write_begins(self, gauge: bytes) -> None:
-        self.fences.begin(gauge)
-        self._void(gauge)
-
-    def write_ends(self, gauge: bytes, known: bool) -> None:
-        self.fences.end(gauge, self.house.now_us(), known)
-        self._void(gauge)
+    # ---- voiding
 
     def _void(self, gauge: bytes) -> None:
         self.store.drop_gauge(gauge)
@@ -668,22 +584,8 @@
         r.replies.answer(r, 200, (b"purged %d\n" % count,), b"Date: %b\r\nContent-Type: text/plain\r\n" % (
             dates.render(int(self.wall()))))  # fmt: skip
 
-    # ---- the second tier
-
-    def _load(self, r: Request, key: bytes, tries: int) -> None:
-        assert self.disk is not None
-        waiting = self.loading.get(key)
-        if waiting is not None:
-            waiting[r] = tries
-            return
-        self.loading[key] = {r: tries}
-        gauge = targets.gauge_of(r.target)
-        self.disk.load(key, lambda found: self._loaded(key, gauge, found))
-
-    def _loaded(self, key: bytes, gauge: bytes, found: tuple[Stored, ...]) -> None:
-        waiting = self.loading.pop(key, {})
+    def _found(self, key: bytes, gauge: bytes, found: tuple[Stored, ...]) -> None:
+        """In the second tier; nothing that a write has voided meanwhile comes from there."""
         if not self.fences.closed(gauge, self.house.now_us()) and not self.store.peek(key):
             for v in found:
                 self.store.put(key, gauge, v)
-        for r, tries in waiting.items():
-            self._consider(r, key, tries, disk=False)
--- a/magpiefront/caching/watch.py
+++ b/magpiefront/caching/watch.py
@@ -7,7 +7,7 @@
 
 from magpiefront.caching import targets
 from magpiefront.caching.house import House
-from magpiefront.caching.stage import CachingStage
+from magpiefront.caching.writes import Writes
 from magpiefront.interface import Repeat
 from magpiefront.net.request import READS, Replies, Request, Stage
 
@@ -17,7 +17,7 @@
 
     def __init__(self, house: House, following: Stage) -> None:
         self.house, self.following = house, following
-        self.cache: CachingStage | None = None
+        self.cache: Writes | None = None
         self.writes: dict[Request, tuple[Replies, bytes]] = {}
 
     def take(self, request: Request) -> None:
@@ -28,14 +28,14 @@
             gauge = targets.gauge_of(request.target)
             self.writes[request] = request.replies, gauge
             request.replies = self
-            self.cache.write_begins(gauge)
+            self.cache.begin_one(gauge)
         self.following.take(request)
 
     def _over(self, request: Request, known: bool) -> Replies:
         replies, gauge = self.writes.pop(request)
         request.replies = replies
         assert self.cache is not None
-        self.cache.write_ends(gauge, known)
+        self.cache.end_one(gauge, known)
         return replies
 
     def client_left(self, request: Request) -> None:
--- a/magpiefront/net/passing.py
+++ b/magpiefront/net/passing.py
@@ -172,6 +172,8 @@
     __slots__ = ()
 
     def wants(self, status: int) -> bool:
+        if status == 304:  # to a request without a condition it is no answer at all
+            return super().wants(status)
         return 200 <= status < 500 or status == 501
 
 
--- a/magpiefront/operator/compose.py
+++ b/magpiefront/operator/compose.py
@@ -58,7 +58,7 @@
             disk = Disk(house, operator.caching.disk) if operator.caching.disk is not None else None
             self.first = self.cache = CachingStage(house, self.first, operator.caching, disk)
             if watch is not None:
-                watch.cache = self.cache
+                watch.cache = self.cache.writes
 
     async def start(self) -> None:
         """Raises OSError where the gateway can't listen, BadConfig where the cache's file can't be had."""
--- a/tests/caching/test_disk.py
+++ b/tests/caching/test_disk.py
@@ -14,7 +14,8 @@
 from magpiefront.caching import disk as disk_module
 from magpiefront.caching.disk import Disk, pack, unpack
 from magpiefront.caching.rules import S, Stored
-from magpiefront.caching.settings import DiskSettings
+from magpiefront.caching.settings import CachingSettings, DiskSettings
+from magpiefront.caching.stage import CachingStage
 from tests.caching.house import DATE_S, House, World
 
 
@@ -278,7 +279,8 @@
 
 def test_the_stage_serves_from_it_and_puts_what_it_finds_into_memory(tmp_path: Path) -> None:
     w = World()
-    disk = w.stage.disk = Disk(w.house, DiskSettings(tmp_path / "c.sqlite"), wall=w.house.wall)
+    disk = Disk(w.house, DiskSettings(tmp_path / "c.sqlite"), wall=w.house.wall)
+    w.stage = CachingStage(w.house, w.behind, CachingSettings(), disk, w.house.wall)
     disk.start()
     w.fill("max-age=60", ("ETag", '"1"'))
     w.stage.store.clear()
@@ -297,7 +299,8 @@
 
 def test_a_miss_of_the_disk_goes_on(tmp_path: Path) -> None:
     w = World()
-    disk = w.stage.disk = Disk(w.house, DiskSettings(tmp_path / "c.sqlite"), wall=w.house.wall)
+    disk = Disk(w.house, DiskSettings(tmp_path / "c.sqlite"), wall=w.house.wall)
+    w.stage = CachingStage(w.house, w.behind, CachingSettings(), disk, w.house.wall)
     disk.start()
     w.fill("max-age=60")
     w.stage.store.clear()
--- a/tests/caching/test_passing.py
+++ b/tests/caching/test_passing.py
@@ -346,3 +346,12 @@
             assert c.stage.store.held == 0 and not c.stage.by_twin
 
     run(main(), 40)
+
+
+def test_a_304_that_nobody_asked_for_is_no_answer() -> None:
+    async def main() -> None:
+        async with one(says(b"HTTP/1.1 304 Not Modified\r\n\r\n")) as (c, _, client):
+            client.send(request("GET /api/k1"))
+            assert (await client.answer()).status in (502, 503)
+
+    run(main())
--- a/tests/caching/test_stage.py
+++ b/tests/caching/test_stage.py
@@ -5,7 +5,8 @@
 import pytest
 
 from magpiefront.caching.settings import CachingSettings, Policy
-from tests.caching.house import World
+from magpiefront.interface import Repeat, RequestClass
+from tests.caching.house import CLASSES, World
 
 CC = "Cache-Control"
 
@@ -576,3 +577,84 @@
         w.fill("max-age=60", target=f"/api/k{n}")
     w.stage.configure(CachingSettings(most_bytes=64 << 10))
     assert w.stage.store.size <= 64 << 10
+
+
+def test_a_class_that_is_not_named_is_not_answered_from_what_another_left() -> None:
+    w = World(classes=frozenset({"level-read"}))
+    w.fill("max-age=60")
+    w.house.classes = {**CLASSES, b"other-read": RequestClass("other-read", Repeat.SAFE, 1, 1)}
+    got = w.get(kind="other-read")
+    assert got.answers == 0
+    w.say(200, b"its own", (CC, "max-age=60"))
+    assert got.cache == "lineshift;fwd=bypass" and w.get().body == b"level 3.2"
+
+
+@pytest.mark.parametrize("end", ["end", "cut", "left"])
+def test_a_write_with_a_long_answer_is_known_by_its_head(end: str) -> None:
+    w = World()
+    r, got = w.send(method="PUT", kind="field-report")
+    twin = w.behind.open.pop()
+    twin.replies.begin(twin, None, b"X-A: 1\r\n", 201)
+    assert got.status == 201 and got.h[b"x-a"] == b"1"
+    twin.replies.go(twin, b"held")
+    w.stage.hold_back(r)
+    w.stage.let_go(r)
+    if end == "left":
+        w.stage.client_left(r)
+        assert w.behind.left == [twin]
+        twin.replies.go(twin, b"more")
+    else:
+        getattr(twin.replies, end)(twin)
+        assert got.ended == end
+    assert got.body == b"held" and not w.stage.fences.open
+    assert not (w.stage.writes.twins or w.stage.writes.clients or w.stage.writes.known)
+    assert w.fill("max-age=60").cache.endswith(";stored")
+
+
+def test_a_new_answer_that_is_too_long_does_not_leave_the_old_one() -> None:
+    w = World(most_object=1000, most_bytes=1 << 20)
+    w.fill("max-age=5, stale-if-error=600", ("ETag", '"1"'))
+    w.house.pass_s(6)
+    w.get()
+    twin = w.behind.open.pop()
+    twin.replies.begin(twin, 5_000, b"Cache-Control: max-age=60\r\n")
+    twin.replies.go(twin, b"x" * 5_000)
+    twin.replies.end(twin)
+    got = w.get()
+    w.say(503, b"")
+    assert got.status == 503  # the old one is no answer any more
+
+
+def test_a_leader_that_leaves_in_the_middle_leaves_the_rest_to_those_who_wait() -> None:
+    w = World()
+    r, leader = w.send()
+    other = w.get()
+    twin = w.behind.open.pop()
+    twin.replies.begin(twin, 6, b"Cache-Control: max-age=60\r\n")
+    twin.replies.go(twin, b"abc")
+    w.stage.hold_back(r)
+    w.stage.client_left(r)
+    assert not w.behind.left
+    twin.replies.go(twin, b"def")
+    twin.replies.end(twin)
+    assert leader.body == b"abc" and leader.ended == "" and other.body == b"abcdef"
+
+
+def test_a_refresh_that_fails_is_nobodys_loss_and_may_come_again() -> None:
+    w = World()
+    w.fill("max-age=5, stale-while-revalidate=60", ("ETag", '"1"'))
+    w.house.pass_s(6)
+    for _ in range(3):
+        assert w.get().status == 200
+        w.say(503, b"")
+    assert w.stage.refreshes == 0 and not w.stage.by_twin
+
+
+def test_what_is_on_its_way_behind_is_bounded_for_refreshes() -> None:
+    w = World()
+    for n in range(70):
+        w.fill("max-age=5, stale-while-revalidate=60", ("ETag", '"1"'), target=f"/api/k{n}")
+    w.house.pass_s(6)
+    for n in range(70):
+        assert w.get(f"/api/k{n}").status == 200
+    assert len(w.behind.open) == 64 == w.stage.refreshes
--- a/tests/caching/test_watch.py
+++ b/tests/caching/test_watch.py
@@ -24,7 +24,7 @@
 def test_a_write_over_the_link_voids_its_gauge(how: str) -> None:
     w, behind = World(), Behind()
     watch = WriteWatch(w.house, behind)
-    watch.cache = w.stage
+    watch.cache = w.stage.writes
     w.fill("max-age=60")
     r, client = write(w, watch)
     assert not w.stage.store.peek(b"api /api/k1")
@@ -51,7 +51,7 @@
 def test_reads_pass_by_it() -> None:
     w, behind = World(), Behind()
     watch = WriteWatch(w.house, behind)
-    watch.cache = w.stage
+    watch.cache = w.stage.writes
     w.fill("max-age=60")
     r, client = write(w, watch, b"GET", b"level-read")
     assert r.replies is client and not watch.writes and w.stage.store.peek(b"api /api/k1")
