--- a/magpiefront/caching/stage.py
+++ b/magpiefront/caching/stage.py
@@ -281,8 +281,6 @@
         waiter = flight.waiters[r]
         self._leave(flight, waiter)
         flight.streaming = flight.streaming and flight.leader is not None
-        if flight.held_back and flight.waiters:
-            self.let_go_of(flight)
         self._abandon(flight)
 
     def hold_back(self, r: Request) -> None:
@@ -341,8 +339,8 @@
             self._unput(flight.key, wanted)
             self._landed(flight)
             twin = flight.request.twin(self)
-            kept = [f for f in read_lines(twin.more) if f[0].lower() not in CONDITIONS]
-            twin.more, flight.request, flight.wanted = lines(kept), twin, None
+            bare = [f for f in read_lines(twin.more) if f[0].lower() not in CONDITIONS]
+            twin.more, flight.request, flight.wanted = lines(bare), twin, None
             flight.sent_us = now
             if flight.leader is None and not flight.waiters:
                 return
@@ -356,19 +354,13 @@
             self._put(flight, v)
         else:
             self._unput(flight.key, wanted)
-        for waiter in list(flight.waiters.values()):
-            self._leave(flight, waiter)
-            usable = waiter.fwd is not Fwd.VARY_MISS and rules.matches(v, waiter.asked.headers)
-            if waiter.collapsed and not (
-                usable and isinstance(rules.choose(waiter.asked, (v,), now, self.policy), Serve)
-            ):  # fmt: skip
-                self._again(waiter, flight.key)
-                continue
-            r = waiter.request
-            line = status.forwarded(
-                self.name, waiter.fwd, 304, flight.keep and freshened.keep, waiter.collapsed
-            )
-            self.giver.give(r, v, now - v.born_us, line)
+        kept = flight.keep and freshened.keep
+        leader = flight.leader
+        if leader is not None:
+            self._leave(flight, leader)
+            line = self.giver.line(leader, kept, status_=304)
+            self.giver.give(leader.request, v, now - v.born_us, line)
+        self._share(flight, v if kept else None, now, 304)
 
     def _put(self, flight: Flight, v: Stored) -> bool:
         kept = self.store.put(flight.key, flight.gauge, v)
@@ -402,7 +394,7 @@
             self.giver.whole(leader.request, answered, body, flight.stripped, self.giver.line(leader, kept))
         self._share(flight, v if kept else None, now)
 
-    def _share(self, flight: Flight, v: Stored | None, now: int) -> None:
+    def _share(self, flight: Flight, v: Stored | None, now: int, status_: int = 0) -> None:
         """Answers all others who wait, or lets them go on by themselves."""
         if flight.shared and flight.keep and (v is None or v.no_cache or not v.fresh(now)):
             self._pass(flight.key, now)
@@ -410,7 +402,7 @@
             self._leave(flight, waiter)
             choice = rules.choose(waiter.asked, (v,), now, self.policy) if v is not None else None
             if isinstance(choice, Serve) and v is not None:
-                line = status.forwarded(self.name, waiter.fwd, 0, True, True)
+                line = self.giver.line(waiter, True, status_=status_)
                 self.giver.give(waiter.request, v, now - v.born_us, line)
             else:
                 self._again(waiter, flight.key)
--- a/magpiefront/caching/writes.py
+++ b/magpiefront/caching/writes.py
@@ -13,8 +13,8 @@
 
 
 class Writes:
-    """From the moment that one is taken until its outcome is known nothing of its gauge is kept; `void` is
-    called at either end, for all that is there and on its way."""
+    """From the moment that one is taken until its outcome is known nothing of its gauge is kept. `void` is
+    called as it begins, for all that is there or on its way; what is asked later finds the gauge closed."""
 
     def __init__(
         self, house: House, following: Stage, fences: Fences, void: Callable[[bytes], None],
@@ -34,7 +34,6 @@
 
     def end_one(self, gauge: bytes, known: bool) -> None:
         self.fences.end(gauge, self.house.now_us(), known)
-        self.void(gauge)
 
     # ---- the stage
 
--- a/tests/caching/test_stage.py
+++ b/tests/caching/test_stage.py
@@ -658,3 +658,60 @@
     for n in range(70):
         assert w.get(f"/api/k{n}").status == 200
     assert len(w.behind.open) == 64 == w.stage.refreshes
+
+
+def test_those_who_wait_for_a_validation_go_on_where_its_answer_may_not_be_shared() -> None:
+    w = World()
+    w.fill("max-age=5", ("ETag", '"1"'))
+    w.house.pass_s(6)
+    clients = [w.get() for _ in range(3)]
+    assert len(w.behind.open) == 1
+    w.say(304, b"", ("ETag", '"1"'), (CC, "max-age=0"))
+    assert clients[0].body == b"level 3.2" and clients[1].answers == clients[2].answers == 0
+    assert len(w.behind.open) == 2  # each by itself, and each validates
+    for c in clients[1:]:
+        w.say(304, b"", ("ETag", '"1"'), (CC, "max-age=60"))
+        assert c.cache == "lineshift;fwd=stale;fwd-status=304;stored"
+
+
+def test_those_who_wait_for_a_validation_share_its_answer() -> None:
+    w = World()
+    w.fill("max-age=5", ("ETag", '"1"'))
+    w.house.pass_s(6)
+    clients = [w.get() for _ in range(3)]
+    w.say(304, b"", ("ETag", '"1"'), (CC, "max-age=60"))
+    assert [c.body for c in clients] == [b"level 3.2"] * 3 and len(w.behind.all) == 2
+    assert clients[2].cache == "lineshift;fwd=stale;fwd-status=304;stored;collapsed"
+
+
+def test_an_answer_that_a_304_did_not_mean_is_gone_even_if_nothing_new_is_kept() -> None:
+    w = World()
+    w.fill("max-age=5, stale-if-error=600", ("ETag", '"1"'))
+    w.house.pass_s(6)
+    w.get()
+    w.say(304, b"", ("ETag", '"2"'))
+    w.say(200, b"new", (CC, "no-store"))
+    assert not w.stage.store.peek(b"api /api/k1")
+
+
+def test_a_slow_reader_of_what_is_not_kept_holds_it_back() -> None:
+    w = World()
+    r, _ = w.send()
+    twin = w.behind.open.pop()
+    twin.replies.begin(twin, None, b"Cache-Control: no-store\r\n")
+    w.stage.hold_back(r)
+    assert w.behind.held == [twin]
+    w.stage.let_go(r)
+    assert not w.behind.held
+
+
+def test_too_many_requests_is_no_new_answer() -> None:
+    w = World(plain_servers=True)
+    w.fill("max-age=5, stale-if-error=600", ("ETag", '"1"'))
+    w.house.pass_s(6)
+    got = w.get()
+    w.say(429, b"slow down")
+    assert got.status == 429
+    got = w.get()
+    w.say(503, b"")
+    assert got.status == 200  # what was kept is still the last that is known
