Keep the platform's path as cheap as it was

What only the cache needs of a node's answer is in a subclass now, chosen with the pool's connections; the head of an ordinary answer is written in one step.

--- a/magpiefront/net/downstream.py
+++ b/magpiefront/net/downstream.py
@@ -241,7 +241,7 @@
             if request.error:
                 self.front.house.log(f"{request.error} for {request.method!r} {request.target[:80]!r}")
                 self.answer(request, request.error)
-            elif request.target.partition(b"?")[0] == b"/ready":
+            elif request.target.startswith(b"/ready") and request.target.partition(b"?")[0] == b"/ready":
                 self.answer(request, 503 if self.front.stopping else 200)
             else:
                 self.front.stage.take(request)
--- a/magpiefront/net/http1.py
+++ b/magpiefront/net/http1.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-from http import HTTPStatus
 from typing import Any, cast
 
 import httptools
@@ -14,22 +13,11 @@
 READ_SIZE = 256 * 1024
 
 
-
-class Reasons(dict[int, bytes]):
-    """The usual ones; others' are looked up when a server behind sends them."""
-
-    def __missing__(self, status: int) -> bytes:
-        try:
-            return HTTPStatus(status).phrase.encode()
-        except ValueError:
-            return b""
-
-
-REASONS = Reasons({
+REASONS = {
     200: b"OK", 400: b"Bad Request", 404: b"Not Found", 405: b"Method Not Allowed", 408: b"Request Timeout",
     409: b"Conflict", 413: b"Content Too Large", 431: b"Request Header Fields Too Large", 502: b"Bad Gateway",
     503: b"Service Unavailable", 504: b"Gateway Timeout",
-})  # fmt: skip
+}  # fmt: skip
 # An upgrade that nobody asked for is as bad as a head that can't be read.
 PARSER_ERRORS = (httptools.HttpParserError, httptools.HttpParserUpgrade)
 
@@ -68,6 +56,8 @@
 
 def head(status: int, length: int | None, more: bytes = b"", close: bool = False) -> bytes:
     """The head of an answer; without a length its body is chunked."""
+    if length is not None and not close:  # as nearly always
+        return b"HTTP/1.1 %d %b\r\n%bContent-Length: %d\r\n\r\n" % (status, REASONS[status], more, length)
     framing = b"Transfer-Encoding: chunked" if length is None else b"Content-Length: %d" % length
     end = b"\r\nConnection: close\r\n\r\n" if close else b"\r\n\r\n"
     return b"HTTP/1.1 %d %b\r\n%b%b%b" % (status, REASONS[status], more, framing, end)
--- a/magpiefront/net/passing.py
+++ b/magpiefront/net/passing.py
@@ -10,6 +10,7 @@
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 from email.utils import formatdate
+from http import HTTPStatus
 from secrets import token_hex
 from time import time
 from typing import cast
@@ -20,7 +21,7 @@
 from magpiefront.net import upstream
 from magpiefront.net.config import Config
 from magpiefront.net.downstream import ClientConnection, Front
-from magpiefront.net.fields import end_to_end, lines
+from magpiefront.net.fields import Fields, end_to_end, lines
 from magpiefront.net.http1 import REASONS, WHOLE_LIMIT
 from magpiefront.net.proxy import Proxy
 from magpiefront.net.request import METHODS, READS, SINGLE, Request
@@ -46,6 +47,18 @@
     purge_from: frozenset[str] = frozenset()
 
 
+def reason(status: int) -> bytes:
+    """Also of what only servers send."""
+    found = REASONS.get(status)
+    if found is None:
+        try:
+            found = HTTPStatus(status).phrase.encode()
+        except ValueError:
+            found = b""
+        REASONS[status] = found
+    return found
+
+
 class PassingClient(ClientConnection):
     """Hands all fields of a request on in `Request.fields`, and writes answers as they are told."""
 
@@ -100,7 +113,7 @@
             more = b"Date: %b\r\n" % formatdate(time(), usegmt=True).encode("ascii")
             if status == 405:
                 more += self.allow
-        bodiless = status in BODILESS
+        bodiless, phrase = status in BODILESS, reason(status)
         if not bodiless and request.method != b"HEAD":
             super().answer(request, status, body, more)
             return
@@ -111,19 +124,37 @@
             # What GET would be answered; a server's own word on it has come with its other fields.
             more += b"Content-Length: %d\r\n" % sum(len(b) for b in body)
         end = b"Connection: close\r\n\r\n" if close else b"\r\n"
-        self.transport.write(b"HTTP/1.1 %d %b\r\n%b%b" % (status, REASONS[status], more, end))
+        self.transport.write(b"HTTP/1.1 %d %b\r\n%b%b" % (status, phrase, more, end))
         self._answered(request, close)
 
+    def begin(self, request: Request, length: int | None, more: bytes, status: int = 200) -> None:
+        reason(status)
+        super().begin(request, length, more, status)
+
+
+class PassedAnswer(upstream.Answer):
+    """`fields` are its head's lines; `wanted` says that it is an answer for the client."""
+
+    __slots__ = ("fields", "wanted")
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.fields: Fields = []
+        self.wanted = False
+
+    def outcome(self) -> Outcome:
+        return Outcome.OK if self.wanted else super().outcome()
+
 
 class PassingConnection(upstream.NodeConnection):
     """To cache nodes that say more than their body: 304 counts as an answer where the request asked."""
 
     __slots__ = ()
+    answer_type = PassedAnswer
+    answer: PassedAnswer
 
-    def on_message_begin(self) -> None:
-        super().on_message_begin()
-        if not self.complete:
-            self.answer.fields = []
+    def counts(self, a: upstream.Answer) -> bool:
+        return cast(PassedAnswer, a).wanted
 
     def on_header(self, name: bytes, value: bytes) -> None:
         if self.in_head and not self.complete:
@@ -223,7 +254,7 @@
 
 def passed(answer: upstream.Answer) -> bytes:
     """The lines of an answer that go on."""
-    return lines(end_to_end(answer.fields, SERVERS_OWN))
+    return lines(end_to_end(cast(PassedAnswer, answer).fields, SERVERS_OWN))
 
 
 def methods_of(clients: Clients) -> frozenset[bytes]:
--- a/magpiefront/net/proxy.py
+++ b/magpiefront/net/proxy.py
@@ -21,7 +21,7 @@
 from magpiefront.net import upstream
 from magpiefront.net.config import Address, Config
 from magpiefront.net.lag import LAG_PART, TICK_S, Lag
-from magpiefront.net.request import READS, Request
+from magpiefront.net.request import Request
 
 BACKSTOP_US = 15_000
 LOG_LINES, LOG_S = 20, 10.0
@@ -180,7 +180,7 @@
             r.name += "'"  # that one has its answer, but an attempt still out
         if r.size:
             r.more += b"Content-Length: %d\r\n" % r.size
-        elif r.method not in READS:
+        elif r.method != b"GET" and r.method != b"HEAD":
             r.more += b"Content-Length: 0\r\n"
         self.requests[r.name] = r
         now = self.now_us()
@@ -197,7 +197,7 @@
                 bytes_hash(r.key),
                 h[b"req-owner"].decode("latin-1") if b"req-owner" in h else None,
                 int(h[b"req-cost"]) if b"req-cost" in h else 0,
-                r.method not in READS,
+                r.method != b"GET" and r.method != b"HEAD",
                 h.get(b"req-retry") == b"1",
             )
         )
--- a/magpiefront/net/request.py
+++ b/magpiefront/net/request.py
@@ -144,7 +144,7 @@
         path = target.partition(b"?")[0] if b"?" in target else target
         if path == b"/ready":
             return 0 if self.method == b"GET" else 405
-        if self.method not in methods:
+        if self.method != b"GET" and self.method not in methods:
             return 405
         if path.endswith(b"/"):
             return 404
--- a/magpiefront/net/upstream.py
+++ b/magpiefront/net/upstream.py
@@ -139,21 +139,18 @@
 class Answer:
     """What has come of a node's answer."""
 
-    __slots__ = ("body", "content_type", "declined", "fields", "length", "note", "report", "size", "status",
-                 "wanted")  # fmt: skip
-
-    fields: list[tuple[bytes, bytes]]  # its head's lines, only where a pool passes them on
+    __slots__ = ("body", "content_type", "declined", "length", "note", "report", "size", "status")
 
     def __init__(self) -> None:
         self.status = self.note = self.size = 0
-        self.declined = self.wanted = False
+        self.declined = False
         self.length: int | None = None
         self.content_type = b""
         self.report: dict[str, float] | None = None
         self.body: list[bytes] = []
 
     def outcome(self) -> Outcome:
-        if self.wanted:
+        if self.status == 200:
             return Outcome.OK
         return Outcome.FULL if self.declined and self.status in (503, 504) else Outcome.ERROR
 
@@ -162,6 +159,8 @@
     __slots__ = ("answer", "complete", "exchange", "framed", "heard_at", "idle_at", "interim", "lasting",
                  "look", "node", "paused", "streams", "surplus", "watched", "written")  # fmt: skip
 
+    answer_type: type[Answer] = Answer
+
     def __init__(self, node: Node, exchange: Exchange) -> None:
         super().__init__()
         self.node = node
@@ -171,14 +170,18 @@
         self.idle_at = self.heard_at = 0.0
         self.interim = 0
         self.look: select.poll | None = None
-        self.answer = Answer()
+        self.answer = self.answer_type()
+
+    def counts(self, a: Answer) -> bool:
+        """Is it an answer for the client, and no failure of the node?"""
+        return a.status == 200
 
     # ---- the exchange
 
     def start(self, exchange: Exchange) -> None:
         self.exchange, exchange.connection = exchange, self
         self.written = self.complete = self.surplus = self.framed = self.watched = self.streams = False
-        self.in_head, self.spare, self.interim, self.answer = True, 0, 0, Answer()
+        self.in_head, self.spare, self.interim, self.answer = True, 0, 0, self.answer_type()
         self.transport.writelines(exchange.message())
         self.written = not self.transport.get_write_buffer_size() and not self.transport.is_closing()
 
@@ -249,7 +252,7 @@
         a = self.answer
         if self.complete:
             self._completed()
-        elif a.status and (not self.framed or (not a.wanted and a.size > REFUSAL_LIMIT)):
+        elif a.status and (not self.framed or (not self.counts(a) and a.size > REFUSAL_LIMIT)):
             self._cut()
         elif a.status or self.spare:
             self.heard_at = self.node.pool.loop.time()
@@ -274,7 +277,7 @@
         """An answer whose end could not be told from a break, or that fills memory for nothing. What a head
         says of a failure holds without its body."""
         exchange, a = self.exchange, self.answer
-        if exchange is None or a.status < 200 or a.wanted:
+        if exchange is None or a.status < 200 or self.counts(a):
             self.broken()
         else:
             exchange.end(a.outcome(), a)
@@ -331,8 +334,7 @@
     def on_headers_complete(self) -> None:
         if not self.complete:
             self.in_head, self.spare = False, 0
-            status = self.answer.status = self.parser.get_status_code()
-            self.answer.wanted = status == 200
+            self.answer.status = self.parser.get_status_code()
             self._check_size(self.answer.length or 0)
 
     def on_body(self, body: bytes) -> None:
@@ -345,7 +347,7 @@
         if isinstance(exchange, Attempt):
             if exchange.streaming:
                 exchange.host.stream_goes_on(exchange, body)
-            elif a.wanted:
+            elif a.status == 200 or self.counts(a):
                 a.body.append(body)
                 if not self.framed:
                     return
@@ -377,7 +379,7 @@
             self.interim += 1
             if self.interim > INTERIM:
                 raise Spoilt
-            self.in_head, self.spare, self.framed, self.answer = True, 0, False, Answer()
+            self.in_head, self.spare, self.framed, self.answer = True, 0, False, self.answer_type()
         else:
             self.complete = True
             # Without it no connection is used again, and every request pays for a handshake and a descriptor.
