--- a/magpiefront/caching/disk.py
+++ b/magpiefront/caching/disk.py
@@ -25,6 +25,10 @@
 VERSION = 1
 BATCH = 64
 STOP_S = 2.0
+NOT_TO_BE_HAD = frozenset({
+    sqlite3.SQLITE_PERM, sqlite3.SQLITE_BUSY, sqlite3.SQLITE_LOCKED, sqlite3.SQLITE_READONLY,
+    sqlite3.SQLITE_IOERR, sqlite3.SQLITE_FULL, sqlite3.SQLITE_CANTOPEN,
+})  # fmt: skip
 SCHEMA = """
 CREATE TABLE objects (place INTEGER PRIMARY KEY, key BLOB UNIQUE NOT NULL, gauge BLOB NOT NULL,
                       size INTEGER NOT NULL, sum BLOB NOT NULL, packed BLOB NOT NULL);
@@ -114,14 +118,18 @@
     # ---- start and stop
 
     def start(self) -> None:
-        """Reads the index. A file that can't be used is set aside, and the tier begins empty. Raises OSError
-        or sqlite3.Error where there can be none."""
+        """Reads the index. A file that can't be read is set aside, and the tier begins empty. Raises OSError
+        or sqlite3.Error where there can be none: no right to it, another process that has it open."""
+        if self.settings.path.exists() and not self.settings.path.is_file():
+            raise IsADirectoryError(f"{self.settings.path} is no file")
         self.settings.path.parent.mkdir(parents=True, exist_ok=True)
         try:
             self._open()
         except (Unusable, sqlite3.DatabaseError) as e:
             if self.db is not None:
                 self.db.close()
+            if isinstance(e, sqlite3.OperationalError) and e.sqlite_errorcode & 0xFF in NOT_TO_BE_HAD:
+                raise
             aside = self.settings.path.with_suffix(self.settings.path.suffix + ".bad")
             self.house.log(f"cache: {self.settings.path}: {e}; set aside as {aside.name}, begins empty")
             for ending in ("-wal", "-shm"):
@@ -136,6 +144,7 @@
         db = self.db = sqlite3.connect(
             self.settings.path, isolation_level=None, check_same_thread=False, timeout=1.0
         )
+        db.execute("PRAGMA locking_mode=EXCLUSIVE")  # two processes would not hear of each other's voidings
         db.execute("PRAGMA journal_mode=WAL")
         db.execute("PRAGMA synchronous=FULL")
         if new:
--- a/tests/caching/test_disk.py
+++ b/tests/caching/test_disk.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import shutil
 import sqlite3
 import threading
 from collections.abc import Callable
@@ -76,7 +77,9 @@
     disk.save(b"bare", b"g", (made(etag=b""),))
     settle(house, disk)
     # It dies here: nothing says that it was closed in order.
-    house, again = opened(tmp_path / "c.sqlite")
+    for ending in ("", "-wal"):
+        shutil.copy(tmp_path / f"c.sqlite{ending}", tmp_path / f"dead.sqlite{ending}")
+    house, again = opened(tmp_path / "dead.sqlite")
     assert again.doubt
     found = look(house, again, b"k")
     assert found is not None and found[0].no_cache
@@ -214,6 +217,15 @@
     disk.stop()
 
 
+def test_a_file_that_another_process_has_is_not_taken_from_it(tmp_path: Path) -> None:
+    _, disk = opened(tmp_path / "c.sqlite")
+    with pytest.raises(sqlite3.OperationalError, match="locked"):
+        opened(tmp_path / "c.sqlite")
+    disk.stop()
+    assert not (tmp_path / "c.sqlite.bad").exists()
+    opened(tmp_path / "c.sqlite")[1].stop()
+
+
 def newer(path: Path) -> None:
     db = sqlite3.connect(path)
     db.execute("PRAGMA user_version=99")
