--- a/magpiefront/net/proxy.py
+++ b/magpiefront/net/proxy.py
@@ -36,6 +36,7 @@
 
 
 class Proxy:
+    attempt_type: type[upstream.Attempt] = upstream.Attempt
     head_of: Callable[[upstream.Answer], bytes]
 
     def __init__(self, config: Config, loop: asyncio.AbstractEventLoop) -> None:
@@ -136,7 +137,7 @@
         now = self.now_us()
         until = min(action.expire_at_us or r.deadline, r.deadline)
         node = self.pool.nodes.get(action.server)
-        attempt = upstream.Attempt(
+        attempt = self.attempt_type(
             self, r, len(r.attempts), node or upstream.Node(self.pool, action.server, ("", 0)), now, until
         )
         r.attempts.append(attempt)
--- a/standins/conformance/archive.py
+++ b/standins/conformance/archive.py
@@ -60,7 +60,7 @@
                     writer.write(http.answer(404, more="Cache-Control: no-store\r\n"))
                     continue
                 script.came.append(m)
-                whole = self._write(writer, reply, method)
+                whole = await self._write(writer, reply, method)
                 async with script.seen:
                     script.seen.notify_all()
                 if not whole:
@@ -73,7 +73,7 @@
             self.writers.pop(writer, None)
             writer.close()
 
-    def _write(self, writer: asyncio.StreamWriter, reply: Reply, method: str) -> bool:
+    async def _write(self, writer: asyncio.StreamWriter, reply: Reply, method: str) -> bool:
         body = reply.body.encode() if reply.status not in (204, 304) else b""
         lines = [f"HTTP/1.1 {reply.status} Scripted"]
         lines += [f"{name}: {dated(value)}" for name, value in reply.fields]
@@ -93,5 +93,9 @@
                 data += b"0\r\n\r\n"
         else:
             data = body if reply.cut < 0 else body[: reply.cut]
-        writer.write(head + data)
+        half = len(data) // 2 if reply.slow_s else 0
+        writer.write(head + data[:half])
+        if half:
+            await asyncio.sleep(reply.slow_s)
+        writer.write(data[half:])
         return reply.cut < 0
--- a/standins/conformance/case.py
+++ b/standins/conformance/case.py
@@ -28,6 +28,7 @@
     cut: int = -1
     length: int = -1
     chunked: bool = False
+    slow_s: float = 0.0  # a pause in the middle of the body
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/caching/conformance/messages.py
+++ b/tests/caching/conformance/messages.py
@@ -222,4 +222,22 @@
         "Content-Encoding goes on",
         Step(Reply(fields=(("Content-Encoding", "x-a"),)), has={"content-encoding": "x-a"}),
     ),
+    Case(
+        "9110 6.4",
+        "a slow body is kept whole",
+        (
+            Step(cc("max-age=60", body="slow" * 500, slow_s=0.1), expect_body="slow" * 500),
+            Step(reaches=False, expect_body="slow" * 500),
+        ),
+        O,
+    ),
+    Case(
+        "9110 6.4",
+        "a slow body in chunks is kept whole",
+        (
+            Step(cc("max-age=60", body="slow" * 500, slow_s=0.1, chunked=True), expect_body="slow" * 500),
+            Step(reaches=False, expect_body="slow" * 500),
+        ),
+        O,
+    ),
 )
