--- a/magpiefront/operator/compose.py
+++ b/magpiefront/operator/compose.py
@@ -19,6 +19,9 @@
 from magpiefront.net.proxy import Proxy
 from magpiefront.net.request import Stage
 from magpiefront.operator.fields import BadFile
+from magpiefront.record.attempts import RecordedAttempt
+from magpiefront.record.sqlite import BadStore, SqliteStore
+from magpiefront.record.stage import RecordStage
 from magpiefront.operator.file import Operator, load
 
 
@@ -34,10 +37,14 @@
 
 
 def host(config: Config, loop: asyncio.AbstractEventLoop, operator: Operator) -> Proxy:
-    """One that passes on what the stages before it need."""
+    """One that passes on, and remembers, what the stages before it need."""
     if operator.caching is not None:
-        return PassingProxy(config, loop, operator.caching.plain_servers)
-    return Proxy(config, loop)
+        proxy: Proxy = PassingProxy(config, loop, operator.caching.plain_servers)
+    else:
+        proxy = Proxy(config, loop)
+    if operator.record is not None:
+        proxy.attempt_type = RecordedAttempt
+    return proxy
 
 
 class Composition:
@@ -60,8 +67,20 @@
             if watch is not None:
                 watch.cache = self.cache.writes
 
+        self.record: RecordStage | None = None
+        self.store: SqliteStore | None = None
+        if operator.record is not None:
+            settings = operator.record
+            self.store = SqliteStore(house, settings.sqlite, settings.most_waiting)
+            self.first = self.record = RecordStage(house, self.first, settings, self.store)
+
     async def start(self) -> None:
-        """Raises OSError where the gateway can't listen, BadConfig where the cache's file can't be had."""
+        """Raises OSError where the gateway can't listen, BadConfig where a file can't be had."""
+        if self.store is not None:
+            try:
+                self.store.start()
+            except BadStore as e:
+                raise BadConfig(f"{self.operator.path}: [record.sqlite] {e}") from None
         if self.cache is not None and self.cache.disk is not None:
             try:
                 self.cache.disk.start()
@@ -76,6 +95,8 @@
             prepare(front, self.operator.caching.clients)
 
     def configure(self, operator: Operator) -> None:
+        if self.operator.record != operator.record:
+            self.house.log("reload: another [record] needs a restart")
         before, after = self.operator.caching, operator.caching
         if (before is None) != (after is None):
             self.house.log("reload: to begin or end caching needs a restart")
@@ -92,7 +113,8 @@
 
     @property
     def busy(self) -> bool:
-        return self.gateway is not None and self.gateway.busy
+        recording = self.record is not None and bool(self.record.journal.entries)
+        return recording or (self.gateway is not None and self.gateway.busy)
 
     def sweep(self) -> None:
         if self.gateway is not None:
@@ -107,6 +129,8 @@
             self.gateway.stop()
         if self.cache is not None and self.cache.disk is not None:
             self.cache.disk.stop()
+        if self.store is not None:
+            self.store.stop()
 
 
 def path_of(text: str) -> Path:
--- a/magpiefront/operator/file.py
+++ b/magpiefront/operator/file.py
@@ -14,6 +14,8 @@
 )  # fmt: skip
 from magpiefront.net.passing import methods_of
 from magpiefront.operator.caching import caching
+from magpiefront.operator.record import record
+from magpiefront.record.settings import RecordSettings
 from magpiefront.operator.fields import BadFile, Duration, Place, Size, parse, read
 
 Name = Annotated[str, msgspec.Meta(pattern=r"^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$")]
@@ -95,13 +97,14 @@
     site: str
     gateway: GatewaySettings | None
     caching: CachingSettings | None
+    record: RecordSettings | None
 
 
 def load(path: Path) -> Operator:
     """Raises BadFile."""
     given = parse(path)
     for name in given:
-        if name not in ("site", "gateway", "caching"):
+        if name not in ("site", "gateway", "caching", "record"):
             raise BadFile(f"{path}: [{name}]: unknown table")
     if "site" not in given:
         raise BadFile(f"{path}: [site] name: is missing")
@@ -110,7 +113,8 @@
     cache = caching(path, given["caching"]) if "caching" in given else None
     if gateway is not None and cache is not None:
         gateway = replace(gateway, passes=True, methods=methods_of(cache.clients))
-    return Operator(path, site, gateway, cache)
+    store = record(path, given["record"]) if "record" in given else None
+    return Operator(path, site, gateway, cache, store)
 
 
 def _gateway(path: Path, site: str, given: Any) -> GatewaySettings:
--- /dev/null
+++ b/magpiefront/record/journal.py
@@ -0,0 +1,349 @@
+"""The life of a report: when it is sent, when its client may be answered, what a repeat gets, and what
+follows from each word of the store. No I/O and no clock.
+
+Events come in as method calls, actions go out in a list. Times are microseconds since the machine's start,
+which all processes on it share and no leap of a clock touches; a `Moment` is what rows carry of them.
+"""
+
+from __future__ import annotations
+
+import enum
+from collections.abc import Hashable
+from dataclasses import dataclass, field, replace
+
+from magpiefront.record.rows import Answer, Attempt, Id, Moment, Outcome, Result, Row, State
+
+S = 1_000_000
+ASK_AGAIN_US = 50_000  # a report that another process sends is looked at so often
+RETRY_AFTER_US = 500_000
+
+
+# ---- actions
+
+
+@dataclass(frozen=True, slots=True)
+class Insert:
+    row: Row
+    deadline_us: int
+
+
+@dataclass(frozen=True, slots=True)
+class Change:
+    before: Row
+    after: Row
+    deadline_us: int
+
+
+@dataclass(frozen=True, slots=True)
+class Remove:
+    before: Row
+    deadline_us: int
+
+
+@dataclass(frozen=True, slots=True)
+class Get:
+    id: Id
+    deadline_us: int
+    after_us: int = 0  # not before so much time has passed
+
+
+@dataclass(frozen=True, slots=True)
+class Send:
+    """To the nodes, through the Router. `deadline_us`: when its answer must be there."""
+
+    row: Row
+    deadline_us: int
+
+
+@dataclass(frozen=True, slots=True)
+class Reply:
+    waiter: Hashable
+    answer: Answer
+    retry_after_us: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Note:
+    """A line for the operator."""
+
+    text: str
+
+
+Action = Insert | Change | Remove | Get | Send | Reply | Note
+
+
+class Phase(enum.Enum):
+    INSERTING = "inserting"
+    ASKING = "asking"  # the store, what stands there
+    TAKING = "taking"  # over, from another process or from "stored"
+    SENDING = "sending"
+    SETTLING = "settling"  # its outcome is being stored
+    FREEING = "freeing"  # it never ran, and is being removed
+
+
+@dataclass(slots=True)
+class Entry:
+    """A report that this process has to do with now."""
+
+    row: Row
+    phase: Phase
+    waiters: dict[Hashable, int] = field(default_factory=dict)  # until when each one's time lasts
+    held: bool = False  # did this process insert or take it?
+    outcome: Answer | None = None  # what the clients are told once it is settled
+    retry_after_us: int = 0
+
+    @property
+    def deadline_us(self) -> int:
+        return max(self.waiters.values(), default=0)
+
+
+def plain(status: int, text: str) -> Answer:
+    return Answer(status, b"Content-Type: text/plain\r\n", text.encode() + b"\n")
+
+
+UNLIKE = plain(422, "this Idempotency-Key came with another report before")
+OPEN = plain(409, "a report with this Idempotency-Key is under way")
+NOBODY_KNOWS = plain(409, "whether this report had its effect is not known; ask the operator")
+NOT_HELD = plain(503, "the store of record can't take this report now; nothing was done")
+
+
+class Journal:
+    """`boot` names the machine's start."""
+
+    def __init__(self, boot: str, least_left_us: int = 20_000, settle_us: int = 2_000_000) -> None:
+        """`least_left_us`: one with less time left is not sent. `settle_us`: how long a store is tried with
+        an outcome after its clients have gone."""
+        self.boot = boot
+        self.least_left_us, self.settle_us = least_left_us, settle_us
+        self.entries: dict[Id, Entry] = {}
+
+    # ---- clients
+
+    def arrive(self, now_us: int, waiter: Hashable, row: Row, deadline_us: int) -> list[Action]:
+        """A report, as the row that it would be: sent from the moment that it is held, for after its commit
+        nobody could tell whether it went; its `owner` is nobody else's. Also a repeat of one."""
+        entry = self.entries.get(row.id)
+        if entry is not None:
+            if entry.row.digest != row.digest:
+                return [Reply(waiter, UNLIKE)]
+            entry.waiters[waiter] = deadline_us
+            return []
+        self.entries[row.id] = Entry(row, Phase.INSERTING, {waiter: deadline_us})
+        return [Insert(row, deadline_us - self.least_left_us)]
+
+    def leave(self, waiter: Hashable, id: Id) -> None:
+        """Its client has gone. What was begun goes on: the next with that key is owed the answer."""
+        entry = self.entries.get(id)
+        if entry is not None:
+            entry.waiters.pop(waiter, None)
+
+    def overdue(self, now_us: int, waiter: Hashable, id: Id) -> list[Action]:
+        """A client's time is up while its report is open."""
+        entry = self.entries.get(id)
+        if entry is None or entry.waiters.pop(waiter, None) is None:
+            return []
+        if entry.phase in (Phase.ASKING, Phase.TAKING):
+            return [Reply(waiter, OPEN, RETRY_AFTER_US)]
+        return [Reply(waiter, plain(504, "no answer in time; the report may have had its effect"))]
+
+    # ---- the store
+
+    def inserted(self, now_us: int, id: Id, result: Result) -> list[Action]:
+        entry = self.entries[id]
+        if result.outcome is Outcome.DONE:
+            entry.held = True
+            return self._send(now_us, entry)
+        if result.outcome is Outcome.THERE and result.row is not None:
+            return self._found(now_us, entry, result.row)
+        if result.outcome is Outcome.NEVER:
+            return self._give_up(entry, NOT_HELD, RETRY_AFTER_US)
+        # Its commit may have come about. What stands there will tell; ours would have our name.
+        entry.phase = Phase.ASKING
+        return self._ask(now_us, entry)
+
+    def got(self, now_us: int, id: Id, result: Result) -> list[Action]:
+        entry = self.entries.get(id)
+        if entry is None or entry.phase is not Phase.ASKING:
+            return []
+        if result.outcome is not Outcome.DONE:
+            return self._ask(now_us, entry)
+        if result.row is None:
+            # Nothing is held of it: the insert never was, or another process has freed the key.
+            if not self._time_left(now_us, entry):
+                return self._give_up(entry, NOT_HELD, RETRY_AFTER_US)
+            entry.phase = Phase.INSERTING
+            return [Insert(entry.row, entry.deadline_us - self.least_left_us)]
+        return self._found(now_us, entry, result.row)
+
+    def _found(self, now_us: int, entry: Entry, row: Row) -> list[Action]:
+        if row.digest != entry.row.digest:
+            return self._give_up(entry, UNLIKE)
+        if row.owner == entry.row.owner and row.state is State.SENT and not entry.held:
+            # Our own insert, whose word was lost: it was not sent yet, for nobody sends before that word.
+            entry.row, entry.held = row, True
+            return self._send(now_us, entry)
+        match row.state:
+            case State.CONFIRMED:
+                assert row.answer is not None
+                return self._give_up(entry, row.answer)
+            case State.UNKNOWN:
+                return self._give_up(entry, NOBODY_KNOWS)
+            case State.STORED | State.NOT_RUN:
+                return self._take(now_us, entry, row)
+            case State.SENT:
+                return self._elsewhere(now_us, entry, row)
+
+    def _elsewhere(self, now_us: int, entry: Entry, row: Row) -> list[Action]:
+        """Another process sends it, or did when it died."""
+        since = self.since_s(now_us, row)
+        if since is not None and since < row.until_s:
+            entry.phase = Phase.ASKING
+            return self._ask(now_us, entry)
+        if since is not None and since < row.window_s:
+            # Its owner is past its time, and the nodes still drop a repeat: it may be sent again.
+            return self._take(now_us, entry, row)
+        entry.phase = Phase.TAKING
+        after = replace(row, state=State.UNKNOWN, owner=entry.row.owner)
+        return [Change(row, after, now_us + self.settle_us), *self._all(entry, NOBODY_KNOWS)]
+
+    def since_s(self, now_us: int, row: Row) -> float | None:
+        """How long ago it was sent; None where nobody can say, as after a restart of the machine."""
+        if row.sent is None or row.sent.boot != self.boot:
+            return None
+        return max(0.0, now_us / S - row.sent.up_s)
+
+    def _take(self, now_us: int, entry: Entry, row: Row) -> list[Action]:
+        if not self._time_left(now_us, entry):
+            return self._give_up(entry, OPEN, RETRY_AFTER_US)
+        entry.phase = Phase.TAKING
+        # The window counts from the first time that it may have gone: never from a later one.
+        first = row.sent if row.state is State.SENT else entry.row.sent
+        after = replace(row, state=State.SENT, owner=entry.row.owner, sent=first, until_s=entry.row.until_s)
+        if row.state is State.SENT and row.sent is not None:
+            after = replace(after, until_s=now_us / S - row.sent.up_s + entry.row.until_s)
+        return [Change(row, after, entry.deadline_us - self.least_left_us)]
+
+    def changed(self, now_us: int, id: Id, after: Row, result: Result) -> list[Action]:
+        entry = self.entries.get(id)
+        if entry is None:
+            return []
+        if entry.phase is Phase.SETTLING:
+            return self._settled(now_us, entry, after, result)
+        if after.state is State.UNKNOWN:
+            del self.entries[id]
+            return [Note(f"record: {after.id.key!r} is unknown: it may have run, and is not sent again")]
+        if result.outcome is Outcome.DONE:
+            entry.row, entry.held = after, True
+            return self._send(now_us, entry)
+        if result.outcome is Outcome.THERE and result.row is not None:
+            return self._found(now_us, entry, result.row)
+        entry.phase = Phase.ASKING
+        return self._ask(now_us, entry)
+
+    def _ask(self, now_us: int, entry: Entry) -> list[Action]:
+        if not self._time_left(now_us, entry):
+            return self._give_up(entry, OPEN, RETRY_AFTER_US)
+        return [Get(entry.row.id, entry.deadline_us, ASK_AGAIN_US)]
+
+    def _time_left(self, now_us: int, entry: Entry) -> bool:
+        return entry.deadline_us - now_us >= self.least_left_us
+
+    # ---- the nodes
+
+    def _send(self, now_us: int, entry: Entry) -> list[Action]:
+        if not self._time_left(now_us, entry):
+            # Held, and nobody waits long enough: it was not sent, and its key becomes free.
+            return self._free(now_us, entry, NOT_HELD, RETRY_AFTER_US)
+        entry.phase = Phase.SENDING
+        return [Send(entry.row, entry.deadline_us)]
+
+    def _free(self, now_us: int, entry: Entry, answer: Answer, retry_after_us: int) -> list[Action]:
+        entry.phase, entry.outcome, entry.retry_after_us = Phase.FREEING, answer, retry_after_us
+        return [Remove(entry.row, max(entry.deadline_us, now_us + self.settle_us))]
+
+    def answered(
+        self, now_us: int, id: Id, answer: Answer, may_have_run: bool, attempts: tuple[Attempt, ...],
+        retry_after_us: int = 0,
+    ) -> list[Action]:  # fmt: skip
+        """The nodes' answer, or what the Router said in place of one."""
+        entry = self.entries[id]
+        row = replace(entry.row, attempts=(*entry.row.attempts, *attempts))
+        if 200 <= answer.status < 300:
+            after = replace(row, state=State.CONFIRMED, answer=answer)
+        elif not may_have_run:
+            return self._free(now_us, entry, answer, retry_after_us)
+        elif 400 <= answer.status < 500 and answer.status != 429:
+            # The archive's own word on it, which a repeat would get again.
+            after = replace(row, state=State.CONFIRMED, answer=answer)
+        else:
+            # It may have run. The row stays, and is let go: within the window a repeat may be sent at once,
+            # and past it the row is unknown.
+            del self.entries[id]
+            free = Change(entry.row, replace(row, until_s=0.0), now_us + self.settle_us)
+            return [*self._all(entry, answer, retry_after_us), free]
+        entry.phase, entry.outcome = Phase.SETTLING, answer
+        return [Change(entry.row, after, max(entry.deadline_us, now_us + self.settle_us))]
+
+    def _settled(self, now_us: int, entry: Entry, after: Row, result: Result) -> list[Action]:
+        assert entry.outcome is not None
+        del self.entries[entry.row.id]
+        if result.outcome is Outcome.DONE:
+            return self._all(entry, entry.outcome)
+        if result.outcome is Outcome.THERE and result.row is not None and result.row.answer is not None:
+            # Another process took it over in the window, and has settled it: that is what all are told.
+            return self._all(entry, result.row.answer)
+        # It ran, and the store does not say that it holds that: nobody is told that it does.
+        failed = plain(504, "the report may have had its effect, and the store of record did not answer")
+        return [*self._all(entry, failed), Note(f"record: an outcome was not stored: {result.cause}")]
+
+    def removed(self, now_us: int, id: Id, result: Result) -> list[Action]:
+        entry = self.entries.pop(id)
+        assert entry.outcome is not None
+        if result.outcome is Outcome.DONE or result.outcome is Outcome.THERE:
+            return self._all(entry, entry.outcome, entry.retry_after_us)
+        # Its row stands as sent though it never was: past its window it is unknown, which is true of it.
+        return [*self._all(entry, entry.outcome, entry.retry_after_us),
+                Note(f"record: a refused report could not be removed: {result.cause}")]  # fmt: skip
+
+    # ---- answers
+
+    def _all(self, entry: Entry, answer: Answer, retry_after_us: int = 0) -> list[Action]:
+        waiters, entry.waiters = entry.waiters, {}
+        return [Reply(w, answer, retry_after_us) for w in waiters]
+
+    def _give_up(self, entry: Entry, answer: Answer, retry_after_us: int = 0) -> list[Action]:
+        del self.entries[entry.row.id]
+        return self._all(entry, answer, retry_after_us)
+
+
+# ---- recovery
+
+
+class Fate(enum.Enum):
+    """What a start does with a row that it finds open."""
+
+    DELIVER = "deliver"  # known not to have run: owed
+    AGAIN = "again"  # may have run, within the window: sent again under its key
+    UNKNOWN = "unknown"  # may have run, past it
+    LEAVE = "leave"  # another process may be at work on it
+
+
+def fate(row: Row, up_s: float, boot: str, round_s: float = 1.0) -> Fate:
+    """`up_s`: seconds since the machine's start, now. `round_s`: what a delivery takes at most: one that
+    could reach the nodes past the window is not begun."""
+    if row.state is State.STORED:
+        return Fate.DELIVER
+    if row.state is not State.SENT or row.sent is None:
+        return Fate.LEAVE
+    if row.sent.boot != boot:
+        return Fate.UNKNOWN
+    since = up_s - row.sent.up_s
+    if since < 0:
+        return Fate.UNKNOWN
+    if since < row.until_s:
+        return Fate.LEAVE
+    return Fate.AGAIN if since + round_s < row.window_s else Fate.UNKNOWN
+
+
+def sent_now(now_us: int, wall_s: float, boot: str) -> Moment:
+    return Moment(wall_s, boot, now_us / S)
--- /dev/null
+++ b/magpiefront/record/sqlite.py
@@ -0,0 +1,300 @@
+"""The store of record in one SQLite file: one writer thread, and one commit for all that waits.
+
+Durable means that the commit's frames are in the write-ahead log and the log is synced (`synchronous=FULL`).
+While one commit is synced the next ones gather. A second thread puts the log back into the file, beside the
+writer and without stopping it (a passive checkpoint).
+"""
+
+from __future__ import annotations
+
+import json
+import sqlite3
+import threading
+from collections import deque
+from collections.abc import Callable, Iterator
+from contextlib import suppress
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any, Protocol
+
+from magpiefront.record.rows import Answer, Attempt, Id, Moment, Outcome, Result, Row, State, Then
+from magpiefront.record.settings import SqliteSettings
+
+VERSION = 1
+BUSY_S = 5.0  # how long another process's commit is waited for
+STOP_S = 3.0
+SMOOTH = 0.2
+COLUMNS = (
+    "tenant", "kind", "key", "digest", "method", "target", "more", "body", "state", "received_s", "sent_s",
+    "sent_boot", "sent_up_s", "owner", "window_s", "until_s", "status", "answer_more", "answer_body",
+    "attempts", "note",
+)  # fmt: skip
+MIGRATIONS: tuple[str, ...] = (
+    # 1
+    """
+    CREATE TABLE reports (
+        tenant TEXT NOT NULL, kind TEXT NOT NULL, key BLOB NOT NULL, digest BLOB NOT NULL,
+        method BLOB NOT NULL, target BLOB NOT NULL, more BLOB NOT NULL, body BLOB NOT NULL,
+        state TEXT NOT NULL, received_s REAL NOT NULL, sent_s REAL, sent_boot TEXT, sent_up_s REAL,
+        owner TEXT NOT NULL,
+        window_s REAL NOT NULL, until_s REAL NOT NULL, status INTEGER, answer_more BLOB, answer_body BLOB,
+        attempts TEXT NOT NULL, note TEXT NOT NULL, UNIQUE (tenant, kind, key)
+    );
+    CREATE INDEX open ON reports (state, received_s) WHERE state <> 'confirmed';
+    CREATE INDEX age ON reports (received_s) WHERE state = 'confirmed';
+    """,
+)
+ALL = ", ".join(COLUMNS)
+BY_ID = "tenant = ? AND kind = ? AND key = ?"
+
+
+class BadStore(Exception):
+    """A file that can't serve as the store of record; its text is one line."""
+
+
+class Loop(Protocol):
+    def call_soon_threadsafe(self, callback: Callable[..., object], *args: Any) -> object: ...
+
+
+class House(Protocol):
+    @property
+    def loop(self) -> Loop: ...
+    def now_us(self) -> int: ...
+    def log(self, text: str) -> None: ...
+
+
+def pack(r: Row) -> tuple[object, ...]:
+    sent = r.sent or (None, None, None)
+    a = r.answer
+    attempts = json.dumps([[t.node, t.at_s] for t in r.attempts])
+    return (
+        *r.id, r.digest, r.method, r.target, r.more, r.body, r.state.value, r.received_s, *sent,
+        r.owner, r.window_s, r.until_s, a.status if a else None, a.more if a else None,
+        a.body if a else None, attempts, r.note,
+    )  # fmt: skip
+
+
+def unpack(v: tuple[Any, ...]) -> Row:
+    sent = Moment(v[10], v[11], v[12]) if v[10] is not None else None
+    answer = Answer(v[16], v[17], v[18]) if v[16] is not None else None
+    attempts = tuple(Attempt(node, at) for node, at in json.loads(v[19]))
+    state = State(v[8])
+    return Row(Id(*v[:3]), v[3], v[4], v[5], v[6], v[7], state, v[9], sent, v[13], v[14], v[15], answer,
+               attempts, v[20])  # fmt: skip
+
+
+def connect(path: Path) -> sqlite3.Connection:
+    db = sqlite3.connect(path, isolation_level=None, check_same_thread=False, timeout=BUSY_S)
+    db.execute("PRAGMA synchronous=FULL")
+    db.execute("PRAGMA wal_autocheckpoint=0")
+    return db
+
+
+def open_file(path: Path, create: bool = True) -> sqlite3.Connection:
+    """Checked and of this version. Raises BadStore."""
+    db: sqlite3.Connection | None = None
+    try:
+        if not create and not path.exists():
+            raise BadStore(f"{path}: there is no such file")
+        path.parent.mkdir(parents=True, exist_ok=True)
+        db = connect(path)
+        db.execute("PRAGMA journal_mode=WAL")
+        version = db.execute("PRAGMA user_version").fetchone()[0]
+        if version > VERSION:
+            raise BadStore(f"{path}: its version is {version}, newer than {VERSION}: use the newer program")
+        found = db.execute("PRAGMA quick_check(1)").fetchone()[0]
+        if found != "ok":
+            raise BadStore(f"{path}: damaged: {' '.join(str(found).split())}; restore it from a back-up")
+        for number in range(version, VERSION):
+            db.execute("BEGIN IMMEDIATE")
+            # Another process may have done it since.
+            if db.execute("PRAGMA user_version").fetchone()[0] == number:
+                for statement in MIGRATIONS[number].split(";"):
+                    if statement.strip():
+                        db.execute(statement)
+                db.execute(f"PRAGMA user_version={number + 1}")
+            db.execute("COMMIT")
+        return db
+    except (sqlite3.Error, OSError) as e:
+        if db is not None:
+            db.close()
+        raise BadStore(f"{path}: {' '.join(str(e).split())}") from None
+    except BadStore:
+        if db is not None:
+            db.close()
+        raise
+
+
+@dataclass(slots=True)
+class Job:
+    what: Callable[[sqlite3.Connection], Result]
+    deadline_us: int
+    then: Then
+    writes: bool
+
+
+class SqliteStore:
+    def __init__(self, house: House, settings: SqliteSettings, most_waiting: int = 1_000) -> None:
+        self.house, self.settings, self.most_waiting = house, settings, most_waiting
+        self.jobs: deque[Job] = deque()
+        self.wake = threading.Condition()
+        self.stopping = False
+        self.commit_us = 2_000.0  # what a commit takes, smoothed
+        self.commits = self.committed = 0
+        self.threads: list[threading.Thread] = []
+        self.db: sqlite3.Connection | None = None
+        self.checkpoint = threading.Event()
+
+    # ---- in the loop
+
+    def start(self) -> None:
+        """Raises BadStore."""
+        self.db = open_file(self.settings.path)
+        for work in (self._write, self._checkpoint):
+            thread = threading.Thread(target=work, name="record", daemon=True)
+            self.threads.append(thread)
+            thread.start()
+
+    def stop(self) -> None:
+        """Ends what has begun, within `STOP_S`; what waits ends as NEVER."""
+        with self.wake:
+            self.stopping = True
+            self.wake.notify()
+        self.checkpoint.set()
+        for thread in self.threads:
+            thread.join(STOP_S)
+        if self.db is not None and not any(t.is_alive() for t in self.threads):
+            self.db.close()
+
+    @property
+    def wait_us(self) -> int:
+        batches = 1 + len(self.jobs) // self.settings.most_batch
+        return int(self.commit_us * (batches + 1))
+
+    def insert(self, row: Row, deadline_us: int, then: Then) -> None:
+        def what(db: sqlite3.Connection) -> Result:
+            marks = ", ".join("?" * len(COLUMNS))
+            done = db.execute(f"INSERT OR IGNORE INTO reports ({ALL}) VALUES ({marks})", pack(row))
+            return Result(Outcome.DONE) if done.rowcount else Result(Outcome.THERE, _get(db, row.id))
+
+        self._add(what, deadline_us, then, True)
+
+    def change(self, before: Row, after: Row, deadline_us: int, then: Then) -> None:
+        def what(db: sqlite3.Connection) -> Result:
+            sets = ", ".join(f"{c} = ?" for c in COLUMNS)
+            done = db.execute(
+                f"UPDATE reports SET {sets} WHERE {BY_ID} AND state = ? AND owner = ?",
+                (*pack(after), *before.id, before.state.value, before.owner),
+            )
+            return Result(Outcome.DONE) if done.rowcount else Result(Outcome.THERE, _get(db, before.id))
+
+        self._add(what, deadline_us, then, True)
+
+    def remove(self, before: Row, deadline_us: int, then: Then) -> None:
+        def what(db: sqlite3.Connection) -> Result:
+            done = db.execute(
+                f"DELETE FROM reports WHERE {BY_ID} AND state = ? AND owner = ?",
+                (*before.id, before.state.value, before.owner),
+            )
+            return Result(Outcome.DONE) if done.rowcount else Result(Outcome.THERE, _get(db, before.id))
+
+        self._add(what, deadline_us, then, True)
+
+    def get(self, id: Id, deadline_us: int, then: Then) -> None:
+        self._add(lambda db: Result(Outcome.DONE, _get(db, id)), deadline_us, then, False)
+
+    def _add(
+        self, what: Callable[[sqlite3.Connection], Result], deadline_us: int, then: Then, writes: bool
+    ) -> None:  # fmt: skip
+        if len(self.jobs) >= self.most_waiting:
+            self._soon(then, Result(Outcome.NEVER, cause="too many wait for the store"))
+        elif writes and self.house.now_us() + self.wait_us > deadline_us:
+            self._soon(then, Result(Outcome.NEVER, cause="no commit can come in its time"))
+        else:
+            with self.wake:
+                self.jobs.append(Job(what, deadline_us, then, writes))
+                self.wake.notify()
+
+    def _soon(self, then: Then, result: Result) -> None:
+        self.house.loop.call_soon_threadsafe(then, result)
+
+    # ---- in the writer's thread
+
+    def _write(self) -> None:
+        while True:
+            with self.wake:
+                while not self.jobs and not self.stopping:
+                    self.wake.wait()
+                batch = [self.jobs.popleft() for _ in range(min(len(self.jobs), self.settings.most_batch))]
+                if self.stopping:
+                    batch += self.jobs
+                    self.jobs.clear()
+            if self.stopping:
+                self._tell([(j, Result(Outcome.NEVER, cause="the program ends")) for j in batch])
+                return
+            self._tell(self._commit(batch))
+
+    def _tell(self, results: list[tuple[Job, Result]]) -> None:
+        def told() -> None:
+            for job, result in results:
+                job.then(result)
+
+        with suppress(RuntimeError):  # the loop has ended
+            self.house.loop.call_soon_threadsafe(told)
+
+    def _commit(self, batch: list[Job]) -> list[tuple[Job, Result]]:
+        now = began = self.house.now_us()
+        late = [(j, Result(Outcome.NEVER, cause="its time was up")) for j in batch if j.deadline_us <= now]
+        due = [j for j in batch if j.deadline_us > now]
+        if not due:
+            return late
+        db, done = self.db, list[tuple[Job, Result]]()
+        assert db is not None
+        writes = any(j.writes for j in due)
+        committing = False
+        try:
+            db.execute("BEGIN IMMEDIATE" if writes else "BEGIN")
+            for job in due:
+                done.append((job, job.what(db)))
+            committing = True
+            db.execute("COMMIT")
+        except sqlite3.Error as e:
+            if db.in_transaction:
+                with suppress(sqlite3.Error):
+                    db.execute("ROLLBACK")
+            # A commit that failed in its sync may be found whole after a crash; one that had no room is not.
+            code = e.sqlite_errorcode & 0xFF
+            known = not committing or code in (sqlite3.SQLITE_FULL, sqlite3.SQLITE_BUSY)
+            cause = f"{self.settings.path}: {e}"
+            return late + [(j, Result(Outcome.NEVER if known else Outcome.ASK, cause=cause)) for j in due]
+        if writes:
+            self.commits += 1
+            self.committed += sum(j.writes for j in due)
+            self.commit_us += SMOOTH * (self.house.now_us() - began - self.commit_us)
+            self.checkpoint.set()
+        return late + done
+
+    def _checkpoint(self) -> None:
+        path = Path(f"{self.settings.path}-wal")
+        db = connect(self.settings.path)
+        try:
+            while not self.stopping:
+                self.checkpoint.wait()
+                self.checkpoint.clear()
+                with suppress(OSError, sqlite3.Error):
+                    if path.stat().st_size > self.settings.checkpoint_pages * 4096:
+                        db.execute("PRAGMA wal_checkpoint(PASSIVE)")
+        finally:
+            db.close()
+
+
+def _get(db: sqlite3.Connection, id: Id) -> Row | None:
+    found = db.execute(f"SELECT {ALL} FROM reports WHERE {BY_ID}", id).fetchone()
+    return unpack(found) if found is not None else None
+
+
+def rows(db: sqlite3.Connection, state: State | None = None) -> Iterator[Row]:
+    """All, or those in one state, the oldest first."""
+    where, given = ("WHERE state = ?", (state.value,)) if state is not None else ("", ())
+    for found in db.execute(f"SELECT {ALL} FROM reports {where} ORDER BY received_s", given):
+        yield unpack(found)
--- /dev/null
+++ b/magpiefront/record/stage.py
@@ -0,0 +1,227 @@
+"""The stage that holds each report before it is sent on, and its outcome before anybody is told."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import time
+from collections.abc import Callable, Mapping, Sequence
+from hashlib import blake2b
+from pathlib import Path
+from secrets import token_hex
+from typing import Protocol
+
+from magpiefront.interface import Repeat, RequestClass
+from magpiefront.net.fields import lines, read_lines
+from magpiefront.net.request import Request, Stage
+from magpiefront.record import journal
+from magpiefront.record.attempts import may_have_run, nodes_of
+from magpiefront.record.journal import Action, Change, Get, Insert, Journal, Note, Remove, Reply, Send
+from magpiefront.record.rows import Answer, Attempt, Id, Moment, Result, Row, State, Store
+from magpiefront.record.settings import RecordSettings
+
+BOOT_ID = Path("/proc/sys/kernel/random/boot_id")
+KEEP_OUT = frozenset({b"connection", b"content-length", b"transfer-encoding", b"host", b"expect"})
+
+
+class House(Protocol):
+    loop: asyncio.AbstractEventLoop
+
+    def now_us(self) -> int: ...
+    def log(self, text: str) -> None: ...
+
+    @property
+    def classes(self) -> Mapping[bytes, RequestClass]: ...
+
+    @property
+    def most_retry_after_us(self) -> int: ...
+
+
+def boot_id() -> str:
+    """Of this start of the machine; one of its own where none can be read, which no other process shares."""
+    try:
+        return BOOT_ID.read_text().strip()
+    except OSError:
+        return token_hex(16)
+
+
+def digest_of(r: Request) -> bytes:
+    h = blake2b(digest_size=16)
+    for part in (r.method, b" ", r.target, b" ", r.headers.get(b"content-type", b""), b"\0", *r.body):
+        h.update(part)
+    return h.digest()
+
+
+class RecordStage:
+    def __init__(
+        self, house: House, following: Stage, settings: RecordSettings, store: Store,
+        boot: str = "", wall: Callable[[], float] = time.time,
+        up_us: Callable[[], int] = lambda: time.monotonic_ns() // 1_000,
+    ) -> None:  # fmt: skip
+        self.house, self.following, self.settings, self.store = house, following, settings, store
+        self.wall, self.up_us = wall, up_us
+        self.boot = boot or boot_id()
+        self.journal = Journal(self.boot, settings.least_left_us, settings.settle_us)
+        self.start, self.count = token_hex(8), itertools.count(1)
+        self.clients: dict[Request, Id] = {}
+        self.timers: dict[Request, asyncio.TimerHandle] = {}
+        self.twins: dict[Request, Id] = {}
+        self.long: dict[Request, tuple[int, bytes, list[bytes], int]] = {}  # answers that come in parts
+        self.now_lag_us = house.now_us() - self.up_us()
+
+    # ---- the stage
+
+    def take(self, r: Request) -> None:
+        cls = self.house.classes.get(r.headers[b"req-kind"])
+        chosen = self.settings.classes
+        if cls is None or cls.repeat is not Repeat.KEYED or (chosen is not None and cls.name not in chosen):
+            self.following.take(r)
+            return
+        if b"idempotency-key" not in r.headers:
+            self._say(r, journal.plain(400, "a report needs an Idempotency-Key"))
+            return
+        if r.size > self.settings.most_body:
+            self._say(r, journal.plain(413, f"a report holds {self.settings.most_body} bytes at most"))
+            return
+        row = self._row(r, cls)
+        deadline_us = r.taken_at + r.time_left - self.now_lag_us
+        self.clients[r] = row.id
+        left = max(0, deadline_us - self.up_us())
+        self.timers[r] = self.house.loop.call_later(left / 1e6, self._overdue, r)
+        self._do(self.journal.arrive(self.up_us(), r, row, deadline_us))
+
+    def _row(self, r: Request, cls: RequestClass) -> Row:
+        h = r.headers
+        id = Id(h.get(b"req-owner", b"").decode("latin-1"), cls.name, h[b"idempotency-key"])
+        fields = getattr(r, "fields", None)
+        more = r.more if fields is None else lines(f for f in fields if f[0].lower() not in KEEP_OUT)
+        up_us, wall_s = self.up_us(), self.wall()
+        return Row(
+            id, digest_of(r), r.method, r.target, more, b"".join(r.body), State.SENT, wall_s,
+            Moment(wall_s, self.boot, up_us / 1e6), f"{self.start}.{next(self.count)}", cls.window_us / 1e6,
+            (r.time_left + self.settings.settle_us) / 1e6,
+        )  # fmt: skip
+
+    def client_left(self, r: Request) -> None:
+        id = self.clients.pop(r, None)
+        if id is None:
+            self.following.client_left(r)
+            return
+        self.timers.pop(r).cancel()
+        self.journal.leave(r, id)
+
+    def hold_back(self, r: Request) -> None:
+        if r not in self.clients:
+            self.following.hold_back(r)
+
+    def let_go(self, r: Request) -> None:
+        if r not in self.clients:
+            self.following.let_go(r)
+
+    def _overdue(self, r: Request) -> None:
+        id = self.clients.get(r)
+        if id is not None:
+            self._do(self.journal.overdue(self.up_us(), r, id))
+
+    # ---- what the journal decides
+
+    def _do(self, actions: Sequence[Action]) -> None:
+        for a in actions:
+            match a:
+                case Insert():
+                    until = self._house_us(a.deadline_us)
+                    self.store.insert(a.row, until, self._then_inserted(a.row.id))
+                case Change():
+                    until = self._house_us(a.deadline_us)
+                    self.store.change(a.before, a.after, until, self._then_changed(a.after))
+                case Remove():
+                    until = self._house_us(a.deadline_us)
+                    self.store.remove(a.before, until, self._then_removed(a.before.id))
+                case Get():
+                    self.house.loop.call_later(a.after_us / 1e6, self._get, a)
+                case Send():
+                    self._send(a)
+                case Reply():
+                    self._reply(a)
+                case Note():
+                    self.house.log(a.text)
+
+    def _house_us(self, up_us: int) -> int:
+        return up_us + self.now_lag_us
+
+    def _then_inserted(self, id: Id) -> Callable[[Result], None]:
+        return lambda result: self._do(self.journal.inserted(self.up_us(), id, result))
+
+    def _then_changed(self, after: Row) -> Callable[[Result], None]:
+        return lambda result: self._do(self.journal.changed(self.up_us(), after.id, after, result))
+
+    def _then_removed(self, id: Id) -> Callable[[Result], None]:
+        return lambda result: self._do(self.journal.removed(self.up_us(), id, result))
+
+    def _get(self, a: Get) -> None:
+        self.store.get(a.id, self._house_us(a.deadline_us),
+                       lambda result: self._do(self.journal.got(self.up_us(), a.id, result)))  # fmt: skip
+
+    def _reply(self, a: Reply) -> None:
+        r = a.waiter
+        assert isinstance(r, Request)
+        if self.clients.pop(r, None) is None:
+            return
+        self.timers.pop(r).cancel()
+        more = a.answer.more
+        after_us = min(a.retry_after_us, self.house.most_retry_after_us)
+        if after_us > 0 and b"retry-after:" not in more.lower():
+            more += b"Retry-After: %.3f\r\n" % (after_us / 1e6)
+        r.replies.answer(r, a.answer.status, (a.answer.body,), more)
+
+    def _say(self, r: Request, answer: Answer) -> None:
+        r.replies.answer(r, answer.status, (answer.body,), answer.more)
+
+    # ---- the nodes
+
+    def _send(self, a: Send) -> None:
+        """As a request of its own, which goes on when its client has gone: what is held is seen through."""
+        row = a.row
+        twin = Request(self)
+        twin.method, twin.target = row.method, row.target
+        twin.wire_id = f"{self.start}-{next(self.count):x}".encode()
+        twin.headers = {b"host": b"record", b"req-kind": row.id.kind.encode(), b"idempotency-key": row.id.key}
+        if row.id.tenant:
+            twin.headers[b"req-owner"] = row.id.tenant.encode("latin-1")
+        twin.fields = read_lines(row.more)
+        twin.more = row.more
+        twin.body, twin.size = ([row.body], len(row.body)) if row.body else ([], 0)
+        twin.taken_at = self.house.now_us()
+        twin.time_left = max(0, self._house_us(a.deadline_us) - twin.taken_at)
+        self.twins[twin] = row.id
+        self.following.take(twin)
+
+    def _ended(self, request: Request, status: int, more: bytes, body: bytes) -> None:
+        id = self.twins.pop(request)
+        kept = body if len(body) <= self.settings.most_answer else b""
+        attempts = tuple(Attempt(node, at / 1e6) for node, at in nodes_of(request.attempts))
+        ran = may_have_run(request.attempts) or status not in (429, 503)
+        answer = Answer(status, more, kept)
+        self._do(self.journal.answered(self.up_us(), id, answer, ran, attempts))
+
+    def answer(self, request: Request, status: int, body: Sequence[bytes] = (), more: bytes = b"") -> None:
+        self._ended(request, status, more, b"".join(body))
+
+    def begin(self, request: Request, length: int | None, more: bytes, status: int = 200) -> None:
+        self.long[request] = (status, more, [], 0)
+
+    def go(self, request: Request, body: bytes) -> None:
+        status, more, parts, size = self.long[request]
+        if size + len(body) <= self.settings.most_answer:
+            parts.append(body)
+        self.long[request] = (status, more, parts, size + len(body))
+
+    def end(self, request: Request) -> None:
+        status, more, parts, size = self.long.pop(request)
+        whole = b"".join(parts) if size <= self.settings.most_answer else b""
+        self._ended(request, status, more, whole)
+
+    def cut(self, request: Request) -> None:
+        """What it said of its outcome has come; its words have not."""
+        status, more, _, _ = self.long.pop(request)
+        self._ended(request, status, more, b"")
--- a/tests/operator/test_file.py
+++ b/tests/operator/test_file.py
@@ -10,11 +10,12 @@
 import pytest
 
 from magpiefront.caching.settings import CachingSettings, DiskSettings
-from magpiefront.operator import caching
+from magpiefront.operator import caching, record
 from magpiefront.operator import file as schema
 from magpiefront.operator.compose import check
 from magpiefront.operator.fields import BadFile
 from magpiefront.operator.file import load
+from magpiefront.record.settings import RecordSettings, SqliteSettings
 
 EXAMPLE = Path(__file__).resolve().parents[2] / "deploy" / "gateway.toml"
 GOOD = """
@@ -167,13 +168,16 @@
         "caching.stale": caching.StaleTable,
         "caching.clients": caching.ClientsTable,
         "caching.disk": caching.DiskTable,
+        "record": record.RecordTable,
+        "record.sqlite": record.SqliteTable,
     }
-    given = given.replace("#[caching.disk]", "[caching.disk]")
+    given = re.sub(r"^#\[", "[", given, flags=re.M)
     for name, kind in tables.items():
         part = given.partition(f"\n[{name}]\n")[2].partition("\n[")[0]
         for f in msgspec.structs.fields(kind):
             if f.name not in (
                 "stale",
+                "sqlite",
                 "clients",
                 "disk",
                 "sites",
@@ -194,6 +198,9 @@
     assert whole.gateway == load(EXAMPLE).gateway and whole.caching is not None
     assert whole.caching.disk == DiskSettings(tmp_path / "cache.sqlite")
     assert replace(whole.caching, disk=None) == load(EXAMPLE).caching
+    assert whole.record == replace(
+        RecordSettings(SqliteSettings(tmp_path / "record.sqlite")), classes=frozenset({"field-report"})
+    )
 
 
 CACHING = """
@@ -238,3 +245,29 @@
     path = tmp_path / "gateway.toml"
     path.write_text(CACHING)
     assert check(path).caching == CachingSettings()
+
+
+RECORD = """
+[site]
+name = "west"
+"""
+
+
+@pytest.mark.parametrize(
+    ("given", "says"),
+    [
+        ("[record]", "[record] sqlite: is missing"),
+        ("[record.sqlite]", "[record.sqlite] path: is missing"),
+        ('[record.sqlite]\npath = ""', "[record.sqlite] path: "),
+        ('[record]\nkeep = 1\n[record.sqlite]\npath = "r"', "[record] keep: unknown key"),
+        ('[record]\nsettle = "0s"\n[record.sqlite]\npath = "r"', "[record] settle: must be at least 1ms"),
+        ('[record]\nmost_waiting = 0\n[record.sqlite]\npath = "r"', "[record] most_waiting: expected"),
+    ],
+)
+def test_what_is_wrong_with_the_record_is_one_line(given: str, says: str, tmp_path: Path) -> None:
+    path = tmp_path / "gateway.toml"
+    path.write_text(RECORD + given)
+    with pytest.raises(BadFile) as e:
+        check(path)
+    line = str(e.value)
+    assert says in line and line.startswith(f"{path}: ") and "\n" not in line
--- /dev/null
+++ b/tests/record/sockets.py
@@ -0,0 +1,113 @@
+"""A proxy with a store of record in the test's own loop, over loopback sockets."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, replace
+from pathlib import Path
+from typing import Any
+
+from magpiefront.net import config
+from magpiefront.net.bodies import Bodies
+from magpiefront.net.discovery import Discovery
+from magpiefront.net.downstream import Front
+from magpiefront.net.proxy import Proxy
+from magpiefront.record.attempts import RecordedAttempt
+from magpiefront.record.rows import Row
+from magpiefront.record.settings import RecordSettings, SqliteSettings
+from magpiefront.record.sqlite import SqliteStore, open_file, rows
+from magpiefront.record.stage import RecordStage
+from tests.sockets import INFO, Answer, Client, Handler, Node
+
+GRADES = [
+    {"name": "level-read", "repeat": "read_like", "sloUs": 2_000_000, "giveUpUs": 9_000_000,
+     "lateValue": 0.2},
+    {"name": "field-report", "repeat": "idempotency_key", "group": "all", "keyTtlUs": 30_000_000,
+     "sloUs": 2_000_000, "giveUpUs": 9_000_000, "lateValue": 0.2},
+]  # fmt: skip
+NUMBER = 0
+
+
+def report(
+    key: str | None = "k1", body: bytes = b"level=3.2", left: str = "8", tenant: str = "members",
+    target: str = "/api/g1", kind: str = "field-report", method: str = "PUT",
+) -> bytes:  # fmt: skip
+    global NUMBER
+    NUMBER += 1
+    once = f"Idempotency-Key: {key}\r\n" if key is not None else ""
+    return (
+        f"{method} {target} HTTP/1.1\r\nHost: x\r\nReq-Id: r{NUMBER}\r\nReq-Kind: {kind}\r\n"
+        f"Req-Owner: {tenant}\r\nReq-Deadline: {left}\r\n{once}Content-Length: {len(body)}\r\n\r\n"
+    ).encode() + body
+
+
+@dataclass
+class Recorded:
+    proxy: Proxy
+    stage: RecordStage
+    store: SqliteStore
+    node: Node
+    port: int
+    path: Path
+
+    async def client(self) -> Client:
+        return Client(*await asyncio.open_connection("127.0.0.1", self.port))
+
+    async def ask(self, *args: Any, **more: Any) -> Answer:
+        client = await self.client()
+        client.send(report(*args, **more))
+        answer = await client.answer()
+        client.writer.close()
+        return answer
+
+    def rows(self) -> list[Row]:
+        db = open_file(self.path)
+        try:
+            return list(rows(db))
+        finally:
+            db.close()
+
+
+@asynccontextmanager
+async def recorded(
+    path: Path, handler: Handler | None = None, attempts: int = 1, node: Node | None = None, **more: Any
+) -> AsyncIterator[Recorded]:
+    loop = asyncio.get_running_loop()
+    own = node is None
+    node = node or Node("s", handler)
+    if own:
+        await node.start()
+    places = [
+        {"instanceId": f"s-{i}", "hostPort": f"127.0.0.1:{node.port}", "lifecycle": "Ready"} for i in range(8)
+    ]
+    allowed = {**INFO["permissions"], "maxAttempts": attempts, "probes": False, "connectTimeoutUs": 2_000_000,
+               "retryAfter": True, "maxRetryAfterUs": 500_000}  # fmt: skip
+    read = config.read({
+        "name": "n0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:9", "seed": "ab",
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+        "known": {"generation": 1, "reset": True, "instances": places},
+        "settings": {**INFO, "grades": GRADES, "permissions": allowed},
+    }, {})  # fmt: skip
+    proxy = Proxy(read, loop)
+    proxy.attempt_type = RecordedAttempt
+    settings = replace(RecordSettings(SqliteSettings(path)), **more)
+    store = SqliteStore(proxy, settings.sqlite, settings.most_waiting)
+    store.start()
+    stage = RecordStage(proxy, proxy, settings, store)
+    front = Front(proxy, stage, Bodies(50 << 20), 500)
+    discovery = Discovery(proxy, read.discovery, 1)
+    discovery.listing.take(read.known, stale=True)
+    front.listen("127.0.0.1", 0)
+    assert front.socket is not None
+    try:
+        yield Recorded(proxy, stage, store, node, front.socket.getsockname()[1], path)
+    finally:
+        front.stop_accepting()
+        for client in list(front.clients):
+            if client.transport is not None:
+                client.transport.abort()
+        await asyncio.to_thread(store.stop)
+        if own:
+            node.stop()
--- /dev/null
+++ b/tests/record/test_stage.py
@@ -0,0 +1,231 @@
+"""Reports over sockets, through the stage and a real file: held once, told only what is held."""
+
+from __future__ import annotations
+
+import asyncio
+import sqlite3
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from magpiefront.record.rows import State
+from tests.record.sockets import recorded
+from tests.sockets import Handler, Node, ok, resets, run, says, until
+
+ERROR = b"HTTP/1.1 500 Oops\r\nContent-Length: 4\r\n\r\nsick"
+
+
+def test_a_report_is_held_and_its_repeat_gets_the_same_answer(tmp_path: Path) -> None:
+    async def main() -> None:
+        async with recorded(tmp_path / "r.sqlite", says(ok(b"held", "Content-Type: a/b\r\n"))) as w:
+            first, again = await w.ask(), await w.ask()
+            assert first.status == again.status == 200 and first.body == again.body == b"held"
+            assert first.headers["content-type"] == again.headers["content-type"] == "a/b"
+            assert len(w.node.seen) == 1 and w.node.seen[0].headers["idempotency-key"] == "k1"
+            (row,) = w.rows()
+            assert row.state is State.CONFIRMED and row.body == b"level=3.2" and len(row.attempts) == 1
+            assert row.attempts[0].node.startswith("s-") and not w.stage.journal.entries
+        # ... also after a restart
+        async with recorded(tmp_path / "r.sqlite", says(ok(b"another"))) as w:
+            assert (await w.ask()).body == b"held" and not w.node.seen
+
+    run(main())
+
+
+def test_keys_belong_to_a_tenant_and_a_payload(tmp_path: Path) -> None:
+    async def main() -> None:
+        async with recorded(tmp_path / "r.sqlite", says(ok(b"held"))) as w:
+            assert (await w.ask()).status == 200
+            assert (await w.ask(tenant="others")).status == 200
+            assert (await w.ask(body=b"level=9")).status == 422
+            assert (await w.ask(target="/api/g2")).status == 422
+            assert (await w.ask(key=None)).status == 400
+            assert (await w.ask(key="k2", body=b"x" * 70_000)).status == 413
+            assert len(w.node.seen) == 2 and len(w.rows()) == 2
+
+    run(main())
+
+
+def test_what_is_no_keyed_report_passes_by(tmp_path: Path) -> None:
+    async def main() -> None:
+        async with recorded(tmp_path / "r.sqlite", says(ok(b"level"))) as w:
+            assert (await w.ask(kind="level-read", method="GET", body=b"")).body == b"level"
+            assert w.rows() == []
+        async with recorded(tmp_path / "r.sqlite", says(ok()), classes=frozenset({"x"})) as w:
+            assert (await w.ask()).status == 200 and w.rows() == []
+
+    run(main())
+
+
+def test_the_report_is_durable_before_it_is_sent_and_its_outcome_before_it_is_told(tmp_path: Path) -> None:
+    seen: list[State] = []
+
+    async def main() -> None:
+        async def handler(_: Any, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            seen.extend(r.state for r in w.rows())
+            writer.write(ok(b"held"))
+
+        async with recorded(tmp_path / "r.sqlite", handler) as w:
+            assert (await w.ask()).status == 200
+            assert seen == [State.SENT] and w.rows()[0].state is State.CONFIRMED
+
+    run(main())
+
+
+def test_repeats_while_it_is_open_wait_for_the_first(tmp_path: Path) -> None:
+    gate = asyncio.Event()
+
+    async def handler(_: Any, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await gate.wait()
+        writer.write(ok(b"held"))
+
+    async def main() -> None:
+        async with recorded(tmp_path / "r.sqlite", handler) as w:
+            clients = [await w.client() for _ in range(5)]
+            for c in clients:
+                c.send(report_bytes())
+            await until(lambda: len(w.stage.clients) == 5 and len(w.node.seen) == 1)
+            other = await w.ask(body=b"another")
+            assert other.status == 422
+            short = await w.client()
+            short.send(report_bytes(left="0.2"))
+            assert (await short.answer()).status == 504
+            gate.set()
+            for c in clients:
+                assert (await c.answer()).body == b"held"
+                c.writer.close()
+            short.writer.close()
+            assert len(w.node.seen) == 1
+
+    run(main())
+
+
+def report_bytes(**more: Any) -> bytes:
+    from tests.record.sockets import report
+
+    return report(**more)
+
+
+def test_a_client_that_leaves_leaves_the_report_to_its_end(tmp_path: Path) -> None:
+    gate = asyncio.Event()
+
+    async def handler(_: Any, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await gate.wait()
+        writer.write(ok(b"held"))
+
+    async def main() -> None:
+        async with recorded(tmp_path / "r.sqlite", handler) as w:
+            client = await w.client()
+            client.send(report_bytes())
+            await until(lambda: bool(w.node.seen))
+            client.writer.transport.abort()
+            await until(lambda: not w.stage.clients)
+            gate.set()
+            await until(lambda: not w.stage.journal.entries)
+            assert w.rows()[0].state is State.CONFIRMED
+            assert (await w.ask()).body == b"held" and len(w.node.seen) == 1
+
+    run(main())
+
+
+@pytest.mark.parametrize("handler", [says(ERROR), resets])
+def test_one_that_may_have_run_is_sent_again_by_its_repeat_within_the_window(
+    handler: Handler, tmp_path: Path
+) -> None:
+    async def main() -> None:
+        async with recorded(tmp_path / "r.sqlite", handler) as w:
+            assert (await w.ask()).status in (502, 503)
+            await until(lambda: w.rows()[0].until_s == 0)
+            assert w.rows()[0].state is State.SENT
+            w.node.handler = says(ok(b"held"))
+            answer = await w.ask()
+            assert answer.body == b"held" and len(w.node.seen) == 2
+            assert w.node.seen[1].headers["idempotency-key"] == "k1"
+            assert [r.state for r in w.rows()] == [State.CONFIRMED]
+
+    run(main())
+
+
+def test_one_that_never_ran_is_not_held(tmp_path: Path) -> None:
+    """Turned away by the only node, or refused by the decisions before any try."""
+    declined = b"HTTP/1.1 503 Full\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n"
+
+    async def main() -> None:
+        async with recorded(tmp_path / "r.sqlite", says(declined)) as w:
+            assert (await w.ask()).status == 503
+            assert w.rows() == [] and not w.stage.journal.entries
+            w.node.handler = says(ok(b"held"))
+            await until(lambda: True)
+            assert (await w.ask()).status in (200, 503)
+
+    run(main())
+
+
+def test_while_the_store_is_locked_reports_are_refused_and_reads_not_touched(tmp_path: Path) -> None:
+    async def main() -> None:
+        async with recorded(tmp_path / "r.sqlite", says(ok(b"level"))) as w:
+            other = sqlite3.connect(tmp_path / "r.sqlite", isolation_level=None)
+            other.execute("BEGIN IMMEDIATE")
+            client = await w.client()
+            client.send(report_bytes(left="0.5"))
+            for _ in range(20):
+                assert (await w.ask(kind="level-read", method="GET", body=b"")).status == 200
+            assert (await client.answer()).status in (503, 504)
+            other.execute("ROLLBACK")
+            await until(lambda: not w.stage.journal.entries)
+            assert all(r.id.key != b"k1" or r.state is not State.CONFIRMED for r in w.rows())
+            assert (await w.ask(key="k2")).status == 200
+            client.writer.close()
+            other.close()
+
+    run(main())
+
+
+def test_a_queue_that_is_full_refuses_at_once_with_retry_after(tmp_path: Path) -> None:
+    async def main() -> None:
+        async with recorded(tmp_path / "r.sqlite", says(ok()), most_waiting=3) as w:
+            other = sqlite3.connect(tmp_path / "r.sqlite", isolation_level=None)
+            other.execute("BEGIN IMMEDIATE")
+            clients = [await w.client() for _ in range(10)]
+            for n, c in enumerate(clients):
+                c.send(report_bytes(key=f"k{n}"))
+            await until(lambda: len(w.stage.clients) <= 4)
+            other.execute("ROLLBACK")
+            answers = [await c.answer() for c in clients]
+            refused = [a for a in answers if a.status == 503]
+            assert 6 <= len(refused) <= 7 and all("retry-after" in a.headers for a in refused)
+            assert len([r for r in w.rows() if r.state is State.CONFIRMED]) == 10 - len(refused)
+            for c in clients:
+                c.writer.close()
+            other.close()
+
+    run(main())
+
+
+def test_two_proxies_over_one_file_send_a_report_once(tmp_path: Path) -> None:
+    gate = asyncio.Event()
+
+    async def handler(_: Any, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await gate.wait()
+        writer.write(ok(b"held"))
+
+    async def main() -> None:
+        node = Node("s", handler)
+        await node.start()
+        async with (
+            recorded(tmp_path / "r.sqlite", node=node) as one,
+            recorded(tmp_path / "r.sqlite", node=node) as two,
+        ):
+            clients = [await w.client() for w in (one, two)]
+            for c in clients:
+                c.send(report_bytes())
+            await until(lambda: bool(node.seen))
+            gate.set()
+            assert [(await c.answer()).body for c in clients] == [b"held", b"held"]
+            assert len(node.seen) == 1 and len(one.rows()) == 1
+            for c in clients:
+                c.writer.close()
+        node.stop()
+
+    run(main())
