Deliver what a crash left, and kill the gateway under load to count every report

After a crash the store held reports whose delivery was owed, and nobody looked at them. A look each second, and at the start, sends again what may still be sent (inside the nodes' window by the machine's own clock, at most four at once, slower after refusals) and marks the rest unknown. What was taken over and did not run this time stays what it was. Retention removes what is confirmed and old.

--- a/magpiefront/__main__.py
+++ b/magpiefront/__main__.py
@@ -84,6 +84,9 @@
             raise config.BadConfig(f"{composition.operator.path}: can't listen for gateways: {e}") from None
     discovery.start(settings.known)  # before the loop runs again, and so before a client is heard
 
+    if composition is not None:
+        composition.begin()
+
     def sweep() -> None:
         proxy.sweep()
         front.sweep()
--- a/magpiefront/operator/compose.py
+++ b/magpiefront/operator/compose.py
@@ -116,6 +116,11 @@
         recording = self.record is not None and bool(self.record.journal.entries)
         return recording or (self.gateway is not None and self.gateway.busy)
 
+    def begin(self) -> None:
+        """Once the nodes are known: what a crash left is looked for."""
+        if self.record is not None:
+            self.record.begin_looking()
+
     def sweep(self) -> None:
         if self.gateway is not None:
             self.gateway.sweep()
@@ -129,6 +134,8 @@
             self.gateway.stop()
         if self.cache is not None and self.cache.disk is not None:
             self.cache.disk.stop()
+        if self.record is not None:
+            self.record.stop()
         if self.store is not None:
             self.store.stop()
 
--- a/magpiefront/record/journal.py
+++ b/magpiefront/record/journal.py
@@ -89,12 +89,14 @@
     phase: Phase
     waiters: dict[Hashable, int] = field(default_factory=dict)  # until when each one's time lasts
     held: bool = False  # did this process insert or take it?
+    origin: Row | None = None  # what stood there when it was taken over
+    until_us: int = 0  # of a delivery that nobody waits for
     outcome: Answer | None = None  # what the clients are told once it is settled
     retry_after_us: int = 0
 
     @property
     def deadline_us(self) -> int:
-        return max(self.waiters.values(), default=0)
+        return max(self.waiters.values(), default=self.until_us)
 
 
 def plain(status: int, text: str) -> Answer:
@@ -215,7 +217,7 @@
     def _take(self, now_us: int, entry: Entry, row: Row) -> list[Action]:
         if not self._time_left(now_us, entry):
             return self._give_up(entry, OPEN, RETRY_AFTER_US)
-        entry.phase = Phase.TAKING
+        entry.phase, entry.origin = Phase.TAKING, row
         # The window counts from the first time that it may have gone: never from a later one.
         first = row.sent if row.state is State.SENT else entry.row.sent
         after = replace(row, state=State.SENT, owner=entry.row.owner, sent=first, until_s=entry.row.until_s)
@@ -229,6 +231,8 @@
             return []
         if entry.phase is Phase.SETTLING:
             return self._settled(now_us, entry, after, result)
+        if entry.phase is Phase.FREEING:
+            return self.removed(now_us, id, result)
         if after.state is State.UNKNOWN:
             del self.entries[id]
             return [Note(f"record: {after.id.key!r} is unknown: it may have run, and is not sent again")]
@@ -259,7 +263,11 @@
 
     def _free(self, now_us: int, entry: Entry, answer: Answer, retry_after_us: int) -> list[Action]:
         entry.phase, entry.outcome, entry.retry_after_us = Phase.FREEING, answer, retry_after_us
-        return [Remove(entry.row, max(entry.deadline_us, now_us + self.settle_us))]
+        until_us = max(entry.deadline_us, now_us + self.settle_us)
+        if entry.origin is None:
+            return [Remove(entry.row, until_us)]
+        # It did not run this time. What is known of the times before holds on, and it is still owed.
+        return [Change(entry.row, replace(entry.origin, owner=entry.row.owner, until_s=0.0), until_us)]
 
     def answered(
         self, now_us: int, id: Id, answer: Answer, may_have_run: bool, attempts: tuple[Attempt, ...],
@@ -305,6 +313,24 @@
         return [*self._all(entry, entry.outcome, entry.retry_after_us),
                 Note(f"record: a refused report could not be removed: {result.cause}")]  # fmt: skip
 
+    # ---- what is owed
+
+    def deliver(self, now_us: int, row: Row, as_: Row, until_us: int) -> list[Action]:
+        """A row that `fate` lets be sent: `as_` says how it would stand there, with an owner of its own. Not
+        where this process has to do with it already."""
+        if row.id in self.entries:
+            return []
+        entry = self.entries[row.id] = Entry(as_, Phase.TAKING, until_us=until_us)
+        return self._take(now_us, entry, row)
+
+    def forget(self, now_us: int, row: Row, owner: str) -> list[Action]:
+        """A row that `fate` calls unknown."""
+        if row.id in self.entries:
+            return []
+        after = replace(row, state=State.UNKNOWN, owner=owner)
+        self.entries[row.id] = Entry(after, Phase.TAKING)
+        return [Change(row, after, now_us + self.settle_us)]
+
     # ---- answers
 
     def _all(self, entry: Entry, answer: Answer, retry_after_us: int = 0) -> list[Action]:
@@ -319,6 +345,30 @@
 # ---- recovery
 
 
+@dataclass(slots=True)
+class Pace:
+    """How fast what is owed is delivered: so many at once, and after a refusal a pause that doubles, for the
+    Router refuses when it has no room, and what is owed can wait."""
+
+    most: int = 4
+    least_us: int = 100_000
+    most_us: int = 10_000_000
+    out: int = 0
+    pause_us: int = 0
+    not_before_us: int = 0
+
+    def may(self, now_us: int) -> bool:
+        return self.out < self.most and now_us >= self.not_before_us
+
+    def begin(self) -> None:
+        self.out += 1
+
+    def end(self, now_us: int, delivered: bool) -> None:
+        self.out -= 1
+        self.pause_us = 0 if delivered else min(self.most_us, max(self.least_us, self.pause_us * 2))
+        self.not_before_us = now_us + self.pause_us
+
+
 class Fate(enum.Enum):
     """What a start does with a row that it finds open."""
 
--- a/magpiefront/record/rows.py
+++ b/magpiefront/record/rows.py
@@ -102,6 +102,12 @@
     def get(self, id: Id, deadline_us: int, then: Then) -> None:
         """DONE with the row, or without one."""
 
+    def open_rows(self, most: int, then: Callable[[list[Row]], None]) -> None:
+        """The oldest that are stored or sent; none where the store can't say."""
+
+    def sweep(self, before_s: float, most: int, then: Callable[[int], None]) -> None:
+        """Removes confirmed rows received before (Unix seconds), `most` at a time; how many went."""
+
     @property
     def wait_us(self) -> int:
         """How long a commit that is asked for now will take by what was measured."""
--- a/magpiefront/record/settings.py
+++ b/magpiefront/record/settings.py
@@ -23,3 +23,6 @@
     retention_s: int = 7 * 86_400  # of what is confirmed
     least_left_us: int = 20_000
     settle_us: int = 2_000_000
+    look_us: int = 1_000_000  # between looks for what is owed
+    delivery_us: int = 2_000_000  # of one that nobody waits for
+    most_deliveries: int = 4  # at once
--- a/magpiefront/record/sqlite.py
+++ b/magpiefront/record/sqlite.py
@@ -203,6 +203,31 @@
     def get(self, id: Id, deadline_us: int, then: Then) -> None:
         self._add(lambda db: Result(Outcome.DONE, _get(db, id)), deadline_us, then, False)
 
+    def open_rows(self, most: int, then: Callable[[list[Row]], None]) -> None:
+        found: list[Row] = []
+
+        def what(db: sqlite3.Connection) -> Result:
+            query = f"SELECT {ALL} FROM reports WHERE state IN ('stored', 'sent') ORDER BY received_s LIMIT ?"
+            found.extend(unpack(v) for v in db.execute(query, (most,)))
+            return Result(Outcome.DONE)
+
+        until_us = self.house.now_us() + int(BUSY_S * 1e6)
+        self._add(what, until_us, lambda r: then(found if r.outcome is Outcome.DONE else []), False)
+
+    def sweep(self, before_s: float, most: int, then: Callable[[int], None]) -> None:
+        gone = 0
+
+        def what(db: sqlite3.Connection) -> Result:
+            nonlocal gone
+            gone = db.execute(
+                "DELETE FROM reports WHERE rowid IN (SELECT rowid FROM reports WHERE state = 'confirmed' "
+                "AND received_s < ? ORDER BY received_s LIMIT ?)", (before_s, most),
+            ).rowcount  # fmt: skip
+            return Result(Outcome.DONE)
+
+        until_us = self.house.now_us() + int(BUSY_S * 1e6)
+        self._add(what, until_us, lambda r: then(gone if r.outcome is Outcome.DONE else 0), True)
+
     def _add(
         self, what: Callable[[sqlite3.Connection], Result], deadline_us: int, then: Then, writes: bool
     ) -> None:  # fmt: skip
--- a/magpiefront/record/stage.py
+++ b/magpiefront/record/stage.py
@@ -6,6 +6,7 @@
 import itertools
 import time
 from collections.abc import Callable, Mapping, Sequence
+from dataclasses import replace
 from hashlib import blake2b
 from pathlib import Path
 from secrets import token_hex
@@ -16,11 +17,15 @@
 from magpiefront.net.request import Request, Stage
 from magpiefront.record import journal
 from magpiefront.record.attempts import may_have_run, nodes_of
-from magpiefront.record.journal import Action, Change, Get, Insert, Journal, Note, Remove, Reply, Send
+from magpiefront.record.journal import (
+    Action, Change, Fate, Get, Insert, Journal, Note, Pace, Remove, Reply, Send,
+)  # fmt: skip
 from magpiefront.record.rows import Answer, Attempt, Id, Moment, Result, Row, State, Store
 from magpiefront.record.settings import RecordSettings
 
 BOOT_ID = Path("/proc/sys/kernel/random/boot_id")
+LOOK = 200  # rows at one look
+SWEEP_US, SWEEP_ROWS = 60_000_000, 500
 KEEP_OUT = frozenset({b"connection", b"content-length", b"transfer-encoding", b"host", b"expect"})
 
 
@@ -68,6 +73,10 @@
         self.twins: dict[Request, Id] = {}
         self.long: dict[Request, tuple[int, bytes, list[bytes], int]] = {}  # answers that come in parts
         self.now_lag_us = house.now_us() - self.up_us()
+        self.pace = Pace(settings.most_deliveries)
+        self.deliveries: dict[Id, None] = {}
+        self.swept_us = 0
+        self.timer: asyncio.TimerHandle | None = None
 
     # ---- the stage
 
@@ -98,7 +107,7 @@
         up_us, wall_s = self.up_us(), self.wall()
         return Row(
             id, digest_of(r), r.method, r.target, more, b"".join(r.body), State.SENT, wall_s,
-            Moment(wall_s, self.boot, up_us / 1e6), f"{self.start}.{next(self.count)}", cls.window_us / 1e6,
+            Moment(wall_s, self.boot, up_us / 1e6), self._owner(), cls.window_us / 1e6,
             (r.time_left + self.settings.settle_us) / 1e6,
         )  # fmt: skip
 
@@ -153,7 +162,12 @@
         return lambda result: self._do(self.journal.inserted(self.up_us(), id, result))
 
     def _then_changed(self, after: Row) -> Callable[[Result], None]:
-        return lambda result: self._do(self.journal.changed(self.up_us(), after.id, after, result))
+        def then(result: Result) -> None:
+            self._do(self.journal.changed(self.up_us(), after.id, after, result))
+            if self.deliveries:
+                self._settle_deliveries()
+
+        return then
 
     def _then_removed(self, id: Id) -> Callable[[Result], None]:
         return lambda result: self._do(self.journal.removed(self.up_us(), id, result))
@@ -177,6 +191,52 @@
     def _say(self, r: Request, answer: Answer) -> None:
         r.replies.answer(r, answer.status, (answer.body,), answer.more)
 
+    # ---- what is owed
+
+    def begin_looking(self) -> None:
+        """Looks for what is owed, now and from then on. What a crash left may be in it."""
+        self.store.open_rows(LOOK, self._look)
+
+    def stop(self) -> None:
+        if self.timer is not None:
+            self.timer.cancel()
+
+    def _look(self, found: list[Row]) -> None:
+        up_us = self.up_us()
+        for row in found:
+            what = journal.fate(row, up_us / 1e6, self.boot, self.settings.delivery_us / 1e6)
+            if what is Fate.UNKNOWN:
+                self._do(self.journal.forget(up_us, row, self._owner()))
+            elif what in (Fate.AGAIN, Fate.DELIVER) and self.pace.may(up_us):
+                self._deliver(up_us, row)
+        if up_us - self.swept_us > SWEEP_US:
+            self.swept_us = up_us
+            self.store.sweep(self.wall() - self.settings.retention_s, SWEEP_ROWS, self._swept)
+        self.timer = self.house.loop.call_later(self.settings.look_us / 1e6, self.begin_looking)
+
+    def _swept(self, gone: int) -> None:
+        if gone == SWEEP_ROWS:
+            self.swept_us = 0  # more are there: at the next look
+
+    def _deliver(self, up_us: int, row: Row) -> None:
+        wall_s, delivery_us = self.wall(), self.settings.delivery_us
+        until_s = (delivery_us + self.settings.settle_us) / 1e6
+        as_ = replace(row, owner=self._owner(), sent=Moment(wall_s, self.boot, up_us / 1e6), until_s=until_s)
+        actions = self.journal.deliver(up_us, row, as_, up_us + delivery_us)
+        if actions:
+            self.pace.begin()
+            self.deliveries[row.id] = None
+            self._do(actions)
+
+    def _owner(self) -> str:
+        return f"{self.start}.{next(self.count)}"
+
+    def _settle_deliveries(self) -> None:
+        """Of those that have ended; one that was never sent has not been refused either."""
+        for id in [i for i in self.deliveries if i not in self.journal.entries]:
+            del self.deliveries[id]
+            self.pace.end(self.up_us(), True)
+
     # ---- the nodes
 
     def _send(self, a: Send) -> None:
@@ -202,6 +262,9 @@
         attempts = tuple(Attempt(node, at / 1e6) for node, at in nodes_of(request.attempts))
         ran = may_have_run(request.attempts) or status not in (429, 503)
         answer = Answer(status, more, kept)
+        if id in self.deliveries:
+            del self.deliveries[id]
+            self.pace.end(self.up_us(), 200 <= status < 300)
         self._do(self.journal.answered(self.up_us(), id, answer, ran, attempts))
 
     def answer(self, request: Request, status: int, body: Sequence[bytes] = (), more: bytes = b"") -> None:
--- a/standins/http.py
+++ b/standins/http.py
@@ -87,8 +87,8 @@
             while True:
                 writer.write(await self.reply(await read(reader)))
                 await writer.drain()
-        except (OSError, asyncio.IncompleteReadError, Bad, Cut):
-            pass
+        except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError, Bad, Cut):
+            pass  # cancelled: the program ends
         finally:
             self.writers.pop(writer, None)
             writer.close()
--- /dev/null
+++ b/standins/killstore.py
@@ -0,0 +1,257 @@
+"""Kills a gateway and the store of record in it at random moments under load, and counts every report.
+
+    python -m standins.killstore [--rounds 10] [--seed 1] [--at-once 4] [--json]
+
+A round: a real process with a SQLite store in front of a stand-in node and archive, clients that send
+reports and send them again under the same key until they have an answer, and kills (SIGKILL) at moments drawn
+from the seed, each followed by a new start over the same file. Judged at the end: every confirmed report is in
+the store exactly once with the body that was sent; one that only ever was refused and never ran is not; no
+effect happened twice at the archive; what is left open or unknown is counted. Exit status 1 where that does not
+hold, 2 where no round could be played. All traffic stays on loopback and ends by itself.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import json
+import os
+import signal
+import sqlite3
+import sys
+import tempfile
+from dataclasses import dataclass, field
+from pathlib import Path
+from random import Random
+from typing import Any
+
+from standins import http
+from standins.archive import Archive
+from standins.discovery import Discovery
+from standins.node import Node
+from standins.world import ROOT, free_port
+
+WINDOW_S = 8.0
+SETTINGS: dict[str, Any] = {
+    "balancers": 1,
+    "grades": [
+        {"name": "level-read", "repeat": "read_like", "sloUs": 500_000, "giveUpUs": 2_000_000,
+         "lateValue": 0.2},
+        {"name": "field-report", "repeat": "idempotency_key", "group": "all", "keyTtlUs": int(WINDOW_S * 1e6),
+         "sloUs": 500_000, "giveUpUs": 2_000_000, "lateValue": 0.2},
+    ],
+    "permissions": {"maxAttempts": 2, "secondCopies": False, "mayCancel": True, "probes": False,
+                    "retryAfter": True, "maxRetryAfterUs": 200_000, "connectTimeoutUs": 500_000,
+                    "connIdleUs": 60_000_000},
+    "rules": {"coldFrom": 0.3, "coldUs": 8_000_000},
+}  # fmt: skip
+OPERATOR = '[site]\nname = "west"\n[record]\nsettle = "1s"\n[record.sqlite]\npath = "record.sqlite"\n'
+
+
+@dataclass
+class Report:
+    key: str
+    body: bytes
+    statuses: list[int] = field(default_factory=list)  # 0: no answer
+
+    @property
+    def confirmed(self) -> bool:
+        return 200 in self.statuses
+
+    @property
+    def refused(self) -> bool:
+        return bool(self.statuses) and set(self.statuses) == {503}
+
+
+class Round:
+    def __init__(self, seed: int, folder: Path, clients: int = 6, kills: int = 2) -> None:
+        self.random, self.folder, self.clients, self.kills = Random(seed), folder, clients, kills
+        self.archive = Archive("west", time_s=0.01, window_s=WINDOW_S)
+        self.node = Node("west-0", self.archive, seed, slow_share=0.1, slow_s=0.15)
+        self.discovery = Discovery()
+        self.port = free_port()
+        self.process: asyncio.subprocess.Process | None = None
+        self.reports: list[Report] = []
+        self.over = False
+
+    async def start(self) -> None:
+        with open(self.folder / "log", "ab") as log:
+            self.process = await asyncio.create_subprocess_exec(
+                sys.executable, "-m", "magpiefront", "--operator", str(self.folder / "operator.toml"),
+                cwd=ROOT, env={**os.environ, "LB_CONFIG": str(self.folder / "config.json")}, stderr=log,
+            )  # fmt: skip
+        for _ in range(1_500):
+            if self.process.returncode is not None:
+                raise RuntimeError((self.folder / "log").read_text()[-300:])
+            try:
+                reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+                writer.write(b"GET /ready HTTP/1.1\r\nHost: x\r\n\r\n")
+                line = await reader.readline()
+                writer.close()
+                if b"200" in line:
+                    return
+            except OSError:
+                pass
+            await asyncio.sleep(0.02)
+        raise RuntimeError("the gateway did not come up")
+
+    async def play(self) -> dict[str, Any]:
+        await self.node.start()
+        await self.discovery.start()
+        places = [{**self.node.entry(), "instanceId": f"west-{n}"} for n in range(4)]
+        self.discovery.set(places)
+        (self.folder / "config.json").write_text(json.dumps({
+            "name": "k", "listen": f"127.0.0.1:{self.port}", "discovery": f"127.0.0.1:{self.discovery.port}",
+            "seed": "1", "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 512}, "settings": SETTINGS,
+        }))  # fmt: skip
+        (self.folder / "operator.toml").write_text(OPERATOR)
+        try:
+            await self.start()
+            clients = [asyncio.create_task(self._client(n)) for n in range(self.clients)]
+            for _ in range(self.kills):
+                await asyncio.sleep(self.random.uniform(0.05, 0.5))
+                assert self.process is not None
+                self.process.send_signal(signal.SIGKILL)
+                await self.process.wait()
+                await self.start()
+            await asyncio.sleep(self.random.uniform(0.05, 0.2))
+            self.over = True
+            await asyncio.gather(*clients)
+            await self._quiet()
+        finally:
+            if self.process is not None and self.process.returncode is None:
+                self.process.terminate()
+                await self.process.wait()
+            self.node.stop()
+            self.discovery.stop()
+        return self.judge()
+
+    async def _quiet(self) -> None:
+        """Until what is owed has been delivered, or is unknown."""
+        for _ in range(1_000):
+            if not any(state in ("stored", "sent") for _, state, _ in self.held()):
+                return
+            await asyncio.sleep(0.05)
+
+    async def _client(self, number: int) -> None:
+        n = 0
+        while not self.over:
+            n += 1
+            report = Report(f"c{number}-{n}", f"level={number}.{n}".encode())
+            self.reports.append(report)
+            tries = 0
+            while not report.confirmed and tries < 40:
+                tries += 1
+                status, after_s = await self._ask(report)
+                report.statuses.append(status)
+                if status == 503 and (self.over or n % 7 == 0):
+                    break  # some clients take a refusal for an answer
+                if status != 200:
+                    await asyncio.sleep(after_s)
+
+    async def _ask(self, report: Report) -> tuple[int, float]:
+        try:
+            async with asyncio.timeout(4):
+                reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+                try:
+                    name = f"{report.key}-{len(report.statuses)}"
+                    writer.write((
+                        f"PUT /api/g-{report.key} HTTP/1.1\r\nHost: x\r\nReq-Id: {name}\r\n"
+                        f"Req-Kind: field-report\r\nReq-Owner: members\r\n"
+                        f"Req-Deadline: 2.0\r\nIdempotency-Key: {report.key}\r\n"
+                        f"Content-Length: {len(report.body)}\r\nConnection: close\r\n\r\n"
+                    ).encode() + report.body)  # fmt: skip
+                    m = await http.read(reader)
+                finally:
+                    writer.close()
+        except (OSError, TimeoutError, asyncio.IncompleteReadError, http.Bad, http.Cut):
+            return 0, 0.05
+        return int(m.start.split(" ")[1]), min(0.2, float(m.headers.get("retry-after", "0.05")))
+
+    def held(self) -> list[tuple[str, str, bytes]]:
+        db = sqlite3.connect(f"file:{self.folder / 'record.sqlite'}?mode=ro", uri=True, timeout=5)
+        try:
+            found = db.execute("SELECT key, state, body FROM reports").fetchall()
+        finally:
+            db.close()
+        return [(key.decode(), state, body) for key, state, body in found]
+
+    def judge(self) -> dict[str, Any]:
+        return judge(self.reports, self.held(), self.archive.effects)
+
+
+def judge(
+    reports: list[Report], held: list[tuple[str, str, bytes]], effects: dict[str, int]
+) -> dict[str, Any]:  # fmt: skip
+    """`faults` is empty where the rules hold."""
+    faults: list[str] = []
+    rows: dict[str, list[tuple[str, bytes]]] = {}
+    for key, state, body in held:
+        rows.setdefault(key, []).append((state, body))
+    for r in reports:
+        there = rows.get(r.key, [])
+        if len(there) > 1:
+            faults.append(f"{r.key} is held {len(there)} times")
+        if r.confirmed and there != [("confirmed", r.body)]:
+            faults.append(f"{r.key} was confirmed and is held as {there}")
+        if r.confirmed and effects.get(r.key, 0) != 1:
+            faults.append(f"{r.key} was confirmed and had {effects.get(r.key, 0)} effects")
+        if r.refused and there and not effects.get(r.key):
+            faults.append(f"{r.key} was refused, never ran, and is held as {there[0][0]}")
+    faults += [f"{key} had {n} effects" for key, n in effects.items() if n > 1]
+    known = {r.key for r in reports}
+    faults += [f"{key} is held and nobody sent it" for key in rows if key not in known]
+    states = [state for there in rows.values() for state, _ in there]
+    return {
+        "reports": len(reports), "confirmed": sum(r.confirmed for r in reports),
+        "refused": sum(r.refused for r in reports), "open": states.count("sent") + states.count("stored"),
+        "unknown": states.count("unknown"), "broke": sum(0 in r.statuses for r in reports), "faults": faults,
+    }  # fmt: skip
+
+
+async def rounds(count: int, seed: int, at_once: int, quiet: bool) -> dict[str, Any]:
+    gate = asyncio.Semaphore(at_once)
+    done: list[dict[str, Any]] = []
+
+    async def one(number: int) -> None:
+        async with gate:
+            with tempfile.TemporaryDirectory() as folder:
+                found = await Round(seed + number, Path(folder)).play()
+        found["faults"] = [f"round {seed + number}: {f}" for f in found["faults"]]
+        done.append(found)
+        if not quiet:
+            print(f"\r{len(done)} of {count} rounds", end="", file=sys.stderr, flush=True)
+
+    await asyncio.gather(*(one(n) for n in range(count)))
+    if not quiet:
+        print(file=sys.stderr)
+    total: dict[str, Any] = {"killstore": "sqlite", "rounds": count, "seed": seed}
+    for name in ("reports", "confirmed", "refused", "open", "unknown", "broke"):
+        total[name] = sum(d[name] for d in done)
+    total["faults"] = [f for d in done for f in d["faults"]]
+    return total
+
+
+def main() -> int:
+    parser = argparse.ArgumentParser("standins.killstore", description=(__doc__ or "").split("\n")[0])
+    parser.add_argument("--rounds", type=int, default=10)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--at-once", type=int, default=4)
+    parser.add_argument("--json", action="store_true", help="only the last line, for programs")
+    args = parser.parse_args()
+    try:
+        found = asyncio.run(rounds(args.rounds, args.seed, args.at_once, args.json))
+    except RuntimeError as e:
+        print(f"standins.killstore: {e}", file=sys.stderr)
+        return 2
+    if not args.json:
+        for name in ("rounds", "reports", "confirmed", "refused", "broke", "open", "unknown"):
+            print(f"{name:10} {found[name]:8}")
+        for fault in found["faults"][:20]:
+            print("  " + fault)
+    print(json.dumps(found))
+    return 1 if found["faults"] else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/tests/record/test_journal.py
+++ b/tests/record/test_journal.py
@@ -280,3 +280,79 @@
 )
 def test_what_a_start_does_with_what_it_finds(given: Row, up_s: float, boot: str, then: j.Fate) -> None:
     assert fate(given, up_s, boot) is then
+
+
+def test_one_taken_over_that_does_not_run_this_time_is_still_what_it_was() -> None:
+    """What may have run before is not freed by a refusal now."""
+    g = opened(to=Phase.INSERTING)
+    there = row(owner="dead", sent=Moment(0, "boot", NOW / S - 5))
+    (take,) = g.inserted(NOW, ID, Result(Outcome.THERE, there))
+    assert isinstance(take, Change)
+    g.changed(NOW, ID, take.after, Result(Outcome.DONE))
+    (back,) = g.answered(NOW, ID, Answer(503, b"", b""), False, (), 250_000)
+    assert isinstance(back, Change) and back.before == take.after
+    assert back.after.state is State.SENT and back.after.sent == there.sent and back.after.until_s == 0
+    (reply,) = g.changed(NOW, ID, back.after, Result(Outcome.DONE))
+    assert isinstance(reply, Reply) and reply.answer.status == 503 and reply.retry_after_us == 250_000
+    assert not g.entries
+
+
+@pytest.mark.parametrize("state", [State.STORED, State.SENT])
+def test_what_is_owed_is_delivered_with_nobody_waiting(state: State) -> None:
+    g = journal()
+    there = row(state=state, owner="dead", sent=Moment(0, "boot", NOW / S - 5))
+    (take,) = g.deliver(NOW, there, row(owner="me 1"), NOW + S)
+    assert isinstance(take, Change) and take.after.owner == "me 1" and take.after.state is State.SENT
+    assert take.after.sent == (there.sent if state is State.SENT else row().sent)
+    assert g.deliver(NOW, there, row(owner="me 2"), NOW + S) == []
+    g.arrive(NOW, "a", row(owner="me 3"), NOW + S)  # its client comes meanwhile
+    (send,) = g.changed(NOW, ID, take.after, Result(Outcome.DONE))
+    assert isinstance(send, Send) and send.deadline_us == NOW + S
+    (change,) = g.answered(NOW, ID, HELD, True, ())
+    assert isinstance(change, Change)
+    assert told(g.changed(NOW, ID, change.after, Result(Outcome.DONE))) == {"a": 200}
+
+
+def test_a_delivery_that_is_refused_is_owed_on() -> None:
+    g = journal()
+    there = row(state=State.STORED, owner="import", sent=None)
+    (take,) = g.deliver(NOW, there, row(owner="me 1"), NOW + S)
+    assert isinstance(take, Change)
+    g.changed(NOW, ID, take.after, Result(Outcome.DONE))
+    (back,) = g.answered(NOW, ID, Answer(503, b"", b""), False, ())
+    assert isinstance(back, Change) and back.after.state is State.STORED and back.after.sent is None
+    assert g.changed(NOW, ID, back.after, Result(Outcome.DONE)) == [] and not g.entries
+
+
+def test_a_delivery_that_another_process_took_first_is_left_to_it() -> None:
+    g = journal()
+    there = row(owner="dead", sent=Moment(0, "boot", NOW / S - 5))
+    (take,) = g.deliver(NOW, there, row(owner="me 1"), NOW + S)
+    assert isinstance(take, Change)
+    done = replace(there, state=State.CONFIRMED, answer=HELD)
+    assert g.changed(NOW, ID, take.after, Result(Outcome.THERE, done)) == [] and not g.entries
+
+
+def test_one_past_its_window_is_marked_and_said() -> None:
+    g = journal()
+    there = row(owner="dead", sent=Moment(0, "old", 1.0))
+    (mark,) = g.forget(NOW, there, "me 1")
+    assert isinstance(mark, Change) and mark.after.state is State.UNKNOWN
+    (note,) = g.changed(NOW, ID, mark.after, Result(Outcome.DONE))
+    assert isinstance(note, j.Note) and "unknown" in note.text and not g.entries
+
+
+def test_the_pace_of_deliveries_slows_with_refusals() -> None:
+    p = j.Pace(most=2, least_us=100, most_us=350)
+    p.begin()
+    assert p.may(0)
+    p.begin()
+    assert not p.may(0)
+    pauses = []
+    for _ in range(4):
+        p.end(1_000, False)
+        pauses.append(p.not_before_us - 1_000)
+        p.begin()
+    assert pauses == [100, 200, 350, 350] and not p.may(1_349)
+    p.end(2_000, True)
+    assert p.may(2_000)
--- a/tests/record/test_stage.py
+++ b/tests/record/test_stage.py
@@ -4,13 +4,17 @@
 
 import asyncio
 import sqlite3
+import time
 from pathlib import Path
 from typing import Any
 
 import pytest
 
-from magpiefront.record.rows import State
-from tests.record.sockets import recorded
+from magpiefront.record.rows import Id, Moment, State
+from magpiefront.record.stage import boot_id
+from tests.record.sockets import recorded, report
+from tests.record.test_journal import row
+from tests.record.test_sqlite import ask, opened
 from tests.sockets import Handler, Node, ok, resets, run, says, until
 
 ERROR = b"HTTP/1.1 500 Oops\r\nContent-Length: 4\r\n\r\nsick"
@@ -84,12 +88,12 @@
         async with recorded(tmp_path / "r.sqlite", handler) as w:
             clients = [await w.client() for _ in range(5)]
             for c in clients:
-                c.send(report_bytes())
+                c.send(report())
             await until(lambda: len(w.stage.clients) == 5 and len(w.node.seen) == 1)
             other = await w.ask(body=b"another")
             assert other.status == 422
             short = await w.client()
-            short.send(report_bytes(left="0.2"))
+            short.send(report(left="0.2"))
             assert (await short.answer()).status == 504
             gate.set()
             for c in clients:
@@ -101,12 +105,6 @@
     run(main())
 
 
-def report_bytes(**more: Any) -> bytes:
-    from tests.record.sockets import report
-
-    return report(**more)
-
-
 def test_a_client_that_leaves_leaves_the_report_to_its_end(tmp_path: Path) -> None:
     gate = asyncio.Event()
 
@@ -117,7 +115,7 @@
     async def main() -> None:
         async with recorded(tmp_path / "r.sqlite", handler) as w:
             client = await w.client()
-            client.send(report_bytes())
+            client.send(report())
             await until(lambda: bool(w.node.seen))
             client.writer.transport.abort()
             await until(lambda: not w.stage.clients)
@@ -168,7 +166,7 @@
             other = sqlite3.connect(tmp_path / "r.sqlite", isolation_level=None)
             other.execute("BEGIN IMMEDIATE")
             client = await w.client()
-            client.send(report_bytes(left="0.5"))
+            client.send(report(left="0.5"))
             for _ in range(20):
                 assert (await w.ask(kind="level-read", method="GET", body=b"")).status == 200
             assert (await client.answer()).status in (503, 504)
@@ -189,7 +187,7 @@
             other.execute("BEGIN IMMEDIATE")
             clients = [await w.client() for _ in range(10)]
             for n, c in enumerate(clients):
-                c.send(report_bytes(key=f"k{n}"))
+                c.send(report(key=f"k{n}"))
             await until(lambda: len(w.stage.clients) <= 4)
             other.execute("ROLLBACK")
             answers = [await c.answer() for c in clients]
@@ -219,7 +217,7 @@
         ):
             clients = [await w.client() for w in (one, two)]
             for c in clients:
-                c.send(report_bytes())
+                c.send(report())
             await until(lambda: bool(node.seen))
             gate.set()
             assert [(await c.answer()).body for c in clients] == [b"held", b"held"]
@@ -229,3 +227,101 @@
         node.stop()
 
     run(main())
+
+
+def left(path: Path, **more: Any) -> None:
+    """A row as a process that died has left it."""
+    up_s = time.monotonic_ns() / 1e9
+    given = {"sent": Moment(time.time() - 5, boot_id(), up_s - 5), "owner": "dead", "target": b"/api/g1",
+             "more": b"Idempotency-Key: k1\r\n", **more}  # fmt: skip
+    with opened(path) as store:
+        ask(store, store.insert, row(**given))
+
+
+@pytest.mark.parametrize("state", [State.SENT, State.STORED])
+def test_what_a_crash_left_is_delivered_within_the_window(state: State, tmp_path: Path) -> None:
+    left(tmp_path / "r.sqlite", state=state)
+
+    async def main() -> None:
+        async with recorded(tmp_path / "r.sqlite", says(ok(b"held")), look_us=20_000) as w:
+            w.stage.begin_looking()
+            await until(lambda: w.rows()[0].state is State.CONFIRMED)
+            assert len(w.node.seen) == 1 and w.node.seen[0].headers["idempotency-key"] == "k1"
+            w.stage.stop()
+
+    run(main())
+
+
+@pytest.mark.parametrize(
+    "sent",
+    [
+        Moment(0.0, "another start", 1.0),
+        Moment(time.time() - 60, boot_id(), time.monotonic_ns() / 1e9 - 60),
+    ],
+)
+def test_what_a_crash_left_too_long_ago_is_unknown_and_never_sent(sent: Moment, tmp_path: Path) -> None:
+    left(tmp_path / "r.sqlite", sent=sent)
+
+    async def main() -> None:
+        async with recorded(tmp_path / "r.sqlite", says(ok(b"held")), look_us=20_000) as w:
+            w.stage.begin_looking()
+            await until(lambda: w.rows()[0].state is State.UNKNOWN)
+            assert (await w.ask()).status in (409, 422) and not w.node.seen
+            w.stage.stop()
+
+    run(main())
+
+
+def test_what_its_owner_may_still_be_at_work_on_is_left_alone(tmp_path: Path) -> None:
+    left(tmp_path / "r.sqlite", until_s=60.0)
+
+    async def main() -> None:
+        async with recorded(tmp_path / "r.sqlite", says(ok(b"held")), look_us=5_000) as w:
+            looks = 0
+            look = w.store.open_rows
+
+            def counted(*args: Any) -> None:
+                nonlocal looks
+                looks += 1
+                look(*args)
+
+            w.store.open_rows = counted  # type: ignore[method-assign,assignment]
+            w.stage.begin_looking()
+            await until(lambda: looks > 5)
+            assert not w.node.seen and w.rows()[0].owner == "dead"
+            w.stage.stop()
+
+    run(main())
+
+
+def test_a_delivery_that_the_nodes_turn_away_is_tried_on_more_slowly(tmp_path: Path) -> None:
+    left(tmp_path / "r.sqlite", state=State.STORED, sent=None)
+    declined = b"HTTP/1.1 503 Full\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n"
+
+    async def main() -> None:
+        async with recorded(tmp_path / "r.sqlite", says(declined), look_us=5_000) as w:
+            w.stage.begin_looking()
+            await until(lambda: w.stage.pace.pause_us >= 200_000)
+            assert w.rows()[0].state in (State.STORED, State.SENT)
+            w.node.handler = says(ok(b"held"))
+            await until(lambda: w.rows()[0].state is State.CONFIRMED, looks=6000)
+            assert w.stage.pace.pause_us == 0 and w.stage.pace.out == 0
+            w.stage.stop()
+
+    run(main(), 40)
+
+
+def test_what_is_older_than_its_retention_goes_and_nothing_else(tmp_path: Path) -> None:
+    old = time.time() - 1_000
+    for n, state in enumerate((State.CONFIRMED, State.UNKNOWN)):
+        left(tmp_path / "r.sqlite", id=Id("t", "field-report", b"o%d" % n), state=state, received_s=old)
+
+    async def main() -> None:
+        async with recorded(tmp_path / "r.sqlite", says(ok()), look_us=10_000, retention_s=500) as w:
+            assert (await w.ask()).status == 200
+            w.stage.begin_looking()
+            await until(lambda: len(w.rows()) == 2)
+            assert {r.id.key for r in w.rows()} == {b"o1", b"k1"}
+            w.stage.stop()
+
+    run(main())
