--- a/magpiefront/__main__.py
+++ b/magpiefront/__main__.py
@@ -2,6 +2,7 @@
 
     python -m magpiefront [--operator FILE]    LB_OPERATOR serves too; without either, the platform's proxy
     python -m magpiefront check FILE           says what is wrong with an operator's file, and starts nothing
+    python -m magpiefront record COMMAND       asks the store of record; --operator FILE says which
 """
 
 from __future__ import annotations
@@ -128,12 +129,34 @@
         raise config.BadConfig(str(e)) from None
 
 
+def ask_record(args: argparse.Namespace) -> int:
+    """Raises BadConfig."""
+    from magpiefront.record.commands import BadStore, Refused, run
+
+    path = args.record_operator or args.operator or os.environ.get("LB_OPERATOR")
+    if not path:
+        raise config.BadConfig("record: --operator FILE (or LB_OPERATOR) says where the store is")
+    settings = read_operator(path).record
+    if settings is None:
+        raise config.BadConfig(f"{path}: [record] is missing")
+    try:
+        return run(settings.sqlite.path, args)
+    except (BadStore, Refused) as e:
+        raise config.BadConfig(str(e)) from None
+
+
 def arguments(given: list[str]) -> argparse.Namespace:
     parser = argparse.ArgumentParser("magpiefront", description="A load-balancing proxy for cache nodes.")
     parser.add_argument("--operator", metavar="FILE", help="the operator's file (else LB_OPERATOR)")
     commands = parser.add_subparsers(dest="command")
     check = commands.add_parser("check", help="say what is wrong with an operator's file")
     check.add_argument("file")
+    record = commands.add_parser("record", help="ask the store of record; `record --help` says what")
+    record.add_argument("--operator", metavar="FILE", dest="record_operator", help="as above")
+    if "record" in given:
+        from magpiefront.record.commands import add_arguments
+
+        add_arguments(record)
     return parser.parse_args(given)
 
 
@@ -144,6 +167,8 @@
             read_operator(args.file)
             print(f"{args.file}: good")
             return 0
+        if args.command == "record":
+            return ask_record(args)
         settings = config.load(os.environ)
         path = args.operator or os.environ.get("LB_OPERATOR")
         operator = read_operator(path) if path else None
--- a/magpiefront/record/sqlite.py
+++ b/magpiefront/record/sqlite.py
@@ -46,6 +46,13 @@
 )
 ALL = ", ".join(COLUMNS)
 BY_ID = "tenant = ? AND kind = ? AND key = ?"
+INSERT = f"INSERT OR IGNORE INTO reports ({ALL}) VALUES ({', '.join('?' * len(COLUMNS))})"
+# What a report is never changes: its bytes are written once.
+FIRST_CHANGED = COLUMNS.index("state")
+UPDATE = (
+    f"UPDATE reports SET {', '.join(f'{c} = ?' for c in COLUMNS[FIRST_CHANGED:])} "
+    f"WHERE {BY_ID} AND state = ? AND owner = ?"
+)
 
 
 class BadStore(Exception):
@@ -66,7 +73,7 @@
 def pack(r: Row) -> tuple[object, ...]:
     sent = r.sent or (None, None, None)
     a = r.answer
-    attempts = json.dumps([[t.node, t.at_s] for t in r.attempts])
+    attempts = json.dumps([[t.node, t.at_s] for t in r.attempts]) if r.attempts else "[]"
     return (
         *r.id, r.digest, r.method, r.target, r.more, r.body, r.state.value, r.received_s, *sent,
         r.owner, r.window_s, r.until_s, a.status if a else None, a.more if a else None,
@@ -173,19 +180,15 @@
 
     def insert(self, row: Row, deadline_us: int, then: Then) -> None:
         def what(db: sqlite3.Connection) -> Result:
-            marks = ", ".join("?" * len(COLUMNS))
-            done = db.execute(f"INSERT OR IGNORE INTO reports ({ALL}) VALUES ({marks})", pack(row))
+            done = db.execute(INSERT, pack(row))
             return Result(Outcome.DONE) if done.rowcount else Result(Outcome.THERE, _get(db, row.id))
 
         self._add(what, deadline_us, then, True)
 
     def change(self, before: Row, after: Row, deadline_us: int, then: Then) -> None:
         def what(db: sqlite3.Connection) -> Result:
-            sets = ", ".join(f"{c} = ?" for c in COLUMNS)
-            done = db.execute(
-                f"UPDATE reports SET {sets} WHERE {BY_ID} AND state = ? AND owner = ?",
-                (*pack(after), *before.id, before.state.value, before.owner),
-            )
+            expected = *before.id, before.state.value, before.owner
+            done = db.execute(UPDATE, (*pack(after)[FIRST_CHANGED:], *expected))
             return Result(Outcome.DONE) if done.rowcount else Result(Outcome.THERE, _get(db, before.id))
 
         self._add(what, deadline_us, then, True)
@@ -318,6 +321,11 @@
     return unpack(found) if found is not None else None
 
 
+def get_row(db: sqlite3.Connection, rowid: int) -> Row | None:
+    found = db.execute(f"SELECT {ALL} FROM reports WHERE rowid = ?", (rowid,)).fetchone()
+    return unpack(found) if found is not None else None
+
+
 def rows(db: sqlite3.Connection, state: State | None = None) -> Iterator[Row]:
     """All, or those in one state, the oldest first."""
     where, given = ("WHERE state = ?", (state.value,)) if state is not None else ("", ())
--- a/standins/killstore.py
+++ b/standins/killstore.py
@@ -4,10 +4,10 @@
 
 A round: a real process with a SQLite store in front of a stand-in node and archive, clients that send
 reports and send them again under the same key until they have an answer, and kills (SIGKILL) at moments drawn
-from the seed, each followed by a new start over the same file. Judged at the end: every confirmed report is in
-the store exactly once with the body that was sent; one that only ever was refused and never ran is not; no
-effect happened twice at the archive; what is left open or unknown is counted. Exit status 1 where that does not
-hold, 2 where no round could be played. All traffic stays on loopback and ends by itself.
+from the seed, each followed by a new start over the same file. Judged at the end: every confirmed report is
+in the store exactly once with the body that was sent; one that only ever was refused and never ran is not; no
+effect happened twice at the archive; what is left open or unknown is counted. Exit status 1 where that does
+not hold, 2 where no round could be played. All traffic stays on loopback and ends by itself.
 """
 
 from __future__ import annotations
--- /dev/null
+++ b/tests/record/test_commands.py
@@ -0,0 +1,160 @@
+"""What an operator asks of the store of record, by the command line."""
+
+from __future__ import annotations
+
+import json
+import sqlite3
+from dataclasses import replace
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from magpiefront.__main__ import main
+from magpiefront.record.commands import from_json, to_json
+from magpiefront.record.rows import Answer, Attempt, Id, Moment, Row, State
+from magpiefront.record.sqlite import open_file, pack, INSERT, rows
+from tests.record.test_journal import row
+
+WHOLE = row(
+    state=State.CONFIRMED, answer=Answer(201, b"A: b\r\n", bytes(range(256))), note="n",
+    attempts=(Attempt("s-1", 1.5),), sent=Moment(1.0, "b", 2.0),
+)  # fmt: skip
+
+
+@pytest.fixture
+def file(tmp_path: Path) -> Path:
+    (tmp_path / "operator.toml").write_text(
+        '[site]\nname = "west"\n[record.sqlite]\npath = "r.sqlite"\n'.replace(
+            "[record", "[record]\n[record", 1
+        )
+    )
+    return tmp_path / "operator.toml"
+
+
+def fill(file: Path, *given: Row) -> None:
+    db = open_file(file.parent / "r.sqlite")
+    for r in given:
+        db.execute(INSERT, pack(r))
+    db.close()
+
+
+def held(file: Path) -> list[Row]:
+    db = open_file(file.parent / "r.sqlite")
+    found = list(rows(db))
+    db.close()
+    return found
+
+
+def ask(capsys: pytest.CaptureFixture[str], file: Path, *args: str) -> tuple[int, str, str]:
+    status = main(["record", "--operator", str(file), *args])
+    said = capsys.readouterr()
+    return status, said.out, said.err
+
+
+def test_status_and_list_say_what_is_owed_a_look(file: Path, capsys: Any) -> None:
+    fill(file, WHOLE, replace(row(), id=Id("t", "k", b"k2")))
+    assert ask(capsys, file, "status")[0] == 0
+    fill(file, replace(row(state=State.UNKNOWN), id=Id("t", "k", b"k\xff3")))
+    status, out, _ = ask(capsys, file, "status")
+    assert status == 1 and "unknown" in out and "confirmed" in out and "MiB" in out
+    status, out, _ = ask(capsys, file, "--json", "status")
+    assert json.loads(out)["states"] == {"stored": 0, "sent": 1, "confirmed": 1, "unknown": 1, "not-run": 0}
+    status, out, _ = ask(capsys, file, "list", "--state", "unknown")
+    assert status == 1 and out.count("\n") == 2 and "k\\xff3" in out
+    status, out, _ = ask(capsys, file, "--json", "list", "--limit", "2")
+    assert len(out.splitlines()) == 2
+
+
+def test_show_and_resolve(file: Path, capsys: Any) -> None:
+    unknown = row(state=State.UNKNOWN)
+    fill(file, unknown, replace(unknown, id=Id("others", "field-report", b"k1")))
+    status, out, _ = ask(capsys, file, "show", "k1")
+    assert status == 1 and out.count("PUT /api/k1") == 2
+    status, _, err = ask(capsys, file, "resolve", "k1", "--as", "ran", "--note", "seen at the gauge")
+    assert status == 2 and "name --tenant" in err and err.count("\n") == 1
+    given = ("resolve", "k1", "--tenant", "members", "--as", "ran", "--note", "seen at the gauge")
+    assert ask(capsys, file, *given)[0] == 0
+    status, _, err = ask(capsys, file, *given)
+    assert status == 2 and "only an unknown one" in err
+    assert ask(capsys, file, "resolve", "k1", "--tenant", "others", "--as", "not-run", "--note", "no")[0] == 0
+    states = {r.id.tenant: (r.state, r.note) for r in held(file)}
+    assert states == {"members": (State.CONFIRMED, "seen at the gauge"), "others": (State.NOT_RUN, "no")}
+    assert ask(capsys, file, "show", "k1")[0] == 0
+    status, _, err = ask(capsys, file, "show", "nothing")
+    assert status == 2 and "no report with the key" in err
+
+
+def test_an_export_is_imported_once_however_often(file: Path, capsys: Any, tmp_path: Path) -> None:
+    many = [WHOLE, row(state=State.STORED, sent=None, answer=None)]
+    many[1] = replace(many[1], id=Id("t", "k", b"\0\xff" * 5_000))
+    fill(file, *many)
+    copy = tmp_path / "copy.ndjson"
+    assert ask(capsys, file, "export", "--to", str(copy))[0] == 0
+    status, out, _ = ask(capsys, file, "export")
+    assert out == copy.read_text() and out.count("\n") == 2
+    (tmp_path / "r.sqlite").rename(tmp_path / "old.sqlite")
+    for expected in ({"new": 2, "held": 0, "another": []}, {"new": 0, "held": 2, "another": []}):
+        status, out, _ = ask(capsys, file, "--json", "import", str(copy))
+        assert status == 0 and json.loads(out) == expected
+    assert held(file) == sorted(many, key=lambda r: r.received_s)
+    changed = to_json(replace(WHOLE, digest=b"other"))
+    copy.write_text(json.dumps(changed) + "\n")
+    status, out, _ = ask(capsys, file, "import", str(copy))
+    assert status == 1 and "another report is held under this key" in out and held(file)[0].digest == b"d"
+
+
+@pytest.mark.parametrize("line", ["{", "{}", '"x"', "[]", json.dumps({**to_json(WHOLE), "state": "gone"}),
+                                  json.dumps({**to_json(WHOLE), "key": "?"})])  # fmt: skip
+def test_a_line_that_can_not_be_read_imports_nothing(
+    line: str, file: Path, capsys: Any, tmp_path: Path
+) -> None:
+    copy = tmp_path / "copy.ndjson"
+    copy.write_text(json.dumps(to_json(WHOLE)) + "\n" + line + "\n")
+    status, _, err = ask(capsys, file, "import", str(copy))
+    assert status == 2 and "line 2" in err and err.count("\n") == 1 and held(file) == []
+
+
+def test_rows_go_through_json_unchanged() -> None:
+    for r in (WHOLE, row(sent=None), row(state=State.STORED, note="\u2603")):
+        assert from_json(json.loads(json.dumps(to_json(r)))) == r
+
+
+def test_verify_finds_what_is_wrong(file: Path, capsys: Any, tmp_path: Path) -> None:
+    fill(file, WHOLE, replace(row(), id=Id("t", "k", b"k2")))
+    status, out, _ = ask(capsys, file, "verify")
+    assert status == 0 and "2 rows, 0 faults" in out
+    db = sqlite3.connect(tmp_path / "r.sqlite")
+    db.execute("UPDATE reports SET status = NULL WHERE state = 'confirmed'")
+    db.execute("UPDATE reports SET state = 'odd' WHERE state = 'sent'")
+    db.commit()
+    db.close()
+    status, out, _ = ask(capsys, file, "--json", "verify")
+    found = json.loads(out)
+    assert status == 1 and len(found["faults"]) == 2 and "confirmed without an answer" in out
+
+
+def test_compact_gives_room_back(file: Path, capsys: Any, tmp_path: Path) -> None:
+    fill(file, *[replace(row(body=b"x" * 4_000), id=Id("t", "k", b"%d" % n)) for n in range(200)])
+    db = sqlite3.connect(tmp_path / "r.sqlite")
+    db.execute("DELETE FROM reports WHERE key <> ?", (b"7",))
+    db.commit()
+    db.close()
+    status, out, _ = ask(capsys, file, "--json", "compact")
+    sizes = json.loads(out)
+    assert status == 0 and sizes["after"] < sizes["before"] / 5 and len(held(file)) == 1
+
+
+@pytest.mark.parametrize("given", [(), ("--operator", "nowhere.toml")])
+def test_a_store_that_is_not_named_is_one_line(given: tuple[str, ...], capsys: Any, monkeypatch: Any) -> None:
+    monkeypatch.delenv("LB_OPERATOR", raising=False)
+    assert main(["record", *given, "status"]) == 2
+    assert capsys.readouterr().err.count("\n") == 1
+
+
+def test_a_file_that_is_not_there_or_not_on_is_one_line(file: Path, capsys: Any) -> None:
+    status, _, err = ask(capsys, file, "status")
+    assert status == 2 and "no such file" in err and err.count("\n") == 1
+    file.write_text('[site]\nname = "west"\n')
+    status, _, err = ask(capsys, file, "status")
+    assert status == 2 and "[record] is missing" in err
--- a/tests/record/test_sqlite.py
+++ b/tests/record/test_sqlite.py
@@ -290,5 +290,3 @@
     store.stop()
     house.run_until(lambda: bool(got))
     assert got[0].outcome is Outcome.NEVER and held(tmp_path / "r.sqlite") == []
-
-
