Hold reports in PostgreSQL too, against a stand-in server that fails by hand

Gateways on several machines need one store. asyncpg commits all that waits on each of a few connections; from where a transaction broke it is known whether a change never was, is done or must be asked. standins/pgserver.py speaks the wire protocol 3.0 (SCRAM, prepared statements, SQLSTATE, cancel) and pauses, cuts, refuses, restarts, turns read-only.

--- a/magpiefront/operator/compose.py
+++ b/magpiefront/operator/compose.py
@@ -7,6 +7,7 @@
 import sqlite3
 from dataclasses import replace
 from pathlib import Path
+from typing import TYPE_CHECKING
 
 from magpiefront.caching.disk import Disk
 from magpiefront.caching.stage import CachingStage
@@ -21,10 +22,15 @@
 from magpiefront.operator.fields import BadFile
 from magpiefront.record.attempts import RecordedAttempt
 from magpiefront.record.sqlite import BadStore, SqliteStore
-from magpiefront.record.stage import RecordStage
+from magpiefront.record.settings import SqliteSettings
+from magpiefront.record.stage import RecordStage, boot_id
 from magpiefront.operator.file import Operator, load
 
 
+if TYPE_CHECKING:
+    from magpiefront.record.postgres import PostgresStore
+
+
 def check(path: Path) -> Operator:
     """The file, and what it names on this machine. Raises BadFile."""
     operator = load(path)
@@ -68,19 +74,27 @@
                 watch.cache = self.cache.writes
 
         self.record: RecordStage | None = None
-        self.store: SqliteStore | None = None
+        self.store: SqliteStore | PostgresStore | None = None
         if operator.record is not None:
-            settings = operator.record
-            self.store = SqliteStore(house, settings.sqlite, settings.most_waiting)
-            self.first = self.record = RecordStage(house, self.first, settings, self.store)
+            settings, boot = operator.record, boot_id()
+            if isinstance(settings.store, SqliteSettings):
+                self.store = SqliteStore(house, settings.store, settings.most_waiting)
+            else:
+                from magpiefront.record.postgres import PostgresStore  # the library only where it is used
+
+                self.store = PostgresStore(house, settings.store, settings.most_waiting, boot)
+            self.first = self.record = RecordStage(house, self.first, settings, self.store, boot)
 
     async def start(self) -> None:
         """Raises OSError where the gateway can't listen, BadConfig where a file can't be had."""
         if self.store is not None:
             try:
-                self.store.start()
+                if isinstance(self.store, SqliteStore):
+                    self.store.start()
+                else:
+                    await self.store.start()
             except BadStore as e:
-                raise BadConfig(f"{self.operator.path}: [record.sqlite] {e}") from None
+                raise BadConfig(f"{self.operator.path}: [record] {e}") from None
         if self.cache is not None and self.cache.disk is not None:
             try:
                 self.cache.disk.start()
--- a/magpiefront/operator/record.py
+++ b/magpiefront/operator/record.py
@@ -8,9 +8,10 @@
 import msgspec
 
 from magpiefront.operator.fields import BadFile, Duration, Size, read
-from magpiefront.record.settings import RecordSettings, SqliteSettings
+from magpiefront.record.settings import PostgresSettings, RecordSettings, SqliteSettings
 
 OWN, SQLITE = RecordSettings(SqliteSettings(Path("."))), SqliteSettings(Path("."))
+POSTGRES = PostgresSettings("")
 Count = Annotated[int, msgspec.Meta(ge=1, le=1_000_000)]
 
 
@@ -20,8 +21,17 @@
     checkpoint_pages: Count = SQLITE.checkpoint_pages
 
 
+class PostgresTable(msgspec.Struct, forbid_unknown_fields=True):
+    dsn: Annotated[str, msgspec.Meta(pattern=r"^postgres(ql)?://")]
+    connections: Annotated[int, msgspec.Meta(ge=1, le=64)] = POSTGRES.connections
+    most_batch: Count = POSTGRES.most_batch
+    connect_timeout: Duration = Duration(POSTGRES.connect_timeout_us)
+    statement_timeout: Duration = Duration(POSTGRES.statement_timeout_us)
+
+
 class RecordTable(msgspec.Struct, forbid_unknown_fields=True):
-    sqlite: dict[str, Any]
+    sqlite: dict[str, Any] | None = None
+    postgres: dict[str, Any] | None = None
     classes: list[str] | None = None
     most_waiting: Count = OWN.most_waiting
     most_body: Size = Size(OWN.most_body)
@@ -34,13 +44,28 @@
 def record(path: Path, given: Any) -> RecordSettings:
     """Raises BadFile."""
     r = read(path, "record", given, RecordTable)
-    s = read(path, "record.sqlite", r.sqlite, SqliteTable)
+    if (r.sqlite is None) == (r.postgres is None):
+        what = "excludes postgres" if r.sqlite is not None else "is missing, and postgres too"
+        raise BadFile(f"{path}: [record] sqlite: {what}")
     for key, value in (("least_left", r.least_left), ("settle", r.settle)):
         if value.us < 1_000:
             raise BadFile(f"{path}: [record] {key}: must be at least 1ms")
     return RecordSettings(
-        sqlite=SqliteSettings(path.parent / s.path, s.most_batch, s.checkpoint_pages),
+        store=_sqlite(path, r.sqlite) if r.sqlite is not None else _postgres(path, r.postgres),
         classes=None if r.classes is None else frozenset(r.classes), most_waiting=r.most_waiting,
         most_body=r.most_body.bytes, most_answer=r.most_answer.bytes, retention_s=r.retention_hours * 3_600,
         least_left_us=r.least_left.us, settle_us=r.settle.us,
     )  # fmt: skip
+
+
+def _sqlite(path: Path, given: Any) -> SqliteSettings:
+    s = read(path, "record.sqlite", given, SqliteTable)
+    return SqliteSettings(path.parent / s.path, s.most_batch, s.checkpoint_pages)
+
+
+def _postgres(path: Path, given: Any) -> PostgresSettings:
+    p = read(path, "record.postgres", given, PostgresTable)
+    for key, value in (("connect_timeout", p.connect_timeout), ("statement_timeout", p.statement_timeout)):
+        if value.us < 1_000:
+            raise BadFile(f"{path}: [record.postgres] {key}: must be at least 1ms")
+    return PostgresSettings(p.dsn, p.connections, p.most_batch, p.connect_timeout.us, p.statement_timeout.us)
--- a/magpiefront/record/settings.py
+++ b/magpiefront/record/settings.py
@@ -13,9 +13,18 @@
     checkpoint_pages: int = 1_000  # of the write-ahead log, before it is put back into the file
 
 
+@dataclass(frozen=True, slots=True)
+class PostgresSettings:
+    dsn: str
+    connections: int = 4
+    most_batch: int = 64
+    connect_timeout_us: int = 1_000_000
+    statement_timeout_us: int = 2_000_000
+
+
 @dataclass(frozen=True, slots=True)
 class RecordSettings:
-    sqlite: SqliteSettings
+    store: SqliteSettings | PostgresSettings
     classes: frozenset[str] | None = None  # which keyed classes; None: all
     most_waiting: int = 1_000  # changes that wait for a commit; more are refused at once
     most_body: int = 64 << 10  # of a report; a longer one is refused
--- a/standins/killstore.py
+++ b/standins/killstore.py
@@ -1,13 +1,15 @@
 """Kills a gateway and the store of record in it at random moments under load, and counts every report.
 
-    python -m standins.killstore [--rounds 10] [--seed 1] [--at-once 4] [--json]
+    python -m standins.killstore [--store sqlite|postgres] [--rounds 10] [--seed 1] [--at-once 4] [--json]
 
-A round: a real process with a SQLite store in front of a stand-in node and archive, clients that send
-reports and send them again under the same key until they have an answer, and kills (SIGKILL) at moments drawn
-from the seed, each followed by a new start over the same file. Judged at the end: every confirmed report is
-in the store exactly once with the body that was sent; one that only ever was refused and never ran is not; no
-effect happened twice at the archive; what is left open or unknown is counted. Exit status 1 where that does
-not hold, 2 where no round could be played. All traffic stays on loopback and ends by itself.
+A round: a real process with its store in front of a stand-in node and archive, clients that send reports and
+send them again under the same key until they have an answer, and kills (SIGKILL) at moments drawn from the
+seed, each followed by a new start over the same store. With postgres that is a stand-in server in this
+process, which is killed and started again too, and now and then cuts a connection after a commit and before
+its reply. Judged at the end: every confirmed report is in the store exactly once with the body that was sent;
+one that only ever was refused and never ran is not; no effect happened twice at the archive; what is left open
+or unknown is counted. Exit status 1 where that does not hold, 2 where no round could be played. All traffic
+stays on loopback and ends by itself.
 """
 
 from __future__ import annotations
@@ -29,6 +31,7 @@
 from standins.archive import Archive
 from standins.discovery import Discovery
 from standins.node import Node
+from standins.pgserver import Cut, PgServer
 from standins.world import ROOT, free_port
 
 WINDOW_S = 8.0
@@ -45,7 +48,11 @@
                     "connIdleUs": 60_000_000},
     "rules": {"coldFrom": 0.3, "coldUs": 8_000_000},
 }  # fmt: skip
-OPERATOR = '[site]\nname = "west"\n[record]\nsettle = "1s"\n[record.sqlite]\npath = "record.sqlite"\n'
+OPERATOR = '[site]\nname = "west"\n[record]\nsettle = "1s"\n'
+STORES = {
+    "sqlite": '[record.sqlite]\npath = "record.sqlite"\n',
+    "postgres": '[record.postgres]\ndsn = "{dsn}"\n',
+}
 
 
 @dataclass
@@ -64,7 +71,11 @@
 
 
 class Round:
-    def __init__(self, seed: int, folder: Path, clients: int = 6, kills: int = 2) -> None:
+    def __init__(
+        self, seed: int, folder: Path, store: str = "sqlite", clients: int = 6, kills: int = 2
+    ) -> None:  # fmt: skip
+        self.store = store
+        self.pg = PgServer() if store == "postgres" else None
         self.random, self.folder, self.clients, self.kills = Random(seed), folder, clients, kills
         self.archive = Archive("west", time_s=0.01, window_s=WINDOW_S)
         self.node = Node("west-0", self.archive, seed, slow_share=0.1, slow_s=0.15)
@@ -104,12 +115,22 @@
             "name": "k", "listen": f"127.0.0.1:{self.port}", "discovery": f"127.0.0.1:{self.discovery.port}",
             "seed": "1", "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 512}, "settings": SETTINGS,
         }))  # fmt: skip
-        (self.folder / "operator.toml").write_text(OPERATOR)
+        store = STORES[self.store]
+        if self.pg is not None:
+            await self.pg.start()
+            self.pg.faults.after = self._cut
+            store = store.format(dsn=self.pg.dsn)
+        (self.folder / "operator.toml").write_text(OPERATOR + store)
         try:
             await self.start()
             clients = [asyncio.create_task(self._client(n)) for n in range(self.clients)]
             for _ in range(self.kills):
                 await asyncio.sleep(self.random.uniform(0.05, 0.5))
+                if self.pg is not None and self.random.random() < 0.5:
+                    self.pg.kill()
+                    await asyncio.sleep(self.random.uniform(0, 0.3))
+                    await self.pg.start()
+                    continue
                 assert self.process is not None
                 self.process.send_signal(signal.SIGKILL)
                 await self.process.wait()
@@ -124,8 +145,15 @@
                 await self.process.wait()
             self.node.stop()
             self.discovery.stop()
+            if self.pg is not None:
+                self.pg.kill()
         return self.judge()
 
+    async def _cut(self, text: str) -> None:
+        """The commit is done, and its client never hears so."""
+        if text == "COMMIT" and self.random.random() < 0.02:
+            raise Cut
+
     async def _quiet(self) -> None:
         """Until what is owed has been delivered, or is unknown."""
         for _ in range(1_000):
@@ -169,6 +197,9 @@
         return int(m.start.split(" ")[1]), min(0.2, float(m.headers.get("retry-after", "0.05")))
 
     def held(self) -> list[tuple[str, str, bytes]]:
+        if self.pg is not None:
+            found = self.pg.db.execute("SELECT key, state, body FROM reports").fetchall()
+            return [(bytes(key).decode(), state, bytes(body)) for key, state, body in found]
         db = sqlite3.connect(f"file:{self.folder / 'record.sqlite'}?mode=ro", uri=True, timeout=5)
         try:
             found = db.execute("SELECT key, state, body FROM reports").fetchall()
@@ -209,14 +240,16 @@
     }  # fmt: skip
 
 
-async def rounds(count: int, seed: int, at_once: int, quiet: bool) -> dict[str, Any]:
+async def rounds(
+    count: int, seed: int, at_once: int, quiet: bool, store: str = "sqlite"
+) -> dict[str, Any]:  # fmt: skip
     gate = asyncio.Semaphore(at_once)
     done: list[dict[str, Any]] = []
 
     async def one(number: int) -> None:
         async with gate:
             with tempfile.TemporaryDirectory() as folder:
-                found = await Round(seed + number, Path(folder)).play()
+                found = await Round(seed + number, Path(folder), store).play()
         found["faults"] = [f"round {seed + number}: {f}" for f in found["faults"]]
         done.append(found)
         if not quiet:
@@ -225,7 +258,7 @@
     await asyncio.gather(*(one(n) for n in range(count)))
     if not quiet:
         print(file=sys.stderr)
-    total: dict[str, Any] = {"killstore": "sqlite", "rounds": count, "seed": seed}
+    total: dict[str, Any] = {"killstore": store, "rounds": count, "seed": seed}
     for name in ("reports", "confirmed", "refused", "open", "unknown", "broke"):
         total[name] = sum(d[name] for d in done)
     total["faults"] = [f for d in done for f in d["faults"]]
@@ -234,13 +267,14 @@
 
 def main() -> int:
     parser = argparse.ArgumentParser("standins.killstore", description=(__doc__ or "").split("\n")[0])
+    parser.add_argument("--store", choices=list(STORES), default="sqlite")
     parser.add_argument("--rounds", type=int, default=10)
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--at-once", type=int, default=4)
     parser.add_argument("--json", action="store_true", help="only the last line, for programs")
     args = parser.parse_args()
     try:
-        found = asyncio.run(rounds(args.rounds, args.seed, args.at_once, args.json))
+        found = asyncio.run(rounds(args.rounds, args.seed, args.at_once, args.json, args.store))
     except RuntimeError as e:
         print(f"standins.killstore: {e}", file=sys.stderr)
         return 2
--- a/tests/gateway/test_process.py
+++ b/tests/gateway/test_process.py
@@ -30,7 +30,8 @@
     program = (
         "import sys, magpiefront.__main__ as m; m.main([]); "
         "print(' '.join(n for n in sys.modules if n.split('.')[0] in "
-        "('h2', 'hpack', 'hyperframe', 'msgspec', 'ssl', 'tomllib', 'standins', 'http_sf', 'sqlite3') "
+        "('h2', 'hpack', 'hyperframe', 'msgspec', 'ssl', 'tomllib', 'standins', 'http_sf', "
+        "'sqlite3', 'asyncpg') "
         "or n.startswith(('magpiefront.gateway', 'magpiefront.operator', 'magpiefront.caching', "
         "'magpiefront.record', 'magpiefront.net.passing', 'magpiefront.net.fields'))))"
     )
--- a/tests/operator/test_file.py
+++ b/tests/operator/test_file.py
@@ -170,6 +170,7 @@
         "caching.disk": caching.DiskTable,
         "record": record.RecordTable,
         "record.sqlite": record.SqliteTable,
+        "record.postgres": record.PostgresTable,
     }
     given = re.sub(r"^#\[", "[", given, flags=re.M)
     for name, kind in tables.items():
@@ -178,6 +179,7 @@
             if f.name not in (
                 "stale",
                 "sqlite",
+                "postgres",
                 "clients",
                 "disk",
                 "sites",
@@ -192,7 +194,8 @@
                 assert re.search(rf"^#?{f.name} = .*#|^#?{f.name} = ", part, re.M), f"{name}.{f.name}"
     # What is commented out is the default: put in, it changes nothing.
     path = tmp_path / "whole.toml"
-    keep = [line for line in given.splitlines() if not re.match(r"#(certificate|key|ca) ", line)]
+    whole_text = given.partition("# ... or in its place:")[0]  # two stores exclude each other
+    keep = [line for line in whole_text.splitlines() if not re.match(r"#(certificate|key|ca) ", line)]
     path.write_text("\n".join(re.sub(r"^#(?=[a-z_]+ = )", "", line) for line in keep))
     whole = load(path)
     assert whole.gateway == load(EXAMPLE).gateway and whole.caching is not None
@@ -256,7 +259,10 @@
 @pytest.mark.parametrize(
     ("given", "says"),
     [
-        ("[record]", "[record] sqlite: is missing"),
+        ("[record]", "[record] sqlite: is missing, and postgres too"),
+        ("[record.sqlite]\npath = 'r'\n[record.postgres]\ndsn = 'postgres://x'", "[record] sqlite: excludes"),
+        ("[record.postgres]\ndsn = 'mysql://x'", "[record.postgres] dsn: "),
+        ("[record.postgres]\ndsn = 'postgres://x'\nconnections = 0", "[record.postgres] connections: "),
         ("[record.sqlite]", "[record.sqlite] path: is missing"),
         ('[record.sqlite]\npath = ""', "[record.sqlite] path: "),
         ('[record]\nkeep = 1\n[record.sqlite]\npath = "r"', "[record] keep: unknown key"),
--- a/tests/record/sockets.py
+++ b/tests/record/sockets.py
@@ -93,7 +93,7 @@
     proxy = Proxy(read, loop)
     proxy.attempt_type = RecordedAttempt
     settings = replace(RecordSettings(SqliteSettings(path)), **more)
-    store = SqliteStore(proxy, settings.sqlite, settings.most_waiting)
+    store = SqliteStore(proxy, SqliteSettings(path), settings.most_waiting)
     store.start()
     stage = RecordStage(proxy, proxy, settings, store)
     front = Front(proxy, stage, Bodies(50 << 20), 500)
--- a/tests/record/test_killstore.py
+++ b/tests/record/test_killstore.py
@@ -12,8 +12,9 @@
 HELD = [("a", "confirmed", b"1")]
 
 
-def test_fifty_rounds_of_kills_lose_and_double_nothing() -> None:
-    found = asyncio.run(asyncio.wait_for(rounds(50, 1, 8, True), 600))
+@pytest.mark.parametrize("store", ["sqlite", "postgres"])
+def test_fifty_rounds_of_kills_lose_and_double_nothing(store: str) -> None:
+    found = asyncio.run(asyncio.wait_for(rounds(50, 1, 8, True, store), 900))
     assert found["faults"] == []
     assert found["confirmed"] > 500 and found["broke"] > 50 and found["open"] == 0
 
