--- a/standins/killstore.py
+++ b/standins/killstore.py
@@ -8,8 +8,8 @@
 process, which is killed and started again too, and now and then cuts a connection after a commit and before
 its reply. Judged at the end: every confirmed report is in the store exactly once with the body that was sent;
 one that only ever was refused and never ran is not; no effect happened twice at the archive; what is left
-open or unknown is counted. Exit status 1 where that does not hold, 2 where no round could be played. All traffic
-stays on loopback and ends by itself.
+open or unknown is counted. Exit status 1 where that does not hold, 2 where no round could be played. All
+traffic stays on loopback and ends by itself.
 """
 
 from __future__ import annotations
