Ask the store of record over PostgreSQL too, and move rows there once

The commands knew SQLite files only. They see either store through one small interface now; export from one and import into the other moves all rows, once however often, and what was sent comes in as unknown, for the two count the nodes' window on different clocks. Retry-After follows what commits take.

--- a/magpiefront/__main__.py
+++ b/magpiefront/__main__.py
@@ -139,11 +139,8 @@
     settings = read_operator(path).record
     if settings is None:
         raise config.BadConfig(f"{path}: [record] is missing")
-    store = settings.store
-    if not hasattr(store, "path"):
-        raise config.BadConfig("record: the commands know SQLite files only, so far")
     try:
-        return run(store.path, args)
+        return run(settings.store, args)
     except (BadStore, Refused) as e:
         raise config.BadConfig(str(e)) from None
 
--- a/magpiefront/record/commands.py
+++ b/magpiefront/record/commands.py
@@ -11,28 +11,14 @@
 from collections.abc import Iterator, Sequence
 from contextlib import nullcontext
 from dataclasses import replace
-from pathlib import Path
 from typing import Any, TextIO
 
+from magpiefront.record.books import Book, Refused, open_book
 from magpiefront.record.rows import Answer, Attempt, Id, Moment, Row, State
-from magpiefront.record.sqlite import (
-    BY_ID,
-    INSERT,
-    UPDATE,
-    FIRST_CHANGED,
-    BadStore,
-    get_row,
-    open_file,
-    pack,
-    rows,
-)
+from magpiefront.record.settings import PostgresSettings, SqliteSettings
+from magpiefront.record.sqlite import BadStore
 
 FINE, LOOK = 0, 1  # exit statuses; 2 is for what can't be done
-OPEN = (State.STORED, State.SENT)
-
-
-class Refused(Exception):
-    """A command that can't be carried out; its text is one line."""
 
 
 def add_arguments(parser: argparse.ArgumentParser) -> None:
@@ -61,16 +47,17 @@
     commands.add_parser("compact", help="give the room of removed rows back to the disk")
 
 
-def run(path: Path, args: argparse.Namespace, out: TextIO | None = None) -> int:
+def run(
+    settings: SqliteSettings | PostgresSettings, args: argparse.Namespace, out: TextIO | None = None
+) -> int:  # fmt: skip
     """The exit status. Raises Refused or BadStore."""
-    out = out or sys.stdout
-    db = open_file(path, create=args.record_command == "import")
+    book = open_book(settings, create=args.record_command == "import")
     try:
-        return COMMANDS[args.record_command](db, path, args, out)
+        return COMMANDS[args.record_command](book, args, out or sys.stdout)
     except sqlite3.Error as e:
-        raise Refused(f"{path}: {' '.join(str(e).split())}") from None
+        raise Refused(f"{book.name}: {' '.join(str(e).split())}") from None
     finally:
-        db.close()
+        book.close()
 
 
 def _table(out: TextIO, head: tuple[str, ...], lines: Sequence[tuple[object, ...]]) -> None:
@@ -84,23 +71,22 @@
     return time.strftime("%Y-%m-%d %H:%M:%S", time.gmtime(seconds))
 
 
-def _status(db: sqlite3.Connection, path: Path, args: argparse.Namespace, out: TextIO) -> int:
-    found = db.execute("SELECT state, count(*), min(received_s) FROM reports GROUP BY state").fetchall()
-    counts = {state: (count, oldest) for state, count, oldest in found}
-    size = sum(p.stat().st_size for p in (path, Path(f"{path}-wal")) if p.exists())
+def _status(book: Book, args: argparse.Namespace, out: TextIO) -> int:
+    counts = {state: (count, oldest) for state, count, oldest in book.counts()}
+    size = book.size()
     if args.json:
         states = {s.value: counts.get(s.value, (0, None))[0] for s in State}
-        print(json.dumps({"file": str(path), "bytes": size, "states": states}), file=out)
+        print(json.dumps({"store": book.name, "bytes": size, "states": states}), file=out)
     else:
         lines = [(s.value, counts[s.value][0], _when(counts[s.value][1])) for s in State if s.value in counts]
         _table(out, ("state", "reports", "oldest (UTC)"), lines)
-        print(f"{path}: {size / 2**20:.1f} MiB", file=out)
+        print(f"{book.name}: {size / 2**20:.1f} MiB", file=out)
     return LOOK if State.UNKNOWN.value in counts else FINE
 
 
-def _list(db: sqlite3.Connection, path: Path, args: argparse.Namespace, out: TextIO) -> int:
+def _list(book: Book, args: argparse.Namespace, out: TextIO) -> int:
     state = State(args.state) if args.state else None
-    found = [r for r, _ in zip(rows(db, state), range(args.limit), strict=False)]
+    found = [r for r, _ in zip(book.rows(state), range(args.limit), strict=False)]
     if args.json:
         for r in found:
             print(json.dumps(to_json(r)), file=out)
@@ -113,17 +99,17 @@
     return LOOK if any(r.state is State.UNKNOWN for r in found) else FINE
 
 
-def _matching(db: sqlite3.Connection, args: argparse.Namespace) -> list[Row]:
+def _matching(book: Book, args: argparse.Namespace) -> list[Row]:
     key = args.key.encode("utf-8", "surrogateescape")
-    found = [r for r in rows(db) if r.id.key == key]
+    found = [r for r in book.rows() if r.id.key == key]
     found = [r for r in found if args.tenant in (None, r.id.tenant) and args.kind in (None, r.id.kind)]
     if not found:
         raise Refused(f"no report with the key {args.key!r} is held")
     return found
 
 
-def _show(db: sqlite3.Connection, path: Path, args: argparse.Namespace, out: TextIO) -> int:
-    found = _matching(db, args)
+def _show(book: Book, args: argparse.Namespace, out: TextIO) -> int:
+    found = _matching(book, args)
     for r in found:
         if args.json:
             print(json.dumps(to_json(r)), file=out)
@@ -141,8 +127,8 @@
     return LOOK if any(r.state is State.UNKNOWN for r in found) else FINE
 
 
-def _resolve(db: sqlite3.Connection, path: Path, args: argparse.Namespace, out: TextIO) -> int:
-    found = _matching(db, args)
+def _resolve(book: Book, args: argparse.Namespace, out: TextIO) -> int:
+    found = _matching(book, args)
     if len(found) > 1:
         raise Refused(f"{len(found)} reports have the key {args.key!r}: name --tenant and --class")
     r = found[0]
@@ -153,8 +139,7 @@
         after = replace(r, state=State.CONFIRMED, answer=answer, note=args.note)
     else:
         after = replace(r, state=State.NOT_RUN, note=args.note)
-    done = db.execute(UPDATE, (*pack(after)[FIRST_CHANGED:], *r.id, r.state.value, r.owner))
-    if not done.rowcount:
+    if not book.change(r, after):
         raise Refused(f"{args.key!r} has changed meanwhile")
     print(json.dumps(to_json(after)) if args.json else f"{args.key}: {after.state.value}", file=out)
     return FINE
@@ -169,18 +154,15 @@
         yield "without a key or a digest"
 
 
-def _verify(db: sqlite3.Connection, path: Path, args: argparse.Namespace, out: TextIO) -> int:
-    found = [f"{path}: {line}" for (line,) in db.execute("PRAGMA integrity_check") if line != "ok"]
+def _verify(book: Book, args: argparse.Namespace, out: TextIO) -> int:
+    found: list[str] = []
     count = 0
-    for (rowid,) in db.execute("SELECT rowid FROM reports").fetchall():
-        count += 1
-        try:
-            r = get_row(db, rowid)
-        except (ValueError, TypeError) as e:
-            found.append(f"row {rowid}: {e}")
+    for r in book.checked():
+        if isinstance(r, str):
+            found.append(r)
             continue
-        if r is not None:
-            found += [f"{_text(r.id.key)}: {fault}" for fault in faults_of(r)]
+        count += 1
+        found += [f"{_text(r.id.key)}: {fault}" for fault in faults_of(r)]
         if sys.stderr.isatty() and count % 1_000 == 0:
             print(f"\r{count} rows", end="", file=sys.stderr)
     if args.json:
@@ -192,37 +174,40 @@
     return LOOK if found else FINE
 
 
-def _export(db: sqlite3.Connection, path: Path, args: argparse.Namespace, out: TextIO) -> int:
-    db.execute("BEGIN")  # one view of all rows, whatever is written meanwhile
+def _export(book: Book, args: argparse.Namespace, out: TextIO) -> int:
+    book.begin(False)  # one view of all rows, whatever is written meanwhile
     try:
         with open(args.to, "w", encoding="utf-8") if args.to else nullcontext(out) as target:
-            for r in rows(db):
+            for r in book.rows():
                 print(json.dumps(to_json(r)), file=target)
     except OSError as e:
         raise Refused(f"{args.to}: {e.strerror}") from None
     return FINE
 
 
-def _import(db: sqlite3.Connection, path: Path, args: argparse.Namespace, out: TextIO) -> int:
+def _import(book: Book, args: argparse.Namespace, out: TextIO) -> int:
     new = there = 0
     other: list[str] = []
     try:
         with open(args.file, encoding="utf-8") as lines:
-            db.execute("BEGIN IMMEDIATE")
+            book.begin(True)
             for number, line in enumerate(lines, 1):
                 try:
                     r = from_json(json.loads(line))
                 except (ValueError, KeyError, TypeError) as e:
                     what = f"line {number}: {type(e).__name__}: {e}; nothing was imported"
                     raise Refused(f"{args.file}: {what}") from None
-                if db.execute(INSERT, pack(r)).rowcount:
+                if r.state is State.SENT:
+                    # Guards against a second effect: the clock that its window counts on is not this store's.
+                    r = replace(r, state=State.UNKNOWN, note=r.note or "was sent when it was exported")
+                if book.add(r):
                     new += 1
                     continue
                 there += 1
-                digest = db.execute(f"SELECT digest FROM reports WHERE {BY_ID}", r.id).fetchone()[0]
-                if digest != r.digest:
+                held = book.find(r.id)
+                if held is not None and held.digest != r.digest:
                     other.append(_text(r.id.key))
-            db.execute("COMMIT")
+            book.commit()
     except (OSError, UnicodeDecodeError) as e:
         raise Refused(f"{args.file}: {e}") from None
     if args.json:
@@ -234,11 +219,10 @@
     return LOOK if other else FINE
 
 
-def _compact(db: sqlite3.Connection, path: Path, args: argparse.Namespace, out: TextIO) -> int:
-    before = path.stat().st_size
-    db.execute("VACUUM")
-    db.execute("PRAGMA wal_checkpoint(TRUNCATE)")
-    after = path.stat().st_size
+def _compact(book: Book, args: argparse.Namespace, out: TextIO) -> int:
+    before = book.size()
+    book.compact()
+    after = book.size()
     text = f"{before / 2**20:.1f} MiB before, {after / 2**20:.1f} MiB now"
     print(json.dumps({"before": before, "after": after}) if args.json else text, file=out)
     return FINE
--- a/magpiefront/record/postgres.py
+++ b/magpiefront/record/postgres.py
@@ -77,6 +77,11 @@
     def log(self, text: str) -> None: ...
 
 
+def postgres_errors() -> tuple[type[BaseException], ...]:
+    """What a call may raise where the server or the way to it fails."""
+    return (OSError, TimeoutError, asyncpg.PostgresError, asyncpg.InterfaceError, asyncpg.InternalClientError)
+
+
 def outcome_of(e: BaseException, committing: bool) -> Outcome:
     """What a failure says of the transaction that it broke."""
     if not committing:
@@ -136,16 +141,22 @@
 
     # ---- in the loop
 
-    async def start(self) -> None:
-        """Raises BadStore."""
+    async def open(self) -> Any:
+        """A connection to a store of this version. Raises BadStore."""
         try:
             connection = await self._connect()
             try:
                 await self._migrate(connection)
-            finally:
-                await connection.close(timeout=self.settings.connect_timeout_us / 1e6)
-        except (OSError, TimeoutError, asyncpg.PostgresError, asyncpg.InterfaceError) as e:
+            except BaseException:
+                connection.terminate()
+                raise
+            return connection
+        except postgres_errors() as e:
             raise BadStore(f"postgres: {' '.join(str(e).split()) or type(e).__name__}") from None
+
+    async def start(self) -> None:
+        """Raises BadStore."""
+        (await self.open()).terminate()
         self.workers = [self.house.loop.create_task(self._work()) for _ in range(self.settings.connections)]
 
     async def _connect(self) -> Any:
@@ -183,19 +194,17 @@
 
     def insert(self, row: Row, deadline_us: int, then: Then) -> None:
         async def what(c: Any) -> Result:
-            if await c.execute(INSERT, *pack(row)) == "INSERT 0 1":
+            if await self.add(c, row):
                 return Result(Outcome.DONE)
-            return Result(Outcome.THERE, await self._get(c, row.id))
+            return Result(Outcome.THERE, await self.row_of(c, row.id))
 
         self._add(what, deadline_us, then, True)
 
     def change(self, before: Row, after: Row, deadline_us: int, then: Then) -> None:
         async def what(c: Any) -> Result:
-            values = pack(after)[COLUMNS.index("state") :]
-            done = await c.execute(UPDATE, *before.id, before.state.value, before.owner, *values)
-            if done == "UPDATE 1":
+            if await self.put(c, before, after):
                 return Result(Outcome.DONE)
-            return Result(Outcome.THERE, await self._get(c, before.id))
+            return Result(Outcome.THERE, await self.row_of(c, before.id))
 
         self._add(what, deadline_us, then, True)
 
@@ -203,13 +212,13 @@
         async def what(c: Any) -> Result:
             if await c.execute(DELETE, *before.id, before.state.value, before.owner) == "DELETE 1":
                 return Result(Outcome.DONE)
-            return Result(Outcome.THERE, await self._get(c, before.id))
+            return Result(Outcome.THERE, await self.row_of(c, before.id))
 
         self._add(what, deadline_us, then, True)
 
     def get(self, id: Id, deadline_us: int, then: Then) -> None:
         async def what(c: Any) -> Result:
-            return Result(Outcome.DONE, await self._get(c, id))
+            return Result(Outcome.DONE, await self.row_of(c, id))
 
         self._add(what, deadline_us, then, False)
 
@@ -278,7 +287,7 @@
                 if batch and not await self._commit(connection, batch):
                     connection.terminate()
                     connection = None
-            except (OSError, TimeoutError, asyncpg.PostgresError, asyncpg.InterfaceError) as e:
+            except postgres_errors() as e:
                 # No connection: who waits may still have time, and is told when that is up.
                 connection = None
                 self.house.log(f"record: no connection to postgres: {' '.join(str(e).split())}")
@@ -322,7 +331,22 @@
             job.then(result)
         return True
 
-    async def _get(self, c: Any, id: Id) -> Row | None:
+    async def add(self, c: Any, row: Row) -> bool:
+        return bool(await c.execute(INSERT, *pack(row)) == "INSERT 0 1")
+
+    async def put(self, c: Any, before: Row, after: Row) -> bool:
+        values = pack(after)[COLUMNS.index("state") :]
+        done = await c.execute(UPDATE, *before.id, before.state.value, before.owner, *values)
+        return bool(done == "UPDATE 1")
+
+    async def all_rows(self, c: Any, state: State | None) -> list[Row]:
+        where = "WHERE $1::text = '' OR state = $1::text"
+        found = await c.fetch(
+            f"{SELECT} {where} ORDER BY received_s", state.value if state is not None else ""
+        )
+        return [self._row(v) for v in found]
+
+    async def row_of(self, c: Any, id: Id) -> Row | None:
         found = await c.fetch(f"{SELECT} WHERE {BY_ID}", *id)
         return self._row(found[0]) if found else None
 
--- a/magpiefront/record/sqlite.py
+++ b/magpiefront/record/sqlite.py
@@ -181,7 +181,7 @@
     def insert(self, row: Row, deadline_us: int, then: Then) -> None:
         def what(db: sqlite3.Connection) -> Result:
             done = db.execute(INSERT, pack(row))
-            return Result(Outcome.DONE) if done.rowcount else Result(Outcome.THERE, _get(db, row.id))
+            return Result(Outcome.DONE) if done.rowcount else Result(Outcome.THERE, get_by_id(db, row.id))
 
         self._add(what, deadline_us, then, True)
 
@@ -189,7 +189,7 @@
         def what(db: sqlite3.Connection) -> Result:
             expected = *before.id, before.state.value, before.owner
             done = db.execute(UPDATE, (*pack(after)[FIRST_CHANGED:], *expected))
-            return Result(Outcome.DONE) if done.rowcount else Result(Outcome.THERE, _get(db, before.id))
+            return Result(Outcome.DONE) if done.rowcount else Result(Outcome.THERE, get_by_id(db, before.id))
 
         self._add(what, deadline_us, then, True)
 
@@ -199,12 +199,12 @@
                 f"DELETE FROM reports WHERE {BY_ID} AND state = ? AND owner = ?",
                 (*before.id, before.state.value, before.owner),
             )
-            return Result(Outcome.DONE) if done.rowcount else Result(Outcome.THERE, _get(db, before.id))
+            return Result(Outcome.DONE) if done.rowcount else Result(Outcome.THERE, get_by_id(db, before.id))
 
         self._add(what, deadline_us, then, True)
 
     def get(self, id: Id, deadline_us: int, then: Then) -> None:
-        self._add(lambda db: Result(Outcome.DONE, _get(db, id)), deadline_us, then, False)
+        self._add(lambda db: Result(Outcome.DONE, get_by_id(db, id)), deadline_us, then, False)
 
     def open_rows(self, most: int, then: Callable[[list[Row]], None]) -> None:
         found: list[Row] = []
@@ -316,7 +316,7 @@
             db.close()
 
 
-def _get(db: sqlite3.Connection, id: Id) -> Row | None:
+def get_by_id(db: sqlite3.Connection, id: Id) -> Row | None:
     found = db.execute(f"SELECT {ALL} FROM reports WHERE {BY_ID}", id).fetchone()
     return unpack(found) if found is not None else None
 
--- a/magpiefront/record/stage.py
+++ b/magpiefront/record/stage.py
@@ -183,7 +183,9 @@
             return
         self.timers.pop(r).cancel()
         more = a.answer.more
-        after_us = min(a.retry_after_us, self.house.most_retry_after_us)
+        # Of a store that can't take it now, by what its commits take.
+        wait_us = self.store.wait_us if a.answer is journal.NOT_HELD else 0
+        after_us = min(max(a.retry_after_us, wait_us), self.house.most_retry_after_us)
         if after_us > 0 and b"retry-after:" not in more.lower():
             more += b"Retry-After: %.3f\r\n" % (after_us / 1e6)
         r.replies.answer(r, a.answer.status, (a.answer.body,), more)
--- a/standins/pgserver.py
+++ b/standins/pgserver.py
@@ -81,6 +81,7 @@
         self.user, self.password, self.port = user, password, port
         self.db = sqlite3.connect(":memory:", isolation_level=None)
         self.db.create_function("pg_now", 0, lambda: time.time() + self.clock_off_s)
+        self.db.create_function("pg_total_relation_size", 1, lambda _: 8192)
         self.clock_off_s = 0.0
         self.faults = Faults()
         self.server: asyncio.Server | None = None
@@ -361,7 +362,10 @@
                 self.cancelled.clear()
                 raise Failure("57014", "canceling statement due to user request")
             waiting.result()
-        if verb in ("RESET", "CLOSE", "UNLISTEN", "SET", "DEALLOCATE", "DISCARD") or "pg_advisory" in s.text:
+        if (
+            verb in ("VACUUM", "RESET", "CLOSE", "UNLISTEN", "SET", "DEALLOCATE", "DISCARD")
+            or "pg_advisory" in s.text
+        ):
             return [], verb
         if verb in ("BEGIN", "START"):
             await server.lock.acquire()
--- a/tests/record/test_commands.py
+++ b/tests/record/test_commands.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 import sqlite3
+import threading
+import time
 from dataclasses import replace
 from pathlib import Path
 from typing import Any
@@ -14,6 +17,7 @@
 from magpiefront.record.commands import from_json, to_json
 from magpiefront.record.rows import Answer, Attempt, Id, Moment, Row, State
 from magpiefront.record.sqlite import open_file, pack, INSERT, rows
+from standins.pgserver import PgServer
 from tests.record.test_journal import row
 
 WHOLE = row(
@@ -98,10 +102,19 @@
         status, out, _ = ask(capsys, file, "--json", "import", str(copy))
         assert status == 0 and json.loads(out) == expected
     assert held(file) == sorted(many, key=lambda r: r.received_s)
+    copy.write_text(json.dumps(to_json(replace(row(), id=Id("t", "k", b"open")))) + "\n")
+    assert ask(capsys, file, "import", str(copy))[0] == 0
+    assert [r.state for r in held(file) if r.id.key == b"open"] == [
+        State.UNKNOWN
+    ]  # never sent by another clock
     changed = to_json(replace(WHOLE, digest=b"other"))
     copy.write_text(json.dumps(changed) + "\n")
     status, out, _ = ask(capsys, file, "import", str(copy))
-    assert status == 1 and "another report is held under this key" in out and held(file)[0].digest == b"d"
+    assert (
+        status == 1
+        and "another report is held under this key" in out
+        and all(r.digest == b"d" for r in held(file))
+    )
 
 
 @pytest.mark.parametrize("line", ["{", "{}", '"x"', "[]", json.dumps({**to_json(WHOLE), "state": "gone"}),
@@ -158,3 +171,52 @@
     file.write_text('[site]\nname = "west"\n')
     status, _, err = ask(capsys, file, "status")
     assert status == 2 and "[record] is missing" in err
+
+
+def test_the_same_commands_over_postgres(file: Path, capsys: Any, tmp_path: Path) -> None:
+    """A server in another thread; what SQLite held moves there once."""
+    ready, over = threading.Event(), threading.Event()
+    server = PgServer()
+
+    def serve() -> None:
+        async def main() -> None:
+            await server.start()
+            ready.set()
+            while not over.is_set():
+                await asyncio.sleep(0.01)
+            server.stop()
+
+        asyncio.run(main())
+
+    # The stand-in's rows are made in its own thread; nobody else touches them.
+    server.db = sqlite3.connect(":memory:", isolation_level=None, check_same_thread=False)
+    server.db.create_function("pg_now", 0, time.time)
+    server.db.create_function("pg_total_relation_size", 1, lambda _: 8192)
+    thread = threading.Thread(target=serve)
+    thread.start()
+    try:
+        assert ready.wait(20)
+        unknown = replace(row(state=State.UNKNOWN), id=Id("t", "k", b"k2"))
+        fill(file, WHOLE, unknown)
+        copy = tmp_path / "copy.ndjson"
+        ask(capsys, file, "export", "--to", str(copy))
+        file.write_text(f'[site]\nname = "west"\n[record.postgres]\ndsn = "{server.dsn}"\n')
+        for expected in ((2, 0), (0, 2)):
+            status, out, _ = ask(capsys, file, "--json", "import", str(copy))
+            found = json.loads(out)
+            assert status == 0 and (found["new"], found["held"]) == expected
+        status, out, _ = ask(capsys, file, "--json", "status")
+        assert status == 1 and json.loads(out)["states"]["unknown"] == 1
+        assert ask(capsys, file, "resolve", "k2", "--as", "not-run", "--note", "no")[0] == 0
+        status, out, _ = ask(capsys, file, "show", "k2")
+        assert status == 0 and "not-run" in out
+        assert ask(capsys, file, "verify")[0] == 0 and ask(capsys, file, "compact")[0] == 0
+        status, out, _ = ask(capsys, file, "export")
+        bodies = {json.loads(line)["body"] for line in out.splitlines()}
+        assert bodies == {json.loads(line)["body"] for line in copy.read_text().splitlines()}
+        assert ask(capsys, file, "list", "--state", "confirmed")[1].count("\n") == 2
+    finally:
+        over.set()
+        thread.join()
+    status, _, err = ask(capsys, file, "status")
+    assert status == 2 and err.startswith("magpiefront: postgres: ") and err.count("\n") == 1
