Start without a PostgreSQL server that is away; let a gateway die at each step in a test

A gateway whose store was cut at its start ended with status 2, and had answered /ready before. It starts now, serves reads, refuses reports until there is a connection, and listens to clients only once all behind it has begun. A wrong password or a newer version still ends the start with one line.

--- a/magpiefront/__main__.py
+++ b/magpiefront/__main__.py
@@ -77,12 +77,12 @@
     loop.add_signal_handler(signal.SIGHUP, reload)
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
-    front.listen(*settings.listen)
     if composition is not None:
         try:
             await composition.start()
         except OSError as e:
             raise config.BadConfig(f"{composition.operator.path}: can't listen for gateways: {e}") from None
+    front.listen(*settings.listen)
     discovery.start(settings.known)  # before the loop runs again, and so before a client is heard
 
     if composition is not None:
--- a/magpiefront/record/postgres.py
+++ b/magpiefront/record/postgres.py
@@ -82,6 +82,20 @@
     return (OSError, TimeoutError, asyncpg.PostgresError, asyncpg.InterfaceError, asyncpg.InternalClientError)
 
 
+FAILURES: tuple[type[BaseException], ...] = (*postgres_errors(), BadStore)
+
+
+class Away(BadStore):
+    """A server that can't be reached now."""
+
+
+def away(e: BaseException) -> bool:
+    """Might it serve later? Its own no to a login, a statement or a right is for good."""
+    if isinstance(e, asyncpg.PostgresError):
+        return e.sqlstate in SERVER_ENDS or (e.sqlstate or "")[:2] in ("53", "57", "08", "40")
+    return True
+
+
 def outcome_of(e: BaseException, committing: bool) -> Outcome:
     """What a failure says of the transaction that it broke."""
     if not committing:
@@ -137,7 +151,8 @@
         self.workers: list[asyncio.Task[None]] = []
         self.commit_us = 5_000.0
         self.commits = self.committed = 0
-        self.stopping = False
+        self.stopping = self.migrated = False
+        self.migrating = asyncio.Lock()
 
     # ---- in the loop
 
@@ -146,17 +161,24 @@
         try:
             connection = await self._connect()
             try:
-                await self._migrate(connection)
+                async with self.migrating:
+                    await self._migrate(connection)
             except BaseException:
                 connection.terminate()
                 raise
+            self.migrated = True
             return connection
         except postgres_errors() as e:
-            raise BadStore(f"postgres: {' '.join(str(e).split()) or type(e).__name__}") from None
+            text = f"postgres: {' '.join(str(e).split()) or type(e).__name__}"
+            raise (Away(text) if away(e) else BadStore(text)) from None
 
     async def start(self) -> None:
-        """Raises BadStore."""
-        (await self.open()).terminate()
+        """Raises BadStore where it will never serve: another version, a wrong password. One that can't be
+        reached now is no reason to serve nobody: reports are refused until it can."""
+        try:
+            (await self.open()).terminate()
+        except Away as e:
+            self.house.log(f"record: {e}; reports are refused until there is a connection")
         self.workers = [self.house.loop.create_task(self._work()) for _ in range(self.settings.connections)]
 
     async def _connect(self) -> Any:
@@ -281,13 +303,13 @@
             batch: list[Job] = []
             try:
                 if connection is None or connection.is_closed():
-                    connection = await self._connect()
+                    connection = await (self._connect() if self.migrated else self.open())
                 pause_s = BACKOFF_S
                 batch = [self.jobs.popleft() for _ in range(min(len(self.jobs), self.settings.most_batch))]
                 if batch and not await self._commit(connection, batch):
                     connection.terminate()
                     connection = None
-            except postgres_errors() as e:
+            except FAILURES as e:
                 # No connection: who waits may still have time, and is told when that is up.
                 connection = None
                 self.house.log(f"record: no connection to postgres: {' '.join(str(e).split())}")
--- a/standins/killstore.py
+++ b/standins/killstore.py
@@ -84,11 +84,12 @@
         self.process: asyncio.subprocess.Process | None = None
         self.reports: list[Report] = []
         self.over = False
+        self.program = ["-m", "magpiefront"]
 
     async def start(self) -> None:
         with open(self.folder / "log", "ab") as log:
             self.process = await asyncio.create_subprocess_exec(
-                sys.executable, "-m", "magpiefront", "--operator", str(self.folder / "operator.toml"),
+                sys.executable, *self.program, "--operator", str(self.folder / "operator.toml"),
                 cwd=ROOT, env={**os.environ, "LB_CONFIG": str(self.folder / "config.json")}, stderr=log,
             )  # fmt: skip
         for _ in range(1_500):
@@ -106,7 +107,8 @@
             await asyncio.sleep(0.02)
         raise RuntimeError("the gateway did not come up")
 
-    async def play(self) -> dict[str, Any]:
+    async def prepare(self) -> None:
+        """All but the gateway."""
         await self.node.start()
         await self.discovery.start()
         places = [{**self.node.entry(), "instanceId": f"west-{n}"} for n in range(4)]
@@ -121,6 +123,9 @@
             self.pg.faults.after = self._cut
             store = store.format(dsn=self.pg.dsn)
         (self.folder / "operator.toml").write_text(OPERATOR + store)
+
+    async def play(self) -> dict[str, Any]:
+        await self.prepare()
         try:
             await self.start()
             clients = [asyncio.create_task(self._client(n)) for n in range(self.clients)]
