Send a recorded report's fields to the nodes once

Found on reading the change again: with the cache on, a report from the store of record carried every field twice, and its client's Req-Id beside its own. It goes on now as it comes from a front: its key and type in Request.more, the rest in Request.fields. The composed test looks at what the host is handed, and fails without the change.

--- a/magpiefront/record/stage.py
+++ b/magpiefront/record/stage.py
@@ -26,6 +26,7 @@
 BOOT_ID = Path("/proc/sys/kernel/random/boot_id")
 LOOK = 200  # rows at one look
 SWEEP_US, SWEEP_ROWS = 60_000_000, 500
+IN_MORE = frozenset({b"idempotency-key", b"content-type"})  # as Request.check leaves it
 KEEP_OUT = frozenset({b"connection", b"content-length", b"transfer-encoding", b"host", b"expect"})
 
 
@@ -251,7 +252,8 @@
         if row.id.tenant:
             twin.headers[b"req-owner"] = row.id.tenant.encode("latin-1")
         twin.fields = read_lines(row.more)
-        twin.more = row.more
+        # As from a front: the stages behind add what else goes on, and it must not go twice.
+        twin.more = lines(f for f in twin.fields if f[0].lower() in IN_MORE)
         twin.body, twin.size = ([row.body], len(row.body)) if row.body else ([], 0)
         twin.taken_at = self.house.now_us()
         twin.time_left = max(0, self._house_us(a.deadline_us) - twin.taken_at)
--- a/tests/record/test_composed.py
+++ b/tests/record/test_composed.py
@@ -10,6 +10,7 @@
 from magpiefront.net.bodies import Bodies
 from magpiefront.net.discovery import Discovery
 from magpiefront.net.downstream import Front
+from magpiefront.net.request import Request
 from magpiefront.operator.compose import Composition, check, host
 from magpiefront.record.rows import State
 from magpiefront.record.sqlite import open_file, rows
@@ -62,6 +63,14 @@
             "settings": {**INFO, "grades": GRADES, "permissions": permissions},
         }, {})  # fmt: skip
         proxy = host(read, loop, operator)
+        taken: list[bytes] = []
+        take = proxy.take
+
+        def spy(r: Request) -> None:
+            taken.append(r.more.lower())
+            take(r)
+
+        proxy.take = spy  # type: ignore[method-assign]
         composition = Composition(proxy, proxy, operator, 1)
         front = Front(proxy, composition.first, Bodies(50 << 20), 500)
         composition.prepare(front)
@@ -84,6 +93,8 @@
         answer = await ask(whole)
         assert answer.body == b"held" and answer.headers["x-where"] == "here"
         assert node.seen[1].headers["x-gauge"] == "7" and node.seen[1].headers["idempotency-key"] == "k1"
+        assert taken[-1].count(b"x-gauge:") == taken[-1].count(b"idempotency-key:") == 1
+        assert b"req-" not in taken[-1] and taken[-1].count(b"via:") == 1
         again = await ask(report())
         assert again.body == b"held" and again.headers["x-where"] == "here" and len(node.seen) == 2
         assert (await ask(level.replace(b"Req-Id: ", b"Req-Id: y"))).body == b"1"  # its copy was voided
