Give stages and stores one house, and drop what the cache and the record wrote twice

Five protocols said what a stage needs of the program round it; net/house.py says it once. Both stores write a report's attempts by one pair of functions; the cache's store loses a callback and a counter that nobody read; letting go of a fill's room, and counting what a purge drops, stand in one place each. Behaviour is as it was.

--- a/magpiefront/caching/disk.py
+++ b/magpiefront/caching/disk.py
@@ -18,7 +18,7 @@
 
 import msgspec
 
-from magpiefront.caching.house import House
+from magpiefront.net.house import House
 from magpiefront.caching.rules import S, Stored
 from magpiefront.caching.settings import DiskSettings
 
--- a/magpiefront/caching/stage.py
+++ b/magpiefront/caching/stage.py
@@ -11,9 +11,9 @@
 from magpiefront.caching import dates, rules, status, targets, vary
 from magpiefront.caching.disk import Disk
 from magpiefront.caching.fences import Fences
-from magpiefront.caching.flights import Flight, Waiter
+from magpiefront.caching.flights import Flight, Spot, Waiter
 from magpiefront.caching.giving import CONDITIONS, Giver
-from magpiefront.caching.house import House
+from magpiefront.net.house import Classed
 from magpiefront.caching.loads import Loads
 from magpiefront.caching.rules import Answered, Asked, Cause, Forward, Fwd, Serve, Stored
 from magpiefront.caching.settings import CachingSettings
@@ -50,7 +50,7 @@
 
 class CachingStage:
     def __init__(
-        self, house: House, following: Stage, settings: CachingSettings, disk: Disk | None = None,
+        self, house: Classed, following: Stage, settings: CachingSettings, disk: Disk | None = None,
         wall: Callable[[], float] = time.time,
     ) -> None:  # fmt: skip
         self.house, self.following, self.wall, self.disk = house, following, wall, disk
@@ -61,7 +61,7 @@
                              lambda r: self._more(r, self.drop, []))  # fmt: skip
         self.by_twin: dict[Request, Flight] = {}
         self.waits: dict[Request, Flight] = {}
-        self.spots: dict[tuple[bytes, tuple[bytes | None, ...]], Flight] = {}
+        self.spots: dict[Spot, Flight] = {}
         self.by_gauge: dict[bytes, dict[Flight, None]] = {}
         self.passed: OrderedDict[bytes, int] = OrderedDict()  # keys that go alone, until when
         self.loads: Loads | None = None
@@ -242,9 +242,7 @@
             others.pop(flight, None)
             if not others:
                 del self.by_gauge[flight.gauge]
-        if flight.held:
-            self.store.let_go(flight.held)
-            flight.held = 0
+        self._release(flight)
         self.refreshes -= flight.refresh
 
     def _leave(self, flight: Flight, waiter: Waiter) -> None:
@@ -304,12 +302,9 @@
             return
         flight = self.waits.get(r)
         if flight is not None and flight.held_back:
-            self.let_go_of(flight)
-
-    def let_go_of(self, flight: Flight) -> None:
-        flight.held_back = False
-        if not flight.keeping:
-            self.following.let_go(flight.request)
+            flight.held_back = False
+            if not flight.keeping:
+                self.following.let_go(flight.request)
 
     # ---- what came back: Replies of what was sent on
 
@@ -348,13 +343,13 @@
             return
         self._landed(flight)
         v = freshened.stored
-        if flight.keep and freshened.keep:
+        kept = flight.keep and freshened.keep
+        if kept:
             if (v.vary, v.secondary) != (wanted.vary, wanted.secondary):
                 self.store.remove(flight.key, (wanted.vary, wanted.secondary))
             self._put(flight, v)
         else:
             self._unput(flight.key, wanted)
-        kept = flight.keep and freshened.keep
         leader = flight.leader
         if leader is not None:
             self._leave(flight, leader)
@@ -485,14 +480,16 @@
         flight.held += size
         return True
 
+    def _release(self, flight: Flight) -> None:
+        self.store.let_go(flight.held)
+        flight.held = 0
+
     def _not_kept(self, flight: Flight) -> None:
         """It is too long or may not be kept: who waits for it goes on alone, and what was put aside goes."""
         flight.keeping = False
         flight.body = []
         self._close(flight)
-        if flight.held:
-            self.store.let_go(flight.held)
-            flight.held = 0
+        self._release(flight)
         if flight.held_back:
             self.following.hold_back(flight.request)
         now = self.house.now_us()
@@ -552,17 +549,18 @@
 
     # ---- voiding
 
-    def _void(self, gauge: bytes) -> None:
-        self.store.drop_gauge(gauge)
+    def _void(self, gauge: bytes) -> int:
+        """How many keys went from memory."""
+        count = len(self.store.drop_gauge(gauge))
         if self.disk is not None:
             self.disk.drop_gauge(gauge)
         for flight in list(self.by_gauge.get(gauge, ())):
             # It may have read what was before: for those who wait already, and for nobody else.
             flight.keep = False
             self._close(flight)
+        return count
 
     def _purge(self, r: Request) -> None:
-        gauge = targets.gauge_of(r.target)
         if r.target == b"/*":
             count = len(self.store)
             self.store.clear()
@@ -571,8 +569,7 @@
             for each in list(self.by_gauge):
                 self._void(each)
         else:
-            count = len(self.store.drop_gauge(gauge))
-            self._void(gauge)
+            count = self._void(targets.gauge_of(r.target))
         r.replies.answer(r, 200, (b"purged %d\n" % count,), b"Date: %b\r\nContent-Type: text/plain\r\n" % (
             dates.render(int(self.wall()))))  # fmt: skip
 
--- a/magpiefront/caching/store.py
+++ b/magpiefront/caching/store.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 from collections import OrderedDict, deque
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 from sys import getsizeof
 
 from magpiefront.caching.rules import Stored
@@ -44,10 +44,8 @@
 class Store:
     """`size` (bytes) never passes `most` once a call is over. What is held for fills under way counts."""
 
-    def __init__(
-        self, most: int, most_variants: int = 16, on_evict: Callable[[Resource], None] | None = None
-    ) -> None:
-        self.most, self.most_variants, self.on_evict = most, most_variants, on_evict
+    def __init__(self, most: int, most_variants: int = 16) -> None:
+        self.most, self.most_variants = most, most_variants
         self.size = self.held = self.small_size = 0
         self.resources: dict[bytes, Resource] = {}
         self.gauges: dict[bytes, set[bytes] | bytes] = {}  # most gauges have one key
@@ -55,7 +53,6 @@
         self.main: deque[Resource] = deque()
         self.dead = 0  # in the queues, and no longer kept
         self.ghosts: OrderedDict[int, None] = OrderedDict()
-        self.evicted = 0
 
     def __len__(self) -> int:
         return len(self.resources)
@@ -227,8 +224,5 @@
         self._evict(found)
 
     def _evict(self, found: Resource) -> None:
-        self.evicted += 1
-        if self.on_evict is not None:
-            self.on_evict(found)
         self._leave(found)
         self.dead -= 1  # it is in no queue any more
--- a/magpiefront/caching/watch.py
+++ b/magpiefront/caching/watch.py
@@ -6,7 +6,7 @@
 from collections.abc import Sequence
 
 from magpiefront.caching import targets
-from magpiefront.caching.house import House
+from magpiefront.net.house import Classed
 from magpiefront.caching.writes import Writes
 from magpiefront.interface import Repeat
 from magpiefront.net.request import READS, Replies, Request, Stage
@@ -15,7 +15,7 @@
 class WriteWatch:
     """Tells the cache of each write that the host takes. Own clients' writes are told twice, harmlessly."""
 
-    def __init__(self, house: House, following: Stage) -> None:
+    def __init__(self, house: Classed, following: Stage) -> None:
         self.house, self.following = house, following
         self.cache: Writes | None = None
         self.writes: dict[Request, tuple[Replies, bytes]] = {}
--- a/magpiefront/caching/writes.py
+++ b/magpiefront/caching/writes.py
@@ -6,7 +6,7 @@
 
 from magpiefront.caching import status, targets
 from magpiefront.caching.fences import Fences
-from magpiefront.caching.house import House
+from magpiefront.net.house import Classed
 from magpiefront.caching.rules import Answered, Fwd
 from magpiefront.net.fields import lines
 from magpiefront.net.request import READS, Request, Stage
@@ -17,7 +17,7 @@
     called as it begins, for all that is there or on its way; what is asked later finds the gauge closed."""
 
     def __init__(
-        self, house: House, following: Stage, fences: Fences, void: Callable[[bytes], None],
+        self, house: Classed, following: Stage, fences: Fences, void: Callable[[bytes], object],
         read: Callable[[int, bytes], Answered], more: Callable[[Request], bytes],
     ) -> None:  # fmt: skip
         """`read` makes an answer of a status and lines, `more` the lines that go on with a request."""
--- a/magpiefront/gateway/inbound.py
+++ b/magpiefront/gateway/inbound.py
@@ -8,7 +8,8 @@
 
 from magpiefront.gateway import engine, wire
 from magpiefront.gateway.counters import Counters
-from magpiefront.gateway.house import Host, repeat_of
+from magpiefront.gateway.house import repeat_of
+from magpiefront.net.house import Host
 from magpiefront.gateway.keyed import KeyedStage
 from magpiefront.gateway.link import Wire
 from magpiefront.gateway.routes import Credit, Credits, Reason, Routes
--- a/magpiefront/gateway/keyed.py
+++ b/magpiefront/gateway/keyed.py
@@ -6,7 +6,8 @@
 from collections.abc import Sequence
 from hashlib import blake2b
 
-from magpiefront.gateway.house import Host, repeat_of
+from magpiefront.gateway.house import repeat_of
+from magpiefront.net.house import Host
 from magpiefront.gateway.once import Answer, Key, Once, Verdict
 from magpiefront.gateway.settings import KeyedSettings
 from magpiefront.interface import Repeat
--- a/magpiefront/gateway/link.py
+++ b/magpiefront/gateway/link.py
@@ -13,7 +13,7 @@
 from magpiefront.gateway import engine, wire
 from magpiefront.gateway.engine import Engine
 from magpiefront.gateway.health import Backoff, Health
-from magpiefront.gateway.house import House
+from magpiefront.net.house import House
 from magpiefront.gateway.routes import LinkState, LinkView
 from magpiefront.gateway.settings import Address, GatewaySettings, LinkSettings, Site
 from magpiefront.hashing import text_hash
--- a/magpiefront/gateway/service.py
+++ b/magpiefront/gateway/service.py
@@ -7,7 +7,7 @@
 from random import Random
 
 from magpiefront.gateway.counters import Counters
-from magpiefront.gateway.house import Host
+from magpiefront.net.house import Host
 from magpiefront.gateway.inbound import Gate
 from magpiefront.gateway.keyed import KeyedStage
 from magpiefront.gateway.link import Link
--- a/magpiefront/gateway/stage.py
+++ b/magpiefront/gateway/stage.py
@@ -7,7 +7,8 @@
 from magpiefront.gateway import wire
 from magpiefront.gateway.counters import Counters
 from magpiefront.gateway.crossing import Crossing, Next, Way
-from magpiefront.gateway.house import Host, repeat_of
+from magpiefront.gateway.house import repeat_of
+from magpiefront.net.house import Host
 from magpiefront.gateway.link import CHOKED, Link, Outbound
 from magpiefront.gateway.routes import Asked, Away, Cross, Home, LinkView, Routes
 from magpiefront.gateway.settings import GatewaySettings
--- a/magpiefront/caching/house.py
+++ b/magpiefront/net/house.py
@@ -1,4 +1,4 @@
-"""What the cache needs of the program round it."""
+"""What stages and stores need of the program round them."""
 
 from __future__ import annotations
 
@@ -17,5 +17,17 @@
 
     def log(self, text: str) -> None: ...
 
+
+class Classed(House, Protocol):
+    """One that knows the classes of requests, too."""
+
     @property
     def classes(self) -> Mapping[bytes, RequestClass]: ...
+
+
+class Host(Classed, Protocol):
+    """... and what answers may say of when to come again."""
+
+    @property
+    def most_retry_after_us(self) -> int:
+        """0 where answers may not say when to come again."""
--- a/magpiefront/operator/compose.py
+++ b/magpiefront/operator/compose.py
@@ -12,7 +12,7 @@
 from magpiefront.caching.disk import Disk
 from magpiefront.caching.stage import CachingStage
 from magpiefront.caching.watch import WriteWatch
-from magpiefront.gateway.house import Host
+from magpiefront.net.house import Host
 from magpiefront.gateway.service import BadTls, Gateway, contexts
 from magpiefront.net.config import BadConfig, Config
 from magpiefront.net.downstream import Front
--- a/magpiefront/record/books.py
+++ b/magpiefront/record/books.py
@@ -105,9 +105,9 @@
 
     def __init__(self, settings: PostgresSettings) -> None:
         """Raises BadStore."""
-        from magpiefront.record.postgres import PostgresStore, postgres_errors
+        from magpiefront.record.postgres import ERRORS, PostgresStore
 
-        self.errors = postgres_errors()
+        self.errors = ERRORS
         self.name = "postgres"
         self.loop = asyncio.new_event_loop()
         self.store = PostgresStore(_House(self.loop), settings, 1, "command")
--- a/magpiefront/record/postgres.py
+++ b/magpiefront/record/postgres.py
@@ -8,17 +8,19 @@
 from __future__ import annotations
 
 import asyncio
-import json
 import time
 from collections import deque
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
 from dataclasses import dataclass
-from typing import Any, Protocol
+from typing import Any
 
 import asyncpg  # type: ignore[import-untyped]
 
-from magpiefront.record.rows import Answer, Attempt, Id, Moment, Outcome, Result, Row, State, Then
+from magpiefront.net.house import House
+from magpiefront.record.rows import (
+    Answer, Id, Moment, Outcome, Result, Row, State, Then, attempts_text, read_attempts,
+)  # fmt: skip
 from magpiefront.record.settings import PostgresSettings
 from magpiefront.record.sqlite import BadStore
 
@@ -57,32 +59,21 @@
     ", ".join(COLUMNS),
     ", ".join(SENT if c == "sent_s" else f"${n}::{TYPES[c]}" for n, c in enumerate(COLUMNS, 1)),
 )
-CHANGED = COLUMNS[COLUMNS.index("state") :]
+FIRST_CHANGED = COLUMNS.index("state")
 UPDATE = "UPDATE reports SET {} WHERE {} AND state = $4::text AND owner = $5::text".format(
     ", ".join(
         f"sent_s = CASE WHEN ${n}::float8 IS NULL THEN NULL ELSE coalesce(sent_s, {EPOCH}) END"
         if c == "sent_s"
         else f"{c} = ${n}::{TYPES[c]}"
-        for n, c in enumerate(CHANGED, 6)
+        for n, c in enumerate(COLUMNS[FIRST_CHANGED:], 6)
     ),
     BY_ID,
 )
 DELETE = f"DELETE FROM reports WHERE {BY_ID} AND state = $4::text AND owner = $5::text"
 
 
-class House(Protocol):
-    loop: asyncio.AbstractEventLoop
-
-    def now_us(self) -> int: ...
-    def log(self, text: str) -> None: ...
-
-
-def postgres_errors() -> tuple[type[BaseException], ...]:
-    """What a call may raise where the server or the way to it fails."""
-    return (OSError, TimeoutError, asyncpg.PostgresError, asyncpg.InterfaceError, asyncpg.InternalClientError)
-
-
-FAILURES: tuple[type[BaseException], ...] = (*postgres_errors(), BadStore)
+# What a call may raise where the server or the way to it fails.
+ERRORS = (OSError, TimeoutError, asyncpg.PostgresError, asyncpg.InterfaceError, asyncpg.InternalClientError)
 
 
 class Away(BadStore):
@@ -115,11 +106,10 @@
 
 def pack(r: Row) -> tuple[Any, ...]:
     a = r.answer
-    attempts = json.dumps([[t.node, t.at_s] for t in r.attempts])
     return (
         *r.id, r.digest, r.method, r.target, r.more, r.body, r.state.value, r.received_s,
         r.sent.wall_s if r.sent else None, r.owner, r.window_s, r.until_s, a.status if a else None,
-        a.more if a else None, a.body if a else None, attempts, r.note,
+        a.more if a else None, a.body if a else None, attempts_text(r.attempts), r.note,
     )  # fmt: skip
 
 
@@ -168,7 +158,7 @@
                 raise
             self.migrated = True
             return connection
-        except postgres_errors() as e:
+        except ERRORS as e:
             text = f"postgres: {' '.join(str(e).split()) or type(e).__name__}"
             raise (Away(text) if away(e) else BadStore(text)) from None
 
@@ -309,7 +299,7 @@
                 if batch and not await self._commit(connection, batch):
                     connection.terminate()
                     connection = None
-            except FAILURES as e:
+            except (*ERRORS, BadStore) as e:
                 # No connection: who waits may still have time, and is told when that is up.
                 connection = None
                 self.house.log(f"record: no connection to postgres: {' '.join(str(e).split())}")
@@ -357,7 +347,7 @@
         return bool(await c.execute(INSERT, *pack(row)) == "INSERT 0 1")
 
     async def put(self, c: Any, before: Row, after: Row) -> bool:
-        values = pack(after)[COLUMNS.index("state") :]
+        values = pack(after)[FIRST_CHANGED:]
         done = await c.execute(UPDATE, *before.id, before.state.value, before.owner, *values)
         return bool(done == "UPDATE 1")
 
@@ -378,7 +368,6 @@
             since_s = v[19] - v[10]
             sent = Moment(v[10], self.boot, self.up_us() / 1e6 - since_s)
         answer = Answer(v[14], v[15], v[16]) if v[14] is not None else None
-        attempts = tuple(Attempt(node, at) for node, at in json.loads(v[17]))
         state = State(v[8])
         return Row(Id(v[0], v[1], v[2]), v[3], v[4], v[5], v[6], v[7], state, v[9], sent, v[11], v[12], v[13],
-                   answer, attempts, v[18])  # fmt: skip
+                   answer, read_attempts(v[17]), v[18])  # fmt: skip
--- a/magpiefront/record/rows.py
+++ b/magpiefront/record/rows.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+import json
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import NamedTuple, Protocol
@@ -41,6 +42,16 @@
     at_s: float  # Unix seconds
 
 
+def attempts_text(attempts: tuple[Attempt, ...]) -> str:
+    """As stores hold them."""
+    return json.dumps([[a.node, a.at_s] for a in attempts]) if attempts else "[]"
+
+
+def read_attempts(text: str) -> tuple[Attempt, ...]:
+    """Raises ValueError or TypeError."""
+    return tuple(Attempt(node, at) for node, at in json.loads(text))
+
+
 @dataclass(frozen=True, slots=True)
 class Answer:
     status: int
--- a/magpiefront/record/sqlite.py
+++ b/magpiefront/record/sqlite.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-import json
 import sqlite3
 import threading
 from collections import deque
@@ -15,9 +14,12 @@
 from contextlib import suppress
 from dataclasses import dataclass
 from pathlib import Path
-from typing import Any, Protocol
+from typing import Any
 
-from magpiefront.record.rows import Answer, Attempt, Id, Moment, Outcome, Result, Row, State, Then
+from magpiefront.net.house import House
+from magpiefront.record.rows import (
+    Answer, Id, Moment, Outcome, Result, Row, State, Then, attempts_text, read_attempts,
+)  # fmt: skip
 from magpiefront.record.settings import SqliteSettings
 
 VERSION = 1
@@ -59,35 +61,22 @@
     """A file that can't serve as the store of record; its text is one line."""
 
 
-class Loop(Protocol):
-    def call_soon_threadsafe(self, callback: Callable[..., object], *args: Any) -> object: ...
-
-
-class House(Protocol):
-    @property
-    def loop(self) -> Loop: ...
-    def now_us(self) -> int: ...
-    def log(self, text: str) -> None: ...
-
-
 def pack(r: Row) -> tuple[object, ...]:
     sent = r.sent or (None, None, None)
     a = r.answer
-    attempts = json.dumps([[t.node, t.at_s] for t in r.attempts]) if r.attempts else "[]"
     return (
         *r.id, r.digest, r.method, r.target, r.more, r.body, r.state.value, r.received_s, *sent,
         r.owner, r.window_s, r.until_s, a.status if a else None, a.more if a else None,
-        a.body if a else None, attempts, r.note,
+        a.body if a else None, attempts_text(r.attempts), r.note,
     )  # fmt: skip
 
 
 def unpack(v: tuple[Any, ...]) -> Row:
     sent = Moment(v[10], v[11], v[12]) if v[10] is not None else None
     answer = Answer(v[16], v[17], v[18]) if v[16] is not None else None
-    attempts = tuple(Attempt(node, at) for node, at in json.loads(v[19]))
     state = State(v[8])
     return Row(Id(*v[:3]), v[3], v[4], v[5], v[6], v[7], state, v[9], sent, v[13], v[14], v[15], answer,
-               attempts, v[20])  # fmt: skip
+               read_attempts(v[19]), v[20])  # fmt: skip
 
 
 def connect(path: Path) -> sqlite3.Connection:
--- a/magpiefront/record/stage.py
+++ b/magpiefront/record/stage.py
@@ -5,14 +5,14 @@
 import asyncio
 import itertools
 import time
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import replace
 from hashlib import blake2b
 from pathlib import Path
 from secrets import token_hex
-from typing import Protocol
 
 from magpiefront.interface import Repeat, RequestClass
+from magpiefront.net.house import Host
 from magpiefront.net.fields import lines, read_lines
 from magpiefront.net.request import Request, Stage
 from magpiefront.record import journal
@@ -30,19 +30,6 @@
 KEEP_OUT = frozenset({b"connection", b"content-length", b"transfer-encoding", b"host", b"expect"})
 
 
-class House(Protocol):
-    loop: asyncio.AbstractEventLoop
-
-    def now_us(self) -> int: ...
-    def log(self, text: str) -> None: ...
-
-    @property
-    def classes(self) -> Mapping[bytes, RequestClass]: ...
-
-    @property
-    def most_retry_after_us(self) -> int: ...
-
-
 def boot_id() -> str:
     """Of this start of the machine; one of its own where none can be read, which no other process shares."""
     try:
@@ -60,7 +47,7 @@
 
 class RecordStage:
     def __init__(
-        self, house: House, following: Stage, settings: RecordSettings, store: Store,
+        self, house: Host, following: Stage, settings: RecordSettings, store: Store,
         boot: str = "", wall: Callable[[], float] = time.time,
         up_us: Callable[[], int] = lambda: time.monotonic_ns() // 1_000,
     ) -> None:  # fmt: skip
--- a/tests/record/test_sqlite.py
+++ b/tests/record/test_sqlite.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import queue
 import shutil
 import sqlite3
@@ -11,7 +12,7 @@
 from contextlib import contextmanager
 from dataclasses import replace
 from pathlib import Path
-from typing import Any
+from typing import Any, cast
 
 import pytest
 
@@ -27,10 +28,7 @@
     def __init__(self) -> None:
         self.soon: queue.Queue[tuple[Callable[..., object], tuple[Any, ...]]] = queue.Queue()
         self.logged: list[str] = []
-
-    @property
-    def loop(self) -> House:
-        return self
+        self.loop = cast(asyncio.AbstractEventLoop, self)
 
     def call_soon_threadsafe(self, callback: Callable[..., object], *args: Any) -> object:
         self.soon.put((callback, args))
