Wait for a proxy, start one and check a file's error in one place each

Three stand-ins waited for /ready in loops of their own, two benchmarks started a proxy alike, three tests of the operator's file and three gated handlers repeated each other. Each has one piece of code now; assertions are as they were.

--- a/benchmarks/caching.py
+++ b/benchmarks/caching.py
@@ -34,7 +34,6 @@
 from benchmarks import floor
 from magpiefront.caching.rules import S, Stored
 from magpiefront.caching.store import Store
-from standins.world import free_port
 
 HERE = Path(__file__).resolve()
 FIELDS = 'Date: {date}\r\nContent-Type: text/plain\r\nETag: "v1"\r\nCache-Control: {control}\r\n'
@@ -60,25 +59,6 @@
     return Node
 
 
-def start(name: str, node: int, cpu: int, folder: Path, operator: bool) -> tuple[subprocess.Popen[str], int]:
-    port = free_port()
-    place = f"127.0.0.1:{node}"
-    nodes = [{"instanceId": f"s-{i}", "hostPort": place, "lifecycle": "Ready"} for i in range(8)]
-    config = folder / f"{name}.json"
-    config.write_text(json.dumps({
-        "name": name, "listen": f"127.0.0.1:{port}", "discovery": "127.0.0.1:9", "seed": "ab",
-        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
-        "known": {"generation": 1, "reset": True, "instances": nodes}, "settings": floor.SETTINGS,
-    }))  # fmt: skip
-    command = [sys.executable, "-m", "magpiefront"]
-    if operator:
-        (folder / "operator.toml").write_text(OPERATOR)
-        command += ["--operator", str(folder / "operator.toml")]
-    env = {**os.environ, "LB_CONFIG": str(config)}
-    with open(os.devnull, "w") as quiet:
-        return floor.start(command, cpu, cwd=floor.ROOT, env=env, stderr=quiet), port
-
-
 async def hits(rounds: int, requests: int, cpu: int) -> dict[str, Any]:
     os.sched_setaffinity(0, {cpu + 1})
     rows: dict[str, list[float]] = {p: [] for p in PARTIES}
@@ -86,6 +66,8 @@
     started: list[subprocess.Popen[str]] = []
     with tempfile.TemporaryDirectory() as name:
         folder = Path(name)
+        (folder / "operator.toml").write_text(OPERATOR)
+        operator = ("--operator", str(folder / "operator.toml"))
         try:
             ports = {}
             for control in ("no-store", "max-age=86400"):
@@ -98,9 +80,9 @@
             assert bare.stdout is not None
             parties = {
                 "floor": (bare, int(bare.stdout.readline())),
-                "proxy": start("proxy", ports["no-store"], cpu, folder, False),
-                "forwarded": start("forwarded", ports["no-store"], cpu, folder, True),
-                "hit": start("hit", ports["max-age=86400"], cpu, folder, True),
+                "proxy": floor.proxy(floor.ROOT, ports["no-store"], cpu, folder, "proxy"),
+                "forwarded": floor.proxy(floor.ROOT, ports["no-store"], cpu, folder, "forwarded", operator),
+                "hit": floor.proxy(floor.ROOT, ports["max-age=86400"], cpu, folder, "hit", operator),
             }
             for party in PARTIES[1:]:
                 started.append(parties[party][0])
--- a/benchmarks/floor.py
+++ b/benchmarks/floor.py
@@ -198,7 +198,9 @@
     raise SystemExit("the proxy does not become ready")
 
 
-def proxy(tree: Path, node: int, cpu: int, folder: Path, name: str) -> tuple[subprocess.Popen[str], int]:
+def proxy(
+    tree: Path, node: int, cpu: int, folder: Path, name: str, arguments: tuple[str, ...] = ()
+) -> tuple[subprocess.Popen[str], int]:  # fmt: skip
     port = free_port()
     config = folder / f"{name}.json"
     place = f"127.0.0.1:{node}"
@@ -210,7 +212,9 @@
     }))  # fmt: skip
     env = {**os.environ, "LB_CONFIG": str(config)}
     with open(os.devnull, "w") as quiet:
-        return start([sys.executable, "-m", "magpiefront"], cpu, cwd=tree, env=env, stderr=quiet), port
+        return start(
+            [sys.executable, "-m", "magpiefront", *arguments], cpu, cwd=tree, env=env, stderr=quiet
+        ), port
 
 
 async def measure(args: argparse.Namespace) -> dict[str, Any]:
--- a/standins/conformance/__main__.py
+++ b/standins/conformance/__main__.py
@@ -22,6 +22,7 @@
 from standins.conformance.archive import Archive
 from standins.conformance.case import Case, Need
 from standins.conformance.play import Player, Result
+from standins.world import Failed
 
 EXTRA = "Req-Id: {id}\r\nReq-Kind: {kind}\r\nReq-Deadline: 5.000\r\n"
 
@@ -124,7 +125,7 @@
     args = parser.parse_args()
     try:
         found = asyncio.run(main_(args))
-    except (OSError, ModuleNotFoundError, RuntimeError) as e:
+    except (OSError, ModuleNotFoundError, Failed) as e:
         print(f"standins.conformance: {e}", file=sys.stderr)
         return 2
     if not args.json:
--- a/standins/conformance/own.py
+++ b/standins/conformance/own.py
@@ -10,7 +10,7 @@
 
 from standins.conformance.archive import Archive
 from standins.discovery import Discovery
-from standins.world import CLASSES, ROOT, free_port
+from standins.world import CLASSES, ROOT, free_port, until_ready
 
 OPERATOR = '[site]\nname = "west"\n[caching]\nplain_servers = true\n'
 SETTINGS = {
@@ -24,7 +24,7 @@
 
 
 class Own:
-    """`port` takes clients once it is entered. Raises RuntimeError where the process does not come up."""
+    """`port` takes clients once it is entered. Raises Failed where the process does not come up."""
 
     def __init__(self, archive: Archive, folder: Path, operator: str = OPERATOR) -> None:
         self.archive, self.folder, self.operator = archive, folder, operator
@@ -52,21 +52,12 @@
                 sys.executable, "-m", "magpiefront", "--operator", str(self.folder / "operator.toml"),
                 cwd=ROOT, env=env, stderr=log,
             )  # fmt: skip
-        for _ in range(1000):
-            if self.process.returncode is not None:
-                break
-            try:
-                reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
-                writer.write(b"GET /ready HTTP/1.1\r\nHost: x\r\n\r\n")
-                line = await reader.readline()
-                writer.close()
-                if b"200" in line:
-                    return self
-            except OSError:
-                pass
-            await asyncio.sleep(0.02)
-        await self.__aexit__()
-        raise RuntimeError(f"the proxy did not come up: {(self.folder / 'log').read_text()[-500:]}")
+        try:
+            await until_ready("the proxy", self.port, self.process, self.folder / "log")
+        except BaseException:
+            await self.__aexit__()
+            raise
+        return self
 
     async def __aexit__(self, *_: object) -> None:
         if self.process is not None and self.process.returncode is None:
--- a/standins/killstore.py
+++ b/standins/killstore.py
@@ -32,7 +32,7 @@
 from standins.discovery import Discovery
 from standins.node import Node
 from standins.pgserver import Cut, PgServer
-from standins.world import ROOT, free_port
+from standins.world import ROOT, Failed, free_port, until_ready
 
 WINDOW_S = 8.0
 SETTINGS: dict[str, Any] = {
@@ -92,20 +92,7 @@
                 sys.executable, *self.program, "--operator", str(self.folder / "operator.toml"),
                 cwd=ROOT, env={**os.environ, "LB_CONFIG": str(self.folder / "config.json")}, stderr=log,
             )  # fmt: skip
-        for _ in range(1_500):
-            if self.process.returncode is not None:
-                raise RuntimeError((self.folder / "log").read_text()[-300:])
-            try:
-                reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
-                writer.write(b"GET /ready HTTP/1.1\r\nHost: x\r\n\r\n")
-                line = await reader.readline()
-                writer.close()
-                if b"200" in line:
-                    return
-            except OSError:
-                pass
-            await asyncio.sleep(0.02)
-        raise RuntimeError("the gateway did not come up")
+        await until_ready("the gateway", self.port, self.process, self.folder / "log")
 
     async def prepare(self) -> None:
         """All but the gateway."""
@@ -280,7 +267,7 @@
     args = parser.parse_args()
     try:
         found = asyncio.run(rounds(args.rounds, args.seed, args.at_once, args.json, args.store))
-    except RuntimeError as e:
+    except Failed as e:
         print(f"standins.killstore: {e}", file=sys.stderr)
         return 2
     if not args.json:
--- a/standins/world.py
+++ b/standins/world.py
@@ -95,6 +95,24 @@
     """The world could not be started; the text says why."""
 
 
+async def until_ready(name: str, port: int, process: asyncio.subprocess.Process, log: Path) -> None:
+    """Until a proxy takes requests. Raises Failed where it ends, or does not come to that."""
+    for _ in range(1500):
+        if process.returncode is not None:
+            raise Failed(f"{name} ended with {process.returncode}: {log.read_text().strip()[-500:]}")
+        try:
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            writer.write(b"GET /ready HTTP/1.1\r\nHost: x\r\n\r\n")
+            line = await reader.readline()
+            writer.close()
+            if b"200" in line:
+                return
+        except OSError:
+            pass
+        await asyncio.sleep(0.02)
+    raise Failed(f"{name} does not become ready")
+
+
 class World:
     def __init__(self, plan: Plan, folder: Path, cpus: dict[str, set[int]] | None = None) -> None:
         self.plan, self.folder = plan, folder
@@ -179,21 +197,7 @@
         return Process(name, port, gateway_port, process, log)
 
     async def _ready(self, p: Process) -> None:
-        for _ in range(1000):
-            if p.process.returncode is not None:
-                raise Failed(f"{p.name} ended with {p.process.returncode}: {p.log.read_text().strip()}")
-            try:
-                reader, writer = await asyncio.open_connection("127.0.0.1", p.port)
-            except OSError:
-                await asyncio.sleep(0.02)
-                continue
-            writer.write(b"GET /ready HTTP/1.1\r\nHost: x\r\n\r\n")
-            line = await reader.readline()
-            writer.close()
-            if b"200" in line:
-                return
-            await asyncio.sleep(0.02)
-        raise Failed(f"{p.name} does not become ready")
+        await until_ready(p.name, p.port, p.process, p.log)
 
     async def _linked(self) -> None:
         """Each link must be up once before the traffic, or the first seconds tell of the start."""
--- a/tests/caching/test_process.py
+++ b/tests/caching/test_process.py
@@ -15,7 +15,7 @@
 from standins.conformance.case import Step, cc
 from standins.conformance.own import OPERATOR, Own
 from standins.conformance.play import Player
-from standins.world import ROOT
+from standins.world import ROOT, Failed
 from tests.sockets import until
 
 EXTRA = "Req-Id: {id}\r\nReq-Kind: {kind}\r\nReq-Deadline: 9.000\r\n"
@@ -76,7 +76,7 @@
         archive = Archive()
         await archive.start()
         try:
-            with pytest.raises(RuntimeError, match=r"\[caching.disk\] path"):
+            with pytest.raises(Failed, match=r"\[caching.disk\] path"):
                 async with Own(archive, tmp_path, DISK):
                     pass
             return (tmp_path / "log").read_text()
--- a/tests/operator/test_file.py
+++ b/tests/operator/test_file.py
@@ -43,6 +43,14 @@
 CERTS = 'certificate = "a.pem"\nkey = "a.key"\nca = "ca.pem"'
 
 
+def assert_one_line(path: Path, given: str, says: str) -> None:
+    path.write_text(given)
+    with pytest.raises(BadFile) as e:
+        check(path)
+    line = str(e.value)
+    assert says in line and line.startswith(f"{path}: ") and "\n" not in line
+
+
 @pytest.mark.parametrize(
     ("given", "says"),
     [
@@ -130,12 +138,7 @@
     ],
 )
 def test_what_is_wrong_is_one_line(given: str, says: str, tmp_path: Path) -> None:
-    path = tmp_path / "gateway.toml"
-    path.write_text(given)
-    with pytest.raises(BadFile) as e:
-        check(path)
-    line = str(e.value)
-    assert says in line and line.startswith(f"{path}: ") and "\n" not in line
+    assert_one_line(tmp_path / "gateway.toml", given, says)
 
 
 def test_a_file_that_is_not_there_or_no_text(tmp_path: Path) -> None:
@@ -236,12 +239,7 @@
     ],
 )
 def test_what_is_wrong_with_caching_is_one_line(given: str, says: str, tmp_path: Path) -> None:
-    path = tmp_path / "gateway.toml"
-    path.write_text(CACHING + given)
-    with pytest.raises(BadFile) as e:
-        check(path)
-    line = str(e.value)
-    assert says in line and line.startswith(f"{path}: ") and "\n" not in line
+    assert_one_line(tmp_path / "gateway.toml", CACHING + given, says)
 
 
 def test_caching_without_a_gateway_takes_what_is_left_out_from_its_settings(tmp_path: Path) -> None:
@@ -271,9 +269,4 @@
     ],
 )
 def test_what_is_wrong_with_the_record_is_one_line(given: str, says: str, tmp_path: Path) -> None:
-    path = tmp_path / "gateway.toml"
-    path.write_text(RECORD + given)
-    with pytest.raises(BadFile) as e:
-        check(path)
-    line = str(e.value)
-    assert says in line and line.startswith(f"{path}: ") and "\n" not in line
+    assert_one_line(tmp_path / "gateway.toml", RECORD + given, says)
--- a/tests/record/test_stage.py
+++ b/tests/record/test_stage.py
@@ -15,7 +15,7 @@
 from tests.record.sockets import recorded, report
 from tests.record.test_journal import row
 from tests.record.test_sqlite import ask, opened
-from tests.sockets import Handler, Node, ok, resets, run, says, until
+from tests.sockets import Handler, Node, gated, ok, resets, run, says, until
 
 ERROR = b"HTTP/1.1 500 Oops\r\nContent-Length: 4\r\n\r\nsick"
 
@@ -79,10 +79,7 @@
 
 def test_repeats_while_it_is_open_wait_for_the_first(tmp_path: Path) -> None:
     gate = asyncio.Event()
-
-    async def handler(_: Any, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        await gate.wait()
-        writer.write(ok(b"held"))
+    handler = gated(gate, ok(b"held"))
 
     async def main() -> None:
         async with recorded(tmp_path / "r.sqlite", handler) as w:
@@ -107,10 +104,7 @@
 
 def test_a_client_that_leaves_leaves_the_report_to_its_end(tmp_path: Path) -> None:
     gate = asyncio.Event()
-
-    async def handler(_: Any, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        await gate.wait()
-        writer.write(ok(b"held"))
+    handler = gated(gate, ok(b"held"))
 
     async def main() -> None:
         async with recorded(tmp_path / "r.sqlite", handler) as w:
@@ -205,10 +199,7 @@
 
 def test_two_proxies_over_one_file_send_a_report_once(tmp_path: Path) -> None:
     gate = asyncio.Event()
-
-    async def handler(_: Any, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        await gate.wait()
-        writer.write(ok(b"held"))
+    handler = gated(gate, ok(b"held"))
 
     async def main() -> None:
         node = Node("s", handler)
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -127,12 +127,12 @@
     return handler
 
 
-def gated(gate: asyncio.Event) -> Handler:
-    """Serves, but not before the gate is opened."""
+def gated(gate: asyncio.Event, data: bytes = b"") -> Handler:
+    """Serves `data`, or what the default is, but not before the gate is opened."""
 
     async def handler(seen: Seen, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         await gate.wait()
-        writer.write(ok())
+        writer.write(data or ok())
 
     return handler
 
