Tell of each refused report whether it may have run, also across the link

A report refused after a try that may have run was told 503 like one that never ran, and was then delivered behind its client's back. The store guessed from the attempts at this site alone: with the cache between them it saw none, so such a report was freed as one that never ran; with the gateway it took the other site's word for nothing. And a report that crossed had no Req-Id of its own, so the other site turned every one away with 400; a 429 that came back ended in a KeyError at the front.

An Effect goes along with a request through all stages and twins: attempts note themselves in it, a crossing says there what it can't rule out, and the other gateway says on its answer what never ran. Such a report is told 409 with Retry-After once its row says so (version 2 of both stores), and only its client sends it again. A back-up is marked, and a gateway that serves from one says so. Rejected: 503 with another text, for clients read the status and may take a new key.

--- a/magpiefront/gateway/inbound.py
+++ b/magpiefront/gateway/inbound.py
@@ -9,6 +9,7 @@
 from magpiefront.gateway import engine, wire
 from magpiefront.gateway.counters import Counters
 from magpiefront.gateway.house import repeat_of
+from magpiefront.net.effects import Effect
 from magpiefront.net.house import Host
 from magpiefront.gateway.keyed import KeyedStage
 from magpiefront.gateway.link import Wire
@@ -23,11 +24,13 @@
 class Incoming:
     """One request on one connection, until its answer is on the way."""
 
-    __slots__ = ("credit", "crossed", "done", "peer", "request", "size", "started", "stream", "streaming")
+    __slots__ = ("credit", "crossed", "done", "effect", "peer", "request", "size", "started", "stream",
+                 "streaming")  # fmt: skip
 
     def __init__(self, peer: Inbound, stream: int, crossed: wire.Crossed, credit: Credit) -> None:
         self.peer, self.stream, self.crossed, self.credit = peer, stream, crossed, credit
         self.request = Request(self)
+        self.effect = self.request.effect = Effect()
         self.size = 0
         self.started = self.done = self.streaming = False
 
@@ -65,7 +68,9 @@
             self.peer.flush()
 
     def _fields(self, status: int, length: int | None, more: bytes) -> wire.Fields:
-        return wire.answer_fields(status, length, more, "", self.peer.gate.settings.passes)
+        # Before it was taken nothing was done for it; after that its attempts tell.
+        never_ran = status >= 300 and not self.effect.may_have_run
+        return wire.answer_fields(status, length, more, "", self.peer.gate.settings.passes, never_ran)
 
     def _data(self, data: bytes, end: bool) -> None:
         if self.stream in self.peer.incoming and not self.peer.closed:
--- a/magpiefront/gateway/keyed.py
+++ b/magpiefront/gateway/keyed.py
@@ -7,6 +7,7 @@
 from hashlib import blake2b
 
 from magpiefront.gateway.house import repeat_of
+from magpiefront.net.effects import Effect, effect_of, ran_elsewhere
 from magpiefront.net.house import Host
 from magpiefront.gateway.once import Answer, Key, Once, Verdict
 from magpiefront.gateway.settings import KeyedSettings
@@ -71,6 +72,8 @@
         match self.once.begin(now, key, print_of(r), cls.window_us, age_us, r):
             case Verdict.RUN:
                 run = Run(key, r.twin(self))
+                if effect_of(run.request) is None:
+                    run.request.effect = Effect()
                 self.runs[run.request] = run
                 self._wait(r, key)
                 self.following.take(run.request)
@@ -79,10 +82,12 @@
             case Verdict.KNOWN:
                 answer = self.once.known(key)
                 assert answer is not None
+                ran_elsewhere(r)
                 r.replies.answer(r, answer.status, [answer.body], answer.more)
             case Verdict.UNLIKE:
                 r.replies.answer(r, 409)
             case Verdict.FORGOTTEN:
+                ran_elsewhere(r)
                 r.replies.answer(r, 502)
             case Verdict.FULL:
                 r.replies.answer(r, 503)
@@ -94,6 +99,7 @@
 
     def _overdue(self, r: Request) -> None:
         if self._leave(r):
+            ran_elsewhere(r)  # or is still to: what runs goes on
             r.replies.answer(r, 504)
 
     def _leave(self, r: Request) -> bool:
@@ -131,10 +137,13 @@
 
     def _give(self, run: Run, answer: Answer) -> None:
         served = 200 <= answer.status < 300
+        ran = run.request.effect.may_have_run  # of all who wait, whoever's request it is that runs
         for r in self.once.finish(run.key, answer) if served else self.once.abandon(run.key):
             waiting = self.waits.pop(r, None)
             if waiting is not None:
                 waiting[1].cancel()
+                if ran:
+                    ran_elsewhere(r)
                 r.replies.answer(r, answer.status, [answer.body], answer.more)
 
     def begin(self, request: Request, length: int | None, more: bytes, status: int = 200) -> None:
@@ -153,6 +162,7 @@
         run.to = to
         for r in self.once.finish(run.key, Answer(502, b"", b"")):
             if self._leave(r):
+                ran_elsewhere(r)
                 r.replies.answer(r, 502)
         if to is not None:
             to.replies.begin(to, length, run.more, run.status)
--- a/magpiefront/gateway/stage.py
+++ b/magpiefront/gateway/stage.py
@@ -8,6 +8,7 @@
 from magpiefront.gateway.counters import Counters
 from magpiefront.gateway.crossing import Crossing, Next, Way
 from magpiefront.gateway.house import repeat_of
+from magpiefront.net.effects import ran_elsewhere
 from magpiefront.net.house import Host
 from magpiefront.gateway.link import CHOKED, Link, Outbound
 from magpiefront.gateway.routes import Asked, Away, Cross, Home, LinkView, Routes
@@ -131,6 +132,7 @@
             self.body, self.size = [], 0  # what comes with a refusal is nobody's answer
             return
         self.streaming = True
+        ran_elsewhere(self.request)
         self.timer.cancel()  # it counts from its first bytes, as a long answer of a node does
         self.stage.watch(self)
         r = self.request
@@ -154,6 +156,9 @@
         else:
             status = head.status if head.status in PASSED or self.stage.settings.passes else 502
             self.finish("crossed")
+            # Of this try; an earlier one that broke may have run all the same.
+            if self.crossing.may_have_run or not head.never_ran:
+                ran_elsewhere(self.request)
             if self.spill:
                 spills = self.stage.routes.spills[self.cross.site]
                 if status == 200:
@@ -206,6 +211,7 @@
                 self._refuse()
             case Next.FAIL:
                 self.finish("failed")
+                ran_elsewhere(self.request)
                 self.request.replies.answer(self.request, 502)
 
     def _again(self) -> None:
@@ -242,6 +248,7 @@
             self._refuse()
         else:
             self.finish("overdue")
+            ran_elsewhere(self.request)
             self.request.replies.answer(self.request, 504)
 
     def _cancel(self) -> None:
@@ -252,6 +259,7 @@
     def left(self) -> None:
         self._cancel()
         self.finish("left")
+        ran_elsewhere(self.request)
 
     def finish(self, what: str) -> None:
         self.crossing.over = True
--- a/magpiefront/gateway/wire.py
+++ b/magpiefront/gateway/wire.py
@@ -131,10 +131,14 @@
 
 
 def answer_fields(
-    status: int, length: int | None, more: bytes, refused: str = "", passes: bool = False
+    status: int, length: int | None, more: bytes, refused: str = "", passes: bool = False,
+    never_ran: bool = False,
 ) -> Fields:  # fmt: skip
-    """`more` holds lines as fronts write them; of these, what the other site needs goes on."""
+    """`more` holds lines as fronts write them; of these, what the other site needs goes on. `never_ran`: that
+    is certain of what it answers."""
     fields = [(b":status", b"%d" % status)]
+    if never_ran:
+        fields.append((b"gw-never-ran", b"1"))
     if passes:
         given = read_lines(more)
         told = [value for name, value in given if name.lower() == b"content-length"]
@@ -162,6 +166,7 @@
     length: int | None
     more: bytes
     refused: str
+    never_ran: bool = False
 
 
 def read_answer(fields: Iterable[tuple[bytes, bytes]], passes: bool = False) -> Head:
@@ -176,4 +181,5 @@
     else:
         more = lines((t, h[t.lower()]) for t in (b"Content-Type", b"Retry-After") if t.lower() in h)
     refused = h.get(b"gw-refused", b"").decode("latin-1")
-    return Head(int(status), None if length is None else int(length), more, refused)
+    return Head(int(status), None if length is None else int(length), more, refused,
+                h.get(b"gw-never-ran") == b"1")  # fmt: skip
--- a/magpiefront/net/http1.py
+++ b/magpiefront/net/http1.py
@@ -16,8 +16,8 @@
 REASONS = {
     200: b"OK", 400: b"Bad Request", 404: b"Not Found", 405: b"Method Not Allowed", 408: b"Request Timeout",
     409: b"Conflict", 413: b"Content Too Large",
-    422: b"Unprocessable Content", 431: b"Request Header Fields Too Large", 502: b"Bad Gateway",
-    503: b"Service Unavailable", 504: b"Gateway Timeout",
+    422: b"Unprocessable Content", 429: b"Too Many Requests", 431: b"Request Header Fields Too Large",
+    502: b"Bad Gateway", 503: b"Service Unavailable", 504: b"Gateway Timeout",
 }  # fmt: skip
 # An upgrade that nobody asked for is as bad as a head that can't be read.
 PARSER_ERRORS = (httptools.HttpParserError, httptools.HttpParserUpgrade)
--- a/magpiefront/net/request.py
+++ b/magpiefront/net/request.py
@@ -6,11 +6,14 @@
 from asyncio import TimerHandle
 from collections.abc import Container, Mapping, Sequence
 from functools import lru_cache
-from typing import Protocol
+from typing import TYPE_CHECKING, Protocol
 
 from magpiefront.interface import Outcome, RequestClass
 from magpiefront.net.figures import UNCOUNTED
 
+if TYPE_CHECKING:
+    from magpiefront.net.effects import Effect
+
 DECIMAL, WHOLE = re.compile(rb"-?(?:\d{1,6}(?:\.\d*)?|\.\d+)"), re.compile(rb"\d{1,18}")
 TOKEN = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+")  # RFC 9110, 5.6.2
 # RFC 3986, 3.3 and 3.4: a path that begins with "/", and perhaps a query. Nothing else is forwarded.
@@ -75,14 +78,16 @@
     """A client's request, from its first byte to its answer and the end of its attempts.
 
     Times are microseconds of the host's clock. `error` is the status that a bad head is answered with.
-    `fields` holds the head's lines in their order, and is there only where a front passes them on.
+    `fields` holds the head's lines in their order, and is there only where a front passes them on; `effect`
+    only where a stage asks what may have run.
     """
 
     fields: list[tuple[bytes, bytes]]
+    effect: Effect
 
-    __slots__ = ("answered", "attempts", "backstop", "body", "cls", "deadline", "error", "fields", "headers",
-                 "keep_alive", "last", "method", "more", "name", "out", "replies", "size", "stream",
-                 "taken_at", "tally", "target", "time_left", "wire_id")  # fmt: skip
+    __slots__ = ("answered", "attempts", "backstop", "body", "cls", "deadline", "effect", "error", "fields",
+                 "headers", "keep_alive", "last", "method", "more", "name", "out", "replies", "size",
+                 "stream", "taken_at", "tally", "target", "time_left", "wire_id")  # fmt: skip
 
     def __init__(self, replies: Replies) -> None:
         self.replies = replies
@@ -113,6 +118,8 @@
         twin.headers, twin.body, twin.size = self.headers, self.body, self.size
         twin.taken_at, twin.time_left = self.taken_at, self.time_left
         twin.cls, twin.tally = self.cls, self.tally
+        if hasattr(self, "effect"):
+            twin.effect = self.effect
         return twin
 
     def misframed(self, version: str) -> bool:
--- a/magpiefront/operator/compose.py
+++ b/magpiefront/operator/compose.py
@@ -19,8 +19,8 @@
 from magpiefront.net.passing import PassingProxy, prepare
 from magpiefront.net.proxy import Proxy
 from magpiefront.net.request import Stage
+from magpiefront.net.traced import TracedAttempt
 from magpiefront.operator.fields import BadFile
-from magpiefront.record.attempts import RecordedAttempt
 from magpiefront.record.sqlite import BadStore, SqliteStore
 from magpiefront.record.settings import SqliteSettings
 from magpiefront.record.stage import RecordStage, boot_id
@@ -48,8 +48,8 @@
         proxy: Proxy = PassingProxy(config, loop, operator.caching.plain_servers)
     else:
         proxy = Proxy(config, loop)
-    if operator.record is not None:
-        proxy.attempt_type = RecordedAttempt
+    if operator.record is not None or operator.gateway is not None:
+        proxy.attempt_type = TracedAttempt
     return proxy
 
 
--- a/magpiefront/record/backup.py
+++ b/magpiefront/record/backup.py
@@ -11,6 +11,7 @@
 
 import os
 import sqlite3
+import time
 from collections.abc import Callable
 from contextlib import suppress
 from dataclasses import dataclass
@@ -62,11 +63,14 @@
     try:
         # Without a snapshot held, each commit of a gateway makes the copy begin anew, for ever under load.
         book.begin(False)
+        taken_s = time.time()
         book.counts()
         book.db.backup(target, pages=PAGES, progress=lambda _, left, all_: told(all_ - left, all_))
         book.commit()
         # One file, with nothing in a log beside it: it can be copied as it is.
         target.execute("PRAGMA journal_mode=DELETE")
+        with target:
+            sqlite.mark_copy(target, taken_s)
     finally:
         target.close()
 
@@ -78,6 +82,7 @@
         book.begin(False)  # one view of all rows, whatever is written meanwhile
         all_ = sum(count for _, count, _ in book.counts())
         db.execute("BEGIN")
+        sqlite.mark_copy(db, time.time())
         for n, row in enumerate(book.rows(), 1):
             db.execute(sqlite.INSERT, sqlite.pack(row))
             if n % ROWS == 0:
--- a/magpiefront/record/books.py
+++ b/magpiefront/record/books.py
@@ -39,6 +39,9 @@
     def checked(self) -> Iterator[Row | str]:
         """All rows, and in words what is wrong with the store itself or can't be read."""
 
+    def origins(self) -> list[tuple[float, float | None]]:
+        """The back-ups that it was: when each was taken, and when a gateway first served from it."""
+
     def size(self) -> int: ...
     def compact(self) -> None: ...
     def close(self) -> None: ...
@@ -89,6 +92,9 @@
             if row is not None:
                 yield row
 
+    def origins(self) -> list[tuple[float, float | None]]:
+        return sqlite.origins(self.db)
+
     def size(self) -> int:
         return sum(p.stat().st_size for p in (self.path, Path(f"{self.path}-wal")) if p.exists())
 
@@ -150,6 +156,9 @@
     def checked(self) -> Iterator[Row | str]:
         yield from self.rows()  # its pages are the server's own matter
 
+    def origins(self) -> list[tuple[float, float | None]]:
+        return []  # the server's own back-ups are its operator's matter
+
     def size(self) -> int:
         found = self._do(self.connection.fetch("SELECT pg_total_relation_size('reports')::int8"))
         return int(found[0][0])
--- a/magpiefront/record/commands.py
+++ b/magpiefront/record/commands.py
@@ -77,14 +77,18 @@
 
 def _status(book: Book, args: argparse.Namespace, out: TextIO) -> int:
     counts = {state: (count, oldest) for state, count, oldest in book.counts()}
-    size = book.size()
+    size, origins = book.size(), book.origins()
     if args.json:
         states = {s.value: counts.get(s.value, (0, None))[0] for s in State}
-        print(json.dumps({"store": book.name, "bytes": size, "states": states}), file=out)
+        copies = [{"taken_s": taken, "opened_s": opened} for taken, opened in origins]
+        print(json.dumps({"store": book.name, "bytes": size, "states": states, "backups": copies}), file=out)
     else:
         lines = [(s.value, counts[s.value][0], _when(counts[s.value][1])) for s in State if s.value in counts]
         _table(out, ("state", "reports", "oldest (UTC)"), lines)
         print(f"{book.name}: {size / 2**20:.1f} MiB", file=out)
+        for taken, opened in origins:
+            since = f"in use since {_when(opened)}" if opened is not None else "not in use yet"
+            print(f"a back-up of {_when(taken)} (UTC), {since}: what was held after it is not here", file=out)
     return LOOK if State.UNKNOWN.value in counts else FINE
 
 
@@ -140,9 +144,9 @@
         raise Refused(f"{args.key!r} is {r.state.value}: only an unknown one can be resolved")
     if args.as_ == "ran":
         answer = Answer(200, b"Content-Type: text/plain\r\n", b"held; an operator has confirmed it\n")
-        after = replace(r, state=State.CONFIRMED, answer=answer, note=args.note)
+        after = replace(r, state=State.CONFIRMED, answer=answer, note=args.note, told=False)
     else:
-        after = replace(r, state=State.NOT_RUN, note=args.note)
+        after = replace(r, state=State.NOT_RUN, note=args.note, told=False)
     if not book.change(r, after):
         raise Refused(f"{args.key!r} has changed meanwhile")
     print(json.dumps(to_json(after)) if args.json else f"{args.key}: {after.state.value}", file=out)
@@ -152,6 +156,8 @@
 def faults_of(r: Row) -> Iterator[str]:
     if r.state is State.CONFIRMED and r.answer is None:
         yield "confirmed without an answer"
+    if r.told and r.state not in (State.SENT, State.UNKNOWN):
+        yield f"{r.state.value}, and its client was told to come again"
     if r.state in (State.SENT, State.UNKNOWN) and r.sent is None:
         yield f"{r.state.value} without a time when it was sent"
     if not r.id.key or not r.digest:
@@ -271,7 +277,7 @@
         "method": b(r.method), "target": b(r.target), "more": b(r.more), "body": b(r.body),
         "state": r.state.value, "received_s": r.received_s, "sent": list(r.sent) if r.sent else None,
         "owner": r.owner, "window_s": r.window_s, "until_s": r.until_s, "answer": answer,
-        "attempts": [[a.node, a.at_s] for a in r.attempts], "note": r.note,
+        "attempts": [[a.node, a.at_s] for a in r.attempts], "note": r.note, "told": r.told,
     }  # fmt: skip
 
 
@@ -293,6 +299,7 @@
         id, b(given["digest"]), b(given["method"]), b(given["target"]), b(given["more"]), b(given["body"]),
         State(given["state"]), float(given["received_s"]), moment, str(given["owner"]),
         float(given["window_s"]), float(given["until_s"]), held, attempts, str(given["note"]),
+        bool(given.get("told", False)),
     )  # fmt: skip
 
 
--- a/magpiefront/record/journal.py
+++ b/magpiefront/record/journal.py
@@ -106,6 +106,7 @@
 UNLIKE = plain(422, "this Idempotency-Key came with another report before")
 OPEN = plain(409, "a report with this Idempotency-Key is under way")
 NOBODY_KNOWS = plain(409, "whether this report had its effect is not known; ask the operator")
+COME_AGAIN = plain(409, "the report may have had its effect; ask again under the same Idempotency-Key")
 NOT_HELD = plain(503, "the store of record can't take this report now; nothing was done")
 
 
@@ -220,7 +221,9 @@
         entry.phase, entry.origin = Phase.TAKING, row
         # The window counts from the first time that it may have gone: never from a later one.
         first = row.sent if row.state is State.SENT else entry.row.sent
-        after = replace(row, state=State.SENT, owner=entry.row.owner, sent=first, until_s=entry.row.until_s)
+        after = replace(
+            row, state=State.SENT, owner=entry.row.owner, sent=first, until_s=entry.row.until_s, told=False
+        )
         if row.state is State.SENT and row.sent is not None:
             after = replace(after, until_s=now_us / S - row.sent.up_s + entry.row.until_s)
         return [Change(row, after, entry.deadline_us - self.least_left_us)]
@@ -267,7 +270,12 @@
         if entry.origin is None:
             return [Remove(entry.row, until_us)]
         # It did not run this time. What is known of the times before holds on, and it is still owed.
-        return [Change(entry.row, replace(entry.origin, owner=entry.row.owner, until_s=0.0), until_us)]
+        after = replace(entry.origin, owner=entry.row.owner, until_s=0.0)
+        if entry.origin.state is State.SENT and entry.waiters:
+            # "Nothing was done" would be true of this time only.
+            after, entry.outcome = replace(after, told=True), COME_AGAIN
+            entry.retry_after_us = retry_after_us or RETRY_AFTER_US
+        return [Change(entry.row, after, until_us)]
 
     def answered(
         self, now_us: int, id: Id, answer: Answer, may_have_run: bool, attempts: tuple[Attempt, ...],
@@ -283,6 +291,11 @@
         elif 400 <= answer.status < 500 and answer.status != 429:
             # The archive's own word on it, which a repeat would get again.
             after = replace(row, state=State.CONFIRMED, answer=answer)
+        elif answer.status in (429, 503) and entry.waiters:
+            # Its client would take a refusal for "nothing was done", and perhaps send it under another key.
+            # It is told to come again under this one, once the row says so: then nobody else sends it.
+            after, answer = replace(row, until_s=0.0, told=True), COME_AGAIN
+            entry.retry_after_us = retry_after_us or RETRY_AFTER_US
         else:
             # It may have run. The row stays, and is let go: within the window a repeat may be sent at once,
             # and past it the row is unknown.
@@ -296,7 +309,7 @@
         assert entry.outcome is not None
         del self.entries[entry.row.id]
         if result.outcome is Outcome.DONE:
-            return self._all(entry, entry.outcome)
+            return self._all(entry, entry.outcome, entry.retry_after_us)
         if result.outcome is Outcome.THERE and result.row is not None and result.row.answer is not None:
             # Another process took it over in the window, and has settled it: that is what all are told.
             return self._all(entry, result.row.answer)
@@ -375,7 +388,7 @@
     DELIVER = "deliver"  # known not to have run: owed
     AGAIN = "again"  # may have run, within the window: sent again under its key
     UNKNOWN = "unknown"  # may have run, past it
-    LEAVE = "leave"  # another process may be at work on it
+    LEAVE = "leave"  # another process may be at work on it, or its client has been told to come again
 
 
 def fate(row: Row, up_s: float, boot: str, round_s: float = 1.0) -> Fate:
@@ -390,7 +403,7 @@
     since = up_s - row.sent.up_s
     if since < 0:
         return Fate.UNKNOWN
-    if since < row.until_s:
+    if since < row.until_s or (row.told and since < row.window_s):
         return Fate.LEAVE
     return Fate.AGAIN if since + round_s < row.window_s else Fate.UNKNOWN
 
--- a/magpiefront/record/postgres.py
+++ b/magpiefront/record/postgres.py
@@ -24,7 +24,7 @@
 from magpiefront.record.settings import PostgresSettings
 from magpiefront.record.sqlite import BadStore
 
-VERSION = 1
+VERSION = 2
 SMOOTH = 0.2
 MOST_TRIES = 3
 BACKOFF_S, MOST_BACKOFF_S = 0.05, 2.0
@@ -42,12 +42,14 @@
         PRIMARY KEY (tenant, kind, key));
     CREATE INDEX reports_open ON reports (state, received_s) WHERE state <> 'confirmed';
     CREATE INDEX reports_age ON reports (received_s) WHERE state = 'confirmed'""",
+    # 2: whose client was told to come again
+    "ALTER TABLE reports ADD COLUMN told INTEGER NOT NULL DEFAULT 0",
 )
 TYPES = {
     "tenant": "text", "kind": "text", "key": "bytea", "digest": "bytea", "method": "bytea",
     "target": "bytea", "more": "bytea", "body": "bytea", "state": "text", "received_s": "float8",
     "sent_s": "float8", "owner": "text", "window_s": "float8", "until_s": "float8", "status": "int4",
-    "answer_more": "bytea", "answer_body": "bytea", "attempts": "text", "note": "text",
+    "answer_more": "bytea", "answer_body": "bytea", "attempts": "text", "note": "text", "told": "int4",
 }  # fmt: skip
 COLUMNS = tuple(TYPES)
 SELECT = f"SELECT {', '.join(f'{c}::{t}' for c, t in TYPES.items())}, {EPOCH}::float8 FROM reports"
@@ -109,7 +111,7 @@
     return (
         *r.id, r.digest, r.method, r.target, r.more, r.body, r.state.value, r.received_s,
         r.sent.wall_s if r.sent else None, r.owner, r.window_s, r.until_s, a.status if a else None,
-        a.more if a else None, a.body if a else None, attempts_text(r.attempts), r.note,
+        a.more if a else None, a.body if a else None, attempts_text(r.attempts), r.note, int(r.told),
     )  # fmt: skip
 
 
@@ -179,16 +181,22 @@
         )  # fmt: skip
 
     async def _migrate(self, c: Any) -> None:
-        await c.execute("CREATE TABLE IF NOT EXISTS reports_version (version INTEGER NOT NULL)")
+        # Two that create it at once: one of them is told that it is there already.
+        with suppress(asyncpg.UniqueViolationError, asyncpg.DuplicateTableError):
+            await c.execute("CREATE TABLE IF NOT EXISTS reports_version (version INTEGER NOT NULL)")
         found = await c.fetch("SELECT version::int4 FROM reports_version")
         version = max((r[0] for r in found), default=0)
         if version > VERSION:
             raise BadStore(f"postgres: its version is {version}, newer than {VERSION}: use the newer program")
         for number in range(version, VERSION):
             await c.execute("BEGIN")
-            for statement in MIGRATIONS[number].split(";"):
-                await c.execute(statement)
-            await c.execute(f"INSERT INTO reports_version (version) VALUES ({number + 1})")
+            # Guards against two gateways that start at once: the second one waits, and finds it done.
+            await c.execute("LOCK TABLE reports_version IN ACCESS EXCLUSIVE MODE")
+            found = await c.fetch("SELECT version::int4 FROM reports_version")
+            if max((r[0] for r in found), default=0) == number:
+                for statement in MIGRATIONS[number].split(";"):
+                    await c.execute(statement)
+                await c.execute(f"INSERT INTO reports_version (version) VALUES ({number + 1})")
             await c.execute("COMMIT")
 
     def stop(self) -> None:
@@ -365,9 +373,9 @@
     def _row(self, v: Any) -> Row:
         sent = None
         if v[10] is not None:
-            since_s = v[19] - v[10]
+            since_s = v[20] - v[10]
             sent = Moment(v[10], self.boot, self.up_us() / 1e6 - since_s)
         answer = Answer(v[14], v[15], v[16]) if v[14] is not None else None
         state = State(v[8])
         return Row(Id(v[0], v[1], v[2]), v[3], v[4], v[5], v[6], v[7], state, v[9], sent, v[11], v[12], v[13],
-                   answer, read_attempts(v[17]), v[18])  # fmt: skip
+                   answer, read_attempts(v[17]), v[18], bool(v[19]))  # fmt: skip
--- a/magpiefront/record/rows.py
+++ b/magpiefront/record/rows.py
@@ -76,6 +76,7 @@
     answer: Answer | None = None
     attempts: tuple[Attempt, ...] = ()
     note: str = ""
+    told: bool = False  # its client was told to come again after a try that may have run: it is the client's
 
 
 class Outcome(enum.Enum):
--- a/magpiefront/record/sqlite.py
+++ b/magpiefront/record/sqlite.py
@@ -9,6 +9,7 @@
 
 import sqlite3
 import threading
+import time
 from collections import deque
 from collections.abc import Callable, Iterator
 from contextlib import suppress
@@ -22,14 +23,14 @@
 )  # fmt: skip
 from magpiefront.record.settings import SqliteSettings
 
-VERSION = 1
+VERSION = 2
 BUSY_S = 5.0  # how long another process's commit is waited for
 STOP_S = 3.0
 SMOOTH = 0.2
 COLUMNS = (
     "tenant", "kind", "key", "digest", "method", "target", "more", "body", "state", "received_s", "sent_s",
     "sent_boot", "sent_up_s", "owner", "window_s", "until_s", "status", "answer_more", "answer_body",
-    "attempts", "note",
+    "attempts", "note", "told",
 )  # fmt: skip
 MIGRATIONS: tuple[str, ...] = (
     # 1
@@ -45,6 +46,11 @@
     CREATE INDEX open ON reports (state, received_s) WHERE state <> 'confirmed';
     CREATE INDEX age ON reports (received_s) WHERE state = 'confirmed';
     """,
+    # 2: whose client was told to come again; which back-ups this file came from
+    """
+    ALTER TABLE reports ADD COLUMN told INTEGER NOT NULL DEFAULT 0;
+    CREATE TABLE origins (taken_s REAL NOT NULL, opened_s REAL);
+    """,
 )
 ALL = ", ".join(COLUMNS)
 BY_ID = "tenant = ? AND kind = ? AND key = ?"
@@ -67,7 +73,7 @@
     return (
         *r.id, r.digest, r.method, r.target, r.more, r.body, r.state.value, r.received_s, *sent,
         r.owner, r.window_s, r.until_s, a.status if a else None, a.more if a else None,
-        a.body if a else None, attempts_text(r.attempts), r.note,
+        a.body if a else None, attempts_text(r.attempts), r.note, int(r.told),
     )  # fmt: skip
 
 
@@ -76,7 +82,7 @@
     answer = Answer(v[16], v[17], v[18]) if v[16] is not None else None
     state = State(v[8])
     return Row(Id(*v[:3]), v[3], v[4], v[5], v[6], v[7], state, v[9], sent, v[13], v[14], v[15], answer,
-               read_attempts(v[19]), v[20])  # fmt: skip
+               read_attempts(v[19]), v[20], bool(v[21]))  # fmt: skip
 
 
 def connect(path: Path) -> sqlite3.Connection:
@@ -102,14 +108,7 @@
         if found != "ok":
             raise BadStore(f"{path}: damaged: {' '.join(str(found).split())}; restore it from a back-up")
         for number in range(version, VERSION):
-            db.execute("BEGIN IMMEDIATE")
-            # Another process may have done it since.
-            if db.execute("PRAGMA user_version").fetchone()[0] == number:
-                for statement in MIGRATIONS[number].split(";"):
-                    if statement.strip():
-                        db.execute(statement)
-                db.execute(f"PRAGMA user_version={number + 1}")
-            db.execute("COMMIT")
+            migrate(db, number)
         return db
     except (sqlite3.Error, OSError) as e:
         if db is not None:
@@ -121,6 +120,28 @@
         raise
 
 
+def migrate(db: sqlite3.Connection, number: int) -> None:
+    """From this version to the next, in one transaction: what breaks it off leaves the old one whole."""
+    db.execute("BEGIN IMMEDIATE")
+    # Another process may have done it since.
+    if db.execute("PRAGMA user_version").fetchone()[0] == number:
+        for statement in MIGRATIONS[number].split(";"):
+            if statement.strip():
+                db.execute(statement)
+        db.execute(f"PRAGMA user_version={number + 1}")
+    db.execute("COMMIT")
+
+
+def mark_copy(db: sqlite3.Connection, taken_s: float) -> None:
+    """It is a back-up, taken then (Unix seconds)."""
+    db.execute("INSERT INTO origins (taken_s) VALUES (?)", (taken_s,))
+
+
+def origins(db: sqlite3.Connection) -> list[tuple[float, float | None]]:
+    """The back-ups that this file was: when each was taken, and when a gateway first served from it."""
+    return db.execute("SELECT taken_s, opened_s FROM origins ORDER BY taken_s").fetchall()
+
+
 @dataclass(slots=True)
 class Job:
     what: Callable[[sqlite3.Connection], Result]
@@ -146,6 +167,12 @@
     def start(self) -> None:
         """Raises BadStore."""
         self.db = open_file(self.settings.path)
+        for taken_s, opened_s in origins(self.db):
+            if opened_s is None:
+                when = time.strftime("%Y-%m-%d %H:%M:%S", time.gmtime(taken_s))
+                self.house.log(f"record: {self.settings.path} is a back-up of {when} UTC: what was held "
+                               "after it is not here, and its repeats are taken for first ones")  # fmt: skip
+        self.db.execute("UPDATE origins SET opened_s = ? WHERE opened_s IS NULL", (time.time(),))
         for work in (self._write, self._checkpoint):
             thread = threading.Thread(target=work, name="record", daemon=True)
             self.threads.append(thread)
--- a/magpiefront/record/stage.py
+++ b/magpiefront/record/stage.py
@@ -12,11 +12,11 @@
 from secrets import token_hex
 
 from magpiefront.interface import Repeat, RequestClass
+from magpiefront.net.effects import Effect
 from magpiefront.net.house import Host
 from magpiefront.net.fields import lines, read_lines
 from magpiefront.net.request import Request, Stage
 from magpiefront.record import journal
-from magpiefront.record.attempts import may_have_run, nodes_of
 from magpiefront.record.journal import (
     Action, Change, Fate, Get, Insert, Journal, Note, Pace, Remove, Reply, Send,
 )  # fmt: skip
@@ -235,12 +235,15 @@
         twin = Request(self)
         twin.method, twin.target = row.method, row.target
         twin.wire_id = f"{self.start}-{next(self.count):x}".encode()
-        twin.headers = {b"host": b"record", b"req-kind": row.id.kind.encode(), b"idempotency-key": row.id.key}
+        # With its id: the other site's gateway refuses a request that has none.
+        twin.headers = {b"host": b"record", b"req-id": twin.wire_id, b"req-kind": row.id.kind.encode(),
+                        b"idempotency-key": row.id.key}  # fmt: skip
         if row.id.tenant:
             twin.headers[b"req-owner"] = row.id.tenant.encode("latin-1")
         twin.fields = read_lines(row.more)
         # As from a front: the stages behind add what else goes on, and it must not go twice.
         twin.more = lines(f for f in twin.fields if f[0].lower() in IN_MORE)
+        twin.effect = Effect()
         twin.body, twin.size = ([row.body], len(row.body)) if row.body else ([], 0)
         twin.taken_at = self.house.now_us()
         twin.time_left = max(0, self._house_us(a.deadline_us) - twin.taken_at)
@@ -250,13 +253,13 @@
     def _ended(self, request: Request, status: int, more: bytes, body: bytes) -> None:
         id = self.twins.pop(request)
         kept = body if len(body) <= self.settings.most_answer else b""
-        attempts = tuple(Attempt(node, at / 1e6) for node, at in nodes_of(request.attempts))
-        ran = may_have_run(request.attempts) or status not in (429, 503)
+        effect = request.effect
+        attempts = tuple(Attempt(a.place, a.sent_at / 1e6) for a in effect.attempts)
         answer = Answer(status, more, kept)
         if id in self.deliveries:
             del self.deliveries[id]
             self.pace.end(self.up_us(), 200 <= status < 300)
-        self._do(self.journal.answered(self.up_us(), id, answer, ran, attempts))
+        self._do(self.journal.answered(self.up_us(), id, answer, effect.may_have_run, attempts))
 
     def answer(self, request: Request, status: int, body: Sequence[bytes] = (), more: bytes = b"") -> None:
         self._ended(request, status, more, b"".join(body))
--- a/standins/pgserver.py
+++ b/standins/pgserver.py
@@ -363,7 +363,7 @@
                 raise Failure("57014", "canceling statement due to user request")
             waiting.result()
         if (
-            verb in ("VACUUM", "RESET", "CLOSE", "UNLISTEN", "SET", "DEALLOCATE", "DISCARD")
+            verb in ("VACUUM", "RESET", "CLOSE", "UNLISTEN", "SET", "DEALLOCATE", "DISCARD", "LOCK")
             or "pg_advisory" in s.text
         ):
             return [], verb
