Refuse reports in their time while the store stands still; keep the log beside a file bounded

A report that waited for a commit was told 504 at its deadline, though nothing had been sent, and others queued up behind a commit that stood still. Under commits that follow each other the log beside a SQLite file grew for ever: it is used anew only where all of it is back in the file at the moment of a commit, and the second thread never got there (18.7 MB for 3.3 MB of reports, growing with them).

--- a/magpiefront/record/journal.py
+++ b/magpiefront/record/journal.py
@@ -141,12 +141,20 @@
             entry.waiters.pop(waiter, None)
 
     def overdue(self, now_us: int, waiter: Hashable, id: Id) -> list[Action]:
-        """A client's time is up while its report is open."""
+        """A client's time is nearly up while its report is open, or is up: what can't be sent any more is
+        answered at once, and what is out may still come."""
         entry = self.entries.get(id)
-        if entry is None or entry.waiters.pop(waiter, None) is None:
+        if entry is None or waiter not in entry.waiters:
             return []
+        out = entry.phase in (Phase.SENDING, Phase.SETTLING, Phase.FREEING)
+        if out and now_us < entry.waiters[waiter]:
+            return []
+        del entry.waiters[waiter]
         if entry.phase in (Phase.ASKING, Phase.TAKING):
             return [Reply(waiter, OPEN, RETRY_AFTER_US)]
+        if entry.phase is Phase.INSERTING and not entry.waiters:
+            # Whether it gets held or not, it is not sent: nobody has the time that it would take.
+            return [Reply(waiter, NOT_HELD, RETRY_AFTER_US)]
         return [Reply(waiter, plain(504, "no answer in time; the report may have had its effect"))]
 
     # ---- the store
--- a/magpiefront/record/postgres.py
+++ b/magpiefront/record/postgres.py
@@ -142,6 +142,7 @@
         self.wake = asyncio.Event()
         self.workers: list[asyncio.Task[None]] = []
         self.commit_us = 5_000.0
+        self.began_us: list[int] = []  # when the commits that are under way were begun
         self.commits = self.committed = 0
         self.stopping = self.migrated = False
         self.migrating = asyncio.Lock()
@@ -210,7 +211,11 @@
     @property
     def wait_us(self) -> int:
         ahead = len(self.jobs) // (self.settings.most_batch * self.settings.connections)
-        return int(self.commit_us * (ahead + 2))
+        so_far = 0
+        if len(self.began_us) >= self.settings.connections:
+            # All are at work: the next to be free is expected to take as long again as it has so far.
+            so_far = self.house.now_us() - max(self.began_us)
+        return max(so_far, int(self.commit_us * (ahead + 2)))
 
     def insert(self, row: Row, deadline_us: int, then: Then) -> None:
         async def what(c: Any) -> Result:
@@ -304,7 +309,13 @@
                     connection = await (self._connect() if self.migrated else self.open())
                 pause_s = BACKOFF_S
                 batch = [self.jobs.popleft() for _ in range(min(len(self.jobs), self.settings.most_batch))]
-                if batch and not await self._commit(connection, batch):
+                began_us = self.house.now_us()
+                self.began_us.append(began_us)
+                try:
+                    fine = not batch or await self._commit(connection, batch)
+                finally:
+                    self.began_us.remove(began_us)
+                if not fine:
                     connection.terminate()
                     connection = None
             except (*ERRORS, BadStore) as e:
--- a/magpiefront/record/sqlite.py
+++ b/magpiefront/record/sqlite.py
@@ -2,7 +2,7 @@
 
 Durable means that the commit's frames are in the write-ahead log and the log is synced (`synchronous=FULL`).
 While one commit is synced the next ones gather. A second thread puts the log back into the file, beside the
-writer and without stopping it (a passive checkpoint).
+writer and without stopping it (a passive checkpoint); the writer itself does where the log gets long.
 """
 
 from __future__ import annotations
@@ -27,6 +27,7 @@
 BUSY_S = 5.0  # how long another process's commit is waited for
 STOP_S = 3.0
 SMOOTH = 0.2
+LONG, CATCH_UP_S = 4, 0.1  # times `checkpoint_pages`; seconds between tries of the writer itself
 COLUMNS = (
     "tenant", "kind", "key", "digest", "method", "target", "more", "body", "state", "received_s", "sent_s",
     "sent_boot", "sent_up_s", "owner", "window_s", "until_s", "status", "answer_more", "answer_body",
@@ -206,10 +207,12 @@
         self.wake = threading.Condition()
         self.stopping = False
         self.commit_us = 2_000.0  # what a commit takes, smoothed
+        self.began_us: int | None = None  # the commit that is under way
         self.commits = self.committed = 0
         self.threads: list[threading.Thread] = []
         self.db: sqlite3.Connection | None = None
         self.checkpoint = threading.Event()
+        self.behind, self.catch_up_s = False, 0.0  # is the log long all the same; when to see to that again
 
     # ---- in the loop
 
@@ -241,7 +244,10 @@
     @property
     def wait_us(self) -> int:
         batches = 1 + len(self.jobs) // self.settings.most_batch
-        return int(self.commit_us * (batches + 1))
+        # One that has taken so long already is expected to take as long again.
+        began_us = self.began_us
+        so_far = self.house.now_us() - began_us if began_us is not None else 0
+        return max(so_far, int(self.commit_us * (batches + 1)))
 
     def insert(self, row: Row, deadline_us: int, then: Then) -> None:
         values = pack(row)
@@ -329,7 +335,12 @@
             if self.stopping:
                 self._tell([(j, Result(Outcome.NEVER, cause="the program ends")) for j in batch])
                 return
-            self._tell(self._commit(batch))
+            if self.behind and time.monotonic() >= self.catch_up_s:
+                self._catch_up()
+            self.began_us = self.house.now_us()
+            results = self._commit(batch)
+            self.began_us = None
+            self._tell(results)
 
     def _tell(self, results: list[tuple[Job, Result]]) -> None:
         def told() -> None:
@@ -370,6 +381,15 @@
             self.checkpoint.set()
         return late + done
 
+    def _catch_up(self) -> None:
+        """Guards against a log that grows for ever: it is written from its beginning again only if all of it
+        is back in the file at the moment of a commit, and under steady load the other thread never gets
+        there. Here nothing is written meanwhile. A reader that holds an old moment has to end first."""
+        self.behind, self.catch_up_s = False, time.monotonic() + CATCH_UP_S
+        assert self.db is not None
+        with suppress(sqlite3.Error):
+            self.db.execute("PRAGMA wal_checkpoint(PASSIVE)").fetchone()
+
     def _checkpoint(self) -> None:
         path = Path(f"{self.settings.path}-wal")
         db = connect(self.settings.path)
@@ -379,7 +399,8 @@
                 self.checkpoint.clear()
                 with suppress(OSError, sqlite3.Error):
                     if path.stat().st_size > self.settings.checkpoint_pages * 4096:
-                        db.execute("PRAGMA wal_checkpoint(PASSIVE)")
+                        _, frames, _ = db.execute("PRAGMA wal_checkpoint(PASSIVE)").fetchone()
+                        self.behind = frames > LONG * self.settings.checkpoint_pages
         finally:
             db.close()
 
--- a/magpiefront/record/stage.py
+++ b/magpiefront/record/stage.py
@@ -83,8 +83,8 @@
         row = self._row(r, cls)
         deadline_us = r.taken_at + r.time_left - self.now_lag_us
         self.clients[r] = row.id
-        left = max(0, deadline_us - self.up_us())
-        self.timers[r] = self.house.loop.call_later(left / 1e6, self._overdue, r)
+        left = max(0, deadline_us - self.settings.least_left_us - self.up_us())
+        self.timers[r] = self.house.loop.call_later(left / 1e6, self._overdue, r, deadline_us)
         self._do(self.journal.arrive(self.up_us(), r, row, deadline_us))
 
     def _row(self, r: Request, cls: RequestClass) -> Row:
@@ -115,10 +115,14 @@
         if r not in self.clients:
             self.following.let_go(r)
 
-    def _overdue(self, r: Request) -> None:
+    def _overdue(self, r: Request, deadline_us: int) -> None:
         id = self.clients.get(r)
-        if id is not None:
-            self._do(self.journal.overdue(self.up_us(), r, id))
+        if id is None:
+            return
+        self._do(self.journal.overdue(self.up_us(), r, id))
+        if r in self.clients:  # out: up to its last moment
+            left = max(0, deadline_us - self.up_us())
+            self.timers[r] = self.house.loop.call_later(left / 1e6, self._overdue, r, deadline_us)
 
     # ---- what the journal decides
 
--- a/tests/record/sockets.py
+++ b/tests/record/sockets.py
@@ -17,9 +17,11 @@
 from magpiefront.net.proxy import Proxy
 from magpiefront.net.traced import TracedAttempt
 from magpiefront.record.rows import Row
-from magpiefront.record.settings import RecordSettings, SqliteSettings
+from magpiefront.record.postgres import PostgresStore
+from magpiefront.record.settings import PostgresSettings, RecordSettings, SqliteSettings
 from magpiefront.record.sqlite import SqliteStore, open_file, rows
-from magpiefront.record.stage import RecordStage
+from magpiefront.record.stage import RecordStage, boot_id
+from standins.pgserver import PgServer
 from tests.sockets import INFO, Answer, Client, Handler, Node
 
 GRADES = [
@@ -57,7 +59,7 @@
 class Recorded:
     proxy: Proxy
     stage: RecordStage
-    store: SqliteStore
+    store: Any
     node: Node
     port: int
     path: Path
@@ -82,7 +84,8 @@
 
 @asynccontextmanager
 async def recorded(
-    path: Path, handler: Handler | None = None, attempts: int = 1, node: Node | None = None, **more: Any
+    path: Path, handler: Handler | None = None, attempts: int = 1, node: Node | None = None,
+    pg: PgServer | None = None, **more: Any,
 ) -> AsyncIterator[Recorded]:
     loop = asyncio.get_running_loop()
     own = node is None
@@ -103,8 +106,14 @@
     proxy = Proxy(read, loop)
     proxy.attempt_type = TracedAttempt
     settings = replace(RecordSettings(SqliteSettings(path)), **more)
-    store = SqliteStore(proxy, SqliteSettings(path), settings.most_waiting)
-    store.start()
+    store: SqliteStore | PostgresStore
+    if pg is None:
+        store = SqliteStore(proxy, SqliteSettings(path), settings.most_waiting)
+        store.start()
+    else:
+        given = PostgresSettings(pg.dsn, connections=2, connect_timeout_us=5_000_000)
+        store = PostgresStore(proxy, given, settings.most_waiting, boot_id())
+        await store.start()
     stage = RecordStage(proxy, proxy, settings, store)
     front = Front(proxy, stage, Bodies(50 << 20), 500)
     discovery = Discovery(proxy, read.discovery, 1)
@@ -118,6 +127,10 @@
         for client in list(front.clients):
             if client.transport is not None:
                 client.transport.abort()
-        await asyncio.to_thread(store.stop)
+        if isinstance(store, PostgresStore):
+            store.stop()
+            await asyncio.gather(*store.workers, return_exceptions=True)
+        else:
+            await asyncio.to_thread(store.stop)
         if own:
             node.stop()
--- a/tests/record/test_backup.py
+++ b/tests/record/test_backup.py
@@ -21,9 +21,12 @@
 from magpiefront.record import backup as module
 from magpiefront.record.backup import backup
 from magpiefront.record.books import Refused, SqliteBook
-from magpiefront.record.rows import Answer, Id, Moment, Row, State
+from magpiefront.record.rows import Answer, Id, Moment, Outcome, Result, Row, State
 from magpiefront.record.sqlite import INSERT, open_file, pack, rows
+from tests.record.sockets import recorded
 from tests.record.test_journal import row
+from tests.record.test_sqlite import House, ask, opened
+from tests.sockets import ok, run, says, until
 
 CONFIRMED = row(state=State.CONFIRMED, answer=Answer(201, b"A: b\r\n", b"held"), sent=Moment(1.0, "b", 2.0))
 
@@ -101,6 +104,84 @@
     db.close()
 
 
+def test_the_log_grows_while_a_back_up_reads_and_is_used_again_after_it(tmp_path: Path) -> None:
+    path, wal = tmp_path / "r.sqlite", tmp_path / "r.sqlite-wal"
+    fill(path, some(50))
+    with opened(path, checkpoint_pages=10) as store:
+        book = SqliteBook(path, False)
+
+        def hold(first: int, count: int) -> int:
+            for r in some(count, first):
+                assert ask(store, store.insert, r).outcome is Outcome.DONE  # whatever the log can do
+            return wal.stat().st_size
+
+        book.begin(False)
+        assert book.counts()
+        small, large = hold(1_000, 40), hold(2_000, 400)
+        assert large > 2 * small > 0
+        assert book.counts()[0][1] == 50  # one moment, all the while
+        book.commit()
+        # Written over from its beginning, also while one commit follows the other.
+        sizes = [hold(first, 100) for first in range(3_000, 19_000, 1_000)]
+        assert len(set(sizes[-8:])) == 1, sizes
+        book.close()
+    assert len(held(path)) == 50 + store.committed
+
+
+def test_the_log_is_bounded_while_one_commit_follows_the_other(tmp_path: Path) -> None:
+    path, wal = tmp_path / "r.sqlite", tmp_path / "r.sqlite-wal"
+    with opened(path, checkpoint_pages=20, most_batch=8) as store:
+        store.most_waiting = 10_000
+        done: list[Result] = []
+        for r in some(6_000):
+            store.insert(r, 10**18, done.append)
+        assert isinstance(store.house, House)
+        store.house.run_until(lambda: len(done) == 6_000)
+        assert {r.outcome for r in done} == {Outcome.DONE}
+        assert wal.stat().st_size < 3 * path.stat().st_size  # six times, where nobody sees to it
+
+
+def test_yesterdays_back_up_beside_todays_deliveries(tmp_path: Path, capsys: Any) -> None:
+    """What was on its way when it was taken is unknown today, what was held since then is not there, and the
+    operator is told both."""
+    path, to = tmp_path / "r.sqlite", tmp_path / "yesterday.sqlite"
+    file = tmp_path / "operator.toml"
+    file.write_text('[site]\nname = "west"\n[record]\n[record.sqlite]\npath = "r.sqlite"\n')
+    stale = replace(row(), id=Id("members", "field-report", b"k1"), sent=Moment(5.0, "yesterday", 1.0))
+    fill(path, [stale])
+
+    def say(*args: str) -> tuple[int, str]:
+        status = main(["record", "--operator", str(file), *args])
+        return status, capsys.readouterr().out
+
+    assert say("backup", str(to))[0] == 0
+
+    async def today(restored: bool) -> None:
+        async with recorded(path, says(ok(b"held")), look_us=10_000) as w:
+            w.stage.begin_looking()
+            if not restored:
+                assert (await w.ask("k2")).status == 200
+            await until(lambda: any(r.state is State.UNKNOWN for r in w.rows()))
+            assert (await w.ask("k1", body=b"3.2")).status in (409, 422)
+            w.stage.stop()
+            assert len(w.node.seen) == (0 if restored else 1)
+
+    run(today(False))
+    assert "is a back-up" not in capsys.readouterr().err
+    for end in ("-wal", "-shm"):
+        (tmp_path / f"r.sqlite{end}").unlink(missing_ok=True)
+    os.replace(to, path)
+    status, out = say("status")
+    assert status == 0 and "not in use yet" in out
+    run(today(True))
+    told = capsys.readouterr().err
+    assert told.count("is a back-up of") == 1 and "is not here" in told
+    status, out = say("status")
+    assert status == 1 and "unknown  1" in out and "in use since" in out and "confirmed" not in out
+    run(today(True))
+    assert "is a back-up" not in capsys.readouterr().err  # it is said once
+
+
 def failing(error: Exception) -> Callable[..., Any]:
     def fail(*_: Any) -> None:
         raise error
@@ -186,26 +267,26 @@
     file.write_text('[site]\nname = "west"\n[record]\n[record.sqlite]\npath = "r.sqlite"\n')
     fill(tmp_path / "r.sqlite", some(7))
 
-    def ask(*args: str) -> tuple[int, str, str]:
+    def say(*args: str) -> tuple[int, str, str]:
         status = main(["record", "--operator", str(file), *args])
         said = capsys.readouterr()
         return status, said.out, said.err
 
-    status, out, _ = ask("backup", str(to))
+    status, out, _ = say("backup", str(to))
     assert status == 0 and out.startswith(f"{to}: 7 rows, ") and len(held(to)) == 7
-    status, out, _ = ask("--json", "backup", str(to))
+    status, out, _ = say("--json", "backup", str(to))
     assert status == 0 and json.loads(out)["rows"] == 7
-    status, _, err = ask("backup", str(tmp_path / "no" / "b.sqlite"))
+    status, _, err = say("backup", str(tmp_path / "no" / "b.sqlite"))
     assert status == 2 and err.count("\n") == 1 and "no back-up was made" in err
     # Yesterday's file in place: what was on its way then is shown for what it is.
     sent = Moment(5.0, "another start", 1.0)
     on_its_way = replace(row(), id=Id("t", "k", b"sent"), state=State.SENT, sent=sent)
     fill(tmp_path / "r.sqlite", [on_its_way])
-    assert ask("backup", str(to))[0] == 0
+    assert say("backup", str(to))[0] == 0
     (tmp_path / "r.sqlite").unlink()
     for end in ("-wal", "-shm"):
         (tmp_path / f"r.sqlite{end}").unlink(missing_ok=True)
     to.rename(tmp_path / "r.sqlite")
-    status, out, _ = ask("--json", "status")
+    status, out, _ = say("--json", "status")
     assert json.loads(out)["states"] == {"stored": 0, "sent": 1, "confirmed": 7, "unknown": 0, "not-run": 0}
-    assert ask("verify")[0] == 0
+    assert say("verify")[0] == 0
--- a/tests/record/test_journal.py
+++ b/tests/record/test_journal.py
@@ -187,6 +187,26 @@
     assert told(g.got(NOW + S, ID, Result(Outcome.ASK))) == {"a": 409}
 
 
+def test_a_row_that_went_between_the_insert_and_the_look_at_it_is_no_row() -> None:
+    """A sweep at the same server: the repeat of what it removed is a first one."""
+    g = opened(to=Phase.INSERTING)
+    (get,) = g.inserted(NOW, ID, Result(Outcome.THERE, None))
+    assert isinstance(get, Get)
+    (again,) = g.got(NOW, ID, Result(Outcome.DONE, None))
+    assert isinstance(again, Insert)
+
+
+def test_a_client_is_answered_before_its_time_is_up_where_nothing_can_be_sent_any_more() -> None:
+    g = opened("a", to=Phase.INSERTING)
+    (reply,) = g.overdue(NOW + S - 20_000, "a", ID)
+    assert isinstance(reply, Reply) and reply.answer == j.NOT_HELD and reply.retry_after_us > 0
+    g = opened("a", "b", to=Phase.INSERTING)  # another waits for it: it may be sent yet
+    assert told(g.overdue(NOW + S - 20_000, "a", ID)) == {"a": 504}
+    g = opened("a")  # out: its answer may come up to the last moment
+    assert g.overdue(NOW + S - 20_000, "a", ID) == []
+    assert told(g.overdue(NOW + S, "a", ID)) == {"a": 504}
+
+
 def test_one_that_was_refused_before_it_ran_is_held_no_longer_and_told_after_that() -> None:
     g = opened("a")
     refused = Answer(503, b"", b"")
--- a/tests/record/test_stage.py
+++ b/tests/record/test_stage.py
@@ -12,6 +12,7 @@
 
 from magpiefront.record.rows import Id, Moment, State
 from magpiefront.record.stage import boot_id
+from standins.pgserver import Cut, PgServer
 from tests.record.sockets import recorded, report
 from tests.record.test_journal import row
 from tests.record.test_sqlite import ask, opened
@@ -222,6 +223,75 @@
     run(main())
 
 
+@pytest.mark.parametrize("lost", ["while it is sent", "the word on its outcome"])
+def test_a_server_that_fails_over_while_two_gateways_hold_the_same_key(lost: str, tmp_path: Path) -> None:
+    """One effect, one answer for both clients, and for one that goes from one gateway to the other."""
+    gate = asyncio.Event()
+
+    async def main() -> None:
+        node, pg = Node("s", gated(gate, ok(b"held"))), PgServer()
+        await node.start()
+        await pg.start()
+        async with (
+            recorded(tmp_path / "none", node=node, pg=pg) as one,
+            recorded(tmp_path / "none", node=node, pg=pg) as two,
+        ):
+            clients = [await w.client() for w in (one, two)]
+            for c in clients:
+                c.send(report())
+            await until(lambda: bool(node.seen) and len(one.stage.journal.entries) == 1)
+            if lost == "while it is sent":
+                pg.kill()
+                gate.set()
+                await asyncio.sleep(0.1)  # its outcome meets no server
+                await pg.start()
+            else:
+                cuts = [True]
+
+                async def after(text: str) -> None:
+                    if text == "COMMIT" and cuts:
+                        cuts.clear()
+                        raise Cut
+
+                pg.faults.after = after
+                gate.set()
+            answers = [await c.answer() for c in clients]
+            (again,) = [await w.ask() for w in (two,)]
+            assert {(a.status, a.body) for a in (*answers, again)} <= {(200, b"held"), (504, answers[0].body),
+                                                                       (504, answers[1].body)}  # fmt: skip
+            assert again.status == 200 and len(node.seen) == 1
+            assert pg.db.execute("SELECT state FROM reports").fetchall() == [("confirmed",)]
+            for c in clients:
+                c.writer.close()
+        node.stop()
+        pg.stop()
+
+    run(main(), 40)
+
+
+def test_a_report_that_waits_for_a_store_that_stands_still_is_refused_in_its_time(tmp_path: Path) -> None:
+    """Those that waited are told shortly before their time is up, those that come later at once."""
+
+    async def main() -> None:
+        async with recorded(tmp_path / "r.sqlite", says(ok(b"held"))) as w:
+            other = sqlite3.connect(tmp_path / "r.sqlite", isolation_level=None)
+            other.execute("BEGIN IMMEDIATE")
+            loop = asyncio.get_running_loop()
+            began = loop.time()
+            waited = await w.ask("k1", left="0.5")
+            assert waited.status == 503 and waited.headers["retry-after"] and loop.time() - began > 0.4
+            assert b"nothing was done" in waited.body
+            began, count = loop.time(), len(w.store.jobs)
+            assert (await w.ask("k2", left="0.4")).status == 503 and len(w.store.jobs) == count
+            other.execute("ROLLBACK")
+            await until(lambda: not w.stage.journal.entries)  # it was held after all, and never sent
+            assert not w.node.seen and not w.rows()
+            assert (await w.ask("k1")).status == 200 and len(w.node.seen) == 1
+            other.close()
+
+    run(main())
+
+
 def left(path: Path, **more: Any) -> None:
     """A row as a process that died has left it."""
     up_s = time.monotonic_ns() / 1e9
@@ -278,7 +348,7 @@
                 looks += 1
                 look(*args)
 
-            w.store.open_rows = counted  # type: ignore[method-assign,assignment]
+            w.store.open_rows = counted
             w.stage.begin_looking()
             await until(lambda: looks > 5)
             assert not w.node.seen and w.rows()[0].owner == "dead"
@@ -304,6 +374,33 @@
     run(main(), 40)
 
 
+def test_a_repeat_in_the_moment_of_the_sweep_gets_its_answer_or_is_a_first_one(tmp_path: Path) -> None:
+    """Never anything between: one commit holds the sweep and the repeat, in either order."""
+
+    async def main(first: bool) -> None:
+        async with recorded(tmp_path / f"{first}", says(ok(b"held"))) as w:
+            assert (await w.ask()).body == b"held"
+            other = sqlite3.connect(tmp_path / f"{first}", isolation_level=None)
+            other.execute("UPDATE reports SET received_s = received_s - 1000")
+            other.close()
+            w.node.handler = says(ok(b"anew"))
+            client = await w.client()
+            with w.store.wake:  # the writer waits until both are there
+                if not first:
+                    w.store.sweep(time.time() - 500, 10, lambda n: None)
+                client.send(report())
+                await until(lambda: any(j.id is not None for j in w.store.jobs))
+                if first:
+                    w.store.sweep(time.time() - 500, 10, lambda n: None)
+            assert (await client.answer()).body == (b"held" if first else b"anew")
+            assert len(w.node.seen) == (1 if first else 2)
+            await until(lambda: len(w.rows()) == (0 if first else 1))
+            client.writer.close()
+
+    for first in (True, False):
+        run(main(first))
+
+
 def test_what_is_older_than_its_retention_goes_and_nothing_else(tmp_path: Path) -> None:
     old = time.time() - 1_000
     for n, state in enumerate((State.CONFIRMED, State.UNKNOWN)):
