Hand a gateway's listener and links over to the next process

With an operator's file the gateway's address was in use, so a next process ended with status 2 and the old one had to be stopped first. The offer names every listening socket now; the gateway's accepts only after take, is resumed where the next one ends, and the links of the other sites are sent over one connection after the other, which these make anew at once.

--- a/magpiefront/__main__.py
+++ b/magpiefront/__main__.py
@@ -91,7 +91,7 @@
         loop.add_signal_handler(number, stop.set)
     if composition is not None:
         try:
-            await composition.start()
+            await composition.start(starting.listeners if starting is not None else None)
         except OSError as e:
             raise config.BadConfig(f"{composition.operator.path}: can't listen for gateways: {e}") from None
     if settings.admin is not None:
@@ -111,9 +111,12 @@
         upgrade_state.restore(state, proxy)
     if starting is not None and starting.listener is not None:
         front.listen_on(starting.listener)
+    if composition is not None:
+        await composition.accept()
     if starting is not None and starting.socket is not None:
         Succeeding(starting, proxy, front, desk)
-    serving = Serving(proxy, front, discovery, desk, place) if place is not None else None
+    others = composition.listening if composition is not None else []
+    serving = Serving(proxy, front, discovery, desk, place, others) if place is not None else None
     if serving is not None:
         serving.listen()
     if settings.admin is not None:
@@ -141,8 +144,8 @@
     front.stopping = True
     if serving is not None:
         serving.stop()
-    if composition is not None:
-        composition.drain()
+    if composition is not None and not front.handed:
+        composition.drain()  # where there is a next process, its peers go there one by one
     accept_until = loop.time() + ACCEPT_S
     while loop.time() < accept_until and not front.handed:
         await asyncio.sleep(0.02)
@@ -150,6 +153,8 @@
     while (front.clients or (composition is not None and composition.busy)) and loop.time() < end:
         if not front.handed:
             front.close_idle()
+            if composition is not None:
+                composition.drain()  # the next one may have ended since
         await asyncio.sleep(0.02)
     if composition is not None:
         composition.stop()
--- a/magpiefront/gateway/inbound.py
+++ b/magpiefront/gateway/inbound.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 import ssl
+from collections import Counter
 from collections.abc import Sequence
 
 from magpiefront.gateway import engine, wire
@@ -11,6 +13,7 @@
 from magpiefront.gateway.house import repeat_of
 from magpiefront.net.effects import Effect
 from magpiefront.net.house import Host
+from magpiefront.net.listening import bound
 from magpiefront.gateway.keyed import KeyedStage
 from magpiefront.gateway.link import Wire
 from magpiefront.gateway.routes import Credit, Credits, Reason, Routes
@@ -18,6 +21,8 @@
 from magpiefront.interface import Repeat
 from magpiefront.net.request import Request
 
+LISTEN = 100  # peers that wait to be accepted
+APART_S = 0.2  # between two connections of a site that are sent to the next process
 LAST_AFTER_S = 0.25  # from the first GOAWAY to the last one: what is on its way by then is still taken
 
 
@@ -93,6 +98,7 @@
         self.gate = gate
         self.incoming: dict[int, Incoming] = {}
         self.last: int | None = None  # of GOAWAY, once it is told
+        self.site = ""  # whose it is, once its hello has come
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         super().connection_made(transport)
@@ -116,6 +122,13 @@
         self.incoming.pop(i.stream, None)
         self.gate.finished(i)
 
+    def leave(self, for_good: bool = False) -> None:
+        """Tells the peer to open nothing more; `for_good`: what comes after it is refused (RFC 9113, 6.8)."""
+        if for_good:
+            self.last = self.engine.last
+        self.engine.go_away(self.last)
+        self.flush()
+
     def handle(self, event: engine.Event) -> None:
         match event:
             case engine.Began():
@@ -183,6 +196,7 @@
             self.gate.house.log(f"gateway: a hello from {site!r}, which is no other site of the table")
             self._turn_away(stream, 403, "site")
             return
+        self.site = site
         self.engine.head(stream, wire.hello_answer(self.gate.settings.site, self.gate.epoch), True)
 
     def _came(self, stream: int, data: bytes) -> None:
@@ -222,6 +236,8 @@
 class Gate:
     """Listens for the other sites' gateways. What it takes goes to the keyed stage, never to another site."""
 
+    name = "gateway"  # of its socket, where that is handed over
+
     def __init__(
         self, house: Host, settings: GatewaySettings, routes: Routes, stage: KeyedStage, counters: Counters,
         context: ssl.SSLContext | None, seed: int, epoch: str,
@@ -232,12 +248,46 @@
         self.peers: dict[Inbound, None] = {}
         self.open: dict[bytes, Incoming] = {}
         self.server: asyncio.Server | None = None
+        self.socket: socket.socket | None = None
+        self.task: asyncio.Task[None] | None = None
         self.draining = False
+        self.to_go = 0  # peers that are still to be sent to the next process
+
+    async def listen(self, handed: socket.socket | None = None) -> None:
+        """Accepts, but for a socket that was `handed` over: there only `accept` says when. Raises OSError."""
+        self.socket = handed or bound(*self.settings.listen)
+        if handed is None:
+            self.socket.listen(LISTEN)
+            await self.accept()
+
+    async def accept(self) -> None:
+        """Not twice; nothing where it accepts already."""
+        if self.server is None and self.socket is not None:
+            self.draining = False
+            copy = self.socket.dup()  # the server closes what it is given
+            copy.setblocking(False)
+            self.server = await self.house.loop.create_server(self._accept, sock=copy, ssl=self.context)
+
+    def release(self) -> None:
+        """Another process accepts now: the peers connect there anew, and what is open here is finished. Of
+        each site's connections one after the other is told to go, so that a link is never without one."""
+        self._accept_no_more()
+        at: Counter[str] = Counter()
+        for p in self.peers:
+            self.house.loop.call_later(at[p.site] * APART_S, self._send_off, p)
+            at[p.site] += 1
+            self.to_go += 1
+
+    def _send_off(self, p: Inbound, for_good: bool = False) -> None:
+        if p in self.peers and not self.draining and self.server is None:
+            p.leave(for_good)
+            if not for_good:
+                self.house.loop.call_later(LAST_AFTER_S, self._send_off, p, True)
+                return
+        self.to_go -= 1
 
-    async def listen(self) -> None:
-        """Raises OSError."""
-        host, port = self.settings.listen
-        self.server = await self.house.loop.create_server(self._accept, host, port, ssl=self.context)
+    def resume(self) -> None:
+        self.task = self.house.loop.create_task(self.accept())
 
     def _accept(self) -> Inbound:
         self.seed += 1
@@ -245,8 +295,8 @@
 
     @property
     def port(self) -> int:
-        assert self.server is not None
-        return int(self.server.sockets[0].getsockname()[1])
+        assert self.socket is not None
+        return int(self.socket.getsockname()[1])
 
     def configure(self, settings: GatewaySettings) -> None:
         self.settings = settings
@@ -270,26 +320,32 @@
     def drain(self) -> None:
         """Tells all peers to open nothing more, and what is refused for certain a little later (RFC 9113,
         6.8). What is open is finished."""
+        if self.draining:
+            return
         self.draining = True
-        if self.server is not None:
-            self.server.close()
+        self._accept_no_more()
         for p in list(self.peers):
-            p.engine.go_away()
-            p.flush()
+            p.leave()
         self.house.loop.call_later(LAST_AFTER_S, self._last)
 
+    def _accept_no_more(self) -> None:
+        if self.server is not None:
+            self.server.close()
+            self.server = None
+
     def _last(self) -> None:
         for p in list(self.peers):
-            p.last = p.engine.last
-            p.engine.go_away(p.last)
-            p.flush()
+            p.leave(True)
 
     @property
     def busy(self) -> bool:
-        return any(p.incoming or p.engine.waiting for p in self.peers)
+        return self.to_go > 0 or any(p.incoming or p.engine.waiting for p in self.peers)
 
     def stop(self) -> None:
         if self.server is not None:
             self.server.close()
+        if self.socket is not None:
+            self.socket.close()
+            self.socket = None
         for p in list(self.peers):
             p.lose("this gateway ends")
--- a/magpiefront/gateway/link.py
+++ b/magpiefront/gateway/link.py
@@ -333,7 +333,8 @@
         """It goes on for what is open there; a new connection is made for the rest."""
         if wire is self.wire:
             self.wire = None
-            self._later("the peer goes away")
+            self.link.failed(self.peer, "the peer goes away")
+            self.connect()  # at once: who goes away in order has most often been replaced
 
     def lost(self, wire: Outbound, cause: str) -> None:
         self.backoff.lived(self.link.house.now_us() - wire.began_us)
--- a/magpiefront/gateway/service.py
+++ b/magpiefront/gateway/service.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 import ssl
 from random import Random
 
@@ -73,9 +74,10 @@
         )  # fmt: skip
         self.timer: asyncio.TimerHandle | None = None
 
-    async def start(self) -> None:
-        """Raises OSError where the listener can't be had."""
-        await self.gate.listen()
+    async def start(self, handed: socket.socket | None = None) -> None:
+        """On the socket that was handed over, where there is one: it accepts only with `gate.accept`. Raises
+        OSError where the listener can't be had."""
+        await self.gate.listen(handed)
         self._links()
         self._count()
 
--- a/magpiefront/operator/compose.py
+++ b/magpiefront/operator/compose.py
@@ -4,7 +4,9 @@
 
 import asyncio
 import os
+import socket
 import sqlite3
+from collections.abc import Mapping
 from dataclasses import replace
 from pathlib import Path
 from typing import TYPE_CHECKING
@@ -13,6 +15,7 @@
 from magpiefront.caching.stage import CachingStage
 from magpiefront.caching.watch import WriteWatch
 from magpiefront.net.house import Host
+from magpiefront.gateway.inbound import Gate
 from magpiefront.gateway.service import BadTls, Gateway, contexts
 from magpiefront.net.config import BadConfig, Config
 from magpiefront.net.downstream import Front
@@ -85,8 +88,9 @@
                 self.store = PostgresStore(house, settings.store, settings.most_waiting, boot)
             self.first = self.record = RecordStage(house, self.first, settings, self.store, boot)
 
-    async def start(self) -> None:
-        """Raises OSError where the gateway can't listen, BadConfig where a file can't be had."""
+    async def start(self, handed: Mapping[str, socket.socket] | None = None) -> None:
+        """With the listening sockets that were handed over, by name; on these nothing is accepted before
+        `accept`. Raises OSError where the gateway can't listen, BadConfig where a file can't be had."""
         if self.store is not None:
             try:
                 if isinstance(self.store, SqliteStore):
@@ -101,7 +105,16 @@
             except (OSError, sqlite3.Error) as e:
                 raise BadConfig(f"{self.operator.path}: [caching.disk] path: {e}") from None
         if self.gateway is not None:
-            await self.gateway.start()
+            await self.gateway.start((handed or {}).get(self.gateway.gate.name))
+
+    async def accept(self) -> None:
+        if self.gateway is not None:
+            await self.gateway.gate.accept()
+
+    @property
+    def listening(self) -> list[Gate]:
+        """What else listens, and can be handed over."""
+        return [self.gateway.gate] if self.gateway is not None else []
 
     def prepare(self, front: Front) -> None:
         """Before the front listens."""
--- a/magpiefront/upgrade/channel.py
+++ b/magpiefront/upgrade/channel.py
@@ -16,6 +16,7 @@
 from magpiefront.net.config import Address
 
 Message = dict[str, Any]
+CLIENTS = "clients"  # the listening socket of the clients' front, among those that are offered
 MOST = 128 * 1024  # bytes of a message
 PART = 24 * 1024  # characters of a part of a long text; up to six bytes each as JSON writes them
 DESCRIPTORS = 32  # in a message
--- a/magpiefront/upgrade/handover.py
+++ b/magpiefront/upgrade/handover.py
@@ -1,8 +1,8 @@
 """The protocol of the hand-over, both sides: events in, actions out, no I/O and no clock.
 
     new -> old   hello     its version
-    old -> new   offer     the listening socket
-    new -> old   take      the point of no return
+    old -> new   offer     the listening sockets, each by its name
+    new -> old   take      the point of no return; nobody of the new one has accepted anything before it
     old -> new   go        what it knows, in parts; it accepts no more
     old -> new   clients   connections that have fallen idle
     old -> new   load      what it still has in flight, until nothing is left
--- a/magpiefront/upgrade/new.py
+++ b/magpiefront/upgrade/new.py
@@ -13,7 +13,7 @@
 from magpiefront.net.proxy import Proxy
 from magpiefront.upgrade import channel as wire
 from magpiefront.upgrade import state
-from magpiefront.upgrade.channel import Channel, Message
+from magpiefront.upgrade.channel import CLIENTS, Channel, Message
 from magpiefront.upgrade.handover import Act, End, Ended, Go, New, No, Offer, VERSION
 from magpiefront.upgrade.state import State
 
@@ -28,21 +28,36 @@
     def __init__(self, path: Path) -> None:
         """Asks for the listening socket. Raises BadConfig where another start is under way."""
         self.rules = New()
-        self.listener: socket.socket | None = None
+        self.listeners: dict[str, socket.socket] = {}  # by name; that of the clients is `CLIENTS`
         self.early: list[Message] = []  # came before `go`, for when it serves
         self.socket = wire.connect(path, ANSWER_S)
         if self.socket is None:
             return
         heard = self._ask(self.socket, {"t": "hello", "version": VERSION})
         match heard:
-            case ({"t": "offer", "version": version}, [int(descriptor)]):
-                self.listener = socket.socket(fileno=descriptor)
-                self._do(self.rules.on(Offer(version, self.listener.type == socket.SOCK_STREAM)))
+            case ({"t": "offer", "version": version, **more}, [_, *_] as descriptors):
+                self._offered(version, more.get("listeners", [CLIENTS]), descriptors)
             case ({"t": "no", "why": str(why)}, []):
                 self._do(self.rules.on(No(why)))
             case _:
                 self._end(heard)
 
+    def _offered(self, version: object, names: object, descriptors: list[int]) -> None:
+        """A version before this one offered the clients' socket alone, and named none."""
+        sockets = [socket.socket(fileno=d) for d in descriptors]
+        fine = isinstance(names, list) and len(names) == len(sockets) and names[0] == CLIENTS
+        fine = fine and all(s.type == socket.SOCK_STREAM for s in sockets)
+        if isinstance(names, list) and fine:
+            self.listeners = {str(n): s for n, s in zip(names, sockets, strict=True)}
+        else:
+            for s in sockets:
+                s.close()
+        self._do(self.rules.on(Offer(version, fine)))
+
+    @property
+    def listener(self) -> socket.socket | None:
+        return self.listeners.get(CLIENTS)
+
     def _ask(self, s: socket.socket, message: Message) -> Heard:
         try:
             wire.send(s, message)
@@ -69,9 +84,10 @@
         """Raises BadConfig."""
         if Act.QUIT in acts:
             raise BadConfig("another start is taking over from the process that serves")
-        if Act.ALONE in acts and self.listener is not None:
-            self.listener.close()
-            self.listener = None
+        if Act.ALONE in acts:
+            for s in self.listeners.values():
+                s.close()
+            self.listeners = {}
         if (Act.ALONE in acts or Act.CLOSE in acts) and self.socket is not None:
             self.socket.close()
             self.socket = None
--- a/magpiefront/upgrade/old.py
+++ b/magpiefront/upgrade/old.py
@@ -5,7 +5,9 @@
 import asyncio
 import contextlib
 import socket
+from collections.abc import Sequence
 from pathlib import Path
+from typing import Protocol
 
 from magpiefront.net.desk import Desk
 from magpiefront.net.discovery import Discovery
@@ -23,9 +25,25 @@
 LATE_S = 2.0  # for a hello
 
 
+class Listening(Protocol):
+    """A front that another process can accept for."""
+
+    name: str
+    socket: socket.socket | None
+
+    def release(self) -> None:
+        """Accepts no more, keeps the socket, and lets what is open come to its end."""
+
+    def resume(self) -> None: ...
+
+
 class Serving:
-    def __init__(self, proxy: Proxy, front: Front, discovery: Discovery, desk: Desk, path: Path) -> None:
+    def __init__(
+        self, proxy: Proxy, front: Front, discovery: Discovery, desk: Desk, path: Path,
+        others: Sequence[Listening] = (),
+    ) -> None:  # fmt: skip
         self.proxy, self.front, self.discovery, self.desk, self.path = proxy, front, discovery, desk, path
+        self.others = others
         self.loop = proxy.loop
         self.rules = Old()
         self.socket: socket.socket | None = None
@@ -105,7 +123,10 @@
             assert self.front.socket is not None
             self.channel = c
             self.loop.call_later(TAKE_S, self._hung, c)
-            c.send({"t": "offer", "version": VERSION}, [self.front.socket.fileno()])
+            offered = {wire.CLIENTS: self.front.socket}
+            offered |= {o.name: o.socket for o in self.others if o.socket is not None}
+            message = {"t": "offer", "version": VERSION, "listeners": list(offered)}
+            c.send(message, [s.fileno() for s in offered.values()])
 
     def _hung(self, c: Channel) -> None:
         if c is self.channel and self.rules.state is OldState.OFFERED:
@@ -145,6 +166,8 @@
     def _release(self) -> None:
         assert self.channel is not None
         self.front.release()
+        for other in self.others:
+            other.release()
         self.unlisten()
         text = state.write(self.proxy, self.discovery)
         for part in wire.parts(text):
@@ -180,5 +203,7 @@
         if self.round is not None:
             self.round.cancel()
         self.front.resume()
+        for other in self.others:
+            other.resume()
         self.listen()
         self.proxy.log("upgrade: the next process has ended; going on in its place")
--- a/tests/upgrade/test_process.py
+++ b/tests/upgrade/test_process.py
@@ -13,6 +13,7 @@
 from contextlib import asynccontextmanager
 from pathlib import Path
 from random import Random
+from typing import Any
 
 import pytest
 
@@ -30,6 +31,9 @@
 class Fleet:
     """One proxy as a series of processes, its cache nodes, and clients that keep their connections."""
 
+    settings: dict[str, Any] = INFO
+    operator = ""  # the text of its file
+
     def __init__(self, folder: Path, nodes: list[Node], **env: str) -> None:
         self.folder, self.nodes, self.lists, self.port = folder, nodes, Lists(), free_port()
         self.env = {"TMPDIR": str(folder / "tmp"), **env}
@@ -54,14 +58,19 @@
         """A process; its number."""
         given = {
             "name": "n0", "listen": f"127.0.0.1:{self.port}", "discovery": f"127.0.0.1:{self.lists.port}",
-            "seed": "1f", "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "settings": INFO,
+            "seed": "1f", "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+            "settings": self.settings,
             "known": {"generation": 1, "reset": True, "instances": [n.entry() for n in self.nodes]},
         }  # fmt: skip
         config, port = self.folder / "config.json", free_port()
         config.write_text(json.dumps(given))
+        more: list[str] = []
+        if self.operator:
+            (self.folder / "operator.toml").write_text(self.operator)
+            more = ["--operator", str(self.folder / "operator.toml")]
         env = {k: v for k, v in os.environ.items() if k != "TMPDIR" and not k.startswith("LB_")}
         process = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "magpiefront", stderr=asyncio.subprocess.PIPE,
+            sys.executable, "-m", "magpiefront", *more, stderr=asyncio.subprocess.PIPE,
             env={**env, **self.env, "LB_CONFIG": str(config), "LB_ADMIN": f"127.0.0.1:{port}"},
         )  # fmt: skip
         self.processes.append(process)
