Take test_life's ports from below those that the system deals out

A port that was looked up as free in the system's own range could be anybody's outgoing connection before the proxy listened on it: a probe of readiness read 81 bytes of something else, once in a run beside other work.

--- a/tests/test_life.py
+++ b/tests/test_life.py
@@ -13,16 +13,10 @@
 
 import pytest
 
+from standins.world import free_port
 from tests.sockets import INFO, Client, Lists, Node, gated, request, run, until
 
 
-def free_port() -> int:
-    with socket.socket() as s:
-        s.bind(("127.0.0.1", 0))
-        port: int = s.getsockname()[1]
-        return port
-
-
 async def start(tmp_path: Path, nodes: list[Node], lists: Lists, port: int) -> asyncio.subprocess.Process:
     given = {
         "name": "n0", "listen": f"127.0.0.1:{port}", "discovery": f"127.0.0.1:{lists.port}", "seed": "1f",
