--- a/magpiefront/record/settings.py
+++ b/magpiefront/record/settings.py
@@ -30,7 +30,7 @@
     most_body: int = 64 << 10  # of a report; a longer one is refused
     most_answer: int = 64 << 10  # of an answer that repeats get; a longer one is cut to its status
     retention_s: int = 7 * 86_400  # of what is confirmed
-    least_left_us: int = 20_000
+    least_left_us: int = 60_000  # an answer in the last moment is late by its client's clock
     settle_us: int = 2_000_000
     look_us: int = 1_000_000  # between looks for what is owed
     delivery_us: int = 2_000_000  # of one that nobody waits for
