--- a/magpiefront/gateway/inbound.py
+++ b/magpiefront/gateway/inbound.py
@@ -29,13 +29,12 @@
 class Incoming:
     """One request on one connection, until its answer is on the way."""
 
-    __slots__ = ("credit", "crossed", "done", "effect", "peer", "request", "size", "started", "stream",
-                 "streaming")  # fmt: skip
+    __slots__ = ("credit", "crossed", "done", "peer", "request", "size", "started", "stream", "streaming")
 
     def __init__(self, peer: Inbound, stream: int, crossed: wire.Crossed, credit: Credit) -> None:
         self.peer, self.stream, self.crossed, self.credit = peer, stream, crossed, credit
         self.request = Request(self)
-        self.effect = self.request.effect = Effect()
+        self.request.effect = Effect()
         self.size = 0
         self.started = self.done = self.streaming = False
 
@@ -74,7 +73,7 @@
 
     def _fields(self, status: int, length: int | None, more: bytes) -> wire.Fields:
         # Before it was taken nothing was done for it; after that its attempts tell.
-        never_ran = status >= 300 and not self.effect.may_have_run
+        never_ran = status >= 300 and not self.request.effect.may_have_run
         return wire.answer_fields(status, length, more, "", self.peer.gate.settings.passes, never_ran)
 
     def _data(self, data: bytes, end: bool) -> None:
@@ -342,8 +341,7 @@
         return self.to_go > 0 or any(p.incoming or p.engine.waiting for p in self.peers)
 
     def stop(self) -> None:
-        if self.server is not None:
-            self.server.close()
+        self._accept_no_more()
         if self.socket is not None:
             self.socket.close()
             self.socket = None
--- a/magpiefront/record/postgres.py
+++ b/magpiefront/record/postgres.py
@@ -181,20 +181,22 @@
             server_settings={"application_name": "lineshift"},
         )  # fmt: skip
 
+    async def _version(self, c: Any) -> int:
+        found = await c.fetch("SELECT version::int4 FROM reports_version")
+        return max((int(r[0]) for r in found), default=0)
+
     async def _migrate(self, c: Any) -> None:
         # Two that create it at once: one of them is told that it is there already.
         with suppress(asyncpg.UniqueViolationError, asyncpg.DuplicateTableError):
             await c.execute("CREATE TABLE IF NOT EXISTS reports_version (version INTEGER NOT NULL)")
-        found = await c.fetch("SELECT version::int4 FROM reports_version")
-        version = max((r[0] for r in found), default=0)
+        version = await self._version(c)
         if version > VERSION:
             raise BadStore(f"postgres: its version is {version}, newer than {VERSION}: use the newer program")
         for number in range(version, VERSION):
             await c.execute("BEGIN")
             # Guards against two gateways that start at once: the second one waits, and finds it done.
             await c.execute("LOCK TABLE reports_version IN ACCESS EXCLUSIVE MODE")
-            found = await c.fetch("SELECT version::int4 FROM reports_version")
-            if max((r[0] for r in found), default=0) == number:
+            if await self._version(c) == number:
                 for statement in MIGRATIONS[number].split(";"):
                     await c.execute(statement)
                 await c.execute(f"INSERT INTO reports_version (version) VALUES ({number + 1})")
--- a/magpiefront/record/sqlite.py
+++ b/magpiefront/record/sqlite.py
@@ -55,7 +55,8 @@
 )
 ALL = ", ".join(COLUMNS)
 BY_ID = "tenant = ? AND kind = ? AND key = ?"
-INSERT = f"INSERT OR IGNORE INTO reports ({ALL}) VALUES ({', '.join('?' * len(COLUMNS))})"
+VALUES = f"({', '.join('?' * len(COLUMNS))})"
+INSERT = f"INSERT OR IGNORE INTO reports ({ALL}) VALUES {VALUES}"
 # What a report is never changes: its bytes are written once.
 FIRST_CHANGED = COLUMNS.index("state")
 UPDATE = (
@@ -65,10 +66,9 @@
 # The same for several reports in one statement. Each step of a statement gives the interpreter's lock away,
 # and the loop's thread takes it: one step a report made the writer wait as often as there were reports.
 AT_ONCE = (64, 16, 4)
-VALUES = f"({', '.join('?' * len(COLUMNS))})"
 _CHANGED = COLUMNS[FIRST_CHANGED:]
 _CHANGE = f"({', '.join('?' * (len(_CHANGED) + 5))})"
-INSERTS = {n: f"INSERT OR IGNORE INTO reports ({ALL}) VALUES {', '.join([VALUES] * n)}" for n in AT_ONCE}
+INSERTS = {n: INSERT + f", {VALUES}" * (n - 1) for n in AT_ONCE}
 UPDATES = {
     n: f"UPDATE reports SET {', '.join(f'{c} = v.column{at}' for at, c in enumerate(_CHANGED, 6))} "
     f"FROM (VALUES {', '.join([_CHANGE] * n)}) AS v WHERE reports.tenant = v.column1 "
--- a/tests/record/test_crossing.py
+++ b/tests/record/test_crossing.py
@@ -14,12 +14,13 @@
 from magpiefront.gateway.wire import Fields
 from magpiefront.interface import Outcome
 from magpiefront.net.request import Request
-from magpiefront.record.rows import Row, State
+from magpiefront.record.rows import State
 from magpiefront.record.settings import RecordSettings, SqliteSettings
-from magpiefront.record.sqlite import SqliteStore, open_file, rows
+from magpiefront.record.sqlite import SqliteStore
 from magpiefront.record.stage import RecordStage
 from tests.gateway.sites import Sites, run, sites, until
 from tests.record.sockets import Try
+from tests.record.test_sqlite import held
 
 
 class Answers:
@@ -55,14 +56,6 @@
             await asyncio.to_thread(store.stop)
 
 
-def held(path: Path) -> list[Row]:
-    db = open_file(path)
-    try:
-        return list(rows(db))
-    finally:
-        db.close()
-
-
 @pytest.mark.parametrize(
     ("status", "tries", "told", "left"),
     [
