Judge the fleet by servers that last did well: failing ones closed the gates for all

Seen, with every decision of 40 proxies traced: two fifths of the nodes turn everything away, or fall silent, while the others answer hits in 250 ms of an aim of 1,377. No proxy suspects any of them in fifteen seconds (0 lines of `suspect`), and the gate for all keys stands at 0.2 to 0.45. `Router._judge` counted every failure into `trouble`, which `_suspect` is measured by (`trouble ** failures < SURPRISE`): at 0.4 that takes eight failures in a row, and a proxy sends a node one request in three seconds. The same failures went into the gates, as if the fleet were too busy.

Change: what comes of a server whose last answer was a failure counts for that server alone, unless more than half of them fail: then that is how the fleet is. So a server that fails for good adds one failure to the fleet's rate.

--- a/magpiefront/brain.py
+++ b/magpiefront/brain.py
@@ -335,14 +335,17 @@
         silent = o is Outcome.TIMEOUT and s.heard_at < a.sent_at
         failed = o in (Outcome.ERROR, Outcome.RESET, Outcome.FULL) or silent
         bad = failed or o is Outcome.TIMEOUT or now - a.sent_at > p.cls.aim_us
-        self.trouble += SMOOTH * (bad - self.trouble)
+        news = self._is_news(s)
+        if news:
+            self.trouble += SMOOTH * (bad - self.trouble)
         if bad:
             s.ease = max(EASE_LEAST, s.ease * (1 - EASE))
         else:
             s.ease = min(1.0, s.ease + EASE * max(USUAL, WORSE * self.trouble))
         if o in (Outcome.OK, Outcome.MISS):
             s.failures, s.heard_at = 0, now
-            (self.fetch if e.note > 1 or p.write else self.work).count(now - p.arrived > p.cls.aim_us)
+            if news:
+                (self.fetch if e.note > 1 or p.write else self.work).count(now - p.arrived > p.cls.aim_us)
             if not p.write:
                 self.kept.add(p.key)
             if e.note < 2 and not p.write and p.cls.name in self.pace:
@@ -355,12 +358,12 @@
             return
         if o is Outcome.FULL:
             s.heard_at = now
-            if not s.suspect:
+            if news and not s.suspect:
                 self.work.count(True)
         elif failed or o is Outcome.TIMEOUT:
             known = self._is_kept(p.key)
             # What a suspect comes to tells of it alone, and a reset of a connection, not of the origin.
-            if not s.suspect and o is not Outcome.RESET:
+            if news and not s.suspect and o is not Outcome.RESET:
                 (self.work if known and not p.write and o is Outcome.TIMEOUT else self.fetch).count(True)
             if o is Outcome.ERROR or not known or p.write:
                 self.kept.discard(p.key)
@@ -371,6 +374,14 @@
             self._suspect(now, s, o is Outcome.CONNECT_FAILED)
         s.trial = False
 
+    def _is_news(self, s: Server) -> bool:
+        """Does what comes from this server tell of the fleet? Not where its last answer was a failure: where a
+        third of the servers failed for good, they made failure the usual thing, so that none of them was
+        suspected, and closed the gates for the keys of all. Unless most fail: then so does the fleet."""
+        if not s.failures:
+            return True
+        return sum(o.failures > 0 for o in self.servers.values()) > MAX_SUSPECT * len(self.servers)
+
     def _suspect(self, now: int, s: Server, down: bool) -> None:
         if not s.suspect:
             if self.servers.get(s.name) is not s or self.suspects >= MAX_SUSPECT * len(self.servers):
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -206,3 +206,22 @@
     assert marks == sorted(marks, reverse=True) and marks[-1] < 0.75 * marks[0]  # it learns what holds
     quiet(lasting, 20)
     assert lasting.share == 1.0
+
+
+def test_servers_that_fail_for_good_neither_hide_each_other_nor_close_the_gates() -> None:
+    """Two fifths of sixty servers turned everything away: their failures became the usual rate, by which none
+    was suspected in half a minute, and half of the requests were refused for the sake of the rest."""
+    names = [f"10.0.0.{n}:7000" for n in range(60)]
+    d, bad, refused = Drive(replace(SETTINGS, proxies=40), names), set(names[::2][:24]), 0
+    for i in range(2000):
+        d.advance(50_000)
+        d.arrive(f"r{i}", key=(i * 7919) % 400 if i % 3 else i % 20)
+        while (sent := d.sent.get(f"r{i}")) and f"r{i}" in d.router.pending:
+            fails = i >= 1600 or (i >= 200 and sent[-1].server in bad)
+            d.end(f"r{i}", Outcome.FULL if fails else Outcome.OK)
+        refused += i < 1600 and not d.sent.get(f"r{i}")
+        if i == 600:
+            assert sum(d.router.servers[n].suspect for n in bad) >= 20
+    assert refused < 40, refused
+    # Where nearly all fail, that is how the fleet is: it does close.
+    assert d.router.work.share < 0.5, d.router.work.share
