Trace decisions and connections of a proxy on demand, and count them across a fleet

Change: with LB_TRACE set, `magpiefront/net/trace.py` writes a line on standard error for each event, action and connection to a node, and the Router's gates once a second. Without it the module is not loaded and the ordinary path is what it was, but for `Pool.node_type`. `benchmarks/fleet_counts.py` adds the lines of all proxies up by second, as a table or as JSON, and for each request taken.

--- a/magpiefront/__main__.py
+++ b/magpiefront/__main__.py
@@ -59,6 +59,10 @@
         proxy = host(settings, loop, operator)
         composition = Composition(proxy, proxy, operator, settings.seed)
         first = composition.first
+    if os.environ.get("LB_TRACE"):
+        from magpiefront.net import trace
+
+        trace.install(proxy)
     loop.set_exception_handler(lambda _, context: proxy.log(told(context)))
     front = Front(proxy, first, bodies, settings.sockets - RESERVED - proxy.connections)
     if composition is not None:
--- a/magpiefront/brain.py
+++ b/magpiefront/brain.py
@@ -375,8 +375,8 @@
         s.trial = False
 
     def _is_news(self, s: Server) -> bool:
-        """Does what comes from this server tell of the fleet? Not where its last answer was a failure: where a
-        third of the servers failed for good, they made failure the usual thing, so that none of them was
+        """Does what comes from this server tell of the fleet? Not where its last answer was a failure: a
+        third of the servers, failing for good, made failure the usual thing, so that none of them was
         suspected, and closed the gates for the keys of all. Unless most fail: then so does the fleet."""
         if not s.failures:
             return True
--- a/magpiefront/net/upstream.py
+++ b/magpiefront/net/upstream.py
@@ -466,6 +466,7 @@
     """All connections to cache nodes, bounded by the proxy's descriptors."""
 
     connection_type: type[NodeConnection] = NodeConnection
+    node_type: type[Node] = Node
 
     def __init__(self, loop: asyncio.AbstractEventLoop, most: int, connect_us: int, idle_us: int) -> None:
         self.loop, self.most, self.open = loop, most, 0
@@ -484,7 +485,7 @@
                 del self.nodes[name]
         for name, place in addresses.items():
             if name not in self.nodes:
-                self.nodes[name] = Node(self, name, place)
+                self.nodes[name] = self.node_type(self, name, place)
 
     def room(self) -> bool:
         if self.open < self.most:
--- /dev/null
+++ b/tests/test_trace.py
@@ -0,0 +1,62 @@
+"""What `LB_TRACE` makes a proxy tell, and the counting of it over a fleet."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from pathlib import Path
+
+import pytest
+
+from benchmarks import fleet_counts
+from magpiefront.interface import Arrived, AttemptEnded, Outcome
+from magpiefront.net import trace
+from magpiefront.net.config import Config
+from magpiefront.net.proxy import Proxy
+from tests.helpers import NAMES, SETTINGS, full_list
+from tests.sockets import run
+
+
+def test_every_letter_of_a_trace_is_counted(tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
+    lines = [
+        "0.1 # l stale 60", "0.1 # w", "0.2 # a r1 read 7 0.5 2000000 f", "0.2 # s r1 0 n1 ct 1",
+        "0.3 # c n1 ok 1000 1", "0.4 # s r1 1 n2 w2 1", "0.5 # e r1 0 n1 full 20 0", "0.6 # s r1 2 n3 w 1",
+        "1.1 # a r2 read 8 0.9 2000000 -", "1.1 # x r2 refuse gate", "1.2 # x r1 refuse end", "1.2 # p n1",
+        "1.3 # d n1 0", "1.4 # n suspect n1: errors or silence", "1.5 suspect n1: not a trace", "1.6 # s r",
+    ]  # fmt: skip
+    (tmp_path / "n0.log").write_text("\n".join(lines[:8]))
+    (tmp_path / "n1.log").write_text("\n".join(lines[8:]))
+    assert fleet_counts.main([str(tmp_path), "--json"]) == 0
+    rows = json.loads(capsys.readouterr().out)["rows"]
+    first = {k: v for k, v in rows["0.0"].items() if v}
+    assert first == {
+        "lists": 1, "entries": 60, "calls": 1, "taken": 1, "sends": 3, "cold": 1, "trials": 1, "connects": 1,
+        "copies": 1, "repeats": 1, "full": 1,
+    }  # fmt: skip
+    second = {k: v for k, v in rows["1.0"].items() if v}
+    assert second == {
+        "taken": 1, "refused at gate": 1, "refused later": 1, "probes": 1, "closed": 1, "suspects": 1,
+    }  # fmt: skip
+    assert fleet_counts.main([str(tmp_path / "none")]) == 2
+    assert "LB_TRACE=1" in capsys.readouterr().err
+
+
+def test_a_traced_proxy_tells_what_it_hears_and_does(capsys: pytest.CaptureFixture[str]) -> None:
+    config = Config("n0", ("127.0.0.1", 0), ("127.0.0.1", 0), 1, SETTINGS, None, False)
+
+    async def main() -> None:
+        proxy = Proxy(config, asyncio.get_running_loop())
+        trace.install(proxy)
+        router = proxy.router
+        router.handle(1_000_000, full_list(NAMES))
+        router.handle(1_100_000, Arrived("r1", "read", 2_000_000, 7))
+        server = router.pending["r1"].attempts[0].server.name
+        router.handle(1_200_000, AttemptEnded("r1", 0, server, Outcome.OK, 100_000, True, 1))
+        out = capsys.readouterr().err
+        for line in (
+            f"# l stale {len(NAMES)}", "# a r1 read 7 ", f"# s r1 0 {server} w 1",
+            f"# e r1 0 {server} ok 100000 1", "# g 1.000",
+        ):  # fmt: skip
+            assert line in out, line
+
+    run(main())
