Count a connect that never came up once, as failed, and not as a connection closed too

Seen on reading the change again: `Node._connect` calls `lost` for a connect that failed, and `TracedNode.lost` told each of them as a closed connection.

--- a/magpiefront/net/trace.py
+++ b/magpiefront/net/trace.py
@@ -4,16 +4,18 @@
 `benchmarks/fleet_counts.py`, over all proxies of a fleet. Each begins with `#` and a letter:
 
     a request class key rank left fetches     s request attempt server marks in_flight
-    e request attempt server outcome elapsed note     x request refuse|fail gate|end attempts
+    e request attempt server outcome elapsed note     x request refuse|fail gate|end
     l kind entries     w (a call)     p server     r server outcome elapsed     n text
-    c server ok|outcome elapsed open     d server open     g (the Router's state, once a second)
+    c server ok|failed elapsed open     d server open     g (the Router's state, once a second)
 
 Times are microseconds. Marks of a send: `w` warm or `c` cold, `t` a trial, `2` a second copy.
+What is refused on arrival has `-` for its rank and for whether it fetches.
 """
 
 from __future__ import annotations
 
 import sys
+
 from magpiefront.hashing import rank
 from magpiefront.interface import (
     Action, Arrived, AttemptEnded, Event, Fail, Note, Probe, Probed, Refuse, Send, ServerList, Watch,
@@ -36,7 +38,8 @@
 
     def lost(self, connection: upstream.NodeConnection) -> None:
         super().lost(connection)
-        line(f"d {self.name} {self.open}")
+        if connection.transport is not None:  # one that never came up is told of as a failed connect
+            line(f"d {self.name} {self.open}")
 
 
 def line(text: str) -> None:
--- a/tests/test_trace.py
+++ b/tests/test_trace.py
@@ -4,17 +4,18 @@
 
 import asyncio
 import json
+import socket
 from pathlib import Path
 
 import pytest
 
 from benchmarks import fleet_counts
 from magpiefront.interface import Arrived, AttemptEnded, Outcome
-from magpiefront.net import trace
+from magpiefront.net import trace, upstream
 from magpiefront.net.config import Config
 from magpiefront.net.proxy import Proxy
 from tests.helpers import NAMES, SETTINGS, full_list
-from tests.sockets import run
+from tests.sockets import run, until
 
 
 def test_every_letter_of_a_trace_is_counted(tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
@@ -41,6 +42,16 @@
     assert "LB_TRACE=1" in capsys.readouterr().err
 
 
+class Silent(upstream.Probe):
+    """A probe of which only the end is wanted."""
+
+    def report(self, outcome: Outcome, answer: upstream.Answer | None) -> None:
+        ENDED.append(outcome)
+
+
+ENDED: list[Outcome] = []
+
+
 def test_a_traced_proxy_tells_what_it_hears_and_does(capsys: pytest.CaptureFixture[str]) -> None:
     config = Config("n0", ("127.0.0.1", 0), ("127.0.0.1", 0), 1, SETTINGS, None, False)
 
@@ -59,4 +70,16 @@
         ):  # fmt: skip
             assert line in out, line
 
+        # A connect that never comes up is no connection closed.
+        held = socket.socket()
+        held.bind(("127.0.0.1", 0))  # bound and not listening: refused
+        proxy.pool.set_nodes({server: held.getsockname()})
+        probe = Silent(proxy, proxy.pool.nodes[server], 0, b"/health")
+        probe.node.begin(probe)
+        await until(lambda: ENDED)
+        await until(lambda: proxy.pool.open == 0)
+        held.close()
+        out = capsys.readouterr().err
+        assert f"# c {server} failed " in out and "# d " not in out, out
+
     run(main())
