--- a/tests/record/test_sqlite.py
+++ b/tests/record/test_sqlite.py
@@ -235,15 +235,18 @@
     data = (tmp_path / "log").read_bytes()
     where = tmp_path / "cut"
     where.mkdir()
+    main = (tmp_path / "main").read_bytes()
     for at in range(len(data) - 8_192, len(data), 1):
-        for ending in ("-wal", "-shm"):
-            (where / f"r.sqlite{ending}").unlink(missing_ok=True)
-        shutil.copy(tmp_path / "main", where / "r.sqlite")
-        (where / "r.sqlite-wal").write_bytes(data[:at])
-        db = sqlite3.connect(where / "r.sqlite")
+        # A fresh name each time: some file systems write out at once what goes over an existing file.
+        copy = where / f"{at}.sqlite"
+        copy.write_bytes(main)
+        Path(f"{copy}-wal").write_bytes(data[:at])
+        db = sqlite3.connect(copy)
         db.execute("PRAGMA synchronous=OFF")  # this copy's own fate is nobody's matter
         found = {r.id.key for r in rows(db)}
         db.close()
+        for file in where.iterdir():
+            file.unlink()
         sure = {b"k%d" % n for n, size in enumerate(sizes) if size <= at}
         assert sure <= found and found <= {b"k%d" % n for n in range(12)}, at
 
