Proxies of a site that agree: one log, members, leases, proven in simulated time

Nothing here let proxies agree on who is there, on facts in one order, and on who may act; a dead owner's work waits 3.0 s for that reason.

The opening of a SQLite file stands in sqlfile.py for the store of record and the group.

Off without [group]: python -m magpiefront loads none of it.

--- a/benchmarks/record.py
+++ b/benchmarks/record.py
@@ -36,7 +36,8 @@
 
 from magpiefront.record.rows import Answer, Id, Moment, Outcome, Result, Row, State
 from magpiefront.record.settings import SqliteSettings
-from magpiefront.record.sqlite import FIRST_CHANGED, INSERT, UPDATE, SqliteStore, connect, open_file, pack
+from magpiefront.record.sqlite import FIRST_CHANGED, INSERT, UPDATE, SqliteStore, open_file, pack
+from magpiefront.sqlfile import connect
 
 NUMBER = struct.Struct("!Q")
 FORK = multiprocessing.get_context("fork")
--- a/magpiefront/__main__.py
+++ b/magpiefront/__main__.py
@@ -3,6 +3,7 @@
     python -m magpiefront [--operator FILE]    LB_OPERATOR serves too; without either, the platform's proxy
     python -m magpiefront check FILE           says what is wrong with an operator's file, and starts nothing
     python -m magpiefront record COMMAND       asks the store of record; --operator FILE says which
+    python -m magpiefront group COMMAND        asks the group; --operator FILE says which
 """
 
 from __future__ import annotations
@@ -197,6 +198,19 @@
         raise config.BadConfig(str(e)) from None
 
 
+def ask_group(args: argparse.Namespace) -> int:
+    """Raises BadConfig."""
+    from magpiefront.commands.group import Refused, run
+
+    path = args.group_operator or args.operator or os.environ.get("LB_OPERATOR")
+    if not path:
+        raise config.BadConfig("group: --operator FILE (or LB_OPERATOR) says which")
+    try:
+        return run(read_operator(path), args)
+    except Refused as e:
+        raise config.BadConfig(str(e)) from None
+
+
 def arguments(given: list[str]) -> argparse.Namespace:
     parser = argparse.ArgumentParser("magpiefront", description="A load-balancing proxy for cache nodes.")
     parser.add_argument("--operator", metavar="FILE", help="the operator's file (else LB_OPERATOR)")
@@ -209,6 +223,12 @@
         from magpiefront.record.commands import add_arguments
 
         add_arguments(record)
+    group = commands.add_parser("group", help="ask the group; `group --help` says what")
+    group.add_argument("--operator", metavar="FILE", dest="group_operator", help="as above")
+    if "group" in given:
+        from magpiefront.commands.group import add_arguments as add_group
+
+        add_group(group)
     return parser.parse_args(given)
 
 
@@ -216,11 +236,15 @@
     args = arguments(sys.argv[1:] if given is None else given)
     try:
         if args.command == "check":
-            read_operator(args.file)
+            checked = read_operator(args.file)
             print(f"{args.file}: good")
+            if checked.group is not None and checked.group.told:
+                print(f"{args.file}: {checked.group.told}")
             return 0
         if args.command == "record":
             return ask_record(args)
+        if args.command == "group":
+            return ask_group(args)
         settings = config.load(os.environ)
         path = args.operator or os.environ.get("LB_OPERATOR")
         operator = read_operator(path) if path else None
--- a/magpiefront/gateway/engine.py
+++ b/magpiefront/gateway/engine.py
@@ -161,10 +161,11 @@
         """Does the peer let another stream be opened?"""
         return len(self.unread) < self.h2.remote_settings.max_concurrent_streams
 
-    def open(self, fields: list[tuple[bytes, bytes]], body: list[bytes]) -> int:
+    def open(self, fields: list[tuple[bytes, bytes]], body: list[bytes], more: bool = False) -> int:
+        """`more`: its body goes on with `data`."""
         stream = self.h2.get_next_available_stream_id()
         self.unread[stream] = 0
-        self.head(stream, fields, not body)
+        self.head(stream, fields, not body and not more)
         if body:
             self.data(stream, b"".join(body), True)
         return stream
--- a/magpiefront/gateway/link.py
+++ b/magpiefront/gateway/link.py
@@ -15,7 +15,7 @@
 from magpiefront.gateway.health import Backoff, Health
 from magpiefront.net.house import House
 from magpiefront.gateway.routes import LinkState, LinkView
-from magpiefront.gateway.settings import Address, GatewaySettings, LinkSettings, Site
+from magpiefront.gateway.settings import Address, GatewaySettings, LinkSettings, Site, Tls
 from magpiefront.hashing import text_hash
 
 CHUNK = 64 * 1024
@@ -149,11 +149,36 @@
             self._arm()
 
 
+class Linked(Protocol):
+    """Of settings, what a connection needs."""
+
+    @property
+    def site(self) -> str: ...
+    @property
+    def link(self) -> LinkSettings: ...
+    @property
+    def tls(self) -> Tls | None: ...
+
+
+class Ends(Protocol):
+    """Whose connections slots hold: a link to another site, or the way to one member of the group."""
+
+    house: House
+    site: str
+    context: ssl.SSLContext | None
+
+    @property
+    def settings(self) -> Linked: ...
+    def outbound(self, slot: Slot, seed: int) -> Outbound: ...
+    def changed(self, wire: Outbound) -> None: ...
+    def failed(self, peer: Address, cause: str) -> None: ...
+
+
 class Outbound(Wire):
     """The sending end. It is of use once the peer has told, in answer to a hello, which site it is and the
     epoch of its start."""
 
-    def __init__(self, slot: Slot, settings: GatewaySettings, seed: int) -> None:
+    def __init__(self, slot: Slot, settings: Linked, seed: int) -> None:
         super().__init__(slot.link.house, True, settings.link, seed, 1)
         self.slot, self.settings = slot, settings
         self.epoch = ""
@@ -268,7 +293,7 @@
 class Slot:
     """One place for a connection to one peer: connects, and connects again with pauses."""
 
-    def __init__(self, link: Link, peer: Address, seed: int) -> None:
+    def __init__(self, link: Ends, peer: Address, seed: int) -> None:
         self.link, self.peer, self.seed = link, peer, seed
         self.backoff = Backoff(link.settings.link, Random(seed))
         self.wire: Outbound | None = None
@@ -286,7 +311,7 @@
     async def _connect(self) -> None:
         link = self.link
         self.seed += 1
-        new = Outbound(self, link.settings, self.seed)
+        new = link.outbound(self, self.seed)
         cause, name = "", link.site if link.context is not None else None
         try:
             async with asyncio.timeout(link.settings.link.connect_timeout_us / 1e6):
@@ -368,6 +393,9 @@
         for n, peer in enumerate(peers):
             self.slots.append(Slot(self, peer, seed + 1000 * n))
 
+    def outbound(self, slot: Slot, seed: int) -> Outbound:
+        return Outbound(slot, self.settings, seed)
+
     def wires(self) -> list[Outbound]:
         return [s.wire for s in self.slots if s.wire is not None and s.wire.usable]
 
--- /dev/null
+++ b/magpiefront/group/__init__.py
@@ -0,0 +1,1 @@
+"""Proxies of one site that agree: who is there, one ordered log, leases. Off without `[group]`."""
--- /dev/null
+++ b/magpiefront/group/asks.py
@@ -0,0 +1,79 @@
+"""What this member asked for and has not heard of: each ends exactly once, and never later than its time.
+
+Committed is told with its outcome; refused means certainly not, now or later; all else is unknown. Nothing is
+asked twice: whoever asks knows whether that would be harmless. No I/O and no clock."""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import Enum
+
+
+class Fate(Enum):
+    COMMITTED = "committed"
+    REFUSED = "refused"  # certainly not, now or later
+    UNKNOWN = "unknown"
+
+
+@dataclass(frozen=True, slots=True)
+class Outcome:
+    fate: Fate
+    value: bytes = b""
+    cause: str = ""
+
+
+Then = Callable[[Outcome], None]
+
+
+@dataclass(slots=True)
+class Ask:
+    seq: int
+    data: bytes
+    deadline_us: int
+    then: Then
+    sent: bool = False
+    at: tuple[int, int] | None = None  # index and term, where this member leads
+    read: bool = False
+    index: int = -1  # a read: what has to be applied first
+
+
+class Asks:
+    def __init__(self, base: int, most: int) -> None:
+        """Numbers follow `base`, which no process of this member has used."""
+        self.seq, self.most = base, most
+        self.open: dict[int, Ask] = {}
+        self.unsent: deque[Ask] = deque()  # no leader is known
+
+    def add(self, data: bytes, deadline_us: int, then: Then, read: bool = False) -> Ask | None:
+        if len(self.open) >= self.most:
+            then(Outcome(Fate.REFUSED, cause="too many wait"))
+            return None
+        self.seq += 1
+        ask = Ask(self.seq, data, deadline_us, then, read=read)
+        self.open[ask.seq] = ask
+        return ask
+
+    def end(self, seq: int, outcome: Outcome) -> None:
+        ask = self.open.pop(seq, None)
+        if ask is not None:
+            ask.then(outcome)
+
+    def overtaken(self, index: int, term: int) -> None:
+        """Another entry is committed where this leader had put one: that one never will be."""
+        gone = [a for a in self.open.values() if a.at is not None and a.at[0] == index and a.at[1] != term]
+        for ask in gone:
+            self.end(ask.seq, Outcome(Fate.REFUSED, cause="another leader's entry stands there"))
+
+    def applied(self, index: int) -> None:
+        for ask in [a for a in self.open.values() if a.read and 0 <= a.index <= index]:
+            self.end(ask.seq, Outcome(Fate.COMMITTED))
+
+    def expire(self, now_us: int) -> None:
+        for ask in [a for a in self.open.values() if a.deadline_us <= now_us]:
+            fate = Fate.UNKNOWN if ask.sent and not ask.read else Fate.REFUSED
+            self.end(ask.seq, Outcome(fate, cause="its time is up"))
+
+    def next_us(self) -> int:
+        return min((a.deadline_us for a in self.open.values()), default=1 << 62)
--- /dev/null
+++ b/magpiefront/group/service.py
@@ -0,0 +1,254 @@
+"""A member in the program: the `Peer` on this process's clock, disk and way to the others."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import replace
+from random import Random
+from typing import Any
+
+from magpiefront.group import wire
+from magpiefront.group.asks import Fate, Outcome, Then
+from magpiefront.group.disk import GroupDisk
+from magpiefront.group.facts import Member
+from magpiefront.group.machines import Machine
+from magpiefront.group.messages import name_of
+from magpiefront.group.peer import Peer, Stored
+from magpiefront.group.seam import Way
+from magpiefront.group.settings import Address, GroupSettings
+from magpiefront.net.house import House
+from magpiefront.sqlfile import BadStore
+
+AGAIN_S = 1.0  # between tries of a disk that failed
+LATE_US = 100_000
+
+
+class GroupService:
+    def __init__(self, house: House, settings: GroupSettings, seed: int | None = None) -> None:
+        self.house, self.settings, self.random = house, settings, Random(seed)
+        self.way: Way | None = None
+        self.peer: Peer | None = None
+        self.disk = GroupDisk(house, settings.path, self._failed)
+        self.machines: dict[str, Machine] = {}
+        self.counts: Counter[str] = Counter()
+        self.cause = "it has not begun"  # why there is no peer
+        self.timer: asyncio.TimerHandle | None = None
+        self.soon = self.stopped = False
+        self.watchers: list[Callable[[], None]] = []
+
+    # ---- life
+
+    def register(self, name: str, machine: Machine) -> None:
+        self.machines[name] = machine
+
+    def start(self, way: Way) -> None:
+        """Raises BadStore."""
+        self.way = way
+        self._begin(self.disk.start())
+
+    def _begin(self, stored: Stored) -> None:
+        self.peer = Peer(self.settings, stored, self.random, self.house.now_us(), self.machines, self._log)
+        self.peer.watch(self._changed)
+        self.cause = ""
+        self._drive()
+
+    def _log(self, line: str) -> None:
+        self.house.log(f"group {self.settings.name}: {line}")
+
+    def _changed(self) -> None:
+        for changed in list(self.watchers):
+            changed()
+
+    def _failed(self, cause: str) -> None:
+        """Guards against a member that goes on with what its disk does not hold."""
+        self.disk.stop()
+        self._out(f"out of the vote: {cause}")
+        self._log(self.cause)
+        if not self.stopped:
+            self.house.loop.call_later(AGAIN_S, self._again)
+
+    def _again(self) -> None:
+        if self.stopped:
+            return
+        try:
+            stored = self.disk.start()
+        except BadStore as e:
+            self.cause = f"out of the vote: {e}"
+            self.house.loop.call_later(AGAIN_S, self._again)
+            return
+        self._log("its disk takes what it writes again")
+        self._begin(stored)
+
+    def _out(self, cause: str) -> None:
+        peer, self.peer, self.cause = self.peer, None, cause
+        if peer is not None:
+            for seq in list(peer.asks.open):
+                ask = peer.asks.open[seq]
+                peer.asks.end(seq, Outcome(Fate.UNKNOWN if ask.sent else Fate.REFUSED, cause=cause))
+
+    def stop(self) -> None:
+        self.stopped = True
+        if self.timer is not None:
+            self.timer.cancel()
+        self._out("it ends")
+        if self.way is not None:
+            self.way.stop()
+        self.disk.stop()
+
+    def configure(self, members: dict[str, Address]) -> None:
+        """Whom it may have to reach. Raises nothing: who is a member is the group's to say."""
+        self.settings = replace(self.settings, members=members)
+        if self.peer is not None:
+            self.peer.settings = self.settings
+
+    # ---- what comes and goes
+
+    def receive(self, data: bytes) -> bool:
+        """Returns whether it was meant for this member."""
+        e = wire.read(data)
+        if e is None:
+            self.counts["unreadable"] += 1
+            return False
+        if e.group != self.settings.name or name_of(e.sender) not in self.settings.members:
+            self.counts["strangers"] += 1
+            return False
+        peer = self.peer
+        if peer is None:
+            self.counts["while_out"] += 1
+        elif e.to in (peer.me, f"{self.settings.member}."):
+            peer.receive(e.sender, e.message, self.house.now_us())
+            self._drive_soon()
+        else:
+            self.counts["other_incarnation"] += 1
+        return True
+
+    def _drive_soon(self) -> None:
+        if not self.soon:
+            self.soon = True
+            self.house.loop.call_soon(self._drive)
+
+    def _drive(self) -> None:
+        """Sends and writes what the peer wants, and sees to when it is to be woken."""
+        self.soon = False
+        peer = self.peer
+        if peer is None or self.way is None:
+            return
+        if peer.reborn:
+            self._out("its incarnation is given up")
+            self.disk.reborn(self.random, self._begin)
+            return
+        w = peer.take_write()
+        while w is not None and w.empty:
+            peer.saved(self.house.now_us())
+            w = peer.take_write()
+        if w is not None:
+            self.disk.write(w, lambda: self._saved(peer))
+        for to, m in peer.messages():
+            data = wire.frame(self.settings.name, peer.me, to, m)
+            if len(data) > self.settings.limits.most_message:
+                self.counts["too_long"] += 1
+                continue
+            self.way.send(name_of(to), data)
+        if self.timer is not None:
+            self.timer.cancel()
+        wait_s = max(0, peer.next_us() - self.house.now_us()) / 1e6
+        self.timer = self.house.loop.call_later(wait_s + 0.0002, self._tick, peer)
+
+    def _tick(self, peer: Peer) -> None:
+        if peer is self.peer:
+            now = self.house.now_us()
+            if now > peer.next_us() + LATE_US:
+                self.counts["late"] += 1
+            peer.tick(now)
+            self._drive()
+
+    def _saved(self, peer: Peer) -> None:
+        if peer is self.peer:
+            peer.saved(self.house.now_us())
+            self._drive()
+
+    # ---- for the rest of the program (`seam.Group`)
+
+    @property
+    def me(self) -> str:
+        return self.peer.me if self.peer is not None else ""
+
+    def propose(self, machine: str, data: bytes, deadline_us: int, then: Then) -> None:
+        if self.peer is None:
+            then(Outcome(Fate.REFUSED, cause=self.cause))
+            return
+        self.peer.propose(machine, data, deadline_us, then, self.house.now_us())
+        self._drive_soon()
+
+    def read(self, deadline_us: int, then: Then) -> None:
+        if self.peer is None:
+            then(Outcome(Fate.REFUSED, cause=self.cause))
+            return
+        self.peer.read(deadline_us, then, self.house.now_us())
+        self._drive_soon()
+
+    def take(self, lease: str, deadline_us: int, then: Then) -> None:
+        if self.peer is None:
+            then(Outcome(Fate.REFUSED, cause=self.cause))
+            return
+        self.peer.take(lease, deadline_us, then, self.house.now_us())
+        self._drive_soon()
+
+    def drop(self, lease: str, deadline_us: int, then: Then) -> None:
+        if self.peer is None:
+            then(Outcome(Fate.REFUSED, cause=self.cause))
+            return
+        self.peer.drop(lease, deadline_us, then, self.house.now_us())
+        self._drive_soon()
+
+    def may_act(self) -> int:
+        return self.peer.may_act(self.house.now_us()) if self.peer is not None else 0
+
+    def holds(self, lease: str) -> int:
+        return self.peer.holds(lease, self.house.now_us()) if self.peer is not None else 0
+
+    def members(self) -> dict[str, Member]:
+        return self.peer.machines.facts.kept.members if self.peer is not None else {}
+
+    def watch(self, changed: Callable[[], None]) -> None:
+        self.watchers.append(changed)
+
+    # ---- for operators
+
+    def status(self) -> dict[str, Any]:
+        """JSON's types alone."""
+        now, peer = self.house.now_us(), self.peer
+        told: dict[str, Any] = {
+            "group": self.settings.name, "member": self.settings.member, "cause": self.cause,
+            "counts": dict(self.counts + (self.way.counts if self.way is not None else Counter())),
+            "at": time.time(),
+        }  # fmt: skip
+        if peer is None:
+            return told
+        raft, conf = peer.raft, peer.raft.log.conf
+        lead, grants = raft.lead, peer.members.grants
+        told |= {
+            "id": peer.me, "leader": raft.leader, "role": raft.role.value, "term": raft.term,
+            "commit": raft.commit, "applied": peer.applied, "last": raft.log.last, "stable": raft.log.stable,
+            "first": raft.log.first, "log_bytes": raft.log.bytes, "snapshot": raft.log.snapshot.index,
+            "may_vote": raft.may_vote, "votes": raft.votes, "epoch": peer.may_act(now),
+            "session_ms": max(0, peer.session.until_us - now) // 1000, "elections": raft.elections,
+            "open": len(peer.asks.open),
+        }  # fmt: skip
+        told["members"] = {
+            name: {
+                "id": m.id, "state": m.state.value, "epoch": m.epoch, "losses": m.losses,
+                "part": "voter" if m.id in conf.voters else "observer" if m.id in conf.observers else "none",
+                "match": raft.log.stable if m.id == peer.me else lead.others[m.id].match
+                if lead is not None and m.id in lead.others else None,
+                "suspected": grants is not None and m.id != peer.me and grants.suspected(m.id, now),
+            }
+            for name, m in sorted(self.members().items())
+        }  # fmt: skip
+        kept = peer.machines.facts.kept
+        told["leases"] = {n: {"holder": h.holder, "epoch": h.epoch} for n, h in sorted(kept.leases.items())}
+        told["barred"] = sorted(kept.barred)
+        return told
--- /dev/null
+++ b/magpiefront/group/sessions.py
@@ -0,0 +1,139 @@
+"""Who may act: sessions that only the leader renews, and a member's own clock ends. No I/O and no clock.
+
+A member asks any voters; these tell the leader with their answers to its rounds, and its yes comes back the
+same way. So a member that reaches one voter is heard, and it takes silence towards all that the leader hears
+before one is taken for lost. Safety rests on something else: a leader says yes only under its lease, a
+session counts from when its member asked, and "lost" is proposed only once the leader's wait (`free_us`, by
+clocks that differ by `drift` at most) is over; a new leader waits as long from when it was elected.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from magpiefront.group.settings import Times
+
+Ack = tuple[str, int, bool, int]  # member, number of its ask, may it act, its epoch
+MOST_ASKS = 64
+
+
+class Session:
+    """A member's own side."""
+
+    def __init__(self, times: Times) -> None:
+        self.times = times
+        self.seq = 0
+        self.sent: deque[tuple[int, int]] = deque(maxlen=MOST_ASKS)
+        self.until_us = 0
+        self.epoch = 0  # as last told; 0: never
+        self.due_us = 0
+        self.asked_at = 0
+        self.out = False  # the leader knows it as no member any more
+        self.known = False  # ... or as one
+
+    def ask(self, leader: str, voters: Iterable[str], now_us: int) -> tuple[int, list[str]]:
+        """The number of the next ask, and whom to ask: the leader and one voter in turn; all, where no yes
+        has come for a while."""
+        self.seq += 1
+        self.sent.append((self.seq, now_us))
+        self.due_us = now_us + self.times.ping_us
+        known = sorted(voters)
+        if not known:
+            return self.seq, []
+        if now_us >= self.until_us - self.times.session_us + 3 * self.times.ping_us:
+            return self.seq, known
+        self.asked_at += 1
+        return self.seq, sorted({leader, known[self.asked_at % len(known)]} & set(known))
+
+    def told(self, seq: int, may: bool, epoch: int) -> None:
+        if abs(epoch) < self.epoch:
+            return
+        self.out, self.known = epoch < 0, epoch > 0
+        if self.out:
+            self.until_us = 0
+            return
+        if epoch > self.epoch:
+            self.epoch, self.until_us = epoch, 0  # what was allowed under the one before is over
+        sent = next((at for number, at in self.sent if number == seq), None)
+        if may and sent is not None:
+            self.until_us = max(self.until_us, sent + self.times.session_us)
+        elif not may:
+            self.until_us = 0
+
+    def holds(self, now_us: int) -> bool:
+        return now_us < self.until_us
+
+
+class Hearing:
+    """A voter's side: asks go to the leader with its answers, and yeses come back."""
+
+    def __init__(self) -> None:
+        self.heard: dict[str, tuple[int, int]] = {}
+
+    def asked(self, member: str, seq: int, life: int) -> None:
+        before = self.heard.get(member)
+        if before is None or before[1] != life or before[0] < seq:
+            self.heard[member] = seq, life
+
+    def take(self) -> list[tuple[str, int, int]]:
+        heard, self.heard = self.heard, {}
+        return [(member, seq, life) for member, (seq, life) in sorted(heard.items())]
+
+
+@dataclass
+class Grants:
+    """The leader's side."""
+
+    times: Times
+    began_us: int
+    yes_us: dict[str, int] = field(default_factory=dict)
+    heard_us: dict[str, int] = field(default_factory=dict)
+    since_us: dict[str, int] = field(default_factory=dict)  # since when a lost one is heard without a gap
+    well_us: dict[str, int] = field(default_factory=dict)  # since when, as far as this leader knows
+    closing: set[str] = field(default_factory=set)  # "lost" is proposed: no yes any more
+    acks: dict[str, list[Ack]] = field(default_factory=dict)  # by the voter that passes them on
+    looked_us: int = 0
+
+    def heard(self, by: str, member: str, seq: int, well: bool, epoch: int, lease: bool, now_us: int) -> Ack:
+        """An ask that came to the voter `by`."""
+        if now_us > self.heard_us.get(member, 0) + self.times.session_us:
+            self.since_us[member] = now_us
+        self.heard_us[member] = now_us
+        may = well and lease and member not in self.closing
+        if may:
+            self.yes_us[member] = now_us
+        ack = (member, seq, may, epoch)
+        if lease:
+            self.acks.setdefault(by, []).append(ack)
+        return ack
+
+    def take(self, by: str) -> list[Ack]:
+        return self.acks.pop(by, [])
+
+    def look(self, now_us: int) -> None:
+        """Guards against taking all for lost after a time in which nobody was listened to: asks that came
+        meanwhile are still unread."""
+        if self.looked_us and now_us > self.looked_us + 2 * self.times.heartbeat_us:
+            self.began_us = max(self.began_us, now_us)
+        self.looked_us = now_us
+
+    def silent(self, member: str, now_us: int) -> bool:
+        """Is its session certainly over? One that has just become well has had no time to ask."""
+        last = max(self.began_us, self.yes_us.get(member, 0), self.well_us.get(member, 0))
+        return now_us >= last + self.times.free_us
+
+    def suspected(self, member: str, now_us: int) -> bool:
+        return now_us >= max(self.began_us, self.heard_us.get(member, 0)) + 2 * self.times.ping_us
+
+    def returned(self, member: str, losses: int, now_us: int) -> bool:
+        """Has one that was lost been heard long enough? Twice as long each time it was lost soon again."""
+        hold = min(self.times.most_hold_us, self.times.hold_us << min(max(0, losses - 1), 16))
+        heard = self.heard_us.get(member)
+        recent = heard is not None and now_us < heard + 2 * self.times.ping_us + self.times.heartbeat_us
+        return recent and now_us >= self.since_us.get(member, now_us) + hold
+
+    def soon(self, member: str, now_us: int) -> bool:
+        """Was it well only shortly? This leader's own time counts, where it saw no more."""
+        return now_us < self.well_us.get(member, self.began_us) + 10 * self.times.hold_us
--- /dev/null
+++ b/magpiefront/model/__init__.py
@@ -0,0 +1,1 @@
+"""Simulated time: the code that ships, on clocks, nets and disks that a seed makes fail."""
--- a/magpiefront/operator/compose.py
+++ b/magpiefront/operator/compose.py
@@ -16,7 +16,10 @@
 from magpiefront.caching.watch import WriteWatch
 from magpiefront.net.house import Host
 from magpiefront.gateway.inbound import Gate
+from magpiefront.gateway.members import MemberWay, WaySettings
 from magpiefront.gateway.service import BadTls, Gateway, contexts
+from magpiefront.group.desk import Desk
+from magpiefront.group.service import GroupService
 from magpiefront.net.config import BadConfig, Config
 from magpiefront.net.downstream import Front
 from magpiefront.net.passing import PassingProxy, prepare
@@ -42,6 +45,11 @@
             contexts(operator.gateway.tls)
         except BadTls as e:
             raise BadFile(f"{path}: [gateway.tls] {e}") from None
+    if operator.group is not None:
+        try:
+            contexts(operator.group.tls)
+        except BadTls as e:
+            raise BadFile(f"{path}: [group.tls] {e}") from None
     return operator
 
 
@@ -76,6 +84,12 @@
             if watch is not None:
                 watch.cache = self.cache.writes
 
+        self.group: GroupService | None = None
+        self.way: MemberWay | None = None
+        if operator.group is not None:
+            self.group = GroupService(house, operator.group.settings)
+            ways = WaySettings(operator.site, operator.group.tls)
+            self.way = MemberWay(house, self.group, ways, Desk(self.group).asked, seed)
         self.record: RecordStage | None = None
         self.store: SqliteStore | PostgresStore | None = None
         if operator.record is not None:
@@ -91,6 +105,15 @@
     async def start(self, handed: Mapping[str, socket.socket] | None = None) -> None:
         """With the listening sockets that were handed over, by name; on these nothing is accepted before
         `accept`. Raises OSError where the gateway can't listen, BadConfig where a file can't be had."""
+        if self.group is not None and self.way is not None:
+            try:
+                await self.way.listen()
+            except OSError as e:
+                raise BadConfig(f"{self.operator.path}: [group] listen: {e}") from None
+            try:
+                self.group.start(self.way)
+            except BadStore as e:
+                raise BadConfig(f"{self.operator.path}: [group] path: {e}") from None
         if self.store is not None:
             try:
                 if isinstance(self.store, SqliteStore):
@@ -124,6 +147,7 @@
     def configure(self, operator: Operator) -> None:
         if self.operator.record != operator.record:
             self.house.log("reload: another [record] needs a restart")
+        self._configure_group(operator)
         before, after = self.operator.caching, operator.caching
         if (before is None) != (after is None):
             self.house.log("reload: to begin or end caching needs a restart")
@@ -138,6 +162,18 @@
             self.gateway.configure(operator.gateway)
         self.operator = operator
 
+    def _configure_group(self, operator: Operator) -> None:
+        before, after = self.operator.group, operator.group
+        if before is None or after is None or self.group is None:
+            if (before is None) != (after is None):
+                self.house.log("reload: to begin or end [group] needs a restart")
+        elif before != after:
+            if replace(after.settings, members=before.settings.members) != before.settings or (
+                after.tls != before.tls
+            ):  # fmt: skip
+                self.house.log("reload: of [group], all but its members needs a restart")
+            self.group.configure(after.settings.members)
+
     @property
     def busy(self) -> bool:
         recording = self.record is not None and bool(self.record.journal.entries)
@@ -157,6 +193,8 @@
             self.gateway.drain()
 
     def stop(self) -> None:
+        if self.group is not None:
+            self.group.stop()
         if self.gateway is not None:
             self.gateway.stop()
         if self.cache is not None and self.cache.disk is not None:
--- a/magpiefront/operator/file.py
+++ b/magpiefront/operator/file.py
@@ -10,11 +10,13 @@
 
 from magpiefront.caching.settings import CachingSettings
 from magpiefront.gateway.settings import (
-    CreditSettings, GatewaySettings, KeyedSettings, LinkSettings, RetrySettings, Site, Tls,
+    CreditSettings, GatewaySettings, KeyedSettings, LinkSettings, RetrySettings, Site,
 )  # fmt: skip
 from magpiefront.net.passing import methods_of
 from magpiefront.operator.caching import caching
+from magpiefront.operator.group import GroupTables, group
 from magpiefront.operator.record import record
+from magpiefront.operator.tls import tls
 from magpiefront.record.settings import RecordSettings
 from magpiefront.operator.fields import BadFile, Duration, Place, Size, parse, read
 
@@ -37,13 +39,6 @@
     peers: list[Place] = []
 
 
-class TlsTable(msgspec.Struct, forbid_unknown_fields=True):
-    plain: bool = False
-    certificate: str = ""
-    key: str = ""
-    ca: str = ""
-
-
 class LinkTable(msgspec.Struct, forbid_unknown_fields=True):
     connections: Annotated[int, msgspec.Meta(ge=1, le=64)] = LINK.connections
     connect_timeout: Duration = Duration(LINK.connect_timeout_us)
@@ -98,13 +93,14 @@
     gateway: GatewaySettings | None
     caching: CachingSettings | None
     record: RecordSettings | None
+    group: GroupTables | None = None
 
 
 def load(path: Path) -> Operator:
     """Raises BadFile."""
     given = parse(path)
     for name in given:
-        if name not in ("site", "gateway", "caching", "record"):
+        if name not in ("site", "gateway", "caching", "record", "group"):
             raise BadFile(f"{path}: [{name}]: unknown table")
     if "site" not in given:
         raise BadFile(f"{path}: [site] name: is missing")
@@ -114,7 +110,11 @@
     if gateway is not None and cache is not None:
         gateway = replace(gateway, passes=True, methods=methods_of(cache.clients))
     store = record(path, given["record"]) if "record" in given else None
-    return Operator(path, site, gateway, cache, store)
+    members = None
+    if "group" in given:
+        certificates = gateway.tls if gateway is not None else None
+        members = group(path, site, given["group"], certificates, gateway is not None)
+    return Operator(path, site, gateway, cache, store, members)
 
 
 def _gateway(path: Path, site: str, given: Any) -> GatewaySettings:
@@ -126,13 +126,7 @@
             raise BadFile(f"{path}: [gateway{'.' + table if table else ''}] {name}: {what}")
 
     sites = _sites(path, site, g.sites)
-    t = read(path, "gateway.tls", g.tls, TlsTable)
-    named = [n for n in ("certificate", "key", "ca") if getattr(t, n)]
-    require(not (t.plain and named), "tls.plain", f"excludes {', '.join(named)}")
-    if not t.plain:
-        for n in ("certificate", "key", "ca"):
-            require(n in named, f"tls.{n}", "is missing; the link is plain only with plain = true")
-    tls = None if t.plain else Tls(*(str(path.parent / getattr(t, n)) for n in ("certificate", "key", "ca")))
+    certificates = tls(path, "gateway.tls", g.tls)
     k = read(path, "gateway.link", g.link, LinkTable)
     for n in ("connect_timeout", "ping_interval", "ping_timeout", "backoff", "most_backoff", "stall"):
         require(getattr(k, n).us >= 1_000, f"link.{n}", "must be at least 1ms")
@@ -144,7 +138,7 @@
     r = read(path, "gateway.retry", g.retry, RetryTable)
     d = read(path, "gateway.keyed", g.keyed, KeyedTable)
     return GatewaySettings(
-        site=site, listen=g.listen.address, sites=sites, tls=tls, spill=tuple(g.spill),
+        site=site, listen=g.listen.address, sites=sites, tls=certificates, spill=tuple(g.spill),
         home_when_down=g.home_when_down, retry_after_us=g.retry_after.us, least_left_us=g.least_left.us,
         answer_margin_us=g.answer_margin.us, most_body=g.most_body.bytes,
         link=LinkSettings(k.connections, k.connect_timeout.us, k.ping_interval.us, k.ping_timeout.us,
--- a/magpiefront/record/sqlite.py
+++ b/magpiefront/record/sqlite.py
@@ -22,10 +22,9 @@
     Answer, Id, Moment, Outcome, Result, Row, State, Then, attempts_text, read_attempts,
 )  # fmt: skip
 from magpiefront.record.settings import SqliteSettings
+from magpiefront.sqlfile import BUSY_S, connect, opened
+from magpiefront.sqlfile import BadStore as BadStore
 
-VERSION = 2
-BUSY_S = 5.0  # how long another process's commit is waited for
-OPEN_AGAIN_S = 0.01
 STOP_S = 3.0
 SMOOTH = 0.2
 LONG, CATCH_UP_S = 4, 0.1  # times `checkpoint_pages`; seconds between tries of the writer itself
@@ -54,6 +53,7 @@
     CREATE TABLE origins (taken_s REAL NOT NULL, opened_s REAL);
     """,
 )
+VERSION = len(MIGRATIONS)
 ALL = ", ".join(COLUMNS)
 BY_ID = "tenant = ? AND kind = ? AND key = ?"
 VALUES = f"({', '.join('?' * len(COLUMNS))})"
@@ -79,10 +79,6 @@
 }
 
 
-class BadStore(Exception):
-    """A file that can't serve as the store of record; its text is one line."""
-
-
 def pack(r: Row) -> tuple[object, ...]:
     sent = r.sent or (None, None, None)
     a = r.answer
@@ -101,65 +97,9 @@
                read_attempts(v[19]), v[20], bool(v[21]))  # fmt: skip
 
 
-def connect(path: Path) -> sqlite3.Connection:
-    db = sqlite3.connect(path, isolation_level=None, check_same_thread=False, timeout=BUSY_S)
-    db.execute("PRAGMA synchronous=FULL")
-    db.execute("PRAGMA wal_autocheckpoint=0")
-    return db
-
-
-def into_wal(db: sqlite3.Connection) -> None:
-    """Guards against a start that fails because another process opens the same new file: where a file's mode
-    changes, SQLite gives up at once in place of waiting for the other's lock. Raises sqlite3.Error."""
-    until_s = time.monotonic() + BUSY_S
-    while True:
-        try:
-            db.execute("PRAGMA journal_mode=WAL")
-            return
-        except sqlite3.OperationalError as e:
-            if e.sqlite_errorcode & 0xFF != sqlite3.SQLITE_BUSY or time.monotonic() > until_s:
-                raise
-            time.sleep(OPEN_AGAIN_S)
-
-
 def open_file(path: Path, create: bool = True) -> sqlite3.Connection:
     """Checked and of this version. Raises BadStore."""
-    db: sqlite3.Connection | None = None
-    try:
-        if not create and not path.exists():
-            raise BadStore(f"{path}: there is no such file")
-        path.parent.mkdir(parents=True, exist_ok=True)
-        db = connect(path)
-        into_wal(db)
-        version = db.execute("PRAGMA user_version").fetchone()[0]
-        if version > VERSION:
-            raise BadStore(f"{path}: its version is {version}, newer than {VERSION}: use the newer program")
-        found = db.execute("PRAGMA quick_check(1)").fetchone()[0]
-        if found != "ok":
-            raise BadStore(f"{path}: damaged: {' '.join(str(found).split())}; restore it from a back-up")
-        for number in range(version, VERSION):
-            migrate(db, number)
-        return db
-    except (sqlite3.Error, OSError) as e:
-        if db is not None:
-            db.close()
-        raise BadStore(f"{path}: {' '.join(str(e).split())}") from None
-    except BadStore:
-        if db is not None:
-            db.close()
-        raise
-
-
-def migrate(db: sqlite3.Connection, number: int) -> None:
-    """From this version to the next, in one transaction: what breaks it off leaves the old one whole."""
-    db.execute("BEGIN IMMEDIATE")
-    # Another process may have done it since.
-    if db.execute("PRAGMA user_version").fetchone()[0] == number:
-        for statement in MIGRATIONS[number].split(";"):
-            if statement.strip():
-                db.execute(statement)
-        db.execute(f"PRAGMA user_version={number + 1}")
-    db.execute("COMMIT")
+    return opened(path, MIGRATIONS, create)
 
 
 def mark_copy(db: sqlite3.Connection, taken_s: float) -> None:
--- a/standins/killstore.py
+++ b/standins/killstore.py
@@ -19,8 +19,6 @@
 import argparse
 import asyncio
 import json
-import os
-import signal
 import sqlite3
 import sys
 import tempfile
@@ -34,7 +32,8 @@
 from standins.discovery import Discovery
 from standins.node import Node
 from standins.pgserver import Cut, PgServer
-from standins.world import ROOT, Failed, free_port, until_ready
+from standins.process import Process
+from standins.world import Failed
 
 WINDOW_S = 8.0
 SETTINGS: dict[str, Any] = {
@@ -117,41 +116,6 @@
         return json.dumps(asdict(self), separators=(",", ":"))
 
 
-class Gateway:
-    """A real process, started as often as it is killed."""
-
-    def __init__(self, number: int, folder: Path) -> None:
-        self.name, self.folder, self.port = f"k{number}", folder, free_port()
-        self.process: asyncio.subprocess.Process | None = None
-        self.program = ["-m", "magpiefront"]
-
-    @property
-    def config(self) -> Path:
-        return self.folder / f"{self.name}.json"
-
-    @property
-    def log(self) -> Path:
-        return self.folder / f"{self.name}.log"
-
-    async def start(self) -> None:
-        with open(self.log, "ab") as log:
-            self.process = await asyncio.create_subprocess_exec(
-                sys.executable, *self.program, "--operator", str(self.folder / "operator.toml"),
-                cwd=ROOT, env={**os.environ, "LB_CONFIG": str(self.config)}, stderr=log,
-            )  # fmt: skip
-        await until_ready("the gateway", self.port, self.process, self.log)
-
-    async def kill(self) -> None:
-        assert self.process is not None
-        self.process.send_signal(signal.SIGKILL)
-        await self.process.wait()
-
-    async def end(self) -> None:
-        if self.process is not None and self.process.returncode is None:
-            self.process.terminate()
-            await self.process.wait()
-
-
 class Round:
     def __init__(self, plan: Plan, folder: Path) -> None:
         self.plan, self.folder = plan, folder
@@ -160,7 +124,7 @@
         self.archive = Archive("west", time_s=0.01, window_s=WINDOW_S)
         self.node = Node("west-0", self.archive, plan.seed, slow_share=0.1, slow_s=0.15)
         self.discovery = Discovery()
-        self.gateways = [Gateway(n, folder) for n in range(plan.gateways)]
+        self.gateways = [Process(f"k{n}", folder, "operator.toml") for n in range(plan.gateways)]
         self.reports: list[Report] = []
         self.over = False
 
@@ -249,7 +213,7 @@
                 if status != 200:
                     await asyncio.sleep(after_s)
 
-    async def ask(self, report: Report, at: Gateway) -> tuple[int, float]:
+    async def ask(self, report: Report, at: Process) -> tuple[int, float]:
         """Its status, 0 where no answer came, and when to come again (seconds)."""
         try:
             async with asyncio.timeout(4):
--- a/standins/relay.py
+++ b/standins/relay.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections import deque
+from contextlib import suppress
 from random import Random
 from typing import cast
 
@@ -76,6 +77,8 @@
     def flush(self, way: int) -> None:
         out = self.ends[1 - way].transport
         queue, now = self.queues[way], self.relay.loop.time()
+        if out is not None and out.is_closing():
+            queue.clear()  # its reader has gone, and the other end hears of it by itself
         while queue and out is not None and not self.over and way not in self.relay.held:
             due, data = queue[0]
             if due > now + 0.0005:
@@ -84,7 +87,8 @@
             queue.popleft()
             if not data:
                 if not out.is_closing() and out.can_write_eof():
-                    out.write_eof()
+                    with suppress(OSError):  # the kernel knows of its end already
+                        out.write_eof()
                 if all(e.transport is None or e.transport.is_closing() for e in self.ends):
                     self.abort()
                 continue
--- /dev/null
+++ b/tests/group/worlds.py
@@ -0,0 +1,126 @@
+"""Many schedules of a group in simulated time, and the table of its safeguards.
+
+    python -m tests.group.worlds [--count 2000] [--voters 3,5,7] [--first 1] [--without NAME | --table]
+                                 [--replay PLAN] [--jobs N] [--json]
+
+Exit status 1 where a rule broke (with --table: where one safeguard's loss was not found). A fault's plan is
+printed; `--replay` plays it again, to the same end.
+"""
+
+from __future__ import annotations
+
+import argparse
+import json
+import sys
+import time
+from collections.abc import Iterator
+from concurrent.futures import ProcessPoolExecutor
+from contextlib import nullcontext
+from functools import partial
+
+from magpiefront.model.group import Broken, World
+from magpiefront.model.plan import Plan
+from magpiefront.model.safeguards import SAFEGUARDS, without
+from standins.linear import Op, Undecided, linearizable
+
+CHUNK = 25
+
+
+def judge(plan: Plan) -> str:
+    """What broke; empty where all holds."""
+    world = World(plan)
+    try:
+        world.run()
+        for key in {d.key for d in world.history}:
+            of_key = [d for d in world.history if d.key == key]
+            if not linearizable([Op(d.write, d.value, d.begin_us, d.end_us, d.version) for d in of_key]):
+                return f"the history of {key} is not linearizable"
+    except Undecided:
+        return "a history could not be decided"
+    except Broken as e:
+        return str(e)
+    return ""
+
+
+def numbered(number: int, voters: list[int]) -> Plan:
+    return Plan.draw(number, voters[number % len(voters)], int(number % 4 == 3))
+
+
+def some(numbers: list[int], voters: list[int], out: str = "") -> list[tuple[int, str, str]]:
+    """Those that broke: number, why, plan."""
+    with without(out) if out else nullcontext():
+        found = []
+        for n in numbers:
+            plan = numbered(n, voters)
+            try:
+                why = judge(plan)
+            except Exception as e:  # a fault of the code under it is a finding, too
+                why = f"{type(e).__name__}: {e}"
+            if why:
+                found.append((n, why, plan.text()))
+                if out:
+                    break
+        return found
+
+
+def many(
+    first: int, count: int, voters: list[int], jobs: int, out: str = ""
+) -> Iterator[tuple[int, list[tuple[int, str, str]]]]:
+    """As they are done: how many were played, and those that broke."""
+    chunks = [list(range(n, min(n + CHUNK, first + count))) for n in range(first, first + count, CHUNK)]
+    with ProcessPoolExecutor(jobs) as pool:
+        for chunk, found in zip(chunks, pool.map(partial(some, voters=voters, out=out), chunks), strict=True):
+            yield len(chunk), found
+
+
+def first_found(name: str, first: int, count: int, voters: list[int], jobs: int) -> tuple[int, str]:
+    """After how many schedules the loss of a safeguard was found, and how; 0: not."""
+    for start in range(first, first + count, jobs * CHUNK):
+        played = 0
+        for n, found in many(start, min(jobs * CHUNK, first + count - start), voters, jobs, name):
+            if found:
+                return found[0][0] - first + 1, found[0][1]
+            played += n
+    return 0, ""
+
+
+def main() -> int:
+    parser = argparse.ArgumentParser(description="Schedules of a group in simulated time.")
+    parser.add_argument("--count", type=int, default=2_000)
+    parser.add_argument("--first", type=int, default=1)
+    parser.add_argument("--voters", default="3,5,7")
+    parser.add_argument("--without", default="", choices=["", *SAFEGUARDS])
+    parser.add_argument("--table", action="store_true")
+    parser.add_argument("--replay", metavar="PLAN")
+    parser.add_argument("--jobs", type=int, default=4)
+    parser.add_argument("--json", action="store_true")
+    args = parser.parse_args()
+    voters = [int(v) for v in args.voters.split(",")]
+    if args.replay:
+        with without(args.without) if args.without else nullcontext():
+            why = judge(Plan.read(args.replay))
+        print(why or "all holds")
+        return 1 if why else 0
+    began = time.monotonic()
+    if args.table:
+        rows = {name: first_found(name, args.first, args.count, voters, args.jobs) for name in SAFEGUARDS}
+        for name, (after, how) in rows.items():
+            print(json.dumps({"safeguard": name, "after": after, "how": how}) if args.json
+                  else f"{name}: {f'after {after}: {how[:150]}' if after else 'NOT FOUND'}")  # fmt: skip
+        return 0 if all(after for after, _ in rows.values()) else 1
+    played = broke = 0
+    for n, found in many(args.first, args.count, voters, args.jobs, args.without):
+        played += n
+        broke += len(found)
+        for number, why, plan in found:
+            print(f"{number}: {why}\n  {plan}")
+        if sys.stderr.isatty():
+            print(f"\r{played} of {args.count}, {broke} broke", end="", file=sys.stderr)
+    seconds = round(time.monotonic() - began, 1)
+    told = {"schedules": played, "broke": broke, "seconds": seconds, "voters": args.voters}
+    print(json.dumps(told) if args.json else f"{played} schedules in {seconds} s, {broke} broke")
+    return 1 if broke else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/tests/operator/test_file.py
+++ b/tests/operator/test_file.py
@@ -10,11 +10,13 @@
 import pytest
 
 from magpiefront.caching.settings import CachingSettings, DiskSettings
-from magpiefront.operator import caching, record
+from magpiefront.group.settings import GroupSettings
+from magpiefront.operator import caching, group, record
 from magpiefront.operator import file as schema
 from magpiefront.operator.compose import check
 from magpiefront.operator.fields import BadFile
 from magpiefront.operator.file import load
+from magpiefront.operator.tls import TlsTable
 from magpiefront.record.settings import RecordSettings, SqliteSettings
 
 EXAMPLE = Path(__file__).resolve().parents[2] / "deploy" / "gateway.toml"
@@ -161,7 +163,7 @@
     tables: dict[str, type[msgspec.Struct]] = {
         "site": schema.SiteTable,
         "gateway": schema.GatewayTable,
-        "gateway.tls": schema.TlsTable,
+        "gateway.tls": TlsTable,
         "gateway.link": schema.LinkTable,
         "gateway.credits": schema.CreditTable,
         "gateway.retry": schema.RetryTable,
@@ -171,6 +173,9 @@
         "caching.stale": caching.StaleTable,
         "caching.clients": caching.ClientsTable,
         "caching.disk": caching.DiskTable,
+        "group": group.GroupTable,
+        "group.times": group.TimesTable,
+        "group.limits": group.LimitsTable,
         "record": record.RecordTable,
         "record.sqlite": record.SqliteTable,
         "record.postgres": record.PostgresTable,
@@ -193,6 +198,9 @@
                 "keyed",
                 "reserved",
                 "most",
+                "members",
+                "times",
+                "limits",
             ):
                 assert re.search(rf"^#?{f.name} = .*#|^#?{f.name} = ", part, re.M), f"{name}.{f.name}"
     # What is commented out is the default: put in, it changes nothing.
@@ -207,6 +215,13 @@
     assert whole.record == replace(
         RecordSettings(SqliteSettings(tmp_path / "record.sqlite")), classes=frozenset({"field-report"})
     )
+    members = "[group]" + given.partition("\n[group]")[2]
+    path.write_text('[site]\nname = "west"\n' + re.sub(r"^#(?=[a-z_0-9-]+ = )", "", members, flags=re.M))
+    tables_ = load(path).group
+    assert tables_ is not None and tables_.settings == GroupSettings(
+        "west", "west-1", ("127.0.0.1", 7643), tmp_path / "group.sqlite",
+        {f"west-{n}": ("127.0.0.1", 7642 + n) for n in (1, 2, 3)}, frozenset({"west-1", "west-2", "west-3"}),
+    )  # fmt: skip
 
 
 CACHING = """
--- a/tests/record/test_migrations.py
+++ b/tests/record/test_migrations.py
@@ -72,13 +72,14 @@
 DIES = """
 import os, sys
 from pathlib import Path
+from magpiefront import sqlfile
 from magpiefront.record import sqlite
-made = sqlite.connect
+made = sqlfile.connect
 def connect(path):
     db = made(path)
     db.create_function("die", 0, lambda: os._exit(9))
     return db
-sqlite.connect = connect
+sqlfile.connect = connect
 at = int(sys.argv[2])
 old = sqlite.MIGRATIONS[1].split(";")
 sqlite.MIGRATIONS = (sqlite.MIGRATIONS[0], ";".join([*old[:at], "SELECT die()", *old[at:]]))
