--- a/magpiefront/group/lead.py
+++ b/magpiefront/group/lead.py
@@ -35,8 +35,11 @@
     def meet(self) -> None:
         """The members are others now."""
         there = self.log.conf.all - {self.me}
-        for m in sorted(there - self.others.keys()):
-            self.others[m] = Progress(self.log.last + 1, self.began_us)
+        new = sorted(there - self.others.keys())
+        for n, m in enumerate(new):
+            # Observers hear of it one after the other, and so answer one after the other.
+            heard_us = self.began_us - self.times.observer_us * (len(new) - n) // len(new)
+            self.others[m] = Progress(self.log.last + 1, heard_us)
         for m in self.others.keys() - there:
             del self.others[m]
 
--- a/magpiefront/group/members.py
+++ b/magpiefront/group/members.py
@@ -142,6 +142,8 @@
             if self._gone(id) and raft.change(Conf(conf.voters - {id}, conf.observers - {id})):
                 self.peer.log(f"{id} is taken out")
                 return
+        if self._observe(conf):
+            return
         for name, wish in sorted(self.wishes.items()):
             id = wish.id
             stale = name in barred or now_us > wish.at_us + WISH_US
@@ -150,6 +152,15 @@
             elif self._take_in(id, conf):
                 return
 
+    def _observe(self, conf: Conf) -> bool:
+        """Who begins to learn, all at once: they move no majority. After a restart that may be hundreds."""
+        new = {w.id for n, w in self.wishes.items() if conf.by_name(n) is None}
+        new -= {id for id in new if name_of(id) in self.peer.machines.facts.kept.barred}
+        done = bool(new) and self.peer.raft.change(Conf(conf.voters, conf.observers | new))
+        if done:
+            self.peer.log(f"taken in: {', '.join(sorted(new))}")
+        return done
+
     def _gone(self, id: str) -> bool:
         """Nobody leaves while it may still act: first its session ends, then it is lost, then it is out."""
         if self.peer.machines.facts.well(id):
--- a/magpiefront/group/peer.py
+++ b/magpiefront/group/peer.py
@@ -64,7 +64,7 @@
         # numbers that were used must not be met again.
         self.asks = Asks((stored.boot << 40) + (random.getrandbits(28) << 12), settings.limits.most_waiting)
         self.accepted: dict[tuple[str, int], None] = {}  # of others' commands, the last ones taken up
-        self.session, self.hearing = Session(self.times), Hearing()
+        self.session, self.hearing = Session(self.times, random), Hearing()
         self.members = Members(self)
         self.given_up: dict[str, int] = {}  # leases, by the epoch under which they were given back
         self.memory = Memory()
--- a/magpiefront/group/service.py
+++ b/magpiefront/group/service.py
@@ -36,6 +36,7 @@
         self.counts: Counter[str] = Counter()
         self.cause = "it has not begun"  # why there is no peer
         self.timer: asyncio.TimerHandle | None = None
+        self.task: asyncio.Task[None] | None = None  # that tries a failed disk again
         self.soon = self.stopped = False
         self.watchers: list[Callable[[], None]] = []
 
@@ -68,19 +69,23 @@
         self._out(f"out of the vote: {cause}")
         self._log(self.cause)
         if not self.stopped:
-            self.house.loop.call_later(AGAIN_S, self._again)
-
-    def _again(self) -> None:
-        if self.stopped:
-            return
-        try:
-            stored = self.disk.start()
-        except BadStore as e:
-            self.cause = f"out of the vote: {e}"
-            self.house.loop.call_later(AGAIN_S, self._again)
+            self.task = self.house.loop.create_task(self._again())
+
+    async def _again(self) -> None:
+        """Tries the disk until it takes what is written; in a thread, for it may hang."""
+        while True:
+            await asyncio.sleep(AGAIN_S)
+            try:
+                stored = await self.house.loop.run_in_executor(None, self.disk.start)
+            except BadStore as e:
+                self.cause = f"out of the vote: {e}"
+                continue
+            if self.stopped:
+                self.disk.stop()
+                return
+            self._log("its disk takes what it writes again")
+            self._begin(stored)
             return
-        self._log("its disk takes what it writes again")
-        self._begin(stored)
 
     def _out(self, cause: str) -> None:
         peer, self.peer, self.cause = self.peer, None, cause
--- a/magpiefront/group/sessions.py
+++ b/magpiefront/group/sessions.py
@@ -12,6 +12,7 @@
 from collections import deque
 from collections.abc import Iterable
 from dataclasses import dataclass, field
+from random import Random
 
 from magpiefront.group.settings import Times
 
@@ -22,8 +23,8 @@
 class Session:
     """A member's own side."""
 
-    def __init__(self, times: Times) -> None:
-        self.times = times
+    def __init__(self, times: Times, random: Random) -> None:
+        self.times, self.random = times, random
         self.seq = 0
         self.sent: deque[tuple[int, int]] = deque(maxlen=MOST_ASKS)
         self.until_us = 0
@@ -38,7 +39,8 @@
         has come for a while."""
         self.seq += 1
         self.sent.append((self.seq, now_us))
-        self.due_us = now_us + self.times.ping_us
+        # Spread, so that hundreds whom one event has woken do not go on asking at one moment.
+        self.due_us = now_us + int(self.times.ping_us * (0.75 + 0.5 * self.random.random()))
         known = sorted(voters)
         if not known:
             return self.seq, []
--- a/magpiefront/model/group.py
+++ b/magpiefront/model/group.py
@@ -174,7 +174,9 @@
 
 
 class World:
-    def __init__(self, plan: Plan, times: Times | None = None, drift: float | None = None) -> None:
+    def __init__(
+        self, plan: Plan, times: Times | None = None, drift: float | None = None, limits: Limits = SMALL
+    ) -> None:  # fmt: skip
         self.plan = plan
         self.kernel = Kernel(plan.seed)
         self.net = Net(self.kernel)
@@ -182,7 +184,7 @@
         times = times or Times()
         self.drift = times.drift / 2 if drift is None else drift
         voters, places = frozenset(names[: plan.voters]), {n: ("", 0) for n in names}
-        self.settings = GroupSettings("model", "", ("", 0), Path("."), places, voters, times, SMALL)
+        self.settings = GroupSettings("model", "", ("", 0), Path("."), places, voters, times, limits)
         self.boxes = [Box(self, n, name) for n, name in enumerate(names)]
         self.by_name = {b.name: b for b in self.boxes}
         self.leaders: dict[int, str] = {}
@@ -190,6 +192,7 @@
         self.checked: dict[str, int] = {}
         self.top = 0  # the highest index that anybody applied
         self.epochs: dict[str, int] = {}
+        self.holding: set[str] = set()
         self.history: list[Did] = []
         self.outcomes: dict[Fate, int] = dict.fromkeys(Fate, 0)
         self.values = 0
@@ -230,25 +233,29 @@
             self.checked[key] = peer.applied
             self.top = max(self.top, peer.applied)
             for name, m in peer.machines.facts.kept.members.items():
-                self.epochs[name] = max(self.epochs.get(name, 0), m.epoch)
-        self._acting()
+                if m.epoch > self.epochs.get(name, 0):
+                    self.epochs[name] = m.epoch
+                    self._acting(self.by_name[name])
+        self._acting(box)
 
     def _one_entry(self, peer: Peer, e: Entry) -> None:
         if self.entries.setdefault(e.index, (e.term, e.data)) != (e.term, e.data):
             raise Broken(f"{peer.me} applied another entry at {e.index} than somebody before it")
 
-    def _acting(self) -> None:
-        holders = []
-        for b in self.boxes:
-            if b.peer is None:
-                continue
-            epoch = b.peer.may_act(b.now_us)
-            if epoch and epoch < self.epochs.get(b.name, 0):
-                raise Broken(f"{b.name} acts under epoch {epoch}, and {self.epochs[b.name]} is committed")
-            if b.peer.holds(LEASE, b.now_us):
-                holders.append(b.name)
-        if len(holders) > 1:
-            raise Broken(f"{' and '.join(holders)} hold one lease at one time")
+    def _acting(self, b: Box) -> None:
+        """Only what happens at a member lets it act; time alone ends that."""
+        self.holding.discard(b.name)
+        if b.peer is None:
+            return
+        epoch = b.peer.may_act(b.now_us)
+        if epoch and epoch < self.epochs.get(b.name, 0):
+            raise Broken(f"{b.name} acts under epoch {epoch}, and {self.epochs[b.name]} is committed")
+        if b.peer.holds(LEASE, b.now_us):
+            for name in sorted(self.holding):
+                other = self.by_name[name]
+                if other.peer is not None and other.peer.holds(LEASE, other.now_us):
+                    raise Broken(f"{name} and {b.name} hold one lease at one time")
+            self.holding.add(b.name)
 
     # ---- what is asked
 
@@ -440,11 +447,3 @@
 def _let_in(name: str, peer: Peer, now_us: int) -> None:
     if name in peer.machines.facts.kept.barred:
         peer.members.bar(name, False, now_us)
-
-
-def play(plan: Plan, **more: float) -> World:
-    """Raises Broken."""
-    world = World(plan, **more)  # type: ignore[arg-type]
-    world.run()
-    return world
-
--- a/magpiefront/sqlfile.py
+++ b/magpiefront/sqlfile.py
@@ -16,10 +16,15 @@
 
 
 def connect(path: Path) -> sqlite3.Connection:
-    """Durable: a commit is synced before it is said. Nothing is put back into the file by itself."""
+    """Durable: a commit is synced before it is said. Nothing is put back into the file by itself. Raises
+    sqlite3.Error."""
     db = sqlite3.connect(path, isolation_level=None, check_same_thread=False, timeout=BUSY_S)
-    db.execute("PRAGMA synchronous=FULL")
-    db.execute("PRAGMA wal_autocheckpoint=0")
+    try:
+        db.execute("PRAGMA synchronous=FULL")
+        db.execute("PRAGMA wal_autocheckpoint=0")
+    except sqlite3.Error:
+        db.close()  # one that is left open keeps its lock, and nobody opens the file again
+        raise
     return db
 
 
