--- a/tests/group/worlds.py
+++ b/tests/group/worlds.py
@@ -107,8 +107,9 @@
         for name in [args.without] if args.without else SAFEGUARDS:
             after, how = first_found(name, args.first, args.count, voters, args.jobs)
             missed += not after
-            print(json.dumps({"safeguard": name, "after": after, "how": how}) if args.json
-                  else f"{name}: {f'after {after}: {how[:150]}' if after else 'NOT FOUND'}", flush=True)  # fmt: skip
+            line = f"{name}: {f'after {after}: {how[:150]}' if after else 'NOT FOUND'}"
+            row = {"safeguard": name, "after": after, "how": how}
+            print(json.dumps(row) if args.json else line, flush=True)
         return 1 if missed else 0
     played = broke = 0
     for n, found in many(args.first, args.count, voters, args.jobs, args.without):
