--- a/magpiefront/group/peer.py
+++ b/magpiefront/group/peer.py
@@ -77,6 +77,7 @@
         self.led = ""
         self.watchers: list[Callable[[], None]] = []
         self.changes = -1
+        self.seen: dict[str, State] = {}  # as last told, by id
         self.out: list[tuple[str, Message]] = []
         others = voters_of(book.conf, settings.voters)
         voter = self.me in book.conf.voters or (stored.virgin and settings.member in settings.voters)
@@ -403,9 +404,17 @@
         raft.flush(now_us)
         if self.changes != self.machines.facts.kept.changes:
             self.changes = self.machines.facts.kept.changes
+            self._tell_members()
             for changed in list(self.watchers):
                 changed()
 
+    def _tell_members(self) -> None:
+        """One line for each member whose state is another than it was."""
+        for m in self.machines.facts.kept.members.values():
+            before, self.seen[m.id] = self.seen.get(m.id), m.state
+            if before is not None and before is not m.state:
+                self.log(f"{m.id} is {m.state.value}, epoch {m.epoch}")
+
     def _apply(self) -> None:
         raft, limits = self.raft, self.settings.limits
         if raft.commit > self.applied:
--- a/magpiefront/group/service.py
+++ b/magpiefront/group/service.py
@@ -13,12 +13,13 @@
 from magpiefront.group import wire
 from magpiefront.group.asks import Fate, Outcome, Then
 from magpiefront.group.disk import GroupDisk
-from magpiefront.group.facts import Member
+from magpiefront.group.facts import Member, State
 from magpiefront.group.machines import Machine
 from magpiefront.group.messages import name_of
 from magpiefront.group.peer import Peer, Stored
 from magpiefront.group.seam import Way
 from magpiefront.group.settings import Address, GroupSettings
+from magpiefront.net.figures import PREFIX
 from magpiefront.net.house import House
 from magpiefront.sqlfile import BadStore
 
@@ -223,6 +224,20 @@
 
     # ---- for operators
 
+    def figures(self) -> str:
+        """Lines for the second address. Times are not among them: `status` has those."""
+        peer = self.peer
+        whole: dict[str, int] = {"out_of_the_vote": int(peer is None)}
+        if peer is not None:
+            states = Counter(m.state.value for m in self.members().values())
+            whole |= {f'members{{state="{s.value}"}}': states[s.value] for s in State}
+            whole |= {"leads": int(peer.leads), "led": int(bool(peer.raft.leader)), "term": peer.raft.term,
+                      "acts": int(bool(self.may_act())), "applied": peer.applied,
+                      "open": len(peer.asks.open)}  # fmt: skip
+        told = self.counts + (self.way.counts if self.way is not None else Counter())
+        whole |= {f"{name}_count": n for name, n in sorted(told.items())}
+        return "".join(f"{PREFIX}group_{name} {value}\n" for name, value in whole.items())
+
     def status(self) -> dict[str, Any]:
         """JSON's types alone."""
         now, peer = self.house.now_us(), self.peer
--- a/magpiefront/net/desk.py
+++ b/magpiefront/net/desk.py
@@ -11,6 +11,7 @@
 class Desk:
     def __init__(self, proxy: Proxy, front: Front) -> None:
         self.proxy, self.front = proxy, front
+        self.more: Callable[[], str] = str  # lines of figures that a stage adds
         self.on_by_hand: Callable[[str, bool], None] = lambda server, out: None  # hears what was accepted
 
     def ready(self) -> str:
@@ -20,7 +21,7 @@
 
     def show_stat(self) -> str:
         router = self.proxy.router
-        return self.proxy.figures.text(len(router.listed), router.avoided)
+        return self.proxy.figures.text(len(router.listed), router.avoided) + self.more()
 
     def by_hand(self, server: str, out: bool) -> bool:
         done = self.proxy.by_hand(server, out)
--- a/tests/group/test_disk_and_wire.py
+++ b/tests/group/test_disk_and_wire.py
@@ -203,5 +203,7 @@
     house, service = alone(tmp_path)
     until(house, service.may_act)
     status = json.loads(json.dumps(service.status()))
+    figures = dict(line.rsplit(" ", 1) for line in service.figures().splitlines())
+    assert figures["svc_group_leads"] == "1" and figures['svc_group_members{state="well"}'] == "1"
     assert status["members"]["a"]["state"] == "well" and status["leader"] == "a.0" and status["epoch"] == 1
     service.stop()
