--- a/magpiefront/group/disk.py
+++ b/magpiefront/group/disk.py
@@ -18,7 +18,7 @@
 
 from magpiefront.group.messages import Conf, Entry, Kind, Snapshot
 from magpiefront.group.peer import Stored
-from magpiefront.group.raft import Hard, Write
+from magpiefront.group.durable import Hard, Write
 from magpiefront.net.house import House
 from magpiefront.sqlfile import BadStore, opened
 
--- a/magpiefront/group/lead.py
+++ b/magpiefront/group/lead.py
@@ -25,7 +25,7 @@
         self.quorum_round = 0
         self.quorum_us = now_us  # when the newest round began that a majority has answered
         self.beat_us = now_us
-        self.reads: list[tuple[int, int, object]] = []  # round, index, whose
+        self.reads: list[tuple[int, int, tuple[str, int]]] = []  # round, index, whose
         self.handing, self.handing_us = "", 0  # to whom the lead goes, and since when
         self.handed_us: int | None = None  # since when they may stand for it: no lease from then on
         self.eager: set[str] = set()  # observers that wait for the outcome of what they asked for
@@ -189,7 +189,7 @@
     def _observer_rounds(self) -> int:
         return 1 + self.times.observer_us // self.times.heartbeat_us
 
-    def due_reads(self) -> list[tuple[int, object]]:
+    def due_reads(self) -> list[tuple[int, tuple[str, int]]]:
         due = [(i, whose) for r, i, whose in self.reads if r <= self.quorum_round]
         self.reads = [w for w in self.reads if w[0] > self.quorum_round]
         return due
--- a/magpiefront/group/log.py
+++ b/magpiefront/group/log.py
@@ -101,9 +101,11 @@
         self.stable = min(self.stable, index - 1)
 
     def hint(self, index: int) -> tuple[int, int]:
-        """Where a leader should go on that found nothing of its own at `index`: before the whole of the term
-        that stands there (thesis, 3.5, at the end)."""
-        index = min(index, self.last)
+        """Where a leader should go on that found nothing of its own at `index`: at the end, or before the
+        whole of the term that stands before it (thesis, 3.5, at the end)."""
+        if index > self.last:
+            return self.last, self.last_term
+        index -= 1
         term = self.term(index)
         if term is None:
             return self.first, self.first_term
--- a/magpiefront/group/service.py
+++ b/magpiefront/group/service.py
@@ -142,7 +142,7 @@
         peer = self.peer
         if peer is None or self.way is None:
             return
-        if peer.reborn:
+        if peer.starting.reborn:
             self._out("its incarnation is given up")
             self.disk.reborn(self.random, self._begin)
             return
--- a/magpiefront/model/explore.py
+++ b/magpiefront/model/explore.py
@@ -22,7 +22,8 @@
 
 from magpiefront.group.log import Log
 from magpiefront.group.messages import AnyMessage, Conf, Entry, Message, Snapshot
-from magpiefront.group.raft import Hard, Raft, Role
+from magpiefront.group.durable import Hard
+from magpiefront.group.raft import Raft, Role
 from magpiefront.group.settings import Limits, Times
 
 FAR_US = 1 << 50
--- a/magpiefront/model/group.py
+++ b/magpiefront/model/group.py
@@ -21,7 +21,7 @@
 from magpiefront.group.messages import Entry, Message, name_of
 from magpiefront.group.machines import FACTS
 from magpiefront.group.peer import Peer, Stored
-from magpiefront.group.raft import Write
+from magpiefront.group.durable import Write
 from magpiefront.group.settings import GroupSettings, Limits, Times
 from magpiefront.model.kernel import Clock, Kernel
 from magpiefront.model.net import Net, Weather
@@ -134,7 +134,7 @@
         """What it wants sent, written, and to be woken for."""
         peer, world = self.peer, self.world
         assert peer is not None
-        if peer.reborn:
+        if peer.starting.reborn:
             self.disk.reborn(world.kernel.random)
             self.reborn += 1
             self.peer = None
@@ -439,7 +439,7 @@
         return "; ".join(
             f"{b.name}: " + (f"{p.me} {p.raft.role.value} t{p.raft.term} c{p.raft.commit} l{p.raft.log.last} "
                              f"a{p.applied} votes {p.raft.votes} may_vote {p.raft.may_vote} "
-                             f"acts {p.may_act(b.now_us)} joins {p.joining}" if p is not None else "down")
+                             f"acts {p.may_act(b.now_us)} joins {p.starting.joining}" if p else "down")
             for b in self.boxes for p in [b.peer]
         )  # fmt: skip
 
--- a/magpiefront/model/safeguards.py
+++ b/magpiefront/model/safeguards.py
@@ -6,13 +6,15 @@
 from contextlib import contextmanager
 from typing import Any
 
-from magpiefront.group import attest, lead, machines, peer, raft, sessions
+from magpiefront.group import attest, durable, lead, machines, raft, requests, sessions
 from magpiefront.group import members as members_
 from magpiefront.group.facts import Facts, State
 from magpiefront.group.log import Log, conf_bytes
 from magpiefront.group.messages import Message
 from magpiefront.group.peer import Peer
 from magpiefront.group.settings import Times
+from magpiefront.group.starting import Starting
+from magpiefront.model import explore
 from magpiefront.model import group as world
 
 Patch = tuple[Any, str, Any]
@@ -28,11 +30,18 @@
 def _forgets_its_vote() -> list[Patch]:
     apply = world.Disk.apply
 
-    def forgetful(self: world.Disk, w: raft.Write) -> None:
-        w.hard = raft.Hard(w.hard.term)
+    def forgetful(self: world.Disk, w: durable.Write) -> None:
+        w.hard = durable.Hard(w.hard.term)
         apply(self, w)
 
-    return [(world.Disk, "apply", forgetful)]
+    settle = explore.Explorer.settle
+
+    def forgets(self: explore.Explorer, s: explore.State, name: str) -> None:
+        settle(self, s, name)
+        hard, snapshot, entries = s.nodes[name].disk
+        s.nodes[name].disk = (durable.Hard(hard.term), snapshot, entries)
+
+    return [(world.Disk, "apply", forgetful), (explore.Explorer, "settle", forgets)]
 
 
 def _no_pre_vote() -> list[Patch]:
@@ -84,8 +93,8 @@
 
     return [
         (attest.Attestation, "verdict", verdict),
-        (Peer, "_told", lambda self, name, m, now: self.attestation and self._judge(now)),
-        (Peer, "_give_up", lambda self: None),
+        (Starting, "told", lambda self, name, m, now: self.attestation and self._judge(now)),
+        (Starting, "give_up", lambda self: None),
     ]  # fmt: skip
 
 
@@ -123,9 +132,9 @@
     "nobody leaves while it may act": _leaves_at_once,
     "doubled commands are applied once": lambda: [
         (machines.Done, "first", lambda self, seq: True),
-        (peer, "MOST_ACCEPTED", 0),
+        (requests, "MOST_ACCEPTED", 0),
     ],
-    "reads ask a majority": lambda: [(Peer, "_read_here", _reads_at_once)],
+    "reads ask a majority": lambda: [(requests.Requests, "_read_here", _reads_at_once)],
 }
 
 
@@ -138,7 +147,7 @@
     return now_us >= self.yes_us.get(member, 0) + self.times.free_us
 
 
-def _reads_at_once(self: Peer, whose: tuple[str, int], now_us: int) -> bool:
+def _reads_at_once(self: requests.Requests, whose: tuple[str, int], now_us: int) -> bool:
     self._read_due(whose, self.raft.commit)
     return True
 
