One way to play rounds for the drill and for killstore; one for asks of the group

The running of plans side by side, their count and what is printed stood in both rigs (standins/rounds.py now); the four calls of the group's service each looked for the peer by themselves.

--- a/magpiefront/group/desk.py
+++ b/magpiefront/group/desk.py
@@ -85,14 +85,14 @@
         elif not peer.raft.hand_over(id, self.service.house.now_us()):
             raise Bad("not a voter, or the lead is on its way already")
         else:
-            self.service._drive_soon()
+            self.service.wake()
             answer({"fate": "unknown", "cause": "on its way"})
 
     def _snapshot(self, what: dict[str, Any], answer: Answer) -> None:
         peer = self.service.peer
         assert peer is not None
         peer.snapshot()
-        self.service._drive_soon()
+        self.service.wake()
         answer({"snapshot": peer.raft.log.snapshot.index})
 
     def _put(self, what: dict[str, Any], answer: Answer) -> None:
--- a/magpiefront/group/service.py
+++ b/magpiefront/group/service.py
@@ -126,12 +126,13 @@
             self.counts["while_out"] += 1
         elif e.to in (peer.me, f"{self.settings.member}."):
             peer.receive(e.sender, e.message, self.house.now_us())
-            self._drive_soon()
+            self.wake()
         else:
             self.counts["other_incarnation"] += 1
         return True
 
-    def _drive_soon(self) -> None:
+    def wake(self) -> None:
+        """Something was asked of the peer: what it wants is seen to, once for all that came together."""
         if not self.soon:
             self.soon = True
             self.house.loop.call_soon(self._drive)
@@ -182,33 +183,24 @@
     def me(self) -> str:
         return self.peer.me if self.peer is not None else ""
 
-    def propose(self, machine: str, data: bytes, deadline_us: int, then: Then) -> None:
+    def _ask(self, then: Then, ask: Callable[[Peer, int], None]) -> None:
         if self.peer is None:
             then(Outcome(Fate.REFUSED, cause=self.cause))
-            return
-        self.peer.propose(machine, data, deadline_us, then, self.house.now_us())
-        self._drive_soon()
+        else:
+            ask(self.peer, self.house.now_us())
+            self.wake()
+
+    def propose(self, machine: str, data: bytes, deadline_us: int, then: Then) -> None:
+        self._ask(then, lambda peer, now: peer.propose(machine, data, deadline_us, then, now))
 
     def read(self, deadline_us: int, then: Then) -> None:
-        if self.peer is None:
-            then(Outcome(Fate.REFUSED, cause=self.cause))
-            return
-        self.peer.read(deadline_us, then, self.house.now_us())
-        self._drive_soon()
+        self._ask(then, lambda peer, now: peer.read(deadline_us, then, now))
 
     def take(self, lease: str, deadline_us: int, then: Then) -> None:
-        if self.peer is None:
-            then(Outcome(Fate.REFUSED, cause=self.cause))
-            return
-        self.peer.take(lease, deadline_us, then, self.house.now_us())
-        self._drive_soon()
+        self._ask(then, lambda peer, now: peer.take(lease, deadline_us, then, now))
 
     def drop(self, lease: str, deadline_us: int, then: Then) -> None:
-        if self.peer is None:
-            then(Outcome(Fate.REFUSED, cause=self.cause))
-            return
-        self.peer.drop(lease, deadline_us, then, self.house.now_us())
-        self._drive_soon()
+        self._ask(then, lambda peer, now: peer.drop(lease, deadline_us, then, now))
 
     def may_act(self) -> int:
         return self.peer.may_act(self.house.now_us()) if self.peer is not None else 0
--- a/standins/drill.py
+++ b/standins/drill.py
@@ -23,7 +23,6 @@
 import json
 import shutil
 import sys
-import tempfile
 import time
 from collections import Counter
 from dataclasses import asdict, dataclass
@@ -36,6 +35,7 @@
 from standins.linear import Op, Undecided, linearizable
 from standins.process import Process
 from standins.relay import Relay
+from standins.rounds import play_all, tell
 from standins.world import Failed, free_port
 
 WHOLE_S = 20.0
@@ -418,30 +418,12 @@
 
 
 async def rounds(plans: list[Plan], at_once: int, quiet: bool) -> dict[str, Any]:
-    gate = asyncio.Semaphore(at_once)
-    done: list[dict[str, Any]] = []
-    faulty: list[Plan] = []
-
-    async def one(plan: Plan) -> None:
-        async with gate:
-            with tempfile.TemporaryDirectory() as folder:
-                found = await Round(plan, Path(folder)).play()
-        if found["faults"]:
-            faulty.append(plan)
-        found["faults"] = [f"round {plan.seed}: {f}" for f in found["faults"]]
-        done.append(found)
-        if not quiet:
-            line = f"\r{len(done)} of {len(plans)} rounds, {len(faulty)} with faults"
-            print(line, end="", file=sys.stderr, flush=True)
-
-    await asyncio.gather(*(one(p) for p in plans))
-    if not quiet:
-        print(file=sys.stderr)
+    done, faulty = await play_all(plans, lambda plan, folder: Round(plan, folder).play(), at_once, quiet)
     whole = sorted(d["whole_s"] for d in done)
     total: dict[str, Any] = {
         "drill": "group", "members": plans[0].members, "observers": plans[0].observers, "rounds": len(plans),
         "seed": plans[0].seed, "whole_s": {"p50": whole[len(whole) // 2], "max": whole[-1]},
-        "replay": [p.text() for p in faulty],
+        "replay": faulty,
     }  # fmt: skip
     for name in ("ops", "claims", "committed", "refused", "unknown"):
         total[name] = sum(d.get(name, 0) for d in done)
@@ -473,12 +455,7 @@
         print(f"standins.drill: {e}", file=sys.stderr)
         return 2
     if not args.json:
-        for name in ("rounds", "ops", "committed", "refused", "unknown", "claims"):
-            print(f"{name:10} {found[name]:8}")
-        for fault in found["faults"][:20]:
-            print("  " + fault)
-        for plan in found["replay"]:
-            print(f"  --replay '{plan}'")
+        tell(found, ("rounds", "ops", "committed", "refused", "unknown", "claims"))
     print(json.dumps(found))
     return 1 if found["faults"] else 0
 
--- a/standins/killstore.py
+++ b/standins/killstore.py
@@ -21,7 +21,6 @@
 import json
 import sqlite3
 import sys
-import tempfile
 from dataclasses import asdict, dataclass, field
 from pathlib import Path
 from random import Random
@@ -33,6 +32,7 @@
 from standins.node import Node
 from standins.pgserver import Cut, PgServer
 from standins.process import Process
+from standins.rounds import play_all, tell
 from standins.world import Failed
 
 WINDOW_S = 8.0
@@ -278,28 +278,11 @@
 
 
 async def rounds(plans: list[Plan], at_once: int, quiet: bool) -> dict[str, Any]:
-    gate = asyncio.Semaphore(at_once)
-    done: list[dict[str, Any]] = []
-    faulty: list[Plan] = []
-
-    async def one(plan: Plan) -> None:
-        async with gate:
-            with tempfile.TemporaryDirectory() as folder:
-                found = await Round(plan, Path(folder)).play()
-        if found["faults"]:
-            faulty.append(plan)
-        found["faults"] = [f"round {plan.seed}: {f}" for f in found["faults"]]
-        done.append(found)
-        if not quiet:
-            print(f"\r{len(done)} of {len(plans)} rounds", end="", file=sys.stderr, flush=True)
-
-    await asyncio.gather(*(one(p) for p in plans))
-    if not quiet:
-        print(file=sys.stderr)
+    done, faulty = await play_all(plans, lambda plan, folder: Round(plan, folder).play(), at_once, quiet)
     first = plans[0]
     total: dict[str, Any] = {
         "killstore": first.store, "gateways": first.gateways, "rounds": len(plans), "seed": first.seed,
-        "replay": [p.text() for p in faulty],
+        "replay": faulty,
     }  # fmt: skip
     for name in ("reports", "confirmed", "refused", "open", "unknown", "broke"):
         total[name] = sum(d[name] for d in done)
@@ -331,12 +314,7 @@
         print(f"standins.killstore: {e}", file=sys.stderr)
         return 2
     if not args.json:
-        for name in ("rounds", "reports", "confirmed", "refused", "broke", "open", "unknown"):
-            print(f"{name:10} {found[name]:8}")
-        for fault in found["faults"][:20]:
-            print("  " + fault)
-        for plan in found["replay"]:
-            print(f"  --replay '{plan}'")
+        tell(found, ("rounds", "reports", "confirmed", "refused", "broke", "open", "unknown"))
     print(json.dumps(found))
     return 1 if found["faults"] else 0
 
