--- a/magpiefront/group/asks.py
+++ b/magpiefront/group/asks.py
@@ -44,6 +44,7 @@
         """Numbers follow `base`, which no process of this member has used."""
         self.seq, self.most = base, most
         self.open: dict[int, Ask] = {}
+        self.placed: dict[int, list[Ask]] = {}  # by index, those that this leader put into its log
         self.unsent: deque[Ask] = deque()  # no leader is known
 
     def add(self, data: bytes, deadline_us: int, then: Then, read: bool = False) -> Ask | None:
@@ -60,11 +61,15 @@
         if ask is not None:
             ask.then(outcome)
 
+    def place(self, ask: Ask, index: int, term: int) -> None:
+        ask.at = index, term
+        self.placed.setdefault(index, []).append(ask)
+
     def overtaken(self, index: int, term: int) -> None:
         """Another entry is committed where this leader had put one: that one never will be."""
-        gone = [a for a in self.open.values() if a.at is not None and a.at[0] == index and a.at[1] != term]
-        for ask in gone:
-            self.end(ask.seq, Outcome(Fate.REFUSED, cause="another leader's entry stands there"))
+        for ask in self.placed.pop(index, ()):
+            if ask.at != (index, term):
+                self.end(ask.seq, Outcome(Fate.REFUSED, cause="another leader's entry stands there"))
 
     def applied(self, index: int) -> None:
         for ask in [a for a in self.open.values() if a.read and 0 <= a.index <= index]:
--- a/magpiefront/group/peer.py
+++ b/magpiefront/group/peer.py
@@ -230,6 +230,7 @@
         if raft.restored is not None:
             self.machines.restore(raft.restored.data)
             self.applied, raft.restored = raft.restored.index, None
+            self.asks.placed.clear()  # their entries are behind the snapshot, and none of them is told
         self.requests.reads_due()
         self._apply()
         starting, mine = self.starting, self.machines.facts.member(self.me)
@@ -287,7 +288,3 @@
 def told(outcome: Outcome) -> facts.Told | None:
     """What the facts answered, where it was committed."""
     return facts.read_told(outcome.value) if outcome.fate is Fate.COMMITTED and outcome.value else None
-
-
-def command(c: facts.Command) -> tuple[str, bytes]:
-    return FACTS, facts.encode(c)
--- a/magpiefront/group/requests.py
+++ b/magpiefront/group/requests.py
@@ -57,7 +57,7 @@
                     elif not raft.propose(ask.data, self.me, ask.seq):
                         self.asks.end(ask.seq, Outcome(Fate.REFUSED, cause="the leader takes nothing now"))
                     else:
-                        ask.at = raft.log.last, raft.term
+                        self.asks.place(ask, raft.log.last, raft.term)
                 elif raft.leader and raft.leader != self.me:
                     m = ReadAsk(seq=ask.seq) if ask.read else Forward(seq=ask.seq, data=ask.data)
                     self.send(raft.leader, m)
