Deal out no port twice: a killed process's port went to another of the same rig

Nothing else listens below the system's range; what was ruled out: outgoing connections (they come from above it) and the relays (they take the system's). A rig of 8 rounds drew ports at random from 16,000 and forgot them, so one that belonged to a process not yet listening, or just killed, could be drawn again; with some 200 draws that is one run in ten. Ports now come from blocks, each once before 500 others were; a block is held by its first port, so that two rigs share none. The benchmark of the group can watch for wrong losses beside a load.

--- a/benchmarks/group.py
+++ b/benchmarks/group.py
@@ -1,6 +1,6 @@
 """What agreement costs, and how soon a loss is seen: over real processes, and in simulated time for many.
 
-    python -m benchmarks.group [--part latency|rest|kills|memory|simulated] [--members 3] [--count N]
+    python -m benchmarks.group [--part latency|rest|kills|memory|simulated|watch] [--members 3] [--count N]
                                [--at-once 4]
 
 latency    a committed command beside one bare SQLite commit of the same bytes and one ask without agreement;
@@ -8,6 +8,7 @@
 rest       messages and processor time of each member with nothing to do
 kills      from SIGKILL of the leader to another one, and to its loss as a committed fact
 memory     of one member after many commands
+watch      COUNT seconds beside a load on all processors: who was taken for lost, elections, late timers
 simulated  messages of each voter with 200 observers, at rest and in the second after the leader's death
 
 One line of JSON last. Times in milliseconds.
@@ -20,9 +21,11 @@
 import json
 import os
 import resource
+import sys
 import tempfile
 import time
 from collections.abc import Awaitable, Callable
+from contextlib import suppress
 from pathlib import Path
 from random import Random
 from typing import Any
@@ -147,6 +150,46 @@
     return {"members": members, **await with_members(members, measure)}
 
 
+def idle_s() -> float:
+    """Of all processors since the machine's start."""
+    return int(Path("/proc/stat").read_text().split(None, 5)[4]) / TICKS
+
+
+async def watch(members: int, seconds: float, load: int) -> dict[str, Any]:
+    """Nobody is killed: each loss is a wrong one, and moves an epoch past 1. `load`: that many processes that
+    only count, at the same priority."""
+    count = (sys.executable, "-c", "while True: pass")
+    burn = [await asyncio.create_subprocess_exec(*count) for _ in range(load)]
+
+    async def measure(r: Round) -> dict[str, Any]:
+        askers = {n: r._asker(n) for n in r.names}
+        began, idle, longest, asked = time.monotonic(), idle_s(), 0.0, 0
+        while time.monotonic() - began < seconds:
+            for asker in askers.values():
+                at = time.monotonic()
+                with suppress(Lost, Turned):
+                    await asker.ask({"do": "put", "key": "watch", "value": "x", "deadline_ms": 5_000}, 6.0)
+                longest, asked = max(longest, time.monotonic() - at), asked + 1
+            if sys.stderr.isatty():
+                print(f"\r{time.monotonic() - began:.0f} of {seconds:.0f} s", end="", file=sys.stderr)
+            await asyncio.sleep(0.2)
+        took = time.monotonic() - began
+        told = [await a.ask({"do": "status"}, 5.0) for a in askers.values()]
+        return {
+            "seconds": round(took), "commands": asked, "longest_ms": round(longest * 1e3),
+            "busy_share": round(1 - (idle_s() - idle) / took / (os.cpu_count() or 1), 4),
+            "epochs": {n: m["epoch"] for n, m in told[0]["members"].items()}, "term": told[0]["term"],
+            "elections": sum(t["elections"] for t in told),
+            "late_timers": sum(t["counts"].get("late", 0) for t in told),
+        }  # fmt: skip
+
+    try:
+        return {"members": members, **await with_members(members, measure)}
+    finally:
+        for p in burn:
+            p.kill()
+
+
 async def one_kill(members: int) -> tuple[float, float]:
     async def measure(r: Round) -> dict[str, Any]:
         await asyncio.sleep(Random().uniform(0, 0.3))
@@ -225,11 +268,12 @@
 
 def main() -> None:
     parser = argparse.ArgumentParser(description=(__doc__ or "").split("\n")[0])
-    parts = ["latency", "rest", "kills", "memory", "simulated"]
+    parts = ["latency", "rest", "kills", "memory", "simulated", "watch"]
     parser.add_argument("--part", choices=parts, default="latency")
     parser.add_argument("--members", type=int, default=3)
     parser.add_argument("--count", type=int, default=0)
     parser.add_argument("--at-once", type=int, default=4)
+    parser.add_argument("--load", type=int, default=os.cpu_count(), help="of watch: processes that count")
     args = parser.parse_args()
     part, count = args.part, args.count
     found: dict[str, Any]
@@ -239,6 +283,8 @@
         found = asyncio.run(rest(args.members, count or 10))
     elif part == "kills":
         found = asyncio.run(kills(args.members, count or 200, args.at_once))
+    elif part == "watch":
+        found = asyncio.run(watch(args.members, count or 3_600, args.load))
     elif part == "memory":
         found = memory(count or 1_000_000)
     else:
--- a/standins/world.py
+++ b/standins/world.py
@@ -9,7 +9,9 @@
 import socket
 import sys
 import tempfile
+from collections import deque
 from collections.abc import Callable
+from contextlib import suppress
 from dataclasses import dataclass, field
 from pathlib import Path
 from random import Random
@@ -23,7 +25,6 @@
 from standins.relay import Relay
 
 ROOT = Path(__file__).resolve().parents[1]
-PORTS = Random(os.urandom(8))  # not the plan's: several worlds run at once
 NAMES = ("west", "east", "north", "south")
 CLASSES = (
     {"name": "level-read", "repeat": "read_like", "sloUs": 250_000, "giveUpUs": 1_000_000, "lateValue": 0.2},
@@ -35,16 +36,50 @@
 DEADLINES = {"level-read": 1.0, "field-report": 2.0, "gauge-reset": 2.0}
 
 
-def free_port() -> int:
-    """A port that nobody holds, below those that the system deals out by itself: one of these could go to
-    somebody's outgoing connection before it is listened on."""
-    while True:
-        with socket.socket() as s:
+class Ports:
+    """Ports below those that the system deals out by itself (one of these could go to somebody's outgoing
+    connection before it is listened on). None is dealt out a second time while `FEW` others have not been: a
+    process that is killed gives its port up for a moment, and wants it back. Other programs keep off a block
+    by its first port, which is bound here to the end."""
+
+    FIRST, LAST, BLOCK, FEW = 16_000, 32_000, 100, 500
+
+    def __init__(self) -> None:
+        self.random = Random(os.urandom(8))  # not the plan's: several worlds run at once
+        self.guards: list[socket.socket] = []
+        self.ports: deque[int] = deque()
+
+    def deal(self) -> int:
+        for _ in range(self.FEW * 2):
+            while len(self.ports) < self.FEW:
+                self._claim()
+            self.ports.rotate(-1)
+            with socket.socket() as s, suppress(OSError):
+                s.bind(("127.0.0.1", self.ports[-1]))
+                return self.ports[-1]
+        raise Failed("no port is free")
+
+    def _claim(self) -> None:
+        blocks = range(self.FIRST, self.LAST, self.BLOCK)
+        for first in self.random.sample(blocks, len(blocks)):
+            guard = socket.socket()
             try:
-                s.bind(("127.0.0.1", PORTS.randrange(16_000, 32_000)))
+                guard.bind(("127.0.0.1", first))
             except OSError:
+                guard.close()
                 continue
-            return int(s.getsockname()[1])
+            self.guards.append(guard)
+            self.ports.extendleft(range(first + 1, first + self.BLOCK))
+            return
+        raise Failed("no block of ports is free")
+
+
+PORTS = Ports()
+
+
+def free_port() -> int:
+    """A port that nobody listens on, for this process to hand to those that it starts. Raises Failed."""
+    return PORTS.deal()
 
 
 @dataclass
