Group: a yes waits for a round, so a new leader need not wait for a whole session

A leader's death became a committed loss only 1.3 s after it (p50), since a new leader waited a whole session from its election for what its predecessor might have granted. A leader says yes now only once a majority has answered a round that began after it heard of the ask: sessions are then over session - election after another one is elected, and no sooner where the lead was handed over. A leader that steps down counts as a voter that heard its own rounds. Followers forget asks from before the change of lead, which the new one took for signs of life.

--- a/magpiefront/group/members.py
+++ b/magpiefront/group/members.py
@@ -11,7 +11,7 @@
 from magpiefront.group.facts import State
 from magpiefront.group.machines import FACTS
 from magpiefront.group.messages import Attested, Conf, Message, Pong, name_of
-from magpiefront.group.sessions import Grants
+from magpiefront.group.sessions import Grants, Waiting
 
 if TYPE_CHECKING:
     from magpiefront.group.peer import Peer
@@ -43,10 +43,20 @@
         if raft.lead is None:
             self.grants = None
         elif self.grants is None or self.term != raft.term:
-            self.grants, self.term = Grants(self.peer.times, now_us), raft.term
+            self.grants, self.term = self._begin(now_us), raft.term
             self.wishes.clear()
             self.proposed.clear()
             self.leaving.clear()
+        if raft.lead is not None and self.grants is not None:
+            for ask in self.grants.due(raft.lead.quorum_round):
+                self._say(ask, now_us)
+
+    def _begin(self, now_us: int) -> Grants:
+        """Voters that were asked to help in spite of a leader that was well have not waited for the end of
+        what it granted."""
+        raft = self.peer.raft
+        credit_us = 0 if raft.handed else self.peer.times.lease_us
+        return Grants(self.peer.times, now_us - credit_us, now_us, "" if raft.handed else raft.before)
 
     # ---- sessions
 
@@ -61,19 +71,25 @@
             return
         if life > known.life:
             self._propose("begin", facts.Begin(member, life), member, known.epoch, now_us)
-        well = known.state is State.WELL and known.life == life
+        self.grants.heard(Waiting(raft.lead.round + 1, by, member, seq, life, now_us))
+
+    def _say(self, ask: Waiting, now_us: int) -> None:
+        """A majority has answered a round that began after the ask was heard."""
+        raft, grants = self.peer.raft, self.grants
+        assert raft.lead is not None and grants is not None
+        known = self.peer.machines.facts.member(ask.member)
         # Nothing is said before all is applied that leaders before this one did.
-        lease = raft.lead.lease(now_us) and self.peer.applied >= raft.lead.begins
+        if known is None or not raft.lead.lease(now_us) or self.peer.applied < raft.lead.begins:
+            return
+        may = grants.say(ask, known.state is State.WELL and known.life == ask.life)
         epoch = known.epoch if known.state is not State.LEFT else -known.epoch
-        ack = self.grants.heard(by, member, seq, well, epoch, lease, now_us)
-        if by == self.peer.me and lease:
-            self.grants.take(by)
-            _, seq, may, epoch = ack
-            if member == self.peer.me:
-                self.peer.session.told(seq, may, epoch)
-            else:
-                m: Message = Pong(seq=seq, may=may, epoch=epoch, leader=self.peer.me)
-                self.peer.out.append((member, m))
+        if ask.by != self.peer.me:
+            grants.acks.setdefault(ask.by, []).append((ask.member, ask.seq, may, epoch))
+        elif ask.member == self.peer.me:
+            self.peer.session.told(ask.seq, may, epoch)
+        else:
+            m: Message = Pong(seq=ask.seq, may=may, epoch=epoch, leader=self.peer.me)
+            self.peer.out.append((ask.member, m))
 
     # ---- what it proposes
 
@@ -97,7 +113,7 @@
             return
         for m in list(self.peer.machines.facts.kept.members.values()):
             if m.state is State.WELL:
-                grants.well_us.setdefault(m.id, now_us)
+                grants.well_us.setdefault(m.id, now_us if grants.looked else grants.began_us)
                 if m.id in self.leaving:
                     grants.closing.add(m.id)
                 if grants.silent(m.id, now_us) and (m.id != self.peer.me or m.id in grants.closing):
@@ -110,6 +126,7 @@
                 grants.closing.discard(m.id)
                 if grants.returned(m.id, m.losses, now_us):
                     self._propose("welcome", facts.Welcome(m.id, m.epoch), m.id, m.epoch, now_us)
+        grants.looked = True
         if raft.settled:
             self._change(now_us)
 
--- a/magpiefront/group/peer.py
+++ b/magpiefront/group/peer.py
@@ -240,6 +240,9 @@
         if self.led != raft.leader:
             self.led = raft.leader
             self.log(f"{raft.leader or 'nobody'} leads in term {raft.term}")
+            self.hearing.take()  # asks of a time before: the next leader would take them for signs of life
+            if raft.leader:
+                self.session.soon(now_us)
         self.members.settle(now_us)
         self.requests.send_all(now_us)
         raft.flush(now_us)
--- a/magpiefront/group/raft.py
+++ b/magpiefront/group/raft.py
@@ -54,6 +54,8 @@
         self.parts_of: tuple[int, int, str] = (0, 0, "")  # index, term, sender
         self.restored: Snapshot | None = None  # to be taken over by who applies
         self.elections = 0
+        self.before = ""  # the last leader that it heard
+        self.handed = False  # did it stand at its leader's own wish?
 
     # ---- what is asked of it
 
@@ -147,11 +149,15 @@
         if self.role is not Role.FOLLOWER:
             self.role = Role.FOLLOWER
             self._rest(now_us)
+        if self.lead is not None:
+            # As a voter it has answered its own rounds: it may not help another sooner than those who did.
+            self.heard_us = max(self.heard_us, self.lead.quorum_us)
         self.lead, self.leader, self.ballot = None, leader, {}
 
     def _stand(self, now_us: int, pre: bool, handed: bool = False) -> None:
         self.role = Role.PRE_CANDIDATE if pre else Role.CANDIDATE
         self.leader, self.ballot = "", {}
+        self.handed = handed
         if not pre:
             self.elections += 1
             self.hard = Hard(self.term + 1, self.me)
@@ -241,6 +247,7 @@
     def _heard(self, sender: str, now_us: int) -> None:
         self._follow(self.term, sender, now_us)
         self.heard_us = now_us
+        self.before = sender
         self._rest(now_us)
 
     # ---- following
--- a/magpiefront/group/sessions.py
+++ b/magpiefront/group/sessions.py
@@ -2,9 +2,11 @@
 
 A member asks any voters; these tell the leader with their answers to its rounds, and its yes comes back the
 same way. So a member that reaches one voter is heard, and it takes silence towards all that the leader hears
-before one is taken for lost. Safety rests on something else: a leader says yes only under its lease, a
-session counts from when its member asked, and "lost" is proposed only once the leader's wait (`free_us`, by
-clocks that differ by `drift` at most) is over; a new leader waits as long from when it was elected.
+before one is taken for lost. Safety rests on something else: a session counts from when its member asked, and
+a leader says yes only once a majority has answered a round that began after it heard of the ask. A majority
+that answered has heard it for `election` before it elects another one, so what is left of sessions then is
+`session - election` at the most: so long a new leader waits (by clocks that differ by `drift` at most), and
+one in office the whole `free_us` from the last ask that it granted.
 """
 
 from __future__ import annotations
@@ -13,6 +15,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 from random import Random
+from typing import NamedTuple
 
 from magpiefront.group.settings import Times
 
@@ -49,6 +52,10 @@
         self.asked_at += 1
         return self.seq, sorted({leader, known[self.asked_at % len(known)]} & set(known))
 
+    def soon(self, now_us: int) -> None:
+        """Another one leads, and has heard nobody yet. Spread, as all asks are."""
+        self.due_us = min(self.due_us, now_us + int(self.times.ping_us * self.random.random() / 2))
+
     def told(self, seq: int, may: bool, epoch: int) -> None:
         if abs(epoch) < self.epoch:
             return
@@ -84,12 +91,26 @@
         return [(member, seq, life) for member, (seq, life) in sorted(heard.items())]
 
 
+class Waiting(NamedTuple):
+    """An ask that a round has to confirm."""
+
+    round: int
+    by: str  # the voter to which it came
+    member: str
+    seq: int
+    life: int
+    heard_us: int
+
+
 @dataclass
 class Grants:
     """The leader's side."""
 
     times: Times
-    began_us: int
+    began_us: int  # sessions that others granted count as granted then
+    elected_us: int = 0
+    before: str = ""  # who led before, and was silent for so long that this one was elected
+    waiting: list[Waiting] = field(default_factory=list)
     yes_us: dict[str, int] = field(default_factory=dict)
     heard_us: dict[str, int] = field(default_factory=dict)
     since_us: dict[str, int] = field(default_factory=dict)  # since when a lost one is heard without a gap
@@ -97,19 +118,26 @@
     closing: set[str] = field(default_factory=set)  # "lost" is proposed: no yes any more
     acks: dict[str, list[Ack]] = field(default_factory=dict)  # by the voter that passes them on
     looked_us: int = 0
-
-    def heard(self, by: str, member: str, seq: int, well: bool, epoch: int, lease: bool, now_us: int) -> Ack:
-        """An ask that came to the voter `by`."""
-        if now_us > self.heard_us.get(member, 0) + self.times.session_us:
-            self.since_us[member] = now_us
-        self.heard_us[member] = now_us
-        may = well and lease and member not in self.closing
+    looked: bool = False  # has it seen who is well?
+
+    def heard(self, ask: Waiting) -> None:
+        if ask.heard_us > self.heard_us.get(ask.member, 0) + self.times.session_us:
+            self.since_us[ask.member] = ask.heard_us
+        self.heard_us[ask.member] = ask.heard_us
+        self.waiting.append(ask)
+
+    def due(self, quorum_round: int) -> list[Waiting]:
+        """Asks that came before a round which a majority has answered."""
+        due = [w for w in self.waiting if w.round <= quorum_round]
+        if due:
+            self.waiting = [w for w in self.waiting if w.round > quorum_round]
+        return due
+
+    def say(self, ask: Waiting, well: bool) -> bool:
+        may = well and ask.member not in self.closing
         if may:
-            self.yes_us[member] = now_us
-        ack = (member, seq, may, epoch)
-        if lease:
-            self.acks.setdefault(by, []).append(ack)
-        return ack
+            self.yes_us[ask.member] = max(self.yes_us.get(ask.member, 0), ask.heard_us)
+        return may
 
     def take(self, by: str) -> list[Ack]:
         return self.acks.pop(by, [])
@@ -122,7 +150,11 @@
         self.looked_us = now_us
 
     def silent(self, member: str, now_us: int) -> bool:
-        """Is its session certainly over? One that has just become well has had no time to ask."""
+        """Is its session certainly over? One that has just become well, or another leader, has had no time to
+        ask."""
+        unheard = member != self.before and member not in self.heard_us
+        if unheard and now_us < self.elected_us + 3 * self.times.ping_us:
+            return False
         last = max(self.began_us, self.yes_us.get(member, 0), self.well_us.get(member, 0))
         return now_us >= last + self.times.free_us
 
--- a/magpiefront/group/settings.py
+++ b/magpiefront/group/settings.py
@@ -12,11 +12,11 @@
 class Times:
     """Each trades the time until a loss is seen against quiet under load: docs/operations/group.md."""
 
-    heartbeat_us: int = 60_000  # of the leader to each voter
-    observer_us: int = 240_000  # ... to each observer
+    heartbeat_us: int = 50_000  # of the leader to each voter
+    observer_us: int = 200_000  # ... to each observer
     election_us: int = 400_000  # least silence of the leader before a voter asks; drawn up to twice that
-    session_us: int = 600_000  # how long a member may act after it asked, once the leader has said yes
-    ping_us: int = 150_000  # of a member for its session
+    session_us: int = 450_000  # how long a member may act after it asked, once the leader has said yes
+    ping_us: int = 110_000  # of a member for its session
     # How much faster one clock may run than another (0.01: 10 ms a second); beyond what crystals do.
     drift: float = 0.01
     margin_us: int = 20_000  # between a session's end by its member's clock and any act on that
--- a/magpiefront/model/safeguards.py
+++ b/magpiefront/model/safeguards.py
@@ -110,6 +110,19 @@
     return [(members_.Members, "_gone", lambda self, id: True)]
 
 
+def _says_at_once() -> list[Patch]:
+    heard = sessions.Grants.heard
+
+    def at_once(self: sessions.Grants, ask: sessions.Waiting) -> None:
+        heard(self, ask._replace(round=0))
+
+    return [(sessions.Grants, "heard", at_once)]
+
+
+def _never_handed() -> list[Patch]:
+    return [(raft.Raft, "handed", property(lambda self: False, lambda self, value: None))]
+
+
 SAFEGUARDS: dict[str, Callable[[], list[Patch]]] = {
     "votes and confirmations only once durable": _votes_at_once,
     "the vote itself is durable": _forgets_its_vote,
@@ -124,8 +137,10 @@
         (lead.Lead, "lease", lambda self, now_us: True),
         (lead.Lead, "alone", lambda self, now_us: False),
     ],
-    "a new leader waits": lambda: [(sessions.Grants, "silent", _does_not_wait)],
+    "a new leader waits": lambda: [(members_.Members, "_begin", _does_not_wait)],
     "an older disk gives its incarnation up": _no_attestation,
+    "a yes waits for a round": _says_at_once,
+    "a lead that was handed over takes no credit": _never_handed,
     "a session is looked at before the act": _epoch_unchecked,
     "a new process holds nothing of the old one": _one_life,
     "what is given back is not held": lambda: [(Peer, "given_up", property(lambda s: {}, lambda s, v: None))],
@@ -143,8 +158,9 @@
     return ordered[max(0, len(ordered) // 2 - 1)]
 
 
-def _does_not_wait(self: sessions.Grants, member: str, now_us: int) -> bool:
-    return now_us >= self.yes_us.get(member, 0) + self.times.free_us
+def _does_not_wait(self: members_.Members, now_us: int) -> sessions.Grants:
+    times, before = self.peer.times, self.peer.raft.before
+    return sessions.Grants(times, now_us - times.free_us, now_us, before)
 
 
 def _reads_at_once(self: requests.Requests, whose: tuple[str, int], now_us: int) -> bool:
