--- a/standins/rounds.py
+++ b/standins/rounds.py
@@ -22,8 +22,8 @@
 
 @asynccontextmanager
 async def own_folder() -> AsyncIterator[Path]:
-    """Removed in a thread: on a slow disk that takes seconds, in which a rig's relays, lists and clients would
-    stand still, and be taken for what they judge."""
+    """Removed in a thread: on a slow disk it takes seconds, in which a rig's relays, lists and clients
+    would stand still, and be taken for what they judge."""
     folder = tempfile.TemporaryDirectory()
     try:
         yield Path(folder.name)
