Take over the reports of a lost proxy by the group's epochs, in place of waiting out its time

A dead owner's row was left alone for its whole time: 3.0 s after a kill. With [group] a row's owner names member and epoch now; one that is well is left alone however slow, one that is over is free at once for those who know, by a compare-and-set on its owner. Who goes first is decided by rendezvous over the members that are well; what clients wait for is taken where they ask. Before each first byte, write and claim the owner's session is looked at; a row's owner tells those who follow it when it is done. A planned end lets go what would not end in time, tells the group so and hands the lead over; the next process of that member is well as soon as it asks.

--- a/magpiefront/__main__.py
+++ b/magpiefront/__main__.py
@@ -164,6 +164,7 @@
                 composition.drain()  # the next one may have ended since
         await asyncio.sleep(0.02)
     if composition is not None:
+        await composition.leave()
         composition.stop()
     discovery.stop()
     admin.stop()
--- a/magpiefront/group/facts.py
+++ b/magpiefront/group/facts.py
@@ -29,6 +29,7 @@
     state: State = State.WELL
     losses: int = 0  # soon after each other
     life: int = 0  # of its process: the next one holds nothing of what this one held
+    ended: int = 0  # the life that has ended as planned
 
 
 class Held(msgspec.Struct):
@@ -47,6 +48,7 @@
     id: str
     epoch: int
     soon: bool
+    ended: int = 0  # its own word, that this life of it ends
 
 
 class Welcome(msgspec.Struct, tag=True):
@@ -160,6 +162,8 @@
                     return Told(False)
                 m.state, m.epoch = State.LOST, m.epoch + 1
                 m.losses = m.losses + 1 if c.soon else 1
+                if c.ended:
+                    m.losses, m.ended = 0, c.ended
                 self._free(c.id)
                 self.kept.changes += 1
                 return Told(True, m.epoch)
--- a/magpiefront/group/members.py
+++ b/magpiefront/group/members.py
@@ -124,7 +124,7 @@
             elif m.state is State.LOST:
                 grants.well_us.pop(m.id, None)
                 grants.closing.discard(m.id)
-                if grants.returned(m.id, m.losses, now_us):
+                if m.life != m.ended and grants.returned(m.id, m.losses, now_us):
                     self._propose("welcome", facts.Welcome(m.id, m.epoch), m.id, m.epoch, now_us)
         grants.looked = True
         if raft.settled:
--- a/magpiefront/group/messages.py
+++ b/magpiefront/group/messages.py
@@ -174,9 +174,16 @@
     voter: bool
 
 
+class Hint(Message, frozen=True, kw_only=True):
+    """Between what others run on the members: may get lost, and nothing is agreed on."""
+
+    topic: str
+    data: bytes
+
+
 AnyMessage = (
     VoteAsk | VoteReply | Append | AppendReply | Part | PartReply | TimeoutNow | Forward | Refusal | ReadAsk
-    | ReadReply | Ping | Pong | Attest | Attested | Join
+    | ReadReply | Ping | Pong | Attest | Attested | Join | Hint
 )  # fmt: skip
 
 
--- a/magpiefront/group/peer.py
+++ b/magpiefront/group/peer.py
@@ -65,6 +65,7 @@
         self.members = Members(self)
         self.given_up: dict[str, int] = {}  # leases, by the epoch under which they were given back
         self.led = ""
+        self.leaving = False
         self.watchers: list[Callable[[], None]] = []
         self.changes = -1
         self.seen: dict[str, State] = {}  # as last told, by id
@@ -90,7 +91,7 @@
         """The epoch under which this member may act at this moment; 0: it may not. To be asked in front of
         each act that only one may do."""
         mine = self.machines.facts.member(self.me)
-        if mine is None or mine.state is not State.WELL or mine.epoch != self.session.epoch:
+        if self.leaving or mine is None or mine.state is not State.WELL or mine.epoch != self.session.epoch:
             return 0
         return mine.epoch if mine.life == self.life and self.session.holds(now_us) else 0
 
@@ -115,6 +116,26 @@
         self.given_up[lease] = epoch
         self.propose(FACTS, facts.encode(facts.Drop(lease, self.me, epoch)), deadline_us, then, now_us)
 
+    def leave(self, deadline_us: int, then: Then, now_us: int) -> None:
+        """A planned end: this process acts no more, and asks for no session. Then its loss is a fact at once,
+        and the next process of this member is well as soon as it asks."""
+        self.leaving = True
+        mine = self.machines.facts.member(self.me)
+        if mine is None or mine.state is not State.WELL:
+            then(Outcome(Fate.REFUSED, cause="it is not well"))
+            return
+        lose = facts.Lose(self.me, mine.epoch, False, self.life)
+        self.propose(FACTS, facts.encode(lose), deadline_us, then, now_us)
+
+    def hand_over(self, now_us: int) -> bool:
+        """To the voter that is well and furthest; False where there is none, or it is under way."""
+        lead = self.raft.lead
+        if lead is None:
+            return False
+        well = [v for v in self.raft.log.conf.voters if v != self.me and self.machines.facts.well(v)]
+        to = max(well, key=lambda v: (lead.others[v].match, v), default="")
+        return bool(to) and self.raft.hand_over(to, now_us)
+
     def watch(self, changed: Callable[[], None]) -> None:
         """Hears of each change among the members, once it is committed and applied here."""
         self.watchers.append(changed)
@@ -210,7 +231,7 @@
     def _ask_session(self, now_us: int) -> None:
         voters = self.raft.log.conf.voters
         seq, whom = self.session.ask(self.raft.leader, voters, now_us)
-        for member in whom:
+        for member in whom if not self.leaving else ():
             if member == self.me:
                 self._pinged(self.me, Ping(seq=seq, life=self.life), now_us)
             else:
--- a/magpiefront/group/seam.py
+++ b/magpiefront/group/seam.py
@@ -42,6 +42,12 @@
 
     def watch(self, changed: Callable[[], None]) -> None: ...
 
+    def tell(self, name: str, topic: str, data: bytes) -> None:
+        """A hint to the member of that name, which may get lost."""
+
+    def hear(self, topic: str, told: Callable[[str, bytes], None]) -> None:
+        """`told` gets the names of those who tell, and what; data that can't be read is its own matter."""
+
 
 class Way(Protocol):
     """To the other members. What can't be sent now is dropped: the newest counts, and nothing waits."""
--- a/magpiefront/group/service.py
+++ b/magpiefront/group/service.py
@@ -6,6 +6,7 @@
 import time
 from collections import Counter
 from collections.abc import Callable
+from contextlib import suppress
 from dataclasses import replace
 from random import Random
 from typing import Any
@@ -15,7 +16,7 @@
 from magpiefront.group.disk import GroupDisk
 from magpiefront.group.facts import Member, State
 from magpiefront.group.machines import Machine
-from magpiefront.group.messages import name_of
+from magpiefront.group.messages import Hint, name_of
 from magpiefront.group.peer import Peer, Stored
 from magpiefront.group.seam import Way
 from magpiefront.group.settings import Address, GroupSettings
@@ -40,6 +41,7 @@
         self.task: asyncio.Task[None] | None = None  # that tries a failed disk again
         self.soon = self.stopped = False
         self.watchers: list[Callable[[], None]] = []
+        self.hearers: dict[str, Callable[[str, bytes], None]] = {}
 
     # ---- life
 
@@ -122,7 +124,12 @@
             self.counts["strangers"] += 1
             return False
         peer = self.peer
-        if peer is None:
+        if isinstance(e.message, Hint):
+            told = self.hearers.get(e.message.topic)
+            self.counts["hints" if told is not None else "hints_unknown"] += 1
+            if told is not None:
+                told(name_of(e.sender), e.message.data)
+        elif peer is None:
             self.counts["while_out"] += 1
         elif e.to in (peer.me, f"{self.settings.member}."):
             peer.receive(e.sender, e.message, self.house.now_us())
@@ -214,6 +221,30 @@
     def watch(self, changed: Callable[[], None]) -> None:
         self.watchers.append(changed)
 
+    def tell(self, name: str, topic: str, data: bytes) -> None:
+        if self.way is not None and self.peer is not None:
+            hint = Hint(topic=topic, data=data)
+            self.way.send(name, wire.frame(self.settings.name, self.peer.me, f"{name}.", hint))
+
+    def hear(self, topic: str, told: Callable[[str, bytes], None]) -> None:
+        self.hearers[topic] = told
+
+    async def leave(self, most_s: float) -> None:
+        """A planned end: nothing is done from now on, the others know so at once, and somebody else leads."""
+        peer, end = self.peer, self.house.loop.time() + most_s
+        if peer is None:
+            return
+        done = asyncio.Event()
+        peer.leave(self.house.now_us() + int(most_s * 1e6), lambda o: done.set(), self.house.now_us())
+        self.wake()
+        with suppress(TimeoutError):
+            async with asyncio.timeout(most_s):
+                await done.wait()
+        while peer is self.peer and peer.leads and self.house.loop.time() < end:
+            if peer.hand_over(self.house.now_us()):
+                self.wake()
+            await asyncio.sleep(0.01)
+
     # ---- for operators
 
     def figures(self) -> str:
--- a/magpiefront/group/sessions.py
+++ b/magpiefront/group/sessions.py
@@ -164,8 +164,11 @@
         return now_us >= max(self.began_us, self.heard_us.get(member, 0)) + 2 * self.times.ping_us
 
     def returned(self, member: str, losses: int, now_us: int) -> bool:
-        """Has one that was lost been heard long enough? Twice as long each time it was lost soon again."""
+        """Has one that was lost been heard long enough? Twice as long each time it was lost soon again; not
+        at all where it had ended as planned."""
         hold = min(self.times.most_hold_us, self.times.hold_us << min(max(0, losses - 1), 16))
+        if not losses:  # it ended as planned
+            hold = 0
         heard = self.heard_us.get(member)
         recent = heard is not None and now_us < heard + 2 * self.times.ping_us + self.times.heartbeat_us
         return recent and now_us >= self.since_us.get(member, now_us) + hold
--- a/magpiefront/net/effects.py
+++ b/magpiefront/net/effects.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Protocol
 
 from magpiefront.interface import Outcome
@@ -23,10 +24,11 @@
 
 
 class Effect:
-    __slots__ = ("attempts", "elsewhere")
+    __slots__ = ("attempts", "elsewhere", "guard")
 
     def __init__(self) -> None:
         self.attempts: list[Traced] = []
+        self.guard: Callable[[], bool] | None = None  # asked in front of each first byte: may it go now?
         self.elsewhere = False  # may it have run where this process can't see it?
 
     @property
--- a/magpiefront/net/traced.py
+++ b/magpiefront/net/traced.py
@@ -1,7 +1,9 @@
-"""Attempts that note themselves in their request's `Effect`, where it carries one."""
+"""Attempts that note themselves in their request's `Effect`, and ask it before they go."""
 
 from __future__ import annotations
 
+import asyncio
+
 from magpiefront.interface import Outcome
 from magpiefront.net import upstream
 from magpiefront.net.effects import effect_of
@@ -24,6 +26,15 @@
     def place(self) -> str:
         return self.node.name
 
+    def message(self) -> list[bytes]:
+        """Nothing, where it may not go any more: asked at this moment, for its connection may have taken
+        long, and the process may have been stopped meanwhile."""
+        effect = effect_of(self.request)
+        if effect is not None and effect.guard is not None and not effect.guard():
+            asyncio.get_running_loop().call_soon(self.end, Outcome.MOOT)
+            return []
+        return super().message()
+
     def report(self, outcome: Outcome, answer: upstream.Answer | None) -> None:
         self.outcome = outcome
         super().report(outcome, answer)
--- a/magpiefront/operator/compose.py
+++ b/magpiefront/operator/compose.py
@@ -31,11 +31,13 @@
 from magpiefront.record.settings import SqliteSettings
 from magpiefront.record.stage import RecordStage, boot_id
 from magpiefront.operator.file import Operator, load
+from magpiefront.takeover.acting import GroupActing
 
 
 if TYPE_CHECKING:
     from magpiefront.record.postgres import PostgresStore
 
+LEAVE_S = 0.4  # of a planned end, for the group to hear of it
 
 def check(path: Path) -> Operator:
     """The file, and what it names on this machine. Raises BadFile."""
@@ -100,7 +102,10 @@
                 from magpiefront.record.postgres import PostgresStore  # the library only where it is used
 
                 self.store = PostgresStore(house, settings.store, settings.most_waiting, boot)
-            self.first = self.record = RecordStage(house, self.first, settings, self.store, boot)
+            acting = GroupActing(self.group) if self.group is not None else None
+            self.first = self.record = RecordStage(
+                house, self.first, settings, self.store, boot, acting=acting
+            )
 
     async def start(self, handed: Mapping[str, socket.socket] | None = None) -> None:
         """With the listening sockets that were handed over, by name; on these nothing is accepted before
@@ -188,6 +193,15 @@
         if self.gateway is not None:
             self.gateway.sweep()
 
+    async def leave(self) -> None:
+        """A planned end: what would not end in time is given to others, and these know at once that they may
+        take it."""
+        if self.group is None:
+            return
+        if self.record is not None:
+            self.record.part()
+        await self.group.leave(LEAVE_S)
+
     def drain(self) -> None:
         if self.gateway is not None:
             self.gateway.drain()
--- a/magpiefront/record/journal.py
+++ b/magpiefront/record/journal.py
@@ -11,10 +11,12 @@
 from collections.abc import Hashable
 from dataclasses import dataclass, field, replace
 
-from magpiefront.record.rows import Answer, Attempt, Id, Moment, Outcome, Result, Row, State
+from magpiefront.record.acting import Acting, Alone, Standing
+from magpiefront.record.rows import UNSURE, Answer, Attempt, Id, Moment, Outcome, Result, Row, State
 
 S = 1_000_000
 ASK_AGAIN_US = 50_000  # a report that another process sends is looked at so often
+FOLLOWED_US = 500_000  # ... where its owner is asked to say when it is done
 RETRY_AFTER_US = 500_000
 
 
@@ -45,6 +47,15 @@
     id: Id
     deadline_us: int
     after_us: int = 0  # not before so much time has passed
+    number: int = 0  # of its entry's look-ups; only the newest counts
+
+
+@dataclass(frozen=True, slots=True)
+class Follow:
+    """The member that owns the row is asked to say when it is done with it."""
+
+    id: Id
+    owner: str
 
 
 @dataclass(frozen=True, slots=True)
@@ -69,7 +80,7 @@
     text: str
 
 
-Action = Insert | Change | Remove | Get | Send | Reply | Note
+Action = Insert | Change | Remove | Get | Follow | Send | Reply | Note
 
 
 class Phase(enum.Enum):
@@ -93,6 +104,8 @@
     until_us: int = 0  # of a delivery that nobody waits for
     outcome: Answer | None = None  # what the clients are told once it is settled
     retry_after_us: int = 0
+    looks: int = 0  # how often it was asked for
+    followed: str = ""  # the owner that was asked to tell
 
     @property
     def deadline_us(self) -> int:
@@ -113,10 +126,15 @@
 class Journal:
     """`boot` names the machine's start."""
 
-    def __init__(self, boot: str, least_left_us: int = 20_000, settle_us: int = 2_000_000) -> None:
+    def __init__(
+        self, boot: str, least_left_us: int = 20_000, settle_us: int = 2_000_000,
+        acting: Acting | None = None,
+    ) -> None:  # fmt: skip
         """`least_left_us`: one with less time left is not sent. `settle_us`: how long a store is tried with
-        an outcome after its clients have gone."""
+        an outcome after its clients have gone. `acting`: who may act, where proxies agree on that."""
         self.boot = boot
+        self.acting = acting or Alone()
+        self.taken = 0  # from owners that were over
         self.least_left_us, self.settle_us = least_left_us, settle_us
         self.entries: dict[Id, Entry] = {}
 
@@ -172,9 +190,9 @@
         entry.phase = Phase.ASKING
         return self._ask(now_us, entry)
 
-    def got(self, now_us: int, id: Id, result: Result) -> list[Action]:
+    def got(self, now_us: int, id: Id, result: Result, number: int | None = None) -> list[Action]:
         entry = self.entries.get(id)
-        if entry is None or entry.phase is not Phase.ASKING:
+        if entry is None or entry.phase is not Phase.ASKING or number not in (None, entry.looks):
             return []
         if result.outcome is not Outcome.DONE:
             return self._ask(now_us, entry)
@@ -182,10 +200,21 @@
             # Nothing is held of it: the insert never was, or another process has freed the key.
             if not self._time_left(now_us, entry):
                 return self._give_up(entry, NOT_HELD, RETRY_AFTER_US)
+            if not self.acting.may(entry.row.owner):
+                return self._give_up(entry, NOT_HELD, RETRY_AFTER_US)
             entry.phase = Phase.INSERTING
             return [Insert(entry.row, entry.deadline_us - self.least_left_us)]
         return self._found(now_us, entry, result.row)
 
+    def look(self, now_us: int, id: Id | None = None) -> list[Action]:
+        """Members have changed, or that one's owner says that it is done with it: what is waited for is asked
+        for at once."""
+        found: list[Action] = []
+        for entry in [e for i, e in self.entries.items() if id in (None, i)]:
+            if entry.phase is Phase.ASKING:
+                found += self._ask(now_us, entry, at_once=True)
+        return found
+
     def _found(self, now_us: int, entry: Entry, row: Row) -> list[Action]:
         if row.digest != entry.row.digest:
             return self._give_up(entry, UNLIKE)
@@ -206,13 +235,16 @@
 
     def _elsewhere(self, now_us: int, entry: Entry, row: Row) -> list[Action]:
         """Another process sends it, or did when it died."""
-        since = self.since_s(now_us, row)
-        if since is not None and since < row.until_s:
+        since, unsure = self.since_s(now_us, row), row.sent is not None and row.sent.boot == UNSURE
+        standing = self.acting.standing(row.owner)
+        if unsure or at_work(row, since, standing):
             entry.phase = Phase.ASKING
-            return self._ask(now_us, entry)
+            return self._ask(now_us, entry, row.owner if standing is Standing.WELL else "")
         if since is not None and since < row.window_s:
             # Its owner is past its time, and the nodes still drop a repeat: it may be sent again.
             return self._take(now_us, entry, row)
+        if not self.acting.may(entry.row.owner):
+            return self._give_up(entry, OPEN, RETRY_AFTER_US)
         entry.phase = Phase.TAKING
         after = replace(row, state=State.UNKNOWN, owner=entry.row.owner)
         return [Change(row, after, now_us + self.settle_us), *self._all(entry, NOBODY_KNOWS)]
@@ -224,9 +256,10 @@
         return max(0.0, now_us / S - row.sent.up_s)
 
     def _take(self, now_us: int, entry: Entry, row: Row) -> list[Action]:
-        if not self._time_left(now_us, entry):
+        if not self._time_left(now_us, entry) or not self.acting.may(entry.row.owner):
             return self._give_up(entry, OPEN, RETRY_AFTER_US)
         entry.phase, entry.origin = Phase.TAKING, row
+        self.taken += self.acting.standing(row.owner) is Standing.OVER
         # The window counts from the first time that it may have gone: never from a later one.
         first = row.sent if row.state is State.SENT else entry.row.sent
         after = replace(
@@ -255,17 +288,31 @@
         entry.phase = Phase.ASKING
         return self._ask(now_us, entry)
 
-    def _ask(self, now_us: int, entry: Entry) -> list[Action]:
+    def _ask(self, now_us: int, entry: Entry, owner: str = "", at_once: bool = False) -> list[Action]:
+        """`owner`: who could say when it is done."""
         if not self._time_left(now_us, entry):
             return self._give_up(entry, OPEN, RETRY_AFTER_US)
-        return [Get(entry.row.id, entry.deadline_us, ASK_AGAIN_US)]
+        entry.looks += 1
+        after_us = 0 if at_once else FOLLOWED_US if owner and owner == entry.followed else ASK_AGAIN_US
+        get = Get(entry.row.id, entry.deadline_us, after_us, entry.looks)
+        if not owner or owner == entry.followed:
+            return [get]
+        entry.followed = owner
+        return [Follow(entry.row.id, owner), get]
 
     def _time_left(self, now_us: int, entry: Entry) -> bool:
         return entry.deadline_us - now_us >= self.least_left_us
 
     # ---- the nodes
 
+    def _lost(self, entry: Entry) -> list[Action]:
+        """Somebody else may act on it by now: what becomes of it is theirs to say, and nothing of it is sent,
+        written or told here. Its clients come again."""
+        return self._give_up(entry, COME_AGAIN, RETRY_AFTER_US)
+
     def _send(self, now_us: int, entry: Entry) -> list[Action]:
+        if not self.acting.may(entry.row.owner):
+            return self._lost(entry)
         if not self._time_left(now_us, entry):
             # Held, and nobody waits long enough: it was not sent, and its key becomes free.
             return self._free(now_us, entry, NOT_HELD, RETRY_AFTER_US)
@@ -291,6 +338,8 @@
     ) -> list[Action]:  # fmt: skip
         """The nodes' answer, or what the Router said in place of one."""
         entry = self.entries[id]
+        if not self.acting.may(entry.row.owner):
+            return self._lost(entry)
         row = replace(entry.row, attempts=(*entry.row.attempts, *attempts))
         if 200 <= answer.status < 300:
             after = replace(row, state=State.CONFIRMED, answer=answer)
@@ -334,6 +383,18 @@
         return [*self._all(entry, entry.outcome, entry.retry_after_us),
                 Note(f"record: a refused report could not be removed: {result.cause}")]  # fmt: skip
 
+    # ---- a planned end
+
+    def part(self, now_us: int) -> list[Action]:
+        """This process ends: what would not end in time is let go, and is anybody's within the window. Nobody
+        is told anything of it: the next try under its key is."""
+        found: list[Action] = []
+        for entry in list(self.entries.values()):
+            if entry.phase is Phase.SENDING and self.acting.may(entry.row.owner):
+                found.append(Change(entry.row, replace(entry.row, until_s=0.0), now_us + self.settle_us))
+            del self.entries[entry.row.id]
+        return found
+
     # ---- what is owed
 
     def deliver(self, now_us: int, row: Row, as_: Row, until_us: int) -> list[Action]:
@@ -399,19 +460,29 @@
     LEAVE = "leave"  # another process may be at work on it, or its client has been told to come again
 
 
-def fate(row: Row, up_s: float, boot: str, round_s: float = 1.0) -> Fate:
+def at_work(row: Row, since_s: float | None, standing: Standing) -> bool:
+    """Is its owner at work on it, or might it be? One that is well is, unless it has let the row go; of one
+    that nobody can tell of, and of this process's own rows, their time tells."""
+    if standing is Standing.WELL:
+        return row.until_s > 0
+    return standing is not Standing.OVER and since_s is not None and since_s < row.until_s
+
+
+def fate(
+    row: Row, up_s: float, boot: str, round_s: float = 1.0, standing: Standing = Standing.UNTOLD
+) -> Fate:  # fmt: skip
     """`up_s`: seconds since the machine's start, now. `round_s`: what a delivery takes at most: one that
     could reach the nodes past the window is not begun."""
     if row.state is State.STORED:
         return Fate.DELIVER
-    if row.state is not State.SENT or row.sent is None:
+    if row.state is not State.SENT or row.sent is None or row.sent.boot == UNSURE:
         return Fate.LEAVE
     if row.sent.boot != boot:
         return Fate.UNKNOWN
     since = up_s - row.sent.up_s
     if since < 0:
         return Fate.UNKNOWN
-    if since < row.until_s or (row.told and since < row.window_s):
+    if at_work(row, since, standing) or (row.told and since < row.window_s):
         return Fate.LEAVE
     return Fate.AGAIN if since + round_s < row.window_s else Fate.UNKNOWN
 
--- a/magpiefront/record/postgres.py
+++ b/magpiefront/record/postgres.py
@@ -254,12 +254,15 @@
 
         self._add(what, deadline_us, then, False)
 
-    def open_rows(self, most: int, then: Callable[[list[Row]], None]) -> None:
+    def open_rows(self, most: int, then: Callable[[list[Row]], None], of: str = "") -> None:
         found: list[Row] = []
 
         async def what(c: Any) -> Result:
-            query = f"{SELECT} WHERE state IN ('stored', 'sent') ORDER BY received_s LIMIT $1::int8"
-            found.extend(self._row(v) for v in await c.fetch(query, most))
+            query = (
+                f"{SELECT} WHERE state IN ('stored', 'sent') AND substr(owner, 1, $1::int4) = $2::text "
+                "ORDER BY received_s LIMIT $3::int8"
+            )
+            found.extend(self._row(v) for v in await c.fetch(query, len(of), of, most))
             return Result(Outcome.DONE)
 
         until_us = self.house.now_us() + self.settings.statement_timeout_us
--- a/magpiefront/record/rows.py
+++ b/magpiefront/record/rows.py
@@ -27,6 +27,9 @@
     key: bytes
 
 
+UNSURE = "?"  # in place of a start: how long ago it was can't be told yet
+
+
 class Moment(NamedTuple):
     """A time that another process can judge: Unix seconds for people, and seconds since the machine's start,
     which no leap of the clock touches; those of two starts are not compared."""
@@ -114,8 +117,9 @@
     def get(self, id: Id, deadline_us: int, then: Then) -> None:
         """DONE with the row, or without one."""
 
-    def open_rows(self, most: int, then: Callable[[list[Row]], None]) -> None:
-        """The oldest that are stored or sent; none where the store can't say."""
+    def open_rows(self, most: int, then: Callable[[list[Row]], None], of: str = "") -> None:
+        """The oldest that are stored or sent, with an owner that begins with `of`; none where the store can't
+        say."""
 
     def sweep(self, before_s: float, most: int, then: Callable[[int], None]) -> None:
         """Removes confirmed rows received before (Unix seconds), `most` at a time; how many went."""
--- a/magpiefront/record/settings.py
+++ b/magpiefront/record/settings.py
@@ -35,3 +35,4 @@
     look_us: int = 1_000_000  # between looks for what is owed
     delivery_us: int = 2_000_000  # of one that nobody waits for
     most_deliveries: int = 4  # at once
+    most_takeovers: int = 16  # ... of what a lost member had in hand
--- a/magpiefront/record/sqlite.py
+++ b/magpiefront/record/sqlite.py
@@ -241,12 +241,15 @@
     def get(self, id: Id, deadline_us: int, then: Then) -> None:
         self._add(lambda db: Result(Outcome.DONE, get_by_id(db, id)), deadline_us, then, False, id=id)
 
-    def open_rows(self, most: int, then: Callable[[list[Row]], None]) -> None:
+    def open_rows(self, most: int, then: Callable[[list[Row]], None], of: str = "") -> None:
         found: list[Row] = []
 
         def what(db: sqlite3.Connection) -> Result:
-            query = f"SELECT {ALL} FROM reports WHERE state IN ('stored', 'sent') ORDER BY received_s LIMIT ?"
-            found.extend(unpack(v) for v in db.execute(query, (most,)))
+            query = (
+                f"SELECT {ALL} FROM reports WHERE state IN ('stored', 'sent') AND substr(owner, 1, ?) = ? "
+                "ORDER BY received_s LIMIT ?"
+            )
+            found.extend(unpack(v) for v in db.execute(query, (len(of), of, most)))
             return Result(Outcome.DONE)
 
         until_us = self.house.now_us() + int(BUSY_S * 1e6)
--- a/magpiefront/record/stage.py
+++ b/magpiefront/record/stage.py
@@ -5,6 +5,7 @@
 import asyncio
 import itertools
 import time
+from collections import Counter
 from collections.abc import Callable, Sequence
 from dataclasses import replace
 from hashlib import blake2b
@@ -17,14 +18,17 @@
 from magpiefront.net.fields import lines, read_lines
 from magpiefront.net.request import Request, Stage
 from magpiefront.record import journal
+from magpiefront.record.acting import Acting, Alone, Standing
 from magpiefront.record.journal import (
-    Action, Change, Fate, Get, Insert, Journal, Note, Pace, Remove, Reply, Send,
+    Action, Change, Fate, Follow, Get, Insert, Journal, Note, Pace, Phase, Remove, Reply, Send,
 )  # fmt: skip
 from magpiefront.record.rows import Answer, Attempt, Id, Moment, Result, Row, State, Store
 from magpiefront.record.settings import RecordSettings
 
 BOOT_ID = Path("/proc/sys/kernel/random/boot_id")
 LOOK = 200  # rows at one look
+TURN_S = 0.1  # between looks for what others have not come to
+KNOWN_US = 60_000_000  # how long it is kept since when an owner is over
 SWEEP_US, SWEEP_ROWS = 60_000_000, 500
 IN_MORE = frozenset({b"idempotency-key", b"content-type"})  # as Request.check leaves it
 KEEP_OUT = frozenset({b"connection", b"content-length", b"transfer-encoding", b"host", b"expect"})
@@ -45,16 +49,28 @@
     return h.digest()
 
 
+def in_turn(found: list[Row], up_us: int) -> list[Row]:
+    """Those whose clients may still wait first, by the time that these have left; then the oldest."""
+
+    def left_s(row: Row) -> float:
+        return row.sent.up_s + row.until_s - up_us / 1e6 if row.sent is not None else 0.0
+
+    waited = sorted((r for r in found if left_s(r) > 0), key=left_s)
+    return waited + [r for r in found if left_s(r) <= 0]
+
+
 class RecordStage:
     def __init__(
         self, house: Host, following: Stage, settings: RecordSettings, store: Store,
         boot: str = "", wall: Callable[[], float] = time.time,
-        up_us: Callable[[], int] = lambda: time.monotonic_ns() // 1_000,
+        up_us: Callable[[], int] = lambda: time.monotonic_ns() // 1_000, acting: Acting | None = None,
     ) -> None:  # fmt: skip
         self.house, self.following, self.settings, self.store = house, following, settings, store
         self.wall, self.up_us = wall, up_us
         self.boot = boot or boot_id()
-        self.journal = Journal(self.boot, settings.least_left_us, settings.settle_us)
+        self.acting = acting or Alone()
+        self.journal = Journal(self.boot, settings.least_left_us, settings.settle_us, self.acting)
+        self.acting.watch(self._members_changed, lambda id: id in self.journal.entries)
         self.start, self.count = token_hex(8), itertools.count(1)
         self.clients: dict[Request, Id] = {}
         self.timers: dict[Request, asyncio.TimerHandle] = {}
@@ -62,9 +78,12 @@
         self.long: dict[Request, tuple[int, bytes, list[bytes], int]] = {}  # answers that come in parts
         self.now_lag_us = house.now_us() - self.up_us()
         self.pace = Pace(settings.most_deliveries)
-        self.deliveries: dict[Id, None] = {}
+        self.taking = Pace(settings.most_takeovers)  # what a lost member had in hand: its clients wait
+        self.deliveries: dict[Id, Pace] = {}
+        self.over: dict[str, int] = {}  # owners that are over, and since when this process knows
         self.swept_us = 0
         self.timer: asyncio.TimerHandle | None = None
+        self.again: asyncio.TimerHandle | None = None
 
     # ---- the stage
 
@@ -80,6 +99,10 @@
         if r.size > self.settings.most_body:
             self._say(r, journal.plain(413, f"a report holds {self.settings.most_body} bytes at most"))
             return
+        if self.acting.prefix() is None:
+            # Nobody knows whether this proxy would be alone with it: nothing is taken, and nothing confirmed.
+            self._refuse(r)
+            return
         row = self._row(r, cls)
         deadline_us = r.taken_at + r.time_left - self.now_lag_us
         self.clients[r] = row.id
@@ -140,6 +163,8 @@
                     self.store.remove(a.before, until, self._then_removed(a.before.id))
                 case Get():
                     self.house.loop.call_later(a.after_us / 1e6, self._get, a)
+                case Follow():
+                    self.acting.follow(a.owner, a.id, self._settled_elsewhere)
                 case Send():
                     self._send(a)
                 case Reply():
@@ -156,17 +181,36 @@
     def _then_changed(self, after: Row) -> Callable[[Result], None]:
         def then(result: Result) -> None:
             self._do(self.journal.changed(self.up_us(), after.id, after, result))
+            self._done_with(after.id)
             if self.deliveries:
                 self._settle_deliveries()
 
         return then
 
     def _then_removed(self, id: Id) -> Callable[[Result], None]:
-        return lambda result: self._do(self.journal.removed(self.up_us(), id, result))
+        def then(result: Result) -> None:
+            self._do(self.journal.removed(self.up_us(), id, result))
+            self._done_with(id)
+
+        return then
+
+    def _done_with(self, id: Id) -> None:
+        if id not in self.journal.entries:
+            self.acting.settled(id)
 
     def _get(self, a: Get) -> None:
-        self.store.get(a.id, self._house_us(a.deadline_us),
-                       lambda result: self._do(self.journal.got(self.up_us(), a.id, result)))  # fmt: skip
+        def got(result: Result) -> None:
+            self._do(self.journal.got(self.up_us(), a.id, result, a.number))
+
+        self.store.get(a.id, self._house_us(a.deadline_us), got)
+
+    def _settled_elsewhere(self, id: Id) -> None:
+        self._do(self.journal.look(self.up_us(), id))
+
+    def _refuse(self, r: Request) -> None:
+        after_us = min(journal.RETRY_AFTER_US, self.house.most_retry_after_us)
+        more = journal.NOT_HELD.more + (b"Retry-After: %.3f\r\n" % (after_us / 1e6) if after_us else b"")
+        self._say(r, Answer(journal.NOT_HELD.status, more, journal.NOT_HELD.body))
 
     def _reply(self, a: Reply) -> None:
         r = a.waiter
@@ -192,44 +236,94 @@
         self.store.open_rows(LOOK, self._look)
 
     def stop(self) -> None:
-        if self.timer is not None:
-            self.timer.cancel()
+        for timer in (self.timer, self.again):
+            if timer is not None:
+                timer.cancel()
 
     def _look(self, found: list[Row]) -> None:
         up_us = self.up_us()
-        for row in found:
-            what = journal.fate(row, up_us / 1e6, self.boot, self.settings.delivery_us / 1e6)
-            if what is Fate.UNKNOWN:
-                self._do(self.journal.forget(up_us, row, self._owner()))
-            elif what in (Fate.AGAIN, Fate.DELIVER) and self.pace.may(up_us):
-                self._deliver(up_us, row)
+        self._see_to(found, up_us)
         if up_us - self.swept_us > SWEEP_US:
             self.swept_us = up_us
             self.store.sweep(self.wall() - self.settings.retention_s, SWEEP_ROWS, self._swept)
         self.timer = self.house.loop.call_later(self.settings.look_us / 1e6, self.begin_looking)
 
+    def _see_to(self, found: list[Row], up_us: int) -> None:
+        if self.acting.prefix() is None:
+            return
+        seen = dict[str, int]()
+        for row in in_turn(found, up_us):
+            standing = self.acting.standing(row.owner)
+            pace = self.pace
+            if standing is Standing.OVER:
+                pace = self.taking
+                seen[row.owner] = self.over.get(row.owner, up_us)
+                if up_us < seen[row.owner] + self.acting.turn_us(row.id):
+                    continue
+            what = journal.fate(row, up_us / 1e6, self.boot, self.settings.delivery_us / 1e6, standing)
+            if what is Fate.UNKNOWN:
+                self._do(self.journal.forget(up_us, row, self._owner()))
+            elif what in (Fate.AGAIN, Fate.DELIVER) and pace.may(up_us):
+                self._deliver(up_us, row, pace)
+        self.over = seen | {o: at for o, at in self.over.items() if up_us < at + KNOWN_US}
+
+    def _members_changed(self, of: list[str]) -> None:
+        """What they had in hand is looked for at once, and what clients wait for here."""
+        self._do(self.journal.look(self.up_us()))
+        for prefix in of:
+            self.store.open_rows(LOOK, self._look_taken, prefix)
+
+    def _look_taken(self, found: list[Row]) -> None:
+        up_us = self.up_us()
+        self._see_to(found, up_us)
+        left = [r for r in found if r.id not in self.journal.entries and r.owner in self.over]
+        if left and self.again is None:
+            self.again = self.house.loop.call_later(TURN_S, self._look_again, {r.owner for r in left})
+
+    def _look_again(self, owners: set[str]) -> None:
+        """Those whose share it was have not come to it."""
+        self.again = None
+        for owner in owners:
+            if self.acting.standing(owner) is Standing.OVER:
+                self.store.open_rows(LOOK, self._look_taken, owner)
+
     def _swept(self, gone: int) -> None:
         if gone == SWEEP_ROWS:
             self.swept_us = 0  # more are there: at the next look
 
-    def _deliver(self, up_us: int, row: Row) -> None:
+    def _deliver(self, up_us: int, row: Row, pace: Pace) -> None:
         wall_s, delivery_us = self.wall(), self.settings.delivery_us
         until_s = (delivery_us + self.settings.settle_us) / 1e6
         as_ = replace(row, owner=self._owner(), sent=Moment(wall_s, self.boot, up_us / 1e6), until_s=until_s)
         actions = self.journal.deliver(up_us, row, as_, up_us + delivery_us)
         if actions:
-            self.pace.begin()
-            self.deliveries[row.id] = None
+            pace.begin()
+            self.deliveries[row.id] = pace
             self._do(actions)
 
     def _owner(self) -> str:
-        return f"{self.start}.{next(self.count)}"
+        return f"{self.acting.prefix() or ''}{self.start}.{next(self.count)}"
 
     def _settle_deliveries(self) -> None:
         """Of those that have ended; one that was never sent has not been refused either."""
         for id in [i for i in self.deliveries if i not in self.journal.entries]:
-            del self.deliveries[id]
-            self.pace.end(self.up_us(), True)
+            self.deliveries.pop(id).end(self.up_us(), True)
+
+    # ---- a planned end
+
+    @property
+    def in_hand(self) -> dict[str, int]:
+        """How many reports are in which phase here."""
+        found = Counter(e.phase.value for e in self.journal.entries.values())
+        return {p.value: found[p.value] for p in Phase}
+
+    def part(self) -> None:
+        """What would not end in time is others' from now on; its clients hear nothing from this process."""
+        for r in list(self.clients):
+            del self.clients[r]
+            self.timers.pop(r).cancel()
+            r.replies.cut(r)
+        self._do(self.journal.part(self.up_us()))
 
     # ---- the nodes
 
@@ -248,6 +342,9 @@
         # As from a front: the stages behind add what else goes on, and it must not go twice.
         twin.more = lines(f for f in twin.fields if f[0].lower() in IN_MORE)
         twin.effect = Effect()
+        # Between this and the first byte to a node may be a queue, a connection and a pause of the process.
+        until_up_us = int((row.sent.up_s if row.sent is not None else 0) * 1e6 + row.window_s * 1e6)
+        twin.effect.guard = lambda: self.acting.may(row.owner) and self.up_us() < until_up_us
         twin.body, twin.size = ([row.body], len(row.body)) if row.body else ([], 0)
         twin.taken_at = self.house.now_us()
         twin.time_left = max(0, self._house_us(a.deadline_us) - twin.taken_at)
@@ -256,13 +353,14 @@
 
     def _ended(self, request: Request, status: int, more: bytes, body: bytes) -> None:
         id = self.twins.pop(request)
+        if id not in self.journal.entries:
+            return  # it was let go
         kept = body if len(body) <= self.settings.most_answer else b""
         effect = request.effect
         attempts = tuple(Attempt(a.place, a.sent_at / 1e6) for a in effect.attempts)
         answer = Answer(status, more, kept)
         if id in self.deliveries:
-            del self.deliveries[id]
-            self.pace.end(self.up_us(), 200 <= status < 300)
+            self.deliveries.pop(id).end(self.up_us(), 200 <= status < 300)
         self._do(self.journal.answered(self.up_us(), id, answer, effect.may_have_run, attempts))
 
     def answer(self, request: Request, status: int, body: Sequence[bytes] = (), more: bytes = b"") -> None:
--- a/standins/drill.py
+++ b/standins/drill.py
@@ -25,9 +25,11 @@
 import sys
 import time
 from collections import Counter
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import asdict, dataclass
 from pathlib import Path
 from random import Random
+from types import MappingProxyType
 from typing import Any
 
 from standins.discovery import Discovery
@@ -69,14 +71,18 @@
     members: int = 3
     observers: int = 0
     faults: tuple[Fault, ...] = ()
+    work: str = ""  # the store of record of rounds in which reports are taken over
 
     @classmethod
-    def draw(cls, seed: int, members: int, observers: int = 0) -> Plan:
+    def draw(
+        cls, seed: int, members: int, observers: int = 0, work: str = "",
+        kinds: Mapping[str, int] = MappingProxyType(KINDS),
+    ) -> Plan:  # fmt: skip
         r = Random(f"{seed} {members}")
         faults: list[Fault] = []
         gone = (members - 1) // 2  # voters that are lost for good or taken out: a majority has to be left
         for _ in range(r.randint(1, 4)):
-            kind = r.choices(list(KINDS), list(KINDS.values()))[0]
+            kind = r.choices(list(kinds), list(kinds.values()))[0]
             if kind in ("put back", "wipe", "remove"):
                 if not gone:
                     continue
@@ -84,7 +90,7 @@
             count = {"cut": r.randint(1, max(1, members // 2)), "bridge": min(2, members)}.get(kind, 1)
             who, at_s = tuple(r.sample(range(members), count)), round(r.uniform(0.2, LENGTH_S), 3)
             faults.append(Fault(at_s, kind, who, round(10 ** r.uniform(-1.3, 0.4), 3)))
-        return cls(seed, members, observers, tuple(sorted(faults, key=lambda f: f.at_s)))
+        return cls(seed, members, observers, tuple(sorted(faults, key=lambda f: f.at_s)), work)
 
     @classmethod
     def read(cls, text: str) -> Plan:
@@ -128,6 +134,9 @@
 
 
 class Round:
+    settings = SETTINGS
+    work_s = LENGTH_S
+
     def __init__(self, plan: Plan, folder: Path, relayed: bool = True) -> None:
         """Without relays there are no faults of the net, and nothing between members that costs time."""
         self.plan, self.folder, self.relayed = plan, folder, relayed
@@ -159,33 +168,45 @@
             (self.folder / p.operator).write_text(
                 f'[site]\nname = "west"\n[group]\nmember = "{p.name}"\npath = "{p.name}/group.sqlite"\n'
                 f'voters = {voters}\nlisten = "127.0.0.1:{self.listens[p.name]}"\ntls = {{ plain = true }}\n'
-                f"[group.limits]\ncompact = 60\nkeep = 20\n[group.members]\n{members}\n"
+                f"[group.limits]\ncompact = 60\nkeep = 20\n[group.members]\n{members}\n{self.tables()}"
             )
             p.config.write_text(json.dumps({
                 "name": p.name, "listen": f"127.0.0.1:{p.port}", "seed": p.name.encode().hex(),
                 "discovery": f"127.0.0.1:{self.discovery.port}",
-                "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 512}, "settings": SETTINGS,
+                "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 512}, "settings": self.settings,
             }))  # fmt: skip
 
+    def tables(self) -> str:
+        """More of the operator's file."""
+        return ""
+
+    def begin(self) -> list[asyncio.Task[None]]:
+        """What goes on beside the faults, until `over`."""
+        work = [asyncio.create_task(self._client(n)) for n in range(3)]
+        return work + [asyncio.create_task(self._leases(n)) for n in range(len(self.names))]
+
+    async def last(self) -> None:
+        """Once all is whole again and nobody asks any more."""
+        await self._last_reads()
+
     async def play(self) -> dict[str, Any]:
         faults: list[str] = []
         try:
             await self.prepare()
             await asyncio.gather(*(p.spawn() for p in self.processes))
             await self._until_whole("at the start")
-            work = [asyncio.create_task(self._client(n)) for n in range(3)]
-            work += [asyncio.create_task(self._leases(n)) for n in range(len(self.names))]
+            work = self.begin()
             begin = time.monotonic()
             strikes = [asyncio.create_task(self._strike(f, begin)) for f in self.plan.faults]
             await asyncio.gather(*strikes)
-            await asyncio.sleep(max(0.0, begin + LENGTH_S - time.monotonic()))
+            await asyncio.sleep(max(0.0, begin + self.work_s - time.monotonic()))
             await self._heal()
             healed = time.monotonic()
             await self._until_whole("after the last fault")
             self.whole_s = time.monotonic() - healed
             self.over = True
             await asyncio.gather(*work)
-            await self._last_reads()
+            await self.last()
         except Failed as e:
             faults.append(str(e))
         finally:
@@ -269,6 +290,10 @@
                 await self._of_leader({"do": "bar", "name": first.name, "out": False})
             case "lead":
                 await self._of_leader({"do": "lead", "to": first.name})
+            case "end":
+                await first.end()
+                await asyncio.sleep(f.lasts_s)
+                await first.spawn()
             case _:
                 raise Failed(f"unknown fault {f.kind}")
 
@@ -417,22 +442,27 @@
         )
 
 
-async def rounds(plans: list[Plan], at_once: int, quiet: bool) -> dict[str, Any]:
-    done, faulty = await play_all(plans, lambda plan, folder: Round(plan, folder).play(), at_once, quiet)
+COUNTED = ("ops", "claims", "committed", "refused", "unknown")
+
+
+async def rounds(
+    plans: list[Plan], at_once: int, quiet: bool, kind: type[Round] = Round, counted: Sequence[str] = COUNTED
+) -> dict[str, Any]:  # fmt: skip
+    done, faulty = await play_all(plans, lambda plan, folder: kind(plan, folder).play(), at_once, quiet)
     whole = sorted(d["whole_s"] for d in done)
     total: dict[str, Any] = {
-        "drill": "group", "members": plans[0].members, "observers": plans[0].observers, "rounds": len(plans),
-        "seed": plans[0].seed, "whole_s": {"p50": whole[len(whole) // 2], "max": whole[-1]},
-        "replay": faulty,
+        "drill": plans[0].work or "group", "members": plans[0].members, "observers": plans[0].observers,
+        "rounds": len(plans), "seed": plans[0].seed,
+        "whole_s": {"p50": whole[len(whole) // 2], "max": whole[-1]}, "replay": faulty,
     }  # fmt: skip
-    for name in ("ops", "claims", "committed", "refused", "unknown"):
+    for name in counted:
         total[name] = sum(d.get(name, 0) for d in done)
     total["faults"] = [f for d in done for f in d["faults"]]
     return total
 
 
-def main() -> int:
-    parser = argparse.ArgumentParser("standins.drill", description=(__doc__ or "").split("\n")[0])
+def arguments(name: str, doc: str) -> argparse.ArgumentParser:
+    parser = argparse.ArgumentParser(name, description=doc.split("\n")[0])
     parser.add_argument("--members", type=int, default=3, help="that vote")
     parser.add_argument("--observers", type=int, default=0)
     parser.add_argument("--rounds", type=int, default=10)
@@ -440,25 +470,37 @@
     parser.add_argument("--at-once", type=int, default=4)
     parser.add_argument("--json", action="store_true", help="only the last line, for programs")
     parser.add_argument("--replay", metavar="PLAN", help="a plan as a faulty round prints it")
+    return parser
+
+
+def run(
+    parser: argparse.ArgumentParser, kind: type[Round] = Round, counted: Sequence[str] = COUNTED,
+    draw: Callable[[argparse.Namespace, int], Plan] | None = None,
+) -> int:  # fmt: skip
+    """The exit status."""
     args = parser.parse_args()
     if args.rounds < 1 or not 1 <= args.members <= 9 or args.observers < 0 or args.at_once < 1:
         parser.error("--rounds and --at-once are 1 at least, --members from 1 to 9")
     try:
-        plans = [Plan.draw(args.seed + n, args.members, args.observers) for n in range(args.rounds)]
+        seeds = range(args.seed, args.seed + args.rounds)
+        if draw is not None:
+            plans = [draw(args, n) for n in seeds]
+        else:
+            plans = [Plan.draw(n, args.members, args.observers) for n in seeds]
         if args.replay is not None:
             plans = [Plan.read(args.replay)]
     except (ValueError, TypeError, KeyError) as e:
         parser.error(f"--replay: {e}")
     try:
-        found = asyncio.run(rounds(plans, args.at_once, args.json))
+        found = asyncio.run(rounds(plans, args.at_once, args.json, kind, counted))
     except Failed as e:
-        print(f"standins.drill: {e}", file=sys.stderr)
+        print(f"{parser.prog}: {e}", file=sys.stderr)
         return 2
     if not args.json:
-        tell(found, ("rounds", "ops", "committed", "refused", "unknown", "claims"))
+        tell(found, ("rounds", *counted))
     print(json.dumps(found))
     return 1 if found["faults"] else 0
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(run(arguments("standins.drill", __doc__ or "")))
--- a/standins/killstore.py
+++ b/standins/killstore.py
@@ -19,19 +19,18 @@
 import argparse
 import asyncio
 import json
-import sqlite3
 import sys
-from dataclasses import asdict, dataclass, field
+from dataclasses import asdict, dataclass
 from pathlib import Path
 from random import Random
 from typing import Any
 
-from standins import http
 from standins.archive import Archive
 from standins.discovery import Discovery
 from standins.node import Node
 from standins.pgserver import Cut, PgServer
 from standins.process import Process
+from standins.reports import Clients, Held, Report, ask, held, judge, quiet
 from standins.rounds import play_all, tell
 from standins.world import Failed
 
@@ -56,21 +55,6 @@
 }
 
 
-@dataclass
-class Report:
-    key: str
-    body: bytes
-    statuses: list[int] = field(default_factory=list)  # 0: no answer
-
-    @property
-    def confirmed(self) -> bool:
-        return 200 in self.statuses
-
-    @property
-    def refused(self) -> bool:
-        return bool(self.statuses) and set(self.statuses) == {503}
-
-
 @dataclass(frozen=True)
 class Kill:
     after_s: float  # since the last one was up again
@@ -125,8 +109,7 @@
         self.node = Node("west-0", self.archive, plan.seed, slow_share=0.1, slow_s=0.15)
         self.discovery = Discovery()
         self.gateways = [Process(f"k{n}", folder, "operator.toml") for n in range(plan.gateways)]
-        self.reports: list[Report] = []
-        self.over = False
+        self.clients = Clients(plan.seed, self.gateways, plan.moves)
 
     async def prepare(self) -> None:
         """All but the gateway."""
@@ -152,7 +135,7 @@
         await self.prepare()
         try:
             await asyncio.gather(*(g.start() for g in self.gateways))
-            clients = [asyncio.create_task(self._client(n)) for n in range(self.plan.clients)]
+            clients = [asyncio.create_task(self.clients.client(n)) for n in range(self.plan.clients)]
             for kill in self.plan.kills:
                 await asyncio.sleep(kill.after_s)
                 if kill.what < 0:
@@ -164,9 +147,9 @@
                     await self.gateways[kill.what].kill()
                     await self.gateways[kill.what].start()
             await asyncio.sleep(self.plan.rest_s)
-            self.over = True
+            self.clients.over = True
             await asyncio.gather(*clients)
-            await self._quiet()
+            await quiet(self.held)
         finally:
             await self.end()
         return self.judge()
@@ -186,95 +169,14 @@
             if self.commits in self.cuts:
                 raise Cut
 
-    async def _quiet(self) -> None:
-        """Until what is owed has been delivered, or is unknown."""
-        for _ in range(1_000):
-            if not any(state in ("stored", "sent") for _, state, _ in self.held()):
-                return
-            await asyncio.sleep(0.05)
-
-    async def _client(self, number: int) -> None:
-        n = 0
-        random = Random(f"{self.plan.seed} {number}")
-        at = self.gateways[number % len(self.gateways)]
-        while not self.over:
-            n += 1
-            report = Report(f"c{number}-{n}", f"level={number}.{n}".encode())
-            self.reports.append(report)
-            tries = 0
-            while not report.confirmed and tries < 40:
-                tries += 1
-                if random.random() < self.plan.moves:
-                    at = random.choice(self.gateways)
-                status, after_s = await self.ask(report, at)
-                report.statuses.append(status)
-                if status == 503 and (self.over or n % 7 == 0):
-                    break  # some clients take a refusal for an answer
-                if status != 200:
-                    await asyncio.sleep(after_s)
+    def held(self) -> Held:
+        return held(self.folder, self.pg)
 
     async def ask(self, report: Report, at: Process) -> tuple[int, float]:
-        """Its status, 0 where no answer came, and when to come again (seconds)."""
-        try:
-            async with asyncio.timeout(4):
-                reader, writer = await asyncio.open_connection("127.0.0.1", at.port)
-                try:
-                    name = f"{report.key}-{len(report.statuses)}"
-                    writer.write((
-                        f"PUT /api/g-{report.key} HTTP/1.1\r\nHost: x\r\nReq-Id: {name}\r\n"
-                        f"Req-Kind: field-report\r\nReq-Owner: members\r\n"
-                        f"Req-Deadline: 2.0\r\nIdempotency-Key: {report.key}\r\n"
-                        f"Content-Length: {len(report.body)}\r\nConnection: close\r\n\r\n"
-                    ).encode() + report.body)  # fmt: skip
-                    m = await http.read(reader)
-                finally:
-                    writer.close()
-        except (OSError, TimeoutError, asyncio.IncompleteReadError, http.Bad, http.Cut):
-            return 0, 0.05
-        return int(m.start.split(" ")[1]), min(0.2, float(m.headers.get("retry-after", "0.05")))
-
-    def held(self) -> list[tuple[str, str, bytes]]:
-        if self.pg is not None:
-            found = self.pg.db.execute("SELECT key, state, body FROM reports").fetchall()
-            return [(bytes(key).decode(), state, bytes(body)) for key, state, body in found]
-        db = sqlite3.connect(f"file:{self.folder / 'record.sqlite'}?mode=ro", uri=True, timeout=5)
-        try:
-            found = db.execute("SELECT key, state, body FROM reports").fetchall()
-        finally:
-            db.close()
-        return [(key.decode(), state, body) for key, state, body in found]
+        return await ask(report, at.port)
 
     def judge(self) -> dict[str, Any]:
-        return judge(self.reports, self.held(), self.archive.effects)
-
-
-def judge(
-    reports: list[Report], held: list[tuple[str, str, bytes]], effects: dict[str, int]
-) -> dict[str, Any]:  # fmt: skip
-    """`faults` is empty where the rules hold."""
-    faults: list[str] = []
-    rows: dict[str, list[tuple[str, bytes]]] = {}
-    for key, state, body in held:
-        rows.setdefault(key, []).append((state, body))
-    for r in reports:
-        there = rows.get(r.key, [])
-        if len(there) > 1:
-            faults.append(f"{r.key} is held {len(there)} times")
-        if r.confirmed and there != [("confirmed", r.body)]:
-            faults.append(f"{r.key} was confirmed and is held as {there}")
-        if r.confirmed and effects.get(r.key, 0) != 1:
-            faults.append(f"{r.key} was confirmed and had {effects.get(r.key, 0)} effects")
-        if r.refused and there and not effects.get(r.key):
-            faults.append(f"{r.key} was refused, never ran, and is held as {there[0][0]}")
-    faults += [f"{key} had {n} effects" for key, n in effects.items() if n > 1]
-    known = {r.key for r in reports}
-    faults += [f"{key} is held and nobody sent it" for key in rows if key not in known]
-    states = [state for there in rows.values() for state, _ in there]
-    return {
-        "reports": len(reports), "confirmed": sum(r.confirmed for r in reports),
-        "refused": sum(r.refused for r in reports), "open": states.count("sent") + states.count("stored"),
-        "unknown": states.count("unknown"), "broke": sum(0 in r.statuses for r in reports), "faults": faults,
-    }  # fmt: skip
+        return judge(self.clients.reports, self.held(), self.archive.effects)
 
 
 async def rounds(plans: list[Plan], at_once: int, quiet: bool) -> dict[str, Any]:
--- a/tests/record/test_killstore.py
+++ b/tests/record/test_killstore.py
@@ -6,7 +6,8 @@
 
 import pytest
 
-from standins.killstore import Plan, Report, judge, rounds
+from standins.killstore import Plan, rounds
+from standins.reports import Report, judge
 
 FINE = Report("a", b"1", [0, 200])
 HELD = [("a", "confirmed", b"1")]
--- a/tests/record/test_steps.py
+++ b/tests/record/test_steps.py
@@ -7,7 +7,8 @@
 
 import pytest
 
-from standins.killstore import Plan, Report, Round
+from standins.killstore import Plan, Round
+from standins.reports import Report, quiet
 from tests.record.crashing import POINTS
 
 
@@ -37,7 +38,7 @@
         g.program = ["-m", "tests.record.crashing", point]
         await g.start()
         report = Report("k1", b"level=3.2")
-        r.reports.append(report)
+        r.clients.reports.append(report)
         status, _ = await r.ask(report, g)
         report.statuses.append(status)
         assert g.process is not None
@@ -56,7 +57,7 @@
             if status == 200:
                 break
             await asyncio.sleep(after_s)
-        await r._quiet()
+        await quiet(r.held)
         found = r.judge()
         if found["faults"] or found["confirmed"] != 1 or found["open"] or found["unknown"]:
             return str(found)
