A third store of record: the group itself

For sites with three boxes and no common disk: reports are rows of a state machine of the group's log, confirmed once a majority holds their outcome.

--- a/magpiefront/__main__.py
+++ b/magpiefront/__main__.py
@@ -192,11 +192,15 @@
     path = args.record_operator or args.operator or os.environ.get("LB_OPERATOR")
     if not path:
         raise config.BadConfig("record: --operator FILE (or LB_OPERATOR) says where the store is")
-    settings = read_operator(path).record
-    if settings is None:
+    operator = read_operator(path)
+    if operator.record is None:
         raise config.BadConfig(f"{path}: [record] is missing")
+    from magpiefront.record.settings import GroupStoreSettings
+    from magpiefront.takeover.books import GroupBook
+
     try:
-        return run(settings.store, args)
+        store = operator.record.store
+        return run(GroupBook(operator) if isinstance(store, GroupStoreSettings) else store, args)
     except (BadStore, Refused) as e:
         raise config.BadConfig(str(e)) from None
 
--- a/magpiefront/group/desk.py
+++ b/magpiefront/group/desk.py
@@ -22,12 +22,14 @@
 class Desk:
     def __init__(self, service: GroupService) -> None:
         self.service = service
+        self.more: dict[str, Callable[[dict[str, Any], Answer], None]] = {}  # of what runs on the group
 
     def asked(self, what: dict[str, Any], answer: Answer) -> None:
         """`answer` is called once, at the latest at the ask's `deadline_ms`."""
         does: dict[str, Callable[[dict[str, Any], Answer], None]] = {
             "status": self._status, "bar": self._bar, "lead": self._lead, "snapshot": self._snapshot,
             "put": self._put, "get": self._get, "take": self._take, "drop": self._drop, "holds": self._holds,
+            **self.more,
         }  # fmt: skip
         try:
             do = does.get(str(what.get("do")))
--- a/magpiefront/operator/compose.py
+++ b/magpiefront/operator/compose.py
@@ -28,10 +28,12 @@
 from magpiefront.net.traced import TracedAttempt
 from magpiefront.operator.fields import BadFile
 from magpiefront.record.sqlite import BadStore, SqliteStore
-from magpiefront.record.settings import SqliteSettings
+from magpiefront.record.settings import GroupStoreSettings, SqliteSettings
 from magpiefront.record.stage import RecordStage, boot_id
 from magpiefront.operator.file import Operator, load
 from magpiefront.takeover.acting import GroupActing
+from magpiefront.takeover.desk import RecordDesk, work
+from magpiefront.takeover.store import GroupStore
 
 
 if TYPE_CHECKING:
@@ -88,16 +90,22 @@
 
         self.group: GroupService | None = None
         self.way: MemberWay | None = None
+        self.desk: Desk | None = None
         if operator.group is not None:
             self.group = GroupService(house, operator.group.settings)
             ways = WaySettings(operator.site, operator.group.tls)
-            self.way = MemberWay(house, self.group, ways, Desk(self.group).asked, seed)
+            self.desk = Desk(self.group)
+            self.way = MemberWay(house, self.group, ways, self.desk.asked, seed)
         self.record: RecordStage | None = None
-        self.store: SqliteStore | PostgresStore | None = None
+        self.store: SqliteStore | PostgresStore | GroupStore | None = None
         if operator.record is not None:
             settings, boot = operator.record, boot_id()
             if isinstance(settings.store, SqliteSettings):
                 self.store = SqliteStore(house, settings.store, settings.most_waiting)
+            elif isinstance(settings.store, GroupStoreSettings):
+                assert self.group is not None and self.desk is not None
+                self.store = GroupStore(house, self.group, settings.store, boot)
+                self.desk.more["record"] = RecordDesk(self.store, self.group, house).asked
             else:
                 from magpiefront.record.postgres import PostgresStore  # the library only where it is used
 
@@ -106,6 +114,8 @@
             self.first = self.record = RecordStage(
                 house, self.first, settings, self.store, boot, acting=acting
             )
+            if self.group is not None and self.desk is not None:
+                self.desk.more["work"] = work(self.record, self.group)
 
     async def start(self, handed: Mapping[str, socket.socket] | None = None) -> None:
         """With the listening sockets that were handed over, by name; on these nothing is accepted before
@@ -121,7 +131,7 @@
                 raise BadConfig(f"{self.operator.path}: [group] path: {e}") from None
         if self.store is not None:
             try:
-                if isinstance(self.store, SqliteStore):
+                if isinstance(self.store, SqliteStore | GroupStore):
                     self.store.start()
                 else:
                     await self.store.start()
--- a/magpiefront/operator/file.py
+++ b/magpiefront/operator/file.py
@@ -109,11 +109,13 @@
     cache = caching(path, given["caching"]) if "caching" in given else None
     if gateway is not None and cache is not None:
         gateway = replace(gateway, passes=True, methods=methods_of(cache.clients))
-    store = record(path, given["record"]) if "record" in given else None
     members = None
     if "group" in given:
         certificates = gateway.tls if gateway is not None else None
         members = group(path, site, given["group"], certificates, gateway is not None)
+    store = None
+    if "record" in given:
+        store = record(path, given["record"], members.settings if members is not None else None)
     return Operator(path, site, gateway, cache, store, members)
 
 
--- a/magpiefront/record/commands.py
+++ b/magpiefront/record/commands.py
@@ -52,10 +52,13 @@
 
 
 def run(
-    settings: SqliteSettings | PostgresSettings, args: argparse.Namespace, out: TextIO | None = None
+    store: SqliteSettings | PostgresSettings | Book, args: argparse.Namespace, out: TextIO | None = None
 ) -> int:  # fmt: skip
     """The exit status. Raises Refused or BadStore."""
-    book = open_book(settings, create=args.record_command == "import")
+    if isinstance(store, SqliteSettings | PostgresSettings):
+        book = open_book(store, create=args.record_command == "import")
+    else:
+        book = store
     try:
         return COMMANDS[args.record_command](book, args, out or sys.stdout)
     except sqlite3.Error as e:
--- a/magpiefront/record/settings.py
+++ b/magpiefront/record/settings.py
@@ -22,9 +22,17 @@
     statement_timeout_us: int = 2_000_000
 
 
+@dataclass(frozen=True, slots=True)
+class GroupStoreSettings:
+    """In memory and in the log of each member; what is over is refused."""
+
+    most_rows: int = 20_000
+    most_bytes: int = 16 << 20
+
+
 @dataclass(frozen=True, slots=True)
 class RecordSettings:
-    store: SqliteSettings | PostgresSettings
+    store: SqliteSettings | PostgresSettings | GroupStoreSettings
     classes: frozenset[str] | None = None  # which keyed classes; None: all
     most_waiting: int = 1_000  # changes that wait for a commit; more are refused at once
     most_body: int = 64 << 10  # of a report; a longer one is refused
--- a/standins/takeover.py
+++ b/standins/takeover.py
@@ -18,6 +18,7 @@
 import asyncio
 import sys
 from argparse import Namespace
+from base64 import b64decode
 from pathlib import Path
 from random import Random
 from typing import Any
@@ -25,7 +26,7 @@
 from standins import drill
 from standins.archive import Archive
 from standins.drill import Fault, Plan, arguments
-from standins.groupask import Lost, Turned
+from standins.groupask import Asker, Lost, Turned
 from standins.killstore import SETTINGS, STORES
 from standins.node import Node
 from standins.pgserver import PgServer
@@ -110,14 +111,24 @@
         for p in self.processes:
             asker = self._asker(p.name)
             try:
-                told = await asker.ask({"do": "reports"}, 3.0)
-                return [(key, state, body.encode()) for key, state, body in told["reports"]]
+                return await self._rows(asker)
             except (Lost, Turned):
                 continue
             finally:
                 asker.close()
         raise Failed("nobody tells what is held")
 
+    async def _rows(self, asker: Asker) -> Held:
+        found: Held = []
+        first = 0
+        while True:
+            told = await asker.ask({"do": "record", "what": "rows", "first": first}, 3.0)
+            for r in told["rows"]:
+                found.append((b64decode(r["key"]).decode(), r["state"], b64decode(r["body"])))
+            first = told["next"]
+            if not first:
+                return found
+
     async def end(self) -> None:
         self.reporting.over = True
         try:
