Group: tell outcomes in a turn of their own; rows of the group's store know their ages

The drill over the group's own store showed 'pop from an empty deque': a read that the lease answers at once told its asker in the middle of the peer's turn, and that one asked again. Outcomes are told in a turn of the loop. Reports became unknown after one kill: a member that restored its rows before it had a clock took them for as old as the machine, rows applied before the first read had no age though their owner knew it, and an owner waited for its own time.

--- a/magpiefront/group/service.py
+++ b/magpiefront/group/service.py
@@ -190,24 +190,30 @@
     def me(self) -> str:
         return self.peer.me if self.peer is not None else ""
 
-    def _ask(self, then: Then, ask: Callable[[Peer, int], None]) -> None:
+    def _ask(self, then: Then, ask: Callable[[Peer, Then, int], None]) -> None:
+        """Outcomes are told in a turn of their own: who hears one may ask again, and the peer would be in the
+        middle of what led to it."""
+
+        def later(outcome: Outcome) -> None:
+            self.house.loop.call_soon(then, outcome)
+
         if self.peer is None:
-            then(Outcome(Fate.REFUSED, cause=self.cause))
+            later(Outcome(Fate.REFUSED, cause=self.cause))
         else:
-            ask(self.peer, self.house.now_us())
+            ask(self.peer, later, self.house.now_us())
             self.wake()
 
     def propose(self, machine: str, data: bytes, deadline_us: int, then: Then) -> None:
-        self._ask(then, lambda peer, now: peer.propose(machine, data, deadline_us, then, now))
+        self._ask(then, lambda peer, later, now: peer.propose(machine, data, deadline_us, later, now))
 
     def read(self, deadline_us: int, then: Then) -> None:
-        self._ask(then, lambda peer, now: peer.read(deadline_us, then, now))
+        self._ask(then, lambda peer, later, now: peer.read(deadline_us, later, now))
 
     def take(self, lease: str, deadline_us: int, then: Then) -> None:
-        self._ask(then, lambda peer, now: peer.take(lease, deadline_us, then, now))
+        self._ask(then, lambda peer, later, now: peer.take(lease, deadline_us, later, now))
 
     def drop(self, lease: str, deadline_us: int, then: Then) -> None:
-        self._ask(then, lambda peer, now: peer.drop(lease, deadline_us, then, now))
+        self._ask(then, lambda peer, later, now: peer.drop(lease, deadline_us, later, now))
 
     def may_act(self) -> int:
         return self.peer.may_act(self.house.now_us()) if self.peer is not None else 0
--- a/magpiefront/record/journal.py
+++ b/magpiefront/record/journal.py
@@ -461,11 +461,16 @@
 
 
 def at_work(row: Row, since_s: float | None, standing: Standing) -> bool:
-    """Is its owner at work on it, or might it be? One that is well is, unless it has let the row go; of one
-    that nobody can tell of, and of this process's own rows, their time tells."""
-    if standing is Standing.WELL:
-        return row.until_s > 0
-    return standing is not Standing.OVER and since_s is not None and since_s < row.until_s
+    """Is its owner at work on it, or might it be? Another member that is well is, unless it has let the row
+    go; of one that nobody can tell of its time tells. A row of this process's own has nobody: what is in hand
+    here is not looked for."""
+    match standing:
+        case Standing.WELL:
+            return row.until_s > 0
+        case Standing.UNTOLD:
+            return since_s is not None and since_s < row.until_s
+        case _:
+            return False
 
 
 def fate(
--- a/magpiefront/record/stage.py
+++ b/magpiefront/record/stage.py
@@ -252,7 +252,7 @@
         if self.acting.prefix() is None:
             return
         seen = dict[str, int]()
-        for row in in_turn(found, up_us):
+        for row in in_turn([r for r in found if r.id not in self.journal.entries], up_us):
             standing = self.acting.standing(row.owner)
             pace = self.pace
             if standing is Standing.OVER:
--- a/magpiefront/takeover/book.py
+++ b/magpiefront/takeover/book.py
@@ -78,13 +78,13 @@
 
 
 class Book:
-    def __init__(self) -> None:
+    def __init__(self, now_us: int) -> None:
         self.rows: dict[Id, Row] = {}
         self.bytes = 0
         self.base_us: int | None = None  # None: nothing is known of when what is applied was committed
         self.ages: dict[Id, int] = {}  # a moment before which the row was not sent, on this machine's clock
         self.restored_us: dict[Id, int] = {}  # of those whose age is not known: when they were found here
-        self.now_us = 0  # as last told, for `restored_us`
+        self.now_us = now_us  # as last told, for `restored_us`
 
     # ---- the machine
 
@@ -149,6 +149,12 @@
         else:
             self.restored_us[id] = self.now_us
 
+    def sent_after(self, id: Id, now_us: int) -> None:
+        """This process has asked for that row at that moment, and sends only once it is held."""
+        if id in self.restored_us:
+            del self.restored_us[id]
+            self.ages[id] = now_us
+
     def snapshot(self) -> bytes:
         return msgspec.msgpack.encode(list(self.rows.values()))
 
--- a/magpiefront/takeover/store.py
+++ b/magpiefront/takeover/store.py
@@ -32,7 +32,7 @@
         up_us: Callable[[], int] = lambda: time.monotonic_ns() // 1_000,
     ) -> None:  # fmt: skip
         self.house, self.group, self.settings, self.boot, self.up_us = house, group, settings, boot, up_us
-        self.book = Book()
+        self.book = Book(up_us())
         self.commit_us = 5_000.0
         self.timer: asyncio.TimerHandle | None = None
         group.register(MACHINE, self.book)
@@ -53,7 +53,8 @@
                 self.book.base_us = max(began_us, self.book.base_us or 0)
 
         self.group.read(self.house.now_us() + READ_US, then)
-        self.timer = self.house.loop.call_later(READ_S, self._bound)
+        again_s = READ_S if self.book.base_us is not None else READ_S / 5
+        self.timer = self.house.loop.call_later(again_s, self._bound)
 
     @property
     def wait_us(self) -> int:
@@ -72,7 +73,7 @@
         self._propose(book.Remove(before.id, before.state, before.owner), before.id, deadline_us, then)
 
     def _propose(self, command: book.Command, id: Id, deadline_us: int, then: Then) -> None:
-        began = self.house.now_us()
+        began, up_us = self.house.now_us(), self.up_us()
         if began >= deadline_us:
             self.house.loop.call_soon(then, Result(Outcome.NEVER, cause="its time was up"))
             return
@@ -85,6 +86,7 @@
             self.commit_us += SMOOTH * (self.house.now_us() - began - self.commit_us)
             told: Told = msgspec.msgpack.decode(o.value, type=Told)
             if told.done:
+                self.book.sent_after(id, up_us)
                 then(Result(Outcome.DONE))
             elif told.cause:
                 then(Result(Outcome.NEVER, cause=f"group: {told.cause}"))
