--- a/magpiefront/takeover/store.py
+++ b/magpiefront/takeover/store.py
@@ -16,7 +16,7 @@
 from magpiefront.group.asks import Outcome as Agreed
 from magpiefront.group.seam import Group
 from magpiefront.net.house import House
-from magpiefront.record.rows import Id, Outcome, Result, Row, Then
+from magpiefront.record.rows import Id, Outcome, Result, Row, State, Then
 from magpiefront.record.settings import GroupStoreSettings
 from magpiefront.takeover import book
 from magpiefront.takeover.book import Book, Told
@@ -74,6 +74,9 @@
 
     def _propose(self, command: book.Command, id: Id, deadline_us: int, then: Then) -> None:
         began, up_us = self.house.now_us(), self.up_us()
+        first = isinstance(command, book.Insert) or (
+            isinstance(command, book.Change) and command.state is State.SENT is not command.state_was
+        )
         if began >= deadline_us:
             self.house.loop.call_soon(then, Result(Outcome.NEVER, cause="its time was up"))
             return
@@ -86,7 +89,8 @@
             self.commit_us += SMOOTH * (self.house.now_us() - began - self.commit_us)
             told: Told = msgspec.msgpack.decode(o.value, type=Told)
             if told.done:
-                self.book.sent_after(id, up_us)
+                if first:
+                    self.book.sent_after(id, up_us)
                 then(Result(Outcome.DONE))
             elif told.cause:
                 then(Result(Outcome.NEVER, cause=f"group: {told.cause}"))
