Group: a lost disk no longer begins the group anew where those who knew it have forgotten

The trace: the leader crashed and came back, another voter's disk was lost meanwhile, the third had never heard of that one's confirmations. Both told the empty disk that it had only missed the group's beginning (no memory of it here, and nothing compacted yet), so it voted as who it was, for a leader without the entries it had confirmed.

--- a/magpiefront/group/messages.py
+++ b/magpiefront/group/messages.py
@@ -151,10 +151,12 @@
 
 
 class Attest(Message, frozen=True, kw_only=True):
-    """A member that starts asks how far the others knew it to be: its disk may be an older one."""
+    """A member that starts asks how far the others knew it to be: its disk may be an older one. `birth` is
+    its process's, drawn at its start."""
 
     last: int
     virgin: bool
+    birth: int = 0
 
 
 class Attested(Message, frozen=True, kw_only=True):
@@ -166,6 +168,7 @@
     virgin: bool
     other: bool  # its name is here, under another incarnation
     leads: bool = False
+    birth: int = 0  # of who answers
 
 
 class Join(Message, frozen=True, kw_only=True):
--- a/magpiefront/group/peer.py
+++ b/magpiefront/group/peer.py
@@ -197,7 +197,7 @@
             case ReadReply():
                 self.requests.read_told(m.seq, m.index)
             case Attest():
-                self.starting.asked(sender, m.virgin, now_us)
+                self.starting.asked(sender, m, now_us)
             case Attested():
                 self.starting.told(name_of(sender), m, now_us)
             case Join():
--- a/magpiefront/group/starting.py
+++ b/magpiefront/group/starting.py
@@ -23,6 +23,8 @@
         self.peer, self.settings = peer, peer.settings
         self.memory = Memory()
         self.virgin = stored.virgin
+        self.birth = peer.raft.random.getrandbits(48) + 1
+        self.births: dict[str, int] = {}  # by name, of those with whom this process began the group
         self.reborn = False  # it has to give this incarnation up
         self.attestation: Attestation | None = None
         self.attest_us = now_us
@@ -63,22 +65,28 @@
                 continue
             m: Message = Join(voter=self.settings.member in self.settings.voters)
             if self.attestation is not None:
-                m = Attest(last=raft.log.last, virgin=self.virgin, term=raft.term)
+                m = Attest(last=raft.log.last, virgin=self.virgin, term=raft.term, birth=self.birth)
             self.peer.out.append((member_id(name, ""), m))
 
-    def asked(self, sender: str, virgin: bool, now_us: int) -> None:
+    def asked(self, sender: str, ask: Attest, now_us: int) -> None:
         """Another one starts: what is known of it here."""
         raft = self.peer.raft
         term, match = self.memory.known.get(sender, (0, 0))
         conf = raft.log.conf
         there = conf.by_name(name_of(sender))
-        # One that was there at the group's beginning has missed it: as good as if it had come first.
-        young = there == sender and raft.log.first == FIRST and not term and sender in conf.voters
-        m = Attested(known_term=term, known=match, virgin=self.virgin or (virgin and young),
-                     other=there is not None and there != sender,
+        young = there == sender and not term and sender in conf.voters and self._missed_it(sender, ask.birth)
+        m = Attested(known_term=term, known=match, virgin=self.virgin or (ask.virgin and young),
+                     other=there is not None and there != sender, birth=self.birth,
                      leads=raft.lead is not None and raft.lead.lease(now_us))  # fmt: skip
         self.peer.out.append((sender, m))
 
+    def _missed_it(self, sender: str, birth: int) -> bool:
+        """Has the group begun without it, and nothing else? It is as good as if it had come first where it is
+        the very process that was there then, or where nothing has come of the beginning yet. Another one with
+        an empty disk may have lost what it did, and those who knew that may have forgotten."""
+        raft = self.peer.raft
+        return self.births.get(name_of(sender)) == birth or (raft.term == 0 and raft.log.last == FIRST)
+
     def told(self, name: str, m: Attested, now_us: int) -> None:
         raft = self.peer.raft
         if self.attestation is not None:
@@ -102,6 +110,7 @@
         verdict = self.attestation.verdict(now_us)
         if verdict is Verdict.WAITS:
             return
+        self.births = {name: a.birth for name, a in self.attestation.answers.items()}
         self.attestation = None
         if verdict is Verdict.REBORN:
             self.give_up()
--- a/magpiefront/model/safeguards.py
+++ b/magpiefront/model/safeguards.py
@@ -13,7 +13,7 @@
 from magpiefront.group.messages import Message
 from magpiefront.group.peer import Peer
 from magpiefront.group.settings import Times
-from magpiefront.group.starting import Starting
+from magpiefront.group.starting import FIRST, Starting
 from magpiefront.model import explore
 from magpiefront.model import group as world
 
@@ -139,6 +139,9 @@
     ],
     "a new leader waits": lambda: [(members_.Members, "_begin", _does_not_wait)],
     "an older disk gives its incarnation up": _no_attestation,
+    "an empty disk begins with those it began with": lambda: [
+        (Starting, "_missed_it", lambda self, sender, birth: self.peer.raft.log.first == FIRST)
+    ],
     "a yes waits for a round": _says_at_once,
     "a lead that was handed over takes no credit": _never_handed,
     "a session is looked at before the act": _epoch_unchecked,
--- a/tests/group/test_proof.py
+++ b/tests/group/test_proof.py
@@ -40,6 +40,15 @@
     return Plan(seed, 3, 0, 4_000_000, (*slow, *dead))
 
 
+def lost_disk(seed: int) -> Plan:
+    """One loses its disk just when the only other one that knows how far it was has crashed."""
+    a, b, c = seed % 3, (seed + 1) % 3, (seed + 2) % 3
+    at = 1_500_000 + seed * 10_000
+    faults = (Fault(at - 700_000, "bridge", (a, b), 1_600_000), Fault(at, "crash", (a,), 140_000),
+              Fault(at + 100_000, "wipe", (c,), 120_000))  # fmt: skip
+    return Plan(seed, 3, 0, 4_000_000, faults)
+
+
 # What is the matter of one rule, or of times alone, by the case that is about it.
 CASES: dict[str, Callable[[], object]] = {
     "the vote itself is durable": Explorer(["a", "b", "c"], Bounds(8, 1, 0, 1)).run,
@@ -52,6 +61,12 @@
 }
 
 
+PLANS = {
+    "votes and confirmations only once durable": slow_disks,
+    "an empty disk begins with those it began with": lost_disk,
+}
+
+
 def found(name: str) -> bool:
     """Without it: by the case that is about it, or by one of the plans that hold with it (above)."""
     if name in CASES:
@@ -61,9 +76,9 @@
             except Exception:
                 return True
         return False
-    if name == "votes and confirmations only once durable":
+    if name in PLANS:
         with without(name):
-            return any(worlds.broken(slow_disks(seed)) for seed in range(30))
+            return any(worlds.broken(PLANS[name](seed)) for seed in range(30))
     return worlds.first_found(name, 1, 400, [3, 5, 7], JOBS)[0] > 0
 
 
@@ -72,8 +87,9 @@
     assert found(name)
 
 
-def test_slow_disks_alone_break_nothing() -> None:
-    assert not any(worlds.broken(slow_disks(seed)) for seed in range(10))
+@pytest.mark.parametrize("plan", [slow_disks, lost_disk])
+def test_the_same_plans_break_nothing_with_it(plan: Callable[[int], Plan]) -> None:
+    assert not any(worlds.broken(plan(seed)) for seed in range(30))
 
 
 @pytest.mark.parametrize(
