--- a/check.sh
+++ b/check.sh
@@ -15,7 +15,7 @@
     exit 1
 fi
 echo "policy: $lines lines"
-apart=(tests/group/test_proof.py tests/group/test_hard_cases.py)
+apart=(tests/group/test_proof.py tests/group/test_hard_cases.py tests/takeover/test_proof.py)
 said=$(mktemp)
 trap 'rm -f "$said"' EXIT
 (nice -n 10 .venv-dev/bin/mypy && nice -n 10 .venv-dev/bin/python -m pytest "${apart[@]}") >"$said" 2>&1 &
--- a/magpiefront/__main__.py
+++ b/magpiefront/__main__.py
@@ -72,7 +72,7 @@
     stop = asyncio.Event()
     desk = Desk(proxy, front)
     if composition is not None and composition.group is not None:
-        desk.more = composition.group.figures
+        desk.more = composition.figures
     admin = Admin(loop, desk)
     place = place_of(settings.listen, os.environ) if settings.admin is not None else None
     starting = Starting(place) if place is not None else None
--- a/magpiefront/commands/group.py
+++ b/magpiefront/commands/group.py
@@ -34,6 +34,7 @@
     lead = commands.add_parser("lead", help="hand the lead over")
     lead.add_argument("--to", required=True, metavar="MEMBER")
     lead.add_argument("--wait", type=float, default=5.0, metavar="S")
+    commands.add_parser("work", help="what each member has in hand; exit status 1 where one does not say")
     commands.add_parser("snapshot", help="take one now, at the member that is asked")
 
 
@@ -142,6 +143,26 @@
     raise Refused(f"{args.to} does not lead yet")
 
 
+def work(caller: Caller, args: argparse.Namespace, out: TextIO) -> int:
+    found: dict[str, Any] = {}
+    for name in caller.order if args.at else sorted(caller.settings.members):
+        try:
+            found[name] = caller.ask({"do": "work"}, name)
+        except Refused as e:
+            found[name] = {"error": str(e)}
+    lines = [f"{'member':24} {'acts':>6} {'in hand':>8} {'delivers':>9} {'taken over':>11}  waits for"]
+    for name, told in found.items():
+        if "error" in told:
+            lines.append(f"{name:24} {told['error']}")
+            continue
+        hand = {k: n for k, n in told["in_hand"].items() if n}
+        waits = ", ".join(f"{n} {k}" for k, n in hand.items())
+        lines.append(f"{name:24} {told['acts']:6} {sum(hand.values()):8} {told['delivering']:9} "
+                     f"{told['taken']:11}  {waits}")  # fmt: skip
+    _tell({"members": found}, args, out, lines)
+    return LOOK if any("error" in told for told in found.values()) else FINE
+
+
 def snapshot(caller: Caller, args: argparse.Namespace, out: TextIO) -> int:
     told = caller.ask({"do": "snapshot"})
     _tell(told, args, out, [f"snapshot at {told['snapshot']}"])
@@ -149,5 +170,6 @@
 
 
 COMMANDS = {
-    "status": status, "members": members, "add": change, "remove": change, "lead": lead, "snapshot": snapshot,
+    "status": status, "members": members, "add": change, "remove": change, "lead": lead, "work": work,
+    "snapshot": snapshot,
 }  # fmt: skip
--- a/magpiefront/operator/compose.py
+++ b/magpiefront/operator/compose.py
@@ -203,6 +203,11 @@
         if self.gateway is not None:
             self.gateway.sweep()
 
+    def figures(self) -> str:
+        """More lines for the second address, where there is a group."""
+        group = self.group.figures() if self.group is not None else ""
+        return group + (self.record.figures() if self.record is not None else "")
+
     async def leave(self) -> None:
         """A planned end: what would not end in time is given to others, and these know at once that they may
         take it."""
--- a/magpiefront/record/stage.py
+++ b/magpiefront/record/stage.py
@@ -16,6 +16,7 @@
 from magpiefront.net.effects import Effect
 from magpiefront.net.house import Host
 from magpiefront.net.fields import lines, read_lines
+from magpiefront.net.figures import PREFIX
 from magpiefront.net.request import Request, Stage
 from magpiefront.record import journal
 from magpiefront.record.acting import Acting, Alone, Standing
@@ -317,6 +318,12 @@
         found = Counter(e.phase.value for e in self.journal.entries.values())
         return {p.value: found[p.value] for p in Phase}
 
+    def figures(self) -> str:
+        """Lines for the second address."""
+        whole = {f'in_hand{{phase="{phase}"}}': n for phase, n in self.in_hand.items()}
+        whole |= {"delivering": len(self.deliveries), "taken_over_count": self.journal.taken}
+        return "".join(f"{PREFIX}record_{name} {n}\n" for name, n in whole.items())
+
     def part(self) -> None:
         """What would not end in time is others' from now on; its clients hear nothing from this process."""
         for r in list(self.clients):
