--- a/tests/operator/test_file.py
+++ b/tests/operator/test_file.py
@@ -179,6 +179,7 @@
         "record": record.RecordTable,
         "record.sqlite": record.SqliteTable,
         "record.postgres": record.PostgresTable,
+        "record.group": record.GroupStoreTable,
     }
     given = re.sub(r"^#\[", "[", given, flags=re.M)
     for name, kind in tables.items():
@@ -201,6 +202,7 @@
                 "members",
                 "times",
                 "limits",
+                "group",
             ):
                 assert re.search(rf"^#?{f.name} = .*#|^#?{f.name} = ", part, re.M), f"{name}.{f.name}"
     # What is commented out is the default: put in, it changes nothing.
@@ -269,6 +271,17 @@
 """
 
 
+MEMBERS = """
+[group]
+member = "a"
+path = "g.sqlite"
+voters = ["a"]
+tls = { plain = true }
+[group.members]
+a = "127.0.0.1:7643"
+"""
+
+
 @pytest.mark.parametrize(
     ("given", "says"),
     [
@@ -281,6 +294,12 @@
         ('[record]\nkeep = 1\n[record.sqlite]\npath = "r"', "[record] keep: unknown key"),
         ('[record]\nsettle = "0s"\n[record.sqlite]\npath = "r"', "[record] settle: must be at least 1ms"),
         ('[record]\nmost_waiting = 0\n[record.sqlite]\npath = "r"', "[record] most_waiting: expected"),
+        ("[record.group]", "[record.group]: there is no [group] to hold it"),
+        ("[record.group]\n[record.sqlite]\npath = 'r'", "[record] sqlite: excludes group"),
+        ("[record.group]\nrows = 1" + MEMBERS, "[record.group] rows: unknown key"),
+        ("[record.group]" + MEMBERS, "[record] most_body: 65536 bytes are over [group.limits] most_entry"),
+        ("[record]\nmost_body = '8KiB'\nmost_answer = '8KiB'\n[record.group]\nmost_bytes = '16KiB'" + MEMBERS,
+         "[record.group] most_bytes: has no room"),
     ],
 )
 def test_what_is_wrong_with_the_record_is_one_line(given: str, says: str, tmp_path: Path) -> None:
