Group: who was taken in by an entry that was never committed asks anew

The leader answers such asks now as it does those of members that left, and the observer asks to be taken in.

--- a/magpiefront/group/members.py
+++ b/magpiefront/group/members.py
@@ -63,7 +63,13 @@
     def heard(self, by: str, member: str, seq: int, life: int, now_us: int) -> None:
         """An ask for a session that came to the voter `by`."""
         raft, known = self.peer.raft, self.peer.machines.facts.kept.members.get(name_of(member))
-        if self.grants is None or raft.lead is None or known is None:
+        if self.grants is None or raft.lead is None:
+            return
+        if known is None:
+            # Taken in by an entry that never came to be committed: it is to ask anew.
+            if self.peer.applied >= raft.lead.begins:
+                m: Message = Pong(seq=seq, may=False, epoch=-1, leader=self.peer.me)
+                self.peer.out.append((member, m))
             return
         if known.id != member:
             # Another incarnation has its place: it is to ask anew, if it is the one that lives.
--- a/tests/group/test_proof.py
+++ b/tests/group/test_proof.py
@@ -24,6 +24,29 @@
     assert not broke
 
 
+# Two of the long run that broke: a lost disk that began anew; one taken in by an entry that was never committed.
+BROKE = (
+    Plan(43_542, 3, 0, 4_000_000, (
+    Fault(991_785, "bridge", (0, 2, 1), 1_610_378),
+    Fault(1_658_421, "one way", (0,), 514_795),
+    Fault(1_748_196, "crash", (0,), 142_479),
+    Fault(1_899_913, "wipe", (2,), 118_505),
+    Fault(2_763_213, "stop", (2,), 52_350),
+    )),
+    Plan(24_227, 7, 1, 4_000_000, (
+    Fault(907_849, "disk slow", (2,), 1_703_104),
+    Fault(917_443, "disk slow", (0,), 118_272),
+    Fault(1_103_490, "disk full", (2,), 706_941),
+    Fault(1_155_349, "all", (6,), 475_911),
+    )),
+)  # fmt: skip
+
+
+@pytest.mark.parametrize("plan", BROKE, ids=lambda p: str(p.seed))
+def test_a_plan_that_broke_once_holds(plan: Plan) -> None:
+    assert not worlds.broken(plan)
+
+
 def test_the_same_plan_gives_the_same_run() -> None:
     ends = []
     for _ in range(2):
