--- a/tests/group/test_proof.py
+++ b/tests/group/test_proof.py
@@ -24,7 +24,7 @@
     assert not broke
 
 
-# Two of the long run that broke: a lost disk that began anew; one taken in by an entry that was never committed.
+# Of the long run: a lost disk that began anew; one taken in by an entry that was never committed.
 BROKE = (
     Plan(43_542, 3, 0, 4_000_000, (
     Fault(991_785, "bridge", (0, 2, 1), 1_610_378),
