Group: what a member knows of the others' disks lasts, so an older disk is found after restarts

What is known of other voters stands in the file now (version 2), written along with the next entries, without a sync of its own: only what was confirmed after the last write of each is still open.

--- a/magpiefront/group/attest.py
+++ b/magpiefront/group/attest.py
@@ -6,9 +6,10 @@
 I/O and no clock.
 
 It waits for all the others, or for the word of a leader; where neither comes within `SETTLE_US`, a majority
-has to do, for else one dead machine would hold the others up for good. So what is not found is an older disk
-where all who knew better are gone or cut off for that time. Before the first start of a group all are waited
-for.
+has to do, for else one dead machine would hold the others up for good. What they know stands on their disks
+too, written along with the next entries and without a sync of its own. So what is not found is an older disk
+where all who knew better are gone or cut off for that time, or have restarted since and it lacks only what it
+confirmed after the last write of each. Before the first start of a group all are waited for.
 """
 
 from __future__ import annotations
@@ -29,10 +30,11 @@
 
 
 class Memory:
-    """How far this process knows each other member to be: its term, and what it confirmed in that term."""
+    """How far this member knows each other one to be: its term, and what it confirmed in that term."""
 
-    def __init__(self) -> None:
-        self.known: dict[str, tuple[int, int]] = {}
+    def __init__(self, known: dict[str, tuple[int, int]]) -> None:
+        """`known`: what its disk holds of it."""
+        self.known = dict(known)
 
     def saw(self, member: str, term: int, match: int = 0) -> None:
         self.known[member] = max(self.known.get(member, (0, 0)), (term, match))
--- a/magpiefront/group/disk.py
+++ b/magpiefront/group/disk.py
@@ -38,6 +38,8 @@
         origin TEXT NOT NULL, seq INTEGER NOT NULL
     );
     """,
+    # 2: how far other voters were known to be
+    "ALTER TABLE own ADD COLUMN known BLOB NOT NULL DEFAULT x'80'",
 )
 CHECKPOINT_PAGES = 1_000
 STOP_S = 3.0
@@ -53,10 +55,13 @@
         db.execute("DELETE FROM own")
         db.execute("DELETE FROM snapshot")
     name = f"{random.getrandbits(48):012x}" if random is not None else "0"
-    db.execute("INSERT OR IGNORE INTO own VALUES (1, ?, 0, 0, '')", (name,))
+    first = "INSERT OR IGNORE INTO own (one, incarnation, boot, term, vote) VALUES (1, ?, 0, 0, '')"
+    db.execute(first, (name,))
     db.execute("UPDATE own SET boot = boot + 1")
     db.execute("COMMIT")
-    incarnation, boot, term, vote = db.execute("SELECT incarnation, boot, term, vote FROM own").fetchone()
+    own = db.execute("SELECT incarnation, boot, term, vote, known FROM own").fetchone()
+    incarnation, boot, term, vote = own[:4]
+    others: dict[str, tuple[int, int]] = msgspec.msgpack.decode(own[4], type=dict[str, tuple[int, int]])
     found = db.execute("SELECT at, term, conf, data FROM snapshot").fetchone()
     known = Snapshot(0, 0, Conf(), b"")
     if found is not None:
@@ -64,14 +69,15 @@
         known = Snapshot(at, at_term, msgspec.msgpack.decode(conf, type=Conf), data)
     rows = db.execute("SELECT term, at, kind, data, origin, seq FROM log ORDER BY at")
     entries = [Entry(term, at, Kind(kind), *rest) for term, at, kind, *rest in rows]
-    return Stored(incarnation, boot, Hard(term, vote), known, entries)
+    return Stored(incarnation, boot, Hard(term, vote), known, entries, others)
 
 
 def write(db: sqlite3.Connection, w: Write) -> None:
     """As a whole or not at all. Raises sqlite3.Error."""
     db.execute("BEGIN IMMEDIATE")
-    hard = w.hard.term, w.hard.vote
-    db.execute("UPDATE own SET term = ?, vote = ? WHERE (term, vote) <> (?, ?)", (*hard, *hard))
+    own = w.hard.term, w.hard.vote, msgspec.msgpack.encode(w.known)
+    changed = "UPDATE own SET (term, vote, known) = (?, ?, ?) WHERE (term, vote, known) <> (?, ?, ?)"
+    db.execute(changed, own * 2)
     s = w.snapshot
     if s is not None:
         row = s.index, s.term, msgspec.msgpack.encode(s.conf), s.data
--- a/magpiefront/group/durable.py
+++ b/magpiefront/group/durable.py
@@ -30,6 +30,7 @@
     keep_from: int = 0  # entries up to there may go
     after: list[tuple[str, Message]] = field(default_factory=list)
     empty: bool = False
+    known: dict[str, tuple[int, int]] = field(default_factory=dict)  # how far other voters are, by id
 
 
 class Durable:
--- a/magpiefront/group/peer.py
+++ b/magpiefront/group/peer.py
@@ -37,6 +37,7 @@
     hard: Hard = Hard()
     snapshot: Snapshot = Snapshot(0, 0, Conf(), b"")
     entries: list[Entry] = []
+    known: dict[str, tuple[int, int]] = {}  # how far other voters were known to be, by id: term and entry
 
     @property
     def virgin(self) -> bool:
@@ -159,7 +160,12 @@
         return m
 
     def take_write(self) -> Write | None:
-        return self.raft.take_write()
+        w = self.raft.take_write()
+        if w is not None and not w.empty:
+            # It costs no sync of its own, and so lags by the last answers (`attest.py`).
+            known, voters = self.starting.memory.known, self.raft.log.conf.voters
+            w.known = {v: known[v] for v in sorted(voters & known.keys())}
+        return w
 
     def saved(self, now_us: int) -> None:
         self.raft.saved(now_us)
--- a/magpiefront/group/starting.py
+++ b/magpiefront/group/starting.py
@@ -21,7 +21,7 @@
 class Starting:
     def __init__(self, peer: Peer, stored: Stored, now_us: int) -> None:
         self.peer, self.settings = peer, peer.settings
-        self.memory = Memory()
+        self.memory = Memory(stored.known)
         self.virgin = stored.virgin
         self.birth = peer.raft.random.getrandbits(48) + 1
         self.births: dict[str, int] = {}  # by name, of those with whom this process began the group
--- a/magpiefront/model/group.py
+++ b/magpiefront/model/group.py
@@ -69,7 +69,7 @@
             entries = [] if w.whole else [e for e in entries if e.index > w.keep_from]
         if w.entries:
             entries = [e for e in entries if e.index < w.entries[0].index] + w.entries
-        self.stored = Stored(s.incarnation, s.boot, w.hard, snapshot, entries)
+        self.stored = Stored(s.incarnation, s.boot, w.hard, snapshot, entries, w.known)
 
     def reborn(self, random: Random) -> None:
         self.stored = Stored(f"{random.getrandbits(32):x}", 0)
--- a/magpiefront/model/safeguards.py
+++ b/magpiefront/model/safeguards.py
@@ -110,6 +110,10 @@
     return [(members_.Members, "_gone", lambda self, id: True)]
 
 
+def _forgets_others(self: attest.Memory, known: object) -> None:
+    self.known = {}
+
+
 def _says_at_once() -> list[Patch]:
     heard = sessions.Grants.heard
 
@@ -140,8 +144,10 @@
     "a new leader waits": lambda: [(members_.Members, "_begin", _does_not_wait)],
     "an older disk gives its incarnation up": _no_attestation,
     "an empty disk begins with those it began with": lambda: [
-        (Starting, "_missed_it", lambda self, sender, birth: self.peer.raft.log.first == FIRST)
+        (Starting, "_missed_it", lambda self, sender, birth: self.peer.raft.log.first == FIRST),
+        (attest.Memory, "__init__", _forgets_others),  # which would find it, too
     ],
+    "what is known of others lasts": lambda: [(attest.Memory, "__init__", _forgets_others)],
     "a yes waits for a round": _says_at_once,
     "a lead that was handed over takes no credit": _never_handed,
     "a session is looked at before the act": _epoch_unchecked,
--- a/tests/group/test_proof.py
+++ b/tests/group/test_proof.py
@@ -24,7 +24,8 @@
     assert not broke
 
 
-# Of the long run: a lost disk that began anew; one taken in by an entry that was never committed.
+# Of the long run: a lost disk that began anew; one put back, and all who knew better had restarted; one taken
+# in by an entry that was never committed.
 BROKE = (
     Plan(43_542, 3, 0, 4_000_000, (
     Fault(991_785, "bridge", (0, 2, 1), 1_610_378),
@@ -33,6 +34,12 @@
     Fault(1_899_913, "wipe", (2,), 118_505),
     Fault(2_763_213, "stop", (2,), 52_350),
     )),
+    Plan(32_784, 3, 0, 4_000_000, (
+    Fault(2_354_250, "put back", (1,), 1_499_489),
+    Fault(2_940_594, "bridge", (0, 1, 2), 45_523),
+    Fault(3_209_283, "crash", (2,), 942_401),
+    Fault(3_323_455, "crash", (0,), 103_699),
+    )),
     Plan(24_227, 7, 1, 4_000_000, (
     Fault(907_849, "disk slow", (2,), 1_703_104),
     Fault(917_443, "disk slow", (0,), 118_272),
@@ -72,6 +79,15 @@
     return Plan(seed, 3, 0, 4_000_000, faults)
 
 
+def put_back(seed: int) -> Plan:
+    """One is put back to an older disk while the others, one of which is behind, are killed and come back."""
+    a, b, c = seed % 3, (seed + 1) % 3, (seed + 2) % 3
+    at = 3_300_000 + seed * 10_000
+    faults = (Fault(at - 900_000, "put back", (b,), 1_400_000), Fault(at - 200_000, "crash", (c,), 940_000),
+              Fault(at, "crash", (a,), 100_000))  # fmt: skip
+    return Plan(seed, 3, 0, 4_500_000, faults)
+
+
 # What is the matter of one rule, or of times alone, by the case that is about it.
 CASES: dict[str, Callable[[], object]] = {
     "the vote itself is durable": Explorer(["a", "b", "c"], Bounds(8, 1, 0, 1)).run,
@@ -87,6 +103,7 @@
 PLANS = {
     "votes and confirmations only once durable": slow_disks,
     "an empty disk begins with those it began with": lost_disk,
+    "what is known of others lasts": put_back,
 }
 
 
@@ -110,7 +127,7 @@
     assert found(name)
 
 
-@pytest.mark.parametrize("plan", [slow_disks, lost_disk])
+@pytest.mark.parametrize("plan", [slow_disks, lost_disk, put_back])
 def test_the_same_plans_break_nothing_with_it(plan: Callable[[int], Plan]) -> None:
     assert not any(worlds.broken(plan(seed)) for seed in range(30))
 
