Group: a read is not told from a member that began anew meanwhile

Since outcomes are told in a turn of their own, a disk's failure can come between a read's outcome and the look at what was read: the member has begun anew then, from an older state. Such a read ends refused.

--- a/magpiefront/group/service.py
+++ b/magpiefront/group/service.py
@@ -194,13 +194,21 @@
         """Outcomes are told in a turn of their own: who hears one may ask again, and the peer would be in the
         middle of what led to it."""
 
+        peer = self.peer
+
+        def tell(outcome: Outcome) -> None:
+            if outcome.fate is Fate.COMMITTED and not outcome.value and self.peer is not peer:
+                # A read, and what it is about is older here by now: the disk failed, and the member began anew.
+                outcome = Outcome(Fate.REFUSED, cause="it began anew")
+            then(outcome)
+
         def later(outcome: Outcome) -> None:
-            self.house.loop.call_soon(then, outcome)
+            self.house.loop.call_soon(tell, outcome)
 
-        if self.peer is None:
+        if peer is None:
             later(Outcome(Fate.REFUSED, cause=self.cause))
         else:
-            ask(self.peer, later, self.house.now_us())
+            ask(peer, later, self.house.now_us())
             self.wake()
 
     def propose(self, machine: str, data: bytes, deadline_us: int, then: Then) -> None:
