--- a/magpiefront/group/service.py
+++ b/magpiefront/group/service.py
@@ -198,7 +198,7 @@
 
         def tell(outcome: Outcome) -> None:
             if outcome.fate is Fate.COMMITTED and not outcome.value and self.peer is not peer:
-                # A read, and what it is about is older here by now: the disk failed, and the member began anew.
+                # A read, and what it is about is older here by now: its disk failed, and it began anew.
                 outcome = Outcome(Fate.REFUSED, cause="it began anew")
             then(outcome)
 
