Take over: one place for Retry-After, no rows that nobody reads, fewer hashes for a turn

Read again: the refusal of a proxy that may not act wrote Retry-After beside the code that does it for all answers; a command that was not done gave the whole row to whoever asked, encoded at each member, and the store looks at its own rows; a turn hashed all members for each row, though what is more than five places does not matter; a process of the model wrote again what one without a group does. Behaviour is as it was.

--- a/magpiefront/model/work.py
+++ b/magpiefront/model/work.py
@@ -19,7 +19,7 @@
 from magpiefront.group.facts import Member, State
 from magpiefront.model.kernel import Kernel
 from magpiefront.record import journal as j
-from magpiefront.record.acting import Standing
+from magpiefront.record.acting import Alone, Standing
 from magpiefront.record.rows import Answer, Id, Moment, Outcome, Result, Row
 from magpiefront.record.rows import State as Held
 from magpiefront.takeover import owners, shares
@@ -101,8 +101,8 @@
                 raise AssertionError(a)
 
 
-class Process:
-    """`Acting` for its own journal, too."""
+class Process(Alone):
+    """`Acting` for its own journal, too, but for hints."""
 
     def __init__(self, world: World, name: str) -> None:
         self.world, self.name, self.me = world, name, f"{name}.0"
@@ -135,15 +135,6 @@
     def turn_us(self, id: Id) -> int:
         return shares.turn_us(id, self.me, [m.id for m in self.members.values() if m.state is State.WELL])
 
-    def watch(self, changed: Callable[[list[str]], None], in_hand: Callable[[Id], bool]) -> None:
-        pass
-
-    def follow(self, owner: str, id: Id, settled: Callable[[Id], None]) -> bool:
-        return False
-
-    def settled(self, id: Id) -> None:
-        pass
-
     # ---- its life
 
     def start(self) -> None:
--- a/magpiefront/record/stage.py
+++ b/magpiefront/record/stage.py
@@ -209,9 +209,15 @@
         self._do(self.journal.look(self.up_us(), id))
 
     def _refuse(self, r: Request) -> None:
-        after_us = min(journal.RETRY_AFTER_US, self.house.most_retry_after_us)
-        more = journal.NOT_HELD.more + (b"Retry-After: %.3f\r\n" % (after_us / 1e6) if after_us else b"")
-        self._say(r, Answer(journal.NOT_HELD.status, more, journal.NOT_HELD.body))
+        more = self._retry_after(journal.NOT_HELD.more, journal.RETRY_AFTER_US)
+        self._say(r, replace(journal.NOT_HELD, more=more))
+
+    def _retry_after(self, more: bytes, after_us: int) -> bytes:
+        """Those field lines with when to come again, where answers may say that."""
+        after_us = min(after_us, self.house.most_retry_after_us)
+        if after_us > 0 and b"retry-after:" not in more.lower():
+            more += b"Retry-After: %.3f\r\n" % (after_us / 1e6)
+        return more
 
     def _reply(self, a: Reply) -> None:
         r = a.waiter
@@ -219,12 +225,9 @@
         if self.clients.pop(r, None) is None:
             return
         self.timers.pop(r).cancel()
-        more = a.answer.more
         # Of a store that can't take it now, by what its commits take.
         wait_us = self.store.wait_us if a.answer is journal.NOT_HELD else 0
-        after_us = min(max(a.retry_after_us, wait_us), self.house.most_retry_after_us)
-        if after_us > 0 and b"retry-after:" not in more.lower():
-            more += b"Retry-After: %.3f\r\n" % (after_us / 1e6)
+        more = self._retry_after(a.answer.more, max(a.retry_after_us, wait_us))
         r.replies.answer(r, a.answer.status, (a.answer.body,), more)
 
     def _say(self, r: Request, answer: Answer) -> None:
--- a/magpiefront/takeover/book.py
+++ b/magpiefront/takeover/book.py
@@ -55,10 +55,9 @@
 
 
 class Told(msgspec.Struct, array_like=True):
-    """Of a command: whether it was done, and what stands there where it was not."""
+    """Of a command: whether it was done, and why not where it is not for what stands there."""
 
     done: bool
-    row: Row | None = None
     cause: str = ""
     count: int = 0
 
@@ -98,9 +97,8 @@
     def _do(self, c: Command) -> Told:
         match c:
             case Insert():
-                there = self.rows.get(c.row.id)
-                if there is not None:
-                    return Told(False, there)
+                if c.row.id in self.rows:
+                    return Told(False)
                 if len(self.rows) >= c.most_rows or self.bytes + size_of(c.row) > c.most_bytes:
                     return Told(False, cause=f"the group holds {len(self.rows)} reports: it is full")
                 self._put(c.row)
@@ -110,7 +108,7 @@
             case Change():
                 there = self.rows.get(c.id)
                 if there is None or (there.state, there.owner) != (c.state_was, c.owner_was):
-                    return Told(False, there)
+                    return Told(False)
                 after = replace(there, state=c.state, sent=c.sent, owner=c.owner, until_s=c.until_s,
                                 answer=c.answer, attempts=c.attempts, note=c.note, told=c.told)  # fmt: skip
                 self._put(after)
@@ -120,7 +118,7 @@
             case Remove():
                 there = self.rows.get(c.id)
                 if there is None or (there.state, there.owner) != (c.state_was, c.owner_was):
-                    return Told(False, there)
+                    return Told(False)
                 self._take(there)
                 return Told(True)
             case Sweep():
--- a/magpiefront/takeover/shares.py
+++ b/magpiefront/takeover/shares.py
@@ -8,8 +8,9 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 from hashlib import blake2b
+from itertools import islice
 
 from magpiefront.record.rows import Id
 
@@ -24,11 +25,12 @@
     return h.digest()
 
 
-def place(id: Id, me: str, well: Iterable[str]) -> int:
-    """How many members go before this one."""
+def before(id: Id, me: str, well: Iterable[str]) -> Iterator[str]:
+    """The members that go before this one, in no order."""
     mine = score(id, me)
-    return sum(score(id, m) > mine for m in well if m != me)
+    return (m for m in well if m != me and score(id, m) > mine)
 
 
 def turn_us(id: Id, me: str, well: Iterable[str]) -> int:
-    return min(MOST_STEPS, place(id, me, well)) * STEP_US
+    """Counts no further than it matters: there may be hundreds of members, and as many rows at one look."""
+    return sum(STEP_US for _ in islice(before(id, me, well), MOST_STEPS))
