One test of a store's promises, one pool for schedules, plainer rigs

The promises of a store stood in the tests of two stores, the pool that plays numbered schedules in two commands; each stands once now, with every assertion.

--- a/benchmarks/takeover.py
+++ b/benchmarks/takeover.py
@@ -116,8 +116,7 @@
                 raise Failed(f"{doubled} had two effects")
             return took
         finally:
-            victim_up = [p for p in r.processes if p.up]
-            for p in victim_up:
+            for p in r.processes:
                 p.go_on()
             await r.end()
 
--- a/standins/takeover.py
+++ b/standins/takeover.py
@@ -46,11 +46,9 @@
 
 
 class Round(drill.Round):
-    settings = {**SETTINGS, "grades": GRADES}  # noqa: RUF012
-
     def __init__(self, plan: Plan, folder: Path, relayed: bool = True) -> None:
         super().__init__(plan, folder, relayed)
-        self.settings = {**self.settings, "balancers": len(self.names)}
+        self.settings = {**SETTINGS, "grades": GRADES, "balancers": len(self.names)}
         self.pg = PgServer() if plan.work == "postgres" else None
         self.archive = Archive("west", time_s=0.01, window_s=WINDOW_S)
         self.node = Node("west-0", self.archive, plan.seed, slow_share=0.2, slow_s=0.4)
--- a/tests/group/worlds.py
+++ b/tests/group/worlds.py
@@ -14,7 +14,6 @@
 import sys
 import time
 from collections.abc import Iterator
-from concurrent.futures import ProcessPoolExecutor
 from contextlib import nullcontext
 from functools import partial
 
@@ -22,6 +21,8 @@
 from magpiefront.model.plan import Plan
 from magpiefront.model.safeguards import SAFEGUARDS, without
 from standins.linear import Op, Undecided, linearizable
+from tests import schedules
+from tests.schedules import Broke
 
 CHUNK, FEW = 25, 3
 
@@ -54,8 +55,8 @@
     return Plan.draw(number, voters[number % len(voters)], int(number % 4 == 3))
 
 
-def some(numbers: list[int], voters: list[int], out: str = "") -> list[tuple[int, str, str]]:
-    """Those that broke: number, why, plan."""
+def some(numbers: list[int], voters: list[int], out: str = "") -> Broke:
+    """Those that broke."""
     with without(out) if out else nullcontext():
         found = []
         for n in numbers:
@@ -70,12 +71,9 @@
 
 def many(
     first: int, count: int, voters: list[int], jobs: int, out: str = "", chunk: int = CHUNK
-) -> Iterator[tuple[int, list[tuple[int, str, str]]]]:
+) -> Iterator[tuple[int, Broke]]:
     """As they are done: how many were played, and those that broke."""
-    parts = [list(range(n, min(n + chunk, first + count))) for n in range(first, first + count, chunk)]
-    with ProcessPoolExecutor(jobs) as pool:
-        for part, found in zip(parts, pool.map(partial(some, voters=voters, out=out), parts), strict=True):
-            yield len(part), found
+    yield from schedules.many(partial(some, voters=voters, out=out), first, count, jobs, chunk)
 
 
 def first_found(name: str, first: int, count: int, voters: list[int], jobs: int) -> tuple[int, str]:
--- a/tests/record/test_postgres.py
+++ b/tests/record/test_postgres.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 from dataclasses import replace
 from typing import Any
@@ -64,29 +64,35 @@
     return one is not None and replace(one, sent=None) == replace(other, sent=None)
 
 
+async def keeps_its_promises(store: Any, ask: Callable[..., Awaitable[Result]]) -> None:
+    """What every store that runs in the loop must do; rows come back with the time of their sending as it
+    tells it."""
+    whole = row(
+        state=State.CONFIRMED, answer=Answer(201, b"A: b\r\n", bytes(range(256))), note="as told",
+        attempts=(Attempt("s-1", 1.5),), body=bytes(range(256)),
+    )  # fmt: skip
+    odd = replace(whole, id=Id("", "", b""), answer=None)
+    long = replace(whole, id=Id("t", "k", b"\0\xff" * 5_000))
+    for r in (whole, odd, long):
+        assert (await ask(store, store.insert, r)).outcome is Outcome.DONE
+        assert same((await ask(store, store.get, r.id)).row, r)
+    again = await ask(store, store.insert, replace(whole, digest=b"other"))
+    assert again.outcome is Outcome.THERE and same(again.row, whole)
+    sent = numbered(5)
+    await ask(store, store.insert, sent)
+    done = replace(sent, state=State.CONFIRMED, answer=HELD)
+    lost = await ask(store, store.change, replace(sent, owner="x"), done)
+    assert lost.outcome is Outcome.THERE and same(lost.row, sent)
+    assert (await ask(store, store.change, sent, done)).outcome is Outcome.DONE
+    assert (await ask(store, store.remove, sent)).outcome is Outcome.THERE
+    assert (await ask(store, store.remove, done)).outcome is Outcome.DONE
+    assert (await ask(store, store.get, sent.id)).row is None
+
+
 def test_it_keeps_the_promises_of_a_store() -> None:
     async def main() -> None:
         async with opened() as (_, store):
-            whole = row(
-                state=State.CONFIRMED, answer=Answer(201, b"A: b\r\n", bytes(range(256))), note="as told",
-                attempts=(Attempt("s-1", 1.5),), body=bytes(range(256)),
-            )  # fmt: skip
-            odd = replace(whole, id=Id("", "", b""), answer=None)
-            long = replace(whole, id=Id("t", "k", b"\0\xff" * 5_000))
-            for r in (whole, odd, long):
-                assert (await ask(store, store.insert, r)).outcome is Outcome.DONE
-                assert same((await ask(store, store.get, r.id)).row, r)
-            again = await ask(store, store.insert, replace(whole, digest=b"other"))
-            assert again.outcome is Outcome.THERE and same(again.row, whole)
-            sent = numbered(5)
-            await ask(store, store.insert, sent)
-            done = replace(sent, state=State.CONFIRMED, answer=HELD)
-            lost = await ask(store, store.change, replace(sent, owner="x"), done)
-            assert lost.outcome is Outcome.THERE and same(lost.row, sent)
-            assert (await ask(store, store.change, sent, done)).outcome is Outcome.DONE
-            assert (await ask(store, store.remove, sent)).outcome is Outcome.THERE
-            assert (await ask(store, store.remove, done)).outcome is Outcome.DONE
-            assert (await ask(store, store.get, sent.id)).row is None
+            await keeps_its_promises(store, ask)
 
     run(main())
 
--- a/tests/takeover/test_decisions.py
+++ b/tests/takeover/test_decisions.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Iterable
 from dataclasses import dataclass, field, replace
 
 import pytest
@@ -11,7 +11,7 @@
 
 from magpiefront.group.facts import Member, State
 from magpiefront.record import journal as j
-from magpiefront.record.acting import Standing
+from magpiefront.record.acting import Alone, Standing
 from magpiefront.record.journal import Change, Fate, Follow, Get, Insert, Journal, Reply, Send
 from magpiefront.record.rows import Id, Moment, Outcome, Result, Row
 from magpiefront.record.rows import State as Held
@@ -44,28 +44,32 @@
     assert owners.changed(FACTS, FACTS) == []
 
 
+def place(id: Id, me: str, well: Iterable[str]) -> int:
+    return len(list(shares.before(id, me, well)))
+
+
 IDS = st.builds(Id, st.text(max_size=4), st.just("report"), st.binary(min_size=1, max_size=6))
 NAMES = st.sets(st.sampled_from([f"m{n}.0" for n in range(9)]), min_size=2)
 
 
 @given(IDS, NAMES)
 def test_each_row_has_one_order_of_members_and_a_loss_moves_no_other(id: Id, well: set[str]) -> None:
-    order = sorted(well, key=lambda m: shares.place(id, m, well))
-    assert [shares.place(id, m, well) for m in order] == list(range(len(well)))
+    order = sorted(well, key=lambda m: place(id, m, well))
+    assert [place(id, m, well) for m in order] == list(range(len(well)))
     left = well - {order[0]}
-    assert [shares.place(id, m, left) for m in order[1:]] == list(range(len(left)))
+    assert [place(id, m, left) for m in order[1:]] == list(range(len(left)))
     assert max(shares.turn_us(id, m, well) for m in well) <= shares.MOST_STEPS * shares.STEP_US
 
 
 def test_the_rows_of_one_tenant_are_spread() -> None:
     well = [f"m{n}.0" for n in range(5)]
     ids = [Id("t", "r", b"%d" % n) for n in range(1_000)]
-    first = [next(m for m in well if not shares.place(id, m, well)) for id in ids]
+    first = [next(m for m in well if not place(id, m, well)) for id in ids]
     assert all(150 < first.count(m) < 260 for m in well)
 
 
 @dataclass
-class Acts:
+class Acts(Alone):
     """A member that may act, and what it knows of others, as set."""
 
     own: str | None = "a.0@4/"
@@ -80,16 +84,6 @@
     def standing(self, owner: str) -> Standing:
         return self.known.get(owner, U)
 
-    def turn_us(self, id: Id) -> int:
-        return 0
-
-    def watch(self, changed: Callable[[list[str]], None], in_hand: Callable[[Id], bool]) -> None: ...
-
-    def follow(self, owner: str, id: Id, settled: Callable[[Id], None]) -> bool:
-        return True
-
-    def settled(self, id: Id) -> None: ...
-
 
 MINE = row(owner="a.0@4/p.1")
 THEIRS = row(owner="b.0@2/q.1", until_s=3.0)
--- a/tests/takeover/test_store.py
+++ b/tests/takeover/test_store.py
@@ -15,13 +15,13 @@
 from magpiefront.group.asks import Outcome as Agreed
 from magpiefront.group.facts import Member
 from magpiefront.group.machines import Machine
-from magpiefront.record.rows import UNSURE, Answer, Attempt, Id, Outcome, Result, Row, State
+from magpiefront.record.rows import UNSURE, Id, Outcome, Result, Row, State
 from magpiefront.record.settings import GroupStoreSettings
 from magpiefront.takeover import book
 from magpiefront.takeover.book import Book
 from magpiefront.takeover.store import GroupStore
 from tests.record.test_journal import HELD, row
-from tests.record.test_postgres import same
+from tests.record.test_postgres import keeps_its_promises
 from tests.record.test_sqlite import numbered
 from tests.sockets import run
 
@@ -92,27 +92,8 @@
 def test_it_keeps_the_promises_of_a_store() -> None:
     async def main() -> None:
         _, store = opened()
-        whole = row(
-            state=State.CONFIRMED, answer=Answer(201, b"A: b\r\n", bytes(range(256))), note="as told",
-            attempts=(Attempt("s-1", 1.5),), body=bytes(range(256)),
-        )  # fmt: skip
-        odd = replace(whole, id=Id("", "", b""), answer=None)
-        long = replace(whole, id=Id("t", "k", b"\0\xff" * 5_000))
-        for r in (whole, odd, long):
-            assert (await ask(store, store.insert, r)).outcome is Outcome.DONE
-            assert same((await ask(store, store.get, r.id)).row, r)
-        again = await ask(store, store.insert, replace(whole, digest=b"other"))
-        assert again.outcome is Outcome.THERE and same(again.row, whole)
-        sent = numbered(5)
-        await ask(store, store.insert, sent)
-        done = replace(sent, state=State.CONFIRMED, answer=HELD)
-        lost = await ask(store, store.change, replace(sent, owner="x"), done)
-        assert lost.outcome is Outcome.THERE and same(lost.row, sent)
-        assert (await ask(store, store.change, sent, done)).outcome is Outcome.DONE
-        assert (await ask(store, store.remove, sent)).outcome is Outcome.THERE
-        assert (await ask(store, store.remove, done)).outcome is Outcome.DONE
-        assert (await ask(store, store.get, sent.id)).row is None
-        assert (await ask(store, store.insert, sent, left_us=0)).outcome is Outcome.NEVER
+        await keeps_its_promises(store, ask)
+        assert (await ask(store, store.insert, numbered(5), left_us=0)).outcome is Outcome.NEVER
 
     run(main())
 
--- a/tests/takeover/worlds.py
+++ b/tests/takeover/worlds.py
@@ -12,7 +12,6 @@
 import json
 import sys
 from collections.abc import Callable, Iterator
-from concurrent.futures import ProcessPoolExecutor
 from contextlib import contextmanager
 from dataclasses import replace
 from functools import partial
@@ -25,6 +24,7 @@
 from magpiefront.model.work import Broken, Plan, Process, World
 from magpiefront.record.acting import Standing
 from magpiefront.takeover import owners
+from tests.schedules import Broke, many
 
 CHUNK = 20
 
@@ -103,7 +103,8 @@
     return ""
 
 
-def some(numbers: list[int], out: str = "") -> tuple[int, list[tuple[int, str, str]]]:
+def some(numbers: list[int], out: str = "") -> Broke:
+    """Those that broke."""
     found = []
     with without(out):
         for n in numbers:
@@ -113,21 +114,13 @@
                 found.append((n, why, plan.text()))
                 if out:
                     break
-    return len(numbers), found
-
-
-def many(
-    first: int, count: int, jobs: int, out: str = ""
-) -> Iterator[tuple[int, list[tuple[int, str, str]]]]:  # fmt: skip
-    parts = [list(range(n, min(n + CHUNK, first + count))) for n in range(first, first + count, CHUNK)]
-    with ProcessPoolExecutor(jobs) as pool:
-        yield from pool.map(partial(some, out=out), parts)
+    return found
 
 
 def first_found(name: str, first: int, count: int) -> tuple[int, str]:
     """After how many plans the loss of a safeguard was found, and how; 0: not."""
     for n in range(first, first + count, CHUNK):
-        _, found = some(list(range(n, n + CHUNK)), name)
+        found = some(list(range(n, n + CHUNK)), name)
         if found:
             return found[0][0] - first + 1, found[0][1]
     return 0, ""
@@ -157,7 +150,7 @@
             print(json.dumps({"safeguard": name, "after": after, "how": how}) if args.json else line)
         return 1 if missed else 0
     played = broke = 0
-    for n, found in many(args.first, args.count, args.jobs, args.without):
+    for n, found in many(partial(some, out=args.without), args.first, args.count, args.jobs, CHUNK):
         played, broke = played + n, broke + len(found)
         for number, why, plan in found:
             print(f"{number}: {why}\n  {plan}")
