Group: a commit goes along with the next entries

A command cost three rounds of messages for each voter: entries, their answer, and a message for the commit alone. What a lead commits now goes along with the next entries within 10 ms; alone after that, and at once to the member that asked and waits to hear.

--- a/magpiefront/group/lead.py
+++ b/magpiefront/group/lead.py
@@ -14,6 +14,11 @@
 
 Out = list[tuple[str, Message]]
 
+# A commit goes along with the next entries. Where none come so soon it goes alone, and to who waits for it at
+# once: one message and one answer less for each voter and command. It is short beside a heartbeat.
+NEWS_US = 10_000
+NEVER_US = 1 << 62
+
 
 class Lead:
     def __init__(self, me: str, term: int, log: Log, times: Times, limits: Limits, now_us: int) -> None:
@@ -28,7 +33,8 @@
         self.reads: list[tuple[int, int, tuple[str, int]]] = []  # round, index, whose
         self.handing, self.handing_us = "", 0  # to whom the lead goes, and since when
         self.handed_us: int | None = None  # since when they may stand for it: no lease from then on
-        self.eager: set[str] = set()  # observers that wait for the outcome of what they asked for
+        self.news_us = NEVER_US  # when voters are told of a commit that no entries took along
+        self.eager: dict[str, int] = {}  # who waits to hear that the entry it asked for is committed
         self.regressed: set[str] = set()  # whose disks lost what they had confirmed
         self.meet()
 
@@ -42,6 +48,7 @@
             self.others[m] = Progress(self.log.last + 1, heard_us)
         for m in self.others.keys() - there:
             del self.others[m]
+            self.eager.pop(m, None)
 
     # ---- who has answered
 
@@ -101,11 +108,19 @@
 
     def send(self, now_us: int, commit: int, out: Out) -> None:
         """What is new, to voters and to those that wait for it; other observers hear with the rounds."""
+        due, behind = now_us >= self.news_us, False
         for m, p in self.others.items():
-            if m in self.log.conf.voters or m in self.eager:
-                news = commit > p.told and p.mode is Mode.STREAM
+            wanted = self.eager.get(m, 0)
+            if m in self.log.conf.voters or wanted:
+                news = commit > p.told and (due or 0 < wanted <= commit) and p.mode is Mode.STREAM
                 self._append(m, p, now_us, commit, out, news)
-        self.eager.clear()
+                behind |= commit > p.told and p.mode is Mode.STREAM
+                if wanted and p.told >= wanted:
+                    del self.eager[m]
+        if not behind:
+            self.news_us = NEVER_US
+        elif due or self.news_us == NEVER_US:
+            self.news_us = now_us + NEWS_US
 
     def send_to(self, member: str, now_us: int, commit: int, out: Out) -> None:
         self._append(member, self.others[member], now_us, commit, out, False)
--- a/magpiefront/group/raft.py
+++ b/magpiefront/group/raft.py
@@ -122,7 +122,7 @@
 
     def next_us(self) -> int:
         """When `tick` should be called at the latest."""
-        return self.lead.beat_us if self.lead is not None else self.due_us
+        return min(self.lead.beat_us, self.lead.news_us) if self.lead is not None else self.due_us
 
     def tick(self, now_us: int) -> None:
         if self.lead is not None:
@@ -131,7 +131,7 @@
                 return
             if self.lead.handed_us is None and now_us >= self.lead.handing_us + self.times.election_us:
                 self.lead.handing = ""  # it has not caught up: who leads goes on
-            if now_us >= self.next_us():
+            if now_us >= self.lead.beat_us:
                 self.lead.beat(now_us, self.commit, self.out)
                 self._try_commit(now_us)
             return
--- a/magpiefront/group/requests.py
+++ b/magpiefront/group/requests.py
@@ -80,7 +80,7 @@
         elif len(m.data) > self.most_entry or not self.raft.propose(m.data, sender, m.seq):
             cause = "the leader takes nothing now"
         else:
-            self.raft.lead.eager.add(sender)
+            self.raft.lead.eager[sender] = self.raft.log.last
             self.accepted[key] = None
             if len(self.accepted) > MOST_ACCEPTED:
                 del self.accepted[next(iter(self.accepted))]
