--- a/check.sh
+++ b/check.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
-# Lint, types, the limits of the decision module, and the tests. What needs no socket goes beside the others, at a
-# lower priority: it takes processors and no time of theirs.
+# Lint, types, the limits of the decision module, and the tests, in lanes beside each other. What needs no socket has
+# a lower priority: it takes processors and no time of the others. What starts whole groups of processes waits most
+# of its time; more of it at once is taken for faults of a busy machine, so the drill of machines comes last.
 set -euo pipefail
 cd "$(dirname "$0")"
 .venv-dev/bin/ruff check .
@@ -15,13 +16,23 @@
     exit 1
 fi
 echo "policy: $lines lines"
-apart=(tests/group/test_proof.py tests/group/test_hard_cases.py tests/takeover/test_proof.py)
-said=$(mktemp)
-trap 'rm -f "$said"' EXIT
-(nice -n 10 .venv-dev/bin/mypy && nice -n 10 .venv-dev/bin/python -m pytest "${apart[@]}") >"$said" 2>&1 &
-beside=$!
+proofs=(tests/group/test_proof.py tests/group/test_hard_cases.py)
+more=(tests/takeover/test_proof.py tests/maintenance/test_proof.py)
+groups=(tests/group/test_drill.py tests/takeover/test_drill.py tests/takeover/test_between.py
+    tests/takeover/test_hard_cases.py tests/maintenance/test_drill.py)
+said=$(mktemp -d)
+trap 'rm -rf "$said"' EXIT
+(nice -n 10 .venv-dev/bin/mypy && nice -n 10 .venv-dev/bin/python -m pytest "${more[@]}") >"$said/more" 2>&1 &
+beside=($!)
+nice -n 10 .venv-dev/bin/python -m pytest "${proofs[@]}" >"$said/proofs" 2>&1 &
+beside+=($!)
+.venv-dev/bin/python -m pytest "${groups[@]}" >"$said/groups" 2>&1 &
+beside+=($!)
+elsewhere=("${proofs[@]}" "${more[@]}" "${groups[@]}")
 ended=0
-.venv-dev/bin/python -m pytest "${apart[@]/#/--ignore=}" || ended=$?
-wait "$beside" || ended=$?
-cat "$said"
+.venv-dev/bin/python -m pytest "${elsewhere[@]/#/--ignore=}" || ended=$?
+for each in "${beside[@]}"; do
+    wait "$each" || ended=$?
+done
+cat "$said"/*
 exit "$ended"
--- a/magpiefront/__main__.py
+++ b/magpiefront/__main__.py
@@ -1,9 +1,11 @@
 """`python -m magpiefront`: one real proxy, from its start to its last answer.
 
     python -m magpiefront [--operator FILE]    LB_OPERATOR serves too; without either, the platform's proxy
-    python -m magpiefront check FILE           says what is wrong with an operator's file, and starts nothing
+    python -m magpiefront check FILE           says what is wrong with an operator's file, and starts nothing;
+                                               with LB_CONFIG also what that file lacks for it
     python -m magpiefront record COMMAND       asks the store of record; --operator FILE says which
     python -m magpiefront group COMMAND        asks the group; --operator FILE says which
+    python -m magpiefront maintenance COMMAND  takes machines out for work, in an order that the group settles
 """
 
 from __future__ import annotations
@@ -48,7 +50,7 @@
 
 
 async def serve(settings: config.Config, operator: Operator | None = None) -> None:
-    loop = asyncio.get_running_loop()
+    loop, stop = asyncio.get_running_loop(), asyncio.Event()
     bodies = Bodies(int(settings.memory_mb * 0.3) << 20)
     composition = None
     if operator is None:
@@ -58,7 +60,7 @@
         from magpiefront.operator.compose import Composition, host
 
         proxy = host(settings, loop, operator)
-        composition = Composition(proxy, proxy, operator, settings.seed)
+        composition = Composition(proxy, proxy, operator, settings.seed, proxy, stop.set)
         first = composition.first
     if os.environ.get("LB_TRACE"):
         from magpiefront.net import trace
@@ -69,10 +71,11 @@
     if composition is not None:
         composition.prepare(front)
     discovery = Discovery(proxy, settings.discovery, settings.seed)
-    stop = asyncio.Event()
     desk = Desk(proxy, front)
     if composition is not None and composition.group is not None:
         desk.more = composition.figures
+        if composition.maintenance is not None:
+            desk.call = composition.maintenance.by_hand
     admin = Admin(loop, desk)
     place = place_of(settings.listen, os.environ) if settings.admin is not None else None
     starting = Starting(place) if place is not None else None
@@ -121,7 +124,9 @@
     if composition is not None:
         await composition.accept()
     if starting is not None and starting.socket is not None:
-        Succeeding(starting, proxy, front, desk)
+        succeeding = Succeeding(starting, proxy, front, desk)
+        if composition is not None:
+            composition.follows(lambda: succeeding.channel.open)
     others = composition.listening if composition is not None else []
     serving = Serving(proxy, front, discovery, desk, place, others) if place is not None else None
     if serving is not None:
@@ -185,16 +190,29 @@
         raise config.BadConfig(str(e)) from None
 
 
+def check_both(path: str, operator: Operator, settings: config.Config) -> None:
+    """Raises BadConfig where the platform's file does not go with the operator's."""
+    from magpiefront.operator.compose import uncovered
+
+    for line in uncovered(operator, settings.settings.classes):
+        raise config.BadConfig(f"{path}: [record] {line}")
+
+
+def operator_of(args: argparse.Namespace, says: str) -> Operator:
+    """The file of a command. Raises BadConfig."""
+    path = args.own_operator or args.operator or os.environ.get("LB_OPERATOR")
+    if not path:
+        raise config.BadConfig(f"{args.command}: --operator FILE (or LB_OPERATOR) says {says}")
+    return read_operator(path)
+
+
 def ask_record(args: argparse.Namespace) -> int:
     """Raises BadConfig."""
     from magpiefront.record.commands import BadStore, Refused, run
 
-    path = args.record_operator or args.operator or os.environ.get("LB_OPERATOR")
-    if not path:
-        raise config.BadConfig("record: --operator FILE (or LB_OPERATOR) says where the store is")
-    operator = read_operator(path)
+    operator = operator_of(args, "where the store is")
     if operator.record is None:
-        raise config.BadConfig(f"{path}: [record] is missing")
+        raise config.BadConfig(f"{operator.path}: [record] is missing")
     from magpiefront.record.settings import GroupStoreSettings
     from magpiefront.takeover.books import GroupBook
 
@@ -209,15 +227,26 @@
     """Raises BadConfig."""
     from magpiefront.commands.group import Refused, run
 
-    path = args.group_operator or args.operator or os.environ.get("LB_OPERATOR")
-    if not path:
-        raise config.BadConfig("group: --operator FILE (or LB_OPERATOR) says which")
+    operator = operator_of(args, "which")
     try:
-        return run(read_operator(path), args)
+        return run(operator, args)
     except Refused as e:
         raise config.BadConfig(str(e)) from None
 
 
+def ask_maintenance(args: argparse.Namespace) -> int:
+    """Raises BadConfig."""
+    from magpiefront.commands.group import Refused
+    from magpiefront.commands.maintenance import run
+    from magpiefront.operator.fields import BadFile
+
+    operator = operator_of(args, "of which machines")
+    try:
+        return run(operator, args)
+    except (Refused, BadFile) as e:
+        raise config.BadConfig(str(e)) from None
+
+
 def arguments(given: list[str]) -> argparse.Namespace:
     parser = argparse.ArgumentParser("magpiefront", description="A load-balancing proxy for cache nodes.")
     parser.add_argument("--operator", metavar="FILE", help="the operator's file (else LB_OPERATOR)")
@@ -225,17 +254,23 @@
     check = commands.add_parser("check", help="say what is wrong with an operator's file")
     check.add_argument("file")
     record = commands.add_parser("record", help="ask the store of record; `record --help` says what")
-    record.add_argument("--operator", metavar="FILE", dest="record_operator", help="as above")
+    record.add_argument("--operator", metavar="FILE", dest="own_operator", help="as above")
     if "record" in given:
         from magpiefront.record.commands import add_arguments
 
         add_arguments(record)
     group = commands.add_parser("group", help="ask the group; `group --help` says what")
-    group.add_argument("--operator", metavar="FILE", dest="group_operator", help="as above")
+    group.add_argument("--operator", metavar="FILE", dest="own_operator", help="as above")
     if "group" in given:
         from magpiefront.commands.group import add_arguments as add_group
 
         add_group(group)
+    maintenance = commands.add_parser("maintenance", help="machines; `maintenance --help` says what")
+    maintenance.add_argument("--operator", metavar="FILE", dest="own_operator", help="as above")
+    if "maintenance" in given:
+        from magpiefront.commands.maintenance import add_arguments as add_maintenance
+
+        add_maintenance(maintenance)
     return parser.parse_args(given)
 
 
@@ -244,6 +279,8 @@
     try:
         if args.command == "check":
             checked = read_operator(args.file)
+            if os.environ.get("LB_CONFIG"):
+                check_both(args.file, checked, config.load(os.environ))
             print(f"{args.file}: good")
             if checked.group is not None and checked.group.told:
                 print(f"{args.file}: {checked.group.told}")
@@ -252,6 +289,8 @@
             return ask_record(args)
         if args.command == "group":
             return ask_group(args)
+        if args.command == "maintenance":
+            return ask_maintenance(args)
         settings = config.load(os.environ)
         path = args.operator or os.environ.get("LB_OPERATOR")
         operator = read_operator(path) if path else None
--- a/magpiefront/commands/group.py
+++ b/magpiefront/commands/group.py
@@ -79,14 +79,14 @@
     return COMMANDS[args.group_command](caller, args, out or sys.stdout)
 
 
-def _tell(told: dict[str, Any], args: argparse.Namespace, out: TextIO, lines: list[str]) -> None:
+def tell(told: dict[str, Any], args: argparse.Namespace, out: TextIO, lines: list[str]) -> None:
     print(json.dumps(told) if args.json else "\n".join(lines), file=out)
 
 
 def status(caller: Caller, args: argparse.Namespace, out: TextIO) -> int:
     s = caller.ask({"do": "status"})
     if s["cause"]:
-        _tell(s, args, out, [f"{s['member']}: {s['cause']}"])
+        tell(s, args, out, [f"{s['member']}: {s['cause']}"])
         return LOOK
     part = "votes" if s["votes"] else "observes"
     lines = [
@@ -94,7 +94,7 @@
         f"applied {s['applied']}, committed {s['commit']}, in the log {s['last']}, snapshot {s['snapshot']}",
         f"may act under epoch {s['epoch']}, {s['session_ms']} ms left" if s["epoch"] else "may not act now",
     ]
-    _tell(s, args, out, lines)
+    tell(s, args, out, lines)
     return FINE if s["leader"] else LOOK
 
 
@@ -107,7 +107,7 @@
         state = "suspected" if m["suspected"] and m["state"] == "well" else m["state"]
         mark = " leads" if m["id"] == s["leader"] else ""
         lines.append(f"{name:24} {m['part']:9} {state:10} {m['epoch']:6} {m['losses']:6} {behind:>8}{mark}")
-    _tell(s, args, out, lines)
+    tell(s, args, out, lines)
     return FINE if all(m["state"] == "well" for m in found.values() if m["part"] != "none") else LOOK
 
 
@@ -122,11 +122,11 @@
         part = s.get("members", {}).get(args.name, {}).get("part", "none")
         if (part == "none") == takes_out:
             word = "is out" if takes_out else f"is in, as {part}"
-            _tell({"member": args.name, "part": part}, args, out, [f"{args.name} {word}"])
+            tell({"member": args.name, "part": part}, args, out, [f"{args.name} {word}"])
             return FINE
         if time.monotonic() > end:
             line = f"committed; {args.name} has still to {'leave' if takes_out else 'ask to be taken in'}"
-            _tell({"member": args.name, "part": part}, args, out, [line])
+            tell({"member": args.name, "part": part}, args, out, [line])
             return LOOK
         time.sleep(0.1)
 
@@ -137,7 +137,7 @@
     while time.monotonic() < end:
         leader = name_of(caller.ask({"do": "status"}).get("leader") or "")
         if leader == args.to:
-            _tell({"leader": leader}, args, out, [f"{leader} leads"])
+            tell({"leader": leader}, args, out, [f"{leader} leads"])
             return FINE
         time.sleep(0.05)
     raise Refused(f"{args.to} does not lead yet")
@@ -159,13 +159,13 @@
         waits = ", ".join(f"{n} {k}" for k, n in hand.items())
         lines.append(f"{name:24} {told['acts']:6} {sum(hand.values()):8} {told['delivering']:9} "
                      f"{told['taken']:11}  {waits}")  # fmt: skip
-    _tell({"members": found}, args, out, lines)
+    tell({"members": found}, args, out, lines)
     return LOOK if any("error" in told for told in found.values()) else FINE
 
 
 def snapshot(caller: Caller, args: argparse.Namespace, out: TextIO) -> int:
     told = caller.ask({"do": "snapshot"})
-    _tell(told, args, out, [f"snapshot at {told['snapshot']}"])
+    tell(told, args, out, [f"snapshot at {told['snapshot']}"])
     return FINE
 
 
--- a/magpiefront/gateway/crossing.py
+++ b/magpiefront/gateway/crossing.py
@@ -24,12 +24,14 @@
 
 @dataclass(slots=True, frozen=True)
 class Way:
-    """What is there for another try. `epoch` is that of the peer that it would go to, if one is up."""
+    """What is there for another try. `epoch` is that of the peer that it would go to, if one is up, and
+    `store` the name of the store of record in which that one holds what crosses."""
 
     epoch: str | None
     budget: bool
     home: bool
     least_left_us: int = 0
+    store: str = ""
 
 
 @dataclass(slots=True)
@@ -41,16 +43,23 @@
     window_us: int
     most_tries: int = 3
     tries: int = 0
-    epoch: str = ""  # of the peer where it may have run
+    epoch: str = ""  # of the peer where it may have run; none: of one that another process sent it to
+    store: str = ""  # ... and of its store
     sent_at_us: int = 0
     may_have_run: bool = False
     over: bool = False
 
-    def sent(self, now_us: int, epoch: str) -> None:
+    def resumed(self, first_us: int) -> None:
+        """Another process may have sent it since then, to a peer that is not known here."""
+        self.may_have_run, self.sent_at_us = True, first_us
+
+    def sent(self, now_us: int, epoch: str, store: str = "") -> None:
         """Another try goes out, to the peer with that epoch."""
         self.tries += 1
         if not self.may_have_run:
-            self.epoch, self.sent_at_us = epoch, now_us
+            self.sent_at_us = now_us
+        if not self.may_have_run or not self.epoch:
+            self.epoch, self.store = epoch, store
 
     def age_us(self, now_us: int) -> int:
         return now_us - self.sent_at_us if self.may_have_run else 0
@@ -74,7 +83,9 @@
         if way.epoch is None:
             return Next.WAIT
         if way.epoch != self.epoch:
-            return Next.FAIL  # that peer has forgotten, or never knew, whether it ran
+            # That peer has forgotten, or never knew, whether it ran: but for one that looks into the same
+            # store. Its look costs no token: it is no second try at the nodes.
+            return Next.AGAIN if self.store and way.store == self.store else Next.FAIL
         return Next.AGAIN if way.budget else Next.WAIT
 
     def timed_out(self) -> Next:
--- a/magpiefront/gateway/inbound.py
+++ b/magpiefront/gateway/inbound.py
@@ -6,20 +6,19 @@
 import socket
 import ssl
 from collections import Counter
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 from magpiefront.gateway import engine, wire
 from magpiefront.gateway.counters import Counters
 from magpiefront.gateway.house import repeat_of
-from magpiefront.net.effects import Effect
+from magpiefront.net.effects import Effect, ran_elsewhere
 from magpiefront.net.house import Host
 from magpiefront.net.listening import bound
-from magpiefront.gateway.keyed import KeyedStage
 from magpiefront.gateway.link import Wire
 from magpiefront.gateway.routes import Credit, Credits, Reason, Routes
 from magpiefront.gateway.settings import GatewaySettings
 from magpiefront.interface import Repeat
-from magpiefront.net.request import Request
+from magpiefront.net.request import AgedStage, Request
 
 LISTEN = 100  # peers that wait to be accepted
 APART_S = 0.2  # between two connections of a site that are sent to the next process
@@ -73,13 +72,15 @@
 
     def _fields(self, status: int, length: int | None, more: bytes) -> wire.Fields:
         # Before it was taken nothing was done for it; after that its attempts tell.
-        never_ran = status >= 300 and not self.request.effect.may_have_run
-        return wire.answer_fields(status, length, more, "", self.peer.gate.settings.passes, never_ran)
+        effect = self.request.effect
+        never_ran = status >= 300 and not effect.may_have_run
+        passes = self.peer.gate.settings.passes
+        return wire.answer_fields(status, length, more, "", passes, never_ran, effect.undecided)
 
     def _data(self, data: bytes, end: bool) -> None:
         if self.stream in self.peer.incoming and not self.peer.closed:
             if not self.peer.engine.data(self.stream, data, end) and not end:
-                self.peer.gate.stage.hold_back(self.request)
+                self.peer.stage.hold_back(self.request)
             self.peer.flush()
 
     def finish(self) -> None:
@@ -98,6 +99,7 @@
         self.incoming: dict[int, Incoming] = {}
         self.last: int | None = None  # of GOAWAY, once it is told
         self.site = ""  # whose it is, once its hello has come
+        self.stage: AgedStage = gate.stage
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         super().connection_made(transport)
@@ -114,7 +116,7 @@
         """Its sender has gone. A keyed request goes on: its sender may come again for the answer."""
         self.incoming.pop(i.stream, None)
         if i.started and not i.done:
-            self.gate.stage.client_left(i.request)
+            self.stage.client_left(i.request)
         i.finish()
 
     def finished(self, i: Incoming) -> None:
@@ -145,7 +147,7 @@
             case engine.Writable():
                 i = self.incoming.get(event.stream)
                 if i is not None and i.streaming:
-                    self.gate.stage.let_go(i.request)
+                    self.stage.let_go(i.request)
             case _:
                 pass
 
@@ -195,8 +197,12 @@
             self.gate.house.log(f"gateway: a hello from {site!r}, which is no other site of the table")
             self._turn_away(stream, 403, "site")
             return
-        self.site = site
-        self.engine.head(stream, wire.hello_answer(self.gate.settings.site, self.gate.epoch), True)
+        self.site, own = site, self.gate.store()
+        if told.get(b"gw-store") in (None, own.encode()):
+            # Its rows are the ones that would be found here, and a report would wait for the very one that
+            # sends it; or it is of a version that takes "under way" for the report's own answer.
+            self.stage, own = self.gate.keyed, ""
+        self.engine.head(stream, wire.hello_answer(self.gate.settings.site, self.gate.epoch, own), True)
 
     def _came(self, stream: int, data: bytes) -> None:
         i = self.incoming.get(stream)
@@ -233,15 +239,17 @@
 
 
 class Gate:
-    """Listens for the other sites' gateways. What it takes goes to the keyed stage, never to another site."""
+    """Listens for the other sites' gateways. What it takes goes to `stage`, and never to another site: the
+    keyed stage, or one before it that holds reports, too."""
 
     name = "gateway"  # of its socket, where that is handed over
 
     def __init__(
-        self, house: Host, settings: GatewaySettings, routes: Routes, stage: KeyedStage, counters: Counters,
-        context: ssl.SSLContext | None, seed: int, epoch: str,
+        self, house: Host, settings: GatewaySettings, routes: Routes, keyed: AgedStage, counters: Counters,
+        context: ssl.SSLContext | None, seed: int, epoch: str, store: Callable[[], str] = lambda: "",
     ) -> None:  # fmt: skip
-        self.house, self.settings, self.routes, self.stage = house, settings, routes, stage
+        self.house, self.settings, self.routes, self.keyed, self.store = house, settings, routes, keyed, store
+        self.stage: AgedStage = keyed
         self.counters, self.context, self.seed, self.epoch = counters, context, seed, epoch
         self.credits = Credits(settings.credits)
         self.peers: dict[Inbound, None] = {}
@@ -309,7 +317,16 @@
             earlier.peer._left(earlier)
         self.open[r.wire_id] = i
         self.counters.add("in_taken")
-        self.stage.take_aged(r, i.crossed.key_age_us)
+        if i.crossed.ran_at not in ("", self.epoch) and not i.peer.stage.knows(r):
+            self.counters.add("in_ran_elsewhere")
+            ran_elsewhere(r)
+            r.replies.answer(r, 502)
+            return
+        if not i.peer.stage.may_take(r):
+            i.peer.refuse(i.stream, "not_acting")
+            i.finish()
+            return
+        i.peer.stage.take_aged(r, i.crossed.key_age_us)
 
     def finished(self, i: Incoming) -> None:
         self.credits.give_back(i.credit)
--- a/magpiefront/gateway/keyed.py
+++ b/magpiefront/gateway/keyed.py
@@ -62,8 +62,13 @@
     def take(self, request: Request) -> None:
         self.take_aged(request, 0)
 
+    def knows(self, r: Request) -> bool:
+        return False  # its table is this process's alone
+
+    def may_take(self, r: Request) -> bool:
+        return True
+
     def take_aged(self, r: Request, age_us: int) -> None:
-        """`age_us`: how long ago its sender sent it first, if it may have run since; else 0."""
         cls = self.house.classes.get(r.headers[b"req-kind"])
         if cls is None or repeat_of(cls, r.headers) is not Repeat.KEYED:
             self.following.take(r)
--- a/magpiefront/gateway/link.py
+++ b/magpiefront/gateway/link.py
@@ -19,6 +19,7 @@
 from magpiefront.hashing import text_hash
 
 CHUNK = 64 * 1024
+SHY_US = 200_000
 
 
 class Sink(Protocol):
@@ -178,17 +179,22 @@
     """The sending end. It is of use once the peer has told, in answer to a hello, which site it is and the
     epoch of its start."""
 
-    def __init__(self, slot: Slot, settings: Linked, seed: int) -> None:
+    def __init__(
+        self, slot: Slot, settings: Linked, seed: int, own_store: Callable[[], str] = lambda: ""
+    ) -> None:  # fmt: skip
+        """`own_store` names the store of record of this process, which the peer is told."""
         super().__init__(slot.link.house, True, settings.link, seed, 1)
-        self.slot, self.settings = slot, settings
-        self.epoch = ""
+        self.slot, self.settings, self.own_store = slot, settings, own_store
+        self.epoch = self.store = ""
+        self.shy_until_us = 0  # it has refused lately: what is keyed goes to another that knows as much
         self.secure = settings.tls is not None
         self.sinks: dict[int, Sink] = {}
         self.hello = 0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         super().connection_made(transport)
-        self.hello = self.engine.open(wire.hello(self.settings.site, self.slot.link.site, self.secure), [])
+        told = wire.hello(self.settings.site, self.slot.link.site, self.secure, self.own_store())
+        self.hello = self.engine.open(told, [])
         self.flush()
 
     @property
@@ -252,6 +258,8 @@
             case engine.Reset():
                 # Whole or not: a stream that never had its end on the wire can't have run either.
                 never = event.refused or not self.engine.whole(event.stream)
+                if event.refused:
+                    self.shy_until_us = self.house.now_us() + SHY_US
                 sink = self.sinks.pop(event.stream, None)
                 self.engine.forget(event.stream)
                 if sink is not None:
@@ -273,6 +281,7 @@
             self.lose(f"the peer says that it is {site!r}")
         else:
             self.epoch = told.get(b"gw-epoch", b"").decode("latin-1")
+            self.store = told.get(b"gw-store", b"").decode("latin-1")
             self.slot.greeted(self)
 
     def _goes_away(self, event: engine.GoesAway) -> None:
@@ -383,9 +392,11 @@
     def __init__(
         self, house: House, settings: GatewaySettings, site: Site, context: ssl.SSLContext | None, seed: int,
         told: Callable[[], None], suspected: Callable[[Outbound], None],
+        own_store: Callable[[], str] = lambda: "",
     ) -> None:  # fmt: skip
         self.house, self.settings, self.site, self.context = house, settings, site.name, context
         self.told, self.suspected = told, suspected  # when it is of use again, or no longer sure
+        self.own_store = own_store
         self.state = LinkState.DOWN
         self.at = 0
         peers = [p for p in site.peers for _ in range(settings.link.connections)]
@@ -394,7 +405,7 @@
             self.slots.append(Slot(self, peer, seed + 1000 * n))
 
     def outbound(self, slot: Slot, seed: int) -> Outbound:
-        return Outbound(slot, self.settings, seed)
+        return Outbound(slot, self.settings, seed, self.own_store)
 
     def wires(self) -> list[Outbound]:
         return [s.wire for s in self.slots if s.wire is not None and s.wire.usable]
@@ -410,13 +421,18 @@
         best = min(up or wires, key=lambda w: w.health.round_us)
         return LinkView(best.health.state, int(best.health.round_us))
 
-    def choose(self, pin: str = "", epoch: str = "") -> Outbound | None:
-        """The connection for a request: with `epoch`, one to that process; with `pin`, one to the same peer
-        for the same pin while it is up; else the one with the least open."""
+    def choose(self, pin: str = "", epoch: str = "", store: str = "") -> Outbound | None:
+        """The connection for a request: with `epoch`, one to that process, else (with `store`) to one that
+        looks into the same store; with `pin`, one to the same peer for the same pin while it is up; else the
+        one with the least open."""
         wires = self.wires()
         wires = [w for w in wires if w.health.state is LinkState.UP] or wires
+        if epoch or pin:
+            now = self.house.now_us()
+            wires = [w for w in wires if not w.store or now >= w.shy_until_us] or wires
         if epoch:
-            wires = [w for w in wires if w.epoch == epoch]
+            same = [w for w in wires if w.epoch == epoch]
+            wires = same or [w for w in wires if store and w.store == store]
         elif pin and wires:
             h = text_hash(pin)
             peer = max({w.slot.peer for w in wires}, key=lambda p: text_hash(f"{p[0]}:{p[1]} {h}"))
--- a/magpiefront/gateway/members.py
+++ b/magpiefront/gateway/members.py
@@ -272,10 +272,13 @@
         way.send(data)
 
     def stop(self) -> None:
+        """It may listen and send again afterwards."""
         for way in self.ways.values():
             way.slot.stop()
+        self.ways.clear()
         if self.server is not None:
             self.server.close()
+            self.server = None
         for peer in list(self.peers):
             peer.lose("this member ends")
 
--- a/magpiefront/gateway/service.py
+++ b/magpiefront/gateway/service.py
@@ -5,6 +5,7 @@
 import asyncio
 import socket
 import ssl
+from collections.abc import Callable
 from random import Random
 
 from magpiefront.gateway.counters import Counters
@@ -58,8 +59,12 @@
 class Gateway:
     """`stage` is what fronts hand their requests to."""
 
-    def __init__(self, house: Host, following: Stage, settings: GatewaySettings, seed: int) -> None:
-        self.house, self.settings = house, settings
+    def __init__(
+        self, house: Host, following: Stage, settings: GatewaySettings, seed: int,
+        store: Callable[[], str] = lambda: "",
+    ) -> None:  # fmt: skip
+        """`store` names the store of record that this process holds reports in; empty: none, or not known."""
+        self.house, self.settings, self.store = house, settings, store
         self.random = Random(seed)
         self.counters = Counters()
         self.routes = Routes(settings)
@@ -70,7 +75,7 @@
         self.epoch = f"{Random().getrandbits(64):016x}"
         self.gate = Gate(
             house, settings, self.routes, self.keyed, self.counters, server_context,
-            self.random.getrandbits(32), self.epoch,
+            self.random.getrandbits(32), self.epoch, store,
         )  # fmt: skip
         self.timer: asyncio.TimerHandle | None = None
 
@@ -88,7 +93,7 @@
             if name not in links:
                 links[name] = Link(
                     self.house, self.settings, site, self.client_context, self.random.getrandbits(32),
-                    self.stage.told, self.stage.suspect,
+                    self.stage.told, self.stage.suspect, self.store,
                 )  # fmt: skip
         for name in links.keys() - wanted.keys():
             links.pop(name).stop()
--- a/magpiefront/gateway/stage.py
+++ b/magpiefront/gateway/stage.py
@@ -8,7 +8,7 @@
 from magpiefront.gateway.counters import Counters
 from magpiefront.gateway.crossing import Crossing, Next, Way
 from magpiefront.gateway.house import repeat_of
-from magpiefront.net.effects import ran_elsewhere
+from magpiefront.net.effects import effect_of, ran_elsewhere
 from magpiefront.net.house import Host
 from magpiefront.gateway.link import CHOKED, Link, Outbound
 from magpiefront.gateway.routes import Asked, Away, Cross, Home, LinkView, Routes
@@ -42,8 +42,8 @@
 class Trip:
     """One request that crosses: what the engine's events and the clock make of its `Crossing`."""
 
-    __slots__ = ("asked", "body", "cross", "crossing", "head_", "request", "size", "spill", "stage", "stream",
-                 "streaming", "timer", "wire", "withheld")  # fmt: skip
+    __slots__ = ("asked", "body", "cross", "crossing", "guard", "head_", "request", "size", "spill", "stage",
+                 "stream", "streaming", "timer", "wire", "withheld")  # fmt: skip
 
     def __init__(
         self, stage: GatewayStage, request: Request, asked: Asked, cross: Cross, spill: bool
@@ -54,6 +54,10 @@
         self.crossing = Crossing(
             asked.repeat, deadline, cls.window_us if cls is not None else 0, stage.settings.retry.most_tries
         )
+        effect = effect_of(request)
+        if effect is not None and effect.first_us and asked.repeat is Repeat.KEYED:
+            self.crossing.resumed(effect.first_us)
+        self.guard = effect.guard if effect is not None else None
         self.wire: Outbound | None = None
         self.stream = 0
         self.head_: wire.Head | None = None
@@ -68,8 +72,14 @@
     def send(self) -> None:
         link, now = self.stage.links[self.cross.site], self.stage.house.now_us()
         c, r = self.crossing, self.request
+        if self.guard is not None and not self.guard():
+            # It is another's by now, or past its window.
+            if c.may_have_run:
+                ran_elsewhere(r)
+            self._refuse()
+            return
         pin = r.headers[b"idempotency-key"].decode("latin-1") if self.asked.repeat is Repeat.KEYED else ""
-        chosen = link.choose(pin, c.epoch if c.may_have_run else "")
+        chosen = link.choose(pin, self._ran_at, c.store)
         if chosen is None:
             self._follow(c.next(now, self._way()))
             return
@@ -84,21 +94,31 @@
             (self.stage.settings.site,),
             c.age_us(now),
             self.stage.settings.passes,
+            self._ran_at,
         )
-        c.sent(now, chosen.epoch)
+        c.sent(now, chosen.epoch, chosen.store)
         self.wire = chosen
         try:
             self.stream = chosen.send(fields, r.body, self)
         except CHOKED:
             self.broken(True, "the peer lets no more streams be opened")
 
+    @property
+    def _ran_at(self) -> str:
+        """The epoch that it has to go to, or to one that looks into the same store. What is safe goes
+        anywhere."""
+        c = self.crossing
+        return c.epoch if c.may_have_run and c.repeat is Repeat.KEYED else ""
+
     def _way(self) -> Way:
         stage, c = self.stage, self.crossing
         link = stage.links.get(self.cross.site)
-        epochs = [w.epoch for w in link.wires()] if link is not None else []
-        epoch = c.epoch if c.epoch in epochs else epochs[0] if epochs else None
+        wire = link.choose("", self._ran_at, c.store) if link is not None else None
+        if wire is None and link is not None:
+            wire = next(iter(link.wires()), None)  # one that knows nothing of it
         home = not self.spill and self.asked.repeat is Repeat.SAFE and stage.settings.home_when_down
-        return Way(epoch, stage.routes.budget.left >= 1, home, stage.settings.least_left_us)
+        epoch, store = (wire.epoch, wire.store) if wire is not None else (None, "")
+        return Way(epoch, stage.routes.budget.left >= 1, home, stage.settings.least_left_us, store)
 
     # ---- Sink
 
@@ -159,6 +179,9 @@
             # Of this try; an earlier one that broke may have run all the same.
             if self.crossing.may_have_run or not head.never_ran:
                 ran_elsewhere(self.request)
+            effect = effect_of(self.request)
+            if effect is not None:
+                effect.undecided = head.undecided
             if self.spill:
                 spills = self.stage.routes.spills[self.cross.site]
                 if status == 200:
@@ -201,9 +224,7 @@
                 self.send()
             case Next.WAIT:
                 self.stage.waiting[self] = None
-                # Past the window nothing can come of it, and its client is told so.
-                rest = self.crossing.window_us - self.crossing.age_us(self.stage.house.now_us())
-                self.stage.house.loop.call_later(rest / 1e6 + 0.001, self.link_is_back)
+                self._until_the_window_ends()
             case Next.HOME:
                 self.finish("home_after_break")
                 self.stage.go_home(self.request, self.asked)
@@ -218,6 +239,17 @@
         if not self.crossing.over:
             self._follow(self.crossing.next(self.stage.house.now_us(), self._way()))
 
+    def _until_the_window_ends(self) -> None:
+        """Past it nothing can come of it, and its client is told so. A loop that runs late has its timers run
+        early by the clock: then it is waited for again."""
+        if self in self.stage.waiting:
+            rest = self.crossing.window_us - self.crossing.age_us(self.stage.house.now_us())
+            if rest > 0:
+                later = self.stage.house.loop.call_later
+                later(rest / 1e6 + 0.001, self._until_the_window_ends)
+            else:
+                self.link_is_back()
+
     def link_is_back(self) -> None:
         if self not in self.stage.waiting:
             return
--- a/magpiefront/gateway/wire.py
+++ b/magpiefront/gateway/wire.py
@@ -48,19 +48,25 @@
     via: tuple[str, ...]
     key_age_us: int
     more: bytes  # lines of the other fields, for a site that passes them on
+    ran_at: str  # the epoch of the gateway where it may have run, if that is known
 
 
-def hello(site: str, to: str, secure: bool) -> Fields:
+def hello(site: str, to: str, secure: bool, store: str = "") -> Fields:
+    """`store` names the store of record that this gateway shares with others; it is told empty where there is
+    none, for only older versions don't tell it."""
     scheme = b"https" if secure else b"http"
     return [
         (b":method", HELLO_METHOD), (b":scheme", scheme), (b":authority", to.encode()),
         (b":path", HELLO), (b"gw-version", VERSION), (b"gw-site", site.encode()),
+        (b"gw-store", store.encode()),
     ]  # fmt: skip
 
 
-def hello_answer(site: str, epoch: str) -> Fields:
+def hello_answer(site: str, epoch: str, store: str = "") -> Fields:
+    """`store` names the store of record in which this gateway holds what crosses."""
     return [(b":status", b"200"), (b"gw-version", VERSION), (b"gw-site", site.encode()),
-            (b"gw-epoch", epoch.encode()), (b"content-length", b"0")]  # fmt: skip
+            (b"gw-epoch", epoch.encode()), (b"gw-store", store.encode()),
+            (b"content-length", b"0")]  # fmt: skip
 
 
 def passed(fields: Iterable[tuple[bytes, bytes]]) -> Fields:
@@ -79,7 +85,7 @@
 
 def request_fields(
     r: Request, to: str, secure: bool, left_us: int, repeat: Repeat, via: Iterable[str], key_age_us: int,
-    passes: bool = False,
+    passes: bool = False, ran_at: str = "",
 ) -> Fields:  # fmt: skip
     fields = [
         (b":method", r.method), (b":scheme", b"https" if secure else b"http"), (b":authority", to.encode()),
@@ -88,6 +94,8 @@
     ]  # fmt: skip
     if key_age_us > 0:
         fields.append(Unindexed(b"gw-key-age", b"%d" % key_age_us))
+    if ran_at:
+        fields.append((b"gw-ran-at", ran_at.encode()))
     h = r.headers
     for name in CARRIED:
         if name in h:
@@ -127,16 +135,18 @@
     headers[b"req-deadline"] = b"%d.%06d" % divmod(left, 1_000_000)
     return Crossed(h.get(b":method", b""), h.get(b":path", b""), headers, left, repeat,
                    tuple(v.decode("ascii") for v in via), _number(h, b"gw-key-age", b"0"),
-                   read_passed(fields))  # fmt: skip
+                   read_passed(fields), h.get(b"gw-ran-at", b"").decode("latin-1"))  # fmt: skip
 
 
 def answer_fields(
     status: int, length: int | None, more: bytes, refused: str = "", passes: bool = False,
-    never_ran: bool = False,
+    never_ran: bool = False, undecided: bool = False,
 ) -> Fields:  # fmt: skip
     """`more` holds lines as fronts write them; of these, what the other site needs goes on. `never_ran`: that
-    is certain of what it answers."""
+    is certain of what it answers. `undecided`: it is no answer yet, and is to be asked for again."""
     fields = [(b":status", b"%d" % status)]
+    if undecided:
+        fields.append((b"gw-undecided", b"1"))
     if never_ran:
         fields.append((b"gw-never-ran", b"1"))
     if passes:
@@ -167,6 +177,7 @@
     more: bytes
     refused: str
     never_ran: bool = False
+    undecided: bool = False
 
 
 def read_answer(fields: Iterable[tuple[bytes, bytes]], passes: bool = False) -> Head:
@@ -182,4 +193,4 @@
         more = lines((t, h[t.lower()]) for t in (b"Content-Type", b"Retry-After") if t.lower() in h)
     refused = h.get(b"gw-refused", b"").decode("latin-1")
     return Head(int(status), None if length is None else int(length), more, refused,
-                h.get(b"gw-never-ran") == b"1")  # fmt: skip
+                h.get(b"gw-never-ran") == b"1", h.get(b"gw-undecided") == b"1")  # fmt: skip
--- a/magpiefront/group/desk.py
+++ b/magpiefront/group/desk.py
@@ -6,9 +6,10 @@
 from typing import Any
 
 from magpiefront.group import facts
-from magpiefront.group.asks import Outcome
+from magpiefront.group.asks import Fate, Outcome
 from magpiefront.group.machines import FACTS
 from magpiefront.group.peer import told
+from magpiefront.group.seam import Group
 from magpiefront.group.service import GroupService
 
 Answer = Callable[[dict[str, Any]], None]
@@ -19,6 +20,15 @@
     """An ask that can't be met; its text says why."""
 
 
+def read_then(group: Group, until_us: int, answer: Answer, then: Callable[[], dict[str, Any]]) -> None:
+    """Answers with what `then` finds, which is as new as the moment of the call."""
+
+    def agreed(o: Outcome) -> None:
+        answer(then() if o.fate is Fate.COMMITTED else {"error": f"it can't be read now: {o.cause}"})
+
+    group.read(until_us, agreed)
+
+
 class Desk:
     def __init__(self, service: GroupService) -> None:
         self.service = service
--- a/magpiefront/group/facts.py
+++ b/magpiefront/group/facts.py
@@ -114,6 +114,9 @@
     def __init__(self) -> None:
         self.kept = Kept()
 
+    def begin(self) -> None:
+        self.kept = Kept()
+
     def member(self, id: str) -> Member | None:
         """Of that very incarnation."""
         found = self.kept.members.get(name_of(id))
--- a/magpiefront/group/machines.py
+++ b/magpiefront/group/machines.py
@@ -18,6 +18,9 @@
     """The same commands in the same order give the same state at each member. What it can't read it answers
     as its own refusal; it may not raise, for that would end every member."""
 
+    def begin(self) -> None:
+        """As it was before the first command."""
+
     def apply(self, index: int, origin: str, data: bytes) -> bytes: ...
     def snapshot(self) -> bytes: ...
     def restore(self, data: bytes) -> None: ...
--- a/magpiefront/group/seam.py
+++ b/magpiefront/group/seam.py
@@ -18,6 +18,10 @@
     def me(self) -> str:
         """This member's id; empty while it is none."""
 
+    @property
+    def leads(self) -> bool:
+        """Does this member lead, as far as it knows?"""
+
     def register(self, name: str, machine: Machine) -> None:
         """A state machine of that name, the same at each member; before `start`."""
 
--- a/magpiefront/group/service.py
+++ b/magpiefront/group/service.py
@@ -5,7 +5,7 @@
 import asyncio
 import time
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from contextlib import suppress
 from dataclasses import replace
 from random import Random
@@ -20,11 +20,12 @@
 from magpiefront.group.peer import Peer, Stored
 from magpiefront.group.seam import Way
 from magpiefront.group.settings import Address, GroupSettings
-from magpiefront.net.figures import PREFIX
+from magpiefront.net.figures import lines
 from magpiefront.net.house import House
 from magpiefront.sqlfile import BadStore
 
 AGAIN_S = 1.0  # between tries of a disk that failed
+AFTER_S = 0.01  # ... of the address that the process before this one has still
 LATE_US = 100_000
 
 
@@ -53,7 +54,26 @@
         self.way = way
         self._begin(self.disk.start())
 
+    def succeed(self, way: Way, listen: Callable[[], Awaitable[None]]) -> None:
+        """As `start`, as soon as the process before this one of the same member has given up file and
+        address; nothing is acted on before that."""
+        self.way, self.cause = way, "the process before it has not ended its part yet"
+        self.task = self.house.loop.create_task(self._again(AFTER_S, listen))
+
+    def give_up(self) -> None:
+        """This process's part is over, the next one may begin; `succeed` begins it anew."""
+        self._out("the next process has its part")
+        if self.timer is not None:
+            self.timer.cancel()
+        self.disk.stop()
+        if self.way is not None:
+            self.way.stop()
+
     def _begin(self, stored: Stored) -> None:
+        """What is committed is applied from the snapshot on, or from the first entry: a machine of the time
+        before a disk failed would meet the same commands twice."""
+        for machine in self.machines.values():
+            machine.begin()
         self.peer = Peer(self.settings, stored, self.random, self.house.now_us(), self.machines, self._log)
         self.peer.watch(self._changed)
         self.cause = ""
@@ -74,19 +94,25 @@
         if not self.stopped:
             self.task = self.house.loop.create_task(self._again())
 
-    async def _again(self) -> None:
+    async def _again(
+        self, after_s: float = AGAIN_S, listen: Callable[[], Awaitable[None]] | None = None
+    ) -> None:  # fmt: skip
         """Tries the disk until it takes what is written; in a thread, for it may hang."""
         while True:
-            await asyncio.sleep(AGAIN_S)
+            await asyncio.sleep(after_s)
             try:
+                if listen is not None:
+                    await listen()
                 stored = await self.house.loop.run_in_executor(None, self.disk.start)
+            except OSError:
+                continue  # the address is still the other one's
             except BadStore as e:
-                self.cause = f"out of the vote: {e}"
+                self.cause, listen = f"out of the vote: {e}", None
                 continue
             if self.stopped:
                 self.disk.stop()
                 return
-            self._log("its disk takes what it writes again")
+            self._log("it has file and address" if listen else "its disk takes what it writes again")
             self._begin(stored)
             return
 
@@ -190,6 +216,10 @@
     def me(self) -> str:
         return self.peer.me if self.peer is not None else ""
 
+    @property
+    def leads(self) -> bool:
+        return self.peer is not None and self.peer.leads
+
     def _ask(self, then: Then, ask: Callable[[Peer, Then, int], None]) -> None:
         """Outcomes are told in a turn of their own: who hears one may ask again, and the peer would be in the
         middle of what led to it."""
@@ -273,7 +303,7 @@
                       "open": len(peer.asks.open)}  # fmt: skip
         told = self.counts + (self.way.counts if self.way is not None else Counter())
         whole |= {f"{name}_count": n for name, n in sorted(told.items())}
-        return "".join(f"{PREFIX}group_{name} {value}\n" for name, value in whole.items())
+        return lines("group", whole)
 
     def status(self) -> dict[str, Any]:
         """JSON's types alone."""
--- /dev/null
+++ b/magpiefront/maintenance/placement.py
@@ -0,0 +1,49 @@
+"""Where the Router puts a popular key, asked of the very hashing that it uses. No I/O.
+
+Only the points of the ring are needed here: which servers a key comes to first says what it costs to take two
+of them out at once.
+"""
+
+from __future__ import annotations
+
+from bisect import bisect_left
+from collections.abc import Iterable, Sequence
+from functools import lru_cache
+
+from magpiefront.brain import SLOTS
+from magpiefront.hashing import nth, text_hash
+
+HOMES = 2  # a popular key is read at its first homes: it must not lose all of them at once
+
+
+class Ring:
+    """As `Router._rebuild` makes it of servers of one weight."""
+
+    def __init__(self, nodes: Iterable[str]) -> None:
+        self.nodes: Sequence[str] = sorted(set(nodes))
+        points = []
+        for i, name in enumerate(self.nodes):
+            seed = text_hash(name)
+            points += [nth(seed, j) >> 16 << 16 | i for j in range(SLOTS)]
+        self.points = sorted(points)
+
+    @classmethod
+    @lru_cache(4)
+    def of(cls, nodes: tuple[str, ...]) -> Ring:
+        """The same one for the same nodes: to sort the points of hundreds takes milliseconds."""
+        return cls(nodes)
+
+    def owner(self, h: int) -> str:
+        at = bisect_left(self.points, h)
+        return self.nodes[self.points[at if at < len(self.points) else 0] & 0xFFFF]
+
+    def homes(self, key: int, count: int = HOMES) -> list[str]:
+        """The first servers that a key comes to, all others at their cap."""
+        found: list[str] = []
+        n = 0
+        while len(found) < min(count, len(self.nodes)):
+            owner = self.owner(nth(key, n))
+            if owner not in found:
+                found.append(owner)
+            n += 1
+        return found
--- a/magpiefront/net/desk.py
+++ b/magpiefront/net/desk.py
@@ -12,6 +12,7 @@
     def __init__(self, proxy: Proxy, front: Front) -> None:
         self.proxy, self.front = proxy, front
         self.more: Callable[[], str] = str  # lines of figures that a stage adds
+        self.call: Callable[[str, bool], bool] = proxy.by_hand  # carries an operator's call out
         self.on_by_hand: Callable[[str, bool], None] = lambda server, out: None  # hears what was accepted
 
     def ready(self) -> str:
@@ -24,7 +25,7 @@
         return self.proxy.figures.text(len(router.listed), router.avoided) + self.more()
 
     def by_hand(self, server: str, out: bool) -> bool:
-        done = self.proxy.by_hand(server, out)
+        done = self.call(server, out)
         if done:
             self.on_by_hand(server, out)
         return done
--- a/magpiefront/net/effects.py
+++ b/magpiefront/net/effects.py
@@ -24,12 +24,14 @@
 
 
 class Effect:
-    __slots__ = ("attempts", "elsewhere", "guard")
+    __slots__ = ("attempts", "elsewhere", "first_us", "guard", "undecided")
 
     def __init__(self) -> None:
         self.attempts: list[Traced] = []
         self.guard: Callable[[], bool] | None = None  # asked in front of each first byte: may it go now?
         self.elsewhere = False  # may it have run where this process can't see it?
+        self.first_us = 0  # when it may have gone first, by the host's clock, where it was another's before
+        self.undecided = False  # its answer says that another is at work on it: it is to be asked again
 
     @property
     def may_have_run(self) -> bool:
--- a/magpiefront/net/figures.py
+++ b/magpiefront/net/figures.py
@@ -6,11 +6,16 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 
 PREFIX = "svc_"
 
 
+def lines(what: str, figures: Mapping[str, int]) -> str:
+    """Of one part of the program, each with its line end."""
+    return "".join(f"{PREFIX}{what}_{name} {n}\n" for name, n in figures.items())
+
+
 class Tally:
     """The counts of one class of requests since the process began."""
 
--- a/magpiefront/net/request.py
+++ b/magpiefront/net/request.py
@@ -74,6 +74,19 @@
     def let_go(self, request: Request) -> None: ...
 
 
+class AgedStage(Stage, Protocol):
+    """One that requests from other sites come to."""
+
+    def take_aged(self, r: Request, age_us: int) -> None:
+        """`age_us`: how long ago its sender sent it first, if it may have run since; else 0."""
+
+    def knows(self, r: Request) -> bool:
+        """Would a look here tell whether it ran at another gateway of this site?"""
+
+    def may_take(self, r: Request) -> bool:
+        """False where this process may not act on it now, and another one may."""
+
+
 class Request:
     """A client's request, from its first byte to its answer and the end of its attempts.
 
--- a/magpiefront/net/trace.py
+++ b/magpiefront/net/trace.py
@@ -29,9 +29,9 @@
 class TracedNode(upstream.Node):
     __slots__ = ()
 
-    async def _connect(self, exchange: upstream.Exchange) -> None:
+    async def _connect(self, connection: upstream.NodeConnection, exchange: upstream.Exchange) -> None:
         began = self.pool.loop.time()
-        await super()._connect(exchange)
+        await super()._connect(connection, exchange)
         word = "ok" if exchange.connection is not None else "failed"
         elapsed = int((self.pool.loop.time() - began) * 1e6)
         line(f"c {self.name} {word} {elapsed} {self.open}")
@@ -48,7 +48,7 @@
 
 def install(proxy: Proxy) -> None:
     """From here on, this proxy's decisions and connections are told."""
-    proxy.pool.node_type = TracedNode
+    proxy.pool.node_type = type("Node", (TracedNode, proxy.pool.node_type), {"__slots__": ()})
     router = proxy.router
     handle = router.handle
 
--- a/magpiefront/net/upstream.py
+++ b/magpiefront/net/upstream.py
@@ -424,10 +424,16 @@
             return
         self.open += 1
         self.pool.open += 1
-        exchange.task = self.pool.loop.create_task(self._connect(exchange))
-
-    async def _connect(self, exchange: Exchange) -> None:
         connection = self.pool.connection_type(self, exchange)
+        exchange.task = self.pool.loop.create_task(self._connect(connection, exchange))
+        exchange.task.add_done_callback(lambda _: self._connected(connection))
+
+    def _connected(self, connection: NodeConnection) -> None:
+        """Guards against places that nobody gives back: an exchange may end before its task has ever run."""
+        if connection.transport is None:
+            self.lost(connection)
+
+    async def _connect(self, connection: NodeConnection, exchange: Exchange) -> None:
         outcome = Outcome.CONNECT_FAILED
         try:
             async with asyncio.timeout(self.pool.connect_timeout_s):
@@ -438,7 +444,6 @@
         except asyncio.CancelledError:
             outcome = Outcome.MOOT  # the exchange has ended
         if connection.transport is None:
-            self.lost(connection)
             exchange.task = None
             exchange.end(outcome)
 
--- a/magpiefront/operator/compose.py
+++ b/magpiefront/operator/compose.py
@@ -6,14 +6,20 @@
 import os
 import socket
 import sqlite3
-from collections.abc import Mapping
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import replace
+from hashlib import blake2b
 from pathlib import Path
 from typing import TYPE_CHECKING
 
 from magpiefront.caching.disk import Disk
 from magpiefront.caching.stage import CachingStage
 from magpiefront.caching.watch import WriteWatch
+from magpiefront.interface import RequestClass
+from magpiefront.maintenance.desk import MaintenanceDesk
+from magpiefront.maintenance.facts import Board
+from magpiefront.maintenance.rules import advance
+from magpiefront.maintenance.service import MACHINE, MaintenanceService
 from magpiefront.net.house import Host
 from magpiefront.gateway.inbound import Gate
 from magpiefront.gateway.members import MemberWay, WaySettings
@@ -27,12 +33,16 @@
 from magpiefront.net.request import Stage
 from magpiefront.net.traced import TracedAttempt
 from magpiefront.operator.fields import BadFile
+from magpiefront.record.arrivals import Arrivals
 from magpiefront.record.sqlite import BadStore, SqliteStore
 from magpiefront.record.settings import GroupStoreSettings, SqliteSettings
-from magpiefront.record.stage import RecordStage, boot_id
+from magpiefront.record.rows import boot_id
+from magpiefront.record.stage import RecordStage
 from magpiefront.operator.file import Operator, load
 from magpiefront.takeover.acting import GroupActing
 from magpiefront.takeover.desk import RecordDesk, work
+from magpiefront.takeover.handing import Handing
+from magpiefront.takeover.limits import too_short
 from magpiefront.takeover.store import GroupStore
 
 
@@ -40,6 +50,7 @@
     from magpiefront.record.postgres import PostgresStore
 
 LEAVE_S = 0.4  # of a planned end, for the group to hear of it
+EXPECT_S = 2.5  # so long reports wait in a process that follows another one, for its member's part
 
 def check(path: Path) -> Operator:
     """The file, and what it names on this machine. Raises BadFile."""
@@ -57,6 +68,14 @@
     return operator
 
 
+def uncovered(operator: Operator, classes: Iterable[RequestClass]) -> list[str]:
+    """What these classes lack for a lost proxy's reports to be taken over; none where nothing is."""
+    if operator.group is None or operator.record is None:
+        return []
+    record = operator.record
+    return too_short(classes, record.classes, operator.group.settings.times, record.delivery_us)
+
+
 def host(config: Config, loop: asyncio.AbstractEventLoop, operator: Operator) -> Proxy:
     """One that passes on, and remembers, what the stages before it need."""
     if operator.caching is not None:
@@ -69,9 +88,13 @@
 
 
 class Composition:
-    """`first` is what fronts hand their requests to: the host itself, where nothing is asked for."""
+    """`first` is what fronts hand their requests to: the host itself, where nothing is asked for. `end` is
+    this process's planned end."""
 
-    def __init__(self, house: Host, host: Stage, operator: Operator, seed: int) -> None:
+    def __init__(
+        self, house: Host, host: Stage, operator: Operator, seed: int, proxy: Proxy | None = None,
+        end: Callable[[], None] = lambda: None,
+    ) -> None:  # fmt: skip
         self.house, self.operator = house, operator
         self.first = host
         self.gateway: Gateway | None = None
@@ -80,7 +103,7 @@
         if operator.gateway is not None:
             if operator.caching is not None:
                 host = watch = WriteWatch(house, host)
-            self.gateway = Gateway(house, host, operator.gateway, seed)
+            self.gateway = Gateway(house, host, operator.gateway, seed, self._shared)
             self.first = self.gateway.stage
         if operator.caching is not None:
             disk = Disk(house, operator.caching.disk) if operator.caching.disk is not None else None
@@ -96,6 +119,16 @@
             ways = WaySettings(operator.site, operator.group.tls)
             self.desk = Desk(self.group)
             self.way = MemberWay(house, self.group, ways, self.desk.asked, seed)
+        self.handing: Handing | None = None
+        if self.group is not None:
+            self.handing = Handing(house, self.group, lambda: self.busy, self.leave, self._succeed)
+        self.maintenance: MaintenanceService | None = None
+        if self.group is not None and self.desk is not None:
+            if operator.maintenance is not None and proxy is not None:
+                self.maintenance = MaintenanceService(proxy, self.group, operator.maintenance, seed, end)
+                self.desk.more["maintenance"] = MaintenanceDesk(self.maintenance).asked
+            else:  # what others agree on is agreed on here too, for the day on which it is switched on
+                self.group.register(MACHINE, Board(self.group.members, advance))
         self.record: RecordStage | None = None
         self.store: SqliteStore | PostgresStore | GroupStore | None = None
         if operator.record is not None:
@@ -104,7 +137,8 @@
                 self.store = SqliteStore(house, settings.store, settings.most_waiting)
             elif isinstance(settings.store, GroupStoreSettings):
                 assert self.group is not None and self.desk is not None
-                self.store = GroupStore(house, self.group, settings.store, boot)
+                name = operator.group.settings.name if operator.group is not None else ""
+                self.store = GroupStore(house, self.group, settings.store, boot, name=name)
                 self.desk.more["record"] = RecordDesk(self.store, self.group, house).asked
             else:
                 from magpiefront.record.postgres import PostgresStore  # the library only where it is used
@@ -116,11 +150,21 @@
             )
             if self.group is not None and self.desk is not None:
                 self.desk.more["work"] = work(self.record, self.group)
+            if self.gateway is not None:
+                self.gateway.gate.stage = Arrivals(self.record, self.gateway.keyed)
+
+    def _shared(self) -> str:
+        """Names the store of record to other sites' gateways, and tells them no more than that."""
+        identity = self.store.identity if self.store is not None else ""
+        return blake2b(identity.encode(), digest_size=16).hexdigest() if identity else ""
 
     async def start(self, handed: Mapping[str, socket.socket] | None = None) -> None:
         """With the listening sockets that were handed over, by name; on these nothing is accepted before
         `accept`. Raises OSError where the gateway can't listen, BadConfig where a file can't be had."""
-        if self.group is not None and self.way is not None:
+        self._tell_uncovered(self.operator)
+        if handed and self.group is not None:
+            self._succeed()
+        elif self.group is not None and self.way is not None:
             try:
                 await self.way.listen()
             except OSError as e:
@@ -129,6 +173,8 @@
                 self.group.start(self.way)
             except BadStore as e:
                 raise BadConfig(f"{self.operator.path}: [group] path: {e}") from None
+        if self.maintenance is not None:
+            self.maintenance.start()
         if self.store is not None:
             try:
                 if isinstance(self.store, SqliteStore | GroupStore):
@@ -145,14 +191,31 @@
         if self.gateway is not None:
             await self.gateway.start((handed or {}).get(self.gateway.gate.name))
 
+    def _succeed(self) -> None:
+        """The member's part goes over from another process of it, or back."""
+        assert self.group is not None and self.way is not None
+        self.group.succeed(self.way, self.way.listen)
+        if self.record is not None:
+            self.record.expect(EXPECT_S)
+
+    def follows(self, before: Callable[[], bool]) -> None:
+        """`before`: does the process that handed over go on?"""
+        if self.maintenance is not None:
+            self.maintenance.before = before
+
+    def _tell_uncovered(self, operator: Operator) -> None:
+        for line in uncovered(operator, self.house.classes.values()):
+            self.house.log(f"takeover: {line}")
+
     async def accept(self) -> None:
         if self.gateway is not None:
             await self.gateway.gate.accept()
 
     @property
-    def listening(self) -> list[Gate]:
-        """What else listens, and can be handed over."""
-        return [self.gateway.gate] if self.gateway is not None else []
+    def listening(self) -> list[Gate | Handing]:
+        """What else can be handed over."""
+        found: list[Gate | Handing] = [self.gateway.gate] if self.gateway is not None else []
+        return found + ([self.handing] if self.handing is not None else [])
 
     def prepare(self, front: Front) -> None:
         """Before the front listens."""
@@ -160,9 +223,14 @@
             prepare(front, self.operator.caching.clients)
 
     def configure(self, operator: Operator) -> None:
+        self._tell_uncovered(operator)
         if self.operator.record != operator.record:
             self.house.log("reload: another [record] needs a restart")
         self._configure_group(operator)
+        if (operator.maintenance is None) != (self.operator.maintenance is None):
+            self.house.log("reload: to begin or end [maintenance] needs a restart")
+        elif self.maintenance is not None and operator.maintenance is not None:
+            self.maintenance.configure(operator.maintenance)
         before, after = self.operator.caching, operator.caching
         if (before is None) != (after is None):
             self.house.log("reload: to begin or end caching needs a restart")
@@ -206,6 +274,7 @@
     def figures(self) -> str:
         """More lines for the second address, where there is a group."""
         group = self.group.figures() if self.group is not None else ""
+        group += self.maintenance.figures() if self.maintenance is not None else ""
         return group + (self.record.figures() if self.record is not None else "")
 
     async def leave(self) -> None:
@@ -222,6 +291,8 @@
             self.gateway.drain()
 
     def stop(self) -> None:
+        if self.maintenance is not None:
+            self.maintenance.stop()
         if self.group is not None:
             self.group.stop()
         if self.gateway is not None:
--- a/magpiefront/operator/file.py
+++ b/magpiefront/operator/file.py
@@ -15,8 +15,10 @@
 from magpiefront.net.passing import methods_of
 from magpiefront.operator.caching import caching
 from magpiefront.operator.group import GroupTables, group
+from magpiefront.operator.maintenance import maintenance
 from magpiefront.operator.record import record
 from magpiefront.operator.tls import tls
+from magpiefront.maintenance.settings import MaintenanceSettings
 from magpiefront.record.settings import RecordSettings
 from magpiefront.operator.fields import BadFile, Duration, Place, Size, parse, read
 
@@ -94,13 +96,14 @@
     caching: CachingSettings | None
     record: RecordSettings | None
     group: GroupTables | None = None
+    maintenance: MaintenanceSettings | None = None
 
 
 def load(path: Path) -> Operator:
     """Raises BadFile."""
     given = parse(path)
     for name in given:
-        if name not in ("site", "gateway", "caching", "record", "group"):
+        if name not in ("site", "gateway", "caching", "record", "group", "maintenance"):
             raise BadFile(f"{path}: [{name}]: unknown table")
     if "site" not in given:
         raise BadFile(f"{path}: [site] name: is missing")
@@ -116,7 +119,10 @@
     store = None
     if "record" in given:
         store = record(path, given["record"], members.settings if members is not None else None)
-    return Operator(path, site, gateway, cache, store, members)
+    work = None
+    if "maintenance" in given:
+        work = maintenance(path, given["maintenance"], members.settings if members is not None else None)
+    return Operator(path, site, gateway, cache, store, members, work)
 
 
 def _gateway(path: Path, site: str, given: Any) -> GatewaySettings:
--- a/magpiefront/record/journal.py
+++ b/magpiefront/record/journal.py
@@ -18,6 +18,7 @@
 ASK_AGAIN_US = 50_000  # a report that another process sends is looked at so often
 FOLLOWED_US = 500_000  # ... where its owner is asked to say when it is done
 RETRY_AFTER_US = 500_000
+WORD_US = 10_000  # a store that has not begun by then can say so for certain before the client is told
 
 
 # ---- actions
@@ -64,6 +65,8 @@
 
     row: Row
     deadline_us: int
+    crossed: bool = False  # it came from another site, and goes no further
+    resumed: bool = False  # another process may have sent it before
 
 
 @dataclass(frozen=True, slots=True)
@@ -71,6 +74,7 @@
     waiter: Hashable
     answer: Answer
     retry_after_us: int = 0
+    never_ran: bool = False  # that is certain, and that nobody will send it
 
 
 @dataclass(frozen=True, slots=True)
@@ -100,12 +104,14 @@
     phase: Phase
     waiters: dict[Hashable, int] = field(default_factory=dict)  # until when each one's time lasts
     held: bool = False  # did this process insert or take it?
+    awaits: Row | None = None  # what its row is to become by the change that is under way
     origin: Row | None = None  # what stood there when it was taken over
     until_us: int = 0  # of a delivery that nobody waits for
     outcome: Answer | None = None  # what the clients are told once it is settled
     retry_after_us: int = 0
     looks: int = 0  # how often it was asked for
     followed: str = ""  # the owner that was asked to tell
+    crossed: bool = False
 
     @property
     def deadline_us(self) -> int:
@@ -121,6 +127,7 @@
 NOBODY_KNOWS = plain(409, "whether this report had its effect is not known; ask the operator")
 COME_AGAIN = plain(409, "the report may have had its effect; ask again under the same Idempotency-Key")
 NOT_HELD = plain(503, "the store of record can't take this report now; nothing was done")
+UNDECIDED = (OPEN, COME_AGAIN, NOBODY_KNOWS)  # no answers yet: another site's gateway is not to keep them
 
 
 class Journal:
@@ -140,17 +147,19 @@
 
     # ---- clients
 
-    def arrive(self, now_us: int, waiter: Hashable, row: Row, deadline_us: int) -> list[Action]:
+    def arrive(
+        self, now_us: int, waiter: Hashable, row: Row, deadline_us: int, crossed: bool = False
+    ) -> list[Action]:  # fmt: skip
         """A report, as the row that it would be: sent from the moment that it is held, for after its commit
         nobody could tell whether it went; its `owner` is nobody else's. Also a repeat of one."""
         entry = self.entries.get(row.id)
         if entry is not None:
             if entry.row.digest != row.digest:
-                return [Reply(waiter, UNLIKE)]
+                return [Reply(waiter, UNLIKE, never_ran=True)]
             entry.waiters[waiter] = deadline_us
             return []
-        self.entries[row.id] = Entry(row, Phase.INSERTING, {waiter: deadline_us})
-        return [Insert(row, deadline_us - self.least_left_us)]
+        self.entries[row.id] = Entry(row, Phase.INSERTING, {waiter: deadline_us}, crossed=crossed)
+        return [Insert(row, deadline_us - self.least_left_us - WORD_US)]
 
     def leave(self, waiter: Hashable, id: Id) -> None:
         """Its client has gone. What was begun goes on: the next with that key is owed the answer."""
@@ -171,21 +180,30 @@
         if entry.phase in (Phase.ASKING, Phase.TAKING):
             return [Reply(waiter, OPEN, RETRY_AFTER_US)]
         if entry.phase is Phase.INSERTING and not entry.waiters:
-            # Whether it gets held or not, it is not sent: nobody has the time that it would take.
-            return [Reply(waiter, NOT_HELD, RETRY_AFTER_US)]
+            # It is not sent from here, and freed once it is held. But that may be on its way to the store:
+            # where this process is lost before it frees it, another one finds it there, and sends it.
+            return [Reply(waiter, COME_AGAIN, RETRY_AFTER_US)]
         return [Reply(waiter, plain(504, "no answer in time; the report may have had its effect"))]
 
     # ---- the store
 
+    def _change(self, entry: Entry, before: Row, after: Row, deadline_us: int) -> Change:
+        """Of its outcome this entry hears. What is let go nobody waits for, and its word may come when the
+        client's next try has an entry of its own: that one must not take it for its own change."""
+        entry.awaits = after
+        return Change(before, after, deadline_us)
+
     def inserted(self, now_us: int, id: Id, result: Result) -> list[Action]:
-        entry = self.entries[id]
+        entry = self.entries.get(id)
+        if entry is None or entry.phase is not Phase.INSERTING:
+            return []  # it has been parted with; what stands there is found when it is looked for
         if result.outcome is Outcome.DONE:
             entry.held = True
             return self._send(now_us, entry)
         if result.outcome is Outcome.THERE and result.row is not None:
             return self._found(now_us, entry, result.row)
         if result.outcome is Outcome.NEVER:
-            return self._give_up(entry, NOT_HELD, RETRY_AFTER_US)
+            return self._give_up(entry, NOT_HELD, RETRY_AFTER_US, never_ran=True)
         # Its commit may have come about. What stands there will tell; ours would have our name.
         entry.phase = Phase.ASKING
         return self._ask(now_us, entry)
@@ -198,12 +216,10 @@
             return self._ask(now_us, entry)
         if result.row is None:
             # Nothing is held of it: the insert never was, or another process has freed the key.
-            if not self._time_left(now_us, entry):
-                return self._give_up(entry, NOT_HELD, RETRY_AFTER_US)
-            if not self.acting.may(entry.row.owner):
-                return self._give_up(entry, NOT_HELD, RETRY_AFTER_US)
+            if not self._time_left(now_us, entry) or not self.acting.may(entry.row.owner):
+                return self._give_up(entry, COME_AGAIN, RETRY_AFTER_US)
             entry.phase = Phase.INSERTING
-            return [Insert(entry.row, entry.deadline_us - self.least_left_us)]
+            return [Insert(entry.row, entry.deadline_us - self.least_left_us - WORD_US)]
         return self._found(now_us, entry, result.row)
 
     def look(self, now_us: int, id: Id | None = None) -> list[Action]:
@@ -217,7 +233,7 @@
 
     def _found(self, now_us: int, entry: Entry, row: Row) -> list[Action]:
         if row.digest != entry.row.digest:
-            return self._give_up(entry, UNLIKE)
+            return self._give_up(entry, UNLIKE, never_ran=True)
         if row.owner == entry.row.owner and row.state is State.SENT and not entry.held:
             # Our own insert, whose word was lost: it was not sent yet, for nobody sends before that word.
             entry.row, entry.held = row, True
@@ -247,7 +263,8 @@
             return self._give_up(entry, OPEN, RETRY_AFTER_US)
         entry.phase = Phase.TAKING
         after = replace(row, state=State.UNKNOWN, owner=entry.row.owner)
-        return [Change(row, after, now_us + self.settle_us), *self._all(entry, NOBODY_KNOWS)]
+        change = self._change(entry, row, after, now_us + self.settle_us)
+        return [change, *self._all(entry, NOBODY_KNOWS)]
 
     def since_s(self, now_us: int, row: Row) -> float | None:
         """How long ago it was sent; None where nobody can say, as after a restart of the machine."""
@@ -267,11 +284,11 @@
         )
         if row.state is State.SENT and row.sent is not None:
             after = replace(after, until_s=now_us / S - row.sent.up_s + entry.row.until_s)
-        return [Change(row, after, entry.deadline_us - self.least_left_us)]
+        return [self._change(entry, row, after, entry.deadline_us - self.least_left_us)]
 
     def changed(self, now_us: int, id: Id, after: Row, result: Result) -> list[Action]:
         entry = self.entries.get(id)
-        if entry is None:
+        if entry is None or entry.awaits is not after:
             return []
         if entry.phase is Phase.SETTLING:
             return self._settled(now_us, entry, after, result)
@@ -317,7 +334,8 @@
             # Held, and nobody waits long enough: it was not sent, and its key becomes free.
             return self._free(now_us, entry, NOT_HELD, RETRY_AFTER_US)
         entry.phase = Phase.SENDING
-        return [Send(entry.row, entry.deadline_us)]
+        resumed = entry.origin is not None and entry.origin.state is State.SENT
+        return [Send(entry.row, entry.deadline_us, entry.crossed, resumed)]
 
     def _free(self, now_us: int, entry: Entry, answer: Answer, retry_after_us: int) -> list[Action]:
         entry.phase, entry.outcome, entry.retry_after_us = Phase.FREEING, answer, retry_after_us
@@ -330,13 +348,19 @@
             # "Nothing was done" would be true of this time only.
             after, entry.outcome = replace(after, told=True), COME_AGAIN
             entry.retry_after_us = retry_after_us or RETRY_AFTER_US
-        return [Change(entry.row, after, until_us)]
+        return [self._change(entry, entry.row, after, until_us)]
+
+    def sends(self, row: Row) -> bool:
+        """Is it this one that is out, and not one that was let go before it?"""
+        entry = self.entries.get(row.id)
+        return entry is not None and entry.phase is Phase.SENDING and entry.row.owner == row.owner
 
     def answered(
         self, now_us: int, id: Id, answer: Answer, may_have_run: bool, attempts: tuple[Attempt, ...],
-        retry_after_us: int = 0,
+        retry_after_us: int = 0, undecided: bool = False,
     ) -> list[Action]:  # fmt: skip
-        """The nodes' answer, or what the Router said in place of one."""
+        """The nodes' answer, or what the Router said in place of one. `undecided`: the other site's word that
+        it is under way there, or that nobody knows."""
         entry = self.entries[id]
         if not self.acting.may(entry.row.owner):
             return self._lost(entry)
@@ -345,10 +369,10 @@
             after = replace(row, state=State.CONFIRMED, answer=answer)
         elif not may_have_run:
             return self._free(now_us, entry, answer, retry_after_us)
-        elif 400 <= answer.status < 500 and answer.status != 429:
+        elif 400 <= answer.status < 500 and answer.status != 429 and not undecided:
             # The archive's own word on it, which a repeat would get again.
             after = replace(row, state=State.CONFIRMED, answer=answer)
-        elif answer.status in (429, 503) and entry.waiters:
+        elif (undecided or answer.status in (429, 503)) and entry.waiters:
             # Its client would take a refusal for "nothing was done", and perhaps send it under another key.
             # It is told to come again under this one, once the row says so: then nobody else sends it.
             after, answer = replace(row, until_s=0.0, told=True), COME_AGAIN
@@ -360,7 +384,7 @@
             free = Change(entry.row, replace(row, until_s=0.0), now_us + self.settle_us)
             return [*self._all(entry, answer, retry_after_us), free]
         entry.phase, entry.outcome = Phase.SETTLING, answer
-        return [Change(entry.row, after, max(entry.deadline_us, now_us + self.settle_us))]
+        return [self._change(entry, entry.row, after, max(entry.deadline_us, now_us + self.settle_us))]
 
     def _settled(self, now_us: int, entry: Entry, after: Row, result: Result) -> list[Action]:
         assert entry.outcome is not None
@@ -375,13 +399,19 @@
         return [*self._all(entry, failed), Note(f"record: an outcome was not stored: {result.cause}")]
 
     def removed(self, now_us: int, id: Id, result: Result) -> list[Action]:
-        entry = self.entries.pop(id)
+        entry = self.entries.get(id)
+        if entry is None or entry.phase is not Phase.FREEING:
+            return []
+        del self.entries[id]
         assert entry.outcome is not None
-        if result.outcome is Outcome.DONE or result.outcome is Outcome.THERE:
-            return self._all(entry, entry.outcome, entry.retry_after_us)
-        # Its row stands as sent though it never was: past its window it is unknown, which is true of it.
-        return [*self._all(entry, entry.outcome, entry.retry_after_us),
-                Note(f"record: a refused report could not be removed: {result.cause}")]  # fmt: skip
+        if result.outcome is Outcome.DONE:
+            return self._all(entry, entry.outcome, entry.retry_after_us, entry.origin is None)
+        # Its row stands as sent, though it never was, or is another's by now: "nothing was done" is no word
+        # on it any more.
+        told = self._all(entry, COME_AGAIN, entry.retry_after_us or RETRY_AFTER_US)
+        if result.outcome is Outcome.THERE:
+            return told
+        return [*told, Note(f"record: a refused report could not be removed: {result.cause}")]
 
     # ---- a planned end
 
@@ -410,18 +440,22 @@
         if row.id in self.entries:
             return []
         after = replace(row, state=State.UNKNOWN, owner=owner)
-        self.entries[row.id] = Entry(after, Phase.TAKING)
-        return [Change(row, after, now_us + self.settle_us)]
+        entry = self.entries[row.id] = Entry(after, Phase.TAKING)
+        return [self._change(entry, row, after, now_us + self.settle_us)]
 
     # ---- answers
 
-    def _all(self, entry: Entry, answer: Answer, retry_after_us: int = 0) -> list[Action]:
+    def _all(
+        self, entry: Entry, answer: Answer, retry_after_us: int = 0, never_ran: bool = False
+    ) -> list[Action]:  # fmt: skip
         waiters, entry.waiters = entry.waiters, {}
-        return [Reply(w, answer, retry_after_us) for w in waiters]
+        return [Reply(w, answer, retry_after_us, never_ran) for w in waiters]
 
-    def _give_up(self, entry: Entry, answer: Answer, retry_after_us: int = 0) -> list[Action]:
+    def _give_up(
+        self, entry: Entry, answer: Answer, retry_after_us: int = 0, never_ran: bool = False
+    ) -> list[Action]:  # fmt: skip
         del self.entries[entry.row.id]
-        return self._all(entry, answer, retry_after_us)
+        return self._all(entry, answer, retry_after_us, never_ran)
 
 
 # ---- recovery
--- a/magpiefront/record/postgres.py
+++ b/magpiefront/record/postgres.py
@@ -55,8 +55,16 @@
 SELECT = f"SELECT {', '.join(f'{c}::{t}' for c, t in TYPES.items())}, {EPOCH}::float8 FROM reports"
 BY_ID = "tenant = $1::text AND kind = $2::text AND key = $3::bytea"
 # The time of its first sending is the server's, the one clock that all gateways share; the row's own says
-# only whether there is one.
-SENT = f"CASE WHEN $11::float8 IS NULL THEN NULL ELSE {EPOCH} END"
+# whether there is one, and how long before it was received here it may have gone from another site.
+SENT = (
+    f"CASE WHEN $11::float8 IS NULL THEN NULL WHEN $11::float8 < $10::float8 "
+    f"THEN {EPOCH} - ($10::float8 - $11::float8) ELSE {EPOCH} END"
+)
+# Of the cluster from its making on, and the place of the tables in it.
+IDENTITY = (
+    "SELECT system_identifier::text, current_database()::text, current_schema()::text "
+    "FROM pg_control_system()"
+)
 INSERT = "INSERT INTO reports ({}) VALUES ({}) ON CONFLICT DO NOTHING".format(
     ", ".join(COLUMNS),
     ", ".join(SENT if c == "sent_s" else f"${n}::{TYPES[c]}" for n, c in enumerate(COLUMNS, 1)),
@@ -145,6 +153,7 @@
         self.began_us: list[int] = []  # when the commits that are under way were begun
         self.commits = self.committed = 0
         self.stopping = self.migrated = False
+        self.identity = ""
         self.migrating = asyncio.Lock()
 
     # ---- in the loop
@@ -160,6 +169,8 @@
                 connection.terminate()
                 raise
             self.migrated = True
+            with suppress(asyncpg.PostgresError):  # a server that does not tell is nobody's shared one
+                self.identity = f"postgres {' '.join((await connection.fetch(IDENTITY))[0])}"
             return connection
         except ERRORS as e:
             text = f"postgres: {' '.join(str(e).split()) or type(e).__name__}"
@@ -360,7 +371,7 @@
                 if again and job.tries < MOST_TRIES and job.deadline_us > self.house.now_us():
                     self.jobs.appendleft(job)  # nothing was done: on the next connection
                 else:
-                    job.then(result)
+                    self._tell(job, result)
             if isinstance(e, Exception):
                 return False
             raise
@@ -369,9 +380,13 @@
             self.committed += sum(j.writes for j in batch)
             self.commit_us += SMOOTH * (self.house.now_us() - began - self.commit_us)
         for job, result in done:
-            job.then(result)
+            self._tell(job, result)
         return True
 
+    def _tell(self, job: Job, result: Result) -> None:
+        """In a turn of its own: one that fails costs neither another's word nor the connection."""
+        self.house.loop.call_soon(job.then, result)
+
     async def add(self, c: Any, row: Row) -> bool:
         return bool(await c.execute(INSERT, *pack(row)) == "INSERT 0 1")
 
--- a/magpiefront/record/rows.py
+++ b/magpiefront/record/rows.py
@@ -6,6 +6,8 @@
 import json
 from collections.abc import Callable
 from dataclasses import dataclass
+from pathlib import Path
+from secrets import token_hex
 from typing import NamedTuple, Protocol
 
 
@@ -30,6 +32,18 @@
 UNSURE = "?"  # in place of a start: how long ago it was can't be told yet
 
 
+BOOT_ID = Path("/proc/sys/kernel/random/boot_id")
+OWN_BOOT = token_hex(16)
+
+
+def boot_id() -> str:
+    """Of this start of the machine; one of its own where none can be read, which no other process shares."""
+    try:
+        return BOOT_ID.read_text().strip()
+    except OSError:
+        return OWN_BOOT
+
+
 class Moment(NamedTuple):
     """A time that another process can judge: Unix seconds for people, and seconds since the machine's start,
     which no leap of the clock touches; those of two starts are not compared."""
@@ -124,6 +138,10 @@
     def sweep(self, before_s: float, most: int, then: Callable[[int], None]) -> None:
         """Removes confirmed rows received before (Unix seconds), `most` at a time; how many went."""
 
+    @property
+    def identity(self) -> str:
+        """The same at all processes that this store serves, and at no others; empty while it is not known."""
+
     @property
     def wait_us(self) -> int:
         """How long a commit that is asked for now will take by what was measured."""
--- a/magpiefront/record/sqlite.py
+++ b/magpiefront/record/sqlite.py
@@ -19,7 +19,7 @@
 
 from magpiefront.net.house import House
 from magpiefront.record.rows import (
-    Answer, Id, Moment, Outcome, Result, Row, State, Then, attempts_text, read_attempts,
+    Answer, Id, Moment, Outcome, Result, Row, State, Then, attempts_text, boot_id, read_attempts,
 )  # fmt: skip
 from magpiefront.record.settings import SqliteSettings
 from magpiefront.sqlfile import BUSY_S, connect, opened
@@ -196,6 +196,15 @@
         if self.db is not None and not any(t.is_alive() for t in self.threads):
             self.db.close()
 
+    @property
+    def identity(self) -> str:
+        """The file as this machine knows it, for as long as it is up: nobody else can have it open."""
+        try:
+            found = self.settings.path.stat()
+        except OSError:
+            return ""
+        return f"sqlite {boot_id()} {found.st_dev} {found.st_ino}"
+
     @property
     def wait_us(self) -> int:
         batches = 1 + len(self.jobs) // self.settings.most_batch
@@ -307,12 +316,10 @@
             self._tell(results)
 
     def _tell(self, results: list[tuple[Job, Result]]) -> None:
-        def told() -> None:
-            for job, result in results:
-                job.then(result)
-
+        """Each by itself: one that fails costs nobody else's word."""
         with suppress(RuntimeError):  # the loop has ended
-            self.house.loop.call_soon_threadsafe(told)
+            for job, result in results:
+                self.house.loop.call_soon_threadsafe(job.then, result)
 
     def _commit(self, batch: list[Job]) -> list[tuple[Job, Result]]:
         now = began = self.house.now_us()
--- a/magpiefront/record/stage.py
+++ b/magpiefront/record/stage.py
@@ -9,25 +9,24 @@
 from collections.abc import Callable, Sequence
 from dataclasses import replace
 from hashlib import blake2b
-from pathlib import Path
 from secrets import token_hex
 
 from magpiefront.interface import Repeat, RequestClass
-from magpiefront.net.effects import Effect
+from magpiefront.net.effects import Effect, effect_of, ran_elsewhere
 from magpiefront.net.house import Host
 from magpiefront.net.fields import lines, read_lines
-from magpiefront.net.figures import PREFIX
+from magpiefront.net.figures import lines as figure_lines
 from magpiefront.net.request import Request, Stage
 from magpiefront.record import journal
 from magpiefront.record.acting import Acting, Alone, Standing
 from magpiefront.record.journal import (
     Action, Change, Fate, Follow, Get, Insert, Journal, Note, Pace, Phase, Remove, Reply, Send,
 )  # fmt: skip
-from magpiefront.record.rows import Answer, Attempt, Id, Moment, Result, Row, State, Store
+from magpiefront.record.rows import Answer, Attempt, Id, Moment, Result, Row, State, Store, boot_id
 from magpiefront.record.settings import RecordSettings
 
-BOOT_ID = Path("/proc/sys/kernel/random/boot_id")
 LOOK = 200  # rows at one look
+EARLY_S = 0.005  # between looks whether this process may act by now
 TURN_S = 0.1  # between looks for what others have not come to
 KNOWN_US = 60_000_000  # how long it is kept since when an owner is over
 SWEEP_US, SWEEP_ROWS = 60_000_000, 500
@@ -35,14 +34,6 @@
 KEEP_OUT = frozenset({b"connection", b"content-length", b"transfer-encoding", b"host", b"expect"})
 
 
-def boot_id() -> str:
-    """Of this start of the machine; one of its own where none can be read, which no other process shares."""
-    try:
-        return BOOT_ID.read_text().strip()
-    except OSError:
-        return token_hex(16)
-
-
 def digest_of(r: Request) -> bytes:
     h = blake2b(digest_size=16)
     for part in (r.method, b" ", r.target, b" ", r.headers.get(b"content-type", b""), b"\0", *r.body):
@@ -73,9 +64,10 @@
         self.journal = Journal(self.boot, settings.least_left_us, settings.settle_us, self.acting)
         self.acting.watch(self._members_changed, lambda id: id in self.journal.entries)
         self.start, self.count = token_hex(8), itertools.count(1)
+        self.nodes: Stage = following  # this site's, for what came from another site
         self.clients: dict[Request, Id] = {}
         self.timers: dict[Request, asyncio.TimerHandle] = {}
-        self.twins: dict[Request, Id] = {}
+        self.twins: dict[Request, Row] = {}
         self.long: dict[Request, tuple[int, bytes, list[bytes], int]] = {}  # answers that come in parts
         self.now_lag_us = house.now_us() - self.up_us()
         self.pace = Pace(settings.most_deliveries)
@@ -83,60 +75,96 @@
         self.deliveries: dict[Id, Pace] = {}
         self.over: dict[str, int] = {}  # owners that are over, and since when this process knows
         self.swept_us = 0
+        self.early: dict[Request, tuple[RequestClass, int | None, int]] = {}  # that wait until it may act
+        self.expected_us = 0
         self.timer: asyncio.TimerHandle | None = None
         self.again: asyncio.TimerHandle | None = None
 
     # ---- the stage
 
     def take(self, r: Request) -> None:
-        cls = self.house.classes.get(r.headers[b"req-kind"])
-        chosen = self.settings.classes
-        if cls is None or cls.repeat is not Repeat.KEYED or (chosen is not None and cls.name not in chosen):
+        cls = self.class_of(r)
+        if cls is None:
             self.following.take(r)
-            return
+        else:
+            self.hold(r, cls)
+
+    def class_of(self, r: Request) -> RequestClass | None:
+        """Its class, where reports of that class are held."""
+        cls, chosen = self.house.classes.get(r.headers[b"req-kind"]), self.settings.classes
+        if cls is None or cls.repeat is not Repeat.KEYED or (chosen is not None and cls.name not in chosen):
+            return None
+        return cls
+
+    def hold(self, r: Request, cls: RequestClass, age_us: int | None = None) -> None:
+        """`age_us`, where it came from another site: how long ago it may have gone first; 0: it has not."""
         if b"idempotency-key" not in r.headers:
             self._say(r, journal.plain(400, "a report needs an Idempotency-Key"))
             return
         if r.size > self.settings.most_body:
             self._say(r, journal.plain(413, f"a report holds {self.settings.most_body} bytes at most"))
             return
+        if self.acting.prefix() is None and self.up_us() < self.expected_us:
+            if not self.early:
+                self.house.loop.call_later(EARLY_S, self._early)
+            self.early[r] = cls, age_us, self.up_us()
+            return
         if self.acting.prefix() is None:
             # Nobody knows whether this proxy would be alone with it: nothing is taken, and nothing confirmed.
             self._refuse(r)
             return
-        row = self._row(r, cls)
+        row = self._row(r, cls, age_us or 0)
         deadline_us = r.taken_at + r.time_left - self.now_lag_us
         self.clients[r] = row.id
         left = max(0, deadline_us - self.settings.least_left_us - self.up_us())
         self.timers[r] = self.house.loop.call_later(left / 1e6, self._overdue, r, deadline_us)
-        self._do(self.journal.arrive(self.up_us(), r, row, deadline_us))
-
-    def _row(self, r: Request, cls: RequestClass) -> Row:
+        self._do(self.journal.arrive(self.up_us(), r, row, deadline_us, age_us is not None))
+
+    def expect(self, most_s: float) -> None:
+        """This process will act within so long: reports that come sooner wait for that, and not in vain for
+        longer than their time."""
+        self.expected_us = self.up_us() + int(most_s * 1e6)
+
+    def _early(self) -> None:
+        acts, up_us = self.acting.prefix() is not None, self.up_us()
+        for r, (cls, age_us, came_us) in list(self.early.items()):
+            due_us = r.taken_at + r.time_left - self.now_lag_us - self.settings.least_left_us
+            if acts or up_us >= min(due_us, self.expected_us):
+                del self.early[r]
+                if acts:
+                    self.hold(r, cls, age_us + up_us - came_us if age_us else age_us)
+                else:
+                    self._refuse(r)
+        if self.early:
+            self.house.loop.call_later(EARLY_S, self._early)
+
+    def _row(self, r: Request, cls: RequestClass, age_us: int) -> Row:
         h = r.headers
         id = Id(h.get(b"req-owner", b"").decode("latin-1"), cls.name, h[b"idempotency-key"])
         fields = getattr(r, "fields", None)
         more = r.more if fields is None else lines(f for f in fields if f[0].lower() not in KEEP_OUT)
-        up_us, wall_s = self.up_us(), self.wall()
+        up_us, wall_s, age_s = self.up_us(), self.wall(), age_us / 1e6
         return Row(
             id, digest_of(r), r.method, r.target, more, b"".join(r.body), State.SENT, wall_s,
-            Moment(wall_s, self.boot, up_us / 1e6), self._owner(), cls.window_us / 1e6,
-            (r.time_left + self.settings.settle_us) / 1e6,
+            Moment(wall_s - age_s, self.boot, up_us / 1e6 - age_s), self._owner(), cls.window_us / 1e6,
+            age_s + (r.time_left + self.settings.settle_us) / 1e6,
         )  # fmt: skip
 
     def client_left(self, r: Request) -> None:
         id = self.clients.pop(r, None)
         if id is None:
-            self.following.client_left(r)
+            if self.early.pop(r, None) is None:
+                self.following.client_left(r)
             return
         self.timers.pop(r).cancel()
         self.journal.leave(r, id)
 
     def hold_back(self, r: Request) -> None:
-        if r not in self.clients:
+        if r not in self.clients and r not in self.early:
             self.following.hold_back(r)
 
     def let_go(self, r: Request) -> None:
-        if r not in self.clients:
+        if r not in self.clients and r not in self.early:
             self.following.let_go(r)
 
     def _overdue(self, r: Request, deadline_us: int) -> None:
@@ -225,6 +253,11 @@
         if self.clients.pop(r, None) is None:
             return
         self.timers.pop(r).cancel()
+        if not a.never_ran:
+            ran_elsewhere(r)
+        effect = effect_of(r)
+        if effect is not None:
+            effect.undecided = a.answer in journal.UNDECIDED
         # Of a store that can't take it now, by what its commits take.
         wait_us = self.store.wait_us if a.answer is journal.NOT_HELD else 0
         more = self._retry_after(a.answer.more, max(a.retry_after_us, wait_us))
@@ -325,7 +358,7 @@
         """Lines for the second address."""
         whole = {f'in_hand{{phase="{phase}"}}': n for phase, n in self.in_hand.items()}
         whole |= {"delivering": len(self.deliveries), "taken_over_count": self.journal.taken}
-        return "".join(f"{PREFIX}record_{name} {n}\n" for name, n in whole.items())
+        return figure_lines("record", whole)
 
     def part(self) -> None:
         """What would not end in time is others' from now on; its clients hear nothing from this process."""
@@ -355,15 +388,18 @@
         # Between this and the first byte to a node may be a queue, a connection and a pause of the process.
         until_up_us = int((row.sent.up_s if row.sent is not None else 0) * 1e6 + row.window_s * 1e6)
         twin.effect.guard = lambda: self.acting.may(row.owner) and self.up_us() < until_up_us
+        if a.resumed and row.sent is not None:
+            twin.effect.first_us = self._house_us(int(row.sent.up_s * 1e6))
         twin.body, twin.size = ([row.body], len(row.body)) if row.body else ([], 0)
         twin.taken_at = self.house.now_us()
         twin.time_left = max(0, self._house_us(a.deadline_us) - twin.taken_at)
-        self.twins[twin] = row.id
-        self.following.take(twin)
+        self.twins[twin] = row
+        (self.nodes if a.crossed else self.following).take(twin)
 
     def _ended(self, request: Request, status: int, more: bytes, body: bytes) -> None:
-        id = self.twins.pop(request)
-        if id not in self.journal.entries:
+        row = self.twins.pop(request)
+        id = row.id
+        if not self.journal.sends(row):
             return  # it was let go
         kept = body if len(body) <= self.settings.most_answer else b""
         effect = request.effect
@@ -371,7 +407,9 @@
         answer = Answer(status, more, kept)
         if id in self.deliveries:
             self.deliveries.pop(id).end(self.up_us(), 200 <= status < 300)
-        self._do(self.journal.answered(self.up_us(), id, answer, effect.may_have_run, attempts))
+        self._do(self.journal.answered(
+            self.up_us(), id, answer, effect.may_have_run, attempts, undecided=effect.undecided
+        ))  # fmt: skip
 
     def answer(self, request: Request, status: int, body: Sequence[bytes] = (), more: bytes = b"") -> None:
         self._ended(request, status, more, b"".join(body))
--- a/magpiefront/takeover/book.py
+++ b/magpiefront/takeover/book.py
@@ -22,6 +22,7 @@
     row: Row
     most_rows: int
     most_bytes: int
+    age_us: int = 0  # how long ago it may have gone first, from another site
 
 
 class Change(msgspec.Struct, tag=True, array_like=True):
@@ -87,6 +88,11 @@
 
     # ---- the machine
 
+    def begin(self) -> None:
+        """Nothing is known any more of when what is applied next was committed: it may be long ago."""
+        self.rows, self.bytes, self.base_us = {}, 0, None
+        self.ages, self.restored_us = {}, {}
+
     def apply(self, index: int, origin: str, data: bytes) -> bytes:
         try:
             command: Command = msgspec.msgpack.decode(data, type=Command)
@@ -103,7 +109,7 @@
                     return Told(False, cause=f"the group holds {len(self.rows)} reports: it is full")
                 self._put(c.row)
                 if c.row.sent is not None:
-                    self._sent(c.row.id)
+                    self._sent(c.row.id, c.age_us)
                 return Told(True)
             case Change():
                 there = self.rows.get(c.id)
@@ -140,12 +146,12 @@
         self.ages.pop(row.id, None)
         self.restored_us.pop(row.id, None)
 
-    def _sent(self, id: Id) -> None:
+    def _sent(self, id: Id, age_us: int = 0) -> None:
         self.restored_us.pop(id, None)
         if self.base_us is not None:
-            self.ages[id] = self.base_us
+            self.ages[id] = self.base_us - age_us
         else:
-            self.restored_us[id] = self.now_us
+            self.restored_us[id] = self.now_us - age_us
 
     def sent_after(self, id: Id, now_us: int) -> None:
         """This process has asked for that row at that moment, and sends only once it is held."""
--- a/magpiefront/takeover/desk.py
+++ b/magpiefront/takeover/desk.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from magpiefront.group.asks import Fate, Outcome
-from magpiefront.group.desk import Bad
+from magpiefront.group.desk import Bad, read_then
 from magpiefront.group.seam import Group
 from magpiefront.net.house import House
 from magpiefront.record.commands import from_json, to_json
@@ -49,10 +49,7 @@
             raise Bad(f"an ask that can't be read: {type(e).__name__}: {e}") from None
 
     def _read(self, answer: Answer, then: Callable[[], dict[str, Any]]) -> None:
-        def agreed(o: Outcome) -> None:
-            answer(then() if o.fate is Fate.COMMITTED else {"error": f"it can't be read now: {o.cause}"})
-
-        self.group.read(self.house.now_us() + READ_US, agreed)
+        read_then(self.group, self.house.now_us() + READ_US, answer, then)
 
     def _counts(self, what: dict[str, Any], answer: Answer) -> None:
         def counts() -> dict[str, Any]:
--- a/magpiefront/takeover/store.py
+++ b/magpiefront/takeover/store.py
@@ -29,8 +29,10 @@
 class GroupStore:
     def __init__(
         self, house: House, group: Group, settings: GroupStoreSettings, boot: str,
-        up_us: Callable[[], int] = lambda: time.monotonic_ns() // 1_000,
+        up_us: Callable[[], int] = lambda: time.monotonic_ns() // 1_000, name: str = "",
     ) -> None:  # fmt: skip
+        """`name`: the group's."""
+        self.name = name
         self.house, self.group, self.settings, self.boot, self.up_us = house, group, settings, boot, up_us
         self.book = Book(up_us())
         self.commit_us = 5_000.0
@@ -56,6 +58,10 @@
         again_s = READ_S if self.book.base_us is not None else READ_S / 5
         self.timer = self.house.loop.call_later(again_s, self._bound)
 
+    @property
+    def identity(self) -> str:
+        return f"group {self.name}"
+
     @property
     def wait_us(self) -> int:
         return int(2 * self.commit_us)
@@ -64,7 +70,9 @@
 
     def insert(self, row: Row, deadline_us: int, then: Then) -> None:
         s = self.settings
-        self._propose(book.Insert(row, s.most_rows, s.most_bytes), row.id, deadline_us, then)
+        sent_us = int(row.sent.up_s * 1e6) if row.sent is not None else self.up_us()
+        age_us = max(0, self.up_us() - sent_us)
+        self._propose(book.Insert(row, s.most_rows, s.most_bytes, age_us), row.id, deadline_us, then)
 
     def change(self, before: Row, after: Row, deadline_us: int, then: Then) -> None:
         self._propose(book.change_of(before, after), before.id, deadline_us, then)
@@ -74,6 +82,8 @@
 
     def _propose(self, command: book.Command, id: Id, deadline_us: int, then: Then) -> None:
         began, up_us = self.house.now_us(), self.up_us()
+        if isinstance(command, book.Insert):
+            up_us -= command.age_us
         first = isinstance(command, book.Insert) or (
             isinstance(command, book.Change) and command.state is State.SENT is not command.state_was
         )
--- a/standins/pgserver.py
+++ b/standins/pgserver.py
@@ -82,6 +82,9 @@
         self.db = sqlite3.connect(":memory:", isolation_level=None)
         self.db.create_function("pg_now", 0, lambda: time.time() + self.clock_off_s)
         self.db.create_function("pg_total_relation_size", 1, lambda _: 8192)
+        self.db.create_function("current_database", 0, lambda: "record")
+        self.db.create_function("current_schema", 0, lambda: "public")
+        self.db.execute(f"CREATE TABLE pg_control_system AS SELECT {id(self)} AS system_identifier")
         self.clock_off_s = 0.0
         self.faults = Faults()
         self.server: asyncio.Server | None = None
@@ -412,7 +415,7 @@
 
 
 def prepared(query: str, given: list[int]) -> Statement:
-    query = query.replace(EPOCH, "pg_now()")
+    query = query.replace(EPOCH, "pg_now()").replace("pg_control_system()", "pg_control_system")
     parameters: dict[int, int] = {}
     for number, cast in PARAMETER.findall(query):
         oid = OIDS.get(cast, given[int(number) - 1] if int(number) <= len(given) else 25)
--- a/tests/gateway/test_crossing.py
+++ b/tests/gateway/test_crossing.py
@@ -55,6 +55,30 @@
     assert u.broken(300, False, Way(OTHER, True, False)) is Next.FAIL
 
 
+@pytest.mark.parametrize(("ran_at", "store", "now", "then"), [
+    ("s1", "s1", 100, Next.AGAIN), ("s1", "s2", 100, Next.FAIL), ("", "", 100, Next.FAIL),
+    ("s1", "", 100, Next.FAIL), ("s1", "s1", WINDOW, Next.FAIL), ("s1", "s1", DEADLINE, Next.FAIL),
+])  # fmt: skip
+def test_another_process_is_asked_only_where_both_look_into_one_store(
+    ran_at: str, store: str, now: int, then: Next
+) -> None:
+    c = Crossing(K, DEADLINE, WINDOW)
+    c.sent(0, SAME, ran_at)
+    assert c.broken(now, False, Way(OTHER, False, False, store=store)) is then
+
+
+def test_one_that_another_process_sent_counts_from_then() -> None:
+    c = Crossing(K, DEADLINE, WINDOW)
+    c.resumed(-200_000)
+    assert c.next(0, Way(NONE, True, False)) is Next.WAIT and c.age_us(0) == 200_000
+    c.sent(0, SAME, "s1")
+    assert c.age_us(100) == 200_100
+    assert c.broken(100, True, Way(OTHER, True, False, store="s2")) is Next.FAIL
+    assert c.next(100, Way(OTHER, True, False, store="s1")) is Next.AGAIN
+    assert c.next(399_999, Way(SAME, True, False)) is Next.AGAIN
+    assert c.next(400_000, Way(SAME, True, False)) is Next.FAIL
+
+
 def test_tries_are_bounded() -> None:
     for repeat, last in ((S, Next.HOME), (K, Next.REFUSE), (U, Next.REFUSE)):
         c, way = crossing(repeat), Way(SAME, True, True)
--- a/tests/group/worlds.py
+++ b/tests/group/worlds.py
@@ -17,7 +17,8 @@
 from contextlib import nullcontext
 from functools import partial
 
-from magpiefront.model.group import Broken, World
+from magpiefront.model.group import World
+from magpiefront.model.rounds import Broken
 from magpiefront.model.plan import Plan
 from magpiefront.model.safeguards import SAFEGUARDS, without
 from standins.linear import Op, Undecided, linearizable
--- a/tests/operator/test_file.py
+++ b/tests/operator/test_file.py
@@ -11,7 +11,9 @@
 
 from magpiefront.caching.settings import CachingSettings, DiskSettings
 from magpiefront.group.settings import GroupSettings
-from magpiefront.operator import caching, group, record
+from magpiefront.maintenance.plan import Limits as PlanLimits
+from magpiefront.maintenance.plan import Machine, Plan
+from magpiefront.operator import caching, group, maintenance, record
 from magpiefront.operator import file as schema
 from magpiefront.operator.compose import check
 from magpiefront.operator.fields import BadFile
@@ -180,6 +182,9 @@
         "record.sqlite": record.SqliteTable,
         "record.postgres": record.PostgresTable,
         "record.group": record.GroupStoreTable,
+        "maintenance": maintenance.MaintenanceTable,
+        "maintenance.limits": maintenance.LimitsTable,
+        "maintenance.machines.rack1-a": maintenance.MachineTable,
     }
     given = re.sub(r"^#\[", "[", given, flags=re.M)
     for name, kind in tables.items():
@@ -203,6 +208,7 @@
                 "times",
                 "limits",
                 "group",
+                "machines",
             ):
                 assert re.search(rf"^#?{f.name} = .*#|^#?{f.name} = ", part, re.M), f"{name}.{f.name}"
     # What is commented out is the default: put in, it changes nothing.
@@ -219,6 +225,9 @@
     )
     members = "[group]" + given.partition("\n[group]")[2]
     path.write_text('[site]\nname = "west"\n' + re.sub(r"^#(?=[a-z_0-9-]+ = )", "", members, flags=re.M))
+    found = load(path).maintenance
+    assert found is not None and found.limits == PlanLimits() and found.path == tmp_path / "machines"
+    assert found.machines["rack1-a"] == Machine("rack1-a", ("west-0", "west-1"), ("west-1",), "rack1")
     tables_ = load(path).group
     assert tables_ is not None and tables_.settings == GroupSettings(
         "west", "west-1", ("127.0.0.1", 7643), tmp_path / "group.sqlite",
@@ -304,3 +313,61 @@
 )
 def test_what_is_wrong_with_the_record_is_one_line(given: str, says: str, tmp_path: Path) -> None:
     assert_one_line(tmp_path / "gateway.toml", RECORD + given, says)
+
+
+MACHINES = MEMBERS + """
+[maintenance]
+path = "m"
+[maintenance.machines.m1]
+nodes = ["n1"]
+"""
+
+
+@pytest.mark.parametrize(("given", "says"), [
+    ("[maintenance]\npath = 'm'\n[maintenance.machines.m1]\nnodes = ['n1']", "[maintenance]: needs [group]"),
+    (MEMBERS + "[maintenance]\npath = 'm'\n[maintenance.machines]", "[maintenance] machines: names none"),
+    (MEMBERS + "[maintenance]\n[maintenance.machines]", "[maintenance] path: is missing"),
+    (MACHINES + "[maintenance.machines.m2]\nnodes = ['n1']", "node n1 is of m1 too"),
+    (MACHINES + "[maintenance.machines.m2]", "[maintenance.machines.m2]: holds neither nodes nor proxies"),
+    (MACHINES + "[maintenance.machines.m2]\nproxies = ['z']", "proxies: 'z' is not in [group.members]"),
+    (MACHINES + "[maintenance.machines.M2]\nnodes = ['n2']", "[maintenance.machines.M2] name"),
+    (MACHINES + "[maintenance.limits]\nmost_out = 0", "[maintenance.limits] most_out: expected `int` >= 1"),
+    (MACHINES + "[maintenance.limits]\nmost_work = 60", "[maintenance.limits] most_work: 60 is no duration"),
+    (MACHINES + "[maintenance.limits]\nmargin = -0.1", "[maintenance.limits] margin: "),
+])  # fmt: skip
+def test_what_is_wrong_with_maintenance_is_one_line(given: str, says: str, tmp_path: Path) -> None:
+    assert_one_line(tmp_path / "gateway.toml", RECORD + given, says)
+
+
+@pytest.mark.parametrize(("given", "says"), [
+    ("[plan]\nmachines = []", "[plan] id: is missing"), ("[plan]\nid = 'x'", "[plan] machines: is missing"),
+    ("[plans]", "[plans]: unknown table"),
+    ("[plan]\nid = 'x'\nmachines = []\nmost = 1", "[plan] most: unknown"),
+    ("[plan]\nid = 'x'\nmachines = []\nopens = 5", "[plan] opens: a date, a time and their offset"),
+    ("[plan]\nid = 'x'\nmachines = []\nopens = 2026-12-02T22:00:00", "[plan] opens: a date"),
+    ("[plan]\nid = 'x'\nmachines = []\ncommand = ['']", "[plan] command: an empty argument"),
+    ("[plan]\nid = 'x'\nmachines = []\n[plan.limits]\nspread = '5'", "[plan.limits] spread: '5' is no"),
+])  # fmt: skip
+def test_what_is_wrong_with_a_plan_is_one_line(given: str, says: str, tmp_path: Path) -> None:
+    (tmp_path / "gateway.toml").write_text(RECORD + MACHINES)
+    settings = load(tmp_path / "gateway.toml").maintenance
+    path = tmp_path / "plan.toml"
+    path.write_text(given)
+    assert settings is not None
+    with pytest.raises(BadFile) as e:
+        maintenance.plan(path, "me", settings)
+    assert says in str(e.value) and str(e.value).startswith(f"{path}: ") and "\n" not in str(e.value)
+
+
+def test_a_plan_takes_what_it_leaves_out_from_the_operators_file(tmp_path: Path) -> None:
+    (tmp_path / "gateway.toml").write_text(RECORD + MACHINES + "[maintenance.limits]\nmost_work = '20m'")
+    settings = load(tmp_path / "gateway.toml").maintenance
+    assert settings is not None
+    path = tmp_path / "plan.toml"
+    path.write_text(
+        "[plan]\nid = 'kernel'\nmachines = ['m1']\ncommand = ['work', 'x']\nopens = 2026-12-02T22:00:00Z\n"
+        "[plan.limits]\nspread = '500ms'\ngo_on = true\n"
+    )
+    limits = PlanLimits(most_work_s=1200.0, spread_s=0.5, go_on=True)
+    wanted = Plan("kernel", "me", ("m1",), "", ("work", "x"), 1796248800.0, 0.0, limits)
+    assert maintenance.plan(path, "me", settings) == wanted
--- a/tests/record/sockets.py
+++ b/tests/record/sockets.py
@@ -20,7 +20,8 @@
 from magpiefront.record.postgres import PostgresStore
 from magpiefront.record.settings import PostgresSettings, RecordSettings, SqliteSettings
 from magpiefront.record.sqlite import SqliteStore, open_file, rows
-from magpiefront.record.stage import RecordStage, boot_id
+from magpiefront.record.rows import boot_id
+from magpiefront.record.stage import RecordStage
 from standins.pgserver import PgServer
 from tests.sockets import INFO, Answer, Client, Handler, Node
 
--- a/tests/takeover/test_decisions.py
+++ b/tests/takeover/test_decisions.py
@@ -2,20 +2,27 @@
 
 from __future__ import annotations
 
+import json
+import os
+import subprocess
+import sys
 from collections.abc import Iterable
 from dataclasses import dataclass, field, replace
+from pathlib import Path
 
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
 from magpiefront.group.facts import Member, State
+from magpiefront.group.settings import Times
+from magpiefront.interface import Repeat, RequestClass
 from magpiefront.record import journal as j
 from magpiefront.record.acting import Alone, Standing
 from magpiefront.record.journal import Change, Fate, Follow, Get, Insert, Journal, Reply, Send
 from magpiefront.record.rows import Id, Moment, Outcome, Result, Row
 from magpiefront.record.rows import State as Held
-from magpiefront.takeover import owners, shares
+from magpiefront.takeover import limits, owners, shares
 from tests.record.test_journal import HELD, ID, NOW, S, row, told
 
 W, V, M, U = Standing.WELL, Standing.OVER, Standing.MINE, Standing.UNTOLD
@@ -44,6 +51,37 @@
     assert owners.changed(FACTS, FACTS) == []
 
 
+def test_a_window_that_a_take_over_does_not_fit_into_is_told_and_refused_by_check(tmp_path: Path) -> None:
+    times = Times()
+    needed = limits.needed_us(times, 2_000_000)
+    assert needed == times.free_us + 800_000 + 2_000_000
+
+    def said(window_us: int, repeat: Repeat = Repeat.KEYED, held: frozenset[str] | None = None) -> list[str]:
+        cls = RequestClass("report", repeat, 1, 1, window_us=window_us)
+        return limits.too_short([cls], held, times, 2_000_000)
+
+    assert said(needed) == [] and len(said(needed - 1)) == 1
+    assert said(1, Repeat.SAFE) == [] and said(1, held=frozenset({"other"})) == []
+    assert len(said(1, held=frozenset({"report"}))) == 1
+    names = "\n".join(f'm{n} = "127.0.0.1:{7000 + n}"' for n in range(3))
+    file, platform = tmp_path / "o.toml", tmp_path / "c.json"
+    group = 'member = "m0"\npath = "g"\nvoters = ["m0", "m1", "m2"]\ntls = { plain = true }'
+    file.write_text(f'[site]\nname = "west"\n[record.sqlite]\npath = "r"\n[group]\n{group}\n'
+                    f"[group.members]\n{names}\n")  # fmt: skip
+    for window_us, status in ((1_000_000, 2), (8_000_000, 0)):
+        grades = [{"name": "report", "repeat": "idempotency_key", "sloUs": 1, "giveUpUs": 2,
+                   "keyTtlUs": window_us}]  # fmt: skip
+        platform.write_text(json.dumps({
+            "name": "m0", "listen": "127.0.0.1:1", "discovery": "127.0.0.1:2", "seed": "1",
+            "settings": {"balancers": 1, "grades": grades, "permissions": {"maxAttempts": 1},
+                         "rules": {"coldFrom": 1.0, "coldUs": 0}},
+        }))  # fmt: skip
+        done = subprocess.run([sys.executable, "-m", "magpiefront", "check", str(file)], capture_output=True,
+                              text=True, env={**os.environ, "LB_CONFIG": str(platform)})  # fmt: skip
+        assert done.returncode == status, done.stderr
+        assert done.stderr.count("\n") == (status == 2) and ("keyTtlUs" in done.stderr) == (status == 2)
+
+
 def place(id: Id, me: str, well: Iterable[str]) -> int:
     return len(list(shares.before(id, me, well)))
 
--- a/tests/test_nodes.py
+++ b/tests/test_nodes.py
@@ -387,6 +387,21 @@
     run(main())
 
 
+def test_a_request_that_ends_before_its_connection_was_begun_keeps_no_place() -> None:
+    async def main() -> None:
+        async with world(None) as w:
+            node = w.proxy.pool.nodes["s-0"]
+            node.close_idle(float("inf"))
+            await until(lambda: not w.proxy.pool.open)
+            probe = upstream.Probe(w.proxy, node, w.proxy.now_us(), b"/health")
+            node.begin(probe)
+            assert w.proxy.pool.open == 1
+            probe.end(Outcome.TIMEOUT)  # within the same turn, as where the loop comes late to both
+            await until(lambda: not w.proxy.pool.open and not node.open, "its place to be given back")
+
+    run(main())
+
+
 def test_a_node_that_was_unreachable_is_probed() -> None:
     async def main() -> None:
         async with world(None, None) as w:
