Drill: ask again only who listens; ports are dealt on a machine just started, too

Played again beside eight busy processes the connection was refused: a process's part in the group begins before its front listens, and the drill waits for the group alone.

Ports: 'never dealt' was the time 0 of the clock that counts from the machine's start, so that in its first five minutes each port counted as held and a rig ended with 'no block of ports is free' after 70 of them.

--- a/standins/takeover.py
+++ b/standins/takeover.py
@@ -37,7 +37,7 @@
 from standins.process import Process
 from standins.relay import Relay
 from standins.reports import Clients, Held, Report, ask, held, judge
-from standins.world import Failed, free_port
+from standins.world import Failed, free_port, until_ready
 
 WINDOW_S = 8.0
 QUIET_S = 15.0
@@ -137,6 +137,9 @@
         return found
 
     async def once_more(self, processes: Sequence[Process], but: Container[str] = ()) -> None:
+        for p in processes:
+            assert p.process is not None  # its part in the group begins before it listens for clients
+            await until_ready(p.name, p.port, p.process, p.log)
         confirmed = [r for r in self.reporting.reports if r.confirmed and r.key not in but]
         for r in Random(self.plan.seed).sample(confirmed, min(AGAIN, len(confirmed))):
             for p in processes:
--- a/standins/world.py
+++ b/standins/world.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import math
 import os
 import signal
 import socket
@@ -55,7 +56,7 @@
     def deal(self) -> int:
         while True:
             now = time.monotonic()
-            if not self.ports or now < self.dealt.get(self.ports[0], 0.0) + self.HOLD_S:
+            if not self.ports or now < self.dealt.get(self.ports[0], -math.inf) + self.HOLD_S:
                 self._claim()
             port = self.ports.popleft()
             self.ports.append(port)
