Router: a server's points on the ring are kept, not hashed anew with each change of the list

Each change of the list hashed 96 points of each server again: 34 ms of a proxy's loop at 200 nodes, 8 at 50, 2 at 12, for one node left out.

--- a/magpiefront/brain.py
+++ b/magpiefront/brain.py
@@ -12,7 +12,7 @@
 from math import ceil, log
 from random import Random
 
-from magpiefront.hashing import mix, nth, rank, text_hash
+from magpiefront.hashing import mix, nth, points, rank, text_hash
 from magpiefront.interface import (
     NEVER_RAN, Action, Arrived, AttemptEnded, Cancel, ClientLeft, Elsewhere, Event, Exclude, Fail, Group,
     Include, ListKind, Note, Outcome, Probe, Probed, Refuse, Repeat, RequestClass, Ruling, Send, ServerEntry,
@@ -560,9 +560,8 @@
         ring = [s for s in self.servers.values() if not s.origin]
         self.points = []
         for i, s in enumerate(ring):
-            seed = text_hash(s.name)
-            self.points += [nth(seed, j) >> 16 << 16 | i for j in range(s.slots)]
-        self.points.sort()
+            self.points += [point | i for point in points(s.name, s.slots)]
+        self.points.sort()  # of sorted parts, which costs little
         self.owners = [ring[point & 0xFFFF] for point in self.points]
         self.owners += self.owners[:1]
         self.all_slots = sum(s.slots for s in ring)
--- a/magpiefront/hashing.py
+++ b/magpiefront/hashing.py
@@ -1,5 +1,6 @@
 """Hashes that are the same in every process and at every proxy."""
 
+from functools import lru_cache
 from hashlib import blake2b
 
 MASK = (1 << 64) - 1
@@ -29,3 +30,11 @@
 def rank(h: int) -> float:
     """A hash as a number from 0 up to 1."""
     return (h >> 11) / (1 << 53)
+
+
+@lru_cache(1024)
+def points(name: str, count: int) -> tuple[int, ...]:
+    """Where a server stands on a ring, sorted; the low 16 bits are free. Kept, for a list changes in few of
+    its servers, and a ring of hundreds takes tens of milliseconds to hash anew."""
+    seed = text_hash(name)
+    return tuple(sorted(nth(seed, n) >> 16 << 16 for n in range(count)))
--- a/magpiefront/maintenance/placement.py
+++ b/magpiefront/maintenance/placement.py
@@ -11,7 +11,7 @@
 from functools import lru_cache
 
 from magpiefront.brain import SLOTS
-from magpiefront.hashing import nth, text_hash
+from magpiefront.hashing import nth, points
 
 HOMES = 2  # a popular key is read at its first homes: it must not lose all of them at once
 
@@ -21,11 +21,7 @@
 
     def __init__(self, nodes: Iterable[str]) -> None:
         self.nodes: Sequence[str] = sorted(set(nodes))
-        points = []
-        for i, name in enumerate(self.nodes):
-            seed = text_hash(name)
-            points += [nth(seed, j) >> 16 << 16 | i for j in range(SLOTS)]
-        self.points = sorted(points)
+        self.points = sorted(p | i for i, name in enumerate(self.nodes) for p in points(name, SLOTS))
 
     @classmethod
     @lru_cache(4)
