Machines out: a burst over processes calls back what has not gone

Missing over processes: load that rises while machines leave. The upgrade's scene asks less: 80 readers whose reads take nothing shut the gate of a busy machine, and the plan rightly waited.

--- a/tests/maintenance/test_drill.py
+++ b/tests/maintenance/test_drill.py
@@ -120,7 +120,7 @@
     """Its next process is there as soon as a machine is granted; what it has out itself lasts longer."""
 
     limits: ClassVar[dict[str, Any]] = LIMITS
-    reads_s = 8.0
+    readers, reads_s = 40, 8.0
     aim_s = deadline_s = 9.0
 
     def __init__(self, folder: Path, without: str) -> None:
@@ -135,7 +135,7 @@
             await asyncio.sleep(0.01)
         upgraded = asyncio.create_task(self.last_one.upgrade(8.0))
         await asyncio.sleep(2.0)
-        self.reads_s = 0.0
+        self.reads_s = 1.0
         await upgraded
 
 
@@ -175,6 +175,32 @@
         self.archive.gate = asyncio.Semaphore(self.archive.places)  # it starts anew
 
 
+class Burst(Scene):
+    """Many more ask, and for what takes long, as soon as the first machines are granted."""
+
+    limits: ClassVar[dict[str, Any]] = {**LIMITS, "spread_s": 4.0, "most_load": 1.0}
+    burst_s = 6.0
+    aim_s = deadline_s = 3.0
+
+    def begin(self) -> list[asyncio.Task[None]]:
+        return [*super().begin(), asyncio.create_task(self._bursts())]
+
+    async def _bursts(self) -> None:
+        while not any(m["state"] == "granted" for m in self.status.get("machines", {}).values()):
+            await asyncio.sleep(0.01)
+        self.reads_s, self.said = 1.0, set[str]()
+        more = [asyncio.create_task(self._reader(100 + n)) for n in range(80)]
+        end = time.monotonic() + self.burst_s
+        while time.monotonic() < end:
+            await asyncio.sleep(0.1)
+            self.said |= set(self.status["lines"])
+        self.begun_meanwhile = sum(b.working + b.done for b in self.boxes)
+        self.reads_s = 0.0
+        for task in more:
+            task.cancel()
+        await asyncio.gather(*more, return_exceptions=True)
+
+
 SCENES: list[tuple[type[Scene], str]] = [
     (Slow, "each proxy's word"),
     (Cut, "who is cut off leaves out what is next"),
@@ -215,9 +241,13 @@
 
 
 def test_the_same_scenes_break_nothing_with_it_and_what_holds_a_plan_up_ends(tmp_path: Path) -> None:
-    found = asyncio.run(played(tmp_path, [(kind, "nothing") for kind in (*SAME, Endless, Halts)]))
+    scenes: list[tuple[type[Scene], str]] = [(kind, "nothing") for kind in (*SAME, Endless, Halts)]
+    scenes.append((Burst, "nothing, and a load counts for 5 s"))
+    found = asyncio.run(played(tmp_path, scenes))
     assert not any(faults for _, faults in found), [faults for _, faults in found]
-    endless, halts = found[-2][0], found[-1][0]
+    endless, halts, burst = (scene for scene, _ in found[-3:])
+    assert isinstance(burst, Burst) and not burst.begun_meanwhile
+    assert any("called back: a load of" in line for line in burst.said), burst.said
     assert isinstance(endless, Endless) and endless.given_up
     assert isinstance(halts, Halts) and halts.begun_meanwhile <= 2
     assert any("its gate in front of" in w for w in halts.waits), halts.waits
--- a/tests/maintenance/without.py
+++ b/tests/maintenance/without.py
@@ -13,7 +13,7 @@
 from unittest.mock import patch
 
 from magpiefront.__main__ import main
-from magpiefront.maintenance import memory
+from magpiefront.maintenance import memory, rules
 from magpiefront.operator.compose import Composition
 from magpiefront.maintenance.view import Memory, View
 from tests.maintenance import worlds
@@ -30,6 +30,7 @@
         patch.object(Composition, "follows", lambda self, before: None)
     ],
     "nothing": list,
+    "nothing, and a load counts for 5 s": lambda: [patch.object(rules, "MINUTE_S", 5.0)],
 }
 
 
