--- a/check.sh
+++ b/check.sh
@@ -16,8 +16,8 @@
     exit 1
 fi
 echo "policy: $lines lines"
-proofs=(tests/group/test_proof.py tests/group/test_hard_cases.py tests/test_ends.py)
-more=(tests/takeover/test_proof.py tests/maintenance/test_proof.py)
+proofs=(tests/group/test_proof.py tests/group/test_hard_cases.py tests/maintenance/test_proof.py tests/test_ends.py)
+more=(tests/takeover/test_proof.py)
 groups=(tests/group/test_drill.py tests/takeover/test_drill.py tests/takeover/test_between.py
     tests/takeover/test_hard_cases.py)
 machines=(tests/maintenance/test_drill.py)
