--- a/standins/machines.py
+++ b/standins/machines.py
@@ -108,7 +108,7 @@
 
 
 class Round(takeover.Round):
-    work_s = LENGTH_S
+    work_s, end_s = LENGTH_S, END_S
     limits: ClassVar[dict[str, Any]] = LIMITS
     readers, reads_s = 4, 0.0  # clients, and how much longer half of the reads take
     deadline_s, aim_s = 2.0, 0.5  # of reads
@@ -198,12 +198,12 @@
 
     async def last(self) -> None:
         try:
-            async with asyncio.timeout(END_S):
+            async with asyncio.timeout(self.end_s):
                 await self.beside[0]
         except TimeoutError:
             machines = self.status.get("machines", {})
             waits = {n: (m["state"], m["waits_for"]) for n, m in machines.items() if m["state"] != "done"}
-            raise Failed(f"the plan is not over {END_S} s after the last fault: {waits}") from None
+            raise Failed(f"the plan is not over {self.end_s} s after the last fault: {waits}") from None
         finally:
             self.ended = True
         await asyncio.gather(*self.beside)
