--- a/tests/maintenance/test_drill.py
+++ b/tests/maintenance/test_drill.py
@@ -7,7 +7,6 @@
 import subprocess
 import sys
 import time
-from contextlib import suppress
 from pathlib import Path
 from typing import Any, ClassVar
 
@@ -41,6 +40,12 @@
             box.proxies = []
         self.last_one = self.processes[-1]
 
+    def begin(self) -> list[asyncio.Task[None]]:
+        return [*super().begin(), asyncio.create_task(self.happens())]
+
+    async def happens(self) -> None:
+        """Beside the plan."""
+
 
 class Room(Scene):
     """Two could go, but for what has to be left."""
@@ -69,10 +74,7 @@
         super().__init__(folder, without)
         self.read_at = [self.last_one]
 
-    def begin(self) -> list[asyncio.Task[None]]:
-        return [*super().begin(), asyncio.create_task(self._off())]
-
-    async def _off(self) -> None:
+    async def happens(self) -> None:
         while self.status.get("machines", {}).get("m0", {}).get("state", "asked") == "asked":
             await asyncio.sleep(0.01)
         await self._strike(Fault(0.0, "cut", (2,), 14.0), time.monotonic())
@@ -83,10 +85,7 @@
 
     works_s = 3.0
 
-    def begin(self) -> list[asyncio.Task[None]]:
-        return [*super().begin(), asyncio.create_task(self._again())]
-
-    async def _again(self) -> None:
+    async def happens(self) -> None:
         while not any(b.working for b in self.boxes):
             await asyncio.sleep(0.02)
         await self.last_one.kill()
@@ -104,10 +103,7 @@
 
     works_s = 3.0
 
-    def begin(self) -> list[asyncio.Task[None]]:
-        return [*super().begin(), asyncio.create_task(self._comes_up())]
-
-    async def _comes_up(self) -> None:
+    async def happens(self) -> None:
         while not any(b.working for b in self.boxes):
             await asyncio.sleep(0.01)
         box = next(b for b in self.boxes if b.working)
@@ -131,10 +127,7 @@
         super().__init__(folder, without)
         self.read_at = [self.last_one]
 
-    def begin(self) -> list[asyncio.Task[None]]:
-        return [*super().begin(), asyncio.create_task(self._next())]
-
-    async def _next(self) -> None:
+    async def happens(self) -> None:
         while self.status.get("machines", {}).get("m0", {}).get("state", "asked") == "asked":
             await asyncio.sleep(0.01)
         upgraded = asyncio.create_task(self.last_one.upgrade(8.0))
@@ -148,10 +141,7 @@
 
     limits: ClassVar[dict[str, Any]] = {**LIMITS, "most_out": 1, "most_drain_s": 1.5}
 
-    def begin(self) -> list[asyncio.Task[None]]:
-        return [*super().begin(), asyncio.create_task(self._gives_up())]
-
-    async def _gives_up(self) -> None:
+    async def happens(self) -> None:
         while not any("given up" in line for line in self.status.get("lines", ())):
             await asyncio.sleep(0.05)
         self.given_up, self.reads_s = True, 0.0
@@ -163,10 +153,7 @@
     readers = 60
     halt_s = 6.0
 
-    def begin(self) -> list[asyncio.Task[None]]:
-        return [*super().begin(), asyncio.create_task(self._halts())]
-
-    async def _halts(self) -> None:
+    async def happens(self) -> None:
         while not any(b.working for b in self.boxes):
             await asyncio.sleep(0.01)
         self.archive.time_s, began = 30.0, time.monotonic()
@@ -186,10 +173,7 @@
     burst_s = 6.0
     aim_s = deadline_s = 3.0
 
-    def begin(self) -> list[asyncio.Task[None]]:
-        return [*super().begin(), asyncio.create_task(self._bursts())]
-
-    async def _bursts(self) -> None:
+    async def happens(self) -> None:
         while not any(m["state"] == "granted" for m in self.status.get("machines", {}).values()):
             await asyncio.sleep(0.01)
         self.reads_s, self.said = 1.0, set[str]()
@@ -212,11 +196,8 @@
     works_s = 1.0
     states = ("granted", "draining", "out", "back", "warming", "done")
 
-    def begin(self) -> list[asyncio.Task[None]]:
+    async def happens(self) -> None:
         self.lost: list[str] = []
-        return [*super().begin(), asyncio.create_task(self._loses())]
-
-    async def _loses(self) -> None:
         for n, box in enumerate(self.boxes):
             while not self._seen(box.name) & {self.states[n], "done"}:
                 await asyncio.sleep(0.01)
@@ -232,10 +213,13 @@
         while True:
             for p in self.processes:
                 asker = self._asker(p.name)
-                with suppress(Lost, Turned):
+                try:
                     if (await asker.ask({"do": "status"}, 0.5)).get("role") == "leader":
                         return p
-                asker.close()
+                except (Lost, Turned):
+                    continue
+                finally:
+                    asker.close()
 
 
 SCENES: list[tuple[type[Scene], str]] = [
@@ -296,10 +280,7 @@
 
     works_s = 1.5
 
-    def begin(self) -> list[asyncio.Task[None]]:
-        return [*super().begin(), asyncio.create_task(self._kills())]
-
-    async def _kills(self) -> None:
+    async def happens(self) -> None:
         while not any(b.working for b in self.boxes):
             await asyncio.sleep(0.01)
         name = ""
--- a/tests/maintenance/test_rules.py
+++ b/tests/maintenance/test_rules.py
@@ -246,14 +246,19 @@
     return next(k for k in range(10_000) if set(ring.homes(k)) == {"n3", "n4"})
 
 
-def test_the_homes_of_a_popular_key_are_never_both_out() -> None:
-    key = key_of_two()
+def one_of_two_out() -> Table:
+    """Of the two that hold the homes of a popular key."""
     t = Table(most_out=2, least_left=0.0)
-    t.report = {"p0": Report(popular=(key,))}
+    t.report = {"p0": Report(popular=(key_of_two(),))}
     for _ in range(6):
         t.tick()
         t.words()
     assert t.states == {"m3": "out", "m4": "asked"}
+    return t
+
+
+def test_the_homes_of_a_popular_key_are_never_both_out() -> None:
+    t = one_of_two_out()
     assert t.why("m4") == "m3 is out, and the two hold the homes of a popular key"
 
 
@@ -298,13 +303,7 @@
 
 def test_who_has_long_been_the_first_to_wait_is_overtaken_no_more() -> None:
     """m3 and m4 hold the homes of a popular key: m4 waits for m3, and others go meanwhile for a minute."""
-    key = key_of_two()
-    t = Table(most_out=2, least_left=0.0)
-    t.report = {"p0": Report(popular=(key,))}
-    for _ in range(6):
-        t.tick()
-        t.words()
-    assert t.states == {"m3": "out", "m4": "asked"}
+    t = one_of_two_out()
     limits = Limits(2, 2, 0.0, spread_s=0.0)
     assert t.do(facts.Start(Plan("two", "me", ("m5",), limits=limits), FLEET, VOTERS)).done
     for _ in range(4):
