Nothing new begins for a client that left, a node that drains or a window that has ended

Seen by reading and forced over loopback: an attempt that waited for its connection was written when that came up, whatever had happened meanwhile. Its client had gone (where attempts may not be cancelled the Router says nothing), its node had begun to drain, the window for repeats had ended, or another copy had been served. A close that the loop had not come to read (it runs timers first, and reads nothing behind pipelined requests) let a further attempt begin. Ruled out: the Router's own checks, which hold at the moment of the decision.

Attempts now ask right before their first byte (Attempt.may_begin), and the kernel is asked whether the client has closed (net/hangup.py). Send carries begin_by_us; the window is less by what a process may be held up. A node is told 25 ms less than is left. Requests are read while one ahead is at work, so that their time counts from when they came, and one ahead leaves time for those behind.

After SIGTERM no request may take longer than the platform leaves: the longest deadline and 0.7 s, less a margin.

--- a/magpiefront/__main__.py
+++ b/magpiefront/__main__.py
@@ -38,7 +38,12 @@
     from magpiefront.operator.file import Operator
 
 ACCEPT_S = 0.5  # new connections go on coming for so long after SIGTERM
-STOP_S = 3.6
+# The platform kills a process the longest deadline (3 s at most) and 0.7 s after it was told to end.
+MOST_DEADLINE_S = 3.0
+KILLED_AFTER_S = 0.7
+STOP_MARGIN_S = 0.1  # ... less what it takes to end
+ANSWER_MARGIN_S = 0.25  # ... less how long the process may be held up, and the answer's way
+STOP_S = MOST_DEADLINE_S + KILLED_AFTER_S - STOP_MARGIN_S
 RESERVED = 32 + CALLERS  # descriptors that neither clients nor nodes get
 SWEEP_S = 0.5
 
@@ -153,6 +158,8 @@
     gc.set_threshold(50_000, 50, 100)
     await stop.wait()
     end = loop.time() + STOP_S
+    longest_s = min(MOST_DEADLINE_S, proxy.longest_deadline_us / 1e6)
+    proxy.answer_by = proxy.now_us() + int((longest_s + KILLED_AFTER_S - ANSWER_MARGIN_S) * 1e6)
     front.stopping = True
     if serving is not None:
         serving.stop()
--- a/magpiefront/brain.py
+++ b/magpiefront/brain.py
@@ -41,6 +41,7 @@
 USUAL, WORSE = 0.1, 1.5  # ... and they stay away while its bad share is above this and so much the fleet's
 SURPRISE = 1e-3  # failures in a row make a server suspect when the fleet's own rate makes them this rare
 MAX_SUSPECT = 0.5
+HELD_UP_US = 150_000  # how long a process may stand between reading its clock and writing; of a window, half
 REST_US = 500_000
 MAX_REST_US = 8_000_000
 FIRST_CALL, CALL_BACKOFF = 0.1, 0.05  # first list call, first pause after a failed one: of ask_every_us
@@ -251,11 +252,12 @@
                     self.act.append(SetTimer(due - now, "copy " + p.name))
             elif due < expire:  # no two at once: leave room for another attempt
                 expire = max(due, now + (expire - now) // 2)
+        begin_by = self._repeat_until(p)
         p.attempts.append(Attempt(s, now))
         p.out += 1
         s.in_flight += 1
         self.in_flight += 1
-        self.act.append(Send(p.name, s.name, expire))
+        self.act.append(Send(p.name, s.name, expire, begin_by))
         return True
 
     # ---- the mechanism
@@ -357,9 +359,19 @@
 
     def _may_repeat(self, now: int, p: Pending) -> bool:
         ran, left = p.ran(), len(p.attempts) < p.most
-        keyed = p.cls.repeat is Repeat.KEYED and ran is not None and now < ran.sent_at + p.cls.window_us
+        keyed = p.cls.repeat is Repeat.KEYED and now < self._repeat_until(p)
         return left and (ran is None or p.cls.repeat is Repeat.SAFE or keyed)
 
+    def _repeat_until(self, p: Pending) -> int:
+        """When the window for repeats of a keyed request closes; 0 where there is none. Its servers count
+        from the first attempt that may have run, and a repeat must reach them before: what holds this process
+        up between its clock and its writing comes off."""
+        ran = p.ran()
+        if p.cls.repeat is not Repeat.KEYED or ran is None:
+            return 0
+        window = p.cls.window_us
+        return ran.sent_at + window - min(HELD_UP_US, window // 2)
+
     def _give_up(self, p: Pending) -> None:
         keyed = p.cls.repeat is Repeat.KEYED and p.cls.group is Group.ALL
         free = p.cls.repeat is Repeat.SAFE or keyed or p.ran() is None
--- a/magpiefront/interface.py
+++ b/magpiefront/interface.py
@@ -236,9 +236,13 @@
 
 @dataclass(slots=True)
 class Send:
+    """An attempt at a request. One that could not begin by `begin_by_us` (0: any time before it expires) must
+    not begin at all: its connection may take long to come up, and the window for repeats ends meanwhile."""
+
     request: str
     server: str
     expire_at_us: int
+    begin_by_us: int = 0
 
 
 @dataclass(slots=True)
--- a/magpiefront/net/downstream.py
+++ b/magpiefront/net/downstream.py
@@ -14,9 +14,8 @@
 from magpiefront.interface import RequestClass
 from magpiefront.net.bodies import Bodies
 from magpiefront.net.figures import Figures
-from magpiefront.net.http1 import (
-    BODY_LIMIT, Connection, HeadTooLong, chunk, head,
-)  # fmt: skip
+from magpiefront.net.hangup import HangUpWatch
+from magpiefront.net.http1 import BODY_LIMIT, Connection, HeadTooLong, chunk, head
 from magpiefront.net.listening import NoRoom, accepted, bound
 from magpiefront.net.request import METHODS, SINGLE, Request, Stage
 
@@ -47,8 +46,8 @@
 class ClientConnection(Connection):
     methods = METHODS
     allow = b"Allow: GET, PUT\r\n"
-    __slots__ = ("began", "chunked", "closing", "front", "lingering", "moved_at", "overflow", "reading",
-                 "request", "size", "taking", "used", "waiting", "writable")  # fmt: skip
+    __slots__ = ("began", "chunked", "closing", "front", "hang_up", "lingering", "moved_at", "overflow",
+                 "reading", "request", "size", "taking", "used", "waiting", "writable")  # fmt: skip
 
     def __init__(self, front: Front) -> None:
         super().__init__()
@@ -63,6 +62,7 @@
         self.used = False
         self.began = self.moved_at = front.loop.time()  # for time-outs: when the last step was made
         self.size: int = 0  # of the body that is being read
+        self.hang_up: HangUpWatch | None = None  # made when it is first asked
 
     @property
     def idle(self) -> bool:
@@ -74,6 +74,18 @@
             return False
         return self.idle and not self.transport.get_write_buffer_size()
 
+    def client_gone(self) -> bool:
+        """Has the client closed, though this has not been read yet? Then nothing more is sent on for it."""
+        if not self.lingering and not self.transport.is_closing() and not self._watch().closed():
+            return False
+        self._left()
+        return True
+
+    def _watch(self) -> HangUpWatch:
+        if self.hang_up is None:
+            self.hang_up = HangUpWatch(self.transport)
+        return self.hang_up
+
     # ---- the transport
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -144,12 +156,13 @@
             request.keep_alive = False
 
     def _flow(self) -> None:
-        """Reading goes on while a request is answered, so that a client's leaving is seen, but no further
-        than is bounded."""
+        """Reading goes on while a request is answered, so that a client's leaving is seen and the time of
+        what it sends behind counts from when it came, but no further than is bounded."""
         bodies = self.front.bodies
         if self.reading and not self.waiting and not self.overflow and bodies.held <= bodies.most:
             return  # as nearly always
-        may = (not self._due or self.request is None) and not bodies.waits(self)
+        full = self.overflow > 0 or len(self.waiting) >= PIPELINE
+        may = not (full and self.request is not None) and not bodies.waits(self)
         if may != self.reading and not self.transport.is_closing():
             self.reading = may
             if may:
@@ -228,6 +241,7 @@
         if self.closing:
             return
         request.size, self.size = self.size, 0
+        request.client_gone = self.client_gone
         request.taken_at = self.front.house.now_us()
         if request.cls is not None and not request.error:
             request.tally = self.front.house.figures.of(request.headers[b"req-kind"])
@@ -260,11 +274,21 @@
             if request.error:
                 self.front.house.log(f"{request.error} for {request.method!r} {request.target[:80]!r}")
                 self.answer(request, request.error)
-            elif request.target.startswith(b"/ready") and request.target.partition(b"?")[0] == b"/ready":
+                continue
+            self._leave_time_for_those_behind(request)
+            if request.target.startswith(b"/ready") and request.target.partition(b"?")[0] == b"/ready":
                 self.answer(request, 503 if self.front.stopping else 200)
             else:
                 self.front.stage.take(request)
 
+    def _leave_time_for_those_behind(self, request: Request) -> None:
+        """Answers go in the order of their requests: one that took longer than a request behind it may wait
+        would make that one's answer late."""
+        for behind in self.waiting:
+            if behind.time_left and not behind.error:
+                left = behind.taken_at + behind.time_left - request.taken_at
+                request.time_left = max(0, min(request.time_left, left))
+
     def answer(self, request: Request, status: int, body: Sequence[bytes] = (), more: bytes = b"") -> None:
         if request.size:
             self._release(request)
@@ -338,6 +362,12 @@
             self.reading = True
             self.transport.resume_reading()
 
+    def end_idle(self) -> None:
+        """Ends a connection on which nothing is open, unless a request has come that the loop has not read
+        yet. What comes from now on finds the sending ended: its client sends it again elsewhere."""
+        if not self._watch().readable():
+            self.linger()
+
     def sweep(self, now: float) -> None:
         still = now - self.moved_at
         if self.lingering:
@@ -351,15 +381,18 @@
         elif self.idle:
             # Also one that has been used: clients that ask once and stay would hold every descriptor in time.
             if still > UNUSED_S:
-                self.transport.close()
+                self.end_idle()
         elif now - self.began > (HEAD_S if self.in_head else STALL_S) or still > HEAD_S:
             self._bad(408)  # a head or a body that does not come to its end holds a descriptor
             self._next()
 
     def spared_for(self, now: float) -> tuple[int, float] | None:
         """How soon it goes to make room for another, lowest first; None if it may not."""
-        if self.transport is None or self.lingering or self.transport.is_closing():
+        if self.transport is None or self.transport.is_closing():
             return None
+        if self.lingering:
+            # Its answer has gone, and its sending has ended.
+            return (0, self.moved_at) if self.writable and now - self.moved_at > EVICT_S else None
         if self.idle:
             return (int(self.used) * 2, self.moved_at) if now - self.moved_at > EVICT_S else None
         overdue = self.in_head and self.request is None and not self._due and now - self.began > HEAD_S - 0.8
@@ -512,5 +545,8 @@
     def close_idle(self) -> None:
         fresh = self.loop.time() - FRESH_S
         for client in list(self.clients):
-            if client.transport is not None and client.idle and client.moved_at < fresh:
-                client.linger()
+            transport = client.transport
+            if transport is None or client.lingering or transport.is_closing():
+                continue
+            if client.idle and client.moved_at < fresh:
+                client.end_idle()
--- /dev/null
+++ b/magpiefront/net/hangup.py
@@ -0,0 +1,49 @@
+"""Whether the other side of a connection has closed it, asked of the kernel in place of the event loop.
+
+The loop learns of a close when it comes to read, which may be too late: it runs timers first, it may have
+been held up, and it does not read at all while reading is paused. Then the end stands behind bytes that
+nobody has read yet, and only the kernel knows of it.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import select
+import socket
+
+CLOSED = select.POLLRDHUP | select.POLLHUP | select.POLLERR | select.POLLNVAL
+
+
+class HangUpWatch:
+    """Looks at one connection without waiting."""
+
+    __slots__ = ("_poll", "_socket")
+
+    def __init__(self, transport: asyncio.BaseTransport) -> None:
+        self._socket = transport.get_extra_info("socket")
+        self._poll = select.poll()
+        self._poll.register(self._socket.fileno(), select.POLLIN | select.POLLRDHUP)
+
+    def readable(self) -> bool:
+        """Is there anything that the loop has not read: bytes, or the end?"""
+        return bool(self._poll.poll(0))
+
+    def closed(self) -> bool:
+        """Has the other side closed or reset the connection, or ended its sending?"""
+        events = self._poll.poll(0)
+        if not events:
+            return False
+        return bool(events[0][1] & CLOSED) or self._at_end()
+
+    def _at_end(self) -> bool:
+        """For systems that do not tell a hang-up apart from bytes: the end is readable, and empty."""
+        own = self._socket
+        copy = socket.socket(own.family, own.type, own.proto, fileno=own.fileno())
+        try:
+            return not copy.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        except (BlockingIOError, InterruptedError):
+            return False
+        except OSError:
+            return True
+        finally:
+            copy.detach()
--- a/magpiefront/net/proxy.py
+++ b/magpiefront/net/proxy.py
@@ -56,6 +56,7 @@
         self.lag = Lag(config.seed, lag_limit_s(config))
         self.on_watch: Callable[[], None] = lambda: None
         self.log_left, self.log_from, self.log_lost = LOG_LINES, 0.0, 0
+        self.answer_by: int | None = None  # where the process is to end: until when all must have an answer
         self.head_of = content_type  # the lines of an answer that go on
 
     def configure(self, config: Config) -> None:
@@ -75,6 +76,12 @@
         settings = self.config.settings
         return settings.max_retry_after_us if settings.retry_after else 0
 
+    @property
+    def longest_deadline_us(self) -> int:
+        """The longest that a client may be expected to wait: by the settings, or by what it said."""
+        told = max((r.time_left for r in self.requests.values()), default=0)
+        return max(told, *(c.deadline_us for c in self.config.settings.classes))
+
     def tick(self) -> None:
         self.lag.look(self.now_us() / 1e6)
         self.loop.call_later(TICK_S, self.tick)
@@ -146,6 +153,8 @@
         attempt = self.attempt_type(
             self, r, len(r.attempts), node or upstream.Node(self.pool, action.server, ("", 0)), now, until
         )
+        if action.begin_by_us:
+            attempt.begin_by = min(until, action.begin_by_us)
         r.attempts.append(attempt)
         r.out += 1
         if node is None or r.answered or until <= now:
@@ -164,6 +173,9 @@
         r.answered = True
         if r.backstop is not None:
             r.backstop.cancel()
+        for attempt in r.attempts:
+            if not attempt.begun:
+                attempt.end(Outcome.MOOT)  # it waits for a connection, and must not go once it has one
         self._forget(r)
 
     def _forget(self, r: Request) -> None:
@@ -192,6 +204,8 @@
         self.requests[r.name] = r
         now = self.now_us()
         r.deadline = r.taken_at + r.time_left
+        if self.answer_by is not None:
+            r.deadline = min(r.deadline, self.answer_by)
         left = max(0, r.deadline - now)
         r.backstop = self.loop.call_later((left + BACKSTOP_US) / 1e6, self._overdue, r)
         h = r.headers
@@ -307,8 +321,10 @@
         """An operator's call. Never from inside of an action: the Router's word is there on return."""
         self.give(Exclude(server, known) if out else Include(server))
         node = self.pool.nodes.get(server)
-        if out and self.ruling and node is not None:
-            node.close_idle(float("inf"))  # it is about to be restarted
+        if self.ruling and node is not None:
+            node.barred = out
+            if out:
+                node.close_idle(float("inf"))  # it is about to be restarted
         return self.ruling
 
     def listed(self, told: ServerList, addresses: dict[str, Address]) -> None:
--- a/magpiefront/net/request.py
+++ b/magpiefront/net/request.py
@@ -4,7 +4,7 @@
 
 import re
 from asyncio import TimerHandle
-from collections.abc import Container, Mapping, Sequence
+from collections.abc import Callable, Container, Mapping, Sequence
 from functools import lru_cache
 from typing import TYPE_CHECKING, Protocol
 
@@ -37,6 +37,10 @@
 
     streaming: bool
 
+    @property
+    def begun(self) -> bool:
+        """Has any of it been written to a server?"""
+
     def end(self, outcome: Outcome) -> None: ...
     def hold_back(self) -> None: ...
     def let_go(self) -> None: ...
@@ -92,15 +96,17 @@
 
     Times are microseconds of the host's clock. `error` is the status that a bad head is answered with.
     `fields` holds the head's lines in their order, and is there only where a front passes them on; `effect`
-    only where a stage asks what may have run.
+    only where a stage asks what may have run. `client_gone`, where a client waits for this very request, asks
+    the kernel whether it has closed its connection; a stage's own twin of a request has none.
     """
 
     fields: list[tuple[bytes, bytes]]
     effect: Effect
 
-    __slots__ = ("answered", "attempts", "backstop", "body", "cls", "deadline", "effect", "error", "fields",
-                 "headers", "keep_alive", "last", "method", "more", "name", "out", "replies", "size",
-                 "stream", "taken_at", "tally", "target", "time_left", "wire_id")  # fmt: skip
+    __slots__ = ("answered", "attempts", "backstop", "body", "client_gone", "cls", "deadline", "effect",
+                 "error", "fields", "headers", "keep_alive", "last", "method", "more", "name", "out",
+                 "replies", "size", "stream", "taken_at", "tally", "target", "time_left",
+                 "wire_id")  # fmt: skip
 
     def __init__(self, replies: Replies) -> None:
         self.replies = replies
@@ -117,6 +123,7 @@
         self.backstop: TimerHandle | None = None
         self.cls: RequestClass | None = None  # as it was when the head was read
         self.tally = UNCOUNTED
+        self.client_gone: Callable[[], bool] | None = None
 
     @property
     def key(self) -> bytes:
--- a/magpiefront/net/upstream.py
+++ b/magpiefront/net/upstream.py
@@ -4,13 +4,13 @@
 
 import asyncio
 import errno
-import select
 from typing import Any, Protocol
 
 import httptools
 
 from magpiefront.interface import Outcome
 from magpiefront.net.config import Address
+from magpiefront.net.hangup import HangUpWatch
 from magpiefront.net.http1 import BODY_LIMIT, PARSER_ERRORS, WHOLE_LIMIT, Connection, HeadTooLong
 from magpiefront.net.listening import NO_ROOM
 from magpiefront.net.request import Request
@@ -18,6 +18,7 @@
 PROBE_TIMEOUT_S = 0.4  # probes have no time-out in the settings
 PATIENCE_S = 0.05
 QUIET_S = 0.25  # an answer that has begun and then pauses for longer than nodes do has broken off
+TOLD_LESS_US = 25_000  # a node is told of so much less time than is left: requests take some on the way
 LOOK_AGAIN_S = 0.02  # ... unless its bytes were there and this process was late to read them
 STALL_S = 1.5
 REFUSAL_LIMIT = 1024 * 1024
@@ -77,6 +78,14 @@
             self.task.cancel()
         self.report(outcome, answer)
 
+    @property
+    def begun(self) -> bool:
+        return self.connection is not None
+
+    def may_begin(self) -> bool:
+        """Asked right before the first byte is written: what held when it was decided may be long ago."""
+        return True
+
     def whole(self) -> None:
         """Its last byte has gone."""
 
@@ -86,18 +95,28 @@
 
 
 class Attempt(Exchange):
-    __slots__ = ("expire_at", "host", "number", "request", "streaming")
+    __slots__ = ("begin_by", "expire_at", "host", "number", "request", "streaming")
 
     def __init__(self, host: Host, request: Request, number: int, node: Node, now: int, until: int) -> None:
         super().__init__(node, now)
         self.host, self.request, self.number, self.expire_at = host, request, number, until
+        self.begin_by = until
         self.streaming = False
 
+    def may_begin(self) -> bool:
+        """Not to a node that has begun to drain while the connection came up, not past the window for
+        repeats, and not for a client that has gone."""
+        request = self.request
+        if request.answered or self.node.closed or self.host.now_us() > self.begin_by:
+            return False
+        return request.client_gone is None or not request.client_gone()
+
     def message(self) -> list[bytes]:
         r = self.request
-        left = max(1, self.expire_at - self.host.now_us()) / 1e6
+        left = max(1, self.expire_at - self.host.now_us())
+        told = max(1, left - min(TOLD_LESS_US, left // 2)) / 1e6
         head = b"%b %b HTTP/1.1\r\nHost: %b\r\nReq-Id: %b\r\nReq-Deadline: %.3f\r\n%b\r\n" % (
-            r.method, r.target, self.node.host_header, r.wire_id, left, r.more,
+            r.method, r.target, self.node.host_header, r.wire_id, told, r.more,
         )  # fmt: skip
         return [head, *r.body]
 
@@ -178,7 +197,7 @@
         self.watched = self.streams = False
         self.idle_at = self.heard_at = 0.0
         self.interim = 0
-        self.look: select.poll | None = None
+        self.look: HangUpWatch | None = None
         self.answer = self.answer_type()
 
     def counts(self, a: Answer) -> bool:
@@ -188,6 +207,11 @@
     # ---- the exchange
 
     def start(self, exchange: Exchange) -> None:
+        if not exchange.may_begin():
+            self.exchange = None
+            self.node.put_back(self)
+            exchange.end(Outcome.MOOT)
+            return
         self.exchange, exchange.connection = exchange, self
         self.written = self.complete = self.surplus = self.framed = self.watched = self.streams = False
         self.in_head, self.spare, self.interim, self.answer = True, 0, 0, self.answer_type()
@@ -202,9 +226,8 @@
         if self.transport.is_closing():
             return False
         if self.look is None:
-            self.look = select.poll()
-            self.look.register(self.transport.get_extra_info("socket").fileno(), select.POLLIN)
-        return not self.look.poll(0)
+            self.look = HangUpWatch(self.transport)
+        return not self.look.readable()
 
     def give_up(self, exchange: Exchange) -> None:
         if self.exchange is exchange:
@@ -403,14 +426,20 @@
 class Node:
     """A cache node at one address, and the connections to it."""
 
-    __slots__ = ("address", "host_header", "idle", "name", "open", "pool", "retired")
+    __slots__ = ("address", "barred", "host_header", "idle", "name", "open", "pool", "retired")
 
     def __init__(self, pool: Pool, name: str, address: Address) -> None:
         self.pool, self.name, self.address = pool, name, address
         self.host_header = f"{address[0]}:{address[1]}".encode()
         self.idle: list[NodeConnection] = []
         self.open = 0
-        self.retired = False
+        self.retired = False  # off the list, or at another address by now
+        self.barred = False  # taken out by an operator
+
+    @property
+    def closed(self) -> bool:
+        """May nothing new begin there?"""
+        return self.retired or self.barred
 
     def begin(self, exchange: Exchange) -> None:
         while self.idle:
@@ -448,7 +477,7 @@
             exchange.end(outcome)
 
     def put_back(self, connection: NodeConnection) -> None:
-        if self.retired:
+        if self.closed:
             connection.transport.abort()
         else:
             connection.idle_at = self.pool.loop.time()
--- a/tests/test_life.py
+++ b/tests/test_life.py
@@ -17,10 +17,13 @@
 from tests.sockets import INFO, Client, Lists, Node, gated, request, run, until
 
 
-async def start(tmp_path: Path, nodes: list[Node], lists: Lists, port: int) -> asyncio.subprocess.Process:
+async def start(
+    tmp_path: Path, nodes: list[Node], lists: Lists, port: int, give_up_us: int = 1_000_000
+) -> asyncio.subprocess.Process:
+    grades = [{**g, "giveUpUs": give_up_us} for g in INFO["grades"]]
     given = {
         "name": "n0", "listen": f"127.0.0.1:{port}", "discovery": f"127.0.0.1:{lists.port}", "seed": "1f",
-        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "settings": INFO,
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "settings": {**INFO, "grades": grades},
         "known": {"generation": 1, "reset": True, "instances": [n.entry() for n in nodes]},
     }  # fmt: skip
     (tmp_path / "config.json").write_text(json.dumps(given))
