Requests that outlast a shutdown have their answer before the process ends

Deadlines may be longer than the 3 s that the platform counts with. At SIGTERM every open request and every later one is due by the longest deadline (3 s at most) and 0.7 s, less 0.25 s; its backstop moves there. The test fails where the backstops of open requests stay.

--- a/magpiefront/__main__.py
+++ b/magpiefront/__main__.py
@@ -159,7 +159,7 @@
     await stop.wait()
     end = loop.time() + STOP_S
     longest_s = min(MOST_DEADLINE_S, proxy.longest_deadline_us / 1e6)
-    proxy.answer_by = proxy.now_us() + int((longest_s + KILLED_AFTER_S - ANSWER_MARGIN_S) * 1e6)
+    proxy.answer_all_by(proxy.now_us() + int((longest_s + KILLED_AFTER_S - ANSWER_MARGIN_S) * 1e6))
     front.stopping = True
     if serving is not None:
         serving.stop()
--- a/magpiefront/net/proxy.py
+++ b/magpiefront/net/proxy.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import sys
+from asyncio import TimerHandle
 from collections import deque
 from collections.abc import Callable
 from time import monotonic_ns, time_ns
@@ -186,6 +187,20 @@
 
     # ---- requests
 
+    def answer_all_by(self, at_us: int) -> None:
+        """No request, open or to come, has its answer later than this: the process is to end."""
+        self.answer_by = at_us
+        for r in self.requests.values():
+            if not r.answered and r.deadline > at_us:
+                r.deadline = at_us
+                if r.backstop is not None:
+                    r.backstop.cancel()
+                r.backstop = self._backstop(r)
+
+    def _backstop(self, r: Request) -> TimerHandle:
+        left = max(0, r.deadline - self.now_us())
+        return self.loop.call_later((left + BACKSTOP_US) / 1e6, self._overdue, r)
+
     def take(self, r: Request) -> None:
         if self._full():
             r.replies.answer(r, 503)
@@ -207,7 +222,7 @@
         if self.answer_by is not None:
             r.deadline = min(r.deadline, self.answer_by)
         left = max(0, r.deadline - now)
-        r.backstop = self.loop.call_later((left + BACKSTOP_US) / 1e6, self._overdue, r)
+        r.backstop = self._backstop(r)
         h = r.headers
         cls = r.cls or self.classes.get(h[b"req-kind"])
         self.give(
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -305,6 +305,22 @@
     run(main())
 
 
+def test_an_open_request_has_its_answer_before_the_process_ends() -> None:
+    """Its deadline may lie behind the moment at which the platform kills the process."""
+
+    async def main() -> None:
+        async with world(silent) as w:
+            client = await w.client()
+            client.send(request(kind="once", deadline="60"))
+            await until(w.seen)
+            w.proxy.answer_all_by(w.proxy.now_us() + 50_000)
+            assert (await client.answer()).status == 504 and not w.proxy.requests
+            client.send(request(kind="once", deadline="60"))
+            assert (await client.answer()).status == 503  # nothing of it ran
+
+    run(main())
+
+
 def test_retry_and_hedge_that_fail_at_once_end_in_one_answer() -> None:
     """Both attempts break off in one turn of the loop, after the budget for repeats has gone."""
 
