Discovery: silence, a new call and a pause fit into the grace of a drain; clocks may be off

Where lists are pushed, waits, connects and pauses are now parts of stopSendingWithinUs. A call that is silent is made anew on a connection of its own and still heard if it was only slow.

A start told by a wall clock that is ahead kept a server cold for as long as that; one that a change tells of more than ten minutes later passed for warm. Both count as now. A first list tells nothing of our own clock: left.

--- a/magpiefront/brain.py
+++ b/magpiefront/brain.py
@@ -45,6 +45,8 @@
 REST_US = 500_000
 MAX_REST_US = 8_000_000
 FIRST_CALL, CALL_BACKOFF = 0.1, 0.05  # first list call, first pause after a failed one: of ask_every_us
+MOST_CALL_PAUSE_US = 3_000_000  # discovery counts as heard 6 s after it can be reached
+LATE_NEWS_US = 600_000_000  # news of a start are not later than this; an older one is another clock's
 
 
 class Server:
@@ -169,7 +171,7 @@
         if not self.started:
             self.started = True
             if self.set.subscribe:  # spread: a roll or a power cut starts many proxies at once
-                self._call_in(now_us, self.random.random() * FIRST_CALL)
+                self._call_in(now_us, self.random.random() * FIRST_CALL * self.set.ask_every_us)
         match event:
             case Arrived():
                 self._arrived(now_us, event)
@@ -497,8 +499,8 @@
     def _list(self, now: int, e: ServerList) -> None:
         if e.kind is ListKind.BROKEN:
             self.watching, self.failed_calls = False, self.failed_calls + 1
-            pause = min(1.0, CALL_BACKOFF * 2 ** min(self.failed_calls - 1, 10))
-            self._call_in(now, pause * (0.5 + self.random.random() / 2))
+            pause = self.set.ask_every_us * min(1.0, CALL_BACKOFF * 2 ** min(self.failed_calls - 1, 10))
+            self._call_in(now, min(pause, MOST_CALL_PAUSE_US) * (0.5 + self.random.random() / 2))
             return
         if e.kind is not ListKind.STALE:
             self.watching, self.failed_calls = True, 0
@@ -512,7 +514,7 @@
             if r.status is Status.GONE:
                 del self.listed[r.server]
             if r.status is Status.READY and r.server not in self.banned:
-                self._ready(r, e)
+                self._ready(now, r, e)
             else:
                 self._drop(r.server)
         if before != {s.name: s.slots for s in self.servers.values()}:
@@ -529,7 +531,7 @@
             self.banned.discard(name)
             entry = self.listed.get(name)
             if entry is not None and entry.status is Status.READY:
-                self._ready(entry, ServerList(ListKind.PATCH, [entry]))
+                self._ready(now, entry, ServerList(ListKind.PATCH, [entry]))
                 self.servers[name].warm_at = now + self.set.cold_us
                 self._rebuild()
         self.act.append(Ruling(name, known))
@@ -546,7 +548,7 @@
         s.in_flight += more
         self.in_flight += more
 
-    def _ready(self, r: ServerEntry, e: ServerList) -> None:
+    def _ready(self, now: int, r: ServerEntry, e: ServerList) -> None:
         s = self.servers.setdefault(r.server, Server(r.server))
         weighed = self.set.weight_source in (WeightSource.NOMINAL, WeightSource.ROUGH) and r.weight > 0
         if weighed and not self.unit:  # a coarse unit, so that proxies with other lists take the same
@@ -558,9 +560,17 @@
         s.zone, s.cell = r.zone, r.cell
         s.origin = self.set.origin_kind is not None and r.kind == self.set.origin_kind
         if r.started_at_us > s.started_at:  # a restart: cold, and what was held against it is void
-            s.started_at, s.warm_at = r.started_at_us, r.started_at_us + self.set.cold_us
+            s.started_at = r.started_at_us
+            s.warm_at = self._began(now, r.started_at_us, e.kind) + self.set.cold_us
             self._clear(s)
 
+    def _began(self, now: int, started_at: int, kind: ListKind) -> int:
+        """When a server started, by this proxy's clock. The list tells it by another wall clock, and either
+        may be off: a start to come would keep the server cold for as long as that, and one that a change
+        tells of long after would pass for warm. Both have just happened."""
+        late = kind is ListKind.PATCH and now - started_at > LATE_NEWS_US
+        return now if late else min(started_at, now)
+
     def _drop(self, name: str) -> None:
         if name in self.servers:
             self._elsewhere(self.servers[name], 0)
@@ -588,13 +598,13 @@
     def _timer(self, now: int, token: str) -> None:
         if token == "call" and now >= self.call_at and not self.watching:
             self.act.append(Watch())
-            self._call_in(now, 1.0)
+            self._call_in(now, self.set.ask_every_us)
         elif token.startswith("copy "):
             p = self.pending.get(token[5:])
             if p and not p.done and p.out == 1 and self.budget >= 1 and self._may_repeat(now, p):
                 self.budget -= self._attempt(now, p)
 
-    def _call_in(self, now: int, part: float) -> None:
-        pause = int(part * self.set.ask_every_us)
+    def _call_in(self, now: int, pause_us: float) -> None:
+        pause = int(pause_us)
         self.call_at = now + pause
         self.act.append(SetTimer(pause, "call"))
--- a/magpiefront/interface.py
+++ b/magpiefront/interface.py
@@ -111,6 +111,7 @@
     cold_us: int = 0
     fall_multiple: float = 2.0
     fall_us: int = 1_000_000
+    drain_grace_us: int = 500_000  # how long after it was told sends to a draining server may still begin
     answer_slack_us: int = 0
     round_us: int = 1_000
     weight_source: WeightSource = WeightSource.NONE
@@ -130,6 +131,7 @@
         require(0 < self.cold_from <= 1, "cold_from", "must be above 0 and at most 1")
         require(self.cold_us >= 0, "cold_us", "must not be negative")
         require(self.round_us >= 0, "round_us", "must not be negative")
+        require(self.drain_grace_us >= 0, "drain_grace_us", "must not be negative")
         require(self.answer_slack_us >= 0, "answer_slack_us", "must not be negative")
         require(self.max_retry_after_us >= 0, "max_retry_after_us", "must not be negative")
 
--- a/magpiefront/settings.py
+++ b/magpiefront/settings.py
@@ -81,6 +81,7 @@
         cold_us=need(rules, "coldUs", "rules."),
         fall_multiple=rules.get("fallMultiple", 2.0),
         fall_us=rules.get("fallUs", 1_000_000),
+        drain_grace_us=int(rules.get("stopSendingWithinUs", 500_000)),
         answer_slack_us=rules.get("answerSlackUs", 0),
         round_us=info.get("roundUs", 1_000),
         weight_source=WEIGHTS.get(info.get("weightSource", ""), WeightSource.NONE),
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -29,7 +29,7 @@
     ],
     "permissions": {"maxAttempts": 4, "secondCopies": False, "mayCancel": True, "probes": True,
                     "connectTimeoutUs": 200_000, "connIdleUs": 60_000_000},
-    "rules": {"coldFrom": 0.3, "coldUs": 8_000_000},
+    "rules": {"coldFrom": 0.3, "coldUs": 8_000_000, "stopSendingWithinUs": 5_000_000},
 }  # fmt: skip
 
 
@@ -198,6 +198,7 @@
     def __init__(self) -> None:
         self.tell: asyncio.Queue[bytes] = asyncio.Queue()
         self.calls: list[str] = []
+        self.writers: list[asyncio.StreamWriter] = []  # by connection, in the order of their coming
         self.port = 0
 
     async def start(self) -> None:
@@ -205,6 +206,7 @@
         self.port = server.sockets[0].getsockname()[1]
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.writers.append(writer)
         try:
             while True:
                 line, _, _ = await read_message(reader)
@@ -224,6 +226,7 @@
     front: Front
     nodes: list[Node]
     lists: Lists
+    discovery: Discovery
     port: int
     events: list[Event] = field(default_factory=list)
 
@@ -276,7 +279,7 @@
     front.listen("127.0.0.1", 0)
     assert front.socket is not None
     try:
-        yield World(proxy, front, nodes, lists, front.socket.getsockname()[1], events)
+        yield World(proxy, front, nodes, lists, discovery, front.socket.getsockname()[1], events)
     finally:
         discovery.stop()
         front.stop_accepting()
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -3,13 +3,20 @@
 from __future__ import annotations
 
 import json
+import time
 from typing import Any
 
 import pytest
 
-from magpiefront.interface import ListKind, ServerList
-from magpiefront.net import discovery
-from tests.sockets import Node, World, ok, run, until, world
+from magpiefront import Router
+from magpiefront.interface import (
+    ListKind, Repeat, RequestClass, ServerEntry, ServerList, SetTimer, Settings, Status,
+)  # fmt: skip
+from magpiefront.net import discovery, proxy
+from tests.sockets import Lists, Node, World, ok, run, until, world
+
+
+CLASS = RequestClass("read", Repeat.SAFE, 500_000, 1_000_000)
 
 
 def kinds(w: World) -> list[ListKind]:
@@ -93,8 +100,7 @@
     ],
 )  # fmt: skip
 def test_what_can_not_be_read_changes_nothing(answer: bytes, monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(discovery, "WAIT_MS", 50)
-    monkeypatch.setattr(discovery, "GRACE_S", 0.05)
+    monkeypatch.setattr(discovery, "pushed", lambda _: discovery.Patience(50, 0.1, 0.1, 1.0, 1.0))
 
     async def main() -> None:
         async with world(None) as w:
@@ -123,8 +129,7 @@
 
 
 def test_a_silent_discovery_is_asked_again(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(discovery, "WAIT_MS", 20)
-    monkeypatch.setattr(discovery, "GRACE_S", 0.02)
+    monkeypatch.setattr(discovery, "pushed", lambda _: discovery.Patience(20, 0.04, 0.04, 1.0, 1.0))
 
     async def main() -> None:
         async with world(None) as w:
@@ -163,3 +168,117 @@
             assert (await w.ask()).status == 200
 
     run(main())
+
+
+# ---- silence, outages, moves and other clocks
+
+
+def entries(w: World, lifecycle: str) -> bytes:
+    given = {"generation": 2, "reset": False, "instances": [w.nodes[0].entry(lifecycle)]}
+    return ok(json.dumps(given).encode())
+
+
+@pytest.mark.parametrize("grace_us", [200_000, 500_000, 1_000_000, 3_000_000])
+def test_silence_and_a_new_call_fit_into_the_grace_for_sends_to_a_draining_server(grace_us: int) -> None:
+    patience = discovery.pushed(grace_us)
+    assert (patience.watch_s + patience.connect_s + patience.most_pause_s) * 1e6 < grace_us
+    assert patience.wait_ms / 1000 < patience.watch_s
+
+
+def test_a_call_that_is_silent_is_made_anew_and_heard_if_it_was_only_slow(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(discovery, "pushed", lambda _: discovery.Patience(50, 0.1, 0.1, 1.0, 1.0))
+
+    async def main() -> None:
+        async with world(None) as w:
+            await until(lambda: len(w.lists.calls) == 2, "a second call")
+            assert len(w.lists.writers) == 2 and not w.lists.writers[0].is_closing()
+            w.lists.writers[0].write(entries(w, "Terminating"))
+            await until(lambda: not w.proxy.pool.nodes, "the list that came late")
+            await until(lambda: w.lists.calls[-1].startswith("GET /v1/endpoints?after=2&"), "the next call")
+
+    run(main())
+
+
+def test_a_silent_watch_where_discovery_is_asked_begins_anew_at_once(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(discovery, "ASKED", discovery.Patience(20, 0.05, 0.05, 1.0, 1.0))
+
+    async def main() -> None:
+        rules = {"coldFrom": 0.3, "coldUs": 8_000_000, "askEveryUs": 10_000_000}
+        async with world(None, discovery="subscribe", rules=rules) as w:
+            w.discovery.ask()
+            await until(lambda: len(w.lists.calls) == 2)
+            assert "after=1&" in w.lists.calls[0] and w.lists.calls[1].startswith("GET /v1/endpoints ")
+            assert ListKind.BROKEN not in kinds(w)
+            await until(lambda: ListKind.BROKEN in kinds(w), "the failure of the second")
+
+    run(main())
+
+
+def test_an_answer_from_before_a_move_changes_nothing() -> None:
+    async def main() -> None:
+        async with world(None) as w:
+            elsewhere = Lists()
+            await elsewhere.start()
+            await until(lambda: w.lists.calls)
+            before = w.discovery.call
+            assert before is not None
+            for place in (elsewhere.port, w.lists.port, elsewhere.port):  # configurations in quick succession
+                w.discovery.move(("127.0.0.1", place))
+            w.discovery.answered(before, 200, entries(w, "Gone").partition(b"\r\n\r\n")[2])
+            assert list(w.proxy.pool.nodes) == ["s-0"]
+            await until(lambda: elsewhere.calls)
+            assert elsewhere.calls[0].startswith("GET /v1/endpoints ") and not w.discovery.older
+
+    run(main())
+
+
+def test_a_proxy_that_must_ask_does_not_stay_away_for_long_after_many_failures() -> None:
+    router = Router(Settings(classes=(CLASS,), subscribe=True, ask_every_us=10_000_000), 1)
+    pauses = [
+        action.delay_us
+        for _ in range(30)
+        for action in router.handle(0, ServerList(ListKind.BROKEN))
+        if isinstance(action, SetTimer)
+    ]
+    assert len(pauses) >= 30 and max(pauses) <= 3_000_000 < 10_000_000 * 0.5
+
+
+HOUR_US = 3_600_000_000
+
+
+@pytest.mark.parametrize(
+    ("kind", "started_ago_us", "cold_for_us"),
+    [
+        (ListKind.PATCH, 2_000_000, 6_000_000),
+        (ListKind.PATCH, -HOUR_US, 8_000_000),  # by a clock that is behind, it starts in an hour
+        (ListKind.WHOLE, -HOUR_US, 8_000_000),
+        (ListKind.PATCH, HOUR_US, 8_000_000),  # news of a start that is an hour old
+        (ListKind.WHOLE, HOUR_US, 0),
+    ],
+)
+def test_a_start_by_a_wall_clock_that_was_stepped(
+    kind: ListKind, started_ago_us: int, cold_for_us: int
+) -> None:
+    now = 1_700_000_000_000_000
+    router = Router(Settings(classes=(CLASS,), cold_from=0.3, cold_us=8_000_000), 1)
+    entry = ServerEntry("s-0", Status.READY, started_at_us=now - started_ago_us)
+    router.handle(now, ServerList(kind, [entry]))
+    assert max(0, router.servers["s-0"].warm_at - now) == cold_for_us
+
+
+@pytest.mark.parametrize("step_s", [-3600, -5, 5, 3600])
+def test_a_step_of_the_wall_clock_moves_no_deadline(step_s: int, monkeypatch: pytest.MonkeyPatch) -> None:
+    async def main() -> None:
+        async with world(None) as w:
+            before = w.proxy.now_us()
+            told, told_ns = time.time, time.time_ns
+            monkeypatch.setattr(time, "time", lambda: told() + step_s)
+            monkeypatch.setattr(time, "time_ns", lambda: told_ns() + step_s * 10**9)
+            monkeypatch.setattr(proxy, "time_ns", time.time_ns)
+            assert (await w.ask(deadline="0.9")).status == 200
+            assert 0.1 < float(w.seen()[0].headers["req-deadline"]) < 0.9
+            assert 0 <= w.proxy.now_us() - before < 900_000
+
+    run(main())
