Answers without a length that end in order are forwarded; a reset is no end

The end of the connection ends them now, in order and with a body; a reset, a silence or an end within the head is a failed attempt as before. With fields passed on (cache, gateway) they are still turned down: a cache would keep what may have been cut off.

--- a/magpiefront/net/passing.py
+++ b/magpiefront/net/passing.py
@@ -153,6 +153,7 @@
     __slots__ = ()
     answer_type = PassedAnswer
     answer: PassedAnswer
+    close_delimits = False  # a cache would keep, and a site pass on as whole, what may have been cut off
 
     def counts(self, a: upstream.Answer) -> bool:
         return cast(PassedAnswer, a).wanted
--- a/magpiefront/net/upstream.py
+++ b/magpiefront/net/upstream.py
@@ -188,6 +188,7 @@
                  "look", "node", "paused", "streams", "surplus", "watched", "written")  # fmt: skip
 
     answer_type: type[Answer] = Answer
+    close_delimits = True  # may the end of the connection be the end of an answer?
 
     def __init__(self, node: Node, exchange: Exchange) -> None:
         super().__init__()
@@ -262,9 +263,26 @@
         super().connection_lost(exc)
 
     def eof_received(self) -> bool:
-        self.broken()
+        if self._ends_by_close():
+            self.complete = self.framed = True
+            self._completed()
+        else:
+            self.broken()
         return False
 
+    def _ends_by_close(self) -> bool:
+        """An answer that tells no length ends with the connection (RFC 9112, 6.3): in order, for a reset is
+        no end. One with no body at all may as well have been cut off behind its head."""
+        a = self.answer
+        if self.exchange is None or self.complete or self.in_head or self.framed:
+            return False
+        return self.close_delimits and self.counts(a) and a.size > 0
+
+    def _is_endless(self, a: Answer) -> bool:
+        if self.counts(a):
+            return not self.framed and not self.close_delimits
+        return not self.framed or a.size > REFUSAL_LIMIT
+
     def pause_writing(self) -> None:
         pass
 
@@ -289,7 +307,7 @@
         a = self.answer
         if self.complete:
             self._completed()
-        elif a.status and (not self.framed or (not self.counts(a) and a.size > REFUSAL_LIMIT)):
+        elif a.status and self._is_endless(a):
             self._cut()
         elif a.status or self.spare:
             self.heard_at = self.node.pool.loop.time()
@@ -386,11 +404,9 @@
                 exchange.host.stream_goes_on(exchange, body)
             elif a.status == 200 or self.counts(a):
                 a.body.append(body)
-                if not self.framed:
-                    return
                 if a.size > WHOLE_LIMIT or (a.length or 0) > WHOLE_LIMIT:
                     self._stream(exchange)
-                elif a.length is None and len(a.body) == 1:
+                elif self.framed and a.length is None and len(a.body) == 1:
                     self.node.pool.loop.call_later(PATIENCE_S, self._stream, exchange)
         elif a.size <= WHOLE_LIMIT:
             a.body.append(body)
--- a/tests/test_nodes.py
+++ b/tests/test_nodes.py
@@ -424,3 +424,106 @@
         "inflight": 7.0, "queue": 2.0, "util": 0.61,
     }  # fmt: skip
     assert upstream.read_report(b"nothing") is None
+
+
+# ---- answers that tell no length
+
+
+PLAIN = b"HTTP/1.1 200 OK\r\nContent-Type: a/b\r\n\r\n"
+
+
+@pytest.mark.parametrize("size", [5, 300_000])
+@pytest.mark.parametrize("kind", ["read", "once"])
+def test_an_answer_without_a_length_that_ends_in_order_is_forwarded_whole(kind: str, size: int) -> None:
+    async def main() -> None:
+        body = b"v" * size
+        async with world(says(PLAIN + body, close=True)) as w:
+            client = await w.client()
+            for _ in range(2):
+                client.send(request(kind=kind))
+                answer = await client.answer()
+                assert (answer.status, answer.body) == (200, body)
+                assert answer.headers["content-type"] == "a/b"
+            assert w.outcomes() == [Outcome.OK, Outcome.OK]
+            await until(lambda: not w.proxy.pool.open)
+
+    run(main())
+
+
+def cut_by(rest: bytes, reset: bool) -> Handler:
+    async def handler(seen: Seen, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        writer.write(rest)
+        await writer.drain()
+        await until(lambda: seen.node.seen)
+        if reset:
+            s = writer.get_extra_info("socket")
+            s.setsockopt(SOL_SOCKET, SO_LINGER, struct.pack("ii", 1, 0))
+        writer.transport.abort()
+
+    return handler
+
+
+@pytest.mark.parametrize(
+    "cut",
+    [
+        cut_by(PLAIN + b"half", True), cut_by(PLAIN, False), cut_by(PLAIN[:30], False), cut_by(b"", False),
+        cut_by(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf", False),
+        cut_by(CHUNKED + b"4\r\nhalf", False),
+    ],
+    ids=["reset", "no body", "half a head", "nothing", "half a length", "half a chunk"],
+)  # fmt: skip
+def test_an_answer_that_does_not_end_in_order_is_none(cut: Handler) -> None:
+    async def main() -> None:
+        handler = first(cut)
+        async with world(handler, handler) as w:
+            answer = await w.ask()
+            assert (answer.status, answer.body) == (200, b"second")
+            assert w.outcomes() == [Outcome.RESET, Outcome.OK]
+
+    run(main())
+
+
+def test_a_long_answer_without_a_length_that_is_reset_breaks_off_for_the_client() -> None:
+    async def main() -> None:
+        gate = asyncio.Event()
+
+        async def resets_late(seen: Seen, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            writer.write(PLAIN + b"x" * 200_000)
+            await gate.wait()
+            s = writer.get_extra_info("socket")
+            s.setsockopt(SOL_SOCKET, SO_LINGER, struct.pack("ii", 1, 0))
+            writer.transport.abort()
+
+        async with world(resets_late) as w:
+            client = await w.client()
+            client.send(request(kind="once"))
+            await until(lambda: w.proxy.streams, "the begin")
+            gate.set()
+            got = b""
+            with suppress(ConnectionResetError):
+                got = await client.ended()
+            assert not got.endswith(b"0\r\n\r\n") and len(w.seen()) == 1
+            await until(lambda: not w.proxy.streams and not w.proxy.pool.open)
+
+    run(main())
+
+
+def test_a_late_second_answer_never_reaches_the_next_request() -> None:
+    async def main() -> None:
+        writers: list[asyncio.StreamWriter] = []
+
+        async def once(seen: Seen, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            writers.append(writer)
+            writer.write(ok(seen.line.encode()))
+
+        async with world(once) as w:
+            client = await w.client()
+            client.send(request(path="/api/first"))
+            assert b"first" in (await client.answer()).body
+            (idle,) = w.proxy.pool.nodes["s-0"].idle
+            writers[0].write(ok(b"GET /api/first once more"))  # before the next request, and not read yet
+            client.send(request(path="/api/second"))
+            assert b"second" in (await client.answer()).body
+            assert idle.transport.is_closing() and len(writers) == 2
+
+    run(main())
