A connection that fails as it is accepted, or for want of a route, is held against nobody

By reading: ECONNABORTED and its kin ended a round of accepts, also the last one before the listener closes, which took 64 connections at the most; what still waited there was reset. ENETUNREACH and ENETDOWN at a connect, this machine's own trouble, made nodes suspects that return cold.

--- a/magpiefront/net/downstream.py
+++ b/magpiefront/net/downstream.py
@@ -478,26 +478,32 @@
             self.accepting = False
             self.loop.remove_reader(self.socket.fileno())
 
-    def _accept(self) -> None:
+    def _accept(self) -> bool:
+        """Are there perhaps more?"""
         assert self.socket is not None
         for n in range(ACCEPTS):
             # Out of descriptors a connection could only be broken: it waits in the kernel's queue instead.
             # Only at the first is it sure that one has come.
             if len(self.clients) >= self.most and (n or not self._make_room()):
                 if not n:
-                    self._accept_no_more()
-                    self.loop.call_later(EVICT_S / 4, self._accept_more)
-                return
+                    self._pause_accepting()
+                return False
             try:
                 s = accepted(self.socket)
             except NoRoom as e:
-                self._accept_no_more()
+                self._pause_accepting()
                 self.house.log(f"no connection taken: {e}")
-                return
+                return False
             if s is None:
-                return
+                return False
             s.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             self.adopt(s)
+        return True
+
+    def _pause_accepting(self) -> None:
+        """Those that wait stay in the kernel's queue; a loop that asked on at once would only be busy."""
+        self._accept_no_more()
+        self.loop.call_later(EVICT_S / 4, self._accept_more)
 
     async def _open(self, client: ClientConnection, s: socket.socket) -> None:
         try:
@@ -536,8 +542,8 @@
 
     def stop_accepting(self) -> None:
         if self.socket is not None:
-            if not self.handed:
-                self._accept()
+            while not self.handed and self._accept():
+                pass  # closed with it, those that wait would be reset
             self._accept_no_more()
             self.socket.close()
             self.socket = None
--- a/magpiefront/net/listening.py
+++ b/magpiefront/net/listening.py
@@ -9,6 +9,15 @@
 NO_ROOM = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM})
 
 
+# What is wrong with the one connection to be accepted, or with the network for a moment (accept(2)); the
+# next one may be fine.
+ONE_CONNECTION = frozenset({
+    errno.ECONNABORTED, errno.EPROTO, errno.ENOPROTOOPT, errno.EOPNOTSUPP, errno.ETIMEDOUT, errno.EPERM,
+    errno.ENETDOWN, errno.ENETUNREACH, errno.EHOSTDOWN, errno.EHOSTUNREACH, errno.ENONET,
+})  # fmt: skip
+TRIES = 16
+
+
 class NoRoom(Exception):
     """A connection waits and can't be had; its text says why."""
 
@@ -30,12 +39,16 @@
 
 
 def accepted(listener: socket.socket) -> socket.socket | None:
-    """The next connection; None where none waits, or it has gone. Raises NoRoom."""
-    try:
-        s, _ = listener.accept()
-    except OSError as e:
-        if e.errno in NO_ROOM:
-            raise NoRoom(e.strerror) from None
-        return None
-    s.setblocking(False)
-    return s
+    """The next connection; None where none waits. Raises NoRoom."""
+    for _ in range(TRIES):
+        try:
+            s, _ = listener.accept()
+        except OSError as e:
+            if e.errno in NO_ROOM:
+                raise NoRoom(e.strerror) from None
+            if e.errno in ONE_CONNECTION:
+                continue  # it has gone, and says nothing of those behind it
+            return None
+        s.setblocking(False)
+        return s
+    return None
--- a/magpiefront/net/upstream.py
+++ b/magpiefront/net/upstream.py
@@ -24,7 +24,8 @@
 REFUSAL_LIMIT = 1024 * 1024
 INTERIM = 8  # 1xx answers ahead of the real one
 NOTES = {b"hit": 1, b"miss": 2, b"pending": 3}
-OURS = NO_ROOM | {errno.EADDRNOTAVAIL}
+# This machine's own trouble: no sign of a node that is down, which would return cold.
+OURS = NO_ROOM | {errno.EADDRNOTAVAIL, errno.ENETUNREACH, errno.ENETDOWN}
 
 
 def read_report(value: bytes) -> dict[str, float] | None:
