--- a/magpiefront/net/discovery.py
+++ b/magpiefront/net/discovery.py
@@ -16,7 +16,8 @@
 from magpiefront.net.proxy import Proxy
 
 BACKOFF_S = 0.02  # after the first call that failed; twice as long after each further one
-MOST_OLDER = 8  # calls that were given up for silence, and may yet turn out to be slow
+MOST_OLDER = 4  # calls that were given up for silence, and may yet turn out to be slow
+OLDEST_S = 8.0  # ... the oldest of them for so long: it has waited longest, and others would come after it
 ANSWER_LIMIT = 8 * 1024 * 1024
 STATES = {"Ready": Status.READY, "Terminating": Status.DRAINING, "Gone": Status.GONE}
 
@@ -42,7 +43,7 @@
     stay without an answer. So silence, connecting and a pause must fit into the grace in which sends to a
     draining server may still begin; a part of it stays for the process itself."""
     grace_s = drain_grace_us / 1e6
-    wait_s = max(0.05, min(2.0, grace_s * 0.3))
+    wait_s = max(0.05, min(2.0, grace_s * 0.4))
     watch_s = wait_s + max(0.04, min(1.0, grace_s * 0.2))
     return Patience(int(wait_s * 1000), watch_s, watch_s, max(0.04, grace_s * 0.2), max(0.02, grace_s * 0.15))
 
@@ -137,13 +138,14 @@
         self.parser = httptools.HttpResponseParser(self)
         self.body = bytearray()
         self.asked = self.complete = self.lasting = False
+        self.asked_at = 0.0
 
     def close(self) -> None:
         if self.transport is not None:
             self.transport.abort()
 
     def ask(self, path: str, host: str) -> None:
-        self.asked, self.complete = True, False
+        self.asked, self.complete, self.asked_at = True, False, self.watch.loop.time()
         self.body.clear()
         self.transport.write(f"GET {path} HTTP/1.1\r\nHost: {host}\r\n\r\n".encode())
 
@@ -289,6 +291,8 @@
             return
         self.older.append(call)
         if len(self.older) > MOST_OLDER:
+            self.older.pop(1).close()
+        if self.loop.time() - self.older[0].asked_at > OLDEST_S:
             self.older.pop(0).close()
         if self.asked and self.anew:
             self._broken()
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -201,6 +201,19 @@
     run(main())
 
 
+def test_a_discovery_that_takes_many_calls_time_is_heard(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(discovery, "pushed", lambda _: discovery.Patience(10, 0.02, 0.02, 1.0, 1.0))
+
+    async def main() -> None:
+        async with world(None) as w:
+            await until(lambda: len(w.lists.calls) > 3 * discovery.MOST_OLDER, "many calls")
+            assert len(w.discovery.older) <= discovery.MOST_OLDER
+            w.lists.writers[0].write(entries(w, "Terminating"))
+            await until(lambda: not w.proxy.pool.nodes, "the answer to the first call")
+
+    run(main())
+
+
 def test_a_silent_watch_where_discovery_is_asked_begins_anew_at_once(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(discovery, "ASKED", discovery.Patience(20, 0.05, 0.05, 1.0, 1.0))
 
