The clients' address in a module of its own, beside the client's connection

net/downstream.py had grown to 566 lines with two classes: what accepts and makes room is net/front.py now, and a connection knows of it what a small protocol says.

--- a/magpiefront/__main__.py
+++ b/magpiefront/__main__.py
@@ -26,7 +26,7 @@
 from magpiefront.net.bodies import Bodies
 from magpiefront.net.desk import Desk
 from magpiefront.net.discovery import Discovery
-from magpiefront.net.downstream import Front
+from magpiefront.net.front import Front
 from magpiefront.net.proxy import Proxy
 from magpiefront.net.request import Stage
 from magpiefront.upgrade import state as upgrade_state
--- a/magpiefront/net/desk.py
+++ b/magpiefront/net/desk.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Callable
 
-from magpiefront.net.downstream import Front
+from magpiefront.net.front import Front
 from magpiefront.net.proxy import Proxy
 
 
--- a/magpiefront/net/downstream.py
+++ b/magpiefront/net/downstream.py
@@ -1,12 +1,10 @@
-"""Connections of clients: requests in, one answer each, `/ready`."""
+"""A client's connection: requests in, one answer each, `/ready`."""
 
 from __future__ import annotations
 
 import asyncio
-import os
-import socket
 from collections import deque
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Mapping, Sequence
 from typing import Protocol
 
 import httptools
@@ -16,19 +14,15 @@
 from magpiefront.net.figures import Figures
 from magpiefront.net.hangup import HangUpWatch
 from magpiefront.net.http1 import BODY_LIMIT, Connection, HeadTooLong, chunk, head
-from magpiefront.net.listening import NoRoom, accepted, bound
 from magpiefront.net.request import METHODS, SINGLE, Request, Stage
 
 # What can't be served is answered or closed within 3 s of connecting, with half a second from sweep to sweep.
 HEAD_S = 2.0  # for a head, and for a body that has come to a stop
 UNUSED_S = 2.0  # for a connection on which no request is open
-EVICT_S = 0.2
+EVICT_S = 0.2  # since its last step, before a connection may go to make room for another
 STALL_S = 20.0
 LINGER_S = 1.5  # how long a closed connection is read from, so that no RST destroys its last answer
-FRESH_S = 0.7  # a connection that has just come is not idle yet
 PIPELINE = 32  # requests that may wait on one connection; more are refused in their turn
-EVICTS = 32  # connections that make room at once
-ACCEPTS = 64  # connections taken at once
 
 
 class House(Protocol):
@@ -43,6 +37,20 @@
     def log(self, text: str) -> None: ...
 
 
+class Owner(Protocol):
+    """What a client's connection needs of the front that took it."""
+
+    house: House
+    stage: Stage
+    bodies: Bodies
+    loop: asyncio.AbstractEventLoop
+    stopping: bool
+
+    @property
+    def ending(self) -> bool: ...
+    def lost(self, client: ClientConnection) -> None: ...
+
+
 class ClientConnection(Connection):
     methods = METHODS
     allow = b"Allow: GET, PUT\r\n"
@@ -50,7 +58,7 @@
                  "reading", "request", "size", "taking", "under_way", "used", "waiting",
                  "writable")  # fmt: skip
 
-    def __init__(self, front: Front) -> None:
+    def __init__(self, front: Owner) -> None:
         super().__init__()
         self.front = front
         self.parser = httptools.HttpRequestParser(self)
@@ -405,162 +413,3 @@
             return (int(self.used) * 2, self.moved_at) if now - self.moved_at > EVICT_S else None
         overdue = self.in_head and self.request is None and not self._due and now - self.began > HEAD_S - 0.8
         return (1, self.began) if overdue else None
-
-
-class Front:
-    """The listening socket and the clients' connections."""
-
-    client_type: type[ClientConnection] = ClientConnection
-
-    def __init__(self, house: House, stage: Stage, bodies: Bodies, most: int) -> None:
-        self.house, self.stage, self.bodies, self.most = house, stage, bodies, most
-        self.loop = house.loop
-        self.clients: dict[ClientConnection, None] = {}
-        self.handed = False  # to another process, which accepts in place of this one
-        self.opening: set[asyncio.Task[object]] = set()
-        self.stopping = self.accepting = False
-        self.look_at = 0.0  # not before this is it looked for room again
-        self.socket: socket.socket | None = None
-
-    @property
-    def ending(self) -> bool:
-        """Are clients to leave? Not where another process takes their connections over."""
-        return self.stopping and not self.handed
-
-    def listen_on(self, s: socket.socket) -> None:
-        """On a listening socket that is there already."""
-        s.setblocking(False)
-        self.socket = s
-        self._accept_more()
-
-    def listen(self, host: str, port: int, shared: bool = False) -> None:
-        """`shared` lets another process of this user listen there too. Raises OSError."""
-        s = bound(host, port, shared)
-        try:
-            s.listen(4096)
-        except OSError:
-            s.close()
-            raise
-        self.listen_on(s)
-
-    def release(self) -> None:
-        """Another process accepts in place of this one, which keeps the socket in case that one ends."""
-        self.handed = True
-        self._accept_no_more()
-
-    def resume(self) -> None:
-        self.handed = False
-        self._accept_more()
-
-    def give_away(self, give: Callable[[list[int]], bool], most: int) -> None:
-        """Passes connections on which nothing is open to another process, up to `most` at a time; `give` says
-        whether it took them. Bytes that nobody has read go with them."""
-        free = [c for c in self.clients if c.may_go()]
-        for at in range(0, len(free), most):
-            going = free[at : at + most]
-            copies = [os.dup(c.transport.get_extra_info("socket").fileno()) for c in going]
-            given = give(copies)
-            for copy in copies:
-                os.close(copy)
-            if not given:
-                return
-            for c in going:
-                c.transport.abort()  # this process's end of it alone
-
-    def adopt(self, s: socket.socket) -> None:
-        """A client's connection, as accepted."""
-        s.setblocking(False)
-        client = self.client_type(self)
-        self.clients[client] = None
-        task = self.loop.create_task(self._open(client, s))
-        self.opening.add(task)
-        task.add_done_callback(self.opening.discard)
-
-    def _accept_more(self) -> None:
-        if self.socket is not None and not self.accepting and not self.handed:
-            self.accepting = True
-            self.loop.add_reader(self.socket.fileno(), self._accept)
-
-    def _accept_no_more(self) -> None:
-        if self.socket is not None and self.accepting:
-            self.accepting = False
-            self.loop.remove_reader(self.socket.fileno())
-
-    def _accept(self) -> bool:
-        """Are there perhaps more?"""
-        assert self.socket is not None
-        for n in range(ACCEPTS):
-            # Out of descriptors a connection could only be broken: it waits in the kernel's queue instead.
-            # Only at the first is it sure that one has come.
-            if len(self.clients) >= self.most and (n or not self._make_room()):
-                if not n:
-                    self._pause_accepting()
-                return False
-            try:
-                s = accepted(self.socket)
-            except NoRoom as e:
-                self._pause_accepting()
-                self.house.log(f"no connection taken: {e}")
-                return False
-            if s is None:
-                return False
-            s.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            self.adopt(s)
-        return True
-
-    def _pause_accepting(self) -> None:
-        """Those that wait stay in the kernel's queue; a loop that asked on at once would only be busy."""
-        self._accept_no_more()
-        self.loop.call_later(EVICT_S / 4, self._accept_more)
-
-    async def _open(self, client: ClientConnection, s: socket.socket) -> None:
-        try:
-            await self.loop.connect_accepted_socket(lambda: client, s)
-        except OSError:
-            if client.transport is None:
-                self.clients.pop(client, None)
-
-    def _make_room(self) -> bool:
-        """Guards against clients that open connections and ask nothing, or never end a head: those go first,
-        then the one that has been idle longest, which sends again on a new one."""
-        now = self.loop.time()
-        if now < self.look_at:
-            return False
-        orders = ((c.spared_for(now), c) for c in self.clients)
-        found = [(order, c) for order, c in orders if order is not None]
-        found.sort(key=lambda f: f[0])
-        if not found:
-            self.look_at = now + EVICT_S / 4
-        for _, c in found[: min(EVICTS, 1 + self.most // 20)]:
-            self.clients.pop(c)
-            c.transport.close()  # at once, for its descriptor; nothing of an answer is left in it
-        return bool(found)
-
-    def lost(self, client: ClientConnection) -> None:
-        self.clients.pop(client, None)
-        if self.socket is not None and len(self.clients) < self.most:
-            self._accept_more()
-
-    def sweep(self) -> None:
-        now = self.loop.time()
-        for client in list(self.clients):
-            if client.transport is not None:
-                client.sweep(now)
-        self._accept_more()
-
-    def stop_accepting(self) -> None:
-        if self.socket is not None:
-            while not self.handed and self._accept():
-                pass  # closed with it, those that wait would be reset
-            self._accept_no_more()
-            self.socket.close()
-            self.socket = None
-
-    def close_idle(self) -> None:
-        fresh = self.loop.time() - FRESH_S
-        for client in list(self.clients):
-            transport = client.transport
-            if transport is None or client.lingering or transport.is_closing():
-                continue
-            if client.idle and client.moved_at < fresh:
-                client.end_idle()
--- a/magpiefront/operator/compose.py
+++ b/magpiefront/operator/compose.py
@@ -27,7 +27,7 @@
 from magpiefront.group.desk import Desk
 from magpiefront.group.service import GroupService
 from magpiefront.net.config import BadConfig, Config
-from magpiefront.net.downstream import Front
+from magpiefront.net.front import Front
 from magpiefront.net.passing import PassingProxy, prepare
 from magpiefront.net.proxy import Proxy
 from magpiefront.net.request import Stage
--- a/magpiefront/upgrade/new.py
+++ b/magpiefront/upgrade/new.py
@@ -9,7 +9,7 @@
 from magpiefront.interface import Elsewhere
 from magpiefront.net.config import BadConfig
 from magpiefront.net.desk import Desk
-from magpiefront.net.downstream import Front
+from magpiefront.net.front import Front
 from magpiefront.net.proxy import Proxy
 from magpiefront.upgrade import channel as wire
 from magpiefront.upgrade import state
--- a/magpiefront/upgrade/old.py
+++ b/magpiefront/upgrade/old.py
@@ -11,7 +11,7 @@
 
 from magpiefront.net.desk import Desk
 from magpiefront.net.discovery import Discovery
-from magpiefront.net.downstream import Front
+from magpiefront.net.front import Front
 from magpiefront.net.proxy import Proxy
 from magpiefront.upgrade import channel as wire
 from magpiefront.upgrade import state
--- a/tests/caching/sockets.py
+++ b/tests/caching/sockets.py
@@ -13,7 +13,7 @@
 from magpiefront.net import config
 from magpiefront.net.bodies import Bodies
 from magpiefront.net.discovery import Discovery
-from magpiefront.net.downstream import Front
+from magpiefront.net.front import Front
 from magpiefront.net.passing import Clients, PassingProxy, prepare
 from tests.sockets import INFO
 
--- a/tests/caching/test_link.py
+++ b/tests/caching/test_link.py
@@ -14,7 +14,7 @@
 from magpiefront.net import config
 from magpiefront.net.bodies import Bodies
 from magpiefront.net.discovery import Discovery
-from magpiefront.net.downstream import Front
+from magpiefront.net.front import Front
 from magpiefront.net.proxy import Proxy
 from magpiefront.net.request import Request
 from magpiefront.operator.compose import Composition, check, host
--- a/tests/gateway/sites.py
+++ b/tests/gateway/sites.py
@@ -13,7 +13,7 @@
 from magpiefront.net import config
 from magpiefront.net.bodies import Bodies
 from magpiefront.net.discovery import Discovery
-from magpiefront.net.downstream import Front
+from magpiefront.net.front import Front
 from magpiefront.net.proxy import Proxy
 from standins.archive import Archive
 from standins.client import Ask, Client
--- a/tests/record/sockets.py
+++ b/tests/record/sockets.py
@@ -13,7 +13,7 @@
 from magpiefront.net import config
 from magpiefront.net.bodies import Bodies
 from magpiefront.net.discovery import Discovery
-from magpiefront.net.downstream import Front
+from magpiefront.net.front import Front
 from magpiefront.net.proxy import Proxy
 from magpiefront.net.traced import TracedAttempt
 from magpiefront.record.rows import Row
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -15,7 +15,7 @@
 from magpiefront.net import config
 from magpiefront.net.bodies import Bodies
 from magpiefront.net.discovery import Discovery
-from magpiefront.net.downstream import Front
+from magpiefront.net.front import Front
 from magpiefront.net.proxy import Proxy
 
 INFO: dict[str, Any] = {
--- a/tests/test_system_calls.py
+++ b/tests/test_system_calls.py
@@ -12,7 +12,7 @@
 import pytest
 
 from magpiefront.interface import Outcome
-from magpiefront.net import downstream
+from magpiefront.net import front
 from magpiefront.net.listening import NoRoom, accepted
 from tests.sockets import request, run, until, world
 
@@ -65,7 +65,7 @@
 
 
 def test_all_that_wait_are_accepted_before_the_listener_closes(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(downstream, "ACCEPTS", 2)
+    monkeypatch.setattr(front, "ACCEPTS", 2)
 
     async def main() -> None:
         async with world(None) as w:
