--- a/magpiefront/__main__.py
+++ b/magpiefront/__main__.py
@@ -143,12 +143,12 @@
         composition.begin()
 
     def sweep() -> None:
+        loop.call_later(SWEEP_S, sweep)  # first, so that a defect in one of them ends no further round
         proxy.sweep()
         front.sweep()
         admin.sweep()
         if composition is not None:
             composition.sweep()
-        loop.call_later(SWEEP_S, sweep)
 
     sweep()
     proxy.tick()
--- a/magpiefront/net/downstream.py
+++ b/magpiefront/net/downstream.py
@@ -379,7 +379,7 @@
     def end_idle(self) -> None:
         """Ends a connection on which nothing is open, unless a request has come that the loop has not read
         yet. What comes from now on finds the sending ended: its client sends it again elsewhere."""
-        if not self._watch().readable():
+        if not self.transport.is_closing() and not self._watch().readable():
             self.linger()
 
     def sweep(self, now: float) -> None:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -292,6 +292,21 @@
     run(main())
 
 
+def test_a_connection_that_is_closing_by_itself_is_not_looked_at_as_idle() -> None:
+    async def main() -> None:
+        async with world(None) as w:
+            client = raw_client(w)
+            c = await connection_of(w)
+            c.transport.abort()
+            c.sweep(c.moved_at + 60)
+            w.front.close_idle()
+            await until(lambda: not w.front.clients)
+            c.sweep(c.moved_at + 60)
+            client.close()
+
+    run(main())
+
+
 # ---- a shutdown
 
 
@@ -325,6 +340,56 @@
     run(main())
 
 
+@pytest.mark.parametrize("state", ["waits", "retried", "hedged", "streams"])
+def test_sigterm_takes_no_answer_from_a_request_that(state: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    async def main() -> None:
+        gate, used = asyncio.Event(), list[Seen]()
+
+        async def handler(seen: Seen, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            used.append(seen)
+            if state == "retried" and len(used) == 1:
+                await resets(seen, reader, writer)
+            elif state == "streams":
+                writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhe\r\n")
+                await gate.wait()
+                writer.write(b"3\r\nllo\r\n0\r\n\r\n")
+            else:
+                await gate.wait()
+                writer.write(ok())
+
+        held = HeldConnects(monkeypatch) if state == "waits" else None
+        copies = {**INFO["permissions"], "secondCopies": state == "hedged"}
+        async with world(handler, handler, permissions=copies) as w:
+            w.proxy.router.kept.add(_router_key("/api/k1"))
+            client = await w.client()
+            client.send(request())
+            reached = {
+                "waits": lambda: held is not None and held.waiting,
+                "retried": lambda: len(used) == 2,
+                "hedged": lambda: len(used) == 2,
+                "streams": lambda: w.proxy.streams,
+            }
+            await until(reached[state], state)
+            w.front.stopping = True
+            w.proxy.answer_all_by(w.proxy.now_us() + 900_000)
+            w.front.close_idle()
+            if held is not None:
+                held.gate.set()
+            gate.set()
+            answer = await client.answer()
+            assert (answer.status, answer.body) == (200, b"hello")
+            if state == "streams":  # its head had gone before
+                (c,) = w.front.clients
+                await until(lambda: c.idle)
+                c.moved_at -= 1
+                w.front.close_idle()
+            else:
+                assert answer.headers["connection"] == "close"
+            assert await client.ended() == b""
+
+    run(main())
+
+
 def test_an_open_request_has_its_answer_before_the_process_ends() -> None:
     """Its deadline may lie behind the moment at which the platform kills the process."""
 
