A request that comes during a long answer no longer spoils that answer's framing

Seen by a test of SIGTERM during a long answer: the beginning of the next request on the connection reset the flag that says the answer goes out in chunks, and what was left of it was written bare. The client read a spoilt answer. The flag belongs to the answer alone (ClientConnection.begin sets it); the line in on_message_begin is gone. Ruled out: the node's framing (the same answer alone is whole). What comes behind a head that says the connection ends is not taken any more. Both tests fail on the tree before.

--- a/magpiefront/net/downstream.py
+++ b/magpiefront/net/downstream.py
@@ -207,7 +207,7 @@
     # ---- the parser
 
     def on_message_begin(self) -> None:
-        self.in_head, self.under_way, self.chunked = True, True, False
+        self.in_head = self.under_way = True
         self.began = self.moved_at
 
     def on_url(self, url: bytes) -> None:
@@ -320,6 +320,8 @@
             self._release(request)
         self.chunked = length is None
         request.keep_alive = not self._is_last(request)
+        if not request.keep_alive:
+            self.closing = True  # the head says so: what comes behind it is not taken
         self.transport.write(head(status, length, more, not request.keep_alive))
 
     def go(self, request: Request, body: bytes) -> None:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -222,6 +222,30 @@
     run(main())
 
 
+def test_a_request_that_comes_during_a_long_answer_spoils_nothing_of_it() -> None:
+    async def main() -> None:
+        gate = asyncio.Event()
+
+        async def long(seen: Seen, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhe\r\n")
+            await gate.wait()
+            writer.write(b"3\r\nllo\r\n0\r\n\r\n")
+
+        async with world(long) as w:
+            client = await w.client()
+            client.send(request())
+            await until(lambda: w.proxy.streams)
+            c = await connection_of(w)
+            client.send(request(path="/api/behind"))
+            await until(lambda: c.waiting, "the request behind")
+            gate.set()
+            for _ in range(2):
+                answer = await client.answer()
+                assert (answer.status, answer.body) == (200, b"hello")
+
+    run(main())
+
+
 def test_a_node_is_told_less_time_than_the_client_has() -> None:
     async def main() -> None:
         async with world(None) as w:
@@ -390,6 +414,33 @@
     run(main())
 
 
+def test_what_comes_behind_the_head_of_a_last_answer_is_not_taken() -> None:
+    async def main() -> None:
+        gate = asyncio.Event()
+
+        async def long(seen: Seen, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhe\r\n")
+            await gate.wait()
+            writer.write(b"3\r\nllo\r\n0\r\n\r\n")
+
+        async with world(long) as w:
+            w.front.stopping = True
+            client = await w.client()
+            client.send(request())
+            await until(lambda: w.proxy.streams)
+            c = await connection_of(w)
+            before = c.moved_at
+            client.send(request(path="/api/behind"))
+            await until(lambda: c.moved_at > before)
+            gate.set()
+            answer = await client.answer()
+            assert answer.body == b"hello" and answer.headers["connection"] == "close"
+            assert await client.ended() == b"" and len(w.seen()) == 1
+            assert sum(isinstance(e, Arrived) for e in w.events) == 1 and c.taking.tally.taken == 0
+
+    run(main())
+
+
 def test_an_open_request_has_its_answer_before_the_process_ends() -> None:
     """Its deadline may lie behind the moment at which the platform kills the process."""
 
