Discovery: a connection that ends as it comes up is a failed call

The call was written to a transport that was gone: a traceback in the log, and silence until the call's time was up. The test fails without the look.

--- a/magpiefront/net/discovery.py
+++ b/magpiefront/net/discovery.py
@@ -140,6 +140,10 @@
         self.asked = self.complete = self.lasting = False
         self.asked_at = 0.0
 
+    @property
+    def open(self) -> bool:
+        return self.transport is not None and not self.transport.is_closing()
+
     def close(self) -> None:
         if self.transport is not None:
             self.transport.abort()
@@ -264,10 +268,12 @@
         except asyncio.CancelledError:
             call.close()  # it may have come up in the very moment in which nobody wanted it any more
             raise
+        if not call.open:
+            raise ConnectionResetError  # it came up, and has ended since
         return call
 
     async def _ask(self) -> None:
-        if self.call is not None and self.call.asked:
+        if self.call is not None and (self.call.asked or not self.call.open):
             call, self.call = self.call, None
             call.close()
         if self.call is None:
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 import time
 from typing import Any
@@ -229,6 +230,30 @@
     run(main())
 
 
+def test_a_connection_that_ends_as_it_comes_up_is_a_failed_call(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Its call was written to a transport that was gone: an error, and silence until the call's time was up."""
+    monkeypatch.setattr(discovery, "pushed", lambda _: discovery.Patience(50, 0.1, 0.1, 1.0, 0.05))
+    made = discovery.Call.connection_made
+    ends = [True, True]
+
+    def ends_at_once(call: discovery.Call, transport: asyncio.BaseTransport) -> None:
+        made(call, transport)
+        if ends:
+            ends.pop()
+            call.transport.abort()
+
+    monkeypatch.setattr(discovery.Call, "connection_made", ends_at_once)
+
+    async def main() -> None:
+        errors: list[object] = []
+        asyncio.get_running_loop().set_exception_handler(lambda _, context: errors.append(context))
+        async with world(None) as w:
+            await until(lambda: w.lists.calls, "a call after two connections that ended")
+            assert not ends and not errors
+
+    run(main())
+
+
 def test_an_answer_from_before_a_move_changes_nothing() -> None:
     async def main() -> None:
         async with world(None) as w:
