Test of a connection to discovery that ends as it comes up: it fails without its mend now

What it mends stands: a call on a connection that had ended waited until its time was up, and the test waits for less than that.

--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -231,8 +231,8 @@
 
 
 def test_a_connection_that_ends_as_it_comes_up_is_a_failed_call(monkeypatch: pytest.MonkeyPatch) -> None:
-    """Its call was written to a transport that was gone: an error, and silence until the call's time was up."""
-    monkeypatch.setattr(discovery, "pushed", lambda _: discovery.Patience(50, 0.1, 0.1, 1.0, 0.05))
+    """Its call was written to a transport that was gone, and nothing happened until its time was up."""
+    monkeypatch.setattr(discovery, "pushed", lambda _: discovery.Patience(30_000, 30.0, 30.0, 1.0, 0.05))
     made = discovery.Call.connection_made
     ends = [True, True]
 
@@ -245,11 +245,9 @@
     monkeypatch.setattr(discovery.Call, "connection_made", ends_at_once)
 
     async def main() -> None:
-        errors: list[object] = []
-        asyncio.get_running_loop().set_exception_handler(lambda _, context: errors.append(context))
         async with world(None) as w:
             await until(lambda: w.lists.calls, "a call after two connections that ended")
-            assert not ends and not errors
+            assert not ends
 
     run(main())
 
