--- a/tests/known_red.py
+++ b/tests/known_red.py
@@ -59,7 +59,8 @@
         if known is not None:
             item.add_marker(pytest.mark.xfail(reason=f"{FILE}: {known.cause}", strict=True))
     names = {item.nodeid for item in items}
-    parts = any("::" in arg for arg in config.args) or config.option.keyword or config.option.markexpr
+    chosen = config.option.keyword or config.option.markexpr or config.option.deselect
+    parts = chosen or any("::" in arg for arg in config.args)
     for known in config.stash[LISTED]:
         if not (config.rootpath / known.file).exists():
             raise pytest.UsageError(f"{FILE}: {known.test}: no such file")
