--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -16,7 +16,7 @@
 from magpiefront.net.downstream import ClientConnection
 from standins.world import free_port
 from tests.sockets import (
-    INFO, Client, Lists, Node, Seen, World, gated, ok, request, resets, run, silent, until, world,
+    INFO, Client, Handler, Lists, Node, Seen, World, gated, ok, request, resets, run, silent, until, world,
 )  # fmt: skip
 from tests.test_life import start
 
@@ -53,6 +53,17 @@
         monkeypatch.setattr(upstream.Node, "_connect", held)
 
 
+def in_two_chunks(gate: asyncio.Event) -> Handler:
+    """A long answer, `hello`, whose second part waits for the gate."""
+
+    async def handler(seen: Seen, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhe\r\n")
+        await gate.wait()
+        writer.write(b"3\r\nllo\r\n0\r\n\r\n")
+
+    return handler
+
+
 # ---- an attempt that waits for its connection
 
 
@@ -226,12 +237,7 @@
     async def main() -> None:
         gate = asyncio.Event()
 
-        async def long(seen: Seen, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-            writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhe\r\n")
-            await gate.wait()
-            writer.write(b"3\r\nllo\r\n0\r\n\r\n")
-
-        async with world(long) as w:
+        async with world(in_two_chunks(gate)) as w:
             client = await w.client()
             client.send(request())
             await until(lambda: w.proxy.streams)
@@ -374,9 +380,7 @@
             if state == "retried" and len(used) == 1:
                 await resets(seen, reader, writer)
             elif state == "streams":
-                writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhe\r\n")
-                await gate.wait()
-                writer.write(b"3\r\nllo\r\n0\r\n\r\n")
+                await in_two_chunks(gate)(seen, reader, writer)
             else:
                 await gate.wait()
                 writer.write(ok())
@@ -418,12 +422,7 @@
     async def main() -> None:
         gate = asyncio.Event()
 
-        async def long(seen: Seen, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-            writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhe\r\n")
-            await gate.wait()
-            writer.write(b"3\r\nllo\r\n0\r\n\r\n")
-
-        async with world(long) as w:
+        async with world(in_two_chunks(gate)) as w:
             w.front.stopping = True
             client = await w.client()
             client.send(request())
