--- /dev/null
+++ b/standins/answers/__init__.py
@@ -0,0 +1,1 @@
+"""Real proxies before stand-in nodes whose answers name their requests, under drawn faults."""
