--- a/standins/answers/round.py
+++ b/standins/answers/round.py
@@ -98,7 +98,8 @@
 
     async def _start_proxy(self, number: int) -> asyncio.subprocess.Process:
         config = {
-            "name": f"p{number}", "listen": f"127.0.0.1:{self.ports[number]}", "seed": self.plan.seed + number,
+            "name": f"p{number}", "listen": f"127.0.0.1:{self.ports[number]}",
+            "seed": self.plan.seed + number,
             "discovery": f"127.0.0.1:{self.lists.port}", "admin": f"127.0.0.1:{self.admins[number]}",
             "limits": {"memory_mb": 192, "sockets": 1024}, "known": self.lists.whole,
             "settings": settings_of(self.plan),
