A node's connection rests, watched, before it carries another request

Cause: answers carry no id, and a connection was used again the moment its answer was whole. A copy of that answer that came after the next request was written was taken for that request's. A copied refusal "never ran", so the request was sent elsewhere while its node worked on it; the connection was called idle, and the request after it got its answer.

Mend: reuse.py holds the connection's states and the rest, free of sockets and clock: 0.5 s, 1 s where a repeat may do harm, longer once a copy was seen later. Whatever comes meanwhile closes the connection. What comes before the node's machine has confirmed the request (SIOCOUTQ), or right after the writing of a process that was held up, is no answer, and the request may have run. upstream.py is six modules with one job each.

Tests that took a connection at once now let it rest first and ask for the same numbers of connections.

--- a/magpiefront/maintenance/looking.py
+++ b/magpiefront/maintenance/looking.py
@@ -10,18 +10,20 @@
 from collections.abc import Callable, Iterable, Mapping
 
 from magpiefront.interface import Outcome
-from magpiefront.net import upstream
 from magpiefront.net.config import Address
+from magpiefront.net.exchange import Exchange
+from magpiefront.net.node_connection import NodeConnection
+from magpiefront.net.pool import Node, Pool
 
 NOWHERE: Mapping[bytes, str] = {}
 May = Callable[[str, bytes], bool]  # of a node, by its name and its place
 
 
-class LookingNode(upstream.Node):
+class LookingNode(Node):
     asked: May
     known: dict[str, list[LookingNode]]  # by name, also those of before that have connections still
 
-    def __init__(self, pool: upstream.Pool, name: str, address: Address) -> None:
+    def __init__(self, pool: Pool, name: str, address: Address) -> None:
         super().__init__(pool, name, address)
         others = self.known.get(name, [])
         self.known[name] = [*(n for n in others if n.open), self]
@@ -29,31 +31,31 @@
     def may(self) -> bool:
         return self.asked(self.name, self.host_header)
 
-    def begin(self, exchange: upstream.Exchange) -> None:
+    def begin(self, exchange: Exchange) -> None:
         if self.may():
             super().begin(exchange)
         else:
             exchange.end(Outcome.MOOT)
 
-    async def _connect(self, connection: upstream.NodeConnection, exchange: upstream.Exchange) -> None:
+    async def _connect(self, connection: NodeConnection, exchange: Exchange) -> None:
         if self.may():
             await super()._connect(connection, exchange)
         else:
             exchange.task = None
             exchange.end(Outcome.MOOT)
 
-    def put_back(self, connection: upstream.NodeConnection) -> None:
+    def put_back(self, connection: NodeConnection) -> None:
         if self.may():
             super().put_back(connection)
         else:
-            connection.transport.abort()
+            connection.close()
 
 
-class LookingConnection(upstream.NodeConnection):
+class LookingConnection(NodeConnection):
     """Mixed in with the pool's own."""
 
     __slots__ = ()
-    live: set[upstream.NodeConnection]
+    live: set[NodeConnection]
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.live.add(self)
@@ -63,22 +65,22 @@
         self.live.discard(self)
         super().connection_lost(exc)
 
-    def start(self, exchange: upstream.Exchange) -> None:
+    def start(self, exchange: Exchange, looked_at: float | None = None) -> None:
         node = self.node
         if isinstance(node, LookingNode) and not node.may():
             self.exchange = None
-            self.transport.abort()
+            self.close()
             exchange.end(Outcome.MOOT)
         else:
-            super().start(exchange)
+            super().start(exchange, looked_at)
 
 
 class Looking:
     """What a pool has open, by node. Before the pool knows any node."""
 
-    def __init__(self, pool: upstream.Pool, may: May) -> None:
+    def __init__(self, pool: Pool, may: May) -> None:
         self.known: dict[str, list[LookingNode]] = {}
-        self.live: set[upstream.NodeConnection] = set()
+        self.live: set[NodeConnection] = set()
         given = {"asked": staticmethod(may), "known": self.known}
         pool.node_type = type("Node", (LookingNode,), given)
         base = pool.connection_type
--- a/magpiefront/maintenance/service.py
+++ b/magpiefront/maintenance/service.py
@@ -22,7 +22,7 @@
 from magpiefront.maintenance.seen import HitShares, report
 from magpiefront.maintenance.settings import MaintenanceSettings
 from magpiefront.maintenance.view import View
-from magpiefront.net import upstream
+from magpiefront.net.answer import Answer
 from magpiefront.net.figures import lines
 from magpiefront.net.proxy import Proxy
 from magpiefront.net.traced import TracedAttempt
@@ -60,7 +60,7 @@
     __slots__ = ()
     shares: HitShares
 
-    def report(self, outcome: Ended_, answer: upstream.Answer | None) -> None:
+    def report(self, outcome: Ended_, answer: Answer | None) -> None:
         if outcome is Ended_.OK and answer is not None and answer.note:
             self.shares.count(self.node.name, answer.note == 1)
         super().report(outcome, answer)
--- a/magpiefront/net/hangup.py
+++ b/magpiefront/net/hangup.py
@@ -8,12 +8,30 @@
 from __future__ import annotations
 
 import asyncio
+import fcntl
 import select
 import socket
+import sys
+import termios
 
 CLOSED = select.POLLRDHUP | select.POLLHUP | select.POLLERR | select.POLLNVAL
 
 
+TIOCOUTQ = getattr(termios, "TIOCOUTQ", None)  # SIOCOUTQ of tcp(7); not on every system
+
+
+def unacknowledged(transport: asyncio.BaseTransport) -> int:
+    """How many bytes of those written the other side's machine has not confirmed; 0 where the system does
+    not tell."""
+    own = transport.get_extra_info("socket")
+    if TIOCOUTQ is None or own is None:
+        return 0
+    try:
+        return int.from_bytes(fcntl.ioctl(own.fileno(), TIOCOUTQ, bytes(4)), sys.byteorder)
+    except OSError:
+        return 0
+
+
 class HangUpWatch:
     """Looks at one connection without waiting."""
 
--- a/magpiefront/net/passing.py
+++ b/magpiefront/net/passing.py
@@ -18,12 +18,14 @@
 import httptools
 
 from magpiefront.interface import Outcome, Repeat
-from magpiefront.net import upstream
+from magpiefront.net.answer import Answer
 from magpiefront.net.config import Config
 from magpiefront.net.downstream import ClientConnection
-from magpiefront.net.front import Front
+from magpiefront.net.exchange import Attempt
 from magpiefront.net.fields import Fields, end_to_end, lines
+from magpiefront.net.front import Front
 from magpiefront.net.http1 import REASONS, WHOLE_LIMIT
+from magpiefront.net.node_connection import NodeConnection
 from magpiefront.net.proxy import Proxy
 from magpiefront.net.request import METHODS, READS, SINGLE, Request
 
@@ -134,7 +136,7 @@
         super().begin(request, length, more, status)
 
 
-class PassedAnswer(upstream.Answer):
+class PassedAnswer(Answer):
     """`fields` are its head's lines; `wanted` says that it is an answer for the client."""
 
     __slots__ = ("fields", "wanted")
@@ -148,7 +150,7 @@
         return Outcome.OK if self.wanted else super().outcome()
 
 
-class PassingConnection(upstream.NodeConnection):
+class PassingConnection(NodeConnection):
     """To cache nodes that say more than their body: 304 counts as an answer where the request asked."""
 
     __slots__ = ()
@@ -156,7 +158,7 @@
     answer: PassedAnswer
     close_delimits = False  # a cache would keep, and a site pass on as whole, what may have been cut off
 
-    def counts(self, a: upstream.Answer) -> bool:
+    def counts(self, a: Answer) -> bool:
         return cast(PassedAnswer, a).wanted
 
     def on_header(self, name: bytes, value: bytes) -> None:
@@ -174,7 +176,7 @@
         a.wanted = self.wants(a.status)
         if a.status in BODILESS:
             self.framed = True
-        if isinstance(exchange, upstream.Attempt) and exchange.request.method == b"HEAD":
+        if isinstance(exchange, Attempt) and exchange.request.method == b"HEAD":
             # Its length tells of a body that does not come (RFC 9112, 6.3), and the parser would wait for it.
             self.framed = self.complete = True
             self.lasting = self.parser.should_keep_alive()
@@ -187,7 +189,7 @@
         if status != 304:
             return status == 200
         exchange = self.exchange
-        more = exchange.request.more.lower() if isinstance(exchange, upstream.Attempt) else b""
+        more = exchange.request.more.lower() if isinstance(exchange, Attempt) else b""
         return b"if-none-match:" in more or b"if-modified-since:" in more
 
     def on_body(self, body: bytes) -> None:
@@ -196,7 +198,7 @@
             return
         super().on_body(body)
         a = self.answer
-        if not a.wanted and isinstance(self.exchange, upstream.Attempt) and a.size <= WHOLE_LIMIT:
+        if not a.wanted and isinstance(self.exchange, Attempt) and a.size <= WHOLE_LIMIT:
             a.body.append(body)
 
 
@@ -219,10 +221,10 @@
         self.plain = plain
         self.head_of = passed
         self.pool.connection_type = PlainConnection if plain else PassingConnection
-        self.failed: dict[Request, upstream.Answer] = {}  # of the last attempt that a server failed
+        self.failed: dict[Request, Answer] = {}  # of the last attempt that a server failed
 
     def attempt_ended(
-        self, a: upstream.Attempt, outcome: Outcome, answer: upstream.Answer | None
+        self, a: Attempt, outcome: Outcome, answer: Answer | None
     ) -> None:  # fmt: skip
         r = a.request
         if self.plain and not r.answered:
@@ -255,7 +257,7 @@
         r.replies.answer(r, failed.status, failed.body, lines_)
 
 
-def passed(answer: upstream.Answer) -> bytes:
+def passed(answer: Answer) -> bytes:
     """The lines of an answer that go on."""
     return lines(end_to_end(cast(PassedAnswer, answer).fields, SERVERS_OWN))
 
--- /dev/null
+++ b/magpiefront/net/pool.py
@@ -0,0 +1,189 @@
+"""The cache nodes that a proxy knows, and all its connections to them."""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+import time
+from bisect import bisect_right
+from collections.abc import Callable
+
+from magpiefront.interface import Outcome
+from magpiefront.net.config import Address
+from magpiefront.net.exchange import Exchange
+from magpiefront.net.listening import NO_ROOM
+from magpiefront.net.node_connection import NodeConnection, Stray
+from magpiefront.net.pool_figures import NewCause, PoolFigures
+from magpiefront.net.reuse import RestPolicy
+
+# This machine's own trouble: no sign of a node that is down, which would return cold.
+LOCAL_ERRORS = NO_ROOM | {errno.EADDRNOTAVAIL, errno.ENETUNREACH, errno.ENETDOWN}
+
+
+def answered_at(connection: NodeConnection) -> float:
+    return connection.life.answered_at
+
+
+class Node:
+    """A cache node at one address, and the connections to it."""
+
+    __slots__ = ("address", "barred", "host_header", "idle", "loop", "name", "open", "pool", "retired")
+
+    def __init__(self, pool: Pool, name: str, address: Address) -> None:
+        self.pool, self.name, self.address = pool, name, address
+        self.loop = pool.loop
+        self.host_header = f"{address[0]}:{address[1]}".encode()
+        self.idle: list[NodeConnection] = []  # resting or idle, the one that has been so longest first
+        self.open = 0
+        self.retired = False  # off the list, or at another address by now
+        self.barred = False  # taken out by an operator
+
+    @property
+    def closed(self) -> bool:
+        """May nothing new begin there?"""
+        return self.retired or self.barred
+
+    def clock(self) -> float:
+        return self.pool.clock()
+
+    def begin(self, exchange: Exchange) -> None:
+        """On the connection that has rested last, or on a new one."""
+        figures = self.pool.figures
+        cause = NewCause.RESTING if self.idle else NewCause.NONE_OPEN
+        now = self.clock()
+        while (connection := self._take_rested(exchange, now)) is not None:
+            if connection.fresh():
+                figures.reused += 1
+                connection.start(exchange, now)
+                return
+            connection.close()
+            cause = NewCause.ENDED
+        if not self.pool.room():
+            exchange.end(Outcome.MOOT)
+            return
+        figures.made[cause] += 1
+        self.open += 1
+        self.pool.open += 1
+        made = self.pool.connection_type(self, exchange, figures.connections)
+        exchange.task = self.loop.create_task(self._connect(made, exchange))
+        exchange.task.add_done_callback(lambda _: self._connected(made))
+
+    def _take_rested(self, exchange: Exchange, now: float) -> NodeConnection | None:
+        """Of those whose rest is over, the one that was used last; the others may then be closed in time."""
+        rest_s = self.pool.rest.rest_s(exchange.repeatable, now)
+        rested = bisect_right(self.idle, now - rest_s, key=answered_at)
+        if not rested:
+            return None
+        connection = self.idle.pop(rested - 1)
+        del self.pool.idle[connection]
+        connection.life.rested(now, rest_s)
+        return connection
+
+    def _connected(self, connection: NodeConnection) -> None:
+        """Guards against places that nobody gives back: an exchange may end before its task has ever run."""
+        if connection.transport is None:
+            self.lost(connection)
+
+    async def _connect(self, connection: NodeConnection, exchange: Exchange) -> None:
+        outcome = Outcome.CONNECT_FAILED
+        try:
+            async with asyncio.timeout(self.pool.connect_timeout_s):
+                await self.loop.create_connection(lambda: connection, *self.address)
+        except OSError as e:
+            if e.errno in LOCAL_ERRORS:
+                outcome = Outcome.MOOT
+        except asyncio.CancelledError:
+            outcome = Outcome.MOOT  # the exchange has ended
+        if connection.transport is None:
+            exchange.task = None
+            exchange.end(outcome)
+
+    def put_back(self, connection: NodeConnection) -> None:
+        if self.closed:
+            connection.close()
+        else:
+            self.idle.append(connection)
+            self.pool.idle[connection] = None
+
+    def lost(self, connection: NodeConnection) -> None:
+        self.open -= 1
+        self.pool.open -= 1
+        self.drop_idle(connection)
+
+    def drop_idle(self, connection: NodeConnection) -> None:
+        """It carries nothing from now on."""
+        if connection in self.pool.idle:
+            del self.pool.idle[connection]
+            self.idle.remove(connection)
+
+    def saw_stray(self, stray: Stray) -> None:
+        self.pool.saw_stray(self, stray)
+
+    def close_idle(self) -> None:
+        """All connections on which nothing is open."""
+        while self.idle:
+            self.pool.close_idle(self.idle[0])
+
+    def retire(self) -> None:
+        """Nothing new goes there: what is out may end, nothing is kept."""
+        self.retired = True
+        self.close_idle()
+
+
+class Pool:
+    """All connections to cache nodes, bounded by the proxy's descriptors."""
+
+    connection_type: type[NodeConnection] = NodeConnection
+    node_type: type[Node] = Node
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, most: int, connect_us: int, idle_us: int) -> None:
+        self.loop, self.most, self.open = loop, most, 0
+        self.clock: Callable[[], float] = time.monotonic
+        self.rest = RestPolicy()
+        self.figures = PoolFigures()
+        self.on_stray: Callable[[Node, Stray], None] = lambda node, stray: None
+        self.nodes: dict[str, Node] = {}
+        self.idle: dict[NodeConnection, None] = {}  # of all nodes, the one that has been idle longest first
+        self.set_times(connect_us, idle_us)
+
+    def set_times(self, connect_us: int, idle_us: int) -> None:
+        self.connect_timeout_s = connect_us / 1e6
+        # Closed well before the node would do it: a request that crosses with its closing ends as a reset.
+        self.idle_s = max(idle_us / 2e6, idle_us / 1e6 - 5)
+
+    def place_node(self, name: str, place: Address | None) -> None:
+        """A node stands there from now on; None: nothing new goes to it."""
+        node = self.nodes.get(name)
+        if node is not None and node.address == place:
+            return
+        if node is not None:
+            node.retire()
+            del self.nodes[name]
+        if place is not None:
+            self.nodes[name] = self.node_type(self, name, place)
+
+    def room(self) -> bool:
+        if self.open < self.most:
+            return True
+        if not self.idle:
+            return False
+        self.close_idle(next(iter(self.idle)))
+        return True
+
+    def saw_stray(self, node: Node, stray: Stray) -> None:
+        self.rest.saw_stray(stray.after_s, self.clock())
+        self.figures.count_stray(node.name)
+        self.on_stray(node, stray)
+
+    def close_idle(self, connection: NodeConnection) -> None:
+        connection.node.drop_idle(connection)
+        connection.close()
+
+    def close_all_idle(self) -> None:
+        while self.idle:
+            self.close_idle(next(iter(self.idle)))
+
+    def sweep(self) -> None:
+        before = self.clock() - self.idle_s
+        while self.idle and answered_at(oldest := next(iter(self.idle))) <= before:
+            self.close_idle(oldest)
--- a/magpiefront/net/proxy.py
+++ b/magpiefront/net/proxy.py
@@ -17,14 +17,17 @@
 from magpiefront import Router
 from magpiefront.hashing import bytes_hash
 from magpiefront.interface import (
-    Action, Arrived, AttemptEnded, Cancel, ClientLeft, Event, Exclude, Fail, Forbid, Include, Note, Outcome,
-    Probe, Probed, Refuse, RequestClass, Ruling, Send, ServerList, SetTimer, TimerFired, Watch,
+    Action, Arrived, AttemptEnded, Cancel, ClientLeft, Event, Exclude, Fail, Forbid, Include, Note,
+    Outcome, Probe, Probed, Refuse, RequestClass, Ruling, Send, ServerList, SetTimer, TimerFired, Watch,
 )  # fmt: skip
-from magpiefront.net import upstream
+from magpiefront.net.answer import Answer, read_report
 from magpiefront.net.config import Address, Config
 from magpiefront.net.events import EventLog, Reason
+from magpiefront.net.exchange import PROBE_TIMEOUT_S, Attempt, stalled
+from magpiefront.net.exchange import Probe as ProbeExchange
 from magpiefront.net.figures import Figures
 from magpiefront.net.lag import BEHIND_S, LAG_PART, TICK_S, Lag
+from magpiefront.net.pool import Node, Pool
 from magpiefront.net.request import Request
 
 Args = TypeVarTuple("Args")
@@ -45,8 +48,8 @@
 
 
 class Proxy:
-    attempt_type: type[upstream.Attempt] = upstream.Attempt
-    head_of: Callable[[upstream.Answer], bytes]
+    attempt_type: type[Attempt] = Attempt
+    head_of: Callable[[Answer], bytes]
 
     def __init__(self, config: Config, loop: asyncio.AbstractEventLoop) -> None:
         self.config, self.loop = config, loop
@@ -58,9 +61,9 @@
         self.classes = classes_by_name(config)
         self.figures = Figures(self.classes)
         self.ruling = False  # the Router's last word on an operator's call
-        self.streams: dict[upstream.Attempt, None] = {}  # long answers under way
+        self.streams: dict[Attempt, None] = {}  # long answers under way
         self.connections = max(16, int((config.sockets - 32) * 0.4))
-        self.pool = upstream.Pool(loop, self.connections, config.connect_timeout_us, config.conn_idle_us)
+        self.pool = Pool(loop, self.connections, config.connect_timeout_us, config.conn_idle_us)
         self.lag = Lag(config.seed, lag_limit_s(config))
         self.events_log = EventLog(loop.time)
         self.list_taken_at = 0  # when the last answer of discovery was taken up
@@ -188,7 +191,7 @@
         until = min(action.expire_at_us or r.deadline, r.deadline)
         node = self.pool.nodes.get(action.server)
         attempt = self.attempt_type(
-            self, r, len(r.attempts), node or upstream.Node(self.pool, action.server, ("", 0)), now, until
+            self, r, len(r.attempts), node or Node(self.pool, action.server, ("", 0)), now, until
         )
         if action.begin_by_us:
             attempt.begin_by = min(until, action.begin_by_us)
@@ -203,7 +206,7 @@
         else:
             node.begin(attempt)
 
-    def _begin(self, attempt: upstream.Attempt) -> None:
+    def _begin(self, attempt: Attempt) -> None:
         if attempt.done:
             return
         if attempt.may_begin():
@@ -329,14 +332,14 @@
 
     # ---- attempts
 
-    def look_first(self, a: upstream.Attempt) -> bool:
+    def look_first(self, a: Attempt) -> bool:
         if a.looked or not self.lag.is_behind(self.now_us() / 1e6):
             return True
         a.looked = True
-        self._after_reading(upstream.Attempt.expire, a)
+        self._after_reading(Attempt.expire, a)
         return False
 
-    def attempt_ended(self, a: upstream.Attempt, outcome: Outcome, answer: upstream.Answer | None) -> None:
+    def attempt_ended(self, a: Attempt, outcome: Outcome, answer: Answer | None) -> None:
         if a.streaming:
             self._stream_ended(a, outcome)
             return
@@ -347,7 +350,7 @@
             r.replies.answer(r, answer.status, answer.body, self.head_of(answer))
         self._tell(a, outcome, answer)
 
-    def _tell(self, a: upstream.Attempt, outcome: Outcome, answer: upstream.Answer | None) -> None:
+    def _tell(self, a: Attempt, outcome: Outcome, answer: Answer | None) -> None:
         r = a.request
         r.out -= 1
         note = answer.note if answer is not None else 0
@@ -356,7 +359,7 @@
         self.give(AttemptEnded(r.name, a.number, a.node.name, outcome, elapsed, r.answered, note, report))
         self._forget(r)
 
-    def stream_began(self, a: upstream.Attempt, answer: upstream.Answer) -> None:
+    def stream_began(self, a: Attempt, answer: Answer) -> None:
         """A long answer counts from its first bytes, for the client and so for the module: it is told of the
         outcome now. What comes after is between the two connections."""
         r = a.request
@@ -369,7 +372,7 @@
             r.replies.go(r, part)
         self._tell(a, Outcome.OK, answer)
 
-    def _stream_ended(self, a: upstream.Attempt, outcome: Outcome) -> None:
+    def _stream_ended(self, a: Attempt, outcome: Outcome) -> None:
         del self.streams[a]
         r = a.request
         if r.stream is a:
@@ -380,7 +383,7 @@
                 self.events_log.tell("closed", Reason.CUT, request=r.name, outcome=outcome.value)
                 r.replies.cut(r)
 
-    def stream_goes_on(self, a: upstream.Attempt, body: bytes) -> None:
+    def stream_goes_on(self, a: Attempt, body: bytes) -> None:
         if a.request.stream is a:
             a.request.replies.go(a.request, body)
 
@@ -391,14 +394,14 @@
         if node is None:
             self.give(Probed(server, Outcome.MOOT, 0))
             return
-        probe = upstream.Probe(self, node, self.now_us(), self.config.load_path or b"/health")
-        probe.timer = self.loop.call_later(upstream.PROBE_TIMEOUT_S, probe.end, Outcome.TIMEOUT)
+        probe = ProbeExchange(self, node, self.now_us(), self.config.load_path or b"/health")
+        probe.timer = self.loop.call_later(PROBE_TIMEOUT_S, probe.end, Outcome.TIMEOUT)
         node.begin(probe)
 
-    def probed(self, p: upstream.Probe, outcome: Outcome, answer: upstream.Answer | None) -> None:
+    def probed(self, p: ProbeExchange, outcome: Outcome, answer: Answer | None) -> None:
         report = answer.report if answer is not None else None
         if self.config.load_path and answer is not None and outcome is Outcome.OK:
-            report = upstream.read_report(b"".join(answer.body))
+            report = read_report(b"".join(answer.body))
         self.give(Probed(p.node.name, outcome, self.now_us() - p.sent_at, report))
 
     def by_hand(self, server: str, out: bool, known: bool = False) -> bool:
@@ -428,10 +431,10 @@
         self.pool.sweep()
         now = self.loop.time()
         for a in list(self.streams):
-            if upstream.stalled(a, now):
+            if stalled(a, now):
                 self.events_log.tell("closed", Reason.STALLED, request=a.request.name, node=a.node.name)
                 a.end(Outcome.RESET)
 
 
-def content_type(answer: upstream.Answer) -> bytes:
+def content_type(answer: Answer) -> bytes:
     return b"Content-Type: %b\r\n" % answer.content_type if answer.content_type else b""
--- a/magpiefront/net/trace.py
+++ b/magpiefront/net/trace.py
@@ -20,23 +20,25 @@
 from magpiefront.interface import (
     Action, Arrived, AttemptEnded, Event, Fail, Note, Probe, Probed, Refuse, Send, ServerList, Watch,
 )  # fmt: skip
-from magpiefront.net import upstream
+from magpiefront.net.exchange import Exchange
+from magpiefront.net.node_connection import NodeConnection
+from magpiefront.net.pool import Node
 from magpiefront.net.proxy import Proxy
 
 STATE_S = 1.0
 
 
-class TracedNode(upstream.Node):
+class TracedNode(Node):
     __slots__ = ()
 
-    async def _connect(self, connection: upstream.NodeConnection, exchange: upstream.Exchange) -> None:
+    async def _connect(self, connection: NodeConnection, exchange: Exchange) -> None:
         began = self.pool.loop.time()
         await super()._connect(connection, exchange)
         word = "ok" if exchange.connection is not None else "failed"
         elapsed = int((self.pool.loop.time() - began) * 1e6)
         line(f"c {self.name} {word} {elapsed} {self.open}")
 
-    def lost(self, connection: upstream.NodeConnection) -> None:
+    def lost(self, connection: NodeConnection) -> None:
         super().lost(connection)
         if connection.transport is not None:  # one that never came up is told of as a failed connect
             line(f"d {self.name} {self.open}")
--- a/magpiefront/net/traced.py
+++ b/magpiefront/net/traced.py
@@ -5,16 +5,18 @@
 import asyncio
 
 from magpiefront.interface import Outcome
-from magpiefront.net import upstream
+from magpiefront.net.answer import Answer
 from magpiefront.net.effects import effect_of
+from magpiefront.net.exchange import Attempt, Host
+from magpiefront.net.pool import Node
 from magpiefront.net.request import Request
 
 
-class TracedAttempt(upstream.Attempt):
+class TracedAttempt(Attempt):
     __slots__ = ("outcome",)
 
     def __init__(
-        self, host: upstream.Host, request: Request, number: int, node: upstream.Node, now: int, until: int
+        self, host: Host, request: Request, number: int, node: Node, now: int, until: int
     ) -> None:  # fmt: skip
         super().__init__(host, request, number, node, now, until)
         self.outcome: Outcome | None = None
@@ -35,6 +37,6 @@
             return []
         return super().message()
 
-    def report(self, outcome: Outcome, answer: upstream.Answer | None) -> None:
+    def report(self, outcome: Outcome, answer: Answer | None) -> None:
         self.outcome = outcome
         super().report(outcome, answer)
--- a/tests/caching/test_conformance.py
+++ b/tests/caching/test_conformance.py
@@ -85,9 +85,9 @@
 
 
 def keeps_what_is_cut(m: pytest.MonkeyPatch) -> None:
-    from magpiefront.net import upstream
+    from magpiefront.net.node_connection import NodeConnection
 
-    m.setattr(upstream.NodeConnection, "eof_received", lambda self: (self._completed(), False)[1])
+    m.setattr(NodeConnection, "eof_received", lambda self: (self._completed(), False)[1])
 
 
 SAFEGUARDS: dict[str, tuple[Callable[[pytest.MonkeyPatch], None], str]] = {
--- a/tests/maintenance/test_service.py
+++ b/tests/maintenance/test_service.py
@@ -18,10 +18,11 @@
 from magpiefront.maintenance.looking import Looking
 from magpiefront.maintenance.plan import Limits, Machine, Plan
 from magpiefront.maintenance.rules import advance
-from magpiefront.maintenance.runner import TAIL, run as run_command
+from magpiefront.maintenance.runner import TAIL
+from magpiefront.maintenance.runner import run as run_command
 from magpiefront.maintenance.seen import LEAST_READS, HitShares, popular, report
 from magpiefront.maintenance.view import Memory
-from magpiefront.net import upstream
+from magpiefront.net.exchange import Probe
 from tests.helpers import SETTINGS
 from tests.sockets import gated, run, until, world
 
@@ -41,8 +42,8 @@
             assert (await w.ask()).status == 200 and looking.busy() == {"s-0"}
             node = w.proxy.pool.nodes["s-0"]
 
-            def probe() -> upstream.Probe:
-                return upstream.Probe(w.proxy, node, w.proxy.now_us(), b"/health")
+            def probe() -> Probe:
+                return Probe(w.proxy, node, w.proxy.now_us(), b"/health")
 
             # An idle connection that was chosen before, and would be used now.
             (idle,) = node.idle
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -17,6 +17,7 @@
 from magpiefront.net.discovery import Discovery
 from magpiefront.net.front import Front
 from magpiefront.net.proxy import Proxy
+from magpiefront.net.reuse import MOST_REST_S
 
 INFO: dict[str, Any] = {
     "balancers": 1,
@@ -233,6 +234,11 @@
     def outcomes(self) -> list[Outcome]:
         return [e.outcome for e in self.events if isinstance(e, AttemptEnded)]
 
+    def let_rest(self) -> None:
+        """The rest of all connections to nodes is over."""
+        clock = self.proxy.pool.clock
+        self.proxy.pool.clock = lambda: clock() + MOST_REST_S
+
     def seen(self) -> list[Seen]:
         return [s for n in self.nodes for s in n.seen]
 
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -12,11 +12,14 @@
 
 from magpiefront.hashing import bytes_hash, mix
 from magpiefront.interface import Arrived, AttemptEnded, ClientLeft, Outcome
-from magpiefront.net import upstream
 from magpiefront.net.downstream import ClientConnection
+from magpiefront.net.exchange import TOLD_LESS_US, Exchange
+from magpiefront.net.node_connection import NodeConnection
+from magpiefront.net.pool import Node as PoolNode
 from standins.world import free_port
 from tests.sockets import (
-    INFO, Client, Handler, Lists, Node, Seen, World, gated, ok, request, resets, run, silent, until, world,
+    INFO, Client, Handler, Lists, Node, Seen, World, gated, ok, request, resets, run, silent, until,
+    world,
 )  # fmt: skip
 from tests.test_life import start
 
@@ -40,9 +43,9 @@
 
     def __init__(self, monkeypatch: pytest.MonkeyPatch, first: int = 1) -> None:
         self.gate, self.waiting, seen = asyncio.Event(), 0, 0
-        connect = upstream.Node._connect
+        connect = PoolNode._connect
 
-        async def held(node: upstream.Node, c: upstream.NodeConnection, exchange: upstream.Exchange) -> None:
+        async def held(node: PoolNode, c: NodeConnection, exchange: Exchange) -> None:
             nonlocal seen
             seen += 1
             if seen >= first:
@@ -50,7 +53,7 @@
                 await self.gate.wait()
             await connect(node, c, exchange)
 
-        monkeypatch.setattr(upstream.Node, "_connect", held)
+        monkeypatch.setattr(PoolNode, "_connect", held)
 
 
 def in_two_chunks(gate: asyncio.Event) -> Handler:
@@ -255,7 +258,7 @@
 def test_a_node_is_told_less_time_than_the_client_has() -> None:
     async def main() -> None:
         async with world(None) as w:
-            for deadline, most in (("0.9", 0.9 - upstream.TOLD_LESS_US / 1e6), ("0.04", 0.021)):
+            for deadline, most in (("0.9", 0.9 - TOLD_LESS_US / 1e6), ("0.04", 0.021)):
                 await w.ask(deadline=deadline)
                 assert 0 < float(w.seen()[-1].headers["req-deadline"]) <= most
 
--- a/tests/test_nodes.py
+++ b/tests/test_nodes.py
@@ -10,10 +10,13 @@
 import pytest
 
 from magpiefront.interface import Outcome
-from magpiefront.net import upstream
+from magpiefront.net import answer_reader, exchange
+from magpiefront.net.answer import read_report
+from magpiefront.net.exchange import Probe
 from tests.sockets import (
     Handler, Node, Seen, gated, ok, request, resets, run, says, until, world,
 )  # fmt: skip
+
 CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 ERROR = b"HTTP/1.1 500 X\r\nContent-Length: 3\r\n\r\nbad"
 
@@ -118,13 +121,14 @@
 @pytest.mark.parametrize(
     ("more", "connections"), [("", 1), ("Connection: keep-alive\r\n", 1), ("Connection: close\r\n", 5)]
 )
-def test_a_connection_is_used_again_unless_the_node_says_otherwise(more: str, connections: int) -> None:
+def test_a_rested_connection_is_used_again_unless_the_node_says_no(more: str, connections: int) -> None:
     async def main() -> None:
         async with world(says(ok(more=more))) as w:
             client = await w.client()
             for n in range(5):
                 client.send(request(path=f"/api/{n}"))
                 assert (await client.answer()).status == 200
+                w.let_rest()
             assert w.nodes[0].connections == connections
             await until(lambda: w.proxy.pool.open == (connections == 1), "the closing of the others")
 
@@ -141,6 +145,7 @@
             node = w.proxy.pool.nodes["s-0"]
             await until(lambda: node.idle)
             (idle,) = node.idle
+            w.let_rest()
             idle.transport.pause_reading()  # as a loop that has not come to it yet
             socket_of_node = w.nodes[0].writers[-1]
             if rest is None:
@@ -181,6 +186,7 @@
     async def main() -> None:
         async with world(says(ok())) as w:
             assert (await w.ask(kind="once")).status == 200
+            w.let_rest()
             w.nodes[0].handler = resets
             answer = await w.ask(kind="once")
             assert answer.status == 502 and len(w.seen()) == 2
@@ -193,6 +199,7 @@
     async def main() -> None:
         async with world(first(says(ok(b"mine") + ok(b"stray")))) as w:
             assert (await w.ask()).body == b"mine"
+            w.let_rest()
             assert (await w.ask()).body == b"second"
             assert w.nodes[0].connections == 2
             w.nodes[0].writers[-1].write(ok(b"late stray"))  # while the connection is idle
@@ -257,7 +264,7 @@
 
 
 def test_a_node_that_falls_silent_in_a_long_answer_is_given_up(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(upstream, "STALL_S", 0.05)
+    monkeypatch.setattr(exchange, "STALL_S", 0.05)
 
     async def main() -> None:
         async with world(says(b"HTTP/1.1 200 OK\r\nContent-Length: 900000\r\n\r\n" + b"x" * 100_000)) as w:
@@ -287,6 +294,7 @@
                 client.send(request(kind="once"))
                 answer = await client.answer()
                 assert (answer.status, answer.body) == (200, b"real")
+                w.let_rest()
             assert w.nodes[0].connections == 1
 
     run(main())
@@ -313,7 +321,7 @@
 
 
 def test_an_answer_without_a_length_is_cut_off_at_the_limit(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(upstream, "BODY_LIMIT", 300_000)
+    monkeypatch.setattr(answer_reader, "BODY_LIMIT", 300_000)
     part = b"%x\r\n%b\r\n" % (100_000, b"x" * 100_000)
 
     async def main() -> None:
@@ -393,7 +401,7 @@
             node = w.proxy.pool.nodes["s-0"]
             node.close_idle()
             await until(lambda: not w.proxy.pool.open)
-            probe = upstream.Probe(w.proxy, node, w.proxy.now_us(), b"/health")
+            probe = Probe(w.proxy, node, w.proxy.now_us(), b"/health")
             node.begin(probe)
             assert w.proxy.pool.open == 1
             probe.end(Outcome.TIMEOUT)  # within the same turn, as where the loop comes late to both
@@ -420,10 +428,10 @@
 
 
 def test_load_reports_are_read() -> None:
-    assert upstream.read_report(b"inflight=7, queue=2,util=0.61,odd,x=y") == {
+    assert read_report(b"inflight=7, queue=2,util=0.61,odd,x=y") == {
         "inflight": 7.0, "queue": 2.0, "util": 0.61,
     }  # fmt: skip
-    assert upstream.read_report(b"nothing") is None
+    assert read_report(b"nothing") is None
 
 
 # ---- answers that tell no length
@@ -521,6 +529,7 @@
             client.send(request(path="/api/first"))
             assert b"first" in (await client.answer()).body
             (idle,) = w.proxy.pool.nodes["s-0"].idle
+            w.let_rest()
             writers[0].write(ok(b"GET /api/first once more"))  # before the next request, and not read yet
             client.send(request(path="/api/second"))
             assert b"second" in (await client.answer()).body
--- /dev/null
+++ b/tests/test_strays.py
@@ -0,0 +1,182 @@
+"""Bytes that no request can have asked for, forced into each moment of a connection to a node."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import Callable
+
+import pytest
+
+from magpiefront.interface import Outcome
+from magpiefront.net import pool as pools
+from magpiefront.net.exchange import Attempt
+from magpiefront.net.node_connection import Stray
+from magpiefront.net.reuse import REST_S, StrayReason
+from tests.sockets import Seen, World, gated, ok, run, says, until, world
+
+DECLINED = b"HTTP/1.1 503 X\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n"
+
+
+def strays_of(w: World) -> list[Stray]:
+    told: list[Stray] = []
+    tell = w.proxy.pool.on_stray
+
+    def both(node: pools.Node, stray: Stray) -> None:
+        told.append(stray)
+        tell(node, stray)
+
+    w.proxy.pool.on_stray = both
+    return told
+
+
+def test_a_connection_that_has_just_carried_an_answer_carries_no_other_request() -> None:
+    async def main() -> None:
+        async with world(None) as w:
+            for n in range(3):
+                assert (await w.ask(path=f"/api/{n}")).status == 200
+            assert w.nodes[0].connections == 3
+            w.let_rest()
+            for n in range(3):
+                assert (await w.ask(path=f"/api/{n}")).status == 200
+            assert w.nodes[0].connections == 3
+
+    run(main())
+
+
+@pytest.mark.parametrize(("kind", "rested_s"), [("read", REST_S), ("once", 2 * REST_S)])
+def test_a_rest_ends_no_sooner_than_its_class_asks_for(kind: str, rested_s: float) -> None:
+    async def main() -> None:
+        async with world(None) as w:
+            now = [100.0]
+            w.proxy.pool.clock = lambda: now[0]
+            assert (await w.ask(kind=kind)).status == 200
+            now[0] += rested_s - 0.001
+            assert (await w.ask(kind=kind)).status == 200
+            assert w.nodes[0].connections == 2
+            now[0] += rested_s + 0.001
+            assert (await w.ask(kind=kind)).status == 200
+            assert w.nodes[0].connections == 2
+
+    run(main())
+
+
+@pytest.mark.parametrize(
+    "copy", [ok(b"hello"), DECLINED, ok()[:9], b"\r\n", b"HTTP/1.1 100 Continue\r\n\r\n"]
+)
+def test_whatever_comes_while_a_connection_rests_closes_it_and_is_counted(copy: bytes) -> None:
+    async def main() -> None:
+        async with world(None) as w:
+            told = strays_of(w)
+            assert (await w.ask()).status == 200
+            w.nodes[0].writers[-1].write(copy)
+            await until(lambda: not w.proxy.pool.open, "the closing")
+            assert [(s.reason, s.size) for s in told] == [(StrayReason.RESTING, len(copy))]
+            assert w.proxy.pool.figures.strays_of == {"s-0": 1}
+            w.let_rest()
+            assert (await w.ask()).status == 200 and w.nodes[0].connections == 2
+
+    run(main())
+
+
+def test_a_refusal_that_comes_before_the_node_has_the_request_proves_nothing() -> None:
+    """Taken for "never ran", it had the request sent once more, or refused, though it could still run."""
+
+    async def main() -> None:
+        gate = asyncio.Event()
+        async with world(None) as w:
+            told = strays_of(w)
+            node = w.nodes[0]
+            assert (await w.ask(kind="once")).status == 200
+            w.let_rest()
+            (connection,) = w.proxy.pool.nodes["s-0"].idle
+            transport = node.writers[-1].transport
+            transport.pause_reading()  # type: ignore[attr-defined]
+            own = transport.get_extra_info("socket")
+            own.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            ask = asyncio.ensure_future(w.ask("PUT", kind="once", body=b"x" * 600_000))
+            await until(lambda: connection.exchange is not None, "the sending")
+            transport.write(DECLINED)
+            answer = await ask
+            assert answer.status == 502 and w.outcomes() == [Outcome.OK, Outcome.RESET]
+            assert [s.reason for s in told] == [StrayReason.EARLY]
+            gate.set()
+
+    run(main())
+
+
+def test_a_copy_that_comes_between_the_look_and_the_writing_of_a_process_held_up_is_found(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def main() -> None:
+        gate = asyncio.Event()
+        async with world(None) as w:
+            told = strays_of(w)
+            assert (await w.ask(kind="once")).status == 200
+            w.let_rest()
+            w.nodes[0].handler = gated(gate)
+            message: Callable[[Attempt], list[bytes]] = Attempt.message
+
+            def held_up(attempt: Attempt) -> list[bytes]:
+                own = w.nodes[0].writers[0].get_extra_info("socket")
+                socket.socket(fileno=socket.dup(own.fileno())).send(DECLINED)
+                w.let_rest()
+                return message(attempt)
+
+            monkeypatch.setattr(Attempt, "message", held_up)
+            answer = await w.ask(kind="once")
+            assert answer.status == 502 and w.outcomes() == [Outcome.OK, Outcome.RESET]
+            assert [s.reason for s in told] == [StrayReason.CROSSED]
+            gate.set()
+
+    run(main())
+
+
+def test_one_copy_costs_one_answer_at_the_most() -> None:
+    """The connection was called idle once the copy had come, and the next request got the real answer."""
+
+    async def main() -> None:
+        gate = asyncio.Event()
+        async with world(None) as w:
+            told = strays_of(w)
+            assert (await w.ask()).status == 200
+            w.let_rest()
+
+            async def copies(seen: Seen, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+                writer.write(ok(b"copy"))
+                await gate.wait()
+                writer.write(ok(b"own"))
+
+            w.nodes[0].handler = copies
+            assert (await w.ask()).body == b"copy"  # nothing tells it from an answer
+            w.nodes[0].handler = says(ok(b"next"))
+            assert (await w.ask()).body == b"next"
+            gate.set()
+            await until(lambda: told, "the answer that the copy stood for")
+            assert told[0].reason is StrayReason.RESTING
+
+    run(main())
+
+
+def test_connections_that_rest_longer_than_they_live_are_not_used_again() -> None:
+    async def main() -> None:
+        async with world(None) as w:
+            w.proxy.pool.set_times(200_000, 100_000)
+            for _ in range(3):
+                assert (await w.ask()).status == 200
+                await asyncio.sleep(0.06)
+                w.proxy.sweep()
+            assert w.nodes[0].connections == 3 and not w.proxy.pool.idle
+
+    run(main())
+
+
+def test_at_the_limit_of_descriptors_a_resting_connection_is_closed_and_not_used() -> None:
+    async def main() -> None:
+        async with world(None) as w:
+            w.proxy.pool.most = 2
+            for n in range(6):
+                assert (await w.ask(path=f"/api/{n}", kind="once")).status == 200
+            assert w.nodes[0].connections == 6 and w.proxy.pool.open <= 2
+
+    run(main())
--- a/tests/test_trace.py
+++ b/tests/test_trace.py
@@ -11,8 +11,10 @@
 
 from benchmarks import fleet_counts, fleet_queues
 from magpiefront.interface import Arrived, AttemptEnded, Outcome
-from magpiefront.net import trace, upstream
+from magpiefront.net import trace
+from magpiefront.net.answer import Answer
 from magpiefront.net.config import Config
+from magpiefront.net.exchange import Probe
 from magpiefront.net.proxy import Proxy
 from tests.helpers import NAMES, SETTINGS, full_list
 from tests.sockets import run, until
@@ -42,10 +44,10 @@
     assert "LB_TRACE=1" in capsys.readouterr().err
 
 
-class Silent(upstream.Probe):
+class Silent(Probe):
     """A probe of which only the end is wanted."""
 
-    def report(self, outcome: Outcome, answer: upstream.Answer | None) -> None:
+    def report(self, outcome: Outcome, answer: Answer | None) -> None:
         ENDED.append(outcome)
 
 
