--- a/magpiefront/net/desk.py
+++ b/magpiefront/net/desk.py
@@ -25,7 +25,8 @@
         proxy = self.proxy
         age_ms = (proxy.now_us() - proxy.list_taken_at) // 1000 if proxy.list_taken_at else -1
         loop = proxy.figures.loop_text(int(proxy.lag.longest_s * 1000), age_ms)
-        return proxy.figures.text(len(router.listed), router.avoided) + loop + self.more()
+        connections = proxy.pool.figures.text()
+        return proxy.figures.text(len(router.listed), router.avoided) + loop + connections + self.more()
 
     def by_hand(self, server: str, out: bool) -> bool:
         done = self.call(server, out)
--- a/magpiefront/net/events.py
+++ b/magpiefront/net/events.py
@@ -55,7 +55,7 @@
         self._written: dict[str, int] = {}
         self._left_out: dict[str, int] = {}
 
-    def tell(self, event: str, reason: Reason | None = None, **fields: object) -> None:
+    def tell(self, event: str, reason: Enum | None = None, **fields: object) -> None:
         if not self._may_write(event):
             return
         words = [f"event={event}"]
--- a/magpiefront/net/proxy.py
+++ b/magpiefront/net/proxy.py
@@ -27,6 +27,7 @@
 from magpiefront.net.exchange import Probe as ProbeExchange
 from magpiefront.net.figures import Figures
 from magpiefront.net.lag import BEHIND_S, LAG_PART, TICK_S, Lag
+from magpiefront.net.node_connection import Stray
 from magpiefront.net.pool import Node, Pool
 from magpiefront.net.request import Request
 
@@ -64,6 +65,7 @@
         self.streams: dict[Attempt, None] = {}  # long answers under way
         self.connections = max(16, int((config.sockets - 32) * 0.4))
         self.pool = Pool(loop, self.connections, config.connect_timeout_us, config.conn_idle_us)
+        self.pool.on_stray = self._tell_stray
         self.lag = Lag(config.seed, lag_limit_s(config))
         self.events_log = EventLog(loop.time)
         self.list_taken_at = 0  # when the last answer of discovery was taken up
@@ -178,6 +180,12 @@
         else:
             self.loop.call_soon(call, *args)
 
+    def _tell_stray(self, node: Node, stray: Stray) -> None:
+        self.events_log.tell(
+            "stray", stray.reason, node=node.name, connection=stray.connection.number,
+            after_ms=int(stray.after_s * 1000), bytes=stray.size,
+        )  # fmt: skip
+
     def _tell_refusal(self, name: str) -> None:
         r = self.requests.get(name)
         reason = Reason.EXHAUSTED if r is not None and r.attempts else Reason.ADMISSION
--- a/magpiefront/net/trace.py
+++ b/magpiefront/net/trace.py
@@ -7,8 +7,11 @@
     e request attempt server outcome elapsed note     x request refuse|fail gate|end
     l kind entries     w (a call)     p server     r server outcome elapsed     n text
     c server ok|failed elapsed open     d server open     g (the Router's state, once a second)
+    b request attempt server connection new|idle rested answers
 
-Times are microseconds. Marks of a send: `w` warm or `c` cold, `t` a trial, `2` a second copy.
+`b` is a message that is written to a connection: how long that has rested, and how many answers it has
+carried. The attempt's end is its `e`. Times are microseconds. Marks of a send: `w` warm or `c` cold, `t` a
+trial, `2` a second copy.
 What is refused on arrival has `-` for its rank and for whether it fetches.
 """
 
@@ -20,7 +23,7 @@
 from magpiefront.interface import (
     Action, Arrived, AttemptEnded, Event, Fail, Note, Probe, Probed, Refuse, Send, ServerList, Watch,
 )  # fmt: skip
-from magpiefront.net.exchange import Exchange
+from magpiefront.net.exchange import Attempt, Exchange
 from magpiefront.net.node_connection import NodeConnection
 from magpiefront.net.pool import Node
 from magpiefront.net.proxy import Proxy
@@ -44,6 +47,24 @@
             line(f"d {self.name} {self.open}")
 
 
+class TracedConnection(NodeConnection):
+    __slots__ = ()
+
+    def start(self, exchange: Exchange, looked_at: float | None = None) -> None:
+        life, rested_us = self.life, 0
+        if life.used:
+            rested_us = int((self.node.clock() - life.answered_at) * 1e6)
+        was = "idle" if life.used else "new"
+        line(f"b {name_of(exchange)} {self.node.name} {self.number} {was} {rested_us} {life.answers}")
+        super().start(exchange, looked_at)
+
+
+def name_of(exchange: Exchange) -> str:
+    if isinstance(exchange, Attempt):
+        return f"{exchange.request.name} {exchange.number}"
+    return "probe -"
+
+
 def line(text: str) -> None:
     print("#", text, file=sys.stderr)
 
@@ -51,6 +72,8 @@
 def install(proxy: Proxy) -> None:
     """From here on, this proxy's decisions and connections are told."""
     proxy.pool.node_type = type("Node", (TracedNode, proxy.pool.node_type), {"__slots__": ()})
+    base = proxy.pool.connection_type
+    proxy.pool.connection_type = type("Connection", (TracedConnection, base), {"__slots__": ()})
     router = proxy.router
     handle = router.handle
 
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -118,7 +118,7 @@
             reader, writer = await asyncio.open_connection("127.0.0.1", port_of(admin), limit=1024)
             writer.write(b"show-stat\n")
             assert await call(admin, b"ready\n") == "OK\n"
-            assert len(figures((await reader.read()).decode())) == 4 * 3003 + 7
+            assert len(figures((await reader.read()).decode())) == 4 * 3003 + 7 + 6  # of connections
             writer.close()
 
     run(main())
--- a/tests/test_strays.py
+++ b/tests/test_strays.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 import socket
 from collections.abc import Callable
 
@@ -10,6 +11,8 @@
 
 from magpiefront.interface import Outcome
 from magpiefront.net import pool as pools
+from magpiefront.net import trace
+from magpiefront.net.desk import Desk
 from magpiefront.net.exchange import Attempt
 from magpiefront.net.node_connection import Stray
 from magpiefront.net.reuse import REST_S, StrayReason
@@ -180,3 +183,46 @@
             assert w.nodes[0].connections == 6 and w.proxy.pool.open <= 2
 
     run(main())
+
+
+def test_an_operator_sees_strays_and_what_became_of_connections(caplog: pytest.LogCaptureFixture) -> None:
+    async def main() -> None:
+        async with world(None) as w:
+            with caplog.at_level(logging.INFO, logger="magpiefront.events"):
+                assert (await w.ask()).status == 200
+                assert (await w.ask()).status == 200
+                w.nodes[0].writers[-1].write(ok(b"hello"))
+                await until(lambda: w.proxy.pool.figures.strays, "the copy")
+                w.let_rest()
+                assert (await w.ask()).status == 200
+            (told,) = [m for m in caplog.messages if m.startswith("event=stray")]
+            assert told.startswith("event=stray reason=resting node=s-0 connection=2 after_ms=")
+            assert told.endswith(f" bytes={len(ok(b'hello'))}")
+            figures = Desk(w.proxy, w.front).show_stat().splitlines()
+            for line in (
+                "svc_connections_reused 1", "svc_connections_closed_for_strays 1", "svc_strays 1",
+                'svc_strays{node="s-0"} 1', 'svc_connections_new{cause="none_open"} 1',
+                'svc_connections_new{cause="resting"} 1', 'svc_connections_new{cause="ended"} 0',
+            ):  # fmt: skip
+                assert line in figures
+
+    run(main())
+
+
+def test_a_trace_names_the_connection_of_each_attempt_and_what_it_was(
+    capsys: pytest.CaptureFixture[str],
+) -> None:
+    async def main() -> None:
+        async with world(None) as w:
+            w.proxy.pool.place_node("s-0", None)
+            trace.install(w.proxy)
+            w.proxy.pool.place_node("s-0", ("127.0.0.1", w.nodes[0].port))
+            for _ in range(2):
+                assert (await w.ask()).status == 200
+                w.let_rest()
+            told = [x.split() for x in capsys.readouterr().err.splitlines() if x.startswith("# b ")]
+            first, second = (words[4:] for words in told)
+            assert first == ["s-0", "1", "new", "0", "0"]
+            assert second[:3] == ["s-0", "1", "idle"] and int(second[3]) >= REST_S * 1e6 and second[4] == "1"
+
+    run(main())
