An older answer of discovery that comes again changes nothing

A copy of a discovery answer on the kept connection was taken for the next call's: an older whole list brought a drained node back, and requests went to it.

Evidence: tests/test_discovery.py, three new tests, all failing before: an older whole list, an older change, and a discovery that begins anew.

Mend: on a connection that has carried an answer before, a list older than what is held is none; the connection is left, and the next call goes out on a new one, where the first answer is beyond doubt. A discovery that begins anew with lower generations is believed there.

--- a/magpiefront/net/discovery.py
+++ b/magpiefront/net/discovery.py
@@ -61,6 +61,7 @@
         self.parser = httptools.HttpResponseParser(self)
         self.body = bytearray()
         self.asked = self.complete = self.lasting = False
+        self.answers = 0  # that have come on it
         self.asked_at = 0.0
 
     @property
@@ -93,6 +94,7 @@
             self.transport.abort()
         elif self.complete:
             self.asked = False
+            self.answers += 1
             self.watch.answered(self, self.parser.get_status_code(), bytes(self.body))
 
     def on_message_begin(self) -> None:
@@ -255,16 +257,24 @@
         if not call.lasting:
             self.call = None
             call.transport.close()
+        if status != 200:
+            self._broken()
+            return
         try:
-            if status != 200:
-                raise Garbled
-            self.listing.take(json.loads(body))
+            self.listing.take(json.loads(body), in_doubt=call.answers > 1)
         except (Garbled, ValueError, RecursionError):
+            self._leave(call)
             self._broken()
             return
         self.failed, self.anew = 0, False
         self.ask()  # at once: a watch goes on only if the next call comes within 200 ms
 
+    def _leave(self, call: Call) -> None:
+        """The next call goes out on another connection: on this one answers to older calls may come."""
+        if self.call is call:
+            self.call = None
+        call.close()
+
     def _count_failure(self) -> None:
         self.failed += 1
         if self.failed == 1:
--- a/magpiefront/net/events.py
+++ b/magpiefront/net/events.py
@@ -29,6 +29,7 @@
     BEHIND = "behind"  # the event loop runs late
     CROWDED = "crowded"  # as many requests are open as may be
     DUPLICATE = "duplicate"  # another open request has this id
+    OLDER = "older"  # than what is held: the answer to an earlier call
     OVERDUE = "overdue"  # its time was over before an answer came
     ENDED = "ended"  # another attempt has served it, or its client has gone
     FAILED = "failed"  # an attempt ended without an answer
--- a/magpiefront/net/listing.py
+++ b/magpiefront/net/listing.py
@@ -18,7 +18,7 @@
 
 from magpiefront.interface import ListKind, ServerEntry, ServerList, Status
 from magpiefront.net.config import Address, address
-from magpiefront.net.events import EventLog
+from magpiefront.net.events import EventLog, Reason
 
 ENTRIES_A_TURN = 64
 STATES = {"Ready": Status.READY, "Terminating": Status.DRAINING, "Gone": Status.GONE}
@@ -196,10 +196,14 @@
         generation = -1 if self.waiting else self.generation
         return {"generation": generation, "reset": True, "instances": Lines(list(self.held.values()))}
 
-    def take(self, given: Any, stale: bool = False) -> None:
+    def take(self, given: Any, stale: bool = False, in_doubt: bool = False) -> None:
         """Takes a list up: what it forbids at once, the first entries too. `stale`: the list as it was last
-        held, from before this process began. Raises Garbled; then nothing has changed."""
+        held, from before this process began. `in_doubt`: an answer to an older call may come in its place, so
+        that one older than what is held is none. Raises Garbled; then nothing has changed."""
         told = read_frame(given, stale)
+        if in_doubt and told.generation < self.generation:
+            self.user.events_log.tell("list", Reason.OLDER, generation=told.generation, held=self.generation)
+            raise Garbled
         if told.whole:
             self._check_whole(told)
         elif told.generation < self.generation:
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -318,3 +318,45 @@
             assert 0 <= w.proxy.now_us() - before < 900_000
 
     run(main())
+
+
+@pytest.mark.parametrize("reset", [True, False], ids=["whole list", "change"])
+def test_an_older_answer_that_comes_again_brings_no_drained_node_back(
+    reset: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Answers of discovery carry no id either: one that came again was taken for the next call's."""
+    monkeypatch.setattr(discovery, "BACKOFF_S", 0.001)
+
+    async def main() -> None:
+        async with world(None, None) as w:
+            w.lists.change(2, *(n.entry() for n in w.nodes), reset=reset)
+            await until(lambda: len(w.lists.calls) == 2)
+            w.lists.change(3, w.nodes[0].entry("Terminating"))
+            await until(lambda: len(w.lists.calls) == 3)
+            before = len(w.nodes[0].seen)
+            older = {"generation": 2, "reset": reset, "instances": [n.entry() for n in w.nodes]}
+            w.lists.writers[0].write(ok(json.dumps(older).encode()))
+            await until(lambda: len(w.lists.writers) == 2, "a call on another connection")
+            await until(lambda: len(w.lists.calls) == 4)
+            assert "after=3" in w.lists.calls[-1]
+            for n in range(10):
+                assert (await w.ask(path=f"/api/{n}")).status == 200
+            assert len(w.nodes[0].seen) == before
+            w.lists.change(4, w.nodes[0].entry())  # the call of before was left with this one
+            w.lists.change(4, w.nodes[0].entry())
+            await until(lambda: w.discovery.listing.generation == 4)
+
+    run(main())
+
+
+def test_a_discovery_that_begins_anew_is_believed_on_a_connection_of_its_own() -> None:
+    async def main() -> None:
+        async with world(None, None) as w:
+            w.lists.change(7, w.nodes[0].entry("Terminating"))
+            await until(lambda: w.discovery.listing.generation == 7)
+            w.lists.change(1, w.nodes[0].entry(), reset=True)  # to the call that hangs at the end of the old
+            w.lists.change(1, w.nodes[0].entry(), reset=True)
+            await until(lambda: w.discovery.listing.generation == 1)
+            assert len(w.lists.writers) == 2 and (await w.ask()).status == 200
+
+    run(main())
