What a cache keeps of a connection that turns out shifted is void

A wrong answer that a cache had taken for a fill was served to everybody for as long as it was fresh.

Mend: bytes that come on a resting or idle connection within 2 s of its last answer void what is kept of that answer's target, in memory and on disk, and no fill of it that is under way is kept.

--- a/magpiefront/caching/stage.py
+++ b/magpiefront/caching/stage.py
@@ -560,6 +560,10 @@
             self._close(flight)
         return count
 
+    def doubted(self, target: bytes) -> None:
+        """An answer about this may have been made for another request: nothing of it is kept."""
+        self._void(targets.gauge_of(target))
+
     def _purge(self, r: Request) -> None:
         if r.target == b"/*":
             count = len(self.store)
--- a/magpiefront/net/node_connection.py
+++ b/magpiefront/net/node_connection.py
@@ -46,8 +46,8 @@
 
 
 class NodeConnection(AnswerReader):
-    __slots__ = ("exchange", "heard_at", "life", "look", "node", "number", "paused", "streams", "watched",
-                 "written")  # fmt: skip
+    __slots__ = ("exchange", "heard_at", "last_target", "life", "look", "node", "number", "paused", "streams",
+                 "watched", "written")  # fmt: skip
 
     def __init__(self, node: Owner, exchange: Exchange, number: int = 0) -> None:
         super().__init__()
@@ -56,6 +56,7 @@
         self.life = Lifecycle()
         self.written = self.paused = self.watched = self.streams = False
         self.heard_at = 0.0
+        self.last_target = b""  # of the request that was answered last
         self.look: HangUpWatch | None = None
 
     # ---- the exchange
@@ -225,6 +226,7 @@
             self._cut()
             return
         now = self.node.clock()
+        self.last_target = exchange.request.target if isinstance(exchange, Attempt) else b""
         if self.surplus:
             self.life.answered_at = now
             self._tell_stray(StrayReason.SURPLUS, 0)
--- a/magpiefront/net/proxy.py
+++ b/magpiefront/net/proxy.py
@@ -30,6 +30,7 @@
 from magpiefront.net.node_connection import Stray
 from magpiefront.net.pool import Node, Pool
 from magpiefront.net.request import Request
+from magpiefront.net.reuse import LATEST_COPY_S
 
 Args = TypeVarTuple("Args")
 
@@ -66,6 +67,8 @@
         self.connections = max(16, int((config.sockets - 32) * 0.4))
         self.pool = Pool(loop, self.connections, config.connect_timeout_us, config.conn_idle_us)
         self.pool.on_stray = self._tell_stray
+        # Hears of which target an answer has come that may not have been made for its request.
+        self.on_doubt: Callable[[bytes], None] = lambda target: None
         self.lag = Lag(config.seed, lag_limit_s(config))
         self.events_log = EventLog(loop.time)
         self.list_taken_at = 0  # when the last answer of discovery was taken up
@@ -185,6 +188,8 @@
             "stray", stray.reason, node=node.name, connection=stray.connection.number,
             after_ms=int(stray.after_s * 1000), bytes=stray.size,
         )  # fmt: skip
+        if stray.connection.last_target and stray.after_s < LATEST_COPY_S:
+            self.on_doubt(stray.connection.last_target)
 
     def _tell_refusal(self, name: str) -> None:
         r = self.requests.get(name)
--- a/magpiefront/operator/compose.py
+++ b/magpiefront/operator/compose.py
@@ -108,6 +108,8 @@
         if operator.caching is not None:
             disk = Disk(house, operator.caching.disk) if operator.caching.disk is not None else None
             self.first = self.cache = CachingStage(house, self.first, operator.caching, disk)
+            if proxy is not None:
+                proxy.on_doubt = self.cache.doubted
             if watch is not None:
                 watch.cache = self.cache.writes
 
--- a/tests/caching/sockets.py
+++ b/tests/caching/sockets.py
@@ -60,6 +60,7 @@
     proxy = PassingProxy(read, loop, settings.plain_servers)
     more = {"wall": wall} if wall is not None else {}
     stage = CachingStage(proxy, proxy, settings, **more)
+    proxy.on_doubt = stage.doubted
     front = Front(proxy, stage, Bodies(50 << 20), 500)
     prepare(front, settings.clients)
     discovery = Discovery(proxy, read.discovery, 1)
