--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -116,7 +116,9 @@
         self.out_at: dict[str, float] = {}  # when a node was first listed as one that drains or has gone
         self.held: list[tuple[int, str, float]] = []  # which node stood at an address, and from when
         self.down = False
-        self.untold: list[str] = []  # listed as draining while discovery is down
+        self.untold: list[str] = []  # listed as draining while discovery is down, or with nobody to hear it
+        self.open_calls = 0  # that wait for news
+        self.had = self.written = 1  # the last generation before it went down, and the last that was written
         self.bytes = 0
         self.changed = asyncio.Event()
         for _ in range(load.nodes):
@@ -162,7 +164,15 @@
         self.changed = asyncio.Event()
 
     def go_down(self) -> None:
-        self.down = True
+        """It is silent from now on. What was listed a moment ago, with no call open that it could have been
+        written to, nobody has been told: it is told at the return."""
+        self.down, self.had = True, self.generation
+        if not self.open_calls:
+            unheard = [n for n in self.out_at if self.changed_at.get(n, 0) > self.written]
+            for name in unheard:
+                if self.entries[name]["lifecycle"] == "Terminating":
+                    del self.out_at[name]
+                    self.untold.append(name)
 
     def come_up(self) -> None:
         """What the agent gets now counts as told at once."""
@@ -183,11 +193,16 @@
         while self.down:
             await asyncio.sleep(0.02)
         if after >= self.generation:
-            with suppress(TimeoutError):
-                await asyncio.wait_for(self.changed.wait(), wait_s)
-        while self.down:
+            self.open_calls += 1
+            try:
+                with suppress(TimeoutError):
+                    await asyncio.wait_for(self.changed.wait(), wait_s)
+            finally:
+                self.open_calls -= 1
+        while self.down and after >= self.had:
             await asyncio.sleep(0.02)
         body = json.dumps(self.told(after)).encode()
+        self.written = self.generation
         self.bytes += len(body)
         return http.answer(200, body)
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 import subprocess
 import sys
 
 import pytest
 
+from standins import http
+from standins.fleet import FleetList, Load
 from standins.soak import load_of
 from standins.world import ROOT
 
@@ -35,3 +38,27 @@
 def test_a_seed_plays_the_same_round_each_time() -> None:
     assert load_of(7, None, 4.0) == load_of(7, None, 4.0) != load_of(8, None, 4.0)
     assert load_of(7, 3_200, 4.0).nodes == 3_200
+
+
+def test_a_drain_that_is_listed_to_nobody_as_discovery_goes_down_is_told_at_its_return() -> None:
+    """Seed 7702: listed 1.3 ms before an outage, between two calls of a proxy that was held up for 0.1 s."""
+
+    async def main() -> None:
+        lists = FleetList(Load(nodes=20, share=0.05), 1)
+        lists.turn()  # with no call open
+        (drained,) = lists.out_at
+        lists.go_down()
+        assert not lists.out_at and lists.untold == [drained]
+        lists.come_up()
+        assert drained in lists.out_at
+
+        call = asyncio.create_task(
+            lists.reply(http.Message("GET /v1/endpoints?after=2&wait_ms=200 X", {}, b""))
+        )
+        await asyncio.sleep(0)
+        lists.turn()
+        lists.go_down()
+        told = json.loads((await asyncio.wait_for(call, 5)).partition(b"\r\n\r\n")[2])
+        assert len(lists.out_at) == 2 and told["generation"] == 3  # a call was open: it was told
+
+    asyncio.run(main())
