--- a/tests/test_strays.py
+++ b/tests/test_strays.py
@@ -13,10 +13,10 @@
 from magpiefront.net import pool as pools
 from magpiefront.net import trace
 from magpiefront.net.desk import Desk
-from magpiefront.net.exchange import Attempt
+from magpiefront.net.exchange import Attempt, Probe
 from magpiefront.net.node_connection import Stray
 from magpiefront.net.reuse import REST_S, StrayReason
-from tests.sockets import Seen, World, gated, ok, run, says, until, world
+from tests.sockets import Seen, World, gated, ok, request, run, says, until, world
 
 DECLINED = b"HTTP/1.1 503 X\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n"
 
@@ -226,3 +226,59 @@
             assert second[:3] == ["s-0", "1", "idle"] and int(second[3]) >= REST_S * 1e6 and second[4] == "1"
 
     run(main())
+
+
+def test_a_copy_of_a_probes_answer_is_nobodys_answer() -> None:
+    async def main() -> None:
+        async with world(None) as w:
+            told = strays_of(w)
+            node = w.proxy.pool.nodes["s-0"]
+            node.begin(Probe(w.proxy, node, w.proxy.now_us(), b"/health"))
+            await until(lambda: w.nodes[0].probes and node.idle, "the probe")
+            assert (await w.ask(kind="once")).body == b"hello" and w.nodes[0].connections == 2
+            w.nodes[0].writers[0].write(ok())  # the health answer once more
+            await until(lambda: told, "the copy")
+            assert told[0].reason is StrayReason.RESTING and told[0].connection.last_target == b""
+
+    run(main())
+
+
+def test_a_copy_behind_a_long_answer_that_a_slow_client_held_back_reaches_nobody() -> None:
+    async def main() -> None:
+        async with world(None) as w:
+            told = strays_of(w)
+            body = b"y" * 12_000_000
+            w.nodes[0].handler = says(ok(body) + ok(b"copy"))
+            client = await w.client()
+            client.writer.transport.pause_reading()  # type: ignore[attr-defined]
+            client.send(request())
+            await until(lambda: w.proxy.streams, "the begin")
+            (stream,) = w.proxy.streams
+            await until(lambda: stream.connection and stream.connection.paused, "the holding back")
+            client.writer.transport.resume_reading()  # type: ignore[attr-defined]
+            assert (await client.answer()).body == body
+            w.nodes[0].handler = says(ok(b"next"))
+            client.send(request())
+            assert (await client.answer()).body == b"next"
+            await until(lambda: told, "the copy")
+            assert told[0].reason in (StrayReason.SURPLUS, StrayReason.RESTING)
+            assert w.nodes[0].connections == 2
+
+    run(main())
+
+
+def test_a_copy_in_two_halves_round_the_next_request_reaches_nobody() -> None:
+    async def main() -> None:
+        async with world(None) as w:
+            copy = ok(b"hello")
+            assert (await w.ask()).status == 200
+            writer = w.nodes[0].writers[0]
+            writer.write(copy[:20])
+            w.nodes[0].handler = says(ok(b"next"))
+            assert (await w.ask()).body == b"next"
+            if not writer.is_closing():
+                writer.write(copy[20:])
+            assert (await w.ask()).body == b"next"
+            await until(lambda: w.proxy.pool.open == 2, "the closing of the first")
+
+    run(main())
