--- a/magpiefront/net/pool.py
+++ b/magpiefront/net/pool.py
@@ -27,11 +27,10 @@
 class Node:
     """A cache node at one address, and the connections to it."""
 
-    __slots__ = ("address", "barred", "host_header", "idle", "loop", "name", "open", "pool", "retired")
+    __slots__ = ("address", "barred", "host_header", "idle", "name", "open", "pool", "retired")
 
     def __init__(self, pool: Pool, name: str, address: Address) -> None:
         self.pool, self.name, self.address = pool, name, address
-        self.loop = pool.loop
         self.host_header = f"{address[0]}:{address[1]}".encode()
         self.idle: list[NodeConnection] = []  # resting or idle, the one that has been so longest first
         self.open = 0
@@ -43,6 +42,10 @@
         """May nothing new begin there?"""
         return self.retired or self.barred
 
+    @property
+    def loop(self) -> asyncio.AbstractEventLoop:
+        return self.pool.loop
+
     def clock(self) -> float:
         return self.pool.clock()
 
