In a shutdown a connection on which more has come stays open past an answer

Half of the next request had been read, or lay in the kernel, when the answer ahead said Connection: close and the connection was ended.

Cause: whether an answer is the last one asked only for requests that had been read whole.

Mend: in a shutdown an answer is the last one only where nothing of another request has come.

--- a/magpiefront/net/downstream.py
+++ b/magpiefront/net/downstream.py
@@ -348,7 +348,11 @@
             self.front.bodies.release(self, size)
 
     def _is_last(self, request: Request) -> bool:
-        return not request.keep_alive or (self.front.ending and not self._due)
+        return not request.keep_alive or (self.front.ending and not self._more_comes())
+
+    def _more_comes(self) -> bool:
+        """Does a request wait, or has any of one come, read or not? Closed now, it would have no answer."""
+        return self._due or not self.between or self._watch().readable()
 
     def _answered(self, request: Request, close: bool) -> None:
         self.request = None
--- a/standins/answers/clients.py
+++ b/standins/answers/clients.py
@@ -170,7 +170,9 @@
         c.used = True
         a.answers.append((int(m.start.split(" ")[1]), time.monotonic(), m.body.decode("latin-1")))
         if m.headers.get("connection", "").lower() == "close":
-            self._end(c, rest[1:], "closed before it")
+            if rest[1:] and not a.left_at:
+                # What the proxy has not read goes on a new connection (RFC 9112, 9.3.2).
+                await self._send_again(c, rest[1:], b"".join(self.message(r) for r in rest[1:]))
             c.writer.close()
             return False
         return True
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -479,3 +479,33 @@
 
     run(main())
 
+
+
+@pytest.mark.parametrize("read", [True, False], ids=["half read", "not read yet"])
+def test_sigterm_takes_no_answer_from_a_request_behind_one_that_is_answered(read: bool) -> None:
+    """Its connection was closed with the answer ahead, and half of it had been read."""
+
+    async def main() -> None:
+        gate = asyncio.Event()
+        async with world(gated(gate)) as w:
+            client = await w.client()
+            ahead, behind = request(), request()
+            client.send(ahead + behind[:20] if read else ahead)
+            await until(lambda: len(w.seen()) == 1)
+            (c,) = w.front.clients
+            w.front.stopping = True
+            if read:
+                gate.set()
+            else:
+                c.transport.pause_reading()  # as a loop that has not come to it yet
+                client.send(behind[:20])
+                await until(lambda: c._watch().readable(), "the arrival")
+                gate.set()
+            answer = await client.answer()
+            assert answer.status == 200 and "connection" not in answer.headers
+            c.transport.resume_reading()
+            client.send(behind[20:])
+            answer = await client.answer()
+            assert (answer.status, answer.headers["connection"]) == (200, "close")
+
+    run(main())
