--- a/magpiefront/net/node_connection.py
+++ b/magpiefront/net/node_connection.py
@@ -13,7 +13,7 @@
 from magpiefront.net.exchange import Attempt, Exchange
 from magpiefront.net.hangup import HangUpWatch, unacknowledged
 from magpiefront.net.http1 import PARSER_ERRORS, WHOLE_LIMIT, HeadTooLong
-from magpiefront.net.reuse import HELD_UP_S, Lifecycle, State, StrayReason
+from magpiefront.reuse import HELD_UP_S, Lifecycle, State, StrayReason
 
 STREAM_AFTER_S = 0.05  # an answer of unknown length is passed on as it comes after this long
 QUIET_S = 0.25  # an answer that has begun and then pauses for longer than nodes do has broken off
--- a/magpiefront/net/pool.py
+++ b/magpiefront/net/pool.py
@@ -14,7 +14,7 @@
 from magpiefront.net.listening import NO_ROOM
 from magpiefront.net.node_connection import NodeConnection, Stray
 from magpiefront.net.pool_figures import NewCause, PoolFigures
-from magpiefront.net.reuse import RestPolicy
+from magpiefront.reuse import RestPolicy
 
 # This machine's own trouble: no sign of a node that is down, which would return cold.
 LOCAL_ERRORS = NO_ROOM | {errno.EADDRNOTAVAIL, errno.ENETUNREACH, errno.ENETDOWN}
--- a/magpiefront/net/proxy.py
+++ b/magpiefront/net/proxy.py
@@ -30,7 +30,7 @@
 from magpiefront.net.node_connection import Stray
 from magpiefront.net.pool import Node, Pool
 from magpiefront.net.request import Request
-from magpiefront.net.reuse import LATEST_COPY_S
+from magpiefront.reuse import LATEST_COPY_S
 
 Args = TypeVarTuple("Args")
 
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -17,7 +17,7 @@
 from magpiefront.net.discovery import Discovery
 from magpiefront.net.front import Front
 from magpiefront.net.proxy import Proxy
-from magpiefront.net.reuse import MOST_REST_S
+from magpiefront.reuse import MOST_REST_S
 
 INFO: dict[str, Any] = {
     "balancers": 1,
--- a/tests/test_reuse.py
+++ b/tests/test_reuse.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from magpiefront.net.reuse import (
+from magpiefront.reuse import (
     CALM_S,
     CAREFUL_REST_S,
     LATEST_COPY_S,
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -6,35 +6,34 @@
 import json
 import subprocess
 import sys
+from dataclasses import fields
 
 import pytest
 
 from standins import http
+from standins.answers.plan import Faults, kinds_of, plan_of, read_plan
 from standins.fleet import FleetList, Load
 from standins.soak import load_of
 from standins.world import ROOT
 
 
-@pytest.mark.parametrize(("first", "seeds"), [(1, 12)])
-def test_no_round_of_the_soak_breaks_a_rule(first: int, seeds: int) -> None:
-    command = [
-        "-m",
-        "standins.soak",
-        "--seeds",
-        str(seeds),
-        "--first",
-        str(first),
-        "--seconds",
-        "4",
-        "--jobs",
-        "3",
-    ]
+@pytest.mark.parametrize(("first", "seeds", "rig"), [(1, 12, "fleet"), (1, 10, "answers")])
+def test_no_round_of_the_soak_breaks_a_rule(first: int, seeds: int, rig: str) -> None:
+    command = ["-m", "standins.soak", "--seeds", str(seeds), "--first", str(first), "--rig", rig]
+    command += ["--seconds", "4", "--jobs", "3"]
     done = subprocess.run([sys.executable, *command], cwd=ROOT, capture_output=True, text=True, timeout=300)
     told = json.loads(done.stdout.splitlines()[-1])
     assert told == {"seeds": seeds, "faults": 0, "replay": []}, done.stdout
     assert done.returncode == 0
 
 
+def test_a_seed_draws_the_same_trouble_each_time() -> None:
+    assert plan_of(7, 4.0) == plan_of(7, 4.0) != plan_of(8, 4.0)
+    assert read_plan(plan_of(7, 4.0).text()) == plan_of(7, 4.0)
+    drawn = {kind for seed in range(1, 60) for kind in kinds_of(plan_of(seed, 4.0).faults)}
+    assert drawn == {f.name for f in fields(Faults)}
+
+
 def test_a_seed_plays_the_same_round_each_time() -> None:
     assert load_of(7, None, 4.0) == load_of(7, None, 4.0) != load_of(8, None, 4.0)
     assert load_of(7, 3_200, 4.0).nodes == 3_200
--- a/tests/test_strays.py
+++ b/tests/test_strays.py
@@ -15,7 +15,7 @@
 from magpiefront.net.desk import Desk
 from magpiefront.net.exchange import Attempt, Probe
 from magpiefront.net.node_connection import Stray
-from magpiefront.net.reuse import REST_S, StrayReason
+from magpiefront.reuse import REST_S, StrayReason
 from tests.sockets import Seen, World, gated, ok, request, run, says, until, world
 
 DECLINED = b"HTTP/1.1 503 X\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n"
