--- a/benchmarks/floor.py
+++ b/benchmarks/floor.py
@@ -1,10 +1,11 @@
 """CPU per request of the proxy on the read path, beside a bare uvloop and httptools forwarder.
 
-    python benchmarks/floor.py [--rounds 24] [--requests 1500] [--tree DIR] [--cpu 0]
+    python benchmarks/floor.py [--rounds 24] [--requests 1500] [--rate 200] [--tree DIR] [--cpu 0]
 
 Both run pinned to one core, in short alternating rounds against the same stand-in node and load, which run
 on another core. A round's figure is the CPU time (user and system) of that process for the round, divided by
-its requests. `--tree` measures the `magpiefront` of another checkout as a third party, in the same rounds.
+its requests. As fast as they go, hardly any connection to the node has rested when the next request comes
+(`magpiefront/reuse.py`), and each costs a handshake; `--rate` plays what a proxy sees. `--tree` measures the `magpiefront` of another checkout as a third party, in the same rounds.
 The last line is JSON; ratios are medians over the rounds.
 """
 
@@ -129,6 +130,7 @@
     """One client: the next request when the answer to the last has come."""
 
     number = 0
+    pause_s = 0.0  # between an answer and the next request
 
     def __init__(self, count: int) -> None:
         self.left = count
@@ -156,7 +158,9 @@
             raise SystemExit(f"not served: {self.buffer[:200]!r}")
         self.buffer = b""
         self.left -= 1
-        if self.left:
+        if self.left and self.pause_s:
+            asyncio.get_running_loop().call_later(self.pause_s, self.ask)
+        elif self.left:
             self.ask()
         elif not self.done.done():
             self.done.set_result(None)
@@ -267,6 +271,7 @@
     parser = argparse.ArgumentParser(description=(__doc__ or "").split("\n")[0])
     parser.add_argument("--rounds", type=int, default=24)
     parser.add_argument("--requests", type=int, default=1600)
+    parser.add_argument("--rate", type=float, default=0.0, help="requests a second; 0: as fast as they go")
     parser.add_argument("--tree", help="another checkout, measured in the same rounds")
     parser.add_argument("--cpu", type=int, default=0, help="the parties' core; the load takes the next")
     parser.add_argument("--node", action="store_true", help=argparse.SUPPRESS)
@@ -278,6 +283,7 @@
     elif args.bare is not None:
         uvloop.run(bare(0, args.bare))
     else:
+        Load.pause_s = CLIENTS / args.rate if args.rate else 0.0
         result = uvloop.run(measure(args))
         print(f"{'party':8} {'CPU us a request':>18} {'least':>8} {'most':>8} {'of the floor':>14}")
         for name in ("floor", "proxy", "other"):
