--- a/benchmarks/floor.py
+++ b/benchmarks/floor.py
@@ -5,8 +5,9 @@
 Both run pinned to one core, in short alternating rounds against the same stand-in node and load, which run
 on another core. A round's figure is the CPU time (user and system) of that process for the round, divided by
 its requests. As fast as they go, hardly any connection to the node has rested when the next request comes
-(`magpiefront/reuse.py`), and each costs a handshake; `--rate` plays what a proxy sees. `--tree` measures the `magpiefront` of another checkout as a third party, in the same rounds.
-The last line is JSON; ratios are medians over the rounds.
+(`magpiefront/reuse.py`), and each costs a handshake; `--rate` plays what a proxy sees. `--tree` measures the
+`magpiefront` of another checkout as a third party, in the same rounds. The last line is JSON; ratios are
+medians over the rounds.
 """
 
 from __future__ import annotations
