A request goes on the first usable connection: rested or new; surplus ones are closed

A request for which a connection is being made goes on one whose rest ends meanwhile; the other comes up all the same and may be used at once, for it has carried nothing. A connection that was not needed for 3 s is closed where its node has another.

--- a/magpiefront/net/exchange.py
+++ b/magpiefront/net/exchange.py
@@ -56,11 +56,12 @@
 class Exchange:
     """One message to a cache node, until something comes of it or the proxy stops waiting."""
 
-    __slots__ = ("connection", "done", "node", "sent_at", "task", "timer")
+    __slots__ = ("connection", "done", "node", "opening", "sent_at", "task", "timer")
 
     def __init__(self, node: Target, now_us: int) -> None:
         self.node, self.sent_at, self.done = node, now_us, False
         self.connection: Carrier | None = None
+        self.opening: object | None = None  # the connection that is made for it
         self.task: asyncio.Task[None] | None = None
         self.timer: asyncio.TimerHandle | None = None
 
@@ -74,6 +75,7 @@
         if self.done:
             return
         self.done = True
+        self.opening = None
         if self.timer is not None:
             self.timer.cancel()
         if self.connection is not None:
--- a/magpiefront/net/node_connection.py
+++ b/magpiefront/net/node_connection.py
@@ -47,15 +47,15 @@
 
 
 class NodeConnection(AnswerReader):
-    __slots__ = ("exchange", "heard_at", "last_target", "life", "look", "node", "number", "paused", "streams",
-                 "watched", "written")  # fmt: skip
+    __slots__ = ("exchange", "heard_at", "last_target", "life", "look", "node", "number", "paused", "spare",
+                 "streams", "watched", "written")  # fmt: skip
 
     def __init__(self, node: Owner, exchange: Exchange, number: int = 0) -> None:
         super().__init__()
         self.node, self.number = node, number
         self.exchange: Exchange | None = exchange
         self.life = Lifecycle()
-        self.written = self.paused = self.watched = self.streams = False
+        self.written = self.paused = self.watched = self.streams = self.spare = False
         self.heard_at = 0.0
         self.last_target = b""  # of the request that was answered last
         self.look: HangUpWatch | None = None
@@ -97,6 +97,10 @@
             self.look = HangUpWatch(self.transport)
         return self.look.readable()
 
+    def spare_for_others(self) -> None:
+        """Its request goes on another connection. It comes up all the same, and waits for another request."""
+        self.exchange, self.spare = None, True
+
     def give_up(self, exchange: Exchange) -> None:
         if self.exchange is exchange:
             self.exchange = None
@@ -133,12 +137,15 @@
         self.parser = httptools.HttpResponseParser(self)
         self.transport.set_write_buffer_limits(high=0)
         exchange = self.exchange
-        if exchange is None or exchange.done:
+        if exchange is not None and not exchange.done:
+            exchange.task = exchange.opening = None
+            self.start(exchange)
+        elif self.spare:
+            self.life.stand_by(self.node.clock())
+            self.node.put_back(self)
+        else:
             self.exchange = None
             self.close()
-        else:
-            exchange.task = None
-            self.start(exchange)
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.node.lost(self)
--- a/magpiefront/net/pool.py
+++ b/magpiefront/net/pool.py
@@ -16,6 +16,8 @@
 from magpiefront.net.pool_figures import NewCause, PoolFigures
 from magpiefront.reuse import RestPolicy
 
+TIMER_S = 0.001  # the least that the event loop's timers tell apart
+SURPLUS_S = 3.0  # a connection that was not needed for so long is one too many, where its node has another
 # This machine's own trouble: no sign of a node that is down, which would return cold.
 LOCAL_ERRORS = NO_ROOM | {errno.EADDRNOTAVAIL, errno.ENETUNREACH, errno.ENETDOWN}
 
@@ -27,12 +29,14 @@
 class Node:
     """A cache node at one address, and the connections to it."""
 
-    __slots__ = ("address", "barred", "host_header", "idle", "name", "open", "pool", "retired")
+    __slots__ = ("address", "barred", "host_header", "idle", "name", "open", "pool", "retired",
+                 "unused")  # fmt: skip
 
     def __init__(self, pool: Pool, name: str, address: Address) -> None:
         self.pool, self.name, self.address = pool, name, address
         self.host_header = f"{address[0]}:{address[1]}".encode()
         self.idle: list[NodeConnection] = []  # resting or idle, the one that has been so longest first
+        self.unused: list[NodeConnection] = []  # that came up for a request which went on another meanwhile
         self.open = 0
         self.retired = False  # off the list, or at another address by now
         self.barred = False  # taken out by an operator
@@ -50,38 +54,80 @@
         return self.pool.clock()
 
     def begin(self, exchange: Exchange) -> None:
-        """On the connection that has rested last, or on a new one."""
-        figures = self.pool.figures
+        """On a connection that may be used, or on a new one; or on one whose rest ends before that is up."""
         cause = NewCause.RESTING if self.idle else NewCause.NONE_OPEN
         now = self.clock()
-        while (connection := self._take_rested(exchange, now)) is not None:
-            if connection.fresh():
-                figures.reused += 1
-                connection.start(exchange, now)
+        while (connection := self._take_usable(exchange, now)) is not None:
+            if self._start_on(connection, exchange, now):
                 return
-            connection.close()
             cause = NewCause.ENDED
         if not self.pool.room():
             exchange.end(Outcome.MOOT)
             return
+        self._open(exchange, cause)
+        self._look_when_one_has_rested(exchange, now)
+
+    def _start_on(self, connection: NodeConnection, exchange: Exchange, now: float) -> bool:
+        """False where the connection has ended, or has brought bytes."""
+        if not connection.fresh():
+            connection.close()
+            return False
+        self.pool.figures.reused += 1
+        connection.start(exchange, now)
+        return True
+
+    def _open(self, exchange: Exchange, cause: NewCause) -> None:
+        figures = self.pool.figures
         figures.made[cause] += 1
         self.open += 1
         self.pool.open += 1
         made = self.pool.connection_type(self, exchange, figures.connections)
+        exchange.opening = made
         exchange.task = self.loop.create_task(self._connect(made, exchange))
         exchange.task.add_done_callback(lambda _: self._connected(made))
 
-    def _take_rested(self, exchange: Exchange, now: float) -> NodeConnection | None:
-        """Of those whose rest is over, the one that was used last; the others may then be closed in time."""
+    def _take_usable(self, exchange: Exchange, now: float) -> NodeConnection | None:
+        """Of those whose rest is over, the one that was used last; the others may then be closed in time.
+        Else one that has not carried anything, which costs its node as much as a new one."""
         rest_s = self.pool.rest.rest_s(exchange.repeatable, now)
         rested = bisect_right(self.idle, now - rest_s, key=answered_at)
-        if not rested:
+        if rested:
+            connection = self.idle.pop(rested - 1)
+            connection.life.rested(now, rest_s)
+        elif self.unused:
+            connection = self.unused.pop()
+        else:
             return None
-        connection = self.idle.pop(rested - 1)
         del self.pool.idle[connection]
-        connection.life.rested(now, rest_s)
         return connection
 
+    def _look_when_one_has_rested(self, exchange: Exchange, now: float) -> None:
+        """Guards against waiting for a connection that comes up late, or never, beside one that may be used
+        by then."""
+        if self.idle:
+            rest_s = self.pool.rest.rest_s(exchange.repeatable, now)
+            left_s = answered_at(self.idle[0]) + rest_s - now
+            if left_s < self.pool.connect_timeout_s:
+                self.loop.call_later(left_s + TIMER_S, self._one_has_rested, exchange)
+
+    def _one_has_rested(self, exchange: Exchange) -> None:
+        opening = exchange.opening
+        if exchange.done or exchange.begun or not isinstance(opening, NodeConnection):
+            return
+        now = self.clock()
+        connection = self._take_usable(exchange, now)
+        if connection is None:
+            self._look_when_one_has_rested(exchange, now)
+            return
+        if connection.fresh():
+            opening.spare_for_others()
+            exchange.task = exchange.opening = None
+            self.pool.figures.reused += 1
+            connection.start(exchange, now)
+        else:
+            connection.close()
+            self._one_has_rested(exchange)
+
     def _connected(self, connection: NodeConnection) -> None:
         """Guards against places that nobody gives back: an exchange may end before its task has ever run."""
         if connection.transport is None:
@@ -97,16 +143,20 @@
                 outcome = Outcome.MOOT
         except asyncio.CancelledError:
             outcome = Outcome.MOOT  # the exchange has ended
-        if connection.transport is None:
+        if connection.transport is None and connection.exchange is exchange:
             exchange.task = None
             exchange.end(outcome)
 
     def put_back(self, connection: NodeConnection) -> None:
+        """Nothing is out on it any more; it came to that last of all."""
         if self.closed:
             connection.close()
-        else:
-            self.idle.append(connection)
-            self.pool.idle[connection] = None
+            return
+        kept = self.idle if connection.life.used else self.unused
+        kept.append(connection)
+        self.pool.idle[connection] = None
+        if len(self.idle) > 1 and answered_at(self.idle[0]) < answered_at(connection) - SURPLUS_S:
+            self.pool.close_idle(self.idle[0])
 
     def lost(self, connection: NodeConnection) -> None:
         self.open -= 1
@@ -117,15 +167,15 @@
         """It carries nothing from now on."""
         if connection in self.pool.idle:
             del self.pool.idle[connection]
-            self.idle.remove(connection)
+            (self.idle if connection.life.used else self.unused).remove(connection)
 
     def saw_stray(self, stray: Stray) -> None:
         self.pool.saw_stray(self, stray)
 
     def close_idle(self) -> None:
         """All connections on which nothing is open."""
-        while self.idle:
-            self.pool.close_idle(self.idle[0])
+        for connection in [*self.idle, *self.unused]:
+            self.pool.close_idle(connection)
 
     def retire(self) -> None:
         """Nothing new goes there: what is out may end, nothing is kept."""
@@ -174,7 +224,8 @@
         return True
 
     def saw_stray(self, node: Node, stray: Stray) -> None:
-        self.rest.saw_stray(stray.after_s, self.clock())
+        if stray.connection.life.used:
+            self.rest.saw_stray(stray.after_s, self.clock())
         self.figures.count_stray(node.name)
         self.on_stray(node, stray)
 
--- a/magpiefront/reuse.py
+++ b/magpiefront/reuse.py
@@ -71,9 +71,10 @@
         self.state = State.BUSY
 
     def stand_by(self, now: float) -> None:
-        """Nothing was written on it: its request had ended. It rests once more."""
+        """Nothing was written on it: its request had ended. It rests once more if it was used before."""
         if self.state in (State.CONNECTING, State.IDLE):
-            self.state, self.answered_at = State.RESTING, now
+            self.state = State.RESTING if self.used else State.IDLE
+            self.answered_at = now
 
     def answered(self, now: float, reusable: bool) -> None:
         """The answer of the request that is out is whole."""
