A connection that has carried a refusal carries nothing more

A copied refusal is the one stray that has a request run twice, or refused though it ran: it proves of the next request that it never ran. The rest makes that rare; this makes it impossible, however late the copy: "never ran" is told by a node only as the last answer of a connection. Test: tests/test_strays.py, failing before.

--- a/magpiefront/net/node_connection.py
+++ b/magpiefront/net/node_connection.py
@@ -8,7 +8,7 @@
 
 import httptools
 
-from magpiefront.interface import Outcome
+from magpiefront.interface import NEVER_RAN, Outcome
 from magpiefront.net.answer_reader import AnswerReader
 from magpiefront.net.exchange import Attempt, Exchange
 from magpiefront.net.hangup import HangUpWatch, unacknowledged
@@ -238,14 +238,16 @@
         if self.surplus:
             self.life.answered_at = now
             self._tell_stray(StrayReason.SURPLUS, 0)
-        self.life.answered(now, self.written and self.lasting and not self.surplus)
+        outcome = answer.outcome()
+        keeps = self.written and self.lasting and not self.surplus
+        self.life.answered(now, keeps and outcome not in NEVER_RAN)
         self.exchange, exchange.connection = None, None
         self.resume()
         if self.life.state is State.RESTING:
             self.node.put_back(self)
         else:
             self.close()
-        exchange.end(answer.outcome(), answer)
+        exchange.end(outcome, answer)
 
     def pause(self) -> None:
         if not self.paused:
--- a/magpiefront/reuse.py
+++ b/magpiefront/reuse.py
@@ -2,7 +2,9 @@
 
 Answers carry no id: an answer belongs to a request only if nothing else on its connection can be answering.
 A connection that has carried an answer therefore rests, watched, before it carries another request; whatever
-comes while nothing is out on it closes it. Times are seconds of any clock that only goes forward.
+comes while nothing is out on it closes it. One that has carried a refusal, the proof that a request never
+ran, carries nothing more: a copy of that can then prove nothing of another. Times are seconds of any clock
+that only goes forward.
 """
 
 from __future__ import annotations
--- a/tests/test_strays.py
+++ b/tests/test_strays.py
@@ -83,6 +83,20 @@
     run(main())
 
 
+def test_a_connection_that_has_carried_a_refusal_carries_nothing_more() -> None:
+    """A copy of it, however late, would prove of the next request that it never ran."""
+
+    async def main() -> None:
+        async with world(says(DECLINED)) as w:
+            assert (await w.ask(kind="once")).status == 503
+            await until(lambda: not w.proxy.pool.open, "the closing")
+            w.nodes[0].handler = says(ok(b"own"))
+            w.let_rest()
+            assert (await w.ask(kind="once")).body == b"own" and w.nodes[0].connections == 2
+
+    run(main())
+
+
 def test_a_refusal_that_comes_before_the_node_has_the_request_proves_nothing() -> None:
     """Taken for "never ran", it had the request sent once more, or refused, though it could still run."""
 
