--- a/magpiefront/net/exchange.py
+++ b/magpiefront/net/exchange.py
@@ -5,7 +5,7 @@
 import asyncio
 from typing import Protocol
 
-from magpiefront.interface import Outcome, Repeat
+from magpiefront.interface import Outcome
 from magpiefront.net.answer import Answer
 from magpiefront.net.request import Request
 
@@ -88,11 +88,6 @@
     def begun(self) -> bool:
         return self.connection is not None
 
-    @property
-    def repeatable(self) -> bool:
-        """May it be sent again without harm, whatever has become of it?"""
-        return True
-
     def may_begin(self) -> bool:
         """Asked right before the first byte is written: what held when it was decided may be long ago."""
         return True
@@ -116,11 +111,6 @@
         self.streaming = False
         self.looked = False  # whether its answer had come, when its time was over
 
-    @property
-    def repeatable(self) -> bool:
-        cls = self.request.cls
-        return cls is not None and cls.repeat is Repeat.SAFE
-
     def may_begin(self) -> bool:
         """Not to a node that has begun to drain while the connection came up, not past the window for
         repeats, and not for a client that has gone."""
--- a/magpiefront/net/pool.py
+++ b/magpiefront/net/pool.py
@@ -57,7 +57,7 @@
         """On a connection that may be used, or on a new one; or on one whose rest ends before that is up."""
         cause = NewCause.RESTING if self.idle else NewCause.NONE_OPEN
         now = self.clock()
-        while (connection := self._take_usable(exchange, now)) is not None:
+        while (connection := self._take_usable(now)) is not None:
             if self._start_on(connection, exchange, now):
                 return
             cause = NewCause.ENDED
@@ -86,10 +86,10 @@
         exchange.task = self.loop.create_task(self._connect(made, exchange))
         exchange.task.add_done_callback(lambda _: self._connected(made))
 
-    def _take_usable(self, exchange: Exchange, now: float) -> NodeConnection | None:
+    def _take_usable(self, now: float) -> NodeConnection | None:
         """Of those whose rest is over, the one that was used last; the others may then be closed in time.
         Else one that has not carried anything, which costs its node as much as a new one."""
-        rest_s = self.pool.rest.rest_s(exchange.repeatable, now)
+        rest_s = self.pool.rest.rest_s(now)
         rested = bisect_right(self.idle, now - rest_s, key=answered_at)
         if rested:
             connection = self.idle.pop(rested - 1)
@@ -105,7 +105,7 @@
         """Guards against waiting for a connection that comes up late, or never, beside one that may be used
         by then."""
         if self.idle:
-            rest_s = self.pool.rest.rest_s(exchange.repeatable, now)
+            rest_s = self.pool.rest.rest_s(now)
             left_s = answered_at(self.idle[0]) + rest_s - now
             if left_s < self.pool.connect_timeout_s:
                 self.loop.call_later(left_s + TIMER_S, self._one_has_rested, exchange)
@@ -115,7 +115,7 @@
         if exchange.done or exchange.begun or not isinstance(opening, NodeConnection):
             return
         now = self.clock()
-        connection = self._take_usable(exchange, now)
+        connection = self._take_usable(now)
         if connection is None:
             self._look_when_one_has_rested(exchange, now)
             return
--- a/magpiefront/reuse.py
+++ b/magpiefront/reuse.py
@@ -12,9 +12,8 @@
 from enum import Enum
 
 # A copy of an answer that comes later than a connection has rested, and behind the next request, is taken for
-# that request's answer. Where a repeat may do harm that is a second effect, too.
-REST_S = 0.5
-CAREFUL_REST_S = 1.0
+# that request's answer. What more of it costs: docs/capacity.md.
+REST_S = 0.35
 MOST_REST_S = 4.0
 LATEST_COPY_S = MOST_REST_S / 2  # bytes later than this are a node's last words on an idle connection
 CALM_S = 60.0  # in which the lateness that is reckoned with falls by half
@@ -102,19 +101,18 @@
 
 
 class RestPolicy:
-    """How long connections rest: for requests that may be repeated and for all others, and for longer once an
-    answer's copy was seen late, on any connection, for what copies answers may be anything on the way."""
+    """How long connections rest: for longer once an answer's copy was seen late, on any connection, for what
+    copies answers may be anything on the way."""
 
     __slots__ = ("_late_s", "_seen_at")
 
     def __init__(self) -> None:
         self._late_s = self._seen_at = 0.0
 
-    def rest_s(self, repeatable: bool, now: float) -> float:
-        least_s = REST_S if repeatable else CAREFUL_REST_S
+    def rest_s(self, now: float) -> float:
         if not self._late_s:
-            return least_s
-        return max(least_s, min(MOST_REST_S, 2 * self._reckoned_s(now)))
+            return REST_S
+        return max(REST_S, min(MOST_REST_S, 2 * self._reckoned_s(now)))
 
     def saw_stray(self, late_s: float, now: float) -> None:
         """Bytes that nobody asked for came so long after their connection's last answer."""
