--- a/magpiefront/net/exchange.py
+++ b/magpiefront/net/exchange.py
@@ -22,6 +22,7 @@
     heard_at: float
 
     def give_up(self, exchange: Exchange) -> None: ...
+    def spare_for_others(self) -> None: ...
     def pause(self) -> None: ...
     def resume(self) -> None: ...
 
@@ -61,7 +62,7 @@
     def __init__(self, node: Target, now_us: int) -> None:
         self.node, self.sent_at, self.done = node, now_us, False
         self.connection: Carrier | None = None
-        self.opening: object | None = None  # the connection that is made for it
+        self.opening: Carrier | None = None  # the connection that is made for it
         self.task: asyncio.Task[None] | None = None
         self.timer: asyncio.TimerHandle | None = None
 
--- a/magpiefront/net/pool.py
+++ b/magpiefront/net/pool.py
@@ -112,7 +112,7 @@
 
     def _one_has_rested(self, exchange: Exchange) -> None:
         opening = exchange.opening
-        if exchange.done or exchange.begun or not isinstance(opening, NodeConnection):
+        if exchange.done or exchange.begun or opening is None:
             return
         now = self.clock()
         connection = self._take_usable(now)
--- a/magpiefront/net/trace.py
+++ b/magpiefront/net/trace.py
@@ -37,7 +37,7 @@
     async def _connect(self, connection: NodeConnection, exchange: Exchange) -> None:
         began = self.pool.loop.time()
         await super()._connect(connection, exchange)
-        word = "ok" if exchange.connection is not None else "failed"
+        word = "ok" if connection.transport is not None else "failed"
         elapsed = int((self.pool.loop.time() - began) * 1e6)
         line(f"c {self.name} {word} {elapsed} {self.open}")
 
