--- a/magpiefront/net/pool.py
+++ b/magpiefront/net/pool.py
@@ -17,7 +17,6 @@
 from magpiefront.reuse import RestPolicy
 
 TIMER_S = 0.001  # the least that the event loop's timers tell apart
-SURPLUS_S = 3.0  # a connection that was not needed for so long is one too many, where its node has another
 # This machine's own trouble: no sign of a node that is down, which would return cold.
 LOCAL_ERRORS = NO_ROOM | {errno.EADDRNOTAVAIL, errno.ENETUNREACH, errno.ENETDOWN}
 
@@ -155,8 +154,6 @@
         kept = self.idle if connection.life.used else self.unused
         kept.append(connection)
         self.pool.idle[connection] = None
-        if len(self.idle) > 1 and answered_at(self.idle[0]) < answered_at(connection) - SURPLUS_S:
-            self.pool.close_idle(self.idle[0])
 
     def lost(self, connection: NodeConnection) -> None:
         self.open -= 1
