--- a/standins/answers/clients.py
+++ b/standins/answers/clients.py
@@ -69,7 +69,10 @@
         return "\r\n".join([*lines, "", ""]).encode() + body
 
     def new(self, proxy: int) -> Asked:
-        a = Asked(f"q{self.plan.seed}-{len(self.asked):06d}", proxy, self.plan.deadline_s)
+        deadline_s = self.plan.deadline_s
+        if self.random.random() < self.plan.faults.patient:
+            deadline_s *= 2
+        a = Asked(f"q{self.plan.seed}-{len(self.asked):06d}", proxy, deadline_s)
         self.asked.append(a)
         return a
 
--- a/standins/answers/nodes.py
+++ b/standins/answers/nodes.py
@@ -3,8 +3,9 @@
     python -m standins.answers.nodes PLAN.json PORT BOOK
 
 Node number n listens at `fleetnodes.address_of(n)`. A node works on one request of a connection at a time,
-names the request in its answer's body, and plays the plan's faults. Prints `ready` once all listen. On
-SIGTERM it writes BOOK: a list of `Attempt` as JSON. Times are seconds of CLOCK_MONOTONIC.
+names the request in its answer's body, and plays the plan's faults. From SIGUSR1 on all work hangs. Prints
+`ready` once all listen. On SIGTERM it writes BOOK: a list of `Attempt` as JSON. Times are seconds of
+CLOCK_MONOTONIC.
 """
 
 from __future__ import annotations
@@ -195,7 +196,7 @@
         else:
             a.taken, a.ran, self.working = now, True, a
             work_s = self.random.expovariate(1 / self.farm.plan.work_s)
-            if self.random.random() < self.faults.hangs:
+            if self.farm.hangs or self.random.random() < self.faults.hangs:
                 work_s = HANG_S
             self.farm.loop.call_later(work_s, self._done, a)
 
@@ -299,6 +300,7 @@
         self.book: list[Attempt] = []
         self.tasks: set[asyncio.Task[None]] = set()
         self.connections = self.extra = 0
+        self.hangs = False
         self.nodes = [Node(n, port, self) for n in range(plan.nodes)]
 
     def next_connection(self) -> int:
@@ -321,6 +323,7 @@
     loop, stop = asyncio.get_running_loop(), asyncio.Event()
     loop.add_signal_handler(signal.SIGTERM, stop.set)
     farm = Farm(plan, port, loop)
+    loop.add_signal_handler(signal.SIGUSR1, setattr, farm, "hangs", True)
     farm.start()
     print("ready", flush=True)
     await stop.wait()
--- a/standins/answers/plan.py
+++ b/standins/answers/plan.py
@@ -28,12 +28,14 @@
     refusals: float = 0.0  # requests that are turned away at random
     errors: float = 0.0  # requests answered with 500
     hangs: float = 0.0  # requests whose work lasts too long
+    hang_at_end: bool = False  # all requests do from SIGTERM on
     farewells: float = 0.0  # idle connections on which a 408 comes before they are closed
     early_closes: float = 0.0  # connections that are closed soon after an answer
     forgotten: float = 0.0  # connections that are silent after an answer
     accept_pauses: int = 0  # how often a node accepts nothing for up to a second
     crashes: int = 0  # how often a node resets all it has and comes back cold
     leavers: float = 0.0  # clients that close before their answer
+    patient: float = 0.0  # clients that wait twice as long as the settings' longest deadline
     bursts: int = 0  # how often a third of all waiting clients leave at once
     stoppers: float = 0.0  # clients that stop in the middle of a request
     slow_writers: float = 0.0  # clients that write a request in pieces
@@ -59,6 +61,7 @@
     deadline_s: float = 1.9
     work_s: float = 0.03  # mean of an answer's work
     hedging: bool = False
+    connect_timeout_s: float = 0.25
     terminate: bool = False  # SIGTERM at the end, SIGKILL as early as it may come
     faults: Faults = field(default_factory=Faults)
 
@@ -106,12 +109,14 @@
     Kind("refusals", lambda r: {"refusals": r.uniform(0.05, 0.3)}),
     Kind("errors", lambda r: {"errors": r.uniform(0.01, 0.2)}),
     Kind("nodes that hang", lambda r: {"hangs": r.uniform(0.01, 0.1)}),
+    Kind("nodes that hang through a shutdown", lambda r: {"hang_at_end": True, "patient": 0.3}),
     Kind("last words on idle connections", lambda r: {"farewells": r.uniform(0.05, 0.4)}),
     Kind("idle connections closed early", lambda r: {"early_closes": r.uniform(0.05, 0.5)}),
     Kind("forgotten connections", lambda r: {"forgotten": r.uniform(0.02, 0.2)}),
-    Kind("connections that come up late", lambda r: {"accept_pauses": r.randrange(1, 12)}),
+    Kind("connections that come up late", lambda r: {"accept_pauses": r.randrange(5, 30)}),
     Kind("nodes that crash", lambda r: {"crashes": r.randrange(1, 6)}),
     Kind("clients that leave", lambda r: {"leavers": r.uniform(0.02, 0.3)}),
+    Kind("patient clients", lambda r: {"patient": r.uniform(0.1, 0.5)}),
     Kind("clients that leave in a burst", lambda r: {"bursts": r.randrange(1, 4)}),
     Kind("clients that stop", lambda r: {"stoppers": r.uniform(0.01, 0.1)}),
     Kind("clients that write slowly", lambda r: {"slow_writers": r.uniform(0.05, 0.4)}),
@@ -149,7 +154,11 @@
     drawn: dict[str, Any] = {}
     for kind in kinds:
         drawn |= kind.draw(random)
-    return replace(plan, faults=Faults(**drawn))
+    # Long enough for a connection whose first SYN was dropped (1 s), or not.
+    connect_timeout_s = random.choice((0.25, 1.5))
+    faults = Faults(**drawn)
+    terminate = plan.terminate or faults.hang_at_end
+    return replace(plan, connect_timeout_s=connect_timeout_s, terminate=terminate, faults=faults)
 
 
 def kinds_of(faults: Faults) -> list[str]:
--- a/standins/answers/round.py
+++ b/standins/answers/round.py
@@ -64,7 +64,7 @@
     return {
         "balancers": plan.proxies, "grades": [grade], "discovery": "automatic", "myZone": "z0",
         "permissions": {"maxAttempts": 4, "secondCopies": plan.hedging, "mayCancel": True, "probes": True,
-                        "connectTimeoutUs": 250_000, "connIdleUs": 15_000_000},
+                        "connectTimeoutUs": int(plan.connect_timeout_s * 1e6), "connIdleUs": 15_000_000},
         "rules": {"coldFrom": 0.3, "coldUs": 1_000_000, "stopSendingWithinUs": 500_000},
     }  # fmt: skip
 
@@ -161,8 +161,10 @@
             await asyncio.sleep(self.random.expovariate(self.plan.rate))
             self._ask(self.random.randrange(self.plan.proxies))
 
-    async def _terminate(self) -> None:
+    async def _terminate(self, nodes: asyncio.subprocess.Process) -> None:
         """Clients go on with the connections that are open, until the kill."""
+        if self.plan.faults.hang_at_end:
+            nodes.send_signal(signal.SIGUSR1)
         for process in self.proxies:
             self._signal(process, signal.SIGCONT)
             self._signal(process, signal.SIGTERM)
@@ -186,7 +188,7 @@
             self._plan_faults()
             await self._traffic()
             if self.plan.terminate:
-                await self._terminate()
+                await self._terminate(nodes)
                 at_end = time.monotonic()
             while self.tasks:
                 await asyncio.wait(set(self.tasks), timeout=1.0)
