The time of a client that had to wait to be accepted counts from its last byte

The proxy had no descriptor for 0.2 s, so that the client and its request waited in the kernel's queue, and the time counted from when they were read.

Mend: on connections that were accepted after a shortage, the first request's time counts from when its last byte came, as the kernel tells (TCP_INFO), at most since the shortage began.

--- a/magpiefront/net/downstream.py
+++ b/magpiefront/net/downstream.py
@@ -13,7 +13,7 @@
 from magpiefront.net.bodies import Bodies
 from magpiefront.net.events import EventLog, Reason
 from magpiefront.net.figures import Figures
-from magpiefront.net.hangup import HangUpWatch
+from magpiefront.net.hangup import HangUpWatch, since_last_data_s
 from magpiefront.net.http1 import BODY_LIMIT, Connection, HeadTooLong, chunk, head
 from magpiefront.net.request import METHODS, SINGLE, Request, Stage
 
@@ -57,7 +57,7 @@
     methods = METHODS
     allow = b"Allow: GET, PUT\r\n"
     __slots__ = ("began", "chunked", "closing", "front", "hang_up", "lingering", "moved_at", "overflow",
-                 "reading", "request", "size", "taking", "under_way", "used", "waiting",
+                 "queued_us", "reading", "request", "size", "taking", "under_way", "used", "waiting",
                  "writable")  # fmt: skip
 
     def __init__(self, front: Owner) -> None:
@@ -72,6 +72,7 @@
         self.reading = self.writable = True
         self.used = self.under_way = False  # has it been served? is a message being read?
         self.began = self.moved_at = front.loop.time()  # for time-outs: when the last step was made
+        self.queued_us = 0  # how long it may have waited to be accepted
         self.size: int = 0  # of the body that is being read
         self.hang_up: HangUpWatch | None = None  # made when it is first asked
 
@@ -258,7 +259,7 @@
             return
         request.size, self.size = self.size, 0
         request.client_gone = self.client_gone
-        request.taken_at = self.front.house.now_us()
+        request.taken_at = self.front.house.now_us() - self._waited_us()
         if request.cls is not None and not request.error:
             request.tally = self.front.house.figures.of(request.headers[b"req-kind"])
             request.tally.taken += 1
@@ -272,6 +273,12 @@
             self.closing = True
         self.waiting.append(request)
 
+    def _waited_us(self) -> int:
+        """How long the first request of a connection has lain unread, where the connection had to wait to be
+        accepted: its time counts from when its last byte came."""
+        most_us, self.queued_us = self.queued_us, 0
+        return min(most_us, int(since_last_data_s(self.transport) * 1e6)) if most_us else 0
+
     # ---- answers
 
     @property
--- a/magpiefront/net/front.py
+++ b/magpiefront/net/front.py
@@ -32,6 +32,7 @@
         self.opening: set[asyncio.Task[object]] = set()
         self.stopping = self.accepting = self.refusing = False
         self.shared = False  # has another process a copy of the listening socket?
+        self.queue_since_us: int | None = None  # since when connections wait that could not be accepted
         self.look_at = 0.0  # not before this is it looked for room again
         self.socket: socket.socket | None = None
 
@@ -78,7 +79,7 @@
             for c in going:
                 c.transport.abort()  # this process's end of it alone
 
-    def adopt(self, s: socket.socket) -> None:
+    def adopt(self, s: socket.socket) -> ClientConnection:
         """A client's connection, as accepted."""
         s.setblocking(False)
         client = self.client_type(self)
@@ -86,6 +87,7 @@
         task = self.loop.create_task(self._open(client, s))
         self.opening.add(task)
         task.add_done_callback(self.opening.discard)
+        return client
 
     def _accept_more(self) -> None:
         if self.socket is not None and not self.accepting and not self.handed:
@@ -114,13 +116,18 @@
                 self.house.log(f"no connection taken: {e}")
                 return False
             if s is None:
+                self.queue_since_us = None
                 return False
             s.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            self.adopt(s)
+            client = self.adopt(s)
+            if self.queue_since_us is not None:
+                client.queued_us = self.house.now_us() - self.queue_since_us
         return True
 
     def _pause_accepting(self) -> None:
         """Those that wait stay in the kernel's queue; a loop that asked on at once would only be busy."""
+        if self.queue_since_us is None:
+            self.queue_since_us = self.house.now_us()
         self._accept_no_more()
         self.loop.call_later(LOOK_S, self._accept_more)
 
--- a/magpiefront/net/hangup.py
+++ b/magpiefront/net/hangup.py
@@ -11,12 +11,14 @@
 import fcntl
 import select
 import socket
+import struct
 import sys
 import termios
 
 CLOSED = select.POLLRDHUP | select.POLLHUP | select.POLLERR | select.POLLNVAL
 
 
+LAST_DATA_RECEIVED = 52  # bytes into Linux's struct tcp_info (tcp(7)); milliseconds
 TIOCOUTQ = getattr(termios, "TIOCOUTQ", None)  # SIOCOUTQ of tcp(7); not on every system
 
 
@@ -32,6 +34,17 @@
         return 0
 
 
+def since_last_data_s(transport: asyncio.BaseTransport) -> float:
+    """How long ago the last bytes came to this machine, read or not; 0 where the system does not tell."""
+    own = transport.get_extra_info("socket")
+    try:
+        told = own.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, LAST_DATA_RECEIVED + 4)
+        waited_ms: int = struct.unpack_from("I", told, LAST_DATA_RECEIVED)[0]
+    except (OSError, AttributeError, struct.error):
+        return 0.0
+    return waited_ms / 1000
+
+
 class HangUpWatch:
     """Looks at one connection without waiting."""
 
--- a/tests/test_system_calls.py
+++ b/tests/test_system_calls.py
@@ -6,6 +6,7 @@
 import errno
 import os
 import socket
+import time
 from collections.abc import Iterator
 from typing import Any, cast
 
@@ -135,3 +136,35 @@
             await until(lambda: not w.proxy.requests)
 
     run(main())
+
+
+def test_a_node_is_told_what_is_left_to_a_client_that_had_to_wait_to_be_accepted(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Its time counted from when the proxy had a descriptor for it, up to 0.2 s after its last byte."""
+
+    async def main() -> None:
+        async with world(None) as w:
+            room = asyncio.Event()
+
+            def short(listener: socket.socket) -> socket.socket | None:
+                if not room.is_set():
+                    raise NoRoom("too many open files")
+                return accepted(listener)
+
+            monkeypatch.setattr(front, "accepted", short)
+            client = await w.client()
+            client.send(request(kind="once", deadline="0.9"))
+            sent = time.monotonic()
+            await until(lambda: w.front.queue_since_us, "the shortage")
+            await asyncio.sleep(0.2)
+            waited_s = time.monotonic() - sent
+            room.set()
+            assert (await client.answer()).status == 200
+            told = float(w.nodes[0].seen[0].headers["req-deadline"])
+            assert told <= 0.9 - waited_s + 0.01
+            client.send(request(kind="once", deadline="0.9"))
+            assert (await client.answer()).status == 200
+            assert float(w.nodes[0].seen[1].headers["req-deadline"]) > 0.8
+
+    run(main())
