A connection that a pool finds rested may be used to the last bit of its clock

The pool looked for connections by when their last answer came, and the connection asked how long ago that was: two sums that may differ in the last bit, and then the writing of a request raised ValueError. Found by reading; tests/test_reuse.py fails before. Both ask by the same sum now.

--- a/magpiefront/reuse.py
+++ b/magpiefront/reuse.py
@@ -61,7 +61,7 @@
 
     def rested(self, now: float, rest_s: float) -> bool:
         """Is its rest over? Then it is idle."""
-        if self.state is State.RESTING and now - self.answered_at >= rest_s:
+        if self.state is State.RESTING and self.answered_at <= now - rest_s:  # as the pool looks for it
             self.state = State.IDLE
         return self.state is State.IDLE
 
--- a/tests/test_reuse.py
+++ b/tests/test_reuse.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from random import Random
+
 import pytest
 
 from magpiefront.reuse import (
@@ -107,3 +109,11 @@
     policy.saw_stray(1.5, 100.0)
     policy.saw_stray(0.1, 101.0)
     assert policy.rest_s(101.0) > 2.9
+
+
+def test_what_a_pool_finds_rested_may_be_used_to_the_last_bit_of_its_clock() -> None:
+    random = Random(7)
+    for _ in range(20_000):
+        now = random.uniform(0, 1e6)
+        at = now - REST_S
+        assert life(State.RESTING, answered_at=at).rested(now, REST_S)
