--- a/magpiefront/caching/stage.py
+++ b/magpiefront/caching/stage.py
@@ -1,4 +1,4 @@
-"""The stage that answers from what is kept, and sends on, once for all who wait, what it can't answer."""
+"""The stage that answers requests from the cache and forwards the others, collapsing concurrent fetches."""
 
 from __future__ import annotations
 
@@ -10,559 +10,614 @@
 
 from magpiefront.caching import dates, rules, status, targets, vary
 from magpiefront.caching.disk import Disk
-from magpiefront.caching.fences import Fences
-from magpiefront.caching.flights import Flight, Spot, Waiter
-from magpiefront.caching.giving import CONDITIONS, Giver
-from magpiefront.net.house import Classed
-from magpiefront.caching.loads import Loads
-from magpiefront.caching.rules import Answered, Asked, Cause, Forward, Fwd, Serve, Stored
+from magpiefront.caching.fences import StoreFences
+from magpiefront.caching.fetches import Fetch, FetchKey, Waiter
+from magpiefront.caching.responses import CONDITIONAL_FIELDS, ResponseSender
+from magpiefront.net.runtime import RuntimeWithClasses
+from magpiefront.caching.disk_loads import DiskLoads
+from magpiefront.caching.rules import (
+    CacheRequest, FailureCause, Forward, ForwardReason, OriginResponse, Serve, StoredResponse,
+)  # fmt: skip
 from magpiefront.caching.settings import CachingSettings
 from magpiefront.caching.store import Store
-from magpiefront.caching.writes import Writes
+from magpiefront.caching.writes import WriteForwarder
 from magpiefront.interface import Repeat
-from magpiefront.net.fields import Fields, end_to_end, lines, read_lines
-from magpiefront.net.request import READS, Request, Stage
+from magpiefront.net.fields import Fields, end_to_end, format_fields, parse_fields
+from magpiefront.net.request import READ_METHODS, Request, Stage
 
-# Said of a request, its answer is not simply what is kept.
-SPECIAL = frozenset({
+# A request with one of these fields cannot take the fast path of `submit`.
+CACHE_RELATED_FIELDS = frozenset({
     b"cache-control", b"pragma", b"if-none-match", b"if-modified-since", b"if-range", b"range", b"if-match",
     b"if-unmodified-since",
 })  # fmt: skip
-SAFE = READS | {b"OPTIONS"}
-FOR_THE_ORIGIN = frozenset({b"if-match", b"if-unmodified-since"})
-# Written anew for each hop, or the platform's own.
-OWN = frozenset({
+SAFE_METHODS = READ_METHODS | {b"OPTIONS"}
+ORIGIN_CONDITION_FIELDS = frozenset({b"if-match", b"if-unmodified-since"})
+# Generated anew for each hop, or reserved for the platform.
+REPLACED_FIELDS = frozenset({
     b"host", b"content-length", b"content-type", b"expect", b"idempotency-key", b"req-id", b"req-kind",
     b"req-owner", b"req-deadline", b"req-retry", b"req-cost", b"req-extra",
 })  # fmt: skip
-# Guards against answers that somebody shapes for all by a field that no key holds: nobody in front of this
-# program is trusted to write these.
-DROPPED = frozenset({
+# Guards against cache poisoning by fields that are not part of the cache key: neither clients nor proxies in
+# front of this program are trusted to set these.
+UNTRUSTED_FIELDS = frozenset({
     b"forwarded", b"x-forwarded-for", b"x-forwarded-host", b"x-forwarded-port", b"x-forwarded-proto",
     b"x-forwarded-scheme", b"x-forwarded-server", b"x-forwarded-prefix", b"x-host", b"x-original-host",
     b"x-original-url", b"x-rewrite-url", b"x-http-method-override", b"x-method-override", b"x-http-method",
 })  # fmt: skip
-FAILED = frozenset({500, 502, 503, 504})  # RFC 5861, 4
-MOST_TRIES = 2  # how many shared ones a request waits for before it goes alone
-MOST_REFRESHES = 64
-MOST_PASSED = 10_000
+SERVER_ERRORS = frozenset({500, 502, 503, 504})  # RFC 5861, 4
+MAX_SHARED_TRIES = 2  # shared fetches that a request waits for before it is forwarded alone
+MAX_REFRESHES = 64
+MAX_HIT_FOR_PASS_KEYS = 10_000
 
 
 class CachingStage:
+    """Answers safe requests from the cache; is the responder of the requests that it forwards.
+
+    `wall` returns the Unix time in seconds.
+    """
+
     def __init__(
-        self, house: Classed, following: Stage, settings: CachingSettings, disk: Disk | None = None,
-        wall: Callable[[], float] = time.time,
+        self, runtime: RuntimeWithClasses, following: Stage, settings: CachingSettings,
+        disk: Disk | None = None, wall: Callable[[], float] = time.time,
     ) -> None:  # fmt: skip
-        self.house, self.following, self.wall, self.disk = house, following, wall, disk
+        self.runtime, self.following, self.wall, self.disk = runtime, following, wall, disk
         self.store = Store(settings.most_bytes, settings.most_variants)
-        self.giver = Giver()
-        self.fences = Fences(settings.unsure_for_us)
-        self.writes = Writes(house, following, self.fences, self._void, self._read,
-                             lambda r: self._more(r, self.drop, []))  # fmt: skip
-        self.by_twin: dict[Request, Flight] = {}
-        self.waits: dict[Request, Flight] = {}
-        self.spots: dict[Spot, Flight] = {}
-        self.by_gauge: dict[bytes, dict[Flight, None]] = {}
-        self.passed: OrderedDict[bytes, int] = OrderedDict()  # keys that go alone, until when
-        self.loads: Loads | None = None
+        self.sender = ResponseSender()
+        self.fences = StoreFences(settings.unknown_outcome_us)
+        self.writes = WriteForwarder(
+            runtime, following, self.fences, self._invalidate_gauge, self._parse_response,
+            lambda r: self._format_forwarded(r, self.dropped_fields, []),
+        )  # fmt: skip
+        self.fetches_by_request: dict[Request, Fetch] = {}
+        self.fetches_by_client: dict[Request, Fetch] = {}
+        self.joinable_fetches: dict[FetchKey, Fetch] = {}
+        self.fetches_by_gauge: dict[bytes, dict[Fetch, None]] = {}
+        # Keys whose requests are not collapsed, and until when.
+        self.hit_for_pass_until_us: OrderedDict[bytes, int] = OrderedDict()
+        self.loads: DiskLoads | None = None
         if disk is not None:
-            self.loads = Loads(disk, self._found, lambda r, key, tries: self._consider(r, key, tries, False))
+            self.loads = DiskLoads(
+                disk, self._on_disk_load, lambda r, key, tries: self._handle(r, key, tries, False)
+            )
         self.refreshes = 0
-        self.start, self.ids = token_hex(6), itertools.count(1)
+        self.id_prefix, self.ids = token_hex(6), itertools.count(1)
         self.configure(settings)
 
     def configure(self, settings: CachingSettings) -> None:
-        self.settings, self.policy, self.chosen = settings, settings.policy, settings.classes
-        self.name = self.writes.name = self.giver.name = settings.policy.name
-        self.drop = OWN | DROPPED | settings.drop_fields
+        """Applies new settings, and evicts responses if the store has become smaller."""
+        self.settings, self.policy, self.cached_classes = settings, settings.policy, settings.classes
+        self.name = self.writes.name = self.sender.name = settings.policy.name
+        self.dropped_fields = REPLACED_FIELDS | UNTRUSTED_FIELDS | settings.drop_fields
         self.via = b"1.1 " + self.name.encode()
-        self.fences.unsure_us = settings.unsure_for_us
-        self.store.most, self.store.most_variants = settings.most_bytes, settings.most_variants
+        self.fences.unknown_outcome_us = settings.unknown_outcome_us
+        self.store.max_bytes, self.store.most_variants = settings.most_bytes, settings.most_variants
         self.store.shrink()
 
-    # ---- the stage
+    # ---- Stage
 
-    def take(self, r: Request) -> None:
+    def submit(self, r: Request) -> None:
         h, method = r.headers, r.method
-        cls = self.house.classes.get(h[b"req-kind"])
+        cls = self.runtime.classes.get(h[b"req-kind"])
         if method == b"PURGE":
             self._purge(r)
             return
-        if method not in SAFE or cls is None or cls.repeat is not Repeat.SAFE:
-            self.writes.take(r)
+        if method not in SAFE_METHODS or cls is None or cls.repeat is not Repeat.SAFE:
+            self.writes.submit(r)
             return
         key = targets.key(h.get(b"host", b""), r.target)
         found = self.store.get(key)
-        usual = method == b"GET" and SPECIAL.isdisjoint(h) and not r.size
-        if found is not None and usual and (self.chosen is None or cls.name in self.chosen):
+        is_plain_get = method == b"GET" and CACHE_RELATED_FIELDS.isdisjoint(h) and not r.size
+        if found is not None and is_plain_get and (
+            self.cached_classes is None or cls.name in self.cached_classes
+        ):  # fmt: skip
             variants = found.variants
             v = variants[0]
             if len(variants) == 1 and not v.vary and not v.no_cache:
-                now = self.house.now_us()
-                if v.fresh(now):
-                    self.giver.from_store(r, v, now, "")
+                now = self.runtime.now_us()
+                if v.is_fresh(now):
+                    self.sender.send_hit(r, v, now, "")
                     return
-        self._consider(r, key, 0)
+        self._handle(r, key, 0)
 
-    def _consider(self, r: Request, key: bytes, tries: int, disk: bool = True) -> None:
-        now, asked = self.house.now_us(), Asked(b"GET", r.headers)
+    def _handle(self, r: Request, key: bytes, tries: int, use_disk: bool = True) -> None:
+        """Answers a request from the store or a disk load, joins a fetch, or starts one."""
+        now, cache_request = self.runtime.now_us(), CacheRequest(b"GET", r.headers)
         gauge = targets.gauge_of(r.target)
-        cls = self.house.classes.get(r.headers[b"req-kind"])
-        if r.size or r.method not in READS or not FOR_THE_ORIGIN.isdisjoint(r.headers) or cls is None or (
-            self.chosen is not None and cls.name not in self.chosen
+        cls = self.runtime.classes.get(r.headers[b"req-kind"])
+        if (
+            r.size or r.method not in READ_METHODS or not ORIGIN_CONDITION_FIELDS.isdisjoint(r.headers)
+            or cls is None or (self.cached_classes is not None and cls.name not in self.cached_classes)
         ):  # fmt: skip
-            self._send(r, key, gauge, asked, Forward(Fwd.BYPASS), tries, False, False)
+            self._start_fetch(
+                r, key, gauge, cache_request, Forward(ForwardReason.BYPASS), tries, False, False
+            )
             return
         variants = self.store.peek(key)
-        if not variants and disk and self.loads is not None and self.loads.disk.has(key):
-            self.loads.take(r, key, gauge, tries)
+        if not variants and use_disk and self.loads is not None and self.loads.disk.has(key):
+            self.loads.load(r, key, gauge, tries)
             return
-        choice = rules.choose(asked, variants, now, self.policy)
+        choice = rules.choose(cache_request, variants, now, self.policy)
         if isinstance(choice, Serve):
-            self.giver.from_store(r, choice.stored, now, "stale" if choice.stale else "")
+            self.sender.send_hit(r, choice.stored, now, "stale" if choice.stale else "")
             if choice.refresh:
-                self._refresh(r, key, gauge, asked, choice.stored)
+                self._start_refresh(r, key, gauge, cache_request, choice.stored)
             return
-        if choice.never:
+        if choice.only_if_cached:
             more = b"Date: %b\r\n" % dates.render(int(self.wall()))
-            r.replies.answer(
-                r, 504, (), more + status.forwarded(self.name, choice.fwd, detail="only-if-cached")
+            r.responder.answer(
+                r, 504, (), more + status.forwarded(self.name, choice.reason, detail="only-if-cached")
             )
             return
-        open_ = not self.fences.closed(gauge, now)
-        # A HEAD of something that is not here is not worth its body, where the servers know HEAD.
-        bare = r.method == b"HEAD" and self.settings.plain_servers and choice.stored is None
-        shared = (
-            open_ and not asked.solitary and not bare and tries < MOST_TRIES and not self._passes(key, now)
-        )
-        if shared:
-            spot = key, self._selected(variants, asked)
-            flight = self.spots.get(spot)
-            if flight is not None:
-                self._join(flight, Waiter(r, asked, choice.fwd, tries, True), now)
+        # Whether responses for the gauge may be stored now; see `StoreFences`.
+        is_open = not self.fences.is_closed(gauge, now)
+        # Without a stored response, fetching the body for a HEAD does not pay if the servers support HEAD.
+        is_plain_head = r.method == b"HEAD" and self.settings.plain_servers and choice.stored is None
+        is_shared = (
+            is_open and not cache_request.needs_own_response and not is_plain_head
+            and tries < MAX_SHARED_TRIES and not self._is_hit_for_pass(key, now)
+        )  # fmt: skip
+        if is_shared:
+            fetch_key = key, self._secondary_key(variants, cache_request)
+            fetch = self.joinable_fetches.get(fetch_key)
+            if fetch is not None:
+                self._join(fetch, Waiter(r, cache_request, choice.reason, tries, True), now)
                 return
-        self._send(r, key, gauge, asked, choice, tries, shared, open_)
+        self._start_fetch(r, key, gauge, cache_request, choice, tries, is_shared, is_open)
 
-    def _selected(self, variants: Sequence[Stored], asked: Asked) -> tuple[bytes | None, ...]:
-        """What a request says in the fields that answers of its key vary by, as far as is known."""
+    def _secondary_key(
+        self, variants: Sequence[StoredResponse], cache_request: CacheRequest
+    ) -> tuple[bytes | None, ...]:
+        """Returns the request's values of all fields that the stored variants vary by."""
         names = sorted({n for v in variants for n in v.vary})
-        return vary.secondary(tuple(names), asked.headers)
+        return vary.secondary_key(tuple(names), cache_request.headers)
 
-    def _passes(self, key: bytes, now: int) -> bool:
-        until = self.passed.get(key)
+    def _is_hit_for_pass(self, key: bytes, now: int) -> bool:
+        until = self.hit_for_pass_until_us.get(key)
         if until is None:
             return False
         if until > now:
             return True
-        del self.passed[key]
+        del self.hit_for_pass_until_us[key]
         return False
 
-    def _pass(self, key: bytes, now: int) -> None:
-        self.passed.pop(key, None)
-        self.passed[key] = now + self.settings.pass_for_us
-        while len(self.passed) > MOST_PASSED:
-            self.passed.popitem(last=False)
+    def _mark_hit_for_pass(self, key: bytes, now: int) -> None:
+        self.hit_for_pass_until_us.pop(key, None)
+        self.hit_for_pass_until_us[key] = now + self.settings.pass_for_us
+        while len(self.hit_for_pass_until_us) > MAX_HIT_FOR_PASS_KEYS:
+            self.hit_for_pass_until_us.popitem(last=False)
 
-    # ---- sending on
+    # ---- forwarding
 
-    def _more(self, r: Request, drop: frozenset[bytes], add: Fields) -> bytes:
-        fields = end_to_end(r.fields, drop)
+    def _format_forwarded(self, r: Request, dropped_fields: frozenset[bytes], add: Fields) -> bytes:
+        fields = end_to_end(r.fields, dropped_fields)
         fields += add
         fields.append((b"Via", self.via))
-        return r.more + lines(fields)
+        return r.extra_fields + format_fields(fields)
 
-    def _send(
-        self, r: Request, key: bytes, gauge: bytes, asked: Asked, choice: Forward, tries: int, shared: bool,
-        keep: bool,
+    def _start_fetch(
+        self, r: Request, key: bytes, gauge: bytes, cache_request: CacheRequest, choice: Forward,
+        tries: int, is_shared: bool, may_store: bool,
     ) -> None:  # fmt: skip
-        now = self.house.now_us()
-        # A part can't be validated, and who asks for one gets it from behind.
-        wanted = None if b"range" in r.headers else choice.stored
-        twin = r.twin(self)
-        if r.method == b"HEAD" and (shared or wanted is not None or not self.settings.plain_servers):
-            twin.method = b"GET"
-        stripped = shared or wanted is not None
-        twin.more = self._more(
+        now = self.runtime.now_us()
+        # A partial response cannot be validated, so range requests are answered by upstream.
+        validating = None if b"range" in r.headers else choice.stored
+        forwarded = r.clone(self)
+        if r.method == b"HEAD" and (is_shared or validating is not None or not self.settings.plain_servers):
+            forwarded.method = b"GET"
+        conditions_removed = is_shared or validating is not None
+        forwarded.extra_fields = self._format_forwarded(
             r,
-            self.drop | CONDITIONS if stripped else self.drop,
-            wanted.validated_by if wanted is not None else [],
-        )
-        flight = Flight(
-            twin, key, gauge, asked, now, keep and twin.method == b"GET", wanted=wanted, stripped=stripped
+            self.dropped_fields | CONDITIONAL_FIELDS if conditions_removed else self.dropped_fields,
+            validating.validation_fields if validating is not None else [],
         )
-        flight.leader = Waiter(r, asked, choice.fwd, tries)
-        flight.waiters[r] = flight.leader
-        self.waits[r] = flight
-        if shared:
-            flight.spot = key, self._selected(self.store.peek(key), asked)
-            self.spots[flight.spot] = flight
-            flight.shared = True
-        self._go(flight)
-
-    def _go(self, flight: Flight) -> None:
-        self.refreshes += flight.refresh
-        self.by_twin[flight.request] = flight
-        self.by_gauge.setdefault(flight.gauge, {})[flight] = None
-        self.following.take(flight.request)
-
-    def _join(self, flight: Flight, waiter: Waiter, now: int) -> None:
+        fetch = Fetch(
+            forwarded, key, gauge, cache_request, now, may_store and forwarded.method == b"GET",
+            validating=validating, conditions_removed=conditions_removed,
+        )  # fmt: skip
+        fetch.leader = Waiter(r, cache_request, choice.reason, tries)
+        fetch.waiters[r] = fetch.leader
+        self.fetches_by_client[r] = fetch
+        if is_shared:
+            fetch.fetch_key = key, self._secondary_key(self.store.peek(key), cache_request)
+            self.joinable_fetches[fetch.fetch_key] = fetch
+            fetch.is_shared = True
+        self._submit_fetch(fetch)
+
+    def _submit_fetch(self, fetch: Fetch) -> None:
+        self.refreshes += fetch.is_refresh
+        self.fetches_by_request[fetch.request] = fetch
+        self.fetches_by_gauge.setdefault(fetch.gauge, {})[fetch] = None
+        self.following.submit(fetch.request)
+
+    def _join(self, fetch: Fetch, waiter: Waiter, now: int) -> None:
         r = waiter.request
-        left = max(0, r.taken_at + r.time_left - now)
-        waiter.timer = self.house.loop.call_later(left / 1e6, self._overdue, flight, waiter)
-        flight.waiters[r] = waiter
-        self.waits[r] = flight
-
-    def _refresh(self, r: Request, key: bytes, gauge: bytes, asked: Asked, stored: Stored) -> None:
-        """Validates meanwhile what was served stale (RFC 5861, 3); for nobody in particular."""
-        now = self.house.now_us()
-        spot = key, self._selected(self.store.peek(key), asked)
-        if spot in self.spots or self.refreshes >= MOST_REFRESHES or self.fences.closed(gauge, now):
+        time_left_us = max(0, r.received_at + r.time_left - now)
+        waiter.timer = self.runtime.loop.call_later(
+            time_left_us / 1e6, self._on_waiter_deadline, fetch, waiter
+        )
+        fetch.waiters[r] = waiter
+        self.fetches_by_client[r] = fetch
+
+    def _start_refresh(
+        self, r: Request, key: bytes, gauge: bytes, cache_request: CacheRequest, stored: StoredResponse
+    ) -> None:
+        """Starts a background validation of a response that was served stale (RFC 5861, 3)."""
+        now = self.runtime.now_us()
+        fetch_key = key, self._secondary_key(self.store.peek(key), cache_request)
+        if (
+            fetch_key in self.joinable_fetches or self.refreshes >= MAX_REFRESHES
+            or self.fences.is_closed(gauge, now)
+        ):  # fmt: skip
             return
-        twin = r.twin(self)
-        twin.method, twin.wire_id, twin.taken_at = b"GET", f"{self.start}-{next(self.ids):x}".encode(), now
-        twin.more = self._more(r, self.drop | CONDITIONS, stored.validated_by)
-        flight = Flight(twin, key, gauge, asked, now, True, spot=spot, wanted=stored, stripped=True)
-        flight.refresh = flight.shared = True
-        self.spots[spot] = flight
-        self._go(flight)
-
-    def _close(self, flight: Flight) -> None:
-        """Nobody joins it any more."""
-        if flight.spot is not None:
-            if self.spots.get(flight.spot) is flight:
-                del self.spots[flight.spot]
-            flight.spot = None
-
-    def _landed(self, flight: Flight) -> None:
-        """Nothing more comes of it."""
-        self.by_twin.pop(flight.request, None)
-        self._close(flight)
-        others = self.by_gauge.get(flight.gauge)
+        forwarded = r.clone(self)
+        forwarded.method, forwarded.wire_id, forwarded.received_at = (
+            b"GET", f"{self.id_prefix}-{next(self.ids):x}".encode(), now
+        )  # fmt: skip
+        forwarded.extra_fields = self._format_forwarded(
+            r, self.dropped_fields | CONDITIONAL_FIELDS, stored.validation_fields
+        )
+        fetch = Fetch(
+            forwarded, key, gauge, cache_request, now, True, fetch_key=fetch_key, validating=stored,
+            conditions_removed=True,
+        )  # fmt: skip
+        fetch.is_refresh = fetch.is_shared = True
+        self.joinable_fetches[fetch_key] = fetch
+        self._submit_fetch(fetch)
+
+    def _close_to_joins(self, fetch: Fetch) -> None:
+        """Prevents further requests from joining the fetch. This does not close its gauge."""
+        if fetch.fetch_key is not None:
+            if self.joinable_fetches.get(fetch.fetch_key) is fetch:
+                del self.joinable_fetches[fetch.fetch_key]
+            fetch.fetch_key = None
+
+    def _finish_fetch(self, fetch: Fetch) -> None:
+        """Forgets a fetch whose response is complete, failed or cancelled."""
+        self.fetches_by_request.pop(fetch.request, None)
+        self._close_to_joins(fetch)
+        others = self.fetches_by_gauge.get(fetch.gauge)
         if others is not None:
-            others.pop(flight, None)
+            others.pop(fetch, None)
             if not others:
-                del self.by_gauge[flight.gauge]
-        self._release(flight)
-        self.refreshes -= flight.refresh
-
-    def _leave(self, flight: Flight, waiter: Waiter) -> None:
-        waiter.rest()
-        flight.waiters.pop(waiter.request, None)
-        self.waits.pop(waiter.request, None)
-        if flight.leader is waiter:
-            flight.leader = None
-
-    def _overdue(self, flight: Flight, waiter: Waiter) -> None:
-        """Guards against a fill that stalls: who waits for it is answered in its own time."""
+                del self.fetches_by_gauge[fetch.gauge]
+        self._release(fetch)
+        self.refreshes -= fetch.is_refresh
+
+    def _remove_waiter(self, fetch: Fetch, waiter: Waiter) -> None:
+        waiter.cancel_timer()
+        fetch.waiters.pop(waiter.request, None)
+        self.fetches_by_client.pop(waiter.request, None)
+        if fetch.leader is waiter:
+            fetch.leader = None
+
+    def _on_waiter_deadline(self, fetch: Fetch, waiter: Waiter) -> None:
+        """Answers a waiter at its own deadline, so that a stalled fetch does not delay it further."""
         waiter.timer = None
-        self._leave(flight, waiter)
-        if not self._instead(waiter, flight, Cause.ERROR):
+        self._remove_waiter(fetch, waiter)
+        if not self._serve_stale(waiter, fetch, FailureCause.ERROR):
             r = waiter.request
-            r.replies.answer(r, 504, (), self.giver.line(waiter, detail="overdue"))
-        self._abandon(flight)
+            r.responder.answer(r, 504, (), self.sender.cache_status(waiter, detail="overdue"))
+        self._cancel_if_unused(fetch)
 
-    def _abandon(self, flight: Flight) -> None:
-        """Ends it where nobody waits any more, unless it refreshes what others were served."""
-        if not flight.waiters and not flight.refresh and flight.request in self.by_twin:
-            self._landed(flight)
-            self.following.client_left(flight.request)
+    def _cancel_if_unused(self, fetch: Fetch) -> None:
+        """Cancels a fetch without waiters, unless it is a background refresh."""
+        if not fetch.waiters and not fetch.is_refresh and fetch.request in self.fetches_by_request:
+            self._finish_fetch(fetch)
+            self.following.client_left(fetch.request)
 
     def client_left(self, r: Request) -> None:
-        if r in self.writes.twins:
+        if r in self.writes.forwarded_requests:
             self.writes.client_left(r)
             return
-        flight = self.waits.get(r)
-        if flight is None:
+        fetch = self.fetches_by_client.get(r)
+        if fetch is None:
             if self.loads is not None:
                 self.loads.client_left(r)
             return
-        waiter = flight.waiters[r]
-        self._leave(flight, waiter)
-        flight.streaming = flight.streaming and flight.leader is not None
-        self._abandon(flight)
-
-    def hold_back(self, r: Request) -> None:
-        if r in self.writes.twins:
-            self.writes.hold_back(r)
+        waiter = fetch.waiters[r]
+        self._remove_waiter(fetch, waiter)
+        fetch.is_streaming = fetch.is_streaming and fetch.leader is not None
+        self._cancel_if_unused(fetch)
+
+    def pause_response(self, r: Request) -> None:
+        if r in self.writes.forwarded_requests:
+            self.writes.pause_response(r)
             return
-        flight = self.waits.get(r)
+        fetch = self.fetches_by_client.get(r)
         if (
-            flight is not None
-            and flight.streaming
-            and flight.leader is not None
-            and flight.leader.request is r
+            fetch is not None
+            and fetch.is_streaming
+            and fetch.leader is not None
+            and fetch.leader.request is r
         ):
-            flight.held_back = True
-            if not flight.keeping:  # what is put aside is bounded, and others may wait for it
-                self.following.hold_back(flight.request)
+            fetch.is_paused = True
+            if not fetch.is_buffering:  # the buffer is bounded, and others may wait for the response
+                self.following.pause_response(fetch.request)
 
-    def let_go(self, r: Request) -> None:
-        if r in self.writes.twins:
-            self.writes.let_go(r)
+    def resume_response(self, r: Request) -> None:
+        if r in self.writes.forwarded_requests:
+            self.writes.resume_response(r)
             return
-        flight = self.waits.get(r)
-        if flight is not None and flight.held_back:
-            flight.held_back = False
-            if not flight.keeping:
-                self.following.let_go(flight.request)
+        fetch = self.fetches_by_client.get(r)
+        if fetch is not None and fetch.is_paused:
+            fetch.is_paused = False
+            if not fetch.is_buffering:
+                self.following.resume_response(fetch.request)
 
-    # ---- what came back: Replies of what was sent on
+    # ---- Responder for forwarded requests
 
     def answer(self, request: Request, status_: int, body: Sequence[bytes] = (), more: bytes = b"") -> None:
-        flight = self.by_twin[request]
-        now = self.house.now_us()
-        if status_ in FAILED:
-            self._failed(flight, status_, body, more)
+        fetch = self.fetches_by_request[request]
+        now = self.runtime.now_us()
+        if status_ in SERVER_ERRORS:
+            self._on_failure(fetch, status_, body, more)
             return
-        answered = self._read(status_, more)
-        if status_ == 304 and flight.wanted is not None:
-            self._validated(flight, flight.wanted, answered, now)
+        response = self._parse_response(status_, more)
+        if status_ == 304 and fetch.validating is not None:
+            self._on_not_modified(fetch, fetch.validating, response, now)
             return
-        flight.answered, flight.received_us = answered, now
-        self._landed(flight)
-        self._whole(flight, b"".join(body))
+        fetch.response, fetch.received_us = response, now
+        self._finish_fetch(fetch)
+        self._on_complete_response(fetch, b"".join(body))
 
-    def _read(self, status_: int, more: bytes) -> Answered:
-        fields = read_lines(more)
+    def _parse_response(self, status_: int, more: bytes) -> OriginResponse:
+        fields = parse_fields(more)
         fields.append((b"Via", self.via))
-        return Answered(status_, fields, self.wall(), self.policy)
+        return OriginResponse(status_, fields, self.wall(), self.policy)
 
-    def _validated(self, flight: Flight, wanted: Stored, answered: Answered, now: int) -> None:
-        freshened = rules.freshen(wanted, answered, flight.asked, flight.sent_us, now, self.policy)
+    def _on_not_modified(
+        self, fetch: Fetch, validating: StoredResponse, response: OriginResponse, now: int
+    ) -> None:
+        freshened = rules.freshen(validating, response, fetch.cache_request, fetch.sent_us, now, self.policy)
         if freshened is None:
-            # It says of nothing here that it still holds (RFC 9111, 4.3.4): the whole answer is needed.
-            self._unput(flight.key, wanted)
-            self._landed(flight)
-            twin = flight.request.twin(self)
-            bare = [f for f in read_lines(twin.more) if f[0].lower() not in CONDITIONS]
-            twin.more, flight.request, flight.wanted = lines(bare), twin, None
-            flight.sent_us = now
-            if flight.leader is None and not flight.waiters:
+            # The 304 does not select the stored response (RFC 9111, 4.3.4): fetch a complete one.
+            self._remove_stored(fetch.key, validating)
+            self._finish_fetch(fetch)
+            forwarded = fetch.request.clone(self)
+            fields = [
+                f for f in parse_fields(forwarded.extra_fields) if f[0].lower() not in CONDITIONAL_FIELDS
+            ]
+            forwarded.extra_fields, fetch.request, fetch.validating = format_fields(fields), forwarded, None
+            fetch.sent_us = now
+            if fetch.leader is None and not fetch.waiters:
                 return
-            self._go(flight)
+            self._submit_fetch(fetch)
             return
-        self._landed(flight)
+        self._finish_fetch(fetch)
         v = freshened.stored
-        kept = flight.keep and freshened.keep
-        if kept:
-            if (v.vary, v.secondary) != (wanted.vary, wanted.secondary):
-                self.store.remove(flight.key, (wanted.vary, wanted.secondary))
-            self._put(flight, v)
+        was_stored = fetch.may_store and freshened.may_store
+        if was_stored:
+            if (v.vary, v.secondary) != (validating.vary, validating.secondary):
+                self.store.remove(fetch.key, (validating.vary, validating.secondary))
+            self._store_response(fetch, v)
         else:
-            self._unput(flight.key, wanted)
-        leader = flight.leader
+            self._remove_stored(fetch.key, validating)
+        leader = fetch.leader
         if leader is not None:
-            self._leave(flight, leader)
-            line = self.giver.line(leader, kept, status_=304)
-            self.giver.give(leader.request, v, now - v.born_us, line)
-        self._share(flight, v if kept else None, now, 304)
+            self._remove_waiter(fetch, leader)
+            cache_status = self.sender.cache_status(leader, was_stored, status_=304)
+            self.sender.send_stored(leader.request, v, now - v.generated_us, cache_status)
+        self._answer_waiters(fetch, v if was_stored else None, now, 304)
 
-    def _put(self, flight: Flight, v: Stored) -> bool:
-        kept = self.store.put(flight.key, flight.gauge, v)
+    def _store_response(self, fetch: Fetch, v: StoredResponse) -> bool:
+        was_stored = self.store.put(fetch.key, fetch.gauge, v)
         if self.disk is not None:
-            self.disk.save(flight.key, flight.gauge, self.store.peek(flight.key))
-        return kept
+            self.disk.save(fetch.key, fetch.gauge, self.store.peek(fetch.key))
+        return was_stored
 
-    def _unput(self, key: bytes, v: Stored) -> None:
+    def _remove_stored(self, key: bytes, v: StoredResponse) -> None:
         self.store.remove(key, (v.vary, v.secondary))
         if self.disk is not None:
             self.disk.drop(key)
 
-    def _whole(self, flight: Flight, body: bytes) -> None:
-        """A whole answer: kept if it may be, and given to all whom it answers."""
-        answered, now = flight.answered, self.house.now_us()
-        assert answered is not None
-        v: Stored | None = None
-        may = flight.keep and len(body) <= self.settings.most_object
-        if may and answered.storable(flight.asked, self.policy) is None:
-            v = rules.keep(answered, flight.asked, body, flight.sent_us, flight.received_us, self.policy)
-        kept = v is not None and self._put(flight, v)
-        if not kept and flight.wanted is not None and answered.status != 429:
-            self._unput(flight.key, flight.wanted)  # what it was is not what there is now
-        if flight.request.method == b"HEAD":
-            for old in self.store.peek(flight.key):
-                if rules.matches(old, flight.asked.headers) and not rules.head_agrees(old, answered.headers):
-                    self._unput(flight.key, old)
-        if not flight.streaming and flight.leader is not None:
-            leader = flight.leader
-            self._leave(flight, leader)
-            self.giver.whole(leader.request, answered, body, flight.stripped, self.giver.line(leader, kept))
-        self._share(flight, v if kept else None, now)
-
-    def _share(self, flight: Flight, v: Stored | None, now: int, status_: int = 0) -> None:
-        """Answers all others who wait, or lets them go on by themselves."""
-        if flight.shared and flight.keep and (v is None or v.no_cache or not v.fresh(now)):
-            self._pass(flight.key, now)
-        for waiter in list(flight.waiters.values()):
-            self._leave(flight, waiter)
-            choice = rules.choose(waiter.asked, (v,), now, self.policy) if v is not None else None
+    def _on_complete_response(self, fetch: Fetch, body: bytes) -> None:
+        """Stores a complete response if allowed, and sends it to all waiters that it may answer."""
+        response, now = fetch.response, self.runtime.now_us()
+        assert response is not None
+        v: StoredResponse | None = None
+        may_store_body = fetch.may_store and len(body) <= self.settings.most_object
+        if may_store_body and response.reason_not_storable(fetch.cache_request, self.policy) is None:
+            v = rules.build_stored(
+                response, fetch.cache_request, body, fetch.sent_us, fetch.received_us, self.policy
+            )
+        was_stored = v is not None and self._store_response(fetch, v)
+        if not was_stored and fetch.validating is not None and response.status != 429:
+            self._remove_stored(fetch.key, fetch.validating)  # the resource has changed
+        if fetch.request.method == b"HEAD":
+            for old in self.store.peek(fetch.key):
+                if rules.matches(
+                    old, fetch.cache_request.headers
+                ) and not rules.matches_head_response(old, response.headers):  # fmt: skip
+                    self._remove_stored(fetch.key, old)
+        if not fetch.is_streaming and fetch.leader is not None:
+            leader = fetch.leader
+            self._remove_waiter(fetch, leader)
+            self.sender.send_fetched(
+                leader.request, response, body, fetch.conditions_removed,
+                self.sender.cache_status(leader, was_stored),
+            )  # fmt: skip
+        self._answer_waiters(fetch, v if was_stored else None, now)
+
+    def _answer_waiters(self, fetch: Fetch, v: StoredResponse | None, now: int, status_: int = 0) -> None:
+        """Answers the remaining waiters from the stored response, or handles them again without it."""
+        if fetch.is_shared and fetch.may_store and (v is None or v.no_cache or not v.is_fresh(now)):
+            self._mark_hit_for_pass(fetch.key, now)
+        for waiter in list(fetch.waiters.values()):
+            self._remove_waiter(fetch, waiter)
+            choice = rules.choose(waiter.cache_request, (v,), now, self.policy) if v is not None else None
             if isinstance(choice, Serve) and v is not None:
-                line = self.giver.line(waiter, True, status_=status_)
-                self.giver.give(waiter.request, v, now - v.born_us, line)
+                cache_status = self.sender.cache_status(waiter, True, status_=status_)
+                self.sender.send_stored(waiter.request, v, now - v.generated_us, cache_status)
             else:
-                self._again(waiter, flight.key)
+                self._retry_waiter(waiter, fetch.key)
 
-    def _again(self, waiter: Waiter, key: bytes, alone: bool = False) -> None:
-        tries = MOST_TRIES if alone else waiter.tries + 1
-        self._consider(waiter.request, key, tries)
+    def _retry_waiter(self, waiter: Waiter, key: bytes, alone: bool = False) -> None:
+        tries = MAX_SHARED_TRIES if alone else waiter.tries + 1
+        self._handle(waiter.request, key, tries)
 
-    def _failed(self, flight: Flight, status_: int, body: Sequence[bytes], more: bytes) -> None:
-        """No answer: stale ones where that is allowed, else each is told, or tries by itself."""
-        self._landed(flight)
-        fields = read_lines(more)
+    def _on_failure(self, fetch: Fetch, status_: int, body: Sequence[bytes], more: bytes) -> None:
+        """Answers the waiters of a failed fetch with a stale response or the error, or retries them."""
+        self._finish_fetch(fetch)
+        fields = parse_fields(more)
         refused = status_ == 503 and all(f[0].lower() == b"retry-after" for f in fields)
-        cause = Cause.REFUSED if refused else Cause.ERROR
-        for waiter in list(flight.waiters.values()):
-            self._leave(flight, waiter)
-            if self._instead(waiter, flight, cause):
+        cause = FailureCause.REFUSED if refused else FailureCause.ERROR
+        for waiter in list(fetch.waiters.values()):
+            self._remove_waiter(fetch, waiter)
+            if self._serve_stale(waiter, fetch, cause):
                 continue
             if waiter.collapsed:
-                # A refusal was for the one who asked: the Router decides on each of the others.
-                self._again(waiter, flight.key, alone=refused)
+                # A refusal only concerns the forwarded request: the Router decides on each other one.
+                self._retry_waiter(waiter, fetch.key, alone=refused)
                 continue
             r = waiter.request
-            answered = self._read(status_, more)
-            r.replies.answer(
-                r, status_, body, lines(answered.fields) + self.giver.line(waiter, detail=cause.value)
-            )
-
-    def _instead(self, waiter: Waiter, flight: Flight, cause: Cause) -> bool:
-        """Gives a stored answer in place of the one that did not come, where it may."""
-        now = self.house.now_us()
-        kept = self.store.peek(flight.key)
-        if not kept and flight.keep and flight.wanted is not None:
-            kept = (flight.wanted,)  # it had to make room meanwhile
-        fitting = [v for v in kept if rules.matches(v, waiter.asked.headers)]
-        if not fitting or b"range" in waiter.asked.headers:
+            response = self._parse_response(status_, more)
+            r.responder.answer(
+                r, status_, body,
+                format_fields(response.fields) + self.sender.cache_status(waiter, detail=cause.value),
+            )  # fmt: skip
+
+    def _serve_stale(self, waiter: Waiter, fetch: Fetch, cause: FailureCause) -> bool:
+        """Answers with a stored response in place of a failed one, if allowed; returns whether it did."""
+        now = self.runtime.now_us()
+        variants = self.store.peek(fetch.key)
+        if not variants and fetch.may_store and fetch.validating is not None:
+            variants = (fetch.validating,)  # it was evicted meanwhile
+        matching = [v for v in variants if rules.matches(v, waiter.cache_request.headers)]
+        if not matching or b"range" in waiter.cache_request.headers:
             return False
-        v = max(fitting, key=lambda v: v.date_s)
-        if not rules.instead(waiter.asked, v, now, cause, self.policy):
+        v = max(matching, key=lambda v: v.date_s)
+        if not rules.may_serve_stale(waiter.cache_request, v, now, cause, self.policy):
             return False
-        self.giver.from_store(waiter.request, v, now, cause.value)
+        self.sender.send_hit(waiter.request, v, now, cause.value)
         return True
 
-    # ---- long answers
+    # ---- streamed responses
 
     def begin(self, request: Request, length: int | None, more: bytes, status_: int = 200) -> None:
-        flight = self.by_twin[request]
-        answered = flight.answered = self._read(status_, more)
-        flight.received_us = self.house.now_us()
-        leader = flight.leader
-        may = flight.keep and answered.storable(flight.asked, self.policy) is None
-        may = may and (length is None or length <= self.settings.most_object)
-        if may and length:
-            may = self._hold(flight, length)
-        flight.keeping = may
+        fetch = self.fetches_by_request[request]
+        response = fetch.response = self._parse_response(status_, more)
+        fetch.received_us = self.runtime.now_us()
+        leader = fetch.leader
+        may_store_body = (
+            fetch.may_store and response.reason_not_storable(fetch.cache_request, self.policy) is None
+        )
+        may_store_body = may_store_body and (length is None or length <= self.settings.most_object)
+        if may_store_body and length:
+            may_store_body = self._reserve(fetch, length)
+        fetch.is_buffering = may_store_body
         if leader is not None:
-            self._begin_leader(flight, leader, answered, length)
-        if not may:
-            self._not_kept(flight)
+            self._begin_leader(fetch, leader, response, length)
+        if not may_store_body:
+            self._stop_storing(fetch)
 
-    def _begin_leader(self, flight: Flight, leader: Waiter, answered: Answered, length: int | None) -> None:
+    def _begin_leader(
+        self, fetch: Fetch, leader: Waiter, response: OriginResponse, length: int | None
+    ) -> None:
         r = leader.request
-        head = lines(answered.fields) + self.giver.line(leader, flight.keeping)
+        head = format_fields(response.fields) + self.sender.cache_status(leader, fetch.is_buffering)
         if r.method == b"HEAD":
-            self._leave(flight, leader)
+            self._remove_waiter(fetch, leader)
             if length is not None:
                 head += b"Content-Length: %d\r\n" % length
-            r.replies.answer(r, answered.status, (), head)
-        elif self.giver.unchanged(r, answered, flight.stripped):
-            self._leave(flight, leader)
-            self.giver.not_modified(r, answered, self.giver.line(leader, flight.keeping))
+            r.responder.answer(r, response.status, (), head)
+        elif self.sender.is_unmodified(r, response, fetch.conditions_removed):
+            self._remove_waiter(fetch, leader)
+            self.sender.send_not_modified(r, response, self.sender.cache_status(leader, fetch.is_buffering))
         else:
-            flight.streaming = True
-            leader.rest()
-            r.replies.begin(r, length, head, answered.status)
+            fetch.is_streaming = True
+            leader.cancel_timer()
+            r.responder.begin(r, length, head, response.status)
 
-    def _hold(self, flight: Flight, size: int) -> bool:
-        if not self.store.hold(size):
+    def _reserve(self, fetch: Fetch, size: int) -> bool:
+        if not self.store.reserve(size):
             return False
-        flight.held += size
+        fetch.reserved_bytes += size
         return True
 
-    def _release(self, flight: Flight) -> None:
-        self.store.let_go(flight.held)
-        flight.held = 0
-
-    def _not_kept(self, flight: Flight) -> None:
-        """It is too long or may not be kept: who waits for it goes on alone, and what was put aside goes."""
-        flight.keeping = False
-        flight.body = []
-        self._close(flight)
-        self._release(flight)
-        if flight.held_back:
-            self.following.hold_back(flight.request)
-        now = self.house.now_us()
-        if flight.keep:
-            self._pass(flight.key, now)
-            if flight.wanted is not None:
-                self._unput(flight.key, flight.wanted)  # what it was is not what there is now
-        for waiter in list(flight.waiters.values()):
-            if waiter is not flight.leader:
-                self._leave(flight, waiter)
-                self._again(waiter, flight.key, alone=True)
-        self._abandon(flight)
-
-    def go(self, request: Request, body: bytes) -> None:
-        flight = self.by_twin.get(request)
-        if flight is None:
+    def _release(self, fetch: Fetch) -> None:
+        self.store.release(fetch.reserved_bytes)
+        fetch.reserved_bytes = 0
+
+    def _stop_storing(self, fetch: Fetch) -> None:
+        """Discards the buffer of a response that is too long or not storable; waiters are forwarded alone."""
+        fetch.is_buffering = False
+        fetch.body = []
+        self._close_to_joins(fetch)
+        self._release(fetch)
+        if fetch.is_paused:
+            self.following.pause_response(fetch.request)
+        now = self.runtime.now_us()
+        if fetch.may_store:
+            self._mark_hit_for_pass(fetch.key, now)
+            if fetch.validating is not None:
+                self._remove_stored(fetch.key, fetch.validating)  # the resource has changed
+        for waiter in list(fetch.waiters.values()):
+            if waiter is not fetch.leader:
+                self._remove_waiter(fetch, waiter)
+                self._retry_waiter(waiter, fetch.key, alone=True)
+        self._cancel_if_unused(fetch)
+
+    def write_body(self, request: Request, body: bytes) -> None:
+        fetch = self.fetches_by_request.get(request)
+        if fetch is None:
             return
-        if flight.streaming and flight.leader is not None:
-            r = flight.leader.request
-            r.replies.go(r, body)
-        if flight.keeping:
-            flight.size += len(body)
-            flight.body.append(body)
-            if flight.size > self.settings.most_object or (
-                flight.size > flight.held and not self._hold(flight, len(body))
+        if fetch.is_streaming and fetch.leader is not None:
+            r = fetch.leader.request
+            r.responder.write_body(r, body)
+        if fetch.is_buffering:
+            fetch.received_bytes += len(body)
+            fetch.body.append(body)
+            if fetch.received_bytes > self.settings.most_object or (
+                fetch.received_bytes > fetch.reserved_bytes and not self._reserve(fetch, len(body))
             ):  # fmt: skip
-                self._not_kept(flight)
+                self._stop_storing(fetch)
 
     def end(self, request: Request) -> None:
-        flight = self.by_twin.get(request)
-        if flight is None:
+        fetch = self.fetches_by_request.get(request)
+        if fetch is None:
             return
-        self._landed(flight)
-        leader = flight.leader if flight.streaming else None
-        if flight.keeping:
-            body, flight.body = b"".join(flight.body), []
+        self._finish_fetch(fetch)
+        leader = fetch.leader if fetch.is_streaming else None
+        if fetch.is_buffering:
+            body, fetch.body = b"".join(fetch.body), []
             if leader is not None:
-                self._leave(flight, leader)
-            self._whole(flight, body)
+                self._remove_waiter(fetch, leader)
+            self._on_complete_response(fetch, body)
         if leader is not None:
-            self._leave(flight, leader)
-            leader.request.replies.end(leader.request)
+            self._remove_waiter(fetch, leader)
+            leader.request.responder.end(leader.request)
 
-    def cut(self, request: Request) -> None:
-        """It is not whole, and so nobody else's answer (RFC 9111, 3.3)."""
-        flight = self.by_twin.get(request)
-        if flight is None:
+    def abort(self, request: Request) -> None:
+        """Ends a fetch with an incomplete response, which must not answer other requests (RFC 9111, 3.3)."""
+        fetch = self.fetches_by_request.get(request)
+        if fetch is None:
             return
-        self._landed(flight)
-        leader = flight.leader if flight.streaming else None
+        self._finish_fetch(fetch)
+        leader = fetch.leader if fetch.is_streaming else None
         if leader is not None:
-            self._leave(flight, leader)
-            leader.request.replies.cut(leader.request)
-        for waiter in list(flight.waiters.values()):
-            self._leave(flight, waiter)
-            self._again(waiter, flight.key)
+            self._remove_waiter(fetch, leader)
+            leader.request.responder.abort(leader.request)
+        for waiter in list(fetch.waiters.values()):
+            self._remove_waiter(fetch, waiter)
+            self._retry_waiter(waiter, fetch.key)
 
-    # ---- voiding
+    # ---- invalidation
 
-    def _void(self, gauge: bytes) -> int:
-        """How many keys went from memory."""
+    def _invalidate_gauge(self, gauge: bytes) -> int:
+        """Drops everything stored for a gauge; returns the number of keys dropped from memory."""
         count = len(self.store.drop_gauge(gauge))
         if self.disk is not None:
             self.disk.drop_gauge(gauge)
-        for flight in list(self.by_gauge.get(gauge, ())):
-            # It may have read what was before: for those who wait already, and for nobody else.
-            flight.keep = False
-            self._close(flight)
+        for fetch in list(self.fetches_by_gauge.get(gauge, ())):
+            # Its response may be older than the write: it only answers those who wait already.
+            fetch.may_store = False
+            self._close_to_joins(fetch)
         return count
 
-    def doubted(self, target: bytes) -> None:
-        """An answer about this may have been made for another request: nothing of it is kept."""
-        self._void(targets.gauge_of(target))
+    def invalidate_target(self, target: bytes) -> None:
+        """Drops all that is stored for the gauge of a target. Called when its latest answer may have been
+        meant for another request."""
+        self._invalidate_gauge(targets.gauge_of(target))
 
     def _purge(self, r: Request) -> None:
         if r.target == b"/*":
@@ -570,15 +625,15 @@
             self.store.clear()
             if self.disk is not None:
                 self.disk.clear()
-            for each in list(self.by_gauge):
-                self._void(each)
+            for each in list(self.fetches_by_gauge):
+                self._invalidate_gauge(each)
         else:
-            count = self._void(targets.gauge_of(r.target))
-        r.replies.answer(r, 200, (b"purged %d\n" % count,), b"Date: %b\r\nContent-Type: text/plain\r\n" % (
+            count = self._invalidate_gauge(targets.gauge_of(r.target))
+        r.responder.answer(r, 200, (b"purged %d\n" % count,), b"Date: %b\r\nContent-Type: text/plain\r\n" % (
             dates.render(int(self.wall()))))  # fmt: skip
 
-    def _found(self, key: bytes, gauge: bytes, found: tuple[Stored, ...]) -> None:
-        """In the second tier; nothing that a write has voided meanwhile comes from there."""
-        if not self.fences.closed(gauge, self.house.now_us()) and not self.store.peek(key):
+    def _on_disk_load(self, key: bytes, gauge: bytes, found: tuple[StoredResponse, ...]) -> None:
+        """Stores responses that were loaded from disk, unless a write has invalidated them meanwhile."""
+        if not self.fences.is_closed(gauge, self.runtime.now_us()) and not self.store.peek(key):
             for v in found:
                 self.store.put(key, gauge, v)
--- a/magpiefront/caching/status.py
+++ b/magpiefront/caching/status.py
@@ -1,4 +1,4 @@
-"""`Cache-Status` (RFC 9211): what this cache did, in each answer. No I/O."""
+"""Builds the `Cache-Status` field (RFC 9211) that reports how the cache handled a request. No I/O."""
 
 from __future__ import annotations
 
@@ -6,12 +6,12 @@
 
 import http_sf
 
-from magpiefront.caching.rules import Fwd
+from magpiefront.caching.rules import ForwardReason
 
 
 @lru_cache(8192)
 def hit(name: str, ttl_s: int, detail: str = "") -> bytes:
-    """The line for an answer from the store; `ttl_s` is below 0 for a stale one (RFC 9211, 2.3)."""
+    """Builds the line of a response from the store; `ttl_s` is negative if it is stale (RFC 9211, 2.3)."""
     params: dict[str, http_sf.types.BareItemType] = {"hit": True, "ttl": ttl_s}
     if detail:
         params["detail"] = http_sf.Token(detail)
@@ -20,9 +20,13 @@
 
 @lru_cache(1024)
 def forwarded(
-    name: str, fwd: Fwd, status: int = 0, stored: bool = False, collapsed: bool = False, detail: str = ""
-) -> bytes:
-    """The line for one that went on, or would have. `status`: what came back, if that was another one."""
+    name: str, fwd: ForwardReason, status: int = 0, stored: bool = False, collapsed: bool = False,
+    detail: str = "",
+) -> bytes:  # fmt: skip
+    """Builds the line of a request that was forwarded, or would have been (only-if-cached).
+
+    `status` is the origin's status if it differs from the one that the client gets; 0 if not.
+    """
     params: dict[str, http_sf.types.BareItemType] = {"fwd": http_sf.Token(fwd.value)}
     if status:
         params["fwd-status"] = status
--- a/magpiefront/caching/store.py
+++ b/magpiefront/caching/store.py
@@ -1,8 +1,9 @@
-"""Answers kept in memory, bounded in bytes, with S3-FIFO as their eviction. No I/O and no clock.
+"""Stores responses in memory, bounded in bytes, with S3-FIFO eviction. No I/O and no clock.
 
-S3-FIFO (Yang et al., SOSP 2023): what is new enters a small queue; what is asked for again before it leaves
-that moves to the main queue, all else leaves, so a scan passes through the small queue alone. The names of
-what left are remembered for a while: who comes back goes to the main queue at once.
+S3-FIFO (Yang et al., SOSP 2023): a new resource enters a small queue. If it is requested at least twice more
+before it reaches the head, it moves to the main queue, otherwise it is evicted, so a scan affects the small
+queue only.
+The hashes of evicted keys are remembered for a while; a key that returns goes to the main queue at once.
 """
 
 from __future__ import annotations
@@ -11,18 +12,18 @@
 from collections.abc import Iterable
 from sys import getsizeof
 
-from magpiefront.caching.rules import Stored
+from magpiefront.caching.rules import StoredResponse
 
-SMALL_SHARE = 0.1
-MOST_FREQUENCY = 3
-# Of a resource and of an object beyond what getsizeof sees of their parts: slots, table and queue entries,
-# numbers, and what the allocator adds. Measured by benchmarks/caching.py.
+SMALL_QUEUE_SHARE = 0.1
+MAX_FREQUENCY = 3
+# Memory of a resource and of an object that getsizeof of their parts does not cover: slots, table and queue
+# entries, numbers, and the overhead of the allocator. The numbers come from benchmarks/caching.py.
 RESOURCE_BYTES = 560
 OBJECT_BYTES = 480
 
 
-def cost(s: Stored) -> int:
-    """The memory that one object takes, in bytes."""
+def cost(s: StoredResponse) -> int:
+    """Returns the memory that one stored response takes, in bytes."""
     size = OBJECT_BYTES + getsizeof(s.head) + getsizeof(s.body) + len(s.etag) + len(s.modified)
     for value in s.secondary:
         size += 100 + len(value or b"")
@@ -30,80 +31,86 @@
 
 
 class Resource:
-    """All variants under one key."""
+    """All variants of one key. `main` tells whether it is in the main queue."""
 
     __slots__ = ("frequency", "gauge", "key", "main", "size", "variants")
 
     def __init__(self, key: bytes, gauge: bytes) -> None:
         self.key, self.gauge = key, gauge
-        self.variants: tuple[Stored, ...] = ()
+        self.variants: tuple[StoredResponse, ...] = ()
         self.size = self.frequency = 0
         self.main = False
 
 
 class Store:
-    """`size` (bytes) never passes `most` once a call is over. What is held for fills under way counts."""
+    """A store of responses by key, also indexed by gauge, the unit of invalidation (see `targets`).
 
-    def __init__(self, most: int, most_variants: int = 16) -> None:
-        self.most, self.most_variants = most, most_variants
-        self.size = self.held = self.small_size = 0
+    After each call `size` plus `reserved_bytes` is at most `max_bytes`, unless the store is empty.
+    """
+
+    def __init__(self, max_bytes: int, most_variants: int = 16) -> None:
+        self.max_bytes, self.most_variants = max_bytes, most_variants
+        self.size = self.reserved_bytes = self.small_size = 0
         self.resources: dict[bytes, Resource] = {}
         self.gauges: dict[bytes, set[bytes] | bytes] = {}  # most gauges have one key
         self.small: deque[Resource] = deque()
         self.main: deque[Resource] = deque()
-        self.dead = 0  # in the queues, and no longer kept
-        self.ghosts: OrderedDict[int, None] = OrderedDict()
+        self.dead_entries = 0  # removed resources that are still in a queue
+        self.ghosts: OrderedDict[int, None] = OrderedDict()  # hashes of evicted keys
 
     def __len__(self) -> int:
         return len(self.resources)
 
-    # ---- looking
+    # ---- lookup
 
     def get(self, key: bytes) -> Resource | None:
-        """Counts as a use."""
+        """Returns the resource of a key. Counts as a use for the eviction."""
         found = self.resources.get(key)
-        if found is not None and found.frequency < MOST_FREQUENCY:
+        if found is not None and found.frequency < MAX_FREQUENCY:
             found.frequency += 1
         return found
 
-    def peek(self, key: bytes) -> tuple[Stored, ...]:
+    def peek(self, key: bytes) -> tuple[StoredResponse, ...]:
+        """Returns the variants of a key. Does not count as a use."""
         found = self.resources.get(key)
         return found.variants if found is not None else ()
 
-    # ---- changing
+    # ---- updates
 
-    def put(self, key: bytes, gauge: bytes, stored: Stored) -> bool:
-        """Keeps it, in place of the variant that answered the same requests. False where it has no room."""
+    def put(self, key: bytes, gauge: bytes, stored: StoredResponse) -> bool:
+        """Stores a response in place of the variant with the same secondary key. Returns whether it fits."""
         size = cost(stored)
-        if size + RESOURCE_BYTES + self.held > self.most:
+        if size + RESOURCE_BYTES + self.reserved_bytes > self.max_bytes:
             self.remove(key, (stored.vary, stored.secondary))
             return False
         found = self.resources.get(key)
         if found is None:
-            found = self._enter(key, gauge)
+            found = self._add(key, gauge)
         kept = [v for v in found.variants if (v.vary, v.secondary) != (stored.vary, stored.secondary)]
         kept = kept[-(self.most_variants - 1) :] if self.most_variants > 1 else []
-        self._set(found, (*kept, stored))
+        self._set_variants(found, (*kept, stored))
         self._shrink(found)
         return found.key in self.resources
 
     def remove(self, key: bytes, variant: tuple[tuple[bytes, ...], tuple[bytes | None, ...]]) -> None:
+        """Removes the variant with these `vary` and `secondary`, if it is stored."""
         found = self.resources.get(key)
         if found is not None:
-            left = tuple(v for v in found.variants if (v.vary, v.secondary) != variant)
-            if left:
-                self._set(found, left)
+            remaining = tuple(v for v in found.variants if (v.vary, v.secondary) != variant)
+            if remaining:
+                self._set_variants(found, remaining)
             else:
-                self._leave(found)
+                self._remove(found)
 
     def drop(self, key: bytes) -> bool:
+        """Removes all variants of a key. Returns whether there were any."""
         found = self.resources.get(key)
         if found is not None:
-            self._leave(found)
+            self._remove(found)
         return found is not None
 
     def drop_gauge(self, gauge: bytes) -> list[bytes]:
-        """All that is kept of a gauge; their keys."""
+        """Removes all resources of a gauge and returns their keys."""
         keys = list(self._keys(gauge))
         for key in keys:
             self.drop(key)
@@ -116,53 +123,54 @@
         self.gauges.clear()
         self.small.clear()
         self.main.clear()
-        self.size = self.small_size = self.dead = 0
+        self.size = self.small_size = self.dead_entries = 0
 
-    def hold(self, size: int) -> bool:
-        """Room for a fill under way. False where fills would take more than half of the whole."""
-        if self.held + size > self.most // 2:
+    def reserve(self, size: int) -> bool:
+        """Reserves bytes for a fetch under way. Returns False if more than half would be reserved."""
+        if self.reserved_bytes + size > self.max_bytes // 2:
             return False
-        self.held += size
+        self.reserved_bytes += size
         self._shrink(None)
         return True
 
-    def let_go(self, size: int) -> None:
-        self.held -= size
+    def release(self, size: int) -> None:
+        """Returns reserved bytes."""
+        self.reserved_bytes -= size
 
     def shrink(self) -> None:
-        """To a bound that has been lowered."""
+        """Evicts until the store is within a lowered `max_bytes`."""
         self._shrink(None)
 
-    # ---- within
+    # ---- internals
 
     def _keys(self, gauge: bytes) -> Iterable[bytes]:
         found = self.gauges.get(gauge, ())
         return (found,) if isinstance(found, bytes) else found
 
-    def _enter(self, key: bytes, gauge: bytes) -> Resource:
+    def _add(self, key: bytes, gauge: bytes) -> Resource:
         found = Resource(key, gauge)
         self.resources[key] = found
-        before = self.gauges.get(gauge)
-        if before is None:
+        present = self.gauges.get(gauge)
+        if present is None:
             self.gauges[gauge] = key
-        elif isinstance(before, bytes):
-            self.gauges[gauge] = {before, key}
+        elif isinstance(present, bytes):
+            self.gauges[gauge] = {present, key}
         else:
-            before.add(key)
-        name = hash(key)
-        found.main = name in self.ghosts
+            present.add(key)
+        key_hash = hash(key)
+        found.main = key_hash in self.ghosts
         if found.main:
-            del self.ghosts[name]
+            del self.ghosts[key_hash]
             self.main.append(found)
         else:
             self.small.append(found)
         self._resize(found, RESOURCE_BYTES + getsizeof(key) + getsizeof(gauge))
         return found
 
-    def _set(self, found: Resource, variants: tuple[Stored, ...]) -> None:
+    def _set_variants(self, found: Resource, variants: tuple[StoredResponse, ...]) -> None:
         found.variants = variants
-        own = RESOURCE_BYTES + getsizeof(found.key) + getsizeof(found.gauge)
-        self._resize(found, own + sum(cost(v) for v in variants))
+        base_bytes = RESOURCE_BYTES + getsizeof(found.key) + getsizeof(found.gauge)
+        self._resize(found, base_bytes + sum(cost(v) for v in variants))
 
     def _resize(self, found: Resource, size: int) -> None:
         change, found.size = size - found.size, size
@@ -170,7 +178,7 @@
         if not found.main:
             self.small_size += change
 
-    def _leave(self, found: Resource) -> None:
+    def _remove(self, found: Resource) -> None:
         self._resize(found, 0)
         found.variants = ()
         del self.resources[found.key]
@@ -181,33 +189,36 @@
                 del self.gauges[found.gauge]
         else:
             del self.gauges[found.gauge]
-        self.dead += 1
-        if self.dead > 64 and self.dead > len(self.resources):
-            # Guards against queues full of what was voided, where nothing is ever evicted.
+        self.dead_entries += 1
+        if self.dead_entries > 64 and self.dead_entries > len(self.resources):
+            # Without evictions, removed resources would fill the queues.
             self.small = deque(r for r in self.small if self.resources.get(r.key) is r)
             self.main = deque(r for r in self.main if self.resources.get(r.key) is r)
-            self.dead = 0
+            self.dead_entries = 0
 
-    def _shrink(self, spare: Resource | None) -> None:
-        while self.size + self.held > self.most and self.resources:
-            if self.small and (self.small_size > self.most * SMALL_SHARE or not self.main):
-                self._from_small(spare)
+    def _shrink(self, keep: Resource | None) -> None:
+        while self.size + self.reserved_bytes > self.max_bytes and self.resources:
+            if self.small and (self.small_size > self.max_bytes * SMALL_QUEUE_SHARE or not self.main):
+                self._take_from_small(keep)
             elif self.main:
-                self._from_main(spare)
+                self._take_from_main(keep)
             else:
-                self._from_small(spare)
+                self._take_from_small(keep)
 
-    def _alive(self, found: Resource) -> bool:
+    def _is_live(self, found: Resource) -> bool:
+        """Whether an entry taken from a queue is still stored; if not, it no longer counts as dead."""
         if self.resources.get(found.key) is found:
             return True
-        self.dead -= 1
+        self.dead_entries -= 1
         return False
 
-    def _from_small(self, spare: Resource | None) -> None:
+    def _take_from_small(self, keep: Resource | None) -> None:
+        """Evicts the head of the small queue, or moves it to the main queue if it was used at least twice
+        since it entered the queue, or is `keep`."""
         found = self.small.popleft()
-        if not self._alive(found):
+        if not self._is_live(found):
             return
-        if found.frequency > 1 or (found is spare and len(self.resources) > 1):
+        if found.frequency > 1 or (found is keep and len(self.resources) > 1):
             found.frequency = 0
             self.small_size -= found.size
             found.main = True
@@ -218,16 +229,17 @@
             self.ghosts.popitem(last=False)
         self._evict(found)
 
-    def _from_main(self, spare: Resource | None) -> None:
+    def _take_from_main(self, keep: Resource | None) -> None:
+        """Evicts the head of the main queue, or moves it to the tail if it was used or is `keep`."""
         found = self.main.popleft()
-        if not self._alive(found):
+        if not self._is_live(found):
             return
-        if found.frequency > 0 or (found is spare and len(self.resources) > 1):
+        if found.frequency > 0 or (found is keep and len(self.resources) > 1):
             found.frequency = max(0, found.frequency - 1)
             self.main.append(found)
             return
         self._evict(found)
 
     def _evict(self, found: Resource) -> None:
-        self._leave(found)
-        self.dead -= 1  # it is in no queue any more
+        self._remove(found)
+        self.dead_entries -= 1  # it is no longer in a queue
--- a/magpiefront/caching/targets.py
+++ b/magpiefront/caching/targets.py
@@ -1,4 +1,9 @@
-"""Which stored answers a request is about: keys, gauges, and where an unsafe method reaches. No I/O."""
+"""Cache keys, gauges, and the further targets that an unsafe request invalidates. No I/O.
+
+A gauge is a measuring station of the platform; requests read its level and report values to it. The last
+segment of a request's path names it, whatever the host, the query and the segments before. A gauge is the
+unit of invalidation: a write to any of its targets invalidates all that is stored for the gauge.
+"""
 
 from __future__ import annotations
 
@@ -10,35 +15,45 @@
 
 
 def key(host: bytes, target: bytes) -> bytes:
-    """The primary key (RFC 9111, 2). The target stands as it is spelt, doubled slashes, escapes and all: two
-    spellings may be two resources behind, and one key for both would let one poison the other."""
+    """Returns the primary cache key (RFC 9111, 2).
+
+    The target is not normalized, not even doubled slashes or escapes: the origin may see two spellings as two
+    resources, and with a shared key one could poison the other.
+    """
     return host.lower() + b" " + target
 
 
 @lru_cache(4096)
 def gauge(name: bytes) -> bytes:
-    """What the last part of a path is about, its escapes undone: a report voids all that it may touch."""
+    """Returns the gauge that the last segment of a path names.
+
+    The name is unescaped, so that a write invalidates the responses stored under every spelling of it.
+    """
     if b"%" not in name:
         return name
     return ESCAPED.sub(lambda m: bytes([int(m[1], 16)]), name)
 
 
 def gauge_of(target: bytes) -> bytes:
+    """Returns the gauge of a request target."""
     return gauge(target.partition(b"?")[0].rpartition(b"/")[2])
 
 
-def reached(host: bytes, target: bytes, values: list[bytes]) -> list[bytes]:
-    """The targets that `Location` and `Content-Location` of an answer to an unsafe method name, if they are
-    of the same origin (RFC 9111, 4.4): another's must not be voided by it."""
+def same_origin_targets(host: bytes, target: bytes, values: list[bytes]) -> list[bytes]:
+    """Returns the targets in `values` that have the same origin as the request.
+
+    `values` are the `Location` and `Content-Location` of a response to an unsafe method. It must not
+    invalidate responses of another origin (RFC 9111, 4.4).
+    """
     base = f"http://{host.decode('latin-1')}{target.decode('latin-1')}"
     origin = _origin(base)
     found = []
     for value in values:
         try:
-            there = urljoin(base, value.strip().decode("latin-1"))
-            if origin is None or _origin(there) != origin:
+            url = urljoin(base, value.strip().decode("latin-1"))
+            if origin is None or _origin(url) != origin:
                 continue
-            parts = urlsplit(there)
+            parts = urlsplit(url)
         except ValueError:
             continue
         path = parts.path or "/"
--- a/magpiefront/caching/writes.py
+++ b/magpiefront/caching/writes.py
@@ -1,109 +1,118 @@
-"""Requests that may have an effect: always sent on, and what they void."""
+"""Requests that may have effects: always forwarded, and the invalidation that they cause."""
 
 from __future__ import annotations
 
 from collections.abc import Callable, Sequence
 
 from magpiefront.caching import status, targets
-from magpiefront.caching.fences import Fences
-from magpiefront.net.house import Classed
-from magpiefront.caching.rules import Answered, Fwd
-from magpiefront.net.fields import lines
-from magpiefront.net.request import READS, Request, Stage
+from magpiefront.caching.fences import StoreFences
+from magpiefront.net.runtime import RuntimeWithClasses
+from magpiefront.caching.rules import OriginResponse, ForwardReason
+from magpiefront.net.fields import format_fields
+from magpiefront.net.request import READ_METHODS, Request, Stage
 
 
-class Writes:
-    """From the moment that one is taken until its outcome is known nothing of its gauge is kept. `void` is
-    called as it begins, for all that is there or on its way; what is asked later finds the gauge closed."""
+class WriteForwarder:
+    """Forwards writes, and keeps responses of their gauges out of the cache meanwhile.
+
+    From the acceptance of a write until its outcome is known, nothing of its gauge is stored. `invalidate` is
+    called when a write begins, for everything stored or in flight; later requests find the gauge closed.
+    """
 
     def __init__(
-        self, house: Classed, following: Stage, fences: Fences, void: Callable[[bytes], object],
-        read: Callable[[int, bytes], Answered], more: Callable[[Request], bytes],
+        self, runtime: RuntimeWithClasses, following: Stage, fences: StoreFences,
+        invalidate: Callable[[bytes], object], parse_response: Callable[[int, bytes], OriginResponse],
+        format_forwarded: Callable[[Request], bytes],
     ) -> None:  # fmt: skip
-        """`read` makes an answer of a status and lines, `more` the lines that go on with a request."""
-        self.house, self.following, self.fences, self.void = house, following, fences, void
-        self.read, self.more = read, more
+        """`parse_response` builds a response from status and field lines; `format_forwarded` returns the
+        field lines to forward with a request."""
+        self.runtime, self.following, self.fences, self.invalidate = runtime, following, fences, invalidate
+        self.parse_response, self.format_forwarded = parse_response, format_forwarded
         self.name = ""
-        self.clients: dict[Request, Request] = {}  # by what was sent on for them
-        self.twins: dict[Request, Request] = {}
-        self.known: set[Request] = set()  # whose head has come, and whose body has not ended
+        self.client_requests: dict[Request, Request] = {}  # by forwarded request
+        self.forwarded_requests: dict[Request, Request] = {}
+        # Forwarded requests whose head has arrived and whose body has not ended.
+        self.with_known_outcome: set[Request] = set()
 
-    def begin_one(self, gauge: bytes) -> None:
+    def begin_write(self, gauge: bytes) -> None:
         self.fences.begin(gauge)
-        self.void(gauge)
+        self.invalidate(gauge)
 
-    def end_one(self, gauge: bytes, known: bool) -> None:
-        self.fences.end(gauge, self.house.now_us(), known)
+    def end_write(self, gauge: bytes, outcome_known: bool) -> None:
+        self.fences.end(gauge, self.runtime.now_us(), outcome_known)
 
-    # ---- the stage
+    # ---- Stage
 
-    def take(self, r: Request) -> None:
-        self.begin_one(targets.gauge_of(r.target))
-        twin = r.twin(self)
-        twin.more = self.more(r)
-        self.clients[twin], self.twins[r] = r, twin
-        self.following.take(twin)
+    def submit(self, r: Request) -> None:
+        self.begin_write(targets.gauge_of(r.target))
+        forwarded = r.clone(self)
+        forwarded.extra_fields = self.format_forwarded(r)
+        self.client_requests[forwarded], self.forwarded_requests[r] = r, forwarded
+        self.following.submit(forwarded)
 
     def client_left(self, r: Request) -> None:
-        twin = self.twins.pop(r)
-        del self.clients[twin]
-        if twin in self.known:
-            self.known.remove(twin)
+        forwarded = self.forwarded_requests.pop(r)
+        del self.client_requests[forwarded]
+        if forwarded in self.with_known_outcome:
+            self.with_known_outcome.remove(forwarded)
         else:
-            self._over(twin, None, {})
-        self.following.client_left(twin)
+            self._finish_write(forwarded, None, {})
+        self.following.client_left(forwarded)
 
-    def hold_back(self, r: Request) -> None:
-        self.following.hold_back(self.twins[r])
+    def pause_response(self, r: Request) -> None:
+        self.following.pause_response(self.forwarded_requests[r])
 
-    def let_go(self, r: Request) -> None:
-        self.following.let_go(self.twins[r])
+    def resume_response(self, r: Request) -> None:
+        self.following.resume_response(self.forwarded_requests[r])
 
-    def _over(self, twin: Request, status_: int | None, headers: dict[bytes, bytes]) -> None:
-        # Failed, refused after a try, or left by its client: it may have run, or may yet.
-        self.end_one(targets.gauge_of(twin.target), status_ is not None and status_ < 500)
+    def _finish_write(self, forwarded: Request, status_: int | None, headers: dict[bytes, bytes]) -> None:
+        # A write that failed, was refused after an attempt or was abandoned by its client may have run or
+        # may still run.
+        self.end_write(targets.gauge_of(forwarded.target), status_ is not None and status_ < 500)
         if status_ is not None and status_ < 400:
             values = [headers[n] for n in (b"location", b"content-location") if n in headers]
-            for target in targets.reached(twin.headers.get(b"host", b""), twin.target, values):
-                self.void(targets.gauge_of(target))
+            for target in targets.same_origin_targets(
+                forwarded.headers.get(b"host", b""), forwarded.target, values
+            ):
+                self.invalidate(targets.gauge_of(target))
 
-    def _head(self, twin: Request, status_: int, more: bytes) -> bytes:
-        """Its outcome is known with its head; what comes after is only its body."""
-        answered = self.read(status_, more)
-        self._over(twin, status_, answered.headers)
-        fwd = Fwd.METHOD if twin.method not in READS else Fwd.BYPASS
-        return lines(answered.fields) + status.forwarded(self.name, fwd)
+    def _record_head(self, forwarded: Request, status_: int, more: bytes) -> bytes:
+        """Records the outcome, which is known once the head has arrived; returns the field lines."""
+        response = self.parse_response(status_, more)
+        self._finish_write(forwarded, status_, response.headers)
+        reason = ForwardReason.METHOD if forwarded.method not in READ_METHODS else ForwardReason.BYPASS
+        return format_fields(response.fields) + status.forwarded(self.name, reason)
 
-    # ---- Replies of what was sent on
+    # ---- Responder for forwarded requests
 
     def answer(self, request: Request, status_: int, body: Sequence[bytes] = (), more: bytes = b"") -> None:
-        r = self.clients.pop(request)
-        del self.twins[r]
-        r.replies.answer(r, status_, body, self._head(request, status_, more))
+        r = self.client_requests.pop(request)
+        del self.forwarded_requests[r]
+        r.responder.answer(r, status_, body, self._record_head(request, status_, more))
 
     def begin(self, request: Request, length: int | None, more: bytes, status_: int = 200) -> None:
-        r = self.clients[request]
-        self.known.add(request)
-        r.replies.begin(r, length, self._head(request, status_, more), status_)
+        r = self.client_requests[request]
+        self.with_known_outcome.add(request)
+        r.responder.begin(r, length, self._record_head(request, status_, more), status_)
 
-    def go(self, request: Request, body: bytes) -> None:
-        r = self.clients.get(request)
+    def write_body(self, request: Request, body: bytes) -> None:
+        r = self.client_requests.get(request)
         if r is not None:
-            r.replies.go(r, body)
+            r.responder.write_body(r, body)
 
-    def _done(self, request: Request) -> Request | None:
-        r = self.clients.pop(request, None)
+    def _remove(self, request: Request) -> Request | None:
+        r = self.client_requests.pop(request, None)
         if r is not None:
-            del self.twins[r]
-            self.known.discard(request)
+            del self.forwarded_requests[r]
+            self.with_known_outcome.discard(request)
         return r
 
     def end(self, request: Request) -> None:
-        r = self._done(request)
+        r = self._remove(request)
         if r is not None:
-            r.replies.end(r)
+            r.responder.end(r)
 
-    def cut(self, request: Request) -> None:
-        r = self._done(request)
+    def abort(self, request: Request) -> None:
+        r = self._remove(request)
         if r is not None:
-            r.replies.cut(r)
+            r.responder.abort(r)
--- a/magpiefront/commands/__init__.py
+++ b/magpiefront/commands/__init__.py
@@ -1,1 +1,1 @@
-"""The command line, one module a group of commands, loaded when asked for."""
+"""Operator commands of the command line. Each module is imported only if one of its commands is given."""
--- a/magpiefront/commands/group.py
+++ b/magpiefront/commands/group.py
@@ -1,4 +1,4 @@
-"""`python -m magpiefront group`: what an operator asks of the group, of any member that answers."""
+"""`python -m magpiefront group`: shows and changes the state of the group through a member that answers."""
 
 from __future__ import annotations
 
@@ -9,167 +9,180 @@
 import time
 from typing import Any, TextIO
 
-from magpiefront.gateway.members import WaySettings, ask
+from magpiefront.gateway.members import MemberLinkSettings, send_command
 from magpiefront.group.messages import name_of
-from magpiefront.operator.file import Operator
+from magpiefront.operator.file import OperatorConfig
 
-FINE, LOOK, CANT = 0, 1, 2
-ASK_S = 3.0
+# Exit statuses: success, success but something needs attention, and the command could not be carried out.
+EXIT_OK, EXIT_ATTENTION, EXIT_REFUSED = 0, 1, 2
+REQUEST_TIMEOUT_S = 3.0
 
 
-class Refused(Exception):
-    """What can't be done; its text is one line."""
+class CommandError(Exception):
+    """Raised if a command can't be carried out. The message is one line."""
 
 
 def add_arguments(parser: argparse.ArgumentParser) -> None:
-    parser.add_argument("--json", action="store_true", help="for programs")
-    parser.add_argument("--at", metavar="MEMBER", help="ask this one; else the file's own, then others")
+    parser.add_argument("--json", action="store_true", help="print JSON, for programs")
+    parser.add_argument("--at", metavar="MEMBER", help="ask this member; else the file's own, then others")
     commands = parser.add_subparsers(dest="group_command", required=True)
-    commands.add_parser("status", help="who leads, and how far this member is; 1 where nobody leads")
-    commands.add_parser("members", help="all members; exit status 1 where one is not well")
-    for name, text in (("add", "let a name of [group.members] in"), ("remove", "take a member out")):
-        one = commands.add_parser(name, help=text)
-        one.add_argument("name")
-        one.add_argument("--wait", type=float, default=10.0, metavar="S", help="until it is done; default 10")
-    lead = commands.add_parser("lead", help="hand the lead over")
+    commands.add_parser("status", help="leader and progress of a member; exit status 1 without a leader")
+    commands.add_parser("members", help="all members; exit status 1 if one is not well")
+    for name, text in (("add", "admit a member that [group.members] names"), ("remove", "remove a member")):
+        command = commands.add_parser(name, help=text)
+        command.add_argument("name")
+        command.add_argument("--wait", type=float, default=10.0, metavar="S", help="default 10")
+    lead = commands.add_parser("lead", help="transfer leadership")
     lead.add_argument("--to", required=True, metavar="MEMBER")
     lead.add_argument("--wait", type=float, default=5.0, metavar="S")
-    commands.add_parser("work", help="what each member has in hand; exit status 1 where one does not say")
-    commands.add_parser("snapshot", help="take one now, at the member that is asked")
+    commands.add_parser("work", help="open reports at each member; exit status 1 if one does not answer")
+    commands.add_parser("snapshot", help="take a snapshot now, at the member that answers")
 
 
-class Caller:
-    def __init__(self, operator: Operator, at: str | None) -> None:
+class GroupClient:
+    """Sends requests to the member `at`, or if it is None, to the first member of the group that answers. The
+    member whose operator's file is given comes first. Raises CommandError."""
+
+    def __init__(self, operator: OperatorConfig, at: str | None) -> None:
         if operator.group is None:
-            raise Refused(f"{operator.path}: [group] is missing")
-        self.tables = operator.group
+            raise CommandError(f"{operator.path}: [group] is missing")
+        self.config = operator.group
         self.settings = operator.group.settings
-        self.way = WaySettings(operator.site, operator.group.tls)
+        self.connection_settings = MemberLinkSettings(operator.site, operator.group.tls)
         if at is not None and at not in self.settings.members:
-            raise Refused(f"{at} is not in [group.members]")
+            raise CommandError(f"{at} is not in [group.members]")
         own = self.settings.member
         self.order = [at] if at is not None else [own, *sorted(self.settings.members.keys() - {own})]
 
-    def ask(self, what: dict[str, Any], name: str | None = None) -> dict[str, Any]:
-        """Of `name`, or of the first that answers. Raises Refused."""
+    def request(self, body: dict[str, Any], member: str | None = None) -> dict[str, Any]:
+        """Returns the answer of `member`, or of the first member that answers. Raises CommandError."""
         cause = ""
-        for each in [name] if name is not None else self.order:
-            address = self.settings.listen if each == self.settings.member else self.settings.members[each]
+        for name in [member] if member is not None else self.order:
+            address = self.settings.listen if name == self.settings.member else self.settings.members[name]
             try:
-                told = asyncio.run(ask(address, self.way, self.settings.name, what, ASK_S))
+                answer = asyncio.run(
+                    send_command(
+                        address, self.connection_settings, self.settings.name, body, REQUEST_TIMEOUT_S
+                    )
+                )
             except (OSError, TimeoutError, ValueError) as e:
-                cause = f"{each} at {address[0]}:{address[1]}: {e or 'no answer in its time'}"
+                cause = f"{name} at {address[0]}:{address[1]}: {e or 'no answer in time'}"
                 continue
-            if "error" in told:
-                raise Refused(f"{each}: {told['error']}")
-            return told
-        raise Refused(f"no member answers; the last one: {cause}")
+            if "error" in answer:
+                raise CommandError(f"{name}: {answer['error']}")
+            return answer
+        raise CommandError(f"no member answers; the last one: {cause}")
 
     def leader(self) -> str:
-        """Its name. Raises Refused."""
-        leader = self.ask({"do": "status"}).get("leader")
+        """Returns the name of the leader. Raises CommandError if there is none."""
+        leader = self.request({"do": "status"}).get("leader")
         if not leader:
-            raise Refused("nobody leads; `group status` of each member tells more")
+            raise CommandError("there is no leader; see `group status` at each member")
         return name_of(leader)
 
 
-def run(operator: Operator, args: argparse.Namespace, out: TextIO | None = None) -> int:
-    """The exit status. Raises Refused."""
-    caller = Caller(operator, args.at)
-    return COMMANDS[args.group_command](caller, args, out or sys.stdout)
+def run(operator: OperatorConfig, args: argparse.Namespace, output: TextIO | None = None) -> int:
+    """Runs a `group` command. Returns the exit status. Raises CommandError."""
+    client = GroupClient(operator, args.at)
+    return COMMANDS[args.group_command](client, args, output or sys.stdout)
 
 
-def tell(told: dict[str, Any], args: argparse.Namespace, out: TextIO, lines: list[str]) -> None:
-    print(json.dumps(told) if args.json else "\n".join(lines), file=out)
+def print_result(result: dict[str, Any], args: argparse.Namespace, output: TextIO, lines: list[str]) -> None:
+    """Prints `result` as JSON if `--json` was given, else `lines`."""
+    print(json.dumps(result) if args.json else "\n".join(lines), file=output)
 
 
-def status(caller: Caller, args: argparse.Namespace, out: TextIO) -> int:
-    s = caller.ask({"do": "status"})
+def status(client: GroupClient, args: argparse.Namespace, output: TextIO) -> int:
+    s = client.request({"do": "status"})
     if s["cause"]:
-        tell(s, args, out, [f"{s['member']}: {s['cause']}"])
-        return LOOK
-    part = "votes" if s["votes"] else "observes"
+        print_result(s, args, output, [f"{s['member']}: {s['cause']}"])
+        return EXIT_ATTENTION
+    role = "votes" if s["votes"] else "observes"
     lines = [
-        f"{s['id']} of {s['group']}: {s['role']}, {part}, term {s['term']}, led by {s['leader'] or 'nobody'}",
-        f"applied {s['applied']}, committed {s['commit']}, in the log {s['last']}, snapshot {s['snapshot']}",
-        f"may act under epoch {s['epoch']}, {s['session_ms']} ms left" if s["epoch"] else "may not act now",
+        f"{s['id']} of {s['group']}: {s['role']}, {role}, term {s['term']}, led by {s['leader'] or 'none'}",
+        f"applied {s['applied']}, committed {s['commit']}, last entry {s['last']}, snapshot {s['snapshot']}",
+        f"may act in epoch {s['epoch']}, {s['session_ms']} ms left" if s["epoch"] else "may not act now",
     ]
-    tell(s, args, out, lines)
-    return FINE if s["leader"] else LOOK
+    print_result(s, args, output, lines)
+    return EXIT_OK if s["leader"] else EXIT_ATTENTION
 
 
-def members(caller: Caller, args: argparse.Namespace, out: TextIO) -> int:
-    s = caller.ask({"do": "status"}, None if args.at else caller.leader())
-    found = s.get("members", {})
+def members(client: GroupClient, args: argparse.Namespace, output: TextIO) -> int:
+    answer = client.request({"do": "status"}, None if args.at else client.leader())
+    all_members = answer.get("members", {})
     lines = [f"{'member':24} {'part':9} {'state':10} {'epoch':>6} {'losses':>6} {'behind':>8}"]
-    for name, m in found.items():
-        behind = "" if m["match"] is None else str(max(0, s["commit"] - m["match"]))
+    for name, m in all_members.items():
+        behind = "" if m["match"] is None else str(max(0, answer["commit"] - m["match"]))
         state = "suspected" if m["suspected"] and m["state"] == "well" else m["state"]
-        mark = " leads" if m["id"] == s["leader"] else ""
+        mark = " leads" if m["id"] == answer["leader"] else ""
         lines.append(f"{name:24} {m['part']:9} {state:10} {m['epoch']:6} {m['losses']:6} {behind:>8}{mark}")
-    tell(s, args, out, lines)
-    return FINE if all(m["state"] == "well" for m in found.values() if m["part"] != "none") else LOOK
-
-
-def change(caller: Caller, args: argparse.Namespace, out: TextIO) -> int:
-    takes_out = args.group_command == "remove"
-    told = caller.ask({"do": "bar", "name": args.name, "out": takes_out}, caller.leader())
-    if told["fate"] != "committed":
-        raise Refused(f"{told['fate']}: {told['cause']}")
-    end = time.monotonic() + args.wait
+    print_result(answer, args, output, lines)
+    return (
+        EXIT_OK
+        if all(m["state"] == "well" for m in all_members.values() if m["part"] != "none")
+        else EXIT_ATTENTION
+    )
+
+
+def change_members(client: GroupClient, args: argparse.Namespace, output: TextIO) -> int:
+    is_removal = args.group_command == "remove"
+    outcome = client.request({"do": "bar", "name": args.name, "out": is_removal}, client.leader())
+    if outcome["fate"] != "committed":
+        raise CommandError(f"{outcome['fate']}: {outcome['cause']}")
+    deadline = time.monotonic() + args.wait
     while True:
-        s = caller.ask({"do": "status"})
-        part = s.get("members", {}).get(args.name, {}).get("part", "none")
-        if (part == "none") == takes_out:
-            word = "is out" if takes_out else f"is in, as {part}"
-            tell({"member": args.name, "part": part}, args, out, [f"{args.name} {word}"])
-            return FINE
-        if time.monotonic() > end:
-            line = f"committed; {args.name} has still to {'leave' if takes_out else 'ask to be taken in'}"
-            tell({"member": args.name, "part": part}, args, out, [line])
-            return LOOK
+        answer = client.request({"do": "status"})
+        part = answer.get("members", {}).get(args.name, {}).get("part", "none")
+        if (part == "none") == is_removal:
+            result = "is out" if is_removal else f"is in, as {part}"
+            print_result({"member": args.name, "part": part}, args, output, [f"{args.name} {result}"])
+            return EXIT_OK
+        if time.monotonic() > deadline:
+            line = f"committed; {args.name} has not {'left' if is_removal else 'joined'} yet"
+            print_result({"member": args.name, "part": part}, args, output, [line])
+            return EXIT_ATTENTION
         time.sleep(0.1)
 
 
-def lead(caller: Caller, args: argparse.Namespace, out: TextIO) -> int:
-    caller.ask({"do": "lead", "to": args.to}, caller.leader())
-    end = time.monotonic() + args.wait
-    while time.monotonic() < end:
-        leader = name_of(caller.ask({"do": "status"}).get("leader") or "")
+def transfer_leadership(client: GroupClient, args: argparse.Namespace, output: TextIO) -> int:
+    client.request({"do": "lead", "to": args.to}, client.leader())
+    deadline = time.monotonic() + args.wait
+    while time.monotonic() < deadline:
+        leader = name_of(client.request({"do": "status"}).get("leader") or "")
         if leader == args.to:
-            tell({"leader": leader}, args, out, [f"{leader} leads"])
-            return FINE
+            print_result({"leader": leader}, args, output, [f"{leader} leads"])
+            return EXIT_OK
         time.sleep(0.05)
-    raise Refused(f"{args.to} does not lead yet")
+    raise CommandError(f"{args.to} does not lead yet")
 
 
-def work(caller: Caller, args: argparse.Namespace, out: TextIO) -> int:
-    found: dict[str, Any] = {}
-    for name in caller.order if args.at else sorted(caller.settings.members):
+def work(client: GroupClient, args: argparse.Namespace, output: TextIO) -> int:
+    answers: dict[str, Any] = {}
+    for name in client.order if args.at else sorted(client.settings.members):
         try:
-            found[name] = caller.ask({"do": "work"}, name)
-        except Refused as e:
-            found[name] = {"error": str(e)}
-    lines = [f"{'member':24} {'acts':>6} {'in hand':>8} {'delivers':>9} {'taken over':>11}  waits for"]
-    for name, told in found.items():
-        if "error" in told:
-            lines.append(f"{name:24} {told['error']}")
+            answers[name] = client.request({"do": "work"}, name)
+        except CommandError as e:
+            answers[name] = {"error": str(e)}
+    lines = [f"{'member':24} {'epoch':>6} {'open':>8} {'delivers':>9} {'taken over':>11}  phases"]
+    for name, answer in answers.items():
+        if "error" in answer:
+            lines.append(f"{name:24} {answer['error']}")
             continue
-        hand = {k: n for k, n in told["in_hand"].items() if n}
-        waits = ", ".join(f"{n} {k}" for k, n in hand.items())
-        lines.append(f"{name:24} {told['acts']:6} {sum(hand.values()):8} {told['delivering']:9} "
-                     f"{told['taken']:11}  {waits}")  # fmt: skip
-    tell({"members": found}, args, out, lines)
-    return LOOK if any("error" in told for told in found.values()) else FINE
+        in_hand = {k: n for k, n in answer["in_hand"].items() if n}
+        phases = ", ".join(f"{n} {k}" for k, n in in_hand.items())
+        lines.append(f"{name:24} {answer['acts']:6} {sum(in_hand.values()):8} {answer['delivering']:9} "
+                     f"{answer['taken']:11}  {phases}")  # fmt: skip
+    print_result({"members": answers}, args, output, lines)
+    return EXIT_ATTENTION if any("error" in answer for answer in answers.values()) else EXIT_OK
 
 
-def snapshot(caller: Caller, args: argparse.Namespace, out: TextIO) -> int:
-    told = caller.ask({"do": "snapshot"})
-    tell(told, args, out, [f"snapshot at {told['snapshot']}"])
-    return FINE
+def snapshot(client: GroupClient, args: argparse.Namespace, output: TextIO) -> int:
+    answer = client.request({"do": "snapshot"})
+    print_result(answer, args, output, [f"snapshot at {answer['snapshot']}"])
+    return EXIT_OK
 
 
 COMMANDS = {
-    "status": status, "members": members, "add": change, "remove": change, "lead": lead, "work": work,
-    "snapshot": snapshot,
+    "status": status, "members": members, "add": change_members, "remove": change_members,
+    "lead": transfer_leadership, "work": work, "snapshot": snapshot,
 }  # fmt: skip
--- a/magpiefront/commands/maintenance.py
+++ b/magpiefront/commands/maintenance.py
@@ -1,4 +1,4 @@
-"""`python -m magpiefront maintenance`: machines out for work, asked of any member that answers."""
+"""`python -m magpiefront maintenance`: controls maintenance plans through a member that answers."""
 
 from __future__ import annotations
 
@@ -12,54 +12,56 @@
 
 import msgspec
 
-from magpiefront.commands.group import CANT, FINE, LOOK, Caller, Refused, tell
-from magpiefront.group.facts import Member
-from magpiefront.maintenance.facts import Kept
+from magpiefront.commands.group import (
+    EXIT_ATTENTION, EXIT_OK, EXIT_REFUSED, CommandError, GroupClient, print_result,
+)  # fmt: skip
+from magpiefront.group.registry import Member
+from magpiefront.maintenance.state_machine import MaintenanceState
 from magpiefront.maintenance.forecast import forecast
 from magpiefront.maintenance.settings import MaintenanceSettings
-from magpiefront.operator.file import Operator
-from magpiefront.operator.maintenance import plan as read_plan
+from magpiefront.operator.file import OperatorConfig
+from magpiefront.operator.maintenance import load_plan
 
-EACH_S = 1.0
-GOING = ("asked", "granted", "draining", "out", "held", "back", "warming")
+POLL_INTERVAL_S = 1.0
+ACTIVE_STATES = ("asked", "granted", "draining", "out", "held", "back", "warming")
 
 
 def add_arguments(parser: argparse.ArgumentParser) -> None:
-    parser.add_argument("--json", action="store_true", help="for programs")
-    parser.add_argument("--at", metavar="MEMBER", help="ask this one; else the file's own, then others")
-    parser.add_argument("--by", default="", help="who asks; else the user's name")
+    parser.add_argument("--json", action="store_true", help="print JSON, for programs")
+    parser.add_argument("--at", metavar="MEMBER", help="ask this member; else the file's own, then others")
+    parser.add_argument("--by", default="", help="name of the operator; default: the user's name")
     commands = parser.add_subparsers(dest="maintenance_command", required=True)
-    check = commands.add_parser("check", help="play a plan on what is agreed now; nothing is started")
+    check = commands.add_parser("check", help="simulate a plan from the current state; starts nothing")
     check.add_argument("file")
-    check.add_argument("--work", type=float, default=300.0, metavar="S", help="of one machine; default 300")
+    check.add_argument("--work", type=float, default=300.0, metavar="S", help="per machine; default 300")
     check.add_argument("--warm", type=float, default=30.0, metavar="S", help="until warm; default 30")
-    commands.add_parser("start", help="give a plan to the proxies").add_argument("file")
-    commands.add_parser("status", help="plans and machines; exit status 1 where one has failed or is held")
-    watch = commands.add_parser("watch", help="status until all are done")
-    watch.add_argument("--most", type=float, default=0.0, metavar="S", help="at the most")
-    for name, text in (("pause", "nothing more goes out"), ("resume", "after a pause, or a failure")):
+    commands.add_parser("start", help="start a plan").add_argument("file")
+    commands.add_parser("status", help="plans and machines; exit status 1 if one has failed or is held")
+    watch = commands.add_parser("watch", help="show the status until all machines are done")
+    watch.add_argument("--most", type=float, default=0.0, metavar="S", help="stop after this time")
+    for name, text in (("pause", "take no more machines out"), ("resume", "go on after a pause or failure")):
         commands.add_parser(name, help=text).add_argument("plan")
-    withdraw = commands.add_parser("withdraw", help="take back what has not gone out: a plan, or a machine")
+    withdraw = commands.add_parser("withdraw", help="cancel a plan or a machine that is not out yet")
     withdraw.add_argument("plan")
     withdraw.add_argument("machine", nargs="?", default="")
-    for name, text in (("done", "its work is done"), ("retry", "its work has to be done once more"),
-                       ("why", "what a machine waits for")):  # fmt: skip
+    for name, text in (("done", "declare its work as done"), ("retry", "do its work again"),
+                       ("why", "show what a machine waits for")):  # fmt: skip
         commands.add_parser(name, help=text).add_argument("machine")
 
 
-def run(operator: Operator, args: argparse.Namespace, out: TextIO | None = None) -> int:
-    """The exit status. Raises Refused, BadFile."""
+def run(operator: OperatorConfig, args: argparse.Namespace, output: TextIO | None = None) -> int:
+    """Runs a `maintenance` command. Returns the exit status. Raises CommandError and BadFile."""
     if operator.maintenance is None:
-        raise Refused(f"{operator.path}: [maintenance] is missing")
-    caller, out = Caller(operator, args.at), out or sys.stdout
-    does = {"check": _check, "start": _start, "status": _status, "watch": _watch, "why": _why}
-    do = does.get(args.maintenance_command)
-    if do is not None:
-        return do(caller, operator.maintenance, args, out)
-    return _steer(caller, args, out)
+        raise CommandError(f"{operator.path}: [maintenance] is missing")
+    client, output = GroupClient(operator, args.at), output or sys.stdout
+    commands = {"check": _check, "start": _start, "status": _status, "watch": _watch, "why": _why}
+    command = commands.get(args.maintenance_command)
+    if command is not None:
+        return command(client, operator.maintenance, args, output)
+    return _control(client, args, output)
 
 
-def _by(args: argparse.Namespace) -> str:
+def _requester(args: argparse.Namespace) -> str:
     if args.by:
         return str(args.by)
     try:
@@ -68,118 +70,129 @@
         return f"user {os.getuid()}"
 
 
-def _ask(caller: Caller, what: str, **more: Any) -> dict[str, Any]:
-    return caller.ask({"do": "maintenance", "what": what, **more})
-
-
-def _check(caller: Caller, settings: MaintenanceSettings, args: argparse.Namespace, out: TextIO) -> int:
-    plan = read_plan(Path(args.file), _by(args), settings)
-    told = _ask(caller, "board")
-    kept = msgspec.convert(told["kept"], Kept, strict=False)
-    members = msgspec.convert(told["members"], dict[str, Member])
-    f = forecast(kept, members, plan, settings.machines.values(), settings.voters, args.work, args.warm)
-    if f.refused:
-        tell(msgspec.to_builtins(f), args, out, [f"it would be refused: {f.refused}"])
-        return CANT
-    lines = [f"{f.takes_s:.0f} s in all, {f.first_s:.0f} s until the first machine is out"]
+def _request(client: GroupClient, command: str, **arguments: Any) -> dict[str, Any]:
+    return client.request({"do": "maintenance", "what": command, **arguments})
+
+
+def _check(
+    client: GroupClient, settings: MaintenanceSettings, args: argparse.Namespace, output: TextIO
+) -> int:
+    plan = load_plan(Path(args.file), _requester(args), settings)
+    answer = _request(client, "board")
+    state = msgspec.convert(answer["kept"], MaintenanceState, strict=False)
+    members = msgspec.convert(answer["members"], dict[str, Member])
+    result = forecast(state, members, plan, settings.machines.values(), settings.voters, args.work, args.warm)
+    if result.refused:
+        print_result(
+            msgspec.to_builtins(result), args, output, [f"the plan would be refused: {result.refused}"]
+        )
+        return EXIT_REFUSED
+    lines = [f"{result.takes_s:.0f} s in total, {result.first_s:.0f} s until the first machine is out"]
     lines += [f"wave {n}, at {w.at_s:.0f} s: {', '.join(w.machines)}; {w.left:.0%} of the nodes in use"
-              for n, w in enumerate(f.waves, 1)]  # fmt: skip
-    lines.append(f"at the least {f.least_left:.0%} of the nodes in use; in one wave {f.moved:.0%} of keys "
-                 "come to another node, and are asked of the archive once more")  # fmt: skip
-    if f.stuck:
-        lines.append(f"it would not end: {f.stuck}")
-    tell(msgspec.to_builtins(f), args, out, lines)
-    return LOOK if f.stuck else FINE
-
-
-def _start(caller: Caller, settings: MaintenanceSettings, args: argparse.Namespace, out: TextIO) -> int:
-    plan = read_plan(Path(args.file), _by(args), settings)
-    _ask(caller, "start", plan=msgspec.to_builtins(plan))
-    tell({"plan": plan.id}, args, out, [f"{plan.id} has begun: {len(plan.machines)} machines"])
-    return FINE
-
-
-def _steer(caller: Caller, args: argparse.Namespace, out: TextIO) -> int:
-    to, machine, plan = args.maintenance_command, getattr(args, "machine", ""), getattr(args, "plan", "")
+              for n, w in enumerate(result.waves, 1)]  # fmt: skip
+    lines.append(f"at least {result.least_left:.0%} of the nodes in use; one wave moves up to "
+                 f"{result.moved:.0%} of the keys to nodes that fetch them from the archive")  # fmt: skip
+    if result.stuck:
+        lines.append(f"the plan would not end: {result.stuck}")
+    print_result(msgspec.to_builtins(result), args, output, lines)
+    return EXIT_ATTENTION if result.stuck else EXIT_OK
+
+
+def _start(
+    client: GroupClient, settings: MaintenanceSettings, args: argparse.Namespace, output: TextIO
+) -> int:
+    plan = load_plan(Path(args.file), _requester(args), settings)
+    _request(client, "start", plan=msgspec.to_builtins(plan))
+    print_result({"plan": plan.id}, args, output, [f"{plan.id} has begun: {len(plan.machines)} machines"])
+    return EXIT_OK
+
+
+def _control(client: GroupClient, args: argparse.Namespace, output: TextIO) -> int:
+    action, machine, plan = args.maintenance_command, getattr(args, "machine", ""), getattr(args, "plan", "")
     if not plan:
-        machines = _ask(caller, "status")["machines"]
+        machines = _request(client, "status")["machines"]
         if machine not in machines:
-            raise Refused(f"{machine} is in no plan")
+            raise CommandError(f"{machine} is in no plan")
         plan = machines[machine]["plan"]
-    _ask(caller, "steer", to=to, plan=plan, machine=machine, by=_by(args))
-    found = {"plan": plan, "machine": machine, "to": to}
-    tell(found, args, out, [f"{to}: {' '.join(filter(None, (plan, machine)))}"])
-    return FINE
+    _request(client, "steer", to=action, plan=plan, machine=machine, by=_requester(args))
+    result = {"plan": plan, "machine": machine, "to": action}
+    print_result(result, args, output, [f"{action}: {' '.join(filter(None, (plan, machine)))}"])
+    return EXIT_OK
 
 
-def table(s: dict[str, Any]) -> list[str]:
+def format_status(status: dict[str, Any]) -> list[str]:
+    """Returns a line for each plan and a table of the machines."""
     lines = []
-    for name, p in s["plans"].items():
-        mark = f"paused by {p['paused']}" if p["paused"] else p["stopped"] and f"stopped: {p['stopped']}"
-        lines.append(f"{name}, by {p['by']}{f': {mark}' if mark else ''}")
+    for name, p in status["plans"].items():
+        state = f"paused by {p['paused']}" if p["paused"] else p["stopped"] and f"stopped: {p['stopped']}"
+        lines.append(f"{name}, by {p['by']}{f': {state}' if state else ''}")
     lines.append(f"{'machine':20} {'plan':16} {'state':10} {'for':>7}  waits for")
-    for name, m in s["machines"].items():
-        why = m["waits_for"] or m["cause"]
-        lines.append(f"{name:20} {m['plan']:16} {m['state']:10} {m['for_s']:6.0f}s  {why}")
-    if s["by_hand"]:
-        lines.append(f"by hand, at {s['member']}: {', '.join(s['by_hand'])}")
+    for name, m in status["machines"].items():
+        reason = m["waits_for"] or m["cause"]
+        lines.append(f"{name:20} {m['plan']:16} {m['state']:10} {m['for_s']:6.0f}s  {reason}")
+    if status["by_hand"]:
+        lines.append(f"nodes excluded by an operator at {status['member']}: {', '.join(status['by_hand'])}")
     return lines
 
 
-def _bad(s: dict[str, Any]) -> bool:
-    return any(m["state"] in ("failed", "held") for m in s["machines"].values())
+def _needs_attention(status: dict[str, Any]) -> bool:
+    return any(m["state"] in ("failed", "held") for m in status["machines"].values())
 
 
-def _status(caller: Caller, settings: MaintenanceSettings, args: argparse.Namespace, out: TextIO) -> int:
-    s = _ask(caller, "status")
-    tell(s, args, out, table(s))
-    return LOOK if _bad(s) else FINE
+def _status(
+    client: GroupClient, settings: MaintenanceSettings, args: argparse.Namespace, output: TextIO
+) -> int:
+    status = _request(client, "status")
+    print_result(status, args, output, format_status(status))
+    return EXIT_ATTENTION if _needs_attention(status) else EXIT_OK
 
 
-def _watch(caller: Caller, settings: MaintenanceSettings, args: argparse.Namespace, out: TextIO) -> int:
-    """A table that is written over where there is a terminal; else a line for each thing that happened."""
-    live, seen, end = out.isatty() and not args.json, set[str](), time.monotonic() + args.most
-    s = _ask(caller, "status")
+def _watch(
+    client: GroupClient, settings: MaintenanceSettings, args: argparse.Namespace, output: TextIO
+) -> int:
+    """On a terminal, refreshes the status in place; otherwise prints each new line of the plans' history."""
+    is_live, seen, deadline = output.isatty() and not args.json, set[str](), time.monotonic() + args.most
+    status = _request(client, "status")
     while True:
-        if live:
-            print("\x1b[H\x1b[2J" + "\n".join(table(s)), file=out, flush=True)
+        if is_live:
+            print("\x1b[H\x1b[2J" + "\n".join(format_status(status)), file=output, flush=True)
         else:
-            new = [line for line in s["lines"] if line not in seen]
-            seen.update(new)
-            if args.json or new:
-                tell(s, args, out, new)
-                out.flush()
-        if not any(m["state"] in GOING for m in s["machines"].values()):
-            return LOOK if _bad(s) else FINE
-        if args.most and time.monotonic() > end:
-            return LOOK
-        time.sleep(EACH_S)
-        s = _status_again(caller, args, end) or s
-
-
-def _status_again(caller: Caller, args: argparse.Namespace, end: float) -> dict[str, Any] | None:
-    """None where there is no answer now: while members elect a leader, or are busy, they have none, and who
-    watches goes on. Told once on standard error, for the other output may be read by programs."""
-    told = False
+            new_lines = [line for line in status["lines"] if line not in seen]
+            seen.update(new_lines)
+            if args.json or new_lines:
+                print_result(status, args, output, new_lines)
+                output.flush()
+        if not any(m["state"] in ACTIVE_STATES for m in status["machines"].values()):
+            return EXIT_ATTENTION if _needs_attention(status) else EXIT_OK
+        if args.most and time.monotonic() > deadline:
+            return EXIT_ATTENTION
+        time.sleep(POLL_INTERVAL_S)
+        status = _retry_status(client, args, deadline) or status
+
+
+def _retry_status(client: GroupClient, args: argparse.Namespace, deadline: float) -> dict[str, Any] | None:
+    """Requests the status until a member answers; during an election, for example, none may answer for a
+    while. Returns None at the deadline. Prints the first failure on standard error, as programs may read the
+    standard output."""
+    printed = False
     while True:
         try:
-            return _ask(caller, "status")
-        except Refused as e:
-            if not told:
+            return _request(client, "status")
+        except CommandError as e:
+            if not printed:
                 print(f"{e}; asking again", file=sys.stderr, flush=True)
-            told = True
-        if args.most and time.monotonic() > end:
+            printed = True
+        if args.most and time.monotonic() > deadline:
             return None
-        time.sleep(EACH_S)
+        time.sleep(POLL_INTERVAL_S)
 
 
-def _why(caller: Caller, settings: MaintenanceSettings, args: argparse.Namespace, out: TextIO) -> int:
-    machines = _ask(caller, "status")["machines"]
+def _why(client: GroupClient, settings: MaintenanceSettings, args: argparse.Namespace, output: TextIO) -> int:
+    machines = _request(client, "status")["machines"]
     if args.machine not in machines:
-        raise Refused(f"{args.machine} is in no plan")
+        raise CommandError(f"{args.machine} is in no plan")
     m = machines[args.machine]
-    waits = f", and waits for: {m['waits_for']}" if m["waits_for"] else ""
-    line = f"{args.machine} is {m['state']}{waits}"
-    tell({"machine": args.machine, **m}, args, out, [line])
-    return FINE
-
+    waits_for = f", and waits for: {m['waits_for']}" if m["waits_for"] else ""
+    line = f"{args.machine} is {m['state']}{waits_for}"
+    print_result({"machine": args.machine, **m}, args, output, [line])
+    return EXIT_OK
--- a/magpiefront/commands/reports.py
+++ b/magpiefront/commands/reports.py
@@ -1,50 +1,50 @@
-"""`python -m magpiefront record` over reports that the group holds: each call asks a member that answers."""
+"""Lets `python -m magpiefront record` read and change the reports of a group, through a member."""
 
 from __future__ import annotations
 
 from collections.abc import Iterator
 from typing import Any
 
-from magpiefront.commands.group import Caller
-from magpiefront.commands.group import Refused as NoMember
-from magpiefront.operator.file import Operator
-from magpiefront.record.books import Refused
+from magpiefront.commands.group import GroupClient
+from magpiefront.commands.group import CommandError as GroupCommandError
+from magpiefront.operator.file import OperatorConfig
+from magpiefront.record.report_stores import CommandError
 from magpiefront.record.commands import from_json, to_json
 from magpiefront.record.rows import Id, Row, State
 
 
-class GroupBook:
-    """`record.books.Book`. Rows are read a page after the other: what changes between two pages may be missed
-    or come twice, and is told once."""
+class GroupReportStore:
+    """Implements `record.report_stores.ReportStore`. Rows are read in pages: a row that changes between two
+    pages may be missed; one that is in two pages is returned once."""
 
-    def __init__(self, operator: Operator) -> None:
-        """Raises Refused."""
+    def __init__(self, operator: OperatorConfig) -> None:
+        """Raises CommandError."""
         try:
-            self.caller = Caller(operator, None)
-        except NoMember as e:
-            raise Refused(str(e)) from None
-        self.name = f"group {self.caller.settings.name}"
+            self.client = GroupClient(operator, None)
+        except GroupCommandError as e:
+            raise CommandError(str(e)) from None
+        self.name = f"group {self.client.settings.name}"
 
-    def _ask(self, what: str, **more: Any) -> dict[str, Any]:
-        """Raises Refused."""
+    def _request(self, command: str, **arguments: Any) -> dict[str, Any]:
+        """Raises CommandError."""
         try:
-            return self.caller.ask({"do": "record", "what": what, **more})
-        except NoMember as e:
-            raise Refused(str(e)) from None
+            return self.client.request({"do": "record", "what": command, **arguments})
+        except GroupCommandError as e:
+            raise CommandError(str(e)) from None
 
     def counts(self) -> list[tuple[str, int, float]]:
-        found = self._ask("counts")["counts"]
-        return [(state, int(count), float(oldest)) for state, (count, oldest) in found.items()]
+        counts = self._request("counts")["counts"]
+        return [(state, int(count), float(oldest)) for state, (count, oldest) in counts.items()]
 
     def rows(self, state: State | None = None) -> Iterator[Row]:
         first, seen = 0, set[Id]()
         while True:
-            told = self._ask("rows", first=first, **({"state": state.value} if state is not None else {}))
-            for row in map(from_json, told["rows"]):
+            page = self._request("rows", first=first, **({"state": state.value} if state is not None else {}))
+            for row in map(from_json, page["rows"]):
                 if row.id not in seen:
                     seen.add(row.id)
                     yield row
-            first = told["next"]
+            first = page["next"]
             if not first:
                 return
 
@@ -52,10 +52,10 @@
         return next((r for r in self.rows() if r.id == id), None)
 
     def add(self, row: Row) -> bool:
-        return bool(self._ask("add", row=to_json(row))["done"])
+        return bool(self._request("add", row=to_json(row))["done"])
 
     def change(self, before: Row, after: Row) -> bool:
-        return bool(self._ask("change", before=to_json(before), after=to_json(after))["done"])
+        return bool(self._request("change", before=to_json(before), after=to_json(after))["done"])
 
     def begin(self, writes: bool) -> None:
         pass
@@ -63,17 +63,19 @@
     def commit(self) -> None:
         pass
 
-    def checked(self) -> Iterator[Row | str]:
+    def verify_rows(self) -> Iterator[Row | str]:
         yield from self.rows()
 
-    def origins(self) -> list[tuple[float, float | None]]:
+    def source_backups(self) -> list[tuple[float, float | None]]:
         return []
 
     def size(self) -> int:
-        return int(self._ask("counts")["bytes"])
+        return int(self._request("counts")["bytes"])
 
     def compact(self) -> None:
-        raise Refused("the group compacts its logs by itself; `group snapshot` does it at one member now")
+        raise CommandError(
+            "the group compacts its logs by itself; `group snapshot` does it now at one member"
+        )
 
     def close(self) -> None:
         pass
--- a/magpiefront/gateway/__init__.py
+++ b/magpiefront/gateway/__init__.py
@@ -1,1 +1,1 @@
-"""The gateway between two sites: which requests cross, how, and what is known of those that broke."""
+"""The gateway between two sites: forwards requests to the site that serves their key."""
--- a/magpiefront/gateway/counters.py
+++ b/magpiefront/gateway/counters.py
@@ -1,18 +1,23 @@
-"""What the gateway counts. Names and meanings stand in the operator's page."""
+"""Counters of the gateway's events. The operator's manual lists their names."""
 
 from __future__ import annotations
 
 
 class Counters:
+    """Counters by name, which only increase."""
+
     def __init__(self) -> None:
         self.values: dict[str, int] = {}
-        self.told: dict[str, int] = {}
+        self.reported: dict[str, int] = {}
 
     def add(self, name: str) -> None:
+        """Adds one to a counter."""
         self.values[name] = self.values.get(name, 0) + 1
 
-    def line(self) -> str:
-        """What has changed since the last line, or nothing."""
-        new = {n: v - self.told.get(n, 0) for n, v in self.values.items() if v != self.told.get(n, 0)}
-        self.told = dict(self.values)
-        return " ".join(f"{n}={v}" for n, v in sorted(new.items()))
+    def take_changes(self) -> str:
+        """The counters that changed since the last call, as "name=increase ..."; empty if none did."""
+        delta = {
+            n: v - self.reported.get(n, 0) for n, v in self.values.items() if v != self.reported.get(n, 0)
+        }
+        self.reported = dict(self.values)
+        return " ".join(f"{n}={v}" for n, v in sorted(delta.items()))
--- a/magpiefront/gateway/health.py
+++ b/magpiefront/gateway/health.py
@@ -1,8 +1,10 @@
-"""What is known of one connection between gateways from its PINGs, and when to try again. No I/O, no clock.
+"""The state of a connection between gateways, derived from HTTP/2 PINGs, and the pauses between connection
+attempts. No I/O, no clock. Times are in microseconds.
 
-Both ends send PINGs (RFC 9113, 6.7). The limits bound more than reaction: what a stalled path delivers long
-after it was sent must not run (its sender has given it up, and may have sent it again), so an end that has
-not had an answer within the time-out takes nothing more from that connection. Times are microseconds.
+Both ends send PINGs (RFC 9113, 6.7). The timeout does more than detect a failure: a request that a stalled
+path delivers long after it was sent must not run, because its sender has given it up and may have sent it
+again. An end whose PING was not answered within the timeout therefore discards whatever the connection
+delivers.
 """
 
 from __future__ import annotations
@@ -12,90 +14,103 @@
 from magpiefront.gateway.routes import LinkState
 from magpiefront.gateway.settings import LinkSettings
 
-SMOOTH = 0.125  # RFC 6298, 2: the smoothing of round trips
-JITTER = 0.25
-LATE = 4.0  # mean deviations past the round trip, and a half of the interval, until a PING is late
+ROUND_TRIP_SMOOTHING = 0.125  # weight of a new round-trip time: RFC 6298, 2
+PING_JITTER = 0.25  # largest relative deviation of the pause between two PINGs
+# A PING is late after the round-trip time, this many mean deviations and half of the PING interval.
+LATE_DEVIATIONS = 4.0
 
 
-class Health:
-    """One connection. `tick` is due at `due_us`; the caller sends a PING when it returns True."""
+class ConnectionHealth:
+    """State of one connection. The caller calls `tick` at `due_us` and sends a PING if it returns True."""
 
     def __init__(self, settings: LinkSettings, now_us: int, random: Random) -> None:
-        self.set, self.random = settings, random
+        self.settings, self.random = settings, random
         self.state = LinkState.UP
         self.cause = "connected"
-        self.round_us, self.deviation_us = 0.0, 0.0
-        self.asked_us: int | None = None  # when the PING that is out was sent
+        self.round_trip_us, self.deviation_us = 0.0, 0.0
+        self.ping_sent_at_us: int | None = None  # when the unanswered PING was sent
         self.due_us = now_us
 
     @property
-    def late_us(self) -> int:
-        """How long a PING may take before the connection is suspect."""
-        return min(self.set.ping_timeout_us // 2,
-                   int(self.round_us + LATE * self.deviation_us + self.set.ping_interval_us / 2))  # fmt: skip
-
-    def _to(self, state: LinkState, cause: str) -> None:
+    def suspect_after_us(self) -> int:
+        """Time after which an unanswered PING makes the connection suspect."""
+        return min(
+            self.settings.ping_timeout_us // 2,
+            int(
+                self.round_trip_us + LATE_DEVIATIONS * self.deviation_us + self.settings.ping_interval_us / 2
+            ),
+        )
+
+    def _set_state(self, state: LinkState, cause: str) -> None:
+        """Changes the state. A draining connection can only go down."""
         if self.state is not LinkState.DRAINING or state is LinkState.DOWN:
             self.state, self.cause = state, cause
 
     def tick(self, now_us: int) -> bool:
-        """Returns whether a PING is to be sent now."""
+        """Updates the state and `due_us`. Returns True if a PING must be sent now."""
         if self.state is LinkState.DOWN:
             return False
-        if self.asked_us is None:
-            self.asked_us = now_us
-            self.due_us = now_us + self.late_us
+        if self.ping_sent_at_us is None:
+            self.ping_sent_at_us = now_us
+            self.due_us = now_us + self.suspect_after_us
             return True
-        waited = now_us - self.asked_us
-        if waited >= self.set.ping_timeout_us:
-            self._to(LinkState.DOWN, f"no answer to a PING for {waited // 1000} ms")
-        elif waited >= self.late_us:
-            self._to(LinkState.SUSPECT, f"a PING is late: {waited // 1000} ms")
-            self.due_us = self.asked_us + self.set.ping_timeout_us
+        waited_us = now_us - self.ping_sent_at_us
+        if waited_us >= self.settings.ping_timeout_us:
+            self._set_state(LinkState.DOWN, f"no answer to a PING for {waited_us // 1000} ms")
+        elif waited_us >= self.suspect_after_us:
+            self._set_state(LinkState.SUSPECT, f"a PING is late: {waited_us // 1000} ms")
+            self.due_us = self.ping_sent_at_us + self.settings.ping_timeout_us
         else:
-            self.due_us = self.asked_us + self.late_us
+            self.due_us = self.ping_sent_at_us + self.suspect_after_us
         return False
 
-    def pong(self, now_us: int) -> None:
-        if self.asked_us is None:
+    def pong_received(self, now_us: int) -> None:
+        """Records the answer to a PING: updates the round-trip time and schedules the next PING."""
+        if self.ping_sent_at_us is None:
             return
-        took = now_us - self.asked_us
-        if self.round_us:
-            self.deviation_us += 0.25 * (abs(took - self.round_us) - self.deviation_us)
-            self.round_us += SMOOTH * (took - self.round_us)
+        round_trip_us = now_us - self.ping_sent_at_us
+        if self.round_trip_us:
+            # 0.25: weight of a new deviation (RFC 6298, 2).
+            self.deviation_us += 0.25 * (abs(round_trip_us - self.round_trip_us) - self.deviation_us)
+            self.round_trip_us += ROUND_TRIP_SMOOTHING * (round_trip_us - self.round_trip_us)
         else:
-            self.round_us, self.deviation_us = float(took), took / 2
-        self.asked_us = None
-        self._to(LinkState.UP, f"a PING was answered in {took // 1000} ms")
-        spread = 1 + JITTER * (2 * self.random.random() - 1)
-        self.due_us = now_us + int(self.set.ping_interval_us * spread)
+            self.round_trip_us, self.deviation_us = float(round_trip_us), round_trip_us / 2
+        self.ping_sent_at_us = None
+        self._set_state(LinkState.UP, f"a PING was answered in {round_trip_us // 1000} ms")
+        jitter = 1 + PING_JITTER * (2 * self.random.random() - 1)
+        self.due_us = now_us + int(self.settings.ping_interval_us * jitter)
 
-    def stale(self, now_us: int) -> bool:
-        """Is what comes now possibly older than the limit? Asked before anything read is used: after a pause
-        of the process the bytes are read before the timers run. A PING due but never sent tells as much."""
-        if self.asked_us is not None:
-            return now_us - self.asked_us >= self.set.ping_timeout_us
-        return now_us - self.due_us >= self.set.ping_timeout_us
+    def is_stale(self, now_us: int) -> bool:
+        """Whether data received now may be older than the PING timeout. Must be checked before received data
+        is used: after a pause of the process, sockets are read before timers run. A PING that was due but not
+        sent counts like an unanswered one."""
+        if self.ping_sent_at_us is not None:
+            return now_us - self.ping_sent_at_us >= self.settings.ping_timeout_us
+        return now_us - self.due_us >= self.settings.ping_timeout_us
 
-    def drain(self, cause: str) -> None:
-        self._to(LinkState.DRAINING, cause)
+    def start_draining(self, cause: str) -> None:
+        self._set_state(LinkState.DRAINING, cause)
 
-    def down(self, cause: str) -> None:
-        self._to(LinkState.DOWN, cause)
+    def mark_down(self, cause: str) -> None:
+        self._set_state(LinkState.DOWN, cause)
 
 
 class Backoff:
-    """Pauses between tries to connect: twice as long each time, with full jitter. A connection has to live
-    for a while before the next break counts as the first, or a link that flaps is tried without end."""
+    """Pauses between connection attempts: exponential, with jitter. Only a connection that lasted for several
+    PING intervals resets the pause; otherwise a flapping link would be dialled without pause."""
 
     def __init__(self, settings: LinkSettings, random: Random) -> None:
-        self.set, self.random, self.failed = settings, random, 0
-
-    def lived(self, for_us: int) -> None:
-        if for_us >= 4 * self.set.ping_interval_us:
-            self.failed = 0
-
-    def pause_us(self) -> int:
-        most = min(self.set.most_backoff_us, self.set.backoff_us * 2 ** min(self.failed, 12))
-        self.failed += 1
-        return int(most * (0.25 + 0.75 * self.random.random()))
+        self.settings, self.random, self.failures = settings, random, 0
+
+    def connection_lasted(self, lifetime_us: int) -> None:
+        """Records how long a connection lasted before it broke. From 4 PING intervals on, the pause is
+        reset."""
+        if lifetime_us >= 4 * self.settings.ping_interval_us:
+            self.failures = 0
+
+    def next_pause_us(self) -> int:
+        """Returns the pause before the next attempt and counts a failure."""
+        limit_us = min(self.settings.max_backoff_us, self.settings.backoff_us * 2 ** min(self.failures, 12))
+        self.failures += 1
+        # Uniform between 0.25 and 1 of the limit: jitter, with a least pause.
+        return int(limit_us * (0.25 + 0.75 * self.random.random()))
--- /dev/null
+++ b/magpiefront/gateway/idempotency.py
@@ -0,0 +1,144 @@
+"""A table of the answers to keyed requests, so that a repeat has no second effect. No I/O and no clock.
+
+Times are microseconds. An entry is created when a keyed request starts to run. A repeat within the retry
+window waits for the answer, or gets it at once. The table is bounded: if it evicts an entry early, it
+remembers the latest start of an evicted entry, and refuses repeats that may have run until then.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import Generic, TypeVar
+
+T = TypeVar("T")
+Key = tuple[str, str, str]  # class, tenant, Idempotency-Key
+
+
+class Verdict(Enum):
+    """What to do with a keyed request."""
+
+    RUN = "run"  # new: run it now
+    WAIT = "wait"  # it is running: `finish` returns those who wait for the answer
+    KNOWN = "known"  # it has run: `answer_for` returns the answer
+    MISMATCH = "unlike"  # the key was used for another request
+    FORGOTTEN = "forgotten"  # it may have run, but its answer is no longer known
+    FULL = "full"  # all entries belong to running requests: refused, it never ran
+
+
+@dataclass(slots=True)
+class Answer:
+    """The answer to a keyed request."""
+
+    status: int
+    body: bytes
+    extra_fields: bytes  # header lines
+
+
+@dataclass(slots=True)
+class Entry(Generic[T]):
+    """A keyed request that is running (`answer` is None) or has run."""
+
+    key: Key
+    fingerprint: bytes  # hash of method, target and body
+    started_us: int
+    window_us: int
+    waiters: list[T] = field(default_factory=list)
+    answer: Answer | None = None
+
+    @property
+    def size(self) -> int:
+        """Bytes of the answer."""
+        return len(self.answer.body) + len(self.answer.extra_fields) if self.answer is not None else 0
+
+
+class AnswerTable(Generic[T]):
+    """The table; `T` is the type of those who wait for an answer."""
+
+    def __init__(self, max_entries: int, max_bytes: int) -> None:
+        self.entries: dict[Key, Entry[T]] = {}
+        self.finished: OrderedDict[Key, Entry[T]] = OrderedDict()  # in the order in which they finished
+        self.answer_bytes = 0
+        self.evicted_start_us: int | None = None  # latest start of an entry evicted within its window
+        self.configure(max_entries, max_bytes)
+
+    def configure(self, max_entries: int, max_bytes: int) -> None:
+        self.max_entries, self.max_bytes = max_entries, max_bytes
+
+    def begin(
+        self, now_us: int, key: Key, fingerprint: bytes, window_us: int, age_us: int, waiter: T
+    ) -> Verdict:  # fmt: skip
+        """Decides about a keyed request. `age_us`: time since its first attempt; 0 if it is not a repeat."""
+        self._expire(now_us)
+        entry = self.entries.get(key)
+        if entry is not None:
+            if entry.fingerprint != fingerprint:
+                return Verdict.MISMATCH
+            if entry.answer is not None:
+                return Verdict.KNOWN
+            entry.waiters.append(waiter)
+            return Verdict.WAIT
+        if age_us > 0 and (age_us >= window_us or self._may_be_evicted(now_us - age_us)):
+            return Verdict.FORGOTTEN
+        if len(self.entries) >= self.max_entries and not self._evict():
+            return Verdict.FULL
+        self.entries[key] = Entry(key, fingerprint, now_us, window_us, [waiter])
+        return Verdict.RUN
+
+    def answer_for(self, key: Key) -> Answer | None:
+        """The answer of a request that has run, or None."""
+        entry = self.entries.get(key)
+        return entry.answer if entry is not None else None
+
+    def remove_waiter(self, key: Key, waiter: T) -> None:
+        """Removes a waiter. The request continues, for the next one that asks with its key."""
+        entry = self.entries.get(key)
+        if entry is not None and waiter in entry.waiters:
+            entry.waiters.remove(waiter)
+
+    def finish(self, key: Key, answer: Answer) -> list[T]:
+        """Stores the answer of a request that was served. Returns those who wait for it."""
+        entry = self.entries.get(key)
+        if entry is None:
+            return []
+        waiters, entry.waiters = entry.waiters, []
+        entry.answer = answer
+        self.finished[key] = entry
+        self.answer_bytes += entry.size
+        while self.answer_bytes > self.max_bytes and self._evict():
+            pass
+        return waiters
+
+    def abandon(self, key: Key) -> list[T]:
+        """Removes a request that was refused or failed, and returns those who wait for it.
+
+        The next request with the key runs like a new one, as a client's own retry does.
+        """
+        entry = self.entries.pop(key, None)
+        return entry.waiters if entry is not None else []
+
+    def _may_be_evicted(self, first_attempt_us: int) -> bool:
+        return self.evicted_start_us is not None and first_attempt_us <= self.evicted_start_us
+
+    def _evict(self) -> bool:
+        if not self.finished:
+            return False
+        key, entry = self.finished.popitem(last=False)
+        self._remove(key, entry)
+        self.evicted_start_us = max(self.evicted_start_us or 0, entry.started_us)
+        return True
+
+    def _remove(self, key: Key, entry: Entry[T]) -> None:
+        del self.entries[key]
+        self.answer_bytes -= entry.size
+
+    def _expire(self, now_us: int) -> None:
+        # Requests finish in about the order in which their windows end, so the search stops at the first
+        # entry that has not expired. An entry that stays a little too long does no harm.
+        while self.finished:
+            key, entry = next(iter(self.finished.items()))
+            if now_us < entry.started_us + entry.window_us:
+                return
+            del self.finished[key]
+            self._remove(key, entry)
--- a/magpiefront/gateway/inbound.py
+++ b/magpiefront/gateway/inbound.py
@@ -1,4 +1,4 @@
-"""The receiving end: requests that come over links enter this site as ordinary arrivals."""
+"""The accepting end of links: requests from other sites enter this site's stages like those of clients."""
 
 from __future__ import annotations
 
@@ -8,297 +8,332 @@
 from collections import Counter
 from collections.abc import Callable, Sequence
 
-from magpiefront.gateway import engine, wire
+from magpiefront.gateway import http2, wire
 from magpiefront.gateway.counters import Counters
-from magpiefront.gateway.house import repeat_of
-from magpiefront.net.effects import Effect, ran_elsewhere
-from magpiefront.net.house import Host
-from magpiefront.net.listening import bound
-from magpiefront.gateway.link import Wire
+from magpiefront.gateway.repeat import effective_repeat
+from magpiefront.net.execution import ExecutionTracker, mark_may_have_run
+from magpiefront.net.runtime import StageRuntime
+from magpiefront.net.listening import bind_socket
+from magpiefront.gateway.link import GatewayConnection
 from magpiefront.gateway.routes import Credit, Credits, Reason, Routes
 from magpiefront.gateway.settings import GatewaySettings
 from magpiefront.interface import Repeat
-from magpiefront.net.request import AgedStage, Request
+from magpiefront.net.request import CrossSiteStage, Request
 
-LISTEN = 100  # peers that wait to be accepted
-APART_S = 0.2  # between two connections of a site that are sent to the next process
-LAST_AFTER_S = 0.25  # from the first GOAWAY to the last one: what is on its way by then is still taken
+LISTEN_BACKLOG = 100  # connections that wait to be accepted
+# Pause between the GOAWAYs to two connections of one site, when another process takes over.
+GOAWAY_SPACING_S = 0.2
+# From the first GOAWAY to the final one; a stream that arrives in between is still served.
+FINAL_GOAWAY_DELAY_S = 0.25
 
 
-class Incoming:
-    """One request on one connection, until its answer is on the way."""
+class InboundRequest:
+    """One request from another gateway, until its answer is sent; the `Responder` of that request."""
 
-    __slots__ = ("credit", "crossed", "done", "peer", "request", "size", "started", "stream", "streaming")
+    __slots__ = ("connection", "credit", "done", "head", "request", "size", "started", "stream", "streaming")
 
-    def __init__(self, peer: Inbound, stream: int, crossed: wire.Crossed, credit: Credit) -> None:
-        self.peer, self.stream, self.crossed, self.credit = peer, stream, crossed, credit
+    def __init__(
+        self, connection: InboundConnection, stream: int, head: wire.RequestHead, credit: Credit
+    ) -> None:  # fmt: skip
+        self.connection, self.stream, self.head, self.credit = connection, stream, head, credit
         self.request = Request(self)
-        self.request.effect = Effect()
+        self.request.execution = ExecutionTracker()
         self.size = 0
         self.started = self.done = self.streaming = False
 
-    # ---- Replies
+    # ---- Responder
 
     def answer(
         self, request: Request, status: int, body: Sequence[bytes] = (), more: bytes = b""
     ) -> None:  # fmt: skip
-        whole = b"".join(body)
-        self._head(status, len(whole), more, not whole)
-        if whole:
-            self._data(whole, True)
+        data = b"".join(body)
+        self._head(status, len(data), more, not data)
+        if data:
+            self._data(data, True)
         self.finish()
 
     def begin(self, request: Request, length: int | None, more: bytes, status: int = 200) -> None:
         self.streaming = True
         self._head(status, length, more, False)
 
-    def go(self, request: Request, body: bytes) -> None:
+    def write_body(self, request: Request, body: bytes) -> None:
         self._data(body, False)
 
     def end(self, request: Request) -> None:
         self._data(b"", True)
         self.finish()
 
-    def cut(self, request: Request) -> None:
-        if self.stream in self.peer.incoming:
-            self.peer.engine.reset(self.stream, engine.INTERNAL)
-            self.peer.flush()
+    def abort(self, request: Request) -> None:
+        if self.stream in self.connection.incoming:
+            self.connection.http2.reset(self.stream, http2.INTERNAL_ERROR_CODE)
+            self.connection.flush()
         self.finish()
 
     def _head(self, status: int, length: int | None, more: bytes, end: bool) -> None:
-        if self.stream in self.peer.incoming and not self.peer.closed:
-            self.peer.engine.head(self.stream, self._fields(status, length, more), end)
-            self.peer.flush()
+        if self.stream in self.connection.incoming and not self.connection.closed:
+            self.connection.http2.send_head(self.stream, self._fields(status, length, more), end)
+            self.connection.flush()
 
     def _fields(self, status: int, length: int | None, more: bytes) -> wire.Fields:
-        # Before it was taken nothing was done for it; after that its attempts tell.
-        effect = self.request.effect
-        never_ran = status >= 300 and not effect.may_have_run
-        passes = self.peer.gate.settings.passes
-        return wire.answer_fields(status, length, more, "", passes, never_ran, effect.undecided)
+        # The execution tracker says whether the request may have run. Before a stage has accepted the
+        # request, the tracker says that it never ran.
+        execution = self.request.execution
+        never_ran = status >= 300 and not execution.may_have_run
+        forwards_all = self.connection.listener.settings.forwards_all
+        return wire.answer_fields(status, length, more, "", forwards_all, never_ran, execution.undecided)
 
     def _data(self, data: bytes, end: bool) -> None:
-        if self.stream in self.peer.incoming and not self.peer.closed:
-            if not self.peer.engine.data(self.stream, data, end) and not end:
-                self.peer.stage.hold_back(self.request)
-            self.peer.flush()
+        if self.stream in self.connection.incoming and not self.connection.closed:
+            if not self.connection.http2.send_body(self.stream, data, end) and not end:
+                self.connection.stage.pause_response(self.request)
+            self.connection.flush()
 
     def finish(self) -> None:
         if not self.done:
             self.done = True
-            self.peer.finished(self)
+            self.connection.finished(self)
+
 
+class InboundConnection(GatewayConnection):
+    """The end that receives requests."""
 
-class Inbound(Wire):
-    gate: Gate
+    listener: GatewayListener
 
-    def __init__(self, gate: Gate, seed: int) -> None:
-        # A few streams more than credits: the hello, and those whose end is on its way.
-        super().__init__(gate.house, False, gate.settings.link, seed, gate.settings.credits.crossing + 64)
-        self.gate = gate
-        self.incoming: dict[int, Incoming] = {}
-        self.last: int | None = None  # of GOAWAY, once it is told
-        self.site = ""  # whose it is, once its hello has come
-        self.stage: AgedStage = gate.stage
+    def __init__(self, listener: GatewayListener, seed: int) -> None:
+        # 64 streams more than credits: the hello, and streams whose end the peer has not received yet.
+        super().__init__(
+            listener.runtime, False, listener.settings.link, seed, listener.settings.credits.crossing + 64
+        )
+        self.listener = listener
+        self.incoming: dict[int, InboundRequest] = {}
+        self.last_stream: int | None = None  # of the final GOAWAY, once it is sent
+        self.site = ""  # the peer's site, once its hello has been received
+        self.stage: CrossSiteStage = listener.stage
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         super().connection_made(transport)
-        self.gate.peers[self] = None
-        if self.gate.draining:
-            self.lose("this gateway ends")
-
-    def closing(self, cause: str) -> None:
-        self.gate.peers.pop(self, None)
-        for i in list(self.incoming.values()):
-            self._left(i)
-
-    def _left(self, i: Incoming) -> None:
-        """Its sender has gone. A keyed request goes on: its sender may come again for the answer."""
-        self.incoming.pop(i.stream, None)
-        if i.started and not i.done:
-            self.stage.client_left(i.request)
-        i.finish()
-
-    def finished(self, i: Incoming) -> None:
-        self.incoming.pop(i.stream, None)
-        self.gate.finished(i)
-
-    def leave(self, for_good: bool = False) -> None:
-        """Tells the peer to open nothing more; `for_good`: what comes after it is refused (RFC 9113, 6.8)."""
-        if for_good:
-            self.last = self.engine.last
-        self.engine.go_away(self.last)
+        self.listener.connections[self] = None
+        if self.listener.draining:
+            self.disconnect("this gateway shuts down")
+
+    def on_closed(self, cause: str) -> None:
+        self.listener.connections.pop(self, None)
+        for incoming in list(self.incoming.values()):
+            self._abandon(incoming)
+
+    def _abandon(self, incoming: InboundRequest) -> None:
+        """The sender has given up. A keyed request continues: its sender may repeat it to get the answer."""
+        self.incoming.pop(incoming.stream, None)
+        if incoming.started and not incoming.done:
+            self.stage.client_left(incoming.request)
+        incoming.finish()
+
+    def finished(self, incoming: InboundRequest) -> None:
+        self.incoming.pop(incoming.stream, None)
+        self.listener.finished(incoming)
+
+    def send_goaway(self, is_final: bool = False) -> None:
+        """Sends GOAWAY. `is_final`: it is the final one, and later streams are refused (RFC 9113, 6.8)."""
+        if is_final:
+            self.last_stream = self.http2.last_peer_stream
+        self.http2.go_away(self.last_stream)
         self.flush()
 
-    def handle(self, event: engine.Event) -> None:
+    def handle_event(self, event: http2.Event) -> None:
         match event:
-            case engine.Began():
-                self._began(event.stream, event.fields)
-            case engine.Came():
-                self._came(event.stream, event.data)
-            case engine.Ended():
-                i = self.incoming.get(event.stream)
-                if i is not None and not i.started:
-                    self._whole(i)
-            case engine.Reset():
-                self.engine.forget(event.stream)
+            case http2.HeadReceived():
+                self._receive_head(event.stream, event.fields)
+            case http2.BodyReceived():
+                self._receive_body(event.stream, event.data)
+            case http2.StreamFinished():
+                incoming = self.incoming.get(event.stream)
+                if incoming is not None and not incoming.started:
+                    self._complete(incoming)
+            case http2.StreamAborted():
+                self.http2.forget(event.stream)
                 if event.stream in self.incoming:
-                    self._left(self.incoming[event.stream])
-            case engine.Writable():
-                i = self.incoming.get(event.stream)
-                if i is not None and i.streaming:
-                    self.stage.let_go(i.request)
+                    self._abandon(self.incoming[event.stream])
+            case http2.StreamWritable():
+                incoming = self.incoming.get(event.stream)
+                if incoming is not None and incoming.streaming:
+                    self.stage.resume_response(incoming.request)
             case _:
                 pass
 
-    def refuse(self, stream: int, why: str) -> None:
-        """Nothing was done for it, and its sender may know that for certain (RFC 9113, 8.7)."""
-        self.gate.counters.add(f"in_refused_{why}")
-        self.engine.reset(stream, engine.REFUSED)
+    def refuse(self, stream: int, reason: str) -> None:
+        """Resets a stream with REFUSED_STREAM: the request was certainly not processed (RFC 9113, 8.7)."""
+        self.listener.counters.add(f"in_refused_{reason}")
+        self.http2.reset(stream, http2.REFUSED_STREAM_CODE)
 
-    def _began(self, stream: int, fields: list[tuple[bytes, bytes]]) -> None:
+    def _receive_head(self, stream: int, fields: list[tuple[bytes, bytes]]) -> None:
         if (b":path", wire.HELLO) in fields:
-            self._hello(stream, dict(fields))
+            self._handle_hello(stream, dict(fields))
             return
-        if self.last is not None and stream > self.last:
+        if self.last_stream is not None and stream > self.last_stream:
             self.refuse(stream, "draining")
             return
         try:
-            crossed = wire.read_request(fields)
-        except wire.Unreadable as e:
-            self.gate.house.log(f"gateway: a request that can't be read: {e}")
-            self._turn_away(stream, 400, "unreadable")
+            head = wire.read_request(fields)
+        except wire.InvalidHead as e:
+            self.listener.runtime.log(f"gateway: invalid request head: {e}")
+            self._reject(stream, 400, "unreadable")
             return
-        reason = self.gate.routes.admit(crossed.via)
+        reason = self.listener.routes.admit(head.via)
         if reason is not None:
-            self.gate.house.log(f"gateway: {reason.value}: a request came by {','.join(crossed.via)}")
-            self._turn_away(stream, 508, reason.value)
+            self.listener.runtime.log(
+                f"gateway: {reason.value}: rejected a request that came via {','.join(head.via)}"
+            )
+            self._reject(stream, 508, reason.value)
             return
-        name = crossed.headers.get(b"req-kind", b"").decode("latin-1")
-        credit = self.gate.credits.take(name, crossed.headers.get(b"req-owner", b"").decode("latin-1"))
+        name = head.headers.get(b"req-kind", b"").decode("latin-1")
+        credit = self.listener.credits.take(name, head.headers.get(b"req-owner", b"").decode("latin-1"))
         if isinstance(credit, Reason):
             self.refuse(stream, credit.value)
             return
-        self.incoming[stream] = Incoming(self, stream, crossed, credit)
+        self.incoming[stream] = InboundRequest(self, stream, head, credit)
 
-    def _turn_away(self, stream: int, status: int, why: str) -> None:
-        self.gate.counters.add(f"in_refused_{why}")
-        self.engine.head(stream, wire.answer_fields(status, 0, b"", why), True)
+    def _reject(self, stream: int, status: int, reason: str) -> None:
+        self.listener.counters.add(f"in_refused_{reason}")
+        self.http2.send_head(stream, wire.answer_fields(status, 0, b"", reason), True)
 
-    def _hello(self, stream: int, told: dict[bytes, bytes]) -> None:
-        site = told.get(b"gw-site", b"").decode("latin-1")
+    def _handle_hello(self, stream: int, fields: dict[bytes, bytes]) -> None:
+        site = fields.get(b"gw-site", b"").decode("latin-1")
         ssl_object: ssl.SSLObject | None = self.transport.get_extra_info("ssl_object")
         if ssl_object is not None:
             names = [v for k, v in (ssl_object.getpeercert() or {}).get("subjectAltName", ()) if k == "DNS"]  # type: ignore[misc]
             if site not in names:
-                self.lose(f"a peer says that it is {site!r}, and its certificate does not")
+                self.disconnect(f"the peer's certificate does not name its site {site!r}")
                 return
-        if site not in self.gate.settings.sites or site == self.gate.settings.site:
-            self.gate.house.log(f"gateway: a hello from {site!r}, which is no other site of the table")
-            self._turn_away(stream, 403, "site")
+        if site not in self.listener.settings.sites or site == self.listener.settings.site:
+            self.listener.runtime.log(
+                f"gateway: rejected a hello from {site!r}, which is not another site of the table"
+            )
+            self._reject(stream, 403, "site")
             return
-        self.site, own = site, self.gate.store()
-        if told.get(b"gw-store") in (None, own.encode()):
-            # Its rows are the ones that would be found here, and a report would wait for the very one that
-            # sends it; or it is of a version that takes "under way" for the report's own answer.
-            self.stage, own = self.gate.keyed, ""
-        self.engine.head(stream, wire.hello_answer(self.gate.settings.site, self.gate.epoch, own), True)
-
-    def _came(self, stream: int, data: bytes) -> None:
-        i = self.incoming.get(stream)
-        if i is None:
+        self.site, own = site, self.listener.store()
+        if fields.get(b"gw-store") in (None, own.encode()):
+            # Requests of this peer bypass the stage that stores reports. If the peer has the same store, a
+            # report would be found there as the row from which the peer sends it, and would wait for itself.
+            # If the hello names no store, the peer is of a version that takes an undecided answer for the
+            # final answer of the report.
+            self.stage, own = self.listener.keyed, ""
+        self.http2.send_head(
+            stream, wire.hello_answer_fields(self.listener.settings.site, self.listener.epoch, own), True
+        )
+
+    def _receive_body(self, stream: int, data: bytes) -> None:
+        incoming = self.incoming.get(stream)
+        if incoming is None:
             return
-        i.size += len(data)
-        if i.size > self.gate.settings.most_body:
-            self._turn_away(stream, 413, "body")
-            i.finish()
-            self.engine.reset(stream, engine.NO_ERROR)
+        incoming.size += len(data)
+        if incoming.size > self.listener.settings.max_body_bytes:
+            self._reject(stream, 413, "body")
+            incoming.finish()
+            self.http2.reset(stream, http2.NO_ERROR_CODE)
             return
-        i.request.body.append(data)
-
-    def _whole(self, i: Incoming) -> None:
-        """Its last byte has come: it is taken, or answered, now."""
-        r, c = i.request, i.crossed
-        r.method, r.target, r.headers, r.size = c.method, c.target, c.headers, i.size
-        i.started = True
-        status = r.check(self.gate.house.classes, methods=self.gate.settings.methods)
-        if self.gate.settings.passes:
-            r.more += c.more
+        incoming.request.body.append(data)
+
+    def _complete(self, incoming: InboundRequest) -> None:
+        """The request is complete: forwards it to the stage, or answers it at once if it is invalid."""
+        r, head = incoming.request, incoming.head
+        r.method, r.target, r.headers, r.size = head.method, head.target, head.headers, incoming.size
+        incoming.started = True
+        status = r.check(self.listener.runtime.classes, methods=self.listener.settings.methods)
+        if self.listener.settings.forwards_all:
+            r.extra_fields += head.extra_fields
         if not status:
-            cls = self.gate.house.classes[c.headers[b"req-kind"]]
-            if repeat_of(cls, c.headers) is not c.repeat:
-                here, there = cls.repeat.value, c.repeat.value
-                self.gate.house.log(f"gateway: class {cls.name} is {here} here, {there} there")
+            cls = self.listener.runtime.classes[head.headers[b"req-kind"]]
+            if effective_repeat(cls, head.headers) is not head.repeat:
+                here, there = cls.repeat.value, head.repeat.value
+                self.listener.runtime.log(
+                    f"gateway: class {cls.name} is {here} at this site, {there} at the sender"
+                )
                 status = 400
         if status:
-            i.answer(r, status)
+            incoming.answer(r, status)
             return
-        r.taken_at = self.gate.house.now_us()
-        r.time_left = c.time_left_us
-        self.gate.take(i)
+        r.received_at = self.listener.runtime.now_us()
+        r.time_left = head.time_left_us
+        self.listener.accept_request(incoming)
 
 
-class Gate:
-    """Listens for the other sites' gateways. What it takes goes to `stage`, and never to another site: the
-    keyed stage, or one before it that holds reports, too."""
+class GatewayListener:
+    """Accepts connections of other sites' gateways and forwards their requests to `stage`.
 
-    name = "gateway"  # of its socket, where that is handed over
+    `stage` is the keyed stage, or the stage in front of it that stores reports. No request is sent on to a
+    third site. `epoch` identifies this run of the process; `store` returns the name of its store of record.
+    """
+
+    name = "gateway"  # of the socket in a handover
 
     def __init__(
-        self, house: Host, settings: GatewaySettings, routes: Routes, keyed: AgedStage, counters: Counters,
+        self, runtime: StageRuntime, settings: GatewaySettings, routes: Routes, keyed: CrossSiteStage,
+        counters: Counters,
         context: ssl.SSLContext | None, seed: int, epoch: str, store: Callable[[], str] = lambda: "",
     ) -> None:  # fmt: skip
-        self.house, self.settings, self.routes, self.keyed, self.store = house, settings, routes, keyed, store
-        self.stage: AgedStage = keyed
+        self.runtime, self.settings, self.routes, self.keyed, self.store = (
+            runtime, settings, routes, keyed, store
+        )  # fmt: skip
+        self.stage: CrossSiteStage = keyed
         self.counters, self.context, self.seed, self.epoch = counters, context, seed, epoch
         self.credits = Credits(settings.credits)
-        self.peers: dict[Inbound, None] = {}
-        self.open: dict[bytes, Incoming] = {}
+        self.connections: dict[InboundConnection, None] = {}
+        self.open_requests: dict[bytes, InboundRequest] = {}
         self.server: asyncio.Server | None = None
         self.socket: socket.socket | None = None
         self.task: asyncio.Task[None] | None = None
         self.draining = False
-        self.to_go = 0  # peers that are still to be sent to the next process
+        self.pending_goaways = 0  # connections that the final GOAWAY is still to be sent to
+
+    async def listen(self, inherited: socket.socket | None = None) -> None:
+        """Binds the socket and accepts connections. On an inherited socket only `accept` starts that.
 
-    async def listen(self, handed: socket.socket | None = None) -> None:
-        """Accepts, but for a socket that was `handed` over: there only `accept` says when. Raises OSError."""
-        self.socket = handed or bound(*self.settings.listen)
-        if handed is None:
-            self.socket.listen(LISTEN)
+        Raises OSError if the address can't be bound.
+        """
+        self.socket = inherited or bind_socket(*self.settings.listen)
+        if inherited is None:
+            self.socket.listen(LISTEN_BACKLOG)
             await self.accept()
 
     async def accept(self) -> None:
-        """Not twice; nothing where it accepts already."""
+        """Starts accepting connections. No effect if it accepts already."""
         if self.server is None and self.socket is not None:
             self.draining = False
-            copy = self.socket.dup()  # the server closes what it is given
+            copy = self.socket.dup()  # the server closes its socket
             copy.setblocking(False)
-            self.server = await self.house.loop.create_server(self._accept, sock=copy, ssl=self.context)
+            self.server = await self.runtime.loop.create_server(self._accept, sock=copy, ssl=self.context)
 
     def release(self) -> None:
-        """Another process accepts now: the peers connect there anew, and what is open here is finished. Of
-        each site's connections one after the other is told to go, so that a link is never without one."""
-        self._accept_no_more()
-        at: Counter[str] = Counter()
-        for p in self.peers:
-            self.house.loop.call_later(at[p.site] * APART_S, self._send_off, p)
-            at[p.site] += 1
-            self.to_go += 1
-
-    def _send_off(self, p: Inbound, for_good: bool = False) -> None:
-        if p in self.peers and not self.draining and self.server is None:
-            p.leave(for_good)
-            if not for_good:
-                self.house.loop.call_later(LAST_AFTER_S, self._send_off, p, True)
+        """Stops accepting and has the peers connect to another process, which accepts now. Open requests are
+        finished here.
+
+        GOAWAY is sent to the connections of a site one after the other, so that a link always has a
+        connection.
+        """
+        self._stop_accepting()
+        sent_by_site: Counter[str] = Counter()
+        for connection in self.connections:
+            self.runtime.loop.call_later(
+                sent_by_site[connection.site] * GOAWAY_SPACING_S, self._send_goaway, connection
+            )
+            sent_by_site[connection.site] += 1
+            self.pending_goaways += 1
+
+    def _send_goaway(self, connection: InboundConnection, is_final: bool = False) -> None:
+        if connection in self.connections and not self.draining and self.server is None:
+            connection.send_goaway(is_final)
+            if not is_final:
+                self.runtime.loop.call_later(FINAL_GOAWAY_DELAY_S, self._send_goaway, connection, True)
                 return
-        self.to_go -= 1
+        self.pending_goaways -= 1
 
     def resume(self) -> None:
-        self.task = self.house.loop.create_task(self.accept())
+        """Starts accepting again after a handover that failed."""
+        self.task = self.runtime.loop.create_task(self.accept())
 
-    def _accept(self) -> Inbound:
+    def _accept(self) -> InboundConnection:
         self.seed += 1
-        return Inbound(self, self.seed)
+        return InboundConnection(self, self.seed)
 
     @property
     def port(self) -> int:
@@ -309,58 +344,66 @@
         self.settings = settings
         self.credits.configure(settings.credits)
 
-    def take(self, i: Incoming) -> None:
-        r = i.request
-        earlier = self.open.get(r.wire_id)
-        if earlier is not None and i.crossed.repeat is Repeat.SAFE:
-            # Its sender has given up the connection on which this one came, and that is not known here yet.
-            earlier.peer._left(earlier)
-        self.open[r.wire_id] = i
+    def accept_request(self, incoming: InboundRequest) -> None:
+        """Passes a complete request to the stage of its connection, or answers or refuses it."""
+        r = incoming.request
+        earlier = self.open_requests.get(r.wire_id)
+        if earlier is not None and incoming.head.repeat is Repeat.SAFE:
+            # The sender has given up the connection of the earlier request; that is not known here yet.
+            earlier.connection._abandon(earlier)
+        self.open_requests[r.wire_id] = incoming
         self.counters.add("in_taken")
-        if i.crossed.ran_at not in ("", self.epoch) and not i.peer.stage.knows(r):
+        if incoming.head.ran_at not in ("", self.epoch) and not incoming.connection.stage.can_tell_if_run(r):
             self.counters.add("in_ran_elsewhere")
-            ran_elsewhere(r)
-            r.replies.answer(r, 502)
+            mark_may_have_run(r)
+            r.responder.answer(r, 502)
             return
-        if not i.peer.stage.may_take(r):
-            i.peer.refuse(i.stream, "not_acting")
-            i.finish()
+        if not incoming.connection.stage.may_accept(r):
+            incoming.connection.refuse(incoming.stream, "not_acting")
+            incoming.finish()
             return
-        i.peer.stage.take_aged(r, i.crossed.key_age_us)
+        incoming.connection.stage.submit_from_site(r, incoming.head.key_age_us)
 
-    def finished(self, i: Incoming) -> None:
-        self.credits.give_back(i.credit)
-        if self.open.get(i.request.wire_id) is i:
-            del self.open[i.request.wire_id]
+    def finished(self, incoming: InboundRequest) -> None:
+        """Returns the credit of a request whose answer is sent or whose sender has given up."""
+        self.credits.release(incoming.credit)
+        if self.open_requests.get(incoming.request.wire_id) is incoming:
+            del self.open_requests[incoming.request.wire_id]
 
     def drain(self) -> None:
-        """Tells all peers to open nothing more, and what is refused for certain a little later (RFC 9113,
-        6.8). What is open is finished."""
+        """Stops accepting, and sends each peer a first GOAWAY and a final one later (RFC 9113, 6.8).
+
+        Open requests are finished.
+        """
         if self.draining:
             return
         self.draining = True
-        self._accept_no_more()
-        for p in list(self.peers):
-            p.leave()
-        self.house.loop.call_later(LAST_AFTER_S, self._last)
+        self._stop_accepting()
+        for connection in list(self.connections):
+            connection.send_goaway()
+        self.runtime.loop.call_later(FINAL_GOAWAY_DELAY_S, self._send_final_goaways)
 
-    def _accept_no_more(self) -> None:
+    def _stop_accepting(self) -> None:
         if self.server is not None:
             self.server.close()
             self.server = None
 
-    def _last(self) -> None:
-        for p in list(self.peers):
-            p.leave(True)
+    def _send_final_goaways(self) -> None:
+        for connection in list(self.connections):
+            connection.send_goaway(True)
 
     @property
     def busy(self) -> bool:
-        return self.to_go > 0 or any(p.incoming or p.engine.waiting for p in self.peers)
+        """Whether requests, unsent output or GOAWAY frames are left."""
+        return self.pending_goaways > 0 or any(
+            connection.incoming or connection.http2.send_buffers for connection in self.connections
+        )
 
     def stop(self) -> None:
-        self._accept_no_more()
+        """Closes the socket and all connections."""
+        self._stop_accepting()
         if self.socket is not None:
             self.socket.close()
             self.socket = None
-        for p in list(self.peers):
-            p.lose("this gateway ends")
+        for connection in list(self.connections):
+            connection.disconnect("this gateway shuts down")
