--- a/magpiefront/gateway/link.py
+++ b/magpiefront/gateway/link.py
@@ -1,4 +1,4 @@
-"""Connections between gateways: sockets and timers round the engine; the sending side's choice of one."""
+"""Connections between gateways: transports, PING timers, reconnection, and the choice of a connection."""
 
 from __future__ import annotations
 
@@ -10,148 +10,156 @@
 
 import h2.exceptions
 
-from magpiefront.gateway import engine, wire
-from magpiefront.gateway.engine import Engine
-from magpiefront.gateway.health import Backoff, Health
-from magpiefront.net.house import House
+from magpiefront.gateway import http2, wire
+from magpiefront.gateway.http2 import Http2Connection
+from magpiefront.gateway.health import Backoff, ConnectionHealth
+from magpiefront.net.runtime import Runtime
 from magpiefront.gateway.routes import LinkState, LinkView
 from magpiefront.gateway.settings import Address, GatewaySettings, LinkSettings, Site, Tls
 from magpiefront.hashing import text_hash
 
-CHUNK = 64 * 1024
-SHY_US = 200_000
+WRITE_CHUNK_BYTES = 64 * 1024
+AVOID_AFTER_REFUSAL_US = 200_000
 
 
-class Sink(Protocol):
-    """Who is told what comes of one request on the link. After `ended` or `broken` nothing more comes."""
+class ResponseHandler(Protocol):
+    """Receives the response to one request. `on_end` or `on_broken` is the last call.
 
-    def head(self, fields: list[tuple[bytes, bytes]]) -> None: ...
-    def data(self, data: bytes) -> None: ...
-    def ended(self) -> None: ...
-    def broken(self, never_ran: bool, cause: str) -> None: ...
+    `never_ran`: the peer has certainly not processed the request.
+    """
 
+    def on_head(self, fields: list[tuple[bytes, bytes]]) -> None: ...
+    def on_body(self, data: bytes) -> None: ...
+    def on_end(self) -> None: ...
+    def on_broken(self, never_ran: bool, cause: str) -> None: ...
 
-class Wire(asyncio.Protocol):
-    """One connection, either end: bytes through the engine, and PINGs by the rules of `Health`.
 
-    What the transport has not taken stays in the engine, where it is known to be unsent."""
+class GatewayConnection(asyncio.Protocol):
+    """One end of a connection: passes bytes between the transport and `http2`, and sends PINGs.
+
+    `ConnectionHealth` says when a PING is due. Bytes that the transport has not taken stay in `http2`, so
+    that they are known to be unsent.
+    """
 
     def __init__(
-        self, house: House, client: bool, settings: LinkSettings, seed: int, most_streams: int
+        self, runtime: Runtime, client: bool, settings: LinkSettings, seed: int, max_streams: int
     ) -> None:  # fmt: skip
-        self.house, self.engine = house, Engine(client, most_streams)
-        self.health = Health(settings, house.now_us(), Random(seed))
+        self.runtime, self.http2 = runtime, Http2Connection(client, max_streams)
+        self.health = ConnectionHealth(settings, runtime.now_us(), Random(seed))
         self.transport: asyncio.Transport = cast(asyncio.Transport, None)
-        self.paused = self.closed = self.flushing = False
+        self.writing_paused = self.closed = self.flushing = False
         self.timer: asyncio.TimerHandle | None = None
-        self.began_us = house.now_us()
+        self.connected_at_us = runtime.now_us()
 
-    def handle(self, event: engine.Event) -> None:
+    def handle_event(self, event: http2.Event) -> None:
+        """Handles one event of the HTTP/2 connection."""
         raise NotImplementedError
 
-    def closing(self, cause: str) -> None:
-        """Called once, when the connection is of no further use."""
+    def on_closed(self, cause: str) -> None:
+        """Called once, when the connection has been closed."""
         raise NotImplementedError
 
-    def changed(self) -> None:
-        """The state may have changed."""
+    def state_changed(self) -> None:
+        """Called when the state of `health` may have changed."""
 
-    # ---- the transport
+    # ---- asyncio.Protocol
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
-        # Not 0: TLS transports pause at "as much as", and would stand still with nothing to write.
+        # TLS transports pause as soon as the buffer size reaches `high`; with 0 they would pause while empty.
         self.transport.set_write_buffer_limits(high=1, low=0)
-        self.began_us = self.house.now_us()
+        self.connected_at_us = self.runtime.now_us()
         self._tick()
 
     def pause_writing(self) -> None:
-        self.paused = True
+        self.writing_paused = True
 
     def resume_writing(self) -> None:
-        self.paused = False
+        self.writing_paused = False
         self.flush()
 
     def flush(self) -> None:
+        """Writes pending output until the transport pauses."""
         if self.closed or self.transport is None or self.flushing:
             return
-        self.flushing = True  # a write that fails at once calls back
+        self.flushing = True  # a write that fails at once may call this method again
         try:
-            while self.engine.out and not self.paused and not self.transport.is_closing():
-                self.transport.write(self.engine.hand_over(CHUNK))
+            while self.http2.output and not self.writing_paused and not self.transport.is_closing():
+                self.transport.write(self.http2.take_output(WRITE_CHUNK_BYTES))
         finally:
             self.flushing = False
 
     def data_received(self, data: bytes) -> None:
         if self.closed:
             return
-        if self.health.stale(self.house.now_us()):
-            self.lose("what comes may be older than the PING time-out")
+        if self.health.is_stale(self.runtime.now_us()):
+            self.disconnect("received data may be older than the PING timeout")
             return
-        for event in self.engine.receive(data):
+        for event in self.http2.receive(data):
             if self.closed:
                 return
-            if isinstance(event, engine.Ponged):
+            if isinstance(event, http2.PingAnswered):
                 before = self.health.state
-                self.health.pong(self.house.now_us())
-                self._arm()
+                self.health.pong_received(self.runtime.now_us())
+                self._schedule_tick()
                 if before is not self.health.state:
-                    self.changed()
-            elif isinstance(event, engine.Fault):
+                    self.state_changed()
+            elif isinstance(event, http2.ConnectionFailed):
                 self.flush()
-                self.lose(event.cause)
+                self.disconnect(event.cause)
             else:
-                self.handle(event)
+                self.handle_event(event)
         self.flush()
 
     def eof_received(self) -> bool:
-        self.lose("the peer ended the connection")
+        self.disconnect("the peer closed the connection")
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
-        self.lose(f"the connection broke{f': {exc}' if exc else ''}")
+        self.disconnect(f"the connection broke{f': {exc}' if exc else ''}")
 
-    def lose(self, cause: str, gently: bool = False) -> None:
-        """Ends the connection; what is open on it breaks now."""
+    def disconnect(self, cause: str, graceful: bool = False) -> None:
+        """Closes the connection; open requests on it break. `graceful`: the transport first writes the bytes
+        that it has taken."""
         if self.closed:
             return
         self.closed = True
-        self.health.down(cause)
+        self.health.mark_down(cause)
         if self.timer is not None:
             self.timer.cancel()
         if self.transport is not None:
-            if gently:
+            if graceful:
                 self.transport.close()
             else:
                 self.transport.abort()
-        self.closing(cause)
+        self.on_closed(cause)
 
     # ---- PINGs
 
-    def _arm(self) -> None:
+    def _schedule_tick(self) -> None:
         if self.timer is not None:
             self.timer.cancel()
-        delay = max(0, self.health.due_us - self.house.now_us()) / 1e6 + 0.001
-        self.timer = self.house.loop.call_later(delay, self._tick)
+        delay = max(0, self.health.due_us - self.runtime.now_us()) / 1e6 + 0.001
+        self.timer = self.runtime.loop.call_later(delay, self._tick)
 
     def _tick(self) -> None:
         if self.closed:
             return
         before = self.health.state
-        if self.health.tick(self.house.now_us()):
-            self.engine.ping()
+        if self.health.tick(self.runtime.now_us()):
+            self.http2.ping()
         if self.health.state is LinkState.DOWN:
-            self.lose(self.health.cause)
+            self.disconnect(self.health.cause)
             return
         if self.health.state is not before:
-            self.changed()
+            self.state_changed()
         if not self.closed:
             self.flush()
-            self._arm()
+            self._schedule_tick()
 
 
-class Linked(Protocol):
-    """Of settings, what a connection needs."""
+class ConnectionSettings(Protocol):
+    """The settings that a connection reads."""
 
     @property
     def site(self) -> str: ...
@@ -161,40 +169,46 @@
     def tls(self) -> Tls | None: ...
 
 
-class Ends(Protocol):
-    """Whose connections slots hold: a link to another site, or the way to one member of the group."""
+class SlotOwner(Protocol):
+    """The owner of connection slots: a link to another site, or the connection to a member of the group."""
 
-    house: House
+    runtime: Runtime
     site: str
     context: ssl.SSLContext | None
 
     @property
-    def settings(self) -> Linked: ...
-    def outbound(self, slot: Slot, seed: int) -> Outbound: ...
-    def changed(self, wire: Outbound) -> None: ...
-    def failed(self, peer: Address, cause: str) -> None: ...
+    def settings(self) -> ConnectionSettings: ...
+    def outbound(self, slot: ConnectionSlot, seed: int) -> OutboundConnection: ...
+    def state_changed(self, connection: OutboundConnection) -> None: ...
+    # Called when a connection or an attempt to connect has failed, and when the peer has sent GOAWAY.
+    def connection_failed(self, peer: Address, cause: str) -> None: ...
+
 
+class OutboundConnection(GatewayConnection):
+    """The end that sends requests.
 
-class Outbound(Wire):
-    """The sending end. It is of use once the peer has told, in answer to a hello, which site it is and the
-    epoch of its start."""
+    It is usable once the peer has answered the hello with its site and its epoch, which identifies one run of
+    its process.
+    """
 
     def __init__(
-        self, slot: Slot, settings: Linked, seed: int, own_store: Callable[[], str] = lambda: ""
+        self, slot: ConnectionSlot, settings: ConnectionSettings, seed: int,
+        own_store: Callable[[], str] = lambda: "",
     ) -> None:  # fmt: skip
-        """`own_store` names the store of record of this process, which the peer is told."""
-        super().__init__(slot.link.house, True, settings.link, seed, 1)
+        """`own_store` returns the name of this process's store of record, which is sent in the hello."""
+        super().__init__(slot.owner.runtime, True, settings.link, seed, 1)
         self.slot, self.settings, self.own_store = slot, settings, own_store
         self.epoch = self.store = ""
-        self.shy_until_us = 0  # it has refused lately: what is keyed goes to another that knows as much
+        # After a refusal by a peer with a store, keyed requests go to another that can answer them as well.
+        self.avoid_until_us = 0
         self.secure = settings.tls is not None
-        self.sinks: dict[int, Sink] = {}
-        self.hello = 0
+        self.handlers: dict[int, ResponseHandler] = {}
+        self.hello_stream = 0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         super().connection_made(transport)
-        told = wire.hello(self.settings.site, self.slot.link.site, self.secure, self.own_store())
-        self.hello = self.engine.open(told, [])
+        fields = wire.hello_fields(self.settings.site, self.slot.owner.site, self.secure, self.own_store())
+        self.hello_stream = self.http2.open_stream(fields, [])
         self.flush()
 
     @property
@@ -203,134 +217,139 @@
         return (
             bool(self.epoch)
             and not self.closed
-            and self.engine.room
+            and self.http2.can_open_stream
             and (state is LinkState.UP or state is LinkState.SUSPECT)
         )
 
-    def send(self, fields: list[tuple[bytes, bytes]], body: list[bytes], sink: Sink) -> int:
-        stream = self.engine.open(fields, body)
-        self.sinks[stream] = sink
+    def send(self, fields: list[tuple[bytes, bytes]], body: list[bytes], handler: ResponseHandler) -> int:
+        """Sends a request and returns its stream. Raises TooManyStreams if the peer's limit is reached."""
+        stream = self.http2.open_stream(fields, body)
+        self.handlers[stream] = handler
         self.flush()
         return stream
 
     def cancel(self, stream: int) -> None:
-        if self.sinks.pop(stream, None) is not None and not self.closed:
-            self.engine.reset(stream)
-            self._settle()
+        """Resets a stream; its handler is not called any more."""
+        if self.handlers.pop(stream, None) is not None and not self.closed:
+            self.http2.reset(stream)
+            self._close_if_drained()
             self.flush()
 
-    def hold(self, stream: int) -> None:
+    def pause_reading(self, stream: int) -> None:
         if not self.closed:
-            self.engine.hold(stream)
+            self.http2.pause_reading(stream)
 
-    def let_go(self, stream: int) -> None:
+    def resume_reading(self, stream: int) -> None:
         if not self.closed:
-            self.engine.let_go(stream)
+            self.http2.resume_reading(stream)
             self.flush()
 
-    def changed(self) -> None:
-        self.slot.link.changed(self)
+    def state_changed(self) -> None:
+        self.slot.owner.state_changed(self)
 
-    def closing(self, cause: str) -> None:
-        sinks, self.sinks = self.sinks, {}
-        self.slot.lost(self, cause)
-        for stream, sink in sinks.items():
-            sink.broken(not self.engine.whole(stream), cause)
+    def on_closed(self, cause: str) -> None:
+        handlers, self.handlers = self.handlers, {}
+        self.slot.connection_closed(self, cause)
+        for stream, handler in handlers.items():
+            handler.on_broken(not self.http2.is_fully_written(stream), cause)
 
-    def handle(self, event: engine.Event) -> None:
+    def handle_event(self, event: http2.Event) -> None:
         match event:
-            case engine.Began():
-                if event.stream == self.hello:
-                    self._greeted(event.fields)
-                elif event.stream in self.sinks:
-                    self.sinks[event.stream].head(event.fields)
-            case engine.Came():
-                if event.stream in self.sinks:
-                    self.sinks[event.stream].data(event.data)
-            case engine.Ended():
-                sink = self.sinks.pop(event.stream, None)
-                if not self.engine.whole(event.stream):
-                    self.engine.reset(event.stream)  # answered before all was sent: the rest is not wanted
-                self.engine.forget(event.stream)
-                if sink is not None:
-                    sink.ended()
-                    self._settle()
-            case engine.Reset():
-                # Whole or not: a stream that never had its end on the wire can't have run either.
-                never = event.refused or not self.engine.whole(event.stream)
+            case http2.HeadReceived():
+                if event.stream == self.hello_stream:
+                    self._handle_hello_answer(event.fields)
+                elif event.stream in self.handlers:
+                    self.handlers[event.stream].on_head(event.fields)
+            case http2.BodyReceived():
+                if event.stream in self.handlers:
+                    self.handlers[event.stream].on_body(event.data)
+            case http2.StreamFinished():
+                handler = self.handlers.pop(event.stream, None)
+                if not self.http2.is_fully_written(event.stream):
+                    self.http2.reset(event.stream)  # answered before the whole request was sent
+                self.http2.forget(event.stream)
+                if handler is not None:
+                    handler.on_end()
+                    self._close_if_drained()
+            case http2.StreamAborted():
+                # A request whose last byte was never written cannot have run, whatever the error code.
+                never_ran = event.refused or not self.http2.is_fully_written(event.stream)
                 if event.refused:
-                    self.shy_until_us = self.house.now_us() + SHY_US
-                sink = self.sinks.pop(event.stream, None)
-                self.engine.forget(event.stream)
-                if sink is not None:
-                    sink.broken(never, "the peer refused it" if event.refused else "the peer reset it")
-                    self._settle()
-                elif event.stream == self.hello:
-                    self.lose("the peer refused the hello")
-            case engine.GoesAway():
-                self._goes_away(event)
+                    self.avoid_until_us = self.runtime.now_us() + AVOID_AFTER_REFUSAL_US
+                handler = self.handlers.pop(event.stream, None)
+                self.http2.forget(event.stream)
+                if handler is not None:
+                    handler.on_broken(
+                        never_ran,
+                        "the peer refused the request" if event.refused else "the peer reset the stream",
+                    )
+                    self._close_if_drained()
+                elif event.stream == self.hello_stream:
+                    self.disconnect("the peer refused the hello")
+            case http2.GoAwayReceived():
+                self._handle_goaway(event)
             case _:
                 pass
 
-    def _greeted(self, fields: list[tuple[bytes, bytes]]) -> None:
-        told = dict(fields)
-        site = told.get(b"gw-site", b"").decode("latin-1")
-        if told.get(b":status") != b"200" or told.get(b"gw-version") != wire.VERSION:
-            self.lose("the peer is no gateway of this version")
-        elif site != self.slot.link.site:
-            self.lose(f"the peer says that it is {site!r}")
+    def _handle_hello_answer(self, fields: list[tuple[bytes, bytes]]) -> None:
+        answer = dict(fields)
+        site = answer.get(b"gw-site", b"").decode("latin-1")
+        if answer.get(b":status") != b"200" or answer.get(b"gw-version") != wire.VERSION:
+            self.disconnect("the peer is not a gateway of this version")
+        elif site != self.slot.owner.site:
+            self.disconnect(f"the peer identifies itself as site {site!r}")
         else:
-            self.epoch = told.get(b"gw-epoch", b"").decode("latin-1")
-            self.store = told.get(b"gw-store", b"").decode("latin-1")
-            self.slot.greeted(self)
-
-    def _goes_away(self, event: engine.GoesAway) -> None:
-        self.health.drain("the peer goes away")
-        self.slot.draining(self)
-        self.changed()
-        for stream in [s for s in self.sinks if s > event.last]:
-            sink = self.sinks.pop(stream)
-            self.engine.forget(stream)
-            sink.broken(True, "above the last stream of GOAWAY")
-        self._settle()
-
-    def _settle(self) -> None:
-        if self.health.state is LinkState.DRAINING and not self.sinks and not self.closed:
-            self.lose("drained", gently=True)
-
-
-class Slot:
-    """One place for a connection to one peer: connects, and connects again with pauses."""
-
-    def __init__(self, link: Ends, peer: Address, seed: int) -> None:
-        self.link, self.peer, self.seed = link, peer, seed
-        self.backoff = Backoff(link.settings.link, Random(seed))
-        self.wire: Outbound | None = None
+            self.epoch = answer.get(b"gw-epoch", b"").decode("latin-1")
+            self.store = answer.get(b"gw-store", b"").decode("latin-1")
+            self.slot.hello_answered(self)
+
+    def _handle_goaway(self, event: http2.GoAwayReceived) -> None:
+        self.health.start_draining("the peer goes away")  # `Link._update_state` matches this text
+        self.slot.connection_draining(self)
+        self.state_changed()
+        for stream in [s for s in self.handlers if s > event.last_stream]:
+            handler = self.handlers.pop(stream)
+            self.http2.forget(stream)
+            handler.on_broken(True, "the stream is above the last one of GOAWAY")
+        self._close_if_drained()
+
+    def _close_if_drained(self) -> None:
+        if self.health.state is LinkState.DRAINING and not self.handlers and not self.closed:
+            self.disconnect("drained", graceful=True)
+
+
+class ConnectionSlot:
+    """Keeps one connection to a peer open, and reconnects with backoff."""
+
+    def __init__(self, owner: SlotOwner, peer: Address, seed: int) -> None:
+        self.owner, self.peer, self.seed = owner, peer, seed
+        self.backoff = Backoff(owner.settings.link, Random(seed))
+        self.connection: OutboundConnection | None = None
         self.task: asyncio.Task[None] | None = None
         self.timer: asyncio.TimerHandle | None = None
-        self.again_us = 0
+        self.next_attempt_us = 0
         self.stopped = False
         self.connect()
 
     def connect(self) -> None:
-        if not self.stopped and self.task is None and self.wire is None:
+        if not self.stopped and self.task is None and self.connection is None:
             self.timer = None
-            self.task = self.link.house.loop.create_task(self._connect())
+            self.task = self.owner.runtime.loop.create_task(self._connect())
 
     async def _connect(self) -> None:
-        link = self.link
+        owner = self.owner
         self.seed += 1
-        new = link.outbound(self, self.seed)
-        cause, name = "", link.site if link.context is not None else None
+        new = owner.outbound(self, self.seed)
+        cause, name = "", owner.site if owner.context is not None else None
         try:
-            async with asyncio.timeout(link.settings.link.connect_timeout_us / 1e6):
-                await link.house.loop.create_connection(
-                    lambda: new, *self.peer, ssl=link.context, server_hostname=name
+            async with asyncio.timeout(owner.settings.link.connect_timeout_us / 1e6):
+                await owner.runtime.loop.create_connection(
+                    lambda: new, *self.peer, ssl=owner.context, server_hostname=name
                 )
         except ssl.SSLCertVerificationError as e:
-            cause = f"its certificate is not taken: {e.verify_message}"
+            cause = f"certificate verification failed: {e.verify_message}"
         except TimeoutError:
-            cause = "it does not come up"
+            cause = "connect timeout"
         except OSError as e:
             cause = e.strerror or str(e)
         except asyncio.CancelledError:
@@ -338,43 +357,47 @@
             raise
         self.task = None
         if cause:
-            self._later(cause)
+            self._schedule_connect(cause)
         elif new.closed:
-            self._later(new.health.cause)
+            self._schedule_connect(new.health.cause)
         elif self.stopped:
-            new.lose("the link is closed")
+            new.disconnect("the link is closed")
         else:
-            self.wire = new
-            link.house.loop.call_later(link.settings.link.connect_timeout_us / 1e6, self._check, new)
+            self.connection = new
+            owner.runtime.loop.call_later(
+                owner.settings.link.connect_timeout_us / 1e6, self._check_hello, new
+            )
 
-    def _check(self, wire: Outbound) -> None:
-        if wire is self.wire and not wire.epoch:
-            wire.lose("no answer to the hello")
+    def _check_hello(self, connection: OutboundConnection) -> None:
+        if connection is self.connection and not connection.epoch:
+            connection.disconnect("no answer to the hello")
 
-    def _later(self, cause: str) -> None:
+    def _schedule_connect(self, cause: str) -> None:
         if self.stopped:
             return
-        pause = self.backoff.pause_us()
-        self.again_us = self.link.house.now_us() + pause
-        self.link.failed(self.peer, cause)
-        self.timer = self.link.house.loop.call_later(pause / 1e6, self.connect)
-
-    def greeted(self, wire: Outbound) -> None:
-        self.wire = wire  # also where the answer came before `create_connection` returned
-        self.link.changed(wire)
-
-    def draining(self, wire: Outbound) -> None:
-        """It goes on for what is open there; a new connection is made for the rest."""
-        if wire is self.wire:
-            self.wire = None
-            self.link.failed(self.peer, "the peer goes away")
-            self.connect()  # at once: who goes away in order has most often been replaced
-
-    def lost(self, wire: Outbound, cause: str) -> None:
-        self.backoff.lived(self.link.house.now_us() - wire.began_us)
-        if wire is self.wire:
-            self.wire = None
-            self._later(cause)
+        pause = self.backoff.next_pause_us()
+        self.next_attempt_us = self.owner.runtime.now_us() + pause
+        self.owner.connection_failed(self.peer, cause)
+        self.timer = self.owner.runtime.loop.call_later(pause / 1e6, self.connect)
+
+    def hello_answered(self, connection: OutboundConnection) -> None:
+        self.connection = connection  # the answer may come before `create_connection` returns
+        self.owner.state_changed(connection)
+
+    def connection_draining(self, connection: OutboundConnection) -> None:
+        """Opens a new connection for new requests; the draining one finishes its open requests."""
+        if connection is self.connection:
+            self.connection = None
+            # Also on a GOAWAY of a planned shutdown, which is no failure: the slot has no connection now.
+            # `Link._update_state` matches the text.
+            self.owner.connection_failed(self.peer, "the peer goes away")
+            self.connect()  # without backoff: a peer that sends GOAWAY has usually been replaced already
+
+    def connection_closed(self, connection: OutboundConnection, cause: str) -> None:
+        self.backoff.connection_lasted(self.owner.runtime.now_us() - connection.connected_at_us)
+        if connection is self.connection:
+            self.connection = None
+            self._schedule_connect(cause)
 
     def stop(self) -> None:
         self.stopped = True
@@ -382,80 +405,91 @@
             self.timer.cancel()
         if self.task is not None:
             self.task.cancel()
-        if self.wire is not None:
-            self.wire.lose("the link is closed")
+        if self.connection is not None:
+            self.connection.disconnect("the link is closed")
 
 
 class Link:
-    """All connections to one site, and which of them a request takes."""
+    """All connections to one site, and the choice of one for each request.
+
+    `on_usable` is called when a connection becomes usable, `on_suspect` when one becomes suspect.
+    """
 
     def __init__(
-        self, house: House, settings: GatewaySettings, site: Site, context: ssl.SSLContext | None, seed: int,
-        told: Callable[[], None], suspected: Callable[[Outbound], None],
+        self, runtime: Runtime, settings: GatewaySettings, site: Site, context: ssl.SSLContext | None,
+        seed: int, on_usable: Callable[[], None], on_suspect: Callable[[OutboundConnection], None],
         own_store: Callable[[], str] = lambda: "",
     ) -> None:  # fmt: skip
-        self.house, self.settings, self.site, self.context = house, settings, site.name, context
-        self.told, self.suspected = told, suspected  # when it is of use again, or no longer sure
+        self.runtime, self.settings, self.site, self.context = runtime, settings, site.name, context
+        self.on_usable, self.on_suspect = on_usable, on_suspect
         self.own_store = own_store
         self.state = LinkState.DOWN
-        self.at = 0
+        self.rotation = 0
         peers = [p for p in site.peers for _ in range(settings.link.connections)]
-        self.slots: list[Slot] = []
+        self.slots: list[ConnectionSlot] = []
         for n, peer in enumerate(peers):
-            self.slots.append(Slot(self, peer, seed + 1000 * n))
+            self.slots.append(ConnectionSlot(self, peer, seed + 1000 * n))
 
-    def outbound(self, slot: Slot, seed: int) -> Outbound:
-        return Outbound(slot, self.settings, seed, self.own_store)
+    def outbound(self, slot: ConnectionSlot, seed: int) -> OutboundConnection:
+        return OutboundConnection(slot, self.settings, seed, self.own_store)
 
-    def wires(self) -> list[Outbound]:
-        return [s.wire for s in self.slots if s.wire is not None and s.wire.usable]
+    def usable_connections(self) -> list[OutboundConnection]:
+        """The connections that can take a request now."""
+        return [s.connection for s in self.slots if s.connection is not None and s.connection.usable]
 
     def view(self) -> LinkView:
-        wires = self.wires()
-        if not wires:
-            now = self.house.now_us()
-            again = min((max(0, s.again_us - now) for s in self.slots), default=0)
+        """The state of the link for routing: that of its best connection."""
+        candidates = self.usable_connections()
+        if not candidates:
+            now = self.runtime.now_us()
+            again = min((max(0, s.next_attempt_us - now) for s in self.slots), default=0)
             state = LinkState.DRAINING if self.state is LinkState.DRAINING else LinkState.DOWN
             return LinkView(state, 0, again)
-        up = [w for w in wires if w.health.state is LinkState.UP]
-        best = min(up or wires, key=lambda w: w.health.round_us)
-        return LinkView(best.health.state, int(best.health.round_us))
-
-    def choose(self, pin: str = "", epoch: str = "", store: str = "") -> Outbound | None:
-        """The connection for a request: with `epoch`, one to that process, else (with `store`) to one that
-        looks into the same store; with `pin`, one to the same peer for the same pin while it is up; else the
-        one with the least open."""
-        wires = self.wires()
-        wires = [w for w in wires if w.health.state is LinkState.UP] or wires
+        up = [c for c in candidates if c.health.state is LinkState.UP]
+        best = min(up or candidates, key=lambda c: c.health.round_trip_us)
+        return LinkView(best.health.state, int(best.health.round_trip_us))
+
+    def choose(self, pin: str = "", epoch: str = "", store: str = "") -> OutboundConnection | None:
+        """The connection for a request, or None.
+
+        With `epoch`, a connection to that process, else (with `store`) to a process with the same store. With
+        `pin`, a connection to the peer that the pin hashes to. Of several, the one with the fewest requests.
+        """
+        candidates = self.usable_connections()
+        candidates = [c for c in candidates if c.health.state is LinkState.UP] or candidates
         if epoch or pin:
-            now = self.house.now_us()
-            wires = [w for w in wires if not w.store or now >= w.shy_until_us] or wires
+            now = self.runtime.now_us()
+            candidates = [c for c in candidates if not c.store or now >= c.avoid_until_us] or candidates
         if epoch:
-            same = [w for w in wires if w.epoch == epoch]
-            wires = same or [w for w in wires if store and w.store == store]
-        elif pin and wires:
+            same = [c for c in candidates if c.epoch == epoch]
+            candidates = same or [c for c in candidates if store and c.store == store]
+        elif pin and candidates:
             h = text_hash(pin)
-            peer = max({w.slot.peer for w in wires}, key=lambda p: text_hash(f"{p[0]}:{p[1]} {h}"))
-            wires = [w for w in wires if w.slot.peer == peer]
-        if not wires:
+            peer = max({c.slot.peer for c in candidates}, key=lambda p: text_hash(f"{p[0]}:{p[1]} {h}"))
+            candidates = [c for c in candidates if c.slot.peer == peer]
+        if not candidates:
             return None
-        self.at += 1  # among equals in turn
-        return min(wires, key=lambda w: (len(w.sinks), (id(w) + self.at) % len(wires)))
-
-    def changed(self, wire: Outbound) -> None:
-        self._look(wire.health.cause)
-        if wire.health.state is LinkState.SUSPECT:
-            self.suspected(wire)
-        elif wire.usable:
-            self.told()
-
-    def failed(self, peer: Address, cause: str) -> None:
-        self._look(f"{peer[0]}:{peer[1]}: {cause}")
-
-    def _look(self, cause: str) -> None:
-        """Each change of the whole link is a line, with what brought it about."""
-        wires = self.wires()
-        states = [w.health.state for w in wires]
+        self.rotation += 1  # varies the choice among equals
+        return min(candidates, key=lambda c: (len(c.handlers), (id(c) + self.rotation) % len(candidates)))
+
+    def state_changed(self, connection: OutboundConnection) -> None:
+        self._update_state(connection.health.cause)
+        if connection.health.state is LinkState.SUSPECT:
+            self.on_suspect(connection)
+        elif connection.usable:
+            self.on_usable()
+
+    def connection_failed(self, peer: Address, cause: str) -> None:
+        self._update_state(f"{peer[0]}:{peer[1]}: {cause}")
+
+    def _update_state(self, cause: str) -> None:
+        """Updates the state of the link and logs each change with its cause.
+
+        Without a usable connection the link is draining if the cause contains "goes away", the text that is
+        given for a GOAWAY, and else down. A draining link stays so until a connection is usable.
+        """
+        candidates = self.usable_connections()
+        states = [c.health.state for c in candidates]
         if LinkState.UP in states:
             state = LinkState.UP
         elif states:
@@ -465,12 +499,13 @@
         if state is LinkState.DOWN and self.state is LinkState.DRAINING:
             return
         if state is not self.state:
-            self.house.log(f"link {self.site}: {self.state.value} -> {state.value}: {cause}")
+            self.runtime.log(f"link {self.site}: {self.state.value} -> {state.value}: {cause}")
             self.state = state
 
     def stop(self) -> None:
+        """Closes all connections for good."""
         for slot in self.slots:
             slot.stop()
 
 
-CHOKED = h2.exceptions.TooManyStreamsError  # the peer's limit was lowered while a stream was opened
+TooManyStreams = h2.exceptions.TooManyStreamsError  # the peer lowered its limit while a stream was opened
--- a/magpiefront/gateway/routes.py
+++ b/magpiefront/gateway/routes.py
@@ -1,6 +1,7 @@
-"""Which site a request belongs to, whether it may cross, and how many may at a time. No I/O and no clock.
+"""Routing between sites: the home site of each key, whether a request may be forwarded to another site, and
+how many may be at a time. No I/O, no clock. Times are in microseconds.
 
-Nothing here picks a server or repeats an attempt at one: that is the Router's. Times are microseconds.
+The Router, not this module, selects servers and retries attempts at them.
 """
 
 from __future__ import annotations
@@ -11,48 +12,50 @@
 from math import log
 
 from magpiefront.gateway.settings import CreditSettings, GatewaySettings, RetrySettings, Site
-from magpiefront.hashing import MASK, mix, rank, text_hash
+from magpiefront.hashing import MASK_64, splitmix64, text_hash, unit_interval
 from magpiefront.interface import Repeat
 
-MOST_HOPS = 1  # a request crosses once: the other site answers it, whatever its own table says
-SPILL_PAUSE_US, MOST_SPILL_PAUSE_US = 50_000, 2_000_000
+MAX_HOPS = 1  # a request is forwarded once: the other site answers it whatever its own table says
+FIRST_SPILL_PAUSE_US, MAX_SPILL_PAUSE_US = 50_000, 2_000_000
 
 
 class LinkState(Enum):
-    """What is known of the way to a site, best first."""
+    """State of the connections to a site, best first."""
 
     UP = "up"
-    SUSPECT = "suspect"  # a PING is late: nothing that must not break is sent there
-    DRAINING = "draining"  # the peer ends: what is out may end
+    SUSPECT = "suspect"  # a PING is late: only keyed requests are sent there
+    DRAINING = "draining"  # the peer has sent GOAWAY: open requests may finish
     DOWN = "down"
 
 
 @dataclass(slots=True, frozen=True)
 class LinkView:
-    """A link as decisions see it. `round_us` is the smoothed round trip; `again_us` when it is next tried."""
+    """The facts of a link that decisions need. `round_trip_us` is the smoothed round-trip time, `retry_in_us`
+    the time until the next attempt to connect."""
 
     state: LinkState
-    round_us: int = 0
-    again_us: int = 0
+    round_trip_us: int = 0
+    retry_in_us: int = 0
 
 
 DOWN = LinkView(LinkState.DOWN)
 
 
 @dataclass(slots=True, frozen=True)
-class Asked:
-    """What decisions need of a request. `via` holds the sites that it has come through."""
+class RoutingRequest:
+    """The facts of a request that decisions need. `via` holds the sites that it has come through."""
 
     key: str
     class_name: str
     repeat: Repeat
     tenant: str
-    left_us: int
+    time_left_us: int
     via: tuple[str, ...] = ()
 
 
 class Reason(Enum):
-    """Why a request did not cross; each has a counter and stands in the operator's page."""
+    """Why a request was not forwarded, or why one from another site was refused on arrival. Each reason has a
+    counter in the operator's documentation."""
 
     LINK_DOWN = "link_down"
     NO_TIME = "no_time"
@@ -67,251 +70,271 @@
 
 
 @dataclass(slots=True, frozen=True)
-class Home:
-    """Served by this site. `reason` tells why, where it belongs to another."""
+class ServeHere:
+    """Serve the request at this site. `reason` says why, if another site is its home."""
 
     reason: Reason | None = None
 
 
 @dataclass(slots=True, frozen=True)
-class Cross:
+class ForwardToSite:
+    """Send the request to `site`; `credit` must be released afterwards."""
+
     site: str
     credit: Credit
 
 
 @dataclass(slots=True, frozen=True)
-class Away:
-    """Turned away; it never ran. `retry_after_us` is when to come again."""
+class RefuseRequest:
+    """Refuse the request, which never ran. `retry_after_us` is the time until the client may retry."""
 
     reason: Reason
     retry_after_us: int
 
 
-class Table:
-    """The sites and how keys are divided between them: the longest prefix, else weighted rendezvous hashing,
-    where a changed weight moves only keys to or from that site. Every site must hold the same table."""
+class KeyDistribution:
+    """Divides the keys between the sites: by the longest prefix, else by weighted rendezvous hashing, in
+    which a changed weight moves only keys to or from that site. All sites must have the same table."""
 
     def __init__(self, sites: Iterable[Site]) -> None:
         self.sites = sorted(sites, key=lambda s: s.name)
-        self.seeds = [(text_hash(s.name), s) for s in self.sites if s.weight > 0]
+        self.seeded_sites = [(text_hash(s.name), s) for s in self.sites if s.weight > 0]
         prefixes = {p: s.name for s in self.sites for p in s.prefixes}
-        self.prefixes = sorted(prefixes.items(), key=lambda p: -len(p[0]))
+        self.sites_by_prefix = sorted(prefixes.items(), key=lambda p: -len(p[0]))
 
-    def home(self, key: str) -> str:
-        for prefix, site in self.prefixes:
+    def home_site(self, key: str) -> str:
+        """Returns the name of the site to which a key belongs."""
+        for prefix, site in self.sites_by_prefix:
             if key.startswith(prefix):
                 return site
         h = text_hash(key)
 
         def distance(seeded: tuple[int, Site]) -> tuple[float, str]:
             seed, site = seeded
-            return -log(rank(mix(h ^ seed)) + 1 / MASK) / site.weight, site.name
+            return -log(unit_interval(splitmix64(h ^ seed)) + 1 / MASK_64) / site.weight, site.name
 
-        return min(self.seeds, key=distance)[1].name
+        return min(self.seeded_sites, key=distance)[1].name
 
 
 @dataclass(slots=True)
 class Credit:
-    """The right of one request to be on the link; given back once."""
+    """The right of one request to use the link. It can be released once."""
 
-    pool: Pool
+    pool: CreditPool
     class_name: str
     tenant: str
     spill: bool
     held: bool = True
 
 
-class Pool:
-    """A part of the link's credit, with what each tenant holds of it."""
+class CreditPool:
+    """A part of the credits of a link, and how many of them each tenant uses."""
 
-    __slots__ = ("most", "most_tenant", "tenants", "used")
+    __slots__ = ("limit", "tenant_limit", "used", "used_by_tenant")
 
-    def __init__(self, most: int, tenant_share: float) -> None:
+    def __init__(self, size: int, tenant_share: float) -> None:
         self.used = 0
-        self.tenants: dict[str, int] = {}
-        self.size(most, tenant_share)
+        self.used_by_tenant: dict[str, int] = {}
+        self.resize(size, tenant_share)
 
-    def size(self, most: int, tenant_share: float) -> None:
-        self.most, self.most_tenant = most, max(1, int(most * tenant_share))
+    def resize(self, size: int, tenant_share: float) -> None:
+        self.limit, self.tenant_limit = size, max(1, int(size * tenant_share))
 
-    def free(self, tenant: str) -> Reason | None:
-        if self.used >= self.most:
+    def refusal_reason(self, tenant: str) -> Reason | None:
+        """Why a tenant gets no credit now, or None."""
+        if self.used >= self.limit:
             return Reason.CREDIT
-        return Reason.TENANT_CREDIT if self.tenants.get(tenant, 0) >= self.most_tenant else None
+        return Reason.TENANT_CREDIT if self.used_by_tenant.get(tenant, 0) >= self.tenant_limit else None
 
 
 class Credits:
-    """How many requests may be on the link at a time: in all, by class, by tenant, and as spills. A class
-    with a reserved part takes from that first, so that others can't shut it out."""
+    """Bounds the requests on the link at a time: in all, by class, by tenant, and for spilled requests. A
+    class with a reserved part uses that part first, so that other classes cannot starve it."""
 
     def __init__(self, limits: CreditSettings) -> None:
-        self.reserved: dict[str, Pool] = {}
-        self.shared = Pool(0, 1.0)
-        self.spills = 0
-        self.classes: dict[str, int] = {}  # how many of each are out
+        self.reserved: dict[str, CreditPool] = {}
+        self.shared = CreditPool(0, 1.0)
+        self.used_spills = 0
+        self.used_by_class: dict[str, int] = {}
         self.configure(limits)
 
     def configure(self, limits: CreditSettings) -> None:
-        kept = {name: max(1, int(limits.crossing * part)) for name, part in limits.reserved.items()}
-        self.shared.size(max(1, limits.crossing - sum(kept.values())), limits.tenant_share)
-        self.most = {name: max(1, int(limits.crossing * part)) for name, part in limits.most.items()}
-        self.most_spills = max(1, int(self.shared.most * limits.spill_share))
-        for name, most in kept.items():
-            self.reserved.setdefault(name, Pool(most, limits.tenant_share)).size(most, limits.tenant_share)
-        for name in self.reserved.keys() - kept.keys():
-            del self.reserved[name]  # what is out of it is given back to the object, and forgotten
+        reserved_sizes = {name: max(1, int(limits.crossing * part)) for name, part in limits.reserved.items()}
+        self.shared.resize(max(1, limits.crossing - sum(reserved_sizes.values())), limits.tenant_share)
+        self.class_limits = {name: max(1, int(limits.crossing * part)) for name, part in limits.most.items()}
+        self.max_spills = max(1, int(self.shared.limit * limits.spill_share))
+        for name, size in reserved_sizes.items():
+            self.reserved.setdefault(name, CreditPool(size, limits.tenant_share)).resize(
+                size, limits.tenant_share
+            )
+        for name in self.reserved.keys() - reserved_sizes.keys():
+            del self.reserved[name]  # its open credits are released to the removed pool
 
     @property
     def used(self) -> int:
         return self.shared.used + sum(p.used for p in self.reserved.values())
 
     def take(self, class_name: str, tenant: str, spill: bool = False) -> Credit | Reason:
+        """Takes a credit, or returns the reason why there is none."""
         own = self.reserved.get(class_name)
-        if self.classes.get(class_name, 0) >= self.most.get(class_name, 1 << 30):
+        if self.used_by_class.get(class_name, 0) >= self.class_limits.get(class_name, 1 << 30):
             return Reason.CLASS_CREDIT
-        if spill and self.spills >= self.most_spills:
+        if spill and self.used_spills >= self.max_spills:
             return Reason.SPILL_CREDIT
-        pool = own if own is not None and not spill and own.free(tenant) is None else self.shared
-        reason = pool.free(tenant)
+        pool = own if own is not None and not spill and own.refusal_reason(tenant) is None else self.shared
+        reason = pool.refusal_reason(tenant)
         if reason is not None:
             return reason
         pool.used += 1
-        pool.tenants[tenant] = pool.tenants.get(tenant, 0) + 1
-        self.spills += spill
-        self.classes[class_name] = self.classes.get(class_name, 0) + 1
+        pool.used_by_tenant[tenant] = pool.used_by_tenant.get(tenant, 0) + 1
+        self.used_spills += spill
+        self.used_by_class[class_name] = self.used_by_class.get(class_name, 0) + 1
         return Credit(pool, class_name, tenant, spill)
 
-    def give_back(self, credit: Credit) -> None:
+    def release(self, credit: Credit) -> None:
+        """Returns a credit. Has no effect if it was released before."""
         if not credit.held:
             return
         credit.held = False
         tenant, pool = credit.tenant, credit.pool
         pool.used -= 1
-        self.classes[credit.class_name] -= 1
-        if not self.classes[credit.class_name]:
-            del self.classes[credit.class_name]
-        left = pool.tenants.get(tenant, 0) - 1
-        if left > 0:
-            pool.tenants[tenant] = left
+        self.used_by_class[credit.class_name] -= 1
+        if not self.used_by_class[credit.class_name]:
+            del self.used_by_class[credit.class_name]
+        remaining = pool.used_by_tenant.get(tenant, 0) - 1
+        if remaining > 0:
+            pool.used_by_tenant[tenant] = remaining
         else:
-            pool.tenants.pop(tenant, None)  # or names of tenants would stay for good
-        self.spills -= credit.spill
+            pool.used_by_tenant.pop(tenant, None)  # otherwise the names of tenants would accumulate
+        self.used_spills -= credit.spill
 
 
-class Budget:
-    """Repeats over the link as a part of first crossings, so that a broken link never multiplies load."""
+class RetryBudget:
+    """Bounds retries over the link to a share of first attempts, so that a failing link never multiplies
+    load."""
 
     def __init__(self, limits: RetrySettings) -> None:
-        self.left = float(limits.depth)
+        self.tokens = float(limits.depth)
         self.configure(limits)
 
     def configure(self, limits: RetrySettings) -> None:
         self.share, self.depth = limits.share, limits.depth
-        self.left = min(self.left, float(self.depth))
+        self.tokens = min(self.tokens, float(self.depth))
 
-    def first(self) -> None:
-        self.left = min(float(self.depth), self.left + self.share)
+    def add_first_attempt(self) -> None:
+        self.tokens = min(float(self.depth), self.tokens + self.share)
 
     def take(self) -> bool:
-        if self.left < 1:
+        """Takes a token for a retry. Returns False if there is none."""
+        if self.tokens < 1:
             return False
-        self.left -= 1
+        self.tokens -= 1
         return True
 
 
-class Spills:
-    """Pauses spilling to a site that refuses what spills: twice as long each time, until one is served."""
+class SpillPause:
+    """Pauses spilling to a site that refuses spilled requests. The pause doubles until one is served."""
 
     __slots__ = ("not_before_us", "pause_us")
 
     def __init__(self) -> None:
         self.not_before_us = self.pause_us = 0
 
-    def refused(self, now_us: int) -> None:
-        if now_us >= self.not_before_us:  # those that were out together count once
-            self.pause_us = min(MOST_SPILL_PAUSE_US, max(SPILL_PAUSE_US, 2 * self.pause_us))
+    def record_refused(self, now_us: int) -> None:
+        if now_us >= self.not_before_us:  # refusals of requests sent before the pause count once
+            self.pause_us = min(MAX_SPILL_PAUSE_US, max(FIRST_SPILL_PAUSE_US, 2 * self.pause_us))
             self.not_before_us = now_us + self.pause_us
 
-    def served(self) -> None:
+    def record_served(self) -> None:
         self.pause_us = 0
 
 
 class Routes:
-    """Every decision on where a request is served, for one gateway process."""
+    """Decides for one gateway process where each request is served."""
 
     def __init__(self, settings: GatewaySettings) -> None:
         self.credits = Credits(settings.credits)
-        self.budget = Budget(settings.retry)
-        self.spills: dict[str, Spills] = {}
+        self.retry_budget = RetryBudget(settings.retry)
+        self.spill_pauses: dict[str, SpillPause] = {}
         self.configure(settings)
 
     def configure(self, settings: GatewaySettings) -> None:
-        self.set = settings
-        self.table = Table(settings.sites.values())
+        self.settings = settings
+        self.table = KeyDistribution(settings.sites.values())
         self.credits.configure(settings.credits)
-        self.budget.configure(settings.retry)
-        self.spills = {name: self.spills.get(name, Spills()) for name in settings.sites}
-
-    def time_across(self, left_us: int, link: LinkView) -> int:
-        """What is left of a request's time once it has arrived over the link and its answer has come back."""
-        return left_us - link.round_us - self.set.answer_margin_us
-
-    def arrive(self, asked: Asked, links: Mapping[str, LinkView]) -> Home | Cross | Away:
-        """Where a request that has come from a client, or over a link (with `via`), is to be served."""
-        if asked.via:
-            return Home()
-        site = self.table.home(asked.key)
-        if site == self.set.site:
-            return Home()
+        self.retry_budget.configure(settings.retry)
+        self.spill_pauses = {name: self.spill_pauses.get(name, SpillPause()) for name in settings.sites}
+
+    def time_left_after_crossing(self, time_left_us: int, link: LinkView) -> int:
+        """Returns the time left to a request after the round trip over the link and the answer margin."""
+        return time_left_us - link.round_trip_us - self.settings.answer_margin_us
+
+    def route(
+        self, request: RoutingRequest, links: Mapping[str, LinkView]
+    ) -> ServeHere | ForwardToSite | RefuseRequest:
+        """Decides where to serve a request that came from a client, or over a link (with `via`)."""
+        if request.via:
+            return ServeHere()
+        site = self.table.home_site(request.key)
+        if site == self.settings.site:
+            return ServeHere()
         link = links.get(site, DOWN)
-        reason = self._may_cross(asked, link)
+        reason = self._reason_not_to_forward(request, link)
         if reason is None:
-            credit = self.credits.take(asked.class_name, asked.tenant)
+            credit = self.credits.take(request.class_name, request.tenant)
             if isinstance(credit, Credit):
-                self.budget.first()
-                return Cross(site, credit)
+                self.retry_budget.add_first_attempt()
+                return ForwardToSite(site, credit)
             reason = credit
-        if asked.repeat is Repeat.SAFE and self.set.home_when_down:
-            return Home(reason)
-        return Away(reason, max(self.set.retry_after_us, link.again_us))
+        if request.repeat is Repeat.SAFE and self.settings.home_when_down:
+            return ServeHere(reason)
+        return RefuseRequest(reason, max(self.settings.retry_after_us, link.retry_in_us))
 
-    def _may_cross(self, asked: Asked, link: LinkView) -> Reason | None:
-        # While a PING is late a request may or may not get through. A read is better served at home at once;
-        # what can't be served there goes on, for nothing else could serve it at all.
+    def _reason_not_to_forward(self, request: RoutingRequest, link: LinkView) -> Reason | None:
+        # While a PING is late, a request may or may not get through. A read is better served at this site at
+        # once. A keyed request, which only its home site can serve, is still forwarded.
         usable = link.state is LinkState.UP or (
-            link.state is LinkState.SUSPECT and asked.repeat is Repeat.KEYED
+            link.state is LinkState.SUSPECT and request.repeat is Repeat.KEYED
         )
         if not usable:
             return Reason.LINK_DOWN
-        return None if self.time_across(asked.left_us, link) >= self.set.least_left_us else Reason.NO_TIME
+        return (
+            None
+            if self.time_left_after_crossing(request.time_left_us, link) >= self.settings.min_time_left_us
+            else Reason.NO_TIME
+        )
 
-    def refused(self, now_us: int, asked: Asked, links: Mapping[str, LinkView]) -> Cross | Away:
-        """What follows when this site's Router refused a request: another site may serve what is safe and
-        belongs here. What belongs elsewhere has been refused there or could not cross, and is not tried to
-        and fro."""
+    def route_refused(
+        self, now_us: int, request: RoutingRequest, links: Mapping[str, LinkView]
+    ) -> ForwardToSite | RefuseRequest:
+        """Decides what to do with a request that the Router of this site refused. Another site may serve a
+        safe request whose home is here. A request of another home site has already been refused there or
+        could not be forwarded, so it is not sent back and forth."""
         reason: Reason = Reason.NOT_SPILLED
         if (
-            asked.class_name in self.set.spill and asked.repeat is Repeat.SAFE and not asked.via
-            and self.table.home(asked.key) == self.set.site
+            request.class_name in self.settings.spill and request.repeat is Repeat.SAFE and not request.via
+            and self.table.home_site(request.key) == self.settings.site
         ):  # fmt: skip
-            for name in sorted(links, key=lambda n: links[n].round_us):
-                link, spills = links[name], self.spills.setdefault(name, Spills())
+            for name in sorted(links, key=lambda n: links[n].round_trip_us):
+                link, spill_pause = links[name], self.spill_pauses.setdefault(name, SpillPause())
                 if link.state is not LinkState.UP:
                     reason = Reason.LINK_DOWN
-                elif self.time_across(asked.left_us, link) < self.set.least_left_us:
+                elif (
+                    self.time_left_after_crossing(request.time_left_us, link) < self.settings.min_time_left_us
+                ):
                     reason = Reason.NO_TIME
-                elif now_us < spills.not_before_us:
+                elif now_us < spill_pause.not_before_us:
                     reason = Reason.SPILL_PAUSED
                 else:
-                    credit = self.credits.take(asked.class_name, asked.tenant, spill=True)
+                    credit = self.credits.take(request.class_name, request.tenant, spill=True)
                     if isinstance(credit, Credit):
-                        return Cross(name, credit)
+                        return ForwardToSite(name, credit)
                     reason = credit
-        return Away(reason, self.set.retry_after_us)
+        return RefuseRequest(reason, self.settings.retry_after_us)
 
     def admit(self, via: tuple[str, ...]) -> Reason | None:
-        """May a request that has come over a link be taken? One that has been here, or has crossed more often
-        than sites whose tables agree ever let it, is refused."""
-        if self.set.site in via:
+        """Returns why a request that came over a link must be refused, or None. Refused are requests that
+        have been here before, or were forwarded more often than sites with equal tables do."""
+        if self.settings.site in via:
             return Reason.LOOP
-        return Reason.HOPS if len(via) > MOST_HOPS else None
+        return Reason.HOPS if len(via) > MAX_HOPS else None
--- a/magpiefront/gateway/service.py
+++ b/magpiefront/gateway/service.py
@@ -1,4 +1,4 @@
-"""One gateway process put together: the stages before the host, the listener for the peers, and the links."""
+"""Composes the gateway of one process: its stages, the listener for peers, and the links to other sites."""
 
 from __future__ import annotations
 
@@ -9,28 +9,28 @@
 from random import Random
 
 from magpiefront.gateway.counters import Counters
-from magpiefront.net.house import Host
-from magpiefront.gateway.inbound import Gate
-from magpiefront.gateway.keyed import KeyedStage
+from magpiefront.net.runtime import StageRuntime
+from magpiefront.gateway.inbound import GatewayListener
+from magpiefront.gateway.keyed_stage import KeyedStage
 from magpiefront.gateway.link import Link
 from magpiefront.gateway.routes import Routes
 from magpiefront.gateway.settings import GatewaySettings, Tls
 from magpiefront.gateway.stage import GatewayStage
 from magpiefront.net.request import Stage
 
-COUNT_S = 10.0
+COUNTERS_LOG_INTERVAL_S = 10.0
 
 
-class BadTls(Exception):
-    """Certificates that can't be used; its text is one line."""
+class InvalidTls(Exception):
+    """A certificate, key or CA file cannot be used. The message is one line."""
 
 
-def contexts(tls: Tls | None) -> tuple[ssl.SSLContext | None, ssl.SSLContext | None]:
-    """For the listening and for the connecting end: both show a certificate, and take only those of the
-    sites' own authority. Raises BadTls."""
+def tls_contexts(tls: Tls | None) -> tuple[ssl.SSLContext | None, ssl.SSLContext | None]:
+    """Returns the contexts of the listening and of the connecting end, or None for each without TLS. Both
+    ends present a certificate and accept only certificates of the configured CA. Raises InvalidTls."""
     if tls is None:
         return None, None
-    made = []
+    contexts = []
     for purpose in (ssl.Purpose.CLIENT_AUTH, ssl.Purpose.SERVER_AUTH):
         context = ssl.SSLContext(
             ssl.PROTOCOL_TLS_SERVER if purpose is ssl.Purpose.CLIENT_AUTH else ssl.PROTOCOL_TLS_CLIENT
@@ -43,107 +43,112 @@
                 with open(path, "rb"):
                     pass
             except OSError as e:
-                raise BadTls(f"{name}: {path}: {e.strerror}") from None
+                raise InvalidTls(f"{name}: {path}: {e.strerror}") from None
         try:
             context.load_cert_chain(tls.certificate, tls.key)
         except (ssl.SSLError, OSError) as e:
-            raise BadTls(f"certificate: {tls.certificate} with {tls.key}: {e.args[-1]}") from None
+            raise InvalidTls(f"certificate: {tls.certificate} with {tls.key}: {e.args[-1]}") from None
         try:
             context.load_verify_locations(tls.ca)
         except (ssl.SSLError, OSError) as e:
-            raise BadTls(f"ca: {tls.ca}: {e.args[-1]}") from None
-        made.append(context)
-    return made[0], made[1]
+            raise InvalidTls(f"ca: {tls.ca}: {e.args[-1]}") from None
+        contexts.append(context)
+    return contexts[0], contexts[1]
 
 
 class Gateway:
-    """`stage` is what fronts hand their requests to."""
+    """The gateway of one process. Fronts submit their requests to `stage`."""
 
     def __init__(
-        self, house: Host, following: Stage, settings: GatewaySettings, seed: int,
+        self, runtime: StageRuntime, following: Stage, settings: GatewaySettings, seed: int,
         store: Callable[[], str] = lambda: "",
     ) -> None:  # fmt: skip
-        """`store` names the store of record that this process holds reports in; empty: none, or not known."""
-        self.house, self.settings, self.store = house, settings, store
+        """`store` returns the name of the store of record of this process; empty if it has none or the
+        name is not known."""
+        self.runtime, self.settings, self.store = runtime, settings, store
         self.random = Random(seed)
         self.counters = Counters()
         self.routes = Routes(settings)
-        self.keyed = KeyedStage(house, following, settings.keyed)
-        self.stage = GatewayStage(house, self.keyed, settings, self.routes, self.counters)
-        server_context, self.client_context = contexts(settings.tls)
-        # Of this start: a peer may send again what may have run here only while this is the same.
+        self.keyed = KeyedStage(runtime, following, settings.keyed)
+        self.stage = GatewayStage(runtime, self.keyed, settings, self.routes, self.counters)
+        server_context, self.client_context = tls_contexts(settings.tls)
+        # Identifies this start: a request that may have run here may be sent again only to the same epoch.
         self.epoch = f"{Random().getrandbits(64):016x}"
-        self.gate = Gate(
-            house, settings, self.routes, self.keyed, self.counters, server_context,
+        self.listener = GatewayListener(
+            runtime, settings, self.routes, self.keyed, self.counters, server_context,
             self.random.getrandbits(32), self.epoch, store,
         )  # fmt: skip
         self.timer: asyncio.TimerHandle | None = None
 
-    async def start(self, handed: socket.socket | None = None) -> None:
-        """On the socket that was handed over, where there is one: it accepts only with `gate.accept`. Raises
-        OSError where the listener can't be had."""
-        await self.gate.listen(handed)
-        self._links()
-        self._count()
+    async def start(self, inherited: socket.socket | None = None) -> None:
+        """Listens and connects to the other sites. An inherited listening socket accepts connections only
+        after `listener.accept`. Raises OSError if the address cannot be bound."""
+        await self.listener.listen(inherited)
+        self._open_missing_links()
+        self._log_counters()
 
-    def _links(self) -> None:
+    def _open_missing_links(self) -> None:
+        """Opens links to sites that have none, and stops links to sites without peers."""
         links = self.stage.links
-        wanted = {n: s for n, s in self.settings.sites.items() if n != self.settings.site and s.peers}
-        for name, site in wanted.items():
+        linked_sites = {n: s for n, s in self.settings.sites.items() if n != self.settings.site and s.peers}
+        for name, site in linked_sites.items():
             if name not in links:
                 links[name] = Link(
-                    self.house, self.settings, site, self.client_context, self.random.getrandbits(32),
-                    self.stage.told, self.stage.suspect, self.store,
+                    self.runtime, self.settings, site, self.client_context, self.random.getrandbits(32),
+                    self.stage.on_link_usable, self.stage.on_link_suspect, self.store,
                 )  # fmt: skip
-        for name in links.keys() - wanted.keys():
+        for name in links.keys() - linked_sites.keys():
             links.pop(name).stop()
 
     def configure(self, settings: GatewaySettings) -> None:
-        """Takes up new settings. Links whose peers, times or certificates change are made anew. Raises
-        BadTls, and has then changed nothing."""
-        _, client = contexts(settings.tls)
-        before, self.settings = self.settings, settings
-        if settings.listen != before.listen or settings.site != before.site or (
-            (settings.tls is None) != (before.tls is None)
+        """Applies new settings. Links whose peers, times or certificates change are opened again. Raises
+        InvalidTls before any change."""
+        _, client = tls_contexts(settings.tls)
+        previous, self.settings = self.settings, settings
+        if settings.listen != previous.listen or settings.site != previous.site or (
+            (settings.tls is None) != (previous.tls is None)
         ):  # fmt: skip
-            self.house.log("reload: another site name, gateway address or kind of link needs a restart")
+            self.runtime.log("reload: a changed site name, gateway address or use of TLS needs a restart")
         self.client_context = client
         self.stage.settings = settings
         self.routes.configure(settings)
         self.keyed.configure(settings.keyed)
-        self.gate.configure(settings)
+        self.listener.configure(settings)
         for name in list(self.stage.links):
             link, site = self.stage.links[name], settings.sites.get(name)
-            same = site is not None and site.peers == before.sites[name].peers
-            if not same or settings.link != before.link or settings.tls != before.tls:
+            has_same_peers = site is not None and site.peers == previous.sites[name].peers
+            if not has_same_peers or settings.link != previous.link or settings.tls != previous.tls:
                 self.stage.links.pop(name).stop()
             else:
                 link.settings = settings
-        self._links()
+        self._open_missing_links()
 
-    def _count(self) -> None:
-        line = self.counters.line()
+    def _log_counters(self) -> None:
+        """Logs the counters that changed, periodically."""
+        line = self.counters.take_changes()
         if line:
-            self.house.log(f"gateway: {line}")
-        self.timer = self.house.loop.call_later(COUNT_S, self._count)
+            self.runtime.log(f"gateway: {line}")
+        self.timer = self.runtime.loop.call_later(COUNTERS_LOG_INTERVAL_S, self._log_counters)
 
     def sweep(self) -> None:
+        """Fails long answers that have stalled. Called periodically."""
         self.stage.sweep()
 
     def drain(self) -> None:
-        """Peers are told to open nothing more here; what is open is finished."""
-        self.gate.drain()
+        """Asks peers to open no more streams to this process. Open streams are finished."""
+        self.listener.drain()
 
     @property
     def busy(self) -> bool:
-        return self.gate.busy or bool(self.stage.trips)
+        """Whether requests from or to other sites are in progress."""
+        return self.listener.busy or bool(self.stage.forwarded)
 
     def stop(self) -> None:
         if self.timer is not None:
             self.timer.cancel()
-        self.gate.stop()
+        self.listener.stop()
         for link in self.stage.links.values():
             link.stop()
-        line = self.counters.line()
+        line = self.counters.take_changes()
         if line:
-            self.house.log(f"gateway: {line}")
+            self.runtime.log(f"gateway: {line}")
--- a/magpiefront/gateway/stage.py
+++ b/magpiefront/gateway/stage.py
@@ -1,4 +1,5 @@
-"""The stage that sends each request to its site, and owes its one final answer whatever the link does."""
+"""The stage that serves each request at this site or forwards it to another one, and gives each exactly one
+final answer, whatever happens to the link."""
 
 from __future__ import annotations
 
@@ -6,23 +7,26 @@
 
 from magpiefront.gateway import wire
 from magpiefront.gateway.counters import Counters
-from magpiefront.gateway.crossing import Crossing, Next, Way
-from magpiefront.gateway.house import repeat_of
-from magpiefront.net.effects import effect_of, ran_elsewhere
-from magpiefront.net.house import Host
-from magpiefront.gateway.link import CHOKED, Link, Outbound
-from magpiefront.gateway.routes import Asked, Away, Cross, Home, LinkView, Routes
+from magpiefront.gateway.retry_state import RetryState, NextStep, RetryOptions
+from magpiefront.gateway.repeat import effective_repeat
+from magpiefront.net.execution import execution_of, mark_may_have_run
+from magpiefront.net.runtime import StageRuntime
+from magpiefront.gateway.link import Link, OutboundConnection, TooManyStreams
+from magpiefront.gateway.routes import (
+    ForwardToSite, LinkView, RefuseRequest, Routes, RoutingRequest, ServeHere,
+)  # fmt: skip
 from magpiefront.gateway.settings import GatewaySettings
 from magpiefront.interface import Repeat
-from magpiefront.net.http1 import WHOLE_LIMIT
-from magpiefront.net.request import Replies, Request, Stage
+from magpiefront.net.http1 import MAX_BUFFERED_BYTES
+from magpiefront.net.request import Request, Responder, Stage
 
-AGAIN_S = 0.01
-PASSED = frozenset({200, 409, 413, 429, 502, 503, 504})
+RETRY_DELAY_S = 0.01  # from a failed attempt to the next one
+# Other statuses are answered as 502, unless all statuses are forwarded.
+RELAYED_STATUSES = frozenset({200, 409, 413, 429, 502, 503, 504})
 
 
-class Views(Mapping[str, LinkView]):
-    """The links as decisions see them, looked at only when a decision asks: most requests stay at home."""
+class LinkViews(Mapping[str, LinkView]):
+    """The links as `Routes` needs them. A view is made only on access, since most requests need none."""
 
     __slots__ = ("links",)
 
@@ -39,421 +43,468 @@
         return len(self.links)
 
 
-class Trip:
-    """One request that crosses: what the engine's events and the clock make of its `Crossing`."""
+class ForwardedRequest:
+    """One request forwarded to another site. It handles the events of its stream and keeps its
+    `RetryState`."""
 
-    __slots__ = ("asked", "body", "cross", "crossing", "guard", "head_", "request", "size", "spill", "stage",
-                 "stream", "streaming", "timer", "wire", "withheld")  # fmt: skip
+    __slots__ = (
+        "answer_head", "body_parts", "body_size", "connection", "decision", "guard", "is_paused",
+        "is_spilled", "is_streaming", "request", "retry_state", "routing", "stage", "stream", "timer",
+    )  # fmt: skip
 
     def __init__(
-        self, stage: GatewayStage, request: Request, asked: Asked, cross: Cross, spill: bool
+        self, stage: GatewayStage, request: Request, routing: RoutingRequest, decision: ForwardToSite,
+        is_spilled: bool,
     ) -> None:  # fmt: skip
-        self.stage, self.request, self.asked, self.cross, self.spill = stage, request, asked, cross, spill
-        cls = stage.house.classes.get(request.headers[b"req-kind"])
-        deadline = request.taken_at + request.time_left - stage.settings.answer_margin_us
-        self.crossing = Crossing(
-            asked.repeat, deadline, cls.window_us if cls is not None else 0, stage.settings.retry.most_tries
+        self.stage, self.request, self.routing, self.decision, self.is_spilled = (
+            stage, request, routing, decision, is_spilled
+        )  # fmt: skip
+        cls = stage.runtime.classes.get(request.headers[b"req-kind"])
+        deadline = request.received_at + request.time_left - stage.settings.answer_margin_us
+        self.retry_state = RetryState(
+            routing.repeat,
+            deadline,
+            cls.window_us if cls is not None else 0,
+            stage.settings.retry.max_attempts,
         )
-        effect = effect_of(request)
-        if effect is not None and effect.first_us and asked.repeat is Repeat.KEYED:
-            self.crossing.resumed(effect.first_us)
-        self.guard = effect.guard if effect is not None else None
-        self.wire: Outbound | None = None
+        execution = execution_of(request)
+        if execution is not None and execution.first_sent_us and routing.repeat is Repeat.KEYED:
+            self.retry_state.resume(execution.first_sent_us)
+        self.guard = execution.guard if execution is not None else None
+        self.connection: OutboundConnection | None = None
         self.stream = 0
-        self.head_: wire.Head | None = None
-        self.body: list[bytes] = []
-        self.size = 0
-        self.streaming = self.withheld = False
-        left = max(0, deadline - stage.house.now_us())
-        self.timer = stage.house.loop.call_later(left / 1e6, self.overdue)
+        self.answer_head: wire.AnswerHead | None = None
+        self.body_parts: list[bytes] = []
+        self.body_size = 0
+        self.is_streaming = self.is_paused = False
+        left_us = max(0, deadline - stage.runtime.now_us())
+        self.timer = stage.runtime.loop.call_later(left_us / 1e6, self.on_deadline)
 
-    # ---- tries
+    # ---- attempts
 
     def send(self) -> None:
-        link, now = self.stage.links[self.cross.site], self.stage.house.now_us()
-        c, r = self.crossing, self.request
+        """Sends one attempt, or takes the next step if no connection is available."""
+        link, now = self.stage.links[self.decision.site], self.stage.runtime.now_us()
+        state, r = self.retry_state, self.request
         if self.guard is not None and not self.guard():
-            # It is another's by now, or past its window.
-            if c.may_have_run:
-                ran_elsewhere(r)
+            # Another process owns the request now, or its retry window has ended.
+            if state.may_have_run:
+                mark_may_have_run(r)
             self._refuse()
             return
-        pin = r.headers[b"idempotency-key"].decode("latin-1") if self.asked.repeat is Repeat.KEYED else ""
-        chosen = link.choose(pin, self._ran_at, c.store)
+        pin = r.headers[b"idempotency-key"].decode("latin-1") if self.routing.repeat is Repeat.KEYED else ""
+        chosen = link.choose(pin, self._required_epoch, state.store)
         if chosen is None:
-            self._follow(c.next(now, self._way()))
+            self._take_step(state.next_step(now, self._retry_options()))
             return
-        # Half of the round trip goes by before it arrives there, half before its answer is here.
-        left = c.deadline_us - now - int(chosen.health.round_us)
+        # Half of the round trip passes before the request arrives, half before its answer does.
+        left_us = state.deadline_us - now - int(chosen.health.round_trip_us)
         fields = wire.request_fields(
             r,
             link.site,
             chosen.secure,
-            left,
-            self.asked.repeat,
+            left_us,
+            self.routing.repeat,
             (self.stage.settings.site,),
-            c.age_us(now),
-            self.stage.settings.passes,
-            self._ran_at,
+            state.age_us(now),
+            self.stage.settings.forwards_all,
+            self._required_epoch,
         )
-        c.sent(now, chosen.epoch, chosen.store)
-        self.wire = chosen
+        state.record_sent(now, chosen.epoch, chosen.store)
+        self.connection = chosen
         try:
             self.stream = chosen.send(fields, r.body, self)
-        except CHOKED:
-            self.broken(True, "the peer lets no more streams be opened")
+        except TooManyStreams:
+            self.on_broken(True, "the peer accepts no more streams")
 
     @property
-    def _ran_at(self) -> str:
-        """The epoch that it has to go to, or to one that looks into the same store. What is safe goes
-        anywhere."""
-        c = self.crossing
-        return c.epoch if c.may_have_run and c.repeat is Repeat.KEYED else ""
-
-    def _way(self) -> Way:
-        stage, c = self.stage, self.crossing
-        link = stage.links.get(self.cross.site)
-        wire = link.choose("", self._ran_at, c.store) if link is not None else None
-        if wire is None and link is not None:
-            wire = next(iter(link.wires()), None)  # one that knows nothing of it
-        home = not self.spill and self.asked.repeat is Repeat.SAFE and stage.settings.home_when_down
-        epoch, store = (wire.epoch, wire.store) if wire is not None else (None, "")
-        return Way(epoch, stage.routes.budget.left >= 1, home, stage.settings.least_left_us, store)
-
-    # ---- Sink
-
-    def head(self, fields: list[tuple[bytes, bytes]]) -> None:
+    def _required_epoch(self) -> str:
+        """The epoch to which the next attempt must go, unless it goes to a peer with the same store. Empty if
+        any peer will do."""
+        state = self.retry_state
+        return state.epoch if state.may_have_run and state.repeat is Repeat.KEYED else ""
+
+    def _retry_options(self) -> RetryOptions:
+        stage, state = self.stage, self.retry_state
+        link = stage.links.get(self.decision.site)
+        connection = link.choose("", self._required_epoch, state.store) if link is not None else None
+        if connection is None and link is not None:
+            # Any usable peer; it may not know whether the request ran, so its epoch and store decide the
+            # step.
+            connection = next(iter(link.usable_connections()), None)
+        can_serve_here = (
+            not self.is_spilled and self.routing.repeat is Repeat.SAFE and stage.settings.home_when_down
+        )
+        epoch, store = (connection.epoch, connection.store) if connection is not None else (None, "")
+        return RetryOptions(
+            epoch,
+            stage.routes.retry_budget.tokens >= 1,
+            can_serve_here,
+            stage.settings.min_time_left_us,
+            store,
+        )
+
+    # ---- events of the stream (`ResponseHandler`)
+
+    def on_head(self, fields: list[tuple[bytes, bytes]]) -> None:
         try:
-            self.head_ = wire.read_answer(fields, self.stage.settings.passes)
-        except wire.Unreadable as e:
-            self.stage.house.log(f"gateway: {self.cross.site}: {e}")
-            self.head_ = wire.Head(502, None, b"", "")
-        length = self.head_.length
-        long = length is not None and length > WHOLE_LIMIT and self.request.method != b"HEAD"
-        if long and self._counts(self.head_.status):
-            self._stream()
-
-    def _counts(self, status: int) -> bool:
-        """Is it an answer whose body goes on, and must be whole?"""
-        return status == 200 or (self.stage.settings.passes and 200 <= status < 500)
-
-    def data(self, data: bytes) -> None:
-        self.size += len(data)
-        if self.streaming:
-            self.request.replies.go(self.request, data)
+            self.answer_head = wire.read_answer(fields, self.stage.settings.forwards_all)
+        except wire.InvalidHead as e:
+            self.stage.runtime.log(f"gateway: {self.decision.site}: {e}")
+            self.answer_head = wire.AnswerHead(502, None, b"", "")
+        length = self.answer_head.length
+        long = length is not None and length > MAX_BUFFERED_BYTES and self.request.method != b"HEAD"
+        if long and self._forwards_body(self.answer_head.status):
+            self._start_streaming()
+
+    def _forwards_body(self, status: int) -> bool:
+        """Whether the body of an answer with this status is forwarded, and so must be complete."""
+        return status == 200 or (self.stage.settings.forwards_all and 200 <= status < 500)
+
+    def on_body(self, data: bytes) -> None:
+        self.body_size += len(data)
+        if self.is_streaming:
+            self.request.responder.write_body(self.request, data)
             return
-        self.body.append(data)
-        if self.size > WHOLE_LIMIT and self.head_ is not None:
-            self._stream()
-
-    def _stream(self) -> None:
-        assert self.head_ is not None
-        if not self._counts(self.head_.status):
-            self.body, self.size = [], 0  # what comes with a refusal is nobody's answer
+        self.body_parts.append(data)
+        if self.body_size > MAX_BUFFERED_BYTES and self.answer_head is not None:
+            self._start_streaming()
+
+    def _start_streaming(self) -> None:
+        """Starts to forward an answer that is too long to buffer while it arrives."""
+        assert self.answer_head is not None
+        if not self._forwards_body(self.answer_head.status):
+            self.body_parts, self.body_size = [], 0  # the body of a refusal is not forwarded
             return
-        self.streaming = True
-        ran_elsewhere(self.request)
-        self.timer.cancel()  # it counts from its first bytes, as a long answer of a node does
-        self.stage.watch(self)
+        self.is_streaming = True
+        mark_may_have_run(self.request)
+        self.timer.cancel()  # as with nodes, only the beginning of a long answer has to be in time
+        self.stage.watch_stream(self)
         r = self.request
-        r.replies.begin(r, self.head_.length, self.head_.more, self.head_.status)
-        parts, self.body = self.body, []
+        r.responder.begin(r, self.answer_head.length, self.answer_head.extra_fields, self.answer_head.status)
+        parts, self.body_parts = self.body_parts, []
         for part in parts:
-            r.replies.go(r, part)
+            r.responder.write_body(r, part)
 
-    def ended(self) -> None:
-        if self.streaming:
+    def on_end(self) -> None:
+        if self.is_streaming:
             self.finish("crossed")
-            self.request.replies.end(self.request)
+            self.request.responder.end(self.request)
             return
-        head = self.head_
-        if head is None or not self._whole(head):
-            self.broken(False, "an answer that is not whole")
+        head = self.answer_head
+        if head is None or not self._is_complete(head):
+            self.on_broken(False, "an incomplete answer")
         elif head.refused and head.status != 413:
-            # Turned away by the gateway there, before its Router: it never ran, and never will.
-            self.stage.house.log(f"gateway: {self.cross.site} refused: {head.refused}")
+            # The gateway of the other site refused it before its Router: it never ran and never will.
+            self.stage.runtime.log(f"gateway: {self.decision.site} refused: {head.refused}")
             self._refuse()
         else:
-            status = head.status if head.status in PASSED or self.stage.settings.passes else 502
+            status = (
+                head.status if head.status in RELAYED_STATUSES or self.stage.settings.forwards_all else 502
+            )
             self.finish("crossed")
-            # Of this try; an earlier one that broke may have run all the same.
-            if self.crossing.may_have_run or not head.never_ran:
-                ran_elsewhere(self.request)
-            effect = effect_of(self.request)
-            if effect is not None:
-                effect.undecided = head.undecided
-            if self.spill:
-                spills = self.stage.routes.spills[self.cross.site]
+            # `never_ran` refers to this attempt; an earlier one that failed may have run.
+            if self.retry_state.may_have_run or not head.never_ran:
+                mark_may_have_run(self.request)
+            execution = execution_of(self.request)
+            if execution is not None:
+                execution.undecided = head.undecided
+            if self.is_spilled:
+                spill_pause = self.stage.routes.spill_pauses[self.decision.site]
                 if status == 200:
-                    spills.served()
+                    spill_pause.record_served()
                 elif status == 503:
-                    spills.refused(self.stage.house.now_us())
-            more = head.more
+                    spill_pause.record_refused(self.stage.runtime.now_us())
+            more = head.extra_fields
             if self.request.method == b"HEAD" and head.length is not None:
                 more += b"Content-Length: %d\r\n" % head.length
             if status == 503:
                 more = self.stage.with_retry_after(more, self.stage.settings.retry_after_us)
-            self.request.replies.answer(self.request, status, self.body, more)
+            self.request.responder.answer(self.request, status, self.body_parts, more)
 
-    def _whole(self, head: wire.Head) -> bool:
+    def _is_complete(self, head: wire.AnswerHead) -> bool:
         if head.length is None or head.status in (204, 304) or self.request.method == b"HEAD":
             return True
-        return head.length == self.size or not self._counts(head.status)
+        return head.length == self.body_size or not self._forwards_body(head.status)
 
-    def broken(self, never_ran: bool, cause: str) -> None:
-        self.wire = None
-        if self.streaming:
+    def on_broken(self, never_ran: bool, cause: str) -> None:
+        self.connection = None
+        if self.is_streaming:
             self.finish("cut")
-            self.request.replies.cut(self.request)
+            self.request.responder.abort(self.request)
             return
-        self.head_, self.body, self.size = None, [], 0
+        self.answer_head, self.body_parts, self.body_size = None, [], 0
         self.stage.counters.add("broke_never_ran" if never_ran else "broke_may_have_run")
-        then = self.crossing.broken(self.stage.house.now_us(), never_ran, self._way())
-        if then is Next.AGAIN:
-            # A moment later: where one connection of a link breaks, the others mostly do, and what went to
-            # each of them in turn would have used up its tries before the link is back.
-            self.stage.house.loop.call_later(AGAIN_S, self._again)
+        step = self.retry_state.attempt_failed(self.stage.runtime.now_us(), never_ran, self._retry_options())
+        if step is NextStep.RETRY:
+            # After a delay: when one connection of a link breaks, the others usually do as well, and a
+            # request sent to each of them in turn would have used up its attempts before the link is back.
+            self.stage.runtime.loop.call_later(RETRY_DELAY_S, self._retry)
         else:
-            self._follow(then)
+            self._take_step(step)
 
-    def _follow(self, what: Next) -> None:
-        match what:
-            case Next.AGAIN:
-                self.stage.routes.budget.take()
+    def _take_step(self, step: NextStep) -> None:
+        """Carries out the step that follows a failed attempt."""
+        match step:
+            case NextStep.RETRY:
+                self.stage.routes.retry_budget.take()
                 self.stage.counters.add("again")
                 self.send()
-            case Next.WAIT:
-                self.stage.waiting[self] = None
-                self._until_the_window_ends()
-            case Next.HOME:
+            case NextStep.WAIT:
+                self.stage.waiting_requests[self] = None
+                self._wait_for_window_end()
+            case NextStep.SERVE_HERE:
                 self.finish("home_after_break")
-                self.stage.go_home(self.request, self.asked)
-            case Next.REFUSE:
+                self.stage.serve_here(self.request, self.routing)
+            case NextStep.REFUSE:
                 self._refuse()
-            case Next.FAIL:
+            case NextStep.FAIL:
                 self.finish("failed")
-                ran_elsewhere(self.request)
-                self.request.replies.answer(self.request, 502)
-
-    def _again(self) -> None:
-        if not self.crossing.over:
-            self._follow(self.crossing.next(self.stage.house.now_us(), self._way()))
-
-    def _until_the_window_ends(self) -> None:
-        """Past it nothing can come of it, and its client is told so. A loop that runs late has its timers run
-        early by the clock: then it is waited for again."""
-        if self in self.stage.waiting:
-            rest = self.crossing.window_us - self.crossing.age_us(self.stage.house.now_us())
-            if rest > 0:
-                later = self.stage.house.loop.call_later
-                later(rest / 1e6 + 0.001, self._until_the_window_ends)
+                mark_may_have_run(self.request)
+                self.request.responder.answer(self.request, 502)
+
+    def _retry(self) -> None:
+        if not self.retry_state.is_finished:
+            self._take_step(self.retry_state.next_step(self.stage.runtime.now_us(), self._retry_options()))
+
+    def _wait_for_window_end(self) -> None:
+        """Ends the wait for the link when the retry window ends: the request cannot be sent again after that,
+        and the client gets its answer. A timer of a delayed event loop may run before `now_us` has
+        reached the end of the window; then it is set again."""
+        if self in self.stage.waiting_requests:
+            rest_us = self.retry_state.window_us - self.retry_state.age_us(self.stage.runtime.now_us())
+            if rest_us > 0:
+                later = self.stage.runtime.loop.call_later
+                later(rest_us / 1e6 + 0.001, self._wait_for_window_end)
             else:
-                self.link_is_back()
+                self.retry_if_possible()
 
-    def link_is_back(self) -> None:
-        if self not in self.stage.waiting:
+    def retry_if_possible(self) -> None:
+        """Takes the next step of a waiting request, unless it is to wait on."""
+        if self not in self.stage.waiting_requests:
             return
-        now = self.stage.house.now_us()
-        what = self.crossing.next(now, self._way())
-        if what is not Next.WAIT:
-            self.stage.waiting.pop(self, None)
-            self._follow(what)
+        now = self.stage.runtime.now_us()
+        step = self.retry_state.next_step(now, self._retry_options())
+        if step is not NextStep.WAIT:
+            self.stage.waiting_requests.pop(self, None)
+            self._take_step(step)
 
     def recall(self) -> None:
-        """The link is suspect: what can be served at home is, rather than wait for what may never come."""
-        way = self._way()
-        if way.home and self.head_ is None and self.crossing.deadline_us > self.stage.house.now_us():
-            self.crossing.may_have_run = True
+        """Serves the request at this site, if that is allowed, because its connection became suspect and the
+        answer may never come."""
+        options = self._retry_options()
+        if (
+            options.can_serve_here
+            and self.answer_head is None
+            and self.retry_state.deadline_us > self.stage.runtime.now_us()
+        ):
+            self.retry_state.may_have_run = True
             self._cancel()
             self.finish("recalled")
-            self.stage.go_home(self.request, self.asked)
+            self.stage.serve_here(self.request, self.routing)
 
     def _refuse(self) -> None:
+        """Refuses the request; the client may safely send it again."""
         self.finish("refused")
         stage = self.stage
-        more = stage.retry_after(max(stage.settings.retry_after_us, stage.again_us(self.cross.site)))
-        self.request.replies.answer(self.request, 503, (), more)
+        more = stage.retry_after(max(stage.settings.retry_after_us, stage.retry_in_us(self.decision.site)))
+        self.request.responder.answer(self.request, 503, (), more)
 
-    def overdue(self) -> None:
+    def on_deadline(self) -> None:
+        """Answers the request without waiting longer for the other site."""
         self._cancel()
-        if self.crossing.timed_out() is Next.REFUSE:
+        if self.retry_state.timed_out() is NextStep.REFUSE:
             self._refuse()
         else:
             self.finish("overdue")
-            ran_elsewhere(self.request)
-            self.request.replies.answer(self.request, 504)
+            mark_may_have_run(self.request)
+            self.request.responder.answer(self.request, 504)
 
     def _cancel(self) -> None:
-        wire, self.wire = self.wire, None
-        if wire is not None:
-            wire.cancel(self.stream)
+        connection, self.connection = self.connection, None
+        if connection is not None:
+            connection.cancel(self.stream)
 
-    def left(self) -> None:
+    def on_client_left(self) -> None:
         self._cancel()
         self.finish("left")
-        ran_elsewhere(self.request)
+        mark_may_have_run(self.request)
 
-    def finish(self, what: str) -> None:
-        self.crossing.over = True
+    def finish(self, outcome: str) -> None:
+        """Ends the request and counts its outcome."""
+        self.retry_state.is_finished = True
         self.timer.cancel()
-        self.stage.finished(self)
-        self.stage.counters.add(("spill_" if self.spill else "") + what)
+        self.stage.on_finished(self)
+        self.stage.counters.add(("spill_" if self.is_spilled else "") + outcome)
 
 
 class GatewayStage:
-    """Every request of the fronts behind it, to its site. For what this site's Router may refuse it stands
-    between the host and the client, to try the other site, or to say when to come again."""
+    """Sends each request of the fronts to the site that serves it. For requests served at this site it also
+    intercepts the answers: if the Router refuses one, another site may serve it, or the answer says when the
+    client may retry."""
 
     def __init__(
-        self, house: Host, following: Stage, settings: GatewaySettings, routes: Routes, counters: Counters
+        self, runtime: StageRuntime, following: Stage, settings: GatewaySettings, routes: Routes,
+        counters: Counters
     ) -> None:  # fmt: skip
-        self.house, self.following, self.settings = house, following, settings
+        self.runtime, self.following, self.settings = runtime, following, settings
         self.routes, self.counters = routes, counters
         self.links: dict[str, Link] = {}
-        self.trips: dict[Request, Trip] = {}
-        self.waiting: dict[Trip, None] = {}
-        self.streams: dict[Trip, tuple[int, float]] = {}
-        self.at_home: dict[Request, Asked] = {}
+        self.forwarded: dict[Request, ForwardedRequest] = {}
+        self.waiting_requests: dict[ForwardedRequest, None] = {}  # those that wait for the link to retry
+        # By request with a streamed answer: the bytes received, and the loop's time at which `sweep` last saw
+        # them change or the answer paused.
+        self.streams: dict[ForwardedRequest, tuple[int, float]] = {}
+        self.local_requests: dict[Request, RoutingRequest] = {}  # those served at this site
 
     # ---- the stage
 
-    def take(self, request: Request) -> None:
+    def submit(self, request: Request) -> None:
         r = request
         h = r.headers
-        repeat = repeat_of(self.house.classes.get(h[b"req-kind"]), h)
-        asked = Asked(
+        repeat = effective_repeat(self.runtime.classes.get(h[b"req-kind"]), h)
+        routing = RoutingRequest(
             r.key.decode("latin-1"), h[b"req-kind"].decode("latin-1"), repeat,
-            h.get(b"req-owner", b"").decode("latin-1"), r.taken_at + r.time_left - self.house.now_us(),
+            h.get(b"req-owner", b"").decode("latin-1"), r.received_at + r.time_left - self.runtime.now_us(),
         )  # fmt: skip
-        match self.routes.arrive(asked, Views(self.links)):
-            case Home() as at:
-                if at.reason is not None:
-                    self.counters.add(f"home_{at.reason.value}")
-                self.go_home(r, asked)
-            case Cross() as cross:
-                self._cross(r, asked, cross, False)
-            case Away() as away:
-                self.counters.add(f"refused_{away.reason.value}")
-                r.replies.answer(r, 503, (), self.retry_after(away.retry_after_us))
-
-    def _cross(self, r: Request, asked: Asked, cross: Cross, spill: bool) -> None:
-        trip = self.trips[r] = Trip(self, r, asked, cross, spill)
-        trip.send()
-
-    def go_home(self, r: Request, asked: Asked) -> None:
-        self.at_home[r] = asked
-        front, r.replies = r.replies, Here(self, r.replies)
-        assert not isinstance(front, Here)
-        self.following.take(r)
+        match self.routes.route(routing, LinkViews(self.links)):
+            case ServeHere() as local:
+                if local.reason is not None:
+                    self.counters.add(f"home_{local.reason.value}")
+                self.serve_here(r, routing)
+            case ForwardToSite() as decision:
+                self._forward(r, routing, decision, False)
+            case RefuseRequest() as refusal:
+                self.counters.add(f"refused_{refusal.reason.value}")
+                r.responder.answer(r, 503, (), self.retry_after(refusal.retry_after_us))
+
+    def _forward(
+        self, r: Request, routing: RoutingRequest, decision: ForwardToSite, is_spilled: bool
+    ) -> None:  # fmt: skip
+        forwarded = self.forwarded[r] = ForwardedRequest(self, r, routing, decision, is_spilled)
+        forwarded.send()
+
+    def serve_here(self, r: Request, routing: RoutingRequest) -> None:
+        self.local_requests[r] = routing
+        downstream, r.responder = r.responder, LocalResponder(self, r.responder)
+        assert not isinstance(downstream, LocalResponder)
+        self.following.submit(r)
 
     def client_left(self, request: Request) -> None:
-        trip = self.trips.get(request)
-        if trip is not None:
-            trip.left()
-        elif self.at_home.pop(request, None) is not None:
+        forwarded = self.forwarded.get(request)
+        if forwarded is not None:
+            forwarded.on_client_left()
+        elif self.local_requests.pop(request, None) is not None:
             self.following.client_left(request)
 
-    def hold_back(self, request: Request) -> None:
-        trip = self.trips.get(request)
-        if trip is None:
-            self.following.hold_back(request)
-        elif trip.wire is not None:
-            trip.withheld = True
-            trip.wire.hold(trip.stream)
-
-    def let_go(self, request: Request) -> None:
-        trip = self.trips.get(request)
-        if trip is None:
-            self.following.let_go(request)
-        elif trip.wire is not None:
-            trip.withheld = False
-            trip.wire.let_go(trip.stream)
-
-    # ---- trips
-
-    def finished(self, trip: Trip) -> None:
-        self.trips.pop(trip.request, None)
-        self.waiting.pop(trip, None)
-        self.streams.pop(trip, None)
-        self.routes.credits.give_back(trip.cross.credit)
-
-    def watch(self, trip: Trip) -> None:
-        self.streams[trip] = (0, self.house.loop.time())
-
-    def refused_here(self, r: Request, asked: Asked, more: bytes) -> None:
-        """This site's Router has refused it."""
-        now = self.house.now_us()
-        asked = Asked(asked.key, asked.class_name, asked.repeat, asked.tenant, r.taken_at + r.time_left - now)
-        match self.routes.refused(now, asked, Views(self.links)):
-            case Cross() as cross:
+    def pause_response(self, request: Request) -> None:
+        forwarded = self.forwarded.get(request)
+        if forwarded is None:
+            self.following.pause_response(request)
+        elif forwarded.connection is not None:
+            forwarded.is_paused = True
+            forwarded.connection.pause_reading(forwarded.stream)
+
+    def resume_response(self, request: Request) -> None:
+        forwarded = self.forwarded.get(request)
+        if forwarded is None:
+            self.following.resume_response(request)
+        elif forwarded.connection is not None:
+            forwarded.is_paused = False
+            forwarded.connection.resume_reading(forwarded.stream)
+
+    # ---- forwarded requests
+
+    def on_finished(self, forwarded: ForwardedRequest) -> None:
+        self.forwarded.pop(forwarded.request, None)
+        self.waiting_requests.pop(forwarded, None)
+        self.streams.pop(forwarded, None)
+        self.routes.credits.release(forwarded.decision.credit)
+
+    def watch_stream(self, forwarded: ForwardedRequest) -> None:
+        """Starts to watch for a stalled answer."""
+        self.streams[forwarded] = (0, self.runtime.loop.time())
+
+    def on_local_refusal(self, r: Request, routing: RoutingRequest, more: bytes) -> None:
+        """Spills or refuses a request that the Router of this site refused."""
+        now = self.runtime.now_us()
+        routing = RoutingRequest(
+            routing.key, routing.class_name, routing.repeat, routing.tenant, r.received_at + r.time_left - now
+        )  # fmt: skip
+        match self.routes.route_refused(now, routing, LinkViews(self.links)):
+            case ForwardToSite() as decision:
                 self.counters.add("spilled")
-                self._cross(r, asked, cross, True)
-            case Away() as away:
-                r.replies.answer(r, 503, (), self.with_retry_after(more, away.retry_after_us))
+                self._forward(r, routing, decision, True)
+            case RefuseRequest() as refusal:
+                r.responder.answer(r, 503, (), self.with_retry_after(more, refusal.retry_after_us))
 
     def retry_after(self, us: int) -> bytes:
-        us = min(us, self.house.most_retry_after_us)
+        """Returns a Retry-After line of at most the permitted value, or nothing."""
+        us = min(us, self.runtime.max_retry_after_us)
         return b"Retry-After: %.3f\r\n" % (us / 1e6) if us > 0 else b""
 
     def with_retry_after(self, more: bytes, us: int) -> bytes:
         return more if b"Retry-After:" in more else more + self.retry_after(us)
 
-    def again_us(self, site: str) -> int:
+    def retry_in_us(self, site: str) -> int:
         link = self.links.get(site)
-        return link.view().again_us if link is not None else 0
+        return link.view().retry_in_us if link is not None else 0
 
-    def told(self) -> None:
-        """A link is of use again."""
-        for trip in list(self.waiting):
-            trip.link_is_back()
+    def on_link_usable(self) -> None:
+        """Retries waiting requests after a connection became usable."""
+        for forwarded in list(self.waiting_requests):
+            forwarded.retry_if_possible()
 
-    def suspect(self, wire: Outbound) -> None:
-        for trip in [t for t in self.trips.values() if t.wire is wire and not t.streaming]:
-            trip.recall()
+    def on_link_suspect(self, connection: OutboundConnection) -> None:
+        """Recalls the requests of a connection that became suspect, except those being answered."""
+        for forwarded in [
+            f for f in self.forwarded.values() if f.connection is connection and not f.is_streaming
+        ]:
+            forwarded.recall()
 
     def sweep(self) -> None:
-        """Guards against a long answer that stops in the middle, which has no other time-out."""
-        now = self.house.loop.time()
-        for trip, (size, since) in list(self.streams.items()):
-            if trip.withheld or trip.size != size:
-                self.streams[trip] = (trip.size, now)
+        """Fails long answers that stopped in the middle; they have no other timeout."""
+        now = self.runtime.loop.time()
+        for forwarded, (size, since) in list(self.streams.items()):
+            if forwarded.is_paused or forwarded.body_size != size:
+                self.streams[forwarded] = (forwarded.body_size, now)
             elif now - since > self.settings.link.stall_us / 1e6:
-                trip._cancel()
-                trip.broken(False, "a long answer that stopped")
+                forwarded._cancel()
+                forwarded.on_broken(False, "a long answer stalled")
 
 
-class Here:
-    """Between the host and the front, for a request that is served at this site."""
+class LocalResponder:
+    """The responder of a request served at this site; passes its answer on unless the Router refused it."""
 
-    __slots__ = ("front", "stage")
+    __slots__ = ("downstream", "stage")
 
-    def __init__(self, stage: GatewayStage, front: Replies) -> None:
-        self.stage, self.front = stage, front
+    def __init__(self, stage: GatewayStage, downstream: Responder) -> None:
+        self.stage, self.downstream = stage, downstream
 
     def answer(
         self, request: Request, status: int, body: Sequence[bytes] = (), more: bytes = b""
     ) -> None:  # fmt: skip
-        asked = self.stage.at_home.pop(request)
-        request.replies = self.front
+        routing = self.stage.local_requests.pop(request)
+        request.responder = self.downstream
         if status == 503:
-            self.stage.refused_here(request, asked, more)
+            self.stage.on_local_refusal(request, routing, more)
         else:
-            self.front.answer(request, status, body, more)
+            self.downstream.answer(request, status, body, more)
 
     def begin(self, request: Request, length: int | None, more: bytes, status: int = 200) -> None:
-        self.front.begin(request, length, more, status)
+        self.downstream.begin(request, length, more, status)
 
-    def go(self, request: Request, body: bytes) -> None:
-        self.front.go(request, body)
+    def write_body(self, request: Request, body: bytes) -> None:
+        self.downstream.write_body(request, body)
 
     def end(self, request: Request) -> None:
-        self._over(request)
-        self.front.end(request)
+        self._on_finished(request)
+        self.downstream.end(request)
 
-    def cut(self, request: Request) -> None:
-        self._over(request)
-        self.front.cut(request)
+    def abort(self, request: Request) -> None:
+        self._on_finished(request)
+        self.downstream.abort(request)
 
-    def _over(self, request: Request) -> None:
-        self.stage.at_home.pop(request, None)
-        request.replies = self.front
+    def _on_finished(self, request: Request) -> None:
+        self.stage.local_requests.pop(request, None)
+        request.responder = self.downstream
--- a/magpiefront/gateway/wire.py
+++ b/magpiefront/gateway/wire.py
@@ -1,7 +1,7 @@
-"""The heads of crossing requests and their answers as HTTP/2 fields (RFC 9113, 8.3). No I/O.
+"""Heads of requests and answers between gateways as HTTP/2 fields (RFC 9113, 8.3). No I/O.
 
-What crosses of time is what is left of it, in microseconds, and an age: never a time of day, for the clocks
-of two sites may differ by minutes.
+Times are sent as the time left and as ages, in microseconds. No time of day is sent, because the clocks of
+two sites may differ by minutes.
 """
 
 from __future__ import annotations
@@ -10,35 +10,36 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-from hpack import NeverIndexedHeaderTuple as Unindexed
+from hpack import NeverIndexedHeaderTuple as NeverIndexed
 
 from magpiefront.interface import Repeat
-from magpiefront.net.fields import HOP_BY_HOP, lines, read_lines
+from magpiefront.net.fields import HOP_BY_HOP, format_fields, parse_fields
 from magpiefront.net.request import TOKEN, Request
 
 VERSION = b"1"
 HELLO = b"/.well-known/magpiefront-gateway"
 HELLO_METHOD = b"OPTIONS"
-CARRIED = (b"req-id", b"req-kind", b"req-owner", b"req-cost", b"req-retry", b"req-extra", b"idempotency-key",
-           b"content-type")  # fmt: skip
-# Ever new: in the table of RFC 7541 they would push out what repeats, and make each look into it longer.
-VARIED = frozenset({b"req-id", b"idempotency-key", b"req-cost", b"req-extra"})
-WHOLE = re.compile(rb"\d{1,15}")
-# Written anew by each side, or the link's own.
-OWN = frozenset({*CARRIED, b"content-length", b"host", b"req-deadline"}) | HOP_BY_HOP
-UNSAFE = re.compile(rb"[\r\n\0]")
-REPEATS = {r.value.encode(): r for r in Repeat}
+CARRIED_FIELDS = (b"req-id", b"req-kind", b"req-owner", b"req-cost", b"req-retry", b"req-extra",
+                  b"idempotency-key", b"content-type")  # fmt: skip
+# Fields whose values never repeat. In the dynamic table of RFC 7541 they would evict fields that do repeat,
+# and make each search of the table longer.
+UNINDEXED_FIELDS = frozenset({b"req-id", b"idempotency-key", b"req-cost", b"req-extra"})
+NUMBER_PATTERN = re.compile(rb"\d{1,15}")
+# Fields that each side writes itself, or that belong to the link.
+LINK_FIELDS = frozenset({*CARRIED_FIELDS, b"content-length", b"host", b"req-deadline"}) | HOP_BY_HOP
+UNSAFE_VALUE_PATTERN = re.compile(rb"[\r\n\0]")
+REPEAT_BY_NAME = {r.value.encode(): r for r in Repeat}
 
 Fields = list[tuple[bytes, bytes]]
 
 
-class Unreadable(Exception):
-    """A head that no gateway means; its text says why."""
+class InvalidHead(Exception):
+    """A head that breaks the protocol between gateways; the message says how."""
 
 
 @dataclass(slots=True)
-class Crossed:
-    """A request as it came over the link, its head read and not yet checked by `Request.check`."""
+class RequestHead:
+    """The parsed head of a request, not yet checked by `Request.check`."""
 
     method: bytes
     target: bytes
@@ -46,14 +47,17 @@
     time_left_us: int
     repeat: Repeat
     via: tuple[str, ...]
-    key_age_us: int
-    more: bytes  # lines of the other fields, for a site that passes them on
-    ran_at: str  # the epoch of the gateway where it may have run, if that is known
+    key_age_us: int  # time since the first attempt that may have run; 0 if none
+    extra_fields: bytes  # lines of the other fields, for a site that forwards all
+    ran_at: str  # epoch of the gateway where it may have run; empty if not known
 
 
-def hello(site: str, to: str, secure: bool, store: str = "") -> Fields:
-    """`store` names the store of record that this gateway shares with others; it is told empty where there is
-    none, for only older versions don't tell it."""
+def hello_fields(site: str, to: str, secure: bool, store: str = "") -> Fields:
+    """The fields of the hello from `site` to the site `to`.
+
+    `store` is the name of the store of record that this gateway shares with others. The field is sent even if
+    it is empty, because its absence marks an older version.
+    """
     scheme = b"https" if secure else b"http"
     return [
         (b":method", HELLO_METHOD), (b":scheme", scheme), (b":authority", to.encode()),
@@ -62,102 +66,114 @@
     ]  # fmt: skip
 
 
-def hello_answer(site: str, epoch: str, store: str = "") -> Fields:
-    """`store` names the store of record in which this gateway holds what crosses."""
+def hello_answer_fields(site: str, epoch: str, store: str = "") -> Fields:
+    """The fields of the answer to a hello; `store` is the store of record for requests that cross."""
     return [(b":status", b"200"), (b"gw-version", VERSION), (b"gw-site", site.encode()),
             (b"gw-epoch", epoch.encode()), (b"gw-store", store.encode()),
             (b"content-length", b"0")]  # fmt: skip
 
 
-def passed(fields: Iterable[tuple[bytes, bytes]]) -> Fields:
-    """Of these, what crosses besides the link's own (RFC 9113, 8.2): names in lower case."""
+def forwarded(fields: Iterable[tuple[bytes, bytes]]) -> Fields:
+    """The fields that cross besides the link's own, with names in lower case (RFC 9113, 8.2)."""
     lower = [(name.lower(), value) for name, value in fields]
-    return [f for f in lower if f[0] not in OWN and not f[0].startswith((b"gw-", b":"))]
+    return [f for f in lower if f[0] not in LINK_FIELDS and not f[0].startswith((b"gw-", b":"))]
 
 
-def read_passed(fields: Iterable[tuple[bytes, bytes]]) -> bytes:
-    """The lines of what has crossed. Raises Unreadable where they would be others than were sent."""
-    found = passed(fields)
-    if any(not TOKEN.fullmatch(name) or UNSAFE.search(value) for name, value in found):
-        raise Unreadable("a field that no line can hold")
-    return lines(found)
+def format_forwarded(fields: Iterable[tuple[bytes, bytes]]) -> bytes:
+    """The received fields as field lines. Raises InvalidHead if a name or value is invalid in HTTP/1.1, for
+    such a value could be parsed as further lines."""
+    found = forwarded(fields)
+    if any(not TOKEN.fullmatch(name) or UNSAFE_VALUE_PATTERN.search(value) for name, value in found):
+        raise InvalidHead("a field that is invalid in HTTP/1.1")
+    return format_fields(found)
 
 
 def request_fields(
-    r: Request, to: str, secure: bool, left_us: int, repeat: Repeat, via: Iterable[str], key_age_us: int,
-    passes: bool = False, ran_at: str = "",
+    r: Request, to: str, secure: bool, time_left_us: int, repeat: Repeat, via: Iterable[str], key_age_us: int,
+    forwards_all: bool = False, ran_at: str = "",
 ) -> Fields:  # fmt: skip
+    """The fields of a request to the site `to`.
+
+    `via`: the sites that it has crossed. `key_age_us`: time since its first attempt that may have run; 0 if
+    none. `forwards_all`: all fields cross. `ran_at`: epoch of the gateway where it may have run.
+    """
     fields = [
         (b":method", r.method), (b":scheme", b"https" if secure else b"http"), (b":authority", to.encode()),
-        Unindexed(b":path", r.target), Unindexed(b"gw-time-left", b"%d" % max(0, left_us)),
+        NeverIndexed(b":path", r.target), NeverIndexed(b"gw-time-left", b"%d" % max(0, time_left_us)),
         (b"gw-repeat", repeat.value.encode()), (b"gw-via", ",".join(via).encode()),
     ]  # fmt: skip
     if key_age_us > 0:
-        fields.append(Unindexed(b"gw-key-age", b"%d" % key_age_us))
+        fields.append(NeverIndexed(b"gw-key-age", b"%d" % key_age_us))
     if ran_at:
         fields.append((b"gw-ran-at", ran_at.encode()))
     h = r.headers
-    for name in CARRIED:
+    for name in CARRIED_FIELDS:
         if name in h:
-            fields.append(Unindexed(name, h[name]) if name in VARIED else (name, h[name]))
+            fields.append(NeverIndexed(name, h[name]) if name in UNINDEXED_FIELDS else (name, h[name]))
     if r.size or r.method == b"PUT":
-        fields.append(Unindexed(b"content-length", b"%d" % r.size))
-    if passes:
-        fields += passed(read_lines(r.more))
+        fields.append(NeverIndexed(b"content-length", b"%d" % r.size))
+    if forwards_all:
+        fields += forwarded(parse_fields(r.extra_fields))
     return fields
 
 
 def _number(h: dict[bytes, bytes], name: bytes, default: bytes | None = None) -> int:
     value = h.get(name, default)
-    if value is None or not WHOLE.fullmatch(value):
-        raise Unreadable(f"{name.decode()} is missing or no number")
+    if value is None or not NUMBER_PATTERN.fullmatch(value):
+        raise InvalidHead(f"{name.decode()} is missing or not a number")
     return int(value)
 
 
-def read_request(fields: Iterable[tuple[bytes, bytes]]) -> Crossed:
-    """Raises Unreadable. One of the link's own fields that comes twice is refused, as on every front (RFC
-    9110, 5.3)."""
+def read_request(fields: Iterable[tuple[bytes, bytes]]) -> RequestHead:
+    """Parses the head of a request. Raises InvalidHead.
+
+    A repeated field of the link's own is rejected, as by the fronts (RFC 9110, 5.3).
+    """
     h: dict[bytes, bytes] = {}
     fields = list(fields)
     for name, value in fields:
-        if name in h and (name in OWN or name.startswith((b"gw-", b":"))):
-            raise Unreadable(f"{name.decode('latin-1')} comes twice")
+        if name in h and (name in LINK_FIELDS or name.startswith((b"gw-", b":"))):
+            raise InvalidHead(f"{name.decode('latin-1')} is repeated")
         h[name] = value
     via = h.get(b"gw-via", b"").split(b",")
     if not all(TOKEN.fullmatch(v) for v in via):
-        raise Unreadable("gw-via is missing or no list of sites")
-    repeat = REPEATS.get(h.get(b"gw-repeat", b""))
+        raise InvalidHead("gw-via is missing or not a list of sites")
+    repeat = REPEAT_BY_NAME.get(h.get(b"gw-repeat", b""))
     if repeat is None:
-        raise Unreadable("gw-repeat is missing or unknown")
-    left = _number(h, b"gw-time-left")
-    headers = {name: h[name] for name in CARRIED if name in h}
+        raise InvalidHead("gw-repeat is missing or unknown")
+    time_left_us = _number(h, b"gw-time-left")
+    headers = {name: h[name] for name in CARRIED_FIELDS if name in h}
     headers[b"host"] = h.get(b":authority", b"")
-    headers[b"req-deadline"] = b"%d.%06d" % divmod(left, 1_000_000)
-    return Crossed(h.get(b":method", b""), h.get(b":path", b""), headers, left, repeat,
-                   tuple(v.decode("ascii") for v in via), _number(h, b"gw-key-age", b"0"),
-                   read_passed(fields), h.get(b"gw-ran-at", b"").decode("latin-1"))  # fmt: skip
+    headers[b"req-deadline"] = b"%d.%06d" % divmod(time_left_us, 1_000_000)
+    return RequestHead(h.get(b":method", b""), h.get(b":path", b""), headers, time_left_us, repeat,
+                       tuple(v.decode("ascii") for v in via), _number(h, b"gw-key-age", b"0"),
+                       format_forwarded(fields), h.get(b"gw-ran-at", b"").decode("latin-1"))  # fmt: skip
 
 
 def answer_fields(
-    status: int, length: int | None, more: bytes, refused: str = "", passes: bool = False,
-    never_ran: bool = False, undecided: bool = False,
+    status: int, length: int | None, extra_fields: bytes, refused: str = "",
+    forwards_all: bool = False, never_ran: bool = False, undecided: bool = False,
 ) -> Fields:  # fmt: skip
-    """`more` holds lines as fronts write them; of these, what the other site needs goes on. `never_ran`: that
-    is certain of what it answers. `undecided`: it is no answer yet, and is to be asked for again."""
+    """The fields of an answer.
+
+    `extra_fields`: field lines as for a client; those that the other site needs are kept. `refused`: why this
+    gateway rejected the request. `never_ran`: the request has certainly not run. `undecided`: there is no
+    final answer yet, and the request is to be sent again for it.
+    """
     fields = [(b":status", b"%d" % status)]
     if undecided:
         fields.append((b"gw-undecided", b"1"))
     if never_ran:
         fields.append((b"gw-never-ran", b"1"))
-    if passes:
-        given = read_lines(more)
-        told = [value for name, value in given if name.lower() == b"content-length"]
-        if told or length is not None:  # of an answer to HEAD, the server's own word
-            fields.append(Unindexed(b"content-length", told[0] if told else b"%d" % (length or 0)))
-        return [*fields, *passed(given), *_carried(given)]
+    if forwards_all:
+        given = parse_fields(extra_fields)
+        lengths = [value for name, value in given if name.lower() == b"content-length"]
+        if lengths or length is not None:  # for HEAD, the server's own value
+            fields.append(NeverIndexed(b"content-length", lengths[0] if lengths else b"%d" % (length or 0)))
+        return [*fields, *forwarded(given), *_content_type(given)]
     if length is not None:
-        fields.append(Unindexed(b"content-length", b"%d" % length))
-    for line in more.split(b"\r\n"):
+        fields.append(NeverIndexed(b"content-length", b"%d" % length))
+    for line in extra_fields.split(b"\r\n"):
         name, colon, value = line.partition(b":")
         if colon and name.lower() in (b"content-type", b"retry-after"):
             fields.append((name.lower(), value.strip()))
@@ -166,31 +182,37 @@
     return fields
 
 
-def _carried(given: Iterable[tuple[bytes, bytes]]) -> Fields:
+def _content_type(given: Iterable[tuple[bytes, bytes]]) -> Fields:
     return [(b"content-type", value) for name, value in given if name.lower() == b"content-type"]
 
 
 @dataclass(slots=True)
-class Head:
+class AnswerHead:
+    """The parsed head of an answer. `length` is that of the body, or None if it is not known."""
+
     status: int
     length: int | None
-    more: bytes
+    extra_fields: bytes
     refused: str
     never_ran: bool = False
     undecided: bool = False
 
 
-def read_answer(fields: Iterable[tuple[bytes, bytes]], passes: bool = False) -> Head:
-    """Raises Unreadable."""
+def read_answer(fields: Iterable[tuple[bytes, bytes]], forwards_all: bool = False) -> AnswerHead:
+    """Parses the head of an answer. Raises InvalidHead."""
     fields = list(fields)
     h = dict(fields)
     status, length = h.get(b":status", b""), h.get(b"content-length")
-    if not WHOLE.fullmatch(status) or (length is not None and not WHOLE.fullmatch(length)):
-        raise Unreadable("an answer without a status, or with a length that is no number")
-    if passes:
-        more = read_passed(fields) + lines((b"Content-Type", v) for _, v in _carried(fields))
+    if not NUMBER_PATTERN.fullmatch(status) or (length is not None and not NUMBER_PATTERN.fullmatch(length)):
+        raise InvalidHead("an answer without a valid status, or with an invalid length")
+    if forwards_all:
+        extra_fields = format_forwarded(fields) + format_fields(
+            (b"Content-Type", v) for _, v in _content_type(fields)
+        )
     else:
-        more = lines((t, h[t.lower()]) for t in (b"Content-Type", b"Retry-After") if t.lower() in h)
+        extra_fields = format_fields(
+            (name, h[name.lower()]) for name in (b"Content-Type", b"Retry-After") if name.lower() in h
+        )
     refused = h.get(b"gw-refused", b"").decode("latin-1")
-    return Head(int(status), None if length is None else int(length), more, refused,
-                h.get(b"gw-never-ran") == b"1", h.get(b"gw-undecided") == b"1")  # fmt: skip
+    return AnswerHead(int(status), None if length is None else int(length), extra_fields, refused,
+                      h.get(b"gw-never-ran") == b"1", h.get(b"gw-undecided") == b"1")  # fmt: skip
--- a/magpiefront/group/__init__.py
+++ b/magpiefront/group/__init__.py
@@ -1,1 +1,1 @@
-"""Proxies of one site that agree: who is there, one ordered log, leases. Off without `[group]`."""
+"""Consensus among the proxies of one site: members, a replicated log and leases. Off without `[group]`."""
--- a/magpiefront/group/disk.py
+++ b/magpiefront/group/disk.py
@@ -1,7 +1,8 @@
-"""What of the group must last, in one SQLite file: term and vote, log, snapshot, incarnation.
+"""The durable state of a member in one SQLite file: term and vote, log, snapshot, incarnation.
 
-One thread writes. Durable means what it means for the store of record (`sqlfile.py`). The file has one user:
-a second process that opens it is turned away. What can't be written takes the member out, and `failed` hears.
+One thread writes. Durability is that of the store of record (`sqlfile.py`). The file is locked: a second
+process can't open it. The first failed write ends the thread and is reported to `on_failure`. The member then
+stops taking part until the disk can be written again, but stays a member of the group.
 """
 
 from __future__ import annotations
@@ -16,10 +17,10 @@
 
 import msgspec
 
-from magpiefront.group.messages import Conf, Entry, Kind, Snapshot
-from magpiefront.group.durable import Hard, Stored, Write
-from magpiefront.net.house import House
-from magpiefront.sqlfile import BadStore, opened
+from magpiefront.group.messages import Conf, Entry, EntryKind, Snapshot
+from magpiefront.group.durable import HardState, StoredState, Write
+from magpiefront.net.runtime import Runtime
+from magpiefront.sqlfile import BadStore, open_database
 
 MIGRATIONS = (
     # 1
@@ -37,54 +38,55 @@
         origin TEXT NOT NULL, seq INTEGER NOT NULL
     );
     """,
-    # 2: how far other voters were known to be
+    # 2: how far this member knew the logs of other voters to be
     "ALTER TABLE own ADD COLUMN known BLOB NOT NULL DEFAULT x'80'",
 )
 CHECKPOINT_PAGES = 1_000
-STOP_S = 3.0
+STOP_TIMEOUT_S = 3.0
 
 Job = Callable[[sqlite3.Connection], None]
 
 
-def begin(db: sqlite3.Connection, random: Random | None = None) -> Stored:
-    """What it holds, with this start counted. `random`: the incarnation is given up, and all it held."""
+def load_state(db: sqlite3.Connection, random: Random | None = None) -> StoredState:
+    """Counts this start (the column `boot`) and returns the stored state. With `random`, the incarnation and
+    all its state are replaced by a new, empty one."""
     db.execute("BEGIN IMMEDIATE")
     if random is not None:
         db.execute("DELETE FROM log")
         db.execute("DELETE FROM own")
         db.execute("DELETE FROM snapshot")
-    name = f"{random.getrandbits(48):012x}" if random is not None else "0"
-    first = "INSERT OR IGNORE INTO own (one, incarnation, boot, term, vote) VALUES (1, ?, 0, 0, '')"
-    db.execute(first, (name,))
+    new_incarnation = f"{random.getrandbits(48):012x}" if random is not None else "0"
+    insert = "INSERT OR IGNORE INTO own (one, incarnation, boot, term, vote) VALUES (1, ?, 0, 0, '')"
+    db.execute(insert, (new_incarnation,))
     db.execute("UPDATE own SET boot = boot + 1")
     db.execute("COMMIT")
     own = db.execute("SELECT incarnation, boot, term, vote, known FROM own").fetchone()
-    incarnation, boot, term, vote = own[:4]
+    incarnation, process_number, term, vote = own[:4]
     others: dict[str, tuple[int, int]] = msgspec.msgpack.decode(own[4], type=dict[str, tuple[int, int]])
-    found = db.execute("SELECT at, term, conf, data FROM snapshot").fetchone()
-    known = Snapshot(0, 0, Conf(), b"")
-    if found is not None:
-        at, at_term, conf, data = found
-        known = Snapshot(at, at_term, msgspec.msgpack.decode(conf, type=Conf), data)
+    row = db.execute("SELECT at, term, conf, data FROM snapshot").fetchone()
+    snapshot = Snapshot(0, 0, Conf(), b"")
+    if row is not None:
+        at, at_term, conf, data = row
+        snapshot = Snapshot(at, at_term, msgspec.msgpack.decode(conf, type=Conf), data)
     rows = db.execute("SELECT term, at, kind, data, origin, seq FROM log ORDER BY at")
-    entries = [Entry(term, at, Kind(kind), *rest) for term, at, kind, *rest in rows]
-    return Stored(incarnation, boot, Hard(term, vote), known, entries, others)
+    entries = [Entry(term, at, EntryKind(kind), *rest) for term, at, kind, *rest in rows]
+    return StoredState(incarnation, process_number, HardState(term, vote), snapshot, entries, others)
 
 
 def write(db: sqlite3.Connection, w: Write) -> None:
-    """As a whole or not at all. Raises sqlite3.Error."""
+    """Writes all of `w` in one transaction. Raises sqlite3.Error."""
     db.execute("BEGIN IMMEDIATE")
-    own = w.hard.term, w.hard.vote, msgspec.msgpack.encode(w.known)
-    changed = "UPDATE own SET (term, vote, known) = (?, ?, ?) WHERE (term, vote, known) <> (?, ?, ?)"
-    db.execute(changed, own * 2)
-    s = w.snapshot
-    if s is not None:
-        row = s.index, s.term, msgspec.msgpack.encode(s.conf), s.data
+    own = w.hard_state.term, w.hard_state.vote, msgspec.msgpack.encode(w.known)
+    update = "UPDATE own SET (term, vote, known) = (?, ?, ?) WHERE (term, vote, known) <> (?, ?, ?)"
+    db.execute(update, own * 2)
+    snapshot = w.snapshot
+    if snapshot is not None:
+        row = snapshot.index, snapshot.term, msgspec.msgpack.encode(snapshot.conf), snapshot.data
         db.execute("INSERT OR REPLACE INTO snapshot VALUES (1, ?, ?, ?, ?)", row)
-        if w.whole:
+        if w.replaces_log:
             db.execute("DELETE FROM log")
         else:
-            db.execute("DELETE FROM log WHERE at <= ?", (w.keep_from,))
+            db.execute("DELETE FROM log WHERE at <= ?", (w.discard_upto,))
     if w.entries:
         db.execute("DELETE FROM log WHERE at >= ?", (w.entries[0].index,))
         rows = [(e.index, e.term, int(e.kind), e.data, e.origin, e.seq) for e in w.entries]
@@ -93,20 +95,23 @@
 
 
 class GroupDisk:
-    def __init__(self, house: House, path: Path, failed: Callable[[str], None]) -> None:
-        self.house, self.path, self.failed = house, path, failed
+    """The file and the thread that writes to it. Callbacks run in the event loop. `on_failure` is called with
+    the cause when a write has failed."""
+
+    def __init__(self, runtime: Runtime, path: Path, on_failure: Callable[[str], None]) -> None:
+        self.runtime, self.path, self.on_failure = runtime, path, on_failure
         self.db: sqlite3.Connection | None = None
         self.jobs: deque[tuple[Job, Callable[[], None]]] = deque()
-        self.wake = threading.Condition()
+        self.condition = threading.Condition()
         self.stopping = False
         self.thread: threading.Thread | None = None
 
-    def start(self) -> Stored:
-        """Raises BadStore."""
-        self.db = opened(self.path, MIGRATIONS, alone=True)
+    def start(self) -> StoredState:
+        """Opens the file, starts the thread and returns the stored state. Raises BadStore."""
+        self.db = open_database(self.path, MIGRATIONS, exclusive=True)
         try:
             self.db.execute(f"PRAGMA wal_autocheckpoint={CHECKPOINT_PAGES}")
-            stored = begin(self.db)
+            stored = load_state(self.db)
         except sqlite3.Error as e:
             self.db.close()
             raise BadStore(f"{self.path}: {e}") from None
@@ -115,47 +120,48 @@
         self.thread.start()
         return stored
 
-    def write(self, w: Write, then: Callable[[], None]) -> None:
-        """`then` is called in the loop once all of it is durable; never, where it could not be."""
-        self._add(lambda db: write(db, w), then)
+    def write(self, w: Write, on_done: Callable[[], None]) -> None:
+        """Calls `on_done` once all of `w` is durable, and never if the write fails."""
+        self._add(lambda db: write(db, w), on_done)
 
-    def reborn(self, random: Random, then: Callable[[Stored], None]) -> None:
-        made: list[Stored] = []
-        self._add(lambda db: made.append(begin(db, random)), lambda: then(made[0]))
+    def replace_incarnation(self, random: Random, on_done: Callable[[StoredState], None]) -> None:
+        """Replaces the incarnation and all its state, and passes the new state to `on_done`."""
+        results: list[StoredState] = []
+        self._add(lambda db: results.append(load_state(db, random)), lambda: on_done(results[0]))
 
-    def _add(self, job: Job, then: Callable[[], None]) -> None:
-        with self.wake:
-            self.jobs.append((job, then))
-            self.wake.notify()
+    def _add(self, job: Job, on_done: Callable[[], None]) -> None:
+        with self.condition:
+            self.jobs.append((job, on_done))
+            self.condition.notify()
 
     def _run(self, db: sqlite3.Connection) -> None:
         while True:
-            with self.wake:
+            with self.condition:
                 while not self.jobs and not self.stopping:
-                    self.wake.wait()
+                    self.condition.wait()
                 if self.stopping:
                     break
-                job, then = self.jobs.popleft()
+                job, on_done = self.jobs.popleft()
             try:
                 job(db)
             except sqlite3.Error as e:
                 with suppress(sqlite3.Error):
                     db.execute("ROLLBACK")
-                self._soon(lambda e=e: self.failed(f"{self.path}: {e}"))  # type: ignore[misc]
+                self._call_in_loop(lambda e=e: self.on_failure(f"{self.path}: {e}"))  # type: ignore[misc]
                 break
-            self._soon(then)
+            self._call_in_loop(on_done)
         db.close()
 
-    def _soon(self, what: Callable[[], None]) -> None:
-        with suppress(RuntimeError):  # the loop has ended
-            self.house.loop.call_soon_threadsafe(what)
+    def _call_in_loop(self, callback: Callable[[], None]) -> None:
+        with suppress(RuntimeError):  # the loop is closed
+            self.runtime.loop.call_soon_threadsafe(callback)
 
     def stop(self) -> None:
-        """What has begun is finished, within `STOP_S`."""
-        with self.wake:
+        """Drops the waiting writes and waits up to `STOP_TIMEOUT_S` for the current one."""
+        with self.condition:
             self.stopping = True
             self.jobs.clear()
-            self.wake.notify()
+            self.condition.notify()
         if self.thread is not None and self.thread is not threading.current_thread():
-            self.thread.join(STOP_S)
+            self.thread.join(STOP_TIMEOUT_S)
             self.thread = None
--- a/magpiefront/group/durable.py
+++ b/magpiefront/group/durable.py
@@ -1,5 +1,5 @@
-"""What of the agreement must be durable before what: term, vote, entries and snapshots before the messages
-that rest on them. No I/O."""
+"""The durable state of a member and the order of its writes: term, vote, entries and snapshots become durable
+before the messages that depend on them are sent. No I/O."""
 
 from __future__ import annotations
 
@@ -13,104 +13,120 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Hard:
-    """What has to last besides the log: nobody votes twice in a term."""
+class HardState:
+    """The durable state besides the log. It prevents a second vote in the same term."""
 
     term: int = 0
     vote: str = ""
 
 
-class Stored(msgspec.Struct):
-    """What a disk holds."""
+class StoredState(msgspec.Struct):
+    """The content of a member's disk when it starts."""
 
-    incarnation: str
-    boot: int  # how often it has been started from, this time too
-    hard: Hard = Hard()
+    incarnation: str  # "0"; a random name once an incarnation has been abandoned
+    # The number of starts of this incarnation, including this one; see `MemberContext.process_number`.
+    process_number: int
+    hard_state: HardState = HardState()
     snapshot: Snapshot = Snapshot(0, 0, Conf(), b"")
     entries: list[Entry] = []
-    known: dict[str, tuple[int, int]] = {}  # how far other voters were known to be, by id: term and entry
+    known: dict[str, tuple[int, int]] = {}  # last known term and index of other voters, by id
 
     @property
-    def virgin(self) -> bool:
-        return self.hard.term == 0 and not self.snapshot.conf.voters and not self.entries
+    def is_empty(self) -> bool:
+        return self.hard_state.term == 0 and not self.snapshot.conf.voters and not self.entries
 
 
 @dataclass(slots=True)
 class Write:
-    """To be made durable as a whole. Entries go in place of all from the first one's index on; a snapshot in
-    place of all that stands up to its index, and of the whole log where `whole`."""
+    """A write that must become durable atomically.
 
-    hard: Hard
+    `entries` replace all stored entries from the first one's index on. A snapshot replaces the stored one and
+    the entries up to `discard_upto`, or the whole log if `replaces_log`. The `messages` are sent once the
+    write is durable.
+    """
+
+    hard_state: HardState
     entries: list[Entry] = field(default_factory=list)
     snapshot: Snapshot | None = None
-    whole: bool = False
-    keep_from: int = 0  # entries up to there may go
-    after: list[tuple[str, Message]] = field(default_factory=list)
-    empty: bool = False
-    known: dict[str, tuple[int, int]] = field(default_factory=dict)  # how far other voters are, by id
+    replaces_log: bool = False
+    discard_upto: int = 0  # entries up to this index may be discarded with the snapshot
+    messages: list[tuple[str, Message]] = field(default_factory=list)
+    is_empty: bool = False
+    known: dict[str, tuple[int, int]] = field(default_factory=dict)  # as in `StoredState`
+
 
+class DurableState:
+    """Collects the changes to be written and holds back the messages that depend on them."""
 
-class Durable:
-    def __init__(self, hard: Hard, log: Log, limits: Limits) -> None:
-        self.hard = self.saved_hard = hard
+    def __init__(self, hard_state: HardState, log: Log, limits: Limits) -> None:
+        self.hard_state = self.durable_hard_state = hard_state
         self.log, self.limits = log, limits
         self.commit = log.snapshot.index
-        self.out: list[tuple[str, Message]] = []
-        self.after: list[tuple[str, Message]] = []
-        self.written = log.last  # entries handed out to be written
-        self.writing: Write | None = None
-        self.snapshot: tuple[Snapshot, bool] | None = None  # to be written; in place of the whole log?
+        self.outbox: list[tuple[str, Message]] = []
+        self.deferred: list[tuple[str, Message]] = []
+        self.written_index = log.last_index  # entries up to here were passed to a write
+        self.current_write: Write | None = None
+        self.pending_snapshot: tuple[Snapshot, bool] | None = None  # and whether it replaces the whole log
 
     @property
     def term(self) -> int:
-        return self.hard.term
+        return self.hard_state.term
 
     def _send(self, to: str, m: Message, durable: bool = False) -> None:
-        """`durable`: only once all that stands here is. So are all while the term is not."""
-        waits = durable or self.hard != self.saved_hard
-        (self.after if waits else self.out).append((to, m))
+        """`durable`: send only once the current state is durable. All messages wait while the term or vote is
+        not."""
+        must_wait = durable or self.hard_state != self.durable_hard_state
+        (self.deferred if must_wait else self.outbox).append((to, m))
 
     def messages(self) -> list[tuple[str, Message]]:
-        out, self.out = self.out, []
-        return out
+        """Returns and clears the messages to be sent, each with its recipient's id."""
+        outbox, self.outbox = self.outbox, []
+        return outbox
 
     def take_write(self) -> Write | None:
-        """What has to be durable next; None while the last one is not, or where there is nothing."""
-        if self.writing is not None:
+        """The next write; None while the previous one is not finished or if there is nothing to write."""
+        if self.current_write is not None:
             return None
-        entries = self.log.between(self.written, self.log.last) if self.log.last > self.written else []
-        if not (entries or self.after or self.snapshot or self.hard != self.saved_hard):
+        entries = (
+            self.log.entries_between(self.written_index, self.log.last_index)
+            if self.log.last_index > self.written_index
+            else []
+        )
+        if not (
+            entries or self.deferred or self.pending_snapshot or self.hard_state != self.durable_hard_state
+        ):
             return None
-        w = Write(self.hard, entries)
-        if self.snapshot is not None:
-            (w.snapshot, w.whole), self.snapshot = self.snapshot, None
-            w.keep_from = self.log.first
-        w.after, self.after = self.after, []
-        w.empty = not entries and w.snapshot is None and self.hard == self.saved_hard
-        self.written = self.log.last
-        self.writing = w
-        return w
-
-    def _commit_to(self, index: int) -> None:
-        self.commit = max(self.commit, min(index, self.log.last))
-
-    def _settle_write(self) -> Write:
-        """The last write is durable, and what waited for it may go."""
-        w, self.writing = self.writing, None
-        assert w is not None
-        self.saved_hard = w.hard
-        self.out += w.after
-        if w.entries and self.log.term(w.entries[-1].index) == w.entries[-1].term:
-            self.log.stable = max(self.log.stable, w.entries[-1].index)
-        return w
-
-    def begin(self, first: Snapshot) -> None:
-        """The group's first configuration, in place of nothing."""
+        write = Write(self.hard_state, entries)
+        if self.pending_snapshot is not None:
+            (write.snapshot, write.replaces_log), self.pending_snapshot = self.pending_snapshot, None
+            write.discard_upto = self.log.base_index
+        write.messages, self.deferred = self.deferred, []
+        write.is_empty = not entries and write.snapshot is None and self.hard_state == self.durable_hard_state
+        self.written_index = self.log.last_index
+        self.current_write = write
+        return write
+
+    def _raise_commit(self, index: int) -> None:
+        self.commit = max(self.commit, min(index, self.log.last_index))
+
+    def _finish_write(self) -> Write:
+        """Marks the current write as durable and releases its messages."""
+        write, self.current_write = self.current_write, None
+        assert write is not None
+        self.durable_hard_state = write.hard_state
+        self.outbox += write.messages
+        if write.entries and self.log.term(write.entries[-1].index) == write.entries[-1].term:
+            self.log.durable_index = max(self.log.durable_index, write.entries[-1].index)
+        return write
+
+    def bootstrap(self, first: Snapshot) -> None:
+        """Replaces the empty log by the group's first snapshot."""
         self.log.restore(first)
-        self.snapshot, self.commit, self.written = (first, True), first.index, first.index
+        self.pending_snapshot, self.commit, self.written_index = (first, True), first.index, first.index
 
     def compact(self, snapshot: Snapshot) -> None:
-        """Only of what is durable: entries that go from memory must not be missing on the disk."""
-        if self.log.snapshot.index < snapshot.index <= self.log.stable:
+        """Compacts the log up to a snapshot of durable entries: an entry removed from memory must not be
+        missing on the disk."""
+        if self.log.snapshot.index < snapshot.index <= self.log.durable_index:
             self.log.compact(snapshot, self.limits.keep)
-            self.snapshot = (snapshot, False)
+            self.pending_snapshot = (snapshot, False)
--- a/magpiefront/group/log.py
+++ b/magpiefront/group/log.py
@@ -1,4 +1,4 @@
-"""The log in memory: what a snapshot leaves of it, its terms, and what of it is durable. No I/O."""
+"""The log in memory: entries after the last compaction, and the configurations they contain. No I/O."""
 
 from __future__ import annotations
 
@@ -6,140 +6,147 @@
 
 import msgspec
 
-from magpiefront.group.messages import Conf, Entry, Kind, Snapshot
+from magpiefront.group.messages import Conf, Entry, EntryKind, Snapshot
 
 
 class Log:
-    """Entries behind `first`, the last one that only the snapshot holds. `stable`: durable up to there."""
+    """The entries after `base_index`, up to which only the snapshot holds them.
+
+    Entries up to `durable_index` are on the disk. `conf_history` holds the configurations of the log, oldest
+    first, each with the index of its entry.
+    """
 
     def __init__(self, snapshot: Snapshot, entries: Iterable[Entry] = ()) -> None:
-        self._fill(snapshot, entries)
+        self._load(snapshot, entries)
 
-    def _fill(self, snapshot: Snapshot, entries: Iterable[Entry]) -> None:
+    def _load(self, snapshot: Snapshot, entries: Iterable[Entry]) -> None:
         self.snapshot = snapshot
-        self.first, self.first_term = snapshot.index, snapshot.term
+        self.base_index, self.base_term = snapshot.index, snapshot.term
         self.entries: list[Entry] = []
-        self.confs: list[tuple[int, Conf]] = [(snapshot.index, snapshot.conf)]
-        self.bytes = 0
-        for e in entries:
-            if e.index > self.first:
-                self.add(e)
-        self.stable = self.last
+        self.conf_history: list[tuple[int, Conf]] = [(snapshot.index, snapshot.conf)]
+        self.size_bytes = 0
+        for entry in entries:
+            if entry.index > self.base_index:
+                self.add(entry)
+        self.durable_index = self.last_index
 
     @property
-    def last(self) -> int:
-        return self.first + len(self.entries)
+    def last_index(self) -> int:
+        return self.base_index + len(self.entries)
 
     @property
     def last_term(self) -> int:
-        return self.entries[-1].term if self.entries else self.first_term
+        return self.entries[-1].term if self.entries else self.base_term
 
     @property
     def conf(self) -> Conf:
-        """The newest one counts as soon as it stands in the log (thesis, 4.1)."""
-        return self.confs[-1][1]
+        """The newest configuration, which applies as soon as it is in the log (thesis, 4.1)."""
+        return self.conf_history[-1][1]
 
     @property
     def conf_index(self) -> int:
-        return self.confs[-1][0]
+        return self.conf_history[-1][0]
 
     def conf_at(self, index: int) -> Conf:
-        return next((c for at, c in reversed(self.confs) if at <= index), self.confs[0][1])
+        """The configuration that applied at that index."""
+        return next((c for at, c in reversed(self.conf_history) if at <= index), self.conf_history[0][1])
 
     def term(self, index: int) -> int | None:
-        """None: not to be had here."""
-        if index == self.first:
-            return self.first_term
-        if self.first < index <= self.last:
-            return self.entries[index - self.first - 1].term
+        """The term of an entry; None if the log does not hold it."""
+        if index == self.base_index:
+            return self.base_term
+        if self.base_index < index <= self.last_index:
+            return self.entries[index - self.base_index - 1].term
         return None
 
-    def between(self, after: int, upto: int, most_bytes: int = 1 << 62) -> list[Entry]:
-        """One at least, where there is one."""
+    def entries_between(self, after: int, upto: int, max_bytes: int = 1 << 62) -> list[Entry]:
+        """The entries after index `after` up to `upto`, limited to `max_bytes` but at least one if any."""
         found: list[Entry] = []
         size = 0
-        for e in self.entries[after - self.first : upto - self.first]:
-            size += len(e.data) + 32
-            if found and size > most_bytes:
+        for e in self.entries[after - self.base_index : upto - self.base_index]:
+            size += len(e.data) + 32  # approximate size of the other fields
+            if found and size > max_bytes:
                 break
             found.append(e)
         return found
 
-    def newer(self, last_term: int, last: int) -> bool:
-        """Is that log at least as new as this one (thesis, 3.6.1)?"""
-        return (last_term, last) >= (self.last_term, self.last)
+    def is_up_to_date(self, last_term: int, last: int) -> bool:
+        """True if a log that ends with that entry is at least as up-to-date as this one (thesis, 3.6.1)."""
+        return (last_term, last) >= (self.last_term, self.last_index)
 
     def add(self, e: Entry) -> None:
-        assert e.index == self.last + 1, (e.index, self.last)
+        assert e.index == self.last_index + 1, (e.index, self.last_index)
         self.entries.append(e)
-        self.bytes += len(e.data)
-        if e.kind is Kind.CONF:
-            self.confs.append((e.index, read_conf(e.data)))
+        self.size_bytes += len(e.data)
+        if e.kind is EntryKind.CONF:
+            self.conf_history.append((e.index, decode_conf(e.data)))
 
     def merge(self, entries: Iterable[Entry]) -> int | None:
-        """Takes over a leader's entries; what contradicts them goes, with all behind it. Returns from where
-        something went, if so (thesis, 3.5)."""
-        cut: int | None = None
+        """Adds a leader's entries. Removes a conflicting entry and all that follow it, and returns the lowest
+        index removed, or None (thesis, 3.5)."""
+        truncated_at: int | None = None
         for e in entries:
-            if e.index <= self.first:
+            if e.index <= self.base_index:
                 continue
-            have = self.term(e.index)
-            if have == e.term:
+            local_term = self.term(e.index)
+            if local_term == e.term:
                 continue
-            if have is not None:
-                cut = e.index if cut is None else min(cut, e.index)
-                self.cut(e.index)
+            if local_term is not None:
+                truncated_at = e.index if truncated_at is None else min(truncated_at, e.index)
+                self.truncate(e.index)
             self.add(e)
-        return cut
-
-    def cut(self, index: int) -> None:
-        gone = self.entries[index - self.first - 1 :]
-        self.bytes -= sum(len(e.data) for e in gone)
-        del self.entries[index - self.first - 1 :]
-        while self.confs[-1][0] >= index:
-            self.confs.pop()
-        self.stable = min(self.stable, index - 1)
-
-    def hint(self, index: int) -> tuple[int, int]:
-        """Where a leader should go on that found nothing of its own at `index`: at the end, or before the
-        whole of the term that stands before it (thesis, 3.5, at the end)."""
-        if index > self.last:
-            return self.last, self.last_term
+        return truncated_at
+
+    def truncate(self, index: int) -> None:
+        """Removes the entries from that index on."""
+        removed = self.entries[index - self.base_index - 1 :]
+        self.size_bytes -= sum(len(e.data) for e in removed)
+        del self.entries[index - self.base_index - 1 :]
+        while self.conf_history[-1][0] >= index:
+            self.conf_history.pop()
+        self.durable_index = min(self.durable_index, index - 1)
+
+    def conflict_hint(self, index: int) -> tuple[int, int]:
+        """The index and term from which a leader should continue whose entry at `index` does not match: the
+        end of this log, or the entry before all entries of the term at `index - 1` (thesis, end of 3.5)."""
+        if index > self.last_index:
+            return self.last_index, self.last_term
         index -= 1
         term = self.term(index)
         if term is None:
-            return self.first, self.first_term
-        while index > self.first and self.term(index) == term:
+            return self.base_index, self.base_term
+        while index > self.base_index and self.term(index) == term:
             index -= 1
-        found = self.term(index)
-        return index, found if found is not None else 0
+        hint_term = self.term(index)
+        return index, hint_term if hint_term is not None else 0
 
     def compact(self, snapshot: Snapshot, keep: int) -> None:
-        """What the snapshot holds is kept in part, for those that lag a little."""
+        """Discards entries that the snapshot covers, except the last `keep`, which members that lag slightly
+        may still need."""
         self.snapshot = snapshot
-        to = min(snapshot.index - keep, self.last)
-        if to > self.first:
-            self.first_term = self.term(to) or 0
-            gone = self.entries[: to - self.first]
-            self.bytes -= sum(len(e.data) for e in gone)
-            conf = self.conf_at(to)
-            del self.entries[: to - self.first]
-            self.first = to
-            self.confs = [(to, conf), *((at, c) for at, c in self.confs if at > to)]
+        new_base = min(snapshot.index - keep, self.last_index)
+        if new_base > self.base_index:
+            self.base_term = self.term(new_base) or 0
+            removed = self.entries[: new_base - self.base_index]
+            self.size_bytes -= sum(len(e.data) for e in removed)
+            conf = self.conf_at(new_base)
+            del self.entries[: new_base - self.base_index]
+            self.base_index = new_base
+            self.conf_history = [(new_base, conf), *((at, c) for at, c in self.conf_history if at > new_base)]
 
     def restore(self, snapshot: Snapshot) -> None:
-        """In place of all that is here."""
-        self._fill(snapshot, ())
+        """Replaces the whole log by the snapshot."""
+        self._load(snapshot, ())
 
 
-def encode(what: object) -> bytes:
-    """The same bytes at each member: sets and maps in order."""
-    return msgspec.msgpack.encode(what, order="deterministic")
+def encode_deterministic(value: object) -> bytes:
+    """Encodes sets and maps in sorted order, so that each member produces the same bytes."""
+    return msgspec.msgpack.encode(value, order="deterministic")
 
 
-def read_conf(data: bytes) -> Conf:
+def decode_conf(data: bytes) -> Conf:
     return msgspec.msgpack.decode(data, type=Conf)
 
 
-def conf_bytes(conf: Conf) -> bytes:
-    return encode(conf)
+def encode_conf(conf: Conf) -> bytes:
+    return encode_deterministic(conf)
--- a/magpiefront/group/messages.py
+++ b/magpiefront/group/messages.py
@@ -1,7 +1,7 @@
-"""What members tell each other, and what stands in the log. Unknown fields of a later version are skipped.
+"""The messages between members, and log entries. Unknown fields of a later version are skipped.
 
-Names are those of the Raft thesis (Ongaro, 2014): AppendEntries 3.5, RequestVote 3.4, InstallSnapshot 5.2,
-TimeoutNow 3.10, PreVote 9.6. A member's id is its name and its incarnation: "west-1.0".
+They follow the RPCs of the Raft thesis (Ongaro, 2014): AppendEntries 3.5, RequestVote 3.4, InstallSnapshot
+5.2, TimeoutNow 3.10, PreVote 9.6. A member's id is its name and its incarnation: "west-1.0".
 """
 
 from __future__ import annotations
@@ -11,23 +11,30 @@
 import msgspec
 
 
-class Kind(IntEnum):
-    NOTHING = 0  # of a new leader (6.4, 8 of the paper): what came before is committed with it
+class EntryKind(IntEnum):
+    """What a log entry holds."""
+
+    # Appended by a new leader; committing it commits all entries before it (thesis 6.4; Raft paper, section
+    # 8).
+    NOOP = 0
     COMMAND = 1
     CONF = 2
 
 
 class Entry(msgspec.Struct, frozen=True, array_like=True):
+    """A log entry. `origin` is the member that sent the command and `seq` its number there: a command that is
+    delivered twice is applied once."""
+
     term: int
     index: int
-    kind: Kind
+    kind: EntryKind
     data: bytes
-    origin: str = ""  # the member that asked, and its number for it: a doubled message is applied once
+    origin: str = ""
     seq: int = 0
 
 
 class Conf(msgspec.Struct, frozen=True):
-    """Who votes, and who only learns."""
+    """A configuration: the ids of the voters and of the observers, which receive the log but don't vote."""
 
     voters: frozenset[str] = frozenset()
     observers: frozenset[str] = frozenset()
@@ -37,11 +44,12 @@
         return self.voters | self.observers
 
     def by_name(self, name: str) -> str | None:
+        """The id of the member with that name, if there is one."""
         return next((m for m in sorted(self.all) if name_of(m) == name), None)
 
 
 class Snapshot(msgspec.Struct, frozen=True):
-    """All that was applied up to `index`."""
+    """The state of the state machines after the entry at `index`."""
 
     index: int
     term: int
@@ -50,45 +58,60 @@
 
 
 class Message(msgspec.Struct, tag=True, kw_only=True, frozen=True):
+    """A message, encoded with its class name or `tag`. `term` is the sender's, or that of the election."""
+
     term: int = 0
 
 
-class VoteAsk(Message, frozen=True, kw_only=True):
+class VoteRequest(Message, tag="VoteAsk", frozen=True, kw_only=True):
+    """A candidate asks for a vote, or with `pre` whether it would get one. `last` is its last index.
+
+    `is_transfer`: the leader requested the election (TimeoutNow), so voters that hear the leader answer too.
+    """
+
     pre: bool
     last: int
     last_term: int
-    handed: bool = False  # by the leader itself (TimeoutNow): asked in spite of one that is well
+    is_transfer: bool = msgspec.field(name="handed", default=False)
 
 
 class VoteReply(Message, frozen=True, kw_only=True):
+    """A voter's answer. The term of a granted pre-vote is the requested one, not the voter's."""
+
     pre: bool
     granted: bool
 
 
 class Append(Message, frozen=True, kw_only=True):
-    """With no entries, a heartbeat. `round` numbers the leader's rounds: an answer confirms that it led."""
+    """Entries that follow the one at `prev`; a heartbeat if there are none.
+
+    `round` is the leader's current round: a reply confirms that it was the leader then.
+    """
 
     prev: int
     prev_term: int
     entries: list[Entry]
     commit: int
     round: int
-    acks: list[tuple[str, int, bool, int]] = []  # sessions: who, its number, whether it may act, its epoch
+    acks: list[tuple[str, int, bool, int]] = []  # session answers: member, request, may act, epoch
 
 
 class AppendReply(Message, frozen=True, kw_only=True):
-    """`match`: the last entry known to be the leader's, durable. When refused, `hint` is where to go on."""
+    """`match`: the last durable index known to match the leader's log, or the refused one if not `ok`.
+
+    `hint` and `hint_term` then say where to continue.
+    """
 
     round: int
     ok: bool
     match: int
     hint: int = 0
     hint_term: int = 0
-    heard: list[tuple[str, int, int]] = []  # sessions: whose asks came here, the newest number, its life
+    heard: list[tuple[str, int, int]] = []  # session requests: member, newest request, its process
 
 
-class Part(Message, frozen=True, kw_only=True):
-    """A part of a snapshot, from `offset` of `size` bytes."""
+class SnapshotChunk(Message, tag="Part", frozen=True, kw_only=True):
+    """The bytes of a snapshot from `offset` on; the whole has `size` bytes."""
 
     index: int
     index_term: int
@@ -99,50 +122,55 @@
     round: int
 
 
-class PartReply(Message, frozen=True, kw_only=True):
+class SnapshotChunkReply(Message, tag="PartReply", frozen=True, kw_only=True):
+    """The answer to a chunk that does not complete the snapshot."""
+
     index: int
-    offset: int  # how far it has come, whole without a gap
+    offset: int  # bytes received without gaps
     round: int
 
 
 class TimeoutNow(Message, frozen=True, kw_only=True):
-    pass
+    """The leader transfers its leadership: the receiver starts an election at once."""
 
 
 class Forward(Message, frozen=True, kw_only=True):
-    """A command for the leader."""
+    """A command that a member sends to the leader."""
 
     seq: int
     data: bytes
 
 
 class Refusal(Message, frozen=True, kw_only=True):
-    """That command was not taken up, and never will be."""
+    """The command was not appended to the log and never will be."""
 
     seq: int
     cause: str
 
 
-class ReadAsk(Message, frozen=True, kw_only=True):
+class ReadRequest(Message, tag="ReadAsk", frozen=True, kw_only=True):
+    """Asks the leader for the index up to which a member must have applied the log before it reads."""
+
     seq: int
 
 
 class ReadReply(Message, frozen=True, kw_only=True):
-    """What was applied up to `index` is at least as new as the ask (6.4). -1: not to be had there."""
+    """State applied up to `index` is at least as new as the request (6.4). -1: the sender can't serve it."""
 
     seq: int
     index: int
 
 
 class Ping(Message, frozen=True, kw_only=True):
-    """A member asks for its session, of any voter; `leader` is who it takes for the leader."""
+    """A member asks any voter to renew its session. `process_number` is that of its process."""
 
     seq: int
-    life: int
+    process_number: int = msgspec.field(name="life")
 
 
 class Pong(Message, frozen=True, kw_only=True):
-    """The leader has said so of the ask with this number. An epoch below 0: no member any more."""
+    """The leader's answer to the session request `seq`: whether the member may act, and its epoch. A negative
+    epoch: it is no longer a member."""
 
     seq: int
     may: bool
@@ -151,42 +179,47 @@
 
 
 class Attest(Message, frozen=True, kw_only=True):
-    """A member that starts asks how far the others knew it to be: its disk may be an older one. `birth` is
-    its process's, drawn at its start."""
+    """A starting member asks what the others know of its progress, as its disk may be outdated.
+
+    `birth` is a random number drawn at the start of its process.
+    """
 
     last: int
-    virgin: bool
+    is_empty: bool = msgspec.field(name="virgin")
     birth: int = 0
 
 
-class Attested(Message, frozen=True, kw_only=True):
-    """`known_term`, `known`: it had confirmed entries up to there under that term. `virgin`: nor has this
-    member anything. `leads`: it certainly does at this moment."""
+class AttestReply(Message, tag="Attested", frozen=True, kw_only=True):
+    """What the sender knows of the other member: it confirmed entries up to `known` in `known_term`.
+
+    `is_empty`: the sender has no state, or the receiver, whose disk is empty, has certainly lost nothing (see
+    `Startup.on_attest`). `leads`: the sender certainly leads at this moment.
+    """
 
     known_term: int
     known: int
-    virgin: bool
-    other: bool  # its name is here, under another incarnation
+    is_empty: bool = msgspec.field(name="virgin")
+    other: bool  # the name belongs to another incarnation
     leads: bool = False
-    birth: int = 0  # of who answers
+    birth: int = 0  # of the sender's process
 
 
 class Join(Message, frozen=True, kw_only=True):
-    """Someone of that name asks to learn (anew, under a new incarnation); the leader answers by the log."""
+    """A member asks to join, perhaps under a new incarnation. The leader answers by a configuration entry."""
 
     voter: bool
 
 
 class Hint(Message, frozen=True, kw_only=True):
-    """Between what others run on the members: may get lost, and nothing is agreed on."""
+    """An unreliable message between components that run on the members, outside of the log."""
 
     topic: str
     data: bytes
 
 
 AnyMessage = (
-    VoteAsk | VoteReply | Append | AppendReply | Part | PartReply | TimeoutNow | Forward | Refusal | ReadAsk
-    | ReadReply | Ping | Pong | Attest | Attested | Join | Hint
+    VoteRequest | VoteReply | Append | AppendReply | SnapshotChunk | SnapshotChunkReply | TimeoutNow | Forward
+    | Refusal | ReadRequest | ReadReply | Ping | Pong | Attest | AttestReply | Join | Hint
 )  # fmt: skip
 
 
--- /dev/null
+++ b/magpiefront/group/operator_commands.py
@@ -0,0 +1,158 @@
+"""The commands that an operator sends to one member, and its answers. Both consist of JSON types only. No
+command blocks."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+from magpiefront.group import registry
+from magpiefront.group.pending import Outcome, Status
+from magpiefront.group.state_machines import REGISTRY
+from magpiefront.group.peer import decode_result
+from magpiefront.group.interface import Group
+from magpiefront.group.service import GroupService
+
+Answer = Callable[[dict[str, Any]], None]
+MAX_DEADLINE_MS = 10_000
+
+
+class CommandError(Exception):
+    """The command can't be carried out. The message is the error in the answer."""
+
+
+def answer_after_read(
+    group: Group, until_us: int, answer: Answer, result: Callable[[], dict[str, Any]]
+) -> None:  # fmt: skip
+    """Answers with `result()` after a linearizable read, so that it is at least as new as this call; with an
+    error if the read does not succeed by `until_us`."""
+
+    def on_done(outcome: Outcome) -> None:
+        answer(
+            result() if outcome.status is Status.COMMITTED else {"error": f"the read failed: {outcome.cause}"}
+        )
+
+    group.read(until_us, on_done)
+
+
+class OperatorCommands:
+    """Carries out commands at the member of `service`."""
+
+    def __init__(self, service: GroupService) -> None:
+        self.service = service
+        # Commands of the subsystems that run on the group, by name.
+        self.extra_handlers: dict[str, Callable[[dict[str, Any], Answer], None]] = {}
+
+    def handle(self, command: dict[str, Any], answer: Answer) -> None:
+        """Carries out the command that the key `do` names. Calls `answer` once, by its `deadline_ms`."""
+        handlers: dict[str, Callable[[dict[str, Any], Answer], None]] = {
+            "status": self._status, "bar": self._bar, "lead": self._lead, "snapshot": self._snapshot,
+            "put": self._put, "get": self._get, "take": self._take, "drop": self._drop, "holds": self._holds,
+            **self.extra_handlers,
+        }  # fmt: skip
+        try:
+            handler = handlers.get(str(command.get("do")))
+            if handler is None:
+                raise CommandError(f"unknown command: {command.get('do')!r}")
+            if self.service.peer is None and handler != self._status:
+                raise CommandError(self.service.cause)
+            handler(command, answer)
+        except CommandError as e:
+            answer({"error": str(e)})
+
+    def _text(self, command: dict[str, Any], key: str) -> str:
+        """The text under a key, of 1 to 4,096 characters."""
+        value = command.get(key)
+        if not isinstance(value, str) or not 0 < len(value) <= 4_096:
+            raise CommandError(f"{key}: is missing, empty, too long or no string")
+        return value
+
+    def _deadline_us(self, command: dict[str, Any]) -> int:
+        """The time of the runtime's clock by which to answer: `deadline_ms` from now, by default 2 s."""
+        ms = command.get("deadline_ms", 2_000)
+        if not isinstance(ms, int) or not 0 < ms <= MAX_DEADLINE_MS:
+            raise CommandError(f"deadline_ms: from 1 to {MAX_DEADLINE_MS}")
+        return self.service.runtime.now_us() + ms * 1_000
+
+    def _answer_outcome(self, answer: Answer) -> Callable[[Outcome], None]:
+        """A callback that answers with an outcome and, if it is committed, the registry's result."""
+
+        def on_done(outcome: Outcome) -> None:
+            result = decode_result(outcome)
+            fields: dict[str, Any] = {}
+            if result is not None:
+                fields = {"done": result.done, "epoch": result.epoch, "holder": result.holder,
+                          "value": result.value.decode("utf-8", "replace")}  # fmt: skip
+            answer({"fate": outcome.status.value, "cause": outcome.cause, **fields})
+
+        return on_done
+
+    def _status(self, command: dict[str, Any], answer: Answer) -> None:
+        answer(self.service.status())
+
+    def _bar(self, command: dict[str, Any], answer: Answer) -> None:
+        """Removes a name from the group (`out`), or allows it again."""
+        name, out, peer = self._text(command, "name"), bool(command.get("out")), self.service.peer
+        assert peer is not None
+        obstacle = peer.members.change_obstacle(name, out)
+        if obstacle:
+            raise CommandError(obstacle)
+        self.service.propose(REGISTRY, registry.encode(registry.SetBarred(name, out)),
+                             self._deadline_us(command), self._answer_outcome(answer))  # fmt: skip
+
+    def _lead(self, command: dict[str, Any], answer: Answer) -> None:
+        """Starts to transfer leadership to the named voter."""
+        peer = self.service.peer
+        assert peer is not None
+        id = peer.raft.log.conf.by_name(self._text(command, "to")) or ""
+        if not peer.is_leader:
+            raise CommandError(f"{peer.raft.leader or 'nobody'} leads")
+        if id == peer.me:
+            answer({"fate": "committed", "cause": "it leads already"})
+        elif not peer.raft.transfer_leadership(id, self.service.runtime.now_us()):
+            raise CommandError("not a voter, or a transfer is in progress already")
+        else:
+            self.service.wake()
+            answer({"fate": "unknown", "cause": "the transfer has started"})
+
+    def _snapshot(self, command: dict[str, Any], answer: Answer) -> None:
+        peer = self.service.peer
+        assert peer is not None
+        peer.snapshot()
+        self.service.wake()
+        answer({"snapshot": peer.raft.log.snapshot.index})
+
+    def _put(self, command: dict[str, Any], answer: Answer) -> None:
+        version = command.get("version", -1)
+        if not isinstance(version, int):
+            raise CommandError("version: a whole number")
+        put = registry.PutRegister(
+            self._text(command, "key"), str(command.get("value", "")).encode(), version
+        )
+        self.service.propose(REGISTRY, registry.encode(put), self._deadline_us(command),
+                             self._answer_outcome(answer))  # fmt: skip
+
+    def _get(self, command: dict[str, Any], answer: Answer) -> None:
+        key = self._text(command, "key")
+
+        def on_done(outcome: Outcome) -> None:
+            peer = self.service.peer
+            register = peer.machines.registry.tables.registers.get(key) if peer is not None else None
+            fields = {"value": register.value.decode("utf-8", "replace") if register is not None else "",
+                      "version": register.version if register is not None else 0}  # fmt: skip
+            answer({"fate": outcome.status.value, "cause": outcome.cause,
+                    **(fields if outcome.status.value == "committed" else {})})  # fmt: skip
+
+        self.service.read(self._deadline_us(command), on_done)
+
+    def _take(self, command: dict[str, Any], answer: Answer) -> None:
+        self.service.acquire_lease(self._text(command, "lease"), self._deadline_us(command),
+                                   self._answer_outcome(answer))  # fmt: skip
+
+    def _drop(self, command: dict[str, Any], answer: Answer) -> None:
+        self.service.release_lease(self._text(command, "lease"), self._deadline_us(command),
+                                   self._answer_outcome(answer))  # fmt: skip
+
+    def _holds(self, command: dict[str, Any], answer: Answer) -> None:
+        answer({"epoch": self.service.lease_epoch(self._text(command, "lease")),
+                "acts": self.service.may_act()})  # fmt: skip
