--- a/magpiefront/group/peer.py
+++ b/magpiefront/group/peer.py
@@ -1,7 +1,8 @@
-"""One member, whole: the agreement, what is applied, sessions, and what this member asked for.
+"""One complete member: Raft, the state machines, sessions, and the requests of this member.
 
-No I/O and no clock: it is handed messages, the time and what has become durable, and gives what to send and
-to write. The same class runs in the program (`service.py`) and in simulated time (`model/group.py`).
+No I/O and no clock. The caller passes in messages, the time and completed writes, and takes out the messages
+to send and the data to write. The same class runs in the program (`service.py`) and in simulated time
+(`model/group.py`).
 """
 
 from __future__ import annotations
@@ -11,298 +12,331 @@
 
 import msgspec
 
-from magpiefront.group import facts
-from magpiefront.group.asks import Asks, Fate, Outcome, Then
-from magpiefront.group.facts import State
+from magpiefront.group import registry
+from magpiefront.group.pending import Outcome, OutcomeCallback, PendingOperations, Status
+from magpiefront.group.registry import MemberState
 from magpiefront.group.log import Log
-from magpiefront.group.machines import FACTS, Machine, Machines
-from magpiefront.group.members import Members
+from magpiefront.group.state_machines import REGISTRY, StateMachine, StateMachines
+from magpiefront.group.members import Membership
 from magpiefront.group.messages import (
-    Append, AppendReply, Attest, Attested, Forward, Join, Kind, Message, Ping, Pong, ReadAsk,
+    Append, AppendReply, Attest, AttestReply, Forward, Join, EntryKind, Message, Ping, Pong, ReadRequest,
     ReadReply, Refusal, Snapshot, VoteReply, member_id, name_of,
 )  # fmt: skip
-from magpiefront.group.durable import Stored, Write
+from magpiefront.group.durable import StoredState, Write
 from magpiefront.group.raft import Raft
 from magpiefront.group.requests import Requests
-from magpiefront.group.sessions import Hearing, Session
+from magpiefront.group.sessions import PingRelay, Session
 from magpiefront.group.settings import GroupSettings
-from magpiefront.group.starting import Starting
+from magpiefront.group.startup import Startup
 
 
 class Peer:
+    """One member of a group."""
+
     def __init__(
-        self, settings: GroupSettings, stored: Stored, random: Random, now_us: int,
-        machines: dict[str, Machine] | None = None, log: Callable[[str], None] = lambda line: None,
+        self, settings: GroupSettings, stored: StoredState, random: Random, now_us: int,
+        machines: dict[str, StateMachine] | None = None, log: Callable[[str], None] = lambda line: None,
     ) -> None:  # fmt: skip
         self.settings, self.times, self.log = settings, settings.times, log
         self.me = member_id(settings.member, stored.incarnation)
-        self.life = stored.boot
-        self.machines = Machines()
+        self.process_number = stored.process_number
+        self.machines = StateMachines()
         self.machines.by_name.update(machines or {})
-        book = Log(stored.snapshot, stored.entries)
-        self.raft = Raft(self.me, self.times, settings.limits, random, stored.hard, book, now_us)
+        raft_log = Log(stored.snapshot, stored.entries)
+        self.raft = Raft(self.me, self.times, settings.limits, random, stored.hard_state, raft_log, now_us)
         self.applied = stored.snapshot.index
         if stored.snapshot.data:
             self.machines.restore(stored.snapshot.data)
-        # Above those of each process before it. Where an older disk was put back the boots are the same: then
-        # numbers that were used must not be met again.
-        self.asks = Asks((stored.boot << 40) + (random.getrandbits(28) << 12), settings.limits.most_waiting)
-        self.session, self.hearing = Session(self.times, random), Hearing()
-        self.members = Members(self)
-        self.given_up: dict[str, int] = {}  # leases, by the epoch under which they were given back
-        self.led = ""
+        # Numbers start above those of all earlier processes of this member. If an older copy of the disk was
+        # restored, the process number repeats; the random part then keeps numbers from being used twice.
+        self.pending = PendingOperations(
+            (stored.process_number << 40) + (random.getrandbits(28) << 12), settings.limits.most_waiting
+        )
+        self.session, self.ping_relay = Session(self.times, random), PingRelay()
+        self.members = Membership(self)
+        self.released_leases: dict[str, int] = {}  # the epoch under which each lease was given back
+        self.last_leader = ""
         self.leaving = False
         self.watchers: list[Callable[[], None]] = []
         self.changes = -1
-        self.seen: dict[str, State] = {}  # as last told, by id
-        self.out: list[tuple[str, Message]] = []
-        self.requests = Requests(self.me, self.raft, self.asks, settings.limits.most_entry, self._send,
+        self.logged_states: dict[str, MemberState] = {}  # by id
+        self.outbox: list[tuple[str, Message]] = []
+        self.requests = Requests(self.me, self.raft, self.pending, settings.limits.most_entry, self._send,
                                  lambda: self.applied)  # fmt: skip
-        self.starting = Starting(self, stored, now_us)
+        self.startup = Startup(self, stored, now_us)
 
-    def _send(self, to: str, m: Message) -> None:
-        self.out.append((to, m))
+    def _send(self, to: str, message: Message) -> None:
+        self.outbox.append((to, message))
 
-    # ---- what is asked of it
+    # ---- requests
 
-    def propose(self, machine: str, data: bytes, deadline_us: int, then: Then, now_us: int) -> None:
-        """As `Requests.propose`."""
-        self.requests.propose(machine, data, deadline_us, then, now_us)
+    def propose(
+        self, machine: str, data: bytes, deadline_us: int, on_done: OutcomeCallback, now_us: int
+    ) -> None:  # fmt: skip
+        """See `Requests.propose`."""
+        self.requests.propose(machine, data, deadline_us, on_done, now_us)
 
-    def read(self, deadline_us: int, then: Then, now_us: int) -> None:
-        """As `Requests.read`."""
-        self.requests.read(deadline_us, then, now_us)
+    def read(self, deadline_us: int, on_done: OutcomeCallback, now_us: int) -> None:
+        """See `Requests.read`."""
+        self.requests.read(deadline_us, on_done, now_us)
 
     def may_act(self, now_us: int) -> int:
-        """The epoch under which this member may act at this moment; 0: it may not. To be asked in front of
-        each act that only one may do."""
-        mine = self.machines.facts.member(self.me)
-        if self.leaving or mine is None or mine.state is not State.WELL or mine.epoch != self.session.epoch:
+        """The epoch under which this member may act at this moment; 0 if it may not. Check it immediately
+        before each action that only one member may perform."""
+        mine = self.machines.registry.member(self.me)
+        if (
+            self.leaving
+            or mine is None
+            or mine.state is not MemberState.ALIVE
+            or mine.epoch != self.session.epoch
+        ):
             return 0
-        return mine.epoch if mine.life == self.life and self.session.holds(now_us) else 0
-
-    def holds(self, lease: str, now_us: int) -> int:
-        """The epoch of that lease, if it is this member's at this moment; else 0."""
-        held = self.machines.facts.lease(lease)
-        mine = held.holder == self.me and self.given_up.get(lease) != held.epoch
-        return held.epoch if mine and self.may_act(now_us) else 0
-
-    def take(self, lease: str, deadline_us: int, then: Then, now_us: int) -> None:
-        """Asks for a lease that is free. `holds` tells whether it is this member's, not the outcome."""
+        return (
+            mine.epoch if mine.process_number == self.process_number and self.session.is_valid(now_us) else 0
+        )
+
+    def lease_epoch(self, lease: str, now_us: int) -> int:
+        """The epoch of the lease if this member holds it at this moment, else 0."""
+        current = self.machines.registry.lease(lease)
+        is_holder = current.holder == self.me and self.released_leases.get(lease) != current.epoch
+        return current.epoch if is_holder and self.may_act(now_us) else 0
+
+    def acquire_lease(self, lease: str, deadline_us: int, on_done: OutcomeCallback, now_us: int) -> None:
+        """Asks for a free lease. Whether this member holds it is what `lease_epoch` returns, whatever the
+        outcome of the request."""
         epoch = self.may_act(now_us)
         if not epoch:
-            then(Outcome(Fate.REFUSED, cause="it may not act"))
+            on_done(Outcome(Status.REFUSED, cause="this member may not act"))
             return
-        self.propose(FACTS, facts.encode(facts.Take(lease, self.me, epoch)), deadline_us, then, now_us)
-
-    def drop(self, lease: str, deadline_us: int, then: Then, now_us: int) -> None:
-        """Gives a lease back. It is not held from this moment on, whatever the outcome: others may hear of it
-        before this member does."""
-        epoch = self.machines.facts.lease(lease).epoch
-        self.given_up[lease] = epoch
-        self.propose(FACTS, facts.encode(facts.Drop(lease, self.me, epoch)), deadline_us, then, now_us)
-
-    def leave(self, deadline_us: int, then: Then, now_us: int) -> None:
-        """A planned end: this process acts no more, and asks for no session. Then its loss is a fact at once,
-        and the next process of this member is well as soon as it asks."""
+        self.propose(REGISTRY, registry.encode(registry.AcquireLease(lease, self.me, epoch)), deadline_us,
+                     on_done, now_us)  # fmt: skip
+
+    def release_lease(self, lease: str, deadline_us: int, on_done: OutcomeCallback, now_us: int) -> None:
+        """Gives a lease back. This member does not hold it from this call on, whatever the outcome: other
+        members may learn of the release before this one does."""
+        epoch = self.machines.registry.lease(lease).epoch
+        self.released_leases[lease] = epoch
+        self.propose(REGISTRY, registry.encode(registry.ReleaseLease(lease, self.me, epoch)), deadline_us,
+                     on_done, now_us)  # fmt: skip
+
+    def leave(self, deadline_us: int, on_done: OutcomeCallback, now_us: int) -> None:
+        """Prepares a planned shutdown: this process does not act any more and requests no session. The member
+        is recorded as lost at once, and its next process is alive again as soon as it requests a session."""
         self.leaving = True
-        mine = self.machines.facts.member(self.me)
-        if mine is None or mine.state is not State.WELL:
-            then(Outcome(Fate.REFUSED, cause="it is not well"))
+        mine = self.machines.registry.member(self.me)
+        if mine is None or mine.state is not MemberState.ALIVE:
+            on_done(Outcome(Status.REFUSED, cause="this member is not marked as alive"))
             return
-        lose = facts.Lose(self.me, mine.epoch, False, self.life)
-        self.propose(FACTS, facts.encode(lose), deadline_us, then, now_us)
-
-    def hand_over(self, now_us: int) -> bool:
-        """To the voter that is well and furthest; False where there is none, or it is under way."""
-        lead = self.raft.lead
-        if lead is None:
+        command = registry.MarkLost(self.me, mine.epoch, False, self.process_number)
+        self.propose(REGISTRY, registry.encode(command), deadline_us, on_done, now_us)
+
+    def transfer_leadership(self, now_us: int) -> bool:
+        """Starts to transfer leadership to the voter that is alive and has the most complete log. Returns
+        False if there is none, if this member does not lead or if a transfer is already in progress."""
+        leader_state = self.raft.leader_state
+        if leader_state is None:
             return False
-        well = [v for v in self.raft.log.conf.voters if v != self.me and self.machines.facts.well(v)]
-        to = max(well, key=lambda v: (lead.others[v].match, v), default="")
-        return bool(to) and self.raft.hand_over(to, now_us)
+        alive = [v for v in self.raft.log.conf.voters if v != self.me and self.machines.registry.is_alive(v)]
+        to = max(alive, key=lambda v: (leader_state.progress[v].match, v), default="")
+        return bool(to) and self.raft.transfer_leadership(to, now_us)
 
     def watch(self, changed: Callable[[], None]) -> None:
-        """Hears of each change among the members, once it is committed and applied here."""
+        """Calls `changed` after each change of the members that is committed and applied here."""
         self.watchers.append(changed)
 
     @property
-    def leads(self) -> bool:
-        return self.raft.lead is not None
+    def is_leader(self) -> bool:
+        return self.raft.leader_state is not None
 
-    # ---- what it gives
+    # ---- output
 
     def messages(self) -> list[tuple[str, Message]]:
-        out, self.out = self.out + self.raft.messages(), []
-        return [(to, self._with_sessions(to, m)) for to, m in out]
-
-    def _with_sessions(self, to: str, m: Message) -> Message:
-        if isinstance(m, AppendReply) and self.hearing.heard and m.round:
-            return msgspec.structs.replace(m, heard=self.hearing.take())
-        if isinstance(m, Append) and self.members.grants is not None:
-            acks = self.members.grants.take(to)
-            return msgspec.structs.replace(m, acks=acks) if acks else m
-        return m
+        """Removes and returns the messages to be sent, each with the id of its receiver."""
+        out, self.outbox = self.outbox + self.raft.messages(), []
+        return [(to, self._with_sessions(to, message)) for to, message in out]
+
+    def _with_sessions(self, to: str, message: Message) -> Message:
+        """Adds session requests to answers to the leader, and the leader's decisions to its rounds."""
+        if isinstance(message, AppendReply) and self.ping_relay.heard and message.round:
+            return msgspec.structs.replace(message, heard=self.ping_relay.take())
+        if isinstance(message, Append) and self.members.grants is not None:
+            acks = self.members.grants.take_acks(to)
+            return msgspec.structs.replace(message, acks=acks) if acks else message
+        return message
 
     def take_write(self) -> Write | None:
-        w = self.raft.take_write()
-        if w is not None and not w.empty:
-            # It costs no sync of its own, and so lags by the last answers (`attest.py`).
-            known, voters = self.starting.memory.known, self.raft.log.conf.voters
-            w.known = {v: known[v] for v in sorted(voters & known.keys())}
-        return w
+        """The next data to be made durable; call `saved` once it is. None if there is nothing to write or the
+        previous write has not been reported as saved."""
+        write = self.raft.take_write()
+        if write is not None and not write.is_empty:
+            # Written along with other data, without a sync of its own, so it lacks the latest answers
+            # (`attestation.py`).
+            known, voters = self.startup.known_progress.known, self.raft.log.conf.voters
+            write.known = {v: known[v] for v in sorted(voters & known.keys())}
+        return write
 
     def saved(self, now_us: int) -> None:
+        """The last write is durable."""
         self.raft.saved(now_us)
-        self._settle(now_us)
+        self._after_input(now_us)
 
     def next_us(self) -> int:
-        due = min(self.raft.next_us(), self.session.due_us, self.asks.next_us())
-        return min(due, self.starting.attest_us) if self.starting.calls else due
+        """When `tick` has to be called at the latest."""
+        due = min(self.raft.next_us(), self.session.due_us, self.pending.next_us())
+        return min(due, self.startup.attest_us) if self.startup.is_requesting else due
 
-    # ---- what it is handed
+    # ---- input
 
     def tick(self, now_us: int) -> None:
         self.raft.tick(now_us)
-        self.asks.expire(now_us)
-        self.starting.tick(now_us)
+        self.pending.expire(now_us)
+        self.startup.tick(now_us)
         if now_us >= self.session.due_us:
-            self._ask_session(now_us)
+            self._request_session(now_us)
         self.members.tick(now_us)
-        self._settle(now_us)
+        self._after_input(now_us)
 
-    def receive(self, sender: str, m: Message, now_us: int) -> None:
-        match m:
+    def receive(self, sender: str, message: Message, now_us: int) -> None:
+        match message:
             case Ping():
-                self._pinged(sender, m, now_us)
+                self._on_ping(sender, message, now_us)
             case Pong():
-                self.session.told(m.seq, m.may, m.epoch)
-                if not self.raft.votes and m.leader:
-                    self.raft.leader = self.raft.leader or m.leader
+                self.session.on_reply(message.seq, message.may, message.epoch)
+                if not self.raft.is_voter and message.leader:
+                    self.raft.leader = self.raft.leader or message.leader
             case Forward():
-                self.requests.forwarded(sender, m)
+                self.requests.on_forward(sender, message)
             case Refusal():
-                self.asks.end(m.seq, Outcome(Fate.REFUSED, cause=m.cause))
-            case ReadAsk():
-                self.requests.read_asked(sender, m.seq, now_us)
+                self.pending.end(message.seq, Outcome(Status.REFUSED, cause=message.cause))
+            case ReadRequest():
+                self.requests.on_read(sender, message.seq, now_us)
             case ReadReply():
-                self.requests.read_told(m.seq, m.index)
+                self.requests.on_read_reply(message.seq, message.index)
             case Attest():
-                self.starting.asked(sender, m, now_us)
-            case Attested():
-                self.starting.told(name_of(sender), m, now_us)
+                self.startup.on_attest(sender, message, now_us)
+            case AttestReply():
+                self.startup.on_attested(name_of(sender), message, now_us)
             case Join():
-                self.members.asked(sender, m.voter, now_us)
+                self.members.handle_join(sender, message.voter, now_us)
             case _:
-                self._agree(sender, m, now_us)
-        self._settle(now_us)
-
-    def _agree(self, sender: str, m: Message, now_us: int) -> None:
-        if self.starting.attestation is not None:
-            return  # it may be somebody else by the next moment; and what is known of it must be from before
-        if isinstance(m, AppendReply):
-            if m.ok and m.round:
-                self.starting.memory.saw(sender, m.term, m.match)
-            for member, seq, life in m.heard:
-                self.members.heard(sender, member, seq, life, now_us)
-        elif isinstance(m, Append) and m.entries:  # which its own disk holds
-            self.starting.memory.saw(sender, m.term, m.prev + len(m.entries))
-        elif isinstance(m, VoteReply) and m.granted and not m.pre:
-            self.starting.memory.saw(sender, m.term)
-        self.raft.step(sender, m, now_us)
-        if isinstance(m, Append) and sender == self.raft.leader:
-            for member, seq, may, epoch in m.acks:
+                self._step(sender, message, now_us)
+        self._after_input(now_us)
+
+    def _step(self, sender: str, message: Message, now_us: int) -> None:
+        if self.startup.attestation is not None:
+            # This member may yet have to abandon its incarnation. Until its disk is attested it takes no part
+            # in Raft and adds nothing to its memory of others, which must date from before the start.
+            return
+        if isinstance(message, AppendReply):
+            if message.ok and message.round:
+                self.startup.known_progress.record(sender, message.term, message.match)
+            for member, seq, process_number in message.heard:
+                self.members.handle_session_request(sender, member, seq, process_number, now_us)
+        elif isinstance(message, Append) and message.entries:
+            # Leaders send only entries that their own disk holds.
+            self.startup.known_progress.record(sender, message.term, message.prev + len(message.entries))
+        elif isinstance(message, VoteReply) and message.granted and not message.pre:
+            self.startup.known_progress.record(sender, message.term)
+        self.raft.step(sender, message, now_us)
+        if isinstance(message, Append) and sender == self.raft.leader:
+            for member, seq, may, epoch in message.acks:
                 if member == self.me:
-                    self.session.told(seq, may, epoch)
+                    self.session.on_reply(seq, may, epoch)
                 else:
-                    self.out.append((member, Pong(seq=seq, may=may, epoch=epoch, leader=sender)))
+                    self.outbox.append((member, Pong(seq=seq, may=may, epoch=epoch, leader=sender)))
 
     # ---- sessions
 
-    def _ask_session(self, now_us: int) -> None:
+    def _request_session(self, now_us: int) -> None:
         voters = self.raft.log.conf.voters
-        seq, whom = self.session.ask(self.raft.leader, voters, now_us)
-        for member in whom if not self.leaving else ():
+        seq, receivers = self.session.next_request(self.raft.leader, voters, now_us)
+        for member in receivers if not self.leaving else ():
             if member == self.me:
-                self._pinged(self.me, Ping(seq=seq, life=self.life), now_us)
+                self._on_ping(self.me, Ping(seq=seq, process_number=self.process_number), now_us)
             else:
-                self.out.append((member, Ping(seq=seq, life=self.life)))
+                self.outbox.append((member, Ping(seq=seq, process_number=self.process_number)))
 
-    def _pinged(self, sender: str, m: Ping, now_us: int) -> None:
-        if self.leads:
-            self.members.heard(self.me, sender, m.seq, m.life, now_us)
-        elif self.raft.votes:
-            self.hearing.asked(sender, m.seq, m.life)
+    def _on_ping(self, sender: str, message: Ping, now_us: int) -> None:
+        if self.is_leader:
+            self.members.handle_session_request(self.me, sender, message.seq, message.process_number, now_us)
+        elif self.raft.is_voter:
+            self.ping_relay.add(sender, message.seq, message.process_number)
 
-    # ---- what follows
+    # ---- consequences of an input
 
-    def _settle(self, now_us: int) -> None:
-        """All that follows from what was handed in."""
+    def _after_input(self, now_us: int) -> None:
+        """Does all that follows from an input: restores or applies committed state, answers reads, follows a
+        change of the leader, sends what waits, and tells the watchers of changed members."""
         raft = self.raft
-        if raft.restored is not None:
-            self.machines.restore(raft.restored.data)
-            self.applied, raft.restored = raft.restored.index, None
-            self.asks.placed.clear()  # their entries are behind the snapshot, and none of them is told
-        self.requests.reads_due()
+        if raft.installed_snapshot is not None:
+            self.machines.restore(raft.installed_snapshot.data)
+            self.applied, raft.installed_snapshot = raft.installed_snapshot.index, None
+            self.pending.placed.clear()  # the snapshot covers their entries, so their outcomes stay open
+        self.requests.answer_confirmed_reads()
         self._apply()
-        starting, mine = self.starting, self.machines.facts.member(self.me)
-        starting.joining = self.session.out or (starting.joining and not self.session.known)
+        startup, mine = self.startup, self.machines.registry.member(self.me)
+        startup.joining = self.session.is_removed or (startup.joining and not self.session.is_member)
         if mine is not None:
-            starting.later_life(mine.life)
-        if self.led != raft.leader:
-            self.led = raft.leader
+            startup.check_process_number(mine.process_number)
+        if self.last_leader != raft.leader:
+            self.last_leader = raft.leader
             self.log(f"{raft.leader or 'nobody'} leads in term {raft.term}")
-            self.hearing.take()  # asks of a time before: the next leader would take them for signs of life
+            self.ping_relay.take()  # drops old requests, which a new leader would take for signs of life
             if raft.leader:
-                self.asks.read_again(raft.term)
-                self.session.soon(raft.votes, now_us)
-        self.members.settle(now_us)
+                self.pending.resend_reads(raft.term)
+                self.session.expedite(raft.is_voter, now_us)
+        self.members.update_leadership(now_us)
         self.requests.send_all(now_us)
         raft.flush(now_us)
-        if self.changes != self.machines.facts.kept.changes:
-            self.changes = self.machines.facts.kept.changes
-            self._tell_members()
+        if self.changes != self.machines.registry.tables.changes:
+            self.changes = self.machines.registry.tables.changes
+            self._log_states()
             for changed in list(self.watchers):
                 changed()
 
-    def _tell_members(self) -> None:
-        """One line for each member whose state is another than it was."""
-        for m in self.machines.facts.kept.members.values():
-            before, self.seen[m.id] = self.seen.get(m.id), m.state
-            if before is not None and before is not m.state:
-                self.log(f"{m.id} is {m.state.value}, epoch {m.epoch}")
+    def _log_states(self) -> None:
+        """Logs each member whose state has changed."""
+        for member in self.machines.registry.tables.members.values():
+            before, self.logged_states[member.id] = self.logged_states.get(member.id), member.state
+            if before is not None and before is not member.state:
+                self.log(f"{member.id} is {member.state.value}, epoch {member.epoch}")
 
     def _apply(self) -> None:
         raft, limits = self.raft, self.settings.limits
         if raft.commit > self.applied:
-            for e in raft.log.between(self.applied, raft.commit):
-                value = self.machines.apply(e)
-                self.applied = e.index
-                if e.origin == self.me and e.seq in self.asks.open and value is not None:
-                    self.asks.end(e.seq, Outcome(Fate.COMMITTED, value))
-                self.asks.overtaken(e.index, e.term)
-                if e.kind is Kind.NOTHING:
-                    self.asks.led_anew(e.term)
-            self.asks.applied(self.applied)
-            self.starting.memory.forget(raft.log.conf.all)
+            for entry in raft.log.entries_between(self.applied, raft.commit):
+                value = self.machines.apply(entry)
+                self.applied = entry.index
+                if entry.origin == self.me and entry.seq in self.pending.open and value is not None:
+                    self.pending.end(entry.seq, Outcome(Status.COMMITTED, value))
+                self.pending.entry_committed(entry.index, entry.term)
+                if entry.kind is EntryKind.NOOP:
+                    self.pending.term_began(entry.term)
+            self.pending.applied(self.applied)
+            self.startup.known_progress.retain(raft.log.conf.all)
         grown = self.applied - raft.log.snapshot.index
         if grown >= limits.compact and (grown >= 4 * limits.compact or not self._sending_snapshot):
             self.snapshot()
 
     def snapshot(self) -> None:
-        """In place of the log up to what is applied."""
+        """Takes a snapshot, which replaces the log up to the last applied entry."""
         raft, at = self.raft, self.applied
-        if at > raft.log.snapshot.index and raft.snapshot is None:
+        if at > raft.log.snapshot.index and raft.pending_snapshot is None:
             term = raft.log.term(at) or 0
             raft.compact(Snapshot(at, term, raft.log.conf_at(at), self.machines.snapshot()))
 
     @property
     def _sending_snapshot(self) -> bool:
-        """Then the next one waits a while: a member that takes parts would have to begin anew."""
-        lead = self.raft.lead
-        return lead is not None and any(p.offset for p in lead.others.values())
-
-
-def told(outcome: Outcome) -> facts.Told | None:
-    """What the facts answered, where it was committed."""
-    return facts.read_told(outcome.value) if outcome.fate is Fate.COMMITTED and outcome.value else None
+        """Whether a snapshot is being sent. The next one is then delayed, until four times `compact` entries
+        are applied: a member that has received parts of the current one would have to start again."""
+        leader_state = self.raft.leader_state
+        return leader_state is not None and any(p.offset for p in leader_state.progress.values())
+
+
+def decode_result(outcome: Outcome) -> registry.CommandResult | None:
+    """The result of a command for the registry; None if it is not committed."""
+    return (
+        registry.decode_result(outcome.value)
+        if outcome.status is Status.COMMITTED and outcome.value
+        else None
+    )
--- a/magpiefront/group/progress.py
+++ b/magpiefront/group/progress.py
@@ -1,4 +1,4 @@
-"""How far one member is, as its leader knows it, and what may be sent to it next (flow control). No I/O."""
+"""A leader's view of the replication to one member, with flow control. No I/O."""
 
 from __future__ import annotations
 
@@ -7,59 +7,68 @@
 
 
 class Mode(Enum):
-    PROBE = "probe"  # where its log and the leader's part is looked for, one message at a time
-    STREAM = "stream"  # entries follow each other without waiting, up to a bound
-    SNAPSHOT = "snapshot"  # it needs what the log no longer has
+    """How entries are sent to the member."""
+
+    PROBE = "probe"  # searches for the last common entry, one message at a time
+    STREAM = "stream"  # sends entries without waiting for replies, up to `most_flight` messages
+    SNAPSHOT = "snapshot"  # the member needs entries that the log no longer holds
 
 
 class Progress:
+    """The replication state of one member. Times are microseconds."""
+
     __slots__ = (
-        "acked", "flight", "match", "match_round", "mode", "next", "offset", "parted_us", "probed", "sent_us",
-        "told",
+        "acked_round", "chunk_sent_us", "in_flight", "match", "match_round", "mode", "next", "offset",
+        "probe_in_flight", "sent_commit", "sent_us",
     )  # fmt: skip
 
-    def __init__(self, following: int, now_us: int) -> None:
+    def __init__(self, next_index: int, now_us: int) -> None:
         self.mode = Mode.PROBE
-        self.match, self.next = 0, following
-        self.match_round = 0  # in which round it confirmed `match`
-        self.acked = 0  # the newest round that it answered
-        self.flight: deque[int] = deque()  # the last index of each message on its way
-        self.probed = False  # one is on its way
-        self.offset = 0  # of the snapshot, confirmed
-        self.parted_us = 0  # when a part was sent last
+        self.match, self.next = 0, next_index
+        self.match_round = 0  # the newest round in which it confirmed `match`
+        self.acked_round = 0  # the newest round that it has answered
+        self.in_flight: deque[int] = deque()  # the last index of each unanswered message
+        self.probe_in_flight = False  # a message with entries is unanswered
+        self.offset = 0  # bytes of the snapshot that it has confirmed
+        self.chunk_sent_us = 0  # when the last chunk was sent
         self.sent_us = now_us
-        self.told = 0  # the commit that it was told of
+        self.sent_commit = 0  # the commit index that was last sent
 
-    def confirmed(self, match: int, round_: int) -> bool:
-        """Returns whether that is news."""
-        self.probed = False
-        while self.flight and self.flight[0] <= match:
-            self.flight.popleft()
+    def record_success(self, match: int, round_: int) -> bool:
+        """Records that the member holds all entries up to `match`. True if that is more than before."""
+        self.probe_in_flight = False
+        while self.in_flight and self.in_flight[0] <= match:
+            self.in_flight.popleft()
         if self.mode is Mode.PROBE:
             self.mode = Mode.STREAM
-            self.flight.clear()
+            self.in_flight.clear()
             self.next = match + 1
         self.next = max(self.next, match + 1)
         if match < self.match:
             return False
-        news = match > self.match
+        is_advance = match > self.match
         self.match, self.match_round = match, max(round_, self.match_round)
-        return news
+        return is_advance
+
+    def record_rejection(self, index: int, hint_index: int, round_: int) -> bool:
+        """Records that the member does not hold the entry at `index`, and probes from `hint_index`.
 
-    def refused(self, at: int, hint: int, round_: int) -> bool:
-        """Returns whether it is behind what it has confirmed: then its disk lost what it said was there."""
-        if at <= self.match:
-            return round_ > self.match_round and hint < self.match
-        self.mode, self.probed = Mode.PROBE, False
-        self.flight.clear()
-        self.next = max(self.match, min(at - 1, hint)) + 1
+        True if the member lacks an entry that it had confirmed: its disk has lost data.
+        """
+        if index <= self.match:
+            return round_ > self.match_round and hint_index < self.match
+        self.mode, self.probe_in_flight = Mode.PROBE, False
+        self.in_flight.clear()
+        self.next = max(self.match, min(index - 1, hint_index)) + 1
         return False
 
-    def needs_snapshot(self) -> None:
+    def switch_to_snapshot(self) -> None:
+        """Starts to send the snapshot, unless it is being sent already."""
         if self.mode is not Mode.SNAPSHOT:
-            self.mode, self.offset, self.parted_us = Mode.SNAPSHOT, 0, 0
-            self.flight.clear()
+            self.mode, self.offset, self.chunk_sent_us = Mode.SNAPSHOT, 0, 0
+            self.in_flight.clear()
 
-    def has_snapshot(self, index: int) -> None:
-        self.mode, self.probed = Mode.PROBE, False
+    def finish_snapshot(self, index: int) -> None:
+        """Continues with the entries after `index`, which the member's snapshot covers."""
+        self.mode, self.probe_in_flight = Mode.PROBE, False
         self.match, self.next = max(self.match, index), max(self.match, index) + 1
--- a/magpiefront/group/requests.py
+++ b/magpiefront/group/requests.py
@@ -1,122 +1,147 @@
-"""What this member asks of the leader, and others of this one: commands and reads. No I/O, no clock."""
+"""Commands and reads: those of this member, and those that other members send to it as the leader. No I/O and
+no clock."""
 
 from __future__ import annotations
 
 from collections.abc import Callable
 
-from magpiefront.group.asks import Asks, Fate, Outcome, Then
-from magpiefront.group.messages import Forward, Message, ReadAsk, ReadReply, Refusal
+from magpiefront.group.pending import Outcome, OutcomeCallback, PendingOperations, Status
+from magpiefront.group.messages import Forward, Message, ReadRequest, ReadReply, Refusal
 from magpiefront.group.raft import Raft
 
-MOST_ACCEPTED = 8_192
+MAX_ACCEPTED_COMMANDS = 8_192
 
 
 class Requests:
-    """`applied` tells how far this member's machines are."""
+    """Carries out the commands and reads of this member and, while it leads, those of other members.
+
+    `send` sends a message to a member. `applied` returns the index up to which the log is applied at this
+    member.
+    """
 
     def __init__(
-        self, me: str, raft: Raft, asks: Asks, most_entry: int, send: Callable[[str, Message], None],
-        applied: Callable[[], int],
+        self, me: str, raft: Raft, pending: PendingOperations, max_entry_bytes: int,
+        send: Callable[[str, Message], None], applied: Callable[[], int],
     ) -> None:  # fmt: skip
-        self.me, self.raft, self.asks, self.most_entry = me, raft, asks, most_entry
+        self.me, self.raft, self.pending, self.max_entry_bytes = me, raft, pending, max_entry_bytes
         self.send, self.applied = send, applied
-        self.accepted: dict[tuple[str, int], None] = {}  # of others' commands, the last ones taken up
+        # The latest commands accepted from other members, by sender and number.
+        self.accepted: dict[tuple[str, int], None] = {}
 
-    # ---- of this member
+    # ---- requests of this member
 
-    def propose(self, machine: str, data: bytes, deadline_us: int, then: Then, now_us: int) -> None:
-        """`then` hears once, at the latest at the deadline: committed with the machine's answer, refused
-        (certainly not), or unknown."""
-        whole = machine.encode() + b"\0" + data
-        if len(whole) > self.most_entry:
-            then(Outcome(Fate.REFUSED, cause=f"{len(whole)} bytes are more than most_entry"))
+    def propose(
+        self, machine: str, data: bytes, deadline_us: int, on_done: OutcomeCallback, now_us: int
+    ) -> None:  # fmt: skip
+        """Proposes a command. `on_done` is called once, by the deadline: committed with the machine's result,
+        refused (certainly without effect), or unknown."""
+        entry = machine.encode() + b"\0" + data
+        if len(entry) > self.max_entry_bytes:
+            on_done(Outcome(Status.REFUSED, cause=f"{len(entry)} bytes are more than most_entry"))
             return
-        ask = self.asks.add(whole, deadline_us, then)
-        if ask is not None:
-            self.asks.unsent.append(ask)
+        operation = self.pending.add(entry, deadline_us, on_done)
+        if operation is not None:
+            self.pending.unsent.append(operation)
             self.send_all(now_us)
 
-    def read(self, deadline_us: int, then: Then, now_us: int) -> None:
-        """`then` hears once what is applied here is at least as new as this moment, or that it can't be had
-        in time (thesis, 6.4)."""
-        ask = self.asks.add(b"", deadline_us, then, read=True)
-        if ask is not None:
-            self.asks.unsent.append(ask)
+    def read(self, deadline_us: int, on_done: OutcomeCallback, now_us: int) -> None:
+        """Calls `on_done` once: committed as soon as all that was committed before this call is applied here,
+        or refused if that is not possible in time (thesis, 6.4)."""
+        operation = self.pending.add(b"", deadline_us, on_done, read=True)
+        if operation is not None:
+            self.pending.unsent.append(operation)
             self.send_all(now_us)
 
     def send_all(self, now_us: int) -> None:
-        """What waits for a leader goes to it, once there is one. Nothing is asked for twice."""
+        """Sends the waiting operations to the leader, if one is known. Commands are sent once only."""
         raft = self.raft
-        while self.asks.unsent:
-            ask = self.asks.unsent[0]
-            if ask.seq in self.asks.open:
-                if raft.lead is not None:
-                    if ask.read:
-                        if not self._read_here(("", ask.seq), now_us):
+        while self.pending.unsent:
+            operation = self.pending.unsent[0]
+            if operation.seq in self.pending.open:
+                if raft.leader_state is not None:
+                    if operation.read:
+                        if not self._read_as_leader(("", operation.seq), now_us):
                             return
-                    elif not raft.propose(ask.data, self.me, ask.seq):
-                        self.asks.end(ask.seq, Outcome(Fate.REFUSED, cause="the leader takes nothing now"))
+                    elif not raft.propose(operation.data, self.me, operation.seq):
+                        self.pending.end(
+                            operation.seq, Outcome(Status.REFUSED, cause="the leader takes nothing now")
+                        )
                     else:
-                        self.asks.place(ask, raft.log.last, raft.term)
+                        self.pending.place(operation, raft.log.last_index, raft.term)
                 elif raft.leader and raft.leader != self.me:
-                    m = ReadAsk(seq=ask.seq) if ask.read else Forward(seq=ask.seq, data=ask.data)
-                    self.send(raft.leader, m)
+                    message = (
+                        ReadRequest(seq=operation.seq)
+                        if operation.read
+                        else Forward(seq=operation.seq, data=operation.data)
+                    )
+                    self.send(raft.leader, message)
                 else:
                     return
-                ask.sent, ask.to_term = True, raft.term
-            self.asks.unsent.popleft()
+                operation.sent, operation.sent_term = True, raft.term
+            self.pending.unsent.popleft()
 
-    # ---- of others
+    # ---- requests of other members
 
-    def forwarded(self, sender: str, m: Forward) -> None:
-        key = sender, m.seq
+    def on_forward(self, sender: str, message: Forward) -> None:
+        """Proposes another member's command, or refuses it."""
+        key = sender, message.seq
         if key in self.accepted:
-            return  # doubled on its way: a refusal would not be certain
+            return  # a duplicate; refusing it would be wrong, as the first copy may be committed
         cause = ""
-        if self.raft.lead is None:
+        if self.raft.leader_state is None:
             cause = "it does not lead"
         elif sender not in self.raft.log.conf.all:
             cause = "not of this group"
-        elif len(m.data) > self.most_entry or not self.raft.propose(m.data, sender, m.seq):
+        elif len(message.data) > self.max_entry_bytes or not self.raft.propose(
+            message.data, sender, message.seq
+        ):
             cause = "the leader takes nothing now"
         else:
-            self.raft.lead.eager[sender] = self.raft.log.last
+            self.raft.leader_state.commit_waiters[sender] = self.raft.log.last_index
             self.accepted[key] = None
-            if len(self.accepted) > MOST_ACCEPTED:
+            if len(self.accepted) > MAX_ACCEPTED_COMMANDS:
                 del self.accepted[next(iter(self.accepted))]
         if cause:
-            self.send(sender, Refusal(seq=m.seq, cause=cause))
+            self.send(sender, Refusal(seq=message.seq, cause=cause))
 
-    def read_asked(self, sender: str, seq: int, now_us: int) -> None:
-        if not self._read_here((sender, seq), now_us):
+    def on_read(self, sender: str, seq: int, now_us: int) -> None:
+        """Begins another member's read; answers with index -1 if this member can't serve it."""
+        if not self._read_as_leader((sender, seq), now_us):
             self.send(sender, ReadReply(seq=seq, index=-1))
 
     # ---- reads
 
-    def _read_here(self, whose: tuple[str, int], now_us: int) -> bool:
-        """At once under the lease, else once a majority has confirmed that this member leads."""
-        lead = self.raft.lead
-        if lead is not None and self.raft.commit >= lead.begins and lead.lease(now_us):
-            self._read_due(whose, self.raft.commit)
+    def _read_as_leader(self, reader: tuple[str, int], now_us: int) -> bool:
+        """Answers a read at once while the leader's lease holds, otherwise once a majority has confirmed that
+        this member leads. Returns False if it can't serve the read."""
+        leader_state = self.raft.leader_state
+        if (
+            leader_state is not None
+            and self.raft.commit >= leader_state.term_start_index
+            and leader_state.has_lease(now_us)
+        ):
+            self._answer_read(reader, self.raft.commit)
             return True
-        return self.raft.read(whose, now_us)
+        return self.raft.read(reader, now_us)
 
-    def reads_due(self) -> None:
-        if self.raft.lead is not None:
-            for index, whose in self.raft.lead.due_reads():
-                self._read_due(whose, index)
+    def answer_confirmed_reads(self) -> None:
+        """Answers the reads for which a majority has confirmed that this member leads."""
+        if self.raft.leader_state is not None:
+            for index, reader in self.raft.leader_state.take_confirmed_reads():
+                self._answer_read(reader, index)
 
-    def _read_due(self, whose: tuple[str, int], index: int) -> None:
-        sender, seq = whose
+    def _answer_read(self, reader: tuple[str, int], index: int) -> None:
+        sender, seq = reader
         if sender:
             self.send(sender, ReadReply(seq=seq, index=index))
         else:
-            self.read_told(seq, index)
-
-    def read_told(self, seq: int, index: int) -> None:
-        ask = self.asks.open.get(seq)
-        if ask is not None and index < 0:
-            self.asks.end(seq, Outcome(Fate.REFUSED, cause="it does not lead"))
-        elif ask is not None:
-            ask.index = index
-            self.asks.applied(self.applied())
+            self.on_read_reply(seq, index)
+
+    def on_read_reply(self, seq: int, index: int) -> None:
+        """The leader's answer to a read: the index to wait for, or -1 if it does not lead."""
+        operation = self.pending.open.get(seq)
+        if operation is not None and index < 0:
+            self.pending.end(seq, Outcome(Status.REFUSED, cause="it does not lead"))
+        elif operation is not None:
+            operation.index = index
+            self.pending.applied(self.applied())
--- a/magpiefront/group/service.py
+++ b/magpiefront/group/service.py
@@ -1,4 +1,4 @@
-"""A member in the program: the `Peer` on this process's clock, disk and way to the others."""
+"""Runs a member in the program: the `Peer` with this process's clock, disk and transport."""
 
 from __future__ import annotations
 
@@ -12,195 +12,205 @@
 from typing import Any
 
 from magpiefront.group import wire
-from magpiefront.group.asks import Fate, Outcome, Then
+from magpiefront.group.pending import Outcome, OutcomeCallback, Status
 from magpiefront.group.disk import GroupDisk
-from magpiefront.group.facts import Member, State
-from magpiefront.group.machines import Machine
+from magpiefront.group.registry import Member, MemberState
+from magpiefront.group.state_machines import StateMachine
 from magpiefront.group.messages import Hint, name_of
-from magpiefront.group.durable import Stored
+from magpiefront.group.durable import StoredState
 from magpiefront.group.peer import Peer
-from magpiefront.group.seam import Way
+from magpiefront.group.interface import Transport
 from magpiefront.group.settings import Address, GroupSettings
-from magpiefront.net.figures import lines
-from magpiefront.net.house import House
+from magpiefront.net.metrics import metric_lines
+from magpiefront.net.runtime import Runtime
 from magpiefront.sqlfile import BadStore
 
-AGAIN_S = 1.0  # between tries of a disk that failed
-AFTER_S = 0.01  # ... of the address that the process before this one has still
-LATE_US = 100_000
+DISK_RETRY_DELAY_S = 1.0  # after a failure of the disk
+HANDOVER_RETRY_DELAY_S = 0.01  # while the previous process still has the address or the file
+LATE_US = 100_000  # a timer that fires later than this is counted as late
 
 
 class GroupService:
-    def __init__(self, house: House, settings: GroupSettings, seed: int | None = None) -> None:
-        self.house, self.settings, self.random = house, settings, Random(seed)
-        self.way: Way | None = None
+    """Implements `Group`. `peer` is None while this member takes no part, and `cause` then says why."""
+
+    def __init__(self, runtime: Runtime, settings: GroupSettings, seed: int | None = None) -> None:
+        self.runtime, self.settings, self.random = runtime, settings, Random(seed)
+        self.transport: Transport | None = None
         self.peer: Peer | None = None
-        self.disk = GroupDisk(house, settings.path, self._failed)
-        self.machines: dict[str, Machine] = {}
+        self.disk = GroupDisk(runtime, settings.path, self._on_disk_failure)
+        self.machines: dict[str, StateMachine] = {}
         self.counts: Counter[str] = Counter()
-        self.cause = "it has not begun"  # why there is no peer
+        self.cause = "the member has not started"
         self.timer: asyncio.TimerHandle | None = None
-        self.task: asyncio.Task[None] | None = None  # that tries a failed disk again
-        self.soon = self.stopped = False
+        self.task: asyncio.Task[None] | None = None  # waits for the disk, or for the previous process
+        self.drive_scheduled = self.stopped = False
         self.watchers: list[Callable[[], None]] = []
-        self.hearers: dict[str, Callable[[str, bytes], None]] = {}
+        self.hint_handlers: dict[str, Callable[[str, bytes], None]] = {}
 
-    # ---- life
+    # ---- start and end
 
-    def register(self, name: str, machine: Machine) -> None:
+    def register(self, name: str, machine: StateMachine) -> None:
         self.machines[name] = machine
 
-    def start(self, way: Way) -> None:
-        """Raises BadStore."""
-        self.way = way
+    def start(self, transport: Transport) -> None:
+        """Starts the member. Raises BadStore."""
+        self.transport = transport
         self._begin(self.disk.start())
 
-    def succeed(self, way: Way, listen: Callable[[], Awaitable[None]]) -> None:
-        """As `start`, as soon as the process before this one of the same member has given up file and
-        address; nothing is acted on before that."""
-        self.way, self.cause = way, "the process before it has not ended its part yet"
-        self.task = self.house.loop.create_task(self._again(AFTER_S, listen))
+    def start_after_handover(self, transport: Transport, listen: Callable[[], Awaitable[None]]) -> None:
+        """Like `start`, but once the previous process of the same member has released its file and address.
+        The member takes no part before that."""
+        self.transport, self.cause = transport, "the previous process still has the file and the address"
+        self.task = self.runtime.loop.create_task(self._start_later(HANDOVER_RETRY_DELAY_S, listen))
 
-    def give_up(self) -> None:
-        """This process's part is over, the next one may begin; `succeed` begins it anew."""
-        self._out("the next process has its part")
+    def stop_for_handover(self) -> None:
+        """Releases the file and the address for the next process. The member can be started again with
+        `start_after_handover`."""
+        self._take_out("the next process is the member now")
         if self.timer is not None:
             self.timer.cancel()
         self.disk.stop()
-        if self.way is not None:
-            self.way.stop()
+        if self.transport is not None:
+            self.transport.stop()
 
-    def _begin(self, stored: Stored) -> None:
-        """What is committed is applied from the snapshot on, or from the first entry: a machine of the time
-        before a disk failed would meet the same commands twice."""
+    def _begin(self, stored: StoredState) -> None:
+        """Starts the peer from the stored state. Resets the state machines first, because committed commands
+        are applied again from the snapshot or the first entry. Machines that kept their state after a failure
+        of the disk would apply them twice."""
         for machine in self.machines.values():
-            machine.begin()
-        self.peer = Peer(self.settings, stored, self.random, self.house.now_us(), self.machines, self._log)
+            machine.reset()
+        self.peer = Peer(self.settings, stored, self.random, self.runtime.now_us(), self.machines, self._log)
         self.peer.watch(self._changed)
         self.cause = ""
         self._drive()
 
     def _log(self, line: str) -> None:
-        self.house.log(f"group {self.settings.name}: {line}")
+        self.runtime.log(f"group {self.settings.name}: {line}")
 
     def _changed(self) -> None:
         for changed in list(self.watchers):
             changed()
 
-    def _failed(self, cause: str) -> None:
-        """Guards against a member that goes on with what its disk does not hold."""
+    def _on_disk_failure(self, cause: str) -> None:
+        """Takes the member out, since it must not continue with state that its disk does not hold."""
         self.disk.stop()
-        self._out(f"out of the vote: {cause}")
+        self._take_out(f"out of the vote: {cause}")
         self._log(self.cause)
         if not self.stopped:
-            self.task = self.house.loop.create_task(self._again())
+            self.task = self.runtime.loop.create_task(self._start_later())
 
-    async def _again(
-        self, after_s: float = AGAIN_S, listen: Callable[[], Awaitable[None]] | None = None
+    async def _start_later(
+        self, delay_s: float = DISK_RETRY_DELAY_S, listen: Callable[[], Awaitable[None]] | None = None
     ) -> None:  # fmt: skip
-        """Tries the disk until it takes what is written; in a thread, for it may hang."""
+        """Retries until the disk can be opened and written, in a thread because it may hang. With `listen`,
+        also until the address can be bound."""
         while True:
-            await asyncio.sleep(after_s)
+            await asyncio.sleep(delay_s)
             try:
                 if listen is not None:
                     await listen()
-                stored = await self.house.loop.run_in_executor(None, self.disk.start)
+                stored = await self.runtime.loop.run_in_executor(None, self.disk.start)
             except OSError:
-                continue  # the address is still the other one's
+                continue  # the previous process still has the address
             except BadStore as e:
                 self.cause, listen = f"out of the vote: {e}", None
                 continue
             if self.stopped:
                 self.disk.stop()
                 return
-            self._log("it has file and address" if listen else "its disk takes what it writes again")
+            self._log("took over the file and the address" if listen else "the disk can be written again")
             self._begin(stored)
             return
 
-    def _out(self, cause: str) -> None:
+    def _take_out(self, cause: str) -> None:
+        """Stops taking part and ends all open operations."""
         peer, self.peer, self.cause = self.peer, None, cause
         if peer is not None:
-            for seq in list(peer.asks.open):
-                ask = peer.asks.open[seq]
-                peer.asks.end(seq, Outcome(Fate.UNKNOWN if ask.sent else Fate.REFUSED, cause=cause))
+            for seq in list(peer.pending.open):
+                operation = peer.pending.open[seq]
+                peer.pending.end(
+                    seq, Outcome(Status.UNKNOWN if operation.sent else Status.REFUSED, cause=cause)
+                )
 
     def stop(self) -> None:
         self.stopped = True
         if self.timer is not None:
             self.timer.cancel()
-        self._out("it ends")
-        if self.way is not None:
-            self.way.stop()
+        self._take_out("the process is stopping")
+        if self.transport is not None:
+            self.transport.stop()
         self.disk.stop()
 
     def configure(self, members: dict[str, Address]) -> None:
-        """Whom it may have to reach. Raises nothing: who is a member is the group's to say."""
+        """Replaces the addresses of members. Who is a member is decided by the group, not here."""
         self.settings = replace(self.settings, members=members)
         if self.peer is not None:
             self.peer.settings = self.settings
 
-    # ---- what comes and goes
+    # ---- messages
 
     def receive(self, data: bytes) -> bool:
-        """Returns whether it was meant for this member."""
-        e = wire.read(data)
-        if e is None:
+        """Handles a message. Returns False if it can't be decoded or its sender is not a member of this
+        group."""
+        envelope = wire.decode(data)
+        if envelope is None:
             self.counts["unreadable"] += 1
             return False
-        if e.group != self.settings.name or name_of(e.sender) not in self.settings.members:
+        if envelope.group != self.settings.name or name_of(envelope.sender) not in self.settings.members:
             self.counts["strangers"] += 1
             return False
         peer = self.peer
-        if isinstance(e.message, Hint):
-            told = self.hearers.get(e.message.topic)
-            self.counts["hints" if told is not None else "hints_unknown"] += 1
-            if told is not None:
-                told(name_of(e.sender), e.message.data)
+        if isinstance(envelope.message, Hint):
+            handler = self.hint_handlers.get(envelope.message.topic)
+            self.counts["hints" if handler is not None else "hints_unknown"] += 1
+            if handler is not None:
+                handler(name_of(envelope.sender), envelope.message.data)
         elif peer is None:
             self.counts["while_out"] += 1
-        elif e.to in (peer.me, f"{self.settings.member}."):
-            peer.receive(e.sender, e.message, self.house.now_us())
+        elif envelope.to in (peer.me, f"{self.settings.member}."):
+            peer.receive(envelope.sender, envelope.message, self.runtime.now_us())
             self.wake()
         else:
             self.counts["other_incarnation"] += 1
         return True
 
     def wake(self) -> None:
-        """Something was asked of the peer: what it wants is seen to, once for all that came together."""
-        if not self.soon:
-            self.soon = True
-            self.house.loop.call_soon(self._drive)
+        """Schedules `_drive` after an input to the peer, once for all inputs of one turn of the loop."""
+        if not self.drive_scheduled:
+            self.drive_scheduled = True
+            self.runtime.loop.call_soon(self._drive)
 
     def _drive(self) -> None:
-        """Sends and writes what the peer wants, and sees to when it is to be woken."""
-        self.soon = False
+        """Sends the peer's messages, starts its next write and schedules its next tick."""
+        self.drive_scheduled = False
         peer = self.peer
-        if peer is None or self.way is None:
+        if peer is None or self.transport is None:
             return
-        if peer.starting.reborn:
-            self._out("its incarnation is given up")
-            self.disk.reborn(self.random, self._begin)
+        if peer.startup.needs_new_incarnation:
+            self._take_out("the incarnation is abandoned")
+            self.disk.replace_incarnation(self.random, self._begin)
             return
-        w = peer.take_write()
-        while w is not None and w.empty:
-            peer.saved(self.house.now_us())
-            w = peer.take_write()
-        if w is not None:
-            self.disk.write(w, lambda: self._saved(peer))
-        for to, m in peer.messages():
-            data = wire.frame(self.settings.name, peer.me, to, m)
+        write = peer.take_write()
+        while write is not None and write.is_empty:
+            peer.saved(self.runtime.now_us())
+            write = peer.take_write()
+        if write is not None:
+            self.disk.write(write, lambda: self._saved(peer))
+        for to, message in peer.messages():
+            data = wire.encode_frame(self.settings.name, peer.me, to, message)
             if len(data) > self.settings.limits.most_message:
                 self.counts["too_long"] += 1
                 continue
-            self.way.send(name_of(to), data)
+            self.transport.send(name_of(to), data)
         if self.timer is not None:
             self.timer.cancel()
-        wait_s = max(0, peer.next_us() - self.house.now_us()) / 1e6
-        self.timer = self.house.loop.call_later(wait_s + 0.0002, self._tick, peer)
+        # 0.2 ms late rather than early: a tick before its time has nothing to do.
+        wait_s = max(0, peer.next_us() - self.runtime.now_us()) / 1e6
+        self.timer = self.runtime.loop.call_later(wait_s + 0.0002, self._tick, peer)
 
     def _tick(self, peer: Peer) -> None:
         if peer is self.peer:
-            now = self.house.now_us()
+            now = self.runtime.now_us()
             if now > peer.next_us() + LATE_US:
                 self.counts["late"] += 1
             peer.tick(now)
@@ -208,135 +218,143 @@
 
     def _saved(self, peer: Peer) -> None:
         if peer is self.peer:
-            peer.saved(self.house.now_us())
+            peer.saved(self.runtime.now_us())
             self._drive()
 
-    # ---- for the rest of the program (`seam.Group`)
+    # ---- the interface `Group`
 
     @property
     def me(self) -> str:
         return self.peer.me if self.peer is not None else ""
 
     @property
-    def leads(self) -> bool:
-        return self.peer is not None and self.peer.leads
+    def is_leader(self) -> bool:
+        return self.peer is not None and self.peer.is_leader
 
-    def _ask(self, then: Then, ask: Callable[[Peer, Then, int], None]) -> None:
-        """Outcomes are told in a turn of their own: who hears one may ask again, and the peer would be in the
-        middle of what led to it."""
+    def _submit(
+        self, on_done: OutcomeCallback, submit: Callable[[Peer, OutcomeCallback, int], None]
+    ) -> None:  # fmt: skip
+        """Passes a request to the peer. Outcomes are delivered in a turn of their own: a callback may make
+        another request, and the peer would be in the middle of handling the input that led to the outcome."""
 
         peer = self.peer
 
-        def tell(outcome: Outcome) -> None:
-            if outcome.fate is Fate.COMMITTED and not outcome.value and self.peer is not peer:
-                # A read, and what it is about is older here by now: its disk failed, and it began anew.
-                outcome = Outcome(Fate.REFUSED, cause="it began anew")
-            then(outcome)
+        def deliver(outcome: Outcome) -> None:
+            if outcome.status is Status.COMMITTED and not outcome.value and self.peer is not peer:
+                # A read. The peer was restarted after a failure of the disk, and its state may be older now.
+                outcome = Outcome(Status.REFUSED, cause="the member was restarted")
+            on_done(outcome)
 
-        def later(outcome: Outcome) -> None:
-            self.house.loop.call_soon(tell, outcome)
+        def deliver_later(outcome: Outcome) -> None:
+            self.runtime.loop.call_soon(deliver, outcome)
 
         if peer is None:
-            later(Outcome(Fate.REFUSED, cause=self.cause))
+            deliver_later(Outcome(Status.REFUSED, cause=self.cause))
         else:
-            ask(peer, later, self.house.now_us())
+            submit(peer, deliver_later, self.runtime.now_us())
             self.wake()
 
-    def propose(self, machine: str, data: bytes, deadline_us: int, then: Then) -> None:
-        self._ask(then, lambda peer, later, now: peer.propose(machine, data, deadline_us, later, now))
+    def propose(self, machine: str, data: bytes, deadline_us: int, on_done: OutcomeCallback) -> None:
+        self._submit(on_done, lambda peer, done, now: peer.propose(machine, data, deadline_us, done, now))
 
-    def read(self, deadline_us: int, then: Then) -> None:
-        self._ask(then, lambda peer, later, now: peer.read(deadline_us, later, now))
+    def read(self, deadline_us: int, on_done: OutcomeCallback) -> None:
+        self._submit(on_done, lambda peer, done, now: peer.read(deadline_us, done, now))
 
-    def take(self, lease: str, deadline_us: int, then: Then) -> None:
-        self._ask(then, lambda peer, later, now: peer.take(lease, deadline_us, later, now))
+    def acquire_lease(self, lease: str, deadline_us: int, on_done: OutcomeCallback) -> None:
+        self._submit(on_done, lambda peer, done, now: peer.acquire_lease(lease, deadline_us, done, now))
 
-    def drop(self, lease: str, deadline_us: int, then: Then) -> None:
-        self._ask(then, lambda peer, later, now: peer.drop(lease, deadline_us, later, now))
+    def release_lease(self, lease: str, deadline_us: int, on_done: OutcomeCallback) -> None:
+        self._submit(on_done, lambda peer, done, now: peer.release_lease(lease, deadline_us, done, now))
 
     def may_act(self) -> int:
-        return self.peer.may_act(self.house.now_us()) if self.peer is not None else 0
+        return self.peer.may_act(self.runtime.now_us()) if self.peer is not None else 0
 
-    def holds(self, lease: str) -> int:
-        return self.peer.holds(lease, self.house.now_us()) if self.peer is not None else 0
+    def lease_epoch(self, lease: str) -> int:
+        return self.peer.lease_epoch(lease, self.runtime.now_us()) if self.peer is not None else 0
 
     def members(self) -> dict[str, Member]:
-        return self.peer.machines.facts.kept.members if self.peer is not None else {}
+        return self.peer.machines.registry.tables.members if self.peer is not None else {}
 
     def watch(self, changed: Callable[[], None]) -> None:
         self.watchers.append(changed)
 
-    def tell(self, name: str, topic: str, data: bytes) -> None:
-        if self.way is not None and self.peer is not None:
+    def send_hint(self, name: str, topic: str, data: bytes) -> None:
+        if self.transport is not None and self.peer is not None:
             hint = Hint(topic=topic, data=data)
-            self.way.send(name, wire.frame(self.settings.name, self.peer.me, f"{name}.", hint))
+            self.transport.send(name, wire.encode_frame(self.settings.name, self.peer.me, f"{name}.", hint))
 
-    def hear(self, topic: str, told: Callable[[str, bytes], None]) -> None:
-        self.hearers[topic] = told
+    def on_hint(self, topic: str, handler: Callable[[str, bytes], None]) -> None:
+        self.hint_handlers[topic] = handler
 
-    async def leave(self, most_s: float) -> None:
-        """A planned end: nothing is done from now on, the others know so at once, and somebody else leads."""
-        peer, end = self.peer, self.house.loop.time() + most_s
+    async def leave(self, timeout_s: float) -> None:
+        """Prepares a planned shutdown, within `timeout_s`: the member does not act any more, the others know
+        so at once, and leadership is transferred."""
+        peer, end = self.peer, self.runtime.loop.time() + timeout_s
         if peer is None:
             return
         done = asyncio.Event()
-        peer.leave(self.house.now_us() + int(most_s * 1e6), lambda o: done.set(), self.house.now_us())
+        peer.leave(self.runtime.now_us() + int(timeout_s * 1e6), lambda o: done.set(), self.runtime.now_us())
         self.wake()
         with suppress(TimeoutError):
-            async with asyncio.timeout(most_s):
+            async with asyncio.timeout(timeout_s):
                 await done.wait()
-        while peer is self.peer and peer.leads and self.house.loop.time() < end:
-            if peer.hand_over(self.house.now_us()):
+        while peer is self.peer and peer.is_leader and self.runtime.loop.time() < end:
+            if peer.transfer_leadership(self.runtime.now_us()):
                 self.wake()
             await asyncio.sleep(0.01)
 
-    # ---- for operators
+    # ---- metrics and status
 
-    def figures(self) -> str:
-        """Lines for the second address. Times are not among them: `status` has those."""
+    def metrics(self) -> str:
+        """The lines for the admin address. Times are in `status` only."""
         peer = self.peer
-        whole: dict[str, int] = {"out_of_the_vote": int(peer is None)}
+        values: dict[str, int] = {"out_of_the_vote": int(peer is None)}
         if peer is not None:
             states = Counter(m.state.value for m in self.members().values())
-            whole |= {f'members{{state="{s.value}"}}': states[s.value] for s in State}
-            whole |= {"leads": int(peer.leads), "led": int(bool(peer.raft.leader)), "term": peer.raft.term,
-                      "acts": int(bool(self.may_act())), "applied": peer.applied,
-                      "open": len(peer.asks.open)}  # fmt: skip
-        told = self.counts + (self.way.counts if self.way is not None else Counter())
-        whole |= {f"{name}_count": n for name, n in sorted(told.items())}
-        return lines("group", whole)
+            values |= {f'members{{state="{s.value}"}}': states[s.value] for s in MemberState}
+            values |= {"leads": int(peer.is_leader), "led": int(bool(peer.raft.leader)),
+                      "term": peer.raft.term, "acts": int(bool(self.may_act())), "applied": peer.applied,
+                      "open": len(peer.pending.open)}  # fmt: skip
+        counts = self.counts + (self.transport.counts if self.transport is not None else Counter())
+        values |= {f"{name}_count": n for name, n in sorted(counts.items())}
+        return metric_lines("group", values)
 
     def status(self) -> dict[str, Any]:
-        """JSON's types alone."""
-        now, peer = self.house.now_us(), self.peer
-        told: dict[str, Any] = {
+        """The state of this member and of the group as it knows it, as JSON types."""
+        now, peer = self.runtime.now_us(), self.peer
+        status: dict[str, Any] = {
             "group": self.settings.name, "member": self.settings.member, "cause": self.cause,
-            "counts": dict(self.counts + (self.way.counts if self.way is not None else Counter())),
+            "counts": dict(
+                self.counts + (self.transport.counts if self.transport is not None else Counter())
+            ),
             "at": time.time(),
         }  # fmt: skip
         if peer is None:
-            return told
+            return status
         raft, conf = peer.raft, peer.raft.log.conf
-        lead, grants = raft.lead, peer.members.grants
-        told |= {
+        leader_state, grants = raft.leader_state, peer.members.grants
+        status |= {
             "id": peer.me, "leader": raft.leader, "role": raft.role.value, "term": raft.term,
-            "commit": raft.commit, "applied": peer.applied, "last": raft.log.last, "stable": raft.log.stable,
-            "first": raft.log.first, "log_bytes": raft.log.bytes, "snapshot": raft.log.snapshot.index,
-            "may_vote": raft.may_vote, "votes": raft.votes, "epoch": peer.may_act(now),
+            "commit": raft.commit, "applied": peer.applied, "last": raft.log.last_index,
+            "stable": raft.log.durable_index, "first": raft.log.base_index,
+            "log_bytes": raft.log.size_bytes, "snapshot": raft.log.snapshot.index,
+            "may_vote": raft.may_vote, "votes": raft.is_voter, "epoch": peer.may_act(now),
             "session_ms": max(0, peer.session.until_us - now) // 1000, "elections": raft.elections,
-            "open": len(peer.asks.open),
+            "open": len(peer.pending.open),
         }  # fmt: skip
-        told["members"] = {
+        status["members"] = {
             name: {
                 "id": m.id, "state": m.state.value, "epoch": m.epoch, "losses": m.losses,
                 "part": "voter" if m.id in conf.voters else "observer" if m.id in conf.observers else "none",
-                "match": raft.log.stable if m.id == peer.me else lead.others[m.id].match
-                if lead is not None and m.id in lead.others else None,
-                "suspected": grants is not None and m.id != peer.me and grants.suspected(m.id, now),
+                "match": raft.log.durable_index if m.id == peer.me else leader_state.progress[m.id].match
+                if leader_state is not None and m.id in leader_state.progress else None,
+                "suspected": grants is not None and m.id != peer.me and grants.is_suspected(m.id, now),
             }
             for name, m in sorted(self.members().items())
         }  # fmt: skip
-        kept = peer.machines.facts.kept
-        told["leases"] = {n: {"holder": h.holder, "epoch": h.epoch} for n, h in sorted(kept.leases.items())}
-        told["barred"] = sorted(kept.barred)
-        return told
+        tables = peer.machines.registry.tables
+        status["leases"] = {
+            n: {"holder": h.holder, "epoch": h.epoch} for n, h in sorted(tables.leases.items())
+        }
+        status["barred"] = sorted(tables.barred)
+        return status
--- a/magpiefront/group/sessions.py
+++ b/magpiefront/group/sessions.py
@@ -1,12 +1,16 @@
-"""Who may act: sessions that only the leader renews, and a member's own clock ends. No I/O and no clock.
-
-A member asks any voters; these tell the leader with their answers to its rounds, and its yes comes back the
-same way. So a member that reaches one voter is heard, and it takes silence towards all that the leader hears
-before one is taken for lost. Safety rests on something else: a session counts from when its member asked, and
-a leader says yes only once a majority has answered a round that began after it heard of the ask. A majority
-that answered has heard it for `election` before it elects another one, so what is left of sessions then is
-`session - election` at the most: so long a new leader waits (by clocks that differ by `drift` at most), and
-one in office the whole `free_us` from the last ask that it granted.
+"""Sessions: they allow a member to act, are renewed only by the leader, and expire by the member's own clock.
+No I/O and no clock.
+
+A member sends its request to any voter. Voters pass requests on to the leader with their answers to its
+rounds, and the leader's grants return the same way. A member that reaches a single voter is therefore heard,
+and is taken for lost only after it has been silent towards every voter that the leader hears.
+
+Safety does not depend on that path. A session is counted from the time of the member's request, and the
+leader grants it only after a majority has answered a round that began after the leader received the request.
+Such a majority elects no other leader for `election` after it heard this one, so when a new leader is elected
+at most `session - election` is left of any session. A new leader waits that long, allowing for clocks that
+differ by up to `drift`. A leader in office waits the whole `loss_timeout_us` after the last request that it
+granted.
 """
 
 from __future__ import annotations
@@ -19,162 +23,180 @@
 
 from magpiefront.group.settings import Times
 
-Ack = tuple[str, int, bool, int]  # member, number of its ask, may it act, its epoch
-MOST_ASKS = 64
+Ack = tuple[str, int, bool, int]  # member, number of its request, whether it may act, its epoch
+MAX_SENT_REQUESTS = 64  # grants of requests older than the last 64 are ignored
 
 
 class Session:
-    """A member's own side."""
+    """A member's own session."""
 
     def __init__(self, times: Times, random: Random) -> None:
         self.times, self.random = times, random
         self.seq = 0
-        self.sent: deque[tuple[int, int]] = deque(maxlen=MOST_ASKS)
+        self.sent: deque[tuple[int, int]] = deque(maxlen=MAX_SENT_REQUESTS)  # number and time of each request
         self.until_us = 0
-        self.epoch = 0  # as last told; 0: never
-        self.due_us = 0
-        self.asked_at = 0
-        self.out = False  # the leader knows it as no member any more
-        self.known = False  # ... or as one
-
-    def ask(self, leader: str, voters: Iterable[str], now_us: int) -> tuple[int, list[str]]:
-        """The number of the next ask, and whom to ask: the leader and one voter in turn; all, where no yes
-        has come for a while."""
+        self.epoch = 0  # the latest epoch that the leader has sent; 0 before the first
+        self.due_us = 0  # when the next request is to be sent
+        self.next_voter = 0
+        self.is_removed = False  # the leader does not know this incarnation as a member any more
+        self.is_member = False  # the leader knows this incarnation as a member
+
+    def next_request(self, leader: str, voters: Iterable[str], now_us: int) -> tuple[int, list[str]]:
+        """The number of the next request and its receivers: the leader and one voter in turn, or all voters
+        if the latest granted request was sent three ping intervals ago or earlier."""
         self.seq += 1
         self.sent.append((self.seq, now_us))
-        # Spread, so that hundreds whom one event has woken do not go on asking at one moment.
+        # A jitter of up to 25% either way, so that hundreds of members that one event has triggered do not
+        # stay synchronized.
         self.due_us = now_us + int(self.times.ping_us * (0.75 + 0.5 * self.random.random()))
         known = sorted(voters)
         if not known:
             return self.seq, []
         if now_us >= self.until_us - self.times.session_us + 3 * self.times.ping_us:
             return self.seq, known
-        self.asked_at += 1
-        return self.seq, sorted({leader, known[self.asked_at % len(known)]} & set(known))
-
-    def soon(self, votes: bool, now_us: int) -> None:
-        """Another one leads, and has heard nobody yet. Spread, as all asks are; observers, of whom may be
-        hundreds, over twice the time, which is less than a new leader's patience (`Grants.silent`)."""
-        most_us = self.times.ping_us * (1 if votes else 2)
-        self.due_us = min(self.due_us, now_us + int(most_us * self.random.random()))
-
-    def told(self, seq: int, may: bool, epoch: int) -> None:
+        self.next_voter += 1
+        return self.seq, sorted({leader, known[self.next_voter % len(known)]} & set(known))
+
+    def expedite(self, votes: bool, now_us: int) -> None:
+        """Sends the next request soon, because a new leader has not heard from any member yet. Requests are
+        spread at random: those of voters over one ping interval, those of observers, of which there may be
+        hundreds, over two. Both are less than the time that a new leader waits (`has_expired`)."""
+        max_delay_us = self.times.ping_us * (1 if votes else 2)
+        self.due_us = min(self.due_us, now_us + int(max_delay_us * self.random.random()))
+
+    def on_reply(self, seq: int, may: bool, epoch: int) -> None:
+        """Handles the leader's answer to request `seq`. A negative epoch means that this incarnation is not
+        a member any more. Answers of earlier epochs are ignored."""
         if abs(epoch) < self.epoch:
             return
-        self.out, self.known = epoch < 0, epoch > 0
-        if self.out:
+        self.is_removed, self.is_member = epoch < 0, epoch > 0
+        if self.is_removed:
             self.until_us = 0
             return
         if epoch > self.epoch:
-            self.epoch, self.until_us = epoch, 0  # what was allowed under the one before is over
+            self.epoch, self.until_us = epoch, 0  # grants of the previous epoch are void
         sent = next((at for number, at in self.sent if number == seq), None)
         if may and sent is not None:
             self.until_us = max(self.until_us, sent + self.times.session_us)
         elif not may:
             self.until_us = 0
 
-    def holds(self, now_us: int) -> bool:
+    def is_valid(self, now_us: int) -> bool:
         return now_us < self.until_us
 
 
-class Hearing:
-    """A voter's side: asks go to the leader with its answers, and yeses come back."""
+class PingRelay:
+    """The requests that a voter passes on to the leader with its next answer."""
 
     def __init__(self) -> None:
-        self.heard: dict[str, tuple[int, int]] = {}
+        self.heard: dict[str, tuple[int, int]] = {}  # latest request and process number, by member
 
-    def asked(self, member: str, seq: int, life: int) -> None:
+    def add(self, member: str, seq: int, process_number: int) -> None:
         before = self.heard.get(member)
-        if before is None or before[1] != life or before[0] < seq:
-            self.heard[member] = seq, life
+        if before is None or before[1] != process_number or before[0] < seq:
+            self.heard[member] = seq, process_number
 
     def take(self) -> list[tuple[str, int, int]]:
         heard, self.heard = self.heard, {}
-        return [(member, seq, life) for member, (seq, life) in sorted(heard.items())]
+        return [(member, seq, process_number) for member, (seq, process_number) in sorted(heard.items())]
 
 
-class Waiting(NamedTuple):
-    """An ask that a round has to confirm."""
+class SessionRequest(NamedTuple):
+    """A request that the leader grants or denies once a majority has answered `round`."""
 
     round: int
-    by: str  # the voter to which it came
+    by: str  # the voter that received it
     member: str
     seq: int
-    life: int
+    process_number: int
     heard_us: int
 
 
 @dataclass
-class Grants:
-    """The leader's side."""
+class SessionGrants:
+    """The sessions that a leader has granted, and from whom it has heard."""
 
     times: Times
-    began_us: int  # sessions that others granted count as granted then
+    # Sessions granted by earlier leaders count as granted at this time. Moved to the present after a stall of
+    # this process, and then applies to all sessions (`detect_stall`).
+    began_us: int
     elected_us: int = 0
-    before: str = ""  # who led before, and was silent for so long that this one was elected
-    waiting: list[Waiting] = field(default_factory=list)
-    yes_us: dict[str, int] = field(default_factory=dict)
-    heard_us: dict[str, int] = field(default_factory=dict)
-    since_us: dict[str, int] = field(default_factory=dict)  # since when a lost one is heard without a gap
-    well_us: dict[str, int] = field(default_factory=dict)  # since when, as far as this leader knows
-    closing: set[str] = field(default_factory=set)  # "lost" is proposed: no yes any more
-    acks: dict[str, list[Ack]] = field(default_factory=dict)  # by the voter that passes them on
-    looked_us: int = 0
-    looked: bool = False  # has it seen who is well?
-
-    def heard(self, ask: Waiting) -> None:
-        if ask.heard_us > self.heard_us.get(ask.member, 0) + self.times.session_us:
-            self.since_us[ask.member] = ask.heard_us
-        self.heard_us[ask.member] = ask.heard_us
-        self.waiting.append(ask)
-
-    def due(self, quorum_round: int) -> list[Waiting]:
-        """Asks that came before a round which a majority has answered."""
-        due = [w for w in self.waiting if w.round <= quorum_round]
+    # The leader whose silence led to the election of this one; empty after a transfer of leadership. It gets
+    # no extra time to send a first request (`has_expired`).
+    previous_leader: str = ""
+    unconfirmed: list[SessionRequest] = field(default_factory=list)
+    granted_us: dict[str, int] = field(default_factory=dict)  # arrival of the latest granted request
+    heard_us: dict[str, int] = field(default_factory=dict)  # arrival of the latest request
+    heard_since_us: dict[str, int] = field(default_factory=dict)  # since when a member is heard without a gap
+    alive_since_us: dict[str, int] = field(default_factory=dict)  # as far as this leader knows
+    # Members that get no grants any more: their loss is proposed, or their session has to end because an
+    # operator removes them or another incarnation replaces them.
+    closing: set[str] = field(default_factory=set)
+    acks: dict[str, list[Ack]] = field(default_factory=dict)  # answers, by the voter that passes them on
+    checked_us: int = 0
+    # Whether this leader has gone through all members once. Those alive at that first check count as alive
+    # since `began_us`; others since the check that first finds them alive.
+    has_checked: bool = False
+
+    def add_request(self, request: SessionRequest) -> None:
+        """Records a request, which waits for its round."""
+        if request.heard_us > self.heard_us.get(request.member, 0) + self.times.session_us:
+            self.heard_since_us[request.member] = request.heard_us
+        self.heard_us[request.member] = request.heard_us
+        self.unconfirmed.append(request)
+
+    def pop_confirmed(self, quorum_round: int) -> list[SessionRequest]:
+        """Removes and returns the requests whose round a majority has answered."""
+        due = [r for r in self.unconfirmed if r.round <= quorum_round]
         if due:
-            self.waiting = [w for w in self.waiting if w.round > quorum_round]
+            self.unconfirmed = [r for r in self.unconfirmed if r.round > quorum_round]
         return due
 
-    def say(self, ask: Waiting, well: bool) -> bool:
-        may = well and ask.member not in self.closing
+    def decide(self, request: SessionRequest, is_alive: bool) -> bool:
+        """Whether a confirmed request is granted. `is_alive`: the registry has this process as alive."""
+        may = is_alive and request.member not in self.closing
         if may:
-            self.yes_us[ask.member] = max(self.yes_us.get(ask.member, 0), ask.heard_us)
+            self.granted_us[request.member] = max(self.granted_us.get(request.member, 0), request.heard_us)
         return may
 
-    def take(self, by: str) -> list[Ack]:
+    def take_acks(self, by: str) -> list[Ack]:
         return self.acks.pop(by, [])
 
-    def look(self, now_us: int) -> None:
-        """Guards against taking all for lost after a time in which nobody was listened to: asks that came
-        meanwhile are still unread."""
-        if self.looked_us and now_us > self.looked_us + 2 * self.times.heartbeat_us:
+    def detect_stall(self, now_us: int) -> None:
+        """Restarts all timeouts if this process has not run for more than two heartbeat intervals. Requests
+        that arrived meanwhile are still unread, and without this all members would be taken for lost."""
+        if self.checked_us and now_us > self.checked_us + 2 * self.times.heartbeat_us:
             self.began_us = max(self.began_us, now_us)
-        self.looked_us = now_us
+        self.checked_us = now_us
 
-    def silent(self, member: str, now_us: int) -> bool:
-        """Is its session certainly over? One that has just become well, or another leader, has had no time to
-        ask."""
-        unheard = member != self.before and member not in self.heard_us
+    def has_expired(self, member: str, now_us: int) -> bool:
+        """Whether the member's session has certainly expired. Members that have just become alive, and all
+        members after a change of leader, get time to send a request first: three ping intervals after an
+        election, since `expedite` spreads the first requests over up to two."""
+        unheard = member != self.previous_leader and member not in self.heard_us
         if unheard and now_us < self.elected_us + 3 * self.times.ping_us:
             return False
-        last = max(self.began_us, self.yes_us.get(member, 0), self.well_us.get(member, 0))
-        if member not in self.closing:  # one that asks is alive, though nothing could be said to it
+        last = max(self.began_us, self.granted_us.get(member, 0), self.alive_since_us.get(member, 0))
+        if member not in self.closing:  # its requests show that it is alive, even those not answered yet
             last = max(last, self.heard_us.get(member, 0))
-        return now_us >= last + self.times.free_us
+        return now_us >= last + self.times.loss_timeout_us
 
-    def suspected(self, member: str, now_us: int) -> bool:
+    def is_suspected(self, member: str, now_us: int) -> bool:
+        """Whether the member has not been heard for two ping intervals."""
         return now_us >= max(self.began_us, self.heard_us.get(member, 0)) + 2 * self.times.ping_us
 
-    def returned(self, member: str, losses: int, now_us: int) -> bool:
-        """Has one that was lost been heard long enough? Twice as long each time it was lost soon again; not
-        at all where it had ended as planned."""
+    def may_return(self, member: str, losses: int, now_us: int) -> bool:
+        """Whether a lost member has been heard for long enough to be alive again. The time doubles with each
+        loss that followed soon after the previous return; none is required after a planned shutdown."""
+        # At most 16 doublings, to bound the shift; `most_hold_us` bounds the time.
         hold = min(self.times.most_hold_us, self.times.hold_us << min(max(0, losses - 1), 16))
-        if not losses:  # it ended as planned
+        if not losses:  # a planned shutdown
             hold = 0
         heard = self.heard_us.get(member)
         recent = heard is not None and now_us < heard + 2 * self.times.ping_us + self.times.heartbeat_us
-        return recent and now_us >= self.since_us.get(member, now_us) + hold
+        return recent and now_us >= self.heard_since_us.get(member, now_us) + hold
 
-    def soon(self, member: str, now_us: int) -> bool:
-        """Was it well only shortly? This leader's own time counts, where it saw no more."""
-        return now_us < self.well_us.get(member, self.began_us) + 10 * self.times.hold_us
+    def was_alive_briefly(self, member: str, now_us: int) -> bool:
+        """Whether a lost member had been alive for a short time only (less than ten times `hold_us`), as far
+        as this leader has seen it."""
+        return now_us < self.alive_since_us.get(member, self.began_us) + 10 * self.times.hold_us
--- a/magpiefront/group/wire.py
+++ b/magpiefront/group/wire.py
@@ -1,4 +1,5 @@
-"""Messages between members as bytes: msgpack behind a length. What can't be read is dropped and counted."""
+"""The encoding of messages between members: msgpack behind a length. Undecodable messages are dropped and
+counted by the caller."""
 
 from __future__ import annotations
 
@@ -6,11 +7,12 @@
 
 from magpiefront.group.messages import AnyMessage, Message
 
-LENGTH = 4
+LENGTH_BYTES = 4
 
 
 class Envelope(msgspec.Struct, array_like=True):
-    """`to` may be a name with a point behind it: whoever has that name now."""
+    """A message with its group, sender and receiver. `to` is a member's id, or a member's name and a dot for
+    whichever incarnation has that name."""
 
     group: str
     sender: str
@@ -18,44 +20,44 @@
     message: AnyMessage
 
 
-class TooLong(Exception):
-    """A length that no message may have; its text says which."""
+class FrameTooLong(Exception):
+    """The length of a message exceeds the limit. The text of the exception names both."""
 
 
 DECODER: msgspec.msgpack.Decoder[Envelope] = msgspec.msgpack.Decoder(Envelope)
 
 
-def frame(group: str, sender: str, to: str, message: Message) -> bytes:
+def encode_frame(group: str, sender: str, to: str, message: Message) -> bytes:
     data = msgspec.msgpack.encode([group, sender, to, message])
-    return len(data).to_bytes(LENGTH, "big") + data
+    return len(data).to_bytes(LENGTH_BYTES, "big") + data
 
 
-def read(data: bytes) -> Envelope | None:
-    """None: not a message of any version that is known here."""
+def decode(data: bytes) -> Envelope | None:
+    """Returns None for data that is no message of a known version."""
     try:
         return DECODER.decode(data)
     except (msgspec.MsgspecError, RecursionError):
         return None
 
 
-class Frames:
-    """Cuts a stream of bytes into messages, without keeping more than one that is begun."""
+class FrameReader:
+    """Splits a stream of bytes into messages. It buffers at most one incomplete message."""
 
-    def __init__(self, most: int) -> None:
-        self.most = most
-        self.box = bytearray()
+    def __init__(self, max_bytes: int) -> None:
+        self.max_bytes = max_bytes
+        self.buffer = bytearray()
 
     def feed(self, data: bytes) -> list[bytes]:
-        """Raises TooLong."""
-        self.box += data
+        """Returns the messages that `data` completes. Raises FrameTooLong."""
+        self.buffer += data
         found, at = [], 0
-        while len(self.box) - at >= LENGTH:
-            size = int.from_bytes(self.box[at : at + LENGTH], "big")
-            if size > self.most:
-                raise TooLong(f"a message of {size} bytes, {self.most} at most")
-            if len(self.box) - at < LENGTH + size:
+        while len(self.buffer) - at >= LENGTH_BYTES:
+            size = int.from_bytes(self.buffer[at : at + LENGTH_BYTES], "big")
+            if size > self.max_bytes:
+                raise FrameTooLong(f"a message of {size} bytes exceeds the limit of {self.max_bytes} bytes")
+            if len(self.buffer) - at < LENGTH_BYTES + size:
                 break
-            found.append(bytes(self.box[at + LENGTH : at + LENGTH + size]))
-            at += LENGTH + size
-        del self.box[:at]
+            found.append(bytes(self.buffer[at + LENGTH_BYTES : at + LENGTH_BYTES + size]))
+            at += LENGTH_BYTES + size
+        del self.buffer[:at]
         return found
--- a/magpiefront/interface.py
+++ b/magpiefront/interface.py
@@ -1,7 +1,7 @@
-"""Everything that goes into a Router and everything that comes out of it.
+"""What goes into a Router and what comes out of it: settings, events and actions.
 
-Times are whole microseconds. A Router is built from `Settings`; its user hands it events and carries
-out the actions that come back, in their order. Nothing here decides anything.
+A Router is built from `Settings`. Its host hands it events and carries out the actions that come back, in
+their order. Times are whole microseconds. There is no logic in this module.
 """
 
 from __future__ import annotations
@@ -12,20 +12,21 @@
 
 
 def require(holds: bool, field_name: str, what: str) -> None:
+    """Raises ValueError with the field's name where a setting is invalid."""
     if not holds:
         raise ValueError(f"settings: {field_name} {what}")
 
 
 class Repeat(Enum):
-    """May a request of this class take effect more than once?"""
+    """Whether a request of a class may be sent to servers more than once (its idempotency)."""
 
     SAFE = "safe"
-    KEYED = "keyed"  # repeats are dropped by the servers of one group, within a window
+    KEYED = "keyed"  # servers of one group drop repeats by the idempotency key, within a time window
     UNSAFE = "unsafe"
 
 
-class Group(Enum):
-    """Which servers drop the repeat of a keyed request."""
+class DedupScope(Enum):
+    """Which servers share their record of idempotency keys, and so drop the repeat of a keyed request."""
 
     ALL = "all"
     ZONE = "zone"
@@ -37,36 +38,44 @@
 
     OK = "ok"
     ERROR = "error"
-    FULL = "full"
+    FULL = "full"  # the server refused it for lack of capacity
     TIMEOUT = "timeout"
     CONNECT_FAILED = "connect_failed"
     RESET = "reset"
     CANCELLED = "cancelled"
-    MOOT = "moot"
+    MOOT = "moot"  # dropped before anything was sent, for example because the request was answered meanwhile
     MISS = "miss"  # a look-aside cache holds no entry
 
-    __hash__ = object.__hash__  # Enum's own hashes the name, in Python, at every look into a set
+    __hash__ = object.__hash__  # Enum's own hash is computed from the name, in Python, at every set lookup
 
 
+# Outcomes that prove that the attempt had no effect.
 NEVER_RAN = frozenset({Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT, Outcome.MISS})
 
 
 class Status(Enum):
+    """What discovery says of a server. Only READY servers get new requests."""
+
     READY = "ready"
     DRAINING = "draining"
     GONE = "gone"
-    UNKNOWN = "unknown"  # not sent to
+    UNKNOWN = "unknown"
 
 
 class ListKind(Enum):
-    PATCH = "patch"
-    WHOLE = "whole"
-    PART = "part"  # some entries of a whole list; what it does not name stays
-    STALE = "stale"  # the whole list as last held before this start
-    BROKEN = "broken"
+    """What a ServerList event holds."""
+
+    PATCH = "patch"  # changed entries
+    WHOLE = "whole"  # the whole list; servers it lacks are gone
+    PART = "part"  # some entries of a whole list; servers it lacks stay
+    STALE = "stale"  # the whole list as last known before this process started
+    BROKEN = "broken"  # nothing: the watch on discovery failed
 
 
 class WeightSource(Enum):
+    """What the weights in the list are based on. Only NOMINAL and ROUGH decide how many keys a server
+    gets."""
+
     NONE = "none"
     NOMINAL = "nominal"
     ROUGH = "rough"
@@ -75,19 +84,23 @@
 
 @dataclass(slots=True, frozen=True)
 class RequestClass:
+    """A class of requests with common terms."""
+
     name: str
     repeat: Repeat
-    aim_us: int  # an answer within this time earns the full worth
+    aim_us: int  # latency objective: an answer within this time earns the full worth
     deadline_us: int
     worth: float = 1.0
-    late_worth: float = 0.0
-    group: Group = Group.ALL
-    window_us: int = 0
+    late_worth: float = 0.0  # part of the worth that a later answer still earns, 0 to 1
+    group: DedupScope = DedupScope.ALL
+    window_us: int = 0  # how long servers remember an idempotency key
     stream: bool = False
 
 
 @dataclass(slots=True, frozen=True)
 class Tenant:
+    """A group of clients with a share of the capacity."""
+
     name: str
     share: float
     quota_per_s: float = 0.0
@@ -95,29 +108,35 @@
 
 @dataclass(slots=True, frozen=True)
 class Settings:
+    """Settings of a Router. Raises ValueError where one is out of range.
+
+    The Router itself does not use `zone`, `tenants`, `over_share_worth`, `marks_retry`, `fall_multiple`,
+    `fall_us`, `drain_grace_us` and `answer_slack_us`.
+    """
+
     classes: tuple[RequestClass, ...]
     proxies: int = 1
     zone: str = ""
     tenants: tuple[Tenant, ...] = ()
     over_share_worth: float = 1.0
-    max_attempts: int = 3
-    second_copies: bool = False
-    may_cancel: bool = False
-    may_probe: bool = False
-    retry_after: bool = False
+    max_attempts: int = 3  # of one request, the first included
+    hedging: bool = False  # a second attempt may be sent while the first is still out
+    may_cancel: bool = False  # attempts may be cancelled
+    may_probe: bool = False  # health probes may be sent
+    retry_after: bool = False  # refusals may say when to come again
     max_retry_after_us: int = 0
-    marks_retry: bool = False
-    subscribe: bool = False
-    ask_every_us: int = 10_000_000
-    cold_from: float = 1.0
-    cold_us: int = 0
+    marks_retry: bool = False  # clients mark their retries
+    subscribe: bool = False  # the list has to be asked for, with Watch actions
+    ask_every_us: int = 10_000_000  # the longest wait between two calls for the list
+    cold_from: float = 1.0  # share of its load that a server can serve at its start
+    cold_us: int = 0  # how long the slow start of a server takes
     fall_multiple: float = 2.0
     fall_us: int = 1_000_000
-    drain_grace_us: int = 500_000  # how long after it was told sends to a draining server may still begin
-    answer_slack_us: int = 0
-    round_us: int = 1_000
+    drain_grace_us: int = 500_000  # how long a draining server may still be sent requests after the news
+    answer_slack_us: int = 0  # how much later than its deadline a final answer may be
+    round_us: int = 1_000  # round trip to a server, subtracted from the time left
     weight_source: WeightSource = WeightSource.NONE
-    origin_kind: str | None = None  # look-aside caches: servers of this kind are the origin
+    origin_kind: str | None = None  # with look-aside caches: servers of this kind are the origin
 
     def __post_init__(self) -> None:
         require(len(self.classes) > 0, "classes", "is empty")
@@ -143,6 +162,8 @@
 
 @dataclass(slots=True)
 class ServerEntry:
+    """A server as the list has it. `started_at_us` is of a wall clock; 0: not known."""
+
     server: str
     status: Status = Status.READY
     weight: float = 1.0
@@ -154,8 +175,11 @@
 
 @dataclass(slots=True)
 class ServerList:
-    """A list or a part of one. `more`: parts of it are still to come, and servers that join count with the
-    last. `mean_weight`: of the whole list that these entries are a part of; 0 where they are all of it."""
+    """A server list, or a part of one.
+
+    `more`: further parts follow, and servers that join get keys only with the last one. `mean_weight` is that
+    of the whole list, where these entries are only a part of it; otherwise 0.
+    """
 
     kind: ListKind
     entries: list[ServerEntry] = field(default_factory=list)
@@ -164,14 +188,16 @@
 
 
 @dataclass(slots=True)
-class Forbid:
-    """These servers get nothing more; a ServerList that says why follows."""
+class StopSending:
+    """These servers get no new requests from now on. A ServerList with the reason follows."""
 
     servers: Sequence[str]
 
 
 @dataclass(slots=True)
 class Arrived:
+    """A request has come. Without `key`, its id stands for the key."""
+
     request: str
     class_name: str
     time_left_us: int
@@ -180,34 +206,42 @@
     effort_us: int = 0
     write: bool = False
     is_retry: bool = False
-    cls: RequestClass | None = None  # as it was when the request was read, or looked up by its name
+    cls: RequestClass | None = None  # the class when the request was read; None: looked up by its name
 
 
 @dataclass(slots=True)
 class AttemptEnded:
+    """An attempt has ended. Attempts of a request are numbered from 0."""
+
     request: str
     attempt: int
     server: str
     outcome: Outcome
     elapsed_us: int
     finished: bool = False  # the request has its final answer
-    note: int = 0  # 1 hit, 2 miss, 3 miss while the key was being fetched
+    cache_result: int = 0  # 1: hit, 2: miss, 3: miss while the key was already being fetched; 0: not known
     report: dict[str, float] | None = None
 
 
 @dataclass(slots=True)
 class StreamBegan:
+    """The client is getting the answer of this attempt; the request needs no others."""
+
     request: str
     attempt: int
 
 
 @dataclass(slots=True)
 class ClientLeft:
+    """The client has gone without an answer."""
+
     request: str
 
 
 @dataclass(slots=True)
-class Probed:
+class ProbeEnded:
+    """A health probe has ended."""
+
     server: str
     outcome: Outcome
     elapsed_us: int
@@ -216,12 +250,15 @@
 
 @dataclass(slots=True)
 class TimerFired:
+    """A timer set by SetTimer is due."""
+
     token: str
 
 
 @dataclass(slots=True)
 class Exclude:
-    """The operator takes a server out; a Ruling answers. `known`: another process of this proxy knows it."""
+    """An operator takes a server out of service; an OperatorResult answers. `known`: another process of this
+    proxy knows the server, even if this one does not."""
 
     server: str
     known: bool = False
@@ -229,21 +266,21 @@
 
 @dataclass(slots=True)
 class Include:
-    """... and puts it back."""
+    """An operator puts an excluded server back into service; an OperatorResult answers."""
 
     server: str
 
 
 @dataclass(slots=True)
-class Elsewhere:
-    """What a process that this one takes over from still has in flight, by server."""
+class PredecessorLoad:
+    """How many requests the process that this one replaces still has in flight at each server."""
 
     loads: dict[str, int]
 
 
 Event = (
-    ServerList | Forbid | Arrived | AttemptEnded | StreamBegan | ClientLeft | Probed | TimerFired
-    | Exclude | Include | Elsewhere
+    ServerList | StopSending | Arrived | AttemptEnded | StreamBegan | ClientLeft | ProbeEnded | TimerFired
+    | Exclude | Include | PredecessorLoad
 )  # fmt: skip
 
 
@@ -252,8 +289,9 @@
 
 @dataclass(slots=True)
 class Send:
-    """An attempt at a request. One that could not begin by `begin_by_us` (0: any time before it expires) must
-    not begin at all: its connection may take long to come up, and the window for repeats ends meanwhile."""
+    """Send an attempt at a request. It expires at `expire_at_us`, and must not begin after `begin_by_us` (0:
+    no such limit): its connection may take long to be established, and the window in which servers drop
+    repeats may end meanwhile."""
 
     request: str
     server: str
@@ -263,13 +301,15 @@
 
 @dataclass(slots=True)
 class Cancel:
+    """Cancel an attempt that is still out."""
+
     request: str
     attempt: int
 
 
 @dataclass(slots=True)
 class Refuse:
-    """Final answer: not done, and trying again is harmless."""
+    """Final answer: the request was not served, and the client may safely send it again."""
 
     request: str
     retry_after_us: int = 0
@@ -277,18 +317,22 @@
 
 @dataclass(slots=True)
 class Fail:
-    """Final answer: not served, and nothing is promised about its effect."""
+    """Final answer: the request was not served, and it may or may not have taken effect."""
 
     request: str
 
 
 @dataclass(slots=True)
 class Probe:
+    """Send a health probe to a server."""
+
     server: str
 
 
 @dataclass(slots=True)
 class SetTimer:
+    """Hand in TimerFired with this token after a delay."""
+
     delay_us: int
     token: str
 
@@ -299,18 +343,18 @@
 
 
 @dataclass(slots=True)
-class Note:
-    """A line for the staff."""
+class LogMessage:
+    """Write a line to the log, for operators."""
 
     text: str
 
 
 @dataclass(slots=True)
-class Ruling:
-    """What became of an operator's call: it holds from now on, or nobody has that id."""
+class OperatorResult:
+    """Answers Exclude and Include: accepted and in effect from now on, or no server has that id."""
 
     server: str
     accepted: bool
 
 
-Action = Send | Cancel | Refuse | Fail | Probe | SetTimer | Watch | Note | Ruling
+Action = Send | Cancel | Refuse | Fail | Probe | SetTimer | Watch | LogMessage | OperatorResult
--- a/magpiefront/maintenance/__init__.py
+++ b/magpiefront/maintenance/__init__.py
@@ -1,1 +1,1 @@
-"""Machines out for work, in an order that the proxies of a site settle among themselves."""
+"""Machine maintenance: the proxies of a site agree on which machines may be taken out of use, and when."""
--- a/magpiefront/maintenance/forecast.py
+++ b/magpiefront/maintenance/forecast.py
@@ -1,7 +1,7 @@
-"""What a plan would come to, played with the rules themselves on what is agreed now. No I/O, no clock.
+"""Predicts how a plan would go, by simulating the rules on a copy of the current state. No I/O and no clock.
 
-It takes for granted that nothing else fails, that load stays as it is, and that each machine's work and
-warming take what the operator expects.
+The simulation assumes that nothing fails, that the load stays as it is, and that the work on each machine and
+its warming take as long as the operator expects.
 """
 
 from __future__ import annotations
@@ -10,126 +10,145 @@
 
 import msgspec
 
-from magpiefront.group.facts import Member, State as Standing
-from magpiefront.maintenance import facts, rules
-from magpiefront.maintenance.facts import Board, Kept, Report, State
+from magpiefront.group.registry import Member, MemberState
+from magpiefront.maintenance import state_machine, rules
+from magpiefront.maintenance.state_machine import (
+    MaintenanceStateMachine, MaintenanceState, ProxyReport, State,
+)  # fmt: skip
 from magpiefront.maintenance.plan import Machine, Plan
 
 STEP_S = 1.0
-MOST_STEPS = 200_000
+MAX_STEPS = 200_000
 
 
 class Wave(msgspec.Struct):
-    """Machines that went out together, or before the first of them was done."""
+    """Machines that were out at the same time: all that went out before the first of them was done."""
 
-    at_s: float
+    at_s: float  # from the start of the plan until the first of them was out
     machines: list[str]
-    left: float  # share of all nodes that is in use meanwhile
+    left: float  # smallest share of all nodes that stays in use in this wave
 
 
 class Forecast(msgspec.Struct):
-    refused: str = ""  # why it would not be taken
-    stuck: str = ""  # what it would wait for, for ever
-    takes_s: float = 0.0
+    """Result of a simulation. If the plan can't be carried out, `refused` or `stuck` is not empty."""
+
+    refused: str = ""  # why the plan would be refused
+    stuck: str = ""  # what the plan would wait for without end
+    takes_s: float = 0.0  # until all its machines are done, or until the simulation ended
     first_s: float = 0.0  # until the first machine is out
-    least_left: float = 1.0
-    moved: float = 0.0  # the largest part of all keys that has a new home within one wave
+    least_left: float = 1.0  # smallest share of all nodes that stays in use at any time
+    moved: float = 0.0  # the largest share of all keys that move to another node within one wave
     waves: list[Wave] = []
 
 
-class Play:
+class Simulation:
+    """One run of the rules with a plan. Times are seconds of the simulated replicated time."""
+
     def __init__(
-        self, kept: Kept, members: Mapping[str, Member], plan: Plan, fleet: Iterable[Machine],
+        self, state: MaintenanceState, members: Mapping[str, Member], plan: Plan, fleet: Iterable[Machine],
         voters: tuple[str, ...], work_s: float, warm_s: float,
     ) -> None:  # fmt: skip
         self.members, self.plan = members, plan
         self.work_s, self.warm_s = work_s, warm_s
-        self.board = Board(lambda: self.members, rules.advance)
-        self.board.kept = msgspec.msgpack.decode(msgspec.msgpack.encode(kept), type=Kept)
-        self.well = [n for n, m in members.items() if m.state is Standing.WELL]
-        self.reports = {n: kept.reports.get(n, Report()) for n in self.well}
-        self.start = facts.Start(plan, tuple(fleet), voters)
-
-    def _do(self, who: str, command: facts.Command) -> facts.Answer:
-        data = self.board.apply(0, f"{who}.0", facts.encode(command))
-        return msgspec.msgpack.decode(data, type=facts.Answer)
-
-    def _second(self) -> None:
-        k = self.board.kept
-        for name in self.well:
-            told = self.reports[name]
-            cold = {n for s in k.slots.values() if self._warms(s) for n in k.fleet[s.machine].nodes}
-            self._do(name, facts.Told(msgspec.structs.replace(told, cold=tuple(sorted(cold)))))
-            self._do(name, facts.Knows(k.version))
-            for slot in k.slots.values():
-                if slot.state is State.DRAINING:
-                    self._do(name, facts.Word(slot.machine, slot.epoch, self.members[name].epoch))
-        for slot in k.slots.values():
-            if slot.state in facts.WORKED_ON and k.at_s - slot.since_s >= self.work_s:
-                self._do("", facts.Ended(slot.machine, slot.epoch))
-        self._do("", facts.Tick(k.ticks, STEP_S, k.wall_s + STEP_S))
-
-    def _warms(self, slot: facts.Slot) -> bool:
-        return slot.state is State.WARMING and self.board.kept.at_s - slot.since_s < self.warm_s
+        self.replica = MaintenanceStateMachine(lambda: self.members, rules.advance)
+        self.replica.state = msgspec.msgpack.decode(msgspec.msgpack.encode(state), type=MaintenanceState)
+        self.live_members = [n for n, m in members.items() if m.state is MemberState.ALIVE]
+        self.reports = {n: state.reports.get(n, ProxyReport()) for n in self.live_members}
+        self.start = state_machine.Start(plan, tuple(fleet), voters)
+
+    def _apply(self, member: str, command: state_machine.Command) -> state_machine.CommandResult:
+        data = self.replica.apply(0, f"{member}.0", state_machine.encode(command))
+        return msgspec.msgpack.decode(data, type=state_machine.CommandResult)
+
+    def _simulate_second(self) -> None:
+        """Applies what the proxies and the operator would propose, and then a tick."""
+        state = self.replica.state
+        for name in self.live_members:
+            report = self.reports[name]
+            cold = {
+                n for j in state.jobs.values() if self._is_warming(j) for n in state.fleet[j.machine].nodes
+            }
+            self._apply(name, state_machine.SubmitReport(
+                msgspec.structs.replace(report, cold=tuple(sorted(cold)))))  # fmt: skip
+            self._apply(name, state_machine.AcknowledgeNext(state.version))
+            for job in state.jobs.values():
+                if job.state is State.DRAINING:
+                    self._apply(name, state_machine.ConfirmDrained(
+                        job.machine, job.grant_number, self.members[name].epoch))  # fmt: skip
+        for job in state.jobs.values():
+            if job.state in state_machine.WORKED_ON and state.at_s - job.since_s >= self.work_s:
+                self._apply("", state_machine.FinishWork(job.machine, job.grant_number))
+        self._apply("", state_machine.Tick(state.ticks, STEP_S, state.wall_s + STEP_S))
+
+    def _is_warming(self, job: state_machine.Job) -> bool:
+        return job.state is State.WARMING and self.replica.state.at_s - job.since_s < self.warm_s
 
     def _step(self) -> None:
-        """A second; or as long as nothing but work goes on."""
-        k = self.board.kept
-        busy = [s for s in k.slots.values() if s.state not in (*facts.STILL, State.ASKED)]
-        opens_s = self.plan.opens_s - k.wall_s
+        """Simulates one second. Before that, skips the time until the plan's window opens, if no machine is
+        under maintenance, or a time in which nothing but the work itself happens."""
+        state = self.replica.state
+        busy = [j for j in state.jobs.values() if j.state not in (*state_machine.SETTLED, State.ASKED)]
+        opens_s = self.plan.opens_s - state.wall_s
         if not busy and opens_s > STEP_S:
-            k.wall_s, k.at_s = k.wall_s + opens_s, k.at_s + opens_s
-        elif busy and all(s.state in facts.WORKED_ON for s in busy):
-            rest = min(self.work_s - (k.at_s - s.since_s) for s in busy) - STEP_S
-            if rest > 0 and k.at_s - min(s.since_s for s in busy) > 5 * STEP_S:  # nobody else may go
-                k.wall_s, k.at_s = k.wall_s + rest, k.at_s + rest
-        self._second()
+            state.wall_s, state.at_s = state.wall_s + opens_s, state.at_s + opens_s
+        elif busy and all(j.state in state_machine.WORKED_ON for j in busy):
+            rest = min(self.work_s - (state.at_s - j.since_s) for j in busy) - STEP_S
+            # Five steps after the first of them went out, no other machine leaves before their work ends.
+            if rest > 0 and state.at_s - min(j.since_s for j in busy) > 5 * STEP_S:
+                state.wall_s, state.at_s = state.wall_s + rest, state.at_s + rest
+        self._simulate_second()
 
     def run(self) -> Forecast:
         found = Forecast()
-        told = self._do("", self.start)
-        if not told.done:
-            found.refused = told.cause
+        result = self._apply("", self.start)
+        if not result.done:
+            found.refused = result.cause
             return found
-        k = self.board.kept
-        began = k.at_s
-        nodes = {n for m in k.fleet.values() for n in m.nodes}
-        out: dict[str, float] = {}
-        quiet = 0
-        for _ in range(MOST_STEPS):
-            before = k.noted
+        state = self.replica.state
+        started_s = state.at_s
+        nodes = {n for m in state.fleet.values() for n in m.nodes}
+        out_s: dict[str, float] = {}
+        quiet_steps = 0
+        for _ in range(MAX_STEPS):
+            before = state.line_count
             self._step()
-            quiet = 0 if k.noted != before else quiet + 1
-            counted = rules.counted(k)
-            gone = {n for s in counted for n in k.fleet[s.machine].nodes}
-            left = 1 - len(gone) / len(nodes) if nodes else 1.0
+            quiet_steps = 0 if state.line_count != before else quiet_steps + 1
+            unavailable = rules.unavailable_jobs(state)
+            unavailable_nodes = {n for j in unavailable for n in state.fleet[j.machine].nodes}
+            left = 1 - len(unavailable_nodes) / len(nodes) if nodes else 1.0
             found.least_left = min(found.least_left, left)
-            for slot in k.slots.values():
-                if slot.plan == self.plan.id and slot.state is State.OUT and slot.machine not in out:
-                    out[slot.machine] = k.at_s - began
+            for job in state.jobs.values():
+                if job.plan == self.plan.id and job.state is State.OUT and job.machine not in out_s:
+                    out_s[job.machine] = state.at_s - started_s
                     first = found.waves[-1].machines[0] if found.waves else ""
-                    if first and k.slots[first].state is not State.DONE:
-                        found.waves[-1].machines.append(slot.machine)
+                    if first and state.jobs[first].state is not State.DONE:
+                        found.waves[-1].machines.append(job.machine)
                         found.waves[-1].left = min(found.waves[-1].left, left)
                     else:
-                        found.waves.append(Wave(k.at_s - began, [slot.machine], left))
-            mine = [s for s in k.slots.values() if s.plan == self.plan.id]
-            if all(s.state in facts.STILL for s in mine):
+                        found.waves.append(Wave(state.at_s - started_s, [job.machine], left))
+            plan_jobs = [j for j in state.jobs.values() if j.plan == self.plan.id]
+            if all(j.state in state_machine.SETTLED for j in plan_jobs):
                 break
-            if quiet > rules.MINUTE_S * 2 + self.warm_s and not counted:
-                waits = [s for s in mine if s.state is State.ASKED]
-                found.stuck = f"{waits[0].machine}: {rules.why_not(k, waits[0], self.members)}"
+            # No machine is unavailable, and no line was added for longer than a machine warms plus twice the
+            # time for which a peak load counts: the plan would wait without end.
+            if quiet_steps > rules.LOAD_WINDOW_S * 2 + self.warm_s and not unavailable:
+                waiting = [j for j in plan_jobs if j.state is State.ASKED]
+                found.stuck = (
+                    f"{waiting[0].machine}: {rules.blocking_reason(state, waiting[0], self.members)}"
+                )
                 break
         else:
-            found.stuck = f"not over after {MOST_STEPS} steps"
-        found.takes_s, found.first_s = k.at_s - began, min(out.values(), default=0.0)
-        sizes = [len({n for m in w.machines for n in k.fleet[m].nodes}) for w in found.waves]
+            found.stuck = f"not finished after {MAX_STEPS} steps"
+        found.takes_s, found.first_s = state.at_s - started_s, min(out_s.values(), default=0.0)
+        sizes = [len({n for m in w.machines for n in state.fleet[m].nodes}) for w in found.waves]
         found.moved = max(sizes, default=0) / len(nodes) if nodes else 0.0
         return found
 
 
 def forecast(
-    kept: Kept, members: Mapping[str, Member], plan: Plan, fleet: Iterable[Machine], voters: tuple[str, ...],
-    work_s: float, warm_s: float,
+    state: MaintenanceState, members: Mapping[str, Member], plan: Plan, fleet: Iterable[Machine],
+    voters: tuple[str, ...], work_s: float, warm_s: float,
 ) -> Forecast:  # fmt: skip
-    return Play(kept, members, plan, fleet, voters, work_s, warm_s).run()
+    """Simulates `plan` on `state`. `work_s` is the time that the work on one machine takes, `warm_s` the time
+    until its nodes are warm."""
+    return Simulation(state, members, plan, fleet, voters, work_s, warm_s).run()
--- a/magpiefront/maintenance/memory.py
+++ b/magpiefront/maintenance/memory.py
@@ -1,4 +1,4 @@
-"""The file of what a proxy has to leave out: whole or not at all, and there before anybody counts on it."""
+"""Stores what a proxy has to exclude in a file with a checksum, which is replaced atomically."""
 
 from __future__ import annotations
 
@@ -8,33 +8,34 @@
 
 import msgspec
 
-from magpiefront.maintenance.view import Memory
+from magpiefront.maintenance.exclusions import SavedExclusions
 
-SUM = 16  # bytes in front
+CHECKSUM_BYTES = 16  # at the start of the file
 
 
-def load(path: Path) -> tuple[Memory | None, str]:
-    """What it holds, and what is wrong with it; None where nothing is known for certain."""
+def load(path: Path) -> tuple[SavedExclusions | None, str]:
+    """Returns what the file holds, and a text that says what is wrong with it. The first is None if the file
+    is missing, unreadable or damaged; the second is empty if the file is missing or sound."""
     try:
         data = path.read_bytes()
     except FileNotFoundError:
         return None, ""
     except OSError as e:
         return None, str(e)
-    if blake2b(data[SUM:], digest_size=SUM).digest() != data[:SUM]:
-        return None, f"{path}: is not whole"
+    if blake2b(data[CHECKSUM_BYTES:], digest_size=CHECKSUM_BYTES).digest() != data[:CHECKSUM_BYTES]:
+        return None, f"{path}: is damaged: wrong checksum"
     try:
-        return msgspec.msgpack.decode(data[SUM:], type=Memory), ""
+        return msgspec.msgpack.decode(data[CHECKSUM_BYTES:], type=SavedExclusions), ""
     except msgspec.MsgspecError as e:
         return None, f"{path}: {e}"
 
 
-def save(path: Path, memory: Memory) -> None:
-    """On the disk when it returns. Raises OSError: then the one before is still there."""
-    data = msgspec.msgpack.encode(memory)
+def save(path: Path, exclusions: SavedExclusions) -> None:
+    """Replaces the file; it is durable on return. Raises OSError; the earlier file then remains."""
+    data = msgspec.msgpack.encode(exclusions)
     new = path.with_name(f"{path.name}.new")
     with open(new, "wb") as f:
-        f.write(blake2b(data, digest_size=SUM).digest() + data)
+        f.write(blake2b(data, digest_size=CHECKSUM_BYTES).digest() + data)
         f.flush()
         os.fsync(f.fileno())
     new.replace(path)
--- a/magpiefront/maintenance/placement.py
+++ b/magpiefront/maintenance/placement.py
@@ -1,7 +1,7 @@
-"""Where the Router puts a popular key, asked of the very hashing that it uses. No I/O.
+"""Finds the servers at which the Router reads a popular key, with the Router's own hashing. No I/O.
 
-Only the points of the ring are needed here: which servers a key comes to first says what it costs to take two
-of them out at once.
+Two machines that together hold all homes of a popular key must not be out at the same time. The positions of
+the servers on the hash ring are enough to tell; loads and caps do not matter.
 """
 
 from __future__ import annotations
@@ -9,55 +9,56 @@
 from collections.abc import Collection, Iterable
 from typing import ClassVar
 
-from magpiefront.brain import SLOTS
-from magpiefront.hashing import nth
+from magpiefront.router import SLOTS_PER_SERVER
+from magpiefront.hashing import nth_hash
 from magpiefront.placement import Placement
 
-HOMES = 2  # a popular key is read at its first homes: it must not lose all of them at once
+HOMES = 2  # a popular key is read at its first homes, and must not lose all of them at once
 
 
 class Ring:
-    """As the Router's of servers of one weight."""
+    """The Router's hash ring, for servers of equal weight."""
 
-    _kept: ClassVar[Ring | None] = None
+    _shared: ClassVar[Ring | None] = None
 
     def __init__(self, nodes: Iterable[str]) -> None:
         self.nodes: set[str] = set()
         self.placement = Placement[str]()
-        self.change_to(set(nodes))
+        self.set_nodes(set(nodes))
 
     @classmethod
-    def of(cls, nodes: Collection[str]) -> Ring:
-        """The one ring that is kept, changed to these nodes, at a cost that follows how many differ. Good
-        until the next call."""
-        if cls._kept is None:
-            cls._kept = cls(())
-        cls._kept.change_to(set(nodes))
-        return cls._kept
+    def for_nodes(cls, nodes: Collection[str]) -> Ring:
+        """Returns a shared ring, changed to these nodes. The cost follows the number of nodes that differ
+        from those of the previous call. The next call changes the same ring again."""
+        if cls._shared is None:
+            cls._shared = cls(())
+        cls._shared.set_nodes(set(nodes))
+        return cls._shared
 
-    def change_to(self, nodes: set[str]) -> None:
+    def set_nodes(self, nodes: set[str]) -> None:
         changed = self.nodes ^ nodes
         for name in self.nodes - nodes:
             self.placement.remove(name)
         for name in sorted(nodes - self.nodes):
-            self.placement.put(name, name, SLOTS)
-        self.placement.end_of_list()
-        self.placement.work(SLOTS * len(changed) + 1)
+            self.placement.put(name, name, SLOTS_PER_SERVER)
+        self.placement.commit_joins()
+        self.placement.apply_pending(SLOTS_PER_SERVER * len(changed) + 1)
         self.nodes = nodes
 
-    def owner(self, h: int) -> str:
-        """Raises LookupError where there are no nodes."""
-        owner = self.placement.owner(h)
+    def owner(self, point: int) -> str:
+        """Returns the node at a point of the ring. Raises LookupError if there are no nodes."""
+        owner = self.placement.owner(point)
         if owner is None:
-            raise LookupError("a ring without nodes")
+            raise LookupError("the ring has no nodes")
         return owner
 
     def homes(self, key: int, count: int = HOMES) -> list[str]:
-        """The first servers that a key comes to, all others at their cap."""
+        """Returns the first `count` different servers in the order of a key's hashes. Other servers are read
+        only when these have reached their caps."""
         found: list[str] = []
         n = 0
         while len(found) < min(count, len(self.nodes)):
-            owner = self.owner(nth(key, n))
+            owner = self.owner(nth_hash(key, n))
             if owner not in found:
                 found.append(owner)
             n += 1
--- a/magpiefront/maintenance/plan.py
+++ b/magpiefront/maintenance/plan.py
@@ -1,6 +1,6 @@
-"""What an operator asks for: machines, what is done to them, a window, and limits. No I/O, no clock.
+"""Maintenance plans: machines, the work on them, a time window and limits. No I/O and no clock.
 
-Times are seconds; those of a window are Unix time, for people write them.
+Times are in seconds. Those of a window are Unix time, because operators write them as dates.
 """
 
 from __future__ import annotations
@@ -9,11 +9,11 @@
 
 import msgspec
 
-MOST_MACHINES = 1_000
+MAX_MACHINES = 1_000
 
 
 class Machine(msgspec.Struct, frozen=True):
-    """A box: cache nodes by their ids in discovery, proxies by their names in the group."""
+    """A physical machine: cache nodes by their ids in discovery, proxies by their names in the group."""
 
     name: str
     nodes: tuple[str, ...] = ()
@@ -22,41 +22,46 @@
 
 
 class Limits(msgspec.Struct, frozen=True):
-    """Of one plan; where several run, each holds for all machines that are out."""
-
-    most_out: int = 1
-    most_zone: int = 1
-    least_left: float = 0.7  # of all nodes, that are in use
-    margin: float = 0.2  # over the highest load of this hour and the next, that the rest has to carry
-    most_load: float = 0.0  # requests in work at one node; 0: not looked at
-    most_drain_s: float = 600.0  # from granted to out; then others go first
+    """Limits of one plan. If several plans run, each limit applies to the unavailable machines of all."""
+
+    most_out: int = 1  # machines that may be unavailable at the same time
+    most_zone: int = 1  # machines of one zone that may be unavailable at the same time
+    least_left: float = 0.7  # share of all nodes that has to stay in use
+    # Share by which the load that the remaining nodes can carry must exceed the peak: the highest load of the
+    # last minute, and of this hour of the day and the next.
+    margin: float = 0.2
+    most_load: float = 0.0  # requests in progress at one node; 0: no limit
+    most_drain_s: float = 600.0  # from draining to out; after that, other machines go first
     most_work_s: float = 3_600.0  # from out to back
-    most_warm_s: float = 300.0  # from back to done
-    spread_s: float = 5.0  # in which the proxies move their keys away, one after the other
-    go_on: bool = False  # after a machine that failed
+    most_warm_s: float = 300.0  # from back to warming, and again from warming to done
+    spread_s: float = 5.0  # time over which the proxies stop sending to a machine, one after the other
+    go_on: bool = False  # whether the plan continues after a machine has failed
 
 
 class Plan(msgspec.Struct, frozen=True):
+    """A maintenance plan as an operator starts it."""
+
     id: str
-    by: str
+    by: str  # the operator
     machines: tuple[str, ...]
-    what: str = ""
-    command: tuple[str, ...] = ()  # none: a person says `done`
+    what: str = ""  # description for operators
+    command: tuple[str, ...] = ()  # if empty, an operator reports `done`
     opens_s: float = 0.0
-    closes_s: float = 0.0  # 0: never
+    closes_s: float = 0.0  # 0: the window does not end
     limits: Limits = Limits()
 
 
 def problems(
     plan: Plan, fleet: Mapping[str, Machine], voters: Iterable[str], taken: Mapping[str, str]
 ) -> list[str]:  # fmt: skip
-    """Why it can't be taken, a line each. `taken`: machines of plans that run, and whose plan that is."""
+    """Returns the reasons why a plan is refused, one text each. `taken` maps machines that are under
+    maintenance to their plans."""
     found: list[str] = []
-    n, voting = plan.limits, set(voters)
+    limits, voting = plan.limits, set(voters)
     if not plan.machines:
         found.append("names no machine")
-    if len(plan.machines) > MOST_MACHINES:
-        found.append(f"names more than {MOST_MACHINES} machines")
+    if len(plan.machines) > MAX_MACHINES:
+        found.append(f"names more than {MAX_MACHINES} machines")
     for name in sorted({m for m in plan.machines if plan.machines.count(m) > 1}):
         found.append(f"names {name} twice")
     for name in dict.fromkeys(plan.machines):
@@ -65,24 +70,25 @@
         elif name in taken:
             found.append(f"{name} is in plan {taken[name]} already")
     for key, least in (("most_out", 1), ("most_zone", 1)):
-        if getattr(n, key) < least:
+        if getattr(limits, key) < least:
             found.append(f"{key}: must be at least {least}")
     for key in ("least_left", "margin"):
-        if not 0 <= getattr(n, key) <= 1:
+        if not 0 <= getattr(limits, key) <= 1:
             found.append(f"{key}: is a share from 0 to 1")
     for key in ("most_drain_s", "most_work_s", "most_warm_s"):
-        if getattr(n, key) <= 0:
+        if getattr(limits, key) <= 0:
             found.append(f"{key}: must be above 0")
     for key in ("most_load", "spread_s"):
-        if getattr(n, key) < 0:
+        if getattr(limits, key) < 0:
             found.append(f"{key}: must not be negative")
     if plan.closes_s and plan.closes_s <= plan.opens_s:
         found.append("its window closes before it opens")
-    return found or _never(plan, fleet, voting)
+    return found or _never_allowed(plan, fleet, voting)
 
 
-def _never(plan: Plan, fleet: Mapping[str, Machine], voters: set[str]) -> list[str]:
-    """Machines that the limits would not let go even alone: such a plan would wait for ever."""
+def _never_allowed(plan: Plan, fleet: Mapping[str, Machine], voters: set[str]) -> list[str]:
+    """Returns a text for each machine that could not leave even if all others were in use. A plan with such a
+    machine would wait forever."""
     nodes = {node for m in fleet.values() for node in m.nodes}
     found = []
     for name in plan.machines:
--- a/magpiefront/maintenance/rules.py
+++ b/magpiefront/maintenance/rules.py
@@ -1,7 +1,7 @@
-"""When the next machine may go, when one is out, and who is called back. No I/O, no clock.
+"""Decides when the next machine may leave use, when the work on it may begin, and which grants are revoked.
 
-All of it is worked out from the agreed facts alone, at the same place of the log, so it comes to the same at
-each member. `why_not` says in words what a machine waits for; an operator reads that very text.
+No I/O and no clock: every decision depends on the replicated state alone and is made at the same position of
+the log, so that all members come to the same result. Operators read the text of `blocking_reason` unchanged.
 """
 
 from __future__ import annotations
@@ -10,431 +10,489 @@
 from collections.abc import Iterable, Mapping
 from functools import cached_property
 
-from magpiefront.brain import HOMES
-from magpiefront.group.facts import Member, State as Standing
-from magpiefront.hashing import bytes_hash, rank
-from magpiefront.maintenance.facts import (
-    COUNTED, LEAVING, Kept, Report, Slot, State, live, move,
-)  # fmt: skip
+from magpiefront.router import HOMES_PER_MEAN_LOAD
+from magpiefront.group.registry import Member, MemberState
+from magpiefront.hashing import bytes_hash, unit_interval
 from magpiefront.maintenance.placement import Ring
 from magpiefront.maintenance.plan import Limits, Machine
+from magpiefront.maintenance.state_machine import (
+    LEAVING, UNAVAILABLE, MaintenanceState, ProxyReport, Job, State, has_active_machines, set_state,
+)  # fmt: skip
 
-MINUTE_S = 60.0
-FRESH_S = 5.0  # a report that is older says nothing of now
-SELDOM_S = 150.0  # ... while nothing goes on, when the hours' loads are all that is wanted
-CALM_S = 2.0  # so long a lost proxy has to be back, or gone, before the next one goes
-# From the end of a lost proxy's session until nothing that it sent can be out any more: the longest deadline
-# that is let count, and what clocks may differ by. It stopped sending by itself before that.
-GONE_S = 5.0
-AHEAD = 2  # times `most_out` machines may be named as the next ones
-TURN_S = 60.0  # who has been the first to wait for others that are out for so long is not overtaken any more
+LOAD_WINDOW_S = 60.0  # a peak of the load counts for this long
+MAX_REPORT_AGE_S = 5.0  # older reports are not used for decisions
+MAX_IDLE_REPORT_AGE_S = 150.0  # while no plan runs, reports are rare and serve only the hourly peaks
+SETTLE_S = 2.0  # no machine leaves for this time after the requests of a lost proxy have ended
+# From the end of a lost proxy's session until none of its requests can be open any more: the longest request
+# deadline that is taken into account, plus the allowed difference of the clocks. The lost proxy itself stops
+# sending to the next machines before that time starts.
+LOST_DRAIN_S = 5.0
+NEXT_FACTOR = 2  # up to this many times `most_out` machines are listed in `MaintenanceState.next`
+MAX_OVERTAKE_S = 60.0  # a machine that has been first in the queue for longer is not overtaken any more
 
 
-def advance(k: Kept, members: Mapping[str, Member]) -> None:
-    """What follows from all that is agreed, at a `Tick`."""
-    _losses(k, members)
-    _peak(k)
-    _call_back(k)  # before any of them is out
-    for slot in sorted(k.slots.values(), key=lambda s: s.epoch):
-        _step(k, slot, members)
-    _next(k)
-    _grant(k, members)
+def advance(state: MaintenanceState, members: Mapping[str, Member]) -> None:
+    """Derives from the replicated state what changes at a `Tick`."""
+    _update_losses(state, members)
+    _update_peaks(state)
+    _revoke_grants(state)  # before any of these machines is out
+    for job in sorted(state.jobs.values(), key=lambda j: j.grant_number):
+        _step(state, job, members)
+    _choose_next(state)
+    _grant(state, members)
 
 
-# ---- who is there
+# ---- members and their reports
 
 
-def proxies(members: Mapping[str, Member]) -> dict[str, Member]:
-    """All that may send to a node, or may have."""
-    return {n: m for n, m in members.items() if m.state is not Standing.LEFT}
+def possible_senders(members: Mapping[str, Member]) -> dict[str, Member]:
+    """Returns the members that may send to nodes, or may still have requests open there."""
+    return {n: m for n, m in members.items() if m.state is not MemberState.LEFT}
 
 
-def _losses(k: Kept, members: Mapping[str, Member]) -> None:
-    lost = {n for n, m in members.items() if m.state is Standing.LOST}
-    k.lost_s = {n: k.lost_s.get(n, k.at_s) for n in sorted(lost)}
-    for known in (k.knows, k.reports):
-        for name in [n for n in known if n not in members or members[n].state is Standing.LEFT]:
+def _update_losses(state: MaintenanceState, members: Mapping[str, Member]) -> None:
+    lost = {n for n, m in members.items() if m.state is MemberState.LOST}
+    state.lost_s = {n: state.lost_s.get(n, state.at_s) for n in sorted(lost)}
+    for known in (state.acknowledged, state.reports):
+        for name in [n for n in known if n not in members or members[n].state is MemberState.LEFT]:
             del known[name]
 
 
-def fresh(k: Kept, most_s: float = FRESH_S) -> dict[str, Report]:
-    return {n: r for n, r in k.reports.items() if k.at_s - r.at_s <= most_s and n not in k.lost_s}
+def recent_reports(state: MaintenanceState, max_age_s: float = MAX_REPORT_AGE_S) -> dict[str, ProxyReport]:
+    """Returns the reports of members that are not lost, up to an age."""
+    return {
+        n: r for n, r in state.reports.items() if state.at_s - r.at_s <= max_age_s and n not in state.lost_s
+    }
 
 
-def load(k: Kept) -> float:
-    """Requests in work at all nodes, from all proxies. While no plan runs they report seldom."""
-    return sum(r.load for r in fresh(k, FRESH_S if live(k) else SELDOM_S).values())
+def total_load(state: MaintenanceState) -> float:
+    """Returns the number of requests in progress at all nodes, from all proxies. While no plan runs, proxies
+    report rarely and older reports count."""
+    return sum(
+        r.load for r in recent_reports(
+            state, MAX_REPORT_AGE_S if has_active_machines(state) else MAX_IDLE_REPORT_AGE_S
+        ).values()
+    )  # fmt: skip
 
 
-def _peak(k: Kept) -> None:
-    """An hour's peak counts from the day after it; of now, the highest load of the last minute."""
-    hour, now = int(k.wall_s // 3_600), load(k)
-    if hour != k.hour:
-        k.peaks[str(k.hour % 24)], k.hour, k.rising = k.rising, hour, 0.0
-    k.rising = max(k.rising, now)
-    if now >= k.high or k.at_s - k.high_s > MINUTE_S:
-        k.high, k.high_s = now, k.at_s
+def _update_peaks(state: MaintenanceState) -> None:
+    """Updates the peaks of the current hour, which is used from the next day on, and of the last minute."""
+    hour, load = int(state.wall_s // 3_600), total_load(state)
+    if hour != state.hour:
+        state.hourly_peaks[str(state.hour % 24)], state.hour, state.hour_peak = state.hour_peak, hour, 0.0
+    state.hour_peak = max(state.hour_peak, load)
+    if load >= state.recent_peak or state.at_s - state.recent_peak_s > LOAD_WINDOW_S:
+        state.recent_peak, state.recent_peak_s = load, state.at_s
 
 
-def failing(k: Kept) -> set[str]:
-    """Nodes that more than half of those who report find failing, or that a person took out anywhere."""
-    told = fresh(k).values()
-    nodes = {n for r in told for n in r.failing}
-    found = {n for n in nodes if 2 * sum(n in r.failing for r in told) > len(told)}
-    return found | {n for r in told for n in r.by_hand}
+def failing_nodes(state: MaintenanceState) -> set[str]:
+    """Returns the nodes that fail by more than half of the reports, or that an operator has excluded at any
+    proxy."""
+    reports = recent_reports(state).values()
+    nodes = {n for r in reports for n in r.failing}
+    found = {n for n in nodes if 2 * sum(n in r.failing for r in reports) > len(reports)}
+    return found | {n for r in reports for n in r.by_hand}
 
 
-# ---- a machine that is under way
+# ---- state changes of one machine
 
 
-def _step(k: Kept, slot: Slot, members: Mapping[str, Member]) -> None:
-    plan = k.plans[slot.plan].plan
-    waited = k.at_s - slot.since_s
-    match slot.state:
+def _step(state: MaintenanceState, job: Job, members: Mapping[str, Member]) -> None:
+    """Moves a job to its next state if the conditions for that hold, or if it took too long."""
+    plan = state.plans[job.plan].plan
+    waited = state.at_s - job.since_s
+    match job.state:
         case State.GRANTED if waited >= plan.limits.spread_s:
-            move(k, slot, State.DRAINING)
-        case State.DRAINING if not open_words(k, slot, members):
-            move(k, slot, State.OUT)
+            set_state(state, job, State.DRAINING)
+        case State.DRAINING if not pending_confirmations(state, job, members):
+            set_state(state, job, State.OUT)
         case State.DRAINING if waited > plan.limits.most_drain_s:
-            # Nothing was done to it. Others go first, for it may take as long the next time.
-            waits = ", ".join(open_words(k, slot, members))
-            move(k, slot, State.ASKED, f"given up: it would not drain for {waits}")
-            slot.asked_s = k.at_s
+            # Nothing was done to it. Other machines go first, because it may take as long again.
+            waits = ", ".join(pending_confirmations(state, job, members))
+            set_state(state, job, State.ASKED, f"given up: it would not drain for {waits}")
+            job.asked_s = state.at_s
         case State.OUT | State.HELD if waited > plan.limits.most_work_s:
-            _failed(k, slot, f"not back after {plan.limits.most_work_s:.0f} s")
-        case State.OUT if slot.runner and not _runs(slot.runner, members):
-            move(k, slot, State.HELD, f"{slot.runner.partition('@')[0]} ran its command and is lost")
-        case State.BACK if not _not_seen(k, slot, members):
-            move(k, slot, State.WARMING)
-        case State.WARMING if not _still_cold(k, slot):
-            move(k, slot, State.DONE)
+            _fail(state, job, f"not back after {plan.limits.most_work_s:.0f} s")
+        case State.OUT if job.runner and not _is_alive(job.runner, members):
+            set_state(state, job, State.HELD, f"{job.runner.partition('@')[0]} ran its command and is lost")
+        case State.BACK if not _not_in_use_by(state, job, members):
+            set_state(state, job, State.WARMING)
+        case State.WARMING if not _is_cold(state, job):
+            set_state(state, job, State.DONE)
         case State.BACK | State.WARMING if waited > plan.limits.most_warm_s:
-            if slot.state is State.BACK:
-                who = ", ".join(_not_seen(k, slot, members))
-                _failed(k, slot, f"not in use {plan.limits.most_warm_s:.0f} s after it was back: {who}")
+            if job.state is State.BACK:
+                names = ", ".join(_not_in_use_by(state, job, members))
+                _fail(state, job, f"not in use {plan.limits.most_warm_s:.0f} s after it was back: {names}")
             else:
-                move(k, slot, State.DONE, "not warm in its time")
+                set_state(state, job, State.DONE, "not warm in its time")
         case _:
             pass
 
 
-def _failed(k: Kept, slot: Slot, cause: str) -> None:
-    move(k, slot, State.FAILED, cause)
-    running = k.plans[slot.plan]
+def _fail(state: MaintenanceState, job: Job, cause: str) -> None:
+    set_state(state, job, State.FAILED, cause)
+    running = state.plans[job.plan]
     if not running.plan.limits.go_on:
-        running.stopped = f"{slot.machine} failed: {cause}"
+        running.stopped = f"{job.machine} failed: {cause}"
 
 
-def _runs(runner: str, members: Mapping[str, Member]) -> bool:
+def _is_alive(runner: str, members: Mapping[str, Member]) -> bool:
+    """Whether the member that began to run a command is alive and still in the same epoch."""
     name, _, epoch = runner.partition("@")
     m = members.get(name)
-    return m is not None and m.state is Standing.WELL and m.epoch == int(epoch)
+    return m is not None and m.state is MemberState.ALIVE and m.epoch == int(epoch)
 
 
-def unaware(k: Kept, slot: Slot, members: Mapping[str, Member]) -> list[str]:
-    """Who might go on sending there when it is cut off."""
-    own = k.fleet[slot.machine].proxies
-    return [n for n in sorted(proxies(members)) if n not in own and k.knows.get(n, 0) < slot.entered]
+def unaware_proxies(state: MaintenanceState, job: Job, members: Mapping[str, Member]) -> list[str]:
+    """Returns the members that would keep sending to the machine if they were cut off, since they have not
+    acknowledged that it is among the next."""
+    own = state.fleet[job.machine].proxies
+    return [
+        n for n in sorted(possible_senders(members))
+        if n not in own and state.acknowledged.get(n, 0) < job.next_version
+    ]  # fmt: skip
 
 
-def open_words(k: Kept, slot: Slot, members: Mapping[str, Member]) -> list[str]:
-    """Whom the machine still waits for, in words: each proxy's word under the epoch that it has; of one that
-    is lost, that it knew in time, and that what it sent has ended. Its own proxies have ended themselves."""
-    own = k.fleet[slot.machine].proxies
+def pending_confirmations(state: MaintenanceState, job: Job, members: Mapping[str, Member]) -> list[str]:
+    """Returns what the machine still waits for before it is out, one text for each proxy. Each proxy has to
+    confirm in its current epoch. A lost proxy must have acknowledged that the machine was next, and its
+    requests must have ended. The machine's own proxies must have ended."""
+    own = state.fleet[job.machine].proxies
     waits = []
-    for name, m in sorted(proxies(members).items()):
-        if m.state is Standing.LOST:
+    for name, m in sorted(possible_senders(members).items()):
+        if m.state is MemberState.LOST:
             if name in own:
                 continue
-            if name in unaware(k, slot, members):
+            if name in unaware_proxies(state, job, members):
                 waits.append(f"{name}, which is lost and may not know that it was next")
-            elif k.at_s - k.lost_s.get(name, k.at_s) < GONE_S:
+            elif state.at_s - state.lost_s.get(name, state.at_s) < LOST_DRAIN_S:
                 waits.append(f"{name}, which has just been lost")
         elif name in own:
             waits.append(f"{name}, which has to end")
-        elif slot.words.get(name) != m.epoch:
+        elif job.confirmations.get(name) != m.epoch:
             waits.append(name)
     return waits
 
 
-def _not_seen(k: Kept, slot: Slot, members: Mapping[str, Member]) -> list[str]:
-    """Who has not reported since, or finds one of its nodes failing; its own proxies have to be well."""
-    machine = k.fleet[slot.machine]
-    found = [n for n in machine.proxies if n in members and members[n].state is not Standing.WELL]
-    for name, m in proxies(members).items():
-        if m.state is Standing.WELL:
-            r = k.reports.get(name)
-            bad = set(r.failing) | set(r.by_hand) if r is not None else set()
-            if r is None or r.at_s <= slot.since_s or bad & set(machine.nodes):
+def _not_in_use_by(state: MaintenanceState, job: Job, members: Mapping[str, Member]) -> list[str]:
+    """Returns the members that have not reported since the machine came back, or that find one of its nodes
+    failing, and those of its own proxies that are not alive."""
+    machine = state.fleet[job.machine]
+    found = [n for n in machine.proxies if n in members and members[n].state is not MemberState.ALIVE]
+    for name, m in possible_senders(members).items():
+        if m.state is MemberState.ALIVE:
+            r = state.reports.get(name)
+            failing = set(r.failing) | set(r.by_hand) if r is not None else set()
+            if r is None or r.at_s <= job.since_s or failing & set(machine.nodes):
                 found.append(name)
     return found
 
 
-def _still_cold(k: Kept, slot: Slot) -> bool:
-    nodes = set(k.fleet[slot.machine].nodes)
-    told = [r for r in fresh(k).values() if r.at_s > slot.since_s]
-    return not told or any(nodes & set(r.cold) or nodes & set(r.failing) for r in told)
+def _is_cold(state: MaintenanceState, job: Job) -> bool:
+    """Whether a recent report says that a node of the machine is cold or failing, or no member has reported
+    since the state of the job changed."""
+    nodes = set(state.fleet[job.machine].nodes)
+    reports = [r for r in recent_reports(state).values() if r.at_s > job.since_s]
+    return not reports or any(nodes & set(r.cold) or nodes & set(r.failing) for r in reports)
 
 
-# ---- the limits
+# ---- limits
 
 
-def counted(k: Kept) -> list[Slot]:
-    return [s for s in k.slots.values() if s.state in COUNTED]
+def unavailable_jobs(state: MaintenanceState) -> list[Job]:
+    """Returns the jobs whose machines count against the limits."""
+    return [j for j in state.jobs.values() if j.state in UNAVAILABLE]
 
 
-def broken(k: Kept) -> list[Machine]:
-    """Machines out by themselves: a node of theirs fails, and no plan has them out."""
-    bad, out = failing(k), {s.machine for s in counted(k)}
-    if not bad:
+def failing_machines(state: MaintenanceState) -> list[Machine]:
+    """Returns the machines with a failing node that no plan makes unavailable."""
+    failing, unavailable = failing_nodes(state), {j.machine for j in unavailable_jobs(state)}
+    if not failing:
         return []
-    return [m for m in k.fleet.values() if bad.intersection(m.nodes) and m.name not in out]
+    return [m for m in state.fleet.values() if failing.intersection(m.nodes) and m.name not in unavailable]
 
 
-class Around:
-    """Beside what each one that waits is looked at: worked out once for all, until another one goes."""
+class GrantContext:
+    """Values that are the same for each waiting machine. The popular keys are computed once, at their first
+    use; the rest is computed at the start and again after each grant."""
 
-    def __init__(self, k: Kept) -> None:
-        self.k = k
-        self.look()
+    def __init__(self, state: MaintenanceState) -> None:
+        self.state = state
+        self.refresh()
 
-    def look(self) -> None:
-        self.out, self.bad = counted(self.k), broken(self.k)
+    def refresh(self) -> None:
+        self.unavailable, self.failing = unavailable_jobs(self.state), failing_machines(self.state)
 
     @cached_property
-    def popular(self) -> frozenset[int]:
-        return popular(self.k)
+    def popular_keys(self) -> frozenset[int]:
+        return popular_keys(self.state)
 
 
-def over_limits(k: Kept, n: Limits, away: Iterable[Machine]) -> str:
-    """Which limit these machines out together would break; empty: none."""
-    away = list({m.name: m for m in away}.values())
-    if len(away) > n.most_out:
-        return f"{len(away) - 1} are out, and most_out is {n.most_out}"
-    zones = [m.zone for m in away if m.zone]
+def exceeded_limit(state: MaintenanceState, limits: Limits, unavailable: Iterable[Machine]) -> str:
+    """Returns which limit is exceeded if these machines are unavailable at the same time, or ""."""
+    unavailable = list({m.name: m for m in unavailable}.values())
+    if len(unavailable) > limits.most_out:
+        return f"{len(unavailable) - 1} are out, and most_out is {limits.most_out}"
+    zones = [m.zone for m in unavailable if m.zone]
     for zone in sorted(set(zones)):
-        if zones.count(zone) > n.most_zone:
-            return f"{zones.count(zone) - 1} of zone {zone} are out, and most_zone is {n.most_zone}"
-    return short_of_room(k, n, away)
+        if zones.count(zone) > limits.most_zone:
+            return f"{zones.count(zone) - 1} of zone {zone} are out, and most_zone is {limits.most_zone}"
+    return capacity_shortfall(state, limits, unavailable)
 
 
-def short_of_room(k: Kept, n: Limits, away: Iterable[Machine]) -> str:
-    """Whether what is left can carry the load."""
-    nodes = {node for m in k.fleet.values() for node in m.nodes}
-    gone = {node for m in away for node in m.nodes}
+def capacity_shortfall(state: MaintenanceState, limits: Limits, unavailable: Iterable[Machine]) -> str:
+    """Returns why the nodes that are left could not carry the load, or ""."""
+    nodes = {node for m in state.fleet.values() for node in m.nodes}
+    unavailable_nodes = {node for m in unavailable for node in m.nodes}
     if not nodes:
         return ""
-    left = len(nodes - gone)
-    if left < n.least_left * len(nodes):
-        return f"{left} of {len(nodes)} nodes would be left, and least_left is {n.least_left:.0%}"
-    peak = max(k.high, k.peaks.get(str(k.hour % 24), 0.0), k.peaks.get(str((k.hour + 1) % 24), 0.0))
-    if n.most_load and peak * (1 + n.margin) > n.most_load * left:
-        return f"a load of {peak:.1f} and {n.margin:.0%} more is too much for {left} nodes"
+    left = len(nodes - unavailable_nodes)
+    if left < limits.least_left * len(nodes):
+        return f"{left} of {len(nodes)} nodes would be left, and least_left is {limits.least_left:.0%}"
+    peak = max(
+        state.recent_peak,
+        state.hourly_peaks.get(str(state.hour % 24), 0.0),
+        state.hourly_peaks.get(str((state.hour + 1) % 24), 0.0),
+    )
+    if limits.most_load and peak * (1 + limits.margin) > limits.most_load * left:
+        return f"a load of {peak:.1f} and {limits.margin:.0%} more is too much for {left} nodes"
     return ""
 
 
-def popular(k: Kept) -> frozenset[int]:
-    """Keys that draw so much of all proxies' reads that the Router gives them several homes. What one proxy
-    alone counts says little where hundreds see a few requests each; one that tells no counts is believed."""
-    asked, bare, reads = Counter[int](), set[int](), 0
-    for r in fresh(k).values():
-        reads += r.reads
-        if r.asked:
-            asked.update(dict(zip(r.popular, r.asked, strict=False)))
+def popular_keys(state: MaintenanceState) -> frozenset[int]:
+    """Returns the keys whose share of all proxies' reads makes the Router use several homes. The counts of
+    all proxies are added, because with hundreds of proxies a single one sees too few requests for a key. Keys
+    that are reported without counts are all included."""
+    counts, uncounted, reads = Counter[int](), set[int](), 0
+    for r in recent_reports(state).values():
+        reads += r.read_count
+        if r.popular_counts:
+            counts.update(dict(zip(r.popular, r.popular_counts, strict=False)))
         else:
-            bare.update(r.popular)
-    nodes = len({node for m in k.fleet.values() for node in m.nodes})
-    return frozenset(bare | {key for key, n in asked.items() if HOMES * nodes * n >= reads})
-
-
-def _shared_homes(k: Kept, machine: Machine, away: Iterable[Machine], now: Around) -> str:
-    """Two machines that between them hold all first homes of a key that many ask for: its readers would all
-    go to the archive."""
-    mine = set(machine.nodes)
-    gone = {node: m.name for m in away for node in m.nodes}
-    if not gone or not mine or not now.popular:
+            uncounted.update(r.popular)
+    nodes = len({node for m in state.fleet.values() for node in m.nodes})
+    return frozenset(
+        uncounted | {key for key, n in counts.items() if HOMES_PER_MEAN_LOAD * nodes * n >= reads}
+    )
+
+
+def _shared_homes(
+    state: MaintenanceState, machine: Machine, unavailable: Iterable[Machine], context: GrantContext
+) -> str:  # fmt: skip
+    """Names an unavailable machine that, together with `machine`, holds all homes of a popular key, or
+    returns "". While both are out, all readers of the key would go to the archive."""
+    own_nodes = set(machine.nodes)
+    unavailable_nodes = {node: m.name for m in unavailable for node in m.nodes}
+    if not unavailable_nodes or not own_nodes or not context.popular_keys:
         return ""
-    ring = Ring.of({node for m in k.fleet.values() for node in m.nodes})
-    for key in sorted(now.popular):
+    ring = Ring.for_nodes({node for m in state.fleet.values() for node in m.nodes})
+    for key in sorted(context.popular_keys):
         homes = set(ring.homes(key))
-        if homes & mine and homes & set(gone) and homes <= mine | set(gone):
-            other = gone[min(homes & set(gone))]
+        if (
+            homes & own_nodes
+            and homes & set(unavailable_nodes)
+            and homes <= own_nodes | set(unavailable_nodes)
+        ):
+            other = unavailable_nodes[min(homes & set(unavailable_nodes))]
             return f"{other} is out, and the two hold the homes of a popular key"
     return ""
 
 
-def _voters(k: Kept, machine: Machine, members: Mapping[str, Member], voters: frozenset[str]) -> str:
+def _missing_majority(
+    state: MaintenanceState, machine: Machine, members: Mapping[str, Member], voters: frozenset[str]
+) -> str:  # fmt: skip
+    """Returns why the group would lose its majority of voters, or ""."""
     if not voters & set(machine.proxies):
         return ""
-    well = {n for n in voters if n in members and members[n].state is Standing.WELL}
-    left = well - set(machine.proxies)
+    alive = {n for n in voters if n in members and members[n].state is MemberState.ALIVE}
+    left = alive - set(machine.proxies)
     if 2 * len(left) <= len(voters):
         return f"{len(left)} of {len(voters)} voters would be left"
     return ""
 
 
-def not_calm(k: Kept, members: Mapping[str, Member]) -> str:
-    """Why none may go now, whichever it is."""
-    own = {p for s in counted(k) for p in k.fleet[s.machine].proxies}
-    told = fresh(k)
-    for name, m in sorted(proxies(members).items()):
-        if m.state is Standing.LOST:
-            if name not in own and k.at_s - k.lost_s.get(name, k.at_s) < GONE_S + CALM_S:
+def unsettled_reason(state: MaintenanceState, members: Mapping[str, Member]) -> str:
+    """Returns why no machine at all may leave now, or ""."""
+    own = {p for j in unavailable_jobs(state) for p in state.fleet[j.machine].proxies}
+    reports = recent_reports(state)
+    for name, m in sorted(possible_senders(members).items()):
+        if m.state is MemberState.LOST:
+            if name not in own and state.at_s - state.lost_s.get(name, state.at_s) < LOST_DRAIN_S + SETTLE_S:
                 return f"{name} has just been lost"
-        elif name not in told:
-            return f"{name} has not reported for {FRESH_S:.0f} s"
-        elif told[name].why:
-            return f"{name}: {told[name].why}"
-    if len({r.listed for r in told.values()}) > 1:
+        elif name not in reports:
+            return f"{name} has not reported for {MAX_REPORT_AGE_S:.0f} s"
+        elif reports[name].reason:
+            return f"{name}: {reports[name].reason}"
+    if len({r.list_hash for r in reports.values()}) > 1:
         return "proxies hold different lists"
-    cold = {n for r in told.values() for n in r.cold}
+    cold = {n for r in reports.values() for n in r.cold}
     if cold:
         return f"{min(cold)} is cold"
     return ""
 
 
-def why_not(k: Kept, slot: Slot, members: Mapping[str, Member]) -> str:
-    """What a machine waits for before it may go, in one sentence; empty: nothing."""
-    return _for_plan(k, slot) or not_calm(k, members) or _for_it(k, slot, members, Around(k))
+def blocking_reason(state: MaintenanceState, job: Job, members: Mapping[str, Member]) -> str:
+    """Returns what a machine waits for before it may leave, in one sentence, or ""."""
+    return (
+        _plan_blocking_reason(state, job)
+        or unsettled_reason(state, members)
+        or _machine_blocking_reason(state, job, members, GrantContext(state))
+    )
 
 
-def waits_for(k: Kept, slot: Slot, members: Mapping[str, Member]) -> str:
-    """What has to come before the next state; empty where nothing has."""
-    match slot.state:
+def waits_for(state: MaintenanceState, job: Job, members: Mapping[str, Member]) -> str:
+    """Returns what a machine in any state waits for, or ""."""
+    match job.state:
         case State.ASKED:
-            return why_not(k, slot, members)
+            return blocking_reason(state, job, members)
         case State.GRANTED:
             return "the proxies move its keys away"
         case State.DRAINING:
-            return ", ".join(open_words(k, slot, members))
-        case State.OUT if slot.runner:
-            return f"the command that {slot.runner.partition('@')[0]} runs"
+            return ", ".join(pending_confirmations(state, job, members))
+        case State.OUT if job.runner:
+            return f"the command that {job.runner.partition('@')[0]} runs"
         case State.OUT:
-            command = k.plans[slot.plan].plan.command
-            return "a member to run its command" if command else "a person to say `done`"
+            command = state.plans[job.plan].plan.command
+            return "a member to run its command" if command else "an operator's `done`"
         case State.HELD:
-            return f"a person to say `done` or `retry`: {slot.cause}"
+            return f"an operator's `done` or `retry`: {job.cause}"
         case State.BACK:
-            return "to be found well by " + ", ".join(_not_seen(k, slot, members))
+            return "to be found well by " + ", ".join(_not_in_use_by(state, job, members))
         case State.WARMING:
             return "its nodes to be warm"
         case State.FAILED:
-            return f"a person to say `done` or `retry`: {slot.cause}"
+            return f"an operator's `done` or `retry`: {job.cause}"
         case _:
             return ""
 
 
-def runner_of(k: Kept, slot: Slot, members: Mapping[str, Member]) -> str:
-    """Who is to run the machine's command: a member that is well and on none of the machines that are out,
-    another one for each machine. Empty: nobody, or it has been begun."""
-    if slot.state is not State.OUT or slot.runner or not k.plans[slot.plan].plan.command:
+def assigned_runner(state: MaintenanceState, job: Job, members: Mapping[str, Member]) -> str:
+    """Returns the member that has to run the machine's command, or "" if there is none or the command was
+    started. It is alive, not on a machine that is out, and chosen by a hash for each machine."""
+    if job.state is not State.OUT or job.runner or not state.plans[job.plan].plan.command:
         return ""
-    away = {p for s in counted(k) for p in k.fleet[s.machine].proxies}
-    well = [n for n, m in members.items() if m.state is Standing.WELL and n not in away]
-    return min(well, key=lambda n: rank(bytes_hash(f"{n} {slot.machine}".encode())), default="")
+    unavailable = {p for j in unavailable_jobs(state) for p in state.fleet[j.machine].proxies}
+    alive = [n for n, m in members.items() if m.state is MemberState.ALIVE and n not in unavailable]
+    return min(alive, key=lambda n: unit_interval(bytes_hash(f"{n} {job.machine}".encode())), default="")
 
 
-def _for_plan(k: Kept, slot: Slot) -> str:
-    running = k.plans[slot.plan]
+def _plan_blocking_reason(state: MaintenanceState, job: Job) -> str:
+    running = state.plans[job.plan]
     plan = running.plan
     if running.paused:
         return f"{plan.id} is paused by {running.paused}"
     if running.stopped:
         return f"{plan.id} has stopped: {running.stopped}"
-    if k.wall_s < plan.opens_s:
-        return f"the window of {plan.id} opens in {plan.opens_s - k.wall_s:.0f} s"
-    if plan.closes_s and k.wall_s + plan.limits.most_work_s > plan.closes_s:
+    if state.wall_s < plan.opens_s:
+        return f"the window of {plan.id} opens in {plan.opens_s - state.wall_s:.0f} s"
+    if plan.closes_s and state.wall_s + plan.limits.most_work_s > plan.closes_s:
         return f"the window of {plan.id} closes before the work would have to end"
     return ""
 
 
-def _for_it(k: Kept, slot: Slot, members: Mapping[str, Member], now: Around) -> str:
-    machine = k.fleet[slot.machine]
-    away = [m for m in (*(k.fleet[s.machine] for s in now.out), *now.bad) if m.name != machine.name]
-    for limits in _limits(k, slot, now.out):
-        found = over_limits(k, limits, [*away, machine])
-        if found:
-            return found
-    found = _voters(k, machine, members, voters_of(k)) or _shared_homes(k, machine, away, now)
-    if found:
-        return found
-    if slot.machine not in k.next:
+def _machine_blocking_reason(
+    state: MaintenanceState, job: Job, members: Mapping[str, Member], context: GrantContext
+) -> str:  # fmt: skip
+    machine = state.fleet[job.machine]
+    unavailable = [
+        m for m in (*(state.fleet[j.machine] for j in context.unavailable), *context.failing)
+        if m.name != machine.name
+    ]  # fmt: skip
+    for limits in _applicable_limits(state, job, context.unavailable):
+        reason = exceeded_limit(state, limits, [*unavailable, machine])
+        if reason:
+            return reason
+    reason = _missing_majority(state, machine, members, voters_of(state)) or _shared_homes(
+        state, machine, unavailable, context
+    )
+    if reason:
+        return reason
+    if job.machine not in state.next:
         return "others are next"
-    for name in unaware(k, slot, members):
+    for name in unaware_proxies(state, job, members):
         return f"{name} does not know yet that it is next"
     return ""
 
 
-def voters_of(k: Kept) -> frozenset[str]:
-    return frozenset(v for running in k.plans.values() for v in running.voters)
+def voters_of(state: MaintenanceState) -> frozenset[str]:
+    return frozenset(v for running in state.plans.values() for v in running.voters)
 
 
-def _limits(k: Kept, slot: Slot, out: Iterable[Slot]) -> list[Limits]:
-    """Its own plan's, and those of the plans whose machines are out: each holds for all of them."""
-    plans = {slot.plan, *(s.plan for s in out)}
-    return [k.plans[p].plan.limits for p in sorted(plans)]
+def _applicable_limits(state: MaintenanceState, job: Job, unavailable: Iterable[Job]) -> list[Limits]:
+    """Returns the limits of the machine's own plan and of each plan with an unavailable machine. Each applies
+    to all these machines together."""
+    plans = {job.plan, *(j.plan for j in unavailable)}
+    return [state.plans[p].plan.limits for p in sorted(plans)]
 
 
-# ---- the order
+# ---- order of the machines
 
 
-def waiting(k: Kept) -> list[Slot]:
-    """Who has waited longest first; of one plan in its order."""
-    order = {name: i for r in k.plans.values() for i, name in enumerate(r.plan.machines)}
-    asked = [s for s in k.slots.values() if s.state is State.ASKED]
-    return sorted(asked, key=lambda s: (s.asked_s, s.plan, order.get(s.machine, 0), s.machine))
+def waiting_jobs(state: MaintenanceState) -> list[Job]:
+    """Returns the jobs that wait for a grant, longest wait first, those of one plan in its order."""
+    order = {name: i for r in state.plans.values() for i, name in enumerate(r.plan.machines)}
+    asked = [j for j in state.jobs.values() if j.state is State.ASKED]
+    return sorted(asked, key=lambda j: (j.asked_s, j.plan, order.get(j.machine, 0), j.machine))
 
 
-def _grant(k: Kept, members: Mapping[str, Member]) -> None:
-    """All that may go at this moment. A machine that has to wait for another one that is out may be
-    overtaken, but not for long once it is the first that does: else those that are never out together with it
-    could keep it waiting for ever. While anything waits for one that is out, that one is on its way: a plan
-    is never longer than its machines take one after the other."""
-    if not k.next or not_calm(k, members):
+def _grant(state: MaintenanceState, members: Mapping[str, Member]) -> None:
+    """Grants all machines that may leave now. The first machine that has to wait for one that is out may be
+    overtaken by others, but only for a limited time. Otherwise machines that can't be out together with it
+    could keep it waiting forever. Since a machine only waits while another one makes progress, a plan never
+    takes longer than its machines would take one after the other."""
+    if not state.next or unsettled_reason(state, members):
         return
-    now, first = Around(k), True
-    for slot in waiting(k):
-        if slot.machine not in k.next or _for_plan(k, slot):
+    context, is_first = GrantContext(state), True
+    for job in waiting_jobs(state):
+        if job.machine not in state.next or _plan_blocking_reason(state, job):
             continue
-        slot.cause = _for_it(k, slot, members, now)
-        if not slot.cause:
-            k.epoch += 1
-            slot.epoch = k.epoch
-            move(k, slot, State.GRANTED)
-            now.look()
-        elif first and now.out:
-            first, slot.first_s = False, slot.first_s or k.at_s
-            if k.at_s - slot.first_s > TURN_S:
+        job.cause = _machine_blocking_reason(state, job, members, context)
+        if not job.cause:
+            state.last_grant_number += 1
+            job.grant_number = state.last_grant_number
+            set_state(state, job, State.GRANTED)
+            context.refresh()
+        elif is_first and context.unavailable:
+            is_first, job.first_waiting_s = False, job.first_waiting_s or state.at_s
+            if state.at_s - job.first_waiting_s > MAX_OVERTAKE_S:
                 return
 
 
-def _next(k: Kept) -> None:
-    """Names the machines that may be granted next, before any is: who is cut off stops sending to these by
-    itself. Few, for it may go on with all others for as long as it likes."""
-    most = max((r.plan.limits.most_out for r in k.plans.values()), default=1)
-    found = [s for s in waiting(k) if not k.plans[s.plan].paused and not k.plans[s.plan].stopped]
-    stay = [s for s in found if s.machine in k.next]
-    new = [s for s in found if s.machine not in k.next]
-    chosen = (stay + new)[: AHEAD * most]
-    names = tuple(sorted(s.machine for s in chosen))
-    if names != k.next:
-        k.version += 1
-        for slot in chosen:
-            if slot.machine not in k.next:
-                slot.entered = k.version
-        k.next = names
-
-
-def _call_back(k: Kept) -> None:
-    """Load has risen, or something else has failed, while machines leave: those that are not yet out stay,
-    the last one that was granted first, until what is left is enough."""
+def _choose_next(state: MaintenanceState) -> None:
+    """Chooses the machines that may be granted next. A proxy that is cut off afterwards stops sending to them
+    by itself. Only a few are chosen, so that such a proxy can keep using all others."""
+    most_out = max((r.plan.limits.most_out for r in state.plans.values()), default=1)
+    found = [
+        j for j in waiting_jobs(state)
+        if not state.plans[j.plan].paused and not state.plans[j.plan].stopped
+    ]  # fmt: skip
+    earlier = [j for j in found if j.machine in state.next]
+    new = [j for j in found if j.machine not in state.next]
+    chosen = (earlier + new)[: NEXT_FACTOR * most_out]
+    names = tuple(sorted(j.machine for j in chosen))
+    if names != state.next:
+        state.version += 1
+        for job in chosen:
+            if job.machine not in state.next:
+                job.next_version = state.version
+        state.next = names
+
+
+def _revoke_grants(state: MaintenanceState) -> None:
+    """Revokes grants of machines that are not yet out, the latest grant first, until the limits hold again.
+    This is needed if the load rises or another machine fails while machines are leaving."""
     while True:
-        leaving = sorted((s for s in k.slots.values() if s.state in LEAVING), key=lambda s: -s.epoch)
+        leaving = sorted(
+            (j for j in state.jobs.values() if j.state in LEAVING), key=lambda j: -j.grant_number
+        )
         if not leaving:
             return
-        out, last = counted(k), leaving[0]
-        away = [k.fleet[s.machine] for s in out] + broken(k)
-        why = next(filter(None, (over_limits(k, n, away) for n in _limits(k, last, out))), "")
-        if not why:
+        unavailable, last = unavailable_jobs(state), leaving[0]
+        machines = [state.fleet[j.machine] for j in unavailable] + failing_machines(state)
+        reason = next(
+            filter(None, (exceeded_limit(state, limits, machines)
+                          for limits in _applicable_limits(state, last, unavailable))), "",
+        )  # fmt: skip
+        if not reason:
             return
-        move(k, last, State.ASKED, f"called back: {why}")
+        set_state(state, last, State.ASKED, f"called back: {reason}")
