--- a/magpiefront/maintenance/service.py
+++ b/magpiefront/maintenance/service.py
@@ -1,7 +1,8 @@
-"""One proxy's part in the maintenance of machines: carries out what the agreed facts and its view say.
+"""Runs machine maintenance at one proxy, as the replicated state and the proxy's exclusions require.
 
-It leaves nodes out and takes them up again, says so to the others, ends itself where its own machine goes,
-runs the operator's command where it is the one to do so, and, at who leads, says what time it is.
+The service excludes and includes nodes, proposes confirmations and reports, ends the process if its own
+machine leaves, runs the operator's command if it is assigned to this member, and proposes ticks at the
+leader.
 """
 
 from __future__ import annotations
@@ -12,113 +13,129 @@
 from collections.abc import Callable, Mapping
 from random import Random
 
-from magpiefront.group.asks import Fate, Outcome
-from magpiefront.group.facts import Member
-from magpiefront.group.seam import Group
-from magpiefront.interface import Outcome as Ended_
-from magpiefront.maintenance import facts, memory, rules, runner
-from magpiefront.maintenance.facts import Board, Command, Slot, State
-from magpiefront.maintenance.looking import Looking
-from magpiefront.maintenance.seen import HitShares, report
+from magpiefront.group.pending import Outcome, Status
+from magpiefront.group.registry import Member
+from magpiefront.group.interface import Group
+from magpiefront.interface import Outcome as AttemptOutcome
+from magpiefront.maintenance import memory, rules, runner, state_machine
+from magpiefront.maintenance.exclusions import ExclusionView
+from magpiefront.maintenance.pool_guard import PoolGuard
+from magpiefront.maintenance.reports import HitRatios, build_report
 from magpiefront.maintenance.settings import MaintenanceSettings
-from magpiefront.maintenance.view import View
+from magpiefront.maintenance.state_machine import Command, MaintenanceStateMachine, Job, State
 from magpiefront.net.answer import Answer
-from magpiefront.net.figures import lines
+from magpiefront.net.metrics import metric_lines
 from magpiefront.net.proxy import Proxy
-from magpiefront.net.traced import TracedAttempt
+from magpiefront.net.guarded_attempt import GuardedAttempt
 
-MACHINE = "maintenance"  # of the group's log
-LOOK_S, REST_S = 0.05, 1.0
-TICK_US, REPORT_US, SELDOM_US = 500_000, 1_000_000, 60_000_000
-ASK_US, AGAIN_US = 2_000_000, 1_000_000
-# So long after the end of its session a proxy that is cut off ends what is still open at machines that may be
-# out: the others wait `rules.GONE_S` from a later moment on.
-CUT_US = 4_000_000
-MOST_CAUSE = 300
+STATE_MACHINE = "maintenance"  # name of the state machine in the group's log, and prefix of the metrics
+ACTIVE_INTERVAL_S, IDLE_INTERVAL_S = 0.05, 1.0  # between two updates
+# Between two ticks, and between two reports, while a plan runs; and between two of either while none does.
+TICK_US, REPORT_US, IDLE_US = 500_000, 1_000_000, 60_000_000
+# Until a command or a read of the group times out; and after a failed save or a proposal of `FinishWork`.
+COMMAND_TIMEOUT_US, RETRY_DELAY_US = 2_000_000, 1_000_000
+# After the end of its session, a proxy that is cut off waits this long and then aborts its connections to the
+# machines that may be out. The other members wait `rules.LOST_DRAIN_S`, starting later.
+ABORT_DELAY_US = 4_000_000
+MAX_CAUSE_CHARS = 300
 
 
-class LiveBoard(Board):
-    def __init__(self, members: Callable[[], Mapping[str, Member]], applied: Callable[[], None]) -> None:
+class NotifyingStateMachine(MaintenanceStateMachine):
+    """Calls `on_change` after each change of the state."""
+
+    def __init__(self, members: Callable[[], Mapping[str, Member]], on_change: Callable[[], None]) -> None:
         super().__init__(members, rules.advance)
-        self.applied = applied
+        self.on_change = on_change
 
     def apply(self, index: int, origin: str, data: bytes) -> bytes:
-        told = super().apply(index, origin, data)
-        self.applied()
-        return told
+        result = super().apply(index, origin, data)
+        self.on_change()
+        return result
 
-    def begin(self) -> None:
-        super().begin()
-        self.applied()
+    def reset(self) -> None:
+        super().reset()
+        self.on_change()
 
     def restore(self, data: bytes) -> None:
         super().restore(data)
-        self.applied()
+        self.on_change()
+
 
+class CountingAttempt(GuardedAttempt):
+    """Counts cache hits and misses by node."""
 
-class CountingAttempt(TracedAttempt):
     __slots__ = ()
-    shares: HitShares
+    hit_ratios: HitRatios
 
-    def report(self, outcome: Ended_, answer: Answer | None) -> None:
-        if outcome is Ended_.OK and answer is not None and answer.note:
-            self.shares.count(self.node.name, answer.note == 1)
+    def report(self, outcome: AttemptOutcome, answer: Answer | None) -> None:
+        if outcome is AttemptOutcome.OK and answer is not None and answer.cache_result:
+            self.hit_ratios.count(self.node.name, answer.cache_result == 1)
         super().report(outcome, answer)
 
 
 class MaintenanceService:
-    """`end` is this process's planned end, as by SIGTERM."""
+    """Maintenance at one proxy. `shut_down` starts the orderly shutdown of the process, as SIGTERM does."""
 
     def __init__(
-        self, proxy: Proxy, group: Group, settings: MaintenanceSettings, seed: int, end: Callable[[], None]
+        self, proxy: Proxy, group: Group, settings: MaintenanceSettings, seed: int,
+        shut_down: Callable[[], None],
     ) -> None:  # fmt: skip
-        self.proxy, self.group, self.settings, self.end = proxy, group, settings, end
+        self.proxy, self.group, self.settings, self.shut_down = proxy, group, settings, shut_down
         self.random = Random(f"{seed} maintenance")
-        self.board = LiveBoard(group.members, self._applied)
-        group.register(MACHINE, self.board)
-        self.view = View(settings.member, None)
-        self.looking = Looking(proxy.pool, self.may_send)
-        self.shares = HitShares()
-        proxy.attempt_type = type("Attempt", (CountingAttempt,), {"__slots__": (), "shares": self.shares})
+        self.replica = NotifyingStateMachine(group.members, self._on_change)
+        group.register(STATE_MACHINE, self.replica)
+        self.view = ExclusionView(settings.member, None)
+        self.guard = PoolGuard(proxy.pool, self.may_send)
+        self.hit_ratios = HitRatios()
+        proxy.attempt_type = type(
+            "Attempt", (CountingAttempt,), {"__slots__": (), "hit_ratios": self.hit_ratios}
+        )
         self.counts: Counter[str] = Counter()
-        self.away: set[str] = set()  # nodes left out by agreement
-        self.misplaced: set[str] = set()  # ... because they are listed where one stood that is out
-        self.hand: set[str] = set()  # ... and by a person, here
-        self.load = self.samples = 0.0
-        self.reading = 0  # the epoch in which a read is under way
-        self.heard_us = 0  # when it was last known to be up to date
-        self.seen = (-1, -1)
-        self.ticked_us = proxy.now_us()  # when the last tick was applied here
-        self.tick_us = self.report_us = 0  # when the last one was sent
-        self.saving = self.ending = self.stopped = self.soon = False
-        self.save_us = 0
+        self.excluded: set[str] = set()  # nodes that are excluded for maintenance
+        # Those of them that discovery lists at an address that was saved for another node.
+        self.misplaced: set[str] = set()
+        self.excluded_by_hand: set[str] = set()  # nodes that an operator has excluded at this proxy
+        self.load_sum = self.samples = 0.0  # of the requests in progress, since the last report
+        self.read_epoch = 0  # the member epoch in which a read is in progress; 0: none is
+        self.last_current_us = 0  # when the exclusions were last known to be up to date
+        self.seen_versions = (-1, -1)  # the `ticks` and `line_count` of the state at its last change
+        self.last_tick_us = proxy.now_us()  # when the latest tick was applied here
+        self.tick_sent_us = self.report_sent_us = 0
+        self.is_saving = self.is_ending = self.is_stopped = self.update_is_scheduled = False
+        self.next_save_us = 0
         self.timer: asyncio.TimerHandle | None = None
-        # Does a process go on that this one follows? It may have something out: nothing is said for it.
-        self.before: Callable[[], bool] = lambda: False
-        self.began_us: dict[tuple[str, int, float], int] = {}
+        # Whether the process that handed over to this one still runs. It may have requests open, so that this
+        # process must not confirm anything.
+        self.predecessor_is_running: Callable[[], bool] = lambda: False
+        # When `BeginWork` was last proposed for a machine, and the task that runs its command. A key holds
+        # the machine, the number of the grant, and since when the machine is out, which is new for a retry.
+        self.begin_sent_us: dict[tuple[str, int, float], int] = {}
         self.tasks: dict[tuple[str, int, float], asyncio.Task[None]] = {}
 
-    # ---- life
+    # ---- lifecycle
 
     def start(self) -> None:
-        """Before the first request."""
+        """Loads the saved exclusions. Has to be called before the first request."""
         found, cause = memory.load(self.settings.path)
-        self.view.memory = found
+        self.view.saved = found
         if cause:
-            self.proxy.log(f"maintenance: {cause}; nothing is served before the group has been heard")
-        self.report_us = self.proxy.now_us() - int(SELDOM_US * self.random.random())
+            self.proxy.log(
+                f"maintenance: {cause}; no requests are served until the group's state has been read"
+            )
+        self.report_sent_us = self.proxy.now_us() - int(IDLE_US * self.random.random())
         self.group.watch(self.wake)
-        self._look()
+        self._update()
 
     def stop(self) -> None:
-        """A command that runs goes on: to end it in the middle could do more harm than nobody's waiting."""
-        self.stopped = True
+        """Stops the service. Commands keep running: to end one halfway could do more harm than to leave it
+        without anyone waiting for it."""
+        self.is_stopped = True
         if self.timer is not None:
             self.timer.cancel()
         for (machine, _, _), task in self.tasks.items():
             if not task.done():
-                self.proxy.log(f"maintenance: ends while the command for {machine} runs; a person has to say "
-                               "`maintenance done` for it")  # fmt: skip
+                self.proxy.log(f"maintenance: stopping while the command for {machine} runs; an operator has "
+                               "to report its end with `maintenance done`")  # fmt: skip
                 task.cancel()
 
     def configure(self, settings: MaintenanceSettings) -> None:
@@ -127,202 +144,227 @@
         self.settings = settings
 
     def wake(self) -> None:
-        if not self.soon and not self.stopped:
-            self.soon = True
-            self.proxy.loop.call_soon(self._look)
-
-    def _applied(self) -> None:
-        k = self.board.kept
-        if k.ticks != self.seen[0]:
-            self.ticked_us = self.proxy.now_us()
-        if k.noted != self.seen[1]:
+        """Schedules an update."""
+        if not self.update_is_scheduled and not self.is_stopped:
+            self.update_is_scheduled = True
+            self.proxy.loop.call_soon(self._update)
+
+    def _on_change(self) -> None:
+        state = self.replica.state
+        if state.ticks != self.seen_versions[0]:
+            self.last_tick_us = self.proxy.now_us()
+        if state.line_count != self.seen_versions[1]:
             self.wake()
-        self.seen = k.ticks, k.noted
+        self.seen_versions = state.ticks, state.line_count
 
-    # ---- what is left out
+    # ---- exclusions
 
-    def may_send(self, node: str, place: bytes) -> bool:
-        """Asked in front of each connection and each first byte, by what holds at that moment."""
-        k, view = self.board.kept, self.view
+    def may_send(self, node: str, address: bytes) -> bool:
+        """Whether anything may be sent to a node now. Called before each connection and each first byte."""
+        state, view = self.replica.state, self.view
         if not view.may_serve:
             return False
-        if not self.away and not k.next and not k.slots and not (view.memory and view.memory.machines):
+        if (
+            not self.excluded
+            and not state.next
+            and not state.jobs
+            and not (view.saved and view.saved.machines)
+        ):
             return True
-        return not view.leaves_out(k, node, self.group.may_act(), self.proxy.now_us(), place)
+        return not view.is_excluded(state, node, self.group.may_act(), self.proxy.now_us(), address)
 
-    def _places(self) -> dict[str, bytes]:
-        """Where the list has each node."""
+    def _addresses(self) -> dict[str, bytes]:
+        """Returns the listed address of each node."""
         return {name: node.host_header for name, node in self.proxy.pool.nodes.items()}
 
-    def by_hand(self, server: str, out: bool) -> bool:
-        """A person's call. What is out by agreement stays out; what a person took out stays so, too."""
-        if not out and server in self.away:
-            self.hand.discard(server)
+    def set_excluded(self, server: str, exclude: bool) -> bool:
+        """Excludes or includes a node for an operator, and returns whether this was accepted. A node under
+        maintenance stays excluded in any case; one that an operator has excluded stays so after it."""
+        if not exclude and server in self.excluded:
+            self.excluded_by_hand.discard(server)
             return True
-        done = self.proxy.by_hand(server, out)
+        done = self.proxy.set_excluded(server, exclude)
         if done:
-            (self.hand.add if out else self.hand.discard)(server)
+            (self.excluded_by_hand.add if exclude else self.excluded_by_hand.discard)(server)
         return done
 
-    def _leave_out(self, epoch: int, now: int) -> None:
-        k, view = self.board.kept, self.view
-        places = self._places()
-        away = view.nodes(k, epoch, now, places) if view.may_serve else set(places)
-        self.misplaced = {n for n in away if n in places and view.in_place_of(n, places[n])}
-        for node in sorted(away - self.away):
+    def _update_exclusions(self, epoch: int, now_us: int) -> None:
+        state, view = self.replica.state, self.view
+        addresses = self._addresses()
+        excluded = view.excluded_nodes(state, epoch, now_us, addresses) if view.may_serve else set(addresses)
+        self.misplaced = {n for n in excluded if n in addresses and view.previous_node_at(n, addresses[n])}
+        for node in sorted(excluded - self.excluded):
             if node in self.misplaced:
-                place = places[node].decode()
-                self.proxy.log(f"maintenance: {node} is listed at {place}, where "
-                               f"{view.in_place_of(node, places[node])} stood, which is out")  # fmt: skip
-            self.proxy.by_hand(node, True, known=True)
-            self.shares.forget(node)
-        for node in sorted(self.away - away - self.hand):
-            self.proxy.by_hand(node, False)
-        self.away = away
-        if away:
-            self.looking.close_idle(away)
-            if not view.fresh(epoch) and now > self.heard_us + CUT_US:
-                self.counts["cut"] += self.looking.cut(away)
-
-    # ---- each look
-
-    def _look(self) -> None:
-        self.soon = False
-        if self.stopped:
+                address = addresses[node].decode()
+                self.proxy.log(f"maintenance: {node} is excluded: it is listed at {address}, the address of "
+                               f"{view.previous_node_at(node, addresses[node])}, which is out")  # fmt: skip
+            self.proxy.set_excluded(node, True, known=True)
+            self.hit_ratios.forget(node)
+        for node in sorted(self.excluded - excluded - self.excluded_by_hand):
+            self.proxy.set_excluded(node, False)
+        self.excluded = excluded
+        if excluded:
+            self.guard.close_idle(excluded)
+            if not view.is_current(epoch) and now_us > self.last_current_us + ABORT_DELAY_US:
+                self.counts["cut"] += self.guard.abort_connections(excluded)
+
+    # ---- update
+
+    def _update(self) -> None:
+        self.update_is_scheduled = False
+        if self.is_stopped:
             return
         if self.timer is not None:
             self.timer.cancel()
-        k = self.board.kept
-        moves = facts.live(k) or bool(k.next) or not self.view.may_serve or self.away or self.tasks
-        self.timer = self.proxy.loop.call_later(LOOK_S if moves else REST_S, self._look)
-        now, epoch = self.proxy.now_us(), self.group.may_act()
-        self.load, self.samples = self.load + self.proxy.router.in_flight, self.samples + 1
-        if self.view.fresh(epoch):
-            self.heard_us = now
-        elif epoch and self.reading != epoch:
-            self._read(epoch, now)
-        self._remember(epoch, now)
-        self._leave_out(epoch, now)
+        state = self.replica.state
+        is_active = (
+            state_machine.has_active_machines(state)
+            or bool(state.next)
+            or not self.view.may_serve
+            or self.excluded
+            or self.tasks
+        )
+        self.timer = self.proxy.loop.call_later(
+            ACTIVE_INTERVAL_S if is_active else IDLE_INTERVAL_S, self._update
+        )
+        now_us, epoch = self.proxy.now_us(), self.group.may_act()
+        self.load_sum, self.samples = self.load_sum + self.proxy.router.in_flight, self.samples + 1
+        if self.view.is_current(epoch):
+            self.last_current_us = now_us
+        elif epoch and self.read_epoch != epoch:
+            self._read(epoch, now_us)
+        self._save(epoch, now_us)
+        self._update_exclusions(epoch, now_us)
         if epoch:
-            self._say(epoch, now)
-            self._own_turn(epoch)
-            self._commands(epoch, now)
+            self._send_proposals(epoch, now_us)
+            self._shut_down_if_leaving(epoch)
+            self._run_commands(epoch, now_us)
 
-    def _read(self, epoch: int, now: int) -> None:
-        self.reading = epoch
+    def _read(self, epoch: int, now_us: int) -> None:
+        self.read_epoch = epoch
 
-        def then(o: Outcome) -> None:
-            self.reading = 0
-            if o.fate is Fate.COMMITTED and self.group.may_act() == epoch:
-                self.view.read_back(epoch)
+        def on_done(outcome: Outcome) -> None:
+            self.read_epoch = 0
+            if outcome.status is Status.COMMITTED and self.group.may_act() == epoch:
+                self.view.confirm_read(epoch)
                 self.wake()
 
-        self.group.read(now + ASK_US, then)
+        self.group.read(now_us + COMMAND_TIMEOUT_US, on_done)
 
-    def _remember(self, epoch: int, now: int) -> None:
-        """In a thread, for a disk may hang; it counts as remembered only once it is there."""
-        if self.saving or not self.view.fresh(epoch) or now < self.save_us:
+    def _save(self, epoch: int, now_us: int) -> None:
+        """Saves changed exclusions, in a thread, because a disk may hang. They count as saved only once they
+        are durable."""
+        if self.is_saving or not self.view.is_current(epoch) or now_us < self.next_save_us:
             return
-        wanted = self.view.to_remember(self.board.kept, self._places())
-        if wanted == self.view.memory:
+        wanted = self.view.to_save(self.replica.state, self._addresses())
+        if wanted == self.view.saved:
             return
-        self.saving = True
-        saved = self.proxy.loop.run_in_executor(None, memory.save, self.settings.path, wanted)
+        self.is_saving = True
+        future = self.proxy.loop.run_in_executor(None, memory.save, self.settings.path, wanted)
 
-        def done(f: asyncio.Future[None]) -> None:
-            self.saving = False
+        def on_saved(f: asyncio.Future[None]) -> None:
+            self.is_saving = False
             e = f.exception() if not f.cancelled() else None
             if e is not None:
-                self.save_us = self.proxy.now_us() + AGAIN_US
+                self.next_save_us = self.proxy.now_us() + RETRY_DELAY_US
                 self.counts["not_saved"] += 1
-                self.proxy.log(f"maintenance: {self.settings.path}: {e}")
+                self.proxy.log(f"maintenance: can't save {self.settings.path}: {e}")
             elif not f.cancelled():
-                self.view.memory = wanted
+                self.view.saved = wanted
                 self.wake()
 
-        saved.add_done_callback(done)
+        future.add_done_callback(on_saved)
 
-    # ---- what is said
+    # ---- proposals
 
-    def propose(self, command: Command, then: Callable[[Outcome], None] = lambda o: None) -> None:
-        until_us = self.proxy.now_us() + ASK_US
-        self.group.propose(MACHINE, facts.encode(command), until_us, then)
+    def propose(self, command: Command, on_done: Callable[[Outcome], None] = lambda outcome: None) -> None:
+        deadline_us = self.proxy.now_us() + COMMAND_TIMEOUT_US
+        self.group.propose(STATE_MACHINE, state_machine.encode(command), deadline_us, on_done)
 
-    def _say(self, epoch: int, now: int) -> None:
-        k = self.board.kept
-        live = facts.live(k)
-        stood = self.view.memory.places if self.view.memory is not None else {}
-        if not self.before():
-            for command in self.view.says(k, epoch, now, self.looking.busy(stood) if live else set()):
+    def _send_proposals(self, epoch: int, now_us: int) -> None:
+        state = self.replica.state
+        is_active = state_machine.has_active_machines(state)
+        saved_nodes = self.view.saved.nodes_by_address if self.view.saved is not None else {}
+        if not self.predecessor_is_running():
+            for command in self.view.pending_commands(
+                state, epoch, now_us, self.guard.nodes_in_use(saved_nodes) if is_active else set()
+            ):
                 self.propose(command)
-        if self.group.leads and now >= self.tick_us + (TICK_US if live else SELDOM_US):
-            self.tick_us = now
-            self.propose(facts.Tick(k.ticks, (now - self.ticked_us) / 1e6, time.time()))
-        if self.view.fresh(epoch) and now >= self.report_us + (REPORT_US if live else SELDOM_US):
-            self.report_us = now
-            self.propose(facts.Told(self._report(now)))
-
-    def _report(self, now: int) -> facts.Report:
-        k = self.board.kept
-        load, self.load, self.samples = self.load / max(1.0, self.samples), 0.0, 0.0
-        fleet = {n for m in (k.fleet or self.settings.machines).values() for n in m.nodes}
-        back = [s.machine for s in k.slots.values() if s.state in (State.BACK, State.WARMING)]
-        nodes = {n for m in back for n in k.fleet[m].nodes}
-        unknown = self.away - nodes - self.misplaced  # of which nothing is known; who is misplaced fails
-        found = report(self.proxy.router, now, load, fleet, self.hand, unknown, self.shares, nodes,
-                       self.proxy.config.settings.subscribe)  # fmt: skip
-        self.shares.fade()
+        if self.group.is_leader and now_us >= self.tick_sent_us + (TICK_US if is_active else IDLE_US):
+            self.tick_sent_us = now_us
+            self.propose(state_machine.Tick(state.ticks, (now_us - self.last_tick_us) / 1e6, time.time()))
+        if self.view.is_current(epoch) and now_us >= self.report_sent_us + (
+            REPORT_US if is_active else IDLE_US
+        ):
+            self.report_sent_us = now_us
+            self.propose(state_machine.SubmitReport(self._build_report(now_us)))
+
+    def _build_report(self, now_us: int) -> state_machine.ProxyReport:
+        state = self.replica.state
+        load, self.load_sum, self.samples = self.load_sum / max(1.0, self.samples), 0.0, 0.0
+        fleet = {n for m in (state.fleet or self.settings.machines).values() for n in m.nodes}
+        returning = [j.machine for j in state.jobs.values() if j.state in (State.BACK, State.WARMING)]
+        nodes = {n for m in returning for n in state.fleet[m].nodes}
+        unobserved = self.excluded - nodes - self.misplaced  # misplaced nodes are reported as failing
+        found = build_report(self.proxy.router, now_us, load, fleet, self.excluded_by_hand, unobserved,
+                             self.hit_ratios, nodes, self.proxy.config.settings.subscribe)  # fmt: skip
+        self.hit_ratios.decay()
         return found
 
-    # ---- what is done
+    # ---- work on machines
 
-    def _own_turn(self, epoch: int) -> None:
-        k = self.board.kept
-        for slot in k.slots.values():
-            mine = self.settings.member in k.fleet[slot.machine].proxies
-            if mine and slot.state is State.DRAINING and self.view.fresh(epoch) and not self.ending:
-                self.ending = True
-                self.proxy.log(f"maintenance: ends, for {slot.machine} goes out for {slot.plan}")
-                self.end()
+    def _shut_down_if_leaving(self, epoch: int) -> None:
+        state = self.replica.state
+        for job in state.jobs.values():
+            is_own = self.settings.member in state.fleet[job.machine].proxies
+            if is_own and job.state is State.DRAINING and self.view.is_current(epoch) and not self.is_ending:
+                self.is_ending = True
+                self.proxy.log(f"maintenance: shutting down: {job.machine} leaves for plan {job.plan}")
+                self.shut_down()
 
-    def _commands(self, epoch: int, now: int) -> None:
-        k, me = self.board.kept, self.settings.member
-        if not self.view.fresh(epoch):
+    def _run_commands(self, epoch: int, now_us: int) -> None:
+        state, member = self.replica.state, self.settings.member
+        if not self.view.is_current(epoch):
             return
-        for slot in k.slots.values():
-            if slot.state is not State.OUT:
+        for job in state.jobs.values():
+            if job.state is not State.OUT:
                 continue
-            key = slot.machine, slot.epoch, slot.since_s
-            if rules.runner_of(k, slot, self.group.members()) == me:
-                if now >= self.began_us.get(key, 0) + ASK_US:
-                    self.began_us[key] = now
-                    self.propose(facts.Began(slot.machine, slot.epoch, epoch))
-            elif slot.runner == f"{me}@{epoch}" and key not in self.tasks:
-                self.tasks[key] = self.proxy.loop.create_task(self._run(key, slot))
-        out = {(s.machine, s.epoch) for s in k.slots.values() if s.state in facts.WORKED_ON}
-        self.began_us = {key: at for key, at in self.began_us.items() if key[:2] in out}
-        self.tasks = {key: t for key, t in self.tasks.items() if key[:2] in out or not t.done()}
-
-    async def _run(self, key: tuple[str, int, float], slot: Slot) -> None:
-        plan = self.board.kept.plans[slot.plan].plan
-        self.proxy.log(f"maintenance: runs {plan.command[0]} for {slot.machine}, grant {slot.epoch}")
-        cause = await runner.run(plan, slot)
-        self.proxy.log(f"maintenance: {slot.machine}: {cause or 'its command went well'}")
-        while any((s.machine, s.epoch, s.since_s) == key or (s.state is State.HELD and s.epoch == key[1])
-                  for s in self.board.kept.slots.values() if s.state in facts.WORKED_ON):  # fmt: skip
+            key = job.machine, job.grant_number, job.since_s
+            if rules.assigned_runner(state, job, self.group.members()) == member:
+                if now_us >= self.begin_sent_us.get(key, 0) + COMMAND_TIMEOUT_US:
+                    self.begin_sent_us[key] = now_us
+                    self.propose(state_machine.BeginWork(job.machine, job.grant_number, epoch))
+            elif job.runner == f"{member}@{epoch}" and key not in self.tasks:
+                self.tasks[key] = self.proxy.loop.create_task(self._run_command(key, job))
+        current = {
+            (j.machine, j.grant_number) for j in state.jobs.values() if j.state in state_machine.WORKED_ON
+        }
+        self.begin_sent_us = {key: at_us for key, at_us in self.begin_sent_us.items() if key[:2] in current}
+        self.tasks = {key: t for key, t in self.tasks.items() if key[:2] in current or not t.done()}
+
+    async def _run_command(self, key: tuple[str, int, float], job: Job) -> None:
+        plan = self.replica.state.plans[job.plan].plan
+        self.proxy.log(f"maintenance: running {plan.command[0]} for {job.machine}, grant {job.grant_number}")
+        cause = await runner.run(plan, job)
+        self.proxy.log(f"maintenance: {job.machine}: {cause or 'the command succeeded'}")
+        while any((j.machine, j.grant_number, j.since_s) == key
+                  or (j.state is State.HELD and j.grant_number == key[1])
+                  for j in self.replica.state.jobs.values()
+                  if j.state in state_machine.WORKED_ON):  # fmt: skip
             if self.group.may_act():
-                self.propose(facts.Ended(slot.machine, slot.epoch, cause[:MOST_CAUSE]))
-            await asyncio.sleep(AGAIN_US / 1e6)
-
-    # ---- for operators
-
-    def figures(self) -> str:
-        """More lines for the second address."""
-        states = Counter(s.state.value for s in self.board.kept.slots.values())
-        whole = {f'machines{{state="{s.value}"}}': states[s.value] for s in State}
-        whole |= {
-            "nodes_out": len(self.away), "nodes_by_hand": len(self.hand),
-            "nodes_misplaced": len(self.misplaced), "up_to_date": int(self.view.fresh(self.group.may_act())),
+                self.propose(state_machine.FinishWork(job.machine, job.grant_number, cause[:MAX_CAUSE_CHARS]))
+            await asyncio.sleep(RETRY_DELAY_US / 1e6)
+
+    # ---- metrics
+
+    def metrics_text(self) -> str:
+        """Returns the maintenance metrics, as lines for the admin address."""
+        states = Counter(j.state.value for j in self.replica.state.jobs.values())
+        values = {f'machines{{state="{s.value}"}}': states[s.value] for s in State}
+        values |= {
+            "nodes_out": len(self.excluded), "nodes_by_hand": len(self.excluded_by_hand),
+            "nodes_misplaced": len(self.misplaced),
+            "up_to_date": int(self.view.is_current(self.group.may_act())),
         }  # fmt: skip
-        whole |= {f"{name}_count": n for name, n in sorted(self.counts.items())}
-        return lines(MACHINE, whole)
+        values |= {f"{name}_count": n for name, n in sorted(self.counts.items())}
+        return metric_lines(STATE_MACHINE, values)
--- a/magpiefront/maintenance/settings.py
+++ b/magpiefront/maintenance/settings.py
@@ -1,4 +1,4 @@
-"""What an operator may set of machines and their maintenance."""
+"""Settings of machine maintenance from the operator's configuration file."""
 
 from __future__ import annotations
 
@@ -11,8 +11,8 @@
 
 @dataclass(frozen=True, slots=True)
 class MaintenanceSettings:
-    path: Path  # of what this proxy has to leave out, whatever it hears
+    path: Path  # of the file with the saved exclusions of this proxy
     machines: Mapping[str, Machine]
-    limits: Limits = field(default_factory=Limits)  # of plans that say nothing else
+    limits: Limits = field(default_factory=Limits)  # defaults for plans
     voters: tuple[str, ...] = ()  # of the group
-    member: str = ""
+    member: str = ""  # this proxy's name in the group
--- a/magpiefront/model/__init__.py
+++ b/magpiefront/model/__init__.py
@@ -1,1 +1,2 @@
-"""Simulated time: the code that ships, on clocks, nets and disks that a seed makes fail."""
+"""Simulations of the production code in simulated time, with clocks, networks and disks that fail by a seeded
+plan."""
--- a/magpiefront/model/fleet.py
+++ b/magpiefront/model/fleet.py
@@ -1,9 +1,10 @@
-"""A fleet in simulated time while its machines go out for work: what it costs readers and the archive.
+"""Simulates a fleet during machine maintenance, to measure the cost for readers and for the archive.
 
-Real Routers, and the board, rules and views that ship; nodes with places, a cache and a cold start; an
-archive that slows when many ask. The order itself is proven elsewhere (`model/maintenance.py`), so here all
-proxies look at one board, each with its own view, epoch and moment. A node of a machine that is worked on
-answers nothing, and comes back empty.
+Uses the production Router, and the production state machine, rules and exclusions of maintenance. The nodes
+have a limited capacity, a cache and a cold start; the archive answers more slowly when it gets many reads at
+once. The replication of the maintenance state is checked elsewhere (`model/maintenance.py`), so here all
+proxies share one state machine; each has its own exclusions and epoch, and applies them at its own times. A
+node of a machine that is being worked on does not answer, and returns with an empty cache.
 """
 
 from __future__ import annotations
@@ -14,353 +15,390 @@
 from dataclasses import dataclass, field
 from itertools import accumulate
 
-from magpiefront.brain import Router
-from magpiefront.group.facts import Member, State as Standing
+from magpiefront.router import Router
+from magpiefront.group.registry import Member, MemberState
 from magpiefront.interface import (
-    Arrived, AttemptEnded, Cancel, Event, Exclude, Fail, Include, ListKind, Outcome, Probe, Probed, Refuse,
-    Repeat, RequestClass, Send, ServerEntry, ServerList, SetTimer, Settings, TimerFired,
+    Arrived, AttemptEnded, Cancel, Event, Exclude, Fail, Include, ListKind, Outcome, Probe, ProbeEnded,
+    Refuse, Repeat, RequestClass, Send, ServerEntry, ServerList, SetTimer, Settings, TimerFired,
 )  # fmt: skip
-from magpiefront.maintenance import facts, rules
-from magpiefront.maintenance.facts import Board, Kept, State
+from magpiefront.maintenance import state_machine, rules
+from magpiefront.maintenance.state_machine import MaintenanceStateMachine, MaintenanceState, State
 from magpiefront.maintenance.plan import Limits, Machine, Plan
-from magpiefront.maintenance.seen import HitShares, report
-from magpiefront.maintenance.view import Memory, View
+from magpiefront.maintenance.reports import HitRatios, build_report
+from magpiefront.maintenance.exclusions import SavedExclusions, ExclusionView
 from magpiefront.model.kernel import Kernel
 
-S, MS = 1_000_000, 1_000
-LOOK_US, TICK_US, REPORT_US = 250 * MS, 500 * MS, 1 * S
-READ = RequestClass("level-read", Repeat.SAFE, 250 * MS, 1 * S, late_worth=0.2)
+US_PER_S, US_PER_MS = 1_000_000, 1_000
+# The intervals at which proxies update their exclusions, the leader ticks, and proxies report.
+UPDATE_US, TICK_US, REPORT_US = 250 * US_PER_MS, 500 * US_PER_MS, 1 * US_PER_S
+READ = RequestClass("level-read", Repeat.SAFE, 250 * US_PER_MS, 1 * US_PER_S, late_worth=0.2)
 
 
 @dataclass(frozen=True)
 class Size:
-    """Rates are a second, times microseconds."""
+    """The size of a simulated fleet. Times are microseconds; `reads` is the number of reads per second."""
 
     proxies: int = 200
     nodes: int = 200
     zones: int = 3
     reads: float = 2_000.0
     keys: int = 20_000
-    ttl_us: int = 60 * S
-    places: int = 4  # of a node
-    hit_us: int = 4 * MS
-    archive_places: int = 64
-    archive_us: int = 20 * MS
-    cold_us: int = 8 * S
+    ttl_us: int = 60 * US_PER_S
+    node_capacity: int = 4  # requests in progress at one node
+    hit_us: int = 4 * US_PER_MS  # mean time that a node takes for the lookup
+    archive_capacity: int = 64
+    archive_us: int = 20 * US_PER_MS
+    cold_us: int = 8 * US_PER_S
 
 
 class Archive:
-    def __init__(self, fleet: Fleet) -> None:
-        self.fleet, self.busy, self.waiting = fleet, 0, deque[Callable[[], None]]()
-        self.each_second: Counter[int] = Counter()
+    """An archive that serves up to `Size.archive_capacity` reads at the same time and queues the others."""
 
-    def read(self, then: Callable[[], None]) -> None:
-        self.each_second[self.fleet.kernel.now_us // S] += 1
-        if self.busy < self.fleet.size.archive_places:
-            self._begin(then)
+    def __init__(self, fleet: Fleet) -> None:
+        self.fleet, self.in_progress, self.queue = fleet, 0, deque[Callable[[], None]]()
+        self.reads_by_second: Counter[int] = Counter()
+
+    def read(self, on_done: Callable[[], None]) -> None:
+        """Starts or queues a read, and calls `on_done` when it has ended."""
+        self.reads_by_second[self.fleet.kernel.now_us // US_PER_S] += 1
+        if self.in_progress < self.fleet.size.archive_capacity:
+            self._start(on_done)
         else:
-            self.waiting.append(then)
+            self.queue.append(on_done)
 
-    def _begin(self, then: Callable[[], None]) -> None:
-        self.busy += 1
+    def _start(self, on_done: Callable[[], None]) -> None:
+        self.in_progress += 1
 
-        def done() -> None:
-            self.busy -= 1
-            if self.waiting:
-                self._begin(self.waiting.popleft())
-            then()
+        def finish() -> None:
+            self.in_progress -= 1
+            if self.queue:
+                self._start(self.queue.popleft())
+            on_done()
 
-        self.fleet.kernel.after(self.fleet.size.archive_us, done)
+        self.fleet.kernel.after(self.fleet.size.archive_us, finish)
 
 
 @dataclass
-class Job:
-    """One attempt at a node. `end` hears of it once."""
+class Attempt:
+    """An attempt at a node. `on_end` is called once, with the outcome and the `cache_result` of
+    `AttemptEnded`."""
 
     key: int
-    end: Callable[[Outcome, int], None]
-    over: bool = False
+    on_end: Callable[[Outcome, int], None]
+    has_ended: bool = False
 
-    def tell(self, outcome: Outcome, note: int) -> None:
-        if not self.over:
-            self.over = True
-            self.end(outcome, note)
+    def end(self, outcome: Outcome, cache_result: int) -> None:
+        if not self.has_ended:
+            self.has_ended = True
+            self.on_end(outcome, cache_result)
 
 
 class Node:
+    """A cache node with a limited capacity and a queue."""
+
     def __init__(self, fleet: Fleet, name: str) -> None:
-        self.fleet, self.name, self.up = fleet, name, True
-        self.kept: OrderedDict[int, int] = OrderedDict()
-        self.busy, self.waiting = 0, deque[Job]()
-        self.fetching: dict[int, list[Job]] = {}
-        self.got = 0
-
-    def take(self, job: Job) -> None:
-        self.got += 1
-        if not self.up:
-            self.fleet.found.append(f"{self.name} is worked on, and gets a request")
-            job.tell(Outcome.CONNECT_FAILED, 0)
-        elif self.busy < self.fleet.size.places:
-            self._begin(job)
+        self.fleet, self.name, self.is_up = fleet, name, True
+        self.cached_at_us: OrderedDict[int, int] = OrderedDict()  # by key
+        self.in_progress, self.queue = 0, deque[Attempt]()
+        self.fetching: dict[int, list[Attempt]] = {}  # attempts that wait for the archive, by key
+        self.request_count = 0
+
+    def receive(self, attempt: Attempt) -> None:
+        """Starts or queues an attempt. A node that is not up refuses it, which is a violation."""
+        self.request_count += 1
+        if not self.is_up:
+            self.fleet.violations.append(f"{self.name} gets a request while its machine is being worked on")
+            attempt.end(Outcome.CONNECT_FAILED, 0)
+        elif self.in_progress < self.fleet.size.node_capacity:
+            self._start(attempt)
         else:
-            self.waiting.append(job)
+            self.queue.append(attempt)
 
-    def _begin(self, job: Job) -> None:
-        self.busy += 1
-        took_us = int(self.fleet.size.hit_us * self.fleet.kernel.random.uniform(0.5, 1.5))
-        self.fleet.kernel.after(took_us, lambda: self._look(job))
+    def _start(self, attempt: Attempt) -> None:
+        self.in_progress += 1
+        lookup_us = int(self.fleet.size.hit_us * self.fleet.kernel.random.uniform(0.5, 1.5))
+        self.fleet.kernel.after(lookup_us, lambda: self._look_up(attempt))
 
-    def _look(self, job: Job) -> None:
-        self.busy -= 1
-        if self.waiting:
-            self._begin(self.waiting.popleft())
+    def _look_up(self, attempt: Attempt) -> None:
+        self.in_progress -= 1
+        if self.queue:
+            self._start(self.queue.popleft())
         now = self.fleet.kernel.now_us
-        if now - self.kept.get(job.key, -self.fleet.size.ttl_us) < self.fleet.size.ttl_us:
-            job.tell(Outcome.OK, 1)
-        elif job.key in self.fetching:
-            self.fetching[job.key].append(job)
+        if now - self.cached_at_us.get(attempt.key, -self.fleet.size.ttl_us) < self.fleet.size.ttl_us:
+            attempt.end(Outcome.OK, 1)
+        elif attempt.key in self.fetching:
+            self.fetching[attempt.key].append(attempt)
         else:
-            self.fetching[job.key] = [job]
-            self.fleet.archive.read(lambda: self._fetched(job.key))
+            self.fetching[attempt.key] = [attempt]
+            self.fleet.archive.read(lambda: self._fetched(attempt.key))
 
     def _fetched(self, key: int) -> None:
-        self.kept[key] = self.fleet.kernel.now_us
-        for n, job in enumerate(self.fetching.pop(key, [])):
-            job.tell(Outcome.OK, 2 if n == 0 else 3)
+        self.cached_at_us[key] = self.fleet.kernel.now_us
+        for position, attempt in enumerate(self.fetching.pop(key, [])):
+            attempt.end(Outcome.OK, 2 if position == 0 else 3)
 
     def restart(self) -> None:
-        self.up = True
-        self.kept.clear()
+        """Returns after the work on its machine, with an empty cache."""
+        self.is_up = True
+        self.cached_at_us.clear()
 
 
 class Proxy:
+    """A proxy: its Router, its exclusions and its open requests."""
+
     def __init__(self, fleet: Fleet, number: int, settings: Settings) -> None:
         self.fleet, self.name = fleet, f"p{number}"
         self.router = Router(settings, number)
-        self.view = View(self.name, Memory())
-        self.view.read_back(1)
-        self.shares, self.away = HitShares(), set[str]()
-        self.out: Counter[str] = Counter()
-        self.jobs: dict[tuple[str, int], Job] = {}
-        self.tries: Counter[str] = Counter()
-        self.asked: dict[str, int] = {}
-        self.epoch, self.lost = 1, False
+        self.view = ExclusionView(self.name, SavedExclusions())
+        self.view.confirm_read(1)
+        self.hit_ratios, self.excluded = HitRatios(), set[str]()
+        self.open_attempts: Counter[str] = Counter()
+        self.attempts: dict[tuple[str, int], Attempt] = {}
+        self.attempt_counts: Counter[str] = Counter()
+        self.arrived_us: dict[str, int] = {}  # by open request
+        self.epoch, self.is_lost = 1, False
         entries = [ServerEntry(n, zone=fleet.zone_of[n]) for n in fleet.nodes]
-        self.give(ServerList(ListKind.WHOLE, entries))
-
-    def give(self, event: Event) -> None:
-        waits: deque[Event] = deque([event])
-        while waits:
-            for a in self.router.handle(self.fleet.kernel.now_us, waits.popleft()):
-                match a:
+        self.handle(ServerList(ListKind.WHOLE, entries))
+
+    def handle(self, event: Event) -> None:
+        """Passes an event to the Router and performs the actions that it returns. Probes end at once."""
+        events: deque[Event] = deque([event])
+        while events:
+            for action in self.router.handle(self.fleet.kernel.now_us, events.popleft()):
+                match action:
                     case Send():
-                        self._send(a)
+                        self._send(action)
                     case SetTimer():
-                        self._later(a.delay_us, TimerFired(a.token))
+                        self._later(action.delay_us, TimerFired(action.token))
                     case Cancel():
-                        job = self.jobs.get((a.request, a.attempt))
-                        if job is not None:
-                            self._cancel(job)
+                        attempt = self.attempts.get((action.request, action.attempt))
+                        if attempt is not None:
+                            self._cancel(attempt)
                     case Refuse() | Fail():
-                        self.answered(a.request, False)
+                        self.on_answer(action.request, False)
                     case Probe():
-                        up = self.fleet.nodes[a.server].up
-                        waits.append(Probed(a.server, Outcome.OK if up else Outcome.CONNECT_FAILED, MS))
+                        is_up = self.fleet.nodes[action.server].is_up
+                        events.append(
+                            ProbeEnded(
+                                action.server, Outcome.OK if is_up else Outcome.CONNECT_FAILED, US_PER_MS
+                            )
+                        )
                     case _:
                         pass
 
     def _later(self, delay_us: int, event: Event) -> None:
-        self.fleet.kernel.after(delay_us, lambda: self.give(event))
+        self.fleet.kernel.after(delay_us, lambda: self.handle(event))
 
-    def _cancel(self, job: Job) -> None:
-        self.fleet.kernel.after(0, lambda: job.tell(Outcome.CANCELLED, 0))
+    def _cancel(self, attempt: Attempt) -> None:
+        self.fleet.kernel.after(0, lambda: attempt.end(Outcome.CANCELLED, 0))
 
-    def ask(self, name: str, key: int) -> None:
-        if self.lost:  # clients come to another one
-            self.fleet.any_proxy().ask(name, key)
+    def read(self, request: str, key: int) -> None:
+        """Starts a read of a client."""
+        if self.is_lost:  # clients connect to another proxy
+            self.fleet.any_proxy().read(request, key)
             return
-        self.asked[name] = self.fleet.kernel.now_us
-        self.give(Arrived(name, READ.name, READ.deadline_us, key, cls=READ))
-
-    def _send(self, a: Send) -> None:
-        kernel, number = self.fleet.kernel, self.tries[a.request]
-        self.tries[a.request] += 1
-        self.out[a.server] += 1
-        sent = kernel.now_us
-
-        def ended(outcome: Outcome, note: int) -> None:
-            self.out[a.server] -= 1
-            self.jobs.pop((a.request, number), None)
-            finished = a.request not in self.asked
+        self.arrived_us[request] = self.fleet.kernel.now_us
+        self.handle(Arrived(request, READ.name, READ.deadline_us, key, cls=READ))
+
+    def _send(self, action: Send) -> None:
+        kernel, number = self.fleet.kernel, self.attempt_counts[action.request]
+        self.attempt_counts[action.request] += 1
+        self.open_attempts[action.server] += 1
+        sent_us = kernel.now_us
+
+        def on_end(outcome: Outcome, cache_result: int) -> None:
+            self.open_attempts[action.server] -= 1
+            self.attempts.pop((action.request, number), None)
+            finished = action.request not in self.arrived_us
             if outcome is Outcome.OK:
-                self.shares.count(a.server, note == 1)
-                self.answered(a.request, True)
-            elapsed = kernel.now_us - sent
-            self.give(AttemptEnded(a.request, number, a.server, outcome, elapsed, finished, note))
-
-        job = self.jobs[a.request, number] = Job(self.fleet.key_of(a.request), ended)
-        kernel.after(MS // 2, lambda: self.fleet.nodes[a.server].take(job))
-        kernel.at(a.expire_at_us, lambda: job.tell(Outcome.TIMEOUT, 0))
-
-    def answered(self, name: str, well: bool) -> None:
-        began = self.asked.pop(name, None)
-        if began is not None:
-            self.tries.pop(name, None)
-            self.fleet.count(began, well and self.fleet.kernel.now_us - began <= READ.aim_us)
+                self.hit_ratios.count(action.server, cache_result == 1)
+                self.on_answer(action.request, True)
+            elapsed_us = kernel.now_us - sent_us
+            self.handle(
+                AttemptEnded(
+                    action.request, number, action.server, outcome, elapsed_us, finished, cache_result
+                )
+            )
+
+        attempt = self.attempts[action.request, number] = Attempt(self.fleet.key_of(action.request), on_end)
+        kernel.after(US_PER_MS // 2, lambda: self.fleet.nodes[action.server].receive(attempt))
+        kernel.at(action.expire_at_us, lambda: attempt.end(Outcome.TIMEOUT, 0))
+
+    def on_answer(self, request: str, ok: bool) -> None:
+        """Counts the first answer to a request; later ones are ignored."""
+        started_us = self.arrived_us.pop(request, None)
+        if started_us is not None:
+            self.attempt_counts.pop(request, None)
+            self.fleet.count(started_us, ok and self.fleet.kernel.now_us - started_us <= READ.aim_us)
 
     # ---- maintenance
 
-    def look(self) -> None:
-        fleet, k, now = self.fleet, self.fleet.board.kept, self.fleet.kernel.now_us
-        if not self.lost:
-            self.view.memory = self.view.to_remember(k)
-            away = self.view.nodes(k, self.epoch, now)
-            for node in sorted(away - self.away):
-                self.give(Exclude(node, known=True))
-                self.shares.forget(node)
-            for node in sorted(self.away - away):
-                self.give(Include(node))
-            self.away = away
-            busy = {n for n, count in self.out.items() if count}
-            for c in self.view.says(k, self.epoch, now, busy):
-                fleet.propose(self.name, c)
-        fleet.kernel.after(LOOK_US, self.look)
-
-    def tell(self) -> None:
-        fleet, k = self.fleet, self.fleet.board.kept
-        if not self.lost:
-            back = {n for s in k.slots.values() if s.state in (State.BACK, State.WARMING)
-                    for n in k.fleet[s.machine].nodes}  # fmt: skip
-            found = report(self.router, fleet.kernel.now_us, self.router.in_flight, fleet.nodes, (),
-                           self.away - back, self.shares, back, False)  # fmt: skip
-            self.shares.fade()
-            fleet.propose(self.name, facts.Told(found))
-        fleet.kernel.after(REPORT_US, self.tell)
+    def update_exclusions(self) -> None:
+        """Excludes and includes nodes as the plan requires, and proposes the pending commands."""
+        fleet, state, now = self.fleet, self.fleet.state_machine.state, self.fleet.kernel.now_us
+        if not self.is_lost:
+            self.view.saved = self.view.to_save(state)
+            excluded = self.view.excluded_nodes(state, self.epoch, now)
+            for node in sorted(excluded - self.excluded):
+                self.handle(Exclude(node, known=True))
+                self.hit_ratios.forget(node)
+            for node in sorted(self.excluded - excluded):
+                self.handle(Include(node))
+            self.excluded = excluded
+            in_use = {n for n, count in self.open_attempts.items() if count}
+            for command in self.view.pending_commands(state, self.epoch, now, in_use):
+                fleet.propose(self.name, command)
+        fleet.kernel.after(UPDATE_US, self.update_exclusions)
+
+    def submit_report(self) -> None:
+        """Proposes a report on the nodes."""
+        fleet, state = self.fleet, self.fleet.state_machine.state
+        if not self.is_lost:
+            returning = {n for s in state.jobs.values() if s.state in (State.BACK, State.WARMING)
+                         for n in state.fleet[s.machine].nodes}  # fmt: skip
+            new_report = build_report(
+                self.router, fleet.kernel.now_us, self.router.in_flight, fleet.nodes, (),
+                self.excluded - returning, self.hit_ratios, returning, False,
+            )  # fmt: skip
+            self.hit_ratios.decay()
+            fleet.propose(self.name, state_machine.SubmitReport(new_report))
+        fleet.kernel.after(REPORT_US, self.submit_report)
 
 
 @dataclass
-class Seen:
-    """Of reads, by the second in which they were asked."""
+class ReadCounts:
+    """The numbers of all reads, and of those answered in time, by the second in which they started."""
 
     all: Counter[int] = field(default_factory=Counter)
     in_time: Counter[int] = field(default_factory=Counter)
 
 
 class Fleet:
+    """A simulated fleet with one node per machine. `work_s` is the time that the work on a machine takes."""
+
     def __init__(self, size: Size, limits: Limits, work_s: float, seed: int = 1) -> None:
         self.size, self.limits, self.work_s = size, limits, work_s
         self.kernel = Kernel(seed)
-        self.archive, self.seen = Archive(self), Seen()
-        self.found: list[str] = []
+        self.archive, self.reads = Archive(self), ReadCounts()
+        self.violations: list[str] = []  # requests to nodes whose machine was being worked on
         names = [f"n{i:03}" for i in range(size.nodes)]
         self.zone_of = {n: f"z{i % size.zones}" for i, n in enumerate(names)}
         self.nodes = {n: Node(self, n) for n in names}
         self.machines = [Machine(f"m-{n}", (n,), (), self.zone_of[n]) for n in names]
         self.members = {f"p{i}": Member(f"p{i}.0", 1) for i in range(size.proxies)}
-        self.board = Board(lambda: self.members, rules.advance)
+        self.state_machine = MaintenanceStateMachine(lambda: self.members, rules.advance)
         settings = Settings((READ,), proxies=size.proxies, max_attempts=3, may_cancel=True, may_probe=True,
                             cold_from=0.3, cold_us=size.cold_us)  # fmt: skip
         self.proxies = [Proxy(self, i, settings) for i in range(size.proxies)]
-        self.weights = list(accumulate(1 / (i + 1) ** 0.8 for i in range(size.keys)))
-        self.number, self.ticked_us = 0, 0
-        self.out_at: dict[str, float] = {}
-        self.most_out = 0
-        self.plan_us = 0
+        self.cumulative_weights = list(accumulate(1 / (i + 1) ** 0.8 for i in range(size.keys)))
+        self.request_count, self.ticked_us = 0, 0
+        self.out_since_s: dict[str, float] = {}  # by machine
+        self.most_out = 0  # the largest number of machines that were out at the same time
+        self.plan_started_us = 0
 
     # ---- traffic
 
     def any_proxy(self) -> Proxy:
+        """Draws a proxy that is not lost."""
         while True:
-            p = self.proxies[self.kernel.random.randrange(len(self.proxies))]
-            if not p.lost:
-                return p
+            proxy = self.proxies[self.kernel.random.randrange(len(self.proxies))]
+            if not proxy.is_lost:
+                return proxy
 
     def key_of(self, request: str) -> int:
         return int(request.partition(" ")[2])
 
     def _arrive(self) -> None:
-        r, self.number = self.kernel.random, self.number + 1
-        key = bisect(self.weights, r.random() * self.weights[-1])
-        self.any_proxy().ask(f"{self.number} {key}", key)
-        self.kernel.after(int(r.expovariate(self.size.reads) * S), self._arrive)
+        random, self.request_count = self.kernel.random, self.request_count + 1
+        key = bisect(self.cumulative_weights, random.random() * self.cumulative_weights[-1])
+        self.any_proxy().read(f"{self.request_count} {key}", key)
+        self.kernel.after(int(random.expovariate(self.size.reads) * US_PER_S), self._arrive)
 
-    def count(self, began_us: int, in_time: bool) -> None:
-        self.seen.all[began_us // S] += 1
-        self.seen.in_time[began_us // S] += in_time
+    def count(self, started_us: int, in_time: bool) -> None:
+        """Counts an answered read by the second in which it started."""
+        self.reads.all[started_us // US_PER_S] += 1
+        self.reads.in_time[started_us // US_PER_S] += in_time
 
     # ---- the plan
 
     @property
-    def kept(self) -> Kept:
-        return self.board.kept
-
-    def propose(self, who: str, command: facts.Command) -> None:
-        before = {s.machine: s.state for s in self.kept.slots.values()}
-        self.board.apply(0, f"{who}.0", facts.encode(command))
-        if isinstance(command, facts.Told | facts.Knows):
+    def state(self) -> MaintenanceState:
+        return self.state_machine.state
+
+    def propose(self, member: str, command: state_machine.Command) -> None:
+        """Applies a command at once, and simulates the work on machines that are out after it."""
+        before = {s.machine: s.state for s in self.state.jobs.values()}
+        self.state_machine.apply(0, f"{member}.0", state_machine.encode(command))
+        if isinstance(command, state_machine.SubmitReport | state_machine.AcknowledgeNext):
             return
-        for slot in self.kept.slots.values():
-            if slot.state is not before.get(slot.machine):
-                self._moved(slot)
-
-    def _moved(self, slot: facts.Slot) -> None:
-        nodes = [self.nodes[n] for n in self.kept.fleet[slot.machine].nodes]
-        if slot.state is State.OUT:
-            self.out_at[slot.machine] = self.kernel.now_us / S
+        for job in self.state.jobs.values():
+            if job.state is not before.get(job.machine):
+                self._on_state_change(job)
+
+    def _on_state_change(self, job: state_machine.Job) -> None:
+        nodes = [self.nodes[n] for n in self.state.fleet[job.machine].nodes]
+        if job.state is State.OUT:
+            self.out_since_s[job.machine] = self.kernel.now_us / US_PER_S
             for node in nodes:
-                node.up = False
-            ended = facts.Ended(slot.machine, slot.epoch)
-            self.kernel.after(int(self.work_s * S), lambda: self._back(nodes, ended))
-        self.most_out = max(self.most_out, len(rules.counted(self.kept)))
+                node.is_up = False
+            finish = state_machine.FinishWork(job.machine, job.grant_number)
+            self.kernel.after(int(self.work_s * US_PER_S), lambda: self._finish_work(nodes, finish))
+        self.most_out = max(self.most_out, len(rules.unavailable_jobs(self.state)))
 
-    def _back(self, nodes: list[Node], ended: facts.Ended) -> None:
+    def _finish_work(self, nodes: list[Node], finish: state_machine.FinishWork) -> None:
         for node in nodes:
             node.restart()
-        self.propose("operator", ended)
+        self.propose("operator", finish)
 
     def _tick(self) -> None:
         now = self.kernel.now_us
-        self.propose("leader", facts.Tick(self.kept.ticks, (now - self.ticked_us) / S, now / S))
+        self.propose(
+            "leader", state_machine.Tick(self.state.ticks, (now - self.ticked_us) / US_PER_S, now / US_PER_S)
+        )
         self.ticked_us = now
         self.kernel.after(TICK_US, self._tick)
 
     def lose(self, number: int, lasts_us: int) -> None:
-        """One proxy, and what it had; it comes back later under another epoch."""
-        p, m = self.proxies[number], self.members[f"p{number}"]
-        if p.lost:
+        """Ends a proxy with its open requests. It returns after `lasts_us` under another epoch."""
+        proxy, member = self.proxies[number], self.members[f"p{number}"]
+        if proxy.is_lost:
             return
-        p.lost, m.state, m.epoch = True, Standing.LOST, m.epoch + 1
-        for job in list(p.jobs.values()):
-            job.over = True
-        p.jobs, p.asked = {}, {}
-        p.out.clear()
+        proxy.is_lost, member.state, member.epoch = True, MemberState.LOST, member.epoch + 1
+        for attempt in list(proxy.attempts.values()):
+            attempt.has_ended = True
+        proxy.attempts, proxy.arrived_us = {}, {}
+        proxy.open_attempts.clear()
 
-        def back() -> None:
-            m.state, m.epoch = Standing.WELL, m.epoch + 1
-            p.lost, p.epoch = False, m.epoch
-            p.view.read_back(m.epoch)
+        def restart() -> None:
+            member.state, member.epoch = MemberState.ALIVE, member.epoch + 1
+            proxy.is_lost, proxy.epoch = False, member.epoch
+            proxy.view.confirm_read(member.epoch)
 
-        self.kernel.after(lasts_us, back)
+        self.kernel.after(lasts_us, restart)
 
     def run(
-        self, quiet_s: int, most_s: int, with_plan: bool = True, lost: int = 0,
-        each: Callable[[Fleet], None] = lambda fleet: None,
+        self, quiet_s: int, max_s: int, with_plan: bool = True, lost: int = 0,
+        on_second: Callable[[Fleet], None] = lambda fleet: None,
     ) -> None:  # fmt: skip
-        """`quiet_s` without work first. `lost`: proxies that are lost meanwhile, at drawn moments."""
+        """Simulates `quiet_s` seconds without maintenance, then a plan for all machines until it ends or
+        `max_s` is reached. `lost` proxies are lost for 10 s each, at random times in the first third of the
+        time after `quiet_s`. `on_second` is called after each simulated second that follows `quiet_s`."""
         kernel = self.kernel
         self._arrive()
-        for i, p in enumerate(self.proxies):
-            kernel.after(LOOK_US * i // len(self.proxies), p.look)
-            kernel.after(REPORT_US * i // len(self.proxies), p.tell)
+        for i, proxy in enumerate(self.proxies):
+            kernel.after(UPDATE_US * i // len(self.proxies), proxy.update_exclusions)
+            kernel.after(REPORT_US * i // len(self.proxies), proxy.submit_report)
         self._tick()
-        kernel.run(quiet_s * S)
-        self.plan_us = kernel.now_us
+        kernel.run(quiet_s * US_PER_S)
+        self.plan_started_us = kernel.now_us
         if with_plan:
             plan = Plan("all", "rig", tuple(m.name for m in self.machines), limits=self.limits)
-            self.propose("operator", facts.Start(plan, tuple(self.machines), ("p0",)))
+            self.propose("operator", state_machine.Start(plan, tuple(self.machines), ("p0",)))
         for i in kernel.random.sample(range(1, len(self.proxies)), lost):
-            at_us = kernel.now_us + kernel.random.randrange(max(1, (most_s - quiet_s) * S // 3))
-            kernel.at(at_us, lambda i=i: self.lose(i, 10 * S))  # type: ignore[misc]
-        while kernel.now_us < most_s * S and (not with_plan or facts.live(self.kept)):
-            kernel.run(kernel.now_us + S)
-            each(self)
+            at_us = kernel.now_us + kernel.random.randrange(max(1, (max_s - quiet_s) * US_PER_S // 3))
+            kernel.at(at_us, lambda i=i: self.lose(i, 10 * US_PER_S))  # type: ignore[misc]
+        while kernel.now_us < max_s * US_PER_S and (
+            not with_plan or state_machine.has_active_machines(self.state)
+        ):
+            kernel.run(kernel.now_us + US_PER_S)
+            on_second(self)
--- a/magpiefront/model/group.py
+++ b/magpiefront/model/group.py
@@ -1,9 +1,11 @@
-"""A group in simulated time: the real `Peer` on disks that lose what was not synced, clocks that drift, and a
-net that fails by a plan. What is judged is judged from outside, at true moments.
-
-Judged while it runs: one leader a term; one entry at an index, whoever applies it; nothing committed is lost;
-no two that hold one lease at one true time; nobody acts under an epoch that is over. The history of registers
-is kept for a checker. After the last fault the group must be whole again within `WHOLE_US`.
+"""Simulates a group in simulated time: the production `Peer` on disks that lose writes that were not synced,
+clocks that drift, and a network that fails by a plan. The rules are checked from outside the members, at
+simulated times that do not depend on any clock.
+
+Checked during the simulation: a term has at most one leader; all members apply the same entry at an index,
+and no committed entry is lost; no two members hold the same lease at the same time; no member acts under an
+epoch that has ended. The operations on registers are recorded for a check of linearizability. After the last
+fault the group must recover within `RECOVERY_US`.
 """
 
 from __future__ import annotations
@@ -16,431 +18,498 @@
 
 import msgspec
 
-from magpiefront.group import facts
-from magpiefront.group.asks import Fate, Outcome
+from magpiefront.group import registry
+from magpiefront.group.pending import Outcome, Status
 from magpiefront.group.messages import Entry, Message, name_of
-from magpiefront.group.machines import FACTS
+from magpiefront.group.state_machines import REGISTRY
 from magpiefront.group.peer import Peer
-from magpiefront.group.durable import Stored, Write
+from magpiefront.group.durable import StoredState, Write
 from magpiefront.group.settings import GroupSettings, Limits, Times
 from magpiefront.model.kernel import Clock, Kernel
-from magpiefront.model.net import Net, Weather
+from magpiefront.model.net import Network, LinkConditions
 from magpiefront.model.plan import Fault, Plan
-from magpiefront.model.rounds import Broken
+from magpiefront.model.rounds import RuleViolation
 
-WHOLE_US = 15_000_000
+RECOVERY_US = 15_000_000
 LEASE = "lease"
-SMALL = Limits(most_append=2_000, most_flight=4, most_part=200, keep=5, compact=25)
+SMALL_LIMITS = Limits(most_append=2_000, most_flight=4, most_part=200, keep=5, compact=25)
 
 
 @dataclass
-class Did:
-    """One operation on a register. Times are true; `end_us` None: its outcome is unknown."""
+class Operation:
+    """One operation on a register, in simulated time. `end_us` is None if the outcome is unknown."""
 
     client: int
     key: str
-    write: bool
+    is_write: bool
     value: bytes
     begin_us: int
     end_us: int | None = None
-    version: int = -1  # of a write: what the register had to be at
+    version: int = -1  # of a conditional write: the version that the register must have; -1: any
 
 
 class Disk:
-    """What is durable, and what is being written. A crash loses the latter, or not."""
+    """The durable state of one member. A write that is in progress when the process crashes becomes durable
+    or is lost (`Host.crash`)."""
 
     def __init__(self) -> None:
-        self.stored = Stored("0", 0)
-        self.older: Stored | None = None
-        self.full = False
+        self.stored = StoredState("0", 0)
+        self.older_state: StoredState | None = None  # a copy to be restored by a "put back" fault
+        self.is_full = False
 
-    def start(self) -> Stored:
-        self.stored = msgspec.structs.replace(self.stored, boot=self.stored.boot + 1)
+    def start(self) -> StoredState:
+        """Returns the stored state for a new process, with the number of processes increased."""
+        self.stored = msgspec.structs.replace(self.stored, process_number=self.stored.process_number + 1)
         return self.stored
 
-    def apply(self, w: Write) -> None:
-        s = self.stored
-        entries, snapshot = s.entries, s.snapshot
-        if w.snapshot is not None:
-            snapshot = w.snapshot
-            entries = [] if w.whole else [e for e in entries if e.index > w.keep_from]
-        if w.entries:
-            entries = [e for e in entries if e.index < w.entries[0].index] + w.entries
-        self.stored = Stored(s.incarnation, s.boot, w.hard, snapshot, entries, w.known)
+    def apply(self, write: Write) -> None:
+        """Makes a write durable."""
+        stored = self.stored
+        entries, snapshot = stored.entries, stored.snapshot
+        if write.snapshot is not None:
+            snapshot = write.snapshot
+            entries = [] if write.replaces_log else [e for e in entries if e.index > write.discard_upto]
+        if write.entries:
+            entries = [e for e in entries if e.index < write.entries[0].index] + write.entries
+        self.stored = StoredState(
+            stored.incarnation, stored.process_number, write.hard_state, snapshot, entries, write.known
+        )
 
-    def reborn(self, random: Random) -> None:
-        self.stored = Stored(f"{random.getrandbits(32):x}", 0)
+    def reset(self, random: Random) -> None:
+        """Discards the state and draws a new incarnation."""
+        self.stored = StoredState(f"{random.getrandbits(32):x}", 0)
 
 
-class Box:
-    """One machine with one member."""
+class Host:
+    """A machine that runs one member. Local times are those of its clock, in microseconds."""
 
-    def __init__(self, world: World, number: int, name: str) -> None:
-        self.world, self.number, self.name = world, number, name
-        r = world.kernel.random
-        self.clock = Clock(r.randrange(1 << 40), 1 + r.uniform(-1, 1) * world.drift)
+    def __init__(self, simulation: GroupSimulation, number: int, name: str) -> None:
+        self.simulation, self.number, self.name = simulation, number, name
+        random = simulation.kernel.random
+        self.clock = Clock(random.randrange(1 << 40), 1 + random.uniform(-1, 1) * simulation.drift)
         self.disk = Disk()
         self.peer: Peer | None = None
-        self.generation = 0
-        self.waiting: list[Callable[[], None]] | None = None  # while it is stopped
-        self.disk_us = 300
-        self.timer = 0
-        self.reborn = 0
+        self.generation = 0  # of the process; callbacks of an earlier process are ignored
+        self.deferred_calls: list[Callable[[], None]] | None = None  # calls while suspended; else None
+        self.disk_us = 300  # minimum duration of a write
+        self.timer_number = 0
+        self.new_incarnations = 0
 
     @property
     def now_us(self) -> int:
-        return self.clock.local(self.world.kernel.now_us)
+        return self.clock.local(self.simulation.kernel.now_us)
 
     def start(self) -> None:
-        if self.peer is not None or self.disk.full:
+        """Starts a process, unless one is running or the disk is full."""
+        if self.peer is not None or self.disk.is_full:
             return
         self.generation += 1
-        settings = replace(self.world.settings, member=self.name)
+        settings = replace(self.simulation.settings, member=self.name)
         stored = self.disk.start()
-        self.peer = Peer(settings, stored, self.world.kernel.random, self.now_us)
-        self._drive()
+        self.peer = Peer(settings, stored, self.simulation.kernel.random, self.now_us)
+        self._process_output()
 
     def crash(self) -> None:
+        """Ends the process. A write in progress becomes durable or is lost, with equal probability."""
         if self.peer is None:
             return
-        w = self.peer.raft.writing
-        if w is not None and self.world.kernel.random.random() < 0.5:
-            self.disk.apply(w)  # durable, and nobody heard of it
-        self.peer, self.waiting = None, None
+        write = self.peer.raft.current_write
+        if write is not None and self.simulation.kernel.random.random() < 0.5:
+            self.disk.apply(write)  # became durable, but the process did not learn of it
+        self.peer, self.deferred_calls = None, None
         self.generation += 1
 
-    def stop(self) -> None:
-        if self.peer is not None and self.waiting is None:
-            self.waiting = []
+    def suspend(self) -> None:
+        if self.peer is not None and self.deferred_calls is None:
+            self.deferred_calls = []
 
-    def go_on(self) -> None:
-        waiting, self.waiting = self.waiting, None
-        for what in waiting or []:
-            what()
+    def resume(self) -> None:
+        """Ends a suspension and runs the calls that were deferred."""
+        deferred, self.deferred_calls = self.deferred_calls, None
+        for call in deferred or []:
+            call()
 
-    def do(self, what: Callable[[Peer, int], object]) -> None:
-        """In its own thread of execution: later, where it is stopped."""
+    def execute(self, call: Callable[[Peer, int], object]) -> None:
+        """Calls `call` with the peer and its local time; if the process is suspended, once it resumes.
+        Does nothing if the process is down or ends before that."""
         generation = self.generation
-        if self.waiting is not None:
-            self.waiting.append(lambda: self.do(what) if generation == self.generation else None)
+        if self.deferred_calls is not None:
+            self.deferred_calls.append(lambda: self.execute(call) if generation == self.generation else None)
         elif self.peer is not None:
-            what(self.peer, self.now_us)
-            self._drive()
+            call(self.peer, self.now_us)
+            self._process_output()
 
-    def _drive(self) -> None:
-        """What it wants sent, written, and to be woken for."""
-        peer, world = self.peer, self.world
+    def _process_output(self) -> None:
+        """Sends the peer's messages, starts its next write and sets its timer. Restarts the process if it
+        needs a new incarnation."""
+        peer, simulation = self.peer, self.simulation
         assert peer is not None
-        if peer.starting.reborn:
-            self.disk.reborn(world.kernel.random)
-            self.reborn += 1
+        if peer.startup.needs_new_incarnation:
+            self.disk.reset(simulation.kernel.random)
+            self.new_incarnations += 1
             self.peer = None
             self.generation += 1
             self.start()
             return
         write = peer.take_write()
-        while write is not None and write.empty:
+        while write is not None and write.is_empty:
             peer.saved(self.now_us)
             write = peer.take_write()
-        for to, m in peer.messages():
-            world.send(self, to, peer.me, m)
+        for to, message in peer.messages():
+            simulation.send(self, to, peer.me, message)
         if write is not None:
             self._write(write)
-        world.judge(self)
-        self._wake_at(peer.next_us())
+        simulation.check_rules(self)
+        self._schedule_tick(peer.next_us())
 
     def _write(self, write: Write) -> None:
         generation = self.generation
 
         def synced() -> None:
-            if generation == self.generation and not self.disk.full:
+            if generation == self.generation and not self.disk.is_full:
                 self.disk.apply(write)
-                self.do(lambda peer, now: peer.saved(now))
+                self.execute(lambda peer, now: peer.saved(now))
 
-        self.world.kernel.after(self.disk_us + self.world.kernel.random.randrange(200), synced)
+        self.simulation.kernel.after(self.disk_us + self.simulation.kernel.random.randrange(200), synced)
 
-    def _wake_at(self, local_us: int) -> None:
-        self.timer += 1
-        number, generation = self.timer, self.generation
+    def _schedule_tick(self, local_us: int) -> None:
+        self.timer_number += 1
+        number, generation = self.timer_number, self.generation
 
         def wake() -> None:
-            if generation == self.generation and (number == self.timer or self.waiting is not None):
-                self.do(lambda peer, now: peer.tick(now))
+            if generation == self.generation and (
+                number == self.timer_number or self.deferred_calls is not None
+            ):
+                self.execute(lambda peer, now: peer.tick(now))
+
+        self.simulation.kernel.at(self.clock.true(local_us), wake)
 
-        self.world.kernel.at(self.clock.true(local_us), wake)
 
+class GroupSimulation:
+    """A group on simulated hosts, its clients, the faults of a plan, and the rules that are checked.
+
+    `drift` is the largest deviation of a clock's rate from that of simulated time; by default half of the
+    allowed difference between two clocks.
+    """
 
-class World:
     def __init__(
-        self, plan: Plan, times: Times | None = None, drift: float | None = None, limits: Limits = SMALL
+        self, plan: Plan, times: Times | None = None, drift: float | None = None,
+        limits: Limits = SMALL_LIMITS,
     ) -> None:  # fmt: skip
         self.plan = plan
         self.kernel = Kernel(plan.seed)
-        self.net = Net(self.kernel)
-        names = [f"m{n}" for n in range(plan.voters + plan.observers)]
+        self.net = Network(self.kernel)
+        names = [f"m{number}" for number in range(plan.voters + plan.observers)]
         times = times or Times()
         self.drift = times.drift / 2 if drift is None else drift
-        voters, places = frozenset(names[: plan.voters]), {n: ("", 0) for n in names}
-        self.settings = GroupSettings("model", "", ("", 0), Path("."), places, voters, times, limits)
-        self.boxes = [Box(self, n, name) for n, name in enumerate(names)]
-        self.by_name = {b.name: b for b in self.boxes}
-        self.leaders: dict[int, str] = {}
-        self.entries: dict[int, tuple[int, bytes]] = {}
-        self.checked: dict[str, int] = {}
-        self.top = 0  # the highest index that anybody applied
-        self.epochs: dict[str, int] = {}
-        self.holding: set[str] = set()
-        self.history: list[Did] = []
-        self.outcomes: dict[Fate, int] = dict.fromkeys(Fate, 0)
-        self.values = 0
-        self.most_term = 0
-
-    # ---- the net
-
-    def send(self, box: Box, to: str, sender: str, m: Message) -> None:
-        other = self.by_name.get(name_of(to))
-        if other is not None and other is not box:
-            process = other.generation  # a connection ends with its process
-            self.net.send(box.name, other.name, lambda: self._deliver(other, process, to, sender, m))
-
-    def _deliver(self, box: Box, process: int, to: str, sender: str, m: Message) -> None:
-        if process != box.generation:
+        voters, addresses = frozenset(names[: plan.voters]), {name: ("", 0) for name in names}
+        self.settings = GroupSettings("model", "", ("", 0), Path("."), addresses, voters, times, limits)
+        self.hosts = [Host(self, number, name) for number, name in enumerate(names)]
+        self.by_name = {host.name: host for host in self.hosts}
+        self.leaders: dict[int, str] = {}  # member id by term
+        self.entries: dict[int, tuple[int, bytes]] = {}  # applied entries: term and data by index
+        self.checked_index: dict[str, int] = {}  # last applied index that was checked, by process
+        self.highest_applied = 0  # the highest index that any member has applied
+        self.epochs: dict[str, int] = {}  # the latest committed epoch, by member name
+        self.lease_holders: set[str] = set()  # members that held the lease when they were last checked
+        self.history: list[Operation] = []
+        self.outcomes: dict[Status, int] = dict.fromkeys(Status, 0)
+        self.value_count = 0
+        self.highest_term = 0
+
+    # ---- network
+
+    def send(self, host: Host, to: str, sender: str, message: Message) -> None:
+        """Sends a message from a host to the member `to`, by the network between their hosts."""
+        receiver = self.by_name.get(name_of(to))
+        if receiver is not None and receiver is not host:
+            generation = receiver.generation  # a connection ends with its process
+            self.net.send(
+                host.name, receiver.name, lambda: self._deliver(receiver, generation, to, sender, message)
+            )
+
+    def _deliver(self, host: Host, generation: int, to: str, sender: str, message: Message) -> None:
+        if generation != host.generation:
             return
 
         def receive(peer: Peer, now: int) -> None:
-            if to in (peer.me, f"{box.name}."):
-                peer.receive(sender, m, now)
+            if to in (peer.me, f"{host.name}."):
+                peer.receive(sender, message, now)
 
-        box.do(receive)
+        host.execute(receive)
 
-    # ---- judged from outside
+    # ---- rules
 
-    def judge(self, box: Box) -> None:
-        peer = box.peer
+    def check_rules(self, host: Host) -> None:
+        """Checks the rules after an event at this host. Raises RuleViolation if one does not hold."""
+        peer = host.peer
         assert peer is not None
         raft = peer.raft
-        self.most_term = max(self.most_term, raft.term)
-        if raft.lead is not None and self.leaders.setdefault(raft.term, peer.me) != peer.me:
-            raise Broken(f"two leaders in term {raft.term}: {self.leaders[raft.term]} and {peer.me}")
-        key = f"{peer.me} {box.generation}"
-        if peer.applied > self.checked.get(key, 0):
-            after = max(self.checked.get(key, 0), raft.log.first)
-            for e in raft.log.between(after, peer.applied):
-                self._one_entry(peer, e)
-            self.checked[key] = peer.applied
-            self.top = max(self.top, peer.applied)
-            for name, m in peer.machines.facts.kept.members.items():
-                if m.epoch > self.epochs.get(name, 0):
-                    self.epochs[name] = m.epoch
-                    self._acting(self.by_name[name])
-        self._acting(box)
-
-    def _one_entry(self, peer: Peer, e: Entry) -> None:
-        if self.entries.setdefault(e.index, (e.term, e.data)) != (e.term, e.data):
-            raise Broken(f"{peer.me} applied another entry at {e.index} than somebody before it")
-
-    def _acting(self, b: Box) -> None:
-        """Only what happens at a member lets it act; time alone ends that."""
-        self.holding.discard(b.name)
-        if b.peer is None:
+        self.highest_term = max(self.highest_term, raft.term)
+        if raft.leader_state is not None and self.leaders.setdefault(raft.term, peer.me) != peer.me:
+            raise RuleViolation(f"two leaders in term {raft.term}: {self.leaders[raft.term]} and {peer.me}")
+        key = f"{peer.me} {host.generation}"
+        if peer.applied > self.checked_index.get(key, 0):
+            after = max(self.checked_index.get(key, 0), raft.log.base_index)
+            for entry in raft.log.entries_between(after, peer.applied):
+                self._check_entry(peer, entry)
+            self.checked_index[key] = peer.applied
+            self.highest_applied = max(self.highest_applied, peer.applied)
+            for name, member in peer.machines.registry.tables.members.items():
+                if member.epoch > self.epochs.get(name, 0):
+                    self.epochs[name] = member.epoch
+                    self._check_member(self.by_name[name])
+        self._check_member(host)
+
+    def _check_entry(self, peer: Peer, entry: Entry) -> None:
+        if self.entries.setdefault(entry.index, (entry.term, entry.data)) != (entry.term, entry.data):
+            raise RuleViolation(f"{peer.me} applied a different entry at {entry.index} than another member")
+
+    def _check_member(self, host: Host) -> None:
+        """Checks the epoch and the lease of one member.
+
+        It is enough to call this after an event at that member: only events make it act or hold a lease,
+        while time alone can only end that.
+        """
+        self.lease_holders.discard(host.name)
+        if host.peer is None:
             return
-        epoch = b.peer.may_act(b.now_us)
-        if epoch and epoch < self.epochs.get(b.name, 0):
-            raise Broken(f"{b.name} acts under epoch {epoch}, and {self.epochs[b.name]} is committed")
-        if b.peer.holds(LEASE, b.now_us):
-            for name in sorted(self.holding):
+        epoch = host.peer.may_act(host.now_us)
+        if epoch and epoch < self.epochs.get(host.name, 0):
+            raise RuleViolation(
+                f"{host.name} acts under epoch {epoch}, but {self.epochs[host.name]} is committed"
+            )
+        if host.peer.lease_epoch(LEASE, host.now_us):
+            for name in sorted(self.lease_holders):
                 other = self.by_name[name]
-                if other.peer is not None and other.peer.holds(LEASE, other.now_us):
-                    raise Broken(f"{name} and {b.name} hold one lease at one time")
-            self.holding.add(b.name)
+                if other.peer is not None and other.peer.lease_epoch(LEASE, other.now_us):
+                    raise RuleViolation(f"{name} and {host.name} hold the same lease at the same time")
+            self.lease_holders.add(host.name)
 
-    # ---- what is asked
+    # ---- clients
 
-    def _begin(self) -> None:
-        for b in self.boxes:
-            self.kernel.after(self.kernel.random.randrange(50_000), b.start)
-            self.kernel.after(500_000, partial(self._want_lease, b))
+    def _start(self) -> None:
+        """Starts the members, their requests for the lease, and three clients."""
+        for host in self.hosts:
+            self.kernel.after(self.kernel.random.randrange(50_000), host.start)
+            self.kernel.after(500_000, partial(self._request_lease, host))
         for client in range(3):
-            self.kernel.after(400_000 + self.kernel.random.randrange(100_000), partial(self._ask, client))
-
-    def _ask(self, client: int) -> None:
-        r = self.kernel.random
+            self.kernel.after(
+                400_000 + self.kernel.random.randrange(100_000), partial(self._send_request, client)
+            )
+
+    def _send_request(self, client: int) -> None:
+        """Sends a write, a conditional write or a read of a register to one member, and schedules the
+        client's next request."""
+        random = self.kernel.random
         if self.kernel.now_us < self.plan.length_us + 1_000_000:
-            self.kernel.after(r.randrange(20_000, 250_000), lambda: self._ask(client))
-        box = r.choice(self.boxes)
-        if box.peer is None or box.waiting is not None:
+            self.kernel.after(random.randrange(20_000, 250_000), lambda: self._send_request(client))
+        host = random.choice(self.hosts)
+        if host.peer is None or host.deferred_calls is not None:
             return
-        key, kind = r.choice("xy"), r.random()
-        self.values += 1
-        value = b"%d" % self.values
+        key, draw = random.choice("xy"), random.random()
+        self.value_count += 1
+        value = b"%d" % self.value_count
         version = -1
-        if kind < 0.3:
-            known = box.peer.machines.facts.kept.registers.get(key)
-            version = known.version if known is not None else 0
-        did = Did(client, key, kind < 0.6, value, self.kernel.now_us, version=version)
-        if did.write:
-            self.history.append(did)  # who dies with it open has asked all the same
-            put = facts.encode(facts.Put(key, value, version))
-            box.do(lambda p, now: p.propose(FACTS, put, now + 600_000, lambda o: self._put(did, o), now))
+        if draw < 0.3:
+            register = host.peer.machines.registry.tables.registers.get(key)
+            version = register.version if register is not None else 0
+        operation = Operation(client, key, draw < 0.6, value, self.kernel.now_us, version=version)
+        if operation.is_write:
+            self.history.append(operation)  # now, because the write may take effect even if this member dies
+            put = registry.encode(registry.PutRegister(key, value, version))
+            host.execute(
+                lambda peer, now: peer.propose(
+                    REGISTRY, put, now + 600_000, lambda outcome: self._finish_write(operation, outcome), now
+                )
+            )
         else:
-            box.do(lambda peer, now: peer.read(now + 600_000, lambda o: self._got(did, peer, o), now))
-
-    def _put(self, did: Did, o: Outcome) -> None:
-        self.outcomes[o.fate] += 1
-        told = facts.read_told(o.value) if o.value else None
-        if o.fate is Fate.REFUSED:
-            self.history.remove(did)
-        if o.fate is Fate.COMMITTED:
-            did.end_us = self.kernel.now_us
-            if told is None or not told.done:
-                did.write = False  # its version was another: it tells what it read
-                did.value = told.value if told is not None else b""
-
-    def _got(self, did: Did, peer: Peer, o: Outcome) -> None:
-        if o.fate is Fate.COMMITTED:
-            register = peer.machines.facts.kept.registers.get(did.key)
-            did.value, did.end_us = register.value if register is not None else b"", self.kernel.now_us
-            self.history.append(did)
-
-    def _want_lease(self, b: Box) -> None:
-        r = self.kernel.random
+            host.execute(
+                lambda peer, now: peer.read(
+                    now + 600_000, lambda outcome: self._finish_read(operation, peer, outcome), now
+                )
+            )
+
+    def _finish_write(self, operation: Operation, outcome: Outcome) -> None:
+        self.outcomes[outcome.status] += 1
+        result = registry.decode_result(outcome.value) if outcome.value else None
+        if outcome.status is Status.REFUSED:
+            self.history.remove(operation)
+        if outcome.status is Status.COMMITTED:
+            operation.end_us = self.kernel.now_us
+            if result is None or not result.done:
+                operation.is_write = False  # the version did not match: the result is that of a read
+                operation.value = result.value if result is not None else b""
+
+    def _finish_read(self, operation: Operation, peer: Peer, outcome: Outcome) -> None:
+        if outcome.status is Status.COMMITTED:
+            register = peer.machines.registry.tables.registers.get(operation.key)
+            operation.value, operation.end_us = (
+                register.value if register is not None else b"",
+                self.kernel.now_us,
+            )
+            self.history.append(operation)
+
+    def _request_lease(self, host: Host) -> None:
+        """Requests the lease for this member if it is free, or sometimes releases it if the member holds it,
+        and schedules the next call."""
+        random = self.kernel.random
         if self.kernel.now_us < self.plan.length_us + 1_000_000:
-            self.kernel.after(r.randrange(50_000, 200_000), lambda: self._want_lease(b))
+            self.kernel.after(random.randrange(50_000, 200_000), lambda: self._request_lease(host))
 
-        def want(peer: Peer, now: int) -> None:
-            held = peer.machines.facts.lease(LEASE)
-            if held.holder == peer.me:
-                if r.random() < 0.1:
-                    peer.drop(LEASE, now + 300_000, lambda o: None, now)
-            elif not held.holder:
-                peer.take(LEASE, now + 300_000, lambda o: None, now)
+        def acquire_or_release(peer: Peer, now: int) -> None:
+            lease = peer.machines.registry.lease(LEASE)
+            if lease.holder == peer.me:
+                if random.random() < 0.1:
+                    peer.release_lease(LEASE, now + 300_000, lambda outcome: None, now)
+            elif not lease.holder:
+                peer.acquire_lease(LEASE, now + 300_000, lambda outcome: None, now)
 
-        b.do(want)
+        host.execute(acquire_or_release)
 
     # ---- faults
 
-    def _strike(self, f: Fault) -> None:
-        boxes = [self.boxes[n] for n in f.who if n < len(self.boxes)]
-        first = boxes[0]
+    def _inject_fault(self, fault: Fault) -> None:
+        """Starts a fault and schedules its end. Members that the group does not have are ignored."""
+        hosts = [self.hosts[n] for n in fault.who if n < len(self.hosts)]
+        first = hosts[0]
         after = self.kernel.after
 
-        def meanwhile(ways: list[tuple[str, str]], weather: Weather, us: int = f.lasts_us) -> None:
-            self.net.set_all(ways, weather)
-            after(us, lambda: self.net.set_all(ways, None))
+        def degrade_links(
+            links: list[tuple[str, str]], conditions: LinkConditions, duration_us: int = fault.lasts_us
+        ) -> None:
+            self.net.set_links(links, conditions)
+            after(duration_us, lambda: self.net.set_links(links, None))
 
-        names = [b.name for b in self.boxes]
-        inside = {b.name for b in boxes}
-        match f.kind:
+        names = [host.name for host in self.hosts]
+        affected = {host.name for host in hosts}
+        match fault.kind:
             case "crash":
                 first.crash()
-                after(f.lasts_us, first.start)
+                after(fault.lasts_us, first.start)
             case "stop":
-                first.stop()
-                after(f.lasts_us, first.go_on)
+                first.suspend()
+                after(fault.lasts_us, first.resume)
             case "cut":
-                meanwhile([(a, b) for a in names for b in names if (a in inside) != (b in inside)],
-                          Weather(cut=True))  # fmt: skip
+                degrade_links([(a, b) for a in names for b in names if (a in affected) != (b in affected)],
+                              LinkConditions(is_cut=True))  # fmt: skip
             case "one way":
-                meanwhile([(first.name, b) for b in names], Weather(cut=True))
+                degrade_links([(first.name, name) for name in names], LinkConditions(is_cut=True))
             case "bridge":
-                ends = sorted(inside)[:2]
-                meanwhile([(ends[0], ends[-1]), (ends[-1], ends[0])], Weather(cut=True))
+                ends = sorted(affected)[:2]
+                degrade_links([(ends[0], ends[-1]), (ends[-1], ends[0])], LinkConditions(is_cut=True))
             case "flap":
-                for at in range(0, f.lasts_us, 100_000):
-                    after(at, lambda: meanwhile([(first.name, b) for b in names], Weather(cut=True), 50_000))
+                for at in range(0, fault.lasts_us, 100_000):
+                    after(
+                        at,
+                        lambda: degrade_links(
+                            [(first.name, name) for name in names], LinkConditions(is_cut=True), 50_000
+                        ),
+                    )
             case "slow":
-                meanwhile([(first.name, b) for b in names], Weather(50_000, 2_000_000))
+                degrade_links([(first.name, name) for name in names], LinkConditions(50_000, 2_000_000))
             case "lossy":
-                meanwhile([(a, b) for a in names for b in names], Weather(200, 60_000, 0.2, 0.2))
+                degrade_links([(a, b) for a in names for b in names], LinkConditions(200, 60_000, 0.2, 0.2))
             case "disk slow":
                 first.disk_us = 200_000
-                after(f.lasts_us, lambda: setattr(first, "disk_us", 300))
+                after(fault.lasts_us, lambda: setattr(first, "disk_us", 300))
             case "disk full":
-                first.disk.full = True
+                first.disk.is_full = True
                 first.crash()
-                after(f.lasts_us, lambda: self._room(first))
+                after(fault.lasts_us, lambda: self._free_disk(first))
             case "put back":
-                first.disk.older = first.disk.stored
-                after(f.lasts_us, lambda: self._put_back(first))
+                first.disk.older_state = first.disk.stored
+                after(fault.lasts_us, lambda: self._restore_disk(first))
             case "wipe":
                 first.crash()
-                first.disk.stored = Stored("0", 0)
-                after(min(f.lasts_us, 200_000), first.start)
+                first.disk.stored = StoredState("0", 0)
+                after(min(fault.lasts_us, 200_000), first.start)
             case "all":
-                for b in self.boxes:
-                    b.crash()
-                    after(self.kernel.random.randrange(200_000), b.start)
+                for host in self.hosts:
+                    host.crash()
+                    after(self.kernel.random.randrange(200_000), host.start)
             case "remove":
-                self._lead(lambda peer, now: peer.members.bar(first.name, True, now))
-                after(f.lasts_us, lambda: self._lead(partial(_let_in, first.name)))
+                self._call_leader(lambda peer, now: peer.members.propose_bar(first.name, True, now))
+                after(fault.lasts_us, lambda: self._call_leader(partial(_readmit, first.name)))
             case "hand over":
-                self._lead(lambda peer, now: peer.raft.hand_over(f"{first.name}.0", now))
+                self._call_leader(lambda peer, now: peer.raft.transfer_leadership(f"{first.name}.0", now))
             case _:
-                raise ValueError(f.kind)
+                raise ValueError(fault.kind)
 
-    def _room(self, box: Box) -> None:
-        box.disk.full = False
-        box.start()
+    def _free_disk(self, host: Host) -> None:
+        host.disk.is_full = False
+        host.start()
 
-    def _put_back(self, box: Box) -> None:
-        box.crash()
-        assert box.disk.older is not None
-        box.disk.stored = box.disk.older
-        self.kernel.after(20_000, box.start)
+    def _restore_disk(self, host: Host) -> None:
+        host.crash()
+        assert host.disk.older_state is not None
+        host.disk.stored = host.disk.older_state
+        self.kernel.after(20_000, host.start)
 
-    def _lead(self, what: Callable[[Peer, int], object]) -> None:
-        for b in self.boxes:
-            if b.peer is not None and b.peer.leads:
-                b.do(what)
+    def _call_leader(self, call: Callable[[Peer, int], object]) -> None:
+        """Calls `call` at each member that considers itself the leader."""
+        for host in self.hosts:
+            if host.peer is not None and host.peer.is_leader:
+                host.execute(call)
 
-    # ---- a round
+    # ---- simulation
 
     def run(self) -> None:
-        """Raises Broken."""
-        self._begin()
-        for f in self.plan.faults:
-            self.kernel.at(f.at_us, partial(self._strike, f))
+        """Plays the plan and waits until the group has recovered. Raises RuleViolation if a rule does not
+        hold or the group does not recover in time."""
+        self._start()
+        for fault in self.plan.faults:
+            self.kernel.at(fault.at_us, partial(self._inject_fault, fault))
         self.kernel.run(max([self.plan.length_us, *(f.at_us + f.lasts_us for f in self.plan.faults)]))
-        self._heal()
-        end = self.kernel.now_us + WHOLE_US
-        while not self.whole():
+        self._end_faults()
+        end = self.kernel.now_us + RECOVERY_US
+        while not self.has_recovered():
             if self.kernel.now_us >= end:
-                raise Broken(f"not whole again {WHOLE_US / 1e6} s after the last fault: {self.state()}")
-            for b in self.boxes:  # whom the plan took out
-                self._lead(partial(_let_in, b.name))
+                raise RuleViolation(
+                    f"not recovered {RECOVERY_US / 1e6} s after the last fault: {self.state()}"
+                )
+            for host in self.hosts:  # readmit those that the plan has removed
+                self._call_leader(partial(_readmit, host.name))
             self.kernel.run(self.kernel.now_us + 100_000)
 
-    def _heal(self) -> None:
-        self.net.ways.clear()
-        for b in self.boxes:
-            b.disk.full, b.disk_us = False, 300
-            if b.waiting is not None:
-                b.go_on()
-            b.start()
-
-    def whole(self) -> bool:
-        """One leader, all well and applied as far as anybody."""
-        peers = [b.peer for b in self.boxes if b.peer is not None]
-        leads = [p for p in peers if p.leads]
-        if len(leads) != 1 or len(peers) < len(self.boxes):
+    def _end_faults(self) -> None:
+        self.net.links.clear()
+        for host in self.hosts:
+            host.disk.is_full, host.disk_us = False, 300
+            if host.deferred_calls is not None:
+                host.resume()
+            host.start()
+
+    def has_recovered(self) -> bool:
+        """Whether there is one leader that all members know, all members run, may act and have applied every
+        entry, and the voters are those of the settings."""
+        peers = [host.peer for host in self.hosts if host.peer is not None]
+        leaders = [p for p in peers if p.is_leader]
+        if len(leaders) != 1 or len(peers) < len(self.hosts):
             return False
-        top = max(self.top, leads[0].raft.commit)
-        voters = {name_of(v) for v in leads[0].raft.log.conf.voters}
+        highest = max(self.highest_applied, leaders[0].raft.commit)
+        voters = {name_of(v) for v in leaders[0].raft.log.conf.voters}
         return (
-            all(p.applied >= top and p.may_act(b.now_us) for b, p in zip(self.boxes, peers, strict=True))
+            all(
+                p.applied >= highest and p.may_act(host.now_us)
+                for host, p in zip(self.hosts, peers, strict=True)
+            )
             and voters == self.settings.voters
-            and all(p.raft.leader == leads[0].me for p in peers)
+            and all(p.raft.leader == leaders[0].me for p in peers)
         )
 
     def state(self) -> str:
+        """Describes the state of each member, for messages."""
         return "; ".join(
-            f"{b.name}: " + (f"{p.me} {p.raft.role.value} t{p.raft.term} c{p.raft.commit} l{p.raft.log.last} "
-                             f"a{p.applied} votes {p.raft.votes} may_vote {p.raft.may_vote} "
-                             f"acts {p.may_act(b.now_us)} joins {p.starting.joining}" if p else "down")
-            for b in self.boxes for p in [b.peer]
+            f"{host.name}: " + (f"{p.me} {p.raft.role.value} t{p.raft.term} c{p.raft.commit} "
+                                f"l{p.raft.log.last_index} a{p.applied} "
+                                f"votes {p.raft.is_voter} may_vote {p.raft.may_vote} "
+                                f"acts {p.may_act(host.now_us)} joins {p.startup.joining}" if p else "down")
+            for host in self.hosts for p in [host.peer]
         )  # fmt: skip
 
 
-def _let_in(name: str, peer: Peer, now_us: int) -> None:
-    if name in peer.machines.facts.kept.barred:
-        peer.members.bar(name, False, now_us)
+def _readmit(name: str, peer: Peer, now_us: int) -> None:
+    """Proposes that a barred member may join again."""
+    if name in peer.machines.registry.tables.barred:
+        peer.members.propose_bar(name, False, now_us)
--- a/magpiefront/model/maintenance.py
+++ b/magpiefront/model/maintenance.py
@@ -1,10 +1,13 @@
-"""Machines out for work in simulated time: the facts, rules and views that ship, over a log.
-
-The group itself is proven elsewhere (`model/group.py`); here it is what it gives: one order, sessions that
-end by their member's clock before its loss is known, reads. A plan of faults is drawn before the round:
-proxies that are cut off and go on serving, die and come back, stop and go on, lag; nodes that fail by
-themselves, load that rises, machines that never come back. The machines judge, at true moments: nobody sends
-to one that is worked on, none leaves without a grant, never more are out than the limits let, the plan ends.
+"""Simulates machine maintenance in simulated time: the production state machine, rules and exclusions over a
+replicated log.
+
+Of the group only the guarantees are modelled (the group itself is checked by `model/group.py`): one order of
+the log, sessions that end by their member's clock before the loss is known, and reads. The faults of a round
+are drawn before it starts: proxies that are cut off and keep serving, that crash and restart, are suspended
+and resume, or lag; nodes that fail independently, a load that rises, machines that never come back. The rules
+are checked from outside, at simulated times that do not depend on any clock: no request is sent to a machine
+that is being worked on, no machine leaves without a grant, never more machines are out than the limits allow,
+and the plan ends.
 """
 
 from __future__ import annotations
@@ -14,30 +17,35 @@
 
 import msgspec
 
-from magpiefront.group.facts import Member, State as Standing
-from magpiefront.maintenance import facts, rules
-from magpiefront.maintenance.facts import COUNTED, OVER, Board, Command, State
+from magpiefront.group.registry import Member, MemberState
+from magpiefront.maintenance import state_machine, rules
+from magpiefront.maintenance.state_machine import (
+    FINISHED, UNAVAILABLE, Command, MaintenanceStateMachine, State,
+)  # fmt: skip
 from magpiefront.maintenance.plan import Limits, Machine, Plan
-from magpiefront.maintenance.view import Memory, View
+from magpiefront.maintenance.exclusions import SavedExclusions, ExclusionView
 from magpiefront.model.kernel import Clock, Kernel
-from magpiefront.model.rounds import Broken, Fault, Printed
-
-S, MS = 1_000_000, 1_000
-SESSION_US, FREE_US, DRIFT = 450 * MS, 480 * MS, 0.01
-TICK_US, STEP_US, REPORT_US = 500 * MS, 50 * MS, 1 * S
-SNAPSHOT = 50  # entries between two of a proxy's snapshots
-DEADLINE_US = 2 * S  # of what a proxy sends
-WORK_S, WARM_US = 3.0, 1 * S
-KINDS = {"cut": 4, "kill": 3, "stop": 3, "slow": 2, "node": 2, "load": 2, "never": 1, "pause": 1, "long": 2}
-SOON_US = 200 * S  # where a machine never comes back, so far
-# Within which a plan has to be over: for each machine its spread, drain, work, warming, and 5 s for ticks and
-# reports; for each fault what it lasts and until it is forgotten, a loss or a load that counts for a minute.
-EACH_US, LOSS_US, LOAD_US = 12 * S, 12 * S, 75 * S
+from magpiefront.model.rounds import RuleViolation, Fault, ReplayablePlan
+
+US_PER_S, US_PER_MS = 1_000_000, 1_000
+SESSION_US, LOSS_TIMEOUT_US, DRIFT = 450 * US_PER_MS, 480 * US_PER_MS, 0.01
+TICK_US, STEP_US, REPORT_US = 500 * US_PER_MS, 50 * US_PER_MS, 1 * US_PER_S
+SNAPSHOT_INTERVAL = 50  # log entries between two snapshots of a proxy
+DEADLINE_US = 2 * US_PER_S  # of the requests that a proxy sends
+WORK_S, WARM_US = 3.0, 1 * US_PER_S
+FAULT_WEIGHTS = {  # relative frequency of each kind
+    "cut": 4, "kill": 3, "stop": 3, "slow": 2, "node": 2, "load": 2, "never": 1, "pause": 1, "long": 2,
+}  # fmt: skip
+UNFINISHED_DURATION_US = 200 * US_PER_S  # simulated time if a machine never comes back: the plan does not end
+# The time in which a plan has to end: for each machine its spread, drain, work and warming, and 5 s for ticks
+# and reports; for each fault its duration and the time until it has no effect any more. A load counts for a
+# minute (`rules.LOAD_WINDOW_S`).
+MACHINE_BOUND_US, LOSS_BOUND_US, LOAD_BOUND_US = 12 * US_PER_S, 12 * US_PER_S, 75 * US_PER_S
 
 
 @dataclass(frozen=True)
-class Round(Printed):
-    """All that is drawn of a round."""
+class Round(ReplayablePlan):
+    """The size of a simulation, a limit of its plan, and its faults."""
 
     seed: int
     proxies: int = 5
@@ -49,305 +57,379 @@
 
     @classmethod
     def draw(cls, seed: int) -> Round:
-        r = Random(f"{seed} maintenance")
-        machines = r.randint(3, 9)
-        length = machines * 12 * S
+        """Draws the sizes and one to eight faults; the same seed gives the same round."""
+        random = Random(f"{seed} maintenance")
+        machines = random.randint(3, 9)
+        length_us = machines * 12 * US_PER_S
         faults = tuple(
-            Fault(r.randrange(length), r.choices(list(KINDS), list(KINDS.values()))[0], r.randrange(1_000),
-                  int(10 ** r.uniform(5, 7.3)))
-            for _ in range(r.randint(1, 8))
+            Fault(random.randrange(length_us),
+                  random.choices(list(FAULT_WEIGHTS), list(FAULT_WEIGHTS.values()))[0],
+                  random.randrange(1_000), int(10 ** random.uniform(5, 7.3)))
+            for _ in range(random.randint(1, 8))
         )  # fmt: skip
-        return cls(seed, r.randint(2, 7), machines, r.randint(1, 3), r.randint(1, 3),
+        return cls(seed, random.randint(2, 7), machines, random.randint(1, 3), random.randint(1, 3),
                    faults=tuple(sorted(faults, key=lambda f: f.at_us)))  # fmt: skip
 
     @property
     def bound_us(self) -> int:
-        """Of its plan, where all machines come back."""
-        after = [LOAD_US if f.kind == "load" else LOSS_US for f in self.faults]
+        """The time in which the plan has to end if all machines come back."""
+        after = [LOAD_BOUND_US if f.kind == "load" else LOSS_BOUND_US for f in self.faults]
         lasts = [f.lasts_us * (10 if f.kind == "long" else 1) for f in self.faults]
-        return self.machines * EACH_US + sum(after) + sum(lasts)
+        return self.machines * MACHINE_BOUND_US + sum(after) + sum(lasts)
 
 
 class Proxy:
-    """One process, and what its machine keeps of it."""
-
-    def __init__(self, world: World, name: str) -> None:
-        self.world, self.name, self.id = world, name, f"{name}.0"
-        self.clock = Clock(world.kernel.random.randrange(S), 1 + world.kernel.random.uniform(-DRIFT, DRIFT))
-        self.memory: Memory | None = None
-        self.kept = 0, b""
-        self.alive = self.stopped = self.cut = False
-        self.lag_us, self.life = 5 * MS, 0
-        self.out: dict[str, list[int]] = {}  # by node: until when each request that is out lasts
-        self.until_us, self.epoch = 0, 0  # of its session, by its own clock
+    """One proxy: its process, and what its machine stores. Times are microseconds of simulated time, except
+    that of the session, which is by the proxy's clock."""
+
+    def __init__(self, simulation: MaintenanceSimulation, name: str) -> None:
+        self.simulation, self.name, self.id = simulation, name, f"{name}.0"
+        self.clock = Clock(
+            simulation.kernel.random.randrange(US_PER_S), 1 + simulation.kernel.random.uniform(-DRIFT, DRIFT)
+        )
+        self.saved_exclusions: SavedExclusions | None = None
+        self.snapshot = 0, b""  # the last applied index, and the data; empty before the first snapshot
+        self.is_running = self.is_suspended = self.is_cut_off = False
+        self.lag_us, self.life = 5 * US_PER_MS, 0  # delay of committed entries; number of the process
+        self.open_requests: dict[str, list[int]] = {}  # by node: when each open request ends
+        self.session_until_us, self.epoch = 0, 0
         self.start()
 
     def start(self) -> None:
-        """From the last snapshot of its disk, where it has one: of any moment before."""
-        self.alive, self.stopped, self.life = True, False, self.life + 1
-        self.applied, data = self.kept
-        self.board = Board(lambda: self.world.members_at[self.applied], rules.advance)
+        """Starts a process with the last snapshot, which may be of any age, or with empty state."""
+        self.is_running, self.is_suspended, self.life = True, False, self.life + 1
+        self.applied, data = self.snapshot
+        self.replica = MaintenanceStateMachine(
+            lambda: self.simulation.members_at[self.applied], rules.advance
+        )
         if data:
-            self.board.restore(data)
-        self.view = View(self.name, self.memory)
-        self.out = {}
-        self.until_us = self.epoch = 0
-        self.asking = False
+            self.replica.restore(data)
+        self.view = ExclusionView(self.name, self.saved_exclusions)
+        self.open_requests = {}
+        self.session_until_us = self.epoch = 0
+        self.is_reading = False
 
     @property
     def session(self) -> int:
-        return self.epoch if self.clock.local(self.world.kernel.now_us) < self.until_us else 0
-
-    # ---- what it hears
-
-    def hear(self) -> None:
-        """Applies what has come to it by now."""
-        w = self.world
-        while self.applied < len(w.log) and w.log[self.applied][0] + self.lag_us <= w.kernel.now_us:
-            _, who, data = w.log[self.applied]
+        """The epoch of the session; 0 if it has ended."""
+        return self.epoch if self.clock.local(self.simulation.kernel.now_us) < self.session_until_us else 0
+
+    # ---- the group
+
+    def apply_log(self) -> None:
+        """Applies the committed entries that have arrived by now."""
+        simulation = self.simulation
+        while (
+            self.applied < len(simulation.log)
+            and simulation.log[self.applied][0] + self.lag_us <= simulation.kernel.now_us
+        ):
+            _, origin, data = simulation.log[self.applied]
             self.applied += 1
-            self.board.apply(self.applied, who, data)
-            if self.applied % SNAPSHOT == 0:
-                self.kept = self.applied, self.board.snapshot()
-
-    def ask(self) -> None:
-        """For its session, and then for a read in it."""
-        w = self.world
-        m = w.members[self.name]
-        if m.state is not Standing.WELL:
+            self.replica.apply(self.applied, origin, data)
+            if self.applied % SNAPSHOT_INTERVAL == 0:
+                self.snapshot = self.applied, self.replica.snapshot()
+
+    def renew_session(self) -> None:
+        """Renews the session, and starts a read if none has returned in this epoch."""
+        simulation = self.simulation
+        member = simulation.members[self.name]
+        if member.state is not MemberState.ALIVE:
             return
-        self.until_us, self.epoch = self.clock.local(w.kernel.now_us) + SESSION_US, m.epoch
-        w.asked_us[self.name] = w.kernel.now_us
-        if not self.view.fresh(self.epoch) and not self.asking:
-            self.asking = True
-            w.kernel.after(self.lag_us, lambda: self.read(len(w.log), m.epoch, self.life))
-
-    def read(self, index: int, epoch: int, life: int) -> None:
+        self.session_until_us, self.epoch = (
+            self.clock.local(simulation.kernel.now_us) + SESSION_US,
+            member.epoch,
+        )
+        simulation.renewed_us[self.name] = simulation.kernel.now_us
+        if not self.view.is_current(self.epoch) and not self.is_reading:
+            self.is_reading = True
+            simulation.kernel.after(
+                self.lag_us, lambda: self.finish_read(len(simulation.log), member.epoch, self.life)
+            )
+
+    def finish_read(self, index: int, epoch: int, life: int) -> None:
+        """Ends a read once the process has applied the entries up to `index`. It counts only in the
+        session in which it was started."""
         if life != self.life:
             return
-        if self.stopped or self.applied < index:
-            self.world.kernel.after(20 * MS, lambda: self.read(index, epoch, life))
+        if self.is_suspended or self.applied < index:
+            self.simulation.kernel.after(20 * US_PER_MS, lambda: self.finish_read(index, epoch, life))
             return
-        self.asking = False
+        self.is_reading = False
         if self.session == epoch:
-            self.view.read_back(epoch)
+            self.view.confirm_read(epoch)
 
-    # ---- what it does
+    # ---- requests and commands
 
     def step(self) -> None:
-        w, now = self.world, self.world.kernel.now_us
-        if not self.alive or self.stopped:
+        """Saves and applies the exclusions, sends a request to each node that is not excluded, and proposes
+        the pending commands."""
+        simulation, now = self.simulation, self.simulation.kernel.now_us
+        if not self.is_running or self.is_suspended:
             return
-        if not self.cut:
-            self.hear()
-            self.ask()
-        local, k = self.clock.local(now), self.board.kept
-        wanted = self.view.to_remember(k)
-        if self.view.fresh(self.session) and wanted != self.memory:
-            self.memory = wanted
-            self.view.memory = wanted
-        away = self.view.nodes(k, self.session, local)
-        for node in w.nodes:
-            self.out[node] = [until for until in self.out.get(node, []) if until > now]
-            if self.view.may_serve and node not in away:
-                w.sent(self, node)
-                self.out[node].append(now + w.kernel.random.randrange(20 * MS, DEADLINE_US))
-        if not self.cut:
-            busy = {node for node, out in self.out.items() if out}
-            for c in self.view.says(k, self.session, local, busy):
-                w.propose(self.id, c)
-
-    def report(self) -> None:
-        w = self.world
-        if self.alive and not self.stopped and not self.cut and self.session:
-            bad = tuple(sorted(w.bad_nodes()))
-            cold = tuple(n for n, until in sorted(w.cold.items()) if until > w.kernel.now_us and n not in bad)
-            w.propose(self.id, facts.Told(facts.Report(load=w.load / len(w.proxies), failing=bad, cold=cold)))
-
-
-class World:
-    def __init__(self, plan: Round) -> None:
-        self.plan, self.kernel = plan, Kernel(plan.seed)
-        self.log: list[tuple[int, str, bytes]] = []
-        self.machines = [Machine(f"m{i}", (f"m{i}-a", f"m{i}-b"), (), f"z{i % plan.zones}")
-                         for i in range(plan.machines)]  # fmt: skip
+        if not self.is_cut_off:
+            self.apply_log()
+            self.renew_session()
+        local_us, state = self.clock.local(now), self.replica.state
+        to_save = self.view.to_save(state)
+        if self.view.is_current(self.session) and to_save != self.saved_exclusions:
+            self.saved_exclusions = to_save
+            self.view.saved = to_save
+        excluded = self.view.excluded_nodes(state, self.session, local_us)
+        for node in simulation.nodes:
+            self.open_requests[node] = [until for until in self.open_requests.get(node, []) if until > now]
+            if self.view.may_serve and node not in excluded:
+                simulation.check_send(self, node)
+                self.open_requests[node].append(
+                    now + simulation.kernel.random.randrange(20 * US_PER_MS, DEADLINE_US)
+                )
+        if not self.is_cut_off:
+            in_use = {node for node, requests in self.open_requests.items() if requests}
+            for command in self.view.pending_commands(state, self.session, local_us, in_use):
+                simulation.propose(self.id, command)
+
+    def propose_report(self) -> None:
+        """Proposes a report on the load and on failing and cold nodes, if the proxy has a session."""
+        simulation = self.simulation
+        if self.is_running and not self.is_suspended and not self.is_cut_off and self.session:
+            failing = tuple(sorted(simulation.failing_nodes()))
+            cold = tuple(
+                n
+                for n, until in sorted(simulation.cold.items())
+                if until > simulation.kernel.now_us and n not in failing
+            )
+            simulation.propose(self.id, state_machine.SubmitReport(
+                state_machine.ProxyReport(load=simulation.load / len(simulation.proxies), failing=failing,
+                                     cold=cold)))  # fmt: skip
+
+
+class MaintenanceSimulation:
+    """The proxies, the log, the machines, the faults of a round, and the rules that are checked."""
+
+    def __init__(self, drawn_round: Round) -> None:
+        self.round, self.kernel = drawn_round, Kernel(drawn_round.seed)
+        self.log: list[tuple[int, str, bytes]] = []  # time of the commit, origin, command
+        self.machines = [Machine(f"m{i}", (f"m{i}-a", f"m{i}-b"), (), f"z{i % drawn_round.zones}")
+                         for i in range(drawn_round.machines)]  # fmt: skip
         self.nodes = [n for m in self.machines for n in m.nodes]
-        self.of = {n: m.name for m in self.machines for n in m.nodes}
-        self.members = {f"p{i}": Member(f"p{i}.0", 1) for i in range(plan.proxies)}
-        self.members_at: list[dict[str, Member]] = [self._copy()]
-        self.asked_us: dict[str, int] = {n: 0 for n in self.members}
-        self.head = Board(lambda: self.members_at[-1], rules.advance)  # what is committed, at its true moment
+        self.machine_of = {n: m.name for m in self.machines for n in m.nodes}
+        self.members = {f"p{i}": Member(f"p{i}.0", 1) for i in range(drawn_round.proxies)}
+        self.members_at: list[dict[str, Member]] = [self._copy_members()]  # by index of the log
+        self.renewed_us: dict[str, int] = {n: 0 for n in self.members}
+        # The committed state, without the delay with which the proxies learn of it.
+        self.committed = MaintenanceStateMachine(lambda: self.members_at[-1], rules.advance)
         self.proxies = {n: Proxy(self, n) for n in self.members}
+        # The load in requests in progress, and until when each node fails or is cold.
         self.load, self.failing, self.cold = 1.0, dict[str, int](), dict[str, int]()
-        self.never: set[str] = set()
-        self.work: dict[str, int] = {}  # machines that are worked on, and until when
+        self.never_back: set[str] = set()
+        self.working_since_us: dict[str, int] = {}  # machines that are being worked on
         self.grants = 0
         self.ended_us = 0
-        self.ticked_us = 0  # when the last one was applied
-        self.limits = Limits(plan.most_out, 1, 0.5, 0.2, 4.0, 60.0, 30.0, 20.0, 1.0, plan.go_on)
+        self.ticked_us = 0  # when the last tick was applied
+        self.limits = Limits(drawn_round.most_out, 1, 0.5, 0.2, 4.0, 60.0, 30.0, 20.0, 1.0, drawn_round.go_on)
 
-    def _copy(self) -> dict[str, Member]:
+    def _copy_members(self) -> dict[str, Member]:
         return {n: msgspec.structs.replace(m) for n, m in self.members.items()}
 
-    def bad_nodes(self) -> set[str]:
+    def failing_nodes(self) -> set[str]:
+        """Returns the nodes of machines that are being worked on, and those that fail independently."""
         now = self.kernel.now_us
-        gone = {n for n, m in self.of.items() if m in self.work}
-        return gone | {n for n, until in self.failing.items() if until > now}
+        out = {n for n, m in self.machine_of.items() if m in self.working_since_us}
+        return out | {n for n, until in self.failing.items() if until > now}
 
     # ---- the log
 
-    def propose(self, who: str, command: Command) -> None:
-        data = facts.encode(command)
-        self.kernel.after(self.kernel.random.randrange(2 * MS, 30 * MS), lambda: self._commit(who, data))
-
-    def _commit(self, who: str, data: bytes) -> None:
-        before, ticks = {s.machine: s.state for s in self.head.kept.slots.values()}, self.head.kept.ticks
-        self.log.append((self.kernel.now_us, who, data))
-        self.members_at.append(self._copy())
-        self.head.apply(len(self.log), who, data)
-        if self.head.kept.ticks != ticks:
+    def propose(self, origin: str, command: Command) -> None:
+        """Commits a command after 2 to 30 ms."""
+        data = state_machine.encode(command)
+        self.kernel.after(
+            self.kernel.random.randrange(2 * US_PER_MS, 30 * US_PER_MS), lambda: self._commit(origin, data)
+        )
+
+    def _commit(self, origin: str, data: bytes) -> None:
+        """Appends a command to the log and checks the rules on the state after it."""
+        before, ticks = (
+            {s.machine: s.state for s in self.committed.state.jobs.values()},
+            self.committed.state.ticks,
+        )
+        self.log.append((self.kernel.now_us, origin, data))
+        self.members_at.append(self._copy_members())
+        self.committed.apply(len(self.log), origin, data)
+        if self.committed.state.ticks != ticks:
             self.ticked_us = self.kernel.now_us
-        for slot in self.head.kept.slots.values():
-            if before.get(slot.machine) is not slot.state:
-                self._moved(slot)
-        self.judge_limits()
+        for job in self.committed.state.jobs.values():
+            if before.get(job.machine) is not job.state:
+                self._on_state_change(job)
+        self.check_limits()
 
-    def _moved(self, slot: facts.Slot) -> None:
+    def _on_state_change(self, job: state_machine.Job) -> None:
+        """Checks the rules for a machine whose state has changed, and simulates the work on it."""
         now = self.kernel.now_us
-        if slot.state is State.GRANTED:
+        if job.state is State.GRANTED:
             self.grants += 1
-        elif slot.state is State.OUT:
-            if not slot.epoch:
-                raise Broken(f"{slot.machine} is out without a grant")
-            for p in self.proxies.values():
-                if any(until > now for n in self._nodes(slot.machine) for until in p.out.get(n, [])):
-                    raise Broken(f"{slot.machine} is out at {now} us, and {p.name} has something out there")
-            self.work[slot.machine] = now
-            self._judge_room(slot.machine)
-            if slot.machine not in self.never:
-                self.kernel.after(int(WORK_S * S), lambda: self._ended(slot.machine, slot.epoch))
-        elif slot.state is State.BACK:
-            self.work.pop(slot.machine, None)
-            for n in self._nodes(slot.machine):
-                self.cold[n] = now + WARM_US
-
-    def _ended(self, machine: str, epoch: int) -> None:
-        self.propose("operator", facts.Ended(machine, epoch))
-
-    def _nodes(self, machine: str) -> tuple[str, ...]:
+        elif job.state is State.OUT:
+            if not job.grant_number:
+                raise RuleViolation(f"{job.machine} is out without a grant")
+            for proxy in self.proxies.values():
+                if any(
+                    until > now
+                    for n in self._nodes_of(job.machine)
+                    for until in proxy.open_requests.get(n, [])
+                ):
+                    raise RuleViolation(
+                        f"{job.machine} is out at {now} us, but {proxy.name} has a request open there"
+                    )
+            self.working_since_us[job.machine] = now
+            self._check_capacity(job.machine)
+            if job.machine not in self.never_back:
+                self.kernel.after(
+                    int(WORK_S * US_PER_S), lambda: self._finish_work(job.machine, job.grant_number)
+                )
+        elif job.state is State.BACK:
+            self.working_since_us.pop(job.machine, None)
+            for node in self._nodes_of(job.machine):
+                self.cold[node] = now + WARM_US
+
+    def _finish_work(self, machine: str, epoch: int) -> None:
+        self.propose("operator", state_machine.FinishWork(machine, epoch))
+
+    def _nodes_of(self, machine: str) -> tuple[str, ...]:
         return next(m.nodes for m in self.machines if m.name == machine)
 
-    # ---- judged at true moments
-
-    def sent(self, p: Proxy, node: str) -> None:
-        if self.of[node] in self.work:
-            raise Broken(f"{p.name} sends to {node} at {self.kernel.now_us} us, and its machine is worked on")
-
-    def judge_limits(self) -> None:
-        k = self.head.kept
-        out = [k.fleet[s.machine] for s in k.slots.values() if s.state in COUNTED]
-        if len(out) > self.plan.most_out:
-            raise Broken(f"{len(out)} are out, of {self.plan.most_out}")
+    # ---- rules
+
+    def check_send(self, proxy: Proxy, node: str) -> None:
+        """Checks that a node to which a request is sent is not being worked on."""
+        if self.machine_of[node] in self.working_since_us:
+            raise RuleViolation(
+                f"{proxy.name} sends to {node} at {self.kernel.now_us} us, whose machine is being worked on"
+            )
+
+    def check_limits(self) -> None:
+        """Checks the numbers of machines that are out, of all machines and of one zone."""
+        state = self.committed.state
+        out = [state.fleet[s.machine] for s in state.jobs.values() if s.state in UNAVAILABLE]
+        if len(out) > self.round.most_out:
+            raise RuleViolation(f"{len(out)} machines are out, but at most {self.round.most_out} may be")
         zones = [m.zone for m in out]
         if zones and max(map(zones.count, zones)) > self.limits.most_zone:
-            raise Broken("two of one zone are out")
-
-    def _judge_room(self, machine: str) -> None:
-        k = self.head.kept
-        left = len(self.nodes) - sum(len(k.fleet[s.machine].nodes) for s in rules.counted(k))
-        if rules.load(k) > self.limits.most_load * left:
-            raise Broken(f"{machine} goes out, and {left} nodes are left for {rules.load(k):.1f}")
+            raise RuleViolation("too many machines of one zone are out")
+
+    def _check_capacity(self, machine: str) -> None:
+        """Checks that the nodes that remain in use can carry the load."""
+        state = self.committed.state
+        remaining = len(self.nodes) - sum(
+            len(state.fleet[s.machine].nodes) for s in rules.unavailable_jobs(state)
+        )
+        if rules.total_load(state) > self.limits.most_load * remaining:
+            raise RuleViolation(
+                f"{machine} is out, and {remaining} nodes remain for a load of {rules.total_load(state):.1f}"
+            )
 
     # ---- faults
 
-    def strike(self, f: Fault) -> None:
-        p = list(self.proxies.values())[f.who % len(self.proxies)]
-        match f.kind:
+    def inject_fault(self, fault: Fault) -> None:
+        """Starts a fault and schedules its end."""
+        proxy = list(self.proxies.values())[fault.who % len(self.proxies)]
+        match fault.kind:
             case "cut" | "slow" | "long":
-                lasts = f.lasts_us * (10 if f.kind == "long" else 1)
-                if f.kind == "slow":
-                    p.lag_us = 400 * MS
-                    self.kernel.after(lasts, lambda: setattr(p, "lag_us", 5 * MS))
+                lasts_us = fault.lasts_us * (10 if fault.kind == "long" else 1)
+                if fault.kind == "slow":
+                    proxy.lag_us = 400 * US_PER_MS
+                    self.kernel.after(lasts_us, lambda: setattr(proxy, "lag_us", 5 * US_PER_MS))
                 else:
-                    p.cut = True
-                    self.kernel.after(lasts, lambda: self._heal(p))
+                    proxy.is_cut_off = True
+                    self.kernel.after(lasts_us, lambda: self._reconnect(proxy))
             case "kill":
-                p.alive, p.out = False, {}
-                self.kernel.after(f.lasts_us, p.start)
+                proxy.is_running, proxy.open_requests = False, {}
+                self.kernel.after(fault.lasts_us, proxy.start)
             case "stop":
-                p.stopped = True
-                self.kernel.after(f.lasts_us, lambda: setattr(p, "stopped", False))
+                proxy.is_suspended = True
+                self.kernel.after(fault.lasts_us, lambda: setattr(proxy, "is_suspended", False))
             case "node":
-                node = self.nodes[f.who % len(self.nodes)]
-                self.failing[node] = self.kernel.now_us + f.lasts_us
+                node = self.nodes[fault.who % len(self.nodes)]
+                self.failing[node] = self.kernel.now_us + fault.lasts_us
             case "load":
-                self.load = 4.0 * len(self.nodes) * (0.6 + f.who % 4 / 10)
-                self.kernel.after(f.lasts_us, lambda: setattr(self, "load", 1.0))
+                self.load = 4.0 * len(self.nodes) * (0.6 + fault.who % 4 / 10)
+                self.kernel.after(fault.lasts_us, lambda: setattr(self, "load", 1.0))
             case "never":
-                self.never.add(self.machines[f.who % len(self.machines)].name)
+                self.never_back.add(self.machines[fault.who % len(self.machines)].name)
             case "pause":
-                self.propose("operator", facts.Steer("pause", "plan", "somebody"))
-                again = facts.Steer("resume", "plan", "somebody")
-                self.kernel.after(f.lasts_us, lambda: self.propose("operator", again))
+                self.propose("operator", state_machine.Steer("pause", "plan", "somebody"))
+                resume = state_machine.Steer("resume", "plan", "somebody")
+                self.kernel.after(fault.lasts_us, lambda: self.propose("operator", resume))
             case _:
-                raise AssertionError(f.kind)
+                raise AssertionError(fault.kind)
 
-    def _heal(self, p: Proxy) -> None:
-        """It has a session again before it has caught up."""
-        p.cut, p.lag_us = False, 400 * MS
-        self.kernel.after(2 * S, lambda: setattr(p, "lag_us", 5 * MS))
+    def _reconnect(self, proxy: Proxy) -> None:
+        """Reconnects a proxy. It lags at first, so that it has a session again before it has applied all
+        entries."""
+        proxy.is_cut_off, proxy.lag_us = False, 400 * US_PER_MS
+        self.kernel.after(2 * US_PER_S, lambda: setattr(proxy, "lag_us", 5 * US_PER_MS))
 
-    # ---- the group, as far as it matters here
+    # ---- guarantees of the group
 
-    def _sessions(self) -> None:
-        """Who was not heard for longer than any session lasts is lost; who is heard again is well."""
+    def _update_sessions(self) -> None:
+        """Marks members as lost that have not renewed their session for longer than any session lasts. A lost
+        member that is reachable again, and a new process of a member, get a new epoch."""
         now = self.kernel.now_us
-        for name, m in self.members.items():
-            p = self.proxies[name]
-            heard = p.alive and not p.stopped and not p.cut
-            if m.state is Standing.WELL and now > self.asked_us[name] + FREE_US:
-                m.state, m.epoch = Standing.LOST, m.epoch + 1
-            elif m.state is Standing.LOST and heard:
-                m.state, m.epoch, self.asked_us[name] = Standing.WELL, m.epoch + 1, now
-            elif m.state is Standing.WELL and p.epoch and p.life > 1 and m.life != p.life:
-                m.epoch += 1
-            m.life = p.life
-
-    def _each(self) -> None:
-        self._sessions()
-        for p in self.proxies.values():
-            p.step()
-        self.kernel.after(STEP_US, self._each)
+        for name, member in self.members.items():
+            proxy = self.proxies[name]
+            is_reachable = proxy.is_running and not proxy.is_suspended and not proxy.is_cut_off
+            if member.state is MemberState.ALIVE and now > self.renewed_us[name] + LOSS_TIMEOUT_US:
+                member.state, member.epoch = MemberState.LOST, member.epoch + 1
+            elif member.state is MemberState.LOST and is_reachable:
+                member.state, member.epoch, self.renewed_us[name] = MemberState.ALIVE, member.epoch + 1, now
+            elif (
+                member.state is MemberState.ALIVE
+                and proxy.epoch
+                and proxy.life > 1
+                and member.process_number != proxy.life
+            ):
+                member.epoch += 1
+            member.process_number = proxy.life
+
+    def _step_all(self) -> None:
+        self._update_sessions()
+        for proxy in self.proxies.values():
+            proxy.step()
+        self.kernel.after(STEP_US, self._step_all)
 
     def _tick(self) -> None:
         now = self.kernel.now_us
-        self.propose("leader", facts.Tick(self.head.kept.ticks, (now - self.ticked_us) / S, now / S))
+        self.propose(
+            "leader",
+            state_machine.Tick(self.committed.state.ticks, (now - self.ticked_us) / US_PER_S, now / US_PER_S),
+        )
         self.kernel.after(TICK_US, self._tick)
 
-    def _reports(self) -> None:
-        for p in self.proxies.values():
-            p.report()
-        self.kernel.after(REPORT_US, self._reports)
+    def _report_all(self) -> None:
+        for proxy in self.proxies.values():
+            proxy.propose_report()
+        self.kernel.after(REPORT_US, self._report_all)
 
     @property
-    def over(self) -> bool:
-        slots = self.head.kept.slots.values()
-        return bool(slots) and all(s.state in OVER or s.state is State.FAILED for s in slots)
+    def is_over(self) -> bool:
+        jobs = self.committed.state.jobs.values()
+        return bool(jobs) and all(s.state in FINISHED or s.state is State.FAILED for s in jobs)
 
     def run(self) -> None:
-        """Raises Broken."""
+        """Plays the round until its plan has ended. Raises RuleViolation if a rule does not hold."""
         plan = Plan("plan", "somebody", tuple(m.name for m in self.machines), limits=self.limits)
-        start = facts.Start(plan, tuple(self.machines), ("p0",))
-        self.kernel.after(1 * S, lambda: self.propose("operator", start))
-        for f in self.plan.faults:
-            self.kernel.at(f.at_us, lambda f=f: self.strike(f))  # type: ignore[misc]
-        for begin in (self._each, self._tick, self._reports):
-            begin()
-        while not self.over and self.kernel.now_us < (SOON_US if self.never else self.plan.bound_us):
-            self.kernel.run(self.kernel.now_us + S)
+        start = state_machine.Start(plan, tuple(self.machines), ("p0",))
+        self.kernel.after(1 * US_PER_S, lambda: self.propose("operator", start))
+        for fault in self.round.faults:
+            self.kernel.at(fault.at_us, lambda fault=fault: self.inject_fault(fault))  # type: ignore[misc]
+        for start_task in (self._step_all, self._tick, self._report_all):
+            start_task()
+        while not self.is_over and self.kernel.now_us < (
+            UNFINISHED_DURATION_US if self.never_back else self.round.bound_us
+        ):
+            self.kernel.run(self.kernel.now_us + US_PER_S)
         self.ended_us = self.kernel.now_us
-        if not self.over and not self.never:
-            k = self.head.kept
-            left = {s.machine: rules.why_not(k, s, self.members) or s.state.value
-                    for s in k.slots.values() if s.state not in OVER}  # fmt: skip
-            raise Broken(f"not over after {self.plan.bound_us // S} s: {left}")
+        if not self.is_over and not self.never_back:
+            state = self.committed.state
+            unfinished = {s.machine: rules.blocking_reason(state, s, self.members) or s.state.value
+                          for s in state.jobs.values() if s.state not in FINISHED}  # fmt: skip
+            raise RuleViolation(
+                f"the plan has not ended after {self.round.bound_us // US_PER_S} s: {unfinished}"
+            )
--- a/magpiefront/model/net.py
+++ b/magpiefront/model/net.py
@@ -1,4 +1,5 @@
-"""A net in simulated time that drops, delays, doubles, reorders, and cuts either way."""
+"""A simulated network that drops, delays, duplicates and reorders messages, and cuts links in one direction
+or in both."""
 
 from __future__ import annotations
 
@@ -9,49 +10,56 @@
 
 
 @dataclass
-class Weather:
-    """Of one way between two: shares from 0 to 1, delays in microseconds."""
+class LinkConditions:
+    """The quality of one direction of a link. Rates are from 0 to 1, delays in microseconds."""
 
-    least_us: int = 200
-    most_us: int = 2_000
-    lost: float = 0.0
-    doubled: float = 0.0
-    cut: bool = False
+    min_delay_us: int = 200
+    max_delay_us: int = 2_000
+    loss_rate: float = 0.0
+    duplication_rate: float = 0.0
+    is_cut: bool = False
 
 
-class Net:
+class Network:
+    """Delivers messages between hosts under the conditions of each link."""
+
     def __init__(self, kernel: Kernel) -> None:
         self.kernel = kernel
-        self.usual = Weather()
-        self.ways: dict[tuple[str, str], Weather] = {}
+        self.default = LinkConditions()
+        self.links: dict[tuple[str, str], LinkConditions] = {}  # by sender and receiver, if not the default
         self.sent = self.dropped = 0
 
-    def weather(self, a: str, b: str) -> Weather:
-        return self.ways.get((a, b), self.usual)
+    def conditions(self, sender: str, receiver: str) -> LinkConditions:
+        return self.links.get((sender, receiver), self.default)
 
-    def set(self, a: str, b: str, weather: Weather | None) -> None:
-        """None: as usual again."""
-        if weather is None:
-            self.ways.pop((a, b), None)
+    def set_link(self, sender: str, receiver: str, conditions: LinkConditions | None) -> None:
+        """Sets the conditions of one direction; None restores the default."""
+        if conditions is None:
+            self.links.pop((sender, receiver), None)
         else:
-            self.ways[a, b] = weather
+            self.links[sender, receiver] = conditions
 
-    def set_all(self, ways: list[tuple[str, str]], weather: Weather | None) -> None:
-        for a, b in ways:
-            self.set(a, b, weather)
+    def set_links(self, links: list[tuple[str, str]], conditions: LinkConditions | None) -> None:
+        for sender, receiver in links:
+            self.set_link(sender, receiver, conditions)
 
-    def send(self, a: str, b: str, arrive: Callable[[], None]) -> None:
-        w, random = self.weather(a, b), self.kernel.random
+    def send(self, sender: str, receiver: str, deliver: Callable[[], None]) -> None:
+        """Calls `deliver` after the delay of the link, once for each copy that is not lost."""
+        conditions, random = self.conditions(sender, receiver), self.kernel.random
         self.sent += 1
-        if w.cut or (w.lost and random.random() < w.lost):
+        if conditions.is_cut or (conditions.loss_rate and random.random() < conditions.loss_rate):
             self.dropped += 1
             return
-        copies = 2 if w.doubled and random.random() < w.doubled else 1
+        copies = 2 if conditions.duplication_rate and random.random() < conditions.duplication_rate else 1
         for _ in range(copies):
-            self.kernel.after(random.randint(w.least_us, w.most_us), lambda: self._arrive(a, b, arrive))
+            self.kernel.after(
+                random.randint(conditions.min_delay_us, conditions.max_delay_us),
+                lambda: self._arrive(sender, receiver, deliver),
+            )
 
-    def _arrive(self, a: str, b: str, arrive: Callable[[], None]) -> None:
-        if self.weather(a, b).cut:
+    def _arrive(self, sender: str, receiver: str, deliver: Callable[[], None]) -> None:
+        """Delivers a message, unless the link has been cut while the message was in transit."""
+        if self.conditions(sender, receiver).is_cut:
             self.dropped += 1
         else:
-            arrive()
+            deliver()
--- a/magpiefront/model/plan.py
+++ b/magpiefront/model/plan.py
@@ -1,13 +1,13 @@
-"""What goes wrong in a round, drawn from its seed before it begins; printed and read back as one line."""
+"""The plan of a group simulation: its size and its faults, drawn from a seed before the simulation starts."""
 
 from __future__ import annotations
 
 from dataclasses import dataclass
 from random import Random
 
-from magpiefront.model.rounds import Printed
+from magpiefront.model.rounds import ReplayablePlan
 
-KINDS = {
+FAULT_WEIGHTS = {  # relative frequency of each kind of fault
     "crash": 3, "stop": 3, "cut": 3, "one way": 2, "bridge": 2, "flap": 1, "slow": 2, "lossy": 3,
     "disk slow": 1, "disk full": 1, "put back": 1, "wipe": 1, "all": 1, "remove": 1, "hand over": 2,
 }  # fmt: skip
@@ -15,14 +15,18 @@
 
 @dataclass(frozen=True)
 class Fault:
+    """A fault of one or several members. Times are microseconds of simulated time."""
+
     at_us: int
     kind: str
-    who: tuple[int, ...]  # members by number; what they mean depends on the kind
+    who: tuple[int, ...]  # numbers of the members; their role depends on the kind
     lasts_us: int
 
 
 @dataclass(frozen=True)
-class Plan(Printed):
+class Plan(ReplayablePlan):
+    """A group and the faults that it undergoes. `length_us` is the time in which faults begin."""
+
     seed: int
     voters: int = 3
     observers: int = 0
@@ -31,20 +35,21 @@
 
     @classmethod
     def draw(cls, seed: int, voters: int, observers: int = 0, length_us: int = 4_000_000) -> Plan:
-        r = Random(f"{seed} {voters}")
+        """Draws up to five faults; the same arguments give the same plan."""
+        random = Random(f"{seed} {voters}")
         faults = []
-        # Voters that are lost for good, or taken out: a majority of the first ones has to be left.
-        disks = (voters - 1) // 2
-        for _ in range(r.randint(1, 5)):
-            kind = r.choices(list(KINDS), list(KINDS.values()))[0]
+        # How many voters may still lose data or be removed: a majority of the initial voters has to remain.
+        expendable = (voters - 1) // 2
+        for _ in range(random.randint(1, 5)):
+            kind = random.choices(list(FAULT_WEIGHTS), list(FAULT_WEIGHTS.values()))[0]
             if kind in ("put back", "wipe", "remove"):
-                if not disks:
+                if not expendable:
                     continue
-                disks -= 1
-            count = 1 if kind not in ("cut",) else r.randint(1, max(1, voters // 2))
+                expendable -= 1
+            count = 1 if kind not in ("cut",) else random.randint(1, max(1, voters // 2))
             if kind == "bridge":
                 count = min(3, voters)
-            who = tuple(r.sample(range(voters + observers if count == 1 else voters), count))
-            lasts = int(10 ** r.uniform(4.5, 6.3))
-            faults.append(Fault(r.randrange(300_000, length_us), kind, who, lasts))
+            who = tuple(random.sample(range(voters + observers if count == 1 else voters), count))
+            lasts_us = int(10 ** random.uniform(4.5, 6.3))
+            faults.append(Fault(random.randrange(300_000, length_us), kind, who, lasts_us))
         return cls(seed, voters, observers, length_us, tuple(sorted(faults, key=lambda f: f.at_us)))
--- a/magpiefront/model/rounds.py
+++ b/magpiefront/model/rounds.py
@@ -1,4 +1,5 @@
-"""What rigs in simulated time have in common: a rule that breaks, a fault, a plan in one line of text."""
+"""Common types of the simulations: the violation of a rule, a fault, and plans that are printed as one line
+of JSON."""
 
 from __future__ import annotations
 
@@ -8,25 +9,29 @@
 import msgspec
 
 
-class Broken(AssertionError):
-    """A rule does not hold; its text says which."""
+class RuleViolation(AssertionError):
+    """A rule does not hold; the message says which."""
 
 
 @dataclass(frozen=True)
 class Fault:
+    """A fault of one process. Times are microseconds of simulated time."""
+
     at_us: int
     kind: str
-    who: int
+    who: int  # the number of the process; a kind may use it to choose a node, a machine or a load instead
     lasts_us: int
 
 
-class Printed:
-    """A frozen dataclass of plain values, printed with a fault and read back to be played again."""
+class ReplayablePlan:
+    """Base class of frozen dataclasses of plain values, which are printed with a failure and parsed to replay
+    it."""
 
     def text(self) -> str:
+        """Returns the plan as one line of JSON."""
         return msgspec.json.encode(self).decode()
 
     @classmethod
     def read(cls, text: str) -> Self:
-        """Raises msgspec.MsgspecError."""
+        """Parses a plan that `text` returned. Raises msgspec.MsgspecError if it is malformed."""
         return msgspec.json.decode(text, type=cls)
--- a/magpiefront/model/safeguards.py
+++ b/magpiefront/model/safeguards.py
@@ -1,4 +1,5 @@
-"""The safeguards of the group, each to be taken out alone: a proof that does not notice proves nothing."""
+"""Disables the safeguards of the group one at a time. The simulations must detect each of these faults; a
+simulation that passes without a safeguard would prove nothing about it."""
 
 from __future__ import annotations
 
@@ -6,189 +7,214 @@
 from contextlib import contextmanager
 from typing import Any
 
-from magpiefront.group import attest, durable, lead, machines, raft, requests, sessions
-from magpiefront.group import members as members_
-from magpiefront.group.facts import Facts, State
-from magpiefront.group.log import Log, conf_bytes
+from magpiefront.group import attestation, durable, leader, state_machines, raft, requests, sessions
+from magpiefront.group import members as membership
+from magpiefront.group.registry import Registry, MemberState
+from magpiefront.group.log import Log, encode_conf
 from magpiefront.group.messages import Message
 from magpiefront.group.peer import Peer
 from magpiefront.group.settings import Times
-from magpiefront.group.starting import FIRST, Starting
+from magpiefront.group.startup import FIRST_INDEX, Startup
 from magpiefront.model import explore
-from magpiefront.model import group as world
+from magpiefront.model import group as group_model
 
-Patch = tuple[Any, str, Any]
+Patch = tuple[Any, str, Any]  # a class or module, the name of one of its attributes, the replacement
 
 
-def _votes_at_once() -> list[Patch]:
+def _send_before_write() -> list[Patch]:
     def send(self: raft.Raft, to: str, m: Message, durable: bool = False) -> None:
-        self.out.append((to, m))
+        self.outbox.append((to, m))
 
     return [(raft.Raft, "_send", send)]
 
 
-def _forgets_its_vote() -> list[Patch]:
-    apply = world.Disk.apply
+def _forget_vote() -> list[Patch]:
+    original_apply = group_model.Disk.apply
 
-    def forgetful(self: world.Disk, w: durable.Write) -> None:
-        w.hard = durable.Hard(w.hard.term)
-        apply(self, w)
+    def apply(self: group_model.Disk, write: durable.Write) -> None:
+        write.hard_state = durable.HardState(write.hard_state.term)
+        original_apply(self, write)
 
-    settle = explore.Explorer.settle
+    original_apply_output = explore.Explorer.apply_output
 
-    def forgets(self: explore.Explorer, s: explore.State, name: str) -> None:
-        settle(self, s, name)
-        hard, snapshot, entries = s.nodes[name].disk
-        s.nodes[name].disk = (durable.Hard(hard.term), snapshot, entries)
+    def apply_output(self: explore.Explorer, state: explore.State, name: str) -> None:
+        original_apply_output(self, state, name)
+        hard_state, snapshot, entries = state.nodes[name].disk
+        state.nodes[name].disk = (durable.HardState(hard_state.term), snapshot, entries)
 
-    return [(world.Disk, "apply", forgetful), (explore.Explorer, "settle", forgets)]
+    return [(group_model.Disk, "apply", apply), (explore.Explorer, "apply_output", apply_output)]
 
 
-def _no_pre_vote() -> list[Patch]:
-    stand = raft.Raft._stand
+def _skip_pre_vote() -> list[Patch]:
+    original_campaign = raft.Raft._campaign
 
-    def at_once(self: raft.Raft, now_us: int, pre: bool, handed: bool = False) -> None:
-        stand(self, now_us, False, handed)
+    def campaign(self: raft.Raft, now_us: int, pre: bool, is_transfer: bool = False) -> None:
+        original_campaign(self, now_us, False, is_transfer)
 
-    return [(raft.Raft, "_stand", at_once)]
+    return [(raft.Raft, "_campaign", campaign)]
 
 
-def _one_life() -> list[Patch]:
-    begin = Facts._do
+def _keep_epoch_on_restart() -> list[Patch]:
+    """A new process of a member continues under the epoch of the previous process."""
+    original_execute = Registry._execute
 
-    def kept(self: Facts, c: Any) -> Any:
-        from magpiefront.group.facts import Begin, Told
+    def execute(self: Registry, command: Any) -> Any:
+        from magpiefront.group.registry import RegisterProcess, CommandResult
 
-        if isinstance(c, Begin):
-            m = self.member(c.id)
-            if m is not None:
-                m.life = max(m.life, c.life)
-            return Told(m is not None)
-        return begin(self, c)
+        if isinstance(command, RegisterProcess):
+            member = self.member(command.id)
+            if member is not None:
+                member.process_number = max(member.process_number, command.process_number)
+            return CommandResult(member is not None)
+        return original_execute(self, command)
 
-    def act(self: Peer, now_us: int) -> int:
-        mine = self.machines.facts.member(self.me)
-        return mine.epoch if mine is not None and self.session.holds(now_us) else 0
+    def may_act(self: Peer, now_us: int) -> int:
+        mine = self.machines.registry.member(self.me)
+        return mine.epoch if mine is not None and self.session.is_valid(now_us) else 0
 
-    return [(Facts, "_do", kept), (Peer, "may_act", act)]
+    return [(Registry, "_execute", execute), (Peer, "may_act", may_act)]
 
 
-def _any_change() -> list[Patch]:
-    from magpiefront.group.messages import Conf, Kind
+def _allow_any_change() -> list[Patch]:
+    from magpiefront.group.messages import Conf, EntryKind
 
-    def change(self: raft.Raft, conf: Conf) -> bool:
-        if self.lead is None:
+    def propose_conf(self: raft.Raft, conf: Conf) -> bool:
+        if self.leader_state is None:
             return False
-        self._add(Kind.CONF, conf_bytes(conf))
-        self.lead.meet()
+        self._append_entry(EntryKind.CONF, encode_conf(conf))
+        self.leader_state.update_members()
         return True
 
-    settled = property(lambda self: self.lead is not None)
-    return [(raft.Raft, "change", change), (raft.Raft, "settled", settled)]
+    can_change_members = property(lambda self: self.leader_state is not None)
+    return [(raft.Raft, "propose_conf", propose_conf), (raft.Raft, "can_change_members", can_change_members)]
 
 
-def _no_attestation() -> list[Patch]:
-    def verdict(self: attest.Attestation, now_us: int) -> attest.Verdict:
-        return attest.Verdict.FIRST if self.virgin else attest.Verdict.GOOD
+def _skip_attestation() -> list[Patch]:
+    def verdict(self: attestation.Attestation, now_us: int) -> attestation.Verdict:
+        return attestation.Verdict.NEW_GROUP if self.is_empty else attestation.Verdict.CURRENT
 
     return [
-        (attest.Attestation, "verdict", verdict),
-        (Starting, "told", lambda self, name, m, now: self.attestation and self._judge(now)),
-        (Starting, "give_up", lambda self: None),
+        (attestation.Attestation, "verdict", verdict),
+        (Startup, "on_attested", lambda self, name, m, now: self.attestation and self._conclude(now)),
+        (Startup, "abandon_incarnation", lambda self: None),
     ]  # fmt: skip
 
 
-def _epoch_unchecked() -> list[Patch]:
-    def act(self: Peer, now_us: int) -> int:
-        mine = self.machines.facts.member(self.me)
-        return mine.epoch if mine is not None and mine.state is State.WELL else 0
+def _skip_session_check() -> list[Patch]:
+    def may_act(self: Peer, now_us: int) -> int:
+        mine = self.machines.registry.member(self.me)
+        return mine.epoch if mine is not None and mine.state is MemberState.ALIVE else 0
 
-    return [(Peer, "may_act", act)]
+    return [(Peer, "may_act", may_act)]
 
 
-def _leaves_at_once() -> list[Patch]:
-    return [(members_.Members, "_gone", lambda self, id: True)]
+def _remove_at_once() -> list[Patch]:
+    return [(membership.Membership, "_is_inactive", lambda self, id: True)]
 
 
-def _forgets_others(self: attest.Memory, known: object) -> None:
+def _forget_known_progress(self: attestation.KnownProgress, known: object) -> None:
     self.known = {}
 
 
-def _says_at_once() -> list[Patch]:
-    heard = sessions.Grants.heard
+def _grant_without_round() -> list[Patch]:
+    original_add_request = sessions.SessionGrants.add_request
 
-    def at_once(self: sessions.Grants, ask: sessions.Waiting) -> None:
-        heard(self, ask._replace(round=0))
+    def add_request(self: sessions.SessionGrants, request: sessions.SessionRequest) -> None:
+        original_add_request(self, request._replace(round=0))
 
-    return [(sessions.Grants, "heard", at_once)]
+    return [(sessions.SessionGrants, "add_request", add_request)]
 
 
-def _never_handed() -> list[Patch]:
-    return [(raft.Raft, "handed", property(lambda self: False, lambda self, value: None))]
+def _ignore_handover() -> list[Patch]:
+    """After a handover the new leader takes the sessions for granted one lease ago, as after an election."""
+    return [(raft.Raft, "is_transfer", property(lambda self: False, lambda self, value: None))]
 
 
 SAFEGUARDS: dict[str, Callable[[], list[Patch]]] = {
-    "votes and confirmations only once durable": _votes_at_once,
-    "the vote itself is durable": _forgets_its_vote,
-    "pre-vote": _no_pre_vote,
-    "commit in the own term only": lambda: [(lead.Lead, "own", lambda self, index: True)],
-    "one change of voters at a time": _any_change,
-    "a majority, not half": lambda: [(lead.Lead, "_majority", _half)],
-    "the log of a candidate is as new": lambda: [(Log, "newer", lambda self, term, last: True)],
-    "voters hold to a leader they hear": lambda: [(raft.Raft, "sworn", lambda self, now_us: False)],
-    "the margin for drift": lambda: [(Times, "free_us", property(lambda t: int(t.session_us * 0.93)))],
-    "no lease without a majority, nor a lead": lambda: [
-        (lead.Lead, "lease", lambda self, now_us: True),
-        (lead.Lead, "alone", lambda self, now_us: False),
+    "votes and confirmations are sent only once durable": _send_before_write,
+    "the vote itself is durable": _forget_vote,
+    "pre-vote": _skip_pre_vote,
+    "only current-term entries commit by counting": lambda: [
+        (leader.LeaderState, "is_own_term", lambda self, index: True)
     ],
-    "a new leader waits": lambda: [(members_.Members, "_begin", _does_not_wait)],
-    "an older disk gives its incarnation up": _no_attestation,
-    "an empty disk begins with those it began with": lambda: [
-        (Starting, "_missed_it", lambda self, sender, birth: self.peer.raft.log.first == FIRST),
-        (attest.Memory, "__init__", _forgets_others),  # which would find it, too
+    "one change of voters at a time": _allow_any_change,
+    "a quorum is more than half of the voters": lambda: [
+        (leader.LeaderState, "_majority_value", _value_of_half)
     ],
-    "what is known of others lasts": lambda: [(attest.Memory, "__init__", _forgets_others)],
-    "a yes waits for a round": _says_at_once,
-    "a lead that was handed over takes no credit": _never_handed,
-    "a session is looked at before the act": _epoch_unchecked,
-    "a new process holds nothing of the old one": _one_life,
-    "what is given back is not held": lambda: [(Peer, "given_up", property(lambda s: {}, lambda s, v: None))],
-    "nobody leaves while it may act": _leaves_at_once,
-    "doubled commands are applied once": lambda: [
-        (machines.Done, "first", lambda self, seq: True),
-        (requests, "MOST_ACCEPTED", 0),
+    "votes go only to candidates with an up-to-date log": lambda: [
+        (Log, "is_up_to_date", lambda self, term, last: True)
     ],
-    "reads ask a majority": lambda: [(requests.Requests, "_read_here", _reads_at_once)],
+    "voters refuse other candidates while they hear a leader": lambda: [
+        (raft.Raft, "hears_leader", lambda self, now_us: False)
+    ],
+    "the loss timeout allows for clock drift": lambda: [
+        (Times, "loss_timeout_us", property(lambda t: int(t.session_us * 0.93))),
+    ],
+    "a leader without a quorum has no lease and steps down": lambda: [
+        (leader.LeaderState, "has_lease", lambda self, now_us: True),
+        (leader.LeaderState, "has_lost_quorum", lambda self, now_us: False),
+    ],
+    "a new leader waits until earlier sessions have expired": lambda: [
+        (membership.Membership, "_new_grants", _grants_without_wait)
+    ],
+    "a member with an outdated disk abandons its incarnation": _skip_attestation,
+    "an empty disk counts as new only at the start of a group": lambda: [
+        (
+            Startup,
+            "_missed_only_the_start",
+            lambda self, sender, birth: self.peer.raft.log.base_index == FIRST_INDEX,
+        ),
+        # The known progress of the others would also reveal that the disk has been lost.
+        (attestation.KnownProgress, "__init__", _forget_known_progress),
+    ],
+    "the known progress of other members survives a restart": lambda: [
+        (attestation.KnownProgress, "__init__", _forget_known_progress)
+    ],
+    "a session is granted only after a confirmed round": _grant_without_round,
+    "after a handover earlier sessions count as just granted": _ignore_handover,
+    "a member acts only during a valid session": _skip_session_check,
+    "a new process does not inherit the epoch of the previous one": _keep_epoch_on_restart,
+    "a released lease no longer counts as held": lambda: [
+        (Peer, "released_leases", property(lambda s: {}, lambda s, v: None)),
+    ],
+    "a member is removed only after it may no longer act": _remove_at_once,
+    "duplicated commands are applied once": lambda: [
+        (state_machines.AppliedCommands, "mark_applied", lambda self, seq: True),
+        (requests, "MAX_ACCEPTED_COMMANDS", 0),
+    ],
+    "reads are confirmed by a majority": lambda: [(requests.Requests, "_read_as_leader", _read_at_once)],
 }
 
 
-def _half(self: lead.Lead, values: Iterable[int]) -> int:
+def _value_of_half(self: leader.LeaderState, values: Iterable[int]) -> int:
+    """Returns the highest value that half of the voters, rounded down, have reached: one less than a
+    majority."""
     ordered = sorted(values, reverse=True)
     return ordered[max(0, len(ordered) // 2 - 1)]
 
 
-def _does_not_wait(self: members_.Members, now_us: int) -> sessions.Grants:
-    times, before = self.peer.times, self.peer.raft.before
-    return sessions.Grants(times, now_us - times.free_us, now_us, before)
+def _grants_without_wait(self: membership.Membership, now_us: int) -> sessions.SessionGrants:
+    times, previous_leader = self.peer.times, self.peer.raft.previous_leader
+    return sessions.SessionGrants(times, now_us - times.loss_timeout_us, now_us, previous_leader)
 
 
-def _reads_at_once(self: requests.Requests, whose: tuple[str, int], now_us: int) -> bool:
-    self._read_due(whose, self.raft.commit)
+def _read_at_once(self: requests.Requests, reader: tuple[str, int], now_us: int) -> bool:
+    self._answer_read(reader, self.raft.commit)
     return True
 
 
 @contextmanager
 def without(name: str) -> Iterator[None]:
-    """Raises KeyError for one that is not listed."""
+    """Disables the safeguard of this name. Raises KeyError if there is none."""
     patches = SAFEGUARDS[name]()
-    before = [(owner, key, owner.__dict__.get(key)) for owner, key, _ in patches]
-    for owner, key, value in patches:
-        setattr(owner, key, value)
+    originals = [(owner, attribute, owner.__dict__.get(attribute)) for owner, attribute, _ in patches]
+    for owner, attribute, value in patches:
+        setattr(owner, attribute, value)
     try:
         yield
     finally:
-        for owner, key, value in before:
+        for owner, attribute, value in originals:
             if value is None:
-                delattr(owner, key)
+                delattr(owner, attribute)
             else:
-                setattr(owner, key, value)
+                setattr(owner, attribute, value)
--- a/magpiefront/net/__init__.py
+++ b/magpiefront/net/__init__.py
@@ -1,1 +1,1 @@
-"""The real proxy: sockets round the decision module."""
+"""The proxy on real sockets: listeners, connections and protocols around the decision module."""
--- a/magpiefront/net/admin.py
+++ b/magpiefront/net/admin.py
@@ -1,12 +1,12 @@
-"""The second address: one line in, one answer out, for the operators alone.
+"""The admin address, for operators alone: each connection sends one command line and gets one response.
 
     ready                 OK once this process can serve
-    show-stat             OK, the figures, and a line END
-    disable-server ID     OK: nothing more to that cache node
-    enable-server ID      OK: it may be used again
+    show-stat             OK, the metrics, and a line END
+    disable-server ID     OK; that cache node gets no more requests
+    enable-server ID      OK; that cache node may be used again
 
-Anything else is answered with ERR and why. Whoever calls is bounded in number, bytes and time, and an answer
-is owed within 1 s under any load.
+Anything else is answered with ERR and the reason. The number of connections, the bytes of a command and its
+time are limited. A response must come within 1 s under any load.
 """
 
 from __future__ import annotations
@@ -17,59 +17,61 @@
 from typing import Protocol
 
 from magpiefront.net.config import Address
-from magpiefront.net.listening import NoRoom, accepted, bound
+from magpiefront.net.listening import ResourceShortage, accept_connection, bind_socket
 
-CALLERS = 24  # at once, and as many descriptors are kept for them
-LINE = 1024  # bytes of a call; whatever comes after its first line is dropped
-CALL_S = 8.0  # for a whole call
-SHORT_S = 0.1  # a caller that has just come does not make room for another
-LINGER_S = 1.0  # for a caller to end its side once it has its answer
-ACCEPTS = 16
-ID = re.compile(r"[!-~]{1,256}")
+MAX_CALLERS = 24  # open connections; as many descriptors are reserved for them
+MAX_LINE_BYTES = 1024  # of a command; what follows its first line is dropped
+COMMAND_TIMEOUT_S = 8.0  # for a complete command
+MIN_CALLER_AGE_S = 0.1  # a newer connection is not closed in favour of another
+LINGER_S = 1.0  # for a caller to close its side once it has its response
+MAX_ACCEPTS_PER_TURN = 16  # of the event loop
+SERVER_ID = re.compile(r"[!-~]{1,256}")
 
 
-class Desk(Protocol):
-    """Who answers the calls."""
+class CommandHandler(Protocol):
+    """Executes the commands."""
 
     def ready(self) -> str:
-        """Why it can't serve; empty where it can."""
+        """Why the process can't serve; empty if it can."""
 
-    def show_stat(self) -> str: ...
+    def show_stat(self) -> str:
+        """The metrics, one a line."""
 
-    def by_hand(self, server: str, out: bool) -> bool:
-        """Takes a cache node out or puts it back. False where nobody has that id."""
+    def override_server(self, server: str, out: bool) -> bool:
+        """Disables the cache node with this id if `out`, else enables it. False if there is no such node."""
 
 
-def answer(desk: Desk, line: bytes) -> str:
-    """What a whole call is answered, with its line end."""
+def execute(handler: CommandHandler, line: bytes) -> str:
+    """Executes a command line and returns the response, with its line end."""
     try:
-        call, *given = line.decode("ascii").split()
+        command, *args = line.decode("ascii").split()
     except (UnicodeDecodeError, ValueError):
         return "ERR no call in this line\n"
-    match call, given:
+    match command, args:
         case "ready", []:
-            why = desk.ready()
-            return f"ERR {why}\n" if why else "OK\n"
+            reason = handler.ready()
+            return f"ERR {reason}\n" if reason else "OK\n"
         case "show-stat", []:
-            return f"OK\n{desk.show_stat()}END\n"
-        case "disable-server" | "enable-server", [server] if ID.fullmatch(server):
-            done = desk.by_hand(server, call == "disable-server")
+            return f"OK\n{handler.show_stat()}END\n"
+        case "disable-server" | "enable-server", [server] if SERVER_ID.fullmatch(server):
+            done = handler.override_server(server, command == "disable-server")
             return "OK\n" if done else "ERR no cache node has that id\n"
-        case ("ready" | "show-stat" | "disable-server" | "enable-server"), _:
-            return f"ERR {call}: wrong number of words\n"
+        case (("ready" | "show-stat" | "disable-server" | "enable-server"), _):
+            return f"ERR {command}: wrong number of words\n"
     return "ERR no such call: ready, show-stat, disable-server ID, enable-server ID\n"
 
 
-class Caller:
-    """One connection: it is read until a line is whole, answered, and closed when the caller has closed."""
+class AdminConnection:
+    """One connection: reads until a line is complete, responds, and closes once the caller has closed."""
 
-    __slots__ = ("admin", "answered", "began", "fed", "out", "socket")
+    __slots__ = ("admin", "answered", "began", "received", "socket", "unsent")
 
-    def __init__(self, admin: Admin, s: socket.socket) -> None:
-        self.admin, self.socket, self.began = admin, s, admin.loop.time()
-        self.fed, self.out, self.answered = bytearray(), memoryview(b""), False
+    def __init__(self, admin: Admin, accepted: socket.socket) -> None:
+        self.admin, self.socket, self.began = admin, accepted, admin.loop.time()
+        self.received, self.unsent, self.answered = bytearray(), memoryview(b""), False
 
     def read(self) -> None:
+        """Reads what has arrived, and responds once the line is complete or can't be completed."""
         try:
             data = self.socket.recv(4096)
         except (BlockingIOError, InterruptedError):
@@ -77,34 +79,36 @@
         except OSError:
             self.close()
             return
-        if self.answered:  # what is read and dropped keeps an RST from destroying the answer
+        if self.answered:  # reading on avoids an RST at the close, which could destroy the response
             if not data:
                 self.close()
             return
-        self.fed += data[: LINE + 1]
-        line, end, _ = self.fed.partition(b"\n")
-        if end and len(line) <= LINE:
-            self.say(answer(self.admin.desk, bytes(line)))
-        elif len(self.fed) > LINE:
-            self.say(f"ERR more than {LINE} bytes with no line end\n")
+        self.received += data[: MAX_LINE_BYTES + 1]
+        line, end, _ = self.received.partition(b"\n")
+        if end and len(line) <= MAX_LINE_BYTES:
+            self.respond(execute(self.admin.handler, bytes(line)))
+        elif len(self.received) > MAX_LINE_BYTES:
+            self.respond(f"ERR more than {MAX_LINE_BYTES} bytes with no line end\n")
         elif not data:
-            self.say("ERR the line has no end\n" if self.fed else "ERR no call in this line\n")
+            self.respond("ERR the line has no end\n" if self.received else "ERR no call in this line\n")
 
-    def say(self, text: str) -> None:
+    def respond(self, text: str) -> None:
+        """Sends the response; what arrives after it is dropped."""
         self.answered, self.began = True, self.admin.loop.time()
-        self.fed.clear()
-        self.out = memoryview(text.encode("latin-1", "replace"))
+        self.received.clear()
+        self.unsent = memoryview(text.encode("latin-1", "replace"))
         self.write()
 
     def write(self) -> None:
+        """Sends as much of the response as the socket takes, and ends this side once all is sent."""
         try:
-            self.out = self.out[self.socket.send(self.out) :]
+            self.unsent = self.unsent[self.socket.send(self.unsent) :]
         except (BlockingIOError, InterruptedError):
             pass
         except OSError:
             self.close()
             return
-        if self.out:
+        if self.unsent:
             self.admin.loop.add_writer(self.socket.fileno(), self.write)
             return
         self.admin.loop.remove_writer(self.socket.fileno())
@@ -114,6 +118,7 @@
             self.close()
 
     def close(self) -> None:
+        """Closes the connection; may be called again."""
         if self.socket.fileno() >= 0:
             self.admin.loop.remove_reader(self.socket.fileno())
             self.admin.loop.remove_writer(self.socket.fileno())
@@ -122,20 +127,20 @@
 
 
 class Admin:
-    """The listening socket of the second address."""
+    """The listening socket of the admin address, and its connections."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, desk: Desk) -> None:
-        self.loop, self.desk = loop, desk
-        self.callers: dict[Caller, None] = {}  # in the order in which they came
+    def __init__(self, loop: asyncio.AbstractEventLoop, handler: CommandHandler) -> None:
+        self.loop, self.handler = loop, handler
+        self.callers: dict[AdminConnection, None] = {}  # in the order of their arrival
         self.socket: socket.socket | None = None
         self.accepting = False
 
-    def bind(self, place: Address) -> None:
-        """Takes the address, and no call yet. Raises OSError."""
-        self.socket = bound(*place)
+    def bind(self, address: Address) -> None:
+        """Binds the address without listening yet. Raises OSError."""
+        self.socket = bind_socket(*address)
 
     def start(self) -> None:
-        """Calls are taken from here on; before, they are refused."""
+        """Starts to listen; until then the system refuses connections."""
         if self.socket is not None:
             self.socket.listen(1024)
             self._accept_more()
@@ -149,48 +154,51 @@
         if self.socket is not None and self.accepting:
             self.accepting = False
             self.loop.remove_reader(self.socket.fileno())
-            self.loop.call_later(SHORT_S / 2, self._accept_more)
+            self.loop.call_later(MIN_CALLER_AGE_S / 2, self._accept_more)
 
     def _accept(self) -> None:
         assert self.socket is not None
-        for _ in range(ACCEPTS):
-            if len(self.callers) >= CALLERS and not self._make_room():
+        for _ in range(MAX_ACCEPTS_PER_TURN):
+            if len(self.callers) >= MAX_CALLERS and not self._make_room():
                 self._pause()
                 return
             try:
-                s = accepted(self.socket)
-            except NoRoom:
+                accepted = accept_connection(self.socket)
+            except ResourceShortage:
                 self._pause()
                 return
-            if s is None:
+            if accepted is None:
                 return
-            caller = Caller(self, s)
+            caller = AdminConnection(self, accepted)
             self.callers[caller] = None
-            self.loop.add_reader(s.fileno(), caller.read)
-            caller.read()  # what has come with it need not wait for the loop
+            self.loop.add_reader(accepted.fileno(), caller.read)
+            caller.read()  # what has already arrived need not wait for the next turn of the loop
 
     def _make_room(self) -> bool:
-        """Guards against callers that say nothing, or stay when they have their answer: the one that has been
-        there longest goes, but not one that may still be about to speak."""
-        first = next(iter(self.callers))
-        if self.loop.time() - first.began < SHORT_S:
-            first = next((c for c in self.callers if c.answered and not c.out), first)
-            if not first.answered:
+        """Closes a connection in favour of a new one, against callers that send nothing or stay after their
+        response: the oldest, or, if even that is so new that its command may still come, one that has its
+        whole response. False if there is none to close."""
+        candidate = next(iter(self.callers))
+        if self.loop.time() - candidate.began < MIN_CALLER_AGE_S:
+            candidate = next((c for c in self.callers if c.answered and not c.unsent), candidate)
+            if not candidate.answered:
                 return False
-        first.close()
+        candidate.close()
         return True
 
     def sweep(self) -> None:
+        """Ends connections that have exceeded their time; to be called regularly."""
         now = self.loop.time()
         for caller in list(self.callers):
-            still = now - caller.began
+            elapsed_s = now - caller.began
             if caller.answered:
-                if still > (CALL_S if caller.out else LINGER_S):
+                if elapsed_s > (COMMAND_TIMEOUT_S if caller.unsent else LINGER_S):
                     caller.close()
-            elif still > CALL_S:
-                caller.say("ERR no whole call in time\n")
+            elif elapsed_s > COMMAND_TIMEOUT_S:
+                caller.respond("ERR no whole call in time\n")
 
     def stop(self) -> None:
+        """Closes the listening socket and all connections."""
         if self.socket is not None:
             if self.accepting:
                 self.loop.remove_reader(self.socket.fileno())
--- /dev/null
+++ b/magpiefront/net/admin_commands.py
@@ -0,0 +1,47 @@
+"""Executes the commands of the admin address on the proxy of this process."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from magpiefront.net.front import Front
+from magpiefront.net.proxy import Proxy
+
+
+class AdminCommands:
+    """The command handler of a proxy, see `CommandHandler` in `net/admin.py`."""
+
+    def __init__(self, proxy: Proxy, front: Front) -> None:
+        self.proxy, self.front = proxy, front
+        self.extra_metrics: Callable[[], str] = str  # the metric lines of optional stages
+        # Disables or enables a cache node; False if there is no node with that id.
+        self.apply_override: Callable[[str, bool], bool] = proxy.set_excluded
+        # Called after each command that was carried out, with the id and whether the node is disabled.
+        self.on_override: Callable[[str, bool], None] = lambda server, out: None
+
+    def ready(self) -> str:
+        """Why the process can't serve; empty if it can."""
+        if self.front.stopping:
+            return "it is ending"
+        return "" if self.front.socket is not None else "it does not listen yet"
+
+    def show_stat(self) -> str:
+        """All metrics, one a line. The age of the list is -1 if discovery has sent none yet."""
+        router = self.proxy.router
+        proxy = self.proxy
+        age_ms = (proxy.now_us() - proxy.list_received_at) // 1000 if proxy.list_received_at else -1
+        loop = proxy.metrics.loop_text(int(proxy.lag.max_lag_s * 1000), age_ms)
+        connections = proxy.pool.counters.text()
+        return (
+            proxy.metrics.text(len(router.listed), router.out_of_service)
+            + loop
+            + connections
+            + self.extra_metrics()
+        )
+
+    def override_server(self, server: str, out: bool) -> bool:
+        """Disables the cache node with this id if `out`, else enables it. False if there is no such node."""
+        done = self.apply_override(server, out)
+        if done:
+            self.on_override(server, out)
+        return done
--- a/magpiefront/net/answer.py
+++ b/magpiefront/net/answer.py
@@ -1,33 +1,40 @@
-"""What has come of a node's answer, and when that is no answer at all."""
+"""A node's answer, as far as it has been read."""
 
 from __future__ import annotations
 
 from magpiefront.interface import Outcome
 
 
-def read_report(value: bytes) -> dict[str, float] | None:
-    """A load report, `inflight=7,queue=2`; what is no figure is left out."""
+def parse_load_report(value: bytes) -> dict[str, float] | None:
+    """Parses a load report such as `inflight=7,queue=2`. Parts that are not numbers are skipped; None if
+    nothing is left."""
     report: dict[str, float] = {}
     for part in value.decode("latin-1").split(","):
-        name, _, figure = part.partition("=")
+        name, _, number = part.partition("=")
         try:
-            report[name.strip()] = float(figure)
+            report[name.strip()] = float(number)
         except ValueError:
             continue
     return report or None
 
 
-class Spoilt(Exception):
-    """An answer that a parser accepts and no cache node means."""
+class InvalidAnswer(Exception):
+    """An answer that the parser accepts, but that no working cache node sends, such as one above a limit."""
 
 
 class Answer:
-    """What has come of a node's answer."""
+    """A node's answer, as far as it has been read.
 
-    __slots__ = ("body", "content_type", "declined", "length", "note", "report", "size", "status")
+    `status` is 0 until the head has been read; `cache_result` is 1 for a hit, 2 for a miss, 3 for a miss
+    while the key was being fetched and 0 where the node does not say; `size` is the number of body bytes
+    read and `length` the Content-Length, both in bytes; `declined` says that the node has refused the request
+    without running it; `report` is the node's load report.
+    """
+
+    __slots__ = ("body", "cache_result", "content_type", "declined", "length", "report", "size", "status")
 
     def __init__(self) -> None:
-        self.status = self.note = self.size = 0
+        self.status = self.cache_result = self.size = 0
         self.declined = False
         self.length: int | None = None
         self.content_type = b""
--- a/magpiefront/net/bodies.py
+++ b/magpiefront/net/bodies.py
@@ -1,50 +1,54 @@
-"""The memory that clients' bodies take, and who may go on reading."""
+"""Bounds the memory that request bodies take, by pausing the reading of connections."""
 
 from __future__ import annotations
 
 from typing import Protocol
 
 
-class Reader(Protocol):
-    """A connection that reads a body of `size` bytes so far."""
+class BodyReader(Protocol):
+    """A connection that reads a request body; `size` is what it has read so far, in bytes."""
 
     size: int
 
-    def go_on(self) -> None: ...
+    def resume_reading(self) -> None:
+        """Called when the connection may read on."""
 
 
-class Bodies:
-    """Guards the memory that clients' bodies take: past a limit their reading pauses, but for one that goes
-    on to its end, so that there always is an end."""
+class BodyMemory:
+    """Counts the memory that request bodies take, in bytes. Above `limit`, connections that read a body are
+    paused, save one (`exempt`) that reads to the end of its body, so that memory always comes free again."""
 
-    def __init__(self, most: int) -> None:
-        self.most, self.held = most, 0
-        self.first: Reader | None = None
-        self.stalled: dict[Reader, None] = {}
+    def __init__(self, limit: int) -> None:
+        self.limit, self.used = limit, 0
+        self.exempt: BodyReader | None = None
+        self.paused: dict[BodyReader, None] = {}
 
-    def grow(self, reader: Reader, size: int) -> None:
-        self.held += size
-        if self.held > self.most and self.first is None:
-            self.first = reader
+    def grow(self, reader: BodyReader, size: int) -> None:
+        """Counts `size` more bytes of a body."""
+        self.used += size
+        if self.used > self.limit and self.exempt is None:
+            self.exempt = reader
 
-    def waits(self, reader: Reader) -> bool:
-        if self.held <= self.most or reader is self.first or not reader.size:
+    def must_pause(self, reader: BodyReader) -> bool:
+        """Whether the connection may not read on now. If so, its `resume_reading` is called once it may."""
+        if self.used <= self.limit or reader is self.exempt or not reader.size:
             return False
-        self.stalled[reader] = None
+        self.paused[reader] = None
         return True
 
-    def release(self, reader: Reader, size: int) -> None:
-        self.held -= size
-        if not size and reader is not self.first and reader not in self.stalled:
+    def release(self, reader: BodyReader, size: int) -> None:
+        """Frees `size` bytes of a body that is no longer needed, and lets paused connections read on."""
+        self.used -= size
+        if not size and reader is not self.exempt and reader not in self.paused:
             return
-        self.stalled.pop(reader, None)
-        if reader is self.first:
-            self.first = None
-        if self.first is None and self.held > self.most and self.stalled:
-            self.first = next(iter(self.stalled))
-            del self.stalled[self.first]
-            self.first.go_on()
-        elif self.held <= self.most and self.stalled:
-            stalled, self.stalled = self.stalled, {}
-            for r in stalled:
-                r.go_on()
+        self.paused.pop(reader, None)
+        if reader is self.exempt:
+            self.exempt = None
+        if self.exempt is None and self.used > self.limit and self.paused:
+            self.exempt = next(iter(self.paused))
+            del self.paused[self.exempt]
+            self.exempt.resume_reading()
+        elif self.used <= self.limit and self.paused:
+            paused, self.paused = self.paused, {}
+            for waiting in paused:
+                waiting.resume_reading()
--- a/magpiefront/net/config.py
+++ b/magpiefront/net/config.py
@@ -1,4 +1,4 @@
-"""What the platform tells a proxy: the LB_* variables and the JSON configuration, checked before use."""
+"""The platform's configuration of a proxy, validated: the LB_* environment variables and a JSON file."""
 
 from __future__ import annotations
 
@@ -11,42 +11,44 @@
 
 from magpiefront.hashing import text_hash
 from magpiefront.interface import Settings
-from magpiefront.settings import MissingField, need, read_settings
+from magpiefront.settings import MissingField, read_settings, require_field
 
 Address = tuple[str, int]
 
 
 class BadConfig(Exception):
-    """Local input that the proxy can't start with; its text is one line."""
+    """The configuration is invalid or can't be read; the message is one line."""
 
 
 @dataclass(slots=True, frozen=True)
 class Config:
+    """The configuration of one proxy."""
+
     name: str
     listen: Address
     discovery: Address
     seed: int
     settings: Settings
-    known: Any  # a list in discovery's form, or None
-    asked: bool  # discovery has to be asked: the module says when
+    initial_list: Any  # the server list to start with, in discovery's format, or None
+    watches_discovery: bool  # whether it asks discovery itself; otherwise an agent on this machine
     connect_timeout_us: int = 250_000
     conn_idle_us: int = 15_000_000
     max_open: int = 20_000
-    load_path: bytes | None = None  # where probes find a load report, if not in /health
+    load_path: bytes | None = None  # where probes get the load report, if not from /health
     sockets: int = 1024
     memory_mb: int = 192
-    admin: Address | None = None  # the second address
-    keys: frozenset[str] = frozenset()  # what the file said, for the next one to say too
+    admin: Address | None = None  # the address for operators' commands
+    keys: frozenset[str] = frozenset()  # the keys of the file, which a reloaded file must have too
 
 
-def address(text: Any) -> Address:
-    """A numeric address and a port: there are no names to look up."""
+def parse_address(text: Any) -> Address:
+    """Parses a numeric IP address and a port; host names are not resolved. Raises ValueError."""
     if not isinstance(text, str):
         raise ValueError("is not an address")
     host, _, port = text.rpartition(":")
     host = host.removeprefix("[").removesuffix("]")
     try:
-        socket.inet_pton(socket.AF_INET, host)  # quicker, for lists of thousands
+        socket.inet_pton(socket.AF_INET, host)  # faster than `ipaddress`: lists have thousands of addresses
     except OSError:
         ipaddress.ip_address(host)
     if not (port.isascii() and port.isdigit() and 0 <= int(port) < 65536):
@@ -55,22 +57,25 @@
 
 
 def read_address(text: Any, name: str) -> Address:
+    """The address that the variable or key `name` gives. Raises BadConfig."""
     if not text:
         raise BadConfig(f"{name} is missing")
     try:
-        return address(text)
+        return parse_address(text)
     except ValueError as e:
         raise BadConfig(f"{name}: {e}") from None
 
 
-def whole(place: dict[str, Any], name: str, default: int, least: int) -> int:
-    value = place.get(name, default)
-    if isinstance(value, bool) or not isinstance(value, int | float) or value < least:
-        raise BadConfig(f"{name} must be a number of at least {least}")
+def read_int(fields: dict[str, Any], name: str, default: int, minimum: int) -> int:
+    """A number of at least `minimum`, without its fraction. Raises BadConfig."""
+    value = fields.get(name, default)
+    if isinstance(value, bool) or not isinstance(value, int | float) or value < minimum:
+        raise BadConfig(f"{name} must be a number of at least {minimum}")
     return int(value)
 
 
 def load(environ: Mapping[str, str]) -> Config:
+    """Reads the file that LB_CONFIG names, and the environment. Raises BadConfig."""
     path = environ.get("LB_CONFIG")
     if not path:
         raise BadConfig("LB_CONFIG is missing")
@@ -90,8 +95,9 @@
 
 
 def keys_of(given: dict[str, Any]) -> frozenset[str]:
-    """The keys that a file says something with, as `settings.rules.coldUs`. Those that may come and go with
-    good reason are left out: the list as last held, this process's own address, and classes."""
+    """The paths of the keys that a file contains, such as `settings.rules.coldUs`. Left out are those that
+    a later file may lack for good reason: the server list, the name and addresses of this process, its peers,
+    and the classes."""
     found = {name for name in given if name not in ("known", "admin", "listen", "name", "peers")}
     settings = given.get("settings")
     if isinstance(settings, dict):
@@ -102,39 +108,42 @@
     return frozenset(found)
 
 
-def load_again(environ: Mapping[str, str], before: Config) -> Config:
-    """The file once more, while the proxy runs. One that lacks a key which the file before it had was cut
-    short, by an editor or a copy, whatever its end looks like. Raises BadConfig."""
+def reload(environ: Mapping[str, str], previous: Config) -> Config:
+    """Reads the file again while the proxy runs. A file that lacks a key of the previous one is taken for
+    incomplete, as an editor or a copy leaves it for a moment, even if it is valid JSON. Raises BadConfig."""
     new = load(environ)
-    lacking = sorted(before.keys - new.keys)
-    if lacking:
-        raise BadConfig(f"LB_CONFIG: {lacking[0]} is missing, which the file before had")
+    missing = sorted(previous.keys - new.keys)
+    if missing:
+        raise BadConfig(f"LB_CONFIG: {missing[0]} is missing, but the previous file had it")
     return new
 
 
 def read(given: dict[str, Any], environ: Mapping[str, str]) -> Config:
-    info = need(given, "settings", "")
-    allow = info.get("permissions") or {}
-    report = info.get("report") or {}
+    """Builds the configuration from the parsed file and the environment, which wins except for discovery's
+    address. Raises BadConfig and MissingField, and ValueError, TypeError, AttributeError or KeyError where a
+    value has the wrong form."""
+    settings_fields = require_field(given, "settings", "")
+    permissions = settings_fields.get("permissions") or {}
+    report = settings_fields.get("report") or {}
     limits = given.get("limits") or {}
     seed = given.get("seed", 0)
-    settings = read_settings(info)
+    settings = read_settings(settings_fields)
     admin = environ.get("LB_ADMIN") or given.get("admin")
     return Config(
         name=str(environ.get("LB_NAME") or given.get("name") or "proxy"),
         listen=read_address(environ.get("LB_LISTEN") or given.get("listen"), "LB_LISTEN"),
-        # The file first: it is replaced while the proxy runs, and the environment can't follow.
+        # The file wins: it can be replaced while the proxy runs, and the environment can't.
         discovery=read_address(given.get("discovery") or environ.get("LB_DISCOVERY"), "LB_DISCOVERY"),
         seed=seed if isinstance(seed, int) else text_hash(str(seed)),
         settings=settings,
-        known=given.get("known"),
-        asked=settings.subscribe,
-        connect_timeout_us=whole(allow, "connectTimeoutUs", 250_000, 1),
-        conn_idle_us=whole(allow, "connIdleUs", 15_000_000, 1),
-        max_open=whole(allow, "maxOpen", 20_000, 1),
+        initial_list=given.get("known"),
+        watches_discovery=settings.subscribe,
+        connect_timeout_us=read_int(permissions, "connectTimeoutUs", 250_000, 1),
+        conn_idle_us=read_int(permissions, "connIdleUs", 15_000_000, 1),
+        max_open=read_int(permissions, "maxOpen", 20_000, 1),
         load_path=b"/status/load" if report.get("how") == "pull" else None,
-        sockets=whole(limits, "sockets", 1024, 64),
-        memory_mb=whole(limits, "memory_mb", 192, 64),
+        sockets=read_int(limits, "sockets", 1024, 64),
+        memory_mb=read_int(limits, "memory_mb", 192, 64),
         admin=read_address(admin, "LB_ADMIN") if admin else None,
         keys=keys_of(given),
     )
