--- a/magpiefront/net/discovery.py
+++ b/magpiefront/net/discovery.py
@@ -1,4 +1,4 @@
-"""The watch on discovery: what it answers becomes ServerList events."""
+"""The client of discovery: turns its answers into ServerList events."""
 
 from __future__ import annotations
 
@@ -13,56 +13,69 @@
 from magpiefront.interface import ListKind, ServerList
 from magpiefront.net.config import Address, Config
 from magpiefront.net.http1 import PARSER_ERRORS, Connection, HeadTooLong
-from magpiefront.net.listing import Garbled, Listing
+from magpiefront.net.listing import InvalidList, Listing
 from magpiefront.net.proxy import Proxy
 
-BACKOFF_S = 0.02  # after the first call that failed; twice as long after each further one
-MOST_OLDER = 4  # calls that were given up for silence, and may yet turn out to be slow
-OLDEST_S = 8.0  # ... the oldest of them for so long: it has waited longest, and others would come after it
-ANSWER_LIMIT = 8 * 1024 * 1024
+FIRST_BACKOFF_S = 0.02  # after the first failed call; doubled after each further one
+MAX_TIMED_OUT_CALLS = 4  # calls without an answer in time that are kept, since their answer may only be slow
+# How long the oldest of them is kept. It has waited longest, and later ones would be answered after it.
+MAX_OLDEST_CALL_AGE_S = 8.0
+MAX_ANSWER_BYTES = 8 * 1024 * 1024
 
 
 @dataclass(slots=True, frozen=True)
-class Patience:
-    """How long calls may take, and what lies between them."""
+class CallTimeouts:
+    """How long calls may take, and the longest pause after a failed one."""
 
-    wait_ms: int  # how long a watch asks discovery to wait for news
-    watch_s: float  # until a watch counts as silent
-    whole_s: float  # until a call for the whole list, which waits for nothing, does
-    connect_s: float
-    most_pause_s: float  # after a failed call
+    wait_ms: int  # how long a watch lets discovery wait for a change
+    watch_timeout_s: float  # for the answer to a watch
+    full_list_timeout_s: float  # for the whole list, for which discovery does not wait
+    connect_timeout_s: float
+    max_backoff_s: float  # after a failed call
 
 
-# Each call costs discovery work. A watch that fell silent counts as told 2 s after its wait is over.
-ASKED = Patience(wait_ms=20_000, watch_s=20.5, whole_s=2.5, connect_s=1.0, most_pause_s=1.0)
+# For calls to discovery itself, each of which costs it work. If a watch gets no answer, what discovery knows
+# counts as told to this proxy 2 s after the watch's wait is over.
+DIRECT_TIMEOUTS = CallTimeouts(
+    wait_ms=20_000, watch_timeout_s=20.5, full_list_timeout_s=2.5, connect_timeout_s=1.0, max_backoff_s=1.0
+)
 
 
-def pushed(drain_grace_us: int) -> Patience:
-    """Where an agent on this machine has the lists. It answers at once and its calls cost nothing, and what
-    it has counts as told: also what it gets when an outage ends, and calls that came during the outage may
-    stay without an answer. So silence, connecting and a pause must fit into the grace in which sends to a
-    draining server may still begin; a part of it stays for the process itself."""
+def agent_timeouts(drain_grace_us: int) -> CallTimeouts:
+    """Timeouts for an agent on this machine that lists are pushed to.
+
+    The agent answers at once and its calls cost nothing. What it has counts as told to this proxy: also what
+    it gets when an outage ends, while calls that came during the outage may stay without an answer. So the
+    timeout of a watch, connecting and the backoff must together fit into the grace period in which sends to
+    a draining server may still begin. A part of the grace period is left for the process itself.
+    """
     grace_s = drain_grace_us / 1e6
     wait_s = max(0.05, min(2.0, grace_s * 0.4))
-    watch_s = wait_s + max(0.04, min(1.0, grace_s * 0.2))
-    return Patience(int(wait_s * 1000), watch_s, watch_s, max(0.04, grace_s * 0.2), max(0.02, grace_s * 0.15))
+    watch_timeout_s = wait_s + max(0.04, min(1.0, grace_s * 0.2))
+    return CallTimeouts(
+        int(wait_s * 1000),
+        watch_timeout_s,
+        watch_timeout_s,
+        max(0.04, grace_s * 0.2),
+        max(0.02, grace_s * 0.15),
+    )
 
 
-def patience_of(config: Config) -> Patience:
-    return ASKED if config.asked else pushed(config.settings.drain_grace_us)
+def timeouts_of(config: Config) -> CallTimeouts:
+    return DIRECT_TIMEOUTS if config.watches_discovery else agent_timeouts(config.settings.drain_grace_us)
 
 
-class Call(Connection):
-    """A connection to discovery, kept from one call to the next."""
+class DiscoveryConnection(Connection):
+    """A connection to discovery, reused for consecutive calls."""
 
-    def __init__(self, watch: Discovery) -> None:
+    def __init__(self, discovery: Discovery) -> None:
         super().__init__()
-        self.watch = watch
+        self.discovery = discovery
         self.parser = httptools.HttpResponseParser(self)
         self.body = bytearray()
-        self.asked = self.complete = self.lasting = False
-        self.answers = 0  # that have come on it
-        self.asked_at = 0.0
+        self.awaits_answer = self.complete = self.keep_alive = False
+        self.answers = 0  # answers received on it
+        self.called_at = 0.0  # loop time
 
     @property
     def open(self) -> bool:
@@ -72,13 +85,13 @@
         if self.transport is not None:
             self.transport.abort()
 
-    def ask(self, path: str, host: str) -> None:
-        self.asked, self.complete, self.asked_at = True, False, self.watch.loop.time()
+    def call(self, path: str, host: str) -> None:
+        self.awaits_answer, self.complete, self.called_at = True, False, self.discovery.loop.time()
         self.body.clear()
         self.transport.write(f"GET {path} HTTP/1.1\r\nHost: {host}\r\n\r\n".encode())
 
     def connection_lost(self, exc: Exception | None) -> None:
-        self.watch.lost(self)
+        self.discovery.connection_closed(self)
         super().connection_lost(exc)
 
     def eof_received(self) -> bool:
@@ -90,12 +103,12 @@
         except (*PARSER_ERRORS, HeadTooLong):
             self.transport.abort()
             return
-        if not self.asked or len(self.body) > ANSWER_LIMIT:
+        if not self.awaits_answer or len(self.body) > MAX_ANSWER_BYTES:
             self.transport.abort()
         elif self.complete:
-            self.asked = False
+            self.awaits_answer = False
             self.answers += 1
-            self.watch.answered(self, self.parser.get_status_code(), bytes(self.body))
+            self.discovery.answered(self, self.parser.get_status_code(), bytes(self.body))
 
     def on_message_begin(self) -> None:
         self.in_head = True
@@ -109,184 +122,193 @@
 
     def on_message_complete(self) -> None:
         self.in_head, self.spare, self.complete = True, 0, True
-        self.lasting = self.parser.should_keep_alive()
+        self.keep_alive = self.parser.should_keep_alive()
 
 
 class Discovery:
-    """Calls one after the other. Where lists are pushed it goes on by itself; where discovery is asked, the
-    module says when to call again after a failure.
+    """Calls discovery and applies the lists it answers with, one call after the other.
+
+    It calls either discovery itself (`direct`) or an agent on this machine that lists are pushed to. After a
+    failed call to an agent it calls again after a backoff. After one to discovery itself, the Router decides
+    when to call again.
 
-    A call that is silent for too long is given up for a new one at once, on a connection of its own; if it
-    answers after all, discovery is slow and not silent, and that one goes on.
+    A call that gets no answer in time is followed by a new one at once, on another connection. The earlier
+    connection is kept for a while: if its answer comes after all, discovery is slow rather than silent, and
+    that connection is used again.
     """
 
-    def __init__(self, proxy: Proxy, place: Address, seed: int) -> None:
-        self.proxy, self.place, self.random = proxy, place, Random(seed)
-        self.loop, self.asked = proxy.loop, proxy.config.asked
+    def __init__(self, proxy: Proxy, address: Address, seed: int) -> None:
+        self.proxy, self.address, self.random = proxy, address, Random(seed)
+        self.loop, self.direct = proxy.loop, proxy.config.watches_discovery
         self.listing = Listing(proxy)
-        self.call: Call | None = None
-        self.older: list[Call] = []  # given up for silence
+        self.connection: DiscoveryConnection | None = None
+        self.timed_out: list[DiscoveryConnection] = []  # without an answer in time, the oldest first
         self.timer: asyncio.TimerHandle | None = None
         self.task: asyncio.Task[None] | None = None
-        self.failed = 0
-        self.anew = False  # the next call begins a new watch, with the whole list
+        self.failures = 0  # failed calls since the last answer
+        self.restart_watch = False  # whether the next call requests the whole list, for a new watch
         self.stopped = False
 
     @property
-    def patience(self) -> Patience:
-        return patience_of(self.proxy.config)
+    def timeouts(self) -> CallTimeouts:
+        return timeouts_of(self.proxy.config)
 
     def start(self, known: Any) -> None:
+        """Applies the list that is known from before this start, if any, and begins to call."""
         if known is not None:
             try:
-                self.listing.take(known, stale=True)
-            except Garbled:
+                self.listing.apply(known, stale=True)
+            except InvalidList:
                 self.proxy.log("the known list can't be read")
-        if self.asked:
-            self.proxy.on_watch = self.ask
+        if self.direct:
+            self.proxy.on_watch = self.start_call
         else:
-            self.ask()
+            self.start_call()
 
     @property
-    def settled(self) -> bool:
-        """Has all that is listed been taken up, down to where keys are placed?"""
-        return not self.listing.waiting and not self.proxy.router.placement.busy
+    def list_applied(self) -> bool:
+        """Whether all that is listed has been applied, up to the placement of keys."""
+        return not self.listing.pending and not self.proxy.router.placement.busy
 
     def stop(self) -> None:
         self.stopped = True
-        self._hang_up()
+        self._close_all()
 
-    def move(self, place: Address) -> None:
-        """Goes on with the discovery at another address, from its whole list: generations need not be those
-        of the one before. What is held stays until then."""
-        if place == self.place:
+    def set_address(self, address: Address) -> None:
+        """Continues with discovery at another address, from its whole list, since its generations need not
+        match those seen so far. The current list stays in effect until then."""
+        if address == self.address:
             return
-        self.place = place
+        self.address = address
         self.listing.generation = -1
-        self.failed = 0
-        self._hang_up()
-        self.ask()
+        self.failures = 0
+        self._close_all()
+        self.start_call()
 
-    def ask(self) -> None:
-        self._still()
-        self.task = self.loop.create_task(self._ask())
+    def start_call(self) -> None:
+        self._cancel_waiting()
+        self.task = self.loop.create_task(self._call())
 
-    def _still(self) -> None:
+    def _cancel_waiting(self) -> None:
         for waiting in (self.timer, self.task):
             if waiting is not None:
                 waiting.cancel()
         self.timer = self.task = None
 
-    def _hang_up(self) -> None:
-        self._still()
-        call, self.call = self.call, None
-        if call is not None:
-            call.close()
-        self._close_older()
+    def _close_all(self) -> None:
+        self._cancel_waiting()
+        connection, self.connection = self.connection, None
+        if connection is not None:
+            connection.close()
+        self._close_timed_out()
 
-    def _close_older(self) -> None:
-        older, self.older = self.older, []
-        for call in older:
-            call.close()
+    def _close_timed_out(self) -> None:
+        timed_out, self.timed_out = self.timed_out, []
+        for connection in timed_out:
+            connection.close()
 
-    async def _connected(self) -> Call:
+    async def _connect(self) -> DiscoveryConnection:
         """Raises OSError."""
-        call = Call(self)
+        connection = DiscoveryConnection(self)
         try:
-            async with asyncio.timeout(self.patience.connect_s):
-                await self.loop.create_connection(lambda: call, *self.place)
+            async with asyncio.timeout(self.timeouts.connect_timeout_s):
+                await self.loop.create_connection(lambda: connection, *self.address)
         except asyncio.CancelledError:
-            call.close()  # it may have come up in the very moment in which nobody wanted it any more
+            connection.close()  # it may have been established just before the task was cancelled
             raise
-        if not call.open:
-            raise ConnectionResetError  # it came up, and has ended since
-        return call
-
-    async def _ask(self) -> None:
-        if self.call is not None and (self.call.asked or not self.call.open):
-            call, self.call = self.call, None
-            call.close()
-        if self.call is None:
+        if not connection.open:
+            raise ConnectionResetError  # it was established, and has been closed since
+        return connection
+
+    async def _call(self) -> None:
+        if self.connection is not None and (self.connection.awaits_answer or not self.connection.open):
+            connection, self.connection = self.connection, None
+            connection.close()
+        if self.connection is None:
             try:
-                self.call = await self._connected()
+                self.connection = await self._connect()
             except OSError:
                 self.task = None
-                self._broken()
+                self._call_failed()
                 return
-        patience, after = self.patience, self.listing.generation
-        whole = after < 0 or self.anew
-        path = "/v1/endpoints" if whole else f"/v1/endpoints?after={after}&wait_ms={patience.wait_ms}"
-        host, port = self.place
-        self.timer = self.loop.call_later(patience.whole_s if whole else patience.watch_s, self._silent)
-        self.call.ask(path, f"{host}:{port}")
+        timeouts, after = self.timeouts, self.listing.generation
+        whole = after < 0 or self.restart_watch
+        path = "/v1/endpoints" if whole else f"/v1/endpoints?after={after}&wait_ms={timeouts.wait_ms}"
+        host, port = self.address
+        self.timer = self.loop.call_later(
+            timeouts.full_list_timeout_s if whole else timeouts.watch_timeout_s, self._call_timed_out
+        )
+        self.connection.call(path, f"{host}:{port}")
         self.task = None
 
-    def _silent(self) -> None:
-        call, self.call = self.call, None
-        if call is None:
+    def _call_timed_out(self) -> None:
+        connection, self.connection = self.connection, None
+        if connection is None:
             return
-        self.older.append(call)
-        if len(self.older) > MOST_OLDER:
-            self.older.pop(1).close()
-        if self.loop.time() - self.older[0].asked_at > OLDEST_S:
-            self.older.pop(0).close()
-        if self.asked and self.anew:
-            self._broken()
+        self.timed_out.append(connection)
+        if len(self.timed_out) > MAX_TIMED_OUT_CALLS:
+            self.timed_out.pop(1).close()
+        if self.loop.time() - self.timed_out[0].called_at > MAX_OLDEST_CALL_AGE_S:
+            self.timed_out.pop(0).close()
+        if self.direct and self.restart_watch:
+            self._call_failed()
             return
         self._count_failure()
-        self.anew = self.asked
-        self.ask()
-
-    def lost(self, call: Call) -> None:
-        if call in self.older:
-            self.older.remove(call)
-        elif call is self.call:
-            self.call = None
-            self._broken()
-
-    def answered(self, call: Call, status: int, body: bytes) -> None:
-        if call in self.older:
-            self.older.remove(call)
-            newer, self.call = self.call, call
+        self.restart_watch = self.direct
+        self.start_call()
+
+    def connection_closed(self, connection: DiscoveryConnection) -> None:
+        """Called when a connection has closed."""
+        if connection in self.timed_out:
+            self.timed_out.remove(connection)
+        elif connection is self.connection:
+            self.connection = None
+            self._call_failed()
+
+    def answered(self, connection: DiscoveryConnection, status: int, body: bytes) -> None:
+        """Called with a complete answer."""
+        if connection in self.timed_out:
+            self.timed_out.remove(connection)
+            newer, self.connection = self.connection, connection
             if newer is not None:
                 newer.close()
-        elif call is not self.call:
+        elif connection is not self.connection:
             return
-        self._still()
-        self._close_older()
-        if not call.lasting:
-            self.call = None
-            call.transport.close()
+        self._cancel_waiting()
+        self._close_timed_out()
+        if not connection.keep_alive:
+            self.connection = None
+            connection.transport.close()
         if status != 200:
-            self._broken()
+            self._call_failed()
             return
         try:
-            self.listing.take(json.loads(body), in_doubt=call.answers > 1)
-        except (Garbled, ValueError, RecursionError):
-            self._leave(call)
-            self._broken()
+            self.listing.apply(json.loads(body), in_doubt=connection.answers > 1)
+        except (InvalidList, ValueError, RecursionError):
+            self._drop(connection)
+            self._call_failed()
             return
-        self.failed, self.anew = 0, False
-        self.ask()  # at once: a watch goes on only if the next call comes within 200 ms
+        self.failures, self.restart_watch = 0, False
+        self.start_call()  # at once: a watch continues only if the next call comes within 200 ms
 
-    def _leave(self, call: Call) -> None:
-        """The next call goes out on another connection: on this one answers to older calls may come."""
-        if self.call is call:
-            self.call = None
-        call.close()
+    def _drop(self, connection: DiscoveryConnection) -> None:
+        """Makes the next call go out on another connection: answers to earlier calls may come on this one."""
+        if self.connection is connection:
+            self.connection = None
+        connection.close()
 
     def _count_failure(self) -> None:
-        self.failed += 1
-        if self.failed == 1:
+        self.failures += 1
+        if self.failures == 1:
             self.proxy.log("discovery: a call failed")
 
-    def _broken(self) -> None:
-        self._still()
+    def _call_failed(self) -> None:
+        self._cancel_waiting()
         if self.stopped:
             return
         self._count_failure()
-        if self.asked:
-            self.proxy.give(ServerList(ListKind.BROKEN))
+        if self.direct:
+            self.proxy.dispatch(ServerList(ListKind.BROKEN))
         else:
-            pause = min(self.patience.most_pause_s, BACKOFF_S * 2 ** min(self.failed - 1, 8))
-            self.timer = self.loop.call_later(pause * (0.5 + self.random.random() / 2), self.ask)
+            pause = min(self.timeouts.max_backoff_s, FIRST_BACKOFF_S * 2 ** min(self.failures - 1, 8))
+            self.timer = self.loop.call_later(pause * (0.5 + self.random.random() / 2), self.start_call)
--- a/magpiefront/net/events.py
+++ b/magpiefront/net/events.py
@@ -1,11 +1,11 @@
-"""One line for each thing that an operator may ask about later: who, what and why, as key=value.
+"""The event log: one line for each event that an operator may have to look up later, as key=value pairs.
 
     event=refused reason=admission request=9b1f03aa
     event=list kind=patch generation=41 entries=12 turns=1 longest_ms=3
 
-Over the standard `logging` (logger `magpiefront.events`, to standard error). Each kind of event gets LINES
-lines in PERIOD_S; the next line that is written says how many were left out. A request that goes well writes
-nothing.
+Lines go to the standard `logging` module (logger `magpiefront.events`, to standard error). Each kind of event
+has a rate limit of MAX_LINES lines in PERIOD_S seconds; the next line that is written gives the number of
+lines that were dropped as `left_out`. A request that succeeds without incident writes nothing.
 """
 
 from __future__ import annotations
@@ -15,31 +15,32 @@
 from collections.abc import Callable
 from enum import Enum
 
-LINES = 5
+MAX_LINES = 5
 PERIOD_S = 10.0
 
 logger = logging.getLogger("magpiefront.events")
 
 
 class Reason(Enum):
-    """Why: one word each."""
+    """Why an event happened; the value is written as `reason=`."""
 
-    ADMISSION = "admission"  # refused while something is overloaded, or for want of a server
-    EXHAUSTED = "exhausted"  # all attempts that the class and its time allow have failed
+    ADMISSION = "admission"  # refused by admission control during an overload, or because no server is usable
+    EXHAUSTED = "exhausted"  # all attempts that the class and the deadline allow have failed
     BEHIND = "behind"  # the event loop runs late
-    CROWDED = "crowded"  # as many requests are open as may be
-    DUPLICATE = "duplicate"  # another open request has this id
-    OLDER = "older"  # than what is held: the answer to an earlier call
-    OVERDUE = "overdue"  # its time was over before an answer came
-    ENDED = "ended"  # another attempt has served it, or its client has gone
-    FAILED = "failed"  # an attempt ended without an answer
-    ROOM = "room"  # a connection made room for another
-    CUT = "cut"  # an answer could not be finished
-    STALLED = "stalled"  # nothing went on for too long
-
-
-def to_standard_error() -> None:
-    """Where lines go in the program; a test or an embedder may add a handler of its own instead."""
+    CROWDED = "crowded"  # the limit of open requests is reached
+    DUPLICATE = "duplicate"  # another open request has the same id
+    OLDER = "older"  # older than the data already held: the response to an earlier call
+    OVERDUE = "overdue"  # the deadline passed before a response came
+    ENDED = "ended"  # another attempt has served the request, or its client has gone
+    FAILED = "failed"  # an attempt ended without a response
+    ROOM = "room"  # a connection was closed so that another could be opened
+    CUT = "cut"  # a response could not be completed
+    STALLED = "stalled"  # no progress for too long
+
+
+def log_to_stderr() -> None:
+    """Sends the event lines to standard error, as the program does; tests and programs that embed the proxy
+    may add a handler of their own instead."""
     handler = logging.StreamHandler(sys.stderr)
     handler.setFormatter(logging.Formatter("%(message)s"))
     logger.addHandler(handler)
@@ -48,15 +49,16 @@
 
 
 class EventLog:
-    """Writes lines, so many of a kind in so long. `clock` gives seconds."""
+    """Writes event lines, with a rate limit for each kind of event. `clock` returns seconds."""
 
     def __init__(self, clock: Callable[[], float]) -> None:
         self._clock = clock
-        self._since: dict[str, float] = {}  # by kind: when its period began
+        self._period_start: dict[str, float] = {}  # by kind of event, like the two below
         self._written: dict[str, int] = {}
         self._left_out: dict[str, int] = {}
 
-    def tell(self, event: str, reason: Enum | None = None, **fields: object) -> None:
+    def emit(self, event: str, reason: Enum | None = None, **fields: object) -> None:
+        """Writes one line, unless the limit of its kind is reached. `fields` become its key=value pairs."""
         if not self._may_write(event):
             return
         words = [f"event={event}"]
@@ -70,11 +72,11 @@
 
     def _may_write(self, event: str) -> bool:
         now = self._clock()
-        if now - self._since.get(event, -PERIOD_S) >= PERIOD_S:
-            self._since[event] = now
+        if now - self._period_start.get(event, -PERIOD_S) >= PERIOD_S:
+            self._period_start[event] = now
             self._written[event] = 0
         self._written[event] += 1
-        if self._written[event] > LINES:
+        if self._written[event] > MAX_LINES:
             self._left_out[event] = self._left_out.get(event, 0) + 1
             return False
         return True
--- a/magpiefront/net/exchange.py
+++ b/magpiefront/net/exchange.py
@@ -1,4 +1,4 @@
-"""One message to a cache node, from its first byte until something comes of it: an attempt, or a probe."""
+"""One message to a cache node, an attempt or a probe, from its first byte until its outcome is known."""
 
 from __future__ import annotations
 
@@ -9,70 +9,75 @@
 from magpiefront.net.answer import Answer
 from magpiefront.net.request import Request
 
-PROBE_TIMEOUT_S = 0.4  # probes have no time-out in the settings
-TOLD_LESS_US = 25_000  # a node is told of so much less time than is left: requests take some on the way
-STALL_S = 1.5
+PROBE_TIMEOUT_S = 0.4  # the settings have no timeout for probes
+# A node is told a deadline that is shorter by this than the time left: requests take some of it on the way.
+DEADLINE_MARGIN_US = 25_000
+STREAM_STALL_S = 1.5  # a streamed answer that brings nothing for longer is given up
 
 
-class Carrier(Protocol):
+class ExchangeConnection(Protocol):
     """The connection that an exchange is on."""
 
-    written: bool  # has all of the message gone?
+    written: bool  # whether the whole message has been handed to the kernel
     paused: bool
-    heard_at: float
+    last_data_at: float
 
     def give_up(self, exchange: Exchange) -> None: ...
-    def spare_for_others(self) -> None: ...
+    def detach_exchange(self) -> None: ...
     def pause(self) -> None: ...
     def resume(self) -> None: ...
 
 
-class Target(Protocol):
-    """The node that an exchange is meant for."""
+class ExchangeNode(Protocol):
+    """The node that an exchange is sent to."""
 
     name: str
     host_header: bytes
 
     @property
-    def closed(self) -> bool:
-        """May nothing new begin there?"""
+    def unavailable(self) -> bool:
+        """Whether no new exchange may begin on this node."""
 
     def begin(self, exchange: Exchange) -> None: ...
 
 
-class Host(Protocol):
-    """Who sends attempts and probes, and is told what became of them."""
+class ExchangeHost(Protocol):
+    """Sends attempts and probes, and is told their outcomes."""
 
     def now_us(self) -> int: ...
 
-    def look_first(self, a: Attempt) -> bool:
-        """May this attempt time out now? Not where its answer may have come and was not read yet."""
+    def may_time_out(self, attempt: Attempt) -> bool:
+        """Whether an attempt may time out now. False if its answer may have arrived and is not read yet."""
 
-    def attempt_ended(self, a: Attempt, outcome: Outcome, answer: Answer | None) -> None: ...
-    def stream_began(self, a: Attempt, answer: Answer) -> None: ...
-    def stream_goes_on(self, a: Attempt, body: bytes) -> None: ...
-    def probed(self, p: Probe, outcome: Outcome, answer: Answer | None) -> None: ...
+    def attempt_ended(self, attempt: Attempt, outcome: Outcome, answer: Answer | None) -> None: ...
+    def stream_began(self, attempt: Attempt, answer: Answer) -> None: ...
+    def stream_data(self, attempt: Attempt, body: bytes) -> None: ...
+    def probed(self, probe: Probe, outcome: Outcome, answer: Answer | None) -> None: ...
 
 
 class Exchange:
-    """One message to a cache node, until something comes of it or the proxy stops waiting."""
+    """One message to a cache node, until its outcome is known or the proxy stops waiting for it. `sent_at`
+    is when it was created, in microseconds."""
 
     __slots__ = ("connection", "done", "node", "opening", "sent_at", "task", "timer")
 
-    def __init__(self, node: Target, now_us: int) -> None:
+    def __init__(self, node: ExchangeNode, now_us: int) -> None:
         self.node, self.sent_at, self.done = node, now_us, False
-        self.connection: Carrier | None = None
-        self.opening: Carrier | None = None  # the connection that is made for it
-        self.task: asyncio.Task[None] | None = None
+        self.connection: ExchangeConnection | None = None
+        self.opening: ExchangeConnection | None = None  # the new connection that is being made for it
+        self.task: asyncio.Task[None] | None = None  # connects `opening`
         self.timer: asyncio.TimerHandle | None = None
 
     def message(self) -> list[bytes]:
+        """The bytes to write, in parts."""
         raise NotImplementedError
 
     def report(self, outcome: Outcome, answer: Answer | None) -> None:
+        """Passes the outcome on. Called exactly once."""
         raise NotImplementedError
 
     def end(self, outcome: Outcome, answer: Answer | None = None) -> None:
+        """Ends the exchange and closes its connection if it is still on one. Later calls do nothing."""
         if self.done:
             return
         self.done = True
@@ -90,66 +95,76 @@
         return self.connection is not None
 
     def may_begin(self) -> bool:
-        """Asked right before the first byte is written: what held when it was decided may be long ago."""
+        """Whether the message may still be sent. Asked right before its first byte is written, since much
+        time may have passed since the decision to send it."""
         return True
 
-    def whole(self) -> None:
-        """Its last byte has gone."""
+    def fully_sent(self) -> None:
+        """Called when the last byte of the message has been handed to the kernel."""
 
     def expire(self) -> None:
-        """Its time is over."""
-        never = self.connection is None or not self.connection.written
-        self.end(Outcome.MOOT if never else Outcome.TIMEOUT)
+        """Called when the time for the exchange is over."""
+        unsent = self.connection is None or not self.connection.written
+        self.end(Outcome.MOOT if unsent else Outcome.TIMEOUT)
 
 
 class Attempt(Exchange):
-    __slots__ = ("begin_by", "expire_at", "host", "looked", "number", "request", "streaming")
+    """A request sent to a node. It expires at `expire_at` and must not begin after `begin_by`, both in
+    microseconds of the host's clock."""
 
-    def __init__(self, host: Host, request: Request, number: int, node: Target, now: int, until: int) -> None:
+    __slots__ = ("begin_by", "expire_at", "host", "late_check_done", "number", "request", "streaming")
+
+    def __init__(
+        self, host: ExchangeHost, request: Request, number: int, node: ExchangeNode, now: int, until: int
+    ) -> None:
         super().__init__(node, now)
         self.host, self.request, self.number, self.expire_at = host, request, number, until
         self.begin_by = until
         self.streaming = False
-        self.looked = False  # whether its answer had come, when its time was over
+        self.late_check_done = False  # whether it was once kept past its time, for an unread answer
 
     def may_begin(self) -> bool:
-        """Not to a node that has begun to drain while the connection came up, not past the window for
-        repeats, and not for a client that has gone."""
+        """False if the node began to drain while the connection was being made, if the window for repeats is
+        over, or if the request is answered or its client gone."""
         request = self.request
-        if request.answered or self.node.closed or self.host.now_us() > self.begin_by:
+        if request.answered or self.node.unavailable or self.host.now_us() > self.begin_by:
             return False
         return request.client_gone is None or not request.client_gone()
 
     def message(self) -> list[bytes]:
-        r = self.request
-        left = max(1, self.expire_at - self.host.now_us())
-        told = max(1, left - min(TOLD_LESS_US, left // 2)) / 1e6
+        request = self.request
+        left_us = max(1, self.expire_at - self.host.now_us())
+        deadline_s = max(1, left_us - min(DEADLINE_MARGIN_US, left_us // 2)) / 1e6
         head = b"%b %b HTTP/1.1\r\nHost: %b\r\nReq-Id: %b\r\nReq-Deadline: %.3f\r\n%b\r\n" % (
-            r.method, r.target, self.node.host_header, r.wire_id, told, r.more,
+            request.method, request.target, self.node.host_header, request.wire_id, deadline_s,
+            request.extra_fields,
         )  # fmt: skip
-        return [head, *r.body]
+        return [head, *request.body]
 
     def expire(self) -> None:
-        if not self.done and (not self.begun or self.host.look_first(self)):
+        if not self.done and (not self.begun or self.host.may_time_out(self)):
             super().expire()
 
     def report(self, outcome: Outcome, answer: Answer | None) -> None:
         self.host.attempt_ended(self, outcome, answer)
-        # Guards against a circle with its request, which no count of references would ever free.
+        # Breaks the reference cycle with the request, which reference counting would never free.
         del self.request
 
-    def whole(self) -> None:
-        self.request.tally.tries += 1
+    def fully_sent(self) -> None:
+        self.request.counts.tries += 1
 
-    def hold_back(self) -> None:
+    def pause_response(self) -> None:
+        """Pauses reading the answer, since the client reads slowly."""
         if self.connection is not None:
             self.connection.pause()
 
-    def let_go(self) -> None:
+    def resume_response(self) -> None:
+        """Resumes reading the answer."""
         if self.connection is not None:
             self.connection.resume()
 
     def begin_stream(self, answer: Answer) -> None:
+        """Streams the answer to the client from here on, without a timeout for the whole of it."""
         if self.request.answered:
             self.end(Outcome.CANCELLED)
             return
@@ -160,9 +175,11 @@
 
 
 class Probe(Exchange):
+    """A health check: a GET without a request behind it."""
+
     __slots__ = ("host", "path")
 
-    def __init__(self, host: Host, node: Target, now_us: int, path: bytes) -> None:
+    def __init__(self, host: ExchangeHost, node: ExchangeNode, now_us: int, path: bytes) -> None:
         super().__init__(node, now_us)
         self.host, self.path = host, path
 
@@ -174,6 +191,12 @@
 
 
 def stalled(attempt: Attempt, now: float) -> bool:
-    """Guards against nodes that fall silent in the middle of a long answer, which has no other time-out."""
-    c = attempt.connection
-    return attempt.streaming and c is not None and not c.paused and now - c.heard_at > STALL_S
+    """Whether a node has stopped sending in the middle of a streamed answer, which has no other timeout.
+    `now` is the event loop's time."""
+    connection = attempt.connection
+    return (
+        attempt.streaming
+        and connection is not None
+        and not connection.paused
+        and now - connection.last_data_at > STREAM_STALL_S
+    )
--- /dev/null
+++ b/magpiefront/net/execution.py
@@ -0,0 +1,57 @@
+"""Whether a request may have run at a server: recorded by whoever sends it, for the stages that report it.
+
+An `ExecutionTracker` accompanies a request, and every clone that a stage makes of it, through all stages. The
+request's attempts are recorded in it, and a stage that sends the request elsewhere records what it knows.
+Requests have one only where a stage needs it.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Protocol
+
+from magpiefront.interface import Outcome
+
+NEVER_RAN = frozenset({Outcome.CONNECT_FAILED, Outcome.FULL, Outcome.MOOT})
+
+
+class TrackedAttempt(Protocol):
+    """An attempt as an `ExecutionTracker` records it. `sent_at` is in microseconds of the host's clock."""
+
+    outcome: Outcome | None  # None: it is still in flight
+    sent_at: int
+
+    @property
+    def place(self) -> str:
+        """Where it was sent to."""
+
+
+class ExecutionTracker:
+    """What this process knows of whether a request has run."""
+
+    __slots__ = ("attempts", "first_sent_us", "guard", "may_have_run_elsewhere", "undecided")
+
+    def __init__(self) -> None:
+        self.attempts: list[TrackedAttempt] = []
+        # Called before the first byte of each attempt; False: it must not be sent now.
+        self.guard: Callable[[], bool] | None = None
+        self.may_have_run_elsewhere = False  # it may have run where this process can't see it
+        self.first_sent_us = 0  # when an earlier sender may have sent it first, by the host's clock; else 0
+        self.undecided = False  # its answer says that another process is running it: it is to be sent again
+
+    @property
+    def may_have_run(self) -> bool:
+        """Whether the request may have run, also by an attempt that is still in flight."""
+        return self.may_have_run_elsewhere or any(a.outcome not in NEVER_RAN for a in self.attempts)
+
+
+def execution_of(request: object) -> ExecutionTracker | None:
+    """The request's execution tracker, if it has one."""
+    return getattr(request, "execution", None)
+
+
+def mark_may_have_run(request: object) -> None:
+    """Records that whoever sent the request on can't rule out that it ran."""
+    execution = execution_of(request)
+    if execution is not None:
+        execution.may_have_run_elsewhere = True
--- a/magpiefront/net/fields.py
+++ b/magpiefront/net/fields.py
@@ -1,4 +1,4 @@
-"""Fields of messages that are passed on: which go on, and in what form (RFC 9110, 5.3 and 7.6)."""
+"""Header fields of messages that are passed on: which of them, and in what form (RFC 9110, 5.3 and 7.6)."""
 
 from __future__ import annotations
 
@@ -6,14 +6,14 @@
 
 Fields = list[tuple[bytes, bytes]]
 
-# RFC 9110, 7.6.1, and what is meant for the next one only (11.7).
+# Fields for one connection (RFC 9110, 7.6.1), and those for the next recipient only (11.7).
 HOP_BY_HOP = frozenset({
     b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"transfer-encoding", b"upgrade",
     b"proxy-authenticate", b"proxy-authentication-info", b"proxy-authorization",
 })  # fmt: skip
-# Guards against a `Connection` that names a field which every recipient must see (RFC 9110, 7.6.1): without
-# them an answer would be kept for everybody, or a request lose who asks.
-KEPT = frozenset({
+# Fields that every recipient must see, passed on even if `Connection` names them (RFC 9110, 7.6.1). Without
+# them an answer for one client could be cached for all, or a request could lose the identity of its sender.
+ALWAYS_END_TO_END = frozenset({
     b"age", b"authorization", b"cache-control", b"cdn-cache-control", b"content-encoding",
     b"content-language", b"content-location", b"content-range", b"content-type", b"cookie", b"date", b"etag",
     b"expires", b"host", b"if-match", b"if-modified-since", b"if-none-match", b"if-range",
@@ -22,7 +22,8 @@
 
 
 def combined(fields: Iterable[tuple[bytes, bytes]]) -> dict[bytes, bytes]:
-    """By name in lower case; several lines of one name joined in their order (RFC 9110, 5.3)."""
+    """The fields by name in lower case; several lines of one name are joined in their order (RFC 9110,
+    5.3)."""
     found: dict[bytes, bytes] = {}
     for name, value in fields:
         name = name.lower()
@@ -35,28 +36,29 @@
 
 
 def end_to_end(fields: Fields, drop: Container[bytes] = ()) -> Fields:
-    """Without what is meant for this connection only, and without the names (in lower case) in `drop`."""
+    """The fields without those for this connection only and those named in `drop` (in lower case)."""
     named: set[bytes] = set()
     for name, value in fields:
         if name.lower() == b"connection":
             named.update(v.strip().lower() for v in value.split(b","))
-    named -= KEPT
-    kept = []
+    named -= ALWAYS_END_TO_END
+    passed = []
     for name, value in fields:
         lower = name.lower()
         if lower not in HOP_BY_HOP and lower not in named and lower not in drop:
-            kept.append((name, value))
-    return kept
+            passed.append((name, value))
+    return passed
 
 
-def lines(fields: Iterable[tuple[bytes, bytes]]) -> bytes:
+def format_fields(fields: Iterable[tuple[bytes, bytes]]) -> bytes:
+    """The fields as lines of a head, each ended by CRLF."""
     return b"".join([b"%b: %b\r\n" % f for f in fields])
 
 
-def read_lines(more: bytes) -> Fields:
-    """What `lines` wrote."""
+def parse_fields(text: bytes) -> Fields:
+    """The fields of lines that `format_fields` wrote; lines without a colon are skipped."""
     found = []
-    for line in more.split(b"\r\n"):
+    for line in text.split(b"\r\n"):
         name, colon, value = line.partition(b":")
         if colon:
             found.append((name, value.strip(b" \t")))
--- a/magpiefront/net/front.py
+++ b/magpiefront/net/front.py
@@ -1,4 +1,4 @@
-"""The address that clients connect to: what is accepted, and which connection makes room for another."""
+"""The address that clients connect to: accepts their connections, and closes some to make room for others."""
 
 from __future__ import annotations
 
@@ -7,69 +7,76 @@
 import socket
 from collections.abc import Callable
 
-from magpiefront.net.bodies import Bodies
-from magpiefront.net.downstream import ClientConnection, House
+from magpiefront.net.bodies import BodyMemory
+from magpiefront.net.downstream import ClientConnection, FrontRuntime
 from magpiefront.net.events import Reason
-from magpiefront.net.listening import NoRoom, accepted, listening, refuse_new
+from magpiefront.net.listening import ResourceShortage, accept_connection, open_listener, refuse_new
 from magpiefront.net.request import Stage
-from magpiefront.net.shutdown import RESTED_S
+from magpiefront.net.shutdown import MIN_IDLE_S
 
-LOOK_S = 0.05  # until there is a look again whether another connection can be taken
-EVICTS = 32  # connections that make room at once
-ACCEPTS = 64  # connections taken at once
+ACCEPT_RETRY_S = 0.05  # after a shortage of room or descriptors, until accepting is tried again
+MAX_EVICTIONS = 32  # connections closed at once to make room
+MAX_ACCEPTS = 64  # connections accepted in one turn of the event loop
 
 
 class Front:
-    """The listening socket and the clients' connections."""
+    """The listening socket and the connections of clients, of which there are at most `max_clients`.
+
+    `stopping`: the process ends. `refusing`: new connections are refused by the kernel.
+    """
 
     client_type: type[ClientConnection] = ClientConnection
 
-    def __init__(self, house: House, stage: Stage, bodies: Bodies, most: int) -> None:
-        self.house, self.stage, self.bodies, self.most = house, stage, bodies, most
-        self.loop = house.loop
+    def __init__(self, runtime: FrontRuntime, stage: Stage, bodies: BodyMemory, max_clients: int) -> None:
+        self.runtime, self.stage, self.bodies, self.max_clients = runtime, stage, bodies, max_clients
+        self.loop = runtime.loop
         self.clients: dict[ClientConnection, None] = {}
-        self.handed = False  # to another process, which accepts in place of this one
+        self.handed_over = False  # whether another process accepts connections in place of this one
         self.opening: set[asyncio.Task[object]] = set()
         self.stopping = self.accepting = self.refusing = False
-        self.shared = False  # has another process a copy of the listening socket?
-        self.queue_since_us: int | None = None  # since when connections wait that could not be accepted
-        self.look_at = 0.0  # not before this is it looked for room again
+        self.shared = False  # whether another process has a copy of the listening socket
+        self.queue_since_us: int | None = None  # since when connections have been waiting to be accepted
+        self.eviction_retry_at = 0.0  # loop time of the next search for connections to close
         self.socket: socket.socket | None = None
 
     @property
     def listening(self) -> bool:
+        """Whether the listening socket is open."""
         return self.socket is not None
 
     @property
     def ending(self) -> bool:
-        """Are clients to leave? Not where another process takes their connections over."""
-        return self.stopping and not self.handed
+        """Whether clients are to be disconnected; not where another process takes their connections over."""
+        return self.stopping and not self.handed_over
 
-    def listen_on(self, s: socket.socket, shared: bool = False) -> None:
-        """On a listening socket that is there already; `shared` where another process has a copy."""
-        s.setblocking(False)
-        self.socket, self.shared = s, shared
+    def listen_on(self, sock: socket.socket, shared: bool = False) -> None:
+        """Accepts from an open listening socket. `shared`: another process has a copy of it."""
+        sock.setblocking(False)
+        self.socket, self.shared = sock, shared
         self._accept_more()
 
     def listen(self, host: str, port: int, shared: bool = False) -> None:
-        """`shared` lets another process of this user listen there too. Raises OSError."""
-        self.listen_on(listening(host, port, shared))
+        """Opens the listening socket. `shared` lets another process of this user listen there, too. Raises
+        OSError."""
+        self.listen_on(open_listener(host, port, shared))
 
     def release(self) -> None:
-        """Another process accepts in place of this one, which keeps the socket in case that one ends."""
-        self.handed = True
+        """Stops accepting, because another process does in its place. The socket stays open in case that
+        process ends."""
+        self.handed_over = True
         self._accept_no_more()
 
     def resume(self) -> None:
-        self.handed = False
+        """Accepts again after `release`."""
+        self.handed_over = False
         self._accept_more()
 
-    def give_away(self, give: Callable[[list[int]], bool], most: int) -> None:
-        """Passes connections on which nothing is open to another process, up to `most` at a time; `give` says
-        whether it took them. Bytes that nobody has read go with them."""
-        free = [c for c in self.clients if c.may_go()]
-        for at in range(0, len(free), most):
-            going = free[at : at + most]
+    def hand_over_idle(self, give: Callable[[list[int]], bool], batch: int) -> None:
+        """Passes idle connections to another process, at most `batch` descriptors at a time; `give` returns
+        whether that process took them. Bytes that have not been read from the socket go with it."""
+        idle = [c for c in self.clients if c.can_hand_over()]
+        for at in range(0, len(idle), batch):
+            going = idle[at : at + batch]
             copies = [os.dup(c.transport.get_extra_info("socket").fileno()) for c in going]
             given = give(copies)
             for copy in copies:
@@ -77,20 +84,20 @@
             if not given:
                 return
             for c in going:
-                c.transport.abort()  # this process's end of it alone
+                c.transport.abort()  # closes this process's descriptor; the copy keeps the connection open
 
-    def adopt(self, s: socket.socket) -> ClientConnection:
-        """A client's connection, as accepted."""
-        s.setblocking(False)
+    def adopt(self, sock: socket.socket) -> ClientConnection:
+        """Serves a connection that was accepted, here or by another process."""
+        sock.setblocking(False)
         client = self.client_type(self)
         self.clients[client] = None
-        task = self.loop.create_task(self._open(client, s))
+        task = self.loop.create_task(self._open(client, sock))
         self.opening.add(task)
         task.add_done_callback(self.opening.discard)
         return client
 
     def _accept_more(self) -> None:
-        if self.socket is not None and not self.accepting and not self.handed:
+        if self.socket is not None and not self.accepting and not self.handed_over:
             self.accepting = True
             self.loop.add_reader(self.socket.fileno(), self._accept)
 
@@ -100,67 +107,71 @@
             self.loop.remove_reader(self.socket.fileno())
 
     def _accept(self) -> bool:
-        """Are there perhaps more?"""
+        """Accepts waiting connections; returns whether there may be more of them."""
         assert self.socket is not None
-        for n in range(ACCEPTS):
-            # Out of descriptors a connection could only be broken: it waits in the kernel's queue instead.
-            # Only at the first is it sure that one has come.
-            if len(self.clients) >= self.most and (n or not self._make_room()):
+        for n in range(MAX_ACCEPTS):
+            # Without room for it, a connection waits in the kernel's queue: once accepted, it could only be
+            # closed. Room is made for the first one only, for only that one is certain to be there.
+            if len(self.clients) >= self.max_clients and (n or not self._make_room()):
                 if not n:
                     self._pause_accepting()
                 return False
             try:
-                s = accepted(self.socket)
-            except NoRoom as e:
+                sock = accept_connection(self.socket)
+            except ResourceShortage as error:
                 self._pause_accepting()
-                self.house.log(f"no connection taken: {e}")
+                self.runtime.log(f"cannot accept connections: {error}")
                 return False
-            if s is None:
+            if sock is None:
                 self.queue_since_us = None
                 return False
-            s.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            client = self.adopt(s)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            client = self.adopt(sock)
             if self.queue_since_us is not None:
-                client.queued_us = self.house.now_us() - self.queue_since_us
+                client.accept_delay_us = self.runtime.now_us() - self.queue_since_us
         return True
 
     def _pause_accepting(self) -> None:
-        """Those that wait stay in the kernel's queue; a loop that asked on at once would only be busy."""
+        """Stops accepting for ACCEPT_RETRY_S. Waiting connections stay in the kernel's queue; without the
+        pause, the event loop would be kept busy by trying again."""
         if self.queue_since_us is None:
-            self.queue_since_us = self.house.now_us()
+            self.queue_since_us = self.runtime.now_us()
         self._accept_no_more()
-        self.loop.call_later(LOOK_S, self._accept_more)
+        self.loop.call_later(ACCEPT_RETRY_S, self._accept_more)
 
-    async def _open(self, client: ClientConnection, s: socket.socket) -> None:
+    async def _open(self, client: ClientConnection, sock: socket.socket) -> None:
         try:
-            await self.loop.connect_accepted_socket(lambda: client, s)
+            await self.loop.connect_accepted_socket(lambda: client, sock)
         except OSError:
             if client.transport is None:
                 self.clients.pop(client, None)
 
     def _make_room(self) -> bool:
-        """Guards against clients that open connections and ask nothing, or never end a head: those go first,
-        then the one that has been idle longest, which sends again on a new one."""
+        """Closes connections to make room, against clients that open connections and send no request or never
+        finish a head: those are closed first, then those that have been idle longest, whose clients can send
+        again on a new connection. Returns whether there is room."""
         now = self.loop.time()
-        if now < self.look_at:
+        if now < self.eviction_retry_at:
             return False
-        orders = ((c.spared_for(now), c) for c in self.clients)
-        found = [(order, c) for order, c in orders if order is not None]
-        found.sort(key=lambda f: f[0])
+        ranks = ((c.eviction_rank(now), c) for c in self.clients)
+        found = [(rank, c) for rank, c in ranks if rank is not None]
+        found.sort(key=lambda ranked: ranked[0])
         if not found:
-            self.look_at = now + LOOK_S
-        self.house.events_log.tell("closed", Reason.ROOM, connections=len(self.clients))
-        for _, c in found[: min(EVICTS, 1 + self.most // 20)]:
+            self.eviction_retry_at = now + ACCEPT_RETRY_S
+        self.runtime.events_log.emit("closed", Reason.ROOM, connections=len(self.clients))
+        for _, c in found[: min(MAX_EVICTIONS, 1 + self.max_clients // 20)]:
             self.clients.pop(c)
-            c.transport.close()  # at once, for its descriptor; nothing of an answer is left in it
+            c.transport.close()  # at once, to free its descriptor; no answer is waiting to be sent on it
         return bool(found)
 
-    def lost(self, client: ClientConnection) -> None:
+    def client_lost(self, client: ClientConnection) -> None:
+        """A connection is closed: there is room for another."""
         self.clients.pop(client, None)
-        if self.socket is not None and len(self.clients) < self.most:
+        if self.socket is not None and len(self.clients) < self.max_clients:
             self._accept_more()
 
     def sweep(self) -> None:
+        """Checks the timeouts of all connections, and accepts again if that was paused."""
         now = self.loop.time()
         for client in list(self.clients):
             if client.transport is not None:
@@ -168,32 +179,35 @@
         self._accept_more()
 
     def refuse_new(self) -> None:
-        """The first step of `stop_accepting`. Not where another process accepts from the same socket."""
+        """Lets the kernel refuse new connections: the first step of `stop_accepting`. Does nothing to a
+        socket from which another process accepts, too."""
         self.refusing = True
         if self.socket is not None and not self.shared:
             try:
                 refuse_new(self.socket)
-            except OSError as e:
-                self.house.log(f"new connections can't be refused before the last is accepted: {e.strerror}")
+            except OSError as error:
+                self.runtime.log(
+                    f"cannot refuse new connections while waiting ones are accepted: {error.strerror}"
+                )
 
     def stop_accepting(self, at_once: bool = True) -> None:
-        """Accepts all that wait and closes the listening socket, which would reset them. While there is no
-        room for all, it stays open unless it is to be closed `at_once`."""
+        """Accepts all waiting connections, then closes the listening socket, which would reset those that
+        still wait. Without room for all of them it stays open, unless `at_once`."""
         if self.socket is None:
             return
-        while not self.handed and self._accept():
+        while not self.handed_over and self._accept():
             pass
-        if self.handed or at_once or len(self.clients) < self.most:
+        if self.handed_over or at_once or len(self.clients) < self.max_clients:
             self._accept_no_more()
             self.socket.close()
             self.socket = None
 
-    def close_idle(self, rested_s: float = RESTED_S) -> None:
-        """Ends connections on which nothing is open and that have rested for so long."""
-        fresh = self.loop.time() - rested_s
+    def close_idle(self, min_idle_s: float = MIN_IDLE_S) -> None:
+        """Ends connections that have been idle for `rested_s` seconds."""
+        rested_since = self.loop.time() - min_idle_s
         for client in list(self.clients):
             transport = client.transport
             if transport is None or client.lingering or transport.is_closing():
                 continue
-            if client.idle and client.moved_at <= fresh:
+            if client.idle and client.last_progress_at <= rested_since:
                 client.end_idle()
--- /dev/null
+++ b/magpiefront/net/guarded_attempt.py
@@ -0,0 +1,45 @@
+"""Attempts that are recorded in their request's `ExecutionTracker` and ask its guard before they are sent."""
+
+from __future__ import annotations
+
+import asyncio
+
+from magpiefront.interface import Outcome
+from magpiefront.net.answer import Answer
+from magpiefront.net.execution import execution_of
+from magpiefront.net.exchange import Attempt, ExchangeHost
+from magpiefront.net.pool import Node
+from magpiefront.net.request import Request
+
+
+class GuardedAttempt(Attempt):
+    """An attempt of a request whose effects are tracked. `outcome` is None while it is in flight."""
+
+    __slots__ = ("outcome",)
+
+    def __init__(
+        self, host: ExchangeHost, request: Request, number: int, node: Node, now: int, until: int
+    ) -> None:  # fmt: skip
+        super().__init__(host, request, number, node, now, until)
+        self.outcome: Outcome | None = None
+        execution = execution_of(request)
+        if execution is not None:
+            execution.attempts.append(self)
+
+    @property
+    def place(self) -> str:
+        """The name of the node."""
+        return self.node.name
+
+    def message(self) -> list[bytes]:
+        """Returns nothing, and ends the attempt, if the guard no longer allows it. The guard is asked here,
+        since the connection may have taken long and the process may have been stopped meanwhile."""
+        execution = execution_of(self.request)
+        if execution is not None and execution.guard is not None and not execution.guard():
+            asyncio.get_running_loop().call_soon(self.end, Outcome.MOOT)
+            return []
+        return super().message()
+
+    def report(self, outcome: Outcome, answer: Answer | None) -> None:
+        self.outcome = outcome
+        super().report(outcome, answer)
--- a/magpiefront/net/http1.py
+++ b/magpiefront/net/http1.py
@@ -1,4 +1,4 @@
-"""What both sides of the proxy share of HTTP/1.1: limits, the feeding of a parser, heads of answers."""
+"""HTTP/1.1 code that client and node connections share: limits, feeding the parser, and heads of answers."""
 
 from __future__ import annotations
 
@@ -7,10 +7,10 @@
 
 import httptools
 
-HEAD_LIMIT = 32 * 1024
-BODY_LIMIT = 32 * 1024 * 1024
-WHOLE_LIMIT = 64 * 1024
-READ_SIZE = 256 * 1024
+MAX_HEAD_BYTES = 32 * 1024
+MAX_BODY_BYTES = 32 * 1024 * 1024
+MAX_BUFFERED_BYTES = 64 * 1024  # longer answers are passed on while they are received
+READ_BYTES = 256 * 1024  # at most so much comes from one read of the event loop
 
 
 REASONS = {
@@ -19,16 +19,21 @@
     422: b"Unprocessable Content", 429: b"Too Many Requests", 431: b"Request Header Fields Too Large",
     502: b"Bad Gateway", 503: b"Service Unavailable", 504: b"Gateway Timeout",
 }  # fmt: skip
-# An upgrade that nobody asked for is as bad as a head that can't be read.
+# An upgrade that was not asked for is handled like a head that can't be parsed.
 PARSER_ERRORS = (httptools.HttpParserError, httptools.HttpParserUpgrade)
 
 
 class HeadTooLong(Exception):
-    """A head, or what stands between the parts of a body, that does not end."""
+    """A head, or the text between two chunks of a body, is longer than the limit."""
 
 
 class Connection(asyncio.Protocol):
-    """A transport and the parser that its bytes go through."""
+    """A transport and the parser that its bytes are fed to.
+
+    `in_head`: a head is being read. `spare`: bytes fed since the last head or part of a body was complete, to
+    bound what the parser reads without result. `NodeConnection` uses the same attribute as a flag until its
+    connection is up.
+    """
 
     __slots__ = ("in_head", "parser", "spare", "transport")
 
@@ -39,16 +44,18 @@
         self.spare = 0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """The connection is up."""
         self.transport = cast(asyncio.Transport, transport)
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """Guards against memory that grows until the collector comes by: the parser holds the connection, and
-        that holds its transport and what was last read."""
+        """Breaks the reference cycle of parser and connection. Otherwise memory would grow until the garbage
+        collector runs: the connection holds its transport and the bytes that were read last."""
         self.parser = None
 
     def feed(self, data: bytes) -> None:
-        if self.in_head and self.spare + len(data) > HEAD_LIMIT:
-            room = HEAD_LIMIT - self.spare
+        """Feeds the parser. Raises HeadTooLong, and the parser's errors."""
+        if self.in_head and self.spare + len(data) > MAX_HEAD_BYTES:
+            room = MAX_HEAD_BYTES - self.spare
             first, data = data[:room], data[room:]
             self.spare += len(first)
             self.parser.feed_data(first)
@@ -56,13 +63,14 @@
                 raise HeadTooLong
         self.spare += len(data)
         self.parser.feed_data(data)
-        if self.spare > HEAD_LIMIT + READ_SIZE and not self.in_head:
+        if self.spare > MAX_HEAD_BYTES + READ_BYTES and not self.in_head:
             raise HeadTooLong
 
 
 def head(status: int, length: int | None, more: bytes = b"", close: bool = False) -> bytes:
-    """The head of an answer; without a length its body is chunked."""
-    if length is not None and not close:  # as nearly always
+    """The head of an answer; without a length (bytes) its body is chunked. `more` holds further field
+    lines."""
+    if length is not None and not close:  # the common case
         return b"HTTP/1.1 %d %b\r\n%bContent-Length: %d\r\n\r\n" % (status, REASONS[status], more, length)
     framing = b"Transfer-Encoding: chunked" if length is None else b"Content-Length: %d" % length
     end = b"\r\nConnection: close\r\n\r\n" if close else b"\r\n\r\n"
@@ -70,4 +78,5 @@
 
 
 def chunk(data: bytes) -> bytes:
+    """A chunk of a body (RFC 9112, 7.1)."""
     return b"%x\r\n%b\r\n" % (len(data), data)
--- a/magpiefront/net/lag.py
+++ b/magpiefront/net/lag.py
@@ -1,47 +1,55 @@
-"""How far the event loop runs behind, and which part of the requests is refused for that."""
+"""Load shedding by event loop lag: measures the lag and decides which requests to refuse for it."""
 
 from __future__ import annotations
 
 from random import Random
 
-TICK_S, LAG_PART = 0.01, 0.2  # how often lag is looked at; the part of the shortest aim that is too much
-BEHIND_S = 0.02
-SHED_MORE, SHED_LESS, MOST_SHED = 0.04, 0.01, 0.9
+# The interval of lag measurements, and the lag above which requests are shed, as a part of the shortest
+# latency aim of a request class.
+TICK_S, LAG_LIMIT_FRACTION = 0.01, 0.2
+BEHIND_THRESHOLD_S = 0.02  # above this, timers may be overdue and what has come may be unread
+# Changes of the shed fraction with each measurement, and its maximum.
+SHED_INCREASE, SHED_DECREASE, MAX_SHED = 0.04, 0.01, 0.9
 
 
-class Lag:
-    """Guards against being late for everybody when the proxy's own CPU is not enough: while the event loop
-    runs behind, a growing part of the requests is refused as soon as it is read, which costs a fraction of
-    serving it. Small steps, so that one pause of the process refuses hardly anybody."""
+class LoopLag:
+    """Measures the lag of the event loop, and decides which requests to shed.
+
+    Where the proxy's CPU time does not suffice, all answers would be late. While the event loop lags by more
+    than `limit_s`, a growing fraction of the requests is therefore refused as soon as they are read, which
+    costs a fraction of serving them. The fraction grows in small steps, so that a single pause of the
+    process refuses hardly any request.
+    """
 
     def __init__(self, seed: int, limit_s: float) -> None:
         self.limit_s = limit_s
-        self.share = 0.0
-        self.catching_up = False  # it was late, and has not read since what had come by then
-        self.longest_s = 0.0  # the longest that the loop ran late
+        self.shed_fraction = 0.0
+        self.catching_up = False  # the loop ran late, and has not read yet what had come by then
+        self.max_lag_s = 0.0  # the longest lag since the start
         self.random = Random(seed)
-        self.due = 0.0
-
-    def look(self, now: float) -> float:
-        """Called every TICK_S; `now` (seconds) is not the loop's time, which stands still while callbacks
-        run. Returns how late it is called."""
-        late_s = now - self.due if self.due else 0.0
-        self.longest_s = max(self.longest_s, late_s)
-        if self.due and now - self.due > self.limit_s:
-            self.share = min(MOST_SHED, self.share + SHED_MORE)
+        self.next_tick_at = 0.0
+
+    def measure(self, now: float) -> float:
+        """To be called every TICK_S. `now` (seconds) must not be the loop's time, which stands still while
+        callbacks run. Returns by how many seconds this call is late."""
+        late_s = now - self.next_tick_at if self.next_tick_at else 0.0
+        self.max_lag_s = max(self.max_lag_s, late_s)
+        if self.next_tick_at and now - self.next_tick_at > self.limit_s:
+            self.shed_fraction = min(MAX_SHED, self.shed_fraction + SHED_INCREASE)
         else:
-            self.share = max(0.0, self.share - SHED_LESS)
-        self.due = now + TICK_S
+            self.shed_fraction = max(0.0, self.shed_fraction - SHED_DECREASE)
+        self.next_tick_at = now + TICK_S
         return late_s
 
     def caught_up(self) -> None:
-        """What had come when it was late has been read."""
+        """What had come when the loop ran late has been read."""
         self.catching_up = False
 
     def is_behind(self, now: float) -> bool:
-        """Has this turn of the loop run, or the process been held up, for long? Then timers are overdue, and
-        what has come may be unread."""
-        return self.catching_up or (self.due > 0 and now - self.due > BEHIND_S)
+        """Whether this turn of the event loop has run, or the process has been held up, for long. Then timers
+        are overdue, and what has come may be unread."""
+        return self.catching_up or (self.next_tick_at > 0 and now - self.next_tick_at > BEHIND_THRESHOLD_S)
 
-    def sheds(self) -> bool:
-        return self.share > 0 and self.random.random() < self.share
+    def should_shed(self) -> bool:
+        """Whether to refuse the current request: true at random for the shed fraction of requests."""
+        return self.shed_fraction > 0 and self.random.random() < self.shed_fraction
--- a/magpiefront/net/listening.py
+++ b/magpiefront/net/listening.py
@@ -1,4 +1,4 @@
-"""What the sockets that listen for clients and for operators share."""
+"""Functions for listening sockets, shared by the addresses for clients, operators and other gateways."""
 
 from __future__ import annotations
 
@@ -7,40 +7,38 @@
 import socket
 import struct
 
-# Out of descriptors or memory: of this process or the machine, and no fault of the other side.
-NO_ROOM = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM})
+# This process or the machine has run out of descriptors or memory; the peer is not at fault.
+RESOURCE_SHORTAGE_ERRNOS = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM})
 
-
-# What is wrong with the one connection to be accepted, or with the network for a moment (accept(2)); the
-# next one may be fine.
-ONE_CONNECTION = frozenset({
+# The connection to be accepted has failed, or the network for a moment (accept(2)); the next may succeed.
+TRANSIENT_ACCEPT_ERRNOS = frozenset({
     errno.ECONNABORTED, errno.EPROTO, errno.ENOPROTOOPT, errno.EOPNOTSUPP, errno.ETIMEDOUT, errno.EPERM,
     errno.ENETDOWN, errno.ENETUNREACH, errno.EHOSTDOWN, errno.EHOSTUNREACH, errno.ENONET,
 })  # fmt: skip
-TRIES = 16
-BACKLOG = 4096  # connections that wait to be accepted
-
-SO_ATTACH_FILTER = 26  # socket(7); the module `socket` has no name for it
-# A socket filter (classic BPF, linux/filter.h) over a TCP segment: drops it if of the flags SYN and ACK it
-# has SYN alone, as the first segment of a new connection has, and lets all others pass. Code, the jumps
-# where a test holds and where not, operand.
-FLAGS_AT, SYN, ACK = 13, 0x02, 0x10
-DROP_NEW = (
-    (0x30, 0, 0, FLAGS_AT),  # load the byte of flags
-    (0x54, 0, 0, SYN | ACK),  # and
-    (0x15, 0, 1, SYN),  # is it equal?
-    (0x06, 0, 0, 0),  # return: keep no byte
-    (0x06, 0, 0, 0xFFFFFFFF),  # return: keep all
+MAX_ACCEPT_ATTEMPTS = 16
+BACKLOG = 4096  # connections in the accept queue
+
+SO_ATTACH_FILTER = 26  # socket(7); the module `socket` does not define it
+# A socket filter (classic BPF, linux/filter.h) that runs on each TCP segment. It drops segments with SYN set
+# and ACK clear, which is the first segment of a new connection, and lets all others pass. The fields of an
+# instruction: code, jump if true, jump if false, operand.
+FLAGS_OFFSET, SYN, ACK = 13, 0x02, 0x10
+DROP_SYN_FILTER = (
+    (0x30, 0, 0, FLAGS_OFFSET),  # load the byte with the flags
+    (0x54, 0, 0, SYN | ACK),  # AND with the mask
+    (0x15, 0, 1, SYN),  # skip the next instruction unless only SYN is set
+    (0x06, 0, 0, 0),  # return 0 bytes: drop the segment
+    (0x06, 0, 0, 0xFFFFFFFF),  # return all bytes: accept the segment
 )
 
 
-class NoRoom(Exception):
-    """A connection waits and can't be had; its text says why."""
+class ResourceShortage(Exception):
+    """A connection waits, but descriptors or memory for it are lacking; the message is the system's."""
 
 
-def bound(host: str, port: int, shared: bool = False) -> socket.socket:
-    """A socket at this address that does not listen yet. `shared` lets another process of this user have it
-    too. Raises OSError."""
+def bind_socket(host: str, port: int, shared: bool = False) -> socket.socket:
+    """A non-blocking socket that is bound to this address and does not listen. `shared` sets SO_REUSEPORT,
+    so that other processes of the same user can bind the address too. Raises OSError."""
     s = socket.socket(socket.AF_INET6 if ":" in host else socket.AF_INET, socket.SOCK_STREAM)
     try:
         s.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
@@ -54,9 +52,9 @@
     return s
 
 
-def listening(host: str, port: int, shared: bool = False) -> socket.socket:
-    """A socket that listens at this address, and from which nobody accepts yet. Raises OSError."""
-    s = bound(host, port, shared)
+def open_listener(host: str, port: int, shared: bool = False) -> socket.socket:
+    """A non-blocking socket that listens at this address; see `bind_socket`. Raises OSError."""
+    s = bind_socket(host, port, shared)
     try:
         s.listen(BACKLOG)
     except OSError:
@@ -66,24 +64,25 @@
 
 
 def refuse_new(listener: socket.socket) -> None:
-    """No connection that is begun from now on is made; one whose handshake is done or under way can still be
-    accepted. Between the last accept and a close nothing comes in so, which the close would reset. Holds for
-    every copy of the socket, in other processes too. Raises OSError."""
-    code = ctypes.create_string_buffer(b"".join(struct.pack("HBBI", *step) for step in DROP_NEW))
-    program = struct.pack("HL", len(DROP_NEW), ctypes.addressof(code))  # struct sock_fprog
+    """Drops attempts to connect from now on; a connection whose handshake is complete or under way can still
+    be accepted. Closing a listening socket resets the connections in its accept queue: with the filter, none
+    arrive between the last accept and the close. Applies to every copy of the socket, in other processes too.
+    Raises OSError."""
+    code = ctypes.create_string_buffer(b"".join(struct.pack("HBBI", *step) for step in DROP_SYN_FILTER))
+    program = struct.pack("HL", len(DROP_SYN_FILTER), ctypes.addressof(code))  # struct sock_fprog
     listener.setsockopt(socket.SOL_SOCKET, SO_ATTACH_FILTER, program)
 
 
-def accepted(listener: socket.socket) -> socket.socket | None:
-    """The next connection; None where none waits. Raises NoRoom."""
-    for _ in range(TRIES):
+def accept_connection(listener: socket.socket) -> socket.socket | None:
+    """Accepts the next connection as a non-blocking socket; None if none waits. Raises ResourceShortage."""
+    for _ in range(MAX_ACCEPT_ATTEMPTS):
         try:
             s, _ = listener.accept()
-        except OSError as e:
-            if e.errno in NO_ROOM:
-                raise NoRoom(e.strerror) from None
-            if e.errno in ONE_CONNECTION:
-                continue  # it has gone, and says nothing of those behind it
+        except OSError as error:
+            if error.errno in RESOURCE_SHORTAGE_ERRNOS:
+                raise ResourceShortage(error.strerror) from None
+            if error.errno in TRANSIENT_ACCEPT_ERRNOS:
+                continue  # says nothing about the connections behind it
             return None
         s.setblocking(False)
         return s
--- a/magpiefront/net/node_connection.py
+++ b/magpiefront/net/node_connection.py
@@ -1,4 +1,4 @@
-"""A connection to a cache node: one exchange at a time, and none before it has rested (`reuse`)."""
+"""A connection to a cache node. It carries one exchange at a time, with a rest between two (see `reuse`)."""
 
 from __future__ import annotations
 
@@ -11,19 +11,19 @@
 from magpiefront.interface import NEVER_RAN, Outcome
 from magpiefront.net.answer_reader import AnswerReader
 from magpiefront.net.exchange import Attempt, Exchange
-from magpiefront.net.hangup import HangUpWatch, unacknowledged
-from magpiefront.net.http1 import PARSER_ERRORS, WHOLE_LIMIT, HeadTooLong
-from magpiefront.reuse import HELD_UP_S, Lifecycle, State, StrayReason
+from magpiefront.net.http1 import MAX_BUFFERED_BYTES, PARSER_ERRORS, HeadTooLong
+from magpiefront.net.socket_state import SocketState, unacknowledged
+from magpiefront.reuse import WRITE_STALL_S, ConnectionLifecycle, ConnectionState, StrayReason
 
-STREAM_AFTER_S = 0.05  # an answer of unknown length is passed on as it comes after this long
-QUIET_S = 0.25  # an answer that has begun and then pauses for longer than nodes do has broken off
-LOOK_AGAIN_S = 0.02  # ... unless its bytes were there and this process was late to read them
+STREAM_AFTER_S = 0.05  # an answer of unknown length that is not complete by then is streamed to the client
+MAX_PAUSE_S = 0.25  # a longer pause within an answer, which nodes do not make, counts as its failure
+RECHECK_S = 0.02  # lets a process that was late to read find bytes that had already arrived
 
 
 @dataclass(slots=True, frozen=True)
 class Stray:
-    """Bytes that no request can have asked for. `after_s`: since the connection's last answer; `size`: how
-    many bytes, 0 where they were not read."""
+    """Unsolicited bytes, which are no answer to any request. `after_s` is the time since the connection's
+    last answer; `size` is the number of bytes, 0 if they were not read."""
 
     connection: NodeConnection
     reason: StrayReason
@@ -31,9 +31,9 @@
     size: int
 
 
-class Owner(Protocol):
-    """The node as its connections need it. `clock` gives seconds and never stands still, other than the event
-    loop's, which does while a turn lasts."""
+class ConnectionOwner(Protocol):
+    """What a connection needs of its node. `clock` returns seconds and always advances, unlike the event
+    loop's time, which stands still during a turn of the loop."""
 
     name: str
 
@@ -41,94 +41,107 @@
     def loop(self) -> asyncio.AbstractEventLoop: ...
     def clock(self) -> float: ...
     def put_back(self, connection: NodeConnection) -> None: ...
-    def lost(self, connection: NodeConnection) -> None: ...
+    def connection_closed(self, connection: NodeConnection) -> None: ...
     def drop_idle(self, connection: NodeConnection) -> None: ...
-    def saw_stray(self, stray: Stray) -> None: ...
+    def report_stray(self, stray: Stray) -> None: ...
 
 
 class NodeConnection(AnswerReader):
-    __slots__ = ("exchange", "heard_at", "last_target", "life", "look", "node", "number", "paused", "spare",
-                 "streams", "watched", "written")  # fmt: skip
+    """Writes the messages of exchanges and reads their answers.
 
-    def __init__(self, node: Owner, exchange: Exchange, number: int = 0) -> None:
+    `number` counts the connections that the pool has opened. `written`: the whole message has been handed to
+    the kernel. `paused`: reading is paused, since the client reads slowly. `streams`: the answer is streamed
+    to the client. `pause_watched`: a timer watches for pauses in the answer. `spare`, of the base class, is
+    also set by `detach_exchange`, before anything has been read.
+    """
+
+    __slots__ = ("exchange", "last_data_at", "last_target", "lifecycle", "node", "number", "pause_watched",
+                 "paused", "socket_state", "spare", "streams", "written")  # fmt: skip
+
+    def __init__(self, node: ConnectionOwner, exchange: Exchange, number: int = 0) -> None:
         super().__init__()
         self.node, self.number = node, number
         self.exchange: Exchange | None = exchange
-        self.life = Lifecycle()
-        self.written = self.paused = self.watched = self.streams = self.spare = False
-        self.heard_at = 0.0
-        self.last_target = b""  # of the request that was answered last
-        self.look: HangUpWatch | None = None
+        self.lifecycle = ConnectionLifecycle()
+        self.written = self.paused = self.pause_watched = self.streams = self.spare = False
+        self.last_data_at = 0.0  # loop time at which more of the answer was last read
+        self.last_target = b""  # target of the request that was answered last
+        self.socket_state: SocketState | None = None
 
     # ---- the exchange
 
-    def start(self, exchange: Exchange, looked_at: float | None = None) -> None:
-        """Writes the message. `looked_at`: when a connection that was used before was looked at last."""
+    def start(self, exchange: Exchange, checked_at: float | None = None) -> None:
+        """Writes the exchange's message. For a connection that was used before, `checked_at` is when it was
+        last checked for unread bytes."""
         if not exchange.may_begin():
             self.exchange = None
-            self.life.stand_by(self.node.clock())
+            self.lifecycle.release_unused(self.node.clock())
             self.node.put_back(self)
             exchange.end(Outcome.MOOT)
             return
         self.exchange, exchange.connection = exchange, self
-        self.life.begin()
+        self.lifecycle.begin_request()
         self.expect_answer()
-        self.written = self.watched = self.streams = False
+        self.written = self.pause_watched = self.streams = False
         self.transport.writelines(exchange.message())
         if not self.transport.get_write_buffer_size() and not self.transport.is_closing():
             self.written = True
-            exchange.whole()
-        if looked_at is not None and self.node.clock() - looked_at > HELD_UP_S and self._readable():
-            self._ended_by_stray(StrayReason.CROSSED, 0)
-
-    def fresh(self) -> bool:
-        """Guards against what the loop has not read yet when an idle connection is taken again: its end, on
-        which the request would be reset, or a second copy of the last answer, taken for the next one."""
+            exchange.fully_sent()
+        if checked_at is not None and self.node.clock() - checked_at > WRITE_STALL_S and self._has_unread():
+            self._end_by_stray(StrayReason.CROSSED, 0)
+
+    def has_nothing_unread(self) -> bool:
+        """Whether the kernel holds nothing for an idle connection that the event loop has not read yet: its
+        end, which would reset the next request, or a second copy of the last answer, which would be taken
+        for the next one."""
         if self.transport.is_closing():
             return False
-        if not self._readable():
+        if not self._has_unread():
             return True
-        if self.look is not None and not self.look.closed():
-            self._tell_stray(StrayReason.UNREAD, 0)
+        if self.socket_state is not None and not self.socket_state.closed():
+            self._report_stray(StrayReason.UNREAD, 0)
         return False
 
-    def _readable(self) -> bool:
-        if self.look is None:
-            self.look = HangUpWatch(self.transport)
-        return self.look.readable()
+    def _has_unread(self) -> bool:
+        if self.socket_state is None:
+            self.socket_state = SocketState(self.transport)
+        return self.socket_state.readable()
 
-    def spare_for_others(self) -> None:
-        """Its request goes on another connection. It comes up all the same, and waits for another request."""
+    def detach_exchange(self) -> None:
+        """Called when the exchange starts on another connection. This one is still established and then
+        waits in the pool for another exchange."""
         self.exchange, self.spare = None, True
 
     def give_up(self, exchange: Exchange) -> None:
+        """Closes the connection if it still carries this exchange."""
         if self.exchange is exchange:
             self.exchange = None
             self.close()
 
     def close(self) -> None:
-        self.life.close()
+        self.lifecycle.close()
         self.transport.abort()
 
-    def broken(self) -> None:
-        # Also ends the connection: a node that has sent half an answer or noise leaves it open, and what is
-        # never closed holds one of the pool's places and a descriptor at either side for good.
+    def fail(self) -> None:
+        """Closes the connection and ends its exchange as failed."""
+        # A node that has sent half an answer or garbage may leave the connection open. If it were never
+        # closed, it would hold a slot of the pool and a descriptor on either side for good.
         self.close()
         exchange, self.exchange = self.exchange, None
         if exchange is not None:
             exchange.end(Outcome.RESET if self.written else Outcome.CONNECT_FAILED)
 
-    def _ended_by_stray(self, reason: StrayReason, size: int) -> None:
-        """What has come is not this request's answer, which may yet run."""
-        self._tell_stray(reason, size)
+    def _end_by_stray(self, reason: StrayReason, size: int) -> None:
+        """Ends the exchange: the bytes that came are not its answer. The request may still run."""
+        self._report_stray(reason, size)
         self.close()
         exchange, self.exchange = self.exchange, None
         if exchange is not None:
             exchange.end(Outcome.RESET)
 
-    def _tell_stray(self, reason: StrayReason, size: int) -> None:
-        after_s = max(0.0, self.node.clock() - self.life.answered_at)
-        self.node.saw_stray(Stray(self, reason, after_s, size))
+    def _report_stray(self, reason: StrayReason, size: int) -> None:
+        after_s = max(0.0, self.node.clock() - self.lifecycle.answered_at)
+        self.node.report_stray(Stray(self, reason, after_s, size))
 
     # ---- the transport
 
@@ -140,16 +153,16 @@
         if exchange is not None and not exchange.done:
             exchange.task = exchange.opening = None
             self.start(exchange)
-        elif self.spare:
-            self.life.stand_by(self.node.clock())
+        elif self.spare:  # set by detach_exchange
+            self.lifecycle.release_unused(self.node.clock())
             self.node.put_back(self)
         else:
             self.exchange = None
             self.close()
 
     def connection_lost(self, exc: Exception | None) -> None:
-        self.node.lost(self)
-        self.broken()
+        self.node.connection_closed(self)
+        self.fail()
         super().connection_lost(exc)
 
     def eof_received(self) -> bool:
@@ -157,99 +170,104 @@
             self.complete = self.framed = True
             self._completed()
         else:
-            self.broken()
+            self.fail()
         return False
 
     def pause_writing(self) -> None:
         pass
 
     def resume_writing(self) -> None:
+        """Called once the write buffer is empty, since its high-water mark is 0."""
         if not self.written and self.exchange is not None:
             self.written = True
-            self.exchange.whole()
+            self.exchange.fully_sent()
 
     def data_received(self, data: bytes) -> None:
         if self.exchange is None:
-            reason = self.life.stray()
+            reason = self.lifecycle.stray_reason()
             if reason is not None:
-                self._tell_stray(reason, len(data))
+                self._report_stray(reason, len(data))
             self.close()
             return
-        if not self.begun and self.life.used and self._is_early():
-            self._ended_by_stray(StrayReason.EARLY, len(data))
+        if not self.begun and self.lifecycle.used and self._is_early():
+            self._end_by_stray(StrayReason.EARLY, len(data))
             return
         try:
             self.feed(data)
         except (*PARSER_ERRORS, HeadTooLong):
             if not self.complete:
-                self.broken()
+                self.fail()
                 return
             self.surplus = True
         if self.exchange is not None:
-            self._go_on()
+            self._check_progress()
 
     def _is_early(self) -> bool:
-        left = unacknowledged(self.transport) if self.written else 0
-        return self.life.is_early(self.written, left)
+        """Whether an answer that begins now comes before the node can have received the whole request."""
+        unacknowledged_bytes = unacknowledged(self.transport) if self.written else 0
+        return self.lifecycle.precedes_request(self.written, unacknowledged_bytes)
 
-    def _go_on(self) -> None:
-        """Some more of the answer has been read."""
-        a = self.answer
+    def _check_progress(self) -> None:
+        """Called after more of the answer has been read."""
+        answer = self.answer
         if self.complete:
             self._completed()
-        elif self.is_endless():
-            self._cut()
-        elif (a.status or self.spare) and self.exchange is not None:
-            self.heard_at = self.node.loop.time()
-            if not self.watched:
-                self.watched = True
-                self.node.loop.call_later(QUIET_S, self._quiet, self.exchange, 0.0)
-
-    def _quiet(self, exchange: Exchange, seen: float) -> None:
-        """Guards against nodes that fall silent in the middle of an answer: the attempt would wait for the
-        rest until the client's time is up, when another node could have answered long before."""
+        elif self.is_unusable():
+            self._end_incomplete()
+        elif (answer.status or self.spare) and self.exchange is not None:
+            self.last_data_at = self.node.loop.time()
+            if not self.pause_watched:
+                self.pause_watched = True
+                self.node.loop.call_later(MAX_PAUSE_S, self._check_pause, self.exchange, 0.0)
+
+    def _check_pause(self, exchange: Exchange, rechecked: float) -> None:
+        """Fails an attempt whose node stops sending in the middle of an answer. It would otherwise wait for
+        the rest until the client's deadline, while another node could have answered long before.
+
+        `rechecked` is the `last_data_at` for which the recheck after `RECHECK_S` was scheduled."""
         if self.exchange is not exchange or self.complete or self.streams:
             return
-        rest = self.heard_at + QUIET_S - self.node.loop.time()
-        if rest > 0:
-            self.node.loop.call_later(rest + 0.001, self._quiet, exchange, 0.0)
-        elif seen != self.heard_at:
-            self.node.loop.call_later(LOOK_AGAIN_S, self._quiet, exchange, self.heard_at)
+        left_s = self.last_data_at + MAX_PAUSE_S - self.node.loop.time()
+        if left_s > 0:
+            self.node.loop.call_later(left_s + 0.001, self._check_pause, exchange, 0.0)
+        elif rechecked != self.last_data_at:
+            self.node.loop.call_later(RECHECK_S, self._check_pause, exchange, self.last_data_at)
         else:
-            self.broken()
-
-    def _cut(self) -> None:
-        """An answer whose end could not be told from a break, or that fills memory for nothing. What a head
-        says of a failure holds without its body."""
-        exchange, a = self.exchange, self.answer
-        if exchange is None or a.status < 200 or self.counts(a):
-            self.broken()
+            self.fail()
+
+    def _end_incomplete(self) -> None:
+        """Ends an exchange whose answer can't be told from a truncated one or is too large for an error.
+        The status and the fields of a failure are valid without its body."""
+        exchange, answer = self.exchange, self.answer
+        if exchange is None or answer.status < 200 or self.is_for_client(answer):
+            self.fail()
         else:
-            exchange.end(a.outcome(), a)
+            exchange.end(answer.outcome(), answer)
 
     def _completed(self) -> None:
         exchange, answer = self.exchange, self.answer
         assert exchange is not None
         if not self.framed:
-            self._cut()
+            self._end_incomplete()
             return
         now = self.node.clock()
         self.last_target = exchange.request.target if isinstance(exchange, Attempt) else b""
         if self.surplus:
-            self.life.answered_at = now
-            self._tell_stray(StrayReason.SURPLUS, 0)
+            self.lifecycle.answered_at = now
+            self._report_stray(StrayReason.SURPLUS, 0)
         outcome = answer.outcome()
-        keeps = self.written and self.lasting and not self.surplus
-        self.life.answered(now, keeps and outcome not in NEVER_RAN)
+        reusable = self.written and self.keep_alive and not self.surplus
+        self.lifecycle.end_request(now, reusable and outcome not in NEVER_RAN)
         self.exchange, exchange.connection = None, None
         self.resume()
-        if self.life.state is State.RESTING:
+        if self.lifecycle.state is ConnectionState.RESTING:
             self.node.put_back(self)
         else:
             self.close()
         exchange.end(outcome, answer)
 
     def pause(self) -> None:
+        """Pauses reading, since the client reads slowly."""
         if not self.paused:
             self.paused = True
             self.transport.pause_reading()
@@ -257,31 +275,31 @@
     def resume(self) -> None:
         if self.paused:
             self.paused = False
-            self.heard_at = self.node.loop.time()
+            self.last_data_at = self.node.loop.time()
             self.transport.resume_reading()
 
     def on_body(self, body: bytes) -> None:
-        exchange, a = self.exchange, self.answer
+        exchange, answer = self.exchange, self.answer
         self.spare = 0
         if exchange is None or self.complete:
             return
-        a.size += len(body)
-        self.check_size(a.size)
+        answer.size += len(body)
+        self.check_size(answer.size)
         if isinstance(exchange, Attempt):
             if exchange.streaming:
-                exchange.host.stream_goes_on(exchange, body)
-            elif a.status == 200 or self.counts(a):
-                a.body.append(body)
-                if a.size > WHOLE_LIMIT or (a.length or 0) > WHOLE_LIMIT:
+                exchange.host.stream_data(exchange, body)
+            elif answer.status == 200 or self.is_for_client(answer):
+                answer.body.append(body)
+                if answer.size > MAX_BUFFERED_BYTES or (answer.length or 0) > MAX_BUFFERED_BYTES:
                     self._stream(exchange)
-                elif self.framed and a.length is None and len(a.body) == 1:
+                elif self.framed and answer.length is None and len(answer.body) == 1:
                     self.node.loop.call_later(STREAM_AFTER_S, self._stream, exchange)
-        elif a.size <= WHOLE_LIMIT:
-            a.body.append(body)
+        elif answer.size <= MAX_BUFFERED_BYTES:
+            answer.body.append(body)
 
     def _stream(self, attempt: Attempt) -> None:
-        # Guards against a long answer that trickles in: kept back until 64 KiB were there, its first bytes
-        # came to the client late, and its attempt ran out of time with the answer under way.
+        # A long answer may arrive slowly. If it were held until 64 KiB of it are there, its first bytes would
+        # reach the client late, and its attempt would time out while the answer is arriving.
         if self.exchange is attempt and not self.complete and not attempt.streaming:
             self.streams = True
             attempt.begin_stream(self.answer)
--- a/magpiefront/net/passing.py
+++ b/magpiefront/net/passing.py
@@ -1,6 +1,6 @@
-"""Fronts, pools and hosts that pass fields and statuses on (RFC 9110, 7.6), for stages that ask for it.
+"""Client connections, node connections and a proxy that pass fields and statuses on (RFC 9110, 7.6).
 
-They are chosen once, at the start: the ordinary path has no branch for them.
+Stages that need them have them chosen once, at the start, so that the ordinary path has no branch for them.
 """
 
 from __future__ import annotations
@@ -22,122 +22,131 @@
 from magpiefront.net.config import Config
 from magpiefront.net.downstream import ClientConnection
 from magpiefront.net.exchange import Attempt
-from magpiefront.net.fields import Fields, end_to_end, lines
+from magpiefront.net.fields import Fields, end_to_end, format_fields
 from magpiefront.net.front import Front
-from magpiefront.net.http1 import REASONS, WHOLE_LIMIT
+from magpiefront.net.http1 import MAX_BUFFERED_BYTES, REASONS
 from magpiefront.net.node_connection import NodeConnection
 from magpiefront.net.proxy import Proxy
-from magpiefront.net.request import METHODS, READS, SINGLE, Request
+from magpiefront.net.request import METHODS, READ_METHODS, SINGLE_VALUED, Request
 
-# Of which a second line would let another reader take the other one, and which no list can hold.
-SINGLE_HERE = SINGLE | {b"authorization", b"if-modified-since", b"if-unmodified-since", b"if-range", b"range"}
+# Fields that may occur once only where all fields are passed on: of two lines, another recipient could use
+# the other one, and they can't be joined to a list.
+SINGLE_VALUED_HERE = SINGLE_VALUED | {
+    b"authorization", b"if-modified-since", b"if-unmodified-since", b"if-range", b"range",
+}  # fmt: skip
 PLAIN_METHODS = METHODS | {b"HEAD", b"POST", b"PATCH", b"DELETE", b"OPTIONS"}
-SERVERS_OWN = frozenset({b"srv-cache", b"srv-declined", b"srv-load"})
-BODILESS = frozenset({204, 304})  # RFC 9112, 6.3
+# Fields by which cache nodes report to the proxy; not passed on.
+NODE_REPORT_FIELDS = frozenset({b"srv-cache", b"srv-declined", b"srv-load"})
+BODILESS = frozenset({204, 304})  # statuses without a body (RFC 9112, 6.3)
 PURGE = b"PURGE"
-LENGTH = b"content-length"
+CONTENT_LENGTH = b"content-length"
 
 
 @dataclass(frozen=True, slots=True)
-class Clients:
-    """What a front takes of clients. `read_class` and `write_class` are for those that name no class, and
-    then get `deadline_s`; an empty one refuses them, as on the platform."""
+class ClientSettings:
+    """What a front accepts from clients.
 
-    plain: bool = False  # all methods, as the servers behind know them
+    Requests that name no request class get `read_class` or `write_class` and the deadline `deadline_s`; where
+    that class is empty they are refused, as they are on the platform. PURGE is accepted from the addresses
+    `purge_from`.
+    """
+
+    plain: bool = False  # whether all methods are accepted, for servers that speak plain HTTP
     read_class: str = ""
     write_class: str = ""
     deadline_s: float = 1.0
     purge_from: frozenset[str] = frozenset()
 
 
-def reason(status: int) -> bytes:
-    """Also of what only servers send."""
-    found = REASONS.get(status)
-    if found is None:
+def reason_phrase(status: int) -> bytes:
+    """The reason phrase of a status, also of those that only servers send."""
+    phrase = REASONS.get(status)
+    if phrase is None:
         try:
-            found = HTTPStatus(status).phrase.encode()
+            phrase = HTTPStatus(status).phrase.encode()
         except ValueError:
-            found = b""
-        REASONS[status] = found
-    return found
+            phrase = b""
+        REASONS[status] = phrase
+    return phrase
 
 
 class PassingClient(ClientConnection):
-    """Hands all fields of a request on in `Request.fields`, and writes answers as they are told."""
+    """Keeps all fields of a request in `Request.fields`, and writes answers with the fields of the caller."""
 
     __slots__ = ()
-    settings = Clients()
+    settings = ClientSettings()
     ids = itertools.count(1)
-    start = token_hex(6)
+    id_prefix = token_hex(6)
 
     def on_message_begin(self) -> None:
         super().on_message_begin()
-        self.taking.fields = []
+        self.incoming.fields = []
 
     def on_header(self, name: bytes, value: bytes) -> None:
         if not self.in_head:
-            return  # a trailer: dropped (RFC 9110, 6.5.1)
-        lower, taking = name.lower(), self.taking
+            return  # a trailer field: dropped (RFC 9110, 6.5.1)
+        lower, request = name.lower(), self.incoming
         value = value.rstrip(b" \t")
-        before = taking.headers.get(lower)
+        before = request.headers.get(lower)
         if before is None:
-            taking.headers[lower] = value
+            request.headers[lower] = value
         else:
-            if lower in SINGLE_HERE:
-                taking.error = 400
-            taking.headers[lower] = before + (b"; " if lower == b"cookie" else b", ") + value
-        taking.fields.append((name, value))
+            if lower in SINGLE_VALUED_HERE:
+                request.error = 400
+            request.headers[lower] = before + (b"; " if lower == b"cookie" else b", ") + value
+        request.fields.append((name, value))
 
     def on_headers_complete(self) -> None:
-        request, settings = self.taking, self.settings
-        method, h = self.parser.get_method(), request.headers
+        request, settings = self.incoming, self.settings
+        method, headers = self.parser.get_method(), request.headers
         if method == PURGE:
             peer = self.transport.get_extra_info("peername")
             if peer is None or peer[0] not in settings.purge_from:
                 request.error = 405
-            h[b"req-kind"] = next(iter(cast(Iterable[bytes], self.front.house.classes)))
-            self._name(request)
-        elif b"req-kind" not in h:
-            name = settings.read_class if method in READS else settings.write_class
+            headers[b"req-kind"] = next(iter(cast(Iterable[bytes], self.front.runtime.classes)))
+            self._assign_id(request)
+        elif b"req-kind" not in headers:
+            name = settings.read_class if method in READ_METHODS else settings.write_class
             if name:
-                h[b"req-kind"] = name.encode()
-                self._name(request)
+                headers[b"req-kind"] = name.encode()
+                self._assign_id(request)
         super().on_headers_complete()
 
-    def _name(self, request: Request) -> None:
-        """A client that knows nothing of ids gets one that nobody else has."""
-        h = request.headers
-        h.setdefault(b"req-id", f"{self.start}-{next(self.ids):x}".encode())
-        h.setdefault(b"req-deadline", b"%.3f" % self.settings.deadline_s)
+    def _assign_id(self, request: Request) -> None:
+        """Gives a request without an id a unique one, and one without a deadline the configured one."""
+        headers = request.headers
+        headers.setdefault(b"req-id", f"{self.id_prefix}-{next(self.ids):x}".encode())
+        headers.setdefault(b"req-deadline", b"%.3f" % self.settings.deadline_s)
 
     def answer(self, request: Request, status: int, body: Sequence[bytes] = (), more: bytes = b"") -> None:
         if not more:
-            # The front's own, or of one that has nothing to say but a status (RFC 9110, 6.6.1).
+            # An answer of the front itself, or one that is no more than a status (RFC 9110, 6.6.1).
             more = b"Date: %b\r\n" % formatdate(time(), usegmt=True).encode("ascii")
             if status == 405:
                 more += self.allow
-        bodiless, phrase = status in BODILESS, reason(status)
+        bodiless, phrase = status in BODILESS, reason_phrase(status)
         if not bodiless and request.method != b"HEAD":
             super().answer(request, status, body, more)
             return
         if request.size:
-            self._release(request)
-        close = self._is_last(request)
-        if not bodiless and LENGTH not in more.lower():
-            # What GET would be answered; a server's own word on it has come with its other fields.
+            self._release_body(request)
+        close = self._closes_after(request)
+        if not bodiless and CONTENT_LENGTH not in more.lower():
+            # The length of the answer to GET; if the server gave one, it is among its other fields.
             more += b"Content-Length: %d\r\n" % sum(len(b) for b in body)
         end = b"Connection: close\r\n\r\n" if close else b"\r\n"
         self.transport.write(b"HTTP/1.1 %d %b\r\n%b%b" % (status, phrase, more, end))
-        request.tally.end(status)
-        self._answered(request, close)
+        request.counts.end(status)
+        self._finish_answer(request, close)
 
     def begin(self, request: Request, length: int | None, more: bytes, status: int = 200) -> None:
-        reason(status)
+        reason_phrase(status)  # adds it to REASONS, from which the head is formatted
         super().begin(request, length, more, status)
 
 
 class PassedAnswer(Answer):
-    """`fields` are its head's lines; `wanted` says that it is an answer for the client."""
+    """A node's answer with its fields. `fields` are the field lines of its head; `wanted`: it is an answer
+    for the client, and not a failure of the node."""
 
     __slots__ = ("fields", "wanted")
 
@@ -151,15 +160,18 @@
 
 
 class PassingConnection(NodeConnection):
-    """To cache nodes that say more than their body: 304 counts as an answer where the request asked."""
+    """A connection to a cache node whose fields are passed on. A 304 is an answer if the request had a
+    condition."""
 
     __slots__ = ()
     answer_type = PassedAnswer
     answer: PassedAnswer
-    close_delimits = False  # a cache would keep, and a site pass on as whole, what may have been cut off
+    # A body that ends with the connection may be incomplete: a cache would store it, and a site pass it on,
+    # as complete.
+    close_delimits = False
 
-    def counts(self, a: Answer) -> bool:
-        return cast(PassedAnswer, a).wanted
+    def is_for_client(self, answer: Answer) -> bool:
+        return cast(PassedAnswer, answer).wanted
 
     def on_header(self, name: bytes, value: bytes) -> None:
         if self.in_head and not self.complete:
@@ -177,100 +189,104 @@
         if a.status in BODILESS:
             self.framed = True
         if isinstance(exchange, Attempt) and exchange.request.method == b"HEAD":
-            # Its length tells of a body that does not come (RFC 9112, 6.3), and the parser would wait for it.
+            # Its length is that of a body that is not sent (RFC 9112, 6.3), for which the parser would wait.
             self.framed = self.complete = True
-            self.lasting = self.parser.should_keep_alive()
+            self.keep_alive = self.parser.should_keep_alive()
             self.parser = httptools.HttpResponseParser(self)
         else:
-            # The length that counts is that of what came; each front writes its own.
-            a.fields = [f for f in a.fields if f[0].lower() != LENGTH]
+            # Each front writes the length of the body that it has received.
+            a.fields = [f for f in a.fields if f[0].lower() != CONTENT_LENGTH]
 
     def wants(self, status: int) -> bool:
+        """Whether an answer with this status is for the client."""
         if status != 304:
             return status == 200
         exchange = self.exchange
-        more = exchange.request.more.lower() if isinstance(exchange, Attempt) else b""
+        more = exchange.request.extra_fields.lower() if isinstance(exchange, Attempt) else b""
         return b"if-none-match:" in more or b"if-modified-since:" in more
 
     def on_body(self, body: bytes) -> None:
         if self.complete:
-            self.surplus = True  # where there may be none: whose is it? The connection goes
+            # A body where there may be none may belong to another answer, so the connection is closed.
+            self.surplus = True
             return
         super().on_body(body)
         a = self.answer
-        if not a.wanted and isinstance(self.exchange, Attempt) and a.size <= WHOLE_LIMIT:
+        if not a.wanted and isinstance(self.exchange, Attempt) and a.size <= MAX_BUFFERED_BYTES:
             a.body.append(body)
 
 
 class PlainConnection(PassingConnection):
-    """To servers that speak plain HTTP: every status that is no failure of the server is an answer."""
+    """A connection to a server that speaks plain HTTP: every status but a failure of the server is an
+    answer."""
 
     __slots__ = ()
 
     def wants(self, status: int) -> bool:
-        if status == 304:  # to a request without a condition it is no answer at all
+        if status == 304:  # no answer to a request without a condition
             return super().wants(status)
         return 200 <= status < 500 or status == 501
 
 
 class PassingProxy(Proxy):
-    """Answers with the servers' own statuses and fields."""
+    """A proxy that answers with the nodes' own statuses and fields. `plain`: they speak plain HTTP."""
 
     def __init__(self, config: Config, loop: asyncio.AbstractEventLoop, plain: bool) -> None:
         super().__init__(config, loop)
         self.plain = plain
-        self.head_of = passed
+        self.head_of = forwarded_fields
         self.pool.connection_type = PlainConnection if plain else PassingConnection
-        self.failed: dict[Request, Answer] = {}  # of the last attempt that a server failed
+        self.failed_answers: dict[Request, Answer] = {}  # the 5xx answer to a request's last attempt
 
     def attempt_ended(
-        self, a: Attempt, outcome: Outcome, answer: Answer | None
+        self, attempt: Attempt, outcome: Outcome, answer: Answer | None
     ) -> None:  # fmt: skip
-        r = a.request
-        if self.plain and not r.answered:
+        request = attempt.request
+        if self.plain and not request.answered:
             if outcome is Outcome.ERROR and answer is not None and answer.status >= 500:
-                self.failed[r] = answer
+                self.failed_answers[request] = answer
             else:
-                self.failed.pop(r, None)
-        super().attempt_ended(a, outcome, answer)
-
-    def _settled(self, r: Request) -> None:
-        if self.failed:
-            self.failed.pop(r, None)
-        super()._settled(r)
-
-    def _final(self, name: str, status: int, more: bytes = b"") -> None:
-        r = self.requests.get(name)
-        failed = self.failed.get(r) if r is not None else None
-        if r is None or r.answered or failed is None or status not in (502, 503):
-            super()._final(name, status, more)
+                self.failed_answers.pop(request, None)
+        super().attempt_ended(attempt, outcome, answer)
+
+    def _mark_answered(self, request: Request) -> None:
+        if self.failed_answers:
+            self.failed_answers.pop(request, None)
+        super()._mark_answered(request)
+
+    def _answer_status(self, name: str, status: int, more: bytes = b"") -> None:
+        request = self.requests.get(name)
+        failed = self.failed_answers.get(request) if request is not None else None
+        if request is None or request.answered or failed is None or status not in (502, 503):
+            super()._answer_status(name, status, more)
             return
-        # The module has given it up after a server's own word, which tells the client more.
-        cls = self.classes.get(r.headers[b"req-kind"])
+        # The Router has given the request up after a 5xx answer of a server, which tells the client more.
+        cls = self.classes.get(request.headers[b"req-kind"])
         if status == 502 and failed.status == 503 and (cls is None or cls.repeat is not Repeat.SAFE):
-            # 503 means to clients here that trying again is harmless, and no plain server promises that.
+            # To clients of this proxy, 503 means that a repeat is harmless; plain servers don't promise that.
             failed.status = 502
-        self._settled(r)
-        lines_ = passed(failed)
-        if b"retry-after:" not in lines_.lower():
-            lines_ += more
-        r.replies.answer(r, failed.status, failed.body, lines_)
+        self._mark_answered(request)
+        fields = forwarded_fields(failed)
+        if b"retry-after:" not in fields.lower():
+            fields += more
+        request.responder.answer(request, failed.status, failed.body, fields)
 
 
-def passed(answer: Answer) -> bytes:
-    """The lines of an answer that go on."""
-    return lines(end_to_end(cast(PassedAnswer, answer).fields, SERVERS_OWN))
+def forwarded_fields(answer: Answer) -> bytes:
+    """The field lines of an answer that are passed on."""
+    return format_fields(end_to_end(cast(PassedAnswer, answer).fields, NODE_REPORT_FIELDS))
 
 
-def methods_of(clients: Clients) -> frozenset[bytes]:
+def allowed_methods(clients: ClientSettings) -> frozenset[bytes]:
+    """The methods that a front with these settings accepts, apart from PURGE."""
     return PLAIN_METHODS if clients.plain else METHODS | {b"HEAD"}
 
 
-def prepare(front: Front, clients: Clients) -> None:
-    """Lets a front pass fields on; before it listens."""
-    methods = methods_of(clients)
+def forward_fields(front: Front, clients: ClientSettings) -> None:
+    """Makes a front pass all fields on. To be called before it listens."""
+    methods = allowed_methods(clients)
     allow = b"Allow: %b\r\n" % b", ".join(sorted(methods))
     if clients.purge_from:
         methods |= {PURGE}
-    given = {"__slots__": (), "settings": clients, "methods": methods, "allow": allow}
-    front.client_type = type("PreparedClient", (PassingClient,), given)
+    attributes = {"__slots__": (), "settings": clients, "methods": methods, "allow": allow}
+    front.client_type = type("PreparedClient", (PassingClient,), attributes)
--- a/magpiefront/net/pool.py
+++ b/magpiefront/net/pool.py
@@ -11,39 +11,40 @@
 from magpiefront.interface import Outcome
 from magpiefront.net.config import Address
 from magpiefront.net.exchange import Exchange
-from magpiefront.net.listening import NO_ROOM
+from magpiefront.net.listening import RESOURCE_SHORTAGE_ERRNOS
 from magpiefront.net.node_connection import NodeConnection, Stray
-from magpiefront.net.pool_figures import NewCause, PoolFigures
+from magpiefront.net.pool_counters import NewCause, PoolCounters
 from magpiefront.reuse import RestPolicy
 
-TIMER_S = 0.001  # the least that the event loop's timers tell apart
-# This machine's own trouble: no sign of a node that is down, which would return cold.
-LOCAL_ERRORS = NO_ROOM | {errno.EADDRNOTAVAIL, errno.ENETUNREACH, errno.ENETDOWN}
+TIMER_RESOLUTION_S = 0.001  # the event loop's timers do not tell shorter times apart
+# Errors of this machine. They are no sign of a node that is down, which would be cold when it returns.
+LOCAL_ERRNOS = RESOURCE_SHORTAGE_ERRNOS | {errno.EADDRNOTAVAIL, errno.ENETUNREACH, errno.ENETDOWN}
 
 
-def answered_at(connection: NodeConnection) -> float:
-    return connection.life.answered_at
+def last_answer_at(connection: NodeConnection) -> float:
+    """When the connection was last in use, or was released unused; the key that idle ones are sorted by."""
+    return connection.lifecycle.answered_at
 
 
 class Node:
     """A cache node at one address, and the connections to it."""
 
-    __slots__ = ("address", "barred", "host_header", "idle", "name", "open", "pool", "retired",
+    __slots__ = ("address", "excluded", "host_header", "idle", "name", "open", "pool", "retired",
                  "unused")  # fmt: skip
 
     def __init__(self, pool: Pool, name: str, address: Address) -> None:
         self.pool, self.name, self.address = pool, name, address
         self.host_header = f"{address[0]}:{address[1]}".encode()
-        self.idle: list[NodeConnection] = []  # resting or idle, the one that has been so longest first
-        self.unused: list[NodeConnection] = []  # that came up for a request which went on another meanwhile
-        self.open = 0
-        self.retired = False  # off the list, or at another address by now
-        self.barred = False  # taken out by an operator
+        self.idle: list[NodeConnection] = []  # resting or idle; the longest idle one comes first
+        self.unused: list[NodeConnection] = []  # never used: their request was sent on another connection
+        self.open = 0  # connections that are open or being made
+        self.retired = False  # no longer listed, or listed at another address
+        self.excluded = False  # taken out of rotation by an operator
 
     @property
-    def closed(self) -> bool:
-        """May nothing new begin there?"""
-        return self.retired or self.barred
+    def unavailable(self) -> bool:
+        """Whether no new exchange may begin on this node."""
+        return self.retired or self.excluded
 
     @property
     def loop(self) -> asyncio.AbstractEventLoop:
@@ -53,46 +54,47 @@
         return self.pool.clock()
 
     def begin(self, exchange: Exchange) -> None:
-        """On a connection that may be used, or on a new one; or on one whose rest ends before that is up."""
+        """Starts an exchange on a reusable connection, or opens a new one. If a connection's rest ends before
+        the new one is established, the exchange starts on the rested one."""
         cause = NewCause.RESTING if self.idle else NewCause.NONE_OPEN
         now = self.clock()
-        while (connection := self._take_usable(now)) is not None:
+        while (connection := self._take_reusable(now)) is not None:
             if self._start_on(connection, exchange, now):
                 return
             cause = NewCause.ENDED
-        if not self.pool.room():
+        if not self.pool.make_room():
             exchange.end(Outcome.MOOT)
             return
-        self._open(exchange, cause)
-        self._look_when_one_has_rested(exchange, now)
+        self._open_connection(exchange, cause)
+        self._schedule_reuse(exchange, now)
 
     def _start_on(self, connection: NodeConnection, exchange: Exchange, now: float) -> bool:
-        """False where the connection has ended, or has brought bytes."""
-        if not connection.fresh():
+        """Returns False if the connection has ended or has unread bytes; it is closed then."""
+        if not connection.has_nothing_unread():
             connection.close()
             return False
-        self.pool.figures.reused += 1
+        self.pool.counters.reused += 1
         connection.start(exchange, now)
         return True
 
-    def _open(self, exchange: Exchange, cause: NewCause) -> None:
-        figures = self.pool.figures
-        figures.made[cause] += 1
+    def _open_connection(self, exchange: Exchange, cause: NewCause) -> None:
+        counters = self.pool.counters
+        counters.made[cause] += 1
         self.open += 1
         self.pool.open += 1
-        made = self.pool.connection_type(self, exchange, figures.connections)
-        exchange.opening = made
-        exchange.task = self.loop.create_task(self._connect(made, exchange))
-        exchange.task.add_done_callback(lambda _: self._connected(made))
-
-    def _take_usable(self, now: float) -> NodeConnection | None:
-        """Of those whose rest is over, the one that was used last; the others may then be closed in time.
-        Else one that has not carried anything, which costs its node as much as a new one."""
+        connection = self.pool.connection_type(self, exchange, counters.connections)
+        exchange.opening = connection
+        exchange.task = self.loop.create_task(self._connect(connection, exchange))
+        exchange.task.add_done_callback(lambda _: self._connect_done(connection))
+
+    def _take_reusable(self, now: float) -> NodeConnection | None:
+        """Takes the most recently used connection whose rest is over, so that the others reach their idle
+        timeout. If there is none, takes one that was never used: it costs the node as much as a new one."""
         rest_s = self.pool.rest.rest_s(now)
-        rested = bisect_right(self.idle, now - rest_s, key=answered_at)
+        rested = bisect_right(self.idle, now - rest_s, key=last_answer_at)
         if rested:
             connection = self.idle.pop(rested - 1)
-            connection.life.rested(now, rest_s)
+            connection.lifecycle.end_rest(now, rest_s)
         elif self.unused:
             connection = self.unused.pop()
         else:
@@ -100,37 +102,39 @@
         del self.pool.idle[connection]
         return connection
 
-    def _look_when_one_has_rested(self, exchange: Exchange, now: float) -> None:
-        """Guards against waiting for a connection that comes up late, or never, beside one that may be used
-        by then."""
+    def _schedule_reuse(self, exchange: Exchange, now: float) -> None:
+        """Prevents an exchange from waiting for a connection that is established late, or never, while
+        another one has become reusable."""
         if self.idle:
             rest_s = self.pool.rest.rest_s(now)
-            left_s = answered_at(self.idle[0]) + rest_s - now
+            left_s = last_answer_at(self.idle[0]) + rest_s - now
             if left_s < self.pool.connect_timeout_s:
-                self.loop.call_later(left_s + TIMER_S, self._one_has_rested, exchange)
+                self.loop.call_later(left_s + TIMER_RESOLUTION_S, self._reuse_if_waiting, exchange)
 
-    def _one_has_rested(self, exchange: Exchange) -> None:
+    def _reuse_if_waiting(self, exchange: Exchange) -> None:
+        """Starts an exchange that still waits for its new connection on one that has rested meanwhile."""
         opening = exchange.opening
         if exchange.done or exchange.begun or opening is None:
             return
         now = self.clock()
-        connection = self._take_usable(now)
+        connection = self._take_reusable(now)
         if connection is None:
-            self._look_when_one_has_rested(exchange, now)
+            self._schedule_reuse(exchange, now)
             return
-        if connection.fresh():
-            opening.spare_for_others()
+        if connection.has_nothing_unread():
+            opening.detach_exchange()
             exchange.task = exchange.opening = None
-            self.pool.figures.reused += 1
+            self.pool.counters.reused += 1
             connection.start(exchange, now)
         else:
             connection.close()
-            self._one_has_rested(exchange)
+            self._reuse_if_waiting(exchange)
 
-    def _connected(self, connection: NodeConnection) -> None:
-        """Guards against places that nobody gives back: an exchange may end before its task has ever run."""
+    def _connect_done(self, connection: NodeConnection) -> None:
+        """Releases the connection's slot in the pool if it was not established. An exchange may end before
+        its connect task has run at all, so the task itself can't do it."""
         if connection.transport is None:
-            self.lost(connection)
+            self.connection_closed(connection)
 
     async def _connect(self, connection: NodeConnection, exchange: Exchange) -> None:
         outcome = Outcome.CONNECT_FAILED
@@ -138,7 +142,7 @@
             async with asyncio.timeout(self.pool.connect_timeout_s):
                 await self.loop.create_connection(lambda: connection, *self.address)
         except OSError as e:
-            if e.errno in LOCAL_ERRORS:
+            if e.errno in LOCAL_ERRNOS:
                 outcome = Outcome.MOOT
         except asyncio.CancelledError:
             outcome = Outcome.MOOT  # the exchange has ended
@@ -147,83 +151,93 @@
             exchange.end(outcome)
 
     def put_back(self, connection: NodeConnection) -> None:
-        """Nothing is out on it any more; it came to that last of all."""
-        if self.closed:
+        """Returns a connection without an exchange to the pool, as the most recently used one."""
+        if self.unavailable:
             connection.close()
             return
-        kept = self.idle if connection.life.used else self.unused
-        kept.append(connection)
+        connections = self.idle if connection.lifecycle.used else self.unused
+        connections.append(connection)
         self.pool.idle[connection] = None
 
-    def lost(self, connection: NodeConnection) -> None:
+    def connection_closed(self, connection: NodeConnection) -> None:
+        """Called when a connection has closed or could not be established."""
         self.open -= 1
         self.pool.open -= 1
         self.drop_idle(connection)
 
     def drop_idle(self, connection: NodeConnection) -> None:
-        """It carries nothing from now on."""
+        """Removes a connection from the pool's idle ones, if it is among them."""
         if connection in self.pool.idle:
             del self.pool.idle[connection]
-            (self.idle if connection.life.used else self.unused).remove(connection)
+            (self.idle if connection.lifecycle.used else self.unused).remove(connection)
 
-    def saw_stray(self, stray: Stray) -> None:
-        self.pool.saw_stray(self, stray)
+    def report_stray(self, stray: Stray) -> None:
+        """Reports unsolicited bytes on one of the node's connections."""
+        self.pool.report_stray(self, stray)
 
     def close_idle(self) -> None:
-        """All connections on which nothing is open."""
+        """Closes all connections that carry no exchange."""
         for connection in [*self.idle, *self.unused]:
             self.pool.close_idle(connection)
 
     def retire(self) -> None:
-        """Nothing new goes there: what is out may end, nothing is kept."""
+        """Begins nothing new here and closes idle connections. Exchanges in flight may finish."""
         self.retired = True
         self.close_idle()
 
 
 class Pool:
-    """All connections to cache nodes, bounded by the proxy's descriptors."""
+    """All connections to cache nodes, bounded by the proxy's file descriptors.
+
+    `open` counts the connections that are open or being made. `on_stray` is called with unsolicited bytes.
+    """
 
     connection_type: type[NodeConnection] = NodeConnection
     node_type: type[Node] = Node
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, most: int, connect_us: int, idle_us: int) -> None:
-        self.loop, self.most, self.open = loop, most, 0
+    def __init__(
+        self, loop: asyncio.AbstractEventLoop, max_connections: int, connect_us: int, idle_us: int
+    ) -> None:
+        self.loop, self.max_connections, self.open = loop, max_connections, 0
         self.clock: Callable[[], float] = time.monotonic
         self.rest = RestPolicy()
-        self.figures = PoolFigures()
+        self.counters = PoolCounters()
         self.on_stray: Callable[[Node, Stray], None] = lambda node, stray: None
         self.nodes: dict[str, Node] = {}
-        self.idle: dict[NodeConnection, None] = {}  # of all nodes, the one that has been idle longest first
+        self.idle: dict[NodeConnection, None] = {}  # of all nodes; the longest idle one comes first
         self.set_times(connect_us, idle_us)
 
     def set_times(self, connect_us: int, idle_us: int) -> None:
+        """Sets the connect timeout and the idle timeout of the nodes, in microseconds."""
         self.connect_timeout_s = connect_us / 1e6
-        # Closed well before the node would do it: a request that crosses with its closing ends as a reset.
+        # Well below the node's own idle timeout: a request that crosses with its close ends as a reset.
         self.idle_s = max(idle_us / 2e6, idle_us / 1e6 - 5)
 
-    def place_node(self, name: str, place: Address | None) -> None:
-        """A node stands there from now on; None: nothing new goes to it."""
+    def set_node_address(self, name: str, address: Address | None) -> None:
+        """Sets the address of a node. With None, or when the address changes, the old one is retired."""
         node = self.nodes.get(name)
-        if node is not None and node.address == place:
+        if node is not None and node.address == address:
             return
         if node is not None:
             node.retire()
             del self.nodes[name]
-        if place is not None:
-            self.nodes[name] = self.node_type(self, name, place)
+        if address is not None:
+            self.nodes[name] = self.node_type(self, name, address)
 
-    def room(self) -> bool:
-        if self.open < self.most:
+    def make_room(self) -> bool:
+        """Whether another connection may be opened. At the limit, closes the longest idle one."""
+        if self.open < self.max_connections:
             return True
         if not self.idle:
             return False
         self.close_idle(next(iter(self.idle)))
         return True
 
-    def saw_stray(self, node: Node, stray: Stray) -> None:
-        if stray.connection.life.used:
-            self.rest.saw_stray(stray.after_s, self.clock())
-        self.figures.count_stray(node.name)
+    def report_stray(self, node: Node, stray: Stray) -> None:
+        """Counts and reports unsolicited bytes, and adapts the rest that connections need."""
+        if stray.connection.lifecycle.used:
+            self.rest.record_stray(stray.after_s, self.clock())
+        self.counters.count_stray(node.name)
         self.on_stray(node, stray)
 
     def close_idle(self, connection: NodeConnection) -> None:
@@ -235,6 +249,7 @@
             self.close_idle(next(iter(self.idle)))
 
     def sweep(self) -> None:
-        before = self.clock() - self.idle_s
-        while self.idle and answered_at(oldest := next(iter(self.idle))) <= before:
-            self.close_idle(oldest)
+        """Closes connections that have been idle for the idle timeout. Called periodically."""
+        cutoff = self.clock() - self.idle_s
+        while self.idle and last_answer_at(longest_idle := next(iter(self.idle))) <= cutoff:
+            self.close_idle(longest_idle)
--- a/magpiefront/net/proxy.py
+++ b/magpiefront/net/proxy.py
@@ -1,7 +1,7 @@
-"""The host of the Router: its clock, its timers, the requests and attempts that are live.
+"""The host of the Router: supplies its clock and timers, and holds the open requests and attempts.
 
-What happens on sockets becomes events, and actions are carried out in their order. Nothing is decided here
-but to refuse what the proxy itself has no room for.
+Turns what happens on sockets into events for the Router and carries its actions out in their order. All
+decisions are the Router's, save one: the proxy refuses what exceeds its own limits (open requests, CPU time).
 """
 
 from __future__ import annotations
@@ -17,209 +17,230 @@
 from magpiefront import Router
 from magpiefront.hashing import bytes_hash
 from magpiefront.interface import (
-    Action, Arrived, AttemptEnded, Cancel, ClientLeft, Event, Exclude, Fail, Forbid, Include, Note,
-    Outcome, Probe, Probed, Refuse, RequestClass, Ruling, Send, ServerList, SetTimer, TimerFired, Watch,
+    Action, Arrived, AttemptEnded, Cancel, ClientLeft, Event, Exclude, Fail, Include, LogMessage,
+    OperatorResult, Outcome, Probe, ProbeEnded, Refuse, RequestClass, Send, ServerList, SetTimer, StopSending,
+    TimerFired, Watch,
 )  # fmt: skip
-from magpiefront.net.answer import Answer, read_report
+from magpiefront.net.answer import Answer, parse_load_report
 from magpiefront.net.config import Address, Config
 from magpiefront.net.events import EventLog, Reason
 from magpiefront.net.exchange import PROBE_TIMEOUT_S, Attempt, stalled
 from magpiefront.net.exchange import Probe as ProbeExchange
-from magpiefront.net.figures import Figures
-from magpiefront.net.lag import BEHIND_S, LAG_PART, TICK_S, Lag
+from magpiefront.net.lag import BEHIND_THRESHOLD_S, LAG_LIMIT_FRACTION, TICK_S, LoopLag
+from magpiefront.net.metrics import Metrics
 from magpiefront.net.node_connection import Stray
 from magpiefront.net.pool import Node, Pool
 from magpiefront.net.request import Request
-from magpiefront.reuse import LATEST_COPY_S
+from magpiefront.reuse import MAX_DUPLICATE_DELAY_S
 
 Args = TypeVarTuple("Args")
 
-BACKSTOP_US = 15_000
-LOG_LINES, LOG_S = 20, 10.0
-LONG_TURN_S = 0.05
-PAUSE_S = 0.002  # between two slices while requests are open
-PAUSE_BEHIND_S = 0.01  # ... and while the loop runs behind
+TIMEOUT_SLACK_US = 15_000  # after its deadline, until a request without an answer gets a 504
+MAX_LOG_LINES, LOG_PERIOD_S = 20, 10.0  # at most so many log lines in each period
+LONG_TURN_S = 0.05  # an event is logged where the event loop runs later than this
+SLICE_PAUSE_S = 0.002  # between two slices of long work while requests are open
+SLICE_PAUSE_BEHIND_S = 0.01  # between two slices of long work while requests are shed for loop lag
 
 
 def classes_by_name(config: Config) -> dict[bytes, RequestClass]:
+    """The configured request classes by the name that requests give in `Req-Kind`."""
     return {c.name.encode(): c for c in config.settings.classes}
 
 
 def lag_limit_s(config: Config) -> float:
-    return LAG_PART * min(c.aim_us for c in config.settings.classes) / 1e6
+    """The loop lag (seconds) above which requests are shed: a part of the shortest latency aim of a class."""
+    return LAG_LIMIT_FRACTION * min(c.aim_us for c in config.settings.classes) / 1e6
 
 
 class Proxy:
+    """Runs the Router over the pool of node connections, as the last stage that requests come to.
+
+    `head_of` formats the field lines of a node's answer that are passed on to the client.
+    """
+
     attempt_type: type[Attempt] = Attempt
     head_of: Callable[[Answer], bytes]
 
     def __init__(self, config: Config, loop: asyncio.AbstractEventLoop) -> None:
         self.config, self.loop = config, loop
         self.router = Router(config.settings, config.seed)
-        self.zero_us = time_ns() // 1000 - monotonic_ns() // 1000
+        self.wall_clock_offset_us = time_ns() // 1000 - monotonic_ns() // 1000
         self.events: deque[Event] = deque()
-        self.busy = False
+        self.dispatching = False
         self.requests: dict[str, Request] = {}
         self.classes = classes_by_name(config)
-        self.figures = Figures(self.classes)
-        self.ruling = False  # the Router's last word on an operator's call
-        self.streams: dict[Attempt, None] = {}  # long answers under way
-        self.connections = max(16, int((config.sockets - 32) * 0.4))
-        self.pool = Pool(loop, self.connections, config.connect_timeout_us, config.conn_idle_us)
-        self.pool.on_stray = self._tell_stray
-        # Hears of which target an answer has come that may not have been made for its request.
-        self.on_doubt: Callable[[bytes], None] = lambda target: None
-        self.lag = Lag(config.seed, lag_limit_s(config))
+        self.metrics = Metrics(self.classes)
+        self.operator_call_accepted = False  # whether the Router accepted the latest operator's call
+        self.streams: dict[Attempt, None] = {}  # attempts whose long answers are being passed on
+        self.max_node_connections = max(16, int((config.sockets - 32) * 0.4))
+        self.pool = Pool(loop, self.max_node_connections, config.connect_timeout_us, config.conn_idle_us)
+        self.pool.on_stray = self._log_stray
+        # Called with a target whose latest answer may have been meant for another request.
+        self.on_unsolicited_answer: Callable[[bytes], None] = lambda target: None
+        self.lag = LoopLag(config.seed, lag_limit_s(config))
         self.events_log = EventLog(loop.time)
-        self.list_taken_at = 0  # when the last answer of discovery was taken up
+        self.list_received_at = 0  # when discovery's latest list was applied, in µs of `now_us`; 0: never
         self.on_watch: Callable[[], None] = lambda: None
-        self.log_left, self.log_from, self.log_lost = LOG_LINES, 0.0, 0
-        self.answer_by: int | None = None  # where the process is to end: until when all must have an answer
-        self.head_of = content_type  # the lines of an answer that go on
+        self.log_lines_left, self.log_period_start, self.log_lines_dropped = MAX_LOG_LINES, 0.0, 0
+        self.answer_by_us: int | None = None  # at shutdown: when every request must have an answer
+        self.head_of = content_type
 
     def configure(self, config: Config) -> None:
-        """Takes up a new configuration. The process limits and the address to listen on hold from a start."""
+        """Applies a new configuration. The process limits and the listen address only change at a restart."""
         if config.listen != self.config.listen:
-            self.log("reload: another address to listen on needs a restart")
+            self.log("reload: a changed listen address needs a restart")
         self.config = config
         self.classes = classes_by_name(config)
-        self.figures.know(self.classes)
+        self.metrics.add_classes(self.classes)
         self.router.configure(config.settings)
         self.pool.set_times(config.connect_timeout_us, config.conn_idle_us)
         self.lag.limit_s = lag_limit_s(config)
 
     @property
-    def most_retry_after_us(self) -> int:
-        """How long answers may tell a client to wait; 0 where they may not."""
+    def max_retry_after_us(self) -> int:
+        """The longest `Retry-After` that an answer may give, in microseconds; 0: answers give none."""
         settings = self.config.settings
         return settings.max_retry_after_us if settings.retry_after else 0
 
     @property
     def longest_deadline_us(self) -> int:
-        """The longest that a client may be expected to wait, by the settings."""
+        """The longest deadline of all request classes, in microseconds."""
         return max(c.deadline_us for c in self.config.settings.classes)
 
     def tick(self) -> None:
-        late_s = self.lag.look(self.now_us() / 1e6)
-        if late_s > BEHIND_S and not self.lag.catching_up:
+        """Measures the event loop's lag, and schedules the next measurement."""
+        late_s = self.lag.measure(self.now_us() / 1e6)
+        if late_s > BEHIND_THRESHOLD_S and not self.lag.catching_up:
             self.lag.catching_up = True
             self._after_reading(self.lag.caught_up)
         if late_s > LONG_TURN_S:
             work = {"requests": len(self.router.pending), "attempts": self.router.in_flight}
-            self.events_log.tell("turn", None, late_ms=int(late_s * 1000), **work)
+            self.events_log.emit("turn", None, late_ms=int(late_s * 1000), **work)
         self.loop.call_later(TICK_S, self.tick)
 
     def now_us(self) -> int:
-        return monotonic_ns() // 1000 + self.zero_us
+        """Microseconds since the epoch as of the start; monotonic, whatever the system clock does later."""
+        return monotonic_ns() // 1000 + self.wall_clock_offset_us
 
     def log(self, text: str) -> None:
+        """Writes a line to standard error. Lines beyond the limit of a period are counted and left out."""
         now = self.loop.time()
-        if now - self.log_from > LOG_S:
-            if self.log_lost:
-                print(f"{self.log_lost} lines left out", file=sys.stderr, flush=True)
-            self.log_left, self.log_from, self.log_lost = LOG_LINES, now, 0
-        if self.log_left:
-            self.log_left -= 1
+        if now - self.log_period_start > LOG_PERIOD_S:
+            if self.log_lines_dropped:
+                print(f"{self.log_lines_dropped} log lines suppressed", file=sys.stderr, flush=True)
+            self.log_lines_left, self.log_period_start, self.log_lines_dropped = MAX_LOG_LINES, now, 0
+        if self.log_lines_left:
+            self.log_lines_left -= 1
             print(text, file=sys.stderr, flush=True)
         else:
-            self.log_lost += 1
+            self.log_lines_dropped += 1
 
-    # ---- the module
+    # ---- the Router
 
-    def give(self, event: Event) -> None:
-        if self.busy:
+    def dispatch(self, event: Event) -> None:
+        """Hands an event to the Router and carries its actions out. Called again from within an action, it
+        queues the event, which is handled when the actions before it have been carried out."""
+        if self.dispatching:
             self.events.append(event)
             return
-        self.busy = True
+        self.dispatching = True
         try:
             for action in self.router.handle(self.now_us(), event):
-                self._do(action)
+                self._carry_out(action)
             while self.events:
                 for action in self.router.handle(self.now_us(), self.events.popleft()):
-                    self._do(action)
+                    self._carry_out(action)
         finally:
-            self.busy = False
+            self.dispatching = False
 
-    def _do(self, action: Action) -> None:
+    def _carry_out(self, action: Action) -> None:
         match action:
             case Send():
                 self._send(action)
             case SetTimer() if not action.delay_us:
-                self.go_on(self.give, TimerFired(action.token))
+                self.schedule_slice(self.dispatch, TimerFired(action.token))
             case SetTimer():
                 delay_ms = action.delay_us // 1000 + 2
-                self.loop.call_later(delay_ms / 1000, self.give, TimerFired(action.token))
+                self.loop.call_later(delay_ms / 1000, self.dispatch, TimerFired(action.token))
             case Cancel():
-                r = self.requests.get(action.request)
-                if r is not None and action.attempt < len(r.attempts):
-                    attempt = r.attempts[action.attempt]
+                request = self.requests.get(action.request)
+                if request is not None and action.attempt < len(request.attempts):
+                    attempt = request.attempts[action.attempt]
                     if not attempt.streaming:
-                        self.events_log.tell("cancel", Reason.ENDED, request=r.name, attempt=action.attempt)
+                        self.events_log.emit(
+                            "cancel", Reason.ENDED, request=request.name, attempt=action.attempt
+                        )  # fmt: skip
                         attempt.end(Outcome.CANCELLED)
             case Refuse():
-                self._tell_refusal(action.request)
+                self._log_refusal(action.request)
                 advice = action.retry_after_us / 1e6
-                self._final(action.request, 503, b"Retry-After: %.3f\r\n" % advice if advice else b"")
+                self._answer_status(action.request, 503, b"Retry-After: %.3f\r\n" % advice if advice else b"")
             case Fail():
-                r = self.requests.get(action.request)
-                self.events_log.tell("failed", Reason.EXHAUSTED, request=action.request)
-                self._final(action.request, 504 if r is not None and r.last is Outcome.TIMEOUT else 502)
+                request = self.requests.get(action.request)
+                self.events_log.emit("failed", Reason.EXHAUSTED, request=action.request)
+                self._answer_status(
+                    action.request,
+                    504 if request is not None and request.last_outcome is Outcome.TIMEOUT else 502,
+                )
             case Probe():
                 self._probe(action.server)
             case Watch():
                 self.on_watch()
-            case Note():
+            case LogMessage():
                 self.log(action.text)
-            case Ruling():
-                self.ruling = action.accepted
-
-    def go_on(self, call: Callable[[Unpack[Args]], object], *args: Unpack[Args]) -> None:
-        """With work that comes in slices, of lists and of placement: at once, or after a pause in which
-        requests and connections are seen to."""
-        if self.lag.share:
-            self.loop.call_later(PAUSE_BEHIND_S, call, *args)
+            case OperatorResult():
+                self.operator_call_accepted = action.accepted
+
+    def schedule_slice(self, call: Callable[[Unpack[Args]], object], *args: Unpack[Args]) -> None:
+        """Schedules the next slice of long work (server lists, placement): in the next turn of the event loop
+        if no request is open or shed, else after a pause in which requests and connections are served."""
+        if self.lag.shed_fraction:
+            self.loop.call_later(SLICE_PAUSE_BEHIND_S, call, *args)
         elif self.requests:
-            self.loop.call_later(PAUSE_S, call, *args)
+            self.loop.call_later(SLICE_PAUSE_S, call, *args)
         else:
             self.loop.call_soon(call, *args)
 
-    def _tell_stray(self, node: Node, stray: Stray) -> None:
-        self.events_log.tell(
+    def _log_stray(self, node: Node, stray: Stray) -> None:
+        self.events_log.emit(
             "stray", stray.reason, node=node.name, connection=stray.connection.number,
             after_ms=int(stray.after_s * 1000), bytes=stray.size,
         )  # fmt: skip
-        if stray.connection.last_target and stray.after_s < LATEST_COPY_S:
-            self.on_doubt(stray.connection.last_target)
+        if stray.connection.last_target and stray.after_s < MAX_DUPLICATE_DELAY_S:
+            self.on_unsolicited_answer(stray.connection.last_target)
 
-    def _tell_refusal(self, name: str) -> None:
-        r = self.requests.get(name)
-        reason = Reason.EXHAUSTED if r is not None and r.attempts else Reason.ADMISSION
-        self.events_log.tell("refused", reason, request=name)
+    def _log_refusal(self, name: str) -> None:
+        request = self.requests.get(name)
+        reason = Reason.EXHAUSTED if request is not None and request.attempts else Reason.ADMISSION
+        self.events_log.emit("refused", reason, request=name)
 
     def _send(self, action: Send) -> None:
-        r = self.requests[action.request]
-        if r.attempts:
-            self.events_log.tell("retry", Reason.FAILED, request=r.name, last=r.last.value, to=action.server)
+        request = self.requests[action.request]
+        if request.attempts:
+            self.events_log.emit(
+                "retry", Reason.FAILED, request=request.name, last=request.last_outcome.value,
+                to=action.server,
+            )  # fmt: skip
         now = self.now_us()
-        until = min(action.expire_at_us or r.deadline, r.deadline)
+        until = min(action.expire_at_us or request.deadline, request.deadline)
         node = self.pool.nodes.get(action.server)
         attempt = self.attempt_type(
-            self, r, len(r.attempts), node or Node(self.pool, action.server, ("", 0)), now, until
+            self, request, len(request.attempts), node or Node(self.pool, action.server, ("", 0)), now, until
         )
         if action.begin_by_us:
             attempt.begin_by = min(until, action.begin_by_us)
-        r.attempts.append(attempt)
-        r.out += 1
-        if node is None or r.answered or until <= now:
+        request.attempts.append(attempt)
+        request.in_flight += 1
+        if node is None or request.answered or until <= now:
             attempt.end(Outcome.MOOT)
             return
         attempt.timer = self.loop.call_later((until - now) / 1e6, attempt.expire)
         if self.lag.is_behind(now / 1e6):
-            self._after_reading(self._begin, attempt)
+            self._after_reading(self._begin_if_due, attempt)
         else:
             node.begin(attempt)
 
-    def _begin(self, attempt: Attempt) -> None:
+    def _begin_if_due(self, attempt: Attempt) -> None:
         if attempt.done:
             return
         if attempt.may_begin():
@@ -228,226 +249,247 @@
             attempt.end(Outcome.MOOT)
 
     def _after_reading(self, call: Callable[[Unpack[Args]], None], *args: Unpack[Args]) -> None:
-        """Once the loop has run what is overdue and has read what has come: answers, drains, clients that
-        left. The loop polls between two turns, and so once between the two hops."""
+        """Calls `call` once the event loop has run the overdue callbacks and has read what has arrived:
+        answers, drains, hang-ups of clients. The loop polls its sockets between two turns, so two nested
+        `call_soon` have one poll between them."""
         self.loop.call_soon(self.loop.call_soon, call, *args)
 
-    def _final(self, name: str, status: int, more: bytes = b"") -> None:
-        r = self.requests.get(name)
-        if r is not None and not r.answered:
-            self._settled(r)
-            r.replies.answer(r, status, (), more)
-
-    def _settled(self, r: Request) -> None:
-        r.answered = True
-        if r.backstop is not None:
-            r.backstop.cancel()
-        for attempt in r.attempts:
+    def _answer_status(self, name: str, status: int, more: bytes = b"") -> None:
+        request = self.requests.get(name)
+        if request is not None and not request.answered:
+            self._mark_answered(request)
+            request.responder.answer(request, status, (), more)
+
+    def _mark_answered(self, request: Request) -> None:
+        request.answered = True
+        if request.timeout_timer is not None:
+            request.timeout_timer.cancel()
+        for attempt in request.attempts:
             if not attempt.begun:
-                attempt.end(Outcome.MOOT)  # it waits for a connection, and must not go once it has one
-        self._forget(r)
+                attempt.end(Outcome.MOOT)  # it waits for a connection, and must not be sent once it has one
+        self._drop_if_finished(request)
 
-    def _forget(self, r: Request) -> None:
-        """Guards against memory that grows with every request, and against refusing all once as many as may
-        be open have ever come: what has its answer and no attempt out is of no further use."""
-        if r.answered and not r.out:
-            self.requests.pop(r.name, None)
+    def _drop_if_finished(self, request: Request) -> None:
+        """Forgets a request that is answered and has no attempt in flight. Otherwise memory would grow with
+        every request, and once `max_open` requests had ever come, all further ones would be refused."""
+        if request.answered and not request.in_flight:
+            self.requests.pop(request.name, None)
 
     # ---- requests
 
     def answer_all_by(self, at_us: int) -> None:
-        """No request, open or to come, has its answer later than this: the process is to end."""
-        self.answer_by = at_us
+        """Answers every request, open or still to come, by this time: the process is shutting down."""
+        self.answer_by_us = at_us
         now = self.now_us()
-        for r in self.requests.values():
-            if not r.answered and r.deadline > at_us:
-                r.deadline = at_us
-                if r.backstop is not None:
-                    r.backstop.cancel()
-                r.backstop = self._backstop(r, max(0, at_us - now))
-
-    def _backstop(self, r: Request, left: int) -> TimerHandle:
-        return self.loop.call_later((left + BACKSTOP_US) / 1e6, self._overdue, r)
-
-    def take(self, r: Request) -> None:
-        reason = self._full()
+        for request in self.requests.values():
+            if not request.answered and request.deadline > at_us:
+                request.deadline = at_us
+                if request.timeout_timer is not None:
+                    request.timeout_timer.cancel()
+                request.timeout_timer = self._start_timeout_timer(request, max(0, at_us - now))
+
+    def _start_timeout_timer(self, request: Request, left: int) -> TimerHandle:
+        return self.loop.call_later((left + TIMEOUT_SLACK_US) / 1e6, self._answer_overdue, request)
+
+    def submit(self, request: Request) -> None:
+        """Takes a request: 503 if a limit of the proxy is reached, 409 if an open request has the same id."""
+        reason = self._refusal_reason()
         if reason is not None:
-            self.events_log.tell("refused", reason, request=r.wire_id.decode("latin-1"))
-            r.replies.answer(r, 503)
+            self.events_log.emit("refused", reason, request=request.wire_id.decode("latin-1"))
+            request.responder.answer(request, 503)
             return
-        r.name = r.wire_id.decode("latin-1")
-        while r.name in self.requests:
-            if not self.requests[r.name].answered:
-                # The id of an open request, which is another's: a cache node would see it come twice.
-                self.events_log.tell("refused", Reason.DUPLICATE, request=r.name)
-                r.replies.answer(r, 409)
+        request.name = request.wire_id.decode("latin-1")
+        while request.name in self.requests:
+            if not self.requests[request.name].answered:
+                # Another open request has this id. A cache node would see the same id twice.
+                self.events_log.emit("refused", Reason.DUPLICATE, request=request.name)
+                request.responder.answer(request, 409)
                 return
-            r.name += "'"  # that one has its answer, but an attempt still out
-        if r.size:
-            r.more += b"Content-Length: %d\r\n" % r.size
-        elif r.method != b"GET" and r.method != b"HEAD":
-            r.more += b"Content-Length: 0\r\n"
-        self.requests[r.name] = r
+            request.name += "'"  # the other request is answered, but still has an attempt in flight
+        if request.size:
+            request.extra_fields += b"Content-Length: %d\r\n" % request.size
+        elif request.method != b"GET" and request.method != b"HEAD":
+            request.extra_fields += b"Content-Length: 0\r\n"
+        self.requests[request.name] = request
         now = self.now_us()
-        r.deadline = r.taken_at + r.time_left
-        if self.answer_by is not None:
-            r.deadline = min(r.deadline, self.answer_by)
-        left = max(0, r.deadline - now)
-        r.backstop = self._backstop(r, left)
-        h = r.headers
-        cls = r.cls or self.classes.get(h[b"req-kind"])
-        self.give(
+        request.deadline = request.received_at + request.time_left
+        if self.answer_by_us is not None:
+            request.deadline = min(request.deadline, self.answer_by_us)
+        left = max(0, request.deadline - now)
+        request.timeout_timer = self._start_timeout_timer(request, left)
+        headers = request.headers
+        cls = request.cls or self.classes.get(headers[b"req-kind"])
+        self.dispatch(
             Arrived(
-                r.name,
+                request.name,
                 cls.name if cls is not None else "",
                 left,
-                bytes_hash(r.key),
-                h[b"req-owner"].decode("latin-1") if b"req-owner" in h else None,
-                int(h[b"req-cost"]) if b"req-cost" in h else 0,
-                r.method != b"GET" and r.method != b"HEAD",
-                h.get(b"req-retry") == b"1",
+                bytes_hash(request.key),
+                headers[b"req-owner"].decode("latin-1") if b"req-owner" in headers else None,
+                int(headers[b"req-cost"]) if b"req-cost" in headers else 0,
+                request.method != b"GET" and request.method != b"HEAD",
+                headers.get(b"req-retry") == b"1",
                 cls,
             )
         )
 
-    def _full(self) -> Reason | None:
-        """Why nothing more can be taken now."""
+    def _refusal_reason(self) -> Reason | None:
+        """Why no further request can be taken now; None if it can."""
         if len(self.requests) >= self.config.max_open:
             return Reason.CROWDED
-        return Reason.BEHIND if self.lag.sheds() else None
-
-    def _overdue(self, r: Request, late: bool = False) -> None:
-        if not r.answered and r.out and not late and self.lag.is_behind(self.now_us() / 1e6):
-            self._after_reading(self._overdue, r, True)  # its answer may have come
-        elif not r.answered:
-            late_ms = (self.now_us() - r.deadline) // 1000
-            self.events_log.tell("late", Reason.OVERDUE, request=r.name, late_ms=late_ms)
-            self._settled(r)
-            r.replies.answer(r, 504)
-            if r.out:
-                self.give(ClientLeft(r.name))
-
-    def client_left(self, r: Request) -> None:
-        stream, r.stream = r.stream, None
+        return Reason.BEHIND if self.lag.should_shed() else None
+
+    def _answer_overdue(self, request: Request, after_reading: bool = False) -> None:
+        if (
+            not request.answered and request.in_flight and not after_reading
+            and self.lag.is_behind(self.now_us() / 1e6)
+        ):  # fmt: skip
+            self._after_reading(self._answer_overdue, request, True)  # its answer may lie unread
+        elif not request.answered:
+            late_ms = (self.now_us() - request.deadline) // 1000
+            self.events_log.emit("late", Reason.OVERDUE, request=request.name, late_ms=late_ms)
+            self._mark_answered(request)
+            request.responder.answer(request, 504)
+            if request.in_flight:
+                self.dispatch(ClientLeft(request.name))
+
+    def client_left(self, request: Request) -> None:
+        stream, request.streaming_attempt = request.streaming_attempt, None
         if stream is not None:
             stream.end(Outcome.CANCELLED)
-        if not r.answered:
-            self._settled(r)
-            self.give(ClientLeft(r.name))
+        if not request.answered:
+            self._mark_answered(request)
+            self.dispatch(ClientLeft(request.name))
 
-    def hold_back(self, r: Request) -> None:
-        if r.stream is not None:
-            r.stream.hold_back()
+    def pause_response(self, request: Request) -> None:
+        if request.streaming_attempt is not None:
+            request.streaming_attempt.pause_response()
 
-    def let_go(self, r: Request) -> None:
-        if r.stream is not None:
-            r.stream.let_go()
+    def resume_response(self, request: Request) -> None:
+        if request.streaming_attempt is not None:
+            request.streaming_attempt.resume_response()
 
     # ---- attempts
 
-    def look_first(self, a: Attempt) -> bool:
-        if a.looked or not self.lag.is_behind(self.now_us() / 1e6):
+    def may_time_out(self, attempt: Attempt) -> bool:
+        """Whether an attempt may time out now. If the event loop runs behind, its answer may lie unread: then
+        its expiry is scheduled once more, after reading."""
+        if attempt.late_check_done or not self.lag.is_behind(self.now_us() / 1e6):
             return True
-        a.looked = True
-        self._after_reading(Attempt.expire, a)
+        attempt.late_check_done = True
+        self._after_reading(Attempt.expire, attempt)
         return False
 
-    def attempt_ended(self, a: Attempt, outcome: Outcome, answer: Answer | None) -> None:
-        if a.streaming:
-            self._stream_ended(a, outcome)
+    def attempt_ended(self, attempt: Attempt, outcome: Outcome, answer: Answer | None) -> None:
+        """An attempt has ended: answers the client if it was served, and tells the Router the outcome."""
+        if attempt.streaming:
+            self._stream_ended(attempt, outcome)
             return
-        r = a.request
-        r.last = outcome
-        if outcome is Outcome.OK and answer is not None and not r.answered:
-            self._settled(r)
-            r.replies.answer(r, answer.status, answer.body, self.head_of(answer))
-        self._tell(a, outcome, answer)
-
-    def _tell(self, a: Attempt, outcome: Outcome, answer: Answer | None) -> None:
-        r = a.request
-        r.out -= 1
-        note = answer.note if answer is not None else 0
+        request = attempt.request
+        request.last_outcome = outcome
+        if outcome is Outcome.OK and answer is not None and not request.answered:
+            self._mark_answered(request)
+            request.responder.answer(request, answer.status, answer.body, self.head_of(answer))
+        self._report_outcome(attempt, outcome, answer)
+
+    def _report_outcome(self, attempt: Attempt, outcome: Outcome, answer: Answer | None) -> None:
+        request = attempt.request
+        request.in_flight -= 1
+        note = answer.cache_result if answer is not None else 0
         report = answer.report if answer is not None else None
-        elapsed = self.now_us() - a.sent_at
-        self.give(AttemptEnded(r.name, a.number, a.node.name, outcome, elapsed, r.answered, note, report))
-        self._forget(r)
-
-    def stream_began(self, a: Attempt, answer: Answer) -> None:
-        """A long answer counts from its first bytes, for the client and so for the module: it is told of the
-        outcome now. What comes after is between the two connections."""
-        r = a.request
-        self._settled(r)
-        r.stream = a
-        self.streams[a] = None
-        r.replies.begin(r, answer.length, self.head_of(answer), answer.status)
+        elapsed = self.now_us() - attempt.sent_at
+        self.dispatch(
+            AttemptEnded(
+                request.name, attempt.number, attempt.node.name, outcome, elapsed, request.answered, note,
+                report,
+            )
+        )  # fmt: skip
+        self._drop_if_finished(request)
+
+    def stream_began(self, attempt: Attempt, answer: Answer) -> None:
+        """The head of a long answer has come. A request's latency counts up to the first bytes of its answer,
+        so the Router is told the outcome now; the rest passes between the two connections without it."""
+        request = attempt.request
+        self._mark_answered(request)
+        request.streaming_attempt = attempt
+        self.streams[attempt] = None
+        request.responder.begin(request, answer.length, self.head_of(answer), answer.status)
         body, answer.body = answer.body, []
         for part in body:
-            r.replies.go(r, part)
-        self._tell(a, Outcome.OK, answer)
-
-    def _stream_ended(self, a: Attempt, outcome: Outcome) -> None:
-        del self.streams[a]
-        r = a.request
-        if r.stream is a:
-            r.stream = None
+            request.responder.write_body(request, part)
+        self._report_outcome(attempt, Outcome.OK, answer)
+
+    def _stream_ended(self, attempt: Attempt, outcome: Outcome) -> None:
+        del self.streams[attempt]
+        request = attempt.request
+        if request.streaming_attempt is attempt:
+            request.streaming_attempt = None
             if outcome is Outcome.OK:
-                r.replies.end(r)
+                request.responder.end(request)
             else:
-                self.events_log.tell("closed", Reason.CUT, request=r.name, outcome=outcome.value)
-                r.replies.cut(r)
+                self.events_log.emit("closed", Reason.CUT, request=request.name, outcome=outcome.value)
+                request.responder.abort(request)
 
-    def stream_goes_on(self, a: Attempt, body: bytes) -> None:
-        if a.request.stream is a:
-            a.request.replies.go(a.request, body)
+    def stream_data(self, attempt: Attempt, body: bytes) -> None:
+        """Passes the next part of a long answer on."""
+        if attempt.request.streaming_attempt is attempt:
+            attempt.request.responder.write_body(attempt.request, body)
 
     # ---- probes and the list
 
     def _probe(self, server: str) -> None:
         node = self.pool.nodes.get(server)
         if node is None:
-            self.give(Probed(server, Outcome.MOOT, 0))
+            self.dispatch(ProbeEnded(server, Outcome.MOOT, 0))
             return
         probe = ProbeExchange(self, node, self.now_us(), self.config.load_path or b"/health")
         probe.timer = self.loop.call_later(PROBE_TIMEOUT_S, probe.end, Outcome.TIMEOUT)
         node.begin(probe)
 
-    def probed(self, p: ProbeExchange, outcome: Outcome, answer: Answer | None) -> None:
+    def probed(self, probe: ProbeExchange, outcome: Outcome, answer: Answer | None) -> None:
+        """A probe has ended: tells the Router, with the load report if the node gave one."""
         report = answer.report if answer is not None else None
         if self.config.load_path and answer is not None and outcome is Outcome.OK:
-            report = read_report(b"".join(answer.body))
-        self.give(Probed(p.node.name, outcome, self.now_us() - p.sent_at, report))
+            report = parse_load_report(b"".join(answer.body))
+        self.dispatch(ProbeEnded(probe.node.name, outcome, self.now_us() - probe.sent_at, report))
 
-    def by_hand(self, server: str, out: bool, known: bool = False) -> bool:
-        """An operator's call. Never from inside of an action: the Router's word is there on return."""
-        self.give(Exclude(server, known) if out else Include(server))
+    def set_excluded(self, server: str, out: bool, known: bool = False) -> bool:
+        """Takes a node out (`out`) or back in at an operator's call, and returns whether the Router accepted.
+        Must not be called from within an action: the Router's result has to be there on return."""
+        self.dispatch(Exclude(server, known) if out else Include(server))
         node = self.pool.nodes.get(server)
-        if self.ruling and node is not None:
-            node.barred = out
+        if self.operator_call_accepted and node is not None:
+            node.excluded = out
             if out:
-                node.close_idle()  # it is about to be restarted
-        return self.ruling
+                node.close_idle()  # the node is about to be restarted
+        return self.operator_call_accepted
 
     def forbid(self, names: Sequence[str]) -> None:
-        """Nothing new goes to these nodes from now on."""
+        """Sends nothing new to these nodes from now on."""
         for name in names:
-            self.pool.place_node(name, None)
-        self.give(Forbid(names))
+            self.pool.set_node_address(name, None)
+        self.dispatch(StopSending(names))
 
-    def list_changed(self, told: ServerList, places: dict[str, Address]) -> None:
-        """Nodes of the entries stand at `places` from now on; those without one get nothing more."""
-        self.list_taken_at = self.now_us()
-        for entry in told.entries:
-            self.pool.place_node(entry.server, places.get(entry.server))
-        self.give(told)
+    def list_changed(self, server_list: ServerList, places: dict[str, Address]) -> None:
+        """Applies a server list. `places` holds the addresses of its nodes; nothing is sent any more to nodes
+        without one."""
+        self.list_received_at = self.now_us()
+        for entry in server_list.entries:
+            self.pool.set_node_address(entry.server, places.get(entry.server))
+        self.dispatch(server_list)
 
     def sweep(self) -> None:
+        """Closes idle connections to nodes that are past their time, and ends stalled answers."""
         self.pool.sweep()
         now = self.loop.time()
-        for a in list(self.streams):
-            if stalled(a, now):
-                self.events_log.tell("closed", Reason.STALLED, request=a.request.name, node=a.node.name)
-                a.end(Outcome.RESET)
+        for attempt in list(self.streams):
+            if stalled(attempt, now):
+                self.events_log.emit(
+                    "closed", Reason.STALLED, request=attempt.request.name, node=attempt.node.name
+                )
+                attempt.end(Outcome.RESET)
 
 
 def content_type(answer: Answer) -> bytes:
+    """The `Content-Type` line of a node's answer, or nothing."""
     return b"Content-Type: %b\r\n" % answer.content_type if answer.content_type else b""
--- a/magpiefront/net/request.py
+++ b/magpiefront/net/request.py
@@ -1,4 +1,4 @@
-"""A client's request as every layer sees it: its checked head, its body, and who is owed the answer."""
+"""A client's request as all layers see it, and the protocols by which stages pass requests and answers on."""
 
 from __future__ import annotations
 
@@ -9,142 +9,164 @@
 from typing import TYPE_CHECKING, Protocol
 
 from magpiefront.interface import Outcome, RequestClass
-from magpiefront.net.figures import UNCOUNTED
+from magpiefront.net.metrics import UNREPORTED_COUNTS
 
 if TYPE_CHECKING:
-    from magpiefront.net.effects import Effect
+    from magpiefront.net.execution import ExecutionTracker
 
-DECIMAL, WHOLE = re.compile(rb"-?(?:\d{1,6}(?:\.\d*)?|\.\d+)"), re.compile(rb"\d{1,18}")
+DECIMAL, INTEGER = re.compile(rb"-?(?:\d{1,6}(?:\.\d*)?|\.\d+)"), re.compile(rb"\d{1,18}")
 TOKEN = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+")  # RFC 9110, 5.6.2
-# RFC 3986, 3.3 and 3.4: a path that begins with "/", and perhaps a query. Nothing else is forwarded.
+# A path that begins with "/", and an optional query (RFC 3986, 3.3 and 3.4). Nothing else is forwarded.
 TARGET = re.compile(rb"/(?:[!$&-;=?-Z_a-z~]|%[0-9A-Fa-f]{2})*")
-DOTS = re.compile(rb"/(?:\.|%2[eE]){1,2}(?:/|$)")
+DOT_SEGMENTS = re.compile(rb"/(?:\.|%2[eE]){1,2}(?:/|$)")
 HOST = re.compile(rb"(?:(?:[\w.~!$&'()*+,;=-]|%[0-9A-Fa-f]{2})*|\[[0-9A-Fa-f:.]+\])(?::\d*)?", re.ASCII)
-# Fields of which a second line would let another reader take the other one (RFC 9110, 5.3).
-SINGLE = frozenset({
+# Fields that may occur once only: of two lines, another recipient could use the other one (RFC 9110, 5.3).
+SINGLE_VALUED = frozenset({
     b"host", b"content-length", b"transfer-encoding", b"content-type", b"expect", b"idempotency-key",
     b"req-id", b"req-kind", b"req-owner", b"req-deadline", b"req-retry", b"req-cost", b"req-extra",
 })  # fmt: skip
 METHODS = frozenset({b"GET", b"PUT"})
-READS = frozenset({b"GET", b"HEAD"})
-# The same few hosts and tenants come again and again; a look into a small table costs less than the match.
+READ_METHODS = frozenset({b"GET", b"HEAD"})
+# Cached, because the same few hosts and tenants recur: a look-up in a small table costs less than the match.
 is_host = lru_cache(256)(HOST.fullmatch)
 is_token = lru_cache(256)(TOKEN.fullmatch)
 
 
-class Sent(Protocol):
-    """An attempt at a request, as far as others than its pool need it."""
+class AttemptHandle(Protocol):
+    """An attempt at a request, as seen by code outside the connection pool.
+
+    `streaming`: whether the answer is being passed on to the client while it is received.
+    """
 
     streaming: bool
 
     @property
     def begun(self) -> bool:
-        """Has any of it been written to a server?"""
+        """Whether any byte of it has been written to a server."""
+
+    def end(self, outcome: Outcome) -> None:
+        """Ends the attempt with this outcome."""
 
-    def end(self, outcome: Outcome) -> None: ...
-    def hold_back(self) -> None: ...
-    def let_go(self) -> None: ...
+    def pause_response(self) -> None:
+        """Stops reading the answer from the server."""
 
+    def resume_response(self) -> None:
+        """Reads the answer from the server again."""
 
-class Replies(Protocol):
-    """Who is owed the one final answer: `answer`, or `begin`, any number of `go`, and `end` or `cut`."""
 
-    def answer(
-        self, request: Request, status: int, body: Sequence[bytes] = (), more: bytes = b""
-    ) -> None: ...
+class Responder(Protocol):
+    """Takes the one final answer to a request: one call of `answer`, or one of `begin`, any number of
+    `write_body`, and then `end` or `abort`. `more` holds formatted field lines, each ended by CRLF."""
+
+    def answer(self, request: Request, status: int, body: Sequence[bytes] = (), more: bytes = b"") -> None:
+        """A whole answer; its length is that of `body`."""
 
     def begin(self, request: Request, length: int | None, more: bytes, status: int = 200) -> None:
-        """The head of a long answer; without a length (bytes) it ends where `end` says so."""
+        """The head of a long answer. `length` is in bytes; None: the answer ends with the call of `end`."""
 
-    def go(self, request: Request, body: bytes) -> None: ...
+    def write_body(self, request: Request, body: bytes) -> None:
+        """The next part of a long answer's body."""
 
-    def end(self, request: Request) -> None: ...
+    def end(self, request: Request) -> None:
+        """The long answer is complete."""
 
-    def cut(self, request: Request) -> None:
-        """The answer can't be finished, and the client must be able to tell."""
+    def abort(self, request: Request) -> None:
+        """The long answer can't be completed. The client must be able to see that."""
 
 
 class Stage(Protocol):
-    """Takes requests from the front or the stage before it. Each one taken is answered once through its
-    `replies`, but for one that `client_left` was told of."""
+    """Handles requests that the front or the previous stage submits. It answers each of them exactly once
+    through its `responder`, save those reported to `client_left`."""
 
-    def take(self, request: Request) -> None: ...
+    def submit(self, request: Request) -> None:
+        """Takes a request over."""
 
-    def client_left(self, request: Request) -> None: ...
+    def client_left(self, request: Request) -> None:
+        """The client has closed its connection and gets no answer any more."""
 
-    def hold_back(self, request: Request) -> None:
-        """The reader of a long answer is slow."""
+    def pause_response(self, request: Request) -> None:
+        """The client reads a long answer too slowly: no more of it may be written for now."""
 
-    def let_go(self, request: Request) -> None: ...
+    def resume_response(self, request: Request) -> None:
+        """The client's connection takes more of a long answer again."""
 
 
-class AgedStage(Stage, Protocol):
-    """One that requests from other sites come to."""
+class CrossSiteStage(Stage, Protocol):
+    """A stage that also handles requests that another site has sent here."""
 
-    def take_aged(self, r: Request, age_us: int) -> None:
-        """`age_us`: how long ago its sender sent it first, if it may have run since; else 0."""
+    def submit_from_site(self, request: Request, age_us: int) -> None:
+        """Takes over a request from another site. `age_us`: microseconds since its sender first sent it, if
+        it may have run since then; else 0."""
 
-    def knows(self, r: Request) -> bool:
-        """Would a look here tell whether it ran at another gateway of this site?"""
+    def can_tell_if_run(self, request: Request) -> bool:
+        """Whether this stage can find out if the request has run at another gateway of this site."""
 
-    def may_take(self, r: Request) -> bool:
-        """False where this process may not act on it now, and another one may."""
+    def may_accept(self, request: Request) -> bool:
+        """False if this process may not act on the request now, while another process may."""
 
 
 class Request:
-    """A client's request, from its first byte to its answer and the end of its attempts.
+    """A client's request, from its first byte until it is answered and all its attempts have ended.
+
+    Times are microseconds of the host's clock: `received_at` (when the request had come in full), `deadline`,
+    and `time_left` (from `received_at` to the deadline). `size` is that of the body, in bytes.
 
-    Times are microseconds of the host's clock. `error` is the status that a bad head is answered with.
-    `fields` holds the head's lines in their order, and is there only where a front passes them on; `effect`
-    only where a stage asks what may have run. `client_gone`, where a client waits for this very request, asks
-    the kernel whether it has closed its connection; a stage's own twin of a request has none.
+    `error` is the status that an invalid head is answered with, or 0. `headers` has its names in lower case.
+    `fields` holds the head's field lines in their order; it is set only where a front passes them on.
+    `execution` is set only where a stage needs to know whether the request may have run. `extra_fields` are
+    field lines that are added when the request is sent to a node. `name` identifies the request among those
+    that are open. `in_flight` counts the attempts that have not ended. `client_gone` asks the kernel whether
+    the client has closed its connection; None where no client waits for this very request, as for a clone.
     """
 
     fields: list[tuple[bytes, bytes]]
-    effect: Effect
+    execution: ExecutionTracker
 
-    __slots__ = ("answered", "attempts", "backstop", "body", "client_gone", "cls", "deadline", "effect",
-                 "error", "fields", "headers", "keep_alive", "last", "method", "more", "name", "out",
-                 "replies", "size", "stream", "taken_at", "tally", "target", "time_left",
-                 "wire_id")  # fmt: skip
+    __slots__ = ("answered", "attempts", "body", "client_gone", "cls", "counts", "deadline", "error",
+                 "execution", "extra_fields", "fields", "headers", "in_flight", "keep_alive",
+                 "last_outcome", "method", "name", "received_at", "responder", "size",
+                 "streaming_attempt", "target", "time_left", "timeout_timer", "wire_id")  # fmt: skip
 
-    def __init__(self, replies: Replies) -> None:
-        self.replies = replies
-        self.method = self.target = self.wire_id = self.more = b""
+    def __init__(self, responder: Responder) -> None:
+        self.responder = responder
+        self.method = self.target = self.wire_id = self.extra_fields = b""
         self.headers: dict[bytes, bytes] = {}
         self.body: list[bytes] = []
-        self.size = self.error = self.taken_at = self.time_left = self.deadline = self.out = 0
+        self.size = self.error = self.received_at = self.time_left = self.deadline = self.in_flight = 0
         self.keep_alive = True
         self.answered = False
         self.name = ""
-        self.attempts: list[Sent] = []
-        self.stream: Sent | None = None
-        self.last = Outcome.ERROR
-        self.backstop: TimerHandle | None = None
-        self.cls: RequestClass | None = None  # as it was when the head was read
-        self.tally = UNCOUNTED
+        self.attempts: list[AttemptHandle] = []
+        self.streaming_attempt: AttemptHandle | None = None
+        self.last_outcome = Outcome.ERROR
+        self.timeout_timer: TimerHandle | None = None
+        self.cls: RequestClass | None = None  # as configured when the head was read
+        self.counts = UNREPORTED_COUNTS
         self.client_gone: Callable[[], bool] | None = None
 
     @property
     def key(self) -> bytes:
-        """What the request is about: the last part of the path, as it is spelt."""
+        """The key that the request is about: the last segment of the path, not decoded."""
         target = self.target
         return (target.partition(b"?")[0] if b"?" in target else target).rpartition(b"/")[2]
 
-    def twin(self, replies: Replies) -> Request:
-        """The same request once more, for a stage that runs it and owes the answer to others itself."""
-        twin = Request(replies)
-        twin.method, twin.target, twin.wire_id, twin.more = self.method, self.target, self.wire_id, self.more
-        twin.headers, twin.body, twin.size = self.headers, self.body, self.size
-        twin.taken_at, twin.time_left = self.taken_at, self.time_left
-        twin.cls, twin.tally = self.cls, self.tally
-        if hasattr(self, "effect"):
-            twin.effect = self.effect
-        return twin
-
-    def misframed(self, version: str) -> bool:
-        """Might another reader find this message's end elsewhere (RFC 9112, 6.1 and 6.3)? The parser has
-        refused what it can't read; it takes codings that nobody here decodes, and versions that have none."""
+    def clone(self, responder: Responder) -> Request:
+        """A copy for a stage that sends the request on and itself answers those who wait for it."""
+        clone = Request(responder)
+        clone.method, clone.target, clone.wire_id, clone.extra_fields = (
+            self.method, self.target, self.wire_id, self.extra_fields
+        )  # fmt: skip
+        clone.headers, clone.body, clone.size = self.headers, self.body, self.size
+        clone.received_at, clone.time_left = self.received_at, self.time_left
+        clone.cls, clone.counts = self.cls, self.counts
+        if hasattr(self, "execution"):
+            clone.execution = self.execution
+        return clone
+
+    def has_ambiguous_framing(self, version: str) -> bool:
+        """Whether another recipient could see the end of this message elsewhere (RFC 9112, 6.1 and 6.3). The
+        parser has refused what it can't read, but it accepts transfer codings that are not decoded here, and
+        transfer codings in HTTP versions that have none."""
         if version != "1.1" and version != "1.0":
             return True
         coding = self.headers.get(b"transfer-encoding")
@@ -153,20 +175,20 @@
     def check(
         self, classes: Mapping[bytes, RequestClass], version: str = "1.1", methods: Container[bytes] = METHODS
     ) -> int:
-        """The status that a bad head is answered with, or 0. Nothing bad reaches a cache node: what nodes
-        turn away for that reason looks to the module as if they were too busy."""
+        """The status that an invalid head is answered with, or 0. No invalid request is sent to a cache node:
+        to the Router, a node that refuses it would look overloaded."""
         status = self._check(classes, version, methods)
         if status == 400 and any(v[-1:] in (b" ", b"\t") for v in self.headers.values()):
-            # White space behind a value is no part of it (RFC 9112, 5); the parser leaves it there.
+            # Trailing white space is not part of a value (RFC 9112, 5), but the parser keeps it.
             self.headers = {name: value.rstrip(b" \t") for name, value in self.headers.items()}
             status = self._check(classes, version, methods)
         return status
 
     def _check(self, classes: Mapping[bytes, RequestClass], version: str, methods: Container[bytes]) -> int:
-        target, h = self.target, self.headers
+        target, headers = self.target, self.headers
         if not TARGET.fullmatch(target):
             return 400
-        host = h.get(b"host")
+        host = headers.get(b"host")
         if host is None:
             if version == "1.1":  # RFC 9112, 3.2
                 return 400
@@ -179,26 +201,26 @@
             return 405
         if path.endswith(b"/"):
             return 404
-        if (b"." in path or b"%2" in path) and DOTS.search(path):
-            return 400  # one that removes them (RFC 3986, 5.2.4) reads another key
-        name = h.get(b"req-id")
-        self.cls = classes.get(h.get(b"req-kind", b""))
+        if (b"." in path or b"%2" in path) and DOT_SEGMENTS.search(path):
+            return 400  # a recipient that removes dot segments (RFC 3986, 5.2.4) would see another key
+        name = headers.get(b"req-id")
+        self.cls = classes.get(headers.get(b"req-kind", b""))
         if name is None or not TOKEN.fullmatch(name) or self.cls is None:
             return 400
-        if not DECIMAL.fullmatch(h.get(b"req-deadline", b"")):
+        if not DECIMAL.fullmatch(headers.get(b"req-deadline", b"")):
             return 400
-        if b"req-cost" in h and not WHOLE.fullmatch(h[b"req-cost"]):
+        if b"req-cost" in headers and not INTEGER.fullmatch(headers[b"req-cost"]):
             return 400
-        if b"req-owner" in h and not is_token(h[b"req-owner"]):
+        if b"req-owner" in headers and not is_token(headers[b"req-owner"]):
             return 400
-        if b"req-retry" in h and not is_token(h[b"req-retry"]):
+        if b"req-retry" in headers and not is_token(headers[b"req-retry"]):
             return 400
-        if b"idempotency-key" in h:
-            if not TOKEN.fullmatch(h[b"idempotency-key"]):
+        if b"idempotency-key" in headers:
+            if not TOKEN.fullmatch(headers[b"idempotency-key"]):
                 return 400
-            self.more = b"Idempotency-Key: %b\r\n" % h[b"idempotency-key"]
-        if b"content-type" in h:
-            self.more += b"Content-Type: %b\r\n" % h[b"content-type"]
-        self.time_left = max(0, int(float(h[b"req-deadline"]) * 1e6))
+            self.extra_fields = b"Idempotency-Key: %b\r\n" % headers[b"idempotency-key"]
+        if b"content-type" in headers:
+            self.extra_fields += b"Content-Type: %b\r\n" % headers[b"content-type"]
+        self.time_left = max(0, int(float(headers[b"req-deadline"]) * 1e6))
         self.wire_id = name
         return 0
--- a/magpiefront/net/shutdown.py
+++ b/magpiefront/net/shutdown.py
@@ -1,8 +1,9 @@
-"""When a shutdown does what: pure, its times as values.
+"""The schedule of a graceful shutdown. Pure: it does no I/O, and times are passed in as values.
 
-The platform kills a process the longest deadline of the deployment (3 s at most) and 0.7 s after SIGTERM
-(protocol page, "Figures"). Clients use their connections until then, so all of them have to end before:
-each after its answer, a resting one after a while, and every one in the last call.
+After SIGTERM the platform waits for the longest deadline of the deployment (3 s at most) and another 0.7 s,
+then kills the process (protocol page, "Figures"). Clients go on using their connections until they are
+closed, so all connections have to be closed before the kill: a busy one after its response, an idle one
+after it has been idle for a while, and all that are left in the last phase.
 """
 
 from __future__ import annotations
@@ -10,17 +11,19 @@
 from dataclasses import dataclass
 from enum import Enum
 
-ACCEPT_S = 0.5  # new connections go on coming for so long after SIGTERM
-MOST_DEADLINE_S = 3.0
-KILLED_AFTER_S = 0.7
-END_MARGIN_S = 0.1  # before the kill: what it takes to end
-ANSWER_MARGIN_S = 0.25  # before the kill: how long the process may be held up, and the answer's way
-LAST_CALL_MARGIN_S = 0.3  # before the kill: what crosses the end of its connection is sent elsewhere
-RESTED_S = 0.7  # a connection that has just come is not idle yet
+ACCEPT_GRACE_S = 0.5  # new connections keep arriving for this long after SIGTERM
+MAX_DEADLINE_S = 3.0  # the platform waits for no longer deadline than this
+KILL_DELAY_S = 0.7  # between that deadline and the kill
+EXIT_MARGIN_S = 0.1  # before the kill; the process needs this long to exit
+# Before the kill; covers the time for which the process may be stalled, and the transfer of the response.
+ANSWER_MARGIN_S = 0.25
+# Before the kill; a request that crosses the close of its connection has this long to be sent elsewhere.
+LAST_CALL_MARGIN_S = 0.3
+MIN_IDLE_S = 0.7  # a connection that was opened more recently than this does not count as idle
 
 
 class Phase(Enum):
-    """How far a shutdown is."""
+    """The phases of a shutdown, in their order."""
 
     ACCEPTING = "accepting"
     DRAINING = "draining"
@@ -30,7 +33,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ShutdownTimes:
-    """Seconds after SIGTERM."""
+    """The times of a shutdown, in seconds after SIGTERM."""
 
     accept_until_s: float
     answer_by_s: float
@@ -38,44 +41,45 @@
     end_s: float
 
 
-def times_of(longest_deadline_s: float) -> ShutdownTimes:
-    """For a deployment whose longest deadline is so many seconds."""
-    kill_s = min(MOST_DEADLINE_S, longest_deadline_s) + KILLED_AFTER_S
+def shutdown_times(longest_deadline_s: float) -> ShutdownTimes:
+    """The times for a deployment whose longest request deadline is `longest_deadline_s`."""
+    kill_s = min(MAX_DEADLINE_S, longest_deadline_s) + KILL_DELAY_S
     return ShutdownTimes(
-        accept_until_s=min(ACCEPT_S, kill_s - LAST_CALL_MARGIN_S),
+        accept_until_s=min(ACCEPT_GRACE_S, kill_s - LAST_CALL_MARGIN_S),
         answer_by_s=kill_s - ANSWER_MARGIN_S,
         last_call_s=kill_s - LAST_CALL_MARGIN_S,
-        end_s=kill_s - END_MARGIN_S,
+        end_s=kill_s - EXIT_MARGIN_S,
     )
 
 
 class Shutdown:
-    """One shutdown, from SIGTERM to the end of the process."""
+    """One shutdown, from SIGTERM to the exit of the process."""
 
     def __init__(self, longest_deadline_s: float) -> None:
-        self.times = times_of(longest_deadline_s)
+        self.times = shutdown_times(longest_deadline_s)
 
     def shorten(self, longest_deadline_s: float) -> None:
-        """A new configuration came meanwhile. The kill may come earlier for it, and never counts as later."""
-        new = times_of(longest_deadline_s)
+        """Applies the longest deadline of a configuration that was loaded during the shutdown. It can move
+        the times forward, as the kill may come earlier, but never back."""
+        new = shutdown_times(longest_deadline_s)
         if new.end_s < self.times.end_s:
             self.times = new
 
-    def accepts(self, since_s: float, handed: bool) -> bool:
-        """Are new connections taken?"""
-        return since_s < self.times.accept_until_s and not handed
+    def accepts(self, elapsed_s: float, handed_over: bool) -> bool:
+        """Whether new connections are still accepted; the parameters are those of `phase`."""
+        return elapsed_s < self.times.accept_until_s and not handed_over
 
-    def phase(self, since_s: float, handed: bool, busy: bool) -> Phase:
-        """`since_s`: since SIGTERM. `handed`: another process accepts in place of this one. `busy`:
-        connections or work are left."""
-        if since_s >= self.times.end_s:
+    def phase(self, elapsed_s: float, handed_over: bool, busy: bool) -> Phase:
+        """The phase `elapsed_s` seconds after SIGTERM. `handed_over`: another process accepts connections in
+        place of this one. `busy`: connections are open, or work is unfinished."""
+        if elapsed_s >= self.times.end_s:
             return Phase.ENDED
-        if self.accepts(since_s, handed):
+        if self.accepts(elapsed_s, handed_over):
             return Phase.ACCEPTING
         if not busy:
             return Phase.ENDED
-        return Phase.DRAINING if since_s < self.times.last_call_s else Phase.LAST_CALL
+        return Phase.DRAINING if elapsed_s < self.times.last_call_s else Phase.LAST_CALL
 
-    def rested_s(self, phase: Phase) -> float:
-        """How long a connection has to have rested before it is ended."""
-        return 0.0 if phase is Phase.LAST_CALL else RESTED_S
+    def min_idle_s(self, phase: Phase) -> float:
+        """How many seconds a connection must have been idle before it is closed in this phase."""
+        return 0.0 if phase is Phase.LAST_CALL else MIN_IDLE_S
--- a/magpiefront/net/trace.py
+++ b/magpiefront/net/trace.py
@@ -1,7 +1,7 @@
-"""A line on standard error for each thing that decisions hear and say, and for each connection to a node.
+"""Writes a line to standard error for each event and action of the Router and each connection to a node.
 
-On only where `LB_TRACE` is set; otherwise nothing of it is loaded. The lines are read by
-`benchmarks/fleet_counts.py`, over all proxies of a fleet. Each begins with `#` and a letter:
+Only imported if `LB_TRACE` is set; otherwise tracing costs nothing. `benchmarks/fleet_counts.py` reads the
+lines of all proxies of a fleet. Each begins with `#` and a letter for its kind:
 
     a request class key rank left fetches     s request attempt server marks in_flight
     e request attempt server outcome elapsed note     x request refuse|fail gate|end
@@ -9,68 +9,78 @@
     c server ok|failed elapsed open     d server open     g (the Router's state, once a second)
     b request attempt server connection new|idle rested answers
 
-`b` is a message that is written to a connection: how long that has rested, and how many answers it has
-carried. The attempt's end is its `e`. Times are microseconds. Marks of a send: `w` warm or `c` cold, `t` a
-trial, `2` a second copy.
-What is refused on arrival has `-` for its rank and for whether it fetches.
+`a` is a request that arrived; one that is refused on arrival has `-` for its rank and for whether it fetches.
+`s` is an attempt that is sent. Its marks: `w` for a warm node or `c` for a cold one, `t` for a trial, `2` for
+a second copy. `b` is a message written to a connection, with the time that this has rested and the number of
+answers it has carried. `e` is the end of an attempt. `x` is a request that is refused or fails, on arrival
+(`gate`) or later (`end`). `l` is a list of nodes and `w` a call of discovery. `p` is a probe and `r` its
+result. `c` is a connection being made, `d` one that closed. `n` is a log message of the Router. Times
+are microseconds.
 """
 
 from __future__ import annotations
 
 import sys
 
-from magpiefront.hashing import rank
+from magpiefront.hashing import unit_interval
 from magpiefront.interface import (
-    Action, Arrived, AttemptEnded, Event, Fail, Note, Probe, Probed, Refuse, Send, ServerList, Watch,
+    Action, Arrived, AttemptEnded, Event, Fail, LogMessage, Probe, ProbeEnded, Refuse, Send, ServerList,
+    Watch,
 )  # fmt: skip
 from magpiefront.net.exchange import Attempt, Exchange
 from magpiefront.net.node_connection import NodeConnection
 from magpiefront.net.pool import Node
 from magpiefront.net.proxy import Proxy
 
-STATE_S = 1.0
+STATE_INTERVAL_S = 1.0
 
 
 class TracedNode(Node):
+    """Reports connections that are made and closed."""
+
     __slots__ = ()
 
     async def _connect(self, connection: NodeConnection, exchange: Exchange) -> None:
         began = self.pool.loop.time()
         await super()._connect(connection, exchange)
-        word = "ok" if connection.transport is not None else "failed"
-        elapsed = int((self.pool.loop.time() - began) * 1e6)
-        line(f"c {self.name} {word} {elapsed} {self.open}")
+        result = "ok" if connection.transport is not None else "failed"
+        elapsed_us = int((self.pool.loop.time() - began) * 1e6)
+        line(f"c {self.name} {result} {elapsed_us} {self.open}")
 
-    def lost(self, connection: NodeConnection) -> None:
-        super().lost(connection)
-        if connection.transport is not None:  # one that never came up is told of as a failed connect
+    def connection_closed(self, connection: NodeConnection) -> None:
+        super().connection_closed(connection)
+        if connection.transport is not None:  # otherwise reported as a failed connect
             line(f"d {self.name} {self.open}")
 
 
 class TracedConnection(NodeConnection):
+    """Reports messages that are written."""
+
     __slots__ = ()
 
-    def start(self, exchange: Exchange, looked_at: float | None = None) -> None:
-        life, rested_us = self.life, 0
-        if life.used:
-            rested_us = int((self.node.clock() - life.answered_at) * 1e6)
-        was = "idle" if life.used else "new"
-        line(f"b {name_of(exchange)} {self.node.name} {self.number} {was} {rested_us} {life.answers}")
-        super().start(exchange, looked_at)
+    def start(self, exchange: Exchange, checked_at: float | None = None) -> None:
+        lifecycle, rested_us = self.lifecycle, 0
+        if lifecycle.used:
+            rested_us = int((self.node.clock() - lifecycle.answered_at) * 1e6)
+        kind = "idle" if lifecycle.used else "new"
+        line(f"b {name_of(exchange)} {self.node.name} {self.number} {kind} {rested_us} {lifecycle.answers}")
+        super().start(exchange, checked_at)
 
 
 def name_of(exchange: Exchange) -> str:
+    """The words `request attempt` of a line; a probe has none."""
     if isinstance(exchange, Attempt):
         return f"{exchange.request.name} {exchange.number}"
     return "probe -"
 
 
 def line(text: str) -> None:
+    """Writes one line of the trace."""
     print("#", text, file=sys.stderr)
 
 
 def install(proxy: Proxy) -> None:
-    """From here on, this proxy's decisions and connections are told."""
+    """Traces this proxy's events, actions and connections from now on."""
     proxy.pool.node_type = type("Node", (TracedNode, proxy.pool.node_type), {"__slots__": ()})
     base = proxy.pool.connection_type
     proxy.pool.connection_type = type("Connection", (TracedConnection, base), {"__slots__": ()})
@@ -78,60 +88,68 @@
     handle = router.handle
 
     def traced(now_us: int, event: Event) -> list[Action]:
-        before(event)
+        trace_event(event)
         actions = handle(now_us, event)
         for action in actions:
-            after(event, action, now_us)
+            trace_action(event, action, now_us)
         return actions
 
-    def before(event: Event) -> None:
+    def trace_event(event: Event) -> None:
         match event:
             case AttemptEnded():
                 line(
                     f"e {event.request} {event.attempt} {event.server} {event.outcome.value} "
-                    f"{event.elapsed_us} {event.note}"
+                    f"{event.elapsed_us} {event.cache_result}"
                 )
             case ServerList():
                 line(f"l {event.kind.value} {len(event.entries)}")
-            case Probed():
+            case ProbeEnded():
                 line(f"r {event.server} {event.outcome.value} {event.elapsed_us}")
 
-    def after(event: Event, action: Action, now_us: int) -> None:
-        if isinstance(event, Arrived) and action is router.act[0]:
-            p = router.pending.get(event.request)
-            fetches = "f" if p is not None and p.fetches else "-"
-            where = f"{rank(p.key):.4f}" if p is not None else "-"
-            line(f"a {event.request} {event.class_name} {event.key} {where} {event.time_left_us} {fetches}")
+    def trace_action(event: Event, action: Action, now_us: int) -> None:
+        if isinstance(event, Arrived) and action is router.actions[0]:
+            pending = router.pending.get(event.request)
+            fetches = "f" if pending is not None and pending.needs_fetch else "-"
+            key_rank = f"{unit_interval(pending.key):.4f}" if pending is not None else "-"
+            line(
+                f"a {event.request} {event.class_name} {event.key} {key_rank} "
+                f"{event.time_left_us} {fetches}"
+            )
         match action:
             case Send():
-                p = router.pending[action.request]
-                s = p.attempts[-1].server
+                pending = router.pending[action.request]
+                server = pending.attempts[-1].server
                 marks = (
-                    ("c" if s.warm_at > now_us else "w")
-                    + ("t" if s.trial else "")
-                    + ("2" if p.out > 1 else "")
+                    ("c" if server.warm_at > now_us else "w")
+                    + ("t" if server.trial_in_flight else "")
+                    + ("2" if pending.outstanding > 1 else "")
+                )
+                line(
+                    f"s {action.request} {len(pending.attempts) - 1} {server.name} {marks} "
+                    f"{server.in_flight}"
                 )
-                line(f"s {action.request} {len(p.attempts) - 1} {s.name} {marks} {s.in_flight}")
             case Refuse() | Fail():
-                word = "refuse" if isinstance(action, Refuse) else "fail"
-                why = "gate" if isinstance(event, Arrived) else "end"
-                line(f"x {action.request} {word} {why}")
+                kind = "refuse" if isinstance(action, Refuse) else "fail"
+                phase = "gate" if isinstance(event, Arrived) else "end"
+                line(f"x {action.request} {kind} {phase}")
             case Probe():
                 line(f"p {action.server}")
             case Watch():
                 line("w")
-            case Note():
+            case LogMessage():
                 line(f"n {action.text}")
 
-    def state() -> None:
-        work, fetch = router.work, router.fetch
+    def report_state() -> None:
+        server_gate, origin_gate = router.server_gate, router.origin_gate
         line(
-            f"g {work.share:.3f} {work.bad:.3f} {fetch.share:.3f} {fetch.bad:.3f} {router.trouble:.3f}"
-            f" {router.budget:.2f} {router.suspects} {router.in_flight} "
+            f"g {server_gate.share:.3f} {server_gate.bad_share:.3f}"
+            f" {origin_gate.share:.3f} {origin_gate.bad_share:.3f}"
+            f" {router.fleet_bad_share:.3f}"
+            f" {router.retry_budget:.2f} {router.suspect_count} {router.in_flight} "
             f"{proxy.pool.open} {len(proxy.pool.idle)} {len(router.servers)}"
         )
         sys.stderr.flush()
-        proxy.loop.call_later(STATE_S, state)
+        proxy.loop.call_later(STATE_INTERVAL_S, report_state)
 
     router.handle = traced  # type: ignore[method-assign]
-    state()
+    report_state()
--- a/magpiefront/operator/__init__.py
+++ b/magpiefront/operator/__init__.py
@@ -1,1 +1,1 @@
-"""The operator's file, and the stages that it asks for. Nothing here is imported without one."""
+"""The operator's file and the stages that it configures. Imported only if there is such a file."""
