--- a/magpiefront/operator/compose.py
+++ b/magpiefront/operator/compose.py
@@ -1,4 +1,4 @@
-"""The stages that an operator's file asks for, in their order, before the host."""
+"""Builds the stages that an operator's file configures. Requests pass through them before the proxy."""
 
 from __future__ import annotations
 
@@ -14,165 +14,181 @@
 
 from magpiefront.caching.disk import Disk
 from magpiefront.caching.stage import CachingStage
-from magpiefront.caching.watch import WriteWatch
+from magpiefront.caching.link_writes import WriteWatch
 from magpiefront.interface import RequestClass
-from magpiefront.maintenance.desk import MaintenanceDesk
-from magpiefront.maintenance.facts import Board
+from magpiefront.maintenance.operator_commands import MaintenanceCommands
+from magpiefront.maintenance.state_machine import MaintenanceStateMachine
 from magpiefront.maintenance.rules import advance
-from magpiefront.maintenance.service import MACHINE, MaintenanceService
-from magpiefront.net.house import Host
-from magpiefront.gateway.inbound import Gate
-from magpiefront.gateway.members import MemberWay, WaySettings
-from magpiefront.gateway.service import BadTls, Gateway, contexts
-from magpiefront.group.desk import Desk
+from magpiefront.maintenance.service import STATE_MACHINE, MaintenanceService
+from magpiefront.net.runtime import StageRuntime
+from magpiefront.gateway.inbound import GatewayListener
+from magpiefront.gateway.members import MemberTransport, MemberLinkSettings
+from magpiefront.gateway.service import InvalidTls, Gateway, tls_contexts
+from magpiefront.group.operator_commands import OperatorCommands
 from magpiefront.group.service import GroupService
 from magpiefront.net.config import BadConfig, Config
 from magpiefront.net.front import Front
-from magpiefront.net.passing import PassingProxy, prepare
+from magpiefront.net.passing import PassingProxy, forward_fields
 from magpiefront.net.proxy import Proxy
 from magpiefront.net.request import Stage
-from magpiefront.net.traced import TracedAttempt
-from magpiefront.operator.fields import BadFile
-from magpiefront.record.arrivals import Arrivals
+from magpiefront.net.guarded_attempt import GuardedAttempt
+from magpiefront.operator.parsing import BadFile
+from magpiefront.record.cross_site import CrossSiteRecordStage
 from magpiefront.record.sqlite import BadStore, SqliteStore
 from magpiefront.record.settings import GroupStoreSettings, SqliteSettings
 from magpiefront.record.rows import boot_id
 from magpiefront.record.stage import RecordStage
-from magpiefront.operator.file import Operator, load
-from magpiefront.takeover.acting import GroupActing
-from magpiefront.takeover.desk import RecordDesk, work
-from magpiefront.takeover.handing import Handing
-from magpiefront.takeover.limits import too_short
+from magpiefront.operator.file import OperatorConfig, load_operator_config
+from magpiefront.takeover.ownership import GroupOwnership
+from magpiefront.takeover.report_commands import ReportCommands, work_handler
+from magpiefront.takeover.handover import MemberHandover
+from magpiefront.takeover.limits import short_window_warnings
 from magpiefront.takeover.store import GroupStore
 
 
 if TYPE_CHECKING:
     from magpiefront.record.postgres import PostgresStore
 
-LEAVE_S = 0.4  # of a planned end, for the group to hear of it
-EXPECT_S = 2.5  # so long reports wait in a process that follows another one, for its member's part
+GROUP_LEAVE_TIMEOUT_S = 0.4  # how long a planned shutdown waits for the group to learn of it
+# How long reports wait in a new process for the old one to give up its group membership.
+MEMBER_HANDOVER_TIMEOUT_S = 2.5
 
-def check(path: Path) -> Operator:
-    """The file, and what it names on this machine. Raises BadFile."""
-    operator = load(path)
+
+def load_and_check(path: Path) -> OperatorConfig:
+    """Loads an operator's file and checks that its certificates can be loaded. Raises BadFile."""
+    operator = load_operator_config(path)
     if operator.gateway is not None:
         try:
-            contexts(operator.gateway.tls)
-        except BadTls as e:
+            tls_contexts(operator.gateway.tls)
+        except InvalidTls as e:
             raise BadFile(f"{path}: [gateway.tls] {e}") from None
     if operator.group is not None:
         try:
-            contexts(operator.group.tls)
-        except BadTls as e:
+            tls_contexts(operator.group.tls)
+        except InvalidTls as e:
             raise BadFile(f"{path}: [group.tls] {e}") from None
     return operator
 
 
-def uncovered(operator: Operator, classes: Iterable[RequestClass]) -> list[str]:
-    """What these classes lack for a lost proxy's reports to be taken over; none where nothing is."""
+def check_takeover_windows(operator: OperatorConfig, classes: Iterable[RequestClass]) -> list[str]:
+    """Returns a message for each class whose repeat window is too short for the reports of a lost proxy to be
+    taken over. The list is empty if the file has no group or no store of record."""
     if operator.group is None or operator.record is None:
         return []
     record = operator.record
-    return too_short(classes, record.classes, operator.group.settings.times, record.delivery_us)
+    return short_window_warnings(classes, record.classes, operator.group.settings.times, record.delivery_us)
 
 
-def host(config: Config, loop: asyncio.AbstractEventLoop, operator: Operator) -> Proxy:
-    """One that passes on, and remembers, what the stages before it need."""
+def create_proxy(config: Config, loop: asyncio.AbstractEventLoop, operator: OperatorConfig) -> Proxy:
+    """Creates the proxy with the features that the configured stages need. For caching it forwards all fields
+    of a request. For the record and the gateway it tracks the execution of each attempt."""
     if operator.caching is not None:
         proxy: Proxy = PassingProxy(config, loop, operator.caching.plain_servers)
     else:
         proxy = Proxy(config, loop)
     if operator.record is not None or operator.gateway is not None:
-        proxy.attempt_type = TracedAttempt
+        proxy.attempt_type = GuardedAttempt
     return proxy
 
 
 class Composition:
-    """`first` is what fronts hand their requests to: the host itself, where nothing is asked for. `end` is
-    this process's planned end."""
+    """The configured stages of one process. `first_stage` receives the requests of the front; it is the proxy
+    itself if no stage is configured. `shut_down` begins the planned shutdown of this process."""
 
     def __init__(
-        self, house: Host, host: Stage, operator: Operator, seed: int, proxy: Proxy | None = None,
-        end: Callable[[], None] = lambda: None,
+        self, runtime: StageRuntime, next_stage: Stage, operator: OperatorConfig, seed: int,
+        proxy: Proxy | None = None, shut_down: Callable[[], None] = lambda: None,
     ) -> None:  # fmt: skip
-        self.house, self.operator = house, operator
-        self.first = host
+        self.runtime, self.operator = runtime, operator
+        self.first_stage = next_stage
         self.gateway: Gateway | None = None
         self.cache: CachingStage | None = None
         watch: WriteWatch | None = None
         if operator.gateway is not None:
             if operator.caching is not None:
-                host = watch = WriteWatch(house, host)
-            self.gateway = Gateway(house, host, operator.gateway, seed, self._shared)
-            self.first = self.gateway.stage
+                next_stage = watch = WriteWatch(runtime, next_stage)
+            self.gateway = Gateway(runtime, next_stage, operator.gateway, seed, self._store_fingerprint)
+            self.first_stage = self.gateway.stage
         if operator.caching is not None:
-            disk = Disk(house, operator.caching.disk) if operator.caching.disk is not None else None
-            self.first = self.cache = CachingStage(house, self.first, operator.caching, disk)
+            disk = Disk(runtime, operator.caching.disk) if operator.caching.disk is not None else None
+            self.first_stage = self.cache = CachingStage(runtime, self.first_stage, operator.caching, disk)
             if proxy is not None:
-                proxy.on_doubt = self.cache.doubted
+                proxy.on_unsolicited_answer = self.cache.invalidate_target
             if watch is not None:
                 watch.cache = self.cache.writes
 
         self.group: GroupService | None = None
-        self.way: MemberWay | None = None
-        self.desk: Desk | None = None
+        self.transport: MemberTransport | None = None
+        self.operator_commands: OperatorCommands | None = None
         if operator.group is not None:
-            self.group = GroupService(house, operator.group.settings)
-            ways = WaySettings(operator.site, operator.group.tls)
-            self.desk = Desk(self.group)
-            self.way = MemberWay(house, self.group, ways, self.desk.asked, seed)
-        self.handing: Handing | None = None
+            self.group = GroupService(runtime, operator.group.settings)
+            transport_settings = MemberLinkSettings(operator.site, operator.group.tls)
+            self.operator_commands = OperatorCommands(self.group)
+            self.transport = MemberTransport(
+                runtime, self.group, transport_settings, self.operator_commands.handle, seed
+            )
+        self.member_handover: MemberHandover | None = None
         if self.group is not None:
-            self.handing = Handing(house, self.group, lambda: self.busy, self.leave, self._succeed)
+            self.member_handover = MemberHandover(
+                runtime, self.group, lambda: self.busy, self.leave, self._take_over_member
+            )
         self.maintenance: MaintenanceService | None = None
-        if self.group is not None and self.desk is not None:
+        if self.group is not None and self.operator_commands is not None:
             if operator.maintenance is not None and proxy is not None:
-                self.maintenance = MaintenanceService(proxy, self.group, operator.maintenance, seed, end)
-                self.desk.more["maintenance"] = MaintenanceDesk(self.maintenance).asked
-            else:  # what others agree on is agreed on here too, for the day on which it is switched on
-                self.group.register(MACHINE, Board(self.group.members, advance))
+                self.maintenance = MaintenanceService(
+                    proxy, self.group, operator.maintenance, seed, shut_down
+                )
+                self.operator_commands.extra_handlers["maintenance"] = MaintenanceCommands(
+                    self.maintenance
+                ).handle_request
+            else:  # applied here too, so that this member is up to date when [maintenance] is switched on
+                self.group.register(STATE_MACHINE, MaintenanceStateMachine(self.group.members, advance))
         self.record: RecordStage | None = None
         self.store: SqliteStore | PostgresStore | GroupStore | None = None
         if operator.record is not None:
             settings, boot = operator.record, boot_id()
             if isinstance(settings.store, SqliteSettings):
-                self.store = SqliteStore(house, settings.store, settings.most_waiting)
+                self.store = SqliteStore(runtime, settings.store, settings.most_waiting)
             elif isinstance(settings.store, GroupStoreSettings):
-                assert self.group is not None and self.desk is not None
+                assert self.group is not None and self.operator_commands is not None
                 name = operator.group.settings.name if operator.group is not None else ""
-                self.store = GroupStore(house, self.group, settings.store, boot, name=name)
-                self.desk.more["record"] = RecordDesk(self.store, self.group, house).asked
+                self.store = GroupStore(runtime, self.group, settings.store, boot, name=name)
+                self.operator_commands.extra_handlers["record"] = ReportCommands(
+                    self.store, self.group, runtime
+                ).handle
             else:
-                from magpiefront.record.postgres import PostgresStore  # the library only where it is used
+                from magpiefront.record.postgres import PostgresStore  # imports asyncpg, which is optional
 
-                self.store = PostgresStore(house, settings.store, settings.most_waiting, boot)
-            acting = GroupActing(self.group) if self.group is not None else None
-            self.first = self.record = RecordStage(
-                house, self.first, settings, self.store, boot, acting=acting
+                self.store = PostgresStore(runtime, settings.store, settings.most_waiting, boot)
+            ownership = GroupOwnership(self.group) if self.group is not None else None
+            self.first_stage = self.record = RecordStage(
+                runtime, self.first_stage, settings, self.store, boot, ownership=ownership
             )
-            if self.group is not None and self.desk is not None:
-                self.desk.more["work"] = work(self.record, self.group)
+            if self.group is not None and self.operator_commands is not None:
+                self.operator_commands.extra_handlers["work"] = work_handler(self.record, self.group)
             if self.gateway is not None:
-                self.gateway.gate.stage = Arrivals(self.record, self.gateway.keyed)
+                self.gateway.listener.stage = CrossSiteRecordStage(self.record, self.gateway.keyed)
 
-    def _shared(self) -> str:
-        """Names the store of record to other sites' gateways, and tells them no more than that."""
+    def _store_fingerprint(self) -> str:
+        """Returns a hash that identifies the store of record to the gateways of other sites, without telling
+        them anything else about it, or "" if there is no store or its identity is not known yet."""
         identity = self.store.identity if self.store is not None else ""
         return blake2b(identity.encode(), digest_size=16).hexdigest() if identity else ""
 
-    async def start(self, handed: Mapping[str, socket.socket] | None = None) -> None:
-        """With the listening sockets that were handed over, by name; on these nothing is accepted before
-        `accept`. Raises OSError where the gateway can't listen, BadConfig where a file can't be had."""
-        self._tell_uncovered(self.operator)
-        if handed and self.group is not None:
-            self._succeed()
-        elif self.group is not None and self.way is not None:
+    async def start(self, inherited_sockets: Mapping[str, socket.socket] | None = None) -> None:
+        """Starts the stages. `inherited_sockets` are the listening sockets that an old process handed over,
+        by name; nothing is accepted on them before `accept`. Raises OSError if the gateway can't listen, and
+        BadConfig if the group can't listen or a file can't be used."""
+        self._log_short_windows(self.operator)
+        if inherited_sockets and self.group is not None:
+            self._take_over_member()
+        elif self.group is not None and self.transport is not None:
             try:
-                await self.way.listen()
+                await self.transport.listen()
             except OSError as e:
                 raise BadConfig(f"{self.operator.path}: [group] listen: {e}") from None
             try:
-                self.group.start(self.way)
+                self.group.start(self.transport)
             except BadStore as e:
                 raise BadConfig(f"{self.operator.path}: [group] path: {e}") from None
         if self.maintenance is not None:
@@ -191,104 +207,111 @@
             except (OSError, sqlite3.Error) as e:
                 raise BadConfig(f"{self.operator.path}: [caching.disk] path: {e}") from None
         if self.gateway is not None:
-            await self.gateway.start((handed or {}).get(self.gateway.gate.name))
+            await self.gateway.start((inherited_sockets or {}).get(self.gateway.listener.name))
 
-    def _succeed(self) -> None:
-        """The member's part goes over from another process of it, or back."""
-        assert self.group is not None and self.way is not None
-        self.group.succeed(self.way, self.way.listen)
+    def _take_over_member(self) -> None:
+        """Takes the group membership over from another process of this proxy: in a new process at its start,
+        and in the old one if the new process ends during the upgrade."""
+        assert self.group is not None and self.transport is not None
+        self.group.start_after_handover(self.transport, self.transport.listen)
         if self.record is not None:
-            self.record.expect(EXPECT_S)
+            self.record.await_ownership(MEMBER_HANDOVER_TIMEOUT_S)
 
-    def follows(self, before: Callable[[], bool]) -> None:
-        """`before`: does the process that handed over go on?"""
+    def set_old_process_check(self, old_process_runs: Callable[[], bool]) -> None:
+        """Sets the function that returns whether the process that handed over to this one still runs."""
         if self.maintenance is not None:
-            self.maintenance.before = before
+            self.maintenance.predecessor_is_running = old_process_runs
 
-    def _tell_uncovered(self, operator: Operator) -> None:
-        for line in uncovered(operator, self.house.classes.values()):
-            self.house.log(f"takeover: {line}")
+    def _log_short_windows(self, operator: OperatorConfig) -> None:
+        for line in check_takeover_windows(operator, self.runtime.classes.values()):
+            self.runtime.log(f"takeover: {line}")
 
     async def accept(self) -> None:
+        """Starts accepting connections on an inherited gateway socket. No effect if it accepts already."""
         if self.gateway is not None:
-            await self.gateway.gate.accept()
+            await self.gateway.listener.accept()
 
     @property
-    def listening(self) -> list[Gate | Handing]:
-        """What else can be handed over."""
-        found: list[Gate | Handing] = [self.gateway.gate] if self.gateway is not None else []
-        return found + ([self.handing] if self.handing is not None else [])
-
-    def prepare(self, front: Front) -> None:
-        """Before the front listens."""
+    def handover_listeners(self) -> list[GatewayListener | MemberHandover]:
+        """The listeners, besides the front's, that an upgrade hands over."""
+        listeners: list[GatewayListener | MemberHandover] = (
+            [self.gateway.listener] if self.gateway is not None else []
+        )
+        return listeners + ([self.member_handover] if self.member_handover is not None else [])
+
+    def prepare_front(self, front: Front) -> None:
+        """Adjusts the front to the configured stages. To be called before the front listens."""
         if self.operator.caching is not None:
-            prepare(front, self.operator.caching.clients)
+            forward_fields(front, self.operator.caching.clients)
 
-    def configure(self, operator: Operator) -> None:
-        self._tell_uncovered(operator)
+    def configure(self, operator: OperatorConfig) -> None:
+        """Applies a reloaded operator's file. Logs the changes that need a restart."""
+        self._log_short_windows(operator)
         if self.operator.record != operator.record:
-            self.house.log("reload: another [record] needs a restart")
+            self.runtime.log("reload: changes of [record] need a restart")
         self._configure_group(operator)
         if (operator.maintenance is None) != (self.operator.maintenance is None):
-            self.house.log("reload: to begin or end [maintenance] needs a restart")
+            self.runtime.log("reload: switching [maintenance] on or off needs a restart")
         elif self.maintenance is not None and operator.maintenance is not None:
             self.maintenance.configure(operator.maintenance)
         before, after = self.operator.caching, operator.caching
         if (before is None) != (after is None):
-            self.house.log("reload: to begin or end caching needs a restart")
+            self.runtime.log("reload: switching [caching] on or off needs a restart")
         elif before is not None and after is not None and self.cache is not None:
             if (before.clients, before.disk) != (after.clients, after.disk):
-                self.house.log("reload: another [caching.clients], [caching.disk], plain_servers or "
-                               "purge_from needs a restart")  # fmt: skip
+                self.runtime.log("reload: changes of [caching.clients], [caching.disk], plain_servers or "
+                               "purge_from need a restart")  # fmt: skip
             self.cache.configure(replace(after, plain_servers=before.plain_servers))
         if (operator.gateway is None) != (self.gateway is None):
-            self.house.log("reload: to begin or end the gateway needs a restart")
+            self.runtime.log("reload: switching [gateway] on or off needs a restart")
         elif self.gateway is not None and operator.gateway is not None:
             self.gateway.configure(operator.gateway)
         self.operator = operator
 
-    def _configure_group(self, operator: Operator) -> None:
+    def _configure_group(self, operator: OperatorConfig) -> None:
         before, after = self.operator.group, operator.group
         if before is None or after is None or self.group is None:
             if (before is None) != (after is None):
-                self.house.log("reload: to begin or end [group] needs a restart")
+                self.runtime.log("reload: switching [group] on or off needs a restart")
         elif before != after:
             if replace(after.settings, members=before.settings.members) != before.settings or (
                 after.tls != before.tls
             ):  # fmt: skip
-                self.house.log("reload: of [group], all but its members needs a restart")
+                self.runtime.log("reload: changes of [group], except for its members, need a restart")
             self.group.configure(after.settings.members)
 
     @property
     def busy(self) -> bool:
+        """Whether reports or requests between sites are in progress."""
         recording = self.record is not None and bool(self.record.journal.entries)
         return recording or (self.gateway is not None and self.gateway.busy)
 
-    def begin(self) -> None:
-        """Once the nodes are known: what a crash left is looked for."""
+    def begin_recovery(self) -> None:
+        """Starts the search for reports that a crash left open. To be called once the nodes are known."""
         if self.record is not None:
-            self.record.begin_looking()
+            self.record.begin_polling()
 
     def sweep(self) -> None:
         if self.gateway is not None:
             self.gateway.sweep()
 
-    def figures(self) -> str:
-        """More lines for the second address, where there is a group."""
-        group = self.group.figures() if self.group is not None else ""
-        group += self.maintenance.figures() if self.maintenance is not None else ""
-        return group + (self.record.figures() if self.record is not None else "")
+    def metrics_text(self) -> str:
+        """Returns the metric lines of the stages for the admin address. Used if there is a group."""
+        metrics = self.group.metrics() if self.group is not None else ""
+        metrics += self.maintenance.metrics_text() if self.maintenance is not None else ""
+        return metrics + (self.record.metrics() if self.record is not None else "")
 
     async def leave(self) -> None:
-        """A planned end: what would not end in time is given to others, and these know at once that they may
-        take it."""
+        """Leaves the group for a planned shutdown. Reports that would not end in time are left to other
+        members, which learn at once that they may take them over."""
         if self.group is None:
             return
         if self.record is not None:
-            self.record.part()
-        await self.group.leave(LEAVE_S)
+            self.record.release_all()
+        await self.group.leave(GROUP_LEAVE_TIMEOUT_S)
 
     def drain(self) -> None:
+        """Tells the gateways of other sites to send no new requests here."""
         if self.gateway is not None:
             self.gateway.drain()
 
@@ -307,5 +330,6 @@
             self.store.stop()
 
 
-def path_of(text: str) -> Path:
+def expand_path(text: str) -> Path:
+    """Returns a path of the command line with `~` expanded."""
     return Path(os.path.expanduser(text))
--- a/magpiefront/operator/group.py
+++ b/magpiefront/operator/group.py
@@ -1,4 +1,4 @@
-"""The table `group` of the operator's file."""
+"""Parses the table `group` of the operator's file."""
 
 from __future__ import annotations
 
@@ -10,13 +10,13 @@
 
 from magpiefront.gateway.settings import Tls
 from magpiefront.group.settings import GroupSettings, Limits, Times
-from magpiefront.operator.fields import BadFile, Duration, Place, Size, read
-from magpiefront.operator.tls import tls
+from magpiefront.operator.parsing import BadFile, Duration, Endpoint, Size, convert_table
+from magpiefront.operator.tls import parse_tls
 
 Name = Annotated[str, msgspec.Meta(pattern=r"^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$")]
 Count = Annotated[int, msgspec.Meta(ge=1, le=1_000_000)]
 TIMES, LIMITS = Times(), Limits()
-MOST_VOTERS, MOST_MEMBERS = 9, 1_000
+MAX_VOTERS, MAX_MEMBERS = 9, 1_000
 
 
 class TimesTable(msgspec.Struct, forbid_unknown_fields=True):
@@ -50,7 +50,7 @@
     members: dict[str, Any]
     voters: list[str]
     name: str = ""
-    listen: Place | None = None
+    listen: Endpoint | None = None
     tls: dict[str, Any] | None = None
     times: dict[str, Any] = {}
     limits: dict[str, Any] = {}
@@ -58,81 +58,93 @@
 
 class MemberTable(msgspec.Struct, forbid_unknown_fields=True):
     name: Name
-    at: Place
+    at: Endpoint
 
 
 @dataclass(frozen=True, slots=True)
-class GroupTables:
+class GroupConfig:
+    """The table `group`. `tls` is None if members connect to each other unencrypted."""
+
     settings: GroupSettings
     tls: Tls | None
 
     @property
-    def told(self) -> str:
-        """What an operator should know of it, though nothing is wrong; empty where there is nothing."""
+    def warning(self) -> str:
+        """Advice on a valid but not recommended number of voters, or an empty string."""
         count = len(self.settings.voters)
         if count % 2 == 0:
-            return f"[group] voters: {count} stand no more losses than {count - 1}: an odd number is better"
+            return f"[group] voters: {count} tolerate no more losses than {count - 1}; use an odd number"
         return ""
 
 
-def group(path: Path, site: str, given: Any, gateway: Tls | None, gateways: bool) -> GroupTables:
-    """`gateway`: what the links between sites use, where there are such. Raises BadFile."""
-    g = read(path, "group", given, GroupTable)
+def parse_group(
+    path: Path, site: str, values: Any, gateway_tls: Tls | None, has_gateway: bool
+) -> GroupConfig:  # fmt: skip
+    """Parses the table `group`. Without a table `group.tls`, the group uses `gateway_tls`, or no TLS if that
+    is None. Raises BadFile."""
+    group = convert_table(path, "group", values, GroupTable)
 
-    def require(holds: bool, key: str, what: str) -> None:
-        if not holds:
+    def require(condition: bool, key: str, problem: str) -> None:
+        if not condition:
             table, _, name = key.rpartition(".")
-            raise BadFile(f"{path}: [group{'.' + table if table else ''}] {name}: {what}")
-
-    places = {}
-    for name, at in g.members.items():
-        places[name] = read(path, f"group.members.{name}", {"name": name, "at": at}, MemberTable).at.address
-    require(len(places) <= MOST_MEMBERS, "members", f"more than {MOST_MEMBERS}")
-    require(g.member in places, "member", f"{g.member!r} is not in [group.members]")
-    require(len(set(places.values())) == len(places), "members", "names an address twice")
-    require(bool(g.voters), "voters", "is empty")
-    require(len(set(g.voters)) == len(g.voters), "voters", "names a member twice")
-    require(len(g.voters) <= MOST_VOTERS, "voters", f"more than {MOST_VOTERS}")
-    for name in g.voters:
-        require(name in places, "voters", f"{name!r} is not in [group.members]")
-    if g.tls is not None:
-        certificates = tls(path, "group.tls", g.tls)
+            raise BadFile(f"{path}: [group{'.' + table if table else ''}] {name}: {problem}")
+
+    addresses = {}
+    for name, address in group.members.items():
+        addresses[name] = convert_table(
+            path, f"group.members.{name}", {"name": name, "at": address}, MemberTable
+        ).at.address
+    require(len(addresses) <= MAX_MEMBERS, "members", f"more than {MAX_MEMBERS}")
+    require(group.member in addresses, "member", f"{group.member!r} is not in [group.members]")
+    require(len(set(addresses.values())) == len(addresses), "members", "names an address twice")
+    require(bool(group.voters), "voters", "is empty")
+    require(len(set(group.voters)) == len(group.voters), "voters", "names a member twice")
+    require(len(group.voters) <= MAX_VOTERS, "voters", f"more than {MAX_VOTERS}")
+    for name in group.voters:
+        require(name in addresses, "voters", f"{name!r} is not in [group.members]")
+    if group.tls is not None:
+        certificates = parse_tls(path, "group.tls", group.tls)
     else:
-        require(gateways, "tls", "is missing, and there is no [gateway.tls] to take")
-        certificates = gateway
-    listen = g.listen.address if g.listen is not None else places[g.member]
-    return GroupTables(
-        GroupSettings(g.name or site, g.member, listen, path.parent / g.path, places, frozenset(g.voters),
-                      _times(path, g.times, require), _limits(path, g.limits, require)),
+        require(has_gateway, "tls", "is missing, and there is no [gateway.tls] to use instead")
+        certificates = gateway_tls
+    listen = group.listen.address if group.listen is not None else addresses[group.member]
+    return GroupConfig(
+        GroupSettings(group.name or site, group.member, listen, path.parent / group.path, addresses,
+                      frozenset(group.voters), _parse_times(path, group.times, require),
+                      _parse_limits(path, group.limits, require)),
         certificates,
     )  # fmt: skip
 
 
-def _times(path: Path, given: Any, require: Any) -> Times:
-    t = read(path, "group.times", given, TimesTable)
-    times = Times(t.heartbeat.us, t.observer.us, t.election.us, t.session.us, t.ping.us, t.drift, t.margin.us,
-                  t.hold.us, t.most_hold.us)  # fmt: skip
+def _parse_times(path: Path, values: Any, require: Any) -> Times:
+    table = convert_table(path, "group.times", values, TimesTable)
+    times = Times(table.heartbeat.us, table.observer.us, table.election.us, table.session.us, table.ping.us,
+                  table.drift, table.margin.us, table.hold.us, table.most_hold.us)  # fmt: skip
     for name in ("heartbeat", "observer", "election", "session", "ping", "hold", "most_hold"):
-        require(getattr(t, name).us >= 1_000, f"times.{name}", "must be at least 1ms")
+        require(getattr(table, name).us >= 1_000, f"times.{name}", "must be at least 1ms")
     require(times.observer_us >= times.heartbeat_us, "times.observer", "must not be below heartbeat")
-    enough = times.election_us >= 3 * times.heartbeat_us
-    require(enough, "times.election", "must be three heartbeats at least")
-    require(times.session_us >= 3 * times.ping_us, "times.session", "must be three pings at least")
+    is_long_enough = times.election_us >= 3 * times.heartbeat_us
+    require(is_long_enough, "times.election", "must be at least three times heartbeat")
+    require(times.session_us >= 3 * times.ping_us, "times.session", "must be at least three times ping")
     require(times.lease_us >= 2 * times.heartbeat_us, "times.election",
-            "less drift and margin leaves no room for two heartbeats")  # fmt: skip
+            "less drift and margin must have room for two heartbeats")  # fmt: skip
     require(times.most_hold_us >= times.hold_us, "times.most_hold", "must not be below hold")
     return times
 
 
-def _limits(path: Path, given: Any, require: Any) -> Limits:
-    n = read(path, "group.limits", given, LimitsTable)
-    limits = Limits(n.most_entry.bytes, n.most_append.bytes, n.most_flight, n.most_open, n.most_part.bytes,
-                    n.keep, n.compact, n.most_message.bytes, n.most_queued, n.most_waiting)  # fmt: skip
-    room = limits.most_message - 4_096
+def _parse_limits(path: Path, values: Any, require: Any) -> Limits:
+    table = convert_table(path, "group.limits", values, LimitsTable)
+    limits = Limits(
+        table.most_entry.bytes, table.most_append.bytes, table.most_flight, table.most_open,
+        table.most_part.bytes, table.keep, table.compact, table.most_message.bytes, table.most_queued,
+        table.most_waiting,
+    )  # fmt: skip
+    max_bytes = limits.most_message - 4_096
     require(limits.most_entry >= 1_024, "limits.most_entry", "must be at least 1KiB")
     require(limits.most_part >= 1_024, "limits.most_part", "must be at least 1KiB")
     for name in ("most_entry", "most_append", "most_part"):
-        require(getattr(limits, name) <= room, f"limits.{name}", "must be 4KiB below most_message")
-    require(limits.most_append + limits.most_entry <= room, "limits.most_append",
-            "and most_entry must be 4KiB below most_message together")  # fmt: skip
+        require(getattr(limits, name) <= max_bytes, f"limits.{name}",
+                "must be at least 4KiB below most_message")  # fmt: skip
+    require(limits.most_append + limits.most_entry <= max_bytes, "limits.most_append",
+            "and most_entry together must be at least 4KiB below most_message")  # fmt: skip
     return limits
--- a/magpiefront/operator/maintenance.py
+++ b/magpiefront/operator/maintenance.py
@@ -1,4 +1,4 @@
-"""The table `maintenance` of the operator's file, and the files that plans are written in."""
+"""Parses the table `maintenance` of the operator's file, and the files of maintenance plans."""
 
 from __future__ import annotations
 
@@ -8,19 +8,19 @@
 import msgspec
 
 from magpiefront.group.settings import GroupSettings
-from magpiefront.maintenance.plan import MOST_MACHINES, Limits, Machine, Plan
+from magpiefront.maintenance.plan import MAX_MACHINES, Limits, Machine, Plan
 from magpiefront.maintenance.settings import MaintenanceSettings
-from magpiefront.operator.fields import BadFile, Duration, parse, read
+from magpiefront.operator.parsing import BadFile, Duration, load_toml, convert_table
 
 Name = Annotated[str, msgspec.Meta(pattern=r"^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$")]
-Count = Annotated[int, msgspec.Meta(ge=1, le=MOST_MACHINES)]
+Count = Annotated[int, msgspec.Meta(ge=1, le=MAX_MACHINES)]
 Share = Annotated[float, msgspec.Meta(ge=0, le=1)]
 Load = Annotated[float, msgspec.Meta(ge=0, le=1_000_000)]
 LIMITS = Limits()
 
 
-def seconds(s: float) -> Duration:
-    return Duration(int(s * 1e6))
+def duration_of(seconds: float) -> Duration:
+    return Duration(int(seconds * 1e6))
 
 
 class LimitsTable(msgspec.Struct, forbid_unknown_fields=True):
@@ -29,10 +29,10 @@
     least_left: Share = LIMITS.least_left
     margin: Share = LIMITS.margin
     most_load: Load = LIMITS.most_load
-    most_drain: Duration = seconds(LIMITS.most_drain_s)
-    most_work: Duration = seconds(LIMITS.most_work_s)
-    most_warm: Duration = seconds(LIMITS.most_warm_s)
-    spread: Duration = seconds(LIMITS.spread_s)
+    most_drain: Duration = duration_of(LIMITS.most_drain_s)
+    most_work: Duration = duration_of(LIMITS.most_work_s)
+    most_warm: Duration = duration_of(LIMITS.most_warm_s)
+    spread: Duration = duration_of(LIMITS.spread_s)
     go_on: bool = LIMITS.go_on
 
 
@@ -58,71 +58,75 @@
     limits: dict[str, Any] = {}
 
 
-class Named(msgspec.Struct):
+class MachineName(msgspec.Struct):
     name: Name
 
 
-def limits(path: Path, where: str, given: Any, base: Limits) -> Limits:
-    """`base`: what holds for what is left out. Raises BadFile."""
-    t = read(path, where, given, LimitsTable)
-    found = {}
-    for key in given:
-        value = getattr(t, key)
-        found[f"{key}_s" if isinstance(value, Duration) else key] = (
+def parse_limits(path: Path, table: str, values: Any, defaults: Limits) -> Limits:
+    """Parses a table of limits. Omitted keys have the values of `defaults`. Raises BadFile."""
+    limits = convert_table(path, table, values, LimitsTable)
+    changes = {}
+    for key in values:
+        value = getattr(limits, key)
+        changes[f"{key}_s" if isinstance(value, Duration) else key] = (
             value.us / 1e6 if isinstance(value, Duration) else value
         )
-    return msgspec.structs.replace(base, **found)
+    return msgspec.structs.replace(defaults, **changes)
 
 
-def maintenance(path: Path, given: Any, group: GroupSettings | None) -> MaintenanceSettings:
-    """Raises BadFile."""
-    t = read(path, "maintenance", given, MaintenanceTable)
+def parse_maintenance(path: Path, values: Any, group: GroupSettings | None) -> MaintenanceSettings:
+    """Parses the table `maintenance`. `group` is None if the file has no table `group`. Raises BadFile."""
+    maintenance = convert_table(path, "maintenance", values, MaintenanceTable)
     if group is None:
-        raise BadFile(f"{path}: [maintenance]: needs [group]: the proxies settle the order among themselves")
+        raise BadFile(f"{path}: [maintenance]: needs [group]: the proxies agree on the order through it")
     machines: dict[str, Machine] = {}
     owners: dict[str, str] = {}
-    for name, table in t.machines.items():
-        where = f"maintenance.machines.{name}"
-        read(path, where, {"name": name}, Named)
-        m = read(path, where, table, MachineTable)
+    for name, machine_values in maintenance.machines.items():
+        table = f"maintenance.machines.{name}"
+        convert_table(path, table, {"name": name}, MachineName)
+        m = convert_table(path, table, machine_values, MachineTable)
         if not m.nodes and not m.proxies:
-            raise BadFile(f"{path}: [{where}]: holds neither nodes nor proxies")
-        for what, of in ((m.nodes, "node"), (m.proxies, "proxy")):
-            for each in what:
+            raise BadFile(f"{path}: [{table}]: holds neither nodes nor proxies")
+        for names, kind in ((m.nodes, "node"), (m.proxies, "proxy")):
+            for each in names:
                 if not each:
-                    raise BadFile(f"{path}: [{where}] {of}: an empty name")
-                if f"{of} {each}" in owners:
-                    raise BadFile(f"{path}: [{where}]: {of} {each} is of {owners[f'{of} {each}']} too")
-                owners[f"{of} {each}"] = name
+                    raise BadFile(f"{path}: [{table}] {kind}: an empty name")
+                if f"{kind} {each}" in owners:
+                    raise BadFile(
+                        f"{path}: [{table}]: {kind} {each} belongs to {owners[f'{kind} {each}']} already"
+                    )
+                owners[f"{kind} {each}"] = name
         for each in m.proxies:
             if each not in group.members:
-                raise BadFile(f"{path}: [{where}] proxies: {each!r} is not in [group.members]")
+                raise BadFile(f"{path}: [{table}] proxies: {each!r} is not in [group.members]")
         machines[name] = Machine(name, tuple(m.nodes), tuple(m.proxies), m.zone)
     if not machines:
-        raise BadFile(f"{path}: [maintenance] machines: names none")
-    if len(machines) > MOST_MACHINES:
-        raise BadFile(f"{path}: [maintenance] machines: more than {MOST_MACHINES}")
-    base = limits(path, "maintenance.limits", t.limits, LIMITS)
+        raise BadFile(f"{path}: [maintenance] machines: is empty")
+    if len(machines) > MAX_MACHINES:
+        raise BadFile(f"{path}: [maintenance] machines: more than {MAX_MACHINES}")
+    default_limits = parse_limits(path, "maintenance.limits", maintenance.limits, LIMITS)
     voters = tuple(sorted(group.voters))
-    return MaintenanceSettings(path.parent / t.path, machines, base, voters, group.member)
+    return MaintenanceSettings(path.parent / maintenance.path, machines, default_limits, voters, group.member)
 
 
-def plan(path: Path, by: str, settings: MaintenanceSettings) -> Plan:
-    """Of a plan's own file. Raises BadFile."""
-    found = parse(path)
-    for name in found:
+def load_plan(path: Path, by: str, settings: MaintenanceSettings) -> Plan:
+    """Reads a maintenance plan. `by` is the person who starts it. Raises BadFile."""
+    tables = load_toml(path)
+    for name in tables:
         if name != "plan":
             raise BadFile(f"{path}: [{name}]: unknown table")
-    t = read(path, "plan", found.get("plan", {}), PlanFile)
-    stamps = []
-    for key, value in (("opens", t.opens), ("closes", t.closes)):
+    plan = convert_table(path, "plan", tables.get("plan", {}), PlanFile)
+    timestamps = []
+    for key, value in (("opens", plan.opens), ("closes", plan.closes)):
         if value is None:
-            stamps.append(0.0)
+            timestamps.append(0.0)
         elif hasattr(value, "tzinfo") and value.tzinfo is not None:
-            stamps.append(value.timestamp())
+            timestamps.append(value.timestamp())
         else:
-            raise BadFile(f"{path}: [plan] {key}: a date, a time and their offset, as 2026-12-02T22:00:00Z")
-    if any(not part for part in t.command):
-        raise BadFile(f"{path}: [plan] command: an empty argument")
-    return Plan(t.id, by, tuple(t.machines), t.what, tuple(t.command), stamps[0], stamps[1],
-                limits(path, "plan.limits", t.limits, settings.limits))  # fmt: skip
+            raise BadFile(
+                f"{path}: [plan] {key}: must be a date and time with an offset, like 2026-12-02T22:00:00Z"
+            )
+    if any(not part for part in plan.command):
+        raise BadFile(f"{path}: [plan] command: has an empty argument")
+    return Plan(plan.id, by, tuple(plan.machines), plan.what, tuple(plan.command), timestamps[0],
+                timestamps[1], parse_limits(path, "plan.limits", plan.limits, settings.limits))  # fmt: skip
--- a/magpiefront/operator/record.py
+++ b/magpiefront/operator/record.py
@@ -1,4 +1,4 @@
-"""The table `record` of the operator's file."""
+"""Parses the table `record` of the operator's file."""
 
 from __future__ import annotations
 
@@ -8,14 +8,14 @@
 import msgspec
 
 from magpiefront.group.settings import GroupSettings
-from magpiefront.operator.fields import BadFile, Duration, Size, read
+from magpiefront.operator.parsing import BadFile, Duration, Size, convert_table
 from magpiefront.record.settings import (
     GroupStoreSettings, PostgresSettings, RecordSettings, SqliteSettings,
 )  # fmt: skip
 
-OWN, SQLITE = RecordSettings(SqliteSettings(Path("."))), SqliteSettings(Path("."))
+RECORD, SQLITE = RecordSettings(SqliteSettings(Path("."))), SqliteSettings(Path("."))
 POSTGRES, GROUP = PostgresSettings(""), GroupStoreSettings()
-ENTRY = 8 << 10  # of a command, beside a body or an answer: keys, target and fields
+COMMAND_OVERHEAD_BYTES = 8 << 10  # room in a log entry for the keys, target and fields of a report
 Count = Annotated[int, msgspec.Meta(ge=1, le=1_000_000)]
 
 
@@ -43,58 +43,63 @@
     postgres: dict[str, Any] | None = None
     group: dict[str, Any] | None = None
     classes: list[str] | None = None
-    most_waiting: Count = OWN.most_waiting
-    most_body: Size = Size(OWN.most_body)
-    most_answer: Size = Size(OWN.most_answer)
-    retention_hours: Count = OWN.retention_s // 3_600
-    least_left: Duration = Duration(OWN.least_left_us)
-    settle: Duration = Duration(OWN.settle_us)
-
-
-def record(path: Path, given: Any, members: GroupSettings | None = None) -> RecordSettings:
-    """`members`: the group, where there is one. Raises BadFile."""
-    r = read(path, "record", given, RecordTable)
-    there = [n for n in ("sqlite", "postgres", "group") if getattr(r, n) is not None]
-    if len(there) > 1:
-        raise BadFile(f"{path}: [record] {there[0]}: excludes {there[1]}")
-    if not there:
-        raise BadFile(f"{path}: [record] sqlite: is missing, and postgres and group too")
-    for key, value in (("least_left", r.least_left), ("settle", r.settle)):
+    most_waiting: Count = RECORD.most_waiting
+    most_body: Size = Size(RECORD.most_body)
+    most_answer: Size = Size(RECORD.most_answer)
+    retention_hours: Count = RECORD.retention_s // 3_600
+    least_left: Duration = Duration(RECORD.least_left_us)
+    settle: Duration = Duration(RECORD.settle_us)
+
+
+def parse_record(path: Path, values: Any, group: GroupSettings | None = None) -> RecordSettings:
+    """Parses the table `record`. `group` is None if the file has no table `group`. Raises BadFile."""
+    record = convert_table(path, "record", values, RecordTable)
+    present = [n for n in ("sqlite", "postgres", "group") if getattr(record, n) is not None]
+    if len(present) > 1:
+        raise BadFile(f"{path}: [record] {present[0]}: excludes {present[1]}")
+    if not present:
+        raise BadFile(f"{path}: [record] sqlite: is missing, as are postgres and group")
+    for key, value in (("least_left", record.least_left), ("settle", record.settle)):
         if value.us < 1_000:
             raise BadFile(f"{path}: [record] {key}: must be at least 1ms")
     return RecordSettings(
-        store=_store(path, r, members),
-        classes=None if r.classes is None else frozenset(r.classes), most_waiting=r.most_waiting,
-        most_body=r.most_body.bytes, most_answer=r.most_answer.bytes, retention_s=r.retention_hours * 3_600,
-        least_left_us=r.least_left.us, settle_us=r.settle.us,
+        store=_parse_store(path, record, group),
+        classes=None if record.classes is None else frozenset(record.classes),
+        most_waiting=record.most_waiting, most_body=record.most_body.bytes,
+        most_answer=record.most_answer.bytes, retention_s=record.retention_hours * 3_600,
+        least_left_us=record.least_left.us, settle_us=record.settle.us,
     )  # fmt: skip
 
 
-def _store(
-    path: Path, r: RecordTable, members: GroupSettings | None
+def _parse_store(
+    path: Path, record: RecordTable, group: GroupSettings | None
 ) -> SqliteSettings | PostgresSettings | GroupStoreSettings:  # fmt: skip
-    if r.group is None:
-        return _sqlite(path, r.sqlite) if r.sqlite is not None else _postgres(path, r.postgres)
-    g = read(path, "record.group", r.group, GroupStoreTable)
-    if members is None:
-        raise BadFile(f"{path}: [record.group]: there is no [group] to hold it")
-    room = members.limits.most_entry - ENTRY
-    for key, value in (("most_body", r.most_body), ("most_answer", r.most_answer)):
-        if value.bytes > room:
-            what = f"{value.bytes} bytes are over [group.limits] most_entry less {ENTRY}"
-            raise BadFile(f"{path}: [record] {key}: {what}")
-    if g.most_bytes.bytes < 2 * (r.most_body.bytes + r.most_answer.bytes):
-        raise BadFile(f"{path}: [record.group] most_bytes: has no room for two reports and their answers")
-    return GroupStoreSettings(g.most_rows, g.most_bytes.bytes)
-
-
-def _sqlite(path: Path, given: Any) -> SqliteSettings:
-    s = read(path, "record.sqlite", given, SqliteTable)
+    if record.group is None:
+        return (
+            _parse_sqlite(path, record.sqlite)
+            if record.sqlite is not None
+            else _parse_postgres(path, record.postgres)
+        )
+    group_store = convert_table(path, "record.group", record.group, GroupStoreTable)
+    if group is None:
+        raise BadFile(f"{path}: [record.group]: needs [group]")
+    max_payload_bytes = group.limits.most_entry - COMMAND_OVERHEAD_BYTES
+    for key, value in (("most_body", record.most_body), ("most_answer", record.most_answer)):
+        if value.bytes > max_payload_bytes:
+            cause = f"{value.bytes} bytes are over [group.limits] most_entry less {COMMAND_OVERHEAD_BYTES}"
+            raise BadFile(f"{path}: [record] {key}: {cause}")
+    if group_store.most_bytes.bytes < 2 * (record.most_body.bytes + record.most_answer.bytes):
+        raise BadFile(f"{path}: [record.group] most_bytes: must have room for two reports and their answers")
+    return GroupStoreSettings(group_store.most_rows, group_store.most_bytes.bytes)
+
+
+def _parse_sqlite(path: Path, values: Any) -> SqliteSettings:
+    s = convert_table(path, "record.sqlite", values, SqliteTable)
     return SqliteSettings(path.parent / s.path, s.most_batch, s.checkpoint_pages)
 
 
-def _postgres(path: Path, given: Any) -> PostgresSettings:
-    p = read(path, "record.postgres", given, PostgresTable)
+def _parse_postgres(path: Path, values: Any) -> PostgresSettings:
+    p = convert_table(path, "record.postgres", values, PostgresTable)
     for key, value in (("connect_timeout", p.connect_timeout), ("statement_timeout", p.statement_timeout)):
         if value.us < 1_000:
             raise BadFile(f"{path}: [record.postgres] {key}: must be at least 1ms")
--- a/magpiefront/operator/tls.py
+++ b/magpiefront/operator/tls.py
@@ -1,4 +1,4 @@
-"""A table of certificates: whole, or plain by its own word."""
+"""The TLS tables of the operator's file. A table names all certificate files, or says `plain = true`."""
 
 from __future__ import annotations
 
@@ -8,9 +8,9 @@
 import msgspec
 
 from magpiefront.gateway.settings import Tls
-from magpiefront.operator.fields import BadFile, read
+from magpiefront.operator.parsing import BadFile, convert_table
 
-FILES = ("certificate", "key", "ca")
+FILE_KEYS = ("certificate", "key", "ca")
 
 
 class TlsTable(msgspec.Struct, forbid_unknown_fields=True):
@@ -20,15 +20,15 @@
     ca: str = ""
 
 
-def tls(path: Path, table: str, given: Any) -> Tls | None:
-    """None where the file says plain. Raises BadFile."""
-    t = read(path, table, given, TlsTable)
-    named = [n for n in FILES if getattr(t, n)]
-    if t.plain and named:
-        raise BadFile(f"{path}: [{table}] plain: excludes {', '.join(named)}")
-    if t.plain:
+def parse_tls(path: Path, table: str, values: Any) -> Tls | None:
+    """Parses a TLS table. Returns None if it says `plain = true`. Raises BadFile."""
+    tls = convert_table(path, table, values, TlsTable)
+    present = [n for n in FILE_KEYS if getattr(tls, n)]
+    if tls.plain and present:
+        raise BadFile(f"{path}: [{table}] plain: excludes {', '.join(present)}")
+    if tls.plain:
         return None
-    for n in FILES:
-        if n not in named:
-            raise BadFile(f"{path}: [{table}] {n}: is missing; the link is plain only with plain = true")
-    return Tls(*(str(path.parent / getattr(t, n)) for n in FILES))
+    for n in FILE_KEYS:
+        if n not in present:
+            raise BadFile(f"{path}: [{table}] {n}: is missing; only plain = true turns TLS off")
+    return Tls(*(str(path.parent / getattr(tls, n)) for n in FILE_KEYS))
--- a/magpiefront/record/__init__.py
+++ b/magpiefront/record/__init__.py
@@ -1,1 +1,1 @@
-"""A store of record for reports: none is confirmed before it is held, and none is held twice."""
+"""A store of record for reports: a report is confirmed only once it is stored, and stored only once."""
--- a/magpiefront/record/backup.py
+++ b/magpiefront/record/backup.py
@@ -1,10 +1,10 @@
-"""Back-ups of a store of record that is in use: whole, checked, and in place only once they are both.
+"""Backups of a store of record that is in use: complete, verified, and put in place only after that.
 
-SQLite's own back-up interface copies the pages of one snapshot in steps; gateways write on, and their log is
-put back into the file no further than that snapshot until it is done. Over PostgreSQL the rows go, under one
-snapshot, into a SQLite file of the same form: either way a back-up is a store that `verify`, `list` and
-`export` read. It is made beside its place and renamed there: whatever ends it leaves the one before it as it
-was.
+SQLite's backup interface copies the pages of one snapshot in steps. Gateways continue to write, but until the
+backup is done no checkpoint copies newer pages from their log into the file. The rows of a PostgreSQL store
+are copied, from one snapshot, into a SQLite file of the same schema: either way a backup is a store that
+`verify`, `list` and `export` can read. It is written next to its destination and renamed at the end, so that
+an interrupted backup leaves the previous one intact.
 """
 
 from __future__ import annotations
@@ -18,111 +18,118 @@
 from pathlib import Path
 
 from magpiefront.record import sqlite
-from magpiefront.record.books import Book, Refused, SqliteBook
+from magpiefront.record.report_stores import CommandError, ReportStore, SqliteReportStore
 from magpiefront.record.sqlite import BadStore, open_file
 
-PAGES = 256  # of a step; after each its progress is told
-ROWS = 1_000  # told of at a time
-Told = Callable[[int, int], None]  # done, of how many
+PAGES_PER_STEP = 256
+ROWS_PER_STEP = 1_000  # rows between two calls of `on_progress`
+OnProgress = Callable[[int, int], None]  # the pages or rows done, and their total number
 
 
 @dataclass(frozen=True, slots=True)
 class Backup:
+    """A backup that was made: its file, the number of its rows and its size."""
+
     path: Path
     rows: int
     bytes: int
 
 
-def backup(book: Book, to: Path, told: Told) -> Backup:
-    """Raises Refused; `to` is then what it was before."""
-    if isinstance(book, SqliteBook) and to.exists() and to.samefile(book.path):
-        raise Refused(f"{to}: is the store itself")
-    part = to.with_name(f"{to.name}.part")
+def backup(store: ReportStore, to: Path, on_progress: OnProgress) -> Backup:
+    """Makes a backup of the store in the file `to`. Raises CommandError; `to` is then unchanged, unless
+    the last step failed, which syncs its directory."""
+    if isinstance(store, SqliteReportStore) and to.exists() and to.samefile(store.path):
+        raise CommandError(f"{to}: is the store itself")
+    partial = to.with_name(f"{to.name}.part")
     try:
-        _clear(part)
-        if isinstance(book, SqliteBook):
-            _copy(book, part, told)
+        _remove_file(partial)
+        if isinstance(store, SqliteReportStore):
+            _copy_pages(store, partial, on_progress)
         else:
-            _gather(book, part, told)
-        found = _checked(part)
-        with open(part, "rb") as f:
+            _copy_rows(store, partial, on_progress)
+        row_count = _verify(partial)
+        with open(partial, "rb") as f:
             os.fsync(f.fileno())
-        os.replace(part, to)
-        _sync_folder(to.parent)
+        os.replace(partial, to)
+        _sync_directory(to.parent)
     except (OSError, sqlite3.Error, BadStore) as e:
-        _clear(part)
-        raise Refused(f"{to}: no back-up was made: {' '.join(str(e).split())}") from None
+        _remove_file(partial)
+        raise CommandError(f"{to}: the backup failed: {' '.join(str(e).split())}") from None
     except BaseException:
-        _clear(part)
+        _remove_file(partial)
         raise
-    return Backup(to, found, to.stat().st_size)
+    return Backup(to, row_count, to.stat().st_size)
 
 
-def _copy(book: SqliteBook, part: Path, told: Told) -> None:
-    target = sqlite3.connect(part)
+def _copy_pages(store: SqliteReportStore, partial: Path, on_progress: OnProgress) -> None:
+    target = sqlite3.connect(partial)
     try:
-        # Without a snapshot held, each commit of a gateway makes the copy begin anew, for ever under load.
-        book.begin(False)
+        # Without an open snapshot each commit of a gateway would restart the copy, which under load would
+        # never finish.
+        store.begin(False)
         taken_s = time.time()
-        book.counts()
-        book.db.backup(target, pages=PAGES, progress=lambda _, left, all_: told(all_ - left, all_))
-        book.commit()
-        # One file, with nothing in a log beside it: it can be copied as it is.
+        store.counts()  # the snapshot begins with the first read; the result is not used
+        store.db.backup(
+            target, pages=PAGES_PER_STEP, progress=lambda _, left, total: on_progress(total - left, total)
+        )
+        store.commit()
+        # Without write-ahead log the backup is one file, which can be copied as it is.
         target.execute("PRAGMA journal_mode=DELETE")
         with target:
-            sqlite.mark_copy(target, taken_s)
+            sqlite.mark_as_backup(target, taken_s)
     finally:
         target.close()
 
 
-def _gather(book: Book, part: Path, told: Told) -> None:
-    db = open_file(part)
+def _copy_rows(store: ReportStore, partial: Path, on_progress: OnProgress) -> None:
+    db = open_file(partial)
     try:
-        db.execute("PRAGMA synchronous=OFF")  # it is synced once, when it is whole
-        book.begin(False)  # one view of all rows, whatever is written meanwhile
-        all_ = sum(count for _, count, _ in book.counts())
+        db.execute("PRAGMA synchronous=OFF")  # the file is synced once, when it is complete
+        store.begin(False)  # a consistent view of all rows, whatever is written meanwhile
+        total = sum(count for _, count, _ in store.counts())
         db.execute("BEGIN")
-        sqlite.mark_copy(db, time.time())
-        for n, row in enumerate(book.rows(), 1):
-            db.execute(sqlite.INSERT, sqlite.pack(row))
-            if n % ROWS == 0:
-                told(n, all_)
+        sqlite.mark_as_backup(db, time.time())
+        for n, row in enumerate(store.rows(), 1):
+            db.execute(sqlite.INSERT, sqlite.encode_row(row))
+            if n % ROWS_PER_STEP == 0:
+                on_progress(n, total)
         db.execute("COMMIT")
-        book.commit()
-        told(all_, all_)
+        store.commit()
+        on_progress(total, total)
         db.execute("PRAGMA journal_mode=DELETE")
     finally:
         db.close()
 
 
-def _checked(part: Path) -> int:
-    """How many rows it has. Raises sqlite3.Error, BadStore and Refused."""
-    db = sqlite3.connect(part)
+def _verify(partial: Path) -> int:
+    """Checks the copy and decodes all its rows. Returns their number. Raises sqlite3.Error or BadStore."""
+    db = sqlite3.connect(partial)
     try:
-        found = db.execute("PRAGMA integrity_check(1)").fetchone()[0]
-        if found != "ok":
-            raise BadStore(f"the copy is damaged: {found}")
+        check_result = db.execute("PRAGMA integrity_check(1)").fetchone()[0]
+        if check_result != "ok":
+            raise BadStore(f"the copy is damaged: {check_result}")
         if db.execute("PRAGMA user_version").fetchone()[0] != sqlite.VERSION:
-            raise BadStore("the copy is of another version")
+            raise BadStore("the copy has another version")
         count = 0
-        for _ in sqlite.rows(db, None):  # each can be read
+        for _ in sqlite.rows(db, None):  # decodes each row
             count += 1
         return count
     except (ValueError, TypeError) as e:
-        raise BadStore(f"a row of the copy can't be read: {e}") from None
+        raise BadStore(f"a row of the copy can't be decoded: {e}") from None
     finally:
         db.close()
 
 
-def _clear(part: Path) -> None:
-    for end in ("", "-wal", "-shm", "-journal"):
+def _remove_file(partial: Path) -> None:
+    """Removes a SQLite file and the files that SQLite keeps next to it, as far as they exist."""
+    for suffix in ("", "-wal", "-shm", "-journal"):
         with suppress(FileNotFoundError):
-            os.unlink(f"{part}{end}")
+            os.unlink(f"{partial}{suffix}")
 
 
-def _sync_folder(folder: Path) -> None:
-    d = os.open(folder, os.O_RDONLY | os.O_DIRECTORY)
+def _sync_directory(directory: Path) -> None:
+    descriptor = os.open(directory, os.O_RDONLY | os.O_DIRECTORY)
     try:
-        os.fsync(d)
+        os.fsync(descriptor)
     finally:
-        os.close(d)
+        os.close(descriptor)
--- a/magpiefront/record/commands.py
+++ b/magpiefront/record/commands.py
@@ -1,4 +1,4 @@
-"""`python -m magpiefront record`: what an operator asks of the store of record, also while it is in use."""
+"""`python -m magpiefront record`: an operator's commands for the store of record, also while it is in use."""
 
 from __future__ import annotations
 
@@ -15,243 +15,259 @@
 from typing import Any, TextIO
 
 from magpiefront.record.backup import backup
-from magpiefront.record.books import Book, Refused, open_book
+from magpiefront.record.report_stores import ReportStore, CommandError, open_report_store
 from magpiefront.record.rows import Answer, Attempt, Id, Moment, Row, State
 from magpiefront.record.settings import PostgresSettings, SqliteSettings
 from magpiefront.record.sqlite import BadStore
 
-FINE, LOOK = 0, 1  # exit statuses; 2 is for what can't be done
+EXIT_OK, EXIT_ATTENTION = 0, 1  # a command that can't be carried out exits with status 2
 
 
 def add_arguments(parser: argparse.ArgumentParser) -> None:
-    parser.add_argument("--json", action="store_true", help="for programs")
+    """Adds the subcommands and their options."""
+    parser.add_argument("--json", action="store_true", help="print JSON")
     commands = parser.add_subparsers(dest="record_command", required=True)
-    commands.add_parser("status", help="how many are in which state; exit status 1 where some are unknown")
-    listed = commands.add_parser("list", help="reports, the oldest first")
-    listed.add_argument("--state", choices=[s.value for s in State])
-    listed.add_argument("--limit", type=int, default=50)
+    commands.add_parser("status", help="count the reports in each state; exit status 1 if some are unknown")
+    list_ = commands.add_parser("list", help="list reports, the oldest first")
+    list_.add_argument("--state", choices=[s.value for s in State])
+    list_.add_argument("--limit", type=int, default=50)
     for name, text in (
-        ("show", "all that is held of a key"),
-        ("resolve", "say what became of an unknown one"),
+        ("show", "show all that is stored for a key"),
+        ("resolve", "set the outcome of a report in the state unknown"),
     ):
-        one = commands.add_parser(name, help=text)
-        one.add_argument("key")
-        one.add_argument("--tenant")
-        one.add_argument("--class", dest="kind")
+        command = commands.add_parser(name, help=text)
+        command.add_argument("key")
+        command.add_argument("--tenant")
+        command.add_argument("--class", dest="kind")
         if name == "resolve":
-            one.add_argument("--as", dest="as_", choices=["ran", "not-run"], required=True)
-            one.add_argument("--note", required=True)
-    commands.add_parser("verify", help="is the file whole, and every row what its state says?")
-    export = commands.add_parser("export", help="all rows, one line of JSON each")
+            command.add_argument("--as", dest="as_", choices=["ran", "not-run"], required=True)
+            command.add_argument("--note", required=True)
+    commands.add_parser("verify", help="check the file, and each row against its state")
+    export = commands.add_parser("export", help="write all rows, each as one line of JSON")
     export.add_argument("--to", metavar="FILE", help="default: standard output")
-    import_ = commands.add_parser("import", help="rows of an export; those that are held already stay")
+    import_ = commands.add_parser("import", help="add the rows of an export; existing rows are kept")
     import_.add_argument("file")
-    backup_ = commands.add_parser("backup", help="a whole, checked copy while gateways run")
+    backup_ = commands.add_parser("backup", help="make a complete, verified copy while gateways run")
     backup_.add_argument("file")
-    commands.add_parser("compact", help="give the room of removed rows back to the disk")
+    commands.add_parser("compact", help="return the space of removed rows to the file system")
 
 
 def run(
-    store: SqliteSettings | PostgresSettings | Book, args: argparse.Namespace, out: TextIO | None = None
-) -> int:  # fmt: skip
-    """The exit status. Raises Refused or BadStore."""
-    if isinstance(store, SqliteSettings | PostgresSettings):
-        book = open_book(store, create=args.record_command == "import")
+    store_or_settings: SqliteSettings | PostgresSettings | ReportStore,
+    args: argparse.Namespace,
+    out: TextIO | None = None,
+) -> int:
+    """Runs a command on a store, or on the store that the settings describe, and closes it. Returns the exit
+    status. Raises CommandError or BadStore."""
+    if isinstance(store_or_settings, SqliteSettings | PostgresSettings):
+        store = open_report_store(store_or_settings, create=args.record_command == "import")
     else:
-        book = store
+        store = store_or_settings
     try:
-        return COMMANDS[args.record_command](book, args, out or sys.stdout)
+        return COMMANDS[args.record_command](store, args, out or sys.stdout)
     except sqlite3.Error as e:
-        raise Refused(f"{book.name}: {' '.join(str(e).split())}") from None
+        raise CommandError(f"{store.name}: {' '.join(str(e).split())}") from None
     finally:
-        book.close()
+        store.close()
 
 
-def _table(out: TextIO, head: tuple[str, ...], lines: Sequence[tuple[object, ...]]) -> None:
-    texts = [head, *[tuple(str(v) for v in line) for line in lines]]
-    widths = [max(len(t[n]) for t in texts) for n in range(len(head))]
-    for t in texts:
-        print("  ".join(v.ljust(w) for v, w in zip(t, widths, strict=True)).rstrip(), file=out)
+def _print_table(out: TextIO, header: tuple[str, ...], lines: Sequence[tuple[object, ...]]) -> None:
+    cells = [header, *[tuple(str(v) for v in line) for line in lines]]
+    widths = [max(len(row[n]) for row in cells) for n in range(len(header))]
+    for row in cells:
+        print("  ".join(v.ljust(w) for v, w in zip(row, widths, strict=True)).rstrip(), file=out)
 
 
-def _when(seconds: float) -> str:
+def _format_time(seconds: float) -> str:
     return time.strftime("%Y-%m-%d %H:%M:%S", time.gmtime(seconds))
 
 
-def _status(book: Book, args: argparse.Namespace, out: TextIO) -> int:
-    counts = {state: (count, oldest) for state, count, oldest in book.counts()}
-    size, origins = book.size(), book.origins()
+def _status(store: ReportStore, args: argparse.Namespace, out: TextIO) -> int:
+    counts = {state: (count, oldest) for state, count, oldest in store.counts()}
+    size, backups = store.size(), store.source_backups()
     if args.json:
         states = {s.value: counts.get(s.value, (0, None))[0] for s in State}
-        copies = [{"taken_s": taken, "opened_s": opened} for taken, opened in origins]
-        print(json.dumps({"store": book.name, "bytes": size, "states": states, "backups": copies}), file=out)
+        copies = [{"taken_s": taken, "opened_s": opened} for taken, opened in backups]
+        print(json.dumps({"store": store.name, "bytes": size, "states": states, "backups": copies}), file=out)
     else:
-        lines = [(s.value, counts[s.value][0], _when(counts[s.value][1])) for s in State if s.value in counts]
-        _table(out, ("state", "reports", "oldest (UTC)"), lines)
-        print(f"{book.name}: {size / 2**20:.1f} MiB", file=out)
-        for taken, opened in origins:
-            since = f"in use since {_when(opened)}" if opened is not None else "not in use yet"
-            print(f"a back-up of {_when(taken)} (UTC), {since}: what was held after it is not here", file=out)
-    return LOOK if State.UNKNOWN.value in counts else FINE
+        lines = [
+            (s.value, counts[s.value][0], _format_time(counts[s.value][1]))
+            for s in State
+            if s.value in counts
+        ]
+        _print_table(out, ("state", "reports", "oldest (UTC)"), lines)
+        print(f"{store.name}: {size / 2**20:.1f} MiB", file=out)
+        for taken, opened in backups:
+            since = f"in use since {_format_time(opened)}" if opened is not None else "not in use yet"
+            print(f"a backup of {_format_time(taken)} (UTC), {since}: later reports are missing", file=out)
+    return EXIT_ATTENTION if State.UNKNOWN.value in counts else EXIT_OK
 
 
-def _list(book: Book, args: argparse.Namespace, out: TextIO) -> int:
+def _list(store: ReportStore, args: argparse.Namespace, out: TextIO) -> int:
     state = State(args.state) if args.state else None
-    found = [r for r, _ in zip(book.rows(state), range(args.limit), strict=False)]
+    found = [r for r, _ in zip(store.rows(state), range(args.limit), strict=False)]
     if args.json:
         for r in found:
             print(json.dumps(to_json(r)), file=out)
     else:
         lines = [
-            (_when(r.received_s), r.state.value, r.id.tenant, r.id.kind, _text(r.id.key), _text(r.target))
+            (
+                _format_time(r.received_s), r.state.value, r.id.tenant, r.id.kind, _printable(r.id.key),
+                _printable(r.target),
+            )
             for r in found
-        ]
-        _table(out, ("received (UTC)", "state", "tenant", "class", "key", "target"), lines)
-    return LOOK if any(r.state is State.UNKNOWN for r in found) else FINE
+        ]  # fmt: skip
+        _print_table(out, ("received (UTC)", "state", "tenant", "class", "key", "target"), lines)
+    return EXIT_ATTENTION if any(r.state is State.UNKNOWN for r in found) else EXIT_OK
 
 
-def _matching(book: Book, args: argparse.Namespace) -> list[Row]:
+def _find_reports(store: ReportStore, args: argparse.Namespace) -> list[Row]:
+    """Returns the reports with the key, tenant and class that are given. Raises CommandError if there are
+    none."""
     key = args.key.encode("utf-8", "surrogateescape")
-    found = [r for r in book.rows() if r.id.key == key]
+    found = [r for r in store.rows() if r.id.key == key]
     found = [r for r in found if args.tenant in (None, r.id.tenant) and args.kind in (None, r.id.kind)]
     if not found:
-        raise Refused(f"no report with the key {args.key!r} is held")
+        raise CommandError(f"no report with the key {args.key!r} exists")
     return found
 
 
-def _show(book: Book, args: argparse.Namespace, out: TextIO) -> int:
-    found = _matching(book, args)
+def _show(store: ReportStore, args: argparse.Namespace, out: TextIO) -> int:
+    found = _find_reports(store, args)
     for r in found:
         if args.json:
             print(json.dumps(to_json(r)), file=out)
             continue
         answer = f"{r.answer.status}, {len(r.answer.body)} bytes" if r.answer else "none"
-        sent = _when(r.sent.wall_s) if r.sent else "never"
+        sent = _format_time(r.sent.wall_s) if r.sent else "never"
         lines: list[tuple[object, ...]] = [
-            ("key", _text(r.id.key)), ("tenant", r.id.tenant), ("class", r.id.kind), ("state", r.state.value),
-            ("request", f"{_text(r.method)} {_text(r.target)}"), ("received (UTC)", _when(r.received_s)),
-            ("sent (UTC)", sent), ("nodes drop repeats for", f"{r.window_s:g} s"), ("answer", answer),
-            *[("attempt (UTC)", f"{_when(a.at_s)} at {a.node}") for a in r.attempts],
-            ("body", _text(r.body[:200])), ("note", r.note),
+            ("key", _printable(r.id.key)), ("tenant", r.id.tenant), ("class", r.id.kind),
+            ("state", r.state.value), ("request", f"{_printable(r.method)} {_printable(r.target)}"),
+            ("received (UTC)", _format_time(r.received_s)), ("sent (UTC)", sent),
+            ("nodes drop repeats for", f"{r.window_s:g} s"), ("answer", answer),
+            *[("attempt (UTC)", f"{_format_time(a.at_s)} at {a.node}") for a in r.attempts],
+            ("body", _printable(r.body[:200])), ("note", r.note),
         ]  # fmt: skip
-        _table(out, ("field", "value"), lines)
-    return LOOK if any(r.state is State.UNKNOWN for r in found) else FINE
+        _print_table(out, ("field", "value"), lines)
+    return EXIT_ATTENTION if any(r.state is State.UNKNOWN for r in found) else EXIT_OK
 
 
-def _resolve(book: Book, args: argparse.Namespace, out: TextIO) -> int:
-    found = _matching(book, args)
+def _resolve(store: ReportStore, args: argparse.Namespace, out: TextIO) -> int:
+    found = _find_reports(store, args)
     if len(found) > 1:
-        raise Refused(f"{len(found)} reports have the key {args.key!r}: name --tenant and --class")
+        raise CommandError(f"{len(found)} reports have the key {args.key!r}: give --tenant and --class")
     r = found[0]
     if r.state is not State.UNKNOWN:
-        raise Refused(f"{args.key!r} is {r.state.value}: only an unknown one can be resolved")
+        raise CommandError(f"{args.key!r} is {r.state.value}: only an unknown report can be resolved")
     if args.as_ == "ran":
         answer = Answer(200, b"Content-Type: text/plain\r\n", b"held; an operator has confirmed it\n")
         after = replace(r, state=State.CONFIRMED, answer=answer, note=args.note, told=False)
     else:
         after = replace(r, state=State.NOT_RUN, note=args.note, told=False)
-    if not book.change(r, after):
-        raise Refused(f"{args.key!r} has changed meanwhile")
+    if not store.change(r, after):
+        raise CommandError(f"{args.key!r} was changed by another process")
     print(json.dumps(to_json(after)) if args.json else f"{args.key}: {after.state.value}", file=out)
-    return FINE
+    return EXIT_OK
 
 
-def faults_of(r: Row) -> Iterator[str]:
+def find_faults(r: Row) -> Iterator[str]:
+    """Yields, as text, each way in which a row contradicts its state."""
     if r.state is State.CONFIRMED and r.answer is None:
         yield "confirmed without an answer"
     if r.told and r.state not in (State.SENT, State.UNKNOWN):
-        yield f"{r.state.value}, and its client was told to come again"
+        yield f"{r.state.value}, although its client was told to retry"
     if r.state in (State.SENT, State.UNKNOWN) and r.sent is None:
-        yield f"{r.state.value} without a time when it was sent"
+        yield f"{r.state.value} without the time when it was sent"
     if not r.id.key or not r.digest:
         yield "without a key or a digest"
 
 
-def _verify(book: Book, args: argparse.Namespace, out: TextIO) -> int:
-    found: list[str] = []
+def _verify(store: ReportStore, args: argparse.Namespace, out: TextIO) -> int:
+    faults: list[str] = []
     count = 0
-    for r in book.checked():
+    for r in store.verify_rows():
         if isinstance(r, str):
-            found.append(r)
+            faults.append(r)
             continue
         count += 1
-        found += [f"{_text(r.id.key)}: {fault}" for fault in faults_of(r)]
+        faults += [f"{_printable(r.id.key)}: {fault}" for fault in find_faults(r)]
         if sys.stderr.isatty() and count % 1_000 == 0:
             print(f"\r{count} rows", end="", file=sys.stderr)
     if args.json:
-        print(json.dumps({"rows": count, "faults": found}), file=out)
+        print(json.dumps({"rows": count, "faults": faults}), file=out)
     else:
-        for line in found:
+        for line in faults:
             print(line, file=out)
-        print(f"{count} rows, {len(found)} faults", file=out)
-    return LOOK if found else FINE
+        print(f"{count} rows, {len(faults)} faults", file=out)
+    return EXIT_ATTENTION if faults else EXIT_OK
 
 
-def _export(book: Book, args: argparse.Namespace, out: TextIO) -> int:
-    book.begin(False)  # one view of all rows, whatever is written meanwhile
+def _export(store: ReportStore, args: argparse.Namespace, out: TextIO) -> int:
+    store.begin(False)  # a consistent view of all rows, whatever is written meanwhile
     try:
         with open(args.to, "w", encoding="utf-8") if args.to else nullcontext(out) as target:
-            for r in book.rows():
+            for r in store.rows():
                 print(json.dumps(to_json(r)), file=target)
     except OSError as e:
-        raise Refused(f"{args.to}: {e.strerror}") from None
-    return FINE
+        raise CommandError(f"{args.to}: {e.strerror}") from None
+    return EXIT_OK
 
 
-def _import(book: Book, args: argparse.Namespace, out: TextIO) -> int:
-    new = there = 0
-    other: list[str] = []
+def _import(store: ReportStore, args: argparse.Namespace, out: TextIO) -> int:
+    new = existing = 0
+    conflicts: list[str] = []
     try:
         with open(args.file, encoding="utf-8") as lines:
-            book.begin(True)
+            store.begin(True)
             for number, line in enumerate(lines, 1):
                 try:
                     r = from_json(json.loads(line))
                 except (ValueError, KeyError, TypeError) as e:
-                    what = f"line {number}: {type(e).__name__}: {e}; nothing was imported"
-                    raise Refused(f"{args.file}: {what}") from None
+                    cause = f"line {number}: {type(e).__name__}: {e}; nothing was imported"
+                    raise CommandError(f"{args.file}: {cause}") from None
                 if r.state is State.SENT:
-                    # Guards against a second effect: the clock that its window counts on is not this store's.
+                    # Its retry window is measured by the clock of another store, so sending it again could
+                    # have a second effect.
                     r = replace(r, state=State.UNKNOWN, note=r.note or "was sent when it was exported")
-                if book.add(r):
+                if store.add(r):
                     new += 1
                     continue
-                there += 1
-                held = book.find(r.id)
-                if held is not None and held.digest != r.digest:
-                    other.append(_text(r.id.key))
-            book.commit()
+                existing += 1
+                stored = store.find(r.id)
+                if stored is not None and stored.digest != r.digest:
+                    conflicts.append(_printable(r.id.key))
+            store.commit()
     except (OSError, UnicodeDecodeError) as e:
-        raise Refused(f"{args.file}: {e}") from None
+        raise CommandError(f"{args.file}: {e}") from None
     if args.json:
-        print(json.dumps({"new": new, "held": there, "another": other}), file=out)
+        print(json.dumps({"new": new, "held": existing, "another": conflicts}), file=out)
     else:
-        print(f"{new} new, {there} held already", file=out)
-        for key in other:
-            print(f"{key}: another report is held under this key", file=out)
-    return LOOK if other else FINE
+        print(f"{new} new, {existing} exist already", file=out)
+        for key in conflicts:
+            print(f"{key}: another report exists under this key", file=out)
+    return EXIT_ATTENTION if conflicts else EXIT_OK
 
 
-def _compact(book: Book, args: argparse.Namespace, out: TextIO) -> int:
-    before = book.size()
-    book.compact()
-    after = book.size()
+def _compact(store: ReportStore, args: argparse.Namespace, out: TextIO) -> int:
+    before = store.size()
+    store.compact()
+    after = store.size()
     text = f"{before / 2**20:.1f} MiB before, {after / 2**20:.1f} MiB now"
     print(json.dumps({"before": before, "after": after}) if args.json else text, file=out)
-    return FINE
+    return EXIT_OK
 
 
-def _backup(book: Book, args: argparse.Namespace, out: TextIO) -> int:
-    def told(done: int, of: int) -> None:
+def _backup(store: ReportStore, args: argparse.Namespace, out: TextIO) -> int:
+    def on_progress(done: int, total: int) -> None:
         if sys.stderr.isatty():
-            print(f"\r{done} of {of}", end="" if done < of else "\n", file=sys.stderr, flush=True)
+            print(f"\r{done} of {total}", end="" if done < total else "\n", file=sys.stderr, flush=True)
 
-    made = backup(book, Path(args.file), told)
+    result = backup(store, Path(args.file), on_progress)
     if args.json:
-        print(json.dumps({"file": str(made.path), "rows": made.rows, "bytes": made.bytes}), file=out)
+        print(json.dumps({"file": str(result.path), "rows": result.rows, "bytes": result.bytes}), file=out)
     else:
-        print(f"{made.path}: {made.rows} rows, {made.bytes / 2**20:.1f} MiB, checked", file=out)
-    return FINE
+        print(f"{result.path}: {result.rows} rows, {result.bytes / 2**20:.1f} MiB, verified", file=out)
+    return EXIT_OK
 
 
 COMMANDS = {
@@ -261,49 +277,53 @@
 }  # fmt: skip
 
 
-# ---- rows as JSON; bytes as base64
+# ---- rows as JSON, with bytes in base64
 
 
-def _text(value: bytes) -> str:
+def _printable(value: bytes) -> str:
     return value.decode("utf-8", "backslashreplace")
 
 
 def to_json(r: Row) -> dict[str, Any]:
-    def b(value: bytes) -> str:
+    """Converts a row to a JSON object, as in an export."""
+
+    def encode(value: bytes) -> str:
         return base64.b64encode(value).decode("ascii")
 
     answer = None
     if r.answer is not None:
-        answer = {"status": r.answer.status, "more": b(r.answer.more), "body": b(r.answer.body)}
+        answer = {"status": r.answer.status, "more": encode(r.answer.more), "body": encode(r.answer.body)}
     return {
-        "tenant": r.id.tenant, "class": r.id.kind, "key": b(r.id.key), "digest": b(r.digest),
-        "method": b(r.method), "target": b(r.target), "more": b(r.more), "body": b(r.body),
-        "state": r.state.value, "received_s": r.received_s, "sent": list(r.sent) if r.sent else None,
+        "tenant": r.id.tenant, "class": r.id.kind, "key": encode(r.id.key), "digest": encode(r.digest),
+        "method": encode(r.method), "target": encode(r.target), "more": encode(r.more),
+        "body": encode(r.body), "state": r.state.value, "received_s": r.received_s,
+        "sent": list(r.sent) if r.sent else None,
         "owner": r.owner, "window_s": r.window_s, "until_s": r.until_s, "answer": answer,
         "attempts": [[a.node, a.at_s] for a in r.attempts], "note": r.note, "told": r.told,
     }  # fmt: skip
 
 
-def from_json(given: dict[str, Any]) -> Row:
-    """Raises ValueError, KeyError or TypeError."""
+def from_json(data: dict[str, Any]) -> Row:
+    """Converts a JSON object of `to_json` back to a row. Raises ValueError, KeyError or TypeError."""
 
-    def b(value: Any) -> bytes:
+    def decode(value: Any) -> bytes:
         return base64.b64decode(value, validate=True)
 
-    answer = given["answer"]
-    sent = given["sent"]
-    id = Id(str(given["tenant"]), str(given["class"]), b(given["key"]))
+    answer = data["answer"]
+    sent = data["sent"]
+    id = Id(str(data["tenant"]), str(data["class"]), decode(data["key"]))
     moment = Moment(float(sent[0]), str(sent[1]), float(sent[2])) if sent is not None else None
-    held = None
+    stored_answer = None
     if answer is not None:
-        held = Answer(int(answer["status"]), b(answer["more"]), b(answer["body"]))
-    attempts = tuple(Attempt(str(node), float(at)) for node, at in given["attempts"])
+        stored_answer = Answer(int(answer["status"]), decode(answer["more"]), decode(answer["body"]))
+    attempts = tuple(Attempt(str(node), float(at)) for node, at in data["attempts"])
     return Row(
-        id, b(given["digest"]), b(given["method"]), b(given["target"]), b(given["more"]), b(given["body"]),
-        State(given["state"]), float(given["received_s"]), moment, str(given["owner"]),
-        float(given["window_s"]), float(given["until_s"]), held, attempts, str(given["note"]),
-        bool(given.get("told", False)),
+        id, decode(data["digest"]), decode(data["method"]), decode(data["target"]),
+        decode(data["more"]), decode(data["body"]),
+        State(data["state"]), float(data["received_s"]), moment, str(data["owner"]),
+        float(data["window_s"]), float(data["until_s"]), stored_answer, attempts, str(data["note"]),
+        bool(data.get("told", False)),
     )  # fmt: skip
 
 
-__all__ = ["BadStore", "Refused", "add_arguments", "from_json", "run", "to_json"]
+__all__ = ["BadStore", "CommandError", "add_arguments", "from_json", "run", "to_json"]
--- a/magpiefront/record/journal.py
+++ b/magpiefront/record/journal.py
@@ -1,8 +1,9 @@
-"""The life of a report: when it is sent, when its client may be answered, what a repeat gets, and what
-follows from each word of the store. No I/O and no clock.
+"""The state machine of a report: when it is sent, when its clients are answered, what a repeat gets, and what
+follows from each result of the store. It does no I/O and reads no clock.
 
-Events come in as method calls, actions go out in a list. Times are microseconds since the machine's start,
-which all processes on it share and no leap of a clock touches; a `Moment` is what rows carry of them.
+Events are method calls; each returns the list of actions to execute. Times are microseconds since the boot of
+the machine, which all its processes share and which steps of the wall clock do not affect. Rows hold them as
+`Moment`.
 """
 
 from __future__ import annotations
@@ -11,14 +12,15 @@
 from collections.abc import Hashable
 from dataclasses import dataclass, field, replace
 
-from magpiefront.record.acting import Acting, Alone, Standing
-from magpiefront.record.rows import UNSURE, Answer, Attempt, Id, Moment, Outcome, Result, Row, State
+from magpiefront.record.ownership import Ownership, UngroupedOwnership, OwnerStatus
+from magpiefront.record.rows import UNKNOWN_BOOT, Answer, Attempt, Id, Moment, Outcome, Result, Row, State
 
-S = 1_000_000
-ASK_AGAIN_US = 50_000  # a report that another process sends is looked at so often
-FOLLOWED_US = 500_000  # ... where its owner is asked to say when it is done
+US_PER_S = 1_000_000
+POLL_INTERVAL_US = 50_000  # between reads of a row that another process sends
+FOLLOWED_POLL_INTERVAL_US = 500_000  # the same if its owner was asked to notify this process
 RETRY_AFTER_US = 500_000
-WORD_US = 10_000  # a store that has not begun by then can say so for certain before the client is told
+# A store that has not begun an insert this long before the deadline still returns NOT_DONE in time.
+STORE_REPLY_MARGIN_US = 10_000
 
 
 # ---- actions
@@ -26,12 +28,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Insert:
+    """Insert the row into the store."""
+
     row: Row
     deadline_us: int
 
 
 @dataclass(frozen=True, slots=True)
 class Change:
+    """Replace the row `before` by `after`, if its state and owner are unchanged."""
+
     before: Row
     after: Row
     deadline_us: int
@@ -39,21 +45,25 @@
 
 @dataclass(frozen=True, slots=True)
 class Remove:
+    """Remove the row from the store, if its state and owner are unchanged."""
+
     before: Row
     deadline_us: int
 
 
 @dataclass(frozen=True, slots=True)
 class Get:
+    """Read the row from the store."""
+
     id: Id
     deadline_us: int
-    after_us: int = 0  # not before so much time has passed
-    number: int = 0  # of its entry's look-ups; only the newest counts
+    delay_us: int = 0  # wait this long before the read
+    read_number: int = 0  # the result of an earlier read of the same entry is ignored
 
 
 @dataclass(frozen=True, slots=True)
 class Follow:
-    """The member that owns the row is asked to say when it is done with it."""
+    """Ask the member that owns the row to notify this process when it is done with it."""
 
     id: Id
     owner: str
@@ -61,297 +71,335 @@
 
 @dataclass(frozen=True, slots=True)
 class Send:
-    """To the nodes, through the Router. `deadline_us`: when its answer must be there."""
+    """Send the report to the nodes, through the Router. The answer is needed by `deadline_us`."""
 
     row: Row
     deadline_us: int
-    crossed: bool = False  # it came from another site, and goes no further
+    from_other_site: bool = False  # it must not be sent on to a third site
     resumed: bool = False  # another process may have sent it before
 
 
 @dataclass(frozen=True, slots=True)
 class Reply:
+    """Answer one client."""
+
     waiter: Hashable
     answer: Answer
     retry_after_us: int = 0
-    never_ran: bool = False  # that is certain, and that nobody will send it
+    never_ran: bool = False  # certain not to have run, and not to be sent by any process
 
 
 @dataclass(frozen=True, slots=True)
-class Note:
-    """A line for the operator."""
+class LogLine:
+    """Log a line."""
 
     text: str
 
 
-Action = Insert | Change | Remove | Get | Follow | Send | Reply | Note
+Action = Insert | Change | Remove | Get | Follow | Send | Reply | LogLine
 
 
 class Phase(enum.Enum):
+    """What this process does with a report. The values are labels of a metric."""
+
     INSERTING = "inserting"
-    ASKING = "asking"  # the store, what stands there
-    TAKING = "taking"  # over, from another process or from "stored"
+    POLLING = "asking"  # reads the row until it can act on it
+    CLAIMING = "taking"  # takes the row over from another owner
     SENDING = "sending"
-    SETTLING = "settling"  # its outcome is being stored
-    FREEING = "freeing"  # it never ran, and is being removed
+    STORING_OUTCOME = "settling"
+    UNDOING = "freeing"  # this attempt did not run: removes the row, or sets it back to that before the claim
 
 
 @dataclass(slots=True)
 class Entry:
-    """A report that this process has to do with now."""
+    """A report that this process has in hand."""
 
     row: Row
     phase: Phase
-    waiters: dict[Hashable, int] = field(default_factory=dict)  # until when each one's time lasts
-    held: bool = False  # did this process insert or take it?
-    awaits: Row | None = None  # what its row is to become by the change that is under way
-    origin: Row | None = None  # what stood there when it was taken over
-    until_us: int = 0  # of a delivery that nobody waits for
-    outcome: Answer | None = None  # what the clients are told once it is settled
+    waiters: dict[Hashable, int] = field(default_factory=dict)  # the deadline of each client
+    is_owned: bool = False  # whether this process inserted or claimed the row
+    pending_row: Row | None = None  # the new row of the change in progress
+    claimed_from: Row | None = None  # the row as it was before the claim
+    delivery_deadline_us: int = 0  # of a delivery that no client waits for
+    final_answer: Answer | None = None  # the clients get it once the outcome is stored or the row is undone
     retry_after_us: int = 0
-    looks: int = 0  # how often it was asked for
-    followed: str = ""  # the owner that was asked to tell
-    crossed: bool = False
+    read_count: int = 0  # reads of the row so far
+    followed_owner: str = ""  # the owner that was asked to notify this process
+    from_other_site: bool = False
 
     @property
     def deadline_us(self) -> int:
-        return max(self.waiters.values(), default=self.until_us)
+        return max(self.waiters.values(), default=self.delivery_deadline_us)
 
 
-def plain(status: int, text: str) -> Answer:
+def plain_answer(status: int, text: str) -> Answer:
+    """Returns an answer with a body of plain text."""
     return Answer(status, b"Content-Type: text/plain\r\n", text.encode() + b"\n")
 
 
-UNLIKE = plain(422, "this Idempotency-Key came with another report before")
-OPEN = plain(409, "a report with this Idempotency-Key is under way")
-NOBODY_KNOWS = plain(409, "whether this report had its effect is not known; ask the operator")
-COME_AGAIN = plain(409, "the report may have had its effect; ask again under the same Idempotency-Key")
-NOT_HELD = plain(503, "the store of record can't take this report now; nothing was done")
-UNDECIDED = (OPEN, COME_AGAIN, NOBODY_KNOWS)  # no answers yet: another site's gateway is not to keep them
+KEY_REUSED = plain_answer(422, "this Idempotency-Key came with another report before")
+IN_PROGRESS = plain_answer(409, "a report with this Idempotency-Key is under way")
+OUTCOME_UNKNOWN = plain_answer(409, "whether this report had its effect is not known; ask the operator")
+RETRY_SAME_KEY = plain_answer(
+    409, "the report may have had its effect; ask again under the same Idempotency-Key"
+)  # fmt: skip
+STORE_UNAVAILABLE = plain_answer(503, "the store of record can't take this report now; nothing was done")
+# Not the result of the report: the gateway of another site must not store these as its answer.
+UNDECIDED = (IN_PROGRESS, RETRY_SAME_KEY, OUTCOME_UNKNOWN)
 
 
 class Journal:
-    """`boot` names the machine's start."""
+    """The reports that this process has in hand, and what to do about each event."""
 
     def __init__(
-        self, boot: str, least_left_us: int = 20_000, settle_us: int = 2_000_000,
-        acting: Acting | None = None,
+        self, boot: str, least_left_us: int = 20_000, outcome_timeout_us: int = 2_000_000,
+        ownership: Ownership | None = None,
     ) -> None:  # fmt: skip
-        """`least_left_us`: one with less time left is not sent. `settle_us`: how long a store is tried with
-        an outcome after its clients have gone. `acting`: who may act, where proxies agree on that."""
+        """`boot` is the boot id of the machine. A report with less time left than `least_left_us` is not
+        sent. An outcome may be stored until the last client's deadline or until `outcome_timeout_us` after it
+        is known, whichever is later. `ownership` decides which rows this process may act on if proxies form a
+        group."""
         self.boot = boot
-        self.acting = acting or Alone()
-        self.taken = 0  # from owners that were over
-        self.least_left_us, self.settle_us = least_left_us, settle_us
+        self.ownership = ownership or UngroupedOwnership()
+        self.claimed_count = 0  # rows claimed from owners that had ended
+        self.least_left_us, self.outcome_timeout_us = least_left_us, outcome_timeout_us
         self.entries: dict[Id, Entry] = {}
 
     # ---- clients
 
-    def arrive(
-        self, now_us: int, waiter: Hashable, row: Row, deadline_us: int, crossed: bool = False
+    def on_request(
+        self, now_us: int, waiter: Hashable, row: Row, deadline_us: int, from_other_site: bool = False
     ) -> list[Action]:  # fmt: skip
-        """A report, as the row that it would be: sent from the moment that it is held, for after its commit
-        nobody could tell whether it went; its `owner` is nobody else's. Also a repeat of one."""
+        """A client sends a report or repeats one. `row` is the row to insert, with an owner that no other
+        request has. Its state is `SENT` from the start, because after the commit another process could not
+        tell whether the report has been sent."""
         entry = self.entries.get(row.id)
         if entry is not None:
             if entry.row.digest != row.digest:
-                return [Reply(waiter, UNLIKE, never_ran=True)]
+                return [Reply(waiter, KEY_REUSED, never_ran=True)]
             entry.waiters[waiter] = deadline_us
             return []
-        self.entries[row.id] = Entry(row, Phase.INSERTING, {waiter: deadline_us}, crossed=crossed)
-        return [Insert(row, deadline_us - self.least_left_us - WORD_US)]
+        self.entries[row.id] = Entry(
+            row, Phase.INSERTING, {waiter: deadline_us}, from_other_site=from_other_site
+        )
+        return [Insert(row, deadline_us - self.least_left_us - STORE_REPLY_MARGIN_US)]
 
-    def leave(self, waiter: Hashable, id: Id) -> None:
-        """Its client has gone. What was begun goes on: the next with that key is owed the answer."""
+    def on_client_left(self, waiter: Hashable, id: Id) -> None:
+        """A client has disconnected. The report continues, because a repeat under its key needs the
+        answer."""
         entry = self.entries.get(id)
         if entry is not None:
             entry.waiters.pop(waiter, None)
 
-    def overdue(self, now_us: int, waiter: Hashable, id: Id) -> list[Action]:
-        """A client's time is nearly up while its report is open, or is up: what can't be sent any more is
-        answered at once, and what is out may still come."""
+    def on_deadline(self, now_us: int, waiter: Hashable, id: Id) -> list[Action]:
+        """A client's deadline is near or past. If its report can no longer be sent, the client is answered at
+        once. If the report is being sent, its outcome stored or its row undone, the client is answered at the
+        deadline."""
         entry = self.entries.get(id)
         if entry is None or waiter not in entry.waiters:
             return []
-        out = entry.phase in (Phase.SENDING, Phase.SETTLING, Phase.FREEING)
-        if out and now_us < entry.waiters[waiter]:
+        # Also true while the row of a report that was not sent is undone.
+        is_sent = entry.phase in (Phase.SENDING, Phase.STORING_OUTCOME, Phase.UNDOING)
+        if is_sent and now_us < entry.waiters[waiter]:
             return []
         del entry.waiters[waiter]
-        if entry.phase in (Phase.ASKING, Phase.TAKING):
-            return [Reply(waiter, OPEN, RETRY_AFTER_US)]
+        if entry.phase in (Phase.POLLING, Phase.CLAIMING):
+            return [Reply(waiter, IN_PROGRESS, RETRY_AFTER_US)]
         if entry.phase is Phase.INSERTING and not entry.waiters:
-            # It is not sent from here, and freed once it is held. But that may be on its way to the store:
-            # where this process is lost before it frees it, another one finds it there, and sends it.
-            return [Reply(waiter, COME_AGAIN, RETRY_AFTER_US)]
-        return [Reply(waiter, plain(504, "no answer in time; the report may have had its effect"))]
+            # This process will not send the report, and will remove the row once it is inserted. But the
+            # insert may be on its way to the store: if this process is lost before the removal, another one
+            # finds the row and sends the report.
+            return [Reply(waiter, RETRY_SAME_KEY, RETRY_AFTER_US)]
+        return [Reply(waiter, plain_answer(504, "no answer in time; the report may have had its effect"))]
 
     # ---- the store
 
-    def _change(self, entry: Entry, before: Row, after: Row, deadline_us: int) -> Change:
-        """Of its outcome this entry hears. What is let go nobody waits for, and its word may come when the
-        client's next try has an entry of its own: that one must not take it for its own change."""
-        entry.awaits = after
+    def _change_row(self, entry: Entry, before: Row, after: Row, deadline_us: int) -> Change:
+        """Starts a change whose result goes to this entry. The result of any other change, such as the
+        release of a row, may arrive when the client's next attempt has a new entry, which must ignore it."""
+        entry.pending_row = after
         return Change(before, after, deadline_us)
 
     def inserted(self, now_us: int, id: Id, result: Result) -> list[Action]:
+        """Handles the result of an `Insert`."""
         entry = self.entries.get(id)
         if entry is None or entry.phase is not Phase.INSERTING:
-            return []  # it has been parted with; what stands there is found when it is looked for
+            return []  # released meanwhile; the row is found when it is read next
         if result.outcome is Outcome.DONE:
-            entry.held = True
+            entry.is_owned = True
             return self._send(now_us, entry)
-        if result.outcome is Outcome.THERE and result.row is not None:
-            return self._found(now_us, entry, result.row)
-        if result.outcome is Outcome.NEVER:
-            return self._give_up(entry, NOT_HELD, RETRY_AFTER_US, never_ran=True)
-        # Its commit may have come about. What stands there will tell; ours would have our name.
-        entry.phase = Phase.ASKING
-        return self._ask(now_us, entry)
-
-    def got(self, now_us: int, id: Id, result: Result, number: int | None = None) -> list[Action]:
+        if result.outcome is Outcome.CONFLICT and result.row is not None:
+            return self._handle_existing(now_us, entry, result.row)
+        if result.outcome is Outcome.NOT_DONE:
+            return self._drop(entry, STORE_UNAVAILABLE, RETRY_AFTER_US, never_ran=True)
+        # The commit may have succeeded. A read shows it: a row of this insert has its owner.
+        entry.phase = Phase.POLLING
+        return self._poll(now_us, entry)
+
+    def row_read(self, now_us: int, id: Id, result: Result, read_number: int | None = None) -> list[Action]:
+        """Handles the result of a `Get`. `read_number`, if given, is that of the `Get`."""
         entry = self.entries.get(id)
-        if entry is None or entry.phase is not Phase.ASKING or number not in (None, entry.looks):
+        if entry is None or entry.phase is not Phase.POLLING or read_number not in (None, entry.read_count):
             return []
         if result.outcome is not Outcome.DONE:
-            return self._ask(now_us, entry)
+            return self._poll(now_us, entry)
         if result.row is None:
-            # Nothing is held of it: the insert never was, or another process has freed the key.
-            if not self._time_left(now_us, entry) or not self.acting.may(entry.row.owner):
-                return self._give_up(entry, COME_AGAIN, RETRY_AFTER_US)
+            # There is no row: the insert failed, or another process has removed it.
+            if not self._has_time_left(now_us, entry) or not self.ownership.may_act(entry.row.owner):
+                return self._drop(entry, RETRY_SAME_KEY, RETRY_AFTER_US)
             entry.phase = Phase.INSERTING
-            return [Insert(entry.row, entry.deadline_us - self.least_left_us - WORD_US)]
-        return self._found(now_us, entry, result.row)
+            return [Insert(entry.row, entry.deadline_us - self.least_left_us - STORE_REPLY_MARGIN_US)]
+        return self._handle_existing(now_us, entry, result.row)
 
-    def look(self, now_us: int, id: Id | None = None) -> list[Action]:
-        """Members have changed, or that one's owner says that it is done with it: what is waited for is asked
-        for at once."""
-        found: list[Action] = []
+    def poll_now(self, now_us: int, id: Id | None = None) -> list[Action]:
+        """Reads all rows that are being polled without further delay, because members have changed; or only
+        the row `id`, because its owner is done with it."""
+        actions: list[Action] = []
         for entry in [e for i, e in self.entries.items() if id in (None, i)]:
-            if entry.phase is Phase.ASKING:
-                found += self._ask(now_us, entry, at_once=True)
-        return found
+            if entry.phase is Phase.POLLING:
+                actions += self._poll(now_us, entry, at_once=True)
+        return actions
 
-    def _found(self, now_us: int, entry: Entry, row: Row) -> list[Action]:
+    def _handle_existing(self, now_us: int, entry: Entry, row: Row) -> list[Action]:
+        """Decides what to do from the row that the store holds for the report."""
         if row.digest != entry.row.digest:
-            return self._give_up(entry, UNLIKE, never_ran=True)
-        if row.owner == entry.row.owner and row.state is State.SENT and not entry.held:
-            # Our own insert, whose word was lost: it was not sent yet, for nobody sends before that word.
-            entry.row, entry.held = row, True
+            return self._drop(entry, KEY_REUSED, never_ran=True)
+        if row.owner == entry.row.owner and row.state is State.SENT and not entry.is_owned:
+            # The insert of this entry, whose result was lost. The report has not been sent yet, because it is
+            # sent only after that result.
+            entry.row, entry.is_owned = row, True
             return self._send(now_us, entry)
         match row.state:
             case State.CONFIRMED:
                 assert row.answer is not None
-                return self._give_up(entry, row.answer)
+                return self._drop(entry, row.answer)
             case State.UNKNOWN:
-                return self._give_up(entry, NOBODY_KNOWS)
+                return self._drop(entry, OUTCOME_UNKNOWN)
             case State.STORED | State.NOT_RUN:
-                return self._take(now_us, entry, row)
+                return self._claim(now_us, entry, row)
             case State.SENT:
-                return self._elsewhere(now_us, entry, row)
-
-    def _elsewhere(self, now_us: int, entry: Entry, row: Row) -> list[Action]:
-        """Another process sends it, or did when it died."""
-        since, unsure = self.since_s(now_us, row), row.sent is not None and row.sent.boot == UNSURE
-        standing = self.acting.standing(row.owner)
-        if unsure or at_work(row, since, standing):
-            entry.phase = Phase.ASKING
-            return self._ask(now_us, entry, row.owner if standing is Standing.WELL else "")
-        if since is not None and since < row.window_s:
-            # Its owner is past its time, and the nodes still drop a repeat: it may be sent again.
-            return self._take(now_us, entry, row)
-        if not self.acting.may(entry.row.owner):
-            return self._give_up(entry, OPEN, RETRY_AFTER_US)
-        entry.phase = Phase.TAKING
+                return self._handle_unfinished(now_us, entry, row)
+
+    def _handle_unfinished(self, now_us: int, entry: Entry, row: Row) -> list[Action]:
+        """Handles a row that another process has marked as sent; that process may have died since."""
+        since_s, is_age_unknown = (
+            self.seconds_since_sent(now_us, row), row.sent is not None and row.sent.boot == UNKNOWN_BOOT
+        )  # fmt: skip
+        owner_status = self.ownership.owner_status(row.owner)
+        if is_age_unknown or owner_may_be_working(row, since_s, owner_status):
+            entry.phase = Phase.POLLING
+            return self._poll(now_us, entry, row.owner if owner_status is OwnerStatus.ACTIVE else "")
+        if since_s is not None and since_s < row.window_s:
+            # The owner's time is up, and the nodes still drop a repeat: the report may be sent again.
+            return self._claim(now_us, entry, row)
+        if not self.ownership.may_act(entry.row.owner):
+            return self._drop(entry, IN_PROGRESS, RETRY_AFTER_US)
+        entry.phase = Phase.CLAIMING
         after = replace(row, state=State.UNKNOWN, owner=entry.row.owner)
-        change = self._change(entry, row, after, now_us + self.settle_us)
-        return [change, *self._all(entry, NOBODY_KNOWS)]
+        change = self._change_row(entry, row, after, now_us + self.outcome_timeout_us)
+        return [change, *self._reply_all(entry, OUTCOME_UNKNOWN)]
 
-    def since_s(self, now_us: int, row: Row) -> float | None:
-        """How long ago it was sent; None where nobody can say, as after a restart of the machine."""
+    def seconds_since_sent(self, now_us: int, row: Row) -> float | None:
+        """Returns how long ago the report was sent; None if that is not known, as after a reboot."""
         if row.sent is None or row.sent.boot != self.boot:
             return None
-        return max(0.0, now_us / S - row.sent.up_s)
-
-    def _take(self, now_us: int, entry: Entry, row: Row) -> list[Action]:
-        if not self._time_left(now_us, entry) or not self.acting.may(entry.row.owner):
-            return self._give_up(entry, OPEN, RETRY_AFTER_US)
-        entry.phase, entry.origin = Phase.TAKING, row
-        self.taken += self.acting.standing(row.owner) is Standing.OVER
-        # The window counts from the first time that it may have gone: never from a later one.
-        first = row.sent if row.state is State.SENT else entry.row.sent
+        return max(0.0, now_us / US_PER_S - row.sent.up_s)
+
+    def _claim(self, now_us: int, entry: Entry, row: Row) -> list[Action]:
+        """Takes the row over from its owner, to send the report."""
+        if not self._has_time_left(now_us, entry) or not self.ownership.may_act(entry.row.owner):
+            return self._drop(entry, IN_PROGRESS, RETRY_AFTER_US)
+        entry.phase, entry.claimed_from = Phase.CLAIMING, row
+        self.claimed_count += self.ownership.owner_status(row.owner) is OwnerStatus.ENDED
+        # The retry window counts from the first time that the report may have been sent, not from a later
+        # one.
+        first_sent = row.sent if row.state is State.SENT else entry.row.sent
         after = replace(
-            row, state=State.SENT, owner=entry.row.owner, sent=first, until_s=entry.row.until_s, told=False
+            row,
+            state=State.SENT,
+            owner=entry.row.owner,
+            sent=first_sent,
+            until_s=entry.row.until_s,
+            told=False,
         )
         if row.state is State.SENT and row.sent is not None:
-            after = replace(after, until_s=now_us / S - row.sent.up_s + entry.row.until_s)
-        return [self._change(entry, row, after, entry.deadline_us - self.least_left_us)]
+            after = replace(after, until_s=now_us / US_PER_S - row.sent.up_s + entry.row.until_s)
+        return [self._change_row(entry, row, after, entry.deadline_us - self.least_left_us)]
 
     def changed(self, now_us: int, id: Id, after: Row, result: Result) -> list[Action]:
+        """Handles the result of a `Change` to `after`."""
         entry = self.entries.get(id)
-        if entry is None or entry.awaits is not after:
+        if entry is None or entry.pending_row is not after:
             return []
-        if entry.phase is Phase.SETTLING:
-            return self._settled(now_us, entry, after, result)
-        if entry.phase is Phase.FREEING:
+        if entry.phase is Phase.STORING_OUTCOME:
+            return self._finish(now_us, entry, after, result)
+        if entry.phase is Phase.UNDOING:
             return self.removed(now_us, id, result)
         if after.state is State.UNKNOWN:
             del self.entries[id]
-            return [Note(f"record: {after.id.key!r} is unknown: it may have run, and is not sent again")]
+            return [LogLine(f"record: {after.id.key!r} is unknown: it may have run, and is not sent again")]
         if result.outcome is Outcome.DONE:
-            entry.row, entry.held = after, True
+            entry.row, entry.is_owned = after, True
             return self._send(now_us, entry)
-        if result.outcome is Outcome.THERE and result.row is not None:
-            return self._found(now_us, entry, result.row)
-        entry.phase = Phase.ASKING
-        return self._ask(now_us, entry)
-
-    def _ask(self, now_us: int, entry: Entry, owner: str = "", at_once: bool = False) -> list[Action]:
-        """`owner`: who could say when it is done."""
-        if not self._time_left(now_us, entry):
-            return self._give_up(entry, OPEN, RETRY_AFTER_US)
-        entry.looks += 1
-        after_us = 0 if at_once else FOLLOWED_US if owner and owner == entry.followed else ASK_AGAIN_US
-        get = Get(entry.row.id, entry.deadline_us, after_us, entry.looks)
-        if not owner or owner == entry.followed:
+        if result.outcome is Outcome.CONFLICT and result.row is not None:
+            return self._handle_existing(now_us, entry, result.row)
+        entry.phase = Phase.POLLING
+        return self._poll(now_us, entry)
+
+    def _poll(self, now_us: int, entry: Entry, owner: str = "", at_once: bool = False) -> list[Action]:
+        """Reads the row after a delay. `owner`, if given, is asked to notify this process when it is done."""
+        if not self._has_time_left(now_us, entry):
+            return self._drop(entry, IN_PROGRESS, RETRY_AFTER_US)
+        entry.read_count += 1
+        delay_us = (
+            0 if at_once
+            else FOLLOWED_POLL_INTERVAL_US if owner and owner == entry.followed_owner
+            else POLL_INTERVAL_US
+        )  # fmt: skip
+        get = Get(entry.row.id, entry.deadline_us, delay_us, entry.read_count)
+        if not owner or owner == entry.followed_owner:
             return [get]
-        entry.followed = owner
+        entry.followed_owner = owner
         return [Follow(entry.row.id, owner), get]
 
-    def _time_left(self, now_us: int, entry: Entry) -> bool:
+    def _has_time_left(self, now_us: int, entry: Entry) -> bool:
         return entry.deadline_us - now_us >= self.least_left_us
 
     # ---- the nodes
 
-    def _lost(self, entry: Entry) -> list[Action]:
-        """Somebody else may act on it by now: what becomes of it is theirs to say, and nothing of it is sent,
-        written or told here. Its clients come again."""
-        return self._give_up(entry, COME_AGAIN, RETRY_AFTER_US)
+    def _abandon(self, entry: Entry) -> list[Action]:
+        """Drops an entry whose row another process may act on by now. Nothing is sent or written here, and
+        the clients are asked to retry, because only the other process learns the outcome."""
+        return self._drop(entry, RETRY_SAME_KEY, RETRY_AFTER_US)
 
     def _send(self, now_us: int, entry: Entry) -> list[Action]:
-        if not self.acting.may(entry.row.owner):
-            return self._lost(entry)
-        if not self._time_left(now_us, entry):
-            # Held, and nobody waits long enough: it was not sent, and its key becomes free.
-            return self._free(now_us, entry, NOT_HELD, RETRY_AFTER_US)
+        if not self.ownership.may_act(entry.row.owner):
+            return self._abandon(entry)
+        if not self._has_time_left(now_us, entry):
+            # It is stored, but no client waits long enough for it to be sent: the row is removed.
+            return self._undo(now_us, entry, STORE_UNAVAILABLE, RETRY_AFTER_US)
         entry.phase = Phase.SENDING
-        resumed = entry.origin is not None and entry.origin.state is State.SENT
-        return [Send(entry.row, entry.deadline_us, entry.crossed, resumed)]
-
-    def _free(self, now_us: int, entry: Entry, answer: Answer, retry_after_us: int) -> list[Action]:
-        entry.phase, entry.outcome, entry.retry_after_us = Phase.FREEING, answer, retry_after_us
-        until_us = max(entry.deadline_us, now_us + self.settle_us)
-        if entry.origin is None:
+        resumed = entry.claimed_from is not None and entry.claimed_from.state is State.SENT
+        return [Send(entry.row, entry.deadline_us, entry.from_other_site, resumed)]
+
+    def _undo(self, now_us: int, entry: Entry, answer: Answer, retry_after_us: int) -> list[Action]:
+        """Removes the row of a report that did not run, or sets it back to what it was before the claim."""
+        entry.phase, entry.final_answer, entry.retry_after_us = Phase.UNDOING, answer, retry_after_us
+        until_us = max(entry.deadline_us, now_us + self.outcome_timeout_us)
+        if entry.claimed_from is None:
             return [Remove(entry.row, until_us)]
-        # It did not run this time. What is known of the times before holds on, and it is still owed.
-        after = replace(entry.origin, owner=entry.row.owner, until_s=0.0)
-        if entry.origin.state is State.SENT and entry.waiters:
-            # "Nothing was done" would be true of this time only.
-            after, entry.outcome = replace(after, told=True), COME_AGAIN
+        # It did not run this time. The row is set back to what was known before, and is still to be
+        # delivered.
+        after = replace(entry.claimed_from, owner=entry.row.owner, until_s=0.0)
+        if entry.claimed_from.state is State.SENT and entry.waiters:
+            # An answer that says that nothing was done would be true of this attempt only.
+            after, entry.final_answer = replace(after, told=True), RETRY_SAME_KEY
             entry.retry_after_us = retry_after_us or RETRY_AFTER_US
-        return [self._change(entry, entry.row, after, until_us)]
+        return [self._change_row(entry, entry.row, after, until_us)]
 
-    def sends(self, row: Row) -> bool:
-        """Is it this one that is out, and not one that was let go before it?"""
+    def is_sending(self, row: Row) -> bool:
+        """Returns whether the report is being sent for this row, and not for a later attempt at the same
+        key."""
         entry = self.entries.get(row.id)
         return entry is not None and entry.phase is Phase.SENDING and entry.row.owner == row.owner
 
@@ -359,172 +407,198 @@
         self, now_us: int, id: Id, answer: Answer, may_have_run: bool, attempts: tuple[Attempt, ...],
         retry_after_us: int = 0, undecided: bool = False,
     ) -> list[Action]:  # fmt: skip
-        """The nodes' answer, or what the Router said in place of one. `undecided`: the other site's word that
-        it is under way there, or that nobody knows."""
+        """Handles the answer of the nodes, or that of the Router in place of one. `undecided`: the other site
+        answered that the report is in progress there, or that its outcome is unknown."""
         entry = self.entries[id]
-        if not self.acting.may(entry.row.owner):
-            return self._lost(entry)
+        if not self.ownership.may_act(entry.row.owner):
+            return self._abandon(entry)
         row = replace(entry.row, attempts=(*entry.row.attempts, *attempts))
         if 200 <= answer.status < 300:
             after = replace(row, state=State.CONFIRMED, answer=answer)
         elif not may_have_run:
-            return self._free(now_us, entry, answer, retry_after_us)
+            return self._undo(now_us, entry, answer, retry_after_us)
         elif 400 <= answer.status < 500 and answer.status != 429 and not undecided:
-            # The archive's own word on it, which a repeat would get again.
+            # The archive itself refused the report, and would refuse a repeat in the same way.
             after = replace(row, state=State.CONFIRMED, answer=answer)
         elif (undecided or answer.status in (429, 503)) and entry.waiters:
-            # Its client would take a refusal for "nothing was done", and perhaps send it under another key.
-            # It is told to come again under this one, once the row says so: then nobody else sends it.
-            after, answer = replace(row, until_s=0.0, told=True), COME_AGAIN
+            # The client would take a refusal to mean that nothing was done, and might send the report under
+            # another key. It is asked to retry under the same key, once the row is marked: then no other
+            # process sends the report.
+            after, answer = replace(row, until_s=0.0, told=True), RETRY_SAME_KEY
             entry.retry_after_us = retry_after_us or RETRY_AFTER_US
         else:
-            # It may have run. The row stays, and is let go: within the window a repeat may be sent at once,
-            # and past it the row is unknown.
+            # It may have run. The row is released: within the retry window a repeat may be sent at once, and
+            # after it the row is marked as unknown.
             del self.entries[id]
-            free = Change(entry.row, replace(row, until_s=0.0), now_us + self.settle_us)
-            return [*self._all(entry, answer, retry_after_us), free]
-        entry.phase, entry.outcome = Phase.SETTLING, answer
-        return [self._change(entry, entry.row, after, max(entry.deadline_us, now_us + self.settle_us))]
-
-    def _settled(self, now_us: int, entry: Entry, after: Row, result: Result) -> list[Action]:
-        assert entry.outcome is not None
+            release = Change(entry.row, replace(row, until_s=0.0), now_us + self.outcome_timeout_us)
+            return [*self._reply_all(entry, answer, retry_after_us), release]
+        entry.phase, entry.final_answer = Phase.STORING_OUTCOME, answer
+        return [
+            self._change_row(
+                entry, entry.row, after, max(entry.deadline_us, now_us + self.outcome_timeout_us)
+            )
+        ]
+
+    def _finish(self, now_us: int, entry: Entry, after: Row, result: Result) -> list[Action]:
+        """Answers the clients according to whether the store has accepted the outcome."""
+        assert entry.final_answer is not None
         del self.entries[entry.row.id]
         if result.outcome is Outcome.DONE:
-            return self._all(entry, entry.outcome, entry.retry_after_us)
-        if result.outcome is Outcome.THERE and result.row is not None and result.row.answer is not None:
-            # Another process took it over in the window, and has settled it: that is what all are told.
-            return self._all(entry, result.row.answer)
-        # It ran, and the store does not say that it holds that: nobody is told that it does.
-        failed = plain(504, "the report may have had its effect, and the store of record did not answer")
-        return [*self._all(entry, failed), Note(f"record: an outcome was not stored: {result.cause}")]
+            return self._reply_all(entry, entry.final_answer, entry.retry_after_us)
+        if result.outcome is Outcome.CONFLICT and result.row is not None and result.row.answer is not None:
+            # Another process claimed the row within the retry window and stored an answer, which counts.
+            return self._reply_all(entry, result.row.answer)
+        # The report ran, but the store has not confirmed that: so the clients get no confirmation either.
+        failed = plain_answer(
+            504, "the report may have had its effect, and the store of record did not answer"
+        )  # fmt: skip
+        return [
+            *self._reply_all(entry, failed),
+            LogLine(f"record: an outcome was not stored: {result.cause}"),
+        ]
 
     def removed(self, now_us: int, id: Id, result: Result) -> list[Action]:
+        """Handles the result of a `Remove`, or of the change that sets a row back to what it was before the
+        claim."""
         entry = self.entries.get(id)
-        if entry is None or entry.phase is not Phase.FREEING:
+        if entry is None or entry.phase is not Phase.UNDOING:
             return []
         del self.entries[id]
-        assert entry.outcome is not None
+        assert entry.final_answer is not None
         if result.outcome is Outcome.DONE:
-            return self._all(entry, entry.outcome, entry.retry_after_us, entry.origin is None)
-        # Its row stands as sent, though it never was, or is another's by now: "nothing was done" is no word
-        # on it any more.
-        told = self._all(entry, COME_AGAIN, entry.retry_after_us or RETRY_AFTER_US)
-        if result.outcome is Outcome.THERE:
-            return told
-        return [*told, Note(f"record: a refused report could not be removed: {result.cause}")]
-
-    # ---- a planned end
-
-    def part(self, now_us: int) -> list[Action]:
-        """This process ends: what would not end in time is let go, and is anybody's within the window. Nobody
-        is told anything of it: the next try under its key is."""
-        found: list[Action] = []
+            return self._reply_all(
+                entry, entry.final_answer, entry.retry_after_us, entry.claimed_from is None
+            )  # fmt: skip
+        # The row is still marked as sent, although the report was not sent, or it belongs to another process
+        # by now. So the clients can't be told that nothing was done.
+        replies = self._reply_all(entry, RETRY_SAME_KEY, entry.retry_after_us or RETRY_AFTER_US)
+        if result.outcome is Outcome.CONFLICT:
+            return replies
+        # Also logged if the row could not be set back.
+        return [*replies, LogLine(f"record: a refused report could not be removed: {result.cause}")]
+
+    # ---- planned shutdown
+
+    def release_all(self, now_us: int) -> list[Action]:
+        """Releases the reports that would not end before this process shuts down, so that any process may
+        claim them within the retry window. Their clients get no answer; a retry under the key gets one."""
+        actions: list[Action] = []
         for entry in list(self.entries.values()):
-            if entry.phase is Phase.SENDING and self.acting.may(entry.row.owner):
-                found.append(Change(entry.row, replace(entry.row, until_s=0.0), now_us + self.settle_us))
+            if entry.phase is Phase.SENDING and self.ownership.may_act(entry.row.owner):
+                actions.append(
+                    Change(entry.row, replace(entry.row, until_s=0.0), now_us + self.outcome_timeout_us)
+                )
             del self.entries[entry.row.id]
-        return found
+        return actions
 
-    # ---- what is owed
+    # ---- recovery of open rows
 
-    def deliver(self, now_us: int, row: Row, as_: Row, until_us: int) -> list[Action]:
-        """A row that `fate` lets be sent: `as_` says how it would stand there, with an owner of its own. Not
-        where this process has to do with it already."""
+    def deliver(self, now_us: int, row: Row, claimed: Row, deadline_us: int) -> list[Action]:
+        """Claims and sends an open row that no client waits for; see `recovery_action`. `claimed` is the row
+        after the claim, with an owner of its own. Does nothing if this process has the report in hand."""
         if row.id in self.entries:
             return []
-        entry = self.entries[row.id] = Entry(as_, Phase.TAKING, until_us=until_us)
-        return self._take(now_us, entry, row)
+        entry = self.entries[row.id] = Entry(claimed, Phase.CLAIMING, delivery_deadline_us=deadline_us)
+        return self._claim(now_us, entry, row)
 
-    def forget(self, now_us: int, row: Row, owner: str) -> list[Action]:
-        """A row that `fate` calls unknown."""
+    def mark_unknown(self, now_us: int, row: Row, owner: str) -> list[Action]:
+        """Marks a row as unknown; see `recovery_action`."""
         if row.id in self.entries:
             return []
         after = replace(row, state=State.UNKNOWN, owner=owner)
-        entry = self.entries[row.id] = Entry(after, Phase.TAKING)
-        return [self._change(entry, row, after, now_us + self.settle_us)]
+        entry = self.entries[row.id] = Entry(after, Phase.CLAIMING)
+        return [self._change_row(entry, row, after, now_us + self.outcome_timeout_us)]
 
     # ---- answers
 
-    def _all(
+    def _reply_all(
         self, entry: Entry, answer: Answer, retry_after_us: int = 0, never_ran: bool = False
     ) -> list[Action]:  # fmt: skip
         waiters, entry.waiters = entry.waiters, {}
         return [Reply(w, answer, retry_after_us, never_ran) for w in waiters]
 
-    def _give_up(
+    def _drop(
         self, entry: Entry, answer: Answer, retry_after_us: int = 0, never_ran: bool = False
     ) -> list[Action]:  # fmt: skip
+        """Removes the entry and answers its clients."""
         del self.entries[entry.row.id]
-        return self._all(entry, answer, retry_after_us, never_ran)
+        return self._reply_all(entry, answer, retry_after_us, never_ran)
 
 
 # ---- recovery
 
 
 @dataclass(slots=True)
-class Pace:
-    """How fast what is owed is delivered: so many at once, and after a refusal a pause that doubles, for the
-    Router refuses when it has no room, and what is owed can wait."""
-
-    most: int = 4
-    least_us: int = 100_000
-    most_us: int = 10_000_000
-    out: int = 0
+class DeliveryPace:
+    """Limits how fast open reports are delivered: a number at the same time, and a pause that doubles after
+    each delivery without a 2xx answer, because the Router refuses requests when it has no capacity, and
+    deliveries can wait."""
+
+    max_in_flight: int = 4
+    min_pause_us: int = 100_000
+    max_pause_us: int = 10_000_000
+    in_flight: int = 0
     pause_us: int = 0
     not_before_us: int = 0
 
-    def may(self, now_us: int) -> bool:
-        return self.out < self.most and now_us >= self.not_before_us
+    def can_begin(self, now_us: int) -> bool:
+        return self.in_flight < self.max_in_flight and now_us >= self.not_before_us
 
     def begin(self) -> None:
-        self.out += 1
+        self.in_flight += 1
 
     def end(self, now_us: int, delivered: bool) -> None:
-        self.out -= 1
-        self.pause_us = 0 if delivered else min(self.most_us, max(self.least_us, self.pause_us * 2))
+        self.in_flight -= 1
+        self.pause_us = 0 if delivered else min(self.max_pause_us, max(self.min_pause_us, self.pause_us * 2))
         self.not_before_us = now_us + self.pause_us
 
 
-class Fate(enum.Enum):
-    """What a start does with a row that it finds open."""
+class RecoveryAction(enum.Enum):
+    """What to do with an open row that this process does not have in hand."""
 
-    DELIVER = "deliver"  # known not to have run: owed
-    AGAIN = "again"  # may have run, within the window: sent again under its key
-    UNKNOWN = "unknown"  # may have run, past it
-    LEAVE = "leave"  # another process may be at work on it, or its client has been told to come again
+    DELIVER = "deliver"  # known not to have run: to be sent
+    RESEND = "again"  # may have run, within the retry window: to be sent again under its key
+    UNKNOWN = "unknown"  # may have run, and the retry window is over: to be marked as unknown
+    LEAVE = "leave"  # another process may work on it, or its client was asked to retry
 
 
-def at_work(row: Row, since_s: float | None, standing: Standing) -> bool:
-    """Is its owner at work on it, or might it be? Another member that is well is, unless it has let the row
-    go; of one that nobody can tell of its time tells. A row of this process's own has nobody: what is in hand
-    here is not looked for."""
-    match standing:
-        case Standing.WELL:
+def owner_may_be_working(row: Row, seconds_since_sent: float | None, owner_status: OwnerStatus) -> bool:
+    """Returns whether the owner of the row works on it or may do so.
+
+    An active member may, unless it has released the row; an owner that is no member may, until its time is
+    up. No process works on the row of a member that has ended. None works on a row of this member either,
+    because the callers exclude the rows that this process is working on.
+    """
+    match owner_status:
+        case OwnerStatus.ACTIVE:
             return row.until_s > 0
-        case Standing.UNTOLD:
-            return since_s is not None and since_s < row.until_s
+        case OwnerStatus.NO_MEMBER:
+            return seconds_since_sent is not None and seconds_since_sent < row.until_s
         case _:
             return False
 
 
-def fate(
-    row: Row, up_s: float, boot: str, round_s: float = 1.0, standing: Standing = Standing.UNTOLD
-) -> Fate:  # fmt: skip
-    """`up_s`: seconds since the machine's start, now. `round_s`: what a delivery takes at most: one that
-    could reach the nodes past the window is not begun."""
+def recovery_action(
+    row: Row, up_s: float, boot: str, delivery_s: float = 1.0,
+    owner_status: OwnerStatus = OwnerStatus.NO_MEMBER,
+) -> RecoveryAction:  # fmt: skip
+    """Decides what to do with an open row. `up_s` is the current time in seconds since boot. `delivery_s` is
+    the longest time that a delivery takes: none is begun that could reach the nodes after the retry
+    window."""
     if row.state is State.STORED:
-        return Fate.DELIVER
-    if row.state is not State.SENT or row.sent is None or row.sent.boot == UNSURE:
-        return Fate.LEAVE
+        return RecoveryAction.DELIVER
+    if row.state is not State.SENT or row.sent is None or row.sent.boot == UNKNOWN_BOOT:
+        return RecoveryAction.LEAVE
     if row.sent.boot != boot:
-        return Fate.UNKNOWN
-    since = up_s - row.sent.up_s
-    if since < 0:
-        return Fate.UNKNOWN
-    if at_work(row, since, standing) or (row.told and since < row.window_s):
-        return Fate.LEAVE
-    return Fate.AGAIN if since + round_s < row.window_s else Fate.UNKNOWN
-
-
-def sent_now(now_us: int, wall_s: float, boot: str) -> Moment:
-    return Moment(wall_s, boot, now_us / S)
+        return RecoveryAction.UNKNOWN
+    since_s = up_s - row.sent.up_s
+    if since_s < 0:
+        return RecoveryAction.UNKNOWN
+    if owner_may_be_working(row, since_s, owner_status) or (row.told and since_s < row.window_s):
+        return RecoveryAction.LEAVE
+    return RecoveryAction.RESEND if since_s + delivery_s < row.window_s else RecoveryAction.UNKNOWN
+
+
+def moment_now(now_us: int, wall_s: float, boot: str) -> Moment:
+    """Returns the current time as a `Moment`."""
+    return Moment(wall_s, boot, now_us / US_PER_S)
--- a/magpiefront/record/postgres.py
+++ b/magpiefront/record/postgres.py
@@ -1,8 +1,9 @@
-"""The store of record in PostgreSQL, by asyncpg: a few connections, each commits all that waits at once.
+"""The store of record in PostgreSQL, by asyncpg. Each of a few connections commits queued changes in batches.
 
-Everything runs in a transaction of its own, so that what became of it is known from where it broke: before
-COMMIT was sent the server has rolled back or will; an error that it reports of the COMMIT is a rollback, but
-for its own shutdown; a COMMIT without a word must be asked.
+Each batch runs in an explicit transaction, so that its outcome is known from the point at which it failed. If
+COMMIT had not been sent, the server has rolled back or will. If the server answered COMMIT with an error, it
+has rolled back, unless it is shutting down. If COMMIT was sent and no reply came, the outcome must be read
+from the store.
 """
 
 from __future__ import annotations
@@ -17,21 +18,22 @@
 
 import asyncpg  # type: ignore[import-untyped]
 
-from magpiefront.net.house import House
+from magpiefront.net.runtime import Runtime
 from magpiefront.record.rows import (
-    Answer, Id, Moment, Outcome, Result, Row, State, Then, attempts_text, read_attempts,
+    Answer, Id, Moment, Outcome, Result, Row, State, ResultCallback, attempts_text, read_attempts,
 )  # fmt: skip
 from magpiefront.record.settings import PostgresSettings
 from magpiefront.record.sqlite import BadStore
 
 VERSION = 2
-SMOOTH = 0.2
-MOST_TRIES = 3
-BACKOFF_S, MOST_BACKOFF_S = 0.05, 2.0
-SERVER_ENDS = frozenset(
+COMMIT_TIME_SMOOTHING = 0.2  # weight of the latest commit in `commit_us`
+MAX_TRIES = 3  # of a job whose connection is lost
+BACKOFF_S, MAX_BACKOFF_S = 0.05, 2.0  # first and longest pause between attempts to connect
+# Codes of a shutdown of the server or a lost connection, after which a COMMIT may have taken effect.
+CONNECTION_LOST_SQLSTATES = frozenset(
     {"57P01", "57P02", "57P03", "08006", "08003", "08000"}
-)  # ... while it may have committed
-EPOCH = "extract(epoch from clock_timestamp())"
+)  # fmt: skip
+SERVER_TIME = "extract(epoch from clock_timestamp())"
 MIGRATIONS: tuple[str, ...] = (
     """CREATE TABLE reports (
         tenant TEXT NOT NULL, kind TEXT NOT NULL, key BYTEA NOT NULL, digest BYTEA NOT NULL,
@@ -42,148 +44,165 @@
         PRIMARY KEY (tenant, kind, key));
     CREATE INDEX reports_open ON reports (state, received_s) WHERE state <> 'confirmed';
     CREATE INDEX reports_age ON reports (received_s) WHERE state = 'confirmed'""",
-    # 2: whose client was told to come again
+    # 2: whether the client was told to retry
     "ALTER TABLE reports ADD COLUMN told INTEGER NOT NULL DEFAULT 0",
 )
-TYPES = {
+COLUMN_TYPES = {
     "tenant": "text", "kind": "text", "key": "bytea", "digest": "bytea", "method": "bytea",
     "target": "bytea", "more": "bytea", "body": "bytea", "state": "text", "received_s": "float8",
     "sent_s": "float8", "owner": "text", "window_s": "float8", "until_s": "float8", "status": "int4",
     "answer_more": "bytea", "answer_body": "bytea", "attempts": "text", "note": "text", "told": "int4",
 }  # fmt: skip
-COLUMNS = tuple(TYPES)
-SELECT = f"SELECT {', '.join(f'{c}::{t}' for c, t in TYPES.items())}, {EPOCH}::float8 FROM reports"
+COLUMNS = tuple(COLUMN_TYPES)
+SELECT = (
+    f"SELECT {', '.join(f'{c}::{t}' for c, t in COLUMN_TYPES.items())}, {SERVER_TIME}::float8 FROM reports"
+)
 BY_ID = "tenant = $1::text AND kind = $2::text AND key = $3::bytea"
-# The time of its first sending is the server's, the one clock that all gateways share; the row's own says
-# whether there is one, and how long before it was received here it may have gone from another site.
-SENT = (
+# The time of the first send is taken from the server's clock, the only one that all gateways share. The row
+# gives only whether it was sent ($11 is not NULL) and, if another site may have sent it before it was
+# received here, how long before ($10 - $11).
+FIRST_SEND_TIME = (
     f"CASE WHEN $11::float8 IS NULL THEN NULL WHEN $11::float8 < $10::float8 "
-    f"THEN {EPOCH} - ($10::float8 - $11::float8) ELSE {EPOCH} END"
+    f"THEN {SERVER_TIME} - ($10::float8 - $11::float8) ELSE {SERVER_TIME} END"
 )
-# Of the cluster from its making on, and the place of the tables in it.
-IDENTITY = (
+# The identifier of the database cluster, set when it is created, and the database and schema of the tables.
+SELECT_IDENTITY = (
     "SELECT system_identifier::text, current_database()::text, current_schema()::text "
     "FROM pg_control_system()"
 )
 INSERT = "INSERT INTO reports ({}) VALUES ({}) ON CONFLICT DO NOTHING".format(
     ", ".join(COLUMNS),
-    ", ".join(SENT if c == "sent_s" else f"${n}::{TYPES[c]}" for n, c in enumerate(COLUMNS, 1)),
+    ", ".join(
+        FIRST_SEND_TIME if c == "sent_s" else f"${n}::{COLUMN_TYPES[c]}" for n, c in enumerate(COLUMNS, 1)
+    ),
 )
-FIRST_CHANGED = COLUMNS.index("state")
+FIRST_MUTABLE_COLUMN = COLUMNS.index("state")
 UPDATE = "UPDATE reports SET {} WHERE {} AND state = $4::text AND owner = $5::text".format(
     ", ".join(
-        f"sent_s = CASE WHEN ${n}::float8 IS NULL THEN NULL ELSE coalesce(sent_s, {EPOCH}) END"
+        f"sent_s = CASE WHEN ${n}::float8 IS NULL THEN NULL ELSE coalesce(sent_s, {SERVER_TIME}) END"
         if c == "sent_s"
-        else f"{c} = ${n}::{TYPES[c]}"
-        for n, c in enumerate(COLUMNS[FIRST_CHANGED:], 6)
+        else f"{c} = ${n}::{COLUMN_TYPES[c]}"
+        for n, c in enumerate(COLUMNS[FIRST_MUTABLE_COLUMN:], 6)
     ),
     BY_ID,
 )
 DELETE = f"DELETE FROM reports WHERE {BY_ID} AND state = $4::text AND owner = $5::text"
 
 
-# What a call may raise where the server or the way to it fails.
+# What a call may raise if the server or the connection to it fails.
 ERRORS = (OSError, TimeoutError, asyncpg.PostgresError, asyncpg.InterfaceError, asyncpg.InternalClientError)
 
 
-class Away(BadStore):
-    """A server that can't be reached now."""
+class ServerUnavailable(BadStore):
+    """The server can't be reached now, but may be later."""
 
 
-def away(e: BaseException) -> bool:
-    """Might it serve later? Its own no to a login, a statement or a right is for good."""
+def is_temporary(e: BaseException) -> bool:
+    """Returns whether the server may work later: not if it rejected a login, a statement or a permission."""
     if isinstance(e, asyncpg.PostgresError):
-        return e.sqlstate in SERVER_ENDS or (e.sqlstate or "")[:2] in ("53", "57", "08", "40")
+        return e.sqlstate in CONNECTION_LOST_SQLSTATES or (e.sqlstate or "")[:2] in ("53", "57", "08", "40")
     return True
 
 
-def outcome_of(e: BaseException, committing: bool) -> Outcome:
-    """What a failure says of the transaction that it broke."""
+def classify_failure(e: BaseException, committing: bool) -> Outcome:
+    """Returns the outcome of a transaction that failed with `e`. `committing`: COMMIT had been sent."""
     if not committing:
-        return Outcome.NEVER
-    if isinstance(e, asyncpg.PostgresError) and e.sqlstate not in SERVER_ENDS:
-        return Outcome.NEVER  # its own word on a COMMIT that it did not carry out (40001, 25006, 53100 ...)
-    return Outcome.ASK
+        return Outcome.NOT_DONE
+    if isinstance(e, asyncpg.PostgresError) and e.sqlstate not in CONNECTION_LOST_SQLSTATES:
+        return Outcome.NOT_DONE  # the server states that it did not commit (40001, 25006, 53100 ...)
+    return Outcome.UNCERTAIN
 
 
-def lost(e: BaseException) -> bool:
-    """Did the connection break, or its server end, rather than say no? The library has several words for a
-    connection that is closing."""
+def is_connection_lost(e: BaseException) -> bool:
+    """Returns whether the connection broke or the server shut down, as opposed to an error of the statement.
+    asyncpg raises several kinds of exceptions for a connection that is closing."""
     if isinstance(e, asyncpg.PostgresError):
-        return e.sqlstate in SERVER_ENDS
+        return e.sqlstate in CONNECTION_LOST_SQLSTATES
     return isinstance(e, Exception) and not isinstance(e, TimeoutError)
 
 
-def pack(r: Row) -> tuple[Any, ...]:
-    a = r.answer
+def encode_row(r: Row) -> tuple[Any, ...]:
+    """Returns the values of a row in the order of `COLUMNS`."""
+    answer = r.answer
     return (
         *r.id, r.digest, r.method, r.target, r.more, r.body, r.state.value, r.received_s,
-        r.sent.wall_s if r.sent else None, r.owner, r.window_s, r.until_s, a.status if a else None,
-        a.more if a else None, a.body if a else None, attempts_text(r.attempts), r.note, int(r.told),
+        r.sent.wall_s if r.sent else None, r.owner, r.window_s, r.until_s, answer.status if answer else None,
+        answer.more if answer else None, answer.body if answer else None, attempts_text(r.attempts), r.note,
+        int(r.told),
     )  # fmt: skip
 
 
 @dataclass(slots=True)
 class Job:
-    what: Callable[[Any], Awaitable[Result]]
+    """A queued request to the store. `operation` carries it out on a connection in an open transaction."""
+
+    operation: Callable[[Any], Awaitable[Result]]
     deadline_us: int
-    then: Then
-    writes: bool
+    on_done: ResultCallback
+    is_write: bool
     tries: int = 0
 
 
 class PostgresStore:
-    """`boot` and `up_us` are the process's: rows come back with the time of their sending on its clock."""
+    """Implements `record.rows.Store` on a PostgreSQL server.
+
+    `boot` identifies the current boot of this machine and `up_us` reads the time since then in microseconds:
+    rows are returned with the time of their first send on that clock.
+    """
 
     def __init__(
-        self, house: House, settings: PostgresSettings, most_waiting: int, boot: str,
+        self, runtime: Runtime, settings: PostgresSettings, most_waiting: int, boot: str,
         up_us: Callable[[], int] = lambda: time.monotonic_ns() // 1_000,
     ) -> None:  # fmt: skip
-        self.house, self.settings, self.most_waiting, self.boot, self.up_us = (
-            house,
+        self.runtime, self.settings, self.most_waiting, self.boot, self.up_us = (
+            runtime,
             settings,
             most_waiting,
             boot,
             up_us,
         )
         self.jobs: deque[Job] = deque()
-        self.wake = asyncio.Event()
+        self.job_added = asyncio.Event()
         self.workers: list[asyncio.Task[None]] = []
-        self.commit_us = 5_000.0
-        self.began_us: list[int] = []  # when the commits that are under way were begun
-        self.commits = self.committed = 0
+        self.commit_us = 5_000.0  # smoothed duration of a commit
+        self.commits_began_us: list[int] = []  # when each commit that is in progress began
+        self.commits = self.changes_committed = 0
         self.stopping = self.migrated = False
         self.identity = ""
-        self.migrating = asyncio.Lock()
+        self.migration_lock = asyncio.Lock()
 
-    # ---- in the loop
+    # ---- called in the event loop
 
     async def open(self) -> Any:
-        """A connection to a store of this version. Raises BadStore."""
+        """Connects, migrates the store to the current version and returns the connection. If that fails,
+        raises ServerUnavailable if it may succeed later, else BadStore."""
         try:
             connection = await self._connect()
             try:
-                async with self.migrating:
+                async with self.migration_lock:
                     await self._migrate(connection)
             except BaseException:
                 connection.terminate()
                 raise
             self.migrated = True
-            with suppress(asyncpg.PostgresError):  # a server that does not tell is nobody's shared one
-                self.identity = f"postgres {' '.join((await connection.fetch(IDENTITY))[0])}"
+            with suppress(asyncpg.PostgresError):  # if access is denied, the store counts as not shared
+                self.identity = f"postgres {' '.join((await connection.fetch(SELECT_IDENTITY))[0])}"
             return connection
         except ERRORS as e:
             text = f"postgres: {' '.join(str(e).split()) or type(e).__name__}"
-            raise (Away(text) if away(e) else BadStore(text)) from None
+            raise (ServerUnavailable(text) if is_temporary(e) else BadStore(text)) from None
 
     async def start(self) -> None:
-        """Raises BadStore where it will never serve: another version, a wrong password. One that can't be
-        reached now is no reason to serve nobody: reports are refused until it can."""
+        """Starts the workers. Raises BadStore if the store can never work, for example because of its version
+        or a wrong password. An unreachable server is only logged, so that other requests are still served:
+        reports are refused until it can be reached."""
         try:
             (await self.open()).terminate()
-        except Away as e:
-            self.house.log(f"record: {e}; reports are refused until there is a connection")
-        self.workers = [self.house.loop.create_task(self._work()) for _ in range(self.settings.connections)]
+        except ServerUnavailable as e:
+            self.runtime.log(f"record: {e}; reports are refused until there is a connection")
+        self.workers = [
+            self.runtime.loop.create_task(self._run_worker()) for _ in range(self.settings.connections)
+        ]
 
     async def _connect(self) -> Any:
         seconds = self.settings.connect_timeout_us / 1e6
@@ -192,137 +211,156 @@
             server_settings={"application_name": "lineshift"},
         )  # fmt: skip
 
-    async def _version(self, c: Any) -> int:
-        found = await c.fetch("SELECT version::int4 FROM reports_version")
+    async def _read_version(self, connection: Any) -> int:
+        found = await connection.fetch("SELECT version::int4 FROM reports_version")
         return max((int(r[0]) for r in found), default=0)
 
-    async def _migrate(self, c: Any) -> None:
-        # Two that create it at once: one of them is told that it is there already.
+    async def _migrate(self, connection: Any) -> None:
+        # If two gateways create the table at once, one of them gets an error that it exists.
         with suppress(asyncpg.UniqueViolationError, asyncpg.DuplicateTableError):
-            await c.execute("CREATE TABLE IF NOT EXISTS reports_version (version INTEGER NOT NULL)")
-        version = await self._version(c)
+            await connection.execute("CREATE TABLE IF NOT EXISTS reports_version (version INTEGER NOT NULL)")
+        version = await self._read_version(connection)
         if version > VERSION:
             raise BadStore(f"postgres: its version is {version}, newer than {VERSION}: use the newer program")
         for number in range(version, VERSION):
-            await c.execute("BEGIN")
-            # Guards against two gateways that start at once: the second one waits, and finds it done.
-            await c.execute("LOCK TABLE reports_version IN ACCESS EXCLUSIVE MODE")
-            if await self._version(c) == number:
+            await connection.execute("BEGIN")
+            # If two gateways start at once, the second waits here and then finds the migration done.
+            await connection.execute("LOCK TABLE reports_version IN ACCESS EXCLUSIVE MODE")
+            if await self._read_version(connection) == number:
                 for statement in MIGRATIONS[number].split(";"):
-                    await c.execute(statement)
-                await c.execute(f"INSERT INTO reports_version (version) VALUES ({number + 1})")
-            await c.execute("COMMIT")
+                    await connection.execute(statement)
+                await connection.execute(f"INSERT INTO reports_version (version) VALUES ({number + 1})")
+            await connection.execute("COMMIT")
 
     def stop(self) -> None:
-        """What waits ends as NEVER; what is under way ends with its connection."""
+        """Cancels the workers and closes their connections. Queued jobs end as NOT_DONE; jobs in progress
+        fail with their connection."""
         self.stopping = True
         for w in self.workers:
             w.cancel()
         while self.jobs:
-            self.jobs.popleft().then(Result(Outcome.NEVER, cause="the program ends"))
+            self.jobs.popleft().on_done(Result(Outcome.NOT_DONE, cause="the store is stopping"))
 
     @property
     def wait_us(self) -> int:
-        ahead = len(self.jobs) // (self.settings.most_batch * self.settings.connections)
-        so_far = 0
-        if len(self.began_us) >= self.settings.connections:
-            # All are at work: the next to be free is expected to take as long again as it has so far.
-            so_far = self.house.now_us() - max(self.began_us)
-        return max(so_far, int(self.commit_us * (ahead + 2)))
+        """The expected time until a change that is queued now is committed."""
+        batches_ahead = len(self.jobs) // (self.settings.most_batch * self.settings.connections)
+        elapsed_us = 0
+        if len(self.commits_began_us) >= self.settings.connections:
+            # All connections are busy: the next one to become free is expected to take as long again as the
+            # latest commit has taken so far.
+            elapsed_us = self.runtime.now_us() - max(self.commits_began_us)
+        return max(elapsed_us, int(self.commit_us * (batches_ahead + 2)))
 
     @property
-    def _idle(self) -> bool:
-        """As that of the SQLite store."""
-        return not self.began_us and not self.jobs
-
-    def insert(self, row: Row, deadline_us: int, then: Then) -> None:
-        async def what(c: Any) -> Result:
-            if await self.add(c, row):
+    def _is_idle(self) -> bool:
+        """Returns whether no commit is in progress and no job is queued. The next change is then accepted,
+        however long earlier commits took; `SqliteStore._is_idle` gives the reason."""
+        return not self.commits_began_us and not self.jobs
+
+    def insert(self, row: Row, deadline_us: int, on_done: ResultCallback) -> None:
+        async def operation(connection: Any) -> Result:
+            if await self.insert_row(connection, row):
                 return Result(Outcome.DONE)
-            return Result(Outcome.THERE, await self.row_of(c, row.id))
+            return Result(Outcome.CONFLICT, await self.fetch_row(connection, row.id))
 
-        self._add(what, deadline_us, then, True)
+        self._enqueue(operation, deadline_us, on_done, True)
 
-    def change(self, before: Row, after: Row, deadline_us: int, then: Then) -> None:
-        async def what(c: Any) -> Result:
-            if await self.put(c, before, after):
+    def change(self, before: Row, after: Row, deadline_us: int, on_done: ResultCallback) -> None:
+        async def operation(connection: Any) -> Result:
+            if await self.update_row(connection, before, after):
                 return Result(Outcome.DONE)
-            return Result(Outcome.THERE, await self.row_of(c, before.id))
+            return Result(Outcome.CONFLICT, await self.fetch_row(connection, before.id))
 
-        self._add(what, deadline_us, then, True)
+        self._enqueue(operation, deadline_us, on_done, True)
 
-    def remove(self, before: Row, deadline_us: int, then: Then) -> None:
-        async def what(c: Any) -> Result:
-            if await c.execute(DELETE, *before.id, before.state.value, before.owner) == "DELETE 1":
+    def remove(self, before: Row, deadline_us: int, on_done: ResultCallback) -> None:
+        async def operation(connection: Any) -> Result:
+            if await connection.execute(DELETE, *before.id, before.state.value, before.owner) == "DELETE 1":
                 return Result(Outcome.DONE)
-            return Result(Outcome.THERE, await self.row_of(c, before.id))
+            return Result(Outcome.CONFLICT, await self.fetch_row(connection, before.id))
 
-        self._add(what, deadline_us, then, True)
+        self._enqueue(operation, deadline_us, on_done, True)
 
-    def get(self, id: Id, deadline_us: int, then: Then) -> None:
-        async def what(c: Any) -> Result:
-            return Result(Outcome.DONE, await self.row_of(c, id))
+    def get(self, id: Id, deadline_us: int, on_done: ResultCallback) -> None:
+        async def operation(connection: Any) -> Result:
+            return Result(Outcome.DONE, await self.fetch_row(connection, id))
 
-        self._add(what, deadline_us, then, False)
+        self._enqueue(operation, deadline_us, on_done, False)
 
-    def open_rows(self, most: int, then: Callable[[list[Row]], None], of: str = "") -> None:
+    def open_rows(self, limit: int, on_done: Callable[[list[Row]], None], owner_prefix: str = "") -> None:
         found: list[Row] = []
 
-        async def what(c: Any) -> Result:
+        async def operation(connection: Any) -> Result:
             query = (
                 f"{SELECT} WHERE state IN ('stored', 'sent') AND substr(owner, 1, $1::int4) = $2::text "
                 "ORDER BY received_s LIMIT $3::int8"
             )
-            found.extend(self._row(v) for v in await c.fetch(query, len(of), of, most))
+            found.extend(
+                self._decode_row(v)
+                for v in await connection.fetch(query, len(owner_prefix), owner_prefix, limit)
+            )
             return Result(Outcome.DONE)
 
-        until_us = self.house.now_us() + self.settings.statement_timeout_us
-        self._add(what, until_us, lambda r: then(found if r.outcome is Outcome.DONE else []), False)
+        until_us = self.runtime.now_us() + self.settings.statement_timeout_us
+        self._enqueue(
+            operation, until_us, lambda r: on_done(found if r.outcome is Outcome.DONE else []), False
+        )
 
-    def sweep(self, before_s: float, most: int, then: Callable[[int], None]) -> None:
-        gone = 0
+    def sweep(self, before_s: float, limit: int, on_done: Callable[[int], None]) -> None:
+        removed = 0
 
-        async def what(c: Any) -> Result:
-            nonlocal gone
+        async def operation(connection: Any) -> Result:
+            nonlocal removed
             query = (
                 "DELETE FROM reports WHERE (tenant, kind, key) IN (SELECT tenant, kind, key FROM reports "
                 "WHERE state = 'confirmed' AND received_s < $1::float8 ORDER BY received_s LIMIT $2::int8)"
             )
-            gone = int((await c.execute(query, before_s, most)).split()[1])
+            removed = int((await connection.execute(query, before_s, limit)).split()[1])
             return Result(Outcome.DONE)
 
-        until_us = self.house.now_us() + self.settings.statement_timeout_us
-        self._add(what, until_us, lambda r: then(gone if r.outcome is Outcome.DONE else 0), True)
+        until_us = self.runtime.now_us() + self.settings.statement_timeout_us
+        self._enqueue(
+            operation, until_us, lambda r: on_done(removed if r.outcome is Outcome.DONE else 0), True
+        )
 
-    def _add(
-        self, what: Callable[[Any], Awaitable[Result]], deadline_us: int, then: Then, writes: bool
+    def _enqueue(
+        self, operation: Callable[[Any], Awaitable[Result]], deadline_us: int, on_done: ResultCallback,
+        is_write: bool,
     ) -> None:  # fmt: skip
+        """Queues a job. It ends as NOT_DONE at once if the queue is full or if it is a change whose commit is
+        not expected to finish before the deadline."""
         if len(self.jobs) >= self.most_waiting:
-            self.house.loop.call_soon(then, Result(Outcome.NEVER, cause="too many wait for the store"))
-        elif writes and not self._idle and self.house.now_us() + self.wait_us > deadline_us:
-            self.house.loop.call_soon(then, Result(Outcome.NEVER, cause="no commit can come in its time"))
+            self.runtime.loop.call_soon(
+                on_done, Result(Outcome.NOT_DONE, cause="the queue of the store is full")
+            )  # fmt: skip
+        elif is_write and not self._is_idle and self.runtime.now_us() + self.wait_us > deadline_us:
+            self.runtime.loop.call_soon(
+                on_done, Result(Outcome.NOT_DONE, cause="no commit can finish before the deadline")
+            )
         else:
-            job = Job(what, deadline_us, then, writes)
+            job = Job(operation, deadline_us, on_done, is_write)
             self.jobs.append(job)
-            self.wake.set()
-            left = max(0, deadline_us - self.house.now_us())
-            self.house.loop.call_later(left / 1e6, self._late, job)
+            self.job_added.set()
+            left_us = max(0, deadline_us - self.runtime.now_us())
+            self.runtime.loop.call_later(left_us / 1e6, self._expire, job)
 
-    def _late(self, job: Job) -> None:
-        """Guards against a server that is paused: what has not been begun by then never is."""
+    def _expire(self, job: Job) -> None:
+        """Ends a job that is still queued at its deadline, for example because the server is paused. Its
+        operation is never called."""
         with suppress(ValueError):
             self.jobs.remove(job)
-            job.then(Result(Outcome.NEVER, cause="its time was up"))
+            job.on_done(Result(Outcome.NOT_DONE, cause="the deadline has passed"))
 
-    # ---- each connection
+    # ---- for each connection
 
-    async def _work(self) -> None:
+    async def _run_worker(self) -> None:
         connection: Any = None
         pause_s = BACKOFF_S
         while not self.stopping:
             if not self.jobs:
-                self.wake.clear()
-                await self.wake.wait()
+                self.job_added.clear()
+                await self.job_added.wait()
                 continue
             batch: list[Job] = []
             try:
@@ -330,87 +368,94 @@
                     connection = await (self._connect() if self.migrated else self.open())
                 pause_s = BACKOFF_S
                 batch = [self.jobs.popleft() for _ in range(min(len(self.jobs), self.settings.most_batch))]
-                began_us = self.house.now_us()
-                self.began_us.append(began_us)
+                began_us = self.runtime.now_us()
+                self.commits_began_us.append(began_us)
                 try:
-                    fine = not batch or await self._commit(connection, batch)
+                    is_usable = not batch or await self._commit(connection, batch)
                 finally:
-                    self.began_us.remove(began_us)
-                if not fine:
+                    self.commits_began_us.remove(began_us)
+                if not is_usable:
                     connection.terminate()
                     connection = None
             except (*ERRORS, BadStore) as e:
-                # No connection: who waits may still have time, and is told when that is up.
+                # No connection: queued jobs may still have time, and end at their deadline otherwise.
                 connection = None
-                self.house.log(f"record: no connection to postgres: {' '.join(str(e).split())}")
+                self.runtime.log(f"record: no connection to postgres: {' '.join(str(e).split())}")
                 await asyncio.sleep(pause_s)
-                pause_s = min(MOST_BACKOFF_S, pause_s * 2)
+                pause_s = min(MAX_BACKOFF_S, pause_s * 2)
             except asyncio.CancelledError:
                 if connection is not None:
                     connection.terminate()
                 raise
 
-    async def _commit(self, c: Any, batch: list[Job]) -> bool:
-        """Is the connection still of use?"""
-        began, committing = self.house.now_us(), False
+    async def _commit(self, connection: Any, batch: list[Job]) -> bool:
+        """Runs the jobs in one transaction. Returns whether the connection is still usable."""
+        began_us, committing = self.runtime.now_us(), False
         done: list[tuple[Job, Result]] = []
-        writes = any(j.writes for j in batch)
+        has_writes = any(j.is_write for j in batch)
         try:
-            if writes:
-                await c.execute("BEGIN")
+            if has_writes:
+                await connection.execute("BEGIN")
             for job in batch:
-                done.append((job, await job.what(c)))
+                done.append((job, await job.operation(connection)))
             committing = True
-            if writes:
-                await c.execute("COMMIT")
+            if has_writes:
+                await connection.execute("COMMIT")
         except BaseException as e:
-            result = Result(outcome_of(e, committing and writes), cause=f"postgres: {type(e).__name__}: {e}")
-            again = result.outcome is Outcome.NEVER and lost(e)
+            result = Result(
+                classify_failure(e, committing and has_writes), cause=f"postgres: {type(e).__name__}: {e}"
+            )
+            can_retry = result.outcome is Outcome.NOT_DONE and is_connection_lost(e)
             for job in reversed(batch):
                 job.tries += 1
-                if again and job.tries < MOST_TRIES and job.deadline_us > self.house.now_us():
-                    self.jobs.appendleft(job)  # nothing was done: on the next connection
+                if can_retry and job.tries < MAX_TRIES and job.deadline_us > self.runtime.now_us():
+                    self.jobs.appendleft(job)  # nothing was done: try it on another connection
                 else:
-                    self._tell(job, result)
+                    self._deliver(job, result)
             if isinstance(e, Exception):
                 return False
             raise
-        if writes:
+        if has_writes:
             self.commits += 1
-            self.committed += sum(j.writes for j in batch)
-            self.commit_us += SMOOTH * (self.house.now_us() - began - self.commit_us)
+            self.changes_committed += sum(j.is_write for j in batch)
+            self.commit_us += COMMIT_TIME_SMOOTHING * (self.runtime.now_us() - began_us - self.commit_us)
         for job, result in done:
-            self._tell(job, result)
+            self._deliver(job, result)
         return True
 
-    def _tell(self, job: Job, result: Result) -> None:
-        """In a turn of its own: one that fails costs neither another's word nor the connection."""
-        self.house.loop.call_soon(job.then, result)
+    def _deliver(self, job: Job, result: Result) -> None:
+        """Schedules the callback as a call of its own: if it raises, that affects neither other jobs nor the
+        connection."""
+        self.runtime.loop.call_soon(job.on_done, result)
 
-    async def add(self, c: Any, row: Row) -> bool:
-        return bool(await c.execute(INSERT, *pack(row)) == "INSERT 0 1")
+    async def insert_row(self, connection: Any, row: Row) -> bool:
+        """Returns False if the id exists already."""
+        return bool(await connection.execute(INSERT, *encode_row(row)) == "INSERT 0 1")
 
-    async def put(self, c: Any, before: Row, after: Row) -> bool:
-        values = pack(after)[FIRST_CHANGED:]
-        done = await c.execute(UPDATE, *before.id, before.state.value, before.owner, *values)
+    async def update_row(self, connection: Any, before: Row, after: Row) -> bool:
+        """Returns False if the stored row no longer has the state and owner of `before`."""
+        values = encode_row(after)[FIRST_MUTABLE_COLUMN:]
+        done = await connection.execute(UPDATE, *before.id, before.state.value, before.owner, *values)
         return bool(done == "UPDATE 1")
 
-    async def all_rows(self, c: Any, state: State | None) -> list[Row]:
+    async def fetch_rows(self, connection: Any, state: State | None) -> list[Row]:
+        """Returns all rows, or those in one state, the oldest first."""
         where = "WHERE $1::text = '' OR state = $1::text"
-        found = await c.fetch(
+        found = await connection.fetch(
             f"{SELECT} {where} ORDER BY received_s", state.value if state is not None else ""
         )
-        return [self._row(v) for v in found]
+        return [self._decode_row(v) for v in found]
 
-    async def row_of(self, c: Any, id: Id) -> Row | None:
-        found = await c.fetch(f"{SELECT} WHERE {BY_ID}", *id)
-        return self._row(found[0]) if found else None
+    async def fetch_row(self, connection: Any, id: Id) -> Row | None:
+        found = await connection.fetch(f"{SELECT} WHERE {BY_ID}", *id)
+        return self._decode_row(found[0]) if found else None
 
-    def _row(self, v: Any) -> Row:
+    def _decode_row(self, v: Any) -> Row:
+        """Decodes the values that `SELECT` returns. Raises ValueError or TypeError."""
         sent = None
         if v[10] is not None:
-            since_s = v[20] - v[10]
-            sent = Moment(v[10], self.boot, self.up_us() / 1e6 - since_s)
+            age_s = v[20] - v[10]
+            sent = Moment(v[10], self.boot, self.up_us() / 1e6 - age_s)
         answer = Answer(v[14], v[15], v[16]) if v[14] is not None else None
         state = State(v[8])
         return Row(Id(v[0], v[1], v[2]), v[3], v[4], v[5], v[6], v[7], state, v[9], sent, v[11], v[12], v[13],
--- a/magpiefront/record/rows.py
+++ b/magpiefront/record/rows.py
@@ -1,4 +1,4 @@
-"""A report as the store of record holds it, and the small interface of the stores."""
+"""The stored form of a report, and the protocol that the stores of record implement."""
 
 from __future__ import annotations
 
@@ -12,41 +12,47 @@
 
 
 class State(enum.Enum):
-    """Of a report that is held. One that was refused before it ran is not held any more."""
+    """The state of a stored report. A report that was refused before it ran is removed from the store."""
 
-    STORED = "stored"  # known not to have been sent; owed
-    SENT = "sent"  # may have run since `Row.sent_s`
-    CONFIRMED = "confirmed"  # ran, and its answer is held
-    UNKNOWN = "unknown"  # may have run, and nobody can say any more
-    NOT_RUN = "not-run"  # an operator's word on an unknown one
+    STORED = "stored"  # known not to have been sent; still to be delivered
+    SENT = "sent"  # may have run since `Row.sent`
+    CONFIRMED = "confirmed"  # has run, and its answer is stored
+    UNKNOWN = "unknown"  # may have run; this can no longer be determined
+    NOT_RUN = "not-run"  # was unknown; an operator stated that it did not run
 
 
 class Id(NamedTuple):
-    """A key belongs to a tenant and a class (draft-ietf-httpapi-idempotency-key-header, 2.2)."""
+    """Identifies a report by its idempotency key, whose scope is a tenant and a class
+    (draft-ietf-httpapi-idempotency-key-header, 2.2).
+
+    `kind` is the name of the class.
+    """
 
     tenant: str
     kind: str
     key: bytes
 
 
-UNSURE = "?"  # in place of a start: how long ago it was can't be told yet
-
-
+UNKNOWN_BOOT = "?"  # in place of a boot id, where the age of a time is not known yet
 BOOT_ID = Path("/proc/sys/kernel/random/boot_id")
-OWN_BOOT = token_hex(16)
+FALLBACK_BOOT_ID = token_hex(16)
 
 
 def boot_id() -> str:
-    """Of this start of the machine; one of its own where none can be read, which no other process shares."""
+    """Returns the id of the machine's current boot. If it can't be read, returns a random id that no other
+    process shares."""
     try:
         return BOOT_ID.read_text().strip()
     except OSError:
-        return OWN_BOOT
+        return FALLBACK_BOOT_ID
 
 
 class Moment(NamedTuple):
-    """A time that another process can judge: Unix seconds for people, and seconds since the machine's start,
-    which no leap of the clock touches; those of two starts are not compared."""
+    """A time that other processes can compare with theirs.
+
+    `wall_s` is Unix time, for display only. `up_s` counts seconds since the boot `boot` of the machine and
+    is not affected by steps of the wall clock; times of different boots can't be compared.
+    """
 
     wall_s: float
     boot: str
@@ -55,93 +61,109 @@
 
 @dataclass(frozen=True, slots=True)
 class Attempt:
+    """One request with the report that was sent to a node."""
+
     node: str
     at_s: float  # Unix seconds
 
 
 def attempts_text(attempts: tuple[Attempt, ...]) -> str:
-    """As stores hold them."""
+    """Encodes attempts for a store, as JSON."""
     return json.dumps([[a.node, a.at_s] for a in attempts]) if attempts else "[]"
 
 
 def read_attempts(text: str) -> tuple[Attempt, ...]:
-    """Raises ValueError or TypeError."""
+    """Decodes the text of `attempts_text`. Raises ValueError or TypeError."""
     return tuple(Attempt(node, at) for node, at in json.loads(text))
 
 
 @dataclass(frozen=True, slots=True)
 class Answer:
+    """The response that clients get for a report."""
+
     status: int
-    more: bytes  # field lines
+    more: bytes  # the field lines, encoded
     body: bytes
 
 
 @dataclass(frozen=True, slots=True)
 class Row:
+    """A report as the store holds it. The names of the fields are also those of the encoded form."""
+
     id: Id
-    digest: bytes  # of method, target and body: another payload under the same key is another report
+    digest: bytes  # of method, target, content type and body; a different one under the same key is an error
     method: bytes
     target: bytes
-    more: bytes  # the field lines that go on with it
+    more: bytes  # the field lines that are forwarded with it
     body: bytes
     state: State
     received_s: float
-    sent: Moment | None  # when it was first sent, or marked so
-    owner: str  # the process that sends it; a word on it by another is too late
-    window_s: float  # how long the nodes drop repeats of it after `sent`
-    until_s: float  # how long after `sent` its owner is at work on it at most
+    sent: Moment | None  # when the report was first sent, or first marked as sent
+    owner: str  # the process that sends it; a change that expects another owner is rejected
+    window_s: float  # how long after `sent` the nodes drop repeats of it
+    until_s: float  # how long after `sent` its owner may work on it at most; 0: the owner has released it
     answer: Answer | None = None
     attempts: tuple[Attempt, ...] = ()
     note: str = ""
-    told: bool = False  # its client was told to come again after a try that may have run: it is the client's
+    # After an attempt that may have run, the client was asked to retry. Only its retry sends it again.
+    told: bool = False
 
 
 class Outcome(enum.Enum):
-    """What became of a request to a store."""
+    """The outcome of a call of a store."""
 
     DONE = "done"
-    THERE = "there"  # an insert found a row with its id; a change found another state or owner there
-    NEVER = "never"  # failed, and the store holds nothing of it
-    ASK = "ask"  # failed, and may have been done: it must be asked
+    CONFLICT = "there"  # an insert found a row with the same id, or a change another state or owner
+    NOT_DONE = "never"  # failed, and the store is unchanged
+    UNCERTAIN = "ask"  # failed, but may have been done: the row has to be read
 
 
 @dataclass(frozen=True, slots=True)
 class Result:
+    """The result of a call of a store."""
+
     outcome: Outcome
-    row: Row | None = None  # what stands there, where that is known
-    cause: str = ""  # of a failure, one line
+    row: Row | None = None  # the row that the store holds, if known
+    cause: str = ""  # of a failure, in one line
 
 
-Then = Callable[[Result], None]
+ResultCallback = Callable[[Result], None]
 
 
 class Store(Protocol):
-    """Each call returns at once; `then` is called in the loop, once. What can't be begun before `deadline_us`
-    of the house's clock ends as NEVER."""
+    """A store of reports.
+
+    Each call returns at once; its callback is called once, in the event loop. A call that can't be begun
+    before `deadline_us`, on the clock of the runtime, ends with NOT_DONE.
+    """
 
-    def insert(self, row: Row, deadline_us: int, then: Then) -> None:
-        """DONE once it is durable; THERE with the row that has its id."""
+    def insert(self, row: Row, deadline_us: int, on_done: ResultCallback) -> None:
+        """Inserts a row: DONE once it is durable, or CONFLICT with the row that has the same id."""
 
-    def change(self, before: Row, after: Row, deadline_us: int, then: Then) -> None:
-        """In place of `before`, if that one's state and owner still stand there."""
+    def change(self, before: Row, after: Row, deadline_us: int, on_done: ResultCallback) -> None:
+        """Replaces `before` by `after` if the stored row still has the state and owner of `before`."""
 
-    def remove(self, before: Row, deadline_us: int, then: Then) -> None:
-        """As `change`, to nothing."""
+    def remove(self, before: Row, deadline_us: int, on_done: ResultCallback) -> None:
+        """Deletes the row under the same condition as `change`."""
 
-    def get(self, id: Id, deadline_us: int, then: Then) -> None:
-        """DONE with the row, or without one."""
+    def get(self, id: Id, deadline_us: int, on_done: ResultCallback) -> None:
+        """Reads a row: DONE with the row, or without one if there is none."""
 
-    def open_rows(self, most: int, then: Callable[[list[Row]], None], of: str = "") -> None:
-        """The oldest that are stored or sent, with an owner that begins with `of`; none where the store can't
-        say."""
+    def open_rows(
+        self, limit: int, on_done: Callable[[list[Row]], None], owner_prefix: str = ""
+    ) -> None:  # fmt: skip
+        """Reads the oldest rows that are stored or sent and whose owner begins with `owner_prefix`. The list
+        is empty if the store can't be read."""
 
-    def sweep(self, before_s: float, most: int, then: Callable[[int], None]) -> None:
-        """Removes confirmed rows received before (Unix seconds), `most` at a time; how many went."""
+    def sweep(self, before_s: float, limit: int, on_done: Callable[[int], None]) -> None:
+        """Removes at most `limit` confirmed rows that were received before `before_s` (Unix seconds) and
+        calls back with their number."""
 
     @property
     def identity(self) -> str:
-        """The same at all processes that this store serves, and at no others; empty while it is not known."""
+        """A text that is the same in all processes that use this store, and different for any other store.
+        Empty while it is not known."""
 
     @property
     def wait_us(self) -> int:
-        """How long a commit that is asked for now will take by what was measured."""
+        """How long a commit that is requested now is expected to take, estimated from earlier commits."""
