--- a/standins/conformance/__main__.py
+++ b/standins/conformance/__main__.py
@@ -1,10 +1,11 @@
-"""Plays the standard's cases against a cache, and prints a table by section.
+"""Runs the conformance cases of HTTP caching against a proxy, and prints a table by section.
 
-    python -m standins.conformance                                    a lineshift of its own
+    python -m standins.conformance                                    starts a proxy of this checkout
     python -m standins.conformance --target HOST:PORT --origin PORT   any proxy with the origin 127.0.0.1:PORT
 
-The scripted archive listens on the origin's port. Exit status 1 where a required case failed, 2 where the
-proxy can't be had. All traffic stays on this machine; the run ends by itself.
+The scripted archive listens on the origin's port. The last line printed is the report as JSON. The exit
+status is 1 if a required case failed, and 2 if the proxy cannot be started, the archive cannot listen or the
+module of the cases does not exist. All traffic stays on this machine, and the command ends by itself.
 """
 
 from __future__ import annotations
@@ -19,95 +20,117 @@
 from pathlib import Path
 from typing import Any
 
-from standins.conformance.archive import Archive
-from standins.conformance.case import Case, Need
-from standins.conformance.play import Player, Result
-from standins.world import Failed
+from standins.conformance.archive import ScriptedArchive
+from standins.conformance.case import Case, RequirementLevel
+from standins.conformance.runner import CaseRunner, Result
+from standins.world import RunFailed
 
-EXTRA = "Req-Id: {id}\r\nReq-Kind: {kind}\r\nReq-Deadline: 5.000\r\n"
+# Fields that the platform requires of every request; CaseRunner replaces `{id}` and `{kind}`.
+PLATFORM_FIELDS = "Req-Id: {id}\r\nReq-Kind: {kind}\r\nReq-Deadline: 5.000\r\n"
 
 
-def errs(case: Case) -> bool:
-    return any(s.reply.status >= 500 or s.reply.cut >= 0 for s in case.steps)
+def provokes_errors(case: Case) -> bool:
+    """Whether the archive answers a request of this case with a server error or a truncated body."""
+    return any(step.response.status >= 500 or step.response.truncate_at >= 0 for step in case.steps)
 
 
 async def run(
-    cases: Sequence[Case], target: tuple[str, int], archive: Archive, extra: str, at_once: int, quiet: bool
+    cases: Sequence[Case],
+    target: tuple[str, int],
+    archive: ScriptedArchive,
+    extra_fields: str,
+    concurrency: int,
+    quiet: bool,
 ) -> list[Result]:
-    player = Player(*target, archive, extra)
-    gate = asyncio.Semaphore(at_once)
-    done = 0
-
-    async def one(case: Case) -> Result:
-        nonlocal done
-        async with gate:
-            result = await player.play(case)
-        done += 1
+    """Runs the cases, at most `concurrency` at a time, with progress on stderr unless `quiet`.
+
+    The results of cases that provoke errors come last.
+    """
+    runner = CaseRunner(*target, archive, extra_fields)
+    semaphore = asyncio.Semaphore(concurrency)
+    finished = 0
+
+    async def run_case(case: Case) -> Result:
+        nonlocal finished
+        async with semaphore:
+            result = await runner.run(case)
+        finished += 1
         if not quiet:
-            print(f"\r{done} of {len(cases)}", end="", file=sys.stderr, flush=True)
+            print(f"\r{finished} of {len(cases)}", end="", file=sys.stderr, flush=True)
         return result
 
-    # What errs comes last: a proxy may keep its distance from an archive that does.
-    calm = [c for c in cases if not errs(c)]
-    results = await asyncio.gather(*(one(c) for c in calm))
-    results += await asyncio.gather(*(one(c) for c in cases if errs(c)))
+    # Cases that provoke errors run last: a proxy may avoid an archive that returned errors, and would then
+    # refuse requests of other cases.
+    other_cases = [case for case in cases if not provokes_errors(case)]
+    results = await asyncio.gather(*(run_case(case) for case in other_cases))
+    results += await asyncio.gather(*(run_case(case) for case in cases if provokes_errors(case)))
     if not quiet:
         print(file=sys.stderr)
     return list(results)
 
 
 def summary(results: Sequence[Result]) -> dict[str, Any]:
+    """Returns the report that is printed as JSON: counts in all and by section, and the failed cases."""
     sections: dict[str, dict[str, int]] = {}
-    for r in results:
+    for result in results:
         row = sections.setdefault(
-            r.case.section, {"required": 0, "optional": 0, "failed": 0, "optional_failed": 0}
+            result.case.section, {"required": 0, "optional": 0, "failed": 0, "optional_failed": 0}
         )
-        row[r.case.need.value] += 1
-        if r.fault:
-            row["failed" if r.case.need is Need.REQUIRED else "optional_failed"] += 1
+        row[result.case.level.value] += 1
+        if result.failure:
+            row["failed" if result.case.level is RequirementLevel.REQUIRED else "optional_failed"] += 1
     total = {
-        k: sum(row[k] for row in sections.values())
-        for k in ("required", "optional", "failed", "optional_failed")
+        key: sum(row[key] for row in sections.values())
+        for key in ("required", "optional", "failed", "optional_failed")
     }
-    faults = [f"{r.case.title} ({r.case.need.value}): {r.fault}" for r in results if r.fault]
+    faults = [
+        f"{result.case.title} ({result.case.level.value}): {result.failure}"
+        for result in results
+        if result.failure
+    ]
     return {"conformance": "RFC 9111", "cases": len(results), **total, "sections": sections, "faults": faults}
 
 
-def order(section: str) -> tuple[int, ...]:
-    first, _, rest = section.rpartition(" ")
-    return (int(first or 9111), *(int(n) for n in rest.split(".")))
+def section_sort_key(section: str) -> tuple[int, ...]:
+    """Sorts by RFC (9111 if none is given), then by the numbers of the section."""
+    rfc, _, numbers = section.rpartition(" ")
+    return (int(rfc or 9111), *(int(number) for number in numbers.split(".")))
 
 
-def table(found: dict[str, Any]) -> str:
+def table(report: dict[str, Any]) -> str:
+    """Formats the counts of a report, one row for each section and one for all of them."""
     rows = [f"{'section':14} {'required':>9} {'optional':>9} {'failed':>7} {'optional not met':>17}"]
-    for section in sorted(found["sections"], key=order):
-        r = found["sections"][section]
+    for section in sorted(report["sections"], key=section_sort_key):
+        row = report["sections"][section]
         name = section if " " in section else f"9111 {section}"
         rows.append(
-            f"{name:14} {r['required']:9} {r['optional']:9} {r['failed']:7} {r['optional_failed']:17}"
+            f"{name:14} {row['required']:9} {row['optional']:9} {row['failed']:7} {row['optional_failed']:17}"
         )
-    t = found
-    rows.append(f"{'all':14} {t['required']:9} {t['optional']:9} {t['failed']:7} {t['optional_failed']:17}")
+    totals = report
+    rows.append(
+        f"{'all':14} {totals['required']:9} {totals['optional']:9} {totals['failed']:7} "
+        f"{totals['optional_failed']:17}"
+    )
     return "\n".join(rows)
 
 
-async def main_(args: argparse.Namespace) -> dict[str, Any]:
+async def run_command(args: argparse.Namespace) -> dict[str, Any]:
     cases: tuple[Case, ...] = importlib.import_module(args.cases).CASES
     if args.only:
-        cases = tuple(c for c in cases if args.only in c.title)
-    archive = Archive(args.origin)
+        cases = tuple(case for case in cases if args.only in case.title)
+    archive = ScriptedArchive(args.origin)
     await archive.start()
     try:
         if args.target:
             host, _, port = args.target.rpartition(":")
-            results = await run(cases, (host, int(port)), archive, EXTRA, args.at_once, args.json)
+            results = await run(cases, (host, int(port)), archive, PLATFORM_FIELDS, args.at_once, args.json)
         else:
-            from standins.conformance.own import Own
+            from standins.conformance.proxy_process import ProxyProcess
 
             with tempfile.TemporaryDirectory() as folder:
-                async with Own(archive, Path(folder)) as own:
+                async with ProxyProcess(archive, Path(folder)) as proxy:
                     results = await run(
-                        cases, ("127.0.0.1", own.port), archive, EXTRA, args.at_once, args.json
+                        cases, ("127.0.0.1", proxy.port), archive, PLATFORM_FIELDS, args.at_once, args.json
                     )
     finally:
         archive.stop()
@@ -116,24 +139,26 @@
 
 def main() -> int:
     parser = argparse.ArgumentParser("standins.conformance", description=(__doc__ or "").split("\n")[0])
-    parser.add_argument("--target", metavar="HOST:PORT", help="the proxy; default: one that this starts")
-    parser.add_argument("--origin", type=int, default=0, metavar="PORT", help="where the archive listens")
-    parser.add_argument("--cases", default="tests.caching.conformance", help="the module that holds CASES")
-    parser.add_argument("--only", default="", help="only cases with this in their title")
+    parser.add_argument("--target", metavar="HOST:PORT", help="the proxy to test; default: start one")
+    parser.add_argument(
+        "--origin", type=int, default=0, metavar="PORT", help="port of the archive; 0: a free one"
+    )
+    parser.add_argument("--cases", default="tests.caching.conformance", help="module that defines CASES")
+    parser.add_argument("--only", default="", help="run only cases whose title contains this")
     parser.add_argument("--at-once", type=int, default=16)
-    parser.add_argument("--json", action="store_true", help="only the last line, for programs")
+    parser.add_argument("--json", action="store_true", help="print only the JSON report")
     args = parser.parse_args()
     try:
-        found = asyncio.run(main_(args))
-    except (OSError, ModuleNotFoundError, Failed) as e:
-        print(f"standins.conformance: {e}", file=sys.stderr)
+        report = asyncio.run(run_command(args))
+    except (OSError, ModuleNotFoundError, RunFailed) as error:
+        print(f"standins.conformance: {error}", file=sys.stderr)
         return 2
     if not args.json:
-        print(table(found))
-        for fault in found["faults"]:
+        print(table(report))
+        for fault in report["faults"]:
             print("  " + fault)
-    print(json.dumps(found))
-    return 1 if found["failed"] else 0
+    print(json.dumps(report))
+    return 1 if report["failed"] else 0
 
 
 if __name__ == "__main__":
--- a/standins/conformance/archive.py
+++ b/standins/conformance/archive.py
@@ -1,4 +1,4 @@
-"""An archive that answers by script: one script for each path, and a note of all that came."""
+"""A scripted origin server: sends the response of each case's current step, and records the requests."""
 
 from __future__ import annotations
 
@@ -9,93 +9,105 @@
 from email.utils import formatdate
 
 from standins import http
-from standins.conformance.case import Reply
+from standins.conformance.case import Response
 
-WHEN = re.compile(r"\{now(?:([+-])(\d+))?\}")
+DATE_PLACEHOLDER = re.compile(r"\{now(?:([+-])(\d+))?\}")
 
 
-def dated(value: str) -> str:
-    def when(m: re.Match[str]) -> str:
-        off = int(m[2] or 0) * (-1 if m[1] == "-" else 1)
-        return formatdate(time.time() + off, usegmt=True)
+def expand_dates(value: str) -> str:
+    """Replaces `{now}`, `{now+60}` and `{now-60}` (seconds) by HTTP dates."""
 
-    return WHEN.sub(when, value)
+    def format_date(match: re.Match[str]) -> str:
+        offset_s = int(match[2] or 0) * (-1 if match[1] == "-" else 1)
+        return formatdate(time.time() + offset_s, usegmt=True)
+
+    return DATE_PLACEHOLDER.sub(format_date, value)
 
 
 @dataclass
-class Script:
-    replies: list[Reply] = field(default_factory=list)
-    came: list[http.Message] = field(default_factory=list)
-    seen: asyncio.Condition = field(default_factory=asyncio.Condition)
+class RequestLog:
+    """The requests that the archive received for one case, in their order."""
+
+    responses: list[Response] = field(default_factory=list)
+    requests: list[http.Message] = field(default_factory=list)
+    request_received: asyncio.Condition = field(default_factory=asyncio.Condition)
+
+    async def wait_for_requests(self, count: int) -> None:
+        """Waits until `count` requests have been received since the case began."""
+        async with self.request_received:
+            await self.request_received.wait_for(lambda: len(self.requests) >= count)
 
-    async def until(self, count: int) -> None:
-        """Until so many requests have come."""
-        async with self.seen:
-            await self.seen.wait_for(lambda: len(self.came) >= count)
 
+class ScriptedArchive(http.Server):
+    """Answers each request of a case with the response of the case's current step.
 
-class Archive(http.Server):
-    """Answers each request with the reply that stands for the step under way."""
+    The first segment of the path is the name of the case, such as `case12`. `/health` is answered 200, and
+    any unknown path 404.
+    """
 
     def __init__(self, port: int = 0) -> None:
         super().__init__()
-        self.port = port
-        self.scripts: dict[str, Script] = {}
-        self.now: dict[str, Reply] = {}
+        self.port = port  # 0: a free port, set on start
+        # Both by the name of the case.
+        self.request_logs: dict[str, RequestLog] = {}
+        self.current_responses: dict[str, Response] = {}
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.writers[writer] = None
         try:
             while True:
-                m = await http.read(reader)
-                method, target, _ = m.start.split(" ")
+                message = await http.read(reader)
+                method, target, _ = message.start.split(" ")
                 path = target.partition("?")[0]
                 if path == "/health":
-                    writer.write(http.answer(200))
+                    writer.write(http.response(200))
                     continue
                 name = path.strip("/").partition("/")[0] if path.startswith("/case") else path
-                reply = self.now.get(name)
-                script = self.scripts.get(name)
-                if reply is None or script is None:
-                    writer.write(http.answer(404, more="Cache-Control: no-store\r\n"))
+                response = self.current_responses.get(name)
+                request_log = self.request_logs.get(name)
+                if response is None or request_log is None:
+                    writer.write(http.response(404, extra_headers="Cache-Control: no-store\r\n"))
                     continue
-                script.came.append(m)
-                whole = await self._write(writer, reply, method)
-                async with script.seen:
-                    script.seen.notify_all()
-                if not whole:
+                request_log.requests.append(message)
+                complete = await self._write_response(writer, response, method)
+                async with request_log.request_received:
+                    request_log.request_received.notify_all()
+                if not complete:
                     await writer.drain()
                     break
                 await writer.drain()
-        except (OSError, asyncio.IncompleteReadError, http.Bad, http.Cut):
+        except (OSError, asyncio.IncompleteReadError, http.MalformedMessage, http.TruncatedBody):
             pass
         finally:
             self.writers.pop(writer, None)
             writer.close()
 
-    async def _write(self, writer: asyncio.StreamWriter, reply: Reply, method: str) -> bool:
-        body = reply.body.encode() if reply.status not in (204, 304) else b""
-        lines = [f"HTTP/1.1 {reply.status} Scripted"]
-        lines += [f"{name}: {dated(value)}" for name, value in reply.fields]
-        if reply.date and not any(n.lower() == "date" for n, _ in reply.fields):
-            lines.append(f"Date: {dated('{now}')}")
-        if reply.chunked:
+    async def _write_response(self, writer: asyncio.StreamWriter, response: Response, method: str) -> bool:
+        """Returns False if the response was truncated, so that the connection must be closed."""
+        body = response.body.encode() if response.status not in (204, 304) else b""
+        lines = [f"HTTP/1.1 {response.status} Scripted"]
+        lines += [f"{name}: {expand_dates(value)}" for name, value in response.fields]
+        if response.add_date and not any(n.lower() == "date" for n, _ in response.fields):
+            lines.append(f"Date: {expand_dates('{now}')}")
+        if response.chunked:
             lines.append("Transfer-Encoding: chunked")
-        elif reply.status not in (204, 304) or reply.length >= 0:
-            lines.append(f"Content-Length: {reply.length if reply.length >= 0 else len(body)}")
+        elif response.status not in (204, 304) or response.declared_length >= 0:
+            lines.append(
+                f"Content-Length: {response.declared_length if response.declared_length >= 0 else len(body)}"
+            )
         head = "\r\n".join([*lines, "", ""]).encode("latin-1")
         if method == "HEAD" or not body:
-            writer.write(head + (b"0\r\n\r\n" if reply.chunked and method != "HEAD" else b""))
+            writer.write(head + (b"0\r\n\r\n" if response.chunked and method != "HEAD" else b""))
             return True
-        if reply.chunked:
+        if response.chunked:
             data = b"%x\r\n%b\r\n" % (len(body), body)
-            if reply.cut < 0:
+            if response.truncate_at < 0:
                 data += b"0\r\n\r\n"
         else:
-            data = body if reply.cut < 0 else body[: reply.cut]
-        half = len(data) // 2 if reply.slow_s else 0
+            data = body if response.truncate_at < 0 else body[: response.truncate_at]
+        half = len(data) // 2 if response.body_pause_s else 0
         writer.write(head + data[:half])
         if half:
-            await asyncio.sleep(reply.slow_s)
+            await asyncio.sleep(response.body_pause_s)
         writer.write(data[half:])
-        return reply.cut < 0
+        return response.truncate_at < 0
--- a/standins/conformance/case.py
+++ b/standins/conformance/case.py
@@ -1,4 +1,4 @@
-"""A case: what a client asks, what the archive answers, and what must come of it."""
+"""Conformance cases: a client's requests, the archive's scripted responses, and what the cache must do."""
 
 from __future__ import annotations
 
@@ -9,81 +9,105 @@
 DAY = 86_400
 
 
-class Need(Enum):
-    """What a failed case means."""
+class RequirementLevel(Enum):
+    """How binding a case is (RFC 2119): only a failed required case makes the command fail."""
 
     REQUIRED = "required"  # a MUST of the standard
-    OPTIONAL = "optional"  # a SHOULD, a MAY, or what users of a cache would wish
+    OPTIONAL = "optional"  # a SHOULD, a MAY, or behaviour that users of a cache would like
 
 
 @dataclass(frozen=True, slots=True)
-class Reply:
-    """`{now}` and `{now-60}` in `fields` become dates; `Date` is added unless `date` is
-    false. `cut` breaks the connection after so many bytes of the body; `length` lies about it."""
+class Response:
+    """A response that the scripted archive sends.
+
+    In field values `{now}`, `{now+60}` and `{now-60}` (in seconds) are replaced by HTTP dates.
+    """
 
     status: int = 200
     fields: tuple[tuple[str, str], ...] = ()
     body: str = "one"
-    date: bool = True
-    cut: int = -1
-    length: int = -1
+    add_date: bool = True  # adds a Date field if `fields` has none
+    # Number of body bytes after which the connection is closed; of a chunked body only the last chunk (of
+    # size 0) is left out, whatever the number. -1: the body is complete.
+    truncate_at: int = -1
+    declared_length: int = -1  # value of Content-Length; -1: the length of the body
     chunked: bool = False
-    slow_s: float = 0.0  # a pause in the middle of the body
+    body_pause_s: float = 0.0  # between the two halves of the body
 
 
 @dataclass(frozen=True, slots=True)
 class Step:
-    """One request, and what must hold of its answer. None: whatever.
+    """One request of a client, and what is expected of its response. An expectation of None is not checked.
 
-    `reaches`: must it come to the archive? `sends`: fields that the archive must see, or with None must not;
-    `status`, `expect_body`: of the answer; `has`: fields of the answer, or with None ones that it must not
-    have. A value `~x` must contain x; `>=5` is a number. `same`: must the body be that of this step?"""
+    In `expect_forwarded_fields` (of the request that the archive receives) and `expect_fields` (of the
+    response that the client receives) each value is the whole field value, `~x` if it must contain x, `>=5`
+    or `<=5` for a number, or None if the field must be absent. `expect_forwarded_fields` is not checked if
+    the request does not reach the archive.
+    """
 
-    reply: Reply = field(default_factory=Reply)
+    response: Response = field(default_factory=Response)  # of the archive, if the request is forwarded to it
     fields: tuple[tuple[str, str], ...] = ()
     method: str = "GET"
-    suffix: str = ""  # to the case's path
+    suffix: str = ""  # appended to the path of the case
     body: str = ""
-    reaches: bool | None = None
-    sends: Mapping[str, str | None] = field(default_factory=dict)
-    status: int | None = None
-    same: int | None = None
+    expect_forwarded: bool | None = None  # whether the request must reach the archive, or must not
+    expect_forwarded_fields: Mapping[str, str | None] = field(default_factory=dict)
+    expect_status: int | None = None
+    expect_body_of_step: int | None = None  # index of the step whose response body this one must repeat
     expect_body: str | None = None
-    has: Mapping[str, str | None] = field(default_factory=dict)
-    pause_s: float = 0.0  # before it
-    broken: bool | None = None  # must its client be able to tell that it is not whole?
-    awaits: int = 0  # then wait until the archive has seen so many requests in all
+    expect_fields: Mapping[str, str | None] = field(default_factory=dict)
+    pause_s: float = 0.0  # before the request is sent
+    # True: the client must be able to tell that the response is truncated, or get a status of 500 or more.
+    expect_truncated: bool | None = None
+    wait_for_requests: int = 0  # after the response, waits until the archive has received this many in all
 
 
 @dataclass(frozen=True, slots=True)
 class Case:
-    """`section` is of RFC 9111, or another one's number before it, as `5861 3`."""
+    """A sequence of requests for one path and its suffixes, which checks a section of the standard.
+
+    `section` is a section of RFC 9111, or the number of another RFC and its section, such as `5861 3`.
+    """
 
     section: str
     name: str
     steps: tuple[Step, ...]
-    need: Need = Need.REQUIRED
+    level: RequirementLevel = RequirementLevel.REQUIRED
 
     @property
     def title(self) -> str:
         return f"{self.section}: {self.name}"
 
 
-def kept(
-    section: str, name: str, reply: Reply, first: tuple[tuple[str, str], ...] = (),
-    then: tuple[tuple[str, str], ...] = (), need: Need = Need.OPTIONAL,
+def reused(
+    section: str, name: str, response: Response, first_fields: tuple[tuple[str, str], ...] = (),
+    second_fields: tuple[tuple[str, str], ...] = (), level: RequirementLevel = RequirementLevel.OPTIONAL,
 ) -> Case:  # fmt: skip
-    """The second request should be answered without the archive."""
-    return Case(section, name, (Step(reply, first), Step(reply, then, reaches=False, same=0)), need)
-
-
-def asked_again(
-    section: str, name: str, reply: Reply, first: tuple[tuple[str, str], ...] = (),
-    then: tuple[tuple[str, str], ...] = (), need: Need = Need.REQUIRED,
+    """Builds a case whose second request should be answered with the stored response of the first."""
+    return Case(
+        section,
+        name,
+        (
+            Step(response, first_fields),
+            Step(response, second_fields, expect_forwarded=False, expect_body_of_step=0),
+        ),
+        level,
+    )
+
+
+def forwarded_again(
+    section: str, name: str, response: Response, first_fields: tuple[tuple[str, str], ...] = (),
+    second_fields: tuple[tuple[str, str], ...] = (), level: RequirementLevel = RequirementLevel.REQUIRED,
 ) -> Case:  # fmt: skip
-    """The second request must come to the archive."""
-    return Case(section, name, (Step(reply, first), Step(reply, then, reaches=True)), need)
-
-
-def cc(value: str, *more: tuple[str, str], **other: object) -> Reply:
-    return Reply(fields=(("Cache-Control", value), *more), **other)  # type: ignore[arg-type]
+    """Builds a case whose second request must be forwarded to the archive, as a new or a validating one."""
+    return Case(
+        section,
+        name,
+        (Step(response, first_fields), Step(response, second_fields, expect_forwarded=True)),
+        level,
+    )
+
+
+def cache_control(value: str, *more_fields: tuple[str, str], **response_arguments: object) -> Response:
+    """Builds a response with this Cache-Control; `response_arguments` are other arguments of Response."""
+    return Response(fields=(("Cache-Control", value), *more_fields), **response_arguments)  # type: ignore[arg-type]
--- a/standins/conformance/own.py
+++ b/standins/conformance/proxy_process.py
@@ -1,4 +1,4 @@
-"""A lineshift process of this checkout with caching on, in front of the scripted archive."""
+"""Runs a proxy process of this checkout, with caching enabled, in front of the scripted archive."""
 
 from __future__ import annotations
 
@@ -8,11 +8,11 @@
 import sys
 from pathlib import Path
 
-from standins.conformance.archive import Archive
+from standins.conformance.archive import ScriptedArchive
 from standins.discovery import Discovery
 from standins.world import CLASSES, ROOT, free_port, until_ready
 
-OPERATOR = '[site]\nname = "west"\n[caching]\nplain_servers = true\n'
+OPERATOR_TOML = '[site]\nname = "west"\n[caching]\nplain_servers = true\n'
 SETTINGS = {
     "balancers": 1, "grades": list(CLASSES), "rules": {"coldFrom": 0.3, "coldUs": 8_000_000},
     "permissions": {
@@ -20,23 +20,32 @@
         "maxRetryAfterUs": 500_000, "connectTimeoutUs": 1_000_000, "connIdleUs": 60_000_000,
     },
 }  # fmt: skip
-PLACES = 16  # the archive in as many places, so that one that errs is not all
+# Discovery lists the archive's one address as this many instances: error responses in some cases then make
+# the proxy avoid a few instances, and not the whole archive.
+INSTANCE_COUNT = 16
 
 
-class Own:
-    """`port` takes clients once it is entered. Raises Failed where the process does not come up."""
+class ProxyProcess:
+    """An async context manager that starts the proxy and its discovery, and stops them at its end.
 
-    def __init__(self, archive: Archive, folder: Path, operator: str = OPERATOR) -> None:
-        self.archive, self.folder, self.operator = archive, folder, operator
+    While it is entered, the proxy accepts clients on `port`. Entering it raises RunFailed if the proxy ends
+    or does not become ready.
+    """
+
+    def __init__(self, archive: ScriptedArchive, folder: Path, operator_toml: str = OPERATOR_TOML) -> None:
+        self.archive, self.folder, self.operator_toml = archive, folder, operator_toml
         self.port = 0
         self.discovery = Discovery()
         self.process: asyncio.subprocess.Process | None = None
 
-    async def __aenter__(self) -> Own:
+    async def __aenter__(self) -> ProxyProcess:
         await self.discovery.start()
-        place = f"127.0.0.1:{self.archive.port}"
+        address = f"127.0.0.1:{self.archive.port}"
         self.discovery.set(
-            [{"instanceId": f"archive-{n}", "hostPort": place, "lifecycle": "Ready"} for n in range(PLACES)]
+            [
+                {"instanceId": f"archive-{n}", "hostPort": address, "lifecycle": "Ready"}
+                for n in range(INSTANCE_COUNT)
+            ]
         )
         self.port = free_port()
         config = {
@@ -45,7 +54,7 @@
             "seed": "1", "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "settings": SETTINGS,
         }  # fmt: skip
         (self.folder / "config.json").write_text(json.dumps(config))
-        (self.folder / "operator.toml").write_text(self.operator)
+        (self.folder / "operator.toml").write_text(self.operator_toml)
         env = {**os.environ, "LB_CONFIG": str(self.folder / "config.json")}
         with open(self.folder / "log", "wb") as log:
             self.process = await asyncio.create_subprocess_exec(
--- a/standins/discovery.py
+++ b/standins/discovery.py
@@ -1,4 +1,4 @@
-"""Discovery as the protocol has it: a list with generations, and watches that wait for what is newer."""
+"""A stand-in for discovery: a list of instances, and long polls that wait for a newer generation of it."""
 
 from __future__ import annotations
 
@@ -11,6 +11,9 @@
 
 
 class Discovery(http.Server):
+    """Serves the list as the discovery protocol requires: `after` in a query is the last generation that the
+    client has, and `wait_ms` how long to wait for a newer one."""
+
     def __init__(self) -> None:
         super().__init__()
         self.generation = 0
@@ -18,21 +21,26 @@
         self.changed = asyncio.Event()
 
     def set(self, instances: list[dict[str, Any]]) -> None:
+        """Replaces the list, and answers the waiting polls."""
         self.generation, self.instances = self.generation + 1, instances
         self.changed.set()
         self.changed = asyncio.Event()
 
-    def whole(self) -> dict[str, Any]:
+    def snapshot(self) -> dict[str, Any]:
+        """Returns the full list, in the form of an answer."""
         return {"generation": self.generation, "reset": True, "instances": self.instances}
 
-    async def reply(self, m: http.Message) -> bytes:
-        query = parse_qs(urlsplit(m.start.split(" ")[1]).query)
-        after, wait_s = int(query.get("after", ["-1"])[0]), int(query.get("wait_ms", ["0"])[0]) / 1000
-        told = self.whole()
-        if after >= self.generation:
+    async def reply(self, message: http.Message) -> bytes:
+        query = parse_qs(urlsplit(message.start.split(" ")[1]).query)
+        known_generation, wait_s = (
+            int(query.get("after", ["-1"])[0]),
+            int(query.get("wait_ms", ["0"])[0]) / 1000,
+        )
+        answer = self.snapshot()
+        if known_generation >= self.generation:
             try:
                 await asyncio.wait_for(self.changed.wait(), wait_s)
-                told = self.whole()
+                answer = self.snapshot()
             except TimeoutError:
-                told = {"generation": self.generation, "reset": False, "instances": []}
-        return http.answer(200, json.dumps(told).encode())
+                answer = {"generation": self.generation, "reset": False, "instances": []}
+        return http.response(200, json.dumps(answer).encode())
--- a/standins/drill.py
+++ b/standins/drill.py
@@ -1,19 +1,27 @@
-"""A drill of many real processes that agree, with faults between them by a plan.
+"""Drill of a group of real processes, with planned faults of the processes and of the links between them.
 
     python -m standins.drill [--members 3] [--observers 0] [--rounds 10] [--seed 1] [--at-once 4] [--json]
                              [--replay PLAN]
 
-A round: that many processes of the program, a relay for each directed pair of them, clients that write and
-read registers and take and give back a lease through any member, and faults: SIGKILL, SIGSTOP and SIGCONT,
-cuts both ways, one way and by bridges, a link that flaps, delays, resets, a full disk, a disk put back to an
-older day, an empty one, all killed at once, a member taken out, the lead handed over. All of it is drawn
-before the round begins; a plan that ends with a fault is printed, and `--replay` plays it again (who comes
-first within a moment is the system's).
-
-Judged by what the clients saw: the history of each register is linearizable (`linear.py`), so nothing that
-was committed is lost; nobody holds a lease after somebody with a higher epoch did, and no epoch has two
-holders; all members agree again and may act within `WHOLE_S` after the last fault. Exit status 1 where that
-does not hold, 2 where no round could be played. All traffic stays on loopback and ends by itself.
+A round runs the processes, with a relay for each direction between two of them. Clients write and read
+registers, and take and drop a lease, through any member. The kinds of faults are:
+
+    kill, stop, all   SIGKILL and a later start; SIGSTOP and SIGCONT; SIGKILL and start of all processes
+    cut, one way      links between some members and the rest stall; connections that a member opened stall
+    bridge, flap      the link between two members is cut; links of a member are cut and restored repeatedly
+    slow, reset       links of a member are slow; their connections are reset
+    full, wipe        a member's disk is full; a member loses its files
+    put back          a member's files are replaced by an older copy
+    remove, lead      a member is removed and added again; leadership is transferred to a member
+
+The plan of a round is drawn from its seed before the round starts. The plan of a round with violations is
+printed, and `--replay` runs it again; the order of events that happen at nearly the same time may differ.
+
+Only what the clients observed is checked. The history of each register must be linearizable
+(`linearizability.py`), so no committed write is lost. No member may hold the lease after another member held
+it with a higher epoch, and no epoch may have two holders. All members must agree again and be allowed to act
+within `CONVERGENCE_TIMEOUT_S` seconds after the last fault. The exit status is 1 if a check fails and 2 if no
+round could be run. All traffic stays on the loopback interface, and all processes end with the round.
 """
 
 from __future__ import annotations
@@ -33,16 +41,16 @@
 from typing import Any
 
 from standins.discovery import Discovery
-from standins.groupask import Asker, Lost, Turned
-from standins.linear import Op, Undecided, linearizable
+from standins.member_client import MemberClient, NoAnswer, NotExecuted
+from standins.linearizability import Op, Undecided, linearizable
 from standins.process import Process
 from standins.relay import Relay
-from standins.rounds import play_all, tell
-from standins.world import Failed, free_port
+from standins.rounds import print_summary, run_all
+from standins.world import RunFailed, free_port
 
-WHOLE_S = 20.0
-LENGTH_S = 4.0
-KINDS = {
+CONVERGENCE_TIMEOUT_S = 20.0
+LOAD_S = 4.0  # the least length of the load, within which all faults begin
+FAULT_WEIGHTS = {  # relative frequency of each kind
     "kill": 4, "stop": 4, "cut": 3, "one way": 2, "bridge": 2, "flap": 1, "slow": 2, "reset": 2, "full": 1,
     "put back": 1, "wipe": 1, "all": 1, "remove": 1, "lead": 2,
 }  # fmt: skip
@@ -57,57 +65,62 @@
 
 @dataclass(frozen=True)
 class Fault:
+    """A fault that begins `at_s` seconds after the start of the load."""
+
     at_s: float
     kind: str
-    who: tuple[int, ...]
+    who: tuple[int, ...]  # indexes of the affected processes
     lasts_s: float
 
 
 @dataclass(frozen=True)
 class Plan:
-    """All that is drawn of a round."""
+    """Everything about a round that is drawn from its seed. Its JSON text is the argument of `--replay`."""
 
     seed: int
     members: int = 3
     observers: int = 0
     faults: tuple[Fault, ...] = ()
-    work: str = ""  # the store of record of rounds in which reports are taken over
-    there: tuple[Fault, ...] = ()  # at the other site, and of the links between the two
+    work: str = ""  # the store of record, in rounds that send reports: sqlite, postgres or group
+    there: tuple[Fault, ...] = ()  # faults at the other site, and of the links between the sites
 
     @classmethod
     def draw(
         cls, seed: int, members: int, observers: int = 0, work: str = "",
-        kinds: Mapping[str, int] = MappingProxyType(KINDS), length_s: float = LENGTH_S,
+        weights: Mapping[str, int] = MappingProxyType(FAULT_WEIGHTS), load_s: float = LOAD_S,
     ) -> Plan:  # fmt: skip
-        r = Random(f"{seed} {members}")
+        """Draws the plan of a seed. `weights`: the kinds of faults and their relative frequencies."""
+        random = Random(f"{seed} {members}")
         faults: list[Fault] = []
-        gone = (members - 1) // 2  # voters that are lost for good or taken out: a majority has to be left
-        for _ in range(r.randint(1, 4)):
-            kind = r.choices(list(kinds), list(kinds.values()))[0]
+        # Voters that may lose their state or be removed. A majority must remain.
+        losses_left = (members - 1) // 2
+        for _ in range(random.randint(1, 4)):
+            kind = random.choices(list(weights), list(weights.values()))[0]
             if kind in ("put back", "wipe", "remove"):
-                if not gone:
+                if not losses_left:
                     continue
-                gone -= 1
-            count = {"cut": r.randint(1, max(1, members // 2)), "bridge": min(2, members)}.get(kind, 1)
-            who, at_s = tuple(r.sample(range(members), count)), round(r.uniform(0.2, length_s), 3)
-            faults.append(Fault(at_s, kind, who, round(10 ** r.uniform(-1.3, 0.4), 3)))
+                losses_left -= 1
+            count = {"cut": random.randint(1, max(1, members // 2)), "bridge": min(2, members)}.get(kind, 1)
+            who, at_s = tuple(random.sample(range(members), count)), round(random.uniform(0.2, load_s), 3)
+            faults.append(Fault(at_s, kind, who, round(10 ** random.uniform(-1.3, 0.4), 3)))
         return cls(seed, members, observers, tuple(sorted(faults, key=lambda f: f.at_s)), work)
 
     @classmethod
     def read(cls, text: str) -> Plan:
-        """Raises ValueError, TypeError, KeyError."""
-        given = json.loads(text)
+        """Parses the output of `text`. Raises ValueError, TypeError or KeyError if it is malformed."""
+        fields = json.loads(text)
         for name in ("faults", "there"):
-            given[name] = tuple(Fault(**{**f, "who": tuple(f["who"])}) for f in given.get(name, ()))
-        return cls(**given)
+            fields[name] = tuple(Fault(**{**f, "who": tuple(f["who"])}) for f in fields.get(name, ()))
+        return cls(**fields)
 
     def text(self) -> str:
+        """Returns the plan as JSON on one line."""
         return json.dumps(asdict(self), separators=(",", ":"))
 
 
 @dataclass(frozen=True)
 class Claim:
-    """A member said between these moments that it holds the lease."""
+    """A member's statement that it holds the lease, made at some time from `begin` to `end` (seconds)."""
 
     begin: float
     end: float
@@ -115,64 +128,73 @@
     epoch: int
 
 
-def judge_claims(claims: list[Claim]) -> list[str]:
-    faults = []
-    owner: dict[int, str] = {}
-    for c in claims:
-        if owner.setdefault(c.epoch, c.member) != c.member:
-            faults.append(f"{owner[c.epoch]} and {c.member} both held the lease at epoch {c.epoch}")
+def claim_conflicts(claims: list[Claim]) -> list[str]:
+    """Returns the violations of the lease: epochs with two holders, and claims with a lower epoch than one
+    that had ended before they began."""
+    violations = []
+    holders: dict[int, str] = {}
+    for claim in claims:
+        if holders.setdefault(claim.epoch, claim.member) != claim.member:
+            violations.append(
+                f"{holders[claim.epoch]} and {claim.member} both held the lease at epoch {claim.epoch}"
+            )
     highest: Claim | None = None
-    done = sorted(claims, key=lambda c: c.end)
-    at = 0
-    for c in sorted(claims, key=lambda c: c.begin):
-        while at < len(done) and done[at].end < c.begin:
-            if highest is None or done[at].epoch > highest.epoch:
-                highest = done[at]
-            at += 1
-        if highest is not None and c.epoch < highest.epoch:
-            later = f"{highest.member} at {highest.epoch}"
-            faults.append(f"{c.member} held the lease at epoch {c.epoch} after {later}")
-    return faults
+    by_end = sorted(claims, key=lambda c: c.end)
+    next_ended = 0
+    for claim in sorted(claims, key=lambda c: c.begin):
+        while next_ended < len(by_end) and by_end[next_ended].end < claim.begin:
+            if highest is None or by_end[next_ended].epoch > highest.epoch:
+                highest = by_end[next_ended]
+            next_ended += 1
+        if highest is not None and claim.epoch < highest.epoch:
+            earlier = f"{highest.member} held it at epoch {highest.epoch}"
+            violations.append(f"{claim.member} held the lease at epoch {claim.epoch} after {earlier}")
+    return violations
 
 
 class Round:
+    """One round: the processes, the relays between them, the clients and what these have observed."""
+
     settings = SETTINGS
-    work_s = LENGTH_S
+    load_s = LOAD_S
     site = "west"
 
     def __init__(self, plan: Plan, folder: Path, relayed: bool = True) -> None:
-        """Without relays there are no faults of the net, and nothing between members that costs time."""
+        """`relayed`: whether members connect through relays. Without them there are no link faults, and the
+        relays add no latency."""
         self.plan, self.folder, self.relayed = plan, folder, relayed
         self.names = [f"d{n}" for n in range(plan.members + plan.observers)]
         self.discovery = Discovery()
         self.processes = [Process(name, folder) for name in self.names]
-        self.listens = {name: free_port() for name in self.names}
+        self.ports = {name: free_port() for name in self.names}
         self.relays: dict[tuple[str, str], Relay] = {}
         self.ops: dict[str, list[Op]] = {"x": [], "y": []}
         self.claims: list[Claim] = []
-        self.told: Counter[str] = Counter()
-        self.over = False
-        self.whole_s = 0.0
+        self.outcomes: Counter[str] = Counter()  # of the clients' requests
+        self.stopping = False  # the load is to end
+        self.convergence_s = 0.0
 
     # ---- the round
 
     async def prepare(self) -> None:
+        """Starts discovery and the relays, and writes the files of the processes."""
         await self.discovery.start()
         for a in self.names:
             for b in self.names:
                 if a != b and self.relayed:
-                    relay = self.relays[a, b] = Relay(("127.0.0.1", self.listens[b]), self.plan.seed)
+                    relay = self.relays[a, b] = Relay(("127.0.0.1", self.ports[b]), self.plan.seed)
                     await relay.start()
         voters = json.dumps(self.names[: self.plan.members])
         for p in self.processes:
             ports = {b: r.port for (a, b), r in self.relays.items() if a == p.name}
-            ports = {b: ports.get(b, self.listens[b]) for b in self.names}
+            ports = {b: ports.get(b, self.ports[b]) for b in self.names}
             members = "\n".join(f'{b} = "127.0.0.1:{port}"' for b, port in ports.items())
-            (self.folder / p.operator).write_text(
+            (self.folder / p.operator_file).write_text(
                 f'[site]\nname = "{self.site}"\n[group]\nmember = "{p.name}"\n'
                 f'path = "{p.name}/group.sqlite"\n'
-                f'voters = {voters}\nlisten = "127.0.0.1:{self.listens[p.name]}"\ntls = {{ plain = true }}\n'
-                f"[group.limits]\ncompact = 60\nkeep = 20\n[group.members]\n{members}\n{self.tables(p.name)}"
+                f'voters = {voters}\nlisten = "127.0.0.1:{self.ports[p.name]}"\ntls = {{ plain = true }}\n'
+                f"[group.limits]\ncompact = 60\nkeep = 20\n[group.members]\n{members}\n"
+                f"{self.extra_toml(p.name)}"
             )
             p.config.write_text(json.dumps({
                 "name": p.name, "listen": f"127.0.0.1:{p.port}", "seed": p.name.encode().hex(),
@@ -180,316 +202,350 @@
                 "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 512}, "settings": self.settings,
             }))  # fmt: skip
 
-    def tables(self, name: str) -> str:
-        """More of the operator's file of that process."""
+    def extra_toml(self, name: str) -> str:
+        """Returns further tables for the operator's file of that process."""
         return ""
 
-    def begin(self) -> list[asyncio.Task[None]]:
-        """What goes on beside the faults, until `over`."""
-        work = [asyncio.create_task(self._client(n)) for n in range(3)]
-        return work + [asyncio.create_task(self._leases(n)) for n in range(len(self.names))]
+    def start_load(self) -> list[asyncio.Task[None]]:
+        """Starts the clients, which run until `stopping` is set."""
+        tasks = [asyncio.create_task(self._run_register_client(n)) for n in range(3)]
+        return tasks + [asyncio.create_task(self._run_lease_client(n)) for n in range(len(self.names))]
 
-    async def last(self) -> None:
-        """Once all is whole again and nobody asks any more."""
-        await self._last_reads()
+    async def run_after_load(self) -> None:
+        """Runs once the members have converged after the last fault and the clients have ended."""
+        await self._read_all_registers()
 
-    async def play(self) -> dict[str, Any]:
-        faults: list[str] = []
+    async def run(self) -> dict[str, Any]:
+        """Runs the round. Returns its counts and, as `faults`, the violations that were found."""
+        violations: list[str] = []
         try:
             await self.prepare()
             await asyncio.gather(*(p.spawn() for p in self.processes))
-            await self._until_whole("at the start")
-            work = self.begin()
-            begin = time.monotonic()
-            strikes = [asyncio.create_task(self._strike(f, begin)) for f in self.plan.faults]
-            await asyncio.gather(*strikes)
-            await asyncio.sleep(max(0.0, begin + self.work_s - time.monotonic()))
-            await self._heal()
-            healed = time.monotonic()
-            await self._until_whole("after the last fault")
-            self.whole_s = time.monotonic() - healed
-            self.over = True
-            await asyncio.gather(*work)
-            await self.last()
-        except Failed as e:
-            faults.append(str(e))
+            await self.wait_until_converged("at the start")
+            load = self.start_load()
+            began = time.monotonic()
+            fault_tasks = [asyncio.create_task(self.inject_fault(f, began)) for f in self.plan.faults]
+            await asyncio.gather(*fault_tasks)
+            await asyncio.sleep(max(0.0, began + self.load_s - time.monotonic()))
+            await self._clear_faults()
+            cleared = time.monotonic()
+            await self.wait_until_converged("after the last fault")
+            self.convergence_s = time.monotonic() - cleared
+            self.stopping = True
+            await asyncio.gather(*load)
+            await self.run_after_load()
+        except RunFailed as e:
+            violations.append(str(e))
         finally:
-            self.over = True
-            await self.end()
-        return self.judge(faults)
+            self.stopping = True
+            await self.close()
+        return self.evaluate(violations)
 
-    async def end(self) -> None:
+    async def close(self) -> None:
+        """Kills all processes and stops discovery and the relays."""
         await asyncio.gather(*(p.kill() for p in self.processes if p.process is not None))
-        for old in (o for p in self.processes for o in p.before if o.returncode is None):
+        for old in (o for p in self.processes for o in p.predecessors if o.returncode is None):
             old.kill()
             await old.wait()
         self.discovery.stop()
         for relay in self.relays.values():
             relay.stop()
 
-    def judge(self, faults: list[str]) -> dict[str, Any]:
+    def evaluate(self, violations: list[str]) -> dict[str, Any]:
+        """Checks what the clients observed. `violations`: those found before. Returns the round's result."""
         for key, ops in self.ops.items():
             try:
                 if not linearizable(ops):
-                    faults.append(f"the history of {key} is not linearizable")
+                    violations.append(f"the history of register {key} is not linearizable")
             except Undecided:
-                faults.append(f"the history of {key} could not be decided")
-        faults += judge_claims(self.claims)
-        return {"ops": sum(map(len, self.ops.values())), "claims": len(self.claims), **self.told,
-                "whole_s": round(self.whole_s, 2), "faults": faults}  # fmt: skip
+                violations.append(f"the history of register {key} has too many states to be checked")
+        violations += claim_conflicts(self.claims)
+        return {"ops": sum(map(len, self.ops.values())), "claims": len(self.claims), **self.outcomes,
+                "whole_s": round(self.convergence_s, 2), "faults": violations}  # fmt: skip
 
     # ---- faults
 
-    async def _strike(self, f: Fault, begin: float) -> None:
-        await asyncio.sleep(max(0.0, begin + f.at_s - time.monotonic()))
-        first = self.processes[f.who[0]]
-        inside = {self.names[n] for n in f.who}
-        between = [r for (a, b), r in self.relays.items() if (a in inside) != (b in inside)]
-        match f.kind:
+    async def inject_fault(self, fault: Fault, began: float) -> None:
+        """Waits until the fault is due, causes it, and ends it in time. `began`: the start of the load."""
+        await asyncio.sleep(max(0.0, began + fault.at_s - time.monotonic()))
+        first = self.processes[fault.who[0]]
+        affected = {self.names[n] for n in fault.who}
+        crossing = [r for (a, b), r in self.relays.items() if (a in affected) != (b in affected)]
+        match fault.kind:
             case "kill" | "wipe":
                 await first.kill()
-                if f.kind == "wipe":
+                if fault.kind == "wipe":
                     shutil.rmtree(self.folder / first.name)
-                await asyncio.sleep(f.lasts_s)
+                await asyncio.sleep(fault.lasts_s)
                 await first.spawn()
             case "stop":
-                first.stop()
-                await asyncio.sleep(f.lasts_s)
-                first.go_on()
+                first.suspend()
+                await asyncio.sleep(fault.lasts_s)
+                first.resume()
             case "cut":
-                await self._meanwhile(between, f.lasts_s, "stall")
+                await self._impair_links(crossing, fault.lasts_s, "stall")
             case "one way":
-                from_it = [r for (a, _), r in self.relays.items() if a in inside]
-                await self._meanwhile(from_it, f.lasts_s, "stall")
+                outgoing = [r for (a, _), r in self.relays.items() if a in affected]
+                await self._impair_links(outgoing, fault.lasts_s, "stall")
             case "bridge":
-                both = [r for (a, b), r in self.relays.items() if a in inside and b in inside]
-                await self._meanwhile(both, f.lasts_s, "cut")
+                inner = [r for (a, b), r in self.relays.items() if a in affected and b in affected]
+                await self._impair_links(inner, fault.lasts_s, "cut")
             case "flap":
-                for _ in range(int(f.lasts_s / 0.1)):
-                    await self._meanwhile(between, 0.05, "cut")
+                for _ in range(int(fault.lasts_s / 0.1)):
+                    await self._impair_links(crossing, 0.05, "cut")
                     await asyncio.sleep(0.05)
             case "slow":
-                await self._meanwhile(between, f.lasts_s, "slow")
+                await self._impair_links(crossing, fault.lasts_s, "slow")
             case "reset":
-                for relay in between:
+                for relay in crossing:
                     relay.break_all()
             case "full":
-                first.room(4_096)
-                await asyncio.sleep(f.lasts_s)
-                first.room(None)
+                first.limit_file_size(4_096)
+                await asyncio.sleep(fault.lasts_s)
+                first.limit_file_size(None)
             case "put back":
                 older = self.folder / f"{first.name}-older"
-                first.stop()
+                first.suspend()
                 shutil.copytree(self.folder / first.name, older)
-                first.go_on()
-                await asyncio.sleep(f.lasts_s)
+                first.resume()
+                await asyncio.sleep(fault.lasts_s)
                 await first.kill()
                 shutil.rmtree(self.folder / first.name)
                 older.rename(self.folder / first.name)
                 await first.spawn()
             case "all":
                 await asyncio.gather(*(p.kill() for p in self.processes))
-                for p in Random(f.at_s).sample(self.processes, len(self.processes)):
+                for p in Random(fault.at_s).sample(self.processes, len(self.processes)):
                     await p.spawn()
             case "remove":
-                await self._of_leader({"do": "bar", "name": first.name, "out": True})
-                await asyncio.sleep(f.lasts_s)
-                await self._of_leader({"do": "bar", "name": first.name, "out": False})
+                await self._request_leader({"do": "bar", "name": first.name, "out": True})
+                await asyncio.sleep(fault.lasts_s)
+                await self._request_leader({"do": "bar", "name": first.name, "out": False})
             case "lead":
-                await self._of_leader({"do": "lead", "to": first.name})
+                await self._request_leader({"do": "lead", "to": first.name})
             case "end":
-                await first.end()
-                await asyncio.sleep(f.lasts_s)
+                await first.terminate()
+                await asyncio.sleep(fault.lasts_s)
                 await first.spawn()
             case "upgrade":
-                await first.upgrade(f.lasts_s)
+                await first.upgrade(fault.lasts_s)
             case _:
-                raise Failed(f"unknown fault {f.kind}")
+                raise RunFailed(f"unknown kind of fault: {fault.kind!r}")
 
-    async def _meanwhile(self, relays: list[Relay], lasts_s: float, what: str) -> None:
-        for r in relays:
-            if what == "slow":
-                r.slow(0.05, 1.95)
+    async def _impair_links(self, relays: list[Relay], lasts_s: float, how: str) -> None:
+        """Makes the relays "slow" (0.05 to 2 s per chunk), or lets them "stall" or "cut", for that time."""
+        for relay in relays:
+            if how == "slow":
+                relay.set_delay(0.05, 1.95)
             else:
-                (r.stall if what == "stall" else r.cut)()
+                (relay.stall if how == "stall" else relay.cut)()
         await asyncio.sleep(lasts_s)
-        for r in relays:
-            r.slow(0.0)
-            r.heal()
-
-    async def _heal(self) -> None:
-        for r in self.relays.values():
-            r.slow(0.0)
-            r.heal()
+        for relay in relays:
+            relay.set_delay(0.0)
+            relay.restore()
+
+    async def _clear_faults(self) -> None:
+        """Ends all faults of links and disks, resumes suspended processes and starts ended ones."""
+        for relay in self.relays.values():
+            relay.set_delay(0.0)
+            relay.restore()
         for p in self.processes:
-            p.room(None)
-            p.go_on()
-            if not p.up:
+            p.limit_file_size(None)
+            p.resume()
+            if not p.is_running:
                 await p.spawn()
 
-    async def _of_leader(self, what: dict[str, Any]) -> None:
-        """Once, of whoever leads; a plan's wish that nobody can meet at that moment is let go."""
+    async def _request_leader(self, command: dict[str, Any]) -> None:
+        """Sends the command to the leader once. A command of the plan is skipped if no member answers as
+        leader at that moment."""
         for p in self.processes:
-            asker = self._asker(p.name)
+            client = self.member_client(p.name)
             try:
-                if (await asker.ask({"do": "status"}, 0.5)).get("role") == "leader":
-                    await asker.ask(what, 2.0)
+                if (await client.request({"do": "status"}, 0.5)).get("role") == "leader":
+                    await client.request(command, 2.0)
                     return
-            except (Lost, Turned):
+            except (NoAnswer, NotExecuted):
                 continue
             finally:
-                asker.close()
-
-    # ---- who asks
-
-    def _asker(self, name: str) -> Asker:
-        return Asker(self.listens[name], self.site, self.site)
-
-    async def _client(self, number: int) -> None:
-        r = Random(f"{self.plan.seed} {number}")
-        askers = {name: self._asker(name) for name in self.names}
-        n, version = 0, {"x": 0, "y": 0}
-        while not self.over:
-            await asyncio.sleep(r.uniform(0.01, 0.12))
-            key, name, kind = r.choice("xy"), r.choice(self.names), r.random()
+                client.close()
+
+    # ---- clients
+
+    def member_client(self, name: str) -> MemberClient:
+        """Returns a new client of that member. The caller closes it."""
+        return MemberClient(self.ports[name], self.site, self.site)
+
+    async def _run_register_client(self, number: int) -> None:
+        """Sends compare-and-set writes (30 %), plain writes (30 %) and reads (40 %) to random members."""
+        random = Random(f"{self.plan.seed} {number}")
+        clients = {name: self.member_client(name) for name in self.names}
+        n, versions = 0, {"x": 0, "y": 0}
+        while not self.stopping:
+            await asyncio.sleep(random.uniform(0.01, 0.12))
+            key, name, roll = random.choice("xy"), random.choice(self.names), random.random()
             n += 1
-            expected = version[key] if kind < 0.3 else -1
+            expected = versions[key] if roll < 0.3 else -1
             value = f"{number}.{n}"
-            what = {"do": "put", "key": key, "value": value, "version": expected, "deadline_ms": 800}
-            write = kind < 0.6
+            command = {"do": "put", "key": key, "value": value, "version": expected, "deadline_ms": 800}
+            write = roll < 0.6
             if not write:
-                what = {"do": "get", "key": key, "deadline_ms": 800}
-            await self._op(askers[name], key, what, write, value, expected, version)
-        for asker in askers.values():
-            asker.close()
-
-    async def _op(
-        self, asker: Asker, key: str, what: dict[str, Any], write: bool, value: str, expected: int,
-        version: dict[str, int],
+                command = {"do": "get", "key": key, "deadline_ms": 800}
+            await self._run_operation(clients[name], key, command, write, value, expected, versions)
+        for client in clients.values():
+            client.close()
+
+    async def _run_operation(
+        self, client: MemberClient, key: str, command: dict[str, Any], write: bool, value: str, expected: int,
+        versions: dict[str, int],
     ) -> None:  # fmt: skip
+        """Sends one command and adds it to the register's history. `expected`: the version that the write
+        requires, -1 if any. A write that found another version is added as a read of the value it found. A
+        command that was not executed is not added, nor is a read without an answer."""
         begin = time.monotonic()
         try:
-            told = await asker.ask(what, 2.0)
-        except Turned:
-            self.told["refused"] += 1
+            reply = await client.request(command, 2.0)
+        except NotExecuted:
+            self.outcomes["refused"] += 1
             return
-        except Lost:
-            told = {"fate": "unknown"}
-        fate, end = told["fate"], time.monotonic()
-        self.told[fate] += 1
+        except NoAnswer:
+            reply = {"fate": "unknown"}
+        fate, end = reply["fate"], time.monotonic()
+        self.outcomes[fate] += 1
         if fate == "committed":
-            if write and told["done"]:
+            if write and reply["done"]:
                 self.ops[key].append(Op(True, value.encode(), begin, end, expected))
-                version[key] = told["epoch"]
+                versions[key] = reply["epoch"]
             else:
-                self.ops[key].append(Op(False, told["value"].encode(), begin, end))
-                version[key] = told.get("version", told.get("epoch", 0))
+                self.ops[key].append(Op(False, reply["value"].encode(), begin, end))
+                versions[key] = reply.get("version", reply.get("epoch", 0))
         elif fate == "unknown" and write:
             self.ops[key].append(Op(True, value.encode(), begin, None, expected))
 
-    async def _leases(self, number: int) -> None:
-        """Wants the lease through one member, and looks whether it says that it holds it."""
-        name, r = self.names[number], Random(f"{self.plan.seed} lease {number}")
-        asker = self._asker(name)
-        while not self.over:
-            await asyncio.sleep(r.uniform(0.01, 0.05))
+    async def _run_lease_client(self, number: int) -> None:
+        """Takes and drops the lease through one member, and records when that member claims to hold it."""
+        name, random = self.names[number], Random(f"{self.plan.seed} lease {number}")
+        client = self.member_client(name)
+        while not self.stopping:
+            await asyncio.sleep(random.uniform(0.01, 0.05))
             try:
                 begin = time.monotonic()
-                epoch = (await asker.ask({"do": "holds", "lease": "drill"}, 5.0))["epoch"]
+                epoch = (await client.request({"do": "holds", "lease": "drill"}, 5.0))["epoch"]
                 if epoch:
                     self.claims.append(Claim(begin, time.monotonic(), name, epoch))
-                if epoch and r.random() < 0.08:
-                    await asker.ask({"do": "drop", "lease": "drill", "deadline_ms": 300}, 1.0)
-                elif not epoch and r.random() < 0.3:
-                    await asker.ask({"do": "take", "lease": "drill", "deadline_ms": 300}, 1.0)
-            except (Lost, Turned):
+                if epoch and random.random() < 0.08:
+                    await client.request({"do": "drop", "lease": "drill", "deadline_ms": 300}, 1.0)
+                elif not epoch and random.random() < 0.3:
+                    await client.request({"do": "take", "lease": "drill", "deadline_ms": 300}, 1.0)
+            except (NoAnswer, NotExecuted):
                 await asyncio.sleep(0.05)
-        asker.close()
+        client.close()
 
-    async def _last_reads(self) -> None:
+    async def _read_all_registers(self) -> None:
+        """Reads each register at each member, as the last operations of its history."""
         for name in self.names:
-            asker = self._asker(name)
+            client = self.member_client(name)
             for key in self.ops:
-                what = {"do": "get", "key": key, "deadline_ms": 5_000}
-                await self._op(asker, key, what, False, "", -1, {})
-            asker.close()
-
-    # ---- is it whole?
-
-    async def _until_whole(self, when: str) -> None:
-        """Raises Failed."""
-        end, askers = time.monotonic() + WHOLE_S, {name: self._asker(name) for name in self.names}
-        found: dict[str, Any] = {}
+                command = {"do": "get", "key": key, "deadline_ms": 5_000}
+                await self._run_operation(client, key, command, False, "", -1, {})
+            client.close()
+
+    # ---- convergence
+
+    async def wait_until_converged(self, when: str) -> None:
+        """Waits until all members agree on a leader, all voters vote, and each member may act and has applied
+        nearly all committed entries. Lets removed members back in. Raises RunFailed after
+        `CONVERGENCE_TIMEOUT_S`. `when`: names this moment in the message."""
+        end, clients = (
+            time.monotonic() + CONVERGENCE_TIMEOUT_S,
+            {n: self.member_client(n) for n in self.names},
+        )
+        statuses: dict[str, Any] = {}
         try:
             while True:
-                for name, asker in askers.items():
+                for name, client in clients.items():
                     try:
-                        found[name] = await asker.ask({"do": "status"}, 1.0)
-                    except (Lost, Turned) as e:
-                        found[name] = {"cause": str(e) or "no answer"}
-                    for barred in found[name].get("barred", []):
-                        await self._of_leader({"do": "bar", "name": barred, "out": False})
-                if self._whole(found):
+                        statuses[name] = await client.request({"do": "status"}, 1.0)
+                    except (NoAnswer, NotExecuted) as e:
+                        statuses[name] = {"cause": str(e) or "no answer"}
+                    for barred in statuses[name].get("barred", []):
+                        await self._request_leader({"do": "bar", "name": barred, "out": False})
+                if self._is_converged(statuses):
                     return
                 if time.monotonic() > end:
                     logs = {p.name: p.log.read_text()[-400:] for p in self.processes if p.log.exists()}
-                    raise Failed(f"not whole {WHOLE_S} s {when}: {json.dumps(found)}; {logs}")
+                    raise RunFailed(
+                        f"not converged within {CONVERGENCE_TIMEOUT_S} s {when}: "
+                        f"{json.dumps(statuses)}; {logs}"
+                    )
                 await asyncio.sleep(0.05)
         finally:
-            for asker in askers.values():
-                asker.close()
+            for client in clients.values():
+                client.close()
 
-    def _whole(self, found: dict[str, Any]) -> bool:
-        leaders = {s.get("leader") for s in found.values()}
-        if len(leaders) != 1 or not all(s.get("leader") for s in found.values()):
+    def _is_converged(self, statuses: dict[str, Any]) -> bool:
+        leaders = {s.get("leader") for s in statuses.values()}
+        if len(leaders) != 1 or not all(s.get("leader") for s in statuses.values()):
             return False
-        top = max(s["commit"] for s in found.values())
-        voting = sum(s["votes"] for s in found.values())
-        return voting == self.plan.members and all(
-            s["epoch"] and s["applied"] >= top - 20 and s["id"].startswith(f"{name}.")
-            for name, s in found.items()
+        highest_commit = max(s["commit"] for s in statuses.values())
+        voters = sum(s["votes"] for s in statuses.values())
+        return voters == self.plan.members and all(
+            s["epoch"] and s["applied"] >= highest_commit - 20 and s["id"].startswith(f"{name}.")
+            for name, s in statuses.items()
         )
 
 
-COUNTED = ("ops", "claims", "committed", "refused", "unknown")
+SUMMED_FIELDS = ("ops", "claims", "committed", "refused", "unknown")
 
 
-async def rounds(
-    plans: list[Plan], at_once: int, quiet: bool, kind: type[Round] = Round, counted: Sequence[str] = COUNTED
+async def run_rounds(
+    plans: list[Plan], at_once: int, quiet: bool, round_class: type[Round] = Round,
+    summed_fields: Sequence[str] = SUMMED_FIELDS,
 ) -> dict[str, Any]:  # fmt: skip
-    done, faulty = await play_all(plans, lambda plan, folder: kind(plan, folder).play(), at_once, quiet)
-    whole = sorted(d["whole_s"] for d in done)
+    """Runs rounds of `round_class`, `at_once` at the same time. Returns the sums of their results, with the
+    violations as `faults` and the plans of the rounds that had some as `replay`. `quiet`: prints no
+    progress."""
+    results, failed_plans = await run_all(
+        plans, lambda plan, folder: round_class(plan, folder).run(), at_once, quiet
+    )
+    convergence_s = sorted(r["whole_s"] for r in results)
     total: dict[str, Any] = {
         "drill": plans[0].work or "group", "members": plans[0].members, "observers": plans[0].observers,
         "rounds": len(plans), "seed": plans[0].seed,
-        "whole_s": {"p50": whole[len(whole) // 2], "max": whole[-1]}, "replay": faulty,
+        "whole_s": {"p50": convergence_s[len(convergence_s) // 2], "max": convergence_s[-1]},
+        "replay": failed_plans,
     }  # fmt: skip
-    for name in counted:
-        total[name] = sum(d.get(name, 0) for d in done)
-    total["faults"] = [f for d in done for f in d["faults"]]
+    for name in summed_fields:
+        total[name] = sum(r.get(name, 0) for r in results)
+    total["faults"] = [f for r in results for f in r["faults"]]
     return total
 
 
-def arguments(name: str, doc: str) -> argparse.ArgumentParser:
+def make_parser(name: str, doc: str) -> argparse.ArgumentParser:
+    """Returns a parser of the options that all drills have. `doc`: a docstring whose first line describes the
+    program."""
     parser = argparse.ArgumentParser(name, description=doc.split("\n")[0])
-    parser.add_argument("--members", type=int, default=3, help="that vote")
+    parser.add_argument("--members", type=int, default=3, help="voting members")
     parser.add_argument("--observers", type=int, default=0)
     parser.add_argument("--rounds", type=int, default=10)
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--at-once", type=int, default=4)
-    parser.add_argument("--json", action="store_true", help="only the last line, for programs")
-    parser.add_argument("--replay", metavar="PLAN", help="a plan as a faulty round prints it")
+    parser.add_argument("--json", action="store_true", help="print only the last line, the result as JSON")
+    parser.add_argument("--replay", metavar="PLAN", help="run this plan, as printed after a failed round")
     return parser
 
 
-def run(
-    parser: argparse.ArgumentParser, kind: type[Round] = Round, counted: Sequence[str] = COUNTED,
+def main(
+    parser: argparse.ArgumentParser, round_class: type[Round] = Round,
+    summed_fields: Sequence[str] = SUMMED_FIELDS,
     draw: Callable[[argparse.Namespace, int], Plan] | None = None,
 ) -> int:  # fmt: skip
-    """The exit status."""
+    """Runs a drill from the command line and returns its exit status. `draw`: draws the plan of a seed from
+    the arguments, `Plan.draw` by default."""
     args = parser.parse_args()
     if args.rounds < 1 or not 1 <= args.members <= 9 or args.observers < 0 or args.at_once < 1:
-        parser.error("--rounds and --at-once are 1 at least, --members from 1 to 9")
+        parser.error(
+            "--rounds and --at-once must be at least 1, --members from 1 to 9, --observers at least 0"
+        )
     try:
         seeds = range(args.seed, args.seed + args.rounds)
         if draw is not None:
@@ -501,15 +557,15 @@
     except (ValueError, TypeError, KeyError) as e:
         parser.error(f"--replay: {e}")
     try:
-        found = asyncio.run(rounds(plans, args.at_once, args.json, kind, counted))
-    except Failed as e:
+        result = asyncio.run(run_rounds(plans, args.at_once, args.json, round_class, summed_fields))
+    except RunFailed as e:
         print(f"{parser.prog}: {e}", file=sys.stderr)
         return 2
     if not args.json:
-        tell(found, ("rounds", *counted))
-    print(json.dumps(found))
-    return 1 if found["faults"] else 0
+        print_summary(result, ("rounds", *summed_fields))
+    print(json.dumps(result))
+    return 1 if result["faults"] else 0
 
 
 if __name__ == "__main__":
-    sys.exit(run(arguments("standins.drill", __doc__ or "")))
+    sys.exit(main(make_parser("standins.drill", __doc__ or "")))
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -1,9 +1,9 @@
-"""One real proxy before thousands of stand-in nodes, with lists that change, on a part of a core.
+"""Runs one real proxy in front of thousands of stand-in nodes whose list changes, on a share of a core.
 
     python -m standins.fleet --nodes 3200 --share 0.01 --core 0.33 --seed 1
 
-The judge reads the books of the clients, the nodes and discovery, and never asks the proxy. The last line is
-JSON.
+The verdict compares what the clients, the nodes and discovery recorded; the proxy is never queried. The last
+line of the output is JSON.
 """
 
 from __future__ import annotations
@@ -26,64 +26,66 @@
 from urllib.parse import parse_qs, urlsplit
 
 from standins import http
-from standins.client import Ask, Client
+from standins.client import Client, ClientRequest
 from standins.fleetnodes import address_of
 from standins.world import ROOT, free_port
 
-LATE_S = 0.5  # an answer this long past its time is lost
-GRACE_S = 0.5  # stopSendingWithinUs of the settings below
-SLACK_S = 0.05  # what the protocol allows each time limit on sockets
-STOP_S = 0.15  # the longest that a proxy is held up at once
-KILL_S = 0.7  # SIGKILL comes the longest deadline and so much after SIGTERM
-REUSE_S = 4.0  # until another node comes up at the address of one that went
-READY_S = 40.0
-MANY_FILES = 20_000
-CROWD = 700
-EVENT_LINES = 30
+ANSWER_GRACE_S = 0.5  # an answer that comes later than this after its deadline counts as lost
+DRAIN_GRACE_S = 0.5  # stopSendingWithinUs of the settings: how long requests may still go to a draining node
+TIMER_SLACK_S = 0.05  # tolerance that the protocol allows for each time limit on sockets
+MAX_STALL_S = 0.15  # upper bound of one stop of the proxy
+KILL_DELAY_S = 0.7  # SIGKILL follows SIGTERM after the longest deadline (at most 3 s) and this delay
+ADDRESS_REUSE_S = 4.0  # after which the address of a node that is gone may be given to a new one
+READY_TIMEOUT_S = 40.0
+MAX_OPEN_FILES = 20_000
+IDLE_CLIENTS = 700
+LOG_TAIL_LINES = 30
 
 
 @dataclass(frozen=True, slots=True)
 class Load:
-    """What a round plays. Times are seconds; `share` is the part of the list that joins, drains and goes each
-    `every_s`; `core` is the part of a core that the proxy gets."""
+    """The parameters of a round. Times are seconds. `share` is the share of the list that joins, drains and
+    is removed every `every_s`; `core` is the share of a core that the proxy gets."""
 
     nodes: int = 200
-    seconds: float = 10.0
-    rate: float = 40.0
+    seconds: float = 10.0  # of traffic, before SIGTERM
+    rate: float = 40.0  # requests per second
     share: float = 0.01
     every_s: float = 0.6
     core: float = 1.0
-    deadline_s: float = 1.0
+    deadline_s: float = 1.0  # of each request
     seed: int = 1
-    resets: bool = False  # each change is told as a whole list
-    terminate: bool = False  # SIGTERM at the end, SIGKILL as early as it may come
-    signals: tuple[str, ...] = ()  # HUP, silent (nodes, 0.8 s), down (discovery, 2 s), crowd (idle)
-    keys: int = 100_000
-    known: bool = True
+    resets: bool = False  # each change is sent as a complete list
+    terminate: bool = False  # SIGTERM at the end, then SIGKILL at the earliest time the protocol allows
+    # Faults, in order: HUP (SIGHUP), silent (no node answers for 0.8 s), down (discovery does not answer for
+    # 2 s), crowd (idle clients take the proxy's descriptors).
+    faults: tuple[str, ...] = ()
+    keys: int = 100_000  # distinct keys of requests
+    known: bool = True  # the proxy's configuration contains the list of nodes
 
 
 @dataclass(slots=True)
 class Verdict:
-    """What the books say. `lost` and `drained_late` break a rule."""
-
-    taken: int = 0
-    answers: Counter[int] = field(default_factory=Counter)
-    slow: int = 0  # served after 0.25 s
-    slowest_s: float = 0.0
-    lost: list[str] = field(default_factory=list)
-    drained_late: list[str] = field(default_factory=list)
-    twice: list[str] = field(default_factory=list)
-    cpu_s: float = 0.0
+    """The result of a round. Each line in `lost`, `drained_late` and `twice` is a violation."""
+
+    taken: int = 0  # requests that found a connection
+    answers: Counter[int] = field(default_factory=Counter)  # by status
+    slow: int = 0  # answered with 200 after more than 0.25 s
+    slowest_s: float = 0.0  # time of the slowest answer that was not lost
+    lost: list[str] = field(default_factory=list)  # no answer in time
+    drained_late: list[str] = field(default_factory=list)  # sent to a node after its drain grace period
+    twice: list[str] = field(default_factory=list)  # keyed requests that were sent again after their window
+    cpu_s: float = 0.0  # of the proxy, as are the next two
     peak_mb: float = 0.0
-    descriptors: int = 0
-    connections: int = 0
-    list_bytes: int = 0
-    ready_s: float = 0.0
-    shut_unread: int = 0
-    events: list[str] = field(default_factory=list)  # the proxy's last lines, where a rule was broken
+    descriptors: int = 0  # open at the end of the traffic
+    connections: int = 0  # accepted by the nodes
+    list_bytes: int = 0  # sent by discovery
+    ready_s: float = 0.0  # from the proxy's start until it is ready
+    shut_unread: int = 0  # requests closed unread and unanswered while idle clients held all descriptors
+    events: list[str] = field(default_factory=list)  # the end of the proxy's log, if there is a violation
 
     @property
-    def broken(self) -> list[str]:
+    def violations(self) -> list[str]:
         return [*self.lost, *self.drained_late, *self.twice]
 
     @property
@@ -91,207 +93,224 @@
         return self.answers[200] / max(1, self.taken)
 
     def summary(self) -> dict[str, Any]:
-        told = {f.name: getattr(self, f.name) for f in fields(self)}
-        told["answers"] = dict(self.answers)
-        del told["events"]
+        result = {f.name: getattr(self, f.name) for f in fields(self)}
+        result["answers"] = dict(self.answers)
+        del result["events"]
         for name in ("lost", "drained_late", "twice"):
-            told[name] = len(told[name])
-        told["share_served"] = round(self.share_served, 3)
-        told["examples"] = self.broken[:6]
-        return told
+            result[name] = len(result[name])
+        result["share_served"] = round(self.share_served, 3)
+        result["examples"] = self.violations[:6]
+        return result
 
 
-class FleetList(http.Server):
-    """Discovery as an agent that lists are pushed to: it answers with the entries that changed."""
+class FleetDiscovery(http.Server):
+    """A stand-in for discovery: answers a long poll with the entries that changed since its generation."""
 
-    def __init__(self, load: Load, port_of_nodes: int) -> None:
+    def __init__(self, load: Load, node_port: int) -> None:
         super().__init__()
-        self.load, self.port_of_nodes = load, port_of_nodes
+        self.load, self.node_port = load, node_port
         self.random = Random(load.seed)
-        self.generation, self.named = 1, 0
+        self.generation, self.joined = 1, 0  # `joined` counts the nodes that have ever joined
         self.entries: dict[str, dict[str, Any]] = {}
-        self.changed_at: dict[str, int] = {}
-        self.places: dict[str, int] = {}
-        self.free: list[tuple[float, int]] = [(0.0, n) for n in range(load.nodes + spare(load))]
-        self.out_at: dict[str, float] = {}  # when a node was first listed as one that drains or has gone
-        self.held: list[tuple[int, str, float]] = []  # which node stood at an address, and from when
-        self.down = False
-        self.untold: list[str] = []  # listed as draining while discovery is down, or with nobody to hear it
-        self.open_calls = 0  # that wait for news
-        self.had = self.written = 1  # the last generation before it went down, and the last that was written
-        self.bytes = 0
-        self.changed = asyncio.Event()
+        self.changed_at: dict[str, int] = {}  # generation of the last change of a node's entry
+        self.address_numbers: dict[str, int] = {}  # by node; see fleetnodes.address_of
+        # Unused address numbers, with the time from which each may be used.
+        self.free_addresses: list[tuple[float, int]] = [
+            (0.0, n) for n in range(load.nodes + spare_addresses(load))
+        ]
+        self.drained_at: dict[str, float] = {}  # when a node was first listed as draining
+        self.address_history: list[tuple[int, str, float]] = []  # address number, node, start
+        self.in_outage = False
+        # Nodes listed as draining during an outage, or just before it while no poll was open.
+        self.undelivered_drains: list[str] = []
+        self.open_polls = 0  # long polls that wait for a change
+        # The generation at the start of the last outage, and that of the last answer.
+        self.outage_generation = self.written_generation = 1
+        self.bytes_sent = 0
+        self.list_changed = asyncio.Event()
         for _ in range(load.nodes):
-            self.join(0.0)
+            self.add_node(0.0)
         self.changed_at = dict.fromkeys(self.entries, 1)
 
-    def join(self, now: float) -> None:
-        if not self.free or self.free[0][0] > now:
+    def add_node(self, now: float) -> None:
+        """Lists a new node at the next address that may be used, if any. `now` is 0 for the initial list."""
+        if not self.free_addresses or self.free_addresses[0][0] > now:
             return
-        _, place = self.free.pop(0)
+        _, number = self.free_addresses.pop(0)
         name = f"s-{self.random.getrandbits(32):08x}"
-        self.named += 1
-        self.places[name] = place
-        self.held.append((place, name, now))
-        self.tell(name, "Ready", int(time.time() * 1000) if now else 0)
-
-    def tell(self, name: str, lifecycle: str, started_ms: int) -> None:
-        place = f"{address_of(self.places[name])}:{self.port_of_nodes}"
+        self.joined += 1
+        self.address_numbers[name] = number
+        self.address_history.append((number, name, now))
+        self.set_entry(name, "Ready", int(time.time() * 1000) if now else 0)
+
+    def set_entry(self, name: str, lifecycle: str, started_ms: int) -> None:
+        """Writes the entry of a node in the current generation."""
+        host_port = f"{address_of(self.address_numbers[name])}:{self.node_port}"
         self.entries[name] = {
-            "instanceId": name, "hostPort": place, "zone": "abc"[self.places[name] % 3], "machineType": "m2",
-            "cell": self.places[name] % 8, "lifecycle": lifecycle, "weight": 1.0, "startedAtMs": started_ms,
+            "instanceId": name, "hostPort": host_port, "zone": "abc"[self.address_numbers[name] % 3],
+            "machineType": "m2", "cell": self.address_numbers[name] % 8, "lifecycle": lifecycle,
+            "weight": 1.0, "startedAtMs": started_ms,
         }  # fmt: skip
         self.changed_at[name] = self.generation
 
-    def turn(self) -> None:
-        """One more generation: some join, some drain, and some of those that drain go."""
+    def change_list(self) -> None:
+        """Starts a new generation: some draining nodes are removed, some nodes start to drain, some join."""
         now, count = time.monotonic(), max(1, int(self.load.nodes * self.load.share))
         self.generation += 1
         draining = [n for n, e in self.entries.items() if e["lifecycle"] == "Terminating"]
         for name in draining[:count]:
-            self.tell(name, "Gone", 0)
-            self.free.append((now + REUSE_S, self.places[name]))
+            self.set_entry(name, "Gone", 0)
+            self.free_addresses.append((now + ADDRESS_REUSE_S, self.address_numbers[name]))
         ready = [n for n, e in self.entries.items() if e["lifecycle"] == "Ready"]
         for name in self.random.sample(ready, min(count, len(ready) - 1)):
-            self.tell(name, "Terminating", self.entries[name]["startedAtMs"])
-            if self.down:
-                self.untold.append(name)
+            self.set_entry(name, "Terminating", self.entries[name]["startedAtMs"])
+            if self.in_outage:
+                self.undelivered_drains.append(name)
             else:
-                self.out_at[name] = now
+                self.drained_at[name] = now
         for _ in range(count):
-            self.join(now)
-        self.changed.set()
-        self.changed = asyncio.Event()
-
-    def go_down(self) -> None:
-        """It is silent from now on. What was listed a moment ago, with no call open that it could have been
-        written to, nobody has been told: it is told at the return."""
-        self.down, self.had = True, self.generation
-        if not self.open_calls:
-            unheard = [n for n in self.out_at if self.changed_at.get(n, 0) > self.written]
-            for name in unheard:
+            self.add_node(now)
+        self.list_changed.set()
+        self.list_changed = asyncio.Event()
+
+    def begin_outage(self) -> None:
+        """Stops answering. A drain that was listed after the last answer was written, while no poll was open
+        that could return it, has reached no proxy: it counts as listed when the outage ends."""
+        self.in_outage, self.outage_generation = True, self.generation
+        if not self.open_polls:
+            undelivered = [n for n in self.drained_at if self.changed_at.get(n, 0) > self.written_generation]
+            for name in undelivered:
                 if self.entries[name]["lifecycle"] == "Terminating":
-                    del self.out_at[name]
-                    self.untold.append(name)
+                    del self.drained_at[name]
+                    self.undelivered_drains.append(name)
 
-    def come_up(self) -> None:
-        """What the agent gets now counts as told at once."""
-        self.down = False
-        self.out_at.update(dict.fromkeys(self.untold, time.monotonic()))
-        self.untold.clear()
+    def end_outage(self) -> None:
+        """Answers again. Drains that have reached no proxy count as listed now."""
+        self.in_outage = False
+        self.drained_at.update(dict.fromkeys(self.undelivered_drains, time.monotonic()))
+        self.undelivered_drains.clear()
 
-    def told(self, after: int) -> dict[str, Any]:
+    def list_after(self, after: int) -> dict[str, Any]:
+        """Returns the list as the protocol sends it to a caller that knows generation `after` (-1: none)."""
         if after < 0 or (self.load.resets and after < self.generation):
-            there = [e for e in self.entries.values() if e["lifecycle"] != "Gone"]
-            return {"generation": self.generation, "reset": True, "instances": there}
-        news = [e for n, e in self.entries.items() if self.changed_at[n] > after]
-        return {"generation": self.generation, "reset": False, "instances": news}
+            entries = [e for e in self.entries.values() if e["lifecycle"] != "Gone"]
+            return {"generation": self.generation, "reset": True, "instances": entries}
+        changes = [e for n, e in self.entries.items() if self.changed_at[n] > after]
+        return {"generation": self.generation, "reset": False, "instances": changes}
 
-    async def reply(self, m: http.Message) -> bytes:
-        query = parse_qs(urlsplit(m.start.split(" ")[1]).query)
+    async def reply(self, message: http.Message) -> bytes:
+        query = parse_qs(urlsplit(message.start.split(" ")[1]).query)
         after, wait_s = int(query.get("after", ["-1"])[0]), int(query.get("wait_ms", ["0"])[0]) / 1000
-        while self.down:
+        while self.in_outage:
             await asyncio.sleep(0.02)
         if after >= self.generation:
-            self.open_calls += 1
+            self.open_polls += 1
             try:
                 with suppress(TimeoutError):
-                    await asyncio.wait_for(self.changed.wait(), wait_s)
+                    await asyncio.wait_for(self.list_changed.wait(), wait_s)
             finally:
-                self.open_calls -= 1
-        while self.down and after >= self.had:
+                self.open_polls -= 1
+        while self.in_outage and after >= self.outage_generation:
             await asyncio.sleep(0.02)
-        body = json.dumps(self.told(after)).encode()
-        self.written = self.generation
-        self.bytes += len(body)
-        return http.answer(200, body)
+        body = json.dumps(self.list_after(after)).encode()
+        self.written_generation = self.generation
+        self.bytes_sent += len(body)
+        return http.response(200, body)
 
 
-def spare(load: Load) -> int:
-    """Addresses for those that join while those that went are not reused yet."""
+def spare_addresses(load: Load) -> int:
+    """Returns how many addresses are needed for nodes that join before old addresses may be reused."""
     count = max(1, int(load.nodes * load.share))
-    return count * (2 + int(min(load.seconds, REUSE_S + 2 * load.every_s) / load.every_s))
+    return count * (2 + int(min(load.seconds, ADDRESS_REUSE_S + 2 * load.every_s) / load.every_s))
 
 
-def allow_many_files() -> None:
-    most = resource.getrlimit(resource.RLIMIT_NOFILE)[1]
-    resource.setrlimit(resource.RLIMIT_NOFILE, (min(MANY_FILES, most),) * 2)
+def raise_open_file_limit() -> None:
+    """Sets this process's limit of open files to MAX_OPEN_FILES, or to the hard limit if that is lower."""
+    hard_limit = resource.getrlimit(resource.RLIMIT_NOFILE)[1]
+    resource.setrlimit(resource.RLIMIT_NOFILE, (min(MAX_OPEN_FILES, hard_limit),) * 2)
 
 
-def settings_of(load: Load) -> dict[str, Any]:
-    us = int(load.deadline_s * 1e6)
-    read = {"name": "read", "repeat": "read_like", "sloUs": us // 4, "giveUpUs": us, "lateValue": 0.2}
-    keyed = {
+def proxy_settings(load: Load) -> dict[str, Any]:
+    deadline_us = int(load.deadline_s * 1e6)
+    read_class = {
+        "name": "read",
+        "repeat": "read_like",
+        "sloUs": deadline_us // 4,
+        "giveUpUs": deadline_us,
+        "lateValue": 0.2,
+    }
+    report_class = {
         "name": "report",
         "repeat": "idempotency_key",
         "group": "all",
-        "keyTtlUs": us,
-        "sloUs": us // 4,
-        "giveUpUs": us,
+        "keyTtlUs": deadline_us,
+        "sloUs": deadline_us // 4,
+        "giveUpUs": deadline_us,
     }
     return {
-        "balancers": 20, "grades": [read, keyed], "discovery": "automatic",
+        "balancers": 20, "grades": [read_class, report_class], "discovery": "automatic",
         "permissions": {"maxAttempts": 4, "secondCopies": True, "mayCancel": True, "probes": True,
                         "connectTimeoutUs": 250_000, "connIdleUs": 60_000_000},
-        "rules": {"coldFrom": 0.3, "coldUs": 8_000_000, "stopSendingWithinUs": int(GRACE_S * 1e6)},
+        "rules": {"coldFrom": 0.3, "coldUs": 8_000_000, "stopSendingWithinUs": int(DRAIN_GRACE_S * 1e6)},
     }  # fmt: skip
 
 
-class Part:
-    """Holds a process up so that it gets a part of a core: stops of at most STOP_S, by signals."""
+class CpuThrottle:
+    """Limits a process to a share of a core by SIGSTOP and SIGCONT, in stops of at most MAX_STALL_S."""
 
-    def __init__(self, process: asyncio.subprocess.Process, part: float) -> None:
-        self.process, self.part = process, part
+    def __init__(self, process: asyncio.subprocess.Process, core_share: float) -> None:
+        self.process, self.core_share = process, core_share
 
     async def run(self) -> None:
-        if self.part >= 1:
+        if self.core_share >= 1:
             return
-        stop_s = min(STOP_S, 0.1)
-        go_s = stop_s * self.part / (1 - self.part)
+        stopped_s = min(MAX_STALL_S, 0.1)
+        running_s = stopped_s * self.core_share / (1 - self.core_share)
         while self.process.returncode is None:
             self.process.send_signal(signal.SIGSTOP)
-            await asyncio.sleep(stop_s)
+            await asyncio.sleep(stopped_s)
             if self.process.returncode is None:
                 self.process.send_signal(signal.SIGCONT)
-            await asyncio.sleep(go_s)
+            await asyncio.sleep(running_s)
 
 
 class Round:
-    """Starts all processes of one round, plays it, and judges it."""
+    """Starts all processes of one round, runs its traffic and faults, and checks the result."""
 
     def __init__(self, load: Load, folder: Path, tree: Path = ROOT) -> None:
         self.load, self.folder, self.tree = load, folder, tree
         self.random = Random(load.seed + 1)
         self.port, self.node_port = free_port(), free_port()
-        self.lists = FleetList(load, self.node_port)
-        self.client = Client(self.port, grace_s=LATE_S)
-        self.asks: list[Ask] = []
+        self.discovery = FleetDiscovery(load, self.node_port)
+        self.client = Client(self.port, grace_s=ANSWER_GRACE_S)
+        self.requests: list[ClientRequest] = []  # all that were sent
         self.verdict = Verdict()
         self.terminated_at = self.ended_at = float("inf")
 
     @property
-    def book(self) -> Path:
+    def node_log_path(self) -> Path:
+        """The file to which the nodes write the requests they received."""
         return self.folder / "book.json"
 
     async def _start_nodes(self) -> asyncio.subprocess.Process:
-        count = self.load.nodes + spare(self.load)
+        count = self.load.nodes + spare_addresses(self.load)
         process = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "standins.fleetnodes", str(count), str(self.node_port), str(self.book),
-            cwd=ROOT, stdout=asyncio.subprocess.PIPE,
+            sys.executable, "-m", "standins.fleetnodes", str(count), str(self.node_port),
+            str(self.node_log_path), cwd=ROOT, stdout=asyncio.subprocess.PIPE,
         )  # fmt: skip
         assert process.stdout is not None
         if (await process.stdout.readline()).strip() != b"ready":
-            raise RuntimeError("the nodes did not start")
+            raise RuntimeError("the stand-in nodes did not start")
         return process
 
     async def _start_proxy(self) -> asyncio.subprocess.Process:
         config = {
             "name": "p0", "listen": f"127.0.0.1:{self.port}", "seed": 7,
-            "discovery": f"127.0.0.1:{self.lists.port}",
-            "limits": {"memory_mb": 192, "sockets": 1024}, "settings": settings_of(self.load),
+            "discovery": f"127.0.0.1:{self.discovery.port}",
+            "limits": {"memory_mb": 192, "sockets": 1024}, "settings": proxy_settings(self.load),
         }  # fmt: skip
         if self.load.known:
-            config["known"] = self.lists.told(-1)
+            config["known"] = self.discovery.list_after(-1)
         path = self.folder / "config.json"
         path.write_text(json.dumps(config))
         with open(self.folder / "proxy.log", "ab") as log:
@@ -300,120 +319,130 @@
                 env={**os.environ, "LB_CONFIG": str(path), "PYTHONPATH": str(self.tree)},
             )  # fmt: skip
 
-    async def _ready(self, process: asyncio.subprocess.Process) -> None:
+    async def _wait_until_ready(self, process: asyncio.subprocess.Process) -> None:
         began = time.monotonic()
-        while time.monotonic() < began + READY_S and process.returncode is None:
+        while time.monotonic() < began + READY_TIMEOUT_S and process.returncode is None:
             try:
                 reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
                 writer.write(b"GET /ready HTTP/1.1\r\nHost: x\r\n\r\n")
-                m = await asyncio.wait_for(http.read(reader), READY_S)
+                message = await asyncio.wait_for(http.read(reader), READY_TIMEOUT_S)
                 writer.close()
-                if " 200 " in m.start:
+                if " 200 " in message.start:
                     self.verdict.ready_s = time.monotonic() - began
                     return
             except OSError:
                 pass
             await asyncio.sleep(0.02)
-        raise RuntimeError(f"the proxy is not ready: {(self.folder / 'proxy.log').read_text()[-2000:]}")
+        raise RuntimeError(
+            f"the proxy did not become ready; its log: {(self.folder / 'proxy.log').read_text()[-2000:]}"
+        )
 
-    async def _ask(self, number: int) -> None:
+    async def _send_request(self, number: int) -> None:
         key = f"k{int(self.random.paretovariate(0.4)) % self.load.keys:06d}"
-        a = Ask(f"r{number:07d}", "read", "", key, "GET", self.load.deadline_s)
+        request = ClientRequest(f"r{number:07d}", "read", "", key, "GET", self.load.deadline_s)
         if self.random.random() < 0.1:
-            a.kind, a.method, a.once = "report", "PUT", a.name
-        self.asks.append(a)
-        await self.client.ask(a)
+            request.kind, request.method, request.idempotency_key = "report", "PUT", request.name
+        self.requests.append(request)
+        await self.client.send(request)
 
-    async def _changes(self) -> None:
+    async def _change_list_periodically(self) -> None:
         while True:
             await asyncio.sleep(self.load.every_s)
-            self.lists.turn()
+            self.discovery.change_list()
 
-    async def _signals(self, proxy: asyncio.subprocess.Process, nodes: asyncio.subprocess.Process) -> None:
-        for each in self.load.signals:
+    async def _inject_faults(
+        self, proxy: asyncio.subprocess.Process, nodes: asyncio.subprocess.Process
+    ) -> None:
+        for fault in self.load.faults:
             await asyncio.sleep(self.random.uniform(0.3, 1.5))
-            if each == "HUP":
+            if fault == "HUP":
                 proxy.send_signal(signal.SIGHUP)
-            elif each == "silent":
+            elif fault == "silent":
                 nodes.send_signal(signal.SIGUSR1)
                 await asyncio.sleep(0.8)
                 nodes.send_signal(signal.SIGUSR2)
-            elif each == "down":
-                self.lists.go_down()
+            elif fault == "down":
+                self.discovery.begin_outage()
                 await asyncio.sleep(2.0)
-                self.lists.come_up()
-            elif each == "crowd":
-                await self._crowd()
+                self.discovery.end_outage()
+            elif fault == "crowd":
+                await self._open_idle_connections()
 
-    async def _crowd(self) -> None:
-        """Clients that connect and ask nothing, more than the proxy has descriptors for."""
-        for _ in range(CROWD):
+    async def _open_idle_connections(self) -> None:
+        """Opens more connections than the proxy has descriptors for, and sends nothing on them."""
+        for _ in range(IDLE_CLIENTS):
             with suppress(OSError):
                 _, writer = await asyncio.open_connection("127.0.0.1", self.port)
                 self.client.writers[writer] = None
 
-    async def _traffic(self, until: float, number: int) -> int:
+    async def _send_requests(self, until: float, number: int) -> int:
+        """Sends requests until a time, from this number on. Returns the next number."""
         tasks: list[asyncio.Task[None]] = []
         while time.monotonic() < until:
             await asyncio.sleep(self.random.expovariate(self.load.rate))
-            tasks.append(asyncio.create_task(self._ask(number)))
+            tasks.append(asyncio.create_task(self._send_request(number)))
             number += 1
         self.tasks = tasks
         return number
 
     async def _terminate(self, proxy: asyncio.subprocess.Process, number: int) -> None:
-        """Clients go on with the connections that are open, until the kill."""
+        """Sends SIGTERM, and SIGKILL at the earliest time allowed. Until then clients send further requests
+        on the connections that are open."""
         proxy.terminate()
         self.terminated_at = time.monotonic()
-        kill_at = self.terminated_at + min(3.0, self.load.deadline_s) + KILL_S
+        kill_at = self.terminated_at + min(3.0, self.load.deadline_s) + KILL_DELAY_S
         while time.monotonic() < kill_at and proxy.returncode is None:
             await asyncio.sleep(0.01)
-            if self.client.free and self.random.random() < self.load.rate * 0.01:
-                self.tasks.append(asyncio.create_task(self._ask(number)))
+            if self.client.idle and self.random.random() < self.load.rate * 0.01:
+                self.tasks.append(asyncio.create_task(self._send_request(number)))
                 number += 1
         if proxy.returncode is None:
             proxy.kill()
         self.ended_at = time.monotonic()
 
-    async def ask_at_once(self) -> Ask:
-        """The first request that a starting proxy lets in, and what became of it."""
-        allow_many_files()
-        await self.lists.start()
+    async def request_at_start(self) -> ClientRequest:
+        """Starts a proxy. Returns the first request that finds a connection, with its outcome."""
+        raise_open_file_limit()
+        await self.discovery.start()
         nodes = await self._start_nodes()
         proxy = await self._start_proxy()
-        until = time.monotonic() + READY_S
+        deadline = time.monotonic() + READY_TIMEOUT_S
         try:
-            while time.monotonic() < until and proxy.returncode is None:
-                a = Ask("first", "read", "", "k1", "GET", self.load.deadline_s)
-                await self.client.ask(a)
-                if not a.ended.startswith("no connection"):
+            while time.monotonic() < deadline and proxy.returncode is None:
+                request = ClientRequest("first", "read", "", "k1", "GET", self.load.deadline_s)
+                await self.client.send(request)
+                if not request.failure.startswith("no connection"):
                     break
                 await asyncio.sleep(0.005)
-            return a
+            return request
         finally:
             for process in (proxy, nodes):
                 process.terminate()
                 await process.wait()
             self.client.close()
-            self.lists.stop()
+            self.discovery.stop()
 
-    async def play(self) -> Verdict:
-        allow_many_files()
-        await self.lists.start()
+    async def run(self) -> Verdict:
+        """Runs the round. Raises RuntimeError if the nodes or the proxy do not start."""
+        raise_open_file_limit()
+        await self.discovery.start()
         nodes = await self._start_nodes()
         proxy = await self._start_proxy()
-        part = asyncio.create_task(Part(proxy, self.load.core).run())
-        beside = [part]
+        throttle = asyncio.create_task(CpuThrottle(proxy, self.load.core).run())
+        background = [throttle]
         try:
-            await self._ready(proxy)
-            beside += [asyncio.create_task(self._changes()), asyncio.create_task(self._signals(proxy, nodes))]
-            number = await self._traffic(time.monotonic() + self.load.seconds, 0)
+            await self._wait_until_ready(proxy)
+            background += [
+                asyncio.create_task(self._change_list_periodically()),
+                asyncio.create_task(self._inject_faults(proxy, nodes)),
+            ]
+            number = await self._send_requests(time.monotonic() + self.load.seconds, 0)
             self._measure(proxy.pid)
             if self.load.terminate:
                 await self._terminate(proxy, number)
             await asyncio.gather(*self.tasks)
         finally:
-            for task in beside:
+            for task in background:
                 task.cancel()
             if proxy.returncode is None:
                 proxy.kill()
@@ -421,11 +450,12 @@
             nodes.terminate()
             await nodes.wait()
             self.client.close()
-            self.lists.stop()
+            self.discovery.stop()
         self._judge()
         return self.verdict
 
     def _measure(self, pid: int) -> None:
+        """Reads the proxy's CPU time, peak memory and open descriptors from /proc."""
         stat = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
         self.verdict.cpu_s = (int(stat[11]) + int(stat[12])) / os.sysconf("SC_CLK_TCK")
         status = Path(f"/proc/{pid}/status").read_text()
@@ -433,70 +463,86 @@
         self.verdict.descriptors = len(os.listdir(f"/proc/{pid}/fd"))
 
     def _judge(self) -> None:
-        v, book = self.verdict, json.loads(self.book.read_text())
-        v.connections, v.list_bytes = book["connections"], self.lists.bytes
-        forwarded = {request for _, _, request in book["requests"]}
-        for a in self.asks:
-            if a.ended.startswith("no connection"):
+        """Compares what the clients, the nodes and discovery recorded, and fills the verdict."""
+        verdict, node_log = self.verdict, json.loads(self.node_log_path.read_text())
+        verdict.connections, verdict.list_bytes = node_log["connections"], self.discovery.bytes_sent
+        forwarded = {request_id for _, _, request_id in node_log["requests"]}
+        for request in self.requests:
+            if request.failure.startswith("no connection"):
                 continue
-            v.taken += 1
-            if not a.answers or a.took > a.deadline_s + LATE_S:
-                if a.ended.startswith("broke") and "crowd" in self.load.signals and a.name not in forwarded:
-                    v.shut_unread += 1  # allowed where idle clients fill the descriptors
+            verdict.taken += 1
+            if not request.answers or request.latency_s > request.deadline_s + ANSWER_GRACE_S:
+                if (
+                    request.failure.startswith("broke")
+                    and "crowd" in self.load.faults
+                    and request.name not in forwarded
+                ):
+                    verdict.shut_unread += 1  # allowed while idle clients hold all descriptors
                     continue
-                why = a.ended or f"answered after {a.took:.3f}"
-                v.lost.append(f"lost: {a.name} sent {a.sent:.3f}, {why}")
+                reason = request.failure or f"answered after {request.latency_s:.3f} s"
+                verdict.lost.append(f"lost: {request.name} sent at {request.sent_s:.3f} s, {reason}")
                 continue
-            v.answers[a.status] += 1
-            v.slow += a.status == 200 and a.took > 0.25
-            v.slowest_s = max(v.slowest_s, a.took)
-        for place, began, request in book["requests"]:
-            name = self._node_at(place, began)
-            out_at = self.lists.out_at.get(name, float("inf"))
-            if began > out_at + GRACE_S + SLACK_S:
-                v.drained_late.append(
-                    f"drained: {request} began {began - out_at:.3f} after {name} was listed"
+            verdict.answers[request.status] += 1
+            verdict.slow += request.status == 200 and request.latency_s > 0.25
+            verdict.slowest_s = max(verdict.slowest_s, request.latency_s)
+        for address_number, began, request_id in node_log["requests"]:
+            name = self._node_at(address_number, began)
+            drained_at = self.discovery.drained_at.get(name, float("inf"))
+            if began > drained_at + DRAIN_GRACE_S + TIMER_SLACK_S:
+                verdict.drained_late.append(
+                    f"drained: {request_id} began {began - drained_at:.3f} s after the drain of {name}"
                 )
-        self._judge_effects(book["requests"])
-        if v.broken:
-            v.events = (self.folder / "proxy.log").read_text(errors="replace").splitlines()[-EVENT_LINES:]
-            v.events.append(f"SIGTERM at {self.terminated_at:.3f}, ended at {self.ended_at:.3f}")
-
-    def _judge_effects(self, requests: list[tuple[int, float, str]]) -> None:
-        """A keyed request runs again only within its window."""
+        self._judge_repeats(node_log["requests"])
+        if verdict.violations:
+            verdict.events = (
+                (self.folder / "proxy.log").read_text(errors="replace").splitlines()[-LOG_TAIL_LINES:]
+            )
+            verdict.events.append(
+                f"SIGTERM at {self.terminated_at:.3f} s, process ended at {self.ended_at:.3f} s"
+            )
+
+    def _judge_repeats(self, requests: list[tuple[int, float, str]]) -> None:
+        """Records each keyed request that a node received again after its window. The window of the class is
+        the deadline (keyTtlUs)."""
         first: dict[str, float] = {}
-        reports = {a.name for a in self.asks if a.method == "PUT"}
-        for _, began, request in requests:
-            if request in reports and began > first.setdefault(request, began) + self.load.deadline_s:
+        keyed = {r.name for r in self.requests if r.method == "PUT"}
+        for _, began, request_id in requests:
+            if request_id in keyed and began > first.setdefault(request_id, began) + self.load.deadline_s:
                 self.verdict.twice.append(
-                    f"twice: {request} began {began - first[request]:.3f} after the first"
+                    f"twice: {request_id} began {began - first[request_id]:.3f} s after its first attempt"
                 )
 
-    def _node_at(self, place: int, at: float) -> str:
-        names = [name for there, name, since in self.lists.held if there == place and since <= at]
+    def _node_at(self, address_number: int, at: float) -> str:
+        """Returns the name of the node that had the address at a time, or "" before the first one."""
+        names = [
+            name
+            for number, name, since in self.discovery.address_history
+            if number == address_number and since <= at
+        ]
         return names[-1] if names else ""
 
 
-async def play(load: Load, tree: Path = ROOT) -> Verdict:
+async def run_round(load: Load, tree: Path = ROOT) -> Verdict:
+    """Runs a round with the proxy of a checkout. Raises RuntimeError if a process does not start."""
     with tempfile.TemporaryDirectory(prefix="fleet-") as folder:
-        return await Round(load, Path(folder), tree).play()
+        return await Round(load, Path(folder), tree).run()
 
 
 def main() -> None:
     parser = argparse.ArgumentParser(description=__doc__)
-    for name, given in asdict(Load()).items():
-        if isinstance(given, bool):
-            parser.add_argument(f"--{name}", action=argparse.BooleanOptionalAction, default=given)
-        elif not isinstance(given, tuple):
-            parser.add_argument(f"--{name.replace('_', '-')}", type=type(given), default=given)
-    parser.add_argument("--tree", type=Path, default=ROOT, help="the checkout whose proxy is played")
+    for name, default in asdict(Load()).items():
+        if isinstance(default, bool):
+            parser.add_argument(f"--{name}", action=argparse.BooleanOptionalAction, default=default)
+        elif not isinstance(default, tuple):
+            parser.add_argument(f"--{name.replace('_', '-')}", type=type(default), default=default)
+    parser.add_argument("--tree", type=Path, default=ROOT, help="the checkout whose proxy is tested")
     args = vars(parser.parse_args())
     tree = args.pop("tree").resolve()
-    verdict = asyncio.run(play(Load(**args), tree))
-    for line in verdict.broken[:20]:
+    verdict = asyncio.run(run_round(Load(**args), tree))
+    for line in verdict.violations[:20]:
         print(line)
     print(json.dumps(verdict.summary()))
-    sys.exit(bool(verdict.broken))
+    sys.exit(bool(verdict.violations))
 
 
 if __name__ == "__main__":
--- a/standins/fleetnodes.py
+++ b/standins/fleetnodes.py
@@ -1,11 +1,11 @@
-"""Stand-in cache nodes at many loopback addresses, in one process, with a book of every request they got.
+"""Stand-in cache nodes at many loopback addresses, in one process, which record every request they get.
 
-    python -m standins.fleetnodes COUNT PORT BOOK
+    python -m standins.fleetnodes COUNT PORT OUTPUT
 
-Node number n listens at `address_of(n)`. Prints `ready` once all listen. On SIGTERM it writes BOOK and
-ends: JSON with the number of connections and a list of `[node, time of the first byte, request id]`. Times
-are seconds of CLOCK_MONOTONIC, which all processes of a machine share. Between SIGUSR1 and SIGUSR2 it
-answers nothing.
+Node number n listens at `address_of(n)`. Prints `ready` once all nodes listen. On SIGTERM the process writes
+OUTPUT and ends: JSON with the number of connections and a list of `[node, time of the first byte, request
+id]`. Times are seconds of CLOCK_MONOTONIC, which all processes of a machine share. Between SIGUSR1 and
+SIGUSR2 requests are recorded and not answered.
 """
 
 from __future__ import annotations
@@ -24,46 +24,49 @@
 
 ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 200\r\nSrv-Cache: hit\r\n\r\n" + b"v" * 200
 REQUEST_ID = b"\r\nReq-Id: "
-LENGTH = b"\r\nContent-Length: "
+CONTENT_LENGTH = b"\r\nContent-Length: "
 
 
 def address_of(node: int) -> str:
+    """Returns the loopback address of a node; each number has its own."""
     return f"127.{1 + node // 62_500}.{node // 250 % 250}.{1 + node % 250}"
 
 
-class Book:
+class RequestLog:
+    """The requests and connections of all nodes. While `silent` is set, nothing is answered."""
+
     def __init__(self) -> None:
         self.silent = False
         self.connections = 0
-        self.lines: list[tuple[int, float, str]] = []
+        self.requests: list[tuple[int, float, str]] = []  # node, time of the first byte, request id
 
 
 class NodeProtocol(asyncio.Protocol):
-    """One connection to a node: each head that ends is a request, answered at once."""
+    """A connection to a node. Answers each request at once, one at a time."""
 
-    def __init__(self, node: int, book: Book) -> None:
+    def __init__(self, node: int, log: RequestLog) -> None:
         self.node = node
-        self.book = book
-        self.head = b""
+        self.log = log
+        self.buffer = b""
         self.began = 0.0
-        book.connections += 1
+        log.connections += 1
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
 
     def data_received(self, data: bytes) -> None:
-        if not self.head:
+        if not self.buffer:
             self.began = time.monotonic()
-        self.head += data
-        head, end, body = self.head.partition(b"\r\n\r\n")
-        length = head.partition(LENGTH)[2].partition(b"\r\n")[0]
+        self.buffer += data
+        head, end, body = self.buffer.partition(b"\r\n\r\n")
+        length = head.partition(CONTENT_LENGTH)[2].partition(b"\r\n")[0]
         if not end or len(body) < int(length or 0):
             return
-        self.head = b""
+        self.buffer = b""
         if REQUEST_ID in head:
-            name = head.partition(REQUEST_ID)[2].partition(b"\r\n")[0].decode()
-            self.book.lines.append((self.node, self.began, name))
-        if not self.book.silent:
+            request_id = head.partition(REQUEST_ID)[2].partition(b"\r\n")[0].decode()
+            self.log.requests.append((self.node, self.began, request_id))
+        if not self.log.silent:
             self.transport.write(ANSWER)
 
 
@@ -75,15 +78,15 @@
 
 
 async def serve(count: int, port: int, path: Path) -> None:
-    loop, stop, book = asyncio.get_running_loop(), asyncio.Event(), Book()
+    loop, stop, log = asyncio.get_running_loop(), asyncio.Event(), RequestLog()
     loop.add_signal_handler(signal.SIGTERM, stop.set)
-    loop.add_signal_handler(signal.SIGUSR1, setattr, book, "silent", True)
-    loop.add_signal_handler(signal.SIGUSR2, setattr, book, "silent", False)
+    loop.add_signal_handler(signal.SIGUSR1, setattr, log, "silent", True)
+    loop.add_signal_handler(signal.SIGUSR2, setattr, log, "silent", False)
     for node in range(count):
-        await loop.create_server(partial(NodeProtocol, node, book), sock=listen(node, port), backlog=16)
+        await loop.create_server(partial(NodeProtocol, node, log), sock=listen(node, port), backlog=16)
     print("ready", flush=True)
     await stop.wait()
-    path.write_text(json.dumps({"connections": book.connections, "requests": book.lines}))
+    path.write_text(json.dumps({"connections": log.connections, "requests": log.requests}))
 
 
 if __name__ == "__main__":
--- a/standins/lab.py
+++ b/standins/lab.py
@@ -1,10 +1,10 @@
-"""Two sites of real proxies joined by a lossy link, on this machine, with traffic and a judge.
+"""Runs sites of real proxies on this machine, linked through relays with faults, and checks their answers.
 
     python -m standins.lab                       two sites, ten seconds, mixed faults
     python -m standins.lab --sites 2 --seconds 20 --faults cut --seed 7
 
-Prints a progress line, then a table and one line of JSON. Exit status 1 where a rule was broken, 2 where the
-world could not be started. The traffic stays on loopback and ends by itself.
+Prints the progress, a table, and one line of JSON. The exit status is 1 if a rule was violated and 2 if the
+sites could not be started. All traffic stays on loopback.
 """
 
 from __future__ import annotations
@@ -16,43 +16,55 @@
 from pathlib import Path
 from typing import Any
 
-from standins import ledger, schedule
-from standins.world import Failed, Plan, World, folder, summary
+from standins import invariants, schedule
+from standins.world import Deployment, Plan, RunFailed, summarize, temporary_folder
 
 COLUMNS = ("asked", "served", "refused", "failed", "crossed", "p50_ms", "p99_ms")
 
 
 async def run(plan: Plan, quiet: bool, logs: Path | None) -> dict[str, Any]:
-    """Raises Failed."""
-    with folder() as temporary:
-        place = logs or Path(temporary)
-        place.mkdir(parents=True, exist_ok=True)
-        world = World(plan, place)
-
-        def told(at: float, fault: str) -> None:
+    """Runs a plan and returns the result that is printed as JSON. Files and logs of the proxies are kept in
+    the folder `logs`, if it is given. Raises RunFailed if the sites could not be started."""
+    with temporary_folder() as temporary_path:
+        log_folder = logs or Path(temporary_path)
+        log_folder.mkdir(parents=True, exist_ok=True)
+        deployment = Deployment(plan, log_folder)
+
+        def show_progress(elapsed_s: float, fault: str) -> None:
             if not quiet:
-                done = sum(bool(a.answers) for a in world.asks)
-                line = f"{at:5.1f} of {plan.seconds:.0f} s  asked {len(world.asks)}  answered {done}  {fault}"
+                answered = sum(bool(request.answers) for request in deployment.requests)
+                line = (
+                    f"{elapsed_s:5.1f} of {plan.seconds:.0f} s  "
+                    f"asked {len(deployment.requests)}  answered {answered}  {fault}"
+                )
                 print(f"\r{line:<78}", end="", file=sys.stderr, flush=True)
 
         try:
             if not quiet:
                 print("starting ...", end="", file=sys.stderr, flush=True)
-            await world.start()
-            await world.play(told)
+            await deployment.start()
+            await deployment.run_traffic(show_progress)
             crashed = [
-                p.name for s in world.sites.values() for p in s.proxies if p.process.returncode is not None
+                p.name
+                for s in deployment.sites.values()
+                for p in s.proxies
+                if p.process.returncode is not None
             ]
         finally:
-            await world.stop()
+            await deployment.stop()
             if not quiet:
                 print(file=sys.stderr)
-        found = ledger.faults(world.asks, world.effects(), world.strays(), 0.25)
-        found += [f"{name} crashed" for name in crashed]
-        logs_ = [(p.name, p.log.read_text()) for s in world.sites.values() for p in s.proxies]
-        found += [f"{name}: an error in its log" for name, text in logs_ if "Traceback" in text]
-        links = [
-            f"{name}: {line}" for name, text in logs_ for line in text.splitlines() if line.startswith("link")
+        violations = invariants.violations(
+            deployment.requests, deployment.effects(), deployment.unsolicited(), 0.25
+        )
+        violations += [f"{name} crashed" for name in crashed]
+        log_texts = [(p.name, p.log.read_text()) for s in deployment.sites.values() for p in s.proxies]
+        violations += [f"{name}: an error in its log" for name, text in log_texts if "Traceback" in text]
+        link_lines = [
+            f"{name}: {line}"
+            for name, text in log_texts
+            for line in text.splitlines()
+            if line.startswith("link")
         ]
         return {
             "lab": "sites",
@@ -62,14 +74,14 @@
             "rate": plan.rate,
             "faults": plan.faults,
             "seed": plan.seed,
-            "struck": [str(f) for f in world.faults],
-            "classes": summary(world.asks),
-            "broken": found,
-            "links": links,
+            "struck": [str(f) for f in deployment.faults],
+            "classes": summarize(deployment.requests),
+            "broken": violations,
+            "links": link_lines,
         }
 
 
-def show(result: dict[str, Any]) -> None:
+def print_result(result: dict[str, Any]) -> None:
     for fault in result["struck"]:
         print(f"the link: {fault}")
     for line in result["links"]:
@@ -81,34 +93,34 @@
     for line in result["broken"]:
         print(f"BROKEN: {line}")
     if not result["broken"]:
-        print("each request has one final answer in its time, and no effect came twice")
+        print("each request got one final answer in time, and no effect occurred twice")
 
 
-def main(given: list[str] | None = None) -> int:
+def main(argv: list[str] | None = None) -> int:
     parser = argparse.ArgumentParser("standins.lab", description=(__doc__ or "").split("\n")[0])
     parser.add_argument("--sites", type=int, default=2, choices=(1, 2, 3, 4))
-    parser.add_argument("--proxies", type=int, default=1, choices=range(1, 9), help="for each site")
+    parser.add_argument("--proxies", type=int, default=1, choices=range(1, 9), help="per site")
     parser.add_argument("--seconds", type=float, default=10.0)
-    parser.add_argument("--rate", type=float, default=120.0, help="requests a second in all")
-    parser.add_argument("--faults", default="mixed", choices=sorted(schedule.PRESETS), help="of the link")
+    parser.add_argument("--rate", type=float, default=120.0, help="requests per second, all sites together")
+    parser.add_argument("--faults", default="mixed", choices=sorted(schedule.PRESETS), help="link faults")
     parser.add_argument("--seed", type=int, default=1)
-    parser.add_argument("--round-ms", type=float, default=20.0, help="the link's round trip")
-    parser.add_argument("--logs", type=Path, help="a folder that keeps the proxies' files and logs")
-    parser.add_argument("--json", action="store_true", help="nothing but the line of JSON")
-    args = parser.parse_args(given)
+    parser.add_argument("--round-ms", type=float, default=20.0, help="round-trip time of the link")
+    parser.add_argument("--logs", type=Path, help="folder to keep the proxies' files and logs in")
+    parser.add_argument("--json", action="store_true", help="print only the line of JSON")
+    args = parser.parse_args(argv)
     if not 1 <= args.seconds <= 600 or not 1 <= args.rate <= 5000:
-        parser.error("--seconds is from 1 to 600, --rate from 1 to 5000")
+        parser.error("--seconds must be from 1 to 600, --rate from 1 to 5000")
     plan = Plan(args.sites, args.proxies, seconds=args.seconds, rate=args.rate, faults=args.faults,
-                seed=args.seed, round_s=args.round_ms / 1000, link=args.sites > 1)  # fmt: skip
+                seed=args.seed, round_trip_s=args.round_ms / 1000, link=args.sites > 1)  # fmt: skip
     try:
         result = asyncio.run(run(plan, args.json, args.logs))
-    except Failed as e:
+    except RunFailed as e:
         print(f"lab: {e}", file=sys.stderr)
         return 2
     except KeyboardInterrupt:
         return 130
     if not args.json:
-        show(result)
+        print_result(result)
     print(json.dumps(result))
     return 1 if result["broken"] else 0
 
--- a/standins/process.py
+++ b/standins/process.py
@@ -1,4 +1,4 @@
-"""One process of the program, started as often as it is killed."""
+"""A process of the program that a drill starts, suspends, kills and starts again."""
 
 from __future__ import annotations
 
@@ -11,21 +11,24 @@
 
 from standins.world import ROOT, free_port, until_ready
 
-
-HANDED = "upgrade: handed over to the next process"
+# What a process logs once its next process has taken over.
+HANDOVER_MESSAGE = "upgrade: handed over to the next process"
 
 
 class Process:
-    """Its configuration, operator's file and log stand in `folder`, by its name."""
+    """A process of the program. Its configuration, operator's file and log are in `folder`, named after it.
+
+    `operator_file`: the name of the operator's file, if several processes share one.
+    """
 
-    def __init__(self, name: str, folder: Path, operator: str | None = None) -> None:
+    def __init__(self, name: str, folder: Path, operator_file: str | None = None) -> None:
         self.name, self.folder, self.port = name, folder, free_port()
-        self.operator = operator or f"{name}.toml"
+        self.operator_file = operator_file or f"{name}.toml"
         self.process: asyncio.subprocess.Process | None = None
         self.program = ["-m", "magpiefront"]
         self.starting = False
         self.env: dict[str, str] = {}
-        self.before: list[asyncio.subprocess.Process] = []  # that another one took over from
+        self.predecessors: list[asyncio.subprocess.Process] = []  # old processes of upgrades
 
     @property
     def config(self) -> Path:
@@ -36,12 +39,13 @@
         return self.folder / f"{self.name}.log"
 
     @property
-    def up(self) -> bool:
+    def is_running(self) -> bool:
         return self.process is not None and self.process.returncode is None
 
     async def spawn(self) -> None:
-        """Nothing where it runs: two faults of a plan may both mean to start it."""
-        if self.up or self.starting:
+        """Starts the process unless it runs already, because two faults of a plan may both start it. Does not
+        wait until it is ready."""
+        if self.is_running or self.starting:
             return
         self.starting = True
         try:
@@ -52,65 +56,72 @@
     async def _spawn(self) -> None:
         with open(self.log, "ab") as log:
             self.process = await asyncio.create_subprocess_exec(
-                sys.executable, *self.program, "--operator", str(self.folder / self.operator),
+                sys.executable, *self.program, "--operator", str(self.folder / self.operator_file),
                 cwd=ROOT, env={**os.environ, "LB_CONFIG": str(self.config), **self.env}, stderr=log,
             )  # fmt: skip
 
     async def start(self) -> None:
+        """Starts the process and waits until it accepts clients. Raises RunFailed if it
+        does not."""
         await self.spawn()
         assert self.process is not None
         await until_ready("the gateway", self.port, self.process, self.log)
 
-    async def upgrade(self, beside_s: float) -> None:
-        """Another process takes over from the one that runs (with `LB_ADMIN`); that is told to end `beside_s`
-        after it has said so. Where either ends before, the other one goes on."""
+    async def upgrade(self, overlap_s: float) -> None:
+        """Starts a process that takes over from the running one (by `LB_ADMIN`). Sends SIGTERM to the old one
+        `overlap_s` seconds after it has logged the handover. If one of them ends before that, the other one
+        stays."""
         old = self.process
-        if old is None or not self.up or self.starting:
+        if old is None or not self.is_running or self.starting:
             return
-        said = self.log.read_text().count(HANDED)
-        self.env["LB_ADMIN"] = f"127.0.0.1:{free_port()}"  # each has its own
+        earlier_handovers = self.log.read_text().count(HANDOVER_MESSAGE)
+        self.env["LB_ADMIN"] = f"127.0.0.1:{free_port()}"  # each process has its own address
         await self._spawn()
         new = self.process
         assert new is not None
-        self.before.append(old)
-        while self.log.read_text().count(HANDED) == said and old.returncode is None:
+        self.predecessors.append(old)
+        while self.log.read_text().count(HANDOVER_MESSAGE) == earlier_handovers and old.returncode is None:
             if new.returncode is not None:
                 if self.process is new:
-                    self.process = self.before.pop()
+                    self.process = self.predecessors.pop()
                 return
             await asyncio.sleep(0.02)
-        await asyncio.sleep(beside_s)
+        await asyncio.sleep(overlap_s)
         if old.returncode is None:
             old.terminate()
         await old.wait()
 
     async def kill(self) -> None:
+        """Sends SIGKILL and waits for the end of the process."""
         assert self.process is not None
-        if self.up:
+        if self.is_running:
             self.process.send_signal(signal.SIGKILL)
         await self.process.wait()
 
-    def stop(self) -> None:
-        if self.up:
+    def suspend(self) -> None:
+        """Sends SIGSTOP."""
+        if self.is_running:
             assert self.process is not None
             self.process.send_signal(signal.SIGSTOP)
 
-    def go_on(self) -> None:
-        if self.up:
+    def resume(self) -> None:
+        """Sends SIGCONT."""
+        if self.is_running:
             assert self.process is not None
             self.process.send_signal(signal.SIGCONT)
 
-    def room(self, most: int | None) -> None:
-        """What it writes past so many bytes of a file fails, as on a full disk; None: as much as it likes."""
-        if self.up:
+    def limit_file_size(self, limit: int | None) -> None:
+        """Makes each write beyond that size of a file fail, as on a full disk. None removes the limit."""
+        if self.is_running:
             assert self.process is not None
             _, hard = resource.prlimit(self.process.pid, resource.RLIMIT_FSIZE)
-            soft = hard if most is None else most
+            soft = hard if limit is None else limit
             resource.prlimit(self.process.pid, resource.RLIMIT_FSIZE, (soft, hard))
 
-    async def end(self) -> None:
-        if self.up:
+    async def terminate(self) -> None:
+        """Sends SIGTERM, which is a planned end, and waits for the end of the process."""
+        if self.is_running:
             assert self.process is not None
-            self.go_on()
+            self.resume()
             self.process.terminate()
             await self.process.wait()
--- a/standins/relay.py
+++ b/standins/relay.py
@@ -1,4 +1,4 @@
-"""A loopback relay that stands in for the link between two sites, and fails like one."""
+"""A TCP relay on loopback that stands in for the link between two sites and injects its faults."""
 
 from __future__ import annotations
 
@@ -8,114 +8,118 @@
 from random import Random
 from typing import cast
 
-THERE, BACK = 0, 1  # from who connects to who listens, and the other way
+FORWARD, BACKWARD = 0, 1  # from the connecting to the listening side, and the opposite
 
 
-class Half(asyncio.Protocol):
-    """One end of a relayed connection."""
+class Endpoint(asyncio.Protocol):
+    """One end of a relayed connection. `direction` is that of the bytes that it receives."""
 
-    def __init__(self, pair: Pair, way: int) -> None:
-        self.pair, self.way = pair, way
+    def __init__(self, connection: RelayedConnection, direction: int) -> None:
+        self.connection, self.direction = connection, direction
         self.transport: asyncio.Transport | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
-        self.pair.made(self)
+        self.connection.opened(self)
 
     def data_received(self, data: bytes) -> None:
-        self.pair.came(self.way, data)
+        self.connection.received(self.direction, data)
 
     def eof_received(self) -> bool:
-        self.pair.came(self.way, b"")
+        self.connection.received(self.direction, b"")
         return True
 
     def connection_lost(self, exc: Exception | None) -> None:
         if exc is not None:
-            self.pair.abort()
+            self.connection.abort()
         else:
-            self.pair.came(self.way, b"")
+            self.connection.received(self.direction, b"")
 
 
-class Pair:
-    """A relayed connection. What comes is passed on in order, each way for itself; no bytes are an end."""
+class RelayedConnection:
+    """A connection through the relay. Each direction has a queue of bytes and the times when they are due;
+    they are forwarded in order. Empty bytes stand for the end of the stream."""
 
     def __init__(self, relay: Relay) -> None:
         self.relay = relay
-        self.ends = (Half(self, THERE), Half(self, BACK))
+        self.ends = (Endpoint(self, FORWARD), Endpoint(self, BACKWARD))
         self.queues: tuple[deque[tuple[float, bytes]], deque[tuple[float, bytes]]] = (deque(), deque())
-        self.last = [0.0, 0.0]
-        self.over = False
+        self.last_due = [0.0, 0.0]
+        self.closed = False
 
-    def made(self, half: Half) -> None:
-        if half.way == THERE:
-            self.relay.pairs[self] = None
-            self.relay.opening.append(self.relay.loop.create_task(self._connect()))
+    def opened(self, endpoint: Endpoint) -> None:
+        if endpoint.direction == FORWARD:
+            self.relay.connections[self] = None
+            self.relay.connect_tasks.append(self.relay.loop.create_task(self._connect()))
 
     async def _connect(self) -> None:
-        pause = self.relay.pause()
-        if pause:
-            await asyncio.sleep(pause)
-        if self.over or self.relay.is_down:
+        connect_delay = self.relay.draw_connect_delay()
+        if connect_delay:
+            await asyncio.sleep(connect_delay)
+        if self.closed or self.relay.is_down:
             self.abort()
             return
         try:
-            await self.relay.loop.create_connection(lambda: self.ends[BACK], *self.relay.target)
+            await self.relay.loop.create_connection(lambda: self.ends[BACKWARD], *self.relay.target)
         except OSError:
             self.abort()
             return
-        self.flush(THERE)
+        self.flush(FORWARD)
 
-    def came(self, way: int, data: bytes) -> None:
-        if self.over:
+    def received(self, direction: int, data: bytes) -> None:
+        if self.closed:
             return
-        # In order: what comes later is never sooner there.
-        due = max(self.last[way], self.relay.loop.time() + self.relay.delay())
-        self.last[way] = due
-        self.queues[way].append((due, data))
-        self.relay.loop.call_at(due, self.flush, way)
-
-    def flush(self, way: int) -> None:
-        out = self.ends[1 - way].transport
-        queue, now = self.queues[way], self.relay.loop.time()
+        # Bytes never overtake earlier ones, even with a shorter random delay.
+        due = max(self.last_due[direction], self.relay.loop.time() + self.relay.draw_delay())
+        self.last_due[direction] = due
+        self.queues[direction].append((due, data))
+        self.relay.loop.call_at(due, self.flush, direction)
+
+    def flush(self, direction: int) -> None:
+        """Forwards the queued bytes of a direction that are due, unless the direction is stalled."""
+        out = self.ends[1 - direction].transport
+        queue, now = self.queues[direction], self.relay.loop.time()
         if out is not None and out.is_closing():
-            queue.clear()  # its reader has gone, and the other end hears of it by itself
-        while queue and out is not None and not self.over and way not in self.relay.held:
+            queue.clear()  # the receiver is gone; the sender gets its end of stream
+        while queue and out is not None and not self.closed and direction not in self.relay.stalled:
             due, data = queue[0]
             if due > now + 0.0005:
-                self.relay.loop.call_at(due, self.flush, way)
+                self.relay.loop.call_at(due, self.flush, direction)
                 return
             queue.popleft()
             if not data:
                 if not out.is_closing() and out.can_write_eof():
-                    with suppress(OSError):  # the kernel knows of its end already
+                    with suppress(OSError):  # the kernel has already closed the socket
                         out.write_eof()
                 if all(e.transport is None or e.transport.is_closing() for e in self.ends):
                     self.abort()
                 continue
-            room = self.relay.room
-            if room is not None and room[0] == way:
-                data = data[: room[1]]
-                self.relay.room = (way, room[1] - len(data))
-            self.relay.passed[way] += len(data)
+            cut_limit = self.relay.cut_limit
+            if cut_limit is not None and cut_limit[0] == direction:
+                data = data[: cut_limit[1]]
+                self.relay.cut_limit = (direction, cut_limit[1] - len(data))
+            self.relay.forwarded_bytes[direction] += len(data)
             out.write(data)
-            if self.relay.room is not None and self.relay.room[1] <= 0:
-                # Written before the cut, so that the end comes in the middle of a frame and not before it.
-                self.relay.room = None
+            if self.relay.cut_limit is not None and self.relay.cut_limit[1] <= 0:
+                # The cut follows the write, so that the connection ends within a frame and not before it.
+                self.relay.cut_limit = None
                 self.relay.loop.call_soon(self.relay.cut)
                 return
 
     def abort(self) -> None:
-        if self.over:
+        if self.closed:
             return
-        self.over = True
-        self.relay.pairs.pop(self, None)
+        self.closed = True
+        self.relay.connections.pop(self, None)
         for end in self.ends:
             if end.transport is not None:
                 end.transport.abort()
 
 
 class Relay:
-    """Listens on a port of its own and passes on to `target`. All faults hold for all its connections."""
+    """Listens on a port of its own and forwards each connection to `target`. Faults apply to all connections.
+    While `is_down`, new connections are reset. `stalled` holds the stalled directions, and `cut_limit` a
+    direction and the number of bytes until the link is cut."""
 
     def __init__(
         self, target: tuple[str, int], seed: int, delay_s: float = 0.0, jitter_s: float = 0.0
@@ -123,58 +127,68 @@
         self.target, self.random = target, Random(seed)
         self.delay_s, self.jitter_s = delay_s, jitter_s
         self.loop = asyncio.get_running_loop()
-        self.pairs: dict[Pair, None] = {}
-        self.opening: list[asyncio.Task[None]] = []
-        self.held: set[int] = set()
+        self.connections: dict[RelayedConnection, None] = {}
+        self.connect_tasks: list[asyncio.Task[None]] = []
+        self.stalled: set[int] = set()
         self.is_down = False
-        self.returning_s = 0.0  # connections come back one after the other, in any order, within so long
-        self.room: tuple[int, int] | None = None
-        self.passed = [0, 0]
+        self.reconnect_spread_s = 0.0  # a new connection waits for a random time up to this
+        self.cut_limit: tuple[int, int] | None = None
+        self.forwarded_bytes = [0, 0]
         self.server: asyncio.Server | None = None
         self.port = 0
 
     async def start(self) -> None:
-        self.server = await self.loop.create_server(lambda: Pair(self).ends[THERE], "127.0.0.1", self.port)
+        self.server = await self.loop.create_server(
+            lambda: RelayedConnection(self).ends[FORWARD], "127.0.0.1", self.port
+        )
         self.port = self.server.sockets[0].getsockname()[1]
 
-    def delay(self) -> float:
+    def draw_delay(self) -> float:
+        """Returns the delay in seconds of the next bytes."""
         return self.delay_s + self.jitter_s * self.random.random()
 
-    def pause(self) -> float:
-        return self.returning_s * self.random.random()
+    def draw_connect_delay(self) -> float:
+        """Returns the delay in seconds of the next connection."""
+        return self.reconnect_spread_s * self.random.random()
 
     # ---- faults
 
-    def cut(self, way: int | None = None) -> None:
-        """All connections break, new ones are refused until `heal`."""
+    def cut(self, direction: int | None = None) -> None:
+        """Breaks all connections, and resets new ones until `restore`. `direction` is ignored."""
         self.is_down = True
         self.break_all()
 
     def break_all(self) -> None:
-        """All connections break; new ones may be made at once (a link that flaps)."""
-        for pair in list(self.pairs):
-            pair.abort()
+        """Breaks all connections; new ones may be opened at once, as on a flapping link."""
+        for connection in list(self.connections):
+            connection.abort()
 
-    def cut_after(self, way: int, count: int) -> None:
-        """The link is cut once so many more bytes have gone that way: in the middle of a head or a body."""
-        self.room = (way, count)
+    def cut_after(self, direction: int, count: int) -> None:
+        """Cuts the link after `count` more bytes in `direction`, which may be within a head or a body."""
+        self.cut_limit = (direction, count)
 
-    def stall(self, *ways: int) -> None:
-        """Bytes of these ways stay in the link; nothing is closed. With one way it is a one-way cut."""
-        self.held = set(ways or (THERE, BACK))
+    def stall(self, *directions: int) -> None:
+        """Holds back the bytes of these directions, by default both, and closes nothing. With one direction
+        it is a one-way cut."""
+        self.stalled = set(directions or (FORWARD, BACKWARD))
 
-    def slow(self, delay_s: float, jitter_s: float = 0.0) -> None:
+    def set_delay(self, delay_s: float, jitter_s: float = 0.0) -> None:
+        """Sets the one-way delay of each direction, and the upper bound of the random delay on top of it."""
         self.delay_s, self.jitter_s = delay_s, jitter_s
 
-    def heal(self, returning_s: float = 0.0) -> None:
-        self.is_down, self.held, self.room, self.returning_s = False, set(), None, returning_s
-        for pair in list(self.pairs):
-            pair.flush(THERE)
-            pair.flush(BACK)
+    def restore(self, reconnect_spread_s: float = 0.0) -> None:
+        """Ends all faults except the delay, and forwards what was held back. New connections are spread over
+        `reconnect_spread_s`."""
+        self.is_down, self.stalled, self.cut_limit, self.reconnect_spread_s = (
+            False, set(), None, reconnect_spread_s,
+        )  # fmt: skip
+        for connection in list(self.connections):
+            connection.flush(FORWARD)
+            connection.flush(BACKWARD)
 
     def stop(self) -> None:
         if self.server is not None:
             self.server.close()
-        for task in self.opening:
+        for task in self.connect_tasks:
             task.cancel()
         self.break_all()
--- a/standins/reports.py
+++ b/standins/reports.py
@@ -1,4 +1,4 @@
-"""Clients that send reports until they have an answer, and the judge of what became of each."""
+"""Clients that send reports until they are answered, and the check that each was handled exactly once."""
 
 from __future__ import annotations
 
@@ -15,18 +15,20 @@
 from standins.pgserver import PgServer
 from standins.process import Process
 
-DEADLINE_S = 2.0
-MOST_S = 4.0  # that a client waits for an answer
-Held = list[tuple[str, str, bytes]]  # key, state, body
+DEADLINE_S = 2.0  # of each try
+ANSWER_TIMEOUT_S = 4.0  # how long a client waits for an answer
+Rows = list[tuple[str, str, bytes]]  # key, state, body
 
 
 @dataclass
 class Report:
+    """A report of a client, and the outcome of each try to send it."""
+
     key: str
     body: bytes
-    statuses: list[int] = field(default_factory=list)  # 0: no answer
-    late_s: float = 0.0  # the longest that an answer came after its time
-    done_s: float = 0.0  # when it was confirmed, by the clock of the rig
+    statuses: list[int] = field(default_factory=list)  # of all tries; 0: no answer
+    late_s: float = 0.0  # the longest time by which an answer missed the deadline
+    confirmed_s: float = 0.0  # when it was confirmed, by the monotonic clock of this process
 
     @property
     def confirmed(self) -> bool:
@@ -34,43 +36,50 @@
 
     @property
     def refused(self) -> bool:
+        """Whether all tries were refused with 503."""
         return bool(self.statuses) and set(self.statuses) == {503}
 
 
-class Clients:
-    """`moves`: of the tries after a failure, how many go to another gateway."""
+class ReportClients:
+    """Clients that send one report after the other, and retry each under the same key until it is confirmed.
+
+    `move_share`: the share of tries for which a client chooses its gateway anew.
+    """
 
-    def __init__(self, seed: int, gateways: Sequence[Process], moves: float, most_tries: int = 40) -> None:
-        self.seed, self.gateways, self.moves, self.most_tries = seed, gateways, moves, most_tries
+    def __init__(
+        self, seed: int, gateways: Sequence[Process], move_share: float, max_tries: int = 40
+    ) -> None:  # fmt: skip
+        self.seed, self.gateways, self.move_share, self.max_tries = seed, gateways, move_share, max_tries
         self.reports: list[Report] = []
-        self.over = False
+        self.stopping = False
 
-    async def client(self, number: int) -> None:
+    async def run_client(self, number: int) -> None:
+        """Runs one client until `stopping` is set and its last report has ended."""
         n = 0
         random = Random(f"{self.seed} {number}")
-        at = self.gateways[number % len(self.gateways)]
-        while not self.over:
+        gateway = self.gateways[number % len(self.gateways)]
+        while not self.stopping:
             n += 1
             report = Report(f"c{number}-{n}", f"level={number}.{n}".encode())
             self.reports.append(report)
             tries = 0
-            while not report.confirmed and tries < self.most_tries:
+            while not report.confirmed and tries < self.max_tries:
                 tries += 1
-                if random.random() < self.moves:
-                    at = random.choice(self.gateways)
-                status, after_s = await ask(report, at.port)
+                if random.random() < self.move_share:
+                    gateway = random.choice(self.gateways)
+                status, after_s = await send_report(report, gateway.port)
                 report.statuses.append(status)
-                if status == 503 and (self.over or n % 7 == 0):
-                    break  # some clients take a refusal for an answer
+                if status == 503 and (self.stopping or n % 7 == 0):
+                    break  # some reports are given up once they are refused
                 if status != 200:
                     await asyncio.sleep(after_s)
 
 
-async def ask(report: Report, port: int) -> tuple[int, float]:
-    """Its status, 0 where no answer came, and when to come again (seconds)."""
+async def send_report(report: Report, port: int) -> tuple[int, float]:
+    """Sends the report once. Returns the status (0: no answer) and the seconds to wait before a retry."""
     began = time.monotonic()
     try:
-        async with asyncio.timeout(MOST_S):
+        async with asyncio.timeout(ANSWER_TIMEOUT_S):
             reader, writer = await asyncio.open_connection("127.0.0.1", port)
             try:
                 name = f"{report.key}-{len(report.statuses)}"
@@ -80,21 +89,21 @@
                     f"Req-Deadline: {DEADLINE_S}\r\nIdempotency-Key: {report.key}\r\n"
                     f"Content-Length: {len(report.body)}\r\nConnection: close\r\n\r\n"
                 ).encode() + report.body)  # fmt: skip
-                m = await http.read(reader)
+                message = await http.read(reader)
             finally:
                 writer.close()
-    except (OSError, TimeoutError, asyncio.IncompleteReadError, http.Bad, http.Cut):
+    except (OSError, TimeoutError, asyncio.IncompleteReadError, http.MalformedMessage, http.TruncatedBody):
         return 0, 0.05
     now = time.monotonic()
     report.late_s = max(report.late_s, now - began - DEADLINE_S)
-    status = int(m.start.split(" ")[1])
+    status = int(message.start.split(" ")[1])
     if status == 200:
-        report.done_s = now
-    return status, min(0.2, float(m.headers.get("retry-after", "0.05")))
+        report.confirmed_s = now
+    return status, min(0.2, float(message.headers.get("retry-after", "0.05")))
 
 
-def held(folder: Path, pg: PgServer | None) -> Held:
-    """Of a store that the rig can look into by itself."""
+def read_rows(folder: Path, pg: PgServer | None) -> Rows:
+    """Reads all rows of the store of record, from the server if `pg` is given, else from the SQLite file."""
     if pg is not None:
         found = pg.db.execute("SELECT key, state, body FROM reports").fetchall()
         return [(bytes(key).decode(), state, bytes(body)) for key, state, body in found]
@@ -106,36 +115,39 @@
     return [(key.decode(), state, body) for key, state, body in found]
 
 
-async def quiet(look: Callable[[], Held], looks: int = 1_000) -> None:
-    """Until what is owed has been delivered, or is unknown."""
-    for _ in range(looks):
-        if not any(state in ("stored", "sent") for _, state, _ in look()):
+async def wait_until_none_open(read: Callable[[], Rows], max_reads: int = 1_000) -> None:
+    """Waits until each report is confirmed or its outcome is unknown. Returns after `max_reads` reads of the
+    rows in any case, 50 ms apart."""
+    for _ in range(max_reads):
+        if not any(state in ("stored", "sent") for _, state, _ in read()):
             return
         await asyncio.sleep(0.05)
 
 
-def judge(reports: list[Report], held: Held, effects: dict[str, int]) -> dict[str, Any]:
-    """`faults` is empty where the rules hold."""
-    faults: list[str] = []
-    rows: dict[str, list[tuple[str, bytes]]] = {}
-    for key, state, body in held:
-        rows.setdefault(key, []).append((state, body))
+def evaluate_reports(reports: list[Report], rows: Rows, effects: dict[str, int]) -> dict[str, Any]:
+    """Compares the clients' reports with the rows of the store and the effects at the archive (a count for
+    each key). Returns counts and, as `faults`, the violations."""
+    violations: list[str] = []
+    rows_of: dict[str, list[tuple[str, bytes]]] = {}
+    for key, state, body in rows:
+        rows_of.setdefault(key, []).append((state, body))
     for r in reports:
-        there = rows.get(r.key, [])
-        if len(there) > 1:
-            faults.append(f"{r.key} is held {len(there)} times")
-        if r.confirmed and there != [("confirmed", r.body)]:
-            faults.append(f"{r.key} was confirmed and is held as {there}")
+        found = rows_of.get(r.key, [])
+        if len(found) > 1:
+            violations.append(f"{r.key} is stored {len(found)} times")
+        if r.confirmed and found != [("confirmed", r.body)]:
+            violations.append(f"{r.key} was confirmed and is stored as {found}")
         if r.confirmed and effects.get(r.key, 0) != 1:
-            faults.append(f"{r.key} was confirmed and had {effects.get(r.key, 0)} effects")
-        if r.refused and there and not effects.get(r.key):
-            faults.append(f"{r.key} was refused, never ran, and is held as {there[0][0]}")
-    faults += [f"{key} had {n} effects" for key, n in effects.items() if n > 1]
+            violations.append(f"{r.key} was confirmed and had {effects.get(r.key, 0)} effects")
+        if r.refused and found and not effects.get(r.key):
+            violations.append(f"{r.key} was refused, never ran, and is stored as {found[0][0]}")
+    violations += [f"{key} had {n} effects" for key, n in effects.items() if n > 1]
     known = {r.key for r in reports}
-    faults += [f"{key} is held and nobody sent it" for key in rows if key not in known]
-    states = [state for there in rows.values() for state, _ in there]
+    violations += [f"{key} is stored and was never sent" for key in rows_of if key not in known]
+    states = [state for found in rows_of.values() for state, _ in found]
     return {
         "reports": len(reports), "confirmed": sum(r.confirmed for r in reports),
         "refused": sum(r.refused for r in reports), "open": states.count("sent") + states.count("stored"),
-        "unknown": states.count("unknown"), "broke": sum(0 in r.statuses for r in reports), "faults": faults,
+        "unknown": states.count("unknown"), "broke": sum(0 in r.statuses for r in reports),
+        "faults": violations,
     }  # fmt: skip
--- a/standins/rounds.py
+++ b/standins/rounds.py
@@ -1,4 +1,4 @@
-"""Rounds of a rig, several at once, and what a program prints of them."""
+"""Runs rounds of a drill, several at the same time, and prints a summary of their results."""
 
 from __future__ import annotations
 
@@ -11,19 +11,22 @@
 from typing import Any, Protocol, TypeVar
 
 
-class Planned(Protocol):
+class RoundPlan(Protocol):
+    """The plan of a round: its seed, and the text that `--replay` takes."""
+
     @property
     def seed(self) -> int: ...
     def text(self) -> str: ...
 
 
-P = TypeVar("P", bound=Planned)
+PlanT = TypeVar("PlanT", bound=RoundPlan)
 
 
 @asynccontextmanager
-async def own_folder() -> AsyncIterator[Path]:
-    """Removed in a thread: on a slow disk it takes seconds, in which a rig's relays, lists and clients
-    would stand still, and be taken for what they judge."""
+async def temporary_folder() -> AsyncIterator[Path]:
+    """Yields a temporary folder, which is removed in a thread. On a slow disk the removal takes seconds. In
+    the event loop it would halt the relays, the discovery and the clients of other rounds for that time, and
+    the delay would be attributed to the program under test."""
     folder = tempfile.TemporaryDirectory()
     try:
         yield Path(folder.name)
@@ -31,36 +34,39 @@
         await asyncio.to_thread(folder.cleanup)
 
 
-async def play_all(
-    plans: Sequence[P], play: Callable[[P, Path], Awaitable[dict[str, Any]]], at_once: int, quiet: bool
+async def run_all(
+    plans: Sequence[PlanT], run_round: Callable[[PlanT, Path], Awaitable[dict[str, Any]]], at_once: int,
+    quiet: bool,
 ) -> tuple[list[dict[str, Any]], list[str]]:  # fmt: skip
-    """What came of each, `faults` with its round's seed, and the plans that ended with some."""
-    gate = asyncio.Semaphore(at_once)
-    done: list[dict[str, Any]] = []
-    faulty: list[str] = []
+    """Runs the round of each plan in a folder of its own, at most `at_once` at the same time. Returns the
+    results, each with the seed in its `faults` (the violations), and the plans of the rounds with violations.
+    `quiet`: prints no progress."""
+    semaphore = asyncio.Semaphore(at_once)
+    results: list[dict[str, Any]] = []
+    failed_plans: list[str] = []
 
-    async def one(plan: P) -> None:
-        async with gate, own_folder() as folder:
-            found = await play(plan, folder)
-        if found["faults"]:
-            faulty.append(plan.text())
-        found["faults"] = [f"round {plan.seed}: {f}" for f in found["faults"]]
-        done.append(found)
+    async def run_one(plan: PlanT) -> None:
+        async with semaphore, temporary_folder() as folder:
+            result = await run_round(plan, folder)
+        if result["faults"]:
+            failed_plans.append(plan.text())
+        result["faults"] = [f"round {plan.seed}: {f}" for f in result["faults"]]
+        results.append(result)
         if not quiet:
-            line = f"\r{len(done)} of {len(plans)} rounds, {len(faulty)} with faults"
+            line = f"\r{len(results)} of {len(plans)} rounds, {len(failed_plans)} with violations"
             print(line, end="", file=sys.stderr, flush=True)
 
-    await asyncio.gather(*(one(p) for p in plans))
+    await asyncio.gather(*(run_one(p) for p in plans))
     if not quiet:
         print(file=sys.stderr)
-    return done, faulty
+    return results, failed_plans
 
 
-def tell(found: dict[str, Any], names: Sequence[str]) -> None:
-    """For people: the sums, the first faults, and how to play them again."""
+def print_summary(result: dict[str, Any], names: Sequence[str]) -> None:
+    """Prints these fields of the result, the first 20 violations, and the options to replay their rounds."""
     for name in names:
-        print(f"{name:10} {found[name]:8}")
-    for fault in found["faults"][:20]:
-        print("  " + fault)
-    for plan in found["replay"]:
+        print(f"{name:10} {result[name]:8}")
+    for violation in result["faults"][:20]:
+        print("  " + violation)
+    for plan in result["replay"]:
         print(f"  --replay '{plan}'")
--- a/standins/schedule.py
+++ b/standins/schedule.py
@@ -1,4 +1,4 @@
-"""Faults of the link over time, drawn from a seed. No I/O."""
+"""Schedules of link faults, drawn from a seed. Nothing here does I/O."""
 
 from __future__ import annotations
 
@@ -18,43 +18,45 @@
 
 @dataclass(frozen=True, slots=True)
 class Fault:
-    """At `at` (seconds from the start) the link `kind`s; it is whole again after `lasts` seconds."""
+    """A fault of the link from `at_s` after the start, for `duration_s`."""
 
-    at: float
-    kind: str
-    lasts: float
-    way: int = 0
-    count: int = 0
-    returning: float = 0.0
+    at_s: float
+    kind: str  # one of KINDS
+    duration_s: float
+    direction: int = 0  # for cut_in_frame: of the bytes that are counted
+    count: int = 0  # for cut_in_frame: bytes until the cut; for slow: delay above 50 ms, in 0.1 ms
+    reconnect_spread_s: float = 0.0  # over how long reconnects are spread after the fault
 
     def __str__(self) -> str:
-        return f"{self.at:.2f}s {self.kind} for {self.lasts:.2f}s"
+        return f"{self.at_s:.2f}s {self.kind} for {self.duration_s:.2f}s"
 
 
-def draw(seed: int, seconds: float, kinds: tuple[str, ...], each: float = 1.0) -> list[Fault]:
-    """Faults one after the other, each about `each` seconds with a pause of about as long; the last one ends
-    before three quarters of the time, so that what comes after the link's return is seen."""
+def draw(seed: int, seconds: float, kinds: tuple[str, ...], duration_scale_s: float = 1.0) -> list[Fault]:
+    """Returns faults that do not overlap, from `kinds`. Durations and the pauses between them are about
+    `duration_scale_s`. The last fault ends within three quarters of `seconds`, so that the time after the
+    link's recovery is tested as well."""
     random = Random(seed)
     faults: list[Fault] = []
-    at = each * random.uniform(0.2, 0.8)
+    start_s = duration_scale_s * random.uniform(0.2, 0.8)
     while kinds:
-        lasts = each * random.uniform(0.2, 1.2)
-        if at + lasts > 0.75 * seconds:
+        duration_s = duration_scale_s * random.uniform(0.2, 1.2)
+        if start_s + duration_s > 0.75 * seconds:
             break
         faults.append(
-            Fault(at, random.choice(kinds), lasts, random.randrange(2), random.randrange(1, 2000),
-                  random.choice((0.0, 0.1 * each)))
+            Fault(start_s, random.choice(kinds), duration_s, random.randrange(2), random.randrange(1, 2000),
+                  random.choice((0.0, 0.1 * duration_scale_s)))
         )  # fmt: skip
-        at += lasts + each * random.uniform(0.2, 1.0)
+        start_s += duration_s + duration_scale_s * random.uniform(0.2, 1.0)
     return faults
 
 
-def strike(relay: Relay, fault: Fault) -> None:
+def apply_fault(relay: Relay, fault: Fault) -> None:
+    """Starts a fault on a relay. Raises ValueError for an unknown kind."""
     match fault.kind:
         case "cut":
             relay.cut()
         case "cut_in_frame":
-            relay.cut_after(fault.way, fault.count)
+            relay.cut_after(fault.direction, fault.count)
         case "stall":
             relay.stall()
         case "one_way_there":
@@ -62,26 +64,27 @@
         case "one_way_back":
             relay.stall(1)
         case "slow":
-            relay.slow(0.05 + fault.count / 10_000, 0.02)
+            relay.set_delay(0.05 + fault.count / 10_000, 0.02)
         case "flap":
             relay.break_all()
         case _:
-            raise ValueError(f"no fault {fault.kind!r}")
+            raise ValueError(f"unknown kind of fault: {fault.kind!r}")
 
 
-async def play(relay: Relay, faults: list[Fault], step: float = 0.03) -> None:
-    """Plays the faults at their times, and leaves the link whole."""
+async def inject_faults(relay: Relay, faults: list[Fault], flap_interval_s: float = 0.03) -> None:
+    """Applies the faults to a relay at their times, and ends each of them. A flapping link breaks all its
+    connections every `flap_interval_s`."""
     import asyncio
 
     loop = asyncio.get_running_loop()
-    start, delay, jitter = loop.time(), relay.delay_s, relay.jitter_s
+    begin, delay, jitter = loop.time(), relay.delay_s, relay.jitter_s
     for fault in faults:
-        await asyncio.sleep(max(0.0, start + fault.at - loop.time()))
-        strike(relay, fault)
-        end = start + fault.at + fault.lasts
+        await asyncio.sleep(max(0.0, begin + fault.at_s - loop.time()))
+        apply_fault(relay, fault)
+        end = begin + fault.at_s + fault.duration_s
         while fault.kind == "flap" and loop.time() < end:
-            await asyncio.sleep(step)
+            await asyncio.sleep(flap_interval_s)
             relay.break_all()
         await asyncio.sleep(max(0.0, end - loop.time()))
-        relay.slow(delay, jitter)
-        relay.heal(fault.returning)
+        relay.set_delay(delay, jitter)
+        relay.restore(fault.reconnect_spread_s)
--- a/standins/soak.py
+++ b/standins/soak.py
@@ -1,14 +1,16 @@
-"""Rounds under faults drawn from seeds, judged by the books of clients, nodes and discovery.
+"""Runs rounds under faults drawn from seeds and checks what clients, nodes and discovery recorded.
 
     python -m standins.soak --seeds 50 [--first 1] [--rig answers] [--nodes 3200] [--seconds 6] [--jobs 4]
 
-With `--rig answers` one to three proxies stand before nodes whose answers name their requests, and a round
-draws its class and some kinds of trouble from the table in `standins.answers.plan`. The other rig plays one
-proxy before a large fleet that changes: a round draws the size of its fleet (or takes `--nodes`), the part
-of a core, how much of the list changes, the deadline, and a series of signals and faults: SIGHUP, nodes that
-hang, discovery that is down, idle clients that fill the descriptors. It ends with SIGTERM, and SIGKILL as
-early as it may come; clients go on until then. The last line is JSON: `seeds`, `faults`, and the command
-that plays each seed with a fault again.
+`--rig` selects what a round runs. With `answers` it is one to three proxies in front of nodes whose answers
+name their requests: a round draws its class and some kinds of faults from the table in
+`standins.answers.plan`. With `fleet`, the default, it is one proxy in front of a large fleet that changes: a
+round draws the size of its fleet (or takes `--nodes`), the share of a core, how much of the list changes, the
+deadline, and a series of faults: SIGHUP, nodes that hang, an outage of discovery, idle clients that take all
+descriptors. It ends with SIGTERM, and SIGKILL at the earliest time allowed; clients send requests until then.
+
+The last line of the output is JSON: `seeds`, the number of violations as `faults`, and as `replay` the
+command for each seed with a violation.
 """
 
 from __future__ import annotations
@@ -23,88 +25,91 @@
 
 from standins.answers import judge, plan
 from standins.answers import round as answers
-from standins.fleet import Load, Verdict, play
-from standins.world import ROOT, Failed
+from standins.fleet import Load, Verdict, run_round
+from standins.world import ROOT, RunFailed
 
-SIZES = (50, 200, 1_000, 3_200)
-CORES = (1.0, 0.5, 1 / 3, 1 / 6)
-SHARES = (0.01, 0.03, 0.1)
+FLEET_SIZES = (50, 200, 1_000, 3_200)
+CORE_SHARES = (1.0, 0.5, 1 / 3, 1 / 6)
+CHANGE_SHARES = (0.01, 0.03, 0.1)
 DEADLINES_S = (0.3, 0.5, 1.0, 3.0)
-SIGNALS = ("HUP", "silent", "down", "crowd")
+FLEET_FAULTS = ("HUP", "silent", "down", "crowd")
 
 
 @dataclass(frozen=True, slots=True)
-class Played:
-    """One seed's round."""
+class Result:
+    """The result of the round of one seed."""
 
     seed: int
     load: Load | plan.Plan
     verdict: Verdict | judge.Verdict | None
-    failure: str = ""  # the round itself could not be played
+    failure: str = ""  # why the round could not be run
 
     @property
-    def faults(self) -> list[str]:
-        return self.verdict.broken if self.verdict is not None else [self.failure]
+    def violations(self) -> list[str]:
+        return self.verdict.violations if self.verdict is not None else [self.failure]
 
     @property
     def events(self) -> list[str]:
+        """The end of the proxy's log, if the round of a fleet has a violation."""
         return self.verdict.events if isinstance(self.verdict, Verdict) else []
 
     @property
-    def told(self) -> str:
-        """What was played, and how much of it was served."""
+    def summary(self) -> str:
+        """The share of requests that were served, and the parameters of the round."""
         if isinstance(self.verdict, judge.Verdict) and isinstance(self.load, plan.Plan):
-            kinds = ", ".join(plan.kinds_of(self.load.faults))
+            kinds = ", ".join(plan.active_faults(self.load.faults))
             return f"{self.verdict.served:.2f} served, {self.load.repeat} {self.load.group}: {kinds}"
         served = f"{self.verdict.share_served:.2f} served" if isinstance(self.verdict, Verdict) else ""
         return f"{served}, {self.load}"
 
 
-def load_of(seed: int, nodes: int | None, seconds: float) -> Load:
-    """What a seed plays."""
+def draw_load(seed: int, nodes: int | None, seconds: float) -> Load:
+    """Draws the round of a seed."""
     random = Random(f"soak {seed}")
-    drawn = random.choice(SIZES)
+    drawn_nodes = random.choice(FLEET_SIZES)
     return Load(
-        nodes=nodes or drawn,
+        nodes=nodes or drawn_nodes,
         seconds=seconds,
         rate=random.choice((20.0, 40.0)),
-        share=random.choice(SHARES),
-        core=random.choice(CORES),
+        share=random.choice(CHANGE_SHARES),
+        core=random.choice(CORE_SHARES),
         deadline_s=random.choice(DEADLINES_S),
         seed=seed,
         resets=random.random() < 0.2,
         terminate=True,
-        signals=tuple(random.choices(SIGNALS, k=random.randrange(4))),
+        faults=tuple(random.choices(FLEET_FAULTS, k=random.randrange(4))),
         known=random.random() < 0.8,
     )
 
 
-async def play_seed(seed: int, load: Load | plan.Plan, tree: Path) -> Played:
+async def run_seed(seed: int, load: Load | plan.Plan, tree: Path) -> Result:
+    """Runs a round. A round that fails to run is a result with a violation."""
     try:
         if isinstance(load, plan.Plan):
-            return Played(seed, load, await answers.play(load, tree))
-        return Played(seed, load, await play(load, tree))
-    except (RuntimeError, OSError, Failed) as e:
-        return Played(seed, load, None, f"not played: {e}")
+            return Result(seed, load, await answers.run_round(load, tree))
+        return Result(seed, load, await run_round(load, tree))
+    except (RuntimeError, OSError, RunFailed) as e:
+        return Result(seed, load, None, f"the round could not be run: {e}")
 
 
-async def soak(args: argparse.Namespace) -> list[Played]:
-    room = asyncio.Semaphore(args.jobs)
-    found: list[Played] = []
+async def soak(args: argparse.Namespace) -> list[Result]:
+    """Runs all rounds, `args.jobs` at a time, and prints a line for each."""
+    slots = asyncio.Semaphore(args.jobs)
+    results: list[Result] = []
 
-    async def one(seed: int) -> None:
-        async with room:
-            load: Load | plan.Plan = load_of(seed, args.nodes, args.seconds)
+    async def run_one(seed: int) -> None:
+        async with slots:
+            load: Load | plan.Plan = draw_load(seed, args.nodes, args.seconds)
             if args.rig == "answers":
-                load = plan.plan_of(seed, args.seconds)
-            played = await play_seed(seed, load, args.tree.resolve())
-        found.append(played)
-        print(f"seed {seed}: {len(played.faults)} faults, {played.told}", flush=True)
-        for line in played.faults[:5] + played.events:
+                load = plan.draw_plan(seed, args.seconds)
+            result = await run_seed(seed, load, args.tree.resolve())
+        results.append(result)
+        print(f"seed {seed}: {len(result.violations)} violations, {result.summary}", flush=True)
+        for line in result.violations[:5] + result.events:
             print(f"  {line}", flush=True)
 
-    await asyncio.gather(*(one(seed) for seed in range(args.first, args.first + args.seeds)))
-    return found
+    await asyncio.gather(*(run_one(seed) for seed in range(args.first, args.first + args.seeds)))
+    return results
 
 
 def main() -> None:
@@ -112,20 +117,25 @@
     parser.add_argument("--seeds", type=int, default=50)
     parser.add_argument("--first", type=int, default=1)
     parser.add_argument("--rig", choices=("fleet", "answers"), default="fleet")
-    parser.add_argument("--nodes", type=int, default=None, help="of every round; else drawn")
-    parser.add_argument("--seconds", type=float, default=6.0, help="of traffic before SIGTERM")
-    parser.add_argument("--jobs", type=int, default=4, help="rounds beside each other")
-    parser.add_argument("--tree", type=Path, default=ROOT, help="the checkout whose proxy is played")
+    parser.add_argument(
+        "--nodes", type=int, default=None, help="nodes in each round, with --rig fleet; drawn by default"
+    )
+    parser.add_argument("--seconds", type=float, default=6.0, help="traffic before SIGTERM")
+    parser.add_argument("--jobs", type=int, default=4, help="rounds that run at the same time")
+    parser.add_argument("--tree", type=Path, default=ROOT, help="the checkout whose proxies are tested")
     args = parser.parse_args()
-    found = asyncio.run(soak(args))
-    bad = sorted(played.seed for played in found if played.faults)
-    more = f" --nodes {args.nodes}" if args.nodes else ""
+    results = asyncio.run(soak(args))
+    failed_seeds = sorted(result.seed for result in results if result.violations)
+    options = f" --nodes {args.nodes}" if args.nodes else ""
     if args.rig != "fleet":
-        more += f" --rig {args.rig}"
-    replay = [f"python -m standins.soak --seeds 1 --first {s} --seconds {args.seconds:g}{more}" for s in bad]
-    faults = sum(len(played.faults) for played in found)
-    print(json.dumps({"seeds": len(found), "faults": faults, "replay": replay}))
-    sys.exit(bool(bad))
+        options += f" --rig {args.rig}"
+    replay = [
+        f"python -m standins.soak --seeds 1 --first {s} --seconds {args.seconds:g}{options}"
+        for s in failed_seeds
+    ]
+    violations = sum(len(result.violations) for result in results)
+    print(json.dumps({"seeds": len(results), "faults": violations, "replay": replay}))
+    sys.exit(bool(failed_seeds))
 
 
 if __name__ == "__main__":
--- a/standins/takeover.py
+++ b/standins/takeover.py
@@ -1,17 +1,19 @@
-"""The drill with work in hand: what a proxy that is lost had in hand is taken over by another, once.
+"""Drill of takeover: another proxy completes the reports that a lost one had in hand, each exactly once.
 
     python -m standins.takeover [--work sqlite|postgres|group] [--kinds kill,stop,...] [--members 3]
                                 [--rounds 10] [--seed 1] [--at-once 4] [--json] [--replay PLAN]
 
-A round is one of `standins.drill`: processes that agree, a relay for each directed pair, faults by a plan
-that is drawn before. Beside them clients send reports, and send them again under the same key at any process
-until they have an answer. `--kinds` names the faults to draw from: all by default; `end` is a planned one
-(SIGTERM and a new start), `upgrade` a next process beside the one that runs, `server` the store's own loss,
-`store` that of all ways to it but one. `standins/between.py` plays it over two sites.
-
-Judged by what the processes can't write themselves: every confirmed report had one effect at the archive,
-is held once with the body that was sent, and gets an answer again at each process; none had two effects; no
-answer came after its time; nothing is left open `QUIET_S` after the last fault. Exit status as the drill's.
+A round is one of `standins.drill`, but the clients send reports, and retry each under the same key at any
+process until it is answered. `--work` chooses the store of record, `--kinds` the kinds of faults (default:
+all). Kinds that `standins.drill` does not draw: `end`, a planned end (SIGTERM) and a later start; `upgrade`,
+in which a next process takes over; `server`, the loss of the database server; and `store`, in which all
+processes but one lose their connections to that server. `standins/between.py` runs such rounds with two
+sites.
+
+Only what the processes cannot write themselves is checked. Each confirmed report must have had one effect at
+the archive, must be stored once with the body that was sent, and must be answered with 200 again by each
+process. No report may have two effects, no answer may come after its deadline, and no report may be open
+`OPEN_TIMEOUT_S` seconds after the last fault. The exit status is that of `standins.drill`.
 """
 
 from __future__ import annotations
@@ -29,99 +31,106 @@
 
 from standins import drill
 from standins.archive import Archive
-from standins.drill import Fault, Plan, arguments
-from standins.groupask import Asker, Lost, Turned
+from standins.drill import Fault, Plan, make_parser
+from standins.member_client import MemberClient, NoAnswer, NotExecuted
 from standins.killstore import SETTINGS, STORES
 from standins.node import Node
 from standins.pgserver import PgServer
 from standins.process import Process
 from standins.relay import Relay
-from standins.reports import Clients, Held, Report, ask, held, judge
-from standins.world import Failed, free_port, until_ready
-
-WINDOW_S = 8.0
-QUIET_S = 15.0
-SLACK_S = 0.25  # an answer's way, and the load on the machine
-AGAIN = 12  # confirmed reports that are asked for once more at each process
-KINDS = {
+from standins.reports import ReportClients, Rows, Report, send_report, read_rows, evaluate_reports
+from standins.world import RunFailed, free_port, until_ready
+
+DEDUP_WINDOW_S = 8.0
+OPEN_TIMEOUT_S = 15.0
+LATENESS_TOLERANCE_S = 0.25  # for the transfer of an answer, and for the load on the machine
+RESEND_COUNT = 12  # confirmed reports that are sent to each process again
+FAULT_WEIGHTS = {  # relative frequency of each kind
     "kill": 6, "stop": 4, "cut": 3, "one way": 2, "bridge": 1, "flap": 1, "slow": 1, "reset": 1, "all": 1,
     "lead": 1, "end": 3, "server": 1, "store": 1, "upgrade": 3,
 }  # fmt: skip
-COUNTED = ("reports", "confirmed", "refused", "broke", "open", "unknown", "late")
-GRADES = [{**g, **({"keyTtlUs": int(WINDOW_S * 1e6)} if "keyTtlUs" in g else {})} for g in SETTINGS["grades"]]
+SUMMED_FIELDS = ("reports", "confirmed", "refused", "broke", "open", "unknown", "late")
+CLASSES = [{**c, **({"keyTtlUs": int(DEDUP_WINDOW_S * 1e6)} if "keyTtlUs" in c else {})}
+           for c in SETTINGS["grades"]]  # fmt: skip
 
 
 class Round(drill.Round):
+    """A round of `standins.drill` in which clients send reports."""
+
     def __init__(self, plan: Plan, folder: Path, relayed: bool = True) -> None:
         super().__init__(plan, folder, relayed)
-        self.settings = {**SETTINGS, "grades": GRADES, "balancers": len(self.names)}
+        self.settings = {**SETTINGS, "grades": CLASSES, "balancers": len(self.names)}
         self.pg = PgServer() if plan.work == "postgres" else None
-        self.ways: dict[str, Relay] = {}  # of each process to the server
-        self.archive = Archive("west", time_s=0.01, window_s=WINDOW_S)
+        self.store_relays: dict[str, Relay] = {}  # from each process to the database server
+        self.archive = Archive("west", service_time_s=0.01, dedup_window_s=DEDUP_WINDOW_S)
         self.node = Node("west-0", self.archive, plan.seed, slow_share=0.2, slow_s=0.4)
         for p in self.processes:
-            p.env = {"LB_ADMIN": f"127.0.0.1:{free_port()}"}  # without it nobody can take over from it
-        self.reporting = Clients(plan.seed, self.processes, 0.5)
-        self.again: list[str] = []
+            p.env = {"LB_ADMIN": f"127.0.0.1:{free_port()}"}  # an upgrade needs it
+        self.report_clients = ReportClients(plan.seed, self.processes, 0.5)
+        self.resend_violations: list[str] = []
 
     async def prepare(self) -> None:
         await self.node.start()
         if self.pg is not None:
             await self.pg.start()
             for name in self.names:
-                self.ways[name] = Relay(("127.0.0.1", self.pg.port), self.plan.seed)
-                await self.ways[name].start()
+                self.store_relays[name] = Relay(("127.0.0.1", self.pg.port), self.plan.seed)
+                await self.store_relays[name].start()
         await super().prepare()
         self.discovery.set([{**self.node.entry(), "instanceId": f"west-{n}"} for n in range(4)])
 
-    def tables(self, name: str) -> str:
+    def extra_toml(self, name: str) -> str:
         if self.plan.work == "group":
             return '[record]\nsettle = "1s"\nmost_body = "16KiB"\nmost_answer = "16KiB"\n[record.group]\n'
         dsn = ""
         if self.pg is not None:
-            dsn = self.pg.dsn.replace(f":{self.pg.port}/", f":{self.ways[name].port}/")
+            dsn = self.pg.dsn.replace(f":{self.pg.port}/", f":{self.store_relays[name].port}/")
         return '[record]\nsettle = "1s"\n' + STORES[self.plan.work].format(dsn=dsn)
 
-    def begin(self) -> list[asyncio.Task[None]]:
-        return [asyncio.create_task(self.reporting.client(n)) for n in range(6)]
+    def start_load(self) -> list[asyncio.Task[None]]:
+        return [asyncio.create_task(self.report_clients.run_client(n)) for n in range(6)]
 
-    async def _heal(self) -> None:
+    async def _clear_faults(self) -> None:
         if self.pg is not None and self.pg.server is None:
             await self.pg.start()
-        self.reporting.over = True
-        await super()._heal()
-
-    async def _strike(self, f: Fault, begin: float) -> None:
-        if f.kind == "store":
-            await asyncio.sleep(f.at_s)
-            others = [w for n, w in self.ways.items() if n != self.names[f.who[0]]]
-            await self._meanwhile(others, f.lasts_s, "cut")
-        elif f.kind != "server":
-            await super()._strike(f, begin)
+        self.report_clients.stopping = True
+        await super()._clear_faults()
+
+    async def inject_fault(self, fault: Fault, began: float) -> None:
+        if fault.kind == "store":
+            await asyncio.sleep(fault.at_s)
+            others = [r for n, r in self.store_relays.items() if n != self.names[fault.who[0]]]
+            await self._impair_links(others, fault.lasts_s, "cut")
+        elif fault.kind != "server":
+            await super().inject_fault(fault, began)
         elif self.pg is not None:
-            await asyncio.sleep(f.at_s)
+            await asyncio.sleep(fault.at_s)
             self.pg.kill()
-            await asyncio.sleep(f.lasts_s)
+            await asyncio.sleep(fault.lasts_s)
             if self.pg.server is None:
                 await self.pg.start()
 
-    async def last(self) -> None:
-        await self.quiet()
-        await self.once_more(self.processes)
+    async def run_after_load(self) -> None:
+        await self.wait_until_none_open()
+        await self.resend_confirmed(self.processes)
 
-    async def quiet(self) -> None:
-        """Until nothing is left open. Raises Failed."""
-        end = asyncio.get_running_loop().time() + QUIET_S
+    async def wait_until_none_open(self) -> None:
+        """Waits until no report is open. Raises RunFailed after `OPEN_TIMEOUT_S`."""
+        end = asyncio.get_running_loop().time() + OPEN_TIMEOUT_S
         while True:
-            open_ = [k for k, state, _ in await self.held() if state in ("stored", "sent")]
+            open_ = [k for k, state, _ in await self.read_rows() if state in ("stored", "sent")]
             if not open_:
                 break
             if asyncio.get_running_loop().time() > end:
-                raise Failed(f"open {QUIET_S} s after the last fault: {open_[:5]}; {await self._whose()}")
+                raise RunFailed(
+                    f"reports are open {OPEN_TIMEOUT_S} s after the last fault: {open_[:5]}; "
+                    f"{await self._work_in_hand()}"
+                )
             await asyncio.sleep(0.1)
 
-    async def _whose(self) -> dict[str, Any]:
-        """Of what is open, and what each process has in hand."""
+    async def _work_in_hand(self) -> dict[str, Any]:
+        """Returns the work in hand of each process, and the open rows with their owners if the store is a
+        file."""
         found: dict[str, Any] = {}
         if self.plan.work == "sqlite":
             db = sqlite3.connect(f"file:{self.folder / 'record.sqlite'}?mode=ro", uri=True)
@@ -130,97 +139,105 @@
             ).fetchall()
             db.close()
         for p in self.processes:
-            asker = self._asker(p.name)
-            with suppress(Lost, Turned):
-                found[p.name] = await asker.ask({"do": "work"}, 2.0)
-            asker.close()
+            client = self.member_client(p.name)
+            with suppress(NoAnswer, NotExecuted):
+                found[p.name] = await client.request({"do": "work"}, 2.0)
+            client.close()
         return found
 
-    async def once_more(self, processes: Sequence[Process], but: Container[str] = ()) -> None:
+    async def resend_confirmed(self, processes: Sequence[Process], excluded: Container[str] = ()) -> None:
+        """Sends some of the confirmed reports to each of the processes again, which must confirm them.
+        `excluded`: keys that are not sent."""
         for p in processes:
-            assert p.process is not None  # its part in the group begins before it listens for clients
+            # A process is a member of the group before it listens for clients, so it may not be ready yet.
+            assert p.process is not None
             await until_ready(p.name, p.port, p.process, p.log)
-        confirmed = [r for r in self.reporting.reports if r.confirmed and r.key not in but]
-        for r in Random(self.plan.seed).sample(confirmed, min(AGAIN, len(confirmed))):
+        confirmed = [r for r in self.report_clients.reports if r.confirmed and r.key not in excluded]
+        for r in Random(self.plan.seed).sample(confirmed, min(RESEND_COUNT, len(confirmed))):
             for p in processes:
-                status = await self._answer(r, p)
+                status = await self._resend(r, p)
                 if status != 200:
-                    self.again.append(f"{r.key} was confirmed, and {p.name} says {status}")
+                    self.resend_violations.append(f"{r.key} was confirmed, but {p.name} answers {status}")
 
-    async def _answer(self, r: Report, p: Process) -> int:
-        """The first one but for refusals."""
+    async def _resend(self, report: Report, p: Process) -> int:
+        """Returns the first status that is not 503, or 503 after 20 tries."""
         for _ in range(20):
-            status, after_s = await ask(Report(r.key, r.body, [0]), p.port)
+            status, after_s = await send_report(Report(report.key, report.body, [0]), p.port)
             if status != 503:
                 break
             await asyncio.sleep(after_s)
         return status
 
-    async def held(self) -> Held:
+    async def read_rows(self) -> Rows:
+        """Reads all rows of the store of record. Raises RunFailed if no member of the group can read them."""
         if self.plan.work != "group":
-            return held(self.folder, self.pg)
+            return read_rows(self.folder, self.pg)
         for p in self.processes:
-            asker = self._asker(p.name)
+            client = self.member_client(p.name)
             try:
-                return await self._rows(asker)
-            except (Lost, Turned):
+                return await self._read_rows_of_group(client)
+            except (NoAnswer, NotExecuted):
                 continue
             finally:
-                asker.close()
-        raise Failed("nobody tells what is held")
+                client.close()
+        raise RunFailed("no member can read the rows of the group")
 
-    async def _rows(self, asker: Asker) -> Held:
-        found: Held = []
+    async def _read_rows_of_group(self, client: MemberClient) -> Rows:
+        rows: Rows = []
         first = 0
         while True:
-            told = await asker.ask({"do": "record", "what": "rows", "first": first}, 3.0)
-            for r in told["rows"]:
-                found.append((b64decode(r["key"]).decode(), r["state"], b64decode(r["body"])))
-            first = told["next"]
+            page = await client.request({"do": "record", "what": "rows", "first": first}, 3.0)
+            for r in page["rows"]:
+                rows.append((b64decode(r["key"]).decode(), r["state"], b64decode(r["body"])))
+            first = page["next"]
             if not first:
-                return found
+                return rows
 
-    async def end(self) -> None:
-        self.reporting.over = True
+    async def close(self) -> None:
+        self.report_clients.stopping = True
         try:
-            self.kept = await self.held() if self.whole_s else []
-        except Failed:
-            self.kept = []
-        await super().end()
+            self.final_rows = await self.read_rows() if self.convergence_s else []
+        except RunFailed:
+            self.final_rows = []
+        await super().close()
         self.node.stop()
-        for way in self.ways.values():
-            way.stop()
+        for relay in self.store_relays.values():
+            relay.stop()
         if self.pg is not None:
             self.pg.kill()
 
     @property
-    def stopped(self) -> bool:
+    def has_stop_fault(self) -> bool:
+        """Whether a process is suspended in this round. Its answers may then come late."""
         return any(f.kind == "stop" for f in self.plan.faults)
 
-    def judge(self, faults: list[str]) -> dict[str, Any]:
-        if faults:
-            found: dict[str, Any] = {"faults": []}
+    def evaluate(self, violations: list[str]) -> dict[str, Any]:
+        if violations:
+            result: dict[str, Any] = {"faults": []}
         else:
-            found = judge(self.reporting.reports, self.kept, self.archive.effects)
-        late = [r for r in self.reporting.reports if r.late_s > SLACK_S]
-        if late and not self.stopped:
-            faults.append(f"{late[0].key} was answered {late[0].late_s:.3f} s after its time")
-        found["faults"] = faults + found["faults"] + self.again
-        return {**found, "late": len(late), "whole_s": round(self.whole_s, 2)}
+            result = evaluate_reports(self.report_clients.reports, self.final_rows, self.archive.effects)
+        late = [r for r in self.report_clients.reports if r.late_s > LATENESS_TOLERANCE_S]
+        if late and not self.has_stop_fault:
+            violations.append(f"{late[0].key} was answered {late[0].late_s:.3f} s after its deadline")
+        result["faults"] = violations + result["faults"] + self.resend_violations
+        return {**result, "late": len(late), "whole_s": round(self.convergence_s, 2)}
 
 
 def draw(args: Namespace, seed: int) -> Plan:
-    """Raises KeyError for a kind that there is not."""
-    kinds = {k: KINDS[k] for k in args.kinds.split(",")} if args.kinds else KINDS
-    return Plan.draw(seed, args.members, args.observers, args.work, kinds)
+    """Draws the plan of a seed for these arguments. Raises KeyError for an unknown kind of fault."""
+    weights = {k: FAULT_WEIGHTS[k] for k in args.kinds.split(",")} if args.kinds else FAULT_WEIGHTS
+    return Plan.draw(seed, args.members, args.observers, args.work, weights)
 
 
-def options(name: str, doc: str) -> ArgumentParser:
-    parser = arguments(name, doc)
+def work_parser(name: str, doc: str) -> ArgumentParser:
+    """Returns the parser of `standins.drill` with the options `--work` and `--kinds`."""
+    parser = make_parser(name, doc)
     parser.add_argument("--work", choices=["sqlite", "postgres", "group"], default="sqlite")
-    parser.add_argument("--kinds", default="", help=f"of {', '.join(KINDS)}; all by default")
+    parser.add_argument(
+        "--kinds", default="", help=f"comma-separated, of {', '.join(FAULT_WEIGHTS)}; all by default"
+    )
     return parser
 
 
 if __name__ == "__main__":
-    sys.exit(drill.run(options("standins.takeover", __doc__ or ""), Round, COUNTED, draw))
+    sys.exit(drill.main(work_parser("standins.takeover", __doc__ or ""), Round, SUMMED_FIELDS, draw))
