--- a/tests/test_listing.py
+++ b/tests/test_listing.py
@@ -1,4 +1,4 @@
-"""Lists of thousands of nodes: good, bad, in slices, and crossed by newer ones."""
+"""Lists of thousands of nodes: valid and invalid ones, applied in slices, and replaced while pending."""
 
 from __future__ import annotations
 
@@ -13,24 +13,24 @@
 from magpiefront.interface import ServerList, Status
 from magpiefront.net.config import Address
 from magpiefront.net.events import EventLog
-from magpiefront.net.listing import ENTRIES_A_TURN, Garbled, Listing
+from magpiefront.net.listing import ENTRIES_PER_TURN, InvalidList, Listing
 from tests.sockets import run, until
 
 LARGE = 3_200
 
 
 def line(number: int, lifecycle: str = "Ready", **more: Any) -> dict[str, Any]:
-    place = f"127.0.{number >> 8}.{number & 255}:7000"
-    return {"instanceId": f"s-{number}", "hostPort": place, "lifecycle": lifecycle, **more}
+    host_port = f"127.0.{number >> 8}.{number & 255}:7000"
+    return {"instanceId": f"s-{number}", "hostPort": host_port, "lifecycle": lifecycle, **more}
 
 
-def told(generation: int, lines: list[Any], reset: bool = False) -> dict[str, Any]:
+def list_of(generation: int, lines: list[Any], reset: bool = False) -> dict[str, Any]:
     return {"generation": generation, "reset": reset, "instances": lines}
 
 
 @dataclass
-class User:
-    """Keeps what a Listing says, as a proxy would."""
+class Receiver:
+    """Records what a Listing reports, as a proxy would."""
 
     loop: asyncio.AbstractEventLoop
     ready: dict[str, Address] = field(default_factory=dict)
@@ -41,11 +41,11 @@
         for name in names:
             self.ready.pop(name, None)
 
-    def list_changed(self, told: ServerList, places: dict[str, Address]) -> None:
-        self.events.append(told)
-        for entry in told.entries:
+    def list_changed(self, server_list: ServerList, addresses: dict[str, Address]) -> None:
+        self.events.append(server_list)
+        for entry in server_list.entries:
             if entry.status is Status.READY:
-                self.ready[entry.server] = places[entry.server]
+                self.ready[entry.server] = addresses[entry.server]
             else:
                 self.ready.pop(entry.server, None)
 
@@ -53,135 +53,138 @@
     def events_log(self) -> EventLog:
         return EventLog(self.loop.time)
 
-    def go_on(self, call: Callable[[], object]) -> None:
+    def schedule_slice(self, call: Callable[[], object]) -> None:
         self.loop.call_soon(call)
 
     def log(self, text: str) -> None:
         self.lines.append(text)
 
 
-def play(scene: Callable[[Listing, User], Any]) -> None:
-    """With a list of LARGE nodes that has been taken up."""
+def with_large_list(scenario: Callable[[Listing, Receiver], Any]) -> None:
+    """Runs a scenario with a list of LARGE nodes that has been applied."""
 
     async def main() -> None:
-        user = User(asyncio.get_running_loop())
-        listing = Listing(user)
-        listing.take(told(1, [line(n) for n in range(LARGE)], reset=True))
-        await until(lambda: not listing.waiting)
-        assert len(user.ready) == LARGE and not user.events[-1].more
-        user.events.clear()
-        await scene(listing, user)
+        receiver = Receiver(asyncio.get_running_loop())
+        listing = Listing(receiver)
+        listing.apply(list_of(1, [line(n) for n in range(LARGE)], reset=True))
+        await until(lambda: not listing.pending)
+        assert len(receiver.ready) == LARGE and not receiver.events[-1].more
+        receiver.events.clear()
+        await scenario(listing, receiver)
 
     run(main())
 
 
 def test_what_a_list_forbids_counts_before_any_other_entry_is_read() -> None:
-    async def scene(listing: Listing, user: User) -> None:
+    async def scenario(listing: Listing, receiver: Receiver) -> None:
         lines = [line(n) for n in range(LARGE, 2 * LARGE)] + [line(n, "Terminating") for n in range(300)]
-        listing.take(told(2, lines))
-        assert not any(f"s-{n}" in user.ready for n in range(300))
-        assert len(user.ready) == LARGE - 300
-        await until(lambda: not listing.waiting)
-        assert len(user.ready) == 2 * LARGE - 300
-        assert max(len(e.entries) for e in user.events[1:]) <= ENTRIES_A_TURN
-        assert [e.more for e in user.events] == [True] * (len(user.events) - 1) + [False]
-
-    play(scene)
-
-
-def test_a_newer_list_takes_the_place_of_what_still_waits() -> None:
-    async def scene(listing: Listing, user: User) -> None:
-        listing.take(told(2, [line(n) for n in range(LARGE, 2 * LARGE)]))
-        listing.take(told(3, [line(2 * LARGE - 1, "Terminating"), line(2 * LARGE - 2, "Gone")]))
-        listing.take(told(4, [line(n) for n in range(10)], reset=True))
-        await until(lambda: not listing.waiting)
-        assert set(user.ready) == set(listing.held) == {f"s-{n}" for n in range(10)}
-
-    play(scene)
-
-
-def test_a_node_that_drains_before_its_line_of_a_whole_list_was_read_is_never_ready() -> None:
-    async def scene(listing: Listing, user: User) -> None:
-        listing.take(told(2, [line(n) for n in range(LARGE, 2 * LARGE)], reset=True))
-        listing.take(told(3, [line(LARGE, "Terminating")]))
-        assert listing.waiting
-        await until(lambda: not listing.waiting)
-        entries = [entry for told in user.events for entry in told.entries]
+        listing.apply(list_of(2, lines))
+        assert not any(f"s-{n}" in receiver.ready for n in range(300))
+        assert len(receiver.ready) == LARGE - 300
+        await until(lambda: not listing.pending)
+        assert len(receiver.ready) == 2 * LARGE - 300
+        assert max(len(e.entries) for e in receiver.events[1:]) <= ENTRIES_PER_TURN
+        assert [e.more for e in receiver.events] == [True] * (len(receiver.events) - 1) + [False]
+
+    with_large_list(scenario)
+
+
+def test_a_newer_list_replaces_pending_entries() -> None:
+    async def scenario(listing: Listing, receiver: Receiver) -> None:
+        listing.apply(list_of(2, [line(n) for n in range(LARGE, 2 * LARGE)]))
+        listing.apply(list_of(3, [line(2 * LARGE - 1, "Terminating"), line(2 * LARGE - 2, "Gone")]))
+        listing.apply(list_of(4, [line(n) for n in range(10)], reset=True))
+        await until(lambda: not listing.pending)
+        assert set(receiver.ready) == set(listing.held) == {f"s-{n}" for n in range(10)}
+
+    with_large_list(scenario)
+
+
+def test_a_node_that_drains_while_its_entry_is_pending_is_never_ready() -> None:
+    async def scenario(listing: Listing, receiver: Receiver) -> None:
+        listing.apply(list_of(2, [line(n) for n in range(LARGE, 2 * LARGE)], reset=True))
+        listing.apply(list_of(3, [line(LARGE, "Terminating")]))
+        assert listing.pending
+        await until(lambda: not listing.pending)
+        entries = [entry for event in receiver.events for entry in event.entries]
         assert [e.status for e in entries if e.server == f"s-{LARGE}"] == [Status.DRAINING]
-        assert len(user.ready) == LARGE - 1
+        assert len(receiver.ready) == LARGE - 1
 
-    play(scene)
+    with_large_list(scenario)
 
 
 GOOD = [line(n) for n in range(LARGE)]
 
 
 @pytest.mark.parametrize(
-    ("given", "said"),
+    ("answer", "logged"),
     [
-        (told(2, [*GOOD[:-1], {"instanceId": f"s-{LARGE - 1}"}], reset=True), "1 entries can't be read"),
-        (told(2, GOOD + GOOD, reset=True), ""),
-        (told(2, GOOD[::-1], reset=True), ""),
-        (json.loads(json.dumps(told(2, GOOD, reset=True), indent=8)), ""),
-        (told(2, [7, None, {"instanceId": []}]), "3 entries can't be read"),
-        (told(2, [{"instanceId": "s-1", "lifecycle": ["Gone"]}]), "1 entries can't be read"),
+        (list_of(2, [*GOOD[:-1], {"instanceId": f"s-{LARGE - 1}"}], reset=True), "1 entries can't be read"),
+        (list_of(2, GOOD + GOOD, reset=True), ""),
+        (list_of(2, GOOD[::-1], reset=True), ""),
+        (json.loads(json.dumps(list_of(2, GOOD, reset=True), indent=8)), ""),
+        (list_of(2, [7, None, {"instanceId": []}]), "3 entries can't be read"),
+        (list_of(2, [{"instanceId": "s-1", "lifecycle": ["Gone"]}]), "1 entries can't be read"),
     ],
-    ids=["one entry garbled", "doubled", "out of order", "indented", "no entries", "a lifecycle of lists"],
+    ids=["one entry invalid", "doubled", "out of order", "indented", "no entries", "a lifecycle of lists"],
 )
-def test_what_can_not_be_read_leaves_what_is_held(given: dict[str, Any], said: str) -> None:
-    async def scene(listing: Listing, user: User) -> None:
-        listing.take(given)
-        await until(lambda: not listing.waiting)
-        assert len(user.ready) == len(listing.held) == LARGE
-        assert len(user.lines) <= 1 and said in "".join(user.lines)
+def test_invalid_entries_leave_the_held_nodes_unchanged(answer: dict[str, Any], logged: str) -> None:
+    async def scenario(listing: Listing, receiver: Receiver) -> None:
+        listing.apply(answer)
+        await until(lambda: not listing.pending)
+        assert len(receiver.ready) == len(listing.held) == LARGE
+        assert len(receiver.lines) <= 1 and logged in "".join(receiver.lines)
 
-    play(scene)
+    with_large_list(scenario)
 
 
 @pytest.mark.parametrize(
-    "given",
-    [told(0, [line(1, "Gone")]), told(2, [{}, {}], reset=True), {"generation": 2, "instances": "cut off"}],
+    "answer",
+    [
+        list_of(0, [line(1, "Gone")]), list_of(2, [{}, {}], reset=True),
+        {"generation": 2, "instances": "cut off"},
+    ],
     ids=["a generation that goes back", "nothing in it is a node", "cut off"],
-)
-def test_a_list_that_is_none_changes_nothing(given: dict[str, Any]) -> None:
-    async def scene(listing: Listing, user: User) -> None:
-        with pytest.raises(Garbled):
-            listing.take(given)
-        assert len(user.ready) == len(listing.held) == LARGE and not listing.waiting
+)  # fmt: skip
+def test_an_invalid_list_changes_nothing(answer: dict[str, Any]) -> None:
+    async def scenario(listing: Listing, receiver: Receiver) -> None:
+        with pytest.raises(InvalidList):
+            listing.apply(answer)
+        assert len(receiver.ready) == len(listing.held) == LARGE and not listing.pending
 
-    play(scene)
+    with_large_list(scenario)
 
 
-def test_a_whole_list_without_nodes_is_taken_at_its_word_and_told_in_a_line() -> None:
-    async def scene(listing: Listing, user: User) -> None:
-        listing.take(told(2, [], reset=True))
-        assert not user.ready and user.lines == ["discovery: a whole list without any node"]
+def test_an_empty_whole_list_is_applied_and_logged() -> None:
+    async def scenario(listing: Listing, receiver: Receiver) -> None:
+        listing.apply(list_of(2, [], reset=True))
+        assert not receiver.ready and receiver.lines == ["discovery: a whole list without any node"]
 
-    play(scene)
+    with_large_list(scenario)
 
 
-def test_two_nodes_at_one_address_are_told_in_a_line_and_both_kept() -> None:
-    async def scene(listing: Listing, user: User) -> None:
-        listing.take(told(1, [line(n) for n in range(LARGE)], reset=True))
-        await until(lambda: not listing.waiting)
-        there = line(7)["hostPort"]
-        listing.take(told(2, [{**line(LARGE), "hostPort": there}]))
-        await until(lambda: not listing.waiting)
-        assert user.lines == ["discovery: 1 nodes are listed at the address of another"]
-        assert user.ready["s-7"] == user.ready[f"s-{LARGE}"]
+def test_two_nodes_at_one_address_are_logged_and_both_kept() -> None:
+    async def scenario(listing: Listing, receiver: Receiver) -> None:
+        listing.apply(list_of(1, [line(n) for n in range(LARGE)], reset=True))
+        await until(lambda: not listing.pending)
+        shared_address = line(7)["hostPort"]
+        listing.apply(list_of(2, [{**line(LARGE), "hostPort": shared_address}]))
+        await until(lambda: not listing.pending)
+        assert receiver.lines == ["discovery: 1 nodes are listed at the address of another"]
+        assert receiver.ready["s-7"] == receiver.ready[f"s-{LARGE}"]
 
-    play(scene)
+    with_large_list(scenario)
 
 
 @pytest.mark.parametrize("lifecycle", ["Terminating", "Gone"])
-def test_a_node_in_the_place_of_one_that_left_is_no_second_one(lifecycle: str) -> None:
-    async def scene(listing: Listing, user: User) -> None:
-        listing.take(told(1, [line(n) for n in range(9)], reset=True))
-        await until(lambda: not listing.waiting)
+def test_a_node_at_the_address_of_a_removed_one_is_no_conflict(lifecycle: str) -> None:
+    async def scenario(listing: Listing, receiver: Receiver) -> None:
+        listing.apply(list_of(1, [line(n) for n in range(9)], reset=True))
+        await until(lambda: not listing.pending)
         swapped = {**line(1), "hostPort": line(2)["hostPort"]}, {**line(2), "hostPort": line(1)["hostPort"]}
         new = {**line(LARGE), "hostPort": line(7)["hostPort"]}
-        listing.take(told(2, [new, line(7, lifecycle), *swapped]))
-        await until(lambda: not listing.waiting)
-        assert user.lines == [] and f"s-{LARGE}" in user.ready
+        listing.apply(list_of(2, [new, line(7, lifecycle), *swapped]))
+        await until(lambda: not listing.pending)
+        assert receiver.lines == [] and f"s-{LARGE}" in receiver.ready
 
-    play(scene)
+    with_large_list(scenario)
--- a/tests/test_nodes.py
+++ b/tests/test_nodes.py
@@ -1,4 +1,5 @@
-"""What comes back from cache nodes, over loopback sockets: each row of the protocol's table, and worse."""
+"""Answers and failures of cache nodes, over loopback sockets: the outcomes that the protocol names, and
+answers that violate it."""
 
 from __future__ import annotations
 
@@ -11,32 +12,31 @@
 
 from magpiefront.interface import Outcome
 from magpiefront.net import answer_reader, exchange
-from magpiefront.net.answer import read_report
+from magpiefront.net.answer import parse_load_report
 from magpiefront.net.exchange import Probe
 from tests.sockets import (
-    Handler, Node, Seen, gated, ok, request, resets, run, says, until, world,
+    Handler, Node, ReceivedRequest, gated, ok, request, resets, run, reply, until, world,
 )  # fmt: skip
 
 CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 ERROR = b"HTTP/1.1 500 X\r\nContent-Length: 3\r\n\r\nbad"
 
 
-def first(handler: Handler) -> Handler:
-    """The first request of all goes to the handler, those after it are served."""
-    used: list[Seen] = []
+def first_then_ok(handler: Handler) -> Handler:
+    """Handles the first of all requests with the handler and answers the others with 200."""
+    used: list[ReceivedRequest] = []
 
-    async def once(seen: Seen, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    async def once(seen: ReceivedRequest, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         used.append(seen)
-        await (handler if len(used) == 1 else says(ok(b"second")))(seen, reader, writer)
+        await (handler if len(used) == 1 else reply(ok(b"second")))(seen, reader, writer)
 
     return once
 
 
-
-def test_served_unchanged_and_the_request_goes_on_unchanged() -> None:
+def test_request_and_answer_are_forwarded_unchanged() -> None:
     async def main() -> None:
         body = bytes(range(256)) * 100
-        async with world(says(ok(b"\0\r\n\xff" * 9, "Srv-Cache: hit\r\nContent-Type: a/b\r\n"))) as w:
+        async with world(reply(ok(b"\0\r\n\xff" * 9, "Srv-Cache: hit\r\nContent-Type: a/b\r\n"))) as w:
             more = "Idempotency-Key: abc\r\n"
             answer = await w.ask("PUT", "/api/v/k%20?q=1&r", "keyed", body=body, more=more)
             assert (answer.status, answer.body) == (200, b"\0\r\n\xff" * 9)
@@ -46,12 +46,12 @@
             assert seen.headers["idempotency-key"] == "abc" and seen.headers["req-id"].startswith("id")
             assert 0.3 < float(seen.headers["req-deadline"]) < 0.9
             assert w.outcomes() == [Outcome.OK]
-            assert [e.note for e in w.events if hasattr(e, "note")] == [1]
+            assert [e.cache_result for e in w.events if hasattr(e, "cache_result")] == [1]
 
     run(main())
 
 
-def test_a_refused_connection_never_ran() -> None:
+def test_a_refused_connect_means_the_request_did_not_run() -> None:
     async def main() -> None:
         async with world(None, None) as w:
             for n in range(6):
@@ -64,55 +64,55 @@
     run(main())
 
 
-def test_a_connection_that_never_comes_up_never_ran() -> None:
+def test_a_connect_timeout_means_the_request_did_not_run() -> None:
     async def main() -> None:
-        hole = socket()
-        hole.bind(("127.0.0.1", 0))
-        hole.listen(0)
-        fill = []
-        for _ in range(3):  # the queue is full: further connections get no answer
-            s = socket()
-            s.setblocking(False)
-            s.connect_ex(hole.getsockname())
-            fill.append(s)
+        unresponsive = socket()
+        unresponsive.bind(("127.0.0.1", 0))
+        unresponsive.listen(0)
+        fillers = []
+        for _ in range(3):  # fills the accept queue, so that further connects get no answer
+            sock = socket()
+            sock.setblocking(False)
+            sock.connect_ex(unresponsive.getsockname())
+            fillers.append(sock)
         async with world(None) as w:
-            w.nodes[0].port = hole.getsockname()[1]
+            w.nodes[0].port = unresponsive.getsockname()[1]
             w.lists.change(2, w.nodes[0].entry())
             await until(lambda: w.proxy.pool.nodes["s-0"].address[1] == w.nodes[0].port)
             answer = await w.ask(kind="once")
             assert answer.status == 503 and w.outcomes() == [Outcome.CONNECT_FAILED]
-            # an attempt that runs out of time before its connection is up was never sent
+            # An attempt that times out before its connection is established was never sent.
             w.events.clear()
             w.proxy.router.servers["s-0"].suspect = False
             answer = await w.ask(kind="once", deadline="0.08")
             assert answer.status == 503 and w.outcomes() == [Outcome.MOOT]
-        hole.close()
-        for s in fill:
-            s.close()
+        unresponsive.close()
+        for sock in fillers:
+            sock.close()
 
     run(main())
 
 
-def test_a_break_before_the_last_byte_never_ran() -> None:
+def test_a_reset_before_the_last_byte_is_sent_means_the_request_did_not_run() -> None:
     async def main() -> None:
         async with world(None, None) as w:
-            before = [n.server for n in w.nodes]
+            servers = [n.server for n in w.nodes]
             accepted = []
 
-            async def hang_up(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            async def reset_early(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
                 accepted.append(1)
                 await reader.read(1000)
-                s = writer.get_extra_info("socket")
-                s.setsockopt(SOL_SOCKET, SO_LINGER, struct.pack("ii", 1, 0))
+                sock = writer.get_extra_info("socket")
+                sock.setsockopt(SOL_SOCKET, SO_LINGER, struct.pack("ii", 1, 0))
                 writer.transport.abort()
 
-            for server in before:
+            for server in servers:
                 assert server is not None
                 server.close()
             for n in w.nodes:
-                n.server = await asyncio.start_server(hang_up, "127.0.0.1", n.port, limit=1024)
+                n.server = await asyncio.start_server(reset_early, "127.0.0.1", n.port, limit=1024)
             answer = await w.ask("PUT", kind="once", body=b"x" * 12_000_000)
-            assert answer.status == 503  # refused: nothing ran
+            assert answer.status == 503  # refused: the request has not run
             assert accepted and set(w.outcomes()) == {Outcome.CONNECT_FAILED}
 
     run(main())
@@ -121,40 +121,40 @@
 @pytest.mark.parametrize(
     ("more", "connections"), [("", 1), ("Connection: keep-alive\r\n", 1), ("Connection: close\r\n", 5)]
 )
-def test_a_rested_connection_is_used_again_unless_the_node_says_no(more: str, connections: int) -> None:
+def test_a_rested_connection_is_reused_unless_the_node_closes_it(more: str, connections: int) -> None:
     async def main() -> None:
-        async with world(says(ok(more=more))) as w:
+        async with world(reply(ok(more=more))) as w:
             client = await w.client()
             for n in range(5):
                 client.send(request(path=f"/api/{n}"))
                 assert (await client.answer()).status == 200
-                w.let_rest()
+                w.advance_past_rest()
             assert w.nodes[0].connections == connections
             await until(lambda: w.proxy.pool.open == (connections == 1), "the closing of the others")
 
     run(main())
 
 
-@pytest.mark.parametrize("rest", [ok(b"stray"), b"noise", None], ids=["second copy", "noise", "end"])
-def test_a_connection_with_something_unread_is_not_taken_again(rest: bytes | None) -> None:
-    """What had come, but not been read yet, was taken for the next answer or for its reset."""
+@pytest.mark.parametrize("unread", [ok(b"stray"), b"noise", None], ids=["second copy", "noise", "end"])
+def test_an_idle_connection_with_unread_data_is_not_reused(unread: bytes | None) -> None:
+    """Guards against unread bytes of an idle connection that are taken for the next answer or its reset."""
 
     async def main() -> None:
-        async with world(says(ok(b"own"))) as w:
+        async with world(reply(ok(b"own"))) as w:
             assert (await w.ask(kind="once")).body == b"own"
             node = w.proxy.pool.nodes["s-0"]
             await until(lambda: node.idle)
             (idle,) = node.idle
-            w.let_rest()
-            idle.transport.pause_reading()  # as a loop that has not come to it yet
-            socket_of_node = w.nodes[0].writers[-1]
-            if rest is None:
-                socket_of_node.close()
+            w.advance_past_rest()
+            idle.transport.pause_reading()  # as if the loop had not read it yet
+            node_writer = w.nodes[0].writers[-1]
+            if unread is None:
+                node_writer.close()
                 await until(lambda: not w.nodes[0].open)
             else:
-                socket_of_node.write(rest)
-                await socket_of_node.drain()
-            await until(lambda: not idle.fresh(), "the arrival")
+                node_writer.write(unread)
+                await node_writer.drain()
+            await until(lambda: not idle.has_nothing_unread(), "the arrival")
             assert (await w.ask(kind="once")).body == b"own"
             assert set(w.outcomes()) == {Outcome.OK} and w.nodes[0].connections == 2
             await until(lambda: w.proxy.pool.open == 1, "the closing of the other")
@@ -162,31 +162,34 @@
     run(main())
 
 
-def test_resets_of_connections_do_not_close_the_gate_for_others() -> None:
-    """Taken for an origin that is too busy, a few kept connections that broke had most requests refused."""
+def test_resets_do_not_reduce_admission_for_other_requests() -> None:
+    """Guards against resets that are taken for an overloaded origin: a few reused connections that were reset
+    then had most requests refused."""
 
     async def main() -> None:
-        came: list[Seen] = []
+        received: list[ReceivedRequest] = []
 
-        async def sometimes(seen: Seen, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-            came.append(seen)
-            await (resets if len(came) % 6 == 0 else says(ok()))(seen, reader, writer)
+        async def resets_every_sixth(
+            seen: ReceivedRequest, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:  # fmt: skip
+            received.append(seen)
+            await (resets if len(received) % 6 == 0 else reply(ok()))(seen, reader, writer)
 
-        async with world(sometimes, sometimes, sometimes) as w:
+        async with world(resets_every_sixth, resets_every_sixth, resets_every_sixth) as w:
             client = await w.client()
             for n in range(150):
                 client.send(request(path=f"/api/{n}"))
                 assert (await client.answer()).status == 200
-            assert w.outcomes().count(Outcome.RESET) >= 25 and w.proxy.router.fetch.share == 1
+            assert w.outcomes().count(Outcome.RESET) >= 25 and w.proxy.router.origin_gate.share == 1
 
     run(main())
 
 
-def test_a_stale_connection_is_reported_and_not_sent_again_by_itself() -> None:
+def test_a_reset_of_a_reused_connection_is_reported_and_not_retried_by_the_pool() -> None:
     async def main() -> None:
-        async with world(says(ok())) as w:
+        async with world(reply(ok())) as w:
             assert (await w.ask(kind="once")).status == 200
-            w.let_rest()
+            w.advance_past_rest()
             w.nodes[0].handler = resets
             answer = await w.ask(kind="once")
             assert answer.status == 502 and len(w.seen()) == 2
@@ -195,11 +198,11 @@
     run(main())
 
 
-def test_an_answer_that_nobody_asked_for_ends_its_connection_alone() -> None:
+def test_an_unsolicited_answer_only_closes_its_connection() -> None:
     async def main() -> None:
-        async with world(first(says(ok(b"mine") + ok(b"stray")))) as w:
+        async with world(first_then_ok(reply(ok(b"mine") + ok(b"stray")))) as w:
             assert (await w.ask()).body == b"mine"
-            w.let_rest()
+            w.advance_past_rest()
             assert (await w.ask()).body == b"second"
             assert w.nodes[0].connections == 2
             w.nodes[0].writers[-1].write(ok(b"late stray"))  # while the connection is idle
@@ -209,8 +212,9 @@
     run(main())
 
 
-def test_long_answers_pass_on_from_their_first_bytes() -> None:
-    """Guards rf9c93c: kept back until 64 KiB had come, long answers that trickle ran out of time."""
+def test_long_answers_are_streamed_from_their_first_bytes() -> None:
+    """Guards against holding an answer until 64 KiB of it have arrived: long answers that arrive slowly timed
+    out (rf9c93c)."""
 
     async def main() -> None:
         gate = asyncio.Event()
@@ -219,13 +223,17 @@
             gate.clear()
 
             async def trickle(
-                seen: Seen, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, f: bytes = framing,
-                c: bool = chunked,
+                seen: ReceivedRequest, reader: asyncio.StreamReader, writer: asyncio.StreamWriter,
+                own_framing: bytes = framing, is_chunked: bool = chunked,
             ) -> None:  # fmt: skip
-                writer.write(b"HTTP/1.1 200 OK\r\n" + f + (b"a\r\n0123456789\r\n" if c else b"0123456789"))
+                writer.write(
+                    b"HTTP/1.1 200 OK\r\n"
+                    + own_framing
+                    + (b"a\r\n0123456789\r\n" if is_chunked else b"0123456789")
+                )
                 await gate.wait()
                 rest = b"x" * 69_990
-                writer.write(b"%x\r\n%b\r\n0\r\n\r\n" % (len(rest), rest) if c else rest)
+                writer.write(b"%x\r\n%b\r\n0\r\n\r\n" % (len(rest), rest) if is_chunked else rest)
 
             async with world(trickle) as w:
                 client = await w.client()
@@ -233,23 +241,23 @@
                 head = await client.reader.readuntil(b"0123456789")
                 assert head.startswith(b"HTTP/1.1 200 OK")
                 assert w.outcomes() == [Outcome.OK]
-                await asyncio.sleep(0.25)  # past the deadline: what has begun goes on
+                await asyncio.sleep(0.25)  # past the deadline: a stream that has begun continues
                 gate.set()
                 rest = b""
                 while rest.count(b"x") < 69_990 or not rest.endswith(b"0\r\n\r\n" if chunked else b"x"):
                     rest += await client.reader.read(100_000)
-                assert (await w.ask(deadline="0.5")).status == 200  # the connections are in order
+                assert (await w.ask(deadline="0.5")).status == 200  # the connections are still usable
                 assert not w.proxy.streams
 
     run(main())
 
 
 @pytest.mark.parametrize("begin", [b"HTTP/1.1 200 OK\r\nContent-Length: 9000000\r\n\r\n", CHUNKED])
-def test_a_long_answer_cut_short_breaks_off_for_the_client(begin: bytes) -> None:
+def test_a_truncated_long_answer_is_truncated_for_the_client(begin: bytes) -> None:
     async def main() -> None:
         part = b"x" * 200_000
         body = b"%x\r\n%b\r\n" % (len(part), part) if begin is CHUNKED else part
-        async with world(says(begin + body, close=True), None) as w:
+        async with world(reply(begin + body, close=True), None) as w:
             w.nodes[1].handler = w.nodes[0].handler
             client = await w.client()
             client.send(request())
@@ -263,11 +271,11 @@
     run(main())
 
 
-def test_a_node_that_falls_silent_in_a_long_answer_is_given_up(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(exchange, "STALL_S", 0.05)
+def test_a_node_that_stalls_in_a_long_answer_is_given_up(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(exchange, "STREAM_STALL_S", 0.05)
 
     async def main() -> None:
-        async with world(says(b"HTTP/1.1 200 OK\r\nContent-Length: 900000\r\n\r\n" + b"x" * 100_000)) as w:
+        async with world(reply(b"HTTP/1.1 200 OK\r\nContent-Length: 900000\r\n\r\n" + b"x" * 100_000)) as w:
             client = await w.client()
             client.send(request())
             await client.reader.readexactly(100_000)
@@ -281,20 +289,22 @@
 
 
 @pytest.mark.parametrize("pause", [0.0, 0.4], ids=["at once", "with a pause"])
-def test_interim_answers_are_passed_over(pause: float) -> None:
-    async def ahead(seen: Seen, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+def test_interim_answers_are_skipped(pause: float) -> None:
+    async def interim_first(
+        seen: ReceivedRequest, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:  # fmt: skip
         writer.write(b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n")
-        await asyncio.sleep(pause)  # longer than an answer that has begun may pause
+        await asyncio.sleep(pause)  # longer than an answer may pause
         writer.write(ok(b"real"))
 
     async def main() -> None:
-        async with world(ahead) as w:
+        async with world(interim_first) as w:
             client = await w.client()
             for _ in range(3):
                 client.send(request(kind="once"))
                 answer = await client.answer()
                 assert (answer.status, answer.body) == (200, b"real")
-                w.let_rest()
+                w.advance_past_rest()
             assert w.nodes[0].connections == 1
 
     run(main())
@@ -308,9 +318,9 @@
     ],
     ids=["gigabytes", "interim answers without end"],
 )
-def test_what_no_node_means_fails_the_attempt_and_another_node_serves(answer: bytes) -> None:
+def test_an_answer_above_a_limit_fails_the_attempt_and_another_node_serves(answer: bytes) -> None:
     async def main() -> None:
-        handler = first(says(answer))
+        handler = first_then_ok(reply(answer))
         async with world(handler, handler) as w:
             got = await w.ask()
             assert (got.status, got.body) == (200, b"second")
@@ -320,22 +330,24 @@
     run(main())
 
 
-def test_an_answer_without_a_length_is_cut_off_at_the_limit(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(answer_reader, "BODY_LIMIT", 300_000)
+def test_an_answer_without_a_length_is_truncated_at_the_size_limit(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(answer_reader, "MAX_BODY_BYTES", 300_000)
     part = b"%x\r\n%b\r\n" % (100_000, b"x" * 100_000)
 
     async def main() -> None:
         gate = asyncio.Event()
 
-        async def goes_on(seen: Seen, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        async def exceeds_limit(
+            seen: ReceivedRequest, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:  # fmt: skip
             writer.write(CHUNKED + part)
             await gate.wait()
             writer.write(part * 3)
 
-        async with world(goes_on) as w:
+        async with world(exceeds_limit) as w:
             client = await w.client()
             client.send(request())
-            await until(lambda: w.proxy.streams, "the begin")
+            await until(lambda: w.proxy.streams, "the stream")
             gate.set()
             got = b""
             with suppress(ConnectionResetError):
@@ -346,12 +358,14 @@
     run(main())
 
 
-def test_a_slow_reader_holds_the_node_back_and_gets_it_all() -> None:
+def test_a_slow_client_pauses_the_node_and_gets_the_whole_answer() -> None:
     async def main() -> None:
         size = 24_000_000
         wrote = []
 
-        async def long(seen: Seen, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        async def long(
+            seen: ReceivedRequest, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:  # fmt: skip
             writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % size)
             for _ in range(size // 100_000):
                 writer.write(b"y" * 100_000)
@@ -362,9 +376,9 @@
             client = await w.client()
             client.writer.transport.pause_reading()  # type: ignore[attr-defined]
             client.send(request())
-            await until(lambda: w.proxy.streams, "the begin")
+            await until(lambda: w.proxy.streams, "the stream")
             (stream,) = w.proxy.streams
-            await until(lambda: stream.connection and stream.connection.paused, "the holding back")
+            await until(lambda: stream.connection and stream.connection.paused, "the pause")
             (c,) = w.front.clients
             assert c.transport.get_write_buffer_size() < 1_000_000 and len(wrote) < size // 100_000
             client.writer.transport.resume_reading()  # type: ignore[attr-defined]
@@ -374,12 +388,12 @@
     run(main())
 
 
-def test_pools_are_bounded_and_the_longest_idle_makes_room() -> None:
+def test_pools_are_bounded_and_close_the_longest_idle_connection() -> None:
     async def main() -> None:
         gate = asyncio.Event()
 
         async with world(gated(gate)) as w:
-            w.proxy.pool.most = 3
+            w.proxy.pool.max_connections = 3
             asks = [asyncio.ensure_future(w.ask(path=f"/api/{n}", kind="once")) for n in range(5)]
             await until(lambda: len(w.seen()) == 3)
             gate.set()
@@ -395,7 +409,7 @@
     run(main())
 
 
-def test_a_request_that_ends_before_its_connection_was_begun_keeps_no_place() -> None:
+def test_an_exchange_that_ends_before_its_connect_began_releases_its_slot() -> None:
     async def main() -> None:
         async with world(None) as w:
             node = w.proxy.pool.nodes["s-0"]
@@ -404,8 +418,8 @@
             probe = Probe(w.proxy, node, w.proxy.now_us(), b"/health")
             node.begin(probe)
             assert w.proxy.pool.open == 1
-            probe.end(Outcome.TIMEOUT)  # within the same turn, as where the loop comes late to both
-            await until(lambda: not w.proxy.pool.open and not node.open, "its place to be given back")
+            probe.end(Outcome.TIMEOUT)  # in the same turn of the loop, before the connect task has run
+            await until(lambda: not w.proxy.pool.open and not node.open, "the release of its slot")
 
     run(main())
 
@@ -415,26 +429,26 @@
         async with world(None, None) as w:
             for server in w.proxy.router.servers.values():
                 w.proxy.router.in_flight = 0
-                w.proxy.router._suspect(w.proxy.now_us(), server, True)
+                w.proxy.router._mark_suspect(w.proxy.now_us(), server, True)
             for server in w.proxy.router.servers.values():
                 server.trial_at = 0
             for n in range(20):
                 await w.ask(path=f"/api/{n}", deadline="0.3")
             await until(lambda: sum(n.probes for n in w.nodes) == 1, "a probe")
-            await until(lambda: w.proxy.router.suspects == 0, "recovery")
+            await until(lambda: w.proxy.router.suspect_count == 0, "recovery")
             assert all("req-id" in s.headers for s in w.seen())
 
     run(main())
 
 
-def test_load_reports_are_read() -> None:
-    assert read_report(b"inflight=7, queue=2,util=0.61,odd,x=y") == {
+def test_load_reports_are_parsed() -> None:
+    assert parse_load_report(b"inflight=7, queue=2,util=0.61,odd,x=y") == {
         "inflight": 7.0, "queue": 2.0, "util": 0.61,
     }  # fmt: skip
-    assert read_report(b"nothing") is None
+    assert parse_load_report(b"nothing") is None
 
 
-# ---- answers that tell no length
+# ---- answers without a length
 
 
 PLAIN = b"HTTP/1.1 200 OK\r\nContent-Type: a/b\r\n\r\n"
@@ -442,10 +456,10 @@
 
 @pytest.mark.parametrize("size", [5, 300_000])
 @pytest.mark.parametrize("kind", ["read", "once"])
-def test_an_answer_without_a_length_that_ends_in_order_is_forwarded_whole(kind: str, size: int) -> None:
+def test_an_answer_without_a_length_that_ends_by_a_close_is_forwarded_whole(kind: str, size: int) -> None:
     async def main() -> None:
         body = b"v" * size
-        async with world(says(PLAIN + body, close=True)) as w:
+        async with world(reply(PLAIN + body, close=True)) as w:
             client = await w.client()
             for _ in range(2):
                 client.send(request(kind=kind))
@@ -458,14 +472,16 @@
     run(main())
 
 
-def cut_by(rest: bytes, reset: bool) -> Handler:
-    async def handler(seen: Seen, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+def truncated(rest: bytes, reset: bool) -> Handler:
+    async def handler(
+        seen: ReceivedRequest, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:  # fmt: skip
         writer.write(rest)
         await writer.drain()
         await until(lambda: seen.node.seen)
         if reset:
-            s = writer.get_extra_info("socket")
-            s.setsockopt(SOL_SOCKET, SO_LINGER, struct.pack("ii", 1, 0))
+            sock = writer.get_extra_info("socket")
+            sock.setsockopt(SOL_SOCKET, SO_LINGER, struct.pack("ii", 1, 0))
         writer.transport.abort()
 
     return handler
@@ -474,15 +490,16 @@
 @pytest.mark.parametrize(
     "cut",
     [
-        cut_by(PLAIN + b"half", True), cut_by(PLAIN, False), cut_by(PLAIN[:30], False), cut_by(b"", False),
-        cut_by(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf", False),
-        cut_by(CHUNKED + b"4\r\nhalf", False),
+        truncated(PLAIN + b"half", True), truncated(PLAIN, False), truncated(PLAIN[:30], False),
+        truncated(b"", False),
+        truncated(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf", False),
+        truncated(CHUNKED + b"4\r\nhalf", False),
     ],
     ids=["reset", "no body", "half a head", "nothing", "half a length", "half a chunk"],
 )  # fmt: skip
-def test_an_answer_that_does_not_end_in_order_is_none(cut: Handler) -> None:
+def test_a_truncated_answer_fails_the_attempt(cut: Handler) -> None:
     async def main() -> None:
-        handler = first(cut)
+        handler = first_then_ok(cut)
         async with world(handler, handler) as w:
             answer = await w.ask()
             assert (answer.status, answer.body) == (200, b"second")
@@ -491,21 +508,23 @@
     run(main())
 
 
-def test_a_long_answer_without_a_length_that_is_reset_breaks_off_for_the_client() -> None:
+def test_a_reset_of_a_long_answer_without_a_length_reaches_the_client() -> None:
     async def main() -> None:
         gate = asyncio.Event()
 
-        async def resets_late(seen: Seen, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        async def resets_late(
+            seen: ReceivedRequest, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:  # fmt: skip
             writer.write(PLAIN + b"x" * 200_000)
             await gate.wait()
-            s = writer.get_extra_info("socket")
-            s.setsockopt(SOL_SOCKET, SO_LINGER, struct.pack("ii", 1, 0))
+            sock = writer.get_extra_info("socket")
+            sock.setsockopt(SOL_SOCKET, SO_LINGER, struct.pack("ii", 1, 0))
             writer.transport.abort()
 
         async with world(resets_late) as w:
             client = await w.client()
             client.send(request(kind="once"))
-            await until(lambda: w.proxy.streams, "the begin")
+            await until(lambda: w.proxy.streams, "the stream")
             gate.set()
             got = b""
             with suppress(ConnectionResetError):
@@ -520,7 +539,9 @@
     async def main() -> None:
         writers: list[asyncio.StreamWriter] = []
 
-        async def once(seen: Seen, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        async def once(
+            seen: ReceivedRequest, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:  # fmt: skip
             writers.append(writer)
             writer.write(ok(seen.line.encode()))
 
@@ -529,8 +550,9 @@
             client.send(request(path="/api/first"))
             assert b"first" in (await client.answer()).body
             (idle,) = w.proxy.pool.nodes["s-0"].idle
-            w.let_rest()
-            writers[0].write(ok(b"GET /api/first once more"))  # before the next request, and not read yet
+            w.advance_past_rest()
+            # It arrives before the next request and has not been read when that is sent.
+            writers[0].write(ok(b"GET /api/first once more"))
             client.send(request(path="/api/second"))
             assert b"second" in (await client.answer()).body
             assert idle.transport.is_closing() and len(writers) == 2
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -1,48 +1,48 @@
-"""The ring that is changed in place, beside one made anew from its definition."""
+"""Tests of the ring that is updated in place, against placements computed from the definition."""
 
 from __future__ import annotations
 
 from hypothesis import given
 from hypothesis import strategies as st
 
-from magpiefront.hashing import MASK, nth, ring_points, text_hash
+from magpiefront.hashing import MASK_64, nth_hash, ring_points, text_hash
 from magpiefront.interface import ListKind, ServerEntry, ServerList, SetTimer, TimerFired
-from magpiefront.placement import LEAVING_PART, MANY_SERVERS, MOST_SERVERS, Placement
-from tests.helpers import Drive
+from magpiefront.placement import BULK_MIN_SERVERS, LEFT_RING_DIVISOR, MAX_SERVERS, Placement
+from tests.helpers import RouterDriver
 
 POINTS = 96
-HASHES = [nth(7, n) for n in range(40)]
+HASHES = [nth_hash(7, n) for n in range(40)]
 NAMES = [f"s-{n}" for n in range(12)]
-Changes = list[tuple[str, str, int]]
+Steps = list[tuple[str, str, int]]
 
 
-def owner_by_definition(servers: dict[str, int], h: int) -> str | None:
-    """The server of the nearest point clockwise, looked for among all points."""
+def owner_by_search(servers: dict[str, int], h: int) -> str | None:
+    """Returns the server of the nearest point clockwise, found by a search of all points."""
     found = [
-        (((nth(text_hash(name), n) >> 16 << 16) - h) & MASK, name)
+        (((nth_hash(text_hash(name), n) >> 16 << 16) - h) & MASK_64, name)
         for name, count in servers.items()
         for n in range(count)
     ]
     return min(found)[1] if found else None
 
 
-def settle(placement: Placement[str] | Placement[int]) -> None:
-    while placement.work(POINTS):
+def apply_all(placement: Placement[str] | Placement[int]) -> None:
+    while placement.apply_pending(POINTS):
         pass
 
 
-def placed(*names: str) -> Placement[str]:
+def placement_of(*names: str) -> Placement[str]:
     placement = Placement[str]()
     for name in names:
         placement.put(name, name, POINTS)
-    placement.end_of_list()
-    settle(placement)
+    placement.commit_joins()
+    apply_all(placement)
     return placement
 
 
-@given(st.integers(0, MASK), st.integers(0, 250), st.integers(0, 250))
-def test_points_made_in_lanes_are_those_made_one_by_one(seed: int, first: int, end: int) -> None:
-    assert ring_points(seed, first, end) == [nth(seed, n) >> 16 << 16 for n in range(first, end)]
+@given(st.integers(0, MASK_64), st.integers(0, 250), st.integers(0, 250))
+def test_ring_points_equal_hashes_computed_one_by_one(seed: int, first: int, end: int) -> None:
+    assert ring_points(seed, first, end) == [nth_hash(seed, n) >> 16 << 16 for n in range(first, end)]
 
 
 @given(
@@ -54,35 +54,35 @@
             st.sampled_from([1, 30, 96, 200]),
         ),
         max_size=60,
-    )
+    ),
 )
-def test_the_placement_is_that_of_the_lists_at_every_step(many: int, changes: Changes) -> None:
-    placement = Placement[str](many)
-    told: dict[str, int] = {}
-    for what, name, count in changes:
-        if what == "put":
+def test_placement_matches_the_listed_servers_after_random_steps(bulk_threshold: int, steps: Steps) -> None:
+    placement = Placement[str](bulk_threshold)
+    listed: dict[str, int] = {}
+    for step, name, count in steps:
+        if step == "put":
             placement.put(name, name, count)
-            told[name] = count
-        elif what == "remove":
+            listed[name] = count
+        elif step == "remove":
             placement.remove(name)
-            told.pop(name, None)
-        elif what == "work":
-            placement.work(count)
+            listed.pop(name, None)
+        elif step == "work":
+            placement.apply_pending(count)
         else:
-            placement.end_of_list()
+            placement.commit_joins()
         for h in HASHES[:8]:
             owner = placement.owner(h)
-            assert owner is None or owner in told, "placed on a server that left"
-    placement.end_of_list()
-    settle(placement)
-    assert placement.points == sum(told.values())
-    assert [placement.owner(h) for h in HASHES] == [owner_by_definition(told, h) for h in HASHES]
-    left = sum(map(len, placement.buckets)) - placement.points
-    assert left <= 200 * max(many, len(told) // LEAVING_PART)  # points of servers that left, not swept yet
+            assert owner is None or owner in listed, "the owner of a hash is a server that has left"
+    placement.commit_joins()
+    apply_all(placement)
+    assert placement.points == sum(listed.values())
+    assert [placement.owner(h) for h in HASHES] == [owner_by_search(listed, h) for h in HASHES]
+    unswept_points = sum(map(len, placement.buckets)) - placement.points
+    assert unswept_points <= 200 * max(bulk_threshold, len(listed) // LEFT_RING_DIVISOR)
 
 
-def test_a_server_that_leaves_gets_no_key_before_its_points_are_taken_out() -> None:
-    placement = placed(*NAMES)
+def test_removed_server_gets_no_key_while_its_points_are_on_the_ring() -> None:
+    placement = placement_of(*NAMES)
     for name in NAMES[1:]:
         placement.remove(name)
         assert placement.busy
@@ -91,70 +91,72 @@
     assert not placement and placement.owner(1) is None
 
 
-def test_servers_that_join_together_count_together() -> None:
-    placement = placed(*NAMES[:4])
+def test_servers_of_one_list_become_active_together() -> None:
+    placement = placement_of(*NAMES[:4])
     before = [placement.owner(h) for h in HASHES]
     for name in NAMES[4:]:
         placement.put(name, name, POINTS)
-    placement.end_of_list()
-    while placement.work(POINTS):
+    placement.commit_joins()
+    while placement.apply_pending(POINTS):
         assert [placement.owner(h) for h in HASHES] == before
     servers = dict.fromkeys(NAMES, POINTS)
-    assert [placement.owner(h) for h in HASHES] == [owner_by_definition(servers, h) for h in HASHES]
+    assert [placement.owner(h) for h in HASHES] == [owner_by_search(servers, h) for h in HASHES]
 
 
-def test_a_server_that_is_resized_and_leaves_while_buckets_are_swept_leaves_no_point() -> None:
-    placement = Placement[str](many=1)
+def test_server_resized_and_removed_around_a_sweep_leaves_no_points() -> None:
+    placement = Placement[str](bulk_threshold=1)
     placement.put("a", "a", POINTS)
     placement.put("b", "b", POINTS)
-    placement.end_of_list()
-    settle(placement)
+    placement.commit_joins()
+    apply_all(placement)
     placement.put("a", "a", 2 * POINTS)
     placement.remove("a")
     placement.put("c", "c", POINTS)
-    placement.end_of_list()
-    settle(placement)
+    placement.commit_joins()
+    apply_all(placement)
     servers = {"b": POINTS, "c": POINTS}
-    assert [placement.owner(h) for h in HASHES] == [owner_by_definition(servers, h) for h in HASHES]
+    assert [placement.owner(h) for h in HASHES] == [owner_by_search(servers, h) for h in HASHES]
     assert sum(map(len, placement.buckets)) == 2 * POINTS
 
 
-def test_a_server_past_the_most_gets_no_point_and_has_one_when_there_is_room() -> None:
+def test_servers_beyond_the_maximum_get_no_points_until_others_leave() -> None:
     placement = Placement[int]()
-    for n in range(MOST_SERVERS + 1):
+    for n in range(MAX_SERVERS + 1):
         placement.put(f"s-{n}", n, 1)
-    placement.end_of_list()
-    settle(placement)
-    assert placement.points == MOST_SERVERS
-    for n in range(MOST_SERVERS // LEAVING_PART):  # so many are swept together
+    placement.commit_joins()
+    apply_all(placement)
+    assert placement.points == MAX_SERVERS
+    for n in range(MAX_SERVERS // LEFT_RING_DIVISOR):  # enough to trigger a sweep
         placement.remove(f"s-{n}")
-    settle(placement)
+    apply_all(placement)
     placement.put("late", -1, 1)
-    placement.end_of_list()
-    settle(placement)
-    assert placement.points == MOST_SERVERS - MOST_SERVERS // LEAVING_PART + 1
+    placement.commit_joins()
+    apply_all(placement)
+    assert placement.points == MAX_SERVERS - MAX_SERVERS // LEFT_RING_DIVISOR + 1
 
 
-def test_points_of_servers_that_left_are_swept_before_they_are_a_quarter_of_the_ring() -> None:
-    placement = placed(*(f"s-{n}" for n in range(400)))
+def test_points_of_removed_servers_stay_below_a_quarter_of_the_ring() -> None:
+    placement = placement_of(*(f"s-{n}" for n in range(400)))
     for n in range(300):
         placement.remove(f"s-{n}")
-        settle(placement)
-        left = sum(map(len, placement.buckets)) - placement.points
-        assert left < POINTS * max(MANY_SERVERS, (400 - n) // LEAVING_PART)
+        apply_all(placement)
+        unswept_points = sum(map(len, placement.buckets)) - placement.points
+        assert unswept_points < POINTS * max(BULK_MIN_SERVERS, (400 - n) // LEFT_RING_DIVISOR)
         assert placement.owner(HASHES[0]) not in {f"s-{m}" for m in range(n + 1)}
 
 
-def test_a_list_in_parts_is_placed_in_one_sweep_when_its_last_part_has_come() -> None:
-    d = Drive(names=[])
-    many = [ServerEntry(f"s-{n}") for n in range(4 * MANY_SERVERS)]
-    for at in range(0, len(many), MANY_SERVERS):
-        part = many[at : at + MANY_SERVERS]
-        actions = d.router.handle(d.now, ServerList(ListKind.PART, part, more=part[-1] is not many[-1]))
-        assert (SetTimer(0, "place") in actions) == (part[-1] is many[-1])
-    buckets = d.router.placement.buckets
-    assert any(list(bucket) != sorted(bucket) for bucket in buckets)  # appended, and not one by one in order
-    while d.router.placing:
-        d.router.handle(d.now, TimerFired("place"))
+def test_list_in_parts_is_placed_in_one_sweep_after_its_last_part() -> None:
+    driver = RouterDriver(names=[])
+    entries = [ServerEntry(f"s-{n}") for n in range(4 * BULK_MIN_SERVERS)]
+    for start in range(0, len(entries), BULK_MIN_SERVERS):
+        part = entries[start : start + BULK_MIN_SERVERS]
+        actions = driver.router.handle(
+            driver.now, ServerList(ListKind.PART, part, more=part[-1] is not entries[-1])
+        )
+        assert (SetTimer(0, "place") in actions) == (part[-1] is entries[-1])
+    buckets = driver.router.placement.buckets
+    assert any(list(bucket) != sorted(bucket) for bucket in buckets)  # appended, not inserted
+    while driver.router.placement_scheduled:
+        driver.router.handle(driver.now, TimerFired("place"))
     assert all(list(bucket) == sorted(bucket) for bucket in buckets)
-    assert d.router.placement.points == len(many) * POINTS
+    assert driver.router.placement.points == len(entries) * POINTS
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -1,4 +1,9 @@
-"""The four rules as properties: random events, and an observer that shares no code with the module."""
+"""Properties that hold for any order of events, checked by an observer that shares no code with the Router.
+
+Nothing is sent to a server that drains, is gone or was never listed. No request takes effect twice against
+its class. Every request gets exactly one final answer, in time. A request is refused only where sending it
+again is safe.
+"""
 
 from __future__ import annotations
 
@@ -17,7 +22,7 @@
     ListKind,
     Outcome,
     Probe,
-    Probed,
+    ProbeEnded,
     Refuse,
     Send,
     ServerList,
@@ -25,124 +30,130 @@
     Status,
     StreamBegan,
 )
-from tests.helpers import CLASSES, NAMES, SETTINGS, Drive, entry, sends
+from tests.helpers import CLASSES, NAMES, SETTINGS, RouterDriver, entry, sends
 
-UNSEEN = {Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT, Outcome.MISS}
-KINDS = {c.name: (c.repeat.value, c.group.value, c.window_us) for c in CLASSES}
+NEVER_RAN = {Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT, Outcome.MISS}
+CLASS_TERMS = {c.name: (c.repeat.value, c.group.value, c.window_us) for c in CLASSES}
 
 
 class Observer:
-    """Knows what was told and what was done, and the rules."""
+    """Follows events and actions, and asserts the rules."""
 
     def __init__(self, settings: Settings) -> None:
         self.settings = settings
-        self.ready: dict[str, tuple[str, int]] = {}
+        self.ready: dict[str, tuple[str, int]] = {}  # zone and cell of each server that may be sent to
         self.requests: dict[str, dict[str, Any]] = {}
 
-    def told(self, e: ServerList) -> None:
-        if e.kind is ListKind.BROKEN:
+    def on_list(self, event: ServerList) -> None:
+        if event.kind is ListKind.BROKEN:
             return
-        if e.kind in (ListKind.WHOLE, ListKind.STALE):
+        if event.kind in (ListKind.WHOLE, ListKind.STALE):
             self.ready = {}
-        for r in e.entries:
-            if r.status is Status.READY:
-                self.ready[r.server] = (r.zone, r.cell)
+        for listed in event.entries:
+            if listed.status is Status.READY:
+                self.ready[listed.server] = (listed.zone, listed.cell)
             else:
-                self.ready.pop(r.server, None)
-
-    def arrived(self, now: int, e: Arrived) -> None:
-        kind = KINDS.get(e.class_name, ("unsafe", "all", 0))
-        self.requests[e.request] = {"kind": kind, "due": now + e.time_left_us, "tries": [], "ends": []}
-
-    def send(self, now: int, a: Send) -> None:
-        r = self.requests[a.request]
-        assert not r["ends"], "sent after the final answer"
-        assert a.server in self.ready, "sent to a server that drains, is gone or was never listed"
-        kind, group, window = r["kind"]
-        ran = [t for t in r["tries"] if t["outcome"] not in UNSEEN]
-        if kind == "unsafe":
+                self.ready.pop(listed.server, None)
+
+    def on_arrived(self, now: int, event: Arrived) -> None:
+        terms = CLASS_TERMS.get(event.class_name, ("unsafe", "all", 0))
+        self.requests[event.request] = {
+            "terms": terms, "due": now + event.time_left_us, "attempts": [], "answers": [],
+        }  # fmt: skip
+
+    def on_send(self, now: int, send: Send) -> None:
+        request = self.requests[send.request]
+        assert not request["answers"], "sent after the final answer"
+        assert send.server in self.ready, "sent to a server that drains, is gone or was never listed"
+        repeat, scope, window = request["terms"]
+        ran = [a for a in request["attempts"] if a["outcome"] not in NEVER_RAN]
+        if repeat == "unsafe":
             assert not ran, "an unsafe request may take effect twice"
-        for t in ran if kind == "keyed" else []:
-            assert now < t["at"] + window, "repeated after the window"
-            place = {"all": 0, "zone": self.ready[a.server][0], "cell": self.ready[a.server][1]}[group]
-            assert place == {"all": 0, "zone": t["place"][0], "cell": t["place"][1]}[group], "left the group"
-        assert len(r["tries"]) < self.settings.max_attempts
-        out = sum(t["outcome"] is None for t in r["tries"])
-        assert out == 0 or (self.settings.second_copies and out < 2), "too many at once"
-        r["tries"].append(
+        for a in ran if repeat == "keyed" else []:
+            assert now < a["at"] + window, "retried after the window"
+            place = {"all": 0, "zone": self.ready[send.server][0], "cell": self.ready[send.server][1]}[scope]
+            assert (
+                place == {"all": 0, "zone": a["place"][0], "cell": a["place"][1]}[scope]
+            ), "retried outside of the zone or cell"
+        assert len(request["attempts"]) < self.settings.max_attempts
+        outstanding = sum(a["outcome"] is None for a in request["attempts"])
+        assert outstanding == 0 or (self.settings.hedging and outstanding < 2), "too many attempts at once"
+        request["attempts"].append(
             {
                 "at": now,
-                "server": a.server,
-                "place": self.ready[a.server],
+                "server": send.server,
+                "place": self.ready[send.server],
                 "outcome": None,
-                "until": a.expire_at_us,
+                "until": send.expire_at_us,
             }
         )
 
-    def ended(self, now: int, name: str, refused: bool) -> None:
-        r = self.requests[name]
-        assert not r["ends"], "two final answers"
-        assert now <= r["due"] + self.settings.answer_slack_us, "answered too late"
-        r["ends"].append(now)
-        kind, group, _ = r["kind"]
+    def on_answer(self, now: int, name: str, refused: bool) -> None:
+        request = self.requests[name]
+        assert not request["answers"], "two final answers"
+        assert now <= request["due"] + self.settings.answer_slack_us, "answered too late"
+        request["answers"].append(now)
+        repeat, scope, _ = request["terms"]
         if refused:
-            ran = [t for t in r["tries"] if t["outcome"] not in UNSEEN]
+            ran = [a for a in request["attempts"] if a["outcome"] not in NEVER_RAN]
             assert (
-                kind == "safe" or not ran or (kind == "keyed" and group == "all")
-            ), "refused: it may have run"
+                repeat == "safe" or not ran or (repeat == "keyed" and scope == "all")
+            ), "refused although it may have run"
 
 
-class World(Drive):
-    """Gives the events of a script in an order the interface allows, with attempts ended when they expire."""
+class ObservedDriver(RouterDriver):
+    """Hands a script's events to a Router in an order that the interface allows, with all events and actions
+    shown to an Observer. Attempts that are not ended by the script time out when they expire."""
 
     def __init__(self, settings: Settings, names: list[str]) -> None:
-        self.eye = Observer(settings)
+        self.observer = Observer(settings)
         self.probes: list[str] = []
-        self.out: list[tuple[int, str, int]] = []  # until, request, attempt
+        self.outstanding: list[tuple[int, str, int]] = []  # when it expires, request, attempt
         super().__init__(settings, names)
 
-    def give(self, event: Event) -> list[Any]:
+    def handle(self, event: Event) -> list[Any]:
         if isinstance(event, ServerList):
-            self.eye.told(event)
+            self.observer.on_list(event)
         elif isinstance(event, Arrived):
-            self.eye.arrived(self.now, event)
-        actions = super().give(event)
-        for a in actions:
-            if isinstance(a, Send):
-                self.eye.send(self.now, a)
-                tries = self.eye.requests[a.request]["tries"]
-                due = self.eye.requests[a.request]["due"]
-                until = min(a.expire_at_us or due, due)
-                self.out.append((max(until, self.now + 1), a.request, len(tries) - 1))
-            elif isinstance(a, Refuse | Fail):
-                self.eye.ended(self.now, a.request, isinstance(a, Refuse))
-            elif isinstance(a, Probe):
-                self.probes.append(a.server)
+            self.observer.on_arrived(self.now, event)
+        actions = super().handle(event)
+        for action in actions:
+            if isinstance(action, Send):
+                self.observer.on_send(self.now, action)
+                attempts = self.observer.requests[action.request]["attempts"]
+                due = self.observer.requests[action.request]["due"]
+                until = min(action.expire_at_us or due, due)
+                self.outstanding.append((max(until, self.now + 1), action.request, len(attempts) - 1))
+            elif isinstance(action, Refuse | Fail):
+                self.observer.on_answer(self.now, action.request, isinstance(action, Refuse))
+            elif isinstance(action, Probe):
+                self.probes.append(action.server)
         return actions
 
-    def outcome(self, which: int, outcome: Outcome) -> None:
-        if self.out:
-            item = self.out.pop(which % len(self.out))
-            self.finish(item, outcome)
+    def end_one(self, which: int, outcome: Outcome) -> None:
+        """Ends one of the outstanding attempts, chosen by number."""
+        if self.outstanding:
+            item = self.outstanding.pop(which % len(self.outstanding))
+            self.end_attempt(item, outcome)
 
-    def finish(self, item: tuple[int, str, int], outcome: Outcome) -> None:
+    def end_attempt(self, item: tuple[int, str, int], outcome: Outcome) -> None:
         _, name, attempt = item
-        r = self.eye.requests[name]
-        r["tries"][attempt]["outcome"] = outcome
-        if outcome is Outcome.OK and not r["ends"]:
-            r["ends"].append(self.now)
-        server = r["tries"][attempt]["server"]
-        elapsed = self.now - r["tries"][attempt]["at"]
-        self.give(AttemptEnded(name, attempt, server, outcome, elapsed, bool(r["ends"])))
+        request = self.observer.requests[name]
+        request["attempts"][attempt]["outcome"] = outcome
+        if outcome is Outcome.OK and not request["answers"]:
+            request["answers"].append(self.now)
+        server = request["attempts"][attempt]["server"]
+        elapsed = self.now - request["attempts"][attempt]["at"]
+        self.handle(AttemptEnded(name, attempt, server, outcome, elapsed, bool(request["answers"])))
 
     def advance(self, by_us: int) -> list[Any]:
         end = self.now + by_us
-        while self.out and min(self.out)[0] <= end:
-            item = min(self.out)
+        while self.outstanding and min(self.outstanding)[0] <= end:
+            item = min(self.outstanding)
             super().advance(max(0, item[0] - self.now))
-            if item in self.out:
-                self.out.remove(item)
-                self.finish(item, Outcome.TIMEOUT)
+            if item in self.outstanding:
+                self.outstanding.remove(item)
+                self.end_attempt(item, Outcome.TIMEOUT)
         return super().advance(max(0, end - self.now))
 
 
@@ -165,84 +176,88 @@
 )
 
 
-def play(settings: Settings, script: list[tuple[str, int, Any]], names: list[str]) -> World:
-    world = World(settings, names)
-    for n, (step, i, x) in enumerate(script):
-        eye = world.eye
+def run_script(settings: Settings, script: list[tuple[str, int, Any]], names: list[str]) -> ObservedDriver:
+    """Plays a script of random steps, then lets all that is open expire."""
+    driver = ObservedDriver(settings, names)
+    for n, (step, index, value) in enumerate(script):
+        observer = driver.observer
         if step == "arrive":
-            cls = CLASSES[i].name if i < len(CLASSES) else "no such class"
-            world.arrive(f"r{n}", cls, left=[30_000, 700_000, 2_000_000][x % 3], key=x)
+            cls = CLASSES[index].name if index < len(CLASSES) else "no such class"
+            driver.arrive(f"r{n}", cls, time_left_us=[30_000, 700_000, 2_000_000][value % 3], key=value)
         elif step == "outcome":
-            world.outcome(i, x)
+            driver.end_one(index, value)
         elif step == "status":
-            world.give(ServerList(ListKind.PATCH, [entry(NAMES[i], status=x)]))
+            driver.handle(ServerList(ListKind.PATCH, [entry(NAMES[index], status=value)]))
         elif step == "list":
-            broken = x is ListKind.BROKEN
-            world.give(ServerList(x, [] if broken else [entry(name) for name in NAMES[:i]]))
+            broken = value is ListKind.BROKEN
+            driver.handle(ServerList(value, [] if broken else [entry(name) for name in NAMES[:index]]))
         elif step == "restart":
-            world.give(ServerList(ListKind.PATCH, [entry(NAMES[i], started_at_us=world.now - x)]))
+            driver.handle(ServerList(ListKind.PATCH, [entry(NAMES[index], started_at_us=driver.now - value)]))
         elif step == "wait":
-            world.advance(x * i)
-        elif step == "left" and eye.requests:
-            name = list(eye.requests)[i % len(eye.requests)]
-            if not eye.requests[name]["ends"]:
-                eye.requests[name]["ends"].append(world.now)
-            world.give(ClientLeft(name))
-        elif step == "stream" and world.out:
-            _, name, attempt = world.out[i % len(world.out)]
-            if not eye.requests[name]["ends"]:
-                eye.requests[name]["ends"].append(world.now)
-                world.give(StreamBegan(name, attempt))
-        elif step == "probed" and world.probes:
-            world.give(Probed(world.probes.pop(), x, 1_000))
-    world.advance(5_000_000)
-    return world
-
-
-def check_end(world: World) -> None:
-    for name, r in world.eye.requests.items():
-        assert len(r["ends"]) == 1, f"{name} got no final answer"
-    router = world.router
+            driver.advance(value * index)
+        elif step == "left" and observer.requests:
+            name = list(observer.requests)[index % len(observer.requests)]
+            if not observer.requests[name]["answers"]:
+                observer.requests[name]["answers"].append(driver.now)
+            driver.handle(ClientLeft(name))
+        elif step == "stream" and driver.outstanding:
+            _, name, attempt = driver.outstanding[index % len(driver.outstanding)]
+            if not observer.requests[name]["answers"]:
+                observer.requests[name]["answers"].append(driver.now)
+                driver.handle(StreamBegan(name, attempt))
+        elif step == "probed" and driver.probes:
+            driver.handle(ProbeEnded(driver.probes.pop(), value, 1_000))
+    driver.advance(5_000_000)
+    return driver
+
+
+def check_end_state(driver: ObservedDriver) -> None:
+    """Every request has been answered, and the Router's counts are back at rest."""
+    for name, request in driver.observer.requests.items():
+        assert len(request["answers"]) == 1, f"{name} got no final answer"
+    router = driver.router
     assert not router.pending and router.in_flight == 0
     assert all(s.in_flight == 0 for s in router.servers.values())
-    assert router.suspects == sum(s.suspect for s in router.servers.values())
+    assert router.suspect_count == sum(s.suspect for s in router.servers.values())
 
 
 @given(steps)
-def test_rules_hold_with_second_copies(script: list[tuple[str, int, Any]]) -> None:
-    check_end(play(SETTINGS, script, NAMES))
+def test_rules_hold_with_hedging(script: list[tuple[str, int, Any]]) -> None:
+    check_end_state(run_script(SETTINGS, script, NAMES))
 
 
 @given(steps, st.integers(0, 3))
-def test_rules_hold_with_one_at_a_time_and_few_servers(script: list[tuple[str, int, Any]], k: int) -> None:
+def test_rules_hold_without_hedging_and_with_few_servers(
+    script: list[tuple[str, int, Any]], servers: int
+) -> None:
     settings = replace(
-        SETTINGS, second_copies=False, may_cancel=False, may_probe=True, max_attempts=3, subscribe=True
+        SETTINGS, hedging=False, may_cancel=False, may_probe=True, max_attempts=3, subscribe=True
     )
-    check_end(play(settings, script, NAMES[:k]))
+    check_end_state(run_script(settings, script, NAMES[:servers]))
 
 
 @given(
     st.integers(0, 1 << 30), st.integers(0, 10_000_000), st.lists(st.sampled_from(list(Outcome)), max_size=3)
 )
-def test_a_cold_server_stays_within_its_part(first: int, age: int, ends: list[Outcome]) -> None:
-    """However attempts end, a cold server gets its part of first attempts and nothing else."""
-    drive = Drive(replace(SETTINGS, classes=(CLASSES[0],)))
-    warm = {}
+def test_a_cold_server_gets_no_more_than_its_warm_share(first: int, age: int, ends: list[Outcome]) -> None:
+    """However attempts end, a cold server gets its share of first attempts and no retries."""
+    driver = RouterDriver(replace(SETTINGS, classes=(CLASSES[0],)))
+    homes = {}
     for n in range(300):
-        warm[n] = sends(drive.arrive(f"w{n}", key=first + n))[0].server
-        drive.end(f"w{n}", Outcome.OK)
-    drive.give(ServerList(ListKind.PATCH, [entry(NAMES[0], started_at_us=drive.now - age)]))
+        homes[n] = sends(driver.arrive(f"w{n}", key=first + n))[0].server
+        driver.end(f"w{n}", Outcome.OK)
+    driver.handle(ServerList(ListKind.PATCH, [entry(NAMES[0], started_at_us=driver.now - age)]))
     share = 0.2 + 0.8 * age / 10_000_000
-    got = usual = 0
+    received = normal = 0
     for n in range(300):
-        actions = drive.arrive(f"c{n}", key=first + n)
-        usual += warm[n] == NAMES[0]
-        got += any(isinstance(a, Send) and a.server == NAMES[0] for a in actions)
+        actions = driver.arrive(f"c{n}", key=first + n)
+        normal += homes[n] == NAMES[0]
+        received += any(isinstance(a, Send) and a.server == NAMES[0] for a in actions)
         for outcome in ends:
-            if f"c{n}" not in drive.router.pending:
+            if f"c{n}" not in driver.router.pending:
                 break
-            more = drive.end(f"c{n}", outcome)
-            assert age >= 10_000_000 or not any(isinstance(a, Send) and a.server == NAMES[0] for a in more)
-        if f"c{n}" in drive.router.pending:
-            drive.end(f"c{n}", Outcome.OK)
-    assert got <= usual * share + 3 * (usual * share * (1 - share)) ** 0.5 + 2
+            retries = driver.end(f"c{n}", outcome)
+            assert age >= 10_000_000 or not any(isinstance(a, Send) and a.server == NAMES[0] for a in retries)
+        if f"c{n}" in driver.router.pending:
+            driver.end(f"c{n}", Outcome.OK)
+    assert received <= normal * share + 3 * (normal * share * (1 - share)) ** 0.5 + 2
--- a/tests/test_site_variants.py
+++ b/tests/test_site_variants.py
@@ -1,4 +1,4 @@
-"""The script that writes variants of a site, on a site file of the test's own."""
+"""`benchmarks/site_variants.py`, which writes variants of a site, run on a site file of this test."""
 
 from __future__ import annotations
 
@@ -7,7 +7,7 @@
 
 import pytest
 
-from benchmarks.site_variants import BESIDE, VARIANTS, main
+from benchmarks.site_variants import COMPANION_FILES, VARIANTS, main
 
 SITE = """
 name = "valley"
@@ -22,15 +22,17 @@
 """
 
 
-def test_variants_have_other_names_classes_and_limits_and_all_that_stands_beside(tmp_path: Path) -> None:
+def test_variants_differ_in_names_classes_and_limits_and_include_companion_files(tmp_path: Path) -> None:
     (tmp_path / "valley.toml").write_text(SITE)
-    for name in BESIDE:
+    for name in COMPANION_FILES:
         (tmp_path / name).write_text(f"text of {name}")
     assert main(["--site", str(tmp_path / "valley.toml"), "--into", str(tmp_path / "into")]) == 0
     effects = set()
     for name in VARIANTS:
         folder = tmp_path / "into" / name
-        assert all((folder / beside).read_text() == f"text of {beside}" for beside in BESIDE)
+        assert all(
+            (folder / companion).read_text() == f"text of {companion}" for companion in COMPANION_FILES
+        )
         (path,) = folder.glob("*.toml")
         variant = tomllib.loads(path.read_text())
         assert {c["name"] for c in variant["class"]}.isdisjoint({"read", "report"})
@@ -38,14 +40,14 @@
     assert effects == {"unsafe", "keyedzone"}
 
 
-@pytest.mark.parametrize("missing", ["valley.toml", *BESIDE])
-def test_a_missing_input_is_one_line(
+@pytest.mark.parametrize("missing", ["valley.toml", *COMPANION_FILES])
+def test_a_missing_input_is_reported_in_one_line(
     missing: str, tmp_path: Path, capsys: pytest.CaptureFixture[str]
 ) -> None:
     (tmp_path / "valley.toml").write_text(SITE)
-    for name in BESIDE:
+    for name in COMPANION_FILES:
         (tmp_path / name).write_text("")
     (tmp_path / missing).unlink()
     assert main(["--site", str(tmp_path / "valley.toml"), "--into", str(tmp_path / "into")]) == 2
-    said = capsys.readouterr().err
-    assert missing in said and said.count("\n") == 1
+    message = capsys.readouterr().err
+    assert missing in message and message.count("\n") == 1
--- a/tests/test_system_calls.py
+++ b/tests/test_system_calls.py
@@ -1,4 +1,4 @@
-"""System calls that fail for a moment, as Linux documents: the proxy goes on, and holds it against nobody."""
+"""System calls that fail for a moment, as Linux documents: the proxy goes on and blames no node for them."""
 
 from __future__ import annotations
 
@@ -14,23 +14,23 @@
 
 from magpiefront.interface import Outcome
 from magpiefront.net import front
-from magpiefront.net.listening import NoRoom, accepted
+from magpiefront.net.listening import ResourceShortage, accept_connection
 from tests.sockets import request, run, until, world
 
 
-def failure(number: int) -> OSError:
+def os_error(number: int) -> OSError:
     return OSError(number, os.strerror(number))
 
 
 class FailingListener:
-    """A listening socket whose first calls of accept fail."""
+    """A listening socket whose first calls of `accept` fail with the given errors."""
 
     def __init__(self, failures: Iterator[OSError], real: socket.socket | None = None) -> None:
         self.failures, self.real = failures, real
 
     def accept(self) -> tuple[socket.socket, Any]:
-        for failed in self.failures:
-            raise failed
+        for error in self.failures:
+            raise error
         if self.real is None:
             return socket.socketpair()[0], None
         return self.real.accept()
@@ -40,33 +40,33 @@
 
 
 @pytest.mark.parametrize("number", [errno.ECONNABORTED, errno.EPROTO, errno.ENETUNREACH, errno.EPERM])
-def test_a_connection_that_has_gone_hides_none_behind_it(number: int) -> None:
-    listener = FailingListener(iter([failure(number)] * 3))
-    s = accepted(cast(socket.socket, listener))
-    assert s is not None and s.getblocking() is False
-    s.close()
+def test_a_failed_connection_does_not_hide_the_next_one_in_the_queue(number: int) -> None:
+    listener = FailingListener(iter([os_error(number)] * 3))
+    accepted = accept_connection(cast(socket.socket, listener))
+    assert accepted is not None and accepted.getblocking() is False
+    accepted.close()
 
 
 @pytest.mark.parametrize("number", [errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM])
-def test_no_room_for_a_connection_is_said(number: int) -> None:
-    with pytest.raises(NoRoom):
-        accepted(cast(socket.socket, FailingListener(iter([failure(number)]))))
+def test_a_shortage_of_descriptors_or_memory_is_reported(number: int) -> None:
+    with pytest.raises(ResourceShortage):
+        accept_connection(cast(socket.socket, FailingListener(iter([os_error(number)]))))
 
 
 @pytest.mark.parametrize("number", [errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ECONNABORTED])
-def test_accepting_goes_on_by_itself_after_a_failure(number: int) -> None:
+def test_accepting_resumes_by_itself_after_a_failure(number: int) -> None:
     async def main() -> None:
         async with world(None) as w:
             assert w.front.socket is not None
-            failing = FailingListener(iter([failure(number)] * 3), w.front.socket)
+            failing = FailingListener(iter([os_error(number)] * 3), w.front.socket)
             w.front.socket = cast(socket.socket, failing)
-            assert (await w.ask()).status == 200  # no sweep runs in these worlds
+            assert (await w.ask()).status == 200  # the periodic sweep does not run in these tests
 
     run(main())
 
 
-def test_all_that_wait_are_accepted_before_the_listener_closes(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(front, "ACCEPTS", 2)
+def test_the_accept_queue_is_emptied_before_the_listener_closes(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(front, "MAX_ACCEPTS", 2)
 
     async def main() -> None:
         async with world(None) as w:
@@ -84,48 +84,50 @@
 
 
 class FailingLoop:
-    """The event loop, but for connections that can't be made for a moment."""
+    """An event loop whose first calls of `create_connection` fail with the given errors."""
 
     def __init__(self, loop: asyncio.AbstractEventLoop, failures: Iterator[OSError]) -> None:
         self.loop, self.failures = loop, failures
 
     async def create_connection(self, *args: Any, **more: Any) -> Any:
-        for failed in self.failures:
-            raise failed
+        for error in self.failures:
+            raise error
         return await self.loop.create_connection(*args, **more)
 
     def __getattr__(self, name: str) -> Any:
         return getattr(self.loop, name)
 
 
-OWN = [errno.EADDRNOTAVAIL, errno.ENETUNREACH, errno.ENETDOWN, errno.ENFILE, errno.EMFILE, errno.ENOBUFS]
+LOCAL_ERRNOS = [
+    errno.EADDRNOTAVAIL, errno.ENETUNREACH, errno.ENETDOWN, errno.ENFILE, errno.EMFILE, errno.ENOBUFS,
+]  # fmt: skip
 
 
-@pytest.mark.parametrize("number", OWN)
-def test_a_shortage_of_this_machine_is_not_held_against_a_node(number: int) -> None:
+@pytest.mark.parametrize("number", LOCAL_ERRNOS)
+def test_a_local_failure_to_connect_does_not_make_a_node_suspect(number: int) -> None:
     async def main() -> None:
         async with world(None, None) as w:
-            failing = FailingLoop(w.proxy.loop, iter([failure(number)]))
+            failing = FailingLoop(w.proxy.loop, iter([os_error(number)]))
             w.proxy.pool.loop = cast(asyncio.AbstractEventLoop, failing)
             assert (await w.ask(kind="once")).status == 200
-            assert w.outcomes() == [Outcome.MOOT, Outcome.OK] and not w.proxy.router.suspects
+            assert w.outcomes() == [Outcome.MOOT, Outcome.OK] and not w.proxy.router.suspect_count
 
     run(main())
 
 
 @pytest.mark.parametrize("number", [errno.ECONNREFUSED, errno.EHOSTUNREACH, errno.ETIMEDOUT])
-def test_a_node_that_can_not_be_reached_never_ran_it(number: int) -> None:
+def test_a_request_is_repeated_after_a_node_could_not_be_reached(number: int) -> None:
     async def main() -> None:
         async with world(None, None) as w:
-            failing = FailingLoop(w.proxy.loop, iter([failure(number)]))
+            failing = FailingLoop(w.proxy.loop, iter([os_error(number)]))
             w.proxy.pool.loop = cast(asyncio.AbstractEventLoop, failing)
             assert (await w.ask(kind="once")).status == 200
-            assert w.outcomes() == [Outcome.CONNECT_FAILED, Outcome.OK] and w.proxy.router.suspects == 1
+            assert w.outcomes() == [Outcome.CONNECT_FAILED, Outcome.OK] and w.proxy.router.suspect_count == 1
 
     run(main())
 
 
-def test_a_head_that_comes_a_byte_at_a_time_and_an_answer_that_goes_in_parts() -> None:
+def test_a_request_that_arrives_a_byte_at_a_time_is_served() -> None:
     async def main() -> None:
         async with world(None) as w:
             client = await w.client()
@@ -138,21 +140,22 @@
     run(main())
 
 
-def test_a_node_is_told_what_is_left_to_a_client_that_had_to_wait_to_be_accepted(
+def test_the_deadline_for_a_node_counts_the_time_before_the_accept(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    """Its time counted from when the proxy had a descriptor for it, up to 0.2 s after its last byte."""
+    """Guards against a deadline that starts at the accept: with the proxy out of descriptors, that was up to
+    0.2 s after the client's last byte."""
 
     async def main() -> None:
         async with world(None) as w:
             room = asyncio.Event()
 
-            def short(listener: socket.socket) -> socket.socket | None:
+            def accept_without_room(listener: socket.socket) -> socket.socket | None:
                 if not room.is_set():
-                    raise NoRoom("too many open files")
-                return accepted(listener)
+                    raise ResourceShortage("too many open files")
+                return accept_connection(listener)
 
-            monkeypatch.setattr(front, "accepted", short)
+            monkeypatch.setattr(front, "accept_connection", accept_without_room)
             client = await w.client()
             client.send(request(kind="once", deadline="0.9"))
             sent = time.monotonic()
@@ -161,8 +164,8 @@
             waited_s = time.monotonic() - sent
             room.set()
             assert (await client.answer()).status == 200
-            told = float(w.nodes[0].seen[0].headers["req-deadline"])
-            assert told <= 0.9 - waited_s + 0.01
+            deadline_s = float(w.nodes[0].seen[0].headers["req-deadline"])
+            assert deadline_s <= 0.9 - waited_s + 0.01
             client.send(request(kind="once", deadline="0.9"))
             assert (await client.answer()).status == 200
             assert float(w.nodes[0].seen[1].headers["req-deadline"]) > 0.8
--- a/tests/test_trace.py
+++ b/tests/test_trace.py
@@ -1,4 +1,4 @@
-"""What `LB_TRACE` makes a proxy tell, and the counting of it over a fleet."""
+"""The trace that a proxy writes with `LB_TRACE`, and the counts of its lines over a fleet."""
 
 from __future__ import annotations
 
@@ -20,7 +20,7 @@
 from tests.sockets import run, until
 
 
-def test_every_letter_of_a_trace_is_counted(tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
+def test_every_kind_of_trace_line_is_counted(tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
     lines = [
         "0.1 # l stale 60", "0.1 # w", "0.2 # a r1 read 7 0.5 2000000 f", "0.2 # s r1 0 n1 ct 1",
         "0.3 # c n1 ok 1000 1", "0.4 # s r1 1 n2 w2 1", "0.5 # e r1 0 n1 full 20 0", "0.6 # s r1 2 n3 w 1",
@@ -44,17 +44,17 @@
     assert "LB_TRACE=1" in capsys.readouterr().err
 
 
-class Silent(Probe):
-    """A probe of which only the end is wanted."""
+class RecordingProbe(Probe):
+    """A probe that only records its outcome."""
 
     def report(self, outcome: Outcome, answer: Answer | None) -> None:
-        ENDED.append(outcome)
+        PROBE_OUTCOMES.append(outcome)
 
 
-ENDED: list[Outcome] = []
+PROBE_OUTCOMES: list[Outcome] = []
 
 
-def test_a_traced_proxy_tells_what_it_hears_and_does(capsys: pytest.CaptureFixture[str]) -> None:
+def test_a_traced_proxy_writes_its_events_and_actions(capsys: pytest.CaptureFixture[str]) -> None:
     config = Config("n0", ("127.0.0.1", 0), ("127.0.0.1", 0), 1, SETTINGS, None, False)
 
     async def main() -> None:
@@ -72,31 +72,31 @@
         ):  # fmt: skip
             assert line in out, line
 
-        # A connect that never comes up is no connection closed.
-        held = socket.socket()
-        held.bind(("127.0.0.1", 0))  # bound and not listening: refused
-        proxy.pool.place_node(server, held.getsockname())
-        probe = Silent(proxy, proxy.pool.nodes[server], 0, b"/health")
+        # A failed connect does not count as a closed connection.
+        refusing_socket = socket.socket()
+        refusing_socket.bind(("127.0.0.1", 0))  # bound and not listening: refused
+        proxy.pool.set_node_address(server, refusing_socket.getsockname())
+        probe = RecordingProbe(proxy, proxy.pool.nodes[server], 0, b"/health")
         probe.node.begin(probe)
-        await until(lambda: ENDED)
+        await until(lambda: PROBE_OUTCOMES)
         await until(lambda: proxy.pool.open == 0)
-        held.close()
+        refusing_socket.close()
         out = capsys.readouterr().err
         assert f"# c {server} failed " in out and "# d " not in out, out
 
     run(main())
 
 
-def test_queues_are_counted_over_the_whole_fleet(tmp_path: Path) -> None:
-    """Each proxy alone has one request out at s-1; the third one is sent where two are out."""
+def test_queues_at_nodes_are_counted_over_all_proxies(tmp_path: Path) -> None:
+    """Each proxy has one request in flight at s-1; the third is sent to a node that has two in flight."""
     for n in range(3):
         (tmp_path / f"n{n}.log").write_text(
             f"0.{n} # a r{n} read 7 0.5 900000 f\n0.{n} # s r{n} 0 s-1 w 1\n"
             f"1.{n} # e r{n} 0 s-1 {'timeout' if n == 2 else 'ok'} {n + 1}00000 {1 + n % 2}\n"
             f"1.{n} # e r{n} 0 s-1 ok\n"
         )
-    sent = fleet_queues.follow(tmp_path)
-    assert [s.out for s in sent] == [0, 1, 2] and {s.key for s in sent} == {"7"}
+    sent = fleet_queues.read_attempts(tmp_path)
+    assert [s.in_flight for s in sent] == [0, 1, 2] and {s.key for s in sent} == {"7"}
     row = fleet_queues.rows(sent, 150_000)[0]
     assert (row["sends"], row["hit_ms"], row["fetch_ms"]) == (3, 100.0, 200.0)
     assert (row["late"], row["gave_up"], row["popular"]) == (1, 1, 1.0)
--- a/tests/upgrade/test_gateway.py
+++ b/tests/upgrade/test_gateway.py
@@ -1,4 +1,4 @@
-"""A gateway handed over under load from the other site: its listener, its links, its store of record."""
+"""Handover of a gateway under load from the other site: its listener, its links and its store of record."""
 
 from __future__ import annotations
 
@@ -7,13 +7,13 @@
 from collections import Counter
 from pathlib import Path
 
-from standins.client import Ask
+from standins.client import ClientRequest
 from standins.world import free_port
-from tests.gateway.sites import SETTINGS, TestSite, make_site, run, stop_site, table, until
+from tests.gateway.sites import SETTINGS, TestSite, gateway_settings, make_site, run, stop_site, until
 from tests.sockets import Node, ok
 from tests.upgrade.test_process import Fleet, fleet
 
-FILE = """[site]
+OPERATOR_FILE = """[site]
 name = "west"
 [gateway]
 listen = "127.0.0.1:{port}"
@@ -30,81 +30,83 @@
 """
 
 
-async def slowly(seen: object, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+async def slow_answer(seen: object, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
     await asyncio.sleep(0.03)
     writer.write(ok(b"held"))
 
 
 async def east_of(port: int) -> TestSite:
     """The other site, in this process, linked to the gateway at that port."""
-    east = await make_site("east", table("east", {"west": ("127.0.0.1", port)}), 7)
-    east.gateway._links()
+    east = await make_site("east", gateway_settings("east", {"west": ("127.0.0.1", port)}), 7)
+    east.gateway._open_missing_links()
     await until(lambda: east.up, "the link")
     return east
 
 
-async def load(east: TestSite, number: int, asked: list[Ask], going: list[bool]) -> None:
+async def send_requests(east: TestSite, number: int, asked: list[ClientRequest], running: list[bool]) -> None:
+    """Sends reads and reports in turn while `running` is not empty, and records them in `asked`."""
     n = 0
-    while going:
+    while running:
         n += 1
         kind = ("level-read", "field-report")[n % 2]
         name = f"c{number}-{n}"
         method, once = ("PUT", name) if kind == "field-report" else ("GET", "")
-        a = Ask(name, kind, "east", f"w-{n % 40}", method, 4.0, effect=once, once=once)
+        a = ClientRequest(name, kind, "east", f"w-{n % 40}", method, 4.0, effect=once, idempotency_key=once)
         asked.append(a)
-        await east.client.ask(a)
+        await east.client.send(a)
 
 
-async def upgraded(f: Fleet, old: int) -> int:
+async def upgrade(f: Fleet, old: int) -> int:
+    """Starts the next process and ends the old one; returns the number of the new one."""
     new = await f.start()
-    told = await f.end(old)
-    assert "handed over" in told
+    log = await f.end(old)
+    assert "handed over" in log
     return new
 
 
-def test_upgrades_of_a_gateway_lose_and_double_nothing_of_the_other_site(tmp_path: Path) -> None:
+def test_upgrades_of_a_gateway_neither_lose_nor_repeat_requests(tmp_path: Path) -> None:
     async def main() -> None:
-        node, port = Node("s-0", slowly), free_port()
-        async with fleet(tmp_path, node, Node("s-1", slowly)) as f:
-            f.settings, f.operator = SETTINGS, FILE.format(port=port)
+        node, port = Node("s-0", slow_answer), free_port()
+        async with fleet(tmp_path, node, Node("s-1", slow_answer)) as f:
+            f.settings, f.operator = SETTINGS, OPERATOR_FILE.format(port=port)
             number = await f.start()
             east = await east_of(port)
-            asked: list[Ask] = []
-            going = [True]
-            tasks = [asyncio.create_task(load(east, n, asked, going)) for n in range(6)]
+            asked: list[ClientRequest] = []
+            running = [True]
+            tasks = [asyncio.create_task(send_requests(east, n, asked, running)) for n in range(6)]
             for _ in range(4):
                 await asyncio.sleep(0.3)
-                number = await upgraded(f, number)
+                number = await upgrade(f, number)
             await asyncio.sleep(0.2)
-            going.clear()
+            running.clear()
             await asyncio.gather(*tasks)
             assert Counter(a.status for a in asked) == {200: len(asked)} and len(asked) > 60
             ran = Counter(s.headers["idempotency-key"] for n in f.nodes for s in n.seen if s.line[0] == "P")
-            assert set(ran.values()) == {1} and len(ran) == sum(bool(a.once) for a in asked)
+            assert set(ran.values()) == {1} and len(ran) == sum(bool(a.idempotency_key) for a in asked)
             assert east.count("crossed") == len(asked)
             await stop_site(east)
 
     run(main(), 60)
 
 
-def test_a_next_gateway_that_dies_leaves_the_listener_to_the_one_before(tmp_path: Path) -> None:
+def test_the_old_gateway_accepts_again_when_the_new_one_is_killed(tmp_path: Path) -> None:
     async def main() -> None:
         port = free_port()
-        async with fleet(tmp_path, Node("s-0", slowly), Node("s-1", slowly)) as f:
-            f.settings, f.operator = SETTINGS, FILE.format(port=port)
+        async with fleet(tmp_path, Node("s-0", slow_answer), Node("s-1", slow_answer)) as f:
+            f.settings, f.operator = SETTINGS, OPERATOR_FILE.format(port=port)
             first = await f.start()
             east = await east_of(port)
             second = await f.start()
             await f.end(second, signal.SIGKILL)
-            asked: list[Ask] = []
-            going = [True]
-            task = asyncio.create_task(load(east, 0, asked, going))
-            await until(lambda: sum(a.status == 200 for a in asked) > 10, "the old one")
-            third = await f.start()  # and the next one takes over after all
+            asked: list[ClientRequest] = []
+            running = [True]
+            task = asyncio.create_task(send_requests(east, 0, asked, running))
+            await until(lambda: sum(a.status == 200 for a in asked) > 10, "answers by the first")
+            third = await f.start()  # takes over from the first
             await f.end(first)
             count = sum(a.status == 200 for a in asked)
-            await until(lambda: sum(a.status == 200 for a in asked) > count + 10, "the third one")
-            going.clear()
+            await until(lambda: sum(a.status == 200 for a in asked) > count + 10, "answers by the third")
+            running.clear()
             await task
             assert f.processes[third].returncode is None
             await stop_site(east)
@@ -112,18 +114,20 @@
     run(main(), 60)
 
 
-def test_a_next_one_whose_file_is_bad_leaves_all_as_it_was(tmp_path: Path) -> None:
+def test_a_new_gateway_with_an_invalid_file_leaves_the_old_one_unaffected(tmp_path: Path) -> None:
     async def main() -> None:
         port = free_port()
-        async with fleet(tmp_path, Node("s-0", slowly)) as f:
-            f.settings, f.operator = SETTINGS, FILE.format(port=port)
+        async with fleet(tmp_path, Node("s-0", slow_answer)) as f:
+            f.settings, f.operator = SETTINGS, OPERATOR_FILE.format(port=port)
             await f.start()
             east = await east_of(port)
-            f.operator = FILE.format(port=port) + "[nothing]\n"
+            f.operator = OPERATOR_FILE.format(port=port) + "[nothing]\n"
             bad = await f.spawn()
             assert await f.processes[bad].wait() == 2
-            a = Ask("r1", "field-report", "east", "w-1", "PUT", 4.0, effect="k", once="k")
-            await east.client.ask(a)
+            a = ClientRequest(
+                "r1", "field-report", "east", "w-1", "PUT", 4.0, effect="k", idempotency_key="k"
+            )
+            await east.client.send(a)
             assert a.status == 200 and east.up
             await stop_site(east)
 
--- a/tests/upgrade/test_process.py
+++ b/tests/upgrade/test_process.py
@@ -1,4 +1,4 @@
-"""`run` started again beside itself, in real processes, under load, and with either one killed."""
+"""Upgrades with real processes: a second is started beside the first, under load, and either is killed."""
 
 from __future__ import annotations
 
@@ -18,46 +18,52 @@
 import pytest
 
 from magpiefront.upgrade import channel as wire
-from magpiefront.upgrade.channel import place_of
+from magpiefront.upgrade.channel import socket_path
 from magpiefront.upgrade.handover import VERSION
 from standins.world import free_port
 from tests.sockets import (
-    INFO, Client, Lists, Node, Seen, gated, ok, read_message, request, run, until,
+    PROXY_SETTINGS, Client, DiscoveryServer, Node, ReceivedRequest, gated, ok, read_message, request, run,
+    until,
 )  # fmt: skip
 
 Process = asyncio.subprocess.Process
-# Aims and times that a busy machine meets too: a proxy whose loop is late for its shortest aim turns away.
-PATIENT = [{**grade, "sloUs": 5_000_000, "giveUpUs": 10_000_000} for grade in INFO["grades"]]
+# Objectives and deadlines that hold on a busy machine as well: a proxy sheds load when its event loop is late
+# for its shortest objective.
+RELAXED_CLASSES = [
+    {**grade, "sloUs": 5_000_000, "giveUpUs": 10_000_000} for grade in PROXY_SETTINGS["grades"]
+]
 
 
 class Fleet:
-    """One proxy as a series of processes, its cache nodes, and clients that keep their connections."""
+    """One proxy as a series of processes, with its cache nodes and clients on persistent connections."""
 
-    settings: dict[str, Any] = {**INFO, "grades": PATIENT}  # noqa: RUF012
-    operator = ""  # the text of its file
+    settings: dict[str, Any] = {**PROXY_SETTINGS, "grades": RELAXED_CLASSES}  # noqa: RUF012
+    operator = ""  # the text of the operator's file; none if empty
 
     def __init__(self, folder: Path, nodes: list[Node], **env: str) -> None:
-        self.folder, self.nodes, self.lists, self.port = folder, nodes, Lists(), free_port()
+        self.folder, self.nodes, self.lists, self.port = folder, nodes, DiscoveryServer(), free_port()
         self.env = {"TMPDIR": str(folder / "tmp"), **env}
         (folder / "tmp").mkdir()
         self.processes: list[Process] = []
         self.admins: list[int] = []
         self.statuses: Counter[int] = Counter()
-        self.turned_back = self.opened = 0
-        self.going = True
+        self.dropped = self.opened = 0
+        self.running = True
 
     async def open(self) -> None:
+        """Starts the nodes and discovery."""
         for node in self.nodes:
             await node.start()
         await self.lists.start()
 
     def path(self) -> Path:
-        found = place_of(("127.0.0.1", self.port), self.env)
+        """The Unix socket of the handover."""
+        found = socket_path(("127.0.0.1", self.port), self.env)
         assert found is not None
         return found
 
     async def spawn(self) -> int:
-        """A process; its number."""
+        """Starts a process and returns its number."""
         given = {
             "name": "n0", "listen": f"127.0.0.1:{self.port}", "discovery": f"127.0.0.1:{self.lists.port}",
             "seed": "1f", "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
@@ -79,7 +85,8 @@
         self.admins.append(port)
         return len(self.processes) - 1
 
-    async def call(self, number: int, line: str) -> str:
+    async def command(self, number: int, line: str) -> str:
+        """Sends a command to the admin address of a process and returns the response."""
         reader, writer = await asyncio.open_connection("127.0.0.1", self.admins[number])
         writer.write(line.encode() + b"\n")
         answer = await reader.read()
@@ -87,62 +94,67 @@
         return answer.decode()
 
     async def ready(self, number: int) -> None:
+        """Waits until a process serves."""
         for _ in range(1500):
             try:
-                if await self.call(number, "ready") == "OK\n":
+                if await self.command(number, "ready") == "OK\n":
                     return
             except OSError:
                 pass
-            assert self.processes[number].returncode is None, "it ended"
+            assert self.processes[number].returncode is None, "the process has ended"
             await asyncio.sleep(0.01)
-        raise AssertionError("not ready")
+        raise AssertionError("the process did not become ready")
 
     async def start(self) -> int:
+        """Starts a process, waits until it serves and returns its number."""
         number = await self.spawn()
         await self.ready(number)
         return number
 
-    async def end(self, number: int, how: int = signal.SIGTERM) -> str:
+    async def end(self, number: int, signal_number: int = signal.SIGTERM) -> str:
+        """Sends a signal to a process, waits until it has exited and returns its standard error."""
         process = self.processes[number]
-        process.send_signal(how)
+        process.send_signal(signal_number)
         assert process.stderr is not None
-        told = await process.stderr.read()
-        assert await process.wait() == (0 if how == signal.SIGTERM else -how)
-        return told.decode()
+        log = await process.stderr.read()
+        assert await process.wait() == (0 if signal_number == signal.SIGTERM else -signal_number)
+        return log.decode()
 
     async def client(self) -> Client:
         self.opened += 1
         return Client(*await asyncio.open_connection("127.0.0.1", self.port))
 
     async def load(self, seed: int) -> None:
-        """Asks one after the other on one connection; a connection that ends unanswered is a request turned
-        back, and the request is not sent again."""
+        """Sends one request after the other on one connection. If the connection ends without a response, the
+        request counts as dropped and is not sent again."""
         draw, client = Random(seed), await self.client()
-        while self.going:
+        while self.running:
             kind = draw.choice(("read", "read", "once", "keyed"))
             method = "GET" if kind == "read" else "PUT"
             client.send(request(method, f"/api/k{draw.randrange(30)}", kind, deadline="3", body=b"7"))
             try:
                 self.statuses[(await client.answer()).status] += 1
             except (OSError, asyncio.IncompleteReadError):
-                self.turned_back += 1
+                self.dropped += 1
                 client = await self.client()
             await asyncio.sleep(draw.choice((0, 0.002, 0.02)))
         client.writer.close()
 
-    def doubled(self) -> list[str]:
+    def repeated(self) -> list[str]:
+        """The ids of requests that reached the nodes more than once."""
         counts = Counter(s.headers["req-id"] for n in self.nodes for s in n.seen)
         return [name for name, n in counts.items() if n > 1]
 
 
 @asynccontextmanager
 async def fleet(folder: Path, *nodes: Node, **env: str) -> AsyncIterator[Fleet]:
+    """A fleet whose processes are killed and whose nodes are stopped at the end."""
     f = Fleet(folder, list(nodes) or [Node("s-0", None), Node("s-1", None)], **env)
     await f.open()
     try:
         yield f
     finally:
-        f.going = False
+        f.running = False
         for p in f.processes:
             if p.returncode is None:
                 p.kill()
@@ -151,8 +163,8 @@
             node.stop()
 
 
-def test_twenty_upgrades_under_load_lose_double_and_turn_back_nothing(tmp_path: Path) -> None:
-    async def slow(seen: Seen, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+def test_twenty_upgrades_under_load_drop_and_repeat_no_request(tmp_path: Path) -> None:
+    async def slow(seen: ReceivedRequest, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         await asyncio.sleep(0.02)
         writer.write(ok())
 
@@ -167,21 +179,23 @@
                 await until(lambda: f.statuses[200] > before + 10)  # noqa: B023
                 assert "Traceback" not in await f.end(current)
                 current = following
-            f.going = False
+            f.running = False
             await asyncio.gather(*loads)
-            assert set(f.statuses) == {200} and f.turned_back == 0 and not f.doubled()
-            assert f.opened == 12  # each client's one connection went through all of them
+            assert set(f.statuses) == {200} and f.dropped == 0 and not f.repeated()
+            assert f.opened == 12  # each client kept its one connection through all upgrades
 
     run(main(), 120)
 
 
-def test_what_is_open_at_an_upgrade_is_finished_where_it_is(tmp_path: Path) -> None:
-    """Reports in each of their states, half a head, pipelined requests, and a long answer under way."""
+def test_requests_open_at_an_upgrade_are_finished_by_the_old_process(tmp_path: Path) -> None:
+    """A request at a node, an incomplete head, pipelined requests, and a long response in transfer."""
 
     async def main() -> None:
         gate, halves, size = asyncio.Event(), asyncio.Event(), 32 * 1024 * 1024
 
-        async def long(seen: Seen, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        async def long(
+            seen: ReceivedRequest, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:  # fmt: skip
             if "/long" not in seen.line:
                 await gated(gate)(seen, reader, writer)
                 return
@@ -218,20 +232,21 @@
                 for _ in range(n):
                     assert (await c.answer()).status == 200
             assert "Traceback" not in await ended
-            idle.send(request(deadline="8"))  # a connection that had been kept through it
-            report.send(request(deadline="8"))  # and one that fell idle since
+            idle.send(request(deadline="8"))  # a connection that was idle during the upgrade
+            report.send(request(deadline="8"))  # and one that has become idle since
             assert (await idle.answer()).status == (await report.answer()).status == 200
-            assert not f.doubled()
+            assert not f.repeated()
 
     run(main(), 40)
 
 
-def test_bans_hold_across_upgrades_and_on_both_second_addresses(tmp_path: Path) -> None:
+def test_disabled_nodes_stay_disabled_across_upgrades_and_on_both_admin_addresses(tmp_path: Path) -> None:
     async def main() -> None:
         async with fleet(tmp_path) as f:
             a, _ = f.nodes
 
             async def reached(times: int = 30) -> bool:
+                """Whether one of so many requests reaches node `a`."""
                 before, client = len(a.seen), await f.client()
                 for i in range(times):
                     client.send(request(path=f"/api/k{i}"))
@@ -241,41 +256,41 @@
 
             first = await f.start()
             assert await reached()
-            assert await f.call(first, "disable-server s-0") == "OK\n"
+            assert await f.command(first, "disable-server s-0") == "OK\n"
             assert not await reached()
             second = await f.start()
             assert not await reached()
-            assert await f.call(first, "enable-server s-0") == "OK\n"  # the old one's address, while it lives
+            assert await f.command(first, "enable-server s-0") == "OK\n"  # at the old process, while it runs
             for _ in range(100):
-                if "svc_pool_ejected 0" in await f.call(second, "show-stat"):
+                if "svc_pool_ejected 0" in await f.command(second, "show-stat"):
                     break
             assert await reached(100)
-            assert await f.call(second, "disable-server s-0") == "OK\n"
+            assert await f.command(second, "disable-server s-0") == "OK\n"
             for _ in range(100):
-                if "svc_pool_ejected 1" in await f.call(first, "show-stat"):
+                if "svc_pool_ejected 1" in await f.command(first, "show-stat"):
                     break
             else:
-                raise AssertionError("the old one was not told")
+                raise AssertionError("the old process did not get the command")
             await f.end(first)
             third = await f.start()
             await f.end(second)
             assert not await reached()
-            assert await f.call(third, "disable-server nobody") == "ERR no cache node has that id\n"
-            assert await f.call(third, "enable-server s-0") == "OK\n" and await reached(100)
+            assert await f.command(third, "disable-server nobody") == "ERR no cache node has that id\n"
+            assert await f.command(third, "enable-server s-0") == "OK\n" and await reached(100)
 
     run(main(), 40)
 
 
 @pytest.mark.parametrize("dies", ["new", "old", "old, before the new one is ready"])
-def test_when_one_dies_the_other_serves(tmp_path: Path, dies: str) -> None:
+def test_when_one_process_dies_the_other_serves(tmp_path: Path, dies: str) -> None:
     async def main() -> None:
         async with fleet(tmp_path) as f:
             first = await f.start()
             if dies.startswith("old,"):
                 following = await f.spawn()
                 await until(lambda: f.processes[following].returncode is None)
-                told = await f.end(first)  # whether it had handed over by then or not
-                assert "Traceback" not in told
+                log = await f.end(first)  # whether or not it has handed over by then
+                assert "Traceback" not in log
                 await f.ready(following)
                 survivor = following
             else:
@@ -286,8 +301,8 @@
             for _ in range(20):
                 client.send(request())
                 assert (await client.answer()).status == 200
-            assert await f.call(survivor, "ready") == "OK\n"
-            await f.start()  # and the survivor can hand over in its turn
+            assert await f.command(survivor, "ready") == "OK\n"
+            await f.start()  # the survivor can hand over in its turn
             await f.end(survivor)
             client.send(request())
             assert (await client.answer()).status == 200
@@ -295,22 +310,22 @@
     run(main(), 40)
 
 
-async def scripted(f: Fleet) -> socket.socket:
-    """A new side by hand."""
+async def connect_as_new(f: Fleet) -> socket.socket:
+    """A connection to the old process, on which the test plays the new one."""
     s = wire.connect(f.path(), 2)
     assert s is not None
     return s
 
 
 @pytest.mark.parametrize("step", ["connected", "hello", "garbled", "other version", "offer", "take", "go"])
-def test_a_new_one_that_ends_at_any_step_leaves_the_old_one_as_it_was(tmp_path: Path, step: str) -> None:
+def test_the_old_process_goes_on_when_the_new_one_ends_at_any_step(tmp_path: Path, step: str) -> None:
     async def main() -> None:
         async with fleet(tmp_path) as f:
             await f.start()
             idle = await f.client()
             idle.send(request())
             assert (await idle.answer()).status == 200
-            s = await scripted(f)
+            s = await connect_as_new(f)
             if step == "garbled":
                 s.send(b"{")
             elif step != "connected":
@@ -318,7 +333,7 @@
             if step in ("offer", "take", "go"):
                 received = await asyncio.to_thread(wire.receive, s)
                 assert received is not None and received[0]["t"] == "offer" and len(received[1]) == 1
-                wire.close(received[1])
+                wire.close_descriptors(received[1])
             if step in ("take", "go"):
                 wire.send(s, {"t": "take"})
             if step == "go":
@@ -328,7 +343,7 @@
                 received = await asyncio.to_thread(wire.receive, s)
                 assert received is not None and received[0] == {"t": "no", "why": "another version"}
             s.close()
-            for _ in range(100):  # it accepts again once it has noticed
+            for _ in range(100):  # it accepts again once it has noticed the end
                 client = await f.client()
                 client.send(request())
                 assert (await client.answer()).status == 200
@@ -338,53 +353,55 @@
     run(main(), 40)
 
 
-def test_one_start_at_a_time(tmp_path: Path) -> None:
+def test_a_second_new_process_exits_while_a_handover_is_under_way(tmp_path: Path) -> None:
     async def main() -> None:
         async with fleet(tmp_path) as f:
             await f.start()
-            s = await scripted(f)
+            s = await connect_as_new(f)
             wire.send(s, {"t": "hello", "version": VERSION})
             await asyncio.to_thread(wire.receive, s)
             second = f.processes[await f.spawn()]
             assert second.stderr is not None
-            told = await second.stderr.read()
-            assert await second.wait() == 2 and b"another start" in told and told.count(b"\n") == 1
+            log = await second.stderr.read()
+            assert await second.wait() == 2 and b"another new process" in log and log.count(b"\n") == 1
             s.close()
 
     run(main(), 40)
 
 
-@pytest.mark.parametrize("place", ["no TMPDIR", "no such folder", "stale", "a file", "a deep folder", "mute"])
-def test_where_there_is_no_channel_it_starts_alone(tmp_path: Path, place: str) -> None:
+@pytest.mark.parametrize(
+    "situation", ["no TMPDIR", "no such folder", "stale", "a file", "a deep folder", "mute"]
+)
+def test_a_process_starts_alone_without_a_channel(tmp_path: Path, situation: str) -> None:
     async def main() -> None:
         async with fleet(tmp_path) as f:
-            if place == "no TMPDIR":
+            if situation == "no TMPDIR":
                 f.env["TMPDIR"] = ""
-            elif place == "no such folder":
+            elif situation == "no such folder":
                 f.env["TMPDIR"] += "/none"
-            elif place == "a deep folder":
+            elif situation == "a deep folder":
                 deep = Path(f.env["TMPDIR"], *["d" * 40] * 5)
                 deep.mkdir(parents=True)
                 f.env["TMPDIR"] = str(deep)
             path = Path(f.env["TMPDIR"]) / f"magpiefront-127.0.0.1-{f.port}.sock"
-            if place == "a file":
+            if situation == "a file":
                 path.write_text("not a socket")
-            elif place in ("stale", "mute"):
+            elif situation in ("stale", "mute"):
                 s = wire.listen(path)
-                if place == "stale":
-                    s.close()  # and its name stays
+                if situation == "stale":
+                    s.close()  # its file remains
             first = await f.start()
-            await f.start()  # by SO_REUSEPORT, where it can't be handed over
+            await f.start()  # with SO_REUSEPORT, if the socket can't be handed over
             assert f.processes[first].returncode is None
             client = await f.client()
             client.send(request())
             assert (await client.answer()).status == 200
             client.writer.close()
-            told = await f.end(first)
-            if place in ("no TMPDIR", "no such folder"):
-                assert "handed over" not in told
+            log = await f.end(first)
+            if situation in ("no TMPDIR", "no such folder"):
+                assert "handed over" not in log
             else:
-                assert "handed over" in told and path.stat().st_mode & 0o777 == 0o600
+                assert "handed over" in log and path.stat().st_mode & 0o777 == 0o600
             client = await f.client()
             client.send(request())
             first_line, _, _ = await read_message(client.reader)
@@ -398,20 +415,21 @@
     ["closes", "garbled", "no", "other version", "no socket", "silent", "offer", "offer, silent",
      "offer, no go", "offer, a state of noise", "offer, half a view", "offer, descriptors without end"],
 )  # fmt: skip
-def test_an_old_one_that_fails_at_any_step_leaves_a_new_one_that_serves(tmp_path: Path, script: str) -> None:
+def test_the_new_process_serves_when_the_old_one_fails_at_any_step(tmp_path: Path, script: str) -> None:
     async def main() -> None:
         async with fleet(tmp_path) as f:
-            place = wire.listen(f.path())
-            place.setblocking(True)
+            server = wire.listen(f.path())
+            server.setblocking(True)
             listener = socket.socket()
             listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
             listener.bind(("127.0.0.1", f.port))
             listener.listen(64)
-            waiting = await f.client()  # in the queue of the old one's socket
+            waiting = await f.client()  # in the accept queue of the old process's socket
             waiting.send(request(deadline="20"))
 
-            def old() -> None:
-                s, _ = place.accept()
+            def play_old() -> None:
+                """The old process, up to the step at which it fails."""
+                s, _ = server.accept()
                 hello = wire.receive(s)
                 assert hello is not None and hello[0]["t"] == "hello"
                 if script == "garbled":
@@ -440,40 +458,38 @@
                         wire.send(s, {"t": "go"})
                 s.close()
 
-            playing = asyncio.create_task(asyncio.to_thread(old))
+            playing = asyncio.create_task(asyncio.to_thread(play_old))
             number = await f.start()
             await playing
-            place.close()
+            server.close()
             listener.close()
             client = await f.client()
             client.send(request())
             assert (await client.answer()).status == 200
             if script.startswith("offer"):
-                assert (await waiting.answer()).status == 200  # what waited in the queue is served
+                assert (await waiting.answer()).status == 200  # the accept queue was not lost
             waiting.writer.close()
             client.writer.close()
-            told = await f.end(number)
-            assert "Traceback" not in told
-            assert ("can't be read" in told) == (script == "offer, half a view")
+            log = await f.end(number)
+            assert "Traceback" not in log
+            assert ("can't be read" in log) == (script == "offer, half a view")
 
     run(main(), 40)
 
 
-def test_another_user_s_process_gets_nothing_and_is_believed_nothing(
-    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
-) -> None:
+def test_processes_of_other_users_are_refused(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
     path = tmp_path / "there.sock"
     s = wire.listen(path)
     assert path.stat().st_mode & 0o777 == 0o600
     c = wire.connect(path, 1)
-    assert c is not None and wire.own(c)
+    assert c is not None and wire.is_same_user(c)
     c.close()
     monkeypatch.setattr(os, "getuid", lambda: os.stat(path).st_uid + 1)
     assert wire.connect(path, 1) is None
     s.close()
 
 
-def test_a_reload_in_the_middle_of_an_upgrade_and_figures_through_it(tmp_path: Path) -> None:
+def test_reloads_during_an_upgrade_and_metrics_across_it(tmp_path: Path) -> None:
     async def main() -> None:
         async with fleet(tmp_path) as f:
             first = await f.start()
@@ -487,21 +503,21 @@
             for number in (first, second):
                 f.processes[number].send_signal(signal.SIGHUP)
 
-            async def figures(number: int) -> dict[str, int]:
-                lines = (await f.call(number, "show-stat")).splitlines()
+            async def metrics(number: int) -> dict[str, int]:
+                lines = (await f.command(number, "show-stat")).splitlines()
                 assert lines[0] == "OK" and lines[-1] == "END"
                 return {name: int(value) for name, value in (line.rsplit(" ", 1) for line in lines[1:-1])}
 
             before = f.statuses[200]
             while f.statuses[200] < before + 100:
-                told = [await figures(n) for n in (first, second)]
-                assert sum(t["svc_active"] for t in told) <= 6
-            f.going = False
+                shown = [await metrics(n) for n in (first, second)]
+                assert sum(t["svc_active"] for t in shown) <= 6
+            f.running = False
             await asyncio.gather(*loads)
-            told = [await figures(n) for n in (first, second)]
-            served = sum(v for t in told for name, v in t.items() if name.startswith("svc_ok"))
-            assert served == f.statuses[200] and f.turned_back == 0  # between them, each request once
-            assert told[0]["svc_config_applied"] >= 1 and told[1]["svc_config_applied"] == 1
+            shown = [await metrics(n) for n in (first, second)]
+            served = sum(v for t in shown for name, v in t.items() if name.startswith("svc_ok"))
+            assert served == f.statuses[200] and f.dropped == 0  # by one process each
+            assert shown[0]["svc_config_applied"] >= 1 and shown[1]["svc_config_applied"] == 1
             assert "Traceback" not in await f.end(first)
 
     run(main(), 40)
--- a/tests/upgrade/test_state.py
+++ b/tests/upgrade/test_state.py
@@ -1,4 +1,4 @@
-"""The state that goes over in an upgrade: in parts that hold the old process's loop up for a moment each."""
+"""The state that is handed over in an upgrade: in parts, so that each blocks the old process only briefly."""
 
 from __future__ import annotations
 
@@ -11,11 +11,11 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from magpiefront.net.desk import Desk
+from magpiefront.net.admin_commands import AdminCommands
 from magpiefront.upgrade import channel as wire
 from magpiefront.upgrade.handover import VERSION
-from magpiefront.upgrade.old import Serving
-from magpiefront.upgrade.pieces import ITEMS, pieces
+from magpiefront.upgrade.json_chunks import ITEMS_PER_CHUNK, json_chunks
+from magpiefront.upgrade.old_process import HandoverServer
 from tests.sockets import run, until, world
 
 NODES = 3_200
@@ -27,49 +27,50 @@
 
 
 @given(values, st.integers(1, 5))
-def test_pieces_joined_are_the_text_of_the_value(value: Any, most: int) -> None:
-    assert json.loads("".join(pieces(value, most))) == value
+def test_joined_chunks_are_the_json_text_of_the_value(value: Any, max_items: int) -> None:
+    assert json.loads("".join(json_chunks(value, max_items))) == value
 
 
-def test_no_piece_holds_more_than_its_share_of_a_long_list_or_mapping() -> None:
+def test_no_chunk_exceeds_its_limit_of_items() -> None:
     for value in (list(range(NODES)), {str(n): n for n in range(NODES)}):
-        assert max(piece.count(",") for piece in pieces(value)) <= ITEMS
+        assert max(chunk.count(",") for chunk in json_chunks(value)) <= ITEMS_PER_CHUNK
 
 
-def line(number: int) -> dict[str, Any]:
-    place = f"127.0.0.1:{20_000 + number}"
-    return {"instanceId": f"s-{number}", "hostPort": place, "lifecycle": "Ready"}
+def entry(number: int) -> dict[str, Any]:
+    """A node's entry in discovery's format."""
+    address = f"127.0.0.1:{20_000 + number}"
+    return {"instanceId": f"s-{number}", "hostPort": address, "lifecycle": "Ready"}
 
 
-async def said(channel: Any) -> dict[str, Any]:
-    data = await asyncio.get_running_loop().sock_recv(channel, wire.MOST)
+async def received(channel: Any) -> dict[str, Any]:
+    data = await asyncio.get_running_loop().sock_recv(channel, wire.MAX_MESSAGE_BYTES)
     return cast(dict[str, Any], json.loads(data))
 
 
 @pytest.mark.parametrize("ban", [False, True])
-def test_the_state_of_a_large_fleet_is_written_in_many_turns(tmp_path: Path, ban: bool) -> None:
+def test_the_state_of_a_large_fleet_is_sent_over_many_turns_of_the_loop(tmp_path: Path, ban: bool) -> None:
     async def main() -> None:
         async with world(None) as w:
-            lines = [line(n) for n in range(NODES)]
-            w.discovery.listing.take({"generation": 7, "reset": True, "instances": lines})
-            await until(lambda: not w.discovery.listing.waiting)
-            desk = Desk(w.proxy, w.front)
-            serving = Serving(w.proxy, w.front, w.discovery, desk, tmp_path / "s")
-            serving.listen()
+            entries = [entry(n) for n in range(NODES)]
+            w.discovery.listing.apply({"generation": 7, "reset": True, "instances": entries})
+            await until(lambda: not w.discovery.listing.pending)
+            commands = AdminCommands(w.proxy, w.front)
+            server = HandoverServer(w.proxy, w.front, w.discovery, commands, tmp_path / "s")
+            server.listen()
             new = wire.connect(tmp_path / "s", 5)
             assert new is not None
             new.setblocking(False)
             wire.send(new, {"t": "hello", "version": VERSION})
-            assert (await said(new))["t"] == "offer"
+            assert (await received(new))["t"] == "offer"
             wire.send(new, {"t": "take"})
             turns, parts = 0, list[str]()
-            await until(lambda: serving.writing)
+            await until(lambda: server.sending_state)
             if ban:
-                desk.on_by_hand("s-1", True)
-            while serving.writing:
+                commands.on_override("s-1", True)
+            while server.sending_state:
                 turns += 1
                 await asyncio.sleep(0)
-            while (message := await said(new))["t"] != "go":
+            while (message := await received(new))["t"] != "go":
                 if message["t"] == "part":
                     parts.append(message["text"])
                 else:
@@ -77,22 +78,22 @@
                     ban_came = True
             assert not ban or ban_came
             text = "".join(parts)
-            told = json.loads(text)
-            assert len(told["list"]["instances"]) == NODES and told["list"]["generation"] == 7
-            assert len(told["view"]["servers"]) == NODES
-            assert turns >= len(text) / (2 * wire.MOST)
-            serving.close()
+            state = json.loads(text)
+            assert len(state["list"]["instances"]) == NODES and state["list"]["generation"] == 7
+            assert len(state["view"]["servers"]) == NODES
+            assert turns >= len(text) / (2 * wire.MAX_MESSAGE_BYTES)
+            server.close()
             new.close()
 
     run(main())
 
 
-def test_a_list_that_is_not_told_to_its_end_goes_over_without_a_number() -> None:
+def test_a_list_that_is_not_yet_fully_applied_is_handed_over_without_its_generation() -> None:
     async def main() -> None:
         async with world(None) as w:
-            lines = [line(n) for n in range(999)]
-            w.discovery.listing.take({"generation": 7, "reset": True, "instances": lines})
-            assert w.discovery.listing.waiting
+            entries = [entry(n) for n in range(999)]
+            w.discovery.listing.apply({"generation": 7, "reset": True, "instances": entries})
+            assert w.discovery.listing.pending
             assert w.discovery.listing.snapshot()["generation"] == -1
 
     run(main())
