Full queue of the record: the node answers one report at a time in its test

Outcomes that came together met the full queue as well, so the count of refused reports depended on the machine's speed. The node now answers one report for each permit. The bound of six or seven refused is as it was, and the statuses of all others are checked too.

--- a/tests/record/test_stage.py
+++ b/tests/record/test_stage.py
@@ -18,7 +18,7 @@
 from tests.record.sockets import recording_proxy, report
 from tests.record.test_journal import row
 from tests.record.test_sqlite import call, open_store
-from tests.sockets import Handler, Node, gated, ok, resets, run, reply, until
+from tests.sockets import Handler, Node, ReceivedRequest, gated, ok, resets, run, reply, until
 
 ERROR = b"HTTP/1.1 500 Oops\r\nContent-Length: 4\r\n\r\nsick"
 
@@ -179,9 +179,24 @@
     run(main())
 
 
+def one_at_a_time(permits: asyncio.Semaphore) -> Handler:
+    """A handler that answers one request for each permit."""
+
+    async def handler(
+        seen: ReceivedRequest, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:  # fmt: skip
+        await permits.acquire()
+        writer.write(ok())
+
+    return handler
+
+
 def test_a_full_queue_refuses_at_once_with_retry_after(tmp_path: Path) -> None:
+    """The node answers one report at a time: outcomes that come together would meet the full queue too."""
+    permits = asyncio.Semaphore(0)
+
     async def main() -> None:
-        async with recording_proxy(tmp_path / "r.sqlite", reply(ok()), most_waiting=3) as proxy:
+        async with recording_proxy(tmp_path / "r.sqlite", one_at_a_time(permits), most_waiting=3) as proxy:
             other = sqlite3.connect(tmp_path / "r.sqlite", isolation_level=None)
             other.execute("BEGIN IMMEDIATE")
             clients = [await proxy.client() for _ in range(10)]
@@ -191,11 +206,19 @@
             # The writer may have taken one, and three wait: the others are refused while the store is locked.
             await until(lambda: sum(t.done() for t in tasks) >= 6)
             other.execute("ROLLBACK")
+
+            def confirmed() -> int:
+                return len([r for r in proxy.rows() if r.state is State.CONFIRMED])
+
+            for n in range(10 - sum(t.done() for t in tasks)):
+                permits.release()
+                await until(lambda n=n: confirmed() == n + 1)  # type: ignore[misc]
             answers = await asyncio.gather(*tasks)
             refused = [a for a in answers if a.status == 503]
             assert 6 <= len(refused) <= 7, [a.body for a in refused]
             assert all("retry-after" in a.headers for a in refused)
-            assert len([r for r in proxy.rows() if r.state is State.CONFIRMED]) == 10 - len(refused)
+            assert [a.status for a in answers if a.status != 503] == [200] * (10 - len(refused))
+            assert confirmed() == 10 - len(refused)
             for c in clients:
                 c.writer.close()
             other.close()
