Suspended owner over PostgreSQL: 503 is judged by what the server has received

The check took 503 ("nothing was done") as true only before the insert. Over PostgreSQL the insert waits in the process for a connection and is dropped where too little time is left: a process suspended for 1.94 s had sent no insert, so its 503 was true, and the check failed. The check asks the server now whether it has received an insert of the process; at every other step it is as strict as before. A new test holds that such an insert never reaches the server.

--- a/tests/takeover/test_hard_cases.py
+++ b/tests/takeover/test_hard_cases.py
@@ -18,7 +18,7 @@
 from standins import reports
 from standins.drill import Fault, Plan
 from standins.process import HANDOVER_MESSAGE, Process
-from standins.reports import Report, send_report, read_rows
+from standins.reports import DEADLINE_S, Report, send_report, read_rows
 from standins.takeover import CLASSES, Round
 from tests.takeover.test_drill import retry_until_ok, run_at_each_point, start_members
 
@@ -44,6 +44,19 @@
         await asyncio.sleep(0.02)
 
 
+def record_insert_owners(r: Round) -> list[str]:
+    """Returns a list that gets the owner of each report that the PostgreSQL stand-in inserts from now on,
+    also if the transaction is rolled back. The list stays empty for any other store."""
+    owners: list[str] = []
+    if r.pg is not None:
+        r.pg.db.create_function("record_owner", 1, owners.append)
+        r.pg.db.execute(
+            "CREATE TEMP TRIGGER insert_owners AFTER INSERT ON reports "
+            "BEGIN SELECT record_owner(new.owner); END"
+        )
+    return owners
+
+
 @pytest.mark.parametrize(("work", "past_window"), [("sqlite", True), ("postgres", False), ("group", True)])
 def test_a_process_suspended_at_any_step_does_nothing_twice(
     work: str, past_window: bool, tmp_path: Path
@@ -52,6 +65,7 @@
         if past_window:
             with_short_window(r)
         await start_members(r, "stop", point)
+        insert_owners = record_insert_owners(r)
         first, others = r.processes[0], [p.port for p in r.processes[1:]]
         began, report = time.monotonic(), Report("k1", b"level=3.2")
         reply_task = asyncio.create_task(send_report(report, first.port))
@@ -62,18 +76,56 @@
         if past_window and retry_task.done():
             await asyncio.sleep(max(0.0, began + SHORT_WINDOW_S + 0.1 - time.monotonic()))
         first.resume()
-        status, retry_status = (await reply_task)[0], await retry_task
+        status = (await reply_task)[0]
+        has_inserted = any(owner.startswith(f"{first.name}.") for owner in insert_owners)
+        retry_status = await retry_task
         await r.wait_until_converged("after it goes on")
         await r.wait_until_none_open()
         late_status = await retry_until_ok(Report("k1", report.body), [first.port])
         as_expected = (retry_status, late_status, r.archive.effects) == (200, 200, {"k1": 1})
-        # Status 503 says that nothing was done, which is true only of an attempt that has not begun.
-        as_expected = as_expected and (status != 503 or point == "before Insert")
+        # Status 503 says that nothing was done, which is true only of an attempt that has not begun. With a
+        # database server, the insert waits in the process for a connection and is dropped if too little time
+        # is left when it gets one: then the server has received no insert of this process.
+        is_queued = work == "postgres" and point == "after Insert"
+        not_begun = point == "before Insert" or (is_queued and not has_inserted)
+        as_expected = as_expected and (status != 503 or not_begun)
         return "fine" if as_expected else str((status, retry_status, late_status, r.archive.effects))
 
     run_at_each_point(suspend, work, tmp_path, 6, 120)
 
 
+def test_an_insert_queued_past_its_deadline_never_reaches_the_server(tmp_path: Path) -> None:
+    """The answer 503 says that nothing was done: the server must have received no insert and hold no row."""
+
+    async def main() -> None:
+        r = Round(Plan(1, 3, work="postgres"), tmp_path, relayed=False)
+        assert r.pg is not None
+        statements: list[str] = []
+
+        async def record_statement(statement: str) -> None:
+            statements.append(statement)
+
+        try:
+            await start_members(r, "stop", "after Insert")
+            r.pg.faults.before_statement = record_statement
+            first, report = r.processes[0], Report("k1", b"level=3.2")
+            reply_task = asyncio.create_task(send_report(report, first.port))
+            await wait_until_stopped(first)
+            await asyncio.sleep(DEADLINE_S)
+            first.resume()
+            assert (await reply_task)[0] == 503
+            await r.wait_until_converged("after it goes on")
+            assert not [s for s in statements if s.startswith("INSERT INTO reports ")]
+            assert (read_rows(r.folder, r.pg), r.archive.effects) == ([], {})
+            assert await retry_until_ok(Report("k1", report.body), [first.port]) == 200
+            assert [s for s in statements if s.startswith("INSERT INTO reports ")]
+            assert r.archive.effects == {"k1": 1}
+        finally:
+            await r.close()
+
+    run(main())
+
+
 # ---- each safeguard disabled in turn; the functions are named as in `tests.record.crashing.SAFEGUARDS`.
 # `options` are further arguments of the first process: those that disable the safeguard, or none.
 
