Operator's commands of maintenance: the work lasts until the test ends it

The work took 8 s, within which the test ran its commands; on a slow machine the machine had returned before the node was excluded. The work now ends when the test has seen the plan run. The drill has a method for it.

--- a/standins/machines.py
+++ b/standins/machines.py
@@ -172,9 +172,7 @@
             name, grant = (await reader.readline()).split()
             machine = next(m for m in self.machines if m.name == name.decode())
             machine.begin(int(grant))
-            await asyncio.sleep(
-                self.work_duration_s or Random(f"{self.plan.seed} {machine.name}").uniform(0.1, 1.2)
-            )
+            await self.work(machine)
             machine.end()
             writer.write(b"0\n")
             await writer.drain()
@@ -183,6 +181,12 @@
         finally:
             writer.close()
 
+    async def work(self, machine: Machine) -> None:
+        """Does the work on that machine, which lasts for `work_duration_s` or a random time."""
+        await asyncio.sleep(
+            self.work_duration_s or Random(f"{self.plan.seed} {machine.name}").uniform(0.1, 1.2)
+        )
+
     @property
     def has_stop_fault(self) -> bool:
         return any("stop" in f.kind for f in self.plan.faults)
--- a/tests/maintenance/test_drill.py
+++ b/tests/maintenance/test_drill.py
@@ -14,7 +14,7 @@
 from standins import drill
 from standins.drill import Fault, Plan
 from standins.member_client import NoAnswer, NotExecuted
-from standins.machines import SUMMED_FIELDS, FAULT_WEIGHTS, LOAD_S, LIMITS, Round
+from standins.machines import SUMMED_FIELDS, FAULT_WEIGHTS, LOAD_S, LIMITS, Machine, Round
 from standins.process import Process
 from standins.world import ROOT, free_port
 
@@ -316,10 +316,20 @@
     return answer
 
 
+class WorkUntilReleased(Scenario):
+    """The work on a machine lasts until the test ends it, however long the commands before that take."""
+
+    def __init__(self, folder: Path, disabled: str) -> None:
+        super().__init__(folder, disabled)
+        self.may_end = asyncio.Event()
+
+    async def work(self, machine: Machine) -> None:
+        await self.may_end.wait()
+
+
 def test_the_operator_commands(tmp_path: Path) -> None:
     async def main() -> None:
-        r = Scenario(tmp_path, "nothing")
-        r.work_duration_s = 8.0
+        r = WorkUntilReleased(tmp_path, "nothing")
         await r.prepare()
         port = free_port()
         r.processes[0].env = {"LB_ADMIN": f"127.0.0.1:{port}"}
@@ -362,6 +372,7 @@
                 await asyncio.sleep(0.01)
             assert await admin(port, "disable-server n1a") == "OK\n"
             assert "runs" in (await ask("why", "m1"))[1]
+            r.may_end.set()
             await wait_for_output("to be found well by d0", "why", "m1")
             assert await admin(port, "enable-server n1a") == "OK\n"
             code, output = await ask("watch", "--most", "60")
