Router: each constant's comment names what it bounds and in which unit

Comments that served two constants spoke of "the first" and "the second"; they now name each constant and say what it changes. Docstrings that were questions or half sentences say what is returned. Three local names (most, two, times) are now limit, candidates and count.

--- a/magpiefront/router.py
+++ b/magpiefront/router.py
@@ -1,12 +1,13 @@
 """The Router: decides which server gets each request, and when to retry, hedge, refuse or probe.
 
-A Router does no I/O and reads no clock: `handle` takes an event with its time and returns the actions to
-carry out. Settings, events and actions are defined in magpiefront/interface.py. Times are microseconds.
-
-Every key has a home server by consistent hashing with bounded loads: when the home is at its cap, the key is
-hashed again with the number of the jump ("random-jump" consistent hashing). The other rules keep this correct
-and stable when servers, the origin or discovery fail. The sections are: constants, state, requests, server
-selection, outcomes, health, the server list, timers.
+A Router does no I/O and reads no clock: `handle` takes the time and an event and returns the actions to carry
+out. Settings, events and actions are defined in magpiefront/interface.py. Times are microseconds.
+
+Consistent hashing gives every key a home server, and the load of each server is bounded: when the home is at
+its cap, the key is hashed again together with the number of the jump, which leads to another server
+("random-jump" consistent hashing). The other rules keep placement correct and stable when servers, the origin
+or discovery fail. The sections are: constants, state, requests, server selection, outcomes, health, the
+server list, timers.
 """
 
 from __future__ import annotations
@@ -26,68 +27,90 @@
 
 # Placement and caps
 SLOTS_PER_SERVER = 96  # points on the ring of a server of average weight
-CAP_HEADROOM = 0.5  # cap of a server: (1 + CAP_HEADROOM) times the mean load (epsilon of bounded loads)
-MIN_FLEET_CAP = 20  # least cap of a server for all proxies together; each proxy's part is at least 1
-COLD_SPILL_SHARE = 0.5  # a cold server takes overflow up to this part of its warm share of the minimum cap
-MAX_JUMPS = 16  # ring positions tried for one attempt; then the least loaded of the servers seen gets it
-# A key gets one more home for each 1/HOMES_PER_MEAN_LOAD of a server's mean load that it causes by itself.
+# A server's cap is (1 + CAP_HEADROOM) times the mean number of requests in flight per server, in proportion
+# to its slots (CAP_HEADROOM is the epsilon of bounded loads).
+CAP_HEADROOM = 0.5
+# Lowest cap of a server (requests in flight) for all proxies together; each proxy's part is at least 1.
+MIN_FLEET_CAP = 20
+# A cold server may take overflow while its requests in flight, with the new one, are at most COLD_SPILL_SHARE
+# times the minimum cap times the share of its normal load that it can serve by now.
+COLD_SPILL_SHARE = 0.5
+MAX_JUMPS = 16  # ring positions tried for one attempt; if all are at their cap, the least loaded gets it
+# A key gets one more home for each 1/HOMES_PER_MEAN_LOAD of a server's mean load that its requests cause.
 HOMES_PER_MEAN_LOAD = 4.0
-# Requests counted per window to find popular keys: per server, and at least.
+# Requests are counted in windows to find popular keys. A window ends after COUNT_WINDOW_PER_SERVER requests
+# per server, but not before MIN_COUNT_WINDOW requests.
 COUNT_WINDOW_PER_SERVER, MIN_COUNT_WINDOW = 4, 256
 
 # Retry budget and hedging
-RETRY_BUDGET_PER_REQUEST = 0.05  # what each arriving request adds to the budget
-# The largest burst of retries, and what a retry costs after one of the CHEAP_OUTCOMES. After other outcomes
-# it costs 1 where the attempt may have run, and nothing where it did not.
+# Each arriving request adds this to the retry budget, and less while the admission gates are not fully open.
+RETRY_BUDGET_PER_REQUEST = 0.05
+# MAX_RETRY_BUDGET is the most that the budget can hold, and so bounds a burst of retries. A retry costs
+# CHEAP_RETRY_COST after one of the CHEAP_OUTCOMES; after any other outcome it costs 1 if the attempt may have
+# run, and nothing if it cannot have run.
 MAX_RETRY_BUDGET, CHEAP_RETRY_COST = 10.0, 0.25
 CHEAP_OUTCOMES = (Outcome.FULL, Outcome.RESET)
-HEDGE_DEVIATIONS = 3.0  # a hedged request is sent after the mean latency of hits and so many mean deviations
+# A request is hedged when its attempt has taken longer than the mean latency of its class's cache hits plus
+# HEDGE_DEVIATIONS times their mean deviation, but not before a quarter of the class's latency objective.
+HEDGE_DEVIATIONS = 3.0
 
 # Moving averages
 SMOOTHING = 0.05  # weight of the newest value in a moving average
-# Age at which a server's latency counts for nothing, and the least weight of the newest value in it.
+# A server's average latency is ignored when it has not been updated for LATENCY_MEMORY_US. A new value gets a
+# weight in it that grows with the time since the last update, and is at least MIN_LATENCY_WEIGHT.
 LATENCY_MEMORY_US, MIN_LATENCY_WEIGHT = 16_000_000, 0.1
 
 # Admission gates
-# A gate closes while its bad share exceeds the baseline by more than the first, and opens below the second.
+# A gate closes while its bad share exceeds the baseline by more than CLOSE_ABOVE, and reopens while the bad
+# share is less than OPEN_BELOW above the baseline.
 CLOSE_ABOVE, OPEN_BELOW = 0.25, 0.12
-# Share closed at each bad outcome, decay of the bad share at each arrival, and the least share admitted.
+# While a gate closes, each bad outcome takes the fraction CLOSE_STEP off the admitted share, but never leaves
+# less than MIN_ADMITTED_SHARE. Until the gate can reopen, each arrival takes at least the fraction
+# DECAY_PER_ARRIVAL off the bad share.
 CLOSE_STEP, DECAY_PER_ARRIVAL, MIN_ADMITTED_SHARE = 0.05, 0.01, 0.002
-DECAY_US = 2_000_000  # the bad share also decays with time, for a proxy that few requests reach
-# Time in which a gate reopens fully from a share of 1/REOPEN_RAMP (an eighth); below that the speed is
-# proportional to the share. Reopening faster than the servers' queues respond makes the gate oscillate.
+# An arrival takes the time since the previous one, divided by DECAY_US, off the bad share if that is more
+# than DECAY_PER_ARRIVAL: a proxy with few requests would otherwise keep its gate closed for too long.
+DECAY_US = 2_000_000
+# From 1/REOPEN_RAMP (an eighth) on, the admitted share grows at a rate of 1 in REOPEN_US; below that,
+# in proportion to the share. Reopening faster than the servers' queues respond makes the gate oscillate.
 REOPEN_US, REOPEN_RAMP = 8_000_000, 8.0
-# Reopening is so much faster, up to this part of the share at which the gate last began to close.
+# The admitted share grows FAST_REOPEN_FACTOR times as fast while it is below FAST_REOPEN_LIMIT times the
+# share at which the gate last began to close.
 FAST_REOPEN_FACTOR, FAST_REOPEN_LIMIT = 4.0, 0.7
 
 # Traffic to servers with bad outcomes
-# Part of a server's traffic share that a bad outcome takes away, and the least share.
+# A bad outcome takes the fraction TRAFFIC_SHARE_STEP off the server's traffic share, but never leaves less
+# than MIN_TRAFFIC_SHARE.
 TRAFFIC_SHARE_STEP, MIN_TRAFFIC_SHARE = 0.2, 0.05
-# A server's traffic share stays reduced while its bad share exceeds the first, and the second times the
-# fleet's bad share.
+# A server's traffic share stays reduced while the share of its outcomes that are bad exceeds both
+# MIN_TOLERATED_BAD_SHARE and TOLERATED_BAD_RATIO times the fleet's bad share.
 MIN_TOLERATED_BAD_SHARE, TOLERATED_BAD_RATIO = 0.1, 1.5
 
 # Suspected servers (outlier ejection)
-# A server is suspected when its failures in a row are as improbable as this at the fleet's own bad share.
+# A server becomes a suspect when the probability that a server with the fleet's bad share fails as many times
+# in a row is lower than this.
 SUSPECT_PROBABILITY = 1e-3
-MAX_SUSPECT_SHARE = 0.5  # of the servers
+MAX_SUSPECT_SHARE = 0.5  # no more servers become suspects once this share of the servers are suspects
 
-# A process may be delayed this long between reading its clock and writing a request. Retry windows are cut by
-# it, by half of the window at most.
+# The longest delay that is expected between this process reading its clock and writing a request. Each retry
+# window is shortened by it, but by no more than half of the window.
 MAX_PROCESS_DELAY_US = 150_000
 
-# Wait of a suspected server for its first trial, and the longest wait after failed ones. The first is also
-# the Retry-After of refusals, where that is permitted.
+# Mean wait of a suspect for its first trial, which is also the longest Retry-After of refusals, if that is
+# permitted. The wait doubles after each failed trial, up to MAX_TRIAL_BACKOFF_US.
 MIN_TRIAL_BACKOFF_US = 500_000
 MAX_TRIAL_BACKOFF_US = 8_000_000
 
-# Discovery. Parts of `ask_every_us`: spread of the first watch, backoff after the first failed one.
+# Discovery. Both are fractions of `ask_every_us`: the first watch starts at a random time within
+# FIRST_WATCH_SPREAD of it, and the backoff after the first failed watch is at most FIRST_WATCH_BACKOFF of it
+# and then doubles.
 FIRST_WATCH_SPREAD, FIRST_WATCH_BACKOFF = 0.1, 0.05
-# Discovery counts as heard 6 s after it can be reached again, so the backoff must be shorter.
+# A proxy must have the current list 6 s after discovery can be reached again, so the backoff must be shorter.
 MAX_WATCH_BACKOFF_US = 3_000_000
-PLACE_POINTS_PER_TURN = 32 * SLOTS_PER_SERVER  # ring points that are changed in one turn of the loop
-PLACE_POINTS_PER_BUSY_TURN = 16 * SLOTS_PER_SERVER  # the same while requests are open
-# The list reports a restart within this time; an earlier start time was read from another clock.
+PLACE_POINTS_PER_TURN = 32 * SLOTS_PER_SERVER  # ring points that are changed in one turn of the event loop
+PLACE_POINTS_PER_BUSY_TURN = 16 * SLOTS_PER_SERVER  # the same while requests are pending
+# A change of the list reports a restart within this time after it. An older start time was read from a clock
+# that differs from this proxy's.
 MAX_START_NEWS_AGE_US = 600_000_000
 
 
@@ -95,9 +118,9 @@
     """A server of the list and its health, as this proxy sees it.
 
     `warm_at` is when its slow start ends. `trial_at` is when a suspect may be tried next, and
-    `trial_backoff_us` the wait before that. `down` says that a suspect could not be connected to. `failures`
-    counts failures in a row. `in_flight` includes `predecessor_load`, the requests that the process replaced
-    by this one still has there. `slots` is its number of points on the ring.
+    `trial_backoff_us` the mean wait before that. `down`: it is a suspect because a connection to it failed.
+    `failures` counts failures in a row. `in_flight` includes `predecessor_load`, the requests that the
+    process replaced by this one still has there. `slots` is its number of points on the ring.
     """
 
     __slots__ = (
@@ -110,13 +133,13 @@
         self.name, self.zone, self.cell = name, "", -1
         self.slots = self.in_flight = self.started_at = self.warm_at = self.responded_at = 0
         self.failures = self.trial_backoff_us = self.suspect_since = self.trial_at = self.predecessor_load = 0
-        self.latency_us, self.latency_at = 0.0, 0  # moving average over reads, and when it last changed
-        self.traffic_share = 1.0  # share of its keys that it is sent
+        self.latency_us, self.latency_at = 0.0, 0  # moving average over reads, and when it was last updated
+        self.traffic_share = 1.0  # share of its keys for which it gets the requests
         self.suspect = self.down = self.trial_in_flight = self.origin = False
 
 
 class Attempt:
-    """One sending of a request to a server."""
+    """One sending of a request to a server. `outstanding`: it has not ended yet."""
 
     __slots__ = ("may_have_run", "outstanding", "sent_at", "server")
 
@@ -125,11 +148,11 @@
 
 
 class PendingRequest:
-    """A request, kept until it has its final answer and all its attempts have returned.
+    """A request, kept until it has its final answer and all its attempts have ended.
 
-    `done`: it has its final answer. `needs_fetch`: it probably has to be fetched from the origin.
-    `to_origin`: it is sent to the origin itself. `next_jump`: number of the ring position to try next. No
-    attempt begins or lasts past `expires_at`.
+    `done`: it has its final answer. `needs_fetch`: the server probably has to fetch the response from the
+    origin. `to_origin`: it is sent to the origin itself. `next_jump`: number of the ring position to try
+    next. No attempt begins or lasts past `expires_at`. `outstanding`: how many attempts have not ended yet.
     """
 
     __slots__ = (
@@ -147,15 +170,15 @@
         self.done = self.to_origin = self.needs_fetch = False
 
     def first_executed(self) -> Attempt | None:
-        """The first attempt that may have run at its server, if any."""
+        """Returns the first attempt that may have run at its server; None if there is none."""
         return next((a for a in self.attempts if a.may_have_run), None)
 
 
 class AdmissionGate:
-    """Sheds load while something is overloaded: admits a share of the keys.
+    """Sheds load while the servers or the origin are overloaded: admits a share of the keys.
 
-    Bad outcomes lower `share`; time raises it again. `bad_share` is the moving average of the share of bad
-    outcomes, and `baseline` the part of it that has another cause and does not close this gate.
+    Bad outcomes lower `share`; it rises again with time. `bad_share` is the moving average of the share of
+    bad outcomes, and `baseline` the part of it that has another cause and does not close this gate.
     """
 
     __slots__ = ("bad_share", "baseline", "closing", "share", "share_before_closing")
@@ -165,7 +188,7 @@
         self.share_before_closing, self.closing = 1.0, False
 
     def record_outcome(self, bad: bool) -> None:
-        """Counts an outcome, and closes the gate by a step where too many are bad."""
+        """Counts an outcome. A bad one closes the gate by a step if too many are bad."""
         self.bad_share += SMOOTHING * (bad - self.bad_share)
         if bad and self.bad_share > self.baseline + CLOSE_ABOVE:
             if not self.closing:
@@ -173,21 +196,23 @@
             self.share = max(MIN_ADMITTED_SHARE, self.share * (1 - CLOSE_STEP))
 
     def record_arrival(self, since_us: int) -> None:
-        """Reopens the gate for the time since the last arrival, or lets the bad share decay."""
+        """Handles an arrival `since_us` after the previous one: reopens the gate according to that time, or
+        lets the bad share decay."""
         if self.bad_share < self.baseline + OPEN_BELOW:
             self.closing = False
-            # Fast to near the share at which the gate last began to close, slowly from there. Under lasting
-            # overload each closing lowers that mark; after a short burst little is refused.
+            # Fast until close to the share at which the gate last began to close, then slowly. Under lasting
+            # overload each closing begins at a lower share; after a short burst few requests are refused.
             factor = FAST_REOPEN_FACTOR if self.share < FAST_REOPEN_LIMIT * self.share_before_closing else 1.0
             self.share = min(
                 1.0, self.share + factor * min(1.0, REOPEN_RAMP * self.share) * since_us / REOPEN_US
             )
-        elif self.share < 1:  # few requests are admitted, so old outcomes have to lose weight by themselves
+        elif self.share < 1:  # with few admitted requests, new outcomes alone would not replace the old ones
             self.bad_share *= 1 - min(0.5, max(DECAY_PER_ARRIVAL, since_us / DECAY_US))
 
 
 class ReadLatency:
-    """Mean latency of reads over all servers (us): of cache hits, of fetches from the origin, and of all."""
+    """Moving averages of the latency of reads at all servers (us): of cache hits (`hit`), of reads that were
+    fetched from the origin (`fetched`, 0 before the first), and of all reads (`all`)."""
 
     __slots__ = ("all", "fetched", "hit")
 
@@ -196,7 +221,8 @@
         self.fetched = 0.0
 
     def record(self, elapsed_us: int, fetched: bool) -> float:
-        """Counts a read. Returns the server's own part of it: queueing and work without the fetch."""
+        """Counts a read. Returns the server's own part of its latency (us): queueing and work, but not the
+        fetch."""
         self.all += SMOOTHING * (elapsed_us - self.all)
         if not fetched:
             self.hit += SMOOTHING * (elapsed_us - self.hit)
@@ -214,7 +240,7 @@
         self.configure(settings)
         self.servers: dict[str, Server] = {}  # listed as ready, and not excluded by an operator
         self.listed: dict[str, ServerEntry] = {}  # the whole list
-        self.excluded: set[str] = set()  # by an operator, whatever the list says
+        self.excluded: set[str] = set()  # excluded by an operator, whatever the list says
         self.origin: dict[str, Server] = {}
         self.placement = Placement[Server]()
         self.placement_scheduled = False  # a timer is set to continue the changes of the ring
@@ -222,14 +248,15 @@
         self.failing_count = 0  # servers whose last answer was a failure
         self.predecessor_loaded: set[str] = set()  # servers where the replaced process has requests in flight
         self.pending: dict[str, PendingRequest] = {}
-        # Two windows of requests: by key, and the keys that servers hold as far as is known.
+        # For the current and the previous window: the number of requests for each key, and the keys that some
+        # server probably has in its cache.
         self.key_counts, self.previous_key_counts = dict[int, int](), dict[int, int]()
         self.cached_keys, self.previous_cached_keys = set[int](), set[int]()
         self.counted_requests = self.previous_counted_requests = 0
         self.retry_budget = MAX_RETRY_BUDGET
-        # For overloaded servers, and for an overloaded origin.
+        # `server_gate` sheds load while the servers are overloaded, `origin_gate` while the origin is.
         self.server_gate, self.origin_gate = AdmissionGate(), AdmissionGate()
-        # The unit is the weight that gets SLOTS_PER_SERVER slots; 0 until a list has weights.
+        # A server of weight `weight_unit` gets SLOTS_PER_SERVER slots; 0 until a list has weights.
         self.fleet_bad_share, self.weight_unit = 0.0, 0.0
         self.read_latency = ReadLatency(min((c.aim_us for c in settings.classes), default=0) / 4)
         self.watch_at = self.failed_watches = self.last_arrival_at = 0
@@ -237,7 +264,7 @@
         self.actions: list[Action] = []
 
     def configure(self, settings: Settings) -> None:
-        """Takes new settings. Requests that are pending keep their class and number of attempts."""
+        """Applies new settings. Pending requests keep their class and their limit of attempts."""
         self.settings = settings
         self.retry_after_us = (
             min(MIN_TRIAL_BACKOFF_US, settings.max_retry_after_us) if settings.retry_after else 0
@@ -249,11 +276,11 @@
         }
 
     def handle(self, now_us: int, event: Event) -> list[Action]:
-        """Takes an event at a time and returns the actions to carry out, in order."""
+        """Handles an event that occurs at `now_us` and returns the actions to carry out, in order."""
         self.actions = []
         if not self.started:
             self.started = True
-            # At a random time, because a rollout or a power cut starts many proxies at once.
+            # At a random time, because many proxies start at once in a rollout or after a power cut.
             if self.settings.subscribe:
                 self._schedule_watch(
                     now_us, self.random.random() * FIRST_WATCH_SPREAD * self.settings.ask_every_us
@@ -299,9 +326,9 @@
         pending = self.pending[event.request] = PendingRequest(event, cls, now, self.settings)
         pending.to_origin = event.write and bool(self.origin)
         seen = self._count_key(pending.key)
-        # The key's share of the load is estimated without the current request, which is always seen once, and
-        # shrunk towards zero by as many further requests as there are servers: a key that comes twice by
-        # chance gets HOMES_PER_MEAN_LOAD further homes at most.
+        # The key's share of the load is estimated from all requests but the current one, which is for this
+        # key in any case. One request for other keys is added per server, which shrinks the estimate towards
+        # zero: a key that is requested twice by chance gets at most HOMES_PER_MEAN_LOAD further homes.
         others, servers = (
             self.counted_requests + self.previous_counted_requests - 1, max(1, len(self.servers)),
         )  # fmt: skip
@@ -316,8 +343,8 @@
         self.server_gate.record_arrival(since)
         self.origin_gate.record_arrival(since)
         pending.needs_fetch = event.write or not self._is_cached(pending.key)
-        # By the key's hash, so that all proxies admit the same keys. A key that comes more often is more
-        # likely to be fetched.
+        # The key's hash decides, so that all proxies admit the same keys. The more often a key is requested,
+        # the more likely the origin's gate admits it.
         if unit_interval(pending.key) >= min(
             self.server_gate.share, self.origin_gate.share * seen if pending.needs_fetch else 1.0
         ):
@@ -326,12 +353,13 @@
         if pending.needs_fetch and not event.write:
             pending.expires_at = pending.deadline
         if homes > 1 and self.placement:
-            # Of two random homes, the one with the lower latency: all proxies together even out load that
-            # none of them sees.
-            most = 1 + (homes - 1) * self.origin_gate.share
-            two = [int(self.random.random() * most) for _ in range(2)]
+            # Start at the one of two random homes that has the lower latency. In this way all proxies
+            # together even out load that no single proxy sees.
+            limit = 1 + (homes - 1) * self.origin_gate.share
+            candidates = [int(self.random.random() * limit) for _ in range(2)]
             pending.next_jump = min(
-                two, key=lambda j: self._expected_latency(now, self.placement.owner(nth_hash(pending.key, j)))
+                candidates,
+                key=lambda j: self._expected_latency(now, self.placement.owner(nth_hash(pending.key, j))),
             )
         self._start_attempt(now, pending)
 
@@ -339,7 +367,8 @@
         return key in self.cached_keys or key in self.previous_cached_keys
 
     def _count_key(self, key: int) -> int:
-        """Counts a request for a key. Returns how many came for it in the current and the previous window."""
+        """Counts a request for a key. Returns how many there were in the current and the previous
+        window."""
         if self.counted_requests >= max(MIN_COUNT_WINDOW, COUNT_WINDOW_PER_SERVER * len(self.servers)):
             (
                 self.previous_key_counts, self.previous_counted_requests,
@@ -351,8 +380,8 @@
         return self.key_counts[key] + self.previous_key_counts.get(key, 0)
 
     def _start_attempt(self, now: int, pending: PendingRequest) -> bool:
-        """Sends the request to a server. Where none can take it, answers it, unless an attempt is still out.
-        Returns whether it was sent."""
+        """Sends the request to a server and returns True. If no server can take it, returns False, after
+        giving the final answer unless an attempt is still outstanding."""
         server = self._pick_server(now, pending)
         if server is None:
             if not pending.outstanding:
@@ -382,7 +411,7 @@
     # ---- server selection
 
     def _pick_server(self, now: int, pending: PendingRequest) -> Server | None:
-        """The server for the next attempt, or None where no server may get it."""
+        """Returns the server for the next attempt; None if no server may get it."""
         if not (self.origin if pending.to_origin else self.placement):
             return None
         if pending.to_origin:
@@ -420,34 +449,39 @@
                 spilled = True
                 if not best or server.in_flight * best.slots < best.in_flight * server.slots:
                     best = server
-        # All are at their cap: a cold server that is nearly idle, or else the least loaded. When most of a
-        # fleet has just started, the few warm servers would otherwise take all that the cold ones do not.
+        # No position led to a server below its cap: take a cold server that is nearly idle, or else the least
+        # loaded server. When most of a fleet has just started, the few warm servers would otherwise get all
+        # requests that the cold ones do not take.
         return self._choose(cold or best) if best else None
 
     def _expected_latency(self, now: int, server: Server | None) -> float:
-        """The server's own latency (us), drawn towards the mean of all servers as it grows old."""
+        """Returns the server's own latency (us). The longer ago it was updated, the closer the result is to
+        the mean latency of cache hits at all servers."""
         if server is None or not server.latency_us:
             return self.read_latency.hit
         fresh = 1 - (now - server.latency_at) / LATENCY_MEMORY_US
         return self.read_latency.hit + max(0.0, fresh) * (server.latency_us - self.read_latency.hit)
 
     def _avoids_as_slow(self, now: int, server: Server) -> bool:
-        """Guards against queues that no single proxy sees: with at most one request of its own at a server,
-        the cap says nothing of what other proxies have there, but the server's latency does. The decision is
-        random, so that not all requests leave at once and those for keys that others request too still
-        come."""
+        """Returns whether to avoid a server whose latency is above the mean of all reads. This guards against
+        queues that no single proxy sees: to a proxy with at most one request of its own at a server, the cap
+        says nothing about the requests of other proxies there, but the server's latency does. The decision is
+        random, so that not all requests leave the server at once, and it still gets some of the requests for
+        keys that other proxies request too."""
         latency = self._expected_latency(now, server)
         return latency > self.read_latency.all and self.random.random() > self.read_latency.all / latency
 
     def _choose(self, server: Server) -> Server:
-        """Marks the trial of a suspect as begun. Only here: a trial begun by looking at a server that was
-        then not chosen never ended, and the server stayed ejected for good."""
+        """Returns the server; marks its trial as begun if it is a suspect. That is done only here, for the
+        server that is chosen: when a trial also began at a suspect that was only considered, it never ended,
+        and the server stayed ejected for good."""
         server.trial_in_flight = server.trial_in_flight or server.suspect
         return server
 
     def _may_follow(self, pending: PendingRequest, executed: Attempt | None, server: Server) -> bool:
-        """May the server get a further attempt? It must be another server and, where a keyed request may have
-        run, one that shares its record of keys."""
+        """Returns whether the server may get a further attempt. It must be one without an attempt so far. If
+        the request is keyed and may have run, the server must also share its record of keys with the server
+        of `executed`, the first attempt that may have run."""
         if any(a.server.name == server.name for a in pending.attempts):
             return False
         if executed is None or pending.cls.repeat is not Repeat.KEYED or pending.cls.group is DedupScope.ALL:
@@ -459,14 +493,16 @@
         )
 
     def _admits_while_cold(self, now: int, server: Server) -> bool:
-        """Slow start: a cold server gets the part of its requests that it can serve by now. Every kind of
-        attempt is checked here. The draw is by request and not by key, because one popular key with all its
-        requests can be as much load as all other keys."""
+        """Slow start: admits to a cold server the share of its requests that it can serve by now. It is asked
+        only about first attempts that have not spilled from another server. The random draw is made for each
+        request and not for each key, because the requests for one popular key can be as much load as those
+        for all other keys."""
         share = self._warmth(now, server)
         return self.random.random() < share and server.in_flight < max(1, self.min_cap * share)
 
     def _warmth(self, now: int, server: Server) -> float:
-        """The part of its normal load, at least, that a starting server can serve by now."""
+        """Returns a lower estimate of the share of its normal load that a starting server can serve by now.
+        It grows linearly from `cold_from` to 1."""
         done = 1 - (server.warm_at - now) / max(1, self.settings.cold_us)
         return self.settings.cold_from + (1 - self.settings.cold_from) * max(0.0, done)
 
@@ -506,9 +542,9 @@
         return left and (executed is None or pending.cls.repeat is Repeat.SAFE or keyed)
 
     def _retry_window_end(self, pending: PendingRequest) -> int:
-        """When retries of a keyed request must have begun; 0 where there is no limit. The servers count the
-        window from the first attempt that may have run, and a retry must reach them within it. The time for
-        which this process may be delayed between reading its clock and writing is subtracted."""
+        """Returns the time before which a retry of a keyed request must begin; 0 if there is no limit. The
+        servers' window begins with the first attempt that may have run, and a retry must reach them within
+        it. The possible delay of this process between reading its clock and writing is subtracted."""
         executed = pending.first_executed() if pending.cls.repeat is Repeat.KEYED else None
         if executed is None:
             return 0
@@ -516,8 +552,8 @@
         return executed.sent_at + window - min(MAX_PROCESS_DELAY_US, window // 2)
 
     def _answer_unserved(self, pending: PendingRequest) -> None:
-        """Gives the final answer to a request that is not served: Refuse where the client may safely send it
-        again, Fail where it may have run and must not be repeated."""
+        """Gives the final answer to a request that is not served: Refuse if the client may safely send it
+        again, Fail if it may have run and must not be repeated."""
         keyed = pending.cls.repeat is Repeat.KEYED and pending.cls.group is DedupScope.ALL
         repeatable = pending.cls.repeat is Repeat.SAFE or keyed or pending.first_executed() is None
         self.actions.append(Refuse(pending.name, self.retry_after_us) if repeatable else Fail(pending.name))
@@ -525,8 +561,8 @@
         self._finish(pending, -1)
 
     def _finish(self, pending: PendingRequest, streaming: int) -> None:
-        """Forgets an answered request, or cancels the attempts that are still out, but for the number
-        `streaming` (-1: none), whose answer the client is getting."""
+        """Forgets an answered request that has no outstanding attempts. Otherwise cancels those, if that is
+        permitted, except attempt number `streaming` (-1: none), whose answer the client is receiving."""
         if not pending.outstanding:
             del self.pending[pending.name]
         elif self.settings.may_cancel:
@@ -588,8 +624,8 @@
                 # The answer would have taken at least this long.
                 self._record_latency(now, server, max(event.elapsed_us, self._expected_latency(now, server)))
             cached = self._is_cached(pending.key)
-            # A suspect's failures say something of that server alone, and a reset says something of its
-            # connection, not of the origin.
+            # A suspect's failures say something only about that server, and a reset says something about its
+            # connection, not about the origin.
             if representative and not server.suspect and outcome is not Outcome.RESET:
                 (
                     self.server_gate
@@ -608,7 +644,8 @@
         server.trial_in_flight = False
 
     def _record_latency(self, now: int, server: Server, latency: float) -> None:
-        """Updates the server's moving average; the older that is, the more the new value weighs."""
+        """Updates the server's average latency (us). The longer ago it was updated, the more the new value
+        weighs."""
         weight = (
             min(1.0, max(MIN_LATENCY_WEIGHT, (now - server.latency_at) / LATENCY_MEMORY_US))
             if server.latency_us
@@ -619,21 +656,23 @@
         )  # fmt: skip
 
     def _represents_fleet(self, server: Server) -> bool:
-        """Do outcomes of this server say something of the fleet? Not where its last answer was a failure,
-        unless most servers fail. Otherwise a third of the servers, failing permanently, raised the fleet's
-        bad share so far that none of them was suspected, and closed the admission gates for all keys."""
+        """Returns whether outcomes of this server count for the whole fleet. They don't if its last answer
+        was a failure, unless most servers fail. When they always counted, a third of the servers, failing
+        permanently, raised the fleet's bad share so far that none of them was suspected, and closed the
+        admission gates for all keys."""
         if not server.failures:
             return True
         return self.failing_count > MAX_SUSPECT_SHARE * len(self.servers)
 
-    def set_failures(self, server: Server, times: int) -> None:
-        """Sets how many times in a row the server has failed."""
+    def set_failures(self, server: Server, count: int) -> None:
+        """Sets how many times in a row the server has failed, and updates `failing_count`."""
         if self.servers.get(server.name) is server:
-            self.failing_count += (times > 0) - (server.failures > 0)
-        server.failures = times
+            self.failing_count += (count > 0) - (server.failures > 0)
+        server.failures = count
 
     def _mark_suspect(self, now: int, server: Server, down: bool) -> None:
-        """Ejects a server until a trial succeeds; after a failed trial, doubles the wait for the next."""
+        """Ejects a server until a trial succeeds, unless too many servers are suspects. After a failed trial,
+        doubles the wait for the next one. `down`: a connection to the server failed."""
         if not server.suspect:
             if self.servers.get(server.name) is not server or self.suspect_count >= MAX_SUSPECT_SHARE * len(
                 self.servers
@@ -656,8 +695,8 @@
         )  # fmt: skip
 
     def _may_try(self, now: int, server: Server) -> bool:
-        """May a request be the trial of this suspect? One that was unreachable is probed instead, where
-        probes are permitted."""
+        """Returns whether a request may be the trial of this suspect. A suspect that was unreachable is
+        probed instead, if probes are permitted."""
         if now < server.trial_at or server.trial_in_flight:
             return False
         if server.down and self.settings.may_probe:
@@ -676,7 +715,7 @@
     def _recover(self, now: int, server: Server, sent_at: int) -> None:
         """Ends the suspicion after an answer to an attempt that was sent at `sent_at`."""
         # A server that was unreachable has probably restarted and is cold, which the list reports only later.
-        # If it answers what was sent before it became suspected, it has not restarted but only refused a
+        # If it answers an attempt sent before it became a suspect, it has not restarted but only refused a
         # connection; slow start would then take most of its keys away for nothing.
         if server.down and sent_at >= server.suspect_since:
             server.warm_at = max(server.warm_at, now + self.settings.cold_us)
@@ -714,13 +753,14 @@
                 self._add_or_update(now, entry, event)
             else:
                 self._remove(entry.server)
-        # Not before the last part: how many servers join decides how they are placed.
+        # Only after the last part, because the number of joining servers decides how they are placed.
         if not event.more:
             self.placement.commit_joins()
             self._continue_placement()
 
     def _continue_placement(self) -> None:
-        """Continues the changes of the ring, in a further turn where there is too much for this one."""
+        """Applies waiting changes of the ring, as many as fit into one turn of the event loop. Sets a timer
+        to continue if some are left."""
         if not self.placement_scheduled and self.placement.apply_pending(
             PLACE_POINTS_PER_BUSY_TURN if self.pending else PLACE_POINTS_PER_TURN
         ):
@@ -728,9 +768,9 @@
             self.actions.append(SetTimer(0, "place"))
 
     def _on_operator_call(self, now: int, event: Exclude | Include) -> None:
-        """An excluded server leaves as a drained one does, so that no other rule has to know of it. It is
-        usually restarted meanwhile, and the list may report that late or never; so it is cold when it
-        returns."""
+        """Excludes a server, or includes it again. An excluded server is removed like one that has drained,
+        so that no other rule has to know about exclusion. It is usually restarted while it is excluded, and
+        the list may report that late or never; so it is cold when it returns."""
         name, excluded = event.server, event.server in self.excluded
         known = excluded or name in self.listed or (isinstance(event, Exclude) and event.known)
         if known and isinstance(event, Exclude) and not excluded:
@@ -753,8 +793,8 @@
         self._continue_placement()
 
     def _set_predecessor_load(self, server: Server, load: int) -> None:
-        """Counts the replaced process's requests as in flight: the two processes, which are one proxy during
-        the handover, keep one cap at each server."""
+        """Counts the requests that the replaced process has at this server as in flight here: during the
+        handover the two processes are one proxy and share one cap at each server."""
         difference, server.predecessor_load = load - server.predecessor_load, load
         if load:
             self.predecessor_loaded.add(server.name)
@@ -764,14 +804,15 @@
         self.in_flight += difference
 
     def _add_or_update(self, now: int, entry: ServerEntry, event: ServerList) -> None:
-        """Takes up a ready server's entry. A restart makes the server cold and clears its failures."""
+        """Adds or updates a ready server from its entry in the list `event`. A restart makes the server cold
+        and clears its failures."""
         server = self.servers.get(entry.server)
         if server is None:
             server = self.servers[entry.server] = Server(entry.server)
         weighted = (
             self.settings.weight_source in (WeightSource.NOMINAL, WeightSource.ROUGH) and entry.weight > 0
         )
-        # The unit is coarse, a power of 16, so that proxies with slightly different lists take the same.
+        # The unit is coarse, a power of 16, so that proxies with slightly different lists use the same unit.
         if weighted and not self.weight_unit:
             weights = [e.weight for e in event.entries if e.weight > 0]
             mean = event.mean_weight or sum(weights) / len(weights)
@@ -797,15 +838,15 @@
             self._clear_suspicion(server)
 
     def _start_time(self, now: int, started_at: int, kind: ListKind) -> int:
-        """When a server started, by this proxy's clock. The list gives the time of another wall clock, and
-        either may be wrong: a start in the future would keep the server cold for that much longer, and a
-        start that a change reports long afterwards would make it seem warm. In both cases it has started just
-        now."""
+        """Returns when a server started, by this proxy's clock. The list gives a time of another wall clock,
+        and either clock may be wrong. A start in the future would keep the server cold for that much longer,
+        and a start long before the change that reports it would make the server seem warm; both are replaced
+        by the current time."""
         late = kind is ListKind.PATCH and now - started_at > MAX_START_NEWS_AGE_US
         return now if late else min(started_at, now)
 
     def _remove(self, name: str) -> None:
-        """The server gets no requests from now on."""
+        """Removes a server from rotation: it gets no requests from now on."""
         server = self.servers.get(name)
         if server is not None:
             self._set_predecessor_load(server, 0)
@@ -815,7 +856,7 @@
             self.placement.remove(name)
 
     def in_flight_by_server(self) -> dict[str, int]:
-        """The number of requests in flight at each server that has any."""
+        """Returns the number of requests in flight at each server that has any."""
         busy = {a.server.name for p in self.pending.values() for a in p.attempts if a.outstanding}
         names = (busy | self.predecessor_loaded) & self.servers.keys()
         return {name: self.servers[name].in_flight for name in names}
