Placement, reuse and state: comments give bounds, units and what is returned

Bounds that two constants share are stated for each of them by name. Docstrings that only described an event ("Nothing was written on it") now say what the method does, and pronouns without a clear noun are gone. The masks of the hash lanes have a comment each.

--- a/magpiefront/hashing.py
+++ b/magpiefront/hashing.py
@@ -35,11 +35,12 @@
     return (hash_ >> 11) / (1 << 53)
 
 
-LANES = 96  # hashes computed at once
+LANES = 96  # hashes computed at once, each in its own lane of one large integer
 LANE_BITS = 128  # holds the product of a 64-bit hash and a 64-bit factor
 LANE_ONES = sum(1 << LANE_BITS * n for n in range(LANES))
-LANE_LOW = MASK_64 * LANE_ONES
-LANE_HIGH_48 = (MASK_64 >> 16 << 16) * LANE_ONES
+LANE_LOW = MASK_64 * LANE_ONES  # masks the lowest 64 bits of each lane
+LANE_HIGH_48 = (MASK_64 >> 16 << 16) * LANE_ONES  # masks bits 16 to 63 of each lane
+# Lane n holds the increments of n + 1 steps of SplitMix64.
 LANE_STEPS = sum(((n + 1) * GOLDEN & MASK_64) << LANE_BITS * n for n in range(LANES))
 LANE_WORDS = Struct(f"<{2 * LANES}Q")
 
@@ -47,7 +48,7 @@
 def _lane_points(seed: int) -> tuple[int, ...]:
     """Returns `nth_hash(seed, n)` for n below LANES, with the lowest 16 bits cleared.
 
-    All are computed at once as lanes of one large integer: the operations of `splitmix64` act on every lane.
+    All are computed at once as lanes of one large integer: each operation of `splitmix64` acts on all lanes.
     """
     x = (seed * LANE_ONES + LANE_STEPS) & LANE_LOW
     x = ((x ^ (x >> 30) & LANE_LOW) * 0xBF58476D1CE4E5B9) & LANE_LOW
--- a/magpiefront/placement.py
+++ b/magpiefront/placement.py
@@ -6,14 +6,14 @@
 removing a server therefore depends on its own number of points and not on the number of servers.
 
 Points of servers that left stay in the ring until there are many of them; one sweep over all buckets then
-removes them and rebuilds each bucket once. When many servers join at once, their points are appended unsorted
-and the same kind of sweep sorts them, which costs less than inserting or deleting them one by one. A bucket
-that is read before the sweep reaches it is sorted at that moment.
+removes them and rebuilds each bucket once. When many servers join at once, their points are appended
+unsorted, and the same kind of sweep sorts the buckets. A sweep costs less than inserting or deleting so many
+points one by one. A bucket that is read before the sweep reaches it is sorted at that moment.
 
 A removed server gets no keys from the moment of its removal: its points are skipped until `apply_pending` has
-deleted them. Added servers get keys only when all servers that joined in the same list have their points:
-between two calls of `apply_pending` the placement is that of a complete list, less the servers that have left
-since. No I/O and no clock.
+deleted them. Added servers get keys only when all servers that joined in the same list have their points.
+Between two calls of `apply_pending` the placement is therefore that of a complete list, without the servers
+that have left since. This module does no I/O and reads no clock.
 """
 
 from __future__ import annotations
@@ -30,22 +30,23 @@
 BUCKET_SHIFT = 64 - BUCKET_BITS
 INDEX_BITS = 16  # lowest bits of a point's word: the index of its server
 INDEX_MASK = (1 << INDEX_BITS) - 1
-# Joining servers are placed by a sweep when at least this many changes are waiting, and at least an eighth of
-# the number of servers on the ring.
+# Joining servers are placed by a sweep when the waiting changes are at least BULK_MIN_SERVERS, and at least
+# the number of servers on the ring divided by BULK_JOIN_DIVISOR (an eighth).
 BULK_MIN_SERVERS = 64
 BULK_JOIN_DIVISOR = 8
-# Servers that left keep their points until they are a quarter of BULK_MIN_SERVERS and a quarter of the ring.
+# Servers that left keep their points until there are at least BULK_MIN_SERVERS / LEFT_MIN_DIVISOR of them,
+# and at least the number of servers on the ring divided by LEFT_RING_DIVISOR (a quarter of each).
 LEFT_MIN_DIVISOR = 4
 LEFT_RING_DIVISOR = 4
-WORDS_PER_POINT = 8  # sweeping so many words of a bucket takes as long as inserting one point
-MAX_SERVERS = 1 << INDEX_BITS  # a server beyond this number gets no point, and so no request
+WORDS_PER_POINT = 8  # sweeping this many words of a bucket takes as long as inserting one point
+MAX_SERVERS = 1 << INDEX_BITS  # servers beyond this number get no points, and so no requests
 
 ServerT = TypeVar("ServerT")
 
 
 class RingMember(Generic[ServerT]):
     """The state of one server on the ring. `wanted` is the number of points that it should have, `placed` the
-    number that has been inserted."""
+    number of points that have been put into the buckets."""
 
     __slots__ = ("active", "index", "placed", "removal_scheduled", "seed", "server", "wanted")
 
@@ -88,7 +89,8 @@
         return bool(self._queue) or self._sweeping
 
     def put(self, name: str, server: ServerT, points: int) -> None:
-        """Adds a server, or changes its number of points."""
+        """Adds a server, or changes its number of points. `apply_pending` carries that out. A new server is
+        ignored if there are MAX_SERVERS already."""
         member = self._members.get(name)
         if member is None:
             index = self._new_index()
@@ -115,7 +117,7 @@
         self._queue.append(member)
 
     def commit_joins(self) -> None:
-        """Marks the end of a list: the servers added before it become active together."""
+        """Marks the end of a list: the servers added before this call become active together."""
         self._queue.append(None)
 
     def apply_pending(self, budget: int) -> bool:
@@ -157,7 +159,7 @@
         return None
 
     def _apply(self, member: RingMember[ServerT]) -> int:
-        """Brings a server to the number of points that it should have. Returns the cost in points."""
+        """Gives a server the number of points that it should have. Returns the cost in points."""
         if member.removal_scheduled:
             return 0
         placed_before, wanted = member.placed, member.wanted
--- a/magpiefront/reuse.py
+++ b/magpiefront/reuse.py
@@ -1,24 +1,28 @@
-"""Decides when a connection to a node may carry another request. No I/O and no clock.
-
-Answers carry no request id, so an answer can be matched with its request only if nothing else on the
-connection can still be answering. After an answer a connection therefore rests for a while (`RESTING`) and is
-watched before it carries another request; bytes that arrive while no request is in flight (stray bytes) close
-it. A connection that has carried a refusal, which proves that the request never ran, is not used again: a
-duplicate of that refusal would be taken for proof about another request. Times are seconds of any monotonic
-clock.
+"""Decides when a connection to a node may carry another request. Does no I/O and reads no clock.
+
+Answers carry no request id, so an answer can be matched with its request only if no answer to an earlier
+request can still arrive on the connection. After an answer a connection therefore rests for a while
+(`RESTING`) and is watched before it carries another request; bytes that arrive while no request is in flight
+(stray bytes) close it. A connection that has carried a refusal, which proves that the request never ran, is
+not used again: a duplicate of that refusal would be taken as proof that the next request never ran. Times are
+seconds of any monotonic clock.
 """
 
 from __future__ import annotations
 
 from enum import Enum
 
-# A duplicate of an answer that arrives after the rest, and after the next request was sent, is taken for the
-# answer to that request. What a longer rest costs is in docs/capacity.md.
+# Bounds of the rest. If a duplicate of an answer arrives after the rest, when the next request has been sent,
+# it is taken for the answer to that request. What a longer rest costs is in docs/capacity.md.
 MIN_REST_S = 0.35
 MAX_REST_S = 4.0
-MAX_DUPLICATE_DELAY_S = MAX_REST_S / 2  # later bytes are a node's final message on an idle connection
+# Bytes that arrive later than this after an answer are not a duplicate of it, but a node's final message on
+# an idle connection.
+MAX_DUPLICATE_DELAY_S = MAX_REST_S / 2
 DELAY_HALF_LIFE_S = 60.0  # the expected delay of duplicates falls by half in this time
-WRITE_STALL_S = 0.005  # if more time passes between a connection's check and the write, it is checked again
+# A connection is checked for stray bytes before a request is written. If more time than this passes between
+# the check and the write, it is checked again after the write.
+WRITE_STALL_S = 0.005
 
 
 class ConnectionState(Enum):
@@ -26,7 +30,7 @@
 
     CONNECTING = "connecting"
     BUSY = "busy"  # a request is in flight
-    RESTING = "resting"  # it has carried an answer, of which more bytes or a duplicate may still arrive
+    RESTING = "resting"  # more bytes or a duplicate of an answer that it has carried may still arrive
     IDLE = "idle"  # it may carry a request at once
     CLOSED = "closed"
 
@@ -45,8 +49,8 @@
 class ConnectionLifecycle:
     """The state of one connection and the transitions that are allowed.
 
-    `answers` counts the final answers that it has carried; `answered_at` is when the last of them was
-    complete, or when the connection was last released unused.
+    `answers` counts the final answers that the connection has carried; `answered_at` is when the last of them
+    was complete, or when the connection was last released unused.
     """
 
     __slots__ = ("answered_at", "answers", "state")
@@ -58,36 +62,39 @@
 
     @property
     def used(self) -> bool:
-        """True if it has carried an answer, of which more bytes or a duplicate may still arrive."""
+        """True if it has carried an answer: more bytes or a duplicate of that may still arrive."""
         return self.answers > 0
 
     def end_rest(self, now: float, rest_s: float) -> bool:
         """Makes a resting connection idle once it has rested for `rest_s`. Returns whether it is idle. The
-        comparison is written as in the pool, so that both round alike."""
+        comparison has the same form as in the pool, so that both round alike."""
         if self.state is ConnectionState.RESTING and self.answered_at <= now - rest_s:
             self.state = ConnectionState.IDLE
         return self.state is ConnectionState.IDLE
 
     def begin_request(self) -> None:
-        """A request is about to be written. Raises ValueError if this state does not allow it."""
+        """Makes the connection busy before a request is written. Raises ValueError if its state does not
+        allow a request."""
         if self.state not in (ConnectionState.CONNECTING, ConnectionState.IDLE):
             raise ValueError(f"a connection that is {self.state.value} carries no request")
         self.state = ConnectionState.BUSY
 
     def release_unused(self, now: float) -> None:
-        """Nothing was written on it, because its request had ended. It rests again if it was used before."""
+        """Releases a connection on which nothing was written, because its request had ended. It rests again
+        if it was used before, and is idle otherwise."""
         if self.state in (ConnectionState.CONNECTING, ConnectionState.IDLE):
             self.state = ConnectionState.RESTING if self.used else ConnectionState.IDLE
             self.answered_at = now
 
     def end_request(self, now: float, reusable: bool) -> None:
-        """The answer to the request in flight is complete. `reusable`: the connection may be used again."""
+        """Records that the answer to the request in flight is complete. The connection rests if it is
+        `reusable`, and is closed otherwise."""
         self.answers += 1
         self.answered_at = now
         self.state = ConnectionState.RESTING if reusable else ConnectionState.CLOSED
 
     def close(self) -> None:
-        """The connection carries nothing more."""
+        """Marks the connection as closed."""
         self.state = ConnectionState.CLOSED
 
     def stray_reason(self) -> StrayReason | None:
@@ -97,17 +104,18 @@
         return StrayReason.IDLE if self.state is ConnectionState.IDLE else None
 
     def precedes_request(self, sent: bool, unacknowledged: int) -> bool:
-        """True if the first bytes after a request were sent before the node can have had the whole request.
-        `sent`: all of the request has been written. `unacknowledged`: bytes that the node's machine has not
-        acknowledged. Segments that the node sends after it has the request acknowledge the request too, so
-        these bytes were sent earlier. On a connection that has carried no answer yet, they cannot belong to
-        another request."""
+        """Returns whether the first bytes that arrive after a request were sent before the node can have had
+        the whole request, so that they are not its answer. `sent`: all of the request has been written.
+        `unacknowledged`: how many bytes of it the node's machine has not acknowledged. A segment that the
+        node sends after it has the whole request also acknowledges the request; if the request is not
+        acknowledged, the bytes were sent earlier. On a connection that has carried no answer yet, they cannot
+        belong to another request."""
         return self.used and (not sent or unacknowledged > 0)
 
 
 class RestPolicy:
-    """How long connections rest. A late duplicate of an answer on any connection lengthens the rest of all,
-    since whatever duplicates answers may be anywhere on the path."""
+    """How long connections rest. A late duplicate of an answer on any connection lengthens the rest of all
+    connections, because whatever duplicates answers may be anywhere on the path."""
 
     __slots__ = ("_delay_s", "_recorded_at")
 
@@ -121,8 +129,8 @@
         return max(MIN_REST_S, min(MAX_REST_S, 2 * self._expected_delay_s(now)))
 
     def record_stray(self, delay_s: float, now: float) -> None:
-        """Stray bytes arrived `delay_s` seconds after the last answer on their connection. Those that are too
-        late to be a duplicate are ignored."""
+        """Takes into account that stray bytes arrived `delay_s` seconds after the last answer on their
+        connection. Bytes that are too late to be a duplicate are ignored."""
         if delay_s <= MAX_DUPLICATE_DELAY_S:
             self._delay_s, self._recorded_at = max(delay_s, self._expected_delay_s(now)), now
 
--- a/magpiefront/router_state.py
+++ b/magpiefront/router_state.py
@@ -15,7 +15,8 @@
 
 VERSION = 1
 State = dict[str, Any]
-MAX_TIME_US = 3_600_000_000  # one hour: the longest pause or time to come that is accepted
+# One hour: the longest wait, latency or time from now that an imported state may hold.
+MAX_TIME_US = 3_600_000_000
 
 
 class InvalidState(Exception):
@@ -23,9 +24,9 @@
 
 
 def export_state(router: Router, now_us: int) -> State:
-    """Returns the state for the next Router, as JSON-compatible values. Halves this Router's retry budget and
-    gives the next one the other half: together they repeat no more requests than one would, and this one only
-    has its last requests to finish."""
+    """Returns the state for the next Router, as JSON-compatible values. The next Router gets half of the
+    retry budget and this one keeps the other half, so that together they send no more retries than one would.
+    Half is enough here, because this Router only has to finish the requests that it already has."""
     router.retry_budget /= 2
     return {
         "version": VERSION,
@@ -72,13 +73,13 @@
 
 
 def checked_key(value: Any) -> int:
-    """Returns the hash of a key. Raises InvalidState."""
+    """Returns the 64-bit hash of a key. Raises InvalidState."""
     return checked_int(value, 0, (1 << 64) - 1)
 
 
 def import_state(router: Router, state: Any, now_us: int) -> None:
-    """Applies an exported state to the servers that this Router has. Raises InvalidState; nothing has changed
-    then."""
+    """Applies an exported state. The state of servers that this Router does not have is ignored. Raises
+    InvalidState; the Router is unchanged then."""
     try:
         if state["version"] != VERSION:
             raise InvalidState
--- a/magpiefront/settings.py
+++ b/magpiefront/settings.py
@@ -1,4 +1,4 @@
-"""Reads `Settings` from a JSON object: the simulator's first message and a proxy's configuration hold one."""
+"""Reads `Settings` from the JSON object in the simulator's first message or in a proxy's configuration."""
 
 from __future__ import annotations
 
@@ -22,8 +22,9 @@
 
 
 def positive_number(fields: Fields, name: str, where: str) -> float:
-    """Returns a finite number above 0. Text, true, NaN or infinity would otherwise fail only where the number
-    is used. `where` is the path of the object, for messages. Raises MissingField or BadField."""
+    """Returns a field's value, a number above 0 and below 1e18. Without this check text, true, NaN or
+    infinity would fail only when the number is used. `where` is the path of the object, for messages. Raises
+    MissingField or BadField."""
     value = require_field(fields, name, where)
     if isinstance(value, bool) or not isinstance(value, int | float) or not 0 < value < 1e18:
         raise BadField(f"{where}{name} must be a number above 0, not {str(value)[:40]}")
