Interface, command line and adapter: plain wording, and who answers whom

"Where" in the sense of "if", "a request has come" and "hand in" are replaced. ClientLeft is also sent when a deadline has passed, which its docstring did not say.

--- a/magpiefront/__main__.py
+++ b/magpiefront/__main__.py
@@ -1,13 +1,13 @@
 """Command line of magpiefront: runs a proxy from its start to its last answer, or an operator's command.
 
 python -m magpiefront [--operator FILE]    runs a proxy. FILE (or LB_OPERATOR) adds the operator's stages;
-                                           without either it is the platform's proxy alone
-python -m magpiefront check FILE           reports what is wrong with an operator's file, starts nothing;
-                                           with LB_CONFIG also what the file lacks for that configuration
+                                           without either, only the platform's proxy runs
+python -m magpiefront check FILE           reports errors in an operator's file and starts nothing; if
+                                           LB_CONFIG is set, also what the file lacks for that configuration
 python -m magpiefront record COMMAND       works on the store of record that --operator FILE names
 python -m magpiefront group COMMAND        works on the group that --operator FILE names
-python -m magpiefront maintenance COMMAND  takes machines out for maintenance, in an order that the group
-                                           decides
+python -m magpiefront maintenance COMMAND  takes machines out of service for maintenance, in an order that
+                                           the group decides
 """
 
 from __future__ import annotations
@@ -43,13 +43,14 @@
 if TYPE_CHECKING:  # imported at run time only if there is an operator's file
     from magpiefront.operator.file import OperatorConfig
 
-RESERVED_DESCRIPTORS = 32 + MAX_CALLERS  # file descriptors that are kept from clients and nodes
-SWEEP_INTERVAL_S = 0.5
+RESERVED_DESCRIPTORS = 32 + MAX_CALLERS  # file descriptors that clients and nodes may not use
+SWEEP_INTERVAL_S = 0.5  # how often the timeouts of connections are checked
 START_POLL_S = 0.002  # how often the start checks whether discovery has a list
 
 
 def callback_error(context: dict[str, Any]) -> str:
-    """Returns the log text for an exception in a callback. It ends that connection, not the proxy."""
+    """Returns the log text for an exception in a callback of the event loop. The exception ends the
+    connection concerned, not the proxy."""
     error = context.get("exception")
     return "".join(traceback.format_exception(error)) if error is not None else str(context.get("message"))
 
@@ -89,13 +90,13 @@
     upgrade_path = socket_path(settings.listen, os.environ) if settings.admin is not None else None
     handover_client = HandoverClient(upgrade_path) if upgrade_path is not None else None
 
-    shutdowns: list[Shutdown] = []  # empty until the shutdown begins; then that one
+    shutdowns: list[Shutdown] = []  # empty until the shutdown begins, then a single element
     sigterm_us = 0  # when the shutdown began, by the proxy's clock
 
     def reload() -> None:
-        """Handles SIGHUP: applies the configuration and the operator's file as they are now. Otherwise SIGHUP
-        would end the process, or it would keep using a discovery service that is being shut down. An invalid
-        configuration changes nothing."""
+        """Handles SIGHUP: applies the configuration and the operator's file as they are now. Without a
+        handler SIGHUP would end the process; if the handler ignored it, the process would keep using a
+        discovery service that is being shut down. An invalid configuration changes nothing."""
         try:
             new_config = config.reload(os.environ, proxy.config)
             new_operator = None if operator is None else read_operator(str(operator.path))
@@ -169,7 +170,7 @@
         composition.begin_recovery()
 
     def sweep() -> None:
-        loop.call_later(SWEEP_INTERVAL_S, sweep)  # first: an exception below must not end the sweeps
+        loop.call_later(SWEEP_INTERVAL_S, sweep)  # comes first: an exception below must not end the sweeps
         proxy.sweep()
         front.sweep()
         admin.sweep()
@@ -178,7 +179,7 @@
 
     sweep()
     proxy.tick()
-    # The objects that exist by now live as long as the process, so the garbage collector can skip them.
+    # The objects that exist by now live as long as the process, so the garbage collector need not check them.
     gc.collect()
     gc.freeze()
     gc.set_threshold(50_000, 50, 100)
@@ -212,7 +213,7 @@
 
 
 def read_operator(path: str) -> OperatorConfig:
-    """Reads and checks an operator's file. Raises BadConfig."""
+    """Returns the checked content of an operator's file. Raises BadConfig."""
     try:
         from magpiefront.operator.compose import load_and_check, expand_path
         from magpiefront.operator.parsing import BadFile
@@ -225,7 +226,8 @@
 
 
 def check_coverage(path: str, operator: OperatorConfig, settings: config.Config) -> None:
-    """Raises BadConfig if the operator's file does not fit the request classes of the platform's file."""
+    """Raises BadConfig if [record] in the operator's file does not fit the request classes in the platform's
+    configuration."""
     from magpiefront.operator.compose import check_takeover_windows
 
     for line in check_takeover_windows(operator, settings.settings.classes):
@@ -233,7 +235,8 @@
 
 
 def load_operator(args: argparse.Namespace, subject: str) -> OperatorConfig:
-    """Reads the operator's file for a command that needs it to find `subject`. Raises BadConfig."""
+    """Returns the content of the operator's file for a command that finds `subject` there. Raises BadConfig
+    if no file is given or it is invalid."""
     path = args.own_operator or args.operator or os.environ.get("LB_OPERATOR")
     if not path:
         raise config.BadConfig(f"{args.command}: --operator FILE (or LB_OPERATOR) must name {subject}")
--- a/magpiefront/interface.py
+++ b/magpiefront/interface.py
@@ -1,7 +1,7 @@
-"""What goes into a Router and what comes out of it: settings, events and actions.
+"""The interface of a Router: settings, events and actions.
 
-A Router is built from `Settings`. Its host hands it events and carries out the actions that come back, in
-their order. Times are whole microseconds. There is no logic in this module.
+A Router is built from `Settings`. Its host passes events to it and carries out the returned actions in order.
+Times are whole microseconds. The only logic in this module is the validation of settings.
 """
 
 from __future__ import annotations
@@ -11,22 +11,23 @@
 from enum import Enum
 
 
-def require(holds: bool, field_name: str, what: str) -> None:
-    """Raises ValueError with the field's name where a setting is invalid."""
-    if not holds:
-        raise ValueError(f"settings: {field_name} {what}")
+def require(valid: bool, field_name: str, problem: str) -> None:
+    """Raises ValueError with the field's name and the problem if a setting is not valid."""
+    if not valid:
+        raise ValueError(f"settings: {field_name} {problem}")
 
 
 class Repeat(Enum):
     """Whether a request of a class may be sent to servers more than once (its idempotency)."""
 
     SAFE = "safe"
-    KEYED = "keyed"  # servers of one group drop repeats by the idempotency key, within a time window
+    KEYED = "keyed"  # servers drop repeats by the idempotency key, within their DedupScope and a time window
     UNSAFE = "unsafe"
 
 
 class DedupScope(Enum):
-    """Which servers share their record of idempotency keys, and so drop the repeat of a keyed request."""
+    """Which servers share their record of idempotency keys, so that each of them drops the repeat of a keyed
+    request that another one has had."""
 
     ALL = "all"
     ZONE = "zone"
@@ -44,9 +45,9 @@
     RESET = "reset"
     CANCELLED = "cancelled"
     MOOT = "moot"  # dropped before anything was sent, for example because the request was answered meanwhile
-    MISS = "miss"  # a look-aside cache holds no entry
+    MISS = "miss"  # a look-aside cache has no entry for the key
 
-    __hash__ = object.__hash__  # Enum's own hash is computed from the name, in Python, at every set lookup
+    __hash__ = object.__hash__  # Enum's own hash is slower: it hashes the name, in Python, at every lookup
 
 
 # Outcomes that prove that the attempt had no effect.
@@ -54,7 +55,7 @@
 
 
 class Status(Enum):
-    """What discovery says of a server. Only READY servers get new requests."""
+    """What discovery says about a server. Only READY servers get new requests."""
 
     READY = "ready"
     DRAINING = "draining"
@@ -66,8 +67,8 @@
     """What a ServerList event holds."""
 
     PATCH = "patch"  # changed entries
-    WHOLE = "whole"  # the whole list; servers it lacks are gone
-    PART = "part"  # some entries of a whole list; servers it lacks stay
+    WHOLE = "whole"  # the whole list; servers that are not in it are gone
+    PART = "part"  # some entries of a whole list; servers that are not in it stay
     STALE = "stale"  # the whole list as last known before this process started
     BROKEN = "broken"  # nothing: the watch on discovery failed
 
@@ -84,7 +85,7 @@
 
 @dataclass(slots=True, frozen=True)
 class RequestClass:
-    """A class of requests with common terms."""
+    """A class of requests with the same latency objective, deadline and rules for repeats."""
 
     name: str
     repeat: Repeat
@@ -108,7 +109,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Settings:
-    """Settings of a Router. Raises ValueError where one is out of range.
+    """Settings of a Router. Raises ValueError if one is out of range.
 
     The Router itself does not use `zone`, `tenants`, `over_share_worth`, `marks_retry`, `fall_multiple`,
     `fall_us`, `drain_grace_us` and `answer_slack_us`.
@@ -120,20 +121,20 @@
     tenants: tuple[Tenant, ...] = ()
     over_share_worth: float = 1.0
     max_attempts: int = 3  # of one request, the first included
-    hedging: bool = False  # a second attempt may be sent while the first is still out
+    hedging: bool = False  # a second attempt may be sent while the first is in flight
     may_cancel: bool = False  # attempts may be cancelled
     may_probe: bool = False  # health probes may be sent
-    retry_after: bool = False  # refusals may say when to come again
+    retry_after: bool = False  # refusals may say after which time to send the request again
     max_retry_after_us: int = 0
     marks_retry: bool = False  # clients mark their retries
-    subscribe: bool = False  # the list has to be asked for, with Watch actions
-    ask_every_us: int = 10_000_000  # the longest wait between two calls for the list
-    cold_from: float = 1.0  # share of its load that a server can serve at its start
+    subscribe: bool = False  # the Router has to subscribe to the list with Watch actions
+    ask_every_us: int = 10_000_000  # the longest wait between two Watch actions without an answer
+    cold_from: float = 1.0  # share of its normal load that a server can serve right after its start
     cold_us: int = 0  # how long the slow start of a server takes
     fall_multiple: float = 2.0
     fall_us: int = 1_000_000
-    drain_grace_us: int = 500_000  # how long a draining server may still be sent requests after the news
-    answer_slack_us: int = 0  # how much later than its deadline a final answer may be
+    drain_grace_us: int = 500_000  # how long requests may be sent to a server after it is reported draining
+    answer_slack_us: int = 0  # how long after the request's deadline the final answer may come
     round_us: int = 1_000  # round trip to a server, subtracted from the time left
     weight_source: WeightSource = WeightSource.NONE
     origin_kind: str | None = None  # with look-aside caches: servers of this kind are the origin
@@ -162,7 +163,7 @@
 
 @dataclass(slots=True)
 class ServerEntry:
-    """A server as the list has it. `started_at_us` is of a wall clock; 0: not known."""
+    """A server's entry in the list. `started_at_us` is a time of a wall clock; 0: not known."""
 
     server: str
     status: Status = Status.READY
@@ -177,8 +178,8 @@
 class ServerList:
     """A server list, or a part of one.
 
-    `more`: further parts follow, and servers that join get keys only with the last one. `mean_weight` is that
-    of the whole list, where these entries are only a part of it; otherwise 0.
+    `more`: further parts follow, and joining servers get keys only after the last part. `mean_weight` is the
+    mean weight in the whole list if these entries are only a part of it, and 0 otherwise.
     """
 
     kind: ListKind
@@ -189,14 +190,14 @@
 
 @dataclass(slots=True)
 class StopSending:
-    """These servers get no new requests from now on. A ServerList with the reason follows."""
+    """These servers get no new requests from now on. A ServerList that gives the reason follows."""
 
     servers: Sequence[str]
 
 
 @dataclass(slots=True)
 class Arrived:
-    """A request has come. Without `key`, its id stands for the key."""
+    """A request has arrived. If `key` is None, the id of the request is hashed instead of a key."""
 
     request: str
     class_name: str
@@ -206,7 +207,7 @@
     effort_us: int = 0
     write: bool = False
     is_retry: bool = False
-    cls: RequestClass | None = None  # the class when the request was read; None: looked up by its name
+    cls: RequestClass | None = None  # the class as it was when the request was read; None: look it up by name
 
 
 @dataclass(slots=True)
@@ -225,7 +226,7 @@
 
 @dataclass(slots=True)
 class StreamBegan:
-    """The client is getting the answer of this attempt; the request needs no others."""
+    """The client is receiving the answer of this attempt; no other attempt is needed."""
 
     request: str
     attempt: int
@@ -233,7 +234,7 @@
 
 @dataclass(slots=True)
 class ClientLeft:
-    """The client has gone without an answer."""
+    """The client no longer waits for an answer from the Router: it has left, or its deadline has passed."""
 
     request: str
 
@@ -257,8 +258,8 @@
 
 @dataclass(slots=True)
 class Exclude:
-    """An operator takes a server out of service; an OperatorResult answers. `known`: another process of this
-    proxy knows the server, even if this one does not."""
+    """An operator takes a server out of service; the Router answers with an OperatorResult. `known`: another
+    process of this proxy knows the server, even if this one does not."""
 
     server: str
     known: bool = False
@@ -266,7 +267,7 @@
 
 @dataclass(slots=True)
 class Include:
-    """An operator puts an excluded server back into service; an OperatorResult answers."""
+    """An operator puts an excluded server back into service; the Router answers with an OperatorResult."""
 
     server: str
 
@@ -289,9 +290,9 @@
 
 @dataclass(slots=True)
 class Send:
-    """Send an attempt at a request. It expires at `expire_at_us`, and must not begin after `begin_by_us` (0:
-    no such limit): its connection may take long to be established, and the window in which servers drop
-    repeats may end meanwhile."""
+    """Send an attempt of a request. The attempt expires at `expire_at_us` and must not begin after
+    `begin_by_us` (0: no such limit): establishing its connection may take so long that the window in which
+    servers drop repeats ends."""
 
     request: str
     server: str
@@ -301,7 +302,7 @@
 
 @dataclass(slots=True)
 class Cancel:
-    """Cancel an attempt that is still out."""
+    """Cancel an attempt that is still in flight."""
 
     request: str
     attempt: int
@@ -331,7 +332,7 @@
 
 @dataclass(slots=True)
 class SetTimer:
-    """Hand in TimerFired with this token after a delay."""
+    """Pass a TimerFired event with this token to the Router after a delay."""
 
     delay_us: int
     token: str
@@ -339,7 +340,7 @@
 
 @dataclass(slots=True)
 class Watch:
-    """Subscribe to changes of the server list; one ServerList event answers."""
+    """Subscribe to changes of the server list; the host answers with one ServerList event."""
 
 
 @dataclass(slots=True)
@@ -351,7 +352,8 @@
 
 @dataclass(slots=True)
 class OperatorResult:
-    """Answers Exclude and Include: accepted and in effect from now on, or no server has that id."""
+    """The answer to Exclude and Include. `accepted`: it is in effect from now on; otherwise no server has
+    that id."""
 
     server: str
     accepted: bool
--- a/magpiefront/sqlfile.py
+++ b/magpiefront/sqlfile.py
@@ -8,7 +8,7 @@
 from pathlib import Path
 
 BUSY_TIMEOUT_S = 5.0  # how long to wait for the lock of another process
-WAL_RETRY_S = 0.01  # between attempts to set the journal mode
+WAL_RETRY_S = 0.01  # wait between two attempts to set the journal mode
 
 
 class BadStore(Exception):
@@ -17,7 +17,7 @@
 
 def connect(path: Path) -> sqlite3.Connection:
     """Returns a durable connection: a commit is synced to disk before it returns. Automatic checkpoints are
-    off, so nothing moves from the write-ahead log into the file until the caller asks. Raises
+    off, so nothing moves from the write-ahead log into the file until the caller runs a checkpoint. Raises
     sqlite3.Error."""
     db = sqlite3.connect(path, isolation_level=None, check_same_thread=False, timeout=BUSY_TIMEOUT_S)
     try:
@@ -30,9 +30,9 @@
 
 
 def enable_wal(db: sqlite3.Connection) -> None:
-    """Sets the journal mode to write-ahead logging. Retries while the file is locked: when the mode changes,
-    SQLite fails at once instead of waiting for the lock, and a start would fail because another process opens
-    the same new file. Raises sqlite3.Error."""
+    """Sets the journal mode to write-ahead logging. Retries for BUSY_TIMEOUT_S while the file is locked: when
+    the mode changes, SQLite fails at once instead of waiting for the lock, so a process could not start while
+    another one opens the same new file. Raises sqlite3.Error."""
     give_up_at_s = time.monotonic() + BUSY_TIMEOUT_S
     while True:
         try:
@@ -47,8 +47,9 @@
 def open_database(
     path: Path, migrations: Sequence[str], create: bool = True, exclusive: bool = False
 ) -> sqlite3.Connection:  # fmt: skip
-    """Returns a connection to a checked file of the newest version. `create`: make the file if it is missing.
-    `exclusive`: no other process may open it until it is closed. Raises BadStore."""
+    """Checks a file, migrates it to the newest version and returns a connection to it. `create`: make the
+    file if it is missing. `exclusive`: no other process may open it until the connection is closed. Raises
+    BadStore."""
     db: sqlite3.Connection | None = None
     newest = len(migrations)
     try:
@@ -82,7 +83,7 @@
     """Applies the migration from version `number` to the next in one transaction: an interrupted migration
     leaves the old version intact. Raises sqlite3.Error."""
     db.execute("BEGIN IMMEDIATE")
-    # Another process may have applied it in the meantime.
+    # Another process may have applied it before this one got the lock.
     if db.execute("PRAGMA user_version").fetchone()[0] == number:
         for statement in migrations[number].split(";"):
             if statement.strip():
--- a/magpiefront/wirehost.py
+++ b/magpiefront/wirehost.py
@@ -1,8 +1,9 @@
 """Adapter to the simulator: `python -m magpiefront.wirehost` runs proxies over standard input and output.
 
 It hosts one Router for each instance and translates between the simulator's messages and the Router's events
-and actions; it decides nothing. Each line of input is a batch of events, as a JSON object with the time in
-microseconds (`clockUs`) and the events (`inbox`); each line of output is the list of actions (`do`).
+and actions; it decides nothing. Each line of input is a batch of events: a JSON object with the time in
+microseconds (`clockUs`) and the events (`inbox`). The answer to each line is a JSON object with the actions
+(`do`).
 """
 
 from __future__ import annotations
@@ -35,7 +36,7 @@
 
 
 def read_report(fields: Fields) -> dict[str, float] | None:
-    """Returns the numbers of a server's load report; None if there is none."""
+    """Returns the numbers in a server's load report, by name; None if there is no report."""
     stats = fields.get("serverStats")
     if not isinstance(stats, dict):
         return None
@@ -91,7 +92,8 @@
 
 
 def encode_action(instance: str, action: Action) -> Fields:
-    """The simulator's message for an action of one instance. Raises ValueError for OperatorResult."""
+    """Returns the simulator's message for an action of one instance. Raises ValueError for an OperatorResult,
+    which only an operator's call causes."""
     match action:
         case Send():
             return {"TRANSMIT": {"i": instance, "req": action.request, "node": action.server,
@@ -121,7 +123,7 @@
         self.routers: dict[str, Router] = {}
 
     def batch(self, line: str) -> str:
-        """Handles one line of input. Returns the line of output, without its end. Raises BadLine."""
+        """Handles one line of input. Returns the line of output without its newline. Raises BadLine."""
         try:
             message = json.loads(line)
         except ValueError as e:
@@ -145,7 +147,7 @@
 
     def event(self, now_us: int, name: str, fields: Fields, actions: list[Fields]) -> None:
         """Handles one event and appends the resulting messages to `actions`. Unknown events and events of
-        unknown instances are ignored. A failure becomes an INTERNAL_ERROR of that instance."""
+        unknown instances are ignored. An exception is reported as an INTERNAL_ERROR of that instance."""
         instance = fields["i"]
         try:
             if name == "UP":
@@ -170,7 +172,8 @@
 
 
 def main() -> int:
-    """Answers each line of standard input. Returns the exit status: 2 after an invalid line."""
+    """Answers each line of standard input, up to its end or the first invalid line. Returns the exit status:
+    2 after an invalid line."""
     host = Host()
     for line in sys.stdin:
         try:
