--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,6 +1,6 @@
 """Common settings of the tests: fixed examples of hypothesis, and temporary files in memory if there is room.
 
-With files on a disk, the duration of the tests depends on it: where one sync takes 70 ms, thousands of small
+On a disk, the duration of the tests depends on the disk's speed: with 70 ms for one sync, thousands of small
 copies and commits took over twenty minutes. Durability is tested by killing processes, for which files in
 memory are sufficient.
 """
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -1,4 +1,4 @@
-"""Drives a Router in tests: settings and server lists to test with, and a simulated clock."""
+"""Helpers to test a Router: settings, server lists, and a driver with a simulated clock."""
 
 from __future__ import annotations
 
@@ -48,19 +48,20 @@
 
 
 def entry(name: str, **overrides: Any) -> ServerEntry:
-    """Returns the list entry of one of NAMES: three zones in turn, and cells of three servers."""
+    """Returns the list entry of a server. Three zones take turns by the last number of its address, and three
+    consecutive numbers form a cell."""
     number = int(name.split(".")[3].split(":")[0])
     return replace(ServerEntry(name, zone=f"z{number % 3}", cell=number // 3), **overrides)
 
 
 def full_list(names: list[str], kind: ListKind = ListKind.STALE) -> ServerList:
-    """Returns a list that has these servers, all ready."""
+    """Returns a list of these servers, all of them ready."""
     return ServerList(kind, [entry(n) for n in names])
 
 
 class RouterDriver:
-    """Hands events to a Router, fires its timers when they are due on a simulated clock, and records its
-    actions: all in `log` with their time, and what was sent in `sent` by request."""
+    """Passes events to a Router, fires its timers when they are due on a simulated clock, and records its
+    actions: `log` has all of them with their times, and `sent` the Send actions of each request."""
 
     def __init__(self, settings: Settings = SETTINGS, names: list[str] | None = None, seed: int = 1) -> None:
         self.router = Router(settings, seed)
@@ -72,7 +73,7 @@
         self.handle(full_list(NAMES if names is None else names))
 
     def handle(self, event: Event) -> list[Action]:
-        """Hands in an event now and returns the Router's actions."""
+        """Passes an event to the Router at the current time and returns its actions."""
         actions = self.router.handle(self.now, event)
         for action in actions:
             self.log.append((self.now, action))
@@ -86,13 +87,13 @@
         return actions
 
     def _finish_placement(self) -> None:
-        """Fires the timers of ring changes until a list is placed whole, however many turns that takes."""
+        """Fires the timers for changes of the ring until all of them are applied."""
         while due := [t for t in self.timers if t[2] == "place"]:
             self.timers.remove(due[0])
             self.handle(TimerFired("place"))
 
     def advance(self, by_us: int) -> list[Action]:
-        """Lets time pass, fires the timers that are due and returns the actions."""
+        """Advances the clock, fires the timers that are due and returns the actions that they caused."""
         end, actions = self.now + by_us, list[Action]()
         while self.timers and min(self.timers)[0] <= end:
             due = min(self.timers)
@@ -130,5 +131,5 @@
 
 
 def gone(name: str, status: Status = Status.GONE) -> ServerList:
-    """Returns a change of one entry: a server that has left, or another status."""
+    """Returns a change of the list: the server has left, or has another status."""
     return ServerList(ListKind.PATCH, [entry(name, status=status)])
--- a/tests/known_red.py
+++ b/tests/known_red.py
@@ -33,8 +33,8 @@
 
 
 def read(path: Path) -> list[KnownRed]:
-    """Returns the lines of the file, none if it is missing. Raises pytest.UsageError, with a message of one
-    line, if a line does not have the format."""
+    """Returns the tests that the file lists, none if it is missing. Raises pytest.UsageError, with a message
+    of one line, if a line does not have the format."""
     if not path.exists():
         return []
     known = []
--- a/tests/schedules.py
+++ b/tests/schedules.py
@@ -1,5 +1,5 @@
-"""Plays numbered schedules in a pool of processes, with all safeguards of the code under test or without
-one."""
+"""Plays numbered schedules of simulated events in a pool of processes. The code under test runs with all of
+its safeguards, or with one of them disabled."""
 
 from __future__ import annotations
 
@@ -18,8 +18,9 @@
 def run_in_pool(
     play: Callable[[list[int]], Failures], first: int, count: int, jobs: int, chunk: int
 ) -> Iterator[tuple[int, Failures]]:  # fmt: skip
-    """Plays the schedules from `first` on. `play` is given the numbers of a chunk and returns its failures;
-    it must be picklable. Yields, for each chunk, how many schedules were played and the failures."""
+    """Plays `count` schedules, numbered from `first` on, in `jobs` processes and in chunks of `chunk`
+    schedules. `play` is called with the numbers of a chunk and returns its failures; it must be picklable.
+    Yields, for each chunk, how many schedules were played and the failures."""
     chunks = [list(range(n, min(n + chunk, first + count))) for n in range(first, first + count, chunk)]
     with ProcessPoolExecutor(jobs) as pool:
         for numbers, failures in zip(chunks, pool.map(play, chunks), strict=True):
@@ -27,19 +28,19 @@
 
 
 class SchedulePlan(Protocol):
-    """The plan of a schedule."""
+    """The plan of a schedule: what happens in it."""
 
     def text(self) -> str:
-        """The plan in the form that `--replay` takes."""
+        """Returns the plan in the form that `--replay` takes."""
 
 
 PlanT = TypeVar("PlanT", bound=SchedulePlan)
 
 
 class Schedules(Generic[PlanT]):
-    """Schedules of one kind. `draw` makes the plan of a number, `read` parses one from its text, and
-    `violated_rule` plays it and returns the rule that was violated, or "". `safeguards` holds, by name, the
-    patches that disable each safeguard."""
+    """Schedules of one kind. `draw` makes the plan of the schedule with a number, `read` parses a plan from
+    its text, and `violated_rule` plays a plan and returns the rule that was violated, or "". `safeguards`
+    has, by the name of each safeguard, a function that returns the patches that disable it."""
 
     def __init__(
         self, safeguards: Mapping[str, Callable[[], list[Any]]], draw: Callable[[int], PlanT],
@@ -60,8 +61,8 @@
                 patch.stop()
 
     def run_numbers(self, numbers: list[int], disabled: str = "") -> Failures:
-        """Plays these schedules and returns the failures; only the first one if the safeguard `disabled` is
-        given."""
+        """Plays these schedules and returns the failures. If the safeguard `disabled` is given, it is
+        disabled, and only the first failure is returned."""
         failures = []
         with self.without(disabled):
             for n in numbers:
@@ -74,8 +75,8 @@
         return failures
 
     def schedules_until_detected(self, name: str, first: int, count: int) -> tuple[int, str]:
-        """Returns the number of schedules until the loss of this safeguard was detected, and the violated
-        rule; 0 if it was not detected."""
+        """Plays schedules with this safeguard disabled. Returns how many it took until a rule was violated,
+        and that rule; 0 and "" if none was."""
         failures = self.run_numbers(list(range(first, first + count)), name)
         return (failures[0][0] - first + 1, failures[0][1]) if failures else (0, "")
 
--- a/tests/test_clocks.py
+++ b/tests/test_clocks.py
@@ -1,5 +1,5 @@
-"""Checks which modules read a wall clock. It may jump by an hour at any time, so each such module is
-listed here and must tolerate that."""
+"""Checks which modules read a wall clock. A wall clock may jump by an hour at any time, so each module that
+reads it must tolerate that and is listed here."""
 
 from __future__ import annotations
 
@@ -9,7 +9,7 @@
 ROOT = Path(__file__).parent.parent / "magpiefront"
 CLOCK_READS = {"time", "time_ns", "now", "utcnow", "today", "localtime", "ctime"}
 CLOCK_MODULES = {"time", "datetime", "date"}
-# One entry for each row of docs/design/020-clocks.md, which says how the module tolerates it.
+# One entry for each row of docs/design/020-clocks.md, which says how the module tolerates a jump.
 ALLOWED = {
     "caching/disk.py",
     "caching/stage.py",
--- a/tests/test_exceptions.py
+++ b/tests/test_exceptions.py
@@ -1,4 +1,5 @@
-"""Tests of the Router's deviations from plain placement, each by the failure that it guards against."""
+"""Tests of the rules by which the Router deviates from plain placement, each with the failure that the rule
+guards against."""
 
 from dataclasses import replace
 
@@ -43,7 +44,7 @@
 
 
 def test_suspect_server_that_answers_an_earlier_request_is_not_cold() -> None:
-    """Guards against treating a server whose process never ended as cold after one failed connection."""
+    """Guards against treating a server as cold after one failed connection although it has not restarted."""
     driver = RouterDriver(ONLY_READS)
     keys = home_keys(driver, NAMES[0], 3)
     driver.arrive("before", key=keys[0])
@@ -97,8 +98,8 @@
 
 
 def test_trial_that_was_never_sent_does_not_keep_a_server_suspect() -> None:
-    """Guards against a trial that is used up by a key outside the server's reduced traffic share: the request
-    went elsewhere, so the trial never ended."""
+    """Guards against a trial that begins with a request for a key outside the server's reduced traffic share:
+    the request went to another server, so the trial never ended."""
     driver = RouterDriver(ONLY_READS)
     server = driver.router.servers[NAMES[0]]
     driver.router._mark_suspect(driver.now, server, False)
@@ -216,7 +217,7 @@
 def test_hedged_request_goes_to_another_server_and_the_slower_is_cancelled() -> None:
     driver = RouterDriver(ONLY_READS)
     driver.arrive("miss", key=3)
-    assert not sends(driver.advance(1_000_000))  # a hedged likely miss would be fetched twice
+    assert not sends(driver.advance(1_000_000))  # a likely miss is not hedged: it would be fetched twice
     driver.end("miss", Outcome.OK)
     driver.arrive("slow", key=3)
     hedge = sends(driver.advance(1_000_000))
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -1,4 +1,4 @@
-"""The plugin for tests that are known to fail: they alone may fail in a run that passes."""
+"""Tests of the plugin for tests that are known to fail: in a run that passes, no other test may fail."""
 
 from __future__ import annotations
 
@@ -22,7 +22,7 @@
 
 
 def run_pytest(pytester: pytest.Pytester, listed: str, monkeypatch: pytest.MonkeyPatch) -> pytest.RunResult:
-    """Runs TESTS with this text as KNOWN-RED.txt."""
+    """Runs TESTS with the text `listed` as KNOWN-RED.txt."""
     monkeypatch.setenv("PYTHONPATH", str(ROOT))
     pytester.makeini("[pytest]\n")
     pytester.makepyfile(test_some=TESTS)
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -1,4 +1,4 @@
-"""Tests of the ring that is updated in place, against placements computed from the definition."""
+"""Tests of the ring that is updated in place: its placements equal those computed from the definition."""
 
 from __future__ import annotations
 
@@ -17,7 +17,8 @@
 
 
 def owner_by_search(servers: dict[str, int], h: int) -> str | None:
-    """Returns the server of the nearest point clockwise, found by a search of all points."""
+    """Returns the server of the nearest point clockwise of `h`, by a search of all points; None without
+    points. `servers` gives each server's number of points."""
     found = [
         (((nth_hash(text_hash(name), n) >> 16 << 16) - h) & MASK_64, name)
         for name, count in servers.items()
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -1,4 +1,4 @@
-"""How the Router places keys, spills at caps, starts servers slowly and sheds load."""
+"""Tests of how the Router places keys, spills at caps, starts servers slowly and sheds load."""
 
 from collections import Counter
 from dataclasses import replace
@@ -28,7 +28,8 @@
 
 
 def reference_owner(names: list[str], h: int, slots: int = router.SLOTS_PER_SERVER) -> str:
-    """Returns the server with the least clockwise distance from h, by comparing all points of the ring."""
+    """Returns the server whose point is the nearest one clockwise of `h`, by comparing all points of the
+    ring."""
     best = (MASK + 1, "")
     for name in names:
         seed = int.from_bytes(blake2b(name.encode(), digest_size=8).digest(), "big")
@@ -39,7 +40,7 @@
 
 
 def homes(driver: RouterDriver, keys: range) -> dict[int, str]:
-    """Returns the server that each key is sent to, one request at a time."""
+    """Returns the server to which each key is sent while no other request is in flight."""
     found = {}
     for key in keys:
         request = f"h{driver.timer_count}-{key}-{len(driver.log)}"
@@ -87,7 +88,7 @@
     for i in range(60):
         n = sum(count.values()) + 1
         cap = max(driver.router.min_cap, ceil((1 + router.CAP_HEADROOM) * n / len(NAMES)))
-        driver.router.key_counts.clear()  # test the cap alone, without further homes for a popular key
+        driver.router.key_counts.clear()  # tests the cap alone, without further homes for a popular key
         chosen = sends(driver.arrive(f"r{i}", key=7))[0].server
         jump = next(
             j for j in range(99) if count[reference_owner(NAMES, nth_hash(reference_splitmix64(7), j))] < cap
@@ -154,8 +155,8 @@
 
 def test_the_minimum_cap_is_shared_among_the_proxies() -> None:
     """Guards against a minimum cap of two per proxy: forty proxies queued eighty requests at a key's home,
-    and no cap ever applied. Homes of popular keys took ten times as long as other servers, which were nearly
-    idle."""
+    and no cap ever applied. Homes of popular keys took ten times as long to answer as other servers, which
+    were nearly idle."""
     names = [f"10.0.0.{n}:7000" for n in range(60)]
     for proxies, most in ((1, 20), (5, 20), (10, 20), (20, 20), (40, 40), (47, 47)):
         fleet = [RouterDriver(replace(SETTINGS, proxies=proxies), names, seed=n) for n in range(proxies)]
@@ -180,14 +181,14 @@
     loads = {n: servers[n].in_flight for n in names}
     cold = sum(loads[n] for n in names[2:])
     assert sum(loads.values()) > 110 and cold >= 6 * 4, loads
-    # A cold server takes no more than its warm part of the minimum cap.
+    # A cold server takes no more than the share of the minimum cap that it can serve by now.
     warmth = 0.2 + 0.8 / 2
     assert all(servers[n].in_flight <= driver.router.min_cap * warmth + 1 for n in names[2:]), loads
     one_of_many = RouterDriver(replace(SETTINGS, proxies=40), names)
     one_of_many.handle(ServerList(ListKind.PATCH, started))
     for i in range(120):
         one_of_many.arrive(f"r{i}", key=i * 7919)
-    # Where many proxies share the fleet, none sends a cold server more than that server's own keys.
+    # If many proxies share the fleet, none sends a cold server more than requests for that server's own keys.
     assert all(
         one_of_many.router.servers[n].in_flight <= max(1, one_of_many.router.min_cap * warmth) + 1
         for n in names[2:]
@@ -212,7 +213,7 @@
     assert after_burst.share > 0.6  # most of the way back to the share before closing, within a second
     share_after_1_s = after_burst.share
     quiet(after_burst, 1.0)
-    # From there on by an eighth per second.
+    # From there on it reopens by an eighth per second.
     assert after_burst.share - share_after_1_s < 1.3 * router.REOPEN_RAMP / 8 / 8 + 0.05
     lasting = router.AdmissionGate()
     marks = []
@@ -220,16 +221,16 @@
         burst(lasting)
         marks.append(lasting.share_before_closing)
         quiet(lasting, 1.0)
-    # Each closing begins at a lower share, which the servers can take.
+    # Each closing begins at a lower share, one that the servers can serve.
     assert marks == sorted(marks, reverse=True) and marks[-1] < 0.75 * marks[0]
     quiet(lasting, 20)
     assert lasting.share == 1.0
 
 
 def test_permanently_failing_servers_are_suspected_and_do_not_close_the_gates() -> None:
-    """Guards against permanent failures counting as the fleet's normal state: when two fifths of sixty
-    servers rejected everything, none was suspected within half a minute, because the fleet's bad share had
-    risen, and half of the requests were refused although the other servers were healthy."""
+    """Guards against counting permanent failures as the fleet's normal state: when two fifths of sixty
+    servers rejected everything, none became a suspect within half a minute, because the fleet's bad share had
+    risen. Half of the requests were refused although the other servers were healthy."""
     names = [f"10.0.0.{n}:7000" for n in range(60)]
     driver, failing, refused = RouterDriver(replace(SETTINGS, proxies=40), names), set(names[::2][:24]), 0
     for i in range(2000):
@@ -247,9 +248,9 @@
 
 
 def test_a_popular_key_gets_further_homes_after_few_requests_and_a_rare_one_does_not() -> None:
-    """Guards against a key's share being computed from a fixed 256 requests, however few have come: a proxy
-    with ten requests a second then found a popular key only after half a minute, and until then all proxies
-    sent it to one home, which took seconds to answer."""
+    """Guards against computing a key's share from a fixed 256 requests, however few have arrived: a proxy
+    with ten requests a second then detected a popular key only after half a minute, and until then all
+    proxies sent it to one home, which took seconds to answer."""
     names, used, rare = [f"10.0.0.{n}:7000" for n in range(130)], 0, set[str]()
     for seed in range(40):
         driver, random, homes = (
@@ -262,13 +263,13 @@
             driver.end(f"r{i}", Outcome.OK)
             (homes if popular else rare if key == 9 else set[str]()).add(sent.server)
         used += len(homes)
-    assert used > 80, used  # 70 with the share of a fixed 256 requests
+    assert used > 80, used  # 70 if the share is computed from a fixed 256 requests
     assert len(rare) == 1, rare
 
 
 def share_sent_home(latency_us: int, later_us: int, key: int = 11) -> float:
-    """Returns the share of 100 proxies that still send a key to its home, after the home took `latency_us`
-    for reads of other keys and all other servers took 100 ms."""
+    """Returns the share of 100 proxies that still send a key to its home `later_us` after reads of other
+    keys, which took `latency_us` at the home and 100 ms at all other servers."""
     stayed = 0
     for seed in range(100):
         driver = RouterDriver(replace(SETTINGS, proxies=200), seed=seed)
@@ -285,11 +286,11 @@
 def test_a_slow_home_is_avoided_by_a_part_of_the_proxies() -> None:
     """Guards against queues that no single proxy sees: with at most one request of its own at a server, a
     proxy's cap limits nothing, and two hundred proxies kept sending to homes that took ten times as long as
-    the rest."""
+    the other servers."""
     assert share_sent_home(100_000, 0) == 1.0
     assert share_sent_home(150_000, 0) > 0.6
     assert 0.1 < share_sent_home(1_000_000, 0) < 0.5  # never 0, so that the home's cache stays in use
-    assert share_sent_home(1_000_000, router.LATENCY_MEMORY_US) == 1.0  # a latency that old has no effect
+    assert share_sent_home(1_000_000, router.LATENCY_MEMORY_US) == 1.0  # such an old latency has no effect
 
 
 def test_a_popular_key_goes_to_the_faster_of_two_homes() -> None:
@@ -304,13 +305,13 @@
         return sent[home]
 
     quick, slow = sent_to_first_home(90_000), sent_to_first_home(102_000)
-    assert quick > 3 * slow, (quick, slow)  # 50 and 35 where only one random home is considered
+    assert quick > 3 * slow, (quick, slow)  # 50 and 35 if only one random home is considered
 
 
 def test_a_suddenly_popular_key_does_not_overload_its_cold_home() -> None:
-    """Guards against slow start by keys instead of requests: a cold server got a part of its keys with all of
-    their requests, and the first requests of two hundred proxies for a key that had just become popular were
-    three and a half times what it could serve."""
+    """Guards against slow start by keys instead of requests: a cold server got all requests for a part of its
+    keys, and the first requests of two hundred proxies for a key that had just become popular were three and
+    a half times what it could serve."""
     names, now = [f"10.0.0.{n}:7000" for n in range(60)], 100_000_000
     fleet = [RouterDriver(replace(SETTINGS, proxies=200), names, seed=n) for n in range(200)]
     for driver in fleet:
@@ -326,8 +327,8 @@
 
 
 def test_the_bad_share_of_a_gate_decays_with_time_at_a_proxy_with_few_requests() -> None:
-    """Guards against decay by arrivals alone: at ten requests a second, requests were kept from a recovered
-    origin for longer than its overload had lasted."""
+    """Guards against a bad share that decays with arrivals only: at ten requests a second, the gate kept
+    requests from a recovered origin for longer than its overload had lasted."""
 
     def seconds_to_reopening(arrivals_per_s: int) -> float:
         gate = router.AdmissionGate()
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -1,8 +1,9 @@
-"""Properties that hold for any order of events, checked by an observer that shares no code with the Router.
+"""Tests of properties that hold for any order of events, with an observer that shares no code with the
+Router.
 
-Nothing is sent to a server that drains, is gone or was never listed. No request takes effect twice against
-its class. Every request gets exactly one final answer, in time. A request is refused only where sending it
-again is safe.
+Nothing is sent to a server that drains, is gone or was never listed. No request takes effect twice if its
+class forbids that. Every request gets exactly one final answer, in time. A request is refused only if sending
+it again is safe.
 """
 
 from __future__ import annotations
@@ -37,7 +38,7 @@
 
 
 class Observer:
-    """Follows events and actions, and asserts the rules."""
+    """Is shown all events and actions, and asserts that the Router follows the rules."""
 
     def __init__(self, settings: Settings) -> None:
         self.settings = settings
@@ -102,8 +103,8 @@
 
 
 class ObservedDriver(RouterDriver):
-    """Hands a script's events to a Router in an order that the interface allows, with all events and actions
-    shown to an Observer. Attempts that are not ended by the script time out when they expire."""
+    """Passes a script's events to a Router in an order that the interface allows, and shows all events and
+    actions to an Observer. Attempts that the script does not end time out when they expire."""
 
     def __init__(self, settings: Settings, names: list[str]) -> None:
         self.observer = Observer(settings)
@@ -131,7 +132,7 @@
         return actions
 
     def end_one(self, which: int, outcome: Outcome) -> None:
-        """Ends one of the outstanding attempts, chosen by number."""
+        """Ends the outstanding attempt with the number `which`, modulo the number of outstanding attempts."""
         if self.outstanding:
             item = self.outstanding.pop(which % len(self.outstanding))
             self.end_attempt(item, outcome)
@@ -177,7 +178,7 @@
 
 
 def run_script(settings: Settings, script: list[tuple[str, int, Any]], names: list[str]) -> ObservedDriver:
-    """Plays a script of random steps, then lets all that is open expire."""
+    """Plays a script of random steps, then lets all outstanding attempts expire."""
     driver = ObservedDriver(settings, names)
     for n, (step, index, value) in enumerate(script):
         observer = driver.observer
@@ -212,7 +213,7 @@
 
 
 def check_end_state(driver: ObservedDriver) -> None:
-    """Every request has been answered, and the Router's counts are back at rest."""
+    """Asserts that every request has one final answer and that the Router has nothing in flight."""
     for name, request in driver.observer.requests.items():
         assert len(request["answers"]) == 1, f"{name} got no final answer"
     router = driver.router
@@ -240,7 +241,7 @@
     st.integers(0, 1 << 30), st.integers(0, 10_000_000), st.lists(st.sampled_from(list(Outcome)), max_size=3)
 )
 def test_a_cold_server_gets_no_more_than_its_warm_share(first: int, age: int, ends: list[Outcome]) -> None:
-    """However attempts end, a cold server gets its share of first attempts and no retries."""
+    """However attempts end, a cold server gets at most its share of first attempts, and no retries."""
     driver = RouterDriver(replace(SETTINGS, classes=(CLASSES[0],)))
     homes = {}
     for n in range(300):
--- a/tests/test_slow_start.py
+++ b/tests/test_slow_start.py
@@ -20,9 +20,9 @@
 from tests.helpers import SETTINGS
 
 SERVERS = 24
-WINDOW_US = 1_000_000  # requests to the cold server are counted over this long
+WINDOW_US = 1_000_000  # requests to the cold server are counted over a sliding window of this length
 WARM_CAPACITY = 60  # requests of mean cost that a warm server can serve in a window
-LOAD = 0.7  # mean load, as a share of the capacity
+LOAD = 0.7  # mean load, as a share of the warm capacity of all servers
 COLD_FROM, COLD_US = 0.3, 8_000_000
 STARTS_AT_US = 100_000_000
 SERVICE_TIME_US = 20_000  # mean
@@ -39,7 +39,7 @@
 
 
 class Fleet:
-    """Proxies as Routers, with all events in the order of one simulated clock (us)."""
+    """Proxies, each a Router, whose events are handled in the order of one simulated clock (us)."""
 
     def __init__(self, proxies: int, seed: int) -> None:
         self.random = Random(seed)
@@ -48,10 +48,11 @@
         self.number = count()
         self.due: list[tuple[int, int, Router, Event]] = []
         self.sent: deque[int] = deque()  # times of requests to the cold server, in the last window
-        self.max_excess = -1e9  # the most by which a window exceeded what is allowed
+        self.max_excess = -1e9  # the most by which the requests in a window exceeded what is allowed
 
     def handle(self, now: int, router: Router, event: Event) -> None:
-        """Hands an event to a Router; what it sends is answered after a random service time."""
+        """Passes an event to a Router and schedules the answers to its attempts, after a random service
+        time."""
         for action in router.handle(now, event):
             if isinstance(action, SetTimer):
                 self.schedule(now + action.delay_us, router, TimerFired(action.token))
@@ -77,7 +78,8 @@
             self.handle(now, router, event)
 
     def schedule_requests(self, begin: int, end: int, popular: float) -> None:
-        """Schedules random requests; the share `popular` of them is for a few popular keys."""
+        """Schedules requests at random times from `begin` to `end`. The share `popular` of them is for 20
+        popular keys, the others are for random keys."""
         interval_us = WINDOW_US / (SERVERS * WARM_CAPACITY * LOAD)
         now = float(begin)
         while now < end:
