--- a/magpiefront/interface.py
+++ b/magpiefront/interface.py
@@ -221,7 +221,7 @@
     elapsed_us: int
     finished: bool = False  # the request has its final answer
     cache_result: int = 0  # 1: hit, 2: miss, 3: miss while the key was already being fetched; 0: not known
-    report: dict[str, float] | None = None
+    report: dict[str, float] | None = None  # the server's load report, if it sent one
 
 
 @dataclass(slots=True)
--- a/magpiefront/reuse.py
+++ b/magpiefront/reuse.py
@@ -76,7 +76,7 @@
         """Makes the connection busy before a request is written. Raises ValueError if its state does not
         allow a request."""
         if self.state not in (ConnectionState.CONNECTING, ConnectionState.IDLE):
-            raise ValueError(f"a connection that is {self.state.value} carries no request")
+            raise ValueError(f"a connection that is {self.state.value} cannot carry a request")
         self.state = ConnectionState.BUSY
 
     def release_unused(self, now: float) -> None:
--- a/magpiefront/router.py
+++ b/magpiefront/router.py
@@ -68,11 +68,13 @@
 # less than MIN_ADMITTED_SHARE. Until the gate can reopen, each arrival takes at least the fraction
 # DECAY_PER_ARRIVAL off the bad share.
 CLOSE_STEP, DECAY_PER_ARRIVAL, MIN_ADMITTED_SHARE = 0.05, 0.01, 0.002
-# An arrival takes the time since the previous one, divided by DECAY_US, off the bad share if that is more
-# than DECAY_PER_ARRIVAL: a proxy with few requests would otherwise keep its gate closed for too long.
+# If the time since the previous arrival, divided by DECAY_US, is more than DECAY_PER_ARRIVAL, an arrival
+# takes that fraction off the bad share instead, but at most half. Otherwise a proxy with few requests would
+# keep its gate closed for too long.
 DECAY_US = 2_000_000
-# From 1/REOPEN_RAMP (an eighth) on, the admitted share grows at a rate of 1 in REOPEN_US; below that,
-# in proportion to the share. Reopening faster than the servers' queues respond makes the gate oscillate.
+# Above 1/REOPEN_RAMP (an eighth), the admitted share grows at a constant rate of 1 in REOPEN_US; below that,
+# the rate is proportional to the share. A gate that reopens faster than the servers' queues respond
+# oscillates.
 REOPEN_US, REOPEN_RAMP = 8_000_000, 8.0
 # The admitted share grows FAST_REOPEN_FACTOR times as fast while it is below FAST_REOPEN_LIMIT times the
 # share at which the gate last began to close.
@@ -87,8 +89,8 @@
 MIN_TOLERATED_BAD_SHARE, TOLERATED_BAD_RATIO = 0.1, 1.5
 
 # Suspected servers (outlier ejection)
-# A server becomes a suspect when the probability that a server with the fleet's bad share fails as many times
-# in a row is lower than this.
+# A server becomes a suspect when its failures in a row have a probability below this for a server that has
+# the fleet's bad share.
 SUSPECT_PROBABILITY = 1e-3
 MAX_SUSPECT_SHARE = 0.5  # no more servers become suspects once this share of the servers are suspects
 
@@ -96,14 +98,14 @@
 # window is shortened by it, but by no more than half of the window.
 MAX_PROCESS_DELAY_US = 150_000
 
-# Mean wait of a suspect for its first trial, which is also the longest Retry-After of refusals, if that is
-# permitted. The wait doubles after each failed trial, up to MAX_TRIAL_BACKOFF_US.
+# A suspect waits for its first trial MIN_TRIAL_BACKOFF_US on average; the wait doubles after each failed
+# trial, up to MAX_TRIAL_BACKOFF_US. If refusals may have a Retry-After, that is at most MIN_TRIAL_BACKOFF_US.
 MIN_TRIAL_BACKOFF_US = 500_000
 MAX_TRIAL_BACKOFF_US = 8_000_000
 
-# Discovery. Both are fractions of `ask_every_us`: the first watch starts at a random time within
-# FIRST_WATCH_SPREAD of it, and the backoff after the first failed watch is at most FIRST_WATCH_BACKOFF of it
-# and then doubles.
+# Discovery. The first watch starts at a random time within the fraction FIRST_WATCH_SPREAD of `ask_every_us`.
+# The backoff after the first failed watch is at most the fraction FIRST_WATCH_BACKOFF of `ask_every_us`, and
+# doubles with each further failure.
 FIRST_WATCH_SPREAD, FIRST_WATCH_BACKOFF = 0.1, 0.05
 # A proxy must have the current list 6 s after discovery can be reached again, so the backoff must be shorter.
 MAX_WATCH_BACKOFF_US = 3_000_000
