--- a/magpiefront/router.py
+++ b/magpiefront/router.py
@@ -369,8 +369,7 @@
         return key in self.cached_keys or key in self.previous_cached_keys
 
     def _count_key(self, key: int) -> int:
-        """Counts a request for a key. Returns how many there were in the current and the previous
-        window."""
+        """Counts a request for a key. Returns the number in the current and the previous window together."""
         if self.counted_requests >= max(MIN_COUNT_WINDOW, COUNT_WINDOW_PER_SERVER * len(self.servers)):
             (
                 self.previous_key_counts, self.previous_counted_requests,
--- a/tests/schedules.py
+++ b/tests/schedules.py
@@ -81,9 +81,9 @@
         return (failures[0][0] - first + 1, failures[0][1]) if failures else (0, "")
 
     def main(self, subject: str, run: Callable[..., Failures], chunk: int) -> int:
-        """The command line of the module that has these schedules. `run` is the module's function that calls
-        `run_numbers`; it must be picklable. Returns the exit status: 1 if a rule was violated (with --table:
-        if the loss of a safeguard was not detected)."""
+        """Runs the command line of the module that has these schedules. `subject` begins the description in
+        its help. `run` is the module's function that calls `run_numbers`; it must be picklable. Returns the
+        exit status: 1 if a rule was violated (with --table: if the loss of a safeguard was not detected)."""
         parser = argparse.ArgumentParser(description=f"{subject} in simulated time.")
         parser.add_argument("--count", type=int, default=1_000)
         parser.add_argument("--first", type=int, default=1)
--- a/tests/test_slow_start.py
+++ b/tests/test_slow_start.py
@@ -51,8 +51,7 @@
         self.max_excess = -1e9  # the most by which the requests in a window exceeded what is allowed
 
     def handle(self, now: int, router: Router, event: Event) -> None:
-        """Passes an event to a Router and schedules the answers to its attempts, after a random service
-        time."""
+        """Passes an event to a Router. Each attempt that it sends is answered after a random service time."""
         for action in router.handle(now, event):
             if isinstance(action, SetTimer):
                 self.schedule(now + action.delay_us, router, TimerFired(action.token))
