Group: comments of attestation, disk, leader, log and members name their referents

Several comments used pronouns without a clear noun or left out units, limits and errors. The constants of the disk and of membership now say what they bound, and the map of unanswered rounds is called round_began_us.

--- a/magpiefront/group/attestation.py
+++ b/magpiefront/group/attestation.py
@@ -5,13 +5,14 @@
 than the disk holds, the member gives up its incarnation and joins again under a new one, at first as an
 observer. No I/O and no clock.
 
-The member waits for answers from all the others or from a leader. After `MAJORITY_AFTER_US` the answers of a
-majority are enough, in which this member counts as one, since otherwise one failed machine would block the
-others forever. The others keep what they know on disk, but write it only along with their next entries,
-without a sync of its own. So an outdated disk remains undetected in two cases: all members that know
-of more progress are gone or cut off for that time; or they have restarted since, and the disk lacks only
-what was confirmed after the last write of each of them. Before the first start of a group, all the others
-must answer.
+The member waits for answers from all the others or from a leader. After `MAJORITY_AFTER_US` it is enough if
+the members that have answered and this member together are a majority, since otherwise one failed machine
+would block the others forever. At the first start of a group, all the others must answer.
+
+The others store what they know of this member's progress, but only along with their next entries, without a
+sync of its own. So an outdated disk remains undetected in two cases: all members that know of more progress
+are down or cut off during `MAJORITY_AFTER_US`; or they have all restarted, and the disk lacks only what this
+member confirmed after the last write of each of them.
 """
 
 from __future__ import annotations
@@ -21,6 +22,7 @@
 from magpiefront.group.messages import AttestReply, Conf, name_of
 
 
+# How long the member waits for the answers of all the others before those of a majority are enough.
 MAJORITY_AFTER_US = 3_000_000
 
 
@@ -30,19 +32,21 @@
     PENDING = "waits"  # more answers are needed
     CURRENT = "good"  # the disk is current
     NEW_GROUP = "first"  # no member has any state: the group starts
-    # The others know of more progress, its name has another incarnation by now, or its disk is empty although
-    # the group has state.
+    # The others know of more progress than the disk holds, another incarnation has the member's name by now,
+    # or the disk is empty although the group has state.
     OUTDATED = "reborn"
 
 
 class KnownProgress:
-    """The progress that this member knows of the others: the term, and the last index confirmed in it."""
+    """What this member knows of the others' progress: the latest term in which each of them has confirmed
+    anything to it, and the last index confirmed in that term."""
 
     def __init__(self, known: dict[str, tuple[int, int]]) -> None:
-        """`known`: the progress stored on disk, by member id."""
+        """`known`: the progress stored on this member's disk, by member id."""
         self.known = dict(known)
 
     def record(self, member: str, term: int, match: int = 0) -> None:
+        """Records that the member has confirmed that index in that term; less than is known has no effect."""
         self.known[member] = max(self.known.get(member, (0, 0)), (term, match))
 
     def retain(self, members: frozenset[str]) -> None:
@@ -52,12 +56,13 @@
 
 
 class Attestation:
-    """The answers of the other voters, and what follows from them."""
+    """The answers of the other voters, and the verdict that follows from them."""
 
     def __init__(
         self, me: str, voters: frozenset[str], is_empty: bool, term: int, last: int, now_us: int
     ) -> None:  # fmt: skip
-        """`voters`: the names of the voters known to this member. `term` and `last` are those of its disk."""
+        """`voters`: the names of the voters known to this member. `is_empty`, `term` and `last` (the last
+        index) describe its disk."""
         self.majority_from_us = now_us + MAJORITY_AFTER_US
         self.me, self.others = me, voters - {name_of(me)}
         self.is_empty, self.term, self.last_index = is_empty, term, last
@@ -80,15 +85,16 @@
             return Verdict.NEW_GROUP if len(self.answers) == len(self.others) else Verdict.PENDING
         majority = (len(self.others) + 1) // 2  # the answers that make a majority together with this member
         required = majority if now_us >= self.majority_from_us else len(self.others)
-        # A sender with an empty disk knows of no progress. (The other case of `AttestReply.is_empty` concerns
-        # only receivers whose disk is empty, and this one's is not.)
+        # Here `AttestReply.is_empty` means that the sender's disk is empty: such a sender knows of no
+        # progress. (The field's second meaning applies only if the receiver's disk is empty, and this
+        # member's is not.)
         informed = sum(not answer.is_empty for answer in answers)
         is_confirmed = informed >= required or any(answer.leads for answer in answers)
         return Verdict.CURRENT if is_confirmed else Verdict.PENDING
 
 
 def is_ahead(answer: AttestReply, term: int, last: int) -> bool:
-    """True if the other member knows of more progress than a disk with that term and last index can hold.
+    """True if the answering member knows of more progress than a disk with that term and last index can hold.
 
     Within a term a log only grows, and the term itself never decreases.
     """
@@ -96,5 +102,5 @@
 
 
 def voter_names(conf: Conf, first: frozenset[str]) -> frozenset[str]:
-    """The names of the configuration's voters, or `first` if it has none."""
+    """The names of the configuration's voters, or `first` (those of the settings) if it has none."""
     return frozenset(name_of(v) for v in conf.voters) or first
--- a/magpiefront/group/disk.py
+++ b/magpiefront/group/disk.py
@@ -1,8 +1,9 @@
 """The durable state of a member in one SQLite file: term and vote, log, snapshot, incarnation.
 
-One thread writes. Durability is that of the store of record (`sqlfile.py`). The file is locked: a second
-process can't open it. The first failed write ends the thread and is reported to `on_failure`. The member then
-stops taking part until the disk can be written again, but stays a member of the group.
+One thread writes. A commit is synced to disk before it returns, as in the store of record (`sqlfile.py`). The
+file is locked: a second process can't open it. The first failed write ends the thread and is reported to
+`on_failure`. The member then stops taking part until the disk can be written again, but stays a member of the
+group.
 """
 
 from __future__ import annotations
@@ -38,18 +39,18 @@
         origin TEXT NOT NULL, seq INTEGER NOT NULL
     );
     """,
-    # 2: how far this member knew the logs of other voters to be
+    # 2: the known progress of other voters (`StoredState.known`)
     "ALTER TABLE own ADD COLUMN known BLOB NOT NULL DEFAULT x'80'",
 )
-CHECKPOINT_PAGES = 1_000
-STOP_TIMEOUT_S = 3.0
+CHECKPOINT_PAGES = 1_000  # length of the write-ahead log from which a commit moves it into the file
+STOP_TIMEOUT_S = 3.0  # how long `stop` waits for the current write
 
 Job = Callable[[sqlite3.Connection], None]
 
 
 def load_state(db: sqlite3.Connection, random: Random | None = None) -> StoredState:
-    """Counts this start (the column `boot`) and returns the stored state. With `random`, the incarnation and
-    all its state are replaced by a new, empty one."""
+    """Counts this start (the column `boot`) and returns the stored state. With `random`, first replaces the
+    incarnation and all its state by a new, empty one. Raises sqlite3.Error."""
     db.execute("BEGIN IMMEDIATE")
     if random is not None:
         db.execute("DELETE FROM log")
@@ -95,8 +96,8 @@
 
 
 class GroupDisk:
-    """The file and the thread that writes to it. Callbacks run in the event loop. `on_failure` is called with
-    the cause when a write has failed."""
+    """The file and the thread that writes to it. All callbacks run in the event loop. `on_failure` is called
+    with the cause when a write has failed."""
 
     def __init__(self, runtime: Runtime, path: Path, on_failure: Callable[[str], None]) -> None:
         self.runtime, self.path, self.on_failure = runtime, path, on_failure
@@ -125,7 +126,8 @@
         self._add(lambda db: write(db, w), on_done)
 
     def replace_incarnation(self, random: Random, on_done: Callable[[StoredState], None]) -> None:
-        """Replaces the incarnation and all its state, and passes the new state to `on_done`."""
+        """Replaces the incarnation and all its state by a new, empty one, and passes that to `on_done`, which
+        is never called if the write fails."""
         results: list[StoredState] = []
         self._add(lambda db: results.append(load_state(db, random)), lambda: on_done(results[0]))
 
@@ -157,7 +159,7 @@
             self.runtime.loop.call_soon_threadsafe(callback)
 
     def stop(self) -> None:
-        """Drops the waiting writes and waits up to `STOP_TIMEOUT_S` for the current one."""
+        """Drops the waiting writes and waits for the current one, for at most `STOP_TIMEOUT_S`."""
         with self.condition:
             self.stopping = True
             self.jobs.clear()
--- a/magpiefront/group/durable.py
+++ b/magpiefront/group/durable.py
@@ -14,7 +14,8 @@
 
 @dataclass(frozen=True, slots=True)
 class HardState:
-    """The durable state besides the log. It prevents a second vote in the same term."""
+    """The current term and the member voted for in it (empty if none): the durable state besides the log. It
+    prevents a second vote in the same term."""
 
     term: int = 0
     vote: str = ""
@@ -23,13 +24,13 @@
 class StoredState(msgspec.Struct):
     """The content of a member's disk when it starts."""
 
-    incarnation: str  # "0"; a random name once an incarnation has been abandoned
+    incarnation: str  # "0" at first; a random name once an incarnation has been abandoned
     # The number of starts of this incarnation, including this one; see `MemberContext.process_number`.
     process_number: int
     hard_state: HardState = HardState()
     snapshot: Snapshot = Snapshot(0, 0, Conf(), b"")
     entries: list[Entry] = []
-    known: dict[str, tuple[int, int]] = {}  # last known term and index of other voters, by id
+    known: dict[str, tuple[int, int]] = {}  # `KnownProgress` of other voters: term and index, by id
 
     @property
     def is_empty(self) -> bool:
@@ -49,14 +50,15 @@
     entries: list[Entry] = field(default_factory=list)
     snapshot: Snapshot | None = None
     replaces_log: bool = False
-    discard_upto: int = 0  # entries up to this index may be discarded with the snapshot
+    discard_upto: int = 0
     messages: list[tuple[str, Message]] = field(default_factory=list)
-    is_empty: bool = False
+    is_empty: bool = False  # nothing to store: the messages can be sent without a write
     known: dict[str, tuple[int, int]] = field(default_factory=dict)  # as in `StoredState`
 
 
 class DurableState:
-    """Collects the changes to be written and holds back the messages that depend on them."""
+    """Collects the changes to be written, and holds back messages until the changes they depend on are
+    durable."""
 
     def __init__(self, hard_state: HardState, log: Log, limits: Limits) -> None:
         self.hard_state = self.durable_hard_state = hard_state
@@ -64,27 +66,29 @@
         self.commit = log.snapshot.index
         self.outbox: list[tuple[str, Message]] = []
         self.deferred: list[tuple[str, Message]] = []
-        self.written_index = log.last_index  # entries up to here were passed to a write
+        self.written_index = log.last_index  # `take_write` has returned the entries up to here
         self.current_write: Write | None = None
-        self.pending_snapshot: tuple[Snapshot, bool] | None = None  # and whether it replaces the whole log
+        # The snapshot to be written, and whether it replaces the whole log.
+        self.pending_snapshot: tuple[Snapshot, bool] | None = None
 
     @property
     def term(self) -> int:
         return self.hard_state.term
 
     def _send(self, to: str, m: Message, durable: bool = False) -> None:
-        """`durable`: send only once the current state is durable. All messages wait while the term or vote is
-        not."""
+        """Sends a message, with `durable` only once the current state is durable. While the term or the vote
+        is not durable, every message waits."""
         must_wait = durable or self.hard_state != self.durable_hard_state
         (self.deferred if must_wait else self.outbox).append((to, m))
 
     def messages(self) -> list[tuple[str, Message]]:
-        """Returns and clears the messages to be sent, each with its recipient's id."""
+        """Removes and returns the messages to be sent, each with the id of its receiver."""
         outbox, self.outbox = self.outbox, []
         return outbox
 
     def take_write(self) -> Write | None:
-        """The next write; None while the previous one is not finished or if there is nothing to write."""
+        """Returns the next write, which the caller has to make durable. None while the previous write is not
+        finished, or if there is neither anything to write nor a message to release."""
         if self.current_write is not None:
             return None
         entries = (
@@ -125,8 +129,8 @@
         self.pending_snapshot, self.commit, self.written_index = (first, True), first.index, first.index
 
     def compact(self, snapshot: Snapshot) -> None:
-        """Compacts the log up to a snapshot of durable entries: an entry removed from memory must not be
-        missing on the disk."""
+        """Compacts the log up to the snapshot. Does nothing unless all entries that the snapshot covers are
+        durable: an entry removed from memory must not be missing on the disk."""
         if self.log.snapshot.index < snapshot.index <= self.log.durable_index:
             self.log.compact(snapshot, self.limits.keep)
             self.pending_snapshot = (snapshot, False)
--- a/magpiefront/group/interface.py
+++ b/magpiefront/group/interface.py
@@ -1,4 +1,5 @@
-"""The interface of a group to the rest of the program, and of the transport that it sends messages with."""
+"""The interface that a group offers to the rest of the program, and that of the transport which it uses to
+send messages."""
 
 from __future__ import annotations
 
@@ -24,18 +25,21 @@
         """Whether this member leads, as far as it knows."""
 
     def register(self, name: str, machine: StateMachine) -> None:
-        """Adds a state machine under a name; all members must use the same name. Call it before `start`."""
+        """Adds a state machine under a name that is the same on all members. Call it before `start`."""
 
     def propose(self, machine: str, data: bytes, deadline_us: int, on_done: OutcomeCallback) -> None:
-        """Proposes a command for a state machine."""
+        """Proposes a command to the state machine registered under the name `machine`."""
 
     def read(self, deadline_us: int, on_done: OutcomeCallback) -> None:
         """A linearizable read: if it ends as committed, all that was committed before the call is applied
         here."""
 
-    def acquire_lease(self, lease: str, deadline_us: int, on_done: OutcomeCallback) -> None: ...
+    def acquire_lease(self, lease: str, deadline_us: int, on_done: OutcomeCallback) -> None:
+        """Acquires a lease if it is free. Only `lease_epoch` tells whether this member holds it afterwards,
+        whatever the outcome of the request."""
 
-    def release_lease(self, lease: str, deadline_us: int, on_done: OutcomeCallback) -> None: ...
+    def release_lease(self, lease: str, deadline_us: int, on_done: OutcomeCallback) -> None:
+        """Releases a lease. From this call on this member does not hold it, whatever the outcome."""
 
     def may_act(self) -> int:
         """The epoch under which this member may act at this moment; 0 if it may not. Check it immediately
@@ -51,16 +55,16 @@
         """Calls `changed` after each change of the members."""
 
     def send_hint(self, name: str, topic: str, data: bytes) -> None:
-        """Sends a hint to the member of that name. Hints may be lost."""
+        """Sends a hint to the member of that name. It may be lost."""
 
     def on_hint(self, topic: str, handler: Callable[[str, bytes], None]) -> None:
-        """Calls `handler` with the sender's name and the data of each hint on a topic. The handler has to
-        accept data that it can't decode."""
+        """Calls `handler` with the sender's name and the data of each hint on a topic. The handler must not
+        raise if it can't decode the data."""
 
 
 class Transport(Protocol):
-    """Sends messages to the other members without blocking. What can't be sent now is dropped, the oldest
-    message first."""
+    """Sends messages to the other members without blocking. Messages that can't be sent now are dropped, the
+    oldest first."""
 
     counts: Counter[str]
 
--- a/magpiefront/group/leader.py
+++ b/magpiefront/group/leader.py
@@ -19,7 +19,7 @@
 # Without new entries it is sent alone after this delay, which is short compared to the heartbeat interval; a
 # member that waits for the commit gets it at once.
 COMMIT_NOTICE_DELAY_US = 10_000
-NEVER_US = 1 << 62
+NEVER_US = 1 << 62  # later than any time of the clock
 
 
 class LeaderState:
@@ -30,25 +30,28 @@
         self.started_us = now_us
         self.term_start_index = log.last_index + 1  # the first entry of this term
         self.progress: dict[str, Progress] = {}
-        # The number of the latest round; by number, the start of each round that no majority has answered.
-        self.round, self.rounds = 0, dict[int, int]()
+        # The number of the latest round, and when each round that no majority has answered yet began, by
+        # number.
+        self.round, self.round_began_us = 0, dict[int, int]()
         self.quorum_round = 0  # the newest round that a majority has answered
         self.quorum_us = now_us  # start of the newest round that a majority has answered
         self.next_heartbeat_us = now_us
         self.reads: list[tuple[int, int, tuple[str, int]]] = []  # round, index, reader
-        self.transfer_target, self.transfer_started_us = "", 0  # of a transfer of leadership, if any
+        self.transfer_target, self.transfer_started_us = "", 0  # of the transfer of leadership; "" if none
         self.timeout_now_sent_us: int | None = None  # when TimeoutNow was sent; no lease from then on
         self.commit_notice_us = NEVER_US  # when to send a commit index without entries
-        self.commit_waiters: dict[str, int] = {}  # index of the last command each member forwarded
+        # By member, the index of the last command that it forwarded and whose commit it has not been told.
+        self.commit_waiters: dict[str, int] = {}
         self.regressed: set[str] = set()  # members whose disks lost entries that they had confirmed
         self.update_members()
 
     def update_members(self) -> None:
-        """Follows a new configuration."""
+        """Starts to track the members that the latest configuration has added, and forgets those that it has
+        removed."""
         members = self.log.conf.all - {self.me}
         new = sorted(members - self.progress.keys())
         for position, member in enumerate(new):
-            # Staggered, so that messages to observers, and their replies, are spread over the interval.
+            # Staggered, so that the messages to observers and their replies are spread over the interval.
             last_sent_us = self.started_us - self.times.observer_us * (len(new) - position) // len(new)
             self.progress[member] = Progress(self.log.last_index + 1, last_sent_us)
         for member in self.progress.keys() - members:
@@ -58,7 +61,7 @@
     # ---- quorum
 
     def _majority_value(self, values: Iterable[int]) -> int:
-        """The largest value that a majority has reached."""
+        """The largest number that a majority of the values reach; 0 if there are no values."""
         ordered = sorted(values, reverse=True)
         return ordered[len(ordered) // 2] if ordered else 0
 
@@ -74,17 +77,17 @@
             self.round if v == self.me else self.progress[v].acked_round for v in voters
         )  # fmt: skip
         if newest > self.quorum_round:
-            self.quorum_round, self.quorum_us = newest, self.rounds[newest]
-            for r in [r for r in self.rounds if r <= newest]:
-                del self.rounds[r]
+            self.quorum_round, self.quorum_us = newest, self.round_began_us[newest]
+            for r in [r for r in self.round_began_us if r <= newest]:
+                del self.round_began_us[r]
 
     def has_lease(self, now_us: int) -> bool:
         """True if certainly no other member leads at this moment."""
         return self.timeout_now_sent_us is None and now_us < self.quorum_us + self.times.lease_us
 
     def has_lost_quorum(self, now_us: int) -> bool:
-        """True if no majority has answered for an election timeout and the leader should step down. Once
-        TimeoutNow is sent, later answers don't count."""
+        """True if no majority has answered for an election timeout, so that the leader should step down.
+        Answers after TimeoutNow was sent don't count."""
         since = (
             self.quorum_us
             if self.timeout_now_sent_us is None
@@ -93,9 +96,10 @@
         return now_us >= since + self.times.election_us
 
     def committable(self, durable_index: int) -> int:
-        """The last index that a majority holds durably, if of the leader's term; else 0 (thesis, 3.6.2).
+        """The last index that a majority holds durably; 0 if its entry is not of the leader's own term
+        (thesis, 3.6.2).
 
-        `durable_index`: how far the leader's own disk is.
+        `durable_index`: the last index on the leader's own disk.
         """
         index = self._majority_value(
             durable_index if v == self.me else self.progress[v].match for v in self.log.conf.voters
@@ -108,15 +112,16 @@
     # ---- sending
 
     def start_round(self, now_us: int) -> None:
-        """Starts a round of heartbeats. A majority that answers it confirms that this member leads."""
+        """Starts a round of heartbeats, which the caller sends. A majority that answers the round confirms
+        that this member leads."""
         self.round += 1
-        self.rounds[self.round] = now_us
+        self.round_began_us[self.round] = now_us
         self.next_heartbeat_us = now_us + self.times.heartbeat_us
         self._update_quorum()
 
     def send_heartbeats(self, now_us: int, commit: int, outbox: Outbox) -> None:
-        """Starts a round: sends to all voters, and to observers at their longer interval. For those that
-        lag, it is a quarter as long."""
+        """Starts a round and sends its heartbeats to all voters. Observers get one only every `observer_us`,
+        or four times as often if they lag."""
         self.start_round(now_us)
         for member, progress in self.progress.items():
             behind = (
@@ -132,8 +137,9 @@
                 self._send_entries(member, progress, now_us, commit, outbox, True)
 
     def send_new_entries(self, now_us: int, commit: int, outbox: Outbox) -> None:
-        """Sends new entries to voters and to members that wait for a commit; other observers get them with
-        their heartbeats."""
+        """Sends new entries to the voters and to members that wait for a commit; other observers get them
+        with their heartbeats. Sends a new commit index without entries if that is due
+        (`COMMIT_NOTICE_DELAY_US`)."""
         due, behind = now_us >= self.commit_notice_us, False
         for member, progress in self.progress.items():
             awaited_index = self.commit_waiters.get(member, 0)
@@ -175,8 +181,8 @@
                 if progress.mode is Mode.PROBE
                 else len(progress.in_flight) < limits.most_flight
             )
-            # Only entries that are durable here are sent: from what it received, a member knows how far the
-            # leader's disk is (`attestation.py`).
+            # Only entries that are durable here are sent, so that the receiver knows that the leader's disk
+            # holds at least these (`attestation.py`).
             entries = (
                 log.entries_between(progress.next - 1, log.durable_index, limits.most_append)
                 if may_send
@@ -232,7 +238,8 @@
         return False
 
     def _last_common_index(self, index: int, term: int) -> int:
-        """The last index up to `index` where a log of that term may match this one (thesis, end of 3.5)."""
+        """The last index, not after `index`, at which this log can match a log whose entry at `index` is of
+        `term` (thesis, end of 3.5)."""
         index = min(index, self.log.last_index)
         while index > self.log.base_index:
             own_term = self.log.term(index)
@@ -244,8 +251,8 @@
     def is_caught_up(self, member: str, commit: int) -> bool:
         """True if the member may become a voter. A voter that lags would delay commits (thesis, 4.2.1)."""
         progress = self.progress.get(member)
-        # It may be up to 64 entries behind the commit index, and must have answered a round of the last two
-        # intervals at which observers are sent messages.
+        # It may be up to 64 entries behind the commit index, and must have answered a round within the last
+        # two of the intervals at which observers are sent messages.
         recent = (
             progress is not None and progress.acked_round >= self.quorum_round - 2 * self._observer_rounds
         )
--- a/magpiefront/group/log.py
+++ b/magpiefront/group/log.py
@@ -1,4 +1,4 @@
-"""The log in memory: entries after the last compaction, and the configurations they contain. No I/O."""
+"""The log in memory: the entries that compaction has kept, and the configurations among them. No I/O."""
 
 from __future__ import annotations
 
@@ -10,10 +10,10 @@
 
 
 class Log:
-    """The entries after `base_index`, up to which only the snapshot holds them.
+    """The entries after `base_index`. The effect of those up to it is held only by the snapshot.
 
     Entries up to `durable_index` are on the disk. `conf_history` holds the configurations of the log, oldest
-    first, each with the index of its entry.
+    first, each with the index of its entry. `size_bytes` is the size of the data of all entries.
     """
 
     def __init__(self, snapshot: Snapshot, entries: Iterable[Entry] = ()) -> None:
@@ -48,7 +48,7 @@
         return self.conf_history[-1][0]
 
     def conf_at(self, index: int) -> Conf:
-        """The configuration that applied at that index."""
+        """The configuration in effect at that index."""
         return next((c for at, c in reversed(self.conf_history) if at <= index), self.conf_history[0][1])
 
     def term(self, index: int) -> int | None:
@@ -60,7 +60,8 @@
         return None
 
     def entries_between(self, after: int, upto: int, max_bytes: int = 1 << 62) -> list[Entry]:
-        """The entries after index `after` up to `upto`, limited to `max_bytes` but at least one if any."""
+        """The entries after index `after` up to `upto`: at most about `max_bytes` of them, but at least one
+        if there is any."""
         found: list[Entry] = []
         size = 0
         for e in self.entries[after - self.base_index : upto - self.base_index]:
@@ -71,7 +72,8 @@
         return found
 
     def is_up_to_date(self, last_term: int, last: int) -> bool:
-        """True if a log that ends with that entry is at least as up-to-date as this one (thesis, 3.6.1)."""
+        """True if a log whose last entry has that term and index is at least as up-to-date as this one
+        (thesis, 3.6.1)."""
         return (last_term, last) >= (self.last_term, self.last_index)
 
     def add(self, e: Entry) -> None:
@@ -107,8 +109,9 @@
         self.durable_index = min(self.durable_index, index - 1)
 
     def conflict_hint(self, index: int) -> tuple[int, int]:
-        """The index and term from which a leader should continue whose entry at `index` does not match: the
-        end of this log, or the entry before all entries of the term at `index - 1` (thesis, end of 3.5)."""
+        """The index and term of the entry from which a leader should continue if its entry at `index` does
+        not match this log: the end of this log if that is before `index`, otherwise the last entry before
+        those of the term at `index - 1` (thesis, end of 3.5)."""
         if index > self.last_index:
             return self.last_index, self.last_term
         index -= 1
@@ -121,8 +124,8 @@
         return index, hint_term if hint_term is not None else 0
 
     def compact(self, snapshot: Snapshot, keep: int) -> None:
-        """Discards entries that the snapshot covers, except the last `keep`, which members that lag slightly
-        may still need."""
+        """Discards the entries that the snapshot covers, except the last `keep` of them, which members that
+        lag slightly may still need."""
         self.snapshot = snapshot
         new_base = min(snapshot.index - keep, self.last_index)
         if new_base > self.base_index:
@@ -135,7 +138,7 @@
             self.conf_history = [(new_base, conf), *((at, c) for at, c in self.conf_history if at > new_base)]
 
     def restore(self, snapshot: Snapshot) -> None:
-        """Replaces the whole log by the snapshot."""
+        """Replaces the snapshot and discards all entries."""
         self._load(snapshot, ())
 
 
--- a/magpiefront/group/member_context.py
+++ b/magpiefront/group/member_context.py
@@ -1,4 +1,4 @@
-"""The interface through which `Membership` and `Startup` use the member that they are parts of."""
+"""The interface through which `Membership` and `Startup` use the `Peer` that they are parts of."""
 
 from __future__ import annotations
 
--- a/magpiefront/group/members.py
+++ b/magpiefront/group/members.py
@@ -1,6 +1,6 @@
-"""Membership as the leader manages it: which members join, leave, are lost or return. No I/O and no clock.
+"""The leader's management of the members: which of them join, leave, are lost or return. No I/O and no clock.
 
-Each decision takes effect only once its log entry is committed, so that proposals of a deposed leader have no
+A decision takes effect only once its log entry is committed, so that decisions of a deposed leader have no
 effect.
 """
 
@@ -15,8 +15,9 @@
 from magpiefront.group.messages import AttestReply, Conf, Message, Pong, name_of
 from magpiefront.group.sessions import SessionGrants, SessionRequest
 
-REPROPOSE_DELAY_US = 500_000  # before the same change is proposed again
-JOIN_REQUEST_TTL_US = 3_000_000  # a member that stops asking has a new incarnation or is gone
+REPROPOSE_DELAY_US = 500_000  # time limit of a proposal, after which the same change may be proposed again
+# A join request that is not repeated for this long is dropped: its sender has a new incarnation or is gone.
+JOIN_REQUEST_TTL_US = 3_000_000
 
 
 class JoinRequest(NamedTuple):
@@ -38,13 +39,14 @@
         self.grants: SessionGrants | None = None  # None while this member does not lead
         self.term = 0
         self.join_requests: dict[str, JoinRequest] = {}  # by name
-        self.proposed: dict[tuple[str, str, int], int] = {}  # time by change, member, epoch
+        # When each change was last proposed, by kind of change, member and epoch.
+        self.proposed: dict[tuple[str, str, int], int] = {}
         self.leaving: set[str] = set()  # ids of members whose sessions must end before they are removed
 
     def update_leadership(self, now_us: int) -> None:
-        """Follows changes of this member's role, and answers session requests whose round is confirmed.
+        """Handles a change of this member's role, and answers the session requests whose round is confirmed.
 
-        A new leader starts without state, as it knows nothing of what its predecessor granted.
+        A new leader starts with empty state, since it does not know what the previous leader granted.
         """
         raft = self.peer.raft
         if raft.leader_state is None:
@@ -59,9 +61,9 @@
                 self._answer_session_request(request, now_us)
 
     def _new_grants(self, now_us: int) -> SessionGrants:
-        """The grants of a new leader. Sessions that its predecessor granted count as granted one lease ago,
-        as the voters had not heard it for that long. After a transfer of leadership they had not waited, and
-        those sessions count as granted now."""
+        """The grants of a new leader. Sessions granted by earlier leaders count as granted one lease ago,
+        since the voters had not heard any of these leaders for that long when they elected this one. For a
+        transfer of leadership they don't wait, so after one those sessions count as granted now."""
         raft = self.peer.raft
         credit_us = 0 if raft.is_transfer else self.peer.times.lease_us
         return SessionGrants(
@@ -73,18 +75,19 @@
     def handle_session_request(
         self, by: str, member: str, seq: int, process_number: int, now_us: int
     ) -> None:
-        """Handles a request for a session that the voter `by` received."""
+        """Handles a request for a session, which `member` sent to the voter `by`."""
         raft, known = self.peer.raft, self.peer.machines.registry.tables.members.get(name_of(member))
         if self.grants is None or raft.leader_state is None:
             return
         if known is None:
-            # Added by an entry that was never committed: it has to ask to join again.
+            # The member was added by an entry that was never committed: it has to ask to join again.
             if self.peer.applied >= raft.leader_state.term_start_index:
                 message: Message = Pong(seq=seq, may=False, epoch=-1, leader=self.peer.me)
                 self.peer.outbox.append((member, message))
             return
         if known.id != member:
-            # Replaced by another incarnation: if this is the running one, it has to ask to join again.
+            # The name belongs to another incarnation by now. If the sender's is the one that runs, it has to
+            # ask to join again.
             self.peer.outbox.append(
                 (member, Pong(seq=seq, may=False, epoch=-known.epoch, leader=self.peer.me))
             )
@@ -124,7 +127,8 @@
     # ---- proposals
 
     def _propose(self, change: str, command: registry.Command, member: str, epoch: int, now_us: int) -> bool:
-        """Proposes a command, unless the same change was proposed a short time ago. True if proposed."""
+        """Proposes a command, unless the same change was proposed less than `REPROPOSE_DELAY_US` ago. True if
+        it was proposed now."""
         key = (change, member, epoch)
         if now_us < self.proposed.get(key, -REPROPOSE_DELAY_US) + REPROPOSE_DELAY_US:
             return False
@@ -136,7 +140,8 @@
         return True
 
     def tick(self, now_us: int) -> None:
-        """Proposes that silent members are lost, that lost ones return, and changes of the configuration."""
+        """Proposes to mark silent members as lost and lost members as alive again, and proposes changes of
+        the configuration."""
         raft, grants = self.peer.raft, self.grants
         if raft.leader_state is None or grants is None:
             return
@@ -172,7 +177,8 @@
             self._advance_membership(now_us)
 
     def _notify_regressed(self) -> None:
-        """Tells members whose disks lost confirmed entries: they must not vote under their incarnation."""
+        """Notifies the members whose disks have lost entries that they had confirmed. These members must not
+        vote any more under their current incarnation."""
         raft = self.peer.raft
         assert raft.leader_state is not None
         for member in sorted(raft.leader_state.regressed):
@@ -184,15 +190,16 @@
     # ---- configuration
 
     def handle_join(self, sender: str, voter: bool, now_us: int) -> None:
-        """Records a request to join, or to vote, from a member that the operator's file names."""
+        """Records a request to join, or to become a voter. Ignores it if the operator's file does not name
+        the member or an operator has barred it."""
         name = name_of(sender)
         barred = name in self.peer.machines.registry.tables.barred
         if self.grants is not None and name in self.peer.settings.members and not barred:
             self.join_requests[name] = JoinRequest(sender, voter, now_us)
 
     def _advance_membership(self, now_us: int) -> None:
-        """Proposes the next change. Removals come first; then a new incarnation replaces the old one as an
-        observer, and becomes a voter once it has caught up."""
+        """Proposes the next change of the configuration. Removals come first. A new incarnation of a member
+        first replaces the old one as an observer, and becomes a voter once it has caught up."""
         raft, conf = self.peer.raft, self.peer.raft.log.conf
         barred = self.peer.machines.registry.tables.barred
         self.leaving = {id for id in conf.all if name_of(id) in barred and conf.voters != {id}}
@@ -211,8 +218,8 @@
                 return
 
     def _add_observers(self, conf: Conf) -> bool:
-        """Adds all new observers with one change, which does not affect majorities. After a restart there may
-        be hundreds."""
+        """Adds all new observers with one change, since observers don't affect majorities and after a restart
+        there may be hundreds of them. True if a change was proposed."""
         new = {request.id for name, request in self.join_requests.items() if conf.by_name(name) is None}
         new -= {id for id in new if name_of(id) in self.peer.machines.registry.tables.barred}
         done = bool(new) and self.peer.raft.propose_conf(Conf(conf.voters, conf.observers | new))
@@ -221,8 +228,8 @@
         return done
 
     def _is_inactive(self, id: str) -> bool:
-        """True if the member may no longer act, so that it can be removed. Otherwise stops renewing its
-        session, so that the session ends and the member is marked as lost."""
+        """True if the member may no longer act and so can be removed. Otherwise stops renewing its session,
+        so that the session ends and the member is marked as lost."""
         if self.peer.machines.registry.is_alive(id):
             self.leaving.add(id)
             return False
@@ -250,7 +257,7 @@
         return done
 
     def change_obstacle(self, name: str, out: bool) -> str:
-        """Why that name can't be removed (`out`) or allowed; empty if it can."""
+        """Why that name can't be removed (`out`) or allowed again; empty if it can."""
         raft, conf = self.peer.raft, self.peer.raft.log.conf
         id = conf.by_name(name)
         if raft.leader_state is None:
@@ -264,5 +271,6 @@
         return ""
 
     def propose_bar(self, name: str, out: bool, now_us: int) -> None:
-        """Proposes to remove that name (`out`) or to allow it. Once committed, any leader carries it out."""
+        """Proposes to remove that name (`out`) or to allow it again. Once that is committed, whichever member
+        leads carries it out."""
         self._propose(f"bar {out}", registry.SetBarred(name, out), name, 0, now_us)
