Group: messages, peer, Raft, registry and requests state results and refusals

Docstrings of refusals said only that a member can't take something; they now name the conditions. Causes of refused operations no longer say 'it' or 'takes nothing now'.

--- a/magpiefront/group/messages.py
+++ b/magpiefront/group/messages.py
@@ -58,7 +58,8 @@
 
 
 class Message(msgspec.Struct, tag=True, kw_only=True, frozen=True):
-    """A message, encoded with its class name or `tag`. `term` is the sender's, or that of the election."""
+    """A message, encoded with its `tag` (by default the class name). `term` is the sender's term, except in a
+    pre-vote (see `VoteRequest` and `VoteReply`)."""
 
     term: int = 0
 
@@ -66,7 +67,8 @@
 class VoteRequest(Message, tag="VoteAsk", frozen=True, kw_only=True):
     """A candidate asks for a vote, or with `pre` whether it would get one. `last` is its last index.
 
-    `is_transfer`: the leader requested the election (TimeoutNow), so voters that hear the leader answer too.
+    The term of a pre-vote is the one that the election would have. `is_transfer`: the leader requested the
+    election (`TimeoutNow`), so that voters answer even if they hear the leader.
     """
 
     pre: bool
@@ -83,9 +85,9 @@
 
 
 class Append(Message, frozen=True, kw_only=True):
-    """Entries that follow the one at `prev`; a heartbeat if there are none.
+    """Entries that follow the one at index `prev`; a heartbeat if there are none.
 
-    `round` is the leader's current round: a reply confirms that it was the leader then.
+    `round` is the leader's current round: a reply to it confirms that the sender led when the round began.
     """
 
     prev: int
@@ -93,13 +95,14 @@
     entries: list[Entry]
     commit: int
     round: int
-    acks: list[tuple[str, int, bool, int]] = []  # session answers: member, request, may act, epoch
+    acks: list[tuple[str, int, bool, int]] = []  # session answers: member, request, whether it may act, epoch
 
 
 class AppendReply(Message, frozen=True, kw_only=True):
-    """`match`: the last durable index known to match the leader's log, or the refused one if not `ok`.
+    """The answer to `Append`. `match` is the last durable index known to match the leader's log.
 
-    `hint` and `hint_term` then say where to continue.
+    If not `ok`, `match` is the index that does not match, and `hint` and `hint_term` are the index and term
+    of the entry from which the leader should continue.
     """
 
     round: int
@@ -107,7 +110,7 @@
     match: int
     hint: int = 0
     hint_term: int = 0
-    heard: list[tuple[str, int, int]] = []  # session requests: member, newest request, its process
+    heard: list[tuple[str, int, int]] = []  # session requests: member, newest one, process number
 
 
 class SnapshotChunk(Message, tag="Part", frozen=True, kw_only=True):
@@ -155,14 +158,16 @@
 
 
 class ReadReply(Message, frozen=True, kw_only=True):
-    """State applied up to `index` is at least as new as the request (6.4). -1: the sender can't serve it."""
+    """The answer to `ReadRequest`: state applied up to `index` is at least as new as the request (thesis,
+    6.4). -1: the sender can't serve the read."""
 
     seq: int
     index: int
 
 
 class Ping(Message, frozen=True, kw_only=True):
-    """A member asks any voter to renew its session. `process_number` is that of its process."""
+    """A member's request to renew its session, which it may send to any voter. `process_number`: see
+    `MemberContext`."""
 
     seq: int
     process_number: int = msgspec.field(name="life")
@@ -170,7 +175,7 @@
 
 class Pong(Message, frozen=True, kw_only=True):
     """The leader's answer to the session request `seq`: whether the member may act, and its epoch. A negative
-    epoch: it is no longer a member."""
+    epoch means that this incarnation is not a member any more."""
 
     seq: int
     may: bool
@@ -179,9 +184,10 @@
 
 
 class Attest(Message, frozen=True, kw_only=True):
-    """A starting member asks what the others know of its progress, as its disk may be outdated.
+    """A starting member asks what the others know of its progress, since its disk may be outdated.
 
-    `birth` is a random number drawn at the start of its process.
+    `last` is the last index on its disk, `is_empty` says that the disk holds no state, and `birth` is a
+    random number drawn at the start of its process.
     """
 
     last: int
@@ -190,7 +196,8 @@
 
 
 class AttestReply(Message, tag="Attested", frozen=True, kw_only=True):
-    """What the sender knows of the other member: it confirmed entries up to `known` in `known_term`.
+    """The answer to `Attest`: the sender knows that the receiver confirmed entries up to `known` in
+    `known_term`.
 
     `is_empty`: the sender has no state, or the receiver, whose disk is empty, has certainly lost nothing (see
     `Startup.on_attest`). `leads`: the sender certainly leads at this moment.
@@ -199,15 +206,16 @@
     known_term: int
     known: int
     is_empty: bool = msgspec.field(name="virgin")
-    other: bool  # the name belongs to another incarnation
+    other: bool  # the receiver's name belongs to another incarnation
     leads: bool = False
     birth: int = 0  # of the sender's process
 
 
 class Join(Message, frozen=True, kw_only=True):
-    """A member asks to join, perhaps under a new incarnation. The leader answers by a configuration entry."""
+    """A member asks to join, perhaps under a new incarnation, or to become a voter. The leader does not
+    reply, but proposes a configuration."""
 
-    voter: bool
+    voter: bool  # the member is to become a voter; otherwise an observer
 
 
 class Hint(Message, frozen=True, kw_only=True):
@@ -224,8 +232,10 @@
 
 
 def name_of(member: str) -> str:
+    """The name in a member's id."""
     return member.rpartition(".")[0]
 
 
 def member_id(name: str, incarnation: str) -> str:
+    """The id of a member under this incarnation. An empty incarnation stands for whichever has the name."""
     return f"{name}.{incarnation}"
--- a/magpiefront/group/operator_commands.py
+++ b/magpiefront/group/operator_commands.py
@@ -1,5 +1,5 @@
-"""The commands that an operator sends to one member, and its answers. Both consist of JSON types only. No
-command blocks."""
+"""The commands that an operator sends to one member, and the member's answers. Both consist of JSON types
+only. Handling a command never blocks: the answer may come later."""
 
 from __future__ import annotations
 
@@ -14,18 +14,18 @@
 from magpiefront.group.service import GroupService
 
 Answer = Callable[[dict[str, Any]], None]
-MAX_DEADLINE_MS = 10_000
+MAX_DEADLINE_MS = 10_000  # upper bound of a command's `deadline_ms`
 
 
 class CommandError(Exception):
-    """The command can't be carried out. The message is the error in the answer."""
+    """The command can't be carried out. The message becomes the `error` of the answer."""
 
 
 def answer_after_read(
     group: Group, until_us: int, answer: Answer, result: Callable[[], dict[str, Any]]
 ) -> None:  # fmt: skip
-    """Answers with `result()` after a linearizable read, so that it is at least as new as this call; with an
-    error if the read does not succeed by `until_us`."""
+    """Answers with `result()` after a linearizable read, so that the answer is at least as new as this call,
+    or with an error if the read does not succeed by `until_us` (runtime's clock)."""
 
     def on_done(outcome: Outcome) -> None:
         answer(
@@ -40,7 +40,7 @@
 
     def __init__(self, service: GroupService) -> None:
         self.service = service
-        # Commands of the subsystems that run on the group, by name.
+        # The handlers of the commands of subsystems that use the group, by the command's name.
         self.extra_handlers: dict[str, Callable[[dict[str, Any], Answer], None]] = {}
 
     def handle(self, command: dict[str, Any], answer: Answer) -> None:
@@ -61,21 +61,23 @@
             answer({"error": str(e)})
 
     def _text(self, command: dict[str, Any], key: str) -> str:
-        """The text under a key, of 1 to 4,096 characters."""
+        """The text under a key, of 1 to 4,096 characters. Raises CommandError for anything else."""
         value = command.get(key)
         if not isinstance(value, str) or not 0 < len(value) <= 4_096:
-            raise CommandError(f"{key}: is missing, empty, too long or no string")
+            raise CommandError(f"{key}: must be a string of 1 to 4,096 characters")
         return value
 
     def _deadline_us(self, command: dict[str, Any]) -> int:
-        """The time of the runtime's clock by which to answer: `deadline_ms` from now, by default 2 s."""
+        """The time of the runtime's clock by which to answer, in microseconds: `deadline_ms` from now, by
+        default 2 s. Raises CommandError if `deadline_ms` is invalid."""
         ms = command.get("deadline_ms", 2_000)
         if not isinstance(ms, int) or not 0 < ms <= MAX_DEADLINE_MS:
-            raise CommandError(f"deadline_ms: from 1 to {MAX_DEADLINE_MS}")
+            raise CommandError(f"deadline_ms: must be an integer from 1 to {MAX_DEADLINE_MS}")
         return self.service.runtime.now_us() + ms * 1_000
 
     def _answer_outcome(self, answer: Answer) -> Callable[[Outcome], None]:
-        """A callback that answers with an outcome and, if it is committed, the registry's result."""
+        """A callback that answers with the outcome of a command and, if it is committed, the registry's
+        result."""
 
         def on_done(outcome: Outcome) -> None:
             result = decode_result(outcome)
@@ -108,7 +110,7 @@
         if not peer.is_leader:
             raise CommandError(f"{peer.raft.leader or 'nobody'} leads")
         if id == peer.me:
-            answer({"fate": "committed", "cause": "it leads already"})
+            answer({"fate": "committed", "cause": "this member leads already"})
         elif not peer.raft.transfer_leadership(id, self.service.runtime.now_us()):
             raise CommandError("not a voter, or a transfer is in progress already")
         else:
@@ -125,7 +127,7 @@
     def _put(self, command: dict[str, Any], answer: Answer) -> None:
         version = command.get("version", -1)
         if not isinstance(version, int):
-            raise CommandError("version: a whole number")
+            raise CommandError("version: must be an integer")
         put = registry.PutRegister(
             self._text(command, "key"), str(command.get("value", "")).encode(), version
         )
--- a/magpiefront/group/peer.py
+++ b/magpiefront/group/peer.py
@@ -1,7 +1,7 @@
 """One complete member: Raft, the state machines, sessions, and the requests of this member.
 
-No I/O and no clock. The caller passes in messages, the time and completed writes, and takes out the messages
-to send and the data to write. The same class runs in the program (`service.py`) and in simulated time
+No I/O and no clock. The caller passes in messages and the time, fetches the messages to send and the data to
+write, and reports completed writes. The same class runs in the program (`service.py`) and in simulated time
 (`model/group.py`).
 """
 
@@ -47,18 +47,19 @@
         self.applied = stored.snapshot.index
         if stored.snapshot.data:
             self.machines.restore(stored.snapshot.data)
-        # Numbers start above those of all earlier processes of this member. If an older copy of the disk was
-        # restored, the process number repeats; the random part then keeps numbers from being used twice.
+        # Operation numbers start above those of all earlier processes of this member. If an older copy of the
+        # disk was restored, the process number repeats; the random part then keeps operation numbers from
+        # being used twice.
         self.pending = PendingOperations(
             (stored.process_number << 40) + (random.getrandbits(28) << 12), settings.limits.most_waiting
         )
         self.session, self.ping_relay = Session(self.times, random), PingRelay()
         self.members = Membership(self)
-        self.released_leases: dict[str, int] = {}  # the epoch under which each lease was given back
+        self.released_leases: dict[str, int] = {}  # by lease, its epoch when this member released it
         self.last_leader = ""
         self.leaving = False
         self.watchers: list[Callable[[], None]] = []
-        self.changes = -1
+        self.changes = -1  # `Tables.changes` when the watchers were last called
         self.logged_states: dict[str, MemberState] = {}  # by id
         self.outbox: list[tuple[str, Message]] = []
         self.requests = Requests(self.me, self.raft, self.pending, settings.limits.most_entry, self._send,
@@ -81,8 +82,7 @@
         self.requests.read(deadline_us, on_done, now_us)
 
     def may_act(self, now_us: int) -> int:
-        """The epoch under which this member may act at this moment; 0 if it may not. Check it immediately
-        before each action that only one member may perform."""
+        """See `Group.may_act`."""
         mine = self.machines.registry.member(self.me)
         if (
             self.leaving
@@ -102,8 +102,8 @@
         return current.epoch if is_holder and self.may_act(now_us) else 0
 
     def acquire_lease(self, lease: str, deadline_us: int, on_done: OutcomeCallback, now_us: int) -> None:
-        """Asks for a free lease. Whether this member holds it is what `lease_epoch` returns, whatever the
-        outcome of the request."""
+        """Acquires a lease if it is free. Only `lease_epoch` tells whether this member holds it afterwards,
+        whatever the outcome of the request."""
         epoch = self.may_act(now_us)
         if not epoch:
             on_done(Outcome(Status.REFUSED, cause="this member may not act"))
@@ -112,7 +112,7 @@
                      on_done, now_us)  # fmt: skip
 
     def release_lease(self, lease: str, deadline_us: int, on_done: OutcomeCallback, now_us: int) -> None:
-        """Gives a lease back. This member does not hold it from this call on, whatever the outcome: other
+        """Releases a lease. From this call on this member does not hold it, whatever the outcome: other
         members may learn of the release before this one does."""
         epoch = self.machines.registry.lease(lease).epoch
         self.released_leases[lease] = epoch
@@ -120,8 +120,9 @@
                      on_done, now_us)  # fmt: skip
 
     def leave(self, deadline_us: int, on_done: OutcomeCallback, now_us: int) -> None:
-        """Prepares a planned shutdown: this process does not act any more and requests no session. The member
-        is recorded as lost at once, and its next process is alive again as soon as it requests a session."""
+        """Prepares a planned shutdown: this process does not act any more and requests no session. Proposes
+        to mark the member as lost at once; it counts as alive again as soon as its next process requests a
+        session."""
         self.leaving = True
         mine = self.machines.registry.member(self.me)
         if mine is None or mine.state is not MemberState.ALIVE:
@@ -131,8 +132,9 @@
         self.propose(REGISTRY, registry.encode(command), deadline_us, on_done, now_us)
 
     def transfer_leadership(self, now_us: int) -> bool:
-        """Starts to transfer leadership to the voter that is alive and has the most complete log. Returns
-        False if there is none, if this member does not lead or if a transfer is already in progress."""
+        """Starts to transfer leadership to the voter with the longest matching log among those that are
+        alive. Returns False if there is none, if this member does not lead or if a transfer is already in
+        progress."""
         leader_state = self.raft.leader_state
         if leader_state is None:
             return False
@@ -141,7 +143,7 @@
         return bool(to) and self.raft.transfer_leadership(to, now_us)
 
     def watch(self, changed: Callable[[], None]) -> None:
-        """Calls `changed` after each change of the members that is committed and applied here."""
+        """Calls `changed` whenever committed changes of the members have been applied here."""
         self.watchers.append(changed)
 
     @property
@@ -156,7 +158,8 @@
         return [(to, self._with_sessions(to, message)) for to, message in out]
 
     def _with_sessions(self, to: str, message: Message) -> Message:
-        """Adds session requests to answers to the leader, and the leader's decisions to its rounds."""
+        """Adds the session requests that this voter has received to its reply to the leader, and this
+        leader's answers to session requests to its messages."""
         if isinstance(message, AppendReply) and self.ping_relay.heard and message.round:
             return msgspec.structs.replace(message, heard=self.ping_relay.take())
         if isinstance(message, Append) and self.members.grants is not None:
@@ -169,19 +172,19 @@
         previous write has not been reported as saved."""
         write = self.raft.take_write()
         if write is not None and not write.is_empty:
-            # Written along with other data, without a sync of its own, so it lacks the latest answers
-            # (`attestation.py`).
+            # What is known of the others is only written along with other data, without a sync of its own. So
+            # the stored copy lacks what became known since the last write (`attestation.py`).
             known, voters = self.startup.known_progress.known, self.raft.log.conf.voters
             write.known = {v: known[v] for v in sorted(voters & known.keys())}
         return write
 
     def saved(self, now_us: int) -> None:
-        """The last write is durable."""
+        """Reports that the write returned by `take_write` is durable."""
         self.raft.saved(now_us)
         self._after_input(now_us)
 
     def next_us(self) -> int:
-        """When `tick` has to be called at the latest."""
+        """When `tick` has to be called at the latest, in microseconds."""
         due = min(self.raft.next_us(), self.session.due_us, self.pending.next_us())
         return min(due, self.startup.attest_us) if self.startup.is_requesting else due
 
@@ -224,8 +227,9 @@
 
     def _step(self, sender: str, message: Message, now_us: int) -> None:
         if self.startup.attestation is not None:
-            # This member may yet have to abandon its incarnation. Until its disk is attested it takes no part
-            # in Raft and adds nothing to its memory of others, which must date from before the start.
+            # This member may still have to abandon its incarnation. Until its disk is attested it takes no
+            # part in Raft, and adds nothing to what it knows of the others: that must date from before its
+            # start.
             return
         if isinstance(message, AppendReply):
             if message.ok and message.round:
@@ -265,8 +269,9 @@
     # ---- consequences of an input
 
     def _after_input(self, now_us: int) -> None:
-        """Does all that follows from an input: restores or applies committed state, answers reads, follows a
-        change of the leader, sends what waits, and tells the watchers of changed members."""
+        """Does everything that may follow from an input: restores a snapshot, applies committed entries,
+        answers reads, handles a change of leader, sends waiting requests, and calls the watchers if members
+        have changed."""
         raft = self.raft
         if raft.installed_snapshot is not None:
             self.machines.restore(raft.installed_snapshot.data)
@@ -281,7 +286,7 @@
         if self.last_leader != raft.leader:
             self.last_leader = raft.leader
             self.log(f"{raft.leader or 'nobody'} leads in term {raft.term}")
-            self.ping_relay.take()  # drops old requests, which a new leader would take for signs of life
+            self.ping_relay.take()  # a new leader would take the senders of old requests for alive
             if raft.leader:
                 self.pending.resend_reads(raft.term)
                 self.session.expedite(raft.is_voter, now_us)
@@ -314,12 +319,14 @@
                     self.pending.term_began(entry.term)
             self.pending.applied(self.applied)
             self.startup.known_progress.retain(raft.log.conf.all)
-        grown = self.applied - raft.log.snapshot.index
-        if grown >= limits.compact and (grown >= 4 * limits.compact or not self._sending_snapshot):
+        since_snapshot = self.applied - raft.log.snapshot.index
+        if since_snapshot >= limits.compact and (
+            since_snapshot >= 4 * limits.compact or not self._sending_snapshot
+        ):
             self.snapshot()
 
     def snapshot(self) -> None:
-        """Takes a snapshot, which replaces the log up to the last applied entry."""
+        """Takes a snapshot of the state after the last applied entry and compacts the log up to it."""
         raft, at = self.raft, self.applied
         if at > raft.log.snapshot.index and raft.pending_snapshot is None:
             term = raft.log.term(at) or 0
@@ -327,14 +334,15 @@
 
     @property
     def _sending_snapshot(self) -> bool:
-        """Whether a snapshot is being sent. The next one is then delayed, until four times `compact` entries
-        are applied: a member that has received parts of the current one would have to start again."""
+        """Whether this leader is sending its snapshot to a member. The next snapshot is then delayed until
+        four times `compact` entries are applied, because a member that has received parts of the current one
+        would have to start again."""
         leader_state = self.raft.leader_state
         return leader_state is not None and any(p.offset for p in leader_state.progress.values())
 
 
 def decode_result(outcome: Outcome) -> registry.CommandResult | None:
-    """The result of a command for the registry; None if it is not committed."""
+    """The result of a command to the registry; None if the command is not committed."""
     return (
         registry.decode_result(outcome.value)
         if outcome.status is Status.COMMITTED and outcome.value
--- a/magpiefront/group/pending.py
+++ b/magpiefront/group/pending.py
@@ -22,7 +22,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Outcome:
-    """The end of an operation: `value` is the state machine's result, `cause` the reason of a failure."""
+    """How an operation ended: `value` is the state machine's result, `cause` the reason if it failed."""
 
     status: Status
     value: bytes = b""
@@ -42,7 +42,7 @@
     on_done: OutcomeCallback
     sent: bool = False
     sent_term: int = 0  # the term of the leader that it was sent to
-    entry: tuple[int, int] | None = None  # index and term of its log entry, if this member leads
+    entry: tuple[int, int] | None = None  # index and term of its log entry, if this member appended it
     read: bool = False
     index: int = -1  # of a read: the log index that must be applied first
 
@@ -55,13 +55,14 @@
         At most `limit` operations are open at once."""
         self.seq, self.limit = base, limit
         self.open: dict[int, PendingOperation] = {}  # by number
-        self.placed: dict[int, list[PendingOperation]] = {}  # in this leader's log, by index
+        # The operations that this member, as the leader, has appended to its log, by index.
+        self.placed: dict[int, list[PendingOperation]] = {}
         self.unsent: deque[PendingOperation] = deque()  # waiting for a known leader
 
     def add(
         self, data: bytes, deadline_us: int, on_done: OutcomeCallback, read: bool = False
     ) -> PendingOperation | None:  # fmt: skip
-        """Returns None, after refusing the operation, if too many are open."""
+        """Opens an operation and returns it. If too many are open, refuses it and returns None."""
         if len(self.open) >= self.limit:
             on_done(Outcome(Status.REFUSED, cause="too many operations are open"))
             return None
@@ -77,26 +78,28 @@
             operation.on_done(outcome)
 
     def place(self, operation: PendingOperation, index: int, term: int) -> None:
-        """Records where this leader has put an operation into its log."""
+        """Records the index and term at which this member, as the leader, has appended an operation."""
         operation.entry = index, term
         self.placed.setdefault(index, []).append(operation)
 
     def entry_committed(self, index: int, term: int) -> None:
-        """Refuses the operations that this leader had put at `index` if an entry of another term is committed
-        there: theirs can't be committed any more."""
+        """Handles the commit of an entry. Refuses the operations that this member had appended at `index`
+        under another term: their entries can't be committed any more."""
         for operation in self.placed.pop(index, ()):
             if operation.entry != (index, term):
                 self.end(operation.seq, Outcome(Status.REFUSED, cause="another leader's entry replaced it"))
 
     def term_began(self, term: int) -> None:
         """Ends the commands sent to leaders of earlier terms as unknown; called when the first entry of a
-        leader's term is applied. Such a command precedes that entry or has not been committed by the leader
-        that it was sent to, and whether it still will be can't be known."""
+        leader's term is applied. A command that precedes this entry in the log has normally ended before. Any
+        other was not committed by the leader that it was sent to, and it can't be known whether it still will
+        be."""
         for operation in [o for o in self.open.values() if o.sent and not o.read and o.sent_term < term]:
             self.end(operation.seq, Outcome(Status.UNKNOWN, cause="the term of its leader has ended"))
 
     def resend_reads(self, term: int) -> None:
-        """After a change of leader, queues unanswered reads again: repeating a read is harmless."""
+        """Queues the unanswered reads sent to leaders of earlier terms again: repeating a read is
+        harmless."""
         for operation in [
             o for o in self.open.values() if o.sent and o.read and o.index < 0 and o.sent_term < term
         ]:
@@ -104,16 +107,18 @@
             self.unsent.append(operation)
 
     def applied(self, index: int) -> None:
-        """Ends the reads that waited for the log to be applied up to `index`."""
+        """Ends the reads that wait for an index up to `index`, since the log is now applied up to there."""
         for operation in [o for o in self.open.values() if o.read and 0 <= o.index <= index]:
             self.end(operation.seq, Outcome(Status.COMMITTED))
 
     def expire(self, now_us: int) -> None:
-        """Ends the operations whose deadline has passed."""
+        """Ends the operations whose deadline has passed: commands that were sent as unknown, all others as
+        refused."""
         for operation in [o for o in self.open.values() if o.deadline_us <= now_us]:
             status = Status.UNKNOWN if operation.sent and not operation.read else Status.REFUSED
             self.end(operation.seq, Outcome(status, cause="the deadline has passed"))
 
     def next_us(self) -> int:
-        """When the next deadline passes; a time in the far future if no operation is open."""
+        """When the next deadline passes, in microseconds; a time in the far future if no operation is
+        open."""
         return min((o.deadline_us for o in self.open.values()), default=1 << 62)
--- a/magpiefront/group/progress.py
+++ b/magpiefront/group/progress.py
@@ -15,7 +15,7 @@
 
 
 class Progress:
-    """The replication state of one member. Times are microseconds."""
+    """The replication state of one member, as the leader knows it. Times are microseconds."""
 
     __slots__ = (
         "acked_round", "chunk_sent_us", "in_flight", "match", "match_round", "mode", "next", "offset",
@@ -24,14 +24,14 @@
 
     def __init__(self, next_index: int, now_us: int) -> None:
         self.mode = Mode.PROBE
-        self.match, self.next = 0, next_index
+        self.match, self.next = 0, next_index  # last index that it has confirmed; next index to send
         self.match_round = 0  # the newest round in which it confirmed `match`
         self.acked_round = 0  # the newest round that it has answered
         self.in_flight: deque[int] = deque()  # the last index of each unanswered message
         self.probe_in_flight = False  # a message with entries is unanswered
         self.offset = 0  # bytes of the snapshot that it has confirmed
         self.chunk_sent_us = 0  # when the last chunk was sent
-        self.sent_us = now_us
+        self.sent_us = now_us  # when the last message was sent
         self.sent_commit = 0  # the commit index that was last sent
 
     def record_success(self, match: int, round_: int) -> bool:
--- a/magpiefront/group/raft.py
+++ b/magpiefront/group/raft.py
@@ -8,8 +8,8 @@
 
 The caller passes in messages and the time and sends what `messages` returns. It makes the writes that
 `take_write` returns durable, one at a time, and reports each with `saved`; only then are the messages that
-depend on the write released. A leader sends entries only once its own disk holds them: from what they
-received, the others then know how far its disk is.
+depend on the write released. A leader sends entries only once its own disk holds them, so that the others
+know that this disk holds at least what they have received.
 """
 
 from __future__ import annotations
@@ -84,7 +84,8 @@
             self._try_commit(now_us)
 
     def propose(self, data: bytes, origin: str, seq: int) -> bool:
-        """Appends a command to the log. False if this member can't take it."""
+        """Appends a command to the log. False if this member does not lead, transfers its leadership, or has
+        `most_open` uncommitted entries."""
         if (
             self.leader_state is None
             or self.leader_state.transfer_target
@@ -95,11 +96,12 @@
         return True
 
     def propose_conf(self, conf: Conf) -> bool:
-        """Appends a new configuration to the log. False if this member can't take it.
+        """Appends a new configuration to the log. False if this member does not lead or may not make that
+        change now.
 
-        It may differ by one voter, and only once the previous change and an entry of the leader's own term
-        are committed: otherwise two disjoint majorities could form (thesis, 4.1, and the author's correction
-        of 2015).
+        The voters may change by one at a time, and only once the previous change and an entry of the leader's
+        own term are committed: otherwise two disjoint majorities could form (thesis, 4.1, and the author's
+        correction of 2015).
         """
         if (
             self.leader_state is None
@@ -122,7 +124,8 @@
         )
 
     def transfer_leadership(self, to: str, now_us: int) -> bool:
-        """Starts to transfer leadership to that voter (thesis, 3.10). False if it can't be started."""
+        """Starts to transfer leadership to that voter (thesis, 3.10). False if this member does not lead,
+        `to` is not another voter, or a transfer is in progress already."""
         if (
             self.leader_state is None
             or to not in self.log.conf.voters
@@ -136,7 +139,8 @@
 
     def read(self, reader: tuple[str, int], now_us: int) -> bool:
         """Registers a read. `LeaderState.take_confirmed_reads` returns it with its index once a majority has
-        confirmed that this member leads. False if it can't be served here."""
+        confirmed that this member leads. False if this member does not lead or has not committed an entry of
+        its own term yet."""
         if self.leader_state is None or self.commit < self.leader_state.term_start_index:
             return False
         self.leader_state.reads.append((self.leader_state.round + 1, self.commit, reader))
@@ -163,7 +167,7 @@
         )
 
     def tick(self, now_us: int) -> None:
-        """Does what is due at that time: heartbeats, stepping down, or a candidacy."""
+        """Does what is due at that time: sends heartbeats, steps down, or starts a pre-vote."""
         if self.leader_state is not None:
             if self.leader_state.has_lost_quorum(now_us):
                 self._become_follower(self.term, "", now_us)
@@ -213,7 +217,8 @@
             self._record_vote(self.me, True, now_us)
 
     def _record_vote(self, member: str, granted: bool, now_us: int) -> None:
-        """Counts a vote; ends the candidacy once a majority has granted or refused theirs."""
+        """Counts a vote. Once a majority has granted their votes, starts the election after a pre-vote or
+        becomes the leader; once a majority has refused, becomes a follower."""
         voters = self.log.conf.voters
         if member in voters:
             self.received_votes[member] = granted
@@ -259,7 +264,7 @@
     # ---- messages
 
     def step(self, sender: str, message: Message, now_us: int) -> None:
-        """Handles a message of another member."""
+        """Handles a message from another member."""
         future = False  # the message's term is one that the sender has not entered
         if isinstance(message, VoteRequest):
             if message.term > self.term and not message.is_transfer and self.hears_leader(now_us):
--- a/magpiefront/group/registry.py
+++ b/magpiefront/group/registry.py
@@ -1,7 +1,8 @@
 """The replicated registry: states of the members, leases with epochs, and small registers.
 
-A state machine: the same commands in the same order give the same state on each member. It reads no clock;
-the leader decides that a member's session has ended before it proposes the command.
+A state machine: the same commands in the same order give the same state on each member. It reads no clock; it
+is the leader that determines that a member's session has ended, before it proposes to mark the member as
+lost.
 """
 
 from __future__ import annotations
@@ -12,7 +13,7 @@
 
 from magpiefront.group.messages import Conf, name_of
 
-MAX_REGISTERS = 100_000
+MAX_REGISTERS = 100_000  # further keys are refused
 
 
 class MemberState(Enum):
@@ -24,7 +25,7 @@
 
 
 class Member(msgspec.Struct):
-    """A member, by its name. The epoch grows with each change of what it may do."""
+    """The state of a member. The epoch grows with each change of the member's permission to act."""
 
     id: str
     epoch: int
@@ -43,23 +44,24 @@
 
 
 class Register(msgspec.Struct):
-    """A value with the number of its writes."""
+    """A value, and the number of writes to it as its version."""
 
     version: int
     value: bytes
 
 
 class MarkLost(msgspec.Struct, tag="Lose"):
-    """Marks a member as lost, whose session has certainly ended. `epoch` is its current one."""
+    """Marks a member as lost after its session has certainly ended. No effect unless `epoch` is the
+    member's."""
 
     id: str
     epoch: int
-    soon: bool  # lost soon after it had returned
+    soon: bool  # the member is lost soon after its previous return
     ended: int = 0  # set by the member itself: the number of its process, which ends as planned
 
 
 class MarkReturned(msgspec.Struct, tag="Welcome"):
-    """Marks a lost member as alive. `epoch` is its current one."""
+    """Marks a lost member as alive. No effect unless `epoch` is the member's."""
 
     id: str
     epoch: int
@@ -80,7 +82,8 @@
 
 
 class AcquireLease(msgspec.Struct, tag="Take"):
-    """Acquires a free lease for a member."""
+    """Acquires a lease for a member. No effect if the lease is held or the member is not alive under
+    `epoch`."""
 
     lease: str
     id: str
@@ -88,7 +91,7 @@
 
 
 class ReleaseLease(msgspec.Struct, tag="Drop"):
-    """Releases a lease that a member holds."""
+    """Releases a lease. No effect unless the member holds it under `epoch`."""
 
     lease: str
     id: str
@@ -96,7 +99,7 @@
 
 
 class PutRegister(msgspec.Struct, tag="Put"):
-    """Writes a register if it has that version; -1: any version."""
+    """Writes a register if its current version is `version`, or unconditionally if that is -1."""
 
     key: str
     value: bytes
@@ -122,7 +125,7 @@
     leases: dict[str, Lease] = {}
     registers: dict[str, Register] = {}
     barred: set[str] = set()  # names that an operator has removed
-    changes: int = 0
+    changes: int = 0  # counts the changes of members
 
 
 class Registry:
@@ -148,7 +151,8 @@
         return self.tables.leases.get(name) or Lease("", 0)
 
     def apply_conf(self, conf: Conf) -> None:
-        """Follows a committed configuration: new members are alive, removed ones have left."""
+        """Applies a committed configuration: members that it adds are alive, members that it removes have
+        left."""
         members = self.tables.members
         for id in sorted(conf.all):
             known = members.get(name_of(id))
@@ -171,7 +175,7 @@
     def apply(self, index: int, origin: str, data: bytes) -> bytes:
         try:
             command: Command = msgspec.msgpack.decode(data, type=Command)
-        except msgspec.MsgspecError:  # a command of another version is ignored by all members alike
+        except msgspec.MsgspecError:  # written by another version: all members ignore it
             return msgspec.msgpack.encode(CommandResult(False))
         return msgspec.msgpack.encode(self._execute(command))
 
@@ -197,7 +201,7 @@
                 return CommandResult(True, member.epoch)
             case RegisterProcess():
                 member = self.member(command.id)
-                # A lower number: a delayed command of an earlier process.
+                # A number that is not higher: a repeated command, or a delayed one of an earlier process.
                 if member is None or command.process_number <= member.process_number:
                     return CommandResult(False)
                 if member.process_number:
--- a/magpiefront/group/requests.py
+++ b/magpiefront/group/requests.py
@@ -1,5 +1,5 @@
-"""Commands and reads: those of this member, and those that other members send to it as the leader. No I/O and
-no clock."""
+"""Commands and reads: those of this member, and those that other members send to this member while it leads.
+No I/O and no clock."""
 
 from __future__ import annotations
 
@@ -9,14 +9,15 @@
 from magpiefront.group.messages import Forward, Message, ReadRequest, ReadReply, Refusal
 from magpiefront.group.raft import Raft
 
-MAX_ACCEPTED_COMMANDS = 8_192
+MAX_ACCEPTED_COMMANDS = 8_192  # how many commands of other members are remembered to detect duplicates
 
 
 class Requests:
-    """Carries out the commands and reads of this member and, while it leads, those of other members.
+    """Passes the commands and reads of this member to the leader and, while this member leads, handles those
+    of all members.
 
-    `send` sends a message to a member. `applied` returns the index up to which the log is applied at this
-    member.
+    `send` sends a message to a member. `applied` returns the index up to which this member has applied the
+    log.
     """
 
     def __init__(
@@ -25,7 +26,8 @@
     ) -> None:  # fmt: skip
         self.me, self.raft, self.pending, self.max_entry_bytes = me, raft, pending, max_entry_bytes
         self.send, self.applied = send, applied
-        # The latest commands accepted from other members, by sender and number.
+        # The latest commands accepted from other members (at most `MAX_ACCEPTED_COMMANDS`), by sender and
+        # number. Used as an ordered set.
         self.accepted: dict[tuple[str, int], None] = {}
 
     # ---- requests of this member
@@ -33,11 +35,11 @@
     def propose(
         self, machine: str, data: bytes, deadline_us: int, on_done: OutcomeCallback, now_us: int
     ) -> None:  # fmt: skip
-        """Proposes a command. `on_done` is called once, by the deadline: committed with the machine's result,
-        refused (certainly without effect), or unknown."""
+        """Proposes a command to a state machine. `on_done` is called once, by the deadline, with the status
+        committed and the machine's result, refused (certainly without effect), or unknown."""
         entry = machine.encode() + b"\0" + data
         if len(entry) > self.max_entry_bytes:
-            on_done(Outcome(Status.REFUSED, cause=f"{len(entry)} bytes are more than most_entry"))
+            on_done(Outcome(Status.REFUSED, cause=f"{len(entry)} bytes exceed most_entry"))
             return
         operation = self.pending.add(entry, deadline_us, on_done)
         if operation is not None:
@@ -45,15 +47,16 @@
             self.send_all(now_us)
 
     def read(self, deadline_us: int, on_done: OutcomeCallback, now_us: int) -> None:
-        """Calls `on_done` once: committed as soon as all that was committed before this call is applied here,
-        or refused if that is not possible in time (thesis, 6.4)."""
+        """Makes a linearizable read (thesis, 6.4). `on_done` is called once: with the status committed as
+        soon as everything committed before this call is applied here, or refused if that fails or takes
+        longer than the deadline allows."""
         operation = self.pending.add(b"", deadline_us, on_done, read=True)
         if operation is not None:
             self.pending.unsent.append(operation)
             self.send_all(now_us)
 
     def send_all(self, now_us: int) -> None:
-        """Sends the waiting operations to the leader, if one is known. Commands are sent once only."""
+        """Sends the unsent operations to the leader, if one is known. A command is sent only once."""
         raft = self.raft
         while self.pending.unsent:
             operation = self.pending.unsent[0]
@@ -64,7 +67,8 @@
                             return
                     elif not raft.propose(operation.data, self.me, operation.seq):
                         self.pending.end(
-                            operation.seq, Outcome(Status.REFUSED, cause="the leader takes nothing now")
+                            operation.seq,
+                            Outcome(Status.REFUSED, cause="the leader can't accept a command now"),
                         )
                     else:
                         self.pending.place(operation, raft.log.last_index, raft.term)
@@ -86,16 +90,16 @@
         """Proposes another member's command, or refuses it."""
         key = sender, message.seq
         if key in self.accepted:
-            return  # a duplicate; refusing it would be wrong, as the first copy may be committed
+            return  # a duplicate; refusing it would be wrong, since the first copy may be committed
         cause = ""
         if self.raft.leader_state is None:
-            cause = "it does not lead"
+            cause = "the receiver does not lead"
         elif sender not in self.raft.log.conf.all:
-            cause = "not of this group"
+            cause = "the sender is not a member of this group"
         elif len(message.data) > self.max_entry_bytes or not self.raft.propose(
             message.data, sender, message.seq
         ):
-            cause = "the leader takes nothing now"
+            cause = "the leader can't accept this command now"
         else:
             self.raft.leader_state.commit_waiters[sender] = self.raft.log.last_index
             self.accepted[key] = None
@@ -105,15 +109,15 @@
             self.send(sender, Refusal(seq=message.seq, cause=cause))
 
     def on_read(self, sender: str, seq: int, now_us: int) -> None:
-        """Begins another member's read; answers with index -1 if this member can't serve it."""
+        """Begins another member's read, or answers with index -1 if this member can't serve it."""
         if not self._read_as_leader((sender, seq), now_us):
             self.send(sender, ReadReply(seq=seq, index=-1))
 
     # ---- reads
 
     def _read_as_leader(self, reader: tuple[str, int], now_us: int) -> bool:
-        """Answers a read at once while the leader's lease holds, otherwise once a majority has confirmed that
-        this member leads. Returns False if it can't serve the read."""
+        """Serves a read: at once while this leader's lease holds, otherwise once a majority has confirmed
+        that this member leads. Returns False if this member can't serve it."""
         leader_state = self.raft.leader_state
         if (
             leader_state is not None
@@ -138,10 +142,11 @@
             self.on_read_reply(seq, index)
 
     def on_read_reply(self, seq: int, index: int) -> None:
-        """The leader's answer to a read: the index to wait for, or -1 if it does not lead."""
+        """Handles the answer to a read: the index to wait for, or -1 if the member that was asked can't serve
+        the read."""
         operation = self.pending.open.get(seq)
         if operation is not None and index < 0:
-            self.pending.end(seq, Outcome(Status.REFUSED, cause="it does not lead"))
+            self.pending.end(seq, Outcome(Status.REFUSED, cause="the receiver can't serve the read"))
         elif operation is not None:
             operation.index = index
             self.pending.applied(self.applied())
--- a/magpiefront/group/service.py
+++ b/magpiefront/group/service.py
@@ -25,8 +25,9 @@
 from magpiefront.net.runtime import Runtime
 from magpiefront.sqlfile import BadStore
 
-DISK_RETRY_DELAY_S = 1.0  # after a failure of the disk
-HANDOVER_RETRY_DELAY_S = 0.01  # while the previous process still has the address or the file
+DISK_RETRY_DELAY_S = 1.0  # before each attempt to open the disk after it has failed
+# Before each attempt to start during a handover, until the previous process has released file and address.
+HANDOVER_RETRY_DELAY_S = 0.01
 LATE_US = 100_000  # a timer that fires later than this is counted as late
 
 
@@ -58,8 +59,9 @@
         self._begin(self.disk.start())
 
     def start_after_handover(self, transport: Transport, listen: Callable[[], Awaitable[None]]) -> None:
-        """Like `start`, but once the previous process of the same member has released its file and address.
-        The member takes no part before that."""
+        """Like `start`, but waits until the previous process of the same member has released its file and
+        address; the member takes no part before that. `listen` binds the address, and raises OSError while it
+        is in use."""
         self.transport, self.cause = transport, "the previous process still has the file and the address"
         self.task = self.runtime.loop.create_task(self._start_later(HANDOVER_RETRY_DELAY_S, listen))
 
@@ -75,7 +77,7 @@
 
     def _begin(self, stored: StoredState) -> None:
         """Starts the peer from the stored state. Resets the state machines first, because committed commands
-        are applied again from the snapshot or the first entry. Machines that kept their state after a failure
+        are applied again from the snapshot or the first entry: machines that kept their state after a failure
         of the disk would apply them twice."""
         for machine in self.machines.values():
             machine.reset()
@@ -92,7 +94,7 @@
             changed()
 
     def _on_disk_failure(self, cause: str) -> None:
-        """Takes the member out, since it must not continue with state that its disk does not hold."""
+        """Stops taking part, since the member must not continue with state that its disk does not hold."""
         self.disk.stop()
         self._take_out(f"out of the vote: {cause}")
         self._log(self.cause)
@@ -102,8 +104,8 @@
     async def _start_later(
         self, delay_s: float = DISK_RETRY_DELAY_S, listen: Callable[[], Awaitable[None]] | None = None
     ) -> None:  # fmt: skip
-        """Retries until the disk can be opened and written, in a thread because it may hang. With `listen`,
-        also until the address can be bound."""
+        """Retries until the disk can be opened and written, in a thread because the disk may hang. With
+        `listen`, first retries until the address can be bound. Then starts the peer."""
         while True:
             await asyncio.sleep(delay_s)
             try:
@@ -123,7 +125,8 @@
             return
 
     def _take_out(self, cause: str) -> None:
-        """Stops taking part and ends all open operations."""
+        """Stops taking part, and ends all open operations: commands and reads that were sent as unknown, the
+        others as refused."""
         peer, self.peer, self.cause = self.peer, None, cause
         if peer is not None:
             for seq in list(peer.pending.open):
@@ -142,7 +145,8 @@
         self.disk.stop()
 
     def configure(self, members: dict[str, Address]) -> None:
-        """Replaces the addresses of members. Who is a member is decided by the group, not here."""
+        """Replaces the addresses of the members. Which members belong to the group is not decided here, but
+        by the group's configuration."""
         self.settings = replace(self.settings, members=members)
         if self.peer is not None:
             self.peer.settings = self.settings
@@ -150,8 +154,8 @@
     # ---- messages
 
     def receive(self, data: bytes) -> bool:
-        """Handles a message. Returns False if it can't be decoded or its sender is not a member of this
-        group."""
+        """Handles an encoded message. Returns False if it can't be decoded, or is not from a member of this
+        group that the settings name."""
         envelope = wire.decode(data)
         if envelope is None:
             self.counts["unreadable"] += 1
@@ -204,7 +208,7 @@
             self.transport.send(name_of(to), data)
         if self.timer is not None:
             self.timer.cancel()
-        # 0.2 ms late rather than early: a tick before its time has nothing to do.
+        # The timer is set 0.2 ms late so that it does not fire early, when a tick would have nothing to do.
         wait_s = max(0, peer.next_us() - self.runtime.now_us()) / 1e6
         self.timer = self.runtime.loop.call_later(wait_s + 0.0002, self._tick, peer)
 
@@ -234,14 +238,16 @@
     def _submit(
         self, on_done: OutcomeCallback, submit: Callable[[Peer, OutcomeCallback, int], None]
     ) -> None:  # fmt: skip
-        """Passes a request to the peer. Outcomes are delivered in a turn of their own: a callback may make
-        another request, and the peer would be in the middle of handling the input that led to the outcome."""
+        """Passes a request to the peer. The outcome is delivered in a later turn of the event loop: the
+        callback may make another request, while the peer may still be handling the input that led to the
+        outcome."""
 
         peer = self.peer
 
         def deliver(outcome: Outcome) -> None:
             if outcome.status is Status.COMMITTED and not outcome.value and self.peer is not peer:
-                # A read. The peer was restarted after a failure of the disk, and its state may be older now.
+                # This was a read. The peer was restarted after a failure of the disk meanwhile, and its state
+                # may be older now than when the read ended.
                 outcome = Outcome(Status.REFUSED, cause="the member was restarted")
             on_done(outcome)
 
@@ -287,8 +293,8 @@
         self.hint_handlers[topic] = handler
 
     async def leave(self, timeout_s: float) -> None:
-        """Prepares a planned shutdown, within `timeout_s`: the member does not act any more, the others know
-        so at once, and leadership is transferred."""
+        """Prepares a planned shutdown, for at most `timeout_s`: the member does not act any more, the other
+        members learn that at once, and leadership is transferred."""
         peer, end = self.peer, self.runtime.loop.time() + timeout_s
         if peer is None:
             return
@@ -306,7 +312,7 @@
     # ---- metrics and status
 
     def metrics(self) -> str:
-        """The lines for the admin address. Times are in `status` only."""
+        """The metrics as lines of text. Times are reported only by `status`."""
         peer = self.peer
         values: dict[str, int] = {"out_of_the_vote": int(peer is None)}
         if peer is not None:
@@ -320,7 +326,7 @@
         return metric_lines("group", values)
 
     def status(self) -> dict[str, Any]:
-        """The state of this member and of the group as it knows it, as JSON types."""
+        """The state of this member, and that of the group as far as this member knows it, as JSON types."""
         now, peer = self.runtime.now_us(), self.peer
         status: dict[str, Any] = {
             "group": self.settings.name, "member": self.settings.member, "cause": self.cause,
