--- a/magpiefront/group/sessions.py
+++ b/magpiefront/group/sessions.py
@@ -1,16 +1,16 @@
 """Sessions: they allow a member to act, are renewed only by the leader, and expire by the member's own clock.
 No I/O and no clock.
 
-A member sends its request to any voter. Voters pass requests on to the leader with their answers to its
-rounds, and the leader's grants return the same way. A member that reaches a single voter is therefore heard,
-and is taken for lost only after it has been silent towards every voter that the leader hears.
-
-Safety does not depend on that path. A session is counted from the time of the member's request, and the
-leader grants it only after a majority has answered a round that began after the leader received the request.
-Such a majority elects no other leader for `election` after it heard this one, so when a new leader is elected
-at most `session - election` is left of any session. A new leader waits that long, allowing for clocks that
-differ by up to `drift`. A leader in office waits the whole `loss_timeout_us` after the last request that it
-granted.
+A member may send its request to any voter. Voters pass requests on to the leader with their answers to its
+rounds, and the leader's grants return the same way. So the leader hears a member that reaches a single voter,
+and considers a member lost only after it has been silent towards every voter that the leader hears.
+
+Safety does not depend on the path of a request. A session is counted from the time at which the member sent
+its request, and the leader grants it only after a majority has answered a round that began after the leader
+received the request. That majority elects no other leader for `election_us` after it heard this one, so when
+a new leader is elected at most `session_us - election_us` is left of any session. A new leader waits that
+long before it declares a member lost, allowing for clocks that differ by up to `drift`. For a session that it
+has granted itself, a leader waits the whole `loss_timeout_us` after the last granted request.
 """
 
 from __future__ import annotations
@@ -24,7 +24,7 @@
 from magpiefront.group.settings import Times
 
 Ack = tuple[str, int, bool, int]  # member, number of its request, whether it may act, its epoch
-MAX_SENT_REQUESTS = 64  # grants of requests older than the last 64 are ignored
+MAX_SENT_REQUESTS = 64  # grants of requests before the latest 64 are ignored
 
 
 class Session:
@@ -34,10 +34,10 @@
         self.times, self.random = times, random
         self.seq = 0
         self.sent: deque[tuple[int, int]] = deque(maxlen=MAX_SENT_REQUESTS)  # number and time of each request
-        self.until_us = 0
+        self.until_us = 0  # when the session ends
         self.epoch = 0  # the latest epoch that the leader has sent; 0 before the first
         self.due_us = 0  # when the next request is to be sent
-        self.next_voter = 0
+        self.next_voter = 0  # counts requests, to choose the voters in turn
         self.is_removed = False  # the leader does not know this incarnation as a member any more
         self.is_member = False  # the leader knows this incarnation as a member
 
@@ -46,8 +46,8 @@
         if the latest granted request was sent three ping intervals ago or earlier."""
         self.seq += 1
         self.sent.append((self.seq, now_us))
-        # A jitter of up to 25% either way, so that hundreds of members that one event has triggered do not
-        # stay synchronized.
+        # A jitter of up to 25% either way. Without it, hundreds of members whose requests one event has
+        # synchronized would stay synchronized.
         self.due_us = now_us + int(self.times.ping_us * (0.75 + 0.5 * self.random.random()))
         known = sorted(voters)
         if not known:
@@ -66,7 +66,7 @@
 
     def on_reply(self, seq: int, may: bool, epoch: int) -> None:
         """Handles the leader's answer to request `seq`. A negative epoch means that this incarnation is not
-        a member any more. Answers of earlier epochs are ignored."""
+        a member any more. Answers under an earlier epoch are ignored."""
         if abs(epoch) < self.epoch:
             return
         self.is_removed, self.is_member = epoch < 0, epoch > 0
@@ -86,7 +86,7 @@
 
 
 class PingRelay:
-    """The requests that a voter passes on to the leader with its next answer."""
+    """The session requests that a voter passes on to the leader with its next answer."""
 
     def __init__(self) -> None:
         self.heard: dict[str, tuple[int, int]] = {}  # latest request and process number, by member
@@ -102,44 +102,45 @@
 
 
 class SessionRequest(NamedTuple):
-    """A request that the leader grants or denies once a majority has answered `round`."""
+    """A session request that the leader grants or denies once a majority has answered `round`."""
 
     round: int
     by: str  # the voter that received it
     member: str
     seq: int
     process_number: int
-    heard_us: int
+    heard_us: int  # when the leader received it
 
 
 @dataclass
 class SessionGrants:
-    """The sessions that a leader has granted, and from whom it has heard."""
+    """The sessions that a leader has granted, and when it has heard from each member. Times are
+    microseconds."""
 
     times: Times
-    # Sessions granted by earlier leaders count as granted at this time. Moved to the present after a stall of
-    # this process, and then applies to all sessions (`detect_stall`).
+    # Sessions granted by earlier leaders count as granted at this time. After a stall of this process it is
+    # set to the present and applies to all sessions (`detect_stall`).
     began_us: int
     elected_us: int = 0
-    # The leader whose silence led to the election of this one; empty after a transfer of leadership. It gets
-    # no extra time to send a first request (`has_expired`).
+    # The leader whose silence led to the election of this one; empty after a transfer of leadership. That
+    # member gets no extra time to send a first request (`has_expired`).
     previous_leader: str = ""
     unconfirmed: list[SessionRequest] = field(default_factory=list)
     granted_us: dict[str, int] = field(default_factory=dict)  # arrival of the latest granted request
     heard_us: dict[str, int] = field(default_factory=dict)  # arrival of the latest request
-    heard_since_us: dict[str, int] = field(default_factory=dict)  # since when a member is heard without a gap
-    alive_since_us: dict[str, int] = field(default_factory=dict)  # as far as this leader knows
-    # Members that get no grants any more: their loss is proposed, or their session has to end because an
-    # operator removes them or another incarnation replaces them.
+    heard_since_us: dict[str, int] = field(default_factory=dict)  # first request after the last gap
+    alive_since_us: dict[str, int] = field(default_factory=dict)  # since when it is alive, if known here
+    # Members that get no grants any more: it is proposed to mark them as lost, or their session has to end
+    # because an operator removes them or another incarnation replaces them.
     closing: set[str] = field(default_factory=set)
     acks: dict[str, list[Ack]] = field(default_factory=dict)  # answers, by the voter that passes them on
-    checked_us: int = 0
+    checked_us: int = 0  # when `detect_stall` was last called
     # Whether this leader has gone through all members once. Those alive at that first check count as alive
     # since `began_us`; others since the check that first finds them alive.
     has_checked: bool = False
 
     def add_request(self, request: SessionRequest) -> None:
-        """Records a request, which waits for its round."""
+        """Records a request, which waits until a majority has answered its round."""
         if request.heard_us > self.heard_us.get(request.member, 0) + self.times.session_us:
             self.heard_since_us[request.member] = request.heard_us
         self.heard_us[request.member] = request.heard_us
@@ -153,7 +154,8 @@
         return due
 
     def decide(self, request: SessionRequest, is_alive: bool) -> bool:
-        """Whether a confirmed request is granted. `is_alive`: the registry has this process as alive."""
+        """Whether a confirmed request is granted; if so, records that. `is_alive`: in the registry, the
+        member is alive and the sender is its latest process."""
         may = is_alive and request.member not in self.closing
         if may:
             self.granted_us[request.member] = max(self.granted_us.get(request.member, 0), request.heard_us)
@@ -164,20 +166,20 @@
 
     def detect_stall(self, now_us: int) -> None:
         """Restarts all timeouts if this process has not run for more than two heartbeat intervals. Requests
-        that arrived meanwhile are still unread, and without this all members would be taken for lost."""
+        that arrived meanwhile are still unread, and without this all members would be considered lost."""
         if self.checked_us and now_us > self.checked_us + 2 * self.times.heartbeat_us:
             self.began_us = max(self.began_us, now_us)
         self.checked_us = now_us
 
     def has_expired(self, member: str, now_us: int) -> bool:
         """Whether the member's session has certainly expired. Members that have just become alive, and all
-        members after a change of leader, get time to send a request first: three ping intervals after an
-        election, since `expedite` spreads the first requests over up to two."""
+        members after a change of leader, first get time to send a request: after an election three ping
+        intervals, since `expedite` spreads the first requests over up to two."""
         unheard = member != self.previous_leader and member not in self.heard_us
         if unheard and now_us < self.elected_us + 3 * self.times.ping_us:
             return False
         last = max(self.began_us, self.granted_us.get(member, 0), self.alive_since_us.get(member, 0))
-        if member not in self.closing:  # its requests show that it is alive, even those not answered yet
+        if member not in self.closing:  # even requests without an answer show that the member is alive
             last = max(last, self.heard_us.get(member, 0))
         return now_us >= last + self.times.loss_timeout_us
 
@@ -186,8 +188,8 @@
         return now_us >= max(self.began_us, self.heard_us.get(member, 0)) + 2 * self.times.ping_us
 
     def may_return(self, member: str, losses: int, now_us: int) -> bool:
-        """Whether a lost member has been heard for long enough to be alive again. The time doubles with each
-        loss that followed soon after the previous return; none is required after a planned shutdown."""
+        """Whether a lost member has been heard for long enough to be marked as alive again. The required time
+        doubles with each loss soon after the previous return; after a planned shutdown it is zero."""
         # At most 16 doublings, to bound the shift; `most_hold_us` bounds the time.
         hold = min(self.times.most_hold_us, self.times.hold_us << min(max(0, losses - 1), 16))
         if not losses:  # a planned shutdown
@@ -197,6 +199,6 @@
         return recent and now_us >= self.heard_since_us.get(member, now_us) + hold
 
     def was_alive_briefly(self, member: str, now_us: int) -> bool:
-        """Whether a lost member had been alive for a short time only (less than ten times `hold_us`), as far
-        as this leader has seen it."""
+        """Whether a member that is now lost was alive only for a short time (less than ten times `hold_us`),
+        as far as this leader has seen."""
         return now_us < self.alive_since_us.get(member, self.began_us) + 10 * self.times.hold_us
--- a/magpiefront/group/startup.py
+++ b/magpiefront/group/startup.py
@@ -1,4 +1,4 @@
-"""What a member does between the start of its process and taking part. It begins a new group, has its disk
+"""What a member does from the start of its process until it takes part: it begins a new group, has its disk
 attested by the other members, asks to join, or continues under a new incarnation. No I/O and no clock."""
 
 from __future__ import annotations
@@ -10,8 +10,8 @@
     Attest, AttestReply, Conf, Join, Message, Snapshot, member_id, name_of,
 )  # fmt: skip
 
-JOIN_INTERVAL_US = 500_000
-FIRST_INDEX = 1  # of a group's first snapshot; above 0, so that a member with an empty disk is sent it
+JOIN_INTERVAL_US = 500_000  # between requests to join
+FIRST_INDEX = 1  # index of a group's first snapshot; above 0, so that members with an empty disk are sent it
 
 
 class Startup:
@@ -22,12 +22,13 @@
         self.known_progress = KnownProgress(stored.known)
         self.is_empty = stored.is_empty
         self.birth = peer.raft.random.getrandbits(48) + 1  # see `Attest.birth`
-        # The `birth` of each process with which this one began the group, by member name.
+        # By member name, the `birth` of each process that answered this one's attestation. If this process
+        # began the group, it did so with these.
         self.births: dict[str, int] = {}
         self.needs_new_incarnation = False
         self.attestation: Attestation | None = None
         self.attest_us = now_us  # when the next request is due: `Attest`, or `Join` without an attestation
-        # Its previous incarnation was abandoned: it has to join again and never begins a group.
+        # After its previous incarnation was abandoned, a member has to join again and never begins a group.
         was_abandoned = stored.is_empty and stored.incarnation != "0"
         is_first_voter = stored.is_empty and self.settings.member in self.settings.voters
         conf = peer.raft.log.conf
@@ -44,13 +45,14 @@
 
     @property
     def is_requesting(self) -> bool:
-        """Whether it asks the other members to attest its disk, to let it join, or to make it a voter."""
+        """Whether this member asks the others to attest its disk, to let it join, or to make it a voter."""
         is_observer = self.peer.me in self.peer.raft.log.conf.observers
         wants_vote = is_observer and self.settings.member in self.settings.voters
         return self.attestation is not None or self.joining or wants_vote
 
     def tick(self, now_us: int) -> None:
-        """Repeats its request while it has one: `Attest` each `ping_us`, `Join` each `JOIN_INTERVAL_US`."""
+        """Repeats this member's request, if any: `Attest` every `ping_us`, `Join` every
+        `JOIN_INTERVAL_US`."""
         if self.is_requesting and now_us >= self.attest_us:
             self.attest_us = now_us + (
                 self.peer.times.ping_us if self.attestation is not None else JOIN_INTERVAL_US
@@ -92,9 +94,9 @@
         self.peer.outbox.append((sender, reply))
 
     def _missed_only_the_start(self, sender: str, birth: int) -> bool:
-        """Whether the sender, whose disk is empty, has missed only the beginning of the group. It may then
-        start as if it had been there: either it is the very process that took part in the beginning, or
-        nothing has followed the beginning yet. Any other process with an empty disk may have lost votes or
+        """Whether the sender, whose disk is empty, has missed only the beginning of the group and so may
+        start as if it had been there. Either it is the same process that took part in the beginning, or
+        nothing has happened in the group since. Any other process with an empty disk may have lost votes or
         entries, and the members that knew of them may have forgotten."""
         raft = self.peer.raft
         return self.births.get(name_of(sender)) == birth or (
@@ -108,16 +110,17 @@
             self.attestation.add_answer(name, reply)
             self._conclude(now_us)
         elif is_ahead(reply, raft.term, raft.log.last_index):
-            self.abandon_incarnation()  # the leader noticed that this disk lacks entries it had confirmed
+            self.abandon_incarnation()  # the leader found that this disk lacks entries that it had confirmed
 
     def check_process_number(self, process_number: int) -> None:
-        """Abandons the incarnation if the registry knows a process of it with a higher number than this one:
-        that process has run with another disk. `process_number` is the number that the registry has."""
+        """Abandons the incarnation if its `process_number` in the registry is higher than that of this
+        process: a process with that number must have run with another disk."""
         if process_number > self.peer.process_number and not self.needs_new_incarnation:
             self.abandon_incarnation()
 
     def abandon_incarnation(self) -> None:
-        """Has the member continue under a new incarnation, because this disk is not its latest."""
+        """Requests that the member continue under a new incarnation, because this disk is not its latest.
+        Until then it does not vote."""
         self.needs_new_incarnation, self.peer.raft.may_vote = True, False
         self.peer.log("this disk is lost or older than what the other members know of it: the member rejoins "
                       "as an observer under a new incarnation")  # fmt: skip
--- a/magpiefront/group/state_machines.py
+++ b/magpiefront/group/state_machines.py
@@ -10,15 +10,15 @@
 from magpiefront.group.messages import Conf, Entry, EntryKind
 from magpiefront.group.log import encode_deterministic, decode_conf
 
-REGISTRY = "facts"  # the registry's name, which is in log entries and snapshots and so can't change
-DEDUP_WINDOW = 4_096  # a command this far behind its member's newest one counts as a duplicate
+REGISTRY = "facts"  # the registry's name, which can't change because log entries and snapshots contain it
+DEDUP_WINDOW = 4_096  # a command whose number is this far below its member's highest counts as a duplicate
 
 
 class StateMachine(Protocol):
     """A state machine: the same commands in the same order give the same state on each member.
 
-    It answers a command that it can't decode with a refusal of its own. It must not raise, since that would
-    stop every member.
+    `apply` must answer a command that it can't decode with a result that refuses it. It must not raise, since
+    that would stop every member.
     """
 
     def reset(self) -> None:
@@ -36,7 +36,7 @@
     below: set[int] = set()
 
     def mark_applied(self, seq: int) -> bool:
-        """Records a command as applied. False if it is a duplicate."""
+        """Records a command as applied. False if it is a duplicate, or too old to tell."""
         if seq > self.top:
             self.top = seq
             self.below = {s for s in self.below if s > seq - DEDUP_WINDOW}
@@ -62,7 +62,8 @@
         self.applied_commands: dict[str, AppliedCommands] = {}
 
     def apply(self, entry: Entry) -> bytes | None:
-        """Applies a log entry. Returns the answer to its command; None without one or for a duplicate."""
+        """Applies a log entry. Returns the machine's answer to its command; None if the entry holds no
+        command, or a duplicate, or one for an unknown machine."""
         if entry.kind is EntryKind.CONF:
             conf = decode_conf(entry.data)
             self.registry.apply_conf(conf)
@@ -77,6 +78,7 @@
         return None
 
     def _forget_departed(self, conf: Conf) -> None:
+        """Drops the applied commands of those that are not members any more."""
         for origin in self.applied_commands.keys() - conf.all:
             del self.applied_commands[origin]
 
--- a/magpiefront/group/wire.py
+++ b/magpiefront/group/wire.py
@@ -1,5 +1,5 @@
-"""The encoding of messages between members: msgpack behind a length. Undecodable messages are dropped and
-counted by the caller."""
+"""The encoding of messages between members: a length, followed by msgpack. The caller drops and counts
+messages that can't be decoded."""
 
 from __future__ import annotations
 
@@ -7,12 +7,12 @@
 
 from magpiefront.group.messages import AnyMessage, Message
 
-LENGTH_BYTES = 4
+LENGTH_BYTES = 4  # a big-endian number, the size of the message without it
 
 
 class Envelope(msgspec.Struct, array_like=True):
-    """A message with its group, sender and receiver. `to` is a member's id, or a member's name and a dot for
-    whichever incarnation has that name."""
+    """A message with its group, sender and receiver. `to` is a member's id, or a member's name and a dot,
+    which addresses whichever incarnation has that name."""
 
     group: str
     sender: str
@@ -21,7 +21,7 @@
 
 
 class FrameTooLong(Exception):
-    """The length of a message exceeds the limit. The text of the exception names both."""
+    """The length of a message exceeds the limit. The exception's message names both."""
 
 
 DECODER: msgspec.msgpack.Decoder[Envelope] = msgspec.msgpack.Decoder(Envelope)
@@ -48,7 +48,7 @@
         self.buffer = bytearray()
 
     def feed(self, data: bytes) -> list[bytes]:
-        """Returns the messages that `data` completes. Raises FrameTooLong."""
+        """Returns the messages that `data` completes, without their lengths. Raises FrameTooLong."""
         self.buffer += data
         found, at = [], 0
         while len(self.buffer) - at >= LENGTH_BYTES:
