Takeover: comments say who waits, sends or follows; clearer causes

Several docstrings left out units, the returned answer or the noun behind 'it'. An unreadable request of an operator is now answered with 'malformed request'.

--- a/magpiefront/takeover/claim_order.py
+++ b/magpiefront/takeover/claim_order.py
@@ -2,9 +2,9 @@
 
 Each survivor computes the same order from the agreed members alone, by rendezvous hashing (Thaler and
 Ravishankar, 1998) over the members that are alive. A member waits one step for each member ahead of it in
-the order of the row. The first one claims the row at once; if it does not (it cannot reach the store, or is
-about to be lost too), the next one waits only one step longer. Two members that claim a row at the same
-time do no harm: a claim is a compare-and-set on the row's owner.
+the order of the row, so the first member claims the row at once. If it does not (because it can't reach the
+store, or is about to be lost too), the second member claims it one step later. Two members that claim a row
+at the same time do no harm: a claim is a compare-and-set on the row's owner.
 """
 
 from __future__ import annotations
@@ -15,7 +15,7 @@
 
 from magpiefront.record.rows import Id
 
-CLAIM_STEP_US = 200_000
+CLAIM_STEP_US = 200_000  # how long a member waits for each member ahead of it
 MAX_CLAIM_STEPS = 5  # no member waits for longer than this many steps
 
 
@@ -36,6 +36,7 @@
 def claim_delay_us(id: Id, me: str, alive: Iterable[str]) -> int:
     """How long the member `me` waits before it claims the row, in microseconds.
 
-    Stops counting at `MAX_CLAIM_STEPS`: there may be hundreds of members, and as many rows in one scan.
+    Stops counting the members ahead at `MAX_CLAIM_STEPS`, because there may be hundreds of members, and as
+    many rows in one scan.
     """
     return sum(CLAIM_STEP_US for _ in islice(members_ahead(id, me, alive), MAX_CLAIM_STEPS))
--- a/magpiefront/takeover/handover.py
+++ b/magpiefront/takeover/handover.py
@@ -1,13 +1,13 @@
 """Hands a group member over to the next process of its proxy during an upgrade.
 
 Two processes of one member can't share its file, its address and its epoch. So the old process completes
-the reports in hand, releases those that would take longer, announces its end as a process of the member,
-transfers leadership, and gives up the file and the address. Only then does the next process start as the
-member. Until then it serves reads and makes reports wait (`RecordStage.await_ownership`). If the next process
+the reports in hand, releases those that would take longer, announces its planned end to the group, transfers
+leadership, and gives up the file and the address. Only then does the next process start as the member. Until
+then the next process serves reads and makes reports wait (`RecordStage.await_ownership`). If the next process
 ends, the old one becomes the member again, with a new process number.
 
-`MemberHandover` implements `SharedFront` of `upgrade/old_process.py`, as a front whose listening socket can
-be handed over does.
+`MemberHandover` implements `SharedFront` of `upgrade/old_process.py`, like the fronts whose listening sockets
+are handed over.
 """
 
 from __future__ import annotations
@@ -20,14 +20,14 @@
 from magpiefront.net.runtime import Runtime
 
 MAX_DRAIN_S = 0.8  # how long reports and requests in hand may take to complete before they are released
-POLL_INTERVAL_S = 0.005
+POLL_INTERVAL_S = 0.005  # between checks whether anything is in hand
 
 
 class MemberHandover:
     """Hands the member over to the next process and takes it back if that process ends.
 
-    `is_busy` says whether anything is in hand, `leave` ends the member's work as planned, and `rejoin`
-    starts it again in this process.
+    `is_busy` returns whether this process has any report or request in hand, `leave` ends the member's work
+    as planned, and `rejoin` starts the member again in this process.
     """
 
     name = "group"
@@ -50,8 +50,8 @@
             self.task = self.runtime.loop.create_task(self._hand_over())
 
     def resume(self) -> None:
-        """Takes the member back. A handover that has not finished stops waiting for reports in hand; if it is
-        past that, it finishes and then starts the member again."""
+        """Takes the member back. A handover that still waits for reports in hand is abandoned. One that has
+        begun to leave the group finishes that first, and then starts the member again."""
         self.released = False
         if self.handed_over:
             self.handed_over = False
--- a/magpiefront/takeover/owners.py
+++ b/magpiefront/takeover/owners.py
@@ -1,9 +1,9 @@
 """The owner of a row: a member of the group and its epoch. No I/O.
 
-An owner has the form `west-1.0@7/5f3a.12`: member, epoch, process and number. A member gets a higher epoch
-each time its permission to act changes, and only after it can no longer act under the previous one (see
-`group/sessions.py`). So if a member's epoch is higher than that of an owner, that owner certainly does not
-act any more.
+An owner has the form `west-1.0@7/5f3a.12`: member, epoch, process and a number. A member gets a higher epoch
+each time its permission to act changes, and only after it can no longer act under the previous epoch (see
+`group/sessions.py`). So if a member's epoch is higher than the epoch of an owner that names it, this owner
+certainly does not act any more.
 """
 
 from __future__ import annotations
@@ -27,7 +27,7 @@
 
 
 def prefix_of(member: str, epoch: int) -> str:
-    """The first part of all owners that this member writes under this epoch."""
+    """The prefix of all owners that this member writes under this epoch."""
     return f"{member}@{epoch}/"
 
 
@@ -38,11 +38,11 @@
 
 
 def owner_status(owner: str, me: str, members: Mapping[str, Member]) -> OwnerStatus:
-    """Whether the owner may still act, as far as this member knows.
+    """Whether the owner may still act, as far as the member `me` knows.
 
-    `members` holds the members by name as applied on this member: they may be behind the committed state,
-    but never ahead of it. An owner whose member or epoch is not known here yet counts as `ACTIVE`, so that
-    a member that lags behind claims nothing.
+    `members` holds the members by name as applied on `me`: they may be behind the committed state, but never
+    ahead of it. An owner whose member or epoch is not known there yet counts as `ACTIVE`, so that a member
+    that lags behind claims nothing.
     """
     parsed = parse(owner)
     if parsed is None:
@@ -56,7 +56,8 @@
 
 
 def changed_prefixes(before: Mapping[str, Member], after: Mapping[str, Member]) -> list[str]:
-    """Prefixes of the owners that may have lost their permission to act between `before` and `after`."""
+    """The prefixes of the owners that may have lost their permission to act between `before` and `after`,
+    both members by name."""
     prefixes = []
     for name, old in sorted(before.items()):
         new = after.get(name)
--- a/magpiefront/takeover/ownership.py
+++ b/magpiefront/takeover/ownership.py
@@ -18,20 +18,20 @@
 from magpiefront.record.rows import Id
 from magpiefront.takeover import claim_order, owners
 
-# Topics of the hints between members: a request to be told once the owner is done with a row, which is then
-# called settled, and the notice that it is.
+# Topics of the hints between members: a request to the owner of a row for a notice once it is done with the
+# row (which is then settled), and that notice.
 FOLLOW_TOPIC, SETTLED_TOPIC = "follow", "settled"
-# Limit on the rows that this process follows, and on the rows in hand here that other members follow. Beyond
-# it, the oldest are dropped.
+# Limit on the number of rows that this process follows, and on the number of rows in hand here that other
+# members follow. Beyond it, the oldest are dropped.
 MAX_FOLLOWED_ROWS = 4_096
 
 
 class GroupOwnership:
     """Decides from the group's state which rows this member may act on.
 
-    To follow a row means to have asked its owner for a hint once it is done with the row. `following` holds
-    the callbacks of the rows that this process follows. `followers` holds, for each row that this process
-    works on and others follow, the names of those members.
+    To follow a row means to have asked its owner for a hint once the owner is done with it. `following` holds
+    the callbacks of the rows that this process follows. `followers` holds the names of the members that
+    follow a row, for each row that this process works on.
     """
 
     def __init__(self, group: Group) -> None:
@@ -70,7 +70,7 @@
         if prefixes and self.changed is not None:
             self.changed(prefixes)
 
-    # ---- hints: any of them may get lost; the row is then read at the next regular poll
+    # ---- hints: any hint may get lost; the row is then read at the next regular poll
 
     def follow(self, owner: str, id: Id, on_done: Callable[[Id], None]) -> bool:
         parsed = owners.parse(owner)
@@ -87,7 +87,8 @@
             self.group.send_hint(name, SETTLED_TOPIC, msgspec.msgpack.encode(id))
 
     def _on_follow(self, sender: str, data: bytes) -> None:
-        """Answers at once if the row is not in hand here, or else once this process is done with it."""
+        """Sends the notice at once if the row is not in hand here, otherwise once this process is done with
+        it."""
         id = _decode_id(data)
         if id is None:
             return
@@ -106,7 +107,7 @@
 
 
 def _decode_id(data: bytes) -> Id | None:
-    """The row id of a hint; None if it is malformed."""
+    """The row id that the data of a hint holds; None if the data is malformed."""
     try:
         return msgspec.msgpack.decode(data, type=Id)
     except msgspec.MsgspecError:
--- a/magpiefront/takeover/report_commands.py
+++ b/magpiefront/takeover/report_commands.py
@@ -1,4 +1,4 @@
-"""Answers operators' commands about reports: the work in hand of this member, and the rows of the group.
+"""Handles operators' commands about reports: what this member has in hand, and the rows that the group holds.
 
 Requests and answers are JSON objects. An unknown or malformed request raises `CommandError`.
 """
@@ -45,8 +45,8 @@
         self.store, self.group, self.runtime = store, group, runtime
 
     def handle(self, request: dict[str, Any], answer: Answer) -> None:
-        """Carries out the action that `request["what"]` names. Raises `CommandError` if it is unknown or
-        malformed."""
+        """Carries out the action that `request["what"]` names. Raises `CommandError` if the action is unknown
+        or the request is malformed."""
         handlers = {"counts": self._counts, "rows": self._rows, "add": self._add, "change": self._change}
         handler = handlers.get(str(request.get("what")))
         if handler is None:
@@ -54,14 +54,14 @@
         try:
             handler(request, answer)
         except (KeyError, ValueError, TypeError) as e:
-            raise CommandError(f"an ask that can't be read: {type(e).__name__}: {e}") from None
+            raise CommandError(f"malformed request: {type(e).__name__}: {e}") from None
 
     def _read(self, answer: Answer, produce: Callable[[], dict[str, Any]]) -> None:
         answer_after_read(self.group, self.runtime.now_us() + READ_TIMEOUT_US, answer, produce)
 
     def _counts(self, request: dict[str, Any], answer: Answer) -> None:
-        """By state, the number of rows and when the oldest one was received (Unix seconds); and the size of
-        all rows."""
+        """Answers with the number of rows in each state, when the oldest of these was received (Unix
+        seconds), and the size of all rows in bytes."""
 
         def counts() -> dict[str, Any]:
             by_state: dict[str, list[float]] = {}
@@ -72,8 +72,8 @@
         self._read(answer, counts)
 
     def _rows(self, request: dict[str, Any], answer: Answer) -> None:
-        """A page of the rows, the oldest first, from number `first` on. `next` is the number that the next
-        page starts from, or 0 if this is the last one."""
+        """Answers with a page of the rows (in the state `state` if given), the oldest first, from position
+        `first` on. `next` is the position where the next page starts, or 0 if this is the last one."""
         first, state = int(request["first"]), request.get("state")
 
         def page() -> dict[str, Any]:
--- a/magpiefront/takeover/state_machine.py
+++ b/magpiefront/takeover/state_machine.py
@@ -3,10 +3,11 @@
 The same commands in the same order yield the same rows on each member. Limits are part of the commands,
 because members may have different settings while an operator changes them.
 
-What each member knows about the time at which a row was sent is not part of the replicated state.
+What a member knows about the time at which a report was sent is not part of the replicated state.
 `committed_after_us` is a time on the clock of this member's host: all commands applied from now on were
-committed after it. A report is sent only once its row is committed, so these reports were sent after it too;
-only one that came from another site may have been sent up to `Insert.age_us` earlier.
+committed after it. A report is sent only once its row is committed, so the reports of these commands were
+sent after that time too. Only a report that came from another site may have been sent up to `Insert.age_us`
+earlier.
 """
 
 from __future__ import annotations
@@ -18,7 +19,7 @@
 
 from magpiefront.record.rows import UNKNOWN_BOOT, Answer, Attempt, Id, Moment, Row, State
 
-ROW_OVERHEAD_BYTES = 400  # size of a row without the request and the answer of its client
+ROW_OVERHEAD_BYTES = 400  # counted for a row in addition to its request and its answer
 
 
 class Insert(msgspec.Struct, tag=True, array_like=True):
@@ -31,8 +32,8 @@
 
 
 class Change(msgspec.Struct, tag=True, array_like=True):
-    """Replaces the mutable fields of a row, if its state and owner are still the expected ones. `sent` only
-    tells whether the report was sent; the time of that is tracked by each member."""
+    """Replaces the mutable fields of a row, if its state and owner are still `state_was` and `owner_was`.
+    `sent` only tells whether the report was sent; each member tracks the time of that itself."""
 
     id: Id
     state_was: State
@@ -48,7 +49,7 @@
 
 
 class Remove(msgspec.Struct, tag=True, array_like=True):
-    """Deletes a row, if its state and owner are still the expected ones."""
+    """Deletes a row, if its state and owner are still `state_was` and `owner_was`."""
 
     id: Id
     state_was: State
@@ -67,8 +68,9 @@
 
 
 class CommandResult(msgspec.Struct, array_like=True):
-    """Whether a command was executed. `cause` says why it was not. It is empty if the row under the id is the
-    reason: `Insert` found one; `Change` or `Remove` found none, or one with another state or owner.
+    """Whether a command was executed, and if not, its `cause`. An empty `cause` means that the row with the
+    id was not as expected: `Insert` found a row; `Change` or `Remove` found none, or one with another state
+    or owner.
 
     `count` is the number of rows deleted by a `Sweep`.
     """
@@ -89,7 +91,7 @@
 
 
 def row_bytes(row: Row) -> int:
-    """The size of a row as counted against the limit of `Insert`, in bytes."""
+    """The size of a row as counted against `Insert.most_bytes`."""
     answer = len(row.answer.more) + len(row.answer.body) if row.answer is not None else 0
     return ROW_OVERHEAD_BYTES + len(row.body) + len(row.more) + len(row.target) + len(row.id.key) + answer
 
@@ -98,10 +100,10 @@
     """The rows of the group's reports, as applied on this member.
 
     `committed_after_us` is a lower bound of the commit time of all commands applied from now on; None if
-    there is none. `sent_after_us` holds, by row, a lower bound of the time of its first send.
-    `first_seen_us` holds, for rows that were sent without a known bound, when they were found on this
-    member. `last_clock_us` is the latest reading of the clock, used for `first_seen_us`. All are
-    microseconds on the clock of this member's host.
+    no bound is known. `sent_after_us` holds, by row, a lower bound of the time at which it was first sent.
+    For the rows that were sent and have no such bound, `first_seen_us` holds when this member found them.
+    `last_clock_us` is the latest reading of the clock, used for `first_seen_us`. All are microseconds on
+    the clock of this member's host.
     """
 
     def __init__(self, now_us: int) -> None:
@@ -125,7 +127,7 @@
         try:
             command: Command = msgspec.msgpack.decode(data, type=Command)
         except msgspec.MsgspecError:  # written by another version: all members ignore it
-            return msgspec.msgpack.encode(CommandResult(False, cause="not of this version"))
+            return msgspec.msgpack.encode(CommandResult(False, cause="the command is from another version"))
         return msgspec.msgpack.encode(self._execute(command))
 
     def _execute(self, command: Command) -> CommandResult:
@@ -185,8 +187,8 @@
         self.first_seen_us.pop(row.id, None)
 
     def _record_send(self, id: Id, age_us: int = 0) -> None:
-        """Notes the send of a row whose command is being applied. The report may have been sent first up to
-        `age_us` before the command was proposed."""
+        """Records that the report of a row is sent, when a command that says so is applied. The report may
+        have been sent first up to `age_us` before that command was proposed."""
         self.first_seen_us.pop(id, None)
         if self.committed_after_us is not None:
             self.sent_after_us[id] = self.committed_after_us - age_us
@@ -194,8 +196,8 @@
             self.first_seen_us[id] = self.last_clock_us - age_us
 
     def bound_send_time(self, id: Id, now_us: int) -> None:
-        """Sets the lower bound for a row that this process proposed at `now_us`: a process sends a report
-        only once its row is committed. Has no effect if the bound is known already."""
+        """Sets the lower bound of the send time of a row that this process proposed at `now_us`: a process
+        sends a report only once its row is committed. Has no effect if a bound is known already."""
         if id in self.first_seen_us:
             del self.first_seen_us[id]
             self.sent_after_us[id] = now_us
@@ -209,7 +211,8 @@
         found: list[Row] = msgspec.msgpack.decode(data, type=list[Row])
         self.rows = {r.id: r for r in found}
         self.total_bytes = sum(map(row_bytes, found))
-        # A bound that is kept was set at the first send of the row, or of an older row under the same key.
+        # A bound that is kept was set at the first send of this row or of an older row with the same id, and
+        # so is still a lower bound.
         self.sent_after_us = {i: at for i, at in self.sent_after_us.items() if i in self.rows}
         unbounded = [r.id for r in found if r.state is State.SENT and r.id not in self.sent_after_us]
         self.first_seen_us = {i: self.first_seen_us.get(i, self.last_clock_us) for i in unbounded}
@@ -226,8 +229,8 @@
             return row
         bound_us = self.sent_after_us.get(row.id)
         if bound_us is None:
-            # This member does not know how long ago the row was sent, though others may. Once the window of
-            # the nodes has passed since the row was found here, it has also passed since the row was sent.
+            # This member does not know how long ago the row was sent, though others may. Once the dedup
+            # window has passed since the row was found here, it has also passed since the row was sent.
             since = self.first_seen_us.get(row.id, now_us)
             window_over = row.state is not State.SENT or now_us >= since + int(row.window_s * 1e6)
             bound_us = since if window_over else None
@@ -236,7 +239,8 @@
         return replace(row, sent=Moment(row.sent.wall_s, boot, bound_us / 1e6))
 
     def open_rows(self, owner_prefix: str, limit: int, now_us: int, boot: str) -> list[Row]:
-        """The oldest rows that are stored or sent and whose owner starts with the prefix."""
+        """The oldest rows in the state `STORED` or `SENT` whose owner starts with the prefix, at most
+        `limit`."""
         found = [r for r in self.rows.values()
                  if r.state in (State.STORED, State.SENT) and r.owner.startswith(owner_prefix)]  # fmt: skip
         found.sort(key=lambda r: r.received_s)
--- a/magpiefront/takeover/store.py
+++ b/magpiefront/takeover/store.py
@@ -1,7 +1,7 @@
 """A store of record in the group itself: `record.rows.Store` on a state machine of the group's log.
 
 A report is confirmed once a majority of the members holds its outcome durably. Reads are linearizable
-(read-index). A read each quarter of a second bounds how long ago the rows can have been sent (see
+(read-index). A read every quarter of a second bounds how long ago the rows can have been sent (see
 `ReportStateMachine`).
 """
 
@@ -30,18 +30,19 @@
 
 
 class GroupStore:
-    """A store of reports that the members of the group replicate among themselves."""
+    """The store of reports that the members of a group replicate. The methods are described at
+    `record.rows.Store`."""
 
     def __init__(
         self, runtime: Runtime, group: Group, settings: GroupStoreSettings, boot: str,
         up_us: Callable[[], int] = lambda: time.monotonic_ns() // 1_000, name: str = "",
     ) -> None:  # fmt: skip
-        """`boot` identifies the current boot of this machine, `up_us` reads the time since then in
+        """`boot` identifies the current boot of this machine, `up_us` returns the time since that boot in
         microseconds, and `name` is the name of the group."""
         self.name = name
         self.runtime, self.group, self.settings, self.boot, self.up_us = runtime, group, settings, boot, up_us
         self.machine = ReportStateMachine(up_us())
-        self.commit_us = 5_000.0  # moving average of the time that a commit takes, with a first guess
+        self.commit_us = 5_000.0  # moving average of the time that a commit takes; starts with a guess
         self.timer: asyncio.TimerHandle | None = None
         group.register(MACHINE_NAME, self.machine)
 
@@ -55,8 +56,9 @@
             self.timer.cancel()
 
     def _bound_commit_times(self) -> None:
-        """Bounds the commit time of the commands applied from now on: those applied after a read were
-        committed after the read began. Until a first read has succeeded, reads are five times as frequent."""
+        """Starts a read that bounds the commit time of later commands: commands applied after a read has
+        ended were committed after it began. Until a first read has succeeded, reads are five times as
+        frequent."""
         began_us = self.machine.last_clock_us = self.up_us()
 
         def on_read(outcome: GroupOutcome) -> None:
