Group and takeover: heads and comments of tests name what they check

Some heads of tests began with 'it' or left out what a failure would look like, and one read as if reports were not sent to the file. The parameter held of the window check is called stored.

--- a/magpiefront/takeover/limits.py
+++ b/magpiefront/takeover/limits.py
@@ -23,15 +23,15 @@
 
 
 def short_window_warnings(
-    classes: Iterable[RequestClass], held: frozenset[str] | None, times: Times, delivery_us: int
+    classes: Iterable[RequestClass], stored: frozenset[str] | None, times: Times, delivery_us: int
 ) -> list[str]:
-    """A warning for each class whose window is too short for a takeover. `held` names the classes whose
-    reports are stored; None means all classes with an idempotency key. `delivery_us` is the time limit of a
-    delivery."""
+    """A warning for each class whose window is too short for a takeover. `stored` names the classes
+    whose reports are stored; None means all classes with an idempotency key. `delivery_us` is the time limit
+    of a delivery."""
     needed = min_window_us(times, delivery_us)
     return [
         f"class {c.name}: nodes drop repeats for {c.window_us / 1e6:.1f} s, but the takeover of a report "
         f"needs {needed / 1e6:.1f} s: raise keyTtlUs of the class, or lower [group.times]"
         for c in classes
-        if c.repeat is Repeat.KEYED and (held is None or c.name in held) and c.window_us < needed
+        if c.repeat is Repeat.KEYED and (stored is None or c.name in stored) and c.window_us < needed
     ]
--- a/magpiefront/takeover/owners.py
+++ b/magpiefront/takeover/owners.py
@@ -56,8 +56,8 @@
 
 
 def changed_prefixes(before: Mapping[str, Member], after: Mapping[str, Member]) -> list[str]:
-    """The prefixes of the owners that may have lost their permission to act between `before` and `after`,
-    both members by name."""
+    """The prefixes of the owners that may have lost their permission to act between `before` and `after`
+    (both hold the members by name)."""
     prefixes = []
     for name, old in sorted(before.items()):
         new = after.get(name)
--- a/magpiefront/takeover/state_machine.py
+++ b/magpiefront/takeover/state_machine.py
@@ -229,8 +229,8 @@
             return row
         bound_us = self.sent_after_us.get(row.id)
         if bound_us is None:
-            # This member does not know how long ago the row was sent, though others may. Once the dedup
-            # window has passed since the row was found here, it has also passed since the row was sent.
+            # This member does not know how long ago the row was sent, though others may. Once the nodes'
+            # dedup window has passed since the row was found here, it has also passed since the row was sent.
             since = self.first_seen_us.get(row.id, now_us)
             window_over = row.state is not State.SENT or now_us >= since + int(row.window_s * 1e6)
             bound_us = since if window_over else None
--- a/tests/group/schedules.py
+++ b/tests/group/schedules.py
@@ -26,6 +26,7 @@
 from tests import schedules
 from tests.schedules import Failures
 
+# Schedules per job of the pool: in a full run, and in a search for the first failure.
 BATCH_SIZE, SEARCH_BATCH_SIZE = 25, 3
 
 
@@ -46,7 +47,7 @@
 
 
 def failure_of(plan: Plan) -> str:
-    """As `run_plan`, but reports any exception of the code under test as a failure."""
+    """Like `run_plan`, but returns any exception of the code under test as a failure."""
     try:
         return run_plan(plan)
     except Exception as e:
@@ -54,12 +55,13 @@
 
 
 def draw_plan(number: int, voters: list[int]) -> Plan:
-    """The plan of a schedule's number. `voters`: the sizes of groups to choose from."""
+    """The plan of the schedule with this number. `voters`: the numbers of voters to choose from."""
     return Plan.draw(number, voters[number % len(voters)], int(number % 4 == 3))
 
 
 def run_batch(numbers: list[int], voters: list[int], safeguard: str = "") -> Failures:
-    """Plays these schedules, without that safeguard if given, and returns the failures."""
+    """Plays these schedules and returns the failures. With `safeguard`, that one is disabled, and the first
+    failure ends the run."""
     with without(safeguard) if safeguard else nullcontext():
         failures = []
         for n in numbers:
@@ -84,7 +86,8 @@
 def schedules_until_detected(
     name: str, first: int, count: int, voters: list[int], jobs: int
 ) -> tuple[int, str]:
-    """The number of schedules until one failed without that safeguard, and how it failed; 0 if none did."""
+    """How many schedules were played until one failed without that safeguard, and how it failed; 0 and "" if
+    none of `count` did."""
     for start in range(first, first + count, jobs * SEARCH_BATCH_SIZE):
         for _, failures in run_schedules(
             start, min(jobs * SEARCH_BATCH_SIZE, first + count - start), voters, jobs, name, SEARCH_BATCH_SIZE
@@ -95,7 +98,7 @@
 
 
 def main() -> int:
-    parser = argparse.ArgumentParser(description="Schedules of faults of a group in simulated time.")
+    parser = argparse.ArgumentParser(description="Plays schedules of faults in simulated time.")
     parser.add_argument("--count", type=int, default=2_000)
     parser.add_argument("--first", type=int, default=1)
     parser.add_argument("--voters", default="3,5,7")
@@ -128,10 +131,10 @@
         for number, failure, plan in failures:
             print(f"{number}: {failure}\n  {plan}")
         if sys.stderr.isatty():
-            print(f"\r{played} of {args.count}, {broke} broke", end="", file=sys.stderr)
+            print(f"\r{played} of {args.count}, {broke} failed", end="", file=sys.stderr)
     seconds = round(time.monotonic() - started_s, 1)
     summary = {"schedules": played, "broke": broke, "seconds": seconds, "voters": args.voters}
-    print(json.dumps(summary) if args.json else f"{played} schedules in {seconds} s, {broke} broke")
+    print(json.dumps(summary) if args.json else f"{played} schedules in {seconds} s, {broke} failed")
     return 1 if broke else 0
 
 
--- a/tests/group/test_disk_and_wire.py
+++ b/tests/group/test_disk_and_wire.py
@@ -1,4 +1,4 @@
-"""Tests of a member's file and messages: truncation, a full disk, a locked file, foreign messages."""
+"""Tests of a member's file (truncated, on a full disk, locked) and of invalid and foreign messages."""
 
 from __future__ import annotations
 
@@ -24,7 +24,7 @@
 from magpiefront.sqlfile import open_database
 from tests.record.test_sqlite import FakeRuntime
 
-TRUNCATIONS = 500
+TRUNCATIONS = 500  # number of lengths to which the write-ahead log is truncated
 
 
 def entry(n: int, term: int = 1, size: int = 200) -> Entry:
@@ -32,7 +32,7 @@
 
 
 def test_a_truncated_write_ahead_log_keeps_all_synced_entries(tmp_path: Path) -> None:
-    """Truncates the last MiB of the log at evenly spaced places, as a crash in the middle of a write does."""
+    """Truncates the log at evenly spaced places of its last MiB, as a crash in the middle of a write does."""
     path, wal = tmp_path / "g", tmp_path / "g-wal"
     db, sizes = open_database(path, MIGRATIONS), list[int]()
     load_state(db)
@@ -184,7 +184,7 @@
     run_until(runtime, service.may_act)
     machine = RecordingMachine()  # registered after the start, so that no snapshot contains it
     service.register("lines", machine)
-    service._on_disk_failure("before anything was asked")
+    service._on_disk_failure("before any command")
     service._begin(service.disk.start())
     run_until(runtime, service.may_act)
     outcomes: list[Outcome] = []
--- a/tests/group/test_drill.py
+++ b/tests/group/test_drill.py
@@ -1,4 +1,4 @@
-"""Tests of a group of several processes: rounds with injected faults, and the commands of operators."""
+"""Tests of a group of several processes: rounds with injected faults, and operators' commands."""
 
 from __future__ import annotations
 
--- a/tests/group/test_hard_cases.py
+++ b/tests/group/test_hard_cases.py
@@ -49,7 +49,7 @@
 def partition(
     group: GroupSimulation, *parts: list[Host], conditions: LinkConditions | None = PARTITIONED
 ) -> None:
-    """Sets the links between the sides, by default to cut; `conditions=None` restores them."""
+    """Sets the conditions of all links between the parts: by default cuts them, with None restores them."""
     for one in parts:
         for other in parts:
             if one is not other:
@@ -371,8 +371,8 @@
         before = group.net.sent
         group.kernel.run(group.kernel.now_us + 50_000)
         sent.append(group.net.sent - before)
-    # Over the two seconds not many more messages than at rest, and at no moment as many as if all observers
-    # sent theirs together, which without the spreading are nine messages each.
+    # Over the two seconds there are not many more messages than at rest, and in no 50 ms as many as if all
+    # observers sent theirs at once, which without the spreading would be nine messages for each observer.
     assert sum(sent) <= 1.25 * at_rest and max(sent) <= 7 * observers, (at_rest, sent)
     for host in group.hosts[:3]:
         host.start()
@@ -428,7 +428,8 @@
 
 
 def test_histories_are_checked_and_plans_are_replayed() -> None:
-    """The checks themselves: a history that is not linearizable is detected, and a plan can be read back."""
+    """Tests the checks: a history that is not linearizable is detected, and a plan is read back from its
+    text."""
     ops = [Op(True, b"1", 0, 1), Op(True, b"2", 2, 3), Op(False, b"1", 4, 5)]
     assert not linearizable(ops) and linearizable(ops[:2]) and linearizable([*ops[:2], Op(False, b"2", 4, 5)])
     assert linearizable([Op(True, b"1", 0, None), Op(False, b"", 1, 2), Op(False, b"1", 3, 4)])
--- a/tests/group/test_proof.py
+++ b/tests/group/test_proof.py
@@ -25,8 +25,8 @@
 
 
 # Plans that failed in a long run: a member that lost its disk started a new group; a disk was restored from
-# an older copy after all members that knew better had restarted; a member was added by an entry that was
-# never committed.
+# an older copy after all members that knew of more progress had restarted; a member was added by an entry
+# that was never committed.
 FAILED_PLANS = (
     Plan(43_542, 3, 0, 4_000_000, (
     Fault(991_785, "bridge", (0, 2, 1), 1_610_378),
@@ -91,7 +91,7 @@
     return Plan(seed, 3, 0, 4_500_000, faults)
 
 
-# Safeguards that concern a single rule, or only times, with the test that detects their absence.
+# The safeguards that concern a single rule or only timing, each with the test that detects its absence.
 CASES: dict[str, Callable[[], object]] = {
     "the vote itself is durable": Explorer(["a", "b", "c"], Bounds(8, 1, 0, 1)).run,
     "pre-vote": partial(cases.test_a_partition_serves_only_on_the_side_of_the_majority, (2, 2, 1)),
@@ -112,7 +112,8 @@
 
 
 def is_detected(name: str) -> bool:
-    """True if its test or one of its plans fails without that safeguard."""
+    """True if something fails without that safeguard: its test, one of its plans, or, if it has neither, one
+    of 400 schedules."""
     if name in CASES:
         with without(name):
             try:
--- a/tests/takeover/simulation.py
+++ b/tests/takeover/simulation.py
@@ -35,7 +35,7 @@
 
 
 def _status_without_lag_check(owner: str, me: str, members: Any) -> OwnerStatus:
-    """Owners whose member or epoch is not known count as ended."""
+    """Counts an owner as ended if its member or epoch is not known here yet."""
     parsed = owners.parse(owner)
     known = members.get(name_of(parsed.member)) if parsed is not None else None
     if parsed is None or known is None or known.epoch != parsed.epoch or known.state is not MemberState.ALIVE:
@@ -98,8 +98,8 @@
 
 
 def run_numbers(numbers: list[int], disabled: str = "") -> Failures:
-    """Plays these plans, without the safeguard `disabled` if it is given, and returns the failures. A
-    function of the module, so that the processes of a pool can import it."""
+    """Plays these plans, without the safeguard `disabled` if it is given, and returns the failures. This is a
+    module-level function so that the processes of a pool can import it."""
     return SCHEDULES.run_numbers(numbers, disabled)
 
 
--- a/tests/takeover/test_between.py
+++ b/tests/takeover/test_between.py
@@ -53,8 +53,8 @@
 
 
 async def receiver_is_lost(two_sites: TwoSiteRound) -> None:
-    """The client's first try is answered, because its gateway sends the report to another gateway of the
-    east."""
+    """The client's first attempt is answered, because its gateway sends the report again, to another gateway
+    of the east."""
     for lose in (Process.terminate, Process.kill):
         report = Report(lose.__name__, b"1")
         reply_task = await send_slow_report(two_sites, report)
@@ -67,7 +67,7 @@
         assert (await reply_task)[0] == 200
         if lose is Process.terminate:
             await p.spawn()
-            await two_sites.wait_until_converged("after its new start")
+            await two_sites.wait_until_converged("after its restart")
 
 
 async def sender_is_lost(two_sites: TwoSiteRound) -> None:
@@ -207,7 +207,8 @@
 
 
 def test_two_sites_over_one_store_hold_a_report_once(tmp_path: Path) -> None:
-    """Otherwise the east would find the row that the west is sending, and wait for it."""
+    """Only the west stores the report. Otherwise the east would find the row of the report that it gets from
+    the west, and would wait for the west to complete it."""
 
     async def main() -> None:
         async with sites() as s, AsyncExitStack() as stack:
@@ -221,7 +222,8 @@
 def test_a_gateway_of_an_older_version_gets_no_undecided_answers(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    """It would store that as the answer of the report, so the other site does not store reports from it."""
+    """An older gateway would store an undecided answer as the final answer of the report. So the other site
+    does not store reports that come from one."""
     hello = wire.hello_fields
 
     def older(*args: str) -> wire.Fields:
@@ -272,8 +274,8 @@
                     relay.cut()
             while (await two_sites.east.member_client(isolated).request({"do": "work"}, 2.0))["acts"]:
                 await asyncio.sleep(0.02)
-            # All reports of at least one batch must succeed at the first try. On a busy machine a batch can
-            # fail because another gateway loses its session.
+            # All reports of at least one batch must succeed at the first attempt. On a busy machine a batch
+            # can fail because another gateway loses its session.
             for batch in range(5):
                 keys = [f"k{batch}-{n}" for n in range(12)]
                 ports = [two_sites.processes[n % 3].port for n in range(12)]
@@ -304,7 +306,7 @@
             assert forwarded.connection is not None
             forwarded.connection.handlers.pop(forwarded.stream)
             forwarded.on_broken(False, "its gateway is lost")
-            await until(lambda: len(remote.requests) == 2, "its second try")
+            await until(lambda: len(remote.requests) == 2, "its second attempt")
             remote.requests[1].responder.answer(remote.requests[1], 200)
             assert (await reply_task).status == 200 and stage.routes.retry_budget.tokens >= before - 1
 
--- a/tests/takeover/test_decisions.py
+++ b/tests/takeover/test_decisions.py
@@ -58,14 +58,14 @@
     assert needed == times.loss_timeout_us + 800_000 + 2_000_000
 
     def warnings(
-        window_us: int, repeat: Repeat = Repeat.KEYED, held: frozenset[str] | None = None
+        window_us: int, repeat: Repeat = Repeat.KEYED, stored: frozenset[str] | None = None
     ) -> list[str]:
         cls = RequestClass("report", repeat, 1, 1, window_us=window_us)
-        return limits.short_window_warnings([cls], held, times, 2_000_000)
+        return limits.short_window_warnings([cls], stored, times, 2_000_000)
 
     assert warnings(needed) == [] and len(warnings(needed - 1)) == 1
-    assert warnings(1, Repeat.SAFE) == [] and warnings(1, held=frozenset({"other"})) == []
-    assert len(warnings(1, held=frozenset({"report"}))) == 1
+    assert warnings(1, Repeat.SAFE) == [] and warnings(1, stored=frozenset({"other"})) == []
+    assert len(warnings(1, stored=frozenset({"report"}))) == 1
     members = "\n".join(f'm{n} = "127.0.0.1:{7000 + n}"' for n in range(3))
     operator_file, platform_file = tmp_path / "o.toml", tmp_path / "c.json"
     group = 'member = "m0"\npath = "g"\nvoters = ["m0", "m1", "m2"]\ntls = { plain = true }'
@@ -96,7 +96,7 @@
 
 
 @given(IDS, NAMES)
-def test_each_row_has_one_order_of_members_and_a_loss_moves_no_other(id: Id, alive: set[str]) -> None:
+def test_each_row_has_one_order_of_members_that_a_loss_does_not_change(id: Id, alive: set[str]) -> None:
     order = sorted(alive, key=lambda m: place_in_order(id, m, alive))
     assert [place_in_order(id, m, alive) for m in order] == list(range(len(alive)))
     left = alive - {order[0]}
@@ -135,7 +135,7 @@
 
 
 def contended_journal(ownership: FakeOwnership, stored: Row = THEIRS) -> tuple[Journal, list[j.Action]]:
-    """A journal with an attempt whose report is stored already, as the row `stored`; and its actions."""
+    """A journal that has got a report which is stored already as the row `stored`, and the actions for it."""
     journal = Journal("boot", ownership=ownership)
     journal.on_request(NOW, "w", MINE, NOW + 2 * S)
     return journal, journal.inserted(NOW, ID, Result(Outcome.CONFLICT, stored))
@@ -145,7 +145,7 @@
     journal, (follow, get) = contended_journal(FakeOwnership(known={THEIRS.owner: ACTIVE}))
     assert isinstance(follow, Follow) and follow.owner == THEIRS.owner
     assert isinstance(get, Get) and get.delay_us == j.POLL_INTERVAL_US
-    late = replace(THEIRS, sent=sent_at(THEIRS, NOW / S - 20))  # past the time that its owner set itself
+    late = replace(THEIRS, sent=sent_at(THEIRS, NOW / S - 20))  # past the time in the row
     (again,) = journal.row_read(NOW + S, ID, Result(Outcome.DONE, late), get.read_number)
     assert isinstance(again, Get) and again.delay_us == j.FOLLOWED_POLL_INTERVAL_US
     # The result of an earlier read is ignored; a hint causes a read at once.
@@ -209,7 +209,7 @@
     assert isinstance(send, Send) and replied_statuses(journal.answered(NOW, ID, ANSWER, True, ())) == {
         "w": 409
     }
-    # Lost before it claims a row whose owner does not act any more.
+    # Lost before the claim of a row whose owner does not act any more.
     ownership.own = "a.0@4/"
     journal.on_request(NOW, "w", MINE, NOW + S)
     ownership.own, ownership.known = own, {THEIRS.owner: ENDED}
--- a/tests/takeover/test_drill.py
+++ b/tests/takeover/test_drill.py
@@ -39,8 +39,8 @@
 
 
 async def start_members(r: Round, *program: str) -> None:
-    """Starts all processes and waits until the group is complete. With arguments, the first process runs
-    under `tests.record.crashing` with these."""
+    """Starts all processes and waits until the group is complete. If `program` is given, the first process
+    runs `tests.record.crashing` with these arguments."""
     r.node.slow_share = 0.0
     await r.prepare()
     if program:
@@ -121,7 +121,7 @@
             assert await retry_until_ok(Report("k1", b"another"), others[:1] * 3) != 200
             first.resume()
             assert (await first_try)[0] != 200
-            await r.wait_until_converged("after it goes on")
+            await r.wait_until_converged("after it was resumed")
             assert r.archive.effects == {"k1": 1}
             assert await retry_until_ok(Report("k1", report.body), [first.port]) == 200
         finally:
@@ -143,7 +143,7 @@
                 await asyncio.sleep(0.005)
             assert (await send_report(Report("slow", b"1"), others[0]))[0] == 200
             assert (await slow)[0] == 200 and len(r.node.request_ids) == 1
-            # The owner is lost: all clients that wait get the one answer.
+            # The owner is lost: all clients that wait get the same answer.
             lost = asyncio.create_task(send_report(Report("many", b"2"), first.port))
             while not r.node.busy:
                 await asyncio.sleep(0.005)
@@ -195,7 +195,7 @@
                 state = await wait_until_lost(r, other.name, p.name)
                 assert state["losses"] == 0  # an expired session would count as one
                 await p.spawn()
-                await r.wait_until_converged("after its new start")
+                await r.wait_until_converged("after its restart")
             # The commands for operators.
             assert await retry_until_ok(Report("k1", b"level=3.2"), [p.port for p in r.processes]) == 200
             file = tmp_path / "d0.toml"
@@ -215,15 +215,15 @@
 
 
 async def wait_until_lost(r: Round, by: str, member: str) -> dict[str, Any]:
-    """Waits until the process `by` reports the member as lost, and returns its state there. A follower
-    applies what is committed with the next message of the leader."""
+    """Waits until the process `by` reports the member as lost, and returns the state that it reports. This
+    may take a moment: a follower learns only from the leader's next message that an entry is committed."""
     for _ in range(200):
         status = await r.member_client(by).request({"do": "status"}, 2.0)
         found: dict[str, Any] = status["members"][member]
         if found["state"] == "lost":
             return found
         await asyncio.sleep(0.005)
-    raise AssertionError(f"{member} is {found['state']} by {by}")
+    raise AssertionError(f"{by} still reports {member} as {found['state']}")
 
 
 async def run_record(file: Path, *arguments: str) -> str:
--- a/tests/takeover/test_hard_cases.py
+++ b/tests/takeover/test_hard_cases.py
@@ -1,4 +1,4 @@
-"""Takeover in rare conditions: suspended processes, several losses at once, partitions, and losses in an
+"""Takeover in rare conditions: suspended processes, several losses at once, partitions, and losses during an
 upgrade."""
 
 from __future__ import annotations
@@ -45,8 +45,8 @@
 
 
 def record_insert_owners(r: Round) -> list[str]:
-    """Returns a list that gets the owner of each report that the PostgreSQL stand-in inserts from now on,
-    also if the transaction is rolled back. The list stays empty for any other store."""
+    """Returns a list to which the owner of each report is added that the PostgreSQL stand-in inserts from now
+    on, even if the transaction is rolled back. The list stays empty for any other store."""
     owners: list[str] = []
     if r.pg is not None:
         r.pg.db.create_function("record_owner", 1, owners.append)
@@ -71,7 +71,7 @@
         reply_task = asyncio.create_task(send_report(report, first.port))
         await wait_until_stopped(first)
         retry_task = asyncio.create_task(retry_until_ok(Report("k1", report.body), others))
-        # If it holds a lock on the file, the other processes have to wait for it.
+        # If the suspended process holds a lock on the file, the other processes have to wait for it.
         await asyncio.wait({retry_task}, timeout=2.5)
         if past_window and retry_task.done():
             await asyncio.sleep(max(0.0, began + SHORT_WINDOW_S + 0.1 - time.monotonic()))
@@ -79,7 +79,7 @@
         status = (await reply_task)[0]
         has_inserted = any(owner.startswith(f"{first.name}.") for owner in insert_owners)
         retry_status = await retry_task
-        await r.wait_until_converged("after it goes on")
+        await r.wait_until_converged("after it was resumed")
         await r.wait_until_none_open()
         late_status = await retry_until_ok(Report("k1", report.body), [first.port])
         as_expected = (retry_status, late_status, r.archive.effects) == (200, 200, {"k1": 1})
@@ -95,7 +95,7 @@
 
 
 def test_an_insert_queued_past_its_deadline_never_reaches_the_server(tmp_path: Path) -> None:
-    """The answer 503 says that nothing was done: the server must have received no insert and hold no row."""
+    """Status 503 says that nothing was done: the server must have received no insert and must hold no row."""
 
     async def main() -> None:
         r = Round(Plan(1, 3, work="postgres"), tmp_path, relayed=False)
@@ -114,7 +114,7 @@
             await asyncio.sleep(DEADLINE_S)
             first.resume()
             assert (await reply_task)[0] == 503
-            await r.wait_until_converged("after it goes on")
+            await r.wait_until_converged("after it was resumed")
             assert not [s for s in statements if s.startswith("INSERT INTO reports ")]
             assert (read_rows(r.folder, r.pg), r.archive.effects) == ([], {})
             assert await retry_until_ok(Report("k1", report.body), [first.port]) == 200
@@ -127,12 +127,13 @@
 
 
 # ---- each safeguard disabled in turn; the functions are named as in `tests.record.crashing.SAFEGUARDS`.
-# `options` are further arguments of the first process: those that disable the safeguard, or none.
+# `options` are further arguments of `tests.record.crashing`: those that disable the safeguard, or none. Each
+# function returns the violations that it found.
 
 
 async def guard(r: Round, *options: str) -> list[str]:
-    """The owner is suspended between its last check and the first byte, until the window has passed but not
-    the deadline."""
+    """The owner is suspended between its last check and the first byte that it sends, until the dedup window
+    has passed but not the deadline."""
     await start_members(r, "stop", *options, "before Send")
     first, others = r.processes[0], [p.port for p in r.processes[1:]]
     reply_task = asyncio.create_task(send_report(Report("k1", b"1"), first.port))
@@ -145,7 +146,7 @@
 
 
 async def window(r: Round, *options: str) -> list[str]:
-    """All processes die with a report that ran, and start again after its window."""
+    """All processes die while they have a report in hand that has run, and restart after its dedup window."""
     await start_members(r, "at answered")
     assert await send_report(Report("k1", b"1"), r.processes[0].port) == (0, 0.05)
     await asyncio.gather(*(p.kill() for p in r.processes))
@@ -241,8 +242,8 @@
             fault_task = asyncio.create_task(r.inject_fault(Fault(0.0, fault, who, 3.0), time.monotonic()))
             assert await retry_until_ok(Report("k1", b"1"), [r.processes[2].port]) == 200
             status = (await reply_task)[0]
-            # That a bridge alone costs no session is left to the simulation of the group. Here 409 is
-            # accepted too, because a busy machine can make a session expire.
+            # The simulation of the group checks that a bridge alone makes no session expire. Here 409 is
+            # accepted too, because a busy machine can make one expire.
             assert status in ((200, 409) if fault == "bridge" else (200, 409, 504)), status
             await fault_task
             await r.wait_until_converged("after the fault")
@@ -288,7 +289,7 @@
 
 
 def add_unsent_rows(folder: Path, count: int) -> None:
-    """Adds reports that were accepted but not sent to the store's file."""
+    """Adds reports to the store's file that were accepted but never sent."""
     store = SqliteReportStore(folder / "record.sqlite", False)
     store.begin(True)
     now = time.time()
@@ -338,8 +339,8 @@
     ("nobody", "group"), ("another", "sqlite"), ("the next", "sqlite"), ("the old", "group"),
 ])  # fmt: skip
 def test_a_loss_during_an_upgrade(lost: str, work: str, tmp_path: Path) -> None:
-    """All three proxies have reports in hand. The last one hands over to a next process, and a process
-    dies."""
+    """All three proxies have reports in hand. The last one hands over to a new process, and the process
+    `lost` dies meanwhile."""
 
     async def main() -> None:
         r = Round(Plan(1, 3, work=work), tmp_path, relayed=False)
@@ -397,7 +398,7 @@
 
 
 def test_a_row_of_an_owner_without_an_epoch_is_not_claimed_early(tmp_path: Path) -> None:
-    """The owner runs without a group over the same store, as a version without groups does."""
+    """The owner is a proxy without a group that uses the same store, as a version without groups does."""
 
     async def main() -> None:
         r = Round(Plan(1, 3, work="sqlite"), tmp_path, relayed=False)
--- a/tests/takeover/test_store.py
+++ b/tests/takeover/test_store.py
@@ -1,5 +1,5 @@
-"""The store in the group: the contract of a store, the outcomes of commands, and what is known of send
-times."""
+"""The store in the group: the contract of a store, the results by the outcome of commands, and the bounds of
+send times."""
 
 from __future__ import annotations
 
@@ -190,7 +190,7 @@
     again = replace(set_back, state=State.SENT, sent=before.sent)
     machine.apply(5, "a", state_machine.encode(state_machine.change_between(set_back, again)))
     assert machine.sent_after_us[other.id] == 120 * SECOND_US
-    # The disk failed and the log is applied again: what was committed long ago must not count as recent.
+    # The disk has failed and the log is applied again: a row committed long ago must not count as recent.
     machine.reset()
     machine.apply(2, "a", state_machine.encode(state_machine.Insert(other, 10, 1 << 20)))
     found = machine.get_row(other.id, 112 * SECOND_US, "boot")
