--- a/magpiefront/group/operator_commands.py
+++ b/magpiefront/group/operator_commands.py
@@ -118,6 +118,8 @@
             answer({"fate": "unknown", "cause": "the transfer has started"})
 
     def _snapshot(self, command: dict[str, Any], answer: Answer) -> None:
+        """Takes a snapshot, if any entry was applied since the last one, and answers with the index of the
+        latest."""
         peer = self.service.peer
         assert peer is not None
         peer.snapshot()
@@ -125,6 +127,7 @@
         answer({"snapshot": peer.raft.log.snapshot.index})
 
     def _put(self, command: dict[str, Any], answer: Answer) -> None:
+        """Writes the register `key`, by default unconditionally, else if its version is `version`."""
         version = command.get("version", -1)
         if not isinstance(version, int):
             raise CommandError("version: must be an integer")
@@ -135,6 +138,7 @@
                              self._answer_outcome(answer))  # fmt: skip
 
     def _get(self, command: dict[str, Any], answer: Answer) -> None:
+        """Reads the register `key` with a linearizable read."""
         key = self._text(command, "key")
 
         def on_done(outcome: Outcome) -> None:
@@ -148,13 +152,17 @@
         self.service.read(self._deadline_us(command), on_done)
 
     def _take(self, command: dict[str, Any], answer: Answer) -> None:
+        """Acquires a lease for this member."""
         self.service.acquire_lease(self._text(command, "lease"), self._deadline_us(command),
                                    self._answer_outcome(answer))  # fmt: skip
 
     def _drop(self, command: dict[str, Any], answer: Answer) -> None:
+        """Releases a lease of this member."""
         self.service.release_lease(self._text(command, "lease"), self._deadline_us(command),
                                    self._answer_outcome(answer))  # fmt: skip
 
     def _holds(self, command: dict[str, Any], answer: Answer) -> None:
+        """Answers with the epoch of a lease if this member holds it (else 0), and with the epoch under which
+        this member may act (0 if it may not)."""
         answer({"epoch": self.service.lease_epoch(self._text(command, "lease")),
                 "acts": self.service.may_act()})  # fmt: skip
--- a/magpiefront/group/sessions.py
+++ b/magpiefront/group/sessions.py
@@ -97,6 +97,7 @@
             self.heard[member] = seq, process_number
 
     def take(self) -> list[tuple[str, int, int]]:
+        """Removes and returns the requests: member, number of the request, process number."""
         heard, self.heard = self.heard, {}
         return [(member, seq, process_number) for member, (seq, process_number) in sorted(heard.items())]
 
@@ -162,6 +163,7 @@
         return may
 
     def take_acks(self, by: str) -> list[Ack]:
+        """Removes and returns the answers that the voter `by` is to pass on."""
         return self.acks.pop(by, [])
 
     def detect_stall(self, now_us: int) -> None:
--- a/magpiefront/group/state_machines.py
+++ b/magpiefront/group/state_machines.py
@@ -24,9 +24,15 @@
     def reset(self) -> None:
         """Returns to the state before the first command."""
 
-    def apply(self, index: int, origin: str, data: bytes) -> bytes: ...
-    def snapshot(self) -> bytes: ...
-    def restore(self, data: bytes) -> None: ...
+    def apply(self, index: int, origin: str, data: bytes) -> bytes:
+        """Applies the command `data`, which the member `origin` has proposed and which the log holds at
+        `index`. Returns its encoded result."""
+
+    def snapshot(self) -> bytes:
+        """The encoded state."""
+
+    def restore(self, data: bytes) -> None:
+        """Replaces the state by that of a snapshot."""
 
 
 class AppliedCommands(msgspec.Struct):
