--- a/magpiefront/group/peer.py
+++ b/magpiefront/group/peer.py
@@ -286,7 +286,8 @@
         if self.last_leader != raft.leader:
             self.last_leader = raft.leader
             self.log(f"{raft.leader or 'nobody'} leads in term {raft.term}")
-            self.ping_relay.take()  # a new leader would take the senders of old requests for alive
+            # Drops old requests, from which a new leader would conclude that their senders are alive.
+            self.ping_relay.take()
             if raft.leader:
                 self.pending.resend_reads(raft.term)
                 self.session.expedite(raft.is_voter, now_us)
--- a/magpiefront/group/pending.py
+++ b/magpiefront/group/pending.py
@@ -107,7 +107,8 @@
             self.unsent.append(operation)
 
     def applied(self, index: int) -> None:
-        """Ends the reads that wait for an index up to `index`, since the log is now applied up to there."""
+        """Called when the log is applied up to `index`: ends the reads that wait for that or an earlier
+        index."""
         for operation in [o for o in self.open.values() if o.read and 0 <= o.index <= index]:
             self.end(operation.seq, Outcome(Status.COMMITTED))
 
--- a/magpiefront/group/raft.py
+++ b/magpiefront/group/raft.py
@@ -84,8 +84,8 @@
             self._try_commit(now_us)
 
     def propose(self, data: bytes, origin: str, seq: int) -> bool:
-        """Appends a command to the log. False if this member does not lead, transfers its leadership, or has
-        `most_open` uncommitted entries."""
+        """Appends a command to the log. False if this member does not lead, is transferring its leadership,
+        or has `most_open` uncommitted entries."""
         if (
             self.leader_state is None
             or self.leader_state.transfer_target
@@ -99,9 +99,9 @@
         """Appends a new configuration to the log. False if this member does not lead or may not make that
         change now.
 
-        The voters may change by one at a time, and only once the previous change and an entry of the leader's
-        own term are committed: otherwise two disjoint majorities could form (thesis, 4.1, and the author's
-        correction of 2015).
+        It may add or remove at most one voter. It is refused until the previous change and an entry of the
+        leader's own term are committed: otherwise two disjoint majorities could form (thesis, 4.1, and the
+        author's correction of 2015).
         """
         if (
             self.leader_state is None
--- a/magpiefront/group/registry.py
+++ b/magpiefront/group/registry.py
@@ -1,8 +1,7 @@
 """The replicated registry: states of the members, leases with epochs, and small registers.
 
-A state machine: the same commands in the same order give the same state on each member. It reads no clock; it
-is the leader that determines that a member's session has ended, before it proposes to mark the member as
-lost.
+A state machine: the same commands in the same order give the same state on each member. It reads no clock:
+the leader determines that a member's session has ended before it proposes to mark the member as lost.
 """
 
 from __future__ import annotations
