Maintenance: comments say what a limit, an interval or a lookup refers to

Docstrings named only part of what is returned, or used a pronoun that could mean the proxy, the machine or the plan. Constants now say their unit and what they bound.

--- a/magpiefront/maintenance/exclusions.py
+++ b/magpiefront/maintenance/exclusions.py
@@ -1,15 +1,17 @@
 """Decides which nodes one proxy excludes, and what it confirms to the others. No I/O and no clock.
 
 A proxy that is cut off from the group keeps serving and does not learn of new grants. From the end of its
-session by its own clock, it also excludes the machines that it last knew as `next`; the rules rely on this
-(`rules.py`). It uses such a machine again only after it has a new session and a read that began in that
-session has returned. By then it has applied everything that was committed before the read.
+session by its own clock, it also excludes the machines of the last `MaintenanceState.next` that it knows; the
+rules rely on this (`rules.py`). It uses such a machine again only after it has a new session and a read of
+the group's state that began in that session has returned. By then it has applied everything that was
+committed before the read.
 
 A node is excluded by its name and by its address. Discovery may list a node of another machine at the address
 of a node that is out, if a machine came back with the wrong disk or identity. That node is excluded too.
 
-A process that has just started only knows the state in its latest snapshot. What it has to exclude is
-therefore saved in a separate file (`SavedExclusions`), before the proxy acknowledges it.
+A process that has just started only knows the state in its latest snapshot, which may be old. A proxy
+therefore saves what it has to exclude in a separate file (`SavedExclusions`) before it acknowledges a new
+`next` or confirms that a machine is drained.
 """
 
 from __future__ import annotations
@@ -37,15 +39,15 @@
 
 
 def exclusion_delay_s(member: str, job: Job, spread_s: float) -> float:
-    """Returns how many seconds after a grant this proxy stops sending to the machine. Each proxy has its own
-    delay: the first ones warm the new homes for the others, and the archive does not get all misses at
-    once."""
+    """Returns how many seconds after a grant this proxy stops sending to the machine, from 0 to `spread_s`.
+    Each proxy has its own delay, so that the archive does not get all misses at once: the reads of the first
+    proxies warm the new homes for the others."""
     return spread_s * unit_interval(bytes_hash(f"{member} {job.machine} {job.grant_number}".encode()))
 
 
 class ExclusionView:
     """The exclusions of one member. Times are microseconds of its own monotonic clock. `saved` is what its
-    file holds: None at the very first start, or after the loss of a disk."""
+    file holds: None at the very first start, or if the file was lost or damaged."""
 
     def __init__(self, member: str, saved: SavedExclusions | None) -> None:
         self.member, self.saved = member, saved
@@ -61,12 +63,12 @@
 
     @property
     def may_serve(self) -> bool:
-        """Whether exclusions are known at all. A member that has lost its disk could otherwise send to a
-        machine that is out."""
+        """Whether it is known which machines to exclude. A member that has lost its file could otherwise send
+        to a machine that is out."""
         return self.saved is not None or self.current_epoch > 0
 
     def is_current(self, epoch: int) -> bool:
-        """Whether a read has returned in this epoch of the member; 0 stands for no session."""
+        """Whether a read has returned in this epoch of the member. `epoch` is 0 if it has no session."""
         return epoch > 0 and epoch == self.current_epoch
 
     def confirm_read(self, epoch: int) -> None:
@@ -77,7 +79,7 @@
         self, state: MaintenanceState, addresses: Mapping[str, bytes] = NO_ADDRESSES
     ) -> SavedExclusions:  # fmt: skip
         """Returns what has to be saved. `addresses` holds the listed address of each node. For a node of an
-        excluded machine, the address that was saved before takes precedence."""
+        excluded machine, the address that was saved earlier takes precedence over the listed one."""
         excluded = {j.machine for j in state.jobs.values() if j.state in EXCLUDED}
         machines = {m: state.fleet[m].nodes for m in sorted(excluded | set(state.next))}
         excluded_nodes = {n for m in excluded for n in machines[m]}
@@ -111,7 +113,7 @@
     def excluded_nodes(
         self, state: MaintenanceState, epoch: int, now_us: int, addresses: Mapping[str, bytes] = NO_ADDRESSES
     ) -> set[str]:  # fmt: skip
-        """Returns the nodes of the excluded machines, and nodes of `addresses` that are listed at the earlier
+        """Returns the nodes of the excluded machines, and the nodes that `addresses` lists at the saved
         address of one of these."""
         found = set[str]()
         for m in self.excluded_machines(state, epoch, now_us):
@@ -121,7 +123,7 @@
         return found | {n for n, address in addresses.items() if self.previous_node_at(n, address) in found}
 
     def previous_node_at(self, node: str, address: bytes) -> str:
-        """Returns the other node that was saved with this address, or ""."""
+        """Returns the node that was saved with this address, or "" if there is none or it is `node`."""
         previous = self.saved.nodes_by_address.get(address, "") if self.saved is not None else ""
         return previous if previous != node else ""
 
@@ -159,8 +161,9 @@
     def pending_commands(
         self, state: MaintenanceState, epoch: int, now_us: int, nodes_in_use: set[str]
     ) -> list[ConfirmDrained | AcknowledgeNext]:  # fmt: skip
-        """Returns the commands that the member has to propose now. `nodes_in_use` holds the nodes to which a
-        request or connection is open."""
+        """Returns the commands that the member has to propose now. Each is returned again after
+        `RETRY_DELAY_US` if it has not been applied by then. `nodes_in_use` holds the nodes to which a request
+        or connection is open."""
         if not self.is_current(epoch) or self.saved is None:
             return []
         found: list[ConfirmDrained | AcknowledgeNext] = []
--- a/magpiefront/maintenance/forecast.py
+++ b/magpiefront/maintenance/forecast.py
@@ -17,14 +17,14 @@
 )  # fmt: skip
 from magpiefront.maintenance.plan import Machine, Plan
 
-STEP_S = 1.0
-MAX_STEPS = 200_000
+STEP_S = 1.0  # replicated time between two ticks
+MAX_STEPS = 200_000  # a plan that has not ended after so many ticks is reported as stuck
 
 
 class Wave(msgspec.Struct):
-    """Machines that were out at the same time: all that went out before the first of them was done."""
+    """Machines that are out at about the same time: one machine, and all that go out before it is done."""
 
-    at_s: float  # from the start of the plan until the first of them was out
+    at_s: float  # from the start of the plan until the first of them is out
     machines: list[str]
     left: float  # smallest share of all nodes that stays in use in this wave
 
@@ -34,15 +34,15 @@
 
     refused: str = ""  # why the plan would be refused
     stuck: str = ""  # what the plan would wait for without end
-    takes_s: float = 0.0  # until all its machines are done, or until the simulation ended
-    first_s: float = 0.0  # until the first machine is out
+    takes_s: float = 0.0  # from the start of the plan until all its machines are done, or it is stuck
+    first_s: float = 0.0  # from the start of the plan until the first machine is out
     least_left: float = 1.0  # smallest share of all nodes that stays in use at any time
     moved: float = 0.0  # the largest share of all keys that move to another node within one wave
     waves: list[Wave] = []
 
 
 class Simulation:
-    """One run of the rules with a plan. Times are seconds of the simulated replicated time."""
+    """Runs the rules with one plan. Times are seconds of the simulated replicated time."""
 
     def __init__(
         self, state: MaintenanceState, members: Mapping[str, Member], plan: Plan, fleet: Iterable[Machine],
@@ -84,8 +84,9 @@
         return job.state is State.WARMING and self.replica.state.at_s - job.since_s < self.warm_s
 
     def _step(self) -> None:
-        """Simulates one second. Before that, skips the time until the plan's window opens, if no machine is
-        under maintenance, or a time in which nothing but the work itself happens."""
+        """Simulates one second. Before that, skips time in which nothing can change: until the plan's window
+        opens, if no machine is under maintenance, or until the work on a machine ends, if all machines under
+        maintenance are being worked on."""
         state = self.replica.state
         busy = [j for j in state.jobs.values() if j.state not in (*state_machine.SETTLED, State.ASKED)]
         opens_s = self.plan.opens_s - state.wall_s
@@ -93,12 +94,14 @@
             state.wall_s, state.at_s = state.wall_s + opens_s, state.at_s + opens_s
         elif busy and all(j.state in state_machine.WORKED_ON for j in busy):
             rest = min(self.work_s - (state.at_s - j.since_s) for j in busy) - STEP_S
-            # Five steps after the first of them went out, no other machine leaves before their work ends.
+            # If none has been granted within five steps after the first of them went out, none will be
+            # granted before the work on one of them ends.
             if rest > 0 and state.at_s - min(j.since_s for j in busy) > 5 * STEP_S:
                 state.wall_s, state.at_s = state.wall_s + rest, state.at_s + rest
         self._simulate_second()
 
     def run(self) -> Forecast:
+        """Simulates until the plan has ended, is stuck, or has taken `MAX_STEPS`."""
         found = Forecast()
         result = self._apply("", self.start)
         if not result.done:
@@ -129,8 +132,8 @@
             plan_jobs = [j for j in state.jobs.values() if j.plan == self.plan.id]
             if all(j.state in state_machine.SETTLED for j in plan_jobs):
                 break
-            # No machine is unavailable, and no line was added for longer than a machine warms plus twice the
-            # time for which a peak load counts: the plan would wait without end.
+            # The plan would wait without end if no machine is unavailable, and no event has been recorded for
+            # longer than the warming of a machine plus twice the time for which a peak of the load counts.
             if quiet_steps > rules.LOAD_WINDOW_S * 2 + self.warm_s and not unavailable:
                 waiting = [j for j in plan_jobs if j.state is State.ASKED]
                 found.stuck = (
@@ -149,6 +152,6 @@
     state: MaintenanceState, members: Mapping[str, Member], plan: Plan, fleet: Iterable[Machine],
     voters: tuple[str, ...], work_s: float, warm_s: float,
 ) -> Forecast:  # fmt: skip
-    """Simulates `plan` on `state`. `work_s` is the time that the work on one machine takes, `warm_s` the time
-    until its nodes are warm."""
+    """Simulates `plan` on a copy of `state`. `work_s` is the time that the work on one machine takes, and
+    `warm_s` the time that its nodes then take to become warm, in seconds."""
     return Simulation(state, members, plan, fleet, voters, work_s, warm_s).run()
--- a/magpiefront/maintenance/operator_commands.py
+++ b/magpiefront/maintenance/operator_commands.py
@@ -1,4 +1,7 @@
-"""Handles the maintenance requests of operators' commands to a member. Responses hold JSON types only."""
+"""Handles the requests that the maintenance commands of operators send to a member.
+
+Responses hold JSON types only.
+"""
 
 from __future__ import annotations
 
@@ -18,7 +21,7 @@
 
 
 class MaintenanceCommands:
-    """Handles the requests for one service."""
+    """Handles the requests at one member."""
 
     def __init__(self, service: MaintenanceService) -> None:
         self.service = service
@@ -28,11 +31,11 @@
         handlers = {"status": self._status, "start": self._start, "steer": self._steer, "board": self._export}
         handle = handlers.get(str(request.get("what")))
         if handle is None:
-            raise CommandError(f"unknown: {request.get('what')!r}")
+            raise CommandError(f"unknown maintenance request: {request.get('what')!r}")
         try:
             handle(request, respond)
         except (KeyError, TypeError, msgspec.ValidationError) as e:
-            raise CommandError(f"an ask that can't be read: {e}") from None
+            raise CommandError(f"malformed maintenance request: {e}") from None
 
     def _read(self, respond: Respond, get_response: Callable[[], dict[str, Any]]) -> None:
         answer_after_read(
--- a/magpiefront/maintenance/placement.py
+++ b/magpiefront/maintenance/placement.py
@@ -13,7 +13,7 @@
 from magpiefront.hashing import nth_hash
 from magpiefront.placement import Placement
 
-HOMES = 2  # a popular key is read at its first homes, and must not lose all of them at once
+HOMES = 2  # number of homes of a popular key that must not all be out at the same time
 
 
 class Ring:
@@ -28,8 +28,9 @@
 
     @classmethod
     def for_nodes(cls, nodes: Collection[str]) -> Ring:
-        """Returns a shared ring, changed to these nodes. The cost follows the number of nodes that differ
-        from those of the previous call. The next call changes the same ring again."""
+        """Returns a ring of these nodes. All calls change and return the same ring, so the cost is
+        proportional to the number of nodes that differ from those of the previous call, and the ring must not
+        be used after the next call."""
         if cls._shared is None:
             cls._shared = cls(())
         cls._shared.set_nodes(set(nodes))
@@ -46,7 +47,7 @@
         self.nodes = nodes
 
     def owner(self, point: int) -> str:
-        """Returns the node at a point of the ring. Raises LookupError if there are no nodes."""
+        """Returns the node that owns a point of the ring. Raises LookupError if there are no nodes."""
         owner = self.placement.owner(point)
         if owner is None:
             raise LookupError("the ring has no nodes")
--- a/magpiefront/maintenance/plan.py
+++ b/magpiefront/maintenance/plan.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-MAX_MACHINES = 1_000
+MAX_MACHINES = 1_000  # in a plan, and in the operator's file
 
 
 class Machine(msgspec.Struct, frozen=True):
@@ -22,7 +22,8 @@
 
 
 class Limits(msgspec.Struct, frozen=True):
-    """Limits of one plan. If several plans run, each limit applies to the unavailable machines of all."""
+    """Limits of one plan. If several plans run, each limit applies to the unavailable machines of all plans
+    together."""
 
     most_out: int = 1  # machines that may be unavailable at the same time
     most_zone: int = 1  # machines of one zone that may be unavailable at the same time
@@ -46,16 +47,16 @@
     machines: tuple[str, ...]
     what: str = ""  # description for operators
     command: tuple[str, ...] = ()  # if empty, an operator reports `done`
-    opens_s: float = 0.0
-    closes_s: float = 0.0  # 0: the window does not end
+    opens_s: float = 0.0  # start of the window
+    closes_s: float = 0.0  # end of the window; 0: it does not end
     limits: Limits = Limits()
 
 
 def problems(
     plan: Plan, fleet: Mapping[str, Machine], voters: Iterable[str], taken: Mapping[str, str]
 ) -> list[str]:  # fmt: skip
-    """Returns the reasons why a plan is refused, one text each. `taken` maps machines that are under
-    maintenance to their plans."""
+    """Returns the reasons why a plan is refused, one text each. `taken` maps the machines whose maintenance
+    has not ended yet to their plans."""
     found: list[str] = []
     limits, voting = plan.limits, set(voters)
     if not plan.machines:
--- a/magpiefront/maintenance/pool_guard.py
+++ b/magpiefront/maintenance/pool_guard.py
@@ -1,8 +1,8 @@
 """Makes a pool check, before each connection, request and probe, that the proxy may send to the cache node.
 
-The Router already knows the excluded nodes. But the process may be suspended between the Router's choice and
-the first byte, for longer than other proxies wait for it. When it resumes, callbacks that are due run before
-any timer that would update the Router.
+The Router does not choose nodes that it knows as excluded. But the process may be suspended between the
+Router's choice and the first byte, for longer than the other proxies wait for this one. When it resumes,
+callbacks that are due run before any timer that would tell the Router about newly excluded nodes.
 """
 
 from __future__ import annotations
@@ -21,10 +21,11 @@
 
 
 class GuardedNode(Node):
-    """A node that ends an exchange as moot if nothing may be sent to it. The guard sets the attributes."""
+    """A node that ends an exchange as moot if nothing may be sent to it. `PoolGuard` sets the attributes in a
+    subclass."""
 
     may_send: MaySend
-    # Several under one name: earlier ones whose connections are still open, and the latest.
+    # By name: the latest node, and before it the earlier nodes of this name that still have open connections.
     nodes_by_name: dict[str, list[GuardedNode]]
 
     def __init__(self, pool: Pool, name: str, address: Address) -> None:
@@ -56,8 +57,8 @@
 
 
 class GuardedConnection(NodeConnection):
-    """Mixed into the pool's connection type. Registers open connections, and before each exchange checks that
-    sending to the node is allowed."""
+    """Mixed into the pool's connection type by `PoolGuard`. Keeps a set of the open connections, and before
+    each exchange checks that sending to the node is allowed."""
 
     __slots__ = ()
     open_connections: set[NodeConnection]
@@ -93,8 +94,9 @@
         pool.connection_type = type("Connection", (GuardedConnection, base), connection_attributes)
 
     def nodes_in_use(self, nodes_by_address: Mapping[bytes, str] = NO_NODES) -> set[str]:
-        """Returns the nodes to which a connection is open or being opened. `nodes_by_address` holds nodes
-        that were listed at an address before; those of an address with a connection are included."""
+        """Returns the nodes to which a connection is open or being opened. `nodes_by_address` maps addresses
+        to the nodes that were listed there earlier; if there is a connection to such an address, the earlier
+        node is included too."""
         for name, nodes in list(self.nodes_by_name.items()):
             remaining = [n for n in nodes if n.open or not n.retired]
             if remaining:
--- a/magpiefront/maintenance/reports.py
+++ b/magpiefront/maintenance/reports.py
@@ -12,9 +12,9 @@
 
 MIN_GATE_SHARE = 0.9  # an admission gate that admits a smaller share of the requests is reported
 MAX_POPULAR_KEYS = 16  # in one report
-MIN_READS = 20  # reads of a node before its hit ratio counts
-WARM_FRACTION = 0.8  # of the median hit ratio of the other nodes, from which a node counts as warm
-DECAY_FACTOR = 0.5  # weight of the reads of one period in the next
+MIN_READS = 20  # a node with fewer reads has no hit ratio yet
+WARM_FRACTION = 0.8  # a node is warm if its hit ratio is at least this fraction of the others' median
+DECAY_FACTOR = 0.5  # by which the weight of all earlier reads is multiplied at the end of each period
 
 
 class HitRatios:
@@ -39,7 +39,8 @@
         }  # fmt: skip
 
     def below_median(self, nodes: Collection[str]) -> set[str]:
-        """Returns those of `nodes` whose hit ratio is far below the median of all other nodes."""
+        """Returns those of `nodes` whose hit ratio is below `WARM_FRACTION` of the median of all other nodes.
+        Nodes with fewer than `MIN_READS` reads are ignored."""
         ratios = {n: hits / all_ for n, (all_, hits) in self.reads.items() if all_ >= MIN_READS}
         others = sorted(ratio for n, ratio in ratios.items() if n not in nodes)
         if not others:
@@ -49,7 +50,8 @@
 
 
 def popular_keys(router: Router) -> tuple[tuple[int, int], ...]:
-    """Returns the keys that the Router reads at several homes, with the number of requests for each."""
+    """Returns the keys that the Router reads at several homes, with the number of requests for each. If there
+    are more than `MAX_POPULAR_KEYS`, returns the most requested ones."""
     counts = {**router.previous_key_counts}
     for key, n in router.key_counts.items():
         counts[key] = counts.get(key, 0) + n
@@ -83,10 +85,10 @@
     excluded: Collection[str], hit_ratios: HitRatios, returning: Collection[str],
     watches_discovery: bool = True,
 ) -> ProxyReport:  # fmt: skip
-    """Builds a report. `load` is the mean number of requests in progress; `by_hand` holds nodes that an
-    operator has excluded at this proxy; `excluded` holds nodes of machines under maintenance, which this
-    proxy does not observe; `returning` holds nodes that have just come back, which are cold while their hit
-    ratio is low."""
+    """Builds a report on the nodes in `fleet`. `load` is the mean number of requests in progress; `by_hand`
+    holds nodes that an operator has excluded at this proxy; `excluded` holds nodes of machines under
+    maintenance, which this proxy does not observe; `returning` holds nodes that have just come back, which
+    are reported as cold while their hit ratio is low."""
     failing, cold, keys = [], hit_ratios.below_median(returning), popular_keys(router)
     for name in fleet:
         if name in excluded or name in by_hand:
--- a/magpiefront/maintenance/rules.py
+++ b/magpiefront/maintenance/rules.py
@@ -21,21 +21,22 @@
 
 LOAD_WINDOW_S = 60.0  # a peak of the load counts for this long
 MAX_REPORT_AGE_S = 5.0  # older reports are not used for decisions
-MAX_IDLE_REPORT_AGE_S = 150.0  # while no plan runs, reports are rare and serve only the hourly peaks
+# Older reports are not used while no plan runs. Reports are rare then, and serve only the hourly peaks.
+MAX_IDLE_REPORT_AGE_S = 150.0
 SETTLE_S = 2.0  # no machine leaves for this time after the requests of a lost proxy have ended
 # From the end of a lost proxy's session until none of its requests can be open any more: the longest request
 # deadline that is taken into account, plus the allowed difference of the clocks. The lost proxy itself stops
 # sending to the next machines before that time starts.
 LOST_DRAIN_S = 5.0
 NEXT_FACTOR = 2  # up to this many times `most_out` machines are listed in `MaintenanceState.next`
-MAX_OVERTAKE_S = 60.0  # a machine that has been first in the queue for longer is not overtaken any more
+MAX_OVERTAKE_S = 60.0  # a machine that has waited first in the queue for longer is not overtaken any more
 
 
 def advance(state: MaintenanceState, members: Mapping[str, Member]) -> None:
-    """Derives from the replicated state what changes at a `Tick`."""
+    """Updates the state at a `Tick`."""
     _update_losses(state, members)
     _update_peaks(state)
-    _revoke_grants(state)  # before any of these machines is out
+    _revoke_grants(state)  # before `_step`, after which a machine that was leaving may be out
     for job in sorted(state.jobs.values(), key=lambda j: j.grant_number):
         _step(state, job, members)
     _choose_next(state)
@@ -59,15 +60,15 @@
 
 
 def recent_reports(state: MaintenanceState, max_age_s: float = MAX_REPORT_AGE_S) -> dict[str, ProxyReport]:
-    """Returns the reports of members that are not lost, up to an age."""
+    """Returns the reports that are not older than `max_age_s`, without those of lost members."""
     return {
         n: r for n, r in state.reports.items() if state.at_s - r.at_s <= max_age_s and n not in state.lost_s
     }
 
 
 def total_load(state: MaintenanceState) -> float:
-    """Returns the number of requests in progress at all nodes, from all proxies. While no plan runs, proxies
-    report rarely and older reports count."""
+    """Returns the number of requests in progress at all nodes, from all proxies. While no plan runs, older
+    reports count too, because proxies report rarely."""
     return sum(
         r.load for r in recent_reports(
             state, MAX_REPORT_AGE_S if has_active_machines(state) else MAX_IDLE_REPORT_AGE_S
@@ -76,7 +77,8 @@
 
 
 def _update_peaks(state: MaintenanceState) -> None:
-    """Updates the peaks of the current hour, which is used from the next day on, and of the last minute."""
+    """Updates the peak of the current hour, which limits maintenance from the next day on, and the peak of
+    the last minute."""
     hour, load = int(state.wall_s // 3_600), total_load(state)
     if hour != state.hour:
         state.hourly_peaks[str(state.hour % 24)], state.hour, state.hour_peak = state.hour_peak, hour, 0.0
@@ -86,8 +88,8 @@
 
 
 def failing_nodes(state: MaintenanceState) -> set[str]:
-    """Returns the nodes that fail by more than half of the reports, or that an operator has excluded at any
-    proxy."""
+    """Returns the nodes that fail according to more than half of the reports, and those that an operator has
+    excluded at any proxy."""
     reports = recent_reports(state).values()
     nodes = {n for r in reports for n in r.failing}
     found = {n for n in nodes if 2 * sum(n in r.failing for r in reports) > len(reports)}
@@ -107,7 +109,8 @@
         case State.DRAINING if not pending_confirmations(state, job, members):
             set_state(state, job, State.OUT)
         case State.DRAINING if waited > plan.limits.most_drain_s:
-            # Nothing was done to it. Other machines go first, because it may take as long again.
+            # The work on the machine has not begun, so it goes back to the end of the queue. The others go
+            # first, because the next drain of this machine may take as long again.
             waits = ", ".join(pending_confirmations(state, job, members))
             set_state(state, job, State.ASKED, f"given up: it would not drain for {waits}")
             job.asked_s = state.at_s
@@ -144,8 +147,8 @@
 
 
 def unaware_proxies(state: MaintenanceState, job: Job, members: Mapping[str, Member]) -> list[str]:
-    """Returns the members that would keep sending to the machine if they were cut off, since they have not
-    acknowledged that it is among the next."""
+    """Returns the members that would keep sending to the machine if they were cut off, because they have not
+    acknowledged a version of `MaintenanceState.next` that contains this machine."""
     own = state.fleet[job.machine].proxies
     return [
         n for n in sorted(possible_senders(members))
@@ -155,8 +158,8 @@
 
 def pending_confirmations(state: MaintenanceState, job: Job, members: Mapping[str, Member]) -> list[str]:
     """Returns what the machine still waits for before it is out, one text for each proxy. Each proxy has to
-    confirm in its current epoch. A lost proxy must have acknowledged that the machine was next, and its
-    requests must have ended. The machine's own proxies must have ended."""
+    confirm in its current epoch that it is drained. A lost proxy must have acknowledged that the machine was
+    next, and its requests must have ended. The proxies on the machine itself must have ended."""
     own = state.fleet[job.machine].proxies
     waits = []
     for name, m in sorted(possible_senders(members).items()):
@@ -175,8 +178,8 @@
 
 
 def _not_in_use_by(state: MaintenanceState, job: Job, members: Mapping[str, Member]) -> list[str]:
-    """Returns the members that have not reported since the machine came back, or that find one of its nodes
-    failing, and those of its own proxies that are not alive."""
+    """Returns the members that have not reported since the machine came back, or whose report names one of
+    its nodes as failing or excluded by an operator, and the proxies on the machine that are not alive."""
     machine = state.fleet[job.machine]
     found = [n for n in machine.proxies if n in members and members[n].state is not MemberState.ALIVE]
     for name, m in possible_senders(members).items():
@@ -205,7 +208,7 @@
 
 
 def failing_machines(state: MaintenanceState) -> list[Machine]:
-    """Returns the machines with a failing node that no plan makes unavailable."""
+    """Returns the machines that have a failing node and are not unavailable because of a plan."""
     failing, unavailable = failing_nodes(state), {j.machine for j in unavailable_jobs(state)}
     if not failing:
         return []
@@ -213,8 +216,9 @@
 
 
 class GrantContext:
-    """Values that are the same for each waiting machine. The popular keys are computed once, at their first
-    use; the rest is computed at the start and again after each grant."""
+    """Values that are the same for each waiting machine. The popular keys are computed once, when they are
+    first used; the unavailable jobs and failing machines are computed at the start and again after each
+    grant."""
 
     def __init__(self, state: MaintenanceState) -> None:
         self.state = state
@@ -332,7 +336,7 @@
 
 
 def blocking_reason(state: MaintenanceState, job: Job, members: Mapping[str, Member]) -> str:
-    """Returns what a machine waits for before it may leave, in one sentence, or ""."""
+    """Returns what a machine in the state `ASKED` waits for before it may leave, or ""."""
     return (
         _plan_blocking_reason(state, job)
         or unsettled_reason(state, members)
@@ -368,7 +372,8 @@
 
 def assigned_runner(state: MaintenanceState, job: Job, members: Mapping[str, Member]) -> str:
     """Returns the member that has to run the machine's command, or "" if there is none or the command was
-    started. It is alive, not on a machine that is out, and chosen by a hash for each machine."""
+    started. The member is alive and not on an unavailable machine. Among these, the choice is by a hash of
+    the member and the machine, so that different members run the commands of different machines."""
     if job.state is not State.OUT or job.runner or not state.plans[job.plan].plan.command:
         return ""
     unavailable = {p for j in unavailable_jobs(state) for p in state.fleet[j.machine].proxies}
@@ -419,8 +424,8 @@
 
 
 def _applicable_limits(state: MaintenanceState, job: Job, unavailable: Iterable[Job]) -> list[Limits]:
-    """Returns the limits of the machine's own plan and of each plan with an unavailable machine. Each applies
-    to all these machines together."""
+    """Returns the limits of the machine's own plan and of each plan with an unavailable machine. Each of these
+    limits applies to the unavailable machines of all plans together."""
     plans = {job.plan, *(j.plan for j in unavailable)}
     return [state.plans[p].plan.limits for p in sorted(plans)]
 
@@ -429,17 +434,18 @@
 
 
 def waiting_jobs(state: MaintenanceState) -> list[Job]:
-    """Returns the jobs that wait for a grant, longest wait first, those of one plan in its order."""
+    """Returns the jobs that wait for a grant. The longest wait is first; jobs of one plan that have waited
+    equally long are in the order of the plan."""
     order = {name: i for r in state.plans.values() for i, name in enumerate(r.plan.machines)}
     asked = [j for j in state.jobs.values() if j.state is State.ASKED]
     return sorted(asked, key=lambda j: (j.asked_s, j.plan, order.get(j.machine, 0), j.machine))
 
 
 def _grant(state: MaintenanceState, members: Mapping[str, Member]) -> None:
-    """Grants all machines that may leave now. The first machine that has to wait for one that is out may be
-    overtaken by others, but only for a limited time. Otherwise machines that can't be out together with it
-    could keep it waiting forever. Since a machine only waits while another one makes progress, a plan never
-    takes longer than its machines would take one after the other."""
+    """Grants all machines that may leave now. While the first machine in the queue waits for an unavailable
+    one, others may overtake it, but only for `MAX_OVERTAKE_S`. Otherwise machines that can't be out together
+    with it could keep it waiting forever. Since a machine only waits while another one makes progress, a plan
+    never takes longer than its machines would take one after the other."""
     if not state.next or unsettled_reason(state, members):
         return
     context, is_first = GrantContext(state), True
--- a/magpiefront/maintenance/runner.py
+++ b/magpiefront/maintenance/runner.py
@@ -22,8 +22,9 @@
 
 
 async def run(plan: Plan, job: Job) -> str:
-    """Runs the command and returns why it failed, or "". The command gets its own session: it can then be
-    ended together with its child processes, and it is not ended when this process ends."""
+    """Runs the command and returns why it failed, or "". Ends it if it takes longer than `most_work_s`. The
+    command gets its own session: it can then be ended together with its child processes, and it is not ended
+    when this process ends."""
     pipe, devnull = asyncio.subprocess.PIPE, asyncio.subprocess.DEVNULL
     try:
         process = await asyncio.create_subprocess_exec(
--- a/magpiefront/maintenance/service.py
+++ b/magpiefront/maintenance/service.py
@@ -1,8 +1,8 @@
 """Runs machine maintenance at one proxy, as the replicated state and the proxy's exclusions require.
 
 The service excludes and includes nodes, proposes confirmations and reports, ends the process if its own
-machine leaves, runs the operator's command if it is assigned to this member, and proposes ticks at the
-leader.
+machine leaves, runs the operator's command for a machine if it is assigned to this member, and proposes ticks
+while this member is the leader.
 """
 
 from __future__ import annotations
@@ -29,15 +29,16 @@
 from magpiefront.net.guarded_attempt import GuardedAttempt
 
 STATE_MACHINE = "maintenance"  # name of the state machine in the group's log, and prefix of the metrics
-ACTIVE_INTERVAL_S, IDLE_INTERVAL_S = 0.05, 1.0  # between two updates
-# Between two ticks, and between two reports, while a plan runs; and between two of either while none does.
+ACTIVE_INTERVAL_S, IDLE_INTERVAL_S = 0.05, 1.0  # between two updates: during maintenance, and otherwise
+# The intervals of ticks and of reports while a plan runs, and the interval of both while none does.
 TICK_US, REPORT_US, IDLE_US = 500_000, 1_000_000, 60_000_000
-# Until a command or a read of the group times out; and after a failed save or a proposal of `FinishWork`.
+# The timeout of a command or a read of the group, and the delay before a failed save or a proposal of
+# `FinishWork` is repeated.
 COMMAND_TIMEOUT_US, RETRY_DELAY_US = 2_000_000, 1_000_000
 # After the end of its session, a proxy that is cut off waits this long and then aborts its connections to the
-# machines that may be out. The other members wait `rules.LOST_DRAIN_S`, starting later.
+# machines that may be out. The other members wait for `rules.LOST_DRAIN_S`, which starts later.
 ABORT_DELAY_US = 4_000_000
-MAX_CAUSE_CHARS = 300
+MAX_CAUSE_CHARS = 300  # of the cause of a failed command, which is replicated
 
 
 class NotifyingStateMachine(MaintenanceStateMachine):
@@ -95,7 +96,8 @@
         # Those of them that discovery lists at an address that was saved for another node.
         self.misplaced: set[str] = set()
         self.excluded_by_hand: set[str] = set()  # nodes that an operator has excluded at this proxy
-        self.load_sum = self.samples = 0.0  # of the requests in progress, since the last report
+        # Sum and number of the samples of the requests in progress, since the last report.
+        self.load_sum = self.samples = 0.0
         self.read_epoch = 0  # the member epoch in which a read is in progress; 0: none is
         self.last_current_us = 0  # when the exclusions were last known to be up to date
         self.seen_versions = (-1, -1)  # the `ticks` and `line_count` of the state at its last change
@@ -104,11 +106,11 @@
         self.is_saving = self.is_ending = self.is_stopped = self.update_is_scheduled = False
         self.next_save_us = 0
         self.timer: asyncio.TimerHandle | None = None
-        # Whether the process that handed over to this one still runs. It may have requests open, so that this
-        # process must not confirm anything.
+        # Whether the old process that handed over to this one still runs. While it does, it may have requests
+        # open, and this process must not confirm anything.
         self.predecessor_is_running: Callable[[], bool] = lambda: False
         # When `BeginWork` was last proposed for a machine, and the task that runs its command. A key holds
-        # the machine, the number of the grant, and since when the machine is out, which is new for a retry.
+        # the machine, the number of the grant, and since when the machine is out, which changes with a retry.
         self.begin_sent_us: dict[tuple[str, int, float], int] = {}
         self.tasks: dict[tuple[str, int, float], asyncio.Task[None]] = {}
 
@@ -127,8 +129,8 @@
         self._update()
 
     def stop(self) -> None:
-        """Stops the service. Commands keep running: to end one halfway could do more harm than to leave it
-        without anyone waiting for it."""
+        """Stops the service. Commands keep running, although nothing waits for their end any more: to end one
+        halfway could do more harm."""
         self.is_stopped = True
         if self.timer is not None:
             self.timer.cancel()
@@ -179,7 +181,8 @@
 
     def set_excluded(self, server: str, exclude: bool) -> bool:
         """Excludes or includes a node for an operator, and returns whether this was accepted. A node under
-        maintenance stays excluded in any case; one that an operator has excluded stays so after it."""
+        maintenance stays excluded even if the operator includes it. A node that an operator has excluded
+        stays excluded after the maintenance."""
         if not exclude and server in self.excluded:
             self.excluded_by_hand.discard(server)
             return True
@@ -343,6 +346,7 @@
         self.tasks = {key: t for key, t in self.tasks.items() if key[:2] in current or not t.done()}
 
     async def _run_command(self, key: tuple[str, int, float], job: Job) -> None:
+        """Runs the command for a machine, and proposes `FinishWork` until it is applied or obsolete."""
         plan = self.replica.state.plans[job.plan].plan
         self.proxy.log(f"maintenance: running {plan.command[0]} for {job.machine}, grant {job.grant_number}")
         cause = await runner.run(plan, job)
--- a/magpiefront/maintenance/state_machine.py
+++ b/magpiefront/maintenance/state_machine.py
@@ -16,7 +16,7 @@
 from magpiefront.group.messages import name_of
 from magpiefront.maintenance.plan import Machine, Plan, problems
 
-MAX_LINES = 200  # of events that are kept
+MAX_LINES = 200  # the latest events that are kept for operators, one line each
 
 
 class State(Enum):
@@ -43,7 +43,7 @@
 
 
 class Job(msgspec.Struct):
-    """The maintenance of one machine in a plan."""
+    """The maintenance of one machine in a plan. Times are seconds of replicated time."""
 
     machine: str
     plan: str
@@ -57,7 +57,7 @@
     cause: str = ""
     # The version of `MaintenanceState.next` in which the machine was added to it.
     next_version: int = msgspec.field(name="entered", default=0)
-    # Since when it has been first in the queue and has waited for unavailable machines; 0: it has not.
+    # Since when it has waited, as the first in the queue, for unavailable machines; 0: it has not.
     first_waiting_s: float = msgspec.field(name="first_s", default=0.0)
 
 
@@ -207,7 +207,7 @@
         try:
             command: Command = msgspec.msgpack.decode(data, type=Command)
         except msgspec.MsgspecError:  # from another version of the program; ignored by all members alike
-            return msgspec.msgpack.encode(CommandResult(False, "not of this version"))
+            return msgspec.msgpack.encode(CommandResult(False, "unknown command, maybe of another version"))
         return msgspec.msgpack.encode(self._apply_command(name_of(origin), command))
 
     def reset(self) -> None:
@@ -228,7 +228,7 @@
                 return self._steer(command)
             case Tick():
                 if command.number != state.ticks:
-                    return CommandResult(False, "another one came before it")
+                    return CommandResult(False, "another tick was applied before it")
                 state.ticks, state.at_s, state.wall_s = (
                     state.ticks + 1, state.at_s + max(0.0, command.elapsed_s), command.wall_s,
                 )  # fmt: skip
@@ -251,7 +251,7 @@
                     or job.state is not State.OUT
                     or job.runner
                 ):
-                    return CommandResult(False, "it is not to be begun, or has been")
+                    return CommandResult(False, "its work may not begin now, or has begun already")
                 job.runner = f"{member}@{command.member_epoch}"
             case FinishWork():
                 job = state.jobs.get(command.machine)
@@ -311,7 +311,7 @@
                         set_state(state, job, State.WITHDRAWN, f"by {command.by}")
             case "done" | "retry":
                 if not command.machine:
-                    return CommandResult(False, f"{command.action}: which machine?")
+                    return CommandResult(False, f"{command.action}: needs a machine")
                 job = jobs[0]
                 if job.state not in (*WORKED_ON, State.FAILED):
                     return CommandResult(False, f"{command.machine} is {job.state.value}, and not out")
