Maintenance status: a machine that is back waits to be reported as usable

"To be found well" did not say what the proxy has to do. The drill matches the new text up to the proxy's name, as before. Also shortens a line that was too long.

--- a/magpiefront/maintenance/rules.py
+++ b/magpiefront/maintenance/rules.py
@@ -361,7 +361,7 @@
         case State.HELD:
             return f"an operator's `done` or `retry`: {job.cause}"
         case State.BACK:
-            return "to be found well by " + ", ".join(_not_in_use_by(state, job, members))
+            return "to be reported as usable by " + ", ".join(_not_in_use_by(state, job, members))
         case State.WARMING:
             return "its nodes to be warm"
         case State.FAILED:
@@ -424,8 +424,8 @@
 
 
 def _applicable_limits(state: MaintenanceState, job: Job, unavailable: Iterable[Job]) -> list[Limits]:
-    """Returns the limits of the machine's own plan and of each plan with an unavailable machine. Each of these
-    limits applies to the unavailable machines of all plans together."""
+    """Returns the limits of the machine's own plan and of each plan with an unavailable machine. Each limit
+    applies to the unavailable machines of all plans together."""
     plans = {job.plan, *(j.plan for j in unavailable)}
     return [state.plans[p].plan.limits for p in sorted(plans)]
 
--- a/tests/maintenance/test_drill.py
+++ b/tests/maintenance/test_drill.py
@@ -374,7 +374,7 @@
             assert await admin(port, "disable-server n1a") == "OK\n"
             assert "runs" in (await ask("why", "m1"))[1]
             r.may_end.set()
-            await wait_for_output("to be found well by d0", "why", "m1")
+            await wait_for_output("to be reported as usable by d0", "why", "m1")
             assert await admin(port, "enable-server n1a") == "OK\n"
             code, output = await ask("watch", "--most", "60")
             assert code == 0 and "m1 is done" in output
