Operator's file and commands: help texts and docstrings name what they refer to

Help texts such as "until warm" and "do its work again" left out the noun; defaults of omitted keys were explained in only one of the modules; some docstrings left open which process or settings they mean.

--- a/magpiefront/commands/group.py
+++ b/magpiefront/commands/group.py
@@ -24,14 +24,16 @@
 
 def add_arguments(parser: argparse.ArgumentParser) -> None:
     parser.add_argument("--json", action="store_true", help="print JSON, for programs")
-    parser.add_argument("--at", metavar="MEMBER", help="ask this member; else the file's own, then others")
+    parser.add_argument("--at", metavar="MEMBER", help="member to ask; default: the file's own, then others")
     commands = parser.add_subparsers(dest="group_command", required=True)
     commands.add_parser("status", help="leader and progress of a member; exit status 1 without a leader")
     commands.add_parser("members", help="all members; exit status 1 if one is not well")
     for name, text in (("add", "admit a member that [group.members] names"), ("remove", "remove a member")):
         command = commands.add_parser(name, help=text)
         command.add_argument("name")
-        command.add_argument("--wait", type=float, default=10.0, metavar="S", help="default 10")
+        command.add_argument(
+            "--wait", type=float, default=10.0, metavar="S", help="time to wait for the effect; default 10"
+        )
     lead = commands.add_parser("lead", help="transfer leadership")
     lead.add_argument("--to", required=True, metavar="MEMBER")
     lead.add_argument("--wait", type=float, default=5.0, metavar="S")
@@ -40,8 +42,8 @@
 
 
 class GroupClient:
-    """Sends requests to the member `at`, or if it is None, to the first member of the group that answers. The
-    member whose operator's file is given comes first. Raises CommandError."""
+    """Sends requests to the member `at`. If `at` is None, sends each request to the member of the operator's
+    file, and if that does not answer, to the other members in turn. Raises CommandError."""
 
     def __init__(self, operator: OperatorConfig, at: str | None) -> None:
         if operator.group is None:
--- a/magpiefront/commands/maintenance.py
+++ b/magpiefront/commands/maintenance.py
@@ -28,13 +28,13 @@
 
 def add_arguments(parser: argparse.ArgumentParser) -> None:
     parser.add_argument("--json", action="store_true", help="print JSON, for programs")
-    parser.add_argument("--at", metavar="MEMBER", help="ask this member; else the file's own, then others")
+    parser.add_argument("--at", metavar="MEMBER", help="member to ask; default: the file's own, then others")
     parser.add_argument("--by", default="", help="name of the operator; default: the user's name")
     commands = parser.add_subparsers(dest="maintenance_command", required=True)
     check = commands.add_parser("check", help="simulate a plan from the current state; starts nothing")
     check.add_argument("file")
-    check.add_argument("--work", type=float, default=300.0, metavar="S", help="per machine; default 300")
-    check.add_argument("--warm", type=float, default=30.0, metavar="S", help="until warm; default 30")
+    check.add_argument("--work", type=float, default=300.0, metavar="S", help="time per machine; default 300")
+    check.add_argument("--warm", type=float, default=30.0, metavar="S", help="time until warm; default 30")
     commands.add_parser("start", help="start a plan").add_argument("file")
     commands.add_parser("status", help="plans and machines; exit status 1 if one has failed or is held")
     watch = commands.add_parser("watch", help="show the status until all machines are done")
@@ -44,7 +44,7 @@
     withdraw = commands.add_parser("withdraw", help="cancel a plan or a machine that is not out yet")
     withdraw.add_argument("plan")
     withdraw.add_argument("machine", nargs="?", default="")
-    for name, text in (("done", "declare its work as done"), ("retry", "do its work again"),
+    for name, text in (("done", "declare the work on a machine done"), ("retry", "repeat the work"),
                        ("why", "show what a machine waits for")):  # fmt: skip
         commands.add_parser(name, help=text).add_argument("machine")
 
--- a/magpiefront/operator/caching.py
+++ b/magpiefront/operator/caching.py
@@ -16,6 +16,7 @@
 Token = Annotated[str, msgspec.Meta(pattern=r"^[A-Za-z*][!#$%&'*+.^_`|~0-9A-Za-z:/-]{0,62}$")]
 FieldName = Annotated[str, msgspec.Meta(pattern=r"^[!#$%&'*+.^_`|~0-9A-Za-z-]+$")]
 
+# Omitted keys have the default values of the settings.
 CACHING, POLICY, CLIENTS, DISK = CachingSettings(), Policy(), ClientSettings(), DiskSettings(Path("."))
 
 
@@ -76,7 +77,7 @@
     require(caching.most_bytes.bytes >= 64 << 10, "caching", "most_bytes", "must be at least 64KiB")
     require(clients.deadline.us >= 1_000, "caching.clients", "deadline", "must be at least 1ms")
     for peer in caching.purge_from:
-        try:
+        try:  # with any port, because parse_address requires one
             parse_address(f"[{peer}]:1" if ":" in peer else f"{peer}:1")
         except ValueError:
             raise BadFile(f"{path}: [caching] purge_from: {peer!r} is not a numeric address") from None
--- a/magpiefront/operator/compose.py
+++ b/magpiefront/operator/compose.py
@@ -92,8 +92,9 @@
 
 
 class Composition:
-    """The configured stages of one process. `first_stage` receives the requests of the front; it is the proxy
-    itself if no stage is configured. `shut_down` begins the planned shutdown of this process."""
+    """The configured stages of one process. `first_stage` receives the requests from the front; it is
+    `next_stage`, the proxy, if no stage is configured. `shut_down` begins the planned shutdown of this
+    process."""
 
     def __init__(
         self, runtime: StageRuntime, next_stage: Stage, operator: OperatorConfig, seed: int,
@@ -141,7 +142,7 @@
                 self.operator_commands.extra_handlers["maintenance"] = MaintenanceCommands(
                     self.maintenance
                 ).handle_request
-            else:  # applied here too, so that this member is up to date when [maintenance] is switched on
+            else:  # commands are applied all the same, so that the state is current if it is switched on
                 self.group.register(STATE_MACHINE, MaintenanceStateMachine(self.group.members, advance))
         self.record: RecordStage | None = None
         self.store: SqliteStore | PostgresStore | GroupStore | None = None
@@ -177,8 +178,8 @@
 
     async def start(self, inherited_sockets: Mapping[str, socket.socket] | None = None) -> None:
         """Starts the stages. `inherited_sockets` are the listening sockets that an old process handed over,
-        by name; nothing is accepted on them before `accept`. Raises OSError if the gateway can't listen, and
-        BadConfig if the group can't listen or a file can't be used."""
+        by name; connections are accepted on them only once `accept` is called. Raises OSError if the gateway
+        can't listen, and BadConfig if the group can't listen or a file can't be used."""
         self._log_short_windows(self.operator)
         if inherited_sockets and self.group is not None:
             self._take_over_member()
@@ -210,8 +211,8 @@
             await self.gateway.start((inherited_sockets or {}).get(self.gateway.listener.name))
 
     def _take_over_member(self) -> None:
-        """Takes the group membership over from another process of this proxy: in a new process at its start,
-        and in the old one if the new process ends during the upgrade."""
+        """Takes the group membership over from the other process of this proxy during an upgrade: a new
+        process does so at its start, and the old one if the new one ends before the upgrade is complete."""
         assert self.group is not None and self.transport is not None
         self.group.start_after_handover(self.transport, self.transport.listen)
         if self.record is not None:
@@ -240,7 +241,7 @@
         return listeners + ([self.member_handover] if self.member_handover is not None else [])
 
     def prepare_front(self, front: Front) -> None:
-        """Adjusts the front to the configured stages. To be called before the front listens."""
+        """Adjusts the front to the configured stages. Has to be called before the front listens."""
         if self.operator.caching is not None:
             forward_fields(front, self.operator.caching.clients)
 
@@ -287,11 +288,12 @@
         return recording or (self.gateway is not None and self.gateway.busy)
 
     def begin_recovery(self) -> None:
-        """Starts the search for reports that a crash left open. To be called once the nodes are known."""
+        """Starts the search for reports that a crash left open. Has to be called once the nodes are known."""
         if self.record is not None:
             self.record.begin_polling()
 
     def sweep(self) -> None:
+        """Fails long answers of the gateway that have stalled. Has to be called periodically."""
         if self.gateway is not None:
             self.gateway.sweep()
 
--- a/magpiefront/operator/group.py
+++ b/magpiefront/operator/group.py
@@ -15,7 +15,7 @@
 
 Name = Annotated[str, msgspec.Meta(pattern=r"^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$")]
 Count = Annotated[int, msgspec.Meta(ge=1, le=1_000_000)]
-TIMES, LIMITS = Times(), Limits()
+TIMES, LIMITS = Times(), Limits()  # omitted keys have these default values
 MAX_VOTERS, MAX_MEMBERS = 9, 1_000
 
 
@@ -63,14 +63,14 @@
 
 @dataclass(frozen=True, slots=True)
 class GroupConfig:
-    """The table `group`. `tls` is None if members connect to each other unencrypted."""
+    """The table `group`. `tls` is None if members connect to each other without encryption."""
 
     settings: GroupSettings
     tls: Tls | None
 
     @property
     def warning(self) -> str:
-        """Advice on a valid but not recommended number of voters, or an empty string."""
+        """Advice if the number of voters is even, which is valid but not recommended; else ""."""
         count = len(self.settings.voters)
         if count % 2 == 0:
             return f"[group] voters: {count} tolerate no more losses than {count - 1}; use an odd number"
--- a/magpiefront/operator/maintenance.py
+++ b/magpiefront/operator/maintenance.py
@@ -16,7 +16,7 @@
 Count = Annotated[int, msgspec.Meta(ge=1, le=MAX_MACHINES)]
 Share = Annotated[float, msgspec.Meta(ge=0, le=1)]
 Load = Annotated[float, msgspec.Meta(ge=0, le=1_000_000)]
-LIMITS = Limits()
+LIMITS = Limits()  # omitted keys have these default values
 
 
 def duration_of(seconds: float) -> Duration:
@@ -75,10 +75,11 @@
 
 
 def parse_maintenance(path: Path, values: Any, group: GroupSettings | None) -> MaintenanceSettings:
-    """Parses the table `maintenance`. `group` is None if the file has no table `group`. Raises BadFile."""
+    """Parses the table `maintenance`. `group` holds the settings in the table `group`, or is None if the file
+    has none. Raises BadFile."""
     maintenance = convert_table(path, "maintenance", values, MaintenanceTable)
     if group is None:
-        raise BadFile(f"{path}: [maintenance]: needs [group]: the proxies agree on the order through it")
+        raise BadFile(f"{path}: [maintenance]: needs [group], through which the proxies agree on the order")
     machines: dict[str, Machine] = {}
     owners: dict[str, str] = {}
     for name, machine_values in maintenance.machines.items():
@@ -110,7 +111,8 @@
 
 
 def load_plan(path: Path, by: str, settings: MaintenanceSettings) -> Plan:
-    """Reads a maintenance plan. `by` is the person who starts it. Raises BadFile."""
+    """Reads the file of a maintenance plan. `by` is the operator who starts it; `settings` holds the default
+    limits. Raises BadFile."""
     tables = load_toml(path)
     for name in tables:
         if name != "plan":
--- a/magpiefront/operator/parsing.py
+++ b/magpiefront/operator/parsing.py
@@ -16,7 +16,8 @@
 SIZE_PATTERN = re.compile(r"(\d+)(B|KiB|MiB|GiB)")
 US_PER_UNIT = {"us": 1, "ms": 1_000, "s": 1_000_000, "m": 60_000_000}
 BYTES_PER_UNIT = {"B": 1, "KiB": 1 << 10, "MiB": 1 << 20, "GiB": 1 << 30}
-ERROR_PATH_PATTERN = re.compile(r" - at `(?:key in )?`?\$([^`]*)`")  # the path in an error text of msgspec
+# The end of an error text of msgspec, which says where in the value the error is.
+ERROR_PATH_PATTERN = re.compile(r" - at `(?:key in )?`?\$([^`]*)`")
 
 
 class BadFile(Exception):
@@ -25,7 +26,7 @@
 
 
 class Duration:
-    """A duration, written as text with a unit. `us` is its length in microseconds."""
+    """A duration, which the file gives as text with a unit. `us` is its length in microseconds."""
 
     def __init__(self, us: int) -> None:
         self.us = us
@@ -39,7 +40,7 @@
 
 
 class Size:
-    """A size, written as text with a unit. `bytes` is its value."""
+    """A size, which the file gives as text with a unit. `bytes` is the number of bytes."""
 
     def __init__(self, bytes_: int) -> None:
         self.bytes = bytes_
@@ -53,7 +54,7 @@
 
 
 class Endpoint:
-    """A numeric IP address and a port, as `address`."""
+    """A numeric IP address and a port. `address` is the pair of both."""
 
     def __init__(self, host: str, port: int) -> None:
         self.address = host, port
@@ -101,7 +102,7 @@
 
 
 def format_error(table: str, text: str) -> str:
-    """Returns a validation error of msgspec with the table and the key in front."""
+    """Returns the text of a validation error of msgspec with the table and the key at the front."""
     match = ERROR_PATH_PATTERN.search(text)
     inner_path = match[1].strip(".").split(".") if match and match[1] else []
     problem = ERROR_PATH_PATTERN.sub("", text)
--- a/magpiefront/operator/record.py
+++ b/magpiefront/operator/record.py
@@ -13,9 +13,11 @@
     GroupStoreSettings, PostgresSettings, RecordSettings, SqliteSettings,
 )  # fmt: skip
 
+# Omitted keys have the default values of the settings.
 RECORD, SQLITE = RecordSettings(SqliteSettings(Path("."))), SqliteSettings(Path("."))
 POSTGRES, GROUP = PostgresSettings(""), GroupStoreSettings()
-COMMAND_OVERHEAD_BYTES = 8 << 10  # room in a log entry for the keys, target and fields of a report
+# Room in a log entry for the keys, target and fields of a report, besides its body or its answer.
+COMMAND_OVERHEAD_BYTES = 8 << 10
 Count = Annotated[int, msgspec.Meta(ge=1, le=1_000_000)]
 
 
@@ -52,7 +54,8 @@
 
 
 def parse_record(path: Path, values: Any, group: GroupSettings | None = None) -> RecordSettings:
-    """Parses the table `record`. `group` is None if the file has no table `group`. Raises BadFile."""
+    """Parses the table `record`. `group` holds the settings in the table `group`, or is None if the file has
+    none. Raises BadFile."""
     record = convert_table(path, "record", values, RecordTable)
     present = [n for n in ("sqlite", "postgres", "group") if getattr(record, n) is not None]
     if len(present) > 1:
