Safeguard of the group model: "transfer of leadership" instead of "handover"

A handover elsewhere in the project is that of a process to its successor during an upgrade. The safeguard concerns the transfer of leadership in a group, under the name that the group's code has for it. The fault kind "hand over" is read from printed plans and stays.

--- a/magpiefront/model/safeguards.py
+++ b/magpiefront/model/safeguards.py
@@ -125,8 +125,9 @@
     return [(sessions.SessionGrants, "add_request", add_request)]
 
 
-def _ignore_handover() -> list[Patch]:
-    """After a handover the new leader takes the sessions for granted one lease ago, as after an election."""
+def _ignore_transfer() -> list[Patch]:
+    """After a transfer of leadership, the new leader assumes that earlier sessions were granted one lease ago,
+    as after an election that the previous leader did not request."""
     return [(raft.Raft, "is_transfer", property(lambda self: False, lambda self, value: None))]
 
 
@@ -171,7 +172,7 @@
         (attestation.KnownProgress, "__init__", _forget_known_progress)
     ],
     "a session is granted only after a confirmed round": _grant_without_round,
-    "after a handover earlier sessions count as just granted": _ignore_handover,
+    "after a transfer of leadership earlier sessions count as just granted": _ignore_transfer,
     "a member acts only during a valid session": _skip_session_check,
     "a new process does not inherit the epoch of the previous one": _keep_epoch_on_restart,
     "a released lease no longer counts as held": lambda: [
