Simulations: constants say what they are, fault kinds are described

The kinds of faults are one-word names that printed plans hold, so they stay, and a comment now says what each does. Durations and capacities have a unit and a meaning; docstrings with elliptic conditions are whole sentences.

--- a/magpiefront/model/__init__.py
+++ b/magpiefront/model/__init__.py
@@ -1,2 +1,2 @@
-"""Simulations of the production code in simulated time, with clocks, networks and disks that fail by a seeded
-plan."""
+"""Runs the production code in simulated time, with clocks, networks and disks that fail according to a plan
+drawn from a seed."""
--- a/magpiefront/model/explore.py
+++ b/magpiefront/model/explore.py
@@ -43,8 +43,8 @@
 
 @dataclass(frozen=True)
 class Bounds:
-    """Limits of the exploration: the number of steps in a sequence, the highest term, the proposals, crashes
-    and changes of members in a sequence, and the number of states that are visited."""
+    """Limits of the exploration: the number of steps in a sequence; the highest term; the numbers of
+    proposals, crashes and changes of members in a sequence; and the number of states that are visited."""
 
     depth: int = 8
     terms: int = 2
@@ -55,7 +55,8 @@
 
 
 class ExplorationFailed(AssertionError):
-    """A rule does not hold, and the message lists the steps that lead there; or there are too many states.
+    """A rule does not hold, and the message lists the steps that lead to the violation; or there are more
+    states than the bound.
 
     To explore further, run the module: `python -m magpiefront.model.explore --depth 8 --crashes 1`."""
 
@@ -117,8 +118,8 @@
 
 
 class Explorer:
-    """Visits all states within `bounds`. The members `joining` may be made voters by a change, and the first
-    voter may be removed by another."""
+    """Visits all states within `bounds`. One possible change of members makes those in `joining` voters, and
+    another one removes the first voter."""
 
     def __init__(self, voters: list[str], bounds: Bounds, joining: list[str] | None = None) -> None:
         self.bounds = bounds
@@ -191,8 +192,8 @@
     # ---- rules
 
     def check(self, state: State) -> str:
-        """Returns the rule that does not hold, or "": one leader per term, and one committed entry at each
-        index."""
+        """Returns a description of the violated rule, or "". There must be one leader per term, and one
+        committed entry at each index. Records the leaders and committed entries in `state`."""
         for name, node in state.nodes.items():
             raft = node.raft
             if raft.leader_state is not None and state.leaders.setdefault(raft.term, name) != name:
--- a/magpiefront/model/fleet.py
+++ b/magpiefront/model/fleet.py
@@ -43,12 +43,12 @@
     zones: int = 3
     reads: float = 2_000.0
     keys: int = 20_000
-    ttl_us: int = 60 * US_PER_S
-    node_capacity: int = 4  # requests in progress at one node
+    ttl_us: int = 60 * US_PER_S  # how long a node keeps a cached key
+    node_capacity: int = 4  # lookups in progress at one node
     hit_us: int = 4 * US_PER_MS  # mean time that a node takes for the lookup
-    archive_capacity: int = 64
-    archive_us: int = 20 * US_PER_MS
-    cold_us: int = 8 * US_PER_S
+    archive_capacity: int = 64  # reads in progress at the archive
+    archive_us: int = 20 * US_PER_MS  # how long the archive takes for a read
+    cold_us: int = 8 * US_PER_S  # how long the slow start of a node takes
 
 
 class Archive:
@@ -104,7 +104,7 @@
         self.request_count = 0
 
     def receive(self, attempt: Attempt) -> None:
-        """Starts or queues an attempt. A node that is not up refuses it, which is a violation."""
+        """Starts or queues an attempt. If the node is not up, refuses the attempt and records a violation."""
         self.request_count += 1
         if not self.is_up:
             self.fleet.violations.append(f"{self.name} gets a request while its machine is being worked on")
@@ -135,10 +135,10 @@
     def _fetched(self, key: int) -> None:
         self.cached_at_us[key] = self.fleet.kernel.now_us
         for position, attempt in enumerate(self.fetching.pop(key, [])):
-            attempt.end(Outcome.OK, 2 if position == 0 else 3)
+            attempt.end(Outcome.OK, 2 if position == 0 else 3)  # 3: waited for the fetch of another attempt
 
     def restart(self) -> None:
-        """Returns after the work on its machine, with an empty cache."""
+        """Starts the node with an empty cache after the work on its machine."""
         self.is_up = True
         self.cached_at_us.clear()
 
@@ -315,7 +315,7 @@
         self.kernel.after(int(random.expovariate(self.size.reads) * US_PER_S), self._arrive)
 
     def count(self, started_us: int, in_time: bool) -> None:
-        """Counts an answered read by the second in which it started."""
+        """Counts a read that has ended, by the second in which it started."""
         self.reads.all[started_us // US_PER_S] += 1
         self.reads.in_time[started_us // US_PER_S] += in_time
 
@@ -326,7 +326,7 @@
         return self.state_machine.state
 
     def propose(self, member: str, command: state_machine.Command) -> None:
-        """Applies a command at once, and simulates the work on machines that are out after it."""
+        """Applies a command at once, and starts the simulated work on machines that go out because of it."""
         before = {s.machine: s.state for s in self.state.jobs.values()}
         self.state_machine.apply(0, f"{member}.0", state_machine.encode(command))
         if isinstance(command, state_machine.SubmitReport | state_machine.AcknowledgeNext):
@@ -359,7 +359,7 @@
         self.kernel.after(TICK_US, self._tick)
 
     def lose(self, number: int, lasts_us: int) -> None:
-        """Ends a proxy with its open requests. It returns after `lasts_us` under another epoch."""
+        """Ends a proxy with its open requests. The proxy returns after `lasts_us` under another epoch."""
         proxy, member = self.proxies[number], self.members[f"p{number}"]
         if proxy.is_lost:
             return
--- a/magpiefront/model/group.py
+++ b/magpiefront/model/group.py
@@ -30,8 +30,9 @@
 from magpiefront.model.plan import Fault, Plan
 from magpiefront.model.rounds import RuleViolation
 
-RECOVERY_US = 15_000_000
+RECOVERY_US = 15_000_000  # from the last fault until the group must have recovered
 LEASE = "lease"
+# Small, so that snapshots and messages in several parts occur within a short simulation.
 SMALL_LIMITS = Limits(most_append=2_000, most_flight=4, most_part=200, keep=5, compact=25)
 
 
@@ -58,7 +59,7 @@
         self.is_full = False
 
     def start(self) -> StoredState:
-        """Returns the stored state for a new process, with the number of processes increased."""
+        """Increments the stored process number and returns the stored state for the new process."""
         self.stored = msgspec.structs.replace(self.stored, process_number=self.stored.process_number + 1)
         return self.stored
 
@@ -130,8 +131,8 @@
             call()
 
     def execute(self, call: Callable[[Peer, int], object]) -> None:
-        """Calls `call` with the peer and its local time; if the process is suspended, once it resumes.
-        Does nothing if the process is down or ends before that."""
+        """Calls `call` with the peer and its local time. If the process is suspended, calls it once the
+        process resumes. Does nothing if the process is down or ends before that."""
         generation = self.generation
         if self.deferred_calls is not None:
             self.deferred_calls.append(lambda: self.execute(call) if generation == self.generation else None)
@@ -173,6 +174,7 @@
         self.simulation.kernel.after(self.disk_us + self.simulation.kernel.random.randrange(200), synced)
 
     def _schedule_tick(self, local_us: int) -> None:
+        """Schedules the peer's next tick at a local time, in place of the one that was scheduled before."""
         self.timer_number += 1
         number, generation = self.timer_number, self.generation
 
@@ -220,7 +222,7 @@
     # ---- network
 
     def send(self, host: Host, to: str, sender: str, message: Message) -> None:
-        """Sends a message from a host to the member `to`, by the network between their hosts."""
+        """Sends a message from a host to the member `to`, through the network between their hosts."""
         receiver = self.by_name.get(name_of(to))
         if receiver is not None and receiver is not host:
             generation = receiver.generation  # a connection ends with its process
@@ -268,8 +270,8 @@
     def _check_member(self, host: Host) -> None:
         """Checks the epoch and the lease of one member.
 
-        It is enough to call this after an event at that member: only events make it act or hold a lease,
-        while time alone can only end that.
+        It is enough to call this after an event at that member. Without an event, a member can only lose the
+        right to act or the lease, because time has passed.
         """
         self.lease_holders.discard(host.name)
         if host.peer is None:
--- a/magpiefront/model/maintenance.py
+++ b/magpiefront/model/maintenance.py
@@ -28,12 +28,19 @@
 from magpiefront.model.rounds import RuleViolation, Fault, ReplayablePlan
 
 US_PER_S, US_PER_MS = 1_000_000, 1_000
+# How long a session lasts by its member's clock, the silence after which a member is marked as lost, and the
+# largest deviation of a clock's rate.
 SESSION_US, LOSS_TIMEOUT_US, DRIFT = 450 * US_PER_MS, 480 * US_PER_MS, 0.01
+# The intervals of ticks, of the steps of all proxies, and of their reports.
 TICK_US, STEP_US, REPORT_US = 500 * US_PER_MS, 50 * US_PER_MS, 1 * US_PER_S
 SNAPSHOT_INTERVAL = 50  # log entries between two snapshots of a proxy
 DEADLINE_US = 2 * US_PER_S  # of the requests that a proxy sends
-WORK_S, WARM_US = 3.0, 1 * US_PER_S
-FAULT_WEIGHTS = {  # relative frequency of each kind
+WORK_S, WARM_US = 3.0, 1 * US_PER_S  # duration of the work on a machine, and of the warming of its nodes
+# Relative frequency of each kind of fault (`MaintenanceSimulation.inject_fault`): "cut" cuts a proxy off from
+# the group, "long" does so for ten times as long; "stop" suspends a process; "slow" delays committed entries
+# to a proxy; "node" makes a node fail; "load" raises the load; after "never", a machine does not come back
+# from its work; "pause" pauses the plan.
+FAULT_WEIGHTS = {
     "cut": 4, "kill": 3, "stop": 3, "slow": 2, "node": 2, "load": 2, "never": 1, "pause": 1, "long": 2,
 }  # fmt: skip
 UNFINISHED_DURATION_US = 200 * US_PER_S  # simulated time if a machine never comes back: the plan does not end
@@ -45,7 +52,7 @@
 
 @dataclass(frozen=True)
 class Round(ReplayablePlan):
-    """The size of a simulation, a limit of its plan, and its faults."""
+    """The size of a simulation, two limits of its plan, and its faults."""
 
     seed: int
     proxies: int = 5
@@ -96,7 +103,8 @@
         self.start()
 
     def start(self) -> None:
-        """Starts a process with the last snapshot, which may be of any age, or with empty state."""
+        """Starts a process with the last snapshot, however old it is, or with empty state if there is
+        none."""
         self.is_running, self.is_suspended, self.life = True, False, self.life + 1
         self.applied, data = self.snapshot
         self.replica = MaintenanceStateMachine(
@@ -147,8 +155,8 @@
             )
 
     def finish_read(self, index: int, epoch: int, life: int) -> None:
-        """Ends a read once the process has applied the entries up to `index`. It counts only in the
-        session in which it was started."""
+        """Ends a read once the process has applied the entries up to `index`. The read counts only if the
+        session in which it was started is still valid."""
         if life != self.life:
             return
         if self.is_suspended or self.applied < index:
--- a/magpiefront/model/net.py
+++ b/magpiefront/model/net.py
@@ -1,5 +1,5 @@
-"""A simulated network that drops, delays, duplicates and reorders messages, and cuts links in one direction
-or in both."""
+"""A simulated network that drops, delays, duplicates and reorders messages, and whose links can be cut in one
+direction or in both."""
 
 from __future__ import annotations
 
@@ -44,7 +44,8 @@
             self.set_link(sender, receiver, conditions)
 
     def send(self, sender: str, receiver: str, deliver: Callable[[], None]) -> None:
-        """Calls `deliver` after the delay of the link, once for each copy that is not lost."""
+        """Calls `deliver` after the delay of the link: twice if the message is duplicated, and not at all if
+        it is lost or the link is cut."""
         conditions, random = self.conditions(sender, receiver), self.kernel.random
         self.sent += 1
         if conditions.is_cut or (conditions.loss_rate and random.random() < conditions.loss_rate):
--- a/magpiefront/model/plan.py
+++ b/magpiefront/model/plan.py
@@ -7,7 +7,12 @@
 
 from magpiefront.model.rounds import ReplayablePlan
 
-FAULT_WEIGHTS = {  # relative frequency of each kind of fault
+# Relative frequency of each kind of fault (`GroupSimulation._inject_fault`): "stop" suspends a process; "one
+# way" cuts what a member sends; "bridge" cuts the link between two members; "flap" cuts what a member sends
+# for 50 ms out of each 100 ms; "slow" delays what a member sends, "lossy" affects all links; "put back"
+# restores an older state of a disk, "wipe" empties a disk; "all" crashes all members; "remove" removes a
+# member from the group for a while; "hand over" transfers leadership.
+FAULT_WEIGHTS = {
     "crash": 3, "stop": 3, "cut": 3, "one way": 2, "bridge": 2, "flap": 1, "slow": 2, "lossy": 3,
     "disk slow": 1, "disk full": 1, "put back": 1, "wipe": 1, "all": 1, "remove": 1, "hand over": 2,
 }  # fmt: skip
@@ -25,7 +30,7 @@
 
 @dataclass(frozen=True)
 class Plan(ReplayablePlan):
-    """A group and the faults that it undergoes. `length_us` is the time in which faults begin."""
+    """A group and the faults that it undergoes. All faults begin before `length_us`."""
 
     seed: int
     voters: int = 3
--- a/magpiefront/model/rounds.py
+++ b/magpiefront/model/rounds.py
@@ -19,7 +19,7 @@
 
     at_us: int
     kind: str
-    who: int  # the number of the process; a kind may use it to choose a node, a machine or a load instead
+    who: int  # number of the process; for some kinds, it selects a node, a machine or a load instead
     lasts_us: int
 
 
--- a/magpiefront/model/safeguards.py
+++ b/magpiefront/model/safeguards.py
@@ -1,5 +1,5 @@
-"""Disables the safeguards of the group one at a time. The simulations must detect each of these faults; a
-simulation that passes without a safeguard would prove nothing about it."""
+"""Disables the safeguards of the group one at a time. The simulations must then detect a violated rule; one
+that passes without a safeguard would prove nothing about it."""
 
 from __future__ import annotations
 
@@ -126,8 +126,8 @@
 
 
 def _ignore_transfer() -> list[Patch]:
-    """After a transfer of leadership, the new leader assumes that earlier sessions were granted one lease ago,
-    as after an election that the previous leader did not request."""
+    """After a transfer of leadership, the new leader assumes that earlier sessions were granted one lease
+    ago, as after any other election."""
     return [(raft.Raft, "is_transfer", property(lambda self: False, lambda self, value: None))]
 
 
--- a/magpiefront/model/takeover.py
+++ b/magpiefront/model/takeover.py
@@ -27,10 +27,17 @@
 from magpiefront.record.rows import State as RowState
 from magpiefront.takeover import claim_order, owners
 
+# How long a session lasts, the silence after which a member is marked as lost, the interval of a member's
+# pings, and for how long a lost member must be heard before it is alive again.
 SESSION_US, LOSS_TIMEOUT_US, PING_INTERVAL_US, HOLD_US = 450_000, 500_000, 110_000, 1_000_000
+# For how long nodes suppress repeats of a report, the time limit of an attempt, the time limit for storing an
+# outcome, and the interval at which a process looks for open rows.
 RETRY_WINDOW_US, DEADLINE_US, SETTLE_US, SCAN_INTERVAL_US = 8_000_000, 2_000_000, 1_000_000, 500_000
+# For how long clients start new reports, and the time after the last fault in which all reports must end.
 TRAFFIC_US, RECOVERY_US = 6_000_000, 25_000_000
-FAULT_WEIGHTS = {"kill": 4, "stop": 4, "cut": 3, "store": 2, "slow": 2}  # relative frequency of each kind
+# Relative frequency of each kind of fault: "stop" suspends a process, "cut" cuts it off from the group,
+# "store" cuts it off from the store, and "slow" makes its callbacks run late.
+FAULT_WEIGHTS = {"kill": 4, "stop": 4, "cut": 3, "store": 2, "slow": 2}
 NODE_ANSWER = Answer(200, b"", b"held")
 
 
@@ -162,8 +169,8 @@
             call()
 
     def schedule(self, delay_us: int, callback: Callable[[], None]) -> None:
-        """Runs a callback in this process after a delay; if the process is suspended then, once it resumes.
-        Callbacks of a process that has ended do not run."""
+        """Runs a callback in this process after a delay. If the process is suspended at that time, the
+        callback runs once it resumes. Callbacks of a process that has ended do not run."""
         generation = self.generation
 
         def run_or_defer() -> None:
@@ -282,7 +289,7 @@
             self.schedule(max(0, at_us - now), on_deadline)
 
     def scan_open_rows(self) -> None:
-        """Claims or marks open rows that this process does not have in hand, as
+        """Claims open rows that this process does not have in hand, or marks them as unknown, like
         `RecordStage._handle_open_rows`."""
         self.schedule(SCAN_INTERVAL_US, self.scan_open_rows)
         now = self.simulation.now_us
@@ -336,9 +343,9 @@
     # ---- guarantees of the group
 
     def on_ping(self, process: Process) -> None:
-        """Renews the session of a member from the time of its request, and sends it the committed state of
-        the members as of now. A new process gets a new epoch; a lost member becomes alive again once it has
-        been heard for `HOLD_US`."""
+        """Renews the session of a member, counted from this ping, and sends it the committed state of the
+        members as of now. A new process gets a new epoch; a lost member becomes alive again once it has been
+        heard for `HOLD_US`."""
         member = self.members[process.name]
         if member.process_number != process.life:
             member.epoch, member.process_number = member.epoch + 1, process.life
@@ -373,7 +380,7 @@
     # ---- nodes and clients
 
     def may_send(self, process: Process, row: Row) -> bool:
-        """The check before the first byte of a report is sent, as in `RecordStage._send`."""
+        """Whether the first byte of a report may be sent now, as checked in `RecordStage._send`."""
         assert row.sent is not None
         return process.may_act(row.owner) and self.now_us < (row.sent.up_s + row.window_s) * j.US_PER_S
 
@@ -413,8 +420,8 @@
         self._send_attempt(key, 0)
 
     def _send_attempt(self, key: bytes, number: int) -> None:
-        """Sends a report to one of the processes, and again after a while, until it is confirmed; at most 12
-        times."""
+        """Sends a report to one of the processes, and repeats that after a while until the report is
+        confirmed or has been sent 12 times."""
         if self.confirmed[key] or number >= 12:
             return
         process = self.random.choice(self.processes)
