Maintenance state and tests: fields say what they hold, comments match the runs

Several fields of the replicated state had no comment. The comment on the time limit of a plan spoke of eight scenarios at once; the tests now run at most five, with three processes each.

--- a/magpiefront/maintenance/state_machine.py
+++ b/magpiefront/maintenance/state_machine.py
@@ -53,8 +53,8 @@
     since_s: float = 0.0  # since when it is in `state`
     # Proxies that have confirmed that they are drained, with the member epoch in which each did.
     confirmations: dict[str, int] = msgspec.field(name="words", default_factory=dict)
-    runner: str = ""  # the member that runs the command, as "name@epoch", with its member epoch
-    cause: str = ""
+    runner: str = ""  # the member that runs the command, as "name@epoch"; the epoch is that of the member
+    cause: str = ""  # why it is in `state`, or what it waits for
     # The version of `MaintenanceState.next` in which the machine was added to it.
     next_version: int = msgspec.field(name="entered", default=0)
     # Since when it has waited, as the first in the queue, for unavailable machines; 0: it has not.
@@ -68,8 +68,8 @@
     reason: str = msgspec.field(name="why", default="")
     load: float = 0.0  # its mean number of requests in progress at all nodes
     list_hash: int = msgspec.field(name="listed", default=0)  # of its discovery list
-    failing: tuple[str, ...] = ()
-    cold: tuple[str, ...] = ()
+    failing: tuple[str, ...] = ()  # nodes that are suspected, not listed, or not listed as ready
+    cold: tuple[str, ...] = ()  # nodes in their slow start, or with a low hit ratio after maintenance
     by_hand: tuple[str, ...] = ()  # nodes that an operator has excluded at this proxy
     popular: tuple[int, ...] = ()  # hashes of its most requested keys
     # Requests for each of these; empty in reports of older versions.
@@ -91,11 +91,11 @@
 
     fleet: dict[str, Machine] = {}
     plans: dict[str, RunningPlan] = {}
-    # By machine; those of a finished plan stay until another plan replaces them.
+    # By machine; a job of a finished plan stays until another plan has a job for the same machine.
     jobs: dict[str, Job] = msgspec.field(name="slots", default_factory=dict)
     at_s: float = 0.0  # replicated time; never ahead of the time that has really elapsed
-    ticks: int = 0
-    wall_s: float = 0.0
+    ticks: int = 0  # number of applied ticks
+    wall_s: float = 0.0  # Unix time of the latest tick
     last_grant_number: int = msgspec.field(name="epoch", default=0)  # of the latest grant to any machine
     version: int = 0  # of `next`
     next: tuple[str, ...] = ()  # machines that may be granted next; a proxy without a session excludes them
@@ -108,7 +108,7 @@
     hour: int = 0  # the current one, in hours since 1970; `hour_peak` is its highest load so far
     hour_peak: float = msgspec.field(name="rising", default=0.0)
     recent_peak: float = msgspec.field(name="high", default=0.0)  # of about the last minute
-    recent_peak_s: float = msgspec.field(name="high_s", default=0.0)
+    recent_peak_s: float = msgspec.field(name="high_s", default=0.0)  # when `recent_peak` was measured
     line_count: int = msgspec.field(name="noted", default=0)  # all lines so far, including dropped ones
     lines: list[str] = []  # the latest operator commands and state changes
 
--- a/tests/maintenance/test_drill.py
+++ b/tests/maintenance/test_drill.py
@@ -27,10 +27,10 @@
 
 
 class Scenario(Round):
-    """Three processes and a plan, with a fault that a subclass injects, usually at the last process."""
+    """Three processes that carry out a plan. Subclasses inject a fault, usually at the last process."""
 
     limits: ClassVar[dict[str, Any]] = {**LIMITS, "most_out": 1}
-    plan_timeout_s = 150.0  # eight scenarios at once, with two dozen processes, are slow on a busy machine
+    plan_timeout_s = 150.0  # up to five scenarios at once, with 15 processes, are slow on a busy machine
 
     def __init__(self, folder: Path, disabled: str) -> None:
         super().__init__(Plan(1, 3, work="sqlite"), folder)
@@ -137,7 +137,8 @@
 
 
 class EndlessRequests(SlowRequests):
-    """Requests to the first machine take longer than its drain may last, until the drain is given up."""
+    """Requests to the first machine take longer than its drain may last. They become short once the drain has
+    been given up."""
 
     limits: ClassVar[dict[str, Any]] = {**LIMITS, "most_out": 1, "most_drain_s": 1.5}
 
@@ -148,7 +149,7 @@
 
 
 class HaltedArchive(Scenario):
-    """The archive does not answer for a while, from the work on the first machine on."""
+    """The archive does not answer for a while, from the moment when the work on the first machine begins."""
 
     readers = 60
     halt_s = 6.0
@@ -270,7 +271,7 @@
         (kind, "nothing") for kind in (*WITH_SAFEGUARDS, EndlessRequests, HaltedArchive)
     ]
     scenarios += [(LostLeaders, "nothing"), (LoadBurst, "nothing, with a load window of 5 s")]
-    # More at a time are slow on a busy machine, which delays answers and elections beyond their bounds.
+    # With more at a time, a busy machine is so slow that answers and elections exceed their time limits.
     found = asyncio.run(play_all(tmp_path, scenarios, 3))
     assert not any(faults for _, faults in found), [faults for _, faults in found]
     endless, halted, leaderless, burst = (scenario for scenario, _ in found[-4:])
--- a/tests/maintenance/test_rules.py
+++ b/tests/maintenance/test_rules.py
@@ -281,7 +281,7 @@
 
 
 @pytest.mark.parametrize(("reports", "is_popular"), [
-    ((ProxyReport(popular=(7,), popular_counts=(5,), read_count=30),), True),  # of six nodes' reads
+    ((ProxyReport(popular=(7,), popular_counts=(5,), read_count=30),), True),  # 5 of 30 reads, at six nodes
     # Popular by the reads of one proxy, but not by those of both.
     ((ProxyReport(popular=(7,), popular_counts=(5,), read_count=30), ProxyReport(read_count=200)), False),
     ((ProxyReport(popular=(7,), popular_counts=(5,), read_count=30),
@@ -301,7 +301,7 @@
 def test_a_plan_around_popular_keys_ends_and_never_takes_all_homes_of_one(
     keys: set[int], most: int, work: int
 ) -> None:
-    """Each machine is out for a time of its own. The plan must not take longer than its machines would take
+    """Each machine is out for a different time. The plan must not take longer than its machines would take
     one after the other."""
     ring = Ring([m.nodes[0] for m in FLEET])
     homes = [set(ring.homes(key)) for key in keys]
@@ -351,7 +351,7 @@
     def cost(count: int) -> int:
         names = [f"n{i}" for i in range(count)]
         while Ring.for_nodes(names).placement.busy:
-            pass  # let the sweep end that the many joins have started
+            pass  # apply the changes that the many joins have left to be applied
         with OpcodeCounter() as opcodes:
             ring = Ring.for_nodes(names[1:])
         assert ring.owner(7) == Ring(names[1:]).owner(7)
