--- a/magpiefront/operator/file.py
+++ b/magpiefront/operator/file.py
@@ -169,7 +169,7 @@
         convert_table(path, location, {"name": name}, SiteTable)
         s = convert_table(path, location, site_values, SiteEntry)
         if name == own_site and s.peers:
-            raise BadFile(f"{path}: [{location}] peers: not allowed for the own site")
+            raise BadFile(f"{path}: [{location}] peers: not allowed for the local site")
         if name != own_site and not s.peers:
             raise BadFile(f"{path}: [{location}] peers: is missing")
         for prefix in s.prefixes:
@@ -185,7 +185,7 @@
             raise BadFile(f"{path}: [{location}] peers: names an address twice")
         sites[name] = Site(name, s.weight, tuple(s.prefixes), peers)
     if own_site not in sites:
-        raise BadFile(f"{path}: [gateway.sites.{own_site}]: the own site is missing from the table")
+        raise BadFile(f"{path}: [gateway.sites.{own_site}]: the local site is missing from the table")
     if len(sites) < 2:
         raise BadFile(f"{path}: [gateway.sites]: has no other site")
     if not any(s.weight > 0 for s in sites.values()):
--- a/tests/operator/test_file.py
+++ b/tests/operator/test_file.py
@@ -102,7 +102,7 @@
         (text(('"127.0.0.1:7543"', '"127.0.0.1:99999"')), "[gateway.sites.east] peers"),
         (
             text(("[gateway.sites.west]", '[gateway.sites.west]\npeers = ["127.0.0.1:1"]')),
-            "[gateway.sites.west] peers: not allowed for the own site",
+            "[gateway.sites.west] peers: not allowed for the local site",
         ),
         (
             text(("[gateway.sites.east]", "[gateway.sites.west]")),
@@ -111,7 +111,7 @@
         (text(("[gateway.sites.west]", "[gateway.sites.north]")), "[gateway.sites.north] peers: is missing"),
         (
             text(("[gateway.sites.west]", '[gateway.sites.north]\npeers = ["127.0.0.1:9"]')),
-            "own site is missing",
+            "the local site is missing",
         ),
         (
             text(
