Maintenance: module of the file with the saved exclusions is exclusion_file

It was named memory, which suggests the process's memory, while it stores the exclusions durably in a file. Only the name changes, with every use.

--- a/magpiefront/maintenance/service.py
+++ b/magpiefront/maintenance/service.py
@@ -17,7 +17,7 @@
 from magpiefront.group.registry import Member
 from magpiefront.group.interface import Group
 from magpiefront.interface import Outcome as AttemptOutcome
-from magpiefront.maintenance import memory, rules, runner, state_machine
+from magpiefront.maintenance import exclusion_file, rules, runner, state_machine
 from magpiefront.maintenance.exclusions import ExclusionView
 from magpiefront.maintenance.pool_guard import PoolGuard
 from magpiefront.maintenance.reports import HitRatios, build_report
@@ -118,7 +118,7 @@
 
     def start(self) -> None:
         """Loads the saved exclusions. Has to be called before the first request."""
-        found, cause = memory.load(self.settings.path)
+        found, cause = exclusion_file.load(self.settings.path)
         self.view.saved = found
         if cause:
             self.proxy.log(
@@ -263,7 +263,7 @@
         if wanted == self.view.saved:
             return
         self.is_saving = True
-        future = self.proxy.loop.run_in_executor(None, memory.save, self.settings.path, wanted)
+        future = self.proxy.loop.run_in_executor(None, exclusion_file.save, self.settings.path, wanted)
 
         def on_saved(f: asyncio.Future[None]) -> None:
             self.is_saving = False
--- a/tests/maintenance/disabled_safeguard.py
+++ b/tests/maintenance/disabled_safeguard.py
@@ -13,7 +13,7 @@
 from unittest.mock import patch
 
 from magpiefront.__main__ import main
-from magpiefront.maintenance import memory, rules
+from magpiefront.maintenance import exclusion_file, rules
 from magpiefront.maintenance.exclusions import ExclusionView, SavedExclusions
 from magpiefront.operator.compose import Composition
 from tests.maintenance import simulations
@@ -21,7 +21,7 @@
 SAFEGUARDS: dict[str, Callable[[], list[Any]]] = {
     **simulations.SAFEGUARDS,
     "exclusions survive a restart": lambda: [
-        patch.object(memory, "load", lambda path: (SavedExclusions(), ""))
+        patch.object(exclusion_file, "load", lambda path: (SavedExclusions(), ""))
     ],
     "nothing is sent to the address of a node that is out": lambda: [
         patch.object(ExclusionView, "previous_node_at", lambda self, node, address: "")
--- a/tests/maintenance/test_service.py
+++ b/tests/maintenance/test_service.py
@@ -12,7 +12,7 @@
 from magpiefront import Router
 from magpiefront.group.registry import Member
 from magpiefront.interface import Arrived, Exclude, ListKind, ServerEntry, ServerList, Status
-from magpiefront.maintenance import memory
+from magpiefront.maintenance import exclusion_file
 from magpiefront.maintenance.exclusions import SavedExclusions
 from magpiefront.maintenance.forecast import forecast
 from magpiefront.maintenance.pool_guard import PoolGuard
@@ -103,22 +103,22 @@
 
 def test_a_damaged_file_is_detected_and_a_failed_save_keeps_the_old_one(tmp_path: Path) -> None:
     path = tmp_path / "machines"
-    assert memory.load(path) == (None, "")
+    assert exclusion_file.load(path) == (None, "")
     saved = SavedExclusions(7, {"m1": ("n1", "n2")}, {b"127.0.0.1:80": "n1"})
-    memory.save(path, saved)
-    assert memory.load(path) == (saved, "")
+    exclusion_file.save(path, saved)
+    assert exclusion_file.load(path) == (saved, "")
     whole = path.read_bytes()
     for n in range(len(whole)):
         path.write_bytes(whole[:n])
-        assert memory.load(path)[0] is None
+        assert exclusion_file.load(path)[0] is None
         path.write_bytes(whole[:n] + bytes([whole[n] ^ 1]) + whole[n + 1 :])
-        found, cause = memory.load(path)
+        found, cause = exclusion_file.load(path)
         assert found is None and str(path) in cause
     path.write_bytes(whole)
     path.with_name("machines.new").mkdir()
     with pytest.raises(OSError):
-        memory.save(path, SavedExclusions(8))
-    assert memory.load(path) == (saved, "")
+        exclusion_file.save(path, SavedExclusions(8))
+    assert exclusion_file.load(path) == (saved, "")
 
 
 # ---- reports
