--- a/magpiefront/maintenance/state_machine.py
+++ b/magpiefront/maintenance/state_machine.py
@@ -16,7 +16,7 @@
 from magpiefront.group.messages import name_of
 from magpiefront.maintenance.plan import Machine, Plan, problems
 
-MAX_LINES = 200  # of events that are kept
+MAX_LINES = 200  # the latest events that are kept for operators, one line each
 
 
 class State(Enum):
@@ -43,7 +43,7 @@
 
 
 class Job(msgspec.Struct):
-    """The maintenance of one machine in a plan."""
+    """The maintenance of one machine in a plan. Times are seconds of replicated time."""
 
     machine: str
     plan: str
@@ -53,11 +53,11 @@
     since_s: float = 0.0  # since when it is in `state`
     # Proxies that have confirmed that they are drained, with the member epoch in which each did.
     confirmations: dict[str, int] = msgspec.field(name="words", default_factory=dict)
-    runner: str = ""  # the member that runs the command, as "name@epoch", with its member epoch
-    cause: str = ""
+    runner: str = ""  # the member that runs the command, as "name@epoch"; the epoch is that of the member
+    cause: str = ""  # why it is in `state`, or what it waits for
     # The version of `MaintenanceState.next` in which the machine was added to it.
     next_version: int = msgspec.field(name="entered", default=0)
-    # Since when it has been first in the queue and has waited for unavailable machines; 0: it has not.
+    # Since when it has waited, as the first in the queue, for unavailable machines; 0: it has not.
     first_waiting_s: float = msgspec.field(name="first_s", default=0.0)
 
 
@@ -68,8 +68,8 @@
     reason: str = msgspec.field(name="why", default="")
     load: float = 0.0  # its mean number of requests in progress at all nodes
     list_hash: int = msgspec.field(name="listed", default=0)  # of its discovery list
-    failing: tuple[str, ...] = ()
-    cold: tuple[str, ...] = ()
+    failing: tuple[str, ...] = ()  # nodes that are suspected, not listed, or not listed as ready
+    cold: tuple[str, ...] = ()  # nodes in their slow start, or with a low hit ratio after maintenance
     by_hand: tuple[str, ...] = ()  # nodes that an operator has excluded at this proxy
     popular: tuple[int, ...] = ()  # hashes of its most requested keys
     # Requests for each of these; empty in reports of older versions.
@@ -91,11 +91,11 @@
 
     fleet: dict[str, Machine] = {}
     plans: dict[str, RunningPlan] = {}
-    # By machine; those of a finished plan stay until another plan replaces them.
+    # By machine; a job of a finished plan stays until another plan has a job for the same machine.
     jobs: dict[str, Job] = msgspec.field(name="slots", default_factory=dict)
     at_s: float = 0.0  # replicated time; never ahead of the time that has really elapsed
-    ticks: int = 0
-    wall_s: float = 0.0
+    ticks: int = 0  # number of applied ticks
+    wall_s: float = 0.0  # Unix time of the latest tick
     last_grant_number: int = msgspec.field(name="epoch", default=0)  # of the latest grant to any machine
     version: int = 0  # of `next`
     next: tuple[str, ...] = ()  # machines that may be granted next; a proxy without a session excludes them
@@ -108,7 +108,7 @@
     hour: int = 0  # the current one, in hours since 1970; `hour_peak` is its highest load so far
     hour_peak: float = msgspec.field(name="rising", default=0.0)
     recent_peak: float = msgspec.field(name="high", default=0.0)  # of about the last minute
-    recent_peak_s: float = msgspec.field(name="high_s", default=0.0)
+    recent_peak_s: float = msgspec.field(name="high_s", default=0.0)  # when `recent_peak` was measured
     line_count: int = msgspec.field(name="noted", default=0)  # all lines so far, including dropped ones
     lines: list[str] = []  # the latest operator commands and state changes
 
@@ -207,7 +207,7 @@
         try:
             command: Command = msgspec.msgpack.decode(data, type=Command)
         except msgspec.MsgspecError:  # from another version of the program; ignored by all members alike
-            return msgspec.msgpack.encode(CommandResult(False, "not of this version"))
+            return msgspec.msgpack.encode(CommandResult(False, "unknown command, maybe of another version"))
         return msgspec.msgpack.encode(self._apply_command(name_of(origin), command))
 
     def reset(self) -> None:
@@ -228,7 +228,7 @@
                 return self._steer(command)
             case Tick():
                 if command.number != state.ticks:
-                    return CommandResult(False, "another one came before it")
+                    return CommandResult(False, "another tick was applied before it")
                 state.ticks, state.at_s, state.wall_s = (
                     state.ticks + 1, state.at_s + max(0.0, command.elapsed_s), command.wall_s,
                 )  # fmt: skip
@@ -251,7 +251,7 @@
                     or job.state is not State.OUT
                     or job.runner
                 ):
-                    return CommandResult(False, "it is not to be begun, or has been")
+                    return CommandResult(False, "its work may not begin now, or has begun already")
                 job.runner = f"{member}@{command.member_epoch}"
             case FinishWork():
                 job = state.jobs.get(command.machine)
@@ -311,7 +311,7 @@
                         set_state(state, job, State.WITHDRAWN, f"by {command.by}")
             case "done" | "retry":
                 if not command.machine:
-                    return CommandResult(False, f"{command.action}: which machine?")
+                    return CommandResult(False, f"{command.action}: needs a machine")
                 job = jobs[0]
                 if job.state not in (*WORKED_ON, State.FAILED):
                     return CommandResult(False, f"{command.machine} is {job.state.value}, and not out")
