Rename the test class World to ProxyHarness

World is a figurative name. The class holds a proxy that runs in the test's event loop, with its scripted nodes, discovery server and clients: a harness.

--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -261,7 +261,7 @@
 
 
 @dataclass
-class World:
+class ProxyHarness:
     """A running proxy with its peers. `events` holds all events that its Router was given."""
 
     proxy: Proxy
@@ -300,7 +300,7 @@
 @asynccontextmanager
 async def world(
     *handlers: Handler | None, memory_mb: int = 192, sockets: int = 1024, **overrides: Any
-) -> AsyncIterator[World]:
+) -> AsyncIterator[ProxyHarness]:
     """Runs a proxy with one node for each handler, or a single one with the default handler. `overrides`
     replaces entries of PROXY_SETTINGS."""
     loop = asyncio.get_running_loop()
@@ -331,7 +331,7 @@
     front.listen("127.0.0.1", 0)
     assert front.socket is not None
     try:
-        yield World(proxy, front, nodes, lists, discovery, front.socket.getsockname()[1], events)
+        yield ProxyHarness(proxy, front, nodes, lists, discovery, front.socket.getsockname()[1], events)
     finally:
         discovery.stop()
         front.stop_accepting()
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -13,11 +13,13 @@
 from magpiefront.net import admin as admin_module
 from magpiefront.net.admin import MAX_CALLERS, MAX_LINE_BYTES, Admin
 from magpiefront.net.admin_commands import AdminCommands
-from tests.sockets import Handler, Node, World, gated, reply, request, resets, run, until, world
+from tests.sockets import Handler, Node, ProxyHarness, gated, reply, request, resets, run, until, world
 
 
 @asynccontextmanager
-async def world_with_admin(*handlers: Handler | None, **more: object) -> AsyncIterator[tuple[World, Admin]]:
+async def world_with_admin(
+    *handlers: Handler | None, **more: object
+) -> AsyncIterator[tuple[ProxyHarness, Admin]]:
     async with world(*handlers, **more) as w:  # type: ignore[arg-type]
         admin = Admin(asyncio.get_running_loop(), AdminCommands(w.proxy, w.front))
         admin.bind(("127.0.0.1", 0))
@@ -199,7 +201,7 @@
     run(main(), 60)
 
 
-def received(w: World) -> int:
+def received(w: ProxyHarness) -> int:
     """Returns the number of requests of all classes that were read whole."""
     return sum(t.received for t in w.proxy.metrics.by_class.values())
 
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -18,7 +18,7 @@
 from magpiefront.net.pool import Node as PoolNode
 from standins.world import free_port
 from tests.sockets import (
-    PROXY_SETTINGS, Client, DiscoveryServer, Handler, Node, ReceivedRequest, World, gated, ok, request,
+    PROXY_SETTINGS, Client, DiscoveryServer, Handler, Node, ReceivedRequest, ProxyHarness, gated, ok, request,
     resets, run, silent, until, world,
 )  # fmt: skip
 from tests.test_life import start
@@ -26,14 +26,14 @@
 NO_CANCEL = {**PROXY_SETTINGS["permissions"], "mayCancel": False}
 
 
-def blocking_client(w: World) -> socket.socket:
+def blocking_client(w: ProxyHarness) -> socket.socket:
     """A client socket on which each call acts at once, without a turn of the event loop."""
     client_socket = socket.create_connection(("127.0.0.1", w.port))
     client_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     return client_socket
 
 
-async def client_connection(w: World) -> ClientConnection:
+async def client_connection(w: ProxyHarness) -> ClientConnection:
     """Returns the proxy's end of the first client's connection."""
     await until(
         lambda: [connection for connection in w.front.clients if connection.transport is not None],
@@ -96,17 +96,17 @@
     run(main())
 
 
-def drain_node(w: World) -> None:
+def drain_node(w: ProxyHarness) -> None:
     w.lists.change(2, w.nodes[0].entry("Terminating"))
 
 
-def exclude_node(w: World) -> None:
+def exclude_node(w: ProxyHarness) -> None:
     assert w.proxy.set_excluded("s-0", out=True)
 
 
 @pytest.mark.parametrize("leaves", [drain_node, exclude_node])
 def test_node_leaves_while_a_connection_to_it_is_opened(
-    leaves: Callable[[World], None], monkeypatch: pytest.MonkeyPatch
+    leaves: Callable[[ProxyHarness], None], monkeypatch: pytest.MonkeyPatch
 ) -> None:
     async def main() -> None:
         connects = GatedConnects(monkeypatch)
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -14,13 +14,13 @@
     ListKind, Repeat, RequestClass, ServerEntry, ServerList, SetTimer, Settings, Status,
 )  # fmt: skip
 from magpiefront.net import discovery, proxy
-from tests.sockets import DiscoveryServer, Node, World, ok, run, until, world
+from tests.sockets import DiscoveryServer, Node, ProxyHarness, ok, run, until, world
 
 
 CLASS = RequestClass("read", Repeat.SAFE, 500_000, 1_000_000)
 
 
-def kinds(w: World) -> list[ListKind]:
+def kinds(w: ProxyHarness) -> list[ListKind]:
     return [e.kind for e in w.events if isinstance(e, ServerList)]
 
 
@@ -177,7 +177,7 @@
 # ---- calls without an answer, outages, address changes and stepped clocks
 
 
-def entries(w: World, lifecycle: str) -> bytes:
+def entries(w: ProxyHarness, lifecycle: str) -> bytes:
     given = {"generation": 2, "reset": False, "instances": [w.nodes[0].entry(lifecycle)]}
     return ok(json.dumps(given).encode())
 
--- a/tests/test_ends.py
+++ b/tests/test_ends.py
@@ -11,7 +11,7 @@
 from magpiefront.router import AdmissionGate
 from magpiefront.interface import Outcome
 from tests.sockets import (
-    Client, Handler, World, gated, ok, request, resets, run, reply, silent, until, world,
+    Client, Handler, ProxyHarness, gated, ok, request, resets, run, reply, silent, until, world,
 )  # fmt: skip
 
 ERROR = reply(b"HTTP/1.1 500 X\r\nContent-Length: 3\r\n\r\nbad")
@@ -20,7 +20,7 @@
 FAILURES = (ERROR, DECLINED, resets, TRUNCATED, reply(b"nonsense\r\n\r\n"), silent)
 
 
-async def assert_released(w: World) -> None:
+async def assert_released(w: ProxyHarness) -> None:
     """Waits until no request is left, and checks that no resource of one is."""
     await until(lambda: not w.proxy.requests, "the removal of every request")
     assert not w.proxy.router.pending and not w.proxy.router.in_flight
@@ -123,7 +123,7 @@
     return Counter(n for n in names if n.startswith(("magpiefront.", "httptools.", "uvloop.loop.Timer")))
 
 
-async def play_round(w: World, persistent: Client, n: int) -> None:
+async def play_round(w: ProxyHarness, persistent: Client, n: int) -> None:
     """Plays each kind of client once, and replaces the node. `persistent` sends 200 requests on its
     connection."""
     node, w.nodes[0].handler = w.nodes[0], reply(ok())
--- a/tests/test_strays.py
+++ b/tests/test_strays.py
@@ -16,12 +16,12 @@
 from magpiefront.net.exchange import Attempt, Exchange, Probe
 from magpiefront.net.node_connection import NodeConnection, Stray
 from magpiefront.reuse import MIN_REST_S, StrayReason
-from tests.sockets import ReceivedRequest, World, gated, ok, request, run, reply, until, world
+from tests.sockets import ReceivedRequest, ProxyHarness, gated, ok, request, run, reply, until, world
 
 DECLINED = b"HTTP/1.1 503 X\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n"
 
 
-def record_strays(w: World) -> list[Stray]:
+def record_strays(w: ProxyHarness) -> list[Stray]:
     """Returns a list to which the strays of this proxy are appended."""
     strays: list[Stray] = []
     original = w.proxy.pool.on_stray
