--- a/tests/maintenance/test_service.py
+++ b/tests/maintenance/test_service.py
@@ -26,7 +26,7 @@
 from magpiefront.maintenance.reports import MIN_READS, HitRatios, popular_keys, build_report
 from magpiefront.net.exchange import Probe
 from tests.helpers import SETTINGS
-from tests.sockets import gated, run, until, world
+from tests.sockets import gated, run, running_proxy, until
 
 US_PER_S = 1_000_000
 
@@ -36,7 +36,7 @@
 
 def test_nothing_is_sent_to_an_excluded_node() -> None:
     async def main() -> None:
-        async with world(None) as w:
+        async with running_proxy(None) as w:
             excluded: set[str | bytes] = set()
             w.proxy.pool.set_node_address("s-0", None)
             guard = PoolGuard(
@@ -82,7 +82,7 @@
 def test_connections_of_a_node_that_is_not_listed_any_more_are_known_and_can_be_aborted() -> None:
     async def main() -> None:
         gate = asyncio.Event()
-        async with world(gated(gate)) as w:
+        async with running_proxy(gated(gate)) as w:
             w.proxy.pool.set_node_address("s-0", None)
             guard = PoolGuard(w.proxy.pool, lambda name, address: True)
             w.proxy.pool.set_node_address("s-0", ("127.0.0.1", w.nodes[0].port))
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -298,7 +298,7 @@
 
 
 @asynccontextmanager
-async def world(
+async def running_proxy(
     *handlers: Handler | None, memory_mb: int = 192, sockets: int = 1024, **overrides: Any
 ) -> AsyncIterator[ProxyHarness]:
     """Runs a proxy with one node for each handler, or a single one with the default handler. `overrides`
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -13,14 +13,16 @@
 from magpiefront.net import admin as admin_module
 from magpiefront.net.admin import MAX_CALLERS, MAX_LINE_BYTES, Admin
 from magpiefront.net.admin_commands import AdminCommands
-from tests.sockets import Handler, Node, ProxyHarness, gated, reply, request, resets, run, until, world
+from tests.sockets import (
+    Handler, Node, ProxyHarness, gated, reply, request, resets, run, running_proxy, until,
+)  # fmt: skip
 
 
 @asynccontextmanager
-async def world_with_admin(
+async def running_proxy_with_admin(
     *handlers: Handler | None, **more: object
 ) -> AsyncIterator[tuple[ProxyHarness, Admin]]:
-    async with world(*handlers, **more) as w:  # type: ignore[arg-type]
+    async with running_proxy(*handlers, **more) as w:  # type: ignore[arg-type]
         admin = Admin(asyncio.get_running_loop(), AdminCommands(w.proxy, w.front))
         admin.bind(("127.0.0.1", 0))
         admin.start()
@@ -79,7 +81,7 @@
 
 def test_each_command_has_one_response() -> None:
     async def main() -> None:
-        async with world_with_admin(None, None) as (_, admin):
+        async with running_proxy_with_admin(None, None) as (_, admin):
             for data, expected in RESPONSES:
                 got = await command(admin, data, end=not data.endswith(b"\n"))
                 assert got.startswith(expected), (data[:40], got)
@@ -91,7 +93,7 @@
 
 def test_silent_connections_do_not_block_other_callers(monkeypatch: pytest.MonkeyPatch) -> None:
     async def main() -> None:
-        async with world_with_admin() as (w, admin):
+        async with running_proxy_with_admin() as (w, admin):
             address = "127.0.0.1", port_of(admin)
             silent = [await asyncio.open_connection(*address) for _ in range(200)]
             for i, (_, writer) in enumerate(silent):
@@ -114,7 +116,7 @@
 
 def test_a_caller_that_does_not_read_blocks_no_other() -> None:
     async def main() -> None:
-        async with world_with_admin() as (w, admin):
+        async with running_proxy_with_admin() as (w, admin):
             for i in range(3000):
                 w.proxy.metrics.counts_for(b"class-%d" % i)  # more than a socket buffer holds
             reader, writer = await asyncio.open_connection("127.0.0.1", port_of(admin), limit=1024)
@@ -143,7 +145,7 @@
             handler = draw.choice(behaviours) or reply(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi")
             await handler(*args)  # type: ignore[arg-type]
 
-        async with world_with_admin(behaviour, behaviour, behaviour) as (w, admin):
+        async with running_proxy_with_admin(behaviour, behaviour, behaviour) as (w, admin):
             counts = w.proxy.metrics.by_class
 
             def check_active() -> None:
@@ -182,7 +184,7 @@
 def test_counters_add_up_after_ten_thousand_requests_of_closed_clients() -> None:
     async def main() -> None:
         gate = asyncio.Event()
-        async with world_with_admin(gated(gate)) as (w, admin):
+        async with running_proxy_with_admin(gated(gate)) as (w, admin):
             for n in range(25):
                 leaving = [await w.client() for _ in range(16)]
                 for client in leaving:
@@ -208,7 +210,7 @@
 
 def test_a_disabled_node_gets_no_requests_until_it_is_enabled() -> None:
     async def main() -> None:
-        async with world_with_admin(None, None) as (w, admin):
+        async with running_proxy_with_admin(None, None) as (w, admin):
             a, b = w.nodes
             w.proxy.router.configure(w.proxy.config.settings)
 
@@ -251,7 +253,7 @@
 
 def test_the_admin_address_answers_while_client_connections_are_exhausted() -> None:
     async def main() -> None:
-        async with world_with_admin() as (w, admin):
+        async with running_proxy_with_admin() as (w, admin):
             w.front.max_clients = 4
             clients = []
             for _ in range(12):
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -10,7 +10,9 @@
 from magpiefront.interface import Arrived
 from magpiefront.net import downstream, lag
 from magpiefront.net.http1 import MAX_BODY_BYTES
-from tests.sockets import Handler, ReceivedRequest, gated, ok, reply, request, run, silent, until, world
+from tests.sockets import (
+    Handler, ReceivedRequest, gated, ok, reply, request, run, running_proxy, silent, until,
+)  # fmt: skip
 
 VALID = b"Req-Id: a\r\nReq-Kind: read\r\nReq-Deadline: 1\r\n"
 
@@ -97,7 +99,7 @@
 )
 def test_invalid_requests_are_not_forwarded(sent: bytes, status: int, closes: bool) -> None:
     async def main() -> None:
-        async with world(None) as w:
+        async with running_proxy(None) as w:
             client = await w.client()
             client.send(sent)
             answer = await client.answer()
@@ -123,7 +125,7 @@
 ])  # fmt: skip
 def test_unusual_but_valid_requests_are_served(sent: bytes) -> None:
     async def main() -> None:
-        async with world(None) as w:
+        async with running_proxy(None) as w:
             client = await w.client()
             client.send(sent)
             assert (await client.answer()).status == 200
@@ -136,7 +138,7 @@
     monkeypatch.setattr(downstream, "MAX_BODY_BYTES", 100_000)
 
     async def main() -> None:
-        async with world(None) as w:
+        async with running_proxy(None) as w:
             client = await w.client()
             client.send(head(b"PUT /api/k", VALID + b"Transfer-Encoding: chunked\r\n"))
             client.send(b"30000\r\n" + b"x" * 0x30000 + b"\r\n")
@@ -148,7 +150,7 @@
 
 def test_request_fields_reach_the_router() -> None:
     async def main() -> None:
-        async with world(None) as w:
+        async with running_proxy(None) as w:
             client = await w.client()
             fields = "Req-Retry: 1\r\nReq-Cost: 1200\r\n"
             client.send(request("PUT", "/a/key?x", "keyed", "0.75", b"v", fields))
@@ -165,7 +167,7 @@
 
 def test_request_sent_byte_by_byte_with_a_slow_head_is_served() -> None:
     async def main() -> None:
-        async with world(None) as w:
+        async with running_proxy(None) as w:
             client = await w.client()
             for n, byte in enumerate(request("PUT", "/api/k", "keyed", "0.5", b"body")):
                 if n == 100:
@@ -180,7 +182,7 @@
 
 def test_chunked_and_large_bodies_are_forwarded_whole() -> None:
     async def main() -> None:
-        async with world(None) as w:
+        async with running_proxy(None) as w:
             client = await w.client()
             chunked = "Transfer-Encoding: chunked\r\n"
             client.send(request(kind="keyed", more=chunked).replace(b"GET", b"PUT"))
@@ -203,7 +205,7 @@
             await asyncio.sleep(0.02 if seen.line.startswith("GET /api/0 ") else 0)
             writer.write(ok(seen.line.split()[1].encode()))
 
-        async with world(echo) as w:
+        async with running_proxy(echo) as w:
             client = await w.client()
             client.send(b"".join(request(path=f"/api/{n}") for n in range(20)) + request()[:30])
             assert [(await client.answer()).body for _ in range(20)] == [b"/api/%d" % n for n in range(20)]
@@ -219,7 +221,7 @@
 
 def test_expect_continue() -> None:
     async def main() -> None:
-        async with world(None) as w:
+        async with running_proxy(None) as w:
             client = await w.client()
             message = request("PUT", kind="keyed", body=b"12345", more="Expect: 100-continue\r\n")
             client.send(message[:-5])
@@ -235,7 +237,7 @@
 
 def test_connections_persist_unless_the_client_asks_to_close() -> None:
     async def main() -> None:
-        async with world(None) as w:
+        async with running_proxy(None) as w:
             client = await w.client()
             for _ in range(3):
                 client.send(request())
@@ -258,7 +260,7 @@
     answer before the client has read it."""
 
     async def main() -> None:
-        async with world(None) as w:
+        async with running_proxy(None) as w:
             client = await w.client()
             client.send(head(b"PUT /api/k", VALID + b"Content-Length: %d\r\n" % (MAX_BODY_BYTES + 1)))
             client.send(b"x" * 3_000_000)
@@ -273,7 +275,7 @@
 @pytest.mark.parametrize("deadline", ["0", "-1", "0.000"])
 def test_request_past_its_deadline_is_refused_at_once(deadline: str) -> None:
     async def main() -> None:
-        async with world(None) as w:
+        async with running_proxy(None) as w:
             assert (await w.ask(deadline=deadline)).status == 503
             assert not w.seen()
 
@@ -286,7 +288,7 @@
 
     async def main() -> None:
         gate = asyncio.Event()
-        async with world(gated(gate)) as w:
+        async with running_proxy(gated(gate)) as w:
             same = request("PUT", kind="once", body=b"value")
             owner, other = await w.client(), await w.client()
             owner.send(same)
@@ -304,7 +306,9 @@
 
 def test_requests_over_the_open_limit_do_not_reach_the_router() -> None:
     async def main() -> None:
-        async with world(silent, permissions={"maxAttempts": 2, "mayCancel": True, "maxOpen": 2}) as w:
+        async with running_proxy(
+            silent, permissions={"maxAttempts": 2, "mayCancel": True, "maxOpen": 2}
+        ) as w:
             clients = [await w.client() for _ in range(2)]
             for c in clients:
                 c.send(request(kind="once"))
@@ -320,7 +324,7 @@
     monkeypatch.setattr(downstream, "STALL_TIMEOUT_S", 0.05)
 
     async def main() -> None:
-        async with world(None) as w:
+        async with running_proxy(None) as w:
             message = request("PUT", kind="keyed", body=b"x" * 5000)
             for part in (message[:20], message[:-100]):
                 client = await w.client()
@@ -343,7 +347,7 @@
     """With the timeouts used in service, and the longest time between two sweeps."""
 
     async def main() -> None:
-        async with world(None) as w:
+        async with running_proxy(None) as w:
             message = request("PUT", kind="keyed", body=b"x" * 5000)
             parts = (b"", message[:20], message[:-100], b"GET /ready HTTP/1.1\r\nHost: x\r\n\r\n", message)
             clients = [await w.client() for _ in parts]
@@ -365,7 +369,7 @@
 
 def test_concurrent_large_bodies_wait_for_memory() -> None:
     async def main() -> None:
-        async with world(None) as w:
+        async with running_proxy(None) as w:
             w.front.bodies.limit = 1_000_000
             size, used = 3_000_000, []
             clients = [await w.client() for _ in range(6)]
@@ -394,7 +398,7 @@
     gate = asyncio.Event()
 
     async def main() -> None:
-        async with world(gated(gate)) as w:
+        async with running_proxy(gated(gate)) as w:
             w.front.max_clients = 3
             idle = await w.client()
             busy = [await w.client() for _ in range(3)]
@@ -421,7 +425,7 @@
     monkeypatch.setattr(downstream, "HEAD_TIMEOUT_S", 0.9)
 
     async def main() -> None:
-        async with world(None) as w:
+        async with running_proxy(None) as w:
             w.front.max_clients = 4
             heads = [await w.client() for _ in range(2)]
             for c in heads:
@@ -443,7 +447,7 @@
     handler: Handler = reply(ok(b"x" * 60_000))
 
     async def main() -> None:
-        async with world(handler) as w:
+        async with running_proxy(handler) as w:
             slow = []
             for _ in range(100):
                 c = await w.client()
@@ -461,7 +465,7 @@
 
 def test_loop_lag_sheds_a_growing_fraction_of_requests() -> None:
     async def main() -> None:
-        async with world(None) as w:
+        async with running_proxy(None) as w:
             # Called with times that the test chooses: real ones depend on the load of the machine.
             measure = w.proxy.lag.measure
             measure(1.0)
@@ -480,7 +484,7 @@
 
 def test_ready_is_answered() -> None:
     async def main() -> None:
-        async with world(None) as w:
+        async with running_proxy(None) as w:
             client = await w.client()
             client.send(b"GET /ready HTTP/1.1\r\nHost: x\r\n\r\n")
             assert (await client.answer()).status == 200
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -19,7 +19,7 @@
 from standins.world import free_port
 from tests.sockets import (
     PROXY_SETTINGS, Client, DiscoveryServer, Handler, Node, ReceivedRequest, ProxyHarness, gated, ok, request,
-    resets, run, silent, until, world,
+    resets, run, silent, until, running_proxy,
 )  # fmt: skip
 from tests.test_life import start
 
@@ -83,7 +83,7 @@
 ) -> None:
     async def main() -> None:
         connects = GatedConnects(monkeypatch)
-        async with world(None, permissions={**NO_CANCEL, "mayCancel": may_cancel}) as w:
+        async with running_proxy(None, permissions={**NO_CANCEL, "mayCancel": may_cancel}) as w:
             client = await w.client()
             client.send(request(kind="once"))
             await until(lambda: connects.waiting)
@@ -110,7 +110,7 @@
 ) -> None:
     async def main() -> None:
         connects = GatedConnects(monkeypatch)
-        async with world(None) as w:
+        async with running_proxy(None) as w:
             client = await w.client()
             client.send(request(kind="once"))
             await until(lambda: connects.waiting)
@@ -126,7 +126,7 @@
 def test_retry_window_ends_while_a_connection_is_opened(monkeypatch: pytest.MonkeyPatch) -> None:
     async def main() -> None:
         connects = GatedConnects(monkeypatch, first=2)
-        async with world(resets, resets) as w:
+        async with running_proxy(resets, resets) as w:
             client = await w.client()
             began = w.proxy.now_us()
             client.send(request("PUT", kind="keyed", body=b"v", more="Idempotency-Key: k\r\n"))
@@ -144,7 +144,9 @@
 ) -> None:
     async def main() -> None:
         connects, gate = GatedConnects(monkeypatch, first=2), asyncio.Event()
-        async with world(gated(gate), gated(gate), permissions={**NO_CANCEL, "secondCopies": True}) as w:
+        async with running_proxy(
+            gated(gate), gated(gate), permissions={**NO_CANCEL, "secondCopies": True}
+        ) as w:
             key = "/api/k1"
             # Without this the Router sends no copy: it would only be fetched from the origin once more.
             w.proxy.router.cached_keys.add(_router_key(key))
@@ -178,7 +180,7 @@
             if not hangs:
                 writer.write(ok())
 
-        async with world(serves_at_first, serves_at_first) as w:
+        async with running_proxy(serves_at_first, serves_at_first) as w:
             for n in range(20):  # opens connections, so that a retry need not wait for one
                 assert (await w.ask(path=f"/api/{n}")).status == 200
             assert all(node.idle for node in w.proxy.pool.nodes.values())
@@ -199,7 +201,7 @@
 
 def test_hang_up_behind_pipelined_requests_is_detected() -> None:
     async def main() -> None:
-        async with world(silent) as w:
+        async with running_proxy(silent) as w:
             client = blocking_client(w)
             client.sendall(request())
             await until(w.seen)
@@ -219,7 +221,7 @@
 def test_time_of_a_pipelined_request_counts_from_its_arrival() -> None:
     async def main() -> None:
         gate = asyncio.Event()
-        async with world(gated(gate)) as w:
+        async with running_proxy(gated(gate)) as w:
             client = await w.client()
             client.send(request(path="/api/0", deadline="0.9"))
             await until(w.seen)
@@ -236,7 +238,7 @@
 
 def test_request_leaves_time_for_those_queued_behind_it() -> None:
     async def main() -> None:
-        async with world(silent) as w:
+        async with running_proxy(silent) as w:
             client = await w.client()
             client.send(request(deadline="0.9", kind="once") + request(deadline="0.2", kind="once"))
             first, second = await client.answer(), await client.answer()
@@ -250,7 +252,7 @@
     async def main() -> None:
         gate = asyncio.Event()
 
-        async with world(in_two_chunks(gate)) as w:
+        async with running_proxy(in_two_chunks(gate)) as w:
             client = await w.client()
             client.send(request())
             await until(lambda: w.proxy.streams)
@@ -267,7 +269,7 @@
 
 def test_node_gets_a_shorter_deadline_than_the_client() -> None:
     async def main() -> None:
-        async with world(None) as w:
+        async with running_proxy(None) as w:
             for deadline, most in (("0.9", 0.9 - DEADLINE_MARGIN_US / 1e6), ("0.04", 0.021)):
                 await w.ask(deadline=deadline)
                 assert 0 < float(w.seen()[-1].headers["req-deadline"]) <= most
@@ -278,7 +280,7 @@
 def test_partial_request_behind_an_open_one_times_out_in_order() -> None:
     async def main() -> None:
         gate = asyncio.Event()
-        async with world(gated(gate)) as w:
+        async with running_proxy(gated(gate)) as w:
             client = await w.client()
             client.send(request(kind="once") + request()[:40])
             await until(w.seen)
@@ -300,7 +302,7 @@
 
 def test_unread_request_keeps_its_connection_from_being_closed_as_idle() -> None:
     async def main() -> None:
-        async with world(None) as w:
+        async with running_proxy(None) as w:
             client = blocking_client(w)
             connection = await client_connection(w)
             client.sendall(request())
@@ -319,7 +321,7 @@
 
 def test_request_after_the_end_of_an_idle_connection_is_dropped_without_reset() -> None:
     async def main() -> None:
-        async with world(None) as w:
+        async with running_proxy(None) as w:
             client = blocking_client(w)
             connection = await client_connection(w)
             connection.sweep(connection.last_progress_at + 60)
@@ -337,7 +339,7 @@
 
 def test_closing_connection_is_not_closed_as_idle() -> None:
     async def main() -> None:
-        async with world(None) as w:
+        async with running_proxy(None) as w:
             client = blocking_client(w)
             connection = await client_connection(w)
             connection.transport.abort()
@@ -405,7 +407,7 @@
 
         connects = GatedConnects(monkeypatch) if state == "waits" else None
         copies = {**PROXY_SETTINGS["permissions"], "secondCopies": state == "hedged"}
-        async with world(handler, handler, permissions=copies) as w:
+        async with running_proxy(handler, handler, permissions=copies) as w:
             w.proxy.router.cached_keys.add(_router_key("/api/k1"))
             client = await w.client()
             client.send(request())
@@ -440,7 +442,7 @@
     async def main() -> None:
         gate = asyncio.Event()
 
-        async with world(in_two_chunks(gate)) as w:
+        async with running_proxy(in_two_chunks(gate)) as w:
             w.front.stopping = True
             client = await w.client()
             client.send(request())
@@ -466,7 +468,7 @@
     kills the process."""
 
     async def main() -> None:
-        async with world(silent) as w:
+        async with running_proxy(silent) as w:
             client = await w.client()
             client.send(request(kind="once", deadline="60"))
             await until(w.seen)
@@ -482,7 +484,7 @@
     """Both attempts fail in one turn of the event loop, with the retry budget used up."""
 
     async def main() -> None:
-        async with world(
+        async with running_proxy(
             silent, silent, permissions={**PROXY_SETTINGS["permissions"], "secondCopies": True}
         ) as w:
             w.proxy.router.cached_keys.add(_router_key("/api/k1"))
@@ -508,7 +510,7 @@
 
     async def main() -> None:
         gate = asyncio.Event()
-        async with world(gated(gate)) as w:
+        async with running_proxy(gated(gate)) as w:
             client = await w.client()
             ahead, behind = request(), request()
             client.send(ahead + behind[:20] if read else ahead)
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -14,7 +14,7 @@
     ListKind, Repeat, RequestClass, ServerEntry, ServerList, SetTimer, Settings, Status,
 )  # fmt: skip
 from magpiefront.net import discovery, proxy
-from tests.sockets import DiscoveryServer, Node, ProxyHarness, ok, run, until, world
+from tests.sockets import DiscoveryServer, Node, ProxyHarness, ok, run, running_proxy, until
 
 
 CLASS = RequestClass("read", Repeat.SAFE, 500_000, 1_000_000)
@@ -27,7 +27,7 @@
 @pytest.mark.parametrize("lifecycle", ["Terminating", "Gone"])
 def test_a_draining_or_gone_node_gets_no_new_requests(lifecycle: str) -> None:
     async def main() -> None:
-        async with world(None, None) as w:
+        async with running_proxy(None, None) as w:
             for n in range(10):
                 await w.ask(path=f"/api/{n}")
             before = len(w.nodes[0].seen)
@@ -52,7 +52,7 @@
     forever."""
 
     async def main() -> None:
-        async with world(None) as w:
+        async with running_proxy(None) as w:
             now_ms = w.proxy.now_us() // 1000
             w.lists.change(2, w.nodes[0].entry(startedAtMs=now_ms - 9_000))
             await until(lambda: len(w.lists.calls) == 2)
@@ -69,7 +69,7 @@
 
 def test_a_node_that_changes_its_address_gets_requests_there() -> None:
     async def main() -> None:
-        async with world(None) as w:
+        async with running_proxy(None) as w:
             await w.ask()
             moved = Node("s-0", None)
             await moved.start()
@@ -105,7 +105,7 @@
     monkeypatch.setattr(discovery, "agent_timeouts", lambda _: discovery.CallTimeouts(50, 0.1, 0.1, 1.0, 1.0))
 
     async def main() -> None:
-        async with world(None) as w:
+        async with running_proxy(None) as w:
             w.lists.answers.put_nowait(answer)
             await until(lambda: len(w.lists.calls) >= 2, "another call")
             assert "after=1&" in w.lists.calls[1] and list(w.proxy.pool.nodes) == ["s-0"]
@@ -122,7 +122,7 @@
 @pytest.mark.parametrize("bad", [{"lifecycle": "Pondering"}, {"hostPort": None}, {"weight": "much"}])
 def test_an_invalid_entry_leaves_its_node_unchanged(bad: dict[str, Any], reset: bool) -> None:
     async def main() -> None:
-        async with world(None, None) as w:
+        async with running_proxy(None, None) as w:
             w.lists.change(2, with_fields(w.nodes[0].entry(), **bad), w.nodes[1].entry(), reset=reset)
             await until(lambda: len(w.lists.calls) == 2)
             assert set(w.proxy.pool.nodes) == set(w.proxy.router.servers) == {"s-0", "s-1"}
@@ -136,7 +136,7 @@
     )
 
     async def main() -> None:
-        async with world(None) as w:
+        async with running_proxy(None) as w:
             await until(lambda: len(w.lists.calls) >= 3, "calls after a timeout")
             assert (await w.ask()).status == 200
 
@@ -146,7 +146,7 @@
 def test_the_router_schedules_direct_calls_of_discovery() -> None:
     async def main() -> None:
         rules = {"coldFrom": 0.3, "coldUs": 8_000_000, "askEveryUs": 2_000_000}
-        async with world(None, discovery="subscribe", rules=rules) as w:
+        async with running_proxy(None, discovery="subscribe", rules=rules) as w:
             assert not w.lists.calls
             await until(lambda: w.lists.calls, "the first call")
             w.lists.answers.put_nowait(b"HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n")
@@ -163,7 +163,7 @@
     listing = json.dumps({"generation": 1, "reset": True, "instances": []})
 
     async def main() -> None:
-        async with world(None) as w:
+        async with running_proxy(None) as w:
             w.lists.answers.put_nowait(ok(listing.encode()))
             await until(lambda: len(w.lists.calls) == 2)
             assert (await w.ask()).status == 503  # discovery says explicitly that there is no node
@@ -195,7 +195,7 @@
     monkeypatch.setattr(discovery, "agent_timeouts", lambda _: discovery.CallTimeouts(50, 0.1, 0.1, 1.0, 1.0))
 
     async def main() -> None:
-        async with world(None) as w:
+        async with running_proxy(None) as w:
             await until(lambda: len(w.lists.calls) == 2, "a second call")
             assert len(w.lists.writers) == 2 and not w.lists.writers[0].is_closing()
             w.lists.writers[0].write(entries(w, "Terminating"))
@@ -211,7 +211,7 @@
     )
 
     async def main() -> None:
-        async with world(None) as w:
+        async with running_proxy(None) as w:
             await until(lambda: len(w.lists.calls) > 3 * discovery.MAX_TIMED_OUT_CALLS, "many calls")
             assert len(w.discovery.timed_out) <= discovery.MAX_TIMED_OUT_CALLS
             w.lists.writers[0].write(entries(w, "Terminating"))
@@ -227,7 +227,7 @@
 
     async def main() -> None:
         rules = {"coldFrom": 0.3, "coldUs": 8_000_000, "askEveryUs": 10_000_000}
-        async with world(None, discovery="subscribe", rules=rules) as w:
+        async with running_proxy(None, discovery="subscribe", rules=rules) as w:
             w.discovery.start_call()
             await until(lambda: len(w.lists.calls) == 2)
             assert "after=1&" in w.lists.calls[0] and w.lists.calls[1].startswith("GET /v1/endpoints ")
@@ -256,7 +256,7 @@
     monkeypatch.setattr(discovery.DiscoveryConnection, "connection_made", closes_at_once)
 
     async def main() -> None:
-        async with world(None) as w:
+        async with running_proxy(None) as w:
             await until(lambda: w.lists.calls, "a call after two connections that ended")
             assert not ends
 
@@ -265,7 +265,7 @@
 
 def test_an_answer_from_before_an_address_change_changes_nothing() -> None:
     async def main() -> None:
-        async with world(None) as w:
+        async with running_proxy(None) as w:
             elsewhere = DiscoveryServer()
             await elsewhere.start()
             await until(lambda: w.lists.calls)
@@ -318,7 +318,7 @@
 @pytest.mark.parametrize("step_s", [-3600, -5, 5, 3600])
 def test_a_step_of_the_wall_clock_moves_no_deadline(step_s: int, monkeypatch: pytest.MonkeyPatch) -> None:
     async def main() -> None:
-        async with world(None) as w:
+        async with running_proxy(None) as w:
             before = w.proxy.now_us()
             wall_time, wall_time_ns = time.time, time.time_ns
             monkeypatch.setattr(time, "time", lambda: wall_time() + step_s)
@@ -340,7 +340,7 @@
     monkeypatch.setattr(discovery, "FIRST_BACKOFF_S", 0.001)
 
     async def main() -> None:
-        async with world(None, None) as w:
+        async with running_proxy(None, None) as w:
             w.lists.change(2, *(n.entry() for n in w.nodes), reset=reset)
             await until(lambda: len(w.lists.calls) == 2)
             w.lists.change(3, w.nodes[0].entry("Terminating"))
@@ -363,7 +363,7 @@
 
 def test_a_restarted_discovery_is_believed_on_a_new_connection() -> None:
     async def main() -> None:
-        async with world(None, None) as w:
+        async with running_proxy(None, None) as w:
             w.lists.change(7, w.nodes[0].entry("Terminating"))
             await until(lambda: w.discovery.listing.generation == 7)
             w.lists.change(1, w.nodes[0].entry(), reset=True)  # answers the call open on the old connection
--- a/tests/test_ends.py
+++ b/tests/test_ends.py
@@ -11,7 +11,7 @@
 from magpiefront.router import AdmissionGate
 from magpiefront.interface import Outcome
 from tests.sockets import (
-    Client, Handler, ProxyHarness, gated, ok, request, resets, run, reply, silent, until, world,
+    Client, Handler, ProxyHarness, gated, ok, request, resets, run, reply, silent, until, running_proxy,
 )  # fmt: skip
 
 ERROR = reply(b"HTTP/1.1 500 X\r\nContent-Length: 3\r\n\r\nbad")
@@ -32,7 +32,7 @@
 )
 def test_a_request_that_has_ended_is_removed(handler: Handler | None, status: int) -> None:
     async def main() -> None:
-        async with world(handler) as w:
+        async with running_proxy(handler) as w:
             for n in range(5):
                 assert (await w.ask("PUT", f"/api/{n}", "once", "0.15", b"value")).status == status
             await assert_released(w)
@@ -42,7 +42,7 @@
 
 def test_an_unexpected_request_body_is_not_kept() -> None:
     async def main() -> None:
-        async with world(None) as w:
+        async with running_proxy(None) as w:
             client = await w.client()
             for path in ("/ready", "/api/", "/api/k"):
                 client.send(request(path=path, body=b"x" * 1000))
@@ -67,7 +67,7 @@
 )
 def test_a_node_connection_with_a_malformed_answer_is_closed(answer: bytes) -> None:
     async def main() -> None:
-        async with world(reply(answer)) as w:
+        async with running_proxy(reply(answer)) as w:
             for n in range(3):
                 assert (await w.ask(path=f"/api/{n}", kind="once")).status == 502
             assert set(w.outcomes()) <= {Outcome.RESET, Outcome.ERROR}
@@ -80,7 +80,7 @@
 
 def test_a_request_whose_client_has_disconnected_is_removed() -> None:
     async def main() -> None:
-        async with world(silent) as w:
+        async with running_proxy(silent) as w:
             client = await w.client()
             client.send(request("PUT", kind="once", body=b"value"))
             await until(w.seen)
@@ -92,7 +92,7 @@
 
 def test_sequential_requests_may_exceed_the_limit_of_open_requests() -> None:
     async def main() -> None:
-        async with world(None, permissions={"maxAttempts": 2, "mayCancel": True, "maxOpen": 3}) as w:
+        async with running_proxy(None, permissions={"maxAttempts": 2, "mayCancel": True, "maxOpen": 3}) as w:
             client = await w.client()
             for _ in range(10):
                 client.send(request())
@@ -105,7 +105,7 @@
     async def main() -> None:
         gate = asyncio.Event()
         permissions = {"maxAttempts": 4, "secondCopies": True, "mayCancel": True}
-        async with world(None, None, permissions=permissions) as w:
+        async with running_proxy(None, None, permissions=permissions) as w:
             assert (await w.ask()).status == 200  # the key is cached now: hedging is possible
             (first,) = w.seen()
             first.node.handler = gated(gate)
@@ -162,7 +162,7 @@
     which stay in memory until the garbage collector runs."""
 
     async def main() -> None:
-        async with world(None) as w:
+        async with running_proxy(None) as w:
             persistent = await w.client()
             for n in range(2):
                 await play_round(w, persistent, n)
--- a/tests/test_events.py
+++ b/tests/test_events.py
@@ -7,7 +7,7 @@
 import pytest
 
 from magpiefront.net.events import MAX_LINES, PERIOD_S, EventLog, Reason
-from tests.sockets import resets, run, until, world
+from tests.sockets import resets, run, running_proxy, until
 
 
 @pytest.fixture
@@ -35,10 +35,10 @@
     event_lines: pytest.LogCaptureFixture,
 ) -> None:
     async def main() -> None:
-        async with world(None) as w:
+        async with running_proxy(None) as w:
             assert (await w.ask()).status == 200
             assert not any("request=" in line for line in event_lines.messages)
-        async with world(resets, resets) as w:
+        async with running_proxy(resets, resets) as w:
             assert (await w.ask(kind="once")).status == 502
             await until(lambda: any("event=failed reason=exhausted" in line for line in event_lines.messages))
             await w.ask()
--- a/tests/test_large_fleet.py
+++ b/tests/test_large_fleet.py
@@ -17,7 +17,7 @@
 from magpiefront.net.proxy import Proxy
 from standins.fleet import Load, Round, run_round
 from tests.opcodes import OpcodeCounter
-from tests.sockets import PROXY_SETTINGS, ReceivedRequest, ok, request, run, until, world
+from tests.sockets import PROXY_SETTINGS, ReceivedRequest, ok, request, run, running_proxy, until
 
 MAX_GROWTH = 1.5  # of the executed opcodes for the same change, at sixteen times the nodes
 SMALL, LARGE = 200, 3_200
@@ -143,7 +143,7 @@
 
 def test_a_drain_that_arrives_while_the_loop_is_blocked_precedes_earlier_requests() -> None:
     async def main() -> None:
-        async with world(None, None) as w:
+        async with running_proxy(None, None) as w:
             w.proxy.tick()
             clients = [await w.client() for _ in range(8)]
             await until(lambda: len(w.lists.calls) == 1 and len(w.front.clients) == 8)
@@ -179,7 +179,7 @@
             writers.append(writer)
             await reader.read()
 
-        async with world(unanswered) as w:
+        async with running_proxy(unanswered) as w:
             w.proxy.tick()
             client = await w.client()
             client.send(request(deadline="0.3", kind="once"))
--- a/tests/test_nodes.py
+++ b/tests/test_nodes.py
@@ -15,7 +15,7 @@
 from magpiefront.net.answer import parse_load_report
 from magpiefront.net.exchange import Probe
 from tests.sockets import (
-    Handler, Node, ReceivedRequest, gated, ok, request, resets, run, reply, until, world,
+    Handler, Node, ReceivedRequest, gated, ok, request, resets, run, reply, until, running_proxy,
 )  # fmt: skip
 
 CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -36,7 +36,9 @@
 def test_request_and_answer_are_forwarded_unchanged() -> None:
     async def main() -> None:
         body = bytes(range(256)) * 100
-        async with world(reply(ok(b"\0\r\n\xff" * 9, "Srv-Cache: hit\r\nContent-Type: a/b\r\n"))) as w:
+        async with running_proxy(
+            reply(ok(b"\0\r\n\xff" * 9, "Srv-Cache: hit\r\nContent-Type: a/b\r\n"))
+        ) as w:
             more = "Idempotency-Key: abc\r\n"
             answer = await w.ask("PUT", "/api/v/k%20?q=1&r", "keyed", body=body, more=more)
             assert (answer.status, answer.body) == (200, b"\0\r\n\xff" * 9)
@@ -53,7 +55,7 @@
 
 def test_a_refused_connect_means_the_request_did_not_run() -> None:
     async def main() -> None:
-        async with world(None, None) as w:
+        async with running_proxy(None, None) as w:
             for n in range(6):
                 assert (await w.ask(path=f"/api/{n}", kind="once")).status == 200
             w.nodes[0].stop()
@@ -75,7 +77,7 @@
             sock.setblocking(False)
             sock.connect_ex(unresponsive.getsockname())
             fillers.append(sock)
-        async with world(None) as w:
+        async with running_proxy(None) as w:
             w.nodes[0].port = unresponsive.getsockname()[1]
             w.lists.change(2, w.nodes[0].entry())
             await until(lambda: w.proxy.pool.nodes["s-0"].address[1] == w.nodes[0].port)
@@ -95,7 +97,7 @@
 
 def test_a_reset_before_the_last_byte_is_sent_means_the_request_did_not_run() -> None:
     async def main() -> None:
-        async with world(None, None) as w:
+        async with running_proxy(None, None) as w:
             servers = [n.server for n in w.nodes]
             accepted = []
 
@@ -123,7 +125,7 @@
 )
 def test_a_rested_connection_is_reused_unless_the_node_closes_it(more: str, connections: int) -> None:
     async def main() -> None:
-        async with world(reply(ok(more=more))) as w:
+        async with running_proxy(reply(ok(more=more))) as w:
             client = await w.client()
             for n in range(5):
                 client.send(request(path=f"/api/{n}"))
@@ -140,7 +142,7 @@
     """Guards against unread bytes of an idle connection that are taken for the next answer or its reset."""
 
     async def main() -> None:
-        async with world(reply(ok(b"own"))) as w:
+        async with running_proxy(reply(ok(b"own"))) as w:
             assert (await w.ask(kind="once")).body == b"own"
             node = w.proxy.pool.nodes["s-0"]
             await until(lambda: node.idle)
@@ -175,7 +177,7 @@
             received.append(seen)
             await (resets if len(received) % 6 == 0 else reply(ok()))(seen, reader, writer)
 
-        async with world(resets_every_sixth, resets_every_sixth, resets_every_sixth) as w:
+        async with running_proxy(resets_every_sixth, resets_every_sixth, resets_every_sixth) as w:
             client = await w.client()
             for n in range(150):
                 client.send(request(path=f"/api/{n}"))
@@ -187,7 +189,7 @@
 
 def test_a_reset_of_a_reused_connection_is_reported_and_not_retried_by_the_pool() -> None:
     async def main() -> None:
-        async with world(reply(ok())) as w:
+        async with running_proxy(reply(ok())) as w:
             assert (await w.ask(kind="once")).status == 200
             w.advance_past_rest()
             w.nodes[0].handler = resets
@@ -200,7 +202,7 @@
 
 def test_an_unsolicited_answer_only_closes_its_connection() -> None:
     async def main() -> None:
-        async with world(first_then_ok(reply(ok(b"mine") + ok(b"stray")))) as w:
+        async with running_proxy(first_then_ok(reply(ok(b"mine") + ok(b"stray")))) as w:
             assert (await w.ask()).body == b"mine"
             w.advance_past_rest()
             assert (await w.ask()).body == b"second"
@@ -235,7 +237,7 @@
                 rest = b"x" * 69_990
                 writer.write(b"%x\r\n%b\r\n0\r\n\r\n" % (len(rest), rest) if is_chunked else rest)
 
-            async with world(trickle) as w:
+            async with running_proxy(trickle) as w:
                 client = await w.client()
                 client.send(request(kind="once", deadline="0.2"))
                 head = await client.reader.readuntil(b"0123456789")
@@ -257,7 +259,7 @@
     async def main() -> None:
         part = b"x" * 200_000
         body = b"%x\r\n%b\r\n" % (len(part), part) if begin is CHUNKED else part
-        async with world(reply(begin + body, close=True), None) as w:
+        async with running_proxy(reply(begin + body, close=True), None) as w:
             w.nodes[1].handler = w.nodes[0].handler
             client = await w.client()
             client.send(request())
@@ -275,7 +277,9 @@
     monkeypatch.setattr(exchange, "STREAM_STALL_S", 0.05)
 
     async def main() -> None:
-        async with world(reply(b"HTTP/1.1 200 OK\r\nContent-Length: 900000\r\n\r\n" + b"x" * 100_000)) as w:
+        async with running_proxy(
+            reply(b"HTTP/1.1 200 OK\r\nContent-Length: 900000\r\n\r\n" + b"x" * 100_000)
+        ) as w:
             client = await w.client()
             client.send(request())
             await client.reader.readexactly(100_000)
@@ -298,7 +302,7 @@
         writer.write(ok(b"real"))
 
     async def main() -> None:
-        async with world(interim_first) as w:
+        async with running_proxy(interim_first) as w:
             client = await w.client()
             for _ in range(3):
                 client.send(request(kind="once"))
@@ -321,7 +325,7 @@
 def test_an_answer_above_a_limit_fails_the_attempt_and_another_node_serves(answer: bytes) -> None:
     async def main() -> None:
         handler = first_then_ok(reply(answer))
-        async with world(handler, handler) as w:
+        async with running_proxy(handler, handler) as w:
             got = await w.ask()
             assert (got.status, got.body) == (200, b"second")
             assert w.outcomes() == [Outcome.RESET, Outcome.OK]
@@ -344,7 +348,7 @@
             await gate.wait()
             writer.write(part * 3)
 
-        async with world(exceeds_limit) as w:
+        async with running_proxy(exceeds_limit) as w:
             client = await w.client()
             client.send(request())
             await until(lambda: w.proxy.streams, "the stream")
@@ -372,7 +376,7 @@
                 await writer.drain()
                 wrote.append(1)
 
-        async with world(long) as w:
+        async with running_proxy(long) as w:
             client = await w.client()
             client.writer.transport.pause_reading()  # type: ignore[attr-defined]
             client.send(request())
@@ -392,7 +396,7 @@
     async def main() -> None:
         gate = asyncio.Event()
 
-        async with world(gated(gate)) as w:
+        async with running_proxy(gated(gate)) as w:
             w.proxy.pool.max_connections = 3
             asks = [asyncio.ensure_future(w.ask(path=f"/api/{n}", kind="once")) for n in range(5)]
             await until(lambda: len(w.seen()) == 3)
@@ -411,7 +415,7 @@
 
 def test_an_exchange_that_ends_before_its_connect_began_releases_its_slot() -> None:
     async def main() -> None:
-        async with world(None) as w:
+        async with running_proxy(None) as w:
             node = w.proxy.pool.nodes["s-0"]
             node.close_idle()
             await until(lambda: not w.proxy.pool.open)
@@ -426,7 +430,7 @@
 
 def test_a_node_that_was_unreachable_is_probed() -> None:
     async def main() -> None:
-        async with world(None, None) as w:
+        async with running_proxy(None, None) as w:
             for server in w.proxy.router.servers.values():
                 w.proxy.router.in_flight = 0
                 w.proxy.router._mark_suspect(w.proxy.now_us(), server, True)
@@ -459,7 +463,7 @@
 def test_an_answer_without_a_length_that_ends_by_a_close_is_forwarded_whole(kind: str, size: int) -> None:
     async def main() -> None:
         body = b"v" * size
-        async with world(reply(PLAIN + body, close=True)) as w:
+        async with running_proxy(reply(PLAIN + body, close=True)) as w:
             client = await w.client()
             for _ in range(2):
                 client.send(request(kind=kind))
@@ -500,7 +504,7 @@
 def test_a_truncated_answer_fails_the_attempt(cut: Handler) -> None:
     async def main() -> None:
         handler = first_then_ok(cut)
-        async with world(handler, handler) as w:
+        async with running_proxy(handler, handler) as w:
             answer = await w.ask()
             assert (answer.status, answer.body) == (200, b"second")
             assert w.outcomes() == [Outcome.RESET, Outcome.OK]
@@ -521,7 +525,7 @@
             sock.setsockopt(SOL_SOCKET, SO_LINGER, struct.pack("ii", 1, 0))
             writer.transport.abort()
 
-        async with world(resets_late) as w:
+        async with running_proxy(resets_late) as w:
             client = await w.client()
             client.send(request(kind="once"))
             await until(lambda: w.proxy.streams, "the stream")
@@ -545,7 +549,7 @@
             writers.append(writer)
             writer.write(ok(seen.line.encode()))
 
-        async with world(once) as w:
+        async with running_proxy(once) as w:
             client = await w.client()
             client.send(request(path="/api/first"))
             assert b"first" in (await client.answer()).body
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -14,7 +14,7 @@
 from magpiefront.net import config
 from magpiefront.net.config import BadConfig
 from tests.helpers import CLASSES, SETTINGS, RouterDriver, sends
-from tests.sockets import PROXY_SETTINGS, ReceivedRequest, gated, ok, request, run, until, world
+from tests.sockets import PROXY_SETTINGS, ReceivedRequest, gated, ok, request, run, running_proxy, until
 
 GIVEN: dict[str, Any] = {
     "name": "n0", "listen": "127.0.0.1:7070", "discovery": "127.0.0.1:9", "seed": "1f",
@@ -114,7 +114,7 @@
             error = b"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n"
             writer.write(error if attempts[0] in (1, 3) else ok())
 
-        async with world(fails, fails) as w:
+        async with running_proxy(fails, fails) as w:
             w.proxy.router.retry_budget = 10
             before = await w.client()
             before.send(request(path="/api/a"))
@@ -143,7 +143,7 @@
 def test_a_removed_class_keeps_its_counters() -> None:
     async def main() -> None:
         gate = asyncio.Event()
-        async with world(gated(gate)) as w:
+        async with running_proxy(gated(gate)) as w:
             client = await w.client()
             client.send(request(kind="keyed", method="PUT", body=b"1"))
             await until(lambda: w.seen())
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -12,7 +12,7 @@
 from magpiefront.net.listening import accept_connection
 from magpiefront.net.shutdown import Phase, Shutdown, shutdown_times
 from magpiefront.net.shutdown_loop import run_shutdown
-from tests.sockets import gated, ok, request, run, until, world
+from tests.sockets import gated, ok, request, run, running_proxy, until
 
 STALL_S = 0.15  # how long a process may be stalled at a time
 
@@ -93,7 +93,7 @@
         return found
 
     async def main() -> None:
-        async with world(None) as w:
+        async with running_proxy(None) as w:
             monkeypatch.setattr("magpiefront.net.front.accept_connection", accept_then_connect)
             await shut_down(w.front)
             assert not w.front.listening
@@ -109,7 +109,7 @@
 
     async def main() -> None:
         gate = asyncio.Event()
-        async with world(gated(gate, ok())) as w:
+        async with running_proxy(gated(gate, ok())) as w:
             w.front.max_clients = 1
             stop_accepting = w.front.stop_accepting
 
@@ -133,7 +133,7 @@
 
 def test_a_listener_shared_with_another_process_stays_usable_there() -> None:
     async def main() -> None:
-        async with world(None) as w:
+        async with running_proxy(None) as w:
             assert w.front.socket is not None
             copy = w.front.socket.dup()
             w.front.shared = True
--- a/tests/test_strays.py
+++ b/tests/test_strays.py
@@ -16,7 +16,7 @@
 from magpiefront.net.exchange import Attempt, Exchange, Probe
 from magpiefront.net.node_connection import NodeConnection, Stray
 from magpiefront.reuse import MIN_REST_S, StrayReason
-from tests.sockets import ReceivedRequest, ProxyHarness, gated, ok, request, run, reply, until, world
+from tests.sockets import ReceivedRequest, ProxyHarness, gated, ok, request, run, reply, until, running_proxy
 
 DECLINED = b"HTTP/1.1 503 X\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n"
 
@@ -36,7 +36,7 @@
 
 def test_a_connection_is_not_reused_right_after_an_answer() -> None:
     async def main() -> None:
-        async with world(None) as w:
+        async with running_proxy(None) as w:
             for n in range(3):
                 assert (await w.ask(path=f"/api/{n}")).status == 200
             assert w.nodes[0].connections == 3
@@ -52,7 +52,7 @@
 @pytest.mark.parametrize("kind", ["read", "keyed", "once"])
 def test_a_connection_is_not_reused_before_its_rest_is_over(kind: str) -> None:
     async def main() -> None:
-        async with world(None) as w:
+        async with running_proxy(None) as w:
             now = [100.0]
             w.proxy.pool.clock = lambda: now[0]
             assert (await w.ask(kind=kind)).status == 200
@@ -71,7 +71,7 @@
 )
 def test_any_bytes_on_a_resting_connection_close_it_and_are_counted(copy: bytes) -> None:
     async def main() -> None:
-        async with world(None) as w:
+        async with running_proxy(None) as w:
             strays = record_strays(w)
             assert (await w.ask()).status == 200
             w.nodes[0].writers[-1].write(copy)
@@ -88,7 +88,7 @@
     """A late copy of the refusal would otherwise be taken for proof that the next request did not run."""
 
     async def main() -> None:
-        async with world(reply(DECLINED)) as w:
+        async with running_proxy(reply(DECLINED)) as w:
             assert (await w.ask(kind="once")).status == 503
             await until(lambda: not w.proxy.pool.open, "the closing")
             w.nodes[0].handler = reply(ok(b"own"))
@@ -104,7 +104,7 @@
 
     async def main() -> None:
         gate = asyncio.Event()
-        async with world(None) as w:
+        async with running_proxy(None) as w:
             strays = record_strays(w)
             node = w.nodes[0]
             assert (await w.ask(kind="once")).status == 200
@@ -130,7 +130,7 @@
 ) -> None:
     async def main() -> None:
         gate = asyncio.Event()
-        async with world(None) as w:
+        async with running_proxy(None) as w:
             strays = record_strays(w)
             assert (await w.ask(kind="once")).status == 200
             w.advance_past_rest()
@@ -158,7 +158,7 @@
 
     async def main() -> None:
         gate = asyncio.Event()
-        async with world(None) as w:
+        async with running_proxy(None) as w:
             strays = record_strays(w)
             assert (await w.ask()).status == 200
             w.advance_past_rest()
@@ -183,7 +183,7 @@
 
 def test_connections_whose_rest_exceeds_the_idle_timeout_are_not_reused() -> None:
     async def main() -> None:
-        async with world(None) as w:
+        async with running_proxy(None) as w:
             w.proxy.pool.set_times(200_000, 100_000)
             for _ in range(3):
                 assert (await w.ask()).status == 200
@@ -196,7 +196,7 @@
 
 def test_at_the_connection_limit_a_resting_connection_is_closed_and_not_reused() -> None:
     async def main() -> None:
-        async with world(None) as w:
+        async with running_proxy(None) as w:
             w.proxy.pool.max_connections = 2
             for n in range(6):
                 assert (await w.ask(path=f"/api/{n}", kind="once")).status == 200
@@ -209,7 +209,7 @@
     caplog: pytest.LogCaptureFixture,
 ) -> None:
     async def main() -> None:
-        async with world(None) as w:
+        async with running_proxy(None) as w:
             with caplog.at_level(logging.INFO, logger="magpiefront.events"):
                 assert (await w.ask()).status == 200
                 assert (await w.ask()).status == 200
@@ -235,7 +235,7 @@
     capsys: pytest.CaptureFixture[str],
 ) -> None:
     async def main() -> None:
-        async with world(None) as w:
+        async with running_proxy(None) as w:
             w.proxy.pool.set_node_address("s-0", None)
             trace.install(w.proxy)
             w.proxy.pool.set_node_address("s-0", ("127.0.0.1", w.nodes[0].port))
@@ -254,7 +254,7 @@
 
 def test_a_copy_of_a_probes_answer_reaches_no_request() -> None:
     async def main() -> None:
-        async with world(None) as w:
+        async with running_proxy(None) as w:
             strays = record_strays(w)
             node = w.proxy.pool.nodes["s-0"]
             node.begin(Probe(w.proxy, node, w.proxy.now_us(), b"/health"))
@@ -269,7 +269,7 @@
 
 def test_a_copy_after_a_long_answer_to_a_slow_client_reaches_no_request() -> None:
     async def main() -> None:
-        async with world(None) as w:
+        async with running_proxy(None) as w:
             strays = record_strays(w)
             body = b"y" * 12_000_000
             w.nodes[0].handler = reply(ok(body) + ok(b"copy"))
@@ -293,7 +293,7 @@
 
 def test_a_copy_that_is_split_around_the_next_request_reaches_no_request() -> None:
     async def main() -> None:
-        async with world(None) as w:
+        async with running_proxy(None) as w:
             copy = ok(b"hello")
             assert (await w.ask()).status == 200
             writer = w.nodes[0].writers[0]
@@ -315,7 +315,7 @@
     connection has become reusable."""
 
     async def main() -> None:
-        async with world(None) as w:
+        async with running_proxy(None) as w:
             assert (await w.ask()).status == 200
             gate = asyncio.Event()
             original_connect = pools.Node._connect
--- a/tests/test_system_calls.py
+++ b/tests/test_system_calls.py
@@ -15,7 +15,7 @@
 from magpiefront.interface import Outcome
 from magpiefront.net import front
 from magpiefront.net.listening import ResourceShortage, accept_connection
-from tests.sockets import request, run, until, world
+from tests.sockets import request, run, running_proxy, until
 
 
 def os_error(number: int) -> OSError:
@@ -56,7 +56,7 @@
 @pytest.mark.parametrize("number", [errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ECONNABORTED])
 def test_accepting_resumes_by_itself_after_a_failure(number: int) -> None:
     async def main() -> None:
-        async with world(None) as w:
+        async with running_proxy(None) as w:
             assert w.front.socket is not None
             failing = FailingListener(iter([os_error(number)] * 3), w.front.socket)
             w.front.socket = cast(socket.socket, failing)
@@ -69,7 +69,7 @@
     monkeypatch.setattr(front, "MAX_ACCEPTS", 2)
 
     async def main() -> None:
-        async with world(None) as w:
+        async with running_proxy(None) as w:
             clients = [socket.create_connection(("127.0.0.1", w.port)) for _ in range(7)]
             for c in clients:
                 c.sendall(request())
@@ -106,7 +106,7 @@
 @pytest.mark.parametrize("number", LOCAL_ERRNOS)
 def test_a_local_failure_to_connect_does_not_make_a_node_suspect(number: int) -> None:
     async def main() -> None:
-        async with world(None, None) as w:
+        async with running_proxy(None, None) as w:
             failing = FailingLoop(w.proxy.loop, iter([os_error(number)]))
             w.proxy.pool.loop = cast(asyncio.AbstractEventLoop, failing)
             assert (await w.ask(kind="once")).status == 200
@@ -118,7 +118,7 @@
 @pytest.mark.parametrize("number", [errno.ECONNREFUSED, errno.EHOSTUNREACH, errno.ETIMEDOUT])
 def test_a_request_is_repeated_after_a_node_could_not_be_reached(number: int) -> None:
     async def main() -> None:
-        async with world(None, None) as w:
+        async with running_proxy(None, None) as w:
             failing = FailingLoop(w.proxy.loop, iter([os_error(number)]))
             w.proxy.pool.loop = cast(asyncio.AbstractEventLoop, failing)
             assert (await w.ask(kind="once")).status == 200
@@ -129,7 +129,7 @@
 
 def test_a_request_that_arrives_a_byte_at_a_time_is_served() -> None:
     async def main() -> None:
-        async with world(None) as w:
+        async with running_proxy(None) as w:
             client = await w.client()
             for byte in request("PUT", kind="once", body=b"value"):
                 client.send(bytes([byte]))
@@ -147,7 +147,7 @@
     0.2 s after the client's last byte."""
 
     async def main() -> None:
-        async with world(None) as w:
+        async with running_proxy(None) as w:
             room = asyncio.Event()
 
             def accept_without_room(listener: socket.socket) -> socket.socket | None:
--- a/tests/upgrade/test_state.py
+++ b/tests/upgrade/test_state.py
@@ -16,7 +16,7 @@
 from magpiefront.upgrade.handover import VERSION
 from magpiefront.upgrade.json_chunks import ITEMS_PER_CHUNK, json_chunks
 from magpiefront.upgrade.old_process import HandoverServer
-from tests.sockets import run, until, world
+from tests.sockets import run, running_proxy, until
 
 NODES = 3_200
 
@@ -50,7 +50,7 @@
 @pytest.mark.parametrize("ban", [False, True])
 def test_the_state_of_a_large_fleet_is_sent_over_many_turns_of_the_loop(tmp_path: Path, ban: bool) -> None:
     async def main() -> None:
-        async with world(None) as w:
+        async with running_proxy(None) as w:
             entries = [entry(n) for n in range(NODES)]
             w.discovery.listing.apply({"generation": 7, "reset": True, "instances": entries})
             await until(lambda: not w.discovery.listing.pending)
@@ -90,7 +90,7 @@
 
 def test_a_list_that_is_not_yet_fully_applied_is_handed_over_without_its_generation() -> None:
     async def main() -> None:
-        async with world(None) as w:
+        async with running_proxy(None) as w:
             entries = [entry(n) for n in range(999)]
             w.discovery.listing.apply({"generation": 7, "reset": True, "instances": entries})
             assert w.discovery.listing.pending
