Reword comments of the client side of net/ and of the admin address

Docstrings that left out what is returned, pronouns without a clear noun and elliptic comments now say what the code does. close_idle named a parameter that does not exist. Local and private names: wanted and wants are for_client and is_status_for_client, places is addresses, going is batch, advice is after_s, note is cache_result; left and elapsed carry their unit.

--- a/magpiefront/net/admin.py
+++ b/magpiefront/net/admin.py
@@ -5,8 +5,8 @@
     disable-server ID     OK; that cache node gets no more requests
     enable-server ID      OK; that cache node may be used again
 
-Anything else is answered with ERR and the reason. The number of connections, the bytes of a command and its
-time are limited. A response must come within 1 s under any load.
+Anything else is answered with ERR and the reason. The number of connections, the bytes of a command and the
+time for it are limited. A response must come within 1 s under any load.
 """
 
 from __future__ import annotations
@@ -21,10 +21,10 @@
 
 MAX_CALLERS = 24  # open connections; as many descriptors are reserved for them
 MAX_LINE_BYTES = 1024  # of a command; what follows its first line is dropped
-COMMAND_TIMEOUT_S = 8.0  # for a complete command
+COMMAND_TIMEOUT_S = 8.0  # for a complete command to arrive, and then for the response to be written
 MIN_CALLER_AGE_S = 0.1  # a newer connection is not closed in favour of another
 LINGER_S = 1.0  # for a caller to close its side once it has its response
-MAX_ACCEPTS_PER_TURN = 16  # of the event loop
+MAX_ACCEPTS_PER_TURN = 16  # connections accepted in one turn of the event loop
 SERVER_ID = re.compile(r"[!-~]{1,256}")
 
 
@@ -62,7 +62,9 @@
 
 
 class AdminConnection:
-    """One connection: reads until a line is complete, responds, and closes once the caller has closed."""
+    """One connection: reads until a line is complete, responds, and closes once the caller has closed.
+    `began` is the loop time at which it was accepted or, if it is answered, at which the response was
+    ready."""
 
     __slots__ = ("admin", "answered", "began", "received", "socket", "unsent")
 
@@ -175,9 +177,9 @@
             caller.read()  # what has already arrived need not wait for the next turn of the loop
 
     def _make_room(self) -> bool:
-        """Closes a connection in favour of a new one, against callers that send nothing or stay after their
-        response: the oldest, or, if even that is so new that its command may still come, one that has its
-        whole response. False if there is none to close."""
+        """Closes a connection in favour of a new one, so that callers that send nothing, or stay connected
+        after their response, don't lock others out. That is the oldest connection or, if even its command may
+        still arrive, one whose response is written. Returns False if there is none to close."""
         candidate = next(iter(self.callers))
         if self.loop.time() - candidate.began < MIN_CALLER_AGE_S:
             candidate = next((c for c in self.callers if c.answered and not c.unsent), candidate)
@@ -187,7 +189,7 @@
         return True
 
     def sweep(self) -> None:
-        """Ends connections that have exceeded their time; to be called regularly."""
+        """Ends connections whose timeout has expired; to be called regularly."""
         now = self.loop.time()
         for caller in list(self.callers):
             elapsed_s = now - caller.began
--- a/magpiefront/net/downstream.py
+++ b/magpiefront/net/downstream.py
@@ -18,14 +18,14 @@
 from magpiefront.net.request import METHODS, SINGLE_VALUED, Request, Stage
 from magpiefront.net.socket_state import SocketState, since_last_data_s
 
-# A connection that can't be served is answered or closed within 3 s of connecting: these timeouts, and half a
-# second between two sweeps.
-HEAD_TIMEOUT_S = 2.0  # for a whole head, and for a body of which nothing more comes
+# A connection that can't be served is answered or closed within 3 s of connecting: at the first sweep after
+# one of these timeouts, with half a second between two sweeps.
+HEAD_TIMEOUT_S = 2.0  # for a complete head, and for the next bytes of a body
 IDLE_TIMEOUT_S = 2.0  # for a connection on which no request is open
-MIN_EVICTION_IDLE_S = 0.2  # without progress, before a connection may be closed to make room for another
-STALL_TIMEOUT_S = 20.0  # for a whole body, and for a client that does not read its answer
+MIN_EVICTION_IDLE_S = 0.2  # without progress; only then may a connection be closed to make room for another
+STALL_TIMEOUT_S = 20.0  # for a complete body, and for a client that does not read its answer
 LINGER_TIMEOUT_S = 1.5  # how long a closed connection is read from, so that no RST destroys its last answer
-MAX_PIPELINED_REQUESTS = 32  # requests that wait on one connection; further ones are refused in their turn
+MAX_PIPELINED_REQUESTS = 32  # waiting on one connection; further requests get a 503 in their turn
 
 
 class FrontRuntime(Protocol):
@@ -66,8 +66,8 @@
     """A client's HTTP/1.1 connection, and the `Responder` of its requests.
 
     One request is served at a time (`request`); further ones wait in `queued`. `incoming` is the request
-    that is being parsed. `lingering`: its sending side is closed, and what comes is read and dropped.
-    `closing`: no further request is taken.
+    that is being parsed. `lingering`: the connection's sending side is closed, and what arrives is dropped.
+    `closing`: no further request is accepted.
     """
 
     methods = METHODS
@@ -86,10 +86,10 @@
         self.excess_requests = 0  # requests beyond MAX_PIPELINED_REQUESTS, which get a 503 each
         self.closing = self.lingering = self.chunked = False
         self.reading = self.writable = True
-        self.served = self.in_message = False  # whether it has had an answer; whether a message is being read
+        self.served = self.in_message = False  # whether a request was served; whether a message is being read
         # For the timeouts: when the current message began, and when bytes last passed.
         self.message_began_at = self.last_progress_at = front.loop.time()
-        self.accept_delay_us = 0  # the longest that it may have waited to be accepted
+        self.accept_delay_us = 0  # the longest time that it may have waited to be accepted
         self.size: int = 0  # of the body that is being read, in bytes
         self.socket_state: SocketState | None = None  # created at its first use
 
@@ -111,8 +111,8 @@
         return self.idle and not self.transport.get_write_buffer_size()
 
     def client_gone(self) -> bool:
-        """Whether the client has closed the connection, also where the event loop has not read this yet. If
-        so, its requests are given up."""
+        """Whether the client has closed the connection, even if the event loop has not read this yet. If it
+        has, its requests are cancelled."""
         if not self.lingering and not self.transport.is_closing() and not self._socket_state().closed():
             return False
         self._client_left()
@@ -133,7 +133,7 @@
         self.front.client_lost(self)
         self._client_left()
         super().connection_lost(exc)
-        del self.incoming  # it refers back to this connection, which would live until the collector runs
+        del self.incoming  # its reference back would keep this object until the garbage collector runs
 
     def eof_received(self) -> bool:
         self._client_left()
@@ -176,7 +176,8 @@
         self._update_reading()
 
     def _reject(self, status: int) -> None:
-        """Ends a connection whose framing is lost: queues one last answer behind those that are due."""
+        """Ends a connection whose current message can't be read to its end: queues an answer with this status
+        behind those that are due, and accepts no further request."""
         if self.closing:
             return
         request, self.incoming = self.incoming, Request(self)
@@ -193,8 +194,8 @@
             request.keep_alive = False
 
     def _update_reading(self) -> None:
-        """Pauses or resumes reading. Reading goes on while a request is served, so that a hang-up of the
-        client is seen and the time of its next requests counts from their arrival; it pauses where the queue
+        """Pauses or resumes reading. Reading goes on while a request is served, so that a disconnect of the
+        client is noticed and the time of its next requests counts from their arrival. It pauses if the queue
         is full or request bodies take too much memory."""
         bodies = self.front.bodies
         if self.reading and not self.queued and not self.excess_requests and bodies.used <= bodies.limit:
@@ -209,7 +210,7 @@
                 self.transport.pause_reading()
 
     def resume_reading(self) -> None:
-        """Request bodies take less memory again (`BodyReader`)."""
+        """Called when request bodies take less memory again (see `BodyReader`)."""
         if not self.lingering:
             self.last_progress_at = self.front.loop.time()
             self._update_reading()
@@ -296,8 +297,9 @@
         self.queued.append(request)
 
     def _queue_delay_us(self) -> int:
-        """How long (microseconds) the first request of a connection has lain unread because the connection
-        had to wait to be accepted: the request's time counts from the arrival of its last byte."""
+        """How long (microseconds) the first request of a connection could not be read because the connection
+        waited to be accepted; 0 for later requests. A request's time counts from the arrival of its last
+        byte."""
         max_delay_us, self.accept_delay_us = self.accept_delay_us, 0
         return min(max_delay_us, int(since_last_data_s(self.transport) * 1e6)) if max_delay_us else 0
 
@@ -353,7 +355,7 @@
         self.chunked = length is None
         request.keep_alive = not self._closes_after(request)
         if not request.keep_alive:
-            self.closing = True  # the head says `Connection: close`: no further request is taken
+            self.closing = True  # the head says `Connection: close`: no further request is accepted
         self.transport.write(head(status, length, more, not request.keep_alive))
 
     def write_body(self, request: Request, body: bytes) -> None:
@@ -381,8 +383,8 @@
         return not request.keep_alive or (self.front.ending and not self._more_pending())
 
     def _more_pending(self) -> bool:
-        """Whether a request waits, or part of one has come, read or unread. It would get no answer if the
-        connection were closed now."""
+        """Whether a request waits, or at least part of one has arrived, even if it is unread. It would get no
+        answer if the connection were closed now."""
         return self._answers_due or not self.between_messages or self._socket_state().readable()
 
     def _finish_answer(self, request: Request, close: bool) -> None:
@@ -392,7 +394,8 @@
         if close:
             self.linger()
         elif self._answers_due:
-            # In a later turn of the loop: a long queue of requests that are answered at once would recurse.
+            # In a later turn of the loop: a long queue of requests that are answered at once would otherwise
+            # lead to a deep recursion.
             self.front.loop.call_soon(self._continue)
         else:
             self._update_reading()
@@ -403,7 +406,7 @@
             self._update_reading()
 
     def linger(self) -> None:
-        """Closes the sending side, and reads and drops what still comes for LINGER_TIMEOUT_S. Closing a
+        """Closes the sending side, and reads and drops what still arrives for LINGER_TIMEOUT_S. Closing a
         socket with unread bytes sends an RST, which can destroy the answer before the client has read it."""
         if self.lingering or self.transport.is_closing():
             return
@@ -416,13 +419,13 @@
             self.transport.resume_reading()
 
     def end_idle(self) -> None:
-        """Ends an idle connection, unless a request has come that the event loop has not read yet. A client
-        that sends one from now on finds the connection closed, and sends it again on another."""
+        """Ends an idle connection, unless a request has arrived that the event loop has not read yet. If a
+        client sends one later, it finds the connection closed, and sends it again on another one."""
         if not self.transport.is_closing() and not self._socket_state().readable():
             self.linger()
 
     def sweep(self, now: float) -> None:
-        """Closes the connection or answers 408 where a timeout is over. `now` is the event loop's time."""
+        """Closes the connection or answers 408 if a timeout has expired. `now` is the event loop's time."""
         idle_s = now - self.last_progress_at
         if self.lingering:
             if idle_s > LINGER_TIMEOUT_S and (self.writable or idle_s > STALL_TIMEOUT_S):
@@ -434,8 +437,8 @@
         elif not self.reading or (self.between_messages and not self.idle):
             return
         elif self.idle:
-            # Also a connection that has served requests: clients that send one and stay connected would in
-            # time hold every descriptor.
+            # This includes connections that have served requests. Otherwise, clients that send one request
+            # and stay connected would in time hold every descriptor.
             if idle_s > IDLE_TIMEOUT_S:
                 self.end_idle()
         elif (
--- a/magpiefront/net/front.py
+++ b/magpiefront/net/front.py
@@ -15,14 +15,14 @@
 from magpiefront.net.shutdown import MIN_IDLE_S
 
 ACCEPT_RETRY_S = 0.05  # after a shortage of room or descriptors, until accepting is tried again
-MAX_EVICTIONS = 32  # connections closed at once to make room
+MAX_EVICTIONS = 32  # at most so many connections are closed at once to make room
 MAX_ACCEPTS = 64  # connections accepted in one turn of the event loop
 
 
 class Front:
     """The listening socket and the connections of clients, of which there are at most `max_clients`.
 
-    `stopping`: the process ends. `refusing`: new connections are refused by the kernel.
+    `stopping`: the process is shutting down. `refusing`: new connections are refused by the kernel.
     """
 
     client_type: type[ClientConnection] = ClientConnection
@@ -32,7 +32,7 @@
         self.loop = runtime.loop
         self.clients: dict[ClientConnection, None] = {}
         self.handed_over = False  # whether another process accepts connections in place of this one
-        self.opening: set[asyncio.Task[object]] = set()
+        self.opening: set[asyncio.Task[object]] = set()  # the running tasks of `_open`
         self.stopping = self.accepting = self.refusing = False
         self.shared = False  # whether another process has a copy of the listening socket
         self.queue_since_us: int | None = None  # since when connections have been waiting to be accepted
@@ -46,7 +46,8 @@
 
     @property
     def ending(self) -> bool:
-        """Whether clients are to be disconnected; not where another process takes their connections over."""
+        """Whether clients are to be disconnected because the process ends. False if another process takes
+        over their connections."""
         return self.stopping and not self.handed_over
 
     def listen_on(self, sock: socket.socket, shared: bool = False) -> None:
@@ -61,8 +62,8 @@
         self.listen_on(open_listener(host, port, shared))
 
     def release(self) -> None:
-        """Stops accepting, because another process does in its place. The socket stays open in case that
-        process ends."""
+        """Stops accepting, because another process accepts instead. The socket stays open, so that this
+        process can accept again if the other one ends."""
         self.handed_over = True
         self._accept_no_more()
 
@@ -71,19 +72,20 @@
         self.handed_over = False
         self._accept_more()
 
-    def hand_over_idle(self, give: Callable[[list[int]], bool], batch: int) -> None:
-        """Passes idle connections to another process, at most `batch` descriptors at a time; `give` returns
-        whether that process took them. Bytes that have not been read from the socket go with it."""
+    def hand_over_idle(self, send: Callable[[list[int]], bool], batch_size: int) -> None:
+        """Passes idle connections to another process, at most `batch_size` descriptors at a time. `send`
+        sends descriptors to that process and returns whether they were sent; if not, the remaining
+        connections stay here. Bytes that are still unread go with their connection."""
         idle = [c for c in self.clients if c.can_hand_over()]
-        for at in range(0, len(idle), batch):
-            going = idle[at : at + batch]
-            copies = [os.dup(c.transport.get_extra_info("socket").fileno()) for c in going]
-            given = give(copies)
+        for start in range(0, len(idle), batch_size):
+            batch = idle[start : start + batch_size]
+            copies = [os.dup(c.transport.get_extra_info("socket").fileno()) for c in batch]
+            sent = send(copies)
             for copy in copies:
                 os.close(copy)
-            if not given:
+            if not sent:
                 return
-            for c in going:
+            for c in batch:
                 c.transport.abort()  # closes this process's descriptor; the copy keeps the connection open
 
     def adopt(self, sock: socket.socket) -> ClientConnection:
@@ -110,8 +112,8 @@
         """Accepts waiting connections; returns whether there may be more of them."""
         assert self.socket is not None
         for n in range(MAX_ACCEPTS):
-            # Without room for it, a connection waits in the kernel's queue: once accepted, it could only be
-            # closed. Room is made for the first one only, for only that one is certain to be there.
+            # If there is no room, connections are left in the kernel's queue, since an accepted one could
+            # only be closed. Room is made for the first one only, as only that one is certain to wait.
             if len(self.clients) >= self.max_clients and (n or not self._make_room()):
                 if not n:
                     self._pause_accepting()
@@ -147,9 +149,9 @@
                 self.clients.pop(client, None)
 
     def _make_room(self) -> bool:
-        """Closes connections to make room, against clients that open connections and send no request or never
-        finish a head: those are closed first, then those that have been idle longest, whose clients can send
-        again on a new connection. Returns whether there is room."""
+        """Closes connections to make room for new ones. Those of clients that have sent no request or never
+        finish a head are closed first, then those that have been idle longest; their clients can send again
+        on a new connection. Returns whether there is room."""
         now = self.loop.time()
         if now < self.eviction_retry_at:
             return False
@@ -165,7 +167,7 @@
         return bool(found)
 
     def client_lost(self, client: ClientConnection) -> None:
-        """A connection is closed: there is room for another."""
+        """Forgets a connection that has closed, and accepts again if there is room for another."""
         self.clients.pop(client, None)
         if self.socket is not None and len(self.clients) < self.max_clients:
             self._accept_more()
@@ -179,8 +181,8 @@
         self._accept_more()
 
     def refuse_new(self) -> None:
-        """Lets the kernel refuse new connections: the first step of `stop_accepting`. Does nothing to a
-        socket from which another process accepts, too."""
+        """Lets the kernel refuse new connections: the step before `stop_accepting`. Changes nothing
+        if another process has a copy of the socket, since it accepts from there."""
         self.refusing = True
         if self.socket is not None and not self.shared:
             try:
@@ -191,8 +193,8 @@
                 )
 
     def stop_accepting(self, at_once: bool = True) -> None:
-        """Accepts all waiting connections, then closes the listening socket, which would reset those that
-        still wait. Without room for all of them it stays open, unless `at_once`."""
+        """Accepts all waiting connections, then closes the listening socket; the close resets those that
+        still wait. If there is no room for all of them, the socket stays open, unless `at_once`."""
         if self.socket is None:
             return
         while not self.handed_over and self._accept():
@@ -203,11 +205,11 @@
             self.socket = None
 
     def close_idle(self, min_idle_s: float = MIN_IDLE_S) -> None:
-        """Ends connections that have been idle for `rested_s` seconds."""
-        rested_since = self.loop.time() - min_idle_s
+        """Ends connections that have been idle for at least `min_idle_s` seconds."""
+        idle_since = self.loop.time() - min_idle_s
         for client in list(self.clients):
             transport = client.transport
             if transport is None or client.lingering or transport.is_closing():
                 continue
-            if client.idle and client.last_progress_at <= rested_since:
+            if client.idle and client.last_progress_at <= idle_since:
                 client.end_idle()
--- a/magpiefront/net/passing.py
+++ b/magpiefront/net/passing.py
@@ -1,6 +1,6 @@
 """Client connections, node connections and a proxy that pass fields and statuses on (RFC 9110, 7.6).
 
-Stages that need them have them chosen once, at the start, so that the ordinary path has no branch for them.
+They are chosen once, at the start, if a stage needs them, so that the ordinary path has no branch for them.
 """
 
 from __future__ import annotations
@@ -29,9 +29,9 @@
 from magpiefront.net.proxy import Proxy
 from magpiefront.net.request import METHODS, READ_METHODS, SINGLE_VALUED, Request
 
-# Fields that may occur once only where all fields are passed on: of two lines, another recipient could use
-# the other one, and they can't be joined to a list.
-SINGLE_VALUED_HERE = SINGLE_VALUED | {
+# Fields that may occur only once if all fields are passed on: of two lines, the next recipient could use the
+# other one, and their values can't be joined to a list.
+SINGLE_VALUED_IF_FORWARDED = SINGLE_VALUED | {
     b"authorization", b"if-modified-since", b"if-unmodified-since", b"if-range", b"range",
 }  # fmt: skip
 PLAIN_METHODS = METHODS | {b"HEAD", b"POST", b"PATCH", b"DELETE", b"OPTIONS"}
@@ -46,9 +46,9 @@
 class ClientSettings:
     """What a front accepts from clients.
 
-    Requests that name no request class get `read_class` or `write_class` and the deadline `deadline_s`; where
-    that class is empty they are refused, as they are on the platform. PURGE is accepted from the addresses
-    `purge_from`.
+    Requests that name no request class get `read_class` or `write_class` and the deadline `deadline_s`; if
+    that name is empty, they are refused, as they are without these settings. PURGE is accepted from the
+    addresses in `purge_from`.
     """
 
     plain: bool = False  # whether all methods are accepted, for servers that speak plain HTTP
@@ -59,7 +59,7 @@
 
 
 def reason_phrase(status: int) -> bytes:
-    """The reason phrase of a status, also of those that only servers send."""
+    """The reason phrase of a status, also of one that only servers send; empty if the status has none."""
     phrase = REASONS.get(status)
     if phrase is None:
         try:
@@ -71,7 +71,8 @@
 
 
 class PassingClient(ClientConnection):
-    """Keeps all fields of a request in `Request.fields`, and writes answers with the fields of the caller."""
+    """Keeps all fields of a request in `Request.fields`, and writes answers with the fields that the stage
+    passes to it."""
 
     __slots__ = ()
     settings = ClientSettings()
@@ -91,7 +92,7 @@
         if before is None:
             request.headers[lower] = value
         else:
-            if lower in SINGLE_VALUED_HERE:
+            if lower in SINGLE_VALUED_IF_FORWARDED:
                 request.error = 400
             request.headers[lower] = before + (b"; " if lower == b"cookie" else b", ") + value
         request.fields.append((name, value))
@@ -120,7 +121,7 @@
 
     def answer(self, request: Request, status: int, body: Sequence[bytes] = (), more: bytes = b"") -> None:
         if not more:
-            # An answer of the front itself, or one that is no more than a status (RFC 9110, 6.6.1).
+            # An answer of the front itself, or one without fields, gets a Date (RFC 9110, 6.6.1).
             more = b"Date: %b\r\n" % formatdate(time(), usegmt=True).encode("ascii")
             if status == 405:
                 more += self.allow
@@ -132,7 +133,7 @@
             self._release_body(request)
         close = self._closes_after(request)
         if not bodiless and CONTENT_LENGTH not in more.lower():
-            # The length of the answer to GET; if the server gave one, it is among its other fields.
+            # The length that the answer to a GET would have. If the server gave one, `more` contains it.
             more += b"Content-Length: %d\r\n" % sum(len(b) for b in body)
         end = b"Connection: close\r\n\r\n" if close else b"\r\n"
         self.transport.write(b"HTTP/1.1 %d %b\r\n%b%b" % (status, phrase, more, end))
@@ -145,33 +146,33 @@
 
 
 class PassedAnswer(Answer):
-    """A node's answer with its fields. `fields` are the field lines of its head; `wanted`: it is an answer
-    for the client, and not a failure of the node."""
+    """A node's answer with its fields. `fields` are the field lines of its head; `for_client`: it is an
+    answer for the client, and not a failure of the node."""
 
-    __slots__ = ("fields", "wanted")
+    __slots__ = ("fields", "for_client")
 
     def __init__(self) -> None:
         super().__init__()
         self.fields: Fields = []
-        self.wanted = False
+        self.for_client = False
 
     def outcome(self) -> Outcome:
-        return Outcome.OK if self.wanted else super().outcome()
+        return Outcome.OK if self.for_client else super().outcome()
 
 
 class PassingConnection(NodeConnection):
-    """A connection to a cache node whose fields are passed on. A 304 is an answer if the request had a
-    condition."""
+    """A connection to a cache node whose fields are passed on. A 304 is an answer for the client if the
+    request was conditional."""
 
     __slots__ = ()
     answer_type = PassedAnswer
     answer: PassedAnswer
-    # A body that ends with the connection may be incomplete: a cache would store it, and a site pass it on,
-    # as complete.
+    # A body that ends where the connection ends may be incomplete: a cache would store it as complete, and
+    # another site would pass it on as complete.
     close_delimits = False
 
     def is_for_client(self, answer: Answer) -> bool:
-        return cast(PassedAnswer, answer).wanted
+        return cast(PassedAnswer, answer).for_client
 
     def on_header(self, name: bytes, value: bytes) -> None:
         if self.in_head and not self.complete:
@@ -185,19 +186,20 @@
         a, exchange = self.answer, self.exchange
         if a.status < 200:
             return
-        a.wanted = self.wants(a.status)
+        a.for_client = self.is_status_for_client(a.status)
         if a.status in BODILESS:
             self.framed = True
         if isinstance(exchange, Attempt) and exchange.request.method == b"HEAD":
-            # Its length is that of a body that is not sent (RFC 9112, 6.3), for which the parser would wait.
+            # The fields give the length of a body that is not sent (RFC 9112, 6.3): the parser would wait for
+            # it.
             self.framed = self.complete = True
             self.keep_alive = self.parser.should_keep_alive()
             self.parser = httptools.HttpResponseParser(self)
         else:
-            # Each front writes the length of the body that it has received.
+            # The front itself writes the Content-Length, from the body that was received.
             a.fields = [f for f in a.fields if f[0].lower() != CONTENT_LENGTH]
 
-    def wants(self, status: int) -> bool:
+    def is_status_for_client(self, status: int) -> bool:
         """Whether an answer with this status is for the client."""
         if status != 304:
             return status == 200
@@ -207,29 +209,30 @@
 
     def on_body(self, body: bytes) -> None:
         if self.complete:
-            # A body where there may be none may belong to another answer, so the connection is closed.
+            # Body bytes after an answer without a body may belong to another answer, so the connection is
+            # closed.
             self.surplus = True
             return
         super().on_body(body)
         a = self.answer
-        if not a.wanted and isinstance(self.exchange, Attempt) and a.size <= MAX_BUFFERED_BYTES:
+        if not a.for_client and isinstance(self.exchange, Attempt) and a.size <= MAX_BUFFERED_BYTES:
             a.body.append(body)
 
 
 class PlainConnection(PassingConnection):
-    """A connection to a server that speaks plain HTTP: every status but a failure of the server is an
-    answer."""
+    """A connection to a server that speaks plain HTTP: every status but a failure of the server is an answer
+    for the client."""
 
     __slots__ = ()
 
-    def wants(self, status: int) -> bool:
-        if status == 304:  # no answer to a request without a condition
-            return super().wants(status)
+    def is_status_for_client(self, status: int) -> bool:
+        if status == 304:  # for the client only if the request was conditional
+            return super().is_status_for_client(status)
         return 200 <= status < 500 or status == 501
 
 
 class PassingProxy(Proxy):
-    """A proxy that answers with the nodes' own statuses and fields. `plain`: they speak plain HTTP."""
+    """A proxy that answers with the nodes' own statuses and fields. `plain`: the nodes speak plain HTTP."""
 
     def __init__(self, config: Config, loop: asyncio.AbstractEventLoop, plain: bool) -> None:
         super().__init__(config, loop)
@@ -260,7 +263,8 @@
         if request is None or request.answered or failed is None or status not in (502, 503):
             super()._answer_status(name, status, more)
             return
-        # The Router has given the request up after a 5xx answer of a server, which tells the client more.
+        # The Router has given up on the request after a server answered 5xx. That answer tells the client
+        # more than a 502 or 503 of the proxy's own.
         cls = self.classes.get(request.headers[b"req-kind"])
         if status == 502 and failed.status == 503 and (cls is None or cls.repeat is not Repeat.SAFE):
             # To clients of this proxy, 503 means that a repeat is harmless; plain servers don't promise that.
@@ -283,7 +287,7 @@
 
 
 def forward_fields(front: Front, clients: ClientSettings) -> None:
-    """Makes a front pass all fields on. To be called before it listens."""
+    """Makes a front pass all fields on. To be called before the front listens."""
     methods = allowed_methods(clients)
     allow = b"Allow: %b\r\n" % b", ".join(sorted(methods))
     if clients.purge_from:
--- a/magpiefront/net/proxy.py
+++ b/magpiefront/net/proxy.py
@@ -35,9 +35,9 @@
 
 Args = TypeVarTuple("Args")
 
-TIMEOUT_SLACK_US = 15_000  # after its deadline, until a request without an answer gets a 504
-MAX_LOG_LINES, LOG_PERIOD_S = 20, 10.0  # at most so many log lines in each period
-LONG_TURN_S = 0.05  # an event is logged where the event loop runs later than this
+TIMEOUT_SLACK_US = 15_000  # from a request's deadline until it gets a 504 if no answer has come
+MAX_LOG_LINES, LOG_PERIOD_S = 20, 10.0  # at most so many lines are logged in each period (seconds)
+LONG_TURN_S = 0.05  # event loop lag above which a `turn` event is logged
 SLICE_PAUSE_S = 0.002  # between two slices of long work while requests are open
 SLICE_PAUSE_BEHIND_S = 0.01  # between two slices of long work while requests are shed for loop lag
 
@@ -48,12 +48,12 @@
 
 
 def lag_limit_s(config: Config) -> float:
-    """The loop lag (seconds) above which requests are shed: a part of the shortest latency aim of a class."""
+    """The loop lag (seconds) above which requests are shed: a part of the shortest latency objective."""
     return LAG_LIMIT_FRACTION * min(c.aim_us for c in config.settings.classes) / 1e6
 
 
 class Proxy:
-    """Runs the Router over the pool of node connections, as the last stage that requests come to.
+    """Runs the Router over the pool of node connections. It is the last stage that a request passes through.
 
     `head_of` formats the field lines of a node's answer that are passed on to the client.
     """
@@ -70,19 +70,19 @@
         self.requests: dict[str, Request] = {}
         self.classes = classes_by_name(config)
         self.metrics = Metrics(self.classes)
-        self.operator_call_accepted = False  # whether the Router accepted the latest operator's call
+        self.operator_command_accepted = False  # whether the Router accepted the operator's latest command
         self.streams: dict[Attempt, None] = {}  # attempts whose long answers are being passed on
         self.max_node_connections = max(16, int((config.sockets - 32) * 0.4))
         self.pool = Pool(loop, self.max_node_connections, config.connect_timeout_us, config.conn_idle_us)
         self.pool.on_stray = self._log_stray
-        # Called with a target whose latest answer may have been meant for another request.
+        # Called with a request target if the latest answer to it may have belonged to another request.
         self.on_unsolicited_answer: Callable[[bytes], None] = lambda target: None
         self.lag = LoopLag(config.seed, lag_limit_s(config))
         self.events_log = EventLog(loop.time)
-        self.list_received_at = 0  # when discovery's latest list was applied, in µs of `now_us`; 0: never
-        self.on_watch: Callable[[], None] = lambda: None
+        self.list_received_at = 0  # `now_us` when discovery's latest list was applied; 0: never
+        self.on_watch: Callable[[], None] = lambda: None  # called when the Router asks for the server list
         self.log_lines_left, self.log_period_start, self.log_lines_dropped = MAX_LOG_LINES, 0.0, 0
-        self.answer_by_us: int | None = None  # at shutdown: when every request must have an answer
+        self.answer_by_us: int | None = None  # at shutdown: `now_us` by which all requests are answered
         self.head_of = content_type
 
     def configure(self, config: Config) -> None:
@@ -119,11 +119,13 @@
         self.loop.call_later(TICK_S, self.tick)
 
     def now_us(self) -> int:
-        """Microseconds since the epoch as of the start; monotonic, whatever the system clock does later."""
+        """The host's clock: microseconds since the Unix epoch by the system clock at the start, and monotonic
+        from then on, whatever the system clock does."""
         return monotonic_ns() // 1000 + self.wall_clock_offset_us
 
     def log(self, text: str) -> None:
-        """Writes a line to standard error. Lines beyond the limit of a period are counted and left out."""
+        """Writes a line to standard error. Lines above the limit of a period are dropped, and their number is
+        logged in a later period."""
         now = self.loop.time()
         if now - self.log_period_start > LOG_PERIOD_S:
             if self.log_lines_dropped:
@@ -138,8 +140,8 @@
     # ---- the Router
 
     def dispatch(self, event: Event) -> None:
-        """Hands an event to the Router and carries its actions out. Called again from within an action, it
-        queues the event, which is handled when the actions before it have been carried out."""
+        """Hands an event to the Router and carries out its actions. If this is called while an action is
+        carried out, it queues the event, which is handled after the remaining actions."""
         if self.dispatching:
             self.events.append(event)
             return
@@ -173,8 +175,10 @@
                         attempt.end(Outcome.CANCELLED)
             case Refuse():
                 self._log_refusal(action.request)
-                advice = action.retry_after_us / 1e6
-                self._answer_status(action.request, 503, b"Retry-After: %.3f\r\n" % advice if advice else b"")
+                after_s = action.retry_after_us / 1e6
+                self._answer_status(
+                    action.request, 503, b"Retry-After: %.3f\r\n" % after_s if after_s else b""
+                )
             case Fail():
                 request = self.requests.get(action.request)
                 self.events_log.emit("failed", Reason.EXHAUSTED, request=action.request)
@@ -189,7 +193,7 @@
             case LogMessage():
                 self.log(action.text)
             case OperatorResult():
-                self.operator_call_accepted = action.accepted
+                self.operator_command_accepted = action.accepted
 
     def schedule_slice(self, call: Callable[[Unpack[Args]], object], *args: Unpack[Args]) -> None:
         """Schedules the next slice of long work (server lists, placement): in the next turn of the event loop
@@ -250,8 +254,8 @@
 
     def _after_reading(self, call: Callable[[Unpack[Args]], None], *args: Unpack[Args]) -> None:
         """Calls `call` once the event loop has run the overdue callbacks and has read what has arrived:
-        answers, drains, hang-ups of clients. The loop polls its sockets between two turns, so two nested
-        `call_soon` have one poll between them."""
+        answers, lists with draining nodes, disconnects of clients. The loop polls its sockets once between
+        two turns, so one poll lies between two nested `call_soon`."""
         self.loop.call_soon(self.loop.call_soon, call, *args)
 
     def _answer_status(self, name: str, status: int, more: bytes = b"") -> None:
@@ -270,15 +274,16 @@
         self._drop_if_finished(request)
 
     def _drop_if_finished(self, request: Request) -> None:
-        """Forgets a request that is answered and has no attempt in flight. Otherwise memory would grow with
-        every request, and once `max_open` requests had ever come, all further ones would be refused."""
+        """Removes a request that is answered and has no attempt in flight. If it were kept, memory would grow
+        with every request, and after `max_open` requests in all, every further one would be refused."""
         if request.answered and not request.in_flight:
             self.requests.pop(request.name, None)
 
     # ---- requests
 
     def answer_all_by(self, at_us: int) -> None:
-        """Answers every request, open or still to come, by this time: the process is shutting down."""
+        """Makes `at_us` the latest deadline of every request, open or still to come, because the process is
+        shutting down."""
         self.answer_by_us = at_us
         now = self.now_us()
         for request in self.requests.values():
@@ -288,11 +293,12 @@
                     request.timeout_timer.cancel()
                 request.timeout_timer = self._start_timeout_timer(request, max(0, at_us - now))
 
-    def _start_timeout_timer(self, request: Request, left: int) -> TimerHandle:
-        return self.loop.call_later((left + TIMEOUT_SLACK_US) / 1e6, self._answer_overdue, request)
+    def _start_timeout_timer(self, request: Request, left_us: int) -> TimerHandle:
+        return self.loop.call_later((left_us + TIMEOUT_SLACK_US) / 1e6, self._answer_overdue, request)
 
     def submit(self, request: Request) -> None:
-        """Takes a request: 503 if a limit of the proxy is reached, 409 if an open request has the same id."""
+        """Hands a request to the Router. Answers 503 if a limit of the proxy is reached, and 409 if an open
+        request has the same id."""
         reason = self._refusal_reason()
         if reason is not None:
             self.events_log.emit("refused", reason, request=request.wire_id.decode("latin-1"))
@@ -315,15 +321,15 @@
         request.deadline = request.received_at + request.time_left
         if self.answer_by_us is not None:
             request.deadline = min(request.deadline, self.answer_by_us)
-        left = max(0, request.deadline - now)
-        request.timeout_timer = self._start_timeout_timer(request, left)
+        left_us = max(0, request.deadline - now)
+        request.timeout_timer = self._start_timeout_timer(request, left_us)
         headers = request.headers
         cls = request.cls or self.classes.get(headers[b"req-kind"])
         self.dispatch(
             Arrived(
                 request.name,
                 cls.name if cls is not None else "",
-                left,
+                left_us,
                 bytes_hash(request.key),
                 headers[b"req-owner"].decode("latin-1") if b"req-owner" in headers else None,
                 int(headers[b"req-cost"]) if b"req-cost" in headers else 0,
@@ -334,7 +340,7 @@
         )
 
     def _refusal_reason(self) -> Reason | None:
-        """Why no further request can be taken now; None if it can."""
+        """Why a further request is refused now; None if it is not."""
         if len(self.requests) >= self.config.max_open:
             return Reason.CROWDED
         return Reason.BEHIND if self.lag.should_shed() else None
@@ -344,7 +350,7 @@
             not request.answered and request.in_flight and not after_reading
             and self.lag.is_behind(self.now_us() / 1e6)
         ):  # fmt: skip
-            self._after_reading(self._answer_overdue, request, True)  # its answer may lie unread
+            self._after_reading(self._answer_overdue, request, True)  # its answer may be unread
         elif not request.answered:
             late_ms = (self.now_us() - request.deadline) // 1000
             self.events_log.emit("late", Reason.OVERDUE, request=request.name, late_ms=late_ms)
@@ -372,8 +378,8 @@
     # ---- attempts
 
     def may_time_out(self, attempt: Attempt) -> bool:
-        """Whether an attempt may time out now. If the event loop runs behind, its answer may lie unread: then
-        its expiry is scheduled once more, after reading."""
+        """Whether an attempt may time out now. If the event loop runs late, the answer may have arrived but
+        not been read: then this returns False once, and schedules the expiry again for after the reading."""
         if attempt.late_check_done or not self.lag.is_behind(self.now_us() / 1e6):
             return True
         attempt.late_check_done = True
@@ -381,7 +387,8 @@
         return False
 
     def attempt_ended(self, attempt: Attempt, outcome: Outcome, answer: Answer | None) -> None:
-        """An attempt has ended: answers the client if it was served, and tells the Router the outcome."""
+        """Called when an attempt has ended: passes its answer to the client if it succeeded, and reports the
+        outcome to the Router."""
         if attempt.streaming:
             self._stream_ended(attempt, outcome)
             return
@@ -395,20 +402,21 @@
     def _report_outcome(self, attempt: Attempt, outcome: Outcome, answer: Answer | None) -> None:
         request = attempt.request
         request.in_flight -= 1
-        note = answer.cache_result if answer is not None else 0
+        cache_result = answer.cache_result if answer is not None else 0
         report = answer.report if answer is not None else None
-        elapsed = self.now_us() - attempt.sent_at
+        elapsed_us = self.now_us() - attempt.sent_at
         self.dispatch(
             AttemptEnded(
-                request.name, attempt.number, attempt.node.name, outcome, elapsed, request.answered, note,
-                report,
+                request.name, attempt.number, attempt.node.name, outcome, elapsed_us, request.answered,
+                cache_result, report,
             )
         )  # fmt: skip
         self._drop_if_finished(request)
 
     def stream_began(self, attempt: Attempt, answer: Answer) -> None:
-        """The head of a long answer has come. A request's latency counts up to the first bytes of its answer,
-        so the Router is told the outcome now; the rest passes between the two connections without it."""
+        """Begins to pass on a long answer, whose head has been read. A request's latency counts up to the
+        first bytes of its answer, so the outcome is reported to the Router now; it takes no part in the rest
+        of the transfer."""
         request = attempt.request
         self._mark_answered(request)
         request.streaming_attempt = attempt
@@ -447,22 +455,24 @@
         node.begin(probe)
 
     def probed(self, probe: ProbeExchange, outcome: Outcome, answer: Answer | None) -> None:
-        """A probe has ended: tells the Router, with the load report if the node gave one."""
+        """Reports the outcome of a probe to the Router, with the load report if the node gave one."""
         report = answer.report if answer is not None else None
         if self.config.load_path and answer is not None and outcome is Outcome.OK:
             report = parse_load_report(b"".join(answer.body))
         self.dispatch(ProbeEnded(probe.node.name, outcome, self.now_us() - probe.sent_at, report))
 
     def set_excluded(self, server: str, out: bool, known: bool = False) -> bool:
-        """Takes a node out (`out`) or back in at an operator's call, and returns whether the Router accepted.
-        Must not be called from within an action: the Router's result has to be there on return."""
+        """Excludes a node (`out`) or includes it again, at an operator's command. Returns whether the Router
+        accepted. `known`: another process of this proxy knows the node, even if this one does not. Must not
+        be called while an action is carried out: `dispatch` would queue the event and return without the
+        Router's result."""
         self.dispatch(Exclude(server, known) if out else Include(server))
         node = self.pool.nodes.get(server)
-        if self.operator_call_accepted and node is not None:
+        if self.operator_command_accepted and node is not None:
             node.excluded = out
             if out:
                 node.close_idle()  # the node is about to be restarted
-        return self.operator_call_accepted
+        return self.operator_command_accepted
 
     def forbid(self, names: Sequence[str]) -> None:
         """Sends nothing new to these nodes from now on."""
@@ -470,16 +480,17 @@
             self.pool.set_node_address(name, None)
         self.dispatch(StopSending(names))
 
-    def list_changed(self, server_list: ServerList, places: dict[str, Address]) -> None:
-        """Applies a server list. `places` holds the addresses of its nodes; nothing is sent any more to nodes
-        without one."""
+    def list_changed(self, server_list: ServerList, addresses: dict[str, Address]) -> None:
+        """Applies a server list. `addresses` has the addresses of its nodes by name; nothing more is sent to
+        a node that has none."""
         self.list_received_at = self.now_us()
         for entry in server_list.entries:
-            self.pool.set_node_address(entry.server, places.get(entry.server))
+            self.pool.set_node_address(entry.server, addresses.get(entry.server))
         self.dispatch(server_list)
 
     def sweep(self) -> None:
-        """Closes idle connections to nodes that are past their time, and ends stalled answers."""
+        """Closes connections to nodes that have been idle for too long, and ends attempts whose streamed
+        answer has stalled."""
         self.pool.sweep()
         now = self.loop.time()
         for attempt in list(self.streams):
--- a/magpiefront/net/request.py
+++ b/magpiefront/net/request.py
@@ -20,7 +20,7 @@
 TARGET = re.compile(rb"/(?:[!$&-;=?-Z_a-z~]|%[0-9A-Fa-f]{2})*")
 DOT_SEGMENTS = re.compile(rb"/(?:\.|%2[eE]){1,2}(?:/|$)")
 HOST = re.compile(rb"(?:(?:[\w.~!$&'()*+,;=-]|%[0-9A-Fa-f]{2})*|\[[0-9A-Fa-f:.]+\])(?::\d*)?", re.ASCII)
-# Fields that may occur once only: of two lines, another recipient could use the other one (RFC 9110, 5.3).
+# Fields that may occur only once: of two lines, the next recipient could use the other one (RFC 9110, 5.3).
 SINGLE_VALUED = frozenset({
     b"host", b"content-length", b"transfer-encoding", b"content-type", b"expect", b"idempotency-key",
     b"req-id", b"req-kind", b"req-owner", b"req-deadline", b"req-retry", b"req-cost", b"req-extra",
@@ -42,7 +42,7 @@
 
     @property
     def begun(self) -> bool:
-        """Whether any byte of it has been written to a server."""
+        """Whether any byte of the attempt has been written to a server."""
 
     def end(self, outcome: Outcome) -> None:
         """Ends the attempt with this outcome."""
@@ -55,7 +55,7 @@
 
 
 class Responder(Protocol):
-    """Takes the one final answer to a request: one call of `answer`, or one of `begin`, any number of
+    """Receives the one final answer to a request: one call of `answer`, or one of `begin`, any number of
     `write_body`, and then `end` or `abort`. `more` holds formatted field lines, each ended by CRLF."""
 
     def answer(self, request: Request, status: int, body: Sequence[bytes] = (), more: bytes = b"") -> None:
@@ -79,10 +79,10 @@
     through its `responder`, save those reported to `client_left`."""
 
     def submit(self, request: Request) -> None:
-        """Takes a request over."""
+        """Takes over a request, and with it the duty to answer it."""
 
     def client_left(self, request: Request) -> None:
-        """The client has closed its connection and gets no answer any more."""
+        """The client has closed its connection and can no longer be answered."""
 
     def pause_response(self, request: Request) -> None:
         """The client reads a long answer too slowly: no more of it may be written for now."""
@@ -108,15 +108,16 @@
 class Request:
     """A client's request, from its first byte until it is answered and all its attempts have ended.
 
-    Times are microseconds of the host's clock: `received_at` (when the request had come in full), `deadline`,
-    and `time_left` (from `received_at` to the deadline). `size` is that of the body, in bytes.
+    Times are microseconds of the host's clock: `received_at` (when the request had arrived in full),
+    `deadline`, and `time_left` (from `received_at` to the deadline). `size` is that of the body, in bytes.
 
     `error` is the status that an invalid head is answered with, or 0. `headers` has its names in lower case.
-    `fields` holds the head's field lines in their order; it is set only where a front passes them on.
-    `execution` is set only where a stage needs to know whether the request may have run. `extra_fields` are
-    field lines that are added when the request is sent to a node. `name` identifies the request among those
-    that are open. `in_flight` counts the attempts that have not ended. `client_gone` asks the kernel whether
-    the client has closed its connection; None where no client waits for this very request, as for a clone.
+    `fields` holds the head's field lines in their order; it is set only if a front passes them on.
+    `execution` is set only if a stage needs to know whether the request may have run. `extra_fields` are
+    field lines that are added when the request is sent to a node. `wire_id` is the value of `Req-Id`; `name`
+    is made from it and identifies the request among those that are open. `in_flight` counts the attempts that
+    have not ended. `client_gone` asks the kernel whether the client has closed its connection; it is None if
+    no client waits for this very request, as with a clone.
     """
 
     fields: list[tuple[bytes, bytes]]
@@ -151,7 +152,7 @@
         return (target.partition(b"?")[0] if b"?" in target else target).rpartition(b"/")[2]
 
     def clone(self, responder: Responder) -> Request:
-        """A copy for a stage that sends the request on and itself answers those who wait for it."""
+        """A copy for a stage that sends the request on and answers the waiting clients itself."""
         clone = Request(responder)
         clone.method, clone.target, clone.wire_id, clone.extra_fields = (
             self.method, self.target, self.wire_id, self.extra_fields
@@ -164,8 +165,8 @@
         return clone
 
     def has_ambiguous_framing(self, version: str) -> bool:
-        """Whether another recipient could see the end of this message elsewhere (RFC 9112, 6.1 and 6.3). The
-        parser has refused what it can't read, but it accepts transfer codings that are not decoded here, and
+        """Whether another recipient could find the end of this message elsewhere (RFC 9112, 6.1 and 6.3). The
+        parser refuses what it can't read, but it accepts transfer codings that are not decoded here, and
         transfer codings in HTTP versions that have none."""
         if version != "1.1" and version != "1.0":
             return True
