Reword comments of configuration, shutdown and upgrade

Constants now say what they bound and in which unit; docstrings name errors and results; "is told", "held up", "is owed" and "where" for "if" are gone. The limit of node connections that a new process keeps is max_node_connections, not max_nodes.

--- a/magpiefront/net/admin_commands.py
+++ b/magpiefront/net/admin_commands.py
@@ -16,7 +16,7 @@
         self.extra_metrics: Callable[[], str] = str  # the metric lines of optional stages
         # Disables or enables a cache node; False if there is no node with that id.
         self.apply_override: Callable[[str, bool], bool] = proxy.set_excluded
-        # Called after each command that was carried out, with the id and whether the node is disabled.
+        # Called with a node's id and whether it is disabled, after each command that was carried out.
         self.on_override: Callable[[str, bool], None] = lambda server, out: None
 
     def ready(self) -> str:
@@ -26,7 +26,7 @@
         return "" if self.front.socket is not None else "it does not listen yet"
 
     def show_stat(self) -> str:
-        """All metrics, one a line. The age of the list is -1 if discovery has sent none yet."""
+        """All metrics, one a line. The age of the server list is -1 if discovery has sent none yet."""
         router = self.proxy.router
         proxy = self.proxy
         age_ms = (proxy.now_us() - proxy.list_received_at) // 1000 if proxy.list_received_at else -1
--- a/magpiefront/net/bodies.py
+++ b/magpiefront/net/bodies.py
@@ -16,7 +16,8 @@
 
 class BodyMemory:
     """Counts the memory that request bodies take, in bytes. Above `limit`, connections that read a body are
-    paused, save one (`exempt`) that reads to the end of its body, so that memory always comes free again."""
+    paused, except for one (`exempt`) that reads to the end of its body, so that memory is always freed
+    again."""
 
     def __init__(self, limit: int) -> None:
         self.limit, self.used = limit, 0
@@ -30,7 +31,8 @@
             self.exempt = reader
 
     def must_pause(self, reader: BodyReader) -> bool:
-        """Whether the connection may not read on now. If so, its `resume_reading` is called once it may."""
+        """Whether the connection must stop reading now. If so, its `resume_reading` is called when it may
+        read on."""
         if self.used <= self.limit or reader is self.exempt or not reader.size:
             return False
         self.paused[reader] = None
--- a/magpiefront/net/config.py
+++ b/magpiefront/net/config.py
@@ -30,12 +30,12 @@
     seed: int
     settings: Settings
     initial_list: Any  # the server list to start with, in discovery's format, or None
-    watches_discovery: bool  # whether it asks discovery itself; otherwise an agent on this machine
+    watches_discovery: bool  # whether the proxy calls discovery itself; else an agent on this machine
     connect_timeout_us: int = 250_000
     conn_idle_us: int = 15_000_000
-    max_open: int = 20_000
-    load_path: bytes | None = None  # where probes get the load report, if not from /health
-    sockets: int = 1024
+    max_open: int = 20_000  # limit of open requests
+    load_path: bytes | None = None  # path from which probes get the load report, if not /health
+    sockets: int = 1024  # limit of file descriptors
     memory_mb: int = 192
     admin: Address | None = None  # the address for operators' commands
     keys: frozenset[str] = frozenset()  # the keys of the file, which a reloaded file must have too
@@ -67,7 +67,8 @@
 
 
 def read_int(fields: dict[str, Any], name: str, default: int, minimum: int) -> int:
-    """A number of at least `minimum`, without its fraction. Raises BadConfig."""
+    """The number under key `name`, or `default`, truncated to an integer. Raises BadConfig if the value is
+    not a number of at least `minimum`."""
     value = fields.get(name, default)
     if isinstance(value, bool) or not isinstance(value, int | float) or value < minimum:
         raise BadConfig(f"{name} must be a number of at least {minimum}")
@@ -96,8 +97,8 @@
 
 def keys_of(given: dict[str, Any]) -> frozenset[str]:
     """The paths of the keys that a file contains, such as `settings.rules.coldUs`. Left out are those that
-    a later file may lack for good reason: the server list, the name and addresses of this process, its peers,
-    and the classes."""
+    a valid later file may lack: the server list, the name and addresses of this process, its peers, and the
+    classes."""
     found = {name for name in given if name not in ("known", "admin", "listen", "name", "peers")}
     settings = given.get("settings")
     if isinstance(settings, dict):
@@ -109,8 +110,9 @@
 
 
 def reload(environ: Mapping[str, str], previous: Config) -> Config:
-    """Reads the file again while the proxy runs. A file that lacks a key of the previous one is taken for
-    incomplete, as an editor or a copy leaves it for a moment, even if it is valid JSON. Raises BadConfig."""
+    """Reads the file again while the proxy runs. Raises BadConfig, also if the file lacks a key of the
+    previous one: even if it is valid JSON, it may be incomplete because an editor or a copy is still writing
+    it."""
     new = load(environ)
     missing = sorted(previous.keys - new.keys)
     if missing:
@@ -119,9 +121,9 @@
 
 
 def read(given: dict[str, Any], environ: Mapping[str, str]) -> Config:
-    """Builds the configuration from the parsed file and the environment, which wins except for discovery's
-    address. Raises BadConfig and MissingField, and ValueError, TypeError, AttributeError or KeyError where a
-    value has the wrong form."""
+    """Builds the configuration from the parsed file and the environment, which takes precedence except for
+    discovery's address. Raises BadConfig and MissingField, and ValueError, TypeError, AttributeError or
+    KeyError if a value has the wrong form."""
     settings_fields = require_field(given, "settings", "")
     permissions = settings_fields.get("permissions") or {}
     report = settings_fields.get("report") or {}
@@ -132,7 +134,7 @@
     return Config(
         name=str(environ.get("LB_NAME") or given.get("name") or "proxy"),
         listen=read_address(environ.get("LB_LISTEN") or given.get("listen"), "LB_LISTEN"),
-        # The file wins: it can be replaced while the proxy runs, and the environment can't.
+        # The file takes precedence: it can be replaced while the proxy runs, and the environment can't.
         discovery=read_address(given.get("discovery") or environ.get("LB_DISCOVERY"), "LB_DISCOVERY"),
         seed=seed if isinstance(seed, int) else text_hash(str(seed)),
         settings=settings,
--- a/magpiefront/net/lag.py
+++ b/magpiefront/net/lag.py
@@ -4,10 +4,10 @@
 
 from random import Random
 
-# The interval of lag measurements, and the lag above which requests are shed, as a part of the shortest
-# latency aim of a request class.
+# The interval of lag measurements in seconds, and the lag above which requests are shed, as a fraction of the
+# shortest latency objective of a request class.
 TICK_S, LAG_LIMIT_FRACTION = 0.01, 0.2
-BEHIND_THRESHOLD_S = 0.02  # above this, timers may be overdue and what has come may be unread
+BEHIND_THRESHOLD_S = 0.02  # lag above which timers may be overdue and received data unread
 # Changes of the shed fraction with each measurement, and its maximum.
 SHED_INCREASE, SHED_DECREASE, MAX_SHED = 0.04, 0.01, 0.9
 
@@ -15,8 +15,8 @@
 class LoopLag:
     """Measures the lag of the event loop, and decides which requests to shed.
 
-    Where the proxy's CPU time does not suffice, all answers would be late. While the event loop lags by more
-    than `limit_s`, a growing fraction of the requests is therefore refused as soon as they are read, which
+    If the proxy had too little CPU time, all answers would be late. While the event loop lags by more than
+    `limit_s`, a growing fraction of the requests is therefore refused as soon as they are read, which
     costs a fraction of serving them. The fraction grows in small steps, so that a single pause of the
     process refuses hardly any request.
     """
@@ -24,14 +24,15 @@
     def __init__(self, seed: int, limit_s: float) -> None:
         self.limit_s = limit_s
         self.shed_fraction = 0.0
-        self.catching_up = False  # the loop ran late, and has not read yet what had come by then
+        self.catching_up = False  # the loop ran late, and has not yet read all that had arrived by then
         self.max_lag_s = 0.0  # the longest lag since the start
         self.random = Random(seed)
         self.next_tick_at = 0.0
 
     def measure(self, now: float) -> float:
-        """To be called every TICK_S. `now` (seconds) must not be the loop's time, which stands still while
-        callbacks run. Returns by how many seconds this call is late."""
+        """Measures the lag and adapts the shed fraction; to be called every TICK_S seconds. `now` (seconds)
+        must not be the event loop's time, which stands still while callbacks run. Returns by how many seconds
+        this call is late."""
         late_s = now - self.next_tick_at if self.next_tick_at else 0.0
         self.max_lag_s = max(self.max_lag_s, late_s)
         if self.next_tick_at and now - self.next_tick_at > self.limit_s:
@@ -42,12 +43,13 @@
         return late_s
 
     def caught_up(self) -> None:
-        """What had come when the loop ran late has been read."""
+        """Called when all that had arrived by the time the loop ran late has been read."""
         self.catching_up = False
 
     def is_behind(self, now: float) -> bool:
-        """Whether this turn of the event loop has run, or the process has been held up, for long. Then timers
-        are overdue, and what has come may be unread."""
+        """Whether this turn of the event loop has run, or the process has been stalled, for more than
+        BEHIND_THRESHOLD_S, or the loop is still catching up. Then timers may be overdue and received data
+        unread. `now` is as in `measure`."""
         return self.catching_up or (self.next_tick_at > 0 and now - self.next_tick_at > BEHIND_THRESHOLD_S)
 
     def should_shed(self) -> bool:
--- a/magpiefront/net/listening.py
+++ b/magpiefront/net/listening.py
@@ -10,12 +10,13 @@
 # This process or the machine has run out of descriptors or memory; the peer is not at fault.
 RESOURCE_SHORTAGE_ERRNOS = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM})
 
-# The connection to be accepted has failed, or the network for a moment (accept(2)); the next may succeed.
+# The connection to be accepted has failed, or for a moment the network (accept(2)); the next call of accept
+# may succeed.
 TRANSIENT_ACCEPT_ERRNOS = frozenset({
     errno.ECONNABORTED, errno.EPROTO, errno.ENOPROTOOPT, errno.EOPNOTSUPP, errno.ETIMEDOUT, errno.EPERM,
     errno.ENETDOWN, errno.ENETUNREACH, errno.EHOSTDOWN, errno.EHOSTUNREACH, errno.ENONET,
 })  # fmt: skip
-MAX_ACCEPT_ATTEMPTS = 16
+MAX_ACCEPT_ATTEMPTS = 16  # at most so many calls of accept(2) are made for one connection
 BACKLOG = 4096  # connections in the accept queue
 
 SO_ATTACH_FILTER = 26  # socket(7); the module `socket` does not define it
@@ -74,7 +75,8 @@
 
 
 def accept_connection(listener: socket.socket) -> socket.socket | None:
-    """Accepts the next connection as a non-blocking socket; None if none waits. Raises ResourceShortage."""
+    """Accepts the next connection as a non-blocking socket. None if none waits, or if accepting fails for
+    another reason than a shortage. Raises ResourceShortage."""
     for _ in range(MAX_ACCEPT_ATTEMPTS):
         try:
             s, _ = listener.accept()
@@ -82,7 +84,7 @@
             if error.errno in RESOURCE_SHORTAGE_ERRNOS:
                 raise ResourceShortage(error.strerror) from None
             if error.errno in TRANSIENT_ACCEPT_ERRNOS:
-                continue  # says nothing about the connections behind it
+                continue  # the next connection in the queue may be intact
             return None
         s.setblocking(False)
         return s
--- a/magpiefront/net/runtime.py
+++ b/magpiefront/net/runtime.py
@@ -1,4 +1,4 @@
-"""What stages and stores need of the process that they run in: event loop, clock, log and settings."""
+"""What stages and stores need from the process that they run in: event loop, clock, log and settings."""
 
 from __future__ import annotations
 
--- a/magpiefront/net/shutdown.py
+++ b/magpiefront/net/shutdown.py
@@ -15,11 +15,13 @@
 MAX_DEADLINE_S = 3.0  # the platform waits for no longer deadline than this
 KILL_DELAY_S = 0.7  # between that deadline and the kill
 EXIT_MARGIN_S = 0.1  # before the kill; the process needs this long to exit
-# Before the kill; covers the time for which the process may be stalled, and the transfer of the response.
+# Requests are answered this long before the kill, as the process may be stalled and the response takes time
+# to be transferred.
 ANSWER_MARGIN_S = 0.25
-# Before the kill; a request that crosses the close of its connection has this long to be sent elsewhere.
+# All idle connections are closed this long before the kill, so that a client whose request crosses the close
+# still has time to send it elsewhere.
 LAST_CALL_MARGIN_S = 0.3
-MIN_IDLE_S = 0.7  # a connection that was opened more recently than this does not count as idle
+MIN_IDLE_S = 0.7  # a connection that was opened or used more recently is not closed as idle
 
 
 class Phase(Enum):
@@ -59,8 +61,8 @@
         self.times = shutdown_times(longest_deadline_s)
 
     def shorten(self, longest_deadline_s: float) -> None:
-        """Applies the longest deadline of a configuration that was loaded during the shutdown. It can move
-        the times forward, as the kill may come earlier, but never back."""
+        """Applies the longest deadline of a configuration that was loaded during the shutdown. The times can
+        become earlier, as the kill may then come earlier, but never later."""
         new = shutdown_times(longest_deadline_s)
         if new.end_s < self.times.end_s:
             self.times = new
--- a/magpiefront/upgrade/channel.py
+++ b/magpiefront/upgrade/channel.py
@@ -18,8 +18,8 @@
 
 Message = dict[str, Any]
 CLIENTS = "clients"  # the name under which the listening socket for clients is offered
-MAX_MESSAGE_BYTES = 128 * 1024
-MAX_PART_CHARS = 24 * 1024  # of a long text; JSON encodes a character in up to six bytes
+MAX_MESSAGE_BYTES = 128 * 1024  # of a message as JSON
+MAX_PART_CHARS = 24 * 1024  # of a long text in one message; JSON encodes a character in up to six bytes
 MAX_DESCRIPTORS = 32  # in a message
 MAX_SOCKET_NAME_BYTES = 100  # a little less than `sun_path` of unix(7) holds
 
@@ -29,8 +29,8 @@
 
 
 def socket_path(listen: Address, environ: Mapping[str, str]) -> Path | None:
-    """The path of the socket on which the process that serves at `listen` waits for the next one. None
-    without a directory in $TMPDIR."""
+    """The path of the socket on which the process that serves at `listen` waits for the next one. None if
+    $TMPDIR does not name a directory."""
     directory = environ.get("TMPDIR")
     if not directory or not os.path.isdir(directory):
         return None
@@ -40,8 +40,8 @@
 
 @contextlib.contextmanager
 def short_path(path: Path) -> Any:
-    """The path in a form that fits into a socket's name: a long one goes by way of an open descriptor of its
-    directory."""
+    """Context manager: the path in a form that is short enough for the name of a socket. A long path is
+    replaced by one through an open descriptor of its directory. Raises OSError."""
     if len(os.fsencode(path)) <= MAX_SOCKET_NAME_BYTES:
         yield str(path)
         return
@@ -53,14 +53,16 @@
 
 
 def is_same_user(s: socket.socket) -> bool:
-    """Whether the peer is a process of the same user. No other gets descriptors, or has its messages read."""
+    """Whether the peer is a process of the same user. A process of another user gets no descriptors, and its
+    messages are not read."""
     credentials = s.getsockopt(socket.SOL_SOCKET, socket.SO_PEERCRED, struct.calcsize("3i"))
     uid: int = struct.unpack("3i", credentials)[1]
     return uid == os.getuid()
 
 
 def connect(path: Path, timeout_s: float) -> socket.socket | None:
-    """Connects to the process that listens at the path. None if there is none, or it is of another user."""
+    """Connects to the process that listens at the path. None if that fails, or if the process belongs to
+    another user."""
     s = socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET)
     s.settimeout(timeout_s)
     try:
@@ -140,8 +142,9 @@
 
 
 class Channel:
-    """One end of a connection, on the event loop. It calls `on_message` with each message and descriptors,
-    and `on_end` when the connection ends, with whether a malformed message is the cause."""
+    """One end of a connection, on the event loop. It calls `on_message` with each message and its
+    descriptors, and `on_end` when the connection ends; its argument is whether a malformed message is the
+    cause."""
 
     def __init__(
         self,
@@ -173,7 +176,8 @@
         self.send({"t": "ban", "id": server, "out": out})
 
     def try_send(self, message: Message, descriptors: Sequence[int]) -> bool:
-        """Sends the message at once, if no other waits and the socket takes it. False if not."""
+        """Sends the message at once, if no other is queued and the socket accepts it. Returns whether it
+        did."""
         if not self.open or self.queue:
             return False
         try:
--- a/magpiefront/upgrade/handover.py
+++ b/magpiefront/upgrade/handover.py
@@ -75,7 +75,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Stop:
-    """This process was told to shut down."""
+    """This process has begun to shut down."""
 
 
 # ---- actions
@@ -146,8 +146,8 @@
             case ChannelEnded():
                 before, self.state = self.state, OldState.SERVING
                 actions: list[Action | Reject] = [] if event.cause is EndCause.CLOSED else [Action.CLOSE]
-                # During a shutdown it does not accept again: it would only cut off the connections in the
-                # accept queue, which are left to whichever process listens.
+                # During a shutdown, this process does not accept again: it would soon cut off the connections
+                # from the accept queue. It leaves them to whichever process listens.
                 if before is OldState.HANDED_OVER:
                     actions.append(Action.END_SHUTDOWN if self.stopping else Action.RESUME)
                 return actions
@@ -163,7 +163,7 @@
 
 
 class NewSide:
-    """The process that starts."""
+    """The process that starts. `listener`: whether the listening socket was handed over to it."""
 
     def __init__(self) -> None:
         self.state = NewState.HELLO_SENT
--- a/magpiefront/upgrade/new_process.py
+++ b/magpiefront/upgrade/new_process.py
@@ -26,10 +26,11 @@
     nothing else to do."""
 
     def __init__(self, path: Path) -> None:
-        """Asks the old process for its listening sockets. Raises BadConfig if another process takes over."""
+        """Asks the old process for its listening sockets. Raises BadConfig if another new process is taking
+        over from it."""
         self.protocol = NewSide()
-        self.listeners: dict[str, socket.socket] = {}  # by name; that for clients is `CLIENTS`
-        self.early_messages: list[Message] = []  # came before `go`; handled once the process serves
+        self.listeners: dict[str, socket.socket] = {}  # by name; `CLIENTS` is the one for clients
+        self.early_messages: list[Message] = []  # received before `go`; handled once this process serves
         self.socket = wire.connect(path, ANSWER_TIMEOUT_S)
         if self.socket is None:
             return
@@ -75,7 +76,7 @@
             return ChannelEnded(EndCause.MALFORMED)
 
     def _fail(self, received: Received) -> None:
-        """Ends the handover, as the channel has ended or the message is not expected here."""
+        """Ends the handover, because the channel has ended or the message is not expected at this step."""
         if not isinstance(received, ChannelEnded):
             wire.close_descriptors(received[1])
             received = ChannelEnded(EndCause.MALFORMED)
@@ -94,8 +95,8 @@
             self.socket = None
 
     def take_over(self) -> HandoverState | None:
-        """Takes over, which can't be undone: call it when all that can fail is done. Returns the state of
-        the old process, or None if it handed none over."""
+        """Takes over, which can't be undone: call it when every step of the start that can fail is done.
+        Returns the state of the old process, or None if it handed none over."""
         if self.socket is None:
             return None
         parts: list[str] = []
@@ -121,7 +122,7 @@
 
     def __init__(self, client: HandoverClient, proxy: Proxy, front: Front, commands: AdminCommands) -> None:
         self.proxy, self.front = proxy, front
-        self.max_nodes, self.max_clients = proxy.pool.max_connections, front.max_clients
+        self.max_node_connections, self.max_clients = proxy.pool.max_connections, front.max_clients
         assert client.socket is not None
         self.channel = Channel(proxy.loop, client.socket, self._on_message, self._on_end)
         commands.on_override = self.channel.send_override
@@ -139,7 +140,7 @@
                     PredecessorLoad({str(k): v for k, v in servers.items() if isinstance(v, int)})
                 )
                 # The two processes also share the limit of descriptors.
-                self.proxy.pool.max_connections = max(8, self.max_nodes - nodes)
+                self.proxy.pool.max_connections = max(8, self.max_node_connections - nodes)
                 self.front.max_clients = max(8, self.max_clients - clients)
             case {"t": "ban", "id": str(server), "out": bool(out)}:
                 self.proxy.set_excluded(server, out, known=True)
@@ -147,4 +148,4 @@
 
     def _on_end(self, malformed: bool) -> None:
         self.proxy.dispatch(PredecessorLoad({}))
-        self.proxy.pool.max_connections, self.front.max_clients = self.max_nodes, self.max_clients
+        self.proxy.pool.max_connections, self.front.max_clients = self.max_node_connections, self.max_clients
--- a/magpiefront/upgrade/old_process.py
+++ b/magpiefront/upgrade/old_process.py
@@ -22,15 +22,16 @@
 )  # fmt: skip
 
 TAKE_TIMEOUT_S = 20.0  # from `hello` to `take`; then the new process counts as hung
-# How often idle connections are passed on and loads sent: with connections or requests open, and without.
+# The interval in seconds at which idle connections are passed on and loads are sent: while connections or
+# requests are open, and while none are.
 BUSY_INTERVAL_S, IDLE_INTERVAL_S = 0.01, 0.25
-HELLO_TIMEOUT_S = 2.0
+HELLO_TIMEOUT_S = 2.0  # from the accept to `hello`
 
 
 class SharedFront(Protocol):
     """A front whose listening socket can be handed over to another process."""
 
-    name: str  # of its socket in an offer
+    name: str  # the name under which its socket is offered
     socket: socket.socket | None
 
     def release(self) -> None:
@@ -41,7 +42,8 @@
 
 
 class HandoverServer:
-    """Listens for the next process and hands over to it. `others` are fronts beside that of the clients."""
+    """Listens for the next process and hands over to it. `others` are the fronts besides the one for
+    clients."""
 
     def __init__(
         self, proxy: Proxy, front: Front, discovery: Discovery, commands: AdminCommands, path: Path,
@@ -54,7 +56,7 @@
         self.loop = proxy.loop
         self.protocol = OldSide()
         self.socket: socket.socket | None = None
-        self.inode = 0
+        self.inode = 0  # of the Unix socket's file
         self.channel: Channel | None = None
         self.waiting: set[Channel] = set()  # those that have not sent `hello` yet
         self.next_update: asyncio.TimerHandle | None = None
@@ -65,7 +67,7 @@
 
     def listen(self) -> None:
         """Listens on the Unix socket. If that fails, the next process can't take over from this one, and has
-        to be started after it has ended."""
+        to be started after this one has ended."""
         try:
             self.socket = wire.listen(self.path)
             self.inode = self.path.stat().st_ino
@@ -155,7 +157,7 @@
             self.channel = None
 
     def stop(self) -> None:
-        """Called when this process was told to shut down."""
+        """Called when this process begins to shut down."""
         self._do(self.protocol.handle(Stop()))
 
     def close(self) -> None:
@@ -188,7 +190,8 @@
         self._send_state(self.channel, state.encode(self.proxy, self.discovery))
 
     def _send_state(self, channel: Channel, chunks: Iterator[str]) -> None:
-        """Sends one part of the state in each turn of the event loop, as requests are served meanwhile."""
+        """Sends one part of the state in each turn of the event loop, so that requests are served
+        meanwhile."""
         if channel is not self.channel or not channel.open:
             self.sending_state = False
             return
@@ -211,7 +214,8 @@
         self._update()
 
     def _update(self) -> None:
-        """Sends the loads and passes idle connections on, again and again while the channel is open."""
+        """Sends the loads and passes idle connections on, and schedules the next call while the channel is
+        open."""
         if self.channel is None or not self.channel.open or not self.front.handed_over:
             return
         self._send_load(self.channel)
--- a/magpiefront/upgrade/state.py
+++ b/magpiefront/upgrade/state.py
@@ -23,7 +23,7 @@
 
 
 def encode(proxy: Proxy, discovery: Discovery) -> Iterator[str]:
-    """Yields the text in chunks; it shows the state at the time of the first one. Halves the Router's retry
+    """Yields the text in chunks, which show the state at the time of the first one. Halves the Router's retry
     budget: the text carries the other half."""
     yield from json_chunks({
         "discovery": list(discovery.address), "list": discovery.listing.snapshot(),
@@ -43,8 +43,9 @@
 
 
 def initial_list(state: HandoverState, discovery: tuple[str, int], configured: Any) -> Any:
-    """The server list to start with: the one that was handed over, as it is newer than that of the
-    configuration. From another discovery, only its entries are kept, not its generation."""
+    """The server list to start with: the one that was handed over, as it is newer than the configured
+    one, which is used if none was. If the list came from another discovery address, its entries are kept, but
+    not its generation."""
     if not isinstance(state.server_list, dict):
         return configured
     if state.discovery != list(discovery):
