--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -1,4 +1,5 @@
-"""A proxy in the test's own event loop, with scripted peers: cache nodes, a discovery server and clients."""
+"""Runs a proxy in the test's own event loop, with scripted peers: cache nodes, a discovery server and
+clients."""
 
 from __future__ import annotations
 
@@ -35,7 +36,7 @@
 
 
 def run(main: Coroutine[Any, Any, None], timeout_s: float = 20) -> None:
-    """Runs a test's coroutine on uvloop; fails after `timeout_s` seconds."""
+    """Runs a test's coroutine on uvloop. Raises TimeoutError after `timeout_s` seconds."""
 
     async def bounded() -> None:
         await asyncio.wait_for(main, timeout_s)
@@ -45,7 +46,7 @@
 
 async def until(condition: Callable[[], Any], what: str = "it", max_checks: int = 2000) -> None:
     """Waits until `condition` returns a true value; fails after `max_checks` checks at intervals of 3 ms.
-    `what` names it in the failure."""
+    `what` names the expected event in the failure."""
     for _ in range(max_checks):
         if condition():
             return
@@ -171,8 +172,8 @@
 class Node:
     """A cache node that passes each request to its handler; the default handler sends `ok()`.
 
-    `seen` holds the requests received, `probes` counts health probes, `connections` all connections so far,
-    and `open` those that are open.
+    `seen` holds the requests received. `probes` counts the health probes, `connections` all connections so
+    far, and `open` those that are open.
     """
 
     def __init__(self, name: str, handler: Handler | None) -> None:
@@ -223,8 +224,7 @@
 
 
 class DiscoveryServer:
-    """A discovery server: answers each watch with the next answer of the queue, and keeps it open until there
-    is one."""
+    """A discovery server: answers each call with the next answer of the queue, for which the call waits."""
 
     def __init__(self) -> None:
         self.answers: asyncio.Queue[bytes] = asyncio.Queue()
@@ -262,7 +262,8 @@
 
 @dataclass
 class ProxyHarness:
-    """A running proxy with its peers. `events` holds all events that its Router was given."""
+    """A running proxy with its peers. `lists` is the discovery server, and `discovery` the proxy's client of
+    it. `events` holds all events that the proxy's Router was given."""
 
     proxy: Proxy
     front: Front
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -122,14 +122,15 @@
             reader, writer = await asyncio.open_connection("127.0.0.1", port_of(admin), limit=1024)
             writer.write(b"show-stat\n")
             assert await command(admin, b"ready\n") == "OK\n"
-            assert len(metrics((await reader.read()).decode())) == 4 * 3003 + 7 + 6  # 6 of connections
+            assert len(metrics((await reader.read()).decode())) == 4 * 3003 + 7 + 6  # classes, process, pool
             writer.close()
 
     run(main())
 
 
 def test_request_counters_add_up_however_requests_end() -> None:
-    """received = ok + shed + errors + active, with `active` compared to a count over the open connections."""
+    """Checks received = ok + shed + errors + active, with `active` compared to a count over the open
+    connections."""
 
     async def main() -> None:
         draw = Random(5)
@@ -204,7 +205,7 @@
 
 
 def received(w: ProxyHarness) -> int:
-    """Returns the number of requests of all classes that were read whole."""
+    """Returns the number of requests of all classes that were read in full."""
     return sum(t.received for t in w.proxy.metrics.by_class.values())
 
 
@@ -214,10 +215,10 @@
             a, b = w.nodes
             w.proxy.router.configure(w.proxy.config.settings)
 
-            async def reach(node: Node, most: int = 200) -> bool:
-                """Returns whether one of `most` requests reaches the node."""
+            async def reach(node: Node, max_requests: int = 200) -> bool:
+                """Returns whether one of `max_requests` requests reaches the node."""
                 before = len(node.seen)
-                for i in range(most):
+                for i in range(max_requests):
                     answer = await w.ask(path=f"/api/k{i}")
                     assert answer.status == 200
                     if len(node.seen) > before:
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -52,8 +52,8 @@
         (head(b"GET /api/k", b"Req-Id: a\r\nReq-Kind: never heard of\r\nReq-Deadline: 1\r\n"), 400, False),
         (head(b"GET /api/k", VALID + b"Req-Cost: much\r\n"), 400, False),
         (head(b"GET /api/k", VALID + b"Req-Cost: -1\r\n"), 400, False),
-        # Versions and framing (RFC 9112, 2.3 and 6): what recipients may read differently ends the
-        # connection.
+        # Versions and framing (RFC 9112, 2.3 and 6): the connection is closed if recipients could disagree on
+        # where the message ends.
         (b"GET /api/k HTTP/0.9\r\nHost: x\r\n" + VALID + b"\r\n", 400, True),
         (b"GET /api/k HTTP/2.0\r\nHost: x\r\n" + VALID + b"\r\n", 400, True),
         (b"PUT /api/k HTTP/1.0\r\n" + VALID + b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 400, True),
@@ -283,8 +283,8 @@
 
 
 def test_id_of_an_open_request_is_refused_and_usable_afterwards() -> None:
-    """Guards against a cache node that sees one id twice at the same time, which for some classes could take
-    effect twice."""
+    """Guards against sending a cache node the same id twice at the same time: for some classes, the request
+    could take effect twice."""
 
     async def main() -> None:
         gate = asyncio.Event()
@@ -344,7 +344,7 @@
 
 
 def test_unfinished_requests_and_unused_connections_end_within_3_s() -> None:
-    """With the timeouts used in service, and the longest time between two sweeps."""
+    """Uses the timeouts of a proxy in service, and the longest time between two sweeps."""
 
     async def main() -> None:
         async with running_proxy(None) as w:
@@ -419,8 +419,8 @@
 
 
 def test_silent_connections_and_unfinished_heads_are_evicted(monkeypatch: pytest.MonkeyPatch) -> None:
-    """Guards against connections without a complete request that use up the proxy's descriptors, so that it
-    accepts no further connection (incident rb7c84a)."""
+    """Guards against connections without a complete request that use up the proxy's descriptors: the proxy
+    then accepts no further connection (incident rb7c84a)."""
     monkeypatch.setattr(downstream, "MIN_EVICTION_IDLE_S", 0.02)
     monkeypatch.setattr(downstream, "HEAD_TIMEOUT_S", 0.9)
 
--- a/tests/test_ends.py
+++ b/tests/test_ends.py
@@ -21,7 +21,7 @@
 
 
 async def assert_released(w: ProxyHarness) -> None:
-    """Waits until no request is left, and checks that no resource of one is."""
+    """Waits until the proxy holds no request, and checks that no resource of a request is left."""
     await until(lambda: not w.proxy.requests, "the removal of every request")
     assert not w.proxy.router.pending and not w.proxy.router.in_flight
     assert not w.front.bodies.used and not w.proxy.streams
@@ -124,8 +124,8 @@
 
 
 async def play_round(w: ProxyHarness, persistent: Client, n: int) -> None:
-    """Plays each kind of client once, and replaces the node. `persistent` sends 200 requests on its
-    connection."""
+    """Runs each kind of client once, and drains the node and lists it again. `persistent` sends 200 requests
+    on its connection, and one that fails."""
     node, w.nodes[0].handler = w.nodes[0], reply(ok())
     for _ in range(10):
         persistent.send(b"".join(request(path=f"/api/{n}-{k}") for k in range(20)))
@@ -149,7 +149,7 @@
     router = w.proxy.router
     w.lists.change(2 * n + 2, node.entry("Terminating"))
     await until(lambda: not router.servers, "the node's drain")
-    w.lists.change(2 * n + 3, node.entry())  # it returns without its failures
+    w.lists.change(2 * n + 3, node.entry())  # it returns, and its failures are forgotten
     await until(lambda: router.servers, "the node's return")
     router.server_gate, router.origin_gate, router.fleet_bad_share = AdmissionGate(), AdmissionGate(), 0.0
     w.events.clear()
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -40,7 +40,7 @@
 
 
 class QueuedConnectionFront:
-    """A front that has one connection in its accept queue when accepting stops, and answers it afterwards."""
+    """A front with one connection in its accept queue when accepting stops, which it answers afterwards."""
 
     def __init__(self) -> None:
         self.clients: list[str] = []
--- a/tests/test_system_calls.py
+++ b/tests/test_system_calls.py
@@ -1,4 +1,5 @@
-"""System calls that fail for a moment, as Linux documents: the proxy goes on and blames no node for them."""
+"""System calls that fail for a moment, as Linux documents: the proxy carries on, and does not count a local
+failure against a node."""
 
 from __future__ import annotations
 
@@ -143,8 +144,8 @@
 def test_the_deadline_for_a_node_counts_the_time_before_the_accept(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    """Guards against a deadline that starts at the accept: with the proxy out of descriptors, that was up to
-    0.2 s after the client's last byte."""
+    """Guards against a deadline that counts from the accept: when the proxy had run out of descriptors, that
+    was up to 0.2 s after the client's last byte."""
 
     async def main() -> None:
         async with running_proxy(None) as w:
--- a/tests/upgrade/test_gateway.py
+++ b/tests/upgrade/test_gateway.py
@@ -1,4 +1,4 @@
-"""Handover of a gateway under load from the other site: its listener, its links and its store of record."""
+"""Handover of a gateway that is under load from the other site: its listener, links and store of record."""
 
 from __future__ import annotations
 
@@ -36,7 +36,7 @@
 
 
 async def east_of(port: int) -> TestSite:
-    """The other site, in this process, linked to the gateway at that port."""
+    """Returns the other site, in this process, linked to the gateway at that port."""
     east = await make_site("east", gateway_settings("east", {"west": ("127.0.0.1", port)}), 7)
     east.gateway._open_missing_links()
     await until(lambda: east.up, "the link")
--- a/tests/upgrade/test_handover.py
+++ b/tests/upgrade/test_handover.py
@@ -89,13 +89,13 @@
 
 @given(st.data())
 def test_one_process_accepts_whichever_side_fails_when(data: st.DataObject) -> None:
-    """Both sides and the messages between them, in any order of steps, crashes and timeouts: while one of the
-    processes lives, one of them accepts; both accept only if the old one hung."""
+    """Runs both sides and the messages between them, in any order of steps, crashes and timeouts: in the end,
+    a process that lives accepts, and both accept only if the old one hung."""
     old, new = OldSide(), NewSide()
     to_old: list[Any] = [HELLO]
     to_new: list[Any] = []
     old_accepts, new_accepts, old_lives, new_lives, hung = True, False, True, True, False
-    old_has, new_has = True, True  # whether its end of the channel is open
+    old_has, new_has = True, True  # whether the process's end of the channel is open
 
     def carry_out(actions: list[Any]) -> None:
         nonlocal old_accepts, new_accepts, old_has, new_has
@@ -158,7 +158,7 @@
 
 
 def used_router(seed: int) -> RouterDriver:
-    """A router that has served requests."""
+    """Returns a router that has served 300 requests and has one excluded node."""
     draw, d = Random(seed), RouterDriver(seed=seed)
     for i in range(300):
         d.now += 3_000
--- a/tests/upgrade/test_process.py
+++ b/tests/upgrade/test_process.py
@@ -1,4 +1,5 @@
-"""Upgrades with real processes: a second is started beside the first, under load, and either is killed."""
+"""Upgrades with real processes: a second process is started beside the first, under load, and one is
+killed."""
 
 from __future__ import annotations
 
@@ -27,8 +28,8 @@
 )  # fmt: skip
 
 Process = asyncio.subprocess.Process
-# Objectives and deadlines that hold on a busy machine as well: a proxy sheds load when its event loop is late
-# for its shortest objective.
+# Latency objectives and deadlines that are met on a busy machine, too: a proxy sheds load if its event loop
+# lags by a fraction of its shortest objective.
 RELAXED_CLASSES = [
     {**grade, "sloUs": 5_000_000, "giveUpUs": 10_000_000} for grade in PROXY_SETTINGS["grades"]
 ]
@@ -188,7 +189,7 @@
 
 
 def test_requests_open_at_an_upgrade_are_finished_by_the_old_process(tmp_path: Path) -> None:
-    """A request at a node, an incomplete head, pipelined requests, and a long response in transfer."""
+    """Covers a request at a node, an incomplete head, pipelined requests, and a long response in transfer."""
 
     async def main() -> None:
         gate, halves, size = asyncio.Event(), asyncio.Event(), 32 * 1024 * 1024
@@ -246,7 +247,7 @@
             a, _ = f.nodes
 
             async def reached(times: int = 30) -> bool:
-                """Whether one of so many requests reaches node `a`."""
+                """Returns whether one of `times` requests reaches node `a`."""
                 before, client = len(a.seen), await f.client()
                 for i in range(times):
                     client.send(request(path=f"/api/k{i}"))
@@ -311,7 +312,7 @@
 
 
 async def connect_as_new(f: Fleet) -> socket.socket:
-    """A connection to the old process, on which the test plays the new one."""
+    """Returns a connection to the old process, on which the test plays the new one."""
     s = wire.connect(f.path(), 2)
     assert s is not None
     return s
@@ -428,7 +429,7 @@
             waiting.send(request(deadline="20"))
 
             def play_old() -> None:
-                """The old process, up to the step at which it fails."""
+                """Plays the old process, up to the step at which it fails."""
                 s, _ = server.accept()
                 hello = wire.receive(s)
                 assert hello is not None and hello[0]["t"] == "hello"
--- a/tests/upgrade/test_state.py
+++ b/tests/upgrade/test_state.py
@@ -1,4 +1,5 @@
-"""The state that is handed over in an upgrade: in parts, so that each blocks the old process only briefly."""
+"""The state that is handed over in an upgrade is sent in parts, each of which blocks the old process only
+briefly."""
 
 from __future__ import annotations
 
