--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -13,12 +13,16 @@
 from magpiefront.net import admin as admin_module
 from magpiefront.net.admin import MAX_CALLERS, MAX_LINE_BYTES, Admin
 from magpiefront.net.admin_commands import AdminCommands
-from tests.sockets import Handler, Node, World, gated, reply, request, resets, run, until, world
+from tests.sockets import (
+    Handler, Node, ProxyHarness, gated, reply, request, resets, run, running_proxy, until,
+)  # fmt: skip
 
 
 @asynccontextmanager
-async def world_with_admin(*handlers: Handler | None, **more: object) -> AsyncIterator[tuple[World, Admin]]:
-    async with world(*handlers, **more) as w:  # type: ignore[arg-type]
+async def running_proxy_with_admin(
+    *handlers: Handler | None, **more: object
+) -> AsyncIterator[tuple[ProxyHarness, Admin]]:
+    async with running_proxy(*handlers, **more) as w:  # type: ignore[arg-type]
         admin = Admin(asyncio.get_running_loop(), AdminCommands(w.proxy, w.front))
         admin.bind(("127.0.0.1", 0))
         admin.start()
@@ -77,7 +81,7 @@
 
 def test_each_command_has_one_response() -> None:
     async def main() -> None:
-        async with world_with_admin(None, None) as (_, admin):
+        async with running_proxy_with_admin(None, None) as (_, admin):
             for data, expected in RESPONSES:
                 got = await command(admin, data, end=not data.endswith(b"\n"))
                 assert got.startswith(expected), (data[:40], got)
@@ -89,7 +93,7 @@
 
 def test_silent_connections_do_not_block_other_callers(monkeypatch: pytest.MonkeyPatch) -> None:
     async def main() -> None:
-        async with world_with_admin() as (w, admin):
+        async with running_proxy_with_admin() as (w, admin):
             address = "127.0.0.1", port_of(admin)
             silent = [await asyncio.open_connection(*address) for _ in range(200)]
             for i, (_, writer) in enumerate(silent):
@@ -112,20 +116,21 @@
 
 def test_a_caller_that_does_not_read_blocks_no_other() -> None:
     async def main() -> None:
-        async with world_with_admin() as (w, admin):
+        async with running_proxy_with_admin() as (w, admin):
             for i in range(3000):
                 w.proxy.metrics.counts_for(b"class-%d" % i)  # more than a socket buffer holds
             reader, writer = await asyncio.open_connection("127.0.0.1", port_of(admin), limit=1024)
             writer.write(b"show-stat\n")
             assert await command(admin, b"ready\n") == "OK\n"
-            assert len(metrics((await reader.read()).decode())) == 4 * 3003 + 7 + 6  # 6 of connections
+            assert len(metrics((await reader.read()).decode())) == 4 * 3003 + 7 + 6  # classes, process, pool
             writer.close()
 
     run(main())
 
 
 def test_request_counters_add_up_however_requests_end() -> None:
-    """received = ok + shed + errors + active, with `active` compared to a count over the open connections."""
+    """Checks received = ok + shed + errors + active, with `active` compared to a count over the open
+    connections."""
 
     async def main() -> None:
         draw = Random(5)
@@ -141,7 +146,7 @@
             handler = draw.choice(behaviours) or reply(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi")
             await handler(*args)  # type: ignore[arg-type]
 
-        async with world_with_admin(behaviour, behaviour, behaviour) as (w, admin):
+        async with running_proxy_with_admin(behaviour, behaviour, behaviour) as (w, admin):
             counts = w.proxy.metrics.by_class
 
             def check_active() -> None:
@@ -180,7 +185,7 @@
 def test_counters_add_up_after_ten_thousand_requests_of_closed_clients() -> None:
     async def main() -> None:
         gate = asyncio.Event()
-        async with world_with_admin(gated(gate)) as (w, admin):
+        async with running_proxy_with_admin(gated(gate)) as (w, admin):
             for n in range(25):
                 leaving = [await w.client() for _ in range(16)]
                 for client in leaving:
@@ -199,21 +204,21 @@
     run(main(), 60)
 
 
-def received(w: World) -> int:
-    """Returns the number of requests of all classes that were read whole."""
+def received(w: ProxyHarness) -> int:
+    """Returns the number of requests of all classes that were read in full."""
     return sum(t.received for t in w.proxy.metrics.by_class.values())
 
 
 def test_a_disabled_node_gets_no_requests_until_it_is_enabled() -> None:
     async def main() -> None:
-        async with world_with_admin(None, None) as (w, admin):
+        async with running_proxy_with_admin(None, None) as (w, admin):
             a, b = w.nodes
             w.proxy.router.configure(w.proxy.config.settings)
 
-            async def reach(node: Node, most: int = 200) -> bool:
-                """Returns whether one of `most` requests reaches the node."""
+            async def reach(node: Node, max_requests: int = 200) -> bool:
+                """Returns whether one of `max_requests` requests reaches the node."""
                 before = len(node.seen)
-                for i in range(most):
+                for i in range(max_requests):
                     answer = await w.ask(path=f"/api/k{i}")
                     assert answer.status == 200
                     if len(node.seen) > before:
@@ -249,7 +254,7 @@
 
 def test_the_admin_address_answers_while_client_connections_are_exhausted() -> None:
     async def main() -> None:
-        async with world_with_admin() as (w, admin):
+        async with running_proxy_with_admin() as (w, admin):
             w.front.max_clients = 4
             clients = []
             for _ in range(12):
--- a/tests/test_ends.py
+++ b/tests/test_ends.py
@@ -11,7 +11,7 @@
 from magpiefront.router import AdmissionGate
 from magpiefront.interface import Outcome
 from tests.sockets import (
-    Client, Handler, World, gated, ok, request, resets, run, reply, silent, until, world,
+    Client, Handler, ProxyHarness, gated, ok, request, resets, run, reply, silent, until, running_proxy,
 )  # fmt: skip
 
 ERROR = reply(b"HTTP/1.1 500 X\r\nContent-Length: 3\r\n\r\nbad")
@@ -20,8 +20,8 @@
 FAILURES = (ERROR, DECLINED, resets, TRUNCATED, reply(b"nonsense\r\n\r\n"), silent)
 
 
-async def assert_released(w: World) -> None:
-    """Waits until no request is left, and checks that no resource of one is."""
+async def assert_released(w: ProxyHarness) -> None:
+    """Waits until the proxy holds no request, and checks that no resource of a request is left."""
     await until(lambda: not w.proxy.requests, "the removal of every request")
     assert not w.proxy.router.pending and not w.proxy.router.in_flight
     assert not w.front.bodies.used and not w.proxy.streams
@@ -32,7 +32,7 @@
 )
 def test_a_request_that_has_ended_is_removed(handler: Handler | None, status: int) -> None:
     async def main() -> None:
-        async with world(handler) as w:
+        async with running_proxy(handler) as w:
             for n in range(5):
                 assert (await w.ask("PUT", f"/api/{n}", "once", "0.15", b"value")).status == status
             await assert_released(w)
@@ -42,7 +42,7 @@
 
 def test_an_unexpected_request_body_is_not_kept() -> None:
     async def main() -> None:
-        async with world(None) as w:
+        async with running_proxy(None) as w:
             client = await w.client()
             for path in ("/ready", "/api/", "/api/k"):
                 client.send(request(path=path, body=b"x" * 1000))
@@ -67,7 +67,7 @@
 )
 def test_a_node_connection_with_a_malformed_answer_is_closed(answer: bytes) -> None:
     async def main() -> None:
-        async with world(reply(answer)) as w:
+        async with running_proxy(reply(answer)) as w:
             for n in range(3):
                 assert (await w.ask(path=f"/api/{n}", kind="once")).status == 502
             assert set(w.outcomes()) <= {Outcome.RESET, Outcome.ERROR}
@@ -80,7 +80,7 @@
 
 def test_a_request_whose_client_has_disconnected_is_removed() -> None:
     async def main() -> None:
-        async with world(silent) as w:
+        async with running_proxy(silent) as w:
             client = await w.client()
             client.send(request("PUT", kind="once", body=b"value"))
             await until(w.seen)
@@ -92,7 +92,7 @@
 
 def test_sequential_requests_may_exceed_the_limit_of_open_requests() -> None:
     async def main() -> None:
-        async with world(None, permissions={"maxAttempts": 2, "mayCancel": True, "maxOpen": 3}) as w:
+        async with running_proxy(None, permissions={"maxAttempts": 2, "mayCancel": True, "maxOpen": 3}) as w:
             client = await w.client()
             for _ in range(10):
                 client.send(request())
@@ -105,7 +105,7 @@
     async def main() -> None:
         gate = asyncio.Event()
         permissions = {"maxAttempts": 4, "secondCopies": True, "mayCancel": True}
-        async with world(None, None, permissions=permissions) as w:
+        async with running_proxy(None, None, permissions=permissions) as w:
             assert (await w.ask()).status == 200  # the key is cached now: hedging is possible
             (first,) = w.seen()
             first.node.handler = gated(gate)
@@ -123,9 +123,9 @@
     return Counter(n for n in names if n.startswith(("magpiefront.", "httptools.", "uvloop.loop.Timer")))
 
 
-async def play_round(w: World, persistent: Client, n: int) -> None:
-    """Plays each kind of client once, and replaces the node. `persistent` sends 200 requests on its
-    connection."""
+async def play_round(w: ProxyHarness, persistent: Client, n: int) -> None:
+    """Runs each kind of client once, and drains the node and lists it again. `persistent` sends 200 requests
+    on its connection, and one that fails."""
     node, w.nodes[0].handler = w.nodes[0], reply(ok())
     for _ in range(10):
         persistent.send(b"".join(request(path=f"/api/{n}-{k}") for k in range(20)))
@@ -149,7 +149,7 @@
     router = w.proxy.router
     w.lists.change(2 * n + 2, node.entry("Terminating"))
     await until(lambda: not router.servers, "the node's drain")
-    w.lists.change(2 * n + 3, node.entry())  # it returns without its failures
+    w.lists.change(2 * n + 3, node.entry())  # it returns, and its failures are forgotten
     await until(lambda: router.servers, "the node's return")
     router.server_gate, router.origin_gate, router.fleet_bad_share = AdmissionGate(), AdmissionGate(), 0.0
     w.events.clear()
@@ -162,7 +162,7 @@
     which stay in memory until the garbage collector runs."""
 
     async def main() -> None:
-        async with world(None) as w:
+        async with running_proxy(None) as w:
             persistent = await w.client()
             for n in range(2):
                 await play_round(w, persistent, n)
