Node connections: comments say what they bound, return and raise

Several docstrings of the pool, connections, exchanges and answers left out the outcome that they end an exchange with, what they return or the unit, and some used pronouns without a clear noun. They now name them. The attribute `spare`, which is a count in the base class and a flag in node connections, is explained in both. The format of the trace explains its fields rank, fetches, note and open.

--- a/magpiefront/net/answer.py
+++ b/magpiefront/net/answer.py
@@ -26,9 +26,9 @@
     """A node's answer, as far as it has been read.
 
     `status` is 0 until the head has been read; `cache_result` is 1 for a hit, 2 for a miss, 3 for a miss
-    while the key was being fetched and 0 where the node does not say; `size` is the number of body bytes
-    read and `length` the Content-Length, both in bytes; `declined` says that the node has refused the request
-    without running it; `report` is the node's load report.
+    while the key was being fetched and 0 if the node does not say; `size` is the number of body bytes
+    read and `length` the Content-Length, both in bytes; `declined` is set if the node has refused the request
+    without running it; `report` is the node's load report, if it sent one.
     """
 
     __slots__ = ("body", "cache_result", "content_type", "declined", "length", "report", "size", "status")
@@ -42,6 +42,8 @@
         self.body: list[bytes] = []
 
     def outcome(self) -> Outcome:
+        """Returns OK for status 200, FULL for a refusal that proves that the request did not run, else
+        ERROR."""
         if self.status == 200:
             return Outcome.OK
         return Outcome.FULL if self.declined and self.status in (503, 504) else Outcome.ERROR
--- a/magpiefront/net/answer_reader.py
+++ b/magpiefront/net/answer_reader.py
@@ -5,17 +5,17 @@
 from magpiefront.net.answer import Answer, InvalidAnswer, parse_load_report
 from magpiefront.net.http1 import MAX_BODY_BYTES, Connection
 
-MAX_ERROR_BODY_BYTES = 1024 * 1024  # bytes of an answer that does not go to the client
-MAX_INTERIM_ANSWERS = 8  # 1xx answers ahead of the final one
+MAX_ERROR_BODY_BYTES = 1024 * 1024  # of an answer that is not passed on to the client
+MAX_INTERIM_ANSWERS = 8  # 1xx answers before the final one
 CACHE_RESULTS = {b"hit": 1, b"miss": 2, b"pending": 3}  # values of `Srv-Cache`
 
 
 class AnswerReader(Connection):
     """Reads one answer at a time.
 
-    `framed`: the answer's end can be told from a truncation. `complete`: all of it has been read. `surplus`:
-    bytes of something else followed it. `keep_alive`: the node keeps the connection open. `interim`: the
-    number of 1xx answers so far.
+    `framed`: the answer has a length or is chunked, so that its end can be told from a truncation.
+    `complete`: all of it has been read. `surplus`: more bytes followed its end. `keep_alive`: the node keeps
+    the connection open. `interim`: the number of 1xx answers so far.
     """
 
     __slots__ = ("answer", "complete", "framed", "interim", "keep_alive", "surplus")
@@ -40,7 +40,7 @@
         return self.spare > 0 or not self.in_head or self.interim > 0
 
     def is_for_client(self, answer: Answer) -> bool:
-        """Whether an answer goes to the client, and is no failure of the node."""
+        """Whether an answer is passed on to the client and does not count as a failure of the attempt."""
         return answer.status == 200
 
     def ends_by_close(self) -> bool:
@@ -53,7 +53,8 @@
         return self.close_delimits and self.is_for_client(answer) and answer.size > 0
 
     def is_unusable(self) -> bool:
-        """Whether the answer's end can't be told from a truncation, or it would only fill memory."""
+        """Whether it is pointless to read on: the answer's end can't be told from a truncation, or the answer
+        is an error whose body is above `MAX_ERROR_BODY_BYTES` and would only fill memory."""
         answer = self.answer
         if not answer.status:
             return False
@@ -100,7 +101,8 @@
         if self.complete:
             return
         if self.answer.status < 200:
-            # An interim answer; the final one follows. Taken for it, it would fail a request being served.
+            # An interim answer, before the final one. Taken for the final one, it would fail a request that
+            # the node is still serving.
             self.interim += 1
             if self.interim > MAX_INTERIM_ANSWERS:
                 raise InvalidAnswer
--- a/magpiefront/net/events.py
+++ b/magpiefront/net/events.py
@@ -15,8 +15,8 @@
 from collections.abc import Callable
 from enum import Enum
 
-MAX_LINES = 5
-PERIOD_S = 10.0
+MAX_LINES = 5  # lines of one kind of event in each period
+PERIOD_S = 10.0  # begins anew with the first event after the end of the previous period
 
 logger = logging.getLogger("magpiefront.events")
 
@@ -39,7 +39,7 @@
 
 
 def log_to_stderr() -> None:
-    """Sends the event lines to standard error, as the program does; tests and programs that embed the proxy
+    """Sends the event lines to standard error. Called by the program; tests and programs that embed the proxy
     may add a handler of their own instead."""
     handler = logging.StreamHandler(sys.stderr)
     handler.setFormatter(logging.Formatter("%(message)s"))
@@ -53,12 +53,15 @@
 
     def __init__(self, clock: Callable[[], float]) -> None:
         self._clock = clock
-        self._period_start: dict[str, float] = {}  # by kind of event, like the two below
+        # By kind of event: when its period began, the lines written in that period, and the lines dropped
+        # since the last one that was written.
+        self._period_start: dict[str, float] = {}
         self._written: dict[str, int] = {}
         self._left_out: dict[str, int] = {}
 
     def emit(self, event: str, reason: Enum | None = None, **fields: object) -> None:
-        """Writes one line, unless the limit of its kind is reached. `fields` become its key=value pairs."""
+        """Writes one line, unless the limit for this kind of event is reached. `fields` become its key=value
+        pairs."""
         if not self._may_write(event):
             return
         words = [f"event={event}"]
--- a/magpiefront/net/exchange.py
+++ b/magpiefront/net/exchange.py
@@ -10,17 +10,18 @@
 from magpiefront.net.request import Request
 
 PROBE_TIMEOUT_S = 0.4  # the settings have no timeout for probes
-# A node is told a deadline that is shorter by this than the time left: requests take some of it on the way.
+# The deadline sent to a node is shorter than the time left by this much, in microseconds (or by half of the
+# time left, if that is less): the request takes some of the time on its way to the node.
 DEADLINE_MARGIN_US = 25_000
-STREAM_STALL_S = 1.5  # a streamed answer that brings nothing for longer is given up
+STREAM_STALL_S = 1.5  # a streamed answer fails if no more of it arrives for longer than this
 
 
 class ExchangeConnection(Protocol):
     """The connection that an exchange is on."""
 
     written: bool  # whether the whole message has been handed to the kernel
-    paused: bool
-    last_data_at: float
+    paused: bool  # whether reading is paused, since the client reads slowly
+    last_data_at: float  # event loop time at which more of the answer was last read
 
     def give_up(self, exchange: Exchange) -> None: ...
     def detach_exchange(self) -> None: ...
@@ -42,12 +43,12 @@
 
 
 class ExchangeHost(Protocol):
-    """Sends attempts and probes, and is told their outcomes."""
+    """Sends attempts and probes, and receives their outcomes."""
 
     def now_us(self) -> int: ...
 
     def may_time_out(self, attempt: Attempt) -> bool:
-        """Whether an attempt may time out now. False if its answer may have arrived and is not read yet."""
+        """Whether an attempt may time out now. False if its answer may have arrived but is not read yet."""
 
     def attempt_ended(self, attempt: Attempt, outcome: Outcome, answer: Answer | None) -> None: ...
     def stream_began(self, attempt: Attempt, answer: Answer) -> None: ...
@@ -73,11 +74,11 @@
         raise NotImplementedError
 
     def report(self, outcome: Outcome, answer: Answer | None) -> None:
-        """Passes the outcome on. Called exactly once."""
+        """Reports the outcome to the host. Called exactly once."""
         raise NotImplementedError
 
     def end(self, outcome: Outcome, answer: Answer | None = None) -> None:
-        """Ends the exchange and closes its connection if it is still on one. Later calls do nothing."""
+        """Ends the exchange and closes its connection, or stops connecting. Later calls do nothing."""
         if self.done:
             return
         self.done = True
@@ -103,7 +104,8 @@
         """Called when the last byte of the message has been handed to the kernel."""
 
     def expire(self) -> None:
-        """Called when the time for the exchange is over."""
+        """Called when the time for the exchange is over. Ends it as TIMEOUT, or as MOOT if its message has
+        not been written completely."""
         unsent = self.connection is None or not self.connection.written
         self.end(Outcome.MOOT if unsent else Outcome.TIMEOUT)
 
@@ -121,11 +123,11 @@
         self.host, self.request, self.number, self.expire_at = host, request, number, until
         self.begin_by = until
         self.streaming = False
-        self.late_check_done = False  # whether it was once kept past its time, for an unread answer
+        self.late_check_done = False  # whether its expiry was postponed once to read what had arrived
 
     def may_begin(self) -> bool:
         """False if the node began to drain while the connection was being made, if the window for repeats is
-        over, or if the request is answered or its client gone."""
+        over, or if the request is answered or its client has gone."""
         request = self.request
         if request.answered or self.node.unavailable or self.host.now_us() > self.begin_by:
             return False
@@ -164,7 +166,8 @@
             self.connection.resume()
 
     def begin_stream(self, answer: Answer) -> None:
-        """Streams the answer to the client from here on, without a timeout for the whole of it."""
+        """Streams the answer to the client from here on. Cancels the attempt's timeout, so that the answer as
+        a whole has none."""
         if self.request.answered:
             self.end(Outcome.CANCELLED)
             return
--- a/magpiefront/net/execution.py
+++ b/magpiefront/net/execution.py
@@ -1,8 +1,8 @@
-"""Whether a request may have run at a server: recorded by whoever sends it, for the stages that report it.
+"""Whether a request may have run at a server: recorded by the code that sends it, read by stages.
 
 An `ExecutionTracker` accompanies a request, and every clone that a stage makes of it, through all stages. The
 request's attempts are recorded in it, and a stage that sends the request elsewhere records what it knows.
-Requests have one only where a stage needs it.
+A request has a tracker only if a stage needs it.
 """
 
 from __future__ import annotations
@@ -12,6 +12,7 @@
 
 from magpiefront.interface import Outcome
 
+# Outcomes of an attempt that prove that the request did not run at the server.
 NEVER_RAN = frozenset({Outcome.CONNECT_FAILED, Outcome.FULL, Outcome.MOOT})
 
 
@@ -23,7 +24,7 @@
 
     @property
     def place(self) -> str:
-        """Where it was sent to."""
+        """The name of the place that it was sent to, such as a node."""
 
 
 class ExecutionTracker:
@@ -36,8 +37,10 @@
         # Called before the first byte of each attempt; False: it must not be sent now.
         self.guard: Callable[[], bool] | None = None
         self.may_have_run_elsewhere = False  # it may have run where this process can't see it
-        self.first_sent_us = 0  # when an earlier sender may have sent it first, by the host's clock; else 0
-        self.undecided = False  # its answer says that another process is running it: it is to be sent again
+        self.first_sent_us = 0  # µs of the host's clock: when it may have been sent before; 0: never
+        # Its answer is not final, since another process is running it. It is to be sent again for the final
+        # answer.
+        self.undecided = False
 
     @property
     def may_have_run(self) -> bool:
@@ -51,7 +54,7 @@
 
 
 def mark_may_have_run(request: object) -> None:
-    """Records that whoever sent the request on can't rule out that it ran."""
+    """Records that the request may have run at the site or process that it was passed on to."""
     execution = execution_of(request)
     if execution is not None:
         execution.may_have_run_elsewhere = True
--- a/magpiefront/net/fields.py
+++ b/magpiefront/net/fields.py
@@ -1,4 +1,4 @@
-"""Header fields of messages that are passed on: which of them, and in what form (RFC 9110, 5.3 and 7.6)."""
+"""Header fields of messages: which are passed on, and in what form (RFC 9110, 5.3 and 7.6)."""
 
 from __future__ import annotations
 
@@ -6,12 +6,12 @@
 
 Fields = list[tuple[bytes, bytes]]
 
-# Fields for one connection (RFC 9110, 7.6.1), and those for the next recipient only (11.7).
+# Fields for one connection (RFC 9110, 7.6.1) and for the next recipient only (RFC 9110, 11.7).
 HOP_BY_HOP = frozenset({
     b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"transfer-encoding", b"upgrade",
     b"proxy-authenticate", b"proxy-authentication-info", b"proxy-authorization",
 })  # fmt: skip
-# Fields that every recipient must see, passed on even if `Connection` names them (RFC 9110, 7.6.1). Without
+# Fields for every recipient, which are passed on even if `Connection` names them (RFC 9110, 7.6.1). Without
 # them an answer for one client could be cached for all, or a request could lose the identity of its sender.
 ALWAYS_END_TO_END = frozenset({
     b"age", b"authorization", b"cache-control", b"cdn-cache-control", b"content-encoding",
@@ -22,8 +22,8 @@
 
 
 def combined(fields: Iterable[tuple[bytes, bytes]]) -> dict[bytes, bytes]:
-    """The fields by name in lower case; several lines of one name are joined in their order (RFC 9110,
-    5.3)."""
+    """Returns the values by field name in lower case. Several lines of one name are joined in their order
+    (RFC 9110, 5.3)."""
     found: dict[bytes, bytes] = {}
     for name, value in fields:
         name = name.lower()
@@ -36,7 +36,8 @@
 
 
 def end_to_end(fields: Fields, drop: Container[bytes] = ()) -> Fields:
-    """The fields without those for this connection only and those named in `drop` (in lower case)."""
+    """Returns the fields that may be passed on: without those for this connection only, and without those
+    named in `drop` (in lower case)."""
     named: set[bytes] = set()
     for name, value in fields:
         if name.lower() == b"connection":
@@ -51,12 +52,12 @@
 
 
 def format_fields(fields: Iterable[tuple[bytes, bytes]]) -> bytes:
-    """The fields as lines of a head, each ended by CRLF."""
+    """Returns the fields as lines of a head, each ended by CRLF."""
     return b"".join([b"%b: %b\r\n" % f for f in fields])
 
 
 def parse_fields(text: bytes) -> Fields:
-    """The fields of lines that `format_fields` wrote; lines without a colon are skipped."""
+    """Returns the fields in lines that `format_fields` wrote. Lines without a colon are skipped."""
     found = []
     for line in text.split(b"\r\n"):
         name, colon, value = line.partition(b":")
--- a/magpiefront/net/guarded_attempt.py
+++ b/magpiefront/net/guarded_attempt.py
@@ -28,12 +28,13 @@
 
     @property
     def place(self) -> str:
-        """The name of the node."""
+        """The name of the node that the attempt is sent to."""
         return self.node.name
 
     def message(self) -> list[bytes]:
-        """Returns nothing, and ends the attempt, if the guard no longer allows it. The guard is asked here,
-        since the connection may have taken long and the process may have been stopped meanwhile."""
+        """Returns no bytes, and ends the attempt as MOOT, if the guard no longer allows it. The guard is
+        called here, right before the message is written, since connecting may have taken long and the
+        process may have been suspended meanwhile."""
         execution = execution_of(self.request)
         if execution is not None and execution.guard is not None and not execution.guard():
             asyncio.get_running_loop().call_soon(self.end, Outcome.MOOT)
--- a/magpiefront/net/http1.py
+++ b/magpiefront/net/http1.py
@@ -7,10 +7,10 @@
 
 import httptools
 
-MAX_HEAD_BYTES = 32 * 1024
-MAX_BODY_BYTES = 32 * 1024 * 1024
+MAX_HEAD_BYTES = 32 * 1024  # of a request or an answer
+MAX_BODY_BYTES = 32 * 1024 * 1024  # of a request or an answer
 MAX_BUFFERED_BYTES = 64 * 1024  # longer answers are passed on while they are received
-READ_BYTES = 256 * 1024  # at most so much comes from one read of the event loop
+READ_BYTES = 256 * 1024  # the most that one read of the event loop returns
 
 
 REASONS = {
@@ -19,7 +19,7 @@
     422: b"Unprocessable Content", 429: b"Too Many Requests", 431: b"Request Header Fields Too Large",
     502: b"Bad Gateway", 503: b"Service Unavailable", 504: b"Gateway Timeout",
 }  # fmt: skip
-# An upgrade that was not asked for is handled like a head that can't be parsed.
+# An upgrade that was not requested is handled like a head that can't be parsed.
 PARSER_ERRORS = (httptools.HttpParserError, httptools.HttpParserUpgrade)
 
 
@@ -30,9 +30,9 @@
 class Connection(asyncio.Protocol):
     """A transport and the parser that its bytes are fed to.
 
-    `in_head`: a head is being read. `spare`: bytes fed since the last head or part of a body was complete, to
-    bound what the parser reads without result. `NodeConnection` uses the same attribute as a flag until its
-    connection is up.
+    `in_head`: a head is being read. `spare`: the number of bytes fed since the parser last completed a head
+    or returned a part of a body; it bounds what the parser reads without a result. `NodeConnection` uses the
+    same attribute as a flag until its first exchange starts.
     """
 
     __slots__ = ("in_head", "parser", "spare", "transport")
@@ -44,7 +44,7 @@
         self.spare = 0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """The connection is up."""
+        """Called by the event loop once the connection is established."""
         self.transport = cast(asyncio.Transport, transport)
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -53,7 +53,7 @@
         self.parser = None
 
     def feed(self, data: bytes) -> None:
-        """Feeds the parser. Raises HeadTooLong, and the parser's errors."""
+        """Feeds bytes to the parser. Raises HeadTooLong, or one of PARSER_ERRORS."""
         if self.in_head and self.spare + len(data) > MAX_HEAD_BYTES:
             room = MAX_HEAD_BYTES - self.spare
             first, data = data[:room], data[room:]
@@ -68,8 +68,8 @@
 
 
 def head(status: int, length: int | None, more: bytes = b"", close: bool = False) -> bytes:
-    """The head of an answer; without a length (bytes) its body is chunked. `more` holds further field
-    lines."""
+    """Returns the head of an answer. `length` is that of the body in bytes; with None the body is chunked.
+    `more` holds further field lines, each ended by CRLF."""
     if length is not None and not close:  # the common case
         return b"HTTP/1.1 %d %b\r\n%bContent-Length: %d\r\n\r\n" % (status, REASONS[status], more, length)
     framing = b"Transfer-Encoding: chunked" if length is None else b"Content-Length: %d" % length
--- a/magpiefront/net/metrics.py
+++ b/magpiefront/net/metrics.py
@@ -13,12 +13,13 @@
 
 
 def metric_lines(group: str, values: Mapping[str, int]) -> str:
-    """The metrics of one part of the program, a line each: `svc_<group>_<name> <value>`."""
+    """Returns the metrics of one part of the program, one line for each: `svc_<group>_<name> <value>`."""
     return "".join(f"{PREFIX}{group}_{name} {n}\n" for name, n in values.items())
 
 
 class RequestCounts:
-    """The counters of one class of requests since the process started."""
+    """The counters of one class of requests since the process started. `tries` counts the attempts whose
+    message has been written completely."""
 
     __slots__ = ("errors", "ok", "received", "shed", "tries")
 
@@ -59,15 +60,15 @@
             self.by_class.setdefault(name, RequestCounts())
 
     def counts_for(self, name: bytes) -> RequestCounts:
-        """The counters of a class, which are added if there are none."""
+        """Returns the counters of a class, and adds them first if there are none."""
         found = self.by_class.get(name)
         if found is None:
             found = self.by_class[name] = RequestCounts()
         return found
 
     def loop_text(self, longest_turn_ms: int, list_age_ms: int) -> str:
-        """The lines about the longest time for which the event loop was blocked, and the age of the latest
-        message of discovery."""
+        """Returns the lines about the longest time for which the event loop was blocked and about the age of
+        the latest message of discovery, both in milliseconds."""
         return metric_lines("loop", {"longest_turn_ms": longest_turn_ms}) + metric_lines(
             "list", {"age_ms": list_age_ms}
         )
--- a/magpiefront/net/node_connection.py
+++ b/magpiefront/net/node_connection.py
@@ -15,15 +15,19 @@
 from magpiefront.net.socket_state import SocketState, unacknowledged
 from magpiefront.reuse import WRITE_STALL_S, ConnectionLifecycle, ConnectionState, StrayReason
 
-STREAM_AFTER_S = 0.05  # an answer of unknown length that is not complete by then is streamed to the client
-MAX_PAUSE_S = 0.25  # a longer pause within an answer, which nodes do not make, counts as its failure
-RECHECK_S = 0.02  # lets a process that was late to read find bytes that had already arrived
+# An answer of unknown length that is not complete this long after its first body bytes is streamed to the
+# client.
+STREAM_AFTER_S = 0.05
+MAX_PAUSE_S = 0.25  # a longer pause within an answer fails the attempt; working nodes do not pause so long
+# After such a pause and before the attempt fails: a process that reads late may then find that more bytes of
+# the answer had already arrived.
+RECHECK_S = 0.02
 
 
 @dataclass(slots=True, frozen=True)
 class Stray:
     """Unsolicited bytes, which are no answer to any request. `after_s` is the time since the connection's
-    last answer; `size` is the number of bytes, 0 if they were not read."""
+    last answer, in seconds; `size` is the number of bytes, 0 if they were not read."""
 
     connection: NodeConnection
     reason: StrayReason
@@ -32,7 +36,7 @@
 
 
 class ConnectionOwner(Protocol):
-    """What a connection needs of its node. `clock` returns seconds and always advances, unlike the event
+    """What a connection needs from its node. `clock` returns seconds and always advances, unlike the event
     loop's time, which stands still during a turn of the loop."""
 
     name: str
@@ -51,8 +55,9 @@
 
     `number` counts the connections that the pool has opened. `written`: the whole message has been handed to
     the kernel. `paused`: reading is paused, since the client reads slowly. `streams`: the answer is streamed
-    to the client. `pause_watched`: a timer watches for pauses in the answer. `spare`, of the base class, is
-    also set by `detach_exchange`, before anything has been read.
+    to the client. `pause_watched`: a timer watches for pauses in the answer. `spare`, a number of bytes in
+    the base class, is a flag until the first exchange starts: `detach_exchange` sets it while the connection
+    is being made, so that the connection is kept for another exchange.
     """
 
     __slots__ = ("exchange", "last_data_at", "last_target", "lifecycle", "node", "number", "pause_watched",
@@ -71,8 +76,8 @@
     # ---- the exchange
 
     def start(self, exchange: Exchange, checked_at: float | None = None) -> None:
-        """Writes the exchange's message. For a connection that was used before, `checked_at` is when it was
-        last checked for unread bytes."""
+        """Writes the exchange's message, or ends the exchange as MOOT if it must not begin any more. For a
+        connection from the pool, `checked_at` is when it was last checked for unread bytes."""
         if not exchange.may_begin():
             self.exchange = None
             self.lifecycle.release_unused(self.node.clock())
@@ -91,9 +96,10 @@
             self._end_by_stray(StrayReason.CROSSED, 0)
 
     def has_nothing_unread(self) -> bool:
-        """Whether the kernel holds nothing for an idle connection that the event loop has not read yet: its
-        end, which would reset the next request, or a second copy of the last answer, which would be taken
-        for the next one."""
+        """Checks an idle connection before it is reused. Returns False if it is closing, or if the kernel
+        holds anything that the event loop has not read yet: the end of the connection, since the next request
+        would end as a reset, or bytes, such as a second copy of the last answer, which would be taken for the
+        next answer. Reports unread bytes as a stray."""
         if self.transport.is_closing():
             return False
         if not self._has_unread():
@@ -108,8 +114,8 @@
         return self.socket_state.readable()
 
     def detach_exchange(self) -> None:
-        """Called when the exchange starts on another connection. This one is still established and then
-        waits in the pool for another exchange."""
+        """Called when the exchange starts on another connection while this one is being made. Connecting
+        continues, and then this connection waits in the pool for another exchange."""
         self.exchange, self.spare = None, True
 
     def give_up(self, exchange: Exchange) -> None:
@@ -123,7 +129,8 @@
         self.transport.abort()
 
     def fail(self) -> None:
-        """Closes the connection and ends its exchange as failed."""
+        """Closes the connection and ends its exchange: as RESET if the whole message was written, otherwise
+        as CONNECT_FAILED."""
         # A node that has sent half an answer or garbage may leave the connection open. If it were never
         # closed, it would hold a slot of the pool and a descriptor on either side for good.
         self.close()
@@ -132,7 +139,8 @@
             exchange.end(Outcome.RESET if self.written else Outcome.CONNECT_FAILED)
 
     def _end_by_stray(self, reason: StrayReason, size: int) -> None:
-        """Ends the exchange: the bytes that came are not its answer. The request may still run."""
+        """Ends the exchange as RESET: the bytes that arrived are not its answer, and the request may still
+        run."""
         self._report_stray(reason, size)
         self.close()
         exchange, self.exchange = self.exchange, None
@@ -224,7 +232,8 @@
         """Fails an attempt whose node stops sending in the middle of an answer. It would otherwise wait for
         the rest until the client's deadline, while another node could have answered long before.
 
-        `rechecked` is the `last_data_at` for which the recheck after `RECHECK_S` was scheduled."""
+        The attempt fails at a second check, `RECHECK_S` after the first one, if no data has been read between
+        them. `rechecked` is the `last_data_at` of the first check, or 0.0 if this is the first one."""
         if self.exchange is not exchange or self.complete or self.streams:
             return
         left_s = self.last_data_at + MAX_PAUSE_S - self.node.loop.time()
@@ -236,8 +245,8 @@
             self.fail()
 
     def _end_incomplete(self) -> None:
-        """Ends an exchange whose answer can't be told from a truncated one or is too large for an error.
-        The status and the fields of a failure are valid without its body."""
+        """Ends an exchange whose answer can't be told from a truncated one, or is an error with too large a
+        body. An error counts by its status and fields even without its body; any other answer fails."""
         exchange, answer = self.exchange, self.answer
         if exchange is None or answer.status < 200 or self.is_for_client(answer):
             self.fail()
@@ -298,8 +307,8 @@
             answer.body.append(body)
 
     def _stream(self, attempt: Attempt) -> None:
-        # A long answer may arrive slowly. If it were held until 64 KiB of it are there, its first bytes would
-        # reach the client late, and its attempt would time out while the answer is arriving.
+        # A long answer may arrive slowly. If it were held back until 64 KiB of it had arrived, its first
+        # bytes would reach the client late, and its attempt would time out while the answer is arriving.
         if self.exchange is attempt and not self.complete and not attempt.streaming:
             self.streams = True
             attempt.begin_stream(self.answer)
--- a/magpiefront/net/pool.py
+++ b/magpiefront/net/pool.py
@@ -16,13 +16,15 @@
 from magpiefront.net.pool_counters import NewCause, PoolCounters
 from magpiefront.reuse import RestPolicy
 
-TIMER_RESOLUTION_S = 0.001  # the event loop's timers do not tell shorter times apart
-# Errors of this machine. They are no sign of a node that is down, which would be cold when it returns.
+TIMER_RESOLUTION_S = 0.001  # the event loop's timers can't tell times apart that differ by less
+# Connect errors that are caused by this machine. They are no sign that the node is down; a node that was down
+# would be treated as cold when it returns.
 LOCAL_ERRNOS = RESOURCE_SHORTAGE_ERRNOS | {errno.EADDRNOTAVAIL, errno.ENETUNREACH, errno.ENETDOWN}
 
 
 def last_answer_at(connection: NodeConnection) -> float:
-    """When the connection was last in use, or was released unused; the key that idle ones are sorted by."""
+    """Returns when the connection completed its last answer, or was last released unused, in seconds of the
+    pool's clock. Idle connections are sorted by it."""
     return connection.lifecycle.answered_at
 
 
@@ -36,7 +38,7 @@
         self.pool, self.name, self.address = pool, name, address
         self.host_header = f"{address[0]}:{address[1]}".encode()
         self.idle: list[NodeConnection] = []  # resting or idle; the longest idle one comes first
-        self.unused: list[NodeConnection] = []  # never used: their request was sent on another connection
+        self.unused: list[NodeConnection] = []  # never used: their exchange was sent on another one
         self.open = 0  # connections that are open or being made
         self.retired = False  # no longer listed, or listed at another address
         self.excluded = False  # taken out of rotation by an operator
@@ -55,7 +57,8 @@
 
     def begin(self, exchange: Exchange) -> None:
         """Starts an exchange on a reusable connection, or opens a new one. If a connection's rest ends before
-        the new one is established, the exchange starts on the rested one."""
+        the new one is established, the exchange starts on the rested one. If no connection can be opened or
+        reused, the exchange ends as MOOT."""
         cause = NewCause.RESTING if self.idle else NewCause.NONE_OPEN
         now = self.clock()
         while (connection := self._take_reusable(now)) is not None:
@@ -69,7 +72,8 @@
         self._schedule_reuse(exchange, now)
 
     def _start_on(self, connection: NodeConnection, exchange: Exchange, now: float) -> bool:
-        """Returns False if the connection has ended or has unread bytes; it is closed then."""
+        """Starts the exchange on a connection from the pool. Returns False, and closes the connection, if it
+        has ended or has unread bytes."""
         if not connection.has_nothing_unread():
             connection.close()
             return False
@@ -88,8 +92,9 @@
         exchange.task.add_done_callback(lambda _: self._connect_done(connection))
 
     def _take_reusable(self, now: float) -> NodeConnection | None:
-        """Takes the most recently used connection whose rest is over, so that the others reach their idle
-        timeout. If there is none, takes one that was never used: it costs the node as much as a new one."""
+        """Removes a connection that may carry an exchange now from the pool, and returns it. Takes the most
+        recently used one whose rest is over, so that the others reach their idle timeout. If there is none,
+        takes one that was never used, which costs the node as much as a new one."""
         rest_s = self.pool.rest.rest_s(now)
         rested = bisect_right(self.idle, now - rest_s, key=last_answer_at)
         if rested:
@@ -103,8 +108,9 @@
         return connection
 
     def _schedule_reuse(self, exchange: Exchange, now: float) -> None:
-        """Prevents an exchange from waiting for a connection that is established late, or never, while
-        another one has become reusable."""
+        """Schedules `_reuse_if_waiting` for the end of the first rest, if that comes before the connect
+        timeout. Otherwise the exchange could wait for a new connection that is established late, or never,
+        while another one has become reusable."""
         if self.idle:
             rest_s = self.pool.rest.rest_s(now)
             left_s = last_answer_at(self.idle[0]) + rest_s - now
@@ -112,7 +118,7 @@
                 self.loop.call_later(left_s + TIMER_RESOLUTION_S, self._reuse_if_waiting, exchange)
 
     def _reuse_if_waiting(self, exchange: Exchange) -> None:
-        """Starts an exchange that still waits for its new connection on one that has rested meanwhile."""
+        """Starts an exchange that still waits for its new connection on another one whose rest is over."""
         opening = exchange.opening
         if exchange.done or exchange.begun or opening is None:
             return
@@ -151,7 +157,8 @@
             exchange.end(outcome)
 
     def put_back(self, connection: NodeConnection) -> None:
-        """Returns a connection without an exchange to the pool, as the most recently used one."""
+        """Returns a connection without an exchange to the pool, as the most recently used one, or closes it
+        if the node gets no new exchanges."""
         if self.unavailable:
             connection.close()
             return
@@ -181,7 +188,7 @@
             self.pool.close_idle(connection)
 
     def retire(self) -> None:
-        """Begins nothing new here and closes idle connections. Exchanges in flight may finish."""
+        """Stops new exchanges on this node and closes idle connections. Exchanges in flight may finish."""
         self.retired = True
         self.close_idle()
 
@@ -189,7 +196,8 @@
 class Pool:
     """All connections to cache nodes, bounded by the proxy's file descriptors.
 
-    `open` counts the connections that are open or being made. `on_stray` is called with unsolicited bytes.
+    `open` counts the connections that are open or being made. `on_stray` is called when unsolicited bytes
+    arrive, with the node and a `Stray`.
     """
 
     connection_type: type[NodeConnection] = NodeConnection
@@ -210,7 +218,8 @@
     def set_times(self, connect_us: int, idle_us: int) -> None:
         """Sets the connect timeout and the idle timeout of the nodes, in microseconds."""
         self.connect_timeout_s = connect_us / 1e6
-        # Well below the node's own idle timeout: a request that crosses with its close ends as a reset.
+        # Well below the node's own idle timeout: a request that is sent while the node closes the connection
+        # ends as a reset.
         self.idle_s = max(idle_us / 2e6, idle_us / 1e6 - 5)
 
     def set_node_address(self, name: str, address: Address | None) -> None:
@@ -225,7 +234,8 @@
             self.nodes[name] = self.node_type(self, name, address)
 
     def make_room(self) -> bool:
-        """Whether another connection may be opened. At the limit, closes the longest idle one."""
+        """Returns whether another connection may be opened. At the limit, closes the longest idle one to make
+        room; returns False if none is idle."""
         if self.open < self.max_connections:
             return True
         if not self.idle:
@@ -234,7 +244,7 @@
         return True
 
     def report_stray(self, node: Node, stray: Stray) -> None:
-        """Counts and reports unsolicited bytes, and adapts the rest that connections need."""
+        """Counts and reports unsolicited bytes, and adapts how long connections rest."""
         if stray.connection.lifecycle.used:
             self.rest.record_stray(stray.after_s, self.clock())
         self.counters.count_stray(node.name)
--- a/magpiefront/net/pool_counters.py
+++ b/magpiefront/net/pool_counters.py
@@ -6,20 +6,24 @@
 
 from magpiefront.net.metrics import PREFIX, metric_lines
 
-MAX_STRAY_NODES = 64  # nodes with a stray counter of their own: those that sent one most recently
+MAX_STRAY_NODES = 64  # nodes that have a stray counter of their own: those that sent strays most recently
 
 
 class NewCause(Enum):
     """Why a new connection was opened."""
 
-    NONE_OPEN = "none_open"  # no connection to the node was without an exchange
+    NONE_OPEN = "none_open"  # every connection to the node, if there were any, carried an exchange
     RESTING = "resting"  # all connections without an exchange were still resting
     ENDED = "ended"  # the connection that was taken had ended or had unread bytes
 
 
 class PoolCounters:
-    """Counts since the process started. `strays` counts unsolicited bytes, each of which closed its
-    connection; `strays_of` has them by node, for the last `MAX_STRAY_NODES` nodes that sent any."""
+    """Counts since the process started.
+
+    `made` counts new connections by cause, and `reused` the exchanges that started on a connection of the
+    pool. `strays` counts arrivals of unsolicited bytes, each of which closed its connection; `strays_of`
+    counts them by node, for the last `MAX_STRAY_NODES` nodes that sent any.
+    """
 
     def __init__(self) -> None:
         self.made = dict.fromkeys(NewCause, 0)
--- a/magpiefront/net/socket_state.py
+++ b/magpiefront/net/socket_state.py
@@ -1,8 +1,8 @@
-"""The state of a connected socket, asked of the kernel directly.
+"""The state of a connected socket, read from the kernel directly.
 
-The event loop learns of a close only when it reads, which may be too late: it runs timers first, it may have
-been delayed, and it does not read at all while reading is paused. The end of the stream is then queued behind
-bytes that nobody has read, and only the kernel knows of it.
+The event loop learns of a close only when it reads, which may be too late: overdue timers run first, the
+loop may have been delayed, and it does not read at all while reading is paused. The end of the stream is then
+queued behind unread bytes, and only the kernel knows of it.
 """
 
 from __future__ import annotations
@@ -15,6 +15,7 @@
 import sys
 import termios
 
+# Poll events of a connection that the peer has closed, half-closed or reset.
 CLOSED = select.POLLRDHUP | select.POLLHUP | select.POLLERR | select.POLLNVAL
 
 
@@ -35,8 +36,8 @@
 
 
 def since_last_data_s(transport: asyncio.BaseTransport) -> float:
-    """Returns how long ago this machine last received data, whether it has been read or not; 0 if the system
-    does not provide it."""
+    """Returns how many seconds ago this machine last received data from the peer, whether it has been read or
+    not; 0 if the system does not provide it."""
     sock = transport.get_extra_info("socket")
     try:
         info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_LAST_DATA_RECV + 4)
@@ -68,8 +69,8 @@
         return bool(events[0][1] & CLOSED) or self._at_end()
 
     def _at_end(self) -> bool:
-        """For systems whose poll does not tell a hang-up from data: at the end of the stream, a socket is
-        readable and a read returns no bytes."""
+        """Whether the peer has ended the stream. For systems whose poll does not tell a hang-up from data: at
+        the end of the stream, a socket is readable and a read returns no bytes."""
         sock = self._socket
         duplicate = socket.socket(sock.family, sock.type, sock.proto, fileno=sock.fileno())
         try:
--- a/magpiefront/net/trace.py
+++ b/magpiefront/net/trace.py
@@ -9,13 +9,15 @@
     c server ok|failed elapsed open     d server open     g (the Router's state, once a second)
     b request attempt server connection new|idle rested answers
 
-`a` is a request that arrived; one that is refused on arrival has `-` for its rank and for whether it fetches.
-`s` is an attempt that is sent. Its marks: `w` for a warm node or `c` for a cold one, `t` for a trial, `2` for
-a second copy. `b` is a message written to a connection, with the time that this has rested and the number of
-answers it has carried. `e` is the end of an attempt. `x` is a request that is refused or fails, on arrival
-(`gate`) or later (`end`). `l` is a list of nodes and `w` a call of discovery. `p` is a probe and `r` its
-result. `c` is a connection being made, `d` one that closed. `n` is a log message of the Router. Times
-are microseconds.
+`a` is a request that arrived. Its `rank` is the key's hash as a number from 0 to 1, and `fetches` is `f` if
+the request probably needs a fetch from the origin, else `-`; a request that is refused on arrival has `-` for
+both. `s` is an attempt that is sent. Its marks: `w` for a warm node or `c` for a cold one, `t` for a trial,
+`2` for a second copy. `b` is a message written to a connection, with the time for which the connection has
+rested and the number of answers it has carried. `e` is the end of an attempt; its `note` is the cache result
+of the answer. `x` is a request that is refused or fails, on arrival (`gate`) or later (`end`). `l` is a list
+of nodes and `w` a call to discovery. `p` is a probe and `r` its result. `c` is a connect that has ended and
+`d` a connection that closed; their `open` is the number of connections to the node that are open or being
+made. `n` is a log message of the Router. Times are microseconds.
 """
 
 from __future__ import annotations
@@ -32,11 +34,11 @@
 from magpiefront.net.pool import Node
 from magpiefront.net.proxy import Proxy
 
-STATE_INTERVAL_S = 1.0
+STATE_INTERVAL_S = 1.0  # between two `g` lines
 
 
 class TracedNode(Node):
-    """Reports connections that are made and closed."""
+    """Writes a line for each connection that is made, fails or closes."""
 
     __slots__ = ()
 
@@ -54,7 +56,7 @@
 
 
 class TracedConnection(NodeConnection):
-    """Reports messages that are written."""
+    """Writes a line for each message that is written."""
 
     __slots__ = ()
 
@@ -68,7 +70,7 @@
 
 
 def name_of(exchange: Exchange) -> str:
-    """The words `request attempt` of a line; a probe has none."""
+    """Returns the words `request attempt` of a line; `probe -` for a probe, which has neither."""
     if isinstance(exchange, Attempt):
         return f"{exchange.request.name} {exchange.number}"
     return "probe -"
