Discovery and its lists: undecoded entries are raw entries, and slices are called slices

Entries of a list were called lines, which suggested text, and the option of apply() that rejects an older list was called in_doubt. They are raw entries and reject_older now. The methods that read pending entries say that they do, and comments name the timeouts, pauses and limits that they give the reason for.

--- a/magpiefront/net/discovery.py
+++ b/magpiefront/net/discovery.py
@@ -1,4 +1,4 @@
-"""The client of discovery: turns its answers into ServerList events."""
+"""The client of the discovery service: turns the lists that it returns into ServerList events."""
 
 from __future__ import annotations
 
@@ -17,37 +17,39 @@
 from magpiefront.net.proxy import Proxy
 
 FIRST_BACKOFF_S = 0.02  # after the first failed call; doubled after each further one
-MAX_TIMED_OUT_CALLS = 4  # calls without an answer in time that are kept, since their answer may only be slow
-# How long the oldest of them is kept. It has waited longest, and later ones would be answered after it.
-MAX_OLDEST_CALL_AGE_S = 8.0
-MAX_ANSWER_BYTES = 8 * 1024 * 1024
+# Timed-out calls whose connections stay open, since their answers may only be slow. Above the limit, the
+# second oldest is closed: the oldest has waited longest, and the others would be answered after it.
+MAX_TIMED_OUT_CALLS = 4
+MAX_OLDEST_CALL_AGE_S = 8.0  # since the oldest of these calls was sent; its connection is closed after that
+MAX_ANSWER_BYTES = 8 * 1024 * 1024  # of the body of an answer; a longer one closes its connection
 
 
 @dataclass(slots=True, frozen=True)
 class CallTimeouts:
-    """How long calls may take, and the longest pause after a failed one."""
+    """How long calls may take, and how long the pause after a failed one may be."""
 
     wait_ms: int  # how long a watch lets discovery wait for a change
     watch_timeout_s: float  # for the answer to a watch
     full_list_timeout_s: float  # for the whole list, for which discovery does not wait
     connect_timeout_s: float
-    max_backoff_s: float  # after a failed call
+    max_backoff_s: float  # limit of the pause after a failed call
 
 
-# For calls to discovery itself, each of which costs it work. If a watch gets no answer, what discovery knows
-# counts as told to this proxy 2 s after the watch's wait is over.
+# For calls to discovery itself, each of which costs it work. If a watch gets no answer, discovery assumes
+# that this proxy has the current list from 2 s after the end of the watch's wait.
 DIRECT_TIMEOUTS = CallTimeouts(
     wait_ms=20_000, watch_timeout_s=20.5, full_list_timeout_s=2.5, connect_timeout_s=1.0, max_backoff_s=1.0
 )
 
 
 def agent_timeouts(drain_grace_us: int) -> CallTimeouts:
-    """Timeouts for an agent on this machine that lists are pushed to.
+    """Returns the timeouts for calls to an agent on this machine that discovery pushes its lists to.
 
-    The agent answers at once and its calls cost nothing. What it has counts as told to this proxy: also what
-    it gets when an outage ends, while calls that came during the outage may stay without an answer. So the
-    timeout of a watch, connecting and the backoff must together fit into the grace period in which sends to
-    a draining server may still begin. A part of the grace period is left for the process itself.
+    The agent answers at once, and calls to it cost nothing. Discovery assumes that this proxy has whatever
+    the agent has, also a list that the agent gets when an outage ends, although calls made during the outage
+    may never be answered. So the timeouts of a watch and of connecting and the backoff must together fit into
+    the grace period, in which requests to a draining server may still be sent. Part of the grace period is
+    left for the process itself.
     """
     grace_s = drain_grace_us / 1e6
     wait_s = max(0.05, min(2.0, grace_s * 0.4))
@@ -126,15 +128,15 @@
 
 
 class Discovery:
-    """Calls discovery and applies the lists it answers with, one call after the other.
+    """Calls discovery, one call after the other, and applies the lists that it returns.
 
-    It calls either discovery itself (`direct`) or an agent on this machine that lists are pushed to. After a
-    failed call to an agent it calls again after a backoff. After one to discovery itself, the Router decides
-    when to call again.
+    Calls go either to discovery itself (`direct`) or to an agent on this machine that lists are pushed to. A
+    failed call to an agent is repeated after a backoff. After a failed call to discovery itself, the Router
+    decides when to call again.
 
     A call that gets no answer in time is followed by a new one at once, on another connection. The earlier
-    connection is kept for a while: if its answer comes after all, discovery is slow rather than silent, and
-    that connection is used again.
+    connection is kept for a while: if the answer arrives there after all, discovery is slow rather than
+    silent, and that connection is used again.
     """
 
     def __init__(self, proxy: Proxy, address: Address, seed: int) -> None:
@@ -142,11 +144,11 @@
         self.loop, self.direct = proxy.loop, proxy.config.watches_discovery
         self.listing = Listing(proxy)
         self.connection: DiscoveryConnection | None = None
-        self.timed_out: list[DiscoveryConnection] = []  # without an answer in time, the oldest first
+        self.timed_out: list[DiscoveryConnection] = []  # of timed-out calls, the oldest call first
         self.timer: asyncio.TimerHandle | None = None
         self.task: asyncio.Task[None] | None = None
         self.failures = 0  # failed calls since the last answer
-        self.restart_watch = False  # whether the next call requests the whole list, for a new watch
+        self.restart_watch = False  # whether the next call requests the whole list, to begin a new watch
         self.stopped = False
 
     @property
@@ -154,12 +156,13 @@
         return timeouts_of(self.proxy.config)
 
     def start(self, known: Any) -> None:
-        """Applies the list that is known from before this start, if any, and begins to call."""
+        """Applies `known`, a list from before this process started, if there is one. Then calls discovery, or
+        with `direct` lets the Router do so."""
         if known is not None:
             try:
                 self.listing.apply(known, stale=True)
             except InvalidList:
-                self.proxy.log("the known list can't be read")
+                self.proxy.log("discovery: the list from before this start can't be read")
         if self.direct:
             self.proxy.on_watch = self.start_call
         else:
@@ -167,7 +170,7 @@
 
     @property
     def list_applied(self) -> bool:
-        """Whether all that is listed has been applied, up to the placement of keys."""
+        """Whether the whole list has been applied, including the placement of keys."""
         return not self.listing.pending and not self.proxy.router.placement.busy
 
     def stop(self) -> None:
@@ -175,8 +178,8 @@
         self._close_all()
 
     def set_address(self, address: Address) -> None:
-        """Continues with discovery at another address, from its whole list, since its generations need not
-        match those seen so far. The current list stays in effect until then."""
+        """Calls discovery at another address from now on, first for the whole list, since generations there
+        need not match those seen so far. The current list stays in effect until that list arrives."""
         if address == self.address:
             return
         self.address = address
@@ -186,17 +189,17 @@
         self.start_call()
 
     def start_call(self) -> None:
-        self._cancel_waiting()
+        self._cancel_timer_and_task()
         self.task = self.loop.create_task(self._call())
 
-    def _cancel_waiting(self) -> None:
-        for waiting in (self.timer, self.task):
-            if waiting is not None:
-                waiting.cancel()
+    def _cancel_timer_and_task(self) -> None:
+        for pending in (self.timer, self.task):
+            if pending is not None:
+                pending.cancel()
         self.timer = self.task = None
 
     def _close_all(self) -> None:
-        self._cancel_waiting()
+        self._cancel_timer_and_task()
         connection, self.connection = self.connection, None
         if connection is not None:
             connection.close()
@@ -208,7 +211,7 @@
             connection.close()
 
     async def _connect(self) -> DiscoveryConnection:
-        """Raises OSError."""
+        """Returns an established connection. Raises OSError if connecting fails or takes too long."""
         connection = DiscoveryConnection(self)
         try:
             async with asyncio.timeout(self.timeouts.connect_timeout_s):
@@ -274,7 +277,7 @@
                 newer.close()
         elif connection is not self.connection:
             return
-        self._cancel_waiting()
+        self._cancel_timer_and_task()
         self._close_timed_out()
         if not connection.keep_alive:
             self.connection = None
@@ -283,7 +286,7 @@
             self._call_failed()
             return
         try:
-            self.listing.apply(json.loads(body), in_doubt=connection.answers > 1)
+            self.listing.apply(json.loads(body), reject_older=connection.answers > 1)
         except (InvalidList, ValueError, RecursionError):
             self._drop(connection)
             self._call_failed()
@@ -292,7 +295,8 @@
         self.start_call()  # at once: a watch continues only if the next call comes within 200 ms
 
     def _drop(self, connection: DiscoveryConnection) -> None:
-        """Makes the next call go out on another connection: answers to earlier calls may come on this one."""
+        """Closes the connection, so that the next call uses another one: an answer to an earlier call may
+        still arrive on this one."""
         if self.connection is connection:
             self.connection = None
         connection.close()
@@ -303,7 +307,7 @@
             self.proxy.log("discovery: a call failed")
 
     def _call_failed(self) -> None:
-        self._cancel_waiting()
+        self._cancel_timer_and_task()
         if self.stopped:
             return
         self._count_failure()
--- a/magpiefront/net/listing.py
+++ b/magpiefront/net/listing.py
@@ -1,9 +1,9 @@
 """The list of nodes as discovery reports it, applied in slices.
 
-Removals come first: nodes that drain, have gone or are missing from a whole list get nothing more from the
+Removals come first: nodes that drain, have gone or are missing from a whole list get no new requests from the
 moment the list has been decoded as JSON, before any other entry is read. The other entries are kept by name
-and read in batches, one for each turn of the event loop. A newer list replaces the entries of the same nodes
-that are still pending, so that lists that have queued up are applied as one.
+and read in slices, one in each turn of the event loop. Entries of a newer list replace pending entries of the
+same nodes, so that lists that arrive faster than they are read are applied as one.
 """
 
 from __future__ import annotations
@@ -20,42 +20,42 @@
 from magpiefront.net.config import Address, parse_address
 from magpiefront.net.events import EventLog, Reason
 
-ENTRIES_PER_TURN = 64
+ENTRIES_PER_TURN = 64  # read in one turn of the event loop, between reads of its sockets
 STATUSES = {"Ready": Status.READY, "Terminating": Status.DRAINING, "Gone": Status.GONE}
 LIFECYCLES = {status: lifecycle for lifecycle, status in STATUSES.items()}
-REMOVED = (Status.DRAINING, Status.GONE)
+REMOVED = (Status.DRAINING, Status.GONE)  # nodes with these statuses get no new requests
 
 
 class InvalidList(Exception):
-    """An answer of discovery that is not a valid list."""
+    """A list or an entry from discovery that is not valid, or a list that must not be applied."""
 
 
 @dataclass(slots=True, frozen=True)
 class ListFrame:
-    """An answer of discovery whose entries have not been checked yet. `whole`: it is a whole list, not a
-    change of one."""
+    """A list from discovery whose entries have not been checked yet. `whole`: it is the whole list, not only
+    changes."""
 
     generation: int
     whole: bool
-    lines: list[Any]
+    raw_entries: list[Any]
 
 
 @dataclass(slots=True, frozen=True)
 class ListedNode:
-    """A node as it is listed."""
+    """A node as discovery lists it."""
 
     entry: ServerEntry
     address: Address
 
 
-def read_frame(given: Any, stale: bool) -> ListFrame:
-    """Checks the frame of a decoded list. A stale one always counts as whole. Raises InvalidList."""
-    if not isinstance(given, dict) or not isinstance(given.get("instances"), list):
+def read_frame(decoded: Any, stale: bool) -> ListFrame:
+    """Checks a decoded list, except its entries. A stale list always counts as whole. Raises InvalidList."""
+    if not isinstance(decoded, dict) or not isinstance(decoded.get("instances"), list):
         raise InvalidList
-    generation = given.get("generation")
+    generation = decoded.get("generation")
     if not isinstance(generation, int) or isinstance(generation, bool):
         raise InvalidList
-    return ListFrame(generation, stale or bool(given.get("reset", False)), given["instances"])
+    return ListFrame(generation, stale or bool(decoded.get("reset", False)), decoded["instances"])
 
 
 def read_entry(given: Any) -> ListedNode:
@@ -73,7 +73,8 @@
             intern(str(given.get("zone", ""))),
             intern(str(given.get("machineType", ""))),
             int(given.get("cell", -1)),
-            int(float(given.get("startedAtMs", 0)) * 1000),  # from ms; in a wrong unit a start lies far ahead
+            # From ms to µs. With a wrong unit, the start would lie far in the future.
+            int(float(given.get("startedAtMs", 0)) * 1000),
         )
     except (KeyError, TypeError, ValueError, OverflowError, AttributeError):
         raise InvalidList from None
@@ -97,7 +98,7 @@
 
 
 class EncodedEntries(Sequence[dict[str, Any]]):
-    """Entries in discovery's format. Each is encoded when it is accessed."""
+    """A sequence of entries in discovery's format. Each is encoded only when it is accessed."""
 
     def __init__(self, nodes: Sequence[ListedNode]) -> None:
         self.nodes = nodes
@@ -115,29 +116,32 @@
         return write_entry(self.nodes[at])
 
 
-def name_of(line: Any) -> str | None:
+def name_of(raw_entry: Any) -> str | None:
     """The name in an entry that has not been checked; None if it has none."""
-    name = line.get("instanceId") if isinstance(line, dict) else None
+    name = raw_entry.get("instanceId") if isinstance(raw_entry, dict) else None
     return name if isinstance(name, str) and name else None
 
 
-def status_of(line: Any) -> Status | None:
+def status_of(raw_entry: Any) -> Status | None:
     """The status in an entry that has not been checked; None if it has none."""
-    lifecycle = line.get("lifecycle") if isinstance(line, dict) else None
+    lifecycle = raw_entry.get("lifecycle") if isinstance(raw_entry, dict) else None
     return STATUSES.get(lifecycle) if isinstance(lifecycle, str) else None
 
 
-def mean_weight(lines: list[Any]) -> float:
+def mean_weight(raw_entries: list[Any]) -> float:
     """The mean of the valid weights in entries that have not been checked; 0 if there is none."""
-    weights = [line.get("weight", 1.0) for line in lines if isinstance(line, dict)]
+    weights = [raw_entry.get("weight", 1.0) for raw_entry in raw_entries if isinstance(raw_entry, dict)]
     valid = [weight for weight in weights if isinstance(weight, int | float) and weight > 0]
     return sum(valid) / len(valid) if valid else 0.0
 
 
 @dataclass(slots=True)
 class Progress:
-    """Counts for the event log, of the lists applied since nothing was pending last. `turns`: turns of the
-    event loop; `longest_s`: the longest of them."""
+    """Counts for the event log, of all lists applied since nothing was pending last.
+
+    `entries`: entries received; `turns`: turns of the event loop in which they were read; `longest_s`: how
+    long the longest of these turns took.
+    """
 
     entries: int = 0
     turns: int = 0
@@ -154,18 +158,18 @@
 
 
 class ListReceiver(Protocol):
-    """Receives what a list says."""
+    """Applies to the proxy what a list says."""
 
     loop: asyncio.AbstractEventLoop
 
     def forbid(self, names: Sequence[str]) -> None:
-        """Sends nothing new to these nodes from now on. The rest of their entries follows."""
+        """Stops new requests to these nodes at once. Their entries follow with `list_changed`."""
 
     def list_changed(self, server_list: ServerList, addresses: dict[str, Address]) -> None:
-        """Applies some entries. `addresses` has the addresses of those that are ready."""
+        """Applies some entries. `addresses` holds the addresses of those that are ready."""
 
     def schedule_slice(self, call: Callable[[], object]) -> None:
-        """Calls it in a later turn of the loop."""
+        """Calls `call` in a later turn of the event loop."""
 
     def log(self, text: str) -> None: ...
 
@@ -174,10 +178,11 @@
 
 
 class Listing:
-    """The list as this proxy has it. A node is removed only when discovery says so explicitly.
+    """The list of nodes as this proxy holds it. A node is removed only if discovery says so: by an entry, or
+    by a whole list without it.
 
-    `held` has the listed nodes whose entries have been read. A name is pending in at most one of
-    `_whole_lines` and `_changed_lines`.
+    `held` holds the listed nodes whose entries have been read, by name. A name is in at most one of
+    `_pending_whole` and `_pending_changes`.
     """
 
     def __init__(self, receiver: ListReceiver) -> None:
@@ -186,38 +191,38 @@
         self.held: dict[str, ListedNode] = {}
         # Removed nodes that have not been reported yet: the entry that was held, and the new status.
         self._removed: dict[str, tuple[ServerEntry, Status]] = {}
-        self._whole_lines: dict[str, dict[str, Any]] = {}  # pending entries of a whole list
-        self._changed_lines: dict[str, dict[str, Any]] = {}  # pending entries of changes
-        self._mean_weight = 0.0
+        self._pending_whole: dict[str, dict[str, Any]] = {}  # entries of a whole list that have not been read
+        self._pending_changes: dict[str, dict[str, Any]] = {}  # entries of changes that have not been read
+        self._mean_weight = 0.0  # of the first whole list with valid weights; 0: not known
         self._invalid_entries = 0
-        self._by_address: dict[Address, str] = {}  # the node that was last listed as ready at an address
+        self._by_address: dict[Address, str] = {}  # the node that was listed last as ready at each address
         self._address_conflicts: list[tuple[str, str]] = []  # two nodes that shared an address at some point
-        self._end_unreported = False  # parts were reported with `more` set, and the last one was not yet
-        self._turn_scheduled = False
+        self._end_unreported = False  # the latest report had `more` set: another must follow
+        self._slice_scheduled = False
         self._progress = Progress()
 
     @property
     def pending(self) -> bool:
         """Whether any entries have not been reported yet."""
-        return bool(self._removed or self._whole_lines or self._changed_lines)
+        return bool(self._removed or self._pending_whole or self._pending_changes)
 
     def snapshot(self) -> dict[str, Any]:
-        """The list as it is held now, in discovery's format, for a process that takes over. While entries are
-        pending its generation is -1, so that the successor requests the whole list."""
+        """Returns the list that is held now, in discovery's format, for the process that takes over. While
+        entries are pending, its generation is -1, so that the successor requests the whole list."""
         generation = -1 if self.pending else self.generation
         return {
             "generation": generation, "reset": True, "instances": EncodedEntries(list(self.held.values())),
         }  # fmt: skip
 
-    def apply(self, given: Any, stale: bool = False, in_doubt: bool = False) -> None:
+    def apply(self, decoded: Any, stale: bool = False, reject_older: bool = False) -> None:
         """Applies a decoded list: its removals and its first entries at once, the others in later turns.
 
-        `stale`: this is the list as it was last held, from before this process started. `in_doubt`: this may
-        be the answer to an earlier call, so that a list older than the one held is rejected. Raises
-        InvalidList, and changes nothing then.
+        `stale`: the list is from before this process started. `reject_older`: the list may be the answer to
+        an earlier call, so it is rejected if it is older than the list that is held. Raises InvalidList if
+        the list is invalid or rejected; the nodes that are held then stay as they are.
         """
-        frame = read_frame(given, stale)
-        if in_doubt and frame.generation < self.generation:
+        frame = read_frame(decoded, stale)
+        if reject_older and frame.generation < self.generation:
             self.receiver.events_log.emit(
                 "list", Reason.OLDER, generation=frame.generation, held=self.generation
             )
@@ -229,46 +234,47 @@
             self.receiver.log("discovery: a change is older than the list that is held")
             raise InvalidList
         self.generation = frame.generation
-        self._progress.entries += len(frame.lines)
+        self._progress.entries += len(frame.raw_entries)
         self._remove(self._add_pending(frame))
         if not stale:
             self._report(ListKind.PATCH, [], {})
-        if not self._turn_scheduled:
-            self._turn()
+        if not self._slice_scheduled:
+            self._read_slice()
 
     def _check_whole(self, frame: ListFrame) -> None:
-        """Raises InvalidList if none of the entries can be read while nodes are held."""
-        if self.held and frame.lines and not any(self._is_valid(line) for line in frame.lines):
+        """Raises InvalidList if nodes are held and the list has entries of which none is valid."""
+        if self.held and frame.raw_entries and not any(self._is_valid(raw) for raw in frame.raw_entries):
             raise InvalidList
-        if self.held and not frame.lines:
+        if self.held and not frame.raw_entries:
             self.receiver.log("discovery: a whole list without any node")
 
-    def _is_valid(self, line: Any) -> bool:
-        if name_of(line) in self.held:
+    def _is_valid(self, raw_entry: Any) -> bool:
+        """Whether an entry can be read, or has the name of a node that is held."""
+        if name_of(raw_entry) in self.held:
             return True
         try:
-            read_entry(line)
+            read_entry(raw_entry)
         except InvalidList:
             return False
         return True
 
     def _add_pending(self, frame: ListFrame) -> dict[str, Status]:
-        """Stores the entries by name; a later one replaces an earlier one. Returns the nodes that the list
-        removes, with their new status."""
+        """Adds the list's entries to the pending ones by name; a later entry replaces an earlier one of the
+        same name. Returns the names of the nodes that the list removes, with their new status."""
         removed: dict[str, Status] = {}
         if frame.whole:
-            self._whole_lines, self._changed_lines = {}, {}
-            self._mean_weight = self._mean_weight or mean_weight(frame.lines)
-        pending, other = self._whole_lines, self._changed_lines
+            self._pending_whole, self._pending_changes = {}, {}
+            self._mean_weight = self._mean_weight or mean_weight(frame.raw_entries)
+        pending, other = self._pending_whole, self._pending_changes
         if not frame.whole:
             pending, other = other, pending
-        for line in frame.lines:
-            name = name_of(line)
+        for raw_entry in frame.raw_entries:
+            name = name_of(raw_entry)
             if name is None:
                 self._invalid_entries += 1
                 continue
-            status = status_of(line)
-            pending[name] = line
+            status = status_of(raw_entry)
+            pending[name] = raw_entry
             other.pop(name, None)
             if status in REMOVED:
                 removed[name] = status
@@ -279,7 +285,8 @@
         return removed
 
     def _remove(self, removed: dict[str, Status]) -> None:
-        """Forbids the held ones of these nodes at once. Their entries are reported later."""
+        """Removes those of these nodes that are held, and forbids requests to them at once. Their entries
+        are reported later."""
         names = [name for name in removed if name in self.held]
         for name in names:
             status = removed[name]
@@ -287,21 +294,21 @@
             self._removed[name] = node.entry, status
             self._release_address(node)
             if status is Status.GONE:
-                self._whole_lines.pop(name, None)
-                self._changed_lines.pop(name, None)
+                self._pending_whole.pop(name, None)
+                self._pending_changes.pop(name, None)
         if names:
             self.receiver.forbid(names)
 
-    def _turn(self) -> None:
-        """Reports some of the pending entries and schedules a later turn for the others. Between two turns
-        the event loop reads its sockets."""
-        self._turn_scheduled = False
+    def _read_slice(self) -> None:
+        """Reads some of the pending entries and schedules the next slice for a later turn of the event loop,
+        which reads its sockets between two turns. Logs a summary once nothing is pending."""
+        self._slice_scheduled = False
         began = perf_counter()
-        self._read(ENTRIES_PER_TURN)
+        self._read_pending(ENTRIES_PER_TURN)
         self._progress.count(perf_counter() - began)
         if self.pending:
-            self._turn_scheduled = True
-            self.receiver.schedule_slice(self._turn)
+            self._slice_scheduled = True
+            self.receiver.schedule_slice(self._read_slice)
             return
         if self._progress.entries:
             self.receiver.events_log.emit("list", None, generation=self.generation, **self._progress.fields())
@@ -314,20 +321,20 @@
             self.receiver.log(f"discovery: {shared} nodes are listed at the address of another")
         self._address_conflicts = []
 
-    def _read(self, max_entries: int) -> None:
-        """Reports up to `max_entries` entries: removed nodes first, then entries of changes or of a whole
-        list, never both in one report."""
+    def _read_pending(self, max_entries: int) -> None:
+        """Reads up to `max_entries` entries and reports those that have changed: removed nodes first, then
+        entries of changes or of a whole list, never both in one report."""
         removed = [self._removed.pop(name) for name in list(islice(self._removed, max_entries))]
         changes = [replace(entry, status=status) for entry, status in removed]
         addresses: dict[str, Address] = {}
         kind = ListKind.PATCH
-        lines = self._changed_lines
-        if not changes and self._whole_lines:
-            lines, kind = self._whole_lines, ListKind.PART
-        while lines and len(changes) < max_entries:
-            name, line = lines.popitem()
+        raw_entries = self._pending_changes
+        if not changes and self._pending_whole:
+            raw_entries, kind = self._pending_whole, ListKind.PART
+        while raw_entries and len(changes) < max_entries:
+            name, raw_entry = raw_entries.popitem()
             max_entries -= 1
-            node = self._read_line(line)
+            node = self._update_held(raw_entry)
             if node is not None:
                 changes.append(node.entry)
                 max_entries += 1
@@ -342,10 +349,11 @@
             ServerList(kind, entries, self._end_unreported, self._mean_weight), addresses
         )
 
-    def _read_line(self, line: dict[str, Any]) -> ListedNode | None:
-        """Returns the node if its entry has changed. An entry that can't be read leaves the node as it is."""
+    def _update_held(self, raw_entry: dict[str, Any]) -> ListedNode | None:
+        """Updates the node that is held, and returns it if its entry has changed. An entry that can't be read
+        leaves the node as it is."""
         try:
-            node = read_entry(line)
+            node = read_entry(raw_entry)
         except InvalidList:
             self._invalid_entries += 1
             return None
