Tests of node connections and discovery: say what each guards against

Several docstrings began with the noun that was taken for something else, so that the failure became clear only at the end of the sentence. They now name the mistake and its result. Entries of lists are no longer called lines, like in the code that is tested, and the lines of the receiver are its log lines.

--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -27,7 +27,7 @@
 
 
 def blocking_client(w: World) -> socket.socket:
-    """A client socket on which each call acts at once, without a turn of the event loop."""
+    """Returns a blocking client socket. Each call on it acts at once, without a turn of the event loop."""
     client_socket = socket.create_connection(("127.0.0.1", w.port))
     client_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     return client_socket
@@ -43,8 +43,8 @@
 
 
 class GatedConnects:
-    """Holds back connections to nodes, from the one numbered `first` on, until `gate` is set. `waiting`
-    counts those held back."""
+    """Delays connecting to nodes until `gate` is set, from the connection with the number `first` (from 1)
+    on. `waiting` is the number of connections that have been delayed."""
 
     def __init__(self, monkeypatch: pytest.MonkeyPatch, first: int = 1) -> None:
         self.gate, self.waiting, begun = asyncio.Event(), 0, 0
@@ -146,7 +146,7 @@
         connects, gate = GatedConnects(monkeypatch, first=2), asyncio.Event()
         async with world(gated(gate), gated(gate), permissions={**NO_CANCEL, "secondCopies": True}) as w:
             key = "/api/k1"
-            # Without this the Router sends no copy: it would only be fetched from the origin once more.
+            # Without this the Router sends no second copy, since the key would only be fetched once more.
             w.proxy.router.cached_keys.add(_router_key(key))
             client = await w.client()
             client.send(request(path=key))
@@ -179,7 +179,7 @@
                 writer.write(ok())
 
         async with world(serves_at_first, serves_at_first) as w:
-            for n in range(20):  # opens connections, so that a retry need not wait for one
+            for n in range(20):  # opens connections, so that a retry does not have to wait for one
                 assert (await w.ask(path=f"/api/{n}")).status == 200
             assert all(node.idle for node in w.proxy.pool.nodes.values())
             before = len(w.seen())
@@ -189,7 +189,7 @@
             await until(lambda: len(w.seen()) == before + 1)
             (open_request,) = w.proxy.requests.values()
             client.close()
-            open_request.attempts[0].end(ended)  # no turn of the event loop between the two
+            open_request.attempts[0].end(ended)  # without a turn of the event loop in between
             await until(lambda: not w.proxy.requests and not w.front.clients)
             assert len(w.seen()) == before + 1
             assert any(isinstance(e, ClientLeft) for e in w.events)
@@ -268,9 +268,9 @@
 def test_node_gets_a_shorter_deadline_than_the_client() -> None:
     async def main() -> None:
         async with world(None) as w:
-            for deadline, most in (("0.9", 0.9 - DEADLINE_MARGIN_US / 1e6), ("0.04", 0.021)):
+            for deadline, longest in (("0.9", 0.9 - DEADLINE_MARGIN_US / 1e6), ("0.04", 0.021)):
                 await w.ask(deadline=deadline)
-                assert 0 < float(w.seen()[-1].headers["req-deadline"]) <= most
+                assert 0 < float(w.seen()[-1].headers["req-deadline"]) <= longest
 
     run(main())
 
@@ -354,8 +354,8 @@
 
 
 def test_late_request_during_shutdown_is_answered_before_the_kill(tmp_path: Path) -> None:
-    """Guards against answers that are lost in a shutdown: the client's deadline may lie after the moment at
-    which the platform kills the process."""
+    """Guards against losing answers in a shutdown: the platform may kill the process before the client's
+    deadline."""
 
     async def main() -> None:
         node, lists, port = Node("s-0", silent), DiscoveryServer(), free_port()
@@ -404,8 +404,8 @@
                 writer.write(ok())
 
         connects = GatedConnects(monkeypatch) if state == "waits" else None
-        copies = {**PROXY_SETTINGS["permissions"], "secondCopies": state == "hedged"}
-        async with world(handler, handler, permissions=copies) as w:
+        permissions = {**PROXY_SETTINGS["permissions"], "secondCopies": state == "hedged"}
+        async with world(handler, handler, permissions=permissions) as w:
             w.proxy.router.cached_keys.add(_router_key("/api/k1"))
             client = await w.client()
             client.send(request())
@@ -462,8 +462,8 @@
 
 
 def test_open_request_is_answered_before_the_process_ends() -> None:
-    """Guards against a request without an answer: its deadline may lie after the moment at which the platform
-    kills the process."""
+    """Guards against a request that gets no answer, since the platform may kill the process before the
+    request's deadline."""
 
     async def main() -> None:
         async with world(silent) as w:
@@ -503,8 +503,8 @@
 
 @pytest.mark.parametrize("read", [True, False], ids=["half read", "not read yet"])
 def test_shutdown_does_not_lose_the_answer_of_a_queued_request(read: bool) -> None:
-    """Guards against closing the connection with the answer before it, when part of the request had been
-    read."""
+    """Guards against closing the connection with the answer to the previous request, although part of the
+    next request has arrived."""
 
     async def main() -> None:
         gate = asyncio.Event()
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -1,4 +1,4 @@
-"""The client of discovery over loopback sockets: with valid, invalid, late and missing answers."""
+"""The client of the discovery service over loopback sockets: valid, invalid, late and missing answers."""
 
 from __future__ import annotations
 
@@ -48,8 +48,8 @@
 
 
 def test_a_node_is_cold_for_the_configured_time_after_its_start() -> None:
-    """Guards against a start that is read in a wrong unit: it lay far in the future, and the node stayed cold
-    forever."""
+    """Guards against reading the start of a node in a wrong unit: it lay far in the future, and the node
+    stayed cold forever."""
 
     async def main() -> None:
         async with world(None) as w:
@@ -240,7 +240,7 @@
 def test_a_connection_that_closes_once_it_is_established_is_a_failed_call(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    """Guards against a call that is written to a closed transport: nothing happened until its timeout."""
+    """Guards against writing a call to a closed transport: nothing happened until the call's timeout."""
     monkeypatch.setattr(
         discovery, "agent_timeouts", lambda _: discovery.CallTimeouts(30_000, 30.0, 30.0, 1.0, 0.05)
     )
@@ -299,7 +299,7 @@
     ("kind", "started_ago_us", "cold_for_us"),
     [
         (ListKind.PATCH, 2_000_000, 6_000_000),
-        (ListKind.PATCH, -HOUR_US, 8_000_000),  # by a clock that is behind, it starts an hour from now
+        (ListKind.PATCH, -HOUR_US, 8_000_000),  # our clock is behind: the start is an hour from now
         (ListKind.WHOLE, -HOUR_US, 8_000_000),
         (ListKind.PATCH, HOUR_US, 8_000_000),  # a change that reports a start an hour ago
         (ListKind.WHOLE, HOUR_US, 0),
@@ -335,7 +335,7 @@
 def test_a_repeated_older_answer_does_not_restore_a_drained_node(
     reset: bool, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    """Guards against an answer that comes twice: answers of discovery carry no id, so the second copy was
+    """Guards against an answer that arrives twice: answers of discovery carry no id, so the second copy was
     taken for the answer to the next call."""
     monkeypatch.setattr(discovery, "FIRST_BACKOFF_S", 0.001)
 
@@ -354,7 +354,7 @@
             for n in range(10):
                 assert (await w.ask(path=f"/api/{n}")).status == 200
             assert len(w.nodes[0].seen) == before
-            w.lists.change(4, w.nodes[0].entry())  # answers the earlier call, which was given up
+            w.lists.change(4, w.nodes[0].entry())  # answers the earlier call, whose connection was closed
             w.lists.change(4, w.nodes[0].entry())
             await until(lambda: w.discovery.listing.generation == 4)
 
@@ -366,7 +366,7 @@
         async with world(None, None) as w:
             w.lists.change(7, w.nodes[0].entry("Terminating"))
             await until(lambda: w.discovery.listing.generation == 7)
-            w.lists.change(1, w.nodes[0].entry(), reset=True)  # answers the call open on the old connection
+            w.lists.change(1, w.nodes[0].entry(), reset=True)  # answers the open call on the old connection
             w.lists.change(1, w.nodes[0].entry(), reset=True)
             await until(lambda: w.discovery.listing.generation == 1)
             assert len(w.lists.writers) == 2 and (await w.ask()).status == 200
--- a/tests/test_large_fleet.py
+++ b/tests/test_large_fleet.py
@@ -19,7 +19,7 @@
 from tests.opcodes import OpcodeCounter
 from tests.sockets import PROXY_SETTINGS, ReceivedRequest, ok, request, run, until, world
 
-MAX_GROWTH = 1.5  # of the executed opcodes for the same change, at sixteen times the nodes
+MAX_GROWTH = 1.5  # factor by which a change may execute more opcodes at sixteen times the nodes
 SMALL, LARGE = 200, 3_200
 
 
@@ -40,27 +40,27 @@
     assert first.status == 200, first
 
 
-def line(number: int, lifecycle: str = "Ready") -> dict[str, Any]:
+def entry_of(number: int, lifecycle: str = "Ready") -> dict[str, Any]:
     host_port = f"127.0.{number >> 8}.{number & 255}:7000"
     return {"instanceId": f"s-{number:08x}", "hostPort": host_port, "zone": "a", "lifecycle": lifecycle}
 
 
-def list_of(generation: int, *lines: dict[str, Any], reset: bool = False) -> dict[str, Any]:
-    return {"generation": generation, "reset": reset, "instances": list(lines)}
+def list_of(generation: int, *entries: dict[str, Any], reset: bool = False) -> dict[str, Any]:
+    return {"generation": generation, "reset": reset, "instances": list(entries)}
 
 
 def discovery_of(nodes: int) -> Discovery:
-    """Returns a client of discovery in the running loop, with a list of so many nodes. Nothing listens at its
-    address."""
+    """Returns a client of discovery in the running loop, with a list of `nodes` nodes. Nothing listens at the
+    address that it calls."""
     given = {"listen": "127.0.0.1:1", "discovery": "127.0.0.1:1", "settings": PROXY_SETTINGS}
     proxy = Proxy(config.read(given, {}), asyncio.get_running_loop())
     discovery = Discovery(proxy, proxy.config.discovery, 1)
-    discovery.listing.apply(list_of(1, *map(line, range(nodes)), reset=True))
+    discovery.listing.apply(list_of(1, *map(entry_of, range(nodes)), reset=True))
     return discovery
 
 
 def cost_of(nodes: int, change: dict[str, Any], applied: Callable[[Discovery], bool]) -> int:
-    """Returns how many opcodes are executed until a change of the list is in effect."""
+    """Returns how many opcodes are executed until a change of a list of `nodes` nodes is in effect."""
     found = 0
 
     async def main() -> None:
@@ -80,9 +80,9 @@
 @pytest.mark.parametrize(
     ("change", "applied"),
     [
-        (list_of(2, line(7, "Terminating")), lambda d: "s-00000007" not in d.proxy.router.servers),
-        (list_of(2, line(7, "Gone")), lambda d: "s-00000007" not in d.proxy.router.servers),
-        (list_of(2, line(40_000)), lambda d: "s-00009c40" in d.proxy.router.servers),
+        (list_of(2, entry_of(7, "Terminating")), lambda d: "s-00000007" not in d.proxy.router.servers),
+        (list_of(2, entry_of(7, "Gone")), lambda d: "s-00000007" not in d.proxy.router.servers),
+        (list_of(2, entry_of(40_000)), lambda d: "s-00009c40" in d.proxy.router.servers),
         (list_of(2), lambda d: d.listing.generation == 2),
     ],
     ids=["drains", "goes", "joins", "no news"],
@@ -105,22 +105,22 @@
         discovery = discovery_of(1)
         proxy, listing = discovery.proxy, discovery.listing
         proxy.lag.shed_fraction = 0.5
-        listing.apply(list_of(2, *map(line, range(4 * ENTRIES_PER_TURN)), reset=True))
+        listing.apply(list_of(2, *map(entry_of, range(4 * ENTRIES_PER_TURN)), reset=True))
         assert not await turns_until(lambda: not listing.pending)
         await until(lambda: not listing.pending)
         assert proxy.router.placement_scheduled
         assert not await turns_until(lambda: not proxy.router.placement_scheduled)
         proxy.lag.shed_fraction = 0.0
         await until(lambda: not proxy.router.placement_scheduled)
-        listing.apply(list_of(3, *map(line, range(8 * ENTRIES_PER_TURN)), reset=True))
+        listing.apply(list_of(3, *map(entry_of, range(8 * ENTRIES_PER_TURN)), reset=True))
         assert await turns_until(lambda: not listing.pending)
 
     run(main())
 
 
 class Blocker(asyncio.Protocol):
-    """Calls `action` and then blocks the event loop, in the phase in which it reads sockets. What arrives
-    meanwhile is read only after the timers that have become due."""
+    """Calls `action` and then blocks the event loop, in the phase in which it reads sockets. Data that
+    arrives meanwhile is read only after the timers that have become due have run."""
 
     def __init__(self, action: Callable[[], None], seconds: float) -> None:
         self.action, self.seconds = action, seconds
@@ -131,7 +131,7 @@
 
 
 async def block_loop(action: Callable[[], None], seconds: float) -> None:
-    """Calls `action` and then blocks the event loop for so many seconds."""
+    """Calls `action` and then blocks the event loop for `seconds`."""
     loop = asyncio.get_running_loop()
     server = await loop.create_server(lambda: Blocker(action, seconds), "127.0.0.1", 0)
     _, writer = await asyncio.open_connection(*server.sockets[0].getsockname())
--- a/tests/test_listing.py
+++ b/tests/test_listing.py
@@ -19,23 +19,23 @@
 LARGE = 3_200
 
 
-def line(number: int, lifecycle: str = "Ready", **more: Any) -> dict[str, Any]:
+def entry_of(number: int, lifecycle: str = "Ready", **more: Any) -> dict[str, Any]:
     host_port = f"127.0.{number >> 8}.{number & 255}:7000"
     return {"instanceId": f"s-{number}", "hostPort": host_port, "lifecycle": lifecycle, **more}
 
 
-def list_of(generation: int, lines: list[Any], reset: bool = False) -> dict[str, Any]:
-    return {"generation": generation, "reset": reset, "instances": lines}
+def list_of(generation: int, entries: list[Any], reset: bool = False) -> dict[str, Any]:
+    return {"generation": generation, "reset": reset, "instances": entries}
 
 
 @dataclass
 class Receiver:
-    """Records what a Listing reports, as a proxy would."""
+    """Receives the reports of a Listing in place of a proxy, and records them."""
 
     loop: asyncio.AbstractEventLoop
     ready: dict[str, Address] = field(default_factory=dict)
     events: list[ServerList] = field(default_factory=list)
-    lines: list[str] = field(default_factory=list)
+    log_lines: list[str] = field(default_factory=list)
 
     def forbid(self, names: Sequence[str]) -> None:
         for name in names:
@@ -57,16 +57,16 @@
         self.loop.call_soon(call)
 
     def log(self, text: str) -> None:
-        self.lines.append(text)
+        self.log_lines.append(text)
 
 
 def with_large_list(scenario: Callable[[Listing, Receiver], Any]) -> None:
-    """Runs a scenario with a list of LARGE nodes that has been applied."""
+    """Runs a scenario with a Listing to which a list of LARGE nodes has been applied."""
 
     async def main() -> None:
         receiver = Receiver(asyncio.get_running_loop())
         listing = Listing(receiver)
-        listing.apply(list_of(1, [line(n) for n in range(LARGE)], reset=True))
+        listing.apply(list_of(1, [entry_of(n) for n in range(LARGE)], reset=True))
         await until(lambda: not listing.pending)
         assert len(receiver.ready) == LARGE and not receiver.events[-1].more
         receiver.events.clear()
@@ -77,8 +77,10 @@
 
 def test_what_a_list_forbids_counts_before_any_other_entry_is_read() -> None:
     async def scenario(listing: Listing, receiver: Receiver) -> None:
-        lines = [line(n) for n in range(LARGE, 2 * LARGE)] + [line(n, "Terminating") for n in range(300)]
-        listing.apply(list_of(2, lines))
+        entries = [entry_of(n) for n in range(LARGE, 2 * LARGE)] + [
+            entry_of(n, "Terminating") for n in range(300)
+        ]
+        listing.apply(list_of(2, entries))
         assert not any(f"s-{n}" in receiver.ready for n in range(300))
         assert len(receiver.ready) == LARGE - 300
         await until(lambda: not listing.pending)
@@ -91,9 +93,9 @@
 
 def test_a_newer_list_replaces_pending_entries() -> None:
     async def scenario(listing: Listing, receiver: Receiver) -> None:
-        listing.apply(list_of(2, [line(n) for n in range(LARGE, 2 * LARGE)]))
-        listing.apply(list_of(3, [line(2 * LARGE - 1, "Terminating"), line(2 * LARGE - 2, "Gone")]))
-        listing.apply(list_of(4, [line(n) for n in range(10)], reset=True))
+        listing.apply(list_of(2, [entry_of(n) for n in range(LARGE, 2 * LARGE)]))
+        listing.apply(list_of(3, [entry_of(2 * LARGE - 1, "Terminating"), entry_of(2 * LARGE - 2, "Gone")]))
+        listing.apply(list_of(4, [entry_of(n) for n in range(10)], reset=True))
         await until(lambda: not listing.pending)
         assert set(receiver.ready) == set(listing.held) == {f"s-{n}" for n in range(10)}
 
@@ -102,8 +104,8 @@
 
 def test_a_node_that_drains_while_its_entry_is_pending_is_never_ready() -> None:
     async def scenario(listing: Listing, receiver: Receiver) -> None:
-        listing.apply(list_of(2, [line(n) for n in range(LARGE, 2 * LARGE)], reset=True))
-        listing.apply(list_of(3, [line(LARGE, "Terminating")]))
+        listing.apply(list_of(2, [entry_of(n) for n in range(LARGE, 2 * LARGE)], reset=True))
+        listing.apply(list_of(3, [entry_of(LARGE, "Terminating")]))
         assert listing.pending
         await until(lambda: not listing.pending)
         entries = [entry for event in receiver.events for entry in event.entries]
@@ -113,16 +115,16 @@
     with_large_list(scenario)
 
 
-GOOD = [line(n) for n in range(LARGE)]
+VALID = [entry_of(n) for n in range(LARGE)]
 
 
 @pytest.mark.parametrize(
     ("answer", "logged"),
     [
-        (list_of(2, [*GOOD[:-1], {"instanceId": f"s-{LARGE - 1}"}], reset=True), "1 entries can't be read"),
-        (list_of(2, GOOD + GOOD, reset=True), ""),
-        (list_of(2, GOOD[::-1], reset=True), ""),
-        (json.loads(json.dumps(list_of(2, GOOD, reset=True), indent=8)), ""),
+        (list_of(2, [*VALID[:-1], {"instanceId": f"s-{LARGE - 1}"}], reset=True), "1 entries can't be read"),
+        (list_of(2, VALID + VALID, reset=True), ""),
+        (list_of(2, VALID[::-1], reset=True), ""),
+        (json.loads(json.dumps(list_of(2, VALID, reset=True), indent=8)), ""),
         (list_of(2, [7, None, {"instanceId": []}]), "3 entries can't be read"),
         (list_of(2, [{"instanceId": "s-1", "lifecycle": ["Gone"]}]), "1 entries can't be read"),
     ],
@@ -133,7 +135,7 @@
         listing.apply(answer)
         await until(lambda: not listing.pending)
         assert len(receiver.ready) == len(listing.held) == LARGE
-        assert len(receiver.lines) <= 1 and logged in "".join(receiver.lines)
+        assert len(receiver.log_lines) <= 1 and logged in "".join(receiver.log_lines)
 
     with_large_list(scenario)
 
@@ -141,7 +143,7 @@
 @pytest.mark.parametrize(
     "answer",
     [
-        list_of(0, [line(1, "Gone")]), list_of(2, [{}, {}], reset=True),
+        list_of(0, [entry_of(1, "Gone")]), list_of(2, [{}, {}], reset=True),
         {"generation": 2, "instances": "cut off"},
     ],
     ids=["a generation that goes back", "nothing in it is a node", "cut off"],
@@ -158,19 +160,19 @@
 def test_an_empty_whole_list_is_applied_and_logged() -> None:
     async def scenario(listing: Listing, receiver: Receiver) -> None:
         listing.apply(list_of(2, [], reset=True))
-        assert not receiver.ready and receiver.lines == ["discovery: a whole list without any node"]
+        assert not receiver.ready and receiver.log_lines == ["discovery: a whole list without any node"]
 
     with_large_list(scenario)
 
 
 def test_two_nodes_at_one_address_are_logged_and_both_kept() -> None:
     async def scenario(listing: Listing, receiver: Receiver) -> None:
-        listing.apply(list_of(1, [line(n) for n in range(LARGE)], reset=True))
+        listing.apply(list_of(1, [entry_of(n) for n in range(LARGE)], reset=True))
         await until(lambda: not listing.pending)
-        shared_address = line(7)["hostPort"]
-        listing.apply(list_of(2, [{**line(LARGE), "hostPort": shared_address}]))
+        shared_address = entry_of(7)["hostPort"]
+        listing.apply(list_of(2, [{**entry_of(LARGE), "hostPort": shared_address}]))
         await until(lambda: not listing.pending)
-        assert receiver.lines == ["discovery: 1 nodes are listed at the address of another"]
+        assert receiver.log_lines == ["discovery: 1 nodes are listed at the address of another"]
         assert receiver.ready["s-7"] == receiver.ready[f"s-{LARGE}"]
 
     with_large_list(scenario)
@@ -179,12 +181,15 @@
 @pytest.mark.parametrize("lifecycle", ["Terminating", "Gone"])
 def test_a_node_at_the_address_of_a_removed_one_is_no_conflict(lifecycle: str) -> None:
     async def scenario(listing: Listing, receiver: Receiver) -> None:
-        listing.apply(list_of(1, [line(n) for n in range(9)], reset=True))
+        listing.apply(list_of(1, [entry_of(n) for n in range(9)], reset=True))
         await until(lambda: not listing.pending)
-        swapped = {**line(1), "hostPort": line(2)["hostPort"]}, {**line(2), "hostPort": line(1)["hostPort"]}
-        new = {**line(LARGE), "hostPort": line(7)["hostPort"]}
-        listing.apply(list_of(2, [new, line(7, lifecycle), *swapped]))
+        swapped = (
+            {**entry_of(1), "hostPort": entry_of(2)["hostPort"]},
+            {**entry_of(2), "hostPort": entry_of(1)["hostPort"]},
+        )
+        new = {**entry_of(LARGE), "hostPort": entry_of(7)["hostPort"]}
+        listing.apply(list_of(2, [new, entry_of(7, lifecycle), *swapped]))
         await until(lambda: not listing.pending)
-        assert receiver.lines == [] and f"s-{LARGE}" in receiver.ready
+        assert receiver.log_lines == [] and f"s-{LARGE}" in receiver.ready
 
     with_large_list(scenario)
--- a/tests/test_nodes.py
+++ b/tests/test_nodes.py
@@ -1,5 +1,5 @@
-"""Answers and failures of cache nodes, over loopback sockets: the outcomes that the protocol names, and
-answers that violate it."""
+"""Answers and failures of cache nodes over loopback sockets: the outcome of each attempt, and answers that
+violate the protocol."""
 
 from __future__ import annotations
 
@@ -23,12 +23,12 @@
 
 
 def first_then_ok(handler: Handler) -> Handler:
-    """Handles the first of all requests with the handler and answers the others with 200."""
-    used: list[ReceivedRequest] = []
+    """Passes the first request to `handler` and answers all later ones with 200 and the body `second`."""
+    received: list[ReceivedRequest] = []
 
     async def once(seen: ReceivedRequest, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        used.append(seen)
-        await (handler if len(used) == 1 else reply(ok(b"second")))(seen, reader, writer)
+        received.append(seen)
+        await (handler if len(received) == 1 else reply(ok(b"second")))(seen, reader, writer)
 
     return once
 
@@ -137,7 +137,8 @@
 
 @pytest.mark.parametrize("unread", [ok(b"stray"), b"noise", None], ids=["second copy", "noise", "end"])
 def test_an_idle_connection_with_unread_data_is_not_reused(unread: bytes | None) -> None:
-    """Guards against unread bytes of an idle connection that are taken for the next answer or its reset."""
+    """Guards against reusing an idle connection while the kernel holds unread data or its end: the data was
+    taken for the answer to the next request, or the next request ended as a reset."""
 
     async def main() -> None:
         async with world(reply(ok(b"own"))) as w:
@@ -146,7 +147,7 @@
             await until(lambda: node.idle)
             (idle,) = node.idle
             w.advance_past_rest()
-            idle.transport.pause_reading()  # as if the loop had not read it yet
+            idle.transport.pause_reading()  # as if the event loop had not read yet what arrives
             node_writer = w.nodes[0].writers[-1]
             if unread is None:
                 node_writer.close()
@@ -163,8 +164,8 @@
 
 
 def test_resets_do_not_reduce_admission_for_other_requests() -> None:
-    """Guards against resets that are taken for an overloaded origin: a few reused connections that were reset
-    then had most requests refused."""
+    """Guards against counting resets as a sign of an overloaded origin: most requests were refused after the
+    resets of a few reused connections."""
 
     async def main() -> None:
         received: list[ReceivedRequest] = []
@@ -213,8 +214,8 @@
 
 
 def test_long_answers_are_streamed_from_their_first_bytes() -> None:
-    """Guards against holding an answer until 64 KiB of it have arrived: long answers that arrive slowly timed
-    out (rf9c93c)."""
+    """Guards against holding an answer back until 64 KiB of it have arrived: long answers that arrive slowly
+    timed out (rf9c93c)."""
 
     async def main() -> None:
         gate = asyncio.Event()
@@ -294,7 +295,7 @@
         seen: ReceivedRequest, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:  # fmt: skip
         writer.write(b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n")
-        await asyncio.sleep(pause)  # longer than an answer may pause
+        await asyncio.sleep(pause)  # 0.4 s is longer than a pause within the final answer may be
         writer.write(ok(b"real"))
 
     async def main() -> None:
@@ -352,7 +353,7 @@
             got = b""
             with suppress(ConnectionResetError):
                 got = await client.ended()
-            assert not got.endswith(b"0\r\n\r\n")  # the client can tell
+            assert not got.endswith(b"0\r\n\r\n")  # the client can tell that it is truncated
             await until(lambda: not w.proxy.streams and not w.proxy.pool.open)
 
     run(main())
@@ -551,7 +552,7 @@
             assert b"first" in (await client.answer()).body
             (idle,) = w.proxy.pool.nodes["s-0"].idle
             w.advance_past_rest()
-            # It arrives before the next request and has not been read when that is sent.
+            # The second answer arrives before the next request is sent, and has not been read by then.
             writers[0].write(ok(b"GET /api/first once more"))
             client.send(request(path="/api/second"))
             assert b"second" in (await client.answer()).body
--- a/tests/test_strays.py
+++ b/tests/test_strays.py
@@ -1,4 +1,4 @@
-"""Unsolicited bytes (strays) in each state of a connection to a node."""
+"""Unsolicited bytes (strays) in each state of a connection to a node. A copy is a duplicate of an answer."""
 
 from __future__ import annotations
 
@@ -22,7 +22,7 @@
 
 
 def record_strays(w: World) -> list[Stray]:
-    """Returns a list to which the strays of this proxy are appended."""
+    """Returns a list to which all further strays of this proxy are appended."""
     strays: list[Stray] = []
     original = w.proxy.pool.on_stray
 
@@ -85,7 +85,7 @@
 
 
 def test_a_connection_that_has_carried_a_refusal_is_not_reused() -> None:
-    """A late copy of the refusal would otherwise be taken for proof that the next request did not run."""
+    """Guards against a late copy of the refusal that is taken for proof that the next request did not run."""
 
     async def main() -> None:
         async with world(reply(DECLINED)) as w:
@@ -99,8 +99,8 @@
 
 
 def test_a_refusal_before_the_node_has_the_request_is_no_proof_that_it_did_not_run() -> None:
-    """Guards against a request that is retried or refused, though it may still run, since an early refusal
-    was taken for proof that it did not."""
+    """Guards against a refusal that arrives early and is taken for proof that the request did not run. The
+    request was then retried or refused, although it could still run."""
 
     async def main() -> None:
         gate = asyncio.Event()
@@ -153,8 +153,8 @@
 
 
 def test_one_copy_replaces_at_most_one_answer() -> None:
-    """Guards against a connection that counts as idle once the copy has arrived: the next request then got
-    the answer that the copy had replaced."""
+    """Guards against reusing a connection at once after a copy was taken for the answer: the next request
+    then got the answer that the copy had replaced."""
 
     async def main() -> None:
         gate = asyncio.Event()
@@ -311,7 +311,7 @@
 def test_a_request_moves_to_a_rested_connection_if_its_new_one_is_late(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    """Guards against an attempt that fails with a new connection that is never established, while another
+    """Guards against an attempt that fails because its new connection is never established, although another
     connection has become reusable."""
 
     async def main() -> None:
@@ -331,7 +331,7 @@
             w.proxy.pool.clock = lambda: clock() + MIN_REST_S - 0.05
             assert (await w.ask()).status == 200
             assert w.nodes[0].connections == 1 and w.proxy.pool.open == 2
-            gate.set()  # the new connection is still established, and is then used without a rest
+            gate.set()  # the new connection is established after all, and may be used without a rest
             node = w.proxy.pool.nodes["s-0"]
             await until(lambda: node.unused, "the other")
             assert (await w.ask(kind="once")).status == 200
--- a/tests/test_trace.py
+++ b/tests/test_trace.py
@@ -88,7 +88,8 @@
 
 
 def test_queues_at_nodes_are_counted_over_all_proxies(tmp_path: Path) -> None:
-    """Each proxy has one request in flight at s-1; the third is sent to a node that has two in flight."""
+    """Each of three proxies has one request in flight at s-1. The third is sent while the node has the other
+    two in flight."""
     for n in range(3):
         (tmp_path / f"n{n}.log").write_text(
             f"0.{n} # a r{n} read 7 0.5 900000 f\n0.{n} # s r{n} 0 s-1 w 1\n"
