--- a/magpiefront/net/listing.py
+++ b/magpiefront/net/listing.py
@@ -162,7 +162,7 @@
 
     loop: asyncio.AbstractEventLoop
 
-    def forbid(self, names: Sequence[str]) -> None:
+    def stop_sending(self, names: Sequence[str]) -> None:
         """Stops new requests to these nodes at once. Their entries follow with `list_changed`."""
 
     def list_changed(self, server_list: ServerList, addresses: dict[str, Address]) -> None:
@@ -297,7 +297,7 @@
                 self._pending_whole.pop(name, None)
                 self._pending_changes.pop(name, None)
         if names:
-            self.receiver.forbid(names)
+            self.receiver.stop_sending(names)
 
     def _read_slice(self) -> None:
         """Reads some of the pending entries and schedules the next slice for a later turn of the event loop,
--- a/magpiefront/net/proxy.py
+++ b/magpiefront/net/proxy.py
@@ -464,7 +464,7 @@
                 node.close_idle()  # the node is about to be restarted
         return self.operator_call_accepted
 
-    def forbid(self, names: Sequence[str]) -> None:
+    def stop_sending(self, names: Sequence[str]) -> None:
         """Sends nothing new to these nodes from now on."""
         for name in names:
             self.pool.set_node_address(name, None)
--- a/tests/test_listing.py
+++ b/tests/test_listing.py
@@ -37,7 +37,7 @@
     events: list[ServerList] = field(default_factory=list)
     log_lines: list[str] = field(default_factory=list)
 
-    def forbid(self, names: Sequence[str]) -> None:
+    def stop_sending(self, names: Sequence[str]) -> None:
         for name in names:
             self.ready.pop(name, None)
 
