--- a/magpiefront/net/pool.py
+++ b/magpiefront/net/pool.py
@@ -213,9 +213,9 @@
         self.on_stray: Callable[[Node, Stray], None] = lambda node, stray: None
         self.nodes: dict[str, Node] = {}
         self.idle: dict[NodeConnection, None] = {}  # of all nodes; the longest idle one comes first
-        self.set_times(connect_us, idle_us)
+        self.set_timeouts(connect_us, idle_us)
 
-    def set_times(self, connect_us: int, idle_us: int) -> None:
+    def set_timeouts(self, connect_us: int, idle_us: int) -> None:
         """Sets the connect timeout and the idle timeout of the nodes, in microseconds."""
         self.connect_timeout_s = connect_us / 1e6
         # Well below the node's own idle timeout: a request that is sent while the node closes the connection
--- a/magpiefront/net/proxy.py
+++ b/magpiefront/net/proxy.py
@@ -93,7 +93,7 @@
         self.classes = classes_by_name(config)
         self.metrics.add_classes(self.classes)
         self.router.configure(config.settings)
-        self.pool.set_times(config.connect_timeout_us, config.conn_idle_us)
+        self.pool.set_timeouts(config.connect_timeout_us, config.conn_idle_us)
         self.lag.limit_s = lag_limit_s(config)
 
     @property
--- a/tests/test_strays.py
+++ b/tests/test_strays.py
@@ -184,7 +184,7 @@
 def test_connections_whose_rest_exceeds_the_idle_timeout_are_not_reused() -> None:
     async def main() -> None:
         async with world(None) as w:
-            w.proxy.pool.set_times(200_000, 100_000)
+            w.proxy.pool.set_timeouts(200_000, 100_000)
             for _ in range(3):
                 assert (await w.ask()).status == 200
                 await asyncio.sleep(0.06)
