Attempts and the trace: parameters and functions are named for what they are

The parameter until of an attempt is the time at which it expires, and the trace's function line() writes one. Docstrings of exchanges, answers and connections state what is returned and what the numbers count.

--- a/magpiefront/net/answer.py
+++ b/magpiefront/net/answer.py
@@ -6,8 +6,8 @@
 
 
 def parse_load_report(value: bytes) -> dict[str, float] | None:
-    """Parses a load report such as `inflight=7,queue=2`. Parts that are not numbers are skipped; None if
-    nothing is left."""
+    """Parses a load report such as `inflight=7,queue=2`. Parts that are not numbers are skipped.
+    Returns None if nothing is left."""
     report: dict[str, float] = {}
     for part in value.decode("latin-1").split(","):
         name, _, number = part.partition("=")
--- a/magpiefront/net/exchange.py
+++ b/magpiefront/net/exchange.py
@@ -93,6 +93,7 @@
 
     @property
     def begun(self) -> bool:
+        """Whether the exchange has started on a connection."""
         return self.connection is not None
 
     def may_begin(self) -> bool:
@@ -111,17 +112,18 @@
 
 
 class Attempt(Exchange):
-    """A request sent to a node. It expires at `expire_at` and must not begin after `begin_by`, both in
-    microseconds of the host's clock."""
+    """An attempt to get a request answered by a node. It expires at `expire_at` and must not begin after
+    `begin_by`, both in microseconds of the host's clock. `number` is its index among the request's attempts.
+    """
 
     __slots__ = ("begin_by", "expire_at", "host", "late_check_done", "number", "request", "streaming")
 
     def __init__(
-        self, host: ExchangeHost, request: Request, number: int, node: ExchangeNode, now: int, until: int
+        self, host: ExchangeHost, request: Request, number: int, node: ExchangeNode, now: int, expire_at: int
     ) -> None:
         super().__init__(node, now)
-        self.host, self.request, self.number, self.expire_at = host, request, number, until
-        self.begin_by = until
+        self.host, self.request, self.number, self.expire_at = host, request, number, expire_at
+        self.begin_by = expire_at
         self.streaming = False
         self.late_check_done = False  # whether its expiry was postponed once to read what had arrived
 
--- a/magpiefront/net/execution.py
+++ b/magpiefront/net/execution.py
@@ -1,4 +1,4 @@
-"""Whether a request may have run at a server: recorded by the code that sends it, read by stages.
+"""Whether a request may have run at a server. The code that sends it records this, and stages report it.
 
 An `ExecutionTracker` accompanies a request, and every clone that a stage makes of it, through all stages. The
 request's attempts are recorded in it, and a stage that sends the request elsewhere records what it knows.
--- a/magpiefront/net/guarded_attempt.py
+++ b/magpiefront/net/guarded_attempt.py
@@ -18,9 +18,9 @@
     __slots__ = ("outcome",)
 
     def __init__(
-        self, host: ExchangeHost, request: Request, number: int, node: Node, now: int, until: int
+        self, host: ExchangeHost, request: Request, number: int, node: Node, now: int, expire_at: int
     ) -> None:  # fmt: skip
-        super().__init__(host, request, number, node, now, until)
+        super().__init__(host, request, number, node, now, expire_at)
         self.outcome: Outcome | None = None
         execution = execution_of(request)
         if execution is not None:
--- a/magpiefront/net/listing.py
+++ b/magpiefront/net/listing.py
@@ -152,7 +152,7 @@
         self.longest_s = max(self.longest_s, duration_s)
 
     def fields(self) -> dict[str, object]:
-        """The fields of the event."""
+        """Returns the key=value fields of the event."""
         longest_ms = round(self.longest_s * 1000, 1)
         return {"entries": self.entries, "turns": self.turns, "longest_ms": longest_ms}
 
@@ -196,7 +196,7 @@
         self._mean_weight = 0.0  # of the first whole list with valid weights; 0: not known
         self._invalid_entries = 0
         self._by_address: dict[Address, str] = {}  # the node that was listed last as ready at each address
-        self._address_conflicts: list[tuple[str, str]] = []  # two nodes that shared an address at some point
+        self._address_conflicts: list[tuple[str, str]] = []  # pairs that shared an address at some time
         self._end_unreported = False  # the latest report had `more` set: another must follow
         self._slice_scheduled = False
         self._progress = Progress()
--- a/magpiefront/net/node_connection.py
+++ b/magpiefront/net/node_connection.py
@@ -53,11 +53,11 @@
 class NodeConnection(AnswerReader):
     """Writes the messages of exchanges and reads their answers.
 
-    `number` counts the connections that the pool has opened. `written`: the whole message has been handed to
-    the kernel. `paused`: reading is paused, since the client reads slowly. `streams`: the answer is streamed
-    to the client. `pause_watched`: a timer watches for pauses in the answer. `spare`, a number of bytes in
-    the base class, is a flag until the first exchange starts: `detach_exchange` sets it while the connection
-    is being made, so that the connection is kept for another exchange.
+    `number` is the connection's number among those that the pool has opened, from 1. `written`: the whole
+    message has been handed to the kernel. `paused`: reading is paused, since the client reads slowly.
+    `streams`: the answer is streamed to the client. `pause_watched`: a timer watches for pauses in the
+    answer. `spare`, a number of bytes in the base class, is a flag until the first exchange starts:
+    `detach_exchange` sets it while the connection is being made, so that it is kept for another exchange.
     """
 
     __slots__ = ("exchange", "last_data_at", "last_target", "lifecycle", "node", "number", "pause_watched",
@@ -216,7 +216,8 @@
         return self.lifecycle.precedes_request(self.written, unacknowledged_bytes)
 
     def _check_progress(self) -> None:
-        """Called after more of the answer has been read."""
+        """Called after bytes have been read. Ends the exchange if its answer is complete or unusable;
+        otherwise watches for a pause in the answer."""
         answer = self.answer
         if self.complete:
             self._completed()
--- a/magpiefront/net/trace.py
+++ b/magpiefront/net/trace.py
@@ -47,12 +47,12 @@
         await super()._connect(connection, exchange)
         result = "ok" if connection.transport is not None else "failed"
         elapsed_us = int((self.pool.loop.time() - began) * 1e6)
-        line(f"c {self.name} {result} {elapsed_us} {self.open}")
+        write_line(f"c {self.name} {result} {elapsed_us} {self.open}")
 
     def connection_closed(self, connection: NodeConnection) -> None:
         super().connection_closed(connection)
         if connection.transport is not None:  # otherwise reported as a failed connect
-            line(f"d {self.name} {self.open}")
+            write_line(f"d {self.name} {self.open}")
 
 
 class TracedConnection(NodeConnection):
@@ -65,7 +65,9 @@
         if lifecycle.used:
             rested_us = int((self.node.clock() - lifecycle.answered_at) * 1e6)
         kind = "idle" if lifecycle.used else "new"
-        line(f"b {name_of(exchange)} {self.node.name} {self.number} {kind} {rested_us} {lifecycle.answers}")
+        write_line(
+            f"b {name_of(exchange)} {self.node.name} {self.number} {kind} {rested_us} {lifecycle.answers}"
+        )
         super().start(exchange, checked_at)
 
 
@@ -76,7 +78,7 @@
     return "probe -"
 
 
-def line(text: str) -> None:
+def write_line(text: str) -> None:
     """Writes one line of the trace."""
     print("#", text, file=sys.stderr)
 
@@ -99,21 +101,21 @@
     def trace_event(event: Event) -> None:
         match event:
             case AttemptEnded():
-                line(
+                write_line(
                     f"e {event.request} {event.attempt} {event.server} {event.outcome.value} "
                     f"{event.elapsed_us} {event.cache_result}"
                 )
             case ServerList():
-                line(f"l {event.kind.value} {len(event.entries)}")
+                write_line(f"l {event.kind.value} {len(event.entries)}")
             case ProbeEnded():
-                line(f"r {event.server} {event.outcome.value} {event.elapsed_us}")
+                write_line(f"r {event.server} {event.outcome.value} {event.elapsed_us}")
 
     def trace_action(event: Event, action: Action, now_us: int) -> None:
         if isinstance(event, Arrived) and action is router.actions[0]:
             pending = router.pending.get(event.request)
             fetches = "f" if pending is not None and pending.needs_fetch else "-"
             key_rank = f"{unit_interval(pending.key):.4f}" if pending is not None else "-"
-            line(
+            write_line(
                 f"a {event.request} {event.class_name} {event.key} {key_rank} "
                 f"{event.time_left_us} {fetches}"
             )
@@ -126,24 +128,24 @@
                     + ("t" if server.trial_in_flight else "")
                     + ("2" if pending.outstanding > 1 else "")
                 )
-                line(
+                write_line(
                     f"s {action.request} {len(pending.attempts) - 1} {server.name} {marks} "
                     f"{server.in_flight}"
                 )
             case Refuse() | Fail():
                 kind = "refuse" if isinstance(action, Refuse) else "fail"
                 phase = "gate" if isinstance(event, Arrived) else "end"
-                line(f"x {action.request} {kind} {phase}")
+                write_line(f"x {action.request} {kind} {phase}")
             case Probe():
-                line(f"p {action.server}")
+                write_line(f"p {action.server}")
             case Watch():
-                line("w")
+                write_line("w")
             case LogMessage():
-                line(f"n {action.text}")
+                write_line(f"n {action.text}")
 
     def report_state() -> None:
         server_gate, origin_gate = router.server_gate, router.origin_gate
-        line(
+        write_line(
             f"g {server_gate.share:.3f} {server_gate.bad_share:.3f}"
             f" {origin_gate.share:.3f} {origin_gate.bad_share:.3f}"
             f" {router.fleet_bad_share:.3f}"
