--- a/magpiefront/net/exchange.py
+++ b/magpiefront/net/exchange.py
@@ -67,7 +67,7 @@
         self.connection: ExchangeConnection | None = None
         self.opening: ExchangeConnection | None = None  # the new connection that is being made for it
         self.task: asyncio.Task[None] | None = None  # connects `opening`
-        self.timer: asyncio.TimerHandle | None = None
+        self.timer: asyncio.TimerHandle | None = None  # ends it when its time is over
 
     def message(self) -> list[bytes]:
         """The bytes to write, in parts."""
@@ -97,7 +97,7 @@
         return self.connection is not None
 
     def may_begin(self) -> bool:
-        """Whether the message may still be sent. Asked right before its first byte is written, since much
+        """Whether the message may still be sent. Called right before its first byte is written, since much
         time may have passed since the decision to send it."""
         return True
 
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -227,7 +227,7 @@
             for n in range(1, 4):
                 client.send(request(path=f"/api/{n}", deadline="0.9"))
                 due = n
-                await until(lambda: len(connection.queued) == due, "the reading of it", max_checks=100)  # noqa: B023
+                await until(lambda: len(connection.queued) == due, "the queueing of it", max_checks=100)  # noqa: B023
             gate.set()
             assert [(await client.answer()).status for _ in range(4)] == [200] * 4
 
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -232,7 +232,7 @@
             await until(lambda: len(w.lists.calls) == 2)
             assert "after=1&" in w.lists.calls[0] and w.lists.calls[1].startswith("GET /v1/endpoints ")
             assert ListKind.BROKEN not in kinds(w)
-            await until(lambda: ListKind.BROKEN in kinds(w), "the failure of the second")
+            await until(lambda: ListKind.BROKEN in kinds(w), "the failure of the second call")
 
     run(main())
 
@@ -299,7 +299,7 @@
     ("kind", "started_ago_us", "cold_for_us"),
     [
         (ListKind.PATCH, 2_000_000, 6_000_000),
-        (ListKind.PATCH, -HOUR_US, 8_000_000),  # our clock is behind: the start is an hour from now
+        (ListKind.PATCH, -HOUR_US, 8_000_000),  # a start in an hour, by a clock that is behind
         (ListKind.WHOLE, -HOUR_US, 8_000_000),
         (ListKind.PATCH, HOUR_US, 8_000_000),  # a change that reports a start an hour ago
         (ListKind.WHOLE, HOUR_US, 0),
@@ -361,7 +361,7 @@
     run(main())
 
 
-def test_a_restarted_discovery_is_believed_on_a_new_connection() -> None:
+def test_a_restarted_discoverys_lower_generation_is_accepted_on_a_new_connection() -> None:
     async def main() -> None:
         async with world(None, None) as w:
             w.lists.change(7, w.nodes[0].entry("Terminating"))
--- a/tests/test_nodes.py
+++ b/tests/test_nodes.py
@@ -155,10 +155,10 @@
             else:
                 node_writer.write(unread)
                 await node_writer.drain()
-            await until(lambda: not idle.has_nothing_unread(), "the arrival")
+            await until(lambda: not idle.has_nothing_unread(), "the arrival of the data or the end")
             assert (await w.ask(kind="once")).body == b"own"
             assert set(w.outcomes()) == {Outcome.OK} and w.nodes[0].connections == 2
-            await until(lambda: w.proxy.pool.open == 1, "the closing of the other")
+            await until(lambda: w.proxy.pool.open == 1, "the closing of the old connection")
 
     run(main())
 
--- a/tests/test_strays.py
+++ b/tests/test_strays.py
@@ -303,7 +303,7 @@
             if not writer.is_closing():
                 writer.write(copy[20:])
             assert (await w.ask()).body == b"next"
-            await until(lambda: w.proxy.pool.open == 2, "the closing of the first")
+            await until(lambda: w.proxy.pool.open == 2, "the closing of the first connection")
 
     run(main())
 
@@ -333,7 +333,7 @@
             assert w.nodes[0].connections == 1 and w.proxy.pool.open == 2
             gate.set()  # the new connection is established after all, and may be used without a rest
             node = w.proxy.pool.nodes["s-0"]
-            await until(lambda: node.unused, "the other")
+            await until(lambda: node.unused, "the new connection")
             assert (await w.ask(kind="once")).status == 200
             assert w.nodes[0].connections == 2 and not node.unused
 
