Lists and pool: entries are raw until they are read, and begin() says when it fails

read_entry() took its entry under another name than its callers, and begin() did not say what becomes of an exchange for which no connection can be opened.

--- a/magpiefront/net/listing.py
+++ b/magpiefront/net/listing.py
@@ -58,23 +58,23 @@
     return ListFrame(generation, stale or bool(decoded.get("reset", False)), decoded["instances"])
 
 
-def read_entry(given: Any) -> ListedNode:
-    """Reads one entry of a list. Raises InvalidList."""
+def read_entry(raw_entry: Any) -> ListedNode:
+    """Reads one entry of a decoded list. Raises InvalidList if it is not valid."""
     try:
         name, lifecycle, node_address = (
-            given["instanceId"], given["lifecycle"], parse_address(given["hostPort"])
+            raw_entry["instanceId"], raw_entry["lifecycle"], parse_address(raw_entry["hostPort"])
         )  # fmt: skip
         if not isinstance(name, str) or not name or lifecycle not in STATUSES:
             raise InvalidList
         entry = ServerEntry(
             name,
             STATUSES[lifecycle],
-            float(given.get("weight", 1.0)),
-            intern(str(given.get("zone", ""))),
-            intern(str(given.get("machineType", ""))),
-            int(given.get("cell", -1)),
+            float(raw_entry.get("weight", 1.0)),
+            intern(str(raw_entry.get("zone", ""))),
+            intern(str(raw_entry.get("machineType", ""))),
+            int(raw_entry.get("cell", -1)),
             # From ms to µs. With a wrong unit, the start would lie far in the future.
-            int(float(given.get("startedAtMs", 0)) * 1000),
+            int(float(raw_entry.get("startedAtMs", 0)) * 1000),
         )
     except (KeyError, TypeError, ValueError, OverflowError, AttributeError):
         raise InvalidList from None
@@ -285,7 +285,7 @@
         return removed
 
     def _remove(self, removed: dict[str, Status]) -> None:
-        """Removes those of these nodes that are held, and forbids requests to them at once. Their entries
+        """Removes those of these nodes that are held, and stops new requests to them at once. Their entries
         are reported later."""
         names = [name for name in removed if name in self.held]
         for name in names:
--- a/magpiefront/net/pool.py
+++ b/magpiefront/net/pool.py
@@ -57,8 +57,8 @@
 
     def begin(self, exchange: Exchange) -> None:
         """Starts an exchange on a reusable connection, or opens a new one. If a connection's rest ends before
-        the new one is established, the exchange starts on the rested one. If no connection can be opened or
-        reused, the exchange ends as MOOT."""
+        the new one is established, the exchange starts on the rested one. If none is reusable and the
+        limit of connections allows no new one, the exchange ends as MOOT."""
         cause = NewCause.RESTING if self.idle else NewCause.NONE_OPEN
         now = self.clock()
         while (connection := self._take_reusable(now)) is not None:
