--- a/magpiefront/net/proxy.py
+++ b/magpiefront/net/proxy.py
@@ -93,7 +93,7 @@
         self.classes = classes_by_name(config)
         self.metrics.add_classes(self.classes)
         self.router.configure(config.settings)
-        self.pool.set_times(config.connect_timeout_us, config.conn_idle_us)
+        self.pool.set_timeouts(config.connect_timeout_us, config.conn_idle_us)
         self.lag.limit_s = lag_limit_s(config)
 
     @property
@@ -474,7 +474,7 @@
                 node.close_idle()  # the node is about to be restarted
         return self.operator_command_accepted
 
-    def forbid(self, names: Sequence[str]) -> None:
+    def stop_sending(self, names: Sequence[str]) -> None:
         """Sends nothing new to these nodes from now on."""
         for name in names:
             self.pool.set_node_address(name, None)
--- a/magpiefront/net/trace.py
+++ b/magpiefront/net/trace.py
@@ -9,13 +9,15 @@
     c server ok|failed elapsed open     d server open     g (the Router's state, once a second)
     b request attempt server connection new|idle rested answers
 
-`a` is a request that arrived; one that is refused on arrival has `-` for its rank and for whether it fetches.
-`s` is an attempt that is sent. Its marks: `w` for a warm node or `c` for a cold one, `t` for a trial, `2` for
-a second copy. `b` is a message written to a connection, with the time that this has rested and the number of
-answers it has carried. `e` is the end of an attempt. `x` is a request that is refused or fails, on arrival
-(`gate`) or later (`end`). `l` is a list of nodes and `w` a call of discovery. `p` is a probe and `r` its
-result. `c` is a connection being made, `d` one that closed. `n` is a log message of the Router. Times
-are microseconds.
+`a` is a request that arrived. Its `rank` is the key's hash as a number from 0 to 1, and `fetches` is `f` if
+the request probably needs a fetch from the origin, else `-`; a request that is refused on arrival has `-` for
+both. `s` is an attempt that is sent. Its marks: `w` for a warm node or `c` for a cold one, `t` for a trial,
+`2` for a second copy. `b` is a message written to a connection, with the time for which the connection has
+rested and the number of answers it has carried. `e` is the end of an attempt; its `note` is the cache result
+of the answer. `x` is a request that is refused or fails, on arrival (`gate`) or later (`end`). `l` is a list
+of nodes and `w` a call to discovery. `p` is a probe and `r` its result. `c` is a connect that has ended and
+`d` a connection that closed; their `open` is the number of connections to the node that are open or being
+made. `n` is a log message of the Router. Times are microseconds.
 """
 
 from __future__ import annotations
@@ -32,11 +34,11 @@
 from magpiefront.net.pool import Node
 from magpiefront.net.proxy import Proxy
 
-STATE_INTERVAL_S = 1.0
+STATE_INTERVAL_S = 1.0  # between two `g` lines
 
 
 class TracedNode(Node):
-    """Reports connections that are made and closed."""
+    """Writes a line for each connection that is made, fails or closes."""
 
     __slots__ = ()
 
@@ -45,16 +47,16 @@
         await super()._connect(connection, exchange)
         result = "ok" if connection.transport is not None else "failed"
         elapsed_us = int((self.pool.loop.time() - began) * 1e6)
-        line(f"c {self.name} {result} {elapsed_us} {self.open}")
+        write_line(f"c {self.name} {result} {elapsed_us} {self.open}")
 
     def connection_closed(self, connection: NodeConnection) -> None:
         super().connection_closed(connection)
         if connection.transport is not None:  # otherwise reported as a failed connect
-            line(f"d {self.name} {self.open}")
+            write_line(f"d {self.name} {self.open}")
 
 
 class TracedConnection(NodeConnection):
-    """Reports messages that are written."""
+    """Writes a line for each message that is written."""
 
     __slots__ = ()
 
@@ -63,18 +65,20 @@
         if lifecycle.used:
             rested_us = int((self.node.clock() - lifecycle.answered_at) * 1e6)
         kind = "idle" if lifecycle.used else "new"
-        line(f"b {name_of(exchange)} {self.node.name} {self.number} {kind} {rested_us} {lifecycle.answers}")
+        write_line(
+            f"b {name_of(exchange)} {self.node.name} {self.number} {kind} {rested_us} {lifecycle.answers}"
+        )
         super().start(exchange, checked_at)
 
 
 def name_of(exchange: Exchange) -> str:
-    """The words `request attempt` of a line; a probe has none."""
+    """Returns the words `request attempt` of a line; `probe -` for a probe, which has neither."""
     if isinstance(exchange, Attempt):
         return f"{exchange.request.name} {exchange.number}"
     return "probe -"
 
 
-def line(text: str) -> None:
+def write_line(text: str) -> None:
     """Writes one line of the trace."""
     print("#", text, file=sys.stderr)
 
@@ -97,21 +101,21 @@
     def trace_event(event: Event) -> None:
         match event:
             case AttemptEnded():
-                line(
+                write_line(
                     f"e {event.request} {event.attempt} {event.server} {event.outcome.value} "
                     f"{event.elapsed_us} {event.cache_result}"
                 )
             case ServerList():
-                line(f"l {event.kind.value} {len(event.entries)}")
+                write_line(f"l {event.kind.value} {len(event.entries)}")
             case ProbeEnded():
-                line(f"r {event.server} {event.outcome.value} {event.elapsed_us}")
+                write_line(f"r {event.server} {event.outcome.value} {event.elapsed_us}")
 
     def trace_action(event: Event, action: Action, now_us: int) -> None:
         if isinstance(event, Arrived) and action is router.actions[0]:
             pending = router.pending.get(event.request)
             fetches = "f" if pending is not None and pending.needs_fetch else "-"
             key_rank = f"{unit_interval(pending.key):.4f}" if pending is not None else "-"
-            line(
+            write_line(
                 f"a {event.request} {event.class_name} {event.key} {key_rank} "
                 f"{event.time_left_us} {fetches}"
             )
@@ -124,24 +128,24 @@
                     + ("t" if server.trial_in_flight else "")
                     + ("2" if pending.outstanding > 1 else "")
                 )
-                line(
+                write_line(
                     f"s {action.request} {len(pending.attempts) - 1} {server.name} {marks} "
                     f"{server.in_flight}"
                 )
             case Refuse() | Fail():
                 kind = "refuse" if isinstance(action, Refuse) else "fail"
                 phase = "gate" if isinstance(event, Arrived) else "end"
-                line(f"x {action.request} {kind} {phase}")
+                write_line(f"x {action.request} {kind} {phase}")
             case Probe():
-                line(f"p {action.server}")
+                write_line(f"p {action.server}")
             case Watch():
-                line("w")
+                write_line("w")
             case LogMessage():
-                line(f"n {action.text}")
+                write_line(f"n {action.text}")
 
     def report_state() -> None:
         server_gate, origin_gate = router.server_gate, router.origin_gate
-        line(
+        write_line(
             f"g {server_gate.share:.3f} {server_gate.bad_share:.3f}"
             f" {origin_gate.share:.3f} {origin_gate.bad_share:.3f}"
             f" {router.fleet_bad_share:.3f}"
