--- a/magpiefront/takeover/ownership.py
+++ b/magpiefront/takeover/ownership.py
@@ -30,8 +30,8 @@
     """Decides from the group's state which rows this member may act on.
 
     To follow a row means to have asked its owner for a hint once the owner is done with it. `following` holds
-    the callbacks of the rows that this process follows. `followers` holds the names of the members that
-    follow a row, for each row that this process works on.
+    the callbacks of the rows that this process follows. `followers` holds, for each row in hand here that
+    other members follow, the names of those members.
     """
 
     def __init__(self, group: Group) -> None:
