Say plainly what the constants and comments of the store of record mean

Comments on constants left out what they bound, and several sentences left it to the reader to find what "it" or "the same" was. Retry window, release, undo and the deadline of an insert are now explained in full sentences. Only comments and docstrings change.

--- a/magpiefront/record/backup.py
+++ b/magpiefront/record/backup.py
@@ -21,8 +21,8 @@
 from magpiefront.record.report_stores import CommandError, ReportStore, SqliteReportStore
 from magpiefront.record.sqlite import BadStore, open_file
 
-PAGES_PER_STEP = 256
-ROWS_PER_STEP = 1_000  # rows between two calls of `on_progress`
+PAGES_PER_STEP = 256  # pages copied between two calls of `on_progress`
+ROWS_PER_STEP = 1_000  # rows copied between two calls of `on_progress`
 OnProgress = Callable[[int, int], None]  # the pages or rows done, and their total number
 
 
@@ -36,8 +36,8 @@
 
 
 def backup(store: ReportStore, to: Path, on_progress: OnProgress) -> Backup:
-    """Makes a backup of the store in the file `to`. Raises CommandError; `to` is then unchanged, unless
-    the last step failed, which syncs its directory."""
+    """Makes a backup of the store in the file `to`. Raises CommandError. `to` is then unchanged, unless only
+    the last step failed, the sync of its directory."""
     if isinstance(store, SqliteReportStore) and to.exists() and to.samefile(store.path):
         raise CommandError(f"{to}: is the store itself")
     partial = to.with_name(f"{to.name}.part")
@@ -73,7 +73,7 @@
             target, pages=PAGES_PER_STEP, progress=lambda _, left, total: on_progress(total - left, total)
         )
         store.commit()
-        # Without write-ahead log the backup is one file, which can be copied as it is.
+        # Without a write-ahead log the backup is one file, which can be copied as it is.
         target.execute("PRAGMA journal_mode=DELETE")
         with target:
             sqlite.mark_as_backup(target, taken_s)
--- a/magpiefront/record/commands.py
+++ b/magpiefront/record/commands.py
@@ -226,7 +226,7 @@
                     cause = f"line {number}: {type(e).__name__}: {e}; nothing was imported"
                     raise CommandError(f"{args.file}: {cause}") from None
                 if r.state is State.SENT:
-                    # Its retry window is measured by the clock of another store, so sending it again could
+                    # Its retry window is measured by the clock of another store. Sent again, the report could
                     # have a second effect.
                     r = replace(r, state=State.UNKNOWN, note=r.note or "was sent when it was exported")
                 if store.add(r):
--- a/magpiefront/record/cross_site.py
+++ b/magpiefront/record/cross_site.py
@@ -1,7 +1,7 @@
 """Stores the reports that come from another site, before they are sent to the nodes of this site.
 
-Every gateway of the site that shares the store can then tell whether a report has run, so its sender can
-repeat it at another gateway if the first one is lost.
+Every gateway of this site that uses the same store can then tell whether a report has run, so the sending
+site can repeat it at another gateway if the first one is lost.
 """
 
 from __future__ import annotations
--- a/magpiefront/record/journal.py
+++ b/magpiefront/record/journal.py
@@ -16,10 +16,11 @@
 from magpiefront.record.rows import UNKNOWN_BOOT, Answer, Attempt, Id, Moment, Outcome, Result, Row, State
 
 US_PER_S = 1_000_000
-POLL_INTERVAL_US = 50_000  # between reads of a row that another process sends
-FOLLOWED_POLL_INTERVAL_US = 500_000  # the same if its owner was asked to notify this process
-RETRY_AFTER_US = 500_000
-# A store that has not begun an insert this long before the deadline still returns NOT_DONE in time.
+POLL_INTERVAL_US = 50_000  # pause between two reads of a row that another process is sending
+FOLLOWED_POLL_INTERVAL_US = 500_000  # the same, if its owner was asked to notify this process
+RETRY_AFTER_US = 500_000  # `Retry-After` of answers that ask the client to retry
+# The deadline of an insert is this much before the last moment at which the report could be sent. If the
+# store has not begun the insert by then, its NOT_DONE arrives before `on_deadline` answers the client.
 STORE_REPLY_MARGIN_US = 10_000
 
 
@@ -86,7 +87,7 @@
     waiter: Hashable
     answer: Answer
     retry_after_us: int = 0
-    never_ran: bool = False  # certain not to have run, and not to be sent by any process
+    never_ran: bool = False  # the report has certainly not run, and no process will send it
 
 
 @dataclass(frozen=True, slots=True)
@@ -103,11 +104,11 @@
     """What this process does with a report. The values are labels of a metric."""
 
     INSERTING = "inserting"
-    POLLING = "asking"  # reads the row until it can act on it
+    POLLING = "asking"  # reads the row repeatedly until this process can act on it
     CLAIMING = "taking"  # takes the row over from another owner
     SENDING = "sending"
     STORING_OUTCOME = "settling"
-    UNDOING = "freeing"  # this attempt did not run: removes the row, or sets it back to that before the claim
+    UNDOING = "freeing"  # this attempt did not run: removes the row that it inserted, or undoes its claim
 
 
 @dataclass(slots=True)
@@ -120,7 +121,7 @@
     is_owned: bool = False  # whether this process inserted or claimed the row
     pending_row: Row | None = None  # the new row of the change in progress
     claimed_from: Row | None = None  # the row as it was before the claim
-    delivery_deadline_us: int = 0  # of a delivery that no client waits for
+    delivery_deadline_us: int = 0  # the deadline of a delivery that no client waits for
     final_answer: Answer | None = None  # the clients get it once the outcome is stored or the row is undone
     retry_after_us: int = 0
     read_count: int = 0  # reads of the row so far
@@ -144,7 +145,7 @@
     409, "the report may have had its effect; ask again under the same Idempotency-Key"
 )  # fmt: skip
 STORE_UNAVAILABLE = plain_answer(503, "the store of record can't take this report now; nothing was done")
-# Not the result of the report: the gateway of another site must not store these as its answer.
+# These do not tell the result of a report: the gateway of another site must not store them as its answer.
 UNDECIDED = (IN_PROGRESS, RETRY_SAME_KEY, OUTCOME_UNKNOWN)
 
 
@@ -224,7 +225,7 @@
         """Handles the result of an `Insert`."""
         entry = self.entries.get(id)
         if entry is None or entry.phase is not Phase.INSERTING:
-            return []  # released meanwhile; the row is found when it is read next
+            return []  # the entry was released meanwhile; a later read finds the row
         if result.outcome is Outcome.DONE:
             entry.is_owned = True
             return self._send(now_us, entry)
@@ -232,7 +233,8 @@
             return self._handle_existing(now_us, entry, result.row)
         if result.outcome is Outcome.NOT_DONE:
             return self._drop(entry, STORE_UNAVAILABLE, RETRY_AFTER_US, never_ran=True)
-        # The commit may have succeeded. A read shows it: a row of this insert has its owner.
+        # The commit may have succeeded. A read shows whether it has: only the row of this insert has the
+        # owner of this entry.
         entry.phase = Phase.POLLING
         return self._poll(now_us, entry)
 
@@ -265,8 +267,8 @@
         if row.digest != entry.row.digest:
             return self._drop(entry, KEY_REUSED, never_ran=True)
         if row.owner == entry.row.owner and row.state is State.SENT and not entry.is_owned:
-            # The insert of this entry, whose result was lost. The report has not been sent yet, because it is
-            # sent only after that result.
+            # This entry inserted the row, but the result of the insert was lost. The report has not been sent
+            # yet, because it is sent only after that result.
             entry.row, entry.is_owned = row, True
             return self._send(now_us, entry)
         match row.state:
@@ -290,7 +292,7 @@
             entry.phase = Phase.POLLING
             return self._poll(now_us, entry, row.owner if owner_status is OwnerStatus.ACTIVE else "")
         if since_s is not None and since_s < row.window_s:
-            # The owner's time is up, and the nodes still drop a repeat: the report may be sent again.
+            # The owner can't be working on it, and the nodes still drop a repeat: it may be sent again.
             return self._claim(now_us, entry, row)
         if not self.ownership.may_act(entry.row.owner):
             return self._drop(entry, IN_PROGRESS, RETRY_AFTER_US)
@@ -311,8 +313,8 @@
             return self._drop(entry, IN_PROGRESS, RETRY_AFTER_US)
         entry.phase, entry.claimed_from = Phase.CLAIMING, row
         self.claimed_count += self.ownership.owner_status(row.owner) is OwnerStatus.ENDED
-        # The retry window counts from the first time that the report may have been sent, not from a later
-        # one.
+        # The retry window begins when the report may have been sent for the first time, not at a later
+        # attempt.
         first_sent = row.sent if row.state is State.SENT else entry.row.sent
         after = replace(
             row,
@@ -376,7 +378,7 @@
         if not self.ownership.may_act(entry.row.owner):
             return self._abandon(entry)
         if not self._has_time_left(now_us, entry):
-            # It is stored, but no client waits long enough for it to be sent: the row is removed.
+            # The report is stored, but too little time is left to send it: the row is removed again.
             return self._undo(now_us, entry, STORE_UNAVAILABLE, RETRY_AFTER_US)
         entry.phase = Phase.SENDING
         resumed = entry.claimed_from is not None and entry.claimed_from.state is State.SENT
@@ -388,8 +390,8 @@
         until_us = max(entry.deadline_us, now_us + self.outcome_timeout_us)
         if entry.claimed_from is None:
             return [Remove(entry.row, until_us)]
-        # It did not run this time. The row is set back to what was known before, and is still to be
-        # delivered.
+        # The report did not run in this attempt. Its row is set back to what was known before the claim, and
+        # the report is still to be delivered.
         after = replace(entry.claimed_from, owner=entry.row.owner, until_s=0.0)
         if entry.claimed_from.state is State.SENT and entry.waiters:
             # An answer that says that nothing was done would be true of this attempt only.
@@ -422,8 +424,8 @@
             after = replace(row, state=State.CONFIRMED, answer=answer)
         elif (undecided or answer.status in (429, 503)) and entry.waiters:
             # The client would take a refusal to mean that nothing was done, and might send the report under
-            # another key. It is asked to retry under the same key, once the row is marked: then no other
-            # process sends the report.
+            # another key. So it is asked to retry under the same key, but only after the row is marked with
+            # `told`: from then on no other process sends the report.
             after, answer = replace(row, until_s=0.0, told=True), RETRY_SAME_KEY
             entry.retry_after_us = retry_after_us or RETRY_AFTER_US
         else:
@@ -474,7 +476,7 @@
         replies = self._reply_all(entry, RETRY_SAME_KEY, entry.retry_after_us or RETRY_AFTER_US)
         if result.outcome is Outcome.CONFLICT:
             return replies
-        # Also logged if the row could not be set back.
+        # The same line is logged if the row could not be set back.
         return [*replies, LogLine(f"record: a refused report could not be removed: {result.cause}")]
 
     # ---- planned shutdown
@@ -530,9 +532,9 @@
 
 @dataclass(slots=True)
 class DeliveryPace:
-    """Limits how fast open reports are delivered: a number at the same time, and a pause that doubles after
-    each delivery without a 2xx answer, because the Router refuses requests when it has no capacity, and
-    deliveries can wait."""
+    """Limits how fast open reports are delivered: at most `max_in_flight` at the same time, and a pause that
+    doubles with each delivery that gets no 2xx answer. The Router refuses requests when it has no capacity,
+    and deliveries can wait."""
 
     max_in_flight: int = 4
     min_pause_us: int = 100_000
@@ -565,9 +567,9 @@
 def owner_may_be_working(row: Row, seconds_since_sent: float | None, owner_status: OwnerStatus) -> bool:
     """Returns whether the owner of the row works on it or may do so.
 
-    An active member may, unless it has released the row; an owner that is no member may, until its time is
-    up. No process works on the row of a member that has ended. None works on a row of this member either,
-    because the callers exclude the rows that this process is working on.
+    An active member may work on it, unless it has released the row; an owner that is no member may, until
+    `until_s` has passed. No process works on the row of a member that has ended. None works on a row of this
+    member either, because the callers exclude the rows that this process is working on.
     """
     match owner_status:
         case OwnerStatus.ACTIVE:
--- a/magpiefront/record/ownership.py
+++ b/magpiefront/record/ownership.py
@@ -1,7 +1,7 @@
 """Which process may act on the row of a report.
 
-The members of a group agree on this. Without a group any process may act on any row; the times in the row
-alone determine when.
+The members of a group agree on this. Without a group any process may act on any row, and only the times in
+the row determine when.
 """
 
 from __future__ import annotations
@@ -19,7 +19,7 @@
     OWN = "mine"  # this member, under its current epoch
     ACTIVE = "well"  # another member, under its current epoch; its rows are not claimed, however slow it is
     ENDED = "over"  # a member that certainly does not act under that epoch any more
-    NO_MEMBER = "untold"  # names no member (no group, or an older version wrote it): only the times count
+    NO_MEMBER = "untold"  # not a member (no group, or an older version wrote it): only the row's times count
 
 
 class Ownership(Protocol):
@@ -43,8 +43,8 @@
         come before it in the order of claims."""
 
     def watch(self, changed: Callable[[list[str]], None], in_hand: Callable[[Id], bool]) -> None:
-        """Sets the callbacks: `changed` is called with the owner prefixes that may have lost their permission
-        to act; `in_hand` returns whether this process works on a report."""
+        """Sets the callbacks: `changed` is called when members may have lost their permission to act, with
+        their owner prefixes; `in_hand` returns whether this process works on a report."""
 
     def follow(self, owner: str, id: Id, on_done: Callable[[Id], None]) -> bool:
         """Asks the owner of a row to notify this process when it is done with the row; `on_done` is then
--- a/magpiefront/record/postgres.py
+++ b/magpiefront/record/postgres.py
@@ -27,9 +27,10 @@
 
 VERSION = 2
 COMMIT_TIME_SMOOTHING = 0.2  # weight of the latest commit in `commit_us`
-MAX_TRIES = 3  # of a job whose connection is lost
+MAX_TRIES = 3  # the most attempts at a job whose connection is lost
 BACKOFF_S, MAX_BACKOFF_S = 0.05, 2.0  # first and longest pause between attempts to connect
-# Codes of a shutdown of the server or a lost connection, after which a COMMIT may have taken effect.
+# The codes for a shutdown of the server or a lost connection: a COMMIT that fails with one of them may have
+# taken effect.
 CONNECTION_LOST_SQLSTATES = frozenset(
     {"57P01", "57P02", "57P03", "08006", "08003", "08000"}
 )  # fmt: skip
@@ -58,9 +59,9 @@
     f"SELECT {', '.join(f'{c}::{t}' for c, t in COLUMN_TYPES.items())}, {SERVER_TIME}::float8 FROM reports"
 )
 BY_ID = "tenant = $1::text AND kind = $2::text AND key = $3::bytea"
-# The time of the first send is taken from the server's clock, the only one that all gateways share. The row
-# gives only whether it was sent ($11 is not NULL) and, if another site may have sent it before it was
-# received here, how long before ($10 - $11).
+# The time of the first send is taken from the server's clock, the only one that all gateways share. The
+# parameters only tell whether the report was sent ($11 is not NULL) and, if another site may have sent it
+# before it was received here, how long before ($10 - $11).
 FIRST_SEND_TIME = (
     f"CASE WHEN $11::float8 IS NULL THEN NULL WHEN $11::float8 < $10::float8 "
     f"THEN {SERVER_TIME} - ($10::float8 - $11::float8) ELSE {SERVER_TIME} END"
@@ -378,7 +379,8 @@
                     connection.terminate()
                     connection = None
             except (*ERRORS, BadStore) as e:
-                # No connection: queued jobs may still have time, and end at their deadline otherwise.
+                # There is no connection. The jobs stay queued for the next attempt to connect, or end at
+                # their deadline.
                 connection = None
                 self.runtime.log(f"record: no connection to postgres: {' '.join(str(e).split())}")
                 await asyncio.sleep(pause_s)
--- a/magpiefront/record/rows.py
+++ b/magpiefront/record/rows.py
@@ -33,7 +33,7 @@
     key: bytes
 
 
-UNKNOWN_BOOT = "?"  # in place of a boot id, where the age of a time is not known yet
+UNKNOWN_BOOT = "?"  # the boot id in a `Moment` whose age is not known yet
 BOOT_ID = Path("/proc/sys/kernel/random/boot_id")
 FALLBACK_BOOT_ID = token_hex(16)
 
@@ -61,7 +61,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Attempt:
-    """One request with the report that was sent to a node."""
+    """One request to a node with the report, and when it was sent."""
 
     node: str
     at_s: float  # Unix seconds
@@ -99,13 +99,14 @@
     state: State
     received_s: float
     sent: Moment | None  # when the report was first sent, or first marked as sent
-    owner: str  # the process that sends it; a change that expects another owner is rejected
+    owner: str  # names the process and attempt that send it; a change that expects another one is rejected
     window_s: float  # how long after `sent` the nodes drop repeats of it
     until_s: float  # how long after `sent` its owner may work on it at most; 0: the owner has released it
     answer: Answer | None = None
     attempts: tuple[Attempt, ...] = ()
     note: str = ""
-    # After an attempt that may have run, the client was asked to retry. Only its retry sends it again.
+    # Whether the client was asked to retry, after an attempt that may have run. If so, only a retry by the
+    # client sends the report again.
     told: bool = False
 
 
@@ -166,4 +167,5 @@
 
     @property
     def wait_us(self) -> int:
-        """How long a commit that is requested now is expected to take, estimated from earlier commits."""
+        """The expected time in microseconds until a change that is queued now is committed, estimated from
+        earlier commits."""
--- a/magpiefront/record/settings.py
+++ b/magpiefront/record/settings.py
@@ -15,7 +15,7 @@
 
     path: Path
     most_batch: int = 256  # changes in one commit
-    checkpoint_pages: int = 1_000  # length of the write-ahead log that starts a checkpoint
+    checkpoint_pages: int = 1_000  # a longer write-ahead log is checkpointed; pages of 4096 bytes
 
 
 @dataclass(frozen=True, slots=True)
@@ -24,7 +24,7 @@
 
     dsn: str
     connections: int = 4
-    most_batch: int = 64
+    most_batch: int = 64  # changes in one commit
     connect_timeout_us: int = 1_000_000
     statement_timeout_us: int = 2_000_000
 
@@ -48,7 +48,7 @@
     most_body: int = 64 << 10  # bytes of a report; a longer one is refused
     most_answer: int = 64 << 10  # bytes of the body of an answer; a longer body is not stored
     retention_s: int = 7 * 86_400  # how long confirmed reports are kept
-    # A report with less time left is not sent: its answer would be late by the client's clock.
+    # A report with less time left is not sent, because its answer would be late by the client's clock.
     least_left_us: int = 60_000
     settle_us: int = 2_000_000  # time limit for storing an outcome, also after the client's deadline
     poll_interval_us: int = 1_000_000  # pause between polls for open rows
--- a/magpiefront/record/sqlite.py
+++ b/magpiefront/record/sqlite.py
@@ -26,10 +26,10 @@
 from magpiefront.sqlfile import BUSY_TIMEOUT_S, connect, open_database
 from magpiefront.sqlfile import BadStore as BadStore
 
-STOP_TIMEOUT_S = 3.0
+STOP_TIMEOUT_S = 3.0  # how long `stop` waits for each thread
 COMMIT_TIME_SMOOTHING = 0.2  # weight of the latest commit in `commit_us`
 # LONG_LOG_FACTOR: the write-ahead log is long above this multiple of `checkpoint_pages`.
-# WRITER_CHECKPOINT_INTERVAL_S: the least pause between two checkpoints by the writer.
+# WRITER_CHECKPOINT_INTERVAL_S: the shortest time between two checkpoints by the writer.
 LONG_LOG_FACTOR, WRITER_CHECKPOINT_INTERVAL_S = 4, 0.1
 COLUMNS = (
     "tenant", "kind", "key", "digest", "method", "target", "more", "body", "state", "received_s", "sent_s",
@@ -67,9 +67,9 @@
     f"UPDATE reports SET {', '.join(f'{c} = ?' for c in COLUMNS[FIRST_MUTABLE_COLUMN:])} "
     f"WHERE {BY_ID} AND state = ? AND owner = ?"
 )
-# Statements for several reports at once, by the number of reports. Each step of a statement releases the
-# interpreter lock, and the event loop's thread takes it: with one step for each report the writer waited once
-# for each report.
+# There are statements for these numbers of reports at once. Each step of a statement releases the interpreter
+# lock, and the event loop's thread then takes it: with one statement for each report the writer had to wait
+# for the lock once per report.
 ROWS_PER_STATEMENT = (64, 16, 4)
 _MUTABLE_COLUMNS = COLUMNS[FIRST_MUTABLE_COLUMN:]
 _CHANGE_PLACEHOLDERS = f"({', '.join('?' * (len(_MUTABLE_COLUMNS) + 5))})"
--- a/magpiefront/record/stage.py
+++ b/magpiefront/record/stage.py
@@ -26,19 +26,22 @@
 from magpiefront.record.rows import Answer, Attempt, Id, Moment, Result, Row, State, Store, boot_id
 from magpiefront.record.settings import RecordSettings
 
-POLL_ROW_LIMIT = 200  # rows read by one poll
-OWNERSHIP_POLL_S = 0.005  # between checks whether this process may act by now
-CLAIM_RETRY_S = 0.1  # between polls for rows that other members were first to claim
-ENDED_OWNER_KEPT_US = 60_000_000  # how long the time of an owner's end is remembered
+POLL_ROW_LIMIT = 200  # the most rows that one poll reads
+OWNERSHIP_POLL_S = 0.005  # seconds between two checks whether this process may act yet
+CLAIM_RETRY_S = 0.1  # pause before the rows of an owner that has ended are read again, if some are unclaimed
+ENDED_OWNER_KEPT_US = 60_000_000  # how long after its end `ended_owners` keeps an owner without open rows
+# The pause between two sweeps, and the most rows that one sweep removes.
 SWEEP_INTERVAL_US, SWEEP_ROW_LIMIT = 60_000_000, 500
-# Rows are dated by the wall clock. A step forward of up to this much before a sweep removes no row too early.
+# Rows are dated by the wall clock, so a sweep keeps them for this many seconds longer than `retention_s`: a
+# step of the clock forward by up to this much then removes no row too early.
 CLOCK_STEP_S = 3_600
-EXTRA_FIELD_NAMES = frozenset({b"idempotency-key", b"content-type"})  # as in Request.extra_fields
+EXTRA_FIELD_NAMES = frozenset({b"idempotency-key", b"content-type"})  # a front puts these into `extra_fields`
 UNSTORED_FIELD_NAMES = frozenset({b"connection", b"content-length", b"transfer-encoding", b"host", b"expect"})
 
 
 def digest_of(r: Request) -> bytes:
-    """Hashes what must be the same in all requests under one idempotency key."""
+    """Returns a hash (16 bytes) of the parts that must be the same in all requests under one idempotency
+    key."""
     digest = blake2b(digest_size=16)
     for part in (r.method, b" ", r.target, b" ", r.headers.get(b"content-type", b""), b"\0", *r.body):
         digest.update(part)
@@ -47,7 +50,7 @@
 
 def by_urgency(found: list[Row], up_us: int) -> list[Row]:
     """Sorts rows for delivery: first those whose clients may still wait, the shortest remaining time first;
-    then the others in the given order."""
+    then the others in the given order. `up_us` is the current time since boot in microseconds."""
 
     def left_s(row: Row) -> float:
         return row.sent.up_s + row.until_s - up_us / 1e6 if row.sent is not None else 0.0
@@ -74,22 +77,22 @@
         self.journal = Journal(self.boot, settings.least_left_us, settings.settle_us, self.ownership)
         self.ownership.watch(self._on_members_changed, lambda id: id in self.journal.entries)
         self.process_token, self.sequence = token_hex(8), itertools.count(1)
-        # Gets the reports from another site and serves them at this site.
+        # The next stage for reports from another site. It serves them at this site only.
         self.node_stage: Stage = following
         self.clients: dict[Request, Id] = {}
         self.deadline_timers: dict[Request, asyncio.TimerHandle] = {}
         self.rows_by_request: dict[Request, Row] = {}
-        # Answers that arrive in parts: status, field lines, parts of the body and their size.
+        # Answers that arrive in parts: status, field lines, parts of the body so far and their total size.
         self.streamed_answers: dict[Request, tuple[int, bytes, list[bytes], int]] = {}
         self.clock_offset_us = runtime.now_us() - self.up_us()
         self.delivery_pace = DeliveryPace(settings.most_deliveries)
-        # For the reports that a lost member had in hand: not delayed by other deliveries, because their
+        # For the reports that a lost member had in hand. Other deliveries must not delay them, because their
         # clients may still wait.
         self.claim_pace = DeliveryPace(settings.most_takeovers)
         self.deliveries: dict[Id, DeliveryPace] = {}
         self.ended_owners: dict[str, int] = {}  # when this process learnt that the owner has ended (up_us)
         self.last_sweep_us = 0
-        # Requests that wait until this process may act: class, age and time of arrival.
+        # Requests that wait until this process may act: class, `age_us` and the time of arrival (up_us).
         self.early_requests: dict[Request, tuple[RequestClass, int | None, int]] = {}
         self.ownership_expected_us = 0
         self.poll_timer: asyncio.TimerHandle | None = None
@@ -112,8 +115,8 @@
         return cls
 
     def store_report(self, r: Request, cls: RequestClass, age_us: int | None = None) -> None:
-        """Stores a report and sends it, or answers a repeat. `age_us` is given for a report from another
-        site: how long ago that site may first have sent it; 0 if it has not."""
+        """Stores a report and sends it, or answers a repeat. For a report from another site, `age_us` is how
+        long ago that site may first have sent it (microseconds), or 0 if it has not; otherwise it is None."""
         if b"idempotency-key" not in r.headers:
             self._answer(r, journal.plain_answer(400, "a report needs an Idempotency-Key"))
             return
@@ -298,7 +301,7 @@
     # ---- recovery of open rows
 
     def begin_polling(self) -> None:
-        """Polls the store for open rows, such as a crash leaves, now and at regular intervals."""
+        """Polls the store for open rows, such as those that a crash left, now and at regular intervals."""
         self.store.open_rows(POLL_ROW_LIMIT, self._on_polled)
 
     def stop(self) -> None:
@@ -320,7 +323,7 @@
     def _handle_open_rows(self, found: list[Row], up_us: int) -> None:
         if self.ownership.owner_prefix() is None:
             return
-        found_ended_us = dict[str, int]()  # the owners of `found` that have ended, as in `ended_owners`
+        found_ended_us = dict[str, int]()  # like `ended_owners`, for the owners of the rows found
         for row in by_urgency([r for r in found if r.id not in self.journal.entries], up_us):
             owner_status = self.ownership.owner_status(row.owner)
             pace = self.delivery_pace
@@ -341,7 +344,8 @@
         }
 
     def _on_members_changed(self, owner_prefixes: list[str]) -> None:
-        """Reads without delay the rows that those members had in hand, and those that this process polls."""
+        """Reads at once the rows that the members with these prefixes had in hand, and the rows that this
+        process polls."""
         self._do(self.journal.poll_now(self.up_us()))
         for prefix in owner_prefixes:
             self.store.open_rows(POLL_ROW_LIMIT, self._on_claimable_rows, prefix)
@@ -356,7 +360,8 @@
             )
 
     def _poll_claimable(self, owners: set[str]) -> None:
-        """Reads again the rows that the members before this one in the order of claims have not claimed."""
+        """Reads the rows of these owners again, in case the members that come before this one in the order of
+        claims have not claimed them."""
         self.claim_timer = None
         for owner in owners:
             if self.ownership.owner_status(owner) is OwnerStatus.ENDED:
@@ -402,8 +407,8 @@
         return metric_lines("record", values)
 
     def release_all(self) -> None:
-        """Releases the reports that would not end in time, so that other processes may claim them, and aborts
-        the requests of all clients without an answer."""
+        """Releases the reports that would not end in time, so that other processes may claim them. Aborts the
+        requests of all clients: they get no answer."""
         for r in list(self.clients):
             del self.clients[r]
             self.deadline_timers.pop(r).cancel()
@@ -429,8 +434,8 @@
         # which must not be sent twice.
         request.extra_fields = format_fields(f for f in request.fields if f[0].lower() in EXTRA_FIELD_NAMES)
         request.execution = ExecutionTracker()
-        # Checked again before the first byte to a node, because a queue, the time to connect or a pause of
-        # the process may come between.
+        # Checked again right before the first byte is sent to a node, because the request may have waited
+        # until then: in a queue, while connecting, or while the process was paused.
         until_up_us = int((row.sent.up_s if row.sent is not None else 0) * 1e6 + row.window_s * 1e6)
         request.execution.guard = lambda: self.ownership.may_act(row.owner) and self.up_us() < until_up_us
         if send.resumed and row.sent is not None:
@@ -474,6 +479,6 @@
         self._on_answer(request, status, field_lines, whole)
 
     def abort(self, request: Request) -> None:
-        """Ends an answer that broke off: its status is known, its body is lost."""
+        """Handles an answer that broke off: its status is used, its body is discarded."""
         status, field_lines, _, _ = self.streamed_answers.pop(request)
         self._on_answer(request, status, field_lines, b"")
