--- a/magpiefront/record/journal.py
+++ b/magpiefront/record/journal.py
@@ -194,8 +194,8 @@
 
     def on_deadline(self, now_us: int, waiter: Hashable, id: Id) -> list[Action]:
         """A client's deadline is near or past. If its report can no longer be sent, the client is answered at
-        once. If the report is being sent, its outcome stored or its row undone, the client is answered at the
-        deadline."""
+        once. While the report is being sent, its outcome is being stored or its row is being undone, the
+        client is answered only at the deadline."""
         entry = self.entries.get(id)
         if entry is None or waiter not in entry.waiters:
             return []
@@ -217,7 +217,8 @@
 
     def _change_row(self, entry: Entry, before: Row, after: Row, deadline_us: int) -> Change:
         """Starts a change whose result goes to this entry. The result of any other change, such as the
-        release of a row, may arrive when the client's next attempt has a new entry, which must ignore it."""
+        release of a row, may arrive after a retry by the client has made a new entry, which must ignore
+        it."""
         entry.pending_row = after
         return Change(before, after, deadline_us)
 
@@ -254,7 +255,7 @@
         return self._handle_existing(now_us, entry, result.row)
 
     def poll_now(self, now_us: int, id: Id | None = None) -> list[Action]:
-        """Reads all rows that are being polled without further delay, because members have changed; or only
+        """Reads without further delay all rows that are being polled, because members have changed, or only
         the row `id`, because its owner is done with it."""
         actions: list[Action] = []
         for entry in [e for i, e in self.entries.items() if id in (None, i)]:
--- a/tests/record/test_backup.py
+++ b/tests/record/test_backup.py
@@ -1,4 +1,5 @@
-"""Backups of a store in use: each is complete, or the previous one stays, whatever interrupts it."""
+"""Backups of a store in use: whatever interrupts one, it is complete or the previous backup stays in
+place."""
 
 from __future__ import annotations
 
@@ -109,8 +110,8 @@
 
 @pytest.fixture
 def checkpoint_without_pause(monkeypatch: pytest.MonkeyPatch) -> None:
-    """Removes the pause between checkpoints by the writer: how much is written during it depends on the speed
-    of the disk."""
+    """Removes the pause between checkpoints by the writer, because how much is written during the pause
+    depends on the speed of the disk."""
     monkeypatch.setattr(sqlite_module, "WRITER_CHECKPOINT_INTERVAL_S", 0.0)
 
 
@@ -151,7 +152,7 @@
         assert isinstance(store.runtime, FakeRuntime)
         store.runtime.run_until(lambda: len(results) == 6_000)
         assert {r.outcome for r in results} == {Outcome.DONE}
-        assert wal.stat().st_size < 2 * path.stat().st_size  # without the writer's checkpoints 3 to 6 times
+        assert wal.stat().st_size < 2 * path.stat().st_size  # 3 to 6 times without the writer's checkpoints
 
 
 def test_a_backup_of_yesterday_is_restored_after_deliveries_of_today(tmp_path: Path, capsys: Any) -> None:
--- a/tests/record/test_crossing.py
+++ b/tests/record/test_crossing.py
@@ -1,4 +1,5 @@
-"""Reports that are sent to another site: what each site knows of their execution reaches the store."""
+"""Reports that are sent to another site: whether they may have run there is stored at the site that sent
+them."""
 
 from __future__ import annotations
 
@@ -24,8 +25,8 @@
 
 
 class StubSite:
-    """Stands in for the host of the other site: records attempts with these outcomes and answers with
-    `status`; with status 0 it does not answer."""
+    """A stub for the host of the other site. It records attempts with these outcomes and answers with
+    `status`, or not at all if `status` is 0."""
 
     def __init__(self, status: int, *outcomes: Outcome | None) -> None:
         self.status, self.outcomes, self.requests = status, outcomes, list[Request]()
@@ -43,7 +44,7 @@
 
 @asynccontextmanager
 async def recorded_sites(path: Path) -> AsyncIterator[tuple[Sites, RecordStage]]:
-    """Two sites, of which the west stores reports at `path`."""
+    """Starts two sites. The west site stores its reports in the file `path`."""
     async with sites() as s:
         store = SqliteStore(s.west.proxy, SqliteSettings(path))
         store.start()
@@ -131,7 +132,7 @@
 
 
 def test_two_requests_that_wait_for_one_run_both_get_its_outcome(monkeypatch: pytest.MonkeyPatch) -> None:
-    """No attempt is made for the second request. Its answer must still say whether the report may have
+    """No attempt is made for the second request, but its answer must still say whether the report may have
     run."""
     never_ran: list[bool] = []
     fields = inbound.InboundRequest._fields
--- a/tests/record/test_killstore.py
+++ b/tests/record/test_killstore.py
@@ -1,4 +1,5 @@
-"""Rounds of kills under load with real processes, and what `evaluate_reports` finds in given rows."""
+"""Rounds in which real processes are killed under load, and the faults that `evaluate_reports` finds in given
+rows."""
 
 from __future__ import annotations
 
--- a/tests/record/test_migrations.py
+++ b/tests/record/test_migrations.py
@@ -1,5 +1,5 @@
-"""Migrations of older stores: each one is complete or has no effect, whatever interrupts it. Also full disks,
-and processes that start at once."""
+"""Migrations of older stores: each one is complete or has no effect, whatever interrupts it. Also covers full
+disks, and processes that start at the same time."""
 
 from __future__ import annotations
 
@@ -206,7 +206,7 @@
 
 
 def test_a_full_disk_loses_no_report_whose_insert_was_done(tmp_path: Path) -> None:
-    """The limit is reached in a commit or in a checkpoint."""
+    """The limit of the file size is reached in a commit or in a checkpoint."""
     for limit in (36_000, 60_000, 90_000, 150_000, 260_000):
         path = tmp_path / f"r{limit}"
         open_file(path).close()
@@ -240,7 +240,8 @@
 
 
 def test_opening_a_new_file_waits_for_the_lock_of_another_process(tmp_path: Path) -> None:
-    """If two gateways started at once on a new file, one of them failed with "database is locked"."""
+    """Guards against an error "database is locked" in one of two gateways that start at once on a new
+    file."""
     path = tmp_path / "r.sqlite"
     other = sqlite3.connect(path, isolation_level=None, check_same_thread=False)
     other.execute("CREATE TABLE t (x)")
--- a/tests/record/test_postgres.py
+++ b/tests/record/test_postgres.py
@@ -1,4 +1,4 @@
-"""The PostgreSQL store against a stand-in server: the contract of a store, and the faults of a server."""
+"""The PostgreSQL store on a stand-in server: the contract of a store, and its results if the server fails."""
 
 from __future__ import annotations
 
--- a/tests/record/test_sqlite.py
+++ b/tests/record/test_sqlite.py
@@ -1,5 +1,5 @@
-"""The SQLite store: an id is stored once, a change is durable before it ends as DONE, and the outcome of a
-failed change is never wrong."""
+"""The SQLite store: an id is stored once, a change is durable before it ends as DONE, and a change that ends
+as NOT_DONE has no effect."""
 
 from __future__ import annotations
 
@@ -179,7 +179,8 @@
 
 
 def test_a_change_past_its_deadline_is_not_begun(tmp_path: Path) -> None:
-    """Another process locks the file: a change that could not be written before its deadline never is."""
+    """Another process locks the file. A change that could not be written before its deadline is never
+    written."""
     with open_store(tmp_path / "r.sqlite") as store:
         runtime = store.runtime
         assert isinstance(runtime, FakeRuntime)
@@ -228,8 +229,8 @@
 
 
 def test_a_log_truncated_at_any_byte_loses_no_change_that_was_done_before_it(tmp_path: Path) -> None:
-    """For each length within the last 8 KiB the file opens, and the changes that were done when the log had
-    that length are complete."""
+    """The log is cut at each byte of its last 8 KiB. The file still opens, and holds every change that was
+    done when the log had that length."""
     path, sizes = tmp_path / "r.sqlite", list[int]()
     wal = Path(f"{path}-wal")
     with open_store(path) as store:
--- a/tests/record/test_stage.py
+++ b/tests/record/test_stage.py
@@ -192,7 +192,8 @@
 
 
 def test_a_full_queue_refuses_at_once_with_retry_after(tmp_path: Path) -> None:
-    """The node answers one report at a time: outcomes that come together would meet the full queue too."""
+    """The node answers one report at a time, because the full queue would refuse outcomes that arrive
+    together too."""
     permits = asyncio.Semaphore(0)
 
     async def main() -> None:
@@ -300,7 +301,8 @@
 
 
 def test_a_report_that_waits_for_a_stalled_store_is_answered_before_its_deadline(tmp_path: Path) -> None:
-    """A report that waits is answered shortly before its deadline, a later one at once."""
+    """The first report waits for the store and is answered shortly before its deadline; a later one is
+    refused at once."""
 
     async def main() -> None:
         async with recording_proxy(tmp_path / "r.sqlite", reply(ok(b"held"))) as proxy:
@@ -411,7 +413,7 @@
 
 
 def test_a_repeat_during_the_sweep_gets_the_stored_answer_or_is_a_new_report(tmp_path: Path) -> None:
-    """One commit contains the sweep and the repeat, in either order."""
+    """The sweep and the insert of the repeat are in one commit, in either order."""
 
     async def main(repeat_first: bool) -> None:
         async with recording_proxy(tmp_path / f"{repeat_first}", reply(ok(b"held"))) as proxy:
@@ -457,7 +459,8 @@
 
 @pytest.mark.parametrize("step_s", [-3_600, -5, 5, 3_600])
 def test_a_step_of_the_wall_clock_runs_no_report_twice(tmp_path: Path, step_s: int) -> None:
-    """A repeat within the retention gets the first answer, whatever time the wall clock gives the sweep."""
+    """A repeat within the retention gets the first answer, whatever time the wall clock shows at the
+    sweep."""
 
     async def main() -> None:
         async with recording_proxy(
--- a/tests/record/test_steps.py
+++ b/tests/record/test_steps.py
@@ -30,8 +30,8 @@
 
 
 async def die_and_recover(point: str, kill_round: Round) -> str:
-    """Lets a gateway die at the point and its successor complete the report. Returns what was wrong, or
-    "fine"."""
+    """Makes a gateway die at the point and starts its successor, which has to complete the report. Returns
+    what was wrong, or "fine"."""
     kill_round.node.slow_share = 0.0
     (gateway,) = kill_round.gateways
     await kill_round.prepare()
@@ -43,7 +43,8 @@
         assert gateway.process is not None
         end = asyncio.create_task(gateway.process.wait())
         for _ in range(200):
-            # A busy machine may refuse the report before that step (`net/lag.py`): its client retries.
+            # A gateway on a busy machine may refuse the report before that step (`net/lag.py`): the client
+            # retries.
             status, after_s = await kill_round.send_report(report, gateway)
             report.statuses.append(status)
             if (await asyncio.wait({end}, timeout=5 if status in (0, 200) else after_s))[0]:
