Clarify comments and docstrings of the gateway between sites

Several docstrings were elliptic or left out what is returned, and some constants did not say what they bound. They now name the subject, the unit and the reason.

--- a/magpiefront/gateway/health.py
+++ b/magpiefront/gateway/health.py
@@ -16,7 +16,8 @@
 
 ROUND_TRIP_SMOOTHING = 0.125  # weight of a new round-trip time: RFC 6298, 2
 PING_JITTER = 0.25  # largest relative deviation of the pause between two PINGs
-# A PING is late after the round-trip time, this many mean deviations and half of the PING interval.
+# A PING is late if it is not answered within the round-trip time plus this many mean deviations plus half of
+# the PING interval, or within half of the PING timeout if that is less.
 LATE_DEVIATIONS = 4.0
 
 
@@ -112,5 +113,5 @@
         """Returns the pause before the next attempt and counts a failure."""
         limit_us = min(self.settings.max_backoff_us, self.settings.backoff_us * 2 ** min(self.failures, 12))
         self.failures += 1
-        # Uniform between 0.25 and 1 of the limit: jitter, with a least pause.
+        # Uniform between 0.25 and 1 of the limit: jitter, but with a minimum pause.
         return int(limit_us * (0.25 + 0.75 * self.random.random()))
--- a/magpiefront/gateway/http2.py
+++ b/magpiefront/gateway/http2.py
@@ -1,7 +1,7 @@
 """HTTP/2 between gateways (RFC 9113), built on `h2`. No I/O and no clock.
 
-A connection is given received bytes and returns events; it collects the bytes to write. It differs from plain
-`h2` in two ways:
+A connection turns received bytes into events, and collects the bytes to write. It differs from plain `h2` in
+two ways:
 
 - GOAWAY frames are read and written here, because `h2` treats GOAWAY as the end of the connection and would
   refuse the streams that may still finish.
@@ -23,10 +23,10 @@
 import h2.settings
 from hyperframe.frame import GoAwayFrame
 
-STREAM_WINDOW_BYTES = 256 * 1024
-CONNECTION_WINDOW_BYTES = 8 * 1024 * 1024
-MAX_HEADER_LIST_BYTES = 32 * 1024
-MAX_FRAME_BYTES = 16 * 1024
+STREAM_WINDOW_BYTES = 256 * 1024  # receive window of each stream
+CONNECTION_WINDOW_BYTES = 8 * 1024 * 1024  # receive window of the connection, for all streams together
+MAX_HEADER_LIST_BYTES = 32 * 1024  # longest header list that is accepted
+MAX_FRAME_BYTES = 16 * 1024  # longest frame payload that is accepted
 SEND_BUFFER_HIGH_BYTES, SEND_BUFFER_LOW_BYTES = 128 * 1024, 32 * 1024  # watermarks of a stream's send buffer
 PREFACE_BYTES = len(b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n")
 GOAWAY_FRAME_TYPE = 0x7
@@ -62,7 +62,8 @@
 
 @dataclass(slots=True)
 class StreamAborted:
-    """RST_STREAM. `refused`: the peer has not processed the request (RFC 9113, 8.7)."""
+    """The peer has sent RST_STREAM. `refused`: with REFUSED_STREAM, so it has not processed the request (RFC
+    9113, 8.7)."""
 
     stream: int
     refused: bool
@@ -70,7 +71,7 @@
 
 @dataclass(slots=True)
 class GoAwayReceived:
-    """GOAWAY. The peer has not processed streams above `last_stream` (RFC 9113, 6.8)."""
+    """The peer has sent GOAWAY. It has not processed streams above `last_stream` (RFC 9113, 6.8)."""
 
     last_stream: int
     error: int
@@ -145,7 +146,7 @@
         self.output = bytearray()  # not yet taken by the transport
         self.written_bytes = 0  # bytes that the transport has taken
         self.send_buffers: dict[int, SendBuffer] = {}
-        self.end_offsets: dict[int, int] = {}  # by stream: offset of its last byte in all output
+        self.end_offsets: dict[int, int] = {}  # by stream: bytes of output up to the end of the stream
         # By open stream: bytes received on it, with no window update sent yet. The keys are the open streams.
         self.unacknowledged_bytes: dict[int, int] = {}
         self.paused_streams: set[int] = set()
@@ -183,8 +184,8 @@
         return len(self.unacknowledged_bytes) < self.h2.remote_settings.max_concurrent_streams
 
     def open_stream(self, fields: list[tuple[bytes, bytes]], body: list[bytes], more: bool = False) -> int:
-        """Opens a stream. `more`: the body is sent later with `send_body`; `body` must then be empty, because
-        a body given here ends the request."""
+        """Opens a stream and returns its ID. `more`: the body is sent later with `send_body`; `body` must
+        then be empty, because a body given here ends the request."""
         stream = self.h2.get_next_available_stream_id()
         self.unacknowledged_bytes[stream] = 0
         self.send_head(stream, fields, not body and not more)
@@ -197,14 +198,15 @@
         try:
             self.h2.send_headers(stream, fields, end_stream=end)
         except h2.exceptions.StreamClosedError:
-            self.forget(stream)  # the peer reset it; the event follows in the bytes being processed
+            self.forget(stream)  # the peer reset it; `StreamAborted` follows from the bytes being processed
             return
         self._collect_output()
         if end:
             self._finish_sending(stream)
 
     def send_body(self, stream: int, data: bytes, end: bool = False) -> bool:
-        """Sends body bytes. False if the caller has to wait for `StreamWritable` before it sends more."""
+        """Sends body bytes; `end`: they are the last ones. Returns False if the caller has to wait for
+        `StreamWritable` before it sends more."""
         if stream not in self.unacknowledged_bytes:
             return True  # reset by the peer, as in `send_head`
         buffer = self.send_buffers.setdefault(stream, SendBuffer())
--- a/magpiefront/gateway/idempotency.py
+++ b/magpiefront/gateway/idempotency.py
@@ -2,7 +2,8 @@
 
 Times are microseconds. An entry is created when a keyed request starts to run. A repeat within the retry
 window waits for the answer, or gets it at once. The table is bounded: if it evicts an entry early, it
-remembers the latest start of an evicted entry, and refuses repeats that may have run until then.
+remembers the latest start of an evicted entry. A repeat that has no entry and was first sent at that time or
+before may have run, and is refused.
 """
 
 from __future__ import annotations
@@ -20,7 +21,7 @@
     """What to do with a keyed request."""
 
     RUN = "run"  # new: run it now
-    WAIT = "wait"  # it is running: `finish` returns those who wait for the answer
+    WAIT = "wait"  # it is running: `finish` returns the requests that wait for the answer
     KNOWN = "known"  # it has run: `answer_for` returns the answer
     MISMATCH = "unlike"  # the key was used for another request
     FORGOTTEN = "forgotten"  # it may have run, but its answer is no longer known
@@ -54,7 +55,7 @@
 
 
 class AnswerTable(Generic[T]):
-    """The table; `T` is the type of those who wait for an answer."""
+    """The table; `T` is the type of a request that waits for an answer."""
 
     def __init__(self, max_entries: int, max_bytes: int) -> None:
         self.entries: dict[Key, Entry[T]] = {}
@@ -92,13 +93,13 @@
         return entry.answer if entry is not None else None
 
     def remove_waiter(self, key: Key, waiter: T) -> None:
-        """Removes a waiter. The request continues, for the next one that asks with its key."""
+        """Removes a waiter. The execution continues, and the next request with its key gets the answer."""
         entry = self.entries.get(key)
         if entry is not None and waiter in entry.waiters:
             entry.waiters.remove(waiter)
 
     def finish(self, key: Key, answer: Answer) -> list[T]:
-        """Stores the answer of a request that was served. Returns those who wait for it."""
+        """Stores the answer of a request that was served. Returns the requests that wait for it."""
         entry = self.entries.get(key)
         if entry is None:
             return []
@@ -111,7 +112,7 @@
         return waiters
 
     def abandon(self, key: Key) -> list[T]:
-        """Removes a request that was refused or failed, and returns those who wait for it.
+        """Removes a request that was refused or failed, and returns the requests that wait for its answer.
 
         The next request with the key runs like a new one, as a client's own retry does.
         """
--- a/magpiefront/gateway/inbound.py
+++ b/magpiefront/gateway/inbound.py
@@ -28,7 +28,7 @@
 
 
 class InboundRequest:
-    """One request from another gateway, until its answer is sent; the `Responder` of that request."""
+    """One request from another gateway, until its answer is sent. Also the `Responder` of this request."""
 
     __slots__ = ("connection", "credit", "done", "head", "request", "size", "started", "stream", "streaming")
 
@@ -100,13 +100,13 @@
     listener: GatewayListener
 
     def __init__(self, listener: GatewayListener, seed: int) -> None:
-        # 64 streams more than credits: the hello, and streams whose end the peer has not received yet.
+        # 64 streams more than credits, for the hello and for streams whose end the peer has not received yet.
         super().__init__(
             listener.runtime, False, listener.settings.link, seed, listener.settings.credits.crossing + 64
         )
         self.listener = listener
         self.incoming: dict[int, InboundRequest] = {}
-        self.last_stream: int | None = None  # of the final GOAWAY, once it is sent
+        self.last_stream: int | None = None  # named in the final GOAWAY; None until that is sent
         self.site = ""  # the peer's site, once its hello has been received
         self.stage: CrossSiteStage = listener.stage
 
@@ -122,7 +122,8 @@
             self._abandon(incoming)
 
     def _abandon(self, incoming: InboundRequest) -> None:
-        """The sender has given up. A keyed request continues: its sender may repeat it to get the answer."""
+        """Ends a request that its sender has given up. A keyed request continues to run, because its sender
+        may repeat it to get the answer."""
         self.incoming.pop(incoming.stream, None)
         if incoming.started and not incoming.done:
             self.stage.client_left(incoming.request)
@@ -133,7 +134,7 @@
         self.listener.finished(incoming)
 
     def send_goaway(self, is_final: bool = False) -> None:
-        """Sends GOAWAY. `is_final`: it is the final one, and later streams are refused (RFC 9113, 6.8)."""
+        """Sends GOAWAY. `is_final`: streams that arrive from now on are refused (RFC 9113, 6.8)."""
         if is_final:
             self.last_stream = self.http2.last_peer_stream
         self.http2.go_away(self.last_stream)
@@ -212,10 +213,10 @@
             return
         self.site, own = site, self.listener.store()
         if fields.get(b"gw-store") in (None, own.encode()):
-            # Requests of this peer bypass the stage that stores reports. If the peer has the same store, a
-            # report would be found there as the row from which the peer sends it, and would wait for itself.
-            # If the hello names no store, the peer is of a version that takes an undecided answer for the
-            # final answer of the report.
+            # Requests of this peer bypass the stage that stores reports. If the peer has the same store, that
+            # stage would find the report there, in the row from which the peer sends it, and the report would
+            # wait for itself. If the hello has no gw-store, the peer is of a version that takes an undecided
+            # answer for the final answer of the report.
             self.stage, own = self.listener.keyed, ""
         self.http2.send_head(
             stream, wire.hello_answer_fields(self.listener.settings.site, self.listener.epoch, own), True
@@ -234,7 +235,7 @@
         incoming.request.body.append(data)
 
     def _complete(self, incoming: InboundRequest) -> None:
-        """The request is complete: forwards it to the stage, or answers it at once if it is invalid."""
+        """Passes a completely received request to the listener, or answers it at once if it is invalid."""
         r, head = incoming.request, incoming.head
         r.method, r.target, r.headers, r.size = head.method, head.target, head.headers, incoming.size
         incoming.started = True
@@ -261,7 +262,8 @@
     """Accepts connections of other sites' gateways and forwards their requests to `stage`.
 
     `stage` is the keyed stage, or the stage in front of it that stores reports. No request is sent on to a
-    third site. `epoch` identifies this run of the process; `store` returns the name of its store of record.
+    third site. `epoch` identifies this run of the process; `store` returns the name of the store of record of
+    this process.
     """
 
     name = "gateway"  # of the socket in a handover
@@ -283,10 +285,10 @@
         self.socket: socket.socket | None = None
         self.task: asyncio.Task[None] | None = None
         self.draining = False
-        self.pending_goaways = 0  # connections that the final GOAWAY is still to be sent to
+        self.pending_goaways = 0  # connections to which `release` has yet to send the final GOAWAY
 
     async def listen(self, inherited: socket.socket | None = None) -> None:
-        """Binds the socket and accepts connections. On an inherited socket only `accept` starts that.
+        """Binds the socket and accepts connections. An inherited socket accepts them only after `accept`.
 
         Raises OSError if the address can't be bound.
         """
@@ -349,7 +351,8 @@
         r = incoming.request
         earlier = self.open_requests.get(r.wire_id)
         if earlier is not None and incoming.head.repeat is Repeat.SAFE:
-            # The sender has given up the connection of the earlier request; that is not known here yet.
+            # The sender has given up the connection on which it sent this request before, but this end has
+            # not detected that yet.
             earlier.connection._abandon(earlier)
         self.open_requests[r.wire_id] = incoming
         self.counters.add("in_taken")
@@ -394,7 +397,7 @@
 
     @property
     def busy(self) -> bool:
-        """Whether requests, unsent output or GOAWAY frames are left."""
+        """Whether there are open requests, unsent bodies, or GOAWAY frames that are still to be sent."""
         return self.pending_goaways > 0 or any(
             connection.incoming or connection.http2.send_buffers for connection in self.connections
         )
--- a/magpiefront/gateway/link.py
+++ b/magpiefront/gateway/link.py
@@ -1,4 +1,5 @@
-"""Connections between gateways: transports, PING timers, reconnection, and the choice of a connection."""
+"""Connections between gateways: transports, PING timers, reconnection, and the choice of a connection for a
+request."""
 
 from __future__ import annotations
 
@@ -18,8 +19,8 @@
 from magpiefront.gateway.settings import Address, GatewaySettings, LinkSettings, Site, Tls
 from magpiefront.hashing import text_hash
 
-WRITE_CHUNK_BYTES = 64 * 1024
-AVOID_AFTER_REFUSAL_US = 200_000
+WRITE_CHUNK_BYTES = 64 * 1024  # the most that is passed to the transport in one write
+AVOID_AFTER_REFUSAL_US = 200_000  # how long keyed requests avoid a connection whose peer refused a request
 
 
 class ResponseHandler(Protocol):
@@ -188,7 +189,7 @@
     """The end that sends requests.
 
     It is usable once the peer has answered the hello with its site and its epoch, which identifies one run of
-    its process.
+    the peer's process.
     """
 
     def __init__(
@@ -199,7 +200,8 @@
         super().__init__(slot.owner.runtime, True, settings.link, seed, 1)
         self.slot, self.settings, self.own_store = slot, settings, own_store
         self.epoch = self.store = ""
-        # After a refusal by a peer with a store, keyed requests go to another that can answer them as well.
+        # After the peer refused a request, keyed requests go to other connections until this time. Only if
+        # the peer has a store of record: other peers may then be able to answer them as well.
         self.avoid_until_us = 0
         self.secure = settings.tls is not None
         self.handlers: dict[int, ResponseHandler] = {}
@@ -229,7 +231,7 @@
         return stream
 
     def cancel(self, stream: int) -> None:
-        """Resets a stream; its handler is not called any more."""
+        """Resets a stream. Its handler is not called again."""
         if self.handlers.pop(stream, None) is not None and not self.closed:
             self.http2.reset(stream)
             self._close_if_drained()
@@ -388,8 +390,8 @@
         """Opens a new connection for new requests; the draining one finishes its open requests."""
         if connection is self.connection:
             self.connection = None
-            # Also on a GOAWAY of a planned shutdown, which is no failure: the slot has no connection now.
-            # `Link._update_state` matches the text.
+            # Reported even if the GOAWAY is part of a planned shutdown, because the slot has no connection
+            # now. `Link._update_state` matches the text.
             self.owner.connection_failed(self.peer, "the peer goes away")
             self.connect()  # without backoff: a peer that sends GOAWAY has usually been replaced already
 
@@ -438,7 +440,7 @@
         return [s.connection for s in self.slots if s.connection is not None and s.connection.usable]
 
     def view(self) -> LinkView:
-        """The state of the link for routing: that of its best connection."""
+        """Returns the view of the link for routing: the state and round-trip time of its best connection."""
         candidates = self.usable_connections()
         if not candidates:
             now = self.runtime.now_us()
@@ -450,10 +452,11 @@
         return LinkView(best.health.state, int(best.health.round_trip_us))
 
     def choose(self, pin: str = "", epoch: str = "", store: str = "") -> OutboundConnection | None:
-        """The connection for a request, or None.
+        """Returns the connection for a request, or None if there is no suitable one.
 
-        With `epoch`, a connection to that process, else (with `store`) to a process with the same store. With
-        `pin`, a connection to the peer that the pin hashes to. Of several, the one with the fewest requests.
+        If `epoch` is given, it is a connection to the process with that epoch or, if there is none, to a
+        process with the given `store`. Otherwise, if `pin` is given, it is a connection to the peer that the
+        pin hashes to. If several are suitable, the one with the fewest open requests is chosen.
         """
         candidates = self.usable_connections()
         candidates = [c for c in candidates if c.health.state is LinkState.UP] or candidates
@@ -483,10 +486,10 @@
         self._update_state(f"{peer[0]}:{peer[1]}: {cause}")
 
     def _update_state(self, cause: str) -> None:
-        """Updates the state of the link and logs each change with its cause.
+        """Updates the state of the link, and logs a change with its cause.
 
-        Without a usable connection the link is draining if the cause contains "goes away", the text that is
-        given for a GOAWAY, and else down. A draining link stays so until a connection is usable.
+        A link without a usable connection is draining if the cause contains "goes away", the text used for a
+        GOAWAY; otherwise it is down. A draining link remains draining until a connection is usable.
         """
         candidates = self.usable_connections()
         states = [c.health.state for c in candidates]
--- a/magpiefront/gateway/members.py
+++ b/magpiefront/gateway/members.py
@@ -1,6 +1,6 @@
-"""Transport of the group's messages over the HTTP/2 connections of gateways. The messages to a member use one
-stream that does not end; operator commands are ordinary requests. Each member has a bounded queue from which
-the oldest messages are dropped; no sender waits.
+"""Transport of the group's messages over HTTP/2 connections like those between gateways. The messages to a
+member use one stream that does not end; operator commands are ordinary requests. The messages to each member
+wait in a bounded queue: if it is full the oldest is dropped, so that no sender waits.
 """
 
 from __future__ import annotations
@@ -27,9 +27,9 @@
 MESSAGES_PATH = b"/.well-known/magpiefront-group"
 COMMAND_PATH = MESSAGES_PATH + b"/ask"
 VERSION = b"1"
-LISTEN_BACKLOG = 256
-MAX_STREAMS = 64
-MAX_COMMAND_BYTES = 64 << 10
+LISTEN_BACKLOG = 256  # connections that wait to be accepted
+MAX_STREAMS = 64  # open streams of one connection
+MAX_COMMAND_BYTES = 64 << 10  # body of an operator command; the stream of a longer one is reset
 DEFAULT_LINK_SETTINGS = LinkSettings(
     connections=1, connect_timeout_us=500_000, backoff_us=20_000, max_backoff_us=400_000
 )
@@ -48,7 +48,8 @@
 
 
 class MessageReceiver(Protocol):
-    """The member of this process, which receives the messages of the others."""
+    """The member of this process. `receive` handles a message of another member, and returns False if it is
+    invalid."""
 
     settings: GroupSettings
 
@@ -210,7 +211,7 @@
             self.http2.send_head(stream, [(b":status", b"200"), (b"gw-member", group.member.encode())], False)
 
     def _has_valid_certificate(self, site: str) -> bool:
-        """Whether the peer is of this site, as its certificate proves if TLS is in use."""
+        """Whether the peer claims to be of this site and, with TLS, its certificate names the site."""
         if site != self.member_transport.settings.site:
             return False
         ssl_object: ssl.SSLObject | None = self.transport.get_extra_info("ssl_object")
--- a/magpiefront/gateway/retry_state.py
+++ b/magpiefront/gateway/retry_state.py
@@ -15,7 +15,7 @@
 
 
 class NextStep(Enum):
-    """What is done with a request after a failed attempt."""
+    """What to do with a request after a failed attempt."""
 
     RETRY = "again"  # send it over the link, at once
     WAIT = "wait"  # wait for the link: the peer may hold the answer
@@ -39,7 +39,7 @@
 @dataclass(slots=True)
 class RetryState:
     """The attempts of a request to another site. `epoch` and `store` are those of the peer at which the
-    request may have run; the epoch is empty if another process sent it."""
+    request may have run. `epoch` is empty if another process sent that attempt."""
 
     repeat: Repeat
     deadline_us: int
--- a/magpiefront/gateway/routes.py
+++ b/magpiefront/gateway/routes.py
@@ -1,5 +1,5 @@
 """Routing between sites: the home site of each key, whether a request may be forwarded to another site, and
-how many may be at a time. No I/O, no clock. Times are in microseconds.
+how many may be forwarded at a time. No I/O, no clock. Times are in microseconds.
 
 The Router, not this module, selects servers and retries attempts at them.
 """
@@ -16,7 +16,7 @@
 from magpiefront.interface import Repeat
 
 MAX_HOPS = 1  # a request is forwarded once: the other site answers it whatever its own table says
-FIRST_SPILL_PAUSE_US, MAX_SPILL_PAUSE_US = 50_000, 2_000_000
+FIRST_SPILL_PAUSE_US, MAX_SPILL_PAUSE_US = 50_000, 2_000_000  # bounds of a pause in spilling to a site
 
 
 class LinkState(Enum):
@@ -93,8 +93,9 @@
 
 
 class KeyDistribution:
-    """Divides the keys between the sites: by the longest prefix, else by weighted rendezvous hashing, in
-    which a changed weight moves only keys to or from that site. All sites must have the same table."""
+    """Divides the keys between the sites: by the longest matching prefix, else by weighted rendezvous
+    hashing, so that changing the weight of a site moves keys only to or from that site. All sites must have
+    the same table."""
 
     def __init__(self, sites: Iterable[Site]) -> None:
         self.sites = sorted(sites, key=lambda s: s.name)
@@ -148,8 +149,8 @@
 
 
 class Credits:
-    """Bounds the requests on the link at a time: in all, by class, by tenant, and for spilled requests. A
-    class with a reserved part uses that part first, so that other classes cannot starve it."""
+    """Limits how many requests are on the link at a time: in total, per class, per tenant, and of spilled
+    requests. A class with a reserved part uses that part first, so that other classes cannot starve it."""
 
     def __init__(self, limits: CreditSettings) -> None:
         self.reserved: dict[str, CreditPool] = {}
@@ -233,7 +234,8 @@
 
 
 class SpillPause:
-    """Pauses spilling to a site that refuses spilled requests. The pause doubles until one is served."""
+    """Pauses spilling to a site that refuses spilled requests. The pause doubles with each further refusal,
+    and starts anew after a spilled request is served."""
 
     __slots__ = ("not_before_us", "pause_us")
 
@@ -308,8 +310,8 @@
         self, now_us: int, request: RoutingRequest, links: Mapping[str, LinkView]
     ) -> ForwardToSite | RefuseRequest:
         """Decides what to do with a request that the Router of this site refused. Another site may serve a
-        safe request whose home is here. A request of another home site has already been refused there or
-        could not be forwarded, so it is not sent back and forth."""
+        safe request whose home is here. A request whose home is another site has already been refused there
+        or could not be forwarded, so it is not sent back and forth."""
         reason: Reason = Reason.NOT_SPILLED
         if (
             request.class_name in self.settings.spill and request.repeat is Repeat.SAFE and not request.via
@@ -333,8 +335,9 @@
         return RefuseRequest(reason, self.settings.retry_after_us)
 
     def admit(self, via: tuple[str, ...]) -> Reason | None:
-        """Returns why a request that came over a link must be refused, or None. Refused are requests that
-        have been here before, or were forwarded more often than sites with equal tables do."""
+        """Returns why a request that came over a link must be refused, or None. A request is refused if
+        it has been here before, or was forwarded more than `MAX_HOPS` times, which does not happen between
+        sites with equal tables."""
         if self.settings.site in via:
             return Reason.LOOP
         return Reason.HOPS if len(via) > MAX_HOPS else None
--- a/magpiefront/gateway/service.py
+++ b/magpiefront/gateway/service.py
@@ -72,7 +72,8 @@
         self.keyed = KeyedStage(runtime, following, settings.keyed)
         self.stage = GatewayStage(runtime, self.keyed, settings, self.routes, self.counters)
         server_context, self.client_context = tls_contexts(settings.tls)
-        # Identifies this start: a request that may have run here may be sent again only to the same epoch.
+        # Identifies this run of the process: a request that may have run here may be sent again only to the
+        # same epoch, or to a process with the same store of record.
         self.epoch = f"{Random().getrandbits(64):016x}"
         self.listener = GatewayListener(
             runtime, settings, self.routes, self.keyed, self.counters, server_context,
--- a/magpiefront/gateway/settings.py
+++ b/magpiefront/gateway/settings.py
@@ -53,8 +53,9 @@
     # The most that one tenant may use, as a share of the shared credits or of those reserved for a class.
     tenant_share: float = 0.5
     spill_share: float = 0.25  # the most that spilled requests may use, as a share of the shared credits
-    reserved: dict[str, float] = field(default_factory=dict)  # by class: the share reserved for it
-    most: dict[str, float] = field(default_factory=dict)  # by class: the most that it may use, as a share
+    # By class: the share of `crossing` that is reserved for it, and the largest share that it may use.
+    reserved: dict[str, float] = field(default_factory=dict)
+    most: dict[str, float] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
@@ -81,10 +82,10 @@
     site: str
     listen: Address
     sites: dict[str, Site]
-    tls: Tls | None = None  # None: plain TCP, which the operator's file has to allow
+    tls: Tls | None = None  # None: plain TCP, which the operator file has to allow
     spill: tuple[str, ...] = ()  # classes whose requests may go to another site if the home site refuses them
     home_when_down: bool = True  # serve safe requests of other sites here while the link is down
-    retry_after_us: int = 500_000  # Retry-After of a refusal; longer if the link connects again only later
+    retry_after_us: int = 500_000  # Retry-After of a refusal; longer if the next connection attempt is later
     # A request with less time left than this, after the round trip and `answer_margin_us`, is not forwarded.
     min_time_left_us: int = 20_000
     answer_margin_us: int = 5_000  # the answer of another site is awaited until this long before the deadline
@@ -93,6 +94,7 @@
     credits: CreditSettings = field(default_factory=CreditSettings)
     retry: RetrySettings = field(default_factory=RetrySettings)
     keyed: KeyedSettings = field(default_factory=KeyedSettings)
-    # With a cache in front of the gateway: all header fields and statuses cross, and these methods.
+    # With a cache in front of the gateway, all header fields and statuses cross the link, and `methods` may
+    # contain more methods.
     forwards_all: bool = False
     methods: frozenset[bytes] = METHODS
--- a/magpiefront/gateway/stage.py
+++ b/magpiefront/gateway/stage.py
@@ -1,5 +1,5 @@
-"""The stage that serves each request at this site or forwards it to another one, and gives each exactly one
-final answer, whatever happens to the link."""
+"""The stage that serves each request at this site or forwards it to another site. It gives each request
+exactly one final answer, whatever happens to the link."""
 
 from __future__ import annotations
 
@@ -21,12 +21,13 @@
 from magpiefront.net.request import Request, Responder, Stage
 
 RETRY_DELAY_S = 0.01  # from a failed attempt to the next one
-# Other statuses are answered as 502, unless all statuses are forwarded.
+# Statuses of the other site that are passed on to the client. Any other one becomes 502, unless `forwards_all`
+# is set.
 RELAYED_STATUSES = frozenset({200, 409, 413, 429, 502, 503, 504})
 
 
 class LinkViews(Mapping[str, LinkView]):
-    """The links as `Routes` needs them. A view is made only on access, since most requests need none."""
+    """The links as `Routes` reads them. A view is built only on access, since most requests need none."""
 
     __slots__ = ("links",)
 
@@ -44,8 +45,7 @@
 
 
 class ForwardedRequest:
-    """One request forwarded to another site. It handles the events of its stream and keeps its
-    `RetryState`."""
+    """One request forwarded to another site. Handles the events of its stream, and holds its `RetryState`."""
 
     __slots__ = (
         "answer_head", "body_parts", "body_size", "connection", "decision", "guard", "is_paused",
@@ -97,7 +97,8 @@
         if chosen is None:
             self._take_step(state.next_step(now, self._retry_options()))
             return
-        # Half of the round trip passes before the request arrives, half before its answer does.
+        # The other site gets the time left less one round trip, half of which passes before the request
+        # arrives there and half before the answer arrives here.
         left_us = state.deadline_us - now - int(chosen.health.round_trip_us)
         fields = wire.request_fields(
             r,
@@ -119,8 +120,8 @@
 
     @property
     def _required_epoch(self) -> str:
-        """The epoch to which the next attempt must go, unless it goes to a peer with the same store. Empty if
-        any peer will do."""
+        """The epoch of the peer that the next attempt must be sent to, unless it is sent to a peer with the
+        same store. Empty if any peer is suitable."""
         state = self.retry_state
         return state.epoch if state.may_have_run and state.repeat is Repeat.KEYED else ""
 
@@ -129,8 +130,8 @@
         link = stage.links.get(self.decision.site)
         connection = link.choose("", self._required_epoch, state.store) if link is not None else None
         if connection is None and link is not None:
-            # Any usable peer; it may not know whether the request ran, so its epoch and store decide the
-            # step.
+            # No peer that can tell whether the request ran is usable. If any other peer is, `next_step` decides
+            # by the epoch and store of that one.
             connection = next(iter(link.usable_connections()), None)
         can_serve_here = (
             not self.is_spilled and self.routing.repeat is Repeat.SAFE and stage.settings.home_when_down
@@ -178,7 +179,7 @@
             return
         self.is_streaming = True
         mark_may_have_run(self.request)
-        self.timer.cancel()  # as with nodes, only the beginning of a long answer has to be in time
+        self.timer.cancel()  # the deadline applies only to the start of a long answer, as with nodes
         self.stage.watch_stream(self)
         r = self.request
         r.responder.begin(r, self.answer_head.length, self.answer_head.extra_fields, self.answer_head.status)
@@ -195,7 +196,8 @@
         if head is None or not self._is_complete(head):
             self.on_broken(False, "an incomplete answer")
         elif head.refused and head.status != 413:
-            # The gateway of the other site refused it before its Router: it never ran and never will.
+            # The gateway of the other site refused the request before its Router got it, so it never ran and
+            # never will.
             self.stage.runtime.log(f"gateway: {self.decision.site} refused: {head.refused}")
             self._refuse()
         else:
@@ -268,9 +270,9 @@
             self._take_step(self.retry_state.next_step(self.stage.runtime.now_us(), self._retry_options()))
 
     def _wait_for_window_end(self) -> None:
-        """Ends the wait for the link when the retry window ends: the request cannot be sent again after that,
-        and the client gets its answer. A timer of a delayed event loop may run before `now_us` has
-        reached the end of the window; then it is set again."""
+        """Waits until the retry window ends. After that the request cannot be sent again, and the client gets
+        its final answer. If the event loop is delayed, the timer may run before `now_us` has reached the end
+        of the window; it is then set again."""
         if self in self.stage.waiting_requests:
             rest_us = self.retry_state.window_us - self.retry_state.age_us(self.stage.runtime.now_us())
             if rest_us > 0:
@@ -280,7 +282,7 @@
                 self.retry_if_possible()
 
     def retry_if_possible(self) -> None:
-        """Takes the next step of a waiting request, unless it is to wait on."""
+        """Takes the next step of a waiting request, unless that step is to keep waiting."""
         if self not in self.stage.waiting_requests:
             return
         now = self.stage.runtime.now_us()
@@ -311,7 +313,8 @@
         self.request.responder.answer(self.request, 503, (), more)
 
     def on_deadline(self) -> None:
-        """Answers the request without waiting longer for the other site."""
+        """Answers the request when the time to wait for the other site has ended: with 503 if the client may
+        safely send it again, else with 504."""
         self._cancel()
         if self.retry_state.timed_out() is NextStep.REFUSE:
             self._refuse()
@@ -339,9 +342,9 @@
 
 
 class GatewayStage:
-    """Sends each request of the fronts to the site that serves it. For requests served at this site it also
-    intercepts the answers: if the Router refuses one, another site may serve it, or the answer says when the
-    client may retry."""
+    """Sends each request of the fronts to the site that serves it. It also intercepts the answers to requests
+    served at this site: if the Router refuses a request with 503, another site may serve it, or the answer
+    says when the client may retry."""
 
     def __init__(
         self, runtime: StageRuntime, following: Stage, settings: GatewaySettings, routes: Routes,
@@ -352,8 +355,8 @@
         self.links: dict[str, Link] = {}
         self.forwarded: dict[Request, ForwardedRequest] = {}
         self.waiting_requests: dict[ForwardedRequest, None] = {}  # those that wait for the link to retry
-        # By request with a streamed answer: the bytes received, and the loop's time at which `sweep` last saw
-        # them change or the answer paused.
+        # By request with a streamed answer: the bytes received, and when `sweep` last saw that number change
+        # or the answer paused, in seconds of the event loop's clock.
         self.streams: dict[ForwardedRequest, tuple[int, float]] = {}
         self.local_requests: dict[Request, RoutingRequest] = {}  # those served at this site
 
@@ -422,11 +425,11 @@
         self.routes.credits.release(forwarded.decision.credit)
 
     def watch_stream(self, forwarded: ForwardedRequest) -> None:
-        """Starts to watch for a stalled answer."""
+        """Adds a streamed answer to those that `sweep` checks for a stall."""
         self.streams[forwarded] = (0, self.runtime.loop.time())
 
     def on_local_refusal(self, r: Request, routing: RoutingRequest, more: bytes) -> None:
-        """Spills or refuses a request that the Router of this site refused."""
+        """Spills a request that the Router of this site refused to another site, or answers it with 503."""
         now = self.runtime.now_us()
         routing = RoutingRequest(
             routing.key, routing.class_name, routing.repeat, routing.tenant, r.received_at + r.time_left - now
@@ -439,7 +442,7 @@
                 r.responder.answer(r, 503, (), self.with_retry_after(more, refusal.retry_after_us))
 
     def retry_after(self, us: int) -> bytes:
-        """Returns a Retry-After line of at most the permitted value, or nothing."""
+        """Returns a Retry-After line, limited to `max_retry_after_us`; empty if `us` is not positive."""
         us = min(us, self.runtime.max_retry_after_us)
         return b"Retry-After: %.3f\r\n" % (us / 1e6) if us > 0 else b""
 
@@ -463,7 +466,7 @@
             forwarded.recall()
 
     def sweep(self) -> None:
-        """Fails long answers that stopped in the middle; they have no other timeout."""
+        """Aborts streamed answers that have stalled; they have no other timeout."""
         now = self.runtime.loop.time()
         for forwarded, (size, since) in list(self.streams.items()):
             if forwarded.is_paused or forwarded.body_size != size:
@@ -474,7 +477,7 @@
 
 
 class LocalResponder:
-    """The responder of a request served at this site; passes its answer on unless the Router refused it."""
+    """The responder of a request served at this site. Passes the answer on, unless it is a refusal (503)."""
 
     __slots__ = ("downstream", "stage")
 
--- a/magpiefront/gateway/wire.py
+++ b/magpiefront/gateway/wire.py
@@ -19,13 +19,14 @@
 VERSION = b"1"
 HELLO = b"/.well-known/magpiefront-gateway"
 HELLO_METHOD = b"OPTIONS"
+# The request fields that are sent to the other site even without `forwards_all`.
 CARRIED_FIELDS = (b"req-id", b"req-kind", b"req-owner", b"req-cost", b"req-retry", b"req-extra",
                   b"idempotency-key", b"content-type")  # fmt: skip
 # Fields whose values never repeat. In the dynamic table of RFC 7541 they would evict fields that do repeat,
 # and make each search of the table longer.
 UNINDEXED_FIELDS = frozenset({b"req-id", b"idempotency-key", b"req-cost", b"req-extra"})
 NUMBER_PATTERN = re.compile(rb"\d{1,15}")
-# Fields that each side writes itself, or that belong to the link.
+# Fields that are not copied with all others: a gateway writes them itself, or they apply to one hop only.
 LINK_FIELDS = frozenset({*CARRIED_FIELDS, b"content-length", b"host", b"req-deadline"}) | HOP_BY_HOP
 UNSAFE_VALUE_PATTERN = re.compile(rb"[\r\n\0]")
 REPEAT_BY_NAME = {r.value.encode(): r for r in Repeat}
@@ -67,21 +68,21 @@
 
 
 def hello_answer_fields(site: str, epoch: str, store: str = "") -> Fields:
-    """The fields of the answer to a hello; `store` is the store of record for requests that cross."""
+    """The fields of the answer to a hello. `store`: name of the store of record for requests that cross."""
     return [(b":status", b"200"), (b"gw-version", VERSION), (b"gw-site", site.encode()),
             (b"gw-epoch", epoch.encode()), (b"gw-store", store.encode()),
             (b"content-length", b"0")]  # fmt: skip
 
 
 def forwarded(fields: Iterable[tuple[bytes, bytes]]) -> Fields:
-    """The fields that cross besides the link's own, with names in lower case (RFC 9113, 8.2)."""
+    """The fields that are copied to the other site, with names in lower case (RFC 9113, 8.2)."""
     lower = [(name.lower(), value) for name, value in fields]
     return [f for f in lower if f[0] not in LINK_FIELDS and not f[0].startswith((b"gw-", b":"))]
 
 
 def format_forwarded(fields: Iterable[tuple[bytes, bytes]]) -> bytes:
-    """The received fields as field lines. Raises InvalidHead if a name or value is invalid in HTTP/1.1, for
-    such a value could be parsed as further lines."""
+    """The received fields that are copied, as field lines. Raises InvalidHead if a name or value is invalid
+    in HTTP/1.1, because such a value could be parsed as further lines."""
     found = forwarded(fields)
     if any(not TOKEN.fullmatch(name) or UNSAFE_VALUE_PATTERN.search(value) for name, value in found):
         raise InvalidHead("a field that is invalid in HTTP/1.1")
@@ -127,7 +128,7 @@
 def read_request(fields: Iterable[tuple[bytes, bytes]]) -> RequestHead:
     """Parses the head of a request. Raises InvalidHead.
 
-    A repeated field of the link's own is rejected, as by the fronts (RFC 9110, 5.3).
+    A field that the gateways themselves use is rejected if it is repeated, as the fronts do (RFC 9110, 5.3).
     """
     h: dict[bytes, bytes] = {}
     fields = list(fields)
@@ -158,7 +159,7 @@
 
     `extra_fields`: field lines as for a client; those that the other site needs are kept. `refused`: why this
     gateway rejected the request. `never_ran`: the request has certainly not run. `undecided`: there is no
-    final answer yet, and the request is to be sent again for it.
+    final answer yet, and the sender has to send the request again to get it.
     """
     fields = [(b":status", b"%d" % status)]
     if undecided:
