--- a/magpiefront/gateway/stage.py
+++ b/magpiefront/gateway/stage.py
@@ -21,8 +21,8 @@
 from magpiefront.net.request import Request, Responder, Stage
 
 RETRY_DELAY_S = 0.01  # from a failed attempt to the next one
-# Statuses of the other site that are passed on to the client. Any other one becomes 502, unless `forwards_all`
-# is set.
+# Statuses of the other site that are passed on to the client. Any other status becomes 502, unless
+# `forwards_all` is set.
 RELAYED_STATUSES = frozenset({200, 409, 413, 429, 502, 503, 504})
 
 
@@ -130,8 +130,8 @@
         link = stage.links.get(self.decision.site)
         connection = link.choose("", self._required_epoch, state.store) if link is not None else None
         if connection is None and link is not None:
-            # No peer that can tell whether the request ran is usable. If any other peer is, `next_step` decides
-            # by the epoch and store of that one.
+            # No peer that can tell whether the request ran is usable. If any other peer is, `next_step`
+            # decides by the epoch and store of that one.
             connection = next(iter(link.usable_connections()), None)
         can_serve_here = (
             not self.is_spilled and self.routing.repeat is Repeat.SAFE and stage.settings.home_when_down
