Reword the gateway's tests: clearer comments, docstrings and local names

Lists of requests were named 'asked', and a blocked event loop a 'hold-up'. Some test names and docstrings left out what is checked. No check, bound or seed changes.

--- a/tests/gateway/fault_schedules.py
+++ b/tests/gateway/fault_schedules.py
@@ -2,7 +2,8 @@
 
     python -m tests.gateway.fault_schedules --from 1 --count 2000 [--at-once 8] [--slack 0.25]
 
-prints the progress, the violations by seed, and last one line of JSON. The exit status is 1 if there are any.
+prints the progress, the violations by seed, and finally one line of JSON. The exit status is 1 if any rule
+was violated.
 """
 
 from __future__ import annotations
@@ -22,7 +23,8 @@
 from tests.gateway.sites import FAST_PING_SETTINGS, OTHER_SITE, SETTINGS, Sites, sites
 
 SCHEDULE_S = 1.2
-MIN_GRACE_S = 0.5  # by which a client's patience exceeds the slack, so that a late answer is seen as late
+# Clients wait at least this much longer than the slack, so that a late answer is seen as late, not missing.
+MIN_GRACE_S = 0.5
 DEADLINES_S = (0.15, 0.8, 0.8)
 KINDS = ("level-read", "level-read", "field-report", "once")
 
@@ -33,8 +35,8 @@
 ) -> None:  # fmt: skip
     """Sends a request, and for a report up to two retries with its key, at either site.
 
-    Appends what it sends to `sent_requests`, and to `home_sites` the home site of a key whose request has
-    time enough to be served there.
+    Appends what it sends to `sent_requests`. If the request has enough time to be served at the home site of
+    its key, adds this site to `home_sites`, by key.
     """
     await asyncio.sleep(random.random() * SCHEDULE_S)
     at, kind = random.choice(("west", "east")), random.choice(KINDS)
@@ -63,17 +65,18 @@
     seed: int, slack_s: float, deadline_factor: float = 1.0, requests: int = 30
 ) -> tuple[list[str], Counter[str], list[str]]:
     """Runs the schedule drawn from `seed`. Returns the violated rules, event counts and the faults.
-    `deadline_factor` multiplies all deadlines, for a slow machine. Clients wait longer than the slack: with
-    less, an answer within it would be taken for none."""
+    `deadline_factor` multiplies all deadlines, for a slow machine. Clients wait longer than the slack;
+    otherwise an answer within the slack would be counted as missing."""
     random = Random(seed)
     kinds = random.choice((schedule.KINDS, schedule.KINDS, (random.choice(schedule.KINDS),)))
     faults = schedule.draw(seed, SCHEDULE_S, kinds, duration_scale_s=0.25)
     sent_requests: list[ClientRequest] = []
     home_sites: dict[str, str] = {}
     counts: Counter[str] = Counter()
-    # The nodes do not deduplicate, so a report that the gateways let through twice has two effects. On a slow
-    # machine they do: a report may run out of time after it ran, and only nodes can then drop its retry. The
-    # Router retries nothing, as it would with nodes that deduplicate. The window outlasts all retries.
+    # The nodes do not deduplicate, so a report that the gateways let through twice has two effects. With a
+    # `deadline_factor` for a slow machine they do: a report may run out of time after it ran, and only nodes
+    # can then drop its retry. `maxAttempts` is 1 because the Router would retry with nodes that deduplicate.
+    # The retry window outlasts all retries.
     grades = [{**g, "keyTtlUs": 60_000_000} if "keyTtlUs" in g else g for g in SETTINGS["grades"]]
     permissions = {**SETTINGS["permissions"], "maxAttempts": 1, "connectTimeoutUs": 5_000_000}
     info = {"grades": grades, "permissions": permissions}
@@ -140,7 +143,7 @@
     parser.add_argument("--count", type=int, default=200)
     parser.add_argument("--at-once", type=int, default=8)
     parser.add_argument(
-        "--slack", type=float, default=0.25, help="seconds that an answer may come after its time"
+        "--slack", type=float, default=0.25, help="how late an answer may be after its deadline, in seconds"
     )
     args = parser.parse_args()
     started = time.monotonic()
--- a/tests/gateway/sites.py
+++ b/tests/gateway/sites.py
@@ -36,7 +36,7 @@
                     "maxRetryAfterUs": 2_000_000},
     "rules": {"coldFrom": 1.0, "coldUs": 0},
 }  # fmt: skip
-# The times allow for a loaded machine: a request with the usual deadline is answered.
+# The PING times are long, so that a request with the default deadline is answered even on a loaded machine.
 LINK_SETTINGS = LinkSettings(
     connections=2, ping_interval_us=1_000_000, ping_timeout_us=4_000_000, backoff_us=10_000,
     max_backoff_us=60_000,
--- a/tests/gateway/test_crossing.py
+++ b/tests/gateway/test_crossing.py
@@ -1,4 +1,4 @@
-"""Tests of the decision after an attempt over the link broke, for each repeat policy."""
+"""Tests of `RetryState`: the step after a failed attempt over the link, for each repeat policy."""
 
 from __future__ import annotations
 
@@ -22,7 +22,7 @@
 
 
 @pytest.mark.parametrize(("repeat", "never_ran", "now", "epoch", "budget", "can_serve_here", "step"), [
-    # Safe: retried, else served at this site, else refused, whether it may have run or not.
+    # Safe, whether or not it may have run: retried, else served at this site, else refused.
     (S, True, 100, SAME, True, True, NextStep.RETRY), (S, False, 100, OTHER, True, True, NextStep.RETRY),
     (S, False, 100, NONE, True, True, NextStep.SERVE_HERE),
     (S, False, 100, SAME, False, True, NextStep.SERVE_HERE),
@@ -33,7 +33,7 @@
     (U, True, 100, SAME, False, False, NextStep.REFUSE),
     (U, True, DEADLINE, SAME, True, False, NextStep.REFUSE),
     (U, False, 100, SAME, True, True, NextStep.FAIL), (U, False, 100, NONE, True, True, NextStep.FAIL),
-    # Keyed: like unsafe if it never ran; else retried only at the same epoch of the peer, within the window.
+    # Keyed: like unsafe if it never ran; else retried only at a peer with the same epoch, within the window.
     (K, True, 100, OTHER, True, False, NextStep.RETRY), (K, True, 100, NONE, True, False, NextStep.REFUSE),
     (K, False, 100, SAME, True, False, NextStep.RETRY), (K, False, 100, OTHER, True, True, NextStep.FAIL),
     (K, False, 100, NONE, True, True, NextStep.WAIT), (K, False, 100, SAME, False, True, NextStep.WAIT),
--- a/tests/gateway/test_crossing_sites.py
+++ b/tests/gateway/test_crossing_sites.py
@@ -23,12 +23,13 @@
     run(main())
 
 
-def test_many_at_once() -> None:
+def test_many_concurrent_requests() -> None:
     async def main() -> None:
         async with sites(delay_s=0.005) as s:
 
-            async def answered(key: str) -> int:
-                """Retries on 503, the answer if the event loop lags on a busy machine (`net/lag.py`)."""
+            async def final_status(key: str) -> int:
+                """Sends a read, again after each 503, and returns the last status. 503 is the answer while
+                the event loop lags on a busy machine (`net/lag.py`)."""
                 for _ in range(100):
                     status = (await s.get("west", key=key)).status
                     if status != 503:
@@ -36,8 +37,8 @@
                     await asyncio.sleep(0.05)
                 return status
 
-            asked = await asyncio.gather(*(answered(f"e-{i % 50}") for i in range(200)))
-            assert set(asked) == {200}
+            statuses = await asyncio.gather(*(final_status(f"e-{i % 50}") for i in range(200)))
+            assert set(statuses) == {200}
             long = await asyncio.gather(*(s.get("west", key=f"e-{i}~300000") for i in range(3)))
             assert [(a.status, len(a.answers[0][2])) for a in long] == [(200, 300_000)] * 3
             await until(lambda: not s.east.gateway.listener.busy)
--- a/tests/gateway/test_engine.py
+++ b/tests/gateway/test_engine.py
@@ -124,7 +124,7 @@
     assert transfer(server, client) == [StreamAborted(streams[0], True), StreamAborted(streams[1], False)]
 
 
-def test_a_slow_reader_holds_up_its_own_stream_only() -> None:
+def test_a_slow_reader_delays_only_its_own_stream() -> None:
     client, server = connected_pair()
     slow, quick = client.open_stream(GET, []), client.open_stream(GET, [])
     transfer(client, server)
--- a/tests/gateway/test_hard_cases.py
+++ b/tests/gateway/test_hard_cases.py
@@ -215,12 +215,12 @@
     async def main() -> None:
         async with sites(each=BOTH_NO_DEDUP, link=FAST_PING_SETTINGS) as s:
             s.relays["west"].stall(*directions)
-            asked = [s.new_request("west", kind) for kind in (READ, REPORT, ONCE) for _ in range(4)]
-            tasks = [asyncio.create_task(s.send(a)) for a in asked]
+            requests = [s.new_request("west", kind) for kind in (READ, REPORT, ONCE) for _ in range(4)]
+            tasks = [asyncio.create_task(s.send(a)) for a in requests]
             await until(lambda: not s.west.gateway.stage.links["east"].usable_connections(), "the link's end")
             s.relays["west"].restore()
             await asyncio.gather(*tasks)
-            for a in asked:
+            for a in requests:
                 ran = s.effects(a.effect)
                 if a.kind == READ:
                     assert is_served_by(a, "west")
@@ -233,7 +233,7 @@
 
 
 def test_a_request_delivered_long_after_it_was_sent_does_not_run() -> None:
-    """A stalled path that keeps its bytes delivers them long after their sender gave the request up."""
+    """A path that stalls without losing bytes may deliver a request long after its sender gave it up."""
 
     async def main() -> None:
         async with sites(each=BOTH_NO_DEDUP, link=FAST_PING_SETTINGS) as s:
@@ -255,12 +255,12 @@
 def test_a_link_that_flaps_faster_than_pings() -> None:
     async def main() -> None:
         async with sites(each=BOTH_NO_DEDUP) as s:
-            asked: list[ClientRequest] = []
+            requests: list[ClientRequest] = []
 
             async def send_requests() -> None:
                 for i in range(40):
                     a = s.new_request("west", (READ, REPORT, ONCE)[i % 3], "w-1" if i % 4 == 0 else "")
-                    asked.append(a)
+                    requests.append(a)
                     await s.send(a)
 
             tasks = [asyncio.create_task(send_requests()) for _ in range(4)]
@@ -268,7 +268,7 @@
                 s.relays["west"].break_all()
                 await asyncio.sleep(0.02)  # a PING is sent each second
             await asyncio.gather(*tasks)
-            for a in asked:
+            for a in requests:
                 assert len(a.answers) == 1 and s.effects(a.effect) <= 1
                 assert a.status == 200 or (a.kind != READ and a.key != "w-1")
                 assert a.status != 503 or a.kind == READ or s.effects(a.effect) == 0
@@ -285,16 +285,16 @@
 def test_goaway_during_traffic_loses_and_repeats_no_request() -> None:
     async def main() -> None:
         async with sites(each=SLOW_EAST) as s:
-            asked = [s.new_request("west", kind) for kind in (READ, REPORT, ONCE) for _ in range(8)]
-            tasks = [asyncio.create_task(s.send(a)) for a in asked]
+            requests = [s.new_request("west", kind) for kind in (READ, REPORT, ONCE) for _ in range(8)]
+            tasks = [asyncio.create_task(s.send(a)) for a in requests]
             await until(lambda: s.east.count("in_taken") == 24)
             s.east.gateway.drain()
             await until(lambda: not is_link_up(s), "the GOAWAY")
             late = await asyncio.gather(*(s.get("west", kind) for kind in (READ, REPORT, ONCE)))
             await asyncio.gather(*tasks)
-            assert all(is_served_by(a, "east") for a in asked)
+            assert all(is_served_by(a, "east") for a in requests)
             assert [a.status for a in late] == [200, 503, 503] and is_served_by(late[0], "west")
-            assert all(s.effects(a.effect) == 1 for a in asked if a.effect)
+            assert all(s.effects(a.effect) == 1 for a in requests if a.effect)
             assert s.west.count("broke_may_have_run") == s.west.count("again") == 0
             await until(lambda: not s.east.gateway.listener.connections, "the end of the old connections")
 
@@ -312,8 +312,8 @@
             peer.last_stream = peer.http2.last_peer_stream
             peer.http2.go_away(peer.last_stream)
             peer.flush()
-            asked = await asyncio.gather(*tasks)
-            assert all(is_served_by(a, "east") and s.effects(a.effect) == 1 for a in asked)
+            requests = await asyncio.gather(*tasks)
+            assert all(is_served_by(a, "east") and s.effects(a.effect) == 1 for a in requests)
             assert s.west.count("broke_never_ran") == 3 and s.west.count("broke_may_have_run") == 0
 
     run(main())
@@ -329,11 +329,11 @@
         full: dict[str, Any] = {n: {**NO_DEDUP, "node": {"slots": 0}} for n in ("west", "east")}
         async with sites(each=full, spill=(READ,)) as s:
             for _ in range(5):
-                asked = await asyncio.gather(
+                requests = await asyncio.gather(
                     *(s.get(at, READ, f"{at[0]}-{i}") for at in ("west", "east") for i in range(10))
                 )
-                assert {a.status for a in asked} == {503}
-                assert all(0 < float(a.answers[0][3]) <= 2 for a in asked)
+                assert {a.status for a in requests} == {503}
+                assert all(0 < float(a.answers[0][3]) <= 2 for a in requests)
             for here, there in ((s.west, s.east), (s.east, s.west)):
                 spilled = here.count("spilled")
                 assert 0 < spilled <= 20 and there.count("in_taken") == spilled
@@ -363,11 +363,11 @@
         few = {"gateway": {"credits": CreditSettings(crossing=4, tenant_share=1.0)}}
         each: dict[str, Any] = {"west": NO_DEDUP, "east": {**SLOW_EAST["east"], **few}}
         async with sites(each=each) as s:
-            asked = await asyncio.gather(*(s.get("west", ONCE) for _ in range(12)))
+            requests = await asyncio.gather(*(s.get("west", ONCE) for _ in range(12)))
             assert s.east.count("in_refused_credit") > 0
-            for a in asked:
+            for a in requests:
                 assert a.status in (200, 503) and s.effects(a.effect) == (a.status == 200)
-            assert sum(a.status == 200 for a in asked) >= 4
+            assert sum(a.status == 200 for a in requests) >= 4
 
     run(main())
 
--- a/tests/gateway/test_once.py
+++ b/tests/gateway/test_once.py
@@ -76,7 +76,7 @@
     # First sent at 100, so it may have run.
     assert answers.begin(400, key("a"), b"p", WINDOW_US, 300, "x") is Verdict.FORGOTTEN
     answers.abandon(key("c"))
-    # First sent at 150, after the start of the evicted entry: an entry of it would still be there.
+    # First sent at 150, after the start of the evicted entry: if it had run, its entry would still exist.
     assert answers.begin(400, key("e"), b"p", WINDOW_US, 250, "x") is Verdict.RUN
 
 
--- a/tests/gateway/test_process.py
+++ b/tests/gateway/test_process.py
@@ -71,7 +71,7 @@
         assert "[gateway.keyed] most: unknown key" in done.stderr
 
 
-def test_missing_libraries_of_an_operator_file_are_one_line() -> None:
+def test_missing_libraries_of_an_operator_file_are_reported_in_one_line() -> None:
     program = (
         "import sys; sys.modules['msgspec'] = None; import magpiefront.__main__ as m; sys.exit(m.main())"
     )
@@ -79,7 +79,7 @@
     assert done.returncode == 2 and done.stderr.count("\n") == 1 and "requirements-gateway.txt" in done.stderr
 
 
-def test_a_gateway_address_that_is_taken_is_one_line(tmp_path: Path) -> None:
+def test_a_gateway_address_in_use_is_reported_in_one_line(tmp_path: Path) -> None:
     async def main() -> None:
         world = Deployment(Plan(nodes=1), tmp_path)
         await world.start()
--- a/tests/gateway/test_routes.py
+++ b/tests/gateway/test_routes.py
@@ -69,7 +69,7 @@
     (LinkState.UP, replace(REPORT, time_left_us=64_000), RefuseRequest),
     (LinkState.UP, replace(ONCE, time_left_us=0), RefuseRequest),
 ])  # fmt: skip
-def test_where_a_request_goes(state: LinkState, asked: RoutingRequest, expected: type) -> None:
+def test_where_a_request_is_served(state: LinkState, asked: RoutingRequest, expected: type) -> None:
     assert type(Routes(SETTINGS).route(asked, view(state))) is expected
 
 
--- a/tests/gateway/test_worlds.py
+++ b/tests/gateway/test_worlds.py
@@ -23,7 +23,7 @@
 
 SCHEDULES = 200
 SLACK_S, DEADLINE_FACTOR = 2.0, 6.0  # for a loaded machine; long runs outside CI use 0.25 and 1
-HOLDUP_AFTER_S, HOLDUP_S = 0.5, 1.95  # an answer after it is at most 1.6 s late
+BLOCKED_AFTER_S, BLOCKED_S = 0.5, 1.95  # an answer after the block is at most 1.6 s late
 
 
 def test_no_schedule_violates_a_rule() -> None:
@@ -38,15 +38,15 @@
 
 
 def test_an_answer_within_the_slack_is_not_counted_as_missing() -> None:
-    """Guards against clients that give up before the slack is over: a process that was held up answers late,
-    but within the slack, and its answer was counted as missing."""
+    """Guards against clients that give up before the slack is over: a process whose event loop was blocked
+    answers late, but within the slack, and its answer was counted as missing."""
 
     async def main() -> None:
         loop = asyncio.get_running_loop()
-        # The deadlines of requests that wait for the link pass during the hold-up.
-        holdup = loop.call_later(HOLDUP_AFTER_S, time.sleep, HOLDUP_S)
+        # The deadlines of requests that wait for the link pass while the event loop is blocked.
+        block_timer = loop.call_later(BLOCKED_AFTER_S, time.sleep, BLOCKED_S)
         failed_seeds, _ = await run_schedules(range(11, 21), 10, SLACK_S, DEADLINE_FACTOR)
-        assert holdup.when() < loop.time() and not failed_seeds, failed_seeds
+        assert block_timer.when() < loop.time() and not failed_seeds, failed_seeds
 
     run(main(), 60)
 
@@ -120,8 +120,8 @@
 
 
 def test_the_checker_finds_a_repeated_request_that_does_not_wait(monkeypatch: pytest.MonkeyPatch) -> None:
-    """Rare in the schedules, so provoked here: the retry comes to the other site while the first request
-    runs."""
+    """The retry arrives at the other site while the first request runs. The schedules rarely cause this, so
+    it is provoked here."""
     no_waiting(monkeypatch)
     slow: dict[str, Any] = {"archive": {"deduplicates": False, "service_time_s": 0.1}}
 
@@ -155,15 +155,17 @@
 # ---- the checker itself
 
 
-def asked(status: int = 200, body: bytes = b"east/k/0/r1", took: float = 0.1, **more: Any) -> ClientRequest:
+def answered(
+    status: int = 200, body: bytes = b"east/k/0/r1", took: float = 0.1, **more: Any
+) -> ClientRequest:
     given: dict[str, Any] = {"name": "r1", "kind": "level-read", "site": "west", "key": "k", "method": "GET"}
     a = ClientRequest(**{**given, "deadline_s": 1.0, **more})
     a.answers.append((status, took, body, ""))
     return a
 
 
-def report(status: int = 200, **more: Any) -> ClientRequest:
-    return asked(
+def answered_report(status: int = 200, **more: Any) -> ClientRequest:
+    return answered(
         status,
         b"east/k/held/r1",
         kind="field-report",
@@ -177,21 +179,21 @@
 @pytest.mark.parametrize(
     ("a", "effects", "says"),
     [
-        (asked(), {}, ""),
-        (asked(503), {}, ""),
-        (asked(took=1.2), {}, ""),
-        (asked(took=1.4), {}, "after its deadline"),
-        (asked(body=b"east/other/0/r1"), {}, "answered with"),
-        (asked(body=b"east/k/0/r2"), {}, "for another"),
-        (asked(TRUNCATED, key="k~9"), {}, ""),
-        (asked(TRUNCATED), {}, "broke off"),
-        (report(), {"k1": 1}, ""),
-        (report(), {}, "has no effect"),
-        (report(), {"k1": 2}, "2 effects"),
-        (report(502), {"k1": 1}, ""),
-        (report(503), {"k1": 1}, ""),
-        (asked(503, kind="once", effect="r1"), {"r1": 1}, "refused as never run"),
-        (asked(), {"r9": 1}, "without a request"),
+        (answered(), {}, ""),
+        (answered(503), {}, ""),
+        (answered(took=1.2), {}, ""),
+        (answered(took=1.4), {}, "after its deadline"),
+        (answered(body=b"east/other/0/r1"), {}, "answered with"),
+        (answered(body=b"east/k/0/r2"), {}, "for another"),
+        (answered(TRUNCATED, key="k~9"), {}, ""),
+        (answered(TRUNCATED), {}, "broke off"),
+        (answered_report(), {"k1": 1}, ""),
+        (answered_report(), {}, "has no effect"),
+        (answered_report(), {"k1": 2}, "2 effects"),
+        (answered_report(502), {"k1": 1}, ""),
+        (answered_report(503), {"k1": 1}, ""),
+        (answered(503, kind="once", effect="r1"), {"r1": 1}, "refused as never run"),
+        (answered(), {"r9": 1}, "without a request"),
     ],
 )
 def test_the_checker(a: ClientRequest, effects: dict[str, int], says: str) -> None:
@@ -200,7 +202,7 @@
 
 
 def test_the_checker_counts_answers_and_checks_the_home_site() -> None:
-    none, two = asked(), asked()
+    none, two = answered(), answered()
     none.answers.clear()
     two.answers.append(two.answers[0])
     assert (
@@ -208,5 +210,5 @@
         and "2 answers" in invariants.violations([two], [], [], 1)[0]
     )
     assert "second answer" in invariants.violations([], [], [b"HTTP/1.1 200"], 1)[0]
-    assert "its own site" in invariants.violations([asked(503)], [], [], 1, {"k": "west"})[0]
-    assert not invariants.violations([asked(503)], [], [], 1, {"k": "east"})
+    assert "its own site" in invariants.violations([answered(503)], [], [], 1, {"k": "west"})[0]
+    assert not invariants.violations([answered(503)], [], [], 1, {"k": "east"})
