Say what the gateway's settings bound and which connection is chosen

The docstrings of the retry, backoff and table settings left out what is counted, and the choice of a connection did not mention that suspect ones are a last resort.

--- a/magpiefront/gateway/link.py
+++ b/magpiefront/gateway/link.py
@@ -456,7 +456,8 @@
 
         If `epoch` is given, it is a connection to the process with that epoch or, if there is none, to a
         process with the given `store`. Otherwise, if `pin` is given, it is a connection to the peer that the
-        pin hashes to. If several are suitable, the one with the fewest open requests is chosen.
+        pin hashes to. Suspect connections are considered only if none is up. If several connections are
+        suitable, the one with the fewest open requests is chosen.
         """
         candidates = self.usable_connections()
         candidates = [c for c in candidates if c.health.state is LinkState.UP] or candidates
--- a/magpiefront/gateway/members.py
+++ b/magpiefront/gateway/members.py
@@ -28,7 +28,7 @@
 COMMAND_PATH = MESSAGES_PATH + b"/ask"
 VERSION = b"1"
 LISTEN_BACKLOG = 256  # connections that wait to be accepted
-MAX_STREAMS = 64  # open streams of one connection
+MAX_STREAMS = 64  # the most open streams of one connection
 MAX_COMMAND_BYTES = 64 << 10  # body of an operator command; the stream of a longer one is reset
 DEFAULT_LINK_SETTINGS = LinkSettings(
     connections=1, connect_timeout_us=500_000, backoff_us=20_000, max_backoff_us=400_000
@@ -89,8 +89,8 @@
                 f"the member identifies as {name!r}" if name else "it accepts no messages of this group"
             )
             return
-        # Not empty, so that `usable` and `send_queued` use the connection. Members send no epoch in the
-        # hello.
+        # Members send no epoch when they answer. Any text that is not empty makes `usable` and `send_queued`
+        # use the connection.
         self.epoch = "up"
         self.slot.hello_answered(self)
 
--- a/magpiefront/gateway/settings.py
+++ b/magpiefront/gateway/settings.py
@@ -25,7 +25,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Tls:
-    """Paths of PEM files: this site's certificate, its key, and the authority of all sites."""
+    """Paths of PEM files: this site's certificate, its key, and the certificate authority of all sites."""
 
     certificate: str
     key: str
@@ -34,7 +34,11 @@
 
 @dataclass(frozen=True, slots=True)
 class LinkSettings:
-    """Settings of the connections to one site; `connections` is their number for each peer."""
+    """Settings of the connections to one site; `connections` is their number for each peer.
+
+    The upper limit of the pause between attempts to connect starts at `backoff_us` and doubles up to
+    `max_backoff_us`.
+    """
 
     connections: int = 2
     connect_timeout_us: int = 1_000_000
@@ -60,7 +64,8 @@
 
 @dataclass(frozen=True, slots=True)
 class RetrySettings:
-    """The retry budget of the link: `share` of a retry for each request, at most `depth` retries saved up."""
+    """The retry budget of the link: each first attempt adds `share` of a retry, and at most `depth` retries
+    are saved up. `max_attempts` limits the attempts of one request, including the first."""
 
     share: float = 0.05
     depth: int = 10
@@ -69,7 +74,8 @@
 
 @dataclass(frozen=True, slots=True)
 class KeyedSettings:
-    """Bounds of the table of answers to keyed requests."""
+    """Bounds of the table of answers to keyed requests: entries, including requests that still run, and bytes
+    of the answers."""
 
     max_answers: int = 20_000
     max_bytes: int = 16 << 20
@@ -89,7 +95,7 @@
     # A request with less time left than this, after the round trip and `answer_margin_us`, is not forwarded.
     min_time_left_us: int = 20_000
     answer_margin_us: int = 5_000  # the answer of another site is awaited until this long before the deadline
-    max_body_bytes: int = 1 << 20
+    max_body_bytes: int = 1 << 20  # a request of another site with a longer body is refused with 413
     link: LinkSettings = field(default_factory=LinkSettings)
     credits: CreditSettings = field(default_factory=CreditSettings)
     retry: RetrySettings = field(default_factory=RetrySettings)
--- a/magpiefront/gateway/stage.py
+++ b/magpiefront/gateway/stage.py
@@ -172,7 +172,7 @@
             self._start_streaming()
 
     def _start_streaming(self) -> None:
-        """Starts to forward an answer that is too long to buffer while it arrives."""
+        """Starts to forward an answer while it is still arriving, because it is too long to buffer."""
         assert self.answer_head is not None
         if not self._forwards_body(self.answer_head.status):
             self.body_parts, self.body_size = [], 0  # the body of a refusal is not forwarded
--- a/tests/gateway/sites.py
+++ b/tests/gateway/sites.py
@@ -127,6 +127,8 @@
     name: str, settings: GatewaySettings, seed: int, nodes: int = 2, archive: dict[str, Any] | None = None,
     info: dict[str, Any] | None = None, clock_off_us: int = 0, node: dict[str, Any] | None = None,
 ) -> TestSite:  # fmt: skip
+    """Starts one site without links. `archive` and `node` hold arguments of these stand-ins, `info` replaces
+    entries of `SETTINGS`, and `clock_off_us` is added to the wall clock of the proxy."""
     loop = asyncio.get_running_loop()
     store = Archive(
         name, **{"service_time_s": 0.002, "concurrency": 16, "dedup_window_s": WINDOW_S, **(archive or {})}
