--- a/tests/gateway/sites.py
+++ b/tests/gateway/sites.py
@@ -36,7 +36,7 @@
                     "maxRetryAfterUs": 2_000_000},
     "rules": {"coldFrom": 1.0, "coldUs": 0},
 }  # fmt: skip
-# The times allow for a loaded machine: a request with the usual deadline is answered.
+# The PING times are long, so that a request with the default deadline is answered even on a loaded machine.
 LINK_SETTINGS = LinkSettings(
     connections=2, ping_interval_us=1_000_000, ping_timeout_us=4_000_000, backoff_us=10_000,
     max_backoff_us=60_000,
@@ -127,6 +127,8 @@
     name: str, settings: GatewaySettings, seed: int, nodes: int = 2, archive: dict[str, Any] | None = None,
     info: dict[str, Any] | None = None, clock_off_us: int = 0, node: dict[str, Any] | None = None,
 ) -> TestSite:  # fmt: skip
+    """Starts one site without links. `archive` and `node` hold arguments of these stand-ins, `info` replaces
+    entries of `SETTINGS`, and `clock_off_us` is added to the wall clock of the proxy."""
     loop = asyncio.get_running_loop()
     store = Archive(
         name, **{"service_time_s": 0.002, "concurrency": 16, "dedup_window_s": WINDOW_S, **(archive or {})}
