Name resources as such in the cache's memory store, and explain its bounds

Most local variables and parameters that held a Resource were called `found`. The constants of the eviction, `frequency`, `keep` and what `release` does had no clear description. No change of behaviour.

--- a/magpiefront/caching/store.py
+++ b/magpiefront/caching/store.py
@@ -14,10 +14,11 @@
 
 from magpiefront.caching.rules import StoredResponse
 
+# Share of `max_bytes` above which the small queue is evicted before the main queue.
 SMALL_QUEUE_SHARE = 0.1
-MAX_FREQUENCY = 3
+MAX_FREQUENCY = 3  # further uses of a resource are not counted
 # Memory of a resource and of an object that getsizeof of their parts does not cover: slots, table and queue
-# entries, numbers, and the overhead of the allocator. The numbers come from benchmarks/caching.py.
+# entries, integers, and the overhead of the allocator. Both values come from benchmarks/caching.py.
 RESOURCE_BYTES = 560
 OBJECT_BYTES = 480
 
@@ -31,7 +32,8 @@
 
 
 class Resource:
-    """All variants of one key. `main` tells whether it is in the main queue."""
+    """All variants of one key. `main` tells whether it is in the main queue; `frequency` counts its uses, up
+    to `MAX_FREQUENCY`, and is lowered each time the resource is spared from eviction."""
 
     __slots__ = ("frequency", "gauge", "key", "main", "size", "variants")
 
@@ -52,7 +54,7 @@
         self.max_bytes, self.most_variants = max_bytes, most_variants
         self.size = self.reserved_bytes = self.small_size = 0
         self.resources: dict[bytes, Resource] = {}
-        self.gauges: dict[bytes, set[bytes] | bytes] = {}  # most gauges have one key
+        self.gauges: dict[bytes, set[bytes] | bytes] = {}  # a single key, as for most gauges, has no set
         self.small: deque[Resource] = deque()
         self.main: deque[Resource] = deque()
         self.dead_entries = 0  # removed resources that are still in a queue
@@ -65,15 +67,15 @@
 
     def get(self, key: bytes) -> Resource | None:
         """Returns the resource of a key. Counts as a use for the eviction."""
-        found = self.resources.get(key)
-        if found is not None and found.frequency < MAX_FREQUENCY:
-            found.frequency += 1
-        return found
+        resource = self.resources.get(key)
+        if resource is not None and resource.frequency < MAX_FREQUENCY:
+            resource.frequency += 1
+        return resource
 
     def peek(self, key: bytes) -> tuple[StoredResponse, ...]:
         """Returns the variants of a key. Does not count as a use."""
-        found = self.resources.get(key)
-        return found.variants if found is not None else ()
+        resource = self.resources.get(key)
+        return resource.variants if resource is not None else ()
 
     # ---- updates
 
@@ -83,31 +85,31 @@
         if size + RESOURCE_BYTES + self.reserved_bytes > self.max_bytes:
             self.remove(key, (stored.vary, stored.secondary))
             return False
-        found = self.resources.get(key)
-        if found is None:
-            found = self._add(key, gauge)
-        kept = [v for v in found.variants if (v.vary, v.secondary) != (stored.vary, stored.secondary)]
+        resource = self.resources.get(key)
+        if resource is None:
+            resource = self._add(key, gauge)
+        kept = [v for v in resource.variants if (v.vary, v.secondary) != (stored.vary, stored.secondary)]
         kept = kept[-(self.most_variants - 1) :] if self.most_variants > 1 else []
-        self._set_variants(found, (*kept, stored))
-        self._shrink(found)
-        return found.key in self.resources
+        self._set_variants(resource, (*kept, stored))
+        self._shrink(resource)
+        return resource.key in self.resources
 
     def remove(self, key: bytes, variant: tuple[tuple[bytes, ...], tuple[bytes | None, ...]]) -> None:
         """Removes the variant with these `vary` and `secondary`, if it is stored."""
-        found = self.resources.get(key)
-        if found is not None:
-            remaining = tuple(v for v in found.variants if (v.vary, v.secondary) != variant)
+        resource = self.resources.get(key)
+        if resource is not None:
+            remaining = tuple(v for v in resource.variants if (v.vary, v.secondary) != variant)
             if remaining:
-                self._set_variants(found, remaining)
+                self._set_variants(resource, remaining)
             else:
-                self._remove(found)
+                self._remove(resource)
 
     def drop(self, key: bytes) -> bool:
         """Removes all variants of a key. Returns whether there were any."""
-        found = self.resources.get(key)
-        if found is not None:
-            self._remove(found)
-        return found is not None
+        resource = self.resources.get(key)
+        if resource is not None:
+            self._remove(resource)
+        return resource is not None
 
     def drop_gauge(self, gauge: bytes) -> list[bytes]:
         """Removes all resources of a gauge and returns their keys."""
@@ -117,8 +119,8 @@
         return keys
 
     def clear(self) -> None:
-        for found in self.resources.values():
-            found.variants = ()
+        for resource in self.resources.values():
+            resource.variants = ()
         self.resources.clear()
         self.gauges.clear()
         self.small.clear()
@@ -126,7 +128,10 @@
         self.size = self.small_size = self.dead_entries = 0
 
     def reserve(self, size: int) -> bool:
-        """Reserves bytes for a fetch under way. Returns False if more than half would be reserved."""
+        """Reserves bytes for a fetch in progress, and evicts responses if necessary.
+
+        Returns False, and reserves nothing, if more than half of `max_bytes` would then be reserved.
+        """
         if self.reserved_bytes + size > self.max_bytes // 2:
             return False
         self.reserved_bytes += size
@@ -134,7 +139,7 @@
         return True
 
     def release(self, size: int) -> None:
-        """Returns reserved bytes."""
+        """Releases bytes that were reserved."""
         self.reserved_bytes -= size
 
     def shrink(self) -> None:
@@ -144,12 +149,12 @@
     # ---- internals
 
     def _keys(self, gauge: bytes) -> Iterable[bytes]:
-        found = self.gauges.get(gauge, ())
-        return (found,) if isinstance(found, bytes) else found
+        keys = self.gauges.get(gauge, ())
+        return (keys,) if isinstance(keys, bytes) else keys
 
     def _add(self, key: bytes, gauge: bytes) -> Resource:
-        found = Resource(key, gauge)
-        self.resources[key] = found
+        resource = Resource(key, gauge)
+        self.resources[key] = resource
         present = self.gauges.get(gauge)
         if present is None:
             self.gauges[gauge] = key
@@ -158,45 +163,46 @@
         else:
             present.add(key)
         key_hash = hash(key)
-        found.main = key_hash in self.ghosts
-        if found.main:
+        resource.main = key_hash in self.ghosts
+        if resource.main:
             del self.ghosts[key_hash]
-            self.main.append(found)
+            self.main.append(resource)
         else:
-            self.small.append(found)
-        self._resize(found, RESOURCE_BYTES + getsizeof(key) + getsizeof(gauge))
-        return found
+            self.small.append(resource)
+        self._resize(resource, RESOURCE_BYTES + getsizeof(key) + getsizeof(gauge))
+        return resource
 
-    def _set_variants(self, found: Resource, variants: tuple[StoredResponse, ...]) -> None:
-        found.variants = variants
-        base_bytes = RESOURCE_BYTES + getsizeof(found.key) + getsizeof(found.gauge)
-        self._resize(found, base_bytes + sum(cost(v) for v in variants))
+    def _set_variants(self, resource: Resource, variants: tuple[StoredResponse, ...]) -> None:
+        resource.variants = variants
+        base_bytes = RESOURCE_BYTES + getsizeof(resource.key) + getsizeof(resource.gauge)
+        self._resize(resource, base_bytes + sum(cost(v) for v in variants))
 
-    def _resize(self, found: Resource, size: int) -> None:
-        change, found.size = size - found.size, size
+    def _resize(self, resource: Resource, size: int) -> None:
+        change, resource.size = size - resource.size, size
         self.size += change
-        if not found.main:
+        if not resource.main:
             self.small_size += change
 
-    def _remove(self, found: Resource) -> None:
-        self._resize(found, 0)
-        found.variants = ()
-        del self.resources[found.key]
-        keys = self.gauges[found.gauge]
+    def _remove(self, resource: Resource) -> None:
+        self._resize(resource, 0)
+        resource.variants = ()
+        del self.resources[resource.key]
+        keys = self.gauges[resource.gauge]
         if isinstance(keys, set):
-            keys.discard(found.key)
+            keys.discard(resource.key)
             if not keys:
-                del self.gauges[found.gauge]
+                del self.gauges[resource.gauge]
         else:
-            del self.gauges[found.gauge]
+            del self.gauges[resource.gauge]
         self.dead_entries += 1
         if self.dead_entries > 64 and self.dead_entries > len(self.resources):
-            # Without evictions, removed resources would fill the queues.
+            # Only evictions take entries out of the queues: without any, removed resources would fill them.
             self.small = deque(r for r in self.small if self.resources.get(r.key) is r)
             self.main = deque(r for r in self.main if self.resources.get(r.key) is r)
             self.dead_entries = 0
 
     def _shrink(self, keep: Resource | None) -> None:
+        """Evicts until the store is within its bound. `keep` is evicted only if no other resource is left."""
         while self.size + self.reserved_bytes > self.max_bytes and self.resources:
             if self.small and (self.small_size > self.max_bytes * SMALL_QUEUE_SHARE or not self.main):
                 self._take_from_small(keep)
@@ -205,9 +211,9 @@
             else:
                 self._take_from_small(keep)
 
-    def _is_live(self, found: Resource) -> bool:
-        """Whether an entry taken from a queue is still stored; if not, it no longer counts as dead."""
-        if self.resources.get(found.key) is found:
+    def _is_live(self, resource: Resource) -> bool:
+        """Returns whether a resource taken from a queue is still stored; if not, lowers `dead_entries`."""
+        if self.resources.get(resource.key) is resource:
             return True
         self.dead_entries -= 1
         return False
@@ -215,31 +221,31 @@
     def _take_from_small(self, keep: Resource | None) -> None:
         """Evicts the head of the small queue, or moves it to the main queue if it was used at least twice
         since it entered the queue, or is `keep`."""
-        found = self.small.popleft()
-        if not self._is_live(found):
+        resource = self.small.popleft()
+        if not self._is_live(resource):
             return
-        if found.frequency > 1 or (found is keep and len(self.resources) > 1):
-            found.frequency = 0
-            self.small_size -= found.size
-            found.main = True
-            self.main.append(found)
+        if resource.frequency > 1 or (resource is keep and len(self.resources) > 1):
+            resource.frequency = 0
+            self.small_size -= resource.size
+            resource.main = True
+            self.main.append(resource)
             return
-        self.ghosts[hash(found.key)] = None
+        self.ghosts[hash(resource.key)] = None
         while len(self.ghosts) > max(64, len(self.resources)):
             self.ghosts.popitem(last=False)
-        self._evict(found)
+        self._evict(resource)
 
     def _take_from_main(self, keep: Resource | None) -> None:
         """Evicts the head of the main queue, or moves it to the tail if it was used or is `keep`."""
-        found = self.main.popleft()
-        if not self._is_live(found):
+        resource = self.main.popleft()
+        if not self._is_live(resource):
             return
-        if found.frequency > 0 or (found is keep and len(self.resources) > 1):
-            found.frequency = max(0, found.frequency - 1)
-            self.main.append(found)
+        if resource.frequency > 0 or (resource is keep and len(self.resources) > 1):
+            resource.frequency = max(0, resource.frequency - 1)
+            self.main.append(resource)
             return
-        self._evict(found)
+        self._evict(resource)
 
-    def _evict(self, found: Resource) -> None:
-        self._remove(found)
-        self.dead_entries -= 1  # it is no longer in a queue
+    def _evict(self, resource: Resource) -> None:
+        self._remove(resource)
+        self.dead_entries -= 1  # the resource is no longer in a queue
