Reword comments and docstrings of the cache that had to be read twice

Pronouns without a clear noun, elliptic comments and bare constants: they now say what is bounded, which request or response is meant, and what is returned. Three local variables are named for what they hold (may_store, allows_sharing, gauge). No change of behaviour.

--- a/magpiefront/caching/conditions.py
+++ b/magpiefront/caching/conditions.py
@@ -11,7 +11,7 @@
 from magpiefront.caching.rules import StoredResponse, is_etag, weak_match
 from magpiefront.net.fields import format_fields, parse_fields
 
-# The fields of RFC 9110, 15.4.5, and those that describe caches on the path.
+# The fields that a 304 keeps: those of RFC 9110, 15.4.5, and those that describe caches on the path.
 FIELDS_OF_304 = frozenset({
     b"cache-control", b"cdn-cache-control", b"content-location", b"date", b"etag", b"expires", b"vary",
     b"via", b"cache-status", b"last-modified",
@@ -21,7 +21,7 @@
 
 @dataclass(frozen=True, slots=True)
 class SelectedResponse:
-    """What is sent of a stored response: `head` has no framing fields, `body` only the requested range."""
+    """The part of a stored response that is sent. `head` has no framing fields; `body` may be one range."""
 
     status: int
     head: bytes
@@ -63,7 +63,7 @@
 def if_range_matches(stored: StoredResponse, condition: bytes | None) -> bool:
     """Evaluates `If-Range` by strong comparison (RFC 9110, 13.1.5).
 
-    With a weak one the client could combine parts of different representations.
+    With a weak comparison the client could combine parts of different representations.
     """
     if condition is None:
         return True
@@ -102,4 +102,5 @@
 
 
 def _parse_number(digits: bytes) -> int:
+    """Returns a number of at most 18 digits; a longer one counts as 10**18, which exceeds any body."""
     return int(digits[:18]) if len(digits) <= 18 else 10**18
--- a/magpiefront/caching/directives.py
+++ b/magpiefront/caching/directives.py
@@ -37,7 +37,7 @@
         return bool(self.arguments)
 
     def seconds(self, name: bytes) -> int | None:
-        """Returns a delta-seconds argument, at most `MAX_DELTA_S`, or None without the directive.
+        """Returns a delta-seconds argument, at most `MAX_DELTA_S`, or None if the directive is absent.
 
         An invalid number or conflicting values give 0, so that the response is stale at once (RFC 9111,
         4.2.1).
@@ -51,8 +51,8 @@
         return min(MAX_DELTA_S, int(first_value[:20])) if len(first_value) < 20 else MAX_DELTA_S
 
     def applies_to_whole(self, name: bytes) -> bool:
-        """Returns whether the directive occurs without a list of field names, and so concerns the whole
-        response. With a malformed list it concerns the whole response too."""
+        """Returns whether the directive concerns the whole response: whether it occurs without a list of
+        field names, or with a malformed one."""
         return any(not a or not parse_field_names(a) for a in self.arguments.get(name, ()))
 
     def fields(self, name: bytes) -> frozenset[bytes]:
@@ -65,6 +65,7 @@
 
 
 def parse_field_names(argument: bytes) -> frozenset[bytes]:
+    """Returns the field names of a list in lower case, or an empty set if any of them is malformed."""
     names = [n.strip(b" \t").lower() for n in argument.split(b",")]
     names = [n for n in names if n]
     return frozenset(names) if all(FIELD_NAME.fullmatch(n) for n in names) else frozenset()
--- a/magpiefront/caching/disk.py
+++ b/magpiefront/caching/disk.py
@@ -23,8 +23,9 @@
 from magpiefront.caching.settings import DiskSettings
 
 SCHEMA_VERSION = 1
-EVICTION_BATCH_ROWS = 64
-STOP_TIMEOUT_S = 2.0
+EVICTION_BATCH_ROWS = 64  # the oldest rows that one query reads during an eviction
+STOP_TIMEOUT_S = 2.0  # how long `stop` waits for the queued saves and the closing of the file
+# SQLite errors that do not mean that the content is bad: the file is left as it is, and `start` fails.
 UNAVAILABLE_CODES = frozenset({
     sqlite3.SQLITE_PERM, sqlite3.SQLITE_BUSY, sqlite3.SQLITE_LOCKED, sqlite3.SQLITE_READONLY,
     sqlite3.SQLITE_IOERR, sqlite3.SQLITE_FULL, sqlite3.SQLITE_CANTOPEN,
@@ -37,7 +38,10 @@
 
 
 class Packed(msgspec.Struct, array_like=True):
-    """A stored response as the file holds it. `wall_s` is the wall-clock time at which its age was 0."""
+    """A stored response as it is encoded in the file.
+
+    `wall_s` is the wall-clock time at which its age was 0, and `saved_s` that of saving it.
+    """
 
     status: int
     head: bytes
@@ -79,7 +83,7 @@
 def unpack(packed: bytes, now_us: int, now_s: float, must_validate_all: bool) -> Variants:
     """Decodes the variants of one key. Raises msgspec.MsgspecError.
 
-    With `must_validate_all`, or if the wall clock is behind the time of saving, each variant must be
+    With `must_validate_all`, or if the wall clock is earlier than the time of saving, each variant must be
     validated before each use, even while it is fresh (`no_cache`), and those without a validator are left
     out. The `must_validate` of a variant is kept as it was saved.
     """
@@ -118,11 +122,11 @@
         self.started_us, self.started_s = runtime.now_us(), wall()
         self.index: dict[bytes, bytes] = {}  # gauge of each key
         self.gauges: dict[bytes, set[bytes]] = {}  # keys of each gauge
-        self.load_tokens: dict[bytes, object] = {}
+        self.load_tokens: dict[bytes, object] = {}  # by key: the load whose result is still valid
         self.queued_saves = 0
         self.skipped_saves = self.failures = 0
         # `must_validate_all`: the file was not closed cleanly, so each loaded variant is validated before
-        # use.
+        # use. `has_failed`: a job has failed, so the file will not be marked as closed cleanly.
         self.must_validate_all = self.has_failed = False
         self.jobs: queue.SimpleQueue[Callable[[], None] | None] = queue.SimpleQueue()
         self.thread: threading.Thread | None = None
@@ -161,7 +165,7 @@
         db = self.db = sqlite3.connect(
             self.settings.path, isolation_level=None, check_same_thread=False, timeout=1.0
         )
-        db.execute("PRAGMA locking_mode=EXCLUSIVE")  # processes would miss each other's invalidations
+        db.execute("PRAGMA locking_mode=EXCLUSIVE")  # a process would miss another one's invalidations
         db.execute("PRAGMA journal_mode=WAL")
         db.execute("PRAGMA synchronous=FULL")
         if new:
@@ -171,7 +175,7 @@
             raise UnusableFile(f"schema version {version} instead of {SCHEMA_VERSION}")
         clean = db.execute("SELECT value FROM state WHERE name='clean'").fetchone()
         self.must_validate_all = not new and (clean is None or clean[0] != 1)
-        # Made durable before anything is served: after a crash the file is then known as not closed cleanly.
+        # Made durable before anything is served: after a crash the file counts as not closed cleanly.
         db.execute("INSERT OR REPLACE INTO state VALUES ('clean', 0)")
         db.execute("PRAGMA synchronous=NORMAL")
         self.index, self.gauges, self.total_bytes = {}, {}, 0
@@ -192,7 +196,7 @@
     def _close(self) -> None:
         assert self.db is not None
         self.db.execute("PRAGMA synchronous=FULL")
-        if not self.has_failed:  # else an invalidated row may still be there
+        if not self.has_failed:  # if a job has failed, an invalidated row may still be there
             self.db.execute("INSERT OR REPLACE INTO state VALUES ('clean', 1)")
         self.db.close()
 
@@ -203,7 +207,7 @@
                 return
             try:
                 job()
-            except Exception as e:  # also errors of corrupt rows: the thread must keep running
+            except Exception as e:  # of any kind, also from corrupt rows: the thread must keep running
                 self.has_failed = True
                 self._call_in_loop(self._report_failure, f"{type(e).__name__}: {e}")
 
@@ -238,7 +242,8 @@
         return True
 
     def save(self, key: bytes, gauge: bytes, variants: Variants) -> None:
-        """Queues the variants of a key to be written. With a full queue the key is dropped instead."""
+        """Queues the variants of a key to be written. If there are none, or the queue is full, the key is
+        dropped instead."""
         if not variants or self.queued_saves >= self.settings.queue:
             self.skipped_saves += 1
             self.drop(key)  # the file holds an older version
@@ -302,8 +307,7 @@
     def _latest_wall_s(self, now_us: int) -> float:
         """Returns the later of the wall-clock time and the time of the start plus the elapsed time.
 
-        Guards against a clock that was set back: a response may be taken for older than it is, but never for
-        younger.
+        Guards against a clock that was set back: a response may appear older than it is, but never younger.
         """
         return max(self.wall(), self.started_s + (now_us - self.started_us) / 1e6)
 
@@ -364,5 +368,6 @@
     def _on_saved(self, removed: list[bytes]) -> None:
         self.queued_saves -= 1
         for key in removed:
-            # Also if a later save of the key is queued: a row that is not in the index can't be invalidated.
+            # Even if a later save of the key is queued: its row would not be in the index and so could not be
+            # invalidated, and is therefore deleted too.
             self.drop(key)
--- a/magpiefront/caching/disk_loads.py
+++ b/magpiefront/caching/disk_loads.py
@@ -1,4 +1,4 @@
-"""Joins concurrent loads of a key from the disk tier."""
+"""Combines concurrent loads of a key from the disk tier into one."""
 
 from __future__ import annotations
 
@@ -10,7 +10,7 @@
 
 
 class DiskLoads:
-    """Loads each key once for all requests that ask for it meanwhile.
+    """Loads each key once for all requests that ask for it while the load is in progress.
 
     `Disk.load` has a timeout, so the deadlines of the waiting requests need no timers here.
     """
@@ -24,7 +24,7 @@
         self.waiting: dict[bytes, dict[Request, int]] = {}
 
     def load(self, r: Request, key: bytes, gauge: bytes, tries: int) -> None:
-        """Loads the key, or joins the load that is under way. `tries` is passed on to `resume`."""
+        """Loads the key, or joins the load in progress. `tries` is passed on to `resume`."""
         waiting = self.waiting.get(key)
         if waiting is not None:
             waiting[r] = tries
@@ -40,6 +40,6 @@
         self.disk.load(key, loaded)
 
     def client_left(self, r: Request) -> None:
-        """Removes a request that waits. Does nothing if it does not."""
+        """Removes a request from the load that it waits for, if there is one."""
         for requests in self.waiting.values():
             requests.pop(r, None)
--- a/magpiefront/caching/fences.py
+++ b/magpiefront/caching/fences.py
@@ -16,8 +16,9 @@
     def __init__(self, unknown_outcome_us: int, max_unknown: int = 10_000) -> None:
         self.unknown_outcome_us, self.max_unknown = unknown_outcome_us, max_unknown
         self.open_writes: dict[bytes, int] = {}  # by gauge: the number of writes in progress
-        self.unknown_until_us: OrderedDict[bytes, int] = OrderedDict()
-        # With more than `max_unknown` unknown outcomes all gauges are closed, so that none is forgotten.
+        self.unknown_until_us: OrderedDict[bytes, int] = OrderedDict()  # by gauge
+        # With more than `max_unknown` unknown outcomes the oldest is dropped, and all gauges are closed until
+        # its time has passed, so that its gauge is not opened too early.
         self.all_closed_until_us = 0
 
     def begin(self, gauge: bytes) -> None:
--- a/magpiefront/caching/link_writes.py
+++ b/magpiefront/caching/link_writes.py
@@ -1,7 +1,7 @@
 """Reports writes that arrive over a gateway's link to the cache.
 
-Where both the cache and the gateway are on, these writes bypass the cache's stage, but must invalidate its
-responses too.
+If both the cache and the gateway are enabled, these writes bypass the cache's stage, but must still
+invalidate its stored responses.
 """
 
 from __future__ import annotations
@@ -18,7 +18,7 @@
 class WriteWatch:
     """Reports each write to the cache, then forwards it.
 
-    Writes of local clients are reported twice, which is harmless.
+    Writes of local clients also pass the cache's stage, and so are reported twice, which is harmless.
     """
 
     def __init__(self, runtime: RuntimeWithClasses, following: Stage) -> None:
--- a/magpiefront/caching/responses.py
+++ b/magpiefront/caching/responses.py
@@ -21,7 +21,7 @@
         self.send_stored(r, v, age, status.hit(self.name, (v.lifetime_us - age) // US_PER_S, detail))
 
     def send_stored(self, r: Request, v: StoredResponse, age_us: int, cache_status: bytes) -> None:
-        # Rounded up, as the response must not look younger than it is to the next cache.
+        # Rounded up, so that the response does not appear younger than it is to the next cache.
         more = b"Age: %d\r\n%b" % (-(-max(0, age_us) // US_PER_S), cache_status)
         if CONDITIONAL_FIELDS.isdisjoint(r.headers) or r.method not in READ_METHODS:
             r.responder.answer(r, v.status, (v.body,), v.head + more)
@@ -41,7 +41,8 @@
     def is_unmodified(self, r: Request, response: OriginResponse, conditions_removed: bool) -> bool:
         """Returns whether the client already has the fetched response (RFC 9111, 4.3.2).
 
-        Only applies if its conditional fields were left out of the forwarded request.
+        Returns False unless the client's conditional fields were left out of the forwarded request: otherwise
+        upstream has evaluated them.
         """
         if not conditions_removed or response.status != 200 or CONDITIONAL_FIELDS.isdisjoint(r.headers):
             return False
--- a/magpiefront/caching/rules.py
+++ b/magpiefront/caching/rules.py
@@ -26,7 +26,8 @@
 HEURISTIC_STATUSES = frozenset({200, 203, 204, 300, 301, 308, 404, 405, 410, 414, 501})  # RFC 9110, 15.1
 # Not updated by a 304 or a response to HEAD (RFC 9111, 3.2).
 CONTENT_FIELDS = frozenset({b"content-encoding", b"content-type", b"content-range", b"content-length"})
-REGENERATED_FIELDS = frozenset({b"age", b"content-length"})  # for each response from the store
+# Generated anew for each response from the store.
+REGENERATED_FIELDS = frozenset({b"age", b"content-length"})
 
 
 class NotStorableReason(enum.Enum):
@@ -80,7 +81,7 @@
 
     @property
     def needs_own_response(self) -> bool:
-        """Whether the response may only serve this request; it neither joins a fetch nor is joined."""
+        """Whether the response may serve this request only, so that the request does not share a fetch."""
         h = self.headers
         return (
             self.no_cache or b"no-store" in self.control or b"authorization" in h or b"cookie" in h
@@ -116,14 +117,14 @@
         return parse(value) if value is not None else NO_DIRECTIVES
 
     def lifetime_s(self, policy: Policy) -> int:
-        """Returns `freshness_lifetime` (RFC 9111, 4.2.1 and 4.2.2) for a shared cache."""
+        """Returns `freshness_lifetime` (RFC 9111, 4.2.1 and 4.2.2) for a shared cache, in seconds."""
         control, h = self.control, self.headers
         for name in (b"s-maxage", b"max-age"):
             value = control.seconds(name)
             if value is not None:
                 return value
         if b"expires" in h and not control.targeted:
-            # Several lines with different values are joined, which is not a valid date.
+            # If the field is repeated, its values are joined by commas, which is not a valid date.
             expires = dates.parse(h[b"expires"], int(self.received_s))
             if expires is None:
                 return 0
@@ -166,10 +167,10 @@
             return NotStorableReason.REQUEST_NO_STORE
         if control.applies_to_whole(b"private"):
             return NotStorableReason.PRIVATE
-        is_shared = b"public" in control or b"s-maxage" in control
-        if b"authorization" in request.headers and not (is_shared or b"must-revalidate" in control):
+        allows_sharing = b"public" in control or b"s-maxage" in control
+        if b"authorization" in request.headers and not (allows_sharing or b"must-revalidate" in control):
             return NotStorableReason.AUTHORIZATION
-        if not is_shared:
+        if not allows_sharing:
             if b"cookie" in request.headers:
                 return NotStorableReason.COOKIE
             excluded = control.fields(b"private") | control.fields(b"no-cache")
@@ -216,9 +217,10 @@
         """`head` holds the field lines; at `generated_us` the age was 0, and the wall clock was `wall_s`.
 
         `no_cache`: must be validated before each use. `must_validate`: must be validated once it is stale, so
-        it is never served stale. `swr_us` and `sie_us`: for this long after it became stale it may be served
-        during a background validation, or in place of an error (RFC 5861). `secondary` holds the values that
-        the request had for the fields in `vary`; `modified` is the value of Last-Modified.
+        it is never served stale. `swr_us` and `sie_us` are how long after it became stale it may still be
+        served, during a background validation and in place of an error respectively (RFC 5861). `secondary`
+        holds the values that the request had for the fields in `vary`; `modified` is the value of
+        Last-Modified.
         """
         self.status, self.head, self.body = status, head, body
         self.generated_us, self.lifetime_us, self.date_s, self.wall_s = (
@@ -270,7 +272,7 @@
     if modified and dates.parse(modified, response.date_s) is None:
         modified = b""
     no_cache = control.applies_to_whole(b"no-cache")
-    # 5.2.2.2, 5.2.2.8 and 5.2.2.10: with any of these the response may not be served stale.
+    # 5.2.2.2, 5.2.2.8 and 5.2.2.10: each of these directives forbids serving the response stale.
     forbids_stale = b"must-revalidate" in control or b"proxy-revalidate" in control or b"s-maxage" in control
     revalidate_s = 0 if forbids_stale else control.seconds(b"stale-while-revalidate") or 0
     on_error_s = 0 if forbids_stale else control.seconds(b"stale-if-error") or 0
@@ -351,7 +353,8 @@
 
 
 def is_within_max_stale(request: CacheRequest, staleness_us: int, policy: Policy) -> bool:
-    """Evaluates `max-stale` (5.2.1.2): without an argument any age is allowed, with an invalid one none."""
+    """Evaluates `max-stale` (5.2.1.2): without an argument any staleness is allowed, with an invalid
+    argument none."""
     if not policy.max_stale or b"max-stale" not in request.control:
         return False
     if request.control.arguments[b"max-stale"] == [None]:
@@ -368,7 +371,7 @@
         return False
     staleness = stored.staleness_us(now_us)
     if staleness < 0:
-        return True  # still fresh: only the request asked for a newer one
+        return True  # still fresh: it was validated only because the request asked for a newer one
     if stored.must_validate:
         return False
     policy_s = policy.stale_if_refused_s if cause is FailureCause.REFUSED else policy.stale_if_error_s
@@ -393,8 +396,8 @@
 ) -> Freshened | None:  # fmt: skip
     """Updates a stored response from the 304 to its validation (RFC 9111, 4.3.4 and 3.2).
 
-    Returns None if the 304 does not select this response: it must not be used then, and a complete response
-    has to be requested.
+    Returns None if the 304 does not select the stored response, which must then not be used: a complete
+    response has to be requested.
     """
     if not is_selected_by_304(stored, response.headers):
         return None
@@ -405,7 +408,7 @@
     fresh = build_stored(updated, request, stored.body, sent_us, received_us, policy)
     if fresh is not None:
         return Freshened(fresh, updated.reason_not_storable(request, policy) is None)
-    # It cannot be reused, but still answers this request.
+    # The updated response cannot be reused, but still answers this request.
     single_use = StoredResponse(
         stored.status, format_fields(f for f in fields if f[0].lower() not in REGENERATED_FIELDS),
         stored.body, received_us - updated.initial_age_us(received_us - sent_us), 0, date_s=updated.date_s,
--- a/magpiefront/caching/settings.py
+++ b/magpiefront/caching/settings.py
@@ -14,8 +14,9 @@
 
     name: str = "lineshift"  # in `Via` and `Cache-Status`
     heuristic_fraction: float = 0.1  # share of the time since Last-Modified (RFC 9111, 4.2.2); 0: off
-    heuristic_most_s: int = 600
-    targets: tuple[bytes, ...] = (b"cdn-cache-control",)  # the first one present applies (RFC 9213)
+    heuristic_most_s: int = 600  # upper bound of a heuristic lifetime
+    # Targeted fields (RFC 9213); the first one present applies.
+    targets: tuple[bytes, ...] = (b"cdn-cache-control",)
     stale_if_refused_s: int = 0  # the operator's limits for stale responses (RFC 9111, 4.2.4)
     stale_if_error_s: int = 0
     max_stale: bool = True  # whether clients may ask for stale responses
@@ -41,10 +42,10 @@
     most_bytes: int = 64 << 20  # memory of the stored responses and of the fetches under way
     most_object: int = 1 << 20  # a response with a longer body is not stored
     most_variants: int = 16  # stored responses for one key; a further one replaces the oldest
-    # For this long after a write of unknown outcome, no response for its gauge is stored.
+    # After a write of unknown outcome, no response for its gauge is stored for this long.
     unknown_outcome_us: int = 2_000_000
-    # For this long after a response that other requests could not use, requests for its key do not share
-    # a fetch.
+    # After a response that could not answer other requests, requests for its key do not share a fetch for
+    # this long.
     pass_for_us: int = 2_000_000
     drop_fields: frozenset[bytes] = frozenset()  # request fields removed besides stage.UNTRUSTED_FIELDS
     clients: ClientSettings = field(default_factory=ClientSettings)
--- a/magpiefront/caching/stage.py
+++ b/magpiefront/caching/stage.py
@@ -25,14 +25,16 @@
 from magpiefront.net.fields import Fields, end_to_end, format_fields, parse_fields
 from magpiefront.net.request import READ_METHODS, Request, Stage
 
-# A request with one of these fields cannot take the fast path of `submit`.
+# A request with any of these fields does not take the fast path of `submit`.
 CACHE_RELATED_FIELDS = frozenset({
     b"cache-control", b"pragma", b"if-none-match", b"if-modified-since", b"if-range", b"range", b"if-match",
     b"if-unmodified-since",
 })  # fmt: skip
 SAFE_METHODS = READ_METHODS | {b"OPTIONS"}
+# Only the origin evaluates these conditions: a request with one of them bypasses the cache.
 ORIGIN_CONDITION_FIELDS = frozenset({b"if-match", b"if-unmodified-since"})
-# Generated anew for each hop, or reserved for the platform.
+# Not copied from the client's request when it is forwarded: generated anew for each hop, or reserved for the
+# platform.
 REPLACED_FIELDS = frozenset({
     b"host", b"content-length", b"content-type", b"expect", b"idempotency-key", b"req-id", b"req-kind",
     b"req-owner", b"req-deadline", b"req-retry", b"req-cost", b"req-extra",
@@ -44,14 +46,14 @@
     b"x-forwarded-scheme", b"x-forwarded-server", b"x-forwarded-prefix", b"x-host", b"x-original-host",
     b"x-original-url", b"x-rewrite-url", b"x-http-method-override", b"x-method-override", b"x-http-method",
 })  # fmt: skip
-SERVER_ERRORS = frozenset({500, 502, 503, 504})  # RFC 5861, 4
+SERVER_ERRORS = frozenset({500, 502, 503, 504})  # those that stale-if-error covers (RFC 5861, 4)
 MAX_SHARED_TRIES = 2  # shared fetches that a request waits for before it is forwarded alone
-MAX_REFRESHES = 64
-MAX_HIT_FOR_PASS_KEYS = 10_000
+MAX_REFRESHES = 64  # background validations at a time; beyond that, stale responses are served without one
+MAX_HIT_FOR_PASS_KEYS = 10_000  # bounds `hit_for_pass_until_us`; the oldest key is dropped first
 
 
 class CachingStage:
-    """Answers safe requests from the cache; is the responder of the requests that it forwards.
+    """Answers safe requests from the cache, and acts as the responder of the requests that it forwards.
 
     `wall` returns the Unix time in seconds.
     """
@@ -72,7 +74,7 @@
         self.fetches_by_client: dict[Request, Fetch] = {}
         self.joinable_fetches: dict[FetchKey, Fetch] = {}
         self.fetches_by_gauge: dict[bytes, dict[Fetch, None]] = {}
-        # Keys whose requests are not collapsed, and until when.
+        # By key: the time until which its requests do not share a fetch.
         self.hit_for_pass_until_us: OrderedDict[bytes, int] = OrderedDict()
         self.loads: DiskLoads | None = None
         if disk is not None:
@@ -120,7 +122,11 @@
         self._handle(r, key, 0)
 
     def _handle(self, r: Request, key: bytes, tries: int, use_disk: bool = True) -> None:
-        """Answers a request from the store or a disk load, joins a fetch, or starts one."""
+        """Answers a request from the store, joins a fetch or starts one, or loads the key from disk first.
+
+        `tries` is the number of shared fetches that the request has waited for. `use_disk` is False after a
+        load from disk, so that the load is not repeated.
+        """
         now, cache_request = self.runtime.now_us(), CacheRequest(b"GET", r.headers)
         gauge = targets.gauge_of(r.target)
         cls = self.runtime.classes.get(r.headers[b"req-kind"])
@@ -149,11 +155,12 @@
             )
             return
         # Whether responses for the gauge may be stored now; see `StoreFences`.
-        is_open = not self.fences.is_closed(gauge, now)
-        # Without a stored response, fetching the body for a HEAD does not pay if the servers support HEAD.
+        may_store = not self.fences.is_closed(gauge, now)
+        # If the servers support HEAD and no stored response is to be validated, HEAD is forwarded as it is. A
+        # GET in its place could be stored, but would transfer the whole body.
         is_plain_head = r.method == b"HEAD" and self.settings.plain_servers and choice.stored is None
         is_shared = (
-            is_open and not cache_request.needs_own_response and not is_plain_head
+            may_store and not cache_request.needs_own_response and not is_plain_head
             and tries < MAX_SHARED_TRIES and not self._is_hit_for_pass(key, now)
         )  # fmt: skip
         if is_shared:
@@ -162,7 +169,7 @@
             if fetch is not None:
                 self._join(fetch, Waiter(r, cache_request, choice.reason, tries, True), now)
                 return
-        self._start_fetch(r, key, gauge, cache_request, choice, tries, is_shared, is_open)
+        self._start_fetch(r, key, gauge, cache_request, choice, tries, is_shared, may_store)
 
     def _secondary_key(
         self, variants: Sequence[StoredResponse], cache_request: CacheRequest
@@ -199,7 +206,7 @@
         tries: int, is_shared: bool, may_store: bool,
     ) -> None:  # fmt: skip
         now = self.runtime.now_us()
-        # A partial response cannot be validated, so range requests are answered by upstream.
+        # A range request is forwarded without validation, as a partial response cannot be validated.
         validating = None if b"range" in r.headers else choice.stored
         forwarded = r.clone(self)
         if r.method == b"HEAD" and (is_shared or validating is not None or not self.settings.plain_servers):
@@ -272,7 +279,7 @@
             fetch.fetch_key = None
 
     def _finish_fetch(self, fetch: Fetch) -> None:
-        """Forgets a fetch whose response is complete, failed or cancelled."""
+        """Removes a fetch that is complete, failed or cancelled, and releases the bytes reserved for it."""
         self.fetches_by_request.pop(fetch.request, None)
         self._close_to_joins(fetch)
         others = self.fetches_by_gauge.get(fetch.gauge)
@@ -466,7 +473,8 @@
             if self._serve_stale(waiter, fetch, cause):
                 continue
             if waiter.collapsed:
-                # A refusal only concerns the forwarded request: the Router decides on each other one.
+                # A refusal applies to the forwarded request only, so each of the other waiters is forwarded
+                # alone, and the Router decides on it.
                 self._retry_waiter(waiter, fetch.key, alone=refused)
                 continue
             r = waiter.request
@@ -481,7 +489,7 @@
         now = self.runtime.now_us()
         variants = self.store.peek(fetch.key)
         if not variants and fetch.may_store and fetch.validating is not None:
-            variants = (fetch.validating,)  # it was evicted meanwhile
+            variants = (fetch.validating,)  # the stored response was evicted meanwhile
         matching = [v for v in variants if rules.matches(v, waiter.cache_request.headers)]
         if not matching or b"range" in waiter.cache_request.headers:
             return False
@@ -539,7 +547,10 @@
         fetch.reserved_bytes = 0
 
     def _stop_storing(self, fetch: Fetch) -> None:
-        """Discards the buffer of a response that is too long or not storable; waiters are forwarded alone."""
+        """Discards the buffered body of a response that is too long or not storable.
+
+        The leader still gets the response; the other waiters are forwarded alone.
+        """
         fetch.is_buffering = False
         fetch.body = []
         self._close_to_joins(fetch)
@@ -609,14 +620,14 @@
         if self.disk is not None:
             self.disk.drop_gauge(gauge)
         for fetch in list(self.fetches_by_gauge.get(gauge, ())):
-            # Its response may be older than the write: it only answers those who wait already.
+            # The response may be older than the write, so it only answers the requests that already wait.
             fetch.may_store = False
             self._close_to_joins(fetch)
         return count
 
     def invalidate_target(self, target: bytes) -> None:
-        """Drops all that is stored for the gauge of a target. Called when its latest answer may have been
-        meant for another request."""
+        """Drops all that is stored for the gauge of a target. Called when the latest response for the
+        target may have been meant for another request."""
         self._invalidate_gauge(targets.gauge_of(target))
 
     def _purge(self, r: Request) -> None:
@@ -625,15 +636,16 @@
             self.store.clear()
             if self.disk is not None:
                 self.disk.clear()
-            for each in list(self.fetches_by_gauge):
-                self._invalidate_gauge(each)
+            for gauge in list(self.fetches_by_gauge):
+                self._invalidate_gauge(gauge)
         else:
             count = self._invalidate_gauge(targets.gauge_of(r.target))
         r.responder.answer(r, 200, (b"purged %d\n" % count,), b"Date: %b\r\nContent-Type: text/plain\r\n" % (
             dates.render(int(self.wall()))))  # fmt: skip
 
     def _on_disk_load(self, key: bytes, gauge: bytes, found: tuple[StoredResponse, ...]) -> None:
-        """Stores responses that were loaded from disk, unless a write has invalidated them meanwhile."""
+        """Puts responses loaded from disk into the store, unless a write has closed their gauge meanwhile or
+        the store already has responses for the key."""
         if not self.fences.is_closed(gauge, self.runtime.now_us()) and not self.store.peek(key):
             for v in found:
                 self.store.put(key, gauge, v)
--- a/magpiefront/caching/writes.py
+++ b/magpiefront/caching/writes.py
@@ -1,4 +1,4 @@
-"""Requests that may have effects: always forwarded, and the invalidation that they cause."""
+"""Forwards requests that may have effects, and invalidates the stored responses of their gauges."""
 
 from __future__ import annotations
 
@@ -16,7 +16,8 @@
     """Forwards writes, and keeps responses of their gauges out of the cache meanwhile.
 
     From the acceptance of a write until its outcome is known, nothing of its gauge is stored. `invalidate` is
-    called when a write begins, for everything stored or in flight; later requests find the gauge closed.
+    called with the gauge when a write begins, for everything stored or in flight; later requests find the
+    gauge closed.
     """
 
     def __init__(
@@ -30,8 +31,8 @@
         self.parse_response, self.format_forwarded = parse_response, format_forwarded
         self.name = ""
         self.client_requests: dict[Request, Request] = {}  # by forwarded request
-        self.forwarded_requests: dict[Request, Request] = {}
-        # Forwarded requests whose head has arrived and whose body has not ended.
+        self.forwarded_requests: dict[Request, Request] = {}  # by client request
+        # Forwarded requests whose response head has arrived and whose response body has not ended.
         self.with_known_outcome: set[Request] = set()
 
     def begin_write(self, gauge: bytes) -> None:
@@ -66,8 +67,8 @@
         self.following.resume_response(self.forwarded_requests[r])
 
     def _finish_write(self, forwarded: Request, status_: int | None, headers: dict[bytes, bytes]) -> None:
-        # A write that failed, was refused after an attempt or was abandoned by its client may have run or
-        # may still run.
+        # The outcome of a write that failed, was refused after an attempt or was abandoned by its client is
+        # unknown: the write may have run or may still run.
         self.end_write(targets.gauge_of(forwarded.target), status_ is not None and status_ < 500)
         if status_ is not None and status_ < 400:
             values = [headers[n] for n in (b"location", b"content-location") if n in headers]
@@ -77,7 +78,7 @@
                 self.invalidate(targets.gauge_of(target))
 
     def _record_head(self, forwarded: Request, status_: int, more: bytes) -> bytes:
-        """Records the outcome, which is known once the head has arrived; returns the field lines."""
+        """Records the outcome of a write once its response head is here; returns the field lines to send."""
         response = self.parse_response(status_, more)
         self._finish_write(forwarded, status_, response.headers)
         reason = ForwardReason.METHOD if forwarded.method not in READ_METHODS else ForwardReason.BYPASS
