--- a/standins/conformance/archive.py
+++ b/standins/conformance/archive.py
@@ -41,14 +41,14 @@
 class ScriptedArchive(http.Server):
     """Answers each request of a case with the response of the case's current step.
 
-    The first segment of the path is the name of the case, such as `case12`. `/health` is answered 200, and
-    any unknown path 404.
+    The first segment of the path is the name of the case, such as `case12`. `/health` is answered with 200,
+    and any unknown path with 404.
     """
 
     def __init__(self, port: int = 0) -> None:
         super().__init__()
         self.port = port  # 0: a free port, set on start
-        # Both by the name of the case.
+        # Both are indexed by the name of the case.
         self.request_logs: dict[str, RequestLog] = {}
         self.current_responses: dict[str, Response] = {}
 
--- a/standins/conformance/runner.py
+++ b/standins/conformance/runner.py
@@ -42,7 +42,7 @@
             extra_fields,
             prefix,
         )
-        self.last_number = 0  # of a case or a request: they share one sequence
+        self.last_number = 0  # the latest number of a case or a request: both use one sequence
 
     async def run(self, case: Case, max_attempts: int = 40) -> Result:
         """Runs a case, and restarts it after the proxy's Retry-After (at most 1 s) if a request was refused.
@@ -158,7 +158,7 @@
 
 
 def mismatch(actual: str | None, expected: str | None) -> str:
-    """Describes how a field value differs from the expectation of a Step; empty if it meets it."""
+    """Describes how a field value differs from what a Step expects; returns an empty text if it does not."""
     if expected is None:
         return "" if actual is None else f"{actual!r}, expected no such field"
     if actual is None:
--- a/tests/caching/hishel_comparison.py
+++ b/tests/caching/hishel_comparison.py
@@ -337,10 +337,10 @@
 
 
 def explain(p: Pair) -> list[str] | None:
-    """Returns the labels that explain why the two differ on this pair.
+    """Returns the labels that explain why the decisions of the two projects differ on this pair.
 
-    Each label is tried alone first, then all of them cumulatively. The list is empty if they agree; the
-    result is None if they differ for another reason.
+    Each label is tried alone first, then all of them cumulatively. The list is empty if the decisions
+    agree; the result is None if they differ for another reason.
     """
     if ours(p) == theirs(p):
         return []
@@ -360,7 +360,10 @@
 
 
 def compare(seed: int, count: int) -> tuple[Counter[str], list[Pair]]:
-    """Counts the pairs that each label explains, and returns the unexplained ones. A pair may count twice."""
+    """Counts the pairs that each label explains, and returns the unexplained pairs.
+
+    A pair counts once for each of its labels.
+    """
     found: Counter[str] = Counter()
     unexplained: list[Pair] = []
     for p in generate(seed, count):
--- a/tests/caching/test_disk.py
+++ b/tests/caching/test_disk.py
@@ -81,7 +81,7 @@
     disk.save(b"k", b"g", (make_stored(),))
     disk.save(b"bare", b"g", (make_stored(etag=b""),))
     run_pending(runtime, disk)
-    # A copy taken here stands for the file after a crash: it is not marked as closed cleanly.
+    # A copy taken now is what a crash would leave behind: it is not marked as closed cleanly.
     for suffix in ("", "-wal"):
         shutil.copy(tmp_path / f"c.sqlite{suffix}", tmp_path / f"dead.sqlite{suffix}")
     runtime, again = open_disk(tmp_path / "dead.sqlite")
@@ -148,7 +148,7 @@
     assert found == [()]
     gate.set()
     run_pending(runtime, disk)
-    assert found == [()] and disk.has(b"k")  # the callback runs once, and the key remains
+    assert found == [()] and disk.has(b"k")  # the callback is not called again, and the key remains
     disk.stop()
 
 
--- a/tests/caching/test_doubt.py
+++ b/tests/caching/test_doubt.py
@@ -1,6 +1,7 @@
 """An unsolicited response on a server connection invalidates what that connection answered just before.
 
-The earlier response may have been a copy of an older one, and the unsolicited one its real response.
+The server may have answered the last request with a copy of an older response; the unsolicited response is
+then the real one to that request.
 """
 
 from __future__ import annotations
--- a/tests/caching/test_link.py
+++ b/tests/caching/test_link.py
@@ -1,4 +1,4 @@
-"""Caching combined with the gateway, as the operator's file composes them: fields, statuses, invalidation."""
+"""Tests the cache and the gateway together, set up from an operator file: fields, statuses, invalidation."""
 
 from __future__ import annotations
 
@@ -181,7 +181,7 @@
             west, east = sites["west"], sites["east"]
             for site in (west, east):
                 assert (await site.request("GET /api/e-1")).body == b"0"
-            # It is sent to the west and runs in the east, where a response is stored too.
+            # The report is sent to the west site and runs in the east one, where a response is stored too.
             assert (await west.request("PUT /api/e-1", kind="field-report", body=b"r")).body == b"held"
             for site in (west, east):
                 assert (await site.request("GET /api/e-1")).body == b"1"
--- a/tests/caching/test_process.py
+++ b/tests/caching/test_process.py
@@ -45,7 +45,7 @@
 
 @pytest.mark.parametrize("signal_number", [signal.SIGTERM, signal.SIGKILL])
 def test_the_disk_tier_outlives_its_process(signal_number: signal.Signals, tmp_path: Path) -> None:
-    """After a clean stop it serves its responses at once, after a kill only once they are validated."""
+    """After a clean stop stored responses are served at once, after a kill only once they are validated."""
 
     async def main() -> None:
         archive = ScriptedArchive()
--- a/tests/caching/test_stage.py
+++ b/tests/caching/test_stage.py
@@ -290,7 +290,7 @@
     assert [c.body for c in clients[1:]] == [b"for 0", b"for 1", b"for 2"]
     for _ in range(2):
         w.get()
-    assert len(w.upstream.open) == 2  # they do not wait for each other
+    assert len(w.upstream.open) == 2  # these two do not wait for each other
     w.upstream.open.clear()
     w.runtime.advance(2.1)
     for _ in range(2):
@@ -523,7 +523,7 @@
     assert w.get().headers[b"age"] == b"30"  # the age does not depend on the wall clock
     w.runtime.advance(31)
     got = w.get()
-    assert got.answers == 0  # a backward jump does not make it fresh again
+    assert got.answers == 0  # a backward jump does not make the response fresh again
     right = w.runtime.wall_s - jump_s
     from magpiefront.caching.dates import render
 
@@ -531,7 +531,7 @@
     assert got.body == b"level 4"
     again = w.get()
     if jump_s > 0:
-        assert again.answers == 0  # it appears one hour old, so it is fetched again
+        assert again.answers == 0  # the response appears one hour old, so it is fetched again
     else:
         assert again.body == b"level 4"
 
