Say plainly what the stand-ins and their drills do

Some comments left out the unit, the noun that a number counts, or what happens when a fault ends one of two processes early. They now name these, and docstrings say what is returned and what is raised.

--- a/standins/answers/clients.py
+++ b/standins/answers/clients.py
@@ -11,8 +11,8 @@
 from standins.answers.plan import Plan
 
 ANSWER_GRACE_S = 0.5  # an answer that comes later than this after its deadline counts as lost
-INCOMPLETE_TIMEOUT_S = 3.0  # within which a client that sent half a request must get an error or a close
-CUT_STATUS = 599  # recorded for an answer that was cut off in its body
+INCOMPLETE_TIMEOUT_S = 3.0  # a client that sent half a request must get an error or a close within this
+CUT_STATUS = 599  # recorded as the status of an answer that was cut off in its body
 
 
 @dataclass(slots=True)
@@ -56,7 +56,7 @@
         self.unexpected: list[str] = []  # bytes received on idle connections
 
     def encode(self, request: Request) -> bytes:
-        """Returns the message of a request, for a random key."""
+        """Returns the bytes of a request, for a random key."""
         is_write = self.plan.repeat != "read_like"
         body = b"level=3.2" if is_write else b""
         lines = [
@@ -78,8 +78,8 @@
         return request
 
     async def send(self, proxy: int, only_open: bool = False) -> None:
-        """Sends a request or several pipelined ones as one client. `only_open` uses an idle connection and
-        sends nothing if there is none."""
+        """Sends a request, or several pipelined ones, as one client. With `only_open`, it uses an idle
+        connection, and sends nothing if there is none."""
         faults, random = self.plan.faults, self.random
         if only_open and not self.free[proxy]:
             return
@@ -146,7 +146,7 @@
             await asyncio.sleep(self.random.uniform(0.0, 0.05))
 
     def _close_early(self, connection: Connection) -> None:
-        """Closes a connection as a client that no longer waits for its answers."""
+        """Closes a connection as a client does that no longer waits for its answers."""
         for request in self.busy.get(connection, ()):
             if not request.answers:
                 request.closed_at = request.closed_at or time.monotonic()
@@ -161,8 +161,9 @@
     async def _read_answer(
         self, connection: Connection, request: Request, unanswered: list[Request], data: bytes
     ) -> bool:
-        """Reads the answer to `request`, the first of `unanswered`. Returns False if the connection is of no
-        further use; then all of `unanswered` have ended. With `data`, they may be sent again."""
+        """Reads the answer to `request`, the first of `unanswered`. Returns False if the connection cannot be
+        used any further; then all of `unanswered` have ended. `data`: the bytes of `unanswered`, which are
+        sent again if a connection used before ends without an answer; empty: they are not."""
         try:
             async with asyncio.timeout(request.deadline_s + 2 * ANSWER_GRACE_S):
                 message = await http.read(connection.reader)
@@ -195,7 +196,8 @@
         return True
 
     async def _resend(self, connection: Connection, requests: list[Request], data: bytes) -> None:
-        """Sends requests again on a new connection, as the proxy closed the first one without an answer."""
+        """Sends requests again on a new connection, because the proxy closed the first one without an answer
+        to them."""
         connection.abort()
         try:
             fresh = Connection(*await asyncio.open_connection("127.0.0.1", self.ports[requests[0].proxy]))
@@ -239,7 +241,7 @@
                 request.closed_at = time.monotonic()
 
     def close(self) -> None:
-        """Closes all connections, and records what had come on idle ones."""
+        """Closes all connections, and records the bytes that had arrived on idle ones."""
         for free in self.free:
             for connection in free:
                 if connection.reader._buffer:  # type: ignore[attr-defined]
--- a/standins/answers/judge.py
+++ b/standins/answers/judge.py
@@ -48,8 +48,8 @@
 
 
 def judge(plan: Plan, requests: Sequence[Request], attempts: Sequence[Attempt], ended_at: float) -> Verdict:
-    """Checks all requests of a round. One that was sent after `ended_at`, when the proxies were ended, need
-    not be answered."""
+    """Checks all requests of a round. A request that was sent after `ended_at`, when the proxies had ended,
+    and that reached no node need not be answered."""
     verdict = Verdict()
     by_request: dict[str, list[Attempt]] = defaultdict(list)
     for attempt in attempts:
--- a/standins/answers/nodes.py
+++ b/standins/answers/nodes.py
@@ -3,10 +3,10 @@
     python -m standins.answers.nodes PLAN.json PORT OUTPUT
 
 Node number n listens at `fleetnodes.address_of(n)`. A node works on one request of a connection at a time,
-names the request in the body of its answer, and injects the plan's faults. From SIGUSR1 on the work of all
-requests hangs. Prints `ready` once all nodes listen. On SIGTERM the process writes OUTPUT: JSON with the list
-of all `Attempt`s and two counters. Times are seconds of CLOCK_MONOTONIC, which all processes of a machine
-share.
+writes the name of the request into the body of its answer, and injects the plan's faults. After SIGUSR1, the
+work of every request hangs for `HANG_WORK_S`. Prints `ready` once all nodes listen. On SIGTERM the process
+writes OUTPUT: JSON with the list of all `Attempt`s and two counters. Times are seconds of CLOCK_MONOTONIC,
+which all processes of a machine share.
 """
 
 from __future__ import annotations
@@ -36,7 +36,7 @@
 HANG_WORK_S = 3.0  # longer than the longest deadline of the settings
 MAX_ACCEPT_PAUSE_S = 1.0
 RESTART_DELAY_S = 0.5  # after a crash
-LAST_DATA_RECV_OFFSET = 52  # bytes into Linux's struct tcp_info (tcp(7)), a 32-bit count of milliseconds
+LAST_DATA_RECV_OFFSET = 52  # offset in Linux's struct tcp_info (tcp(7)): 32 bits, in milliseconds
 
 
 @dataclass(slots=True)
@@ -49,8 +49,8 @@
     connection: int
     first_byte: float
     last_byte: float
-    told_s: float  # time left by its Req-Deadline
-    body: str = ""  # of its answer
+    told_s: float  # the time left according to its Req-Deadline
+    body: str = ""  # body of its answer
     taken: float = 0.0  # when its work began
     ended_at: float = 0.0
     ran: bool = False
@@ -131,8 +131,8 @@
         self.connection_number = self.fleet.next_connection()
         self.buffer = b""
         self.first_byte = 0.0
-        self.current: Attempt | None = None  # the one whose work has begun and not ended
-        # `silent`: ignores all requests and writes nothing, with the connection open.
+        self.current: Attempt | None = None  # the attempt that the node works on
+        # `silent`: the node ignores all further requests and writes nothing, but keeps the connection open.
         self.silent = self.closed = self.has_read = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -192,7 +192,7 @@
         self.fleet.loop.call_later(self.node.one_way_s, self._begin_work, attempt)
 
     def _begin_work(self, attempt: Attempt) -> None:
-        """Called when the request has reached the node, one network delay after it was read."""
+        """Called one network delay after the request was read, as if it reached the node only then."""
         now = time.monotonic()
         if self.closed:
             attempt.ended, attempt.ended_at = "gone", now
@@ -228,7 +228,7 @@
         self.fleet.loop.call_later(self.node.one_way_s, self._write_answer, answer, ended == "declined")
 
     def _write_answer(self, answer: bytes, refusal: bool) -> None:
-        """Writes an answer, one network delay after the node has made it, with the faults that are drawn."""
+        """Writes an answer, one network delay after the node has made it, with faults drawn at random."""
         if self.closed or self.silent:
             return
         random, faults = self.random, self.faults
@@ -256,7 +256,8 @@
             call_later(random.uniform(0.05, 1.0), self._close_idle, TIMEOUT_ANSWER)
 
     def _write_unsized(self, answer: bytes) -> None:
-        """Writes an answer that ends with the connection, or all but its last 5 bytes and then a reset."""
+        """Writes an answer that the close of the connection ends, or all but its last 5 bytes and then a
+        reset."""
         cut_at = len(answer) - 5
         if self.random.random() < 0.5:
             self.transport.write(answer)
@@ -290,7 +291,7 @@
             self.transport.write(data)
 
     def _close_idle(self, final_data: bytes) -> None:
-        """Closes the connection if the node knows of no request in flight on it."""
+        """Writes `final_data` and closes the connection, unless the node knows of a request in flight."""
         if self.closed or self.current is not None or self.first_byte:
             return
         if final_data:
@@ -307,7 +308,7 @@
         self.random = Random(f"nodes {plan.seed}")
         self.attempts: list[Attempt] = []  # all that reached a node
         self.tasks: set[asyncio.Task[None]] = set()
-        self.connections = self.extra = 0  # accepted; writes of bytes that belong to no answer
+        self.connections = self.extra = 0  # connections accepted; writes of bytes that belong to no answer
         self.all_hang = False
         self.nodes = [Node(n, port, self) for n in range(plan.nodes)]
 
--- a/standins/answers/plan.py
+++ b/standins/answers/plan.py
@@ -30,20 +30,20 @@
     refusals: float = 0.0  # requests that a node refuses
     errors: float = 0.0  # requests answered with 500
     hangs: float = 0.0  # requests whose work takes 3 s, longer than the settings' longest deadline
-    hang_at_end: bool = False  # all requests do so from SIGTERM on
+    hang_at_end: bool = False  # the work of all requests hangs once the proxies get SIGTERM
     farewells: float = 0.0  # idle connections on which the node writes a 408 before it closes them
     early_closes: float = 0.0  # connections that the node closes within a second of an answer
     forgotten: float = 0.0  # connections on which the node ignores all requests after an answer
     accept_pauses: int = 0  # pauses of up to a second in which a node accepts no connection
     crashes: int = 0  # crashes of a node: it resets all its connections and listens again after 0.5 s
     leavers: float = 0.0  # clients that close their connection before the answer
-    patient: float = 0.0  # clients whose deadline is twice the longest one of the settings
+    patient: float = 0.0  # clients whose deadline is twice the longest deadline of the settings
     bursts: int = 0  # occasions on which a third of all waiting clients close at once
     stoppers: float = 0.0  # clients that write only a part of a request
     slow_writers: float = 0.0  # clients that write a request in pieces, with pauses
     pipelined: float = 0.0  # clients that send several requests at once on a connection
-    clock_steps: int = 0  # steps of a proxy's wall clock by an hour, for each proxy
-    no_descriptors: int = 0  # times of up to 0.2 s in which a proxy can open no descriptor
+    clock_steps: int = 0  # steps of an hour in the wall clock of each proxy
+    no_descriptors: int = 0  # periods of up to 0.2 s in which a proxy can open no descriptor
     hold_ups: int = 0  # stops of a proxy (SIGSTOP) for up to 0.15 s
     reloads: int = 0  # SIGHUPs
 
@@ -59,9 +59,9 @@
     rate: float = 240.0  # requests per second, of all clients
     repeat: str = "non_idempotent"
     group: str = "all"  # the nodes among which a keyed request may be repeated: all, zone or cell
-    window_s: float = 0.4  # in which a keyed request may be repeated
-    deadline_s: float = 1.9  # longest one of the settings
-    work_s: float = 0.03  # mean time of a node for a request
+    window_s: float = 0.4  # within this time a keyed request may be repeated
+    deadline_s: float = 1.9  # longest deadline of the settings
+    work_s: float = 0.03  # mean time that a node works on a request
     hedging: bool = False
     connect_timeout_s: float = 0.25
     terminate: bool = False  # SIGTERM at the end, then SIGKILL at the earliest time the protocol allows
@@ -73,7 +73,7 @@
 
 
 def read_plan(text: str) -> Plan:
-    """Parses what `Plan.to_json` wrote."""
+    """Parses the output of `Plan.to_json`. Raises ValueError, TypeError or KeyError if it is malformed."""
     fields_of_plan = json.loads(text)
     faults: dict[str, Any] = fields_of_plan.pop("faults")
     if "copy_late_s" in faults:
@@ -166,7 +166,7 @@
     drawn: dict[str, Any] = {}
     for kind in kinds:
         drawn |= kind.draw(random)
-    # A first SYN that was dropped is sent again after 1 s: one value is too short for that, the other is not.
+    # A dropped first SYN is sent again after 1 s. Only the longer timeout leaves time for that.
     connect_timeout_s = random.choice((0.25, 1.5))
     faults = Faults(**drawn)
     terminate = plan.terminate or faults.hang_at_end
--- a/standins/answers/round.py
+++ b/standins/answers/round.py
@@ -32,7 +32,7 @@
 from standins.world import ROOT, free_port, until_ready
 
 KILL_DELAY_S = 0.7  # SIGKILL follows SIGTERM after the longest deadline (at most 3 s) and this delay
-MAX_STALL_S = 0.15  # upper bound of one stop of a proxy
+MAX_STALL_S = 0.15  # upper bound of the time for which a proxy is stopped at once
 SHIM_FOLDER = Path(__file__).parent / "shim"  # its sitecustomize.py steps the wall clock
 CLOCK_STEP_S = 3600  # of a proxy's wall clock
 
@@ -151,7 +151,7 @@
             process.send_signal(number)
 
     def _block_descriptors(self, process: asyncio.subprocess.Process) -> None:
-        """Lowers the limit of open files for up to 0.2 s; accept, socket and open fail with EMFILE."""
+        """Lowers the limit of open files for up to 0.2 s: accept, socket and open then fail with EMFILE."""
         if process.returncode is not None:
             return
         limits = resource.prlimit(process.pid, resource.RLIMIT_NOFILE)
--- a/standins/answers/shim/sitecustomize.py
+++ b/standins/answers/shim/sitecustomize.py
@@ -1,7 +1,7 @@
 """Steps this process's wall clock. `WALL_CLOCK_STEPS` holds `after:by` pairs in seconds, separated by commas.
 
 Python imports this module before the program if its folder is on the path. Each step is made `after` seconds
-from then. Monotonic clocks are unchanged.
+after that import. Monotonic clocks are unchanged.
 """
 
 import os
--- a/standins/archive.py
+++ b/standins/archive.py
@@ -20,7 +20,7 @@
     deduplicates: bool = True
     effects: dict[str, int] = field(default_factory=dict)
     reads: int = 0
-    in_flight: int = 0  # including the waiting ones
+    in_flight: int = 0  # requests that are served or wait
     max_in_flight: int = 0
     seen_at: dict[str, float] = field(default_factory=dict)  # time of the last effect (s), by Idempotency-Key
     versions: dict[str, int] = field(default_factory=dict)  # number of reports, by key
--- a/standins/between.py
+++ b/standins/between.py
@@ -30,7 +30,7 @@
 from standins.takeover import SUMMED_FIELDS, Round
 from standins.world import free_port
 
-# Relative frequency of each kind.
+# Relative frequency of each kind of link fault.
 LINK_FAULT_WEIGHTS = {"link cut": 3, "link stall": 2, "link one way": 1, "link flap": 1, "link reset": 2}
 
 
@@ -102,7 +102,7 @@
 
 
 class TwoSiteRound(SiteRound):
-    """The round at the west, which also runs the one at the east (`east`) and the clients of both."""
+    """The round at the west. It also runs the round at the east (`east`) and the clients of both sites."""
 
     def __init__(self, plan: Plan, folder: Path, relayed: bool = True) -> None:
         super().__init__(plan, folder / "west", "west", relayed)
--- a/standins/client.py
+++ b/standins/client.py
@@ -15,15 +15,15 @@
 class ClientRequest:
     """A request of a client and its answers. Times are in seconds of the event loop's clock."""
 
-    name: str  # its Req-Id
-    kind: str  # its class, Req-Kind
+    name: str  # Req-Id
+    kind: str  # class (Req-Kind)
     site: str  # the site that it is sent to
     key: str
     method: str
     deadline_s: float
-    effect: str = ""  # under which archives count its effect: its Idempotency-Key, else its Req-Id
-    idempotency_key: str = ""  # its Idempotency-Key
-    tenant: str = "members"  # its Req-Owner
+    effect: str = ""  # key under which archives count its effect: its Idempotency-Key, else its Req-Id
+    idempotency_key: str = ""  # Idempotency-Key, if any
+    tenant: str = "members"  # Req-Owner
     retry_of: str = ""  # the name of the request that it repeats
     body: bytes = b"level=3.2"  # of a PUT
     sent_s: float = 0.0
@@ -42,7 +42,7 @@
         return self.answers[0][1] - self.sent_s if self.answers else float("inf")
 
     def encode(self) -> bytes:
-        """Encodes the request, with its body."""
+        """Returns the bytes of the request, including the body of a PUT."""
         body = self.body if self.method == "PUT" else b""
         lines = [
             f"{self.method} /api/{self.key} HTTP/1.1", "Host: api.internal", f"Req-Id: {self.name}",
@@ -88,14 +88,14 @@
                 writer.transport.abort()
                 return request
             except http.TruncatedBody:
-                # The client can tell that the answer is incomplete: the request failed, and is not lost.
+                # The client sees that the answer is incomplete, so the request has failed but is not lost.
                 writer.transport.abort()
                 request.answers.append((TRUNCATED, loop.time(), b"", ""))
                 return request
             except (OSError, asyncio.IncompleteReadError) as error:
                 writer.transport.abort()
                 if not is_new and not retrying and not getattr(error, "partial", b""):
-                    retrying = True  # closed while it was idle: sent again on a new connection
+                    retrying = True  # the proxy closed the idle connection: send again on a new one
                     continue
                 request.failure = f"broke: {type(error).__name__}"
                 return request
--- a/standins/discovery.py
+++ b/standins/discovery.py
@@ -21,7 +21,7 @@
         self.changed = asyncio.Event()
 
     def set(self, instances: list[dict[str, Any]]) -> None:
-        """Replaces the list, and answers the waiting polls."""
+        """Replaces the list, which starts a new generation, and wakes the waiting polls."""
         self.generation, self.instances = self.generation + 1, instances
         self.changed.set()
         self.changed = asyncio.Event()
--- a/standins/drill.py
+++ b/standins/drill.py
@@ -49,7 +49,7 @@
 from standins.world import RunFailed, free_port
 
 CONVERGENCE_TIMEOUT_S = 20.0
-LOAD_S = 4.0  # the least length of the load, within which all faults begin
+LOAD_S = 4.0  # the minimum duration of the load; all faults begin within it
 FAULT_WEIGHTS = {  # relative frequency of each kind
     "kill": 4, "stop": 4, "cut": 3, "one way": 2, "bridge": 2, "flap": 1, "slow": 2, "reset": 2, "full": 1,
     "put back": 1, "wipe": 1, "all": 1, "remove": 1, "lead": 2,
@@ -153,15 +153,15 @@
 
 
 class Round:
-    """One round: the processes, the relays between them, the clients and what these have observed."""
+    """One round: the processes, the relays between them, the clients and what the clients observed."""
 
     settings = SETTINGS
     load_s = LOAD_S
     site = "west"
 
     def __init__(self, plan: Plan, folder: Path, relayed: bool = True) -> None:
-        """`relayed`: whether members connect through relays. Without them there are no link faults, and the
-        relays add no latency."""
+        """`relayed`: whether members connect through relays. Without relays there are no link faults and no
+        added latency."""
         self.plan, self.folder, self.relayed = plan, folder, relayed
         self.names = [f"d{n}" for n in range(plan.members + plan.observers)]
         self.discovery = Discovery()
@@ -171,7 +171,7 @@
         self.ops: dict[str, list[Op]] = {"x": [], "y": []}
         self.claims: list[Claim] = []
         self.outcomes: Counter[str] = Counter()  # of the clients' requests
-        self.stopping = False  # the load is to end
+        self.stopping = False  # tells the clients to end
         self.convergence_s = 0.0
 
     # ---- the round
@@ -252,7 +252,8 @@
             relay.stop()
 
     def evaluate(self, violations: list[str]) -> dict[str, Any]:
-        """Checks what the clients observed. `violations`: those found before. Returns the round's result."""
+        """Checks what the clients observed. Returns the round's result, whose `faults` also contain
+        `violations`, those that were found before."""
         for key, ops in self.ops.items():
             try:
                 if not linearizable(ops):
@@ -266,7 +267,8 @@
     # ---- faults
 
     async def inject_fault(self, fault: Fault, began: float) -> None:
-        """Waits until the fault is due, causes it, and ends it in time. `began`: the start of the load."""
+        """Waits until the fault is due, causes it, and ends it after its duration. `began`: the start of the
+        load, in seconds of the monotonic clock."""
         await asyncio.sleep(max(0.0, began + fault.at_s - time.monotonic()))
         first = self.processes[fault.who[0]]
         affected = {self.names[n] for n in fault.who}
@@ -333,7 +335,8 @@
                 raise RunFailed(f"unknown kind of fault: {fault.kind!r}")
 
     async def _impair_links(self, relays: list[Relay], lasts_s: float, how: str) -> None:
-        """Makes the relays "slow" (0.05 to 2 s per chunk), or lets them "stall" or "cut", for that time."""
+        """Impairs the links for `lasts_s` seconds. `how`: "slow" (0.05 to 2 s of delay per chunk), "stall" or
+        "cut"."""
         for relay in relays:
             if how == "slow":
                 relay.set_delay(0.05, 1.95)
@@ -345,7 +348,7 @@
             relay.restore()
 
     async def _clear_faults(self) -> None:
-        """Ends all faults of links and disks, resumes suspended processes and starts ended ones."""
+        """Ends all faults of links and disks, resumes suspended processes, and restarts those that ended."""
         for relay in self.relays.values():
             relay.set_delay(0.0)
             relay.restore()
@@ -356,8 +359,8 @@
                 await p.spawn()
 
     async def _request_leader(self, command: dict[str, Any]) -> None:
-        """Sends the command to the leader once. A command of the plan is skipped if no member answers as
-        leader at that moment."""
+        """Sends the command once to the member that answers as leader. If no member does at that moment, the
+        command is skipped."""
         for p in self.processes:
             client = self.member_client(p.name)
             try:
@@ -454,7 +457,7 @@
     async def wait_until_converged(self, when: str) -> None:
         """Waits until all members agree on a leader, all voters vote, and each member may act and has applied
         nearly all committed entries. Lets removed members back in. Raises RunFailed after
-        `CONVERGENCE_TIMEOUT_S`. `when`: names this moment in the message."""
+        `CONVERGENCE_TIMEOUT_S`. `when` describes the moment in the message of that error."""
         end, clients = (
             time.monotonic() + CONVERGENCE_TIMEOUT_S,
             {n: self.member_client(n) for n in self.names},
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -33,12 +33,12 @@
 ANSWER_GRACE_S = 0.5  # an answer that comes later than this after its deadline counts as lost
 DRAIN_GRACE_S = 0.5  # stopSendingWithinUs of the settings: how long requests may still go to a draining node
 TIMER_SLACK_S = 0.05  # tolerance that the protocol allows for each time limit on sockets
-MAX_STALL_S = 0.15  # upper bound of one stop of the proxy
+MAX_STALL_S = 0.15  # upper bound of the time for which the proxy is stopped at once
 KILL_DELAY_S = 0.7  # SIGKILL follows SIGTERM after the longest deadline (at most 3 s) and this delay
-ADDRESS_REUSE_S = 4.0  # after which the address of a node that is gone may be given to a new one
+ADDRESS_REUSE_S = 4.0  # after this time a new node may get the address of one that is gone
 READY_TIMEOUT_S = 40.0
 MAX_OPEN_FILES = 20_000
-IDLE_CLIENTS = 700
+IDLE_CLIENTS = 700  # of the fault `crowd`
 LOG_TAIL_LINES = 30
 
 
@@ -68,16 +68,16 @@
 class Verdict:
     """The result of a round. Each line in `lost`, `drained_late` and `twice` is a violation."""
 
-    taken: int = 0  # requests that found a connection
+    taken: int = 0  # requests that got a connection
     answers: Counter[int] = field(default_factory=Counter)  # by status
     slow: int = 0  # answered with 200 after more than 0.25 s
     slowest_s: float = 0.0  # time of the slowest answer that was not lost
     lost: list[str] = field(default_factory=list)  # no answer in time
     drained_late: list[str] = field(default_factory=list)  # sent to a node after its drain grace period
     twice: list[str] = field(default_factory=list)  # keyed requests that were sent again after their window
-    cpu_s: float = 0.0  # of the proxy, as are the next two
-    peak_mb: float = 0.0
-    descriptors: int = 0  # open at the end of the traffic
+    cpu_s: float = 0.0  # CPU time of the proxy
+    peak_mb: float = 0.0  # peak resident memory of the proxy
+    descriptors: int = 0  # open descriptors of the proxy at the end of the traffic
     connections: int = 0  # accepted by the nodes
     list_bytes: int = 0  # sent by discovery
     ready_s: float = 0.0  # from the proxy's start until it is ready
@@ -119,7 +119,7 @@
             (0.0, n) for n in range(load.nodes + spare_addresses(load))
         ]
         self.drained_at: dict[str, float] = {}  # when a node was first listed as draining
-        self.address_history: list[tuple[int, str, float]] = []  # address number, node, start
+        self.address_history: list[tuple[int, str, float]] = []  # address number, node, when it joined
         self.in_outage = False
         # Nodes listed as draining during an outage, or just before it while no poll was open.
         self.undelivered_drains: list[str] = []
@@ -376,7 +376,7 @@
                 self.client.writers[writer] = None
 
     async def _send_requests(self, until: float, number: int) -> int:
-        """Sends requests until a time, from this number on. Returns the next number."""
+        """Sends requests until the time `until`, numbered from `number` on. Returns the next number."""
         tasks: list[asyncio.Task[None]] = []
         while time.monotonic() < until:
             await asyncio.sleep(self.random.expovariate(self.load.rate))
@@ -401,7 +401,8 @@
         self.ended_at = time.monotonic()
 
     async def request_at_start(self) -> ClientRequest:
-        """Starts a proxy. Returns the first request that finds a connection, with its outcome."""
+        """Starts a proxy and ends it again. Returns the first request that gets a connection, or the last one
+        tried, with its outcome."""
         raise_open_file_limit()
         await self.discovery.start()
         nodes = await self._start_nodes()
@@ -513,7 +514,7 @@
                 )
 
     def _node_at(self, address_number: int, at: float) -> str:
-        """Returns the name of the node that had the address at a time, or "" before the first one."""
+        """Returns the name of the node that had the address at that time, or "" if none had it yet."""
         names = [
             name
             for number, name, since in self.discovery.address_history
--- a/standins/http.py
+++ b/standins/http.py
@@ -98,7 +98,7 @@
             MalformedMessage,
             TruncatedBody,
         ):
-            pass  # cancelled when the program ends
+            pass  # the client closed or sent an invalid message, or the program ends
         finally:
             self.writers.pop(writer, None)
             writer.close()
--- a/standins/killstore.py
+++ b/standins/killstore.py
@@ -5,8 +5,8 @@
 
 A round runs real processes over one store, in front of a stand-in node and archive. Clients send reports, and
 retry each under the same key at one gateway or another until it is answered. The faults are kills (SIGKILL),
-each followed by a new start over the same store. With postgres, the store is a stand-in server in this
-process. It is killed and started again too, and cuts some connections after a commit and before its reply.
+each followed by a restart over the same store. With postgres, the store is a stand-in server in this
+process, which is killed and restarted too, and cuts some connections after a commit and before its reply.
 The plan of a round is drawn before it starts. The plan of a round with violations is printed, and `--replay`
 runs it again.
 
@@ -45,7 +45,7 @@
 from standins.rounds import print_summary, run_all
 from standins.world import RunFailed
 
-DEDUP_WINDOW_S = 8.0
+DEDUP_WINDOW_S = 8.0  # within which the archive ignores a repeated report; `keyTtlUs` of its class
 SETTINGS: dict[str, Any] = {
     "balancers": 1,
     "grades": [
@@ -68,9 +68,9 @@
 
 @dataclass(frozen=True)
 class Kill:
-    """A kill and the new start after it."""
+    """A kill and the restart after it."""
 
-    after_s: float  # since the start after the previous kill
+    after_s: float  # time since the restart after the previous kill
     what: int  # index of the gateway; -1: the database server
     down_s: float  # until the server is started again; a gateway is started at once
 
@@ -87,7 +87,7 @@
     kills: tuple[Kill, ...] = ()
     cuts: tuple[int, ...] = ()  # numbers of the server's commits after which the connection breaks
     rest_s: float = 0.1  # load after the last kill
-    moves: float = 0.3  # share of tries for which a client chooses its gateway anew
+    moves: float = 0.3  # share of tries before which a client chooses a gateway at random again
 
     @classmethod
     def draw(cls, seed: int, store: str, gateways: int) -> Plan:
--- a/standins/linearizability.py
+++ b/standins/linearizability.py
@@ -1,6 +1,6 @@
 """Checks whether the history of a register is linearizable.
 
-The search is that of Wing and Gong (1993), with a memory of the states that it has visited (Lowe, 2017). A
+The search is that of Wing and Gong (1993), with a cache of the states that it has visited (Lowe, 2017). A
 state is the set of operations that have taken effect, and the version and value of the register after them.
 The check uses only what the clients observed: what they requested, when, and the answers.
 """
@@ -10,7 +10,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
-MAX_STATES = 2_000_000  # then the search is given up
+MAX_STATES = 2_000_000  # the search is given up when it has visited more states
 
 
 @dataclass(frozen=True, slots=True)
@@ -25,13 +25,13 @@
 
 
 class Undecided(Exception):
-    """The search was given up after `MAX_STATES` states."""
+    """The search was given up after more than `MAX_STATES` states."""
 
 
 def linearizable(ops: Sequence[Op]) -> bool:
     """Whether the operations on one register, which is empty and at version 0 at first, are linearizable.
     Raises Undecided."""
-    # A read without an answer restricts nothing.
+    # A read without an answer does not constrain the order.
     relevant = sorted((o for o in ops if o.write or o.end is not None), key=lambda o: o.begin)
     required = 0  # bit set of the operations with an answer, which must all take effect
     for n, op in enumerate(relevant):
@@ -48,7 +48,7 @@
         done, version, value = state
         if done & required == required:
             return True
-        # The next operation must begin before any remaining one has ended, which would precede it.
+        # If an operation began after a remaining one had ended, that one would have to take effect first.
         earliest_end = min(o.end for n, o in enumerate(relevant) if o.end is not None and not done >> n & 1)
         for n, op in enumerate(relevant):
             if op.begin > earliest_end:
--- a/standins/machines.py
+++ b/standins/machines.py
@@ -6,11 +6,11 @@
 A round is one of `standins.takeover` with twelve nodes on six machines in three zones. The last process runs
 on the first machine. A maintenance plan covers all machines; its command connects to the drill, reports that
 the work begins, and ends when the drill says so. A simulated operator decides `done` or `retry` for machines
-that are held or failed. The planned faults include nodes that fail without a loss of their machine (`node`),
-and cuts and suspensions that outlast every timeout (`long cut`, `long stop`).
+in state `held` or `failed`. The planned faults include nodes that fail without a loss of their machine
+(`node`), and cuts and suspensions that outlast every timeout (`long cut`, `long stop`).
 
 The machines check the rules as traffic arrives and as work begins. While a machine is worked on, it may have
-no open connection except one of a suspended process, and may receive neither a connection nor a request. It
+no open connections except those of a suspended process, and may receive neither connections nor requests. It
 is worked on once for each grant. The machines that are out never exceed the limits. The plan must end within
 `PLAN_TIMEOUT_S` seconds of the last fault. By the checks of `standins.takeover`, no report may be lost or
 have two effects. The exit status is that of `standins.drill`. All traffic stays on the loopback interface.
@@ -61,8 +61,8 @@
         self.round, self.name, self.zone = round_, f"m{number}", f"z{number % ZONE_COUNT}"
         self.nodes = [MonitoredNode(self, f"n{number}{x}") for x in "ab"]
         self.proxies = [round_.names[-1]] if number == 0 else []
-        self.grants: Counter[int] = Counter()  # how often the command ran for each grant
-        self.working = self.done = 0  # commands that run, and that have ended
+        self.grants: Counter[int] = Counter()  # number of times that the command ran, by grant
+        self.working = self.done = 0  # numbers of commands that are running, and that have ended
 
     def record_traffic(self, what: str) -> None:
         """Reports a violation if the machine is worked on. `what`: the traffic that it received."""
@@ -70,7 +70,7 @@
             self.round.violations.append(f"{self.name} received {what} while it was worked on")
 
     def begin(self, grant: int) -> None:
-        """Begins the work for that grant, and checks the rules."""
+        """Begins the work under `grant`, and checks the rules."""
         r = self.round
         self.working += 1
         self.grants[grant] += 1
@@ -125,7 +125,7 @@
 
     load_s, plan_timeout_s = LOAD_S, PLAN_TIMEOUT_S
     limits: ClassVar[dict[str, Any]] = LIMITS
-    readers, read_delay_s = 4, 0.0  # clients that read, and the extra time that half of the reads take
+    readers, read_delay_s = 4, 0.0  # clients that read; extra time that half of the reads take
     deadline_s, slo_s = 2.0, 0.5  # deadline and objective of the reads
     work_duration_s: float | None = None  # of the work on each machine; None: drawn at random
 
@@ -237,7 +237,7 @@
         await super().run_after_load()
 
     async def _restart_proxies(self) -> None:
-        """Restarts proxies that ended so that their machine could leave, once it is not worked on."""
+        """Restarts proxies that ended so that their machine could be worked on, once that work has ended."""
         while not self.plan_ended:
             await asyncio.sleep(0.1)
             for machine in self.machines:
@@ -248,8 +248,8 @@
                         await p.spawn()
 
     async def send_command(self, random: Random, **command: Any) -> dict[str, Any] | None:
-        """Sends a maintenance command to a random member. Returns its answer, or an `error` if it was not
-        executed, or None if no answer came."""
+        """Sends a maintenance command to a random member. Returns the answer; only the field `error` if the
+        command was not executed; or None if no answer came."""
         client = self.member_client(random.choice(self.names))
         try:
             return await client.request({"do": "maintenance", **command}, 3.0)
@@ -261,8 +261,8 @@
             client.close()
 
     async def _run_operator(self) -> None:
-        """Sends the plan until it is accepted, and then resolves held and failed machines until all are
-        done."""
+        """Sends the plan until it is accepted, and then resolves held and failed machines until all machines
+        are done."""
         random = Random(f"{self.plan.seed} operator")
         plan = {"id": "kernel", "by": "rig", "machines": [m.name for m in self.machines],
                 "limits": self.limits, "command": self.command}  # fmt: skip
@@ -285,7 +285,7 @@
                     await self._resolve(random, machine, machines[machine.name]["epoch"])
 
     async def _resolve(self, random: Random, machine: Machine, grant: int) -> None:
-        """Decides `done` if the machine was worked on under that grant, else `retry`."""
+        """Sends `done` for the machine if it was worked on under that grant, else `retry`."""
         await asyncio.sleep(0.5)  # a command that was about to begin has begun by then
         if machine.working:
             return
@@ -313,7 +313,7 @@
             await asyncio.sleep(random.uniform(0.005, 0.03))
 
     async def _send_read(self, p: Process, key: str, name: str) -> int:
-        """Sends a read and returns its status; 0: no answer."""
+        """Sends a read and returns its status, or 0 if no answer came."""
         head = (f"GET /api/{key} HTTP/1.1\r\nHost: x\r\nReq-Id: {name}\r\nReq-Kind: level-read\r\n"
                 f"Req-Deadline: {self.deadline_s}\r\nConnection: close\r\n\r\n")  # fmt: skip
         try:
--- a/standins/member_client.py
+++ b/standins/member_client.py
@@ -33,8 +33,8 @@
         self.writer: asyncio.StreamWriter | None = None
 
     async def request(self, command: dict[str, Any], timeout_s: float) -> dict[str, Any]:
-        """Sends a command and returns the answer. Raises NoAnswer or NotExecuted, and closes the connection
-        if that failed."""
+        """Sends a command and returns the answer. Raises NotExecuted if the command had no effect, and
+        NoAnswer if that is unknown. Closes the connection if it failed or no answer came in time."""
         sent = False
         try:
             async with asyncio.timeout(timeout_s):
--- a/standins/process.py
+++ b/standins/process.py
@@ -11,12 +11,13 @@
 
 from standins.world import ROOT, free_port, until_ready
 
-# What a process logs once its next process has taken over.
+# Logged by the old process of an upgrade once the next process has taken over.
 HANDOVER_MESSAGE = "upgrade: handed over to the next process"
 
 
 class Process:
-    """A process of the program. Its configuration, operator's file and log are in `folder`, named after it.
+    """A process of the program. Its configuration, operator's file and log are in `folder` and named after
+    the process.
 
     `operator_file`: the name of the operator's file, if several processes share one.
     """
@@ -26,9 +27,9 @@
         self.operator_file = operator_file or f"{name}.toml"
         self.process: asyncio.subprocess.Process | None = None
         self.program = ["-m", "magpiefront"]
-        self.starting = False
+        self.starting = False  # `spawn` has not returned yet
         self.env: dict[str, str] = {}
-        self.predecessors: list[asyncio.subprocess.Process] = []  # old processes of upgrades
+        self.predecessors: list[asyncio.subprocess.Process] = []  # the old processes of upgrades
 
     @property
     def config(self) -> Path:
@@ -43,8 +44,8 @@
         return self.process is not None and self.process.returncode is None
 
     async def spawn(self) -> None:
-        """Starts the process unless it runs already, because two faults of a plan may both start it. Does not
-        wait until it is ready."""
+        """Starts the process and does not wait until it is ready. Does nothing if it is running or being
+        started, because two faults of a plan may both start it."""
         if self.is_running or self.starting:
             return
         self.starting = True
@@ -61,21 +62,20 @@
             )  # fmt: skip
 
     async def start(self) -> None:
-        """Starts the process and waits until it accepts clients. Raises RunFailed if it
-        does not."""
+        """Starts the process and waits until it accepts clients. Raises RunFailed if it does not."""
         await self.spawn()
         assert self.process is not None
         await until_ready("the gateway", self.port, self.process, self.log)
 
     async def upgrade(self, overlap_s: float) -> None:
-        """Starts a process that takes over from the running one (by `LB_ADMIN`). Sends SIGTERM to the old one
-        `overlap_s` seconds after it has logged the handover. If one of them ends before that, the other one
-        stays."""
+        """Starts a process that takes over from the running one (`LB_ADMIN`). Sends SIGTERM to the old
+        process `overlap_s` seconds after it has logged the handover. If one of the two ends before the
+        handover, the other one remains. Does nothing if no process is running or one is being started."""
         old = self.process
         if old is None or not self.is_running or self.starting:
             return
         earlier_handovers = self.log.read_text().count(HANDOVER_MESSAGE)
-        self.env["LB_ADMIN"] = f"127.0.0.1:{free_port()}"  # each process has its own address
+        self.env["LB_ADMIN"] = f"127.0.0.1:{free_port()}"  # each process has an address of its own
         await self._spawn()
         new = self.process
         assert new is not None
@@ -92,7 +92,7 @@
         await old.wait()
 
     async def kill(self) -> None:
-        """Sends SIGKILL and waits for the end of the process."""
+        """Sends SIGKILL and waits until the process has ended."""
         assert self.process is not None
         if self.is_running:
             self.process.send_signal(signal.SIGKILL)
@@ -111,7 +111,8 @@
             self.process.send_signal(signal.SIGCONT)
 
     def limit_file_size(self, limit: int | None) -> None:
-        """Makes each write beyond that size of a file fail, as on a full disk. None removes the limit."""
+        """Makes writes beyond the first `limit` bytes of any file fail, as on a full disk. None removes the
+        limit."""
         if self.is_running:
             assert self.process is not None
             _, hard = resource.prlimit(self.process.pid, resource.RLIMIT_FSIZE)
@@ -119,7 +120,8 @@
             resource.prlimit(self.process.pid, resource.RLIMIT_FSIZE, (soft, hard))
 
     async def terminate(self) -> None:
-        """Sends SIGTERM, which is a planned end, and waits for the end of the process."""
+        """Sends SIGTERM, as for a planned shutdown, and waits until the process has ended. A suspended
+        process is resumed first."""
         if self.is_running:
             assert self.process is not None
             self.resume()
--- a/standins/relay.py
+++ b/standins/relay.py
@@ -38,7 +38,7 @@
 
 class RelayedConnection:
     """A connection through the relay. Each direction has a queue of bytes and the times when they are due;
-    they are forwarded in order. Empty bytes stand for the end of the stream."""
+    they are forwarded in order. Empty bytes mark the end of the stream."""
 
     def __init__(self, relay: Relay) -> None:
         self.relay = relay
@@ -131,7 +131,7 @@
         self.connect_tasks: list[asyncio.Task[None]] = []
         self.stalled: set[int] = set()
         self.is_down = False
-        self.reconnect_spread_s = 0.0  # a new connection waits for a random time up to this
+        self.reconnect_spread_s = 0.0  # upper bound of the random delay of a new connection
         self.cut_limit: tuple[int, int] | None = None
         self.forwarded_bytes = [0, 0]
         self.server: asyncio.Server | None = None
@@ -144,32 +144,32 @@
         self.port = self.server.sockets[0].getsockname()[1]
 
     def draw_delay(self) -> float:
-        """Returns the delay in seconds of the next bytes."""
+        """Returns the one-way delay of the next bytes, in seconds."""
         return self.delay_s + self.jitter_s * self.random.random()
 
     def draw_connect_delay(self) -> float:
-        """Returns the delay in seconds of the next connection."""
+        """Returns the delay of the next connection, in seconds."""
         return self.reconnect_spread_s * self.random.random()
 
     # ---- faults
 
     def cut(self, direction: int | None = None) -> None:
-        """Breaks all connections, and resets new ones until `restore`. `direction` is ignored."""
+        """Resets all connections, and each new one until `restore`. `direction` is ignored."""
         self.is_down = True
         self.break_all()
 
     def break_all(self) -> None:
-        """Breaks all connections; new ones may be opened at once, as on a flapping link."""
+        """Resets all connections; new ones may be opened at once, as on a flapping link."""
         for connection in list(self.connections):
             connection.abort()
 
     def cut_after(self, direction: int, count: int) -> None:
-        """Cuts the link after `count` more bytes in `direction`, which may be within a head or a body."""
+        """Cuts the link after `count` more bytes in `direction`. The cut may fall within a head or a body."""
         self.cut_limit = (direction, count)
 
     def stall(self, *directions: int) -> None:
-        """Holds back the bytes of these directions, by default both, and closes nothing. With one direction
-        it is a one-way cut."""
+        """Holds back the bytes of these directions (both by default) and closes no connection. With a single
+        direction, this is a one-way cut."""
         self.stalled = set(directions or (FORWARD, BACKWARD))
 
     def set_delay(self, delay_s: float, jitter_s: float = 0.0) -> None:
@@ -177,8 +177,8 @@
         self.delay_s, self.jitter_s = delay_s, jitter_s
 
     def restore(self, reconnect_spread_s: float = 0.0) -> None:
-        """Ends all faults except the delay, and forwards what was held back. New connections are spread over
-        `reconnect_spread_s`."""
+        """Ends all faults except the delay, and forwards the bytes that were held back. From then on, each
+        new connection is delayed by a random time of up to `reconnect_spread_s`."""
         self.is_down, self.stalled, self.cut_limit, self.reconnect_spread_s = (
             False, set(), None, reconnect_spread_s,
         )  # fmt: skip
--- a/standins/reports.py
+++ b/standins/reports.py
@@ -27,7 +27,7 @@
     key: str
     body: bytes
     statuses: list[int] = field(default_factory=list)  # of all tries; 0: no answer
-    late_s: float = 0.0  # the longest time by which an answer missed the deadline
+    late_s: float = 0.0  # the longest time by which an answer missed its deadline
     confirmed_s: float = 0.0  # when it was confirmed, by the monotonic clock of this process
 
     @property
@@ -43,7 +43,7 @@
 class ReportClients:
     """Clients that send one report after the other, and retry each under the same key until it is confirmed.
 
-    `move_share`: the share of tries for which a client chooses its gateway anew.
+    `move_share`: the share of tries before which a client chooses a gateway at random again.
     """
 
     def __init__(
@@ -116,8 +116,8 @@
 
 
 async def wait_until_none_open(read: Callable[[], Rows], max_reads: int = 1_000) -> None:
-    """Waits until each report is confirmed or its outcome is unknown. Returns after `max_reads` reads of the
-    rows in any case, 50 ms apart."""
+    """Waits until each report is confirmed or its outcome is unknown. Reads the rows every 50 ms, and returns
+    after `max_reads` reads even if reports are still open."""
     for _ in range(max_reads):
         if not any(state in ("stored", "sent") for _, state, _ in read()):
             return
--- a/standins/rounds.py
+++ b/standins/rounds.py
@@ -12,7 +12,7 @@
 
 
 class RoundPlan(Protocol):
-    """The plan of a round: its seed, and the text that `--replay` takes."""
+    """The plan of a round: its seed, and the text that `--replay` accepts."""
 
     @property
     def seed(self) -> int: ...
@@ -24,9 +24,9 @@
 
 @asynccontextmanager
 async def temporary_folder() -> AsyncIterator[Path]:
-    """Yields a temporary folder, which is removed in a thread. On a slow disk the removal takes seconds. In
-    the event loop it would halt the relays, the discovery and the clients of other rounds for that time, and
-    the delay would be attributed to the program under test."""
+    """Yields a temporary folder, which is removed in a thread at the end. On a slow disk the removal takes
+    seconds. In the event loop it would stop the relays, discovery and clients of other rounds for that time,
+    and the delay would be attributed to the program under test."""
     folder = tempfile.TemporaryDirectory()
     try:
         yield Path(folder.name)
@@ -63,7 +63,8 @@
 
 
 def print_summary(result: dict[str, Any], names: Sequence[str]) -> None:
-    """Prints these fields of the result, the first 20 violations, and the options to replay their rounds."""
+    """Prints the fields `names` of the result, the first 20 violations, and the options that replay their
+    rounds."""
     for name in names:
         print(f"{name:10} {result[name]:8}")
     for violation in result["faults"][:20]:
--- a/standins/schedule.py
+++ b/standins/schedule.py
@@ -23,9 +23,9 @@
     at_s: float
     kind: str  # one of KINDS
     duration_s: float
-    direction: int = 0  # for cut_in_frame: of the bytes that are counted
+    direction: int = 0  # for cut_in_frame: direction of the bytes that are counted
     count: int = 0  # for cut_in_frame: bytes until the cut; for slow: delay above 50 ms, in 0.1 ms
-    reconnect_spread_s: float = 0.0  # over how long reconnects are spread after the fault
+    reconnect_spread_s: float = 0.0  # reconnects after the fault are spread over this time
 
     def __str__(self) -> str:
         return f"{self.at_s:.2f}s {self.kind} for {self.duration_s:.2f}s"
--- a/standins/takeover.py
+++ b/standins/takeover.py
@@ -1,19 +1,20 @@
-"""Drill of takeover: another proxy completes the reports that a lost one had in hand, each exactly once.
+"""Drill of takeover: when a proxy is lost, another one completes its open reports, each exactly once.
 
     python -m standins.takeover [--work sqlite|postgres|group] [--kinds kill,stop,...] [--members 3]
                                 [--rounds 10] [--seed 1] [--at-once 4] [--json] [--replay PLAN]
 
-A round is one of `standins.drill`, but the clients send reports, and retry each under the same key at any
-process until it is answered. `--work` chooses the store of record, `--kinds` the kinds of faults (default:
-all). Kinds that `standins.drill` does not draw: `end`, a planned end (SIGTERM) and a later start; `upgrade`,
-in which a next process takes over; `server`, the loss of the database server; and `store`, in which all
-processes but one lose their connections to that server. `standins/between.py` runs such rounds with two
-sites.
-
-Only what the processes cannot write themselves is checked. Each confirmed report must have had one effect at
-the archive, must be stored once with the body that was sent, and must be answered with 200 again by each
-process. No report may have two effects, no answer may come after its deadline, and no report may be open
-`OPEN_TIMEOUT_S` seconds after the last fault. The exit status is that of `standins.drill`.
+A round is one of `standins.drill`, except that the clients send reports, and retry each under the same key
+at any process until it is answered. `--work` chooses the store of record, `--kinds` the kinds of faults
+(default: all). Kinds that `standins.drill` does not draw: `end`, a planned end (SIGTERM) and a later start;
+`upgrade`, in which a next process takes over; `server`, the loss of the database server; and `store`, in
+which all processes but one lose their connections to that server. `standins/between.py` runs such rounds with
+two sites.
+
+The checks rely on the clients, the archive and the store, not on what the processes log or count. Each
+confirmed report must have had one effect at the archive, must be stored once with the body that was sent, and
+must be answered with 200 again by each process. No report may have two effects, no answer may come after its
+deadline, and no report may be open `OPEN_TIMEOUT_S` seconds after the last fault. The exit status is that of
+`standins.drill`.
 """
 
 from __future__ import annotations
@@ -41,10 +42,10 @@
 from standins.reports import ReportClients, Rows, Report, send_report, read_rows, evaluate_reports
 from standins.world import RunFailed, free_port, until_ready
 
-DEDUP_WINDOW_S = 8.0
+DEDUP_WINDOW_S = 8.0  # within which the archive ignores a repeated report; `keyTtlUs` of the classes
 OPEN_TIMEOUT_S = 15.0
 LATENESS_TOLERANCE_S = 0.25  # for the transfer of an answer, and for the load on the machine
-RESEND_COUNT = 12  # confirmed reports that are sent to each process again
+RESEND_COUNT = 12  # number of confirmed reports that are sent to each process again
 FAULT_WEIGHTS = {  # relative frequency of each kind
     "kill": 6, "stop": 4, "cut": 3, "one way": 2, "bridge": 1, "flap": 1, "slow": 1, "reset": 1, "all": 1,
     "lead": 1, "end": 3, "server": 1, "store": 1, "upgrade": 3,
@@ -129,8 +130,8 @@
             await asyncio.sleep(0.1)
 
     async def _work_in_hand(self) -> dict[str, Any]:
-        """Returns the work in hand of each process, and the open rows with their owners if the store is a
-        file."""
+        """Returns the open reports of each process that answers and, if the store is a SQLite file, the open
+        rows with their owners."""
         found: dict[str, Any] = {}
         if self.plan.work == "sqlite":
             db = sqlite3.connect(f"file:{self.folder / 'record.sqlite'}?mode=ro", uri=True)
@@ -146,8 +147,8 @@
         return found
 
     async def resend_confirmed(self, processes: Sequence[Process], excluded: Container[str] = ()) -> None:
-        """Sends some of the confirmed reports to each of the processes again, which must confirm them.
-        `excluded`: keys that are not sent."""
+        """Sends `RESEND_COUNT` of the confirmed reports to each process again, which must confirm them.
+        `excluded`: keys of reports that are not sent."""
         for p in processes:
             # A process is a member of the group before it listens for clients, so it may not be ready yet.
             assert p.process is not None
@@ -160,7 +161,7 @@
                     self.resend_violations.append(f"{r.key} was confirmed, but {p.name} answers {status}")
 
     async def _resend(self, report: Report, p: Process) -> int:
-        """Returns the first status that is not 503, or 503 after 20 tries."""
+        """Sends a report again. Returns the first status that is not 503, or 503 after 20 tries."""
         for _ in range(20):
             status, after_s = await send_report(Report(report.key, report.body, [0]), p.port)
             if status != 503:
@@ -208,7 +209,7 @@
 
     @property
     def has_stop_fault(self) -> bool:
-        """Whether a process is suspended in this round. Its answers may then come late."""
+        """Whether a fault of this round suspends a process, whose answers may then come late."""
         return any(f.kind == "stop" for f in self.plan.faults)
 
     def evaluate(self, violations: list[str]) -> dict[str, Any]:
--- a/standins/world.py
+++ b/standins/world.py
@@ -27,7 +27,7 @@
 from standins.relay import Relay
 
 ROOT = Path(__file__).resolve().parents[1]
-NAMES = ("west", "east", "north", "south")  # of the sites; the first letter is the prefix of their keys
+NAMES = ("west", "east", "north", "south")  # site names; the keys of a site begin with its first letter
 CLASSES = (
     {"name": "level-read", "repeat": "read_like", "sloUs": 250_000, "giveUpUs": 1_000_000, "lateValue": 0.2},
     {"name": "field-report", "repeat": "idempotency_key", "group": "all", "keyTtlUs": 30_000_000,
@@ -50,10 +50,10 @@
     FIRST, LAST, BLOCK, REUSE_DELAY_S = 16_000, 32_000, 100, 300.0
 
     def __init__(self) -> None:
-        self.random = Random(os.urandom(8))  # not seeded by a plan: several runs may go on at once
+        self.random = Random(os.urandom(8))  # not from the plan's seed: several runs may be active at once
         self.guard_sockets: list[socket.socket] = []
         self.ports: deque[int] = deque()
-        self.allocated_at: dict[int, float] = {}  # by port: when it was last tried, in seconds
+        self.allocated_at: dict[int, float] = {}  # by port: when it was last tried (s)
 
     def allocate(self) -> int:
         while True:
@@ -261,8 +261,8 @@
         await until_ready(proxy.name, proxy.port, proxy.process, proxy.log)
 
     async def _wait_for_links(self) -> None:
-        """Waits until each link has been up once. Otherwise the results of the first seconds would show how
-        the links start up. Raises RunFailed if a link does not come up."""
+        """Waits until each link has been up once; otherwise the start of the links would distort the results
+        of the first seconds. Raises RunFailed if a link does not come up."""
         for site in self.sites.values():
             for proxy in site.proxies:
                 for _ in range(1000):
@@ -276,7 +276,7 @@
                     raise RunFailed(f"the links of {proxy.name} do not come up: {log.strip()}")
 
     async def stop(self) -> None:
-        """Stops all processes and stand-ins. A proxy that runs on for 6 s after SIGTERM is killed."""
+        """Stops all processes and stand-ins. A proxy that still runs 6 s after SIGTERM is killed."""
         for site in self.sites.values():
             for client in site.clients:
                 client.close()
@@ -319,7 +319,8 @@
         )  # fmt: skip
 
     async def send(self, request: ClientRequest, retries: int = 2) -> None:
-        """Sends a request. A report that was not confirmed is retried with its key, at any site."""
+        """Sends a request. A report that was not confirmed is retried under its Idempotency-Key, at any site,
+        up to `retries` times."""
         random = Random(request.name)
         for retries_left in range(retries, -1, -1):
             self.requests.append(request)
@@ -344,7 +345,7 @@
     async def run_traffic(
         self, on_progress: Callable[[float, str], None] = lambda elapsed_s, fault: None
     ) -> None:
-        """Sends requests at the plan's rate, with the faults at their times, and returns once no request is
+        """Sends requests at the plan's rate and injects the faults at their times. Returns once no request is
         open. Every 0.5 s, `on_progress` gets the time since the start in seconds and the current fault."""
         loop = asyncio.get_running_loop()
         begin = loop.time()
--- a/tests/answers/test_judge.py
+++ b/tests/answers/test_judge.py
@@ -1,4 +1,4 @@
-"""Which requests and attempts, given by hand, the judge of the soak test reports as violations."""
+"""Tests which violations the judge of the soak test reports for given requests and attempts."""
 
 from __future__ import annotations
 
@@ -11,7 +11,7 @@
 from standins.answers.nodes import Attempt
 from standins.answers.plan import Plan
 
-OWN = "q1 by 3 as aa"
+OWN = "q1 by 3 as aa"  # the body that a node made for request q1
 
 
 def request(status: int = 200, at: float = 10.1, body: str = OWN) -> Request:
--- a/tests/test_site_variants.py
+++ b/tests/test_site_variants.py
@@ -1,4 +1,4 @@
-"""`benchmarks/site_variants.py`, which writes variants of a site, run on a site file of this test."""
+"""Tests `benchmarks/site_variants.py`, which writes variants of a site, with a site file of its own."""
 
 from __future__ import annotations
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -40,12 +40,12 @@
 
 
 def test_a_drain_that_no_proxy_got_before_an_outage_is_sent_after_it() -> None:
-    """Seed 7702: the drain was listed 1.3 ms before an outage of discovery, between two calls of a proxy that
+    """Seed 7702: the drain was listed 1.3 ms before an outage of discovery, between two polls of a proxy that
     was stalled for 0.1 s, so that no proxy got it."""
 
     async def main() -> None:
         discovery = FleetDiscovery(Load(nodes=20, share=0.05), 1)
-        discovery.change_list()  # with no call open
+        discovery.change_list()  # while no poll is open
         (drained,) = discovery.drained_at
         discovery.begin_outage()
         assert not discovery.drained_at and discovery.undelivered_drains == [drained]
@@ -59,6 +59,6 @@
         discovery.change_list()
         discovery.begin_outage()
         received = json.loads((await asyncio.wait_for(call, 5)).partition(b"\r\n\r\n")[2])
-        assert len(discovery.drained_at) == 2 and received["generation"] == 3  # the open call got the list
+        assert len(discovery.drained_at) == 2 and received["generation"] == 3  # the open poll got the list
 
     asyncio.run(main())
