Say plainly what the benchmarks measure

Docstrings referred to arguments as "that many" or "that one", and spoke of reports in hand. They now name the argument, the report or the member that is meant.

--- a/benchmarks/caching.py
+++ b/benchmarks/caching.py
@@ -45,7 +45,7 @@
 
 
 def node_of(control: str) -> type[floor.Node]:
-    """Returns a node whose answers have this Cache-Control."""
+    """Returns a class of nodes whose answers have this Cache-Control field."""
     from email.utils import formatdate
 
     fields = FIELDS.format(date=formatdate(usegmt=True), control=control).encode()
@@ -140,8 +140,8 @@
 
 
 class TinyLfu:
-    """W-TinyLFU (Einziger et al., 2017) with a window of 1% and a segmented main part. It counts exactly in
-    place of a sketch, which favours it. Counts are halved every time the uses reach ten times its size."""
+    """W-TinyLFU (Einziger et al., 2017) with a window of 1% and a segmented main part. It counts uses exactly
+    and not with a sketch, which favours it. Counts are halved when the uses reach ten times its capacity."""
 
     def __init__(self, capacity: int) -> None:
         self.window_capacity = max(1, capacity // 100)
@@ -251,8 +251,9 @@
 
 
 def measure_memory(bound: int, shape: str) -> dict[str, Any]:
-    """Puts three times its bound into a store, so that evicted and replaced entries have fragmented the
-    memory. All bodies differ. Each measurement needs a process of its own."""
+    """Puts three times as many bytes into a store as it may hold (`bound`), so that evicted and replaced
+    entries have fragmented the memory. All bodies differ. Returns the growth of this process in bytes, among
+    others. Each measurement needs a process of its own."""
     random = Random(3)
     draw_size: Callable[[], int] = {
         "small": lambda: random.randrange(50, 400),
--- a/benchmarks/fleet_counts.py
+++ b/benchmarks/fleet_counts.py
@@ -2,8 +2,7 @@
 
 FOLDER contains one log for each proxy. Each line of a log begins with the time in seconds; the lines of
 `magpiefront.net.trace`, which the proxies write with LB_TRACE=1, have a `#` after it. Prints a row for each
-second (`--every`), or one JSON object with `--json`. The last row has the sums divided by the number of
-requests.
+second (or each `--every` seconds), or one JSON object with `--json`. The last row has the totals per request.
 """
 
 from __future__ import annotations
@@ -29,7 +28,7 @@
 
 
 def count_line(words: list[str], row: Counter[str]) -> None:
-    """Adds one trace line, given as its words from the letter on, to the counts of its interval."""
+    """Adds one trace line to the counts of its interval. `words`: its words from the event's letter on."""
     match words:
         case ["a", *_]:
             row["taken"] += 1
@@ -56,8 +55,8 @@
 
 
 def trace_lines(folder: Path) -> Iterator[tuple[float, str, list[str]]]:
-    """Yields each line of the traces: time (s), proxy, and its words from the letter on. Raises NoTraceError
-    and OSError."""
+    """Yields each line of the traces: time (s), proxy, and its words from the event's letter on. Raises
+    NoTraceError and OSError."""
     found = False
     for path in sorted(folder.glob("*.log")):
         with path.open(errors="replace") as lines:
--- a/benchmarks/fleet_growth.py
+++ b/benchmarks/fleet_growth.py
@@ -5,8 +5,8 @@
 Real processes with stand-in nodes (`standins/fleet.py`), one scenario after the other: `quiet` (no change),
 `release` (1% of the list joins, drains and is removed every 0.6 s), `replaced` (60% within 7 s) and `whole`
 (a release in which each change is sent as a complete list). Each row is compared with the growth limits that
-the operators' page gives; a figure outside its limit is printed with it. `whole` has no limit for the bytes
-of lists, since it asks for complete lists. The last line of the output is JSON.
+the operators' page gives; a figure outside its limit is printed with that limit. `whole` has no limit for the
+bytes of lists, since each of its changes sends a complete list. The last line of the output is JSON.
 """
 
 from __future__ import annotations
--- a/benchmarks/fleet_queues.py
+++ b/benchmarks/fleet_queues.py
@@ -3,9 +3,9 @@
     python -m benchmarks.fleet_queues FOLDER [--aim 0.75] [--json]
 
 Reads the same logs as `fleet_counts`. No single proxy sees how many attempts all of them have in flight at a
-node; here they are counted, and each attempt that ended is in the row of the number in flight at its node
-when it was sent. A fetch that is slow at a node with few attempts in flight has waited behind the node; one
-at a full node has waited in its queue.
+node. This program counts them, and puts each attempt that ended in the row for the number of attempts that
+were in flight at its node when it was sent. A fetch that is slow at a node with few attempts in flight has
+waited behind the node; a fetch that is slow at a full node has waited in the queue of the node.
 """
 
 from __future__ import annotations
@@ -20,14 +20,14 @@
 from benchmarks.fleet_counts import NoTraceError, trace_lines
 
 QUEUE_STEPS = (0, 3, 6, 12, 20, 40)  # lower bounds of the rows: attempts in flight at the node
-HIT = 1  # note of an answer from the node's cache; those of fetches are higher
+HIT = 1  # note of an answer from the node's cache; the notes of fetches are higher
 
 
 @dataclass(frozen=True)
 class EndedAttempt:
     """An attempt that ended, as the traces show it."""
 
-    in_flight: int  # at its node when it was sent, from all proxies and without itself
+    in_flight: int  # at its node when it was sent: those of all proxies, without this one
     key: str
     outcome: str
     took_us: int
--- a/benchmarks/floor.py
+++ b/benchmarks/floor.py
@@ -5,7 +5,7 @@
 The proxy and the forwarder are pinned to one core and run in short alternating rounds with the same stand-in
 node and load, which are pinned to another core. The figure of a round is the CPU time (user and system) of
 the process in that round, divided by the number of requests. Without `--rate` each client sends as fast as it
-can: then hardly any connection to the node has ended its rest when the next request comes
+can. Almost all connections to the node are then still resting after an answer when the next request comes
 (`magpiefront/reuse.py`), and each request costs a handshake. `--rate` gives the load that a proxy sees in
 operation. `--tree` measures the `magpiefront` of another checkout as a third variant in the same rounds. The
 last line of the output is JSON; ratios are medians over the rounds.
--- a/benchmarks/group.py
+++ b/benchmarks/group.py
@@ -172,9 +172,9 @@
 
 
 async def watch(members: int, seconds: float, load: int) -> dict[str, Any]:
-    """Looks for members that are wrongly considered lost under load. No member is killed, so each loss is
-    wrong, and raises the member's epoch above 1. `load`: the number of busy processes, at the same
-    priority."""
+    """Looks for members that are wrongly considered lost under load. No member is killed, so each member
+    with an epoch above 1 was wrongly considered lost. `load`: the number of busy processes, which run at the
+    same priority."""
     busy_loop = (sys.executable, "-c", "while True: pass")
     busy_processes = [await asyncio.create_subprocess_exec(*busy_loop) for _ in range(load)]
 
@@ -211,8 +211,8 @@
 
 
 async def one_kill(members: int) -> tuple[float, float]:
-    """Kills the leader of a new group. Returns the seconds until another member leads, and until that one's
-    state says that the killed member is lost."""
+    """Kills the leader of a new group. Returns the seconds until another member leads, and until the
+    state of that member says that the killed one is lost."""
 
     async def measure(group_round: Round) -> dict[str, Any]:
         await asyncio.sleep(Random().uniform(0, 0.3))
@@ -232,7 +232,7 @@
 
 
 async def kills(members: int, count: int, at_once: int) -> dict[str, Any]:
-    """Measures that many kills, each in a new group, `at_once` at the same time."""
+    """Measures `count` kills of a leader, each in a new group, `at_once` at the same time."""
     semaphore = asyncio.Semaphore(at_once)
 
     async def limited(n: int) -> tuple[float, float]:
@@ -246,7 +246,7 @@
 
 
 def memory(count: int) -> dict[str, Any]:
-    """Measures the memory of this process with a single voter in it, whose writes are discarded."""
+    """Measures the memory of this process, which runs a single voter whose writes are discarded."""
     settings = GroupSettings("g", "a", ("", 0), Path("."), {"a": ("", 0)}, frozenset({"a"}), limits=Limits())
     peer = Peer(settings, StoredState("0", 1), Random(1), 0)
     now, committed, resident_kib = 0, 0, list[int]()
@@ -272,7 +272,7 @@
 
 
 def simulated(observers: int) -> dict[str, Any]:
-    """Counts the messages of three voters and that many observers in simulated time."""
+    """Counts the messages of three voters and `observers` observers in simulated time."""
     simulation = GroupSimulation(Schedule(7, 3, observers), limits=Limits())
     for host in simulation.hosts:
         simulation.kernel.after(simulation.kernel.random.randrange(50_000), host.start)
--- a/benchmarks/link.py
+++ b/benchmarks/link.py
@@ -60,7 +60,7 @@
         )
 
     def connection_lost(self, exc: Exception | None) -> None:
-        if self in self.load.idle:  # closed by the gateway after it was idle for long
+        if self in self.load.idle:  # the gateway closed it because it was idle
             self.load.idle.remove(self)
 
     def data_received(self, data: bytes) -> None:
@@ -83,7 +83,7 @@
         self.port, self.random = port, Random(seed)
         self.idle: list[
             ClientConnection
-        ] = []  # the last used one is taken first, so that unused ones can be closed
+        ] = []  # used last in, first out, so that the gateway can close idle ones
         self.number = seed << 32
         self.reset()
 
@@ -195,7 +195,7 @@
         await self.wait_for_log("down -> up", 1)
 
     async def wait_for_log(self, text: str, times: int) -> None:
-        """Waits until a text occurs that many times in the log of the west. Exits the program after 1,000
+        """Waits until `text` occurs `times` times in the log of the west. Exits the program after 1,000
         checks, each followed by a pause of 10 ms."""
         for _ in range(1000):
             if (self.folder / "west.log").read_text().count(text) >= times:
@@ -219,7 +219,7 @@
 
 
 async def measure_costs(args: argparse.Namespace) -> dict[str, Any]:
-    """Measures for each rate what a crossing request costs more than a local one."""
+    """Measures for each rate how much more latency and CPU time a crossing request costs than a local one."""
     result: dict[str, Any] = {}
     with tempfile.TemporaryDirectory() as folder:
         gateways = GatewayPair(Path(folder), args.cpu, 1)
@@ -258,7 +258,8 @@
 
 
 async def measure_cuts(args: argparse.Namespace) -> dict[str, Any]:
-    """Measures the home site's own requests with the link up, and with the link cut after 0.2 s."""
+    """Measures the home site's own requests in rounds with the link up, and in rounds in which it is cut
+    after 0.2 s."""
     with tempfile.TemporaryDirectory() as folder:
         gateways = GatewayPair(Path(folder), args.cpu, 2)
         round_metrics: dict[bool, list[tuple[float, float, float]]] = {True: [], False: []}
--- a/benchmarks/machines.py
+++ b/benchmarks/machines.py
@@ -178,7 +178,7 @@
             await measured_round.send_command(Random(1), what="steer", to="pause", plan="kernel", by="rig")
             while any(m.working for m in measured_round.machines):
                 await asyncio.sleep(0.1)
-            await asyncio.sleep(10.0)  # the first machine may have been out when the plan was paused
+            await asyncio.sleep(10.0)  # a machine that was out at the pause may still have to return
             return {"without": without_plan, "paused": await measure()}
         finally:
             await measured_round.close()
--- a/benchmarks/pause.py
+++ b/benchmarks/pause.py
@@ -127,7 +127,8 @@
 
 
 async def run(args: argparse.Namespace, folder: Path, with_pause: bool, seed: int) -> dict[str, Any]:
-    """Returns the samples of one run. `origin` is the time at which the pause begins, or would begin."""
+    """Returns the samples of one run. Their `origin` is the time at which the pause begins, or would begin in
+    the run without one."""
     loop = asyncio.get_running_loop()
     node = floor.start_pinned([sys.executable, floor.__file__, "--node"], args.cpu + 1)
     assert node.stdout is not None
--- a/benchmarks/record.py
+++ b/benchmarks/record.py
@@ -64,7 +64,7 @@
 
 
 class Runtime:
-    """What the store needs of a proxy: the event loop, the clock and the log."""
+    """The part of a proxy that the store needs: the event loop, the clock and the log."""
 
     def __init__(self) -> None:
         self.loop = asyncio.get_running_loop()
@@ -89,8 +89,8 @@
 
 
 def bare(folder: Path, seconds: float, batch: int) -> float:
-    """Returns the changes per second of one thread that does nothing else: what SQLite and the disk give for
-    such batches. Each row is inserted and then updated, as the store does."""
+    """Returns the changes per second of one thread that does nothing else: the limit that SQLite and the disk
+    set for batches of `batch` changes. Each row is inserted and then updated, as the store does."""
     path = folder / f"bare-{batch}-{time.monotonic_ns()}"
     open_file(path).close()
     db = connect(path)
--- a/benchmarks/survival.py
+++ b/benchmarks/survival.py
@@ -4,7 +4,7 @@
 
 cost   compares three members over one SQLite file, the same three without a group, and three over the group's
        own store, measured in turn: the time of a report and of a read (p50 and p99), reports per second with
-       64 at the same time, and CPU time per read of the proxy that gets the requests; with ratios to the
+       64 in flight, and CPU time per read of the proxy that gets the requests; with ratios to the
        processes without a group
 load   five members at `--share` of the nodes' capacity (nine reads to one report), one of which is killed:
        the share of reads answered in time (0.5 s) in the seconds before and after, and the share of slots
@@ -41,7 +41,7 @@
 NODES, SLOTS, NODE_TIME_S = 4, 16, 0.1  # of `load`; a node's time is drawn from 0.5 to 2 times NODE_TIME_S
 KEYS = 400  # of reads, in `load`
 MEAN_TIME_FACTOR = 1.25  # the mean of the factors from 0.5 to 2
-NEVER = float("inf")  # the time of a request that was not answered
+NEVER = float("inf")  # the time of a request without an answer of status 200
 
 
 class RequestFactory:
@@ -61,14 +61,15 @@
 
 
 async def start(group_round: Round, grouped: bool) -> None:
-    """Starts the processes of a round, with nodes and an archive that answer at once. Waits for the group."""
+    """Starts the processes of a round, with nodes and an archive that answer at once. Waits until the group
+    has converged."""
     group_round.node.slow_share, group_round.archive.service_time_s, group_round.node.service_time_s = (
         0.0,
         0.0,
         0.0,
     )
     await group_round.prepare()
-    # The round's low number of entries between snapshots is meant for its faults.
+    # The drill takes snapshots after few entries, for the sake of its faults.
     for p in group_round.processes:
         file = group_round.folder / p.operator_file
         file.write_text(file.read_text().replace("compact = 60\nkeep = 20\n", ""))
@@ -270,7 +271,7 @@
             await asyncio.sleep(0.01)
 
     async def _request(self, due: float) -> None:
-        """Sends a request that is due now, and records its time. Gives up after 40 attempts."""
+        """Sends a request and records its time since `due`. Gives up after 40 attempts."""
         loop = asyncio.get_running_loop()
         is_read = self.random.random() < 0.9
         request = self.factory.new(*(("level-read", f"k{int(self.random.paretovariate(1.0)) % KEYS}")
--- a/benchmarks/takeover.py
+++ b/benchmarks/takeover.py
@@ -1,9 +1,9 @@
-"""Benchmark of takeover: the time until another proxy answers the reports that a lost one had in hand.
+"""Benchmark of takeover: the time until another proxy answers the open reports of a lost one.
 
     python -m benchmarks.takeover [--how kill|end|stop] [--work sqlite|postgres|group] [--members 3]
                                   [--count 200] [--at-once 3] [--without-group] [--plot FILE]
 
-A round runs several members over one store. Eight reports are in hand at one of them (the leader and the
+A round runs several members over one store. Eight reports are open at one of them (the leader and the
 others in turn) when it is killed, terminated (SIGTERM) or suspended. Each client then retries at another
 member under the same key until its report is confirmed. The time is measured from the fault to each
 confirmation, in milliseconds. With `--without-group`, the processes share the store but form no group. Prints
@@ -29,7 +29,7 @@
 from standins.world import RunFailed, until_ready
 
 REPORTS_IN_HAND = 8
-ABANDON_S = 0.3  # longer than a planned end takes to answer the reports in hand
+ABANDON_S = 0.3  # longer than a process takes after SIGTERM to answer its open reports
 CONFIRMATION_TIMEOUT_S = 15.0
 
 
@@ -62,9 +62,9 @@
 async def retry_until_confirmed(
     report: Report, first: int, others: list[int], fault: asyncio.Future[float]
 ) -> float:  # fmt: skip
-    """Sends the report to the port `first`, and after the fault to the others, in turn as long as no answer
-    comes. Returns the seconds from the fault to the confirmation. Raises RunFailed after
-    `CONFIRMATION_TIMEOUT_S`."""
+    """Sends the report to the port `first`, and after the fault to one of the others, changing to the next
+    one after each try without an answer. Returns the seconds from the fault to the confirmation. Raises
+    RunFailed after `CONFIRMATION_TIMEOUT_S`."""
     port, unanswered = first, 0
     end = time.monotonic() + CONFIRMATION_TIMEOUT_S
     while not report.confirmed and time.monotonic() < end:
@@ -90,7 +90,7 @@
             Plan(number, members, work=work), folder, relayed=False
         )
         group_round.node.slow_share = 0.0
-        group_round.archive.service_time_s = 0.1  # so that the reports are in hand when the fault occurs
+        group_round.archive.service_time_s = 0.1  # so that the reports are open when the fault occurs
         await group_round.prepare()
         try:
             await asyncio.gather(*(p.spawn() for p in group_round.processes))
