--- a/benchmarks/group.py
+++ b/benchmarks/group.py
@@ -53,7 +53,8 @@
 
 
 async def with_members(count: int, measure: Callable[[Round], Awaitable[dict[str, Any]]]) -> dict[str, Any]:
-    """Starts a group of that many real processes, calls `measure` once it has converged, and ends them."""
+    """Starts a group of `count` real processes, calls `measure` once it has converged, and ends the
+    processes. Returns the result of `measure`."""
     async with temporary_folder() as folder:
         group_round = Round(Plan(1, count), folder, relayed=False)
         await group_round.prepare()
@@ -84,7 +85,7 @@
 
 
 async def time_requests(client: MemberClient, command: dict[str, Any], count: int) -> list[float]:
-    """Sends the command that many times, one after the other. Returns the duration of each in seconds."""
+    """Sends the command `count` times, one after the other. Returns the duration of each in seconds."""
     durations = []
     for _ in range(count):
         began = time.perf_counter()
@@ -94,7 +95,8 @@
 
 
 def time_bare_commits(folder: Path, count: int) -> list[float]:
-    """Commits that many rows to a SQLite file of its own. Returns the duration of each in seconds."""
+    """Commits `count` rows, one by one, to a SQLite file in `folder`. Returns the duration of each in
+    seconds."""
     db = open_database(folder / "bare.sqlite", ("CREATE TABLE t (at INTEGER PRIMARY KEY, data BLOB)",))
     durations = []
     for n in range(count):
@@ -210,7 +212,7 @@
             p.kill()
 
 
-async def one_kill(members: int) -> tuple[float, float]:
+async def measure_kill(members: int) -> tuple[float, float]:
     """Kills the leader of a new group. Returns the seconds until another member leads, and until the
     state of that member says that the killed one is lost."""
 
@@ -237,7 +239,7 @@
 
     async def limited(n: int) -> tuple[float, float]:
         async with semaphore:
-            return await one_kill(members)
+            return await measure_kill(members)
 
     found = await asyncio.gather(*(limited(n) for n in range(count)))
     return {"members": members, "kills": count, "new_leader": quantiles([f[0] for f in found]),
--- a/benchmarks/link.py
+++ b/benchmarks/link.py
@@ -101,7 +101,7 @@
         loop = asyncio.get_running_loop()
         return (await loop.create_connection(lambda: ClientConnection(self), "127.0.0.1", self.port))[1]
 
-    async def play(self, rate: float, seconds: float, crossing_share: float) -> None:
+    async def run(self, rate: float, seconds: float, crossing_share: float) -> None:
         """Sends `rate` requests per second on average, a share `crossing_share` of them for the other site;
         then waits up to 1.5 s for open ones."""
         loop = asyncio.get_running_loop()
@@ -231,7 +231,7 @@
                 for round_number in range(args.rounds + 1):
                     for home in (True, False) if round_number % 2 else (False, True):
                         before = gateways.cpu_s()
-                        await load.play(rate, args.seconds if round_number else 1.0, 0.0 if home else 1.0)
+                        await load.run(rate, args.seconds if round_number else 1.0, 0.0 if home else 1.0)
                         after = gateways.cpu_s()
                         used_us = sum(after[n] - before[n] for n in after) / load.sent[home] * 1e6
                         west_us = (after["west"] - before["west"]) / load.sent[home] * 1e6
@@ -266,12 +266,12 @@
         try:
             await gateways.start(True)
             load, link_ups = Load(gateways.ports["west"], 2), 1
-            await load.play(320, 1.0, 0.5)
+            await load.run(320, 1.0, 0.5)
             for round_number in range(args.rounds):
                 for link_up in (True, False):
                     if not link_up:
                         asyncio.get_running_loop().call_later(0.2, gateways.relay.cut)
-                    await load.play(320, args.seconds, 0.5)
+                    await load.run(320, args.seconds, 0.5)
                     round_metrics[link_up].append(load.summarize(True))
                     show_progress(f"link up and cut: round {round_number + 1} of {args.rounds}")
                 gateways.relay.restore()
--- a/benchmarks/record.py
+++ b/benchmarks/record.py
@@ -262,7 +262,7 @@
 
 
 async def measure_start(folder: Path, count: int = 100_000) -> dict[str, float]:
-    """Measures the start of the store with that many open rows. Times are in seconds."""
+    """Measures the start of the store with `count` open rows. Times are in seconds."""
     path = folder / "many"
     db = open_file(path)
     db.execute("BEGIN")
--- a/benchmarks/takeover.py
+++ b/benchmarks/takeover.py
@@ -28,8 +28,8 @@
 from standins.takeover import Round
 from standins.world import RunFailed, until_ready
 
-REPORTS_IN_HAND = 8
-ABANDON_S = 0.3  # longer than a process takes after SIGTERM to answer its open reports
+OPEN_REPORTS = 8
+ABANDON_DELAY_S = 0.3  # longer than a process takes after SIGTERM to answer its open reports
 CONFIRMATION_TIMEOUT_S = 15.0
 
 
@@ -47,12 +47,13 @@
 async def await_first_answer(
     answer: Awaitable[tuple[int, float]], fault: asyncio.Future[float]
 ) -> tuple[int, float]:  # fmt: skip
-    """Waits for the answer of the first process, but gives up `ABANDON_S` after the fault: a client of a
-    suspended process would otherwise wait for its whole timeout before it tries another one."""
+    """Waits for the answer of the first process, but gives up `ABANDON_DELAY_S` after the fault: a client of
+    a suspended process would otherwise wait for its whole timeout before it tries another one. Returns the
+    status and the seconds to wait before a retry, or zeros if it gave up."""
     task = asyncio.ensure_future(answer)
     answer_and_fault: set[asyncio.Future[Any]] = {task, fault}
     await asyncio.wait(answer_and_fault, return_when=asyncio.FIRST_COMPLETED)
-    await asyncio.wait({task}, timeout=ABANDON_S)
+    await asyncio.wait({task}, timeout=ABANDON_DELAY_S)
     if not task.done():
         task.cancel()
         return 0, 0.0
@@ -82,8 +83,8 @@
     return report.confirmed_s - fault.result()
 
 
-async def play_round(number: int, members: int, how: str, work: str, ungrouped: bool) -> list[float]:
-    """Plays a round and returns the seconds from the fault to each confirmation. `how`: the value of `--how`.
+async def run_round(number: int, members: int, how: str, work: str, ungrouped: bool) -> list[float]:
+    """Runs a round and returns the seconds from the fault to each confirmation. `how`: the value of `--how`.
     Raises RunFailed if a report was not confirmed or had two effects."""
     async with temporary_folder() as folder:
         group_round = (UngroupedRound if ungrouped else Round)(
@@ -105,7 +106,7 @@
             victim = next(p for p in group_round.processes if p.name == first)
             others = [p.port for p in group_round.processes if p is not victim]
             fault: asyncio.Future[float] = asyncio.get_running_loop().create_future()
-            reports = [Report(f"k{n}", b"level=%d" % n) for n in range(REPORTS_IN_HAND)]
+            reports = [Report(f"k{n}", b"level=%d" % n) for n in range(OPEN_REPORTS)]
             clients = [
                 asyncio.create_task(retry_until_confirmed(report, victim.port, others, fault))
                 for report in reports
@@ -131,15 +132,15 @@
             await group_round.close()
 
 
-async def play_rounds(args: argparse.Namespace) -> list[float]:
-    """Plays all rounds, `--at-once` at the same time. Returns the durations of all reports in seconds."""
+async def run_rounds(args: argparse.Namespace) -> list[float]:
+    """Runs all rounds, `--at-once` at the same time. Returns the durations of all reports in seconds."""
     semaphore = asyncio.Semaphore(args.at_once)
     done = 0
 
     async def limited(n: int) -> list[float]:
         nonlocal done
         async with semaphore:
-            durations_s = await play_round(n, args.members, args.how, args.work, args.without_group)
+            durations_s = await run_round(n, args.members, args.how, args.work, args.without_group)
         done += 1
         if sys.stderr.isatty():
             print(f"\r{done} of {args.count}", end="", file=sys.stderr, flush=True)
@@ -176,7 +177,7 @@
     parser.add_argument("--plot", type=Path)
     args = parser.parse_args()
     try:
-        durations_s = asyncio.run(play_rounds(args))
+        durations_s = asyncio.run(run_rounds(args))
     except RunFailed as e:
         print(f"benchmarks.takeover: {e}", file=sys.stderr)
         return 2
--- a/standins/answers/judge.py
+++ b/standins/answers/judge.py
@@ -92,9 +92,9 @@
                 f"late: {request.name} began {attempt.first_byte - request.closed_at:.3f} s "
                 "after its client closed"
             )
-        if attempt.told_s > sent + request.deadline_s - attempt.first_byte + MAX_STALL_S:
+        if attempt.req_deadline_s > sent + request.deadline_s - attempt.first_byte + MAX_STALL_S:
             verdict.told.append(
-                f"told: {request.name} has a Req-Deadline of {attempt.told_s:.3f} s at a node: "
+                f"told: {request.name} has a Req-Deadline of {attempt.req_deadline_s:.3f} s at a node: "
                 f"{_describe(request, attempts)}"
             )
 
--- a/standins/answers/nodes.py
+++ b/standins/answers/nodes.py
@@ -49,7 +49,7 @@
     connection: int
     first_byte: float
     last_byte: float
-    told_s: float  # the time left according to its Req-Deadline
+    req_deadline_s: float  # the time left according to its Req-Deadline
     body: str = ""  # body of its answer
     taken: float = 0.0  # when its work began
     ended_at: float = 0.0
--- a/standins/node.py
+++ b/standins/node.py
@@ -1,4 +1,4 @@
-"""A stand-in for a read-through cache node: caches what it reads from the archive, and passes reports on."""
+"""A stand-in for a read-through cache node: caches reads from the archive, and forwards reports to it."""
 
 from __future__ import annotations
 
--- a/standins/takeover.py
+++ b/standins/takeover.py
@@ -125,11 +125,11 @@
             if asyncio.get_running_loop().time() > end:
                 raise RunFailed(
                     f"reports are open {OPEN_TIMEOUT_S} s after the last fault: {open_[:5]}; "
-                    f"{await self._work_in_hand()}"
+                    f"{await self._open_reports()}"
                 )
             await asyncio.sleep(0.1)
 
-    async def _work_in_hand(self) -> dict[str, Any]:
+    async def _open_reports(self) -> dict[str, Any]:
         """Returns the open reports of each process that answers and, if the store is a SQLite file, the open
         rows with their owners."""
         found: dict[str, Any] = {}
--- a/tests/answers/test_answers.py
+++ b/tests/answers/test_answers.py
@@ -23,7 +23,7 @@
     ],
     ids=["unsafe", "safe with hedging"],
 )
-def test_no_copy_of_an_answer_is_taken_for_another_requests(plan: Plan) -> None:
+def test_no_copy_of_an_answer_is_taken_for_the_answer_to_another_request(plan: Plan) -> None:
     verdict = asyncio.run(run_round(plan))
     assert verdict.extra > 100 and verdict.statuses[200] > 300, verdict.summary()
     assert verdict.violations == []
