--- a/standins/answers/clients.py
+++ b/standins/answers/clients.py
@@ -11,7 +11,7 @@
 from standins.answers.plan import Plan
 
 ANSWER_GRACE_S = 0.5  # an answer that comes later than this after its deadline counts as lost
-INCOMPLETE_TIMEOUT_S = 3.0  # a client that sent half a request must get an error or a close within this
+INCOMPLETE_TIMEOUT_S = 3.0  # by then a client that sent half a request must get an error or a close
 CUT_STATUS = 599  # recorded as the status of an answer that was cut off in its body
 
 
@@ -162,8 +162,8 @@
         self, connection: Connection, request: Request, unanswered: list[Request], data: bytes
     ) -> bool:
         """Reads the answer to `request`, the first of `unanswered`. Returns False if the connection cannot be
-        used any further; then all of `unanswered` have ended. `data`: the bytes of `unanswered`, which are
-        sent again if a connection used before ends without an answer; empty: they are not."""
+        used any further; then all of `unanswered` have ended. If `data`, the bytes of `unanswered`, is given, they
+        are sent again on a new connection when a reused one ends without an answer."""
         try:
             async with asyncio.timeout(request.deadline_s + 2 * ANSWER_GRACE_S):
                 message = await http.read(connection.reader)
--- a/standins/answers/nodes.py
+++ b/standins/answers/nodes.py
@@ -256,8 +256,8 @@
             call_later(random.uniform(0.05, 1.0), self._close_idle, TIMEOUT_ANSWER)
 
     def _write_unsized(self, answer: bytes) -> None:
-        """Writes an answer that the close of the connection ends, or all but its last 5 bytes and then a
-        reset."""
+        """Writes an answer and closes the connection, which marks its end, or writes all but its last 5 bytes
+        and then resets the connection."""
         cut_at = len(answer) - 5
         if self.random.random() < 0.5:
             self.transport.write(answer)
--- a/standins/answers/round.py
+++ b/standins/answers/round.py
@@ -32,7 +32,7 @@
 from standins.world import ROOT, free_port, until_ready
 
 KILL_DELAY_S = 0.7  # SIGKILL follows SIGTERM after the longest deadline (at most 3 s) and this delay
-MAX_STALL_S = 0.15  # upper bound of the time for which a proxy is stopped at once
+MAX_STALL_S = 0.15  # upper bound of each pause of a proxy by SIGSTOP
 SHIM_FOLDER = Path(__file__).parent / "shim"  # its sitecustomize.py steps the wall clock
 CLOCK_STEP_S = 3600  # of a proxy's wall clock
 
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -33,12 +33,12 @@
 ANSWER_GRACE_S = 0.5  # an answer that comes later than this after its deadline counts as lost
 DRAIN_GRACE_S = 0.5  # stopSendingWithinUs of the settings: how long requests may still go to a draining node
 TIMER_SLACK_S = 0.05  # tolerance that the protocol allows for each time limit on sockets
-MAX_STALL_S = 0.15  # upper bound of the time for which the proxy is stopped at once
+MAX_STALL_S = 0.15  # upper bound of each pause of the proxy by SIGSTOP
 KILL_DELAY_S = 0.7  # SIGKILL follows SIGTERM after the longest deadline (at most 3 s) and this delay
 ADDRESS_REUSE_S = 4.0  # after this time a new node may get the address of one that is gone
 READY_TIMEOUT_S = 40.0
 MAX_OPEN_FILES = 20_000
-IDLE_CLIENTS = 700  # of the fault `crowd`
+IDLE_CLIENTS = 700  # number of idle clients in the fault `crowd`
 LOG_TAIL_LINES = 30
 
 
--- a/standins/machines.py
+++ b/standins/machines.py
@@ -237,7 +237,7 @@
         await super().run_after_load()
 
     async def _restart_proxies(self) -> None:
-        """Restarts proxies that ended so that their machine could be worked on, once that work has ended."""
+        """Restarts each proxy that ended to let its machine leave, when the machine is not worked on."""
         while not self.plan_ended:
             await asyncio.sleep(0.1)
             for machine in self.machines:
