--- a/standins/answers/clients.py
+++ b/standins/answers/clients.py
@@ -162,8 +162,8 @@
         self, connection: Connection, request: Request, unanswered: list[Request], data: bytes
     ) -> bool:
         """Reads the answer to `request`, the first of `unanswered`. Returns False if the connection cannot be
-        used any further; then all of `unanswered` have ended. If `data`, the bytes of `unanswered`, is given, they
-        are sent again on a new connection when a reused one ends without an answer."""
+        used any further; then all of `unanswered` have ended. If `data` holds the bytes of
+        `unanswered`, they are sent again on a new connection when a reused one ends without an answer."""
         try:
             async with asyncio.timeout(request.deadline_s + 2 * ANSWER_GRACE_S):
                 message = await http.read(connection.reader)
