--- a/benchmarks/group.py
+++ b/benchmarks/group.py
@@ -53,7 +53,8 @@
 
 
 async def with_members(count: int, measure: Callable[[Round], Awaitable[dict[str, Any]]]) -> dict[str, Any]:
-    """Starts a group of that many real processes, calls `measure` once it has converged, and ends them."""
+    """Starts a group of `count` real processes, calls `measure` once it has converged, and ends the
+    processes. Returns the result of `measure`."""
     async with temporary_folder() as folder:
         group_round = Round(Plan(1, count), folder, relayed=False)
         await group_round.prepare()
@@ -84,7 +85,7 @@
 
 
 async def time_requests(client: MemberClient, command: dict[str, Any], count: int) -> list[float]:
-    """Sends the command that many times, one after the other. Returns the duration of each in seconds."""
+    """Sends the command `count` times, one after the other. Returns the duration of each in seconds."""
     durations = []
     for _ in range(count):
         began = time.perf_counter()
@@ -94,7 +95,8 @@
 
 
 def time_bare_commits(folder: Path, count: int) -> list[float]:
-    """Commits that many rows to a SQLite file of its own. Returns the duration of each in seconds."""
+    """Commits `count` rows, one by one, to a SQLite file in `folder`. Returns the duration of each in
+    seconds."""
     db = open_database(folder / "bare.sqlite", ("CREATE TABLE t (at INTEGER PRIMARY KEY, data BLOB)",))
     durations = []
     for n in range(count):
@@ -172,9 +174,9 @@
 
 
 async def watch(members: int, seconds: float, load: int) -> dict[str, Any]:
-    """Looks for members that are wrongly considered lost under load. No member is killed, so each loss is
-    wrong, and raises the member's epoch above 1. `load`: the number of busy processes, at the same
-    priority."""
+    """Looks for members that are wrongly considered lost under load. No member is killed, so each member
+    with an epoch above 1 was wrongly considered lost. `load`: the number of busy processes, which run at the
+    same priority."""
     busy_loop = (sys.executable, "-c", "while True: pass")
     busy_processes = [await asyncio.create_subprocess_exec(*busy_loop) for _ in range(load)]
 
@@ -210,9 +212,9 @@
             p.kill()
 
 
-async def one_kill(members: int) -> tuple[float, float]:
-    """Kills the leader of a new group. Returns the seconds until another member leads, and until that one's
-    state says that the killed member is lost."""
+async def measure_kill(members: int) -> tuple[float, float]:
+    """Kills the leader of a new group. Returns the seconds until another member leads, and until the
+    state of that member says that the killed one is lost."""
 
     async def measure(group_round: Round) -> dict[str, Any]:
         await asyncio.sleep(Random().uniform(0, 0.3))
@@ -232,12 +234,12 @@
 
 
 async def kills(members: int, count: int, at_once: int) -> dict[str, Any]:
-    """Measures that many kills, each in a new group, `at_once` at the same time."""
+    """Measures `count` kills of a leader, each in a new group, `at_once` at the same time."""
     semaphore = asyncio.Semaphore(at_once)
 
     async def limited(n: int) -> tuple[float, float]:
         async with semaphore:
-            return await one_kill(members)
+            return await measure_kill(members)
 
     found = await asyncio.gather(*(limited(n) for n in range(count)))
     return {"members": members, "kills": count, "new_leader": quantiles([f[0] for f in found]),
@@ -246,7 +248,7 @@
 
 
 def memory(count: int) -> dict[str, Any]:
-    """Measures the memory of this process with a single voter in it, whose writes are discarded."""
+    """Measures the memory of this process, which runs a single voter whose writes are discarded."""
     settings = GroupSettings("g", "a", ("", 0), Path("."), {"a": ("", 0)}, frozenset({"a"}), limits=Limits())
     peer = Peer(settings, StoredState("0", 1), Random(1), 0)
     now, committed, resident_kib = 0, 0, list[int]()
@@ -272,7 +274,7 @@
 
 
 def simulated(observers: int) -> dict[str, Any]:
-    """Counts the messages of three voters and that many observers in simulated time."""
+    """Counts the messages of three voters and `observers` observers in simulated time."""
     simulation = GroupSimulation(Schedule(7, 3, observers), limits=Limits())
     for host in simulation.hosts:
         simulation.kernel.after(simulation.kernel.random.randrange(50_000), host.start)
--- a/benchmarks/link.py
+++ b/benchmarks/link.py
@@ -60,7 +60,7 @@
         )
 
     def connection_lost(self, exc: Exception | None) -> None:
-        if self in self.load.idle:  # closed by the gateway after it was idle for long
+        if self in self.load.idle:  # the gateway closed it because it was idle
             self.load.idle.remove(self)
 
     def data_received(self, data: bytes) -> None:
@@ -83,7 +83,7 @@
         self.port, self.random = port, Random(seed)
         self.idle: list[
             ClientConnection
-        ] = []  # the last used one is taken first, so that unused ones can be closed
+        ] = []  # used last in, first out, so that the gateway can close idle ones
         self.number = seed << 32
         self.reset()
 
@@ -101,7 +101,7 @@
         loop = asyncio.get_running_loop()
         return (await loop.create_connection(lambda: ClientConnection(self), "127.0.0.1", self.port))[1]
 
-    async def play(self, rate: float, seconds: float, crossing_share: float) -> None:
+    async def run(self, rate: float, seconds: float, crossing_share: float) -> None:
         """Sends `rate` requests per second on average, a share `crossing_share` of them for the other site;
         then waits up to 1.5 s for open ones."""
         loop = asyncio.get_running_loop()
@@ -195,7 +195,7 @@
         await self.wait_for_log("down -> up", 1)
 
     async def wait_for_log(self, text: str, times: int) -> None:
-        """Waits until a text occurs that many times in the log of the west. Exits the program after 1,000
+        """Waits until `text` occurs `times` times in the log of the west. Exits the program after 1,000
         checks, each followed by a pause of 10 ms."""
         for _ in range(1000):
             if (self.folder / "west.log").read_text().count(text) >= times:
@@ -219,7 +219,7 @@
 
 
 async def measure_costs(args: argparse.Namespace) -> dict[str, Any]:
-    """Measures for each rate what a crossing request costs more than a local one."""
+    """Measures for each rate how much more latency and CPU time a crossing request costs than a local one."""
     result: dict[str, Any] = {}
     with tempfile.TemporaryDirectory() as folder:
         gateways = GatewayPair(Path(folder), args.cpu, 1)
@@ -231,7 +231,7 @@
                 for round_number in range(args.rounds + 1):
                     for home in (True, False) if round_number % 2 else (False, True):
                         before = gateways.cpu_s()
-                        await load.play(rate, args.seconds if round_number else 1.0, 0.0 if home else 1.0)
+                        await load.run(rate, args.seconds if round_number else 1.0, 0.0 if home else 1.0)
                         after = gateways.cpu_s()
                         used_us = sum(after[n] - before[n] for n in after) / load.sent[home] * 1e6
                         west_us = (after["west"] - before["west"]) / load.sent[home] * 1e6
@@ -258,19 +258,20 @@
 
 
 async def measure_cuts(args: argparse.Namespace) -> dict[str, Any]:
-    """Measures the home site's own requests with the link up, and with the link cut after 0.2 s."""
+    """Measures the home site's own requests in rounds with the link up, and in rounds in which it is cut
+    after 0.2 s."""
     with tempfile.TemporaryDirectory() as folder:
         gateways = GatewayPair(Path(folder), args.cpu, 2)
         round_metrics: dict[bool, list[tuple[float, float, float]]] = {True: [], False: []}
         try:
             await gateways.start(True)
             load, link_ups = Load(gateways.ports["west"], 2), 1
-            await load.play(320, 1.0, 0.5)
+            await load.run(320, 1.0, 0.5)
             for round_number in range(args.rounds):
                 for link_up in (True, False):
                     if not link_up:
                         asyncio.get_running_loop().call_later(0.2, gateways.relay.cut)
-                    await load.play(320, args.seconds, 0.5)
+                    await load.run(320, args.seconds, 0.5)
                     round_metrics[link_up].append(load.summarize(True))
                     show_progress(f"link up and cut: round {round_number + 1} of {args.rounds}")
                 gateways.relay.restore()
--- a/benchmarks/takeover.py
+++ b/benchmarks/takeover.py
@@ -1,9 +1,9 @@
-"""Benchmark of takeover: the time until another proxy answers the reports that a lost one had in hand.
+"""Benchmark of takeover: the time until another proxy answers the open reports of a lost one.
 
     python -m benchmarks.takeover [--how kill|end|stop] [--work sqlite|postgres|group] [--members 3]
                                   [--count 200] [--at-once 3] [--without-group] [--plot FILE]
 
-A round runs several members over one store. Eight reports are in hand at one of them (the leader and the
+A round runs several members over one store. Eight reports are open at one of them (the leader and the
 others in turn) when it is killed, terminated (SIGTERM) or suspended. Each client then retries at another
 member under the same key until its report is confirmed. The time is measured from the fault to each
 confirmation, in milliseconds. With `--without-group`, the processes share the store but form no group. Prints
@@ -28,8 +28,8 @@
 from standins.takeover import Round
 from standins.world import RunFailed, until_ready
 
-REPORTS_IN_HAND = 8
-ABANDON_S = 0.3  # longer than a planned end takes to answer the reports in hand
+OPEN_REPORTS = 8
+ABANDON_DELAY_S = 0.3  # longer than a process takes after SIGTERM to answer its open reports
 CONFIRMATION_TIMEOUT_S = 15.0
 
 
@@ -47,12 +47,13 @@
 async def await_first_answer(
     answer: Awaitable[tuple[int, float]], fault: asyncio.Future[float]
 ) -> tuple[int, float]:  # fmt: skip
-    """Waits for the answer of the first process, but gives up `ABANDON_S` after the fault: a client of a
-    suspended process would otherwise wait for its whole timeout before it tries another one."""
+    """Waits for the answer of the first process, but gives up `ABANDON_DELAY_S` after the fault: a client of
+    a suspended process would otherwise wait for its whole timeout before it tries another one. Returns the
+    status and the seconds to wait before a retry, or zeros if it gave up."""
     task = asyncio.ensure_future(answer)
     answer_and_fault: set[asyncio.Future[Any]] = {task, fault}
     await asyncio.wait(answer_and_fault, return_when=asyncio.FIRST_COMPLETED)
-    await asyncio.wait({task}, timeout=ABANDON_S)
+    await asyncio.wait({task}, timeout=ABANDON_DELAY_S)
     if not task.done():
         task.cancel()
         return 0, 0.0
@@ -62,9 +63,9 @@
 async def retry_until_confirmed(
     report: Report, first: int, others: list[int], fault: asyncio.Future[float]
 ) -> float:  # fmt: skip
-    """Sends the report to the port `first`, and after the fault to the others, in turn as long as no answer
-    comes. Returns the seconds from the fault to the confirmation. Raises RunFailed after
-    `CONFIRMATION_TIMEOUT_S`."""
+    """Sends the report to the port `first`, and after the fault to one of the others, changing to the next
+    one after each try without an answer. Returns the seconds from the fault to the confirmation. Raises
+    RunFailed after `CONFIRMATION_TIMEOUT_S`."""
     port, unanswered = first, 0
     end = time.monotonic() + CONFIRMATION_TIMEOUT_S
     while not report.confirmed and time.monotonic() < end:
@@ -82,15 +83,15 @@
     return report.confirmed_s - fault.result()
 
 
-async def play_round(number: int, members: int, how: str, work: str, ungrouped: bool) -> list[float]:
-    """Plays a round and returns the seconds from the fault to each confirmation. `how`: the value of `--how`.
+async def run_round(number: int, members: int, how: str, work: str, ungrouped: bool) -> list[float]:
+    """Runs a round and returns the seconds from the fault to each confirmation. `how`: the value of `--how`.
     Raises RunFailed if a report was not confirmed or had two effects."""
     async with temporary_folder() as folder:
         group_round = (UngroupedRound if ungrouped else Round)(
             Plan(number, members, work=work), folder, relayed=False
         )
         group_round.node.slow_share = 0.0
-        group_round.archive.service_time_s = 0.1  # so that the reports are in hand when the fault occurs
+        group_round.archive.service_time_s = 0.1  # so that the reports are open when the fault occurs
         await group_round.prepare()
         try:
             await asyncio.gather(*(p.spawn() for p in group_round.processes))
@@ -105,7 +106,7 @@
             victim = next(p for p in group_round.processes if p.name == first)
             others = [p.port for p in group_round.processes if p is not victim]
             fault: asyncio.Future[float] = asyncio.get_running_loop().create_future()
-            reports = [Report(f"k{n}", b"level=%d" % n) for n in range(REPORTS_IN_HAND)]
+            reports = [Report(f"k{n}", b"level=%d" % n) for n in range(OPEN_REPORTS)]
             clients = [
                 asyncio.create_task(retry_until_confirmed(report, victim.port, others, fault))
                 for report in reports
@@ -131,15 +132,15 @@
             await group_round.close()
 
 
-async def play_rounds(args: argparse.Namespace) -> list[float]:
-    """Plays all rounds, `--at-once` at the same time. Returns the durations of all reports in seconds."""
+async def run_rounds(args: argparse.Namespace) -> list[float]:
+    """Runs all rounds, `--at-once` at the same time. Returns the durations of all reports in seconds."""
     semaphore = asyncio.Semaphore(args.at_once)
     done = 0
 
     async def limited(n: int) -> list[float]:
         nonlocal done
         async with semaphore:
-            durations_s = await play_round(n, args.members, args.how, args.work, args.without_group)
+            durations_s = await run_round(n, args.members, args.how, args.work, args.without_group)
         done += 1
         if sys.stderr.isatty():
             print(f"\r{done} of {args.count}", end="", file=sys.stderr, flush=True)
@@ -176,7 +177,7 @@
     parser.add_argument("--plot", type=Path)
     args = parser.parse_args()
     try:
-        durations_s = asyncio.run(play_rounds(args))
+        durations_s = asyncio.run(run_rounds(args))
     except RunFailed as e:
         print(f"benchmarks.takeover: {e}", file=sys.stderr)
         return 2
--- a/standins/answers/judge.py
+++ b/standins/answers/judge.py
@@ -48,8 +48,8 @@
 
 
 def judge(plan: Plan, requests: Sequence[Request], attempts: Sequence[Attempt], ended_at: float) -> Verdict:
-    """Checks all requests of a round. One that was sent after `ended_at`, when the proxies were ended, need
-    not be answered."""
+    """Checks all requests of a round. A request that was sent after `ended_at`, when the proxies had ended,
+    and that reached no node need not be answered."""
     verdict = Verdict()
     by_request: dict[str, list[Attempt]] = defaultdict(list)
     for attempt in attempts:
@@ -92,9 +92,9 @@
                 f"late: {request.name} began {attempt.first_byte - request.closed_at:.3f} s "
                 "after its client closed"
             )
-        if attempt.told_s > sent + request.deadline_s - attempt.first_byte + MAX_STALL_S:
+        if attempt.req_deadline_s > sent + request.deadline_s - attempt.first_byte + MAX_STALL_S:
             verdict.told.append(
-                f"told: {request.name} has a Req-Deadline of {attempt.told_s:.3f} s at a node: "
+                f"told: {request.name} has a Req-Deadline of {attempt.req_deadline_s:.3f} s at a node: "
                 f"{_describe(request, attempts)}"
             )
 
