--- a/magpiefront/group/requests.py
+++ b/magpiefront/group/requests.py
@@ -93,13 +93,13 @@
             return  # a duplicate; refusing it would be wrong, since the first copy may be committed
         cause = ""
         if self.raft.leader_state is None:
-            cause = "the receiver does not lead"
+            cause = "it does not lead"
         elif sender not in self.raft.log.conf.all:
-            cause = "the sender is not a member of this group"
+            cause = "not of this group"
         elif len(message.data) > self.max_entry_bytes or not self.raft.propose(
             message.data, sender, message.seq
         ):
-            cause = "the leader can't accept this command now"
+            cause = "the leader takes nothing now"
         else:
             self.raft.leader_state.commit_waiters[sender] = self.raft.log.last_index
             self.accepted[key] = None
