--- a/magpiefront/net/admin.py
+++ b/magpiefront/net/admin.py
@@ -102,7 +102,8 @@
         self.write()
 
     def write(self) -> None:
-        """Sends as much of the response as the socket takes, and ends this side once all is sent."""
+        """Sends as much of the response as the socket accepts, and closes the sending side once all is
+        sent."""
         try:
             self.unsent = self.unsent[self.socket.send(self.unsent) :]
         except (BlockingIOError, InterruptedError):
--- a/magpiefront/net/downstream.py
+++ b/magpiefront/net/downstream.py
@@ -87,7 +87,7 @@
         self.closing = self.lingering = self.chunked = False
         self.reading = self.writable = True
         self.served = self.in_message = False  # whether a request was served; whether a message is being read
-        # For the timeouts: when the current message began, and when bytes last passed.
+        # Loop times, for the timeouts: when the current message began, and when the last progress was made.
         self.message_began_at = self.last_progress_at = front.loop.time()
         self.accept_delay_us = 0  # the longest time that it may have waited to be accepted
         self.size: int = 0  # of the body that is being read, in bytes
--- a/magpiefront/net/front.py
+++ b/magpiefront/net/front.py
@@ -35,8 +35,8 @@
         self.opening: set[asyncio.Task[object]] = set()  # the running tasks of `_open`
         self.stopping = self.accepting = self.refusing = False
         self.shared = False  # whether another process has a copy of the listening socket
-        self.queue_since_us: int | None = None  # since when connections have been waiting to be accepted
-        self.eviction_retry_at = 0.0  # loop time of the next search for connections to close
+        self.queue_since_us: int | None = None  # since when connections wait to be accepted; None: none
+        self.eviction_retry_at = 0.0  # earliest loop time of the next search for connections to close
         self.socket: socket.socket | None = None
 
     @property
--- a/magpiefront/net/proxy.py
+++ b/magpiefront/net/proxy.py
@@ -1,7 +1,8 @@
 """The host of the Router: supplies its clock and timers, and holds the open requests and attempts.
 
 Turns what happens on sockets into events for the Router and carries its actions out in their order. All
-decisions are the Router's, save one: the proxy refuses what exceeds its own limits (open requests, CPU time).
+decisions are the Router's, with one exception: the proxy refuses what exceeds its own limits (open requests,
+CPU time).
 """
 
 from __future__ import annotations
--- a/magpiefront/net/request.py
+++ b/magpiefront/net/request.py
@@ -76,7 +76,7 @@
 
 class Stage(Protocol):
     """Handles requests that the front or the previous stage submits. It answers each of them exactly once
-    through its `responder`, save those reported to `client_left`."""
+    through its `responder`, except those reported to `client_left`."""
 
     def submit(self, request: Request) -> None:
         """Takes over a request, and with it the duty to answer it."""
@@ -88,7 +88,7 @@
         """The client reads a long answer too slowly: no more of it may be written for now."""
 
     def resume_response(self, request: Request) -> None:
-        """The client's connection takes more of a long answer again."""
+        """More of a long answer may be written to the client again."""
 
 
 class CrossSiteStage(Stage, Protocol):
--- a/tests/upgrade/test_process.py
+++ b/tests/upgrade/test_process.py
@@ -192,7 +192,7 @@
     """Covers a request at a node, an incomplete head, pipelined requests, and a long response in transfer."""
 
     async def main() -> None:
-        gate, halves, size = asyncio.Event(), asyncio.Event(), 32 * 1024 * 1024
+        gate, finish_long, size = asyncio.Event(), asyncio.Event(), 32 * 1024 * 1024
 
         async def long(
             seen: ReceivedRequest, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -203,33 +203,33 @@
             writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % size)
             for i in range(size // 65536):
                 if i == 64:
-                    await halves.wait()
+                    await finish_long.wait()
                 writer.write(b"x" * 65536)
                 await writer.drain()
 
         node = Node("s-0", long)
         async with fleet(tmp_path, node) as f:
             first = await f.start()
-            report, half, piped, read, idle = [await f.client() for _ in range(5)]
+            report, split, pipelined, read, idle = [await f.client() for _ in range(5)]
             report.send(request("PUT", kind="once", deadline="8", body=b"level"))
             key = "Idempotency-Key: k1\r\n"
             body = request("PUT", kind="keyed", deadline="8", body=b"y" * 1000, more=key)
-            half.send(body[:60])
+            split.send(body[:60])
             for _ in range(3):
-                piped.send(request(deadline="8"))
+                pipelined.send(request(deadline="8"))
             read.send(request(path="/api/long", deadline="8"))
             await until(lambda: len(node.seen) == 3)
             await f.start()
-            half.send(body[60:600])
-            answer = await f.client()
-            answer.send(request(deadline="8"))
+            split.send(body[60:600])
+            late = await f.client()
+            late.send(request(deadline="8"))
             await until(lambda: len(node.seen) == 4)
             ended = asyncio.ensure_future(f.end(first))
             await asyncio.sleep(0.1)
-            half.send(body[600:])
-            halves.set()
+            split.send(body[600:])
+            finish_long.set()
             gate.set()
-            for c, n in ((report, 1), (half, 1), (piped, 3), (answer, 1), (read, 1)):
+            for c, n in ((report, 1), (split, 1), (pipelined, 3), (late, 1), (read, 1)):
                 for _ in range(n):
                     assert (await c.answer()).status == 200
             assert "Traceback" not in await ended
