Operator's example file: comments in plain technical English

Each comment now says what its key bounds, without referring to the line above. Keys, values and the state of each line are the same. test_file.py splits the example at the new comment before [record.postgres] and checks that this comment occurs exactly once.

--- a/tests/operator/test_file.py
+++ b/tests/operator/test_file.py
@@ -219,7 +219,9 @@
                 assert re.search(rf"^#?{f.name} = .*#|^#?{f.name} = ", section, re.M), f"{name}.{f.name}"
     # Keys that are commented out show their defaults: uncommented, they change nothing.
     path = tmp_path / "whole.toml"
-    one_store = content.partition("# ... or in its place:")[0]  # two stores exclude each other
+    other_stores = "# The store of record may be PostgreSQL instead of an SQLite file."
+    assert content.count(other_stores) == 1
+    one_store = content.partition(other_stores)[0]  # two stores exclude each other
     kept_lines = [line for line in one_store.splitlines() if not re.match(r"#(certificate|key|ca) ", line)]
     path.write_text("\n".join(re.sub(r"^#(?=[a-z_]+ = )", "", line) for line in kept_lines))
     config = load_operator_config(path)
