--- a/magpiefront/maintenance/forecast.py
+++ b/magpiefront/maintenance/forecast.py
@@ -18,7 +18,9 @@
 from magpiefront.maintenance.plan import Machine, Plan
 
 STEP_S = 1.0  # replicated time between two ticks
-MAX_STEPS = 200_000  # a plan that has not ended after so many ticks is reported as stuck
+# Maximum number of simulated steps, each with one tick. It bounds the simulation of a plan that never ends,
+# which is then reported as stuck.
+MAX_STEPS = 200_000
 
 
 class Wave(msgspec.Struct):
--- a/magpiefront/net/front.py
+++ b/magpiefront/net/front.py
@@ -15,7 +15,9 @@
 from magpiefront.net.shutdown import MIN_IDLE_S
 
 ACCEPT_RETRY_S = 0.05  # after a shortage of room or descriptors, until accepting is tried again
-MAX_EVICTIONS = 32  # at most so many connections are closed at once to make room
+# Maximum number of connections that one call of `_make_room` closes. A twentieth of `max_clients` (plus one)
+# is a second limit, so that a small front does not lose a large share of its connections at once.
+MAX_EVICTIONS = 32
 MAX_ACCEPTS = 64  # connections accepted in one turn of the event loop
 
 
--- a/magpiefront/net/listening.py
+++ b/magpiefront/net/listening.py
@@ -16,7 +16,9 @@
     errno.ECONNABORTED, errno.EPROTO, errno.ENOPROTOOPT, errno.EOPNOTSUPP, errno.ETIMEDOUT, errno.EPERM,
     errno.ENETDOWN, errno.ENETUNREACH, errno.EHOSTDOWN, errno.EHOSTUNREACH, errno.ENONET,
 })  # fmt: skip
-MAX_ACCEPT_ATTEMPTS = 16  # at most so many calls of accept(2) are made for one connection
+# Maximum number of accept(2) calls in one call of `accept_connection`, which tries again after each of
+# TRANSIENT_ACCEPT_ERRNOS. Without a limit, an error that persists (such as ENETDOWN) could block the loop.
+MAX_ACCEPT_ATTEMPTS = 16
 BACKLOG = 4096  # connections in the accept queue
 
 SO_ATTACH_FILTER = 26  # socket(7); the module `socket` does not define it
--- a/magpiefront/net/proxy.py
+++ b/magpiefront/net/proxy.py
@@ -37,7 +37,9 @@
 Args = TypeVarTuple("Args")
 
 TIMEOUT_SLACK_US = 15_000  # from a request's deadline until it gets a 504 if no answer has come
-MAX_LOG_LINES, LOG_PERIOD_S = 20, 10.0  # at most so many lines are logged in each period (seconds)
+# Rate limit of the log: maximum number of lines per period, and the length of a period in seconds. It keeps a
+# repeated message from flooding standard error.
+MAX_LOG_LINES, LOG_PERIOD_S = 20, 10.0
 LONG_TURN_S = 0.05  # event loop lag above which a `turn` event is logged
 SLICE_PAUSE_S = 0.002  # between two slices of long work while requests are open
 SLICE_PAUSE_BEHIND_S = 0.01  # between two slices of long work while requests are shed for loop lag
--- a/magpiefront/placement.py
+++ b/magpiefront/placement.py
@@ -7,8 +7,9 @@
 
 Points of servers that left stay in the ring until there are many of them; one sweep over all buckets then
 removes them and rebuilds each bucket once. When many servers join at once, their points are appended
-unsorted, and the same kind of sweep sorts the buckets. A sweep costs less than inserting or deleting so many
-points one by one. A bucket that is read before the sweep reaches it is sorted at that moment.
+unsorted, and the same kind of sweep sorts the buckets. For the points of many servers, a sweep costs less
+than inserting or deleting them one by one. A bucket that is read before the sweep reaches it is sorted at
+that moment.
 
 A removed server gets no keys from the moment of its removal: its points are skipped until `apply_pending` has
 deleted them. Added servers get keys only when all servers that joined in the same list have their points.
