--- a/tests/gateway/test_worlds.py
+++ b/tests/gateway/test_worlds.py
@@ -23,7 +23,7 @@
 
 SCHEDULES = 200
 SLACK_S, DEADLINE_FACTOR = 2.0, 6.0  # for a loaded machine; long runs outside CI use 0.25 and 1
-# An answer after the block is up to 1.3 s late: more than the 1 s that clients wait by default, within SLACK_S
+# An answer after the block is up to 1.3 s late: over the 1 s that clients wait by default, within SLACK_S
 BLOCKED_AFTER_S, BLOCKED_S = 0.5, 1.65
 
 
