--- a/check.sh
+++ b/check.sh
@@ -1,11 +1,13 @@
 #!/usr/bin/env bash
-# Lint, types, the width of the decision modules, and the tests, in three lanes of about one length beside each other:
-# types, the drill of machines and what simulates; the drills of groups and the hard cases of take-over; and the rest.
-# More processes at once are taken for faults of a busy machine.
-# Tests that KNOWN-RED.txt lists are passed over and printed (tests/known_red.py).
+# Runs the linter, the line length check of the policy files, the type check and the tests. The tests are
+# three parallel runs of about the same duration: (1) the type check, the drill of machines and the
+# simulations; (2) the drills of groups and the hard cases of takeover; (3) all other tests. With more
+# processes at once, tests mistake the load of the machine for faults.
+# Tests that KNOWN-RED.txt lists are expected to fail and are printed (tests/known_red.py).
 set -euo pipefail
 cd "$(dirname "$0")"
 .venv-dev/bin/ruff check .
+.venv-dev/bin/ruff format --check .
 policy=$(.venv-dev/bin/python -c 'import tomllib; print(*tomllib.load(open("deploy/balancer.toml", "rb"))["policy"])')
 if grep -nE '^.{111,}' $policy; then
     echo "a policy file has lines of more than 110 columns" >&2
@@ -16,17 +18,17 @@
     tests/takeover/test_hard_cases.py)
 machines=(tests/maintenance/test_drill.py tests/record/test_steps.py)
 pytest=(.venv-dev/bin/python -m pytest)
-said=$(mktemp -d)
-trap 'rm -rf "$said"' EXIT
-(.venv-dev/bin/mypy && "${pytest[@]}" "${machines[@]}" "${simulated[@]}") >"$said/machines" 2>&1 &
-beside=($!)
-"${pytest[@]}" "${groups[@]}" >"$said/groups" 2>&1 &
-beside+=($!)
-elsewhere=("${simulated[@]}" "${groups[@]}" "${machines[@]}")
-ended=0
-"${pytest[@]}" "${elsewhere[@]/#/--ignore=}" || ended=$?
-for each in "${beside[@]}"; do
-    wait "$each" || ended=$?
+output=$(mktemp -d)
+trap 'rm -rf "$output"' EXIT
+(.venv-dev/bin/mypy && "${pytest[@]}" "${machines[@]}" "${simulated[@]}") >"$output/machines" 2>&1 &
+background_pids=($!)
+"${pytest[@]}" "${groups[@]}" >"$output/groups" 2>&1 &
+background_pids+=($!)
+in_background=("${simulated[@]}" "${groups[@]}" "${machines[@]}")
+status=0
+"${pytest[@]}" "${in_background[@]/#/--ignore=}" || status=$?
+for pid in "${background_pids[@]}"; do
+    wait "$pid" || status=$?
 done
-cat "$said"/*
-exit "$ended"
+cat "$output"/*
+exit "$status"
--- a/magpiefront/__init__.py
+++ b/magpiefront/__init__.py
@@ -1,5 +1,5 @@
 """magpiefront: the decisions of a router in front of a fleet of cache servers."""
 
-from magpiefront.brain import Router
+from magpiefront.router import Router
 
 __all__ = ["Router"]
--- a/magpiefront/__main__.py
+++ b/magpiefront/__main__.py
@@ -1,11 +1,13 @@
-"""`python -m magpiefront`: one real proxy, from its start to its last answer.
-
-    python -m magpiefront [--operator FILE]    LB_OPERATOR serves too; without either, the platform's proxy
-    python -m magpiefront check FILE           says what is wrong with an operator's file, and starts nothing;
-                                               with LB_CONFIG also what that file lacks for it
-    python -m magpiefront record COMMAND       asks the store of record; --operator FILE says which
-    python -m magpiefront group COMMAND        asks the group; --operator FILE says which
-    python -m magpiefront maintenance COMMAND  takes machines out for work, in an order that the group settles
+"""Command line of magpiefront: runs a proxy from its start to its last answer, or an operator's command.
+
+python -m magpiefront [--operator FILE]    runs a proxy. FILE (or LB_OPERATOR) adds the operator's stages;
+                                           without either it is the platform's proxy alone
+python -m magpiefront check FILE           reports what is wrong with an operator's file, starts nothing;
+                                           with LB_CONFIG also what the file lacks for that configuration
+python -m magpiefront record COMMAND       works on the store of record that --operator FILE names
+python -m magpiefront group COMMAND        works on the group that --operator FILE names
+python -m magpiefront maintenance COMMAND  takes machines out for maintenance, in an order that the group
+                                           decides
 """
 
 from __future__ import annotations
@@ -22,138 +24,152 @@
 import uvloop
 
 from magpiefront.net import config
-from magpiefront.net.admin import CALLERS, Admin
-from magpiefront.net.bodies import Bodies
-from magpiefront.net.desk import Desk
+from magpiefront.net.admin import MAX_CALLERS, Admin
+from magpiefront.net.bodies import BodyMemory
+from magpiefront.net.admin_commands import AdminCommands
 from magpiefront.net.discovery import Discovery
-from magpiefront.net.ending import end
-from magpiefront.net.events import to_standard_error
+from magpiefront.net.shutdown_loop import run_shutdown
+from magpiefront.net.events import log_to_stderr
 from magpiefront.net.front import Front
-from magpiefront.net.listening import listening
+from magpiefront.net.listening import open_listener
 from magpiefront.net.proxy import Proxy
 from magpiefront.net.request import Stage
 from magpiefront.net.shutdown import Shutdown
 from magpiefront.upgrade import state as upgrade_state
-from magpiefront.upgrade.channel import place_of
-from magpiefront.upgrade.new import Starting, Succeeding
-from magpiefront.upgrade.old import Serving
+from magpiefront.upgrade.channel import socket_path
+from magpiefront.upgrade.new_process import HandoverClient, OldProcessLink
+from magpiefront.upgrade.old_process import HandoverServer
 
-if TYPE_CHECKING:  # loaded only where there is an operator's file
-    from magpiefront.operator.file import Operator
+if TYPE_CHECKING:  # imported at run time only if there is an operator's file
+    from magpiefront.operator.file import OperatorConfig
 
-RESERVED = 32 + CALLERS  # descriptors that neither clients nor nodes get
-SWEEP_S = 0.5
-START_LOOK_S = 0.002
+RESERVED_DESCRIPTORS = 32 + MAX_CALLERS  # file descriptors that are kept from clients and nodes
+SWEEP_INTERVAL_S = 0.5
+START_POLL_S = 0.002  # how often the start checks whether discovery has a list
 
 
-def told(context: dict[str, Any]) -> str:
-    """What has gone wrong in a callback: it costs that connection, not the proxy."""
-    e = context.get("exception")
-    return "".join(traceback.format_exception(e)) if e is not None else str(context.get("message"))
+def callback_error(context: dict[str, Any]) -> str:
+    """Returns the log text for an exception in a callback. It ends that connection, not the proxy."""
+    error = context.get("exception")
+    return "".join(traceback.format_exception(error)) if error is not None else str(context.get("message"))
 
 
-async def serve(settings: config.Config, operator: Operator | None = None) -> None:
+async def serve(settings: config.Config, operator: OperatorConfig | None = None) -> None:
+    """Runs one proxy until it has shut down after SIGTERM or SIGINT. With `operator`, requests pass through
+    the stages that the operator's file configures. Raises BadConfig or OSError if the proxy cannot start."""
     loop, stop = asyncio.get_running_loop(), asyncio.Event()
-    bodies = Bodies(int(settings.memory_mb * 0.3) << 20)
+    bodies = BodyMemory(int(settings.memory_mb * 0.3) << 20)
     composition = None
     if operator is None:
         proxy = Proxy(settings, loop)
-        first: Stage = proxy
+        first_stage: Stage = proxy
     else:
-        from magpiefront.operator.compose import Composition, host
+        from magpiefront.operator.compose import Composition, create_proxy
 
-        proxy = host(settings, loop, operator)
+        proxy = create_proxy(settings, loop, operator)
         composition = Composition(proxy, proxy, operator, settings.seed, proxy, stop.set)
-        first = composition.first
+        first_stage = composition.first_stage
     if os.environ.get("LB_TRACE"):
         from magpiefront.net import trace
 
         trace.install(proxy)
-    loop.set_exception_handler(lambda _, context: proxy.log(told(context)))
-    front = Front(proxy, first, bodies, settings.sockets - RESERVED - proxy.connections)
+    loop.set_exception_handler(lambda _, context: proxy.log(callback_error(context)))
+    front = Front(
+        proxy, first_stage, bodies, settings.sockets - RESERVED_DESCRIPTORS - proxy.max_node_connections
+    )
     if composition is not None:
-        composition.prepare(front)
+        composition.prepare_front(front)
     discovery = Discovery(proxy, settings.discovery, settings.seed)
-    desk = Desk(proxy, front)
+    admin_commands = AdminCommands(proxy, front)
     if composition is not None and composition.group is not None:
-        desk.more = composition.figures
+        admin_commands.extra_metrics = composition.metrics_text
         if composition.maintenance is not None:
-            desk.call = composition.maintenance.by_hand
-    admin = Admin(loop, desk)
-    place = place_of(settings.listen, os.environ) if settings.admin is not None else None
-    starting = Starting(place) if place is not None else None
+            admin_commands.apply_override = composition.maintenance.set_excluded
+    admin = Admin(loop, admin_commands)
+    upgrade_path = socket_path(settings.listen, os.environ) if settings.admin is not None else None
+    handover_client = HandoverClient(upgrade_path) if upgrade_path is not None else None
 
-    ending: list[Shutdown] = []  # the shutdown, once there is one
-    told_us = 0  # when it was told, by the proxy's clock
+    shutdowns: list[Shutdown] = []  # empty until the shutdown begins; then that one
+    sigterm_us = 0  # when the shutdown began, by the proxy's clock
 
     def reload() -> None:
-        """Guards against ending on SIGHUP, and against going on with a discovery that is shut down. What
-        can't be read changes nothing."""
+        """Handles SIGHUP: applies the configuration and the operator's file as they are now. Otherwise SIGHUP
+        would end the process, or it would keep using a discovery service that is being shut down. An invalid
+        configuration changes nothing."""
         try:
-            new = config.load_again(os.environ, proxy.config)
+            new_config = config.reload(os.environ, proxy.config)
             new_operator = None if operator is None else read_operator(str(operator.path))
         except config.BadConfig as e:
-            proxy.figures.rejected += 1
-            proxy.log(f"reload: {e}; going on with the configuration before it")
+            proxy.metrics.configs_rejected += 1
+            proxy.log(f"reload: {e}; keeping the previous configuration")
             return
-        proxy.figures.applied += 1
-        proxy.configure(new)
-        for shutdown in ending:
+        proxy.metrics.configs_applied += 1
+        proxy.configure(new_config)
+        for shutdown in shutdowns:
             shutdown.shorten(proxy.longest_deadline_us / 1e6)
-            proxy.answer_all_by(told_us + int(shutdown.times.answer_by_s * 1e6))
+            proxy.answer_all_by(sigterm_us + int(shutdown.times.answer_by_s * 1e6))
         if composition is not None and new_operator is not None:
             composition.configure(new_operator)
-        discovery.move(new.discovery)
+        discovery.set_address(new_config.discovery)
 
     loop.add_signal_handler(signal.SIGHUP, reload)
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stop.set)
+    for signal_number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(signal_number, stop.set)
     if composition is not None:
         try:
-            await composition.start(starting.listeners if starting is not None else None)
+            await composition.start(handover_client.listeners if handover_client is not None else None)
         except OSError as e:
             raise config.BadConfig(f"{composition.operator.path}: can't listen for gateways: {e}") from None
     if settings.admin is not None:
         try:
             admin.bind(settings.admin)
         except OSError as e:
-            told_place = f"{settings.admin[0]}:{settings.admin[1]}"
-            raise config.BadConfig(f"LB_ADMIN: can't listen on {told_place}: {e}") from None
-    own = None
-    if starting is None or starting.listener is None:
-        own = listening(*settings.listen, shared=settings.admin is not None)
-    state = starting.take() if starting is not None else None
-    known = settings.known
+            address = f"{settings.admin[0]}:{settings.admin[1]}"
+            raise config.BadConfig(f"LB_ADMIN: can't listen on {address}: {e}") from None
+    own_listener = None
+    if handover_client is None or handover_client.listener is None:
+        own_listener = open_listener(*settings.listen, shared=settings.admin is not None)
+    state = handover_client.take_over() if handover_client is not None else None
+    known_list = settings.initial_list
     if state is not None:
-        known = upgrade_state.known(state, settings.discovery, settings.known)
-    discovery.start(known)
-    while not discovery.settled and not stop.is_set():
-        await asyncio.sleep(START_LOOK_S)
+        known_list = upgrade_state.initial_list(state, settings.discovery, settings.initial_list)
+    discovery.start(known_list)
+    while not discovery.list_applied and not stop.is_set():
+        await asyncio.sleep(START_POLL_S)
     if state is not None:
         upgrade_state.restore(state, proxy)
-    listener = starting.listener if starting is not None and starting.listener is not None else own
-    taken_over = starting is not None and starting.listener is not None
+    listener = (
+        handover_client.listener
+        if handover_client is not None and handover_client.listener is not None
+        else own_listener
+    )
+    listener_handed_over = handover_client is not None and handover_client.listener is not None
     front.listen_on(
-        listener or listening(*settings.listen, shared=settings.admin is not None), shared=taken_over
+        listener or open_listener(*settings.listen, shared=settings.admin is not None),
+        shared=listener_handed_over,
     )
     if composition is not None:
         await composition.accept()
-    if starting is not None and starting.socket is not None:
-        succeeding = Succeeding(starting, proxy, front, desk)
+    if handover_client is not None and handover_client.socket is not None:
+        old_process = OldProcessLink(handover_client, proxy, front, admin_commands)
         if composition is not None:
-            composition.follows(lambda: succeeding.channel.open)
-    others = composition.listening if composition is not None else []
-    serving = Serving(proxy, front, discovery, desk, place, others) if place is not None else None
-    if serving is not None:
-        serving.listen()
+            composition.set_old_process_check(lambda: old_process.channel.open)
+    other_listeners = composition.handover_listeners if composition is not None else []
+    handover_server = (
+        HandoverServer(proxy, front, discovery, admin_commands, upgrade_path, other_listeners)
+        if upgrade_path is not None
+        else None
+    )
+    if handover_server is not None:
+        handover_server.listen()
     if settings.admin is not None:
         admin.start()
 
     if composition is not None:
-        composition.begin()
+        composition.begin_recovery()
 
     def sweep() -> None:
-        loop.call_later(SWEEP_S, sweep)  # first, so that a defect in one of them ends no further round
+        loop.call_later(SWEEP_INTERVAL_S, sweep)  # first: an exception below must not end the sweeps
         proxy.sweep()
         front.sweep()
         admin.sweep()
@@ -162,25 +178,26 @@
 
     sweep()
     proxy.tick()
-    # What is there by now stays: the collector need not look through it again and again.
+    # The objects that exist by now live as long as the process, so the garbage collector can skip them.
     gc.collect()
     gc.freeze()
     gc.set_threshold(50_000, 50, 100)
     await stop.wait()
-    told_at, told_us = loop.time(), proxy.now_us()
-    ending.append(shutdown := Shutdown(proxy.longest_deadline_us / 1e6))
-    proxy.answer_all_by(told_us + int(shutdown.times.answer_by_s * 1e6))
+    sigterm_at, sigterm_us = loop.time(), proxy.now_us()
+    shutdowns.append(shutdown := Shutdown(proxy.longest_deadline_us / 1e6))
+    proxy.answer_all_by(sigterm_us + int(shutdown.times.answer_by_s * 1e6))
     front.stopping = True
-    if serving is not None:
-        serving.stop()
-    if composition is not None and not front.handed:
-        composition.drain()  # where there is a next process, its peers go there one by one
-    await end(
+    if handover_server is not None:
+        handover_server.stop()
+    if composition is not None and not front.handed_over:
+        composition.drain()  # not after a handover: then peers move to the new process one by one
+    await run_shutdown(
         front,
         shutdown,
-        told_at,
+        sigterm_at,
         work_left=lambda: (
-            (composition is not None and composition.busy) or (serving is not None and serving.writing)
+            (composition is not None and composition.busy)
+            or (handover_server is not None and handover_server.sending_state)
         ),
         drain=lambda: None if composition is None else composition.drain(),
         events_log=proxy.events_log,
@@ -190,128 +207,131 @@
         composition.stop()
     discovery.stop()
     admin.stop()
-    if serving is not None:
-        serving.close()
+    if handover_server is not None:
+        handover_server.close()
 
 
-def read_operator(path: str) -> Operator:
-    """Raises BadConfig."""
+def read_operator(path: str) -> OperatorConfig:
+    """Reads and checks an operator's file. Raises BadConfig."""
     try:
-        from magpiefront.operator.compose import check, path_of
-        from magpiefront.operator.fields import BadFile
+        from magpiefront.operator.compose import load_and_check, expand_path
+        from magpiefront.operator.parsing import BadFile
     except ModuleNotFoundError as e:
         raise config.BadConfig(f"{path}: needs the package {e.name}: see requirements-gateway.txt") from None
     try:
-        return check(path_of(path))
+        return load_and_check(expand_path(path))
     except BadFile as e:
         raise config.BadConfig(str(e)) from None
 
 
-def check_both(path: str, operator: Operator, settings: config.Config) -> None:
-    """Raises BadConfig where the platform's file does not go with the operator's."""
-    from magpiefront.operator.compose import uncovered
+def check_coverage(path: str, operator: OperatorConfig, settings: config.Config) -> None:
+    """Raises BadConfig if the operator's file does not fit the request classes of the platform's file."""
+    from magpiefront.operator.compose import check_takeover_windows
 
-    for line in uncovered(operator, settings.settings.classes):
+    for line in check_takeover_windows(operator, settings.settings.classes):
         raise config.BadConfig(f"{path}: [record] {line}")
 
 
-def operator_of(args: argparse.Namespace, says: str) -> Operator:
-    """The file of a command. Raises BadConfig."""
+def load_operator(args: argparse.Namespace, subject: str) -> OperatorConfig:
+    """Reads the operator's file for a command that needs it to find `subject`. Raises BadConfig."""
     path = args.own_operator or args.operator or os.environ.get("LB_OPERATOR")
     if not path:
-        raise config.BadConfig(f"{args.command}: --operator FILE (or LB_OPERATOR) says {says}")
+        raise config.BadConfig(f"{args.command}: --operator FILE (or LB_OPERATOR) must name {subject}")
     return read_operator(path)
 
 
-def ask_record(args: argparse.Namespace) -> int:
-    """Raises BadConfig."""
-    from magpiefront.record.commands import BadStore, Refused, run
+def run_record(args: argparse.Namespace) -> int:
+    """Runs a `record` command. Returns the exit status. Raises BadConfig."""
+    from magpiefront.record.commands import BadStore, CommandError, run
 
-    operator = operator_of(args, "where the store is")
+    operator = load_operator(args, "the store")
     if operator.record is None:
         raise config.BadConfig(f"{operator.path}: [record] is missing")
     from magpiefront.record.settings import GroupStoreSettings
-    from magpiefront.commands.reports import GroupBook
+    from magpiefront.commands.reports import GroupReportStore
 
     try:
         store = operator.record.store
-        return run(GroupBook(operator) if isinstance(store, GroupStoreSettings) else store, args)
-    except (BadStore, Refused) as e:
+        return run(GroupReportStore(operator) if isinstance(store, GroupStoreSettings) else store, args)
+    except (BadStore, CommandError) as e:
         raise config.BadConfig(str(e)) from None
 
 
-def ask_group(args: argparse.Namespace) -> int:
-    """Raises BadConfig."""
-    from magpiefront.commands.group import Refused, run
+def run_group(args: argparse.Namespace) -> int:
+    """Runs a `group` command. Returns the exit status. Raises BadConfig."""
+    from magpiefront.commands.group import CommandError, run
 
-    operator = operator_of(args, "which")
+    operator = load_operator(args, "the group")
     try:
         return run(operator, args)
-    except Refused as e:
+    except CommandError as e:
         raise config.BadConfig(str(e)) from None
 
 
-def ask_maintenance(args: argparse.Namespace) -> int:
-    """Raises BadConfig."""
-    from magpiefront.commands.group import Refused
+def run_maintenance(args: argparse.Namespace) -> int:
+    """Runs a `maintenance` command. Returns the exit status. Raises BadConfig."""
+    from magpiefront.commands.group import CommandError
     from magpiefront.commands.maintenance import run
-    from magpiefront.operator.fields import BadFile
+    from magpiefront.operator.parsing import BadFile
 
-    operator = operator_of(args, "of which machines")
+    operator = load_operator(args, "the machines")
     try:
         return run(operator, args)
-    except (Refused, BadFile) as e:
+    except (CommandError, BadFile) as e:
         raise config.BadConfig(str(e)) from None
 
 
-def arguments(given: list[str]) -> argparse.Namespace:
+def parse_arguments(argv: list[str]) -> argparse.Namespace:
+    """Parses the command line. A command's options are added only if the command is given, so that the proxy
+    itself does not import the modules of the commands."""
     parser = argparse.ArgumentParser("magpiefront", description="A load-balancing proxy for cache nodes.")
     parser.add_argument("--operator", metavar="FILE", help="the operator's file (else LB_OPERATOR)")
     commands = parser.add_subparsers(dest="command")
-    check = commands.add_parser("check", help="say what is wrong with an operator's file")
+    check = commands.add_parser("check", help="report what is wrong with an operator's file")
     check.add_argument("file")
-    record = commands.add_parser("record", help="ask the store of record; `record --help` says what")
+    record = commands.add_parser("record", help="work on the store of record; see `record --help`")
     record.add_argument("--operator", metavar="FILE", dest="own_operator", help="as above")
-    if "record" in given:
+    if "record" in argv:
         from magpiefront.record.commands import add_arguments
 
         add_arguments(record)
-    group = commands.add_parser("group", help="ask the group; `group --help` says what")
+    group = commands.add_parser("group", help="work on the group; see `group --help`")
     group.add_argument("--operator", metavar="FILE", dest="own_operator", help="as above")
-    if "group" in given:
+    if "group" in argv:
         from magpiefront.commands.group import add_arguments as add_group
 
         add_group(group)
-    maintenance = commands.add_parser("maintenance", help="machines; `maintenance --help` says what")
+    maintenance = commands.add_parser("maintenance", help="work on machines; see `maintenance --help`")
     maintenance.add_argument("--operator", metavar="FILE", dest="own_operator", help="as above")
-    if "maintenance" in given:
+    if "maintenance" in argv:
         from magpiefront.commands.maintenance import add_arguments as add_maintenance
 
         add_maintenance(maintenance)
-    return parser.parse_args(given)
+    return parser.parse_args(argv)
 
 
-def main(given: list[str] | None = None) -> int:
-    args = arguments(sys.argv[1:] if given is None else given)
+def main(argv: list[str] | None = None) -> int:
+    """Runs the command line. Returns the exit status: 2 for a bad configuration or an address in use."""
+    args = parse_arguments(sys.argv[1:] if argv is None else argv)
     try:
         if args.command == "check":
             checked = read_operator(args.file)
             if os.environ.get("LB_CONFIG"):
-                check_both(args.file, checked, config.load(os.environ))
+                check_coverage(args.file, checked, config.load(os.environ))
             print(f"{args.file}: good")
-            if checked.group is not None and checked.group.told:
-                print(f"{args.file}: {checked.group.told}")
+            if checked.group is not None and checked.group.warning:
+                print(f"{args.file}: {checked.group.warning}")
             return 0
         if args.command == "record":
-            return ask_record(args)
+            return run_record(args)
         if args.command == "group":
-            return ask_group(args)
+            return run_group(args)
         if args.command == "maintenance":
-            return ask_maintenance(args)
+            return run_maintenance(args)
         settings = config.load(os.environ)
         path = args.operator or os.environ.get("LB_OPERATOR")
         operator = read_operator(path) if path else None
-        to_standard_error()
+        log_to_stderr()
         uvloop.run(serve(settings, operator))
     except config.BadConfig as e:
         print(f"magpiefront: {e}", file=sys.stderr)
--- a/magpiefront/caching/directives.py
+++ b/magpiefront/caching/directives.py
@@ -1,4 +1,4 @@
-"""`Cache-Control` and its kin as directives (RFC 9111, 5.2; RFC 9213). No I/O and no clock."""
+"""Parses `Cache-Control` and targeted cache control fields (RFC 9111, 5.2; RFC 9213). No I/O and no clock."""
 
 from __future__ import annotations
 
@@ -8,76 +8,84 @@
 
 import http_sf
 
-from magpiefront.caching.lists import members
+from magpiefront.caching.field_lists import split_members
 
-MOST_S = 1 << 31  # what is greater counts as this (RFC 9111, 1.2.2)
+MAX_DELTA_S = 1 << 31  # greater values count as this (RFC 9111, 1.2.2)
 # token [ "=" ( token / quoted-string ) ]
-ONE = re.compile(rb"([!#$%&'*+.^_`|~0-9A-Za-z-]+)" rb'(?:(=)(?:"((?:[^"\\]|\\.)*)"|([^",;\s]*)))?', re.DOTALL)
-GARBLED = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
-NAME = re.compile(rb"[!#$%&'*+.^_`|~0-9a-z-]+")
-WHOLE = re.compile(rb"[0-9]+")
+DIRECTIVE = re.compile(
+    rb"([!#$%&'*+.^_`|~0-9A-Za-z-]+)" rb'(?:(=)(?:"((?:[^"\\]|\\.)*)"|([^",;\s]*)))?', re.DOTALL
+)
+DIRECTIVE_NAME = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
+FIELD_NAME = re.compile(rb"[!#$%&'*+.^_`|~0-9a-z-]+")
+DIGITS = re.compile(rb"[0-9]+")
 
 
 class Directives:
-    """What one message says. Names are in lower case; what is not known is kept and does nothing."""
+    """The cache directives of one message. Names are in lower case; unknown directives have no effect."""
 
-    __slots__ = ("given", "targeted")
+    __slots__ = ("arguments", "targeted")
 
-    def __init__(self, given: dict[bytes, list[bytes | None]], targeted: bool = False) -> None:
-        """`given`: for each directive its arguments in their order, None for one without. `targeted`: they
-        came in a field for caches like this one (RFC 9213)."""
-        self.given, self.targeted = given, targeted
+    def __init__(self, arguments: dict[bytes, list[bytes | None]], targeted: bool = False) -> None:
+        """`arguments` lists each directive's arguments in order, None for an occurrence without one.
+        `targeted` says that they come from a targeted field (RFC 9213)."""
+        self.arguments, self.targeted = arguments, targeted
 
     def __contains__(self, name: bytes) -> bool:
-        return name in self.given
+        return name in self.arguments
 
     def __bool__(self) -> bool:
-        return bool(self.given)
+        return bool(self.arguments)
 
     def seconds(self, name: bytes) -> int | None:
-        """delta-seconds, `MOST_S` at most. None where it is not there; 0 where it is no number, or comes
-        with several: what can't be trusted is stale at once (RFC 9111, 4.2.1)."""
-        arguments = self.given.get(name)
-        if arguments is None:
+        """Returns a delta-seconds argument, at most `MAX_DELTA_S`, or None without the directive.
+
+        An invalid number or conflicting values give 0, so that the response is stale at once (RFC 9111,
+        4.2.1).
+        """
+        values = self.arguments.get(name)
+        if values is None:
             return None
-        first = arguments[0]
-        if first is None or not WHOLE.fullmatch(first) or any(a != first for a in arguments):
+        first_value = values[0]
+        if first_value is None or not DIGITS.fullmatch(first_value) or any(a != first_value for a in values):
             return 0
-        return min(MOST_S, int(first[:20])) if len(first) < 20 else MOST_S
+        return min(MAX_DELTA_S, int(first_value[:20])) if len(first_value) < 20 else MAX_DELTA_S
 
-    def bare(self, name: bytes) -> bool:
-        """Is it there without a list of fields, and so about the whole answer? A list that can't be read
-        counts as none."""
-        return any(not a or not fields_in(a) for a in self.given.get(name, ()))
+    def applies_to_whole(self, name: bytes) -> bool:
+        """Returns whether the directive occurs without a list of field names, and so concerns the whole
+        response. With a malformed list it concerns the whole response too."""
+        return any(not a or not parse_field_names(a) for a in self.arguments.get(name, ()))
 
     def fields(self, name: bytes) -> frozenset[bytes]:
-        """The fields (in lower case) that its arguments name, as in `no-cache="set-cookie"`."""
+        """Returns the field names (in lower case) of the arguments, as in `no-cache="set-cookie"`."""
         named: set[bytes] = set()
-        for a in self.given.get(name, ()):
+        for a in self.arguments.get(name, ()):
             if a:
-                named |= fields_in(a)
+                named |= parse_field_names(a)
         return frozenset(named)
 
 
-def fields_in(argument: bytes) -> frozenset[bytes]:
+def parse_field_names(argument: bytes) -> frozenset[bytes]:
     names = [n.strip(b" \t").lower() for n in argument.split(b",")]
     names = [n for n in names if n]
-    return frozenset(names) if all(NAME.fullmatch(n) for n in names) else frozenset()
+    return frozenset(names) if all(FIELD_NAME.fullmatch(n) for n in names) else frozenset()
 
 
-NOTHING = Directives({})
+NO_DIRECTIVES = Directives({})
 
 
 @lru_cache(4096)
 def parse(value: bytes) -> Directives:
-    """A `Cache-Control` value, several lines already joined. A directive whose argument can't be read counts
-    as one with an empty argument, which binds the whole answer, or is stale at once."""
-    given: dict[bytes, list[bytes | None]] = {}
-    for member in members(value):
+    """Parses a `Cache-Control` value whose lines are already joined.
+
+    A malformed argument counts as an empty one: the directive then concerns the whole response, or its
+    number of seconds is 0.
+    """
+    arguments: dict[bytes, list[bytes | None]] = {}
+    for member in split_members(value):
         argument: bytes | None = b""
-        match = ONE.fullmatch(member)
+        match = DIRECTIVE.fullmatch(member)
         if match is None:
-            match = GARBLED.match(member)
+            match = DIRECTIVE_NAME.match(member)
             if match is None:
                 continue
         elif not match[2]:
@@ -86,19 +94,21 @@
             argument = re.sub(rb"\\(.)", rb"\1", match[3], flags=re.DOTALL)
         else:
             argument = match[4]
-        given.setdefault(match[0 if match.re is GARBLED else 1].lower(), []).append(argument)
-    return Directives(given)
+        arguments.setdefault(match[0 if match.re is DIRECTIVE_NAME else 1].lower(), []).append(argument)
+    return Directives(arguments)
 
 
 @lru_cache(1024)
 def parse_targeted(value: bytes) -> Directives | None:
-    """A targeted field such as `CDN-Cache-Control` (RFC 9213, 2.1): a dictionary of RFC 9651. None where it
-    is empty or can't be read, and is to be ignored as a whole."""
+    """Parses a targeted field such as `CDN-Cache-Control` (RFC 9213, 2.1), a dictionary of RFC 9651.
+
+    Returns None if it is empty or malformed; the field must then be ignored as a whole.
+    """
     try:
         found: Any = http_sf.parse(value, tltype="dictionary")
     except (http_sf.StructuredFieldError, ValueError):
         return None
-    given: dict[bytes, list[bytes | None]] = {}
+    arguments: dict[bytes, list[bytes | None]] = {}
     for name, member in found.items():
         item = member[0] if isinstance(member, tuple) else member
         if item is False:
@@ -112,5 +122,5 @@
             argument = b""
         else:
             argument = str(item).encode("latin-1", "replace")
-        given[name.encode()] = [argument]
-    return Directives(given, True) if found else None
+        arguments[name.encode()] = [argument]
+    return Directives(arguments, True) if found else None
--- a/magpiefront/caching/disk.py
+++ b/magpiefront/caching/disk.py
@@ -1,8 +1,8 @@
-"""The second tier: what is kept, in a SQLite file that outlives the process. All I/O is in one thread.
+"""The disk tier: stored responses in a SQLite file that outlives the process. One thread does all I/O.
 
-Nobody waits for a write; a look-up that takes too long is a miss; whatever is wrong with the file is a miss.
-What is voided is gone from the index at once. The file says whether it was closed in order: if it was not,
-a voiding may not have reached it, and all that it holds must be validated before its use.
+No request waits for a write. A load that takes too long is a miss, and so is any fault of the file. An
+invalidation removes the key from the index at once. The file records whether it was closed cleanly: if not,
+an invalidation may not have reached it, and all its responses must be validated before use.
 """
 
 from __future__ import annotations
@@ -18,14 +18,14 @@
 
 import msgspec
 
-from magpiefront.net.house import House
-from magpiefront.caching.rules import S, Stored
+from magpiefront.net.runtime import Runtime
+from magpiefront.caching.rules import US_PER_S, StoredResponse
 from magpiefront.caching.settings import DiskSettings
 
-VERSION = 1
-BATCH = 64
-STOP_S = 2.0
-NOT_TO_BE_HAD = frozenset({
+SCHEMA_VERSION = 1
+EVICTION_BATCH_ROWS = 64
+STOP_TIMEOUT_S = 2.0
+UNAVAILABLE_CODES = frozenset({
     sqlite3.SQLITE_PERM, sqlite3.SQLITE_BUSY, sqlite3.SQLITE_LOCKED, sqlite3.SQLITE_READONLY,
     sqlite3.SQLITE_IOERR, sqlite3.SQLITE_FULL, sqlite3.SQLITE_CANTOPEN,
 })  # fmt: skip
@@ -37,7 +37,7 @@
 
 
 class Packed(msgspec.Struct, array_like=True):
-    """A stored answer in the file. Its age counts from `wall_s`, the wall clock when it was 0."""
+    """A stored response as the file holds it. `wall_s` is the wall-clock time at which its age was 0."""
 
     status: int
     head: bytes
@@ -51,22 +51,23 @@
     etag: bytes
     modified: bytes
     no_cache: bool
-    must_validate: bool
+    must_validate: bool  # as in `StoredResponse`: never served stale
     immutable: bool
     swr_us: int
     sie_us: int
 
 
-class Unusable(Exception):
-    """The file can't be used; the text says why."""
+class UnusableFile(Exception):
+    """The file cannot be used. The message says why."""
 
 
-Variants = tuple[Stored, ...]
+Variants = tuple[StoredResponse, ...]
 _encoder = msgspec.msgpack.Encoder()
 _decoder: msgspec.msgpack.Decoder[list[Packed]] = msgspec.msgpack.Decoder(list[Packed])
 
 
-def pack(variants: Sequence[Stored], saved_s: float) -> bytes:
+def pack(variants: Sequence[StoredResponse], saved_s: float) -> bytes:
+    """Encodes the variants of one key, saved at `saved_s` of the wall clock."""
     return _encoder.encode([
         Packed(v.status, v.head, v.body, v.wall_s, saved_s, v.lifetime_us, v.date_s, list(v.vary),
                list(v.secondary), v.etag, v.modified, v.no_cache, v.must_validate, v.immutable, v.swr_us,
@@ -75,24 +76,29 @@
     ])  # fmt: skip
 
 
-def unpack(packed: bytes, now_us: int, now_s: float, doubt: bool) -> Variants:
-    """Raises msgspec.MsgspecError. With `doubt`, and where the clock stands before it was saved, each is to
-    be validated before its use, and what can't be is left out."""
+def unpack(packed: bytes, now_us: int, now_s: float, must_validate_all: bool) -> Variants:
+    """Decodes the variants of one key. Raises msgspec.MsgspecError.
+
+    With `must_validate_all`, or if the wall clock is behind the time of saving, each variant must be
+    validated before each use, even while it is fresh (`no_cache`), and those without a validator are left
+    out. The `must_validate` of a variant is kept as it was saved.
+    """
     found = []
     for p in _decoder.decode(packed):
-        doubtful = doubt or now_s < p.saved_s
-        if doubtful and not p.etag and not p.modified:
+        is_doubtful = must_validate_all or now_s < p.saved_s
+        if is_doubtful and not p.etag and not p.modified:
             continue
-        found.append(Stored(
-            p.status, p.head, p.body, now_us - max(0, int((now_s - p.wall_s) * S)), p.lifetime_us,
+        found.append(StoredResponse(
+            p.status, p.head, p.body, now_us - max(0, int((now_s - p.wall_s) * US_PER_S)), p.lifetime_us,
             date_s=p.date_s, wall_s=p.wall_s, vary=tuple(p.vary), secondary=tuple(p.secondary), etag=p.etag,
-            modified=p.modified, no_cache=p.no_cache or doubtful, must_validate=p.must_validate,
+            modified=p.modified, no_cache=p.no_cache or is_doubtful, must_validate=p.must_validate,
             immutable=p.immutable, swr_us=p.swr_us, sie_us=p.sie_us,
         ))  # fmt: skip
     return tuple(found)
 
 
 def checksum(key: bytes, packed: bytes) -> bytes:
+    """Returns the checksum of a row. It covers the key, so that it does not match in another row."""
     h = blake2b(key, digest_size=16)
     h.update(b"\0")
     h.update(packed)
@@ -100,44 +106,54 @@
 
 
 class Disk:
+    """The disk tier. The event loop owns the index, a thread of the tier owns the database.
+
+    `wall` returns the Unix time in seconds.
+    """
+
     def __init__(
-        self, house: House, settings: DiskSettings, wall: Callable[[], float] = time.time
+        self, runtime: Runtime, settings: DiskSettings, wall: Callable[[], float] = time.time
     ) -> None:  # fmt: skip
-        self.house, self.settings, self.wall = house, settings, wall
-        self.began_us, self.began_s = house.now_us(), wall()
-        self.index: dict[bytes, bytes] = {}  # of each key its gauge
-        self.gauges: dict[bytes, set[bytes]] = {}
-        self.loads: dict[bytes, object] = {}
-        self.waiting = 0  # saves in the queue
-        self.skipped = self.broken = 0
-        self.doubt = self.failed = False
+        self.runtime, self.settings, self.wall = runtime, settings, wall
+        self.started_us, self.started_s = runtime.now_us(), wall()
+        self.index: dict[bytes, bytes] = {}  # gauge of each key
+        self.gauges: dict[bytes, set[bytes]] = {}  # keys of each gauge
+        self.load_tokens: dict[bytes, object] = {}
+        self.queued_saves = 0
+        self.skipped_saves = self.failures = 0
+        # `must_validate_all`: the file was not closed cleanly, so each loaded variant is validated before
+        # use.
+        self.must_validate_all = self.has_failed = False
         self.jobs: queue.SimpleQueue[Callable[[], None] | None] = queue.SimpleQueue()
         self.thread: threading.Thread | None = None
         self.db: sqlite3.Connection | None = None
-        self.total = 0
+        self.total_bytes = 0
 
     # ---- start and stop
 
     def start(self) -> None:
-        """Reads the index. A file that can't be read is set aside, and the tier begins empty. Raises OSError
-        or sqlite3.Error where there can be none: no right to it, another process that has it open."""
+        """Reads the index. An unreadable file is renamed to `.bad`, and the tier starts empty.
+
+        Raises OSError or sqlite3.Error if no file can be used, for example if permissions are missing or
+        another process has it open.
+        """
         if self.settings.path.exists() and not self.settings.path.is_file():
-            raise IsADirectoryError(f"{self.settings.path} is no file")
+            raise IsADirectoryError(f"{self.settings.path} is not a file")
         self.settings.path.parent.mkdir(parents=True, exist_ok=True)
         try:
             self._open()
-        except (Unusable, sqlite3.DatabaseError) as e:
+        except (UnusableFile, sqlite3.DatabaseError) as e:
             if self.db is not None:
                 self.db.close()
-            if isinstance(e, sqlite3.OperationalError) and e.sqlite_errorcode & 0xFF in NOT_TO_BE_HAD:
+            if isinstance(e, sqlite3.OperationalError) and e.sqlite_errorcode & 0xFF in UNAVAILABLE_CODES:
                 raise
             aside = self.settings.path.with_suffix(self.settings.path.suffix + ".bad")
-            self.house.log(f"cache: {self.settings.path}: {e}; set aside as {aside.name}, begins empty")
-            for ending in ("-wal", "-shm"):
-                Path(f"{self.settings.path}{ending}").unlink(missing_ok=True)
+            self.runtime.log(f"cache: {self.settings.path}: {e}; set aside as {aside.name}, starting empty")
+            for suffix in ("-wal", "-shm"):
+                Path(f"{self.settings.path}{suffix}").unlink(missing_ok=True)
             self.settings.path.replace(aside)
             self._open()
-        self.thread = threading.Thread(target=self._work, name="cache-disk", daemon=True)
+        self.thread = threading.Thread(target=self._run_jobs, name="cache-disk", daemon=True)
         self.thread.start()
 
     def _open(self) -> None:
@@ -145,61 +161,61 @@
         db = self.db = sqlite3.connect(
             self.settings.path, isolation_level=None, check_same_thread=False, timeout=1.0
         )
-        db.execute("PRAGMA locking_mode=EXCLUSIVE")  # two processes would not hear of each other's voidings
+        db.execute("PRAGMA locking_mode=EXCLUSIVE")  # processes would miss each other's invalidations
         db.execute("PRAGMA journal_mode=WAL")
         db.execute("PRAGMA synchronous=FULL")
         if new:
-            db.executescript(f"BEGIN; {SCHEMA} PRAGMA user_version={VERSION}; COMMIT;")
+            db.executescript(f"BEGIN; {SCHEMA} PRAGMA user_version={SCHEMA_VERSION}; COMMIT;")
         version = db.execute("PRAGMA user_version").fetchone()[0]
-        if version != VERSION:
-            raise Unusable(f"its version is {version}, not {VERSION}")
+        if version != SCHEMA_VERSION:
+            raise UnusableFile(f"schema version {version} instead of {SCHEMA_VERSION}")
         clean = db.execute("SELECT value FROM state WHERE name='clean'").fetchone()
-        self.doubt = not new and (clean is None or clean[0] != 1)
-        # Durably, before anything is served from it: dying from here on leaves a file in doubt.
+        self.must_validate_all = not new and (clean is None or clean[0] != 1)
+        # Made durable before anything is served: after a crash the file is then known as not closed cleanly.
         db.execute("INSERT OR REPLACE INTO state VALUES ('clean', 0)")
         db.execute("PRAGMA synchronous=NORMAL")
-        self.index, self.gauges, self.total = {}, {}, 0
+        self.index, self.gauges, self.total_bytes = {}, {}, 0
         for key, gauge, size in db.execute("SELECT key, gauge, size FROM objects"):
             if not isinstance(key, bytes) or not isinstance(gauge, bytes) or not isinstance(size, int):
-                raise Unusable("its rows are spoilt")
-            self._enter(key, gauge)
-            self.total += size
+                raise UnusableFile("the table objects has corrupt rows")
+            self._add_key(key, gauge)
+            self.total_bytes += size
 
     def stop(self) -> None:
-        """Writes what waits, and closes the file in order, within `STOP_S`."""
+        """Writes the queued saves and closes the file cleanly. Waits for at most `STOP_TIMEOUT_S`."""
         if self.thread is not None:
             self.jobs.put(self._close)
             self.jobs.put(None)
-            self.thread.join(STOP_S)
+            self.thread.join(STOP_TIMEOUT_S)
             self.thread = None
 
     def _close(self) -> None:
         assert self.db is not None
         self.db.execute("PRAGMA synchronous=FULL")
-        if not self.failed:  # else something voided may be there still
+        if not self.has_failed:  # else an invalidated row may still be there
             self.db.execute("INSERT OR REPLACE INTO state VALUES ('clean', 1)")
         self.db.close()
 
-    def _work(self) -> None:
+    def _run_jobs(self) -> None:
         while True:
             job = self.jobs.get()
             if job is None:
                 return
             try:
                 job()
-            except Exception as e:  # also what a spoilt file makes of a row: this thread must go on
-                self.failed = True
-                self._tell(self._failed, f"{type(e).__name__}: {e}")
+            except Exception as e:  # also errors of corrupt rows: the thread must keep running
+                self.has_failed = True
+                self._call_in_loop(self._report_failure, f"{type(e).__name__}: {e}")
 
-    def _tell(self, what: Callable[..., None], *args: object) -> None:
-        with contextlib.suppress(RuntimeError):  # the loop has ended
-            self.house.loop.call_soon_threadsafe(what, *args)
+    def _call_in_loop(self, callback: Callable[..., None], *args: object) -> None:
+        with contextlib.suppress(RuntimeError):  # the loop is closed
+            self.runtime.loop.call_soon_threadsafe(callback, *args)
 
-    def _failed(self, text: str) -> None:
-        self.broken += 1
-        self.house.log(f"cache: {self.settings.path}: {text}")
+    def _report_failure(self, text: str) -> None:
+        self.failures += 1
+        self.runtime.log(f"cache: {self.settings.path}: {text}")
 
-    # ---- in the loop
+    # ---- called in the loop
 
     def __len__(self) -> int:
         return len(self.index)
@@ -207,11 +223,11 @@
     def has(self, key: bytes) -> bool:
         return key in self.index
 
-    def _enter(self, key: bytes, gauge: bytes) -> None:
+    def _add_key(self, key: bytes, gauge: bytes) -> None:
         self.index[key] = gauge
         self.gauges.setdefault(gauge, set()).add(key)
 
-    def _leave(self, key: bytes) -> bool:
+    def _remove_key(self, key: bytes) -> bool:
         gauge = self.index.pop(key, None)
         if gauge is None:
             return False
@@ -222,21 +238,24 @@
         return True
 
     def save(self, key: bytes, gauge: bytes, variants: Variants) -> None:
-        if not variants or self.waiting >= self.settings.queue:
-            self.skipped += 1
-            self.drop(key)  # what is there is older than what is kept now
+        """Queues the variants of a key to be written. With a full queue the key is dropped instead."""
+        if not variants or self.queued_saves >= self.settings.queue:
+            self.skipped_saves += 1
+            self.drop(key)  # the file holds an older version
             return
-        self.waiting += 1
-        self._enter(key, gauge)
+        self.queued_saves += 1
+        self._add_key(key, gauge)
         saved_s = self.wall()
         self.jobs.put(lambda: self._save(key, gauge, variants, saved_s))
 
     def drop(self, key: bytes) -> None:
-        self.loads.pop(key, None)
-        if self._leave(key):
+        """Removes a key. A load of it that is in progress finds nothing."""
+        self.load_tokens.pop(key, None)
+        if self._remove_key(key):
             self.jobs.put(lambda: self._execute("DELETE FROM objects WHERE key=?", key))
 
     def drop_gauge(self, gauge: bytes) -> None:
+        """Removes all keys of a gauge."""
         for key in list(self.gauges.get(gauge, ())):
             self.drop(key)
 
@@ -244,100 +263,106 @@
         for key in list(self.index):
             self.drop(key)
 
-    def load(self, key: bytes, then: Callable[[Variants], None]) -> None:
-        """`then` is called in the loop, once, with nothing where it can't be had in time. What is voided
-        meanwhile does not come."""
+    def load(self, key: bytes, on_loaded: Callable[[Variants], None]) -> None:
+        """Calls `on_loaded` once, in the loop, with the variants of the key.
+
+        They are empty if the load fails or times out, or if the key is invalidated meanwhile.
+        """
         token = object()
-        self.loads[key] = token
-        done = False
+        self.load_tokens[key] = token
+        is_finished = False
 
-        def finish(found: Variants, whole: bool) -> None:
-            nonlocal done
-            if done:
+        def finish(found: Variants, is_intact: bool) -> None:
+            nonlocal is_finished
+            if is_finished:
                 return
-            done = True
+            is_finished = True
             timer.cancel()
-            wanted = self.loads.get(key) is token
-            if wanted:
-                del self.loads[key]
-            if not whole:
+            is_current = self.load_tokens.get(key) is token
+            if is_current:
+                del self.load_tokens[key]
+            if not is_intact:
                 self.drop(key)
-            then(found if wanted else ())
+            on_loaded(found if is_current else ())
 
-        timer = self.house.loop.call_later(self.settings.wait_us / 1e6, finish, (), True)
-        now_us = self.house.now_us()
-        now_s = self._latest_s(now_us)
+        timer = self.runtime.loop.call_later(self.settings.load_timeout_us / 1e6, finish, (), True)
+        now_us = self.runtime.now_us()
+        now_s = self._latest_wall_s(now_us)
 
-        def look() -> None:
+        def read() -> None:
             found: Variants = ()
-            whole = False
+            is_intact = False
             try:
-                found, whole = self._load(key, now_us, now_s)
+                found, is_intact = self._load(key, now_us, now_s)
             finally:
-                self._tell(finish, found, whole)
+                self._call_in_loop(finish, found, is_intact)
+
+        self.jobs.put(read)
 
-        self.jobs.put(look)
+    def _latest_wall_s(self, now_us: int) -> float:
+        """Returns the later of the wall-clock time and the time of the start plus the elapsed time.
 
-    def _latest_s(self, now_us: int) -> float:
-        """The wall clock, or what it would tell had it not been set back since this process began: an answer
-        may be taken for older than it is, and never for younger."""
-        return max(self.wall(), self.began_s + (now_us - self.began_us) / 1e6)
+        Guards against a clock that was set back: a response may be taken for older than it is, but never for
+        younger.
+        """
+        return max(self.wall(), self.started_s + (now_us - self.started_us) / 1e6)
 
-    # ---- in the thread
+    # ---- called in the thread
 
     def _execute(self, text: str, *args: object) -> None:
         assert self.db is not None
         self.db.execute(text, args)
 
     def _load(self, key: bytes, now_us: int, now_s: float) -> tuple[Variants, bool]:
+        """Returns the variants of a key, and whether its row exists and is intact."""
         assert self.db is not None
         row = self.db.execute("SELECT sum, packed FROM objects WHERE key=?", (key,)).fetchone()
         if row is None or not isinstance(row[1], bytes) or checksum(key, row[1]) != row[0]:
             return (), False
         try:
-            return unpack(row[1], now_us, now_s, self.doubt), True
+            return unpack(row[1], now_us, now_s, self.must_validate_all), True
         except msgspec.MsgspecError:
             return (), False
 
     def _save(self, key: bytes, gauge: bytes, variants: Variants, saved_s: float) -> None:
         db = self.db
         assert db is not None
-        gone: list[bytes] = []
+        removed: list[bytes] = []
         try:
             packed = pack(variants, saved_s)
             size = len(packed) + len(key) + len(gauge) + 100
             db.execute("BEGIN IMMEDIATE")
             try:
-                before = db.execute("SELECT size FROM objects WHERE key=?", (key,)).fetchone()
+                previous = db.execute("SELECT size FROM objects WHERE key=?", (key,)).fetchone()
                 db.execute(
                     "INSERT OR REPLACE INTO objects (key, gauge, size, sum, packed) VALUES (?, ?, ?, ?, ?)",
                     (key, gauge, size, checksum(key, packed), packed),
                 )
-                total = self.total + size - (before[0] if before else 0)
+                total = self.total_bytes + size - (previous[0] if previous else 0)
                 while total > self.settings.most_bytes:
                     oldest = db.execute(
-                        "SELECT place, key, size FROM objects ORDER BY place LIMIT ?", (BATCH,)
+                        "SELECT place, key, size FROM objects ORDER BY place LIMIT ?", (EVICTION_BATCH_ROWS,)
                     ).fetchall()
                     if not oldest:
                         break
-                    for place, old, its in oldest:
+                    for place, old_key, old_size in oldest:
                         db.execute("DELETE FROM objects WHERE place=?", (place,))
-                        gone.append(old)
-                        total -= its
+                        removed.append(old_key)
+                        total -= old_size
                         if total <= self.settings.most_bytes:
                             break
                 db.execute("COMMIT")
-                self.total = total
+                self.total_bytes = total
             except sqlite3.Error:
                 if db.in_transaction:
                     db.execute("ROLLBACK")
-                gone = [key]
+                removed = [key]
                 raise
         finally:
-            self._tell(self._saved, gone)
+            self._call_in_loop(self._on_saved, removed)
 
-    def _saved(self, gone: list[bytes]) -> None:
-        self.waiting -= 1
-        for key in gone:
-            # Also where a later save of it waits: a row that the index does not know could not be voided.
+    def _on_saved(self, removed: list[bytes]) -> None:
+        self.queued_saves -= 1
+        for key in removed:
+            # Also if a later save of the key is queued: a row that is not in the index can't be invalidated.
             self.drop(key)
--- a/magpiefront/caching/rules.py
+++ b/magpiefront/caching/rules.py
@@ -1,8 +1,7 @@
-"""What RFC 9111 asks of a shared cache: may an answer be kept, how long is it fresh, may it answer this
-request, and what follows from a validation. No I/O and no clock.
+"""The rules of RFC 9111 for a shared cache: storing, freshness, reuse and validation. No I/O and no clock.
 
-Times are microseconds of a clock that only goes forward, unless a name ends in `_s`: those are whole seconds
-of Unix time, as dates in fields are.
+Times are microseconds of a monotonic clock, except that names ending in `_s` are seconds: durations, or Unix
+time as in date fields.
 """
 
 from __future__ import annotations
@@ -12,40 +11,42 @@
 from dataclasses import dataclass
 
 from magpiefront.caching import dates, vary
-from magpiefront.caching.directives import MOST_S, NOTHING, WHOLE, Directives, parse, parse_targeted
+from magpiefront.caching.directives import (
+    DIGITS, MAX_DELTA_S, NO_DIRECTIVES, Directives, parse, parse_targeted,
+)  # fmt: skip
 from magpiefront.caching.settings import Policy
-from magpiefront.net.fields import HOP_BY_HOP, Fields, combined, lines, read_lines
+from magpiefront.net.fields import HOP_BY_HOP, Fields, combined, format_fields, parse_fields
 
-S = 1_000_000
-# Final statuses whose meaning for a cache is known here (RFC 9110, 15). 206 and 304 are not kept as answers.
-UNDERSTOOD = frozenset({
+US_PER_S = 1_000_000
+# Final status codes whose caching rules are implemented (RFC 9110, 15). 206 and 304 are never stored as such.
+UNDERSTOOD_STATUSES = frozenset({
     200, 203, 204, 300, 301, 302, 303, 307, 308, 400, 401, 403, 404, 405, 406, 409, 410, 411, 412, 413, 414,
     415, 421, 422, 425, 426, 428, 429, 431, 451, 500, 501, 502, 503, 504, 505,
 })  # fmt: skip
-HEURISTIC = frozenset({200, 203, 204, 300, 301, 308, 404, 405, 410, 414, 501})  # RFC 9110, 15.1
-# Not replaced by what a 304 or an answer to HEAD says of them (RFC 9111, 3.2).
-OF_THE_CONTENT = frozenset({b"content-encoding", b"content-type", b"content-range", b"content-length"})
-MADE_ANEW = frozenset({b"age", b"content-length"})  # for each answer from the store
+HEURISTIC_STATUSES = frozenset({200, 203, 204, 300, 301, 308, 404, 405, 410, 414, 501})  # RFC 9110, 15.1
+# Not updated by a 304 or a response to HEAD (RFC 9111, 3.2).
+CONTENT_FIELDS = frozenset({b"content-encoding", b"content-type", b"content-range", b"content-length"})
+REGENERATED_FIELDS = frozenset({b"age", b"content-length"})  # for each response from the store
 
 
-class Why(enum.Enum):
-    """Why an answer is not kept, with the section that says so."""
+class NotStorableReason(enum.Enum):
+    """Why a response may not be stored; the values begin with the section of RFC 9111."""
 
-    METHOD = "3: another method than GET"
-    STATUS = "3: a status that is not kept or not understood"
+    METHOD = "3: the method is not GET"
+    STATUS = "3: the status code is never stored or not understood"
     NO_STORE = "5.2.2.5: no-store"
     REQUEST_NO_STORE = "5.2.1.5: the request's no-store"
     PRIVATE = "5.2.2.7: private"
     AUTHORIZATION = "3.5: the request has Authorization"
-    COOKIE = "7.3: cookies, and nothing that says they do not matter"
-    VARY = "4.1: Vary names what nobody can match"
-    UNKNOWN = "3: nothing says that it may be kept"
-    USELESS = "4.2: neither fresh nor to be validated"
-    RANGE = "3.3: an answer in part"
+    COOKIE = "7.3: cookies without public or s-maxage"
+    VARY = "4.1: Vary is * or malformed"
+    UNKNOWN = "3: no explicit freshness or public, and no heuristic for the status code"
+    USELESS = "4.2: neither fresh nor possible to validate"
+    RANGE = "3.3: partial response"
 
 
-class Fwd(enum.Enum):
-    """Why a request goes on (RFC 9211, 2.2)."""
+class ForwardReason(enum.Enum):
+    """Why a request is forwarded (RFC 9211, 2.2)."""
 
     BYPASS = "bypass"
     METHOD = "method"
@@ -56,30 +57,30 @@
     PARTIAL = "partial"
 
 
-class Cause(enum.Enum):
-    """Why there is no answer from behind."""
+class FailureCause(enum.Enum):
+    """Why upstream gave no usable response."""
 
     ERROR = "error"
     REFUSED = "refused"
 
 
-class Asked:
-    """A request as the rules see it. `headers` by name in lower case, lines of one name joined."""
+class CacheRequest:
+    """A request as the rules see it. `headers` has lower-case names; lines of one name are joined."""
 
     __slots__ = ("control", "headers", "method", "no_cache")
 
     def __init__(self, method: bytes, headers: Mapping[bytes, bytes]) -> None:
         self.method, self.headers = method, headers
-        given = headers.get(b"cache-control")
-        self.control = parse(given) if given is not None else NOTHING
+        value = headers.get(b"cache-control")
+        self.control = parse(value) if value is not None else NO_DIRECTIVES
         self.no_cache = b"no-cache" in self.control
-        if given is None and b"pragma" in headers:
-            # RFC 9111, 5.4: deprecated, and still what old posts send.
+        if value is None and b"pragma" in headers:
+            # RFC 9111, 5.4: deprecated, but old clients still send it.
             self.no_cache = b"no-cache" in parse(headers[b"pragma"])
 
     @property
-    def solitary(self) -> bool:
-        """Must its answer come for itself alone? Nobody waits with it, and it waits for nobody."""
+    def needs_own_response(self) -> bool:
+        """Whether the response may only serve this request; it neither joins a fetch nor is joined."""
         h = self.headers
         return (
             self.no_cache or b"no-store" in self.control or b"authorization" in h or b"cookie" in h
@@ -87,14 +88,14 @@
         )  # fmt: skip
 
 
-class Answered:
-    """An answer as it came from behind, before anything is kept of it."""
+class OriginResponse:
+    """A response as received from upstream, before it is stored."""
 
     __slots__ = ("control", "date_s", "fields", "headers", "received_s", "status")
 
     def __init__(self, status: int, fields: Fields, received_s: float, policy: Policy) -> None:
-        """`received_s`: the wall clock when its head had come. It gets a `Date` if it lacks one that can be
-        read (RFC 9110, 6.6.1)."""
+        """`received_s` is the wall clock when the head arrived. It replaces a missing or malformed `Date`
+        (RFC 9110, 6.6.1)."""
         self.status, self.headers, self.received_s = status, combined(fields), received_s
         date = dates.parse(self.headers[b"date"], int(received_s)) if b"date" in self.headers else None
         if date is None:
@@ -111,22 +112,23 @@
                 targeted = parse_targeted(self.headers[name])
                 if targeted is not None:
                     return targeted
-        given = self.headers.get(b"cache-control")
-        return parse(given) if given is not None else NOTHING
+        value = self.headers.get(b"cache-control")
+        return parse(value) if value is not None else NO_DIRECTIVES
 
     def lifetime_s(self, policy: Policy) -> int:
-        """`freshness_lifetime` (RFC 9111, 4.2.1 and 4.2.2) of a shared cache."""
+        """Returns `freshness_lifetime` (RFC 9111, 4.2.1 and 4.2.2) for a shared cache."""
         control, h = self.control, self.headers
         for name in (b"s-maxage", b"max-age"):
-            given = control.seconds(name)
-            if given is not None:
-                return given
+            value = control.seconds(name)
+            if value is not None:
+                return value
         if b"expires" in h and not control.targeted:
-            expires = dates.parse(h[b"expires"], int(self.received_s))  # two that differ are no date
+            # Several lines with different values are joined, which is not a valid date.
+            expires = dates.parse(h[b"expires"], int(self.received_s))
             if expires is None:
                 return 0
-            return min(MOST_S, max(0, expires - self.date_s))
-        if self.status not in HEURISTIC and b"public" not in control:
+            return min(MAX_DELTA_S, max(0, expires - self.date_s))
+        if self.status not in HEURISTIC_STATUSES and b"public" not in control:
             return 0
         if not policy.heuristic_fraction or b"last-modified" not in h:
             return 0
@@ -136,59 +138,60 @@
         return max(0, min(policy.heuristic_most_s, int((self.date_s - modified) * policy.heuristic_fraction)))
 
     def initial_age_us(self, delay_us: int) -> int:
-        """`corrected_initial_age` (RFC 9111, 4.2.3); `delay_us` is the time from the request's going to the
-        head's coming."""
-        apparent = max(0, int(self.received_s) - self.date_s) * S
-        given = self.headers.get(b"age", b"").split(b",")[0].strip(b" \t")
-        # 5.1: several lines count as their first; what is no number does not count.
-        age = min(MOST_S, int(given[:20])) if WHOLE.fullmatch(given) else 0
-        return max(apparent, age * S + max(0, delay_us))
-
-    def storable(self, asked: Asked, policy: Policy) -> Why | None:
-        """May a shared cache keep this answer to that request (RFC 9111, 3)? None if it may."""
+        """Returns `corrected_initial_age` (RFC 9111, 4.2.3); `delay_us` is the time from sending the request
+        to receiving the head."""
+        apparent = max(0, int(self.received_s) - self.date_s) * US_PER_S
+        value = self.headers.get(b"age", b"").split(b",")[0].strip(b" \t")
+        # 5.1: of several lines the first one counts; an invalid number is ignored.
+        age = min(MAX_DELTA_S, int(value[:20])) if DIGITS.fullmatch(value) else 0
+        return max(apparent, age * US_PER_S + max(0, delay_us))
+
+    def reason_not_storable(self, request: CacheRequest, policy: Policy) -> NotStorableReason | None:
+        """Returns why a shared cache may not store this response to `request` (RFC 9111, 3), or None if it
+        may."""
         control, h = self.control, self.headers
-        if asked.method != b"GET":
-            return Why.METHOD
+        if request.method != b"GET":
+            return NotStorableReason.METHOD
         if self.status == 206 or b"content-range" in h:
-            return Why.RANGE
+            return NotStorableReason.RANGE
         if self.status < 200 or self.status == 304:
-            return Why.STATUS
+            return NotStorableReason.STATUS
         if b"must-understand" in control:
-            # 5.2.2.3: a cache that knows the status need not look at no-store.
-            if self.status not in UNDERSTOOD:
-                return Why.STATUS
+            # 5.2.2.3: a cache that understands the status code may ignore no-store.
+            if self.status not in UNDERSTOOD_STATUSES:
+                return NotStorableReason.STATUS
         elif b"no-store" in control:
-            return Why.NO_STORE
-        if b"no-store" in asked.control:
-            return Why.REQUEST_NO_STORE
-        if control.bare(b"private"):
-            return Why.PRIVATE
-        shared = b"public" in control or b"s-maxage" in control
-        if b"authorization" in asked.headers and not (shared or b"must-revalidate" in control):
-            return Why.AUTHORIZATION
-        if not shared:
-            if b"cookie" in asked.headers:
-                return Why.COOKIE
-            hidden = control.fields(b"private") | control.fields(b"no-cache")
-            if b"set-cookie" in h and b"set-cookie" not in hidden:
-                return Why.COOKIE
-        if vary.names(h.get(b"vary")) is None:
-            return Why.VARY
-        explicit = b"max-age" in control or b"s-maxage" in control or b"public" in control
-        explicit = explicit or (b"expires" in h and not control.targeted)
-        if not explicit and self.status not in HEURISTIC:
-            return Why.UNKNOWN
+            return NotStorableReason.NO_STORE
+        if b"no-store" in request.control:
+            return NotStorableReason.REQUEST_NO_STORE
+        if control.applies_to_whole(b"private"):
+            return NotStorableReason.PRIVATE
+        is_shared = b"public" in control or b"s-maxage" in control
+        if b"authorization" in request.headers and not (is_shared or b"must-revalidate" in control):
+            return NotStorableReason.AUTHORIZATION
+        if not is_shared:
+            if b"cookie" in request.headers:
+                return NotStorableReason.COOKIE
+            excluded = control.fields(b"private") | control.fields(b"no-cache")
+            if b"set-cookie" in h and b"set-cookie" not in excluded:
+                return NotStorableReason.COOKIE
+        if vary.parse_names(h.get(b"vary")) is None:
+            return NotStorableReason.VARY
+        has_explicit_rule = b"max-age" in control or b"s-maxage" in control or b"public" in control
+        has_explicit_rule = has_explicit_rule or (b"expires" in h and not control.targeted)
+        if not has_explicit_rule and self.status not in HEURISTIC_STATUSES:
+            return NotStorableReason.UNKNOWN
         return None
 
 
-class Stored:
-    """An answer that is kept: whole, without fields of one connection, and never changed."""
+class StoredResponse:
+    """A stored response: complete, without hop-by-hop fields, and immutable."""
 
     __slots__ = (
         "body",
-        "born_us",
         "date_s",
         "etag",
+        "generated_us",
         "head",
         "immutable",
         "lifetime_us",
@@ -204,32 +207,40 @@
     )  # fmt: skip
 
     def __init__(
-        self, status: int, head: bytes, body: bytes, born_us: int, lifetime_us: int, *, date_s: int,
+        self, status: int, head: bytes, body: bytes, generated_us: int, lifetime_us: int, *, date_s: int,
         wall_s: float, vary: tuple[bytes, ...] = (), secondary: tuple[bytes | None, ...] = (),
         etag: bytes = b"",
         modified: bytes = b"", no_cache: bool = False, must_validate: bool = False, immutable: bool = False,
         swr_us: int = 0, sie_us: int = 0,
     ) -> None:  # fmt: skip
-        """`head` holds the field lines; `born_us` is when its age was 0, `wall_s` the wall clock then."""
+        """`head` holds the field lines; at `generated_us` the age was 0, and the wall clock was `wall_s`.
+
+        `no_cache`: must be validated before each use. `must_validate`: must be validated once it is stale, so
+        it is never served stale. `swr_us` and `sie_us`: for this long after it became stale it may be served
+        during a background validation, or in place of an error (RFC 5861). `secondary` holds the values that
+        the request had for the fields in `vary`; `modified` is the value of Last-Modified.
+        """
         self.status, self.head, self.body = status, head, body
-        self.born_us, self.lifetime_us, self.date_s, self.wall_s = born_us, lifetime_us, date_s, wall_s
+        self.generated_us, self.lifetime_us, self.date_s, self.wall_s = (
+            generated_us, lifetime_us, date_s, wall_s
+        )  # fmt: skip
         self.vary, self.secondary, self.etag, self.modified = vary, secondary, etag, modified
         self.no_cache, self.must_validate, self.immutable = no_cache, must_validate, immutable
         self.swr_us, self.sie_us = swr_us, sie_us
 
     def age_us(self, now_us: int) -> int:
-        return max(0, now_us - self.born_us)
+        return max(0, now_us - self.generated_us)
 
     def staleness_us(self, now_us: int) -> int:
-        """How long it has not been fresh; 0 or less while it is."""
+        """Returns the time since the response became stale; 0 or less while it is fresh."""
         return self.age_us(now_us) - self.lifetime_us
 
-    def fresh(self, now_us: int) -> bool:
-        return now_us - self.born_us < self.lifetime_us
+    def is_fresh(self, now_us: int) -> bool:
+        return now_us - self.generated_us < self.lifetime_us
 
     @property
-    def validated_by(self) -> Fields:
-        """The fields that ask whether it still holds (RFC 9111, 4.3.1)."""
+    def validation_fields(self) -> Fields:
+        """The conditional fields of a validation request (RFC 9111, 4.3.1)."""
         fields: Fields = []
         if self.etag:
             fields.append((b"If-None-Match", self.etag))
@@ -238,37 +249,42 @@
         return fields
 
 
-def keep(
-    answered: Answered, asked: Asked, body: bytes, sent_us: int, received_us: int, policy: Policy
-) -> Stored | None:
-    """The answer as it is kept, once `storable` has allowed it; None where it could never be used."""
-    control, h = answered.control, answered.headers
-    hidden = control.fields(b"private") | control.fields(b"no-cache")
-    drop = HOP_BY_HOP | MADE_ANEW | hidden
-    fields = [f for f in answered.fields if f[0].lower() not in drop]
-    initial = answered.initial_age_us(received_us - sent_us)
-    names = vary.names(h.get(b"vary"))
+def build_stored(
+    response: OriginResponse, request: CacheRequest, body: bytes, sent_us: int, received_us: int,
+    policy: Policy,
+) -> StoredResponse | None:  # fmt: skip
+    """Returns the response in the form that is stored, or None if it could never be reused.
+
+    Does not check `reason_not_storable`.
+    """
+    control, h = response.control, response.headers
+    excluded = control.fields(b"private") | control.fields(b"no-cache")
+    dropped = HOP_BY_HOP | REGENERATED_FIELDS | excluded
+    fields = [f for f in response.fields if f[0].lower() not in dropped]
+    initial_age_us = response.initial_age_us(received_us - sent_us)
+    names = vary.parse_names(h.get(b"vary"))
     etag = h.get(b"etag", b"")
     if etag and not is_etag(etag):
         etag = b""
     modified = h.get(b"last-modified", b"")
-    if modified and dates.parse(modified, answered.date_s) is None:
+    if modified and dates.parse(modified, response.date_s) is None:
         modified = b""
-    no_cache = control.bare(b"no-cache")
-    # 5.2.2.2, 5.2.2.8 and 5.2.2.10: of these, none may be served stale.
-    must = b"must-revalidate" in control or b"proxy-revalidate" in control or b"s-maxage" in control
-    swr = 0 if must else control.seconds(b"stale-while-revalidate") or 0
-    sie = 0 if must else control.seconds(b"stale-if-error") or 0
-    lifetime = answered.lifetime_s(policy)
-    windows = max(swr, sie, policy.stale_if_refused_s, policy.stale_if_error_s)
-    ends = 0 if no_cache else lifetime + (0 if must else windows)
-    if names is None or (not etag and not modified and initial >= ends * S):
+    no_cache = control.applies_to_whole(b"no-cache")
+    # 5.2.2.2, 5.2.2.8 and 5.2.2.10: with any of these the response may not be served stale.
+    forbids_stale = b"must-revalidate" in control or b"proxy-revalidate" in control or b"s-maxage" in control
+    revalidate_s = 0 if forbids_stale else control.seconds(b"stale-while-revalidate") or 0
+    on_error_s = 0 if forbids_stale else control.seconds(b"stale-if-error") or 0
+    lifetime_s = response.lifetime_s(policy)
+    longest_window_s = max(revalidate_s, on_error_s, policy.stale_if_refused_s, policy.stale_if_error_s)
+    usable_s = 0 if no_cache else lifetime_s + (0 if forbids_stale else longest_window_s)
+    if names is None or (not etag and not modified and initial_age_us >= usable_s * US_PER_S):
         return None
-    return Stored(
-        answered.status, lines(fields), body, received_us - initial, lifetime * S,
-        date_s=answered.date_s, wall_s=answered.received_s - initial / S, vary=names,
-        secondary=vary.secondary(names, asked.headers), etag=etag, modified=modified, no_cache=no_cache,
-        must_validate=must, immutable=b"immutable" in control, swr_us=swr * S, sie_us=sie * S,
+    return StoredResponse(
+        response.status, format_fields(fields), body, received_us - initial_age_us, lifetime_s * US_PER_S,
+        date_s=response.date_s, wall_s=response.received_s - initial_age_us / US_PER_S, vary=names,
+        secondary=vary.secondary_key(names, request.headers), etag=etag, modified=modified, no_cache=no_cache,
+        must_validate=forbids_stale, immutable=b"immutable" in control, swr_us=revalidate_s * US_PER_S,
+        sie_us=on_error_s * US_PER_S,
     )  # fmt: skip
 
 
@@ -277,84 +293,89 @@
     return len(opaque) >= 2 and opaque[:1] == opaque[-1:] == b'"' and b'"' not in opaque[1:-1]
 
 
-# ---- may a stored answer be used?
+# ---- reuse of stored responses
 
 
 @dataclass(frozen=True, slots=True)
 class Serve:
-    stored: Stored
+    stored: StoredResponse
     stale: bool = False
-    refresh: bool = False  # validate it meanwhile (RFC 5861, 3)
+    refresh: bool = False  # validate it in the background (RFC 5861, 3)
 
 
 @dataclass(frozen=True, slots=True)
 class Forward:
-    fwd: Fwd
-    stored: Stored | None = None  # what is to be validated
-    never: bool = False  # `only-if-cached`: it must not go on, and is answered 504 (5.2.1.7)
+    reason: ForwardReason
+    stored: StoredResponse | None = None  # the response to validate
+    only_if_cached: bool = False  # do not forward, answer 504 (5.2.1.7)
 
 
-def matches(stored: Stored, headers: Mapping[bytes, bytes]) -> bool:
-    return not stored.vary or stored.secondary == vary.secondary(stored.vary, headers)
+def matches(stored: StoredResponse, headers: Mapping[bytes, bytes]) -> bool:
+    return not stored.vary or stored.secondary == vary.secondary_key(stored.vary, headers)
 
 
-def choose(asked: Asked, variants: Sequence[Stored], now_us: int, policy: Policy) -> Serve | Forward:
-    """What becomes of a request for which these answers are kept (RFC 9111, 4)."""
-    never = b"only-if-cached" in asked.control
-    found: Stored | None = None
+def choose(
+    request: CacheRequest, variants: Sequence[StoredResponse], now_us: int, policy: Policy
+) -> Serve | Forward:
+    """Decides how to answer a request, given the stored responses of its key (RFC 9111, 4)."""
+    only_if_cached = b"only-if-cached" in request.control
+    found: StoredResponse | None = None
     for v in variants:
-        # 4.1: of several that match, the one with the latest Date; of two with the same, the later one.
-        if matches(v, asked.headers) and (found is None or v.date_s >= found.date_s):
+        # 4.1: of several matches the one with the latest Date; with equal dates, the one stored last.
+        if matches(v, request.headers) and (found is None or v.date_s >= found.date_s):
             found = v
     if found is None:
-        return Forward(Fwd.VARY_MISS if variants else Fwd.URI_MISS, None, never)
-    if asked.no_cache:
-        return Forward(Fwd.REQUEST, found, never)
+        return Forward(ForwardReason.VARY_MISS if variants else ForwardReason.URI_MISS, None, only_if_cached)
+    if request.no_cache:
+        return Forward(ForwardReason.REQUEST, found, only_if_cached)
     if found.no_cache:
-        return Forward(Fwd.STALE, found, never)
-    age, fresh = found.age_us(now_us), found.fresh(now_us)
-    control = asked.control
+        return Forward(ForwardReason.STALE, found, only_if_cached)
+    age, fresh = found.age_us(now_us), found.is_fresh(now_us)
+    control = request.control
     if control:
-        most = control.seconds(b"max-age")
-        # RFC 8246: a reload of what is immutable and fresh is no reason to ask.
-        if most is not None and age > most * S and not (found.immutable and fresh):
-            return Forward(Fwd.REQUEST, found, never)
-        least = control.seconds(b"min-fresh")
-        if least is not None and found.lifetime_us - age < least * S:
-            return Forward(Fwd.REQUEST, found, never)
+        max_age_s = control.seconds(b"max-age")
+        # RFC 8246: a reload of a fresh immutable response needs no validation.
+        if max_age_s is not None and age > max_age_s * US_PER_S and not (found.immutable and fresh):
+            return Forward(ForwardReason.REQUEST, found, only_if_cached)
+        min_fresh_s = control.seconds(b"min-fresh")
+        if min_fresh_s is not None and found.lifetime_us - age < min_fresh_s * US_PER_S:
+            return Forward(ForwardReason.REQUEST, found, only_if_cached)
     if fresh:
         return Serve(found)
     if not found.must_validate:
-        if within_max_stale(asked, found.staleness_us(now_us), policy):
+        if is_within_max_stale(request, found.staleness_us(now_us), policy):
             return Serve(found, True)
         if found.staleness_us(now_us) < found.swr_us and b"no-store" not in control:
-            return Serve(found, True, not never)
-    return Forward(Fwd.STALE, found, never)
+            return Serve(found, True, not only_if_cached)
+    return Forward(ForwardReason.STALE, found, only_if_cached)
 
 
-def within_max_stale(asked: Asked, staleness_us: int, policy: Policy) -> bool:
-    """5.2.1.2. Without an argument any age will do; one that is no number allows nothing."""
-    if not policy.max_stale or b"max-stale" not in asked.control:
+def is_within_max_stale(request: CacheRequest, staleness_us: int, policy: Policy) -> bool:
+    """Evaluates `max-stale` (5.2.1.2): without an argument any age is allowed, with an invalid one none."""
+    if not policy.max_stale or b"max-stale" not in request.control:
         return False
-    if asked.control.given[b"max-stale"] == [None]:
+    if request.control.arguments[b"max-stale"] == [None]:
         return True
-    return staleness_us <= (asked.control.seconds(b"max-stale") or 0) * S
+    return staleness_us <= (request.control.seconds(b"max-stale") or 0) * US_PER_S
 
 
-def instead(asked: Asked, stored: Stored, now_us: int, cause: Cause, policy: Policy) -> bool:
-    """May a stored answer be given where its validation failed (RFC 9111, 4.2.4 and 4.3.3; RFC 5861, 4)?"""
-    if asked.no_cache or stored.no_cache:
+def may_serve_stale(
+    request: CacheRequest, stored: StoredResponse, now_us: int, cause: FailureCause, policy: Policy
+) -> bool:
+    """Returns whether a stored response may be served although its validation failed (RFC 9111, 4.2.4 and
+    4.3.3; RFC 5861, 4)."""
+    if request.no_cache or stored.no_cache:
         return False
     staleness = stored.staleness_us(now_us)
     if staleness < 0:
-        return True  # only the client wanted better, and there is none
+        return True  # still fresh: only the request asked for a newer one
     if stored.must_validate:
         return False
-    own = policy.stale_if_refused_s if cause is Cause.REFUSED else policy.stale_if_error_s
-    asked_for = asked.control.seconds(b"stale-if-error") or 0
-    if staleness < max(stored.sie_us, own * S, asked_for * S):
+    policy_s = policy.stale_if_refused_s if cause is FailureCause.REFUSED else policy.stale_if_error_s
+    request_s = request.control.seconds(b"stale-if-error") or 0
+    if staleness < max(stored.sie_us, policy_s * US_PER_S, request_s * US_PER_S):
         return True
-    return within_max_stale(asked, staleness, policy)
+    return is_within_max_stale(request, staleness, policy)
 
 
 # ---- validation
@@ -362,33 +383,39 @@
 
 @dataclass(frozen=True, slots=True)
 class Freshened:
-    stored: Stored
-    keep: bool  # False: its new fields forbid that, and it answers this request only
+    stored: StoredResponse
+    may_store: bool  # False: the new fields forbid storing; the response serves this request only
 
 
 def freshen(
-    stored: Stored, answered: Answered, asked: Asked, sent_us: int, received_us: int, policy: Policy
-) -> Freshened | None:
-    """The stored answer after a 304 to its validation (RFC 9111, 4.3.4 and 3.2); None where that does not
-    say that it means this one: it must not be used, and the whole answer is to be asked for."""
-    if not identified(stored, answered.headers):
+    stored: StoredResponse, response: OriginResponse, request: CacheRequest, sent_us: int, received_us: int,
+    policy: Policy,
+) -> Freshened | None:  # fmt: skip
+    """Updates a stored response from the 304 to its validation (RFC 9111, 4.3.4 and 3.2).
+
+    Returns None if the 304 does not select this response: it must not be used then, and a complete response
+    has to be requested.
+    """
+    if not is_selected_by_304(stored, response.headers):
         return None
-    replaced = {n for f in answered.fields if (n := f[0].lower()) not in OF_THE_CONTENT}
-    fields = [f for f in read_lines(stored.head) if f[0].lower() not in replaced]
-    fields += [f for f in answered.fields if f[0].lower() in replaced]
-    update = Answered(stored.status, fields, answered.received_s, policy)
-    fresh = keep(update, asked, stored.body, sent_us, received_us, policy)
+    replaced = {n for f in response.fields if (n := f[0].lower()) not in CONTENT_FIELDS}
+    fields = [f for f in parse_fields(stored.head) if f[0].lower() not in replaced]
+    fields += [f for f in response.fields if f[0].lower() in replaced]
+    updated = OriginResponse(stored.status, fields, response.received_s, policy)
+    fresh = build_stored(updated, request, stored.body, sent_us, received_us, policy)
     if fresh is not None:
-        return Freshened(fresh, update.storable(asked, policy) is None)
-    # Of no further use, and still the answer to this request.
-    once = Stored(stored.status, lines(f for f in fields if f[0].lower() not in MADE_ANEW), stored.body,
-                  received_us - update.initial_age_us(received_us - sent_us), 0, date_s=update.date_s,
-                  wall_s=answered.received_s, etag=stored.etag, modified=stored.modified)  # fmt: skip
-    return Freshened(once, False)
+        return Freshened(fresh, updated.reason_not_storable(request, policy) is None)
+    # It cannot be reused, but still answers this request.
+    single_use = StoredResponse(
+        stored.status, format_fields(f for f in fields if f[0].lower() not in REGENERATED_FIELDS),
+        stored.body, received_us - updated.initial_age_us(received_us - sent_us), 0, date_s=updated.date_s,
+        wall_s=response.received_s, etag=stored.etag, modified=stored.modified,
+    )  # fmt: skip
+    return Freshened(single_use, False)
 
 
-def identified(stored: Stored, headers: Mapping[bytes, bytes]) -> bool:
-    """Does a 304 with these fields mean this stored answer (RFC 9111, 4.3.4)?"""
+def is_selected_by_304(stored: StoredResponse, headers: Mapping[bytes, bytes]) -> bool:
+    """Returns whether a 304 with these fields selects this stored response (RFC 9111, 4.3.4)."""
     etag, modified = headers.get(b"etag"), headers.get(b"last-modified")
     if etag is not None and etag[:2] != b"W/":
         return stored.etag == etag
@@ -400,14 +427,17 @@
 
 
 def weak_match(one: bytes, other: bytes) -> bool:
-    """RFC 9110, 8.8.3.2."""
+    """Compares entity tags weakly (RFC 9110, 8.8.3.2)."""
     return bool(one) and one.removeprefix(b"W/") == other.removeprefix(b"W/")
 
 
-def head_agrees(stored: Stored, headers: Mapping[bytes, bytes]) -> bool:
-    """Does an answer to HEAD describe the stored one still (RFC 9111, 4.3.5)? Else that is stale."""
-    for name, own in ((b"etag", stored.etag), (b"last-modified", stored.modified)):
-        if name in headers and headers[name] != own:
+def matches_head_response(stored: StoredResponse, headers: Mapping[bytes, bytes]) -> bool:
+    """Returns whether a response to HEAD still describes the stored response (RFC 9111, 4.3.5).
+
+    If not, the stored response is outdated.
+    """
+    for name, stored_value in ((b"etag", stored.etag), (b"last-modified", stored.modified)):
+        if name in headers and headers[name] != stored_value:
             return False
     length = headers.get(b"content-length")
     return length is None or length.strip() == b"%d" % len(stored.body)
--- a/magpiefront/caching/settings.py
+++ b/magpiefront/caching/settings.py
@@ -1,44 +1,51 @@
-"""What an operator may set of the cache. Durations are microseconds, sizes bytes, as their names say."""
+"""Settings of the cache. Durations are in microseconds, sizes in bytes, unless the name says otherwise."""
 
 from __future__ import annotations
 
 from dataclasses import dataclass, field
 from pathlib import Path
 
-from magpiefront.net.passing import Clients
+from magpiefront.net.passing import ClientSettings
 
 
 @dataclass(frozen=True, slots=True)
 class Policy:
-    """What the rules need of it. Durations are whole seconds, as in the fields that they stand beside."""
+    """Settings that the caching rules use. Durations are in whole seconds, as in HTTP fields."""
 
     name: str = "lineshift"  # in `Via` and `Cache-Status`
-    heuristic_fraction: float = 0.1  # of the time since Last-Modified (RFC 9111, 4.2.2); 0: none
+    heuristic_fraction: float = 0.1  # share of the time since Last-Modified (RFC 9111, 4.2.2); 0: off
     heuristic_most_s: int = 600
-    targets: tuple[bytes, ...] = (b"cdn-cache-control",)  # the first that is there counts (RFC 9213)
-    stale_if_refused_s: int = 0  # the operator's own word on stale answers (RFC 9111, 4.2.4)
+    targets: tuple[bytes, ...] = (b"cdn-cache-control",)  # the first one present applies (RFC 9213)
+    stale_if_refused_s: int = 0  # the operator's limits for stale responses (RFC 9111, 4.2.4)
     stale_if_error_s: int = 0
-    max_stale: bool = True  # may clients ask for stale answers?
+    max_stale: bool = True  # whether clients may ask for stale responses
 
 
 @dataclass(frozen=True, slots=True)
 class DiskSettings:
+    """Settings of the disk tier."""
+
     path: Path
     most_bytes: int = 1 << 30
-    queue: int = 1_000  # objects that wait to be written; more are not written
-    wait_us: int = 50_000  # a look-up that takes longer is a miss
+    queue: int = 1_000  # objects waiting to be written; further ones are not saved
+    load_timeout_us: int = 50_000  # a load that takes longer is a miss
 
 
 @dataclass(frozen=True, slots=True)
 class CachingSettings:
+    """All settings of the cache."""
+
     policy: Policy = field(default_factory=Policy)
-    classes: frozenset[str] | None = None  # which safe classes; None: all
-    plain_servers: bool = False
-    most_bytes: int = 64 << 20
-    most_object: int = 1 << 20
-    most_variants: int = 16
-    unsure_for_us: int = 2_000_000  # after a write of unknown outcome nothing is kept of its key
-    pass_for_us: int = 2_000_000  # what proved not to be storable is not waited for so long
-    drop_fields: frozenset[bytes] = frozenset()  # of clients' requests, on top of stage.DROPPED
-    clients: Clients = field(default_factory=Clients)
+    classes: frozenset[str] | None = None  # names of the safe classes that are cached; None: all
+    plain_servers: bool = False  # the servers speak plain HTTP and accept all methods, HEAD too
+    most_bytes: int = 64 << 20  # memory of the stored responses and of the fetches under way
+    most_object: int = 1 << 20  # a response with a longer body is not stored
+    most_variants: int = 16  # stored responses for one key; a further one replaces the oldest
+    # For this long after a write of unknown outcome, no response for its gauge is stored.
+    unknown_outcome_us: int = 2_000_000
+    # For this long after a response that other requests could not use, requests for its key do not share
+    # a fetch.
+    pass_for_us: int = 2_000_000
+    drop_fields: frozenset[bytes] = frozenset()  # request fields removed besides stage.UNTRUSTED_FIELDS
+    clients: ClientSettings = field(default_factory=ClientSettings)
     disk: DiskSettings | None = None
