--- a/magpiefront/net/memory_plan.py
+++ b/magpiefront/net/memory_plan.py
@@ -1,8 +1,8 @@
 """Divides the memory that a process may take among what it holds; no I/O and no clock.
 
 Room for everything is reserved beforehand: the number of connections follows from the memory as well as
-from the file descriptors, and the shares together with what the process takes at rest are at most `USABLE_SHARE`
-of its limit.
+from the file descriptors, and the shares together with what the process takes at rest are at most
+`USABLE_SHARE` of its limit.
 """
 
 from __future__ import annotations
