After a shortage of memory, as many read on as can get on

Callers saw good requests late beside 900 half bodies (22 of 180, 15 more refused): paused connections were resumed as soon as one byte was free, so all went on by 1 KB at a time, none completed, stalled or could be evicted. They read on once a sixteenth of the limit is free, in turn, and the time for which a message has waited for memory counts from its first pause.

--- a/magpiefront/net/client_memory.py
+++ b/magpiefront/net/client_memory.py
@@ -11,7 +11,10 @@
 
 from magpiefront.net.memory_plan import KIB, MemoryPlan
 
-RESUMED_AT_ONCE = 16  # connections that read on in one turn of the event loop after a shortage
+RESUMED_AT_ONCE = 16  # connections that read on in one turn of the event loop after a shortage, at the most
+# They read on only where there is room for each to get on, and once this part of the limit is free: otherwise
+# all would go on by a few bytes at a time, and none would complete its message.
+RESUME_ROOM_BYTES, RESUME_FREE_PART = 32 * KIB, 16
 # What one read of a connection may return, and what the parser is fed at once within heads: less while room
 # is short, since each byte may begin a request that costs many times as much.
 MIN_READ_BYTES, SMALL_SLICE_BYTES = 1024, 128
@@ -119,14 +122,18 @@
     def resume_some(self) -> None:
         """Lets some paused connections read on, in turn, if there is room; otherwise one, if none is exempt.
         Called with each release, and from time to time."""
-        if not self.is_short:
-            self.exempt = None
-            for holder in list(self.paused)[:RESUMED_AT_ONCE]:
-                if holder in self.paused:
-                    del self.paused[holder]
-                    holder.resume_reading()
-        elif self.exempt is None:
-            self._choose_exempt()
+        if self.is_short:
+            if self.exempt is None:
+                self._choose_exempt()
+            return
+        self.exempt = None
+        if self.room < self.limit // RESUME_FREE_PART:
+            return
+        count = max(1, min(RESUMED_AT_ONCE, self.room // RESUME_ROOM_BYTES))
+        for holder in list(self.paused)[:count]:
+            if holder in self.paused:
+                del self.paused[holder]
+                holder.resume_reading()
 
     def _choose_exempt(self) -> None:
         for holder in self.paused:
--- a/magpiefront/net/downstream.py
+++ b/magpiefront/net/downstream.py
@@ -118,7 +118,7 @@
         # The longest time (microseconds) for which the next bytes may have waited unread, because the
         # connection waited to be accepted or its reading was paused; and when it was paused.
         self.max_unread_us = self.paused_at_us = 0
-        self.memory_paused_at = 0.0  # loop time since when it has waited for memory, if it does
+        self.memory_paused_at = 0.0  # loop time when the current message first waited for memory; 0: never
         # Since when (microseconds) the queue has been full and more has waited to be read; 0: nothing waits.
         self.backlog_since_us = 0
         self.read_at_us = 0  # when the bytes that are parsed now arrived
@@ -397,7 +397,7 @@
     def _must_pause_for_memory(self) -> bool:
         waited = self in self.front.memory.paused
         must_pause = self.front.memory.must_pause(self)
-        if must_pause and not waited:
+        if must_pause and not waited and not self.memory_paused_at:
             self.memory_paused_at = self.front.loop.time()
         return must_pause
 
@@ -453,7 +453,7 @@
 
     def on_message_begin(self) -> None:
         super().on_message_begin()
-        self.message_began_at = self.last_progress_at
+        self.message_began_at, self.memory_paused_at = self.last_progress_at, 0.0
         if self.request is not None:
             self.request.pipelined = self.pipelines = True
         else:
