A body is read only once there is room for all of it

What callers saw: 700 clients that write 200 KB at 64 KB a second, 192 MB: each connection had a part of the memory, none could complete its body, and all but one were refused or closed.

Room for a body with a known length is reserved as its head has been read; the others wait in their sockets, in turn.

Crowd kinds: large_half_bodies, slow_bodies, long_field_pipelines, long_streams, mixed.

--- a/magpiefront/net/client_memory.py
+++ b/magpiefront/net/client_memory.py
@@ -33,6 +33,13 @@
     def needs_exemption(self) -> bool:
         """Whether it holds nothing but part of a message, which only reading can complete and free."""
 
+    @property
+    def unreserved_bytes(self) -> int:
+        """What is still to come of a body with a known length for which no room is reserved."""
+
+    def reserve(self) -> None:
+        """Called when room for `unreserved_bytes` has been reserved."""
+
     def resume_reading(self) -> None:
         """Called when the connection may read on."""
 
@@ -40,10 +47,12 @@
 class ClientMemory:
     """Counts the bytes that connections hold.
 
-    `used`: for requests. Above `limit`, connections that hold more than their allowance are paused, except
-    for one (`exempt`) that reads to the end of its message, so that memory is always freed again; no message
-    is larger than `message_limit`. `unsent`: written answers that clients have not taken, with
-    `answer_limit`. `held_back`: the process itself is short of memory; then the limit counts as reached.
+    `used`: for requests, with what is reserved for bodies that are still to come: a body is read only once
+    there is room for all of it, so that those that are read can be completed. Above `limit`, connections that
+    hold more than their allowance are paused, except for one (`exempt`) that reads to the end of its message,
+    so that memory is always freed again; no message is larger than `message_limit`. `unsent`: written answers
+    that clients have not taken, with `answer_limit`. `held_back`: the process itself is short of memory; then
+    the limit counts as reached.
     """
 
     def __init__(self, limit: int, answer_limit: int | None = None) -> None:
@@ -88,7 +97,12 @@
     def must_pause(self, holder: Holder) -> bool:
         """Whether the connection must stop reading now. If so, its `resume_reading` is called when it may
         read on."""
-        if not self.is_short or not holder.holds_memory:
+        wanted = holder.unreserved_bytes
+        if wanted and wanted <= self.room:
+            self.used += wanted
+            holder.reserve()
+            return False
+        if not wanted and (not self.is_short or not holder.holds_memory):
             return False
         if holder.needs_exemption and (self.exempt is None or holder is self.exempt):
             self.exempt = holder
@@ -122,12 +136,11 @@
     def resume_some(self) -> None:
         """Lets some paused connections read on, in turn, if there is room; otherwise one, if none is exempt.
         Called with each release, and from time to time."""
-        if self.is_short:
-            if self.exempt is None:
-                self._choose_exempt()
-            return
-        self.exempt = None
-        if self.room < self.limit // RESUME_FREE_PART:
+        if self.exempt is not None and not self.exempt.needs_exemption:
+            self.exempt = None
+        if self.exempt is None:
+            self._choose_exempt()
+        if self.is_short or self.room < self.limit // RESUME_FREE_PART:
             return
         count = max(1, min(RESUMED_AT_ONCE, self.room // RESUME_ROOM_BYTES))
         for holder in list(self.paused)[:count]:
--- a/magpiefront/net/downstream.py
+++ b/magpiefront/net/downstream.py
@@ -96,8 +96,8 @@
                  "excess_requests", "front", "held", "hold_timer", "incoming", "last_progress_at",
                  "lingering", "max_unread_us", "memory_paused_at", "message_began_at", "number",
                  "paused_at_us", "pipelines", "queued", "read_at_us", "reading", "refusing_excess",
-                 "request", "served", "size", "socket_state", "unconfirmed", "unparsed", "unsent",
-                 "writable")  # fmt: skip
+                 "request", "reserved", "served", "size", "socket_state", "unconfirmed", "unparsed",
+                 "unsent", "wants_reservation", "writable")  # fmt: skip
 
     def __init__(self, front: ConnectionOwner, number: int = 0) -> None:
         super().__init__()
@@ -125,6 +125,8 @@
         self.answer_due_us = 0  # the deadline of the request that was answered last
         self.size: int = 0  # of the body that is being read, in bytes
         self.body_left: int = 0  # bytes that are still to come of a body with a known length
+        # Bytes of these for which memory is reserved, and whether it is still to be reserved.
+        self.reserved, self.wants_reservation = 0, False
         self.held = self.unsent = 0
         self.unparsed: bytes = b""
         self.hold_timer: asyncio.TimerHandle | None = None
@@ -145,6 +147,16 @@
         """Whether it holds nothing but part of a message, which only reading can complete and free."""
         return self.request is None and not self.queued and not self.between_messages
 
+    @property
+    def unreserved_bytes(self) -> int:
+        """What is still to come of a body with a known length for which no room is reserved."""
+        return self.body_left if self.wants_reservation else 0
+
+    def reserve(self) -> None:
+        """Called when room for `unreserved_bytes` has been reserved."""
+        self.wants_reservation, self.reserved = False, self.body_left
+        self.held += self.reserved
+
     @property
     def idle(self) -> bool:
         """Whether no request is open and no message has been read in part."""
@@ -205,7 +217,8 @@
         """Drops what is being read and the queued requests; none of them gets an answer."""
         self._drop_unparsed()
         freed = self.held + sum(queued.held for queued in self.queued)
-        self.size = self.held = self.excess_requests = 0
+        self.size = self.held = self.reserved = self.excess_requests = 0
+        self.wants_reservation = False
         self.incoming.body.clear()
         for queued in self.queued:
             queued.counts.errors += 1
@@ -344,7 +357,7 @@
 
     def _charge(self) -> None:
         """Counts the memory of the message that is being read."""
-        cost = self.message_size.cost() + self.size + len(self.unparsed)
+        cost = self.message_size.cost() + self.size + self.reserved + len(self.unparsed)
         grown, self.held = cost - self.held, cost
         self.front.memory.grow(self, grown)
 
@@ -355,7 +368,8 @@
             return
         request, self.incoming = self.incoming, Request(self)
         self._drop_unparsed()
-        freed, self.held, self.size = self.held, 0, 0
+        freed, self.held, self.size, self.reserved = self.held, 0, 0, 0
+        self.wants_reservation = False
         request.body.clear()
         request.error = request.error or status
         self._close_after(request)
@@ -372,7 +386,8 @@
         client is noticed and the time of its next requests counts from their arrival. It pauses while bytes
         are unparsed, the queue is full, or requests take too much memory."""
         memory = self.front.memory
-        if self.reading and not self.unparsed and not self.queued and not memory.is_short:
+        has_all = self.reading and not self.unparsed and not self.queued
+        if has_all and not memory.is_short and not self.wants_reservation:
             return  # the common case, without further checks
         if self.lingering:
             return  # what arrives is read and dropped
@@ -496,6 +511,7 @@
         request.error = request.error or request.check(self.front.runtime.classes, version, self.methods)
         headers = request.headers
         self.body_left = int(headers[b"content-length"]) if b"content-length" in headers else 0
+        self.wants_reservation = self.body_left > REQUEST_ALLOWANCE_BYTES and not request.error
         if request.has_ambiguous_framing(version):
             request.error = 400
             self._reject(400)
@@ -515,6 +531,7 @@
     def on_body(self, body: bytes) -> None:
         self.message_size.unfinished_bytes = 0
         self.body_left = max(0, self.body_left - len(body))
+        self.reserved = max(0, self.reserved - len(body))
         if self.closing or self.incoming.error:
             return
         self.size += len(body)
@@ -535,6 +552,7 @@
             request.counts = self.front.runtime.metrics.counts_for(request.headers[b"req-kind"])
             request.counts.received += 1
         unparsed = len(self.unparsed)
+        self.reserved, self.wants_reservation = 0, False
         if self.refusing_excess or self.excess_requests:
             freed, self.held = self.held - unparsed, unparsed
             self.front.memory.release(self, freed)
@@ -709,7 +727,7 @@
                 self.transport.abort()
         elif not self.reading and self._socket_state().closed():
             self._client_left()
-        elif self.front.memory.is_short and self._waits_too_long_for_memory(now):
+        elif self._waits_too_long_for_memory(now):
             self.front.runtime.events_log.emit(
                 "closed", Reason.MEMORY, connection=self.number, held=self.held, paused=not self.reading
             )
@@ -740,11 +758,12 @@
     def _waits_too_long_for_memory(self, now: float) -> bool:
         """Whether part of a message takes memory that others need: its client has stopped sending, or it has
         itself waited for memory for MAX_MEMORY_PAUSE_S. It must be answered while its client still waits."""
-        if self.between_messages or self.held <= REQUEST_ALLOWANCE_BYTES or self.closing:
+        memory = self.front.memory
+        if not (memory.is_short or memory.paused) or self.between_messages or self.closing:
             return False
-        if self in self.front.memory.paused:
+        if self in memory.paused:
             return now - self.memory_paused_at > MAX_MEMORY_PAUSE_S
-        return self._has_stalled(now)
+        return self.held > REQUEST_ALLOWANCE_BYTES and self._has_stalled(now)
 
     def _has_stalled(self, now: float) -> bool:
         """Whether the client has sent nothing more of a message for a while, and nothing is unread."""
--- a/magpiefront/net/memory_plan.py
+++ b/magpiefront/net/memory_plan.py
@@ -28,9 +28,10 @@
 
 # The most of the usable memory that connections of each kind get.
 CLIENT_SHARE, NODE_SHARE = 0.3, 0.3
-# Of what connections leave: requests in parts and queues, the one message that may always be read to its end,
-# and answers that clients have not taken.
-REQUEST_SHARE, MESSAGE_SHARE, ANSWER_SHARE = 0.3, 0.4, 0.3
+# Of what connections leave: the one message that may always be read to its end, and of the rest requests in
+# parts and queues; what is left then is for answers that clients have not taken.
+MESSAGE_SHARE, REQUEST_SHARE = 0.35, 0.6
+MAX_MESSAGE_BYTES = 33 * MIB  # the largest body that is accepted (`MAX_BODY_BYTES`), with its head
 # The least that a process can work with. If there is less, it starts all the same and says so.
 MIN_CLIENTS, MIN_NODE_CONNECTIONS = 16, 8
 MIN_REQUEST_BYTES, MIN_MESSAGE_BYTES, MIN_ANSWER_BYTES = 64 * KIB, 256 * KIB, 128 * KIB
@@ -68,12 +69,14 @@
         max_node_connections, max(MIN_NODE_CONNECTIONS, int(free * NODE_SHARE) // NODE_CONNECTION_COST_BYTES)
     )
     left = free - clients * CONNECTION_COST_BYTES - to_nodes * NODE_CONNECTION_COST_BYTES
+    message_bytes = min(MAX_MESSAGE_BYTES, max(MIN_MESSAGE_BYTES, int(left * MESSAGE_SHARE)))
+    left -= message_bytes
     plan = MemoryPlan(
         max_clients=clients,
         max_node_connections=to_nodes,
         request_bytes=max(MIN_REQUEST_BYTES, int(left * REQUEST_SHARE)),
-        message_bytes=max(MIN_MESSAGE_BYTES, int(left * MESSAGE_SHARE)),
-        answer_bytes=max(MIN_ANSWER_BYTES, int(left * ANSWER_SHARE)),
+        message_bytes=message_bytes,
+        answer_bytes=max(MIN_ANSWER_BYTES, int(left * (1 - REQUEST_SHARE))),
         enough=True,
     )
     if plan.total_bytes <= free:
--- a/standins/crowd.py
+++ b/standins/crowd.py
@@ -329,6 +329,90 @@
     return {}
 
 
+@kind
+async def large_half_bodies(rig: Rig, clients: int, seconds: float) -> dict[str, Any]:
+    """Clients that stop half way through a body of 520 KB and stay."""
+
+    async def one() -> None:
+        _, writer = await rig.connect()
+        writer.write(rig.head(method="PUT", more="Content-Length: 520000\r\n") + b"x" * 260_000)
+        await asyncio.sleep(seconds)
+        writer.transport.abort()
+
+    await crowd(one, clients)
+    return {}
+
+
+@kind
+async def slow_bodies(rig: Rig, clients: int, seconds: float) -> dict[str, Any]:
+    """Clients that write a body of 200 KB at 64 KB a second."""
+    results: Counter[str] = Counter()
+
+    async def one() -> None:
+        reader, writer = await rig.connect()
+        writer.write(rig.head(method="PUT", deadline=10, more="Content-Length: 200000\r\n"))
+        for _ in range(25):
+            writer.write(b"x" * 8000)
+            await asyncio.sleep(0.125)
+        results[str(await rig.status_of(reader))] += 1
+        writer.close()
+
+    await crowd(one, clients)
+    return {"answers": results}
+
+
+@kind
+async def long_field_pipelines(rig: Rig, clients: int, seconds: float) -> dict[str, Any]:
+    """Clients that write six requests of 22 KB of fields each."""
+    more = "".join(f"x-{n}: {'y' * 360}\r\n" for n in range(60))
+
+    async def one() -> None:
+        reader, writer = await rig.connect()
+        for _ in range(6):
+            writer.write(rig.head(more=more))
+        for _ in range(6):
+            await rig.status_of(reader)
+        writer.close()
+
+    await crowd(one, clients)
+    return {}
+
+
+@kind
+async def long_streams(rig: Rig, clients: int, seconds: float) -> dict[str, Any]:
+    """Clients that ask for 2 MB each and read 2 KB every 0.5 s."""
+
+    async def one() -> None:
+        reader, writer = await asyncio.open_connection("127.0.0.1", rig.port, limit=2048)
+        writer.write(rig.head(query="size=2000000"))
+        for _ in range(int(2 * seconds)):
+            await reader.read(2048)
+            await asyncio.sleep(0.5)
+        writer.transport.abort()
+
+    await crowd(one, clients)
+    return {}
+
+
+MIXED = (
+    many_fields,
+    half_bodies,
+    large_half_bodies,
+    slow_bodies,
+    long_field_pipelines,
+    slow_readers,
+    long_streams,
+)
+
+
+@kind
+async def mixed(rig: Rig, clients: int, seconds: float) -> dict[str, Any]:
+    """All of the kinds of `MIXED` at once, with the clients divided among them."""
+    share = max(1, clients // len(MIXED))
+    await asyncio.gather(*(play(rig, share, seconds) for play in MIXED))
+    return {}
+
+
 async def flood(rig: Rig, seconds: float, message: Callable[[int], bytes]) -> dict[str, Any]:
     """Sends messages on one connection as fast as they are taken, and reads the answers."""
     reader, writer = await rig.connect()
--- a/tests/test_client_memory.py
+++ b/tests/test_client_memory.py
@@ -14,16 +14,21 @@
 class FakeHolder:
     """A connection that holds `held` bytes."""
 
+    unreserved_bytes = 0
+
     def __init__(self) -> None:
         self.held = self.resumed = 0
 
+    def reserve(self) -> None:
+        self.held, self.unreserved_bytes = self.held + self.unreserved_bytes, 0
+
     @property
     def holds_memory(self) -> bool:
         return self.held > 0
 
     @property
     def needs_exemption(self) -> bool:
-        return self.held > 0
+        return self.held + self.unreserved_bytes > 0
 
     def resume_reading(self) -> None:
         self.resumed += 1
@@ -44,6 +49,16 @@
     assert holders[2].resumed == 1 and not memory.paused and memory.used == 60
 
 
+def test_a_body_is_read_only_once_there_is_room_for_all_of_it() -> None:
+    memory, holders = ClientMemory(100), [FakeHolder() for _ in range(4)]
+    for holder in holders:
+        holder.unreserved_bytes = 45
+    assert [memory.must_pause(holder) for holder in holders] == [False, False, False, True]
+    assert memory.used == 90 and memory.exempt is holders[2] and holders[2].unreserved_bytes
+    memory.release(holders[0], 45)
+    assert holders[3].resumed and not memory.must_pause(holders[3]) and memory.used == 90
+
+
 def test_paused_holders_read_on_in_turn_once_there_is_room() -> None:
     memory = ClientMemory(RESUMED_AT_ONCE * RESUME_ROOM_BYTES * 2)
     holders = [FakeHolder() for _ in range(3 * RESUMED_AT_ONCE)]
