--- a/magpiefront/__main__.py
+++ b/magpiefront/__main__.py
@@ -12,12 +12,19 @@
 
 from __future__ import annotations
 
+# ruff: noqa: E402 - what is imported first decides what the others load
+import os
+import sys
+
+from magpiefront import without_tls
+
+if __name__ == "__main__" and without_tls.is_plain_run(sys.argv[1:], os.environ):
+    without_tls.import_event_loop()
+
 import argparse
 import asyncio
 import gc
-import os
 import signal
-import sys
 import traceback
 from typing import TYPE_CHECKING, Any
 
--- a/magpiefront/request_ids.py
+++ b/magpiefront/request_ids.py
@@ -9,9 +9,9 @@
 
 from collections import deque
 from dataclasses import dataclass
-from hashlib import blake2b
 from typing import TypeGuard
 
+from magpiefront.hashing import blake2b
 from magpiefront.interface import Repeat, RequestClass
 
 MIN_MEMORY_US = 10_000_000  # how long an id is kept at least: clients come back some seconds after a failure
--- a/tests/test_starts.py
+++ b/tests/test_starts.py
@@ -76,3 +76,26 @@
         _, errors = process.communicate(timeout=20)
     assert process.returncode == 0 and "Traceback" not in errors
     assert errors.count("is too little") <= 1
+
+
+def test_a_proxy_without_an_operators_file_loads_no_openssl(tmp_path: Path) -> None:
+    port = free_port()
+    process = subprocess.Popen(
+        [sys.executable, "-m", "magpiefront"], cwd=ROOT, stderr=subprocess.PIPE, text=True,
+        env={**os.environ, "LB_CONFIG": str(settings_file(tmp_path, port, 32, 1024, 17))},
+    )  # fmt: skip
+    try:
+        assert ask_until_ready(port, process) == 200
+        mapped = Path(f"/proc/{process.pid}/maps").read_text()
+        assert "libssl" not in mapped and "libcrypto" not in mapped
+    finally:
+        process.terminate()
+        process.communicate(timeout=20)
+
+
+def test_the_event_loop_is_imported_as_usual_if_uvloop_needs_more_of_ssl() -> None:
+    program = (
+        "from magpiefront import without_tls as w; w.ERROR_NUMBERS = {}; w.import_event_loop()\n"
+        "import uvloop, ssl, asyncio; assert ssl.SSLContext and asyncio.sslproto.ssl is ssl"
+    )
+    subprocess.run([sys.executable, "-c", program], cwd=ROOT, check=True, timeout=60)
