Both processes of an upgrade count as one for the memory limit

A second process that does not fit at rest ends with one line before it takes over; the old one goes on. Limits by descriptors, which the handover changes, and by memory are apart now.

--- a/magpiefront/__main__.py
+++ b/magpiefront/__main__.py
@@ -41,7 +41,8 @@
 from magpiefront.net.listening import open_listener
 from magpiefront.net.memory_guard import MemoryGuard
 from magpiefront.net.memory_holders import ClientHolders
-from magpiefront.net.process_memory import Allocator, ProcessMemory
+from magpiefront.net.memory_pressure import PEAK_SHARE
+from magpiefront.net.process_memory import Allocator, ProcessMemory, resident_bytes
 from magpiefront.net.proxy import Proxy
 from magpiefront.net.request import Stage
 from magpiefront.net.shutdown import Shutdown
@@ -65,6 +66,17 @@
     return "".join(traceback.format_exception(error)) if error is not None else str(context.get("message"))
 
 
+def check_room_beside(old_process_bytes: int, memory_mb: int) -> None:
+    """Raises BadConfig if this process and the one that it would take over from, which takes that many bytes,
+    do not fit into the memory that they share."""
+    both = old_process_bytes + resident_bytes()
+    if old_process_bytes and both > (memory_mb << 20) * PEAK_SHARE:
+        raise config.BadConfig(
+            f"limits.memory_mb = {memory_mb} has no room for a second process beside the one that serves: "
+            f"both take {both >> 20} MB; end that one first"
+        )
+
+
 async def serve(settings: config.Config, operator: OperatorConfig | None = None) -> None:
     """Runs one proxy until it has shut down after SIGTERM or SIGINT. With `operator`, requests pass through
     the stages that the operator's file configures. Raises BadConfig or OSError if the proxy cannot start."""
@@ -149,6 +161,8 @@
     own_listener = None
     if handover_client is None or handover_client.listener is None:
         own_listener = open_listener(*settings.listen, shared=settings.admin is not None)
+    if handover_client is not None:
+        check_room_beside(resident_bytes(handover_client.peer_pid), settings.memory_mb)
     state = handover_client.take_over() if handover_client is not None else None
     known_list = settings.initial_list
     if state is not None:
@@ -178,10 +192,12 @@
     )
     if composition is not None:
         await composition.accept()
+    old_process: OldProcessLink | None = None
     if handover_client is not None and handover_client.socket is not None:
         old_process = OldProcessLink(handover_client, proxy, front, admin_commands)
         if composition is not None:
-            composition.set_old_process_check(lambda: old_process.channel.open)
+            channel = old_process.channel
+            composition.set_old_process_check(lambda: channel.open)
     other_listeners = composition.handover_listeners if composition is not None else []
     handover_server = (
         HandoverServer(proxy, front, discovery, admin_commands, upgrade_path, other_listeners)
@@ -193,12 +209,22 @@
     if settings.admin is not None:
         admin.start()
 
+    def other_processes_bytes() -> int:
+        """What the processes before and after this one take, with which it shares its memory."""
+        pids = {old_process.channel.peer_pid} if old_process is not None else set()
+        if handover_server is not None and handover_server.channel is not None:
+            pids.add(handover_server.channel.peer_pid)
+        return sum(resident_bytes(pid) for pid in pids if pid)
+
+    guard.others = other_processes_bytes
+
     if composition is not None:
         composition.begin_recovery()
 
     def sweep() -> None:
         loop.call_later(SWEEP_INTERVAL_S, sweep)  # comes first: an exception below must not end the sweeps
         guard.set_nodes(len(proxy.pool.nodes))
+        guard.update_others()
         proxy.sweep()
         front.sweep()
         admin.sweep()
--- a/magpiefront/hashing.py
+++ b/magpiefront/hashing.py
@@ -3,9 +3,11 @@
 from struct import Struct
 
 try:
-    from _blake2 import blake2b  # what `hashlib` gives, which would load OpenSSL's libraries as well
+    from _blake2 import (
+        blake2b as blake2b,
+    )  # what `hashlib` gives, which would load OpenSSL's libraries as well
 except ImportError:
-    from hashlib import blake2b
+    from hashlib import blake2b as blake2b
 
 MASK_64 = (1 << 64) - 1
 GOLDEN = 0x9E3779B97F4A7C15  # 2**64 divided by the golden ratio: the increment of SplitMix64
--- a/magpiefront/net/front.py
+++ b/magpiefront/net/front.py
@@ -47,6 +47,7 @@
         self.handed_over = False  # whether another process accepts connections in place of this one
         self.opening: set[asyncio.Task[object]] = set()  # the running tasks of `_open`
         self.stopping = self.accepting = self.refusing = False
+        self.max_clients_by_memory = max_clients
         self.holding = False  # memory is short: a new connection has to take the place of another one
         self.shared = False  # whether another process has a copy of the listening socket
         self.queue_since_us: int | None = None  # since when connections wait to be accepted; None: none
@@ -64,6 +65,11 @@
         over their connections."""
         return self.stopping and not self.handed_over
 
+    @property
+    def client_limit(self) -> int:
+        """For how many connections there are descriptors and memory."""
+        return min(self.max_clients, self.max_clients_by_memory)
+
     def listen_on(self, sock: socket.socket, shared: bool = False) -> None:
         """Accepts from an open listening socket. `shared`: another process has a copy of it."""
         sock.setblocking(False)
@@ -151,7 +157,7 @@
     def _is_full(self) -> bool:
         """Whether a new connection has to take the place of another one."""
         count = len(self.clients)
-        return count >= self.max_clients or (self.holding and count >= MIN_CLIENTS)
+        return count >= self.client_limit or (self.holding and count >= MIN_CLIENTS)
 
     def _pause_accepting(self) -> None:
         """Stops accepting for ACCEPT_RETRY_S. Waiting connections stay in the kernel's queue; without the
@@ -180,7 +186,7 @@
         found.sort(key=lambda ranked: ranked[0])
         if not found:
             self.eviction_retry_at = now + ACCEPT_RETRY_S
-        chosen = found[: min(MAX_EVICTIONS, 1 + self.max_clients // 20)]
+        chosen = found[: min(MAX_EVICTIONS, 1 + self.client_limit // 20)]
         self.runtime.events_log.emit(
             "closed", Reason.ROOM, connections=len(self.clients), evicted=len(chosen), candidates=len(found),
         )  # fmt: skip
@@ -223,14 +229,14 @@
     def client_lost(self, client: ClientConnection) -> None:
         """Forgets a connection that has closed, and accepts again if there is room for another."""
         self.clients.pop(client, None)
-        if self.socket is not None and len(self.clients) < self.max_clients:
+        if self.socket is not None and not self._is_full():
             self._accept_more()
 
     def metrics_text(self) -> str:
         """The metrics of the clients' connections and of the memory that they hold, in bytes."""
         memory = self.memory
         return metric_lines("clients", {
-            "open": len(self.clients), "max_open": self.max_clients, "accepted": self.accepted,
+            "open": len(self.clients), "max_open": self.client_limit, "accepted": self.accepted,
             "request_bytes": memory.used, "max_request_bytes": memory.limit,
             "unsent_bytes": memory.unsent, "max_unsent_bytes": memory.answer_limit,
             "unparsed_bytes": sum(len(c.unparsed) for c in self.clients),
@@ -265,7 +271,7 @@
             return
         while not self.handed_over and self._accept():
             pass
-        if self.handed_over or at_once or len(self.clients) < self.max_clients:
+        if self.handed_over or at_once or not self._is_full():
             self._accept_no_more()
             self.socket.close()
             self.socket = None
--- a/magpiefront/net/memory_holders.py
+++ b/magpiefront/net/memory_holders.py
@@ -19,8 +19,8 @@
     def apply_plan(self, plan: MemoryPlan) -> None:
         """Sets the limits of connections, requests and answers."""
         self.memory.apply(plan)
-        self.front.max_clients = plan.max_clients
-        self.proxy.pool.max_connections = plan.max_node_connections
+        self.front.max_clients_by_memory = plan.max_clients
+        self.proxy.pool.max_by_memory = plan.max_node_connections
 
     def set_step(self, step: Step) -> None:
         """Holds back as this step says, until the next call."""
--- a/magpiefront/net/pool.py
+++ b/magpiefront/net/pool.py
@@ -242,6 +242,7 @@
         self, loop: asyncio.AbstractEventLoop, max_connections: int, connect_us: int, idle_us: int
     ) -> None:
         self.loop, self.max_connections, self.open = loop, max_connections, 0
+        self.max_by_memory = max_connections
         self.read_buffer = memoryview(bytearray(READ_BUFFER_BYTES))
         self.clock: Callable[[], float] = time.monotonic
         self.rest = RestPolicy()
@@ -275,12 +276,17 @@
     @property
     def is_full(self) -> bool:
         """Whether no further connection can be opened, as all are busy."""
-        return self.open >= self.max_connections and not self.idle
+        return self.open >= self.limit and not self.idle
+
+    @property
+    def limit(self) -> int:
+        """For how many connections there are descriptors and memory."""
+        return min(self.max_connections, self.max_by_memory)
 
     def make_room(self) -> bool:
         """Returns whether another connection may be opened. At the limit, closes the longest idle one to make
         room; returns False if none is idle."""
-        if self.open < self.max_connections:
+        if self.open < self.limit:
             return True
         if not self.idle:
             return False
--- a/magpiefront/net/process_memory.py
+++ b/magpiefront/net/process_memory.py
@@ -12,10 +12,10 @@
 TRIM_THRESHOLD_BYTES, MMAP_THRESHOLD_BYTES = 256 * 1024, 128 * 1024
 
 
-def resident_bytes(pid: int | str = "self") -> int:
-    """The memory that a process takes now (resident set size); 0 if the system does not tell."""
+def resident_bytes(pid: int | None = None) -> int:
+    """The resident memory of a process, or of this one, in bytes; 0 if the system does not tell."""
     try:
-        with open(f"/proc/{pid}/statm", encoding="ascii") as f:
+        with open(f"/proc/{pid if pid is not None else 'self'}/statm", encoding="ascii") as f:
             return int(f.read().split()[1]) * PAGE_BYTES
     except (OSError, ValueError, IndexError):
         return 0
--- a/magpiefront/upgrade/channel.py
+++ b/magpiefront/upgrade/channel.py
@@ -60,6 +60,13 @@
     return uid == os.getuid()
 
 
+def peer_pid(s: socket.socket) -> int:
+    """The id of the process at the other end."""
+    credentials = s.getsockopt(socket.SOL_SOCKET, socket.SO_PEERCRED, struct.calcsize("3i"))
+    pid: int = struct.unpack("3i", credentials)[0]
+    return pid
+
+
 def connect(path: Path, timeout_s: float) -> socket.socket | None:
     """Connects to the process that listens at the path. None if that fails, or if the process belongs to
     another user."""
@@ -163,6 +170,11 @@
         """Whether messages can still be sent."""
         return self.socket.fileno() >= 0
 
+    @property
+    def peer_pid(self) -> int:
+        """The id of the process at the other end; 0 once the channel is closed."""
+        return peer_pid(self.socket) if self.open else 0
+
     def send(self, message: Message, descriptors: Sequence[int] = ()) -> None:
         """Queues a message. A failure to send it ends the channel. The descriptors must stay open until it is
         sent."""
--- a/magpiefront/upgrade/new_process.py
+++ b/magpiefront/upgrade/new_process.py
@@ -57,6 +57,11 @@
                 s.close()
         self._do(self.protocol.handle(Offer(version, valid)))
 
+    @property
+    def peer_pid(self) -> int:
+        """The id of the old process; 0 if there is none."""
+        return wire.peer_pid(self.socket) if self.socket is not None else 0
+
     @property
     def listener(self) -> socket.socket | None:
         """The listening socket for clients, if one was handed over."""
--- a/standins/crowd.py
+++ b/standins/crowd.py
@@ -91,9 +91,9 @@
 class Rig:
     """One proxy process, its nodes and its clients."""
 
-    def __init__(self, tree: Path, folder: Path, memory_mb: int, sockets: int) -> None:
+    def __init__(self, tree: Path, folder: Path, memory_mb: int, sockets: int, nodes: int = NODES) -> None:
         self.tree, self.folder, self.memory_mb, self.sockets = tree, folder, memory_mb, sockets
-        self.port, self.log = free_port(), NodeLog()
+        self.nodes, self.port, self.log = nodes, free_port(), NodeLog()
         self.servers: list[asyncio.Server] = []
         self.process: asyncio.subprocess.Process | None = None
         self.count = 0
@@ -101,7 +101,7 @@
         self.good_times: list[float] = []
 
     async def start(self) -> None:
-        for _ in range(NODES):
+        for _ in range(self.nodes):
             self.servers.append(
                 await asyncio.start_server(
                     lambda r, w: serve_node(self.log, r, w), "127.0.0.1", 0, limit=4096, backlog=1024
@@ -603,7 +603,7 @@
 async def play(name: str, args: argparse.Namespace) -> dict[str, Any]:
     """Plays one kind against a fresh process and returns what was counted."""
     with tempfile.TemporaryDirectory(prefix="crowd-") as folder:
-        rig = Rig(args.tree.resolve(), args.keep or Path(folder), args.memory_mb, args.sockets)
+        rig = Rig(args.tree.resolve(), args.keep or Path(folder), args.memory_mb, args.sockets, args.nodes)
         await rig.start()
         assert rig.process is not None
         try:
@@ -633,6 +633,7 @@
     parser.add_argument("--clients", type=int, default=500)
     parser.add_argument("--memory-mb", type=int, default=192)
     parser.add_argument("--sockets", type=int, default=1024)
+    parser.add_argument("--nodes", type=int, default=NODES)
     parser.add_argument("--seconds", type=float, default=6.0)
     parser.add_argument("--busy", type=int, default=0, help="processes that share the proxy's core")
     parser.add_argument("--keep", type=Path, default=None, help="folder in which the proxy's log is kept")
--- a/tests/test_crowd.py
+++ b/tests/test_crowd.py
@@ -16,7 +16,14 @@
 
 def run_kind(name: str, folder: Path, clients: int = 100, seconds: float = 2.0) -> dict[str, Any]:
     args = argparse.Namespace(
-        tree=ROOT, keep=folder, memory_mb=MEMORY_MB, sockets=1024, clients=clients, seconds=seconds, busy=0
+        tree=ROOT,
+        keep=folder,
+        memory_mb=MEMORY_MB,
+        sockets=1024,
+        clients=clients,
+        seconds=seconds,
+        busy=0,
+        nodes=6,
     )
     result = uvloop.run(play(name, args))
     assert not result["crashed"] and result["peak_mb"] <= MEMORY_MB
--- a/tests/upgrade/test_process.py
+++ b/tests/upgrade/test_process.py
@@ -40,6 +40,7 @@
 
     settings: dict[str, Any] = {**PROXY_SETTINGS, "grades": RELAXED_CLASSES}  # noqa: RUF012
     operator = ""  # the text of the operator's file; none if empty
+    memory_mb = 192
 
     def __init__(self, folder: Path, nodes: list[Node], **env: str) -> None:
         self.folder, self.nodes, self.lists, self.port = folder, nodes, DiscoveryServer(), free_port()
@@ -67,7 +68,7 @@
         """Starts a process and returns its number."""
         given = {
             "name": "n0", "listen": f"127.0.0.1:{self.port}", "discovery": f"127.0.0.1:{self.lists.port}",
-            "seed": "1f", "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+            "seed": "1f", "limits": {"cores": 1.0, "memory_mb": self.memory_mb, "sockets": 1024},
             "settings": self.settings,
             "known": {"generation": 1, "reset": True, "instances": [n.entry() for n in self.nodes]},
         }  # fmt: skip
@@ -425,6 +426,42 @@
     run(main(), 40)
 
 
+def test_a_second_process_that_does_not_fit_into_memory_leaves_the_first_one_serving(tmp_path: Path) -> None:
+    async def main() -> None:
+        async with fleet(tmp_path) as f:
+            f.memory_mb = 32
+            await f.start()
+            second = f.processes[await f.spawn()]
+            assert second.stderr is not None
+            log = await second.stderr.read()
+            assert await second.wait() == 2 and b"has no room" in log and log.count(b"\n") == 1
+            client = await f.client()
+            client.send(request())
+            assert (await client.answer()).status == 200
+
+    run(main(), 40)
+
+
+def test_two_processes_of_an_upgrade_share_their_memory(tmp_path: Path) -> None:
+    async def main() -> None:
+        async with fleet(tmp_path) as f:
+            f.memory_mb = 64
+            await f.start()
+            held = await f.client()
+            held.send(request()[:-2])  # the old process waits for the rest of it
+            second = await f.start()
+            name, others = "svc_memory_other_processes_bytes ", 0
+            for _ in range(200):
+                text = await f.command(second, "show-stat")
+                others = int(text.partition(name)[2].partition("\n")[0])
+                if others > 10 << 20:
+                    break
+                await asyncio.sleep(0.01)
+            assert others > 10 << 20
+
+    run(main(), 40)
+
+
 @pytest.mark.parametrize(
     "situation", ["no TMPDIR", "no such folder", "stale", "a file", "a deep folder", "mute"]
 )
