--- a/standins/crowd.py
+++ b/standins/crowd.py
@@ -609,16 +609,20 @@
         try:
             at_rest = rig.status("VmRSS")
             with busy_core(rig.process.pid, args.busy):
-                good = asyncio.create_task(rig.good_requests(args.seconds))
-                counted = await KINDS[name](rig, args.clients, args.seconds)
-                await good
+                after: list[int] = []
+                for _ in range(args.rounds):
+                    good = asyncio.create_task(rig.good_requests(args.seconds))
+                    counted = await KINDS[name](rig, args.clients, args.seconds)
+                    await good
+                    await asyncio.sleep(args.settle)
+                    after.append(rig.status("VmRSS"))
             crashed = rig.process.returncode is not None
             times = sorted(rig.good_times)
             return {
                 "kind": name, "good": rig.good, "p50_s": round(times[len(times) // 2], 3),
                 "p99_s": round(times[-1 - len(times) // 100], 3), "at_rest_mb": at_rest,
-                "peak_mb": rig.status("VmHWM") if not crashed else None, "crashed": crashed,
-                "malformed": rig.log.malformed, **counted,
+                "after_mb": after, "peak_mb": rig.status("VmHWM") if not crashed else None,
+                "crashed": crashed, "malformed": rig.log.malformed, **counted,
             }  # fmt: skip
         finally:
             await rig.stop()
@@ -635,6 +639,8 @@
     parser.add_argument("--sockets", type=int, default=1024)
     parser.add_argument("--nodes", type=int, default=NODES)
     parser.add_argument("--seconds", type=float, default=6.0)
+    parser.add_argument("--rounds", type=int, default=1, help="crowds in turn against the same process")
+    parser.add_argument("--settle", type=float, default=0.0, help="seconds from a crowd's end to `after_mb`")
     parser.add_argument("--busy", type=int, default=0, help="processes that share the proxy's core")
     parser.add_argument("--keep", type=Path, default=None, help="folder in which the proxy's log is kept")
     args = parser.parse_args()
--- a/tests/test_crowd.py
+++ b/tests/test_crowd.py
@@ -11,22 +11,28 @@
 from standins.crowd import play
 from standins.world import ROOT
 
-MEMORY_MB = 64  # the least that the settings accept
+MEMORY_MB, LEAST_MEMORY_MB = 64, 32  # the second is the least that the pages name
+PEAK_SHARE = 0.95  # of the limit, the most that a process may take
 
 
-def run_kind(name: str, folder: Path, clients: int = 100, seconds: float = 2.0) -> dict[str, Any]:
+def run_kind(
+    name: str, folder: Path, clients: int = 100, seconds: float = 2.0, memory_mb: int = MEMORY_MB,
+    rounds: int = 1,
+) -> dict[str, Any]:  # fmt: skip
     args = argparse.Namespace(
         tree=ROOT,
         keep=folder,
-        memory_mb=MEMORY_MB,
+        memory_mb=memory_mb,
         sockets=1024,
         clients=clients,
         seconds=seconds,
         busy=0,
         nodes=6,
+        rounds=rounds,
+        settle=0.0,
     )
     result = uvloop.run(play(name, args))
-    assert not result["crashed"] and result["peak_mb"] <= MEMORY_MB
+    assert not result["crashed"] and result["peak_mb"] <= memory_mb * PEAK_SHARE
     return result
 
 
@@ -49,3 +55,16 @@
 
 def test_no_returning_id_runs_twice(tmp_path: Path) -> None:
     assert run_kind("returning_ids", tmp_path)["twice"] == 0
+
+
+def test_all_kinds_of_crowds_at_once_stay_within_the_least_memory(tmp_path: Path) -> None:
+    run_kind("mixed", tmp_path, clients=600, memory_mb=LEAST_MEMORY_MB)
+
+
+def test_a_crowd_that_has_left_leaves_no_memory_behind_for_the_next_one(tmp_path: Path) -> None:
+    result = run_kind("slow_readers", tmp_path, clients=300, rounds=3)
+    assert result["after_mb"][2] <= result["after_mb"][0] * 1.15
+
+
+def test_bodies_that_stop_half_way_stay_within_the_memory_limit(tmp_path: Path) -> None:
+    run_kind("large_half_bodies", tmp_path, clients=600)
