What an operator's file gives to stored answers is not planned for clients

The guard takes growth for a shortage. Both are reserved in the plan and count as memory at rest for the steps. Test: test_what_stages_may_store_is_not_for_clients, which failed before.

--- a/magpiefront/__main__.py
+++ b/magpiefront/__main__.py
@@ -172,7 +172,7 @@
         await asyncio.sleep(START_POLL_S)
     if state is not None:
         upgrade_state.restore(state, proxy)
-    plan = guard.start(len(proxy.pool.nodes))
+    plan = guard.start(len(proxy.pool.nodes), composition.reserved_bytes if composition is not None else 0)
     if not plan.enough:
         proxy.log(
             f"limits.memory_mb = {settings.memory_mb} is too little for this list of nodes: "
--- a/magpiefront/net/memory_guard.py
+++ b/magpiefront/net/memory_guard.py
@@ -63,15 +63,17 @@
         self.events, self.clock = events, clock
         self.max_clients, self.max_node_connections = max_clients, max_node_connections
         self.others: Callable[[], int] = lambda: 0
-        self.at_rest_bytes = self.nodes = 0
+        self.at_rest_bytes = self.nodes = self.reserved_bytes = 0
         self.pressure = MemoryPressure(limit_bytes, 0)
         self.resident_bytes = 0  # of the last reading
         self._trimmed_at, self._after_trim_bytes = 0.0, 0
         self._others_bytes = 0
 
-    def start(self, nodes: int) -> MemoryPlan:
-        """Takes the memory of now as that at rest, with a list of this many nodes."""
+    def start(self, nodes: int, reserved_bytes: int = 0) -> MemoryPlan:
+        """Takes the memory of now as that at rest, with a list of this many nodes. `reserved_bytes`: what
+        stages may store in time, which is not for clients."""
         self.trim()
+        self.reserved_bytes = reserved_bytes
         self.nodes, self.at_rest_bytes = nodes, self.memory.read()
         self.resident_bytes = self._after_trim_bytes = self.at_rest_bytes
         self._others_bytes = self.others()
@@ -79,11 +81,13 @@
 
     def _apply(self) -> MemoryPlan:
         plan = plan_memory(
-            self.limit_bytes - self._others_bytes, self.at_rest_bytes, self.nodes, self.max_clients,
-            self.max_node_connections,
+            self.limit_bytes - self._others_bytes, self.at_rest_bytes + self.reserved_bytes, self.nodes,
+            self.max_clients, self.max_node_connections,
         )  # fmt: skip
         self.holders.apply_plan(plan)
-        self.pressure.set_limits(self.limit_bytes - self._others_bytes, self.at_rest_bytes)
+        self.pressure.set_limits(
+            self.limit_bytes - self._others_bytes, self.at_rest_bytes + self.reserved_bytes
+        )
         return plan
 
     def set_nodes(self, nodes: int) -> None:
--- a/magpiefront/operator/compose.py
+++ b/magpiefront/operator/compose.py
@@ -91,6 +91,10 @@
     return proxy
 
 
+# The process grew by up to 1.07 times the bound of the cache where measured (docs/operations/caching.md).
+CACHE_OVERHEAD = 1.07
+
+
 class Composition:
     """The configured stages of one process. `first_stage` receives the requests from the front; it is
     `next_stage`, the proxy, if no stage is configured. `shut_down` begins the planned shutdown of this
@@ -297,6 +301,16 @@
         if self.gateway is not None:
             self.gateway.sweep()
 
+    @property
+    def reserved_bytes(self) -> int:
+        """The memory that the operator's file gives to what this process stores, in bytes."""
+        reserved = 0
+        if self.operator.caching is not None:
+            reserved += int(self.operator.caching.most_bytes * CACHE_OVERHEAD)
+        if self.operator.gateway is not None:
+            reserved += self.operator.gateway.keyed.max_bytes
+        return reserved
+
     def metrics_text(self) -> str:
         """Returns the metric lines of the stages for the admin address. Used if there is a group."""
         metrics = self.group.metrics() if self.group is not None else ""
--- a/tests/test_process_memory.py
+++ b/tests/test_process_memory.py
@@ -132,6 +132,15 @@
     assert len(holders.plans) == 2 and holders.plans[1].total_bytes < holders.plans[0].total_bytes
 
 
+def test_what_stages_may_store_is_not_for_clients() -> None:
+    guard, memory, holders, _, _ = make_guard()
+    guard.start(17, 20 * MB)
+    assert holders.plans[1].total_bytes < holders.plans[0].total_bytes - 15 * MB
+    memory.bytes = 45 * MB
+    guard.check()
+    assert holders.steps[-1] is Step.NONE
+
+
 def test_memory_of_the_other_process_of_an_upgrade_counts() -> None:
     guard, _, holders, _, _ = make_guard()
     guard.others = lambda: 20 * MB
