--- a/magpiefront/net/memory_plan.py
+++ b/magpiefront/net/memory_plan.py
@@ -30,7 +30,7 @@
 CLIENT_SHARE, NODE_SHARE = 0.3, 0.3
 # Of what connections leave: the one message that may always be read to its end, and of the rest requests in
 # parts and queues; what is left then is for answers that clients have not taken.
-MESSAGE_SHARE, REQUEST_SHARE = 0.35, 0.6
+MESSAGE_SHARE, REQUEST_SHARE = 0.5, 0.6
 MAX_MESSAGE_BYTES = 33 * MIB  # the largest body that is accepted (`MAX_BODY_BYTES`), with its head
 # The least that a process can work with. If there is less, it starts all the same and says so.
 MIN_CLIENTS, MIN_NODE_CONNECTIONS = 16, 8
