The process is measured and trimmed as often as it has to be, at less cost

It is read 20 times a second, and with each tick after growth or under pressure; given back without pressure only after a change of 2 MB, also where clients have freed as much while the process did not grow. Reads with ample room take the short way.

Tests: growth has the process measured at once; freed memory goes back.

--- a/magpiefront/__main__.py
+++ b/magpiefront/__main__.py
@@ -179,7 +179,7 @@
             f"{guard.at_rest_bytes >> 20} MB are in use before the first client; this process serves at most "
             f"{plan.max_clients} clients at once"
         )
-    proxy.check_memory = guard.check
+    proxy.check_memory = guard.tick
     listener = (
         handover_client.listener
         if handover_client is not None and handover_client.listener is not None
--- a/magpiefront/net/client_memory.py
+++ b/magpiefront/net/client_memory.py
@@ -20,6 +20,7 @@
 MIN_READ_BYTES, SMALL_SLICE_BYTES = 1024, 128
 READ_PART = 8  # the room is divided by this for one read
 SMALL_SLICE_ROOM_BYTES = 128 * KIB  # room below which slices are small
+AMPLE_ROOM_BYTES = 256 * KIB  # room above which neither reads nor slices are less than usual
 
 
 class Holder(Protocol):
@@ -78,6 +79,11 @@
         """How much more requests may take, in bytes."""
         return 0 if self.held_back else max(0, self.limit - self.used)
 
+    @property
+    def is_ample(self) -> bool:
+        """Whether there is room for full reads and full slices: the common case."""
+        return self.limit - self.used >= AMPLE_ROOM_BYTES and not self.held_back
+
     def read_bytes(self, holder: Holder, most: int) -> int:
         """How much one read of this connection may return: at most `most` bytes."""
         if holder is self.exempt:
--- a/magpiefront/net/downstream.py
+++ b/magpiefront/net/downstream.py
@@ -244,8 +244,10 @@
     def get_buffer(self, size_hint: int) -> memoryview:
         """The buffer that the event loop reads into (`asyncio.BufferedProtocol`): one for all connections,
         which bounds what one read returns. Less is read while memory is short."""
-        buffer = self.front.read_buffer
-        return buffer[: self.front.memory.read_bytes(self, len(buffer))]
+        buffer, memory = self.front.read_buffer, self.front.memory
+        if memory.is_ample:
+            return buffer
+        return buffer[: memory.read_bytes(self, len(buffer))]
 
     def buffer_updated(self, size: int) -> None:
         """`size` bytes have been read into the buffer."""
@@ -264,7 +266,8 @@
         elif self.max_unread_us:
             self.read_at_us -= min(self.max_unread_us, int(since_last_data_s(self.transport) * 1e6))
         self.max_unread_us = 0
-        limit = self.front.memory.slice_bytes(SLICE_BYTES)
+        memory = self.front.memory
+        limit = SLICE_BYTES if memory.is_ample else memory.slice_bytes(SLICE_BYTES)
         if self.unparsed or len(data) > limit or len(self.queued) >= MAX_PIPELINED_REQUESTS:
             self._set_unparsed(self.unparsed + bytes(data))
             if self.parse_turn():
@@ -612,20 +615,17 @@
         close = self._closes_after(request)
         if status == 405 and not more:
             more = self.allow
-        length = sum(len(part) for part in body)
-        self._write_all(head(status, length, more, close), body, length)
-        request.counts.end(status)
-        self._finish_answer(request, close)
-
-    def _write_all(self, answer_head: bytes, body: Sequence[bytes], length: int) -> None:
-        """Writes the head and the body of an answer; `length` is the body's, in bytes. Only a small body is
-        copied: until the client takes them, the copies of large ones would be in memory as well."""
+        content = body[0] if len(body) == 1 else b""
+        length = len(content) if content else sum(map(len, body))
+        answer_head = head(status, length, more, close)
         if length <= JOINED_BYTES:
-            self.transport.write(b"".join((answer_head, *body)))
-        else:
+            self.transport.write(answer_head + (content or b"".join(body)))
+        else:  # without a copy, which would be in memory as well until the client takes it
             self.transport.writelines([answer_head, *body])
         if not self.writable:
             self._set_unsent(self.transport.get_write_buffer_size())
+        request.counts.end(status)
+        self._finish_answer(request, close)
 
     def begin(self, request: Request, length: int | None, more: bytes, status: int = 200) -> None:
         """Writes the head of a long answer; without a length its body is chunked."""
--- a/magpiefront/net/memory_guard.py
+++ b/magpiefront/net/memory_guard.py
@@ -12,8 +12,11 @@
 
 # Between two calls that give memory back, unless the process has grown by TRIM_GROWTH_BYTES meanwhile.
 TRIM_INTERVAL_S, TRIM_GROWTH_BYTES = 0.25, 1024 * 1024
+CHECK_TICKS, CHECK_GROWTH_BYTES = 5, 256 * 1024  # see `MemoryGuard.tick`
 CALM_TRIM_INTERVAL_S = 1.0  # the same without pressure
-CALM_TRIM_GROWTH_BYTES = 256 * 1024  # growth since the last one, below which nothing is given back
+# How much the process must have grown, or clients must have freed, since the last one without pressure: the
+# pages that are given back cost time when they are needed again.
+CALM_TRIM_CHANGE_BYTES = 2 * 1024 * 1024
 
 
 class Memory(Protocol):
@@ -67,7 +70,7 @@
         self.pressure = MemoryPressure(limit_bytes, 0)
         self.resident_bytes = 0  # of the last reading
         self._trimmed_at, self._after_trim_bytes = 0.0, 0
-        self._others_bytes = 0
+        self._others_bytes = self._ticks = self._held_before = self._held_at_trim = 0
 
     def start(self, nodes: int, reserved_bytes: int = 0) -> MemoryPlan:
         """Takes the memory of now as that at rest, with a list of this many nodes. `reserved_bytes`: what
@@ -104,8 +107,18 @@
             self._others_bytes = others
             self._apply()
 
+    def tick(self) -> None:
+        """Calls `check` if it is due: at once after growth, all the time under pressure, and otherwise each
+        CHECK_TICKS calls. To be called many times a second."""
+        self._ticks += 1
+        held = self.holders.held_bytes()
+        grown = held - self._held_before
+        if self._ticks >= CHECK_TICKS or grown >= CHECK_GROWTH_BYTES or self.pressure.step is not Step.NONE:
+            self._ticks, self._held_before = 0, held
+            self.check()
+
     def check(self) -> None:
-        """Measures the process and acts on it. To be called many times a second."""
+        """Measures the process and acts on it."""
         before, resident = self.pressure.step, self.memory.read()
         step = self.pressure.update(resident)
         if self._may_trim(resident, step):
@@ -121,12 +134,14 @@
 
     def _may_trim(self, resident: int, step: Step) -> bool:
         now, grown = self.clock(), resident - self._after_trim_bytes
+        held = self.holders.held_bytes()
         if step is Step.NONE:
-            due = now - self._trimmed_at >= CALM_TRIM_INTERVAL_S and grown >= CALM_TRIM_GROWTH_BYTES
+            changed = max(grown, self._held_at_trim - held)
+            due = now - self._trimmed_at >= CALM_TRIM_INTERVAL_S and changed >= CALM_TRIM_CHANGE_BYTES
         else:
             due = now - self._trimmed_at >= TRIM_INTERVAL_S or grown >= TRIM_GROWTH_BYTES
         if due:
-            self._trimmed_at = now
+            self._trimmed_at, self._held_at_trim = now, held
         return due
 
     def _log(self, step: Step) -> None:
--- a/magpiefront/net/node_connection.py
+++ b/magpiefront/net/node_connection.py
@@ -303,7 +303,7 @@
         reusable = self.written and self.keep_alive and not self.surplus
         self.lifecycle.end_request(now, reusable and outcome not in NEVER_RAN)
         self.exchange, exchange.connection = None, None
-        self.answer = self.answer_type()  # while the connection rests, it must not hold the body
+        self.answer = self.answer_type()  # a connection that rests must not hold the body of its last answer
         self.resume()
         if self.lifecycle.state is ConnectionState.RESTING:
             self.node.put_back(self)
--- a/tests/test_process_memory.py
+++ b/tests/test_process_memory.py
@@ -79,7 +79,7 @@
     def __init__(self) -> None:
         self.plans: list[MemoryPlan] = []
         self.steps: list[Step] = []
-        self.shed = 0
+        self.shed = self.held = 0
 
     def apply_plan(self, plan: MemoryPlan) -> None:
         self.plans.append(plan)
@@ -91,7 +91,7 @@
         self.shed += 1
 
     def held_bytes(self) -> int:
-        return 0
+        return self.held
 
 
 class FakeLog:
@@ -126,6 +126,31 @@
     assert holders.steps[-1] is Step.NONE and log.steps == ["shed", "none"]
 
 
+def test_growth_of_the_account_has_the_process_measured_at_once() -> None:
+    guard, memory, holders, _, _ = make_guard()
+    guard.tick()
+    assert not holders.steps
+    memory.bytes, holders.held = 58 * MB, 1 * MB
+    guard.tick()
+    assert holders.steps == [Step.SHED]
+    holders.held = 0
+    guard.tick()
+    assert len(holders.steps) == 2  # under pressure, with each call
+
+
+def test_memory_that_clients_have_freed_is_given_back_without_pressure() -> None:
+    guard, memory, holders, _, trims = make_guard()
+    times = iter(range(2, 100, 2))
+    guard.clock = lambda: float(next(times))
+    memory.bytes, holders.held = 40 * MB, 10 * MB
+    guard.check()
+    holders.held = 0
+    guard.check()
+    assert trims[-2:] == [40 * MB] * 2
+    guard.check()
+    assert len(trims) == 4  # nothing has changed
+
+
 def test_a_longer_list_of_nodes_takes_its_memory_from_the_shares_of_clients() -> None:
     guard, _, holders, _, _ = make_guard()
     guard.set_nodes(3200)
