A line of the log that can't be written costs no request its answer

Such a line is lost instead. The test failed before: 404 expected, the connection ended without a byte.

--- a/magpiefront/net/proxy.py
+++ b/magpiefront/net/proxy.py
@@ -12,6 +12,7 @@
 from asyncio import TimerHandle
 from collections import deque
 from collections.abc import Callable, Sequence
+from contextlib import suppress
 from time import monotonic_ns, time_ns
 from typing import TypeVarTuple, Unpack
 
@@ -57,6 +58,12 @@
     return LAG_LIMIT_FRACTION * min(c.aim_us for c in config.settings.classes) / 1e6
 
 
+def write_line(text: str) -> None:
+    """Writes a line to standard error; it is lost if that is closed or full."""
+    with suppress(OSError, ValueError):
+        print(text, file=sys.stderr, flush=True)
+
+
 class Proxy:
     """Runs the Router over the pool of node connections. It is the last stage that a request passes through.
 
@@ -145,11 +152,11 @@
         now = self.loop.time()
         if now - self.log_period_start > LOG_PERIOD_S:
             if self.log_lines_dropped:
-                print(f"{self.log_lines_dropped} log lines suppressed", file=sys.stderr, flush=True)
+                write_line(f"{self.log_lines_dropped} log lines suppressed")
             self.log_lines_left, self.log_period_start, self.log_lines_dropped = MAX_LOG_LINES, now, 0
         if self.log_lines_left:
             self.log_lines_left -= 1
-            print(text, file=sys.stderr, flush=True)
+            write_line(text)
         else:
             self.log_lines_dropped += 1
 
--- a/tests/test_starts.py
+++ b/tests/test_starts.py
@@ -78,6 +78,28 @@
     assert errors.count("is too little") <= 1
 
 
+def test_a_log_that_nobody_reads_any_more_costs_no_request_its_answer(tmp_path: Path) -> None:
+    port = free_port()
+    process = subprocess.Popen(
+        [sys.executable, "-m", "magpiefront"], cwd=ROOT, stderr=subprocess.PIPE, text=True,
+        env={**os.environ, "LB_CONFIG": str(settings_file(tmp_path, port, 64, 1024, 0))},
+    )  # fmt: skip
+    try:
+        assert ask_until_ready(port, process) == 200
+        assert process.stderr is not None
+        process.stderr.close()
+        for _ in range(3):
+            with socket.create_connection(("127.0.0.1", port), 5) as client:
+                client.settimeout(5)
+                client.sendall(b"GET /nothing/ HTTP/1.1\r\nHost: x\r\n\r\n")
+                assert client.recv(4096).startswith(b"HTTP/1.1 404")
+        assert process.poll() is None
+    finally:
+        process.terminate()
+        process.wait(timeout=20)
+    assert process.returncode == 0
+
+
 def test_a_proxy_without_an_operators_file_loads_no_openssl(tmp_path: Path) -> None:
     port = free_port()
     process = subprocess.Popen(
