The wait of one message for memory does not count for the next one

Found by reading: the time since which a message has waited for memory was reset as the next message began, but a pause can come between the two, while bytes wait to be parsed. A sound pipelined request could so be refused with 503 for the wait of the one before. The time ends with its message. The test failed before.

--- a/magpiefront/net/downstream.py
+++ b/magpiefront/net/downstream.py
@@ -555,7 +555,7 @@
             request.counts = self.front.runtime.metrics.counts_for(request.headers[b"req-kind"])
             request.counts.received += 1
         unparsed = len(self.unparsed)
-        self.reserved, self.wants_reservation = 0, False
+        self.reserved, self.wants_reservation, self.memory_paused_at = 0, False, 0.0
         if self.refusing_excess or self.excess_requests:
             freed, self.held = self.held - unparsed, unparsed
             self.front.memory.release(self, freed)
--- a/tests/test_client_memory.py
+++ b/tests/test_client_memory.py
@@ -116,6 +116,21 @@
     run(main())
 
 
+def test_the_wait_of_one_message_for_memory_does_not_count_for_the_next_one() -> None:
+    async def main() -> None:
+        async with running_proxy(None) as w:
+            client = await w.client()
+            message = request("PUT", body=b"x" * 5000)
+            client.send(message[:-1])
+            await until(lambda: any(c.held > 4000 for c in w.front.clients))
+            (connection,) = w.front.clients
+            connection.memory_paused_at = 1.0
+            client.send(message[-1:])
+            assert (await client.answer()).status == 200 and not connection.memory_paused_at
+
+    run(main())
+
+
 def test_clients_that_stop_within_a_body_make_room_for_others(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(downstream, "MIN_EVICTION_STALL_S", 0.02)
 
