A connection that waits already gets the time of its next message's wait

Found by reading the change: a connection paused for its queue kept its place among those that wait while its time was reset with the message; the next pause did not set it again, so that the wait counted from 0 and the message was refused with 503, or the connection closed for room, at once. The second condition is gone. Test failed before.

--- a/magpiefront/net/downstream.py
+++ b/magpiefront/net/downstream.py
@@ -413,9 +413,8 @@
                 self.transport.pause_reading()
 
     def _must_pause_for_memory(self) -> bool:
-        waited = self in self.front.memory.paused
         must_pause = self.front.memory.must_pause(self)
-        if must_pause and not waited and not self.memory_paused_at:
+        if must_pause and not self.memory_paused_at:
             self.memory_paused_at = self.front.loop.time()
         return must_pause
 
--- a/tests/test_client_memory.py
+++ b/tests/test_client_memory.py
@@ -127,6 +127,12 @@
             connection.memory_paused_at = 1.0
             client.send(message[-1:])
             assert (await client.answer()).status == 200 and not connection.memory_paused_at
+            w.front.memory.held_back, connection.held = True, 5000
+            w.front.memory.exempt = FakeHolder()
+            for _ in range(2):  # also while it waits already, for the requests in its queue
+                connection.memory_paused_at = 0.0
+                assert connection._must_pause_for_memory() and connection.memory_paused_at
+            connection.held = 0
 
     run(main())
 
