--- a/review/standins/bed.py
+++ b/review/standins/bed.py
@@ -249,6 +249,7 @@
             (self.folder / "operator.toml").write_text(operator)
             self.env["LB_OPERATOR"] = str(self.folder / "operator.toml")
         self.process: asyncio.subprocess.Process | None = None
+        self.spawned: list[asyncio.subprocess.Process] = []  # all that were started; the last is `process`
         bed.processes.append(self)
 
     async def spawn(self) -> asyncio.subprocess.Process:
@@ -258,6 +259,7 @@
                 "/bin/sh", "-c", "exec .venv/bin/python -m magpiefront", cwd=ROOT, env=self.env,
                 stdin=asyncio.subprocess.DEVNULL, stdout=log, stderr=log,
             )  # fmt: skip
+        self.spawned.append(self.process)
         return self.process
 
     async def start(self, timeout_s: float = 20.0) -> None:
@@ -298,11 +300,13 @@
             self.process.send_signal(number)
 
     async def kill(self) -> None:
-        if self.process is not None and self.process.returncode is None:
-            with suppress(ProcessLookupError):
-                self.process.send_signal(signal.SIGCONT)
-                self.process.kill()
-            await self.process.wait()
+        """Ends all processes that were started, with SIGKILL."""
+        for process in self.spawned:
+            if process.returncode is None:
+                with suppress(ProcessLookupError):
+                    process.send_signal(signal.SIGCONT)
+                    process.kill()
+                await process.wait()
 
 
 def run_case(folder: str, case: Callable[[Bed], Awaitable[None]], limit_s: float = 110.0) -> None:
