--- a/magpiefront/record/journal.py
+++ b/magpiefront/record/journal.py
@@ -13,6 +13,7 @@
 from dataclasses import dataclass, field, replace
 
 from magpiefront.record.ownership import Ownership, UngroupedOwnership, OwnerStatus
+from magpiefront.record.node_answer import BrokenAnswer, NodeAnswer
 from magpiefront.record.rows import UNKNOWN_BOOT, Answer, Attempt, Id, Moment, Outcome, Result, Row, State
 
 US_PER_S = 1_000_000
@@ -144,6 +145,9 @@
 RETRY_SAME_KEY = plain_answer(
     409, "the report may have had its effect; ask again under the same Idempotency-Key"
 )  # fmt: skip
+ANSWER_BROKE_OFF = plain_answer(
+    502, "the answer broke off; the report may have had its effect; ask again under the same Idempotency-Key"
+)  # fmt: skip
 STORE_UNAVAILABLE = plain_answer(503, "the store of record can't take this report now; nothing was done")
 # These do not tell the result of a report: the gateway of another site must not store them as its answer.
 UNDECIDED = (IN_PROGRESS, RETRY_SAME_KEY, OUTCOME_UNKNOWN)
@@ -407,7 +411,7 @@
         return entry is not None and entry.phase is Phase.SENDING and entry.row.owner == row.owner
 
     def answered(
-        self, now_us: int, id: Id, answer: Answer, may_have_run: bool, attempts: tuple[Attempt, ...],
+        self, now_us: int, id: Id, answer: NodeAnswer, may_have_run: bool, attempts: tuple[Attempt, ...],
         retry_after_us: int = 0, undecided: bool = False,
     ) -> list[Action]:  # fmt: skip
         """Handles the answer of the nodes, or that of the Router in place of one. `undecided`: the other site
@@ -416,31 +420,45 @@
         if not self.ownership.may_act(entry.row.owner):
             return self._abandon(entry)
         row = replace(entry.row, attempts=(*entry.row.attempts, *attempts))
+        if isinstance(answer, BrokenAnswer):
+            return self._release(now_us, entry, row, ANSWER_BROKE_OFF, retry_after_us)
         if 200 <= answer.status < 300:
-            after = replace(row, state=State.CONFIRMED, answer=answer)
-        elif not may_have_run:
-            return self._undo(now_us, entry, answer, retry_after_us)
-        elif 400 <= answer.status < 500 and answer.status != 429 and not undecided:
+            return self._confirm(now_us, entry, row, answer)
+        reply = answer
+        if not may_have_run:
+            return self._undo(now_us, entry, reply, retry_after_us)
+        if 400 <= answer.status < 500 and answer.status != 429 and not undecided:
             # The archive itself refused the report, and would refuse a repeat in the same way.
-            after = replace(row, state=State.CONFIRMED, answer=answer)
-        elif (undecided or answer.status in (429, 503)) and entry.waiters:
+            return self._confirm(now_us, entry, row, answer)
+        if (undecided or answer.status in (429, 503)) and entry.waiters:
             # The client would take a refusal to mean that nothing was done, and might send the report under
             # another key. So it is asked to retry under the same key, but only after the row is marked with
             # `told`: from then on no other process sends the report.
-            after, answer = replace(row, until_s=0.0, told=True), RETRY_SAME_KEY
-            entry.retry_after_us = retry_after_us or RETRY_AFTER_US
-        else:
-            # It may have run. The row is released: within the retry window a repeat may be sent at once, and
-            # after it the row is marked as unknown.
-            del self.entries[id]
-            release = Change(entry.row, replace(row, until_s=0.0), now_us + self.outcome_timeout_us)
-            return [*self._reply_all(entry, answer, retry_after_us), release]
-        entry.phase, entry.final_answer = Phase.STORING_OUTCOME, answer
-        return [
-            self._change_row(
-                entry, entry.row, after, max(entry.deadline_us, now_us + self.outcome_timeout_us)
-            )
-        ]
+            after = replace(row, until_s=0.0, told=True)
+            return self._store_outcome(now_us, entry, after, RETRY_SAME_KEY, retry_after_us or RETRY_AFTER_US)
+        return self._release(now_us, entry, row, reply, retry_after_us)
+
+    def _confirm(self, now_us: int, entry: Entry, row: Row, answer: Answer) -> list[Action]:
+        """Stores the final answer, which the clients and all repeats get."""
+        after = replace(row, state=State.CONFIRMED, answer=answer)
+        return self._store_outcome(now_us, entry, after, answer, entry.retry_after_us)
+
+    def _store_outcome(
+        self, now_us: int, entry: Entry, after: Row, reply: Answer, retry_after_us: int
+    ) -> list[Action]:  # fmt: skip
+        """Stores what is known of the report; the clients get `reply` once that is done."""
+        entry.phase, entry.final_answer, entry.retry_after_us = Phase.STORING_OUTCOME, reply, retry_after_us
+        until_us = max(entry.deadline_us, now_us + self.outcome_timeout_us)
+        return [self._change_row(entry, entry.row, after, until_us)]
+
+    def _release(
+        self, now_us: int, entry: Entry, row: Row, reply: Answer, retry_after_us: int
+    ) -> list[Action]:  # fmt: skip
+        """Answers the clients of a report that may have run, and releases its row: within the retry window a
+        repeat may be sent at once, and after it the row is marked as unknown."""
+        del self.entries[entry.row.id]
+        release = Change(entry.row, replace(row, until_s=0.0), now_us + self.outcome_timeout_us)
+        return [*self._reply_all(entry, reply, retry_after_us), release]
 
     def _finish(self, now_us: int, entry: Entry, after: Row, result: Result) -> list[Action]:
         """Answers the clients according to whether the store has accepted the outcome."""
--- a/magpiefront/record/stage.py
+++ b/magpiefront/record/stage.py
@@ -14,7 +14,7 @@
 from magpiefront.interface import Repeat, RequestClass
 from magpiefront.net.execution import ExecutionTracker, execution_of, mark_may_have_run
 from magpiefront.net.runtime import StageRuntime
-from magpiefront.net.fields import format_fields, parse_fields
+from magpiefront.net.fields import format_fields
 from magpiefront.net.metrics import metric_lines
 from magpiefront.net.request import Request, Stage
 from magpiefront.record import journal
@@ -23,7 +23,9 @@
     Action, Change, RecoveryAction, Follow, Get, Insert, Journal, LogLine, DeliveryPace, Phase, Remove, Reply,
     Send,
 )  # fmt: skip
+from magpiefront.record.node_answer import NodeAnswer
 from magpiefront.record.rows import Answer, Attempt, Id, Moment, Result, Row, State, Store, boot_id
+from magpiefront.record.sender import ReportSender
 from magpiefront.record.settings import RecordSettings
 
 POLL_ROW_LIMIT = 200  # the most rows that one poll reads
@@ -35,7 +37,6 @@
 # Rows are dated by the wall clock, so a sweep keeps them for this many seconds longer than `retention_s`: a
 # step of the clock forward by up to this much then removes no row too early.
 CLOCK_STEP_S = 3_600
-EXTRA_FIELD_NAMES = frozenset({b"idempotency-key", b"content-type"})  # a front puts these into `extra_fields`
 UNSTORED_FIELD_NAMES = frozenset({b"connection", b"content-length", b"transfer-encoding", b"host", b"expect"})
 
 
@@ -81,9 +82,9 @@
         self.node_stage: Stage = following
         self.clients: dict[Request, Id] = {}
         self.deadline_timers: dict[Request, asyncio.TimerHandle] = {}
-        self.rows_by_request: dict[Request, Row] = {}
-        # Answers that arrive in parts: status, field lines, parts of the body so far and their total size.
-        self.streamed_answers: dict[Request, tuple[int, bytes, list[bytes], int]] = {}
+        self.sender = ReportSender(
+            runtime, self.ownership, self.process_token, self.up_us, settings.most_answer, self._on_answer
+        )
         self.clock_offset_us = runtime.now_us() - self.up_us()
         self.delivery_pace = DeliveryPace(settings.most_deliveries)
         # For the reports that a lost member had in hand. Other deliveries must not delay them, because their
@@ -418,67 +419,15 @@
     # ---- the nodes
 
     def _send(self, send: Send) -> None:
-        """Sends the report as a request of its own, which continues if its client disconnects, so that the
-        outcome of a stored report is always determined."""
-        row = send.row
-        request = Request(self)
-        request.method, request.target = row.method, row.target
-        request.wire_id = f"{self.process_token}-{next(self.sequence):x}".encode()
-        # The id is needed, because the gateway of another site refuses a request without one.
-        request.headers = {b"host": b"record", b"req-id": request.wire_id, b"req-kind": row.id.kind.encode(),
-                           b"idempotency-key": row.id.key}  # fmt: skip
-        if row.id.tenant:
-            request.headers[b"req-owner"] = row.id.tenant.encode("latin-1")
-        request.fields = parse_fields(row.more)
-        # Only the fields that a front puts into `extra_fields`: the following stages add the other fields,
-        # which must not be sent twice.
-        request.extra_fields = format_fields(f for f in request.fields if f[0].lower() in EXTRA_FIELD_NAMES)
-        request.execution = ExecutionTracker()
-        # Checked again right before the first byte is sent to a node, because the request may have waited
-        # until then: in a queue, while connecting, or while the process was paused.
-        until_up_us = int((row.sent.up_s if row.sent is not None else 0) * 1e6 + row.window_s * 1e6)
-        request.execution.guard = lambda: self.ownership.may_act(row.owner) and self.up_us() < until_up_us
-        if send.resumed and row.sent is not None:
-            request.execution.first_sent_us = self._to_runtime_us(int(row.sent.up_s * 1e6))
-        request.body, request.size = ([row.body], len(row.body)) if row.body else ([], 0)
-        request.received_at = self.runtime.now_us()
-        request.time_left = max(0, self._to_runtime_us(send.deadline_us) - request.received_at)
-        self.rows_by_request[request] = row
-        (self.node_stage if send.from_other_site else self.following).submit(request)
-
-    def _on_answer(self, request: Request, status: int, field_lines: bytes, body: bytes) -> None:
-        row = self.rows_by_request.pop(request)
-        id = row.id
+        self.sender.send(send, self.node_stage if send.from_other_site else self.following)
+
+    def _on_answer(self, row: Row, answer: NodeAnswer, execution: ExecutionTracker) -> None:
         if not self.journal.is_sending(row):
             return  # released meanwhile
-        stored_body = body if len(body) <= self.settings.most_answer else b""
-        execution = request.execution
         attempts = tuple(Attempt(a.place, a.sent_at / 1e6) for a in execution.attempts)
-        answer = Answer(status, field_lines, stored_body)
-        if id in self.deliveries:
-            self.deliveries.pop(id).end(self.up_us(), 200 <= status < 300)
+        if row.id in self.deliveries:
+            is_delivered = isinstance(answer, Answer) and 200 <= answer.status < 300
+            self.deliveries.pop(row.id).end(self.up_us(), is_delivered)
         self._do(self.journal.answered(
-            self.up_us(), id, answer, execution.may_have_run, attempts, undecided=execution.undecided
+            self.up_us(), row.id, answer, execution.may_have_run, attempts, undecided=execution.undecided
         ))  # fmt: skip
-
-    def answer(self, request: Request, status: int, body: Sequence[bytes] = (), more: bytes = b"") -> None:
-        self._on_answer(request, status, more, b"".join(body))
-
-    def begin(self, request: Request, length: int | None, more: bytes, status: int = 200) -> None:
-        self.streamed_answers[request] = (status, more, [], 0)
-
-    def write_body(self, request: Request, body: bytes) -> None:
-        status, field_lines, parts, size = self.streamed_answers[request]
-        if size + len(body) <= self.settings.most_answer:
-            parts.append(body)
-        self.streamed_answers[request] = (status, field_lines, parts, size + len(body))
-
-    def end(self, request: Request) -> None:
-        status, field_lines, parts, size = self.streamed_answers.pop(request)
-        whole = b"".join(parts) if size <= self.settings.most_answer else b""
-        self._on_answer(request, status, field_lines, whole)
-
-    def abort(self, request: Request) -> None:
-        """Handles an answer that broke off: its status is used, its body is discarded."""
-        status, field_lines, _, _ = self.streamed_answers.pop(request)
-        self._on_answer(request, status, field_lines, b"")
