A long answer reaches the waiting client whole, and is no empty 200 for repeats

Clients saw 200 and no body for each report whose node's answer was longer than most_answer, from sound nodes too, at the first try and at every repeat.

Cause: "too long to be kept" and "empty" were one value: RecordStage cut the body to nothing and kept the status. Same class as the answers that break off.

An answer over 64 KiB is that 409 for its first client as well.

--- a/magpiefront/record/journal.py
+++ b/magpiefront/record/journal.py
@@ -13,7 +13,7 @@
 from dataclasses import dataclass, field, replace
 
 from magpiefront.record.ownership import Ownership, UngroupedOwnership, OwnerStatus
-from magpiefront.record.node_answer import BrokenAnswer, NodeAnswer
+from magpiefront.record.node_answer import BrokenAnswer, NodeAnswer, OversizedAnswer
 from magpiefront.record.rows import UNKNOWN_BOOT, Answer, Attempt, Id, Moment, Outcome, Result, Row, State
 
 US_PER_S = 1_000_000
@@ -148,26 +148,36 @@
 ANSWER_BROKE_OFF = plain_answer(
     502, "the answer broke off; the report may have had its effect; ask again under the same Idempotency-Key"
 )  # fmt: skip
+ANSWER_NOT_KEPT = plain_answer(409, "the report had its effect; its answer was too long to be kept")
 STORE_UNAVAILABLE = plain_answer(503, "the store of record can't take this report now; nothing was done")
 # These do not tell the result of a report: the gateway of another site must not store them as its answer.
 UNDECIDED = (IN_PROGRESS, RETRY_SAME_KEY, OUTCOME_UNKNOWN)
 
 
+def without_body(status: int) -> Answer:
+    """Returns what clients get in place of an answer with this status whose body is too long. It is no
+    success, since a success without its body would be taken for a whole answer."""
+    if 200 <= status < 300:
+        return ANSWER_NOT_KEPT
+    return plain_answer(status, "the body of this answer was too long to be kept")
+
+
 class Journal:
     """The reports that this process has in hand, and what to do about each event."""
 
     def __init__(
         self, boot: str, least_left_us: int = 20_000, outcome_timeout_us: int = 2_000_000,
-        ownership: Ownership | None = None,
+        ownership: Ownership | None = None, most_answer: int = 64 << 10,
     ) -> None:  # fmt: skip
         """`boot` is the boot id of the machine. A report with less time left than `least_left_us` is not
         sent. An outcome may be stored until the last client's deadline or until `outcome_timeout_us` after it
         is known, whichever is later. `ownership` decides which rows this process may act on if proxies form a
-        group."""
+        group. The body of an answer is stored up to `most_answer` bytes."""
         self.boot = boot
         self.ownership = ownership or UngroupedOwnership()
         self.claimed_count = 0  # rows claimed from owners that had ended
         self.least_left_us, self.outcome_timeout_us = least_left_us, outcome_timeout_us
+        self.most_answer = most_answer
         self.entries: dict[Id, Entry] = {}
 
     # ---- clients
@@ -424,7 +434,7 @@
             return self._release(now_us, entry, row, ANSWER_BROKE_OFF, retry_after_us)
         if 200 <= answer.status < 300:
             return self._confirm(now_us, entry, row, answer)
-        reply = answer
+        reply = without_body(answer.status) if isinstance(answer, OversizedAnswer) else answer
         if not may_have_run:
             return self._undo(now_us, entry, reply, retry_after_us)
         if 400 <= answer.status < 500 and answer.status != 429 and not undecided:
@@ -438,10 +448,16 @@
             return self._store_outcome(now_us, entry, after, RETRY_SAME_KEY, retry_after_us or RETRY_AFTER_US)
         return self._release(now_us, entry, row, reply, retry_after_us)
 
-    def _confirm(self, now_us: int, entry: Entry, row: Row, answer: Answer) -> list[Action]:
-        """Stores the final answer, which the clients and all repeats get."""
-        after = replace(row, state=State.CONFIRMED, answer=answer)
-        return self._store_outcome(now_us, entry, after, answer, entry.retry_after_us)
+    def _confirm(
+        self, now_us: int, entry: Entry, row: Row, answer: Answer | OversizedAnswer
+    ) -> list[Action]:  # fmt: skip
+        """Stores the final answer. The clients that wait get it whole if it could be held; repeats get it
+        only if it is short enough to be stored."""
+        reply = without_body(answer.status) if isinstance(answer, OversizedAnswer) else answer
+        is_kept = len(reply.body) <= self.most_answer
+        stored = reply if is_kept else without_body(reply.status)
+        after = replace(row, state=State.CONFIRMED, answer=stored)
+        return self._store_outcome(now_us, entry, after, reply, entry.retry_after_us)
 
     def _store_outcome(
         self, now_us: int, entry: Entry, after: Row, reply: Answer, retry_after_us: int
--- a/magpiefront/record/node_answer.py
+++ b/magpiefront/record/node_answer.py
@@ -18,7 +18,15 @@
     status: int
 
 
-NodeAnswer = Answer | BrokenAnswer
+@dataclass(frozen=True, slots=True)
+class OversizedAnswer:
+    """An answer that came to its end, but whose body was too long to be held. `size` is in bytes."""
+
+    status: int
+    size: int
+
+
+NodeAnswer = Answer | BrokenAnswer | OversizedAnswer
 
 
 class AnswerCollector:
@@ -44,6 +52,8 @@
         """Returns what was received, once the sender says that it is all."""
         if self.length not in (None, self.size):
             return BrokenAnswer(self.status)
+        if self.size > self.max_bytes:
+            return OversizedAnswer(self.status, self.size)
         return Answer(self.status, self.field_lines, b"".join(self.parts))
 
     def break_off(self) -> BrokenAnswer:
--- a/magpiefront/record/sender.py
+++ b/magpiefront/record/sender.py
@@ -8,6 +8,7 @@
 
 from magpiefront.net.execution import ExecutionTracker
 from magpiefront.net.fields import format_fields, parse_fields
+from magpiefront.net.http1 import MAX_BUFFERED_BYTES
 from magpiefront.net.request import Request, Stage
 from magpiefront.net.runtime import StageRuntime
 from magpiefront.record.journal import Send
@@ -42,7 +43,8 @@
         """`most_answer` is the size up to which the body of an answer is stored, in bytes."""
         self.runtime, self.ownership, self.process_token = runtime, ownership, process_token
         self.up_us, self.on_answer = up_us, on_answer
-        self.max_held_bytes = most_answer
+        # The client that waits gets the whole answer, also one that is too long to be stored.
+        self.max_held_bytes = max(most_answer, MAX_BUFFERED_BYTES)
         self.sequence = itertools.count(1)
         self.clock_offset_us = runtime.now_us() - up_us()
         self.sent: dict[Request, SentReport] = {}
@@ -91,8 +93,7 @@
     # ---- Responder
 
     def answer(self, request: Request, status: int, body: Sequence[bytes] = (), more: bytes = b"") -> None:
-        whole = b"".join(body)
-        self._finish(request, Answer(status, more, whole if len(whole) <= self.max_held_bytes else b""))
+        self._finish(request, Answer(status, more, b"".join(body)))
 
     def begin(self, request: Request, length: int | None, more: bytes, status: int = 200) -> None:
         self.sent[request].collector = AnswerCollector(status, more, length, self.max_held_bytes)
--- a/magpiefront/record/stage.py
+++ b/magpiefront/record/stage.py
@@ -75,7 +75,9 @@
         self.wall, self.up_us = wall, up_us
         self.boot = boot or boot_id()
         self.ownership = ownership or UngroupedOwnership()
-        self.journal = Journal(self.boot, settings.least_left_us, settings.settle_us, self.ownership)
+        self.journal = Journal(
+            self.boot, settings.least_left_us, settings.settle_us, self.ownership, settings.most_answer
+        )
         self.ownership.watch(self._on_members_changed, lambda id: id in self.journal.entries)
         self.process_token, self.sequence = token_hex(8), itertools.count(1)
         # The next stage for reports from another site. It serves them at this site only.
