Behind a store or a keyed stage an answer that breaks off is tried again

Callers saw 502 at the first try, or 504 at it and at the repeat, for reports whose answers came in chunks and broke off or stood still; those with a length were served at the first try.

Cause: an answer in chunks is passed on 50 ms after its first bytes. From then on the request counts as answered: no other attempt is made, and what stands still ends after 20 s only (STREAM_STALL_S), which is longer than the nodes' window. Behind the store of record and the keyed stage no client sees a byte of it before its end, so nothing stood in the way of another attempt.

Request.whole_answer says so, and is carried by clones: such an answer of up to 64 KiB is held by its attempt until it is complete. The Router decides on what breaks or pauses as on any other attempt of its class; an answer that is arriving may go on until the request's deadline. Nothing else sets it, so `run` is unchanged.

--- a/magpiefront/gateway/keyed_stage.py
+++ b/magpiefront/gateway/keyed_stage.py
@@ -81,6 +81,7 @@
         match self.answers.begin(now, key, fingerprint(r), cls.window_us, age_us, r):
             case Verdict.RUN:
                 running = KeyedExecution(key, r.clone(self))
+                running.request.whole_answer = True  # no client sees a byte of it before its end
                 if execution_of(running.request) is None:
                     running.request.execution = ExecutionTracker()
                 self.executions[running.request] = running
--- a/magpiefront/net/exchange.py
+++ b/magpiefront/net/exchange.py
@@ -31,6 +31,10 @@
     def pause(self) -> None: ...
     def resume(self) -> None: ...
 
+    @property
+    def is_arriving(self) -> bool:
+        """Whether the body of an answer for the client is arriving."""
+
     def stream_if_arriving(self) -> bool:
         """Begins to stream the answer if its body is arriving. Returns whether it did."""
 
@@ -159,11 +163,24 @@
         return [head, *request.body]
 
     def expire(self) -> None:
-        """As above, but an answer that is arriving is streamed from here on: nothing better can come in what
-        time is left."""
+        """As above, but an answer that is arriving is streamed from here on, or awaited until the request's
+        deadline if it is needed whole: nothing better can come in what time is left."""
         if self.done or (self.begun and not self.host.may_time_out(self)):
             return
-        if self.connection is None or self.streaming or not self.connection.stream_if_arriving():
+        connection = self.connection
+        if connection is None or self.streaming:
+            super().expire()
+        elif self.request.whole_answer:
+            self._await_rest(connection)
+        elif not connection.stream_if_arriving():
+            super().expire()
+
+    def _await_rest(self, connection: ExchangeConnection) -> None:
+        """Lets an answer arrive until the request's deadline; ends the attempt if none is arriving."""
+        left_us = self.request.deadline - self.host.now_us()
+        if left_us > 0 and connection.is_arriving:
+            self.timer = asyncio.get_running_loop().call_later(left_us / 1e6, self.expire)
+        else:
             super().expire()
 
     def report(self, outcome: Outcome, answer: Answer | None) -> None:
--- a/magpiefront/net/node_connection.py
+++ b/magpiefront/net/node_connection.py
@@ -268,13 +268,19 @@
         else:
             exchange.host.answer_paused(exchange)
 
+    @property
+    def is_arriving(self) -> bool:
+        """Whether the body of an answer for the client is arriving. One that came at once and stopped may
+        never go on."""
+        quiet_s = self.node.loop.time() - self.last_data_at
+        if self.body_reads < 2 or quiet_s > MAX_PAUSE_S:
+            return False
+        return self.is_for_client(self.answer) and (self.framed or self.close_delimits)
+
     def stream_if_arriving(self) -> bool:
         """Begins to stream the answer if its body is arriving. Returns whether it did."""
-        exchange, answer = self.exchange, self.answer
-        quiet_s = self.node.loop.time() - self.last_data_at
-        if not isinstance(exchange, Attempt) or self.body_reads < 2 or quiet_s > MAX_PAUSE_S:
-            return False  # a body that came at once and stopped may never go on
-        if not self.is_for_client(answer) or not (self.framed or self.close_delimits):
+        exchange = self.exchange
+        if not isinstance(exchange, Attempt) or not self.is_arriving:
             return False
         self._stream(exchange)
         return exchange.streaming
@@ -337,7 +343,9 @@
                 answer.body.append(body)
                 if answer.size > MAX_BUFFERED_BYTES or (answer.length or 0) > MAX_BUFFERED_BYTES:
                     self._stream(exchange)
-                elif self.framed and answer.length is None and len(answer.body) == 1:
+                elif self.framed and answer.length is None and len(answer.body) == 1 and (
+                    not exchange.request.whole_answer
+                ):  # fmt: skip
                     self.node.loop.call_later(STREAM_AFTER_S, self._stream, exchange)
         elif answer.size <= MAX_BUFFERED_BYTES:
             answer.body.append(body)
--- a/magpiefront/net/request.py
+++ b/magpiefront/net/request.py
@@ -133,7 +133,9 @@
     have not ended. `pipelined`: its client has sent more behind it on its connection. `may_have_run`: one of
     its attempts may have run; kept only for classes that must run once. `served`: the client gets a node's
     answer. `client_gone` asks the kernel whether the client has closed its connection; it is None if no
-    client waits for this very request, as with a clone.
+    client waits for this very request, as with a clone. `whole_answer`: nothing of its answer is passed on
+    before the answer is complete, unless it is longer than `MAX_BUFFERED_BYTES`. So an attempt whose answer
+    breaks off may be followed by another one.
     """
 
     fields: list[tuple[bytes, bytes]]
@@ -143,7 +145,7 @@
                  "execution", "extra_fields", "fields", "headers", "held", "in_flight", "keep_alive",
                  "last_outcome", "may_have_run", "method", "name", "pipelined", "received_at", "responder",
                  "served", "size", "streaming_attempt", "target", "time_left", "timeout_timer",
-                 "wire_id")  # fmt: skip
+                 "whole_answer", "wire_id")  # fmt: skip
 
     def __init__(self, responder: Responder) -> None:
         self.responder = responder
@@ -153,7 +155,7 @@
         self.size = self.error = self.received_at = self.time_left = self.deadline = self.in_flight = 0
         self.held = 0
         self.keep_alive = True
-        self.answered = self.pipelined = self.may_have_run = self.served = False
+        self.answered = self.pipelined = self.may_have_run = self.served = self.whole_answer = False
         self.name = ""
         self.attempts: list[AttemptHandle] = []
         self.streaming_attempt: AttemptHandle | None = None
@@ -177,7 +179,7 @@
         )  # fmt: skip
         clone.headers, clone.body, clone.size = self.headers, self.body, self.size
         clone.received_at, clone.time_left = self.received_at, self.time_left
-        clone.cls, clone.counts = self.cls, self.counts
+        clone.cls, clone.counts, clone.whole_answer = self.cls, self.counts, self.whole_answer
         if hasattr(self, "execution"):
             clone.execution = self.execution
         return clone
--- a/magpiefront/record/sender.py
+++ b/magpiefront/record/sender.py
@@ -70,6 +70,7 @@
         # which must not be sent twice.
         request.extra_fields = format_fields(f for f in request.fields if f[0].lower() in EXTRA_FIELD_NAMES)
         request.execution = self._new_tracker(send)
+        request.whole_answer = True  # no client sees a byte of it before its end
         request.body, request.size = ([row.body], len(row.body)) if row.body else ([], 0)
         request.received_at = self.runtime.now_us()
         request.time_left = max(0, send.deadline_us + self.clock_offset_us - request.received_at)
