A long answer that stands still holds its report's key until the deadline only

A report whose answer of over 64 KiB had begun and stood still got 504, and so did its repeats: the store of record and the keyed stage waited for it for up to 20 s (STREAM_STALL_S), while the nodes' window (5 s) ran out.

Cause: an answer that has begun has no time limit in the stages below, as is right for one that is passed on. Nobody had one for an answer that is collected.

Both collectors now end it at the request's deadline: the attempt is closed at the node, the clients hear 504, and the next report with the key is sent.

--- a/magpiefront/gateway/keyed_stage.py
+++ b/magpiefront/gateway/keyed_stage.py
@@ -34,7 +34,16 @@
 class KeyedExecution:
     """The execution of a submitted clone, on behalf of all requests with its key."""
 
-    __slots__ = ("body_parts", "body_size", "key", "more", "request", "status", "streamed_to")
+    __slots__ = (
+        "body_parts",
+        "body_size",
+        "deadline_timer",
+        "key",
+        "more",
+        "request",
+        "status",
+        "streamed_to",
+    )
 
     def __init__(self, key: Key, request: Request) -> None:
         self.key, self.request = key, request
@@ -43,6 +52,11 @@
         self.status = 200
         self.more = b""
         self.streamed_to: Request | None = None  # gets a long answer while it arrives
+        self.deadline_timer: asyncio.TimerHandle | None = None  # while a long answer is collected
+
+    def cancel_timer(self) -> None:
+        if self.deadline_timer is not None:
+            self.deadline_timer.cancel()
 
 
 class KeyedStage:
@@ -171,10 +185,22 @@
         running.more, running.status = more, status
         if length is not None and length > MAX_KEPT_ANSWER_BYTES:
             self._start_streaming(running, length)
+            return
+        # The following stages have no time limit for an answer that has begun.
+        left_us = max(0, request.received_at + request.time_left - self.runtime.now_us())
+        running.deadline_timer = self.runtime.loop.call_later(left_us / 1e6, self._give_up, request)
+
+    def _give_up(self, request: Request) -> None:
+        """Ends an execution whose answer has begun, is collected and has not ended in time, so that the next
+        request with its key runs."""
+        self.following.client_left(request)
+        running = self.executions.pop(request)
+        self._answer_waiting(running, Answer(504, b"", b""))
 
     def _start_streaming(self, running: KeyedExecution, length: int | None) -> None:
         """Streams an answer that is too long to keep to one waiting request. The others, and later requests
         with the same key, are answered with 502, because the answer cannot be given again."""
+        running.cancel_timer()
         entry = self.answers.entries[running.key]
         receiver = next((r for r in entry.waiters if r in self.waiting_requests), None)
         if receiver is not None:
@@ -202,6 +228,7 @@
 
     def end(self, request: Request) -> None:
         running = self.executions.pop(request)
+        running.cancel_timer()
         if running.streamed_to is not None:
             running.streamed_to.responder.end(running.streamed_to)
         elif self.answers.answer_for(running.key) is None:
@@ -209,6 +236,7 @@
 
     def abort(self, request: Request) -> None:
         running = self.executions.pop(request)
+        running.cancel_timer()
         if running.streamed_to is not None:
             running.streamed_to.responder.abort(running.streamed_to)
         elif self.answers.answer_for(running.key) is None:
--- a/magpiefront/record/journal.py
+++ b/magpiefront/record/journal.py
@@ -145,6 +145,7 @@
 RETRY_SAME_KEY = plain_answer(
     409, "the report may have had its effect; ask again under the same Idempotency-Key"
 )  # fmt: skip
+NO_ANSWER_IN_TIME = plain_answer(504, "no answer in time; the report may have had its effect")
 ANSWER_BROKE_OFF = plain_answer(
     502, "the answer broke off; the report may have had its effect; ask again under the same Idempotency-Key"
 )  # fmt: skip
@@ -225,7 +226,7 @@
             # insert may be on its way to the store: if this process is lost before the removal, another one
             # finds the row and sends the report.
             return [Reply(waiter, RETRY_SAME_KEY, RETRY_AFTER_US)]
-        return [Reply(waiter, plain_answer(504, "no answer in time; the report may have had its effect"))]
+        return [Reply(waiter, NO_ANSWER_IN_TIME)]
 
     # ---- the store
 
--- a/magpiefront/record/sender.py
+++ b/magpiefront/record/sender.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import itertools
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
@@ -11,7 +12,7 @@
 from magpiefront.net.http1 import MAX_BUFFERED_BYTES
 from magpiefront.net.request import Request, Stage
 from magpiefront.net.runtime import StageRuntime
-from magpiefront.record.journal import Send
+from magpiefront.record.journal import NO_ANSWER_IN_TIME, Send
 from magpiefront.record.node_answer import AnswerCollector, NodeAnswer
 from magpiefront.record.ownership import Ownership
 from magpiefront.record.rows import Answer, Row
@@ -21,11 +22,13 @@
 
 @dataclass(slots=True)
 class SentReport:
-    """A report that has been sent and not answered yet. `collector` is set once its answer has begun."""
+    """A report that has been sent and not answered yet. `collector` and `deadline_timer` are set once its
+    answer has begun to arrive in parts."""
 
     row: Row
     stage: Stage
     collector: AnswerCollector | None = None
+    deadline_timer: asyncio.TimerHandle | None = None
 
 
 class ReportSender:
@@ -89,6 +92,8 @@
 
     def _finish(self, request: Request, answer: NodeAnswer) -> None:
         report = self.sent.pop(request)
+        if report.deadline_timer is not None:
+            report.deadline_timer.cancel()
         self.on_answer(report.row, answer, request.execution)
 
     # ---- Responder
@@ -97,7 +102,17 @@
         self._finish(request, Answer(status, more, b"".join(body)))
 
     def begin(self, request: Request, length: int | None, more: bytes, status: int = 200) -> None:
-        self.sent[request].collector = AnswerCollector(status, more, length, self.max_held_bytes)
+        report = self.sent[request]
+        report.collector = AnswerCollector(status, more, length, self.max_held_bytes)
+        # The following stages have no time limit for an answer that has begun.
+        left_us = max(0, request.received_at + request.time_left - self.runtime.now_us())
+        report.deadline_timer = self.runtime.loop.call_later(left_us / 1e6, self._on_deadline, request)
+
+    def _on_deadline(self, request: Request) -> None:
+        """Gives up an answer that has begun and not ended in time, so that a repeat may be sent."""
+        report = self.sent[request]
+        report.stage.client_left(request)
+        self._finish(request, NO_ANSWER_IN_TIME)
 
     def write_body(self, request: Request, body: bytes) -> None:
         self._collector(request).add(body)
--- a/tests/record/test_broken_answers.py
+++ b/tests/record/test_broken_answers.py
@@ -138,3 +138,17 @@
             assert (repeat.status, repeat.body) == (200, body)
 
     run(main())
+
+
+def test_a_long_answer_that_stands_still_holds_its_key_until_the_deadline_only(tmp_path: Path) -> None:
+    runs: dict[str, int] = {}
+    early_end = EarlyEnd(chunked=True, cut="half way", end="standstill", size=200_000)
+
+    async def main() -> None:
+        handler = ends_early({"k1": early_end}, runs)
+        async with recording_proxy(tmp_path / "r.sqlite", handler, most_answer=256 << 10) as proxy:
+            assert (await proxy.ask(deadline_s="0.6")).status == 504
+            repeat = await proxy.ask(deadline_s="0.6")
+            assert (repeat.status, repeat.body) == (200, body_for("k1", early_end.size))
+
+    run(main())
