An answer without a length is not confirmed to a report's client as whole

A report whose node's connection closed in the middle of an answer without a length was confirmed with the part that had come, at once and to repeats.

Cause: for ordinary requests the orderly end of the connection ends such an answer (RFC 9112, 6.3), and nobody can tell a node that died from one that was done. What is stored and repeated must be known to be whole, as the cache has always had it (PassingConnection.close_delimits).

A request that is needed whole takes no such answer: its attempt is one that may have run, and the next one may follow.

--- a/magpiefront/net/answer_reader.py
+++ b/magpiefront/net/answer_reader.py
@@ -44,6 +44,11 @@
         """Whether an answer is passed on to the client and does not count as a failure of the attempt."""
         return answer.status == 200
 
+    def may_end_by_close(self) -> bool:
+        """Whether an answer without a length is accepted. Its end can't be told from a truncation if the
+        sender closes the connection too early."""
+        return self.close_delimits
+
     def ends_by_close(self) -> bool:
         """Whether an orderly close of the connection is the end of the answer, as it is for one without a
         length (RFC 9112, 6.3). A reset never is. An answer without any body is not accepted, since it may as
@@ -51,7 +56,7 @@
         answer = self.answer
         if self.complete or self.in_head or self.framed:
             return False
-        return self.close_delimits and self.is_for_client(answer) and answer.size > 0
+        return self.may_end_by_close() and self.is_for_client(answer) and answer.size > 0
 
     def is_unusable(self) -> bool:
         """Whether it is pointless to read on: the answer's end can't be told from a truncation, or the answer
@@ -60,7 +65,7 @@
         if not answer.status:
             return False
         if self.is_for_client(answer):
-            return not self.framed and not self.close_delimits
+            return not self.framed and not self.may_end_by_close()
         return not self.framed or answer.size > MAX_ERROR_BODY_BYTES
 
     # ---- callbacks of the parser
--- a/magpiefront/net/node_connection.py
+++ b/magpiefront/net/node_connection.py
@@ -268,6 +268,12 @@
         else:
             exchange.host.answer_paused(exchange)
 
+    def may_end_by_close(self) -> bool:
+        """As above; not if the answer is needed whole, for that could not be known."""
+        exchange = self.exchange
+        needed_whole = isinstance(exchange, Attempt) and exchange.request.whole_answer
+        return self.close_delimits and not needed_whole
+
     @property
     def is_arriving(self) -> bool:
         """Whether the body of an answer for the client is arriving. One that came at once and stopped may
@@ -275,7 +281,7 @@
         quiet_s = self.node.loop.time() - self.last_data_at
         if self.body_reads < 2 or quiet_s > MAX_PAUSE_S:
             return False
-        return self.is_for_client(self.answer) and (self.framed or self.close_delimits)
+        return self.is_for_client(self.answer) and (self.framed or self.may_end_by_close())
 
     def stream_if_arriving(self) -> bool:
         """Begins to stream the answer if its body is arriving. Returns whether it did."""
--- a/tests/record/test_broken_answers.py
+++ b/tests/record/test_broken_answers.py
@@ -152,3 +152,28 @@
             assert (repeat.status, repeat.body) == (200, body_for("k1", early_end.size))
 
     run(main())
+
+
+def test_an_answer_without_a_length_is_not_confirmed_as_whole(tmp_path: Path) -> None:
+    async def main() -> None:
+        handler = reply(b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhalf of", close=True)
+        async with recording_proxy(tmp_path / "r.sqlite", handler) as proxy:
+            assert (await proxy.ask()).status == 409
+            proxy.node.handler = reply(ok(b"half of it"))
+            assert (await proxy.ask()).body == b"half of it"
+
+    run(main())
+
+
+def test_interim_answers_and_errors_that_break_off_change_nothing(tmp_path: Path) -> None:
+    interim = b"HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n"
+    broken_error = b"HTTP/1.1 500 Oops\r\nContent-Length: 400\r\n\r\nsick"
+
+    async def main() -> None:
+        handler = reply(interim + broken_error, close=True)
+        async with recording_proxy(tmp_path / "r.sqlite", handler) as proxy:
+            assert (await proxy.ask()).status == 409
+            proxy.node.handler = reply(interim + ok(b"held"))
+            assert (await proxy.ask()).body == b"held"
+
+    run(main())
