A report that a node answered with 200 is not left as unknown when its answer is lost

Past the nodes' window a report whose answers had all broken off was marked `unknown`, and a person had to look in the archive, although the head of a 200 had proved that it ran. Its client heard that nobody knows.

Cause: the status of an answer that broke off was dropped with its connection; the row kept no trace of it.

Past the window such a row becomes `confirmed` with 409 "the report had its effect; its answer was lost" as its answer, never a 200.

test_a_report_that_ran_without_an_answer_needs_no_person_after_the_window: the row was `unknown` before.

--- a/magpiefront/gateway/stage.py
+++ b/magpiefront/gateway/stage.py
@@ -9,7 +9,7 @@
 from magpiefront.gateway.counters import Counters
 from magpiefront.gateway.retry_state import RetryState, NextStep, RetryOptions
 from magpiefront.gateway.repeat import effective_repeat
-from magpiefront.net.execution import execution_of, mark_may_have_run
+from magpiefront.net.execution import execution_of, mark_answer_lost, mark_may_have_run
 from magpiefront.net.runtime import StageRuntime
 from magpiefront.gateway.link import Link, OutboundConnection, TooManyStreams
 from magpiefront.gateway.routes import (
@@ -231,6 +231,8 @@
 
     def on_broken(self, never_ran: bool, cause: str) -> None:
         self.connection = None
+        if self.answer_head is not None:
+            mark_answer_lost(self.request, self.answer_head.status)
         if self.is_streaming:
             self.finish("cut")
             self.request.responder.abort(self.request)
--- a/magpiefront/net/exchange.py
+++ b/magpiefront/net/exchange.py
@@ -120,6 +120,10 @@
     def fully_sent(self) -> None:
         """Called when the last byte of the message has been handed to the kernel."""
 
+    def answer_lost(self, status: int) -> None:
+        """Called when the connection is closed before the answer is complete. `status` is that of its head,
+        0 if none has been read."""
+
     def expire(self) -> None:
         """Called when the time for the exchange is over. Ends it as TIMEOUT, or as MOOT if its message has
         not been written completely."""
--- a/magpiefront/net/execution.py
+++ b/magpiefront/net/execution.py
@@ -30,12 +30,14 @@
 class ExecutionTracker:
     """What this process knows of whether a request has run."""
 
-    __slots__ = ("attempts", "first_sent_us", "guard", "may_have_run_elsewhere", "undecided")
+    __slots__ = ("attempts", "first_sent_us", "guard", "has_run", "may_have_run_elsewhere", "undecided")
 
     def __init__(self) -> None:
         self.attempts: list[TrackedAttempt] = []
         # Called before the first byte of each attempt; False: it must not be sent now.
         self.guard: Callable[[], bool] | None = None
+        # A server has begun to answer it with success: it has run, whatever became of the answer.
+        self.has_run = False
         self.may_have_run_elsewhere = False  # it may have run where this process can't see it
         self.first_sent_us = 0  # µs of the host's clock: when it may have been sent before; 0: never
         # Its answer is not final, since another process is running it. It is to be sent again for the final
@@ -53,6 +55,13 @@
     return getattr(request, "execution", None)
 
 
+def mark_answer_lost(request: object, status: int) -> None:
+    """Records that an answer with this status had begun and was lost."""
+    execution = execution_of(request)
+    if execution is not None and 200 <= status < 300:
+        execution.has_run = True
+
+
 def mark_may_have_run(request: object) -> None:
     """Records that the request may have run at the site or process that it was passed on to."""
     execution = execution_of(request)
--- a/magpiefront/net/guarded_attempt.py
+++ b/magpiefront/net/guarded_attempt.py
@@ -6,7 +6,7 @@
 
 from magpiefront.interface import Outcome
 from magpiefront.net.answer import Answer
-from magpiefront.net.execution import execution_of
+from magpiefront.net.execution import execution_of, mark_answer_lost
 from magpiefront.net.exchange import Attempt, ExchangeHost
 from magpiefront.net.pool import Node
 from magpiefront.net.request import Request
@@ -41,6 +41,9 @@
             return []
         return super().message()
 
+    def answer_lost(self, status: int) -> None:
+        mark_answer_lost(self.request, status)
+
     def report(self, outcome: Outcome, answer: Answer | None) -> None:
         self.outcome = outcome
         super().report(outcome, answer)
--- a/magpiefront/net/node_connection.py
+++ b/magpiefront/net/node_connection.py
@@ -127,10 +127,12 @@
     def give_up(self, exchange: Exchange) -> None:
         """Closes the connection if it still carries this exchange."""
         if self.exchange is exchange:
-            self.exchange = None
             self.close()
+            self.exchange = None
 
     def close(self) -> None:
+        if self.exchange is not None:
+            self.exchange.answer_lost(self.answer.status)
         self.lifecycle.close()
         self.transport.abort()
         self.answer = self.answer_type()
--- a/magpiefront/record/commands.py
+++ b/magpiefront/record/commands.py
@@ -16,6 +16,7 @@
 
 from magpiefront.record.backup import backup
 from magpiefront.record.report_stores import ReportStore, CommandError, open_report_store
+from magpiefront.record.journal import row_after_window
 from magpiefront.record.rows import Answer, Attempt, Id, Moment, Row, State
 from magpiefront.record.settings import PostgresSettings, SqliteSettings
 from magpiefront.record.sqlite import BadStore
@@ -113,11 +114,11 @@
         lines = [
             (
                 _format_time(r.received_s), r.state.value, r.id.tenant, r.id.kind, _printable(r.id.key),
-                _printable(r.target),
+                _printable(r.target), r.note,
             )
             for r in found
         ]  # fmt: skip
-        _print_table(out, ("received (UTC)", "state", "tenant", "class", "key", "target"), lines)
+        _print_table(out, ("received (UTC)", "state", "tenant", "class", "key", "target", "note"), lines)
     return EXIT_ATTENTION if any(r.state is State.UNKNOWN for r in found) else EXIT_OK
 
 
@@ -228,7 +229,8 @@
                 if r.state is State.SENT:
                     # Its retry window is measured by the clock of another store. Sent again, the report could
                     # have a second effect.
-                    r = replace(r, state=State.UNKNOWN, note=r.note or "was sent when it was exported")
+                    r = row_after_window(r, r.owner)
+                    r = replace(r, note=r.note or "was sent when it was exported")
                 if store.add(r):
                     new += 1
                     continue
--- a/magpiefront/record/journal.py
+++ b/magpiefront/record/journal.py
@@ -150,6 +150,9 @@
     502, "the answer broke off; the report may have had its effect; ask again under the same Idempotency-Key"
 )  # fmt: skip
 ANSWER_NOT_KEPT = plain_answer(409, "the report had its effect; its answer was too long to be kept")
+ANSWER_LOST = plain_answer(409, "the report had its effect; its answer was lost")
+# The note of a row whose report has run, although no whole answer to it has come.
+RAN_NOTE = "it ran: a node answered with success, but the answer broke off"
 STORE_UNAVAILABLE = plain_answer(503, "the store of record can't take this report now; nothing was done")
 # These do not tell the result of a report: the gateway of another site must not store them as its answer.
 UNDECIDED = (IN_PROGRESS, RETRY_SAME_KEY, OUTCOME_UNKNOWN)
@@ -163,6 +166,24 @@
     return plain_answer(status, "the body of this answer was too long to be kept")
 
 
+def row_after_window(row: Row, owner: str) -> Row:
+    """Returns the final form of a row whose report may have run and can't be sent again. If it is known to
+    have run, only its answer is lost; else a person has to find out whether it ran."""
+    if row.note == RAN_NOTE:
+        return replace(row, state=State.CONFIRMED, owner=owner, answer=ANSWER_LOST, told=False)
+    return replace(row, state=State.UNKNOWN, owner=owner)
+
+
+def answer_after_window(row: Row) -> Answer:
+    """Returns what clients get from a row in its final form."""
+    return row.answer if row.answer is not None else OUTCOME_UNKNOWN
+
+
+def without_ran_note(note: str) -> str:
+    """Returns the note of a row once a whole answer has come."""
+    return "" if note == RAN_NOTE else note
+
+
 class Journal:
     """The reports that this process has in hand, and what to do about each event."""
 
@@ -313,9 +334,9 @@
         if not self.ownership.may_act(entry.row.owner):
             return self._drop(entry, IN_PROGRESS, RETRY_AFTER_US)
         entry.phase = Phase.CLAIMING
-        after = replace(row, state=State.UNKNOWN, owner=entry.row.owner)
+        after = row_after_window(row, entry.row.owner)
         change = self._change_row(entry, row, after, now_us + self.outcome_timeout_us)
-        return [change, *self._reply_all(entry, OUTCOME_UNKNOWN)]
+        return [change, *self._reply_all(entry, answer_after_window(after))]
 
     def seconds_since_sent(self, now_us: int, row: Row) -> float | None:
         """Returns how long ago the report was sent; None if that is not known, as after a reboot."""
@@ -353,6 +374,9 @@
             return self._finish(now_us, entry, after, result)
         if entry.phase is Phase.UNDOING:
             return self.removed(now_us, id, result)
+        if after.state is State.CONFIRMED:
+            del self.entries[id]
+            return [LogLine(f"record: {after.id.key!r} ran, and its answer is lost")]
         if after.state is State.UNKNOWN:
             del self.entries[id]
             return [LogLine(f"record: {after.id.key!r} is unknown: it may have run, and is not sent again")]
@@ -423,18 +447,22 @@
 
     def answered(
         self, now_us: int, id: Id, answer: NodeAnswer, may_have_run: bool, attempts: tuple[Attempt, ...],
-        retry_after_us: int = 0, undecided: bool = False,
+        retry_after_us: int = 0, undecided: bool = False, has_run: bool = False,
     ) -> list[Action]:  # fmt: skip
         """Handles the answer of the nodes, or that of the Router in place of one. `undecided`: the other site
-        answered that the report is in progress there, or that its outcome is unknown."""
+        answered that the report is in progress there, or that its outcome is unknown. `has_run`: a node
+        has begun an answer that tells that the report ran."""
         entry = self.entries[id]
         if not self.ownership.may_act(entry.row.owner):
             return self._abandon(entry)
         row = replace(entry.row, attempts=(*entry.row.attempts, *attempts))
+        is_success = 200 <= answer.status < 300
+        if is_success and not isinstance(answer, BrokenAnswer):
+            return self._confirm(now_us, entry, replace(row, note=without_ran_note(row.note)), answer)
+        if has_run or is_success:
+            row = replace(row, note=RAN_NOTE)
         if isinstance(answer, BrokenAnswer):
             return self._release(now_us, entry, row, ANSWER_BROKE_OFF, retry_after_us)
-        if 200 <= answer.status < 300:
-            return self._confirm(now_us, entry, row, answer)
         reply = without_body(answer.status) if isinstance(answer, OversizedAnswer) else answer
         if not may_have_run:
             return self._undo(now_us, entry, reply, retry_after_us)
@@ -540,10 +568,11 @@
         return self._claim(now_us, entry, row)
 
     def mark_unknown(self, now_us: int, row: Row, owner: str) -> list[Action]:
-        """Marks a row as unknown; see `recovery_action`."""
+        """Marks a row as unknown, or as confirmed if the report is known to have run; see
+        `recovery_action`."""
         if row.id in self.entries:
             return []
-        after = replace(row, state=State.UNKNOWN, owner=owner)
+        after = row_after_window(row, owner)
         entry = self.entries[row.id] = Entry(after, Phase.CLAIMING)
         return [self._change_row(entry, row, after, now_us + self.outcome_timeout_us)]
 
--- a/magpiefront/record/stage.py
+++ b/magpiefront/record/stage.py
@@ -431,5 +431,6 @@
             is_delivered = isinstance(answer, Answer) and 200 <= answer.status < 300
             self.deliveries.pop(row.id).end(self.up_us(), is_delivered)
         self._do(self.journal.answered(
-            self.up_us(), row.id, answer, execution.may_have_run, attempts, undecided=execution.undecided
+            self.up_us(), row.id, answer, execution.may_have_run, attempts, undecided=execution.undecided,
+            has_run=execution.has_run,
         ))  # fmt: skip
--- a/tests/record/test_broken_answers.py
+++ b/tests/record/test_broken_answers.py
@@ -3,18 +3,20 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import replace
 from pathlib import Path
 
 
 import pytest
 
 from magpiefront.net.http1 import MAX_BUFFERED_BYTES
-from magpiefront.record.journal import Change
-from magpiefront.record.node_answer import OversizedAnswer
-from magpiefront.record.rows import State
+from magpiefront.record.commands import find_faults
+from magpiefront.record.journal import RAN_NOTE, Change, Reply, row_after_window
+from magpiefront.record.node_answer import BrokenAnswer, OversizedAnswer
+from magpiefront.record.rows import Result, State
 from tests.record.broken_answers import EARLY_ENDS, EarlyEnd, body_for, ends_early
 from tests.record.sockets import RecordingProxy, recording_proxy
-from tests.record.test_journal import ID, NOW, journal_at
+from tests.record.test_journal import ID, NOW, S, journal_at, row
 from tests.sockets import Answer, Handler, ReceivedRequest, ok, reply, run, until
 
 
@@ -177,3 +179,41 @@
             assert (await proxy.ask()).body == b"held"
 
     run(main())
+
+
+def test_a_report_that_ran_without_an_answer_needs_no_person_after_the_window(tmp_path: Path) -> None:
+    runs: dict[str, int] = {}
+    early_end = EarlyEnd(chunked=True, cut="half way", end="reset", size=2_000)
+
+    async def main() -> None:
+        handler = ends_early({"k1": early_end}, runs)
+        async with recording_proxy(tmp_path / "r.sqlite", handler) as proxy:
+            assert (await proxy.ask()).status == 409
+            await until(lambda: proxy.rows()[0].until_s == 0)
+            (released,) = proxy.rows()
+            assert released.note == RAN_NOTE
+            assert released.sent is not None
+            long_ago = released.sent._replace(up_s=released.sent.up_s - released.window_s)
+            results: list[Result] = []
+            until_us = proxy.proxy.now_us() + 2_000_000
+            proxy.store.change(released, replace(released, sent=long_ago), until_us, results.append)
+            await until(lambda: bool(results))
+            for _ in range(2):
+                answer = await proxy.ask()
+                assert answer.status == 409 and b"had its effect" in answer.body
+            await until(lambda: proxy.rows()[0].state is State.CONFIRMED)
+            assert len(proxy.node.seen) == 1
+
+    run(main())
+
+
+def test_an_operator_is_told_of_a_report_that_ran_without_an_answer() -> None:
+    journal = journal_at("a")
+    reply, release = journal.answered(NOW, ID, BrokenAnswer(200), True, ())
+    assert isinstance(reply, Reply) and reply.answer.status == 502
+    assert isinstance(release, Change) and release.after.note == RAN_NOTE
+    (change,) = journal.mark_unknown(NOW + 60 * S, release.after, "other")
+    assert isinstance(change, Change) and change.after.state is State.CONFIRMED
+    assert change.after.answer is not None and change.after.answer.status == 409
+    assert not list(find_faults(change.after)) and change.after.note == RAN_NOTE
+    assert row_after_window(row(), "other").state is State.UNKNOWN
