A plain server's error page is passed on only if it is whole

An error counts by its status and fields even without its body (NodeConnection._end_incomplete), and PassingProxy passed status and what was there of the body on as an answer.

--- a/magpiefront/net/passing.py
+++ b/magpiefront/net/passing.py
@@ -148,14 +148,14 @@
 
 class PassedAnswer(Answer):
     """A node's answer with its fields. `fields` are the field lines of its head; `for_client`: it is an
-    answer for the client, and not a failure of the node."""
+    answer for the client, and not a failure of the node; `truncated`: a part of its body is missing."""
 
-    __slots__ = ("fields", "for_client")
+    __slots__ = ("fields", "for_client", "truncated")
 
     def __init__(self) -> None:
         super().__init__()
         self.fields: Fields = []
-        self.for_client = False
+        self.for_client = self.truncated = False
 
     def outcome(self) -> Outcome:
         return Outcome.OK if self.for_client else super().outcome()
@@ -216,8 +216,16 @@
             return
         super().on_body(body)
         a = self.answer
-        if not a.for_client and isinstance(self.exchange, Attempt) and a.size <= MAX_BUFFERED_BYTES:
+        if a.for_client or not isinstance(self.exchange, Attempt):
+            return
+        if a.size <= MAX_BUFFERED_BYTES:
             a.body.append(body)
+        else:
+            a.truncated = True
+
+    def _end_incomplete(self) -> None:
+        self.answer.truncated = True
+        super()._end_incomplete()
 
 
 class PlainConnection(PassingConnection):
@@ -247,8 +255,9 @@
     ) -> None:  # fmt: skip
         request = attempt.request
         if self.plain and not request.answered:
-            if outcome is Outcome.ERROR and answer is not None and answer.status >= 500:
-                self.failed_answers[request] = answer
+            failed = cast(PassedAnswer | None, answer) if outcome is Outcome.ERROR else None
+            if failed is not None and failed.status >= 500 and not failed.truncated:
+                self.failed_answers[request] = failed
             else:
                 self.failed_answers.pop(request, None)
         super().attempt_ended(attempt, outcome, answer)
--- a/tests/caching/test_passing.py
+++ b/tests/caching/test_passing.py
@@ -13,7 +13,7 @@
 from magpiefront.caching.settings import CachingSettings
 from magpiefront.net.passing import ClientSettings
 from tests.caching.sockets import CachingProxy, caching_proxy
-from tests.sockets import Client, Handler, Node, advance_past_rest, ok, run, reply
+from tests.sockets import Client, Handler, Node, ReceivedRequest, advance_past_rest, ok, run, reply
 
 HEAD = "Host: x\r\nReq-Id: a{n}\r\nReq-Kind: {kind}\r\nReq-Deadline: {left}\r\n"
 PLAIN_SERVERS = CachingSettings(plain_servers=True)
@@ -364,3 +364,21 @@
             assert (await client.answer()).status in (502, 503)
 
     run(main())
+
+
+@pytest.mark.parametrize("size", [100, 2_000_000], ids=["paused", "too long"])
+def test_a_servers_error_that_is_not_whole_is_not_passed_on(size: int) -> None:
+    async def handler(
+        seen: ReceivedRequest, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:  # fmt: skip
+        head = f"HTTP/1.1 500 Oops\r\nX-Server: s\r\nContent-Length: {size}\r\n\r\n".encode()
+        writer.write(head + bytes(size - 1))
+        await asyncio.sleep(2)
+
+    async def main() -> None:
+        async with proxy_with_node(handler) as (_, _, client):
+            client.send(request("GET /api/k1", left="1"))
+            answer = await client.answer()
+            assert (answer.status, answer.body) == (503, b"") and "x-server" not in answer.headers
+
+    run(main())
