Soak: reports whose answers end early, with the store, the cache and the link

Its judge compares each 200 with the whole body by the nodes' book, counts effects and missing answers.

--- a/tests/record/broken_answers.py
+++ b/standins/early_ends.py
@@ -1,4 +1,4 @@
-"""Nodes whose answers to reports end early, in every framing and way that one can end."""
+"""Answers of nodes that end early, in every framing and way in which one can end."""
 
 from __future__ import annotations
 
@@ -10,8 +10,6 @@
 from dataclasses import dataclass
 from hashlib import blake2b
 
-from tests.sockets import Handler, ReceivedRequest, ok
-
 PAUSE_S = 0.1  # before an answer ends early: longer than the proxy waits before it streams an answer
 CUTS: dict[str, Callable[[int], int]] = {
     "after the head": lambda size: 0,
@@ -61,37 +59,25 @@
     writer.transport.abort()
 
 
-def ends_early(early_ends: dict[str, EarlyEnd], runs: dict[str, int], stand_s: float = 8.0) -> Handler:
-    """Returns a handler that runs each report and ends its first answer early; a repeat gets the whole
-    answer. `early_ends` and `runs`, the number of runs, are by key; a repeat is no run. An answer that stands
-    still does so for `stand_s`."""
-
-    async def handler(
-        seen: ReceivedRequest, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:  # fmt: skip
-        key = seen.headers["idempotency-key"]
-        early_end = early_ends[key]
-        body = body_for(key, early_end.size)
-        if key in runs:
-            writer.write(ok(body))
-            return
-        runs[key] = 1
-        sent = body[: CUTS[early_end.cut](len(body))]
-        framing = "Transfer-Encoding: chunked" if early_end.chunked else f"Content-Length: {len(body)}"
-        writer.write(f"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n{framing}\r\n\r\n".encode())
-        for part in (sent[: len(sent) // 2], sent[len(sent) // 2 :]):
-            if part:
-                writer.write(b"%x\r\n%b\r\n" % (len(part), part) if early_end.chunked else part)
-        await writer.drain()
-        await asyncio.sleep(PAUSE_S)
-        match early_end.end:
-            case "fin":
-                writer.close()
-            case "reset":
-                reset(writer)
-            case "spoilt chunk":
-                writer.write(b"no size\r\n")
-            case "standstill":
-                await asyncio.sleep(stand_s)
-
-    return handler
+async def write_early_end(
+    writer: asyncio.StreamWriter, early_end: EarlyEnd, body: bytes, stand_s: float = 8.0
+) -> None:  # fmt: skip
+    """Writes an answer with this body and ends it early. One that stands still does so for `stand_s`; the
+    connection then is left to its owner."""
+    sent = body[: CUTS[early_end.cut](len(body))]
+    framing = "Transfer-Encoding: chunked" if early_end.chunked else f"Content-Length: {len(body)}"
+    writer.write(f"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n{framing}\r\n\r\n".encode())
+    for part in (sent[: len(sent) // 2], sent[len(sent) // 2 :]):
+        if part:
+            writer.write(b"%x\r\n%b\r\n" % (len(part), part) if early_end.chunked else part)
+    await writer.drain()
+    await asyncio.sleep(PAUSE_S)
+    match early_end.end:
+        case "fin":
+            writer.close()
+        case "reset":
+            reset(writer)
+        case "spoilt chunk":
+            writer.write(b"no size\r\n")
+        case "standstill":
+            await asyncio.sleep(stand_s)
--- a/standins/process.py
+++ b/standins/process.py
@@ -19,11 +19,12 @@
     """A process of the program. Its configuration, operator's file and log are in `folder` and named after
     the process.
 
-    `operator_file`: the name of the operator's file, if several processes share one.
+    `operator_file`: the name of the operator's file, if several processes share one. `tree`: the checkout
+    whose program is started.
     """
 
-    def __init__(self, name: str, folder: Path, operator_file: str | None = None) -> None:
-        self.name, self.folder, self.port = name, folder, free_port()
+    def __init__(self, name: str, folder: Path, operator_file: str | None = None, tree: Path = ROOT) -> None:
+        self.name, self.folder, self.port, self.tree = name, folder, free_port(), tree
         self.operator_file = operator_file or f"{name}.toml"
         self.process: asyncio.subprocess.Process | None = None
         self.program = ["-m", "magpiefront"]
@@ -58,7 +59,7 @@
         with open(self.log, "ab") as log:
             self.process = await asyncio.create_subprocess_exec(
                 sys.executable, *self.program, "--operator", str(self.folder / self.operator_file),
-                cwd=ROOT, env={**os.environ, "LB_CONFIG": str(self.config), **self.env}, stderr=log,
+                cwd=self.tree, env={**os.environ, "LB_CONFIG": str(self.config), **self.env}, stderr=log,
             )  # fmt: skip
 
     async def start(self) -> None:
--- a/standins/soak.py
+++ b/standins/soak.py
@@ -4,10 +4,12 @@
 
 `--rig` selects what a round runs. With `answers` it is one to three proxies in front of nodes whose answers
 name their requests: a round draws its class and some kinds of faults from the table in
-`standins.answers.plan`. With `fleet`, the default, it is one proxy in front of a large fleet that changes: a
-round draws the size of its fleet (or takes `--nodes`), the share of a core, how much of the list changes, the
-deadline, and a series of faults: SIGHUP, nodes that hang, an outage of discovery, idle clients that take all
-descriptors. It ends with SIGTERM, and SIGKILL at the earliest time allowed; clients send requests until then.
+`standins.answers.plan`. With `reports` it is one or two linked sites, mostly with a store of record, in front
+of nodes whose answers end early (`standins.broken`). With `fleet`, the default, it is one proxy in front of a
+large fleet that changes: a round draws the size of its fleet (or takes `--nodes`), the share of a core, how
+much of the list changes, the deadline, and a series of faults: SIGHUP, nodes that hang, an outage of
+discovery, idle clients that take all descriptors. It ends with SIGTERM, and SIGKILL at the earliest time
+allowed; clients send requests until then.
 
 The last line of the output is JSON: `seeds`, the number of violations as `faults`, and as `replay` the
 command for each seed with a violation.
@@ -25,6 +27,7 @@
 
 from standins.answers import judge, plan
 from standins.answers import round as answers
+from standins.broken import ReportsPlan, ReportsVerdict, draw_reports, run_reports
 from standins.fleet import Load, Verdict, run_round
 from standins.world import ROOT, RunFailed
 
@@ -35,13 +38,16 @@
 FLEET_FAULTS = ("HUP", "silent", "down", "crowd")
 
 
+AnyPlan = Load | plan.Plan | ReportsPlan
+
+
 @dataclass(frozen=True, slots=True)
 class Result:
     """The result of the round of one seed."""
 
     seed: int
-    load: Load | plan.Plan
-    verdict: Verdict | judge.Verdict | None
+    load: AnyPlan
+    verdict: Verdict | judge.Verdict | ReportsVerdict | None
     failure: str = ""  # why the round could not be run
 
     @property
@@ -59,6 +65,9 @@
         if isinstance(self.verdict, judge.Verdict) and isinstance(self.load, plan.Plan):
             kinds = ", ".join(plan.active_faults(self.load.faults))
             return f"{self.verdict.served:.2f} served, {self.load.repeat} {self.load.group}: {kinds}"
+        if isinstance(self.verdict, ReportsVerdict) and isinstance(self.load, ReportsPlan):
+            statuses = dict(sorted(self.verdict.statuses.items()))
+            return f"{self.verdict.served:.2f} served, {self.load.set_up}: {statuses}"
         served = f"{self.verdict.share_served:.2f} served" if isinstance(self.verdict, Verdict) else ""
         return f"{served}, {self.load}"
 
@@ -82,11 +91,13 @@
     )
 
 
-async def run_seed(seed: int, load: Load | plan.Plan, tree: Path) -> Result:
+async def run_seed(seed: int, load: AnyPlan, tree: Path) -> Result:
     """Runs a round. A round that fails to run is a result with a violation."""
     try:
         if isinstance(load, plan.Plan):
             return Result(seed, load, await answers.run_round(load, tree))
+        if isinstance(load, ReportsPlan):
+            return Result(seed, load, await run_reports(load, tree))
         return Result(seed, load, await run_round(load, tree))
     except (RuntimeError, OSError, RunFailed) as e:
         return Result(seed, load, None, f"the round could not be run: {e}")
@@ -99,9 +110,11 @@
 
     async def run_one(seed: int) -> None:
         async with slots:
-            load: Load | plan.Plan = draw_load(seed, args.nodes, args.seconds)
+            load: AnyPlan = draw_load(seed, args.nodes, args.seconds)
             if args.rig == "answers":
                 load = plan.draw_plan(seed, args.seconds)
+            elif args.rig == "reports":
+                load = draw_reports(seed, args.seconds)
             result = await run_seed(seed, load, args.tree.resolve())
         results.append(result)
         print(f"seed {seed}: {len(result.violations)} violations, {result.summary}", flush=True)
@@ -116,7 +129,7 @@
     parser = argparse.ArgumentParser(description=__doc__.partition("\n")[0])
     parser.add_argument("--seeds", type=int, default=50)
     parser.add_argument("--first", type=int, default=1)
-    parser.add_argument("--rig", choices=("fleet", "answers"), default="fleet")
+    parser.add_argument("--rig", choices=("fleet", "answers", "reports"), default="fleet")
     parser.add_argument(
         "--nodes", type=int, default=None, help="nodes in each round, with --rig fleet; drawn by default"
     )
--- a/tests/record/test_broken_answers.py
+++ b/tests/record/test_broken_answers.py
@@ -14,12 +14,30 @@
 from magpiefront.record.journal import RAN_NOTE, Change, Reply, row_after_window
 from magpiefront.record.node_answer import BrokenAnswer, OversizedAnswer
 from magpiefront.record.rows import Result, State
-from tests.record.broken_answers import EARLY_ENDS, EarlyEnd, body_for, ends_early
+from standins.early_ends import EARLY_ENDS, EarlyEnd, body_for, write_early_end
 from tests.record.sockets import RecordingProxy, recording_proxy
 from tests.record.test_journal import ID, NOW, S, journal_at, row
 from tests.sockets import Answer, Handler, ReceivedRequest, ok, reply, run, until
 
 
+def ends_early(early_ends: dict[str, EarlyEnd], runs: dict[str, int]) -> Handler:
+    """Returns a handler that runs each report and ends its first answer early; a repeat gets the whole
+    answer. `early_ends` and `runs`, the number of runs, are by key; a repeat is no run."""
+
+    async def handler(
+        seen: ReceivedRequest, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:  # fmt: skip
+        key = seen.headers["idempotency-key"]
+        body = body_for(key, early_ends[key].size)
+        if key in runs:
+            writer.write(ok(body))
+        else:
+            runs[key] = 1
+            await write_early_end(writer, early_ends[key], body)
+
+    return handler
+
+
 def test_an_answer_that_breaks_off_is_not_served_as_a_whole_one(tmp_path: Path) -> None:
     runs: dict[str, int] = {}
     early_end = EarlyEnd(chunked=True, cut="half way", end="reset", size=2_000)
