A client that comes while its report's row is marked as unknown is answered

Entries were removed in six places, each of which had to think of the clients. The client's timer then found nothing and set itself again with a delay of 0 for as long as the client stayed.

The log line "is unknown" comes only once the store has said so.

--- a/magpiefront/record/journal.py
+++ b/magpiefront/record/journal.py
@@ -269,7 +269,7 @@
         if result.outcome is Outcome.CONFLICT and result.row is not None:
             return self._handle_existing(now_us, entry, result.row)
         if result.outcome is Outcome.NOT_DONE:
-            return self._drop(entry, STORE_UNAVAILABLE, RETRY_AFTER_US, never_ran=True)
+            return self._end(entry, STORE_UNAVAILABLE, RETRY_AFTER_US, never_ran=True)
         # The commit may have succeeded. A read shows whether it has: only the row of this insert has the
         # owner of this entry.
         entry.phase = Phase.POLLING
@@ -285,7 +285,7 @@
         if result.row is None:
             # There is no row: the insert failed, or another process has removed it.
             if not self._has_time_left(now_us, entry) or not self.ownership.may_act(entry.row.owner):
-                return self._drop(entry, RETRY_SAME_KEY, RETRY_AFTER_US)
+                return self._end(entry, RETRY_SAME_KEY, RETRY_AFTER_US)
             entry.phase = Phase.INSERTING
             return [Insert(entry.row, entry.deadline_us - self.least_left_us - STORE_REPLY_MARGIN_US)]
         return self._handle_existing(now_us, entry, result.row)
@@ -302,7 +302,7 @@
     def _handle_existing(self, now_us: int, entry: Entry, row: Row) -> list[Action]:
         """Decides what to do from the row that the store holds for the report."""
         if row.digest != entry.row.digest:
-            return self._drop(entry, KEY_REUSED, never_ran=True)
+            return self._end(entry, KEY_REUSED, never_ran=True)
         if row.owner == entry.row.owner and row.state is State.SENT and not entry.is_owned:
             # This entry inserted the row, but the result of the insert was lost. The report has not been sent
             # yet, because it is sent only after that result.
@@ -311,9 +311,9 @@
         match row.state:
             case State.CONFIRMED:
                 assert row.answer is not None
-                return self._drop(entry, row.answer)
+                return self._end(entry, row.answer)
             case State.UNKNOWN:
-                return self._drop(entry, OUTCOME_UNKNOWN)
+                return self._end(entry, OUTCOME_UNKNOWN)
             case State.STORED | State.NOT_RUN:
                 return self._claim(now_us, entry, row)
             case State.SENT:
@@ -332,7 +332,7 @@
             # The owner can't be working on it, and the nodes still drop a repeat: it may be sent again.
             return self._claim(now_us, entry, row)
         if not self.ownership.may_act(entry.row.owner):
-            return self._drop(entry, IN_PROGRESS, RETRY_AFTER_US)
+            return self._end(entry, IN_PROGRESS, RETRY_AFTER_US)
         entry.phase = Phase.CLAIMING
         after = row_after_window(row, entry.row.owner)
         change = self._change_row(entry, row, after, now_us + self.outcome_timeout_us)
@@ -347,7 +347,7 @@
     def _claim(self, now_us: int, entry: Entry, row: Row) -> list[Action]:
         """Takes the row over from its owner, to send the report."""
         if not self._has_time_left(now_us, entry) or not self.ownership.may_act(entry.row.owner):
-            return self._drop(entry, IN_PROGRESS, RETRY_AFTER_US)
+            return self._end(entry, IN_PROGRESS, RETRY_AFTER_US)
         entry.phase, entry.claimed_from = Phase.CLAIMING, row
         self.claimed_count += self.ownership.owner_status(row.owner) is OwnerStatus.ENDED
         # The retry window begins when the report may have been sent for the first time, not at a later
@@ -374,12 +374,8 @@
             return self._finish(now_us, entry, after, result)
         if entry.phase is Phase.UNDOING:
             return self.removed(now_us, id, result)
-        if after.state is State.CONFIRMED:
-            del self.entries[id]
-            return [LogLine(f"record: {after.id.key!r} ran, and its answer is lost")]
-        if after.state is State.UNKNOWN:
-            del self.entries[id]
-            return [LogLine(f"record: {after.id.key!r} is unknown: it may have run, and is not sent again")]
+        if after.state is not State.SENT:
+            return self._after_window(entry, after, result)
         if result.outcome is Outcome.DONE:
             entry.row, entry.is_owned = after, True
             return self._send(now_us, entry)
@@ -388,10 +384,24 @@
         entry.phase = Phase.POLLING
         return self._poll(now_us, entry)
 
+    def _after_window(self, entry: Entry, after: Row, result: Result) -> list[Action]:
+        """Ends the entry of a row that was to get its final form; clients may have come meanwhile."""
+        if result.outcome is Outcome.DONE:
+            what = (
+                "is unknown: it may have run, and is not sent again"
+                if after.state is State.UNKNOWN
+                else "ran, and its answer is lost"
+            )
+            replies = self._end(entry, answer_after_window(after))
+            return [*replies, LogLine(f"record: {after.id.key!r} {what}")]
+        if result.row is not None and result.row.state in (State.CONFIRMED, State.UNKNOWN):
+            return self._end(entry, answer_after_window(result.row))
+        return self._end(entry, IN_PROGRESS, RETRY_AFTER_US)
+
     def _poll(self, now_us: int, entry: Entry, owner: str = "", at_once: bool = False) -> list[Action]:
         """Reads the row after a delay. `owner`, if given, is asked to notify this process when it is done."""
         if not self._has_time_left(now_us, entry):
-            return self._drop(entry, IN_PROGRESS, RETRY_AFTER_US)
+            return self._end(entry, IN_PROGRESS, RETRY_AFTER_US)
         entry.read_count += 1
         delay_us = (
             0 if at_once
@@ -412,7 +422,7 @@
     def _abandon(self, entry: Entry) -> list[Action]:
         """Drops an entry whose row another process may act on by now. Nothing is sent or written here, and
         the clients are asked to retry, because only the other process learns the outcome."""
-        return self._drop(entry, RETRY_SAME_KEY, RETRY_AFTER_US)
+        return self._end(entry, RETRY_SAME_KEY, RETRY_AFTER_US)
 
     def _send(self, now_us: int, entry: Entry) -> list[Action]:
         if not self.ownership.may_act(entry.row.owner):
@@ -501,25 +511,23 @@
     ) -> list[Action]:  # fmt: skip
         """Answers the clients of a report that may have run, and releases its row: within the retry window a
         repeat may be sent at once, and after it the row is marked as unknown."""
-        del self.entries[entry.row.id]
         release = Change(entry.row, replace(row, until_s=0.0), now_us + self.outcome_timeout_us)
-        return [*self._reply_all(entry, reply, retry_after_us), release]
+        return [*self._end(entry, reply, retry_after_us), release]
 
     def _finish(self, now_us: int, entry: Entry, after: Row, result: Result) -> list[Action]:
         """Answers the clients according to whether the store has accepted the outcome."""
         assert entry.final_answer is not None
-        del self.entries[entry.row.id]
         if result.outcome is Outcome.DONE:
-            return self._reply_all(entry, entry.final_answer, entry.retry_after_us)
+            return self._end(entry, entry.final_answer, entry.retry_after_us)
         if result.outcome is Outcome.CONFLICT and result.row is not None and result.row.answer is not None:
             # Another process claimed the row within the retry window and stored an answer, which counts.
-            return self._reply_all(entry, result.row.answer)
+            return self._end(entry, result.row.answer)
         # The report ran, but the store has not confirmed that: so the clients get no confirmation either.
         failed = plain_answer(
             504, "the report may have had its effect, and the store of record did not answer"
         )  # fmt: skip
         return [
-            *self._reply_all(entry, failed),
+            *self._end(entry, failed),
             LogLine(f"record: an outcome was not stored: {result.cause}"),
         ]
 
@@ -529,15 +537,12 @@
         entry = self.entries.get(id)
         if entry is None or entry.phase is not Phase.UNDOING:
             return []
-        del self.entries[id]
         assert entry.final_answer is not None
         if result.outcome is Outcome.DONE:
-            return self._reply_all(
-                entry, entry.final_answer, entry.retry_after_us, entry.claimed_from is None
-            )  # fmt: skip
+            return self._end(entry, entry.final_answer, entry.retry_after_us, entry.claimed_from is None)
         # The row is still marked as sent, although the report was not sent, or it belongs to another process
         # by now. So the clients can't be told that nothing was done.
-        replies = self._reply_all(entry, RETRY_SAME_KEY, entry.retry_after_us or RETRY_AFTER_US)
+        replies = self._end(entry, RETRY_SAME_KEY, entry.retry_after_us or RETRY_AFTER_US)
         if result.outcome is Outcome.CONFLICT:
             return replies
         # The same line is logged if the row could not be set back.
@@ -584,10 +589,11 @@
         waiters, entry.waiters = entry.waiters, {}
         return [Reply(w, answer, retry_after_us, never_ran) for w in waiters]
 
-    def _drop(
+    def _end(
         self, entry: Entry, answer: Answer, retry_after_us: int = 0, never_ran: bool = False
     ) -> list[Action]:  # fmt: skip
-        """Removes the entry and answers its clients."""
+        """Removes the entry and answers its clients. Nothing else removes an entry while the process
+        serves, so no client can be left in one."""
         del self.entries[entry.row.id]
         return self._reply_all(entry, answer, retry_after_us, never_ran)
 
--- a/magpiefront/record/stage.py
+++ b/magpiefront/record/stage.py
@@ -201,11 +201,14 @@
         if id is None:
             return
         self._do(self.journal.on_deadline(self.up_us(), r, id))
-        if r in self.clients:  # the report has been sent: its answer may come until the deadline
-            left_us = max(0, deadline_us - self.up_us())
+        left_us = deadline_us - self.up_us()
+        if r in self.clients and left_us > 0:  # the report was sent: its answer may come until the deadline
             self.deadline_timers[r] = self.runtime.loop.call_later(
                 left_us / 1e6, self._on_deadline, r, deadline_us
             )  # fmt: skip
+        elif r in self.clients:
+            # The journal no longer knows the client, which must be answered all the same.
+            self._do([journal.Reply(r, journal.NO_ANSWER_IN_TIME)])
 
     # ---- the actions of the journal
 
--- a/tests/record/test_journal.py
+++ b/tests/record/test_journal.py
@@ -452,3 +452,26 @@
         journal.inserted(NOW, ID, Result(Outcome.DONE)) == []
         == journal.removed(NOW, ID, Result(Outcome.DONE))
     )  # fmt: skip
+
+
+@pytest.mark.parametrize("note", ["", j.RAN_NOTE])
+@pytest.mark.parametrize(
+    ("result", "status"),
+    [
+        (Result(Outcome.DONE), 409),
+        (Result(Outcome.NOT_DONE), 409),
+        (Result(Outcome.UNCERTAIN), 409),
+        (Result(Outcome.CONFLICT, row(owner="other")), 409),
+        (Result(Outcome.CONFLICT, row(state=State.CONFIRMED, answer=ANSWER)), 200),
+    ],
+)
+def test_a_client_that_comes_while_its_row_is_marked_as_unknown_is_answered(
+    result: Result, status: int, note: str
+) -> None:
+    journal = new_journal()
+    open_row = row(owner="other", until_s=0.0, note=note)
+    (change,) = journal.mark_unknown(NOW + 60 * S, open_row, "me.1")
+    assert isinstance(change, Change)
+    journal.on_request(NOW + 60 * S, "a", row(owner="me.2"), NOW + 63 * S)
+    actions = journal.changed(NOW + 61 * S, ID, change.after, result)
+    assert replied_statuses(actions) == {"a": status} and not journal.entries
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -17,7 +17,9 @@
 from standins.world import ROOT
 
 
-@pytest.mark.parametrize(("first", "seeds", "rig"), [(1, 12, "fleet"), (1, 10, "answers"), (12, 6, "reports")])
+@pytest.mark.parametrize(
+    ("first", "seeds", "rig"), [(1, 12, "fleet"), (1, 10, "answers"), (12, 6, "reports")]
+)
 def test_no_round_of_the_soak_test_violates_a_rule(first: int, seeds: int, rig: str) -> None:
     command = ["-m", "standins.soak", "--seeds", str(seeds), "--first", str(first), "--rig", rig]
     command += ["--seconds", "4", "--jobs", "3"]
