An open row is marked as unknown once its window is over, not before

Cause: recovery_action knew two ends for a row that a delivery no longer fits: sent again or unknown. A third one was missing: leave it, since its client's own try may take less time and is guarded to the window's end.

test_recovery_action_by_state_age_and_boot expected `unknown` 1 s before the end.

--- a/magpiefront/record/journal.py
+++ b/magpiefront/record/journal.py
@@ -632,7 +632,7 @@
     DELIVER = "deliver"  # known not to have run: to be sent
     RESEND = "again"  # may have run, within the retry window: to be sent again under its key
     UNKNOWN = "unknown"  # may have run, and the retry window is over: to be marked as unknown
-    LEAVE = "leave"  # another process may work on it, or its client was asked to retry
+    LEAVE = "leave"  # another process may work on it, or only its client may send it again by now
 
 
 def owner_may_be_working(row: Row, seconds_since_sent: float | None, owner_status: OwnerStatus) -> bool:
@@ -669,7 +669,10 @@
         return RecoveryAction.UNKNOWN
     if owner_may_be_working(row, since_s, owner_status) or (row.told and since_s < row.window_s):
         return RecoveryAction.LEAVE
-    return RecoveryAction.RESEND if since_s + delivery_s < row.window_s else RecoveryAction.UNKNOWN
+    if since_s >= row.window_s:
+        return RecoveryAction.UNKNOWN
+    # A delivery would take too long by now, but a client that comes again within the window still sends it.
+    return RecoveryAction.RESEND if since_s + delivery_s < row.window_s else RecoveryAction.LEAVE
 
 
 def moment_now(now_us: int, wall_s: float, boot: str) -> Moment:
