A store that is not known yet is not taken for a peer's store that is not there

Cause: gateways compared the names of their stores once, as a connection began. The name is empty until the first connection to the server, and empty where there is no store; the two empty names were equal, so the peer's reports bypassed the stage that stores them.

StoreIdentity keeps none, not known and known apart; an empty name equals nothing. Which stage takes a peer's reports is decided with each request, by what is known then. Both ends renew a connection, one at a time, whose hello told another store than the present one, so that a store that is known later, or another one after a fail-over, is told. Fields on the link are unchanged.

--- a/magpiefront/gateway/inbound.py
+++ b/magpiefront/gateway/inbound.py
@@ -17,6 +17,7 @@
 from magpiefront.gateway.link import GatewayConnection
 from magpiefront.gateway.routes import Credit, Credits, Reason, Routes
 from magpiefront.gateway.settings import GatewaySettings
+from magpiefront.gateway.store_identity import NO_STORE, StoreIdentity
 from magpiefront.interface import Repeat
 from magpiefront.net.request import CrossSiteStage, Request
 
@@ -30,7 +31,8 @@
 class InboundRequest:
     """One request from another gateway, until its answer is sent. Also the `Responder` of this request."""
 
-    __slots__ = ("connection", "credit", "done", "head", "request", "size", "started", "stream", "streaming")
+    __slots__ = ("connection", "credit", "done", "head", "request", "size", "stage", "started", "stream",
+                 "streaming")  # fmt: skip
 
     def __init__(
         self, connection: InboundConnection, stream: int, head: wire.RequestHead, credit: Credit
@@ -38,6 +40,7 @@
         self.connection, self.stream, self.head, self.credit = connection, stream, head, credit
         self.request = Request(self)
         self.request.execution = ExecutionTracker()
+        self.stage: CrossSiteStage = connection.stage  # that it is passed to
         self.size = 0
         self.started = self.done = self.streaming = False
 
@@ -85,7 +88,7 @@
     def _data(self, data: bytes, end: bool) -> None:
         if self.stream in self.connection.incoming and not self.connection.closed:
             if not self.connection.http2.send_body(self.stream, data, end) and not end:
-                self.connection.stage.pause_response(self.request)
+                self.stage.pause_response(self.request)
             self.connection.flush()
 
     def finish(self) -> None:
@@ -108,7 +111,29 @@
         self.incoming: dict[int, InboundRequest] = {}
         self.last_stream: int | None = None  # named in the final GOAWAY; None until that is sent
         self.site = ""  # the peer's site, once its hello has been received
-        self.stage: CrossSiteStage = listener.stage
+        # The store that the peer has told; empty if it has none or does not know it yet. None: its version
+        # tells none, and takes an undecided answer for the final answer of a report.
+        self.peer_store: bytes | None = b""
+        self.told_store = b""  # the store that this process has told the peer
+        self.is_renewed = False  # whether the peer was asked to connect again
+
+    @property
+    def bypasses_store(self) -> bool:
+        """Whether requests of this peer bypass the stage that stores reports. If the peer has the same store,
+        that stage would find the report there, in the row from which the peer sends it, and the report would
+        wait for itself."""
+        return self.peer_store is None or (
+            bool(self.peer_store) and self.listener.store().is_certainly(self.peer_store)
+        )
+
+    @property
+    def stage(self) -> CrossSiteStage:
+        """The stage for requests of this peer. It can change, since a store may be known later."""
+        return self.listener.keyed if self.bypasses_store else self.listener.stage
+
+    @property
+    def store_to_tell(self) -> bytes:
+        return b"" if self.bypasses_store else self.listener.store().encoded
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         super().connection_made(transport)
@@ -126,7 +151,7 @@
         may repeat it to get the answer."""
         self.incoming.pop(incoming.stream, None)
         if incoming.started and not incoming.done:
-            self.stage.client_left(incoming.request)
+            incoming.stage.client_left(incoming.request)
         incoming.finish()
 
     def finished(self, incoming: InboundRequest) -> None:
@@ -157,7 +182,7 @@
             case http2.StreamWritable():
                 incoming = self.incoming.get(event.stream)
                 if incoming is not None and incoming.streaming:
-                    self.stage.resume_response(incoming.request)
+                    incoming.stage.resume_response(incoming.request)
             case _:
                 pass
 
@@ -211,16 +236,10 @@
             )
             self._reject(stream, 403, "site")
             return
-        self.site, own = site, self.listener.store()
-        if fields.get(b"gw-store") in (None, own.encode()):
-            # Requests of this peer bypass the stage that stores reports. If the peer has the same store, that
-            # stage would find the report there, in the row from which the peer sends it, and the report would
-            # wait for itself. If the hello has no gw-store, the peer is of a version that takes an undecided
-            # answer for the final answer of the report.
-            self.stage, own = self.listener.keyed, ""
-        self.http2.send_head(
-            stream, wire.hello_answer_fields(self.listener.settings.site, self.listener.epoch, own), True
-        )
+        self.site, self.peer_store = site, fields.get(b"gw-store")
+        self.told_store = self.store_to_tell
+        answer = wire.hello_answer_fields(self.listener.settings.site, self.listener.epoch, self.told_store)
+        self.http2.send_head(stream, answer, True)
 
     def _receive_body(self, stream: int, data: bytes) -> None:
         incoming = self.incoming.get(stream)
@@ -262,8 +281,8 @@
     """Accepts connections of other sites' gateways and forwards their requests to `stage`.
 
     `stage` is the keyed stage, or the stage in front of it that stores reports. No request is sent on to a
-    third site. `epoch` identifies this run of the process; `store` returns the name of the store of record of
-    this process.
+    third site. `epoch` identifies this run of the process; `store` returns the store of record of this
+    process.
     """
 
     name = "gateway"  # of the socket in a handover
@@ -271,7 +290,8 @@
     def __init__(
         self, runtime: StageRuntime, settings: GatewaySettings, routes: Routes, keyed: CrossSiteStage,
         counters: Counters,
-        context: ssl.SSLContext | None, seed: int, epoch: str, store: Callable[[], str] = lambda: "",
+        context: ssl.SSLContext | None, seed: int, epoch: str,
+        store: Callable[[], StoreIdentity] = lambda: NO_STORE,
     ) -> None:  # fmt: skip
         self.runtime, self.settings, self.routes, self.keyed, self.store = (
             runtime, settings, routes, keyed, store
@@ -356,16 +376,17 @@
             earlier.connection._abandon(earlier)
         self.open_requests[r.wire_id] = incoming
         self.counters.add("in_taken")
-        if incoming.head.ran_at not in ("", self.epoch) and not incoming.connection.stage.can_tell_if_run(r):
+        stage = incoming.stage = incoming.connection.stage
+        if incoming.head.ran_at not in ("", self.epoch) and not stage.can_tell_if_run(r):
             self.counters.add("in_ran_elsewhere")
             mark_may_have_run(r)
             r.responder.answer(r, 502)
             return
-        if not incoming.connection.stage.may_accept(r):
+        if not stage.may_accept(r):
             incoming.connection.refuse(incoming.stream, "not_acting")
             incoming.finish()
             return
-        incoming.connection.stage.submit_from_site(r, incoming.head.key_age_us)
+        stage.submit_from_site(r, incoming.head.key_age_us)
 
     def finished(self, incoming: InboundRequest) -> None:
         """Returns the credit of a request whose answer is sent or whose sender has given up."""
@@ -373,6 +394,23 @@
         if self.open_requests.get(incoming.request.wire_id) is incoming:
             del self.open_requests[incoming.request.wire_id]
 
+    def renew_stale(self) -> None:
+        """Asks peers that were told another store than the present one to connect again: a store may be known
+        later, or be another one after a fail-over. One connection of a site at a time, so that a link keeps
+        the others."""
+        sites = set[str]()
+        for connection in list(self.connections):
+            is_stale = connection.site and connection.told_store != connection.store_to_tell
+            if is_stale and not connection.is_renewed and connection.site not in sites:
+                sites.add(connection.site)
+                connection.is_renewed = True
+                connection.send_goaway()
+                self.runtime.loop.call_later(FINAL_GOAWAY_DELAY_S, self._end_renewed, connection)
+
+    def _end_renewed(self, connection: InboundConnection) -> None:
+        if connection in self.connections:
+            connection.send_goaway(True)
+
     def drain(self) -> None:
         """Stops accepting, and sends each peer a first GOAWAY and a final one later (RFC 9113, 6.8).
 
--- a/magpiefront/gateway/link.py
+++ b/magpiefront/gateway/link.py
@@ -17,9 +17,12 @@
 from magpiefront.net.runtime import Runtime
 from magpiefront.gateway.routes import LinkState, LinkView
 from magpiefront.gateway.settings import Address, GatewaySettings, LinkSettings, Site, Tls
+from magpiefront.gateway.store_identity import NO_STORE, StoreIdentity
 from magpiefront.hashing import text_hash
 
 WRITE_CHUNK_BYTES = 64 * 1024  # the most that is passed to the transport in one write
+# Why a connection drains that is replaced by one with a new hello. `Link._update_state` matches "goes away".
+RENEWED = "the connection goes away for one with another store of record"
 AVOID_AFTER_REFUSAL_US = 200_000  # how long keyed requests avoid a connection whose peer refused a request
 
 
@@ -194,12 +197,13 @@
 
     def __init__(
         self, slot: ConnectionSlot, settings: ConnectionSettings, seed: int,
-        own_store: Callable[[], str] = lambda: "",
+        own_store: Callable[[], StoreIdentity] = lambda: NO_STORE,
     ) -> None:  # fmt: skip
-        """`own_store` returns the name of this process's store of record, which is sent in the hello."""
+        """`own_store` returns this process's store of record, whose name is sent in the hello."""
         super().__init__(slot.owner.runtime, True, settings.link, seed, 1)
         self.slot, self.settings, self.own_store = slot, settings, own_store
         self.epoch = self.store = ""
+        self.told_store = b""  # the store that the hello has told the peer
         # After the peer refused a request, keyed requests go to other connections until this time. Only if
         # the peer has a store of record: other peers may then be able to answer them as well.
         self.avoid_until_us = 0
@@ -209,7 +213,8 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         super().connection_made(transport)
-        fields = wire.hello_fields(self.settings.site, self.slot.owner.site, self.secure, self.own_store())
+        self.told_store = self.own_store().encoded
+        fields = wire.hello_fields(self.settings.site, self.slot.owner.site, self.secure, self.told_store)
         self.hello_stream = self.http2.open_stream(fields, [])
         self.flush()
 
@@ -305,6 +310,14 @@
             self.store = answer.get(b"gw-store", b"").decode("latin-1")
             self.slot.hello_answered(self)
 
+    def renew(self) -> None:
+        """Has a new connection opened, whose hello tells the present store; open requests end on this one."""
+        self.health.start_draining(RENEWED)
+        self.slot.connection_draining(self, RENEWED)
+        self.state_changed()
+        self._close_if_drained()
+        self.flush()
+
     def _handle_goaway(self, event: http2.GoAwayReceived) -> None:
         self.health.start_draining("the peer goes away")  # `Link._update_state` matches this text
         self.slot.connection_draining(self)
@@ -386,13 +399,15 @@
         self.connection = connection  # the answer may come before `create_connection` returns
         self.owner.state_changed(connection)
 
-    def connection_draining(self, connection: OutboundConnection) -> None:
+    def connection_draining(
+        self, connection: OutboundConnection, cause: str = "the peer goes away"
+    ) -> None:  # fmt: skip
         """Opens a new connection for new requests; the draining one finishes its open requests."""
         if connection is self.connection:
             self.connection = None
             # Reported even if the GOAWAY is part of a planned shutdown, because the slot has no connection
             # now. `Link._update_state` matches the text.
-            self.owner.connection_failed(self.peer, "the peer goes away")
+            self.owner.connection_failed(self.peer, cause)
             self.connect()  # without backoff: a peer that sends GOAWAY has usually been replaced already
 
     def connection_closed(self, connection: OutboundConnection, cause: str) -> None:
@@ -420,7 +435,7 @@
     def __init__(
         self, runtime: Runtime, settings: GatewaySettings, site: Site, context: ssl.SSLContext | None,
         seed: int, on_usable: Callable[[], None], on_suspect: Callable[[OutboundConnection], None],
-        own_store: Callable[[], str] = lambda: "",
+        own_store: Callable[[], StoreIdentity] = lambda: NO_STORE,
     ) -> None:  # fmt: skip
         self.runtime, self.settings, self.site, self.context = runtime, settings, site.name, context
         self.on_usable, self.on_suspect = on_usable, on_suspect
@@ -435,6 +450,14 @@
     def outbound(self, slot: ConnectionSlot, seed: int) -> OutboundConnection:
         return OutboundConnection(slot, self.settings, seed, self.own_store)
 
+    def renew_stale(self) -> None:
+        """Renews one of the connections whose hello told another store than the present one: a store may be
+        known later, or be another one after a fail-over."""
+        told = self.own_store().encoded
+        stale = next((c for c in self.usable_connections() if c.told_store != told), None)
+        if stale is not None:
+            stale.renew()
+
     def usable_connections(self) -> list[OutboundConnection]:
         """The connections that can take a request now."""
         return [s.connection for s in self.slots if s.connection is not None and s.connection.usable]
--- a/magpiefront/gateway/service.py
+++ b/magpiefront/gateway/service.py
@@ -15,6 +15,7 @@
 from magpiefront.gateway.link import Link
 from magpiefront.gateway.routes import Routes
 from magpiefront.gateway.settings import GatewaySettings, Tls
+from magpiefront.gateway.store_identity import NO_STORE, StoreIdentity
 from magpiefront.gateway.stage import GatewayStage
 from magpiefront.net.request import Stage
 
@@ -61,10 +62,9 @@
 
     def __init__(
         self, runtime: StageRuntime, following: Stage, settings: GatewaySettings, seed: int,
-        store: Callable[[], str] = lambda: "",
+        store: Callable[[], StoreIdentity] = lambda: NO_STORE,
     ) -> None:  # fmt: skip
-        """`store` returns the name of the store of record of this process; empty if it has none or the
-        name is not known."""
+        """`store` returns the store of record of this process."""
         self.runtime, self.settings, self.store = runtime, settings, store
         self.random = Random(seed)
         self.counters = Counters()
@@ -132,8 +132,12 @@
         self.timer = self.runtime.loop.call_later(COUNTERS_LOG_INTERVAL_S, self._log_counters)
 
     def sweep(self) -> None:
-        """Fails long answers that have stalled. Called periodically."""
+        """Fails long answers that have stalled, and renews connections whose hello told another store than
+        the present one. Called periodically."""
         self.stage.sweep()
+        self.listener.renew_stale()
+        for link in self.stage.links.values():
+            link.renew_stale()
 
     def drain(self) -> None:
         """Asks peers to open no more streams to this process. Open streams are finished."""
--- a/magpiefront/gateway/wire.py
+++ b/magpiefront/gateway/wire.py
@@ -53,7 +53,7 @@
     ran_at: str  # epoch of the gateway where it may have run; empty if not known
 
 
-def hello_fields(site: str, to: str, secure: bool, store: str = "") -> Fields:
+def hello_fields(site: str, to: str, secure: bool, store: bytes = b"") -> Fields:
     """The fields of the hello from `site` to the site `to`.
 
     `store` is the name of the store of record that this gateway shares with others. The field is sent even if
@@ -63,14 +63,14 @@
     return [
         (b":method", HELLO_METHOD), (b":scheme", scheme), (b":authority", to.encode()),
         (b":path", HELLO), (b"gw-version", VERSION), (b"gw-site", site.encode()),
-        (b"gw-store", store.encode()),
+        (b"gw-store", store),
     ]  # fmt: skip
 
 
-def hello_answer_fields(site: str, epoch: str, store: str = "") -> Fields:
+def hello_answer_fields(site: str, epoch: str, store: bytes = b"") -> Fields:
     """The fields of the answer to a hello. `store`: name of the store of record for requests that cross."""
     return [(b":status", b"200"), (b"gw-version", VERSION), (b"gw-site", site.encode()),
-            (b"gw-epoch", epoch.encode()), (b"gw-store", store.encode()),
+            (b"gw-epoch", epoch.encode()), (b"gw-store", store),
             (b"content-length", b"0")]  # fmt: skip
 
 
--- a/magpiefront/operator/compose.py
+++ b/magpiefront/operator/compose.py
@@ -23,6 +23,7 @@
 from magpiefront.net.runtime import StageRuntime
 from magpiefront.gateway.inbound import GatewayListener
 from magpiefront.gateway.members import MemberTransport, MemberLinkSettings
+from magpiefront.gateway.store_identity import NO_STORE, StoreIdentity
 from magpiefront.gateway.service import InvalidTls, Gateway, tls_contexts
 from magpiefront.group.operator_commands import OperatorCommands
 from magpiefront.group.service import GroupService
@@ -112,7 +113,7 @@
         if operator.gateway is not None:
             if operator.caching is not None:
                 next_stage = watch = WriteWatch(runtime, next_stage)
-            self.gateway = Gateway(runtime, next_stage, operator.gateway, seed, self._store_fingerprint)
+            self.gateway = Gateway(runtime, next_stage, operator.gateway, seed, self._store_identity)
             self.first_stage = self.gateway.stage
         if operator.caching is not None:
             disk = Disk(runtime, operator.caching.disk) if operator.caching.disk is not None else None
@@ -174,11 +175,14 @@
             if self.gateway is not None:
                 self.gateway.listener.stage = CrossSiteRecordStage(self.record, self.gateway.keyed)
 
-    def _store_fingerprint(self) -> str:
-        """Returns a hash that identifies the store of record to the gateways of other sites, without telling
-        them anything else about it, or "" if there is no store or its identity is not known yet."""
-        identity = self.store.identity if self.store is not None else ""
-        return blake2b(identity.encode(), digest_size=16).hexdigest() if identity else ""
+    def _store_identity(self) -> StoreIdentity:
+        """Returns the store of record as the gateways of other sites know it. Its name is a hash that tells
+        them nothing else about it."""
+        if self.store is None:
+            return NO_STORE
+        name = self.store.identity
+        hashed = blake2b(name.encode(), digest_size=16).hexdigest() if name else ""
+        return StoreIdentity(True, hashed)
 
     async def start(self, inherited_sockets: Mapping[str, socket.socket] | None = None) -> None:
         """Starts the stages. `inherited_sockets` are the listening sockets that an old process handed over,
