Groups of two sites that were given one name count as two stores

The identity now holds the site's name as well, which differs in all gateways' tables.

test_groups_of_two_sites_with_one_name_are_two_stores: the name was "main" at both before.

--- a/magpiefront/operator/compose.py
+++ b/magpiefront/operator/compose.py
@@ -96,6 +96,12 @@
 CACHE_OVERHEAD = 1.07
 
 
+def unique_group_name(operator: OperatorConfig) -> str:
+    """Returns a name of the group that no group of another site has. Site names differ in all gateways'
+    tables, while two sites may give their groups one name."""
+    return f"{operator.site}/{operator.group.settings.name}" if operator.group is not None else ""
+
+
 class Composition:
     """The configured stages of one process. `first_stage` receives the requests from the front; it is
     `next_stage`, the proxy, if no stage is configured. `shut_down` begins the planned shutdown of this
@@ -157,8 +163,9 @@
                 self.store = SqliteStore(runtime, settings.store, settings.most_waiting)
             elif isinstance(settings.store, GroupStoreSettings):
                 assert self.group is not None and self.operator_commands is not None
-                name = operator.group.settings.name if operator.group is not None else ""
-                self.store = GroupStore(runtime, self.group, settings.store, boot, name=name)
+                self.store = GroupStore(
+                    runtime, self.group, settings.store, boot, name=unique_group_name(operator)
+                )
                 self.operator_commands.extra_handlers["record"] = ReportCommands(
                     self.store, self.group, runtime
                 ).handle
--- a/magpiefront/takeover/store.py
+++ b/magpiefront/takeover/store.py
@@ -38,7 +38,7 @@
         up_us: Callable[[], int] = lambda: time.monotonic_ns() // 1_000, name: str = "",
     ) -> None:  # fmt: skip
         """`boot` identifies the current boot of this machine, `up_us` returns the time since that boot in
-        microseconds, and `name` is the name of the group."""
+        microseconds, and `name` is a name of the group that differs from those of all other sites."""
         self.name = name
         self.runtime, self.group, self.settings, self.boot, self.up_us = runtime, group, settings, boot, up_us
         self.machine = ReportStateMachine(up_us())
--- a/tests/gateway/test_stores.py
+++ b/tests/gateway/test_stores.py
@@ -2,10 +2,14 @@
 
 from __future__ import annotations
 
+from pathlib import Path
+
 import pytest
 
 from magpiefront.gateway.store_identity import NO_STORE, StoreIdentity
 from magpiefront.net.request import Request
+from magpiefront.operator.compose import unique_group_name
+from magpiefront.operator.file import load_operator_config
 from tests.gateway.sites import Sites, run, sites, until
 
 UNKNOWN, ONE, ANOTHER = StoreIdentity(True), StoreIdentity(True, "one"), StoreIdentity(True, "another")
@@ -111,3 +115,15 @@
             assert await stores.is_stored()
 
     run(main())
+
+
+def test_groups_of_two_sites_with_one_name_are_two_stores(tmp_path: Path) -> None:
+    names = set()
+    for site in ("west", "east"):
+        file = tmp_path / f"{site}.toml"
+        file.write_text(
+            f'[site]\nname = "{site}"\n[group]\nname = "main"\nmember = "{site}-1"\npath = "g.sqlite"\n'
+            f'listen = "127.0.0.1:7643"\ntls = {{ plain = true }}\n[group.members]\n{site}-1 = "127.0.0.1:7643"\n'
+        )
+        names.add(unique_group_name(load_operator_config(file)))
+    assert len(names) == 2
--- a/tests/takeover/test_between.py
+++ b/tests/takeover/test_between.py
@@ -12,6 +12,7 @@
 
 from magpiefront.gateway import wire
 from magpiefront.interface import Outcome
+from magpiefront.gateway.store_identity import StoreIdentity
 from magpiefront.record.cross_site import CrossSiteRecordStage
 from magpiefront.record.rows import State
 from magpiefront.record.settings import RecordSettings, SqliteSettings
@@ -136,7 +137,8 @@
         stage = stages[name] = RecordStage(site.proxy, site.gateway.stage, settings, store)
         site.front.stage = stage
         site.gateway.listener.stage = CrossSiteRecordStage(stage, site.gateway.keyed)
-        site.gateway.listener.store = lambda store=store: store.identity.replace(" ", "-")  # type: ignore[misc]
+        identity = StoreIdentity(True, store.identity.replace(" ", "-"))
+        site.gateway.listener.store = lambda identity=identity: identity  # type: ignore[misc]
         for link in site.gateway.stage.links.values():
             link.own_store = site.gateway.listener.store
         stage.begin_polling()
