The test of groups with one name writes a whole [group] table

With the whole table it passes (9 passed), and it fails with the site's name left out of the group's identity.

--- a/tests/gateway/test_stores.py
+++ b/tests/gateway/test_stores.py
@@ -122,8 +122,8 @@
     for site in ("west", "east"):
         file = tmp_path / f"{site}.toml"
         file.write_text(
-            f'[site]\nname = "{site}"\n[group]\nname = "main"\nmember = "{site}-1"\npath = "g.sqlite"\n'
-            f'listen = "127.0.0.1:7643"\ntls = {{ plain = true }}\n[group.members]\n{site}-1 = "127.0.0.1:7643"\n'
+            f'[site]\nname = "{site}"\n[group]\nname = "main"\nmember = "a"\npath = "g.sqlite"\n'
+            'voters = ["a"]\ntls = { plain = true }\n[group.members]\na = "127.0.0.1:7643"\n'
         )
         names.add(unique_group_name(load_operator_config(file)))
     assert len(names) == 2
