An id of a request that must run once runs once behind the cache, too

Cause: the proxy keeps ids only of requests that some client waits for (`Request.client_gone`), and a clone has none, since several clients may wait for it. The cache sends a write as a clone for one client.

The cache's write forwarder gives its clone the client's check; it passes the client's departure on already. A test names every field of Request that a clone does not carry, with the reason, and fails on a new field. test_an_id_that_comes_again_behind_the_cache_runs_once failed before (504, sent a second time).

--- a/magpiefront/caching/writes.py
+++ b/magpiefront/caching/writes.py
@@ -47,6 +47,7 @@
     def submit(self, r: Request) -> None:
         self.begin_write(targets.gauge_of(r.target))
         forwarded = r.clone(self)
+        forwarded.client_gone = r.client_gone  # one client waits for it, whose departure is passed on
         forwarded.extra_fields = self.format_forwarded(r)
         self.client_requests[forwarded], self.forwarded_requests[r] = r, forwarded
         self.following.submit(forwarded)
--- a/tests/caching/sockets.py
+++ b/tests/caching/sockets.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Sequence
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, replace
 from typing import Any
@@ -40,9 +40,11 @@
     wall: Any = None,
     attempts: int = 1,
     instance_count: int = 16,
+    extra_grades: Sequence[dict[str, Any]] = (),
     **permissions: Any,
 ) -> AsyncIterator[CachingProxy]:
-    """Starts a proxy for the server at `origin_port`, which discovery lists `instance_count` times."""
+    """Starts a proxy for the server at `origin_port`, which discovery lists `instance_count` times.
+    `extra_grades` are further request classes."""
     loop = asyncio.get_running_loop()
     settings = settings or CachingSettings(plain_servers=True)
     settings = replace(settings, clients=replace(settings.clients, plain=settings.plain_servers))
@@ -57,7 +59,7 @@
         "name": "n0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:9", "seed": "ab",
         "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
         "known": {"generation": 1, "reset": True, "instances": instances},
-        "settings": {**PROXY_SETTINGS, "grades": GRADES, "permissions": all_permissions},
+        "settings": {**PROXY_SETTINGS, "grades": [*GRADES, *extra_grades], "permissions": all_permissions},
     }  # fmt: skip
     conf = config.read(document, {})
     proxy = PassingProxy(conf, loop, settings.plain_servers)
--- a/tests/test_request_ids.py
+++ b/tests/test_request_ids.py
@@ -3,12 +3,16 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Sequence
 
 import pytest
 
+from magpiefront.net.request import Request
 from magpiefront.request_ids import RequestIds
+from tests.caching.sockets import caching_proxy
 from tests.sockets import (
-    Handler, ProxyHarness, gated, ok, reply, request, resets, run, running_proxy, silent, until,
+    PROXY_SETTINGS, Client, Handler, Node, ProxyHarness, gated, ok, reply, request, resets, run,
+    running_proxy, silent, until,
 )  # fmt: skip
 
 
@@ -115,3 +119,57 @@
             assert (await w.ask()).status == 200 and len(w.seen()) == 2
 
     run(main())
+
+
+def test_an_id_that_comes_again_behind_the_cache_runs_once() -> None:
+    async def main() -> None:
+        gate = asyncio.Event()
+        node = Node("s", gated(gate))
+        await node.start()
+        async with caching_proxy(node.port, extra_grades=PROXY_SETTINGS["grades"]) as c:
+            message = request("PUT", kind="once", body=b"value")
+            first = Client(*await asyncio.open_connection("127.0.0.1", c.port))
+            first.send(message)
+            await until(lambda: bool(node.seen))
+            first.writer.transport.abort()
+            await until(lambda: not c.front.clients)
+            again = Client(*await asyncio.open_connection("127.0.0.1", c.port))
+            again.send(message)
+            assert (await again.answer()).status == 409 and len(node.seen) == 1
+            again.writer.close()
+        node.stop()
+
+    run(main())
+
+
+# What a clone does not take over from its request, and why.
+OWN_FIELDS = {
+    **dict.fromkeys(("responder", "answered", "served", "streaming_attempt"), "its own answer"),
+    **dict.fromkeys(("attempts", "in_flight", "last_outcome", "may_have_run"), "its own attempts"),
+    **dict.fromkeys(("name", "deadline", "timeout_timer"), "set by the proxy that it is submitted to"),
+    **dict.fromkeys(("error", "keep_alive", "held", "pipelined"), "of the client's connection"),
+    "client_gone": "several clients may wait for a clone; a stage that sends it for one client sets it",
+    "fields": "the stage gives the fields to forward in extra_fields",
+}
+
+
+def test_every_field_of_a_request_is_carried_by_its_clone_or_says_why_not() -> None:
+    original, other = Request(Clone()), Clone()
+    for number, name in enumerate(Request.__slots__):
+        setattr(original, name, f"value {number}")
+    clone = original.clone(other)
+    carried = {n for n in Request.__slots__ if getattr(clone, n, None) == getattr(original, n)}
+    assert carried | OWN_FIELDS.keys() == set(Request.__slots__) and not carried & OWN_FIELDS.keys()
+    assert clone.responder is other
+
+
+class Clone:
+    """The responder of a clone that is never answered."""
+
+    def answer(
+        self, request: Request, status: int, body: Sequence[bytes] = (), more: bytes = b""
+    ) -> None: ...  # fmt: skip
+    def begin(self, request: Request, length: int | None, more: bytes, status: int = 200) -> None: ...
+    def write_body(self, request: Request, body: bytes) -> None: ...
+    def end(self, request: Request) -> None: ...
+    def abort(self, request: Request) -> None: ...
