The head of an answer that stood still on a link is kept as proof that the report ran

A report sent to another site whose answer began there and then stood still was left as `unknown` once its window was over, although the head of a 200 had crossed.

Both ways of giving a stream up now record it.

test_a_report_whose_answer_was_lost_on_the_link_is_known_to_have_run[False] failed before.

--- a/magpiefront/gateway/stage.py
+++ b/magpiefront/gateway/stage.py
@@ -231,8 +231,7 @@
 
     def on_broken(self, never_ran: bool, cause: str) -> None:
         self.connection = None
-        if self.answer_head is not None:
-            mark_answer_lost(self.request, self.answer_head.status)
+        self._mark_answer_lost()
         if self.is_streaming:
             self.finish("cut")
             self.request.responder.abort(self.request)
@@ -325,7 +324,13 @@
             mark_may_have_run(self.request)
             self.request.responder.answer(self.request, 504)
 
+    def _mark_answer_lost(self) -> None:
+        """Records what the head of an answer has told, whose rest will not come."""
+        if self.answer_head is not None:
+            mark_answer_lost(self.request, self.answer_head.status)
+
     def _cancel(self) -> None:
+        self._mark_answer_lost()
         connection, self.connection = self.connection, None
         if connection is not None:
             connection.cancel(self.stream)
--- a/tests/gateway/test_broken_answers.py
+++ b/tests/gateway/test_broken_answers.py
@@ -34,6 +34,15 @@
         if self.breaks_off:
             r.responder.abort(r)
 
+    def submit_from_site(self, r: Request, age_us: int) -> None:
+        self.submit(r)
+
+    def can_tell_if_run(self, r: Request) -> bool:
+        return True
+
+    def may_accept(self, r: Request) -> bool:
+        return True
+
     def client_left(self, r: Request) -> None:
         self.left.append(r)
 
--- a/tests/record/test_crossing.py
+++ b/tests/record/test_crossing.py
@@ -15,10 +15,12 @@
 from magpiefront.gateway.wire import Fields
 from magpiefront.interface import Outcome
 from magpiefront.net.request import Request
+from magpiefront.record.journal import RAN_NOTE
 from magpiefront.record.rows import State
 from magpiefront.record.settings import RecordSettings, SqliteSettings
 from magpiefront.record.sqlite import SqliteStore
 from magpiefront.record.stage import RecordStage
+from tests.gateway.test_broken_answers import BreakingSite
 from tests.gateway.sites import Sites, run, sites, until
 from tests.record.sockets import FakeAttempt
 from tests.record.test_sqlite import read_rows
@@ -166,3 +168,23 @@
                 assert never_ran == [is_certain, is_certain]
 
     run(main())
+
+
+@pytest.mark.parametrize("breaks_off", [True, False])
+def test_a_report_whose_answer_was_lost_on_the_link_is_known_to_have_run(
+    breaks_off: bool, tmp_path: Path
+) -> None:
+    """The head of the answer crosses, the rest does not."""
+
+    async def main() -> None:
+        async with recorded_sites(tmp_path / "r") as (s, stage):
+            s.east.gateway.listener.keyed = s.east.gateway.listener.stage = BreakingSite(1_000, breaks_off)
+            answer = await s.get("west", "field-report", deadline_s=0.8)
+            if breaks_off:
+                assert answer.status == 200 and answer.answers[0][2] == b"whole"  # by another attempt
+                return
+            assert answer.status == 504
+            await until(lambda: not stage.clients and not stage.journal.entries)
+            await until(lambda: [r.note for r in read_rows(tmp_path / "r")] == [RAN_NOTE])
+
+    run(main())
