An upgrade of a group's member answers the reports in hand instead of cutting them off

Cause: a planned end with a bound that does not know what it holds (MAX_DRAIN_S), and a release that aborted the clients. From the hand-over on the old process takes no new reports (503, nothing done); the new one makes them wait until it is the member. What does not end in time is answered 409 "ask again under the same key", at SIGTERM and at `leave` as well:

--- a/magpiefront/operator/compose.py
+++ b/magpiefront/operator/compose.py
@@ -42,7 +42,7 @@
 from magpiefront.operator.file import OperatorConfig, load_operator_config
 from magpiefront.takeover.ownership import GroupOwnership
 from magpiefront.takeover.report_commands import ReportCommands, work_handler
-from magpiefront.takeover.handover import MemberHandover
+from magpiefront.takeover.handover import MAX_DRAIN_S, MemberHandover
 from magpiefront.takeover.limits import short_window_warnings
 from magpiefront.takeover.store import GroupStore
 
@@ -52,7 +52,7 @@
 
 GROUP_LEAVE_TIMEOUT_S = 0.4  # how long a planned shutdown waits for the group to learn of it
 # How long reports wait in a new process for the old one to give up its group membership.
-MEMBER_HANDOVER_TIMEOUT_S = 2.5
+MEMBER_HANDOVER_TIMEOUT_S = MAX_DRAIN_S + GROUP_LEAVE_TIMEOUT_S + 0.3
 
 
 def load_and_check(path: Path) -> OperatorConfig:
@@ -142,7 +142,12 @@
         self.member_handover: MemberHandover | None = None
         if self.group is not None:
             self.member_handover = MemberHandover(
-                runtime, self.group, lambda: self.busy, self.leave, self._take_over_member
+                runtime,
+                self.group,
+                lambda: self.busy,
+                self._accept_reports,
+                self.leave,
+                self._take_over_member,
             )
         self.maintenance: MaintenanceService | None = None
         if self.group is not None and self.operator_commands is not None:
@@ -233,6 +238,11 @@
         if self.record is not None:
             self.record.await_ownership(MEMBER_HANDOVER_TIMEOUT_S)
 
+    def _accept_reports(self, accepts: bool) -> None:
+        """Sets whether this process takes new reports."""
+        if self.record is not None:
+            self.record.accepts_reports = accepts
+
     def set_old_process_check(self, old_process_runs: Callable[[], bool]) -> None:
         """Sets the function that returns whether the process that handed over to this one still runs."""
         if self.maintenance is not None:
--- a/magpiefront/record/journal.py
+++ b/magpiefront/record/journal.py
@@ -552,14 +552,15 @@
 
     def release_all(self, now_us: int) -> list[Action]:
         """Releases the reports that would not end before this process shuts down, so that any process may
-        claim them within the retry window. Their clients get no answer; a retry under the key gets one."""
+        claim them within the retry window. Their clients are asked to retry under the same key."""
         actions: list[Action] = []
         for entry in list(self.entries.values()):
             if entry.phase is Phase.SENDING and self.ownership.may_act(entry.row.owner):
                 actions.append(
                     Change(entry.row, replace(entry.row, until_s=0.0), now_us + self.outcome_timeout_us)
                 )
-            del self.entries[entry.row.id]
+            is_polled = entry.phase in (Phase.POLLING, Phase.CLAIMING)
+            actions += self._end(entry, IN_PROGRESS if is_polled else RETRY_SAME_KEY, RETRY_AFTER_US)
         return actions
 
     # ---- recovery of open rows
@@ -592,8 +593,8 @@
     def _end(
         self, entry: Entry, answer: Answer, retry_after_us: int = 0, never_ran: bool = False
     ) -> list[Action]:  # fmt: skip
-        """Removes the entry and answers its clients. Nothing else removes an entry while the process
-        serves, so no client can be left in one."""
+        """Removes the entry and answers its clients. Nothing else removes an entry, so no client can be left
+        in one."""
         del self.entries[entry.row.id]
         return self._reply_all(entry, answer, retry_after_us, never_ran)
 
--- a/magpiefront/record/stage.py
+++ b/magpiefront/record/stage.py
@@ -98,6 +98,7 @@
         # Requests that wait until this process may act: class, `age_us` and the time of arrival (up_us).
         self.early_requests: dict[Request, tuple[RequestClass, int | None, int]] = {}
         self.ownership_expected_us = 0
+        self.accepts_reports = True  # False while this process waits for the reports in hand to end
         self.poll_timer: asyncio.TimerHandle | None = None
         self.claim_timer: asyncio.TimerHandle | None = None
 
@@ -128,6 +129,9 @@
                 r, journal.plain_answer(413, f"a report holds {self.settings.most_body} bytes at most")
             )
             return
+        if not self.accepts_reports:
+            self._refuse(r)
+            return
         if self.ownership.owner_prefix() is None and self.up_us() < self.ownership_expected_us:
             if not self.early_requests:
                 self.runtime.loop.call_later(OWNERSHIP_POLL_S, self._retry_early)
@@ -413,12 +417,11 @@
         return metric_lines("record", values)
 
     def release_all(self) -> None:
-        """Releases the reports that would not end in time, so that other processes may claim them. Aborts the
-        requests of all clients: they get no answer."""
-        for r in list(self.clients):
-            del self.clients[r]
-            self.deadline_timers.pop(r).cancel()
-            r.responder.abort(r)
+        """Releases the reports that would not end in time, so that other processes may claim them. Answers
+        all clients."""
+        early_requests, self.early_requests = self.early_requests, {}
+        for r in early_requests:
+            self._refuse(r)
         self._do(self.journal.release_all(self.up_us()))
 
     # ---- the nodes
--- a/tests/record/test_journal_property.py
+++ b/tests/record/test_journal_property.py
@@ -111,6 +111,11 @@
         claimed = replace(stored, owner=f"me.{self.number}", until_s=2.0)
         self.do(self.journal.deliver(self.now_us, stored, claimed, self.now_us + 2 * S))
 
+    @rule()
+    def the_process_ends(self) -> None:
+        self.do(self.journal.release_all(self.now_us))
+        assert not self.deadlines and not self.journal.entries
+
     @invariant()
     def each_waiting_client_is_in_the_entry(self) -> None:
         entry = self.journal.entries.get(ID)
--- a/tests/takeover/test_decisions.py
+++ b/tests/takeover/test_decisions.py
@@ -219,14 +219,15 @@
     )
 
 
-def test_a_planned_end_releases_the_rows_in_hand_and_answers_no_client() -> None:
+def test_a_planned_end_releases_the_rows_in_hand_and_answers_each_client() -> None:
     journal = Journal("boot", ownership=FakeOwnership())
     for n, key in enumerate((b"out", b"held")):
         id = Id("t", "r", key)
         journal.on_request(NOW, n, replace(MINE, id=id), NOW + S)
         if key == b"out":
             journal.inserted(NOW, id, Result(Outcome.DONE))
-    (change,) = journal.release_all(NOW)
+    change, *replies = journal.release_all(NOW)
+    assert replied_statuses(replies) == {0: 409, 1: 409}
     assert isinstance(change, Change) and change.after.until_s == 0 and change.before.id.key == b"out"
     assert not journal.entries
 
