A report that may have run at one site is not sent to another one after a reload

Cause: the row and the execution tracker say that a report may have run, and not where; each send was routed by the table of the moment.

The site is decided as the row is made, stands in the row with the attempts before the first byte goes, and goes with the request to the gateway, which sends it there or nowhere. Rows without a site are routed as before. A claim of a report that has certainly not run takes the site of the request that claims it.

--- a/magpiefront/gateway/routes.py
+++ b/magpiefront/gateway/routes.py
@@ -43,7 +43,8 @@
 
 @dataclass(slots=True, frozen=True)
 class RoutingRequest:
-    """The facts of a request that decisions need. `via` holds the sites that it has come through."""
+    """The facts of a request that decisions need. `via` holds the sites that it has come through.
+    `only_site`, if given, is the only site that may serve it, whatever the table says."""
 
     key: str
     class_name: str
@@ -51,6 +52,7 @@
     tenant: str
     time_left_us: int
     via: tuple[str, ...] = ()
+    only_site: str = ""
 
 
 class Reason(Enum):
@@ -277,7 +279,7 @@
         """Decides where to serve a request that came from a client, or over a link (with `via`)."""
         if request.via:
             return ServeHere()
-        site = self.table.home_site(request.key)
+        site = request.only_site or self.table.home_site(request.key)
         if site == self.settings.site:
             return ServeHere()
         link = links.get(site, DOWN)
--- a/magpiefront/gateway/stage.py
+++ b/magpiefront/gateway/stage.py
@@ -373,9 +373,11 @@
         r = request
         h = r.headers
         repeat = effective_repeat(self.runtime.classes.get(h[b"req-kind"]), h)
+        execution = execution_of(r)
         routing = RoutingRequest(
             r.key.decode("latin-1"), h[b"req-kind"].decode("latin-1"), repeat,
             h.get(b"req-owner", b"").decode("latin-1"), r.received_at + r.time_left - self.runtime.now_us(),
+            only_site=execution.site if execution is not None else "",
         )  # fmt: skip
         match self.routes.route(routing, LinkViews(self.links)):
             case ServeHere() as local:
@@ -400,6 +402,10 @@
         assert not isinstance(downstream, LocalResponder)
         self.following.submit(r)
 
+    def site_of(self, key: bytes) -> str:
+        """Returns the site that a request for this key is sent to by the present table."""
+        return self.routes.table.home_site(key.decode("latin-1"))
+
     def client_left(self, request: Request) -> None:
         forwarded = self.forwarded.get(request)
         if forwarded is not None:
--- a/magpiefront/operator/compose.py
+++ b/magpiefront/operator/compose.py
@@ -186,6 +186,7 @@
                 self.operator_commands.extra_handlers["work"] = work_handler(self.record, self.group)
             if self.gateway is not None:
                 self.gateway.listener.stage = CrossSiteRecordStage(self.record, self.gateway.keyed)
+                self.record.site_of, self.record.own_site = self.gateway.stage.site_of, operator.site
 
     def _store_identity(self) -> StoreIdentity:
         """Returns the store of record as the gateways of other sites know it. Its name is a hash that tells
--- a/magpiefront/record/journal.py
+++ b/magpiefront/record/journal.py
@@ -14,7 +14,10 @@
 
 from magpiefront.record.ownership import Ownership, UngroupedOwnership, OwnerStatus
 from magpiefront.record.node_answer import BrokenAnswer, NodeAnswer, OversizedAnswer
-from magpiefront.record.rows import UNKNOWN_BOOT, Answer, Attempt, Id, Moment, Outcome, Result, Row, State
+from magpiefront.record.rows import (
+    UNKNOWN_BOOT, Answer, Attempt, Id, Moment, Outcome, Result, Row, State, site_attempt, site_of_attempts,
+    without_sites,
+)  # fmt: skip
 
 US_PER_S = 1_000_000
 POLL_INTERVAL_US = 50_000  # pause between two reads of a row that another process is sending
@@ -352,9 +355,16 @@
         self.claimed_count += self.ownership.owner_status(row.owner) is OwnerStatus.ENDED
         # The retry window begins when the report may have been sent for the first time, not at a later
         # attempt.
-        first_sent = row.sent if row.state is State.SENT else entry.row.sent
+        first_sent, attempts = row.sent, row.attempts
+        if row.state is not State.SENT:
+            # It has not run anywhere, so it may be sent to the site that the client's request names.
+            first_sent = entry.row.sent
+            attempts = without_sites(row.attempts)
+            if entry.waiters:
+                attempts += site_attempt(site_of_attempts(entry.row.attempts), entry.row.received_s)
         after = replace(
             row,
+            attempts=attempts,
             state=State.SENT,
             owner=entry.row.owner,
             sent=first_sent,
--- a/magpiefront/record/rows.py
+++ b/magpiefront/record/rows.py
@@ -61,12 +61,33 @@
 
 @dataclass(frozen=True, slots=True)
 class Attempt:
-    """One request to a node with the report, and when it was sent."""
+    """One request to a node with the report, and when it was sent; or the site that the report was to be
+    sent to (`site_attempt`)."""
 
     node: str
     at_s: float  # Unix seconds
 
 
+SITE_PREFIX = "site "  # begins the `node` of an `Attempt` that names a site; no node's name has a space
+
+
+def site_attempt(site: str, at_s: float) -> tuple[Attempt, ...]:
+    """Returns the attempts of a row whose report is sent to this site and to no other; none if there is only
+    one site."""
+    return (Attempt(SITE_PREFIX + site, at_s),) if site else ()
+
+
+def site_of_attempts(attempts: tuple[Attempt, ...]) -> str:
+    """Returns the site where a report with these attempts may have run; empty if none is named."""
+    named = [a.node for a in attempts if a.node.startswith(SITE_PREFIX)]
+    return named[-1].removeprefix(SITE_PREFIX) if named else ""
+
+
+def without_sites(attempts: tuple[Attempt, ...]) -> tuple[Attempt, ...]:
+    """Returns the attempts that name nodes."""
+    return tuple(a for a in attempts if not a.node.startswith(SITE_PREFIX))
+
+
 def attempts_text(attempts: tuple[Attempt, ...]) -> str:
     """Encodes attempts for a store, as JSON."""
     return json.dumps([[a.node, a.at_s] for a in attempts]) if attempts else "[]"
--- a/magpiefront/record/sender.py
+++ b/magpiefront/record/sender.py
@@ -15,7 +15,7 @@
 from magpiefront.record.journal import NO_ANSWER_IN_TIME, Send
 from magpiefront.record.node_answer import AnswerCollector, NodeAnswer
 from magpiefront.record.ownership import Ownership
-from magpiefront.record.rows import Answer, Row
+from magpiefront.record.rows import Answer, Row, site_of_attempts
 
 EXTRA_FIELD_NAMES = frozenset({b"idempotency-key", b"content-type"})  # a front puts these into `extra_fields`
 
@@ -86,6 +86,7 @@
         # Checked again right before the first byte is sent to a node, because the request may have waited
         # until then: in a queue, while connecting, or while the process was paused.
         execution.guard = lambda: self.ownership.may_act(row.owner) and self.up_us() < until_up_us
+        execution.site = site_of_attempts(row.attempts)
         if send.resumed and row.sent is not None:
             execution.first_sent_us = int(sent_s * 1e6) + self.clock_offset_us
         return execution
--- a/magpiefront/record/stage.py
+++ b/magpiefront/record/stage.py
@@ -24,7 +24,9 @@
     Send,
 )  # fmt: skip
 from magpiefront.record.node_answer import NodeAnswer
-from magpiefront.record.rows import Answer, Attempt, Id, Moment, Result, Row, State, Store, boot_id
+from magpiefront.record.rows import (
+    Answer, Attempt, Id, Moment, Result, Row, State, Store, boot_id, site_attempt,
+)  # fmt: skip
 from magpiefront.record.sender import ReportSender
 from magpiefront.record.settings import RecordSettings
 
@@ -82,6 +84,9 @@
         self.process_token, self.sequence = token_hex(8), itertools.count(1)
         # The next stage for reports from another site. It serves them at this site only.
         self.node_stage: Stage = following
+        # The site that a report for this key is sent to, and this site; empty without a gateway.
+        self.site_of: Callable[[bytes], str] = lambda key: ""
+        self.own_site = ""
         self.clients: dict[Request, Id] = {}
         self.deadline_timers: dict[Request, asyncio.TimerHandle] = {}
         self.sender = ReportSender(
@@ -141,7 +146,8 @@
             # Another member may have claimed the rows of this process, so no report is accepted or confirmed.
             self._refuse(r)
             return
-        row = self._new_row(r, cls, age_us or 0)
+        site = self.site_of(r.key) if age_us is None else self.own_site
+        row = self._new_row(r, cls, age_us or 0, site)
         deadline_us = r.received_at + r.time_left - self.clock_offset_us
         self.clients[r] = row.id
         left_us = max(0, deadline_us - self.settings.least_left_us - self.up_us())
@@ -169,7 +175,7 @@
         if self.early_requests:
             self.runtime.loop.call_later(OWNERSHIP_POLL_S, self._retry_early)
 
-    def _new_row(self, r: Request, cls: RequestClass, age_us: int) -> Row:
+    def _new_row(self, r: Request, cls: RequestClass, age_us: int, site: str) -> Row:
         headers = r.headers
         id = Id(headers.get(b"req-owner", b"").decode("latin-1"), cls.name, headers[b"idempotency-key"])
         fields = getattr(r, "fields", None)
@@ -180,7 +186,7 @@
         return Row(
             id, digest_of(r), r.method, r.target, field_lines, b"".join(r.body), State.SENT, wall_s,
             Moment(wall_s - age_s, self.boot, up_us / 1e6 - age_s), self._new_owner(), cls.window_us / 1e6,
-            age_s + (r.time_left + self.settings.settle_us) / 1e6,
+            age_s + (r.time_left + self.settings.settle_us) / 1e6, attempts=site_attempt(site, wall_s),
         )  # fmt: skip
 
     def client_left(self, r: Request) -> None:
--- a/tests/record/test_crossing.py
+++ b/tests/record/test_crossing.py
@@ -6,6 +6,7 @@
 import asyncio
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
+from dataclasses import replace
 from pathlib import Path
 from typing import Any
 
@@ -188,3 +189,32 @@
             await until(lambda: [r.note for r in read_rows(tmp_path / "r")] == [RAN_NOTE])
 
     run(main())
+
+
+@pytest.mark.parametrize("first_status", [502, 200])
+def test_a_report_that_may_have_run_stays_at_its_site_after_a_reload(
+    first_status: int, tmp_path: Path
+) -> None:
+    async def main() -> None:
+        async with recorded_sites(tmp_path / "r") as (s, stage):
+            stage.site_of, stage.own_site = s.west.gateway.stage.site_of, "west"
+            s.east.gateway.keyed.following = stub = StubSite(first_status, Outcome.RESET)
+            ask = {"idempotency_key": "k", "deadline_s": 1.0}
+            assert (await s.get("west", "field-report", "e-1", **ask)).status == first_status
+            (row,) = read_rows(tmp_path / "r")
+            assert [a.node for a in row.attempts] == ["site east"]
+            # The gauges of the east now belong to the west, by the table of the west's gateway.
+            settings = s.west.gateway.settings
+            west = replace(settings.sites["west"], prefixes=("w-", "e-"))
+            east = replace(settings.sites["east"], prefixes=())
+            s.west.gateway.configure(replace(settings, sites={"west": west, "east": east}))
+            s.east.gateway.keyed.following = later = StubSite(200, Outcome.OK)
+            assert (await s.get("west", "field-report", "e-1", **ask)).status == 200
+            assert len(stub.requests) == 1 and len(later.requests) == (first_status == 502)
+            assert not s.west.archive.effects
+            # A new report follows the new table.
+            assert (await s.get("west", "field-report", "e-1", idempotency_key="new")).status == 200
+            assert s.west.archive.effects == {"new": 1}
+            assert len(later.requests) == (first_status == 502)
+
+    run(main())
--- a/tests/record/test_journal.py
+++ b/tests/record/test_journal.py
@@ -10,7 +10,7 @@
 from magpiefront.record.journal import (
     Change, Get, Insert, Journal, Phase, Remove, Reply, Send, recovery_action,
 )  # fmt: skip
-from magpiefront.record.rows import Answer, Attempt, Id, Moment, Outcome, Result, Row, State
+from magpiefront.record.rows import Answer, Attempt, Id, Moment, Outcome, Result, Row, State, site_attempt
 
 S = j.US_PER_S
 ID = Id("members", "field-report", b"k1")
@@ -489,3 +489,19 @@
     assert isinstance(claim, Change) and claim.after.state is State.SENT
     (send,) = journal.changed(now_us, ID, claim.after, Result(Outcome.DONE))
     assert isinstance(send, Send)
+
+
+@pytest.mark.parametrize(
+    ("stored", "sites"),
+    [
+        (row(owner="other", until_s=0.0, attempts=site_attempt("east", 1.0)), ["site east"]),
+        (row(owner="other", until_s=0.0), []),  # written before rows named a site
+        (row(state=State.NOT_RUN, owner="other", attempts=site_attempt("east", 1.0)), ["site west"]),
+        (row(state=State.STORED, owner="other", sent=None), ["site west"]),
+    ],
+)
+def test_a_claimed_report_goes_to_the_site_where_it_may_have_run(stored: Row, sites: list[str]) -> None:
+    journal = new_journal()
+    journal.on_request(NOW, "a", row(owner="me.1", attempts=site_attempt("west", 2.0)), NOW + S)
+    (claim,) = journal.inserted(NOW, ID, Result(Outcome.CONFLICT, stored))
+    assert isinstance(claim, Change) and [a.node for a in claim.after.attempts] == sites
