Over PostgreSQL a report resolved as not-run begins a new window when it is sent again

A report that a person had resolved as `not-run` kept its old time of sending when its client sent it again.

Cause: the first time of sending is kept through all changes, by the server's clock; the state that starts anew was not left out.

test_a_report_that_is_resolved_as_not_run_begins_a_new_window_when_it_is_sent failed before (100 s old).

--- a/magpiefront/record/postgres.py
+++ b/magpiefront/record/postgres.py
@@ -77,10 +77,13 @@
         FIRST_SEND_TIME if c == "sent_s" else f"${n}::{COLUMN_TYPES[c]}" for n, c in enumerate(COLUMNS, 1)
     ),
 )
+# A report that a person has stated not to have run begins a retry window of its own when it is sent again.
+NEWLY_SENT = f"state = '{State.NOT_RUN.value}' AND $6::text = '{State.SENT.value}'"
 FIRST_MUTABLE_COLUMN = COLUMNS.index("state")
 UPDATE = "UPDATE reports SET {} WHERE {} AND state = $4::text AND owner = $5::text".format(
     ", ".join(
-        f"sent_s = CASE WHEN ${n}::float8 IS NULL THEN NULL ELSE coalesce(sent_s, {SERVER_TIME}) END"
+        f"sent_s = CASE WHEN ${n}::float8 IS NULL THEN NULL WHEN {NEWLY_SENT} THEN {SERVER_TIME} "
+        f"ELSE coalesce(sent_s, {SERVER_TIME}) END"
         if c == "sent_s"
         else f"{c} = ${n}::{COLUMN_TYPES[c]}"
         for n, c in enumerate(COLUMNS[FIRST_MUTABLE_COLUMN:], 6)
--- a/tests/record/test_postgres.py
+++ b/tests/record/test_postgres.py
@@ -381,3 +381,21 @@
         server.stop()
 
     run(main())
+
+
+def test_a_report_that_is_resolved_as_not_run_begins_a_new_window_when_it_is_sent() -> None:
+    async def main() -> None:
+        async with open_store() as (server, store):
+            sent = numbered_row(1)
+            unknown = replace(sent, state=State.UNKNOWN)
+            not_run = replace(sent, state=State.NOT_RUN)
+            await call(store, store.insert, sent)
+            await call(store, store.change, sent, unknown)
+            await call(store, store.change, unknown, not_run)
+            server.clock_offset_s = 100.0
+            assert (await call(store, store.change, not_run, sent)).outcome is Outcome.DONE
+            found = (await call(store, store.get, sent.id)).row
+            assert found is not None and found.sent is not None and found.state is State.SENT
+            assert store.up_us() / 1e6 - found.sent.up_s < 10
+
+    run(main())
