A connection tells of a lost answer only if the answer's head had come

An attempt that ended while its connection was made has dropped its request by the time that the connection may be closed. Nothing of an answer can have come then, so the connection need not tell it. Found by reading; no case in which the call came too late was forced.

--- a/magpiefront/net/exchange.py
+++ b/magpiefront/net/exchange.py
@@ -121,8 +121,8 @@
         """Called when the last byte of the message has been handed to the kernel."""
 
     def answer_lost(self, status: int) -> None:
-        """Called when the connection is closed before the answer is complete. `status` is that of its head,
-        0 if none has been read."""
+        """Called when the connection is closed after the head of the answer and before its end. `status` is
+        that of the head."""
 
     def expire(self) -> None:
         """Called when the time for the exchange is over. Ends it as TIMEOUT, or as MOOT if its message has
--- a/magpiefront/net/node_connection.py
+++ b/magpiefront/net/node_connection.py
@@ -131,7 +131,7 @@
             self.exchange = None
 
     def close(self) -> None:
-        if self.exchange is not None:
+        if self.exchange is not None and self.answer.status:
             self.exchange.answer_lost(self.answer.status)
         self.lifecycle.close()
         self.transport.abort()
