A node taken out by hand stays out after an upgrade that turns maintenance on

Cause: which nodes are out by an operator's command was known to the maintenance service alone, and neither the hand-over nor a command passed on by the other process told it. The service then put the node back with all that its plans don't have out.

The proxy keeps these nodes, the hand-over tells them, and a command from the other process takes the way of one from the admin address.

--- a/magpiefront/maintenance/service.py
+++ b/magpiefront/maintenance/service.py
@@ -95,7 +95,6 @@
         self.excluded: set[str] = set()  # nodes that are excluded for maintenance
         # Those of them that discovery lists at an address that was saved for another node.
         self.misplaced: set[str] = set()
-        self.excluded_by_hand: set[str] = set()  # nodes that an operator has excluded at this proxy
         # Sum and number of the samples of the requests in progress, since the last report.
         self.load_sum = self.samples = 0.0
         self.read_epoch = 0  # the member epoch in which a read is in progress; 0: none is
@@ -179,17 +178,19 @@
         """Returns the listed address of each node."""
         return {name: node.host_header for name, node in self.proxy.pool.nodes.items()}
 
-    def set_excluded(self, server: str, exclude: bool) -> bool:
+    @property
+    def excluded_by_hand(self) -> set[str]:
+        """The nodes that an operator has excluded at this proxy, in this process or in one before it."""
+        return self.proxy.excluded_by_operator
+
+    def set_excluded(self, server: str, out: bool, known: bool = False) -> bool:
         """Excludes or includes a node for an operator, and returns whether this was accepted. A node under
         maintenance stays excluded even if the operator includes it. A node that an operator has excluded
         stays excluded after the maintenance."""
-        if not exclude and server in self.excluded:
+        if not out and server in self.excluded:
             self.excluded_by_hand.discard(server)
             return True
-        done = self.proxy.set_excluded(server, exclude)
-        if done:
-            (self.excluded_by_hand.add if exclude else self.excluded_by_hand.discard)(server)
-        return done
+        return self.proxy.override(server, out, known)
 
     def _update_exclusions(self, epoch: int, now_us: int) -> None:
         state, view = self.replica.state, self.view
--- a/magpiefront/net/admin_commands.py
+++ b/magpiefront/net/admin_commands.py
@@ -3,11 +3,19 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from typing import Protocol
 
 from magpiefront.net.front import Front
 from magpiefront.net.proxy import Proxy
 
 
+class Override(Protocol):
+    """Disables (`out`) or enables a cache node at an operator's command; False if there is no node with that
+    id. `known`: another process of this proxy knows the node, even if this one does not."""
+
+    def __call__(self, server: str, out: bool, known: bool = False) -> bool: ...
+
+
 class AdminCommands:
     """The command handler of a proxy, see `CommandHandler` in `net/admin.py`."""
 
@@ -15,8 +23,7 @@
         self.proxy, self.front = proxy, front
         self.extra_metrics: Callable[[], str] = str  # the metric lines of optional stages
         self.memory_metrics: Callable[[], str] = str  # the metric lines of the process's memory
-        # Disables or enables a cache node; False if there is no node with that id.
-        self.apply_override: Callable[[str, bool], bool] = proxy.set_excluded
+        self.apply_override: Override = proxy.override
         # Called with a node's id and whether it is disabled, after each command that was carried out.
         self.on_override: Callable[[str, bool], None] = lambda server, out: None
 
@@ -48,3 +55,7 @@
         if done:
             self.on_override(server, out)
         return done
+
+    def repeat_override(self, server: str, out: bool) -> None:
+        """Carries out a command that the other process of this proxy has carried out."""
+        self.apply_override(server, out, True)
--- a/magpiefront/net/proxy.py
+++ b/magpiefront/net/proxy.py
@@ -85,6 +85,7 @@
         self.on_new_id: Callable[[bytes, int], None] = lambda name, known_us: None
         self.classes = classes_by_name(config)
         self.metrics = Metrics(self.classes)
+        self.excluded_by_operator: set[str] = set()  # nodes that an operator has excluded and not included
         self.operator_command_accepted = False  # whether the Router accepted the operator's latest command
         self.streams: dict[Attempt, None] = {}  # attempts whose long answers are being passed on
         self.node_descriptors = max(16, int((config.sockets - 32) * 0.4))  # that clients may not use
@@ -552,10 +553,9 @@
         self.dispatch(ProbeEnded(probe.node.name, outcome, self.now_us() - probe.sent_at, report))
 
     def set_excluded(self, server: str, out: bool, known: bool = False) -> bool:
-        """Excludes a node (`out`) or includes it again, at an operator's command. Returns whether the Router
-        accepted. `known`: another process of this proxy knows the node, even if this one does not. Must not
-        be called while an action is carried out: `dispatch` would queue the event and return without the
-        Router's result."""
+        """Excludes a node (`out`) or includes it again. Returns whether the Router accepted. `known`: another
+        process of this proxy knows the node, even if this one does not. Must not be called while an action is
+        carried out: `dispatch` would queue the event and return without the Router's result."""
         self.dispatch(Exclude(server, known) if out else Include(server))
         node = self.pool.nodes.get(server)
         if self.operator_command_accepted and node is not None:
@@ -564,6 +564,14 @@
                 node.close_idle()  # the node is about to be restarted
         return self.operator_command_accepted
 
+    def override(self, server: str, out: bool, known: bool = False) -> bool:
+        """Excludes or includes a node at an operator's command, and keeps that it was an operator's. The rest
+        is as with `set_excluded`."""
+        done = self.set_excluded(server, out, known)
+        if done:
+            (self.excluded_by_operator.add if out else self.excluded_by_operator.discard)(server)
+        return done
+
     def stop_sending(self, names: Sequence[str]) -> None:
         """Sends nothing new to these nodes from now on."""
         for name in names:
--- a/magpiefront/upgrade/new_process.py
+++ b/magpiefront/upgrade/new_process.py
@@ -128,7 +128,7 @@
     operators' commands given to it."""
 
     def __init__(self, client: HandoverClient, proxy: Proxy, front: Front, commands: AdminCommands) -> None:
-        self.proxy, self.front = proxy, front
+        self.proxy, self.front, self.commands = proxy, front, commands
         self.max_node_connections, self.max_clients = proxy.pool.max_connections, front.max_clients
         assert client.socket is not None
         self.channel = Channel(proxy.loop, client.socket, self._on_message, self._on_end)
@@ -152,7 +152,7 @@
                 self.proxy.pool.max_connections = max(8, self.max_node_connections - nodes)
                 self.front.max_clients = max(8, self.max_clients - clients)
             case {"t": "ban", "id": str(server), "out": bool(out)}:
-                self.proxy.set_excluded(server, out, known=True)
+                self.commands.repeat_override(server, out)
             case {"t": "ids", "ids": list(ids)}:
                 state.remember_ids(self.proxy, ids)
         wire.close_descriptors(descriptors)
--- a/magpiefront/upgrade/old_process.py
+++ b/magpiefront/upgrade/old_process.py
@@ -125,7 +125,7 @@
             case {"t": "take"} if channel is self.channel:
                 self._do(self.protocol.handle(Take()))
             case {"t": "ban", "id": str(server), "out": bool(out)} if channel is self.channel:
-                self.proxy.set_excluded(server, out, known=True)
+                self.commands.repeat_override(server, out)
             case {"t": "ids", "ids": list(ids)} if channel is self.channel:
                 state.remember_ids(self.proxy, ids)
             case _:
--- a/magpiefront/upgrade/state.py
+++ b/magpiefront/upgrade/state.py
@@ -23,6 +23,7 @@
     server_list: Any = None  # in discovery's format
     view: Any = None  # the Router's state, see `magpiefront.router_state`
     ids: Any = None  # of requests that may have run, see `known_ids`
+    overrides: Any = None  # the nodes that an operator has excluded
 
 
 def encode(proxy: Proxy, discovery: Discovery) -> Iterator[str]:
@@ -32,6 +33,7 @@
         "discovery": list(discovery.address), "list": discovery.listing.snapshot(),
         "view": router_state.export_state(proxy.router, proxy.now_us()),
         "ids": [list(known) for known in proxy.known_ids()],
+        "overrides": sorted(proxy.excluded_by_operator),
     })  # fmt: skip
 
 
@@ -43,7 +45,7 @@
         return HandoverState()
     if not isinstance(fields, dict):
         return HandoverState()
-    return HandoverState(fields.get("discovery"), fields.get("list"), fields.get("view"), fields.get("ids"))
+    return HandoverState(*(fields.get(name) for name in ("discovery", "list", "view", "ids", "overrides")))
 
 
 def initial_list(state: HandoverState, discovery: tuple[str, int], configured: Any) -> Any:
@@ -76,3 +78,8 @@
         router_state.import_state(proxy.router, state.view, proxy.now_us())
     except router_state.InvalidState:
         proxy.log("upgrade: the state of the previous process can't be read; starting without it")
+        return
+    # An older process does not say which of the excluded nodes an operator has excluded: all stay out until
+    # an operator includes them.
+    overrides = state.overrides if isinstance(state.overrides, list) else proxy.router.excluded
+    proxy.excluded_by_operator |= {name for name in overrides if name in proxy.router.excluded}
--- a/tests/upgrade/test_state.py
+++ b/tests/upgrade/test_state.py
@@ -14,6 +14,7 @@
 
 from magpiefront.net.admin_commands import AdminCommands
 from magpiefront.upgrade import channel as wire
+from magpiefront.upgrade import state
 from magpiefront.upgrade.handover import VERSION
 from magpiefront.upgrade.json_chunks import ITEMS_PER_CHUNK, json_chunks
 from magpiefront.upgrade.old_process import HandoverServer
@@ -98,3 +99,24 @@
             assert w.discovery.listing.snapshot()["generation"] == -1
 
     run(main())
+
+
+@pytest.mark.parametrize("is_older", [False, True])
+def test_a_node_that_an_operator_has_excluded_stays_known_as_such_after_an_upgrade(is_older: bool) -> None:
+    """An older process does not tell which of the excluded nodes are an operator's."""
+
+    async def main() -> None:
+        async with running_proxy(None, None) as old, running_proxy(None, None) as new:
+            assert old.proxy.override("s-0", True)
+            assert old.proxy.set_excluded("s-1", True)  # for maintenance
+            fields = json.loads("".join(state.encode(old.proxy, old.discovery)))
+            if is_older:
+                del fields["overrides"]
+            state.restore(state.decode(json.dumps(fields)), new.proxy)
+            assert new.proxy.router.excluded == {"s-0", "s-1"}
+            assert new.proxy.excluded_by_operator == ({"s-0", "s-1"} if is_older else {"s-0"})
+            # A command that the other process passes on.
+            AdminCommands(new.proxy, new.front).repeat_override("s-0", False)
+            assert "s-0" not in new.proxy.excluded_by_operator | new.proxy.router.excluded
+
+    run(main())
