--- a/tests/record/sockets.py
+++ b/tests/record/sockets.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, replace
 from pathlib import Path
@@ -22,6 +22,7 @@
 from magpiefront.record.sqlite import SqliteStore, open_file, rows
 from magpiefront.record.rows import boot_id
 from magpiefront.record.stage import RecordStage
+from magpiefront.takeover.store import GroupStore
 from standins.pgserver import PgServer
 from tests.sockets import PROXY_SETTINGS, Answer, Client, Handler, Node
 
@@ -95,11 +96,12 @@
     node: Node | None = None,
     pg: PgServer | None = None,
     nodes: int = 1,
+    group_store: Callable[[Proxy], GroupStore] | None = None,
     **record_settings: Any,
 ) -> AsyncIterator[RecordingProxy]:
-    """Starts a proxy with an SQLite store at `path`, or with a PostgreSQL store on `pg`, and with a new node
-    unless one is given. With `nodes` there are as many, with one handler and one list of requests.
-    `record_settings` are further fields of `RecordSettings`."""
+    """Starts a proxy with an SQLite store at `path`, a PostgreSQL store on `pg` or the store of a group, and
+    with a new node unless one is given. With `nodes` there are as many, with one handler and one list of
+    requests. `record_settings` are further fields of `RecordSettings`."""
     loop = asyncio.get_running_loop()
     owns_node = node is None
     node = node or Node("s", handler)
@@ -126,8 +128,11 @@
     proxy = Proxy(read, loop)
     proxy.attempt_type = GuardedAttempt
     settings = replace(RecordSettings(SqliteSettings(path)), **record_settings)
-    store: SqliteStore | PostgresStore
-    if pg is None:
+    store: SqliteStore | PostgresStore | GroupStore
+    if group_store is not None:
+        store = group_store(proxy)
+        store.start()
+    elif pg is None:
         store = SqliteStore(proxy, SqliteSettings(path), settings.most_waiting)
         store.start()
     else:
@@ -150,6 +155,8 @@
         if isinstance(store, PostgresStore):
             store.stop()
             await asyncio.gather(*store.workers, return_exceptions=True)
+        elif isinstance(store, GroupStore):
+            store.stop()
         else:
             await asyncio.to_thread(store.stop)
         for other in more_nodes:
--- a/tests/record/test_broken_answers.py
+++ b/tests/record/test_broken_answers.py
@@ -5,18 +5,23 @@
 import asyncio
 from dataclasses import replace
 from pathlib import Path
+from typing import Any
 
 
 import pytest
 
 from magpiefront.net.http1 import MAX_BUFFERED_BYTES
+from magpiefront.net.proxy import Proxy
 from magpiefront.record.commands import find_faults
 from magpiefront.record.journal import RAN_NOTE, Change, Reply, row_after_window
 from magpiefront.record.node_answer import BrokenAnswer, OversizedAnswer
-from magpiefront.record.rows import Result, State
+from magpiefront.record.rows import Result, State, boot_id
+from magpiefront.record.settings import GroupStoreSettings
+from magpiefront.takeover.store import GroupStore
 from standins.early_ends import EARLY_ENDS, EarlyEnd, body_for, write_early_end
 from tests.record.sockets import RecordingProxy, recording_proxy
 from tests.record.test_journal import ID, NOW, S, journal_at, row
+from tests.takeover.test_store import SingleMemberGroup
 from tests.sockets import Answer, Handler, ReceivedRequest, ok, reply, run, until
 
 
@@ -92,12 +97,17 @@
     return first, await proxy.ask(key, deadline_s="3")
 
 
-async def play(path: Path, early_ends: dict[str, EarlyEnd], attempts: int) -> list[str]:
+def group_store(proxy: Proxy) -> GroupStore:
+    """A store that a group of one member replicates."""
+    return GroupStore(proxy, SingleMemberGroup(), GroupStoreSettings(), boot_id())
+
+
+async def play(path: Path, early_ends: dict[str, EarlyEnd], attempts: int, **options: Any) -> list[str]:
     """Plays two tries of each report against a new proxy. Returns the reports that were not answered as they
     have to be: the first try whole if there are attempts left for it, and never wrong; the second whole."""
     runs: dict[str, int] = {}
     wrong: list[str] = []
-    async with recording_proxy(path, ends_early(early_ends, runs), attempts, nodes=4) as proxy:
+    async with recording_proxy(path, ends_early(early_ends, runs), attempts, nodes=4, **options) as proxy:
         tries = await asyncio.gather(*(first_and_second(proxy, key) for key in early_ends))
     for (key, early_end), (first, second) in zip(early_ends.items(), tries, strict=True):
         body = body_for(key, early_end.size)
@@ -108,16 +118,18 @@
     return wrong + [f"{key} ran {count} times" for key, count in runs.items() if count != 1]
 
 
-@pytest.mark.parametrize("attempts", [1, 3])
+@pytest.mark.parametrize(
+    ("attempts", "options"), [(1, {}), (3, {}), (3, {"group_store": group_store})], ids=["1", "3", "group"]
+)
 def test_a_report_whose_answer_ended_early_is_tried_again_and_served_whole(
-    attempts: int, tmp_path: Path
+    attempts: int, options: dict[str, Any], tmp_path: Path
 ) -> None:
     async def main() -> None:
         keyed = [(f"k{n}", early_end) for n, early_end in enumerate(EARLY_ENDS)]
         # A few reports for each proxy, so that its retry budget suffices for all of them.
         batches = [dict(keyed[n : n + 6]) for n in range(0, len(keyed), 6)]
         found = await asyncio.gather(
-            *(play(tmp_path / f"r{n}.sqlite", batch, attempts) for n, batch in enumerate(batches))
+            *(play(tmp_path / f"r{n}.sqlite", batch, attempts, **options) for n, batch in enumerate(batches))
         )
         assert not [line for lines in found for line in lines]
 
