A repeat of a report in hand joins it during a hand-over instead of hearing 503

While the old process of an upgrade waited for its reports in hand, a repeat of one of them was refused with 503 "nothing was done", which is not true of that report: its client might send it under another key.

A repeat joins its report again; only others are refused.

test_a_repeat_during_a_handover_joins_its_report_and_a_new_report_is_refused failed before (503).

--- a/magpiefront/record/stage.py
+++ b/magpiefront/record/stage.py
@@ -134,8 +134,8 @@
                 r, journal.plain_answer(413, f"a report holds {self.settings.most_body} bytes at most")
             )
             return
-        if not self.accepts_reports:
-            self._refuse(r)
+        if not self.accepts_reports and self._id_of(r, cls) not in self.journal.entries:
+            self._refuse(r)  # a repeat of a report in hand joins it: that nothing was done would not be true
             return
         if self.ownership.owner_prefix() is None and self.up_us() < self.ownership_expected_us:
             if not self.early_requests:
@@ -175,17 +175,19 @@
         if self.early_requests:
             self.runtime.loop.call_later(OWNERSHIP_POLL_S, self._retry_early)
 
-    def _new_row(self, r: Request, cls: RequestClass, age_us: int, site: str) -> Row:
+    def _id_of(self, r: Request, cls: RequestClass) -> Id:
         headers = r.headers
-        id = Id(headers.get(b"req-owner", b"").decode("latin-1"), cls.name, headers[b"idempotency-key"])
+        return Id(headers.get(b"req-owner", b"").decode("latin-1"), cls.name, headers[b"idempotency-key"])
+
+    def _new_row(self, r: Request, cls: RequestClass, age_us: int, site: str) -> Row:
         fields = getattr(r, "fields", None)
         field_lines = r.extra_fields if fields is None else format_fields(
             f for f in fields if f[0].lower() not in UNSTORED_FIELD_NAMES
         )  # fmt: skip
         up_us, wall_s, age_s = self.up_us(), self.wall(), age_us / 1e6
         return Row(
-            id, digest_of(r), r.method, r.target, field_lines, b"".join(r.body), State.SENT, wall_s,
-            Moment(wall_s - age_s, self.boot, up_us / 1e6 - age_s), self._new_owner(), cls.window_us / 1e6,
+            self._id_of(r, cls), digest_of(r), r.method, r.target, field_lines, b"".join(r.body),
+            State.SENT, wall_s, Moment(wall_s - age_s, self.boot, up_us / 1e6 - age_s), self._new_owner(), cls.window_us / 1e6,
             age_s + (r.time_left + self.settings.settle_us) / 1e6, attempts=site_attempt(site, wall_s),
         )  # fmt: skip
 
--- a/tests/record/test_stage.py
+++ b/tests/record/test_stage.py
@@ -483,3 +483,20 @@
             proxy.stage.stop()
 
     run(main())
+
+
+def test_a_repeat_during_a_handover_joins_its_report_and_a_new_report_is_refused(tmp_path: Path) -> None:
+    gate = asyncio.Event()
+
+    async def main() -> None:
+        async with recording_proxy(tmp_path / "r.sqlite", gated(gate, ok(b"held"))) as proxy:
+            first = asyncio.ensure_future(proxy.ask())
+            await until(lambda: bool(proxy.node.seen))
+            proxy.stage.accepts_reports = False
+            repeat = asyncio.ensure_future(proxy.ask())
+            assert (await proxy.ask("k2")).status == 503
+            await until(lambda: len(proxy.stage.clients) == 2 or repeat.done())
+            gate.set()
+            assert (await first).body == (await repeat).body == b"held" and len(proxy.node.seen) == 1
+
+    run(main())
