A store's identity costs a crossing request no read of a file but one look at its inode

Since the store is compared with each request that crosses, SqliteStore.identity read the machine's boot id from a file with each, twice: at the head and again when the request was complete. The boot id is read once, as the store is made, and the stage is chosen once, when the request is complete. Found on rereading; the cost was not measured.

--- a/magpiefront/gateway/inbound.py
+++ b/magpiefront/gateway/inbound.py
@@ -40,7 +40,7 @@
         self.connection, self.stream, self.head, self.credit = connection, stream, head, credit
         self.request = Request(self)
         self.request.execution = ExecutionTracker()
-        self.stage: CrossSiteStage = connection.stage  # that it is passed to
+        self.stage = connection.listener.stage  # that it is passed to, once it is complete
         self.size = 0
         self.started = self.done = self.streaming = False
 
--- a/magpiefront/net/execution.py
+++ b/magpiefront/net/execution.py
@@ -40,7 +40,7 @@
         # A server has begun to answer it with success: it has run, whatever became of the answer.
         self.has_run = False
         self.may_have_run_elsewhere = False  # it may have run where this process can't see it
-        # The only site that it may be sent to, since it may have run there before; empty: any site.
+        # The only site that it may be sent to, since it may have run there; empty: any site.
         self.site = ""
         self.first_sent_us = 0  # µs of the host's clock: when it may have been sent before; 0: never
         # Its answer is not final, since another process is running it. It is to be sent again for the final
--- a/magpiefront/record/sqlite.py
+++ b/magpiefront/record/sqlite.py
@@ -173,6 +173,7 @@
 
     def __init__(self, runtime: Runtime, settings: SqliteSettings, most_waiting: int = 1_000) -> None:
         self.runtime, self.settings, self.most_waiting = runtime, settings, most_waiting
+        self.boot = boot_id()
         self.jobs: deque[Job] = deque()
         self.job_added = threading.Condition()
         self.stopping = False
@@ -223,7 +224,7 @@
             file_status = self.settings.path.stat()
         except OSError:
             return ""
-        return f"sqlite {boot_id()} {file_status.st_dev} {file_status.st_ino}"
+        return f"sqlite {self.boot} {file_status.st_dev} {file_status.st_ino}"
 
     @property
     def wait_us(self) -> int:
--- a/magpiefront/record/stage.py
+++ b/magpiefront/record/stage.py
@@ -187,7 +187,8 @@
         up_us, wall_s, age_s = self.up_us(), self.wall(), age_us / 1e6
         return Row(
             self._id_of(r, cls), digest_of(r), r.method, r.target, field_lines, b"".join(r.body),
-            State.SENT, wall_s, Moment(wall_s - age_s, self.boot, up_us / 1e6 - age_s), self._new_owner(), cls.window_us / 1e6,
+            State.SENT, wall_s, Moment(wall_s - age_s, self.boot, up_us / 1e6 - age_s),
+            self._new_owner(), cls.window_us / 1e6,
             age_s + (r.time_left + self.settings.settle_us) / 1e6, attempts=site_attempt(site, wall_s),
         )  # fmt: skip
 
