--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,86 +1,68 @@
-"""The cache nodes of each zone drop repeats for their zone only. A zone is lost right after one of its nodes
-has let a stored report have its effect. The report may be sent again to that zone, and to no other."""
+"""A store of record holds a report with the answer 201 of a server that speaks plain HTTP. After a planned
+restart with an operator's file that has no cache any more, a repeat under its key is owed that answer."""
 
 from __future__ import annotations
 
 import asyncio
+import signal
 import sys
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "standins-2"))
 import rig as r
 
-ZONES = ("ulaanbaatar", "zuunmod")
-WINDOW_S = 5.0
-OPERATOR = """
+WITHOUT_CACHE = """
 [site]
 name = "west"
 [record]
 [record.sqlite]
 path = "record.sqlite"
 """
-
-
-class ZonedNode(r.Node):
-    """A cache node of a zone."""
-
-    def __init__(self, name: str, zone: str, reply: r.Reply) -> None:
-        super().__init__(name, reply)
-        self.zone = zone
-
-    def entry(self) -> dict[str, object]:
-        return {**super().entry(), "zone": self.zone}
+WITH_CACHE = (
+    WITHOUT_CACHE
+    + """
+[caching]
+classes = ["level-read"]
+plain_servers = true
+"""
+)
 
 
 async def run(rig: r.Rig) -> None:
-    # When each zone has begun each key last, and every effect of each key: its time and node.
-    begun: dict[tuple[str, str], float] = {}
-    effects: dict[str, list[tuple[float, str]]] = {}
-    lost: list[str] = []
-
     async def reply(node: r.Node, message: r.Message) -> bytes | None:
-        assert isinstance(node, ZonedNode)
-        key, now = message.fields.get("idempotency-key", ""), message.at
-        place = f"{node.name} in {node.zone}"
-        last = begun.get((node.zone, key))
-        if last is not None and now < last + WINDOW_S:
-            rig.note(f"{place} has a repeat of {key}, dropped")
-        else:
-            begun[node.zone, key] = now
-            effects.setdefault(key, []).append((now, place))
-            rig.note(f"{place} has {message.start} of {key}: it has its effect")
-        if r.TROUBLE and key == "k1" and not lost:
-            lost.append(node.zone)
-            for other in nodes:
-                if other.zone == node.zone:
-                    other.close()
-            rig.note(f"the zone {node.zone} is lost: its connections are reset, new ones are refused")
-            return None
-        await asyncio.sleep(0.03)
-        return r.answer(200, b"noted")
+        rig.note(f"{node.name} has {message.start} key={message.fields.get('idempotency-key')}")
+        if message.start.startswith("PUT"):
+            return r.answer(201, b"report 7 is held", "Content-Type: text/plain\r\n")
+        return r.answer(200, b"level 3")
 
-    nodes = [ZonedNode(f"box-{n}", ZONES[n % 2], reply) for n in range(4)]
-    agent = r.Agent(nodes)  # type: ignore[arg-type]
+    nodes = [r.Node(f"box-{n}", reply) for n in range(3)]
+    agent = r.Agent(nodes)
     await rig.add(*nodes, agent)
-    grades = r.settings()["grades"]
-    grades[1]["group"] = "zone"
-    proxy = r.Proxy(rig, "west", agent, OPERATOR, grades=grades, zones=list(ZONES))
-    await proxy.start()
-    got = await r.request(proxy.port, "PUT", "/api/station-1", r.report_fields("c0", "k0"), b"level 3")
-    if got.status != 200:
-        raise r.CannotRun(f"a report before the disruption was not served: {got}")
-    got = await r.request(proxy.port, "PUT", "/api/station-2", r.report_fields("c1", "k1"), b"level 3")
-    rig.note(f"client: {got} after {got.at - got.sent_at:.3f} s; it does not ask again")
-    await asyncio.sleep(WINDOW_S + 1.0)
-    found = effects.get("k1", [])
-    if not found:
-        raise r.CannotRun("the report never reached a node")
-    if len(found) > 1:
-        (first_at, first), *_, (last_at, last) = found
-        rig.breaks(
-            f"k1 had its effect {len(found)} times: at {first} and, {last_at - first_at:.3f} s later, "
-            f"at {last}"
-        )
+    west = r.Proxy(rig, "west", agent, WITH_CACHE)
+    await west.start()
+
+    async def report(name: str) -> r.Got:
+        fields = r.report_fields(name.replace(" ", "-"), "k1")
+        got = await r.request(west.port, "PUT", "/api/station-1", fields, b"level 3", wait_s=6.0)
+        rig.note(f"client, {name}: {got} after {got.at - got.sent_at:.3f} s, Req-Deadline 3")
+        return got
+
+    first = await report("first try")
+    repeat = await report("repeat before the restart")
+    if first.status != 201 or (repeat.status, repeat.body) != (first.status, first.body):
+        raise r.CannotRun("the report was not held, or its repeat not answered, before the restart")
+    west.send(signal.SIGTERM)
+    assert west.process is not None
+    await asyncio.wait_for(west.process.wait(), 5.0)
+    if r.TROUBLE:
+        west.operator = WITHOUT_CACHE
+        rig.note("the operator's file has no [caching] any more")
+    await west.start()
+    got = await report("repeat after the restart")
+    if not got.status:
+        rig.breaks(f"a repeat of a report that is held was taken, and never answered: {got.why}")
+    elif got.status != 201 or got.body != first.body:
+        rig.breaks(f"a repeat got another answer than the one that is held: {got}")
 
 
 r.main(__file__, run)
