Review case 8: long reports over the link take a gateway over its memory limit

The accepting end of a link collects bodies that no account of memory knows of.

Change: the case, as the third of five.

--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,114 +1,113 @@
-"""A keyed report of some megabytes is sent again after a reset, to a cache node that reads slowly. The nodes
-drop repeats for 1 s; a repeat whose last byte comes later has its effect a second time."""
+"""Clients of one site send long reports for the other site, many at once. The platform kills a proxy whose
+resident memory is over `limits.memory_mb`; here the test is the platform."""
 
 from __future__ import annotations
 
 import asyncio
-import socket
+import signal
 import sys
-import time
+from collections import Counter
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "standins-2"))
 import rig as r
 
-WINDOW_S = 1.0  # `keyTtlUs` of the class, below its deadline of 3 s
-BODY = b"x" * (16 << 20)
-READ_BYTES, READ_PAUSE_S = 128 << 10, 0.015  # of a slow node: some 8 MB a second
-EFFECTS: dict[str, list[float]] = {}
-FIRST: list[
-    str
-] = []  # the nodes that have begun to read k1; the first one is fast and resets it, the others are slow
+MEMORY_MB = 64
+CLIENTS = 200
+BODY_BYTES = 900_000 if r.TROUBLE else 1_000  # `gateway.most_body` is 1 MiB by default
+SAMPLE_S = 0.02  # between two samples for the record
+CHECK_S = 0.5  # between two checks of the platform, which kills what is over its limit
 
 
-class ReportNode(r.Server):
-    """A cache node of a group that drops a repeat of a key for WINDOW_S after it was first begun."""
+def operator(own: str, other: str, listen: int, peer: int) -> str:
+    return f"""
+[site]
+name = "{own}"
+[gateway]
+listen = "127.0.0.1:{listen}"
+[gateway.sites.{own}]
+prefixes = ["{own[0]}-"]
+[gateway.sites.{other}]
+prefixes = ["{other[0]}-"]
+peers = ["127.0.0.1:{peer}"]
+[gateway.tls]
+plain = true
+"""
 
-    def __init__(self, rig: r.Rig, name: str) -> None:
-        super().__init__()
-        self.rig, self.name = rig, name
 
-    def entry(self) -> dict[str, object]:
-        return r.Node.entry(self)  # type: ignore[arg-type]
+def resident_mb(proxy: r.Proxy) -> float:
+    """The process's resident memory, as the kernel tells it; 0 if it has ended."""
+    assert proxy.process is not None
+    try:
+        for line in Path(f"/proc/{proxy.process.pid}/status").read_text().splitlines():
+            if line.startswith("VmRSS:"):
+                return int(line.split()[1]) / 1024
+    except OSError:
+        pass
+    return 0.0
 
-    lifecycle, port_told = "Ready", 0
 
-    async def start(self) -> None:
-        listener = socket.socket()
-        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 64 << 10)
-        listener.bind((r.HOST, 0))
-        listener.listen(64)
-        self.server = await asyncio.start_server(self._accepted, sock=listener, limit=64 << 10)
-        self.port = listener.getsockname()[1]
+async def run(rig: r.Rig) -> None:
+    async def reply(node: r.Node, message: r.Message) -> bytes | None:
+        await asyncio.sleep(0.03)
+        return r.answer(200, f"noted {len(message.body)}".encode())
+
+    nodes = {s: [r.Node(f"{s}-{n}", reply) for n in range(3)] for s in ("west", "east")}
+    agents = {s: r.Agent(nodes[s]) for s in nodes}
+    await rig.add(*nodes["west"], *nodes["east"], *agents.values())
+    ports = {s: r.free_port() for s in nodes}
+    west = r.Proxy(rig, "west", agents["west"], operator("west", "east", ports["west"], ports["east"]))
+    east = r.Proxy(rig, "east", agents["east"], operator("east", "west", ports["east"], ports["west"]))
+    for proxy in (west, east):
+        proxy.config["limits"]["memory_mb"] = MEMORY_MB
+    await east.start()
+    await west.start()
+    for n in range(50):  # until the link is up
+        got = await r.request(west.port, "PUT", "/api/e-0", r.report_fields(f"w{n}", f"kw{n}"), b"1")
+        if got.status == 200:
+            break
+        await asyncio.sleep(0.1)
+    else:
+        raise r.CannotRun(f"no report crosses: {got}")
+    rig.note(f"at rest: west {resident_mb(west):.1f} MB, east {resident_mb(east):.1f} MB of {MEMORY_MB}")
+
+    peaks = {west: 0.0, east: 0.0}
+    killed: dict[r.Proxy, float] = {}
 
-    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    async def sample() -> None:
         while True:
-            head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
-            start, *lines = head[:-4].split("\r\n")
-            fields = {n.lower(): v.strip() for n, _, v in (line.partition(":") for line in lines)}
-            if start.startswith("GET /health"):
-                writer.write(r.answer(200))
-                continue
-            left = int(fields.get("content-length", "0"))
-            self.rig.note(
-                f"{self.name}: the head of {start} {fields.get('req-id')} has come, {left} bytes follow"
-            )
-            key = fields.get("idempotency-key", "")
-            is_first, told_left = not FIRST, False
-            if key == "k1":
-                FIRST.append(self.name)
-            while left:
-                data = await reader.read(min(left, READ_BYTES))
-                if not data:
-                    self.rig.note(f"{self.name}: the connection has ended before the last byte: it never ran")
-                    return
-                left -= len(data)
-                first = EFFECTS.get(key)
-                if first and not told_left and time.monotonic() > first[0] + WINDOW_S:
-                    told_left = True
-                    self.rig.note(f"{self.name}: the window of {key} is over, {left} bytes are still to come")
-                if r.TROUBLE and key == "k1" and not is_first:
-                    await asyncio.sleep(READ_PAUSE_S * len(data) / READ_BYTES)
-            now = time.monotonic()
-            if key:
-                times = EFFECTS.setdefault(key, [])
-                if times and now < times[-1] + WINDOW_S:
-                    self.rig.note(f"{self.name}: the last byte has come; a repeat of {key}, dropped")
-                else:
-                    times.append(now)
-                    self.rig.note(f"{self.name}: the last byte has come; {key} has its effect")
-            if r.TROUBLE and key == "k1" and is_first:
-                self.rig.note(f"{self.name}: resets the connection")
-                writer.transport.abort()
-                return
-            writer.write(r.answer(200, f"{self.name} {fields.get('req-id')}".encode()))
-            await writer.drain()
+            for proxy in peaks:
+                peaks[proxy] = max(peaks[proxy], resident_mb(proxy))
+            await asyncio.sleep(SAMPLE_S)
 
+    async def check() -> None:
+        """The platform: kills a proxy that is over its limit."""
+        while True:
+            for proxy in (west, east):
+                now_mb = resident_mb(proxy)
+                if now_mb > MEMORY_MB and proxy not in killed:
+                    killed[proxy] = now_mb
+                    rig.note(f"{proxy.name} has {now_mb:.1f} MB resident, its limit is {MEMORY_MB} MB")
+                    proxy.send(signal.SIGKILL)
+            await asyncio.sleep(CHECK_S)
 
-async def run(rig: r.Rig) -> None:
-    nodes = [ReportNode(rig, f"box-{n}") for n in range(3)]
-    agent = r.Agent(nodes)  # type: ignore[arg-type]
-    await rig.add(*nodes, agent)
-    grades = r.settings()["grades"]
-    grades[1]["keyTtlUs"] = int(WINDOW_S * 1e6)
-    proxy = r.Proxy(rig, "proxy", agent, grades=grades)
-    await proxy.start()
-    for n in range(5):
-        got = await r.request(proxy.port, "PUT", "/api/station-1", r.report_fields(f"w{n}", f"kw{n}"), b"1")
-        rig.note(f"a report before: {got}")
-        if got.status != 200:
-            raise r.CannotRun("a report before the disruption was not served")
-    got = await r.request(proxy.port, "PUT", "/api/station-1", r.report_fields("c1", "k1"), BODY, wait_s=8.0)
-    rig.note(f"client: {got.at - got.sent_at:.3f} s after its last byte: {got}")
-    await asyncio.sleep(3.5)
-    times = EFFECTS.get("k1", [])
-    if len(times) > 1:
-        rig.breaks(
-            f"k1 had its effect {len(times)} times, {times[-1] - times[0]:.2f} s apart; "
-            f"the nodes drop repeats for {WINDOW_S} s"
-        )
-    if not times:
-        raise r.CannotRun("the report never reached a node")
+    async def ask(n: int) -> r.Got:
+        fields = r.report_fields(f"c{n}", f"k{n}")
+        return await r.request(west.port, "PUT", f"/api/e-{n}", fields, b"x" * BODY_BYTES, wait_s=5.0)
+
+    watching = [asyncio.create_task(sample()), asyncio.create_task(check())]
+    rig.note(f"{CLIENTS} clients send one report of {BODY_BYTES} bytes each")
+    got = await asyncio.gather(*(ask(n) for n in range(CLIENTS)))
+    await asyncio.sleep(0.5)
+    for task in watching:
+        task.cancel()
+    rig.note(f"answers by status (0: none): {dict(Counter(g.status for g in got))}")
+    for proxy, peak in peaks.items():
+        rig.note(f"{proxy.name}: at most {peak:.1f} MB in a sample")
+    for proxy, mb in killed.items():
+        rig.breaks(f"{proxy.name} was killed at {mb:.1f} MB resident; memory_mb is {MEMORY_MB}")
+    if not killed and not any(g.status == 200 for g in got):
+        raise r.CannotRun("no report was served")
 
 
 r.main(__file__, run)
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,10 +1,10 @@
-"""A gateway gets SIGTERM while the other site's cache nodes hang. Each request that it had taken by then, or
-takes afterwards, is owed a final answer before the platform may kill it."""
+"""A keyed report of some megabytes is sent again after a reset, to a cache node that reads slowly. The nodes
+drop repeats for 1 s; a repeat whose last byte comes later has its effect a second time."""
 
 from __future__ import annotations
 
 import asyncio
-import signal
+import socket
 import sys
 import time
 from pathlib import Path
@@ -12,90 +12,103 @@
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "standins-2"))
 import rig as r
 
-KILL_S = 3.7  # after SIGTERM: the longest deadline (3 s) and 0.7 s more
+WINDOW_S = 1.0  # `keyTtlUs` of the class, below its deadline of 3 s
+BODY = b"x" * (16 << 20)
+READ_BYTES, READ_PAUSE_S = 128 << 10, 0.015  # of a slow node: some 8 MB a second
+EFFECTS: dict[str, list[float]] = {}
+FIRST: list[
+    str
+] = []  # the nodes that have begun to read k1; the first one is fast and resets it, the others are slow
 
 
-def operator(own: str, other: str, listen: int, peer: int) -> str:
-    return f"""
-[site]
-name = "{own}"
-[gateway]
-listen = "127.0.0.1:{listen}"
-[gateway.sites.{own}]
-prefixes = ["{own[0]}-"]
-[gateway.sites.{other}]
-prefixes = ["{other[0]}-"]
-peers = ["127.0.0.1:{peer}"]
-[gateway.tls]
-plain = true
-"""
+class ReportNode(r.Server):
+    """A cache node of a group that drops a repeat of a key for WINDOW_S after it was first begun."""
 
+    def __init__(self, rig: r.Rig, name: str) -> None:
+        super().__init__()
+        self.rig, self.name = rig, name
 
-async def run(rig: r.Rig) -> None:
-    hanging = asyncio.Event()
+    def entry(self) -> dict[str, object]:
+        return r.Node.entry(self)  # type: ignore[arg-type]
 
-    async def reply(node: r.Node, message: r.Message) -> bytes | None:
-        rig.note(f"{node.name} has {message.start} Req-Id={message.fields['req-id']}")
-        if hanging.is_set():
-            await asyncio.sleep(60)
-        await asyncio.sleep(0.03)
-        return r.answer(200, f"{node.name} {message.fields['req-id']}".encode(), "Srv-Cache: hit\r\n")
+    lifecycle, port_told = "Ready", 0
 
-    nodes = {s: [r.Node(f"{s}-{n}", reply) for n in range(3)] for s in ("west", "east")}
-    agents = {s: r.Agent(nodes[s]) for s in nodes}
-    await rig.add(*nodes["west"], *nodes["east"], *agents.values())
-    ports = {s: r.free_port() for s in nodes}
-    west = r.Proxy(rig, "west", agents["west"], operator("west", "east", ports["west"], ports["east"]))
-    east = r.Proxy(rig, "east", agents["east"], operator("east", "west", ports["east"], ports["west"]))
-    await east.start()
-    await west.start()
-    for n in range(50):  # until the link is up
-        got = await r.request(west.port, "PUT", "/api/e-0", r.report_fields(f"w{n}", f"kw{n}"), b"1")
-        if got.status == 200:
-            break
-        await asyncio.sleep(0.1)
-    else:
-        raise r.CannotRun(f"no report crosses: {got}")
-    rig.note("a report has crossed to east and back")
+    async def start(self) -> None:
+        listener = socket.socket()
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 64 << 10)
+        listener.bind((r.HOST, 0))
+        listener.listen(64)
+        self.server = await asyncio.start_server(self._accepted, sock=listener, limit=64 << 10)
+        self.port = listener.getsockname()[1]
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        while True:
+            head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+            start, *lines = head[:-4].split("\r\n")
+            fields = {n.lower(): v.strip() for n, _, v in (line.partition(":") for line in lines)}
+            if start.startswith("GET /health"):
+                writer.write(r.answer(200))
+                continue
+            left = int(fields.get("content-length", "0"))
+            self.rig.note(
+                f"{self.name}: the head of {start} {fields.get('req-id')} has come, {left} bytes follow"
+            )
+            key = fields.get("idempotency-key", "")
+            is_first, told_left = not FIRST, False
+            if key == "k1":
+                FIRST.append(self.name)
+            while left:
+                data = await reader.read(min(left, READ_BYTES))
+                if not data:
+                    self.rig.note(f"{self.name}: the connection has ended before the last byte: it never ran")
+                    return
+                left -= len(data)
+                first = EFFECTS.get(key)
+                if first and not told_left and time.monotonic() > first[0] + WINDOW_S:
+                    told_left = True
+                    self.rig.note(f"{self.name}: the window of {key} is over, {left} bytes are still to come")
+                if r.TROUBLE and key == "k1" and not is_first:
+                    await asyncio.sleep(READ_PAUSE_S * len(data) / READ_BYTES)
+            now = time.monotonic()
+            if key:
+                times = EFFECTS.setdefault(key, [])
+                if times and now < times[-1] + WINDOW_S:
+                    self.rig.note(f"{self.name}: the last byte has come; a repeat of {key}, dropped")
+                else:
+                    times.append(now)
+                    self.rig.note(f"{self.name}: the last byte has come; {key} has its effect")
+            if r.TROUBLE and key == "k1" and is_first:
+                self.rig.note(f"{self.name}: resets the connection")
+                writer.transport.abort()
+                return
+            writer.write(r.answer(200, f"{self.name} {fields.get('req-id')}".encode()))
+            await writer.drain()
 
-    async def ask(name: str, method: str, target: str, fields: dict[str, str], pause_s: float) -> None:
-        """A client that has connected 0.2 s after SIGTERM and writes its head slowly."""
-        await asyncio.sleep(0.2)
-        rig.note(
-            f"client {name}: connects, writes {method} {target} slowly, Req-Deadline {fields['Req-Deadline']}"
-        )
-        got = await r.request(west.port, method, target, fields, b"level 3" if method == "PUT" else b"",
-                              wait_s=6.0, pause_s=pause_s)  # fmt: skip
-        deadline_s = float(fields["Req-Deadline"])
-        after_s = got.at - got.sent_at
-        rig.note(f"client {name}: last byte sent {got.sent_at - began:.3f} s after the start, then after "
-                 f"{after_s:.3f} s: {got}")  # fmt: skip
-        if not got.connected or not got.sent_at:
-            rig.note(f"client {name}: its request was not taken")
-        elif not got.status:
-            rig.breaks(f"{name}: taken, and never answered ({got.why} {after_s:.2f} s after its last byte)")
-        elif after_s > deadline_s + 0.55:
-            rig.breaks(f"{name}: answered {after_s:.2f} s after its last byte, with {deadline_s} s to answer")
 
-    if r.TROUBLE:
-        hanging.set()
-        rig.note("from now on the cache nodes of both sites hang")
-    began = time.monotonic()
-    if r.TROUBLE:
-        west.send(signal.SIGTERM)
-    clients = asyncio.gather(
-        ask("report for east", "PUT", "/api/e-1", r.report_fields("c1", "k1"), 1.0),
-        ask("read for east", "GET", "/api/e-2", r.read_fields("c2"), 1.65),
-        ask("report for west", "PUT", "/api/w-1", r.report_fields("c3", "k3"), 1.0),
-    )
-    while west.running and time.monotonic() < began + KILL_S + 1.0:
-        await asyncio.sleep(0.01)
-    if west.running:
-        if r.TROUBLE:
-            west.send(signal.SIGKILL)
-    else:
-        rig.note(f"west has ended {time.monotonic() - began:.3f} s after SIGTERM")
-    await clients
+async def run(rig: r.Rig) -> None:
+    nodes = [ReportNode(rig, f"box-{n}") for n in range(3)]
+    agent = r.Agent(nodes)  # type: ignore[arg-type]
+    await rig.add(*nodes, agent)
+    grades = r.settings()["grades"]
+    grades[1]["keyTtlUs"] = int(WINDOW_S * 1e6)
+    proxy = r.Proxy(rig, "proxy", agent, grades=grades)
+    await proxy.start()
+    for n in range(5):
+        got = await r.request(proxy.port, "PUT", "/api/station-1", r.report_fields(f"w{n}", f"kw{n}"), b"1")
+        rig.note(f"a report before: {got}")
+        if got.status != 200:
+            raise r.CannotRun("a report before the disruption was not served")
+    got = await r.request(proxy.port, "PUT", "/api/station-1", r.report_fields("c1", "k1"), BODY, wait_s=8.0)
+    rig.note(f"client: {got.at - got.sent_at:.3f} s after its last byte: {got}")
+    await asyncio.sleep(3.5)
+    times = EFFECTS.get("k1", [])
+    if len(times) > 1:
+        rig.breaks(
+            f"k1 had its effect {len(times)} times, {times[-1] - times[0]:.2f} s apart; "
+            f"the nodes drop repeats for {WINDOW_S} s"
+        )
+    if not times:
+        raise r.CannotRun("the report never reached a node")
 
 
 r.main(__file__, run)
