--- a/magpiefront/interface.py
+++ b/magpiefront/interface.py
@@ -308,14 +308,14 @@
 
 @dataclass(slots=True)
 class Send:
-    """Send an attempt of a request. The attempt expires at `expire_at_us` and must not begin after
-    `begin_by_us` (0: no such limit): establishing its connection may take so long that the window in which
-    servers drop repeats ends."""
+    """Send an attempt of a request. The attempt expires at `expire_at_us`. If `not_after_us` is not 0, the
+    last byte of this attempt, and of the request's other attempts that are still in flight, must arrive
+    before then: the window in which servers drop repeats ends."""
 
     request: str
     server: str
     expire_at_us: int
-    begin_by_us: int = 0
+    not_after_us: int = 0
 
 
 @dataclass(slots=True)
--- a/magpiefront/net/exchange.py
+++ b/magpiefront/net/exchange.py
@@ -27,6 +27,7 @@
     last_data_at: float  # event loop time at which more of the answer was last read
 
     def give_up(self, exchange: Exchange) -> None: ...
+    def has_arrived(self) -> bool: ...
     def detach_exchange(self) -> None: ...
     def pause(self) -> None: ...
     def resume(self) -> None: ...
@@ -131,19 +132,21 @@
 
 
 class Attempt(Exchange):
-    """An attempt to get a request answered by a node. It expires at `expire_at` and must not begin after
-    `begin_by`, both in microseconds of the host's clock. `number` is its index among the request's attempts.
+    """An attempt to get a request answered by a node. It expires at `expire_at`, and its last byte must
+    arrive at the node by `not_after`, both in microseconds of the host's clock. `number` is its index among
+    the request's attempts.
     """
 
-    __slots__ = ("begin_by", "expire_at", "host", "lag_s_before", "late_check_done", "number", "request",
-                 "streaming")  # fmt: skip
+    __slots__ = ("arrival_timer", "expire_at", "host", "lag_s_before", "late_check_done", "not_after",
+                 "number", "request", "streaming")  # fmt: skip
 
     def __init__(
         self, host: ExchangeHost, request: Request, number: int, node: ExchangeNode, now: int, expire_at: int
     ) -> None:
         super().__init__(node, now)
         self.host, self.request, self.number, self.expire_at = host, request, number, expire_at
-        self.begin_by = expire_at
+        self.not_after = expire_at
+        self.arrival_timer: asyncio.TimerHandle | None = None  # checks at `not_after` what has arrived
         self.streaming = False
         self.lag_s_before = 0.0  # how long the event loop had been late in total when it was created
         self.late_check_done = False  # whether its expiry was postponed once to read what had arrived
@@ -152,7 +155,7 @@
         """False if the node began to drain while the connection was being made, if the window for repeats is
         over, or if the request is answered or its client has gone."""
         request = self.request
-        if request.answered or self.node.unavailable or self.host.now_us() > self.begin_by:
+        if request.answered or self.node.unavailable or self.host.now_us() > self.not_after:
             return False
         return request.client_gone is None or not request.client_gone()
 
@@ -166,6 +169,24 @@
         )  # fmt: skip
         return [head, *request.body]
 
+    def arrive_by(self, at_us: int) -> None:
+        """Gives the attempt up at `at_us` if its last byte has not arrived at the node's machine: the nodes
+        drop repeats of the request only until then."""
+        if self.done or (self.arrival_timer is not None and at_us >= self.not_after):
+            return
+        self.not_after = min(self.not_after, at_us)
+        if self.arrival_timer is not None:
+            self.arrival_timer.cancel()
+        left_us = max(0, at_us - self.host.now_us())
+        self.arrival_timer = asyncio.get_running_loop().call_later(left_us / 1e6, self._check_arrival)
+
+    def _check_arrival(self) -> None:
+        if self.connection is None:
+            self.end(Outcome.MOOT)
+        elif not self.connection.has_arrived():
+            # The kernel may have sent bytes that this process does not know to have arrived.
+            self.end(Outcome.RESET if self.fully_written else Outcome.MOOT)
+
     def expire(self) -> None:
         """As above, but an answer that is arriving is streamed from here on, or awaited until the request's
         deadline if it is needed whole: nothing better can come in what time is left."""
@@ -188,6 +209,8 @@
             super().expire()
 
     def report(self, outcome: Outcome, answer: Answer | None) -> None:
+        if self.arrival_timer is not None:
+            self.arrival_timer.cancel()
         self.host.attempt_ended(self, outcome, answer)
         # Breaks the reference cycle with the request, which reference counting would never free.
         del self.request
--- a/magpiefront/net/node_connection.py
+++ b/magpiefront/net/node_connection.py
@@ -12,7 +12,7 @@
 from magpiefront.net.answer_reader import AnswerReader
 from magpiefront.net.exchange import Attempt, Exchange
 from magpiefront.net.http1 import MAX_BUFFERED_BYTES, PARSER_ERRORS, HeadTooLong
-from magpiefront.net.socket_state import SocketState, unacknowledged
+from magpiefront.net.socket_state import SocketState, set_discarding, unacknowledged
 from magpiefront.reuse import WRITE_STALL_S, ConnectionLifecycle, ConnectionState, StrayReason
 
 # An answer of unknown length that is not complete this long after its first body bytes is streamed to the
@@ -22,6 +22,8 @@
 # After such a pause and before it is reported: a process that reads late may then find that more bytes of the
 # answer had already arrived.
 RECHECK_S = 0.02
+# A longer message may lie in the kernel's send buffer for seconds behind a node that reads slowly.
+LONG_MESSAGE_BYTES = 64 * 1024
 
 
 @dataclass(slots=True, frozen=True)
@@ -59,12 +61,13 @@
     message has been handed to the kernel. `paused`: reading is paused, since the client reads slowly.
     `established`: the task that connects it has ended well. `streams`: the answer is streamed to the client.
     `pause_watched`: a timer watches for pauses in the answer. `detached`: `detach_exchange` was called while
-    the connection was being made, so that it is kept for another exchange.
+    the connection was being made, so that it is kept for another exchange. `discarding`: whenever the
+    connection is closed, even by the end of this process, the kernel discards what it has not sent.
     """
 
-    __slots__ = ("body_reads", "detached", "established", "exchange", "last_data_at", "last_target",
-                 "lifecycle", "node", "number", "pause_watched", "paused", "socket_state", "streams",
-                 "written")  # fmt: skip
+    __slots__ = ("body_reads", "detached", "discarding", "established", "exchange", "last_data_at",
+                 "last_target", "lifecycle", "node", "number", "pause_watched", "paused", "socket_state",
+                 "streams", "written")  # fmt: skip
 
     def __init__(self, node: ConnectionOwner, exchange: Exchange, number: int = 0) -> None:
         super().__init__()
@@ -72,7 +75,7 @@
         self.exchange: Exchange | None = exchange
         self.lifecycle = ConnectionLifecycle()
         self.written = self.paused = self.pause_watched = self.streams = self.detached = False
-        self.established = False
+        self.established = self.discarding = False
         self.body_reads = 0  # how often a part of the answer's body was read while more was to come
         self.last_data_at = 0.0  # loop time at which more of the answer was last read
         self.last_target = b""  # target of the request that was answered last
@@ -94,6 +97,8 @@
         self.expect_answer()
         self.written = self.pause_watched = self.streams = False
         self.body_reads = 0
+        if isinstance(exchange, Attempt) and exchange.request.size > LONG_MESSAGE_BYTES:
+            self._set_discarding(True)
         self.transport.writelines(exchange.message())
         if not self.transport.get_write_buffer_size() and not self.transport.is_closing():
             self.written = True
@@ -130,9 +135,23 @@
             self.close()
             self.exchange = None
 
+    def has_arrived(self) -> bool:
+        """Whether the whole message has arrived at the node's machine."""
+        return self.written and not unacknowledged(self.transport)
+
+    def _set_discarding(self, on: bool) -> None:
+        if self.discarding is not on:
+            self.discarding = on
+            set_discarding(self.transport, on)
+
     def close(self) -> None:
-        if self.exchange is not None and self.answer.status:
-            self.exchange.answer_lost(self.answer.status)
+        """Closes the connection. Of a message that has not arrived as a whole, no more is delivered: the
+        kernel would otherwise go on sending what it holds, and the node would run it at any later time."""
+        if self.exchange is not None:
+            if self.answer.status:
+                self.exchange.answer_lost(self.answer.status)
+            if not self.transport.is_closing() and not self.has_arrived():
+                self._set_discarding(True)
         self.lifecycle.close()
         self.transport.abort()
         self.answer = self.answer_type()
@@ -320,6 +339,7 @@
         self.answer = self.answer_type()  # a connection that rests must not hold the body of its last answer
         self.resume()
         if self.lifecycle.state is ConnectionState.RESTING:
+            self._set_discarding(False)
             self.node.put_back(self)
         else:
             self.close()
--- a/magpiefront/net/proxy.py
+++ b/magpiefront/net/proxy.py
@@ -261,9 +261,10 @@
         attempt = self.attempt_type(
             self, request, len(request.attempts), node or Node(self.pool, action.server, ("", 0)), now, until
         )
-        if action.begin_by_us:
-            attempt.begin_by = min(until, action.begin_by_us)
         request.attempts.append(attempt)
+        if action.not_after_us:
+            for sent in request.attempts:
+                sent.arrive_by(action.not_after_us)
         request.in_flight += 1
         if node is None or request.answered or until <= now:
             attempt.end(Outcome.MOOT)
--- a/magpiefront/net/request.py
+++ b/magpiefront/net/request.py
@@ -60,6 +60,9 @@
     def end(self, outcome: Outcome) -> None:
         """Ends the attempt with this outcome."""
 
+    def arrive_by(self, at_us: int) -> None:
+        """Gives the attempt up at `at_us` (us of the host's clock) if its last byte has not arrived."""
+
     def pause_response(self) -> None:
         """Stops reading the answer from the server."""
 
--- a/magpiefront/net/socket_state.py
+++ b/magpiefront/net/socket_state.py
@@ -14,6 +14,7 @@
 import struct
 import sys
 import termios
+from contextlib import suppress
 
 # Poll events of a connection that the peer has closed, half-closed or reset.
 CLOSED = select.POLLRDHUP | select.POLLHUP | select.POLLERR | select.POLLNVAL
@@ -35,6 +36,16 @@
         return 0
 
 
+def set_discarding(transport: asyncio.BaseTransport, on: bool) -> None:
+    """Sets whether the kernel discards what it has not sent when the connection is closed, and resets the
+    connection (SO_LINGER with a time of 0, socket(7)). Otherwise it goes on delivering that after the
+    close. No effect if the system does not support it."""
+    sock = transport.get_extra_info("socket")
+    if sock is not None:
+        with suppress(OSError):
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", on, 0))
+
+
 def since_last_data_s(transport: asyncio.BaseTransport) -> float:
     """Returns how many seconds ago this machine last received data from the peer, whether it has been read or
     not; 0 if the system does not provide it."""
--- a/magpiefront/router.py
+++ b/magpiefront/router.py
@@ -24,6 +24,7 @@
     StreamBegan, TimerFired, Watch, WeightSource,
 )  # fmt: skip
 from magpiefront.placement import Placement
+from magpiefront.repeat_limits import FIRST_SENDING, RepeatLimits, ServerGroup
 
 # Placement and caps
 SLOTS_PER_SERVER = 96  # points on the ring of a server of average weight
@@ -96,10 +97,6 @@
 SUSPECT_PROBABILITY = 1e-3
 MAX_SUSPECT_SHARE = 0.5  # no more servers become suspects once this share of the servers are suspects
 
-# The longest delay that is expected between this process reading its clock and writing a request. Each retry
-# window is shortened by it, but by no more than half of the window.
-MAX_PROCESS_DELAY_US = 150_000
-
 # A suspect waits for its first trial MIN_TRIAL_BACKOFF_US on average; the wait doubles after each failed
 # trial, up to MAX_TRIAL_BACKOFF_US. If refusals may have a Retry-After, that is at most MIN_TRIAL_BACKOFF_US.
 MIN_TRIAL_BACKOFF_US = 500_000
@@ -128,14 +125,13 @@
     """
 
     __slots__ = (
-        "cell", "down", "failures", "in_flight", "latency_at", "latency_us", "name", "origin",
+        "down", "failures", "group", "in_flight", "latency_at", "latency_us", "name", "origin",
         "predecessor_load", "responded_at", "slots", "start_learned_at", "started_at", "suspect",
         "suspect_since", "traffic_share", "trial_at", "trial_backoff_us", "trial_in_flight", "warm_at",
-        "zone",
     )  # fmt: skip
 
     def __init__(self, name: str) -> None:
-        self.name, self.zone, self.cell = name, "", -1
+        self.name, self.group = name, ServerGroup("", -1)
         self.slots = self.in_flight = self.started_at = self.warm_at = self.responded_at = 0
         self.start_learned_at = -1  # when the list told of `started_at`; -1: it has told of no start
         self.failures = self.trial_backoff_us = self.suspect_since = self.trial_at = self.predecessor_load = 0
@@ -146,27 +142,15 @@
 
 class Attempt:
     """One sending of a request to a server. `outstanding`: it has not ended yet. `paused`: its server has
-    begun an answer and then paused for long. `started_at`, `zone` and `cell`: those of the server when the
-    attempt was sent; the list may change them."""
+    begun an answer and then paused for long. `started_at` and `group`: those of the server when the attempt
+    was sent; the list may change them."""
 
-    __slots__ = (
-        "cell", "may_have_run", "outstanding", "paused", "sent_at", "server", "started_at", "zone",
-    )  # fmt: skip
+    __slots__ = ("group", "may_have_run", "outstanding", "paused", "sent_at", "server", "started_at")
 
     def __init__(self, server: Server, now: int) -> None:
         self.server, self.sent_at, self.outstanding, self.may_have_run = server, now, True, True
         self.paused, self.started_at = False, server.started_at
-        self.zone, self.cell = server.zone, server.cell
-
-    def in_same_group(self, server: Server, scope: DedupScope) -> bool:
-        """Returns whether the server shares its record of idempotency keys with the one of this attempt."""
-        match scope:
-            case DedupScope.ALL:
-                return True
-            case DedupScope.ZONE:
-                return server.zone == self.zone
-            case DedupScope.CELL:
-                return server.cell == self.cell
+        self.group = server.group
 
 
 class PendingRequest:
@@ -191,9 +175,17 @@
         self.outstanding, self.next_jump, self.write, self.pipelined = 0, 0, event.write, event.pipelined
         self.done = self.to_origin = self.needs_fetch = False
 
-    def first_executed(self) -> Attempt | None:
-        """Returns the first attempt that may have run at its server; None if there is none."""
-        return next((a for a in self.attempts if a.may_have_run), None)
+    @property
+    def may_have_run(self) -> bool:
+        """Whether an attempt may have run at its server."""
+        return any(a.may_have_run for a in self.attempts)
+
+    def limits(self) -> RepeatLimits:
+        """Returns what binds the next attempt of a keyed request."""
+        for attempt in self.attempts:
+            if attempt.may_have_run:
+                return FIRST_SENDING.after_attempt(attempt.sent_at, self.cls.window_us, attempt.group)
+        return FIRST_SENDING
 
 
 class AdmissionGate:
@@ -377,7 +369,7 @@
             self.server_gate.share, self.origin_gate.share * seen if pending.needs_fetch else 1.0,
             self.pipelined_gate.share if pending.pipelined else 1.0,
         ):  # fmt: skip
-            self._answer_unserved(pending)
+            self._answer_unserved(now, pending)
             return
         if pending.needs_fetch and not event.write:
             pending.expires_at = pending.deadline
@@ -413,7 +405,7 @@
         server = self._pick_server(now, pending)
         if server is None:
             if not pending.outstanding:
-                self._answer_unserved(pending)
+                self._answer_unserved(now, pending)
             return False
         expire = pending.expires_at
         if (
@@ -428,12 +420,12 @@
                     self.actions.append(SetTimer(due - now, "copy " + pending.name))
             elif due < expire:  # without hedging, the timeout has to leave time for another attempt
                 expire = max(due, now + (expire - now) // 2)
-        begin_by = self._retry_window_end(pending)
+        not_after = pending.limits().not_after_us if pending.cls.repeat is Repeat.KEYED else 0
         pending.attempts.append(Attempt(server, now))
         pending.outstanding += 1
         server.in_flight += 1
         self.in_flight += 1
-        self.actions.append(Send(pending.name, server.name, expire, begin_by))
+        self.actions.append(Send(pending.name, server.name, expire, not_after))
         return True
 
     # ---- server selection
@@ -447,12 +439,12 @@
         cap_per_slot = (
             (1 + CAP_HEADROOM) * (self.in_flight + 1) / max(1, self.placement.points - self.suspect_slots)
         )
-        executed, best, cold, spilled = pending.first_executed(), None, None, bool(pending.attempts)
+        limits, best, cold, spilled = pending.limits(), None, None, bool(pending.attempts)
         for _ in range(MAX_JUMPS):
             h = nth_hash(pending.key, pending.next_jump)
             pending.next_jump += 1
             server = self.placement.owner(h)
-            if server is None or (pending.attempts and not self._may_follow(pending, executed, server)):
+            if server is None or (pending.attempts and not self._may_follow(pending, limits, server)):
                 continue
             if (
                 not self._may_try(now, server)
@@ -506,16 +498,16 @@
         server.trial_in_flight = server.trial_in_flight or server.suspect
         return server
 
-    def _may_follow(self, pending: PendingRequest, executed: Attempt | None, server: Server) -> bool:
+    def _may_follow(self, pending: PendingRequest, limits: RepeatLimits, server: Server) -> bool:
         """Returns whether the server may get a further attempt. It must be one without an attempt so far. If
-        the request is keyed and may have run, the server must also share its record of keys with the server
-        of `executed`, the first attempt that may have run, and must not have started since."""
+        the request is keyed and may have run, the server must also be one that `limits` allow, and must not
+        have started since."""
         if any(a.server.name == server.name for a in pending.attempts):
             return False
-        if executed is None or pending.cls.repeat is not Repeat.KEYED:
+        if not limits.may_have_run or pending.cls.repeat is not Repeat.KEYED:
             return True
-        return server.start_learned_at < executed.sent_at and executed.in_same_group(
-            server, pending.cls.group
+        return server.start_learned_at < limits.first_sent_us and limits.allow_group(
+            server.group, pending.cls.group
         )
 
     def _admits_while_cold(self, now: int, server: Server) -> bool:
@@ -561,7 +553,7 @@
                 self.retry_budget -= cost
                 self._start_attempt(now, pending)
             else:
-                self._answer_unserved(pending)
+                self._answer_unserved(now, pending)
 
     def _on_answer_paused(self, now: int, event: AnswerPaused) -> None:
         """Tries another server beside one that has paused within its answer. Where a request may not have two
@@ -584,29 +576,24 @@
             self.actions.append(Abandon(pending.name, event.attempt))
 
     def _may_retry(self, now: int, pending: PendingRequest) -> bool:
-        executed, left = pending.first_executed(), len(pending.attempts) < pending.max_attempts
-        keyed = pending.cls.repeat is Repeat.KEYED and now < self._retry_window_end(pending)
-        return left and (executed is None or pending.cls.repeat is Repeat.SAFE or keyed)
+        left = len(pending.attempts) < pending.max_attempts
+        return left and self._is_repeatable(now, pending)
+
+    def _is_repeatable(self, now: int, pending: PendingRequest) -> bool:
+        """Returns whether the request may be sent again, to the right servers, without a second effect."""
+        if pending.cls.repeat is Repeat.SAFE or not pending.may_have_run:
+            return True
+        return pending.cls.repeat is Repeat.KEYED and pending.limits().allow_sending(now)
 
     def _budget(self, pending: PendingRequest) -> float:
         """Returns how much of the retry budget the request may use."""
         return self.retry_budget - (PIPELINED_RESERVE if pending.pipelined else 0.0)
 
-    def _retry_window_end(self, pending: PendingRequest) -> int:
-        """Returns the time before which a retry of a keyed request must begin; 0 if there is no limit. The
-        servers' window begins with the first attempt that may have run, and a retry must reach them within
-        it. The possible delay of this process between reading its clock and writing is subtracted."""
-        executed = pending.first_executed() if pending.cls.repeat is Repeat.KEYED else None
-        if executed is None:
-            return 0
-        window = pending.cls.window_us
-        return executed.sent_at + window - min(MAX_PROCESS_DELAY_US, window // 2)
-
-    def _answer_unserved(self, pending: PendingRequest) -> None:
+    def _answer_unserved(self, now: int, pending: PendingRequest) -> None:
         """Gives the final answer to a request that is not served: Refuse if the client may safely send it
-        again, Fail if it may have run and must not be repeated."""
-        keyed = pending.cls.repeat is Repeat.KEYED and pending.cls.group is DedupScope.ALL
-        repeatable = pending.cls.repeat is Repeat.SAFE or keyed or pending.first_executed() is None
+        again, through any proxy, Fail if it may have run and must not be repeated."""
+        anywhere = pending.cls.repeat is not Repeat.KEYED or pending.cls.group is DedupScope.ALL
+        repeatable = not pending.may_have_run or (anywhere and self._is_repeatable(now, pending))
         self.actions.append(Refuse(pending.name, self.retry_after_us) if repeatable else Fail(pending.name))
         pending.done = True
         self._finish(pending, -1)
@@ -885,7 +872,8 @@
             else SLOTS_PER_SERVER
         )
         self.suspect_slots += (server.slots - slots_before) * server.suspect
-        server.zone, server.cell = entry.zone, entry.cell
+        if (server.group.zone, server.group.cell) != (entry.zone, entry.cell):
+            server.group = ServerGroup(entry.zone, entry.cell)
         server.origin = self.settings.origin_kind is not None and entry.kind == self.settings.origin_kind
         if server.origin:
             self.origin[server.name] = server
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import json
+import socket
 from collections.abc import AsyncIterator, Awaitable, Callable, Coroutine
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
@@ -169,6 +170,42 @@
     writer.transport.abort()
 
 
+class StallingReader:
+    """Serves the connections of a node in place of its handler: reads the head of a request, and the body
+    only once `gate` is set. `begun` counts the heads, `whole` the requests whose last byte has come. Little
+    of a body fits into the buffers on this side. While `resets` is not empty, a request takes an entry of it,
+    is read at once and its connection is reset."""
+
+    BUFFER_BYTES = 4096
+
+    def __init__(self, resets: list[int] | None = None) -> None:
+        self.resets = [] if resets is None else resets
+        self.gate = asyncio.Event()
+        self.begun = self.whole = 0
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        head = (await reader.readuntil(b"\r\n\r\n")).lower()
+        length = int(head.partition(b"content-length:")[2].split(b"\r\n")[0])
+        if self.resets:
+            self.resets.pop()
+            await reader.readexactly(length)
+            writer.transport.abort()
+            return
+        self.begun += 1
+        await self.gate.wait()
+        await reader.readexactly(length)
+        self.whole += 1
+        writer.write(ok())
+
+    async def listen(self, accepted: Callable[..., Awaitable[None]]) -> asyncio.Server:
+        """Listens on a free port with small buffers."""
+        listener = socket.socket()
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, self.BUFFER_BYTES)
+        listener.bind(("127.0.0.1", 0))
+        listener.listen()
+        return await asyncio.start_server(accepted, sock=listener, limit=self.BUFFER_BYTES)
+
+
 class Node:
     """A cache node that passes each request to its handler; the default handler sends `ok()`.
 
@@ -176,7 +213,7 @@
     far, and `open` those that are open.
     """
 
-    def __init__(self, name: str, handler: Handler | None) -> None:
+    def __init__(self, name: str, handler: Handler | StallingReader | None) -> None:
         self.name, self.handler = name, handler or reply(ok())
         self.seen: list[ReceivedRequest] = []
         self.probes = self.connections = self.open = 0
@@ -186,7 +223,10 @@
 
     async def start(self) -> None:
         """Listens on a free port."""
-        self.server = await asyncio.start_server(self._serve, "127.0.0.1", self.port)
+        if isinstance(self.handler, StallingReader):
+            self.server = await self.handler.listen(self._serve)
+        else:
+            self.server = await asyncio.start_server(self._serve, "127.0.0.1", self.port)
         self.port = self.server.sockets[0].getsockname()[1]
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -196,6 +236,9 @@
         self.writers.append(writer)
         try:
             while not writer.is_closing():
+                if isinstance(self.handler, StallingReader):
+                    await self.handler.serve(reader, writer)
+                    continue
                 line, headers, body = await read_message(reader)
                 if line.startswith("GET /health"):
                     self.probes += 1
@@ -300,7 +343,7 @@
 
 @asynccontextmanager
 async def running_proxy(
-    *handlers: Handler | None, memory_mb: int = 192, sockets: int = 1024, **overrides: Any
+    *handlers: Handler | StallingReader | None, memory_mb: int = 192, sockets: int = 1024, **overrides: Any
 ) -> AsyncIterator[ProxyHarness]:
     """Runs a proxy with one node for each handler, or a single one with the default handler. `overrides`
     replaces entries of PROXY_SETTINGS."""
