--- a/magpiefront/gateway/idempotency.py
+++ b/magpiefront/gateway/idempotency.py
@@ -13,6 +13,8 @@
 from enum import Enum
 from typing import Generic, TypeVar
 
+from magpiefront.repeat_limits import FIRST_SENDING, RepeatLimits
+
 T = TypeVar("T")
 Key = tuple[str, str, str]  # class, tenant, Idempotency-Key
 
@@ -39,7 +41,8 @@
 
 @dataclass(slots=True)
 class Entry(Generic[T]):
-    """A keyed request that is running (`answer` is None) or has run."""
+    """A keyed request that is running (`answer` is None), has run, or has failed and may have run. `limits`
+    binds its sending, or that of a repeat once it has failed."""
 
     key: Key
     fingerprint: bytes  # hash of method, target and body
@@ -47,6 +50,8 @@
     window_us: int
     waiters: list[T] = field(default_factory=list)
     answer: Answer | None = None
+    has_failed: bool = False
+    limits: RepeatLimits = FIRST_SENDING
 
     @property
     def size(self) -> int:
@@ -72,19 +77,25 @@
     ) -> Verdict:  # fmt: skip
         """Decides about a keyed request. `age_us`: time since its first attempt; 0 if it is not a repeat."""
         self._expire(now_us)
-        entry = self.entries.get(key)
+        entry, limits = self.entries.get(key), FIRST_SENDING
+        if entry is not None and entry.has_failed and now_us >= entry.started_us + entry.window_us:
+            self._remove_failed(entry)
+            entry = None
         if entry is not None:
             if entry.fingerprint != fingerprint:
                 return Verdict.MISMATCH
             if entry.answer is not None:
                 return Verdict.KNOWN
-            entry.waiters.append(waiter)
-            return Verdict.WAIT
+            if not entry.has_failed:
+                entry.waiters.append(waiter)
+                return Verdict.WAIT
+            limits = entry.limits
+            self._remove_failed(entry)
         if age_us > 0 and (age_us >= window_us or self._may_be_evicted(now_us - age_us)):
             return Verdict.FORGOTTEN
         if len(self.entries) >= self.max_entries and not self._evict():
             return Verdict.FULL
-        self.entries[key] = Entry(key, fingerprint, now_us, window_us, [waiter])
+        self.entries[key] = Entry(key, fingerprint, now_us, window_us, [waiter], limits=limits)
         return Verdict.RUN
 
     def answer_for(self, key: Key) -> Answer | None:
@@ -92,6 +103,10 @@
         entry = self.entries.get(key)
         return entry.answer if entry is not None else None
 
+    def limits_for(self, key: Key) -> RepeatLimits:
+        """What binds the sending of a request that is running, since it has failed before."""
+        return self.entries[key].limits
+
     def remove_waiter(self, key: Key, waiter: T) -> None:
         """Removes a waiter. The execution continues, and the next request with its key gets the answer."""
         entry = self.entries.get(key)
@@ -111,13 +126,23 @@
             pass
         return waiters
 
-    def abandon(self, key: Key) -> list[T]:
-        """Removes a request that was refused or failed, and returns the requests that wait for its answer.
+    def abandon(self, key: Key, limits: RepeatLimits = FIRST_SENDING) -> list[T]:
+        """Ends a request that was refused or failed, and returns the requests that wait for its answer.
 
-        The next request with the key runs like a new one, as a client's own retry does.
+        The next request with the key runs. Within the window it is a repeat that `limits` binds, if this one
+        may have run; else it is a new one, as a client's own retry is.
         """
         entry = self.entries.pop(key, None)
-        return entry.waiters if entry is not None else []
+        if entry is None:
+            return []
+        waiters, entry.waiters = entry.waiters, []
+        if limits.may_have_run:
+            entry.has_failed, entry.limits = True, limits
+            self.entries[key] = self.finished[key] = entry
+        return waiters
+
+    def _remove_failed(self, entry: Entry[T]) -> None:
+        del self.entries[entry.key], self.finished[entry.key]
 
     def _may_be_evicted(self, first_attempt_us: int) -> bool:
         return self.evicted_start_us is not None and first_attempt_us <= self.evicted_start_us
--- a/magpiefront/gateway/inbound.py
+++ b/magpiefront/gateway/inbound.py
@@ -20,6 +20,7 @@
 from magpiefront.gateway.store_identity import NO_STORE, StoreIdentity
 from magpiefront.interface import Repeat
 from magpiefront.net.request import CrossSiteStage, Request
+from magpiefront.repeat_limits import FIRST_SENDING, RepeatLimits, Unplaced
 
 LISTEN_BACKLOG = 100  # connections that wait to be accepted
 # Pause between the GOAWAYs to two connections of one site, when another process takes over.
@@ -38,12 +39,22 @@
         self, connection: InboundConnection, stream: int, head: wire.RequestHead, credit: Credit
     ) -> None:  # fmt: skip
         self.connection, self.stream, self.head, self.credit = connection, stream, head, credit
-        self.request = Request(self)
+        self.request = Request(self, self._limits())
         self.request.execution = ExecutionTracker()
         self.stage = connection.listener.stage  # that it is passed to, once it is complete
         self.size = 0
         self.started = self.done = self.streaming = False
 
+    def _limits(self) -> RepeatLimits:
+        """What binds the request if its sender may have sent it before, counted from when its head came.
+        Where it may have run is known here if only this process may have had it."""
+        listener, age_us = self.connection.listener, self.head.key_age_us
+        cls = listener.runtime.classes.get(self.head.headers.get(b"req-kind", b""))
+        if not age_us or cls is None or self.head.repeat is not Repeat.KEYED:
+            return FIRST_SENDING
+        place = Unplaced.NOWHERE if self.head.ran_at == listener.epoch else Unplaced.UNKNOWN
+        return RepeatLimits(listener.runtime.now_us() - age_us, cls.window_us, place)
+
     # ---- Responder
 
     def answer(
@@ -386,7 +397,7 @@
             incoming.connection.refuse(incoming.stream, "not_acting")
             incoming.finish()
             return
-        stage.submit_from_site(r, incoming.head.key_age_us)
+        stage.submit_from_site(r)
 
     def finished(self, incoming: InboundRequest) -> None:
         """Returns the credit of a request whose answer is sent or whose sender has given up."""
--- a/magpiefront/gateway/keyed_stage.py
+++ b/magpiefront/gateway/keyed_stage.py
@@ -13,6 +13,7 @@
 from magpiefront.gateway.settings import KeyedSettings
 from magpiefront.interface import Repeat
 from magpiefront.net.request import Request, Stage
+from magpiefront.repeat_limits import RepeatLimits
 
 MAX_KEPT_ANSWER_BYTES = 256 * 1024  # a longer answer is streamed and not kept
 
@@ -78,7 +79,7 @@
     # ---- the stage
 
     def submit(self, request: Request) -> None:
-        self.submit_from_site(request, 0)
+        self.submit_from_site(request)
 
     def can_tell_if_run(self, r: Request) -> bool:
         return False  # the table of keys is in the memory of this process
@@ -86,15 +87,17 @@
     def may_accept(self, r: Request) -> bool:
         return True
 
-    def submit_from_site(self, r: Request, age_us: int) -> None:
+    def submit_from_site(self, r: Request) -> None:
         cls = self.runtime.classes.get(r.headers[b"req-kind"])
         if cls is None or effective_repeat(cls, r.headers) is not Repeat.KEYED:
             self.following.submit(r)
             return
         key, now = dedup_key(r), self.runtime.now_us()
+        age_us = max(1, now - r.limits.first_sent_us) if r.limits.first_sent_us else 0
         match self.answers.begin(now, key, fingerprint(r), cls.window_us, age_us, r):
             case Verdict.RUN:
                 running = KeyedExecution(key, r.clone(self))
+                running.request.limits = r.limits.joined_with(self.answers.limits_for(key))
                 running.request.whole_answer = True  # no client sees a byte of it before its end
                 if execution_of(running.request) is None:
                     running.request.execution = ExecutionTracker()
@@ -170,9 +173,11 @@
         """Answers all waiting requests, and keeps the answer if it is a success."""
         is_success = 200 <= answer.status < 300
         may_have_run = running.request.execution.may_have_run  # applies to all waiting requests
-        for r in (
-            self.answers.finish(running.key, answer) if is_success else self.answers.abandon(running.key)
-        ):
+        if is_success:
+            waiters = self.answers.finish(running.key, answer)
+        else:
+            waiters = self.answers.abandon(running.key, self._limits_after(running.request))
+        for r in waiters:
             waiting = self.waiting_requests.pop(r, None)
             if waiting is not None:
                 waiting[1].cancel()
@@ -180,6 +185,12 @@
                     mark_may_have_run(r)
                 r.responder.answer(r, answer.status, [answer.body], answer.extra_fields)
 
+    def _limits_after(self, request: Request) -> RepeatLimits:
+        """Returns what binds a repeat of a submitted clone."""
+        cls = self.runtime.classes.get(request.headers[b"req-kind"])
+        window_us = cls.window_us if cls is not None else 0
+        return request.execution.limits_after(request.limits, request.received_at, window_us)
+
     def begin(self, request: Request, length: int | None, more: bytes, status: int = 200) -> None:
         running = self.executions[request]
         running.more, running.status = more, status
--- a/magpiefront/gateway/stage.py
+++ b/magpiefront/gateway/stage.py
@@ -68,8 +68,8 @@
             stage.settings.retry.max_attempts,
         )
         execution = execution_of(request)
-        if execution is not None and execution.first_sent_us and routing.repeat is Repeat.KEYED:
-            self.retry_state.resume(execution.first_sent_us)
+        if request.limits.may_have_run and routing.repeat is Repeat.KEYED:
+            self.retry_state.resume(request.limits.first_sent_us)
         self.guard = execution.guard if execution is not None else None
         self.connection: OutboundConnection | None = None
         self.stream = 0
@@ -86,8 +86,8 @@
         """Sends one attempt, or takes the next step if no connection is available."""
         link, now = self.stage.links[self.decision.site], self.stage.runtime.now_us()
         state, r = self.retry_state, self.request
-        if self.guard is not None and not self.guard():
-            # Another process owns the request now, or its retry window has ended.
+        if (self.guard is not None and not self.guard()) or not r.limits.allow_sending(now):
+            # Another process owns the request now, or the window for repeats has ended.
             if state.may_have_run:
                 mark_may_have_run(r)
             self._refuse()
@@ -99,7 +99,9 @@
             return
         # The other site gets the time left less one round trip, half of which passes before the request
         # arrives there and half before the answer arrives here.
-        left_us = state.deadline_us - now - int(chosen.health.round_trip_us)
+        round_trip_us = int(chosen.health.round_trip_us)
+        left_us = state.deadline_us - now - round_trip_us
+        age_us = state.age_us(now)
         fields = wire.request_fields(
             r,
             link.site,
@@ -107,7 +109,7 @@
             left_us,
             self.routing.repeat,
             (self.stage.settings.site,),
-            state.age_us(now),
+            age_us + round_trip_us if age_us else 0,  # it is that old at the latest as it arrives
             self.stage.settings.forwards_all,
             self._required_epoch,
         )
--- a/magpiefront/interface.py
+++ b/magpiefront/interface.py
@@ -10,6 +10,9 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
+from magpiefront.repeat_limits import FIRST_SENDING, NO_GROUP, RepeatLimits, ServerGroup
+from magpiefront.repeat_limits import DedupScope as DedupScope
+
 
 def require(valid: bool, field_name: str, problem: str) -> None:
     """Raises ValueError with the field's name and the problem if a setting is not valid."""
@@ -25,15 +28,6 @@
     UNSAFE = "unsafe"
 
 
-class DedupScope(Enum):
-    """Which servers share their record of idempotency keys, so that each of them drops the repeat of a keyed
-    request that another one has had."""
-
-    ALL = "all"
-    ZONE = "zone"
-    CELL = "cell"
-
-
 class Outcome(Enum):
     """How an attempt ended."""
 
@@ -198,7 +192,8 @@
 @dataclass(slots=True)
 class Arrived:
     """A request has arrived. If `key` is None, the id of the request is hashed instead of a key. `pipelined`:
-    its client has sent further requests behind it on the same connection."""
+    its client has sent further requests behind it on the same connection. `limits`: what binds it if it has
+    been sent before."""
 
     request: str
     class_name: str
@@ -210,6 +205,7 @@
     is_retry: bool = False
     cls: RequestClass | None = None  # the class as it was when the request was read; None: look it up by name
     pipelined: bool = False
+    limits: RepeatLimits = FIRST_SENDING
 
 
 @dataclass(slots=True)
@@ -310,12 +306,13 @@
 class Send:
     """Send an attempt of a request. The attempt expires at `expire_at_us`. If `not_after_us` is not 0, the
     last byte of this attempt, and of the request's other attempts that are still in flight, must arrive
-    before then: the window in which servers drop repeats ends."""
+    before then: the window in which servers drop repeats ends. `group` is that of the server."""
 
     request: str
     server: str
     expire_at_us: int
     not_after_us: int = 0
+    group: ServerGroup = NO_GROUP
 
 
 @dataclass(slots=True)
--- a/magpiefront/net/downstream.py
+++ b/magpiefront/net/downstream.py
@@ -10,6 +10,7 @@
 
 import httptools
 
+from magpiefront.repeat_limits import FIRST_SENDING
 from magpiefront.interface import RequestClass
 from magpiefront.net.client_memory import ClientMemory
 from magpiefront.net.events import EventLog, Reason
@@ -103,7 +104,7 @@
         super().__init__()
         self.front, self.number = front, number
         self.parser = httptools.HttpRequestParser(self)
-        self.incoming = Request(self)
+        self.incoming = Request(self, FIRST_SENDING)
         self.request: Request | None = None  # the request that is being served
         self.queued: deque[Request] = deque()
         self.excess_requests = 0  # requests beyond MAX_PIPELINED_REQUESTS, which get a 503 each
@@ -369,7 +370,7 @@
         behind those that are due, and accepts no further request."""
         if self.closing:
             return
-        request, self.incoming = self.incoming, Request(self)
+        request, self.incoming = self.incoming, Request(self, FIRST_SENDING)
         self._drop_unparsed()
         freed, self.held, self.size, self.reserved = self.held, 0, 0, 0
         self.wants_reservation = False
@@ -546,7 +547,7 @@
         self.message_size.unfinished_bytes = 0
         if self.closing:
             return
-        request, self.incoming = self.incoming, Request(self)
+        request, self.incoming = self.incoming, Request(self, FIRST_SENDING)
         request.size, self.size = self.size, 0
         request.client_gone = self.client_gone
         request.received_at = self.read_at_us
@@ -583,7 +584,7 @@
                 request = self.queued.popleft()
             else:
                 self.excess_requests -= 1
-                request = Request(self)
+                request = Request(self, FIRST_SENDING)
                 request.error = 503
             self.request = request
             if request.error:
--- a/magpiefront/net/exchange.py
+++ b/magpiefront/net/exchange.py
@@ -8,6 +8,7 @@
 from magpiefront.interface import Outcome
 from magpiefront.net.answer import Answer
 from magpiefront.net.request import Request
+from magpiefront.repeat_limits import NO_GROUP, ServerGroup
 
 PROBE_TIMEOUT_S = 0.4  # the settings have no timeout for probes
 # The deadline sent to a node is shorter than the time left by this much, in microseconds (or by half of the
@@ -134,11 +135,11 @@
 class Attempt(Exchange):
     """An attempt to get a request answered by a node. It expires at `expire_at`, and its last byte must
     arrive at the node by `not_after`, both in microseconds of the host's clock. `number` is its index among
-    the request's attempts.
+    the request's attempts, and `group` that of the node.
     """
 
-    __slots__ = ("arrival_timer", "expire_at", "host", "lag_s_before", "late_check_done", "not_after",
-                 "number", "request", "streaming")  # fmt: skip
+    __slots__ = ("arrival_timer", "expire_at", "group", "host", "lag_s_before", "late_check_done",
+                 "not_after", "number", "request", "streaming")  # fmt: skip
 
     def __init__(
         self, host: ExchangeHost, request: Request, number: int, node: ExchangeNode, now: int, expire_at: int
@@ -146,6 +147,7 @@
         super().__init__(node, now)
         self.host, self.request, self.number, self.expire_at = host, request, number, expire_at
         self.not_after = expire_at
+        self.group: ServerGroup = NO_GROUP
         self.arrival_timer: asyncio.TimerHandle | None = None  # checks at `not_after` what has arrived
         self.streaming = False
         self.lag_s_before = 0.0  # how long the event loop had been late in total when it was created
--- a/magpiefront/net/execution.py
+++ b/magpiefront/net/execution.py
@@ -11,6 +11,7 @@
 from typing import Protocol
 
 from magpiefront.interface import Outcome
+from magpiefront.repeat_limits import RepeatLimits, ServerGroup, Unplaced
 
 # Outcomes of an attempt that prove that the request did not run at the server.
 NEVER_RAN = frozenset({Outcome.CONNECT_FAILED, Outcome.FULL, Outcome.MOOT})
@@ -21,6 +22,7 @@
 
     outcome: Outcome | None  # None: it is still in flight
     sent_at: int
+    group: ServerGroup  # that of the place
 
     @property
     def place(self) -> str:
@@ -30,8 +32,7 @@
 class ExecutionTracker:
     """What this process knows of whether a request has run."""
 
-    __slots__ = ("attempts", "first_sent_us", "guard", "has_run", "may_have_run_elsewhere", "site",
-                 "undecided")  # fmt: skip
+    __slots__ = ("attempts", "guard", "has_run", "may_have_run_elsewhere", "site", "undecided")
 
     def __init__(self) -> None:
         self.attempts: list[TrackedAttempt] = []
@@ -42,7 +43,6 @@
         self.may_have_run_elsewhere = False  # it may have run where this process can't see it
         # The only site that it may be sent to, since it may have run there; empty: any site.
         self.site = ""
-        self.first_sent_us = 0  # µs of the host's clock: when it may have been sent before; 0: never
         # Its answer is not final, since another process is running it. It is to be sent again for the final
         # answer.
         self.undecided = False
@@ -52,6 +52,16 @@
         """Whether the request may have run, also by an attempt that is still in flight."""
         return self.may_have_run_elsewhere or any(a.outcome not in NEVER_RAN for a in self.attempts)
 
+    def limits_after(self, before: RepeatLimits, received_us: int, window_us: int) -> RepeatLimits:
+        """Returns what binds a repeat of a request that was sent with the limits `before`. `received_us` is
+        when this process received it, in microseconds of the host's clock: nothing was sent earlier."""
+        for attempt in self.attempts:
+            if attempt.outcome not in NEVER_RAN:
+                return before.after_attempt(attempt.sent_at, window_us, attempt.group)
+        if self.may_have_run_elsewhere:
+            return before.after_attempt(received_us, window_us, Unplaced.UNKNOWN)
+        return before
+
 
 def execution_of(request: object) -> ExecutionTracker | None:
     """The request's execution tracker, if it has one."""
--- a/magpiefront/net/proxy.py
+++ b/magpiefront/net/proxy.py
@@ -261,6 +261,7 @@
         attempt = self.attempt_type(
             self, request, len(request.attempts), node or Node(self.pool, action.server, ("", 0)), now, until
         )
+        attempt.group = action.group
         request.attempts.append(attempt)
         if action.not_after_us:
             for sent in request.attempts:
@@ -368,6 +369,7 @@
                 headers.get(b"req-retry") == b"1",
                 cls,
                 request.pipelined,
+                request.limits,
             )
         )
 
--- a/magpiefront/net/request.py
+++ b/magpiefront/net/request.py
@@ -10,6 +10,7 @@
 
 from magpiefront.interface import Outcome, RequestClass
 from magpiefront.net.metrics import UNREPORTED_COUNTS
+from magpiefront.repeat_limits import RepeatLimits
 
 if TYPE_CHECKING:
     from magpiefront.net.execution import ExecutionTracker
@@ -110,9 +111,8 @@
 class CrossSiteStage(Stage, Protocol):
     """A stage that also handles requests that another site has sent here."""
 
-    def submit_from_site(self, request: Request, age_us: int) -> None:
-        """Takes over a request from another site. `age_us`: microseconds since its sender first sent it, if
-        it may have run since then; else 0."""
+    def submit_from_site(self, request: Request) -> None:
+        """Takes over a request from another site."""
 
     def can_tell_if_run(self, request: Request) -> bool:
         """Whether this stage can find out if the request has run at another gateway of this site."""
@@ -136,9 +136,9 @@
     have not ended. `pipelined`: its client has sent more behind it on its connection. `may_have_run`: one of
     its attempts may have run; kept only for classes that must run once. `served`: the client gets a node's
     answer. `client_gone` asks the kernel whether the client has closed its connection; it is None if no
-    client waits for this very request, as with a clone. `whole_answer`: nothing of its answer is passed on
-    before the answer is complete, unless it is longer than `MAX_BUFFERED_BYTES`. So an attempt whose answer
-    breaks off may be followed by another one.
+    client waits for this very request, as with a clone. `limits` binds each sending of it. `whole_answer`:
+    nothing of its answer is passed on before the answer is complete, unless it is longer than
+    `MAX_BUFFERED_BYTES`. So an attempt whose answer breaks off may be followed by another one.
     """
 
     fields: list[tuple[bytes, bytes]]
@@ -146,12 +146,12 @@
 
     __slots__ = ("answered", "attempts", "body", "client_gone", "cls", "counts", "deadline", "error",
                  "execution", "extra_fields", "fields", "headers", "held", "in_flight", "keep_alive",
-                 "last_outcome", "may_have_run", "method", "name", "pipelined", "received_at", "responder",
-                 "served", "size", "streaming_attempt", "target", "time_left", "timeout_timer",
+                 "last_outcome", "limits", "may_have_run", "method", "name", "pipelined", "received_at",
+                 "responder", "served", "size", "streaming_attempt", "target", "time_left", "timeout_timer",
                  "whole_answer", "wire_id")  # fmt: skip
 
-    def __init__(self, responder: Responder) -> None:
-        self.responder = responder
+    def __init__(self, responder: Responder, limits: RepeatLimits) -> None:
+        self.responder, self.limits = responder, limits
         self.method = self.target = self.wire_id = self.extra_fields = b""
         self.headers: dict[bytes, bytes] = {}
         self.body: list[bytes] = []
@@ -176,7 +176,7 @@
 
     def clone(self, responder: Responder) -> Request:
         """A copy for a stage that sends the request on and answers the waiting clients itself."""
-        clone = Request(responder)
+        clone = Request(responder, self.limits)
         clone.method, clone.target, clone.wire_id, clone.extra_fields = (
             self.method, self.target, self.wire_id, self.extra_fields
         )  # fmt: skip
--- a/magpiefront/record/cross_site.py
+++ b/magpiefront/record/cross_site.py
@@ -18,14 +18,14 @@
         record.node_stage = following
 
     def submit(self, request: Request) -> None:
-        self.submit_from_site(request, 0)
+        self.submit_from_site(request)
 
-    def submit_from_site(self, r: Request, age_us: int) -> None:
+    def submit_from_site(self, r: Request) -> None:
         cls = self.record.recorded_class(r)
         if cls is None:
-            self.following.submit_from_site(r, age_us)
+            self.following.submit_from_site(r)
         else:
-            self.record.store_report(r, cls, age_us)
+            self.record.store_report(r, cls, from_other_site=True)
 
     def can_tell_if_run(self, r: Request) -> bool:
         return self.record.recorded_class(r) is not None
--- a/magpiefront/record/journal.py
+++ b/magpiefront/record/journal.py
@@ -16,7 +16,7 @@
 from magpiefront.record.node_answer import BrokenAnswer, NodeAnswer, OversizedAnswer
 from magpiefront.record.rows import (
     UNKNOWN_BOOT, Answer, Attempt, Id, Moment, Outcome, Result, Row, State, site_attempt, site_of_attempts,
-    without_sites,
+    without_places,
 )  # fmt: skip
 
 US_PER_S = 1_000_000
@@ -359,7 +359,7 @@
         if row.state is not State.SENT:
             # It has not run anywhere, so it may be sent to the site that the client's request names.
             first_sent = entry.row.sent
-            attempts = without_sites(row.attempts)
+            attempts = without_places(row.attempts)
             if entry.waiters:
                 attempts += site_attempt(site_of_attempts(entry.row.attempts), entry.row.received_s)
         after = replace(
--- a/magpiefront/record/rows.py
+++ b/magpiefront/record/rows.py
@@ -10,6 +10,8 @@
 from secrets import token_hex
 from typing import NamedTuple, Protocol
 
+from magpiefront.repeat_limits import RepeatLimits, ServerGroup, Unplaced
+
 
 class State(enum.Enum):
     """The state of a stored report. A report that was refused before it ran is removed from the store."""
@@ -62,7 +64,7 @@
 @dataclass(frozen=True, slots=True)
 class Attempt:
     """One request to a node with the report, and when it was sent; or the site that the report was to be
-    sent to (`site_attempt`)."""
+    sent to (`site_attempt`), or the group of nodes where it may have run (`group_attempt`)."""
 
     node: str
     at_s: float  # Unix seconds
@@ -83,9 +85,27 @@
     return named[-1].removeprefix(SITE_PREFIX) if named else ""
 
 
-def without_sites(attempts: tuple[Attempt, ...]) -> tuple[Attempt, ...]:
-    """Returns the attempts that name nodes."""
-    return tuple(a for a in attempts if not a.node.startswith(SITE_PREFIX))
+GROUP_PREFIX = "group "  # the same for an `Attempt` that names a group of nodes: its cell and its zone
+
+
+def group_attempt(group: ServerGroup, at_s: float) -> Attempt:
+    """Returns the entry of a row whose report may have run at a node of this group."""
+    return Attempt(f"{GROUP_PREFIX}{group.cell} {group.zone}", at_s)
+
+
+def group_of_attempts(attempts: tuple[Attempt, ...]) -> ServerGroup | None:
+    """Returns the group of nodes where a report with these attempts may have run first; None if none is
+    named."""
+    for attempt in attempts:
+        cell, _, zone = attempt.node.removeprefix(GROUP_PREFIX).partition(" ")
+        if attempt.node.startswith(GROUP_PREFIX) and cell.lstrip("-").isdecimal():
+            return ServerGroup(zone, int(cell))
+    return None
+
+
+def without_places(attempts: tuple[Attempt, ...]) -> tuple[Attempt, ...]:
+    """Returns the attempts that name nodes, without sites and groups."""
+    return tuple(a for a in attempts if not a.node.startswith((SITE_PREFIX, GROUP_PREFIX)))
 
 
 def attempts_text(attempts: tuple[Attempt, ...]) -> str:
@@ -131,6 +151,15 @@
     told: bool = False
 
 
+def repeat_limits(row: Row, resumed: bool, clock_offset_us: int) -> RepeatLimits:
+    """Returns what binds the sending of a stored report. `resumed`: it may have been sent before.
+    `clock_offset_us` is the difference between the host's clock and the time since boot."""
+    if row.sent is None:
+        return RepeatLimits(1, 0, Unplaced.UNKNOWN)  # there is no time that a window could be counted from
+    place = (group_of_attempts(row.attempts) or Unplaced.UNKNOWN) if resumed else Unplaced.NOWHERE
+    return RepeatLimits(int(row.sent.up_s * 1e6) + clock_offset_us, int(row.window_s * 1e6), place)
+
+
 class Outcome(enum.Enum):
     """The outcome of a call of a store."""
 
--- a/magpiefront/record/sender.py
+++ b/magpiefront/record/sender.py
@@ -15,7 +15,7 @@
 from magpiefront.record.journal import NO_ANSWER_IN_TIME, Send
 from magpiefront.record.node_answer import AnswerCollector, NodeAnswer
 from magpiefront.record.ownership import Ownership
-from magpiefront.record.rows import Answer, Row, site_of_attempts
+from magpiefront.record.rows import Answer, Row, repeat_limits, site_of_attempts
 
 EXTRA_FIELD_NAMES = frozenset({b"idempotency-key", b"content-type"})  # a front puts these into `extra_fields`
 
@@ -60,7 +60,7 @@
 
     def _new_request(self, send: Send) -> Request:
         row = send.row
-        request = Request(self)
+        request = Request(self, repeat_limits(row, send.resumed, self.clock_offset_us))
         request.method, request.target = row.method, row.target
         request.wire_id = f"{self.process_token}-{next(self.sequence):x}".encode()
         # The id is needed, because the gateway of another site refuses a request without one.
@@ -81,14 +81,10 @@
 
     def _new_tracker(self, send: Send) -> ExecutionTracker:
         row, execution = send.row, ExecutionTracker()
-        sent_s = row.sent.up_s if row.sent is not None else 0.0
-        until_up_us = int(sent_s * 1e6 + row.window_s * 1e6)
         # Checked again right before the first byte is sent to a node, because the request may have waited
         # until then: in a queue, while connecting, or while the process was paused.
-        execution.guard = lambda: self.ownership.may_act(row.owner) and self.up_us() < until_up_us
+        execution.guard = lambda: self.ownership.may_act(row.owner)
         execution.site = site_of_attempts(row.attempts)
-        if send.resumed and row.sent is not None:
-            execution.first_sent_us = int(sent_s * 1e6) + self.clock_offset_us
         return execution
 
     def _finish(self, request: Request, answer: NodeAnswer) -> None:
--- a/magpiefront/record/stage.py
+++ b/magpiefront/record/stage.py
@@ -11,7 +11,7 @@
 from hashlib import blake2b
 from secrets import token_hex
 
-from magpiefront.interface import Repeat, RequestClass
+from magpiefront.interface import DedupScope, Repeat, RequestClass
 from magpiefront.net.execution import ExecutionTracker, execution_of, mark_may_have_run
 from magpiefront.net.runtime import StageRuntime
 from magpiefront.net.fields import format_fields
@@ -25,10 +25,12 @@
 )  # fmt: skip
 from magpiefront.record.node_answer import NodeAnswer
 from magpiefront.record.rows import (
-    Answer, Attempt, Id, Moment, Result, Row, State, Store, boot_id, site_attempt,
+    Answer, Attempt, Id, Moment, Result, Row, State, Store, boot_id, group_attempt, group_of_attempts,
+    site_attempt,
 )  # fmt: skip
 from magpiefront.record.sender import ReportSender
 from magpiefront.record.settings import RecordSettings
+from magpiefront.repeat_limits import FIRST_SENDING, ServerGroup
 
 POLL_ROW_LIMIT = 200  # the most rows that one poll reads
 OWNERSHIP_POLL_S = 0.005  # seconds between two checks whether this process may act yet
@@ -100,8 +102,8 @@
         self.deliveries: dict[Id, DeliveryPace] = {}
         self.ended_owners: dict[str, int] = {}  # when this process learnt that the owner has ended (up_us)
         self.last_sweep_us = 0
-        # Requests that wait until this process may act: class, `age_us` and the time of arrival (up_us).
-        self.early_requests: dict[Request, tuple[RequestClass, int | None, int]] = {}
+        # Requests that wait until this process may act: class, and whether from another site.
+        self.early_requests: dict[Request, tuple[RequestClass, bool]] = {}
         self.ownership_expected_us = 0
         self.accepts_reports = True  # False while this process waits for the reports in hand to end
         self.poll_timer: asyncio.TimerHandle | None = None
@@ -123,9 +125,8 @@
             return None
         return cls
 
-    def store_report(self, r: Request, cls: RequestClass, age_us: int | None = None) -> None:
-        """Stores a report and sends it, or answers a repeat. For a report from another site, `age_us` is how
-        long ago that site may first have sent it (microseconds), or 0 if it has not; otherwise it is None."""
+    def store_report(self, r: Request, cls: RequestClass, from_other_site: bool = False) -> None:
+        """Stores a report and sends it, or answers a repeat."""
         if b"idempotency-key" not in r.headers:
             self._answer(r, journal.plain_answer(400, "a report needs an Idempotency-Key"))
             return
@@ -140,21 +141,20 @@
         if self.ownership.owner_prefix() is None and self.up_us() < self.ownership_expected_us:
             if not self.early_requests:
                 self.runtime.loop.call_later(OWNERSHIP_POLL_S, self._retry_early)
-            self.early_requests[r] = cls, age_us, self.up_us()
+            self.early_requests[r] = cls, from_other_site
             return
         if self.ownership.owner_prefix() is None:
             # Another member may have claimed the rows of this process, so no report is accepted or confirmed.
             self._refuse(r)
             return
-        site = self.site_of(r.key) if age_us is None else self.own_site
-        row = self._new_row(r, cls, age_us or 0, site)
+        row = self._new_row(r, cls, self.own_site if from_other_site else self.site_of(r.key))
         deadline_us = r.received_at + r.time_left - self.clock_offset_us
         self.clients[r] = row.id
         left_us = max(0, deadline_us - self.settings.least_left_us - self.up_us())
         self.deadline_timers[r] = self.runtime.loop.call_later(
             left_us / 1e6, self._on_deadline, r, deadline_us
         )
-        self._do(self.journal.on_request(self.up_us(), r, row, deadline_us, age_us is not None))
+        self._do(self.journal.on_request(self.up_us(), r, row, deadline_us, from_other_site))
 
     def await_ownership(self, max_wait_s: float) -> None:
         """Makes reports wait until this process may act, which is expected within `max_wait_s`. A report
@@ -164,12 +164,12 @@
     def _retry_early(self) -> None:
         """Stores the waiting requests once this process may act; refuses those that can wait no longer."""
         may_act, up_us = self.ownership.owner_prefix() is not None, self.up_us()
-        for r, (cls, age_us, arrived_us) in list(self.early_requests.items()):
+        for r, (cls, from_other_site) in list(self.early_requests.items()):
             due_us = r.received_at + r.time_left - self.clock_offset_us - self.settings.least_left_us
             if may_act or up_us >= min(due_us, self.ownership_expected_us):
                 del self.early_requests[r]
                 if may_act:
-                    self.store_report(r, cls, age_us + up_us - arrived_us if age_us else age_us)
+                    self.store_report(r, cls, from_other_site)
                 else:
                     self._refuse(r)
         if self.early_requests:
@@ -179,12 +179,14 @@
         headers = r.headers
         return Id(headers.get(b"req-owner", b"").decode("latin-1"), cls.name, headers[b"idempotency-key"])
 
-    def _new_row(self, r: Request, cls: RequestClass, age_us: int, site: str) -> Row:
+    def _new_row(self, r: Request, cls: RequestClass, site: str) -> Row:
         fields = getattr(r, "fields", None)
         field_lines = r.extra_fields if fields is None else format_fields(
             f for f in fields if f[0].lower() not in UNSTORED_FIELD_NAMES
         )  # fmt: skip
-        up_us, wall_s, age_s = self.up_us(), self.wall(), age_us / 1e6
+        up_us, wall_s = self.up_us(), self.wall()
+        first_sent_us = r.limits.first_sent_us  # by another site; 0: it has not sent it
+        age_s = max(0, self._to_runtime_us(up_us) - first_sent_us) / 1e6 if first_sent_us else 0.0
         return Row(
             self._id_of(r, cls), digest_of(r), r.method, r.target, field_lines, b"".join(r.body),
             State.SENT, wall_s, Moment(wall_s - age_s, self.boot, up_us / 1e6 - age_s),
@@ -438,10 +440,22 @@
     def _send(self, send: Send) -> None:
         self.sender.send(send, self.node_stage if send.from_other_site else self.following)
 
+    def _group_entry(self, row: Row, execution: ExecutionTracker) -> tuple[Attempt, ...]:
+        """Returns the entry with the group of nodes where the report may have run first, if its class has
+        more than one group and the row names none."""
+        cls = self.runtime.classes.get(row.id.kind.encode())
+        if cls is None or cls.group is DedupScope.ALL or group_of_attempts(row.attempts) is not None:
+            return ()
+        after = execution.limits_after(FIRST_SENDING, self.runtime.now_us(), cls.window_us)
+        if not isinstance(after.place, ServerGroup):
+            return ()
+        return (group_attempt(after.place, after.first_sent_us / 1e6),)
+
     def _on_answer(self, row: Row, answer: NodeAnswer, execution: ExecutionTracker) -> None:
         if not self.journal.is_sending(row):
             return  # released meanwhile
         attempts = tuple(Attempt(a.place, a.sent_at / 1e6) for a in execution.attempts)
+        attempts += self._group_entry(row, execution)
         if row.id in self.deliveries:
             is_delivered = isinstance(answer, Answer) and 200 <= answer.status < 300
             self.deliveries.pop(row.id).end(self.up_us(), is_delivered)
--- a/magpiefront/repeat_limits.py
+++ b/magpiefront/repeat_limits.py
@@ -11,19 +11,26 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from magpiefront.interface import DedupScope
-
 # The longest delay that is expected between this process reading its clock and writing a request. Each window
 # is shortened by it, but by no more than half of the window.
 MAX_PROCESS_DELAY_US = 150_000
 
 
+class DedupScope(Enum):
+    """Which servers share their record of idempotency keys, so that each of them drops the repeat of a keyed
+    request that another one has had."""
+
+    ALL = "all"
+    ZONE = "zone"
+    CELL = "cell"
+
+
 @dataclass(frozen=True, slots=True)
 class ServerGroup:
     """The zone and the cell of a server: with which others it shares its record of keys."""
 
-    zone: str
-    cell: int
+    zone: str = ""
+    cell: int = -1
 
     def shares_keys_with(self, other: ServerGroup, scope: DedupScope) -> bool:
         """Returns whether servers of the two groups share one record of keys."""
@@ -36,6 +43,9 @@
                 return self.cell == other.cell
 
 
+NO_GROUP = ServerGroup()  # of a server whose zone and cell are not known
+
+
 class Unplaced(Enum):
     """Where a request may have run, if no group is known."""
 
@@ -47,9 +57,8 @@
 class RepeatLimits:
     """What a sending of a request may do, from what came before it.
 
-    `first_sent_us` is when it may have been sent for the first time; 0: it has not been sent, and no time
-    binds it. `window_us` is for how long from then on the servers drop repeats. `place` is where it may have
-    run.
+    `first_sent_us` is when it may have been sent for the first time; 0: no time binds it. `window_us` is for
+    how long from then on the servers drop repeats. `place` is where it may have run.
     """
 
     first_sent_us: int = 0
@@ -90,5 +99,18 @@
             return self
         return RepeatLimits(self.first_sent_us or sent_us, self.window_us or window_us, place)
 
+    def joined_with(self, known_here: RepeatLimits) -> RepeatLimits:
+        """Returns the limits of a request that came with these, where this process itself has sent a request
+        with the same key before: the earlier time binds it."""
+        if not known_here.may_have_run:
+            return self
+        if not self.first_sent_us:
+            return known_here
+        return RepeatLimits(
+            min(self.first_sent_us, known_here.first_sent_us),
+            min(self.window_us, known_here.window_us),
+            self.place if self.may_have_run else known_here.place,
+        )
+
 
 FIRST_SENDING = RepeatLimits()  # of a request that has not been sent before
--- a/magpiefront/router.py
+++ b/magpiefront/router.py
@@ -24,7 +24,7 @@
     StreamBegan, TimerFired, Watch, WeightSource,
 )  # fmt: skip
 from magpiefront.placement import Placement
-from magpiefront.repeat_limits import FIRST_SENDING, RepeatLimits, ServerGroup
+from magpiefront.repeat_limits import NO_GROUP, RepeatLimits, ServerGroup
 
 # Placement and caps
 SLOTS_PER_SERVER = 96  # points on the ring of a server of average weight
@@ -122,18 +122,21 @@
     `trial_backoff_us` the mean wait before that. `down`: it is a suspect because a connection to it failed.
     `failures` counts failures in a row. `in_flight` includes `predecessor_load`, the requests that the
     process replaced by this one still has there. `slots` is its number of points on the ring.
+    `started_after`: when it may have started at the latest, as far as this proxy knows; -1: not known.
     """
 
     __slots__ = (
         "down", "failures", "group", "in_flight", "latency_at", "latency_us", "name", "origin",
-        "predecessor_load", "responded_at", "slots", "start_learned_at", "started_at", "suspect",
-        "suspect_since", "traffic_share", "trial_at", "trial_backoff_us", "trial_in_flight", "warm_at",
+        "predecessor_load", "responded_at", "slots", "start_learned_at", "started_after", "started_at",
+        "suspect", "suspect_since", "traffic_share", "trial_at", "trial_backoff_us", "trial_in_flight",
+        "warm_at",
     )  # fmt: skip
 
     def __init__(self, name: str) -> None:
-        self.name, self.group = name, ServerGroup("", -1)
+        self.name, self.group = name, NO_GROUP
         self.slots = self.in_flight = self.started_at = self.warm_at = self.responded_at = 0
         self.start_learned_at = -1  # when the list told of `started_at`; -1: it has told of no start
+        self.started_after = -1
         self.failures = self.trial_backoff_us = self.suspect_since = self.trial_at = self.predecessor_load = 0
         self.latency_us, self.latency_at = 0.0, 0  # moving average over reads, and when it was last updated
         self.traffic_share = 1.0  # share of its keys for which it gets the requests
@@ -159,15 +162,17 @@
     `done`: it has its final answer. `needs_fetch`: the server probably has to fetch the response from the
     origin. `to_origin`: it is sent to the origin itself. `next_jump`: number of the ring position to try
     next. No attempt begins or lasts past `expires_at`. `outstanding`: how many attempts have not ended yet.
+    `sent_before`: what binds it since it may have been sent before it arrived here.
     """
 
     __slots__ = (
         "arrived", "attempts", "cls", "deadline", "done", "expires_at", "key", "max_attempts", "name",
-        "needs_fetch", "next_jump", "outstanding", "pipelined", "to_origin", "write",
+        "needs_fetch", "next_jump", "outstanding", "pipelined", "sent_before", "to_origin", "write",
     )  # fmt: skip
 
     def __init__(self, event: Arrived, cls: RequestClass, now: int, settings: Settings) -> None:
         self.name, self.cls, self.arrived, self.attempts = event.request, cls, now, list[Attempt]()
+        self.sent_before = event.limits
         self.max_attempts, round_us = settings.max_attempts, settings.round_us
         self.key = splitmix64(event.key if event.key is not None else text_hash(event.request))
         self.deadline = now + max(0, event.time_left_us - round_us)
@@ -177,15 +182,15 @@
 
     @property
     def may_have_run(self) -> bool:
-        """Whether an attempt may have run at its server."""
-        return any(a.may_have_run for a in self.attempts)
+        """Whether the request may have run, by an attempt or before it arrived here."""
+        return self.sent_before.may_have_run or any(a.may_have_run for a in self.attempts)
 
     def limits(self) -> RepeatLimits:
         """Returns what binds the next attempt of a keyed request."""
         for attempt in self.attempts:
             if attempt.may_have_run:
-                return FIRST_SENDING.after_attempt(attempt.sent_at, self.cls.window_us, attempt.group)
-        return FIRST_SENDING
+                return self.sent_before.after_attempt(attempt.sent_at, self.cls.window_us, attempt.group)
+        return self.sent_before
 
 
 class AdmissionGate:
@@ -400,9 +405,9 @@
         return self.key_counts[key] + self.previous_key_counts.get(key, 0)
 
     def _start_attempt(self, now: int, pending: PendingRequest) -> bool:
-        """Sends the request to a server and returns True. If no server can take it, returns False, after
-        giving the final answer unless an attempt is still outstanding."""
-        server = self._pick_server(now, pending)
+        """Sends the request to a server and returns True. If no server can take it, or it may no longer be
+        sent, returns False, after giving the final answer unless an attempt is still outstanding."""
+        server = self._pick_server(now, pending) if pending.sent_before.allow_sending(now) else None
         if server is None:
             if not pending.outstanding:
                 self._answer_unserved(now, pending)
@@ -425,7 +430,7 @@
         pending.outstanding += 1
         server.in_flight += 1
         self.in_flight += 1
-        self.actions.append(Send(pending.name, server.name, expire, not_after))
+        self.actions.append(Send(pending.name, server.name, expire, not_after, server.group))
         return True
 
     # ---- server selection
@@ -444,7 +449,7 @@
             h = nth_hash(pending.key, pending.next_jump)
             pending.next_jump += 1
             server = self.placement.owner(h)
-            if server is None or (pending.attempts and not self._may_follow(pending, limits, server)):
+            if server is None or not self._may_follow(pending, limits, server):
                 continue
             if (
                 not self._may_try(now, server)
@@ -499,16 +504,15 @@
         return server
 
     def _may_follow(self, pending: PendingRequest, limits: RepeatLimits, server: Server) -> bool:
-        """Returns whether the server may get a further attempt. It must be one without an attempt so far. If
+        """Returns whether the server may get the next attempt. It must be one without an attempt so far. If
         the request is keyed and may have run, the server must also be one that `limits` allow, and must not
         have started since."""
-        if any(a.server.name == server.name for a in pending.attempts):
+        if pending.attempts and any(a.server.name == server.name for a in pending.attempts):
             return False
         if not limits.may_have_run or pending.cls.repeat is not Repeat.KEYED:
             return True
-        return server.start_learned_at < limits.first_sent_us and limits.allow_group(
-            server.group, pending.cls.group
-        )
+        started = server.started_after if pending.sent_before.may_have_run else server.start_learned_at
+        return started < limits.first_sent_us and limits.allow_group(server.group, pending.cls.group)
 
     def _admits_while_cold(self, now: int, server: Server) -> bool:
         """Slow start: admits to a cold server the share of its requests that it can serve by now. It is asked
@@ -855,6 +859,7 @@
         """Adds or updates a ready server from its entry in the list `event`. A restart makes the server cold
         and clears its failures."""
         server = self.servers.get(entry.server)
+        is_known = server is not None
         if server is None:
             server = self.servers[entry.server] = Server(entry.server)
         weighted = (
@@ -883,7 +888,10 @@
             self.placement.put(server.name, server, server.slots)
         if entry.started_at_us > server.started_at:
             server.started_at, server.start_learned_at = entry.started_at_us, now
-            server.warm_at = self._start_time(now, entry.started_at_us, event.kind) + self.settings.cold_us
+            start = self._start_time(now, entry.started_at_us, event.kind)
+            server.warm_at = start + self.settings.cold_us
+            # A list that is read at the start of this process tells of starts from long before.
+            server.started_after = now if is_known or event.kind is ListKind.PATCH else start
             server.latency_us, server.traffic_share, server.responded_at = 0.0, 1.0, 0
             self._clear_suspicion(server)
 
--- a/tests/caching/harness.py
+++ b/tests/caching/harness.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass, field
 from typing import Any, cast
 
+from magpiefront.repeat_limits import FIRST_SENDING
 from magpiefront.caching.settings import CachingSettings
 from magpiefront.caching.stage import CachingStage
 from magpiefront.interface import Repeat, RequestClass
@@ -173,7 +174,7 @@
     ) -> tuple[Request, ReceivedAnswer]:  # fmt: skip
         self.request_count += 1
         client = FakeClient()
-        r = Request(client)
+        r = Request(client, FIRST_SENDING)
         r.method, r.target, r.wire_id = method.encode(), target.encode(), b"id%d" % self.request_count
         r.fields = [(n.encode(), v.encode()) for n, v in fields]
         r.headers = {b"host": host.encode(), b"req-kind": kind.encode(), **combined(r.fields)}
--- a/tests/caching/test_link.py
+++ b/tests/caching/test_link.py
@@ -9,6 +9,7 @@
 from pathlib import Path
 from typing import Any
 
+from magpiefront.repeat_limits import FIRST_SENDING
 from magpiefront.gateway import wire
 from magpiefront.interface import Repeat
 from magpiefront.net import config
@@ -194,7 +195,7 @@
     class NoResponder:
         pass
 
-    r = Request(NoResponder())  # type: ignore[arg-type]
+    r = Request(NoResponder(), FIRST_SENDING)  # type: ignore[arg-type]
     r.method, r.target = b"GET", b"/k"
     r.headers = {b"req-id": b"1", b"req-kind": b"read"}
     r.extra_fields = (
--- a/tests/caching/test_watch.py
+++ b/tests/caching/test_watch.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from magpiefront.repeat_limits import FIRST_SENDING
 from magpiefront.caching.link_writes import WriteWatch
 from magpiefront.net.request import Request
 from tests.caching.harness import FakeUpstream, FakeClient, StageHarness
@@ -13,7 +14,7 @@
     w: StageHarness, watch: WriteWatch, method: bytes = b"PUT", kind: bytes = b"field-report"
 ) -> tuple[Request, FakeClient]:
     client = FakeClient()
-    r = Request(client)
+    r = Request(client, FIRST_SENDING)
     r.method, r.target, r.wire_id = method, b"/api/k1", b"w"
     r.headers = {b"host": b"far", b"req-kind": kind}
     watch.submit(r)
--- a/tests/gateway/test_broken_answers.py
+++ b/tests/gateway/test_broken_answers.py
@@ -34,7 +34,7 @@
         if self.breaks_off:
             r.responder.abort(r)
 
-    def submit_from_site(self, r: Request, age_us: int) -> None:
+    def submit_from_site(self, r: Request) -> None:
         self.submit(r)
 
     def can_tell_if_run(self, r: Request) -> bool:
--- a/tests/gateway/test_stores.py
+++ b/tests/gateway/test_stores.py
@@ -22,9 +22,9 @@
         self.stored = 0
 
     def submit(self, r: Request) -> None:
-        self.submit_from_site(r, 0)
+        self.submit_from_site(r)
 
-    def submit_from_site(self, r: Request, age_us: int) -> None:
+    def submit_from_site(self, r: Request) -> None:
         self.stored += 1
         r.responder.answer(r, 200, [b"stored"])
 
--- a/tests/gateway/test_worlds.py
+++ b/tests/gateway/test_worlds.py
@@ -53,7 +53,7 @@
 
 
 def no_deduplication(monkeypatch: pytest.MonkeyPatch) -> None:
-    def submit_from_site(self: KeyedStage, r: Request, age_us: int) -> None:
+    def submit_from_site(self: KeyedStage, r: Request) -> None:
         self.following.submit(r)
 
     monkeypatch.setattr(KeyedStage, "submit_from_site", submit_from_site)
--- a/tests/record/sockets.py
+++ b/tests/record/sockets.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Sequence
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, replace
 from pathlib import Path
 from typing import Any
 
+from magpiefront.repeat_limits import NO_GROUP, ServerGroup
 from magpiefront.interface import Outcome
 from magpiefront.net import config
 from magpiefront.net.client_memory import ClientMemory
@@ -57,6 +58,7 @@
     outcome: Outcome | None
     sent_at: int = 0
     place: str = "s"
+    group: ServerGroup = NO_GROUP
 
 
 @dataclass
@@ -97,11 +99,13 @@
     pg: PgServer | None = None,
     nodes: int = 1,
     group_store: Callable[[Proxy], GroupStore] | None = None,
+    zones: Sequence[str] = ("",),
+    grades: Sequence[dict[str, Any]] = GRADES,
     **record_settings: Any,
 ) -> AsyncIterator[RecordingProxy]:
     """Starts a proxy with an SQLite store at `path`, a PostgreSQL store on `pg` or the store of a group, and
     with a new node unless one is given. With `nodes` there are as many, with one handler and one list of
-    requests. `record_settings` are further fields of `RecordSettings`."""
+    requests, in the `zones` in turn. `record_settings` are further fields of `RecordSettings`."""
     loop = asyncio.get_running_loop()
     owns_node = node is None
     node = node or Node("s", handler)
@@ -113,7 +117,12 @@
         await other.start()
     listed = [node, *more_nodes] if more_nodes else [node] * 8
     instances = [
-        {"instanceId": f"s-{i}", "hostPort": f"127.0.0.1:{n.port}", "lifecycle": "Ready"}
+        {
+            "instanceId": f"s-{i}",
+            "hostPort": f"127.0.0.1:{n.port}",
+            "lifecycle": "Ready",
+            "zone": zones[i % len(zones)],
+        }
         for i, n in enumerate(listed)
     ]
     permissions = {**PROXY_SETTINGS["permissions"], "maxAttempts": attempts, "probes": False,
@@ -123,7 +132,7 @@
         "name": "n0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:9", "seed": "ab",
         "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
         "known": {"generation": 1, "reset": True, "instances": instances},
-        "settings": {**PROXY_SETTINGS, "grades": GRADES, "permissions": permissions},
+        "settings": {**PROXY_SETTINGS, "grades": list(grades), "permissions": permissions},
     }, {})  # fmt: skip
     proxy = Proxy(read, loop)
     proxy.attempt_type = GuardedAttempt
--- a/tests/test_request_ids.py
+++ b/tests/test_request_ids.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from magpiefront.repeat_limits import FIRST_SENDING
 from magpiefront.net.request import Request
 from magpiefront.request_ids import RequestIds
 from tests.caching.sockets import caching_proxy
@@ -154,7 +155,7 @@
 
 
 def test_every_field_of_a_request_is_carried_by_its_clone_or_says_why_not() -> None:
-    original, other = Request(Clone()), Clone()
+    original, other = Request(Clone(), FIRST_SENDING), Clone()
     for number, name in enumerate(Request.__slots__):
         setattr(original, name, f"value {number}")
     clone = original.clone(other)
