--- a/magpiefront/caching/fetches.py
+++ b/magpiefront/caching/fetches.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-import asyncio
 from dataclasses import dataclass, field
 
 from magpiefront.caching.rules import OriginResponse, CacheRequest, ForwardReason, StoredResponse
+from magpiefront.net.deadlines import DeadlineTimer
 from magpiefront.net.request import Request
 
 FetchKey = tuple[bytes, tuple[bytes | None, ...]]  # a cache key, and the secondary key of the request
@@ -20,7 +20,7 @@
     reason: ForwardReason
     tries: int = 0
     collapsed: bool = False  # it joined a fetch that another request had started
-    timer: asyncio.TimerHandle | None = None
+    timer: DeadlineTimer | None = None
 
     def cancel_timer(self) -> None:
         if self.timer is not None:
--- a/magpiefront/caching/stage.py
+++ b/magpiefront/caching/stage.py
@@ -167,7 +167,7 @@
             fetch_key = key, self._secondary_key(variants, cache_request)
             fetch = self.joinable_fetches.get(fetch_key)
             if fetch is not None:
-                self._join(fetch, Waiter(r, cache_request, choice.reason, tries, True), now)
+                self._join(fetch, Waiter(r, cache_request, choice.reason, tries, True))
                 return
         self._start_fetch(r, key, gauge, cache_request, choice, tries, is_shared, may_store)
 
@@ -236,12 +236,9 @@
         self.fetches_by_gauge.setdefault(fetch.gauge, {})[fetch] = None
         self.following.submit(fetch.request)
 
-    def _join(self, fetch: Fetch, waiter: Waiter, now: int) -> None:
+    def _join(self, fetch: Fetch, waiter: Waiter) -> None:
         r = waiter.request
-        time_left_us = max(0, r.received_at + r.time_left - now)
-        waiter.timer = self.runtime.loop.call_later(
-            time_left_us / 1e6, self._on_waiter_deadline, fetch, waiter
-        )
+        waiter.timer = self.runtime.deadlines.start(r, self._on_waiter_deadline, fetch, waiter)
         fetch.waiters[r] = waiter
         self.fetches_by_client[r] = fetch
 
--- a/magpiefront/gateway/keyed_stage.py
+++ b/magpiefront/gateway/keyed_stage.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-import asyncio
 from collections.abc import Sequence
 from hashlib import blake2b
 
 from magpiefront.gateway.repeat import effective_repeat
+from magpiefront.net.deadlines import DeadlineTimer
 from magpiefront.net.execution import ExecutionTracker, execution_of, mark_may_have_run
 from magpiefront.net.runtime import StageRuntime
 from magpiefront.gateway.idempotency import Answer, Key, AnswerTable, Verdict
@@ -15,6 +15,8 @@
 from magpiefront.net.request import Request, Stage
 from magpiefront.repeat_limits import RepeatLimits
 
+# A request that waits is answered this long after its deadline (us): after the proxy's own answer is due.
+AFTER_PROXY_US = 16_000
 MAX_KEPT_ANSWER_BYTES = 256 * 1024  # a longer answer is streamed and not kept
 
 
@@ -53,7 +55,7 @@
         self.status = 200
         self.more = b""
         self.streamed_to: Request | None = None  # gets a long answer while it arrives
-        self.deadline_timer: asyncio.TimerHandle | None = None  # while a long answer is collected
+        self.deadline_timer: DeadlineTimer | None = None  # while a long answer is collected
 
     def cancel_timer(self) -> None:
         if self.deadline_timer is not None:
@@ -71,7 +73,7 @@
         self.runtime, self.following = runtime, following
         self.answers: AnswerTable[Request] = AnswerTable(settings.max_answers, settings.max_bytes)
         self.executions: dict[Request, KeyedExecution] = {}
-        self.waiting_requests: dict[Request, tuple[Key, asyncio.TimerHandle]] = {}
+        self.waiting_requests: dict[Request, tuple[Key, DeadlineTimer]] = {}
 
     def configure(self, settings: KeyedSettings) -> None:
         self.answers.configure(settings.max_answers, settings.max_bytes)
@@ -121,10 +123,8 @@
 
     def _start_waiting(self, r: Request, key: Key) -> None:
         # A repeated request may have less time than the one in progress; its own deadline applies.
-        left_us = max(0, r.received_at + r.time_left - self.runtime.now_us())
-        self.waiting_requests[r] = (
-            key, self.runtime.loop.call_later(left_us / 1e6 + 0.016, self._on_deadline, r)
-        )  # fmt: skip
+        timer = self.runtime.deadlines.start(r, self._on_deadline, r, offset_us=AFTER_PROXY_US)
+        self.waiting_requests[r] = (key, timer)
 
     def _on_deadline(self, r: Request) -> None:
         if self._stop_waiting(r):
@@ -198,8 +198,7 @@
             self._start_streaming(running, length)
             return
         # The following stages have no time limit for an answer that has begun.
-        left_us = max(0, request.received_at + request.time_left - self.runtime.now_us())
-        running.deadline_timer = self.runtime.loop.call_later(left_us / 1e6, self._give_up, request)
+        running.deadline_timer = self.runtime.deadlines.start(request, self._give_up, request)
 
     def _give_up(self, request: Request) -> None:
         """Ends an execution whose answer has begun, is collected and has not ended in time, so that the next
--- a/magpiefront/gateway/stage.py
+++ b/magpiefront/gateway/stage.py
@@ -60,10 +60,11 @@
             stage, request, routing, decision, is_spilled
         )  # fmt: skip
         cls = stage.runtime.classes.get(request.headers[b"req-kind"])
-        deadline = request.received_at + request.time_left - stage.settings.answer_margin_us
+        margin_us = stage.settings.answer_margin_us
+        self.timer = stage.runtime.deadlines.start(request, self.on_deadline, offset_us=-margin_us)
         self.retry_state = RetryState(
             routing.repeat,
-            deadline,
+            self._answer_by_us,
             cls.window_us if cls is not None else 0,
             stage.settings.retry.max_attempts,
         )
@@ -77,8 +78,11 @@
         self.body_parts: list[bytes] = []
         self.body_size = 0
         self.is_streaming = self.is_paused = False
-        left_us = max(0, deadline - stage.runtime.now_us())
-        self.timer = stage.runtime.loop.call_later(left_us / 1e6, self.on_deadline)
+
+    @property
+    def _answer_by_us(self) -> int:
+        """When the client is answered at the latest, in microseconds of the host's clock."""
+        return self.timer.deadline_us + self.timer.offset_us
 
     # ---- attempts
 
@@ -86,6 +90,7 @@
         """Sends one attempt, or takes the next step if no connection is available."""
         link, now = self.stage.links[self.decision.site], self.stage.runtime.now_us()
         state, r = self.retry_state, self.request
+        state.deadline_us = self._answer_by_us  # a planned end may have brought it forward
         if (self.guard is not None and not self.guard()) or not r.limits.allow_sending(now):
             # Another process owns the request now, or the window for repeats has ended.
             if state.may_have_run:
@@ -378,7 +383,7 @@
         execution = execution_of(r)
         routing = RoutingRequest(
             r.key.decode("latin-1"), h[b"req-kind"].decode("latin-1"), repeat,
-            h.get(b"req-owner", b"").decode("latin-1"), r.received_at + r.time_left - self.runtime.now_us(),
+            h.get(b"req-owner", b"").decode("latin-1"), self._time_left_us(r),
             only_site=execution.site if execution is not None else "",
         )  # fmt: skip
         match self.routes.route(routing, LinkViews(self.links)):
@@ -404,6 +409,9 @@
         assert not isinstance(downstream, LocalResponder)
         self.following.submit(r)
 
+    def _time_left_us(self, r: Request) -> int:
+        return self.runtime.deadlines.of(r) - self.runtime.now_us()
+
     def site_of(self, key: bytes) -> str:
         """Returns the site that a request for this key is sent to by the present table."""
         return self.routes.table.home_site(key.decode("latin-1"))
@@ -447,8 +455,8 @@
         """Spills a request that the Router of this site refused to another site, or answers it with 503."""
         now = self.runtime.now_us()
         routing = RoutingRequest(
-            routing.key, routing.class_name, routing.repeat, routing.tenant, r.received_at + r.time_left - now
-        )  # fmt: skip
+            routing.key, routing.class_name, routing.repeat, routing.tenant, self._time_left_us(r)
+        )
         match self.routes.route_refused(now, routing, LinkViews(self.links)):
             case ForwardToSite() as decision:
                 self.counters.add("spilled")
--- a/magpiefront/net/proxy.py
+++ b/magpiefront/net/proxy.py
@@ -26,6 +26,7 @@
 from magpiefront.net import exchange
 from magpiefront.net.answer import Answer, parse_load_report
 from magpiefront.net.config import Address, Config
+from magpiefront.net.deadlines import Deadlines
 from magpiefront.net.events import EventLog, Reason
 from magpiefront.net.exchange import PROBE_TIMEOUT_S, Attempt, stalled
 from magpiefront.net.exchange import Probe as ProbeExchange
@@ -102,7 +103,7 @@
         self.check_memory: Callable[[], None] = lambda: None  # called with each measurement of the lag
         self.on_watch: Callable[[], None] = lambda: None  # called when the Router asks for the server list
         self.log_lines_left, self.log_period_start, self.log_lines_dropped = MAX_LOG_LINES, 0.0, 0
-        self.answer_by_us: int | None = None  # at shutdown: `now_us` by which all requests are answered
+        self.deadlines = Deadlines(loop, self.now_us)
         self.head_of = content_type
 
     def configure(self, config: Config) -> None:
@@ -313,7 +314,7 @@
     def answer_all_by(self, at_us: int) -> None:
         """Makes `at_us` the latest deadline of every request, open or still to come, because the process is
         shutting down."""
-        self.answer_by_us = at_us
+        self.deadlines.bring_forward(at_us)
         now = self.now_us()
         for request in self.requests.values():
             if not request.answered and request.deadline > at_us:
@@ -350,9 +351,7 @@
             request.extra_fields += b"Content-Length: 0\r\n"
         self.requests[request.name] = request
         now = self.now_us()
-        request.deadline = request.received_at + request.time_left
-        if self.answer_by_us is not None:
-            request.deadline = min(request.deadline, self.answer_by_us)
+        request.deadline = self.deadlines.of(request)
         left_us = max(0, request.deadline - now)
         request.timeout_timer = self._start_timeout_timer(request, left_us)
         headers = request.headers
--- a/magpiefront/net/runtime.py
+++ b/magpiefront/net/runtime.py
@@ -7,6 +7,7 @@
 from typing import Protocol
 
 from magpiefront.interface import RequestClass
+from magpiefront.net.deadlines import Deadlines
 
 
 class Runtime(Protocol):
@@ -22,7 +23,10 @@
 
 
 class RuntimeWithClasses(Runtime, Protocol):
-    """A runtime that also knows the request classes."""
+    """A runtime that also knows the request classes, and the deadlines of the requests that clients wait
+    for."""
+
+    deadlines: Deadlines
 
     @property
     def classes(self) -> Mapping[bytes, RequestClass]:
--- a/magpiefront/operator/compose.py
+++ b/magpiefront/operator/compose.py
@@ -340,13 +340,12 @@
         return metrics + (self.record.metrics() if self.record is not None else "")
 
     async def leave(self) -> None:
-        """Leaves the group for a planned shutdown. Reports that would not end in time are left to other
-        members, which learn at once that they may take them over."""
-        if self.group is None:
-            return
+        """Ends the work of this process for a planned shutdown: answers whoever still waits for a report, and
+        leaves the group, whose other members learn at once that they may take over what did not end."""
         if self.record is not None:
             self.record.release_all()
-        await self.group.leave(GROUP_LEAVE_TIMEOUT_S)
+        if self.group is not None:
+            await self.group.leave(GROUP_LEAVE_TIMEOUT_S)
 
     def drain(self) -> None:
         """Tells the gateways of other sites to send no new requests here."""
--- a/magpiefront/record/journal.py
+++ b/magpiefront/record/journal.py
@@ -252,6 +252,11 @@
             return [Reply(waiter, RETRY_SAME_KEY, RETRY_AFTER_US)]
         return [Reply(waiter, NO_ANSWER_IN_TIME)]
 
+    def bring_forward(self, deadline_us: int) -> None:
+        """Makes `deadline_us` the latest deadline of all clients, because this process ends."""
+        for entry in self.entries.values():
+            entry.waiters = {waiter: min(due_us, deadline_us) for waiter, due_us in entry.waiters.items()}
+
     # ---- the store
 
     def _change_row(self, entry: Entry, before: Row, after: Row, deadline_us: int) -> Change:
--- a/magpiefront/record/sender.py
+++ b/magpiefront/record/sender.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-import asyncio
 import itertools
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
+from magpiefront.net.deadlines import DeadlineTimer
 from magpiefront.net.execution import ExecutionTracker
 from magpiefront.net.fields import format_fields, parse_fields
 from magpiefront.net.http1 import MAX_BUFFERED_BYTES
@@ -28,7 +28,7 @@
     row: Row
     stage: Stage
     collector: AnswerCollector | None = None
-    deadline_timer: asyncio.TimerHandle | None = None
+    deadline_timer: DeadlineTimer | None = None
 
 
 class ReportSender:
@@ -102,8 +102,7 @@
         report = self.sent[request]
         report.collector = AnswerCollector(status, more, length, self.max_held_bytes)
         # The following stages have no time limit for an answer that has begun.
-        left_us = max(0, request.received_at + request.time_left - self.runtime.now_us())
-        report.deadline_timer = self.runtime.loop.call_later(left_us / 1e6, self._on_deadline, request)
+        report.deadline_timer = self.runtime.deadlines.start(request, self._on_deadline, request)
 
     def _on_deadline(self, request: Request) -> None:
         """Gives up an answer that has begun and not ended in time, so that a repeat may be sent."""
--- a/magpiefront/record/stage.py
+++ b/magpiefront/record/stage.py
@@ -12,6 +12,7 @@
 from secrets import token_hex
 
 from magpiefront.interface import DedupScope, Repeat, RequestClass
+from magpiefront.net.deadlines import DeadlineTimer
 from magpiefront.net.execution import ExecutionTracker, execution_of, mark_may_have_run
 from magpiefront.net.runtime import StageRuntime
 from magpiefront.net.fields import format_fields
@@ -90,7 +91,8 @@
         self.site_of: Callable[[bytes], str] = lambda key: ""
         self.own_site = ""
         self.clients: dict[Request, Id] = {}
-        self.deadline_timers: dict[Request, asyncio.TimerHandle] = {}
+        self.deadline_timers: dict[Request, DeadlineTimer] = {}
+        runtime.deadlines.on_brought_forward.append(self._bring_forward)
         self.sender = ReportSender(
             runtime, self.ownership, self.process_token, self.up_us, settings.most_answer, self._on_answer
         )
@@ -148,11 +150,10 @@
             self._refuse(r)
             return
         row = self._new_row(r, cls, self.own_site if from_other_site else self.site_of(r.key))
-        deadline_us = r.received_at + r.time_left - self.clock_offset_us
+        deadline_us = self.runtime.deadlines.of(r) - self.clock_offset_us
         self.clients[r] = row.id
-        left_us = max(0, deadline_us - self.settings.least_left_us - self.up_us())
-        self.deadline_timers[r] = self.runtime.loop.call_later(
-            left_us / 1e6, self._on_deadline, r, deadline_us
+        self.deadline_timers[r] = self.runtime.deadlines.start(
+            r, self._on_deadline, r, offset_us=-self.settings.least_left_us
         )
         self._do(self.journal.on_request(self.up_us(), r, row, deadline_us, from_other_site))
 
@@ -165,7 +166,7 @@
         """Stores the waiting requests once this process may act; refuses those that can wait no longer."""
         may_act, up_us = self.ownership.owner_prefix() is not None, self.up_us()
         for r, (cls, from_other_site) in list(self.early_requests.items()):
-            due_us = r.received_at + r.time_left - self.clock_offset_us - self.settings.least_left_us
+            due_us = self.runtime.deadlines.of(r) - self.clock_offset_us - self.settings.least_left_us
             if may_act or up_us >= min(due_us, self.ownership_expected_us):
                 del self.early_requests[r]
                 if may_act:
@@ -211,16 +212,17 @@
         if r not in self.clients and r not in self.early_requests:
             self.following.resume_response(r)
 
-    def _on_deadline(self, r: Request, deadline_us: int) -> None:
+    def _bring_forward(self, at_us: int) -> None:
+        self.journal.bring_forward(at_us - self.clock_offset_us)
+
+    def _on_deadline(self, r: Request) -> None:
         id = self.clients.get(r)
         if id is None:
             return
+        left_us = self.runtime.deadlines.of(r) - self.runtime.now_us()
         self._do(self.journal.on_deadline(self.up_us(), r, id))
-        left_us = deadline_us - self.up_us()
         if r in self.clients and left_us > 0:  # the report was sent: its answer may come until the deadline
-            self.deadline_timers[r] = self.runtime.loop.call_later(
-                left_us / 1e6, self._on_deadline, r, deadline_us
-            )  # fmt: skip
+            self.deadline_timers[r] = self.runtime.deadlines.start(r, self._on_deadline, r)
         elif r in self.clients:
             # The journal no longer knows the client, which must be answered all the same.
             self._do([journal.Reply(r, journal.NO_ANSWER_IN_TIME)])
--- a/tests/caching/harness.py
+++ b/tests/caching/harness.py
@@ -11,6 +11,7 @@
 from magpiefront.caching.settings import CachingSettings
 from magpiefront.caching.stage import CachingStage
 from magpiefront.interface import Repeat, RequestClass
+from magpiefront.net.deadlines import Deadlines
 from magpiefront.net.fields import Fields, combined, format_fields, parse_fields
 from magpiefront.net.request import Request
 
@@ -57,6 +58,7 @@
         self.classes = CLASSES
         self.timers = FakeLoop(self)
         self.loop = cast(asyncio.AbstractEventLoop, self.timers)
+        self.deadlines = Deadlines(self.loop, self.now_us)
         self.threadsafe_calls: list[tuple[Any, tuple[Any, ...]]] = []
         self.logged: list[str] = []
 
