--- a/magpiefront/__main__.py
+++ b/magpiefront/__main__.py
@@ -41,6 +41,7 @@
 from magpiefront.net.listening import open_listener
 from magpiefront.net.memory_guard import MemoryGuard
 from magpiefront.net.memory_holders import ClientHolders
+from magpiefront.net.memory_plan import USABLE_SHARE
 from magpiefront.net.memory_pressure import PEAK_SHARE
 from magpiefront.net.process_memory import Allocator, ProcessMemory, resident_bytes
 from magpiefront.net.proxy import Proxy
@@ -92,7 +93,7 @@
         from magpiefront.operator.compose import Composition, create_proxy
 
         proxy = create_proxy(settings, loop, operator)
-        composition = Composition(proxy, proxy, operator, settings.seed, proxy, stop.set)
+        composition = Composition(proxy, proxy, operator, settings.seed, memory, proxy, stop.set)
         first_stage = composition.first_stage
     if os.environ.get("LB_TRACE"):
         from magpiefront.net import trace
@@ -102,8 +103,11 @@
     front = Front(
         proxy, first_stage, memory, settings.sockets - RESERVED_DESCRIPTORS - proxy.node_descriptors
     )
+    holders = ClientHolders(proxy, front, memory)
+    if composition is not None:
+        holders.shed_others = composition.shed_memory
     guard = MemoryGuard(
-        settings.memory_mb << 20, ProcessMemory(), allocator.trim, ClientHolders(proxy, front, memory),
+        settings.memory_mb << 20, ProcessMemory(), allocator.trim, holders,
         proxy.events_log, loop.time, front.max_clients, proxy.node_descriptors,
     )  # fmt: skip
     proxy.slowest_connection = front.turns.take_slowest
@@ -172,7 +176,11 @@
         await asyncio.sleep(START_POLL_S)
     if state is not None:
         upgrade_state.restore(state, proxy)
-    plan = guard.start(len(proxy.pool.nodes), composition.reserved_bytes if composition is not None else 0)
+    reserved_bytes = 0
+    if composition is not None:
+        free_bytes = int((settings.memory_mb << 20) * USABLE_SHARE) - resident_bytes()
+        reserved_bytes = composition.reserve_memory(free_bytes)
+    plan = guard.start(len(proxy.pool.nodes), reserved_bytes)
     if not plan.enough:
         proxy.log(
             f"limits.memory_mb = {settings.memory_mb} is too little for this list of nodes: "
--- a/magpiefront/gateway/http2.py
+++ b/magpiefront/gateway/http2.py
@@ -6,7 +6,9 @@
 - GOAWAY frames are read and written here, because `h2` treats GOAWAY as the end of the connection and would
   refuse the streams that may still finish.
 - Window updates are sent here: for the connection as bytes arrive, for a stream only while its reader accepts
-  data, so that a slow reader delays no other stream.
+  data, so that a slow reader delays no other stream. With `grants`, a stream gets window only as its owner
+  grants it, so that no more arrives than there is memory for.
+- Bodies are turned into frames only as the transport takes them, a frame of each stream in turn.
 """
 
 from __future__ import annotations
@@ -24,10 +26,12 @@
 from hyperframe.frame import GoAwayFrame
 
 STREAM_WINDOW_BYTES = 256 * 1024  # receive window of each stream
+GRANTED_AT_FIRST_BYTES = 4 * 1024  # the same of a new stream with `grants`: room for a small request
 CONNECTION_WINDOW_BYTES = 8 * 1024 * 1024  # receive window of the connection, for all streams together
 MAX_HEADER_LIST_BYTES = 32 * 1024  # longest header list that is accepted
 MAX_FRAME_BYTES = 16 * 1024  # longest frame payload that is accepted
 SEND_BUFFER_HIGH_BYTES, SEND_BUFFER_LOW_BYTES = 128 * 1024, 32 * 1024  # watermarks of a stream's send buffer
+OUTPUT_HIGH_BYTES = 128 * 1024  # no further body frames are made while more than this waits to be written
 PREFACE_BYTES = len(b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n")
 GOAWAY_FRAME_TYPE = 0x7
 MAX_STREAM_ID = 2**31 - 1
@@ -105,12 +109,13 @@
 
 
 class SendBuffer:
-    """Body bytes of one stream that wait for its flow-control window."""
+    """Body bytes of one stream that wait for its flow-control window. Parts are not copied: they belong to
+    the request or answer as well."""
 
     __slots__ = ("ends_stream", "full", "parts", "size")
 
     def __init__(self) -> None:
-        self.parts: deque[bytes] = deque()
+        self.parts: deque[memoryview] = deque()
         self.size = 0
         self.ends_stream = self.full = False
 
@@ -119,11 +124,12 @@
     """One end of a connection.
 
     `client`: this end opens the streams. `max_streams` is how many streams the peer may have open at a time.
+    `grants`: the window of a stream grows only by calls of `grant`.
     """
 
-    def __init__(self, client: bool, max_streams: int = 1000) -> None:
+    def __init__(self, client: bool, max_streams: int = 1000, grants: bool = False) -> None:
         codes = h2.settings.SettingCodes
-        self.client = client
+        self.client, self.grants = client, grants
         self.h2 = h2.connection.H2Connection(
             h2.config.H2Configuration(
                 client_side=client,
@@ -135,7 +141,7 @@
         )
         initial_settings = {
             codes.MAX_CONCURRENT_STREAMS: max_streams,
-            codes.INITIAL_WINDOW_SIZE: STREAM_WINDOW_BYTES,
+            codes.INITIAL_WINDOW_SIZE: GRANTED_AT_FIRST_BYTES if grants else STREAM_WINDOW_BYTES,
             codes.MAX_HEADER_LIST_SIZE: MAX_HEADER_LIST_BYTES,
         }
         if client:
@@ -146,6 +152,8 @@
         self.output = bytearray()  # not yet taken by the transport
         self.written_bytes = 0  # bytes that the transport has taken
         self.send_buffers: dict[int, SendBuffer] = {}
+        self.sendable: dict[int, None] = {}  # streams whose buffer may have a frame to send now, in turn
+        self.writable: list[int] = []  # streams whose buffer has drained, not yet told
         self.end_offsets: dict[int, int] = {}  # by stream: bytes of output up to the end of the stream
         # By open stream: bytes received on it, with no window update sent yet. The keys are the open streams.
         self.unacknowledged_bytes: dict[int, int] = {}
@@ -189,8 +197,8 @@
         stream = self.h2.get_next_available_stream_id()
         self.unacknowledged_bytes[stream] = 0
         self.send_head(stream, fields, not body and not more)
-        if body:
-            self.send_body(stream, b"".join(body), True)
+        for number, part in enumerate(body, 1):
+            self.send_body(stream, part, number == len(body))
         return stream
 
     def send_head(self, stream: int, fields: list[tuple[bytes, bytes]], end: bool) -> None:
@@ -211,10 +219,11 @@
             return True  # reset by the peer, as in `send_head`
         buffer = self.send_buffers.setdefault(stream, SendBuffer())
         if data:
-            buffer.parts.append(data)
+            buffer.parts.append(memoryview(data))
             buffer.size += len(data)
         buffer.ends_stream = buffer.ends_stream or end
-        self._send_buffered(stream)
+        self.sendable[stream] = None
+        self.fill_output()
         buffer.full = buffer.full or buffer.size > SEND_BUFFER_HIGH_BYTES
         return not buffer.full
 
@@ -225,39 +234,52 @@
         else:
             self.forget(stream)  # its response is complete
 
-    def _send_buffered(self, stream: int) -> None:
-        buffer = self.send_buffers.get(stream)
-        if buffer is None:
-            return
-        try:
-            self._send_within_window(stream, buffer)
-        except (h2.exceptions.StreamClosedError, h2.exceptions.NoSuchStreamError):
-            # The peer reset the stream; the RST_STREAM comes later in the bytes being processed.
-            self.send_buffers.pop(stream, None)
-
-    def _send_within_window(self, stream: int, buffer: SendBuffer) -> None:
-        while buffer.parts:
+    def fill_output(self) -> None:
+        """Makes frames of the bodies that wait, one of each stream in turn, as far as there is room in the
+        output and in the peer's windows."""
+        while self.sendable and len(self.output) < OUTPUT_HIGH_BYTES:
+            stream = next(iter(self.sendable))
+            del self.sendable[stream]
+            buffer = self.send_buffers.get(stream)
+            if buffer is None:
+                continue
+            try:
+                if self._send_frame(stream, buffer):
+                    self.sendable[stream] = None
+            except (h2.exceptions.StreamClosedError, h2.exceptions.NoSuchStreamError):
+                # The peer reset the stream; the RST_STREAM comes later in the bytes being processed.
+                self.send_buffers.pop(stream, None)
+
+    def _send_frame(self, stream: int, buffer: SendBuffer) -> bool:
+        """Sends the next frame of a body, within the window. Returns whether there may be another one."""
+        if buffer.parts:
             sendable_bytes = min(self.h2.local_flow_control_window(stream), self.h2.max_outbound_frame_size)
             if sendable_bytes <= 0:
-                break
+                return False
             part = buffer.parts.popleft()
             if len(part) > sendable_bytes:
                 buffer.parts.appendleft(part[sendable_bytes:])
                 part = part[:sendable_bytes]
             buffer.size -= len(part)
-            last = buffer.ends_stream and not buffer.parts
-            self.h2.send_data(stream, part, end_stream=last)
-            self._collect_output()
-            if last:
-                self._finish_sending(stream)
-                return
-        if buffer.ends_stream and not buffer.parts:
+            is_last = buffer.ends_stream and not buffer.parts
+            self.h2.send_data(stream, bytes(part), end_stream=is_last)
+        elif buffer.ends_stream:
+            is_last = True
             self.h2.end_stream(stream)
-            self._collect_output()
+        else:
+            return False
+        self._collect_output()
+        if is_last:
             self._finish_sending(stream)
         elif buffer.full and buffer.size < SEND_BUFFER_LOW_BYTES:
             buffer.full = False
-            self.events.append(StreamWritable(stream))
+            self.writable.append(stream)
+        return not is_last and bool(buffer.parts or buffer.ends_stream)
+
+    def take_writable(self) -> list[Event]:
+        """Returns the streams whose send buffer has drained to the low watermark since the last call."""
+        writable, self.writable = self.writable, []
+        return [StreamWritable(stream) for stream in writable]
 
     def reset(self, stream: int, code: int = CANCEL_CODE) -> None:
         """Sends RST_STREAM with an error code."""
@@ -317,6 +339,7 @@
         except h2.exceptions.ProtocolError as e:
             self._collect_output()
             self.events.append(ConnectionFailed(f"{type(e).__name__}: {e}"))
+        self.events += self.take_writable()
         return self.events
 
     def _feed_h2(self, data: bytes) -> None:
@@ -336,16 +359,15 @@
                 case h2.events.StreamReset():
                     self.events.append(StreamAborted(e.stream_id, e.error_code == REFUSED_STREAM_CODE))
                 case h2.events.WindowUpdated():
-                    for stream in [e.stream_id] if e.stream_id else list(self.send_buffers):
-                        self._send_buffered(stream)
+                    self.sendable |= dict.fromkeys([e.stream_id] if e.stream_id else self.send_buffers)
                 case h2.events.RemoteSettingsChanged():
-                    for stream in list(self.send_buffers):
-                        self._send_buffered(stream)
+                    self.sendable |= dict.fromkeys(self.send_buffers)
                 case h2.events.PingAckReceived():
                     self.events.append(PingAnswered())
                 case _:
                     pass
         self._collect_output()
+        self.fill_output()
 
     def _receive_body(self, stream: int, data: bytes, size: int) -> None:
         self.unacknowledged_connection_bytes += size
@@ -360,11 +382,20 @@
 
     def _update_window(self, stream: int) -> None:
         unacknowledged = self.unacknowledged_bytes.get(stream, 0)
+        if self.grants:
+            return
         if unacknowledged > STREAM_WINDOW_BYTES // 4 and stream not in self.paused_streams:
             self.unacknowledged_bytes[stream] = 0
             with suppress(h2.exceptions.StreamClosedError):
                 self.h2.increment_flow_control_window(unacknowledged, stream)
 
+    def grant(self, stream: int, size: int) -> None:
+        """Lets the peer send `size` bytes more on a stream."""
+        if stream in self.unacknowledged_bytes and size > 0:
+            with suppress(h2.exceptions.StreamClosedError, h2.exceptions.NoSuchStreamError):
+                self.h2.increment_flow_control_window(size, stream)
+            self._collect_output()
+
     def pause_reading(self, stream: int) -> None:
         """Sends no window updates for the stream, because its reader is slow."""
         if stream in self.unacknowledged_bytes:
--- a/magpiefront/gateway/inbound.py
+++ b/magpiefront/gateway/inbound.py
@@ -9,8 +9,10 @@
 from collections.abc import Callable, Sequence
 
 from magpiefront.gateway import http2, wire
+from magpiefront.gateway.body_reservation import MAX_MEMORY_WAIT_S, STREAM_COST_BYTES, BodyReservation
 from magpiefront.gateway.counters import Counters
 from magpiefront.gateway.repeat import effective_repeat
+from magpiefront.net.client_memory import ClientMemory
 from magpiefront.net.execution import ExecutionTracker, mark_may_have_run
 from magpiefront.net.runtime import StageRuntime
 from magpiefront.net.listening import bind_socket
@@ -23,6 +25,7 @@
 from magpiefront.repeat_limits import FIRST_SENDING, RepeatLimits, Unplaced
 
 LISTEN_BACKLOG = 100  # connections that wait to be accepted
+MAX_SHED = 16  # requests that one call of `shed_memory` refuses
 # Pause between the GOAWAYs to two connections of one site, when another process takes over.
 GOAWAY_SPACING_S = 0.2
 # From the first GOAWAY to the final one; a stream that arrives in between is still served.
@@ -32,8 +35,8 @@
 class InboundRequest:
     """One request from another gateway, until its answer is sent. Also the `Responder` of this request."""
 
-    __slots__ = ("connection", "credit", "done", "head", "request", "size", "stage", "started", "stream",
-                 "streaming")  # fmt: skip
+    __slots__ = ("connection", "credit", "done", "head", "request", "reservation", "size", "stage", "started",
+                 "stream", "streaming")  # fmt: skip
 
     def __init__(
         self, connection: InboundConnection, stream: int, head: wire.RequestHead, credit: Credit
@@ -44,6 +47,14 @@
         self.stage = connection.listener.stage  # that it is passed to, once it is complete
         self.size = 0
         self.started = self.done = self.streaming = False
+        listener = connection.listener
+        self.reservation = BodyReservation(listener.memory, self._grant, listener.runtime.loop.time)
+
+    def _grant(self, size: int) -> None:
+        """Lets the sender send so many bytes more."""
+        if not self.connection.closed:
+            self.connection.http2.grant(self.stream, size)
+            self.connection.flush()
 
     def _limits(self) -> RepeatLimits:
         """What binds the request if its sender may have sent it before, counted from when its head came.
@@ -105,6 +116,8 @@
     def finish(self) -> None:
         if not self.done:
             self.done = True
+            self.reservation.release()
+            self.request.body = []  # a clone that still runs has the list; the cycle with this one has not
             self.connection.finished(self)
 
 
@@ -116,8 +129,9 @@
     def __init__(self, listener: GatewayListener, seed: int) -> None:
         # 64 streams more than credits, for the hello and for streams whose end the peer has not received yet.
         super().__init__(
-            listener.runtime, False, listener.settings.link, seed, listener.settings.credits.crossing + 64
-        )
+            listener.runtime, False, listener.settings.link, seed, listener.settings.credits.crossing + 64,
+            grants=True,
+        )  # fmt: skip
         self.listener = listener
         self.incoming: dict[int, InboundRequest] = {}
         self.last_stream: int | None = None  # named in the final GOAWAY; None until that is sent
@@ -223,11 +237,34 @@
             self._reject(stream, 508, reason.value)
             return
         name = head.headers.get(b"req-kind", b"").decode("latin-1")
+        if self.listener.credits.used * STREAM_COST_BYTES > self.listener.memory.limit:
+            self.refuse(stream, "memory")  # open requests alone would take all that bodies need
+            return
         credit = self.listener.credits.take(name, head.headers.get(b"req-owner", b"").decode("latin-1"))
         if isinstance(credit, Reason):
             self.refuse(stream, credit.value)
             return
-        self.incoming[stream] = InboundRequest(self, stream, head, credit)
+        incoming = self.incoming[stream] = InboundRequest(self, stream, head, credit)
+        if head.length is not None:
+            self._expect_body(incoming, head.length)
+
+    def _expect_body(self, incoming: InboundRequest, length: int) -> None:
+        """Reserves memory for a body, or refuses one for which there can never be room."""
+        if length > min(self.listener.settings.max_body_bytes, self.listener.memory.message_limit):
+            self._reject_body(incoming)
+        else:
+            incoming.reservation.expect(length)
+
+    def _reject_body(self, incoming: InboundRequest) -> None:
+        self._reject(incoming.stream, 413, "body")
+        incoming.finish()
+        self.http2.reset(incoming.stream, http2.NO_ERROR_CODE)
+
+    def refuse_for_memory(self, incoming: InboundRequest) -> None:
+        """Refuses a request whose body has not come as a whole, for lack of memory."""
+        self.refuse(incoming.stream, "memory")
+        incoming.finish()
+        self.flush()
 
     def _reject(self, stream: int, status: int, reason: str) -> None:
         self.listener.counters.add(f"in_refused_{reason}")
@@ -256,19 +293,20 @@
         incoming = self.incoming.get(stream)
         if incoming is None:
             return
+        if not incoming.size and incoming.head.length is None:
+            self._expect_body(incoming, self.listener.settings.max_body_bytes)  # its sender told no length
         incoming.size += len(data)
         if incoming.size > self.listener.settings.max_body_bytes:
-            self._reject(stream, 413, "body")
-            incoming.finish()
-            self.http2.reset(stream, http2.NO_ERROR_CODE)
-            return
-        incoming.request.body.append(data)
+            self._reject_body(incoming)
+        else:
+            incoming.request.body.append(data)
 
     def _complete(self, incoming: InboundRequest) -> None:
         """Passes a completely received request to the listener, or answers it at once if it is invalid."""
         r, head = incoming.request, incoming.head
         r.method, r.target, r.headers, r.size = head.method, head.target, head.headers, incoming.size
         incoming.started = True
+        incoming.reservation.complete()
         status = r.check(self.listener.runtime.classes, methods=self.listener.settings.methods)
         if self.listener.settings.forwards_all:
             r.extra_fields += head.extra_fields
@@ -292,8 +330,8 @@
     """Accepts connections of other sites' gateways and forwards their requests to `stage`.
 
     `stage` is the keyed stage, or the stage in front of it that stores reports. No request is sent on to a
-    third site. `epoch` identifies this run of the process; `store` returns the store of record of this
-    process.
+    third site. `epoch` identifies this run of the process, `memory` is the account that bodies are reserved
+    in, and `store` returns the store of record of this process.
     """
 
     name = "gateway"  # of the socket in a handover
@@ -301,12 +339,13 @@
     def __init__(
         self, runtime: StageRuntime, settings: GatewaySettings, routes: Routes, keyed: CrossSiteStage,
         counters: Counters,
-        context: ssl.SSLContext | None, seed: int, epoch: str,
+        context: ssl.SSLContext | None, seed: int, epoch: str, memory: ClientMemory,
         store: Callable[[], StoreIdentity] = lambda: NO_STORE,
     ) -> None:  # fmt: skip
         self.runtime, self.settings, self.routes, self.keyed, self.store = (
             runtime, settings, routes, keyed, store
         )  # fmt: skip
+        self.memory = memory
         self.stage: CrossSiteStage = keyed
         self.counters, self.context, self.seed, self.epoch = counters, context, seed, epoch
         self.credits = Credits(settings.credits)
@@ -405,6 +444,22 @@
         if self.open_requests.get(incoming.request.wire_id) is incoming:
             del self.open_requests[incoming.request.wire_id]
 
+    def refuse_waiting(self) -> None:
+        """Refuses requests that have waited too long for memory; called periodically."""
+        for incoming in self._incomplete():
+            if incoming.reservation.has_waited(MAX_MEMORY_WAIT_S):
+                incoming.connection.refuse_for_memory(incoming)
+
+    def shed_memory(self) -> None:
+        """Frees memory at once: refuses requests whose bodies are not complete, those that hold most first.
+        At most MAX_SHED in a call."""
+        incomplete = sorted(self._incomplete(), key=lambda i: i.reservation.held, reverse=True)
+        for incoming in incomplete[:MAX_SHED]:
+            incoming.connection.refuse_for_memory(incoming)
+
+    def _incomplete(self) -> list[InboundRequest]:
+        return [i for c in self.connections for i in c.incoming.values() if not i.started]
+
     def renew_stale(self) -> None:
         """Asks peers that were told another store than the present one to connect again: a store may be known
         later, or be another one after a fail-over. One connection of a site at a time, so that a link keeps
--- a/magpiefront/gateway/keyed_stage.py
+++ b/magpiefront/gateway/keyed_stage.py
@@ -72,11 +72,19 @@
     def __init__(self, runtime: StageRuntime, following: Stage, settings: KeyedSettings) -> None:
         self.runtime, self.following = runtime, following
         self.answers: AnswerTable[Request] = AnswerTable(settings.max_answers, settings.max_bytes)
+        self.settings, self.memory_bytes = settings, settings.max_bytes
         self.executions: dict[Request, KeyedExecution] = {}
         self.waiting_requests: dict[Request, tuple[Key, DeadlineTimer]] = {}
 
     def configure(self, settings: KeyedSettings) -> None:
-        self.answers.configure(settings.max_answers, settings.max_bytes)
+        self.settings = settings
+        self.answers.configure(settings.max_answers, min(settings.max_bytes, self.memory_bytes))
+
+    def limit_memory(self, most_bytes: int) -> int:
+        """Keeps no more answers than this, in bytes, whatever the settings allow. Returns their limit."""
+        self.memory_bytes = most_bytes
+        self.configure(self.settings)
+        return self.answers.max_bytes
 
     # ---- the stage
 
--- a/magpiefront/gateway/link.py
+++ b/magpiefront/gateway/link.py
@@ -46,9 +46,10 @@
     """
 
     def __init__(
-        self, runtime: Runtime, client: bool, settings: LinkSettings, seed: int, max_streams: int
+        self, runtime: Runtime, client: bool, settings: LinkSettings, seed: int, max_streams: int,
+        grants: bool = False,
     ) -> None:  # fmt: skip
-        self.runtime, self.http2 = runtime, Http2Connection(client, max_streams)
+        self.runtime, self.http2 = runtime, Http2Connection(client, max_streams, grants)
         self.health = ConnectionHealth(settings, runtime.now_us(), Random(seed))
         self.transport: asyncio.Transport = cast(asyncio.Transport, None)
         self.writing_paused = self.closed = self.flushing = False
@@ -88,7 +89,12 @@
             return
         self.flushing = True  # a write that fails at once may call this method again
         try:
-            while self.http2.output and not self.writing_paused and not self.transport.is_closing():
+            while not self.writing_paused and not self.transport.is_closing():
+                self.http2.fill_output()
+                for event in self.http2.take_writable():
+                    self.handle_event(event)
+                if self.closed or not self.http2.output:
+                    break
                 self.transport.write(self.http2.take_output(WRITE_CHUNK_BYTES))
         finally:
             self.flushing = False
--- a/magpiefront/gateway/service.py
+++ b/magpiefront/gateway/service.py
@@ -16,6 +16,7 @@
 from magpiefront.gateway.routes import Routes
 from magpiefront.gateway.settings import GatewaySettings, Tls
 from magpiefront.gateway.store_identity import NO_STORE, StoreIdentity
+from magpiefront.net.client_memory import ClientMemory
 from magpiefront.gateway.stage import GatewayStage
 from magpiefront.net.request import Stage
 
@@ -62,9 +63,9 @@
 
     def __init__(
         self, runtime: StageRuntime, following: Stage, settings: GatewaySettings, seed: int,
-        store: Callable[[], StoreIdentity] = lambda: NO_STORE,
+        memory: ClientMemory, store: Callable[[], StoreIdentity] = lambda: NO_STORE,
     ) -> None:  # fmt: skip
-        """`store` returns the store of record of this process."""
+        """`memory` is the account of this process's memory, `store` returns its store of record."""
         self.runtime, self.settings, self.store = runtime, settings, store
         self.random = Random(seed)
         self.counters = Counters()
@@ -77,7 +78,7 @@
         self.epoch = f"{Random().getrandbits(64):016x}"
         self.listener = GatewayListener(
             runtime, settings, self.routes, self.keyed, self.counters, server_context,
-            self.random.getrandbits(32), self.epoch, store,
+            self.random.getrandbits(32), self.epoch, memory, store,
         )  # fmt: skip
         self.timer: asyncio.TimerHandle | None = None
 
@@ -132,9 +133,10 @@
         self.timer = self.runtime.loop.call_later(COUNTERS_LOG_INTERVAL_S, self._log_counters)
 
     def sweep(self) -> None:
-        """Fails long answers that have stalled, and renews connections whose hello told another store than
-        the present one. Called periodically."""
+        """Fails long answers that have stalled, refuses requests that have waited too long for memory, and
+        renews connections whose hello told another store than the present one. Called periodically."""
         self.stage.sweep()
+        self.listener.refuse_waiting()
         self.listener.renew_stale()
         for link in self.stage.links.values():
             link.renew_stale()
--- a/magpiefront/gateway/wire.py
+++ b/magpiefront/gateway/wire.py
@@ -51,6 +51,7 @@
     key_age_us: int  # time since the first attempt that may have run; 0 if none
     extra_fields: bytes  # lines of the other fields, for a site that forwards all
     ran_at: str  # epoch of the gateway where it may have run; empty if not known
+    length: int | None = None  # of the body in bytes, if the sender tells it
 
 
 def hello_fields(site: str, to: str, secure: bool, store: bytes = b"") -> Fields:
@@ -148,7 +149,8 @@
     headers[b"req-deadline"] = b"%d.%06d" % divmod(time_left_us, 1_000_000)
     return RequestHead(h.get(b":method", b""), h.get(b":path", b""), headers, time_left_us, repeat,
                        tuple(v.decode("ascii") for v in via), _number(h, b"gw-key-age", b"0"),
-                       format_forwarded(fields), h.get(b"gw-ran-at", b"").decode("latin-1"))  # fmt: skip
+                       format_forwarded(fields), h.get(b"gw-ran-at", b"").decode("latin-1"),
+                       _number(h, b"content-length") if b"content-length" in h else None)  # fmt: skip
 
 
 def answer_fields(
--- a/magpiefront/net/client_memory.py
+++ b/magpiefront/net/client_memory.py
@@ -15,6 +15,7 @@
 # They read on only where there is room for each to get on, and once this part of the limit is free: otherwise
 # all would go on by a few bytes at a time, and none would complete its message.
 RESUME_ROOM_BYTES, RESUME_FREE_PART = 32 * KIB, 16
+UNMEASURED_BYTES = 1 << 62  # the measured room before the process has been measured
 # What one read of a connection may return, and what the parser is fed at once within heads: less while room
 # is short, since each byte may begin a request that costs many times as much.
 MIN_READ_BYTES, SMALL_SLICE_BYTES = 1024, 128
@@ -51,9 +52,11 @@
     `used`: for requests, with what is reserved for bodies that are still to come: a body is read only once
     there is room for all of it, so that those that are read can be completed. Above `limit`, connections that
     hold more than their allowance are paused, except for one (`exempt`) that reads to the end of its message,
-    so that memory is always freed again; no message is larger than `message_limit`. `unsent`: written answers
-    that clients have not taken, with `answer_limit`. `held_back`: the process itself is short of memory; then
-    the limit counts as reached.
+    so that memory is always freed again; no message is larger than `message_limit`. Beyond the limit and one
+    such message, one after the other may be read only as far as there is `measured_room`: how much the
+    process can grow before it has to hold back, from its last measure and less by what has been read so
+    since. `unsent`: written answers that clients have not taken, with `answer_limit`. `held_back`: the
+    process itself is short of memory; then the limit counts as reached.
     """
 
     def __init__(self, limit: int, answer_limit: int | None = None) -> None:
@@ -61,6 +64,7 @@
         self.message_limit = limit
         self.used = self.unsent = 0
         self.held_back = False
+        self.measured_room = UNMEASURED_BYTES
         self.exempt: Holder | None = None
         self.paused: dict[Holder, None] = {}
 
@@ -97,9 +101,18 @@
     def grow(self, holder: Holder, size: int) -> None:
         """Counts `size` more bytes for a request."""
         self.used += size
-        if self.is_short and self.exempt is None and holder.holds_memory and holder.needs_exemption:
+        if holder is self.exempt:
+            self.measured_room -= size
+        elif self.is_short and holder.holds_memory and self._may_exempt(holder):
             self.exempt = holder
 
+    def _may_exempt(self, holder: Holder) -> bool:
+        """Whether this connection may read its message to the end although there is no room for it."""
+        if not holder.needs_exemption or self.exempt is not None:
+            return False
+        wanted = holder.unreserved_bytes
+        return self.used + wanted <= self.limit + self.message_limit or wanted < self.measured_room
+
     def must_pause(self, holder: Holder) -> bool:
         """Whether the connection must stop reading now. If so, its `resume_reading` is called when it may
         read on."""
@@ -110,7 +123,9 @@
             return False
         if not wanted and (not self.is_short or not holder.holds_memory):
             return False
-        if holder.needs_exemption and (self.exempt is None or holder is self.exempt):
+        if holder is self.exempt and holder.needs_exemption:
+            return False
+        if self._may_exempt(holder):
             self.exempt = holder
             return False
         self.paused[holder] = None
@@ -156,7 +171,7 @@
 
     def _choose_exempt(self) -> None:
         for holder in self.paused:
-            if holder.needs_exemption:
+            if self._may_exempt(holder):
                 self.exempt = holder
                 del self.paused[holder]
                 holder.resume_reading()
--- a/magpiefront/net/deadlines.py
+++ b/magpiefront/net/deadlines.py
@@ -13,6 +13,10 @@
 Args = TypeVarTuple("Args")
 
 
+def _nothing() -> None:
+    """Takes the place of a callback that is no longer needed, and of what that refers to."""
+
+
 class TimedRequest(Protocol):
     """A request with a deadline; both times are in microseconds of the host's clock."""
 
@@ -35,11 +39,13 @@
 
     def _on_due(self) -> None:
         self._deadlines.timers.pop(self, None)
-        self._fire()
+        fire, self._fire = self._fire, _nothing
+        fire()
 
     def cancel(self) -> None:
         """Stops the timer: the request is answered, or its client has gone. Further calls do nothing."""
         self._handle.cancel()
+        self._fire = _nothing  # breaks the reference cycle with the request's owner
         self._deadlines.timers.pop(self, None)
 
     def bring_forward(self, at_us: int) -> None:
--- a/magpiefront/net/memory_guard.py
+++ b/magpiefront/net/memory_guard.py
@@ -37,6 +37,9 @@
     def set_step(self, step: Step) -> None:
         """Holds back as this step says, until the next call."""
 
+    def set_room(self, room_bytes: int) -> None:
+        """Tells how much the process can grow by its last measure until it has to hold back."""
+
     def shed_memory(self) -> None:
         """Closes some connections by rank; called again and again while the step is SHED."""
 
@@ -126,6 +129,7 @@
             resident = self._after_trim_bytes = self.memory.read()
             step = self.pressure.update(resident)
         self.resident_bytes = resident
+        self.holders.set_room(self.pressure.room(resident))
         self.holders.set_step(step)
         if step is Step.SHED:
             self.holders.shed_memory()
--- a/magpiefront/net/memory_holders.py
+++ b/magpiefront/net/memory_holders.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from magpiefront.net.client_memory import ClientMemory
 from magpiefront.net.front import Front
 from magpiefront.net.memory_plan import CONNECTION_OBJECTS_BYTES, NODE_CONNECTION_OBJECTS_BYTES, MemoryPlan
@@ -15,6 +17,7 @@
     def __init__(self, proxy: Proxy, front: Front, memory: ClientMemory) -> None:
         self.proxy, self.front, self.memory = proxy, front, memory
         self.step = Step.NONE
+        self.shed_others: Callable[[], None] = lambda: None  # frees what stages hold for requests
 
     def apply_plan(self, plan: MemoryPlan) -> None:
         """Sets the limits of connections, requests and answers."""
@@ -32,9 +35,14 @@
         if step < Step.HOLD:
             self.memory.resume_some()
 
+    def set_room(self, room_bytes: int) -> None:
+        """Tells how much the process can grow by its last measure until it has to hold back."""
+        self.memory.measured_room = room_bytes
+
     def shed_memory(self) -> None:
         """Closes some connections by rank; called again and again while the step is SHED."""
         self.front.shed_memory()
+        self.shed_others()
         self.proxy.pool.close_all_idle()
 
     def held_bytes(self) -> int:
--- a/magpiefront/net/memory_pressure.py
+++ b/magpiefront/net/memory_pressure.py
@@ -43,6 +43,10 @@
         self._margin = int(room * HYSTERESIS)
         self._begins = [0, *(at_rest_bytes + int(room * part) for part in (TRIM_AT, HOLD_AT, SHED_AT))]
 
+    def room(self, resident_bytes: int) -> int:
+        """How much the process can grow until it has to hold back, in bytes."""
+        return max(0, self._begins[Step.HOLD] - resident_bytes)
+
     def update(self, resident_bytes: int) -> Step:
         """Sets and returns the step for this much resident memory."""
         reached = max(step for step in Step if resident_bytes >= self._begins[step])
--- a/magpiefront/operator/compose.py
+++ b/magpiefront/operator/compose.py
@@ -20,6 +20,7 @@
 from magpiefront.maintenance.state_machine import MaintenanceStateMachine
 from magpiefront.maintenance.rules import advance
 from magpiefront.maintenance.service import STATE_MACHINE, MaintenanceService
+from magpiefront.net.client_memory import ClientMemory
 from magpiefront.net.runtime import StageRuntime
 from magpiefront.gateway.inbound import GatewayListener
 from magpiefront.gateway.members import MemberTransport, MemberLinkSettings
@@ -94,6 +95,7 @@
 
 # What a cache takes, as a multiple of its bound, which leaves out fragmentation (docs/operations/caching.md).
 CACHE_OVERHEAD = 1.07
+KEYED_MEMORY_SHARE = 0.25  # the most of the free memory that the kept answers to keyed requests may take
 
 
 def unique_group_name(operator: OperatorConfig) -> str:
@@ -104,12 +106,13 @@
 
 class Composition:
     """The configured stages of one process. `first_stage` receives the requests from the front; it is
-    `next_stage`, the proxy, if no stage is configured. `shut_down` begins the planned shutdown of this
+    `next_stage`, the proxy, if no stage is configured. `memory` is the account of this process's memory.
+    `shut_down` begins the planned shutdown of this
     process."""
 
     def __init__(
         self, runtime: StageRuntime, next_stage: Stage, operator: OperatorConfig, seed: int,
-        proxy: Proxy | None = None, shut_down: Callable[[], None] = lambda: None,
+        memory: ClientMemory, proxy: Proxy | None = None, shut_down: Callable[[], None] = lambda: None,
     ) -> None:  # fmt: skip
         self.runtime, self.operator = runtime, operator
         self.first_stage = next_stage
@@ -119,7 +122,7 @@
         if operator.gateway is not None:
             if operator.caching is not None:
                 next_stage = watch = WriteWatch(runtime, next_stage)
-            self.gateway = Gateway(runtime, next_stage, operator.gateway, seed, self._store_identity)
+            self.gateway = Gateway(runtime, next_stage, operator.gateway, seed, memory, self._store_identity)
             self.first_stage = self.gateway.stage
         if operator.caching is not None:
             disk = Disk(runtime, operator.caching.disk) if operator.caching.disk is not None else None
@@ -323,16 +326,21 @@
         if self.gateway is not None:
             self.gateway.sweep()
 
-    @property
-    def reserved_bytes(self) -> int:
-        """The memory that the operator's file gives to what this process stores, in bytes."""
+    def reserve_memory(self, free_bytes: int) -> int:
+        """Returns how much memory is for what this process stores, of `free_bytes` that it has left. The
+        answers to keyed requests get no more than KEYED_MEMORY_SHARE of that, as far as the file allows."""
         reserved = 0
         if self.operator.caching is not None:
             reserved += int(self.operator.caching.most_bytes * CACHE_OVERHEAD)
-        if self.operator.gateway is not None:
-            reserved += self.operator.gateway.keyed.max_bytes
+        if self.gateway is not None:
+            reserved += self.gateway.keyed.limit_memory(max(0, int(free_bytes * KEYED_MEMORY_SHARE)))
         return reserved
 
+    def shed_memory(self) -> None:
+        """Refuses requests from other sites that are not complete, to free memory at once."""
+        if self.gateway is not None:
+            self.gateway.listener.shed_memory()
+
     def metrics_text(self) -> str:
         """Returns the metric lines of the stages for the admin address. Used if there is a group."""
         metrics = self.group.metrics() if self.group is not None else ""
--- a/tests/caching/test_link.py
+++ b/tests/caching/test_link.py
@@ -96,7 +96,7 @@
                                                                   "connectTimeoutUs": 2_000_000}},
         }, {})  # fmt: skip
         proxy = create_proxy(proxy_config, loop, operator)
-        composition = Composition(proxy, proxy, operator, 1)
+        composition = Composition(proxy, proxy, operator, 1, ClientMemory(50 << 20))
         front = Front(proxy, composition.first_stage, ClientMemory(50 << 20), 500)
         composition.prepare_front(front)
         Discovery(proxy, proxy_config.discovery, 1).listing.apply(proxy_config.initial_list, stale=True)
--- a/tests/gateway/sites.py
+++ b/tests/gateway/sites.py
@@ -147,8 +147,9 @@
     proxy.wall_clock_offset_us += clock_off_us
     lines: list[str] = []
     proxy.log = lines.append  # type: ignore[method-assign,assignment]
-    gateway = Gateway(proxy, proxy, settings, seed)
-    front = Front(proxy, gateway.stage, ClientMemory(50 << 20), 500)
+    memory = ClientMemory(50 << 20)
+    gateway = Gateway(proxy, proxy, settings, seed, memory)
+    front = Front(proxy, gateway.stage, memory, 500)
     discovery = Discovery(proxy, conf.discovery, seed)
     discovery.listing.apply(conf.initial_list, stale=True)
     front.listen("127.0.0.1", 0)
--- a/tests/record/test_composed.py
+++ b/tests/record/test_composed.py
@@ -84,7 +84,7 @@
             submit(request)
 
         proxy.submit = recording_submit  # type: ignore[method-assign]
-        composition = Composition(proxy, proxy, operator, 1)
+        composition = Composition(proxy, proxy, operator, 1, ClientMemory(50 << 20))
         front = Front(proxy, composition.first_stage, ClientMemory(50 << 20), 500)
         composition.prepare_front(front)
         Discovery(proxy, read.discovery, 1).listing.apply(read.initial_list, stale=True)
--- a/tests/test_process_memory.py
+++ b/tests/test_process_memory.py
@@ -84,6 +84,8 @@
     def apply_plan(self, plan: MemoryPlan) -> None:
         self.plans.append(plan)
 
+    def set_room(self, room_bytes: int) -> None: ...
+
     def set_step(self, step: Step) -> None:
         self.steps.append(step)
 
