--- a/magpiefront/net/http1.py
+++ b/magpiefront/net/http1.py
@@ -77,12 +77,14 @@
 
 def head(status: int, length: int | None, more: bytes = b"", close: bool = False) -> bytes:
     """Returns the head of an answer. `length` is that of the body in bytes; with None the body is chunked.
-    `more` holds further field lines, each ended by CRLF."""
+    `more` holds further field lines, each ended by CRLF. A status without a phrase here is sent without one
+    (RFC 9112, 4): nothing that a node or a store answers makes this raise."""
+    reason = REASONS.get(status, b"")
     if length is not None and not close:  # the common case
-        return b"HTTP/1.1 %d %b\r\n%bContent-Length: %d\r\n\r\n" % (status, REASONS[status], more, length)
+        return b"HTTP/1.1 %d %b\r\n%bContent-Length: %d\r\n\r\n" % (status, reason, more, length)
     framing = b"Transfer-Encoding: chunked" if length is None else b"Content-Length: %d" % length
     end = b"\r\nConnection: close\r\n\r\n" if close else b"\r\n\r\n"
-    return b"HTTP/1.1 %d %b\r\n%b%b%b" % (status, REASONS[status], more, framing, end)
+    return b"HTTP/1.1 %d %b\r\n%b%b%b" % (status, reason, more, framing, end)
 
 
 def chunk(data: bytes) -> bytes:
--- a/tests/record/test_stage.py
+++ b/tests/record/test_stage.py
@@ -11,14 +11,17 @@
 
 import pytest
 
+from magpiefront.net.request import Request
+from magpiefront.record.rows import Answer as StoredAnswer
 from magpiefront.record.rows import Id, Moment, State
 from magpiefront.record.rows import boot_id
-from magpiefront.record.stage import CLOCK_STEP_S
+from magpiefront.record.stage import CLOCK_STEP_S, digest_of
+from magpiefront.repeat_limits import FIRST_SENDING
 from standins.pgserver import ConnectionDropped, PgServer
 from tests.record.sockets import recording_proxy, report
 from tests.record.test_journal import row
 from tests.record.test_sqlite import call, open_store
-from tests.sockets import Handler, Node, ReceivedRequest, gated, ok, resets, run, reply, until
+from tests.sockets import Handler, Node, ReceivedRequest, gated, ok, resets, run, reply, silent, until
 
 ERROR = b"HTTP/1.1 500 Oops\r\nContent-Length: 4\r\n\r\nsick"
 
@@ -500,3 +503,24 @@
             assert (await first).body == (await repeat).body == b"held" and len(proxy.node.seen) == 1
 
     run(main())
+
+
+@pytest.mark.parametrize("status", [201, 204, 299, 404, 451, 599])
+def test_a_stored_answer_with_a_status_of_no_known_phrase_is_given_to_a_repeat(
+    status: int, tmp_path: Path
+) -> None:
+    body = b"" if status == 204 else b"noted"
+    report_of_row = Request(None, FIRST_SENDING)  # type: ignore[arg-type]
+    report_of_row.method, report_of_row.target, report_of_row.body = b"PUT", b"/api/g1", [b"level=3.2"]
+    insert_row(
+        tmp_path / "r.sqlite", state=State.CONFIRMED, answer=StoredAnswer(status, b"", body),
+        digest=digest_of(report_of_row),
+    )  # fmt: skip
+
+    async def main() -> None:
+        async with recording_proxy(tmp_path / "r.sqlite", silent) as proxy:
+            for _ in range(2):
+                answer = await asyncio.wait_for(proxy.ask(), 5)
+                assert (answer.status, answer.body) == (status, body) and not proxy.node.seen
+
+    run(main())
