--- a/magpiefront/caching/targets.py
+++ b/magpiefront/caching/targets.py
@@ -46,7 +46,10 @@
     invalidate responses of another origin (RFC 9111, 4.4).
     """
     base = f"http://{host.decode('latin-1')}{target.decode('latin-1')}"
-    origin = _origin(base)
+    try:
+        origin = _origin(base)
+    except ValueError:
+        return []  # no origin, so none that a value could share
     found = []
     for value in values:
         try:
--- a/magpiefront/net/request.py
+++ b/magpiefront/net/request.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import re
+import socket
 from asyncio import TimerHandle
 from collections.abc import Callable, Container, Mapping, Sequence
 from functools import lru_cache
@@ -20,7 +21,11 @@
 # A path that begins with "/", and an optional query (RFC 3986, 3.3 and 3.4). Nothing else is forwarded.
 TARGET = re.compile(rb"/(?:[!$&-;=?-Z_a-z~]|%[0-9A-Fa-f]{2})*")
 DOT_SEGMENTS = re.compile(rb"/(?:\.|%2[eE]){1,2}(?:/|$)")
-HOST = re.compile(rb"(?:(?:[\w.~!$&'()*+,;=-]|%[0-9A-Fa-f]{2})*|\[[0-9A-Fa-f:.]+\])(?::\d*)?", re.ASCII)
+HOST = re.compile(
+    rb"(?:(?:[\w.~!$&'()*+,;=-]|%[0-9A-Fa-f]{2})*|\[(?P<address>[0-9A-Fa-f:.]+)\])(?::(?P<port>\d{0,18}))?",
+    re.ASCII,
+)
+MAX_PORT = 65_535
 # Fields that may occur only once: of two lines, the next recipient could use the other one (RFC 9110, 5.3).
 SINGLE_VALUED = frozenset({
     b"host", b"content-length", b"transfer-encoding", b"content-type", b"expect", b"idempotency-key",
@@ -32,13 +37,29 @@
 # Cached, because the same few hosts and tenants recur: a look-up in a small table costs less than the match.
 # Long values are not: clients could fill the tables with them.
 MAX_CACHED_BYTES = 256
-cached_host = lru_cache(256)(HOST.fullmatch)
 cached_token = lru_cache(256)(TOKEN.fullmatch)
 
 
+def _names_origin(value: bytes) -> bool:
+    found = HOST.fullmatch(value)
+    if found is None or int(found["port"] or 0) > MAX_PORT:
+        return False
+    if found["address"] is None:
+        return True
+    try:
+        socket.inet_pton(socket.AF_INET6, found["address"].decode("ascii"))
+    except OSError:
+        return False
+    return True
+
+
+cached_host = lru_cache(256)(_names_origin)
+
+
 def is_host(value: bytes) -> bool:
-    """Whether this is a valid value of `Host` (RFC 9110, 7.2)."""
-    return (cached_host if len(value) <= MAX_CACHED_BYTES else HOST.fullmatch)(value) is not None
+    """Whether this is a valid value of `Host` (RFC 9110, 7.2) that names an origin: an address in brackets is
+    one of IPv6 (RFC 3986, 3.2.2), and a port is at most 65535."""
+    return (cached_host if len(value) <= MAX_CACHED_BYTES else _names_origin)(value)
 
 
 def is_token(value: bytes) -> bool:
--- a/tests/test_framing.py
+++ b/tests/test_framing.py
@@ -5,11 +5,14 @@
 import asyncio
 from collections.abc import Callable
 from typing import Any, cast
+from urllib.parse import urlsplit
 
 import httptools
 import pytest
 from hypothesis import given, settings, strategies
+from hypothesis import strategies as st
 
+from magpiefront.caching.targets import same_origin_targets
 from magpiefront.interface import Repeat, RequestClass
 from magpiefront.net import message_size
 from magpiefront.net.answer_reader import AnswerReader
@@ -17,10 +20,10 @@
 from magpiefront.net.downstream import ClientConnection
 from magpiefront.net.events import EventLog
 from magpiefront.net.front import READ_BUFFER_BYTES
-from magpiefront.net.http1 import PARSER_ERRORS, HeadTooLong
+from magpiefront.net.http1 import PARSER_ERRORS, HeadTooLong, head
 from magpiefront.net.metrics import Metrics
 from magpiefront.net.pipeline import MAX_PIPELINED_REQUESTS
-from magpiefront.net.request import Request, cached_host, cached_token
+from magpiefront.net.request import HOST, Request, cached_host, cached_token, is_host
 from magpiefront.net.socket_state import SocketState
 from magpiefront.net.turns import ReadTurns
 from magpiefront.request_ids import OnceRequest
@@ -342,3 +345,37 @@
         cast(FakeSocketState, client.socket_state).waiting = False
         client.data_received(request())
         assert front.taken[-1].received_at == received_at
+
+
+HOSTS = [
+    ("x", 200), ("x:", 200), ("x:0", 200), ("x:65535", 200), ("[::1]:8080", 200), ("[::ffff:127.0.0.1]", 200),
+    ("x:65536", 400), ("x:99999", 400), ("x:" + "9" * 19, 400), ("[::::]", 400), ("[1.2.3.4]", 400),
+    ("[::1", 400), ("[]", 400), ("x:8o", 400), ("[12345::]", 400),
+]  # fmt: skip
+
+
+@pytest.mark.parametrize(("host", "status"), HOSTS)
+def test_a_host_that_names_no_origin_is_refused_before_anything_runs(host: str, status: int) -> None:
+    async def main() -> None:
+        async with running_proxy() as w:
+            client = await w.client()
+            message = request("PUT", kind="keyed", body=b"v")
+            client.send(message.replace(b"Host: x\r\n", f"Host: {host}\r\n".encode()))
+            assert (await client.answer()).status == status
+            assert len(w.seen()) == (status == 200)
+
+    run(main())
+
+
+@given(st.binary(max_size=24) | st.from_regex(HOST, fullmatch=True))
+def test_every_host_that_is_accepted_is_the_origin_of_a_url(value: bytes) -> None:
+    if is_host(value):
+        parts = urlsplit(f"http://{value.decode('ascii')}/k")
+        assert parts.port is None or 0 <= parts.port <= 65_535
+    assert isinstance(same_origin_targets(value, b"/k", [b"/other", b"http://x:99999/"]), list)
+
+
+@pytest.mark.parametrize("length", [0, None])
+def test_the_head_of_an_answer_can_be_made_for_every_status(length: int | None) -> None:
+    for status in range(100, 1000):
+        assert head(status, length).startswith(b"HTTP/1.1 %d " % status)
